--- /dev/null
+++ b/internal/core/errkind/errkind.go
@@ -0,0 +1,177 @@
+// Package errkind defines the closed list of error kinds that corkpulley
+// reports, with one table that maps each kind to its answer: HTTP status,
+// code, whether the request ran, and whether and when to retry.
+//
+// Invariant: a kind whose Execution is NotExecuted may be returned only when
+// no byte of the request reached an engine, or when the engine itself said
+// that it did not run the request. Everything else is Unknown or Executed.
+package errkind
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Kind is one entry of the closed list of error kinds.
+type Kind uint8
+
+// The closed list of error kinds. Values are sent between processes: append
+// new kinds at the end and never renumber.
+const (
+	Internal Kind = iota
+	InvalidRequest
+	UnsupportedMediaType
+	PayloadTooLarge
+	UnknownService
+	NotFound
+	MethodNotAllowed
+	TableConflict
+	TableInvalid
+	StepMismatch
+	IdempotencyKeyReused
+	IdempotencyInProgress
+	QueueFull
+	CapReached
+	QueueTimeout
+	NoCapacity
+	Draining
+	NotCurrent
+	NotReady
+	LogUnavailable
+	NotOwner
+	EngineRefused
+	EngineFailed
+	OutcomeUnknown
+	Canceled
+	Superseded
+	ShuttingDown
+	RequestTimeout
+	kindCount
+)
+
+// Execution tells whether a failed request ran on an engine.
+type Execution string
+
+// The three answers to "did the request run".
+const (
+	NotExecuted Execution = "no"
+	Executed    Execution = "yes"
+	Unknown     Execution = "unknown"
+)
+
+// Answer is what a caller is told for one Kind.
+type Answer struct {
+	// Code is the stable machine-readable name of the kind.
+	Code string
+	// Status is the HTTP status code.
+	Status int
+	// Execution tells whether the request ran.
+	Execution Execution
+	// Retryable tells whether the same request may succeed when sent again.
+	Retryable bool
+	// RetryAfter is the suggested delay before a retry; zero when there is none.
+	RetryAfter time.Duration
+}
+
+// statusClientClosedRequest is the de facto status for a caller that left.
+const statusClientClosedRequest = 499
+
+var answers = [kindCount]Answer{
+	Internal:              {"internal", http.StatusInternalServerError, Unknown, false, 0},
+	InvalidRequest:        {"invalid_request", http.StatusBadRequest, NotExecuted, false, 0},
+	UnsupportedMediaType:  {"unsupported_media_type", http.StatusUnsupportedMediaType, NotExecuted, false, 0},
+	PayloadTooLarge:       {"payload_too_large", http.StatusRequestEntityTooLarge, NotExecuted, false, 0},
+	UnknownService:        {"unknown_service", http.StatusNotFound, NotExecuted, false, 0},
+	NotFound:              {"not_found", http.StatusNotFound, NotExecuted, false, 0},
+	MethodNotAllowed:      {"method_not_allowed", http.StatusMethodNotAllowed, NotExecuted, false, 0},
+	TableConflict:         {"table_conflict", http.StatusConflict, NotExecuted, false, 0},
+	TableInvalid:          {"table_invalid", http.StatusUnprocessableEntity, NotExecuted, false, 0},
+	StepMismatch:          {"step_mismatch", http.StatusConflict, NotExecuted, false, 0},
+	IdempotencyKeyReused:  {"idempotency_key_reused", http.StatusUnprocessableEntity, NotExecuted, false, 0},
+	IdempotencyInProgress: {"idempotency_in_progress", http.StatusConflict, Unknown, true, time.Second},
+	QueueFull:             {"queue_full", http.StatusTooManyRequests, NotExecuted, true, time.Second},
+	CapReached:            {"cap_reached", http.StatusTooManyRequests, NotExecuted, true, time.Second},
+	QueueTimeout:          {"queue_timeout", http.StatusServiceUnavailable, NotExecuted, true, 2 * time.Second},
+	NoCapacity:            {"no_capacity", http.StatusServiceUnavailable, NotExecuted, true, 2 * time.Second},
+	Draining:              {"draining", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
+	NotCurrent:            {"not_current", http.StatusServiceUnavailable, NotExecuted, true, 2 * time.Second},
+	NotReady:              {"not_ready", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
+	LogUnavailable:        {"log_unavailable", http.StatusServiceUnavailable, NotExecuted, true, 5 * time.Second},
+	NotOwner:              {"not_owner", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
+	EngineRefused:         {"engine_refused", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
+	EngineFailed:          {"engine_failed", http.StatusBadGateway, Unknown, false, 0},
+	OutcomeUnknown:        {"outcome_unknown", http.StatusBadGateway, Unknown, false, 0},
+	Canceled:              {"canceled", statusClientClosedRequest, Unknown, false, 0},
+	Superseded:            {"superseded", http.StatusConflict, NotExecuted, true, 0},
+	ShuttingDown:          {"shutting_down", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
+	RequestTimeout:        {"request_timeout", http.StatusRequestTimeout, NotExecuted, true, 0},
+}
+
+// All returns every kind in the order of its number.
+func All() []Kind {
+	kinds := make([]Kind, kindCount)
+	for i := range kinds {
+		kinds[i] = Kind(i)
+	}
+	return kinds
+}
+
+// Answer returns the answer for the kind; a number outside the list is Internal.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the stable code of the kind.
+func (k Kind) String() string { return k.Answer().Code }
+
+// Error is an error of a known kind. It travels whole between processes.
+type Error struct {
+	Kind    Kind   `msgpack:"k" json:"kind"`
+	Message string `msgpack:"m" json:"message"`
+	// RetryAfter overrides the table's delay when it is not zero.
+	RetryAfter time.Duration `msgpack:"r,omitempty" json:"retry_after,omitempty"`
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return e.Kind.String() + ": " + e.Message }
+
+// Delay returns the delay before a retry: the error's own, else the table's.
+func (e *Error) Delay() time.Duration {
+	if e.RetryAfter != 0 {
+		return e.RetryAfter
+	}
+	return e.Kind.Answer().RetryAfter
+}
+
+// New returns an Error of the kind with a formatted message.
+func New(kind Kind, format string, arguments ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// From returns the Error inside err, or wraps err as Internal.
+// It returns nil for a nil err.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var known *Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return &Error{Kind: Internal, Message: err.Error()}
+}
+
+// KindOf returns the kind of err; Internal when it has none.
+func KindOf(err error) Kind { return From(err).Kind }
+
+// Is reports whether err carries the kind.
+func Is(err error, kind Kind) bool {
+	var known *Error
+	return errors.As(err, &known) && known.Kind == kind
+}
