Fence and tail the log; decide keyed requests at read

Cause: only the platform's log lasts, and its answers may be lost after the effect. Ruled out: trusting the append's answer (lost after effect), and conditional appends (not every log has them).

--- a/internal/core/logrecord/logrecord.go
+++ b/internal/core/logrecord/logrecord.go
@@ -26,7 +26,12 @@
 	// order in which the writer first tried to append them. A writer has one
 	// append in flight for a stream, so a repeat never has a higher number than
 	// a record that is appended after it.
+	// Snapshot records are idempotent by nature and carry 0.
 	Sequence uint64 `msgpack:"s"`
+	// Base is the offset up to which the writer had read the stream when it
+	// gave out Sequence, so no copy of the record can stand below it. It lets
+	// Sequences forget old writers safely.
+	Base int64 `msgpack:"o,omitempty"`
 	// Epoch is the ownership epoch the writer holds; zero in streams or for
 	// kinds that need no owner.
 	Epoch int64 `msgpack:"e,omitempty"`
@@ -57,4 +62,17 @@
 	Fenced
 	// Invalid: the record is malformed or not allowed in this state; no effect.
 	Invalid
+	// Expired: the record stands more than ForgetAfter offsets after its Base,
+	// where repeats can no longer be told apart; no effect, and no other copy
+	// of it can have one. The stream runtime proposes it again by itself.
+	Expired
 )
+
+// String returns the verdict's name, for logs and metrics.
+func (v Verdict) String() string {
+	names := [...]string{"accepted", "repeated", "fenced", "invalid", "expired"}
+	if int(v) >= len(names) {
+		return "unknown"
+	}
+	return names[v]
+}
--- /dev/null
+++ b/internal/keyed/keyed_test.go
@@ -0,0 +1,237 @@
+package keyed
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/idempotency"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/peer"
+	"github.com/corkpulley/corkpulley/internal/router"
+	standin "github.com/corkpulley/corkpulley/internal/standin/logservice"
+)
+
+const (
+	// limit is generous: it ends a test that hangs, and asserts no speed.
+	limit = 60 * time.Second
+	// logTimeout is what the nodes wait for the log.
+	logTimeout = 500 * time.Millisecond
+)
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func newRequest(key, prompt string) Request {
+	row := policy.Row{Service: "permits", Repeatable: true}
+	return Request{Key: key, Service: "permits", Submission: Submission{ID: key, Row: row, Prompt: prompt}}
+}
+
+// execute returns the answer's text; it checks that tokens come in order.
+func execute(ctx context.Context, executor *Executor, request Request) (string, error) {
+	var text strings.Builder
+	next := 0
+	result, err := executor.Execute(ctx, request, func(piece router.Piece) error {
+		if piece.FirstToken != next {
+			return errors.Errorf("piece starts at %d, wanted %d", piece.FirstToken, next)
+		}
+		next += len(piece.Tokens)
+		text.WriteString(strings.Join(piece.Tokens, ""))
+		return nil
+	})
+	if err == nil && result.Tokens != next {
+		err = errors.Errorf("%d of %d tokens", next, result.Tokens)
+	}
+	return text.String(), err
+}
+
+// eventually executes until the request ends otherwise than by the kind.
+func eventually(t *testing.T, executor *Executor, request Request, while errkind.Kind) (string, error) {
+	t.Helper()
+	ctx := testContext(t)
+	for {
+		text, err := execute(ctx, executor, request)
+		if !errkind.Is(err, while) {
+			return text, err
+		}
+		assert.NilError(t, ctx.Err())
+	}
+}
+
+func TestOneRunForManyCallers(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	world.log.SetControl(standin.Control{LoseAnswers: 0.3, LateMS: 3})
+	nodes := []*Executor{world.node(t, "a", "b"), world.node(t, "b", "a")}
+	var callers sync.WaitGroup
+	for i := range 24 {
+		callers.Go(func() {
+			key := "key-" + string(rune('0'+i%3))
+			text, err := execute(ctx, nodes[i%2], newRequest(key, key))
+			assert.Check(t, err == nil, "%v", err)
+			assert.Check(t, text == "answer to "+key, "%q", text)
+		})
+	}
+	callers.Wait()
+	for _, key := range []string{"key-0", "key-1", "key-2"} {
+		assert.Equal(t, world.router.count(key), 1)
+	}
+
+	// A node that starts later finds the recorded answer.
+	text, err := eventually(t, world.node(t, "c"), newRequest("key-0", "key-0"), errkind.OutcomeUnknown)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "answer to key-0")
+	_, err = execute(ctx, nodes[0], newRequest("key-0", "something else"))
+	assert.Assert(t, errkind.Is(err, errkind.IdempotencyKeyReused), "%v", err)
+	assert.Equal(t, world.router.count("key-0"), 1)
+}
+
+// TestOneRunAcrossSplitViews lets three nodes each take themselves for the owner.
+func TestOneRunAcrossSplitViews(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	world.log.SetControl(standin.Control{LoseAnswers: 0.3, LateMS: 3})
+	nodes := []*Executor{world.node(t, "a"), world.node(t, "b"), world.node(t, "c")}
+	for _, key := range []string{"k0", "k1", "k2", "k3", "k4", "k5"} {
+		var callers sync.WaitGroup
+		for _, node := range nodes {
+			callers.Go(func() {
+				_, err := execute(ctx, node, newRequest(key, key))
+				assert.Check(t, err == nil || errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+			})
+		}
+		callers.Wait()
+		assert.Equal(t, world.router.count(key), 1)
+		for _, node := range nodes {
+			text, err := eventually(t, node, newRequest(key, key), errkind.OutcomeUnknown)
+			assert.NilError(t, err)
+			assert.Equal(t, text, "answer to "+key)
+		}
+		assert.Equal(t, world.router.count(key), 1)
+	}
+}
+
+func TestLogDownRefusesAndReleasesLateIntents(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	node := world.node(t, "a")
+	_, err := execute(ctx, node, newRequest("first", "first"))
+	assert.NilError(t, err)
+
+	world.log.SetControl(standin.Control{Down: true})
+	_, err = execute(ctx, node, newRequest("k", "k"))
+	assert.Assert(t, errkind.Is(err, errkind.LogUnavailable), "%v", err)
+
+	// Reads work, and all appends take effect only after the node gave up.
+	late := 2 * logTimeout
+	world.log.SetControl(standin.Control{LoseAnswers: 1, LateMS: late.Milliseconds()})
+	_, err = execute(ctx, node, newRequest("k", "k"))
+	assert.Assert(t, errkind.Is(err, errkind.LogUnavailable), "%v", err)
+	assert.Equal(t, world.router.count("k"), 0)
+
+	world.log.SetControl(standin.Control{})
+	text, err := eventually(t, node, newRequest("k", "k"), errkind.LogUnavailable)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "answer to k")
+	assert.Equal(t, world.router.count("k"), 1)
+}
+
+func TestRefusedRunReleasesTheKey(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	nodes := []*Executor{world.node(t, "a"), world.node(t, "b")}
+	world.router.script = func(router.Request) error { return errkind.New(errkind.NoCapacity, "no engine") }
+	_, err := execute(ctx, nodes[0], newRequest("k", "k"))
+	assert.Assert(t, errkind.Is(err, errkind.NoCapacity), "%v", err)
+	world.router.script = nil
+	text, err := execute(ctx, nodes[1], newRequest("k", "k"))
+	assert.NilError(t, err)
+	assert.Equal(t, text, "answer to k")
+}
+
+func TestFailedRunIsNeverRepeated(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	nodes := []*Executor{world.node(t, "a"), world.node(t, "b")}
+	world.router.script = func(router.Request) error { return errkind.New(errkind.EngineFailed, "crashed") }
+	_, err := execute(ctx, nodes[0], newRequest("k", "k"))
+	assert.Assert(t, errkind.Is(err, errkind.EngineFailed), "%v", err)
+	world.router.script = nil
+	for _, node := range nodes {
+		_, err = execute(ctx, node, newRequest("k", "k"))
+		assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+	}
+	assert.Equal(t, world.router.count("k"), 1)
+}
+
+func TestRunGoesOnWithoutItsCaller(t *testing.T) {
+	world := newWorld(t)
+	node := world.node(t, "a")
+	world.router.hold = make(chan struct{})
+	ctx, cancel := context.WithCancel(testContext(t))
+	_, err := node.Execute(ctx, newRequest("k", "k"), func(router.Piece) error {
+		cancel()
+		return nil
+	})
+	assert.Assert(t, errkind.Is(err, errkind.Canceled), "%v", err)
+	close(world.router.hold)
+	text, err := execute(testContext(t), node, newRequest("k", "k"))
+	assert.NilError(t, err)
+	assert.Equal(t, text, "answer to k")
+	assert.Equal(t, world.router.count("k"), 1)
+	assert.NilError(t, node.Close(testContext(t)))
+	_, err = execute(testContext(t), node, newRequest("k2", "k2"))
+	assert.Assert(t, errkind.Is(err, errkind.ShuttingDown), "%v", err)
+}
+
+func TestUncertainDeliveryIsNeverSentAgain(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	// The view names only another node, so each request is forwarded.
+	node := world.node(t, "a")
+	node.options.View = onlyOther{}
+	node.options.Caller = brokenCaller{failure: &peer.DeliveryError{Sent: true, Err: errors.New("reset")}}
+	_, err := execute(ctx, node, newRequest("k", "k"))
+	assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+	assert.Equal(t, world.router.count("k"), 0)
+
+	node.options.Caller = brokenCaller{failure: &peer.DeliveryError{Err: errors.New("refused")}}
+	text, err := execute(ctx, node, newRequest("k", "k"))
+	assert.NilError(t, err)
+	assert.Equal(t, text, "answer to k")
+}
+
+// onlyOther knows one candidate, which is not the node itself.
+type onlyOther struct{ fakeView }
+
+func (onlyOther) Self() cluster.Member { return cluster.Member{ID: "a"} }
+
+func (onlyOther) Candidates(string) []cluster.Member {
+	return []cluster.Member{{ID: "z", Address: "z"}}
+}
+
+func TestInvalidKeysAreRefused(t *testing.T) {
+	node := newWorld(t).node(t, "a")
+	for _, key := range []string{"", strings.Repeat("k", idempotency.MaxKeyBytes)} {
+		_, err := execute(testContext(t), node, newRequest(key, "p"))
+		assert.Assert(t, errkind.Is(err, errkind.InvalidRequest), "%v", err)
+	}
+}
+
+func TestLargeAnswersAreNotKept(t *testing.T) {
+	huge := router.Piece{Tokens: []string{strings.Repeat("x", idempotency.MaxOutcomeBytes)}}
+	data, err := encodeOutcome([]router.Piece{huge}, router.Result{Tokens: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 1000)
+}
--- a/internal/logstream/logstream.go
+++ b/internal/logstream/logstream.go
@@ -17,7 +17,8 @@
 	// Snapshot encodes the state after the last applied record. It returns
 	// nil when the stream keeps no snapshots.
 	Snapshot() ([]byte, error)
-	// Restore replaces the state with a snapshot's.
+	// Restore replaces the state with a snapshot's. On an error the state is
+	// as before.
 	Restore(snapshot []byte) error
 }
 
--- /dev/null
+++ b/internal/logstream/logstream_test.go
@@ -0,0 +1,336 @@
+package logstream
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/platform/logservice"
+	standin "github.com/corkpulley/corkpulley/internal/standin/logservice"
+)
+
+// limit is generous: it ends a test that hangs, and asserts no speed.
+const limit = 60 * time.Second
+
+// history is a reducer that keeps every accepted record: an owned stream of
+// notes, so that two readers can be compared whole.
+type history struct {
+	Sequences logrecord.Sequences
+	Fence     logrecord.Fence
+	Accepted  []string
+}
+
+const kindNote logrecord.Kind = "note"
+
+func (h *history) Apply(offset int64, record logrecord.Record) logrecord.Verdict {
+	verdict := h.Sequences.Admit(offset, record)
+	if verdict == logrecord.Accepted && record.Kind != kindNote {
+		verdict = h.Fence.Check(offset, record)
+	}
+	if verdict == logrecord.Accepted {
+		h.Accepted = append(h.Accepted, fmt.Sprintf("%d %s %d %s", offset, record.Writer, record.Sequence, record.Kind))
+	}
+	return verdict
+}
+
+func (h *history) Snapshot() ([]byte, error) { return msgpack.Marshal(h) }
+
+func (h *history) Restore(data []byte) error {
+	var restored history
+	if err := msgpack.Unmarshal(data, &restored); err != nil {
+		return err
+	}
+	*h = restored
+	return nil
+}
+
+// fixture is a stand-in of the log with an HTTP server before it.
+type fixture struct {
+	log    *standin.Server
+	server *httptest.Server
+	// failedReads counts the failed reads of all managers.
+	failedReads atomic.Int64
+}
+
+// countingService counts failed reads.
+type countingService struct {
+	logservice.Service
+	failedReads *atomic.Int64
+}
+
+func (s countingService) Read(
+	ctx context.Context, stream string, from int64, limit int, wait time.Duration,
+) (logservice.Batch, error) {
+	batch, err := s.Service.Read(ctx, stream, from, limit, wait)
+	if err != nil {
+		s.failedReads.Add(1)
+	}
+	return batch, err
+}
+
+// outage keeps the log down until the readers have met it, then sets control.
+func (f *fixture) outage(t *testing.T, ctx context.Context, control standin.Control) {
+	t.Helper()
+	f.log.SetControl(standin.Control{Down: true})
+	before := f.failedReads.Load()
+	for f.failedReads.Load() < before+6 {
+		assert.Assert(t, sleep(ctx, time.Millisecond), "no read failed")
+	}
+	f.log.SetControl(control)
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	log := standin.New(standin.Config{Seed: 1})
+	server := httptest.NewServer(log.Handler())
+	t.Cleanup(server.Close)
+	return &fixture{log: log, server: server}
+}
+
+func (f *fixture) service() logservice.Service {
+	return logservice.NewHTTP(f.server.URL, f.server.Client())
+}
+
+func (f *fixture) manager(t *testing.T, writer string) *Manager {
+	t.Helper()
+	manager := NewManager(Options{
+		Service:       countingService{Service: f.service(), failedReads: &f.failedReads},
+		Writer:        writer,
+		Logger:        zerolog.Nop(),
+		PollWait:      50 * time.Millisecond,
+		AppendTimeout: time.Second,
+	})
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = manager.Close(ended)
+	})
+	return manager
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// accepted returns what the stream's reader accepted, after it caught up.
+func accepted(t *testing.T, ctx context.Context, stream *TailedStream) []string {
+	t.Helper()
+	assert.NilError(t, stream.CatchUp(ctx))
+	var records []string
+	stream.View(func() { records = slices.Clone(stream.Reducer().(*history).Accepted) })
+	return records
+}
+
+// TestEveryProposalGetsOneVerdict lets two processes race while answers are
+// lost, effects come late, appends are refused and the log goes down.
+func TestEveryProposalGetsOneVerdict(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	fixture.log.SetControl(standin.Control{LoseAnswers: 0.4, LateMS: 30, Refuse: 0.2})
+	streams := []*TailedStream{}
+	for _, writer := range []string{"a", "b"} {
+		manager := fixture.manager(t, writer)
+		streams = append(streams, manager.Open("notes/x", &history{}, StreamOptions{SnapshotEvery: 40}))
+	}
+
+	const each = 120
+	var mu sync.Mutex
+	offsets := map[int64]bool{}
+	var workers sync.WaitGroup
+	for i := range 2 * each {
+		workers.Go(func() {
+			outcome, err := streams[i%2].Propose(ctx, Proposal{Kind: kindNote, Body: i})
+			assert.Check(t, err == nil, "proposal %d: %v", i, err)
+			assert.Check(t, outcome.Verdict == logrecord.Accepted, "proposal %d: %v", i, outcome.Verdict)
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Check(t, !offsets[outcome.Offset], "two proposals at offset %d", outcome.Offset)
+			offsets[outcome.Offset] = true
+		})
+	}
+	fixture.outage(t, ctx, standin.Control{LoseAnswers: 0.4, LateMS: 30, Refuse: 0.2})
+	workers.Wait()
+	fixture.log.SetControl(standin.Control{})
+
+	first := accepted(t, ctx, streams[0])
+	second := accepted(t, ctx, streams[1])
+	shared := min(len(first), len(second))
+	assert.DeepEqual(t, first[:shared], second[:shared])
+	assert.Equal(t, len(first), 2*each)
+	assert.Equal(t, len(second), 2*each)
+
+	// A fresh reader starts from a snapshot and ends in the same state.
+	reader := fixture.manager(t, "c").Open("notes/x", &history{}, StreamOptions{})
+	assert.DeepEqual(t, accepted(t, ctx, reader), first)
+}
+
+// TestRacingClaims lets processes claim against each other; each epoch has one owner.
+func TestRacingClaims(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	fixture.log.SetControl(standin.Control{LoseAnswers: 0.3, LateMS: 5})
+	var mu sync.Mutex
+	owners := map[int64]string{}
+	var workers sync.WaitGroup
+	for _, writer := range []string{"a", "b", "c"} {
+		reducer := &logrecord.OwnershipReducer{}
+		stream := fixture.manager(t, writer).Open("orders/m", reducer, StreamOptions{SnapshotEvery: 10})
+		workers.Go(func() {
+			for range 15 {
+				var fence logrecord.Fence
+				stream.View(func() { fence = reducer.Fence() })
+				claim := logrecord.Claim{PreviousEpoch: fence.Epoch, Node: writer, Address: "127.0.0.1:1"}
+				outcome, err := stream.Propose(ctx, Proposal{Kind: logrecord.KindClaim, Body: claim})
+				assert.Check(t, err == nil, "%v", err)
+				if outcome.Verdict != logrecord.Accepted {
+					assert.Check(t, outcome.Verdict == logrecord.Fenced, "%v", outcome.Verdict)
+					continue
+				}
+				epoch := logrecord.EpochOfClaim(outcome.Offset)
+				mu.Lock()
+				assert.Check(t, owners[epoch] == "", "epoch %d has two owners", epoch)
+				owners[epoch] = writer
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	assert.Assert(t, len(owners) > 0)
+}
+
+func TestLateOutcomeAndLastContact(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	manager := fixture.manager(t, "a")
+	stream := manager.Open("notes/x", &history{}, StreamOptions{})
+	_, err := stream.Propose(ctx, Proposal{Kind: kindNote, Body: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, !manager.LastContact("notes/x").IsZero())
+	assert.Assert(t, manager.LastContact("notes/other").IsZero())
+
+	fixture.log.SetControl(standin.Control{Down: true})
+	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	late := make(chan Outcome, 2)
+	_, err = stream.ProposeWithLate(short, Proposal{Kind: kindNote, Body: 2}, func(outcome Outcome) { late <- outcome })
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	fixture.log.SetControl(standin.Control{})
+	select {
+	case outcome := <-late:
+		assert.Equal(t, outcome.Verdict, logrecord.Accepted)
+		record, err := stream.ReadRecord(ctx, outcome.Offset)
+		assert.NilError(t, err)
+		assert.Equal(t, record.Sequence, uint64(2))
+	case <-ctx.Done():
+		t.Fatal("the late outcome was not reported")
+	}
+	assert.Equal(t, len(accepted(t, ctx, stream)), 2)
+}
+
+// TestMalformedRecordsAreSkipped also covers a snapshot that nobody can use.
+func TestMalformedRecordsAreSkipped(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	badSnapshot, err := logrecord.Encode(logrecord.Record{Writer: "z", Kind: logrecord.KindSnapshot, Body: []byte{0xc0}})
+	assert.NilError(t, err)
+	_, err = fixture.service().Append(ctx, "notes/x", [][]byte{{0xff}, {}, badSnapshot})
+	assert.NilError(t, err)
+	stream := fixture.manager(t, "a").Open("notes/x", &history{}, StreamOptions{})
+	outcome, err := stream.Propose(ctx, Proposal{Kind: kindNote, Body: 1})
+	assert.NilError(t, err)
+	assert.Equal(t, outcome, Outcome{Offset: 3, Verdict: logrecord.Accepted})
+	assert.Equal(t, stream.Applied(), int64(4))
+}
+
+// TestSnapshotEqualsReplay compares a reader that starts from a snapshot of
+// several parts with one that replays the stream.
+func TestSnapshotEqualsReplay(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	writer := fixture.manager(t, "a").Open("notes/x", &history{}, StreamOptions{SnapshotEvery: 100})
+	writer.View(func() {
+		// A large state, which is then cut into parts.
+		writer.Reducer().(*history).Accepted = []string{strings.Repeat("x", 2*snapshotPartBytes)}
+	})
+	for i := range 150 {
+		_, err := writer.Propose(ctx, Proposal{Kind: kindNote, Body: i})
+		assert.NilError(t, err)
+	}
+	want := accepted(t, ctx, writer)
+	manager := fixture.manager(t, "b")
+	restored := manager.Open("notes/x", &history{}, StreamOptions{})
+	assert.DeepEqual(t, accepted(t, ctx, restored), want)
+
+	// Another format is not read: the reader replays, without the large entry.
+	replayed := manager.Open("notes/x", &history{}, StreamOptions{SnapshotFormat: 9})
+	assert.DeepEqual(t, accepted(t, ctx, replayed), want[1:])
+}
+
+func TestOpenSharesByReducerAndClosesAfterTheLast(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	manager := fixture.manager(t, "a")
+	reducer := &history{}
+	first := manager.Open("notes/x", reducer, StreamOptions{})
+	second := manager.Open("notes/x", reducer, StreamOptions{})
+	other := manager.Open("notes/x", &history{}, StreamOptions{})
+	assert.Equal(t, first, second)
+	assert.Assert(t, other != first && other.Writer() != first.Writer())
+
+	first.Close()
+	_, err := second.Propose(ctx, Proposal{Kind: kindNote, Body: 1})
+	assert.NilError(t, err)
+	second.Close()
+	_, err = second.Propose(ctx, Proposal{Kind: kindNote, Body: 1})
+	assert.ErrorIs(t, err, ErrNotProposed)
+	assert.NilError(t, manager.Close(ctx))
+	assert.Assert(t, manager.LastContact("notes/x").IsZero())
+}
+
+func TestOversizeBodyIsNotProposed(t *testing.T) {
+	stream := newFixture(t).manager(t, "a").Open("notes/x", &history{}, StreamOptions{})
+	_, err := stream.Propose(testContext(t), Proposal{Kind: kindNote, Body: make([]byte, MaxBodyBytes+1)})
+	assert.ErrorIs(t, err, ErrNotProposed)
+}
+
+// TestExpiredProposalIsProposedAgain puts a proposal behind more records than
+// a reader remembers; its writer gives it a new sequence by itself.
+func TestExpiredProposalIsProposedAgain(t *testing.T) {
+	ctx := testContext(t)
+	fixture := newFixture(t)
+	stream := fixture.manager(t, "a").Open("notes/x", &history{}, StreamOptions{})
+	assert.NilError(t, stream.CatchUp(ctx))
+	stream.mu.Lock()
+	proposed, err := stream.newProposal(Proposal{Kind: kindNote, Body: 1}, nil)
+	assert.NilError(t, err)
+	proposed.record.Sequence = stream.nextSequence
+	stream.nextSequence++
+	stream.pending[proposed.record.Sequence] = proposed
+	stream.mu.Unlock()
+	old, err := logrecord.Encode(proposed.record)
+	assert.NilError(t, err)
+
+	filler := make([][]byte, logrecord.ForgetAfter+1)
+	_, err = fixture.service().Append(ctx, "notes/x", append(filler, old))
+	assert.NilError(t, err)
+	select {
+	case outcome := <-proposed.done:
+		assert.Equal(t, outcome, Outcome{Offset: logrecord.ForgetAfter + 2, Verdict: logrecord.Accepted})
+	case <-ctx.Done():
+		t.Fatal("no verdict")
+	}
+}
--- /dev/null
+++ b/internal/logstream/stream.go
@@ -0,0 +1,236 @@
+package logstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+)
+
+// TailedStream is one tailed stream with its reducer. It implements Stream.
+type TailedStream struct {
+	manager *Manager
+	name    string
+	class   string
+	writer  string
+	options StreamOptions
+	logger  zerolog.Logger
+	// reducer is guarded by mu, the field itself never changes.
+	reducer Reducer
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// loaded is closed once a snapshot was restored or found missing.
+	loaded chan struct{}
+	// stopped is closed once both goroutines have ended.
+	stopped chan struct{}
+	// wake tells the appender that the queue has work.
+	wake chan struct{}
+
+	mu          sync.Mutex
+	references  int
+	applied     int64
+	lastContact time.Time
+	waiters     map[int64]chan struct{}
+
+	// queue holds proposals without a sequence; pending those with one that
+	// were not yet read back.
+	queue        []*proposal
+	pending      map[uint64]*proposal
+	nextSequence uint64
+
+	lastSnapshot     int64
+	acceptedSince    bool
+	pendingSnapshots [][]byte
+}
+
+var _ Stream = (*TailedStream)(nil)
+
+func newTailedStream(
+	manager *Manager, name, writer string, reducer Reducer, options StreamOptions,
+) *TailedStream {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &TailedStream{
+		manager:      manager,
+		name:         name,
+		class:        streamClass(name),
+		writer:       writer,
+		options:      options,
+		logger:       manager.options.Logger.With().Str("stream", name).Logger(),
+		reducer:      reducer,
+		ctx:          ctx,
+		cancel:       cancel,
+		loaded:       make(chan struct{}),
+		stopped:      make(chan struct{}),
+		wake:         make(chan struct{}, 1),
+		references:   1,
+		waiters:      make(map[int64]chan struct{}),
+		pending:      make(map[uint64]*proposal),
+		nextSequence: 1,
+	}
+}
+
+func (s *TailedStream) start() {
+	var running sync.WaitGroup
+	running.Go(s.tail)
+	running.Go(s.appendLoop)
+	go func() {
+		running.Wait()
+		s.manager.forget(s)
+		close(s.stopped)
+	}()
+}
+
+// Name returns the stream's name.
+func (s *TailedStream) Name() string { return s.name }
+
+// Writer returns the writer ID under which this runtime appends.
+func (s *TailedStream) Writer() string { return s.writer }
+
+// Reducer returns the reducer; read its state inside View only.
+func (s *TailedStream) Reducer() Reducer { return s.reducer }
+
+// share counts one more reference; false when the stream was closed already.
+func (s *TailedStream) share() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.references == 0 {
+		return false
+	}
+	s.references++
+	return true
+}
+
+// Close gives up one reference. After the last one no proposal is taken any
+// more; the runtime ends once the verdict on each earlier proposal is known.
+func (s *TailedStream) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.references > 0 {
+		s.references--
+	}
+	s.stopWhenIdle()
+}
+
+func (s *TailedStream) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.references = 0
+	s.stopWhenIdle()
+}
+
+// stopWhenIdle ends the goroutines of a closed stream without open proposals;
+// mu is held.
+func (s *TailedStream) stopWhenIdle() {
+	if s.references == 0 && len(s.pending) == 0 && len(s.queue) == 0 {
+		s.cancel()
+	}
+}
+
+// View implements Stream.
+func (s *TailedStream) View(read func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read()
+}
+
+// Applied implements Stream.
+func (s *TailedStream) Applied() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applied
+}
+
+// Changed implements Stream.
+func (s *TailedStream) Changed(offset int64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.applied > offset {
+		return closedChannel
+	}
+	waiter, ok := s.waiters[offset]
+	if !ok {
+		waiter = make(chan struct{})
+		s.waiters[offset] = waiter
+	}
+	return waiter
+}
+
+var closedChannel = func() chan struct{} {
+	channel := make(chan struct{})
+	close(channel)
+	return channel
+}()
+
+// CatchUp implements Stream. It asks the log for the stream's end again and
+// again until it answers or ctx ends.
+func (s *TailedStream) CatchUp(ctx context.Context) error {
+	end, err := s.streamEnd(ctx)
+	if err != nil {
+		return err
+	}
+	if end == 0 {
+		return s.waitLoaded(ctx)
+	}
+	select {
+	case <-s.Changed(end - 1):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.ctx.Done():
+		return ErrClosed
+	}
+}
+
+func (s *TailedStream) waitLoaded(ctx context.Context) error {
+	select {
+	case <-s.loaded:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.ctx.Done():
+		return ErrClosed
+	}
+}
+
+func (s *TailedStream) streamEnd(ctx context.Context) (int64, error) {
+	delays := newBackOff()
+	for {
+		batch, err := s.manager.options.Service.Read(ctx, s.name, -1, 1, 0)
+		if err == nil {
+			return batch.End, nil
+		}
+		if s.ctx.Err() != nil {
+			return 0, ErrClosed
+		}
+		if !sleep(ctx, delays.NextBackOff()) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// ReadRecord implements Stream. An error wraps logservice.ErrUnavailable when
+// the log could not be read, logrecord.ErrMalformed when the record is no good.
+func (s *TailedStream) ReadRecord(ctx context.Context, offset int64) (logrecord.Record, error) {
+	if offset < 0 || offset >= s.Applied() {
+		return logrecord.Record{}, errors.Errorf("log stream: offset %d was not applied yet", offset)
+	}
+	batch, err := s.manager.options.Service.Read(ctx, s.name, offset, 1, 0)
+	if err != nil {
+		return logrecord.Record{}, err
+	}
+	if len(batch.Entries) == 0 {
+		return logrecord.Record{}, errors.Errorf("log stream: no record at offset %d", offset)
+	}
+	return logrecord.Decode(batch.Entries[0].Data)
+}
+
+func (s *TailedStream) contact() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastContact
+}
--- /dev/null
+++ b/internal/logstream/tail.go
@@ -0,0 +1,111 @@
+package logstream
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/platform/logservice"
+)
+
+// tail restores the latest snapshot, then applies the stream as it grows.
+func (s *TailedStream) tail() {
+	delays := newBackOff()
+	for s.ctx.Err() == nil {
+		err := s.loadSnapshot(s.ctx)
+		if err == nil {
+			break
+		}
+		s.logger.Warn().Err(err).Msg("snapshot not loaded, trying again")
+		sleep(s.ctx, delays.NextBackOff())
+	}
+	if s.ctx.Err() != nil {
+		return
+	}
+	close(s.loaded)
+	s.follow()
+}
+
+func (s *TailedStream) follow() {
+	delays := newBackOff()
+	limit := readLimit
+	for s.ctx.Err() == nil {
+		batch, err := s.poll(limit)
+		s.manager.metrics.reads.WithLabelValues(s.class, outcomeLabel(err)).Inc()
+		if err == nil {
+			delays.Reset()
+			limit = min(limit*2, readLimit)
+			s.applyBatch(batch)
+			continue
+		}
+		if s.ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, logservice.ErrTooLarge) && limit > 1 {
+			limit /= 2
+			continue
+		}
+		s.logger.Warn().Err(err).Msg("read failed, trying again")
+		sleep(s.ctx, delays.NextBackOff())
+	}
+}
+
+// poll reads what follows the last applied record.
+func (s *TailedStream) poll(limit int) (logservice.Batch, error) {
+	from := s.Applied()
+	batch, err := s.manager.options.Service.Read(s.ctx, s.name, from, limit, s.manager.options.PollWait)
+	if err != nil {
+		return logservice.Batch{}, err
+	}
+	if batch.End < from {
+		// An append-only log cannot shrink; going on would mix two histories.
+		return logservice.Batch{}, errors.Wrapf(logservice.ErrUnavailable, "stream ends at %d, but %d was read", batch.End, from)
+	}
+	return batch, nil
+}
+
+func (s *TailedStream) applyBatch(batch logservice.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, entry := range batch.Entries {
+		s.applyEntry(entry)
+	}
+	if s.applied >= batch.End {
+		s.lastContact = time.Now()
+	}
+	s.releaseWaiters()
+	s.queueSnapshot()
+	s.stopWhenIdle()
+}
+
+// applyEntry applies one entry; mu is held. Every reader skips the same
+// malformed records, since decoding depends on their bytes only.
+func (s *TailedStream) applyEntry(entry logservice.Entry) {
+	if entry.Offset != s.applied {
+		return
+	}
+	s.applied++
+	record, err := logrecord.Decode(entry.Data)
+	if err != nil {
+		s.manager.metrics.skipped.WithLabelValues(s.class).Inc()
+		s.logger.Warn().Err(err).Int64("offset", entry.Offset).Msg("malformed record skipped")
+		return
+	}
+	if record.Kind == logrecord.KindSnapshot {
+		s.noteSnapshot(entry.Offset, record)
+		return
+	}
+	verdict := s.reducer.Apply(entry.Offset, record)
+	s.settle(entry.Offset, record, verdict)
+}
+
+// releaseWaiters closes the channels of offsets that were applied; mu is held.
+func (s *TailedStream) releaseWaiters() {
+	for offset, waiter := range s.waiters {
+		if offset < s.applied {
+			close(waiter)
+			delete(s.waiters, offset)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/logservice/http.go
@@ -0,0 +1,190 @@
+package logservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Bounds of the HTTP adapter.
+const (
+	// MaxReadBytes bounds the body of one read's answer.
+	MaxReadBytes = 32 << 20
+	// MaxReadRecords bounds the records asked for in one read.
+	MaxReadRecords = 1000
+	// maxAppendAnswerBytes bounds the body of an append's answer.
+	maxAppendAnswerBytes = 64 << 10
+	// readGrace is added to a read's wait before it counts as failed.
+	readGrace = 10 * time.Second
+)
+
+// ErrTooLarge wraps ErrUnavailable: the answer to a read is larger than
+// MaxReadBytes; ask for fewer records.
+var ErrTooLarge = errors.Wrap(ErrUnavailable, "answer too large")
+
+// httpService is the HTTP adapter of Service.
+type httpService struct {
+	baseURL string
+	client  *http.Client
+}
+
+// NewHTTP returns a Service that speaks the platform's HTTP protocol at
+// baseURL ("http://host:port"). It follows no redirects, because a redirected
+// append could reach two servers.
+func NewHTTP(baseURL string, client *http.Client) Service {
+	noRedirects := *client
+	noRedirects.CheckRedirect = func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}
+	return &httpService{baseURL: strings.TrimSuffix(baseURL, "/"), client: &noRedirects}
+}
+
+// Append implements Service. The outcome is ErrRefused only when the service
+// said so, or when no connection was made; all other failures are ErrUnknown.
+func (s *httpService) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, errors.Wrapf(ErrRefused, "not sent: %v", err)
+	}
+	body, err := json.Marshal(AppendRequest{Records: records})
+	if err != nil {
+		return 0, errors.Wrapf(ErrRefused, "encode: %v", err)
+	}
+	address := s.baseURL + "/v1/append?" + url.Values{"stream": {stream}}.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrapf(ErrRefused, "build request: %v", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, appendFailure(err)
+	}
+	defer closeBody(response.Body)
+	return appendAnswer(response)
+}
+
+// appendFailure maps a transport error: a failed dial certainly sent nothing.
+func appendFailure(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return errors.Wrapf(ErrRefused, "connect: %v", err)
+	}
+	return errors.Wrapf(ErrUnknown, "%v", err)
+}
+
+func appendAnswer(response *http.Response) (int64, error) {
+	data, err := readBounded(response.Body, maxAppendAnswerBytes)
+	if err != nil {
+		return 0, errors.Wrapf(ErrUnknown, "read answer: %v", err)
+	}
+	var answer AppendResponse
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return 0, errors.Wrapf(ErrUnknown, "status %d: decode answer: %v", response.StatusCode, err)
+	}
+	switch {
+	case response.StatusCode == http.StatusOK && !answer.Refused && answer.Offset >= 0:
+		return answer.Offset, nil
+	case answer.Refused && refusalStatus(response.StatusCode):
+		return 0, errors.Wrapf(ErrRefused, "status %d: %s", response.StatusCode, answer.Message)
+	default:
+		return 0, errors.Wrapf(ErrUnknown, "status %d: %s", response.StatusCode, answer.Message)
+	}
+}
+
+func refusalStatus(status int) bool {
+	return status == http.StatusConflict ||
+		status == http.StatusRequestEntityTooLarge ||
+		status == http.StatusServiceUnavailable
+}
+
+// Read implements Service. It checks that the entries have no gap, because a
+// reducer that misses a record would disagree with the others.
+func (s *httpService) Read(
+	ctx context.Context, stream string, from int64, limit int, wait time.Duration,
+) (Batch, error) {
+	limit = min(max(limit, 1), MaxReadRecords)
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	query := url.Values{
+		"stream":  {stream},
+		"from":    {strconv.FormatInt(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	address := s.baseURL + "/v1/read?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return Batch{}, errors.Wrapf(ErrUnavailable, "build request: %v", err)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return Batch{}, errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	defer closeBody(response.Body)
+	batch, err := readAnswer(response)
+	if err != nil {
+		return Batch{}, err
+	}
+	return batch, checkBatch(batch, from, limit)
+}
+
+func readAnswer(response *http.Response) (Batch, error) {
+	if response.StatusCode != http.StatusOK {
+		return Batch{}, errors.Wrapf(ErrUnavailable, "status %d", response.StatusCode)
+	}
+	data, err := readBounded(response.Body, MaxReadBytes)
+	if err != nil {
+		return Batch{}, err
+	}
+	var batch Batch
+	if err := json.Unmarshal(data, &batch); err != nil {
+		return Batch{}, errors.Wrapf(ErrUnavailable, "decode answer: %v", err)
+	}
+	return batch, nil
+}
+
+func checkBatch(batch Batch, from int64, limit int) error {
+	if batch.End < 0 || len(batch.Entries) > limit {
+		return errors.Wrapf(ErrUnavailable, "end %d with %d entries, asked for %d", batch.End, len(batch.Entries), limit)
+	}
+	if len(batch.Entries) == 0 {
+		return nil
+	}
+	first := batch.Entries[0].Offset
+	if first < 0 || from >= 0 && first != from {
+		return errors.Wrapf(ErrUnavailable, "first offset is %d, asked for %d", first, from)
+	}
+	for i, entry := range batch.Entries {
+		if entry.Offset != first+int64(i) || entry.Offset >= batch.End {
+			return errors.Wrapf(ErrUnavailable, "offset %d at place %d from %d, end %d", entry.Offset, i, first, batch.End)
+		}
+	}
+	return nil
+}
+
+// readBounded reads a whole body of at most limit bytes.
+func readBounded(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "read answer: %v", err)
+	}
+	if int64(len(data)) > limit {
+		return nil, errors.Wrapf(ErrTooLarge, "over %d bytes", limit)
+	}
+	return data, nil
+}
+
+// closeBody drains a little so that the connection can be used again.
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxAppendAnswerBytes)
+	_ = body.Close()
+}
--- /dev/null
+++ b/internal/standin/logservice/server.go
@@ -0,0 +1,266 @@
+// Package logservice is the stand-in for the platform's append-only log in
+// tests and trials: streams in memory, with faults that are set over HTTP.
+package logservice
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/corkpulley/corkpulley/internal/platform/logservice"
+)
+
+const (
+	maxAppendBytes = 64 << 20
+	maxAnswerBytes = 16 << 20
+	maxReadRecords = 1000
+	maxPollWait    = 60 * time.Second
+)
+
+// Config sets up the stand-in.
+type Config struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7400" help:"address to listen on (ip:port)"`
+	Seed   uint64 `arg:"--seed" default:"1" help:"seed of the random faults"`
+}
+
+// Control is the body of POST /v1/control; it replaces all faults at once.
+type Control struct {
+	// LatencyMS delays each append and read, in milliseconds.
+	LatencyMS int64 `json:"latency_ms"`
+	// Down answers everything with 503, without an effect and without the
+	// word that nothing was appended.
+	Down bool `json:"down"`
+	// LoseAnswers is the share (0..1) of appends that take effect and whose
+	// connection then breaks instead of an answer.
+	LoseAnswers float64 `json:"lose_answers"`
+	// LateMS delays the effect of appends whose answer is lost, in milliseconds.
+	LateMS int64 `json:"late_ms"`
+	// Refuse is the share (0..1) of appends that are refused, which is said.
+	Refuse float64 `json:"refuse"`
+}
+
+// StreamEnds answers GET /v1/streams: the end offset of each stream.
+type StreamEnds struct {
+	Streams map[string]int64 `json:"streams"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	control Control
+	streams map[string]*stream
+}
+
+type stream struct {
+	records [][]byte
+	// grown is closed and replaced with each append.
+	grown chan struct{}
+}
+
+// New returns a Server without streams or faults.
+func New(config Config) *Server {
+	return &Server{
+		random:  rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		streams: make(map[string]*stream),
+	}
+}
+
+// Handler returns the HTTP interface.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/append", s.handleAppend).Methods(http.MethodPost)
+	router.HandleFunc("/v1/read", s.handleRead).Methods(http.MethodGet)
+	router.HandleFunc("/v1/streams", s.handleStreams).Methods(http.MethodGet)
+	router.HandleFunc("/v1/control", s.handleControl).Methods(http.MethodPost)
+	return router
+}
+
+// SetControl replaces the faults.
+func (s *Server) SetControl(control Control) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.control = control
+}
+
+func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
+	var control Control
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxAppendBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&control); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetControl(control)
+	writeJSON(writer, http.StatusOK, control)
+}
+
+func (s *Server) handleStreams(writer http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	ends := StreamEnds{Streams: make(map[string]int64, len(s.streams))}
+	for name, stream := range s.streams {
+		ends.Streams[name] = int64(len(stream.records))
+	}
+	s.mu.Unlock()
+	writeJSON(writer, http.StatusOK, ends)
+}
+
+func (s *Server) handleAppend(writer http.ResponseWriter, request *http.Request) {
+	name := request.URL.Query().Get("stream")
+	var body logservice.AppendRequest
+	err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxAppendBytes)).Decode(&body)
+	if err != nil || name == "" || len(body.Records) == 0 {
+		http.Error(writer, "a stream name and records are required", http.StatusBadRequest)
+		return
+	}
+	control := s.delay(request)
+	if control.Down {
+		http.Error(writer, "down", http.StatusServiceUnavailable)
+		return
+	}
+	if s.happens(control.Refuse) {
+		answer := logservice.AppendResponse{Refused: true, Message: "refused"}
+		writeJSON(writer, http.StatusServiceUnavailable, answer)
+		return
+	}
+	if s.happens(control.LoseAnswers) {
+		s.appendLate(name, body.Records, time.Duration(control.LateMS)*time.Millisecond)
+		panic(http.ErrAbortHandler) // breaks the connection without an answer
+	}
+	offset := s.append(name, body.Records)
+	writeJSON(writer, http.StatusOK, logservice.AppendResponse{Offset: offset})
+}
+
+// delay waits for the latency and returns the faults in force after it.
+func (s *Server) delay(request *http.Request) Control {
+	s.mu.Lock()
+	latency := time.Duration(s.control.LatencyMS) * time.Millisecond
+	s.mu.Unlock()
+	if latency > 0 {
+		select {
+		case <-time.After(latency):
+		case <-request.Context().Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.control
+}
+
+func (s *Server) happens(share float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < share
+}
+
+func (s *Server) appendLate(name string, records [][]byte, after time.Duration) {
+	if after <= 0 {
+		s.append(name, records)
+		return
+	}
+	time.AfterFunc(after, func() { s.append(name, records) })
+}
+
+func (s *Server) append(name string, records [][]byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream := s.stream(name)
+	offset := int64(len(stream.records))
+	stream.records = append(stream.records, records...)
+	close(stream.grown)
+	stream.grown = make(chan struct{})
+	return offset
+}
+
+// stream returns the stream, made when it is missing; mu is held.
+func (s *Server) stream(name string) *stream {
+	found, ok := s.streams[name]
+	if !ok {
+		found = &stream{grown: make(chan struct{})}
+		s.streams[name] = found
+	}
+	return found
+}
+
+func (s *Server) handleRead(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	name := query.Get("stream")
+	from, fromErr := strconv.ParseInt(query.Get("from"), 10, 64)
+	limit, limitErr := strconv.Atoi(query.Get("limit"))
+	waitMS, waitErr := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if name == "" || fromErr != nil || limitErr != nil || waitErr != nil {
+		http.Error(writer, "stream, from, limit and wait_ms are required", http.StatusBadRequest)
+		return
+	}
+	if s.delay(request).Down {
+		http.Error(writer, "down", http.StatusServiceUnavailable)
+		return
+	}
+	limit = min(max(limit, 1), maxReadRecords)
+	wait := min(time.Duration(waitMS)*time.Millisecond, maxPollWait)
+	batch := s.poll(request, name, from, limit, wait)
+	if s.down() {
+		http.Error(writer, "down", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(writer, http.StatusOK, batch)
+}
+
+func (s *Server) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.control.Down
+}
+
+// poll reads, and waits once for the stream to grow when there is nothing.
+func (s *Server) poll(
+	request *http.Request, name string, from int64, limit int, wait time.Duration,
+) logservice.Batch {
+	batch, grown := s.read(name, from, limit)
+	if len(batch.Entries) > 0 || wait <= 0 {
+		return batch
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-grown:
+	case <-timer.C:
+	case <-request.Context().Done():
+	}
+	batch, _ = s.read(name, from, limit)
+	return batch
+}
+
+// read returns the records and a channel that is closed when there are more.
+func (s *Server) read(name string, from int64, limit int) (logservice.Batch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream := s.stream(name)
+	end := int64(len(stream.records))
+	if from < 0 {
+		from = max(0, end+from)
+	}
+	batch := logservice.Batch{Entries: []logservice.Entry{}, End: end}
+	size := 0
+	for offset := from; offset < end && len(batch.Entries) < limit; offset++ {
+		data := stream.records[offset]
+		size += len(data)
+		if size > maxAnswerBytes && len(batch.Entries) > 0 {
+			break
+		}
+		batch.Entries = append(batch.Entries, logservice.Entry{Offset: offset, Data: data})
+	}
+	return batch, stream.grown
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// A failed write means that the client left; there is nobody to tell.
+	_ = json.NewEncoder(writer).Encode(body)
+}
