Decide the table from the config stream and spread it through peers

Cause: operators race, and nodes may be cut from the log alone. Ruled out: a whole-table record per edit, since two edits of different rows would then always conflict in size and in the history.

Change: CSV with every mistake reported, differences, the reducer (a proposal names its base; first valid wins), tables taken from the log or from any peer and never lower, the operators' interface, corkctl.

Known fault: after a restart GET /v1/table answers before the node is current; mended next.

--- /dev/null
+++ b/internal/core/policy/diff.go
@@ -0,0 +1,164 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrChangeMismatch: a change does not fit the rows that it is applied to.
+var ErrChangeMismatch = errors.New("policy: change does not fit the table")
+
+// Equal reports whether two rows have the same values.
+func (r Row) Equal(other Row) bool {
+	return len(changedColumns(r, other)) == 0
+}
+
+// Diff returns the rows that differ between two tables, sorted by service.
+// Each table has at most one row for a service.
+func Diff(before, after []Row) []RowChange {
+	old := rowsByService(before)
+	var changes []RowChange
+	for i := range after {
+		previous, found := old[after[i].Service]
+		delete(old, after[i].Service)
+		switch {
+		case !found:
+			changes = append(changes, RowChange{Service: after[i].Service, After: copyRow(&after[i])})
+		case !previous.Equal(after[i]):
+			changes = append(changes, newChange(*previous, after[i]))
+		}
+	}
+	for service, row := range old {
+		changes = append(changes, RowChange{Service: service, Before: copyRow(row)})
+	}
+	sortChanges(changes)
+	return changes
+}
+
+// Compact returns the changes without what ApplyChanges does not need: the
+// rows before and the names of the columns.
+func Compact(changes []RowChange) []RowChange {
+	compact := make([]RowChange, len(changes))
+	for i, change := range changes {
+		compact[i] = RowChange{Service: change.Service, After: change.After}
+	}
+	return compact
+}
+
+// ApplyChanges returns the rows, sorted by service, after the changes. A
+// change without After removes its row. The given rows are not touched. The
+// error is ErrChangeMismatch: a service is changed twice, a removed row does
+// not exist, or a row is not as Before says.
+func ApplyChanges(rows []Row, changes []RowChange) ([]Row, error) {
+	result := rowsByService(rows)
+	seen := make(map[string]bool, len(changes))
+	for i := range changes {
+		change := &changes[i]
+		if seen[change.Service] {
+			return nil, errors.Wrapf(ErrChangeMismatch, "service %q is changed twice", change.Service)
+		}
+		seen[change.Service] = true
+		if err := checkChange(result[change.Service], change); err != nil {
+			return nil, err
+		}
+		if change.After == nil {
+			delete(result, change.Service)
+		} else {
+			result[change.Service] = change.After
+		}
+	}
+	return sortedRows(result), nil
+}
+
+func checkChange(current *Row, change *RowChange) error {
+	switch {
+	case change.After == nil && current == nil:
+		return errors.Wrapf(ErrChangeMismatch, "service %q is removed but does not exist", change.Service)
+	case change.After != nil && change.After.Service != change.Service:
+		return errors.Wrapf(ErrChangeMismatch, "row of %q stands under service %q", change.After.Service, change.Service)
+	case change.Before != nil && (current == nil || !current.Equal(*change.Before)):
+		return errors.Wrapf(ErrChangeMismatch, "service %q is not as it was before the change", change.Service)
+	}
+	return nil
+}
+
+// Conflicts returns the rows that were changed by others between base and
+// current and that the proposed table would set back or set to something else.
+func Conflicts(base, current, proposed []Row) []RowChange {
+	wanted := rowsByService(proposed)
+	var conflicts []RowChange
+	for _, change := range Diff(base, current) {
+		if !sameRow(change.After, wanted[change.Service]) {
+			conflicts = append(conflicts, change)
+		}
+	}
+	return conflicts
+}
+
+// reverse returns the changes that undo the given ones.
+func reverse(changes []RowChange) []RowChange {
+	reversed := make([]RowChange, len(changes))
+	for i, change := range changes {
+		reversed[i] = RowChange{Service: change.Service, Before: change.After, After: change.Before}
+	}
+	return reversed
+}
+
+func newChange(before, after Row) RowChange {
+	return RowChange{
+		Service: after.Service,
+		Before:  copyRow(&before),
+		After:   copyRow(&after),
+		Columns: changedColumns(before, after),
+	}
+}
+
+// changedColumns compares rows cell by cell, in the order of Columns.
+func changedColumns(before, after Row) []string {
+	old, current := before.Cells(), after.Cells()
+	var columns []string
+	for i, column := range Columns {
+		if old[i] != current[i] {
+			columns = append(columns, column)
+		}
+	}
+	return columns
+}
+
+func sameRow(a, b *Row) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Equal(*b)
+}
+
+// copyRow returns a row that shares nothing with the original. No zones are
+// always stored as nil, so that equal rows have one encoding.
+func copyRow(row *Row) *Row {
+	duplicate := *row
+	duplicate.Zones = append([]string(nil), row.Zones...)
+	return &duplicate
+}
+
+func rowsByService(rows []Row) map[string]*Row {
+	byService := make(map[string]*Row, len(rows))
+	for i := range rows {
+		byService[rows[i].Service] = &rows[i]
+	}
+	return byService
+}
+
+func sortedRows(byService map[string]*Row) []Row {
+	rows := make([]Row, 0, len(byService))
+	for _, row := range byService {
+		rows = append(rows, *copyRow(row))
+	}
+	sortRows(rows)
+	return rows
+}
+
+func sortChanges(changes []RowChange) {
+	slices.SortFunc(changes, func(a, b RowChange) int { return cmp.Compare(a.Service, b.Service) })
+}
--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+	"github.com/rs/xid"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/operatorapi"
+)
+
+const (
+	firstRetry   = 200 * time.Millisecond
+	longestRetry = 2 * time.Second
+)
+
+// applyResult is the JSON answer of "table apply".
+type applyResult struct {
+	api.TableAccepted
+	ProposalID string `json:"proposal_id"`
+	// InForce is set with --wait.
+	InForce *forceResult `json:"in_force,omitempty"`
+}
+
+func (s *session) tableApply(ctx context.Context) error {
+	proposal, err := s.newProposal(ctx)
+	if err != nil {
+		return err
+	}
+	accepted, err := s.propose(ctx, proposal)
+	if err != nil {
+		return err
+	}
+	result := applyResult{TableAccepted: accepted, ProposalID: proposal.ProposalID}
+	if !s.arguments.JSON {
+		printChanges(s.streams.Out, accepted.Changes)
+		s.remark("%s", describeAccepted(proposal, accepted))
+	}
+	if s.arguments.Table.Apply.Wait {
+		result.InForce, err = s.awaitInForce(ctx, accepted.Revision)
+	}
+	if s.arguments.JSON {
+		s.printJSON(result)
+	}
+	return err
+}
+
+func describeAccepted(proposal api.TableProposal, accepted api.TableAccepted) string {
+	if accepted.Revision == proposal.BaseRevision {
+		return fmt.Sprintf("nothing to change, revision %d stays in force", accepted.Revision)
+	}
+	return fmt.Sprintf("revision %d accepted, rows changed: %d", accepted.Revision, len(accepted.Changes))
+}
+
+func (s *session) newProposal(ctx context.Context) (api.TableProposal, error) {
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	apply := s.arguments.Table.Apply
+	text, _, err := s.readTable(apply.File)
+	if err != nil {
+		return api.TableProposal{}, err
+	}
+	base, err := s.baseRevision(ctx, text)
+	if err != nil {
+		return api.TableProposal{}, err
+	}
+	proposalID := apply.ProposalID
+	if proposalID == "" {
+		proposalID = xid.New().String()
+	}
+	return api.TableProposal{
+		BaseRevision: base,
+		CSV:          text,
+		Operator:     apply.Operator,
+		ProposalID:   proposalID,
+	}, nil
+}
+
+// baseRevision is the one named, else the file's own, else the one in force.
+func (s *session) baseRevision(ctx context.Context, text string) (int64, error) {
+	if base := s.arguments.Table.Apply.Base; base != nil {
+		return *base, nil
+	}
+	if base, found := policy.ParseRevisionComment(text); found {
+		return base, nil
+	}
+	current, err := s.fetchTable(ctx, nil)
+	if err != nil {
+		return 0, err
+	}
+	s.remark("the file names no revision: it replaces revision %d as a whole", current.Revision)
+	return current.Revision, nil
+}
+
+// propose sends the proposal until it has the verdict or the time is over. A
+// repeat with the same ID is harmless, also at another node.
+func (s *session) propose(ctx context.Context, proposal api.TableProposal) (api.TableAccepted, error) {
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	attempts := &proposeAttempts{
+		session:  s,
+		proposal: proposal,
+		// An ID given by hand may be under way since an earlier run.
+		mayRun: s.arguments.Table.Apply.ProposalID != "",
+	}
+	// The remark comes first, so that it is there when corkctl is killed.
+	s.remark("proposal %s from revision %d", proposal.ProposalID, proposal.BaseRevision)
+	accepted, err := backoff.Retry(ctx, func() (api.TableAccepted, error) { return attempts.try(ctx) },
+		backoff.WithBackOff(newRetries()),
+		backoff.WithMaxElapsedTime(0))
+	if err == nil {
+		return accepted, nil
+	}
+	return api.TableAccepted{}, attempts.finalError()
+}
+
+func newRetries() *backoff.ExponentialBackOff {
+	retries := backoff.NewExponentialBackOff()
+	retries.InitialInterval = firstRetry
+	retries.MaxInterval = longestRetry
+	return retries
+}
+
+// proposeAttempts remembers what the attempts of one proposal told.
+type proposeAttempts struct {
+	session  *session
+	proposal api.TableProposal
+	// mayRun is set once an attempt may have put the proposal into the log.
+	mayRun bool
+	last   error
+	// final is set when last is the verdict.
+	final bool
+}
+
+func (p *proposeAttempts) try(ctx context.Context) (api.TableAccepted, error) {
+	var accepted api.TableAccepted
+	client := p.session.client
+	attemptContext, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	err := client.attempt(attemptContext, http.MethodPost, operatorapi.PathTable, nil, p.proposal, &accepted)
+	if err == nil {
+		return accepted, nil
+	}
+	if p.last == nil || ctx.Err() == nil {
+		p.last = err
+	}
+	p.note(err)
+	if p.final {
+		return api.TableAccepted{}, backoff.Permanent(err)
+	}
+	p.session.remark("no verdict yet: %v", err)
+	client.skipServer()
+	return api.TableAccepted{}, err
+}
+
+func (p *proposeAttempts) note(err error) {
+	var unreachable *unreachableError
+	if errors.As(err, &unreachable) {
+		p.mayRun = p.mayRun || unreachable.sent
+		return
+	}
+	var answer *answerError
+	if !errors.As(err, &answer) {
+		p.final = true
+		return
+	}
+	if answer.detail.Executed != string(errkind.NotExecuted) {
+		p.mayRun = true
+		return
+	}
+	p.final = !answer.detail.Retryable
+}
+
+// finalError tells honestly whether the proposal may still take effect.
+func (p *proposeAttempts) finalError() error {
+	if p.last == nil {
+		return exitWith(ExitFailed, "stopped before anything was proposed")
+	}
+	if p.final || !p.mayRun {
+		return asExit(p.last)
+	}
+	return exitWith(ExitUnknown,
+		"outcome unknown: proposal %s may still be accepted; to learn its verdict repeat with --base %d --proposal-id %s (last: %w)",
+		p.proposal.ProposalID, p.proposal.BaseRevision, p.proposal.ProposalID, p.last)
+}
--- /dev/null
+++ b/internal/ctl/arguments.go
@@ -0,0 +1,87 @@
+package ctl
+
+import (
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Table   *tableArguments   `arg:"subcommand:table" help:"check, compare, apply and show the table"`
+	Status  *statusArguments  `arg:"subcommand:status" help:"show one node's view of the whole system"`
+	Nodes   *nodesArguments   `arg:"subcommand:nodes" help:"list the known nodes"`
+	Engines *enginesArguments `arg:"subcommand:engines" help:"list engines"`
+	Steps   *stepsArguments   `arg:"subcommand:steps" help:"list trainers' steps"`
+	Drain   *drainArguments   `arg:"subcommand:drain" help:"begin the planned stop of one node"`
+
+	Server  []string      `arg:"--server,separate" placeholder:"HOST:PORT" help:"node to ask; repeat it or list several with commas, the next is tried when one is unreachable [env: CORKCTL_SERVER]"`
+	JSON    bool          `arg:"--json" help:"print JSON"`
+	Timeout time.Duration `arg:"--timeout" default:"30s" help:"bound of the whole command"`
+}
+
+type tableArguments struct {
+	Check   *checkArguments   `arg:"subcommand:check" help:"list every mistake of a file, without any server"`
+	Diff    *diffArguments    `arg:"subcommand:diff" help:"compare a file with the table in force"`
+	Apply   *applyArguments   `arg:"subcommand:apply" help:"propose a file as the next revision"`
+	Show    *showArguments    `arg:"subcommand:show" help:"show the table in force or an earlier one"`
+	History *historyArguments `arg:"subcommand:history" help:"list accepted revisions, the newest first"`
+}
+
+type checkArguments struct {
+	File string `arg:"positional,required" help:"CSV file; - for standard input"`
+}
+
+type diffArguments struct {
+	File string `arg:"positional,required" help:"CSV file; - for standard input"`
+}
+
+type applyArguments struct {
+	File       string `arg:"positional,required" help:"CSV file; - for standard input"`
+	Base       *int64 `arg:"--base" placeholder:"N" help:"revision that the edit started from [default: the file's '# revision N' line, else the revision in force]"`
+	Wait       bool   `arg:"--wait" help:"wait until the revision is in force on every known node (bounded by --timeout, counted anew)"`
+	Operator   string `arg:"--operator,env:USER" help:"who makes the change, for the history"`
+	ProposalID string `arg:"--proposal-id" placeholder:"ID" help:"ID of an earlier try, to learn its verdict [default: a new one]"`
+}
+
+type showArguments struct {
+	CSV      bool   `arg:"--csv" help:"print the CSV form, to edit and apply"`
+	Revision *int64 `arg:"--revision" placeholder:"N" help:"an earlier revision"`
+}
+
+type historyArguments struct {
+	Limit int `arg:"--limit" default:"20" help:"number of revisions, 1 to 1000"`
+}
+
+type statusArguments struct{}
+
+type nodesArguments struct{}
+
+type enginesArguments struct {
+	All bool `arg:"--all" help:"engines of every reachable node, not only of the node asked"`
+}
+
+type stepsArguments struct{}
+
+type drainArguments struct{}
+
+// Description introduces the help.
+func (arguments) Description() string {
+	return "corkctl operates corkpulley: the table of services, its nodes, engines and steps.\n"
+}
+
+// environmentServer names the servers to ask when no --server is given. It is
+// read by hand, since the parser would add to it rather than replace it.
+const environmentServer = "CORKCTL_SERVER"
+
+func (a *arguments) addDefaults() {
+	if len(a.Server) == 0 {
+		a.Server = []string{os.Getenv(environmentServer)}
+	}
+}
+
+// newParser returns the parser that fills the arguments.
+func newParser(into *arguments) (*arg.Parser, error) {
+	return arg.NewParser(arg.Config{Program: "corkctl"}, into)
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,134 @@
+// Package ctl is the operators' command line, corkctl: it checks tables
+// offline and talks to the nodes' operator interface.
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-faster/errors"
+)
+
+// Streams are the standard streams of the process.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// Run runs one command (without the program's name) and returns its exit code.
+// Results go to Streams.Out; errors and remarks to Streams.Err.
+func Run(ctx context.Context, commandLine []string, streams Streams) ExitCode {
+	var parsed arguments
+	parser, err := newParser(&parsed)
+	if err != nil {
+		fmt.Fprintln(streams.Err, "corkctl:", err)
+		return ExitFailed
+	}
+	err = parser.Parse(commandLine)
+	command := parser.SubcommandNames()
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		writeHelp(streams.Out, parser, command)
+		return ExitOK
+	case err != nil:
+		fmt.Fprintf(streams.Err, "corkctl: %v (see corkctl --help)\n", err)
+		return ExitUsage
+	}
+	parsed.addDefaults()
+	session := newSession(&parsed, streams)
+	action := session.action()
+	if action == nil {
+		writeHelp(streams.Err, parser, command)
+		return ExitUsage
+	}
+	if err := session.run(ctx, action); err != nil {
+		session.reportError(err)
+		return exitCodeOf(err)
+	}
+	return ExitOK
+}
+
+// session is one run of a command.
+type session struct {
+	arguments *arguments
+	streams   Streams
+	client    *client
+	timeout   time.Duration
+}
+
+func newSession(parsed *arguments, streams Streams) *session {
+	return &session{
+		arguments: parsed,
+		streams:   streams,
+		timeout:   parsed.Timeout,
+	}
+}
+
+// action is what a command does. ctx is not yet bounded by the timeout.
+type action func(ctx context.Context) error
+
+// action returns the command's action; nil when none was named.
+func (s *session) action() action {
+	parsed := s.arguments
+	switch {
+	case parsed.Table != nil:
+		return s.tableAction(parsed.Table)
+	case parsed.Status != nil:
+		return s.online(s.status)
+	case parsed.Nodes != nil:
+		return s.online(s.nodes)
+	case parsed.Engines != nil:
+		return s.online(s.engines)
+	case parsed.Steps != nil:
+		return s.online(s.steps)
+	case parsed.Drain != nil:
+		return s.online(s.drain)
+	default:
+		return nil
+	}
+}
+
+func (s *session) tableAction(table *tableArguments) action {
+	switch {
+	case table.Check != nil:
+		return s.tableCheck
+	case table.Diff != nil:
+		return s.online(s.tableDiff)
+	case table.Apply != nil:
+		return s.online(s.tableApply)
+	case table.Show != nil:
+		return s.online(s.tableShow)
+	case table.History != nil:
+		return s.online(s.tableHistory)
+	default:
+		return nil
+	}
+}
+
+func (s *session) run(ctx context.Context, action action) error {
+	if s.timeout <= 0 {
+		return exitWith(ExitUsage, "--timeout is %s, expected more than 0", s.timeout)
+	}
+	return action(ctx)
+}
+
+// online wraps an action that needs a server.
+func (s *session) online(next action) action {
+	return func(ctx context.Context) error {
+		servers, err := parseServers(s.arguments.Server)
+		if err != nil {
+			return err
+		}
+		s.client = newClient(servers)
+		return next(ctx)
+	}
+}
+
+// bounded returns ctx bounded by the timeout.
+func (s *session) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, s.timeout)
+}
--- /dev/null
+++ b/internal/operatorapi/status.go
@@ -0,0 +1,153 @@
+package operatorapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/httpapi"
+)
+
+const (
+	// logReachableWithin is the age of the last log contact up to which the
+	// status calls the log reachable.
+	logReachableWithin = 5 * time.Second
+	// sourceTimeout bounds how long other nodes are asked for one answer.
+	sourceTimeout = 5 * time.Second
+)
+
+// stateBody answers PathHealth, PathReady and PathDrain.
+type stateBody struct {
+	State string `json:"state"`
+}
+
+// getHealth answers 200 as long as the process serves HTTP at all.
+func (a *API) getHealth(w http.ResponseWriter, _ *http.Request) {
+	httpapi.WriteJSON(w, http.StatusOK, stateBody{State: "ok"})
+}
+
+// getReady answers 200 while this node takes new work.
+func (a *API) getReady(w http.ResponseWriter, _ *http.Request) {
+	if err := a.options.Ready(); err != nil {
+		httpapi.WriteError(w, err)
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, stateBody{State: "ready"})
+}
+
+// getStatus answers even where steps cannot be listed: an operator needs it
+// most while something fails.
+func (a *API) getStatus(w http.ResponseWriter, r *http.Request) {
+	status := api.Status{
+		Node:          nodeStatus(a.options.View.Self()),
+		Ready:         true,
+		TableRevision: a.options.Tables.Table().Revision,
+		LogReachable:  time.Since(a.options.LastLogContact()) < logReachableWithin,
+		Members:       a.members(),
+		Cells:         a.cells(),
+		Steps:         []api.StepStatus{},
+	}
+	if err := a.options.Ready(); err != nil {
+		status.Ready = false
+		status.NotReadyCause = err.Error()
+	}
+	// The view of this node itself may lag behind what it has in force.
+	status.Node.TableRevision = status.TableRevision
+	ctx, cancel := context.WithTimeout(r.Context(), sourceTimeout)
+	defer cancel()
+	steps, err := a.options.Steps(ctx)
+	if err != nil {
+		a.options.Logger.Warn().Err(err).Msg("status without steps")
+	}
+	status.Steps = append(status.Steps, steps...)
+	httpapi.WriteJSON(w, http.StatusOK, status)
+}
+
+func (a *API) getNodes(w http.ResponseWriter, _ *http.Request) {
+	httpapi.WriteJSON(w, http.StatusOK, a.members())
+}
+
+func (a *API) getEngines(w http.ResponseWriter, r *http.Request) {
+	scope := r.URL.Query().Get(QueryScope)
+	if scope != "" && scope != ScopeAll && scope != ScopeNode {
+		httpapi.WriteError(w, errkind.New(errkind.InvalidRequest,
+			"scope is %q, expected %s or %s", scope, ScopeAll, ScopeNode))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), sourceTimeout)
+	defer cancel()
+	engines, err := a.options.Engines(ctx, scope == ScopeAll)
+	if err != nil {
+		httpapi.WriteError(w, err)
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, append([]api.EngineStatus{}, engines...))
+}
+
+func (a *API) getSteps(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), sourceTimeout)
+	defer cancel()
+	steps, err := a.options.Steps(ctx)
+	if err != nil {
+		httpapi.WriteError(w, err)
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, append([]api.StepStatus{}, steps...))
+}
+
+// postDrain begins the planned stop and answers before it is done: the node
+// finishes its requests first and then exits.
+func (a *API) postDrain(w http.ResponseWriter, r *http.Request) {
+	a.options.Logger.Info().Str("remote", r.RemoteAddr).Msg("planned stop asked for")
+	a.options.Drain()
+	httpapi.WriteJSON(w, http.StatusAccepted, stateBody{State: string(cluster.StateLeaving)})
+}
+
+func (a *API) members() []api.NodeStatus {
+	members := a.options.View.Members()
+	self := a.options.View.Self().ID
+	statuses := make([]api.NodeStatus, 0, len(members))
+	for _, member := range members {
+		status := nodeStatus(member)
+		if member.ID == self {
+			status.TableRevision = a.options.Tables.Table().Revision
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func nodeStatus(member cluster.Member) api.NodeStatus {
+	status := api.NodeStatus{
+		ID:            member.ID,
+		Zone:          member.Zone,
+		Address:       member.Address,
+		State:         string(member.State),
+		TableRevision: member.TableRevision,
+	}
+	for _, owned := range member.Owned {
+		status.Owned = append(status.Owned, api.OwnedStream{Stream: owned.Stream, Epoch: owned.Epoch})
+	}
+	return status
+}
+
+func (a *API) cells() []api.CellStatus {
+	digests := a.options.View.Cells()
+	statuses := make([]api.CellStatus, 0, len(digests))
+	for _, digest := range digests {
+		statuses = append(statuses, api.CellStatus{
+			Zone:    digest.Cell.Zone,
+			Pool:    digest.Cell.Pool,
+			Index:   digest.Cell.Index,
+			Node:    digest.Node,
+			Engines: digest.Engines,
+			Slots:   digest.Slots,
+			Running: digest.Running,
+			Queued:  digest.Queued,
+		})
+	}
+	return statuses
+}
--- /dev/null
+++ b/internal/tables/tables_test.go
@@ -0,0 +1,270 @@
+package tables
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	standin "github.com/corkpulley/corkpulley/internal/standin/logservice"
+)
+
+// tableOf returns the CSV of live services, all with the same cap.
+func tableOf(limit int, services ...string) string {
+	var rows []policy.Row
+	for _, service := range services {
+		rows = append(rows, policy.Row{
+			Service: service, Kind: policy.KindLive, Pool: "p", Model: "m", Share: 1, Staleness: -1, Cap: limit,
+		})
+	}
+	return policy.FormatCSV(rows)
+}
+
+func proposal(id string, base int64, csv string) api.TableProposal {
+	return api.TableProposal{ProposalID: id, BaseRevision: base, CSV: csv, Operator: "maeve"}
+}
+
+func mustPropose(t *testing.T, node *testNode, id, csv string) int64 {
+	t.Helper()
+	accepted, err := node.tables.Propose(context.Background(), proposal(id, node.tables.Table().Revision, csv))
+	assert.NilError(t, err)
+	return accepted.Revision
+}
+
+func TestProposeJudgesByTheLogsOrder(t *testing.T) {
+	network, log := newTestNetwork(), newTestLog(t)
+	one, two := startNode(t, network, log, "one"), startNode(t, network, log, "two")
+	one.awaitCurrent(t)
+	ctx := context.Background()
+
+	first, err := one.tables.Propose(ctx, proposal("first", 0, tableOf(1, "a", "b")))
+	assert.NilError(t, err)
+	assert.Equal(t, first.Revision, int64(1))
+	assert.Equal(t, len(first.Changes), 2)
+	assert.Equal(t, one.tables.Table().Revision, first.Revision)
+	two.awaitRevision(t, first.Revision)
+
+	second, err := two.tables.Propose(ctx, proposal("second", first.Revision, tableOf(2, "a")))
+	assert.NilError(t, err)
+
+	// Edited from the first revision, it would undo the second.
+	_, err = one.tables.Propose(ctx, proposal("stale", first.Revision, tableOf(1, "a", "b", "c")))
+	requireKind(t, err, errkind.TableConflict)
+	var rejected *ProposalError
+	assert.Assert(t, errors.As(err, &rejected))
+	assert.Equal(t, len(rejected.Conflicts), 2)
+	assert.Equal(t, rejected.Conflicts[0].Service, "a")
+	assert.DeepEqual(t, rejected.Conflicts[0].Columns, []string{"cap"})
+
+	// The same proposal again has its verdict already, through any node.
+	again, err := one.tables.Propose(ctx, proposal("second", first.Revision, tableOf(2, "a")))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, second)
+	_, err = one.tables.Propose(ctx, proposal("second", first.Revision, tableOf(3, "a")))
+	requireKind(t, err, errkind.InvalidRequest)
+
+	history := one.tables.History(1)
+	assert.Equal(t, history[0].Revision, second.Revision)
+	assert.Equal(t, history[0].Operator, "maeve")
+	earlier, known := one.tables.TableAt(first.Revision)
+	assert.Assert(t, known)
+	assert.Equal(t, len(earlier.Rows), 2)
+}
+
+func TestProposeRefusesWithoutTheLog(t *testing.T) {
+	log := newTestLog(t)
+	node := startNode(t, newTestNetwork(), log, "one")
+	node.awaitCurrent(t)
+	ctx := context.Background()
+
+	_, err := node.tables.Propose(ctx, proposal("bad", 0, "service\n"))
+	requireKind(t, err, errkind.TableInvalid)
+	var rejected *ProposalError
+	assert.Assert(t, errors.As(err, &rejected))
+	assert.Assert(t, len(rejected.Problems) > 0)
+	_, err = node.tables.Propose(ctx, proposal("", 0, tableOf(1, "a")))
+	requireKind(t, err, errkind.InvalidRequest)
+	_, err = node.tables.Propose(ctx, proposal("ahead", 9, tableOf(1, "a")))
+	requireKind(t, err, errkind.InvalidRequest)
+	unchanged, err := node.tables.Propose(ctx, proposal("same", 0, tableOf(1)))
+	assert.NilError(t, err)
+	assert.Equal(t, unchanged.Revision, int64(0))
+	assert.Equal(t, node.tables.options.Stream.Applied(), int64(0))
+}
+
+func TestProposeOfSeveralOperatorsAtOnce(t *testing.T) {
+	network, log := newTestNetwork(), newTestLog(t)
+	log.SetControl(standin.Control{LoseAnswers: 0.5})
+	nodes := []*testNode{startNode(t, network, log, "one"), startNode(t, network, log, "two")}
+	nodes[0].awaitCurrent(t)
+	const operators = 8
+	results := make([]error, operators)
+	var running sync.WaitGroup
+	for i := range operators {
+		running.Go(func() {
+			edit := proposal(fmt.Sprint(i), 0, tableOf(i+1, "a"))
+			_, results[i] = nodes[i%2].tables.Propose(context.Background(), edit)
+		})
+	}
+	running.Wait()
+	won := 0
+	for _, err := range results {
+		if err == nil {
+			won++
+			continue
+		}
+		requireKind(t, err, errkind.TableConflict)
+	}
+	assert.Equal(t, won, 1)
+	assert.Equal(t, len(nodes[0].tables.History(operators)), 1)
+}
+
+func TestProposeTellsTheTruthAboutTheOutcome(t *testing.T) {
+	log := newTestLog(t)
+	node := startNode(t, newTestNetwork(), log, "one")
+	node.awaitCurrent(t)
+	short := func() context.Context {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		t.Cleanup(cancel)
+		return ctx
+	}
+
+	log.SetControl(standin.Control{Down: true})
+	_, err := node.tables.Propose(short(), proposal("never", 0, tableOf(1, "a")))
+	requireKind(t, err, errkind.LogUnavailable)
+
+	// Once it is on its way to the log, its caller can leave but not stop it.
+	log.SetControl(standin.Control{Refuse: 1})
+	edit := proposal("late", 0, tableOf(1, "a"))
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		_, err := node.tables.Propose(ctx, edit)
+		left <- err
+	}()
+	awaitCondition(t, func() bool { return node.tables.isPending("late") })
+	leave()
+	requireKind(t, <-left, errkind.OutcomeUnknown)
+	log.SetControl(standin.Control{Down: true})
+	_, err = node.tables.Propose(short(), edit)
+	requireKind(t, err, errkind.OutcomeUnknown)
+
+	log.SetControl(standin.Control{})
+	accepted, err := node.tables.Propose(context.Background(), edit)
+	assert.NilError(t, err)
+	assert.Equal(t, accepted.Revision, int64(1))
+	assert.Equal(t, node.tables.options.Stream.Applied(), int64(1))
+	awaitCondition(t, func() bool { return !node.tables.isPending("late") })
+}
+
+func TestPeersGiveTheTableWhileTheLogIsDown(t *testing.T) {
+	network, log, downLog := newTestNetwork(), newTestLog(t), newTestLog(t)
+	downLog.SetControl(standin.Control{Down: true})
+	source := startNode(t, network, log, "source")
+	source.awaitCurrent(t)
+	mustPropose(t, source, "first", tableOf(1, "a", "b"))
+
+	// The late node cannot read the log: it starts from its zone.
+	late := startNode(t, network, downLog, "late")
+	requireKind(t, late.tables.Current(), errkind.NotReady)
+	late.awaitCurrent(t)
+	assert.DeepEqual(t, late.tables.Table(), source.tables.Table())
+
+	// Then it follows by rows changed.
+	for i := range 3 {
+		revision := mustPropose(t, source, fmt.Sprint(i), tableOf(i+2, "a", "b", "c"))
+		late.awaitRevision(t, revision)
+		assert.DeepEqual(t, late.tables.Table().Rows, source.tables.Table().Rows)
+	}
+	_, known := late.tables.TableAt(1)
+	assert.Assert(t, known)
+}
+
+func TestPeersAnswerWithChangesOrTheWholeTable(t *testing.T) {
+	network, log := newTestNetwork(), newTestLog(t)
+	node := startNode(t, network, log, "one")
+	node.awaitCurrent(t)
+	first := mustPropose(t, node, "first", tableOf(1, "a", "b", "c"))
+	second := mustPropose(t, node, "second", tableOf(1, "a", "b", "d"))
+
+	ask := func(revision int64) tableResponse {
+		response, err := node.tables.call(context.Background(), "one", revision)
+		assert.NilError(t, err)
+		assert.Equal(t, response.Revision, second)
+		return response
+	}
+	assert.Equal(t, len(ask(first).Changes), 2)
+	assert.Assert(t, !ask(first).Whole)
+	assert.Equal(t, len(ask(wholeTable).Rows), 3)
+	assert.Equal(t, len(ask(second).Changes), 0)
+	assert.Assert(t, !ask(second).Whole)
+}
+
+func TestNodesThatKnowNothingDoNotServe(t *testing.T) {
+	network, downLog := newTestNetwork(), newTestLog(t)
+	downLog.SetControl(standin.Control{Down: true})
+	one, two := startNode(t, network, downLog, "one"), startNode(t, network, downLog, "two")
+	ctx := context.Background()
+
+	// Both are reachable and answer, but neither has ever known the revision.
+	assert.Assert(t, !one.tables.askZone(ctx))
+	two.tables.markStarted("test")
+	assert.Assert(t, one.tables.askZone(ctx))
+
+	// A member that is taken for alive and does not answer may hold a higher one.
+	three := startNode(t, network, downLog, "three")
+	network.set(func() { three.cut = true })
+	assert.Assert(t, !one.tables.askZone(ctx))
+	network.set(func() { three.member.Zone = "elsewhere" })
+	assert.Assert(t, one.tables.askZone(ctx))
+
+	// A node alone has nobody to ask.
+	network.set(func() { two.member.State = cluster.StateSuspect })
+	assert.Assert(t, !one.tables.askZone(ctx))
+}
+
+func TestCurrentNeedsTheLogOrAMajority(t *testing.T) {
+	network := newTestNetwork()
+	node := newNode(t, network, newTestLog(t), "one")
+	node.tables.markStarted("test")
+	old := time.Now().Add(-2 * ContactLimit)
+	for name, test := range map[string]struct {
+		own, inReach     time.Time
+		reachable, known int
+		current          bool
+	}{
+		"own contact":      {own: time.Now(), inReach: old, reachable: 1, known: 9, current: true},
+		"another's":        {own: old, inReach: time.Now(), reachable: 2, known: 9, current: true},
+		"majority":         {own: old, inReach: old, reachable: 5, known: 9, current: true},
+		"half only":        {own: old, inReach: old, reachable: 4, known: 8},
+		"never any":        {reachable: 1, known: 2},
+		"minority, silent": {own: old, inReach: old, reachable: 2, known: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			network.set(func() {
+				node.contact = test.own
+				network.contact, network.reachable, network.known = test.inReach, test.reachable, test.known
+			})
+			err := node.tables.Current()
+			if test.current {
+				assert.NilError(t, err)
+				return
+			}
+			requireKind(t, err, errkind.NotCurrent)
+		})
+	}
+}
+
+func TestALogThatIsSilentIsProbed(t *testing.T) {
+	// The stream never tells of a contact: the node asks the log itself.
+	node := startNode(t, newTestNetwork(), newTestLog(t), "one")
+	awaitCondition(t, func() bool { return isFresh(node.tables.LogContact()) })
+}
