Keep a trainer's ledger under its owner's epoch

Cause: each sample must reach its trainer once, through owners that crash, freeze and wake. Ruled out: handing out before the delivery is on record, since a fenced owner could then hand out what another discarded.

Change: ledger reducer (fill, deliver, acknowledge, discard judged from record fields), learnt lengths, the coordinator, the trainers' interface, scorer and trainer stand-ins.

--- /dev/null
+++ b/internal/coordinator/fake_platform_test.go
@@ -0,0 +1,138 @@
+package coordinator
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/platform/logservice"
+	"github.com/corkpulley/corkpulley/internal/platform/scorer"
+	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
+	"github.com/corkpulley/corkpulley/internal/router"
+	standinscorer "github.com/corkpulley/corkpulley/internal/standin/scorer"
+)
+
+// gatedLog is a node's access to the log, which stands still while the node is paused.
+type gatedLog struct {
+	logservice.Service
+	mutex  sync.Mutex
+	resume chan struct{}
+}
+
+func (g *gatedLog) setPaused(paused bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.resume != nil {
+		close(g.resume)
+		g.resume = nil
+	}
+	if paused {
+		g.resume = make(chan struct{})
+	}
+}
+
+func (g *gatedLog) wait(ctx context.Context) {
+	g.mutex.Lock()
+	resume := g.resume
+	g.mutex.Unlock()
+	if resume == nil {
+		return
+	}
+	select {
+	case <-resume:
+	case <-ctx.Done():
+	}
+}
+
+func (g *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	g.wait(ctx)
+	return g.Service.Append(ctx, stream, records)
+}
+
+func (g *gatedLog) Read(
+	ctx context.Context, stream string, from int64, limit int, wait time.Duration,
+) (logservice.Batch, error) {
+	g.wait(ctx)
+	batch, err := g.Service.Read(ctx, stream, from, limit, wait)
+	g.wait(ctx) // a read that was under way is not seen while paused either
+	return batch, err
+}
+
+// fakeRouter stands for the engines: all of them run one version, which may
+// change in the middle of an answer.
+type fakeRouter struct {
+	mutex   sync.Mutex
+	version uint64
+	tokens  int
+	runs    int
+	// hold, when set, keeps each answer from finishing until it is closed.
+	hold chan struct{}
+	// requests are all requests seen, in order.
+	requests []router.Request
+}
+
+func (f *fakeRouter) set(change func(*fakeRouter)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change(f)
+}
+
+func (f *fakeRouter) state() (uint64, int, chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.version, f.tokens, f.hold
+}
+
+func (f *fakeRouter) Run(
+	ctx context.Context, request router.Request, onPiece func(router.Piece) error,
+) (router.Result, error) {
+	f.set(func(f *fakeRouter) { f.requests = append(f.requests, request) })
+	version, tokens, hold := f.state()
+	if version < request.MinVersion {
+		return router.Result{}, errkind.New(errkind.NoCapacity, "no engine has version %d", request.MinVersion)
+	}
+	for index := range tokens {
+		version, _, _ = f.state()
+		text := strconv.Itoa(index) + ":" + strconv.FormatUint(version, 10) + " "
+		piece := router.Piece{FirstToken: index, Tokens: []string{text}, Version: version}
+		if err := onPiece(piece); err != nil {
+			return router.Result{}, err
+		}
+		if index == 0 && hold != nil {
+			select {
+			case <-hold:
+			case <-ctx.Done():
+				return router.Result{}, errkind.New(errkind.Canceled, "canceled")
+			}
+		}
+	}
+	f.set(func(f *fakeRouter) { f.runs++ })
+	return router.Result{Tokens: tokens, FinishReason: "stop"}, nil
+}
+
+// Info and Publish make the engines follow the trainer's versions at once.
+func (f *fakeRouter) Info(context.Context, string) (weightstore.ModelInfo, error) {
+	version, _, _ := f.state()
+	return weightstore.ModelInfo{Model: "m", Latest: version}, nil
+}
+
+func (f *fakeRouter) Publish(_ context.Context, _ string, request weightstore.PublishRequest) error {
+	f.set(func(f *fakeRouter) { f.version = max(f.version, request.Version) })
+	return nil
+}
+
+type fakeScorer struct{}
+
+func (fakeScorer) Score(_ context.Context, request scorer.Request) (scorer.Response, error) {
+	return scorer.Response{Score: standinscorer.Score(1, request.Prompt, request.Text)}, nil
+}
+
+func assertKind(t *testing.T, err error, kind errkind.Kind) {
+	t.Helper()
+	assert.Assert(t, errkind.Is(err, kind), "wanted %s, got %v", kind, err)
+}
--- /dev/null
+++ b/internal/coordinator/forward.go
@@ -0,0 +1,219 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/ledger"
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/logstream"
+	"github.com/corkpulley/corkpulley/internal/peer"
+)
+
+const (
+	// ownerWait bounds how long a call looks for an owner that answers.
+	ownerWait = 10 * time.Second
+	// ownerRetryDelay is the pause between two tries.
+	ownerRetryDelay = 100 * time.Millisecond
+)
+
+// SubmitStep submits a step at the ledger's owner. The same ID with the same
+// request is answered again; with another request it fails with StepMismatch,
+// and with one that does not fit into a log record with PayloadTooLarge.
+func (c *Coordinator) SubmitStep(
+	ctx context.Context, trainer, step string, request api.StepRequest,
+) (api.StepStatus, error) {
+	call := SubmitCall{Step: step, Request: request}
+	if err := checkRecordSize(call); err != nil {
+		return api.StepStatus{}, err
+	}
+	return c.statusCall(ctx, Call{Trainer: trainer, Submit: &call})
+}
+
+func checkRecordSize(call SubmitCall) error {
+	body, err := newStepSubmitted(call)
+	if err != nil {
+		return err
+	}
+	encoded, err := logrecord.EncodeBody(body)
+	if err != nil {
+		return errkind.New(errkind.InvalidRequest, "step request: %v", err)
+	}
+	if len(encoded) > logstream.MaxBodyBytes {
+		return errkind.New(errkind.PayloadTooLarge,
+			"step takes %d bytes on record, at most %d allowed", len(encoded), logstream.MaxBodyBytes)
+	}
+	return nil
+}
+
+// StepStatus returns the status of a step; NotFound when it is not known.
+func (c *Coordinator) StepStatus(ctx context.Context, trainer, step string) (api.StepStatus, error) {
+	return c.statusCall(ctx, Call{Trainer: trainer, Status: &StatusCall{Step: step}})
+}
+
+func (c *Coordinator) statusCall(ctx context.Context, call Call) (api.StepStatus, error) {
+	answer, err := c.call(ctx, call)
+	if err != nil {
+		return api.StepStatus{}, err
+	}
+	if answer.Status == nil {
+		return api.StepStatus{}, errkind.New(errkind.Internal, "owner answered without a step status")
+	}
+	return *answer.Status, nil
+}
+
+// Fetch waits for samples that may be delivered and returns them with a token.
+func (c *Coordinator) Fetch(
+	ctx context.Context, trainer string, request api.FetchRequest,
+) (api.FetchResponse, error) {
+	answer, err := c.call(ctx, Call{Trainer: trainer, Fetch: &request})
+	if err != nil {
+		return api.FetchResponse{}, err
+	}
+	if answer.Fetch == nil {
+		return api.FetchResponse{}, errkind.New(errkind.Internal, "owner answered without samples")
+	}
+	return *answer.Fetch, nil
+}
+
+// Acknowledge records which delivered samples the trainer now has for good.
+func (c *Coordinator) Acknowledge(
+	ctx context.Context, trainer string, request api.AckRequest,
+) (api.AckResponse, error) {
+	answer, err := c.call(ctx, Call{Trainer: trainer, Acknowledge: &request})
+	if err != nil {
+		return api.AckResponse{}, err
+	}
+	if answer.Acknowledge == nil {
+		return api.AckResponse{}, errkind.New(errkind.Internal, "owner answered without an acknowledgement")
+	}
+	return *answer.Acknowledge, nil
+}
+
+// call sends the call to the owner, again and again while no owner answers.
+// That is safe, because every call may be repeated.
+func (c *Coordinator) call(ctx context.Context, call Call) (Answer, error) {
+	if _, err := trainerRow(c.options.Tables.Table(), call.Trainer); err != nil {
+		return Answer{}, err
+	}
+	var failingSince time.Time
+	uncertain := false
+	for try := 0; ; try++ {
+		began := time.Now()
+		answer, err := c.callOnce(ctx, call, try)
+		if err == nil || !ownerMissing(err) {
+			return answer, err
+		}
+		uncertain = uncertain || maybeArrived(err)
+		if failingSince.IsZero() || time.Since(began) > ownerWait {
+			failingSince = time.Now()
+		}
+		if time.Since(failingSince) > ownerWait || !sleep(ctx, ownerRetryDelay) {
+			return Answer{}, giveUp(call, err, uncertain)
+		}
+	}
+}
+
+// callOnce tries the node that owns the ledger as far as this node knows. Odd
+// tries go to the preferred node, in case the announced owner is out of date.
+func (c *Coordinator) callOnce(ctx context.Context, call Call, try int) (Answer, error) {
+	if owned := c.tenure(call.Trainer); owned != nil {
+		return owned.answer(ctx, call)
+	}
+	target, found := c.locate(call.Trainer, try)
+	if !found || target.ID == c.options.NodeID {
+		return Answer{}, errkind.New(errkind.NotReady, "no node owns the ledger of trainer %q yet", call.Trainer)
+	}
+	var answer Answer
+	err := c.options.Caller.Call(ctx, target.Address, peer.MethodTrainer, &call, &answer)
+	return answer, err
+}
+
+func (c *Coordinator) locate(trainer string, try int) (cluster.Member, bool) {
+	announced, _, known := c.options.View.Owner(ledger.StreamName(trainer))
+	if known && announced.State != cluster.StateDead && try%2 == 0 {
+		return announced, true
+	}
+	row, err := trainerRow(c.options.Tables.Table(), trainer)
+	if err != nil {
+		return cluster.Member{}, false
+	}
+	return preferred(c.options.View, row)
+}
+
+// handleTrainer answers a call from another node, if this node owns the ledger.
+func (c *Coordinator) handleTrainer(ctx context.Context, request peer.Request) (any, error) {
+	var call Call
+	if err := request.Decode(&call); err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "trainer call: %v", err)
+	}
+	owned := c.tenure(call.Trainer)
+	if owned == nil {
+		return nil, errkind.New(errkind.NotOwner, "node %s does not own the ledger of %q", c.options.NodeID, call.Trainer)
+	}
+	answer, err := owned.answer(ctx, call)
+	if err != nil {
+		return nil, errkind.From(err)
+	}
+	return &answer, nil
+}
+
+func (c *Coordinator) handleStepStatus(context.Context, peer.Request) (any, error) {
+	return &StatusList{Steps: c.Statuses()}, nil
+}
+
+// ownerMissing reports whether the call should be tried at another owner.
+func ownerMissing(err error) bool {
+	var delivery *peer.DeliveryError
+	if errors.As(err, &delivery) {
+		return true
+	}
+	switch errkind.KindOf(err) {
+	case errkind.NotOwner, errkind.NotReady, errkind.ShuttingDown, errkind.Draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// maybeArrived reports whether the call may have had an effect.
+func maybeArrived(err error) bool {
+	var delivery *peer.DeliveryError
+	return errors.As(err, &delivery) && delivery.Sent
+}
+
+// giveUp returns the error for a call that no owner answered.
+func giveUp(call Call, last error, uncertain bool) error {
+	changes := call.Submit != nil || call.Acknowledge != nil
+	if changes && uncertain {
+		return errkind.New(errkind.OutcomeUnknown, "the owner's answer was lost; repeat the same call: %v", last)
+	}
+	return errkind.New(errkind.NotReady, "no owner of trainer %q answered: %v", call.Trainer, last)
+}
+
+func trainerRow(table *policy.Table, trainer string) (policy.Row, error) {
+	row, found := table.Row(trainer)
+	if !found || row.Kind != policy.KindTrainer {
+		return policy.Row{}, errkind.New(errkind.UnknownService,
+			"no trainer %q in table revision %d", trainer, table.Revision)
+	}
+	return row, nil
+}
+
+// sleep waits for the duration; false when ctx ended first.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/coordinator/placement.go
@@ -0,0 +1,66 @@
+package coordinator
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/ledger"
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+)
+
+// writerSuffix separates a process's writer ID from the number of the stream
+// runtime in the writer ID of a record.
+const writerSuffix = "~"
+
+// preferred returns the node that should own the trainer's ledger: the
+// rendezvous winner among the candidates of the row's first zone that has any.
+func preferred(view cluster.View, row policy.Row) (cluster.Member, bool) {
+	candidates := homeCandidates(view, row.Zones)
+	if len(candidates) == 0 {
+		return cluster.Member{}, false
+	}
+	byID := make(map[string]cluster.Member, len(candidates))
+	ids := make([]string, 0, len(candidates))
+	for _, member := range candidates {
+		byID[member.ID] = member
+		ids = append(ids, member.ID)
+	}
+	chosen := rendezvous.New(ids, xxhash.Sum64String).Lookup(ledger.StreamName(row.Service))
+	return byID[chosen], true
+}
+
+func homeCandidates(view cluster.View, zones []string) []cluster.Member {
+	for _, zone := range zones {
+		if candidates := view.Candidates(zone); len(candidates) > 0 {
+			return candidates
+		}
+	}
+	return view.Candidates("")
+}
+
+// ownerGone reports whether the fence's owner seems unable to go on: it is not
+// a known member, is leaving, or has been started anew. A wrong guess costs
+// work that runs twice, never a promise: the fence decides.
+func ownerGone(view cluster.View, fence logrecord.Fence) bool {
+	if !fence.Owned() {
+		return true
+	}
+	for _, member := range view.Members() {
+		if member.ID == fence.Owner {
+			return !stillOwns(member, fence.Writer)
+		}
+	}
+	return true
+}
+
+func stillOwns(member cluster.Member, writer string) bool {
+	if member.State == cluster.StateDead || member.State == cluster.StateLeaving {
+		return false
+	}
+	process, _, _ := strings.Cut(writer, writerSuffix)
+	return member.Writer == "" || member.Writer == process
+}
--- /dev/null
+++ b/internal/coordinator/run.go
@@ -0,0 +1,119 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/ledger"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+)
+
+// manageInterval is the pause between two looks at the table and the view.
+const manageInterval = 250 * time.Millisecond
+
+// Run follows the ledgers that this node should own, and claims and serves
+// them, until ctx ends. It returns ctx's error.
+func (c *Coordinator) Run(ctx context.Context) error {
+	var followers sync.WaitGroup
+	defer followers.Wait()
+	for {
+		table := c.options.Tables.Table()
+		c.followRows(ctx, table, &followers)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.options.Tables.Changed(table.Revision):
+		case <-time.After(manageInterval):
+		}
+	}
+}
+
+// followRows starts a follower for each trainer whose preferred owner is this node.
+func (c *Coordinator) followRows(ctx context.Context, table *policy.Table, followers *sync.WaitGroup) {
+	if c.draining.Load() || c.options.Tables.Current() != nil {
+		return
+	}
+	for _, row := range table.Rows {
+		if row.Kind != policy.KindTrainer || !c.prefersSelf(row) || c.follow(row.Service) != nil {
+			continue
+		}
+		started := c.newFollower(row.Service)
+		c.mutex.Lock()
+		c.trainers[row.Service] = started
+		c.mutex.Unlock()
+		followers.Go(func() {
+			started.run(ctx)
+			c.mutex.Lock()
+			delete(c.trainers, started.trainer)
+			c.mutex.Unlock()
+		})
+	}
+}
+
+func (c *Coordinator) prefersSelf(row policy.Row) bool {
+	member, found := preferred(c.options.View, row)
+	return found && member.ID == c.options.NodeID
+}
+
+// tenure returns this node's tenure of a trainer's ledger, or nil.
+func (c *Coordinator) tenure(trainer string) *tenure {
+	if followed := c.follow(trainer); followed != nil {
+		return followed.tenure.Load()
+	}
+	return nil
+}
+
+// tenures returns all of this node's tenures, ordered by trainer.
+func (c *Coordinator) tenures() []*tenure {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var owned []*tenure
+	for _, followed := range c.trainers {
+		if tenure := followed.tenure.Load(); tenure != nil {
+			owned = append(owned, tenure)
+		}
+	}
+	slices.SortFunc(owned, func(a, b *tenure) int {
+		if a.trainer < b.trainer {
+			return -1
+		}
+		return 1
+	})
+	return owned
+}
+
+// announce tells the cluster which ledgers this node owns. One call at a time,
+// so that the last list told is the newest.
+func (c *Coordinator) announce() {
+	c.announcing.Lock()
+	defer c.announcing.Unlock()
+	owned := []cluster.Ownership{}
+	for _, tenure := range c.tenures() {
+		owned = append(owned, cluster.Ownership{Stream: ledger.StreamName(tenure.trainer), Epoch: tenure.epoch})
+	}
+	c.metrics.owned.Set(float64(len(owned)))
+	c.options.Announcer.AnnounceOwned(owned)
+}
+
+// Drain takes no new call, answers those in hand, and gives the ledgers up on
+// record, so that other nodes claim them at once. It returns ctx's error when
+// ctx ends before all releases are on record. Run must go on meanwhile.
+func (c *Coordinator) Drain(ctx context.Context) error {
+	if !c.draining.Swap(true) {
+		close(c.drained)
+	}
+	for _, owned := range c.tenures() {
+		owned.reschedule()
+		select {
+		case <-owned.ended:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "release the ledger of trainer %s", owned.trainer)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/schedule.go
@@ -0,0 +1,216 @@
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corkpulley/corkpulley/internal/core/ledger"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+)
+
+const (
+	// defaultWindow is the number of slots in flight while no cell is known.
+	defaultWindow = 16
+	// windowSlack is the part of the cells' slots, in percent, that may wait in
+	// the dispatchers' queues on top, so that no engine runs dry.
+	windowSlack = 25
+	// maxWindow bounds the slots in flight of one trainer.
+	maxWindow = 4096
+	// unrecordedFactor bounds the slots that run, are scored or recorded, as a
+	// multiple of the window: the log may be down while engines go on.
+	unrecordedFactor = 4
+	// discardBatch bounds the samples of one discard record.
+	discardBatch = 1024
+)
+
+// schedule does one round: it discards what can no longer be delivered, stops
+// runs that cannot be, and starts open slots.
+func (t *tenure) schedule() {
+	row, terms, err := t.terms()
+	if err != nil {
+		return
+	}
+	t.discardStale(terms)
+	t.cancelTooOld(terms)
+	t.startSlots(row, terms)
+}
+
+// discardStale puts a discard of the samples beyond the bound on record, one
+// record at a time.
+func (t *tenure) discardStale(terms ledger.Terms) {
+	var stale []ledger.StoredSample
+	t.stream.View(func() { stale = t.ledger.Stale(terms, discardBatch) })
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(stale) == 0 || t.discarding || t.closed {
+		return
+	}
+	t.discarding = true
+	keys := make([]ledger.SampleKey, 0, len(stale))
+	for _, sample := range stale {
+		keys = append(keys, sample.Sample)
+	}
+	t.slots.Go(func() { t.discard(keys, terms) })
+}
+
+func (t *tenure) discard(keys []ledger.SampleKey, terms ledger.Terms) {
+	body := ledger.SamplesDiscarded{Samples: keys, Reason: ledger.DiscardStale, Terms: terms}
+	_, accepted, err := t.propose(t.ctx, ledger.KindSamplesDiscarded, body)
+	if accepted {
+		t.metrics.samples.WithLabelValues(t.trainer, eventDiscarded).Add(float64(len(keys)))
+		t.logger.Info().Int("samples", len(keys)).Uint64("trainer_version", terms.TrainerVersion).
+			Int("bound", terms.Bound).Msg("stale samples discarded")
+	}
+	t.mutex.Lock()
+	t.discarding = false
+	t.mutex.Unlock()
+	if err == nil && accepted {
+		t.reschedule()
+	}
+}
+
+// cancelTooOld stops runs whose oldest token is beyond the bound already.
+func (t *tenure) cancelTooOld(terms ledger.Terms) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, run := range t.running {
+		run.cancelTooOld(terms)
+	}
+}
+
+// startSlots starts open slots up to the window: earlier steps first, and
+// inside a step those first that are expected to run longest, since the
+// longest answer decides when the step ends.
+func (t *tenure) startSlots(row policy.Row, terms ledger.Terms) {
+	free := t.freeWindow(row)
+	if free <= 0 {
+		return
+	}
+	var open []ledger.OpenSlot
+	t.stream.View(func() { open = t.ledger.OpenSlots() })
+	open = t.notRunning(open)
+	for len(open) > 0 && free > 0 {
+		step := open[0].Sample.Step
+		end := slices.IndexFunc(open, func(slot ledger.OpenSlot) bool { return slot.Sample.Step != step })
+		if end < 0 {
+			end = len(open)
+		}
+		free -= t.startStep(open[:end], free)
+		open = open[end:]
+	}
+}
+
+func (t *tenure) notRunning(open []ledger.OpenSlot) []ledger.OpenSlot {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.DeleteFunc(open, func(slot ledger.OpenSlot) bool { return t.running[slot.Sample] != nil })
+}
+
+// startStep starts at most limit slots of one step and returns how many.
+func (t *tenure) startStep(slots []ledger.OpenSlot, limit int) int {
+	request, err := t.stepRequest(t.ctx, slots[0])
+	if err != nil {
+		t.logger.Warn().Err(err).Str("step", slots[0].Sample.Step).Msg("step request not read, trying again")
+		return 0
+	}
+	runs := make([]*slotRun, 0, len(slots))
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	expected := make(map[int]int)
+	for _, slot := range slots {
+		if _, known := expected[slot.Prompt]; !known {
+			expected[slot.Prompt] = t.lengths.Expect(lengthGroup(request, slot.Prompt), request.MaxTokens)
+		}
+		runs = append(runs, &slotRun{tenure: t, slot: slot, request: request, expected: expected[slot.Prompt]})
+	}
+	slices.SortStableFunc(runs, func(a, b *slotRun) int { return cmp.Compare(b.expected, a.expected) })
+	if len(runs) > limit {
+		runs = runs[:limit]
+	}
+	for _, run := range runs {
+		t.startRun(run)
+	}
+	return len(runs)
+}
+
+// startRun starts one run; mutex is held.
+func (t *tenure) startRun(run *slotRun) {
+	if t.closed || t.ctx.Err() != nil {
+		return
+	}
+	t.running[run.slot.Sample] = run
+	t.metrics.running.Inc()
+	t.slots.Go(func() {
+		run.run(t.ctx)
+		t.metrics.running.Dec()
+		t.mutex.Lock()
+		delete(t.running, run.slot.Sample)
+		t.mutex.Unlock()
+		t.reschedule()
+	})
+}
+
+// freeWindow returns how many slots may start now.
+func (t *tenure) freeWindow(row policy.Row) int {
+	window := t.window(row)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	generating := 0
+	for _, run := range t.running {
+		if !run.generated.Load() {
+			generating++
+		}
+	}
+	return min(window-generating, window*unrecordedFactor-len(t.running))
+}
+
+// window returns how many slots should be in flight: what the cells of the
+// row's pool and zones can run, within the row's cap.
+func (t *tenure) window(row policy.Row) int {
+	slots := 0
+	for _, digest := range t.options.View.Cells() {
+		if digest.Cell.Pool == row.Pool && allowsZone(row, digest.Cell.Zone) {
+			slots += digest.Slots
+		}
+	}
+	window := defaultWindow
+	if slots > 0 {
+		window = slots + slots*windowSlack/100 + 1
+	}
+	if row.Cap > 0 {
+		window = min(window, row.Cap)
+	}
+	return min(window, maxWindow)
+}
+
+func allowsZone(row policy.Row, zone string) bool {
+	return len(row.Zones) == 0 || slices.Contains(row.Zones, zone)
+}
+
+// stepRequest returns a step's request from memory, else from the log.
+func (t *tenure) stepRequest(ctx context.Context, slot ledger.OpenSlot) (*ledger.StepSubmitted, error) {
+	if request, cached := t.steps.Get(slot.Sample.Step); cached {
+		return request, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	request := new(ledger.StepSubmitted)
+	if err := t.readBody(ctx, slot.StepOffset, request); err != nil {
+		return nil, err
+	}
+	t.steps.Add(slot.Sample.Step, request)
+	return request, nil
+}
+
+// lengthGroup names the group that a prompt's answer lengths are learnt under:
+// its own group, else the prompt itself.
+func lengthGroup(request *ledger.StepSubmitted, prompt int) string {
+	if group := request.Prompts[prompt].Group; group != "" {
+		return "group:" + group
+	}
+	return "prompt:" + strconv.FormatUint(xxhash.Sum64String(request.Prompts[prompt].Text), 16)
+}
--- /dev/null
+++ b/internal/core/ledger/snapshot.go
@@ -0,0 +1,72 @@
+package ledger
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+)
+
+// snapshot is the encoded state. It holds no prompts and no sample texts, only
+// the offsets of the records that do. Slices keep their order, so that equal
+// states have equal bytes.
+type snapshot struct {
+	Sequences      *logrecord.Sequences `msgpack:"q"`
+	Fence          logrecord.Fence      `msgpack:"f"`
+	TableRevision  int64                `msgpack:"r"`
+	TrainerVersion uint64               `msgpack:"v"`
+	Steps          []*Step              `msgpack:"s"`
+	Finished       []*FinishedStep      `msgpack:"d"`
+}
+
+// Snapshot encodes the state after the last applied record.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	return msgpack.Marshal(&snapshot{
+		Sequences:      &l.sequences,
+		Fence:          l.fence,
+		TableRevision:  l.tableRevision,
+		TrainerVersion: l.trainerVersion,
+		Steps:          l.steps,
+		Finished:       l.finished,
+	})
+}
+
+// Restore replaces the state with a snapshot's. It fails, and leaves the state
+// as it was, when the bytes are not those of a snapshot.
+func (l *Ledger) Restore(data []byte) error {
+	restored := New()
+	state := snapshot{Sequences: &restored.sequences}
+	if err := msgpack.Unmarshal(data, &state); err != nil {
+		return errors.Wrap(err, "ledger snapshot")
+	}
+	if state.Sequences == nil {
+		return errors.New("ledger snapshot: no writer sequences")
+	}
+	restored.sequences = *state.Sequences
+	restored.fence = state.Fence
+	restored.tableRevision = state.TableRevision
+	restored.trainerVersion = state.TrainerVersion
+	if err := restored.restoreSteps(&state); err != nil {
+		return err
+	}
+	*l = *restored
+	return nil
+}
+
+func (l *Ledger) restoreSteps(state *snapshot) error {
+	for _, step := range state.Steps {
+		if step == nil || step.SamplesPerPrompt < 1 || len(step.Slots) == 0 {
+			return errors.New("ledger snapshot: step without slots")
+		}
+		l.steps = append(l.steps, step)
+		l.stepByID[step.ID] = step
+	}
+	for _, finished := range state.Finished {
+		if finished == nil {
+			return errors.New("ledger snapshot: empty finished step")
+		}
+		l.finished = append(l.finished, finished)
+		l.finishedByID[finished.ID] = finished
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/ledger/step.go
@@ -0,0 +1,127 @@
+package ledger
+
+import "slices"
+
+// SlotState is the state of one wanted sample.
+type SlotState uint8
+
+// Slot states. A slot goes from open to filled to acknowledged; a discard
+// brings a filled slot back to open under the next attempt.
+const (
+	SlotOpen SlotState = iota
+	SlotFilled
+	SlotAcknowledged
+)
+
+// Slot is one wanted sample of a step.
+type Slot struct {
+	State SlotState `msgpack:"s,omitempty"`
+	// Attempt is the current attempt, from 1.
+	Attempt uint32 `msgpack:"a"`
+	// FillOffset is the offset of the record that holds the sample; filled slots only.
+	FillOffset int64 `msgpack:"f,omitempty"`
+	// Oldest is the lowest weight version of the sample.
+	Oldest uint64 `msgpack:"v,omitempty"`
+	// Bytes is the length of the sample's text.
+	Bytes int `msgpack:"b,omitempty"`
+	// Token is the token of the sample's current delivery; 0 when none.
+	Token int64 `msgpack:"t,omitempty"`
+}
+
+// Step is one step that is not finished.
+type Step struct {
+	ID string `msgpack:"i"`
+	// Offset of the record that holds the request.
+	Offset           int64  `msgpack:"o"`
+	Fingerprint      uint64 `msgpack:"f"`
+	SamplesPerPrompt int    `msgpack:"n"`
+	Slots            []Slot `msgpack:"s"`
+	Acknowledged     int    `msgpack:"a"`
+	Discarded        int    `msgpack:"d"`
+}
+
+func newStep(offset int64, body *StepSubmitted) *Step {
+	step := &Step{
+		ID:               body.Step,
+		Offset:           offset,
+		Fingerprint:      body.Fingerprint,
+		SamplesPerPrompt: body.SamplesPerPrompt,
+		Slots:            make([]Slot, len(body.Prompts)*body.SamplesPerPrompt),
+	}
+	for i := range step.Slots {
+		step.Slots[i].Attempt = 1
+	}
+	return step
+}
+
+// count returns the number of slots in a state.
+func (s *Step) count(state SlotState) int {
+	count := 0
+	for i := range s.Slots {
+		if s.Slots[i].State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// filled returns the slot of a sample that is recorded and not acknowledged.
+func (s *Step) filled(key SampleKey) *Slot {
+	slot := s.slot(key)
+	if slot == nil || slot.State != SlotFilled {
+		return nil
+	}
+	return slot
+}
+
+// slot returns the slot of a sample if the attempt is the current one.
+func (s *Step) slot(key SampleKey) *Slot {
+	if key.Slot < 0 || key.Slot >= len(s.Slots) || s.Slots[key.Slot].Attempt != key.Attempt {
+		return nil
+	}
+	return &s.Slots[key.Slot]
+}
+
+func (s *Step) discard(slot *Slot) {
+	*slot = Slot{Attempt: slot.Attempt + 1}
+	s.Discarded++
+}
+
+// Receipt is the acknowledgement of one slot of a finished step.
+type Receipt struct {
+	Attempt uint32 `msgpack:"a"`
+	Token   int64  `msgpack:"t"`
+}
+
+// FinishedStep is what remains of a step once all its slots are acknowledged.
+type FinishedStep struct {
+	ID          string `msgpack:"i"`
+	Fingerprint uint64 `msgpack:"f"`
+	Wanted      int    `msgpack:"w"`
+	Discarded   int    `msgpack:"d"`
+	// Receipts has one entry for each slot, so that a repeated acknowledgement
+	// gets the same answer; only the last finished steps keep them.
+	Receipts []Receipt `msgpack:"r,omitempty"`
+}
+
+func (s *Step) finish() *FinishedStep {
+	receipts := make([]Receipt, len(s.Slots))
+	for i := range s.Slots {
+		receipts[i] = Receipt{Attempt: s.Slots[i].Attempt, Token: s.Slots[i].Token}
+	}
+	return &FinishedStep{
+		ID:          s.ID,
+		Fingerprint: s.Fingerprint,
+		Wanted:      len(s.Slots),
+		Discarded:   s.Discarded,
+		Receipts:    slices.Clip(receipts),
+	}
+}
+
+// receipted reports whether the sample was acknowledged under the token.
+func (f *FinishedStep) receipted(token int64, key SampleKey) bool {
+	if key.Slot < 0 || key.Slot >= len(f.Receipts) {
+		return false
+	}
+	return f.Receipts[key.Slot] == Receipt{Attempt: key.Attempt, Token: token}
+}
--- /dev/null
+++ b/internal/standin/scorer/scorer.go
@@ -0,0 +1,97 @@
+// Package scorer is a small stand-in for the platform's scoring service. It
+// gives each text a score in [0, 1) that depends only on the seed, the prompt
+// and the text, and can be slow or fail for a share of the calls.
+package scorer
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/httpapi"
+	"github.com/corkpulley/corkpulley/internal/platform/scorer"
+)
+
+// maxBodyBytes bounds a request.
+const maxBodyBytes = 8 << 20
+
+// Config configures the stand-in.
+type Config struct {
+	Listen    string        `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on (ip:port)"`
+	Seed      int64         `arg:"--seed" default:"1" help:"seed of the scores and of the failures"`
+	Latency   time.Duration `arg:"--latency" default:"5ms" help:"time that each call takes"`
+	FailShare float64       `arg:"--fail-share" default:"0" help:"share of the calls that fail with status 503, 0..1"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	config Config
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	calls  int64
+}
+
+// New returns a stand-in.
+func New(config Config) *Server {
+	seed := uint64(config.Seed)
+	return &Server{config: config, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Handler returns the HTTP interface: POST /v1/score.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.NotFoundHandler = http.HandlerFunc(httpapi.NotFound)
+	router.MethodNotAllowedHandler = http.HandlerFunc(httpapi.MethodNotAllowed)
+	router.HandleFunc("/v1/score", s.score).Methods(http.MethodPost)
+	return router
+}
+
+// Calls returns the number of calls so far, failed ones included.
+func (s *Server) Calls() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+func (s *Server) score(w http.ResponseWriter, r *http.Request) {
+	var request scorer.Request
+	if err := httpapi.DecodeJSON(w, r, maxBodyBytes, &request); err != nil {
+		httpapi.WriteError(w, err)
+		return
+	}
+	select {
+	case <-time.After(s.config.Latency):
+	case <-r.Context().Done():
+		return
+	}
+	if s.fails() {
+		httpapi.WriteError(w, errkind.New(errkind.NotReady, "the stand-in was told to fail this call"))
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, scorer.Response{Score: Score(s.config.Seed, request.Prompt, request.Text)})
+}
+
+func (s *Server) fails() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	return s.random.Float64() < s.config.FailShare
+}
+
+// Score returns the score that a stand-in with the seed gives, in [0, 1).
+func Score(seed int64, prompt, text string) float64 {
+	digest := xxhash.New()
+	for _, part := range []string{strconv.FormatInt(seed, 10), prompt, text} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	const mantissaBits = 53
+	return float64(digest.Sum64()>>(64-mantissaBits)) / (1 << mantissaBits)
+}
