Queue each cell at one dispatcher, choose engines by filter, score and pick

Cause: nodes that pick from lagging load reports herd onto one engine. One queue per cell knows exactly what is in flight.

Change: scheduler core (classes, fair shares, caps, starvation guard, live reserve), prefix index, dispatcher with resume, move, drain and directives.

--- /dev/null
+++ b/internal/core/scheduler/digest.go
@@ -0,0 +1,53 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/corkpulley/corkpulley/internal/message"
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+// Digest is a summary of a cell's state.
+type Digest struct {
+	// Engines counts the engines in service; Slots their batch slots.
+	Engines int
+	Slots   int
+	// Running and Queued count items.
+	Running int
+	Queued  int
+	// Models counts the engines in service at each version, sorted.
+	Models []message.ModelCount
+}
+
+// Digest returns the cell's state now.
+func (c *Cell) Digest() Digest {
+	digest := Digest{Running: len(c.running), Queued: len(c.queued)}
+	counts := make(map[engine.ModelVersion]int)
+	for _, candidate := range c.engines {
+		if !candidate.inService() {
+			continue
+		}
+		digest.Engines++
+		digest.Slots += candidate.status.MaxBatch
+		for _, held := range candidate.status.Models {
+			counts[held]++
+		}
+	}
+	for held, engines := range counts {
+		digest.Models = append(digest.Models, message.ModelCount{ModelVersion: held, Engines: engines})
+	}
+	slices.SortFunc(digest.Models, func(a, b message.ModelCount) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
+	return digest
+}
+
+// RunningOn returns the number of items that run on an engine.
+func (c *Cell) RunningOn(engineID string) int {
+	on := c.engine(engineID)
+	if on == nil {
+		return 0
+	}
+	return len(on.running)
+}
--- /dev/null
+++ b/internal/core/scheduler/flow.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// flow is the queue of one service inside a class. Start-time fair queuing
+// (Goyal, Vin, Cheng 1996): the flow with the lowest start tag goes next, and
+// each item moves the tag on by its expected tokens divided by the share.
+type flow struct {
+	service string
+	start   float64
+	queued  int
+	lanes   map[laneKey]*lane
+	// ordered is scratch space of lanesInOrder.
+	ordered []*lane
+}
+
+func (f *flow) push(queued *entry, firstInFirstOut bool) {
+	key := laneKeyOf(&queued.item)
+	into, ok := f.lanes[key]
+	if !ok {
+		into = &lane{key: key, entries: laneHeap{firstInFirstOut: firstInFirstOut}}
+		f.lanes[key] = into
+	}
+	into.push(queued)
+	queued.flow = f
+	f.queued++
+}
+
+func (f *flow) remove(queued *entry) {
+	from := queued.lane
+	from.remove(queued)
+	if from.empty() {
+		delete(f.lanes, from.key)
+	}
+	f.queued--
+}
+
+// lanesInOrder returns the lanes, the one with the first entry first. The
+// result is valid until the next call.
+func (f *flow) lanesInOrder(firstInFirstOut bool) []*lane {
+	f.ordered = f.ordered[:0]
+	for _, candidate := range f.lanes {
+		f.ordered = append(f.ordered, candidate)
+	}
+	slices.SortFunc(f.ordered, func(a, b *lane) int {
+		if before(a.head(), b.head(), firstInFirstOut) {
+			return -1
+		}
+		return 1
+	})
+	return f.ordered
+}
+
+// class is the queue of one priority.
+type class struct {
+	priority int
+	queued   int
+	// virtualTime is the start tag of the item that was last dispatched.
+	virtualTime float64
+	flows       map[string]*flow
+	// waitingSince is when the class was last served, or when it last became
+	// non-empty if that is later.
+	waitingSince time.Time
+	// ordered is scratch space of flowsInOrder.
+	ordered []*flow
+}
+
+func newClass(priority int) *class {
+	return &class{priority: priority, flows: make(map[string]*flow)}
+}
+
+func (c *class) push(now time.Time, flowName string, queued *entry, firstInFirstOut bool) {
+	if c.queued == 0 {
+		c.waitingSince = now
+	}
+	into, ok := c.flows[flowName]
+	if !ok {
+		into = &flow{service: flowName, lanes: make(map[laneKey]*lane)}
+		c.flows[flowName] = into
+	}
+	if into.queued == 0 {
+		// An idle service gains no credit for the time it was idle.
+		into.start = max(into.start, c.virtualTime)
+	}
+	into.push(queued, firstInFirstOut)
+	c.queued++
+}
+
+func (c *class) remove(queued *entry) {
+	queued.flow.remove(queued)
+	c.queued--
+}
+
+// served accounts for a dispatched entry.
+func (c *class) served(now time.Time, queued *entry) {
+	from := queued.flow
+	c.virtualTime = max(c.virtualTime, from.start)
+	from.start += float64(queued.expectedTokens()) / float64(max(queued.item.Share, 1))
+	c.waitingSince = now
+}
+
+// flowsInOrder returns the flows with queued items, the lowest start tag
+// first. The result is valid until the next call.
+func (c *class) flowsInOrder() []*flow {
+	c.ordered = c.ordered[:0]
+	for _, candidate := range c.flows {
+		if candidate.queued > 0 {
+			c.ordered = append(c.ordered, candidate)
+		}
+	}
+	slices.SortFunc(c.ordered, func(a, b *flow) int {
+		switch {
+		case a.start < b.start:
+			return -1
+		case a.start > b.start:
+			return 1
+		default:
+			return strings.Compare(a.service, b.service)
+		}
+	})
+	return c.ordered
+}
+
+// starved tells whether the class waited beyond the bound.
+func (c *class) starved(now time.Time, bound time.Duration) bool {
+	return c.queued > 0 && now.Sub(c.waitingSince) >= bound
+}
--- /dev/null
+++ b/internal/core/scheduler/score_test.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/prefixcache"
+)
+
+func TestScorePrefixFollowsTheMatch(t *testing.T) {
+	prefixes := prefixcache.New(64)
+	queued := &entry{item: Item{Model: testModel, Prompt: strings.Repeat("a", 256)}}
+	candidate := servingEngine("a", 3, 2)
+	assert.Equal(t, scorePrefix(queued, candidate, nil), 0.0)
+	assert.Equal(t, scorePrefix(queued, candidate, prefixes), 0.0)
+	prefixes.Sent("a", queued.prefixHashes(3)[:2])
+	assert.Equal(t, scorePrefix(queued, candidate, prefixes), 0.5)
+	candidate.status.Models[0].Version = 4
+	assert.Equal(t, scorePrefix(queued, candidate, prefixes), 0.0)
+}
+
+func TestScoreLoadAndFreshness(t *testing.T) {
+	idle := servingEngine("a", 3, 2)
+	busy := servingEngine("b", 5, 2)
+	busy.start(&entry{item: Item{ID: "r", ExpectedTokens: 100}})
+	among := &candidates{engines: []*engineState{idle, busy}}
+	among.measure(testModel)
+	queued := &entry{item: Item{Model: testModel}}
+	assert.Equal(t, scoreLoad(idle, among), 1.0)
+	assert.Equal(t, scoreLoad(busy, among), 0.25)
+	assert.Equal(t, scoreFreshness(queued, idle, among), 0.0)
+	assert.Equal(t, scoreFreshness(queued, busy, among), 1.0)
+}
+
+func TestRemainingWorkFollowsProgress(t *testing.T) {
+	running := &entry{item: Item{ExpectedTokens: 100}}
+	assert.Equal(t, running.remainingAfter(60), 40)
+	assert.Equal(t, running.remainingAfter(400), 100)
+	assert.Equal(t, running.remainingAfter(99), 24)
+	assert.Equal(t, (&entry{}).remainingAfter(0), defaultExpectedTokens)
+}
--- /dev/null
+++ b/internal/dispatcher/announce.go
@@ -0,0 +1,62 @@
+package dispatcher
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/scheduler"
+	"github.com/corkpulley/corkpulley/internal/message"
+)
+
+// announcement is what a cell last told the cluster.
+type announcement struct {
+	digest scheduler.Digest
+	at     time.Time
+}
+
+// digest returns the cell's state as other nodes see it.
+func (c *cell) digest() message.CellDigest {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.describe(c.scheduler.Digest())
+}
+
+func (c *cell) describe(digest scheduler.Digest) message.CellDigest {
+	return message.CellDigest{
+		Cell:     c.id,
+		Node:     c.dispatcher.options.NodeID,
+		Address:  c.dispatcher.options.PeerAddress,
+		Sequence: c.dispatcher.sequence.Add(1),
+		Engines:  digest.Engines,
+		Slots:    digest.Slots,
+		Running:  digest.Running,
+		Queued:   digest.Queued,
+		Models:   digest.Models,
+	}
+}
+
+// announce tells the cluster about an owned cell when it is due: on change, or
+// after the maximum interval.
+func (c *cell) announce(now time.Time) {
+	digest, due := c.dueAnnouncement(now)
+	if due {
+		c.dispatcher.options.Announcer.AnnounceCell(digest)
+	}
+}
+
+func (c *cell) dueAnnouncement(now time.Time) (message.CellDigest, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	digest := c.scheduler.Digest()
+	c.dispatcher.metrics.observeCell(c.id, &digest)
+	elapsed := now.Sub(c.announced.at)
+	if !c.owned || c.draining || elapsed < announceMinimumInterval {
+		return message.CellDigest{}, false
+	}
+	changed := !reflect.DeepEqual(digest, c.announced.digest)
+	if !changed && elapsed < announceMaximumInterval {
+		return message.CellDigest{}, false
+	}
+	c.announced = announcement{digest: digest, at: now}
+	return c.describe(digest), true
+}
--- /dev/null
+++ b/internal/dispatcher/cells.go
@@ -0,0 +1,212 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/core/routing"
+	"github.com/corkpulley/corkpulley/internal/core/scheduler"
+	"github.com/corkpulley/corkpulley/internal/message"
+)
+
+// cellEngines are the engines of one cell by the engine list.
+type cellEngines map[string]cluster.EngineMachine
+
+// zoneCells are the cells of this node's zone, as cut from a list of machines.
+type zoneCells struct {
+	machines []cluster.EngineMachine
+	cells    map[message.CellID]cellEngines
+}
+
+// cellsOfZone returns the cells of this node's zone; they are cut anew only
+// when the engine list changed. Only reconcile calls it.
+func (d *Dispatcher) cellsOfZone() map[message.CellID]cellEngines {
+	machines := d.options.EngineList.Engines(d.options.Zone)
+	if d.zoneCells.cells == nil || !slices.Equal(d.zoneCells.machines, machines) {
+		d.zoneCells = zoneCells{
+			machines: slices.Clone(machines),
+			cells:    assignZone(d.options.Zone, machines),
+		}
+	}
+	return d.zoneCells.cells
+}
+
+// assignZone cuts a zone's engines into cells.
+func assignZone(zone string, machines []cluster.EngineMachine) map[message.CellID]cellEngines {
+	byID := make(map[string]cluster.EngineMachine, len(machines))
+	pools := make(map[string][]string)
+	for _, machine := range machines {
+		if _, doubled := byID[machine.ID]; doubled {
+			continue
+		}
+		byID[machine.ID] = machine
+		pools[machine.Pool] = append(pools[machine.Pool], machine.ID)
+	}
+	assigned := make(map[message.CellID]cellEngines)
+	for pool, ids := range pools {
+		for id, members := range routing.AssignCells(zone, pool, ids) {
+			engines := make(cellEngines, len(members))
+			for _, member := range members {
+				engines[member] = byID[member]
+			}
+			assigned[id] = engines
+		}
+	}
+	return assigned
+}
+
+// reconcile matches the cells to the engine list, the members and the table.
+func (d *Dispatcher) reconcile(now time.Time) {
+	d.reconciling.Lock()
+	defer d.reconciling.Unlock()
+	d.reconciledAt = now
+	assigned := d.cellsOfZone()
+	sizes := newLayout(assigned, d.options.View.Cells())
+	members := memberIDs(d.options.View.Candidates(d.options.Zone))
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.assigned = assigned
+	d.layout = sizes
+	for id := range assigned {
+		if d.owns(id, members) && d.cells[id] == nil {
+			d.cells[id] = newCell(d, id)
+		}
+	}
+	for id, existing := range d.cells {
+		if existing.reconcile(now, assigned[id], d.owns(id, members), d.liveReserve(id.Pool)) {
+			continue
+		}
+		existing.close()
+		delete(d.cells, id)
+		d.metrics.forgetCell(id)
+	}
+}
+
+func (d *Dispatcher) owns(id message.CellID, members []string) bool {
+	return routing.CellOwner(id, members) == d.options.NodeID
+}
+
+func memberIDs(members []cluster.Member) []string {
+	ids := make([]string, 0, len(members))
+	for _, member := range members {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+// liveReserve returns the share of a pool's slots that trainers leave free: the
+// default where live services and trainers share the pool, else none.
+func (d *Dispatcher) liveReserve(pool string) float64 {
+	live, trainer := false, false
+	for _, row := range d.options.Tables.Table().Rows {
+		if row.Pool != pool {
+			continue
+		}
+		live = live || row.Kind == policy.KindLive
+		trainer = trainer || row.Kind == policy.KindTrainer
+	}
+	if live && trainer {
+		return scheduler.DefaultLiveReserve
+	}
+	return 0
+}
+
+// cell returns a cell by its ID. One that rendezvous gives to another node is
+// opened all the same when the engine list has it: ownership is soft, and two
+// dispatchers for a moment cost efficiency only.
+func (d *Dispatcher) cell(id message.CellID) (*cell, error) {
+	if found := d.findOrOpen(id); found != nil {
+		return found, nil
+	}
+	d.reconcileAgain(time.Now())
+	if found := d.findOrOpen(id); found != nil {
+		return found, nil
+	}
+	return nil, errkind.New(errkind.NotOwner, "node %s knows no engines of cell %s", d.options.NodeID, cellName(id))
+}
+
+// reconcileAgain reconciles out of turn, but not more often than each tick:
+// submissions for unknown cells must stay cheap.
+func (d *Dispatcher) reconcileAgain(now time.Time) {
+	d.reconciling.Lock()
+	recent := now.Sub(d.reconciledAt) < tickInterval
+	d.reconciling.Unlock()
+	if !recent {
+		d.reconcile(now)
+	}
+}
+
+// findOrOpen returns a cell that is open, or opens one that the engine list
+// had when it was last read; nil when it had not.
+func (d *Dispatcher) findOrOpen(id message.CellID) *cell {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if found := d.cells[id]; found != nil {
+		return found
+	}
+	engines, known := d.assigned[id]
+	if !known {
+		return nil
+	}
+	opened := newCell(d, id)
+	opened.reconcile(time.Now(), engines, false, d.liveReserve(id.Pool))
+	d.cells[id] = opened
+	return opened
+}
+
+func (d *Dispatcher) find(id message.CellID) *cell {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.cells[id]
+}
+
+// allCells returns the cells sorted by ID.
+func (d *Dispatcher) allCells() []*cell {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	cells := slices.Collect(maps.Values(d.cells))
+	slices.SortFunc(cells, func(a, b *cell) int { return compareCells(a.id, b.id) })
+	return cells
+}
+
+// reconcile matches a cell to its engines; false when it may be closed.
+func (c *cell) reconcile(now time.Time, engines cellEngines, owned bool, liveReserve float64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.owned = owned
+	if !owned {
+		clear(c.directives)
+	}
+	c.scheduler.SetLiveReserve(liveReserve)
+	for id, on := range c.links {
+		if machine, listed := engines[id]; !listed || machine.Address != on.address {
+			c.shut(on)
+		}
+	}
+	for id, machine := range engines {
+		on, known := c.links[id]
+		if !known {
+			c.open(machine)
+		} else if on.leaving != machine.Leaving {
+			on.leaving = machine.Leaving
+			c.updateScheduler(on, false)
+		}
+	}
+	c.dispatch(now)
+	idle := len(c.tasks) == 0 && now.Sub(c.usedAt) > cellIdleTimeout
+	return (owned && len(engines) > 0) || !idle
+}
+
+// close ends the links of a cell without tasks.
+func (c *cell) close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, on := range c.links {
+		c.shut(on)
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/fake_engines_test.go
@@ -0,0 +1,191 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+var errBroken = errors.New("connection reset")
+
+// generate answers one send to a fake engine.
+type generate func(ctx context.Context, request engine.GenerateRequest) (engine.Stream, error)
+
+// fakeEngines implements what a dispatcher uses of engine.Client; an engine's
+// address is its ID.
+type fakeEngines struct {
+	engine.Client
+	mutex   sync.Mutex
+	status  map[string]engine.Status
+	changed map[string]chan struct{}
+	// silent engines break their watch streams.
+	silent   map[string]bool
+	generate map[string]generate
+	requests map[string][]engine.GenerateRequest
+	canceled []engine.CancelRequest
+	orders   []string
+	order    func(address string, order engine.Order) error
+}
+
+func (f *fakeEngines) Generate(
+	ctx context.Context, address string, request engine.GenerateRequest,
+) (engine.Stream, error) {
+	f.mutex.Lock()
+	f.requests[address] = append(f.requests[address], request)
+	answer := f.generate[address]
+	f.mutex.Unlock()
+	return answer(ctx, request)
+}
+
+func (f *fakeEngines) Cancel(_ context.Context, _ string, request engine.CancelRequest) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.canceled = append(f.canceled, request)
+	return nil
+}
+
+func (f *fakeEngines) Watch(
+	ctx context.Context, address string, _ time.Duration, handle func(engine.Event),
+) error {
+	for {
+		f.mutex.Lock()
+		if f.silent[address] {
+			f.mutex.Unlock()
+			return errBroken
+		}
+		status := f.status[address]
+		changed := f.changed[address]
+		f.mutex.Unlock()
+		handle(engine.Event{Kind: engine.EventStatus, Status: &status})
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *fakeEngines) Order(_ context.Context, address string, order engine.Order) error {
+	f.mutex.Lock()
+	f.orders = append(f.orders, address)
+	answer := f.order
+	f.mutex.Unlock()
+	return answer(address, order)
+}
+
+// change edits an engine's status and reports it at once.
+func (f *fakeEngines) change(id string, edit func(*engine.Status)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	status := f.status[id]
+	edit(&status)
+	f.status[id] = status
+	close(f.changed[id])
+	f.changed[id] = make(chan struct{})
+}
+
+func (f *fakeEngines) sends(id string) []engine.GenerateRequest {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.requests[id])
+}
+
+// fakeStream plays chunks, then fails, or blocks until released or canceled.
+type fakeStream struct {
+	ctx    context.Context
+	chunks []engine.Chunk
+	err    error
+	hold   <-chan struct{}
+}
+
+func (s *fakeStream) Receive() (engine.Chunk, error) {
+	if len(s.chunks) > 0 {
+		chunk := s.chunks[0]
+		s.chunks = s.chunks[1:]
+		return chunk, nil
+	}
+	if s.hold == nil {
+		return engine.Chunk{}, s.err
+	}
+	select {
+	case <-s.hold:
+		return engine.Chunk{}, s.err
+	case <-s.ctx.Done():
+		return engine.Chunk{}, s.ctx.Err()
+	}
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// chunks returns the tokens [from, to) one by one, the last one finished if
+// the answer ends there.
+func chunks(request engine.GenerateRequest, from, to int, version uint64) []engine.Chunk {
+	var list []engine.Chunk
+	for index := from; index < to; index++ {
+		last := index == request.MaxTokens-1
+		chunk := engine.Chunk{
+			RequestID: request.RequestID, Attempt: request.Attempt, FirstToken: index,
+			Tokens: []string{fmt.Sprint("t", index)}, Version: version, Finished: last,
+		}
+		if last {
+			chunk.FinishReason = engine.FinishLength
+		}
+		list = append(list, chunk)
+	}
+	return list
+}
+
+// begin is the index of the first token that the engine owes.
+func begin(request engine.GenerateRequest) int {
+	if request.ResumeFrom != nil {
+		return *request.ResumeFrom
+	}
+	return len(request.Generated)
+}
+
+// whole answers all tokens.
+func whole(version uint64) generate {
+	return func(ctx context.Context, request engine.GenerateRequest) (engine.Stream, error) {
+		list := chunks(request, begin(request), request.MaxTokens, version)
+		return &fakeStream{ctx: ctx, chunks: list, err: io.EOF}, nil
+	}
+}
+
+// upTo answers the tokens before an index, then breaks or holds.
+func upTo(to int, version uint64, hold <-chan struct{}) generate {
+	return func(ctx context.Context, request engine.GenerateRequest) (engine.Stream, error) {
+		list := chunks(request, begin(request), to, version)
+		return &fakeStream{ctx: ctx, chunks: list, err: errBroken, hold: hold}, nil
+	}
+}
+
+// refuse answers with a failure.
+func refuse(failure engine.SendError) generate {
+	return func(context.Context, engine.GenerateRequest) (engine.Stream, error) {
+		if failure.Err == nil {
+			failure.Err = errBroken
+		}
+		return nil, &failure
+	}
+}
+
+// inTurn uses each answer once, the last one for all the rest.
+func inTurn(answers ...generate) generate {
+	var mutex sync.Mutex
+	return func(ctx context.Context, request engine.GenerateRequest) (engine.Stream, error) {
+		mutex.Lock()
+		answer := answers[0]
+		if len(answers) > 1 {
+			answers = answers[1:]
+		}
+		mutex.Unlock()
+		return answer(ctx, request)
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/status.go
@@ -0,0 +1,96 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/message"
+	"github.com/corkpulley/corkpulley/internal/peer"
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+// States of api.EngineStatus beyond those that engines report.
+const (
+	stateLeaving     = "leaving"
+	stateUnreachable = "unreachable"
+)
+
+// StatusReport answers MethodCellStatus (request: message.Empty).
+type StatusReport struct {
+	Engines []api.EngineStatus `msgpack:"e"`
+	Cells   []api.CellStatus   `msgpack:"c"`
+}
+
+// EngineStatuses returns the engines of this node's cells, sorted by ID.
+func (d *Dispatcher) EngineStatuses() []api.EngineStatus {
+	var statuses []api.EngineStatus
+	for _, each := range d.allCells() {
+		statuses = append(statuses, each.engineStatuses()...)
+	}
+	slices.SortFunc(statuses, func(a, b api.EngineStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return statuses
+}
+
+// CellStatuses returns this node's cells, sorted by zone, pool and index.
+func (d *Dispatcher) CellStatuses() []api.CellStatus {
+	var statuses []api.CellStatus
+	for _, each := range d.allCells() {
+		digest := each.digest()
+		statuses = append(statuses, api.CellStatus{
+			Zone:    digest.Cell.Zone,
+			Pool:    digest.Cell.Pool,
+			Index:   digest.Cell.Index,
+			Node:    digest.Node,
+			Engines: digest.Engines,
+			Slots:   digest.Slots,
+			Running: digest.Running,
+			Queued:  digest.Queued,
+		})
+	}
+	return statuses
+}
+
+func (d *Dispatcher) handleCellStatus(context.Context, peer.Request) (any, error) {
+	return StatusReport{Engines: d.EngineStatuses(), Cells: d.CellStatuses()}, nil
+}
+
+func (c *cell) engineStatuses() []api.EngineStatus {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	statuses := make([]api.EngineStatus, 0, len(c.links))
+	for _, on := range c.links {
+		models := make(map[string]uint64, len(on.status.Models))
+		for _, held := range on.status.Models {
+			models[held.Model] = held.Version
+		}
+		statuses = append(statuses, api.EngineStatus{
+			ID:       on.id,
+			Address:  on.address,
+			Zone:     c.id.Zone,
+			Pool:     c.id.Pool,
+			State:    on.state(),
+			Models:   models,
+			InFlight: c.scheduler.RunningOn(on.id),
+			Node:     c.dispatcher.options.NodeID,
+		})
+	}
+	return statuses
+}
+
+// state returns the engine's state as operators see it.
+func (l *link) state() string {
+	switch {
+	case !l.reachable:
+		return stateUnreachable
+	case l.leaving && l.status.State == engine.StateServing:
+		return stateLeaving
+	default:
+		return string(l.status.State)
+	}
+}
+
+func compareCells(a, b message.CellID) int {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Index, b.Index))
+}
--- /dev/null
+++ b/internal/dispatcher/submit.go
@@ -0,0 +1,186 @@
+package dispatcher
+
+import (
+	"context"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/message"
+	"github.com/corkpulley/corkpulley/internal/peer"
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+// maximumSubmitAttempt keeps the engines' attempt numbers inside 32 bits.
+const maximumSubmitAttempt = 1 << 27
+
+// handleSubmit runs one submission, or attaches to it, and relays its answer.
+func (d *Dispatcher) handleSubmit(ctx context.Context, request peer.Request, sender peer.Sender) error {
+	var submit message.Submit
+	if err := request.Decode(&submit); err != nil {
+		return errkind.New(errkind.InvalidRequest, "submit: %s", err)
+	}
+	if err := validate(&submit); err != nil {
+		return err
+	}
+	if !submit.Attach && submit.MaxTokens == len(submit.Generated) {
+		return sender.Send(alreadyWhole(&submit))
+	}
+	attached, from, err := d.admit(submit)
+	if err != nil {
+		return err
+	}
+	if err := attached.enter(from); err != nil {
+		return err
+	}
+	defer attached.leave()
+	return attached.relay(ctx, from, sender)
+}
+
+// validate returns nil, or what is wrong with a submission.
+func validate(submit *message.Submit) error {
+	switch {
+	case submit.RequestID == "":
+		return errkind.New(errkind.InvalidRequest, "submit needs a request ID")
+	case submit.Attempt < 1 || submit.Attempt > maximumSubmitAttempt:
+		return errkind.New(errkind.InvalidRequest, "attempt %d is out of range 1..%d", submit.Attempt, maximumSubmitAttempt)
+	case submit.Attach && submit.ResumeFrom < 0:
+		return errkind.New(errkind.InvalidRequest, "resume index %d is negative", submit.ResumeFrom)
+	case !submit.Attach && submit.Model == "":
+		return errkind.New(errkind.InvalidRequest, "submit needs a model")
+	case !submit.Attach && (submit.MaxTokens < 1 || submit.MaxTokens < len(submit.Generated)):
+		return errkind.New(errkind.InvalidRequest,
+			"max tokens is %d with %d generated", submit.MaxTokens, len(submit.Generated))
+	default:
+		return nil
+	}
+}
+
+// alreadyWhole is the answer to a continued request that lacks nothing but the
+// word that it is finished.
+func alreadyWhole(submit *message.Submit) message.Progress {
+	return message.Progress{
+		Attempt:      submit.Attempt,
+		FirstToken:   len(submit.Generated),
+		Finished:     true,
+		FinishReason: engine.FinishLength,
+	}
+}
+
+// admit returns the task of a submission and the index to relay from.
+func (d *Dispatcher) admit(submit message.Submit) (*task, int, error) {
+	if submit.Attach {
+		return d.attach(&submit)
+	}
+	if err := d.options.Tables.Current(); err != nil {
+		return nil, 0, err
+	}
+	on, err := d.cell(submit.Cell)
+	if err != nil {
+		return nil, 0, err
+	}
+	row, err := d.row(&submit)
+	if err != nil {
+		return nil, 0, err
+	}
+	inFlightCap, err := d.inFlightCap(&row, submit.Cell)
+	if err != nil {
+		return nil, 0, err
+	}
+	admitted, err := on.submit(submit, row, inFlightCap)
+	return admitted, len(submit.Generated), err
+}
+
+// attach returns the task of an earlier submission. One that is not here may
+// have run here before, so its outcome is unknown.
+func (d *Dispatcher) attach(submit *message.Submit) (*task, int, error) {
+	if on := d.find(submit.Cell); on != nil {
+		if known := on.lookup(taskID(submit)); known != nil {
+			return known, submit.ResumeFrom, nil
+		}
+	}
+	return nil, 0, errkind.New(errkind.OutcomeUnknown,
+		"node %s does not have request %s, attempt %d", d.options.NodeID, submit.RequestID, submit.Attempt)
+}
+
+// row returns the table row of a submission. A service that only a newer table
+// than this node's can have gets the least privileges until that arrives.
+func (d *Dispatcher) row(submit *message.Submit) (policy.Row, error) {
+	table := d.options.Tables.Table()
+	row, ok := table.Row(submit.Service)
+	if ok {
+		return row, nil
+	}
+	if table.Revision >= submit.TableRevision {
+		return row, errkind.New(errkind.UnknownService, "service %q is not in table revision %d", submit.Service, table.Revision)
+	}
+	return policy.Row{Service: submit.Service, Kind: policy.KindTrainer, Share: 1}, nil
+}
+
+// inFlightCap returns the requests that the service may have in flight in the cell; 0
+// for no cap.
+func (d *Dispatcher) inFlightCap(row *policy.Row, cell message.CellID) (int, error) {
+	if row.Cap == 0 {
+		return 0, nil
+	}
+	d.mutex.Lock()
+	part := d.layout.capOf(row, cell)
+	d.mutex.Unlock()
+	if part == 0 {
+		// NoCapacity rather than CapReached: other cells have a part.
+		return 0, errkind.New(errkind.NoCapacity,
+			"no part of the cap of service %s (%d) falls to cell %s", row.Service, row.Cap, cellName(cell))
+	}
+	return part, nil
+}
+
+// relay sends the answer from an index on, each token once and in order.
+func (t *task) relay(ctx context.Context, from int, sender peer.Sender) error {
+	next := from
+	first := true
+	for {
+		found := t.buffer.readFrom(next)
+		for _, piece := range found.pieces {
+			piece = trim(piece, next)
+			if first {
+				piece.Load = t.load()
+				first = false
+			}
+			if err := sender.Send(piece); err != nil {
+				return err
+			}
+			next = piece.FirstToken + len(piece.Tokens)
+		}
+		if found.finished != nil {
+			last := *found.finished
+			last.Load = t.load()
+			return sender.Send(last)
+		}
+		if found.err != nil {
+			return found.err
+		}
+		if len(found.pieces) > 0 {
+			// Reading on tells the buffer that these pieces were sent.
+			continue
+		}
+		select {
+		case <-found.changed:
+		case <-ctx.Done():
+			return errkind.New(errkind.Canceled, "the caller closed the stream")
+		}
+	}
+}
+
+// load returns the cell's digest for a first or last message.
+func (t *task) load() *message.CellDigest {
+	digest := t.cell.digest()
+	return &digest
+}
+
+// trim drops the tokens of a piece before an index.
+func trim(piece message.Progress, from int) message.Progress {
+	if skip := from - piece.FirstToken; skip > 0 {
+		piece.Tokens = piece.Tokens[skip:]
+		piece.FirstToken = from
+	}
+	return piece
+}
