--- a/internal/platform/engine/engine.go
+++ b/internal/platform/engine/engine.go
@@ -104,6 +104,9 @@
 	CacheCapacity int `json:"cache_capacity"`
 	// Fence is the highest order fence seen.
 	Fence int64 `json:"fence"`
+	// Fences holds the highest fence seen for each model, as fences of different
+	// models have no common order; "" stands for changes of role.
+	Fences map[string]int64 `json:"fences,omitempty"`
 	// Incarnation changes with each start of the engine.
 	Incarnation string `json:"incarnation"`
 }
@@ -131,7 +134,8 @@
 }
 
 // Order is a fenced order to an engine. An order with a lower fence than one
-// seen before is refused with code "stale_fence"; the same order again is harmless.
+// seen before for the same Model (or, without a model, for the engine's role) is
+// refused with code "stale_fence"; the same order again is harmless.
 type Order struct {
 	Fence int64 `json:"fence"`
 	// Kind is "load" (load Model at Version), "drain" or "serve" (change of role).
--- /dev/null
+++ b/internal/platform/engine/http.go
@@ -0,0 +1,272 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Limits of the HTTP adapter.
+const (
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 4 << 20
+	// maxAnswerBytes bounds an answer that is not a stream (a KV export is the largest).
+	maxAnswerBytes = 64 << 20
+	// maxRefusalBytes bounds the body of a non-200 answer.
+	maxRefusalBytes = 64 << 10
+	// maxIdleConnections bounds the pooled idle connections of one transport.
+	maxIdleConnections = 4096
+	// maxIdleConnectionsPerEngine keeps a connection for each stream of a busy engine.
+	maxIdleConnectionsPerEngine = 256
+	// idleTimeout closes an idle connection well before servers usually do.
+	idleTimeout = 30 * time.Second
+	dialTimeout = 2 * time.Second
+	keepAlive   = 15 * time.Second
+)
+
+// Paths of the engine interface.
+const (
+	PathGenerate = "/v1/generate"
+	PathCancel   = "/v1/cancel"
+	PathStatus   = "/v1/status"
+	PathWatch    = "/v1/watch"
+	PathOrders   = "/v1/orders"
+	PathKVExport = "/v1/kv/export"
+	PathKVImport = "/v1/kv/import"
+)
+
+// QueryInterval is the watch parameter with the status interval in milliseconds.
+const QueryInterval = "interval_ms"
+
+// HTTPClient implements Client over HTTP/1.1 and newline-delimited JSON. It is
+// safe for concurrent use.
+type HTTPClient struct {
+	client http.Client
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTP returns a Client that sends through client; nil takes a client on
+// NewTransport. Redirects are never followed, as a request must not be sent twice.
+func NewHTTP(client *http.Client) *HTTPClient {
+	if client == nil {
+		client = &http.Client{Transport: NewTransport()}
+	}
+	adapter := &HTTPClient{client: *client}
+	adapter.client.CheckRedirect = func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}
+	return adapter
+}
+
+// NewTransport returns a pooled transport for hundreds of streams to each of
+// many engines. It is HTTP/1.1 only: a stream has a connection of its own, so
+// a slow reader of one stream holds no other stream back.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: maxIdleConnectionsPerEngine,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Generate implements Client.
+func (c *HTTPClient) Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error) {
+	streamContext, cancel := context.WithCancel(ctx)
+	response, err := c.send(streamContext, address, PathGenerate, request)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newHTTPStream(response.Body, cancel, request.RequestID, request.Attempt), nil
+}
+
+// Cancel implements Client. A stream that the engine does not know counts as canceled.
+func (c *HTTPClient) Cancel(ctx context.Context, address string, request CancelRequest) error {
+	err := c.call(ctx, address, PathCancel, request, nil)
+	var failure *SendError
+	if errors.As(err, &failure) && failure.Refusal != nil && failure.Refusal.Code == CodeUnknownStream {
+		return nil
+	}
+	return err
+}
+
+// Status implements Client.
+func (c *HTTPClient) Status(ctx context.Context, address string) (Status, error) {
+	var status Status
+	response, err := c.get(ctx, address, PathStatus, nil)
+	if err != nil {
+		return status, err
+	}
+	defer closeBody(response.Body)
+	if err := decodeAnswer(response.Body, &status); err != nil {
+		return Status{}, errors.Wrap(err, "decode engine status")
+	}
+	return status, nil
+}
+
+// Watch implements Client. It returns ctx's error once ctx ended, else why the
+// stream broke (io.ErrUnexpectedEOF when the engine closed it).
+func (c *HTTPClient) Watch(ctx context.Context, address string, interval time.Duration, handle func(Event)) error {
+	query := url.Values{QueryInterval: {strconv.FormatInt(interval.Milliseconds(), 10)}}
+	response, err := c.get(ctx, address, PathWatch, query)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := newLineReader(response.Body)
+	defer lines.release()
+	for {
+		var event Event
+		if err := lines.decode(&event); err != nil {
+			return watchError(ctx, err)
+		}
+		handle(event)
+	}
+}
+
+func watchError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return errors.Wrap(err, "watch engine")
+}
+
+// Order implements Client.
+func (c *HTTPClient) Order(ctx context.Context, address string, order Order) error {
+	return c.call(ctx, address, PathOrders, order, nil)
+}
+
+// KVExport implements Client.
+func (c *HTTPClient) KVExport(ctx context.Context, address string, request CancelRequest) (KVExport, error) {
+	var export KVExport
+	err := c.call(ctx, address, PathKVExport, request, &export)
+	return export, err
+}
+
+// KVImport implements Client.
+func (c *HTTPClient) KVImport(ctx context.Context, address string, export KVExport) (KVHandle, error) {
+	var handle KVHandle
+	err := c.call(ctx, address, PathKVImport, export, &handle)
+	return handle, err
+}
+
+// call posts a message and decodes the answer into response, unless that is nil.
+func (c *HTTPClient) call(ctx context.Context, address, path string, request, response any) error {
+	answer, err := c.send(ctx, address, path, request)
+	if err != nil {
+		return err
+	}
+	defer closeBody(answer.Body)
+	if response == nil {
+		return nil
+	}
+	if err := decodeAnswer(answer.Body, response); err != nil {
+		return &SendError{Sent: true, Err: errors.Wrap(err, "decode engine answer")}
+	}
+	return nil
+}
+
+// send posts a message. It returns a response with status 200, or a *SendError.
+func (c *HTTPClient) send(ctx context.Context, address, path string, message any) (*http.Response, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, &SendError{Err: errors.Wrap(err, "encode engine request")}
+	}
+	var delivery deliveryTrace
+	request, err := http.NewRequestWithContext(delivery.attach(ctx), http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &SendError{Err: errors.Wrap(err, "build engine request")}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, &SendError{Sent: delivery.sent.Load(), Err: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusalError(response)
+	}
+	return response, nil
+}
+
+func (c *HTTPClient) get(ctx context.Context, address, path string, query url.Values) (*http.Response, error) {
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build engine request")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask engine")
+	}
+	if response.StatusCode != http.StatusOK {
+		defer closeBody(response.Body)
+		return nil, errors.Errorf("engine answered %s to %s", response.Status, path)
+	}
+	return response, nil
+}
+
+// deliveryTrace learns whether a byte of a request can have left.
+//
+// The mark is set when the transport has a connection, which is before the
+// goroutine that writes may start. A later mark (headers written) would race
+// with a context that ends meanwhile. The transport asks for another connection
+// only while it wrote nothing of a POST, so that takes the mark back.
+type deliveryTrace struct {
+	sent atomic.Bool
+}
+
+func (d *deliveryTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { d.sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { d.sent.Store(true) },
+	})
+}
+
+// refusalBody tells an absent "ran" from false: only an engine that says false
+// guarantees that the request did not run.
+type refusalBody struct {
+	Refusal
+	Ran *bool `json:"ran"`
+}
+
+// refusalError turns a non-200 answer into a *SendError and closes its body.
+func refusalError(response *http.Response) error {
+	defer closeBody(response.Body)
+	failure := &SendError{Sent: true, Err: errors.Errorf("engine answered %s", response.Status)}
+	var body refusalBody
+	err := json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&body)
+	if err != nil || body.Code == "" {
+		return failure
+	}
+	refusal := body.Refusal
+	refusal.Ran = body.Ran == nil || *body.Ran
+	failure.Refusal = &refusal
+	return failure
+}
+
+func decodeAnswer(body io.Reader, target any) error {
+	return json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(target)
+}
+
+// closeBody reads the little that may be left, so that the connection is reused.
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxRefusalBytes)
+	_ = body.Close()
+}
--- /dev/null
+++ b/internal/platform/engine/scan.go
@@ -0,0 +1,165 @@
+package engine
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxScannedDigits keeps a scanned number inside every type of a Chunk's field.
+const maxScannedDigits = 9
+
+// chunkScanner decodes the plain form of a chunk's line with few allocations:
+// compact JSON of known keys, ASCII strings without escapes, small numbers.
+//
+// Invariant: it decodes a line as encoding/json does, or declines it.
+type chunkScanner struct {
+	line     []byte
+	position int
+	// requestID is the expected ID; it saves a copy when the line has the same.
+	requestID string
+}
+
+// scan returns false when the line is not plain.
+func (s *chunkScanner) scan() (Chunk, bool) {
+	var chunk Chunk
+	if !s.accept('{') {
+		return chunk, false
+	}
+	for {
+		if !s.field(&chunk) {
+			return Chunk{}, false
+		}
+		if s.accept('}') {
+			break
+		}
+		if !s.accept(',') {
+			return Chunk{}, false
+		}
+	}
+	return chunk, s.atEnd()
+}
+
+func (s *chunkScanner) atEnd() bool {
+	return len(bytes.TrimRight(s.line[s.position:], "\r\n")) == 0
+}
+
+// accept consumes the byte if it is next.
+func (s *chunkScanner) accept(wanted byte) bool {
+	if s.position >= len(s.line) || s.line[s.position] != wanted {
+		return false
+	}
+	s.position++
+	return true
+}
+
+// field decodes one key and its value.
+func (s *chunkScanner) field(chunk *Chunk) bool {
+	key, ok := s.text()
+	if !ok || !s.accept(':') {
+		return false
+	}
+	switch string(key) {
+	case "request_id":
+		return s.requestIDField(chunk)
+	case "attempt":
+		return scanNumber(s, &chunk.Attempt)
+	case "first_token":
+		return scanNumber(s, &chunk.FirstToken)
+	case "tokens":
+		return s.tokens(chunk)
+	case "version":
+		return scanNumber(s, &chunk.Version)
+	case "finished":
+		return s.boolean(&chunk.Finished)
+	case "finish_reason":
+		reason, ok := s.text()
+		chunk.FinishReason = string(reason)
+		return ok
+	case "cached_tokens":
+		return scanNumber(s, &chunk.CachedTokens)
+	default:
+		return false
+	}
+}
+
+func (s *chunkScanner) requestIDField(chunk *Chunk) bool {
+	id, ok := s.text()
+	if string(id) == s.requestID {
+		chunk.RequestID = s.requestID
+	} else {
+		chunk.RequestID = string(id)
+	}
+	return ok
+}
+
+// text returns the content of a string without escapes.
+func (s *chunkScanner) text() ([]byte, bool) {
+	if !s.accept('"') {
+		return nil, false
+	}
+	start := s.position
+	for s.position < len(s.line) {
+		current := s.line[s.position]
+		s.position++
+		switch {
+		case current == '"':
+			return s.line[start : s.position-1], true
+		case current == '\\' || current < ' ' || current >= 0x80:
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
+func (s *chunkScanner) tokens(chunk *Chunk) bool {
+	if !s.accept('[') {
+		return false
+	}
+	chunk.Tokens = []string{}
+	if s.accept(']') {
+		return true
+	}
+	for {
+		token, ok := s.text()
+		if !ok {
+			return false
+		}
+		chunk.Tokens = append(chunk.Tokens, string(token))
+		if s.accept(']') {
+			return true
+		}
+		if !s.accept(',') {
+			return false
+		}
+	}
+}
+
+func (s *chunkScanner) boolean(target *bool) bool {
+	rest := s.line[s.position:]
+	switch {
+	case bytes.HasPrefix(rest, []byte("true")):
+		*target = true
+		s.position += len("true")
+		return true
+	case bytes.HasPrefix(rest, []byte("false")):
+		*target = false
+		s.position += len("false")
+		return true
+	}
+	return false
+}
+
+// scanNumber decodes a small whole number without a sign.
+func scanNumber[T uint32 | uint64 | int](s *chunkScanner, target *T) bool {
+	start := s.position
+	for s.position < len(s.line) && s.line[s.position] >= '0' && s.line[s.position] <= '9' {
+		s.position++
+	}
+	digits := s.line[start:s.position]
+	if len(digits) == 0 || len(digits) > maxScannedDigits || len(digits) > 1 && digits[0] == '0' {
+		return false
+	}
+	value, err := strconv.ParseUint(string(digits), 10, 32)
+	*target = T(value)
+	return err == nil
+}
--- /dev/null
+++ b/internal/platform/engine/scan_test.go
@@ -0,0 +1,60 @@
+package engine
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func drawChunk(t *rapid.T) Chunk {
+	text := rapid.OneOf(rapid.StringMatching(`[a-z0-9: ]{0,12}`), rapid.String())
+	return Chunk{
+		RequestID:    text.Draw(t, "id"),
+		Attempt:      rapid.Uint32().Draw(t, "attempt"),
+		FirstToken:   rapid.Int().Draw(t, "first"),
+		Tokens:       rapid.SliceOf(text).Draw(t, "tokens"),
+		Version:      rapid.Uint64().Draw(t, "version"),
+		Finished:     rapid.Bool().Draw(t, "finished"),
+		FinishReason: text.Draw(t, "reason"),
+		CachedTokens: rapid.Int().Draw(t, "cached"),
+	}
+}
+
+// checkAgainstJSON: whatever the scanner takes, it takes as encoding/json does.
+func checkAgainstJSON(t *rapid.T, line []byte) {
+	scanner := chunkScanner{line: line, requestID: "r1"}
+	scanned, ok := scanner.scan()
+	if !ok {
+		return
+	}
+	var decoded Chunk
+	if err := json.Unmarshal(line, &decoded); err != nil {
+		t.Fatalf("scanner took %q, which encoding/json refuses: %v", line, err)
+	}
+	assert.DeepEqual(t, scanned, decoded)
+}
+
+func TestScannerAgreesWithJSON(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		line, err := json.Marshal(drawChunk(t))
+		assert.NilError(t, err)
+		checkAgainstJSON(t, append(line, '\n'))
+		position := rapid.IntRange(0, len(line)-1).Draw(t, "position")
+		line[position] = rapid.Byte().Draw(t, "byte")
+		checkAgainstJSON(t, line)
+		checkAgainstJSON(t, line[:position])
+	})
+}
+
+func TestScannerTakesPlainLines(t *testing.T) {
+	line := `{"request_id":"r1","attempt":2,"first_token":30,"tokens":["30:7 ","31:7 "],"version":7,"finished":true,"finish_reason":"stop","cached_tokens":16}` + "\n"
+	scanner := chunkScanner{line: []byte(line), requestID: "r1"}
+	chunk, ok := scanner.scan()
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, chunk, Chunk{
+		RequestID: "r1", Attempt: 2, FirstToken: 30, Tokens: []string{"30:7 ", "31:7 "}, Version: 7,
+		Finished: true, FinishReason: "stop", CachedTokens: 16,
+	})
+}
--- /dev/null
+++ b/internal/platform/engine/stream.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrLineTooLong reports a stream line above the limit of the adapter (4 MiB).
+var ErrLineTooLong = errors.New("engine stream: line too long")
+
+// lineBufferBytes is the usual read size; longer lines are put together.
+const lineBufferBytes = 4 << 10
+
+var lineBuffers = sync.Pool{
+	New: func() any { return bufio.NewReaderSize(nil, lineBufferBytes) },
+}
+
+// lineReader reads JSON values, one a line. It is used by one goroutine.
+type lineReader struct {
+	buffer *bufio.Reader
+	// long holds a line that is longer than the buffer.
+	long []byte
+}
+
+func newLineReader(source io.Reader) *lineReader {
+	buffer := lineBuffers.Get().(*bufio.Reader)
+	buffer.Reset(source)
+	return &lineReader{buffer: buffer}
+}
+
+// release gives the buffer back; the reader must not be used afterwards.
+func (l *lineReader) release() {
+	if l.buffer == nil {
+		return
+	}
+	l.buffer.Reset(nil)
+	lineBuffers.Put(l.buffer)
+	l.buffer = nil
+}
+
+// decode reads the next line into target. io.EOF is returned only between lines.
+func (l *lineReader) decode(target any) error {
+	line, err := l.next()
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(line, target)
+}
+
+// next returns the next line, valid until the call after.
+func (l *lineReader) next() ([]byte, error) {
+	line, err := l.buffer.ReadSlice('\n')
+	if err == nil {
+		return line, nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, endOfLine(len(line), err)
+	}
+	l.long = append(l.long[:0], line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		line, err = l.buffer.ReadSlice('\n')
+		l.long = append(l.long, line...)
+		if len(l.long) > maxLineBytes {
+			return nil, ErrLineTooLong
+		}
+	}
+	if err != nil {
+		return nil, endOfLine(len(l.long), err)
+	}
+	return l.long, nil
+}
+
+// endOfLine tells an end inside a line from one between lines.
+func endOfLine(partial int, err error) error {
+	if errors.Is(err, io.EOF) && partial > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// finishGrace bounds the wait for the end of a body after its finished chunk.
+const finishGrace = time.Second
+
+// httpStream implements Stream. Receive is called by one goroutine; Close may
+// be called by another and unblocks Receive.
+type httpStream struct {
+	body      io.ReadCloser
+	cancel    context.CancelFunc
+	requestID string
+	attempt   uint32
+	// lines belongs to Receive until finished is set, then to the first Close.
+	lines    *lineReader
+	finished atomic.Bool
+	closing  sync.Once
+}
+
+func newHTTPStream(body io.ReadCloser, cancel context.CancelFunc, requestID string, attempt uint32) *httpStream {
+	return &httpStream{
+		body:      body,
+		cancel:    cancel,
+		requestID: requestID,
+		attempt:   attempt,
+		lines:     newLineReader(body),
+	}
+}
+
+// Receive implements Stream.
+func (s *httpStream) Receive() (Chunk, error) {
+	if s.finished.Load() {
+		return Chunk{}, io.EOF
+	}
+	chunk, err := s.next()
+	if err != nil {
+		return Chunk{}, streamError(err)
+	}
+	if err := s.check(&chunk); err != nil {
+		return Chunk{}, err
+	}
+	if chunk.Finished {
+		s.finished.Store(true)
+	}
+	return chunk, nil
+}
+
+// next reads one chunk: by the scanner if the line is plain, which is the usual
+// case, else by encoding/json.
+func (s *httpStream) next() (Chunk, error) {
+	line, err := s.lines.next()
+	if err != nil {
+		return Chunk{}, err
+	}
+	scanner := chunkScanner{line: line, requestID: s.requestID}
+	if chunk, ok := scanner.scan(); ok {
+		return chunk, nil
+	}
+	var chunk Chunk
+	err = json.Unmarshal(line, &chunk)
+	return chunk, err
+}
+
+// check refuses a chunk that can't belong to the stream, or whose tokens name
+// no weight version.
+func (s *httpStream) check(chunk *Chunk) error {
+	if chunk.RequestID != s.requestID || chunk.Attempt != s.attempt {
+		return errors.Errorf("engine stream: chunk of request %q attempt %d on the stream of %q attempt %d",
+			chunk.RequestID, chunk.Attempt, s.requestID, s.attempt)
+	}
+	if chunk.FirstToken < 0 {
+		return errors.Errorf("engine stream: chunk starts at token %d", chunk.FirstToken)
+	}
+	if len(chunk.Tokens) > 0 && chunk.Version == 0 {
+		return errors.New("engine stream: chunk names no weight version")
+	}
+	return nil
+}
+
+// Close implements Stream. It reads a finished stream to its end, so that the
+// connection goes back to the pool; an unfinished one loses its connection.
+func (s *httpStream) Close() error {
+	var err error
+	s.closing.Do(func() { err = s.closeOnce() })
+	return err
+}
+
+func (s *httpStream) closeOnce() error {
+	if s.finished.Load() {
+		grace := time.AfterFunc(finishGrace, s.cancel)
+		_, _ = s.lines.next()
+		grace.Stop()
+		s.lines.release()
+	}
+	s.cancel()
+	return s.body.Close()
+}
+
+func streamError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return errors.Wrap(err, "engine stream")
+}
--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,226 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+const (
+	// batchSlowdown is how much each further request in the batch adds to the
+	// time of a decode step, as a share of the step of a batch of one.
+	batchSlowdown = 0.02
+	// shortestStep keeps an idle or paused batch from spinning.
+	shortestStep = 100 * time.Microsecond
+)
+
+// submit accepts a request into the waiting queue, or tells why not. The caller
+// holds the lock.
+func (s *Server) submit(request engine.GenerateRequest) (*sequence, *engine.Refusal) {
+	if refusal := s.refusal(request); refusal != nil {
+		return nil, refusal
+	}
+	natural := answerLength(request.Prompt, request.Seed)
+	start := len(request.Generated)
+	total := max(start, min(natural, request.MaxTokens))
+	accepted := &sequence{
+		request: request,
+		start:   start,
+		next:    start,
+		visible: start,
+		total:   total,
+		natural: natural <= request.MaxTokens,
+		changed: make(chan struct{}),
+	}
+	s.sequences[accepted.key()] = accepted
+	s.enqueue(accepted)
+	if !s.stepping {
+		s.stepping = true
+		go s.runSteps()
+	}
+	return accepted, nil
+}
+
+// refusal tells why a request can't be taken; no part of it ran unless Ran says so.
+func (s *Server) refusal(request engine.GenerateRequest) *engine.Refusal {
+	if _, exists := s.sequences[sequenceKey{request.RequestID, request.Attempt}]; exists {
+		return &engine.Refusal{Code: engine.CodeInvalid, Message: "the attempt was submitted before", Ran: true}
+	}
+	if request.RequestID == "" || request.MaxTokens < 1 {
+		return &engine.Refusal{Code: engine.CodeInvalid, Message: "request_id and a positive max_tokens are required"}
+	}
+	switch s.stateLocked() {
+	case engine.StateBroken:
+		return &engine.Refusal{Code: engine.CodeBroken, Message: "a load failed"}
+	case engine.StateDraining:
+		return &engine.Refusal{Code: engine.CodeDraining, Message: "engine takes no new requests"}
+	}
+	model, held := s.models[request.Model]
+	if !held || model.version == 0 {
+		return &engine.Refusal{Code: engine.CodeUnknownModel, Message: "model " + request.Model + " is not held"}
+	}
+	if model.version < request.MinVersion {
+		return &engine.Refusal{Code: engine.CodeVersion, Message: "model is below the version asked for"}
+	}
+	if len(s.waiting) >= s.config.MaxWaiting {
+		return &engine.Refusal{Code: engine.CodeOverloaded, Message: "too many requests wait"}
+	}
+	return nil
+}
+
+// enqueue puts a request behind those of its priority or a higher one.
+func (s *Server) enqueue(accepted *sequence) {
+	position := len(s.waiting)
+	for position > 0 && s.waiting[position-1].request.Priority < accepted.request.Priority {
+		position--
+	}
+	s.waiting = slices.Insert(s.waiting, position, accepted)
+}
+
+// runSteps is the step loop; it ends when there is nothing to run.
+func (s *Server) runSteps() {
+	for {
+		s.mu.Lock()
+		s.admit()
+		if len(s.running) == 0 {
+			s.stepping = false
+			s.mu.Unlock()
+			return
+		}
+		step := s.stepTime()
+		s.mu.Unlock()
+
+		time.Sleep(step)
+
+		s.mu.Lock()
+		s.step(time.Now())
+		s.mu.Unlock()
+	}
+}
+
+// stepTime returns the time of one decode step of the batch as it is.
+func (s *Server) stepTime() time.Duration {
+	factor := 1 + batchSlowdown*float64(len(s.running)-1)
+	return max(shortestStep, time.Duration(float64(s.config.TokenInterval)*factor))
+}
+
+// admit moves waiting requests into free places of the batch.
+func (s *Server) admit() {
+	for len(s.waiting) > 0 && len(s.running) < s.config.MaxBatch {
+		next := s.waiting[0]
+		s.waiting = slices.Delete(s.waiting, 0, 1)
+		s.start(next)
+	}
+}
+
+// start begins the prefill of a request.
+func (s *Server) start(next *sequence) {
+	now := time.Now()
+	request := &next.request
+	version := s.models[request.Model].version
+	hashes := engine.PrefixHashes(request.Model, version, request.Prompt)
+	cachedTokens, stored, evicted := s.cache.touch(hashes)
+	s.publish(engine.EventStored, stored)
+	s.publish(engine.EventEvicted, evicted)
+
+	prompt := promptTokens(request.Prompt)
+	next.cachedTokens = min(cachedTokens, prompt)
+	prefill := prompt - next.cachedTokens + len(request.Generated)
+	if s.imports.take(request.KVHandle, xxhash.Sum64String(request.Prompt)) {
+		prefill = 0
+	}
+	next.readyAt = now.Add(time.Duration(prefill) * s.config.PrefillPerToken)
+	next.started = true
+	s.running = append(s.running, next)
+	s.recordStart(next, now)
+}
+
+func promptTokens(prompt string) int { return len(prompt) / engine.BytesPerToken }
+
+// step makes one token for each request of the batch that is ready.
+func (s *Server) step(now time.Time) {
+	if s.stalled {
+		return
+	}
+	for _, current := range slices.Clone(s.running) {
+		model := s.models[current.request.Model]
+		if model.swapping || now.Before(current.readyAt) {
+			continue
+		}
+		if !current.done() {
+			current.emit(model.version)
+		}
+		if current.done() {
+			s.end(current, current.reason(), false)
+			continue
+		}
+		current.release(s.config.ChunkTokens)
+	}
+}
+
+// reason returns why a whole answer ends.
+func (s *sequence) reason() string {
+	if s.natural {
+		return engine.FinishStop
+	}
+	return engine.FinishLength
+}
+
+// end takes a request out of the engine's work and wakes its readers.
+func (s *Server) end(current *sequence, reason string, broken bool) {
+	if current.finished || current.broken {
+		return
+	}
+	current.broken = broken
+	if !broken {
+		current.finished = true
+		current.finishReason = reason
+	}
+	isCurrent := func(other *sequence) bool { return other == current }
+	s.running = slices.DeleteFunc(s.running, isCurrent)
+	s.waiting = slices.DeleteFunc(s.waiting, isCurrent)
+	if broken {
+		s.forget(current)
+	}
+	s.recordEnd(current, time.Now())
+	current.visible = current.next
+	current.wake()
+}
+
+// forget drops a request's tokens; its stream is unknown from then on.
+func (s *Server) forget(current *sequence) {
+	if s.sequences[current.key()] == current {
+		delete(s.sequences, current.key())
+	}
+}
+
+func (s *Server) recordStart(next *sequence, now time.Time) {
+	if !s.config.History {
+		return
+	}
+	next.history = &RequestHistory{
+		RequestID:     next.request.RequestID,
+		Attempt:       next.request.Attempt,
+		Service:       next.request.Service,
+		Model:         next.request.Model,
+		PromptHash:    xxhash.Sum64String(next.request.Prompt),
+		StartedUnixNS: now.UnixNano(),
+		StartIndex:    next.start,
+		Outcome:       OutcomeRunning,
+	}
+	s.requests = append(s.requests, next)
+}
+
+func (s *Server) recordEnd(current *sequence, now time.Time) {
+	if current.history == nil {
+		return
+	}
+	current.history.EndedUnixNS = now.UnixNano()
+	current.history.Outcome = current.finishReason
+	if current.broken {
+		current.history.Outcome = OutcomeBroken
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/handler.go
@@ -0,0 +1,233 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+const (
+	// maxRequestBytes bounds a request body.
+	maxRequestBytes = 64 << 20
+	// defaultWatchInterval serves watchers that ask for no interval.
+	defaultWatchInterval = time.Second
+)
+
+// Control is the body of POST /v1/control, by which tests inject faults. An
+// absent field changes nothing.
+type Control struct {
+	Drain *bool `json:"drain,omitempty"`
+	Stall *bool `json:"stall,omitempty"`
+	// Crash drops all connections; Run returns ErrCrashed.
+	Crash bool `json:"crash,omitempty"`
+	// FailNextLoads makes that many loads fail part-way.
+	FailNextLoads *int `json:"fail_next_loads,omitempty"`
+}
+
+// Handler returns the engine's API, the fault control and the history.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(engine.PathGenerate, s.handleGenerate).Methods(http.MethodPost)
+	router.HandleFunc(engine.PathCancel, s.handleCancel).Methods(http.MethodPost)
+	router.HandleFunc(engine.PathStatus, s.handleStatus).Methods(http.MethodGet)
+	router.HandleFunc(engine.PathWatch, s.handleWatch).Methods(http.MethodGet)
+	router.HandleFunc(engine.PathOrders, s.handleOrder).Methods(http.MethodPost)
+	router.HandleFunc(engine.PathKVExport, s.handleKVExport).Methods(http.MethodPost)
+	router.HandleFunc(engine.PathKVImport, s.handleKVImport).Methods(http.MethodPost)
+	router.HandleFunc("/v1/control", s.handleControl).Methods(http.MethodPost)
+	router.HandleFunc("/v1/history", s.handleHistory).Methods(http.MethodGet)
+	router.Use(s.whileAlive)
+	return router
+}
+
+// whileAlive breaks connections to a crashed engine.
+func (s *Server) whileAlive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		select {
+		case <-s.crashed:
+			abort()
+		default:
+			next.ServeHTTP(writer, request)
+		}
+	})
+}
+
+func (s *Server) handleGenerate(writer http.ResponseWriter, request *http.Request) {
+	var message engine.GenerateRequest
+	if !decodeRequest(writer, request, &message) {
+		return
+	}
+	current, from, refusal := s.attach(message)
+	if refusal != nil {
+		writeRefusal(writer, refusal)
+		return
+	}
+	defer s.detach(current)
+	lines := startLines(writer)
+	send := func(chunks []engine.Chunk) error {
+		for index := range chunks {
+			if err := lines.encoder.Encode(&chunks[index]); err != nil {
+				return err
+			}
+		}
+		return lines.controller.Flush()
+	}
+	if !s.relay(request.Context(), current, from, send) {
+		abort()
+	}
+}
+
+// lineWriter writes JSON values, one a line.
+type lineWriter struct {
+	encoder    *json.Encoder
+	controller *http.ResponseController
+}
+
+// startLines sends the headers at once, so that the caller knows the request was taken.
+func startLines(writer http.ResponseWriter) lineWriter {
+	writer.Header().Set("Content-Type", "application/x-ndjson")
+	writer.WriteHeader(http.StatusOK)
+	lines := lineWriter{encoder: json.NewEncoder(writer), controller: http.NewResponseController(writer)}
+	_ = lines.controller.Flush()
+	return lines
+}
+
+func (s *Server) handleWatch(writer http.ResponseWriter, request *http.Request) {
+	interval := defaultWatchInterval
+	milliseconds, err := strconv.ParseInt(request.URL.Query().Get(engine.QueryInterval), 10, 32)
+	if err == nil && milliseconds > 0 {
+		interval = time.Duration(milliseconds) * time.Millisecond
+	}
+	lines := startLines(writer)
+	s.watch(request.Context(), interval, func(event engine.Event) error {
+		if err := lines.encoder.Encode(event); err != nil {
+			return err
+		}
+		return lines.controller.Flush()
+	})
+}
+
+func (s *Server) handleCancel(writer http.ResponseWriter, request *http.Request) {
+	var message engine.CancelRequest
+	if !decodeRequest(writer, request, &message) {
+		return
+	}
+	if !s.cancel(message) {
+		writeRefusal(writer, unknownStream())
+		return
+	}
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (s *Server) handleStatus(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, s.Status())
+}
+
+func (s *Server) handleOrder(writer http.ResponseWriter, request *http.Request) {
+	var message engine.Order
+	if !decodeRequest(writer, request, &message) {
+		return
+	}
+	if refusal := s.order(message); refusal != nil {
+		writeRefusal(writer, refusal)
+		return
+	}
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (s *Server) handleKVExport(writer http.ResponseWriter, request *http.Request) {
+	var message engine.CancelRequest
+	if !decodeRequest(writer, request, &message) {
+		return
+	}
+	export, refusal := s.exportKV(message)
+	if refusal != nil {
+		writeRefusal(writer, refusal)
+		return
+	}
+	writeJSON(writer, http.StatusOK, export)
+}
+
+func (s *Server) handleKVImport(writer http.ResponseWriter, request *http.Request) {
+	var message engine.KVExport
+	if !decodeRequest(writer, request, &message) {
+		return
+	}
+	handle, err := s.importKV(message)
+	if err != nil {
+		writeRefusal(writer, &engine.Refusal{Code: engine.CodeInvalid, Message: err.Error()})
+		return
+	}
+	writeJSON(writer, http.StatusOK, handle)
+}
+
+func (s *Server) handleHistory(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, s.History())
+}
+
+func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
+	var control Control
+	if !decodeRequest(writer, request, &control) {
+		return
+	}
+	s.Control(control)
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+// Control applies a fault control.
+func (s *Server) Control(control Control) {
+	if control.Crash {
+		s.crash()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if control.Drain != nil {
+		s.setDraining(*control.Drain)
+	}
+	if control.Stall != nil {
+		s.stalled = *control.Stall
+	}
+	if control.FailNextLoads != nil {
+		s.failNextLoads = max(0, *control.FailNextLoads)
+	}
+}
+
+// decodeRequest answers a body that can't be read with a refusal: nothing ran.
+func decodeRequest(writer http.ResponseWriter, request *http.Request, message any) bool {
+	body := http.MaxBytesReader(writer, request.Body, maxRequestBytes)
+	if err := json.NewDecoder(body).Decode(message); err != nil {
+		writeRefusal(writer, &engine.Refusal{Code: engine.CodeInvalid, Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+// refusalStatus returns the HTTP status of a refusal.
+func refusalStatus(code string) int {
+	switch code {
+	case engine.CodeInvalid:
+		return http.StatusBadRequest
+	case engine.CodeUnknownStream:
+		return http.StatusNotFound
+	case engine.CodeDraining, engine.CodeOverloaded, engine.CodeBroken:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusConflict
+	}
+}
+
+func writeRefusal(writer http.ResponseWriter, refusal *engine.Refusal) {
+	writeJSON(writer, refusalStatus(refusal.Code), refusal)
+}
+
+func writeJSON(writer http.ResponseWriter, status int, message any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(message)
+}
--- /dev/null
+++ b/internal/standin/machines/server.go
@@ -0,0 +1,185 @@
+// Package machines is a stand-in for the platform's list of machines: kept in
+// memory, answered as it was some time ago, and able to be down.
+package machines
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/corkpulley/corkpulley/internal/platform/machines"
+)
+
+const (
+	defaultExpiry     = 5 * time.Second
+	maxRequestBytes   = 64 << 10
+	shutdownTimeout   = 5 * time.Second
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Config is the setting of one stand-in.
+type Config struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	// Lag is the age of the list that is answered.
+	Lag time.Duration `arg:"--lag" help:"age of the list that is answered"`
+	// Expiry is the time after which a machine without a heartbeat is dropped.
+	Expiry time.Duration `arg:"--expiry" default:"5s" help:"time after which a silent machine is dropped"`
+}
+
+// Control is the body of POST /v1/control. An absent field changes nothing.
+type Control struct {
+	// Down makes each call fail with 503.
+	Down *bool `json:"down,omitempty"`
+}
+
+// Server is one stand-in.
+type Server struct {
+	config Config
+	ready  chan struct{}
+
+	mu      sync.Mutex
+	address string
+	down    bool
+	history *history
+}
+
+// New returns an empty list.
+func New(config Config) *Server {
+	if config.Listen == "" {
+		config.Listen = "127.0.0.1:0"
+	}
+	if config.Expiry == 0 {
+		config.Expiry = defaultExpiry
+	}
+	return &Server{
+		config:  config,
+		ready:   make(chan struct{}),
+		history: newHistory(config.Lag, config.Expiry),
+	}
+}
+
+// Ready returns a channel that is closed once Run listens.
+func (s *Server) Ready() <-chan struct{} { return s.ready }
+
+// Address returns the address that Run listens on; empty before Ready.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Run listens and serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.config.Listen)
+	if err != nil {
+		return errors.Wrap(err, "machine list stand-in listen")
+	}
+	s.mu.Lock()
+	s.address = listener.Addr().String()
+	s.mu.Unlock()
+	close(s.ready)
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "machine list stand-in serve")
+	case <-ctx.Done():
+	}
+	stopContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(stopContext); err != nil {
+		_ = server.Close()
+	}
+	return nil
+}
+
+// Handler returns the list's API and the fault control.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/control", s.handleControl).Methods(http.MethodPost)
+	list := router.PathPrefix("/v1/machines").Subrouter()
+	list.HandleFunc("", s.handleList).Methods(http.MethodGet)
+	list.HandleFunc("/{id}", s.handlePut).Methods(http.MethodPut)
+	list.HandleFunc("/{id}", s.handleDelete).Methods(http.MethodDelete)
+	list.Use(s.withFaults)
+	return router
+}
+
+func (s *Server) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			http.Error(writer, "machine list is down", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (s *Server) handleList(writer http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	list := s.history.list(time.Now())
+	s.mu.Unlock()
+	writeJSON(writer, list)
+}
+
+func (s *Server) handlePut(writer http.ResponseWriter, request *http.Request) {
+	var machine machines.Machine
+	if !decode(writer, request, &machine) {
+		return
+	}
+	if machine.ID != mux.Vars(request)["id"] || machine.Address == "" {
+		http.Error(writer, "the id must match the path, and an address is required", http.StatusBadRequest)
+		return
+	}
+	if machine.State == "" {
+		machine.State = machines.StateLive
+	}
+	s.mu.Lock()
+	s.history.put(machine, time.Now())
+	s.mu.Unlock()
+	writeJSON(writer, struct{}{})
+}
+
+func (s *Server) handleDelete(writer http.ResponseWriter, request *http.Request) {
+	s.mu.Lock()
+	s.history.remove(mux.Vars(request)["id"], time.Now())
+	s.mu.Unlock()
+	writeJSON(writer, struct{}{})
+}
+
+func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
+	var control Control
+	if !decode(writer, request, &control) {
+		return
+	}
+	s.mu.Lock()
+	if control.Down != nil {
+		s.down = *control.Down
+	}
+	s.mu.Unlock()
+	writeJSON(writer, struct{}{})
+}
+
+func decode(writer http.ResponseWriter, request *http.Request, message any) bool {
+	body := http.MaxBytesReader(writer, request.Body, maxRequestBytes)
+	if err := json.NewDecoder(body).Decode(message); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(writer http.ResponseWriter, message any) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(message)
+}
--- /dev/null
+++ b/internal/standin/weightstore/server.go
@@ -0,0 +1,285 @@
+// Package weightstore is a stand-in for the platform's weight store: published
+// versions in memory, and downloads limited by rate. It can be made slow or down.
+package weightstore
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
+)
+
+const (
+	maxRequestBytes   = 64 << 10
+	shutdownTimeout   = 5 * time.Second
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Config is the setting of one stand-in.
+type Config struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	// DownloadsPerSecond limits downloads; 0 sets no limit.
+	DownloadsPerSecond float64 `arg:"--downloads-per-second" help:"downloads a second (0: no limit)"`
+	// Burst is the number of downloads that may come at once; at least 1.
+	Burst int `arg:"--burst" default:"1" help:"downloads that may come at once"`
+	// Latency delays each answer.
+	Latency time.Duration `arg:"--latency" help:"delay of each answer"`
+}
+
+// Control is the body of POST /v1/control. An absent field changes nothing.
+type Control struct {
+	// Down makes each call fail with 503.
+	Down *bool `json:"down,omitempty"`
+	// LatencyMS delays each answer, in milliseconds.
+	LatencyMS *int64 `json:"latency_ms,omitempty"`
+}
+
+// model is what the store holds of one model.
+type model struct {
+	latest   uint64
+	versions map[uint64]weightstore.PublishRequest
+}
+
+// Server is one stand-in.
+type Server struct {
+	config  Config
+	limiter *rate.Limiter
+	ready   chan struct{}
+
+	mu      sync.Mutex
+	address string
+	down    bool
+	latency time.Duration
+	models  map[string]*model
+}
+
+// New returns a store without models.
+func New(config Config) *Server {
+	if config.Listen == "" {
+		config.Listen = "127.0.0.1:0"
+	}
+	limit := rate.Inf
+	if config.DownloadsPerSecond > 0 {
+		limit = rate.Limit(config.DownloadsPerSecond)
+	}
+	return &Server{
+		config:  config,
+		limiter: rate.NewLimiter(limit, max(1, config.Burst)),
+		ready:   make(chan struct{}),
+		latency: config.Latency,
+		models:  make(map[string]*model),
+	}
+}
+
+// Ready returns a channel that is closed once Run listens.
+func (s *Server) Ready() <-chan struct{} { return s.ready }
+
+// Address returns the address that Run listens on; empty before Ready.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Run listens and serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.config.Listen)
+	if err != nil {
+		return errors.Wrap(err, "weight store stand-in listen")
+	}
+	s.mu.Lock()
+	s.address = listener.Addr().String()
+	s.mu.Unlock()
+	close(s.ready)
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "weight store stand-in serve")
+	case <-ctx.Done():
+	}
+	stopContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(stopContext); err != nil {
+		_ = server.Close()
+	}
+	return nil
+}
+
+// Handler returns the store's API and the fault control.
+func (s *Server) Handler() http.Handler {
+	// Models are matched in their escaped form, as their names may hold slashes.
+	router := mux.NewRouter().UseEncodedPath()
+	router.HandleFunc("/v1/control", s.handleControl).Methods(http.MethodPost)
+	store := router.PathPrefix("/v1/models").Subrouter()
+	store.HandleFunc("/{model}", s.handleInfo).Methods(http.MethodGet)
+	store.HandleFunc("/{model}", s.handlePublish).Methods(http.MethodPost)
+	store.HandleFunc("/{model}/versions/{version:[0-9]+}", s.handleDownload).Methods(http.MethodGet)
+	store.Use(s.withFaults)
+	return router
+}
+
+// withFaults delays and fails calls as Control asks.
+func (s *Server) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		s.mu.Lock()
+		down, latency := s.down, s.latency
+		s.mu.Unlock()
+		if !wait(request.Context(), latency) {
+			return
+		}
+		if down {
+			http.Error(writer, "store is down", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// wait reports whether the delay passed before ctx ended.
+func wait(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// modelName returns the model in the request's path; net/http has refused a
+// path that can't be unescaped before.
+func modelName(request *http.Request) string {
+	name, _ := url.PathUnescape(mux.Vars(request)["model"])
+	return name
+}
+
+func (s *Server) handleInfo(writer http.ResponseWriter, request *http.Request) {
+	name := modelName(request)
+	info := weightstore.ModelInfo{Model: name}
+	s.mu.Lock()
+	if held, found := s.models[name]; found {
+		info.Latest = held.latest
+	}
+	s.mu.Unlock()
+	writeJSON(writer, info)
+}
+
+func (s *Server) handlePublish(writer http.ResponseWriter, request *http.Request) {
+	var message weightstore.PublishRequest
+	if !decode(writer, request, &message) {
+		return
+	}
+	if err := s.Publish(modelName(request), message); err != nil {
+		http.Error(writer, err.Error(), http.StatusConflict)
+		return
+	}
+	writeJSON(writer, struct{}{})
+}
+
+// Publish adds a version. Versions only rise; a version that is there already
+// stays as it is.
+func (s *Server) Publish(name string, request weightstore.PublishRequest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, found := s.models[name]
+	if !found {
+		held = &model{versions: make(map[uint64]weightstore.PublishRequest)}
+	}
+	if _, published := held.versions[request.Version]; published {
+		return nil
+	}
+	if request.Version <= held.latest || request.SizeBytes < 0 {
+		return errors.Errorf("version %d must be above %d, and its size not negative", request.Version, held.latest)
+	}
+	held.latest = request.Version
+	held.versions[request.Version] = request
+	s.models[name] = held
+	return nil
+}
+
+func (s *Server) handleDownload(writer http.ResponseWriter, request *http.Request) {
+	version, err := strconv.ParseUint(mux.Vars(request)["version"], 10, 64)
+	if err != nil {
+		http.Error(writer, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	published, found := s.published(modelName(request), version)
+	if !found {
+		http.Error(writer, "version not found", http.StatusNotFound)
+		return
+	}
+	if !s.limiter.Allow() {
+		writer.Header().Set("Retry-After", strconv.Itoa(s.retryAfterSeconds()))
+		http.Error(writer, "over the download rate", http.StatusTooManyRequests)
+		return
+	}
+	writeJSON(writer, published)
+}
+
+func (s *Server) published(name string, version uint64) (weightstore.PublishRequest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, found := s.models[name]
+	if !found {
+		return weightstore.PublishRequest{}, false
+	}
+	published, found := held.versions[version]
+	return published, found
+}
+
+// retryAfterSeconds returns the time to the next free download, in whole seconds.
+func (s *Server) retryAfterSeconds() int {
+	perDownload := time.Duration(float64(time.Second) / s.config.DownloadsPerSecond)
+	return max(1, int((perDownload+time.Second-1)/time.Second))
+}
+
+func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
+	var control Control
+	if !decode(writer, request, &control) {
+		return
+	}
+	s.Control(control)
+	writeJSON(writer, struct{}{})
+}
+
+// Control applies a fault control.
+func (s *Server) Control(control Control) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if control.Down != nil {
+		s.down = *control.Down
+	}
+	if control.LatencyMS != nil {
+		s.latency = time.Duration(*control.LatencyMS) * time.Millisecond
+	}
+}
+
+func decode(writer http.ResponseWriter, request *http.Request, message any) bool {
+	body := http.MaxBytesReader(writer, request.Body, maxRequestBytes)
+	if err := json.NewDecoder(body).Decode(message); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(writer http.ResponseWriter, message any) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(message)
+}
--- /dev/null
+++ b/internal/weights/metrics.go
@@ -0,0 +1,54 @@
+package weights
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Results of a directive, as a label.
+const (
+	resultDelivered = "delivered"
+	resultFailed    = "failed"
+	resultStale     = "stale_epoch"
+)
+
+// metrics of the weight coordinator.
+type metrics struct {
+	owned      prometheus.Gauge
+	wanted     *prometheus.GaugeVec
+	behind     *prometheus.GaugeVec
+	loading    *prometheus.GaugeVec
+	directives *prometheus.CounterVec
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	byModel := []string{"model"}
+	created := &metrics{
+		owned: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "corkpulley_weights_models_owned",
+			Help: "Models whose engines this node orders.",
+		}),
+		wanted: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corkpulley_weights_wanted_version",
+			Help: "Weight version wanted, for models owned by this node.",
+		}, byModel),
+		behind: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corkpulley_weights_engines_behind",
+			Help: "Engines below the wanted version, for models owned by this node.",
+		}, byModel),
+		loading: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corkpulley_weights_engines_loading",
+			Help: "Engines that load the model, for models owned by this node.",
+		}, byModel),
+		directives: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corkpulley_weights_directives_total",
+			Help: "Directives sent to dispatchers, by result.",
+		}, []string{"model", "result"}),
+	}
+	registerer.MustRegister(created.owned, created.wanted, created.behind, created.loading, created.directives)
+	return created
+}
+
+// forget drops the gauges of a model that is not owned any more.
+func (m *metrics) forget(model string) {
+	m.wanted.DeleteLabelValues(model)
+	m.behind.DeleteLabelValues(model)
+	m.loading.DeleteLabelValues(model)
+}
--- /dev/null
+++ b/internal/weights/runner.go
@@ -0,0 +1,133 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/core/weights"
+	"github.com/corkpulley/corkpulley/internal/message"
+)
+
+// runner looks after one model. Fields below the mutex belong to its goroutine.
+type runner struct {
+	coordinator *Coordinator
+	model       string
+	logger      zerolog.Logger
+	// wake asks for a look before the interval is over.
+	wake  chan struct{}
+	quit  chan struct{}
+	ended chan struct{}
+
+	mu       sync.Mutex
+	target   target
+	maxLoads int
+
+	ownership *ownership
+	version   *wantedVersion
+	planner   weights.Planner
+	cells     map[message.CellID]*cellProgress
+	// fencedEpoch is the highest epoch that an engine has seen.
+	fencedEpoch int64
+	blocked     string
+}
+
+func newRunner(coordinator *Coordinator, model string) *runner {
+	logger := coordinator.options.Logger.With().Str("model", model).Logger()
+	return &runner{
+		coordinator: coordinator,
+		model:       model,
+		logger:      logger,
+		wake:        make(chan struct{}, 1),
+		quit:        make(chan struct{}),
+		ended:       make(chan struct{}),
+		ownership:   newOwnership(coordinator.options, model, logger),
+		version:     newWantedVersion(coordinator.options.Store, model, logger),
+		cells:       make(map[message.CellID]*cellProgress),
+	}
+}
+
+// setTarget tells what the table wants now.
+func (r *runner) setTarget(wanted target, maxLoads int) {
+	r.mu.Lock()
+	r.target = wanted
+	r.maxLoads = maxLoads
+	r.mu.Unlock()
+	r.signal()
+}
+
+// signal asks for a look before the interval is over.
+func (r *runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *runner) currentTarget() (target, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target, r.maxLoads
+}
+
+// stop asks the runner to release what it owns and to end. It is called once.
+func (r *runner) stop() { close(r.quit) }
+
+// run looks after the model until ctx ends, or until it is stopped.
+func (r *runner) run(ctx context.Context) {
+	defer close(r.ended)
+	working, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go func() {
+		select {
+		case <-r.quit:
+			cancel()
+		case <-stopped:
+		}
+	}()
+	r.loop(working)
+	if ctx.Err() == nil {
+		r.ownership.release(ctx)
+	}
+	r.ownership.close()
+	r.coordinator.setOwned(r.model, 0)
+	r.coordinator.metrics.forget(r.model)
+}
+
+func (r *runner) loop(ctx context.Context) {
+	ticker := time.NewTicker(r.coordinator.options.Interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		r.look(ctx)
+		select {
+		case <-ticker.C:
+		case <-r.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// look is one round: settle who owns the model, then direct the cells.
+func (r *runner) look(ctx context.Context) {
+	epoch := r.ownership.settle(ctx)
+	r.coordinator.setOwned(r.model, epoch)
+	if epoch == 0 {
+		r.cells = make(map[message.CellID]*cellProgress)
+		r.planner = weights.Planner{}
+		r.coordinator.metrics.forget(r.model)
+		return
+	}
+	if epoch < r.fencedEpoch {
+		return
+	}
+	wanted, maxLoads := r.currentTarget()
+	version := r.version.get(ctx, wanted.version)
+	if version == 0 {
+		return
+	}
+	r.direct(ctx, epoch, version, wanted, maxLoads)
+}
