Connect nodes: peer frames, membership, digests between zones

Cause: many replaceable nodes must act as one within 2 KB a second each. Ruled out: full membership over all zones (grows with the nodes of every zone).

Change: msgpack frames with credit windows over TCP, SWIM as a pure state machine, zone digests, machine list spread by two readers per zone.

--- /dev/null
+++ b/internal/cluster/snapshot.go
@@ -0,0 +1,186 @@
+package cluster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/membership"
+	"github.com/corkpulley/corkpulley/internal/message"
+)
+
+// knownFor is how long a vanished node counts as known.
+const knownFor = 10 * time.Minute
+
+// view is what reads see; it is replaced whole and never changed.
+type view struct {
+	self       Member
+	members    []Member
+	candidates map[string][]Member // by zone; "" holds all
+	owners     map[string]ownerEntry
+	reachable  int
+	known      int
+}
+
+type ownerEntry struct {
+	member Member
+	epoch  int64
+}
+
+// Self implements View.
+func (c *Cluster) Self() Member { return c.view.Load().self }
+
+// Members implements View.
+func (c *Cluster) Members() []Member { return slices.Clone(c.view.Load().members) }
+
+// Candidates implements View.
+func (c *Cluster) Candidates(zone string) []Member {
+	return slices.Clone(c.view.Load().candidates[zone])
+}
+
+// Owner implements View.
+func (c *Cluster) Owner(stream string) (Member, int64, bool) {
+	owner, known := c.view.Load().owners[stream]
+	return owner.member, owner.epoch, known
+}
+
+// Cells implements View.
+func (c *Cluster) Cells() []message.CellDigest { return c.cells.all() }
+
+// Reachability implements View.
+func (c *Cluster) Reachability() (reachable, known int) {
+	current := c.view.Load()
+	return current.reachable, current.known
+}
+
+// LogContact implements View. Contacts told by others count as older than they
+// are by the time of the question, never as fresher.
+func (c *Cluster) LogContact() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.logContact
+}
+
+// publish rebuilds the view; called with the lock held after each change.
+func (c *Cluster) publish() {
+	now := time.Now()
+	next := &view{candidates: make(map[string][]Member), owners: make(map[string]ownerEntry)}
+	c.addZoneMembers(next)
+	for name, zone := range c.zones {
+		if name != c.self.Zone {
+			c.addFarMembers(next, zone, now)
+		}
+	}
+	slices.SortFunc(next.members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	for _, member := range next.members {
+		next.addCandidate(member)
+		next.addOwned(member)
+	}
+	c.view.Store(next)
+}
+
+// addZoneMembers adds the members of this zone, as the membership tells.
+func (c *Cluster) addZoneMembers(next *view) {
+	records := c.zones[c.self.Zone].records
+	for _, update := range c.node.Members() {
+		self := update.ID == c.self.ID
+		left := update.State == membership.Dead && update.Leaving
+		if !left || self {
+			next.known++
+		}
+		if self || update.State == membership.Alive {
+			next.reachable++
+		}
+		if update.State == membership.Dead && !self {
+			continue
+		}
+		member := newMember(records[keyOf(update.ID, update.Writer)])
+		member.ID, member.Writer, member.Address, member.Zone = update.ID, update.Writer, update.Address, c.self.Zone
+		member.State = memberState(update)
+		if self {
+			next.self = member
+		}
+		next.members = append(next.members, member)
+	}
+}
+
+func memberState(update membership.Update) MemberState {
+	switch {
+	case update.Leaving:
+		return StateLeaving
+	case update.State == membership.Suspect:
+		return StateSuspect
+	default:
+		return StateAlive
+	}
+}
+
+// addFarMembers adds what is known of another zone.
+func (c *Cluster) addFarMembers(next *view, zone *zoneRecords, now time.Time) {
+	next.known += len(zone.records) + len(zone.lost)
+	if c.reachableZone(zone, now) {
+		next.reachable += len(zone.records)
+	}
+	for _, held := range zone.records {
+		member := newMember(held)
+		member.State = StateAlive
+		if held.Leaving {
+			member.State = StateLeaving
+		}
+		next.members = append(next.members, member)
+	}
+}
+
+func newMember(held record) Member {
+	return Member{
+		ID: held.ID, Writer: held.Writer, Address: held.Address, Zone: held.Zone,
+		TableRevision: held.Revision, Owned: held.Owned,
+	}
+}
+
+func (v *view) addCandidate(member Member) {
+	if member.State != StateAlive && member.State != StateSuspect {
+		return
+	}
+	v.candidates[member.Zone] = append(v.candidates[member.Zone], member)
+	v.candidates[""] = append(v.candidates[""], member)
+}
+
+func (v *view) addOwned(member Member) {
+	for _, owned := range member.Owned {
+		if held, known := v.owners[owned.Stream]; !known || owned.Epoch > held.epoch {
+			v.owners[owned.Stream] = ownerEntry{member: member, epoch: owned.Epoch}
+		}
+	}
+}
+
+// sweep drops what is out of date; called with the lock held.
+func (c *Cluster) sweep(now time.Time) {
+	for name, zone := range c.zones {
+		zone.forgetLost(now.Add(-knownFor))
+		if name != c.self.Zone && now.Sub(zone.touchedAt) > knownFor {
+			delete(c.zones, name)
+		}
+	}
+	c.dropStrangers()
+	c.publish()
+	members := make(map[string]struct{})
+	for _, member := range c.view.Load().members {
+		members[member.ID] = struct{}{}
+	}
+	c.cells.retain(func(digest message.CellDigest, at time.Time) bool {
+		_, known := members[digest.Node]
+		return known || now.Sub(at) < cellMemory
+	})
+}
+
+// dropStrangers drops records of this zone's processes that are no members.
+func (c *Cluster) dropStrangers() {
+	live := c.liveRecords()
+	zone := c.zones[c.self.Zone]
+	for key, held := range zone.records {
+		if live[held.ID] != held.Writer {
+			delete(zone.records, key)
+		}
+	}
+}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -40,7 +40,8 @@
 }
 
 // View is what the other parts of a node read of the cluster. Views are soft:
-// they speed things up and never decide a promise.
+// they speed things up and never decide a promise. The returned slices are the
+// caller's own; what their elements point to (Owned, Models) must not be changed.
 type View interface {
 	Self() Member
 	// Members returns all known nodes that are not dead, this one included,
@@ -66,6 +67,9 @@
 // Announcer is what the other parts of a node tell the cluster.
 type Announcer interface {
 	AnnounceOwned(owned []Ownership)
+	// AnnounceCell tells the state of a cell that this node dispatches, with a
+	// risen Sequence. Announce each cell at least every ten seconds, changed
+	// or not: after fifteen it no longer counts as this node's.
 	AnnounceCell(digest message.CellDigest)
 	// ObserveCell feeds a digest learnt on the data path.
 	ObserveCell(digest message.CellDigest)
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+)
+
+const (
+	// dialTimeout bounds one TCP connect.
+	dialTimeout = 2 * time.Second
+	// Between failed dials to one address calls fail at once, for a time that
+	// grows between these two.
+	dialBackoffInitial = 50 * time.Millisecond
+	dialBackoffMaximum = time.Second
+	// linkUnusedAfter is how long a link without a connection is remembered.
+	linkUnusedAfter = time.Minute
+)
+
+// link keeps the one outgoing connection to a peer address.
+type link struct {
+	transport *Transport
+	address   string
+
+	mu       sync.Mutex
+	session  *clientSession
+	dialing  chan struct{} // closed at the end of the dial in progress
+	dialErr  error
+	retryAt  time.Time
+	interval *backoff.ExponentialBackOff
+	lastUsed time.Time
+}
+
+func newLink(transport *Transport, address string) *link {
+	interval := backoff.NewExponentialBackOff()
+	interval.InitialInterval = dialBackoffInitial
+	interval.MaxInterval = dialBackoffMaximum
+	return &link{transport: transport, address: address, interval: interval}
+}
+
+// get returns the open session, or waits for a dial.
+func (l *link) get(ctx context.Context) (*clientSession, error) {
+	l.mu.Lock()
+	l.lastUsed = time.Now()
+	if l.session != nil {
+		defer l.mu.Unlock()
+		return l.session, nil
+	}
+	if l.dialing == nil {
+		if time.Now().Before(l.retryAt) {
+			defer l.mu.Unlock()
+			return nil, l.dialErr
+		}
+		l.dialing = make(chan struct{})
+		go l.dial(l.dialing)
+	}
+	dialing := l.dialing
+	l.mu.Unlock()
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session == nil {
+		return nil, l.dialErr
+	}
+	return l.session, nil
+}
+
+// dial connects once and publishes the result.
+func (l *link) dial(finished chan struct{}) {
+	session, err := l.connect()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dialing = nil
+	if err != nil {
+		l.dialErr = err
+		l.retryAt = time.Now().Add(l.interval.NextBackOff())
+	} else {
+		l.session = session
+		l.dialErr = errSessionClosing
+		l.retryAt = time.Time{}
+		l.interval.Reset()
+		session.connection.start(bufio.NewReaderSize(session.connection.socket, readBufferSize))
+	}
+	close(finished)
+}
+
+func (l *link) connect() (*clientSession, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(l.transport.baseContext, "tcp", l.address)
+	if err != nil {
+		return nil, err
+	}
+	connection := newConnection(socket, l.transport.stats)
+	session := newClientSession(connection, l.sessionClosed)
+	greeting := newFrame(frameHello, 0)
+	if err := greeting.encode(hello{NodeID: l.transport.options.NodeID, Version: protocolVersion}); err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "encode hello")
+	}
+	if !l.transport.addConnection(connection) {
+		_ = socket.Close()
+		return nil, errTransportClosed
+	}
+	connection.sendControl(greeting)
+	return session, nil
+}
+
+func (l *link) sessionClosed(session *clientSession) {
+	l.transport.removeConnection(session.connection)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session == session {
+		l.session = nil
+	}
+}
+
+// forget drops a session that is closing, so that the next get dials.
+func (l *link) forget(session *clientSession) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session == session {
+		l.session = nil
+	}
+}
+
+// unused reports whether the link may be dropped. A caller that still holds a
+// dropped link dials its own connection, which does no harm.
+func (l *link) unused(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session == nil && l.dialing == nil && now.Sub(l.lastUsed) > linkUnusedAfter
+}
