Route requests over cells and relay whole answers to callers

Cause: an answer must be whole and in order although streams break and move. Ruled out: rerunning a request that is not repeatable, in any case.

Change: cell choice (free capacity, distance, prefix affinity), reassembly by attempt and index, re-attach, continuation, retry budget, the callers' interface.

--- /dev/null
+++ b/internal/core/routing/tracker.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/message"
+)
+
+// Tracker remembers for each cell when its last digest arrived and how many
+// submissions followed. It is not safe for concurrent use.
+type Tracker struct {
+	cells map[message.CellID]*trackedCell
+}
+
+type trackedCell struct {
+	node      string
+	sequence  uint64
+	firstSeen time.Time
+	pending   int
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{cells: make(map[message.CellID]*trackedCell)}
+}
+
+// Update takes the digests known now and returns them as cells. A cell that is
+// no longer among the digests is forgotten. The result points to the digests.
+func (t *Tracker) Update(digests []*message.CellDigest, now time.Time) []Cell {
+	cells := make([]Cell, 0, len(digests))
+	for _, digest := range digests {
+		tracked := t.track(digest, now)
+		cells = append(cells, Cell{
+			Digest:  digest,
+			Pending: tracked.pending,
+			Age:     now.Sub(tracked.firstSeen),
+		})
+	}
+	if len(t.cells) > len(digests) {
+		t.forget(digests)
+	}
+	return cells
+}
+
+// Submitted counts one submission to the cell until its next digest.
+func (t *Tracker) Submitted(cell message.CellID) {
+	if tracked, known := t.cells[cell]; known {
+		tracked.pending++
+	}
+}
+
+// Refused takes back one submission that the cell did not take.
+func (t *Tracker) Refused(cell message.CellID) {
+	if tracked, known := t.cells[cell]; known && tracked.pending > 0 {
+		tracked.pending--
+	}
+}
+
+// track returns the entry of the digest's cell. A new digest resets the
+// submissions: the dispatcher's own count holds them from then on.
+func (t *Tracker) track(digest *message.CellDigest, now time.Time) *trackedCell {
+	tracked, known := t.cells[digest.Cell]
+	if !known {
+		tracked = &trackedCell{node: digest.Node, sequence: digest.Sequence, firstSeen: now}
+		t.cells[digest.Cell] = tracked
+		return tracked
+	}
+	if tracked.node != digest.Node || tracked.sequence != digest.Sequence {
+		tracked.node = digest.Node
+		tracked.sequence = digest.Sequence
+		tracked.firstSeen = now
+		tracked.pending = 0
+	}
+	return tracked
+}
+
+func (t *Tracker) forget(digests []*message.CellDigest) {
+	present := make(map[message.CellID]struct{}, len(digests))
+	for _, digest := range digests {
+		present[digest.Cell] = struct{}{}
+	}
+	for cell := range t.cells {
+		if _, still := present[cell]; !still {
+			delete(t.cells, cell)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/router"
+)
+
+// objectCompletion is the object name of every completion body.
+const objectCompletion = "text_completion"
+
+// completionTemplate holds what all bodies of one answer share.
+type completionTemplate struct {
+	id           string
+	created      int64
+	service      string
+	promptTokens int
+}
+
+// body returns a completion with the text; finishReason is nil until the end.
+func (t *completionTemplate) body(text string, finishReason *string, versions []api.VersionSpan) api.Completion {
+	return api.Completion{
+		ID:       t.id,
+		Object:   objectCompletion,
+		Created:  t.created,
+		Model:    t.service,
+		Choices:  []api.CompletionChoice{{Text: text, FinishReason: finishReason}},
+		Versions: versions,
+	}
+}
+
+// finalBody returns the completion that ends an answer.
+func (t *completionTemplate) finalBody(text string, result router.Result) api.Completion {
+	completion := t.body(text, &result.FinishReason, result.Versions)
+	completion.Usage = &api.Usage{
+		PromptTokens:     t.promptTokens,
+		CompletionTokens: result.Tokens,
+		TotalTokens:      t.promptTokens + result.Tokens,
+		CachedTokens:     result.CachedTokens,
+	}
+	return completion
+}
+
+// promptTokens estimates the tokens of a prompt: engines tokenize, not nodes.
+func promptTokens(prompt string) int {
+	return (len(prompt) + engine.BytesPerToken - 1) / engine.BytesPerToken
+}
--- /dev/null
+++ b/internal/gateway/completion.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/keyed"
+	"github.com/corkpulley/corkpulley/internal/router"
+)
+
+var errAborted = errkind.New(errkind.Internal, "the request's handler was aborted")
+
+// responder sends one answer in one form (events or one JSON body).
+type responder interface {
+	// piece takes new tokens; an error cancels the request.
+	piece(piece router.Piece) error
+	finish(result router.Result) error
+	// fail answers with an error, as far as the answer's state still allows.
+	fail(err error)
+}
+
+// handleCompletion answers POST /v1/completions.
+func (g *Gateway) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	// The error stands only when the handler panics before it sets the outcome.
+	record := &record{requestID: g.newRequestID(), started: time.Now(), err: errAborted}
+	w.Header().Set(api.HeaderRequestID, record.requestID)
+	entered := g.inHand.enter()
+	if entered {
+		defer g.inHand.leave()
+	}
+	defer g.report(record)
+	call, err := g.admit(w, r, record.requestID, entered)
+	if err != nil {
+		record.err = err
+		g.newFailure(w).fail(err)
+		return
+	}
+	record.call = call
+	record.err = g.answer(r.Context(), w, record)
+}
+
+// admit returns the checked request, unless this node may not take new work.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, requestID string, entered bool) (*call, error) {
+	if !entered {
+		return nil, errkind.New(errkind.ShuttingDown, "this node is stopping")
+	}
+	if err := g.options.Tables.Current(); err != nil {
+		return nil, err
+	}
+	return g.parse(w, r, requestID)
+}
+
+// answer runs the request and sends its answer.
+func (g *Gateway) answer(ctx context.Context, w http.ResponseWriter, record *record) error {
+	responder := g.newResponder(w, record.call)
+	result, err := g.run(ctx, record.call, func(piece router.Piece) error {
+		record.note(piece)
+		return responder.piece(piece)
+	})
+	record.result = result
+	if err != nil {
+		responder.fail(err)
+		return err
+	}
+	return responder.finish(result)
+}
+
+// run runs the request: at most once when it is keyed and not repeatable. A
+// key on a repeatable request is only logged, as a second run does no harm.
+func (g *Gateway) run(ctx context.Context, call *call, onPiece func(router.Piece) error) (router.Result, error) {
+	if call.key == "" || call.request.Row.Repeatable {
+		return g.options.Router.Run(ctx, call.request, onPiece)
+	}
+	return g.options.Keyed.Execute(ctx, keyed.Request{
+		Key:         call.key,
+		Service:     call.request.Row.Service,
+		Fingerprint: call.fingerprint,
+		Submission:  keyed.NewSubmission(call.request),
+	}, onPiece)
+}
+
+func (g *Gateway) newResponder(w http.ResponseWriter, call *call) responder {
+	template := completionTemplate{
+		id:           call.request.ID,
+		created:      time.Now().Unix(),
+		service:      call.request.Row.Service,
+		promptTokens: promptTokens(call.request.Prompt),
+	}
+	writer := newDeadlineWriter(w, g.options.WriteTimeout)
+	if call.stream {
+		return &eventResponder{writer: writer, template: template}
+	}
+	return &plainResponder{writer: writer, template: template}
+}
+
+// newFailure returns a responder for a request that was not admitted.
+func (g *Gateway) newFailure(w http.ResponseWriter) responder {
+	return &plainResponder{writer: newDeadlineWriter(w, g.options.WriteTimeout)}
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/httpapi"
+	"github.com/corkpulley/corkpulley/internal/router"
+)
+
+const (
+	contentTypeEvents = "text/event-stream"
+	eventError        = "event: error\n"
+	eventDone         = "data: [DONE]\n\n"
+)
+
+// eventResponder streams an answer as server-sent events, one for each piece.
+// The status line is sent with the first event, so that an error before it
+// still gets a status of its own.
+type eventResponder struct {
+	writer   *deadlineWriter
+	template completionTemplate
+	started  bool
+	buffer   bytes.Buffer
+}
+
+func (e *eventResponder) piece(piece router.Piece) error {
+	span := api.VersionSpan{
+		Version: piece.Version,
+		From:    piece.FirstToken,
+		To:      piece.FirstToken + len(piece.Tokens),
+	}
+	text := strings.Join(piece.Tokens, "")
+	return e.send("", e.template.body(text, nil, []api.VersionSpan{span}), "")
+}
+
+func (e *eventResponder) finish(result router.Result) error {
+	return e.send("", e.template.finalBody("", result), eventDone)
+}
+
+func (e *eventResponder) fail(err error) {
+	if !e.started {
+		plain := plainResponder{writer: e.writer}
+		plain.fail(err)
+		return
+	}
+	// The caller sees from the event that the answer is not whole; [DONE] does not follow.
+	_ = e.send(eventError, api.ErrorBody{Error: httpapi.ErrorDetail(err)}, "")
+}
+
+// send writes one event with a JSON body, and the text that follows it.
+func (e *eventResponder) send(eventName string, body any, suffix string) error {
+	e.buffer.Reset()
+	e.buffer.WriteString(eventName)
+	e.buffer.WriteString("data: ")
+	// Encode ends the line; the empty line after it ends the event.
+	if err := json.NewEncoder(&e.buffer).Encode(body); err != nil {
+		return err
+	}
+	e.buffer.WriteByte('\n')
+	e.buffer.WriteString(suffix)
+	e.writer.extend()
+	e.start()
+	if _, err := e.writer.Write(e.buffer.Bytes()); err != nil {
+		return callerGone(err)
+	}
+	return e.writer.flush()
+}
+
+func (e *eventResponder) start() {
+	if e.started {
+		return
+	}
+	e.started = true
+	header := e.writer.Header()
+	header.Set("Content-Type", contentTypeEvents)
+	header.Set("Cache-Control", "no-store")
+	e.writer.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/httpapi"
+	"github.com/corkpulley/corkpulley/internal/router"
+)
+
+// HeaderWeightVersions names on a plain answer the weight versions of its
+// tokens, as "version:from-to" separated by commas.
+const HeaderWeightVersions = "X-Corkpulley-Weight-Versions"
+
+// plainResponder sends a whole answer as one JSON body.
+type plainResponder struct {
+	writer   *deadlineWriter
+	template completionTemplate
+	text     strings.Builder
+}
+
+func (p *plainResponder) piece(piece router.Piece) error {
+	for _, token := range piece.Tokens {
+		p.text.WriteString(token)
+	}
+	return nil
+}
+
+func (p *plainResponder) finish(result router.Result) error {
+	body, err := json.Marshal(p.template.finalBody(p.text.String(), result))
+	if err != nil {
+		return err
+	}
+	header := p.writer.Header()
+	header.Set(HeaderWeightVersions, formatSpans(result.Versions))
+	header.Set("Content-Type", "application/json")
+	p.writer.extend()
+	p.writer.WriteHeader(http.StatusOK)
+	if _, err := p.writer.Write(append(body, '\n')); err != nil {
+		return callerGone(err)
+	}
+	return p.writer.flush()
+}
+
+func (p *plainResponder) fail(err error) {
+	p.writer.extend()
+	httpapi.WriteError(p.writer, err)
+	_ = p.writer.flush()
+}
+
+func formatSpans(spans []api.VersionSpan) string {
+	var text []byte
+	for index, span := range spans {
+		if index > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, span.Version, 10)
+		text = append(text, ':')
+		text = strconv.AppendInt(text, int64(span.From), 10)
+		text = append(text, '-')
+		text = strconv.AppendInt(text, int64(span.To), 10)
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/router/options.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/core/routing"
+	"github.com/corkpulley/corkpulley/internal/peer"
+)
+
+// Defaults of Options.
+const (
+	// DefaultStaleAfter is several gossip rounds.
+	DefaultStaleAfter = 5 * time.Second
+	// DefaultReattachTimeout covers a broken connection and a short pause of
+	// the dispatcher's process.
+	DefaultReattachTimeout = 3 * time.Second
+	// DefaultHandoverTimeout covers the change of a cell's owner.
+	DefaultHandoverTimeout = 2 * time.Second
+	// DefaultContinueTimeout covers the failure of a node that runs the only
+	// cell of a pool: detection, a new owner and its first digest.
+	DefaultContinueTimeout = 15 * time.Second
+)
+
+// Options configures a CellRouter. All fields but those with a default are
+// required.
+type Options struct {
+	NodeID string
+	Zone   string
+	Region string
+	// Regions maps known zones to regions; optional.
+	Regions   map[string]string
+	Caller    peer.Caller
+	View      cluster.View
+	Announcer cluster.Announcer
+	Tables    policy.Source
+	// Policy is the routing.Strategy; empty or unknown takes routing.StrategyDefault.
+	Policy string
+	Logger zerolog.Logger
+	// Registerer takes the router's metrics; nil keeps them unregistered.
+	Registerer prometheus.Registerer
+	// Seed makes the choice of cells repeatable; 0 derives one from NodeID.
+	Seed uint64
+	// StaleAfter is the age from which a digest counts as late.
+	StaleAfter time.Duration
+	// ReattachTimeout bounds the attempts to re-attach to one dispatcher since
+	// the last token from it.
+	ReattachTimeout time.Duration
+	// HandoverTimeout bounds how long a new request waits for a cell that is
+	// changing hands and refuses it.
+	HandoverTimeout time.Duration
+	// ContinueTimeout bounds how long a request that lost its dispatcher
+	// part-way looks for another cell.
+	ContinueTimeout time.Duration
+}
+
+// CellRouter implements Router over the cells of the cluster.
+type CellRouter struct {
+	options  Options
+	locality routing.Locality
+	shards   [shardCount]shard
+	members  *memberIndex
+	budget   *retryBudget
+	metrics  *metrics
+}
+
+// shardCount is the number of locks that requests spread over, by pool.
+const shardCount = 16
+
+// shard holds the state of the pools that hash to it.
+type shard struct {
+	mutex   sync.Mutex
+	tracker *routing.Tracker
+	avoid   *routing.AvoidList
+	picker  *routing.Picker
+}
+
+var _ Router = (*CellRouter)(nil)
+
+// New returns a router. It starts nothing and needs no stop.
+func New(options Options) *CellRouter {
+	setDefaults(&options)
+	strategy := routing.Strategy(options.Policy)
+	router := &CellRouter{
+		options: options,
+		locality: routing.Locality{
+			Zone:    options.Zone,
+			Region:  options.Region,
+			Regions: options.Regions,
+		},
+		members: newMemberIndex(options.View),
+		budget:  newRetryBudget(time.Now()),
+		metrics: newMetrics(options.Registerer),
+	}
+	for index := range router.shards {
+		router.shards[index].tracker = routing.NewTracker()
+		router.shards[index].avoid = routing.NewAvoidList()
+		router.shards[index].picker = routing.NewPicker(strategy, router.locality, options.Seed+uint64(index))
+	}
+	return router
+}
+
+func setDefaults(options *Options) {
+	if !routing.Strategy(options.Policy).Valid() {
+		options.Policy = string(routing.StrategyDefault)
+	}
+	if options.Seed == 0 {
+		options.Seed = xxhash.Sum64String(options.NodeID)
+	}
+	setDefault(&options.StaleAfter, DefaultStaleAfter)
+	setDefault(&options.ReattachTimeout, DefaultReattachTimeout)
+	setDefault(&options.HandoverTimeout, DefaultHandoverTimeout)
+	setDefault(&options.ContinueTimeout, DefaultContinueTimeout)
+}
+
+func setDefault(value *time.Duration, fallback time.Duration) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/internal/router/submission.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/message"
+)
+
+// currentRow returns the row in force for the request and its revision. A
+// request keeps its own row when the service now uses another model, pool or
+// kind: tokens of two models never make one answer. A request that was once
+// not repeatable stays so.
+func (r *CellRouter) currentRow(request *Request) (policy.Row, int64) {
+	table := r.options.Tables.Table()
+	if table == nil || table.Revision <= request.TableRevision {
+		return request.Row, request.TableRevision
+	}
+	row, found := table.Row(request.Row.Service)
+	same := row.Model == request.Row.Model && row.Pool == request.Row.Pool && row.Kind == request.Row.Kind
+	if !found || !same {
+		return request.Row, request.TableRevision
+	}
+	row.Repeatable = row.Repeatable && request.Row.Repeatable
+	return row, table.Revision
+}
+
+// submit builds the message of a new attempt.
+func (a *attempts) submit(row policy.Row, revision int64, chosen choice) message.Submit {
+	request := a.request
+	return message.Submit{
+		RequestID:      request.ID,
+		Attempt:        a.number,
+		Cell:           chosen.cell,
+		Service:        row.Service,
+		TableRevision:  revision,
+		Model:          row.Model,
+		MinVersion:     chosen.minVersion,
+		Prompt:         request.Prompt,
+		Generated:      slices.Clone(a.tokens),
+		MaxTokens:      request.MaxTokens,
+		ExpectedTokens: request.ExpectedTokens,
+		Seed:           request.Seed,
+		Temperature:    request.Temperature,
+		Priority:       row.Priority,
+		Urgent:         request.Urgent != nil && request.Urgent(),
+		Repeatable:     row.Repeatable,
+		QueueTimeout:   request.QueueTimeout,
+	}
+}
+
+// attach turns the message of an attempt into one that attaches to it. The
+// prompt stays at home: the dispatcher has it.
+func attach(submit message.Submit, resumeFrom int) message.Submit {
+	submit.Attach = true
+	submit.ResumeFrom = resumeFrom
+	submit.Prompt = ""
+	submit.Generated = nil
+	return submit
+}
