--- /dev/null
+++ b/cmd/corkbench/main.go
@@ -0,0 +1,13 @@
+// Command corkbench holds the platform's stand-ins, a load generator, a
+// demonstration and the experiments of corkpulley.
+package main
+
+import (
+	"os"
+
+	"github.com/corkpulley/corkpulley/internal/bench/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/bench/command/command.go
@@ -0,0 +1,106 @@
+// Package command is the command line of corkbench.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/bench/demo"
+	"github.com/corkpulley/corkpulley/internal/bench/standins"
+)
+
+// Exit codes of corkbench.
+const (
+	ExitOK = 0
+	// ExitFailed: the run failed, or a promise was broken in it.
+	ExitFailed = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+)
+
+const standinCommand = "standin"
+
+type arguments struct {
+	Standin *standins.Arguments `arg:"subcommand:standin" help:"run one of the platform's stand-ins until SIGTERM"`
+	Demo    *demo.Arguments     `arg:"subcommand:demo" help:"start a small deployment, run live requests and a trainer, and check every answer"`
+	Load    *loadArguments      `arg:"subcommand:load" help:"send live load to running nodes"`
+}
+
+// Description is shown at the top of the help.
+func (arguments) Description() string {
+	return "corkbench: stand-ins, load and experiments for corkpulley"
+}
+
+// Epilogue is shown at the end of the help.
+func (arguments) Epilogue() string {
+	return `Examples:
+  corkbench demo --seconds 10 --json
+  corkbench standin engine --listen 127.0.0.1:7501 --id e1 --zone tumwater --pool clerk --model clerk@1
+  corkbench load --address 127.0.0.1:8080 --service clerk-lookup --rate 50 --seconds 30
+
+Exit codes: 0 done, 1 failed or a promise was broken, 2 usage.`
+}
+
+// Main parses and runs one command line and returns the exit code. SIGTERM and
+// SIGINT end the command by plan; a second one ends it at once.
+func Main(commandLine []string, output, problems io.Writer) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "corkbench"}, &parsed)
+	if err != nil {
+		return fail(problems, ExitFailed, err)
+	}
+	if err := parser.Parse(commandLine); err != nil {
+		return usage(parser, err, output, problems)
+	}
+	if problem := unnamed(parser); problem != nil {
+		return usage(parser, problem, output, problems)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	switch {
+	case parsed.Standin != nil:
+		err = standins.Run(ctx, parsed.Standin, output)
+	case parsed.Demo != nil:
+		err = demo.Run(ctx, parsed.Demo, output)
+	case parsed.Load != nil:
+		err = runLoad(ctx, parsed.Load, output)
+	}
+	if err != nil {
+		return fail(problems, ExitFailed, err)
+	}
+	return ExitOK
+}
+
+// unnamed returns which command the command line fails to name, or nil.
+func unnamed(parser *arg.Parser) error {
+	names := parser.SubcommandNames()
+	switch {
+	case len(names) == 0:
+		return errors.New("no command named: expected standin, demo or load")
+	case len(names) == 1 && names[0] == standinCommand:
+		return errors.New("no stand-in named: expected log, engine, weightstore, machines, scorer or trainer")
+	default:
+		return nil
+	}
+}
+
+func usage(parser *arg.Parser, err error, output, problems io.Writer) int {
+	if errors.Is(err, arg.ErrHelp) {
+		_ = parser.WriteHelpForSubcommand(output, parser.SubcommandNames()...)
+		return ExitOK
+	}
+	_ = parser.WriteUsageForSubcommand(problems, parser.SubcommandNames()...)
+	return fail(problems, ExitUsage, err)
+}
+
+func fail(problems io.Writer, code int, err error) int {
+	_, _ = fmt.Fprintln(problems, "corkbench:", err)
+	return code
+}
--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,252 @@
+// Package demo starts a small deployment, sends live requests and trains a few
+// steps at the same time, and checks every answer and every sample.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/bench/live"
+	"github.com/corkpulley/corkpulley/internal/bench/topology"
+	"github.com/corkpulley/corkpulley/internal/standin/trainer"
+)
+
+// Arguments are the flags of the demonstration.
+type Arguments struct {
+	JSON    bool `arg:"--json" help:"end with one JSON object, the summary"`
+	Seconds int  `arg:"--seconds" default:"8" help:"how long live requests are sent (1..600)"`
+	Keep    bool `arg:"--keep" help:"leave the deployment running until SIGINT or SIGTERM"`
+}
+
+// Summary is what callers and the trainer counted.
+type Summary struct {
+	LiveRequests        int `json:"live_requests"`
+	LiveOK              int `json:"live_ok"`
+	LiveBroken          int `json:"live_broken"`
+	SamplesWanted       int `json:"samples_wanted"`
+	SamplesAcknowledged int `json:"samples_acknowledged"`
+	Duplicates          int `json:"duplicates"`
+	Lost                int `json:"lost"`
+	Stale               int `json:"stale"`
+	UnnamedVersions     int `json:"unnamed_versions"`
+	// ExecutedTwice counts not repeatable requests that engines ran again.
+	ExecutedTwice int `json:"executed_twice"`
+	// LatestVersion is the last weight version that the trainer published.
+	LatestVersion uint64         `json:"latest_version"`
+	Latency       live.Quantiles `json:"latency"`
+	FirstToken    live.Quantiles `json:"time_to_first_token"`
+}
+
+// broken returns why the demonstration failed, or nil.
+func (s *Summary) broken() error {
+	switch {
+	case s.LiveBroken > 0 || s.Duplicates > 0 || s.Lost > 0 || s.Stale > 0 || s.UnnamedVersions > 0 || s.ExecutedTwice > 0:
+		return errors.New("a promise was broken")
+	case s.LiveOK < s.LiveRequests:
+		return errors.Errorf("%d of %d live requests were not answered whole", s.LiveRequests-s.LiveOK, s.LiveRequests)
+	case s.SamplesAcknowledged != s.SamplesWanted:
+		return errors.Errorf("%d of %d samples reached the trainer", s.SamplesAcknowledged, s.SamplesWanted)
+	default:
+		return nil
+	}
+}
+
+// Bounds of a run.
+const (
+	maxSeconds = 600
+	// spareTime is what start, the trainer's last steps and the stop may take
+	// on top of the time that live requests are sent.
+	spareTime = 3 * time.Minute
+	// serveTimeout bounds the wait until all services are answered.
+	serveTimeout = time.Minute
+)
+
+// Run runs the demonstration. Progress goes to output, and with JSON set the
+// summary as its last line. No process is left behind.
+func Run(ctx context.Context, arguments *Arguments, output io.Writer) error {
+	if arguments.Seconds < 1 || arguments.Seconds > maxSeconds {
+		return errors.Errorf("--seconds is %d, expected 1..%d", arguments.Seconds, maxSeconds)
+	}
+	directory, err := os.MkdirTemp("", "corkpulley-demo-")
+	if err != nil {
+		return errors.Wrap(err, "make directory for logs")
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	duration := time.Duration(arguments.Seconds) * time.Second
+	bounded, cancel := context.WithTimeout(ctx, duration+spareTime)
+	defer cancel()
+	progress := &progress{output: output, started: time.Now()}
+	deployment, err := start(bounded, directory, progress)
+	if err != nil {
+		return err
+	}
+	defer deployment.Close()
+	summary, err := exercise(bounded, deployment, duration, progress)
+	if err != nil {
+		return err
+	}
+	if arguments.Keep {
+		keep(ctx, deployment, progress)
+	}
+	progress.say("stopping the nodes by plan")
+	if err := deployment.StopNodes(context.WithoutCancel(bounded)); err != nil {
+		return errors.Wrap(err, "planned stop")
+	}
+	if err := printSummary(output, summary, arguments.JSON); err != nil {
+		return err
+	}
+	return summary.broken()
+}
+
+func start(ctx context.Context, directory string, progress *progress) (*topology.Deployment, error) {
+	binaries, err := topology.Find(ctx, directory)
+	if err != nil {
+		return nil, err
+	}
+	config := deploymentConfig(binaries, directory)
+	progress.say("starting %d nodes in %d zones, %d engines and the platform's stand-ins",
+		len(config.Nodes), len(zones), len(config.Engines))
+	deployment, err := topology.Start(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	for _, node := range deployment.Nodes() {
+		progress.say("node %s in %s: callers %s, operators %s", node.ID, node.Zone, node.Callers, node.Operators)
+	}
+	if err := waitServing(ctx, deployment); err != nil {
+		deployment.Close()
+		return nil, err
+	}
+	return deployment, nil
+}
+
+// waitServing waits until every node answers each live service.
+func waitServing(ctx context.Context, deployment *topology.Deployment) error {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	client := live.NewClient()
+	defer client.Close()
+	for _, address := range deployment.CallerAddresses() {
+		for _, service := range []string{lookupService, permitService} {
+			call := live.Call{Address: address, Service: service, Prompt: "warm-up [tokens=1]", MaxTokens: 1}
+			err := topology.WaitFor(ctx, service+" to be served", func() error {
+				outcome := client.Send(ctx, call)
+				if outcome.OK() {
+					return nil
+				}
+				return errors.Errorf("status %d, code %q, %s %q", outcome.Status, outcome.Code, outcome.TransportError, outcome.Faults)
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// exercise sends live requests and trains steps at the same time.
+func exercise(ctx context.Context, deployment *topology.Deployment, duration time.Duration, progress *progress) (*Summary, error) {
+	recorder := live.NewRecorder()
+	client := live.NewClient()
+	defer client.Close()
+	running := trainer.New(trainerConfig(deployment, duration))
+	var work sync.WaitGroup
+	loads := liveLoads(deployment.CallerAddresses(), duration)
+	failures := make([]error, len(loads)+1)
+	for i := range loads {
+		work.Go(func() { failures[i] = loads[i].Run(ctx, client, recorder) })
+	}
+	work.Go(func() { _, failures[len(loads)] = running.Run(ctx) })
+	stopReports := progress.reportEvery(func() string {
+		summary, report := recorder.Summary(), running.Report()
+		return fmt.Sprintf("live %d/%d whole, samples %d/%d acknowledged, trainer at version %d",
+			summary.OK, summary.Requests, report.SamplesAcknowledged, report.SamplesWanted, report.Version)
+	})
+	work.Wait()
+	stopReports()
+	for _, err := range failures {
+		if err != nil {
+			return nil, err
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "demonstration was ended early")
+	}
+	executedTwice, err := countExecutedTwice(ctx, deployment)
+	if err != nil {
+		return nil, err
+	}
+	return summarize(recorder.Summary(), running.Report(), executedTwice), nil
+}
+
+// countExecutedTwice counts, over the engines' own histories, the requests of
+// the not repeatable service that an engine started after another had.
+func countExecutedTwice(ctx context.Context, deployment *topology.Deployment) (int, error) {
+	histories, err := deployment.Histories(ctx)
+	if err != nil {
+		return 0, errors.Wrap(err, "read engines' histories")
+	}
+	started := map[string]bool{}
+	again := 0
+	for _, history := range histories {
+		for _, request := range history.Requests {
+			if request.Service != permitService {
+				continue
+			}
+			if started[request.RequestID] {
+				again++
+			}
+			started[request.RequestID] = true
+		}
+	}
+	return again, nil
+}
+
+func summarize(calls live.Summary, report trainer.Report, executedTwice int) *Summary {
+	return &Summary{
+		LiveRequests:        calls.Requests,
+		LiveOK:              calls.OK,
+		LiveBroken:          calls.Broken,
+		SamplesWanted:       report.SamplesWanted,
+		SamplesAcknowledged: report.SamplesAcknowledged,
+		Duplicates:          report.Duplicates,
+		Lost:                report.Lost,
+		Stale:               report.Stale,
+		UnnamedVersions:     report.UnnamedVersions,
+		ExecutedTwice:       executedTwice,
+		LatestVersion:       report.Version,
+		Latency:             calls.Latency,
+		FirstToken:          calls.TimeToFirstToken,
+	}
+}
+
+func keep(ctx context.Context, deployment *topology.Deployment, progress *progress) {
+	for _, node := range deployment.Nodes() {
+		progress.say("kept: http://%s/v1/completions, corkctl --server http://%s status", node.Callers, node.Operators)
+	}
+	progress.say("running until SIGINT or SIGTERM")
+	<-ctx.Done()
+}
+
+func printSummary(output io.Writer, summary *Summary, asJSON bool) error {
+	var err error
+	if asJSON {
+		err = json.NewEncoder(output).Encode(summary)
+	} else {
+		_, err = fmt.Fprintf(output, "live: %d of %d answered whole, p99 %.1f ms to the first token\n"+
+			"trainer: %d of %d samples acknowledged; duplicates %d, lost %d, stale %d, unnamed versions %d\n",
+			summary.LiveOK, summary.LiveRequests, summary.FirstToken.P99, summary.SamplesAcknowledged, summary.SamplesWanted,
+			summary.Duplicates, summary.Lost, summary.Stale, summary.UnnamedVersions)
+	}
+	if err != nil {
+		return errors.Wrap(err, "print summary")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/live/client.go
@@ -0,0 +1,166 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+)
+
+// Bounds of one connection and one answer.
+const (
+	dialTimeout     = 3 * time.Second
+	maxAnswerBytes  = 16 << 20
+	idleConnections = 256
+)
+
+// Client sends calls. It is safe for use by several goroutines.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client { return newClient(false) }
+
+// NewSingleUseClient returns a client that makes a connection for each call, so
+// that no call is lost to the server's close of an idle connection.
+func NewSingleUseClient() *Client { return newClient(true) }
+
+func newClient(singleUse bool) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		DisableKeepAlives:   singleUse,
+		DisableCompression:  true,
+	}}}
+}
+
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Send sends one call, once, and returns what came back. It never retries: a
+// retry is a call of its own.
+func (c *Client) Send(ctx context.Context, call Call) Outcome {
+	started := time.Now()
+	outcome := Outcome{Call: call, Started: started.UnixNano()}
+	if err := c.exchange(ctx, started, &outcome); err != nil {
+		outcome.TransportError = err.Error()
+		outcome.NotConnected = isDialError(err)
+	}
+	outcome.Latency = time.Since(started)
+	outcome.Ended = time.Now().UnixNano()
+	if outcome.Done && outcome.Code == "" {
+		outcome.Faults = append(outcome.Faults, Check(&outcome)...)
+	}
+	return outcome
+}
+
+func (c *Client) exchange(ctx context.Context, started time.Time, outcome *Outcome) error {
+	request, err := newRequest(ctx, outcome.Call)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send")
+	}
+	defer func() { _ = response.Body.Close() }()
+	outcome.Status = response.StatusCode
+	outcome.RequestID = response.Header.Get(api.HeaderRequestID)
+	body := io.LimitReader(response.Body, maxAnswerBytes)
+	switch {
+	case response.StatusCode != http.StatusOK:
+		return readError(body, response.Header, outcome)
+	case outcome.Call.Stream:
+		return readEvents(body, started, outcome)
+	default:
+		return readWhole(body, started, outcome)
+	}
+}
+
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	body, err := json.Marshal(api.CompletionRequest{
+		Model:     call.Service,
+		Prompt:    call.Prompt,
+		MaxTokens: call.MaxTokens,
+		Seed:      &call.Seed,
+		Stream:    call.Stream,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	url := "http://" + call.Address + "/v1/completions"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if call.IdempotencyKey == "" {
+		return request, nil
+	}
+	// net/http sends a request with this header again by itself when an idle
+	// connection breaks; without GetBody it cannot, so one Send is one request.
+	request.GetBody = nil
+	request.Header.Set(api.HeaderIdempotencyKey, call.IdempotencyKey)
+	return request, nil
+}
+
+func readError(body io.Reader, header http.Header, outcome *Outcome) error {
+	var document api.ErrorBody
+	if err := json.NewDecoder(body).Decode(&document); err != nil {
+		return errors.Wrap(err, "decode error answer")
+	}
+	takeError(document.Error, outcome)
+	if told := header.Get(api.HeaderExecuted); told != outcome.Executed {
+		fault := "header and body of an error disagree on whether the request ran"
+		outcome.Faults = append(outcome.Faults, fault)
+	}
+	return nil
+}
+
+func takeError(detail api.ErrorDetail, outcome *Outcome) {
+	outcome.Code = detail.Code
+	outcome.Executed = detail.Executed
+	outcome.Done = true
+}
+
+func readWhole(body io.Reader, started time.Time, outcome *Outcome) error {
+	var completion api.Completion
+	if err := json.NewDecoder(body).Decode(&completion); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	outcome.TimeToFirstToken = time.Since(started)
+	takeCompletion(&completion, outcome)
+	outcome.Done = true
+	return nil
+}
+
+// takeCompletion adds one body of an answer. The last event of a streamed
+// answer, or the only body of a plain one, names the versions of the whole.
+func takeCompletion(completion *api.Completion, outcome *Outcome) {
+	for _, choice := range completion.Choices {
+		outcome.Text += choice.Text
+		if choice.FinishReason != nil {
+			outcome.FinishReason = *choice.FinishReason
+		}
+	}
+	if completion.Usage != nil {
+		outcome.Usage = completion.Usage
+		outcome.Versions = completion.Versions
+	}
+	if outcome.RequestID == "" {
+		outcome.RequestID = completion.ID
+	}
+}
--- /dev/null
+++ b/internal/bench/live/load.go
@@ -0,0 +1,153 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Load describes an open-loop load: arrivals do not wait for answers.
+type Load struct {
+	// Addresses are the nodes' callers' addresses, taken in turn.
+	Addresses []string
+	Service   string
+	// Rate is the mean number of arrivals a second (Poisson).
+	Rate float64
+	// Duration bounds the arrivals; Count does too when it is not zero.
+	Duration time.Duration
+	Count    int
+	// Seed fixes arrival times and prompts.
+	Seed uint64
+	// MaxTokens bounds each answer. Tokens, when not zero, fixes the length of
+	// each answer instead of the engine's own draw.
+	MaxTokens int
+	Tokens    int
+	// Groups is the number of prompt prefixes shared between calls, each of
+	// PrefixBytes bytes.
+	Groups      int
+	PrefixBytes int
+	// StreamShare (0..1) of the calls asks for server-sent events.
+	StreamShare float64
+	// Keyed gives each call an idempotency key of its own.
+	Keyed bool
+	// CallTimeout bounds one call; default one minute.
+	CallTimeout time.Duration
+}
+
+const (
+	defaultCallTimeout = time.Minute
+	// maxInFlight bounds the calls of one load, to bound this process's memory.
+	maxInFlight = 4096
+)
+
+// Validate returns why the load cannot be run.
+func (l *Load) Validate() error {
+	switch {
+	case len(l.Addresses) == 0:
+		return errors.New("load has no addresses")
+	case l.Service == "":
+		return errors.New("load has no service")
+	case l.Rate <= 0:
+		return errors.Errorf("rate is %g, expected more than 0", l.Rate)
+	case l.Duration <= 0 && l.Count <= 0:
+		return errors.New("load has neither a duration nor a count")
+	case l.StreamShare < 0 || l.StreamShare > 1:
+		return errors.Errorf("stream share is %g, expected 0..1", l.StreamShare)
+	}
+	return nil
+}
+
+// Run sends the load and waits for all answers. Calls in hand when ctx ends are
+// left to their own timeout, so that an answer is never cut by the load itself.
+func (l *Load) Run(ctx context.Context, client *Client, recorder *Recorder) error {
+	if err := l.Validate(); err != nil {
+		return err
+	}
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	random := newRandom(l.Seed)
+	slots := make(chan struct{}, maxInFlight)
+	started := time.Now()
+	due := time.Duration(0)
+	for number := 0; l.Count == 0 || number < l.Count; number++ {
+		due += time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second))
+		if l.Duration > 0 && due > l.Duration {
+			return nil
+		}
+		call := l.call(number, random)
+		if !waitUntil(ctx, started.Add(due)) {
+			return nil
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			l.send(client, recorder, call)
+		})
+	}
+	return nil
+}
+
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Load) send(client *Client, recorder *Recorder, call Call) {
+	timeout := l.CallTimeout
+	if timeout == 0 {
+		timeout = defaultCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	recorder.Add(client.Send(ctx, call))
+}
+
+// call makes the call of that number. Its prompt is unique, so that an engine's
+// history names the call even when the caller never heard its request ID.
+func (l *Load) call(number int, random *rand.Rand) Call {
+	call := Call{
+		Address:   l.Addresses[number%len(l.Addresses)],
+		Service:   l.Service,
+		Prompt:    l.prompt(number, random),
+		MaxTokens: l.MaxTokens,
+		Seed:      random.Int64(),
+		Stream:    random.Float64() < l.StreamShare,
+	}
+	if l.Keyed {
+		call.IdempotencyKey = fmt.Sprintf("%s-%d-%d", l.Service, l.Seed, number)
+	}
+	return call
+}
+
+const prefixWord = "parcel "
+
+func (l *Load) prompt(number int, random *rand.Rand) string {
+	var prompt strings.Builder
+	if l.Groups > 0 {
+		fmt.Fprintf(&prompt, "group %d of %s: ", random.IntN(l.Groups), l.Service)
+		words := max(l.PrefixBytes-prompt.Len(), 0) / len(prefixWord)
+		prompt.WriteString(strings.Repeat(prefixWord, words))
+	}
+	fmt.Fprintf(&prompt, "request %d-%d of %s", l.Seed, number, l.Service)
+	if l.Tokens > 0 {
+		fmt.Fprintf(&prompt, " [tokens=%d]", l.Tokens)
+	}
+	return prompt.String()
+}
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
--- /dev/null
+++ b/internal/bench/topology/binaries.go
@@ -0,0 +1,59 @@
+package topology
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+)
+
+// Import paths of the programs.
+const (
+	daemonPackage = "github.com/corkpulley/corkpulley/cmd/corkpulleyd"
+	benchPackage  = "github.com/corkpulley/corkpulley/cmd/corkbench"
+)
+
+// Build builds both programs into a directory. The working directory must lie
+// inside the module.
+func Build(ctx context.Context, directory string) (Binaries, error) {
+	binaries := Binaries{
+		Daemon: filepath.Join(directory, "corkpulleyd"),
+		Bench:  filepath.Join(directory, "corkbench"),
+	}
+	if err := build(ctx, binaries.Daemon, daemonPackage); err != nil {
+		return Binaries{}, err
+	}
+	if err := build(ctx, binaries.Bench, benchPackage); err != nil {
+		return Binaries{}, err
+	}
+	return binaries, nil
+}
+
+// Find returns the binaries for a corkbench that runs: itself, and a
+// corkpulleyd beside it, or else one built into the directory.
+func Find(ctx context.Context, directory string) (Binaries, error) {
+	own, err := os.Executable()
+	if err != nil {
+		return Binaries{}, errors.Wrap(err, "find own binary")
+	}
+	beside := filepath.Join(filepath.Dir(own), "corkpulleyd")
+	if information, err := os.Stat(beside); err == nil && information.Mode().IsRegular() {
+		return Binaries{Daemon: beside, Bench: own}, nil
+	}
+	built := filepath.Join(directory, "corkpulleyd")
+	if err := build(ctx, built, daemonPackage); err != nil {
+		return Binaries{}, errors.Wrap(err, "no corkpulleyd beside corkbench, and building it failed")
+	}
+	return Binaries{Daemon: built, Bench: own}, nil
+}
+
+func build(ctx context.Context, output, importPath string) error {
+	command := exec.CommandContext(ctx, "go", "build", "-o", output, importPath)
+	text, err := command.CombinedOutput()
+	if err != nil {
+		return errors.Wrapf(err, "build %s: %s", importPath, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/topology/engine.go
@@ -0,0 +1,108 @@
+package topology
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
+	"github.com/corkpulley/corkpulley/internal/bench/process"
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	standin "github.com/corkpulley/corkpulley/internal/standin/engine"
+)
+
+// Engine is one engine stand-in of a deployment.
+type Engine struct {
+	machine
+	Pool string
+	// Address is the engine's own address, which checkers and tests use.
+	Address string
+	// Link carries all traffic from the nodes; nil without Config.Faults.
+	Link   *faultproxy.Link
+	config EngineConfig
+}
+
+func (d *Deployment) newEngine(config EngineConfig) (*Engine, error) {
+	address, err := process.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	created := &Engine{
+		machine: machine{ID: config.ID, Zone: config.Zone, deployment: d},
+		Pool:    config.Pool,
+		Address: address,
+		config:  config,
+	}
+	if d.config.Faults {
+		created.Link, err = d.addLink("engine-"+config.ID, address, d.config.EngineLatency)
+	}
+	return created, err
+}
+
+// Start starts the engine, also again after it ended, and waits until it
+// listens. It registers itself in the machine list.
+func (e *Engine) Start(ctx context.Context) error {
+	return e.launch(ctx, e.deployment.config.Binaries.Bench, e.arguments(), isListeningLine)
+}
+
+func (e *Engine) arguments() []string {
+	platform := e.deployment.Platform
+	arguments := []string{
+		"standin", KindEngine,
+		"--listen", e.Address,
+		"--id", e.ID,
+		"--zone", e.Zone,
+		"--pool", e.Pool,
+		"--store", "http://" + platform.WeightStore,
+		"--machines", "http://" + platform.Machines,
+		"--history",
+	}
+	if e.Link != nil {
+		arguments = append(arguments, "--advertise", e.Link.Address())
+	}
+	for _, model := range e.config.Models {
+		arguments = append(arguments, "--model", model)
+	}
+	if e.config.MaxBatch > 0 {
+		arguments = append(arguments, "--max-batch", strconv.Itoa(e.config.MaxBatch))
+	}
+	if e.config.TokenInterval > 0 {
+		arguments = append(arguments, "--token-interval", e.config.TokenInterval.String())
+	}
+	if e.config.LoadTime > 0 {
+		arguments = append(arguments, "--load-time", e.config.LoadTime.String())
+	}
+	return append(arguments, e.config.Arguments...)
+}
+
+// Status returns what the engine reports, without its reporting lag for state
+// and versions.
+func (e *Engine) Status(ctx context.Context) (engine.Status, error) {
+	var status engine.Status
+	err := e.deployment.call(ctx, http.MethodGet, e.Address, "/v1/status", nil, &status)
+	return status, err
+}
+
+// History returns what the engine process really did so far.
+func (e *Engine) History(ctx context.Context) (standin.History, error) {
+	var history standin.History
+	err := e.deployment.call(ctx, http.MethodGet, e.Address, "/v1/history", nil, &history)
+	return history, err
+}
+
+// Histories returns the histories of all running engines. An engine that ended
+// took its history with it: a test that kills one must read it before.
+func (d *Deployment) Histories(ctx context.Context) ([]standin.History, error) {
+	var histories []standin.History
+	for _, running := range d.Engines() {
+		if !running.Running() {
+			continue
+		}
+		history, err := running.History(ctx)
+		if err != nil {
+			return nil, err
+		}
+		histories = append(histories, history)
+	}
+	return histories, nil
+}
--- /dev/null
+++ b/internal/bench/topology/http.go
@@ -0,0 +1,102 @@
+package topology
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+)
+
+// StatusError is an answer with a status that is not 2xx.
+type StatusError struct {
+	Status int
+	Body   string
+	// Detail is set when the body is one of corkpulley's error bodies.
+	Detail *api.ErrorDetail
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("answered status %d: %s", e.Status, e.Body)
+}
+
+const maxBodyBytes = 64 << 20
+
+// call sends one JSON request and decodes the JSON answer into into, if not nil.
+func (d *Deployment) call(ctx context.Context, method, address, path string, body, into any) error {
+	var content io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode body")
+		}
+		content = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, content)
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := d.http.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "%s %s", method, path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return errors.Wrapf(err, "read answer of %s %s", method, path)
+	}
+	return decodeAnswer(response.StatusCode, answer, into)
+}
+
+func decodeAnswer(status int, answer []byte, into any) error {
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		failure := &StatusError{Status: status, Body: string(answer)}
+		var document api.ErrorBody
+		if json.Unmarshal(answer, &document) == nil && document.Error.Code != "" {
+			failure.Detail = &document.Error
+		}
+		return failure
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 20 * time.Millisecond
+
+// permanent marks an error that ends a wait.
+func permanent(err error) error { return backoff.Permanent(err) }
+
+// WaitFor polls a condition until it returns nil or ctx ends; the error then
+// names what was waited for and the condition's last error.
+func WaitFor(ctx context.Context, what string, condition func() error) error {
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		var stop *backoff.PermanentError
+		if errors.As(err, &stop) {
+			return errors.Wrapf(err, "wait for %s", what)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "wait for %s ended (%v); last", what, ctx.Err())
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/topology/node.go
@@ -0,0 +1,127 @@
+package topology
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
+	"github.com/corkpulley/corkpulley/internal/bench/process"
+)
+
+// Node is one daemon of a deployment.
+type Node struct {
+	machine
+	// Callers, Peers and Operators are the addresses that the daemon listens on.
+	Callers   string
+	Peers     string
+	Operators string
+	// Advertised is the peer address told to other nodes: the proxy's, if any.
+	Advertised string
+	// PeerLink carries all peer traffic into this node; LogLink carries this
+	// node's traffic to the log. Both are nil without Config.Faults.
+	PeerLink *faultproxy.Link
+	LogLink  *faultproxy.Link
+}
+
+func (d *Deployment) newNode(config NodeConfig) (*Node, error) {
+	node := &Node{machine: machine{ID: config.ID, Zone: config.Zone, deployment: d}}
+	for _, address := range []*string{&node.Callers, &node.Peers, &node.Operators} {
+		free, err := process.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	node.Advertised = node.Peers
+	if !d.config.Faults {
+		return node, nil
+	}
+	return node, node.addLinks()
+}
+
+func (n *Node) addLinks() error {
+	var err error
+	n.PeerLink, err = n.deployment.addLink("peer-"+n.ID, n.Peers, n.deployment.config.PeerLatency)
+	if err != nil {
+		return err
+	}
+	n.Advertised = n.PeerLink.Address()
+	n.LogLink, err = n.deployment.addLink("log-"+n.ID, n.deployment.Platform.Log, 0)
+	return err
+}
+
+// Start starts the daemon, also again after it ended, and waits until it listens.
+func (n *Node) Start(ctx context.Context) error {
+	return n.launch(ctx, n.deployment.config.Binaries.Daemon, n.arguments(), isDaemonListeningLine)
+}
+
+func (n *Node) arguments() []string {
+	config := n.deployment.config
+	platform := n.deployment.Platform
+	logAddress := platform.Log
+	if n.LogLink != nil {
+		logAddress = n.LogLink.Address()
+	}
+	arguments := []string{
+		"--node-id", n.ID,
+		"--zone", n.Zone,
+		"--region", config.Region,
+		"--listen-callers", n.Callers,
+		"--listen-peers", n.Peers,
+		"--listen-operators", n.Operators,
+		"--advertise-peers", n.Advertised,
+		"--platform-log", "http://" + logAddress,
+		"--platform-weight-store", "http://" + platform.WeightStore,
+		"--platform-machines", "http://" + platform.Machines,
+		"--platform-scorer", "http://" + platform.Scorer,
+	}
+	for _, seed := range n.deployment.seeds() {
+		arguments = append(arguments, "--seed", seed)
+	}
+	if config.Policy != "" {
+		arguments = append(arguments, "--policy", config.Policy)
+	}
+	return append(arguments, config.NodeArguments...)
+}
+
+func (d *Deployment) seeds() []string {
+	var seeds []string
+	for _, node := range d.Nodes() {
+		seeds = append(seeds, node.Advertised)
+	}
+	return seeds
+}
+
+// WaitReady waits until the node's readiness check passes.
+func (n *Node) WaitReady(ctx context.Context) error {
+	return WaitFor(ctx, "node "+n.ID+" to be ready", func() error {
+		if !n.Running() {
+			return permanent(errors.Errorf("node %s ended with code %d", n.ID, n.Process().ExitCode()))
+		}
+		return n.deployment.call(ctx, http.MethodGet, n.Operators, "/readyz", nil, nil)
+	})
+}
+
+// Status returns the node's answer to GET /v1/status.
+func (n *Node) Status(ctx context.Context) (api.Status, error) {
+	var status api.Status
+	err := n.deployment.call(ctx, http.MethodGet, n.Operators, "/v1/status", nil, &status)
+	return status, err
+}
+
+// Table returns the table in force at the node.
+func (n *Node) Table(ctx context.Context) (api.TableDocument, error) {
+	var document api.TableDocument
+	err := n.deployment.call(ctx, http.MethodGet, n.Operators, "/v1/table", nil, &document)
+	return document, err
+}
+
+// ProposeTable sends a proposal to this node, once.
+func (n *Node) ProposeTable(ctx context.Context, proposal api.TableProposal) (api.TableAccepted, error) {
+	var accepted api.TableAccepted
+	err := n.deployment.call(ctx, http.MethodPost, n.Operators, "/v1/table", proposal, &accepted)
+	return accepted, err
+}
--- /dev/null
+++ b/internal/bench/topology/platform.go
@@ -0,0 +1,86 @@
+package topology
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
+	"github.com/corkpulley/corkpulley/internal/bench/process"
+	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
+)
+
+// Kinds of stand-ins, as "corkbench standin" names them.
+const (
+	KindLog         = "log"
+	KindWeightStore = "weightstore"
+	KindMachines    = "machines"
+	KindScorer      = "scorer"
+	KindEngine      = "engine"
+)
+
+// Platform holds the real addresses ("ip:port") of the platform's stand-ins.
+type Platform struct {
+	Log         string
+	WeightStore string
+	Machines    string
+	Scorer      string
+}
+
+func (d *Deployment) startPlatform(ctx context.Context) error {
+	parts := []struct {
+		kind    string
+		address *string
+	}{
+		{KindLog, &d.Platform.Log},
+		{KindWeightStore, &d.Platform.WeightStore},
+		{KindMachines, &d.Platform.Machines},
+		{KindScorer, &d.Platform.Scorer},
+	}
+	for _, part := range parts {
+		address, err := process.FreeAddress()
+		if err != nil {
+			return err
+		}
+		*part.address = address
+		standin := &machine{ID: part.kind, deployment: d}
+		arguments := append([]string{"standin", part.kind, "--listen", address}, d.config.PlatformArguments[part.kind]...)
+		if err := standin.launch(ctx, d.config.Binaries.Bench, arguments, isListeningLine); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) publishModels(ctx context.Context) error {
+	for _, model := range d.config.Models {
+		if err := d.Publish(ctx, model); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Publish publishes a model's version in the weight store.
+func (d *Deployment) Publish(ctx context.Context, model ModelConfig) error {
+	store := weightstore.NewHTTP("http://"+d.Platform.WeightStore, d.http)
+	request := weightstore.PublishRequest{Version: model.Version, SizeBytes: model.SizeBytes}
+	if err := store.Publish(ctx, model.Name, request); err != nil {
+		return errors.Wrapf(err, "publish %s", model.Name)
+	}
+	return nil
+}
+
+// addLink adds a proxied link to an upstream address.
+func (d *Deployment) addLink(name, upstream string, latency time.Duration) (*faultproxy.Link, error) {
+	listen, err := process.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	link, err := d.network.AddLink(name, listen, upstream)
+	if err != nil {
+		return nil, err
+	}
+	return link, link.SetLatency(latency)
+}
--- /dev/null
+++ b/internal/bench/topology/topology_test.go
@@ -0,0 +1,134 @@
+package topology
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/machines"
+	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
+	enginestandin "github.com/corkpulley/corkpulley/internal/standin/engine"
+	"github.com/corkpulley/corkpulley/internal/standin/logservice"
+)
+
+const patience = time.Minute
+
+func limit(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func startStandins(t *testing.T) *Deployment {
+	t.Helper()
+	directory := t.TempDir()
+	bench := filepath.Join(directory, "corkbench")
+	assert.NilError(t, build(limit(t), bench, benchPackage))
+	deployment, err := Start(limit(t), Config{
+		Binaries:  Binaries{Bench: bench},
+		Directory: directory,
+		Models:    []ModelConfig{{Name: "clerk", Version: 1, SizeBytes: 1 << 10}},
+		Engines: []EngineConfig{
+			{ID: "e1", Zone: "a", Pool: "p", Models: []string{"clerk@1"}, MaxBatch: 4, TokenInterval: time.Millisecond},
+			{ID: "e2", Zone: "b", Pool: "p", Models: []string{"clerk@1"}, LoadTime: time.Millisecond},
+		},
+		Faults: true,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(deployment.Close)
+	return deployment
+}
+
+func generate(t *testing.T, address, id string) error {
+	t.Helper()
+	client := engine.NewHTTP(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	request := engine.GenerateRequest{RequestID: id, Attempt: 1, Model: "clerk", Prompt: "x [tokens=3]", MaxTokens: 8}
+	stream, err := client.Generate(limit(t), address, request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		if _, err := stream.Receive(); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+func TestStandinsAsProcesses(t *testing.T) {
+	deployment := startStandins(t)
+	list := machines.NewHTTP("http://"+deployment.Platform.Machines, deployment.http)
+	first := deployment.Engine("e1")
+	assert.NilError(t, WaitFor(limit(t), "engines to register", func() error {
+		listed, err := list.List(limit(t))
+		if err == nil && len(listed.Machines) != 2 {
+			err = errors.Errorf("%d machines", len(listed.Machines))
+		}
+		return err
+	}))
+	listed, err := list.List(limit(t))
+	assert.NilError(t, err)
+	assert.Equal(t, listed.Machines[0], first.Machine(machines.StateLive))
+	assert.Equal(t, listed.Machines[0].Address, first.Link.Address())
+
+	store := weightstore.NewHTTP("http://"+deployment.Platform.WeightStore, deployment.http)
+	information, err := store.Info(limit(t), "clerk")
+	assert.NilError(t, err)
+	assert.Equal(t, information.Latest, uint64(1))
+
+	assert.NilError(t, generate(t, first.Link.Address(), "r1"))
+	histories, err := deployment.Histories(limit(t))
+	assert.NilError(t, err)
+	assert.Equal(t, histories[0].Requests[0].RequestID, "r1")
+
+	first.Link.Cut()
+	assert.Assert(t, generate(t, first.Link.Address(), "r2") != nil)
+	assert.NilError(t, first.Link.Restore())
+	first.Kill()
+	assert.Assert(t, !first.Running())
+	assert.NilError(t, first.Start(limit(t)))
+	assert.NilError(t, generate(t, first.Link.Address(), "r3"))
+}
+
+func TestControlsAndPlannedStop(t *testing.T) {
+	deployment := startStandins(t)
+	assert.NilError(t, deployment.ControlLog(limit(t), logservice.Control{Down: true}))
+	assert.Assert(t, deployment.call(limit(t), http.MethodGet, deployment.Platform.Log, "/v1/read?stream=s", nil, nil) != nil)
+	second := deployment.Engine("e2")
+	drain := true
+	assert.NilError(t, second.Control(limit(t), enginestandin.Control{Drain: &drain}))
+	status, err := second.Status(limit(t))
+	assert.NilError(t, err)
+	assert.Equal(t, status.State, engine.StateDraining)
+	code, err := second.Terminate(limit(t))
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0, "%q", second.Process().Logs())
+	first := deployment.Engine("e1").Process()
+	deployment.Close()
+	<-first.Exited()
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	for want, config := range map[string]Config{
+		"corkbench binary": {Directory: "d"},
+		"directory":        {Binaries: Binaries{Bench: "b"}},
+		"daemon binary":    {Binaries: Binaries{Bench: "b"}, Directory: "d", Nodes: []NodeConfig{{ID: "n", Zone: "z"}}},
+		"no nodes":         {Binaries: Binaries{Bench: "b"}, Directory: "d", Table: "x"},
+		"described twice":  {Binaries: Binaries{Bench: "b"}, Directory: "d", Engines: []EngineConfig{{ID: "e", Zone: "z"}, {ID: "e", Zone: "z"}}},
+		"must be named":    {Binaries: Binaries{Bench: "b"}, Directory: "d", Engines: []EngineConfig{{ID: "e"}}},
+	} {
+		_, err := Start(t.Context(), config)
+		assert.ErrorContains(t, err, want)
+	}
+}
--- /dev/null
+++ b/internal/core/errkind/errkind_test.go
@@ -0,0 +1,42 @@
+package errkind
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+)
+
+func TestEveryKindHasAnAnswerOfItsOwn(t *testing.T) {
+	codes := map[string]Kind{}
+	for _, kind := range All() {
+		answer := kind.Answer()
+		assert.Assert(t, answer.Code != "", "kind %d has no code", kind)
+		assert.Assert(t, answer.Status >= 400, "%s: status %d", answer.Code, answer.Status)
+		other, taken := codes[answer.Code]
+		assert.Assert(t, !taken, "kinds %d and %d share code %s", kind, other, answer.Code)
+		codes[answer.Code] = kind
+		assert.Assert(t, answer.Execution == NotExecuted || answer.Execution == Executed || answer.Execution == Unknown)
+	}
+}
+
+func TestFromFindsTheKindInAChain(t *testing.T) {
+	cause := New(QueueFull, "cell %s is full", "a/b/0")
+	wrapped := errors.Wrap(cause, "submit")
+	assert.Equal(t, KindOf(wrapped), QueueFull)
+	assert.Assert(t, Is(wrapped, QueueFull))
+	assert.Equal(t, KindOf(errors.New("plain")), Internal)
+	assert.Assert(t, From(nil) == nil)
+}
+
+func TestDelayPrefersTheErrorsOwn(t *testing.T) {
+	err := New(QueueFull, "full")
+	assert.Equal(t, err.Delay(), time.Second)
+	err.RetryAfter = 3 * time.Second
+	assert.Equal(t, err.Delay(), 3*time.Second)
+}
+
+func TestNumberOutsideTheListIsInternal(t *testing.T) {
+	assert.Equal(t, Kind(200).Answer(), Internal.Answer())
+}
--- /dev/null
+++ b/internal/node/clients.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/logservice"
+	"github.com/corkpulley/corkpulley/internal/platform/machines"
+	"github.com/corkpulley/corkpulley/internal/platform/scorer"
+	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
+	"github.com/corkpulley/corkpulley/internal/settings"
+)
+
+const (
+	// platformIdleConnections is kept for each platform service.
+	platformIdleConnections = 32
+	platformIdleTimeout     = time.Minute
+)
+
+// platformClients are the adapters to the platform's services.
+type platformClients struct {
+	log      logservice.Service
+	weights  weightstore.Store
+	machines machines.Source
+	scorer   scorer.Scorer
+	engines  engine.Client
+}
+
+func newPlatformClients(platform settings.Platform) platformClients {
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: platformIdleConnections,
+		IdleConnTimeout:     platformIdleTimeout,
+	}}
+	return platformClients{
+		log:      logservice.NewHTTP(platform.Log, client),
+		weights:  weightstore.NewHTTP(platform.WeightStore, client),
+		machines: machines.NewHTTP(platform.Machines, client),
+		scorer:   scorer.NewHTTP(platform.Scorer, client),
+		engines:  engine.NewHTTP(&http.Client{Transport: engine.NewTransport()}),
+	}
+}
+
+func newMetricsRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
--- /dev/null
+++ b/internal/node/http.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/coordinator"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/dispatcher"
+	"github.com/corkpulley/corkpulley/internal/message"
+	"github.com/corkpulley/corkpulley/internal/operatorapi"
+	"github.com/corkpulley/corkpulley/internal/peer"
+	"github.com/corkpulley/corkpulley/internal/trainerapi"
+)
+
+const (
+	metricsPath = "/metrics"
+	// memberStatusTimeout bounds the wait for one member's part of a status list.
+	memberStatusTimeout = 2 * time.Second
+)
+
+// buildServers makes the listeners for callers (with trainers) and operators.
+func (n *node) buildServers() error {
+	callers := newRouter()
+	n.roles.gateway.Register(callers)
+	trainerapi.New(n.roles.trainers, n.roles.tables).Register(callers)
+
+	admin := newRouter()
+	operatorapi.New(operatorapi.Options{
+		Tables:         n.roles.tables,
+		View:           n.roles.cluster,
+		Ready:          n.ready,
+		LastLogContact: n.roles.tables.LogContact,
+		Engines:        n.engines,
+		Steps:          n.steps,
+		Drain:          n.drain,
+		Logger:         n.logger,
+	}).Register(admin)
+	admin.Handle(metricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+
+	var err error
+	if n.callers, err = listen(n.config.Listen.Callers, callers); err != nil {
+		return err
+	}
+	n.admin, err = listen(n.config.Listen.Operators, admin)
+	return err
+}
+
+// ready returns nil, or why this node takes no new work.
+func (n *node) ready() error {
+	select {
+	case <-n.stopRequested:
+		return errkind.New(errkind.ShuttingDown, "this node is stopping")
+	default:
+		return n.roles.tables.Current()
+	}
+}
+
+// engines lists the engines of this node's cells, or of all reachable nodes.
+func (n *node) engines(ctx context.Context, all bool) ([]api.EngineStatus, error) {
+	if !all {
+		return n.roles.dispatcher.EngineStatuses(), nil
+	}
+	reports := askMembers[dispatcher.StatusReport](ctx, n, peer.MethodCellStatus)
+	var engines []api.EngineStatus
+	for _, report := range reports {
+		engines = append(engines, report.Engines...)
+	}
+	return engines, nil
+}
+
+// steps lists the steps of the ledgers of all reachable nodes.
+func (n *node) steps(ctx context.Context) ([]api.StepStatus, error) {
+	var steps []api.StepStatus
+	for _, list := range askMembers[coordinator.StatusList](ctx, n, peer.MethodStepStatus) {
+		steps = append(steps, list.Steps...)
+	}
+	return steps, nil
+}
+
+// askMembers calls a status method at every member and returns the answers of
+// those that gave one, in the order of the members.
+func askMembers[Response any](ctx context.Context, n *node, method peer.Method) []Response {
+	ctx, cancel := context.WithTimeout(ctx, memberStatusTimeout)
+	defer cancel()
+	members := n.roles.cluster.Members()
+	answers := make([]*Response, len(members))
+	var group errgroup.Group
+	for i, member := range members {
+		if member.State == cluster.StateDead {
+			continue
+		}
+		group.Go(func() error {
+			response := new(Response)
+			if n.roles.transport.Call(ctx, member.Address, method, message.Empty{}, response) == nil {
+				answers[i] = response
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // no member's failure fails the list
+	var given []Response
+	for _, answer := range answers {
+		if answer != nil {
+			given = append(given, *answer)
+		}
+	}
+	return given
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Problem is one mistake in the settings.
+type Problem struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Expected string `json:"expected"`
+}
+
+// String is the one-line form for people.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s = %q: expected %s", p.Key, p.Value, p.Expected)
+}
+
+// Ranges of the numeric settings.
+const (
+	MinProbeInterval = 50 * time.Millisecond
+	MaxProbeInterval = 10 * time.Second
+	MinGrace         = time.Second
+	MaxGrace         = time.Hour
+	MinLoads         = 1
+	MaxLoads         = 10_000
+)
+
+// Policies and Levels list the allowed words.
+var (
+	Policies = []string{"default", "round-robin", "least-load"}
+	Levels   = []string{"debug", "info", "warn", "error"}
+)
+
+var (
+	nodeIDPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+)
+
+type checker struct {
+	problems []Problem
+}
+
+// Check returns every mistake in the settings; none when they are usable.
+func Check(settings Settings) []Problem {
+	var c checker
+	c.pattern("node.id", settings.Node.ID, nodeIDPattern, "1..63 of a-z, 0-9, '-' and '.'")
+	c.pattern("node.zone", settings.Node.Zone, namePattern, "1..63 of a-z, 0-9 and '-'")
+	c.pattern("node.region", settings.Node.Region, namePattern, "1..63 of a-z, 0-9 and '-'")
+	c.address("listen.callers", settings.Listen.Callers)
+	c.address("listen.peers", settings.Listen.Peers)
+	c.address("listen.operators", settings.Listen.Operators)
+	if settings.Advertise.Peers != "" {
+		c.address("advertise.peers", settings.Advertise.Peers)
+	}
+	for i, seed := range settings.Cluster.Seeds {
+		c.address(fmt.Sprintf("cluster.seeds[%d]", i), seed)
+	}
+	c.duration("cluster.probe_interval", settings.Cluster.ProbeInterval, MinProbeInterval, MaxProbeInterval)
+	c.url("platform.log", settings.Platform.Log)
+	c.url("platform.weight_store", settings.Platform.WeightStore)
+	c.url("platform.machines", settings.Platform.Machines)
+	c.url("platform.scorer", settings.Platform.Scorer)
+	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
+	c.loads(settings.Weights.MaxConcurrentLoads)
+	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
+	c.oneOf("log.level", settings.Log.Level, Levels)
+	return c.problems
+}
+
+func (c *checker) add(key, value, expected string) {
+	c.problems = append(c.problems, Problem{Key: key, Value: value, Expected: expected})
+}
+
+func (c *checker) pattern(key, value string, pattern *regexp.Regexp, expected string) {
+	if !pattern.MatchString(value) {
+		c.add(key, value, expected)
+	}
+}
+
+func (c *checker) address(key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(key, value, "ip:port, port 0..65535")
+	}
+}
+
+func (c *checker) url(key, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		c.add(key, value, "a URL http://ip:port or https://ip:port")
+	}
+}
+
+func (c *checker) duration(key string, value Duration, low, high time.Duration) {
+	if time.Duration(value) < low || time.Duration(value) > high {
+		c.add(key, time.Duration(value).String(), fmt.Sprintf("%s..%s", low, high))
+	}
+}
+
+func (c *checker) oneOf(key, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		c.add(key, value, "one of "+strings.Join(allowed, ", "))
+	}
+}
+
+func (c *checker) loads(value int) {
+	if value < MinLoads || value > MaxLoads {
+		c.add("weights.max_concurrent_loads", fmt.Sprint(value), fmt.Sprintf("%d..%d", MinLoads, MaxLoads))
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,120 @@
+// Package settings defines the daemon's settings, which come from a TOML file
+// and from flags (flags win), and checks them all before anything starts.
+package settings
+
+import (
+	"time"
+)
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	Node       Node       `toml:"node"`
+	Listen     Listen     `toml:"listen"`
+	Advertise  Advertise  `toml:"advertise"`
+	Cluster    Cluster    `toml:"cluster"`
+	Platform   Platform   `toml:"platform"`
+	Scheduling Scheduling `toml:"scheduling"`
+	Weights    Weights    `toml:"weights"`
+	Shutdown   Shutdown   `toml:"shutdown"`
+	Log        Log        `toml:"log"`
+}
+
+// Node says who and where this daemon is.
+type Node struct {
+	// ID is unique over all nodes: 1..63 of a-z, 0-9, '-' and '.'.
+	ID string `toml:"id"`
+	// Zone and Region are names of 1..63 of a-z, 0-9 and '-'.
+	Zone   string `toml:"zone"`
+	Region string `toml:"region"`
+}
+
+// Listen holds the addresses ("ip:port"; port 0 picks a free one) of the three listeners.
+type Listen struct {
+	Callers   string `toml:"callers"`
+	Peers     string `toml:"peers"`
+	Operators string `toml:"operators"`
+}
+
+// Advertise holds the addresses that others are told, where they differ from
+// the listening ones.
+type Advertise struct {
+	Peers string `toml:"peers"`
+}
+
+// Cluster says how other nodes are found.
+type Cluster struct {
+	// Seeds are peer addresses of some other nodes, tried at start.
+	Seeds []string `toml:"seeds"`
+	// ProbeInterval is the time between two failure-detection probes, 50 ms..10 s.
+	ProbeInterval Duration `toml:"probe_interval"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Log         string `toml:"log"`
+	WeightStore string `toml:"weight_store"`
+	Machines    string `toml:"machines"`
+	Scorer      string `toml:"scorer"`
+}
+
+// Scheduling chooses how cells and engines are chosen.
+type Scheduling struct {
+	// Policy is "default", or a baseline for experiments: "round-robin" or "least-load".
+	Policy string `toml:"policy"`
+}
+
+// Weights bounds weight changes.
+type Weights struct {
+	// MaxConcurrentLoads bounds how many engines load one model at once, 1..10000.
+	MaxConcurrentLoads int `toml:"max_concurrent_loads"`
+}
+
+// Shutdown bounds a planned stop.
+type Shutdown struct {
+	// Grace is how long requests in hand may take to finish, 1 s..1 h.
+	Grace Duration `toml:"grace"`
+}
+
+// Log chooses what is logged.
+type Log struct {
+	// Level is one of debug, info, warn, error.
+	Level string `toml:"level"`
+}
+
+// Duration is a time.Duration written as "500ms" or "10s".
+type Duration time.Duration
+
+// UnmarshalText parses the TOML form.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// Default settings, where the file and the flags say nothing.
+const (
+	DefaultProbeInterval      = 500 * time.Millisecond
+	DefaultGrace              = 10 * time.Minute
+	DefaultMaxConcurrentLoads = 64
+	DefaultPolicy             = "default"
+	DefaultLevel              = "info"
+	DefaultCallersAddress     = "127.0.0.1:8080"
+	DefaultPeersAddress       = "127.0.0.1:7070"
+	DefaultOperatorsAddress   = "127.0.0.1:9090"
+)
+
+// Default returns settings with every default filled in.
+func Default() Settings {
+	return Settings{
+		Listen: Listen{
+			Callers:   DefaultCallersAddress,
+			Peers:     DefaultPeersAddress,
+			Operators: DefaultOperatorsAddress,
+		},
+		Cluster:    Cluster{ProbeInterval: Duration(DefaultProbeInterval)},
+		Scheduling: Scheduling{Policy: DefaultPolicy},
+		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
+		Shutdown:   Shutdown{Grace: Duration(DefaultGrace)},
+		Log:        Log{Level: DefaultLevel},
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const completeFile = `
+[node]
+id = "n1"
+zone = "tumwater"
+region = "pnw"
+[cluster]
+seeds = ["127.0.0.1:7001"]
+probe_interval = "250ms"
+[platform]
+log = "http://127.0.0.1:1"
+weight_store = "http://127.0.0.1:2"
+machines = "http://127.0.0.1:3"
+scorer = "http://127.0.0.1:4"
+`
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestFlagsWinOverFile(t *testing.T) {
+	zone := "hillsboro"
+	loaded, problems := Load(Flags{File: writeFile(t, completeFile), Zone: &zone})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Node.Zone, "hillsboro")
+	assert.Equal(t, time.Duration(loaded.Cluster.ProbeInterval), 250*time.Millisecond)
+	assert.Equal(t, loaded.Scheduling.Policy, DefaultPolicy)
+}
+
+func TestEveryMistakeIsReportedAtOnce(t *testing.T) {
+	file := writeFile(t, completeFile+"[shutdown]\ngrace = \"1ms\"\n[nodes]\nid = \"x\"\n")
+	level := "loud"
+	address := "localhost:80"
+	_, problems := Load(Flags{File: file, Level: &level, Callers: &address})
+	keys := map[string]bool{}
+	for _, problem := range problems {
+		keys[problem.Key] = true
+		assert.Assert(t, problem.Expected != "", problem.Key)
+	}
+	for _, key := range []string{"nodes", "nodes.id", "listen.callers", "shutdown.grace", "log.level"} {
+		assert.Assert(t, keys[key], "no problem for %s in %v", key, problems)
+	}
+	assert.Equal(t, len(problems), 5, "%v", problems)
+}
+
+func TestUnreadableAndMalformedFiles(t *testing.T) {
+	_, problems := Load(Flags{File: filepath.Join(t.TempDir(), "absent.toml")})
+	assert.Equal(t, problems[0].Key, "--settings")
+	_, problems = Load(Flags{File: writeFile(t, "[node\n")})
+	assert.Equal(t, problems[0].Key, "--settings")
+}
--- /dev/null
+++ b/test/history/linearizable.go
@@ -0,0 +1,221 @@
+package history
+
+import (
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// checkTimeout bounds one linearizability check; a check that takes longer
+// proves nothing and counts as failed.
+const checkTimeout = time.Minute
+
+// Outcome of an operation as its client knows it.
+type Outcome uint8
+
+// Outcomes of operations.
+const (
+	// Accepted: the operation took effect.
+	Accepted Outcome = iota
+	// Refused: the operation did not take effect.
+	Refused
+	// Unknown: the client never learnt; it may have taken effect.
+	Unknown
+)
+
+// Linearizable reports whether the operations have an order that respects
+// real time and the model. An operation with an unknown outcome may take effect
+// at any time later: give it UnknownReturn.
+func Linearizable(model porcupine.Model, operations []porcupine.Operation) bool {
+	return porcupine.CheckOperationsTimeout(model, operations, checkTimeout) == porcupine.Ok
+}
+
+// UnknownReturn is the return time of an operation whose outcome is unknown.
+const UnknownReturn = int64(1) << 62
+
+// TableOperation is one proposal of a table edit.
+type TableOperation struct {
+	Base int64
+}
+
+// TableResult is its outcome; Revision is set when it was accepted.
+type TableResult struct {
+	Outcome  Outcome
+	Revision int64
+}
+
+// tableState is the revision in force, or, after a proposal with an unknown
+// outcome took effect, that it is some revision above the last known one.
+type tableState struct {
+	revision int64
+	above    bool
+}
+
+func (s tableState) mayBe(revision int64) bool {
+	if s.above {
+		return revision > s.revision
+	}
+	return revision == s.revision
+}
+
+func (s tableState) mustBe(revision int64) bool { return !s.above && revision == s.revision }
+
+// TableModel: a proposal is accepted exactly when it was edited from the
+// revision in force, and then raises it.
+func TableModel(initial int64) porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{tableState{revision: initial}} },
+		Step: func(state, input, output any) []any {
+			return stepTable(state.(tableState), input.(TableOperation), output.(TableResult))
+		},
+	}
+	return model.ToModel()
+}
+
+func stepTable(state tableState, operation TableOperation, result TableResult) []any {
+	switch result.Outcome {
+	case Accepted:
+		if !state.mayBe(operation.Base) || result.Revision <= operation.Base {
+			return nil
+		}
+		return []any{tableState{revision: result.Revision}}
+	case Refused:
+		if state.mustBe(operation.Base) {
+			return nil
+		}
+		return []any{state}
+	default:
+		if !state.mayBe(operation.Base) {
+			return []any{state}
+		}
+		return []any{state, tableState{revision: operation.Base, above: true}}
+	}
+}
+
+// OwnershipOperation is a claim of a stream (Epoch is then the epoch won) or an
+// append of a record under an epoch.
+type OwnershipOperation struct {
+	Claim bool
+	Epoch int64
+}
+
+// OwnershipModel: epochs only rise, and a record takes effect only under the
+// epoch in force. The output of an operation is its Outcome.
+func OwnershipModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{int64(0)} },
+		Step: func(state, input, output any) []any {
+			return stepOwnership(state.(int64), input.(OwnershipOperation), output.(Outcome))
+		},
+	}
+	return model.ToModel()
+}
+
+func stepOwnership(epoch int64, operation OwnershipOperation, outcome Outcome) []any {
+	after := epoch
+	allowed := operation.Epoch == epoch
+	if operation.Claim {
+		after = operation.Epoch
+		allowed = operation.Epoch > epoch
+	}
+	switch {
+	case outcome == Accepted && !allowed:
+		return nil
+	case outcome == Accepted:
+		return []any{after}
+	case outcome == Unknown && allowed:
+		return []any{epoch, after}
+	default:
+		return []any{epoch}
+	}
+}
+
+// KeyedOperation is one call with an idempotency key.
+type KeyedOperation struct {
+	Key string
+}
+
+// KeyedResult is its outcome; Answer is set when it was answered.
+type KeyedResult struct {
+	Outcome Outcome
+	Answer  string
+}
+
+// keyedState tells whether the key's request ran, and with which answer if a
+// caller has learnt it.
+type keyedState struct {
+	ran    bool
+	known  bool
+	answer string
+}
+
+// KeyedModel: a key's request runs once, and every caller that is answered gets
+// that one answer.
+func KeyedModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Partition: partitionByKey,
+		Init:      func() []any { return []any{keyedState{}} },
+		Step: func(state, _, output any) []any {
+			return stepKeyed(state.(keyedState), output.(KeyedResult))
+		},
+	}
+	return model.ToModel()
+}
+
+func stepKeyed(state keyedState, result KeyedResult) []any {
+	switch result.Outcome {
+	case Accepted:
+		if state.known && state.answer != result.Answer {
+			return nil
+		}
+		return []any{keyedState{ran: true, known: true, answer: result.Answer}}
+	case Refused:
+		return []any{state}
+	default:
+		if state.ran {
+			return []any{state}
+		}
+		return []any{state, keyedState{ran: true}}
+	}
+}
+
+func partitionByKey(operations []porcupine.Operation) [][]porcupine.Operation {
+	byKey := map[string][]porcupine.Operation{}
+	for _, operation := range operations {
+		key := operation.Input.(KeyedOperation).Key
+		byKey[key] = append(byKey[key], operation)
+	}
+	parts := make([][]porcupine.Operation, 0, len(byKey))
+	for _, part := range byKey {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// KeyedOperations turns the callers' history into operations on keys. A call
+// that was answered with a result is Accepted, one refused as not run Refused.
+func KeyedOperations(outcomes Outcomes) []porcupine.Operation {
+	var operations []porcupine.Operation
+	for i := range outcomes {
+		outcome := &outcomes[i]
+		if outcome.Call.IdempotencyKey == "" {
+			continue
+		}
+		operation := porcupine.Operation{
+			ClientId: i,
+			Input:    KeyedOperation{outcome.Call.IdempotencyKey},
+			Call:     outcome.Started,
+			Return:   outcome.Ended,
+			Output:   KeyedResult{Outcome: Refused},
+		}
+		switch {
+		case outcome.OK():
+			operation.Output = KeyedResult{Accepted, outcome.Text}
+		case !outcome.Refused() && !outcome.NotConnected:
+			operation.Output = KeyedResult{Outcome: Unknown}
+			operation.Return = UnknownReturn
+		}
+		operations = append(operations, operation)
+	}
+	return operations
+}
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,35 @@
+// Package integration proves the promises with real processes: daemons and
+// stand-ins, built once, behind a fault-injecting proxy; histories are recorded
+// at callers, trainers and engines and checked afterwards.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/corkpulley/corkpulley/internal/bench/topology"
+)
+
+// binaries are built once for all tests.
+var binaries topology.Binaries
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "corkpulley-integration-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binaries, err = topology.Build(context.Background(), directory)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/test/integration/operators_test.go
@@ -0,0 +1,196 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/go-faster/errors"
+	"github.com/rs/xid"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/bench/topology"
+	"github.com/corkpulley/corkpulley/test/history"
+)
+
+// observer asks every node for the table in force, over and over.
+type observer struct {
+	deployment   *topology.Deployment
+	mu           sync.Mutex
+	observations []history.Observation
+	cancel       context.CancelFunc
+	nodes        sync.WaitGroup
+}
+
+// observeInterval is the time between two looks at one node.
+const observeInterval = 15 * time.Millisecond
+
+func startObserver(t *testing.T, deployment *topology.Deployment) *observer {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	watching := &observer{deployment: deployment, cancel: cancel}
+	for _, node := range deployment.Nodes() {
+		watching.nodes.Go(func() { watching.watch(ctx, node) })
+	}
+	t.Cleanup(cancel)
+	return watching
+}
+
+func (o *observer) watch(ctx context.Context, node *topology.Node) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		started := time.Now()
+		document, err := node.Table(ctx)
+		if err == nil {
+			o.add(history.Observation{Node: node.ID, Started: started, Ended: time.Now(), Revision: document.Revision})
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (o *observer) add(observation history.Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.observations = append(o.observations, observation)
+}
+
+func (o *observer) all() []history.Observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]history.Observation(nil), o.observations...)
+}
+
+// waitAfter waits until every node has answered after the time.
+func (o *observer) waitAfter(t *testing.T, after time.Time) {
+	t.Helper()
+	eventually(t, "an answer of every node after the bound", func() error {
+		answered := map[string]bool{}
+		for _, observation := range o.all() {
+			if observation.Started.After(after) {
+				answered[observation.Node] = true
+			}
+		}
+		for _, node := range o.deployment.Nodes() {
+			if !answered[node.ID] {
+				return errors.Errorf("none of %s", node.ID)
+			}
+		}
+		return nil
+	})
+}
+
+func (o *observer) stop() []history.Observation {
+	o.cancel()
+	o.nodes.Wait()
+	return o.all()
+}
+
+// operators race to edit the table and record what they were told.
+type operators struct {
+	t  *testing.T
+	mu sync.Mutex
+	// share numbers the edits, so that no two tables are the same.
+	share      int
+	operations []porcupine.Operation
+	accepted   []acceptedRevision
+}
+
+type acceptedRevision struct {
+	revision int64
+	at       time.Time
+}
+
+func (o *operators) nextTable() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.share++
+	row := fmt.Sprintf("clerk-lookup,live,shared,clerk,latest,9,%d,-,-,yes,*,50", o.share)
+	return table(row, defaultRows[1], defaultRows[2])
+}
+
+// edit proposes one change at a node, from the table in force there, and asks
+// with the same proposal until it has the verdict or ctx ends.
+func (o *operators) edit(ctx context.Context, node *topology.Node) {
+	current, err := node.Table(ctx)
+	if err != nil {
+		return
+	}
+	proposal := api.TableProposal{
+		BaseRevision: current.Revision,
+		CSV:          o.nextTable(),
+		Operator:     node.ID,
+		ProposalID:   xid.New().String(),
+	}
+	operation := porcupine.Operation{
+		Input:  history.TableOperation{Base: proposal.BaseRevision},
+		Call:   time.Now().UnixNano(),
+		Return: history.UnknownReturn,
+		Output: history.TableResult{Outcome: history.Unknown},
+	}
+	for ctx.Err() == nil && !o.verdict(ctx, node, proposal, &operation) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(observeInterval):
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.operations = append(o.operations, operation)
+}
+
+// verdict sends the proposal once and reports whether the answer is final.
+func (o *operators) verdict(ctx context.Context, node *topology.Node, proposal api.TableProposal, operation *porcupine.Operation) bool {
+	accepted, err := node.ProposeTable(ctx, proposal)
+	now := time.Now()
+	if err == nil {
+		operation.Return = now.UnixNano()
+		operation.Output = history.TableResult{Outcome: history.Accepted, Revision: accepted.Revision}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.accepted = append(o.accepted, acceptedRevision{accepted.Revision, now})
+		return true
+	}
+	var failure *topology.StatusError
+	if !errors.As(err, &failure) || failure.Status != http.StatusConflict {
+		return false
+	}
+	operation.Return = now.UnixNano()
+	operation.Output = history.TableResult{Outcome: history.Refused}
+	return true
+}
+
+// race lets both nodes' operators make edits at the same time.
+func (o *operators) race(edits int, nodes ...*topology.Node) {
+	o.t.Helper()
+	var racing sync.WaitGroup
+	ctx := limit(o.t)
+	for _, node := range nodes {
+		racing.Go(func() {
+			for range edits {
+				o.edit(ctx, node)
+			}
+		})
+	}
+	racing.Wait()
+}
+
+// last returns the highest revision accepted so far.
+func (o *operators) last() acceptedRevision {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var highest acceptedRevision
+	for _, accepted := range o.accepted {
+		if accepted.revision > highest.revision {
+			highest = accepted
+		}
+	}
+	return highest
+}
--- /dev/null
+++ b/test/integration/whole_path_test.go
@@ -0,0 +1,104 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/bench/live"
+	"github.com/corkpulley/corkpulley/internal/bench/topology"
+	"github.com/corkpulley/corkpulley/internal/standin/trainer"
+	"github.com/corkpulley/corkpulley/test/history"
+)
+
+// lookups is a load of repeatable live calls over all nodes.
+func lookups(deployment *topology.Deployment, rate float64, tokens int) live.Load {
+	return live.Load{
+		Addresses: deployment.CallerAddresses(), Service: lookupService,
+		Rate: rate, Duration: 10 * time.Minute, Seed: 1, MaxTokens: 1024, Tokens: tokens,
+		Groups: 3, PrefixBytes: 256, StreamShare: 0.6,
+	}
+}
+
+// permits is a load of keyed live calls that must run at most once.
+func permits(deployment *topology.Deployment, rate float64, tokens int) live.Load {
+	return live.Load{
+		Addresses: deployment.CallerAddresses(), Service: permitService,
+		Rate: rate, Duration: 10 * time.Minute, Seed: 2, MaxTokens: 1024, Tokens: tokens,
+		StreamShare: 0.5, Keyed: true,
+	}
+}
+
+// trainerRun is a trainer in the background.
+type trainerRun struct {
+	report trainer.Report
+	ended  chan error
+}
+
+// startTrainer trains steps with new weight versions after each.
+func startTrainer(t *testing.T, deployment *topology.Deployment, steps int) *trainerRun {
+	t.Helper()
+	running := &trainerRun{ended: make(chan error, 1)}
+	config := trainer.Config{
+		Servers: deployment.CallerURLs(), Trainer: trainerName, Steps: steps, Ahead: 1,
+		Prompts: 4, SamplesPerPrompt: 4, MaxTokens: 200, Groups: 2, PrefixBytes: 128, Seed: 5,
+		TrainTime: 50 * time.Millisecond, FetchWait: time.Second,
+		WeightStore: "http://" + deployment.Platform.WeightStore, Model: trainerModel,
+		Bound: trainerBound, CheckTokens: true,
+	}
+	go func() {
+		var err error
+		running.report, err = trainer.New(config).Run(t.Context())
+		running.ended <- err
+	}()
+	return running
+}
+
+// check waits for the trainer's end and checks all that it counted.
+func (r *trainerRun) check(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-r.ended:
+		assert.NilError(t, err)
+	case <-limit(t).Done():
+		t.Fatal("trainer did not end in time")
+	}
+	t.Logf("trainer: %d of %d samples, %d rejected, staleness at most %d",
+		r.report.SamplesAcknowledged, r.report.SamplesWanted, r.report.Rejected, r.report.StalenessMax)
+	assert.Check(t, !r.report.Broken(), "%+v", r.report)
+	assert.Equal(t, r.report.SamplesAcknowledged, r.report.SamplesWanted)
+}
+
+// promptsOf lists the prompts of a history.
+func promptsOf(outcomes history.Outcomes) []string {
+	prompts := make([]string, 0, len(outcomes))
+	for i := range outcomes {
+		prompts = append(prompts, outcomes[i].Call.Prompt)
+	}
+	return prompts
+}
+
+// TestWholePath runs live calls and a trainer through all nodes without a
+// fault: every call is answered whole and every sample acknowledged once.
+func TestWholePath(t *testing.T) {
+	deployment := deploy(t)
+	ran := engineHistory{deployment: deployment}
+	lookupLoad := startLoad(t, lookups(deployment, 20, 40))
+	permitLoad := startLoad(t, permits(deployment, 5, 10))
+	training := startTrainer(t, deployment, 3)
+	lookupLoad.waitOK(t, 40)
+	permitLoad.waitOK(t, 10)
+	training.check(t)
+	lookupOutcomes, permitOutcomes := lookupLoad.stop(t), permitLoad.stop(t)
+	for _, outcomes := range []history.Outcomes{lookupOutcomes, permitOutcomes} {
+		holds(t, history.CheckComplete(outcomes, false))
+		holds(t, history.CheckNotExecuted(outcomes, ran.executions(t)))
+		for i := range outcomes {
+			assert.Check(t, outcomes[i].OK(), "%+v", outcomes[i])
+		}
+	}
+	holds(t, history.CheckAtMostOnce(promptsOf(permitOutcomes), ran.executions(t)))
+	assert.Assert(t, history.Linearizable(history.KeyedModel(), history.KeyedOperations(permitOutcomes)))
+	assert.NilError(t, deployment.StopNodes(limit(t)))
+}
