--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -237,10 +237,11 @@
 
 // Status answers GET /v1/status.
 type Status struct {
-	Node          NodeStatus   `json:"node"`
-	Ready         bool         `json:"ready"`
-	NotReadyCause string       `json:"not_ready_cause,omitempty"`
-	TableRevision int64        `json:"table_revision"`
+	Node          NodeStatus `json:"node"`
+	Ready         bool       `json:"ready"`
+	NotReadyCause string     `json:"not_ready_cause,omitempty"`
+	// TableRevision is left out until the node has caught up with the table.
+	TableRevision int64        `json:"table_revision,omitempty"`
 	LogReachable  bool         `json:"log_reachable"`
 	Members       []NodeStatus `json:"members"`
 	Cells         []CellStatus `json:"cells"`
--- a/internal/cluster/announce.go
+++ b/internal/cluster/announce.go
@@ -33,7 +33,7 @@
 	}
 	c.self.Owned = streams
 	c.bumpSelf(time.Now())
-	c.publish()
+	c.outdated.Store(true)
 	c.pushSoon(true)
 }
 
@@ -114,7 +114,7 @@
 	}
 	c.self.Revision = revision
 	c.bumpSelf(time.Now())
-	c.publish()
+	c.outdated.Store(true)
 }
 
 // AnnounceLogContact implements Announcer.
@@ -138,7 +138,7 @@
 	c.bumpSelf(now)
 	c.node.Leave()
 	c.outbox = append(c.outbox, c.takeReady(now)...)
-	c.publish()
+	c.outdated.Store(true)
 	c.pushSoon(true)
 }
 
--- a/internal/cluster/cells.go
+++ b/internal/cluster/cells.go
@@ -22,6 +22,8 @@
 	mu    sync.RWMutex
 	cells map[message.CellID]*cellEntry
 	order []*cellEntry
+	// byNode holds the cells of which a digest of the node is kept.
+	byNode map[string]map[message.CellID]struct{}
 }
 
 // cellEntry holds the last digest of each dispatcher that spoke for the cell.
@@ -35,7 +37,12 @@
 	at     time.Time
 }
 
-func newCellStore() *cellStore { return &cellStore{cells: make(map[message.CellID]*cellEntry)} }
+func newCellStore() *cellStore {
+	return &cellStore{
+		cells:  make(map[message.CellID]*cellEntry),
+		byNode: make(map[string]map[message.CellID]struct{}),
+	}
+}
 
 func compareCells(a, b message.CellID) int {
 	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Index, b.Index))
@@ -55,6 +62,10 @@
 		entry.candidates = slices.Delete(entry.candidates, at, at+1)
 	}
 	entry.candidates = slices.Insert(entry.candidates, 0, cellCandidate{digest: digest, at: now})
+	if s.byNode[digest.Node] == nil {
+		s.byNode[digest.Node] = make(map[message.CellID]struct{})
+	}
+	s.byNode[digest.Node][digest.Cell] = struct{}{}
 }
 
 func (s *cellStore) entry(id message.CellID) *cellEntry {
@@ -87,7 +98,11 @@
 	defer s.mu.Unlock()
 	s.order = slices.DeleteFunc(s.order, func(entry *cellEntry) bool {
 		entry.candidates = slices.DeleteFunc(entry.candidates, func(c cellCandidate) bool {
-			return !keep(c.digest, c.at)
+			if keep(c.digest, c.at) {
+				return false
+			}
+			s.forget(c.digest)
+			return true
 		})
 		if len(entry.candidates) > 0 {
 			return false
@@ -97,6 +112,14 @@
 	})
 }
 
+// forget takes a dropped digest out of the index.
+func (s *cellStore) forget(dropped message.CellDigest) {
+	delete(s.byNode[dropped.Node], dropped.Cell)
+	if len(s.byNode[dropped.Node]) == 0 {
+		delete(s.byNode, dropped.Node)
+	}
+}
+
 // forgetNode drops all digests of a node.
 func (s *cellStore) forgetNode(node string) {
 	s.retain(func(digest message.CellDigest, _ time.Time) bool { return digest.Node != node })
@@ -111,8 +134,18 @@
 		listed[digest.Cell] = struct{}{}
 		s.put(digest, now)
 	}
+	if !s.hasOthers(update.ID, listed) {
+		return // nearly always: the walk over all cells is spared
+	}
 	s.retain(func(digest message.CellDigest, at time.Time) bool {
 		_, stays := listed[digest.Cell]
 		return stays || digest.Node != update.ID || now.Sub(at) < cellUnlistedAfter
 	})
 }
+
+// hasOthers reports whether the node has digests of cells that are not listed.
+func (s *cellStore) hasOthers(node string, listed map[message.CellID]struct{}) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.byNode[node]) > len(listed)
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -28,6 +28,8 @@
 	tick    time.Duration
 	cells   *cellStore
 	view    atomic.Pointer[view]
+	// outdated is set when something changed that the view is made of.
+	outdated atomic.Bool
 	// wake makes the loop push announcements at once.
 	wake  chan struct{}
 	calls sync.WaitGroup
@@ -40,6 +42,7 @@
 	zones      map[string]*zoneRecords
 	writers    map[string]string              // last known writer of each member of the zone
 	contacts   map[string]map[string]struct{} // addresses by zone
+	farContact map[string]string              // last address that answered, by zone
 	heardSeeds map[string]bool                // seeds that answered
 	logContact time.Time
 	engines    engineState
@@ -50,6 +53,9 @@
 	outbox  []membership.Message
 	forward []record
 	stopped bool
+
+	// superseded is closed once another process has taken this node's ID.
+	superseded chan struct{}
 }
 
 // New returns a cluster and registers its handlers; Run starts it. It panics
@@ -83,7 +89,9 @@
 		zones:      map[string]*zoneRecords{options.Self.Zone: newZoneRecords()},
 		writers:    make(map[string]string),
 		contacts:   make(map[string]map[string]struct{}),
+		farContact: make(map[string]string),
 		heardSeeds: make(map[string]bool),
+		superseded: make(chan struct{}),
 	}
 	c.self = record{
 		ID: options.Self.ID, Writer: options.Self.Writer, Address: options.Self.Address, Zone: options.Self.Zone,
@@ -150,7 +158,7 @@
 		for _, change := range ready.Changes {
 			c.memberChanged(change, now)
 		}
-		c.publish()
+		c.outdated.Store(true)
 	}
 	return ready.Messages
 }
@@ -158,9 +166,7 @@
 // memberChanged drops what a replaced or dead process said.
 func (c *Cluster) memberChanged(change membership.Update, now time.Time) {
 	if change.ID == c.self.ID {
-		if c.node.Superseded() {
-			c.options.Logger.Error().Str("id", change.ID).Msg("another process took this node's ID")
-		}
+		c.noteSuperseded()
 		return
 	}
 	c.options.Logger.Info().Str("id", change.ID).Str("writer", change.Writer).Str("state", change.State.String()).
@@ -177,6 +183,24 @@
 	}
 }
 
+// noteSuperseded closes superseded once; called with the lock held.
+func (c *Cluster) noteSuperseded() {
+	select {
+	case <-c.superseded:
+	default:
+		if c.node.Superseded() {
+			c.options.Logger.Error().Str("id", c.self.ID).Msg("another process took this node's ID")
+			close(c.superseded)
+		}
+	}
+}
+
+// Superseded returns a channel that is closed once another process has taken
+// this node's ID. The others then no longer listen to this process, so it has
+// to stop; its planned stop tells them nothing, as they would take it for news
+// of the other process.
+func (c *Cluster) Superseded() <-chan struct{} { return c.superseded }
+
 // bumpSelf gives the own record a version above all earlier ones, also those
 // of an earlier process when the clock allows.
 func (c *Cluster) bumpSelf(now time.Time) {
--- a/internal/cluster/far.go
+++ b/internal/cluster/far.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -10,52 +11,94 @@
 // counts as unreachable.
 const failuresUnreachable = 2
 
+// failuresLost is how many contacts in a row must fail before the nodes of a
+// zone no longer count as members. It is higher, since work moves away then.
+const failuresLost = 6
+
+// confirmations is how many other nodes of a zone are asked at once when one
+// did not answer.
+const confirmations = 3
+
+// roundsPerContact is for how many rounds over the zones the same node of a
+// zone is asked.
+const roundsPerContact = 16
+
 // minimumHeardPeriods is how long, at least, a zone counts as reachable after
 // one of its nodes spoke, in protocol periods.
 const minimumHeardPeriods = 30
 
-// reachFar pulls from one random node of the zone that was asked longest ago.
+// reachFar pulls from one node of the zone that was asked longest ago, or of
+// one that has just failed to answer. The same node is asked as long as it
+// answers, since each new connection costs more than a pull, but another one
+// now and then. When it fails, some others are asked at once: a zone counts as
+// lost only on the word of several.
 func (c *Cluster) reachFar(ctx context.Context) {
 	c.mu.Lock()
 	zone, addresses := c.nextFarZone()
 	c.schedule.farCount++
-	wantContacts := c.schedule.farCount%wantContactsEvery == 1
-	var vector []byte
+	request := gossipRequest{Pull: true, WantContacts: c.schedule.farCount%wantContactsEvery == 1}
 	if zone != "" {
-		vector = c.zone(zone).vector()
+		request.Vector = c.zone(zone).vector()
 	}
 	c.mu.Unlock()
-	request := gossipRequest{Pull: true, Vector: vector, WantContacts: wantContacts}
-	for _, address := range addresses[:min(len(addresses), failuresUnreachable)] {
-		response, err := c.gossip(ctx, address, outgoing{request: request})
-		if err == nil && (zone == "" || response.From.Zone == zone) {
-			return
-		}
-		if ctx.Err() != nil {
-			return
-		}
+	if len(addresses) == 0 || c.pullFar(ctx, zone, addresses[0], request) {
+		return
+	}
+	var pulls sync.WaitGroup
+	for _, address := range addresses[1:min(len(addresses), 1+confirmations)] {
+		pulls.Go(func() { c.pullFar(ctx, zone, address, request) })
+	}
+	pulls.Wait()
+}
+
+// pullFar pulls from one address; false when no node of the zone answered there.
+func (c *Cluster) pullFar(ctx context.Context, zone, address string, request gossipRequest) bool {
+	response, err := c.gossip(ctx, address, outgoing{request: request})
+	if err == nil && (zone == "" || response.From.Zone == zone) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.farContact[zone] = address
+		return true
+	}
+	if ctx.Err() == nil {
 		c.contactFailed(zone, address)
 	}
+	return false
 }
 
 func (c *Cluster) contactFailed(zone, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.contacts[zone], address)
+	if c.farContact[zone] == address {
+		delete(c.farContact, zone)
+	}
 	if zone != "" {
 		c.zone(zone).failures++
+		c.outdated.Store(true)
 	}
 }
 
-// nextFarZone returns the zone to ask and its addresses in random order.
-// While no other zone is known these are the seeds. Called with the lock held.
+// nextFarZone returns the zone to ask and its addresses: the one that answered
+// last, then the others in random order. While no other zone is known these are
+// the seeds. Called with the lock held.
 func (c *Cluster) nextFarZone() (string, []string) {
 	names := c.farZones()
 	if len(names) == 0 {
 		return "", c.shuffled(slices.DeleteFunc(slices.Clone(c.options.Seeds), c.isNear))
 	}
 	name := names[c.schedule.farCount%len(names)]
-	return name, c.shuffled(c.addressesOf(name))
+	for _, doubted := range names {
+		if zone := c.zones[doubted]; zone != nil && zone.failures > 0 && !c.lostZone(zone) {
+			name = doubted
+		}
+	}
+	addresses := c.shuffled(c.addressesOf(name))
+	round := c.schedule.farCount / len(names)
+	if at := slices.Index(addresses, c.farContact[name]); at > 0 && round%roundsPerContact != 0 {
+		addresses[0], addresses[at] = addresses[at], addresses[0]
+	}
+	return name, addresses
 }
 
 // farZones returns the other zones that have an address to try, sorted.
@@ -156,3 +199,7 @@
 func (c *Cluster) reachableZone(zone *zoneRecords, now time.Time) bool {
 	return zone.failures < failuresUnreachable && now.Sub(zone.heardAt) < c.heardLimit()
 }
+
+// lostZone reports whether nothing of the zone answers any more: it lost its
+// power, or its region is cut off. What is known of it stays, for Reachability.
+func (c *Cluster) lostZone(zone *zoneRecords) bool { return zone.failures >= failuresLost }
--- a/internal/cluster/handle.go
+++ b/internal/cluster/handle.go
@@ -47,7 +47,6 @@
 	if near {
 		c.addZoneAnswer(incoming, &response, &answer, now)
 	}
-	c.publish()
 	return response, answer
 }
 
--- /dev/null
+++ b/internal/cluster/lost_zone_test.go
@@ -0,0 +1,59 @@
+package cluster
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestALostZoneIsNoCandidate lets all nodes of a zone die at once. Nobody in
+// the zone is left to tell that they are gone.
+func TestALostZoneIsNoCandidate(t *testing.T) {
+	near := startZone(t, "near", 2, nil)
+	far := startZone(t, "far", 3, nil, near[0].Self().Address)
+	all := append(append([]*testNode{}, near...), far...)
+	eventually(t, "all have joined", allSee(all, len(all)))
+	far[0].AnnounceOwned([]Ownership{{Stream: "steps/t", Epoch: 7}})
+	eventually(t, "the owner is known", allHold(near, func(node *testNode) bool {
+		_, _, known := node.Owner("steps/t")
+		return known
+	}))
+	for _, node := range far {
+		node.stop()
+	}
+	eventually(t, "the dead take no work and own nothing", allHold(near, func(node *testNode) bool {
+		_, _, known := node.Owner("steps/t")
+		return len(node.Candidates("")) == len(near) && len(node.Members()) == len(near) && !known
+	}))
+	for _, node := range near {
+		reachable, known := node.Reachability()
+		assert.Equal(t, reachable, len(near))
+		assert.Equal(t, known, len(all)) // what can't be heard still counts
+	}
+}
+
+// TestALostZoneComesBack cuts two zones from each other for a while.
+func TestALostZoneComesBack(t *testing.T) {
+	near := startZone(t, "near", 2, nil)
+	far := startZone(t, "far", 2, nil, near[0].Self().Address)
+	all := append(append([]*testNode{}, near...), far...)
+	eventually(t, "all have joined", allSee(all, len(all)))
+	cut := func(from, to []*testNode) {
+		var addresses []string
+		for _, node := range to {
+			addresses = append(addresses, node.Self().Address)
+		}
+		for _, node := range from {
+			node.gate.block(addresses...)
+		}
+	}
+	cut(near, far)
+	cut(far, near)
+	alone := func(nodes []*testNode) func() bool {
+		return allHold(nodes, func(node *testNode) bool { return len(node.Candidates("")) == len(nodes) })
+	}
+	eventually(t, "each side is alone", func() bool { return alone(near)() && alone(far)() })
+	cut(near, nil)
+	cut(far, nil)
+	eventually(t, "all see all", allSee(all, len(all)))
+}
--- a/internal/cluster/probe.go
+++ b/internal/cluster/probe.go
@@ -136,7 +136,7 @@
 	}
 	from := sender{ID: id, Writer: writer, Zone: c.self.Zone, Revision: revision}
 	if c.zones[c.self.Zone].raiseRevision(from) {
-		c.publish()
+		c.outdated.Store(true)
 	}
 }
 
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,6 +88,13 @@
 	return true
 }
 
+// sameMember reports whether both records make the same Member: most news is
+// of loads, which the view of the members does not show.
+func (r record) sameMember(other record) bool {
+	return r.Address == other.Address && r.Leaving == other.Leaving && r.Revision >= other.Revision &&
+		slices.Equal(r.Owned, other.Owned)
+}
+
 // remove drops a record and returns it.
 func (z *zoneRecords) remove(key recordKey, now time.Time) (record, bool) {
 	held, known := z.records[key]
--- a/internal/cluster/snapshot.go
+++ b/internal/cluster/snapshot.go
@@ -28,19 +28,19 @@
 }
 
 // Self implements View.
-func (c *Cluster) Self() Member { return c.view.Load().self }
+func (c *Cluster) Self() Member { return c.current().self }
 
 // Members implements View.
-func (c *Cluster) Members() []Member { return slices.Clone(c.view.Load().members) }
+func (c *Cluster) Members() []Member { return c.current().members }
 
 // Candidates implements View.
 func (c *Cluster) Candidates(zone string) []Member {
-	return slices.Clone(c.view.Load().candidates[zone])
+	return slices.Clip(c.current().candidates[zone])
 }
 
 // Owner implements View.
 func (c *Cluster) Owner(stream string) (Member, int64, bool) {
-	owner, known := c.view.Load().owners[stream]
+	owner, known := c.current().owners[stream]
 	return owner.member, owner.epoch, known
 }
 
@@ -49,7 +49,7 @@
 
 // Reachability implements View.
 func (c *Cluster) Reachability() (reachable, known int) {
-	current := c.view.Load()
+	current := c.current()
 	return current.reachable, current.known
 }
 
@@ -61,8 +61,22 @@
 	return c.logContact
 }
 
-// publish rebuilds the view; called with the lock held after each change.
+// current returns the view, rebuilt if it is outdated. Many changes between two
+// reads so cost one rebuild.
+func (c *Cluster) current() *view {
+	if c.outdated.Load() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.outdated.Load() {
+			c.publish()
+		}
+	}
+	return c.view.Load()
+}
+
+// publish rebuilds the view; called with the lock held.
 func (c *Cluster) publish() {
+	c.outdated.Store(false)
 	now := time.Now()
 	next := &view{candidates: make(map[string][]Member), owners: make(map[string]ownerEntry)}
 	c.addZoneMembers(next)
@@ -121,6 +135,9 @@
 	if c.reachableZone(zone, now) {
 		next.reachable += len(zone.records)
 	}
+	if c.lostZone(zone) {
+		return
+	}
 	for _, held := range zone.records {
 		member := newMember(held)
 		member.State = StateAlive
--- a/internal/cluster/sync.go
+++ b/internal/cluster/sync.go
@@ -83,7 +83,6 @@
 		c.dropGone(response.From.Zone, response.Gone, now)
 	}
 	c.takeRecords(content.Records, now)
-	c.publish()
 }
 
 // hearSender notes that a node spoke; called with the lock held.
@@ -92,13 +91,17 @@
 		return
 	}
 	zone := c.zone(from.Zone)
+	if !c.reachableZone(zone, now) {
+		c.outdated.Store(true)
+	}
 	zone.heardAt, zone.touchedAt = now, now
 	zone.failures = 0
 	if from.Zone != c.self.Zone {
 		c.addContact(from.Zone, from.Address)
 	}
-	if from.Zone != c.self.Zone || c.writers[from.ID] == from.Writer {
-		zone.raiseRevision(from)
+	isMember := from.Zone != c.self.Zone || c.writers[from.ID] == from.Writer
+	if isMember && zone.raiseRevision(from) {
+		c.outdated.Store(true)
 	}
 }
 
@@ -120,9 +123,13 @@
 		}
 		zone := c.zone(update.Zone)
 		zone.touchedAt = now
+		held, known := zone.records[keyOf(update.ID, update.Writer)]
 		if !zone.put(update) {
 			continue
 		}
+		if !known || !held.sameMember(update) {
+			c.outdated.Store(true)
+		}
 		news = append(news, update)
 		c.cells.takeRecord(update, now)
 	}
@@ -133,6 +140,7 @@
 func (c *Cluster) dropGone(zone string, gone []recordKey, now time.Time) {
 	for _, key := range gone {
 		if held, known := c.zone(zone).remove(key, now); known {
+			c.outdated.Store(true)
 			c.cells.forgetNode(held.ID)
 			delete(c.contacts[zone], held.Address)
 		}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -40,8 +40,9 @@
 }
 
 // View is what the other parts of a node read of the cluster. Views are soft:
-// they speed things up and never decide a promise. The returned slices are the
-// caller's own; what their elements point to (Owned, Models) must not be changed.
+// they speed things up and never decide a promise. The returned slices and what
+// their elements point to are shared and must not be changed: a deployment has
+// hundreds of members, and every role looks at them several times a second.
 type View interface {
 	Self() Member
 	// Members returns all known nodes that are not dead, this one included,
--- a/internal/cluster/wire.go
+++ b/internal/cluster/wire.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -206,68 +204,6 @@
 	return digest
 }
 
-const (
-	// compressAbove is the size in bytes from which a payload is deflated.
-	compressAbove = 256
-	// maxPayload bounds an unpacked payload in bytes.
-	maxPayload       = 8 << 20
-	packedPlain byte = 0
-	packedFlate byte = 1
-)
-
-var errPayload = errors.New("gossip payload is malformed")
-
-// pack encodes a payload; an empty one takes no bytes.
-func pack(content payload) ([]byte, error) {
-	if content.empty() {
-		return nil, nil
-	}
-	plain, err := encode(&content)
-	if err != nil {
-		return nil, err
-	}
-	if len(plain) < compressAbove {
-		return append([]byte{packedPlain}, plain...), nil
-	}
-	var deflated bytes.Buffer
-	deflated.WriteByte(packedFlate)
-	writer, err := flate.NewWriter(&deflated, flate.DefaultCompression)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := writer.Write(plain); err != nil {
-		return nil, err
-	}
-	if err := writer.Close(); err != nil {
-		return nil, err
-	}
-	return deflated.Bytes(), nil
-}
-
-// unpack decodes a payload, refusing one that is too large.
-func unpack(packed []byte) (payload, error) {
-	var content payload
-	if len(packed) == 0 {
-		return content, nil
-	}
-	plain := packed[1:]
-	switch packed[0] {
-	case packedPlain:
-	case packedFlate:
-		inflated, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(plain)), maxPayload+1))
-		if err != nil {
-			return content, errors.Wrap(err, "inflate gossip payload")
-		}
-		plain = inflated
-	default:
-		return content, errPayload
-	}
-	if len(plain) > maxPayload {
-		return content, errPayload
-	}
-	return content, decode(plain, &content)
-}
-
 // ageOf returns the age of a log contact for the wire, rounded up so that the
 // contact never looks fresher than it is.
 func ageOf(contactAt, now time.Time) logAge {
--- a/internal/coordinator/fake_platform_test.go
+++ b/internal/coordinator/fake_platform_test.go
@@ -72,6 +72,11 @@
 	runs    int
 	// hold, when set, keeps each answer from finishing until it is closed.
 	hold chan struct{}
+	// admit, when set, keeps each answer from its first token until a value comes;
+	// admitted counts those, and admittedBefore has the count at each request.
+	admit          chan struct{}
+	admitted       int
+	admittedBefore []int
 	// requests are all requests seen, in order.
 	requests []router.Request
 }
@@ -91,7 +96,9 @@
 func (f *fakeRouter) Run(
 	ctx context.Context, request router.Request, onPiece func(router.Piece) error,
 ) (router.Result, error) {
-	f.set(func(f *fakeRouter) { f.requests = append(f.requests, request) })
+	if err := f.begin(ctx, request); err != nil {
+		return router.Result{}, err
+	}
 	version, tokens, hold := f.state()
 	if version < request.MinVersion {
 		return router.Result{}, errkind.New(errkind.NoCapacity, "no engine has version %d", request.MinVersion)
@@ -115,6 +122,26 @@
 	return router.Result{Tokens: tokens, FinishReason: "stop"}, nil
 }
 
+// begin notes the request and waits until it is admitted.
+func (f *fakeRouter) begin(ctx context.Context, request router.Request) error {
+	var admit chan struct{}
+	f.set(func(f *fakeRouter) {
+		f.requests = append(f.requests, request)
+		f.admittedBefore = append(f.admittedBefore, f.admitted)
+		admit = f.admit
+	})
+	if admit == nil {
+		return nil
+	}
+	select {
+	case <-admit:
+	case <-ctx.Done():
+		return errkind.New(errkind.Canceled, "canceled")
+	}
+	f.set(func(f *fakeRouter) { f.admitted++ })
+	return nil
+}
+
 // Info and Publish make the engines follow the trainer's versions at once.
 func (f *fakeRouter) Info(context.Context, string) (weightstore.ModelInfo, error) {
 	version, _, _ := f.state()
--- a/internal/coordinator/follower.go
+++ b/internal/coordinator/follower.go
@@ -8,6 +8,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/ledger"
 	"github.com/corkpulley/corkpulley/internal/core/lengths"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/core/weights"
 	"github.com/corkpulley/corkpulley/internal/logstream"
 )
 
@@ -29,6 +30,8 @@
 	ledger *ledger.Ledger
 	// lengths outlives tenures; each tenure guards it by its own lock.
 	lengths *lengths.Estimator
+	// contest delays claims after the ledger was lost to another node.
+	contest weights.Contest
 	// tenure is set while this node believes that it owns the ledger.
 	tenure atomic.Pointer[tenure]
 }
@@ -61,9 +64,13 @@
 		switch {
 		case fence.OwnedBy(f.stream.Writer(), fence.Epoch):
 			f.serve(ctx, fence.Epoch)
+			if f.coordinator.draining.Load() {
+				return // a release that was not read back is not tried again
+			}
+			f.contest.Lost(time.Now())
 		case !f.wanted():
 			return
-		case f.ownerGone(fence):
+		case f.ownerGone(fence) && (!fence.Owned() || f.contest.MayClaim(time.Now())):
 			f.claim(ctx, fence)
 		default:
 			f.wait(ctx, applied)
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,14 +24,13 @@
 	if len(candidates) == 0 {
 		return cluster.Member{}, false
 	}
-	byID := make(map[string]cluster.Member, len(candidates))
 	ids := make([]string, 0, len(candidates))
 	for _, member := range candidates {
-		byID[member.ID] = member
 		ids = append(ids, member.ID)
 	}
 	chosen := rendezvous.New(ids, xxhash.Sum64String).Lookup(ledger.StreamName(row.Service))
-	return byID[chosen], true
+	at := slices.Index(ids, chosen)
+	return candidates[at], true
 }
 
 func homeCandidates(view cluster.View, zones []string) []cluster.Member {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -100,9 +100,26 @@
 	c.options.Announcer.AnnounceOwned(owned)
 }
 
+// untilDraining returns a context that ends with ctx, or once the planned stop
+// of this node has lasted for the grace.
+func (c *Coordinator) untilDraining(ctx context.Context, grace time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-c.drained:
+			sleep(ctx, grace)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // Drain takes no new call, answers those in hand, and gives the ledgers up on
-// record, so that other nodes claim them at once. It returns ctx's error when
-// ctx ends before all releases are on record. Run must go on meanwhile.
+// record, so that other nodes claim them at once. While the log is down the
+// releases are tried for a few seconds only: the ledgers are then claimed once
+// this node is known to be gone. It returns ctx's error when ctx ends before
+// the calls in hand are answered. Run must go on meanwhile.
 func (c *Coordinator) Drain(ctx context.Context) error {
 	if !c.draining.Swap(true) {
 		close(c.drained)
--- a/internal/coordinator/schedule.go
+++ b/internal/coordinator/schedule.go
@@ -82,9 +82,11 @@
 	}
 }
 
-// startSlots starts open slots up to the window: earlier steps first, and
-// inside a step those first that are expected to run longest, since the
-// longest answer decides when the step ends.
+// startSlots starts open slots up to the window. Inside a step those go first
+// that are expected to run longest, since the longest answer decides when the
+// step ends. A later step begins only once an engine has each slot of the
+// earlier ones: a dispatcher orders a trainer's queue by expected length, so
+// long slots of a later step would go ahead of short ones of an earlier step.
 func (t *tenure) startSlots(row policy.Row, terms ledger.Terms) {
 	free := t.freeWindow(row)
 	if free <= 0 {
@@ -92,22 +94,37 @@
 	}
 	var open []ledger.OpenSlot
 	t.stream.View(func() { open = t.ledger.OpenSlots() })
-	open = t.notRunning(open)
 	for len(open) > 0 && free > 0 {
 		step := open[0].Sample.Step
 		end := slices.IndexFunc(open, func(slot ledger.OpenSlot) bool { return slot.Sample.Step != step })
 		if end < 0 {
 			end = len(open)
 		}
-		free -= t.startStep(open[:end], free)
+		idle, waiting := t.notRunning(open[:end])
+		if len(idle) > 0 {
+			free -= t.startStep(idle, free)
+		}
+		if waiting || len(idle) > 0 {
+			return
+		}
 		open = open[end:]
 	}
 }
 
-func (t *tenure) notRunning(open []ledger.OpenSlot) []ledger.OpenSlot {
+// notRunning returns the slots that do not run, and whether some of the others
+// wait for an engine.
+func (t *tenure) notRunning(open []ledger.OpenSlot) (idle []ledger.OpenSlot, waiting bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return slices.DeleteFunc(open, func(slot ledger.OpenSlot) bool { return t.running[slot.Sample] != nil })
+	for _, slot := range open {
+		run := t.running[slot.Sample]
+		if run == nil {
+			idle = append(idle, slot)
+			continue
+		}
+		waiting = waiting || run.waiting.Load()
+	}
+	return idle, waiting
 }
 
 // startStep starts at most limit slots of one step and returns how many.
@@ -142,6 +159,7 @@
 	if t.closed || t.ctx.Err() != nil {
 		return
 	}
+	run.waiting.Store(true)
 	t.running[run.slot.Sample] = run
 	t.metrics.running.Inc()
 	t.slots.Go(func() {
@@ -198,6 +216,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
+	// A planned stop does not wait for a log that neither answers nor fails.
+	ctx, stop := t.coordinator.untilDraining(ctx, 0)
+	defer stop()
 	request := new(ledger.StepSubmitted)
 	if err := t.readBody(ctx, slot.StepOffset, request); err != nil {
 		return nil, err
--- a/internal/coordinator/slotrun.go
+++ b/internal/coordinator/slotrun.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,8 +12,6 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/xid"
 
-	"github.com/corkpulley/corkpulley/internal/api"
-	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/ledger"
 	"github.com/corkpulley/corkpulley/internal/platform/scorer"
 	"github.com/corkpulley/corkpulley/internal/router"
@@ -41,6 +37,9 @@
 	slot     ledger.OpenSlot
 	request  *ledger.StepSubmitted
 	expected int
+	// waiting is set while the attempt in hand has no engine yet: from its start
+	// to its first token.
+	waiting atomic.Bool
 	// generated is set once the answer is whole.
 	generated atomic.Bool
 
@@ -93,6 +92,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	r.begin(cancel)
+	defer r.waiting.Store(false)
 	body, err := r.generate(ctx)
 	if err == nil {
 		r.generated.Store(true)
@@ -113,6 +113,7 @@
 	defer r.mutex.Unlock()
 	r.oldest = 0
 	r.cancel = cancel
+	r.waiting.Store(true)
 }
 
 // cancelTooOld ends the attempt in hand if its answer is beyond the bound.
@@ -127,6 +128,9 @@
 // noteVersion takes a version of the answer's tokens into account; it fails
 // when the answer is beyond the bound by it.
 func (r *slotRun) noteVersion(version uint64) error {
+	if r.waiting.Swap(false) {
+		r.tenure.reschedule()
+	}
 	_, terms, err := r.tenure.terms()
 	if err != nil {
 		return nil // judged again before delivery
@@ -250,51 +254,3 @@
 	t.metrics.runs.WithLabelValues(t.trainer, resultFilled).Inc()
 	return nil
 }
-
-// answerBuilder puts an answer together from its pieces.
-type answerBuilder struct {
-	text   strings.Builder
-	tokens int
-	spans  []api.VersionSpan
-}
-
-func (b *answerBuilder) add(piece router.Piece) error {
-	if piece.FirstToken != b.tokens {
-		return errkind.New(errkind.Internal, "piece begins at token %d, expected %d", piece.FirstToken, b.tokens)
-	}
-	if len(piece.Tokens) == 0 {
-		return nil
-	}
-	for _, token := range piece.Tokens {
-		b.text.WriteString(token)
-	}
-	from := b.tokens
-	b.tokens += len(piece.Tokens)
-	if last := len(b.spans) - 1; last >= 0 && b.spans[last].Version == piece.Version {
-		b.spans[last].To = b.tokens
-		return nil
-	}
-	b.spans = append(b.spans, api.VersionSpan{Version: piece.Version, From: from, To: b.tokens})
-	return nil
-}
-
-// finish returns the sample, if the answer is whole and every token's version
-// is named; otherwise it is no sample, and the slot is run again.
-func (b *answerBuilder) finish(key ledger.SampleKey, result router.Result) (*ledger.SampleFilled, error) {
-	if result.Tokens != b.tokens {
-		return nil, errors.Errorf("answer has %d tokens, %d were received", result.Tokens, b.tokens)
-	}
-	if !slices.Contains([]string{"stop", "length"}, result.FinishReason) {
-		return nil, errors.Errorf("answer ended with %q", result.FinishReason)
-	}
-	if _, whole := ledger.OldestVersion(b.spans, b.tokens); !whole {
-		return nil, errors.Errorf("weight versions %v do not cover %d tokens", b.spans, b.tokens)
-	}
-	return &ledger.SampleFilled{
-		Sample:       key,
-		Versions:     b.spans,
-		Tokens:       b.tokens,
-		FinishReason: result.FinishReason,
-		Text:         b.text.String(),
-	}, nil
-}
--- a/internal/coordinator/tenure.go
+++ b/internal/coordinator/tenure.go
@@ -26,6 +26,10 @@
 	scheduleInterval = 500 * time.Millisecond
 	// drainGrace is how long a planned stop lets running slots finish.
 	drainGrace = 2 * time.Second
+	// releaseTimeout bounds how long a planned stop waits for the release to be
+	// read back: it only saves the others the time until the owner is known to
+	// be gone, so it is not worth waiting for a log that is down.
+	releaseTimeout = 5 * time.Second
 	// recordTimeout bounds how long a call waits for its record to be read back.
 	recordTimeout = 20 * time.Second
 )
@@ -148,12 +152,15 @@
 }
 
 // handOver ends the tenure by plan: calls in hand are answered, running slots
-// get a short grace, and the release goes on record.
+// get a short grace, and the release goes on record; when the node stops and
+// the log is down, the release is left to chance.
 func (t *tenure) handOver() {
 	t.close()
 	waitFor(t.ctx, &t.calls, recordTimeout)
 	waitFor(t.ctx, &t.slots, drainGrace)
-	_, _, err := t.propose(t.ctx, logrecord.KindRelease, nil)
+	ctx, cancel := t.coordinator.untilDraining(t.ctx, releaseTimeout)
+	defer cancel()
+	_, _, err := t.propose(ctx, logrecord.KindRelease, nil)
 	if err != nil {
 		t.logger.Warn().Err(err).Msg("ledger was not released")
 	}
--- a/internal/core/logrecord/codec.go
+++ b/internal/core/logrecord/codec.go
@@ -5,6 +5,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 )
 
 // Bounds of one record; readers skip a record outside them.
@@ -65,8 +67,13 @@
 }
 
 // unmarshalWhole decodes one value and refuses bytes after it, so that two
-// different records never decode to the same value by accident.
+// different records never decode to the same value by accident. Lengths that
+// the bytes claim are checked first, so that no record takes more memory than
+// its own size accounts for.
 func unmarshalWhole(data []byte, value any) error {
+	if err := msgpackguard.Check(data); err != nil {
+		return errors.Wrapf(ErrMalformed, "decode: %v", err)
+	}
 	reader := bytes.NewReader(data)
 	if err := msgpack.NewDecoder(reader).Decode(value); err != nil {
 		return errors.Wrapf(ErrMalformed, "decode: %v", err)
--- a/internal/core/logrecord/logrecord_test.go
+++ b/internal/core/logrecord/logrecord_test.go
@@ -1,6 +1,8 @@
 package logrecord
 
 import (
+	"bytes"
+	"runtime"
 	"strconv"
 	"testing"
 
@@ -49,7 +51,10 @@
 	f.Add(valid)
 	f.Add([]byte{})
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff, 0x80})
+	f.Add(bytes.Repeat([]byte{0x91}, 1<<12))
 	f.Fuzz(func(t *testing.T, data []byte) {
+		_ = DecodeBody(Record{Body: data}, &[]Claim{})
 		record, err := Decode(data)
 		if err != nil {
 			assert.ErrorIs(t, err, ErrMalformed)
@@ -162,3 +167,28 @@
 	assert.Equal(t, fence.Check(1, Record{Writer: "a", Sequence: 2, Epoch: 1, Kind: "fill"}), Accepted)
 	assert.Equal(t, fence.Check(2, Record{Writer: "b", Sequence: 1, Epoch: 1, Kind: "fill"}), Fenced)
 }
+
+// TestDecodingAllocatesNoMoreThanTheInputHolds: a record of a few bytes that
+// claims millions of elements must not take their memory at every reader.
+func TestDecodingAllocatesNoMoreThanTheInputHolds(t *testing.T) {
+	claim := []byte{0xdd, 0x00, 0x40, 0x00, 0x00, 0x80} // an array of 4 Mi elements, of which one is there
+	var bodies []Claim
+	allocated := allocatedBy(func() {
+		assert.ErrorIs(t, DecodeBody(Record{Body: claim}, &bodies), ErrMalformed)
+	})
+	assert.Assert(t, allocated < 1<<20, "%d bytes for a body of %d", allocated, len(claim))
+
+	var reducer OwnershipReducer
+	snapshot := append([]byte{0x81, 0xa1, 's', 0x81, 0xa1, 'w'}, claim...)
+	allocated = allocatedBy(func() { assert.Assert(t, reducer.Restore(snapshot) != nil) })
+	assert.Assert(t, allocated < 1<<20, "%d bytes for a snapshot of %d", allocated, len(snapshot))
+}
+
+// allocatedBy returns the bytes that the call allocated.
+func allocatedBy(call func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	call()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
--- a/internal/core/logrecord/ownership.go
+++ b/internal/core/logrecord/ownership.go
@@ -1,6 +1,10 @@
 package logrecord
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+)
 
 // OwnershipReducer reduces a stream that holds only claims and releases, such
 // as orders/<model>. The zero value is ready. It implements logstream.Reducer.
@@ -33,6 +37,9 @@
 // Restore replaces the state by a snapshot's.
 func (r *OwnershipReducer) Restore(snapshot []byte) error {
 	var state ownershipState
+	if err := msgpackguard.Check(snapshot); err != nil {
+		return err
+	}
 	if err := msgpack.Unmarshal(snapshot, &state); err != nil {
 		return err
 	}
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -108,9 +108,11 @@
 	}
 }
 
-// Leave announces a planned stop. The node goes on with all its duties.
+// Leave announces a planned stop. The node goes on with all its duties. A
+// superseded one announces nothing: its higher incarnation would count as news
+// of the process that took its ID.
 func (n *Node) Leave() {
-	if n.self.Leaving || n.self.State == Dead {
+	if n.superseded || n.self.Leaving || n.self.State == Dead {
 		return
 	}
 	n.self.Leaving = true
@@ -119,11 +121,16 @@
 	n.pingAll()
 }
 
-// Stop announces that the node has left; it probes and refutes no more.
+// Stop announces that the node has left, unless it is superseded; it probes and
+// refutes no more.
 func (n *Node) Stop() {
 	if n.self.State == Dead {
 		return
 	}
+	if n.superseded {
+		n.self.State = Dead
+		return
+	}
 	n.self.Leaving = true
 	n.self.Incarnation++
 	n.self.State = Dead
--- a/internal/core/membership/node_test.go
+++ b/internal/core/membership/node_test.go
@@ -91,6 +91,29 @@
 	s.requireAgreement(200)
 }
 
+// TestASupersededProcessLeavesInSilence: its planned stop must not be taken for
+// news of the process that took its ID.
+func TestASupersededProcessLeavesInSilence(t *testing.T) {
+	s := newSimulation(t, 1, 5)
+	s.requireAgreement(200)
+	old := s.processes["node-02"]
+	s.run(100)
+	s.start("node-02", old.node.Self().Incarnation+1)
+	s.requireAgreement(200)
+	fresh := s.processes["node-02"]
+	s.processes["node-02"] = old
+	s.run(50)
+	assert.Assert(t, old.node.Superseded())
+	old.node.Leave()
+	s.run(5)
+	old.node.Stop()
+	s.run(15)
+	assert.Equal(t, s.countDead("node-02"), 0)
+	s.processes["node-02"] = fresh
+	s.requireAgreement(200)
+	assert.Assert(t, !fresh.node.Superseded())
+}
+
 func TestInvalidConfigAndUpdates(t *testing.T) {
 	_, err := New(DefaultConfig(Update{}, 1))
 	assert.ErrorContains(t, err, "self needs")
--- a/internal/core/scheduler/item.go
+++ b/internal/core/scheduler/item.go
@@ -42,8 +42,9 @@
 	Urgent bool
 	// Deadline ends the wait in the queue.
 	Deadline time.Time
-	// Requeued marks an item that waits again after its engine failed: it goes
-	// first in its service and a full queue does not refuse it.
+	// Requeued marks an item that waits again after its engine or its former
+	// dispatcher failed: it goes first in its service and a full queue does not
+	// refuse it.
 	Requeued bool
 	// Excluded engines refused the item before; they are not asked again.
 	Excluded []string
--- /dev/null
+++ b/internal/core/weights/contest_test.go
@@ -0,0 +1,39 @@
+package weights
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestContestEndsInFewClaims lets two nodes that can't see each other claim one
+// stream whenever they may, for an hour.
+func TestContestEndsInFewClaims(t *testing.T) {
+	var nodes [2]Contest
+	owner, claims := 0, 0
+	start := time.Unix(1_000_000, 0)
+	for second := range 3600 {
+		now := start.Add(time.Duration(second) * time.Second)
+		other := 1 - owner
+		if nodes[other].MayClaim(now) {
+			nodes[owner].Lost(now)
+			owner = other
+			claims++
+		}
+	}
+	assert.Assert(t, claims < 40, "%d claims in an hour", claims)
+}
+
+func TestContestForgetsOldLosses(t *testing.T) {
+	var contest Contest
+	now := time.Unix(1_000_000, 0)
+	assert.Assert(t, contest.MayClaim(now))
+	for range 10 {
+		contest.Lost(now)
+	}
+	assert.Assert(t, !contest.MayClaim(now.Add(longestContestDelay-time.Second)))
+	now = now.Add(contestMemory + time.Second)
+	contest.Lost(now)
+	assert.Assert(t, contest.MayClaim(now.Add(firstContestDelay)))
+}
--- /dev/null
+++ b/internal/core/weights/pace_test.go
@@ -0,0 +1,75 @@
+package weights
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// simulateRollout loads the engines through a store that feeds so many a
+// second (0: any number), a look a second, under the limits of the pace. It
+// returns the seconds until all were loaded and the most loads at once.
+func simulateRollout(p *Pace, version uint64, engines, maxConcurrent, storeRate, loadSeconds int) (seconds, peak int) {
+	start := time.Unix(1_000_000*int64(version), 0)
+	var ends []int // second at which each running load ends
+	waiting, reached := 0, 0
+	for seconds = 0; reached < engines; seconds++ {
+		left := ends[:0]
+		for _, end := range ends {
+			if end > seconds {
+				left = append(left, end)
+			} else {
+				reached++
+			}
+		}
+		ends = left
+		p.Observe(start.Add(time.Duration(seconds)*time.Second), version, len(ends)+waiting, reached)
+		limit := p.Limits(maxConcurrent, engines).concurrency()
+		waiting += max(0, min(limit, engines-reached)-len(ends)-waiting)
+		peak = max(peak, len(ends)+waiting)
+		fed := waiting
+		if storeRate > 0 {
+			fed = min(waiting, storeRate)
+		}
+		for range fed {
+			ends = append(ends, seconds+loadSeconds)
+		}
+		waiting -= fed
+	}
+	return seconds, peak
+}
+
+func TestPaceTakesAllOfAFastStore(t *testing.T) {
+	var pace Pace
+	first, peak := simulateRollout(&pace, 2, 6100, 10_000, 0, 5)
+	assert.Assert(t, peak >= 6100/firstShare && first <= 16, "%d s, peak %d", first, peak)
+	again, _ := simulateRollout(&pace, 3, 6100, 3050, 0, 5)
+	assert.Assert(t, again <= 12, "%d s", again)
+}
+
+func TestPaceLearnsWhatTheStoreFeeds(t *testing.T) {
+	var pace Pace
+	_, _ = simulateRollout(&pace, 2, 1000, 10_000, 20, 5)
+	learnt := pace.Limits(10_000, 1000).concurrency()
+	// 20 a second for 5 s each: 100 keep the store busy.
+	assert.Assert(t, learnt >= 90 && learnt <= 200, "%d", learnt)
+	seconds, _ := simulateRollout(&pace, 3, 1000, 10_000, 20, 5)
+	assert.Assert(t, seconds <= 60, "a busy store takes 50 s + 5 s, this took %d s", seconds)
+}
+
+func TestPaceNoticesAFasterStore(t *testing.T) {
+	var pace Pace
+	_, _ = simulateRollout(&pace, 2, 1000, 10_000, 20, 5)
+	slow, _ := simulateRollout(&pace, 3, 1000, 10_000, 0, 5)
+	fast, _ := simulateRollout(&pace, 4, 1000, 10_000, 0, 5)
+	assert.Assert(t, fast <= slow && fast <= 20, "%d s, then %d s", slow, fast)
+}
+
+func TestPaceKeepsTheSettingsBound(t *testing.T) {
+	var pace Pace
+	_, peak := simulateRollout(&pace, 2, 500, 8, 0, 5)
+	assert.Equal(t, peak, 8)
+	_, peak = simulateRollout(&pace, 3, 1, 8, 0, 5)
+	assert.Equal(t, peak, 1)
+}
--- a/internal/core/weights/plan.go
+++ b/internal/core/weights/plan.go
@@ -22,9 +22,11 @@
 // Cell is what is known of one cell and the wanted version.
 type Cell struct {
 	ID message.CellID
-	// Engines counts all engines of the cell, AtVersion those at the wanted
-	// version or above. Loading, Broken (a load failed) and Absent (out of
-	// service for the model otherwise) count disjoint sets of the others.
+	// Engines counts all engines of the cell, AtVersion those that need no load:
+	// at exactly the wanted version when it is pinned, else at it or above.
+	// Loading, Broken (a load failed) and Absent (out of service for the model
+	// otherwise) count disjoint sets of the others. The rest are in service, at
+	// an older version or above a pinned one.
 	Engines, AtVersion, Loading, Broken, Absent int
 	// Granted is the largest allotment that the cell may still act on.
 	Granted int
@@ -33,7 +35,7 @@
 	FloorPercent int
 }
 
-// need counts the engines that are below the wanted version.
+// need counts the engines that are not at the wanted version.
 func (c Cell) need() int { return max(0, c.Engines-c.AtVersion) }
 
 // outstanding is the largest number of loads that may run in the cell now.
@@ -94,7 +96,7 @@
 	return Plan{Allotments: wave.allotments, Blocked: wave.blocked()}
 }
 
-// mostBehindFirst orders cells by the number of engines below the version.
+// mostBehindFirst orders cells by the number of engines not at the version.
 func mostBehindFirst(a, b Cell) int {
 	return cmp.Or(
 		cmp.Compare(b.need(), a.need()),
--- a/internal/ctl/arguments.go
+++ b/internal/ctl/arguments.go
@@ -2,9 +2,12 @@
 
 import (
 	"os"
+	"os/user"
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/corkpulley/corkpulley/internal/buildinfo"
 )
 
 // arguments is the command line.
@@ -41,7 +44,7 @@
 	File       string `arg:"positional,required" help:"CSV file; - for standard input"`
 	Base       *int64 `arg:"--base" placeholder:"N" help:"revision that the edit started from [default: the file's '# revision N' line, else the revision in force]"`
 	Wait       bool   `arg:"--wait" help:"wait until the revision is in force on every known node (bounded by --timeout, counted anew)"`
-	Operator   string `arg:"--operator,env:USER" help:"who makes the change, for the history"`
+	Operator   string `arg:"--operator,env:USER" placeholder:"NAME" help:"who makes the change, for the history [default: the user]"`
 	ProposalID string `arg:"--proposal-id" placeholder:"ID" help:"ID of an earlier try, to learn its verdict [default: a new one]"`
 }
 
@@ -71,6 +74,9 @@
 	return "corkctl operates corkpulley: the table of services, its nodes, engines and steps.\n"
 }
 
+// Version makes "--version" a flag.
+func (arguments) Version() string { return "corkctl " + buildinfo.Version() }
+
 // environmentServer names the servers to ask when no --server is given. It is
 // read by hand, since the parser would add to it rather than replace it.
 const environmentServer = "CORKCTL_SERVER"
@@ -79,6 +85,19 @@
 	if len(a.Server) == 0 {
 		a.Server = []string{os.Getenv(environmentServer)}
 	}
+	if a.Table != nil && a.Table.Apply != nil && a.Table.Apply.Operator == "" {
+		a.Table.Apply.Operator = currentUser()
+	}
+}
+
+// currentUser names the user where the environment does not, such as in a
+// scheduled job; empty when the system does not know either.
+func currentUser() string {
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
 }
 
 // newParser returns the parser that fills the arguments.
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -37,8 +38,15 @@
 	err  error
 }
 
-// Error implements the error interface.
-func (e *unreachableError) Error() string { return e.server + ": " + e.err.Error() }
+// Error implements the error interface. The server stands in it once.
+func (e *unreachableError) Error() string {
+	cause := e.err
+	var request *url.Error
+	if errors.As(cause, &request) {
+		cause = request.Err
+	}
+	return e.server + ": " + cause.Error()
+}
 
 // Unwrap returns the cause.
 func (e *unreachableError) Unwrap() error { return e.err }
@@ -104,20 +112,20 @@
 
 // get reads a resource from the first server that answers.
 func (c *client) get(ctx context.Context, path string, query url.Values, into any) error {
-	var last error
+	var failures []string
 	for range c.servers {
 		err := c.read(ctx, path, query, into)
 		var unreachable *unreachableError
 		if !errors.As(err, &unreachable) {
 			return asExit(err)
 		}
-		last = err
+		failures = append(failures, err.Error())
 		if ctx.Err() != nil {
 			break
 		}
 		c.skipServer()
 	}
-	return asExit(last)
+	return exitWith(ExitUnreachable, "no server could be reached: %s", strings.Join(failures, "; "))
 }
 
 func (c *client) read(ctx context.Context, path string, query url.Values, into any) error {
@@ -185,13 +193,18 @@
 	if err := json.Unmarshal(answer, &body); err != nil || body.Error.Code == "" {
 		body.Error = api.ErrorDetail{
 			Code:     errkind.Internal.String(),
-			Message:  "unexpected HTTP status " + http.StatusText(status),
+			Message:  notCorkpulley(server, status),
 			Executed: string(errkind.Unknown),
 		}
 	}
 	return &answerError{server: server, status: status, detail: body.Error}
 }
 
+// notCorkpulley describes an answer without the body that every error has.
+func notCorkpulley(server string, status int) string {
+	return fmt.Sprintf("%s answered %d %s: is it a node's operators' address?", server, status, http.StatusText(status))
+}
+
 // asExit gives an error of attempt its exit code.
 func asExit(err error) error {
 	var unreachable *unreachableError
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -34,6 +34,9 @@
 	case errors.Is(err, arg.ErrHelp):
 		writeHelp(streams.Out, parser, command)
 		return ExitOK
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(streams.Out, parsed.Version())
+		return ExitOK
 	case err != nil:
 		fmt.Fprintf(streams.Err, "corkctl: %v (see corkctl --help)\n", err)
 		return ExitUsage
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -243,3 +243,40 @@
 	assert.Equal(t, corkctl("", "table").code, ExitUsage)
 	assert.Equal(t, corkctl("").code, ExitUsage)
 }
+
+func TestServersThatDoNotAnswerAreAllNamed(t *testing.T) {
+	gone := newFakeServer(t)
+	other := newFakeServer(t)
+	gone.Close()
+	other.Close()
+	outcome := corkctl("", "status", "--server", gone.URL, "--server", other.URL)
+	assert.Equal(t, outcome.code, ExitUnreachable)
+	for _, server := range []string{gone.URL, other.URL} {
+		assert.Equal(t, strings.Count(outcome.errors, server), 1, outcome.errors)
+	}
+}
+
+func TestAnotherServiceIsRecognized(t *testing.T) {
+	other := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(other.Close)
+	outcome := corkctl("", "status", "--server", other.URL)
+	assert.Equal(t, outcome.code, ExitFailed)
+	assert.Assert(t, strings.Contains(outcome.errors, other.URL+" answered 404 Not Found"), outcome.errors)
+	assert.Assert(t, strings.Contains(outcome.errors, "operators' address"), outcome.errors)
+}
+
+// TestControlCharactersDoNotReachTheTerminal: an operator's name is free text.
+func TestControlCharactersDoNotReachTheTerminal(t *testing.T) {
+	var output bytes.Buffer
+	printHistory(&output, []api.HistoryEntry{{Revision: 7, Operator: "a\x1b[2J\nb\tc"}})
+	assert.Equal(t, strings.Count(output.String(), "\n"), 2, output.String())
+	assert.Assert(t, strings.Contains(output.String(), `a\x1b[2J\nb\tc`), output.String())
+}
+
+func TestTheOperatorDefaultsToTheUser(t *testing.T) {
+	t.Setenv("USER", "")
+	server := newFakeServer(t)
+	outcome := corkctl(policy.FormatCSV(sampleRows), "table", "apply", "-", "--server", server.URL)
+	assert.Equal(t, outcome.code, ExitOK, outcome.errors)
+	assert.Assert(t, server.proposals[0].Operator != "")
+}
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -10,6 +10,7 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"github.com/go-faster/errors"
 
@@ -62,7 +63,21 @@
 }
 
 func (c *columns) add(cells ...string) {
-	fmt.Fprintln(c.writer, strings.Join(cells, "\t"))
+	var printable []string
+	for _, cell := range cells {
+		printable = append(printable, escapeControls(cell))
+	}
+	fmt.Fprintln(c.writer, strings.Join(printable, "\t"))
+}
+
+// escapeControls writes control characters as Go escapes: a cell may hold free
+// text of others, which must not steer this operator's terminal.
+func escapeControls(text string) string {
+	if strings.IndexFunc(text, unicode.IsControl) < 0 {
+		return text
+	}
+	quoted := strconv.Quote(text)
+	return quoted[1 : len(quoted)-1]
 }
 
 func (c *columns) flush() { _ = c.writer.Flush() }
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -217,7 +217,9 @@
 	}
 	a.task.tokens = append(a.task.tokens, fresh...)
 	a.version = chunk.Version
-	a.task.cell.dispatcher.metrics.cachedTokens.Add(float64(chunk.CachedTokens))
+	if chunk.CachedTokens > 0 {
+		a.task.cell.dispatcher.metrics.cachedTokens.Add(float64(chunk.CachedTokens))
+	}
 	a.reportProgress()
 	return nil
 }
--- a/internal/dispatcher/buffer.go
+++ b/internal/dispatcher/buffer.go
@@ -27,23 +27,30 @@
 	closed   bool
 	finished *message.Progress
 	err      *errkind.Error
-	// changed is closed and replaced at each change.
+	// changed and space are closed when there is more to read, or room to
+	// write; nil while nobody waits.
 	changed chan struct{}
+	space   chan struct{}
 }
 
 func newAnswerBuffer(firstToken int) *answerBuffer {
-	return &answerBuffer{
-		base:    firstToken,
-		next:    firstToken,
-		read:    firstToken,
-		changed: make(chan struct{}),
+	return &answerBuffer{base: firstToken, next: firstToken, read: firstToken}
+}
+
+// wait returns the channel that wake will close.
+func wait(waiters *chan struct{}) <-chan struct{} {
+	if *waiters == nil {
+		*waiters = make(chan struct{})
 	}
+	return *waiters
 }
 
-// broadcast wakes all that wait for a change. The caller holds the lock.
-func (b *answerBuffer) broadcast() {
-	close(b.changed)
-	b.changed = make(chan struct{})
+// wake wakes all that wait. The caller holds the lock.
+func wake(waiters *chan struct{}) {
+	if *waiters != nil {
+		close(*waiters)
+		*waiters = nil
+	}
 }
 
 // append adds new tokens, which start at index next. It blocks while the
@@ -51,29 +58,47 @@
 func (b *answerBuffer) append(ctx context.Context, piece message.Progress) error {
 	b.mutex.Lock()
 	for b.next-b.read >= bufferUnreadTokens {
-		changed := b.changed
+		space := wait(&b.space)
 		b.mutex.Unlock()
 		select {
-		case <-changed:
+		case <-space:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		b.mutex.Lock()
 	}
 	defer b.mutex.Unlock()
-	b.pieces = append(b.pieces, piece)
+	if !b.extendLast(&piece) {
+		b.pieces = append(b.pieces, piece)
+	}
 	b.next += len(piece.Tokens)
-	b.broadcast()
+	wake(&b.changed)
 	return nil
 }
 
+// extendLast adds the tokens to the last piece if they are like its own; false
+// when they need a piece to themselves. Readers may hold the last piece: they
+// see its tokens up to the length that it had, which never change.
+func (b *answerBuffer) extendLast(piece *message.Progress) bool {
+	if len(b.pieces) == 0 {
+		return false
+	}
+	last := &b.pieces[len(b.pieces)-1]
+	alike := last.EngineAttempt == piece.EngineAttempt && last.Engine == piece.Engine && last.Version == piece.Version
+	if !alike || len(last.Tokens)+len(piece.Tokens) > bufferPieceTokens {
+		return false
+	}
+	last.Tokens = append(last.Tokens, piece.Tokens...)
+	return true
+}
+
 // finish ends the answer with its last message.
 func (b *answerBuffer) finish(last message.Progress) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	last.FirstToken = b.next
 	b.finished = &last
-	b.broadcast()
+	wake(&b.changed)
 }
 
 // fail ends the answer with an error.
@@ -84,7 +109,7 @@
 		return
 	}
 	b.err = err
-	b.broadcast()
+	wake(&b.changed)
 }
 
 func (b *answerBuffer) ended() bool { return b.finished != nil || b.err != nil }
@@ -135,13 +160,14 @@
 	// finished is the last message, set once pieces reach the end.
 	finished *message.Progress
 	err      *errkind.Error
-	// changed is closed when there is more to see.
+	// changed is closed when there is more to see; nil when there is something now.
 	changed <-chan struct{}
 }
 
 // readFrom returns what follows an index; the reader has sent on all before it.
-// The first piece may begin before the index.
-func (b *answerBuffer) readFrom(from int) window {
+// The first piece may begin before the index. The pieces go into the memory of
+// reuse, if it is large enough.
+func (b *answerBuffer) readFrom(from int, reuse []message.Progress) window {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if from < b.base {
@@ -151,12 +177,15 @@
 	first := sort.Search(len(b.pieces), func(i int) bool {
 		return b.pieces[i].FirstToken+len(b.pieces[i].Tokens) > from
 	})
-	return window{
-		pieces:   append([]message.Progress(nil), b.pieces[first:]...),
+	found := window{
+		pieces:   append(reuse[:0], b.pieces[first:]...),
 		finished: b.finished,
 		err:      b.err,
-		changed:  b.changed,
 	}
+	if len(found.pieces) == 0 && !b.ended() {
+		found.changed = wait(&b.changed)
+	}
+	return found
 }
 
 // advance notes that a reader has taken the tokens up to an index, and drops
@@ -176,5 +205,5 @@
 		dropped++
 	}
 	b.pieces = b.pieces[dropped:]
-	b.broadcast()
+	wake(&b.space)
 }
--- /dev/null
+++ b/internal/dispatcher/continued_test.go
@@ -0,0 +1,39 @@
+package dispatcher
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/platform/engine"
+)
+
+// TestContinuedRequestGoesBeforeFreshOnes: a request that another dispatcher
+// lost has waited before and has work to lose.
+func TestContinuedRequestGoesBeforeFreshOnes(t *testing.T) {
+	h := newHarness(t, "a")
+	h.change("a", func(status *engine.Status) { status.MaxBatch = 1 })
+	h.eventually(func() bool { return h.dispatcher.CellStatuses()[0].Slots == 1 })
+	hold := make(chan struct{})
+	h.generate["a"] = inTurn(upTo(3, 1, hold), whole(1))
+	running := h.submit(submission("running"))
+	h.eventually(func() bool { return len(running.tokens()) == 3 })
+	fresh := h.submit(submission("fresh"))
+	h.eventually(func() bool { return h.dispatcher.CellStatuses()[0].Queued == 1 })
+	submit := submission("continued")
+	submit.Continued = true
+	continued := h.submit(submit)
+	h.eventually(func() bool { return h.dispatcher.CellStatuses()[0].Queued == 2 })
+
+	close(hold)
+	for _, each := range []*answer{running, fresh, continued} {
+		assert.NilError(t, each.wait(t))
+	}
+	var order []string
+	for _, request := range h.sends("a") {
+		if request.ResumeFrom == nil {
+			order = append(order, request.RequestID)
+		}
+	}
+	assert.DeepEqual(t, order, []string{"running", "continued", "fresh"})
+}
--- a/internal/dispatcher/directive.go
+++ b/internal/dispatcher/directive.go
@@ -176,6 +176,9 @@
 			result.Broken++
 		case on.reachable && on.version(wanted.Model) >= wanted.Version:
 			result.AtLeast++
+			if on.version(wanted.Model) == wanted.Version {
+				result.AtVersion++
+			}
 		}
 	}
 	return result
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -76,7 +76,7 @@
 	assert.NilError(t, received.wait(t))
 	assert.DeepEqual(t, received.tokens(), allTokens)
 	assert.DeepEqual(t, received.versions(), []uint64{1, 1, 1, 2, 2, 2})
-	assert.Equal(t, received.pieces[3].EngineAttempt, uint32(2))
+	assert.DeepEqual(t, received.engineAttempts(), []uint32{1, 1, 1, 2, 2, 2})
 	var moved *engine.GenerateRequest
 	for _, request := range append(h.sends("a"), h.sends("b")...) {
 		if request.Attempt == 2 {
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -94,7 +94,7 @@
 func (a *answer) Send(sent any) error {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.pieces = append(a.pieces, sent.(message.Progress))
+	a.pieces = append(a.pieces, *sent.(*message.Progress))
 	return nil
 }
 
@@ -126,6 +126,17 @@
 	return versions
 }
 
+// engineAttempts lists the engine attempt of each token.
+func (a *answer) engineAttempts() []uint32 {
+	var attempts []uint32
+	for _, piece := range a.pieces {
+		for range piece.Tokens {
+			attempts = append(attempts, piece.EngineAttempt)
+		}
+	}
+	return attempts
+}
+
 // wait returns the answer's error once it has ended.
 func (a *answer) wait(t *testing.T) error {
 	t.Helper()
--- a/internal/dispatcher/limits.go
+++ b/internal/dispatcher/limits.go
@@ -51,6 +51,8 @@
 	// reader that attaches again.
 	bufferUnreadTokens   = 16384
 	bufferRetainedTokens = 8192
+	// bufferPieceTokens bounds the tokens that are kept as one piece.
+	bufferPieceTokens = 64
 )
 
 // Times of engine links and orders.
--- a/internal/dispatcher/submit.go
+++ b/internal/dispatcher/submit.go
@@ -23,7 +23,8 @@
 		return err
 	}
 	if !submit.Attach && submit.MaxTokens == len(submit.Generated) {
-		return sender.Send(alreadyWhole(&submit))
+		last := alreadyWhole(&submit)
+		return sender.Send(&last)
 	}
 	attached, from, err := d.admit(submit)
 	if err != nil {
@@ -137,14 +138,17 @@
 func (t *task) relay(ctx context.Context, from int, sender peer.Sender) error {
 	next := from
 	first := true
+	var found window
 	for {
-		found := t.buffer.readFrom(next)
-		for _, piece := range found.pieces {
-			piece = trim(piece, next)
+		found = t.buffer.readFrom(next, found.pieces)
+		for index := range found.pieces {
+			piece := &found.pieces[index]
+			trim(piece, next)
 			if first {
 				piece.Load = t.load()
 				first = false
 			}
+			// The sender keeps no reference to a message that it has sent.
 			if err := sender.Send(piece); err != nil {
 				return err
 			}
@@ -153,7 +157,7 @@
 		if found.finished != nil {
 			last := *found.finished
 			last.Load = t.load()
-			return sender.Send(last)
+			return sender.Send(&last)
 		}
 		if found.err != nil {
 			return found.err
@@ -177,10 +181,9 @@
 }
 
 // trim drops the tokens of a piece before an index.
-func trim(piece message.Progress, from int) message.Progress {
+func trim(piece *message.Progress, from int) {
 	if skip := from - piece.FirstToken; skip > 0 {
 		piece.Tokens = piece.Tokens[skip:]
 		piece.FirstToken = from
 	}
-	return piece
 }
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -100,7 +100,7 @@
 		ExpectedTokens: expected,
 		Urgent:         t.submit.Urgent,
 		Deadline:       now.Add(timeout),
-		Requeued:       t.sends > 0,
+		Requeued:       t.submit.Continued || t.sends > 0,
 		Excluded:       slices.Clone(t.excluded),
 	}
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"github.com/corkpulley/corkpulley/internal/api"
 	"github.com/corkpulley/corkpulley/internal/httpapi"
@@ -24,17 +23,22 @@
 	writer   *deadlineWriter
 	template completionTemplate
 	started  bool
-	buffer   bytes.Buffer
+	// form is set with the first piece.
+	form   eventForm
+	buffer []byte
 }
 
 func (e *eventResponder) piece(piece router.Piece) error {
-	span := api.VersionSpan{
-		Version: piece.Version,
-		From:    piece.FirstToken,
-		To:      piece.FirstToken + len(piece.Tokens),
+	var err error
+	if e.form.before == "" {
+		if e.form, err = newEventForm(&e.template); err != nil {
+			return err
+		}
 	}
-	text := strings.Join(piece.Tokens, "")
-	return e.send("", e.template.body(text, nil, []api.VersionSpan{span}), "")
+	if e.buffer, err = e.form.appendEvent(e.buffer[:0], &piece); err != nil {
+		return err
+	}
+	return e.write(e.buffer)
 }
 
 func (e *eventResponder) finish(result router.Result) error {
@@ -53,18 +57,21 @@
 
 // send writes one event with a JSON body, and the text that follows it.
 func (e *eventResponder) send(eventName string, body any, suffix string) error {
-	e.buffer.Reset()
-	e.buffer.WriteString(eventName)
-	e.buffer.WriteString("data: ")
+	event := bytes.NewBufferString(eventName)
+	event.WriteString("data: ")
 	// Encode ends the line; the empty line after it ends the event.
-	if err := json.NewEncoder(&e.buffer).Encode(body); err != nil {
+	if err := json.NewEncoder(event).Encode(body); err != nil {
 		return err
 	}
-	e.buffer.WriteByte('\n')
-	e.buffer.WriteString(suffix)
+	event.WriteByte('\n')
+	event.WriteString(suffix)
+	return e.write(event.Bytes())
+}
+
+func (e *eventResponder) write(event []byte) error {
 	e.writer.extend()
 	e.start()
-	if _, err := e.writer.Write(e.buffer.Bytes()); err != nil {
+	if _, err := e.writer.Write(event); err != nil {
 		return callerGone(err)
 	}
 	return e.writer.flush()
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -14,8 +14,14 @@
 	http.ResponseWriter
 	controller *http.ResponseController
 	timeout    time.Duration
+	// extended is when the deadline was last set.
+	extended time.Time
 }
 
+// extendFraction: the deadline is set anew once this part of the timeout has
+// passed since the last time, rather than for each event.
+const extendFraction = 8
+
 func newDeadlineWriter(w http.ResponseWriter, timeout time.Duration) *deadlineWriter {
 	return &deadlineWriter{
 		ResponseWriter: w,
@@ -24,13 +30,18 @@
 	}
 }
 
-// extend gives the caller the whole timeout for what is written next. A
-// deadline that passes between two writes does no harm, and net/http clears it
+// extend gives the caller the timeout, less extendFraction of it at most, for
+// what is written next. A deadline that passes between two writes does no harm, and net/http clears it
 // after the answer; until then it also bounds the last bytes, which net/http
 // writes when the handler has returned.
 func (w *deadlineWriter) extend() {
+	now := time.Now()
+	if now.Sub(w.extended) < w.timeout/extendFraction {
+		return
+	}
+	w.extended = now
 	// Writers without deadlines (tests' recorders) need none.
-	_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
+	_ = w.controller.SetWriteDeadline(now.Add(w.timeout))
 }
 
 // flush sends what was written.
--- a/internal/keyed/executor.go
+++ b/internal/keyed/executor.go
@@ -23,6 +23,10 @@
 	// DefaultSnapshotEvery is the number of records between snapshots.
 	DefaultSnapshotEvery = 4096
 
+	// closingRecordTries is how many log timeouts a result may take to be
+	// recorded once the node stops. Its caller has the answer; a repeat of a
+	// key whose result is not on record is told that the outcome is unknown.
+	closingRecordTries = 3
 	// maxFlights bounds the requests of one shard that this node deals with.
 	maxFlights = 4096
 	// freshFor is the age of the last contact with the log up to which the
@@ -70,6 +74,8 @@
 	// ctx ends the runs when Close gives up waiting for them.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// closing is closed once Close began.
+	closing chan struct{}
 
 	mu      sync.Mutex
 	closed  bool
@@ -80,7 +86,7 @@
 func New(options Options) *Executor {
 	options = options.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	executor := &Executor{options: options, ctx: ctx, cancel: cancel}
+	executor := &Executor{options: options, ctx: ctx, cancel: cancel, closing: make(chan struct{})}
 	for index := range options.Shards {
 		executor.shards = append(executor.shards, newShard(executor, index))
 	}
@@ -143,11 +149,15 @@
 }
 
 // Close takes no more requests and waits until the running ones have ended and
-// their results are recorded. When ctx ends first, it cancels them: their
-// outcome is then unknown, and it returns ctx's error. The Manager is closed
-// after the Executor.
+// their results are recorded; while the log is down, a result is tried for
+// closingRecordTries log timeouts. When ctx ends first, it cancels what runs:
+// the outcome is then unknown, and it returns ctx's error. The Manager is
+// closed after the Executor.
 func (e *Executor) Close(ctx context.Context) error {
 	e.mu.Lock()
+	if !e.closed {
+		close(e.closing)
+	}
 	e.closed = true
 	e.mu.Unlock()
 	ended := make(chan struct{})
@@ -169,6 +179,27 @@
 	return err
 }
 
+// recordContext returns a context that ends when Close gives up waiting for
+// results, which is some log timeouts after it began.
+func (e *Executor) recordContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	go func() {
+		select {
+		case <-e.closing:
+		case <-ctx.Done():
+			return
+		}
+		patience := time.NewTimer(closingRecordTries * e.options.LogTimeout)
+		defer patience.Stop()
+		select {
+		case <-patience.C:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // rowInForce returns the submission under this node's table when that is newer
 // than the sender's, since the table may have changed on the way.
 func (e *Executor) rowInForce(submission Submission) (Submission, error) {
--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -235,3 +235,31 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) < 1000)
 }
+
+// TestCloseEndsWhileTheLogIsDown: the caller has its whole answer; the record of
+// the result is best effort once the node stops.
+func TestCloseEndsWhileTheLogIsDown(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	hold := make(chan struct{})
+	world.router.hold = hold
+	node := world.node(t, "a")
+	answered := make(chan error, 1)
+	go func() {
+		text, err := execute(ctx, node, newRequest("key", "key"))
+		if err == nil && text != "answer to key" {
+			err = errors.Errorf("answer %q", text)
+		}
+		answered <- err
+	}()
+	for world.router.count("key") == 0 {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	world.log.SetControl(standin.Control{Down: true})
+	closed := make(chan error, 1)
+	go func() { closed <- node.Close(ctx) }()
+	close(hold)
+	assert.NilError(t, <-answered)
+	assert.NilError(t, <-closed)
+}
--- a/internal/keyed/shard.go
+++ b/internal/keyed/shard.go
@@ -252,7 +252,8 @@
 }
 
 // record appends the result and waits until it is read back, however long the
-// log is away; until then this node answers the key from its flight.
+// log is away, unless the node stops; until then this node answers the key from
+// its flight.
 func (s *shard) record(flight *flight, key string, intentOffset int64, result router.Result) {
 	data, err := encodeOutcome(flight.answer(), result)
 	if err != nil {
@@ -266,7 +267,9 @@
 		UnixMS:       time.Now().UnixMilli(),
 	}
 	proposal := logstream.Proposal{Kind: idempotency.KindResult, Body: body}
-	if _, err := s.stream.Propose(s.executor.ctx, proposal); err != nil {
+	ctx, cancel := s.executor.recordContext()
+	defer cancel()
+	if _, err := s.stream.Propose(ctx, proposal); err != nil {
 		s.executor.options.Logger.Warn().Err(err).Int("shard", s.index).Msg("result not recorded")
 	}
 }
--- a/internal/logstream/append.go
+++ b/internal/logstream/append.go
@@ -106,8 +106,11 @@
 	defer cancel()
 	_, err := s.manager.options.Service.Append(ctx, s.name, records)
 	s.manager.metrics.appends.WithLabelValues(s.class, outcomeLabel(err)).Inc()
-	if err != nil && s.ctx.Err() == nil {
-		s.logger.Warn().Err(err).Int("records", len(records)).Msg("append failed, trying again")
+	switch {
+	case err == nil:
+		s.manager.failures.succeeded(operationAppend)
+	case s.ctx.Err() == nil:
+		s.manager.failures.failed(operationAppend, s.name, err)
 	}
 	return err
 }
--- a/internal/logstream/manager.go
+++ b/internal/logstream/manager.go
@@ -10,8 +10,9 @@
 
 // Manager opens the streams of one process over one log service.
 type Manager struct {
-	options Options
-	metrics *metrics
+	options  Options
+	metrics  *metrics
+	failures *failureLog
 
 	mu      sync.Mutex
 	streams map[string][]*TailedStream
@@ -24,10 +25,11 @@
 func NewManager(options Options) *Manager {
 	options = options.withDefaults()
 	return &Manager{
-		options: options,
-		metrics: newMetrics(options.Registerer),
-		streams: make(map[string][]*TailedStream),
-		opens:   make(map[string]int),
+		options:  options,
+		metrics:  newMetrics(options.Registerer),
+		failures: newFailureLog(options.Logger, time.Now),
+		streams:  make(map[string][]*TailedStream),
+		opens:    make(map[string]int),
 	}
 }
 
--- a/internal/logstream/tail.go
+++ b/internal/logstream/tail.go
@@ -15,9 +15,13 @@
 	for s.ctx.Err() == nil {
 		err := s.loadSnapshot(s.ctx)
 		if err == nil {
+			s.manager.failures.succeeded(operationLoadSnapshot)
 			break
 		}
-		s.logger.Warn().Err(err).Msg("snapshot not loaded, trying again")
+		if s.ctx.Err() != nil {
+			return
+		}
+		s.manager.failures.failed(operationLoadSnapshot, s.name, err)
 		sleep(s.ctx, delays.NextBackOff())
 	}
 	if s.ctx.Err() != nil {
@@ -34,6 +38,7 @@
 		batch, err := s.poll(limit)
 		s.manager.metrics.reads.WithLabelValues(s.class, outcomeLabel(err)).Inc()
 		if err == nil {
+			s.manager.failures.succeeded(operationRead)
 			delays.Reset()
 			limit = min(limit*2, readLimit)
 			s.applyBatch(batch)
@@ -46,7 +51,7 @@
 			limit /= 2
 			continue
 		}
-		s.logger.Warn().Err(err).Msg("read failed, trying again")
+		s.manager.failures.failed(operationRead, s.name, err)
 		sleep(s.ctx, delays.NextBackOff())
 	}
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -45,6 +45,9 @@
 	// Urgent raises the request among those of its own priority (stragglers).
 	Urgent     bool `msgpack:"u,omitempty"`
 	Repeatable bool `msgpack:"r"`
+	// Continued: an earlier attempt of the request may have run in part, so it
+	// goes before those of its own service that have not begun.
+	Continued bool `msgpack:"cn,omitempty"`
 	// QueueTimeout bounds the wait in the dispatcher's queue.
 	QueueTimeout time.Duration `msgpack:"q"`
 	// ResumeFrom, when Attach is set: re-attach to a running request, wanting
@@ -108,8 +111,10 @@
 type DirectiveResult struct {
 	Engines int `msgpack:"en"`
 	AtLeast int `msgpack:"al"` // engines that report Version or higher
-	Loading int `msgpack:"lo"`
-	Broken  int `msgpack:"br"`
+	// AtVersion counts those of AtLeast that report exactly Version.
+	AtVersion int `msgpack:"av"`
+	Loading   int `msgpack:"lo"`
+	Broken    int `msgpack:"br"`
 	// StaleEpoch is set when an engine has seen a higher fence.
 	StaleEpoch int64 `msgpack:"se,omitempty"`
 }
--- /dev/null
+++ b/internal/node/docs_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/settings"
+)
+
+var (
+	descriptionName = regexp.MustCompile(`fqName: "(corkpulley_[a-z0-9_]+)"`)
+	documentedName  = regexp.MustCompile("(?m)^\\| `(corkpulley_[a-z0-9_]+)` \\|")
+)
+
+// TestOperationsPageNamesEachMetric compares the page with what a node registers.
+func TestOperationsPageNamesEachMetric(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	assert.NilError(t, err)
+	var documented []string
+	for _, match := range documentedName.FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, match[1])
+	}
+	slices.Sort(documented)
+	assert.DeepEqual(t, documented, registeredMetrics(t))
+}
+
+func registeredMetrics(t *testing.T) []string {
+	t.Helper()
+	const anyPort, platform = "127.0.0.1:0", "http://127.0.0.1:9"
+	config := settings.Default()
+	config.Node = settings.Node{ID: "n1", Zone: "z", Region: "r"}
+	config.Listen = settings.Listen{Callers: anyPort, Peers: anyPort, Operators: anyPort}
+	config.Platform = settings.Platform{Log: platform, WeightStore: platform, Machines: platform, Scorer: platform}
+	assert.Equal(t, len(settings.Check(config)), 0)
+	n, err := newNode(config, newLogger(config, io.Discard))
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = n.callers.listener.Close()
+		_ = n.admin.listener.Close()
+	})
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		n.registry.Describe(descriptions)
+		close(descriptions)
+	}()
+	var names []string
+	for description := range descriptions {
+		if match := descriptionName.FindStringSubmatch(description.String()); match != nil {
+			names = append(names, match[1])
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -12,6 +13,7 @@
 	"github.com/corkpulley/corkpulley/internal/coordinator"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/dispatcher"
+	"github.com/corkpulley/corkpulley/internal/httpapi"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/operatorapi"
 	"github.com/corkpulley/corkpulley/internal/peer"
@@ -26,11 +28,11 @@
 
 // buildServers makes the listeners for callers (with trainers) and operators.
 func (n *node) buildServers() error {
-	callers := newRouter()
+	callers := httpapi.NewRouter()
 	n.roles.gateway.Register(callers)
 	trainerapi.New(n.roles.trainers, n.roles.tables).Register(callers)
 
-	admin := newRouter()
+	admin := httpapi.NewRouter()
 	operatorapi.New(operatorapi.Options{
 		Tables:         n.roles.tables,
 		View:           n.roles.cluster,
@@ -41,7 +43,7 @@
 		Drain:          n.drain,
 		Logger:         n.logger,
 	}).Register(admin)
-	admin.Handle(metricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	admin.Handle(metricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 
 	var err error
 	if n.callers, err = listen(n.config.Listen.Callers, callers); err != nil {
--- a/internal/node/logger.go
+++ b/internal/node/logger.go
@@ -2,22 +2,34 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/settings"
 )
 
+// timestampField is the name of the field with the time, in milliseconds since 1970.
+const timestampField = "time"
+
 // newLogger returns the daemon's logger: JSON lines with the node's ID and zone.
 func newLogger(config settings.Settings, output io.Writer) zerolog.Logger {
 	level, err := zerolog.ParseLevel(config.Log.Level)
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	return zerolog.New(output).Level(level).With().
-		Timestamp().
 		Str("node", config.Node.ID).
 		Str("zone", config.Node.Zone).
-		Logger()
+		Logger().
+		Hook(timestampHook{})
+}
+
+// timestampHook adds the time to each line. The library's own timestamp takes
+// its format from a global variable, which nodes in one process would race for.
+type timestampHook struct{}
+
+// Run implements zerolog.Hook.
+func (timestampHook) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
+	event.Int64(timestampField, time.Now().UnixMilli())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"io"
 	"sync"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,8 +17,14 @@
 	"github.com/corkpulley/corkpulley/internal/settings"
 )
 
-// Run runs a daemon with checked settings until ctx ends or an operator drains
-// it, and then until the planned stop is complete. Logs are written as JSON lines.
+// errSuperseded ends a process whose node ID another process has taken: the
+// others no longer listen to it, so it must not take work.
+var errSuperseded = errors.New("another process took this node's ID")
+
+// Run runs a daemon with checked settings until ctx ends, an operator drains it
+// or another process takes its node ID, and then until the planned stop is
+// complete. It returns nil after a stop that was asked for. Logs are written as
+// JSON lines.
 func Run(ctx context.Context, config settings.Settings, logs io.Writer) error {
 	n, err := newNode(config, newLogger(config, logs))
 	if err != nil {
@@ -87,16 +92,26 @@
 		Str("writer", n.writer).
 		Msg("listening")
 
-	select {
-	case <-ctx.Done():
-	case <-n.stopRequested:
-	case <-groupContext.Done():
-	}
+	reason := n.awaitStop(ctx, groupContext)
 	stopError := n.stop(stopRoles)
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
-	return stopError
+	return errors.Join(reason, stopError)
+}
+
+// awaitStop waits until the daemon has to stop. It returns why, when that is a
+// failure which no role reports.
+func (n *node) awaitStop(ctx, roles context.Context) error {
+	select {
+	case <-n.roles.cluster.Superseded():
+		n.logger.Error().Err(errSuperseded).Str("writer", n.writer).Msg("superseded, this process stops by plan")
+		return errSuperseded
+	case <-ctx.Done():
+	case <-n.stopRequested:
+	case <-roles.Done():
+	}
+	return nil
 }
 
 // startRoles runs each role; a role that fails ends the daemon, since its peers
@@ -112,21 +127,3 @@
 		})
 	}
 }
-
-// stop carries out the planned stop: tell the others, take nothing new, finish
-// what is in hand, hand over what is owned, and only then end the roles.
-func (n *node) stop(stopRoles context.CancelFunc) error {
-	started := time.Now()
-	n.drain() // the node is not ready from now on, whatever began the stop
-	n.logger.Info().Msg("planned stop begins")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.Shutdown.Grace))
-	defer cancel()
-	n.roles.cluster.AnnounceLeaving()
-	err := n.roles.drain(ctx)
-	err = errors.Join(err, n.callers.shutdown(ctx))
-	err = errors.Join(err, n.roles.close(ctx))
-	stopRoles()
-	err = errors.Join(err, n.admin.shutdown(ctx))
-	n.logger.Info().Err(err).Dur("duration_ms", time.Since(started)).Msg("planned stop ends")
-	return err
-}
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-	"golang.org/x/sync/errgroup"
-
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/coordinator"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
@@ -209,46 +206,3 @@
 		"weight coordinator":  r.weights.Run,
 	}
 }
-
-// stopStep is one named part of the planned stop.
-type stopStep struct {
-	name string
-	run  func(context.Context) error
-}
-
-// drain takes nothing new, finishes what is in hand and releases what is owned.
-func (r *roles) drain(ctx context.Context) error {
-	var group errgroup.Group
-	for _, step := range []stopStep{
-		{"drain the gateway", r.gateway.Drain},
-		{"release the ledgers", r.trainers.Drain},
-		{"release the weight orders", r.weights.Drain},
-		{"drain the dispatcher", r.dispatcher.Drain},
-	} {
-		group.Go(func() error { return step.do(ctx) })
-	}
-	err := group.Wait()
-	return errors.Join(err, stopStep{"finish the keyed requests", r.keyed.Close}.do(ctx))
-}
-
-// close ends the log streams, the membership and the transport, in this order:
-// releases go to the log first, and the word that this node left goes to its peers last.
-func (r *roles) close(ctx context.Context) error {
-	var joined error
-	for _, step := range []stopStep{
-		{"close the log streams", r.streams.Close},
-		{"leave the cluster", r.cluster.Leave},
-		{"close the peer transport", r.transport.Close},
-	} {
-		joined = errors.Join(joined, step.do(ctx))
-	}
-	return joined
-}
-
-// do runs the step and names it in its error.
-func (s stopStep) do(ctx context.Context) error {
-	if err := s.run(ctx); err != nil {
-		return errors.Wrap(err, s.name)
-	}
-	return nil
-}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -26,16 +26,9 @@
 	http     *http.Server
 }
 
-// newRouter returns a router whose unknown paths and methods are answered
-// from the table of error kinds.
-func newRouter() *mux.Router {
-	router := mux.NewRouter()
-	router.NotFoundHandler = http.HandlerFunc(httpapi.NotFound)
-	router.MethodNotAllowedHandler = http.HandlerFunc(httpapi.MethodNotAllowed)
-	return router
-}
-
-func listen(address string, handler http.Handler) (*server, error) {
+// listen opens a listener; its handler is the router with the checks that hold
+// for all requests.
+func listen(address string, router *mux.Router) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
@@ -43,7 +36,7 @@
 	return &server{
 		listener: listener,
 		http: &http.Server{
-			Handler:           handler,
+			Handler:           httpapi.NewHandler(router),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -40,6 +40,9 @@
 
 // TableStore is what the handlers ask of the table; *tables.Tables implements it.
 type TableStore interface {
+	// Current returns nil while the table in force may be relied on, else an
+	// *errkind.Error: NotReady until this node has caught up with the table.
+	Current() error
 	// Table returns the table in force.
 	Table() *policy.Table
 	// TableAt returns the table of an earlier revision, if it is remembered.
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -27,6 +27,7 @@
 	cluster.View // the methods that the handlers do not use
 	proposeErr   error
 	notReady     error
+	notCurrent   error
 	stepsErr     error
 	drained      int
 	allEngines   bool
@@ -38,6 +39,8 @@
 
 func (f *fakeSystem) Table() *policy.Table { return &sampleTable }
 
+func (f *fakeSystem) Current() error { return f.notCurrent }
+
 func (f *fakeSystem) TableAt(revision int64) (*policy.Table, bool) {
 	return &policy.Table{Revision: revision}, revision == 2
 }
@@ -118,6 +121,39 @@
 	assert.Equal(t, system.ask(t, http.MethodGet, PathReady, "", &state), http.StatusOK)
 }
 
+// TestNoRevisionIsToldBeforeTheNodeCaughtUp: a started node may hold an old
+// snapshot's table, and a lower revision must never be answered after a higher.
+func TestNoRevisionIsToldBeforeTheNodeCaughtUp(t *testing.T) {
+	behind := errkind.New(errkind.NotReady, "not caught up")
+	system := &fakeSystem{notReady: behind, notCurrent: behind}
+	for _, target := range []string{PathTable, PathTable + "?revision=2", PathTable + "?revision=3", PathHistory} {
+		var failure api.ErrorBody
+		assert.Equal(t, system.ask(t, http.MethodGet, target, "", &failure), http.StatusServiceUnavailable, target)
+		assert.Equal(t, failure.Error.Code, "not_ready")
+	}
+	var status map[string]any
+	assert.Equal(t, system.ask(t, http.MethodGet, PathStatus, "", &status), http.StatusOK)
+	assert.Equal(t, status["ready"], false)
+	assert.Equal(t, status["not_ready_cause"], "not_ready: not caught up")
+	_, told := status["table_revision"]
+	assert.Assert(t, !told, "the status tells revision %v", status["table_revision"])
+	var typed api.Status
+	assert.Equal(t, system.ask(t, http.MethodGet, PathStatus, "", &typed), http.StatusOK)
+	assert.Equal(t, typed.Node.TableRevision, int64(0))
+	var nodes []api.NodeStatus
+	assert.Equal(t, system.ask(t, http.MethodGet, PathNodes, "", &nodes), http.StatusOK)
+	for _, members := range [][]api.NodeStatus{typed.Members, nodes} {
+		assert.Equal(t, members[0].TableRevision, int64(0))
+		assert.Equal(t, members[1].TableRevision, int64(2), "what another node announced stands")
+	}
+
+	// A node that caught up once keeps the table that it knew.
+	system.notCurrent = errkind.New(errkind.NotCurrent, "alone")
+	var document api.TableDocument
+	assert.Equal(t, system.ask(t, http.MethodGet, PathTable, "", &document), http.StatusOK)
+	assert.Equal(t, document.Revision, int64(4))
+}
+
 func TestListsAreNeverNull(t *testing.T) {
 	system := &fakeSystem{}
 	for _, target := range []string{PathNodes, PathEngines + "?scope=all", PathSteps, PathHistory} {
--- a/internal/operatorapi/status.go
+++ b/internal/operatorapi/status.go
@@ -38,13 +38,14 @@
 	httpapi.WriteJSON(w, http.StatusOK, stateBody{State: "ready"})
 }
 
-// getStatus answers even where steps cannot be listed: an operator needs it
+// getStatus answers even where steps cannot be listed and before this node has
+// caught up with the table (it then claims no revision): an operator needs it
 // most while something fails.
 func (a *API) getStatus(w http.ResponseWriter, r *http.Request) {
 	status := api.Status{
 		Node:          nodeStatus(a.options.View.Self()),
 		Ready:         true,
-		TableRevision: a.options.Tables.Table().Revision,
+		TableRevision: a.revision(),
 		LogReachable:  time.Since(a.options.LastLogContact()) < logReachableWithin,
 		Members:       a.members(),
 		Cells:         a.cells(),
@@ -113,7 +114,7 @@
 	for _, member := range members {
 		status := nodeStatus(member)
 		if member.ID == self {
-			status.TableRevision = a.options.Tables.Table().Revision
+			status.TableRevision = a.revision()
 		}
 		statuses = append(statuses, status)
 	}
--- a/internal/operatorapi/table.go
+++ b/internal/operatorapi/table.go
@@ -20,6 +20,27 @@
 	defaultHistory = 20
 )
 
+// caughtUp returns the NotReady error until this node has caught up with the
+// table. Before that it may hold an old snapshot's table, and an operator who
+// was told a revision must never be told a lower one. NotCurrent is no reason
+// to refuse: a node that lost its contacts keeps the highest table it knew.
+func (a *API) caughtUp() error {
+	err := a.options.Tables.Current()
+	if errkind.Is(err, errkind.NotReady) {
+		return err
+	}
+	return nil
+}
+
+// revision returns the revision in force on this node, and 0, which claims
+// none, until it has caught up.
+func (a *API) revision() int64 {
+	if a.caughtUp() != nil {
+		return 0
+	}
+	return a.options.Tables.Table().Revision
+}
+
 func (a *API) getTable(w http.ResponseWriter, r *http.Request) {
 	table, err := a.askedTable(r)
 	if err != nil {
@@ -34,6 +55,9 @@
 }
 
 func (a *API) askedTable(r *http.Request) (*policy.Table, error) {
+	if err := a.caughtUp(); err != nil {
+		return nil, err
+	}
 	if !r.URL.Query().Has(QueryRevision) {
 		return a.options.Tables.Table(), nil
 	}
@@ -61,6 +85,10 @@
 		}
 		limit = asked
 	}
+	if err := a.caughtUp(); err != nil {
+		httpapi.WriteError(w, err)
+		return
+	}
 	httpapi.WriteJSON(w, http.StatusOK, a.options.Tables.History(limit))
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 )
 
 // encodedFrame builds one outgoing frame in a reusable buffer.
@@ -97,9 +99,13 @@
 	return d
 }}
 
-// decode decodes data into the pointer message. The message holds no
+// decode decodes data into the pointer message. Lengths that the data claims
+// are checked first: the decoder allocates slices by them. The message holds no
 // reference to data afterwards: msgpack copies strings and byte slices.
 func decode(data []byte, message any) error {
+	if err := msgpackguard.Check(data); err != nil {
+		return err
+	}
 	d := decoderPool.Get().(*decoder)
 	d.reader.Reset(data)
 	d.decoder.ResetReader(&d.reader)
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -20,6 +20,10 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 0, 0, 0, 1})
 	f.Add([]byte{0, 0, 0, 1, 99, 0, 0, 0, 1, 0})
 	f.Add([]byte{})
+	claim := newFrame(frameCall, 7)
+	assert.NilError(f, claim.setMethod(MethodProbe))
+	claim.buffer.Write([]byte{0xdd, 0xff, 0xff, 0xff, 0xff, 0x80})
+	f.Add(bytes.Clone(claim.bytes()))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		reader := bufio.NewReader(bytes.NewReader(data))
 		offset := 0
@@ -43,6 +47,7 @@
 	if err == nil {
 		assert.Equal(t, 1+len(method)+len(payload), len(received.body.data))
 		_ = decode(payload, &echo{})
+		_ = decode(payload, &[]hello{})
 	}
 	if consumed, err := parseCredit(received.body.data); err == nil {
 		assert.Assert(t, consumed >= 0)
--- a/internal/router/classify.go
+++ b/internal/router/classify.go
@@ -43,8 +43,9 @@
 )
 
 // classify judges the error of a stream. attached tells that the stream was
-// opened by attaching, delivered that it brought tokens: in both cases a
-// refusal can no longer mean that the request did not run.
+// opened by attaching, delivered that the attempt brought tokens: in both cases
+// a refusal can no longer mean that the request did not run, but for an
+// attached one that its dispatcher's queue gave up.
 func classify(err error, attached, delivered bool) verdict {
 	var consumer *consumerError
 	if errors.As(err, &consumer) {
@@ -52,7 +53,7 @@
 	}
 	var known *errkind.Error
 	if errors.As(err, &known) {
-		return classifyKind(known.Kind, attached || delivered)
+		return classifyKind(known.Kind, delivered || (attached && !endedInQueue(known.Kind)))
 	}
 	var delivery *peer.DeliveryError
 	if errors.As(err, &delivery) && !delivery.Sent && !attached {
@@ -79,6 +80,19 @@
 	}
 }
 
+// endedInQueue reports a kind with which only a dispatcher's own record of the
+// attempt ends, and only while no engine had any part of it. A node that knows
+// nothing of the attempt answers with other kinds, so even after a broken
+// stream this one tells that the attempt did not run.
+func endedInQueue(kind errkind.Kind) bool {
+	switch kind {
+	case errkind.QueueTimeout, errkind.QueueFull, errkind.CapReached, errkind.EngineRefused, errkind.Draining:
+		return true
+	default:
+		return false
+	}
+}
+
 func unlessBegun(refusal verdict, begun bool) verdict {
 	if begun {
 		return verdictLost
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -36,8 +36,18 @@
 		return outcome, err
 	}
 	// From here on the dispatcher may have given the request to an engine.
+	begun := a.mayHaveRun
 	a.mayHaveRun = true
-	return a.reattach(ctx, submit, chosen.target, err)
+	outcome, err = a.reattach(ctx, submit, chosen.target, err)
+	if outcome == verdictElsewhere || outcome == verdictHandover || isQueueTimeout(outcome, err) {
+		a.mayHaveRun = begun
+	}
+	return outcome, err
+}
+
+// isQueueTimeout reports an attempt that waited in its queue to the end.
+func isQueueTimeout(outcome verdict, err error) bool {
+	return outcome == verdictFail && errkind.Is(err, errkind.QueueTimeout)
 }
 
 // reattach attaches to the same attempt again until the answer is whole, the
@@ -48,6 +58,7 @@
 func (a *attempts) reattach(ctx context.Context, submit message.Submit, to target, err error) (verdict, error) {
 	delays := newBackOff(reattachFirstDelay, reattachMaxDelay)
 	lastProgress := time.Now()
+	start := len(submit.Generated)
 	for time.Since(lastProgress) < a.router.options.ReattachTimeout {
 		if a.request.Row.Repeatable && a.router.dispatcherGone(to) {
 			return verdictLost, errDispatcherGone
@@ -61,7 +72,7 @@
 		if err == nil {
 			return verdictDone, nil
 		}
-		if outcome := classify(err, true, true); outcome != verdictReattach {
+		if outcome := classify(err, true, a.assembler.Next() > start); outcome != verdictReattach {
 			return outcome, err
 		}
 		if a.assembler.Next() > before {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -103,6 +103,11 @@
 // judge decides after an attempt whether the request is at its end.
 func (a *attempts) judge(outcome verdict, err error, chosen choice) (final bool, _ error) {
 	a.tried[chosen.target] = struct{}{}
+	if a.mayHaveRun && isQueueTimeout(outcome, err) {
+		// Giving up a request that has begun would waste its work; the search
+		// for a cell that takes it has a bound of its own.
+		outcome = verdictElsewhere
+	}
 	switch outcome {
 	case verdictDone:
 		return true, nil
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -45,6 +45,7 @@
 		Priority:       row.Priority,
 		Urgent:         request.Urgent != nil && request.Urgent(),
 		Repeatable:     row.Repeatable,
+		Continued:      a.begun(),
 		QueueTimeout:   request.QueueTimeout,
 	}
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -53,14 +53,10 @@
 	c.pattern("node.id", settings.Node.ID, nodeIDPattern, "1..63 of a-z, 0-9, '-' and '.'")
 	c.pattern("node.zone", settings.Node.Zone, namePattern, "1..63 of a-z, 0-9 and '-'")
 	c.pattern("node.region", settings.Node.Region, namePattern, "1..63 of a-z, 0-9 and '-'")
-	c.address("listen.callers", settings.Listen.Callers)
-	c.address("listen.peers", settings.Listen.Peers)
-	c.address("listen.operators", settings.Listen.Operators)
-	if settings.Advertise.Peers != "" {
-		c.address("advertise.peers", settings.Advertise.Peers)
-	}
+	c.listeners(settings.Listen)
+	c.advertised(settings.Listen.Peers, settings.Advertise.Peers)
 	for i, seed := range settings.Cluster.Seeds {
-		c.address(fmt.Sprintf("cluster.seeds[%d]", i), seed)
+		c.reachable(fmt.Sprintf("cluster.seeds[%d]", i), seed)
 	}
 	c.duration("cluster.probe_interval", settings.Cluster.ProbeInterval, MinProbeInterval, MaxProbeInterval)
 	c.url("platform.log", settings.Platform.Log)
@@ -84,16 +80,53 @@
 	}
 }
 
-func (c *checker) address(key, value string) {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		c.add(key, value, "ip:port, port 0..65535")
+// listeners checks the three addresses that this node binds.
+func (c *checker) listeners(listen Listen) {
+	bound := make(map[netip.AddrPort]string)
+	for _, listener := range []struct{ key, value string }{
+		{"listen.callers", listen.Callers},
+		{"listen.peers", listen.Peers},
+		{"listen.operators", listen.Operators},
+	} {
+		address, err := netip.ParseAddrPort(listener.value)
+		if err != nil {
+			c.add(listener.key, listener.value, "ip:port, port 0..65535")
+			continue
+		}
+		if other, taken := bound[address]; taken && address.Port() != 0 {
+			c.add(listener.key, listener.value, "an address of its own, not that of "+other)
+		}
+		bound[address] = listener.key
+	}
+}
+
+// advertised checks the peer address that others are told. One without a
+// machine's IP ("0.0.0.0") may be bound, but nobody can connect to it.
+func (c *checker) advertised(listen, advertise string) {
+	if advertise != "" {
+		c.reachable("advertise.peers", advertise)
+		return
+	}
+	if bound, err := netip.ParseAddrPort(listen); err == nil && bound.Addr().IsUnspecified() {
+		c.add("advertise.peers", advertise, "an address that other nodes reach, since listen.peers is "+listen)
+	}
+}
+
+// reachable checks an address that some node connects to.
+func (c *checker) reachable(key, value string) {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 {
+		c.add(key, value, "ip:port of one machine, port 1..65535")
 	}
 }
 
 func (c *checker) url(key, value string) {
 	parsed, err := url.Parse(value)
-	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-		c.add(key, value, "a URL http://ip:port or https://ip:port")
+	// Paths are appended to the URL, so it ends before any query.
+	valid := err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https") &&
+		parsed.RawQuery == "" && parsed.Fragment == ""
+	if !valid {
+		c.add(key, value, "a URL http://ip:port or https://ip:port, without a query")
 	}
 }
 
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -6,33 +6,38 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/buildinfo"
 )
 
 // Flags are the command-line flags of corkpulleyd. A flag that is given wins
 // over the same key of the settings file.
 type Flags struct {
-	File  string `arg:"--settings,env:CORKPULLEY_SETTINGS" help:"settings file (TOML)"`
+	File  string `arg:"--settings,env:CORKPULLEY_SETTINGS" placeholder:"FILE" help:"settings file (TOML)"`
 	Check bool   `arg:"--check" help:"check the settings, print every mistake, and exit"`
 
-	NodeID             *string        `arg:"--node-id" help:"node.id"`
-	Zone               *string        `arg:"--zone" help:"node.zone"`
-	Region             *string        `arg:"--region" help:"node.region"`
-	Callers            *string        `arg:"--listen-callers" help:"listen.callers, ip:port"`
-	Peers              *string        `arg:"--listen-peers" help:"listen.peers, ip:port"`
-	Operators          *string        `arg:"--listen-operators" help:"listen.operators, ip:port"`
-	AdvertisePeers     *string        `arg:"--advertise-peers" help:"advertise.peers, ip:port"`
-	Seeds              []string       `arg:"--seed,separate" help:"cluster.seeds, ip:port (repeat the flag)"`
-	ProbeInterval      *time.Duration `arg:"--probe-interval" help:"cluster.probe_interval"`
-	LogService         *string        `arg:"--platform-log" help:"platform.log, URL"`
-	WeightStore        *string        `arg:"--platform-weight-store" help:"platform.weight_store, URL"`
-	Machines           *string        `arg:"--platform-machines" help:"platform.machines, URL"`
-	Scorer             *string        `arg:"--platform-scorer" help:"platform.scorer, URL"`
-	Policy             *string        `arg:"--policy" help:"scheduling.policy: default, round-robin or least-load"`
-	MaxConcurrentLoads *int           `arg:"--max-concurrent-loads" help:"weights.max_concurrent_loads"`
-	Grace              *time.Duration `arg:"--grace" help:"shutdown.grace"`
-	Level              *string        `arg:"--log-level" help:"log.level: debug, info, warn or error"`
+	NodeID             *string        `arg:"--node-id" placeholder:"ID" help:"node.id"`
+	Zone               *string        `arg:"--zone" placeholder:"NAME" help:"node.zone"`
+	Region             *string        `arg:"--region" placeholder:"NAME" help:"node.region"`
+	Callers            *string        `arg:"--listen-callers" placeholder:"IP:PORT" help:"listen.callers"`
+	Peers              *string        `arg:"--listen-peers" placeholder:"IP:PORT" help:"listen.peers"`
+	Operators          *string        `arg:"--listen-operators" placeholder:"IP:PORT" help:"listen.operators"`
+	AdvertisePeers     *string        `arg:"--advertise-peers" placeholder:"IP:PORT" help:"advertise.peers"`
+	Seeds              []string       `arg:"--seed,separate" placeholder:"IP:PORT" help:"cluster.seeds (repeat the flag)"`
+	ProbeInterval      *time.Duration `arg:"--probe-interval" placeholder:"DURATION" help:"cluster.probe_interval"`
+	LogService         *string        `arg:"--platform-log" placeholder:"URL" help:"platform.log"`
+	WeightStore        *string        `arg:"--platform-weight-store" placeholder:"URL" help:"platform.weight_store"`
+	Machines           *string        `arg:"--platform-machines" placeholder:"URL" help:"platform.machines"`
+	Scorer             *string        `arg:"--platform-scorer" placeholder:"URL" help:"platform.scorer"`
+	Policy             *string        `arg:"--policy" placeholder:"NAME" help:"scheduling.policy: default, round-robin or least-load"`
+	MaxConcurrentLoads *int           `arg:"--max-concurrent-loads" placeholder:"N" help:"weights.max_concurrent_loads"`
+	Grace              *time.Duration `arg:"--grace" placeholder:"DURATION" help:"shutdown.grace"`
+	Level              *string        `arg:"--log-level" placeholder:"LEVEL" help:"log.level: debug, info, warn or error"`
 }
 
+// Version makes "--version" a flag.
+func (Flags) Version() string { return "corkpulleyd " + buildinfo.Version() }
+
 // Description is shown at the top of the daemon's help.
 func (Flags) Description() string {
 	return "corkpulleyd serves live callers and reinforcement-learning trainers from shared model engines.\n" +
@@ -48,25 +53,35 @@
 
 // Load reads the settings file, if one is named, and applies the flags. Every
 // mistake found is returned; the settings are usable only when there is none.
+// A file that cannot be read is the only mistake reported, since every key that
+// it should have set would be reported as missing.
 func Load(flags Flags) (Settings, []Problem) {
 	loaded := Default()
-	var problems []Problem
+	var unknown []Problem
 	if flags.File != "" {
-		problems = readFile(flags.File, &loaded)
+		metadata, problem := readFile(flags.File, &loaded)
+		if problem != nil {
+			return loaded, []Problem{*problem}
+		}
+		unknown = unknownKeys(metadata)
 	}
 	flags.apply(&loaded)
-	return loaded, append(problems, Check(loaded)...)
+	return loaded, append(unknown, Check(loaded)...)
 }
 
-func readFile(path string, into *Settings) []Problem {
+func readFile(path string, into *Settings) (toml.MetaData, *Problem) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return []Problem{{Key: "--settings", Value: path, Expected: "a readable file: " + err.Error()}}
+		return toml.MetaData{}, &Problem{Key: "--settings", Value: path, Expected: "a readable file: " + err.Error()}
 	}
 	metadata, err := toml.Decode(string(text), into)
 	if err != nil {
-		return []Problem{{Key: "--settings", Value: path, Expected: "valid TOML: " + parseMessage(err)}}
+		return toml.MetaData{}, &Problem{Key: "--settings", Value: path, Expected: "valid TOML: " + parseMessage(err)}
 	}
+	return metadata, nil
+}
+
+func unknownKeys(metadata toml.MetaData) []Problem {
 	var problems []Problem
 	for _, key := range metadata.Undecoded() {
 		problems = append(problems, Problem{Key: key.String(), Expected: "a known key (see docs/CONFIG.md)"})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,7 +65,8 @@
 
 // Weights bounds weight changes.
 type Weights struct {
-	// MaxConcurrentLoads bounds how many engines load one model at once, 1..10000.
+	// MaxConcurrentLoads bounds how many engines load at once over all models, 1..10000;
+	// what the weight store was seen to feed bounds them further.
 	MaxConcurrentLoads int `toml:"max_concurrent_loads"`
 }
 
@@ -95,7 +96,7 @@
 const (
 	DefaultProbeInterval      = 500 * time.Millisecond
 	DefaultGrace              = 10 * time.Minute
-	DefaultMaxConcurrentLoads = 64
+	DefaultMaxConcurrentLoads = 4096
 	DefaultPolicy             = "default"
 	DefaultLevel              = "info"
 	DefaultCallersAddress     = "127.0.0.1:8080"
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,3 +62,39 @@
 	_, problems = Load(Flags{File: writeFile(t, "[node\n")})
 	assert.Equal(t, problems[0].Key, "--settings")
 }
+
+func TestAnUnreadableFileIsTheOnlyMistakeReported(t *testing.T) {
+	_, problems := Load(Flags{File: writeFile(t, "[node]\nid = 3\n")})
+	assert.Equal(t, len(problems), 1, "what follows from the file not being read is noise: %v", problems)
+}
+
+func TestAddressesThatCannotWorkAreRefused(t *testing.T) {
+	for _, test := range []struct{ text, key string }{
+		{"[listen]\npeers = \"0.0.0.0:7070\"\n", "advertise.peers"},
+		{"[listen]\npeers = \"[::]:7070\"\n", "advertise.peers"},
+		{"[advertise]\npeers = \"0.0.0.0:7070\"\n", "advertise.peers"},
+		{"[advertise]\npeers = \"127.0.0.1:0\"\n", "advertise.peers"},
+		{"[listen]\ncallers = \"127.0.0.1:7070\"\npeers = \"127.0.0.1:7070\"\n", "listen.peers"},
+	} {
+		_, problems := Load(Flags{File: writeFile(t, completeFile+test.text)})
+		assert.Equal(t, len(problems), 1, "%s: %v", test.text, problems)
+		assert.Equal(t, problems[0].Key, test.key)
+	}
+	any, free := "0.0.0.0:7070", "127.0.0.1:0"
+	reachable := "10.0.0.1:7070"
+	_, problems := Load(Flags{File: writeFile(t, completeFile), Peers: &any, AdvertisePeers: &reachable})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	_, problems = Load(Flags{File: writeFile(t, completeFile), Peers: &free, Callers: &free, Operators: &free})
+	assert.Equal(t, len(problems), 0, "free ports never clash: %v", problems)
+	_, problems = Load(Flags{File: writeFile(t, completeFile), Seeds: []string{"127.0.0.1:0"}})
+	assert.Equal(t, problems[0].Key, "cluster.seeds[0]")
+	query := "http://127.0.0.1:1/log?tenant=2"
+	_, problems = Load(Flags{File: writeFile(t, completeFile), LogService: &query})
+	assert.Equal(t, len(problems), 1, "a path is appended to the URL: %v", problems)
+}
+
+// TestTheExampleIsValid keeps the sample settings usable.
+func TestTheExampleIsValid(t *testing.T) {
+	_, problems := Load(Flags{File: filepath.Join("..", "..", "examples", "corkpulleyd.toml")})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+}
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -103,8 +103,14 @@
 
 // stepTime returns the time of one decode step of the batch as it is.
 func (s *Server) stepTime() time.Duration {
-	factor := 1 + batchSlowdown*float64(len(s.running)-1)
-	return max(shortestStep, time.Duration(float64(s.config.TokenInterval)*factor))
+	return StepTime(s.config.TokenInterval, len(s.running))
+}
+
+// StepTime returns the time of one decode step of a batch (1 or more), given
+// that of a batch of one.
+func StepTime(tokenInterval time.Duration, batch int) time.Duration {
+	factor := 1 + batchSlowdown*float64(batch-1)
+	return max(shortestStep, time.Duration(float64(tokenInterval)*factor))
 }
 
 // admit moves waiting requests into free places of the batch.
@@ -151,7 +157,7 @@
 			continue
 		}
 		if !current.done() {
-			current.emit(model.version)
+			s.emit(current, model.version)
 		}
 		if current.done() {
 			s.end(current, current.reason(), false)
@@ -161,6 +167,16 @@
 	}
 }
 
+// emit makes the next token of a request.
+func (s *Server) emit(current *sequence, version uint64) {
+	current.emit(version)
+	if current.history == nil {
+		return
+	}
+	made := Span{Version: version, From: current.next - 1, To: current.next}
+	s.historyFile.write(&historyEvent{Request: current.number, Made: &made})
+}
+
 // reason returns why a whole answer ends.
 func (s *sequence) reason() string {
 	if s.natural {
@@ -198,9 +214,10 @@
 }
 
 func (s *Server) recordStart(next *sequence, now time.Time) {
-	if !s.config.History {
+	if !s.config.History && s.historyFile == nil {
 		return
 	}
+	next.number = len(s.requests)
 	next.history = &RequestHistory{
 		RequestID:     next.request.RequestID,
 		Attempt:       next.request.Attempt,
@@ -209,9 +226,12 @@
 		PromptHash:    xxhash.Sum64String(next.request.Prompt),
 		StartedUnixNS: now.UnixNano(),
 		StartIndex:    next.start,
+		PromptTokens:  promptTokens(next.request.Prompt),
+		CachedTokens:  next.cachedTokens,
 		Outcome:       OutcomeRunning,
 	}
 	s.requests = append(s.requests, next)
+	s.historyFile.write(&historyEvent{Request: next.number, Started: next.history})
 }
 
 func (s *Server) recordEnd(current *sequence, now time.Time) {
@@ -223,4 +243,6 @@
 	if current.broken {
 		current.history.Outcome = OutcomeBroken
 	}
+	end := requestEnd{UnixNS: current.history.EndedUnixNS, Outcome: current.history.Outcome}
+	s.historyFile.write(&historyEvent{Request: current.number, Ended: &end})
 }
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -61,6 +61,7 @@
 	DrainTimeout time.Duration `arg:"--drain-timeout" default:"1m" help:"longest wait for running requests at a stop"`
 	Seed         int64         `arg:"--seed" help:"seed of faults and answer lengths"`
 	History      bool          `arg:"--history" help:"keep the history that GET /v1/history answers"`
+	HistoryFile  string        `arg:"--history-file" help:"file to which the history of requests is appended as it happens; implies --history"`
 }
 
 // withDefaults fills in zero fields.
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -25,6 +25,9 @@
 	Stall *bool `json:"stall,omitempty"`
 	// Crash drops all connections; Run returns ErrCrashed.
 	Crash bool `json:"crash,omitempty"`
+	// RepeatChunks sends each chunk twice, the first time together with tokens
+	// that were sent before.
+	RepeatChunks *bool `json:"repeat_chunks,omitempty"`
 	// FailNextLoads makes that many loads fail part-way.
 	FailNextLoads *int `json:"fail_next_loads,omitempty"`
 }
@@ -193,6 +196,9 @@
 	if control.Stall != nil {
 		s.stalled = *control.Stall
 	}
+	if control.RepeatChunks != nil {
+		s.repeatChunks = *control.RepeatChunks
+	}
 	if control.FailNextLoads != nil {
 		s.failNextLoads = max(0, *control.FailNextLoads)
 	}
--- a/internal/standin/engine/history.go
+++ b/internal/standin/engine/history.go
@@ -24,8 +24,11 @@
 	StartedUnixNS int64  `json:"started_unix_ns"`
 	EndedUnixNS   int64  `json:"ended_unix_ns,omitempty"`
 	// StartIndex is the index of the first token made here.
-	StartIndex int    `json:"start_index"`
-	Spans      []Span `json:"spans"`
+	StartIndex int `json:"start_index"`
+	// PromptTokens is the prompt's length; CachedTokens of it were cached.
+	PromptTokens int    `json:"prompt_tokens"`
+	CachedTokens int    `json:"cached_tokens"`
+	Spans        []Span `json:"spans"`
 	// Outcome is "running", "broken", or the finish reason.
 	Outcome string `json:"outcome"`
 }
--- /dev/null
+++ b/internal/standin/engine/historyfile.go
@@ -0,0 +1,162 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// historyFile writes the history of requests as it happens, one JSON line for
+// each event, so that a killed engine leaves all that it did.
+//
+// Invariant: an event is written before anyone outside the engine can see its
+// effect. The writes are not buffered in the process, so SIGKILL loses none;
+// they need not survive the machine.
+type historyFile struct {
+	file *os.File
+	// failed receives the first failed write; the engine must end then, since
+	// its history would have a gap.
+	failed chan error
+}
+
+// historyEvent is one line of the file. Request numbers the requests of one
+// process from 0, in the order of their starts.
+type historyEvent struct {
+	ID          string `json:"id,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Request     int    `json:"request"`
+	// One of the following is set. Begun is the first event of a process.
+	Begun   bool            `json:"begun,omitempty"`
+	Started *RequestHistory `json:"started,omitempty"`
+	Made    *Span           `json:"made,omitempty"`
+	Ended   *requestEnd     `json:"ended,omitempty"`
+}
+
+type requestEnd struct {
+	UnixNS  int64  `json:"unix_ns"`
+	Outcome string `json:"outcome"`
+}
+
+func openHistoryFile(path, id, incarnation string) (*historyFile, error) {
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open history file")
+	}
+	opened := &historyFile{file: file, failed: make(chan error, 1)}
+	opened.write(&historyEvent{Begun: true, ID: id, Incarnation: incarnation})
+	return opened, nil
+}
+
+// write appends one event; a nil historyFile takes none.
+func (f *historyFile) write(event *historyEvent) {
+	if f == nil {
+		return
+	}
+	line, err := json.Marshal(event)
+	if err == nil {
+		_, err = f.file.Write(append(line, '\n'))
+	}
+	if err == nil {
+		return
+	}
+	select {
+	case f.failed <- errors.Wrap(err, "write history file"):
+	default:
+	}
+}
+
+// failure returns the channel that receives the first failed write.
+func (f *historyFile) failure() <-chan error {
+	if f == nil {
+		return nil
+	}
+	return f.failed
+}
+
+func (f *historyFile) close() {
+	if f != nil {
+		_ = f.file.Close()
+	}
+}
+
+// ReadHistoryFile reads what engine processes wrote to Config.HistoryFile, one
+// History for each process in the order of their starts, without orders. The
+// file may be read while an engine still writes it. Errors: an unreadable file,
+// or a line that is no event.
+func ReadHistoryFile(path string) ([]History, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open history file")
+	}
+	defer func() { _ = file.Close() }()
+	var histories []History
+	reader := bufio.NewReader(file)
+	for number := 1; ; number++ {
+		line, err := reader.ReadString('\n')
+		if errors.Is(err, io.EOF) {
+			// A last line without its end is still being written.
+			return histories, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read history file")
+		}
+		if histories, err = applyHistoryLine(histories, line); err != nil {
+			return nil, errors.Wrapf(err, "%s, line %d", path, number)
+		}
+	}
+}
+
+func applyHistoryLine(histories []History, line string) ([]History, error) {
+	var event historyEvent
+	decoder := json.NewDecoder(strings.NewReader(line))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&event); err != nil {
+		return nil, errors.Wrap(err, "decode event")
+	}
+	if event.Begun {
+		return append(histories, History{ID: event.ID, Incarnation: event.Incarnation}), nil
+	}
+	if len(histories) == 0 {
+		return nil, errors.New("event before the process began")
+	}
+	return histories, histories[len(histories)-1].apply(&event)
+}
+
+// apply takes one event of the process into its history.
+func (h *History) apply(event *historyEvent) error {
+	if event.Started != nil {
+		if event.Request != len(h.Requests) {
+			return errors.Errorf("request %d started after %d others", event.Request, len(h.Requests))
+		}
+		h.Requests = append(h.Requests, *event.Started)
+		return nil
+	}
+	if event.Request < 0 || event.Request >= len(h.Requests) {
+		return errors.Errorf("event of request %d, which did not start", event.Request)
+	}
+	request := &h.Requests[event.Request]
+	switch {
+	case event.Made != nil:
+		request.Spans = appendSpan(request.Spans, *event.Made)
+	case event.Ended != nil:
+		request.EndedUnixNS = event.Ended.UnixNS
+		request.Outcome = event.Ended.Outcome
+	default:
+		return errors.New("event tells nothing")
+	}
+	return nil
+}
+
+// appendSpan adds a run of tokens; one that continues the last span extends it.
+func appendSpan(spans []Span, made Span) []Span {
+	last := len(spans) - 1
+	if last >= 0 && spans[last].Version == made.Version && spans[last].To == made.From {
+		spans[last].To = made.To
+		return spans
+	}
+	return append(spans, made)
+}
--- a/internal/standin/engine/length.go
+++ b/internal/standin/engine/length.go
@@ -20,6 +20,10 @@
 // lengthDirective fixes the answer's length from inside a prompt.
 var lengthDirective = regexp.MustCompile(`\[tokens=([0-9]{1,7})\]`)
 
+// shortestDirective sets the shortest answer from inside a prompt, so that
+// groups of prompts differ in length.
+var shortestDirective = regexp.MustCompile(`\[shortest=([0-9]{1,4})\]`)
+
 // answerLength returns the natural length in tokens of the answer to a prompt.
 // It depends on its arguments only, so each engine agrees on it.
 func answerLength(prompt string, seed int64) int {
@@ -36,6 +40,15 @@
 	_, _ = digest.Write(encoded[:])
 	// uniform lies in (0, 1].
 	uniform := (float64(digest.Sum64()>>11) + 1) / (1 << 53)
-	length := shortestAnswer * math.Pow(uniform, -1/tailExponent)
+	length := shortest(prompt) * math.Pow(uniform, -1/tailExponent)
 	return int(math.Min(length, longestAnswer))
 }
+
+func shortest(prompt string) float64 {
+	if match := shortestDirective.FindStringSubmatch(prompt); match != nil {
+		if tokens, err := strconv.Atoi(match[1]); err == nil && tokens > 0 {
+			return float64(tokens)
+		}
+	}
+	return shortestAnswer
+}
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -35,7 +35,13 @@
 	if err != nil {
 		return errors.Wrap(err, "engine stand-in listen")
 	}
-	s.listening(listener.Addr().String())
+	s.named(listener.Addr().String())
+	if err := s.startHistoryFile(); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	defer s.historyFile.close()
+	close(s.ready)
 	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
@@ -48,19 +54,37 @@
 	case <-s.crashed:
 		_ = server.Close()
 		return ErrCrashed
+	case err := <-s.historyFile.failure():
+		_ = server.Close()
+		return err
 	case <-ctx.Done():
 		return s.stop(server, registration)
 	}
 }
 
-func (s *Server) listening(address string) {
+// named notes the address, which names an engine without an ID.
+func (s *Server) named(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = address
 	if s.id == "" {
 		s.id = "engine-" + address
 	}
-	close(s.ready)
+}
+
+// startHistoryFile opens Config.HistoryFile, if any, before the first request.
+func (s *Server) startHistoryFile() error {
+	if s.config.HistoryFile == "" {
+		return nil
+	}
+	opened, err := openHistoryFile(s.config.HistoryFile, s.id, s.incarnation)
+	if err != nil {
+		return errors.Wrap(err, "engine stand-in")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.historyFile = opened
+	return nil
 }
 
 // stop drains and closes the server.
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -47,7 +47,9 @@
 	expiry *time.Timer
 	// changed is closed and replaced when there is something new to read.
 	changed chan struct{}
+	// history is nil unless a history is kept; number is its place there.
 	history *RequestHistory
+	number  int
 }
 
 func (s *sequence) key() sequenceKey {
@@ -62,12 +64,7 @@
 
 // emit makes the next token under the version.
 func (s *sequence) emit(version uint64) {
-	last := len(s.spans) - 1
-	if last >= 0 && s.spans[last].Version == version {
-		s.spans[last].To++
-	} else {
-		s.spans = append(s.spans, span{Version: version, From: s.next, To: s.next + 1})
-	}
+	s.spans = appendSpan(s.spans, span{Version: version, From: s.next, To: s.next + 1})
 	s.next++
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -38,7 +38,9 @@
 	stepping bool
 	draining bool
 	stalled  bool
-	dead     bool
+	// repeatChunks: see Control.RepeatChunks.
+	repeatChunks bool
+	dead         bool
 	// failNextLoads counts loads that fail on demand.
 	failNextLoads int
 	random        *rand.Rand
@@ -52,7 +54,9 @@
 	cacheEvents  uint64
 
 	requests []*sequence
-	orders   []*OrderHistory
+	// historyFile is nil without Config.HistoryFile.
+	historyFile *historyFile
+	orders      []*OrderHistory
 }
 
 // loadReport holds the load figures as last reported.
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -87,13 +87,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return streamState{
-		chunks:   current.read(from),
+		chunks:   s.chunksToSend(current, from),
 		finished: current.finished,
 		broken:   current.broken,
 		changed:  current.changed,
 	}
 }
 
+// lateTokens is how many tokens before the new ones a late chunk repeats.
+const lateTokens = 3
+
+// chunksToSend returns the new chunks. With repeats on, earlier tokens come late
+// and together with the new ones before these come again.
+func (s *Server) chunksToSend(current *sequence, from int) []engine.Chunk {
+	chunks := current.read(from)
+	if !s.repeatChunks || len(chunks) == 0 {
+		return chunks
+	}
+	late := current.read(max(current.start, from-lateTokens))
+	last := &late[len(late)-1]
+	last.Finished = false // the finished chunk ends the stream, so it comes once
+	last.FinishReason = ""
+	return append(late, chunks...)
+}
+
 // relay sends the chunks from token index from on, until the last one. It
 // returns false when the stream must break off.
 func (s *Server) relay(ctx context.Context, current *sequence, from int, send func([]engine.Chunk) error) bool {
--- a/internal/standin/machines/server.go
+++ b/internal/standin/machines/server.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
@@ -125,11 +127,24 @@
 	})
 }
 
-func (s *Server) handleList(writer http.ResponseWriter, _ *http.Request) {
+// handleList answers the list, or that it is still the one of the asker's tag.
+func (s *Server) handleList(writer http.ResponseWriter, request *http.Request) {
 	s.mu.Lock()
 	list := s.history.list(time.Now())
 	s.mu.Unlock()
-	writeJSON(writer, list)
+	encoded, err := json.Marshal(list)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := `"` + strconv.FormatUint(xxhash.Sum64(encoded), 16) + `"`
+	writer.Header().Set("ETag", tag)
+	if request.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write(encoded)
 }
 
 func (s *Server) handlePut(writer http.ResponseWriter, request *http.Request) {
--- a/internal/standin/scorer/scorer.go
+++ b/internal/standin/scorer/scorer.go
@@ -48,7 +48,7 @@
 func (s *Server) Handler() http.Handler {
 	router := mux.NewRouter()
 	router.NotFoundHandler = http.HandlerFunc(httpapi.NotFound)
-	router.MethodNotAllowedHandler = http.HandlerFunc(httpapi.MethodNotAllowed)
+	router.MethodNotAllowedHandler = httpapi.MethodNotAllowed(router)
 	router.HandleFunc("/v1/score", s.score).Methods(http.MethodPost)
 	return router
 }
--- a/internal/standin/trainer/config.go
+++ b/internal/standin/trainer/config.go
@@ -27,6 +27,7 @@
 	SamplesPerPrompt int           `arg:"--samples" default:"4" help:"samples for each prompt"`
 	MaxTokens        int           `arg:"--max-tokens" default:"64" help:"longest answer in tokens"`
 	Groups           int           `arg:"--groups" default:"2" help:"prompt groups; prompts of a group share a prefix"`
+	GroupShortest    []int         `arg:"--group-shortest,separate" help:"shortest answer of each group in tokens (default: the engine's)"`
 	PrefixBytes      int           `arg:"--prefix-bytes" default:"256" help:"length of a group's shared prefix"`
 	Seed             int64         `arg:"--seed" default:"1" help:"seed of the prompts and samples"`
 	TrainTime        time.Duration `arg:"--train-time" default:"200ms" help:"time that training on a step takes"`
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -255,6 +255,17 @@
 	return fmt.Sprintf("%s-%d", t.config.StepPrefix, step)
 }
 
+// StepNumber returns the number, from 0, of the step of an ID; false when the
+// ID is none of this trainer's.
+func (t *Trainer) StepNumber(id string) (int, bool) {
+	for step := range t.config.Steps {
+		if t.stepID(step) == id {
+			return step, true
+		}
+	}
+	return 0, false
+}
+
 // stepRequest builds the step's request as a function of the configuration
 // only: a repeat after a restart must be the same request.
 func (t *Trainer) stepRequest(step int) api.StepRequest {
@@ -285,8 +296,9 @@
 	group := index % t.config.Groups
 	line := fmt.Sprintf("[seed %d group %d] shared context. ", t.config.Seed, group)
 	prefix := strings.Repeat(line, t.config.PrefixBytes/len(line)+1)[:t.config.PrefixBytes]
-	return api.StepPrompt{
-		Group: fmt.Sprintf("group-%d", group),
-		Text:  fmt.Sprintf("%s question %d of step %d", prefix, index, step),
+	text := fmt.Sprintf("%s question %d of step %d", prefix, index, step)
+	if group < len(t.config.GroupShortest) {
+		text += fmt.Sprintf(" [shortest=%d]", t.config.GroupShortest[group])
 	}
+	return api.StepPrompt{Group: fmt.Sprintf("group-%d", group), Text: text}
 }
--- a/internal/trainerapi/trainerapi_test.go
+++ b/internal/trainerapi/trainerapi_test.go
@@ -116,6 +116,9 @@
 		{http.MethodPost, fetch, `{"max":-1}`, "invalid_request", "max"},
 		{http.MethodPost, fetch, `{"wait_ms":60001}`, "invalid_request", "wait_ms"},
 		{http.MethodPost, fetch, `{"holding":["x"]}`, "invalid_request", "holding[0]"},
+		{http.MethodPut, step, strings.Replace(goodStep, `version":1`, `version":0`, 1), "invalid_request", "trainer_version"},
+		{http.MethodPost, fetch, `{}`, "invalid_request", "trainer_version"},
+		{http.MethodPost, ack, `{"token":1,"samples":["s/0/1"]}`, "invalid_request", "trainer_version"},
 		{http.MethodPost, ack, `{"samples":["s/0/1"]}`, "invalid_request", "token"},
 		{http.MethodPost, ack, `{"token":1}`, "invalid_request", "samples is empty"},
 	} {
--- a/internal/trainerapi/validate.go
+++ b/internal/trainerapi/validate.go
@@ -54,7 +54,19 @@
 	case request.Temperature < 0 || request.Temperature > maxTemperature:
 		return errkind.New(errkind.InvalidRequest, "temperature is %g, expected 0..%g", request.Temperature, maxTemperature)
 	}
-	return checkPrompts(request.Prompts)
+	if err := checkPrompts(request.Prompts); err != nil {
+		return err
+	}
+	return checkTrainerVersion(request.TrainerVersion)
+}
+
+// checkTrainerVersion refuses a call that does not name the trainer's version:
+// versions count from 1, and none of any age is stale beside version 0.
+func checkTrainerVersion(version uint64) error {
+	if version == 0 {
+		return errkind.New(errkind.InvalidRequest, "trainer_version is missing or 0, expected the weight version that the trainer is at")
+	}
+	return nil
 }
 
 func checkPrompts(prompts []api.StepPrompt) error {
@@ -90,7 +102,10 @@
 	case request.WaitMS < 1 || request.WaitMS > maxWaitMS:
 		return outOfRange("wait_ms", request.WaitMS, 1, maxWaitMS)
 	}
-	return checkSampleIDs("holding", request.Holding)
+	if err := checkSampleIDs("holding", request.Holding); err != nil {
+		return err
+	}
+	return checkTrainerVersion(request.TrainerVersion)
 }
 
 func checkAckRequest(request api.AckRequest) error {
@@ -100,7 +115,10 @@
 	if len(request.Samples) == 0 {
 		return errkind.New(errkind.InvalidRequest, "samples is empty, expected at least one sample ID")
 	}
-	return checkSampleIDs("samples", request.Samples)
+	if err := checkSampleIDs("samples", request.Samples); err != nil {
+		return err
+	}
+	return checkTrainerVersion(request.TrainerVersion)
 }
 
 func checkSampleIDs(field string, ids []string) error {
--- a/internal/weights/direct.go
+++ b/internal/weights/direct.go
@@ -16,9 +16,12 @@
 	directiveTimeout = 3 * time.Second
 	// maxDirectiveCalls bounds the calls to dispatchers at once, for one model.
 	maxDirectiveCalls = 32
-	// settledInterval is the time between two directives to a cell whose engines
-	// all hold the version; they repair what a digest does not show.
+	// settledInterval is the shortest time between two directives to a cell whose
+	// engines all hold the version; they repair what a digest does not show.
 	settledInterval = 5 * time.Second
+	// settledPace is the time between two such directives to any cells, since a
+	// model may have hundreds of cells and control traffic has a budget.
+	settledPace = 250 * time.Millisecond
 )
 
 // cellProgress is what one cell last answered.
@@ -32,9 +35,9 @@
 	asked   time.Time
 }
 
-// settled reports whether all engines of the cell hold the version.
-func (p *cellProgress) settled(version uint64) bool {
-	return p.known && p.version == version && p.result.AtLeast >= p.result.Engines &&
+// settled reports whether all engines of the cell hold what is wanted.
+func (p *cellProgress) settled(version uint64, wanted target) bool {
+	return p.known && p.version == version && wanted.placed(p.result) >= p.result.Engines &&
 		p.result.Broken == 0 && p.result.Loading == 0 && p.granted == 0
 }
 
@@ -51,13 +54,16 @@
 func (r *runner) direct(ctx context.Context, epoch int64, version uint64, wanted target, maxLoads int) {
 	digests := r.relevantCells(wanted)
 	r.trackCells(digests)
-	plan := r.planner.Plan(time.Now(), r.plannedCells(digests, version, wanted), weights.Limits{MaxConcurrent: maxLoads})
+	now := time.Now()
+	cells := r.plannedCells(digests, version, wanted)
+	plan := r.planner.Plan(now, cells, r.limits(now, version, cells, maxLoads))
 	r.warnBlocked(plan.Blocked)
+	settledAfter := max(settledInterval, time.Duration(len(digests))*settledPace)
 	var dispatches []*dispatch
 	for _, digest := range digests {
 		progress := r.cells[digest.Cell]
-		misplaced := holdsBelow(digest, r.model, version) || wanted.pinned() && enginesAbove(digest, r.model, version) > 0
-		if !misplaced && !due(progress, digest, version) {
+		settled := progress.settled(version, wanted) && !wanted.misplaced(digest, r.model, version)
+		if settled && !due(progress, digest, settledAfter) {
 			continue
 		}
 		directive := message.Directive{
@@ -70,7 +76,32 @@
 		dispatches = append(dispatches, &dispatch{address: digest.Address, directive: directive, progress: progress})
 	}
 	r.send(ctx, dispatches)
-	r.report(version)
+	r.report(version, wanted)
+}
+
+// limits bounds the next wave by the settings and by what the store was seen
+// to feed.
+func (r *runner) limits(now time.Time, version uint64, cells []weights.Cell, maxLoads int) weights.Limits {
+	running, reached, engines := 0, 0, 0
+	for _, cell := range cells {
+		running += cell.Loading
+		reached += cell.AtVersion
+		engines += cell.Engines
+	}
+	if r.allKnown(version) {
+		r.pace.Observe(now, version, running, reached)
+	}
+	return r.pace.Limits(maxLoads, engines)
+}
+
+// allKnown reports whether each cell has answered for the version.
+func (r *runner) allKnown(version uint64) bool {
+	for _, progress := range r.cells {
+		if !progress.known || progress.version != version {
+			return false
+		}
+	}
+	return true
 }
 
 // relevantCells returns the cells whose pool and zone the table gives to the model.
@@ -108,16 +139,13 @@
 		cell := weights.Cell{
 			ID:           digest.Cell,
 			Engines:      progress.result.Engines,
-			AtVersion:    progress.result.AtLeast,
+			AtVersion:    wanted.placed(progress.result),
 			Loading:      progress.result.Loading,
 			Broken:       progress.result.Broken,
 			Absent:       absent(progress.result, digest, r.model),
 			Granted:      progress.granted,
 			FloorPercent: floor,
 		}
-		if wanted.pinned() {
-			cell.AtVersion = max(0, cell.AtVersion-enginesAbove(digest, r.model, version))
-		}
 		if !progress.known || progress.version != version {
 			cell.AtVersion = cell.Engines
 		}
@@ -138,32 +166,10 @@
 	return max(0, result.Engines-result.Loading-result.Broken-max(held, result.AtLeast))
 }
 
-// due reports whether the cell's dispatcher must hear a directive now.
-func due(progress *cellProgress, digest message.CellDigest, version uint64) bool {
-	return !progress.settled(version) || time.Since(progress.asked) >= settledInterval ||
-		digest.Engines != progress.result.Engines
-}
-
-// enginesAbove counts the engines above the version. A pinned version brings
-// them back; the latest one never does.
-func enginesAbove(digest message.CellDigest, model string, version uint64) int {
-	engines := 0
-	for _, count := range digest.Models {
-		if count.Model == model && count.Version > version {
-			engines += count.Engines
-		}
-	}
-	return engines
-}
-
-// holdsBelow reports whether the digest counts an engine below the version.
-func holdsBelow(digest message.CellDigest, model string, version uint64) bool {
-	for _, count := range digest.Models {
-		if count.Model == model && count.Version < version && count.Engines > 0 {
-			return true
-		}
-	}
-	return false
+// due reports whether the dispatcher of a settled cell must hear a directive
+// all the same: after the time, or when the cell has changed.
+func due(progress *cellProgress, digest message.CellDigest, settledAfter time.Duration) bool {
+	return time.Since(progress.asked) >= settledAfter || digest.Engines != progress.result.Engines
 }
 
 // send makes the calls, a bounded number at once, and takes the answers in.
@@ -233,10 +239,10 @@
 }
 
 // report sets the gauges of the model.
-func (r *runner) report(version uint64) {
+func (r *runner) report(version uint64, wanted target) {
 	behind, loading := 0, 0
 	for _, progress := range r.cells {
-		behind += max(0, progress.result.Engines-progress.result.AtLeast)
+		behind += max(0, progress.result.Engines-wanted.placed(progress.result))
 		loading += progress.result.Loading
 	}
 	metrics := r.coordinator.metrics
--- a/internal/weights/ownership.go
+++ b/internal/weights/ownership.go
@@ -4,12 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/core/weights"
 	"github.com/corkpulley/corkpulley/internal/logstream"
 	"github.com/corkpulley/corkpulley/internal/message"
 )
@@ -30,18 +29,22 @@
 // only while the node is the preferred owner or the owner, so that a node reads
 // few streams. It is used by one goroutine.
 type ownership struct {
-	options Options
-	name    string
-	logger  zerolog.Logger
+	options    Options
+	preference *preference
+	name       string
+	logger     zerolog.Logger
 
 	stream  *logstream.TailedStream
 	reducer *logrecord.OwnershipReducer
 	// silentSince is when a live owner was first found not to announce itself.
 	silentSince time.Time
+	// owning is set while the stream is held; contest counts its losses.
+	owning  bool
+	contest weights.Contest
 }
 
-func newOwnership(options Options, model string, logger zerolog.Logger) *ownership {
-	return &ownership{options: options, name: StreamName(model), logger: logger}
+func newOwnership(options Options, preference *preference, model string, logger zerolog.Logger) *ownership {
+	return &ownership{options: options, preference: preference, name: StreamName(model), logger: logger}
 }
 
 // settle claims the stream if this node should, and returns the epoch that it
@@ -49,8 +52,13 @@
 func (o *ownership) settle(ctx context.Context) int64 {
 	if epoch := o.held(); epoch != 0 {
 		o.silentSince = time.Time{}
+		o.owning = true
 		return epoch
 	}
+	if o.owning {
+		o.owning = false
+		o.contest.Lost(time.Now())
+	}
 	if !o.shouldClaim() {
 		o.silentSince = time.Time{}
 		o.close()
@@ -82,7 +90,7 @@
 // shouldClaim: this node is preferred, and no live node announces the stream.
 func (o *ownership) shouldClaim() bool {
 	candidates := o.options.View.Candidates("")
-	if preferredOwner(candidates, o.name) != o.options.NodeID {
+	if o.preference.owner(candidates, o.name) != o.options.NodeID {
 		return false
 	}
 	owner, _, announced := o.options.View.Owner(o.name)
@@ -92,18 +100,6 @@
 	return !takesWork(candidates, owner.ID)
 }
 
-// preferredOwner picks one candidate by rendezvous hashing; "" without any.
-func preferredOwner(candidates []cluster.Member, stream string) string {
-	if len(candidates) == 0 {
-		return ""
-	}
-	nodes := make([]string, len(candidates))
-	for index, member := range candidates {
-		nodes[index] = member.ID
-	}
-	return rendezvous.New(nodes, xxhash.Sum64String).Lookup(stream)
-}
-
 func takesWork(candidates []cluster.Member, id string) bool {
 	for _, member := range candidates {
 		if member.ID == id {
@@ -124,7 +120,7 @@
 		return
 	}
 	fence := o.fence()
-	if o.mustWaitFor(fence) {
+	if o.mustWaitFor(fence) || fence.Owned() && !o.contest.MayClaim(time.Now()) {
 		return
 	}
 	outcome, err := o.stream.Propose(ctx, logstream.Proposal{
--- a/internal/weights/runner.go
+++ b/internal/weights/runner.go
@@ -28,6 +28,7 @@
 	ownership *ownership
 	version   *wantedVersion
 	planner   weights.Planner
+	pace      weights.Pace
 	cells     map[message.CellID]*cellProgress
 	// fencedEpoch is the highest epoch that an engine has seen.
 	fencedEpoch int64
@@ -43,7 +44,7 @@
 		wake:        make(chan struct{}, 1),
 		quit:        make(chan struct{}),
 		ended:       make(chan struct{}),
-		ownership:   newOwnership(coordinator.options, model, logger),
+		ownership:   newOwnership(coordinator.options, &coordinator.preference, model, logger),
 		version:     newWantedVersion(coordinator.options.Store, model, logger),
 		cells:       make(map[message.CellID]*cellProgress),
 	}
--- a/internal/weights/target.go
+++ b/internal/weights/target.go
@@ -21,6 +21,25 @@
 // pinned reports whether the table names the version, rather than the latest.
 func (t target) pinned() bool { return t.version != policy.VersionLatest }
 
+// placed counts the engines of a cell that need no load. A pinned version has
+// to be met exactly, since operators pin a lower one to go back; an engine above
+// the latest version known here has heard of a later one.
+func (t target) placed(result message.DirectiveResult) int {
+	if t.pinned() {
+		return result.AtVersion
+	}
+	return result.AtLeast
+}
+
+// misplaced reports whether the digest, which may lag, counts an engine that
+// needs a load. It only calls for a directive: what the cell answers decides.
+func (t target) misplaced(digest message.CellDigest, model string, version uint64) bool {
+	return slices.ContainsFunc(digest.Models, func(count message.ModelCount) bool {
+		above := t.pinned() && count.Version > version
+		return count.Model == model && count.Engines > 0 && (count.Version < version || above)
+	})
+}
+
 // targets groups the rows of the table by model. Rows of one model that pin
 // different versions are a mistake in the table: the highest one counts, since
 // an engine at a higher version also serves those that ask for less.
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -74,8 +74,9 @@
 
 // Coordinator owns the orders of some models. It is safe for concurrent use.
 type Coordinator struct {
-	options Options
-	metrics *metrics
+	options    Options
+	metrics    *metrics
+	preference preference
 
 	mu       sync.Mutex
 	running  bool
@@ -151,12 +152,16 @@
 	}
 }
 
-// Drain stops giving orders and releases the owned streams, so that others can
-// claim them at once. It returns ctx's error when that ends first: the streams
-// are then claimed once this node is known to be gone.
+// Drain stops giving orders and releases the owned streams, all at once, so
+// that others can claim them at once. While the log is down the releases are
+// tried for a few seconds only: the streams are then claimed once this node is
+// known to be gone. It returns ctx's error when that ends first.
 func (c *Coordinator) Drain(ctx context.Context) error {
-	for _, existing := range c.takeRunners() {
+	runners := c.takeRunners()
+	for _, existing := range runners {
 		existing.stop()
+	}
+	for _, existing := range runners {
 		select {
 		case <-existing.ended:
 		case <-ctx.Done():
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -1,6 +1,8 @@
 package weights
 
 import (
+	"context"
+	"fmt"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -54,6 +56,30 @@
 	w.waitVersion(t, 4)
 }
 
+// TestARollbackRestsOnTheCellsOwnCounts: the digest lags, so it can tell neither
+// that engines are above the pinned version nor that they no longer are.
+func TestARollbackRestsOnTheCellsOwnCounts(t *testing.T) {
+	w := newWorld(t, row(4, 0))
+	w.engines = []uint64{4, 4, 4}
+	w.lag()
+	w.mu.Lock()
+	w.engines = []uint64{5, 5, 4}
+	w.mu.Unlock()
+	w.setMembers("", "n1")
+	w.node(t, "n1")
+	w.waitVersion(t, 4)
+
+	w.mu.Lock()
+	w.engines = []uint64{5, 5, 5}
+	w.lagging = nil
+	w.mu.Unlock()
+	w.lag()
+	w.waitVersion(t, 4)
+	for _, directive := range w.nextDirectives(t, 3) {
+		assert.Equal(t, directive.Concurrent, 0, "nothing is left to load: %+v", directive)
+	}
+}
+
 func TestAnOwnerGoesOnWhileTheLogAndTheStoreAreDown(t *testing.T) {
 	w := newWorld(t, row(2, 0))
 	w.setMembers("", "n1")
@@ -82,6 +108,25 @@
 	assert.Assert(t, second.Owned()[0].Epoch > before)
 }
 
+// TestDrainGivesUpAllModelsTogetherWhileTheLogIsDown: the wait for releases is
+// bounded for the node, not for each model.
+func TestDrainGivesUpAllModelsTogetherWhileTheLogIsDown(t *testing.T) {
+	var rows []policy.Row
+	for number := range 12 {
+		rows = append(rows, policy.Row{Service: fmt.Sprint("s", number), Pool: "p", Model: fmt.Sprint("m", number), Version: 2})
+	}
+	w := newWorld(t, rows...)
+	w.setMembers("", "n1")
+	coordinator := w.node(t, "n1")
+	waitOwned(t, coordinator, len(rows))
+	w.logServer.CloseClientConnections()
+	w.logServer.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*releaseTimeout)
+	defer cancel()
+	assert.NilError(t, coordinator.Drain(ctx))
+	assert.Equal(t, len(coordinator.Owned()), 0)
+}
+
 func TestAReplacedOwnerLearnsItFromTheLog(t *testing.T) {
 	w := newWorld(t, row(2, 0))
 	w.setMembers("", "n1")
@@ -97,7 +142,9 @@
 func TestALiveOwnerIsLeftAlone(t *testing.T) {
 	w := newWorld(t, row(2, 0))
 	w.setMembers("other", "n1", "other")
-	view := newOwnership(Options{NodeID: preferredOwner(w.Candidates(""), "orders/m"), View: w}, "m", zerolog.Nop())
+	var preferred preference
+	options := Options{NodeID: preferred.owner(w.Candidates(""), "orders/m"), View: w}
+	view := newOwnership(options, &preferred, "m", zerolog.Nop())
 	if view.options.NodeID == "other" {
 		w.setMembers("n1", "n1", "other")
 	}
--- a/internal/weights/world_test.go
+++ b/internal/weights/world_test.go
@@ -43,6 +43,8 @@
 	engines  []uint64 // version of each engine
 	fence    int64
 	received []message.Directive
+	// lagging, when set, is the digest that the cluster still has of the cell.
+	lagging *message.CellDigest
 }
 
 func newWorld(t *testing.T, rows ...policy.Row) *world {
@@ -80,6 +82,22 @@
 func (w *world) Cells() []message.CellDigest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.lagging != nil {
+		return []message.CellDigest{*w.lagging}
+	}
+	return []message.CellDigest{w.digestLocked()}
+}
+
+// lag keeps what the cluster knows of the cell as it is now.
+func (w *world) lag() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	digest := w.digestLocked()
+	w.lagging = &digest
+}
+
+// digestLocked is the cell as it is; mu is held.
+func (w *world) digestLocked() message.CellDigest {
 	counts := make(map[uint64]int)
 	for _, version := range w.engines {
 		if version > 0 {
@@ -91,7 +109,7 @@
 		held := engine.ModelVersion{Model: "m", Version: version}
 		digest.Models = append(digest.Models, message.ModelCount{ModelVersion: held, Engines: engines})
 	}
-	return []message.CellDigest{digest}
+	return digest
 }
 
 func (w *world) AnnounceOwned([]cluster.Ownership) {}
@@ -144,10 +162,32 @@
 		if w.engines[index] >= directive.Version {
 			result.AtLeast++
 		}
+		if w.engines[index] == directive.Version {
+			result.AtVersion++
+		}
 	}
 	return nil
 }
 
+// nextDirectives waits for that many directives that were planned from now on.
+func (w *world) nextDirectives(t *testing.T, count int) []message.Directive {
+	t.Helper()
+	w.mu.Lock()
+	known := len(w.received) + 1 // one may be on its way
+	w.mu.Unlock()
+	var directives []message.Directive
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if len(w.received) < known+count {
+			return poll.Continue("%d directives", len(w.received)-known)
+		}
+		directives = append(directives, w.received[known:known+count]...)
+		return poll.Success()
+	}, patience)
+	return directives
+}
+
 func (w *world) setMembers(owner string, ids ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
