--- a/internal/core/policy/row.go
+++ b/internal/core/policy/row.go
@@ -40,7 +40,9 @@
 	// Staleness is, for a trainer, the largest number of versions that a
 	// sample's oldest segment may lie behind the trainer's version when it is
 	// delivered (0..1000); for a live service, the largest number of versions
-	// an engine may lie behind the wanted one ("-" in the CSV form: no bound, stored as -1).
+	// an engine may lie behind the one in force in the pool, which is the newest,
+	// up to the wanted one, that Floor percent of the pool's engines hold ("-" in
+	// the CSV form: no bound, stored as -1).
 	Staleness int `msgpack:"st" json:"staleness"`
 	// Cap bounds the requests in flight at engines over the whole system
 	// (1..1000000; "-" in the CSV form: no cap, stored as 0).
--- a/internal/core/routing/choice_test.go
+++ b/internal/core/routing/choice_test.go
@@ -151,15 +151,15 @@
 	gone := testCell("a", 2, 8, 0, 40).Digest
 	gone.Models[0].Engines = 0
 	digests := []message.CellDigest{*testCell("a", 0, 8, 0, 7).Digest, *testCell("b", 1, 8, 0, 9).Digest, *gone}
-	row := policy.Row{Model: "model", Staleness: 2}
+	row := policy.Row{Pool: "pool", Model: "model", Staleness: 2}
 	assert.Equal(t, WantedVersion(row, digests), uint64(9))
 	assert.Equal(t, MinVersion(row, digests), uint64(7))
 	row.Version = 8
 	assert.Equal(t, MinVersion(row, digests), uint64(6))
 	row.Staleness = -1
 	assert.Equal(t, MinVersion(row, digests), uint64(0))
-	assert.Equal(t, MinVersion(policy.Row{Model: "model", Staleness: 100}, digests), uint64(0))
-	assert.Equal(t, MinVersion(policy.Row{Model: "unseen"}, digests), uint64(0))
+	assert.Equal(t, MinVersion(policy.Row{Pool: "pool", Model: "model", Staleness: 100}, digests), uint64(0))
+	assert.Equal(t, MinVersion(policy.Row{Pool: "pool", Model: "unseen"}, digests), uint64(0))
 }
 
 func TestAvoidListForgets(t *testing.T) {
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -5,7 +5,7 @@
 // Strategy names a way to choose among the eligible cells.
 type Strategy string
 
-// Strategies. The last two are baselines for experiments.
+// Strategies. The last three are baselines for experiments.
 const (
 	// StrategyDefault gathers prompts that share a prefix at one cell and
 	// falls back to StrategyPowerOfTwo.
@@ -17,12 +17,15 @@
 	StrategyLeastLoad Strategy = "least-load"
 	// StrategyRoundRobin takes the eligible cells in turn, near or far.
 	StrategyRoundRobin Strategy = "round-robin"
+	// StrategyOneHop takes the best score, and the node's own dispatcher for
+	// every cell of its zone.
+	StrategyOneHop Strategy = "one-hop"
 )
 
 // Valid reports whether the strategy is one of the list.
 func (s Strategy) Valid() bool {
 	switch s {
-	case StrategyDefault, StrategyPowerOfTwo, StrategyLeastLoad, StrategyRoundRobin:
+	case StrategyDefault, StrategyPowerOfTwo, StrategyLeastLoad, StrategyRoundRobin, StrategyOneHop:
 		return true
 	default:
 		return false
@@ -59,7 +62,7 @@
 	}
 	near := Nearest(cells, &p.locality)
 	switch p.strategy {
-	case StrategyLeastLoad:
+	case StrategyLeastLoad, StrategyOneHop:
 		return best(near, &p.locality), true
 	case StrategyDefault:
 		if index := affineIndex(near, query.PrefixKey); index >= 0 {
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -56,6 +56,10 @@
 }
 
 // allowsZone reports whether the query's row lets the zone run it.
-func (q *Query) allowsZone(zone string) bool {
-	return len(q.Zones) == 0 || slices.Contains(q.Zones, zone)
+func (q *Query) allowsZone(zone string) bool { return allowsZone(q.Zones, zone) }
+
+// allowsZone reports whether a list of zones holds the zone; the empty one
+// holds any.
+func allowsZone(zones []string, zone string) bool {
+	return len(zones) == 0 || slices.Contains(zones, zone)
 }
--- a/internal/core/scheduler/cell_test.go
+++ b/internal/core/scheduler/cell_test.go
@@ -135,7 +135,7 @@
 }
 
 func TestBaselinesAreFirstInFirstOut(t *testing.T) {
-	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastLoad} {
+	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastLoad, PolicyOneHop} {
 		cell := NewCell(Config{Policy: policy})
 		addEngine(cell, "a", 4)
 		addEngine(cell, "b", 4)
@@ -144,6 +144,10 @@
 		assert.Equal(t, assignments[0].Item.ID, "first")
 		assert.Equal(t, assignments[1].EngineID == "b", policy == PolicyRoundRobin)
 	}
+	oneHop := NewCell(Config{Policy: PolicyOneHop})
+	addEngine(oneHop, "a", 4)
+	oneHop.engines[0].status.Running = 3
+	assert.Equal(t, oneHop.Digest().Running, 3, "the requests of other nodes count")
 	_, err := ParsePolicy("best")
 	assert.ErrorContains(t, err, "unknown scheduler policy")
 }
--- a/internal/core/scheduler/digest.go
+++ b/internal/core/scheduler/digest.go
@@ -24,16 +24,22 @@
 func (c *Cell) Digest() Digest {
 	digest := Digest{Running: len(c.running), Queued: len(c.queued)}
 	counts := make(map[engine.ModelVersion]int)
+	reported := 0
 	for _, candidate := range c.engines {
 		if !candidate.inService() {
 			continue
 		}
 		digest.Engines++
 		digest.Slots += candidate.status.MaxBatch
+		reported += candidate.reportedLoad()
 		for _, held := range candidate.status.Models {
 			counts[held]++
 		}
 	}
+	if c.config.Policy == PolicyOneHop {
+		// Other nodes send to the same engines: only the engines know of all.
+		digest.Running = reported
+	}
 	for held, engines := range counts {
 		digest.Models = append(digest.Models, message.ModelCount{ModelVersion: held, Engines: engines})
 	}
--- a/internal/core/scheduler/dispatch.go
+++ b/internal/core/scheduler/dispatch.go
@@ -40,7 +40,7 @@
 
 // anyRoom is a quick check that some engine could take something.
 func (c *Cell) anyRoom() bool {
-	if c.config.Policy == PolicyLeastLoad {
+	if c.config.Policy.byReport() {
 		return true
 	}
 	for _, candidate := range c.engines {
@@ -115,7 +115,7 @@
 	switch c.config.Policy {
 	case PolicyRoundRobin:
 		return pickNext(c.choice.engines, c.lastPicked)
-	case PolicyLeastLoad:
+	case PolicyLeastLoad, PolicyOneHop:
 		return pickLeastReported(c.choice.engines)
 	default:
 		return c.pickByScore(queued)
@@ -125,7 +125,7 @@
 // filter leaves in c.choice the engines that may run the entry.
 func (c *Cell) filter(queued *entry) {
 	slot := filter(filterFreeSlot)
-	if c.config.Policy == PolicyLeastLoad {
+	if c.config.Policy.byReport() {
 		slot = filterReportedSlot
 	}
 	c.choice.engines = c.choice.engines[:0]
--- a/internal/core/scheduler/property_test.go
+++ b/internal/core/scheduler/property_test.go
@@ -171,7 +171,7 @@
 }
 
 func BenchmarkRequest(b *testing.B) {
-	for _, policy := range []Policy{PolicyDefault, PolicyRoundRobin, PolicyLeastLoad} {
+	for _, policy := range []Policy{PolicyDefault, PolicyRoundRobin, PolicyLeastLoad, PolicyOneHop} {
 		b.Run(string(policy), func(b *testing.B) {
 			cell := NewCell(Config{Policy: policy})
 			for number := range 16 {
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,10 +158,6 @@
 			return
 		}
 		for {
-			// Senders that are ready to run go first: the tokens of many streams
-			// come at once, and one write for all of them costs this end and the
-			// other one much less than a write for each (grpc-go's writer does the same).
-			runtime.Gosched()
 			batch, last := c.takePending()
 			if last {
 				c.fail(errTransportClosed)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -99,6 +99,11 @@
 // not tried: the one that told of the cell, else the one that the members of
 // the cell's zone name as its owner, which differs while the cell changes hands.
 func (r *CellRouter) dispatcher(digest *message.CellDigest, tried triedSet) (target, bool) {
+	if r.dispatchesItself(digest.Cell) {
+		own := target{cell: digest.Cell, node: r.options.NodeID, address: r.options.View.Self().Address}
+		_, done := tried[own]
+		return own, !done
+	}
 	sender := target{cell: digest.Cell, node: digest.Node, address: digest.Address}
 	if _, done := tried[sender]; !done && r.mayDispatch(digest) {
 		return sender, true
@@ -118,6 +123,13 @@
 	return target{}, false
 }
 
+// dispatchesItself reports a cell that this node sends to without the cell's
+// own dispatcher, which is the baseline routing.StrategyOneHop.
+func (r *CellRouter) dispatchesItself(cell message.CellID) bool {
+	oneHop := routing.Strategy(r.options.Policy) == routing.StrategyOneHop
+	return oneHop && cell.Zone == r.options.Zone
+}
+
 // mayDispatch reports whether the digest's sender may still take work. A
 // sender in another zone need not be among the members known here.
 func (r *CellRouter) mayDispatch(digest *message.CellDigest) bool {
@@ -129,7 +141,7 @@
 }
 
 // effectiveMinVersion returns the version floor: the request's own, and for
-// live services the floor that the row sets below the newest version seen.
+// live services the floor that the row sets below the version in force.
 func effectiveMinVersion(row policy.Row, request *Request, digests []message.CellDigest) uint64 {
 	if row.Kind != policy.KindLive {
 		return request.MinVersion
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,7 +34,7 @@
 
 // Policies and Levels list the allowed words.
 var (
-	Policies = []string{"default", "round-robin", "least-load"}
+	Policies = []string{"default", "round-robin", "least-load", "one-hop"}
 	Levels   = []string{"debug", "info", "warn", "error"}
 )
 
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -29,7 +29,7 @@
 	WeightStore        *string        `arg:"--platform-weight-store" placeholder:"URL" help:"platform.weight_store"`
 	Machines           *string        `arg:"--platform-machines" placeholder:"URL" help:"platform.machines"`
 	Scorer             *string        `arg:"--platform-scorer" placeholder:"URL" help:"platform.scorer"`
-	Policy             *string        `arg:"--policy" placeholder:"NAME" help:"scheduling.policy: default, round-robin or least-load"`
+	Policy             *string        `arg:"--policy" placeholder:"NAME" help:"scheduling.policy: default, round-robin, least-load or one-hop"`
 	MaxConcurrentLoads *int           `arg:"--max-concurrent-loads" placeholder:"N" help:"weights.max_concurrent_loads"`
 	Grace              *time.Duration `arg:"--grace" placeholder:"DURATION" help:"shutdown.grace"`
 	Level              *string        `arg:"--log-level" placeholder:"LEVEL" help:"log.level: debug, info, warn or error"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,7 +59,8 @@
 
 // Scheduling chooses how cells and engines are chosen.
 type Scheduling struct {
-	// Policy is "default", or a baseline for experiments: "round-robin" or "least-load".
+	// Policy is "default", or a baseline for experiments: "round-robin",
+	// "least-load" or "one-hop".
 	Policy string `toml:"policy"`
 }
 
