End a superseded process, abandon steps, tell which unknown outcomes are safe to repeat

Cause: a process whose node ID another process took was only logged, and its leave raised the incarnation so that 4 of 4 nodes took the new process for dead. A step could not be given up. A trainer's plain client could not tell that an unknown outcome of submit or ack is safe to repeat.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -108,8 +108,10 @@
 	Acknowledged int    `json:"acknowledged"`
 	Discarded    int    `json:"discarded"` // samples discarded as stale so far
 	Done         bool   `json:"done"`      // all wanted samples acknowledged
-	Owner        string `json:"owner,omitempty"`
-	Epoch        int64  `json:"epoch,omitempty"`
+	// Abandoned: the trainer gave the step up; nothing of it runs or is delivered.
+	Abandoned bool   `json:"abandoned,omitempty"`
+	Owner     string `json:"owner,omitempty"`
+	Epoch     int64  `json:"epoch,omitempty"`
 }
 
 // FetchRequest is the body of POST /v1/trainers/{trainer}/fetch (long poll).
--- a/internal/cluster/announce.go
+++ b/internal/cluster/announce.go
@@ -158,7 +158,8 @@
 
 // pushAnnouncements sends what may not wait: messages of the membership, the
 // own record to all members of the zone and, if it matters there, to one node
-// of each other zone, and records from other zones to the members of this one.
+// of each other zone, and records from other zones to the members of this one;
+// and deaths likewise.
 func (c *Cluster) pushAnnouncements(ctx context.Context) {
 	c.mu.Lock()
 	messages, near := c.outbox, c.forward
@@ -170,10 +171,13 @@
 		far = append(far, c.self)
 	}
 	members, contacts := c.liveMembers(), c.oneContactPerZone()
-	c.outbox, c.forward = nil, nil
+	deaths, forwardDeaths := c.deaths, c.forwardDeaths
+	c.outbox, c.forward, c.deaths, c.forwardDeaths = nil, nil, nil, nil
 	c.urgent, c.urgentFar = false, false
 	c.mu.Unlock()
 	c.dispatch(ctx, messages)
 	c.pushRecords(ctx, members, near, false)
 	c.pushRecords(ctx, contacts, far, true)
+	c.pushDeaths(ctx, contacts, deaths, true)
+	c.pushDeaths(ctx, members, forwardDeaths, false)
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -52,7 +52,10 @@
 	// outbox and forward wait for the loop to send them to the zone.
 	outbox  []membership.Message
 	forward []record
-	stopped bool
+	// deaths of this zone wait to be told to the others, forwardDeaths of
+	// other zones to this one.
+	deaths, forwardDeaths []death
+	stopped               bool
 
 	// superseded is closed once another process has taken this node's ID.
 	superseded chan struct{}
@@ -177,6 +180,7 @@
 	}
 	c.writers[change.ID] = change.Writer
 	if change.State == membership.Dead {
+		c.noteDeath(change)
 		c.zones[c.self.Zone].remove(keyOf(change.ID, change.Writer), now)
 		c.cells.forgetNode(change.ID)
 		delete(c.writers, change.ID)
--- a/internal/cluster/enginelist.go
+++ b/internal/cluster/enginelist.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 
-	"github.com/corkpulley/corkpulley/internal/core/membership"
 	"github.com/corkpulley/corkpulley/internal/platform/machines"
 )
 
@@ -169,23 +167,7 @@
 	return now.Sub(c.engines.confirmedAt) > c.periods(silentPeriods) || c.isPoller()
 }
 
-func (c *Cluster) isPoller() bool {
-	var ids []string
-	for _, update := range c.node.Members() {
-		if update.State == membership.Alive && !update.Leaving {
-			ids = append(ids, update.ID)
-		}
-	}
-	for range min(pollersPerZone, len(ids)) {
-		// A new ranking for each: the library's Remove breaks its indexes.
-		chosen := rendezvous.New(ids, xxhash.Sum64String).Lookup(pollersKey)
-		if chosen == c.self.ID {
-			return true
-		}
-		ids = slices.DeleteFunc(ids, func(id string) bool { return id == chosen })
-	}
-	return false
-}
+func (c *Cluster) isPoller() bool { return c.chosen(pollersKey, pollersPerZone) }
 
 // pollMachines reads the list once and spreads what changed.
 func (c *Cluster) pollMachines(ctx context.Context) {
--- a/internal/cluster/far.go
+++ b/internal/cluster/far.go
@@ -94,13 +94,20 @@
 		}
 	}
 	addresses := c.shuffled(c.addressesOf(name))
-	round := c.schedule.farCount / len(names)
-	if at := slices.Index(addresses, c.farContact[name]); at > 0 && round%roundsPerContact != 0 {
-		addresses[0], addresses[at] = addresses[at], addresses[0]
+	if round := c.schedule.farCount / len(names); round%roundsPerContact != 0 {
+		addresses = c.contactFirst(name, addresses)
 	}
 	return name, addresses
 }
 
+// contactFirst puts the address that answered last to the front.
+func (c *Cluster) contactFirst(zone string, addresses []string) []string {
+	if at := slices.Index(addresses, c.farContact[zone]); at > 0 {
+		addresses[0], addresses[at] = addresses[at], addresses[0]
+	}
+	return addresses
+}
+
 // farZones returns the other zones that have an address to try, sorted.
 func (c *Cluster) farZones() []string {
 	var names []string
--- a/internal/cluster/handle.go
+++ b/internal/cluster/handle.go
@@ -39,8 +39,10 @@
 	}
 	c.hearSender(incoming.From, now)
 	news := c.takeRecords(content.Records, now)
-	if incoming.Forward && len(news) > 0 {
+	deaths := c.takeDeaths(content.Deaths, now)
+	if incoming.Forward && len(news)+len(deaths) > 0 {
 		c.forward = append(c.forward, news...)
+		c.forwardDeaths = append(c.forwardDeaths, deaths...)
 		c.wakeLoop()
 	}
 	response, answer := c.pullAnswer(incoming)
--- a/internal/cluster/lost_zone_test.go
+++ b/internal/cluster/lost_zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -57,3 +58,33 @@
 	cut(far, nil)
 	eventually(t, "all see all", allSee(all, len(all)))
 }
+
+// TestANodeThatLostTheLogAsksAllZones cuts a node off that does not come to ask
+// the other zones by its turns.
+func TestANodeThatLostTheLogAsksAllZones(t *testing.T) {
+	// At this pace a zone that fell silent counts as heard for 45 s.
+	const interval = 1500 * time.Millisecond
+	node := startNode(t, testSettings{id: "near-n0", zone: "near", interval: interval})
+	var rest []*testNode
+	for _, zone := range []string{"b", "c", "d"} {
+		rest = append(rest, startNode(t, testSettings{
+			id: zone + "-n0", zone: zone, interval: interval, seeds: []string{node.Self().Address},
+		}))
+	}
+	all := append([]*testNode{node}, rest...)
+	eventually(t, "all have joined", allSee(all, len(all)))
+	var addresses []string
+	for _, other := range rest {
+		addresses = append(addresses, other.Self().Address)
+		other.gate.block(node.Self().Address)
+	}
+	node.gate.block(addresses...)
+	node.mu.Lock()
+	node.schedule.far = time.Now().Add(2 * testLimit)
+	node.mu.Unlock()
+	node.AnnounceLogContact(time.Now())
+	eventually(t, "the node knows that it is alone", func() bool {
+		reachable, known := node.Reachability()
+		return reachable == 1 && known == len(all)
+	})
+}
--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -22,9 +22,9 @@
 
 // schedule holds when each periodic task is due next.
 type schedule struct {
-	sync, far, join, poll, refresh, sweep time.Time
-	farCount                              int
-	polling, joining, syncing, reaching   bool
+	sync, far, join, poll, refresh, sweep, sound  time.Time
+	farCount                                      int
+	polling, joining, syncing, reaching, sounding bool
 }
 
 func (c *Cluster) periods(count int) time.Duration {
@@ -74,6 +74,9 @@
 	if c.due(&s.far, now, c.farPeriods()) {
 		c.startTask(&s.reaching, func() { c.reachFar(ctx) })
 	}
+	if c.soundDue(now) {
+		c.startTask(&s.sounding, func() { c.soundZones(ctx) })
+	}
 	if c.due(&s.join, now, joinPeriods) && (c.alone() || len(c.unheardSeeds()) > 0) {
 		c.startTask(&s.joining, func() { c.join(ctx) })
 	}
--- a/internal/cluster/wire.go
+++ b/internal/cluster/wire.go
@@ -128,10 +128,11 @@
 	Contacts []contact
 	Engines  []EngineMachine
 	Delta    *engineDelta
+	Deaths   []death
 }
 
 func (p payload) empty() bool {
-	return len(p.Updates)+len(p.Records)+len(p.Contacts)+len(p.Engines) == 0 && p.Delta == nil
+	return len(p.Updates)+len(p.Records)+len(p.Contacts)+len(p.Engines)+len(p.Deaths) == 0 && p.Delta == nil
 }
 
 // contact is an address to try in a zone.
--- /dev/null
+++ b/internal/coordinator/abandon.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/core/ledger"
+)
+
+// errAbandoned ends the attempt of a slot whose step was abandoned.
+var errAbandoned = errors.New("the step was abandoned")
+
+// abandon puts the end of a step on record and answers once it is read back.
+func (t *tenure) abandon(ctx context.Context, step string) (api.StepStatus, error) {
+	if _, _, err := t.terms(); err != nil {
+		return api.StepStatus{}, err
+	}
+	status, err := t.stepStatus(step)
+	if err != nil || status.Done || status.Abandoned {
+		return status, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	// A verdict other than Accepted says that the step ended in the meantime.
+	if _, _, err := t.propose(ctx, ledger.KindStepAbandoned, ledger.StepAbandoned{Step: step}); err != nil {
+		return api.StepStatus{}, t.proposeError(ctx, err)
+	}
+	t.logger.Info().Str("step", step).Msg("step abandoned")
+	t.reschedule()
+	return t.stepStatus(step)
+}
+
+// cancelAbandoned stops the runs of slots whose step has ended.
+func (t *tenure) cancelAbandoned() {
+	t.mutex.Lock()
+	running := make([]*slotRun, 0, len(t.running))
+	for _, run := range t.running {
+		running = append(running, run)
+	}
+	t.mutex.Unlock()
+	open := make(map[string]bool)
+	t.stream.View(func() {
+		for _, run := range running {
+			step := run.slot.Sample.Step
+			open[step] = t.ledger.StepOpen(step)
+		}
+	})
+	for _, run := range running {
+		if !open[run.slot.Sample.Step] {
+			run.cancelWith(errAbandoned)
+		}
+	}
+}
+
+// cancelWith ends the attempt in hand.
+func (r *slotRun) cancelWith(cause error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.cancel != nil {
+		r.cancel(cause)
+	}
+}
+
+// abandonedStatuses returns the steps that were abandoned of late.
+func (t *tenure) abandonedStatuses() []api.StepStatus {
+	var counts []ledger.Counts
+	t.stream.View(func() { counts = t.ledger.AbandonedCounts() })
+	statuses := make([]api.StepStatus, 0, len(counts))
+	for _, count := range counts {
+		statuses = append(statuses, t.status(count))
+	}
+	return statuses
+}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -12,6 +12,12 @@
 	Status      *StatusCall       `msgpack:"g,omitempty"`
 	Fetch       *api.FetchRequest `msgpack:"f,omitempty"`
 	Acknowledge *api.AckRequest   `msgpack:"a,omitempty"`
+	Abandon     *AbandonCall      `msgpack:"x,omitempty"`
+}
+
+// AbandonCall abandons a step.
+type AbandonCall struct {
+	Step string `msgpack:"s"`
 }
 
 // SubmitCall submits a step.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,11 +72,13 @@
 	return c
 }
 
-// Statuses returns the unfinished steps of the ledgers that this node owns.
+// Statuses returns the unfinished steps of the ledgers that this node owns, and
+// those that were abandoned of late.
 func (c *Coordinator) Statuses() []api.StepStatus {
 	var statuses []api.StepStatus
 	for _, owned := range c.tenures() {
 		statuses = append(statuses, owned.openStatuses()...)
+		statuses = append(statuses, owned.abandonedStatuses()...)
 	}
 	return statuses
 }
--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -190,10 +190,11 @@
 	return []api.StepStatus{status}
 }
 
+// stepDone reports whether nothing more will come of the step.
 func (t *tenure) stepDone(step string) bool {
 	if step == "" {
 		return false
 	}
 	status, err := t.stepStatus(step)
-	return err == nil && status.Done
+	return err == nil && (status.Done || status.Abandoned)
 }
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -68,6 +68,13 @@
 	return *answer.Status, nil
 }
 
+// AbandonStep gives a step up: what it still wants is run, scored and delivered
+// no more. A step that is finished or abandoned already is answered as it is;
+// NotFound when it is not known.
+func (c *Coordinator) AbandonStep(ctx context.Context, trainer, step string) (api.StepStatus, error) {
+	return c.statusCall(ctx, Call{Trainer: trainer, Abandon: &AbandonCall{Step: step}})
+}
+
 // Fetch waits for samples that may be delivered and returns them with a token.
 func (c *Coordinator) Fetch(
 	ctx context.Context, trainer string, request api.FetchRequest,
@@ -190,9 +197,9 @@
 
 // giveUp returns the error for a call that no owner answered.
 func giveUp(call Call, last error, uncertain bool) error {
-	changes := call.Submit != nil || call.Acknowledge != nil
+	changes := call.Submit != nil || call.Acknowledge != nil || call.Abandon != nil
 	if changes && uncertain {
-		return errkind.New(errkind.OutcomeUnknown, "the owner's answer was lost; repeat the same call: %v", last)
+		return errkind.New(errkind.OutcomeUnknownRepeatable, "the owner's answer was lost; repeat the same call: %v", last)
 	}
 	return errkind.New(errkind.NotReady, "no owner of trainer %q answered: %v", call.Trainer, last)
 }
--- a/internal/coordinator/schedule.go
+++ b/internal/coordinator/schedule.go
@@ -36,6 +36,7 @@
 	}
 	t.discardStale(terms)
 	t.cancelTooOld(terms)
+	t.cancelAbandoned()
 	t.startSlots(row, terms)
 }
 
--- a/internal/coordinator/schedule_test.go
+++ b/internal/coordinator/schedule_test.go
@@ -45,3 +45,59 @@
 		}
 	})
 }
+
+// A step that waits behind another is delivered under a later version, so its
+// slots must not start under weights that will then be too old.
+func TestSlotsOfALaterStepNeedNewerWeights(t *testing.T) {
+	d := newDeployment(t) // the bound is one version
+	d.engines.set(func(f *fakeRouter) { f.version = 5 })
+	a := d.start("a")
+	// The second step's version is news: no slot of it may start before it counts.
+	for number, step := range []string{"first", "second"} {
+		request := stepRequest(1, 2)
+		request.Prompts[0].Text = step
+		request.TrainerVersion = uint64(4 + number)
+		_, err := a.SubmitStep(t.Context(), trainerName, step, request)
+		assert.NilError(t, err)
+	}
+	awaitSamples(t, a, api.FetchRequest{TrainerVersion: 5, WaitMS: 100}, 4)
+
+	d.engines.set(func(f *fakeRouter) {
+		for _, request := range f.requests {
+			if request.Prompt == "second" {
+				assert.Equal(t, request.MinVersion, uint64(5))
+				continue
+			}
+			assert.Assert(t, request.MinVersion == 3 || request.MinVersion == 4, "first step needs %d", request.MinVersion)
+		}
+	})
+}
+
+// While the trainer trains on a finished step it makes a version, so that the
+// next step is taken one version later.
+func TestSlotsStartedWhileTheTrainerTrainsNeedNewerWeights(t *testing.T) {
+	d := newDeployment(t) // the bound is one version
+	d.engines.set(func(f *fakeRouter) { f.version = 5 })
+	a := d.start("a")
+	request := stepRequest(1, 2)
+	request.TrainerVersion = 5
+	_, err := a.SubmitStep(t.Context(), trainerName, "first", request)
+	assert.NilError(t, err)
+	delivery := awaitSamples(t, a, api.FetchRequest{TrainerVersion: 5, WaitMS: 100}, 2)
+	acknowledgement := api.AckRequest{Token: delivery.Token, Samples: ids(delivery.Samples), TrainerVersion: 5}
+	answer, err := a.Acknowledge(t.Context(), trainerName, acknowledgement)
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Accepted), 2)
+
+	request.Prompts[0].Text = "second"
+	_, err = a.SubmitStep(t.Context(), trainerName, "second", request)
+	assert.NilError(t, err)
+	awaitSamples(t, a, api.FetchRequest{Step: "second", TrainerVersion: 5, WaitMS: 100}, 2)
+	d.engines.set(func(f *fakeRouter) {
+		for _, request := range f.requests {
+			if request.Prompt == "second" {
+				assert.Equal(t, request.MinVersion, uint64(5))
+			}
+		}
+	})
+}
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -32,6 +32,9 @@
 	case call.Acknowledge != nil:
 		response, err := t.acknowledge(ctx, *call.Acknowledge)
 		return Answer{Acknowledge: &response}, err
+	case call.Abandon != nil:
+		status, err := t.abandon(ctx, call.Abandon.Step)
+		return Answer{Status: &status}, err
 	default:
 		return Answer{}, errkind.New(errkind.InvalidRequest, "trainer call asks for nothing")
 	}
@@ -67,6 +70,9 @@
 	if err := t.checkRoom(); err != nil {
 		return api.StepStatus{}, err
 	}
+	// Before the step is on record, which starts its slots: they must not start
+	// under weights that are too old for the version told here.
+	t.tell(call.Request.TrainerVersion)
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	if _, _, err := t.propose(ctx, ledger.KindStepSubmitted, body); err != nil {
@@ -78,7 +84,6 @@
 	}
 	if err == nil {
 		t.steps.Add(call.Step, body)
-		t.tell(call.Request.TrainerVersion)
 	}
 	return status, err
 }
@@ -147,6 +152,7 @@
 	if !accepted && t.lags(terms) {
 		return api.AckResponse{}, errLags(terms)
 	}
+	t.noteFinished(keys, request.TrainerVersion)
 	response := t.acknowledged(request.Token, keys)
 	t.metrics.samples.WithLabelValues(t.trainer, eventAcknowledged).Add(float64(len(response.Accepted)))
 	t.metrics.samples.WithLabelValues(t.trainer, eventRejected).Add(float64(len(response.Rejected)))
@@ -186,7 +192,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		return errkind.New(errkind.Canceled, "the caller left before the record was read back")
 	default:
-		return errkind.New(errkind.OutcomeUnknown, "the record was not read back in time; repeat the same call")
+		return errkind.New(errkind.OutcomeUnknownRepeatable, "the record was not read back in time; repeat the same call")
 	}
 }
 
--- a/internal/coordinator/slotrun.go
+++ b/internal/coordinator/slotrun.go
@@ -58,7 +58,7 @@
 		r.generated.Store(false)
 		err := r.attempt(ctx)
 		switch {
-		case err == nil:
+		case err == nil, errors.Is(err, errAbandoned):
 			return
 		case errors.Is(err, errTooOld):
 			t.metrics.runs.WithLabelValues(t.trainer, resultTooOld).Inc()
@@ -102,8 +102,9 @@
 	if err == nil {
 		err = r.record(ctx, body)
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errTooOld) {
-		return errTooOld
+	cause := context.Cause(ctx)
+	if err != nil && (errors.Is(cause, errTooOld) || errors.Is(cause, errAbandoned)) {
+		return cause
 	}
 	return err
 }
@@ -159,7 +160,7 @@
 		ID:             xid.New().String(),
 		Row:            row,
 		TableRevision:  terms.TableRevision,
-		MinVersion:     minVersion(terms),
+		MinVersion:     minVersion(row, terms, r.tenure.versionsUntil(r.slot.Sample.Step)),
 		Prompt:         r.request.Prompts[r.slot.Prompt].Text,
 		MaxTokens:      r.request.MaxTokens,
 		ExpectedTokens: r.expected,
@@ -183,14 +184,6 @@
 	return answer.finish(r.slot.Sample, result)
 }
 
-// minVersion is the lowest weight version whose sample could be delivered.
-func minVersion(terms ledger.Terms) uint64 {
-	if terms.TrainerVersion <= uint64(terms.Bound) {
-		return 0
-	}
-	return terms.TrainerVersion - uint64(terms.Bound)
-}
-
 // sampleSeed gives each attempt of each slot a seed of its own, as a function
 // of the step's seed. It is never negative.
 func sampleSeed(seed int64, key ledger.SampleKey) int64 {
--- a/internal/coordinator/tenure.go
+++ b/internal/coordinator/tenure.go
@@ -61,7 +61,10 @@
 	running map[ledger.SampleKey]*slotRun
 	// trainerVersion is the one that the trainer named last.
 	trainerVersion uint64
-	discarding     bool
+	// finishedAt is the trainer's version at the acknowledgement that last
+	// finished a step; 0 for none in this tenure.
+	finishedAt uint64
+	discarding bool
 }
 
 func newTenure(parent context.Context, f *follower, epoch int64) *tenure {
@@ -252,6 +255,7 @@
 		Acknowledged: counts.Acknowledged,
 		Discarded:    counts.Discarded,
 		Done:         counts.Acknowledged == counts.Wanted,
+		Abandoned:    counts.Abandoned,
 		Owner:        t.options.NodeID,
 		Epoch:        t.epoch,
 	}
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -49,6 +49,9 @@
 	Superseded
 	ShuttingDown
 	RequestTimeout
+	// OutcomeUnknownRepeatable: the call may have had its effect, and the same
+	// call sent again has none beyond it. OutcomeUnknown makes no such promise.
+	OutcomeUnknownRepeatable
 	kindCount
 )
 
@@ -108,6 +111,9 @@
 	Superseded:            {"superseded", http.StatusConflict, NotExecuted, true, 0},
 	ShuttingDown:          {"shutting_down", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
 	RequestTimeout:        {"request_timeout", http.StatusRequestTimeout, NotExecuted, true, 0},
+	OutcomeUnknownRepeatable: {
+		"outcome_unknown_repeatable", http.StatusBadGateway, Unknown, true, time.Second,
+	},
 }
 
 // All returns every kind in the order of its number.
--- /dev/null
+++ b/internal/core/ledger/abandon_test.go
@@ -0,0 +1,89 @@
+package ledger
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+)
+
+// stream applies records of one writer, which owns the ledger, in order.
+type stream struct {
+	t      *testing.T
+	ledger *Ledger
+	offset int64
+}
+
+func newStream(t *testing.T) *stream {
+	s := &stream{t: t, ledger: New()}
+	assert.Equal(t, s.apply(0, logrecord.KindClaim, logrecord.Claim{Node: "a"}), logrecord.Accepted)
+	return s
+}
+
+func (s *stream) apply(epoch int64, kind logrecord.Kind, body any) logrecord.Verdict {
+	s.t.Helper()
+	encoded, err := logrecord.EncodeBody(body)
+	assert.NilError(s.t, err)
+	record := logrecord.Record{
+		Writer: "a", Sequence: uint64(s.offset + 1), Base: s.offset, Epoch: epoch, Kind: kind, Body: encoded,
+	}
+	verdict := s.ledger.Apply(s.offset, record)
+	s.offset++
+	return verdict
+}
+
+func (s *stream) owned(kind logrecord.Kind, body any) logrecord.Verdict {
+	s.t.Helper()
+	return s.apply(1, kind, body)
+}
+
+func (s *stream) fill(key SampleKey) logrecord.Verdict {
+	s.t.Helper()
+	spans := []api.VersionSpan{{Version: 1, From: 0, To: 2}}
+	return s.owned(KindSampleFilled, SampleFilled{Sample: key, Versions: spans, Tokens: 2})
+}
+
+func TestAnAbandonedStepEndsAndKeepsItsReceipts(t *testing.T) {
+	s := newStream(t)
+	step := StepSubmitted{Step: "s", Prompts: make([]Prompt, 3), SamplesPerPrompt: 1, TrainerVersion: 1}
+	assert.Equal(t, s.owned(KindStepSubmitted, step), logrecord.Accepted)
+	used, held := SampleKey{Step: "s", Slot: 0, Attempt: 1}, SampleKey{Step: "s", Slot: 1, Attempt: 1}
+	assert.Equal(t, s.fill(used), logrecord.Accepted)
+	assert.Equal(t, s.fill(held), logrecord.Accepted)
+	token := TokenOf(s.offset)
+	assert.Equal(t, s.owned(KindDelivered, Delivered{Samples: []SampleKey{used, held}}), logrecord.Accepted)
+	assert.Equal(t, s.owned(KindAcknowledged, Acknowledged{Token: token, Samples: []SampleKey{used}}), logrecord.Accepted)
+
+	assert.Equal(t, s.apply(9, KindStepAbandoned, StepAbandoned{Step: "s"}), logrecord.Fenced)
+	assert.Equal(t, s.owned(KindStepAbandoned, StepAbandoned{Step: "other"}), logrecord.Invalid)
+	assert.Equal(t, s.owned(KindStepAbandoned, StepAbandoned{Step: "s"}), logrecord.Accepted)
+	assert.Equal(t, s.owned(KindStepAbandoned, StepAbandoned{Step: "s"}), logrecord.Invalid, "it has an effect once")
+
+	wanted := Counts{Step: "s", Wanted: 3, Acknowledged: 1, Abandoned: true}
+	check := func(l *Ledger) {
+		counts, known := l.Counts("s")
+		assert.Assert(t, known)
+		assert.DeepEqual(t, counts, wanted)
+		assert.DeepEqual(t, l.AbandonedCounts(), []Counts{wanted})
+		assert.Assert(t, !l.StepOpen("s"))
+		assert.Equal(t, len(l.OpenSlots()), 0)
+		accepted, rejected := l.AcknowledgedUnder(token, []SampleKey{used, held})
+		assert.DeepEqual(t, accepted, []SampleKey{used})
+		assert.DeepEqual(t, rejected, []SampleKey{held})
+	}
+	check(s.ledger)
+	data, err := s.ledger.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	check(restored)
+
+	// What comes late has no effect, and the ID stays taken.
+	assert.Equal(t, s.fill(SampleKey{Step: "s", Slot: 2, Attempt: 1}), logrecord.Invalid)
+	late := Acknowledged{Token: token, Samples: []SampleKey{held}}
+	assert.Equal(t, s.owned(KindAcknowledged, late), logrecord.Invalid)
+	assert.Equal(t, s.owned(KindStepSubmitted, step), logrecord.Invalid)
+	check(s.ledger)
+}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -83,6 +83,8 @@
 		return applyDecoded(record, func(body *Delivered) bool { return l.deliver(offset, body) })
 	case KindAcknowledged:
 		return applyDecoded(record, l.acknowledge)
+	case KindStepAbandoned:
+		return applyDecoded(record, l.abandon)
 	default:
 		return false
 	}
--- a/internal/core/ledger/property_test.go
+++ b/internal/core/ledger/property_test.go
@@ -126,6 +126,9 @@
 			assert.Assert(h.t, h.within(stored.Sample, body.Terms), "stale delivery")
 			h.delivered[stored.Sample] = offset + 1
 		}
+	case KindStepAbandoned:
+		counts, _ := h.ledger.Counts(decode[StepAbandoned](h.t, record).Step)
+		assert.Assert(h.t, counts.Abandoned && counts.Open == 0 && counts.Filled == 0)
 	case KindAcknowledged:
 		h.noteTerms(decode[Acknowledged](h.t, record).Terms)
 		h.noteAcknowledged(decode[Acknowledged](h.t, record))
@@ -180,7 +183,7 @@
 }
 
 func (h *history) drawBody(fence logrecord.Fence) (logrecord.Kind, any) {
-	choice := rapid.IntRange(0, 19).Draw(h.t, "kind")
+	choice := rapid.IntRange(0, 20).Draw(h.t, "kind")
 	switch {
 	case !fence.Owned() || choice == 0:
 		previous := max(0, fence.Epoch-rapid.Int64Range(0, 1).Draw(h.t, "late claim"))
@@ -203,6 +206,8 @@
 		key := h.drawKey()
 		token := h.delivered[key] + rapid.Int64Range(0, 3).Draw(h.t, "wrong token")/3
 		return KindAcknowledged, Acknowledged{Token: token, Samples: []SampleKey{key}, Terms: h.drawTerms()}
+	case choice == 20 && rapid.IntRange(0, 3).Draw(h.t, "abandon") == 0:
+		return KindStepAbandoned, StepAbandoned{Step: rapid.SampledFrom(stepIDs).Draw(h.t, "abandoned step")}
 	default:
 		return KindSamplesDiscarded, SamplesDiscarded{
 			Samples: []SampleKey{h.drawKey()}, Reason: DiscardStale, Terms: h.drawTerms(),
--- a/internal/core/ledger/query.go
+++ b/internal/core/ledger/query.go
@@ -25,7 +25,18 @@
 	return 0, false
 }
 
-// Counts summarizes one step. Wanted = Open + Filled + Acknowledged.
+// StepsBefore counts the unfinished steps that were submitted before a step.
+func (l *Ledger) StepsBefore(step string) int {
+	for before, other := range l.steps {
+		if other.ID == step {
+			return before
+		}
+	}
+	return len(l.steps)
+}
+
+// Counts summarizes one step. Wanted = Open + Filled + Acknowledged, but for an
+// abandoned step, of which nothing is open or filled any more.
 type Counts struct {
 	Step         string
 	Wanted       int
@@ -33,6 +44,7 @@
 	Filled       int
 	Acknowledged int
 	Discarded    int
+	Abandoned    bool
 }
 
 // Counts returns the counts of a known step, finished or not.
@@ -67,7 +79,12 @@
 }
 
 func (f *FinishedStep) counts() Counts {
-	return Counts{Step: f.ID, Wanted: f.Wanted, Acknowledged: f.Wanted, Discarded: f.Discarded}
+	counts := Counts{Step: f.ID, Wanted: f.Wanted, Acknowledged: f.Wanted, Discarded: f.Discarded}
+	if f.Abandoned {
+		counts.Abandoned = true
+		counts.Acknowledged = f.Acknowledged
+	}
+	return counts
 }
 
 // OpenSlot is a wanted sample that has no recorded answer.
--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -18,6 +18,7 @@
 	KindSamplesDiscarded logrecord.Kind = "samples-discarded"
 	KindDelivered        logrecord.Kind = "delivered"
 	KindAcknowledged     logrecord.Kind = "acknowledged"
+	KindStepAbandoned    logrecord.Kind = "step-abandoned"
 )
 
 // Prompt is one prompt of a step.
@@ -87,6 +88,12 @@
 	Terms   Terms       `msgpack:"t"`
 }
 
+// StepAbandoned is the body of KindStepAbandoned: the trainer wants no more
+// samples of the step.
+type StepAbandoned struct {
+	Step string `msgpack:"s"`
+}
+
 // Fresh reports whether a sample whose oldest span has the given version may
 // be used by a trainer at trainerVersion. Newer spans than the trainer's own
 // version are fresh.
--- a/internal/core/ledger/step.go
+++ b/internal/core/ledger/step.go
@@ -93,7 +93,8 @@
 	Token   int64  `msgpack:"t"`
 }
 
-// FinishedStep is what remains of a step once all its slots are acknowledged.
+// FinishedStep is what remains of a step once all its slots are acknowledged, or
+// once it was abandoned.
 type FinishedStep struct {
 	ID          string `msgpack:"i"`
 	Fingerprint uint64 `msgpack:"f"`
@@ -102,20 +103,33 @@
 	// Receipts has one entry for each slot, so that a repeated acknowledgement
 	// gets the same answer; only the last finished steps keep them.
 	Receipts []Receipt `msgpack:"r,omitempty"`
+	// Abandoned steps ended with Acknowledged of the wanted samples; all others
+	// with each of them, and Acknowledged is 0.
+	Abandoned    bool `msgpack:"x,omitempty"`
+	Acknowledged int  `msgpack:"a,omitempty"`
 }
 
 func (s *Step) finish() *FinishedStep {
 	receipts := make([]Receipt, len(s.Slots))
 	for i := range s.Slots {
-		receipts[i] = Receipt{Attempt: s.Slots[i].Attempt, Token: s.Slots[i].Token}
+		// A slot of an abandoned step may be delivered and not acknowledged; its
+		// empty receipt matches no token.
+		if s.Slots[i].State == SlotAcknowledged {
+			receipts[i] = Receipt{Attempt: s.Slots[i].Attempt, Token: s.Slots[i].Token}
+		}
 	}
-	return &FinishedStep{
+	finished := &FinishedStep{
 		ID:          s.ID,
 		Fingerprint: s.Fingerprint,
 		Wanted:      len(s.Slots),
 		Discarded:   s.Discarded,
 		Receipts:    slices.Clip(receipts),
 	}
+	if s.Acknowledged < len(s.Slots) {
+		finished.Abandoned = true
+		finished.Acknowledged = s.Acknowledged
+	}
+	return finished
 }
 
 // receipted reports whether the sample was acknowledged under the token.
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -220,13 +220,24 @@
 }
 
 func printSteps(w io.Writer, steps []api.StepStatus) {
-	table := newColumns(w, "TRAINER", "STEP", "WANTED", "OPEN", "FILLED", "ACKNOWLEDGED", "DISCARDED", "DONE", "OWNER", "EPOCH")
+	table := newColumns(w, "TRAINER", "STEP", "WANTED", "OPEN", "FILLED", "ACKNOWLEDGED", "DISCARDED", "STATE", "OWNER", "EPOCH")
 	for _, step := range steps {
 		table.add(step.Trainer, step.Step, strconv.Itoa(step.Wanted), strconv.Itoa(step.Open),
 			strconv.Itoa(step.Filled), strconv.Itoa(step.Acknowledged), strconv.Itoa(step.Discarded),
-			strconv.FormatBool(step.Done), step.Owner, formatNumber(step.Epoch))
+			stepState(step), step.Owner, formatNumber(step.Epoch))
 	}
 	table.flush()
 }
 
+func stepState(step api.StepStatus) string {
+	switch {
+	case step.Abandoned:
+		return "abandoned"
+	case step.Done:
+		return "done"
+	default:
+		return "unfinished"
+	}
+}
+
 func formatNumber(number int64) string { return strconv.FormatInt(number, 10) }
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -83,6 +85,40 @@
 	assert.DeepEqual(t, firstCells(rows), settingsKeys(reflect.TypeFor[settings.Settings](), ""))
 }
 
+// defaults returns the default of each key that has one, in the page's form.
+func defaults(section reflect.Value, prefix string) map[string]string {
+	found := make(map[string]string)
+	for field, value := range section.Fields() {
+		key := prefix + field.Tag.Get("toml")
+		switch {
+		case value.Kind() == reflect.Struct:
+			maps.Copy(found, defaults(value, key+"."))
+		case value.IsZero():
+		case value.Type() == reflect.TypeFor[settings.Duration]():
+			found[key] = time.Duration(value.Int()).String()
+		default:
+			found[key] = fmt.Sprint(value.Interface())
+		}
+	}
+	return found
+}
+
+func TestConfigPageTellsEachDefault(t *testing.T) {
+	const defaultCell = 3
+	documented := make(map[string]string)
+	actual := defaults(reflect.ValueOf(settings.Default()), "")
+	for _, row := range tableRows(t, readPage(t, "CONFIG.md"), "key", "flag", "range", "default") {
+		if _, known := actual[row[0]]; !known {
+			continue // the page tells in words what stands in for a default
+		}
+		documented[row[0]] = row[defaultCell]
+		if duration, err := time.ParseDuration(row[defaultCell]); err == nil {
+			documented[row[0]] = duration.String()
+		}
+	}
+	assert.DeepEqual(t, documented, actual)
+}
+
 func TestConfigPageNamesEachFlag(t *testing.T) {
 	page := readPage(t, "CONFIG.md")
 	for field := range reflect.TypeFor[settings.Flags]().Fields() {
@@ -108,6 +144,8 @@
 		answer := kind.Answer()
 		answered = append(answered, fmt.Sprintf("%s %d %s", answer.Code, answer.Status, answer.Execution))
 	}
+	slices.Sort(documented)
+	slices.Sort(answered)
 	assert.DeepEqual(t, documented, answered)
 }
 
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/core/logrecord"
+	"github.com/corkpulley/corkpulley/internal/logstream"
+	"github.com/corkpulley/corkpulley/internal/settings"
+	"github.com/corkpulley/corkpulley/internal/standin/logservice"
+	"github.com/corkpulley/corkpulley/internal/standin/machines"
+	"github.com/corkpulley/corkpulley/internal/standin/scorer"
+	"github.com/corkpulley/corkpulley/internal/standin/weightstore"
+)
+
+// limit is generous: it ends a test that hangs, and asserts no speed.
+const limit = 90 * time.Second
+
+// platform is one set of stand-ins.
+type platform struct {
+	log       *logservice.Server
+	addresses settings.Platform
+}
+
+func newPlatform(t *testing.T) *platform {
+	t.Helper()
+	serve := func(handler http.Handler) string {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		return server.URL
+	}
+	p := &platform{log: logservice.New(logservice.Config{Seed: 1})}
+	p.addresses = settings.Platform{
+		Log:         serve(p.log.Handler()),
+		WeightStore: serve(weightstore.New(weightstore.Config{}).Handler()),
+		Machines:    serve(machines.New(machines.Config{}).Handler()),
+		Scorer:      serve(scorer.New(scorer.Config{}).Handler()),
+	}
+	return p
+}
+
+// daemon is one node that runs in this process.
+type daemon struct {
+	*node
+	logs *logBuffer
+	stop context.CancelFunc
+	// ended gives the result of the run, once.
+	ended chan error
+}
+
+// logBuffer keeps log lines; it is safe for concurrent use.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *logBuffer) contains(text string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return strings.Contains(b.text.String(), text)
+}
+
+func (p *platform) start(t *testing.T, id string, seeds ...string) *daemon {
+	t.Helper()
+	config := settings.Default()
+	config.Node = settings.Node{ID: id, Zone: "z", Region: "r"}
+	config.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	config.Cluster = settings.Cluster{Seeds: seeds, ProbeInterval: settings.Duration(100 * time.Millisecond)}
+	config.Platform = p.addresses
+	started := &daemon{logs: &logBuffer{}, ended: make(chan error, 1)}
+	created, err := newNode(config, newLogger(config, started.logs))
+	assert.NilError(t, err)
+	started.node = created
+	ctx, cancel := context.WithCancel(context.Background())
+	started.stop = cancel
+	var running sync.WaitGroup
+	running.Go(func() { started.ended <- created.run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return started
+}
+
+func (d *daemon) peerAddress() string { return d.roles.transport.Address() }
+
+// awaitEnd waits until the daemon has ended and returns the result.
+func (d *daemon) awaitEnd(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-d.ended:
+		return err
+	case <-time.After(limit):
+		t.Fatal("the daemon did not end")
+		return nil
+	}
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(limit), poll.WithDelay(10*time.Millisecond))
+}
+
+// TestASupersededProcessStopsByPlan: once another process has taken its node
+// ID, a process takes no work, ends, and says why.
+func TestASupersededProcessStopsByPlan(t *testing.T) {
+	p := newPlatform(t)
+	peer := p.start(t, "a")
+	old := p.start(t, "b", peer.peerAddress())
+	eventually(t, "both are ready", func() bool { return peer.ready() == nil && old.ready() == nil })
+	fresh := p.start(t, "b", peer.peerAddress())
+
+	assert.Assert(t, errors.Is(old.awaitEnd(t), errSuperseded))
+	assert.Assert(t, old.ready() != nil)
+	assert.Assert(t, old.logs.contains("superseded, this process stops by plan"))
+	eventually(t, "the new process is the member", func() bool {
+		for _, member := range peer.roles.cluster.Members() {
+			if member.ID == "b" && member.Writer == fresh.writer {
+				return true
+			}
+		}
+		return false
+	})
+	eventually(t, "the new process is ready", func() bool { return fresh.ready() == nil })
+}
+
+// leaveUnsettled proposes a record whose outcome stays unknown while the log is down.
+func (d *daemon) leaveUnsettled(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	stream := d.roles.streams.Open("orders/m", &logrecord.OwnershipReducer{}, logstream.StreamOptions{})
+	claim := logrecord.Claim{Node: d.config.Node.ID, Address: d.peerAddress()}
+	_, err := stream.Propose(ctx, logstream.Proposal{Kind: logrecord.KindClaim, Body: claim})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+// TestAPlannedStopEndsWhileTheLogIsDown: what the node still has to append is
+// best effort, and does not fail the stop either.
+func TestAPlannedStopEndsWhileTheLogIsDown(t *testing.T) {
+	p := newPlatform(t)
+	d := p.start(t, "a")
+	eventually(t, "the node is ready", func() bool { return d.ready() == nil })
+	p.log.SetControl(logservice.Control{Down: true})
+	d.leaveUnsettled(t)
+	d.stop()
+	assert.NilError(t, d.awaitEnd(t))
+}
--- a/internal/tables/contact.go
+++ b/internal/tables/contact.go
@@ -9,7 +9,7 @@
 	// probeAfter is the age of the log contact from which on this node asks
 	// for the log's end itself: the stream's own read may wait for the next
 	// record for longer than ContactLimit.
-	probeAfter = 2 * time.Second
+	probeAfter = 3 * time.Second
 	// probeTimeout bounds one such read.
 	probeTimeout = 4 * time.Second
 )
--- a/internal/trainerapi/trainerapi.go
+++ b/internal/trainerapi/trainerapi.go
@@ -1,5 +1,5 @@
 // Package trainerapi serves the trainers' HTTP interface: submitting steps,
-// reading their status, fetching samples and acknowledging them.
+// reading their status, abandoning them, fetching samples and acknowledging them.
 package trainerapi
 
 import (
@@ -25,6 +25,7 @@
 type Client interface {
 	SubmitStep(ctx context.Context, trainer, step string, request api.StepRequest) (api.StepStatus, error)
 	StepStatus(ctx context.Context, trainer, step string) (api.StepStatus, error)
+	AbandonStep(ctx context.Context, trainer, step string) (api.StepStatus, error)
 	Fetch(ctx context.Context, trainer string, request api.FetchRequest) (api.FetchResponse, error)
 	Acknowledge(ctx context.Context, trainer string, request api.AckRequest) (api.AckResponse, error)
 }
@@ -44,6 +45,7 @@
 func (a *API) Register(router *mux.Router) {
 	router.HandleFunc("/v1/trainers/{trainer}/steps/{step}", a.handle(a.submitStep)).Methods(http.MethodPut)
 	router.HandleFunc("/v1/trainers/{trainer}/steps/{step}", a.handle(a.stepStatus)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/trainers/{trainer}/steps/{step}", a.handle(a.abandonStep)).Methods(http.MethodDelete)
 	router.HandleFunc("/v1/trainers/{trainer}/fetch", a.handle(a.fetch)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/trainers/{trainer}/ack", a.handle(a.acknowledge)).Methods(http.MethodPost)
 }
@@ -97,6 +99,14 @@
 	return a.client.StepStatus(r.Context(), trainer, step)
 }
 
+func (a *API) abandonStep(_ http.ResponseWriter, r *http.Request, trainer string) (any, error) {
+	step := mux.Vars(r)["step"]
+	if err := checkStepID(step); err != nil {
+		return nil, err
+	}
+	return a.client.AbandonStep(r.Context(), trainer, step)
+}
+
 func (a *API) fetch(w http.ResponseWriter, r *http.Request, trainer string) (any, error) {
 	var request api.FetchRequest
 	if err := httpapi.DecodeJSON(w, r, maxFetchBytes, &request); err != nil {
--- a/internal/trainerapi/trainerapi_test.go
+++ b/internal/trainerapi/trainerapi_test.go
@@ -34,6 +34,11 @@
 	return api.StepStatus{Step: step}, f.err
 }
 
+func (f *fakeClient) AbandonStep(_ context.Context, trainer, step string) (api.StepStatus, error) {
+	f.trainer, f.step = trainer, step
+	return api.StepStatus{Step: step, Abandoned: true}, f.err
+}
+
 func (f *fakeClient) Fetch(_ context.Context, trainer string, request api.FetchRequest) (api.FetchResponse, error) {
 	f.trainer, f.fetch = trainer, request
 	return api.FetchResponse{Token: 3}, f.err
@@ -87,6 +92,7 @@
 	for _, call := range []struct{ method, path, body string }{
 		{http.MethodPut, "/v1/trainers/drafts/steps/s-1", goodStep},
 		{http.MethodGet, "/v1/trainers/drafts/steps/s-1", ""},
+		{http.MethodDelete, "/v1/trainers/drafts/steps/s-1", ""},
 		{http.MethodPost, "/v1/trainers/drafts/fetch", `{"trainer_version":1}`},
 		{http.MethodPost, "/v1/trainers/drafts/ack", `{"token":3,"samples":["s-1/0/1"],"trainer_version":1}`},
 	} {
@@ -106,6 +112,8 @@
 		{http.MethodPut, "/v1/trainers/nobody/steps/s", goodStep, "unknown_service", "no service"},
 		{http.MethodPut, "/v1/trainers/desk/steps/s", goodStep, "unknown_service", "not a trainer"},
 		{http.MethodPut, "/v1/trainers/drafts/steps/-s", goodStep, "invalid_request", "step ID"},
+		{http.MethodDelete, "/v1/trainers/drafts/steps/-s", "", "invalid_request", "step ID"},
+		{http.MethodDelete, "/v1/trainers/nobody/steps/s", "", "unknown_service", "no service"},
 		{http.MethodPut, step, ``, "invalid_request", "empty"},
 		{http.MethodPut, step, `{"propmts":[]}`, "invalid_request", "propmts"},
 		{http.MethodPut, step, `{"prompts":[]}`, "invalid_request", "prompts is empty"},
