Let the test of a superseded process begin past its young time

For its first 100 ticks a process overtakes a namesake instead of ending (its own past may have a higher incarnation). The test started the second process while the first was young, so either could win. Ruled out: two that both go on; incarnations are totally ordered, so the holder of the highest is never superseded.

Change: Young() tells the state; the test waits until the first process has left it. The test demands the same as before: the old process ends with its error, the new one serves.

Conclusion: the test was wrong in its precondition, not the product.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -205,6 +205,14 @@
 // of the other process.
 func (c *Cluster) Superseded() <-chan struct{} { return c.superseded }
 
+// Young reports whether this process started so recently that it would still
+// overtake another process of its ID; later it ends when it meets one.
+func (c *Cluster) Young() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.Young()
+}
+
 // bumpSelf gives the own record a version above all earlier ones, also those
 // of an earlier process when the clock allows.
 func (c *Cluster) bumpSelf(now time.Time) {
--- a/internal/core/membership/apply.go
+++ b/internal/core/membership/apply.go
@@ -71,12 +71,14 @@
 }
 
 // meetNamesake hears of another process with this node's ID. A young process
-// overtakes its past; an old one has been replaced and says no more.
+// overtakes its past; an old one has been replaced and says no more. Of two
+// young ones either may win, but only one: incarnations are totally ordered,
+// and the holder of the highest is not superseded.
 func (n *Node) meetNamesake(update Update) {
 	if !update.supersedes(n.self) {
 		return
 	}
-	if n.ticks >= n.config.YoungTicks {
+	if !n.Young() {
 		n.superseded = true
 		n.ready.Changes = append(n.ready.Changes, n.self)
 		return
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -55,6 +55,10 @@
 // Self returns what this node says of itself.
 func (n *Node) Self() Update { return n.self }
 
+// Young reports whether this node may still overtake an earlier process of its
+// ID instead of being superseded by it.
+func (n *Node) Young() bool { return n.ticks < n.config.YoungTicks }
+
 // Superseded reports whether a later process took this node's ID.
 func (n *Node) Superseded() bool { return n.superseded }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -123,12 +123,14 @@
 }
 
 // TestASupersededProcessStopsByPlan: once another process has taken its node
-// ID, a process takes no work, ends, and says why.
+// ID, a process takes no work, ends, and says why. While both are young either
+// of them may be the one that ends, so the other starts when this one no longer is.
 func TestASupersededProcessStopsByPlan(t *testing.T) {
 	p := newPlatform(t)
 	peer := p.start(t, "a")
 	old := p.start(t, "b", peer.peerAddress())
 	eventually(t, "both are ready", func() bool { return peer.ready() == nil && old.ready() == nil })
+	eventually(t, "the process is no longer young", func() bool { return !old.roles.cluster.Young() })
 	fresh := p.start(t, "b", peer.peerAddress())
 
 	assert.Assert(t, errors.Is(old.awaitEnd(t), errSuperseded))
