--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -123,10 +123,16 @@
 	// Holding lists sample IDs delivered before and not yet acknowledged that
 	// the trainer still has; they are not sent again.
 	Holding []string `json:"holding,omitempty"`
-	Max     int      `json:"max,omitempty"`     // samples at once, default 64
-	WaitMS  int64    `json:"wait_ms,omitempty"` // default 10000, at most 60000
+	Max     int      `json:"max,omitempty"`     // samples at once, default DefaultFetchMax
+	WaitMS  int64    `json:"wait_ms,omitempty"` // default DefaultFetchWaitMS, at most 60000
 }
 
+// What a FetchRequest means when it leaves Max or WaitMS (milliseconds) out.
+const (
+	DefaultFetchMax    = 64
+	DefaultFetchWaitMS = 10_000
+)
+
 // FetchResponse carries samples; a later fetch supersedes the token for those
 // samples that it delivers again.
 type FetchResponse struct {
--- a/internal/bench/scale/node.go
+++ b/internal/bench/scale/node.go
@@ -120,14 +120,14 @@
 }
 
 func (n *hollowNode) buildCoordinators(platform *platformClient) {
-	joined := &joinedAnnouncer{target: n.cluster}
+	joined := cluster.NewOwnershipAnnouncer(n.cluster)
 	n.trainers = coordinator.New(coordinator.Options{
 		NodeID:      n.id,
 		PeerAddress: n.address,
 		Zone:        n.place.zone,
 		Manager:     n.streams,
 		View:        n.cluster,
-		Announcer:   joined.source(),
+		Announcer:   joined.Source(),
 		Caller:      n.endpoint,
 		Registry:    n.endpoint,
 		Router:      refusingRouter{},
@@ -141,7 +141,7 @@
 		PeerAddress:        n.address,
 		Manager:            n.streams,
 		View:               n.cluster,
-		Announcer:          joined.source(),
+		Announcer:          joined.Source(),
 		Caller:             n.endpoint,
 		Store:              platform,
 		Tables:             n.tables,
@@ -175,37 +175,3 @@
 	defer cancel()
 	_ = n.streams.Close(ctx)
 }
-
-// joinedAnnouncer joins the streams that two coordinators own into one list.
-type joinedAnnouncer struct {
-	target cluster.Announcer
-
-	mu      sync.Mutex
-	sources []*announcerSource
-}
-
-type announcerSource struct {
-	cluster.Announcer
-	joined *joinedAnnouncer
-	owned  []cluster.Ownership
-}
-
-func (j *joinedAnnouncer) source() cluster.Announcer {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	added := &announcerSource{Announcer: j.target, joined: j}
-	j.sources = append(j.sources, added)
-	return added
-}
-
-// AnnounceOwned implements cluster.Announcer.
-func (s *announcerSource) AnnounceOwned(owned []cluster.Ownership) {
-	s.joined.mu.Lock()
-	defer s.joined.mu.Unlock()
-	s.owned = append([]cluster.Ownership(nil), owned...)
-	var all []cluster.Ownership
-	for _, source := range s.joined.sources {
-		all = append(all, source.owned...)
-	}
-	s.joined.target.AnnounceOwned(all)
-}
--- a/internal/bench/slopes/traffic.go
+++ b/internal/bench/slopes/traffic.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 )
 
 const (
@@ -258,12 +260,8 @@
 }
 
 func pause(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !retry.Sleep(ctx, duration) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/bench/standins/standins.go
+++ b/internal/bench/standins/standins.go
@@ -6,14 +6,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/corkpulley/corkpulley/internal/bench/topology"
 	"github.com/corkpulley/corkpulley/internal/standin/engine"
+	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 	"github.com/corkpulley/corkpulley/internal/standin/logservice"
 	"github.com/corkpulley/corkpulley/internal/standin/machines"
 	"github.com/corkpulley/corkpulley/internal/standin/scorer"
@@ -83,34 +82,18 @@
 	return <-ended
 }
 
-// Bounds of a handler's connections.
-const (
-	readHeaderTimeout = 10 * time.Second
-	shutdownTimeout   = 5 * time.Second
-)
+// handlerService serves a stand-in that does not listen by itself.
+type handlerService struct {
+	*httpserver.Listener
+	handler http.Handler
+}
+
+// Run implements service.
+func (s handlerService) Run(ctx context.Context) error { return s.Serve(ctx, s.handler) }
 
 func runHandler(ctx context.Context, kind, address string, handler http.Handler, output io.Writer) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen for %s", kind)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	if err := announce(kind, listener.Addr().String(), output); err != nil {
-		return err
-	}
-	select {
-	case err := <-served:
-		return errors.Wrapf(err, "serve %s", kind)
-	case <-ctx.Done():
-	}
-	stopContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if server.Shutdown(stopContext) != nil {
-		_ = server.Close() // long polls are cut: their readers ask again
-	}
-	return nil
+	listener := httpserver.NewListener(kind+" stand-in", address)
+	return runService(ctx, kind, handlerService{Listener: listener, handler: handler}, output)
 }
 
 func announce(kind, address string, output io.Writer) error {
--- a/internal/cluster/death.go
+++ b/internal/cluster/death.go
@@ -70,15 +70,5 @@
 
 // pushDeaths sends deaths to the addresses at the same time, in the background.
 func (c *Cluster) pushDeaths(ctx context.Context, addresses []string, deaths []death, forward bool) {
-	if len(deaths) == 0 {
-		return
-	}
-	for _, address := range addresses {
-		c.calls.Go(func() {
-			_, _ = c.gossip(ctx, address, outgoing{
-				request: gossipRequest{Forward: forward},
-				content: payload{Deaths: deaths},
-			})
-		})
-	}
+	c.push(ctx, addresses, payload{Deaths: deaths}, forward)
 }
--- a/internal/cluster/sync.go
+++ b/internal/cluster/sync.go
@@ -216,15 +216,18 @@
 
 // pushRecords sends records to the addresses at the same time, in the background.
 func (c *Cluster) pushRecords(ctx context.Context, addresses []string, records []record, forward bool) {
-	if len(records) == 0 {
+	c.push(ctx, addresses, payload{Records: records}, forward)
+}
+
+// push sends content, unless empty, to the addresses at the same time, in the
+// background. With forward set, they pass it on inside their zone.
+func (c *Cluster) push(ctx context.Context, addresses []string, content payload, forward bool) {
+	if content.empty() {
 		return
 	}
 	for _, address := range addresses {
 		c.calls.Go(func() {
-			_, _ = c.gossip(ctx, address, outgoing{
-				request: gossipRequest{Forward: forward},
-				content: payload{Records: records},
-			})
+			_, _ = c.gossip(ctx, address, outgoing{request: gossipRequest{Forward: forward}, content: content})
 		})
 	}
 }
--- /dev/null
+++ b/internal/common/retry/retry_test.go
@@ -0,0 +1,35 @@
+package retry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+)
+
+func TestDelaysGrowToTheLongestAndNeverEnd(t *testing.T) {
+	policy := retry.Policy{First: 100 * time.Millisecond, Longest: 150 * time.Millisecond}
+	delays := policy.Delays()
+	within := func(delay, middle time.Duration) {
+		t.Helper()
+		jitter := time.Duration(float64(middle) * backoff.DefaultRandomizationFactor)
+		assert.Assert(t, delay >= middle-jitter && delay <= middle+jitter+1, "delay %s", delay)
+	}
+	within(delays.NextBackOff(), policy.First)
+	for range 1000 {
+		within(delays.NextBackOff(), policy.Longest)
+	}
+	delays.Reset()
+	within(delays.NextBackOff(), policy.First)
+}
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	assert.Assert(t, retry.Sleep(context.Background(), time.Nanosecond))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, !retry.Sleep(ended, time.Hour))
+}
--- a/internal/coordinator/abandon.go
+++ b/internal/coordinator/abandon.go
@@ -65,11 +65,5 @@
 
 // abandonedStatuses returns the steps that were abandoned of late.
 func (t *tenure) abandonedStatuses() []api.StepStatus {
-	var counts []ledger.Counts
-	t.stream.View(func() { counts = t.ledger.AbandonedCounts() })
-	statuses := make([]api.StepStatus, 0, len(counts))
-	for _, count := range counts {
-		statuses = append(statuses, t.status(count))
-	}
-	return statuses
+	return t.statuses(t.ledger.AbandonedCounts)
 }
--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -10,14 +10,8 @@
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 )
 
-const (
-	// defaultFetchMax and defaultFetchWait hold when the request names none.
-	defaultFetchMax  = 64
-	defaultFetchWait = 10 * time.Second
-	// maxFetchTextBytes bounds the sample texts of one answer; one sample is
-	// always sent.
-	maxFetchTextBytes = 2 << 20
-)
+// maxFetchTextBytes bounds the sample texts of one answer; one sample is always sent.
+const maxFetchTextBytes = 2 << 20
 
 // fetch waits until samples can be delivered, and delivers them. It answers
 // without samples when the wait is over, the step is done or the node drains.
@@ -66,7 +60,7 @@
 
 func fetchWait(request api.FetchRequest) time.Duration {
 	if request.WaitMS <= 0 {
-		return defaultFetchWait
+		return api.DefaultFetchWaitMS * time.Millisecond
 	}
 	return time.Duration(request.WaitMS) * time.Millisecond
 }
@@ -105,7 +99,7 @@
 ) []ledger.SampleKey {
 	limit := request.Max
 	if limit <= 0 {
-		limit = defaultFetchMax
+		limit = api.DefaultFetchMax
 	}
 	var found []ledger.StoredSample
 	t.stream.View(func() { found = t.ledger.Deliverable(request.Step, terms, held, limit) })
--- a/internal/coordinator/follower.go
+++ b/internal/coordinator/follower.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/ledger"
 	"github.com/corkpulley/corkpulley/internal/core/lengths"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
@@ -114,7 +115,7 @@
 		},
 	})
 	if err != nil {
-		sleep(ctx, claimInterval)
+		retry.Sleep(ctx, claimInterval)
 		return
 	}
 	options.Logger.Info().Str("trainer", f.trainer).Str("previous_owner", fence.Owner).
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/api"
 	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/ledger"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
@@ -121,7 +122,7 @@
 		if failingSince.IsZero() || time.Since(began) > ownerWait {
 			failingSince = time.Now()
 		}
-		if time.Since(failingSince) > ownerWait || !sleep(ctx, ownerRetryDelay) {
+		if time.Since(failingSince) > ownerWait || !retry.Sleep(ctx, ownerRetryDelay) {
 			return Answer{}, giveUp(call, err, uncertain)
 		}
 	}
@@ -212,15 +213,3 @@
 	}
 	return row, nil
 }
-
-// sleep waits for the duration; false when ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 )
 
 // metrics counts what happens to slots and samples on this node.
@@ -29,27 +30,23 @@
 )
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
-	if registerer == nil {
-		registerer = prometheus.NewRegistry()
-	}
-	m := &metrics{
-		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
+	factory := promauto.With(registerer)
+	return &metrics{
+		runs: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "corkpulley_coordinator_slot_runs_total",
 			Help: "Runs of trainers' slots that ended, by trainer and result.",
 		}, []string{"trainer", "result"}),
-		samples: prometheus.NewCounterVec(prometheus.CounterOpts{
+		samples: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "corkpulley_coordinator_samples_total",
 			Help: "Recorded samples by trainer and event.",
 		}, []string{"trainer", "event"}),
-		owned: prometheus.NewGauge(prometheus.GaugeOpts{
+		owned: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_coordinator_owned_ledgers",
 			Help: "Ledgers that this node believes it owns.",
 		}),
-		running: prometheus.NewGauge(prometheus.GaugeOpts{
+		running: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_coordinator_running_slots",
 			Help: "Slots that run, are being scored or recorded.",
 		}),
 	}
-	registerer.MustRegister(m.runs, m.samples, m.owned, m.running)
-	return m
 }
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -9,12 +9,14 @@
 	"github.com/go-faster/errors"
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/ledger"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
 )
 
-// manageInterval is the pause between two looks at the table and the view.
-const manageInterval = 250 * time.Millisecond
+// manageInterval is the pause between two looks at the view, whose changes are
+// not signalled; a new table is seen at once.
+const manageInterval = 500 * time.Millisecond
 
 // Run follows the ledgers that this node should own, and claims and serves
 // them, until ctx ends. It returns ctx's error.
@@ -107,7 +109,7 @@
 	go func() {
 		select {
 		case <-c.drained:
-			sleep(ctx, grace)
+			retry.Sleep(ctx, grace)
 			cancel()
 		case <-ctx.Done():
 		}
--- a/internal/coordinator/slotrun.go
+++ b/internal/coordinator/slotrun.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/rs/xid"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/ledger"
 	"github.com/corkpulley/corkpulley/internal/platform/scorer"
 	"github.com/corkpulley/corkpulley/internal/router"
@@ -21,13 +21,14 @@
 	// slotQueueTimeout bounds a slot's wait for an engine at a dispatcher.
 	slotQueueTimeout = 30 * time.Second
 	// scoreTimeout bounds one call of the scoring service.
-	scoreTimeout  = 30 * time.Second
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 5 * time.Second
+	scoreTimeout = 30 * time.Second
 	// urgentPart: the last slots of a step, one in so many, are urgent.
 	urgentPart = 16
 )
 
+// slotRetries paces the tries to fill, score and record one slot.
+var slotRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 5 * time.Second}
+
 // errTooOld ends a run whose answer could no longer be delivered.
 var errTooOld = errors.New("answer is beyond the staleness bound")
 
@@ -53,7 +54,7 @@
 // run tries until the slot is filled or ctx, the tenure's, ends.
 func (r *slotRun) run(ctx context.Context) {
 	t := r.tenure
-	delays := newRetryDelays()
+	delays := slotRetries.Delays()
 	for ctx.Err() == nil && t.isOpen(r.slot.Sample) {
 		r.generated.Store(false)
 		err := r.attempt(ctx)
@@ -68,19 +69,12 @@
 			t.metrics.runs.WithLabelValues(t.trainer, resultFailed).Inc()
 			t.logger.Debug().Err(err).Stringer("sample", r.slot.Sample).Msg("slot run failed, trying again")
 		}
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !retry.Sleep(ctx, delays.NextBackOff()) {
 			return
 		}
 	}
 }
 
-func newRetryDelays() *backoff.ExponentialBackOff {
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval = minRetryDelay
-	delays.MaxInterval = maxRetryDelay
-	return delays
-}
-
 func (t *tenure) isOpen(key ledger.SampleKey) bool {
 	open := false
 	t.stream.View(func() { open = t.ledger.IsOpen(key) })
@@ -204,7 +198,7 @@
 // score has the answer scored, trying until ctx ends; a repeated call is
 // harmless since it names the sample.
 func (r *slotRun) score(ctx context.Context, body *ledger.SampleFilled) error {
-	delays := newRetryDelays()
+	delays := slotRetries.Delays()
 	for {
 		response, err := r.scoreOnce(ctx, body)
 		if err == nil {
@@ -212,7 +206,7 @@
 			return nil
 		}
 		r.tenure.logger.Debug().Err(err).Stringer("sample", r.slot.Sample).Msg("scoring failed, trying again")
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !retry.Sleep(ctx, delays.NextBackOff()) {
 			return ctx.Err()
 		}
 	}
--- a/internal/coordinator/tenure.go
+++ b/internal/coordinator/tenure.go
@@ -235,9 +235,15 @@
 	return errkind.New(errkind.NotOwner, "node %s lost the ledger of %q", t.options.NodeID, t.trainer)
 }
 
+// openStatuses returns the steps that still want samples.
 func (t *tenure) openStatuses() []api.StepStatus {
+	return t.statuses(t.ledger.OpenCounts)
+}
+
+// statuses returns the steps that list, read from the ledger, names.
+func (t *tenure) statuses(list func() []ledger.Counts) []api.StepStatus {
 	var counts []ledger.Counts
-	t.stream.View(func() { counts = t.ledger.OpenCounts() })
+	t.stream.View(func() { counts = list() })
 	statuses := make([]api.StepStatus, 0, len(counts))
 	for _, count := range counts {
 		statuses = append(statuses, t.status(count))
--- a/internal/core/weights/failure.go
+++ b/internal/core/weights/failure.go
@@ -6,8 +6,9 @@
 	"github.com/corkpulley/corkpulley/internal/message"
 )
 
-// Delays before a cell with a failed load may load again.
 const (
+	// firstDelay is how long a cell with a failed load may not load again; it
+	// doubles with each further failure up to longestDelay.
 	firstDelay   = time.Second
 	longestDelay = time.Minute
 	// stallPatience is how long a cell may leave its allotment unused before
--- a/internal/core/weights/plan.go
+++ b/internal/core/weights/plan.go
@@ -134,23 +134,11 @@
 		w.spare[pool] -= cell.out()
 	}
 	for pool, total := range engines {
-		w.spare[pool] += total - floorEngines(total, floor[pool])
+		w.spare[pool] += total - FloorEngines(total, floor[pool])
 	}
 	return w
 }
 
-// floorEngines returns the number of engines that the floor keeps, rounded up.
-// A floor below 100 % always leaves one engine free to load, as a small pool
-// would otherwise never get new weights.
-func floorEngines(engines, percent int) int {
-	const whole = 100
-	floor := (engines*percent + whole - 1) / whole
-	if percent < whole {
-		floor = min(floor, engines-1)
-	}
-	return floor
-}
-
 // keep decides what stays of earlier allotments. What a cell loses becomes free
 // only once the cell confirms it, in a later plan.
 func (w *wave) keep(waits func(Cell) bool) {
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -11,15 +11,14 @@
 	"github.com/rs/xid"
 
 	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
 	"github.com/corkpulley/corkpulley/internal/operatorapi"
 )
 
-const (
-	firstRetry   = 200 * time.Millisecond
-	longestRetry = 2 * time.Second
-)
+// proposalRetries paces the repeats of a proposal without a verdict.
+var proposalRetries = retry.Policy{First: 200 * time.Millisecond, Longest: 2 * time.Second}
 
 // applyResult is the JSON answer of "table apply".
 type applyResult struct {
@@ -113,7 +112,7 @@
 	// The remark comes first, so that it is there when corkctl is killed.
 	s.remark("proposal %s from revision %d", proposal.ProposalID, proposal.BaseRevision)
 	accepted, err := backoff.Retry(ctx, func() (api.TableAccepted, error) { return attempts.try(ctx) },
-		backoff.WithBackOff(newRetries()),
+		backoff.WithBackOff(proposalRetries.Delays()),
 		backoff.WithMaxElapsedTime(0))
 	if err == nil {
 		return accepted, nil
@@ -121,13 +120,6 @@
 	return api.TableAccepted{}, attempts.finalError()
 }
 
-func newRetries() *backoff.ExponentialBackOff {
-	retries := backoff.NewExponentialBackOff()
-	retries.InitialInterval = firstRetry
-	retries.MaxInterval = longestRetry
-	return retries
-}
-
 // proposeAttempts remembers what the attempts of one proposal told.
 type proposeAttempts struct {
 	session  *session
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	// dialTimeout bounds one TCP connect.
 	dialTimeout = 2 * time.Second
 	// readTimeout bounds one read from one server; it is longer than a node
 	// waits for other nodes' answers.
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -240,12 +240,6 @@
 	request := a.request()
 	from := len(a.task.tokens)
 	request.ResumeFrom = &from
-	delays := &backoff.ExponentialBackOff{
-		InitialInterval:     resumeFirstDelay,
-		RandomizationFactor: backoff.DefaultRandomizationFactor,
-		Multiplier:          backoff.DefaultMultiplier,
-		MaxInterval:         resumeMaximumDelay,
-	}
 	open := func() (engine.Stream, error) {
 		// The timer bounds the opening only; an open stream ends with a.ctx.
 		ctx, cancel := context.WithCancel(a.ctx)
@@ -258,7 +252,7 @@
 		return stream, err
 	}
 	return backoff.Retry(a.ctx, open,
-		backoff.WithBackOff(delays), backoff.WithMaxElapsedTime(resumePatience))
+		backoff.WithBackOff(resumeRetries.Delays()), backoff.WithMaxElapsedTime(resumePatience))
 }
 
 func isUnknownStream(err error) bool {
--- a/internal/dispatcher/cell.go
+++ b/internal/dispatcher/cell.go
@@ -96,6 +96,9 @@
 		return nil, errkind.New(errkind.ShuttingDown, "node %s has stopped", c.dispatcher.options.NodeID)
 	}
 	c.tasks[created.id] = created
+	if len(c.tasks) == 1 {
+		c.dispatcher.wakeUp()
+	}
 	c.dispatch(c.usedAt)
 	return created, nil
 }
@@ -140,8 +143,8 @@
 }
 
 // tick gives up on queued tasks whose deadline passed, gives starved classes
-// their turn, and follows the directives.
-func (c *cell) tick(now time.Time) {
+// their turn, and follows the directives. It reports whether the cell has tasks.
+func (c *cell) tick(now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, expired := range c.scheduler.Expire(now) {
@@ -150,6 +153,7 @@
 	c.dispatch(now)
 	c.endLostAttempts(now)
 	c.followDirectives(now)
+	return len(c.tasks) > 0
 }
 
 // withdraw takes a task out of the queue, or gives back the engine that it was
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,6 +56,8 @@
 	// sequence numbers the digests of this process.
 	sequence atomic.Uint64
 	linger   time.Duration
+	// wake ends the long tick of a dispatcher without requests.
+	wake chan struct{}
 
 	mutex    sync.Mutex
 	cells    map[message.CellID]*cell
@@ -86,6 +88,7 @@
 		base:    base,
 		stop:    stop,
 		linger:  lingerTimeout,
+		wake:    make(chan struct{}, 1),
 		cells:   make(map[message.CellID]*cell),
 	}
 	options.Registry.HandleStream(peer.MethodSubmit, d.handleSubmit)
@@ -97,19 +100,25 @@
 // Run follows the engine list, the members and the clock until ctx ends, then
 // cancels what still runs and waits for it. It returns nil.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	reconcile := time.NewTicker(reconcileInterval)
-	defer reconcile.Stop()
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	d.reconcile(time.Now())
+	reconciled := time.Now()
+	d.reconcile(reconciled)
+	next := tickInterval
+	timer := time.NewTimer(next)
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		select {
-		case now := <-reconcile.C:
-			d.reconcile(now)
-		case now := <-tick.C:
-			for _, each := range d.allCells() {
-				each.tick(now)
-				each.announce(now)
+		case now := <-timer.C:
+			if now.Sub(reconciled) >= reconcileInterval {
+				d.reconcile(now)
+				reconciled = now
+			}
+			next = d.tick(now)
+			timer.Reset(next)
+		case <-d.wake:
+			// A short tick goes on: many requests must not put it off.
+			if next > tickInterval {
+				next = tickInterval
+				timer.Reset(next)
 			}
 		case <-ctx.Done():
 		}
@@ -122,6 +131,28 @@
 	return nil
 }
 
+// tick lets time pass in all cells. It returns the time to the next tick, which
+// is long only while no cell has a request: most of the processor time of an
+// idle node goes into waking up.
+func (d *Dispatcher) tick(now time.Time) time.Duration {
+	next := reconcileInterval
+	for _, each := range d.allCells() {
+		if each.tick(now) {
+			next = tickInterval
+		}
+		each.announce(now)
+	}
+	return next
+}
+
+// wakeUp shortens a long tick, since there is a request.
+func (d *Dispatcher) wakeUp() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
 // start runs a function in a goroutine that Run waits for; false when Run has
 // ended and so nothing new may start.
 func (d *Dispatcher) start(work func()) bool {
--- a/internal/dispatcher/limits.go
+++ b/internal/dispatcher/limits.go
@@ -1,14 +1,20 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+)
 
 // Times of the control loops.
 const (
-	// tickInterval is how often queues are checked for expired deadlines,
-	// starved classes and orders that are due.
+	// tickInterval is how often queues are checked for expired deadlines and
+	// starved classes while a cell has requests, and the shortest time between
+	// two reconciliations out of turn.
 	tickInterval = 50 * time.Millisecond
 	// reconcileInterval is how often cells are matched to the engine list, the
-	// members and the table.
+	// members and the table. Without any request it is the tick as well: what is
+	// then left, orders and digests that are due, counts in half seconds.
 	reconcileInterval = 250 * time.Millisecond
 	// A digest is announced on change, but not more often than the first, and
 	// at least as often as the second.
@@ -30,9 +36,6 @@
 	lingerTimeout = 5 * time.Second
 	// resumePatience bounds the tries to resume a broken engine stream.
 	resumePatience = 2 * time.Second
-	// resumeFirstDelay and resumeMaximumDelay bound the delay between tries.
-	resumeFirstDelay   = 20 * time.Millisecond
-	resumeMaximumDelay = 400 * time.Millisecond
 	// maximumIdleResumes bounds the resumes in a row that bring no new token.
 	maximumIdleResumes = 5
 	// maximumEngineAttempts bounds the sends of one submission to engines.
@@ -64,10 +67,6 @@
 	// engineGoneTimeout: the streams of an engine that stayed unreachable for so
 	// long count as lost. An engine that closes its connections is noticed at once.
 	engineGoneTimeout = 5 * time.Second
-	// reconnectFirstDelay and reconnectMaximumDelay bound the delay between
-	// connections of a watch stream.
-	reconnectFirstDelay   = 50 * time.Millisecond
-	reconnectMaximumDelay = 2 * time.Second
 	// orderTimeout bounds one order call.
 	orderTimeout = 10 * time.Second
 	// orderSettleTime is how long an accepted order counts as loading before
@@ -76,3 +75,10 @@
 	// orderRetryDelay is the least time between two orders to one engine.
 	orderRetryDelay = time.Second
 )
+
+var (
+	// resumeRetries paces the tries to resume a broken engine stream.
+	resumeRetries = retry.Policy{First: 20 * time.Millisecond, Longest: 400 * time.Millisecond}
+	// reconnectRetries paces the connections of an engine's watch stream.
+	reconnectRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 2 * time.Second}
+)
--- a/internal/dispatcher/link.go
+++ b/internal/dispatcher/link.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/scheduler"
 	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
@@ -55,23 +54,12 @@
 
 // watch keeps the watch stream of an engine up until ctx ends.
 func (c *cell) watch(ctx context.Context, on *link) {
-	delays := &backoff.ExponentialBackOff{
-		InitialInterval:     reconnectFirstDelay,
-		RandomizationFactor: backoff.DefaultRandomizationFactor,
-		Multiplier:          backoff.DefaultMultiplier,
-		MaxInterval:         reconnectMaximumDelay,
-	}
-	delays.Reset()
+	delays := reconnectRetries.Delays()
 	for ctx.Err() == nil {
 		if c.watchOnce(ctx, on) {
 			delays.Reset()
 		}
-		timer := time.NewTimer(delays.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		retry.Sleep(ctx, delays.NextBackOff())
 	}
 }
 
--- a/internal/dispatcher/rollout.go
+++ b/internal/dispatcher/rollout.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/corkpulley/corkpulley/internal/core/weights"
 )
 
 // rolloutEngine is one engine as a weight rollout sees it.
@@ -24,9 +26,9 @@
 // once, and never so many that fewer than floorPercent of the engines stay in
 // service. Engines that are out of service anyway go first, then the oldest versions.
 //
-// The floor is rounded up to whole engines. Unless it is 100 %, one engine of a
-// cell may load however small the cell is: the floor is over the whole pool,
-// whose cells the coordinator paces by concurrent.
+// The floor is weights.FloorEngines over the cell, so one of its engines may load
+// however small the cell is, unless the floor is 100 %: the floor of the operator
+// is over the whole pool, whose cells the coordinator paces by concurrent.
 func planLoads(engines []rolloutEngine, concurrent, floorPercent int) []string {
 	loading, inService := 0, 0
 	for i := range engines {
@@ -36,7 +38,7 @@
 			inService++
 		}
 	}
-	spare := inService - floorEngines(len(engines), floorPercent)
+	spare := inService - weights.FloorEngines(len(engines), floorPercent)
 	var orders []string
 	for _, candidate := range byUrgency(engines) {
 		if loading >= concurrent {
@@ -54,16 +56,6 @@
 	return orders
 }
 
-// floorEngines returns how many of a cell's engines must stay in service.
-func floorEngines(engines, floorPercent int) int {
-	const whole = 100
-	floor := (engines*floorPercent + whole - 1) / whole
-	if floorPercent < whole {
-		floor = min(floor, engines-1)
-	}
-	return floor
-}
-
 // byUrgency returns the engines that need an order.
 func byUrgency(engines []rolloutEngine) []rolloutEngine {
 	var due []rolloutEngine
--- a/internal/dispatcher/status.go
+++ b/internal/dispatcher/status.go
@@ -37,21 +37,25 @@
 func (d *Dispatcher) CellStatuses() []api.CellStatus {
 	var statuses []api.CellStatus
 	for _, each := range d.allCells() {
-		digest := each.digest()
-		statuses = append(statuses, api.CellStatus{
-			Zone:    digest.Cell.Zone,
-			Pool:    digest.Cell.Pool,
-			Index:   digest.Cell.Index,
-			Node:    digest.Node,
-			Engines: digest.Engines,
-			Slots:   digest.Slots,
-			Running: digest.Running,
-			Queued:  digest.Queued,
-		})
+		statuses = append(statuses, CellStatus(each.digest()))
 	}
 	return statuses
 }
 
+// CellStatus returns the digest of a cell as operators see it.
+func CellStatus(digest message.CellDigest) api.CellStatus {
+	return api.CellStatus{
+		Zone:    digest.Cell.Zone,
+		Pool:    digest.Cell.Pool,
+		Index:   digest.Cell.Index,
+		Node:    digest.Node,
+		Engines: digest.Engines,
+		Slots:   digest.Slots,
+		Running: digest.Running,
+		Queued:  digest.Queued,
+	}
+}
+
 func (d *Dispatcher) handleCellStatus(context.Context, peer.Request) (any, error) {
 	return StatusReport{Engines: d.EngineStatuses(), Cells: d.CellStatuses()}, nil
 }
--- a/internal/keyed/executor.go
+++ b/internal/keyed/executor.go
@@ -20,8 +20,15 @@
 	DefaultShards = 64
 	// DefaultLogTimeout bounds the wait for an intent's verdict.
 	DefaultLogTimeout = 5 * time.Second
-	// DefaultSnapshotEvery is the number of records between snapshots.
+	// DefaultSnapshotEvery is the least number of records between snapshots.
 	DefaultSnapshotEvery = 4096
+	// snapshotPatience is how many times as many records a shard of many keys
+	// may take until its next snapshot: then its snapshots outweigh its records
+	// less, and a node that opens the shard still catches up in seconds.
+	snapshotPatience = 4
+	// DefaultShardIdle is how long a shard without requests stays open. To open
+	// it again replays what follows its latest snapshot.
+	DefaultShardIdle = 2 * time.Minute
 
 	// closingRecordTries is how many log timeouts a result may take to be
 	// recorded once the node stops. Its caller has the answer; a repeat of a
@@ -50,7 +57,10 @@
 	LogTimeout time.Duration
 	// SnapshotEvery as in logstream.StreamOptions; DefaultSnapshotEvery when 0.
 	SnapshotEvery int64
-	Logger        zerolog.Logger
+	// ShardIdle is how long a shard without requests is tailed on;
+	// DefaultShardIdle when 0.
+	ShardIdle time.Duration
+	Logger    zerolog.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -63,6 +73,9 @@
 	if o.SnapshotEvery <= 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.ShardIdle <= 0 {
+		o.ShardIdle = DefaultShardIdle
+	}
 	return o
 }
 
--- a/internal/keyed/fakes_test.go
+++ b/internal/keyed/fakes_test.go
@@ -27,6 +27,8 @@
 	server    *httptest.Server
 	router    *fakeRouter
 	addresses map[string]string
+	// shardIdle as in Options; the default when 0.
+	shardIdle time.Duration
 }
 
 func newWorld(t *testing.T) *world {
@@ -61,6 +63,7 @@
 		Tables:     fakeTables{},
 		Shards:     2,
 		LogTimeout: logTimeout,
+		ShardIdle:  w.shardIdle,
 		Logger:     zerolog.Nop(),
 	})
 	assert.NilError(t, transport.Start())
--- /dev/null
+++ b/internal/keyed/idle_test.go
@@ -0,0 +1,89 @@
+package keyed
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/logservice"
+)
+
+// isOpen reports whether the shard of a request tails its stream.
+func isOpen(executor *Executor, request Request) bool {
+	shard := executor.shards[request.shard(executor.options.Shards)]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	return shard.stream != nil
+}
+
+func TestIdleShardIsClosedAndOpenedAgain(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	world.shardIdle = time.Millisecond
+	node := world.node(t, "a")
+	request := newRequest("permit-1", "salmon")
+	for range 3 {
+		text, err := execute(ctx, node, request)
+		assert.NilError(t, err)
+		assert.Equal(t, text, "answer to salmon")
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if isOpen(node, request) {
+				return poll.Continue("the shard is open")
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(limit))
+	}
+	assert.Equal(t, world.router.count("salmon"), 1)
+}
+
+func TestShardWithAFlightIsNotIdle(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	node := world.node(t, "a")
+	world.router.hold = make(chan struct{})
+	request := newRequest("permit-1", "salmon")
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		text, err := execute(ctx, node, request)
+		assert.Check(t, err == nil, "%v", err)
+		assert.Check(t, text == "answer to salmon", "%q", text)
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if world.router.count("salmon") == 0 {
+			return poll.Continue("the request does not run yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(limit))
+	node.shards[request.shard(node.options.Shards)].closeIdle()
+	assert.Check(t, isOpen(node, request))
+	close(world.router.hold)
+	caller.Wait()
+}
+
+// Shards that close between any two requests keep the promise of one run, also
+// while appends lose their answers and take effect late.
+func TestOneRunWhileShardsCloseAndOpen(t *testing.T) {
+	ctx := testContext(t)
+	world := newWorld(t)
+	world.shardIdle = time.Microsecond
+	world.log.SetControl(standin.Control{LoseAnswers: 0.3, LateMS: 3})
+	nodes := []*Executor{world.node(t, "a", "b"), world.node(t, "b", "a")}
+	keys := []string{"key-0", "key-1", "key-2"}
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() {
+			for _, key := range keys {
+				text, err := execute(ctx, nodes[i%2], newRequest(key, key))
+				assert.Check(t, err == nil, "%v", err)
+				assert.Check(t, text == "answer to "+key, "%q", text)
+			}
+		})
+	}
+	callers.Wait()
+	for _, key := range keys {
+		assert.Equal(t, world.router.count(key), 1)
+	}
+}
--- a/internal/keyed/shard.go
+++ b/internal/keyed/shard.go
@@ -26,6 +26,8 @@
 	// flights holds a key from its first caller until its outcome, or its
 	// release, is in the log; so this node has one open intent for a key.
 	flights map[string]*flight
+	// idle fires closeIdle some time after the last flight; nil before the first.
+	idle *time.Timer
 }
 
 func newShard(executor *Executor, index int) *shard {
@@ -66,8 +68,9 @@
 	return nil
 }
 
-// open starts to tail the stream when it is not open. Only leaders use the
-// stream, and each of them calls open first.
+// open starts to tail the stream when it is not open. Only the leader of a key,
+// or the late verdict on its intent, uses the stream: a leader calls open first,
+// and its key stays in flights until it needs the stream no more.
 func (s *shard) open() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,14 +79,20 @@
 	}
 	s.reducer = idempotency.NewReducer()
 	s.stream = s.executor.options.Manager.Open(streamName(s.index), s.reducer, logstream.StreamOptions{
-		SnapshotEvery:  s.executor.options.SnapshotEvery,
-		SnapshotFormat: idempotency.SnapshotFormat,
+		SnapshotEvery:    s.executor.options.SnapshotEvery,
+		SnapshotAtLatest: snapshotPatience * s.executor.options.SnapshotEvery,
+		SnapshotFormat:   idempotency.SnapshotFormat,
 	})
 }
 
+// close gives the stream up for good, when the executor ends. The field stays
+// set, since a late verdict may still want to release its intent.
 func (s *shard) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.idle != nil {
+		s.idle.Stop()
+	}
 	if s.stream != nil {
 		s.stream.Close()
 	}
@@ -100,6 +109,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.flights, key)
+	if len(s.flights) == 0 {
+		s.awaitIdle()
+	}
 }
 
 // lead takes the request from its intent to its recorded result.
--- a/internal/logstream/append.go
+++ b/internal/logstream/append.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"time"
-
-	"github.com/cenkalti/backoff/v5"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 )
 
@@ -22,7 +20,7 @@
 			return
 		case <-s.wake:
 		}
-		if !sleep(s.ctx, s.manager.options.CommitDelay) {
+		if !retry.Sleep(s.ctx, s.manager.options.CommitDelay) {
 			return
 		}
 		s.appendQueued()
@@ -69,13 +67,13 @@
 // appendUntilKnown repeats the batch, the same records with the same
 // sequences, until an append succeeds or all were read back.
 func (s *TailedStream) appendUntilKnown(batch []*proposal) {
-	delays := newBackOff()
+	delays := logRetries.Delays()
 	for {
 		records := s.encodeUnsettled(batch)
 		if len(records) == 0 || s.tryAppend(records) == nil {
 			return
 		}
-		if !sleep(s.ctx, delays.NextBackOff()) {
+		if !retry.Sleep(s.ctx, delays.NextBackOff()) {
 			return
 		}
 	}
@@ -114,23 +112,3 @@
 	}
 	return err
 }
-
-// newBackOff returns delays with jitter that never end.
-func newBackOff() *backoff.ExponentialBackOff {
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval = minBackoff
-	delays.MaxInterval = maxBackoff
-	return delays
-}
-
-// sleep waits for the delay; false when ctx ended first.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/logstream/logstream_test.go
+++ b/internal/logstream/logstream_test.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
 	standin "github.com/corkpulley/corkpulley/internal/standin/logservice"
@@ -85,7 +86,7 @@
 	f.log.SetControl(standin.Control{Down: true})
 	before := f.failedReads.Load()
 	for f.failedReads.Load() < before+6 {
-		assert.Assert(t, sleep(ctx, time.Millisecond), "no read failed")
+		assert.Assert(t, retry.Sleep(ctx, time.Millisecond), "no read failed")
 	}
 	f.log.SetControl(control)
 }
--- a/internal/logstream/metrics.go
+++ b/internal/logstream/metrics.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 )
@@ -20,19 +21,16 @@
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		options := prometheus.CounterOpts{Namespace: "corkpulley", Subsystem: "log", Name: name, Help: help}
-		vector := prometheus.NewCounterVec(options, append([]string{"class"}, labels...))
-		registerer.MustRegister(vector)
-		return vector
+		return factory.NewCounterVec(options, append([]string{"class"}, labels...))
 	}
 	histogram := func(name, help string, buckets []float64) *prometheus.HistogramVec {
 		options := prometheus.HistogramOpts{
 			Namespace: "corkpulley", Subsystem: "log", Name: name, Help: help, Buckets: buckets,
 		}
-		vector := prometheus.NewHistogramVec(options, []string{"class"})
-		registerer.MustRegister(vector)
-		return vector
+		return factory.NewHistogramVec(options, []string{"class"})
 	}
 	return &metrics{
 		appends:     counter("appends_total", "Tries of appends by outcome.", "outcome"),
--- a/internal/logstream/options.go
+++ b/internal/logstream/options.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
 )
@@ -38,16 +39,23 @@
 	// DefaultAppendTimeout bounds one try of an append.
 	DefaultAppendTimeout = 10 * time.Second
 
-	maxBacklog        = 8192
-	maxBatchRecords   = 256
-	maxBatchBytes     = 1 << 20
-	readLimit         = 512
-	minBackoff        = 20 * time.Millisecond
-	maxBackoff        = 3 * time.Second
+	// maxBacklog bounds the proposals of one stream that wait for a verdict.
+	maxBacklog = 8192
+	// maxBatchRecords and maxBatchBytes bound one append; one record always fits.
+	maxBatchRecords = 256
+	maxBatchBytes   = 1 << 20
+	// readLimit is how many records one read asks for at most.
+	readLimit = 512
+	// snapshotPartBytes is the most state that one snapshot record carries.
 	snapshotPartBytes = 1 << 20
-	firstWindow       = 64
+	// firstWindow is how many of the stream's last records are looked through
+	// for a snapshot at first; it doubles while none is found.
+	firstWindow = 64
 )
 
+// logRetries paces the tries of appends and reads; it outlasts any outage.
+var logRetries = retry.Policy{First: 20 * time.Millisecond, Longest: 3 * time.Second}
+
 // Options configures a Manager.
 type Options struct {
 	Service logservice.Service
@@ -72,9 +80,6 @@
 	if o.AppendTimeout == 0 {
 		o.AppendTimeout = DefaultAppendTimeout
 	}
-	if o.Registerer == nil {
-		o.Registerer = prometheus.NewRegistry()
-	}
 	return o
 }
 
@@ -83,6 +88,11 @@
 	// SnapshotEvery is the number of records after which this process may
 	// write a snapshot; 0 writes none. A failed try is repeated after as many.
 	SnapshotEvery int64
+	// SnapshotAtLatest puts a snapshot off beyond SnapshotEvery until the
+	// records since the latest one take as many bytes as that, so that the
+	// snapshots of a large state don't outweigh its records; this many records
+	// are the most that a reader then replays. 0 puts off none.
+	SnapshotAtLatest int64
 	// SnapshotWhen tells whether this process should write the snapshot that
 	// is due. It is called with the reducer's lock held, like the argument of
 	// View. Nil: whoever had a record accepted since the latest snapshot.
--- a/internal/logstream/snapshot.go
+++ b/internal/logstream/snapshot.go
@@ -43,19 +43,35 @@
 func (s *TailedStream) noteSnapshot(offset int64, record logrecord.Record) {
 	body, usable := s.decodeSnapshot(offset, record)
 	if usable && body.Part == body.Parts-1 && body.AsOf > s.lastSnapshot {
-		s.lastSnapshot = body.AsOf
-		s.acceptedSince = false
+		s.latestSnapshotIs(body.AsOf, (body.Parts-1)*snapshotPartBytes+len(body.State))
 	}
 }
 
+// latestSnapshotIs counts towards the next snapshot anew; mu is held.
+func (s *TailedStream) latestSnapshotIs(asOf int64, size int) {
+	s.lastSnapshot = asOf
+	s.snapshotBytes = size
+	s.bytesSince = 0
+	s.acceptedSince = false
+}
+
+// snapshotDue reports whether enough was applied since the latest snapshot; mu
+// is held.
+func (s *TailedStream) snapshotDue() bool {
+	every := s.options.SnapshotEvery
+	records := s.applied - s.lastSnapshot
+	if every <= 0 || records < every {
+		return false
+	}
+	return s.bytesSince >= s.snapshotBytes || records >= s.options.SnapshotAtLatest
+}
+
 // queueSnapshot hands the appender a snapshot when one is due; mu is held.
 func (s *TailedStream) queueSnapshot() {
-	every := s.options.SnapshotEvery
-	if every <= 0 || s.applied-s.lastSnapshot < every || !s.mayWriteSnapshot() {
+	if !s.snapshotDue() || !s.mayWriteSnapshot() {
 		return
 	}
-	s.lastSnapshot = s.applied
-	s.acceptedSince = false
+	s.latestSnapshotIs(s.applied, s.snapshotBytes)
 	state, err := s.reducer.Snapshot()
 	if err != nil {
 		s.logger.Error().Err(err).Msg("snapshot not encoded")
@@ -69,6 +85,7 @@
 		s.logger.Error().Err(err).Msg("snapshot not encoded")
 		return
 	}
+	s.snapshotBytes = len(state)
 	s.pendingSnapshots = records
 	s.signal()
 }
@@ -158,7 +175,7 @@
 			continue
 		}
 		s.applied = candidate.asOf
-		s.lastSnapshot = candidate.asOf
+		s.latestSnapshotIs(candidate.asOf, len(candidate.state))
 		s.releaseWaiters()
 		return true
 	}
--- /dev/null
+++ b/internal/logstream/snapshotdue_test.go
@@ -0,0 +1,48 @@
+package logstream
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSnapshotOfALargeStateIsPutOff counts the snapshots of a state that is
+// larger than the records: without SnapshotAtLatest each SnapshotEvery records
+// bring one, with it SnapshotAtLatest do.
+func TestSnapshotOfALargeStateIsPutOff(t *testing.T) {
+	const records = 120
+	for _, test := range []struct {
+		name      string
+		state     int
+		atLatest  int64
+		snapshots []int64
+	}{
+		{"by records", snapshotPartBytes, 0, []int64{10, 20, 30}},
+		{"small state", 1, 30, []int64{10, 20, 30}},
+		{"large state", snapshotPartBytes, 30, []int64{10, 40, 70}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			stream := &TailedStream{
+				manager:    newFixture(t).manager(t, "a"),
+				reducer:    &history{Accepted: []string{strings.Repeat("x", test.state)}},
+				options:    StreamOptions{SnapshotEvery: 10, SnapshotAtLatest: test.atLatest},
+				writer:     "a",
+				references: 1,
+				wake:       make(chan struct{}, 1),
+			}
+			var written []int64
+			for range records {
+				stream.applied++
+				stream.bytesSince += 100
+				stream.acceptedSince = true
+				before := stream.lastSnapshot
+				stream.queueSnapshot()
+				if stream.lastSnapshot != before {
+					written = append(written, stream.lastSnapshot)
+				}
+			}
+			assert.DeepEqual(t, written[:len(test.snapshots)], test.snapshots)
+		})
+	}
+}
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 )
 
@@ -43,7 +44,11 @@
 	pending      map[uint64]*proposal
 	nextSequence uint64
 
-	lastSnapshot     int64
+	lastSnapshot int64
+	// snapshotBytes is the size of the latest known snapshot, bytesSince that of
+	// the records applied after this reader learnt of it.
+	snapshotBytes    int
+	bytesSince       int
 	acceptedSince    bool
 	pendingSnapshots [][]byte
 }
@@ -198,7 +203,7 @@
 }
 
 func (s *TailedStream) streamEnd(ctx context.Context) (int64, error) {
-	delays := newBackOff()
+	delays := logRetries.Delays()
 	for {
 		batch, err := s.manager.options.Service.Read(ctx, s.name, -1, 1, 0)
 		if err == nil {
@@ -207,7 +212,7 @@
 		if s.ctx.Err() != nil {
 			return 0, ErrClosed
 		}
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !retry.Sleep(ctx, delays.NextBackOff()) {
 			return 0, ctx.Err()
 		}
 	}
--- a/internal/logstream/tail.go
+++ b/internal/logstream/tail.go
@@ -5,13 +5,14 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
 )
 
 // tail restores the latest snapshot, then applies the stream as it grows.
 func (s *TailedStream) tail() {
-	delays := newBackOff()
+	delays := logRetries.Delays()
 	for s.ctx.Err() == nil {
 		err := s.loadSnapshot(s.ctx)
 		if err == nil {
@@ -22,7 +23,7 @@
 			return
 		}
 		s.manager.failures.failed(operationLoadSnapshot, s.name, err)
-		sleep(s.ctx, delays.NextBackOff())
+		retry.Sleep(s.ctx, delays.NextBackOff())
 	}
 	if s.ctx.Err() != nil {
 		return
@@ -32,7 +33,7 @@
 }
 
 func (s *TailedStream) follow() {
-	delays := newBackOff()
+	delays := logRetries.Delays()
 	limit := readLimit
 	for s.ctx.Err() == nil {
 		batch, err := s.poll(limit)
@@ -52,7 +53,7 @@
 			continue
 		}
 		s.manager.failures.failed(operationRead, s.name, err)
-		sleep(s.ctx, delays.NextBackOff())
+		retry.Sleep(s.ctx, delays.NextBackOff())
 	}
 }
 
@@ -101,6 +102,7 @@
 		s.noteSnapshot(entry.Offset, record)
 		return
 	}
+	s.bytesSince += len(entry.Data)
 	verdict := s.reducer.Apply(entry.Offset, record)
 	s.settle(entry.Offset, record, verdict)
 }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -18,7 +18,8 @@
 const (
 	// platformIdleConnections is kept for each platform service.
 	platformIdleConnections = 32
-	platformIdleTimeout     = time.Minute
+	// platformIdleTimeout closes an unused connection.
+	platformIdleTimeout = time.Minute
 )
 
 // platformClients are the adapters to the platform's services.
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -165,14 +165,14 @@
 }
 
 func (n *node) buildCoordinators() {
-	announcer := &ownershipAnnouncer{target: n.roles.cluster}
+	announcer := cluster.NewOwnershipAnnouncer(n.roles.cluster)
 	n.roles.trainers = coordinator.New(coordinator.Options{
 		NodeID:      n.config.Node.ID,
 		PeerAddress: n.roles.transport.Address(),
 		Zone:        n.config.Node.Zone,
 		Manager:     n.roles.streams,
 		View:        n.roles.cluster,
-		Announcer:   announcer.source(),
+		Announcer:   announcer.Source(),
 		Caller:      n.roles.transport,
 		Registry:    n.roles.transport,
 		Router:      n.roles.router,
@@ -186,7 +186,7 @@
 		PeerAddress:        n.roles.transport.Address(),
 		Manager:            n.roles.streams,
 		View:               n.roles.cluster,
-		Announcer:          announcer.source(),
+		Announcer:          announcer.Source(),
 		Caller:             n.roles.transport,
 		Store:              n.clients.weights,
 		Tables:             n.roles.tables,
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -15,9 +15,12 @@
 // Limits on HTTP connections. A write deadline is set for each streamed event
 // by the gateway, not here, since answers may last long.
 const (
+	// readHeaderTimeout bounds the wait for a request's header.
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	// idleTimeout closes a connection without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
 )
 
 // server is one HTTP listener with its router.
--- a/internal/operatorapi/status.go
+++ b/internal/operatorapi/status.go
@@ -8,6 +8,7 @@
 	"github.com/corkpulley/corkpulley/internal/api"
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/dispatcher"
 	"github.com/corkpulley/corkpulley/internal/httpapi"
 )
 
@@ -139,16 +140,7 @@
 	digests := a.options.View.Cells()
 	statuses := make([]api.CellStatus, 0, len(digests))
 	for _, digest := range digests {
-		statuses = append(statuses, api.CellStatus{
-			Zone:    digest.Cell.Zone,
-			Pool:    digest.Cell.Pool,
-			Index:   digest.Cell.Index,
-			Node:    digest.Node,
-			Engines: digest.Engines,
-			Slots:   digest.Slots,
-			Running: digest.Running,
-			Queued:  digest.Queued,
-		})
+		statuses = append(statuses, dispatcher.CellStatus(digest))
 	}
 	return statuses
 }
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -15,7 +15,8 @@
 	// maxPendingBytes is how much may wait for the socket before senders of
 	// requests and messages have to wait.
 	maxPendingBytes = 1 << 20
-	readBufferSize  = 64 << 10
+	// readBufferSize is the read buffer of one connection in bytes.
+	readBufferSize = 64 << 10
 	// keepaliveInterval is the period of keepalive checks.
 	keepaliveInterval = time.Second
 	// pingAfterTicks and silenceLimitTicks count keepalive intervals without
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -36,7 +36,8 @@
 	maxPooledBody = 64 << 10
 	// maxMethodLength bounds a method name: its length travels in one byte.
 	maxMethodLength = 255
-	creditBodySize  = 4
+	// creditBodySize is the size of a credit frame's body in bytes (uint32).
+	creditBodySize = 4
 )
 
 // Errors of the frame decoder.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,19 +9,20 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 )
 
 const (
 	// dialTimeout bounds one TCP connect.
 	dialTimeout = 2 * time.Second
-	// Between failed dials to one address calls fail at once, for a time that
-	// grows between these two.
-	dialBackoffInitial = 50 * time.Millisecond
-	dialBackoffMaximum = time.Second
 	// linkUnusedAfter is how long a link without a connection is remembered.
 	linkUnusedAfter = time.Minute
 )
 
+// dialRetries paces the dials to one address: between failed ones, calls fail at once.
+var dialRetries = retry.Policy{First: 50 * time.Millisecond, Longest: time.Second}
+
 // link keeps the one outgoing connection to a peer address.
 type link struct {
 	transport *Transport
@@ -37,10 +38,7 @@
 }
 
 func newLink(transport *Transport, address string) *link {
-	interval := backoff.NewExponentialBackOff()
-	interval.InitialInterval = dialBackoffInitial
-	interval.MaxInterval = dialBackoffMaximum
-	return &link{transport: transport, address: address, interval: interval}
+	return &link{transport: transport, address: address, interval: dialRetries.Delays()}
 }
 
 // get returns the open session, or waits for a dial.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,7 +17,8 @@
 	helloTimeout = 5 * time.Second
 	// maxStreamsPerConnection bounds the handlers that one peer may have running.
 	maxStreamsPerConnection = 1 << 16
-	acceptRetryDelay        = 50 * time.Millisecond
+	// acceptRetryDelay is the pause after a failed accept.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // serverSession is the listener's end of a connection.
--- a/internal/platform/engine/http.go
+++ b/internal/platform/engine/http.go
@@ -30,8 +30,10 @@
 	maxIdleConnectionsPerEngine = 256
 	// idleTimeout closes an idle connection well before servers usually do.
 	idleTimeout = 30 * time.Second
+	// dialTimeout bounds one TCP connect.
 	dialTimeout = 2 * time.Second
-	keepAlive   = 15 * time.Second
+	// keepAlive is the period of TCP keepalive probes.
+	keepAlive = 15 * time.Second
 )
 
 // Paths of the engine interface.
--- a/internal/platform/scorer/http.go
+++ b/internal/platform/scorer/http.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/platform/httpjson"
 )
 
 const (
@@ -23,37 +25,30 @@
 // httpScorer is the HTTP adapter.
 type httpScorer struct {
 	url    string
-	client *http.Client
+	client httpjson.Client
 }
 
 // NewHTTP returns a Scorer that calls the scoring service at the base URL
 // ("http://ip:port"). Timeouts are the context's and the client's.
 func NewHTTP(baseURL string, client *http.Client) Scorer {
-	return &httpScorer{url: strings.TrimSuffix(baseURL, "/") + scorePath, client: client}
+	return &httpScorer{
+		url:    strings.TrimSuffix(baseURL, "/") + scorePath,
+		client: httpjson.Client{Service: "scorer", HTTP: client, MaxAnswerBytes: maxResponseBytes},
+	}
 }
 
 // Score implements Scorer. Any error means that there is no score; the call
 // may be repeated.
 func (s *httpScorer) Score(ctx context.Context, request Request) (Response, error) {
-	body, err := json.Marshal(request)
-	if err != nil {
-		return Response{}, errors.Wrap(err, "scorer: encode request")
-	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url, bytes.NewReader(body))
-	if err != nil {
-		return Response{}, errors.Wrap(err, "scorer: build request")
-	}
-	call.Header.Set("Content-Type", "application/json")
-	answer, err := s.client.Do(call)
+	answer, err := s.client.Send(ctx, http.MethodPost, s.url, nil, request)
 	if err != nil {
 		return Response{}, errors.Wrap(err, "scorer: call")
 	}
-	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
-		message, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
-		return Response{}, errors.Errorf("scorer: status %d: %s", answer.StatusCode, strings.TrimSpace(string(message)))
+		message := answer.Content[:min(len(answer.Content), maxErrorBytes)]
+		return Response{}, errors.Errorf("scorer: status %d: %s", answer.StatusCode, bytes.TrimSpace(message))
 	}
-	return decodeResponse(answer.Body)
+	return decodeResponse(bytes.NewReader(answer.Content))
 }
 
 // decodeResponse refuses an answer without a score: a missing one must not
@@ -62,7 +57,7 @@
 	var answer struct {
 		Score *float64 `json:"score"`
 	}
-	if err := json.NewDecoder(io.LimitReader(body, maxResponseBytes)).Decode(&answer); err != nil {
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
 		return Response{}, errors.Wrap(err, "scorer: decode answer")
 	}
 	if answer.Score == nil || math.IsNaN(*answer.Score) || math.IsInf(*answer.Score, 0) {
--- a/internal/platform/weightstore/http.go
+++ b/internal/platform/weightstore/http.go
@@ -1,16 +1,15 @@
 package weightstore
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/platform/httpjson"
 )
 
 // maxAnswerBytes bounds an answer of the store.
@@ -19,16 +18,16 @@
 // HTTPStore implements Store over HTTP. It is safe for concurrent use.
 type HTTPStore struct {
 	baseURL string
-	client  *http.Client
+	client  httpjson.Client
 }
 
 // NewHTTP returns the Store at baseURL ("http://host:port"). A nil client takes
 // http.DefaultClient; callers bound each call by its context.
 func NewHTTP(baseURL string, client *http.Client) Store {
-	if client == nil {
-		client = http.DefaultClient
+	return &HTTPStore{
+		baseURL: strings.TrimSuffix(baseURL, "/"),
+		client:  httpjson.Client{Service: "weight store", HTTP: client, MaxAnswerBytes: maxAnswerBytes},
 	}
-	return &HTTPStore{baseURL: strings.TrimSuffix(baseURL, "/"), client: client}
 }
 
 // ModelURL returns the URL of a model under a store's base URL.
@@ -44,7 +43,7 @@
 // Info implements Store.
 func (s *HTTPStore) Info(ctx context.Context, model string) (ModelInfo, error) {
 	var info ModelInfo
-	err := s.do(ctx, http.MethodGet, ModelURL(s.baseURL, model), nil, &info)
+	err := s.client.Call(ctx, http.MethodGet, ModelURL(s.baseURL, model), nil, &info)
 	if err != nil {
 		return ModelInfo{}, errors.Wrapf(err, "info of model %q", model)
 	}
@@ -53,44 +52,9 @@
 
 // Publish implements Store.
 func (s *HTTPStore) Publish(ctx context.Context, model string, request PublishRequest) error {
-	err := s.do(ctx, http.MethodPost, ModelURL(s.baseURL, model), request, nil)
+	err := s.client.Call(ctx, http.MethodPost, ModelURL(s.baseURL, model), request, nil)
 	if err != nil {
 		return errors.Wrapf(err, "publish version %d of model %q", request.Version, model)
 	}
 	return nil
 }
-
-func (s *HTTPStore) do(ctx context.Context, method, target string, message, answer any) error {
-	var body io.Reader
-	if message != nil {
-		encoded, err := json.Marshal(message)
-		if err != nil {
-			return errors.Wrap(err, "encode")
-		}
-		body = bytes.NewReader(encoded)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, target, body)
-	if err != nil {
-		return errors.Wrap(err, "build request")
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := s.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return errors.Wrap(err, "read answer")
-	}
-	if response.StatusCode/100 != 2 {
-		return errors.Errorf("weight store answered %s: %s", response.Status, bytes.TrimSpace(content))
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.Unmarshal(content, answer); err != nil {
-		return errors.Wrap(err, "decode answer")
-	}
-	return nil
-}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -5,9 +5,9 @@
 	"io"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/answer"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/message"
@@ -18,11 +18,11 @@
 	// finishError and finishCanceled end a token stream that is not a whole answer.
 	finishError    = "error"
 	finishCanceled = "canceled"
-
-	reattachFirstDelay = 20 * time.Millisecond
-	reattachMaxDelay   = 300 * time.Millisecond
 )
 
+// reattachRetries paces the tries to attach to an attempt again.
+var reattachRetries = retry.Policy{First: 20 * time.Millisecond, Longest: 300 * time.Millisecond}
+
 // runAttempt runs one attempt at its dispatcher to the end of the answer,
 // through any number of broken streams.
 func (a *attempts) runAttempt(ctx context.Context, submit message.Submit, chosen choice) (verdict, error) {
@@ -56,7 +56,7 @@
 // a repeatable request goes by the view and leaves sooner: it has elsewhere to
 // go, and the view may be wrong.
 func (a *attempts) reattach(ctx context.Context, submit message.Submit, to target, err error) (verdict, error) {
-	delays := newBackOff(reattachFirstDelay, reattachMaxDelay)
+	delays := reattachRetries.Delays()
 	lastProgress := time.Now()
 	start := len(submit.Generated)
 	for time.Since(lastProgress) < a.router.options.ReattachTimeout {
@@ -165,22 +165,10 @@
 	return nil
 }
 
-func newBackOff(first, longest time.Duration) *backoff.ExponentialBackOff {
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval = first
-	delays.MaxInterval = longest
-	delays.Reset()
-	return delays
-}
-
 // wait returns early with a consumerError when ctx ends.
 func wait(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !retry.Sleep(ctx, delay) {
 		return &consumerError{err: context.Cause(ctx)}
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -6,18 +6,17 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/answer"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
 
-const (
-	// maxContinuations bounds how often one request is continued at another
-	// cell: a request that breaks each engine it meets must end.
-	maxContinuations = 8
+// maxContinuations bounds how often one request is continued at another cell: a
+// request that breaks each engine it meets must end.
+const maxContinuations = 8
 
-	searchFirstDelay = 25 * time.Millisecond
-	searchMaxDelay   = 500 * time.Millisecond
-)
+// searchRetries paces the search for a cell that takes the request.
+var searchRetries = retry.Policy{First: 25 * time.Millisecond, Longest: 500 * time.Millisecond}
 
 // attempts is the state of one request while it runs. It is used by one goroutine.
 type attempts struct {
@@ -189,7 +188,7 @@
 func (a *attempts) newSearch(timeout time.Duration) *search {
 	return &search{
 		deadline: time.Now().Add(timeout),
-		delays:   newBackOff(searchFirstDelay, searchMaxDelay),
+		delays:   searchRetries.Delays(),
 	}
 }
 
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 )
 
 const (
@@ -124,11 +125,11 @@
 		writeRefusal(writer, unknownStream())
 		return
 	}
-	writeJSON(writer, http.StatusOK, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 func (s *Server) handleStatus(writer http.ResponseWriter, _ *http.Request) {
-	writeJSON(writer, http.StatusOK, s.Status())
+	httpserver.WriteJSON(writer, http.StatusOK, s.Status())
 }
 
 func (s *Server) handleOrder(writer http.ResponseWriter, request *http.Request) {
@@ -140,7 +141,7 @@
 		writeRefusal(writer, refusal)
 		return
 	}
-	writeJSON(writer, http.StatusOK, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 func (s *Server) handleKVExport(writer http.ResponseWriter, request *http.Request) {
@@ -153,7 +154,7 @@
 		writeRefusal(writer, refusal)
 		return
 	}
-	writeJSON(writer, http.StatusOK, export)
+	httpserver.WriteJSON(writer, http.StatusOK, export)
 }
 
 func (s *Server) handleKVImport(writer http.ResponseWriter, request *http.Request) {
@@ -166,11 +167,11 @@
 		writeRefusal(writer, &engine.Refusal{Code: engine.CodeInvalid, Message: err.Error()})
 		return
 	}
-	writeJSON(writer, http.StatusOK, handle)
+	httpserver.WriteJSON(writer, http.StatusOK, handle)
 }
 
 func (s *Server) handleHistory(writer http.ResponseWriter, _ *http.Request) {
-	writeJSON(writer, http.StatusOK, s.History())
+	httpserver.WriteJSON(writer, http.StatusOK, s.History())
 }
 
 func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
@@ -179,7 +180,7 @@
 		return
 	}
 	s.Control(control)
-	writeJSON(writer, http.StatusOK, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 // Control applies a fault control.
@@ -229,11 +230,5 @@
 }
 
 func writeRefusal(writer http.ResponseWriter, refusal *engine.Refusal) {
-	writeJSON(writer, refusalStatus(refusal.Code), refusal)
-}
-
-func writeJSON(writer http.ResponseWriter, status int, message any) {
-	writer.Header().Set("Content-Type", "application/json")
-	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(message)
+	httpserver.WriteJSON(writer, refusalStatus(refusal.Code), refusal)
 }
--- a/internal/standin/logservice/server.go
+++ b/internal/standin/logservice/server.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
+	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 )
 
 const (
@@ -97,7 +98,7 @@
 		return
 	}
 	s.SetControl(control)
-	writeJSON(writer, http.StatusOK, control)
+	httpserver.WriteJSON(writer, http.StatusOK, control)
 }
 
 func (s *Server) handleStreams(writer http.ResponseWriter, _ *http.Request) {
@@ -107,7 +108,7 @@
 		ends.Streams[name] = int64(len(stream.records))
 	}
 	s.mu.Unlock()
-	writeJSON(writer, http.StatusOK, ends)
+	httpserver.WriteJSON(writer, http.StatusOK, ends)
 }
 
 func (s *Server) handleAppend(writer http.ResponseWriter, request *http.Request) {
@@ -125,7 +126,7 @@
 	}
 	if s.happens(control.Refuse) {
 		answer := logservice.AppendResponse{Refused: true, Message: "refused"}
-		writeJSON(writer, http.StatusServiceUnavailable, answer)
+		httpserver.WriteJSON(writer, http.StatusServiceUnavailable, answer)
 		return
 	}
 	if s.happens(control.LoseAnswers) {
@@ -133,7 +134,7 @@
 		panic(http.ErrAbortHandler) // breaks the connection without an answer
 	}
 	offset := s.append(name, body.Records)
-	writeJSON(writer, http.StatusOK, logservice.AppendResponse{Offset: offset})
+	httpserver.WriteJSON(writer, http.StatusOK, logservice.AppendResponse{Offset: offset})
 }
 
 // delay waits for the latency and returns the faults in force after it.
@@ -208,7 +209,7 @@
 		http.Error(writer, "down", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(writer, http.StatusOK, batch)
+	httpserver.WriteJSON(writer, http.StatusOK, batch)
 }
 
 func (s *Server) down() bool {
@@ -257,10 +258,3 @@
 	}
 	return batch, stream.grown
 }
-
-func writeJSON(writer http.ResponseWriter, status int, body any) {
-	writer.Header().Set("Content-Type", "application/json")
-	writer.WriteHeader(status)
-	// A failed write means that the client left; there is nobody to tell.
-	_ = json.NewEncoder(writer).Encode(body)
-}
--- a/internal/standin/machines/server.go
+++ b/internal/standin/machines/server.go
@@ -5,25 +5,20 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
 	"github.com/corkpulley/corkpulley/internal/platform/machines"
+	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 )
 
-const (
-	defaultExpiry     = 5 * time.Second
-	maxRequestBytes   = 64 << 10
-	shutdownTimeout   = 5 * time.Second
-	readHeaderTimeout = 10 * time.Second
-)
+// defaultExpiry stands in for a Config without an expiry.
+const defaultExpiry = 5 * time.Second
 
 // Config is the setting of one stand-in.
 type Config struct {
@@ -42,64 +37,29 @@
 
 // Server is one stand-in.
 type Server struct {
+	*httpserver.Listener
 	config Config
-	ready  chan struct{}
 
 	mu      sync.Mutex
-	address string
 	down    bool
 	history *history
 }
 
 // New returns an empty list.
 func New(config Config) *Server {
-	if config.Listen == "" {
-		config.Listen = "127.0.0.1:0"
-	}
 	if config.Expiry == 0 {
 		config.Expiry = defaultExpiry
 	}
 	return &Server{
-		config:  config,
-		ready:   make(chan struct{}),
-		history: newHistory(config.Lag, config.Expiry),
+		Listener: httpserver.NewListener("machine list stand-in", config.Listen),
+		config:   config,
+		history:  newHistory(config.Lag, config.Expiry),
 	}
 }
 
-// Ready returns a channel that is closed once Run listens.
-func (s *Server) Ready() <-chan struct{} { return s.ready }
-
-// Address returns the address that Run listens on; empty before Ready.
-func (s *Server) Address() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.address
-}
-
 // Run listens and serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.config.Listen)
-	if err != nil {
-		return errors.Wrap(err, "machine list stand-in listen")
-	}
-	s.mu.Lock()
-	s.address = listener.Addr().String()
-	s.mu.Unlock()
-	close(s.ready)
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "machine list stand-in serve")
-	case <-ctx.Done():
-	}
-	stopContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(stopContext); err != nil {
-		_ = server.Close()
-	}
-	return nil
+	return s.Serve(ctx, s.Handler())
 }
 
 // Handler returns the list's API and the fault control.
@@ -149,7 +109,7 @@
 
 func (s *Server) handlePut(writer http.ResponseWriter, request *http.Request) {
 	var machine machines.Machine
-	if !decode(writer, request, &machine) {
+	if !httpserver.DecodeJSON(writer, request, &machine) {
 		return
 	}
 	if machine.ID != mux.Vars(request)["id"] || machine.Address == "" {
@@ -162,19 +122,19 @@
 	s.mu.Lock()
 	s.history.put(machine, time.Now())
 	s.mu.Unlock()
-	writeJSON(writer, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 func (s *Server) handleDelete(writer http.ResponseWriter, request *http.Request) {
 	s.mu.Lock()
 	s.history.remove(mux.Vars(request)["id"], time.Now())
 	s.mu.Unlock()
-	writeJSON(writer, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
 	var control Control
-	if !decode(writer, request, &control) {
+	if !httpserver.DecodeJSON(writer, request, &control) {
 		return
 	}
 	s.mu.Lock()
@@ -182,19 +142,5 @@
 		s.down = *control.Down
 	}
 	s.mu.Unlock()
-	writeJSON(writer, struct{}{})
-}
-
-func decode(writer http.ResponseWriter, request *http.Request, message any) bool {
-	body := http.MaxBytesReader(writer, request.Body, maxRequestBytes)
-	if err := json.NewDecoder(body).Decode(message); err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(writer http.ResponseWriter, message any) {
-	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(message)
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
--- a/internal/standin/trainer/client.go
+++ b/internal/standin/trainer/client.go
@@ -1,38 +1,38 @@
 package trainer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
 	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/platform/httpjson"
 )
 
 const (
 	// callMargin is added to a fetch's wait to bound the whole call.
 	callMargin       = 20 * time.Second
 	maxAnswerBytes   = 64 << 20
-	minRetryDelay    = 50 * time.Millisecond
-	maxRetryDelay    = 2 * time.Second
 	maxIdleSeconds   = 30
 	maxConnsPerHosts = 4
 )
 
+// callRetries paces the repeats of a call that no node has answered.
+var callRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 2 * time.Second}
+
 // client calls any of the nodes, with the same body until one answers: every
 // call of the trainers' interface may be repeated.
 type client struct {
 	servers []string
 	trainer string
-	http    *http.Client
+	http    httpjson.Client
 	// next picks the server; a failed call moves on to the next one.
 	next    atomic.Uint64
 	retries atomic.Int64
@@ -43,7 +43,9 @@
 		MaxIdleConnsPerHost: maxConnsPerHosts,
 		IdleConnTimeout:     maxIdleSeconds * time.Second,
 	}
-	return &client{servers: servers, trainer: trainer, http: &http.Client{Transport: transport}}
+	return &client{servers: servers, trainer: trainer, http: httpjson.Client{
+		Service: "node", HTTP: &http.Client{Transport: transport}, MaxAnswerBytes: maxAnswerBytes,
+	}}
 }
 
 func (c *client) submit(ctx context.Context, step string, request api.StepRequest) (api.StepStatus, error) {
@@ -80,9 +82,7 @@
 	if err != nil {
 		return errors.Wrap(err, "trainer: encode request")
 	}
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval = minRetryDelay
-	delays.MaxInterval = maxRetryDelay
+	delays := callRetries.Delays()
 	for {
 		server := c.servers[c.next.Load()%uint64(len(c.servers))]
 		err := c.callOnce(ctx, method, server+path, limit, body, response)
@@ -95,36 +95,26 @@
 		}
 		c.next.Add(1)
 		c.retries.Add(1)
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !retry.Sleep(ctx, delays.NextBackOff()) {
 			return errors.Wrapf(ctx.Err(), "trainer: last error: %v", err)
 		}
 	}
 }
 
 func (c *client) callOnce(
-	ctx context.Context, method, address string, limit time.Duration, body []byte, response any,
+	ctx context.Context, method, address string, limit time.Duration, body json.RawMessage, response any,
 ) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "trainer: build request")
-	}
-	request.Header.Set("Content-Type", "application/json")
-	answer, err := c.http.Do(request)
+	answer, err := c.http.Send(ctx, method, address, nil, body)
 	if err != nil {
 		return errors.Wrap(err, "trainer: call")
 	}
-	defer func() { _ = answer.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
-	if err != nil {
-		return errors.Wrap(err, "trainer: read answer")
-	}
 	if answer.StatusCode != http.StatusOK {
-		return &refusedError{status: answer.StatusCode, message: strings.TrimSpace(string(data))}
+		return &refusedError{status: answer.StatusCode, message: strings.TrimSpace(string(answer.Content))}
 	}
-	if err := json.Unmarshal(data, response); err != nil {
-		return errors.Wrap(err, "trainer: decode answer")
+	if err := answer.Decode(response); err != nil {
+		return errors.Wrap(err, "trainer")
 	}
 	return nil
 }
@@ -150,15 +140,3 @@
 		return false
 	}
 }
-
-// sleep waits for the duration; false when ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/trainer/prompt.go
+++ b/internal/standin/trainer/prompt.go
@@ -1,5 +1,12 @@
 package trainer
 
+import (
+	"fmt"
+	"strings"
+
+	"github.com/corkpulley/corkpulley/internal/api"
+)
+
 // PromptText returns the text of a prompt that this trainer submits, by its
 // step's ID and its index in the step; false when it submits no such prompt.
 func (t *Trainer) PromptText(stepID string, index int) (string, bool) {
@@ -18,3 +25,55 @@
 	}
 	return ids
 }
+
+func (t *Trainer) stepID(step int) string {
+	return fmt.Sprintf("%s-%d", t.config.StepPrefix, step)
+}
+
+// StepNumber returns the number, from 0, of the step of an ID; false when the
+// ID is none of this trainer's.
+func (t *Trainer) StepNumber(id string) (int, bool) {
+	for step := range t.config.Steps {
+		if t.stepID(step) == id {
+			return step, true
+		}
+	}
+	return 0, false
+}
+
+// stepRequest builds the step's request as a function of the configuration
+// only: a repeat after a restart must be the same request.
+func (t *Trainer) stepRequest(step int) api.StepRequest {
+	prompts := make([]api.StepPrompt, 0, t.config.Prompts)
+	for i := range t.config.Prompts {
+		prompts = append(prompts, t.prompt(step, i))
+	}
+	return api.StepRequest{
+		Prompts:          prompts,
+		SamplesPerPrompt: t.config.SamplesPerPrompt,
+		MaxTokens:        t.config.MaxTokens,
+		Temperature:      1,
+		Seed:             t.config.Seed + int64(step),
+		TrainerVersion:   t.submitVersion(step),
+	}
+}
+
+// submitVersion is the version that the trainer is at when it first submits
+// the step: it trains one version a step, and submits Ahead steps before.
+func (t *Trainer) submitVersion(step int) uint64 {
+	t.journal.mutex.Lock()
+	defer t.journal.mutex.Unlock()
+	first := t.journal.version - uint64(t.journal.trained)
+	return first + uint64(max(0, step-t.config.Ahead))
+}
+
+func (t *Trainer) prompt(step, index int) api.StepPrompt {
+	group := index % t.config.Groups
+	line := fmt.Sprintf("[seed %d group %d] shared context. ", t.config.Seed, group)
+	prefix := strings.Repeat(line, t.config.PrefixBytes/len(line)+1)[:t.config.PrefixBytes]
+	text := fmt.Sprintf("%s question %d of step %d", prefix, index, step)
+	if group < len(t.config.GroupShortest) {
+		text += fmt.Sprintf(" [shortest=%d]", t.config.GroupShortest[group])
+	}
+	return api.StepPrompt{Group: fmt.Sprintf("group-%d", group), Text: text}
+}
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -2,25 +2,18 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
 	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/httpapi"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
 )
 
-const (
-	// storeRetryDelay is the pause between two tries at the weight store.
-	storeRetryDelay = 200 * time.Millisecond
-	storeTimeout    = 10 * time.Second
-)
-
 // Trainer is one trainer process.
 type Trainer struct {
 	config  Config
@@ -63,7 +56,7 @@
 // Run trains all steps that the journal does not call trained. It returns the
 // report also when it fails or ctx ends first.
 func (t *Trainer) Run(ctx context.Context) (Report, error) {
-	defer t.client.http.CloseIdleConnections()
+	defer t.client.http.HTTP.CloseIdleConnections()
 	if err := t.config.validate(); err != nil {
 		return t.Report(), err
 	}
@@ -191,7 +184,7 @@
 		if len(ids) == 0 {
 			return nil
 		}
-		if t.config.Pause > 0 && !sleep(ctx, t.config.Pause) {
+		if t.config.Pause > 0 && !retry.Sleep(ctx, t.config.Pause) {
 			return ctx.Err()
 		}
 		request := api.AckRequest{Token: token, Samples: ids, TrainerVersion: t.version()}
@@ -209,7 +202,7 @@
 // train "trains" on the step and publishes the new version.
 func (t *Trainer) train(ctx context.Context, began time.Time) error {
 	trainBegan := time.Now()
-	if !sleep(ctx, t.config.TrainTime) {
+	if !retry.Sleep(ctx, t.config.TrainTime) {
 		return ctx.Err()
 	}
 	version := t.version() + 1
@@ -225,80 +218,4 @@
 	return nil
 }
 
-func (t *Trainer) publish(ctx context.Context, version uint64) error {
-	if t.store == nil {
-		return nil
-	}
-	return t.retryStore(ctx, func(ctx context.Context) error {
-		request := weightstore.PublishRequest{Version: version, SizeBytes: t.config.WeightBytes}
-		return t.store.Publish(ctx, t.config.Model, request)
-	})
-}
-
-func (t *Trainer) retryStore(ctx context.Context, call func(context.Context) error) error {
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := call(callCtx)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		if !sleep(ctx, storeRetryDelay) {
-			return errors.Wrapf(ctx.Err(), "weight store: last error: %v", err)
-		}
-	}
-}
-
 func (t *Trainer) wanted() int { return t.config.Prompts * t.config.SamplesPerPrompt }
-
-func (t *Trainer) stepID(step int) string {
-	return fmt.Sprintf("%s-%d", t.config.StepPrefix, step)
-}
-
-// StepNumber returns the number, from 0, of the step of an ID; false when the
-// ID is none of this trainer's.
-func (t *Trainer) StepNumber(id string) (int, bool) {
-	for step := range t.config.Steps {
-		if t.stepID(step) == id {
-			return step, true
-		}
-	}
-	return 0, false
-}
-
-// stepRequest builds the step's request as a function of the configuration
-// only: a repeat after a restart must be the same request.
-func (t *Trainer) stepRequest(step int) api.StepRequest {
-	prompts := make([]api.StepPrompt, 0, t.config.Prompts)
-	for i := range t.config.Prompts {
-		prompts = append(prompts, t.prompt(step, i))
-	}
-	return api.StepRequest{
-		Prompts:          prompts,
-		SamplesPerPrompt: t.config.SamplesPerPrompt,
-		MaxTokens:        t.config.MaxTokens,
-		Temperature:      1,
-		Seed:             t.config.Seed + int64(step),
-		TrainerVersion:   t.submitVersion(step),
-	}
-}
-
-// submitVersion is the version that the trainer is at when it first submits
-// the step: it trains one version a step, and submits Ahead steps before.
-func (t *Trainer) submitVersion(step int) uint64 {
-	t.journal.mutex.Lock()
-	defer t.journal.mutex.Unlock()
-	first := t.journal.version - uint64(t.journal.trained)
-	return first + uint64(max(0, step-t.config.Ahead))
-}
-
-func (t *Trainer) prompt(step, index int) api.StepPrompt {
-	group := index % t.config.Groups
-	line := fmt.Sprintf("[seed %d group %d] shared context. ", t.config.Seed, group)
-	prefix := strings.Repeat(line, t.config.PrefixBytes/len(line)+1)[:t.config.PrefixBytes]
-	text := fmt.Sprintf("%s question %d of step %d", prefix, index, step)
-	if group < len(t.config.GroupShortest) {
-		text += fmt.Sprintf(" [shortest=%d]", t.config.GroupShortest[group])
-	}
-	return api.StepPrompt{Group: fmt.Sprintf("group-%d", group), Text: text}
-}
--- a/internal/standin/weightstore/server.go
+++ b/internal/standin/weightstore/server.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,13 +14,9 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
-)
-
-const (
-	maxRequestBytes   = 64 << 10
-	shutdownTimeout   = 5 * time.Second
-	readHeaderTimeout = 10 * time.Second
+	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 )
 
 // Config is the setting of one stand-in.
@@ -52,12 +46,11 @@
 
 // Server is one stand-in.
 type Server struct {
+	*httpserver.Listener
 	config  Config
 	limiter *rate.Limiter
-	ready   chan struct{}
 
 	mu      sync.Mutex
-	address string
 	down    bool
 	latency time.Duration
 	models  map[string]*model
@@ -65,56 +58,22 @@
 
 // New returns a store without models.
 func New(config Config) *Server {
-	if config.Listen == "" {
-		config.Listen = "127.0.0.1:0"
-	}
 	limit := rate.Inf
 	if config.DownloadsPerSecond > 0 {
 		limit = rate.Limit(config.DownloadsPerSecond)
 	}
 	return &Server{
-		config:  config,
-		limiter: rate.NewLimiter(limit, max(1, config.Burst)),
-		ready:   make(chan struct{}),
-		latency: config.Latency,
-		models:  make(map[string]*model),
+		Listener: httpserver.NewListener("weight store stand-in", config.Listen),
+		config:   config,
+		limiter:  rate.NewLimiter(limit, max(1, config.Burst)),
+		latency:  config.Latency,
+		models:   make(map[string]*model),
 	}
 }
 
-// Ready returns a channel that is closed once Run listens.
-func (s *Server) Ready() <-chan struct{} { return s.ready }
-
-// Address returns the address that Run listens on; empty before Ready.
-func (s *Server) Address() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.address
-}
-
 // Run listens and serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.config.Listen)
-	if err != nil {
-		return errors.Wrap(err, "weight store stand-in listen")
-	}
-	s.mu.Lock()
-	s.address = listener.Addr().String()
-	s.mu.Unlock()
-	close(s.ready)
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "weight store stand-in serve")
-	case <-ctx.Done():
-	}
-	stopContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(stopContext); err != nil {
-		_ = server.Close()
-	}
-	return nil
+	return s.Serve(ctx, s.Handler())
 }
 
 // Handler returns the store's API and the fault control.
@@ -136,7 +95,7 @@
 		s.mu.Lock()
 		down, latency := s.down, s.latency
 		s.mu.Unlock()
-		if !wait(request.Context(), latency) {
+		if latency > 0 && !retry.Sleep(request.Context(), latency) {
 			return
 		}
 		if down {
@@ -147,21 +106,6 @@
 	})
 }
 
-// wait reports whether the delay passed before ctx ended.
-func wait(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return true
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // modelName returns the model in the request's path; net/http has refused a
 // path that can't be unescaped before.
 func modelName(request *http.Request) string {
@@ -177,19 +121,19 @@
 		info.Latest = held.latest
 	}
 	s.mu.Unlock()
-	writeJSON(writer, info)
+	httpserver.WriteJSON(writer, http.StatusOK, info)
 }
 
 func (s *Server) handlePublish(writer http.ResponseWriter, request *http.Request) {
 	var message weightstore.PublishRequest
-	if !decode(writer, request, &message) {
+	if !httpserver.DecodeJSON(writer, request, &message) {
 		return
 	}
 	if err := s.Publish(modelName(request), message); err != nil {
 		http.Error(writer, err.Error(), http.StatusConflict)
 		return
 	}
-	writeJSON(writer, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 // Publish adds a version. Versions only rise; a version that is there already
@@ -229,7 +173,7 @@
 		http.Error(writer, "over the download rate", http.StatusTooManyRequests)
 		return
 	}
-	writeJSON(writer, published)
+	httpserver.WriteJSON(writer, http.StatusOK, published)
 }
 
 func (s *Server) published(name string, version uint64) (weightstore.PublishRequest, bool) {
@@ -251,11 +195,11 @@
 
 func (s *Server) handleControl(writer http.ResponseWriter, request *http.Request) {
 	var control Control
-	if !decode(writer, request, &control) {
+	if !httpserver.DecodeJSON(writer, request, &control) {
 		return
 	}
 	s.Control(control)
-	writeJSON(writer, struct{}{})
+	httpserver.WriteJSON(writer, http.StatusOK, struct{}{})
 }
 
 // Control applies a fault control.
@@ -269,17 +213,3 @@
 		s.latency = time.Duration(*control.LatencyMS) * time.Millisecond
 	}
 }
-
-func decode(writer http.ResponseWriter, request *http.Request, message any) bool {
-	body := http.MaxBytesReader(writer, request.Body, maxRequestBytes)
-	if err := json.NewDecoder(body).Decode(message); err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(writer http.ResponseWriter, message any) {
-	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(message)
-}
--- a/internal/tables/contact.go
+++ b/internal/tables/contact.go
@@ -34,7 +34,7 @@
 			t.options.Announcer.AnnounceLogContact(contact)
 			announced = contact
 		}
-		if err := pause(ctx, pollInterval); err != nil {
+		if err := pause(ctx, contactInterval); err != nil {
 			return err
 		}
 	}
@@ -46,7 +46,7 @@
 		if time.Since(t.LogContact()) > probeAfter {
 			t.probeOnce(ctx)
 		}
-		if err := pause(ctx, pollInterval); err != nil {
+		if err := pause(ctx, contactInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/tables/peers.go
+++ b/internal/tables/peers.go
@@ -66,7 +66,7 @@
 // followPeers fetches a revision as soon as a member announces a higher one.
 func (t *Tables) followPeers(ctx context.Context) error {
 	for {
-		delay := pollInterval
+		delay := peersInterval
 		if !t.fetchHigher(ctx) {
 			delay = fetchRetry
 		}
--- a/internal/tables/readiness.go
+++ b/internal/tables/readiness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
 
@@ -79,14 +80,10 @@
 }
 
 func pause(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !retry.Sleep(ctx, duration) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // catchUp adopts everything that the log holds now.
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -23,9 +23,13 @@
 )
 
 const (
-	// pollInterval is how often the members' announced revisions and the
-	// log contact are looked at.
-	pollInterval = 100 * time.Millisecond
+	// peersInterval is how often the members' announced revisions are looked
+	// at. The log tells most nodes of a new revision; without it, this is small
+	// against the time that the announcement takes.
+	peersInterval = 250 * time.Millisecond
+	// contactInterval is how often the log contact is looked at. It is small
+	// against probeAfter and ContactLimit.
+	contactInterval = 500 * time.Millisecond
 	// keptTables bounds the tables kept to answer peers with rows changed.
 	keptTables = 64
 )
--- a/internal/trainerapi/trainerapi_test.go
+++ b/internal/trainerapi/trainerapi_test.go
@@ -101,8 +101,8 @@
 		assert.Equal(t, f.client.trainer, "drafts")
 	}
 	assert.Equal(t, f.client.step, "s-1")
-	assert.Equal(t, f.client.fetch.Max, defaultFetchMax)
-	assert.Equal(t, f.client.fetch.WaitMS, int64(defaultWaitMS))
+	assert.Equal(t, f.client.fetch.Max, api.DefaultFetchMax)
+	assert.Equal(t, f.client.fetch.WaitMS, int64(api.DefaultFetchWaitMS))
 }
 
 func TestBadCallsAreRefused(t *testing.T) {
--- a/internal/trainerapi/validate.go
+++ b/internal/trainerapi/validate.go
@@ -7,17 +7,16 @@
 	"github.com/corkpulley/corkpulley/internal/core/policy"
 )
 
-// Bounds of the fields of requests.
+// Bounds of the fields of requests. Names that end in Bytes or MS
+// are in bytes or milliseconds; the others count.
 const (
-	maxPromptBytes  = 256 << 10
-	maxGroupBytes   = 256
-	maxTokens       = 32768
-	maxTemperature  = 10.0
-	defaultFetchMax = 64
-	maxFetchMax     = 1024
-	defaultWaitMS   = 10_000
-	maxWaitMS       = 60_000
-	maxSamples      = 65536
+	maxPromptBytes = 256 << 10
+	maxGroupBytes  = 256
+	maxTokens      = 32768
+	maxTemperature = 10.0
+	maxFetchMax    = 1024
+	maxWaitMS      = 60_000
+	maxSamples     = 65536
 )
 
 func checkTrainer(table *policy.Table, trainer string) error {
@@ -86,10 +85,10 @@
 // checkFetchRequest checks a fetch and fills in the defaults.
 func checkFetchRequest(request *api.FetchRequest) error {
 	if request.Max == 0 {
-		request.Max = defaultFetchMax
+		request.Max = api.DefaultFetchMax
 	}
 	if request.WaitMS == 0 {
-		request.WaitMS = defaultWaitMS
+		request.WaitMS = api.DefaultFetchWaitMS
 	}
 	if request.Step != "" {
 		if err := checkStepID(request.Step); err != nil {
--- a/internal/weights/metrics.go
+++ b/internal/weights/metrics.go
@@ -1,6 +1,9 @@
 package weights
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Results of a directive, as a label.
 const (
@@ -20,30 +23,29 @@
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	byModel := []string{"model"}
-	created := &metrics{
-		owned: prometheus.NewGauge(prometheus.GaugeOpts{
+	factory := promauto.With(registerer)
+	return &metrics{
+		owned: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_weights_models_owned",
 			Help: "Models whose engines this node orders.",
 		}),
-		wanted: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		wanted: factory.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "corkpulley_weights_wanted_version",
 			Help: "Weight version wanted, for models owned by this node.",
 		}, byModel),
-		behind: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		behind: factory.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "corkpulley_weights_engines_behind",
 			Help: "Engines below the wanted version, for models owned by this node.",
 		}, byModel),
-		loading: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		loading: factory.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "corkpulley_weights_engines_loading",
 			Help: "Engines that load the model, for models owned by this node.",
 		}, byModel),
-		directives: prometheus.NewCounterVec(prometheus.CounterOpts{
+		directives: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "corkpulley_weights_directives_total",
 			Help: "Directives sent to dispatchers, by result.",
 		}, []string{"model", "result"}),
 	}
-	registerer.MustRegister(created.owned, created.wanted, created.behind, created.loading, created.directives)
-	return created
 }
 
 // forget drops the gauges of a model that is not owned any more.
--- a/internal/weights/version.go
+++ b/internal/weights/version.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
 )
@@ -14,11 +15,13 @@
 const (
 	// storePollInterval is the time between two questions to a store that answers.
 	storePollInterval = time.Second
-	// storeMaxDelay bounds the time between two questions to one that does not.
-	storeMaxDelay = 15 * time.Second
-	storeTimeout  = 3 * time.Second
+	// storeTimeout bounds one question.
+	storeTimeout = 3 * time.Second
 )
 
+// storeRetries paces the questions to a store that does not answer.
+var storeRetries = retry.Policy{First: storePollInterval, Longest: 15 * time.Second}
+
 // wantedVersion follows the latest version in the weight store. While the store
 // is down the last known version stays. It is used by one goroutine.
 type wantedVersion struct {
@@ -33,10 +36,7 @@
 }
 
 func newWantedVersion(store weightstore.Store, model string, logger zerolog.Logger) *wantedVersion {
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval = storePollInterval
-	delays.MaxInterval = storeMaxDelay
-	return &wantedVersion{store: store, model: model, logger: logger, delays: delays}
+	return &wantedVersion{store: store, model: model, logger: logger, delays: storeRetries.Delays()}
 }
 
 // get returns the pinned version, or the latest known; 0 when there is none.
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -66,9 +66,6 @@
 	if o.Interval <= 0 {
 		o.Interval = defaultInterval
 	}
-	if o.Registerer == nil {
-		o.Registerer = prometheus.NewRegistry()
-	}
 	return o
 }
 
