--- a/cmd/corkpulleyd/main.go
+++ b/cmd/corkpulleyd/main.go
@@ -13,8 +13,10 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/corkpulley/corkpulley/internal/hosted"
 	"github.com/corkpulley/corkpulley/internal/node"
 	"github.com/corkpulley/corkpulley/internal/settings"
+	"github.com/corkpulley/corkpulley/platform"
 )
 
 const (
@@ -28,6 +30,9 @@
 func run() int {
 	var flags settings.Flags
 	arg.MustParse(&flags)
+	if flags.File == "" {
+		flags.File = platform.SettingsFile()
+	}
 	loaded, problems := settings.Load(flags)
 	if len(problems) > 0 {
 		reportProblems(problems)
@@ -39,13 +44,24 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := node.Run(ctx, loaded, os.Stderr); err != nil {
+	if err := runNode(ctx, loaded); err != nil {
 		fmt.Fprintln(os.Stderr, "corkpulleyd:", err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+// runNode runs the node in the way that its settings ask for.
+func runNode(ctx context.Context, loaded settings.Settings) error {
+	if loaded.Hosted.Log == "" {
+		return node.Run(ctx, loaded, os.Stderr)
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	return hosted.Run(ctx, loaded, platform.New(loaded.Hosted.Log), os.Stdout)
+}
+
 func reportProblems(problems []settings.Problem) {
 	for _, problem := range problems {
 		fmt.Fprintln(os.Stderr, "corkpulleyd: settings:", problem)
--- /dev/null
+++ b/internal/batchjobs/batchjobs.go
@@ -0,0 +1,300 @@
+// Package batchjobs keeps batch jobs in the log: it accepts them, tells their
+// results and bodies, and ends them. Each node reads every index partition; a
+// text or a body is read from the log when it is asked for.
+package batchjobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// Topics of the log.
+const (
+	indexTopic = "corkpulley.jobs"
+	dataTopic  = "corkpulley.data"
+)
+
+const (
+	// readLimit bounds one read of records.
+	readLimit = 512 << 10
+	// bodyReadLimit bounds the read of one body, of which one record is enough.
+	bodyReadLimit = 4 << 10
+	// maxResultBytes bounds the texts of one answer.
+	maxResultBytes = 900 << 10
+	// recordOverhead is what a record takes beside its bytes.
+	recordOverhead = 8
+	forgetPeriod   = 5 * time.Second
+)
+
+// Options are the settings of batch jobs.
+type Options struct {
+	// Partitions is the number of partitions; the same on all nodes, for good.
+	Partitions int
+	// RecordBytes and CallBytes are the log's limits.
+	RecordBytes int
+	CallBytes   int
+	// KeepJobs is how long a job can be read after it was read first.
+	KeepJobs time.Duration
+	Logger   zerolog.Logger
+}
+
+// Service serves batch jobs.
+type Service struct {
+	log        eventlog.Log
+	options    Options
+	partitions []*partition
+}
+
+// New returns a service; Run reads the log.
+func New(log eventlog.Log, options Options) *Service {
+	s := &Service{log: log, options: options}
+	for number := range options.Partitions {
+		s.partitions = append(s.partitions, newPartition(log, number, options.Logger))
+	}
+	return s
+}
+
+// Run reads the index until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	var group errgroup.Group
+	for _, each := range s.partitions {
+		group.Go(func() error {
+			each.tail(ctx)
+			return nil
+		})
+	}
+	group.Go(func() error {
+		s.forgetOld(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+func (s *Service) forgetOld(ctx context.Context) {
+	ticker := time.NewTicker(forgetPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, each := range s.partitions {
+			each.forget(time.Now().Add(-s.options.KeepJobs))
+		}
+	}
+}
+
+func (s *Service) partitionOf(jobID string) *partition {
+	return s.partitions[xxhash.Sum64String(jobID)%uint64(len(s.partitions))]
+}
+
+// Current tells whether the index was read to its end once.
+func (s *Service) Current() bool {
+	for _, each := range s.partitions {
+		if !each.current() {
+			return false
+		}
+	}
+	return true
+}
+
+// Observe tells the observer of all open jobs and of what changes; nil ends that.
+func (s *Service) Observe(observer batch.Observer) {
+	for _, each := range s.partitions {
+		each.observe(observer)
+	}
+}
+
+// Submission is a batch job as it is handed in.
+type Submission struct {
+	Job      batch.JobRecord
+	Payloads []batch.Payload
+}
+
+// Accept keeps a job. A nil error means that it is kept for good, whether by
+// this call or an earlier one. An error of a kind that says "not executed"
+// means that no record of the job was or will be written by this call.
+func (s *Service) Accept(ctx context.Context, submission Submission) error {
+	target := s.partitionOf(submission.Job.ID)
+	if target.has(submission.Job.ID) {
+		return nil
+	}
+	spans, err := s.writePayloads(ctx, target, submission.Payloads)
+	if err != nil {
+		return err
+	}
+	submission.Job.Payloads = spans
+	return s.appendIndex(ctx, target, batch.Record{Job: &submission.Job})
+}
+
+// writePayloads writes the payloads in as many calls as the log's limit wants.
+// They mean nothing until the job's record names them.
+func (s *Service) writePayloads(ctx context.Context, target *partition, payloads []batch.Payload) ([]batch.Span, error) {
+	var spans []batch.Span
+	var records [][]byte
+	size := 0
+	flush := func() error {
+		if len(records) == 0 {
+			return nil
+		}
+		first, err := s.appendData(ctx, target, records)
+		if err != nil {
+			return err
+		}
+		spans = append(spans, batch.Span{First: first, Count: len(records)})
+		records, size = nil, 0
+		return nil
+	}
+	for _, payload := range payloads {
+		raw, err := payload.Encode()
+		if err != nil {
+			return nil, err
+		}
+		if len(raw) > s.options.RecordBytes {
+			return nil, errkind.New(errkind.PayloadTooLarge, "an item of %d bytes, at most %d", len(raw), s.options.RecordBytes)
+		}
+		if size+len(raw)+recordOverhead > s.options.CallBytes {
+			if err := flush(); err != nil {
+				return nil, err
+			}
+		}
+		records = append(records, raw)
+		size += len(raw) + recordOverhead
+	}
+	return spans, flush()
+}
+
+// End ends a job. A nil error means that it is ended for good.
+func (s *Service) End(ctx context.Context, jobID string) error {
+	target := s.partitionOf(jobID)
+	known, err := target.lookUp(ctx, jobID)
+	if err != nil {
+		return err
+	}
+	if known.Ended {
+		return nil
+	}
+	return s.appendIndex(ctx, target, batch.Record{End: jobID})
+}
+
+// ResultText is one result as it is told to a reader.
+type ResultText struct {
+	ItemID   string
+	Outcome  batch.Outcome
+	Text     []byte
+	Versions []int64
+}
+
+// Results are the results of a job from a position on.
+type Results struct {
+	Total   int
+	Results []ResultText
+}
+
+// Results returns the results at position from and after it: at least one if
+// there is one, which it waits for up to the given time.
+func (s *Service) Results(ctx context.Context, jobID string, from int, wait time.Duration) (Results, error) {
+	target := s.partitionOf(jobID)
+	job, err := target.lookUp(ctx, jobID)
+	if err != nil {
+		return Results{}, err
+	}
+	if from >= len(job.Results) && wait > 0 {
+		target.awaitResults(ctx, jobID, from, wait)
+		if job, err = target.lookUp(ctx, jobID); err != nil {
+			return Results{}, err
+		}
+	}
+	answer := Results{Total: len(job.Items)}
+	if from >= len(job.Results) {
+		return answer, nil
+	}
+	selected := selectResults(job.Results[from:])
+	texts, err := s.readTexts(ctx, target, selected)
+	if err != nil {
+		return Results{}, err
+	}
+	for i, result := range selected {
+		answer.Results = append(answer.Results, ResultText{
+			ItemID:   job.Items[result.Item].ID,
+			Outcome:  result.Outcome,
+			Text:     texts[i],
+			Versions: result.Versions,
+		})
+	}
+	return answer, nil
+}
+
+// selectResults returns the first results, at least one, within the size of an answer.
+func selectResults(results []batch.Result) []batch.Result {
+	size := 0
+	for i, result := range results {
+		size += result.TextBytes
+		if i > 0 && size > maxResultBytes {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+// Body returns the body of an item.
+func (s *Service) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
+	target := s.partitionOf(jobID)
+	job, err := target.lookUp(ctx, jobID)
+	if err != nil {
+		return nil, err
+	}
+	index, found := job.ItemIndex(itemID)
+	if !found {
+		return nil, errkind.New(errkind.NotFound, "job %s has no item %s", jobID, itemID)
+	}
+	payloads, err := s.readPayloads(ctx, target, []batch.Span{{First: job.PayloadOffset(index), Count: 1}}, bodyReadLimit)
+	if err != nil {
+		return nil, err
+	}
+	return payloads[0].Body, nil
+}
+
+// Payloads returns what is sent to the engines for the items of a job.
+func (s *Service) Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error) {
+	return s.readPayloads(ctx, s.partitionOf(job.ID), job.Payloads, readLimit)
+}
+
+func (s *Service) readPayloads(
+	ctx context.Context, target *partition, spans []batch.Span, limit int,
+) ([]batch.Payload, error) {
+	var payloads []batch.Payload
+	for _, span := range spans {
+		records, err := s.readData(ctx, target, span, limit)
+		if err != nil {
+			return nil, err
+		}
+		for _, raw := range records {
+			payload, err := batch.DecodePayload(raw)
+			if err != nil {
+				return nil, err
+			}
+			payloads = append(payloads, payload)
+		}
+	}
+	return payloads, nil
+}
+
+// unavailable turns a failure of the log into the error of a read.
+func unavailable(err error) error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return err
+	}
+	return errkind.New(errkind.LogUnavailable, "%s", err.Error())
+}
--- /dev/null
+++ b/internal/batchjobs/partition.go
@@ -0,0 +1,229 @@
+package batchjobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// pollWait is how long a read of the index waits for a record.
+	pollWait   = 600 * time.Millisecond
+	retryDelay = 100 * time.Millisecond
+	// freshness is the age up to which what was read counts as the present. A
+	// position that somebody read elsewhere must be found here a second later.
+	freshness = 900 * time.Millisecond
+	// catchUpTimeout bounds a read that makes the state fresh again.
+	catchUpTimeout = 800 * time.Millisecond
+)
+
+// partition reads one partition of the index.
+type partition struct {
+	log    eventlog.Log
+	index  eventlog.Partition
+	data   eventlog.Partition
+	logger zerolog.Logger
+
+	mu    sync.Mutex
+	state *batch.Partition
+	// readAt is when the newest read that reached the end was sent.
+	readAt time.Time
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	healthy bool
+}
+
+func newPartition(log eventlog.Log, number int, logger zerolog.Logger) *partition {
+	return &partition{
+		log:     log,
+		index:   eventlog.Partition{Topic: indexTopic, Number: number},
+		data:    eventlog.Partition{Topic: dataTopic, Number: number},
+		logger:  logger.With().Int("partition", number).Logger(),
+		state:   batch.NewPartition(),
+		changed: make(chan struct{}),
+	}
+}
+
+// tail reads the partition until ctx ends.
+func (p *partition) tail(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := p.read(ctx, pollWait); err != nil && ctx.Err() == nil {
+			p.contact(err)
+			sleep(ctx, retryDelay)
+		}
+	}
+}
+
+// read reads once from where the state stands and applies what is new there.
+func (p *partition) read(ctx context.Context, wait time.Duration) error {
+	p.mu.Lock()
+	from := p.state.Next
+	p.mu.Unlock()
+	sent := time.Now()
+	read, err := p.log.Read(ctx, p.index, from, readLimit, wait)
+	var gone *eventlog.GoneError
+	if errors.As(err, &gone) {
+		p.skipTo(gone.First)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.apply(read, sent)
+	return nil
+}
+
+// apply takes the records that another read has not brought meanwhile.
+func (p *partition) apply(read eventlog.Batch, sent time.Time) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.state.Next
+	for i, raw := range read.Records {
+		if read.First+int64(i) != p.state.Next {
+			continue
+		}
+		record, err := batch.Decode(raw)
+		if err != nil {
+			p.logger.Error().Err(err).Int64("offset", p.state.Next).Msg("index record passed over")
+			p.state.Skip()
+			continue
+		}
+		p.state.Apply(record, now)
+	}
+	if p.state.Next >= read.End && sent.After(p.readAt) {
+		p.readAt = sent
+		if len(read.Records) == 0 {
+			// The read waited and nothing came: this is the state of its answer.
+			p.readAt = now
+		}
+	}
+	if !p.healthy {
+		p.healthy = true
+		p.logger.Info().Int64("offset", p.state.Next).Msg("index partition in reach")
+	}
+	if p.state.Next != before {
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+}
+
+func (p *partition) skipTo(first int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logger.Warn().Int64("offset", p.state.Next).Int64("first_kept", first).Msg("index history lost")
+	p.state.Next = max(p.state.Next, first)
+}
+
+func (p *partition) contact(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.healthy {
+		p.healthy = false
+		p.logger.Info().Err(err).Int64("offset", p.state.Next).Msg("index partition out of reach")
+	}
+}
+
+func (p *partition) current() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.readAt.IsZero()
+}
+
+func (p *partition) observe(observer batch.Observer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Observe(observer)
+}
+
+func (p *partition) forget(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Forget(before)
+}
+
+// has tells whether the job is known without asking the log.
+func (p *partition) has(jobID string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Job(jobID) != nil
+}
+
+// lookUp returns a copy of the job as of now: its results cannot change under
+// the reader. It reads to the end of the log first, unless that was done just
+// now and the job is known.
+func (p *partition) lookUp(ctx context.Context, jobID string) (batch.Job, error) {
+	asked := time.Now()
+	if job, found := p.snapshot(jobID, asked.Add(-freshness)); found {
+		return job, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for !p.readSince(asked) {
+		if err := p.read(ctx, 0); err != nil {
+			return batch.Job{}, unavailable(err)
+		}
+		if ctx.Err() != nil {
+			return batch.Job{}, unavailable(ctx.Err())
+		}
+	}
+	if job, found := p.snapshot(jobID, asked); found {
+		return job, nil
+	}
+	return batch.Job{}, errkind.New(errkind.NotFound, "no batch job %s", jobID)
+}
+
+func (p *partition) readSince(asked time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.readAt.Before(asked)
+}
+
+func (p *partition) snapshot(jobID string, readAfter time.Time) (batch.Job, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	job := p.state.Job(jobID)
+	if job == nil || p.readAt.Before(readAfter) {
+		return batch.Job{}, false
+	}
+	return *job, true
+}
+
+// awaitResults waits until the job has a result at the position, was ended, or
+// the time is over.
+func (p *partition) awaitResults(ctx context.Context, jobID string, position int, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		job, changed := p.state.Job(jobID), p.changed
+		done := job == nil || job.Ended || len(job.Results) > position
+		p.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/batchjobs/write.go
@@ -0,0 +1,160 @@
+package batchjobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	firstAppendDelay = 30 * time.Millisecond
+	maxAppendDelay   = 300 * time.Millisecond
+)
+
+// appendIndex writes a record of the index. Records may be written twice: the
+// first one wins, so a call without an answer is sent again.
+func (s *Service) appendIndex(ctx context.Context, target *partition, record batch.Record) error {
+	raw, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	if len(raw) > s.options.RecordBytes {
+		return errkind.New(errkind.PayloadTooLarge, "an index record of %d bytes, at most %d", len(raw), s.options.RecordBytes)
+	}
+	_, err = s.appendUntilDone(ctx, target.index, [][]byte{raw})
+	return err
+}
+
+// appendData writes records of the data topic. Copies that a lost answer leaves
+// behind are never named.
+func (s *Service) appendData(ctx context.Context, target *partition, records [][]byte) (int64, error) {
+	first, err := s.appendUntilDone(ctx, target.data, records)
+	if err != nil {
+		// No index record names these, so nothing of them will ever run.
+		return 0, errkind.New(errkind.LogUnavailable, "%s", err.Error())
+	}
+	return first, nil
+}
+
+// appendUntilDone repeats an append until it is acknowledged or ctx ends. Its
+// error says whether any of the calls may have had an effect.
+func (s *Service) appendUntilDone(ctx context.Context, partition eventlog.Partition, records [][]byte) (int64, error) {
+	mayBeDone := false
+	for delay := firstAppendDelay; ; delay = min(2*delay, maxAppendDelay) {
+		first, err := s.log.Append(ctx, partition, records)
+		if err == nil {
+			return first, nil
+		}
+		if !errors.Is(err, eventlog.ErrNotDone) {
+			mayBeDone = true
+		}
+		sleep(ctx, delay)
+		if ctx.Err() == nil {
+			continue
+		}
+		if mayBeDone {
+			return 0, errkind.New(errkind.OutcomeUnknownRepeatable, "append to %s: %s", partition, err.Error())
+		}
+		return 0, errkind.New(errkind.LogUnavailable, "append to %s: %s", partition, err.Error())
+	}
+}
+
+// FinishedItem is the end of one item, to be recorded.
+type FinishedItem struct {
+	JobID    string
+	Item     int
+	Outcome  batch.Outcome
+	Text     []byte
+	Versions []int64
+}
+
+// PartitionOf returns the number of the job's partition.
+func (s *Service) PartitionOf(jobID string) int { return s.partitionOf(jobID).index.Number }
+
+// Record writes the ends of items of one partition: the texts first, then the
+// record that lists them. It is repeated until done or ctx ends.
+func (s *Service) Record(ctx context.Context, number int, finished []FinishedItem) error {
+	target := s.partitions[number]
+	results := make([]batch.ResultRecord, len(finished))
+	var records [][]byte
+	for i, item := range finished {
+		pieces := split(item.Text, s.options.RecordBytes)
+		results[i] = batch.ResultRecord{
+			Job: item.JobID, Item: item.Item, Outcome: item.Outcome, Versions: item.Versions,
+			Text: batch.Span{First: int64(len(records)), Count: len(pieces)}, TextBytes: len(item.Text),
+		}
+		records = append(records, pieces...)
+	}
+	if len(records) > 0 {
+		first, err := s.appendData(ctx, target, records)
+		if err != nil {
+			return err
+		}
+		for i := range results {
+			results[i].Text.First += first
+		}
+	}
+	return s.appendIndex(ctx, target, batch.Record{Results: results})
+}
+
+// split cuts a text into pieces of at most size bytes.
+func split(text []byte, size int) [][]byte {
+	var pieces [][]byte
+	for len(text) > size {
+		pieces = append(pieces, text[:size])
+		text = text[size:]
+	}
+	if len(text) > 0 {
+		pieces = append(pieces, text)
+	}
+	return pieces
+}
+
+// readData returns the records of a span, read about limit bytes at a time.
+func (s *Service) readData(ctx context.Context, target *partition, span batch.Span, limit int) ([][]byte, error) {
+	var records [][]byte
+	for next := span.First; len(records) < span.Count; {
+		read, err := s.log.Read(ctx, target.data, next, limit, 0)
+		if err != nil {
+			return nil, unavailable(err)
+		}
+		if len(read.Records) == 0 {
+			return nil, errkind.New(errkind.LogUnavailable, "%s has no record %d", target.data, next)
+		}
+		wanted := min(len(read.Records), span.Count-len(records))
+		records = append(records, read.Records[:wanted]...)
+		next += int64(wanted)
+	}
+	return records, nil
+}
+
+// readTexts returns the texts of results. Neighbours in the log are read together.
+func (s *Service) readTexts(ctx context.Context, target *partition, results []batch.Result) ([][]byte, error) {
+	texts := make([][]byte, len(results))
+	for start := 0; start < len(results); {
+		end := start + 1
+		span, size := results[start].Text, results[start].TextBytes
+		for end < len(results) && results[end].Text.First == span.First+int64(span.Count) {
+			span.Count += results[end].Text.Count
+			size += results[end].TextBytes
+			end++
+		}
+		records, err := s.readData(ctx, target, span, min(size+recordOverhead*span.Count, readLimit))
+		if err != nil {
+			return nil, err
+		}
+		for i := start; i < end; i++ {
+			for range results[i].Text.Count {
+				texts[i] = append(texts[i], records[0]...)
+				records = records[1:]
+			}
+		}
+		start = end
+	}
+	return texts, nil
+}
--- /dev/null
+++ b/internal/batchrun/engines.go
@@ -0,0 +1,91 @@
+// Package batchrun runs the items of batch jobs at the engines. Only the leader
+// runs it; a second one for a moment costs work and no promise, since the first
+// recorded result of an item wins.
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+)
+
+// Call is one try of an item at an engine.
+type Call struct {
+	ItemID  string
+	Host    string
+	Payload batch.Payload
+	// After is the number of the last event that is already there; zero for none.
+	After int64
+	// Started is true when the stream is a continuation.
+	Started bool
+}
+
+// Event is one event of an item's stream.
+type Event struct {
+	Number int64
+	Data   []byte
+	// Version is the weight version that made it.
+	Version int64
+}
+
+// Refusal is how an engine did not serve a call.
+type Refusal uint8
+
+// The refusals.
+const (
+	// NotExecuted: the engine did not run the item, another may.
+	NotExecuted Refusal = iota + 1
+	// WrongEngine: another engine answers at the address.
+	WrongEngine
+	// Failed: the run failed, it counts as an attempt.
+	Failed
+	// Impossible: the item can never be run.
+	Impossible
+	// Broken: no answer, or none that can be read.
+	Broken
+)
+
+// RefusedError is the error of a call that gave no stream.
+type RefusedError struct {
+	Refusal Refusal
+	Detail  string
+}
+
+// Error implements the error interface.
+func (e *RefusedError) Error() string { return e.Detail }
+
+// Stream is the answer to a call.
+type Stream interface {
+	// Next returns the next event; io.EOF after the last one of a whole answer.
+	Next() (Event, error)
+	// Close ends the stream, whole or not.
+	Close()
+}
+
+// Engines starts streams. An error is a *RefusedError.
+type Engines interface {
+	Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error)
+}
+
+// Jobs is what the runner needs of the kept jobs.
+type Jobs interface {
+	Observe(observer batch.Observer)
+	Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error)
+	Record(ctx context.Context, partition int, finished []batchjobs.FinishedItem) error
+	PartitionOf(jobID string) int
+}
+
+// RouteOf tells how the items of a job are run now; found is false when the
+// configuration has no route for them.
+type RouteOf func(host, path string) (Route, bool)
+
+// Route is what the runner needs of a route.
+type Route struct {
+	Service       string
+	MaxAttempts   int
+	SingleVersion bool
+	Retention     time.Duration
+}
--- /dev/null
+++ b/internal/batchrun/run.go
@@ -0,0 +1,279 @@
+package batchrun
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+)
+
+const (
+	// stallTimeout ends a run whose stream has been silent for so long. An
+	// engine that changes its weights is silent for a second or two.
+	stallTimeout = 3 * time.Second
+	// slowFactor is how much slower than the typical engine one must be for its
+	// items to be moved, fastFactor how much slower the new one may be.
+	slowFactor = 1.7
+	fastFactor = 1.35
+	// minMovedAge spares items that have only just begun.
+	minMovedAge = 250 * time.Millisecond
+)
+
+// progress is what an item has of its output.
+type progress struct {
+	events   [][]byte
+	last     int64
+	versions []int64
+}
+
+func (p *progress) add(event Event) {
+	p.events = append(p.events, event.Data)
+	p.last = event.Number
+	if !slices.Contains(p.versions, event.Version) {
+		p.versions = append(p.versions, event.Version)
+	}
+}
+
+// text is the data of all events, separated by line feeds.
+func (p *progress) text() []byte { return bytes.Join(p.events, []byte{'\n'}) }
+
+// stopReason is why a run was ended from outside.
+type stopReason uint8
+
+const (
+	notStopped stopReason = iota
+	// stopDropped: the item needs no run any more.
+	stopDropped
+	// stopMoved: the item continues at another engine.
+	stopMoved
+	// stopStalled: the stream fell silent.
+	stopStalled
+)
+
+// run is one item at one engine.
+type run struct {
+	engine  string
+	started time.Time
+	cancel  context.CancelFunc
+	// reason is guarded by the runner's mu.
+	reason stopReason
+}
+
+// stop ends the run; the first reason stands. The runner's mu is held.
+func (r *run) stop(reason stopReason) {
+	if r.reason == notStopped {
+		r.reason = reason
+	}
+	r.cancel()
+}
+
+// start begins an assigned item; mu is held.
+func (r *Runner) start(assignment batchplan.Assignment) {
+	key := assignment.Item.Key
+	job := r.jobs[key.Job]
+	engine, known := r.options.Fleet.Get(assignment.Engine)
+	if job == nil || !known {
+		r.plan.Ended(key)
+		if job != nil {
+			r.queueItem(job, key.Item, "", time.Time{})
+		}
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	started := &run{engine: engine.ID, started: time.Now(), cancel: cancel}
+	r.runs[key] = started
+	state := &job.items[key.Item]
+	record := job.record.Items[key.Item]
+	call := Call{
+		ItemID: record.ID, Host: job.record.Host, Payload: job.payloads[key.Item],
+		After: state.progress.last, Started: len(state.progress.events) > 0,
+	}
+	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("engine", engine.ID).
+		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
+		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
+		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
+	r.options.Fleet.Began(engine.ID)
+	r.wait.Go(func() {
+		defer cancel()
+		err := r.follow(ctx, job, key, engine, started, call)
+		r.ended(job, key, started, err)
+	})
+}
+
+// follow starts the stream and takes its events until it ends.
+func (r *Runner) follow(
+	ctx context.Context, job *openJob, key batchplan.Key, engine fleet.Engine, own *run, call Call,
+) error {
+	stall := time.AfterFunc(stallTimeout, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		own.stop(stopStalled)
+	})
+	defer stall.Stop()
+	stream, err := r.options.Engines.Stream(ctx, engine, call)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	var previous time.Time
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		stall.Reset(stallTimeout)
+		now := time.Now()
+		if err := r.take(job, key, own, event, now, previous); err != nil {
+			return err
+		}
+		previous = now
+	}
+}
+
+// errNotWanted ends a run whose item has ended meanwhile.
+var errNotWanted = errors.New("the item is not wanted any more")
+
+// take adds an event to the item's output.
+func (r *Runner) take(
+	job *openJob, key batchplan.Key, own *run, event Event, now, previous time.Time,
+) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := &job.items[key.Item]
+	if state.done || r.runs[key] != own || own.reason != notStopped {
+		return errNotWanted
+	}
+	if state.progress.last != 0 && event.Number != state.progress.last+1 {
+		return &RefusedError{Refusal: Broken, Detail: "an event is missing or stands twice"}
+	}
+	if event.Version < job.record.MinVersion {
+		state.progress = progress{}
+		return &RefusedError{Refusal: NotExecuted, Detail: "made by weights older than the job allows"}
+	}
+	state.progress.add(event)
+	if !previous.IsZero() && r.options.Loading(own.engine) == "" {
+		r.plan.ObservePace(own.engine, now.Sub(previous))
+	}
+	return nil
+}
+
+// ended takes the end of a run: it finishes the item or queues it again.
+func (r *Runner) ended(job *openJob, key batchplan.Key, own *run, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	whole := errors.Is(err, io.EOF)
+	outcome := fleet.Outcome{At: time.Now()}
+	var refused *RefusedError
+	refusal := Broken
+	if errors.As(err, &refused) {
+		refusal = refused.Refusal
+	}
+	if own.reason == notStopped && !whole && r.ctx.Err() == nil {
+		outcome.Failed = refusal == Broken
+		outcome.Gone = refusal == WrongEngine
+	}
+	if own.reason == stopStalled {
+		outcome.Failed = true
+	}
+	r.options.Fleet.Ended(own.engine, outcome)
+	if r.runs[key] == own {
+		delete(r.runs, key)
+		r.plan.Ended(key)
+	}
+	state := &job.items[key.Item]
+	if state.done || r.jobs[key.Job] != job || r.ctx.Err() != nil {
+		return
+	}
+	if whole && own.reason == notStopped {
+		r.finish(job, key.Item, batch.Completed, "whole")
+		r.Wake()
+		return
+	}
+	r.tryAgain(job, key, own, refusal, err)
+}
+
+// tryAgain queues an item whose run did not end well, or gives it up; mu is held.
+func (r *Runner) tryAgain(job *openJob, key batchplan.Key, own *run, refusal Refusal, err error) {
+	state := &job.items[key.Item]
+	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
+	r.options.Logger.Info().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
+		Str("engine", own.engine).Uint8("refusal", uint8(refusal)).Uint8("stop_reason", uint8(own.reason)).
+		Int64("after_event", state.progress.last).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
+	notBefore := time.Now().Add(retryDelay)
+	if own.reason != notStopped {
+		r.queueItem(job, key.Item, own.engine, time.Time{})
+		r.Wake()
+		return
+	}
+	switch refusal {
+	case Impossible:
+		r.finish(job, key.Item, batch.Expired, "impossible")
+		return
+	case Failed:
+		state.failures++
+		if state.failures >= max(1, route.MaxAttempts) {
+			r.finish(job, key.Item, batch.Expired, "attempts used up")
+			return
+		}
+	}
+	r.queueItem(job, key.Item, own.engine, notBefore)
+}
+
+// moveStragglers ends runs at engines that have become slow, so that their
+// items continue at faster ones with room.
+func (r *Runner) moveStragglers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	typical := r.plan.TypicalPace()
+	if typical == 0 || r.plan.Waiting() > 0 {
+		return
+	}
+	room := r.roomAtFast(typical)
+	now := time.Now()
+	for key, each := range r.runs {
+		pace := r.plan.Pace(each.engine)
+		if float64(pace) < slowFactor*float64(typical) || now.Sub(each.started) < minMovedAge {
+			continue
+		}
+		job := r.jobs[key.Job]
+		if job == nil || each.reason != notStopped || room[job.record.Model] <= 0 {
+			continue
+		}
+		room[job.record.Model]--
+		each.stop(stopMoved)
+	}
+}
+
+// roomAtFast counts free places for each model at engines that are not slow; mu is held.
+func (r *Runner) roomAtFast(typical time.Duration) map[string]int {
+	room := make(map[string]int)
+	for _, engine := range r.engineViews(time.Now()) {
+		if !engine.Usable || float64(r.plan.Pace(engine.ID)) > fastFactor*float64(typical) {
+			continue
+		}
+		for model, version := range engine.Versions {
+			if engine.Loading != model && version >= r.minVersion(model) {
+				room[model] += engine.Slots - r.plan.Running(engine.ID)
+			}
+		}
+	}
+	return room
+}
+
+// minVersion returns the newest version that open jobs of the model want at least; mu is held.
+func (r *Runner) minVersion(model string) int64 {
+	newest := int64(0)
+	for _, job := range r.jobs {
+		if job.record.Model == model {
+			newest = max(newest, job.record.MinVersion)
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/batchrun/runner.go
@@ -0,0 +1,362 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+)
+
+const (
+	// tickPeriod is the longest time between two looks at the plan.
+	tickPeriod = 50 * time.Millisecond
+	// retryDelay holds an item back after an engine did not run it.
+	retryDelay = 60 * time.Millisecond
+	// loadDelay is the wait between two tries to read a job's payloads.
+	loadDelay = 100 * time.Millisecond
+)
+
+// Options are the parts that a runner works with.
+type Options struct {
+	Jobs    Jobs
+	Engines Engines
+	Fleet   *fleet.Fleet
+	RouteOf RouteOf
+	// Loading tells which model's weights an engine is changing; empty for none.
+	Loading func(engine string) string
+	Logger  zerolog.Logger
+}
+
+// Runner runs items while it leads.
+type Runner struct {
+	options  Options
+	recorder *recorder
+	wake     chan struct{}
+
+	mu   sync.Mutex
+	ctx  context.Context
+	plan *batchplan.Plan
+	jobs map[string]*openJob
+	runs map[batchplan.Key]*run
+	// wait counts the goroutines of runs and loads.
+	wait sync.WaitGroup
+}
+
+// openJob is a job whose items are being run.
+type openJob struct {
+	record   batch.JobRecord
+	payloads []batch.Payload
+	items    []itemState
+	addedAt  time.Time
+	// left counts the items without a recorded result.
+	left int
+}
+
+// itemState is what the runner knows of one item.
+type itemState struct {
+	// done is true once the item has ended here or has a recorded result.
+	done     bool
+	failures int
+	progress progress
+}
+
+// New returns a runner for one term of leading.
+func New(options Options) *Runner {
+	r := &Runner{
+		options: options,
+		wake:    make(chan struct{}, 1),
+		plan:    batchplan.New(),
+		jobs:    make(map[string]*openJob),
+		runs:    make(map[batchplan.Key]*run),
+	}
+	r.recorder = newRecorder(options.Jobs, options.Logger)
+	return r
+}
+
+// Run runs items until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
+	var group errgroup.Group
+	group.Go(func() error {
+		r.recorder.run(ctx)
+		return nil
+	})
+	r.options.Jobs.Observe(r)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-ticker.C:
+			r.giveUpOld()
+			r.moveStragglers()
+		}
+		r.assign()
+	}
+	r.options.Jobs.Observe(nil)
+	r.wait.Wait()
+	_ = group.Wait()
+}
+
+// Wake makes the runner look at the plan now.
+func (r *Runner) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// JobAdded implements batch.Observer.
+func (r *Runner) JobAdded(job *batch.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, found := r.jobs[job.ID]; found || r.ctx.Err() != nil {
+		return
+	}
+	added := &openJob{
+		record:  job.JobRecord,
+		items:   make([]itemState, len(job.Items)),
+		addedAt: time.Now(),
+		left:    len(job.Items) - len(job.Results),
+	}
+	for i := range added.items {
+		added.items[i].done = job.Listed(i)
+	}
+	r.jobs[job.ID] = added
+	r.wait.Go(func() { r.load(added) })
+}
+
+// load reads what the engines are sent and queues the items.
+func (r *Runner) load(job *openJob) {
+	for r.ctx.Err() == nil {
+		payloads, err := r.options.Jobs.Payloads(r.ctx, job.record)
+		if err == nil && len(payloads) == len(job.items) {
+			r.queueJob(job, payloads)
+			return
+		}
+		r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("payloads", len(payloads)).
+			Msg("payloads not read")
+		sleep(r.ctx, loadDelay)
+	}
+}
+
+func (r *Runner) queueJob(job *openJob, payloads []batch.Payload) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[job.record.ID] != job {
+		return
+	}
+	job.payloads = payloads
+	queued := 0
+	for i := range job.items {
+		if !job.items[i].done {
+			r.queueItem(job, i, "", time.Time{})
+			queued++
+		}
+	}
+	r.options.Logger.Info().Str("job", job.record.ID).Int64("step", job.record.Step).
+		Str("model", job.record.Model).Int64("min_version", job.record.MinVersion).
+		Int("items", len(job.items)).Int("queued", queued).Msg("job taken up")
+	r.Wake()
+}
+
+// queueItem puts an item into the plan; mu is held.
+func (r *Runner) queueItem(job *openJob, index int, avoid string, notBefore time.Time) {
+	route, found := r.options.RouteOf(job.record.Host, job.record.Path)
+	if !found {
+		r.finish(job, index, batch.Expired, "no route")
+		return
+	}
+	record, state := job.record.Items[index], &job.items[index]
+	if route.SingleVersion && len(state.progress.versions) > 1 {
+		state.progress = progress{}
+	}
+	item := batchplan.Item{
+		Key:     batchplan.Key{Job: job.record.ID, Item: index},
+		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
+		Group: record.Group, Length: record.Length, NotBefore: notBefore, Avoid: avoid,
+	}
+	if route.SingleVersion && len(state.progress.versions) == 1 {
+		item.SameVersion = state.progress.versions[0]
+	}
+	r.plan.Add(item)
+}
+
+// ItemListed implements batch.Observer.
+func (r *Runner) ItemListed(job *batch.Job, item int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.jobs[job.ID]
+	if !found {
+		return
+	}
+	r.drop(known, item)
+	known.left--
+	if known.left <= 0 {
+		r.forget(known)
+	}
+}
+
+// JobEnded implements batch.Observer.
+func (r *Runner) JobEnded(job *batch.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.jobs[job.ID]
+	if !found {
+		return
+	}
+	stopped := 0
+	for i := range known.items {
+		if !known.items[i].done {
+			stopped++
+			r.drop(known, i)
+		}
+	}
+	r.forget(known)
+	r.options.Logger.Info().Str("job", job.ID).Int64("step", known.record.Step).
+		Dur("after_ms", time.Since(known.addedAt)).Int("unfinished", stopped).Msg("job ended")
+}
+
+// drop takes an item out of the plan and ends its run; mu is held.
+func (r *Runner) drop(job *openJob, index int) {
+	key := batchplan.Key{Job: job.record.ID, Item: index}
+	job.items[index].done = true
+	job.items[index].progress = progress{}
+	r.plan.Remove(key)
+	if running, found := r.runs[key]; found {
+		running.stop(stopDropped)
+	}
+}
+
+// forget drops a job; mu is held.
+func (r *Runner) forget(job *openJob) {
+	delete(r.jobs, job.record.ID)
+	r.plan.ForgetJob(job.record.ID)
+}
+
+// finish hands an item's end to the recorder; mu is held.
+func (r *Runner) finish(job *openJob, index int, outcome batch.Outcome, reason string) {
+	state := &job.items[index]
+	if state.done {
+		return
+	}
+	state.done = true
+	r.plan.Remove(batchplan.Key{Job: job.record.ID, Item: index})
+	finished := batchjobs.FinishedItem{JobID: job.record.ID, Item: index, Outcome: outcome}
+	if outcome == batch.Completed {
+		finished.Text, finished.Versions = state.progress.text(), state.progress.versions
+	}
+	state.progress = progress{}
+	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[index].ID).
+		Int("index", index).Bool("completed", outcome == batch.Completed).Str("reason", reason).
+		Ints64("versions", finished.Versions).Dur("after_ms", time.Since(job.addedAt)).Msg("item finished")
+	r.recorder.add(finished)
+}
+
+// assign starts what the plan assigns.
+func (r *Runner) assign() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.plan.Waiting() == 0 || r.ctx.Err() != nil {
+		return
+	}
+	for _, assignment := range r.plan.Assign(now, r.engineViews(now)) {
+		r.start(assignment)
+	}
+}
+
+// engineViews returns the engines of all services that open jobs run at; mu is held.
+func (r *Runner) engineViews(now time.Time) []batchplan.Engine {
+	var views []batchplan.Engine
+	seen := make(map[string]bool)
+	for _, job := range r.jobs {
+		route, found := r.options.RouteOf(job.record.Host, job.record.Path)
+		if !found || seen[route.Service] {
+			continue
+		}
+		seen[route.Service] = true
+		for _, engine := range r.options.Fleet.Engines(route.Service) {
+			views = append(views, batchplan.Engine{
+				ID: engine.ID, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
+				Loading: r.options.Loading(engine.ID),
+				Usable:  !engine.Draining && !r.options.Fleet.Suspected(engine.ID, now),
+			})
+		}
+	}
+	return views
+}
+
+// giveUpOld ends items whose time is over or whose route is gone.
+func (r *Runner) giveUpOld() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, job := range r.jobs {
+		if job.payloads == nil {
+			continue
+		}
+		route, found := r.options.RouteOf(job.record.Host, job.record.Path)
+		if found && (route.Retention <= 0 || time.Since(job.addedAt) < route.Retention) {
+			continue
+		}
+		for i := range job.items {
+			if job.items[i].done {
+				continue
+			}
+			if running, runs := r.runs[batchplan.Key{Job: job.record.ID, Item: i}]; runs {
+				running.stop(stopDropped)
+			}
+			r.finish(job, i, batch.Expired, "time over or route gone")
+		}
+	}
+}
+
+// Running returns the number of items that run at the engine.
+func (r *Runner) Running(engine string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan.Running(engine)
+}
+
+// Demand is what open jobs ask of a model.
+type Demand struct {
+	// Tokens is the expected output of all items of its open jobs.
+	Tokens int
+	// MinVersion is the newest of the versions that its open jobs want at least.
+	MinVersion int64
+}
+
+// Demands returns the demand for each model.
+func (r *Runner) Demands() map[string]Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	demands := make(map[string]Demand)
+	for _, job := range r.jobs {
+		demand := demands[job.record.Model]
+		demand.MinVersion = max(demand.MinVersion, job.record.MinVersion)
+		for _, item := range job.record.Items {
+			demand.Tokens += item.Tokens
+		}
+		demands[job.record.Model] = demand
+	}
+	return demands
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/core/batch/partition.go
@@ -0,0 +1,161 @@
+package batch
+
+import "time"
+
+// Result is what stands at one position of a job.
+type Result struct {
+	Item      int
+	Outcome   Outcome
+	Versions  []int64
+	Text      Span
+	TextBytes int
+}
+
+// Job is one batch job.
+type Job struct {
+	JobRecord
+	// Results holds the results by position.
+	Results []Result
+	// Ended is true once the submitter ended the job.
+	Ended bool
+	// SeenAt is when this reader read the job's record.
+	SeenAt time.Time
+	listed []bool
+	byID   map[string]int
+}
+
+// Listed tells whether the item has a result.
+func (j *Job) Listed(item int) bool { return j.listed[item] }
+
+// ItemIndex returns the index of an item by its ID.
+func (j *Job) ItemIndex(id string) (int, bool) {
+	index, found := j.byID[id]
+	return index, found
+}
+
+// Open tells whether items of the job are still to be run.
+func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
+
+// PayloadOffset returns the offset of the item's payload.
+func (j *Job) PayloadOffset(item int) int64 {
+	for _, span := range j.Payloads {
+		if item < span.Count {
+			return span.First + int64(item)
+		}
+		item -= span.Count
+	}
+	return -1
+}
+
+// Observer hears of what records change, in their order. It must not block.
+type Observer interface {
+	JobAdded(job *Job)
+	ItemListed(job *Job, item int)
+	JobEnded(job *Job)
+}
+
+// Partition is the state after the records before Next.
+type Partition struct {
+	Next     int64
+	jobs     map[string]*Job
+	observer Observer
+}
+
+// NewPartition returns the state before the first record.
+func NewPartition() *Partition { return &Partition{jobs: make(map[string]*Job)} }
+
+// Job returns a job by ID; nil when there is none.
+func (p *Partition) Job(id string) *Job { return p.jobs[id] }
+
+// Jobs returns the number of jobs kept.
+func (p *Partition) Jobs() int { return len(p.jobs) }
+
+// Observe tells the observer of all open jobs, and from then on of changes. A
+// nil observer ends that.
+func (p *Partition) Observe(observer Observer) {
+	p.observer = observer
+	if observer == nil {
+		return
+	}
+	for _, job := range p.jobs {
+		if job.Open() {
+			observer.JobAdded(job)
+		}
+	}
+}
+
+// Skip passes over a record that cannot be read.
+func (p *Partition) Skip() { p.Next++ }
+
+// Apply takes the record at the offset Next, read at the given time.
+func (p *Partition) Apply(record Record, at time.Time) {
+	p.Next++
+	switch {
+	case record.Job != nil:
+		p.addJob(*record.Job, at)
+	case record.End != "":
+		p.endJob(record.End)
+	}
+	for _, result := range record.Results {
+		p.addResult(result)
+	}
+}
+
+func (p *Partition) addJob(record JobRecord, at time.Time) {
+	if _, found := p.jobs[record.ID]; found {
+		return
+	}
+	job := &Job{
+		JobRecord: record,
+		SeenAt:    at,
+		listed:    make([]bool, len(record.Items)),
+		byID:      make(map[string]int, len(record.Items)),
+	}
+	for i, item := range record.Items {
+		job.byID[item.ID] = i
+	}
+	p.jobs[record.ID] = job
+	if p.observer != nil {
+		p.observer.JobAdded(job)
+	}
+}
+
+func (p *Partition) endJob(id string) {
+	job, found := p.jobs[id]
+	if !found || job.Ended {
+		return
+	}
+	job.Ended = true
+	if p.observer != nil {
+		p.observer.JobEnded(job)
+	}
+}
+
+// addResult lists a result unless the item has one: the first record wins.
+func (p *Partition) addResult(record ResultRecord) {
+	job, found := p.jobs[record.Job]
+	if !found || record.Item < 0 || record.Item >= len(job.Items) || job.listed[record.Item] {
+		return
+	}
+	job.listed[record.Item] = true
+	job.Results = append(job.Results, Result{
+		Item: record.Item, Outcome: record.Outcome, Versions: record.Versions,
+		Text: record.Text, TextBytes: record.TextBytes,
+	})
+	if p.observer != nil {
+		p.observer.ItemListed(job, record.Item)
+	}
+}
+
+// Forget drops jobs that were read before the given time and are not open. An
+// ended job is kept as long as a result may be asked for.
+func (p *Partition) Forget(before time.Time) int {
+	dropped := 0
+	for id, job := range p.jobs {
+		if job.SeenAt.Before(before) && !job.Open() {
+			delete(p.jobs, id)
+			dropped++
+		}
+	}
+	return dropped
+}
--- /dev/null
+++ b/internal/core/batch/record.go
@@ -0,0 +1,124 @@
+// Package batch decides, from the records of one partition read in order, which
+// batch jobs exist, which result stands at which position, and which jobs have
+// ended. Every reader comes to the same answer. It has no input or output.
+//
+// Invariants: a job is taken once, by its first record; the first result record
+// of an item wins; positions are the order of winning records and never change.
+package batch
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Outcome is how an item ended.
+type Outcome uint8
+
+// The outcomes of items.
+const (
+	// Completed items have their whole output.
+	Completed Outcome = iota + 1
+	// Expired items were given up.
+	Expired
+)
+
+// Span names records of the data topic, in the partition of the same number.
+type Span struct {
+	First int64 `msgpack:"f"`
+	Count int   `msgpack:"c"`
+}
+
+// JobRecord accepts a batch job.
+type JobRecord struct {
+	ID string `msgpack:"i"`
+	// Host and Path are those of the call that handed the job in; they lead to
+	// its route in each version of the configuration.
+	Host       string       `msgpack:"h"`
+	Path       string       `msgpack:"p"`
+	Model      string       `msgpack:"m"`
+	MinVersion int64        `msgpack:"v"`
+	Step       int64        `msgpack:"s"`
+	Wanted     int          `msgpack:"w"`
+	Items      []ItemRecord `msgpack:"t"`
+	// Payloads hold one record for each item, in order.
+	Payloads []Span `msgpack:"d"`
+}
+
+// ItemRecord is one item of a job.
+type ItemRecord struct {
+	ID     string `msgpack:"i"`
+	Group  string `msgpack:"g"`
+	Tokens int    `msgpack:"t"`
+	// Length is the expected output in tokens; zero when unknown.
+	Length int `msgpack:"l"`
+}
+
+// ResultRecord says how one item ended.
+type ResultRecord struct {
+	Job string `msgpack:"j"`
+	// Item is the item's index in its job.
+	Item     int     `msgpack:"n"`
+	Outcome  Outcome `msgpack:"o"`
+	Versions []int64 `msgpack:"v,omitempty"`
+	// Text holds the output in one or more records.
+	Text Span `msgpack:"d"`
+	// TextBytes is the length of the output.
+	TextBytes int `msgpack:"b"`
+}
+
+// Record is one record of the index topic: one of its fields is set.
+type Record struct {
+	Job     *JobRecord     `msgpack:"j,omitempty"`
+	Results []ResultRecord `msgpack:"r,omitempty"`
+	// End is the ID of a job that its submitter ended.
+	End string `msgpack:"e,omitempty"`
+}
+
+// Encode returns the record's bytes.
+func (r Record) Encode() ([]byte, error) {
+	raw, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the index record")
+	}
+	return raw, nil
+}
+
+// Decode reads a record's bytes.
+func Decode(raw []byte) (Record, error) {
+	var record Record
+	if err := msgpack.Unmarshal(raw, &record); err != nil {
+		return Record{}, errors.Wrap(err, "decode the index record")
+	}
+	return record, nil
+}
+
+// Header is one header of an item.
+type Header struct {
+	Name  string `msgpack:"n"`
+	Value string `msgpack:"v"`
+}
+
+// Payload is what is sent to an engine for an item: one record of the data topic.
+type Payload struct {
+	Path    string   `msgpack:"p"`
+	Headers []Header `msgpack:"h"`
+	Body    []byte   `msgpack:"b"`
+}
+
+// Encode returns the payload's bytes.
+func (p Payload) Encode() ([]byte, error) {
+	raw, err := msgpack.Marshal(&p)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the payload")
+	}
+	return raw, nil
+}
+
+// DecodePayload reads a payload's bytes.
+func DecodePayload(raw []byte) (Payload, error) {
+	var payload Payload
+	if err := msgpack.Unmarshal(raw, &payload); err != nil {
+		return Payload{}, errors.Wrap(err, "decode the payload")
+	}
+	return payload, nil
+}
--- /dev/null
+++ b/internal/core/batchplan/plan.go
@@ -0,0 +1,246 @@
+// Package batchplan decides which item of a batch job runs at which engine, and
+// when. It has no input, output or clock; every event comes with its time.
+//
+// The order in which items start decides when the last group of a job is whole:
+// older jobs come first, in a job the longest items, as far as lengths are
+// known. An item goes to the engine that is expected to make its tokens
+// fastest; the items of a group stay together while there is room, since they
+// share their prompt.
+package batchplan
+
+import (
+	"sort"
+	"time"
+)
+
+// Key names an item of a job.
+type Key struct {
+	Job  string
+	Item int
+}
+
+// Item is one item to run.
+type Item struct {
+	Key     Key
+	Service string
+	Model   string
+	// MinVersion is the oldest weight version that may make its tokens.
+	MinVersion int64
+	// SameVersion is the only version that may continue the item; zero for any.
+	SameVersion int64
+	Group       string
+	// Length is the expected output; longer items start first.
+	Length int
+	// NotBefore holds the item back after a failure.
+	NotBefore time.Time
+	// Avoid is the engine that failed it last.
+	Avoid string
+}
+
+// Engine is an engine as the plan sees it.
+type Engine struct {
+	ID       string
+	Service  string
+	Slots    int
+	Versions map[string]int64
+	// Loading names the model whose weights the engine is changing; empty for none.
+	Loading string
+	// Usable is false for engines that leave or failed just now.
+	Usable bool
+}
+
+// Assignment sends an item to an engine.
+type Assignment struct {
+	Item   Item
+	Engine string
+	// Running is the number of items at the engine before this one.
+	Running int
+	// Pace is the time between events expected there; zero when unknown.
+	Pace time.Duration
+}
+
+// paceWeight is the weight of a new observation in an engine's moving mean.
+const paceWeight = 0.1
+
+// occupancyCost is the share by which each running item slows an engine.
+const occupancyCost = 0.006
+
+// Plan holds the waiting and the running items.
+type Plan struct {
+	jobOrder map[string]int
+	nextJob  int
+	waiting  map[Key]Item
+	running  map[Key]string
+	// count is the number of running items of each engine.
+	count map[string]int
+	// paces is the moving mean of the time between events of each engine.
+	paces map[string]time.Duration
+	// homes is the engine of each group's latest item.
+	homes map[string]string
+}
+
+// New returns an empty plan.
+func New() *Plan {
+	return &Plan{
+		jobOrder: make(map[string]int),
+		waiting:  make(map[Key]Item),
+		running:  make(map[Key]string),
+		count:    make(map[string]int),
+		paces:    make(map[string]time.Duration),
+		homes:    make(map[string]string),
+	}
+}
+
+// Add puts an item into the queue, for the first time or again.
+func (p *Plan) Add(item Item) {
+	if _, found := p.jobOrder[item.Key.Job]; !found {
+		p.jobOrder[item.Key.Job] = p.nextJob
+		p.nextJob++
+	}
+	p.waiting[item.Key] = item
+}
+
+// Remove takes an item out, whether it waits or runs.
+func (p *Plan) Remove(key Key) {
+	delete(p.waiting, key)
+	p.Ended(key)
+}
+
+// Ended notes that an item no longer runs.
+func (p *Plan) Ended(key Key) {
+	if engine, found := p.running[key]; found {
+		delete(p.running, key)
+		p.count[engine]--
+		if p.count[engine] == 0 {
+			delete(p.count, engine)
+		}
+	}
+}
+
+// ForgetJob drops what is kept of a job without items.
+func (p *Plan) ForgetJob(job string) { delete(p.jobOrder, job) }
+
+// Running returns the number of items at the engine.
+func (p *Plan) Running(engine string) int { return p.count[engine] }
+
+// Waiting returns the number of waiting items.
+func (p *Plan) Waiting() int { return len(p.waiting) }
+
+// ObservePace notes the time between two events of an item at the engine.
+func (p *Plan) ObservePace(engine string, pause time.Duration) {
+	known, found := p.paces[engine]
+	if !found {
+		p.paces[engine] = pause
+		return
+	}
+	p.paces[engine] = known + time.Duration(paceWeight*float64(pause-known))
+}
+
+// Pace returns the engine's time between events; zero when unknown.
+func (p *Plan) Pace(engine string) time.Duration { return p.paces[engine] }
+
+// TypicalPace is the median over all engines; zero when unknown.
+func (p *Plan) TypicalPace() time.Duration {
+	if len(p.paces) == 0 {
+		return 0
+	}
+	paces := make([]time.Duration, 0, len(p.paces))
+	for _, pace := range p.paces {
+		paces = append(paces, pace)
+	}
+	sort.Slice(paces, func(i, j int) bool { return paces[i] < paces[j] })
+	return paces[len(paces)/2]
+}
+
+// ForgetEngine drops what is known of an engine that is gone.
+func (p *Plan) ForgetEngine(engine string) { delete(p.paces, engine) }
+
+// Assign starts waiting items at engines with room and returns what it started.
+func (p *Plan) Assign(now time.Time, engines []Engine) []Assignment {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	typical := p.TypicalPace()
+	var assigned []Assignment
+	for _, item := range p.queue(now) {
+		engine, found := p.choose(item, engines, typical)
+		if !found {
+			continue
+		}
+		delete(p.waiting, item.Key)
+		assigned = append(assigned, Assignment{
+			Item: item, Engine: engine, Running: p.count[engine], Pace: p.paces[engine],
+		})
+		p.running[item.Key] = engine
+		p.count[engine]++
+		p.homes[item.Group] = engine
+	}
+	return assigned
+}
+
+// queue returns the items that may start, in the order in which they should.
+func (p *Plan) queue(now time.Time) []Item {
+	queue := make([]Item, 0, len(p.waiting))
+	for _, item := range p.waiting {
+		if !item.NotBefore.After(now) {
+			queue = append(queue, item)
+		}
+	}
+	sort.Slice(queue, func(i, j int) bool {
+		a, b := queue[i], queue[j]
+		if a.Key.Job != b.Key.Job {
+			return p.jobOrder[a.Key.Job] < p.jobOrder[b.Key.Job]
+		}
+		if a.Length != b.Length {
+			return a.Length > b.Length
+		}
+		return a.Key.Item < b.Key.Item
+	})
+	return queue
+}
+
+func (p *Plan) choose(item Item, engines []Engine, typical time.Duration) (string, bool) {
+	best, bestScore := "", 0.0
+	for i := range engines {
+		engine := &engines[i]
+		if !p.fits(item, engine) {
+			continue
+		}
+		score := p.score(item, engine, typical)
+		if best == "" || score < bestScore {
+			best, bestScore = engine.ID, score
+		}
+	}
+	return best, best != ""
+}
+
+func (p *Plan) fits(item Item, engine *Engine) bool {
+	if !engine.Usable || engine.Service != item.Service || engine.Loading != "" && engine.Loading == item.Model {
+		return false
+	}
+	if p.count[engine.ID] >= engine.Slots || engine.ID == item.Avoid && len(p.paces) > 1 {
+		return false
+	}
+	version := engine.Versions[item.Model]
+	if item.SameVersion != 0 && version != item.SameVersion {
+		return false
+	}
+	return version >= item.MinVersion
+}
+
+// homeBonus is the share of its score that a group's engine is spared.
+const homeBonus = 0.05
+
+// score is the time between events expected at the engine with this item, in
+// units of the typical one.
+func (p *Plan) score(item Item, engine *Engine, typical time.Duration) float64 {
+	score := 1.0
+	if pace, found := p.paces[engine.ID]; found && typical > 0 {
+		score = float64(pace) / float64(typical)
+	}
+	score *= 1 + occupancyCost*float64(p.count[engine.ID])
+	if p.homes[item.Group] == engine.ID {
+		score -= homeBonus
+	}
+	return score
+}
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,228 @@
+// Package fleet keeps what is believed of the engines and chooses one for a
+// request: filter, score, pick. It has no input, output or clock; every event
+// comes with its time.
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Engine is one life of an engine as its list entry describes it.
+type Engine struct {
+	// ID is found nowhere else: every start of an engine has a new one.
+	ID      string
+	Service string
+	// Address is ip:port.
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// Versions holds the weight version of each model.
+	Versions map[string]int64
+	// ColdUntil is the time until which the engine stays slow after its start.
+	ColdUntil time.Time
+}
+
+// Load is what an engine said of itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// member is an engine with what this process has seen of it.
+type member struct {
+	engine Engine
+	// inFlight counts this process's own requests at the engine.
+	inFlight int
+	load     Load
+	loadAt   time.Time
+	// failures counts failures in a row; suspectUntil follows from it.
+	failures     int
+	suspectUntil time.Time
+	latency      time.Duration
+}
+
+// Fleet is the set of engines that may be sent requests. It is safe for
+// concurrent use.
+type Fleet struct {
+	mu      sync.Mutex
+	members map[string]*member
+	// byService holds the IDs of each service's engines in order.
+	byService map[string][]string
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string)}
+}
+
+// Put adds an engine or changes what its entry says.
+func (f *Fleet) Put(engine Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.members[engine.ID]
+	if !found {
+		known = &member{}
+		f.members[engine.ID] = known
+	} else if known.engine.Service != engine.Service {
+		f.unlist(known.engine)
+		found = false
+	}
+	engine.Versions = newest(known.engine.Versions, engine.Versions)
+	known.engine = engine
+	if !found {
+		ids := append(f.byService[engine.Service], engine.ID)
+		sort.Strings(ids)
+		f.byService[engine.Service] = ids
+	}
+}
+
+// Observe notes that an engine has at least a version of a model. Versions of
+// one life of an engine only rise.
+func (f *Fleet) Observe(id, model string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.members[id]
+	if !found || known.engine.Versions[model] >= version {
+		return
+	}
+	known.engine.Versions = newest(known.engine.Versions, map[string]int64{model: version})
+}
+
+// newest returns a new map with the higher version of each model: maps that
+// were handed out are never changed.
+func newest(known, told map[string]int64) map[string]int64 {
+	merged := make(map[string]int64, len(told))
+	for model, version := range known {
+		merged[model] = version
+	}
+	for model, version := range told {
+		merged[model] = max(merged[model], version)
+	}
+	return merged
+}
+
+// Remove forgets an engine.
+func (f *Fleet) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known, found := f.members[id]; found {
+		f.unlist(known.engine)
+		delete(f.members, id)
+	}
+}
+
+// unlist takes an engine out of its service; mu is held.
+func (f *Fleet) unlist(engine Engine) {
+	ids := f.byService[engine.Service]
+	kept := ids[:0:0]
+	for _, id := range ids {
+		if id != engine.ID {
+			kept = append(kept, id)
+		}
+	}
+	f.byService[engine.Service] = kept
+}
+
+// Get returns an engine by ID.
+func (f *Fleet) Get(id string) (Engine, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.members[id]
+	if !found {
+		return Engine{}, false
+	}
+	return known.engine, true
+}
+
+// Engines returns the engines of a service in the order of their IDs.
+func (f *Fleet) Engines(service string) []Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var engines []Engine
+	for _, id := range f.byService[service] {
+		engines = append(engines, f.members[id].engine)
+	}
+	return engines
+}
+
+// Count returns the number of engines known.
+func (f *Fleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members)
+}
+
+// Began notes that a request was sent to the engine.
+func (f *Fleet) Began(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known, found := f.members[id]; found {
+		known.inFlight++
+	}
+}
+
+// Outcome is how a request at an engine ended.
+type Outcome struct {
+	At time.Time
+	// Failed: no whole answer came, whatever the reason, and the client had not left.
+	Failed bool
+	// Refused: the engine said that it did not run the request.
+	Refused bool
+	// Gone: another engine answers at the address.
+	Gone bool
+	// Load is what the engine said of itself, if it did.
+	Load *Load
+	// Latency is the time to the whole answer; zero when there was none.
+	Latency time.Duration
+}
+
+const (
+	// firstSuspicion is how long one failure keeps new requests away; each
+	// further one in a row doubles it, up to maxSuspicion.
+	firstSuspicion = 400 * time.Millisecond
+	maxSuspicion   = 4 * time.Second
+	// latencyWeight is the weight of a new latency in the moving mean.
+	latencyWeight = 0.2
+)
+
+// Ended notes how a request at the engine ended.
+func (f *Fleet) Ended(id string, outcome Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.members[id]
+	if !found {
+		return
+	}
+	known.inFlight--
+	if outcome.Load != nil {
+		known.load, known.loadAt = *outcome.Load, outcome.At
+	}
+	switch {
+	case outcome.Gone:
+		known.suspect(outcome.At, maxSuspicion)
+	case outcome.Failed:
+		known.failures++
+		known.suspect(outcome.At, min(firstSuspicion<<min(known.failures-1, 4), maxSuspicion))
+	case outcome.Latency > 0:
+		known.failures = 0
+		known.latency += time.Duration(latencyWeight * float64(outcome.Latency-known.latency))
+	}
+}
+
+func (m *member) suspect(now time.Time, period time.Duration) {
+	if until := now.Add(period); until.After(m.suspectUntil) {
+		m.suspectUntil = until
+	}
+}
+
+// Suspected tells whether recent failures keep new requests from the engine.
+func (f *Fleet) Suspected(id string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.members[id]
+	return found && now.Before(known.suspectUntil)
+}
--- /dev/null
+++ b/internal/core/routes/routes.go
@@ -0,0 +1,138 @@
+// Package routes holds the routing configuration: which requests go to which
+// service, and within which bounds. It has no input or output.
+package routes
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says how a route's requests may be run.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Streaming answers are event streams; they run at most once unless resumable.
+	Streaming Kind = "streaming"
+	// Batch routes take batch jobs, whose items are event streams.
+	Batch Kind = "batch"
+)
+
+// Part is one service of a route with its share of the requests.
+type Part struct {
+	Service string
+	Weight  int
+}
+
+// Route is one rule of the configuration.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	Parts  []Part
+	// Timeout bounds how long a request is held; zero means no bound.
+	Timeout time.Duration
+	// Objective is the time within which an answer earns its full worth.
+	Objective time.Duration
+	// ResultsDue is the time after its submission by which a job's results are due.
+	ResultsDue time.Duration
+	// Retention is the time after which items of a job may be given up.
+	Retention     time.Duration
+	MaxAttempts   int
+	Priority      int
+	Resumable     bool
+	SingleVersion bool
+}
+
+// Repeatable tells whether a request that may have run may be sent again.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Resumable }
+
+// Service is one service of the configuration.
+type Service struct {
+	Name           string
+	MaxConnections int
+	// Models lists the models that its engines hold, none for plain services.
+	Models []string
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table is one version of the configuration. It is not changed once built.
+type Table struct {
+	Version  int64
+	Limits   Limits
+	services map[string]Service
+	// byHost holds each host's routes, longest prefix first.
+	byHost map[string][]*Route
+}
+
+// NewTable builds a table.
+func NewTable(version int64, limits Limits, services []Service, all []Route) *Table {
+	table := &Table{
+		Version:  version,
+		Limits:   limits,
+		services: make(map[string]Service, len(services)),
+		byHost:   make(map[string][]*Route),
+	}
+	for _, service := range services {
+		table.services[service.Name] = service
+	}
+	for i := range all {
+		host := normalHost(all[i].Host)
+		table.byHost[host] = append(table.byHost[host], &all[i])
+	}
+	for _, routes := range table.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return table
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path; nil when there is none.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.byHost[normalHost(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	service, found := t.services[name]
+	return service, found
+}
+
+// Batch returns all batch routes.
+func (t *Table) Batch() []*Route {
+	var batch []*Route
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			if route.Kind == Batch {
+				batch = append(batch, route)
+			}
+		}
+	}
+	return batch
+}
+
+// normalHost is the host in lower case without its port.
+func normalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/core/routes/split.go
@@ -0,0 +1,59 @@
+package routes
+
+import "sync"
+
+// Splitter spreads the requests of a route over its parts by their weights.
+// It is the smooth weighted round-robin: over any run of requests each part's
+// count stays within one of its exact share.
+type Splitter struct {
+	mu     sync.Mutex
+	scores map[string][]int
+	start  uint64
+}
+
+// NewSplitter returns a splitter; the seed sets where its rounds begin, so that
+// nodes which see few requests do not all begin with the heaviest part.
+func NewSplitter(seed uint64) *Splitter {
+	return &Splitter{scores: make(map[string][]int), start: seed}
+}
+
+// Pick returns the service for the next request of the route; empty when the
+// route has no part with a weight.
+func (s *Splitter) Pick(route *Route) string {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Service
+	}
+	total := 0
+	for _, part := range route.Parts {
+		total += part.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	scores := s.scoresOf(route, total)
+	best := -1
+	for i, part := range route.Parts {
+		scores[i] += part.Weight
+		if part.Weight > 0 && (best < 0 || scores[i] > scores[best]) {
+			best = i
+		}
+	}
+	scores[best] -= total
+	return route.Parts[best].Service
+}
+
+func (s *Splitter) scoresOf(route *Route, total int) []int {
+	scores := s.scores[route.Name]
+	if len(scores) == len(route.Parts) {
+		return scores
+	}
+	scores = make([]int, len(route.Parts))
+	// Move the start by a part of a round: the scores keep their sum of zero.
+	shift := int(s.start % uint64(total))
+	scores[0] -= shift
+	scores[len(scores)-1] += shift
+	s.scores[route.Name] = scores
+	return scores
+}
--- /dev/null
+++ b/internal/core/weightplan/weightplan.go
@@ -0,0 +1,200 @@
+// Package weightplan decides which engines serve which model, and which of them
+// loads new weights next. It has no input, output or clock.
+//
+// Each engine holds a version of every model, but loading one costs it about a
+// second, so an engine follows the versions of one model only. Engines are
+// shared between models by demand; an engine changes its model only when the
+// shares have moved by a whole engine.
+package weightplan
+
+import (
+	"math"
+	"sort"
+)
+
+// Engine is an engine as the plan sees it.
+type Engine struct {
+	ID       string
+	Versions map[string]int64
+	// Running is the number of items that it runs.
+	Running int
+	// Loading is true while an order to it is under way.
+	Loading bool
+	// Usable is false for engines that leave or failed just now.
+	Usable bool
+}
+
+// Target is the newest version of a model, and what is asked of it.
+type Target struct {
+	Model   string
+	Version int64
+	// MinVersion is the newest version that open jobs want at least.
+	MinVersion int64
+	// Demand is a moving mean of the work asked of the model; zero when unknown.
+	Demand float64
+	// Waited is the time since the version was named, in seconds.
+	Waited float64
+}
+
+// Allocator keeps which model each engine follows.
+type Allocator struct {
+	models map[string]string
+}
+
+// NewAllocator returns an allocator that knows of no engine.
+func NewAllocator() *Allocator { return &Allocator{models: make(map[string]string)} }
+
+// Allocate returns the model that each engine follows.
+func (a *Allocator) Allocate(engines []Engine, targets []Target) map[string]string {
+	a.forgetGone(engines)
+	wanted := shares(len(engines), targets)
+	counts := make(map[string]int)
+	for _, engine := range engines {
+		if a.models[engine.ID] == "" {
+			a.models[engine.ID] = likeliest(engine, targets)
+		}
+		counts[a.models[engine.ID]]++
+	}
+	for _, target := range targets {
+		for counts[target.Model] < wanted[target.Model] {
+			moved := a.donor(engines, target.Model, counts, wanted)
+			if moved == "" {
+				break
+			}
+			counts[a.models[moved]]--
+			a.models[moved] = target.Model
+			counts[target.Model]++
+		}
+	}
+	return a.models
+}
+
+func (a *Allocator) forgetGone(engines []Engine) {
+	present := make(map[string]bool, len(engines))
+	for _, engine := range engines {
+		present[engine.ID] = true
+	}
+	for id := range a.models {
+		if !present[id] {
+			delete(a.models, id)
+		}
+	}
+}
+
+// donor returns the engine that another model can best spare: of those beyond
+// their model's share, the one with the newest weights of the wanting model.
+func (a *Allocator) donor(engines []Engine, model string, counts, wanted map[string]int) string {
+	best, bestVersion := "", int64(-1)
+	for _, engine := range engines {
+		from := a.models[engine.ID]
+		if from == model || counts[from] <= wanted[from] {
+			continue
+		}
+		if version := engine.Versions[model]; version > bestVersion {
+			best, bestVersion = engine.ID, version
+		}
+	}
+	return best
+}
+
+// likeliest returns the model whose newest version the engine is closest to:
+// after a change of leader it is the one that the engine followed before.
+func likeliest(engine Engine, targets []Target) string {
+	best, bestLag := "", int64(math.MaxInt64)
+	for _, target := range targets {
+		if lag := target.Version - engine.Versions[target.Model]; lag < bestLag {
+			best, bestLag = target.Model, lag
+		}
+	}
+	return best
+}
+
+// shares spreads the engines over the models by demand, at least one for each
+// as long as there are enough.
+func shares(engines int, targets []Target) map[string]int {
+	total := 0.0
+	for _, target := range targets {
+		total += target.Demand
+	}
+	wanted := make(map[string]int, len(targets))
+	type rest struct {
+		model string
+		part  float64
+	}
+	var rests []rest
+	given := 0
+	for _, target := range targets {
+		exact := float64(engines) / float64(len(targets))
+		if total > 0 {
+			exact = float64(engines) * target.Demand / total
+		}
+		count := max(int(exact), min(1, engines/len(targets)))
+		wanted[target.Model] = count
+		given += count
+		rests = append(rests, rest{target.Model, exact - float64(count)})
+	}
+	sort.SliceStable(rests, func(i, j int) bool { return rests[i].part > rests[j].part })
+	for i := 0; given < engines && len(rests) > 0; i, given = i+1, given+1 {
+		wanted[rests[i%len(rests)].model]++
+	}
+	return wanted
+}
+
+// Load is one order to give.
+type Load struct {
+	Engine  string
+	Model   string
+	Version int64
+}
+
+// patience is how long, in seconds, a load waits for an engine to be idle when
+// nothing asks for the new version yet.
+const patience = 1.2
+
+// NextLoads returns the loads to order now, at most atOnce under way together.
+// Engines that cannot serve an open job come first, then idle ones; a busy one
+// is interrupted only when it must be or the version has waited.
+func NextLoads(engines []Engine, models map[string]string, targets []Target, atOnce int) []Load {
+	byModel := make(map[string]Target, len(targets))
+	for _, target := range targets {
+		byModel[target.Model] = target
+	}
+	loading := 0
+	var candidates []Engine
+	for _, engine := range engines {
+		if engine.Loading {
+			loading++
+			continue
+		}
+		target, found := byModel[models[engine.ID]]
+		behind := found && engine.Versions[target.Model] < target.Version
+		if behind && engine.Usable && ready(engine, target) {
+			candidates = append(candidates, engine)
+		}
+	}
+	sort.SliceStable(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		urgentA, urgentB := urgent(a, byModel[models[a.ID]]), urgent(b, byModel[models[b.ID]])
+		if urgentA != urgentB {
+			return urgentA
+		}
+		return a.Running < b.Running
+	})
+	var loads []Load
+	for _, engine := range candidates {
+		if loading+len(loads) >= atOnce {
+			break
+		}
+		target := byModel[models[engine.ID]]
+		loads = append(loads, Load{Engine: engine.ID, Model: target.Model, Version: target.Version})
+	}
+	return loads
+}
+
+func urgent(engine Engine, target Target) bool {
+	return engine.Versions[target.Model] < target.MinVersion
+}
+
+func ready(engine Engine, target Target) bool {
+	return engine.Running == 0 || urgent(engine, target) || target.Waited > patience
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,164 @@
+// Package follow keeps a process up to date with a compacted topic of the log:
+// it reads the newest record of each key, then each change, through outages and
+// lost history.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// pollWait is how long a read waits for a change. It bounds how long a
+	// store that has stopped telling of changes goes unnoticed.
+	pollWait = 500 * time.Millisecond
+	// firstDelay and maxDelay are the waits between tries while reads fail.
+	firstDelay = 50 * time.Millisecond
+	maxDelay   = 400 * time.Millisecond
+	// refreshPeriod is the time between two full reads, which find what a
+	// tailing read has missed.
+	refreshPeriod = 5 * time.Second
+)
+
+// Handler takes the records of a topic in the order of their offsets, each
+// once; after a full read, also deletions of keys that are no longer there.
+type Handler func(record eventlog.KeyedRecord)
+
+// Follower follows one topic.
+type Follower struct {
+	log     eventlog.Log
+	topic   string
+	handler Handler
+	logger  zerolog.Logger
+
+	// offsets holds the offset of the newest record handled for each key.
+	offsets map[string]int64
+	next    int64
+	healthy bool
+	// loaded is closed after the first full read.
+	loaded     chan struct{}
+	refreshDue time.Time
+}
+
+// New returns a follower; Run starts it.
+func New(log eventlog.Log, topic string, handler Handler, logger zerolog.Logger) *Follower {
+	return &Follower{
+		log:     log,
+		topic:   topic,
+		handler: handler,
+		logger:  logger.With().Str("topic", topic).Logger(),
+		offsets: make(map[string]int64),
+		loaded:  make(chan struct{}),
+	}
+}
+
+// Loaded is closed once the topic was read whole for the first time.
+func (f *Follower) Loaded() <-chan struct{} { return f.loaded }
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	delay := firstDelay
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			delay = firstDelay
+			f.contact(nil)
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		var gone *eventlog.GoneError
+		if errors.As(err, &gone) {
+			f.logger.Info().Int64("offset", f.next).Int64("first_kept", gone.First).Msg("history lost, reading whole")
+			f.refreshDue = time.Time{}
+			continue
+		}
+		f.contact(err)
+		sleep(ctx, delay)
+		delay = min(2*delay, maxDelay)
+	}
+	return nil
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if now := time.Now(); now.After(f.refreshDue) {
+		if err := f.refresh(ctx); err != nil {
+			return err
+		}
+		f.refreshDue = now.Add(refreshPeriod)
+	}
+	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, pollWait)
+	if err != nil {
+		return err
+	}
+	for _, record := range batch.Records {
+		f.handle(record)
+	}
+	f.next = batch.Next
+	return nil
+}
+
+// refresh reads the topic whole. A key that is missing was deleted, unless its
+// record is newer than the read.
+func (f *Follower) refresh(ctx context.Context) error {
+	batch, err := f.log.Newest(ctx, f.topic)
+	if err != nil {
+		return err
+	}
+	present := make(map[string]bool, len(batch.Records))
+	for _, record := range batch.Records {
+		present[record.Key] = true
+		f.handle(record)
+	}
+	for key, offset := range f.offsets {
+		if !present[key] && offset < batch.Next {
+			f.handle(eventlog.KeyedRecord{Key: key, Deleted: true, Offset: batch.Next - 1})
+		}
+	}
+	f.next = max(f.next, batch.Next)
+	select {
+	case <-f.loaded:
+	default:
+		close(f.loaded)
+	}
+	return nil
+}
+
+// handle passes a record on unless a newer one of its key was handled.
+func (f *Follower) handle(record eventlog.KeyedRecord) {
+	if known, found := f.offsets[record.Key]; found && record.Offset <= known {
+		return
+	}
+	if record.Deleted {
+		if _, found := f.offsets[record.Key]; !found {
+			return
+		}
+		delete(f.offsets, record.Key)
+	} else {
+		f.offsets[record.Key] = record.Offset
+	}
+	f.handler(record)
+}
+
+// contact logs when the topic is lost or regained.
+func (f *Follower) contact(err error) {
+	if healthy := err == nil; healthy != f.healthy {
+		f.healthy = healthy
+		f.logger.Info().Err(err).Bool("reachable", healthy).Int64("offset", f.next).Msg("topic contact changed")
+	}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/hosted/callers.go
@@ -0,0 +1,105 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/ingress"
+)
+
+const (
+	// defaultMaxBody holds until a configuration is known.
+	defaultMaxBody = 1 << 20
+	// acceptTimeout bounds the writing of a batch job, endTimeout of its end.
+	acceptTimeout = 2500 * time.Millisecond
+	endTimeout    = 3 * time.Second
+	// maxWait bounds how long a reader of results is held.
+	maxWait = 5 * time.Second
+)
+
+var _ Callers = (*node)(nil)
+
+// Relay implements Callers.
+func (n *node) Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error {
+	return n.relay.Serve(w, ctx, request)
+}
+
+// TakesBatch implements Callers.
+func (n *node) TakesBatch(host, path string) bool {
+	table := n.state.table()
+	if table == nil {
+		return false
+	}
+	route := table.Match(host, path)
+	return route != nil && route.Kind == routes.Batch
+}
+
+// Accept implements Callers.
+func (n *node) Accept(ctx context.Context, submission batchjobs.Submission) error {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
+	defer cancel()
+	err := n.jobs.Accept(ctx, submission)
+	n.logger.Info().Err(err).Str("job", submission.Job.ID).Int64("step", submission.Job.Step).
+		Str("model", submission.Job.Model).Int64("min_version", submission.Job.MinVersion).
+		Int("items", len(submission.Job.Items)).Dur("took_ms", time.Since(began)).Msg("job handed in")
+	n.metrics.jobHandedIn(err)
+	return err
+}
+
+// Results implements Callers.
+func (n *node) Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error) {
+	return n.jobs.Results(ctx, jobID, from, min(wait, maxWait))
+}
+
+// Body implements Callers.
+func (n *node) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
+	return n.jobs.Body(ctx, jobID, itemID)
+}
+
+// End implements Callers.
+func (n *node) End(ctx context.Context, jobID string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
+	err := n.jobs.End(ctx, jobID)
+	n.logger.Info().Err(err).Str("job", jobID).Msg("job end asked")
+	return err
+}
+
+// Stopping implements Callers.
+func (n *node) Stopping() bool { return n.state.isStopping() }
+
+// MaxBodyBytes implements Callers.
+func (n *node) MaxBodyBytes() int64 {
+	table := n.state.table()
+	if table == nil || table.Limits.MaxBodyBytes <= 0 {
+		return defaultMaxBody
+	}
+	return table.Limits.MaxBodyBytes
+}
+
+// Refused implements Callers.
+func (n *node) Refused(id string, failure *errkind.Error) {
+	n.metrics.refused.WithLabelValues(failure.Kind.String()).Inc()
+	n.logger.Info().Str("id", id).Str("kind", failure.Kind.String()).Str("error", failure.Message).
+		Int("status", failure.Kind.Answer().Status).Msg("request refused")
+}
+
+// ready returns nil, or why this node takes no new work.
+func (n *node) ready() error {
+	switch {
+	case n.state.isStopping():
+		return errkind.New(errkind.ShuttingDown, "this node is stopping")
+	case n.state.table() == nil:
+		return errkind.New(errkind.NotReady, "no configuration is known yet")
+	case n.fleet.Count() == 0:
+		return errkind.New(errkind.NotReady, "no engine is known yet")
+	case !n.jobs.Current():
+		return errkind.New(errkind.NotReady, "the batch jobs are not read yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hosted/hosted.go
@@ -0,0 +1,185 @@
+// Package hosted wires one corkpulley process that runs on a platform which
+// keeps everything durable in one partitioned log: configuration and engine
+// list are followed from it, batch jobs are kept in it, and it elects the
+// leader that runs the items of batch jobs and orders weight versions.
+package hosted
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/xid"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/follow"
+	"github.com/corkpulley/corkpulley/internal/ingress"
+	"github.com/corkpulley/corkpulley/internal/leadership"
+	"github.com/corkpulley/corkpulley/internal/settings"
+	"github.com/corkpulley/corkpulley/internal/weightorders"
+)
+
+// Engines calls the model engines for all roles.
+type Engines interface {
+	ingress.Engines
+	batchrun.Engines
+	weightorders.Engines
+}
+
+// ControlChange is one change by the operator or a trainer: a new table, or a
+// named weight version. Both are empty for records of no interest.
+type ControlChange struct {
+	Table        *routes.Table
+	Model        string
+	ModelVersion int64
+}
+
+// Callers is what a node does for those who call it.
+type Callers interface {
+	// Relay answers a live request; see ingress.Relay.
+	Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error
+	// TakesBatch tells whether a batch job is handed in under the path.
+	TakesBatch(host, path string) bool
+	Accept(ctx context.Context, submission batchjobs.Submission) error
+	Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error)
+	Body(ctx context.Context, jobID, itemID string) ([]byte, error)
+	End(ctx context.Context, jobID string) error
+	// Stopping is true during the planned stop.
+	Stopping() bool
+	MaxBodyBytes() int64
+	// Refused is told of each error answer.
+	Refused(id string, failure *errkind.Error)
+}
+
+// Platform is what a node needs of the platform that hosts it: names, formats
+// and calls.
+type Platform interface {
+	Log() eventlog.Log
+	Engines() Engines
+	// ControlTopic and EngineTopic name the compacted topics with the operator's
+	// records and the engine list.
+	ControlTopic() string
+	EngineTopic() string
+	DecodeControl(record eventlog.KeyedRecord) (ControlChange, error)
+	DecodeEngine(record eventlog.KeyedRecord) (fleet.Engine, error)
+	// CallersHandler serves live callers and trainers.
+	CallersHandler(node Callers) http.Handler
+	// OperatorsHandler serves the question whether the node is ready, and metrics.
+	OperatorsHandler(ready func() error, metrics http.Handler) http.Handler
+}
+
+// node is one running process.
+type node struct {
+	config   settings.Settings
+	platform Platform
+	logger   zerolog.Logger
+	registry *prometheus.Registry
+	metrics  *metrics
+	// holder names this process start.
+	holder string
+
+	state   *state
+	fleet   *fleet.Fleet
+	control *follow.Follower
+	engines *follow.Follower
+	jobs    *batchjobs.Service
+	relay   *ingress.Relay
+	elector *leadership.Elector
+
+	callers   *server
+	operators *server
+}
+
+// Run runs a node until ctx ends, and then the planned stop. Logs are written
+// as JSON lines.
+func Run(ctx context.Context, config settings.Settings, platform Platform, logs io.Writer) error {
+	output := newLogOutput(logs)
+	defer output.Close()
+	n, err := newNode(config, platform, newLogger(config, output))
+	if err != nil {
+		return err
+	}
+	output.onDropped(n.metrics.linesDropped)
+	return n.run(ctx)
+}
+
+func newNode(config settings.Settings, platform Platform, logger zerolog.Logger) (*node, error) {
+	n := &node{
+		config: config, platform: platform, logger: logger,
+		registry: prometheus.NewRegistry(),
+		holder:   config.Node.ID + "-" + xid.New().String(),
+		state:    newState(),
+		fleet:    fleet.New(),
+	}
+	n.metrics = newMetrics(n.registry)
+	log := platform.Log()
+	n.control = follow.New(log, platform.ControlTopic(), n.takeControl, logger)
+	n.engines = follow.New(log, platform.EngineTopic(), n.takeEngine, logger)
+	n.jobs = batchjobs.New(log, batchjobs.Options{
+		Partitions:  config.Hosted.Partitions,
+		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
+		KeepJobs: time.Duration(config.Hosted.KeepJobs), Logger: logger,
+	})
+	n.relay = ingress.New(ingress.Options{
+		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table,
+		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
+	})
+	n.elector = leadership.New(log, leadership.Options{
+		Holder: n.holder, TTL: time.Duration(config.Hosted.Lease), Logger: logger,
+	}, n.lead)
+	return n, n.listen()
+}
+
+func (n *node) listen() error {
+	var err error
+	if n.callers, err = listen(n.config.Listen.Callers, n.platform.CallersHandler(n)); err != nil {
+		return err
+	}
+	n.operators, err = listen(n.config.Listen.Operators, n.platform.OperatorsHandler(n.ready, n.metrics.handler(n.registry)))
+	return err
+}
+
+func (n *node) run(ctx context.Context) error {
+	roles, stopRoles := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopRoles()
+	group, groupContext := errgroup.WithContext(roles)
+	group.Go(n.callers.serve)
+	group.Go(n.operators.serve)
+	for _, role := range []func(context.Context) error{
+		n.control.Run, n.engines.Run, n.jobs.Run, n.electWhenCurrent,
+	} {
+		group.Go(func() error { return role(groupContext) })
+	}
+	n.logger.Info().Str("holder", n.holder).Str("callers", n.callers.address()).
+		Str("operators", n.operators.address()).Str("log", n.config.Hosted.Log).Msg("node started")
+	select {
+	case <-ctx.Done():
+	case <-groupContext.Done():
+	}
+	n.stop(stopRoles)
+	err := group.Wait()
+	n.logger.Info().Err(err).Msg("node stopped")
+	return err
+}
+
+// electWhenCurrent takes part in the election once the node knows what a leader
+// must know.
+func (n *node) electWhenCurrent(ctx context.Context) error {
+	for _, loaded := range []<-chan struct{}{n.control.Loaded(), n.engines.Loaded()} {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-loaded:
+		}
+	}
+	return n.elector.Run(ctx)
+}
--- /dev/null
+++ b/internal/hosted/lead.go
@@ -0,0 +1,89 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/leadership"
+	"github.com/corkpulley/corkpulley/internal/weightorders"
+)
+
+// lead is the leader's part: it runs batch items and orders weights.
+func (n *node) lead(ctx context.Context, term leadership.Term) {
+	// Engines without a check of fencing tokens must not hear from two leaders
+	// within the time of a lease, so a later leader keeps silent that long.
+	orderFrom := term.Began
+	if !term.First {
+		orderFrom = term.Began.Add(time.Duration(n.config.Hosted.Lease))
+	}
+	var runner *batchrun.Runner
+	var orders *weightorders.Manager
+	orders = weightorders.New(weightorders.Options{
+		Engines: n.platform.Engines(), Fleet: n.fleet, Targets: n.weightTargets,
+		Valid:   func() bool { return n.elector.Valid(term.Epoch) },
+		Running: func(engine string) int { return runner.Running(engine) },
+		Demands: func() map[string]batchrun.Demand { return runner.Demands() },
+		Loaded:  func() { runner.Wake() },
+		Holder:  n.holder, Fence: term.Epoch, OrderFrom: orderFrom, Logger: n.logger,
+	})
+	runner = batchrun.New(batchrun.Options{
+		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, RouteOf: n.batchRoute,
+		Loading: orders.Loading, Logger: n.logger,
+	})
+	n.metrics.leading.Set(1)
+	defer n.metrics.leading.Set(0)
+	var roles sync.WaitGroup
+	roles.Go(func() { runner.Run(ctx) })
+	roles.Go(func() { orders.Run(ctx) })
+	roles.Wait()
+}
+
+// batchRoute returns how items of a job are run under the table in force.
+func (n *node) batchRoute(host, path string) (batchrun.Route, bool) {
+	table := n.state.table()
+	if table == nil {
+		return batchrun.Route{}, false
+	}
+	route := table.Match(host, path)
+	if route == nil || len(route.Parts) == 0 {
+		return batchrun.Route{}, false
+	}
+	return batchrun.Route{
+		Service: route.Parts[0].Service, MaxAttempts: route.MaxAttempts,
+		SingleVersion: route.SingleVersion, Retention: route.Retention,
+	}, true
+}
+
+// weightTargets returns the services whose models have named versions.
+func (n *node) weightTargets() []weightorders.Target {
+	table := n.state.table()
+	if table == nil {
+		return nil
+	}
+	named := n.state.named()
+	byService := make(map[string]*weightorders.Target)
+	var targets []weightorders.Target
+	for _, route := range table.Batch() {
+		for _, part := range route.Parts {
+			service, found := table.Service(part.Service)
+			if !found {
+				continue
+			}
+			target, known := byService[service.Name]
+			if !known {
+				target = &weightorders.Target{Service: service.Name, Versions: make(map[string]int64)}
+				byService[service.Name] = target
+			}
+			target.SingleVersion = target.SingleVersion || route.SingleVersion
+			for _, model := range service.Models {
+				target.Versions[model] = named[model]
+			}
+		}
+	}
+	for _, target := range byService {
+		targets = append(targets, *target)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/hosted/logger.go
@@ -0,0 +1,55 @@
+package hosted
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/corkpulley/corkpulley/internal/settings"
+)
+
+// logBuffer is the number of lines that wait for a slow reader; further ones
+// replace the oldest and are counted.
+const logBuffer = 2000
+
+// logOutput writes log lines without ever blocking their writers.
+type logOutput struct {
+	diode.Writer
+	dropped atomic.Int64
+	report  atomic.Pointer[func(int)]
+}
+
+func newLogOutput(to io.Writer) *logOutput {
+	output := &logOutput{}
+	output.Writer = diode.NewWriter(to, logBuffer, 0, func(missed int) {
+		output.dropped.Add(int64(missed))
+		if report := output.report.Load(); report != nil {
+			(*report)(missed)
+		}
+	})
+	return output
+}
+
+// onDropped sets who is told of lines that were left out.
+func (o *logOutput) onDropped(report func(int)) { o.report.Store(&report) }
+
+// newLogger returns the logger of a node: JSON lines with its ID and zone.
+func newLogger(config settings.Settings, output io.Writer) zerolog.Logger {
+	level, err := zerolog.ParseLevel(config.Log.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(output).Level(level).With().
+		Str("node", config.Node.ID).Str("zone", config.Node.Zone).Logger().Hook(timestampHook{})
+}
+
+// timestampHook adds the time to each line, in milliseconds since 1970.
+type timestampHook struct{}
+
+// Run implements zerolog.Hook.
+func (timestampHook) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
+	event.Int64("time", time.Now().UnixMilli())
+}
--- /dev/null
+++ b/internal/hosted/metrics.go
@@ -0,0 +1,68 @@
+package hosted
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+)
+
+// metrics are the counters and histograms of a hosted node.
+type metrics struct {
+	requests     *prometheus.HistogramVec
+	refused      *prometheus.CounterVec
+	jobs         *prometheus.CounterVec
+	tableVersion prometheus.Gauge
+	leading      prometheus.Gauge
+	dropped      prometheus.Counter
+}
+
+// requestBuckets are the bounds of the latency histogram, in seconds.
+var requestBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "corkpulley_hosted_request_seconds", Help: "Time from reading a live request to its end.",
+			Buckets: requestBuckets,
+		}, []string{"route", "kind"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_refused_total", Help: "Error answers by kind.",
+		}, []string{"kind"}),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_jobs_total", Help: "Batch jobs handed in, by the kind of the outcome.",
+		}, []string{"kind"}),
+		tableVersion: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "corkpulley_hosted_config_version", Help: "Version of the configuration in force.",
+		}),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "corkpulley_hosted_leading", Help: "1 while this node leads.",
+		}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_log_lines_dropped_total", Help: "Log lines left out because their reader was slow.",
+		}),
+	}
+	registry.MustRegister(m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.dropped)
+	return m
+}
+
+func (m *metrics) handler(registry *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+}
+
+func (m *metrics) requestEnded(route, kind string, took time.Duration) {
+	m.requests.WithLabelValues(route, kind).Observe(took.Seconds())
+}
+
+func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
+
+func (m *metrics) jobHandedIn(err error) {
+	kind := "ok"
+	if err != nil {
+		kind = errkind.KindOf(err).String()
+	}
+	m.jobs.WithLabelValues(kind).Inc()
+}
--- /dev/null
+++ b/internal/hosted/server.go
@@ -0,0 +1,68 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	headerTimeout = 3 * time.Second
+	// idleTimeout is longer than any time for which clients reuse a connection.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// server is one listener with its handler.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+	// inFlight counts the requests being answered.
+	inFlight atomic.Int64
+}
+
+func listen(address string, handler http.Handler) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	s := &server{listener: listener}
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+	s.http = &http.Server{
+		Handler: counted, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+	return s, nil
+}
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+func (s *server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// drain waits until no request is being answered or ctx ends.
+func (s *server) drain(ctx context.Context) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for s.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/hosted/state.go
@@ -0,0 +1,107 @@
+package hosted
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// state is the configuration in force and the named weight versions.
+type state struct {
+	mu       sync.RWMutex
+	current  *routes.Table
+	versions map[string]int64
+	stopping bool
+	// stoppedAt is when the planned stop began.
+	stoppedAt time.Time
+}
+
+func newState() *state { return &state{versions: make(map[string]int64)} }
+
+func (s *state) table() *routes.Table {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.current
+}
+
+// setTable puts a table in force unless a newer one is.
+func (s *state) setTable(table *routes.Table) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil && s.current.Version >= table.Version {
+		return false
+	}
+	s.current = table
+	return true
+}
+
+func (s *state) setVersion(model string, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.versions[model] >= version {
+		return false
+	}
+	s.versions[model] = version
+	return true
+}
+
+func (s *state) named() map[string]int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.versions)
+}
+
+func (s *state) beginStop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping, s.stoppedAt = true, time.Now()
+}
+
+func (s *state) isStopping() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.stopping
+}
+
+// takeControl takes a record of the operator or a trainer. One that cannot be
+// read leaves what is in force.
+func (n *node) takeControl(record eventlog.KeyedRecord) {
+	change, err := n.platform.DecodeControl(record)
+	if err != nil {
+		n.logger.Error().Err(err).Str("key", record.Key).Int64("offset", record.Offset).Msg("control record passed over")
+		return
+	}
+	if change.Table != nil && n.state.setTable(change.Table) {
+		n.metrics.tableVersion.Set(float64(change.Table.Version))
+		n.logger.Info().Int64("config", change.Table.Version).Int64("offset", record.Offset).Msg("configuration in force")
+	}
+	if change.Model != "" && n.state.setVersion(change.Model, change.ModelVersion) {
+		n.logger.Info().Str("model", change.Model).Int64("version", change.ModelVersion).
+			Int64("offset", record.Offset).Msg("version named")
+	}
+}
+
+// takeEngine takes a record of the engine list.
+func (n *node) takeEngine(record eventlog.KeyedRecord) {
+	if record.Deleted {
+		n.fleet.Remove(record.Key)
+		n.logger.Info().Str("engine", record.Key).Int64("offset", record.Offset).Msg("engine gone")
+		return
+	}
+	engine, err := n.platform.DecodeEngine(record)
+	if err != nil {
+		n.logger.Error().Err(err).Str("engine", record.Key).Int64("offset", record.Offset).Msg("engine record passed over")
+		return
+	}
+	n.fleet.Put(engine)
+	n.logger.Info().Str("engine", engine.ID).Str("service", engine.Service).Str("address", engine.Address).
+		Str("zone", engine.Zone).Bool("draining", engine.Draining).Interface("versions", engine.Versions).
+		Int64("offset", record.Offset).Msg("engine listed")
+}
+
+func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
--- /dev/null
+++ b/internal/ingress/exchange.go
@@ -0,0 +1,207 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+)
+
+// exchange is the way of one request through the relay.
+type exchange struct {
+	relay   *Relay
+	request *Request
+	route   *routes.Route
+	table   *routes.Table
+	service string
+	// ctx ends at the request's deadline or when the caller leaves, caller only
+	// when it leaves.
+	ctx    context.Context
+	caller context.Context
+	w      http.ResponseWriter
+
+	tried []string
+	// ran counts the engines that may have run the request.
+	ran int
+	// status is what was written to the caller; zero when nothing was.
+	status int
+	// after and streamed are the state of a stream that was begun.
+	after    int64
+	streamed bool
+}
+
+// verdict is what follows from one try.
+type verdict uint8
+
+const (
+	// answered: the caller has its answer.
+	answered verdict = iota
+	// tryNext: another engine may be asked.
+	tryNext
+	// giveUp: no other engine may be asked.
+	giveUp
+)
+
+func (x *exchange) run() *errkind.Error {
+	for len(x.tried) < maxTries {
+		if x.ctx.Err() != nil {
+			return x.timedOut()
+		}
+		choice, found := x.relay.options.Fleet.Choose(fleet.Query{
+			Service: x.service, Zone: x.relay.options.Zone, Tried: x.tried, Now: time.Now(),
+		})
+		if !found {
+			break
+		}
+		switch x.try(choice) {
+		case answered:
+			return nil
+		case giveUp:
+			return x.failed()
+		}
+		if x.ran >= max(1, x.route.MaxAttempts) {
+			break
+		}
+	}
+	if x.ctx.Err() != nil {
+		return x.timedOut()
+	}
+	return x.failed()
+}
+
+// timedOut is the answer when the time is over. Nobody reads it if the caller left.
+func (x *exchange) timedOut() *errkind.Error {
+	if x.caller.Err() != nil && x.ran == 0 {
+		return errkind.New(errkind.Canceled, "the caller left")
+	}
+	return x.failed()
+}
+
+// failed is the answer when no engine gave one.
+func (x *exchange) failed() *errkind.Error {
+	if x.status != 0 {
+		return errkind.New(errkind.EngineFailed, "the answer broke off and no engine continues it")
+	}
+	if x.ran > 0 {
+		return errkind.New(errkind.EngineFailed, "%d engines were asked and none answered in time", x.ran)
+	}
+	failure := errkind.New(errkind.NoCapacity, "no engine of %s took the request, %d were asked", x.service, len(x.tried))
+	failure.RetryAfter = refusalRetry
+	return failure
+}
+
+// try sends the request to one engine.
+func (x *exchange) try(choice fleet.Choice) verdict {
+	engine := choice.Engine
+	x.tried = append(x.tried, engine.ID)
+	began := time.Now()
+	deadline, _ := x.ctx.Deadline()
+	remaining := deadline.Sub(began)
+	if remaining < minRemaining {
+		return giveUp
+	}
+	ctx, cancel := x.withPatience(remaining)
+	defer cancel()
+	x.relay.options.Fleet.Began(engine.ID)
+	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
+		Request: x.request, Remaining: remaining,
+		After: x.after, HasAfter: x.streamed && x.after > 0,
+	})
+	outcome := fleet.Outcome{}
+	var result verdict
+	if err != nil {
+		result = x.unanswered(err, &outcome)
+	} else {
+		result = x.takeAnswer(answer, &outcome)
+	}
+	outcome.At = time.Now()
+	if result == answered {
+		outcome.Latency = outcome.At.Sub(began)
+	}
+	if x.caller.Err() != nil {
+		outcome.Failed = false
+	}
+	x.relay.options.Fleet.Ended(engine.ID, outcome)
+	x.logTry(choice, answer, err, result, outcome.At.Sub(began))
+	return result
+}
+
+// withPatience bounds a try after which another is possible.
+func (x *exchange) withPatience(remaining time.Duration) (context.Context, context.CancelFunc) {
+	last := x.ran+1 >= max(1, x.route.MaxAttempts)
+	if !x.route.Repeatable() || x.route.Kind != routes.Safe || last {
+		return context.WithCancel(x.ctx)
+	}
+	patience := max(minPatience, patienceObjectives*x.route.Objective)
+	return context.WithTimeout(x.ctx, min(patience, remaining/2))
+}
+
+func (x *exchange) unanswered(err error, outcome *fleet.Outcome) verdict {
+	var failure *SendError
+	outcome.Failed = true
+	if errors.As(err, &failure) && !failure.MayHaveRun {
+		return tryNext
+	}
+	x.ran++
+	return x.again()
+}
+
+// again tells whether a request that may have run may be sent once more.
+func (x *exchange) again() verdict {
+	if x.route.Repeatable() {
+		return tryNext
+	}
+	return giveUp
+}
+
+func (x *exchange) takeAnswer(answer *Answer, outcome *fleet.Outcome) verdict {
+	defer answer.Body.Close()
+	outcome.Load = answer.Load
+	if answer.WrongEngine || answer.NotExecuted {
+		outcome.Refused, outcome.Gone = true, answer.WrongEngine
+		return tryNext
+	}
+	x.ran++
+	retryable := answer.Status >= http.StatusInternalServerError && x.route.Repeatable()
+	if retryable && x.ran < max(1, x.route.MaxAttempts) && x.ctx.Err() == nil {
+		outcome.Failed = true
+		return tryNext
+	}
+	if x.isStream(answer) {
+		return x.relayStream(answer, outcome)
+	}
+	return x.relayWhole(answer, outcome)
+}
+
+func (x *exchange) log(failure *errkind.Error) {
+	took := time.Since(x.request.Received)
+	line := x.relay.options.Logger.Info().Str("id", x.request.ID).Str("route", x.route.Name).
+		Str("service", x.service).Int64("config", x.table.Version).
+		Int("tried", len(x.tried)).Int("ran", x.ran).Int("status", x.status).
+		Bool("caller_left", x.caller.Err() != nil).Dur("took_ms", took)
+	kind := "ok"
+	if failure != nil {
+		kind = failure.Kind.String()
+		line = line.Str("kind", kind).Str("error", failure.Message)
+	}
+	line.Msg("request ended")
+	x.relay.options.Observe(x.route.Name, kind, took)
+}
+
+func (x *exchange) logTry(choice fleet.Choice, answer *Answer, err error, result verdict, took time.Duration) {
+	line := x.relay.options.Logger.Info().Str("id", x.request.ID).Str("engine", choice.Engine.ID).
+		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
+		Dur("load_age_ms", choice.LoadAge).Uint8("verdict", uint8(result)).Dur("took_ms", took)
+	if err != nil {
+		line = line.Err(err)
+	}
+	if answer != nil {
+		line = line.Int("status", answer.Status).Bool("not_executed", answer.NotExecuted)
+	}
+	line.Msg("engine tried")
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,154 @@
+// Package ingress answers the requests of live callers: it finds the route,
+// chooses an engine, and relays the engine's whole answer.
+//
+// Invariants: an answer goes to a caller only after it was seen to belong to the
+// caller's request; a request that is not repeatable is sent to another engine
+// only when the one before has said that it did not run it, or when no byte of
+// it was sent; an answer that says "not run" is given only then as well.
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// ID is the caller's name for it.
+	ID     string
+	Method string
+	// Target is the request line's path and query, unaltered.
+	Target string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	Model  string
+	// Budget is the time that the caller waits; zero when it did not say.
+	Budget   time.Duration
+	Received time.Time
+	// After is the number of the last event the caller has; HasAfter is false
+	// when it asks from the start.
+	After    int64
+	HasAfter bool
+}
+
+// Call is one try of a request at an engine.
+type Call struct {
+	Request *Request
+	// Remaining is the time that the engine has.
+	Remaining time.Duration
+	// After and HasAfter say where a stream continues.
+	After    int64
+	HasAfter bool
+}
+
+// Answer is an engine's answer, its body not yet read.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// NotExecuted: the engine says that it did not run the request.
+	NotExecuted bool
+	// WrongEngine: another engine answers at the address.
+	WrongEngine bool
+	// Load is what the engine said of itself; nil when it did not.
+	Load *fleet.Load
+}
+
+// SendError is a try that gave no answer.
+type SendError struct {
+	// MayHaveRun is false when no byte of the request was sent.
+	MayHaveRun bool
+	Cause      error
+}
+
+// Error implements the error interface.
+func (e *SendError) Error() string { return e.Cause.Error() }
+
+// Engines sends requests to engines. An error is a *SendError.
+type Engines interface {
+	Send(ctx context.Context, engine fleet.Engine, call Call) (*Answer, error)
+}
+
+// Options are the parts that a relay works with.
+type Options struct {
+	Engines Engines
+	Fleet   *fleet.Fleet
+	// Table returns the configuration in force; nil when none is known.
+	Table  func() *routes.Table
+	Zone   string
+	Seed   uint64
+	Logger zerolog.Logger
+	// Observe is told of each request's end.
+	Observe func(route string, kind string, took time.Duration)
+}
+
+// Relay answers requests.
+type Relay struct {
+	options  Options
+	splitter *routes.Splitter
+}
+
+// New returns a relay.
+func New(options Options) *Relay {
+	return &Relay{options: options, splitter: routes.NewSplitter(options.Seed)}
+}
+
+const (
+	// maxTries bounds the engines asked, refusals included.
+	maxTries = 5
+	// defaultTimeout holds for requests for which neither caller nor route has one.
+	defaultTimeout = 30 * time.Second
+	// refusalRetry is the delay that a refused caller is told.
+	refusalRetry = 150 * time.Millisecond
+	// minPatience and patienceObjectives say how long an engine may be silent
+	// before a repeatable request is tried at another: the larger of the two.
+	minPatience        = 200 * time.Millisecond
+	patienceObjectives = 2
+	// minRemaining is the least time with which an engine is still asked.
+	minRemaining = 5 * time.Millisecond
+)
+
+// Serve answers a request of a live route. It returns the error that the caller
+// is to be told; nil when an answer was written or nobody waits any more.
+func (r *Relay) Serve(w http.ResponseWriter, callerContext context.Context, request *Request) *errkind.Error {
+	table := r.options.Table()
+	if table == nil {
+		return errkind.New(errkind.NotReady, "no configuration is known yet")
+	}
+	route := table.Match(request.Host, request.Path)
+	if route == nil {
+		r.options.Logger.Info().Str("id", request.ID).Str("host", request.Host).Str("path", request.Path).
+			Int64("config", table.Version).Msg("no route")
+		return errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
+	}
+	timeout := defaultTimeout
+	if route.Timeout > 0 {
+		timeout = route.Timeout
+	}
+	if request.Budget > 0 {
+		timeout = min(timeout, request.Budget)
+	}
+	ctx, cancel := context.WithDeadline(callerContext, request.Received.Add(timeout))
+	defer cancel()
+	x := &exchange{
+		relay: r, request: request, route: route, table: table, ctx: ctx, caller: callerContext, w: w,
+		service: r.splitter.Pick(route),
+	}
+	failure := x.run()
+	x.log(failure)
+	if failure != nil && x.status != 0 {
+		// Ends the caller's connection: what was written must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/leadership/leadership.go
@@ -0,0 +1,320 @@
+// Package leadership elects one leader among the nodes through the log and
+// tells it for how long it may act. See internal/core/lease for the rules.
+package leadership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/lease"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// topic holds the lease's records in its only partition.
+	topic = "corkpulley.lease"
+	// renewalsPerTTL is how often a lease is renewed in its time.
+	renewalsPerTTL = 5
+	// marginShare is the share of its time by which a holder stops early.
+	marginShare = 6
+	pollWait    = time.Second
+	readLimit   = 256 << 10
+	retryDelay  = 100 * time.Millisecond
+	// checkPeriod is the time between two looks at a lease held by another.
+	checkPeriod = 50 * time.Millisecond
+	// claimJitter spreads the claims of nodes that find a lease free at once.
+	claimJitter = 60 * time.Millisecond
+)
+
+// Term is one time of leading.
+type Term struct {
+	// Epoch is the fencing token: higher than that of every earlier term.
+	Epoch int64
+	// Began is when this node learnt that it leads.
+	Began time.Time
+	// First is true when nobody led before.
+	First bool
+}
+
+// Role is what a leader does. It returns soon after ctx ends.
+type Role func(ctx context.Context, term Term)
+
+// Options say who asks for leadership and how.
+type Options struct {
+	// Holder names this process.
+	Holder string
+	// TTL is how long a lease holds after its last renewal.
+	TTL    time.Duration
+	Logger zerolog.Logger
+}
+
+// Elector takes part in the election and runs the role while it leads.
+type Elector struct {
+	log       eventlog.Log
+	partition eventlog.Partition
+	options   Options
+	role      Role
+
+	mu    sync.Mutex
+	state lease.State
+	// contactSince is the start of the time during which reads have succeeded.
+	contactSince time.Time
+	// validUntil is when this node's own lease ends unless renewed.
+	validUntil time.Time
+	// claimSent is when the open claim was sent.
+	claimSent time.Time
+	stopping  bool
+
+	changed chan struct{}
+}
+
+// New returns an elector; Run starts it.
+func New(log eventlog.Log, options Options, role Role) *Elector {
+	return &Elector{
+		log:       log,
+		partition: eventlog.Partition{Topic: topic},
+		options:   options,
+		role:      role,
+		changed:   make(chan struct{}, 1),
+	}
+}
+
+// Run takes part until ctx ends.
+func (e *Elector) Run(ctx context.Context) error {
+	go e.tail(ctx)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-e.changed:
+		case <-time.After(checkPeriod):
+		}
+		if epoch, held := e.held(); held {
+			e.lead(ctx, epoch)
+			continue
+		}
+		e.claimIfFree(ctx)
+	}
+	return nil
+}
+
+// Valid tells whether this node holds the epoch at this moment.
+func (e *Elector) Valid(epoch int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && time.Now().Before(e.validUntil)
+}
+
+// Leader returns the holder of the lease and its epoch, as last read.
+func (e *Elector) Leader() (string, int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Holder, e.state.Epoch
+}
+
+// Stop gives up the lease, if it is held, and claims none any more.
+func (e *Elector) Stop(ctx context.Context) {
+	e.mu.Lock()
+	e.stopping = true
+	epoch, own := e.state.Epoch, e.state.Holder == e.options.Holder
+	e.validUntil = time.Time{}
+	e.mu.Unlock()
+	e.signal()
+	if !own || epoch == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		if _, err := e.append(ctx, lease.Record{Kind: lease.Release, Holder: e.options.Holder, Epoch: epoch}); err == nil {
+			e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership released")
+			return
+		}
+		sleep(ctx, retryDelay)
+	}
+}
+
+func (e *Elector) held() (int64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	own := e.state.Epoch > 0 && e.state.Holder == e.options.Holder && !e.state.Released && !e.stopping
+	return e.state.Epoch, own && time.Now().Before(e.validUntil)
+}
+
+// lead runs the role until the lease is lost.
+func (e *Elector) lead(ctx context.Context, epoch int64) {
+	term := Term{Epoch: epoch, Began: time.Now(), First: epoch == 1}
+	e.options.Logger.Info().Int64("epoch", epoch).Bool("first", term.First).Msg("leadership gained")
+	roleContext, cancel := context.WithCancel(ctx)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		e.role(roleContext, term)
+	}()
+	e.renewWhileHeld(ctx, epoch)
+	cancel()
+	<-finished
+	holder, newest := e.Leader()
+	e.options.Logger.Info().Int64("epoch", epoch).Str("holder", holder).Int64("newest_epoch", newest).
+		Msg("leadership lost")
+}
+
+func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
+	period := e.options.TTL / renewalsPerTTL
+	for ctx.Err() == nil {
+		if held, valid := e.held(); !valid || held != epoch {
+			return
+		}
+		sent := time.Now()
+		appendContext, cancel := context.WithTimeout(ctx, 2*period)
+		_, err := e.append(appendContext, lease.Record{Kind: lease.Renew, Holder: e.options.Holder, Epoch: epoch})
+		cancel()
+		if err == nil {
+			e.extend(epoch, sent)
+		} else {
+			e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.changed:
+		case <-time.After(max(period-time.Since(sent), retryDelay)):
+		}
+	}
+}
+
+// extend counts the lease from when the acknowledged record was sent.
+func (e *Elector) extend(epoch int64, sent time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state.Epoch != epoch || e.state.Holder != e.options.Holder || e.stopping {
+		return
+	}
+	if until := sent.Add(e.options.TTL - e.options.TTL/marginShare); until.After(e.validUntil) {
+		e.validUntil = until
+	}
+}
+
+func (e *Elector) claimIfFree(ctx context.Context) {
+	now := time.Now()
+	e.mu.Lock()
+	inContact := !e.contactSince.IsZero()
+	free := inContact && !e.stopping && e.state.Claimable(now, e.contactSince, e.options.TTL)
+	next, previous := e.state.Next, e.state.Epoch
+	pending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
+	e.mu.Unlock()
+	if !free || pending {
+		return
+	}
+	sleep(ctx, rand.N(claimJitter))
+	e.mu.Lock()
+	if e.state.Next != next {
+		e.mu.Unlock()
+		return
+	}
+	e.claimSent = time.Now()
+	e.mu.Unlock()
+	_, err := e.appendAt(ctx, next, lease.Record{Kind: lease.Claim, Holder: e.options.Holder, Epoch: previous})
+	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
+}
+
+// tail reads the lease's records for good.
+func (e *Elector) tail(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		next := e.state.Next
+		e.mu.Unlock()
+		batch, err := e.log.Read(ctx, e.partition, next, readLimit, pollWait)
+		var gone *eventlog.GoneError
+		switch {
+		case err == nil:
+			e.apply(batch)
+		case errors.As(err, &gone):
+			e.skipTo(gone.First)
+		default:
+			e.lostContact(err)
+			sleep(ctx, retryDelay)
+		}
+	}
+}
+
+func (e *Elector) apply(batch eventlog.Batch) {
+	now := time.Now()
+	e.mu.Lock()
+	for _, raw := range batch.Records {
+		var record lease.Record
+		if err := msgpack.Unmarshal(raw, &record); err != nil {
+			e.state.Skip()
+			continue
+		}
+		if e.state.Apply(record, now) {
+			e.epochChanged(record)
+		}
+	}
+	if e.contactSince.IsZero() && e.state.Next >= batch.End {
+		e.contactSince = now
+	}
+	e.mu.Unlock()
+	if len(batch.Records) > 0 {
+		e.signal()
+	}
+}
+
+// epochChanged starts the own lease from when its claim was sent; mu is held.
+func (e *Elector) epochChanged(record lease.Record) {
+	if record.Holder == e.options.Holder {
+		e.validUntil = e.claimSent.Add(e.options.TTL - e.options.TTL/marginShare)
+	}
+	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
+}
+
+// skipTo passes over records that are no longer kept. Renewals go on while a
+// holder lives, so the epoch in force shows in the first record kept.
+func (e *Elector) skipTo(first int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Next = max(e.state.Next, first)
+}
+
+func (e *Elector) lostContact(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.contactSince.IsZero() {
+		e.options.Logger.Info().Err(err).Int64("offset", e.state.Next).Msg("lease contact lost")
+	}
+	e.contactSince = time.Time{}
+}
+
+func (e *Elector) signal() {
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Elector) append(ctx context.Context, record lease.Record) (int64, error) {
+	raw, err := msgpack.Marshal(&record)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode the lease record")
+	}
+	return e.log.Append(ctx, e.partition, [][]byte{raw})
+}
+
+func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) (int64, error) {
+	raw, err := msgpack.Marshal(&record)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode the lease record")
+	}
+	return e.log.AppendAt(ctx, e.partition, end, [][]byte{raw})
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -30,6 +30,13 @@
 	MaxGrace         = time.Hour
 	MinLoads         = 1
 	MaxLoads         = 10_000
+	MinLease         = 500 * time.Millisecond
+	MaxLease         = time.Minute
+	MaxPartitions    = 1024
+	MinRecordBytes   = 4 << 10
+	MaxRecordBytes   = 64 << 20
+	MinKeepJobs      = time.Second
+	MaxKeepJobs      = 24 * time.Hour
 )
 
 // Policies and Levels list the allowed words.
@@ -59,10 +66,14 @@
 		c.reachable(fmt.Sprintf("cluster.seeds[%d]", i), seed)
 	}
 	c.duration("cluster.probe_interval", settings.Cluster.ProbeInterval, MinProbeInterval, MaxProbeInterval)
-	c.url("platform.log", settings.Platform.Log)
-	c.url("platform.weight_store", settings.Platform.WeightStore)
-	c.url("platform.machines", settings.Platform.Machines)
-	c.url("platform.scorer", settings.Platform.Scorer)
+	if settings.Hosted.Log != "" {
+		c.hosted(settings.Hosted)
+	} else {
+		c.url("platform.log", settings.Platform.Log)
+		c.url("platform.weight_store", settings.Platform.WeightStore)
+		c.url("platform.machines", settings.Platform.Machines)
+		c.url("platform.scorer", settings.Platform.Scorer)
+	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
 	c.loads(settings.Weights.MaxConcurrentLoads)
 	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
@@ -142,8 +153,21 @@
 	}
 }
 
+func (c *checker) hosted(hosted Hosted) {
+	c.reachable("hosted.log", hosted.Log)
+	c.duration("hosted.lease", hosted.Lease, MinLease, MaxLease)
+	c.number("hosted.partitions", hosted.Partitions, 1, MaxPartitions)
+	c.number("hosted.record_bytes", hosted.RecordBytes, MinRecordBytes, MaxRecordBytes)
+	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
+	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
+}
+
 func (c *checker) loads(value int) {
-	if value < MinLoads || value > MaxLoads {
-		c.add("weights.max_concurrent_loads", fmt.Sprint(value), fmt.Sprintf("%d..%d", MinLoads, MaxLoads))
+	c.number("weights.max_concurrent_loads", value, MinLoads, MaxLoads)
+}
+
+func (c *checker) number(key string, value, low, high int) {
+	if value < low || value > high {
+		c.add(key, fmt.Sprint(value), fmt.Sprintf("%d..%d", low, high))
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	Advertise  Advertise  `toml:"advertise"`
 	Cluster    Cluster    `toml:"cluster"`
 	Platform   Platform   `toml:"platform"`
+	Hosted     Hosted     `toml:"hosted"`
 	Scheduling Scheduling `toml:"scheduling"`
 	Weights    Weights    `toml:"weights"`
 	Shutdown   Shutdown   `toml:"shutdown"`
@@ -57,6 +58,23 @@
 	Scorer      string `toml:"scorer"`
 }
 
+// Hosted says how the node runs on a platform that keeps everything in one
+// partitioned log. It is used when Log is set; the URLs of Platform are then not.
+type Hosted struct {
+	// Log is the log's address, ip:port.
+	Log string `toml:"log"`
+	// Lease is how long a leader leads after its last renewal, 500 ms..1 min.
+	Lease Duration `toml:"lease"`
+	// Partitions is the number of partitions of batch jobs, 1..1024. It is the
+	// same on all nodes and never changes while jobs are kept.
+	Partitions int `toml:"partitions"`
+	// RecordBytes and CallBytes are the log's limits for a record and a call.
+	RecordBytes int `toml:"record_bytes"`
+	CallBytes   int `toml:"call_bytes"`
+	// KeepJobs is how long a batch job can be read after it was accepted, 1 s..24 h.
+	KeepJobs Duration `toml:"keep_jobs"`
+}
+
 // Scheduling chooses how cells and engines are chosen.
 type Scheduling struct {
 	// Policy is "default", or a baseline for experiments: "round-robin",
@@ -100,6 +118,11 @@
 	DefaultMaxConcurrentLoads = 4096
 	DefaultPolicy             = "default"
 	DefaultLevel              = "info"
+	DefaultLease              = 3 * time.Second
+	DefaultPartitions         = 4
+	DefaultRecordBytes        = 256 << 10
+	DefaultCallBytes          = 2 << 20
+	DefaultKeepJobs           = 2 * time.Minute
 	DefaultCallersAddress     = "127.0.0.1:8080"
 	DefaultPeersAddress       = "127.0.0.1:7070"
 	DefaultOperatorsAddress   = "127.0.0.1:9090"
@@ -113,7 +136,12 @@
 			Peers:     DefaultPeersAddress,
 			Operators: DefaultOperatorsAddress,
 		},
-		Cluster:    Cluster{ProbeInterval: Duration(DefaultProbeInterval)},
+		Cluster: Cluster{ProbeInterval: Duration(DefaultProbeInterval)},
+		Hosted: Hosted{
+			Lease: Duration(DefaultLease), Partitions: DefaultPartitions,
+			RecordBytes: DefaultRecordBytes, CallBytes: DefaultCallBytes,
+			KeepJobs: Duration(DefaultKeepJobs),
+		},
 		Scheduling: Scheduling{Policy: DefaultPolicy},
 		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
 		Shutdown:   Shutdown{Grace: Duration(DefaultGrace)},
--- /dev/null
+++ b/internal/weightorders/load.go
@@ -0,0 +1,117 @@
+package weightorders
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/weightplan"
+)
+
+// callTimeout bounds one call to an engine.
+const callTimeout = 800 * time.Millisecond
+
+func sortTargets(targets []weightplan.Target) {
+	sort.Slice(targets, func(i, j int) bool { return targets[i].Model < targets[j].Model })
+}
+
+// load orders one load and waits until it is done.
+func (m *Manager) load(ctx context.Context, engine fleet.Engine, load weightplan.Load, mode Mode) {
+	began := time.Now()
+	answer := m.order(ctx, engine, load, mode)
+	done := answer == Held
+	if answer == Taken || answer == Unanswered {
+		done = m.awaitVersion(ctx, engine, load, began)
+	}
+	if done {
+		m.options.Fleet.Observe(engine.ID, load.Model, load.Version)
+	}
+	m.options.Logger.Info().Str("engine", engine.ID).Str("model", load.Model).Int64("version", load.Version).
+		Uint8("answer", uint8(answer)).Bool("done", done).Int64("fence", m.options.Fence).
+		Dur("took_ms", time.Since(began)).Msg("weights ordered")
+	m.mu.Lock()
+	delete(m.loading, engine.ID)
+	if !done {
+		delete(m.counts, engine.ID)
+		m.retryAt[engine.ID] = time.Now().Add(orderPause)
+	}
+	m.mu.Unlock()
+	m.options.Loaded()
+}
+
+// order sends the order under the count of orders that the engine is known to have.
+func (m *Manager) order(ctx context.Context, engine fleet.Engine, load weightplan.Load, mode Mode) Answer {
+	m.mu.Lock()
+	count, known := m.counts[engine.ID]
+	m.mu.Unlock()
+	if !known {
+		report, err := m.report(ctx, engine)
+		if err != nil || report.Busy {
+			return Refused
+		}
+		m.observe(engine, report)
+		if report.Versions[load.Model] >= load.Version {
+			return Held
+		}
+		count = report.Count
+	}
+	if !m.options.Valid() || ctx.Err() != nil {
+		return Refused
+	}
+	callContext, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := m.options.Engines.Order(callContext, engine, Order{
+		Model: load.Model, Version: load.Version, Mode: mode,
+		Holder: m.options.Holder, Fence: m.options.Fence, Count: count,
+	})
+	if err != nil {
+		m.options.Logger.Info().Err(err).Str("engine", engine.ID).Msg("order failed")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if answer == Taken {
+		m.counts[engine.ID] = count + 1
+	} else {
+		delete(m.counts, engine.ID)
+	}
+	return answer
+}
+
+// awaitVersion asks the engine until it has the version.
+func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
+	sleep(ctx, firstCheck)
+	for ctx.Err() == nil && time.Since(began) < loadTimeout {
+		if _, known := m.options.Fleet.Get(engine.ID); !known {
+			return false
+		}
+		report, err := m.report(ctx, engine)
+		if err == nil && report.Versions[load.Model] >= load.Version && !report.Busy {
+			m.observe(engine, report)
+			return true
+		}
+		sleep(ctx, checkPeriod)
+	}
+	return false
+}
+
+func (m *Manager) report(ctx context.Context, engine fleet.Engine) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return m.options.Engines.Report(ctx, engine)
+}
+
+func (m *Manager) observe(engine fleet.Engine, report Report) {
+	for model, version := range report.Versions {
+		m.options.Fleet.Observe(engine.ID, model, version)
+	}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/weightorders/weightorders.go
@@ -0,0 +1,255 @@
+// Package weightorders moves the engines to the named weight versions. Only the
+// leader orders, under its epoch as the fencing token; an engine's count of
+// orders makes an order that arrives late void.
+package weightorders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/weightplan"
+)
+
+const (
+	// tickPeriod is the time between two looks at what is to be loaded.
+	tickPeriod = 50 * time.Millisecond
+	// loadsAtOnce is how many engines of a service load together.
+	loadsAtOnce = 2
+	// firstCheck and checkPeriod pace the questions whether a load is done.
+	firstCheck  = 900 * time.Millisecond
+	checkPeriod = 250 * time.Millisecond
+	// loadTimeout gives up waiting for a load; it may be ordered again.
+	loadTimeout = 5 * time.Second
+	// orderPause keeps an engine that did not take an order alone for a while.
+	orderPause = 500 * time.Millisecond
+	// demandWeight is the weight of a new demand in the moving mean.
+	demandWeight = 0.02
+)
+
+// Mode says what becomes of the items that run while weights change.
+type Mode string
+
+// The modes.
+const (
+	// Finish lets running items end first.
+	Finish Mode = "finish"
+	// Continue lets running items go on under the new weights.
+	Continue Mode = "continue"
+)
+
+// Order is one order to an engine.
+type Order struct {
+	Model   string
+	Version int64
+	Mode    Mode
+	// Holder and Fence name who orders and under which epoch.
+	Holder string
+	Fence  int64
+	// Count is the engine's count of orders that this one follows.
+	Count int64
+}
+
+// Answer is an engine's answer to an order.
+type Answer uint8
+
+// The answers.
+const (
+	// Unanswered: the order may be carried out now, later or never.
+	Unanswered Answer = iota
+	// Taken: the order is under way.
+	Taken
+	// Held: the engine has the version already.
+	Held
+	// Conflict: another order is under way or came before.
+	Conflict
+	// Fenced: a newer leader has ordered the engine.
+	Fenced
+	// Refused: the engine does not take this order.
+	Refused
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	Versions map[string]int64
+	Busy     bool
+	Count    int64
+}
+
+// Engines orders engines.
+type Engines interface {
+	Report(ctx context.Context, engine fleet.Engine) (Report, error)
+	Order(ctx context.Context, engine fleet.Engine, order Order) (Answer, error)
+}
+
+// Target is a service with the versions named for its models.
+type Target struct {
+	Service string
+	// Versions holds the named version of each model of the service, zero when
+	// none was named.
+	Versions map[string]int64
+	// SingleVersion is true when items must not see two versions.
+	SingleVersion bool
+}
+
+// Options are the parts that a manager works with.
+type Options struct {
+	Engines Engines
+	Fleet   *fleet.Fleet
+	// Targets returns what is to be loaded now.
+	Targets func() []Target
+	// Valid tells whether this node still leads.
+	Valid func() bool
+	// Running and Demands tell what the runner does.
+	Running func(engine string) int
+	Demands func() map[string]batchrun.Demand
+	// Loaded is called after an engine has loaded.
+	Loaded func()
+	Holder string
+	Fence  int64
+	// OrderFrom is when the first order may be given.
+	OrderFrom time.Time
+	Logger    zerolog.Logger
+}
+
+// Manager orders loads during one term of leading.
+type Manager struct {
+	options Options
+
+	mu sync.Mutex
+	// loading holds the model that each engine is loading.
+	loading map[string]string
+	// counts holds each engine's count of orders, as far as known.
+	counts map[string]int64
+	// retryAt holds back engines that did not take an order.
+	retryAt    map[string]time.Time
+	allocators map[string]*weightplan.Allocator
+	demands    map[string]float64
+	named      map[string]namedVersion
+	wait       sync.WaitGroup
+}
+
+type namedVersion struct {
+	version int64
+	at      time.Time
+}
+
+// New returns a manager for one term.
+func New(options Options) *Manager {
+	return &Manager{
+		options:    options,
+		loading:    make(map[string]string),
+		counts:     make(map[string]int64),
+		retryAt:    make(map[string]time.Time),
+		allocators: make(map[string]*weightplan.Allocator),
+		demands:    make(map[string]float64),
+		named:      make(map[string]namedVersion),
+	}
+}
+
+// Loading returns the model that an engine is loading; empty for none.
+func (m *Manager) Loading(engine string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loading[engine]
+}
+
+// Run orders loads until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.wait.Wait()
+			return
+		case <-ticker.C:
+		}
+		if time.Now().Before(m.options.OrderFrom) {
+			continue
+		}
+		for _, target := range m.options.Targets() {
+			m.plan(ctx, target)
+		}
+	}
+}
+
+// plan starts the loads that are due for one service.
+func (m *Manager) plan(ctx context.Context, target Target) {
+	now := time.Now()
+	demands := m.options.Demands()
+	engines := m.engineViews(target.Service, now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	targets := m.targets(target, demands, now)
+	if len(targets) == 0 {
+		return
+	}
+	allocator, found := m.allocators[target.Service]
+	if !found {
+		allocator = weightplan.NewAllocator()
+		m.allocators[target.Service] = allocator
+	}
+	models := allocator.Allocate(engines, targets)
+	for _, load := range weightplan.NextLoads(engines, models, targets, loadsAtOnce) {
+		engine, known := m.options.Fleet.Get(load.Engine)
+		if !known {
+			continue
+		}
+		m.loading[load.Engine] = load.Model
+		mode := Continue
+		if target.SingleVersion {
+			mode = Finish
+		}
+		m.wait.Go(func() { m.load(ctx, engine, load, mode) })
+	}
+}
+
+func (m *Manager) engineViews(service string, now time.Time) []weightplan.Engine {
+	var views []weightplan.Engine
+	for _, engine := range m.options.Fleet.Engines(service) {
+		if engine.Draining {
+			continue
+		}
+		running := m.options.Running(engine.ID)
+		m.mu.Lock()
+		views = append(views, weightplan.Engine{
+			ID: engine.ID, Versions: engine.Versions, Running: running,
+			Loading: m.loading[engine.ID] != "",
+			Usable:  !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]),
+		})
+		m.mu.Unlock()
+	}
+	return views
+}
+
+// targets returns the models of the service with named versions; mu is held.
+func (m *Manager) targets(
+	target Target, demands map[string]batchrun.Demand, now time.Time,
+) []weightplan.Target {
+	var targets []weightplan.Target
+	for model, version := range target.Versions {
+		if known := m.named[model]; known.version != version {
+			m.named[model] = namedVersion{version: version, at: now}
+			m.options.Logger.Info().Str("model", model).Int64("version", version).Msg("version to load")
+		}
+		demand := demands[model]
+		if demand.Tokens > 0 {
+			known := m.demands[model]
+			if known == 0 {
+				known = float64(demand.Tokens)
+			}
+			m.demands[model] = known + demandWeight*(float64(demand.Tokens)-known)
+		}
+		targets = append(targets, weightplan.Target{
+			Model: model, Version: version, MinVersion: demand.MinVersion,
+			Demand: m.demands[model], Waited: now.Sub(m.named[model].at).Seconds(),
+		})
+	}
+	sortTargets(targets)
+	return targets
+}
