Keep the engine's messages apart from its client; hold the line round platform/

Cause: internal/core reached the HTTP client of engines through internal/message, so the core imported a client.

--- a/internal/bench/pathcost/hop.go
+++ b/internal/bench/pathcost/hop.go
@@ -16,9 +16,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/dispatcher"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/gateway"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	"github.com/corkpulley/corkpulley/internal/router"
 )
 
@@ -46,7 +47,7 @@
 // for every streamed answer.
 func newPlain(engineAddress string) (*hop, error) {
 	handler := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: engineAddress})
-	handler.Transport = engine.NewTransport()
+	handler.Transport = enginehttp.NewTransport()
 	handler.FlushInterval = -1
 	return serveHTTP(bodyFirst(handler))
 }
@@ -109,7 +110,7 @@
 	world := &standalone{self: dispatcherID, dispatcher: transport.Address(), engine: engineAddress}
 	queues := dispatcher.New(dispatcher.Options{
 		NodeID: dispatcherID, PeerAddress: transport.Address(), Zone: zone, Registry: transport,
-		View: world, Announcer: world, EngineList: world, EngineClient: engine.NewHTTP(nil),
+		View: world, Announcer: world, EngineList: world, EngineClient: enginehttp.NewHTTP(nil),
 		Tables: world, Logger: logger, Registerer: registry,
 	})
 	if err := transport.Start(); err != nil {
--- a/internal/bench/pathcost/load.go
+++ b/internal/bench/pathcost/load.go
@@ -14,7 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/corkpulley/corkpulley/internal/api"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 )
 
 // requestIDs keeps the engine requests of all loads apart.
@@ -40,7 +41,7 @@
 
 // newPlainClient speaks to the engine, through the plain handler.
 func newPlainClient(address string) *client {
-	created := newClient("http://" + address + engine.PathGenerate)
+	created := newClient("http://" + address + enginehttp.PathGenerate)
 	created.body = func(tokens int) any {
 		return engine.GenerateRequest{
 			RequestID: fmt.Sprint("plain-", requestIDs.Add(1)), Attempt: 1, Service: service, Model: model,
--- a/internal/bench/pathcost/standalone.go
+++ b/internal/bench/pathcost/standalone.go
@@ -5,8 +5,8 @@
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // The one service of the measurement.
--- a/internal/bench/scale/engines.go
+++ b/internal/bench/scale/engines.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 const (
--- a/internal/bench/slopes/adapter.go
+++ b/internal/bench/slopes/adapter.go
@@ -11,7 +11,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 )
 
 // engineAdapter is the real HTTP client for engines before a hollow engine
@@ -19,7 +20,7 @@
 type engineAdapter struct {
 	closers
 	shapes
-	client  *engine.HTTPClient
+	client  *enginehttp.HTTPClient
 	address string
 	// lines caches the encoded answer of each shape.
 	mutex sync.Mutex
@@ -31,14 +32,14 @@
 func newEngineAdapter() *engineAdapter {
 	opened := &engineAdapter{lines: make(map[answerShape][][]byte)}
 	handler := http.NewServeMux()
-	handler.HandleFunc(engine.PathGenerate, opened.generate)
-	handler.HandleFunc(engine.PathOrders, opened.order)
-	handler.HandleFunc(engine.PathWatch, opened.watch)
+	handler.HandleFunc(enginehttp.PathGenerate, opened.generate)
+	handler.HandleFunc(enginehttp.PathOrders, opened.order)
+	handler.HandleFunc(enginehttp.PathWatch, opened.watch)
 	server := httptest.NewServer(handler)
 	opened.add(server.Close)
-	transport := engine.NewTransport()
+	transport := enginehttp.NewTransport()
 	opened.add(transport.CloseIdleConnections)
-	opened.client = engine.NewHTTP(&http.Client{Transport: transport})
+	opened.client = enginehttp.NewHTTP(&http.Client{Transport: transport})
 	opened.address = server.Listener.Addr().(*net.TCPAddr).String()
 	return opened
 }
--- a/internal/bench/slopes/dispatcherpath.go
+++ b/internal/bench/slopes/dispatcherpath.go
@@ -12,9 +12,9 @@
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/dispatcher"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // dispatcherPath is a real dispatcher on a real transport with a cell of
--- a/internal/bench/slopes/idle.go
+++ b/internal/bench/slopes/idle.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // idleSweeps measure what a node does all the time, also without requests.
--- a/internal/bench/slopes/routing.go
+++ b/internal/bench/slopes/routing.go
@@ -5,8 +5,8 @@
 	"fmt"
 
 	"github.com/corkpulley/corkpulley/internal/core/routing"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 const (
--- a/internal/bench/slopes/scheduler.go
+++ b/internal/bench/slopes/scheduler.go
@@ -8,7 +8,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/prefixcache"
 	"github.com/corkpulley/corkpulley/internal/core/scheduler"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 const (
--- a/internal/bench/topology/engine.go
+++ b/internal/bench/topology/engine.go
@@ -10,7 +10,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
 	"github.com/corkpulley/corkpulley/internal/bench/process"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	standin "github.com/corkpulley/corkpulley/internal/standin/engine"
 )
 
--- a/internal/bench/topology/topology_test.go
+++ b/internal/bench/topology/topology_test.go
@@ -11,7 +11,8 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	"github.com/corkpulley/corkpulley/internal/platform/machines"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
 	enginestandin "github.com/corkpulley/corkpulley/internal/standin/engine"
@@ -49,7 +50,7 @@
 
 func generate(t *testing.T, address, id string) error {
 	t.Helper()
-	client := engine.NewHTTP(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	client := enginehttp.NewHTTP(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
 	request := engine.GenerateRequest{RequestID: id, Attempt: 1, Model: "clerk", Prompt: "x [tokens=3]", MaxTokens: 8}
 	stream, err := client.Generate(limit(t), address, request)
 	if err != nil {
--- a/internal/cluster/traffic_test.go
+++ b/internal/cluster/traffic_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	platform "github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	platform "github.com/corkpulley/corkpulley/internal/platform/engine"
 	"github.com/corkpulley/corkpulley/internal/platform/machines"
 )
 
--- a/internal/core/routing/choice_test.go
+++ b/internal/core/routing/choice_test.go
@@ -8,8 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 func testCell(zone string, index, slots, running int, version uint64) Cell {
--- a/internal/core/routing/query.go
+++ b/internal/core/routing/query.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // affinityBlocks is the number of whole prompt blocks that name a prefix
--- a/internal/core/routing/version_test.go
+++ b/internal/core/routing/version_test.go
@@ -6,8 +6,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // poolDigest is a cell of ten engines, so many of them at each version.
--- a/internal/core/scheduler/digest.go
+++ b/internal/core/scheduler/digest.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // Digest is a summary of a cell's state.
--- a/internal/core/scheduler/engine.go
+++ b/internal/core/scheduler/engine.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // reportsRemembered is how many load reports back the engine's own figures may
--- a/internal/core/scheduler/filter.go
+++ b/internal/core/scheduler/filter.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // filter tells whether an engine may run an item.
--- a/internal/core/scheduler/property_test.go
+++ b/internal/core/scheduler/property_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/corkpulley/corkpulley/internal/common/fixedseed"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // cellModel drives a cell and keeps its own account of every item.
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -9,8 +9,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // outcome tells how one send to an engine ended.
--- a/internal/dispatcher/continued_test.go
+++ b/internal/dispatcher/continued_test.go
@@ -5,7 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // TestContinuedRequestGoesBeforeFreshOnes: a request that another dispatcher
--- a/internal/dispatcher/directive.go
+++ b/internal/dispatcher/directive.go
@@ -8,9 +8,9 @@
 	"github.com/go-faster/errors"
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // directive is a load directive in force on a cell.
--- a/internal/dispatcher/directive_test.go
+++ b/internal/dispatcher/directive_test.go
@@ -9,9 +9,9 @@
 
 	_ "github.com/corkpulley/corkpulley/internal/common/fixedseed"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 func TestPlanLoadsKeepsFloorAndConcurrency(t *testing.T) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,9 +19,9 @@
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
 	"github.com/corkpulley/corkpulley/internal/core/scheduler"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // Options are the settings and neighbours of a Dispatcher. All are required
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -8,9 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 var allTokens = []string{"t0", "t1", "t2", "t3", "t4", "t5"}
--- a/internal/dispatcher/fake_engines_test.go
+++ b/internal/dispatcher/fake_engines_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 var errBroken = errors.New("connection reset")
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 const (
--- a/internal/dispatcher/link.go
+++ b/internal/dispatcher/link.go
@@ -7,7 +7,7 @@
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/scheduler"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // link is what a cell knows of one engine. The cell's lock guards it.
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // run takes the task through the queue and the engines to its end.
--- a/internal/dispatcher/status.go
+++ b/internal/dispatcher/status.go
@@ -6,9 +6,9 @@
 	"slices"
 
 	"github.com/corkpulley/corkpulley/internal/api"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // States of api.EngineStatus beyond those that engines report.
--- a/internal/dispatcher/submit.go
+++ b/internal/dispatcher/submit.go
@@ -5,9 +5,9 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // maximumSubmitAttempt keeps the engines' attempt numbers inside 32 bits.
--- a/internal/platform/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,9 +1,6 @@
-// Package engine is the boundary to a model engine: wire types, a small
-// interface and one HTTP adapter. Streams are newline-delimited JSON.
-//
-// Endpoints: POST /v1/generate (GenerateRequest; answers a stream of Chunk),
-// POST /v1/cancel, GET /v1/status, GET /v1/watch (a stream of Event),
-// POST /v1/orders, POST /v1/kv/export, POST /v1/kv/import.
+// Package engine is the boundary to a model engine: the messages, the errors and
+// the interface that corkpulley asks of one. It imports no client; see
+// internal/platform/enginehttp for the adapter.
 package engine
 
 import (
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/corkpulley/corkpulley/internal/api"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/router"
 )
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // CellID names one cell: up to CellSize engines of one pool in one zone, with
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -7,7 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
 	"github.com/corkpulley/corkpulley/internal/platform/machines"
 	"github.com/corkpulley/corkpulley/internal/platform/scorer"
@@ -41,7 +42,7 @@
 		weights:  weightstore.NewHTTP(platform.WeightStore, client),
 		machines: machines.NewHTTP(platform.Machines, client),
 		scorer:   scorer.NewHTTP(platform.Scorer, client),
-		engines:  engine.NewHTTP(&http.Client{Transport: engine.NewTransport()}),
+		engines:  enginehttp.NewHTTP(&http.Client{Transport: enginehttp.NewTransport()}),
 	}
 }
 
--- a/internal/node/docs_test.go
+++ b/internal/node/docs_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,7 +26,10 @@
 	assert.NilError(t, err)
 	var documented []string
 	for _, match := range documentedName.FindAllStringSubmatch(string(page), -1) {
-		documented = append(documented, match[1])
+		// Those of a hosted node are compared in internal/hosted.
+		if !strings.HasPrefix(match[1], "corkpulley_hosted_") {
+			documented = append(documented, match[1])
+		}
 	}
 	slices.Sort(documented)
 	assert.DeepEqual(t, documented, registeredMetrics(t))
--- a/internal/platform/engine/http.go
+++ b/internal/platform/enginehttp/http.go
@@ -1,9 +1,16 @@
-package engine
+// Package enginehttp calls engines over HTTP/1.1. Streams are newline-delimited
+// JSON.
+//
+// Endpoints: POST /v1/generate (GenerateRequest; answers a stream of Chunk),
+// POST /v1/cancel, GET /v1/status, GET /v1/watch (a stream of Event),
+// POST /v1/orders, POST /v1/kv/export, POST /v1/kv/import.
+package enginehttp
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +63,7 @@
 	client http.Client
 }
 
-var _ Client = (*HTTPClient)(nil)
+var _ engine.Client = (*HTTPClient)(nil)
 
 // NewHTTP returns a Client that sends through client; nil takes a client on
 // NewTransport. Redirects are never followed, as a request must not be sent twice.
@@ -86,7 +93,7 @@
 }
 
 // Generate implements Client.
-func (c *HTTPClient) Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error) {
+func (c *HTTPClient) Generate(ctx context.Context, address string, request engine.GenerateRequest) (engine.Stream, error) {
 	streamContext, cancel := context.WithCancel(ctx)
 	response, err := c.send(streamContext, address, PathGenerate, request)
 	if err != nil {
@@ -97,32 +104,32 @@
 }
 
 // Cancel implements Client. A stream that the engine does not know counts as canceled.
-func (c *HTTPClient) Cancel(ctx context.Context, address string, request CancelRequest) error {
+func (c *HTTPClient) Cancel(ctx context.Context, address string, request engine.CancelRequest) error {
 	err := c.call(ctx, address, PathCancel, request, nil)
-	var failure *SendError
-	if errors.As(err, &failure) && failure.Refusal != nil && failure.Refusal.Code == CodeUnknownStream {
+	var failure *engine.SendError
+	if errors.As(err, &failure) && failure.Refusal != nil && failure.Refusal.Code == engine.CodeUnknownStream {
 		return nil
 	}
 	return err
 }
 
 // Status implements Client.
-func (c *HTTPClient) Status(ctx context.Context, address string) (Status, error) {
-	var status Status
+func (c *HTTPClient) Status(ctx context.Context, address string) (engine.Status, error) {
+	var status engine.Status
 	response, err := c.get(ctx, address, PathStatus, nil)
 	if err != nil {
 		return status, err
 	}
 	defer closeBody(response.Body)
 	if err := decodeAnswer(response.Body, &status); err != nil {
-		return Status{}, errors.Wrap(err, "decode engine status")
+		return engine.Status{}, errors.Wrap(err, "decode engine status")
 	}
 	return status, nil
 }
 
 // Watch implements Client. It returns ctx's error once ctx ended, else why the
 // stream broke (io.ErrUnexpectedEOF when the engine closed it).
-func (c *HTTPClient) Watch(ctx context.Context, address string, interval time.Duration, handle func(Event)) error {
+func (c *HTTPClient) Watch(ctx context.Context, address string, interval time.Duration, handle func(engine.Event)) error {
 	query := url.Values{QueryInterval: {strconv.FormatInt(interval.Milliseconds(), 10)}}
 	response, err := c.get(ctx, address, PathWatch, query)
 	if err != nil {
@@ -132,7 +139,7 @@
 	lines := newLineReader(response.Body)
 	defer lines.release()
 	for {
-		var event Event
+		var event engine.Event
 		if err := lines.decode(&event); err != nil {
 			return watchError(ctx, err)
 		}
@@ -151,20 +158,20 @@
 }
 
 // Order implements Client.
-func (c *HTTPClient) Order(ctx context.Context, address string, order Order) error {
+func (c *HTTPClient) Order(ctx context.Context, address string, order engine.Order) error {
 	return c.call(ctx, address, PathOrders, order, nil)
 }
 
 // KVExport implements Client.
-func (c *HTTPClient) KVExport(ctx context.Context, address string, request CancelRequest) (KVExport, error) {
-	var export KVExport
+func (c *HTTPClient) KVExport(ctx context.Context, address string, request engine.CancelRequest) (engine.KVExport, error) {
+	var export engine.KVExport
 	err := c.call(ctx, address, PathKVExport, request, &export)
 	return export, err
 }
 
 // KVImport implements Client.
-func (c *HTTPClient) KVImport(ctx context.Context, address string, export KVExport) (KVHandle, error) {
-	var handle KVHandle
+func (c *HTTPClient) KVImport(ctx context.Context, address string, export engine.KVExport) (engine.KVHandle, error) {
+	var handle engine.KVHandle
 	err := c.call(ctx, address, PathKVImport, export, &handle)
 	return handle, err
 }
@@ -180,7 +187,7 @@
 		return nil
 	}
 	if err := decodeAnswer(answer.Body, response); err != nil {
-		return &SendError{Sent: true, Err: errors.Wrap(err, "decode engine answer")}
+		return &engine.SendError{Sent: true, Err: errors.Wrap(err, "decode engine answer")}
 	}
 	return nil
 }
@@ -189,17 +196,17 @@
 func (c *HTTPClient) send(ctx context.Context, address, path string, message any) (*http.Response, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
-		return nil, &SendError{Err: errors.Wrap(err, "encode engine request")}
+		return nil, &engine.SendError{Err: errors.Wrap(err, "encode engine request")}
 	}
 	var delivery deliveryTrace
 	request, err := http.NewRequestWithContext(delivery.attach(ctx), http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, &SendError{Err: errors.Wrap(err, "build engine request")}
+		return nil, &engine.SendError{Err: errors.Wrap(err, "build engine request")}
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.client.Do(request)
 	if err != nil {
-		return nil, &SendError{Sent: delivery.sent.Load(), Err: err}
+		return nil, &engine.SendError{Sent: delivery.sent.Load(), Err: err}
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, refusalError(response)
@@ -244,14 +251,14 @@
 // refusalBody tells an absent "ran" from false: only an engine that says false
 // guarantees that the request did not run.
 type refusalBody struct {
-	Refusal
+	engine.Refusal
 	Ran *bool `json:"ran"`
 }
 
 // refusalError turns a non-200 answer into a *SendError and closes its body.
 func refusalError(response *http.Response) error {
 	defer closeBody(response.Body)
-	failure := &SendError{Sent: true, Err: errors.Errorf("engine answered %s", response.Status)}
+	failure := &engine.SendError{Sent: true, Err: errors.Errorf("engine answered %s", response.Status)}
 	var body refusalBody
 	err := json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&body)
 	if err != nil || body.Code == "" {
--- a/internal/platform/engine/http_test.go
+++ b/internal/platform/enginehttp/http_test.go
@@ -1,4 +1,4 @@
-package engine_test
+package enginehttp_test
 
 import (
 	"context"
@@ -13,7 +13,8 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 )
 
 var request = engine.GenerateRequest{RequestID: "r1", Attempt: 2, Model: "m", MaxTokens: 4}
@@ -40,7 +41,7 @@
 		_, _ = fmt.Fprintf(writer, `{"request_id":"r1","attempt":2,"first_token":0,"tokens":["a","%s"],"version":7}`+"\n", long)
 		_, _ = fmt.Fprintln(writer, `{"request_id":"r1","attempt":2,"first_token":2,"tokens":[],"version":7,"finished":true,"finish_reason":"stop"}`)
 	})
-	stream, err := engine.NewHTTP(nil).Generate(t.Context(), target, request)
+	stream, err := enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 	assert.NilError(t, err)
 	first, err := stream.Receive()
 	assert.NilError(t, err)
@@ -61,7 +62,7 @@
 		_, _ = fmt.Fprintln(writer, `{"request_id":"r1","attempt":2,"finished":true}`)
 		_ = http.NewResponseController(writer).Flush()
 	})
-	client := engine.NewHTTP(nil)
+	client := enginehttp.NewHTTP(nil)
 	for range 5 {
 		stream, err := client.Generate(t.Context(), target, request)
 		assert.NilError(t, err)
@@ -86,7 +87,7 @@
 	for name, body := range bodies {
 		t.Run(name, func(t *testing.T) {
 			target := serve(t, func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, body) })
-			stream, err := engine.NewHTTP(nil).Generate(t.Context(), target, request)
+			stream, err := enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 			assert.NilError(t, err)
 			_, err = stream.Receive()
 			assert.Assert(t, err != nil && !errors.Is(err, io.EOF), "%v", err)
@@ -101,7 +102,7 @@
 		_ = http.NewResponseController(writer).Flush()
 		<-request.Context().Done()
 	})
-	stream, err := engine.NewHTTP(nil).Generate(t.Context(), target, request)
+	stream, err := enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 	assert.NilError(t, err)
 	received := make(chan error)
 	go func() {
@@ -128,7 +129,7 @@
 			target := serve(t, func(writer http.ResponseWriter, _ *http.Request) {
 				http.Error(writer, test.body, http.StatusServiceUnavailable)
 			})
-			_, err := engine.NewHTTP(nil).Generate(t.Context(), target, request)
+			_, err := enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 			failure := sendError(t, err)
 			assert.Assert(t, failure.Sent)
 			assert.Equal(t, failure.NotExecuted(), test.notExecuted)
@@ -141,13 +142,13 @@
 	assert.NilError(t, err)
 	target := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = engine.NewHTTP(nil).Generate(t.Context(), target, request)
+	_, err = enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 	assert.Assert(t, sendError(t, err).NotExecuted())
 }
 
 func TestLostAnswerMeansSent(t *testing.T) {
 	target := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	_, err := engine.NewHTTP(nil).Generate(t.Context(), target, request)
+	_, err := enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 	failure := sendError(t, err)
 	assert.Assert(t, failure.Sent && !failure.NotExecuted())
 }
@@ -160,7 +161,7 @@
 		cancel()
 		<-request.Context().Done()
 	})
-	_, err := engine.NewHTTP(nil).Generate(ctx, target, request)
+	_, err := enginehttp.NewHTTP(nil).Generate(ctx, target, request)
 	assert.Assert(t, sendError(t, err).Sent)
 }
 
@@ -170,7 +171,7 @@
 		calls++
 		http.Redirect(writer, request, "/v1/generate", http.StatusTemporaryRedirect)
 	})
-	_, err := engine.NewHTTP(nil).Generate(t.Context(), target, request)
+	_, err := enginehttp.NewHTTP(nil).Generate(t.Context(), target, request)
 	assert.Assert(t, !sendError(t, err).NotExecuted())
 	assert.Equal(t, calls, 1)
 }
@@ -186,7 +187,7 @@
 		}
 	}))
 	defer server.Close()
-	stream, err := engine.NewHTTP(nil).Generate(b.Context(), address(server), request)
+	stream, err := enginehttp.NewHTTP(nil).Generate(b.Context(), address(server), request)
 	assert.NilError(b, err)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/platform/engine/scan.go
+++ b/internal/platform/enginehttp/scan.go
@@ -1,7 +1,8 @@
-package engine
+package enginehttp
 
 import (
 	"bytes"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"strconv"
 )
 
@@ -20,20 +21,20 @@
 }
 
 // scan returns false when the line is not plain.
-func (s *chunkScanner) scan() (Chunk, bool) {
-	var chunk Chunk
+func (s *chunkScanner) scan() (engine.Chunk, bool) {
+	var chunk engine.Chunk
 	if !s.accept('{') {
 		return chunk, false
 	}
 	for {
 		if !s.field(&chunk) {
-			return Chunk{}, false
+			return engine.Chunk{}, false
 		}
 		if s.accept('}') {
 			break
 		}
 		if !s.accept(',') {
-			return Chunk{}, false
+			return engine.Chunk{}, false
 		}
 	}
 	return chunk, s.atEnd()
@@ -53,7 +54,7 @@
 }
 
 // field decodes one key and its value.
-func (s *chunkScanner) field(chunk *Chunk) bool {
+func (s *chunkScanner) field(chunk *engine.Chunk) bool {
 	key, ok := s.text()
 	if !ok || !s.accept(':') {
 		return false
@@ -82,7 +83,7 @@
 	}
 }
 
-func (s *chunkScanner) requestIDField(chunk *Chunk) bool {
+func (s *chunkScanner) requestIDField(chunk *engine.Chunk) bool {
 	id, ok := s.text()
 	if string(id) == s.requestID {
 		chunk.RequestID = s.requestID
@@ -111,7 +112,7 @@
 	return nil, false
 }
 
-func (s *chunkScanner) tokens(chunk *Chunk) bool {
+func (s *chunkScanner) tokens(chunk *engine.Chunk) bool {
 	if !s.accept('[') {
 		return false
 	}
--- a/internal/platform/engine/scan_test.go
+++ b/internal/platform/enginehttp/scan_test.go
@@ -1,7 +1,8 @@
-package engine
+package enginehttp
 
 import (
 	"encoding/json"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,9 +11,9 @@
 	_ "github.com/corkpulley/corkpulley/internal/common/fixedseed"
 )
 
-func drawChunk(t *rapid.T) Chunk {
+func drawChunk(t *rapid.T) engine.Chunk {
 	text := rapid.OneOf(rapid.StringMatching(`[a-z0-9: ]{0,12}`), rapid.String())
-	return Chunk{
+	return engine.Chunk{
 		RequestID:    text.Draw(t, "id"),
 		Attempt:      rapid.Uint32().Draw(t, "attempt"),
 		FirstToken:   rapid.Int().Draw(t, "first"),
@@ -31,7 +32,7 @@
 	if !ok {
 		return
 	}
-	var decoded Chunk
+	var decoded engine.Chunk
 	if err := json.Unmarshal(line, &decoded); err != nil {
 		t.Fatalf("scanner took %q, which encoding/json refuses: %v", line, err)
 	}
@@ -55,7 +56,7 @@
 	scanner := chunkScanner{line: []byte(line), requestID: "r1"}
 	chunk, ok := scanner.scan()
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, chunk, Chunk{
+	assert.DeepEqual(t, chunk, engine.Chunk{
 		RequestID: "r1", Attempt: 2, FirstToken: 30, Tokens: []string{"30:7 ", "31:7 "}, Version: 7,
 		Finished: true, FinishReason: "stop", CachedTokens: 16,
 	})
--- a/internal/platform/engine/stream.go
+++ b/internal/platform/enginehttp/stream.go
@@ -1,9 +1,10 @@
-package engine
+package enginehttp
 
 import (
 	"bufio"
 	"context"
 	"encoding/json"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -112,16 +113,16 @@
 }
 
 // Receive implements Stream.
-func (s *httpStream) Receive() (Chunk, error) {
+func (s *httpStream) Receive() (engine.Chunk, error) {
 	if s.finished.Load() {
-		return Chunk{}, io.EOF
+		return engine.Chunk{}, io.EOF
 	}
 	chunk, err := s.next()
 	if err != nil {
-		return Chunk{}, streamError(err)
+		return engine.Chunk{}, streamError(err)
 	}
 	if err := s.check(&chunk); err != nil {
-		return Chunk{}, err
+		return engine.Chunk{}, err
 	}
 	if chunk.Finished {
 		s.finished.Store(true)
@@ -131,23 +132,23 @@
 
 // next reads one chunk: by the scanner if the line is plain, which is the usual
 // case, else by encoding/json.
-func (s *httpStream) next() (Chunk, error) {
+func (s *httpStream) next() (engine.Chunk, error) {
 	line, err := s.lines.next()
 	if err != nil {
-		return Chunk{}, err
+		return engine.Chunk{}, err
 	}
 	scanner := chunkScanner{line: line, requestID: s.requestID}
 	if chunk, ok := scanner.scan(); ok {
 		return chunk, nil
 	}
-	var chunk Chunk
+	var chunk engine.Chunk
 	err = json.Unmarshal(line, &chunk)
 	return chunk, err
 }
 
 // check refuses a chunk that can't belong to the stream, or whose tokens name
 // no weight version.
-func (s *httpStream) check(chunk *Chunk) error {
+func (s *httpStream) check(chunk *engine.Chunk) error {
 	if chunk.RequestID != s.requestID || chunk.Attempt != s.attempt {
 		return errors.Errorf("engine stream: chunk of request %q attempt %d on the stream of %q attempt %d",
 			chunk.RequestID, chunk.Attempt, s.requestID, s.attempt)
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 )
 
 // fakeCluster is a View, an Announcer, a policy.Source and a Caller whose
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -29,6 +29,7 @@
 	WeightStore        *string        `arg:"--platform-weight-store" placeholder:"URL" help:"platform.weight_store"`
 	Machines           *string        `arg:"--platform-machines" placeholder:"URL" help:"platform.machines"`
 	Scorer             *string        `arg:"--platform-scorer" placeholder:"URL" help:"platform.scorer"`
+	HostedLog          *string        `arg:"--hosted-log" placeholder:"IP:PORT" help:"hosted.log"`
 	Policy             *string        `arg:"--policy" placeholder:"NAME" help:"scheduling.policy: default, round-robin, least-load or one-hop"`
 	MaxConcurrentLoads *int           `arg:"--max-concurrent-loads" placeholder:"N" help:"weights.max_concurrent_loads"`
 	Grace              *time.Duration `arg:"--grace" placeholder:"DURATION" help:"shutdown.grace"`
@@ -113,6 +114,7 @@
 	override(f.WeightStore, &into.Platform.WeightStore)
 	override(f.Machines, &into.Platform.Machines)
 	override(f.Scorer, &into.Platform.Scorer)
+	override(f.HostedLog, &into.Hosted.Log)
 	override(f.Policy, &into.Scheduling.Policy)
 	override(f.MaxConcurrentLoads, &into.Weights.MaxConcurrentLoads)
 	override((*Duration)(f.Grace), &into.Shutdown.Grace)
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 const (
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // tokensPerBlock is the number of tokens that one cached prefix block holds.
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // Defaults of Config.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -13,7 +13,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	standin "github.com/corkpulley/corkpulley/internal/standin/engine"
 )
 
@@ -42,7 +43,7 @@
 		listener.CloseClientConnections()
 		listener.Close()
 	})
-	return harness{Server: server, Client: engine.NewHTTP(nil), address: listener.Listener.Addr().String()}
+	return harness{Server: server, Client: enginehttp.NewHTTP(nil), address: listener.Listener.Addr().String()}
 }
 
 func ask(id string, tokens int) engine.GenerateRequest {
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -8,7 +8,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 )
 
@@ -36,13 +37,13 @@
 // Handler returns the engine's API, the fault control and the history.
 func (s *Server) Handler() http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc(engine.PathGenerate, s.handleGenerate).Methods(http.MethodPost)
-	router.HandleFunc(engine.PathCancel, s.handleCancel).Methods(http.MethodPost)
-	router.HandleFunc(engine.PathStatus, s.handleStatus).Methods(http.MethodGet)
-	router.HandleFunc(engine.PathWatch, s.handleWatch).Methods(http.MethodGet)
-	router.HandleFunc(engine.PathOrders, s.handleOrder).Methods(http.MethodPost)
-	router.HandleFunc(engine.PathKVExport, s.handleKVExport).Methods(http.MethodPost)
-	router.HandleFunc(engine.PathKVImport, s.handleKVImport).Methods(http.MethodPost)
+	router.HandleFunc(enginehttp.PathGenerate, s.handleGenerate).Methods(http.MethodPost)
+	router.HandleFunc(enginehttp.PathCancel, s.handleCancel).Methods(http.MethodPost)
+	router.HandleFunc(enginehttp.PathStatus, s.handleStatus).Methods(http.MethodGet)
+	router.HandleFunc(enginehttp.PathWatch, s.handleWatch).Methods(http.MethodGet)
+	router.HandleFunc(enginehttp.PathOrders, s.handleOrder).Methods(http.MethodPost)
+	router.HandleFunc(enginehttp.PathKVExport, s.handleKVExport).Methods(http.MethodPost)
+	router.HandleFunc(enginehttp.PathKVImport, s.handleKVImport).Methods(http.MethodPost)
 	router.HandleFunc("/v1/control", s.handleControl).Methods(http.MethodPost)
 	router.HandleFunc("/v1/history", s.handleHistory).Methods(http.MethodGet)
 	router.Use(s.whileAlive)
@@ -103,7 +104,7 @@
 
 func (s *Server) handleWatch(writer http.ResponseWriter, request *http.Request) {
 	interval := defaultWatchInterval
-	milliseconds, err := strconv.ParseInt(request.URL.Query().Get(engine.QueryInterval), 10, 32)
+	milliseconds, err := strconv.ParseInt(request.URL.Query().Get(enginehttp.QueryInterval), 10, 32)
 	if err == nil && milliseconds > 0 {
 		interval = time.Duration(milliseconds) * time.Millisecond
 	}
--- a/internal/standin/engine/history.go
+++ b/internal/standin/engine/history.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // Outcomes of a request in the history.
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/xid"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // importLimit bounds the imported KV caches that wait to be used.
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -12,7 +12,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
 )
 
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // order takes a fenced order. The fence is checked for each model apart, as
--- a/internal/standin/engine/order_test.go
+++ b/internal/standin/engine/order_test.go
@@ -9,7 +9,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
+	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	"github.com/corkpulley/corkpulley/internal/platform/machines"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
 	standin "github.com/corkpulley/corkpulley/internal/standin/engine"
@@ -142,7 +143,7 @@
 	go func() { ended <- server.Run(ctx) }()
 	<-server.Ready()
 	waitMachine(t, source, machines.StateLive)
-	h := harness{Server: server, Client: engine.NewHTTP(nil), address: server.Address()}
+	h := harness{Server: server, Client: enginehttp.NewHTTP(nil), address: server.Address()}
 	stream := h.generate(t, ask("r", 300))
 	stop()
 	waitMachine(t, source, machines.StateLeaving)
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // sequenceKey names one attempt of one request.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -8,7 +8,7 @@
 
 	"github.com/rs/xid"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // Server is one stand-in engine. Its state has one lock, as an engine has one
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // attach opens a reader: of a new request, or of a known one when ResumeFrom
--- a/internal/weights/world_test.go
+++ b/internal/weights/world_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/corkpulley/corkpulley/internal/cluster"
 	"github.com/corkpulley/corkpulley/internal/core/policy"
+	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/logstream"
 	"github.com/corkpulley/corkpulley/internal/message"
 	"github.com/corkpulley/corkpulley/internal/peer"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
 	"github.com/corkpulley/corkpulley/internal/platform/weightstore"
 	standinlog "github.com/corkpulley/corkpulley/internal/standin/logservice"
--- a/test/integration/weight_rollback_test.go
+++ b/test/integration/weight_rollback_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/bench/live"
 	"github.com/corkpulley/corkpulley/internal/bench/topology"
-	"github.com/corkpulley/corkpulley/internal/platform/engine"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // TestWeightRollback: an operator who pins a lower version than the one in
