--- a/internal/docscheck/boundary_test.go
+++ b/internal/docscheck/boundary_test.go
@@ -18,7 +18,7 @@
 // platformNames matches what only the adapter may name: headers, paths, topics
 // and variables of the users' platform.
 var platformNames = regexp.MustCompile(
-	`(?i)X-Corkpulley-(Attempt|Deadline|Expect|Instance|Not-Executed|Server|Prompt|Token|Length|Wait|Request-Priority)|/log-(append|read|newest|join|leave|commit|owners|trim)|keyed\.(op|servers|status)|` +
+	`X-Corkpulley-(Attempt|Deadline|Expect|Instance|Not-Executed|Server|Prompt|Token|Length|Wait|Request-Priority)|/log-(append|read|newest|join|leave|commit|owners|trim)|"keyed\.(op|servers|status)|` +
 		`/lots/|/kv-|/hold-|/version-put|CORKPULLEY_NODE_FILE|"op/config"`)
 
 // mayUsePlatform are the folders that may import the adapter: the daemon that
