Lead with a shorter lease, and claim at once after the own machine's restart

Ruled out: slow replay of the log (the job was taken up 10 ms after the claim).

Change: a process whose machine held the lease before claims at once, since a machine runs one process at a time; the lease is 1.5 s; the 3 s that must lie between orders of two machines are kept apart from it (order_quiet) and proved without clocks by the number of renewals in the log; a renewal whose answer was lost counts once it is read back.

Steps under way at a takeover still start from nothing; next is to keep their text.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -24,21 +24,35 @@
 type Record struct {
 	Kind   RecordKind `msgpack:"k"`
 	Holder string     `msgpack:"h"`
+	// Node is the machine's name. A machine runs one process at a time.
+	Node string `msgpack:"n"`
 	// Epoch is the holder's own; for a claim, the epoch that it follows.
 	Epoch int64 `msgpack:"e"`
+	// Sequence numbers the renewals of one holder.
+	Sequence int64 `msgpack:"s,omitempty"`
 }
 
+// MinRenewalGap is the least time between two renewals that a holder sends. So
+// a number of renewals in the log proves that a time has passed, without clocks.
+const MinRenewalGap = 100 * time.Millisecond
+
 // State is what a reader knows of the lease.
 type State struct {
 	// Epoch is the fencing token in force: the offset of its claim plus one.
 	// Zero when nobody ever claimed.
 	Epoch    int64
 	Holder   string
+	Node     string
 	Released bool
 	// SeenAt is when the newest record of the epoch was read.
 	SeenAt time.Time
 	// Next is the offset of the next record to read.
 	Next int64
+
+	// otherSeenAt is when the newest record of a holder on another machine was
+	// read, renewalsSince counts the renewals read after it.
+	otherSeenAt   time.Time
+	renewalsSince int
 }
 
 // Apply takes the record at the offset Next, read at the given time. It reports
@@ -51,16 +65,17 @@
 		if record.Epoch != s.Epoch {
 			return false
 		}
-		s.Epoch, s.Holder, s.Released, s.SeenAt = offset+1, record.Holder, false, at
+		s.adopt(offset+1, record, at)
 		return true
 	case Renew:
 		if record.Epoch > s.Epoch {
 			// The claim was won in records that are no longer kept.
-			s.Epoch, s.Holder, s.Released, s.SeenAt = record.Epoch, record.Holder, false, at
+			s.adopt(record.Epoch, record, at)
 			return true
 		}
 		if record.Epoch == s.Epoch && !s.Released {
 			s.SeenAt = at
+			s.renewalsSince++
 		}
 	case Release:
 		if record.Epoch == s.Epoch {
@@ -70,18 +85,39 @@
 	return false
 }
 
+func (s *State) adopt(epoch int64, record Record, at time.Time) {
+	if s.Epoch != 0 && s.Node != record.Node {
+		s.otherSeenAt, s.renewalsSince = s.SeenAt, 0
+	}
+	s.Epoch, s.Holder, s.Node, s.Released, s.SeenAt = epoch, record.Holder, record.Node, false, at
+}
+
 // Skip passes over a record that cannot be read.
 func (s *State) Skip() { s.Next++ }
 
-// Claimable tells whether the lease may be claimed: never held, released, or
-// not renewed for ttl while the log was in reach since contactSince.
-func (s *State) Claimable(now, contactSince time.Time, ttl time.Duration) bool {
+// Claimable tells whether the lease may be claimed by a process on the node:
+// never held, released, held by an earlier process of the same machine, or not
+// renewed for ttl while the log was in reach since contactSince.
+func (s *State) Claimable(node, holder string, now, contactSince time.Time, ttl time.Duration) bool {
 	if s.Epoch == 0 || s.Released {
 		return true
 	}
+	if s.Node == node && s.Holder != holder {
+		// A machine runs one process at a time: the holder is no more.
+		return true
+	}
 	from := s.SeenAt
 	if contactSince.After(from) {
 		from = contactSince
 	}
 	return now.Sub(from) > ttl
 }
+
+// QuietUntil is when a holder on another machine was last heard of plus the
+// given time; the zero time when that time has passed for certain.
+func (s *State) QuietUntil(quiet time.Duration) time.Time {
+	if s.otherSeenAt.IsZero() || time.Duration(s.renewalsSince)*MinRenewalGap > quiet {
+		return time.Time{}
+	}
+	return s.otherSeenAt.Add(quiet)
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -134,7 +134,8 @@
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 	})
 	n.elector = leadership.New(log, leadership.Options{
-		Holder: n.holder, TTL: time.Duration(config.Hosted.Lease), Logger: logger,
+		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
+		Quiet: time.Duration(config.Hosted.OrderQuiet), Logger: logger,
 	}, n.lead)
 	return n, n.listen()
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/leadership"
@@ -12,12 +11,6 @@
 
 // lead is the leader's part: it runs batch items and orders weights.
 func (n *node) lead(ctx context.Context, term leadership.Term) {
-	// Engines without a check of fencing tokens must not hear from two leaders
-	// within the time of a lease, so a later leader keeps silent that long.
-	orderFrom := term.Began
-	if !term.First {
-		orderFrom = term.Began.Add(time.Duration(n.config.Hosted.Lease))
-	}
 	var runner *batchrun.Runner
 	var orders *weightorders.Manager
 	orders = weightorders.New(weightorders.Options{
@@ -26,7 +19,7 @@
 		Running: func(engine string) int { return runner.Running(engine) },
 		Demands: func() map[string]batchrun.Demand { return runner.Demands() },
 		Loaded:  func() { runner.Wake() },
-		Holder:  n.holder, Fence: term.Epoch, OrderFrom: orderFrom, Logger: n.logger,
+		Holder:  n.holder, Fence: term.Epoch, OrderFrom: term.QuietUntil, Logger: n.logger,
 	})
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, RouteOf: n.batchRoute,
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -26,6 +26,10 @@
 	pollWait    = time.Second
 	readLimit   = 256 << 10
 	retryDelay  = 100 * time.Millisecond
+	// renewalTimeout bounds one renewal; the next one does not wait longer.
+	renewalTimeout = 400 * time.Millisecond
+	// maxOpenRenewals bounds the renewals that are waited for.
+	maxOpenRenewals = 32
 	// checkPeriod is the time between two looks at a lease held by another.
 	checkPeriod = 50 * time.Millisecond
 	// claimJitter spreads the claims of nodes that find a lease free at once.
@@ -38,8 +42,9 @@
 	Epoch int64
 	// Began is when this node learnt that it leads.
 	Began time.Time
-	// First is true when nobody led before.
-	First bool
+	// QuietUntil is the time before which no engine may be ordered: a leader on
+	// another machine may have ordered it just now. It may lie in the past.
+	QuietUntil time.Time
 }
 
 // Role is what a leader does. It returns soon after ctx ends.
@@ -47,10 +52,13 @@
 
 // Options say who asks for leadership and how.
 type Options struct {
-	// Holder names this process.
+	// Holder names this process, Node its machine.
 	Holder string
+	Node   string
 	// TTL is how long a lease holds after its last renewal.
-	TTL    time.Duration
+	TTL time.Duration
+	// Quiet is the time that must lie between orders of two machines.
+	Quiet  time.Duration
 	Logger zerolog.Logger
 }
 
@@ -69,7 +77,11 @@
 	validUntil time.Time
 	// claimSent is when the open claim was sent.
 	claimSent time.Time
-	stopping  bool
+	// sequence numbers the renewals, sentAt holds when those that were not read
+	// back yet were sent.
+	sequence int64
+	sentAt   map[int64]time.Time
+	stopping bool
 
 	changed chan struct{}
 }
@@ -81,6 +93,7 @@
 		partition: eventlog.Partition{Topic: topic},
 		options:   options,
 		role:      role,
+		sentAt:    make(map[int64]time.Time),
 		changed:   make(chan struct{}, 1),
 	}
 }
@@ -129,7 +142,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if _, err := e.append(ctx, lease.Record{Kind: lease.Release, Holder: e.options.Holder, Epoch: epoch}); err == nil {
+		if err := e.append(ctx, e.record(lease.Release, epoch)); err == nil {
 			e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership released")
 			return
 		}
@@ -146,8 +159,11 @@
 
 // lead runs the role until the lease is lost.
 func (e *Elector) lead(ctx context.Context, epoch int64) {
-	term := Term{Epoch: epoch, Began: time.Now(), First: epoch == 1}
-	e.options.Logger.Info().Int64("epoch", epoch).Bool("first", term.First).Msg("leadership gained")
+	e.mu.Lock()
+	term := Term{Epoch: epoch, QuietUntil: e.state.QuietUntil(e.options.Quiet)}
+	e.mu.Unlock()
+	e.options.Logger.Info().Int64("epoch", epoch).Dur("quiet_ms", max(0, time.Until(term.QuietUntil))).
+		Msg("leadership gained")
 	roleContext, cancel := context.WithCancel(ctx)
 	finished := make(chan struct{})
 	go func() {
@@ -169,26 +185,42 @@
 			return
 		}
 		sent := time.Now()
-		appendContext, cancel := context.WithTimeout(ctx, 2*period)
-		_, err := e.append(appendContext, lease.Record{Kind: lease.Renew, Holder: e.options.Holder, Epoch: epoch})
+		record := e.record(lease.Renew, epoch)
+		record.Sequence = e.noteRenewal(sent)
+		appendContext, cancel := context.WithTimeout(ctx, renewalTimeout)
+		err := e.append(appendContext, record)
 		cancel()
 		if err == nil {
 			e.extend(epoch, sent)
 		} else {
 			e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
 		}
-		select {
-		case <-ctx.Done():
-		case <-e.changed:
-		case <-time.After(max(period-time.Since(sent), retryDelay)):
-		}
+		sleep(ctx, max(period-time.Since(sent), lease.MinRenewalGap))
+	}
+}
+
+// noteRenewal numbers a renewal and remembers when it was sent: one whose answer
+// is lost counts once it is read back.
+func (e *Elector) noteRenewal(sent time.Time) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.sentAt) >= maxOpenRenewals {
+		clear(e.sentAt)
 	}
+	e.sequence++
+	e.sentAt[e.sequence] = sent
+	return e.sequence
 }
 
 // extend counts the lease from when the acknowledged record was sent.
 func (e *Elector) extend(epoch int64, sent time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.extendLocked(epoch, sent)
+}
+
+// extendLocked is extend with mu held.
+func (e *Elector) extendLocked(epoch int64, sent time.Time) {
 	if e.state.Epoch != epoch || e.state.Holder != e.options.Holder || e.stopping {
 		return
 	}
@@ -201,14 +233,18 @@
 	now := time.Now()
 	e.mu.Lock()
 	inContact := !e.contactSince.IsZero()
-	free := inContact && !e.stopping && e.state.Claimable(now, e.contactSince, e.options.TTL)
+	free := inContact && !e.stopping &&
+		e.state.Claimable(e.options.Node, e.options.Holder, now, e.contactSince, e.options.TTL)
+	ownMachine := e.state.Node == e.options.Node
 	next, previous := e.state.Next, e.state.Epoch
 	pending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
 	e.mu.Unlock()
 	if !free || pending {
 		return
 	}
-	sleep(ctx, rand.N(claimJitter))
+	if !ownMachine {
+		sleep(ctx, rand.N(claimJitter))
+	}
 	e.mu.Lock()
 	if e.state.Next != next {
 		e.mu.Unlock()
@@ -216,7 +252,7 @@
 	}
 	e.claimSent = time.Now()
 	e.mu.Unlock()
-	_, err := e.appendAt(ctx, next, lease.Record{Kind: lease.Claim, Holder: e.options.Holder, Epoch: previous})
+	err := e.appendAt(ctx, next, e.record(lease.Claim, previous))
 	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
 }
 
@@ -252,6 +288,7 @@
 		if e.state.Apply(record, now) {
 			e.epochChanged(record)
 		}
+		e.readBack(record)
 	}
 	if e.contactSince.IsZero() && e.state.Next >= batch.End {
 		e.contactSince = now
@@ -270,6 +307,17 @@
 	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
 }
 
+// readBack counts an own renewal that was read from the log; mu is held.
+func (e *Elector) readBack(record lease.Record) {
+	if record.Holder != e.options.Holder || record.Kind != lease.Renew {
+		return
+	}
+	if sent, open := e.sentAt[record.Sequence]; open {
+		delete(e.sentAt, record.Sequence)
+		e.extendLocked(record.Epoch, sent)
+	}
+}
+
 // skipTo passes over records that are no longer kept. Renewals go on while a
 // holder lives, so the epoch in force shows in the first record kept.
 func (e *Elector) skipTo(first int64) {
@@ -294,20 +342,26 @@
 	}
 }
 
-func (e *Elector) append(ctx context.Context, record lease.Record) (int64, error) {
+func (e *Elector) record(kind lease.RecordKind, epoch int64) lease.Record {
+	return lease.Record{Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Epoch: epoch}
+}
+
+func (e *Elector) append(ctx context.Context, record lease.Record) error {
 	raw, err := msgpack.Marshal(&record)
 	if err != nil {
-		return 0, errors.Wrap(err, "encode the lease record")
+		return errors.Wrap(err, "encode the lease record")
 	}
-	return e.log.Append(ctx, e.partition, [][]byte{raw})
+	_, err = e.log.Append(ctx, e.partition, [][]byte{raw})
+	return err
 }
 
-func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) (int64, error) {
+func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) error {
 	raw, err := msgpack.Marshal(&record)
 	if err != nil {
-		return 0, errors.Wrap(err, "encode the lease record")
+		return errors.Wrap(err, "encode the lease record")
 	}
-	return e.log.AppendAt(ctx, e.partition, end, [][]byte{raw})
+	_, err = e.log.AppendAt(ctx, e.partition, end, [][]byte{raw})
+	return err
 }
 
 func sleep(ctx context.Context, period time.Duration) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -156,6 +156,7 @@
 func (c *checker) hosted(hosted Hosted) {
 	c.reachable("hosted.log", hosted.Log)
 	c.duration("hosted.lease", hosted.Lease, MinLease, MaxLease)
+	c.duration("hosted.order_quiet", hosted.OrderQuiet, 0, MaxLease)
 	c.number("hosted.partitions", hosted.Partitions, 1, MaxPartitions)
 	c.number("hosted.record_bytes", hosted.RecordBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,9 @@
 	Log string `toml:"log"`
 	// Lease is how long a leader leads after its last renewal, 500 ms..1 min.
 	Lease Duration `toml:"lease"`
+	// OrderQuiet is the least time between orders to engines from two machines,
+	// 0..1 min.
+	OrderQuiet Duration `toml:"order_quiet"`
 	// Partitions is the number of partitions of batch jobs, 1..1024. It is the
 	// same on all nodes and never changes while jobs are kept.
 	Partitions int `toml:"partitions"`
@@ -118,7 +121,8 @@
 	DefaultMaxConcurrentLoads = 4096
 	DefaultPolicy             = "default"
 	DefaultLevel              = "info"
-	DefaultLease              = 3 * time.Second
+	DefaultLease              = 1500 * time.Millisecond
+	DefaultOrderQuiet         = 3 * time.Second
 	DefaultPartitions         = 4
 	DefaultRecordBytes        = 256 << 10
 	DefaultCallBytes          = 2 << 20
@@ -138,7 +142,7 @@
 		},
 		Cluster: Cluster{ProbeInterval: Duration(DefaultProbeInterval)},
 		Hosted: Hosted{
-			Lease: Duration(DefaultLease), Partitions: DefaultPartitions,
+			Lease: Duration(DefaultLease), OrderQuiet: Duration(DefaultOrderQuiet), Partitions: DefaultPartitions,
 			RecordBytes: DefaultRecordBytes, CallBytes: DefaultCallBytes,
 			KeepJobs: Duration(DefaultKeepJobs),
 		},
