--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,203 @@
+package leadership
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+const testTTL = 600 * time.Millisecond
+
+// candidate is one elector with what its role was told.
+type candidate struct {
+	elector *Elector
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	terms   []Term
+	leading bool
+}
+
+func (c *candidate) role(ctx context.Context, term Term) {
+	c.mu.Lock()
+	c.terms, c.leading = append(c.terms, term), true
+	c.mu.Unlock()
+	<-ctx.Done()
+	c.mu.Lock()
+	c.leading = false
+	c.mu.Unlock()
+}
+
+func (c *candidate) leads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading
+}
+
+func (c *candidate) lastTerm() Term {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.terms[len(c.terms)-1]
+}
+
+func join(t *testing.T, log eventlog.Log, node, holder string) *candidate {
+	t.Helper()
+	c := &candidate{}
+	c.elector = New(log, Options{
+		Holder: holder, Node: node, TTL: testTTL, Quiet: testTTL, Logger: zerolog.Nop(),
+	}, c.role)
+	ctx, cancel := context.WithCancel(t.Context())
+	c.cancel = cancel
+	go func() { _ = c.elector.Run(ctx) }()
+	t.Cleanup(cancel)
+	return c
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestOneOfManyLeads(t *testing.T) {
+	log := memlog.New()
+	candidates := []*candidate{join(t, log, "a", "a1"), join(t, log, "b", "b1"), join(t, log, "c", "c1")}
+	count := func() int {
+		leading := 0
+		for _, each := range candidates {
+			if each.leads() {
+				leading++
+			}
+		}
+		return leading
+	}
+	await(t, "one leads", func() bool { return count() == 1 })
+	leader, epoch := candidates[0].elector.Leader()
+	assert.Assert(t, leader != "" && epoch > 0)
+}
+
+func TestAnotherTakesOverWhenTheLeaderDies(t *testing.T) {
+	log := memlog.New()
+	first := join(t, log, "a", "a1")
+	await(t, "a leads", first.leads)
+	second := join(t, log, "b", "b1")
+	first.cancel()
+	await(t, "b leads", second.leads)
+	assert.Assert(t, second.lastTerm().Epoch > first.lastTerm().Epoch)
+	assert.Assert(t, !second.lastTerm().QuietUntil.IsZero(), "the other machine may have ordered just now")
+}
+
+func TestReleaseHandsOver(t *testing.T) {
+	log := memlog.New()
+	first := join(t, log, "a", "a1")
+	await(t, "a leads", first.leads)
+	second := join(t, log, "b", "b1")
+	first.elector.Stop(t.Context())
+	await(t, "b leads", second.leads)
+	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch))
+}
+
+// TestLeaderOutOfReachOfTheLogStopsBeforeAnotherLeads cuts only the leader off.
+func TestLeaderOutOfReachOfTheLogStopsBeforeAnotherLeads(t *testing.T) {
+	log := memlog.New()
+	link := &cutLog{Log: log}
+	first := join(t, link, "a", "a1")
+	await(t, "a leads", first.leads)
+	second := join(t, log, "b", "b1")
+	link.cut(true)
+	await(t, "b leads", second.leads)
+	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch), "a still counts its lease as valid")
+	await(t, "a stops", func() bool { return !first.leads() })
+	link.cut(false)
+	await(t, "a learns of b", func() bool { holder, _ := first.elector.Leader(); return holder == "b1" })
+	assert.Assert(t, !first.leads())
+}
+
+// TestLeaderSurvivesLostAnswers loses the answer of every append: renewals count
+// once they are read back.
+func TestLeaderSurvivesLostAnswers(t *testing.T) {
+	log := memlog.New()
+	first := join(t, log, "a", "a1")
+	await(t, "a leads", first.leads)
+	epoch := first.lastTerm().Epoch
+	log.SetFault(func(call memlog.Call) memlog.Fault {
+		if call.Append {
+			return memlog.LostAnswer
+		}
+		return memlog.None
+	})
+	from := log.End(eventlog.Partition{Topic: topic})
+	await(t, "many renewals", func() bool { return log.End(eventlog.Partition{Topic: topic}) > from+4*renewalsPerTTL })
+	assert.Assert(t, first.elector.Valid(epoch))
+	assert.Equal(t, len(first.terms), 1)
+}
+
+// TestOutageMovesNoLeadership takes the whole log away: nobody claims before the
+// holder had its time to renew.
+func TestOutageMovesNoLeadership(t *testing.T) {
+	log := memlog.New()
+	first := join(t, log, "a", "a1")
+	await(t, "a leads", first.leads)
+	second := join(t, log, "b", "b1")
+	await(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	await(t, "a stops", func() bool { return !first.leads() })
+	log.SetFault(nil)
+	await(t, "somebody leads again", func() bool { return first.leads() || second.leads() })
+	holder, epoch := first.elector.Leader()
+	assert.Assert(t, holder != "" && epoch >= first.terms[0].Epoch)
+}
+
+// cutLog is a link to a log that can be cut.
+type cutLog struct {
+	eventlog.Log
+	mu   sync.Mutex
+	down bool
+}
+
+func (c *cutLog) cut(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+func (c *cutLog) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+func (c *cutLog) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
+	if c.isDown() {
+		return 0, eventlog.ErrNotDone
+	}
+	return c.Log.Append(ctx, name, records)
+}
+
+func (c *cutLog) AppendAt(ctx context.Context, name eventlog.Partition, at int64, records [][]byte) (int64, error) {
+	if c.isDown() {
+		return 0, eventlog.ErrNotDone
+	}
+	return c.Log.AppendAt(ctx, name, at, records)
+}
+
+func (c *cutLog) Read(
+	ctx context.Context, name eventlog.Partition, from int64, limit int, wait time.Duration,
+) (eventlog.Batch, error) {
+	if c.isDown() {
+		return eventlog.Batch{}, eventlog.ErrNotDone
+	}
+	return c.Log.Read(ctx, name, from, limit, wait)
+}
--- /dev/null
+++ b/internal/standin/memlog/memlog.go
@@ -0,0 +1,279 @@
+// Package memlog stands in for a platform's partitioned log: in memory, with
+// every fault that the log's users must bear. It implements eventlog.Log.
+package memlog
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// Fault is what happens to a call.
+type Fault uint8
+
+// The faults.
+const (
+	// None: the call works.
+	None Fault = iota
+	// Refused: the call has no effect and says so.
+	Refused
+	// LostAnswer: the call has its effect and no answer.
+	LostAnswer
+	// LostCall: the call has neither an effect nor an answer.
+	LostCall
+	// LateEffect: the call has no answer, and its effect when Release is called.
+	LateEffect
+)
+
+// Call describes a call to the fault hook.
+type Call struct {
+	Append    bool
+	Partition eventlog.Partition
+}
+
+// Log is the log.
+type Log struct {
+	mu         sync.Mutex
+	partitions map[eventlog.Partition]*partition
+	fault      func(Call) Fault
+	late       []func()
+	changed    chan struct{}
+}
+
+type partition struct {
+	first   int64
+	records [][]byte
+	keys    map[string]eventlog.KeyedRecord
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+var _ eventlog.Log = (*Log)(nil)
+
+// New returns an empty log.
+func New() *Log {
+	return &Log{partitions: make(map[eventlog.Partition]*partition), changed: make(chan struct{})}
+}
+
+// SetFault sets what decides the fate of each call; nil for no faults.
+func (l *Log) SetFault(fault func(Call) Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = fault
+	l.notify()
+}
+
+// Release carries out all calls whose effect is late.
+func (l *Log) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, effect := range l.late {
+		effect()
+	}
+	l.late = nil
+	l.notify()
+}
+
+// End returns the end of a partition.
+func (l *Log) End(name eventlog.Partition) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.partition(name).end()
+}
+
+// First returns the first offset kept.
+func (l *Log) First(name eventlog.Partition) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.partition(name).first
+}
+
+// Trim drops the records before an offset.
+func (l *Log) Trim(name eventlog.Partition, before int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.partition(name)
+	if drop := min(before-p.first, int64(len(p.records))); drop > 0 {
+		p.records = slices.Clone(p.records[drop:])
+		p.first += drop
+	}
+}
+
+// Put writes a keyed record and returns its offset; an empty value deletes the key.
+func (l *Log) Put(topic, key string, value []byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	raw := append([]byte{byte(len(key))}, key...)
+	offset := l.append(eventlog.Partition{Topic: topic}, [][]byte{append(raw, value...)})
+	l.notify()
+	return offset
+}
+
+// partition returns a partition, which comes into being on first use; mu is held.
+func (l *Log) partition(name eventlog.Partition) *partition {
+	p, found := l.partitions[name]
+	if !found {
+		p = &partition{keys: make(map[string]eventlog.KeyedRecord)}
+		l.partitions[name] = p
+	}
+	return p
+}
+
+// append adds records and returns the offset of the first; mu is held.
+func (l *Log) append(name eventlog.Partition, records [][]byte) int64 {
+	p := l.partition(name)
+	first := p.end()
+	for _, raw := range records {
+		raw = slices.Clone(raw)
+		if len(raw) > 0 && len(raw) > int(raw[0]) {
+			key, value := string(raw[1:1+raw[0]]), raw[1+raw[0]:]
+			if len(value) == 0 {
+				delete(p.keys, key)
+			} else {
+				p.keys[key] = eventlog.KeyedRecord{Key: key, Value: value, Offset: p.end()}
+			}
+		}
+		p.records = append(p.records, raw)
+	}
+	return first
+}
+
+// notify wakes all readers; mu is held.
+func (l *Log) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Append implements eventlog.Log.
+func (l *Log) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
+	return l.write(ctx, name, func(int64) bool { return true }, records)
+}
+
+// AppendAt implements eventlog.Log.
+func (l *Log) AppendAt(ctx context.Context, name eventlog.Partition, at int64, records [][]byte) (int64, error) {
+	return l.write(ctx, name, func(end int64) bool { return end == at }, records)
+}
+
+func (l *Log) write(
+	ctx context.Context, name eventlog.Partition, holds func(end int64) bool, records [][]byte,
+) (int64, error) {
+	if ctx.Err() != nil {
+		return 0, eventlog.ErrNotDone
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.notify()
+	switch l.fateOf(Call{Append: true, Partition: name}) {
+	case Refused:
+		return 0, eventlog.ErrNotDone
+	case LostCall:
+		return 0, eventlog.ErrOutcomeUnknown
+	case LateEffect:
+		l.late = append(l.late, func() {
+			if holds(l.partition(name).end()) {
+				l.append(name, records)
+			}
+		})
+		return 0, eventlog.ErrOutcomeUnknown
+	case LostAnswer:
+		if holds(l.partition(name).end()) {
+			l.append(name, records)
+		}
+		return 0, eventlog.ErrOutcomeUnknown
+	}
+	if end := l.partition(name).end(); !holds(end) {
+		return 0, &eventlog.ConflictError{End: end}
+	}
+	return l.append(name, records), nil
+}
+
+// fateOf asks the hook; mu is held.
+func (l *Log) fateOf(call Call) Fault {
+	if l.fault == nil {
+		return None
+	}
+	return l.fault(call)
+}
+
+// Read implements eventlog.Log.
+func (l *Log) Read(
+	ctx context.Context, name eventlog.Partition, from int64, limit int, wait time.Duration,
+) (eventlog.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed, err := l.readNow(name, from, limit)
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-ctx.Done():
+			return eventlog.Batch{}, ctx.Err()
+		case <-timer.C:
+			batch, _, err := l.readNow(name, from, limit)
+			return batch, err
+		case <-changed:
+		}
+	}
+}
+
+func (l *Log) readNow(name eventlog.Partition, from int64, limit int) (eventlog.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if fate := l.fateOf(Call{Partition: name}); fate != None {
+		return eventlog.Batch{}, nil, eventlog.ErrNotDone
+	}
+	p := l.partition(name)
+	if from < p.first {
+		return eventlog.Batch{}, nil, &eventlog.GoneError{First: p.first}
+	}
+	batch := eventlog.Batch{First: from, End: p.end()}
+	size := 0
+	for offset := from; offset < p.end(); offset++ {
+		raw := p.records[offset-p.first]
+		if size += len(raw); size > limit && len(batch.Records) > 0 {
+			break
+		}
+		batch.Records = append(batch.Records, slices.Clone(raw))
+	}
+	return batch, l.changed, nil
+}
+
+// Newest implements eventlog.Log.
+func (l *Log) Newest(_ context.Context, topic string) (eventlog.KeyedBatch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	name := eventlog.Partition{Topic: topic}
+	if l.fateOf(Call{Partition: name}) != None {
+		return eventlog.KeyedBatch{}, eventlog.ErrNotDone
+	}
+	p := l.partition(name)
+	batch := eventlog.KeyedBatch{Next: p.end()}
+	for _, record := range p.keys {
+		batch.Records = append(batch.Records, record)
+	}
+	sort.Slice(batch.Records, func(i, j int) bool { return batch.Records[i].Key < batch.Records[j].Key })
+	return batch, nil
+}
+
+// ReadKeyed implements eventlog.Log.
+func (l *Log) ReadKeyed(
+	ctx context.Context, topic string, from int64, wait time.Duration,
+) (eventlog.KeyedBatch, error) {
+	batch, err := l.Read(ctx, eventlog.Partition{Topic: topic}, from, 1<<20, wait)
+	if err != nil {
+		return eventlog.KeyedBatch{}, err
+	}
+	keyed := eventlog.KeyedBatch{Next: from + int64(len(batch.Records))}
+	for i, raw := range batch.Records {
+		key, value := string(raw[1:1+raw[0]]), raw[1+raw[0]:]
+		keyed.Records = append(keyed.Records, eventlog.KeyedRecord{
+			Key: key, Value: value, Deleted: len(value) == 0, Offset: from + int64(i),
+		})
+	}
+	return keyed, nil
+}
