Keep the text of running items in the log, so that a new leader continues them

A new leader reads the chain and asks with the last event's number. A leader that stops by plan writes once more and records its results before it releases. Output of groups that were not whole is kept for the job in which they return. A stream is given up after 1.3 s of silence (3.5 s while the engine loads), not when this process itself stood still.

--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -102,6 +102,53 @@
 	return s.appendIndex(ctx, target, batch.Record{Results: results})
 }
 
+// RunningItem is output of an item that still runs, to be kept.
+type RunningItem struct {
+	Record batch.ProgressRecord
+	Text   []byte
+}
+
+// Keep writes output of items of one partition that still run.
+func (s *Service) Keep(ctx context.Context, number int, running []RunningItem) error {
+	target := s.partitions[number]
+	progress := make([]batch.ProgressRecord, len(running))
+	var records [][]byte
+	for i, item := range running {
+		pieces := split(item.Text, s.options.RecordBytes)
+		progress[i] = item.Record
+		progress[i].Text = batch.Span{First: int64(len(records)), Count: len(pieces)}
+		progress[i].TextBytes = len(item.Text)
+		records = append(records, pieces...)
+	}
+	first, err := s.appendData(ctx, target, records)
+	if err != nil {
+		return err
+	}
+	for i := range progress {
+		progress[i].Text.First += first
+	}
+	return s.appendIndex(ctx, target, batch.Record{Progress: progress})
+}
+
+// KeptText returns the text of a progress.
+func (s *Service) KeptText(ctx context.Context, jobID string, progress batch.Progress) ([]byte, error) {
+	target := s.partitionOf(jobID)
+	var text []byte
+	for i, part := range progress.Parts {
+		records, err := s.readData(ctx, target, part, min(progress.TextBytes+recordOverhead, readLimit))
+		if err != nil {
+			return nil, err
+		}
+		if i > 0 {
+			text = append(text, '\n')
+		}
+		for _, record := range records {
+			text = append(text, record...)
+		}
+	}
+	return text, nil
+}
+
 // split cuts a text into pieces of at most size bytes.
 func split(text []byte, size int) [][]byte {
 	var pieces [][]byte
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -75,6 +75,8 @@
 	Observe(observer batch.Observer)
 	Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error)
 	Record(ctx context.Context, partition int, finished []batchjobs.FinishedItem) error
+	Keep(ctx context.Context, partition int, running []batchjobs.RunningItem) error
+	KeptText(ctx context.Context, jobID string, progress batch.Progress) ([]byte, error)
 	PartitionOf(jobID string) int
 }
 
--- a/internal/batchrun/recorder.go
+++ b/internal/batchrun/recorder.go
@@ -16,6 +16,8 @@
 	// recordTimeout bounds one try to record.
 	recordTimeout = 2 * time.Second
 	recordDelay   = 100 * time.Millisecond
+	// finalRecordTimeout bounds what is written after the end of a term.
+	finalRecordTimeout = 600 * time.Millisecond
 )
 
 // recorder writes the ends of items to the log, one writer a partition.
@@ -51,23 +53,33 @@
 	}
 }
 
-// run starts a writer for each partition that has something to write.
+// run starts a writer for each partition that has something to write. When ctx
+// ends, what is pending gets a last chance.
 func (r *recorder) run(ctx context.Context) {
-	defer r.wait.Wait()
+	lasting, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
+			stop := time.AfterFunc(finalRecordTimeout, cancel)
+			defer stop.Stop()
+			r.startWriters(lasting)
+			r.wait.Wait()
 			return
 		case <-r.wake:
+			r.startWriters(lasting)
 		}
-		r.mu.Lock()
-		for partition, pending := range r.pending {
-			if len(pending) > 0 && !r.busy[partition] {
-				r.busy[partition] = true
-				r.wait.Go(func() { r.write(ctx, partition) })
-			}
+	}
+}
+
+func (r *recorder) startWriters(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for partition, pending := range r.pending {
+		if len(pending) > 0 && !r.busy[partition] {
+			r.busy[partition] = true
+			r.wait.Go(func() { r.write(ctx, partition) })
 		}
-		r.mu.Unlock()
 	}
 }
 
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -1,10 +1,9 @@
 package batchrun
 
 import (
-	"bytes"
 	"context"
 	"io"
-	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,9 +14,14 @@
 )
 
 const (
-	// stallTimeout ends a run whose stream has been silent for so long. An
-	// engine that changes its weights is silent for a second or two.
-	stallTimeout = 3 * time.Second
+	// stallTimeout ends a run whose stream has been silent for so long,
+	// loadingTimeout one at an engine that changes its weights, which keeps it
+	// silent for a second or two.
+	stallTimeout   = 1300 * time.Millisecond
+	loadingTimeout = 3500 * time.Millisecond
+	// stoodStill is the time between two ticks after which this process itself
+	// must have stood still.
+	stoodStill = 4 * tickPeriod
 	// slowFactor is how much slower than the typical engine one must be for its
 	// items to be moved, fastFactor how much slower the new one may be.
 	slowFactor = 1.7
@@ -26,24 +30,6 @@
 	minMovedAge = 250 * time.Millisecond
 )
 
-// progress is what an item has of its output.
-type progress struct {
-	events   [][]byte
-	last     int64
-	versions []int64
-}
-
-func (p *progress) add(event Event) {
-	p.events = append(p.events, event.Data)
-	p.last = event.Number
-	if !slices.Contains(p.versions, event.Version) {
-		p.versions = append(p.versions, event.Version)
-	}
-}
-
-// text is the data of all events, separated by line feeds.
-func (p *progress) text() []byte { return bytes.Join(p.events, []byte{'\n'}) }
-
 // stopReason is why a run was ended from outside.
 type stopReason uint8
 
@@ -64,6 +50,33 @@
 	cancel  context.CancelFunc
 	// reason is guarded by the runner's mu.
 	reason stopReason
+	// heardAt is when the stream was heard last, in nanoseconds since 1970; stall
+	// looks at it when it may have fallen silent.
+	heardAt atomic.Int64
+	stall   atomic.Pointer[time.Timer]
+}
+
+// checkStall stops a run whose stream is silent, or looks again later. A process
+// that stood still itself gives its streams time to be heard.
+func (r *Runner) checkStall(own *run) {
+	timeout := stallTimeout
+	if r.options.Loading(own.engine) != "" {
+		timeout = loadingTimeout
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	left := timeout - now.Sub(time.Unix(0, own.heardAt.Load()))
+	if stood := now.Sub(r.tickedAt); stood > stoodStill {
+		left = max(left, stoodStill)
+	}
+	if left <= 0 {
+		own.stop(stopStalled)
+		return
+	}
+	if timer := own.stall.Load(); timer != nil {
+		timer.Reset(left)
+	}
 }
 
 // stop ends the run; the first reason stands. The runner's mu is held.
@@ -111,11 +124,9 @@
 func (r *Runner) follow(
 	ctx context.Context, job *openJob, key batchplan.Key, engine fleet.Engine, own *run, call Call,
 ) error {
-	stall := time.AfterFunc(stallTimeout, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		own.stop(stopStalled)
-	})
+	own.heardAt.Store(time.Now().UnixNano())
+	stall := time.AfterFunc(stallTimeout, func() { r.checkStall(own) })
+	own.stall.Store(stall)
 	defer stall.Stop()
 	stream, err := r.options.Engines.Stream(ctx, engine, call)
 	if err != nil {
@@ -128,8 +139,8 @@
 		if err != nil {
 			return err
 		}
-		stall.Reset(stallTimeout)
 		now := time.Now()
+		own.heardAt.Store(now.UnixNano())
 		if err := r.take(job, key, own, event, now, previous); err != nil {
 			return err
 		}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -31,7 +31,9 @@
 	RouteOf RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine string) string
-	Logger  zerolog.Logger
+	// Term names this term of leading among all terms.
+	Term   string
+	Logger zerolog.Logger
 }
 
 // Runner runs items while it leads.
@@ -45,6 +47,12 @@
 	plan *batchplan.Plan
 	jobs map[string]*openJob
 	runs map[batchplan.Key]*run
+	// tickedAt is when the runner last looked round.
+	tickedAt time.Time
+	// chains counts the chains of this term.
+	chains int
+	// carriedOver holds output left by ended jobs, by item ID.
+	carriedOver map[string]carried
 	// wait counts the goroutines of runs and loads.
 	wait sync.WaitGroup
 }
@@ -55,6 +63,8 @@
 	payloads []batch.Payload
 	items    []itemState
 	addedAt  time.Time
+	// kept holds the progress that other leaders left in the log.
+	kept map[int]batch.Progress
 	// left counts the items without a recorded result.
 	left int
 }
@@ -62,9 +72,11 @@
 // itemState is what the runner knows of one item.
 type itemState struct {
 	// done is true once the item has ended here or has a recorded result.
-	done     bool
-	failures int
-	progress progress
+	done bool
+	// completed is true once the item has its whole output.
+	completed bool
+	failures  int
+	progress  progress
 }
 
 // New returns a runner for one term of leading.
@@ -75,6 +87,8 @@
 		plan:    batchplan.New(),
 		jobs:    make(map[string]*openJob),
 		runs:    make(map[batchplan.Key]*run),
+
+		carriedOver: make(map[string]carried),
 	}
 	r.recorder = newRecorder(options.Jobs, options.Logger)
 	return r
@@ -90,6 +104,10 @@
 		r.recorder.run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		r.keepLoop(ctx)
+		return nil
+	})
 	r.options.Jobs.Observe(r)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -97,7 +115,8 @@
 		select {
 		case <-ctx.Done():
 		case <-r.wake:
-		case <-ticker.C:
+		case now := <-ticker.C:
+			r.tick(now)
 			r.giveUpOld()
 			r.moveStragglers()
 		}
@@ -108,6 +127,12 @@
 	_ = group.Wait()
 }
 
+func (r *Runner) tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tickedAt = now
+}
+
 // Wake makes the runner look at the plan now.
 func (r *Runner) Wake() {
 	select {
@@ -127,10 +152,15 @@
 		record:  job.JobRecord,
 		items:   make([]itemState, len(job.Items)),
 		addedAt: time.Now(),
+		kept:    make(map[int]batch.Progress),
 		left:    len(job.Items) - len(job.Results),
 	}
 	for i := range added.items {
 		added.items[i].done = job.Listed(i)
+		added.items[i].completed = job.Listed(i)
+		if kept, found := job.Progress(i); found {
+			added.kept[i] = kept
+		}
 	}
 	r.jobs[job.ID] = added
 	r.wait.Go(func() { r.load(added) })
@@ -141,7 +171,7 @@
 	for r.ctx.Err() == nil {
 		payloads, err := r.options.Jobs.Payloads(r.ctx, job.record)
 		if err == nil && len(payloads) == len(job.items) {
-			r.queueJob(job, payloads)
+			r.queueJob(job, payloads, r.loadKept(job))
 			return
 		}
 		r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("payloads", len(payloads)).
@@ -150,23 +180,49 @@
 	}
 }
 
-func (r *Runner) queueJob(job *openJob, payloads []batch.Payload) {
+// loadKept reads the output that other leaders left. What cannot be read is
+// made again.
+func (r *Runner) loadKept(job *openJob) map[int]progress {
+	found := make(map[int]progress)
+	for item, kept := range job.kept {
+		text, err := r.options.Jobs.KeptText(r.ctx, job.record.ID, kept)
+		if err != nil {
+			r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
+			continue
+		}
+		found[item] = keptProgress(kept, text)
+	}
+	return found
+}
+
+func (r *Runner) queueJob(job *openJob, payloads []batch.Payload, kept map[int]progress) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.jobs[job.record.ID] != job {
 		return
 	}
 	job.payloads = payloads
-	queued := 0
+	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
+	queued, continued := 0, 0
 	for i := range job.items {
-		if !job.items[i].done {
-			r.queueItem(job, i, "", time.Time{})
-			queued++
+		state := &job.items[i]
+		if state.done {
+			continue
+		}
+		if left, found := kept[i]; found && left.fits(job.record.MinVersion, route.SingleVersion) {
+			state.progress = left
+			continued++
+		}
+		if r.takeCarried(job, i, route.SingleVersion) {
+			r.finish(job, i, batch.Completed, "whole in an earlier job")
+			continue
 		}
+		r.queueItem(job, i, "", time.Time{})
+		queued++
 	}
 	r.options.Logger.Info().Str("job", job.record.ID).Int64("step", job.record.Step).
 		Str("model", job.record.Model).Int64("min_version", job.record.MinVersion).
-		Int("items", len(job.items)).Int("queued", queued).Msg("job taken up")
+		Int("items", len(job.items)).Int("queued", queued).Int("continued", continued).Msg("job taken up")
 	r.Wake()
 }
 
@@ -200,6 +256,7 @@
 	if !found {
 		return
 	}
+	known.items[item].completed = true
 	r.drop(known, item)
 	known.left--
 	if known.left <= 0 {
@@ -216,6 +273,7 @@
 		return
 	}
 	stopped := 0
+	r.carry(known)
 	for i := range known.items {
 		if !known.items[i].done {
 			stopped++
@@ -231,7 +289,6 @@
 func (r *Runner) drop(job *openJob, index int) {
 	key := batchplan.Key{Job: job.record.ID, Item: index}
 	job.items[index].done = true
-	job.items[index].progress = progress{}
 	r.plan.Remove(key)
 	if running, found := r.runs[key]; found {
 		running.stop(stopDropped)
@@ -255,8 +312,10 @@
 	finished := batchjobs.FinishedItem{JobID: job.record.ID, Item: index, Outcome: outcome}
 	if outcome == batch.Completed {
 		finished.Text, finished.Versions = state.progress.text(), state.progress.versions
+		// One piece in place of many, should a later job want it.
+		state.progress.events = [][]byte{finished.Text}
+		state.completed = true
 	}
-	state.progress = progress{}
 	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[index].ID).
 		Int("index", index).Bool("completed", outcome == batch.Completed).Str("reason", reason).
 		Ints64("versions", finished.Versions).Dur("after_ms", time.Since(job.addedAt)).Msg("item finished")
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Result is what stands at one position of a job.
 type Result struct {
@@ -22,6 +25,26 @@
 	SeenAt time.Time
 	listed []bool
 	byID   map[string]int
+	// progress holds what is kept of the output of items without a result.
+	progress map[int]Progress
+}
+
+// Progress is what is kept of the output of an item that has no result yet.
+type Progress struct {
+	// Chain names the run that made the last part.
+	Chain string
+	// To is the number of the last event.
+	To       int64
+	Versions []int64
+	// Parts hold the text; the events of all parts are separated by line feeds.
+	Parts     []Span
+	TextBytes int
+}
+
+// Progress returns what is kept of an item's output.
+func (j *Job) Progress(item int) (Progress, bool) {
+	progress, found := j.progress[item]
+	return progress, found
 }
 
 // Listed tells whether the item has a result.
@@ -99,6 +122,40 @@
 	for _, result := range record.Results {
 		p.addResult(result)
 	}
+	for _, progress := range record.Progress {
+		p.addProgress(progress)
+	}
+}
+
+// addProgress keeps a part of an item's output. A part from the start begins a
+// new chain; any other must continue the chain that is kept, else it was made by
+// a run that did not know of it and is dropped.
+func (p *Partition) addProgress(record ProgressRecord) {
+	job, found := p.jobs[record.Job]
+	if !found || record.Item < 0 || record.Item >= len(job.Items) || job.listed[record.Item] || job.Ended {
+		return
+	}
+	kept := job.progress[record.Item]
+	switch {
+	case record.From == 0 && record.Continues == "" && record.Chain != kept.Chain:
+		kept = Progress{}
+	case record.From != kept.To || record.Chain != kept.Chain && record.Continues != kept.Chain:
+		return
+	}
+	// The slices are built anew: copies of the job were handed out.
+	kept.Chain, kept.To = record.Chain, record.To
+	kept.Parts = append(slices.Clip(kept.Parts), record.Text)
+	kept.TextBytes += record.TextBytes
+	kept.Versions = slices.Clip(kept.Versions)
+	for _, version := range record.Versions {
+		if !slices.Contains(kept.Versions, version) {
+			kept.Versions = append(kept.Versions, version)
+		}
+	}
+	if job.progress == nil {
+		job.progress = make(map[int]Progress)
+	}
+	job.progress[record.Item] = kept
 }
 
 func (p *Partition) addJob(record JobRecord, at time.Time) {
@@ -126,6 +183,7 @@
 		return
 	}
 	job.Ended = true
+	job.progress = nil
 	if p.observer != nil {
 		p.observer.JobEnded(job)
 	}
@@ -138,6 +196,7 @@
 		return
 	}
 	job.listed[record.Item] = true
+	delete(job.progress, record.Item)
 	job.Results = append(job.Results, Result{
 		Item: record.Item, Outcome: record.Outcome, Versions: record.Versions,
 		Text: record.Text, TextBytes: record.TextBytes,
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -66,10 +66,30 @@
 	TextBytes int `msgpack:"b"`
 }
 
+// ProgressRecord keeps output of an item that still runs, so that another leader
+// continues it. Parts form a chain: each begins where the one before ended, and
+// was made by the same run or by a run that was asked to continue there.
+type ProgressRecord struct {
+	Job  string `msgpack:"j"`
+	Item int    `msgpack:"n"`
+	// Chain names the run that made this part; Continues names the chain that
+	// the run took up, empty when it began from nothing.
+	Chain     string `msgpack:"c"`
+	Continues string `msgpack:"k,omitempty"`
+	// From and To are the numbers of the last event before and in this part.
+	From int64 `msgpack:"f"`
+	To   int64 `msgpack:"t"`
+	// Versions made the events of this part.
+	Versions  []int64 `msgpack:"v"`
+	Text      Span    `msgpack:"d"`
+	TextBytes int     `msgpack:"b"`
+}
+
 // Record is one record of the index topic: one of its fields is set.
 type Record struct {
-	Job     *JobRecord     `msgpack:"j,omitempty"`
-	Results []ResultRecord `msgpack:"r,omitempty"`
+	Job      *JobRecord       `msgpack:"j,omitempty"`
+	Results  []ResultRecord   `msgpack:"r,omitempty"`
+	Progress []ProgressRecord `msgpack:"p,omitempty"`
 	// End is the ID of a job that its submitter ended.
 	End string `msgpack:"e,omitempty"`
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
@@ -23,7 +24,7 @@
 	})
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, RouteOf: n.batchRoute,
-		Loading: orders.Loading, Logger: n.logger,
+		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -30,6 +30,9 @@
 	renewalTimeout = 400 * time.Millisecond
 	// maxOpenRenewals bounds the renewals that are waited for.
 	maxOpenRenewals = 32
+	// handoverTimeout bounds the end of the role before a lease is released.
+	handoverTimeout = time.Second
+	handoverCheck   = 10 * time.Millisecond
 	// checkPeriod is the time between two looks at a lease held by another.
 	checkPeriod = 50 * time.Millisecond
 	// claimJitter spreads the claims of nodes that find a lease free at once.
@@ -82,6 +85,8 @@
 	sequence int64
 	sentAt   map[int64]time.Time
 	stopping bool
+	// leading is true while the role runs.
+	leading bool
 
 	changed chan struct{}
 }
@@ -141,6 +146,7 @@
 	if !own || epoch == 0 {
 		return
 	}
+	e.awaitRole(ctx)
 	for ctx.Err() == nil {
 		if err := e.append(ctx, e.record(lease.Release, epoch)); err == nil {
 			e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership released")
@@ -150,6 +156,27 @@
 	}
 }
 
+// awaitRole waits for the end of the role, which hands its work over.
+func (e *Elector) awaitRole(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		leading := e.leading
+		e.mu.Unlock()
+		if !leading {
+			return
+		}
+		sleep(ctx, handoverCheck)
+	}
+}
+
+func (e *Elector) setLeading(leading bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leading = leading
+}
+
 func (e *Elector) held() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -164,6 +191,8 @@
 	e.mu.Unlock()
 	e.options.Logger.Info().Int64("epoch", epoch).Dur("quiet_ms", max(0, time.Until(term.QuietUntil))).
 		Msg("leadership gained")
+	e.setLeading(true)
+	defer e.setLeading(false)
 	roleContext, cancel := context.WithCancel(ctx)
 	finished := make(chan struct{})
 	go func() {
@@ -195,7 +224,18 @@
 		} else {
 			e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
 		}
-		sleep(ctx, max(period-time.Since(sent), lease.MinRenewalGap))
+		e.sleepWhileHeld(ctx, max(period-time.Since(sent), lease.MinRenewalGap))
+	}
+}
+
+// sleepWhileHeld sleeps, but not on when the node stops.
+func (e *Elector) sleepWhileHeld(ctx context.Context, period time.Duration) {
+	for until := time.Now().Add(period); ctx.Err() == nil; {
+		left := time.Until(until)
+		if _, valid := e.held(); left <= 0 || !valid {
+			return
+		}
+		sleep(ctx, min(left, checkPeriod))
 	}
 }
 
