Stand in for the platform; test hosted nodes against it

Change: a store with every call of the log (fences, sequences, 409/410/412/429/503/507, groups, compacted topics) on an in-memory log that refuses, loses answers, loses calls and applies late; engines with slots, orders, reports, versions, cut, foreign, surplus and lost answers. Tests run real nodes through real sockets against both.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -111,6 +111,7 @@
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("engine", engine.ID).
 		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
+		Int("length", record.Length).Int("tokens", record.Tokens).
 		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
 	r.options.Fleet.Began(engine.ID)
 	r.wait.Go(func() {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -318,7 +318,7 @@
 	}
 	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[index].ID).
 		Int("index", index).Bool("completed", outcome == batch.Completed).Str("reason", reason).
-		Ints64("versions", finished.Versions).Dur("after_ms", time.Since(job.addedAt)).Msg("item finished")
+		Ints64("versions", finished.Versions).Int64("events", state.progress.last).Dur("after_ms", time.Since(job.addedAt)).Msg("item finished")
 	r.recorder.add(finished)
 }
 
--- /dev/null
+++ b/internal/standin/platform/engine.go
@@ -0,0 +1,365 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Headers of the engines.
+const (
+	headerRequestID   = "X-Corkpulley-Attempt-Id"
+	headerExpect      = "X-Corkpulley-Expect-Instance"
+	headerInstance    = "X-Corkpulley-Instance-Id"
+	headerNotExecuted = "X-Corkpulley-Not-Executed"
+	headerStamp       = "X-Corkpulley-Server-Stamp"
+	headerLoad        = "X-Corkpulley-Server-Load"
+	headerVersions    = "X-Corkpulley-Weight-Versions"
+	headerModel       = "X-Corkpulley-Model"
+	headerLastEvent   = "Last-Event-Id"
+)
+
+// EngineFault is what happens to a request at an engine.
+type EngineFault uint8
+
+// The faults of engines.
+const (
+	// Works: no fault.
+	Works EngineFault = iota
+	// Full: the engine refuses the request as not run.
+	Full
+	// Fails: the run ends with 500.
+	Fails
+	// Impossible: the request can never be run.
+	Impossible
+	// CutOff: the answer ends early.
+	CutOff
+	// Silent: the engine runs the request and never answers.
+	Silent
+	// AnswerLost: the engine runs the request and closes the connection.
+	AnswerLost
+	// Surplus: a second answer follows the first on the connection.
+	Surplus
+	// Foreign: the answer bears the ID of another request.
+	Foreign
+)
+
+// Run is one request that an engine has begun.
+type Run struct {
+	ID    string
+	Path  string
+	Query string
+	Body  string
+	After int64
+	Host  string
+	At    time.Time
+}
+
+// EngineOptions describe an engine.
+type EngineOptions struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Versions holds the weight version of each model; an engine without models
+	// gives plain answers.
+	Versions map[string]int64
+	// Events is the number of events of an item, EventTime the time for each.
+	Events    func(id string) int
+	EventTime time.Duration
+	// LoadTime is how long a change of weights takes.
+	LoadTime time.Duration
+	// CheckFences refuses orders with lower fencing tokens than one seen.
+	CheckFences bool
+}
+
+// Engine is a model engine. It is an http.Handler.
+type Engine struct {
+	options EngineOptions
+	router  *mux.Router
+
+	mu       sync.Mutex
+	versions map[string]int64
+	fault    func(id string) EngineFault
+	runs     []Run
+	running  int
+	busy     bool
+	orders   int64
+	fence    int64
+	holders  []string
+}
+
+// NewEngine returns an engine.
+func NewEngine(options EngineOptions) *Engine {
+	e := &Engine{options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true)}
+	e.router.HandleFunc("/report", e.report).Methods(http.MethodGet)
+	e.router.HandleFunc("/order", e.order).Methods(http.MethodPost)
+	e.router.HandleFunc("/healthz", e.health).Methods(http.MethodGet)
+	e.router.NotFoundHandler = http.HandlerFunc(e.serve)
+	e.router.MethodNotAllowedHandler = http.HandlerFunc(e.serve)
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get(headerExpect); expected != "" && expected != e.options.ID {
+		w.Header().Set(headerInstance, e.options.ID)
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.router.ServeHTTP(w, r)
+}
+
+// SetFault sets what decides the fate of each request; nil for no faults.
+func (e *Engine) SetFault(fault func(id string) EngineFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = fault
+}
+
+// Runs returns the requests that the engine has begun.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Version returns the engine's version of a model.
+func (e *Engine) Version(model string) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.versions[model]
+}
+
+// Holders returns who has ordered the engine, in the order of the orders taken.
+func (e *Engine) Holders() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.holders...)
+}
+
+// Entry is the engine's record in the list of engines.
+func (e *Engine) Entry(address, state string) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	raw, err := json.Marshal(map[string]any{
+		"service": e.options.Service, "address": address, "zone": e.options.Zone, "version": "v1",
+		"slots": e.options.Slots, "state": state, "coldLeftMs": 0, "models": e.modelList(), "seqNo": e.orders,
+	})
+	if err != nil {
+		panic(err) // a map of plain values always encodes
+	}
+	return raw
+}
+
+// modelList is the wire form of the versions; mu is held.
+func (e *Engine) modelList() []map[string]any {
+	list := []map[string]any{}
+	for name, version := range e.versions {
+		list = append(list, map[string]any{"name": name, "version": version, "adapters": []string{}})
+	}
+	return list
+}
+
+func (e *Engine) begin(r *http.Request, body string) (EngineFault, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fault := Works
+	id := r.Header.Get(headerRequestID)
+	if e.fault != nil {
+		fault = e.fault(id)
+	}
+	if fault == Full || e.running >= e.options.Slots {
+		return Full, false
+	}
+	after, _ := strconv.ParseInt(r.Header.Get(headerLastEvent), 10, 64)
+	e.running++
+	e.runs = append(e.runs, Run{
+		ID: id, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body, After: after, Host: r.Host, At: time.Now(),
+	})
+	return fault, true
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
+	if id == "" {
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	fault, begun := e.begin(r, string(body))
+	if !begun {
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
+	w.Header().Set(headerStamp, "stamp-"+id)
+	w.Header().Set(headerLoad, fmt.Sprintf("1,0,%d", e.options.Slots))
+	switch fault {
+	case Fails:
+		w.WriteHeader(http.StatusInternalServerError)
+	case Impossible:
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	case Silent:
+		<-r.Context().Done()
+	case AnswerLost:
+		loseAnswer()
+	case Foreign:
+		w.Header().Set(headerRequestID, "another")
+		_, _ = io.WriteString(w, Answer(id))
+	default:
+		if len(e.options.Versions) > 0 {
+			e.stream(w, r, id, fault)
+			return
+		}
+		e.plain(w, id, fault)
+	}
+}
+
+// Answer is the body of a plain answer.
+func Answer(id string) string { return "the whole answer to " + id }
+
+// EventData is the data of an event of an item.
+func EventData(id string, number int) string { return fmt.Sprintf("%s-%d", id, number) }
+
+// Text is the whole output of an item.
+func Text(id string, events int) string {
+	lines := make([]string, events)
+	for i := range lines {
+		lines[i] = EventData(id, i+1)
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (e *Engine) plain(w http.ResponseWriter, id string, fault EngineFault) {
+	answer := Answer(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if fault == CutOff {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		loseAnswer()
+	}
+	_, _ = io.WriteString(w, answer)
+	if fault == Surplus {
+		surplus(w, answer)
+	}
+}
+
+// surplus sends the whole answer again, in the place of the next one.
+func surplus(w http.ResponseWriter, answer string) {
+	control := http.NewResponseController(w)
+	if control.Flush() != nil {
+		return
+	}
+	connection, buffered, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s: another\r\nContent-Length: %d\r\n\r\n%s",
+		headerRequestID, len(answer), answer)
+	_ = buffered.Flush()
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, fault EngineFault) {
+	model := r.Header.Get(headerModel)
+	after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	version := e.Version(model)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(headerVersions, strconv.FormatInt(version, 10))
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	events := e.options.Events(id)
+	for number := after + 1; number <= events; number++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.options.EventTime):
+		}
+		if fault == CutOff && number > (after+events)/2 {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", number)
+			_ = flush.Flush()
+			loseAnswer()
+		}
+		if now := e.Version(model); now != version {
+			version = now
+			_, _ = fmt.Fprintf(w, "%s: %d\n", strings.ToLower(headerVersions), version)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, EventData(id, number))
+		_ = flush.Flush()
+	}
+}
+
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	answerJSON(w, http.StatusOK, map[string]any{
+		"stage": "both", "models": e.modelList(), "busy": e.busy, "seqNo": e.orders,
+		"queuedCount": 0, "runningCount": e.running,
+	})
+}
+
+func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headerInstance, e.options.ID)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Kind     string `json:"opKind"`
+		Model    string `json:"model"`
+		Version  int64  `json:"version"`
+		Holder   string `json:"holder"`
+		Fence    int64  `json:"fence"`
+		Expected *int64 `json:"expectedRev"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Kind != "version" ||
+		body.Holder == "" || body.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.options.CheckFences && body.Fence < e.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	case e.busy || body.Expected != nil && *body.Expected != e.orders:
+		w.WriteHeader(http.StatusConflict)
+		return
+	case e.versions[body.Model] == body.Version:
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	e.fence = max(e.fence, body.Fence)
+	e.orders++
+	e.busy = true
+	e.holders = append(e.holders, body.Holder)
+	time.AfterFunc(e.options.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.versions[body.Model] = body.Version
+		e.busy = false
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
--- /dev/null
+++ b/test/hosted/deployment_test.go
@@ -0,0 +1,301 @@
+// Package hosted tests nodes as they run on the users' platform, against the
+// platform's stand-in: the whole path, through real sockets.
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/hosted"
+	"github.com/corkpulley/corkpulley/internal/settings"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/platform"
+)
+
+const (
+	host  = "desk.example"
+	model = "m0"
+)
+
+// deployment is a platform with engines and nodes.
+type deployment struct {
+	t       *testing.T
+	store   *standin.Store
+	address string
+	engines []*standin.Engine
+	nodes   []*process
+	config  int64
+}
+
+// process is one node.
+type process struct {
+	callers   string
+	operators string
+	cancel    context.CancelFunc
+	done      chan struct{}
+	logs      *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	limits := standin.DefaultLimits()
+	limits.AppendTime = 0
+	d := &deployment{t: t, store: standin.NewStore(limits)}
+	server := httptest.NewServer(d.store)
+	t.Cleanup(server.Close)
+	d.address = strings.TrimPrefix(server.URL, "http://")
+	return d
+}
+
+// addEngine starts an engine and lists it; it returns its address.
+func (d *deployment) addEngine(options standin.EngineOptions) *standin.Engine {
+	d.t.Helper()
+	if options.Slots == 0 {
+		options.Slots = 8
+	}
+	if options.Events == nil {
+		options.Events = func(string) int { return 4 }
+	}
+	options.Zone = "z1"
+	engine := standin.NewEngine(options)
+	server := httptest.NewServer(engine)
+	d.t.Cleanup(server.Close)
+	d.store.Log.Put("keyed.servers", options.ID, engine.Entry(strings.TrimPrefix(server.URL, "http://"), "ready"))
+	d.engines = append(d.engines, engine)
+	return engine
+}
+
+type route map[string]any
+
+func safeRoute(prefix string) route {
+	return route{
+		"name": "r" + prefix, "host": host, "pathPrefix": prefix, "routeKind": "safe", "service": "desk",
+		"timeoutMs": 3000, "targetMs": 150, "maxAttempts": 2,
+	}
+}
+
+func batchRoute(prefix string) route {
+	return route{
+		"name": "r" + prefix, "host": host, "pathPrefix": prefix, "routeKind": "rollout", "service": "llm",
+		"timeoutMs": 10000, "targetMs": 400, "maxAttempts": 2, "queueTtlS": 60, "resumable": true,
+	}
+}
+
+// configure puts a configuration with these routes in force.
+func (d *deployment) configure(routes ...route) {
+	d.t.Helper()
+	d.config += 3
+	raw, err := json.Marshal(map[string]any{
+		"version": d.config, "routes": routes,
+		"services": []map[string]any{
+			{"name": "desk", "maxConns": 100},
+			{"name": "llm", "maxConns": 100, "engine": map[string]any{"models": []map[string]any{{"name": model}}}},
+		},
+		"limits": map[string]any{
+			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+		},
+	})
+	assert.NilError(d.t, err)
+	d.store.Log.Put("keyed.op", "config", raw)
+}
+
+// nameVersion names a weight version.
+func (d *deployment) nameVersion(version int64) {
+	d.store.Log.Put("keyed.op", "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
+}
+
+// start starts a node and waits until it is ready.
+func (d *deployment) start(id string) *process {
+	d.t.Helper()
+	config := settings.Default()
+	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
+	config.Listen = settings.Listen{Callers: freeAddress(d.t), Operators: freeAddress(d.t), Peers: "127.0.0.1:1"}
+	config.Hosted.Log = d.address
+	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
+	config.Hosted.OrderQuiet = settings.Duration(200 * time.Millisecond)
+	config.Shutdown.Grace = settings.Duration(3 * time.Second)
+	assert.Equal(d.t, len(settings.Check(config)), 0, "%v", settings.Check(config))
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{
+		callers: "http://" + config.Listen.Callers, operators: "http://" + config.Listen.Operators,
+		cancel: cancel, done: make(chan struct{}), logs: &lockedBuffer{},
+	}
+	go func() {
+		defer close(p.done)
+		if err := hosted.Run(ctx, config, platform.New(d.address), p.logs); err != nil {
+			d.t.Errorf("node %s: %v", id, err)
+		}
+	}()
+	d.nodes = append(d.nodes, p)
+	d.t.Cleanup(func() {
+		cancel()
+		<-p.done
+		if d.t.Failed() {
+			d.t.Logf("logs of %s:\n%s", id, p.logs)
+		}
+	})
+	d.await("node "+id+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
+	return p
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(nil)
+	defer server.Close()
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (p *process) status(path string) int {
+	response, err := http.Get(p.operators + path)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (d *deployment) await(what string, condition func() bool) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// answer is what a client saw.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (p *process) call(method, path, id, body string, headers ...string) answer {
+	request, err := http.NewRequest(method, p.callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Host = host
+	if id != "" {
+		request.Header.Set("X-Corkpulley-Attempt-Id", id)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(raw), err: err}
+}
+
+// job is a batch job as a trainer hands it in.
+func job(minVersion int64, ids ...string) string {
+	var items []map[string]any
+	for _, id := range ids {
+		items = append(items, map[string]any{
+			"id": id, "path": "/batch/x/" + id, "group": "g-" + id, "tokenCount": 100,
+			"headers": map[string]string{"X-Corkpulley-Model": model, "X-Corkpulley-Token-Count": "10,90"},
+			"body":    base64.StdEncoding.EncodeToString([]byte("body of " + id)),
+		})
+	}
+	raw, err := json.Marshal(map[string]any{
+		"step": 1, "model": model, "minVersion": minVersion, "desiredCount": len(ids), "requests": items,
+	})
+	if err != nil {
+		panic(err) // a map of plain values always encodes
+	}
+	return string(raw)
+}
+
+type results struct {
+	Total   int `json:"total"`
+	Next    int `json:"nextToken"`
+	Results []struct {
+		ID       string  `json:"id"`
+		State    string  `json:"state"`
+		Text     string  `json:"text"`
+		Versions []int64 `json:"versions"`
+	} `json:"results"`
+}
+
+// readResults reads a job from a position on.
+func (p *process) readResults(id string, from int) (results, int) {
+	got := p.call(http.MethodGet, fmt.Sprintf("/lots/%s?afterRev=%d", id, from), "", "")
+	var decoded results
+	if got.status == http.StatusOK {
+		_ = json.Unmarshal([]byte(got.body), &decoded)
+	}
+	return decoded, got.status
+}
+
+// awaitResults waits until a job has so many results and returns them.
+func (d *deployment) awaitResults(p *process, id string, count int) results {
+	d.t.Helper()
+	var last results
+	d.await(fmt.Sprintf("%d results of %s", count, id), func() bool {
+		last, _ = p.readResults(id, 0)
+		return len(last.Results) >= count
+	})
+	return last
+}
+
+// runsOf counts the runs of a request over all engines.
+func (d *deployment) runsOf(id string) int {
+	count := 0
+	for _, engine := range d.engines {
+		for _, run := range engine.Runs() {
+			if run.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// noFault clears the faults of the store.
+func (d *deployment) noFault() { d.store.Log.SetFault(nil) }
+
+func appendsFail(fault memlog.Fault) func(memlog.Call) memlog.Fault {
+	return func(call memlog.Call) memlog.Fault {
+		if call.Append {
+			return fault
+		}
+		return memlog.None
+	}
+}
