--- /dev/null
+++ b/internal/core/batch/partition_test.go
@@ -0,0 +1,220 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var at = time.Unix(1000, 0)
+
+func jobRecord(id string, items int) Record {
+	record := JobRecord{ID: id}
+	for i := range items {
+		record.Items = append(record.Items, ItemRecord{ID: fmt.Sprintf("%s-%d", id, i)})
+	}
+	return Record{Job: &record}
+}
+
+func result(job string, item int, outcome Outcome) Record {
+	return Record{Results: []ResultRecord{{Job: job, Item: item, Outcome: outcome}}}
+}
+
+func progressOf(chain, continues string, from, to int64) Record {
+	return Record{Progress: []ProgressRecord{{
+		Job: "j", Chain: chain, Continues: continues, From: from, To: to, Versions: []int64{to},
+		Text: Span{First: to, Count: 1}, TextBytes: 1,
+	}}}
+}
+
+func TestJobIsTakenOnceAndItsFirstResultsStand(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("j", 2), at)
+	p.Apply(result("j", 1, Completed), at)
+	p.Apply(jobRecord("j", 5), at)
+	p.Apply(result("j", 1, Expired), at)
+	p.Apply(result("j", 0, Expired), at)
+	p.Apply(result("j", 7, Completed), at)
+	p.Apply(result("other", 0, Completed), at)
+	job := p.Job("j")
+	assert.Equal(t, len(job.Items), 2)
+	assert.Equal(t, len(job.Results), 2)
+	assert.Equal(t, job.Results[0].Item, 1)
+	assert.Equal(t, job.Results[0].Outcome, Completed)
+	assert.Equal(t, job.Results[1].Outcome, Expired)
+	assert.Assert(t, !job.Open())
+}
+
+func TestProgressFormsOneChain(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("j", 1), at)
+	for _, step := range []struct {
+		record Record
+		chain  string
+		to     int64
+	}{
+		{progressOf("a", "", 0, 3), "a", 3},
+		{progressOf("a", "", 0, 3), "a", 3},  // written twice
+		{progressOf("a", "", 3, 5), "a", 5},  // the same run goes on
+		{progressOf("b", "x", 5, 8), "a", 5}, // continues a chain that is not kept
+		{progressOf("b", "a", 3, 8), "a", 5}, // was asked to continue an earlier event
+		{progressOf("c", "a", 5, 9), "c", 9}, // continues here
+		{progressOf("a", "", 5, 7), "c", 9},  // the run before wakes up
+		{progressOf("a", "", 9, 11), "c", 9}, // and happens to be as far
+		{progressOf("d", "", 0, 2), "d", 2},  // begins again
+	} {
+		p.Apply(step.record, at)
+		kept, _ := p.Job("j").Progress(0)
+		assert.Equal(t, kept.Chain, step.chain)
+		assert.Equal(t, kept.To, step.to)
+	}
+	kept, _ := p.Job("j").Progress(0)
+	assert.DeepEqual(t, kept.Versions, []int64{2})
+	p.Apply(result("j", 0, Completed), at)
+	_, found := p.Job("j").Progress(0)
+	assert.Assert(t, !found)
+}
+
+func TestPayloadsAreFoundAcrossSpans(t *testing.T) {
+	job := Job{JobRecord: JobRecord{Payloads: []Span{{First: 10, Count: 2}, {First: 40, Count: 1}}}}
+	assert.Equal(t, job.PayloadOffset(1), int64(11))
+	assert.Equal(t, job.PayloadOffset(2), int64(40))
+	assert.Equal(t, job.PayloadOffset(3), int64(-1))
+}
+
+func TestOnlyClosedJobsAreForgotten(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("open", 1), at)
+	p.Apply(jobRecord("ended", 1), at)
+	p.Apply(jobRecord("young", 1), at.Add(time.Hour))
+	p.Apply(Record{End: "ended"}, at)
+	p.Apply(Record{End: "young"}, at)
+	assert.Equal(t, p.Forget(at.Add(time.Minute)), 1)
+	assert.Assert(t, p.Job("open") != nil && p.Job("young") != nil && p.Job("ended") == nil)
+}
+
+// recorder notes what an observer is told.
+type recorder struct{ added, listed, ended []string }
+
+func (r *recorder) JobAdded(job *Job)          { r.added = append(r.added, job.ID) }
+func (r *recorder) ItemListed(job *Job, _ int) { r.listed = append(r.listed, job.ID) }
+func (r *recorder) JobEnded(job *Job)          { r.ended = append(r.ended, job.ID) }
+
+func TestObserverHearsOfOpenJobsAndChanges(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("old", 1), at)
+	p.Apply(Record{End: "old"}, at)
+	p.Apply(jobRecord("open", 2), at)
+	var seen recorder
+	p.Observe(&seen)
+	p.Apply(jobRecord("new", 1), at)
+	p.Apply(result("open", 0, Completed), at)
+	p.Apply(Record{End: "new"}, at)
+	p.Apply(Record{End: "new"}, at)
+	p.Observe(nil)
+	p.Apply(Record{End: "open"}, at)
+	assert.DeepEqual(t, seen.added, []string{"open", "new"})
+	assert.DeepEqual(t, seen.listed, []string{"open"})
+	assert.DeepEqual(t, seen.ended, []string{"new"})
+}
+
+// TestReadersAgreeAndPositionsStand applies random records, each to two readers,
+// and checks that positions once seen never change.
+func TestReadersAgreeAndPositionsStand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := NewPartition(), NewPartition()
+		seen := map[string][]Result{}
+		for range rapid.IntRange(1, 50).Draw(t, "records") {
+			record := drawRecord(t)
+			raw, err := record.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			decoded, err := Decode(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			one.Apply(record, at)
+			two.Apply(decoded, at.Add(time.Hour))
+			for id, job := range one.jobs {
+				for position, before := range seen[id] {
+					if job.Results[position].Item != before.Item || job.Results[position].Outcome != before.Outcome {
+						t.Fatalf("position %d of %s changed", position, id)
+					}
+				}
+				seen[id] = append([]Result(nil), job.Results...)
+				other := two.Job(id)
+				if other == nil || len(other.Results) != len(job.Results) || other.Ended != job.Ended {
+					t.Fatalf("the readers differ on %s", id)
+				}
+				items := map[int]bool{}
+				for _, each := range job.Results {
+					if items[each.Item] {
+						t.Fatalf("item %d of %s stands at two positions", each.Item, id)
+					}
+					items[each.Item] = true
+				}
+			}
+		}
+	})
+}
+
+func drawRecord(t *rapid.T) Record {
+	id := rapid.SampledFrom([]string{"a", "b", "j"}).Draw(t, "job")
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return jobRecord(id, rapid.IntRange(1, 4).Draw(t, "items"))
+	case 1:
+		return Record{End: id}
+	case 2:
+		from := rapid.Int64Range(0, 3).Draw(t, "from")
+		return progressOf(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "chain"), "", from, from+1)
+	default:
+		return result(id, rapid.IntRange(-1, 5).Draw(t, "item"), Outcome(rapid.IntRange(1, 2).Draw(t, "outcome")))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	raw, err := jobRecord("j", 2).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		if record, err := Decode(raw); err == nil {
+			NewPartition().Apply(record, at)
+		}
+	})
+}
+
+// BenchmarkApply measures the reducer on the records of one job of 100 items.
+func BenchmarkApply(b *testing.B) {
+	const items = 100
+	var encoded [][]byte
+	add := func(record Record) {
+		raw, err := record.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		encoded = append(encoded, raw)
+	}
+	add(jobRecord("j", items))
+	for i := range items {
+		add(result("j", i, Completed))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p := NewPartition()
+		for _, raw := range encoded {
+			record, err := Decode(raw)
+			if err != nil {
+				b.Fatal(err)
+			}
+			p.Apply(record, at)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/batchplan/plan_test.go
@@ -0,0 +1,133 @@
+package batchplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1000, 0)
+
+func item(job string, index, length int) Item {
+	return Item{
+		Key: Key{Job: job, Item: index}, Service: "s", Model: "m", MinVersion: 3,
+		Group: fmt.Sprint(job, index/2), Length: length,
+	}
+}
+
+func engine(id string, slots int, version int64) Engine {
+	return Engine{ID: id, Service: "s", Slots: slots, Versions: map[string]int64{"m": version}, Usable: true}
+}
+
+func started(assigned []Assignment) []Key {
+	var keys []Key
+	for _, each := range assigned {
+		keys = append(keys, each.Item.Key)
+	}
+	return keys
+}
+
+func TestOlderJobsAndLongerItemsStartFirst(t *testing.T) {
+	plan := New()
+	plan.Add(item("first", 0, 10))
+	plan.Add(item("second", 0, 1000))
+	plan.Add(item("first", 1, 500))
+	assigned := plan.Assign(now, []Engine{engine("e", 2, 3)})
+	assert.DeepEqual(t, started(assigned), []Key{{"first", 1}, {"first", 0}})
+	assert.Equal(t, plan.Waiting(), 1)
+}
+
+func TestOnlyFittingEnginesGetItems(t *testing.T) {
+	loading := engine("loading", 1, 3)
+	loading.Loading = "m"
+	unusable := engine("unusable", 1, 3)
+	unusable.Usable = false
+	foreign := engine("foreign", 1, 3)
+	foreign.Service = "other"
+	for _, unfit := range []Engine{engine("old", 1, 2), engine("full", 0, 3), loading, unusable, foreign} {
+		plan := New()
+		plan.Add(item("j", 0, 1))
+		assert.Equal(t, len(plan.Assign(now, []Engine{unfit})), 0, unfit.ID)
+	}
+	plan := New()
+	held := item("j", 0, 1)
+	held.NotBefore = now.Add(time.Second)
+	plan.Add(held)
+	assert.Equal(t, len(plan.Assign(now, []Engine{engine("e", 1, 3)})), 0)
+	assert.Equal(t, len(plan.Assign(now.Add(time.Second), []Engine{engine("e", 1, 3)})), 1)
+}
+
+func TestItemOfOneVersionContinuesOnlyUnderIt(t *testing.T) {
+	plan := New()
+	single := item("j", 0, 1)
+	single.SameVersion = 3
+	plan.Add(single)
+	assert.Equal(t, len(plan.Assign(now, []Engine{engine("newer", 1, 4)})), 0)
+	assert.Equal(t, len(plan.Assign(now, []Engine{engine("same", 1, 3)})), 1)
+}
+
+func TestFasterEnginesAreFilledFirst(t *testing.T) {
+	plan := New()
+	plan.ObservePace("slow", 60*time.Millisecond)
+	plan.ObservePace("fast", 40*time.Millisecond)
+	plan.Add(item("j", 0, 1))
+	plan.Add(item("j", 1, 1))
+	plan.Add(item("j", 2, 1))
+	counts := map[string]int{}
+	for _, each := range plan.Assign(now, []Engine{engine("slow", 4, 3), engine("fast", 2, 3)}) {
+		counts[each.Engine]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"fast": 2, "slow": 1})
+}
+
+func TestItemsOfAGroupStayTogether(t *testing.T) {
+	plan := New()
+	for i := range 8 {
+		plan.Add(item("j", i, 1))
+	}
+	homes := map[string]string{}
+	engines := []Engine{engine("a", 16, 3), engine("b", 16, 3), engine("c", 16, 3)}
+	for _, each := range plan.Assign(now, engines) {
+		if home, found := homes[each.Item.Group]; found {
+			assert.Equal(t, each.Engine, home)
+		}
+		homes[each.Item.Group] = each.Engine
+	}
+}
+
+// TestPlacesAreNeverExceededNorLost drives the plan with random events.
+func TestPlacesAreNeverExceededNorLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plan := New()
+		engines := []Engine{engine("a", 2, 3), engine("b", 3, 3)}
+		running := map[Key]string{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				plan.Add(item("j", 100+step, 1))
+			case 1:
+				for key := range running {
+					plan.Ended(key)
+					delete(running, key)
+					break
+				}
+			default:
+				for _, each := range plan.Assign(now, engines) {
+					running[each.Item.Key] = each.Engine
+				}
+			}
+			counts := map[string]int{}
+			for _, id := range running {
+				counts[id]++
+			}
+			for _, each := range engines {
+				if counts[each.ID] > each.Slots || plan.Running(each.ID) != counts[each.ID] {
+					t.Fatalf("%s runs %d, the plan says %d of %d", each.ID, counts[each.ID], plan.Running(each.ID), each.Slots)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/weightplan/weightplan_test.go
@@ -0,0 +1,82 @@
+package weightplan
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func engines(count int, versions map[string]int64) []Engine {
+	all := make([]Engine, count)
+	for i := range all {
+		all[i] = Engine{ID: fmt.Sprintf("e%d", i), Versions: versions, Usable: true}
+	}
+	return all
+}
+
+func countModels(models map[string]string) map[string]int {
+	counts := map[string]int{}
+	for _, model := range models {
+		counts[model]++
+	}
+	return counts
+}
+
+func TestEnginesAreSharedByDemand(t *testing.T) {
+	all := engines(9, map[string]int64{"a": 1, "b": 1})
+	even := []Target{{Model: "a", Version: 1}, {Model: "b", Version: 1}}
+	counts := countModels(NewAllocator().Allocate(all, even))
+	assert.Equal(t, counts["a"]+counts["b"], 9)
+	assert.Assert(t, counts["a"] >= 4 && counts["b"] >= 4)
+	uneven := []Target{{Model: "a", Version: 1, Demand: 100}, {Model: "b", Version: 1, Demand: 200}}
+	assert.DeepEqual(t, countModels(NewAllocator().Allocate(all, uneven)), map[string]int{"a": 3, "b": 6})
+	one := []Target{{Model: "a", Version: 1, Demand: 1}, {Model: "b", Version: 1, Demand: 1000}}
+	assert.Equal(t, countModels(NewAllocator().Allocate(all, one))["a"], 1)
+}
+
+func TestNewLeaderKeepsTheModelThatAnEngineFollows(t *testing.T) {
+	all := []Engine{
+		{ID: "e0", Versions: map[string]int64{"a": 9, "b": 1}}, {ID: "e1", Versions: map[string]int64{"a": 1, "b": 7}},
+		{ID: "e2", Versions: map[string]int64{"a": 9, "b": 2}}, {ID: "e3", Versions: map[string]int64{"a": 1, "b": 7}},
+	}
+	models := NewAllocator().Allocate(all, []Target{{Model: "a", Version: 9}, {Model: "b", Version: 7}})
+	assert.DeepEqual(t, models, map[string]string{"e0": "a", "e1": "b", "e2": "a", "e3": "b"})
+}
+
+func TestOneEngineServesOneOfTwoModels(t *testing.T) {
+	all := engines(1, map[string]int64{"a": 1, "b": 1})
+	models := NewAllocator().Allocate(all, []Target{{Model: "a", Version: 1}, {Model: "b", Version: 1}})
+	assert.Equal(t, len(models), 1)
+}
+
+func TestLoadsAreBoundedAndIdleEnginesComeFirst(t *testing.T) {
+	all := engines(4, map[string]int64{"a": 1})
+	all[0].Running = 5
+	all[1].Loading = true
+	models := map[string]string{"e0": "a", "e1": "a", "e2": "a", "e3": "a"}
+	loads := NextLoads(all, models, []Target{{Model: "a", Version: 2}}, 2)
+	assert.DeepEqual(t, loads, []Load{{Engine: "e2", Model: "a", Version: 2}})
+}
+
+func TestBusyEnginesAreInterruptedOnlyWhenTheyMust(t *testing.T) {
+	all := engines(1, map[string]int64{"a": 1})
+	all[0].Running = 5
+	models := map[string]string{"e0": "a"}
+	calm := Target{Model: "a", Version: 2, MinVersion: 1}
+	assert.Equal(t, len(NextLoads(all, models, []Target{calm}, 2)), 0)
+	urgent := calm
+	urgent.MinVersion = 2
+	assert.Equal(t, len(NextLoads(all, models, []Target{urgent}, 2)), 1)
+	waited := calm
+	waited.Waited = patience + 1
+	assert.Equal(t, len(NextLoads(all, models, []Target{waited}, 2)), 1)
+}
+
+func TestUnusableAndCurrentEnginesAreLeftAlone(t *testing.T) {
+	all := engines(2, map[string]int64{"a": 2})
+	all[1].Versions = map[string]int64{"a": 1}
+	all[1].Usable = false
+	models := map[string]string{"e0": "a", "e1": "a"}
+	assert.Equal(t, len(NextLoads(all, models, []Target{{Model: "a", Version: 2}}, 2)), 0)
+}
