--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -23,7 +23,8 @@
 	renewalsPerTTL = 5
 	// marginShare is the share of its time by which a holder stops early.
 	marginShare = 6
-	pollWait    = time.Second
+	// pollWait is short, since a claim wants an answer to a read that shows no renewal.
+	pollWait    = 300 * time.Millisecond
 	readLimit   = 256 << 10
 	retryDelay  = 100 * time.Millisecond
 	// renewalTimeout bounds one renewal; the next one does not wait longer.
@@ -76,6 +77,8 @@
 	state lease.State
 	// contactSince is the start of the time during which reads have succeeded.
 	contactSince time.Time
+	// readAt is when the newest read was answered that reached the end.
+	readAt time.Time
 	// validUntil is when this node's own lease ends unless renewed.
 	validUntil time.Time
 	// claimSent is when the open claim was sent.
@@ -207,32 +210,52 @@
 		Msg("leadership lost")
 }
 
+// renewWhileHeld renews until another epoch is in force or the node stops. While
+// the log is out of reach the role goes on, since no promise rests on it: orders
+// ask Valid, and what the role records is decided when it is read. Without a
+// read no renewal is sent, so a node that is only heard, or that cannot know of a
+// newer epoch, does not keep others from leading.
 func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
 	period := e.options.TTL / renewalsPerTTL
-	for ctx.Err() == nil {
-		if held, valid := e.held(); !valid || held != epoch {
-			return
-		}
+	for ctx.Err() == nil && e.inForce(epoch) {
 		sent := time.Now()
-		record := e.record(lease.Renew, epoch)
-		record.Sequence = e.noteRenewal(sent)
-		appendContext, cancel := context.WithTimeout(ctx, renewalTimeout)
-		err := e.append(appendContext, record)
-		cancel()
-		if err == nil {
-			e.extend(epoch, sent)
-		} else {
-			e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
+		if e.readWithin(e.options.TTL) {
+			e.renew(ctx, epoch, sent)
 		}
-		e.sleepWhileHeld(ctx, max(period-time.Since(sent), lease.MinRenewalGap))
+		e.sleepWhileInForce(ctx, epoch, max(period-time.Since(sent), lease.MinRenewalGap))
 	}
 }
 
-// sleepWhileHeld sleeps, but not on when the node stops.
-func (e *Elector) sleepWhileHeld(ctx context.Context, period time.Duration) {
-	for until := time.Now().Add(period); ctx.Err() == nil; {
+func (e *Elector) renew(ctx context.Context, epoch int64, sent time.Time) {
+	record := e.record(lease.Renew, epoch)
+	record.Sequence = e.noteRenewal(sent)
+	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
+	defer cancel()
+	if err := e.append(ctx, record); err != nil {
+		e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
+		return
+	}
+	e.extend(epoch, sent)
+}
+
+// inForce tells whether this node holds the epoch as far as it knows.
+func (e *Elector) inForce(epoch int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && !e.state.Released && !e.stopping
+}
+
+func (e *Elector) readWithin(period time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.readAt) < period
+}
+
+// sleepWhileInForce sleeps, but not on when the lease has gone.
+func (e *Elector) sleepWhileInForce(ctx context.Context, epoch int64, period time.Duration) {
+	for until := time.Now().Add(period); ctx.Err() == nil && e.inForce(epoch); {
 		left := time.Until(until)
-		if _, valid := e.held(); left <= 0 || !valid {
+		if left <= 0 {
 			return
 		}
 		sleep(ctx, min(left, checkPeriod))
@@ -274,7 +297,7 @@
 	e.mu.Lock()
 	inContact := !e.contactSince.IsZero()
 	free := inContact && !e.stopping &&
-		e.state.Claimable(e.options.Node, e.options.Holder, now, e.contactSince, e.options.TTL)
+		e.state.Claimable(e.options.Node, e.options.Holder, e.readAt, e.contactSince, e.options.TTL)
 	ownMachine := e.state.Node == e.options.Node
 	next, previous := e.state.Next, e.state.Epoch
 	pending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
@@ -330,8 +353,11 @@
 		}
 		e.readBack(record)
 	}
-	if e.contactSince.IsZero() && e.state.Next >= batch.End {
-		e.contactSince = now
+	if e.state.Next >= batch.End {
+		e.readAt = now
+		if e.contactSince.IsZero() {
+			e.contactSince = now
+		}
 	}
 	e.mu.Unlock()
 	if len(batch.Records) > 0 {
