--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -393,6 +393,8 @@
 	Tokens int
 	// MinVersion is the newest of the versions that its open jobs want at least.
 	MinVersion int64
+	// Waiting is the number of its items that wait for an engine.
+	Waiting int
 }
 
 // Demands returns the demand for each model.
@@ -408,6 +410,11 @@
 		}
 		demands[job.record.Model] = demand
 	}
+	for model, waiting := range r.plan.WaitingByModel() {
+		demand := demands[model]
+		demand.Waiting = waiting
+		demands[model] = demand
+	}
 	return demands
 }
 
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -126,6 +126,15 @@
 // Waiting returns the number of waiting items.
 func (p *Plan) Waiting() int { return len(p.waiting) }
 
+// WaitingByModel returns the number of waiting items of each model.
+func (p *Plan) WaitingByModel() map[string]int {
+	waiting := make(map[string]int)
+	for _, item := range p.waiting {
+		waiting[item.Model]++
+	}
+	return waiting
+}
+
 // ObservePace notes the time between two events of an item at the engine.
 func (p *Plan) ObservePace(engine string, pause time.Duration) {
 	known, found := p.paces[engine]
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -32,8 +32,11 @@
 	MinVersion int64
 	// Demand is a moving mean of the work asked of the model; zero when unknown.
 	Demand float64
-	// Waited is the time since the version was named, in seconds.
-	Waited float64
+	// Waiting is the number of items that wait for an engine.
+	Waiting int
+	// Interrupts is true when a load makes running items wait or fail, so that it
+	// has to wait for them.
+	Interrupts bool
 }
 
 // Allocator keeps which model each engine follows.
@@ -147,54 +150,67 @@
 	Version int64
 }
 
-// patience is how long, in seconds, a load waits for an engine to be idle when
-// nothing asks for the new version yet.
-const patience = 1.2
-
 // NextLoads returns the loads to order now, at most atOnce under way together.
-// Engines that cannot serve an open job come first, then idle ones; a busy one
-// is interrupted only when it must be or the version has waited.
+// Engines too old for open jobs come first, then the one furthest behind. An
+// engine that could start waiting items is left to them.
 func NextLoads(engines []Engine, models map[string]string, targets []Target, atOnce int) []Load {
 	byModel := make(map[string]Target, len(targets))
 	for _, target := range targets {
 		byModel[target.Model] = target
 	}
 	loading := 0
-	var candidates []Engine
+	var candidates []candidate
 	for _, engine := range engines {
 		if engine.Loading {
 			loading++
 			continue
 		}
 		target, found := byModel[models[engine.ID]]
-		behind := found && engine.Versions[target.Model] < target.Version
-		if behind && engine.Usable && ready(engine, target) {
-			candidates = append(candidates, engine)
+		if !found || !engine.Usable {
+			continue
 		}
-	}
-	sort.SliceStable(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		urgentA, urgentB := urgent(a, byModel[models[a.ID]]), urgent(b, byModel[models[b.ID]])
-		if urgentA != urgentB {
-			return urgentA
+		if lag := target.Version - engine.Versions[target.Model]; lag > 0 && due(engine, target) {
+			candidates = append(candidates, candidate{engine, target, lag})
 		}
-		return a.Running < b.Running
-	})
+	}
+	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].before(candidates[j]) })
 	var loads []Load
-	for _, engine := range candidates {
+	for _, each := range candidates {
 		if loading+len(loads) >= atOnce {
 			break
 		}
-		target := byModel[models[engine.ID]]
-		loads = append(loads, Load{Engine: engine.ID, Model: target.Model, Version: target.Version})
+		loads = append(loads, Load{Engine: each.engine.ID, Model: each.target.Model, Version: each.target.Version})
 	}
 	return loads
 }
 
-func urgent(engine Engine, target Target) bool {
+// candidate is an engine that may load now.
+type candidate struct {
+	engine Engine
+	target Target
+	// lag is the number of versions that it is behind.
+	lag int64
+}
+
+func (c candidate) before(other candidate) bool {
+	if a, b := tooOld(c.engine, c.target), tooOld(other.engine, other.target); a != b {
+		return a
+	}
+	if c.lag != other.lag {
+		return c.lag > other.lag
+	}
+	return c.engine.Running < other.engine.Running
+}
+
+// tooOld tells whether the engine can serve none of the open jobs.
+func tooOld(engine Engine, target Target) bool {
 	return engine.Versions[target.Model] < target.MinVersion
 }
 
-func ready(engine Engine, target Target) bool {
-	return engine.Running == 0 || urgent(engine, target) || target.Waited > patience
+// due tells whether a load of the engine may begin now.
+func due(engine Engine, target Target) bool {
+	if tooOld(engine, target) {
+		return true
+	}
+	return target.Waiting == 0 && (!target.Interrupts || engine.Running == 0)
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -24,9 +24,9 @@
 	// marginShare is the share of its time by which a holder stops early.
 	marginShare = 6
 	// pollWait is short, since a claim wants an answer to a read that shows no renewal.
-	pollWait    = 300 * time.Millisecond
-	readLimit   = 256 << 10
-	retryDelay  = 100 * time.Millisecond
+	pollWait   = 300 * time.Millisecond
+	readLimit  = 256 << 10
+	retryDelay = 100 * time.Millisecond
 	// renewalTimeout bounds one renewal; the next one does not wait longer.
 	renewalTimeout = 400 * time.Millisecond
 	// maxOpenRenewals bounds the renewals that are waited for.
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -32,6 +32,9 @@
 		Dur("took_ms", time.Since(began)).Msg("weights ordered")
 	m.mu.Lock()
 	delete(m.loading, engine.ID)
+	if done && answer == Taken {
+		m.noteLoadTime(time.Since(began))
+	}
 	if !done {
 		delete(m.counts, engine.ID)
 		m.retryAt[engine.ID] = time.Now().Add(orderPause)
@@ -40,6 +43,15 @@
 	m.options.Loaded()
 }
 
+// noteLoadTime takes a load's time into the mean; mu is held.
+func (m *Manager) noteLoadTime(took time.Duration) {
+	if m.loadTime == 0 {
+		m.loadTime = took
+		return
+	}
+	m.loadTime += time.Duration(loadWeight * float64(took-m.loadTime))
+}
+
 // order sends the order under the count of orders that the engine is known to have.
 func (m *Manager) order(ctx context.Context, engine fleet.Engine, load weightplan.Load, mode Mode) Answer {
 	m.mu.Lock()
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -21,8 +21,13 @@
 	// loadsAtOnce is how many engines of a service load together.
 	loadsAtOnce = 2
 	// firstCheck and checkPeriod pace the questions whether a load is done.
-	firstCheck  = 900 * time.Millisecond
-	checkPeriod = 250 * time.Millisecond
+	firstCheck  = 950 * time.Millisecond
+	checkPeriod = 100 * time.Millisecond
+	// takenShare is the share of the usual time of a load after which the next one
+	// may begin: engines report the end of theirs some hundred milliseconds late.
+	takenShare = 0.8
+	// loadWeight is the weight of a new load's time in the moving mean.
+	loadWeight = 0.3
 	// loadTimeout gives up waiting for a load; it may be ordered again.
 	loadTimeout = 5 * time.Second
 	// orderPause keeps an engine that did not take an order alone for a while.
@@ -121,33 +126,37 @@
 	options Options
 
 	mu sync.Mutex
-	// loading holds the model that each engine is loading.
-	loading map[string]string
+	// loading holds what each engine is loading.
+	loading map[string]underway
+	// loadTime is the moving mean of the time until a load is reported as done.
+	loadTime time.Duration
 	// counts holds each engine's count of orders, as far as known.
 	counts map[string]int64
 	// retryAt holds back engines that did not take an order.
 	retryAt    map[string]time.Time
 	allocators map[string]*weightplan.Allocator
 	demands    map[string]float64
-	named      map[string]namedVersion
-	wait       sync.WaitGroup
+	// named holds the version that was last seen named for each model.
+	named map[string]int64
+	wait  sync.WaitGroup
 }
 
-type namedVersion struct {
-	version int64
-	at      time.Time
+// underway is a load that an engine has been ordered.
+type underway struct {
+	model string
+	since time.Time
 }
 
 // New returns a manager for one term.
 func New(options Options) *Manager {
 	return &Manager{
 		options:    options,
-		loading:    make(map[string]string),
+		loading:    make(map[string]underway),
 		counts:     make(map[string]int64),
 		retryAt:    make(map[string]time.Time),
 		allocators: make(map[string]*weightplan.Allocator),
 		demands:    make(map[string]float64),
-		named:      make(map[string]namedVersion),
+		named:      make(map[string]int64),
 	}
 }
 
@@ -155,7 +164,7 @@
 func (m *Manager) Loading(engine string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.loading[engine]
+	return m.loading[engine].model
 }
 
 // Run orders loads until ctx ends.
@@ -185,7 +194,7 @@
 	engines := m.engineViews(target.Service, now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	targets := m.targets(target, demands, now)
+	targets := m.targets(target, demands)
 	if len(targets) == 0 {
 		return
 	}
@@ -195,12 +204,12 @@
 		m.allocators[target.Service] = allocator
 	}
 	models := allocator.Allocate(engines, targets)
-	for _, load := range weightplan.NextLoads(engines, models, targets, loadsAtOnce) {
+	for _, load := range weightplan.NextLoads(engines, models, targets, loadsAtOnce+m.nearlyDone(now)) {
 		engine, known := m.options.Fleet.Get(load.Engine)
 		if !known {
 			continue
 		}
-		m.loading[load.Engine] = load.Model
+		m.loading[load.Engine] = underway{model: load.Model, since: now}
 		mode := Continue
 		if target.SingleVersion {
 			mode = Finish
@@ -209,6 +218,20 @@
 	}
 }
 
+// nearlyDone counts the loads that should be done but are not reported yet; mu is held.
+func (m *Manager) nearlyDone(now time.Time) int {
+	if m.loadTime == 0 {
+		return 0
+	}
+	count := 0
+	for _, each := range m.loading {
+		if now.Sub(each.since) > time.Duration(takenShare*float64(m.loadTime)) {
+			count++
+		}
+	}
+	return count
+}
+
 func (m *Manager) engineViews(service string, now time.Time) []weightplan.Engine {
 	var views []weightplan.Engine
 	for _, engine := range m.options.Fleet.Engines(service) {
@@ -219,7 +242,7 @@
 		m.mu.Lock()
 		views = append(views, weightplan.Engine{
 			ID: engine.ID, Versions: engine.Versions, Running: running,
-			Loading: m.loading[engine.ID] != "",
+			Loading: m.loading[engine.ID].model != "",
 			Usable:  !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]),
 		})
 		m.mu.Unlock()
@@ -228,13 +251,11 @@
 }
 
 // targets returns the models of the service with named versions; mu is held.
-func (m *Manager) targets(
-	target Target, demands map[string]batchrun.Demand, now time.Time,
-) []weightplan.Target {
+func (m *Manager) targets(target Target, demands map[string]batchrun.Demand) []weightplan.Target {
 	var targets []weightplan.Target
 	for model, version := range target.Versions {
-		if known := m.named[model]; known.version != version {
-			m.named[model] = namedVersion{version: version, at: now}
+		if m.named[model] != version {
+			m.named[model] = version
 			m.options.Logger.Info().Str("model", model).Int64("version", version).Msg("version to load")
 		}
 		demand := demands[model]
@@ -247,7 +268,7 @@
 		}
 		targets = append(targets, weightplan.Target{
 			Model: model, Version: version, MinVersion: demand.MinVersion,
-			Demand: m.demands[model], Waited: now.Sub(m.named[model].at).Seconds(),
+			Demand: m.demands[model], Waiting: demand.Waiting, Interrupts: target.SingleVersion,
 		})
 	}
 	sortTargets(targets)
