Reach the log through another node when the own way fails; move long items from slower engines

Change: nodes tell each other in the log where they listen; after three failed calls in a row a node's calls go through another node, which makes them once on its own way; a probe of its own finds the direct way again. An item that has run for a second moves from an engine 1.2 times slower than the best quarter. A pace is measured over four events, since events that waited in this process come together.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -22,12 +22,21 @@
 	// stoodStill is the time between two ticks after which this process itself
 	// must have stood still.
 	stoodStill = 4 * tickPeriod
-	// slowFactor is how much slower than the typical engine one must be for its
-	// items to be moved, fastFactor how much slower the new one may be.
-	slowFactor = 1.7
-	fastFactor = 1.35
-	// minMovedAge spares items that have only just begun.
+	// slowFactor is how much slower than the best engine one must be for its items
+	// to be moved, slowishFactor for its long items, and fastFactor how much slower
+	// the new one may be.
+	slowFactor    = 1.8
+	slowishFactor = 1.2
+	fastFactor    = 1.1
+	// minMovedAge spares items that have only just begun, minLongAge is the age
+	// from which an item counts as a long one.
 	minMovedAge = 250 * time.Millisecond
+	minLongAge  = time.Second
+	never       = time.Duration(1<<63 - 1)
+	// measuredEvents is how many events one measurement of an engine's pace takes.
+	measuredEvents = 4
+	// maxMoves bounds how often one item is moved.
+	maxMoves = 3
 )
 
 // stopReason is why a run was ended from outside.
@@ -54,6 +63,9 @@
 	// looks at it when it may have fallen silent.
 	heardAt atomic.Int64
 	stall   atomic.Pointer[time.Timer]
+	// measured counts the events since measuredFrom; the runner's mu guards both.
+	measured     int
+	measuredFrom time.Time
 }
 
 // checkStall stops a run whose stream is silent, or looks again later. A process
@@ -134,7 +146,6 @@
 		return err
 	}
 	defer stream.Close()
-	var previous time.Time
 	for {
 		event, err := stream.Next()
 		if err != nil {
@@ -142,10 +153,9 @@
 		}
 		now := time.Now()
 		own.heardAt.Store(now.UnixNano())
-		if err := r.take(job, key, own, event, now, previous); err != nil {
+		if err := r.take(job, key, own, event, now); err != nil {
 			return err
 		}
-		previous = now
 	}
 }
 
@@ -154,7 +164,7 @@
 
 // take adds an event to the item's output.
 func (r *Runner) take(
-	job *openJob, key batchplan.Key, own *run, event Event, now, previous time.Time,
+	job *openJob, key batchplan.Key, own *run, event Event, now time.Time,
 ) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -170,12 +180,27 @@
 		return &RefusedError{Refusal: NotExecuted, Detail: "made by weights older than the job allows"}
 	}
 	state.progress.add(event)
-	if !previous.IsZero() && r.options.Loading(own.engine) == "" {
-		r.plan.ObservePace(own.engine, now.Sub(previous))
-	}
+	r.observePace(own, now)
 	return nil
 }
 
+// observePace measures the time between events over some of them, since those
+// that had to wait in this process come together; mu is held.
+func (r *Runner) observePace(own *run, now time.Time) {
+	if own.measuredFrom.IsZero() {
+		own.measuredFrom = now
+		return
+	}
+	own.measured++
+	if own.measured < measuredEvents {
+		return
+	}
+	if r.options.Loading(own.engine) == "" {
+		r.plan.ObservePace(own.engine, now.Sub(own.measuredFrom)/measuredEvents)
+	}
+	own.measuredFrom, own.measured = now, 0
+}
+
 // ended takes the end of a run: it finishes the item or queues it again.
 func (r *Runner) ended(job *openJob, key batchplan.Key, own *run, err error) {
 	r.mu.Lock()
@@ -238,36 +263,57 @@
 	r.queueItem(job, key.Item, own.engine, notBefore)
 }
 
-// moveStragglers ends runs at engines that have become slow, so that their
-// items continue at faster ones with room.
+// moveStragglers ends runs at engines that are slower than others with room, so
+// that their items continue there. An engine that has become slow loses all its
+// items, one that always was only those that have run for long.
 func (r *Runner) moveStragglers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	typical := r.plan.TypicalPace()
-	if typical == 0 || r.plan.Waiting() > 0 {
+	best := r.plan.BestPace()
+	if best == 0 {
 		return
 	}
-	room := r.roomAtFast(typical)
+	r.plan.ForgetEngines(func(engine string) bool {
+		_, known := r.options.Fleet.Get(engine)
+		return !known
+	})
+	room := r.roomAtFast(best)
 	now := time.Now()
 	for key, each := range r.runs {
-		pace := r.plan.Pace(each.engine)
-		if float64(pace) < slowFactor*float64(typical) || now.Sub(each.started) < minMovedAge {
-			continue
-		}
 		job := r.jobs[key.Job]
 		if job == nil || each.reason != notStopped || room[job.record.Model] <= 0 {
 			continue
 		}
+		state := &job.items[key.Item]
+		if state.moves >= maxMoves || now.Sub(each.started) < moveAge(float64(r.plan.Pace(each.engine))/float64(best)) {
+			continue
+		}
+		state.moves++
 		room[job.record.Model]--
 		each.stop(stopMoved)
 	}
 }
 
-// roomAtFast counts free places for each model at engines that are not slow; mu is held.
-func (r *Runner) roomAtFast(typical time.Duration) map[string]int {
+// moveAge is how long an item must have run to be moved from an engine that is
+// slower than the best by the factor.
+func moveAge(factor float64) time.Duration {
+	switch {
+	case factor >= slowFactor:
+		return minMovedAge
+	case factor >= slowishFactor:
+		return minLongAge
+	default:
+		return never
+	}
+}
+
+// roomAtFast counts free places for each model at engines that are about as fast
+// as the best; mu is held.
+func (r *Runner) roomAtFast(best time.Duration) map[string]int {
 	room := make(map[string]int)
 	for _, engine := range r.engineViews(time.Now()) {
-		if !engine.Usable || float64(r.plan.Pace(engine.ID)) > fastFactor*float64(typical) {
+		pace := r.plan.Pace(engine.ID)
+		if !engine.Usable || pace == 0 || float64(pace) > fastFactor*float64(best) {
 			continue
 		}
 		for model, version := range engine.Versions {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -76,7 +76,9 @@
 	// completed is true once the item has its whole output.
 	completed bool
 	failures  int
-	progress  progress
+	// moves counts how often it was moved to a faster engine.
+	moves    int
+	progress progress
 }
 
 // New returns a runner for one term of leading.
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -9,6 +9,8 @@
 package batchplan
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -149,20 +151,24 @@
 func (p *Plan) Pace(engine string) time.Duration { return p.paces[engine] }
 
 // TypicalPace is the median over all engines; zero when unknown.
-func (p *Plan) TypicalPace() time.Duration {
+func (p *Plan) TypicalPace() time.Duration { return p.paceAt(0.5) }
+
+// BestPace is the lower quartile over all engines, which one engine that was
+// measured wrongly does not move; zero when unknown.
+func (p *Plan) BestPace() time.Duration { return p.paceAt(0.25) }
+
+func (p *Plan) paceAt(quantile float64) time.Duration {
 	if len(p.paces) == 0 {
 		return 0
 	}
-	paces := make([]time.Duration, 0, len(p.paces))
-	for _, pace := range p.paces {
-		paces = append(paces, pace)
-	}
-	sort.Slice(paces, func(i, j int) bool { return paces[i] < paces[j] })
-	return paces[len(paces)/2]
+	paces := slices.Sorted(maps.Values(p.paces))
+	return paces[int(quantile*float64(len(paces)))]
 }
 
-// ForgetEngine drops what is known of an engine that is gone.
-func (p *Plan) ForgetEngine(engine string) { delete(p.paces, engine) }
+// ForgetEngines drops what is known of engines that are gone.
+func (p *Plan) ForgetEngines(gone func(engine string) bool) {
+	maps.DeleteFunc(p.paces, func(engine string, _ time.Duration) bool { return gone(engine) })
+}
 
 // Assign starts waiting items at engines with room and returns what it started.
 func (p *Plan) Assign(now time.Time, engines []Engine) []Assignment {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"github.com/corkpulley/corkpulley/internal/follow"
 	"github.com/corkpulley/corkpulley/internal/ingress"
 	"github.com/corkpulley/corkpulley/internal/leadership"
+	"github.com/corkpulley/corkpulley/internal/logrelay"
 	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
@@ -95,8 +96,11 @@
 	relay   *ingress.Relay
 	elector *leadership.Elector
 
+	directory *logrelay.Directory
+
 	callers   *server
 	operators *server
+	peers     *server
 }
 
 // Run runs a node until ctx ends, and then the planned stop. Logs are written
@@ -121,7 +125,10 @@
 		fleet:    fleet.New(),
 	}
 	n.metrics = newMetrics(n.registry)
-	log := platform.Log()
+	direct := platform.Log()
+	n.directory = logrelay.NewDirectory(direct, config.Node.ID, config.Listen.Peers, logger)
+	log := logrelay.NewFallback(direct, n.directory.Peers, logger)
+	n.directory.SetLog(log)
 	n.control = follow.New(log, platform.ControlTopic(), n.takeControl, logger)
 	n.engines = follow.New(log, platform.EngineTopic(), n.takeEngine, logger)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
@@ -137,11 +144,14 @@
 		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
 		Quiet: time.Duration(config.Hosted.OrderQuiet), Logger: logger,
 	}, n.lead)
-	return n, n.listen()
+	return n, n.listen(logrelay.NewHandler(direct))
 }
 
-func (n *node) listen() error {
+func (n *node) listen(peers http.Handler) error {
 	var err error
+	if n.peers, err = listen(n.config.Listen.Peers, peers); err != nil {
+		return err
+	}
 	if n.callers, err = listen(n.config.Listen.Callers, n.platform.CallersHandler(n)); err != nil {
 		return err
 	}
@@ -155,8 +165,9 @@
 	group, groupContext := errgroup.WithContext(roles)
 	group.Go(n.callers.serve)
 	group.Go(n.operators.serve)
+	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
-		n.control.Run, n.engines.Run, n.jobs.Run, n.electWhenCurrent,
+		n.control.Run, n.engines.Run, n.jobs.Run, n.directory.Run, n.electWhenCurrent,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -37,6 +37,7 @@
 	_ = n.callers.http.Shutdown(ctx)
 	stopRoles()
 	_ = n.operators.http.Close()
+	_ = n.peers.http.Close()
 	_ = n.callers.http.Close()
 	n.logger.Info().Dur("took_ms", time.Since(began)).Int64("in_flight", n.callers.inFlight.Load()).Msg("node drained")
 }
--- /dev/null
+++ b/internal/logrelay/directory.go
@@ -0,0 +1,121 @@
+package logrelay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// directoryTopic holds where the nodes listen for each other.
+	directoryTopic = "corkpulley.nodes"
+	// announcePeriod is the time between two records of a node, memberLife the
+	// time after which one that is silent is forgotten.
+	announcePeriod = 5 * time.Second
+	memberLife     = 4 * announcePeriod
+	readPeriod     = time.Second
+	readLimit      = 256 << 10
+)
+
+// member is a record of the directory, encoded as msgpack.
+type member struct {
+	Node    string `msgpack:"n"`
+	Address string `msgpack:"a"`
+}
+
+// Directory knows where other nodes listen.
+type Directory struct {
+	log    eventlog.Log
+	own    member
+	logger zerolog.Logger
+
+	mu      sync.Mutex
+	next    int64
+	members map[string]member
+	seenAt  map[string]time.Time
+}
+
+// NewDirectory returns a directory for the node that listens at address.
+func NewDirectory(log eventlog.Log, node, address string, logger zerolog.Logger) *Directory {
+	return &Directory{
+		log: log, own: member{Node: node, Address: address}, logger: logger,
+		members: make(map[string]member), seenAt: make(map[string]time.Time),
+	}
+}
+
+// SetLog sets the log that the directory reads; before Run only.
+func (d *Directory) SetLog(log eventlog.Log) { d.log = log }
+
+// Peers returns the addresses of the other nodes.
+func (d *Directory) Peers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for node, each := range d.members {
+		if node != d.own.Node && time.Since(d.seenAt[node]) < memberLife {
+			addresses = append(addresses, each.Address)
+		}
+	}
+	return addresses
+}
+
+// Run announces this node and reads of the others until ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
+	ticker := time.NewTicker(readPeriod)
+	defer ticker.Stop()
+	announced := time.Time{}
+	for {
+		if time.Since(announced) >= announcePeriod && d.announce(ctx) == nil {
+			announced = time.Now()
+		}
+		d.read(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Directory) announce(ctx context.Context) error {
+	raw, err := msgpack.Marshal(&d.own)
+	if err != nil {
+		return errors.Wrap(err, "encode the member")
+	}
+	_, err = d.log.Append(ctx, eventlog.Partition{Topic: directoryTopic}, [][]byte{raw})
+	return err
+}
+
+func (d *Directory) read(ctx context.Context) {
+	batch, err := d.log.Read(ctx, eventlog.Partition{Topic: directoryTopic}, d.next, readLimit, 0)
+	var gone *eventlog.GoneError
+	if errors.As(err, &gone) {
+		d.next = gone.First
+		return
+	}
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, raw := range batch.Records {
+		d.next++
+		var each member
+		if msgpackguard.Check(raw) != nil || msgpack.Unmarshal(raw, &each) != nil || each.Node == "" {
+			d.logger.Error().Int64("offset", d.next-1).Msg("directory record passed over")
+			continue
+		}
+		if known, found := d.members[each.Node]; !found || known != each {
+			d.logger.Info().Str("member", each.Node).Str("address", each.Address).Msg("node listed")
+		}
+		d.members[each.Node], d.seenAt[each.Node] = each, now
+	}
+}
--- /dev/null
+++ b/internal/logrelay/fallback.go
@@ -0,0 +1,188 @@
+package logrelay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// failuresToSwitch is how many direct calls in a row must fail before calls go
+	// by way of another node.
+	failuresToSwitch = 3
+	// probePeriod is the time between two tries of the direct way meanwhile, which
+	// are reads of their own, so that no call waits for them.
+	probePeriod  = 400 * time.Millisecond
+	probeTimeout = time.Second
+	// peerPause is how long a node that could not help is left alone.
+	peerPause = time.Second
+
+	dialTimeout     = 300 * time.Millisecond
+	idleConnections = 2
+)
+
+// Fallback calls the log directly, or by way of another node while the direct
+// way fails and another node's does not. It implements eventlog.Log.
+type Fallback struct {
+	direct eventlog.Log
+	// peers returns the addresses of other nodes.
+	peers  func() []string
+	client *http.Client
+	logger zerolog.Logger
+
+	mu sync.Mutex
+	// failures counts direct calls that failed in a row.
+	failures int
+	// probing is true while the direct way is being tried.
+	probing bool
+	// current is the node in use; empty for the direct way.
+	current  string
+	pausedTo map[string]time.Time
+}
+
+var _ eventlog.Log = (*Fallback)(nil)
+
+// NewFallback returns a log that calls direct, or one of the peers.
+func NewFallback(direct eventlog.Log, peers func() []string, logger zerolog.Logger) *Fallback {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Fallback{
+		direct: direct, peers: peers, logger: logger,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections,
+			DisableCompression: true,
+		}},
+		pausedTo: make(map[string]time.Time),
+	}
+}
+
+// way returns how the next call goes: the log and the node's address, which is
+// empty for the direct way.
+func (f *Fallback) way() (eventlog.Log, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failures < failuresToSwitch {
+		return f.direct, ""
+	}
+	now := time.Now()
+	if f.current == "" || now.Before(f.pausedTo[f.current]) {
+		f.current = f.pickPeer(now)
+	}
+	if f.current == "" {
+		return f.direct, ""
+	}
+	return &peer{client: f.client, address: f.current}, f.current
+}
+
+// pickPeer returns a node that has not failed just now; mu is held.
+func (f *Fallback) pickPeer(now time.Time) string {
+	var able []string
+	for _, address := range f.peers() {
+		if !now.Before(f.pausedTo[address]) {
+			able = append(able, address)
+		}
+	}
+	if len(able) == 0 {
+		return ""
+	}
+	return able[rand.IntN(len(able))]
+}
+
+// ended notes how a call ended. Only answers of the log count as success.
+func (f *Fallback) ended(address string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	var conflicting *eventlog.ConflictError
+	var lost *eventlog.GoneError
+	works := err == nil || errors.As(err, &conflicting) || errors.As(err, &lost)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address != "" {
+		if !works {
+			f.pausedTo[address] = time.Now().Add(peerPause)
+		}
+		return
+	}
+	before := f.failures >= failuresToSwitch
+	if works {
+		f.failures = 0
+	} else {
+		f.failures++
+	}
+	after := f.failures >= failuresToSwitch
+	if after != before {
+		f.logger.Info().Err(err).Bool("direct", !after).Int("peers", len(f.peers())).Msg("way to the log changed")
+	}
+	if after && !f.probing {
+		f.probing = true
+		go f.probe()
+	}
+}
+
+// probe tries the direct way until it works again.
+func (f *Fallback) probe() {
+	for {
+		time.Sleep(probePeriod)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		_, err := f.direct.Read(ctx, eventlog.Partition{Topic: directoryTopic}, 0, 1, 0)
+		cancel()
+		var lost *eventlog.GoneError
+		if err == nil || errors.As(err, &lost) {
+			f.mu.Lock()
+			f.probing = false
+			f.mu.Unlock()
+			f.ended("", nil)
+			return
+		}
+	}
+}
+
+func do[Result any](f *Fallback, call func(log eventlog.Log) (Result, error)) (Result, error) {
+	log, address := f.way()
+	result, err := call(log)
+	f.ended(address, err)
+	return result, err
+}
+
+// Append implements eventlog.Log.
+func (f *Fallback) Append(ctx context.Context, partition eventlog.Partition, records [][]byte) (int64, error) {
+	return do(f, func(log eventlog.Log) (int64, error) { return log.Append(ctx, partition, records) })
+}
+
+// AppendAt implements eventlog.Log.
+func (f *Fallback) AppendAt(
+	ctx context.Context, partition eventlog.Partition, end int64, records [][]byte,
+) (int64, error) {
+	return do(f, func(log eventlog.Log) (int64, error) { return log.AppendAt(ctx, partition, end, records) })
+}
+
+// Read implements eventlog.Log.
+func (f *Fallback) Read(
+	ctx context.Context, partition eventlog.Partition, from int64, limit int, wait time.Duration,
+) (eventlog.Batch, error) {
+	return do(f, func(log eventlog.Log) (eventlog.Batch, error) {
+		return log.Read(ctx, partition, from, limit, wait)
+	})
+}
+
+// Newest implements eventlog.Log.
+func (f *Fallback) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
+	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) { return log.Newest(ctx, topic) })
+}
+
+// ReadKeyed implements eventlog.Log.
+func (f *Fallback) ReadKeyed(
+	ctx context.Context, topic string, from int64, wait time.Duration,
+) (eventlog.KeyedBatch, error) {
+	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) {
+		return log.ReadKeyed(ctx, topic, from, wait)
+	})
+}
--- /dev/null
+++ b/internal/logrelay/logrelay_test.go
@@ -0,0 +1,151 @@
+package logrelay
+
+import (
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+var part = eventlog.Partition{Topic: "t", Number: 2}
+
+// network is a log that one node reaches and another, which it refuses, does not.
+type network struct {
+	log      *memlog.Log
+	fallback *Fallback
+}
+
+func refusing() *memlog.Log {
+	log := memlog.New()
+	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	return log
+}
+
+func connect(t *testing.T) *network {
+	t.Helper()
+	n := &network{log: memlog.New()}
+	server := httptest.NewServer(NewHandler(n.log))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	n.fallback = NewFallback(refusing(), func() []string { return []string{address} }, zerolog.Nop())
+	for range failuresToSwitch {
+		_, err := n.fallback.Append(t.Context(), part, nil)
+		assert.Assert(t, errors.Is(err, eventlog.ErrNotDone))
+	}
+	return n
+}
+
+func TestRefusedNodeReachesTheLogThroughAnother(t *testing.T) {
+	n := connect(t)
+	first, err := n.fallback.Append(t.Context(), part, [][]byte{[]byte("a"), []byte("b")})
+	assert.NilError(t, err)
+	assert.Equal(t, first, int64(0))
+	_, err = n.fallback.AppendAt(t.Context(), part, 1, [][]byte{[]byte("c")})
+	var conflict *eventlog.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.End, int64(2))
+	batch, err := n.fallback.Read(t.Context(), part, 1, 1024, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, batch.First, int64(1))
+	assert.Equal(t, batch.End, int64(2))
+	assert.Equal(t, string(batch.Records[0]), "b")
+	n.log.Trim(part, 1)
+	_, err = n.fallback.Read(t.Context(), part, 0, 1024, 0)
+	var gone *eventlog.GoneError
+	assert.Assert(t, errors.As(err, &gone))
+	assert.Equal(t, gone.First, int64(1))
+}
+
+func TestKeyedTopicsAreFollowedThroughAnother(t *testing.T) {
+	n := connect(t)
+	n.log.Put("keyed.x", "k", []byte("v1"))
+	newest, err := n.fallback.Newest(t.Context(), "keyed.x")
+	assert.NilError(t, err)
+	assert.Equal(t, string(newest.Records[0].Value), "v1")
+	n.log.Put("keyed.x", "k", nil)
+	changes, err := n.fallback.ReadKeyed(t.Context(), "keyed.x", newest.Next, time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, changes.Records[0].Deleted)
+	assert.Equal(t, changes.Next, int64(2))
+}
+
+// TestOutcomesKeepTheirMeaning: what another node could not tell of is unknown,
+// what the log refused there is not done.
+func TestOutcomesKeepTheirMeaning(t *testing.T) {
+	n := connect(t)
+	n.log.SetFault(func(memlog.Call) memlog.Fault { return memlog.LostAnswer })
+	_, err := n.fallback.Append(t.Context(), part, [][]byte{[]byte("a")})
+	assert.Assert(t, errors.Is(err, eventlog.ErrOutcomeUnknown), "%v", err)
+	n.log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := n.fallback.Append(t.Context(), part, [][]byte{[]byte("a")})
+		if errors.Is(err, eventlog.ErrNotDone) {
+			return poll.Success()
+		}
+		return poll.Continue("%v", err)
+	}, poll.WithTimeout(10*time.Second))
+	assert.Equal(t, n.log.End(part), int64(1))
+}
+
+func TestDirectWayIsTakenAgainOnceItWorks(t *testing.T) {
+	direct, other := memlog.New(), memlog.New()
+	server := httptest.NewServer(NewHandler(other))
+	t.Cleanup(server.Close)
+	fallback := NewFallback(direct, func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }, zerolog.Nop())
+	direct.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	for range failuresToSwitch {
+		_, _ = fallback.Append(t.Context(), part, nil)
+	}
+	_, err := fallback.Append(t.Context(), part, [][]byte{[]byte("a")})
+	assert.NilError(t, err)
+	assert.Equal(t, other.End(part), int64(1))
+	direct.SetFault(nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, _ = fallback.Append(t.Context(), part, [][]byte{[]byte("b")})
+		if direct.End(part) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not direct yet")
+	}, poll.WithTimeout(10*time.Second))
+}
+
+func TestWithoutOtherNodesTheDirectWayIsKept(t *testing.T) {
+	fallback := NewFallback(refusing(), func() []string { return nil }, zerolog.Nop())
+	for range 3 * failuresToSwitch {
+		_, err := fallback.Append(t.Context(), part, nil)
+		assert.Assert(t, errors.Is(err, eventlog.ErrNotDone))
+	}
+}
+
+func TestUnreadableCallsAreRefused(t *testing.T) {
+	server := httptest.NewServer(NewHandler(memlog.New()))
+	t.Cleanup(server.Close)
+	response, err := server.Client().Post(server.URL+Path, "", strings.NewReader("\xdf\xff\xff\xff\xff"))
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, 400)
+}
+
+func TestDirectoryListsTheOthers(t *testing.T) {
+	log := memlog.New()
+	one := NewDirectory(log, "n1", "127.0.0.1:1", zerolog.Nop())
+	two := NewDirectory(log, "n2", "127.0.0.1:2", zerolog.Nop())
+	go func() { _ = one.Run(t.Context()) }()
+	go func() { _ = two.Run(t.Context()) }()
+	_, err := log.Append(t.Context(), eventlog.Partition{Topic: directoryTopic}, [][]byte{[]byte("no member")})
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if peers := one.Peers(); len(peers) == 1 && peers[0] == "127.0.0.1:2" {
+			return poll.Success()
+		}
+		return poll.Continue("not listed yet")
+	}, poll.WithTimeout(20*time.Second))
+}
--- /dev/null
+++ b/internal/logrelay/server.go
@@ -0,0 +1,87 @@
+package logrelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// Path is where other nodes send their calls.
+	Path = "/log"
+	// maxRequestBytes bounds a call; a call of the log may have 2 MiB.
+	maxRequestBytes = 4 << 20
+	// maxWait bounds how long a read of another node is held.
+	maxWait = 2 * time.Second
+)
+
+// NewHandler serves calls of other nodes with the node's own connection to the
+// log, never by way of a third one.
+func NewHandler(direct eventlog.Log) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(Path, func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+		var call request
+		if err == nil {
+			err = msgpackguard.Check(raw)
+		}
+		if err == nil {
+			err = msgpack.Unmarshal(raw, &call)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer, err := msgpack.Marshal(serve(r.Context(), direct, call))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(answer)
+	}).Methods(http.MethodPost)
+	return router
+}
+
+func serve(ctx context.Context, direct eventlog.Log, call request) response {
+	wait := min(call.Wait, maxWait)
+	switch call.Operation {
+	case opAppend:
+		// The call goes on when its sender leaves: half a call would have no outcome.
+		return appended(direct.Append(context.WithoutCancel(ctx), call.partition(), call.Records))
+	case opAppendAt:
+		return appended(direct.AppendAt(context.WithoutCancel(ctx), call.partition(), call.Offset, call.Records))
+	case opRead:
+		batch, err := direct.Read(ctx, call.partition(), call.Offset, call.Limit, wait)
+		if err != nil {
+			return failed(err)
+		}
+		return response{Outcome: done, Offset: batch.First, End: batch.End, Records: batch.Records}
+	case opNewest:
+		return keyed(direct.Newest(ctx, call.Topic))
+	case opReadKeyed:
+		return keyed(direct.ReadKeyed(ctx, call.Topic, call.Offset, wait))
+	default:
+		return response{Outcome: notDone, Detail: "unknown operation"}
+	}
+}
+
+func appended(offset int64, err error) response {
+	if err != nil {
+		return failed(err)
+	}
+	return response{Outcome: done, Offset: offset}
+}
+
+func keyed(batch eventlog.KeyedBatch, err error) response {
+	if err != nil {
+		return failed(err)
+	}
+	return response{Outcome: done, Offset: batch.Next, Keyed: batch.Records}
+}
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -140,7 +140,7 @@
 	d.t.Helper()
 	config := settings.Default()
 	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
-	config.Listen = settings.Listen{Callers: freeAddress(d.t), Operators: freeAddress(d.t), Peers: "127.0.0.1:1"}
+	config.Listen = settings.Listen{Callers: freeAddress(d.t), Operators: freeAddress(d.t), Peers: freeAddress(d.t)}
 	config.Hosted.Log = d.address
 	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
 	config.Hosted.OrderQuiet = settings.Duration(200 * time.Millisecond)
