--- a/cmd/corkpulleyd/main.go
+++ b/cmd/corkpulleyd/main.go
@@ -44,7 +44,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := runNode(ctx, loaded); err != nil {
+	if err := runNode(ctx, flags, loaded); err != nil {
 		fmt.Fprintln(os.Stderr, "corkpulleyd:", err)
 		return exitFailed
 	}
@@ -52,14 +52,39 @@
 }
 
 // runNode runs the node in the way that its settings ask for.
-func runNode(ctx context.Context, loaded settings.Settings) error {
+func runNode(ctx context.Context, flags settings.Flags, loaded settings.Settings) error {
 	if loaded.Hosted.Log == "" {
 		return node.Run(ctx, loaded, os.Stderr)
 	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
-	return hosted.Run(ctx, loaded, platform.New(loaded.Hosted.Log), os.Stdout)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	reloads := make(chan settings.Settings)
+	go reloadOnHangup(ctx, flags, hangups, reloads)
+	return hosted.Run(ctx, loaded, platform.New(loaded.Hosted.Log), reloads, os.Stdout)
+}
+
+// reloadOnHangup reads the settings anew at each SIGHUP. Settings with mistakes
+// are reported and those in force stay.
+func reloadOnHangup(
+	ctx context.Context, flags settings.Flags, hangups <-chan os.Signal, reloads chan<- settings.Settings,
+) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		reloaded, problems := settings.Load(flags)
+		if len(problems) > 0 {
+			reportProblems(problems)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case reloads <- reloaded:
+		}
+	}
 }
 
 func reportProblems(problems []settings.Problem) {
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+const topic = "keyed.test"
+
+// view is what a follower's handler has made of the records.
+type view struct {
+	mu     sync.Mutex
+	values map[string]string
+	last   map[string]int64
+	t      *testing.T
+}
+
+func (v *view) handle(record eventlog.KeyedRecord) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if last, found := v.last[record.Key]; found && record.Offset <= last {
+		v.t.Errorf("%s went back from offset %d to %d", record.Key, last, record.Offset)
+	}
+	v.last[record.Key] = record.Offset
+	if record.Deleted {
+		delete(v.values, record.Key)
+		return
+	}
+	v.values[record.Key] = string(record.Value)
+}
+
+func (v *view) is(key, value string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.values[key] == value
+}
+
+func start(t *testing.T, log eventlog.Log) *view {
+	t.Helper()
+	v := &view{values: map[string]string{}, last: map[string]int64{}, t: t}
+	follower := New(log, topic, v.handle, zerolog.Nop())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = follower.Run(t.Context())
+	}()
+	t.Cleanup(func() { <-done })
+	return v
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestChangesAreFollowed(t *testing.T) {
+	log := memlog.New()
+	log.Put(topic, "a", []byte("1"))
+	v := start(t, log)
+	await(t, "the first value", func() bool { return v.is("a", "1") })
+	log.Put(topic, "a", []byte("2"))
+	log.Put(topic, "b", []byte("3"))
+	await(t, "the changes", func() bool { return v.is("a", "2") && v.is("b", "3") })
+	log.Put(topic, "a", nil)
+	await(t, "the deletion", func() bool { return v.is("a", "") })
+}
+
+// TestHistoryLostInAnOutageIsMadeUpFor changes, deletes and adds keys while the
+// log is away, and then drops the records.
+func TestHistoryLostInAnOutageIsMadeUpFor(t *testing.T) {
+	log := memlog.New()
+	log.Put(topic, "changed", []byte("1"))
+	log.Put(topic, "deleted", []byte("1"))
+	v := start(t, log)
+	await(t, "the first values", func() bool { return v.is("changed", "1") && v.is("deleted", "1") })
+	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	log.Put(topic, "changed", []byte("2"))
+	log.Put(topic, "deleted", nil)
+	log.Put(topic, "added", []byte("3"))
+	log.Trim(eventlog.Partition{Topic: topic}, log.End(eventlog.Partition{Topic: topic}))
+	log.SetFault(nil)
+	await(t, "the state after the outage", func() bool {
+		return v.is("changed", "2") && v.is("deleted", "") && v.is("added", "3")
+	})
+	assert.Equal(t, len(v.last), 3)
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -103,9 +103,12 @@
 	peers     *server
 }
 
-// Run runs a node until ctx ends, and then the planned stop. Logs are written
-// as JSON lines.
-func Run(ctx context.Context, config settings.Settings, platform Platform, logs io.Writer) error {
+// Run runs a node until ctx ends, and then the planned stop. Settings that come
+// from reloads while it runs change what can be changed then: the grace period
+// and the log level. Logs are written as JSON lines.
+func Run(
+	ctx context.Context, config settings.Settings, platform Platform, reloads <-chan settings.Settings, logs io.Writer,
+) error {
 	output := newLogOutput(logs)
 	defer output.Close()
 	n, err := newNode(config, platform, newLogger(config, output))
@@ -113,6 +116,7 @@
 		return err
 	}
 	output.onDropped(n.metrics.linesDropped)
+	go n.followReloads(ctx, reloads)
 	return n.run(ctx)
 }
 
@@ -121,7 +125,7 @@
 		config: config, platform: platform, logger: logger,
 		registry: prometheus.NewRegistry(),
 		holder:   config.Node.ID + "-" + xid.New().String(),
-		state:    newState(),
+		state:    newState(time.Duration(config.Shutdown.Grace)),
 		fleet:    fleet.New(),
 	}
 	n.metrics = newMetrics(n.registry)
--- /dev/null
+++ b/internal/hosted/reload.go
@@ -0,0 +1,38 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/settings"
+)
+
+// followReloads takes settings that were read anew while the node runs.
+func (n *node) followReloads(ctx context.Context, reloads <-chan settings.Settings) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case reloaded, open := <-reloads:
+			if !open {
+				return
+			}
+			n.reload(reloaded)
+		}
+	}
+}
+
+// reload puts in force what can change without a restart. The rest of the
+// settings is that of the start; a difference is told.
+func (n *node) reload(reloaded settings.Settings) {
+	grace := time.Duration(reloaded.Shutdown.Grace)
+	n.state.setGrace(grace)
+	if level, err := zerolog.ParseLevel(reloaded.Log.Level); err == nil {
+		zerolog.SetGlobalLevel(level)
+	}
+	restart := reloaded.Node != n.config.Node || reloaded.Listen != n.config.Listen || reloaded.Hosted != n.config.Hosted
+	n.logger.Info().Dur("grace_ms", grace).Str("level", reloaded.Log.Level).Bool("needs_restart", restart).
+		Msg("settings reloaded")
+}
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -17,11 +17,13 @@
 	current  *routes.Table
 	versions map[string]int64
 	stopping bool
-	// stoppedAt is when the planned stop began.
-	stoppedAt time.Time
+	// grace is the time that a planned stop may take.
+	grace time.Duration
 }
 
-func newState() *state { return &state{versions: make(map[string]int64)} }
+func newState(grace time.Duration) *state {
+	return &state{versions: make(map[string]int64), grace: grace}
+}
 
 func (s *state) table() *routes.Table {
 	s.mu.RLock()
@@ -59,7 +61,19 @@
 func (s *state) beginStop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping, s.stoppedAt = true, time.Now()
+	s.stopping = true
+}
+
+func (s *state) graceTime() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.grace
+}
+
+func (s *state) setGrace(grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grace = grace
 }
 
 func (s *state) isStopping() bool {
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -21,7 +21,7 @@
 	began := time.Now()
 	n.state.beginStop()
 	n.logger.Info().Int64("in_flight", n.callers.inFlight.Load()).Msg("node stopping")
-	grace := time.Duration(n.config.Shutdown.Grace)
+	grace := n.state.graceTime()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitSlack))
 	defer cancel()
 	release, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -153,7 +153,7 @@
 	}
 	go func() {
 		defer close(p.done)
-		if err := hosted.Run(ctx, config, platform.New(d.address), p.logs); err != nil {
+		if err := hosted.Run(ctx, config, platform.New(d.address), nil, p.logs); err != nil {
 			d.t.Errorf("node %s: %v", id, err)
 		}
 	}()
