Keep the text of all unfinished items at the end of a term; hold routes of one version to it event by event

Cause: tests of the runner, failing first: (1) at the end of a term the runs ended before the last write of what they have, so TestNextTermContinuesWhatTheLastOneKept began again after event 0 in one of two runs; (2) a run during which the engine changed its weights was recorded with two versions on a route that wants one (TestItemOfOneVersionBeginsAnewWhenTheVersionChanges), which only the order of loads had kept from happening.

Change: what is beyond the log is found by item, not by run; an event of another version throws the text away and the item begins anew.

--- /dev/null
+++ b/internal/batchrun/fakes_test.go
@@ -0,0 +1,255 @@
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+)
+
+// fakeJobs keeps jobs in a reducer of its own.
+type fakeJobs struct {
+	mu       sync.Mutex
+	state    *batch.Partition
+	recorded []batchjobs.FinishedItem
+	kept     []batchjobs.RunningItem
+	// texts holds kept texts by the offset of their span.
+	texts map[int64][]byte
+	down  bool
+}
+
+func newFakeJobs() *fakeJobs {
+	return &fakeJobs{state: batch.NewPartition(), texts: make(map[int64][]byte)}
+}
+
+func (f *fakeJobs) apply(record batch.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Apply(record, time.Now())
+}
+
+func (f *fakeJobs) Observe(observer batch.Observer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Observe(observer)
+}
+
+func (f *fakeJobs) Payloads(_ context.Context, job batch.JobRecord) ([]batch.Payload, error) {
+	payloads := make([]batch.Payload, len(job.Items))
+	for i, item := range job.Items {
+		payloads[i] = batch.Payload{Path: "/" + item.ID}
+	}
+	return payloads, nil
+}
+
+func (f *fakeJobs) Record(_ context.Context, _ int, finished []batchjobs.FinishedItem) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return fmt.Errorf("the log is away")
+	}
+	f.recorded = append(f.recorded, finished...)
+	for _, item := range finished {
+		f.state.Apply(batch.Record{Results: []batch.ResultRecord{{
+			Job: item.JobID, Item: item.Item, Outcome: item.Outcome, Versions: item.Versions,
+		}}}, time.Now())
+	}
+	return nil
+}
+
+func (f *fakeJobs) Keep(_ context.Context, _ int, running []batchjobs.RunningItem) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, item := range running {
+		item.Record.Text = batch.Span{First: int64(len(f.texts)), Count: 1}
+		f.texts[item.Record.Text.First] = item.Text
+		f.kept = append(f.kept, item)
+		f.state.Apply(batch.Record{Progress: []batch.ProgressRecord{item.Record}}, time.Now())
+	}
+	return nil
+}
+
+func (f *fakeJobs) KeptText(_ context.Context, _ string, progress batch.Progress) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var text []byte
+	for i, part := range progress.Parts {
+		if i > 0 {
+			text = append(text, '\n')
+		}
+		text = append(text, f.texts[part.First]...)
+	}
+	return text, nil
+}
+
+func (f *fakeJobs) PartitionOf(string) int { return 0 }
+
+func (f *fakeJobs) results() []batchjobs.FinishedItem {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]batchjobs.FinishedItem(nil), f.recorded...)
+}
+
+// fakeEngines makes events of "ITEM-NUMBER".
+type fakeEngines struct {
+	mu sync.Mutex
+	// events is the length of each item, pause the time between events at an engine.
+	events  map[string]int
+	pause   map[string]time.Duration
+	version map[string]int64
+	// refuse decides for each call; nil for none.
+	refuse func(engine string, call Call) *RefusedError
+	calls  []Call
+	at     []string
+}
+
+func (f *fakeEngines) Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls, f.at = append(f.calls, call), append(f.at, engine.ID)
+	if f.refuse != nil {
+		if refused := f.refuse(engine.ID, call); refused != nil {
+			return nil, refused
+		}
+	}
+	return &fakeStream{ctx: ctx, engines: f, engine: engine.ID, item: call.ItemID, next: call.After + 1}, nil
+}
+
+func (f *fakeEngines) callsOf(item string) (calls []Call, at []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, call := range f.calls {
+		if call.ItemID == item {
+			calls, at = append(calls, call), append(at, f.at[i])
+		}
+	}
+	return calls, at
+}
+
+func (f *fakeEngines) setVersion(engine string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version[engine] = version
+}
+
+type fakeStream struct {
+	ctx     context.Context
+	engines *fakeEngines
+	engine  string
+	item    string
+	next    int64
+}
+
+func (s *fakeStream) Next() (Event, error) {
+	s.engines.mu.Lock()
+	length, pause := int64(s.engines.events[s.item]), s.engines.pause[s.engine]
+	version := s.engines.version[s.engine]
+	s.engines.mu.Unlock()
+	if s.next > length {
+		return Event{}, io.EOF
+	}
+	select {
+	case <-s.ctx.Done():
+		return Event{}, s.ctx.Err()
+	case <-time.After(pause):
+	}
+	event := Event{Number: s.next, Data: fmt.Appendf(nil, "%s-%d", s.item, s.next), Version: version}
+	s.next++
+	return event, nil
+}
+
+func (s *fakeStream) Close() {}
+
+// world is a runner with what it works with.
+type world struct {
+	t       *testing.T
+	jobs    *fakeJobs
+	engines *fakeEngines
+	fleet   *fleet.Fleet
+	route   Route
+	terms   int
+}
+
+func newWorld(t *testing.T, engineIDs ...string) *world {
+	w := &world{
+		t: t, jobs: newFakeJobs(), fleet: fleet.New(),
+		engines: &fakeEngines{events: map[string]int{}, pause: map[string]time.Duration{}, version: map[string]int64{}},
+		route:   Route{Service: "s", MaxAttempts: 2, Retention: time.Minute},
+	}
+	for _, id := range engineIDs {
+		w.engines.version[id] = 1
+		w.fleet.Put(fleet.Engine{ID: id, Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}})
+	}
+	return w
+}
+
+// lead runs a runner until the returned function is called.
+func (w *world) lead() (*Runner, func()) {
+	w.terms++
+	r := New(Options{
+		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet,
+		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
+		Loading: func(string) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	w.t.Cleanup(stop)
+	return r, stop
+}
+
+func (w *world) submit(id string, minVersion int64, items ...string) {
+	record := batch.JobRecord{ID: id, Model: "m", MinVersion: minVersion}
+	for _, item := range items {
+		record.Items = append(record.Items, batch.ItemRecord{ID: item, Group: "group of " + id})
+	}
+	w.jobs.apply(batch.Record{Job: &record})
+}
+
+func (w *world) await(what string, condition func() bool) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func (w *world) awaitResults(count int) map[string]batchjobs.FinishedItem {
+	w.t.Helper()
+	w.await(fmt.Sprintf("%d results", count), func() bool { return len(w.jobs.results()) >= count })
+	byItem := map[string]batchjobs.FinishedItem{}
+	for _, result := range w.jobs.results() {
+		byItem[fmt.Sprint(result.JobID, "/", result.Item)] = result
+	}
+	return byItem
+}
+
+// wholeText is the output of an item.
+func wholeText(item string, events int) string {
+	text := ""
+	for number := 1; number <= events; number++ {
+		if number > 1 {
+			text += "\n"
+		}
+		text += fmt.Sprintf("%s-%d", item, number)
+	}
+	return text
+}
--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -127,33 +127,45 @@
 	writes := make(map[int][]batchjobs.RunningItem)
 	marks := make(map[int][]kept)
 	now := time.Now()
-	for key, each := range r.runs {
-		job := r.jobs[key.Job]
-		if job == nil || now.Sub(each.started) < minAge {
-			continue
-		}
-		state := &job.items[key.Item]
-		p := &state.progress
-		if state.done || p.last == p.keptTo {
-			continue
-		}
-		if p.chain == "" {
-			r.chains++
-			p.chain = r.options.Term + "." + strconv.Itoa(r.chains)
-		}
-		record := batch.ProgressRecord{
-			Job: key.Job, Item: key.Item, Chain: p.chain, Continues: p.continues,
-			From: p.keptTo, To: p.last, Versions: slices.Clone(p.versions),
+	for _, job := range r.jobs {
+		partition := r.options.Jobs.PartitionOf(job.record.ID)
+		for index := range job.items {
+			running, mark, found := r.unkeptItem(job, index, now, minAge)
+			if found {
+				writes[partition] = append(writes[partition], running)
+				marks[partition] = append(marks[partition], mark)
+			}
 		}
-		partition := r.options.Jobs.PartitionOf(key.Job)
-		writes[partition] = append(writes[partition], batchjobs.RunningItem{
-			Record: record, Text: bytes.Join(p.events[p.keptEvents:], []byte{'\n'}),
-		})
-		marks[partition] = append(marks[partition], kept{key, p.chain, p.last, len(p.events)})
 	}
 	return writes, marks
 }
 
+// unkeptItem returns what an item has beyond what is in the log, unless it runs
+// and has not run for minAge; mu is held.
+func (r *Runner) unkeptItem(
+	job *openJob, index int, now time.Time, minAge time.Duration,
+) (batchjobs.RunningItem, kept, bool) {
+	state := &job.items[index]
+	p := &state.progress
+	if state.done || p.last == p.keptTo {
+		return batchjobs.RunningItem{}, kept{}, false
+	}
+	key := batchplan.Key{Job: job.record.ID, Item: index}
+	if running, runs := r.runs[key]; runs && now.Sub(running.started) < minAge {
+		return batchjobs.RunningItem{}, kept{}, false
+	}
+	if p.chain == "" {
+		r.chains++
+		p.chain = r.options.Term + "." + strconv.Itoa(r.chains)
+	}
+	record := batch.ProgressRecord{
+		Job: key.Job, Item: index, Chain: p.chain, Continues: p.continues,
+		From: p.keptTo, To: p.last, Versions: slices.Clone(p.versions),
+	}
+	running := batchjobs.RunningItem{Record: record, Text: bytes.Join(p.events[p.keptEvents:], []byte{'\n'})}
+	return running, kept{key, p.chain, p.last, len(p.events)}, true
+}
+
 // markKept notes what is in the log now.
 func (r *Runner) markKept(marks []kept) {
 	r.mu.Lock()
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -179,6 +179,10 @@
 		state.progress = progress{}
 		return &RefusedError{Refusal: NotExecuted, Detail: "made by weights older than the job allows"}
 	}
+	if job.single && len(state.progress.versions) > 0 && event.Version != state.progress.versions[0] {
+		state.progress = progress{}
+		return &RefusedError{Refusal: NotExecuted, Detail: "the weights changed, and the route wants one version"}
+	}
 	state.progress.add(event)
 	r.observePace(own, now)
 	return nil
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -63,6 +63,8 @@
 	payloads []batch.Payload
 	items    []itemState
 	addedAt  time.Time
+	// single is true when a result may bear one weight version only.
+	single bool
 	// kept holds the progress that other leaders left in the log.
 	kept map[int]batch.Progress
 	// left counts the items without a recorded result.
@@ -205,6 +207,7 @@
 	}
 	job.payloads = payloads
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
+	job.single = route.SingleVersion
 	queued, continued := 0, 0
 	for i := range job.items {
 		state := &job.items[i]
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
@@ -182,11 +183,26 @@
 	case <-groupContext.Done():
 	}
 	n.stop(stopRoles)
-	err := group.Wait()
+	err := waitAtMost(group.Wait, exitSlack/2)
 	n.logger.Info().Err(err).Msg("node stopped")
 	return err
 }
 
+// errRolesHang is returned when a role does not end in time.
+var errRolesHang = errors.New("a role did not end in time")
+
+// waitAtMost waits for the roles, but not beyond the grace period.
+func waitAtMost(wait func() error, limit time.Duration) error {
+	ended := make(chan error, 1)
+	go func() { ended <- wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(limit):
+		return errRolesHang
+	}
+}
+
 // electWhenCurrent takes part in the election once the node knows what a leader
 // must know.
 func (n *node) electWhenCurrent(ctx context.Context) error {
