Explain a request, job or item from the nodes' log files

corkctl explain ID LOGFILE... merges the files, names the cause in a sentence and prints the lines and what the nodes concerned believed meanwhile; torn lines are counted, unknown IDs are an error.

--- a/internal/ctl/arguments.go
+++ b/internal/ctl/arguments.go
@@ -18,6 +18,7 @@
 	Engines *enginesArguments `arg:"subcommand:engines" help:"list engines"`
 	Steps   *stepsArguments   `arg:"subcommand:steps" help:"list trainers' steps"`
 	Drain   *drainArguments   `arg:"subcommand:drain" help:"begin the planned stop of one node"`
+	Explain *explainArguments `arg:"subcommand:explain" help:"tell from log files, without any server, what became of a request, batch job or item"`
 
 	Server  []string      `arg:"--server,separate" placeholder:"HOST:PORT" help:"node to ask; repeat it or list several with commas, the next is tried when one is unreachable [env: CORKCTL_SERVER]"`
 	JSON    bool          `arg:"--json" help:"print JSON"`
@@ -69,6 +70,11 @@
 
 type drainArguments struct{}
 
+type explainArguments struct {
+	ID    string   `arg:"positional,required" help:"ID of a request, batch job or item"`
+	Files []string `arg:"positional,required" placeholder:"LOGFILE" help:"log files of the nodes; - for standard input"`
+}
+
 // Description introduces the help.
 func (arguments) Description() string {
 	return "corkctl operates corkpulley: the table of services, its nodes, engines and steps.\n"
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -90,6 +90,8 @@
 		return s.online(s.steps)
 	case parsed.Drain != nil:
 		return s.online(s.drain)
+	case parsed.Explain != nil:
+		return s.explain
 	default:
 		return nil
 	}
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,124 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Numbers of the fields "refusal", "stop_reason" and "verdict" as nodes log them.
+var (
+	refusals    = []string{"", "not run", "another engine at the address", "the run failed", "impossible", "broken"}
+	stopReasons = []string{"", "dropped", "moved to a faster engine", "silent"}
+)
+
+func named(names []string, number float64) string {
+	if index := int(number); index > 0 && index < len(names) {
+		return names[index]
+	}
+	return "unknown"
+}
+
+// cause says in a sentence how the way ended and why.
+func cause(way *Way) string {
+	switch {
+	case way.isJob():
+		return jobCause(way)
+	case way.last("item started") != nil || way.last("item finished") != nil:
+		return itemCause(way)
+	default:
+		return requestCause(way)
+	}
+}
+
+// isJob tells whether the ID is that of a batch job.
+func (w *Way) isJob() bool {
+	for _, line := range w.Lines {
+		if line.text("job") == w.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func requestCause(way *Way) string {
+	var tries []string
+	for _, line := range way.Lines {
+		if line.Message == "engine tried" && line.number("verdict") != 0 {
+			reason := line.text("error")
+			if reason == "" {
+				reason = fmt.Sprintf("status %.0f", line.number("status"))
+			}
+			tries = append(tries, fmt.Sprintf("%s after %.0f ms (%s)", line.text("engine"), line.number("took_ms"), reason))
+		}
+	}
+	failed := ""
+	if len(tries) > 0 {
+		failed = " Tries that failed: " + strings.Join(tries, "; ") + "."
+	}
+	if refused := way.last("request refused"); refused != nil {
+		return fmt.Sprintf("Refused by %s with %.0f %s: %s.%s%s", refused.Node, refused.number("status"),
+			refused.text("kind"), refused.text("error"), failed, way.contextNotes())
+	}
+	if ended := way.last("request ended"); ended != nil {
+		left := ""
+		if callerLeft, _ := ended.Fields["caller_left"].(bool); callerLeft {
+			left = ", the caller had left"
+		}
+		return fmt.Sprintf("Ended at %s with status %.0f after %.0f ms%s.%s%s", ended.Node, ended.number("status"),
+			ended.number("took_ms"), left, failed, way.contextNotes())
+	}
+	return "No line tells its end: the node ended or lost lines." + failed + way.contextNotes()
+}
+
+func jobCause(way *Way) string {
+	handed, taken, ended := way.last("job handed in"), way.last("job taken up"), way.last("job ended")
+	switch {
+	case taken == nil && handed != nil && handed.text("error") != "":
+		return fmt.Sprintf("Not accepted by %s: %s.%s", handed.Node, handed.text("error"), way.contextNotes())
+	case taken == nil:
+		return "Handed in, but no leader took it up." + way.contextNotes()
+	case ended == nil:
+		return fmt.Sprintf("Taken up by %s %d times; no end was asked.%s", taken.Node, way.count("job taken up"), way.contextNotes())
+	default:
+		return fmt.Sprintf("Ended by its submitter after %.0f ms with %.0f items unfinished, taken up %d times.%s",
+			ended.number("after_ms"), ended.number("unfinished"), way.count("job taken up"), way.contextNotes())
+	}
+}
+
+func itemCause(way *Way) string {
+	var breaks []string
+	for _, line := range way.Lines {
+		if line.Message != "run ended early" {
+			continue
+		}
+		why := named(refusals, line.number("refusal"))
+		if reason := line.number("stop_reason"); reason != 0 {
+			why = named(stopReasons, reason)
+		}
+		breaks = append(breaks, fmt.Sprintf("%s after %.0f ms at event %.0f (%s)",
+			line.text("engine"), line.number("ran_ms"), line.number("after_event"), why))
+	}
+	text := fmt.Sprintf("Started %d times", way.count("item started"))
+	if first := firstStart(way); first != nil {
+		text += fmt.Sprintf(", first after %.0f ms of waiting", first.number("waited_ms"))
+	}
+	if len(breaks) > 0 {
+		text += "; runs ended early: " + strings.Join(breaks, "; ")
+	}
+	if finished := way.last("item finished"); finished != nil {
+		text += fmt.Sprintf("; finished by %s after %.0f ms (%s, %.0f events)", finished.Node,
+			finished.number("after_ms"), finished.text("reason"), finished.number("events"))
+	} else {
+		text += "; not finished"
+	}
+	return text + "." + way.contextNotes()
+}
+
+func firstStart(way *Way) *Line {
+	for i := range way.Lines {
+		if way.Lines[i].Message == "item started" {
+			return &way.Lines[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,68 @@
+package explain
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logs = `
+  17.8 edge-3 {"level":"info","node":"n3","zone":"z","time":1000,"message":"node started"}
+  17.9 edge-3 {"level":"info","node":"n3","zone":"z","topic":"keyed","error":"status 503","reachable":false,"time":1200,"message":"topic contact changed"}
+{"level":"info","node":"n3","zone":"z","id":"r1","kind":"not_ready","error":"no configuration is known yet","status":503,"time":1300,"message":"request refused"}
+{"level":"info","node":"n1","zone":"z","id":"r2","engine":"e1","verdict":1,"took_ms":300.5,"error":"context deadline exceeded","time":5300,"message":"engine tried"}
+{"level":"info","node":"n1","zone":"z","id":"r2","status":200,"took_ms":340,"caller_left":false,"time":5340,"message":"request ended"}
+{"level":"info","node":"n1","zone":"z","job":"j1","error":"","time":6000,"message":"job handed in"}
+{"level":"info","node":"n2","zone":"z","job":"j1","time":6010,"message":"job taken up"}
+{"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","waited_ms":15,"time":6015,"message":"item started"}
+{"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","refusal":5,"stop_reason":3,"after_event":7,"ran_ms":1300,"time":7315,"message":"run ended early"}
+{"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e2","waited_ms":1315,"time":7316,"message":"item started"}
+{"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","completed":true,"reason":"whole","events":20,"after_ms":2500,"time":8500,"message":"item finished"}
+{"level":"info","node":"n2","zone":"z","job":"j1","after_ms":2600,"unfinished":1,"time":8600,"message":"job ended"}
+{"level":"info","node":"n2","zone":"z","time":1,"message
+a line of somebody else
+`
+
+func read(t *testing.T) *Log {
+	t.Helper()
+	log := &Log{}
+	assert.NilError(t, log.Read(strings.NewReader(logs)))
+	return log
+}
+
+func TestTornLinesAreCountedAndForeignOnesIgnored(t *testing.T) {
+	log := read(t)
+	assert.Equal(t, log.Torn, 1)
+	assert.Equal(t, len(log.Lines), 12)
+}
+
+func TestCauseIsNamed(t *testing.T) {
+	log := read(t)
+	for id, wanted := range map[string][]string{
+		"r1": {"Refused by n3 with 503", "no configuration", "n3 had just started", "out of reach of n3"},
+		"r2": {"Ended at n1 with status 200", "e1 after 300 ms (context deadline exceeded)"},
+		"j1": {"Ended by its submitter after 2600 ms with 1 items unfinished, taken up 1 times"},
+		"i1": {"Started 2 times", "e1 after 1300 ms at event 7 (silent)", "finished by n2 after 2500 ms (whole, 20 events)"},
+	} {
+		way, err := log.Find(id)
+		assert.NilError(t, err)
+		for _, part := range wanted {
+			assert.Assert(t, strings.Contains(way.Cause, part), "%s: %q lacks %q", id, way.Cause, part)
+		}
+	}
+}
+
+func TestLinesOfAnItemComeWithThoseOfItsJobInOrder(t *testing.T) {
+	way, err := read(t).Find("i1")
+	assert.NilError(t, err)
+	assert.Equal(t, way.Lines[0].Message, "job handed in")
+	assert.Equal(t, way.Lines[len(way.Lines)-1].Message, "job ended")
+	assert.Equal(t, len(way.Lines), 7)
+}
+
+func TestUnknownIDIsAnError(t *testing.T) {
+	_, err := read(t).Find("nobody")
+	assert.Assert(t, errors.Is(err, ErrUnknown))
+}
