Move items off an engine as soon as it is listed as leaving

Change: such items continue elsewhere at once, where there is room. The test failed first (one call, at the leaving engine).

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -268,8 +268,8 @@
 }
 
 // moveStragglers ends runs at engines that are slower than others with room, so
-// that their items continue there. An engine that has become slow loses all its
-// items, one that always was only those that have run for long.
+// that their items continue there. An engine that leaves or has become slow loses
+// all its items, one that always was slower only those that have run for long.
 func (r *Runner) moveStragglers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -289,7 +289,11 @@
 			continue
 		}
 		state := &job.items[key.Item]
-		if state.moves >= maxMoves || now.Sub(each.started) < moveAge(float64(r.plan.Pace(each.engine))/float64(best)) {
+		wanted := moveAge(float64(r.plan.Pace(each.engine)) / float64(best))
+		if engine, known := r.options.Fleet.Get(each.engine); known && engine.Draining {
+			wanted = 0
+		}
+		if state.moves >= maxMoves || now.Sub(each.started) < wanted {
 			continue
 		}
 		state.moves++
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -192,3 +192,26 @@
 	assert.Assert(t, len(calls) > 1 && at[0] == "slow" && at[len(at)-1] != "slow", "%v", at)
 	assert.Assert(t, calls[len(calls)-1].After > 0)
 }
+
+func TestItemsMoveFromAnEngineThatLeaves(t *testing.T) {
+	w := newWorld(t, "a")
+	w.engines.events["x"], w.engines.events["y"] = 100, 100
+	w.engines.pause["a"], w.engines.pause["b"] = 20*time.Millisecond, 20*time.Millisecond
+	r, _ := w.lead()
+	w.submit("j", 1, "x")
+	w.await("x runs", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
+	w.engines.setVersion("b", 1)
+	w.fleet.Put(fleet.Engine{ID: "b", Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}})
+	w.submit("j2", 1, "y")
+	w.await("the pace of b is known", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.plan.Pace("b") > 0
+	})
+	w.fleet.Put(fleet.Engine{ID: "a", Service: "s", Slots: 8, Draining: true, Versions: map[string]int64{"m": 1}})
+	results := w.awaitResults(2)
+	assert.Equal(t, string(results["j/0"].Text), wholeText("x", 100))
+	calls, at := w.engines.callsOf("x")
+	assert.DeepEqual(t, at, []string{"a", "b"})
+	assert.Assert(t, calls[1].After > 0)
+}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -13,8 +13,7 @@
 // lead is the leader's part: it runs batch items and orders weights.
 func (n *node) lead(ctx context.Context, term leadership.Term) {
 	var runner *batchrun.Runner
-	var orders *weightorders.Manager
-	orders = weightorders.New(weightorders.Options{
+	orders := weightorders.New(weightorders.Options{
 		Engines: n.platform.Engines(), Fleet: n.fleet, Targets: n.weightTargets,
 		Valid:   func() bool { return n.elector.Valid(term.Epoch) },
 		Running: func(engine string) int { return runner.Running(engine) },
