Give away engine memory twice at most; keep the lease until a planned stop ends; hand over without quiet time

(3) each change of leader kept orders back for 3 s.

Change: an item starts only where the expected memory of all items stays within twice the engine's; a node that stops keeps the lease until its requests are answered, and leaves a free one to others for 250 ms; where engines refuse lower fencing tokens, a leader that was handed the lease orders at once. The takeover test's items are longer now, since the stopping leader finished the short ones; two addresses of a test node could be the same, which one run in three showed.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -90,4 +90,6 @@
 	MaxAttempts   int
 	SingleVersion bool
 	Retention     time.Duration
+	// EngineTokens is the memory of one engine, in tokens; zero when unknown.
+	EngineTokens int
 }
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -245,7 +245,7 @@
 	item := batchplan.Item{
 		Key:     batchplan.Key{Job: job.record.ID, Item: index},
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
-		Group: record.Group, Length: record.Length, NotBefore: notBefore, Avoid: avoid,
+		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
 	}
 	if route.SingleVersion && len(state.progress.versions) == 1 {
 		item.SameVersion = state.progress.versions[0]
@@ -253,6 +253,16 @@
 	r.plan.Add(item)
 }
 
+// expectedTokens is the memory that an item will take at an engine: its prompt
+// and its expected output, half of the most where none is told.
+func expectedTokens(record batch.ItemRecord) int {
+	most := max(record.Tokens-record.Prompt, 0)
+	if record.Length == 0 {
+		return record.Prompt + most/2
+	}
+	return record.Prompt + min(record.Length, most)
+}
+
 // ItemListed implements batch.Observer.
 func (r *Runner) ItemListed(job *batch.Job, item int) {
 	r.mu.Lock()
@@ -353,8 +363,8 @@
 		for _, engine := range r.options.Fleet.Engines(route.Service) {
 			views = append(views, batchplan.Engine{
 				ID: engine.ID, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
-				Loading: r.options.Loading(engine.ID),
-				Usable:  !engine.Draining && !r.options.Fleet.Suspected(engine.ID, now),
+				Tokens: route.EngineTokens, Loading: r.options.Loading(engine.ID),
+				Usable: !engine.Draining && !r.options.Fleet.Suspected(engine.ID, now),
 			})
 		}
 	}
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -49,6 +49,8 @@
 	ID     string `msgpack:"i"`
 	Group  string `msgpack:"g"`
 	Tokens int    `msgpack:"t"`
+	// Prompt is the number of tokens of the prompt; zero when unknown.
+	Prompt int `msgpack:"p"`
 	// Length is the expected output in tokens; zero when unknown.
 	Length int `msgpack:"l"`
 }
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -33,6 +33,8 @@
 	Group       string
 	// Length is the expected output; longer items start first.
 	Length int
+	// Tokens is the memory that it is expected to take at an engine.
+	Tokens int
 	// NotBefore holds the item back after a failure.
 	NotBefore time.Time
 	// Avoid is the engine that failed it last.
@@ -41,9 +43,11 @@
 
 // Engine is an engine as the plan sees it.
 type Engine struct {
-	ID       string
-	Service  string
-	Slots    int
+	ID      string
+	Service string
+	Slots   int
+	// Tokens is its memory; zero when unknown.
+	Tokens   int
 	Versions map[string]int64
 	// Loading names the model whose weights the engine is changing; empty for none.
 	Loading string
@@ -72,9 +76,11 @@
 	jobOrder map[string]int
 	nextJob  int
 	waiting  map[Key]Item
-	running  map[Key]string
+	running  map[Key]placed
 	// count is the number of running items of each engine.
 	count map[string]int
+	// tokens is the memory expected of the running items of each engine.
+	tokens map[string]int
 	// paces is the moving mean of the time between events of each engine.
 	paces map[string]time.Duration
 	// homes is the engine of each group's latest item.
@@ -86,7 +92,8 @@
 	return &Plan{
 		jobOrder: make(map[string]int),
 		waiting:  make(map[Key]Item),
-		running:  make(map[Key]string),
+		running:  make(map[Key]placed),
+		tokens:   make(map[string]int),
 		count:    make(map[string]int),
 		paces:    make(map[string]time.Duration),
 		homes:    make(map[string]string),
@@ -110,15 +117,25 @@
 
 // Ended notes that an item no longer runs.
 func (p *Plan) Ended(key Key) {
-	if engine, found := p.running[key]; found {
-		delete(p.running, key)
-		p.count[engine]--
-		if p.count[engine] == 0 {
-			delete(p.count, engine)
-		}
+	place, found := p.running[key]
+	if !found {
+		return
+	}
+	delete(p.running, key)
+	p.count[place.engine]--
+	p.tokens[place.engine] -= place.tokens
+	if p.count[place.engine] == 0 {
+		delete(p.count, place.engine)
+		delete(p.tokens, place.engine)
 	}
 }
 
+// placed is where an item runs.
+type placed struct {
+	engine string
+	tokens int
+}
+
 // ForgetJob drops what is kept of a job without items.
 func (p *Plan) ForgetJob(job string) { delete(p.jobOrder, job) }
 
@@ -186,8 +203,9 @@
 		assigned = append(assigned, Assignment{
 			Item: item, Engine: engine, Running: p.count[engine], Pace: p.paces[engine],
 		})
-		p.running[item.Key] = engine
+		p.running[item.Key] = placed{engine, item.Tokens}
 		p.count[engine]++
+		p.tokens[engine] += item.Tokens
 		p.homes[item.Group] = engine
 	}
 	return assigned
@@ -236,6 +254,9 @@
 	if p.count[engine.ID] >= engine.Slots || engine.ID == item.Avoid && len(p.paces) > 1 {
 		return false
 	}
+	if p.overfills(item, engine) {
+		return false
+	}
 	version := engine.Versions[item.Model]
 	if item.SameVersion != 0 && version != item.SameVersion {
 		return false
@@ -243,6 +264,17 @@
 	return version >= item.MinVersion
 }
 
+// memoryOvercommit is how often an engine's memory may be given away: items grow
+// into theirs, end at different times, and their lengths are estimates.
+const memoryOvercommit = 2
+
+// overfills tells whether the item would take more memory than an engine that
+// runs others may give away.
+func (p *Plan) overfills(item Item, engine *Engine) bool {
+	return engine.Tokens > 0 && p.count[engine.ID] > 0 &&
+		p.tokens[engine.ID]+item.Tokens > memoryOvercommit*engine.Tokens
+}
+
 // homeBonus is the share of its score that a group's engine is spared.
 const homeBonus = 0.05
 
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -60,6 +60,25 @@
 	assert.Equal(t, len(plan.Assign(now.Add(time.Second), []Engine{engine("e", 1, 3)})), 1)
 }
 
+func TestMemoryOfAnEngineBoundsItsItems(t *testing.T) {
+	plan := New()
+	for i := range 4 {
+		large := item("j", i, 1)
+		large.Tokens = 40
+		plan.Add(large)
+	}
+	small := engine("e", 16, 3)
+	small.Tokens = 100 / memoryOvercommit
+	assert.Equal(t, len(plan.Assign(now, []Engine{small})), 2)
+	plan.Ended(Key{"j", 0})
+	assert.Equal(t, len(plan.Assign(now, []Engine{small})), 1)
+	huge := item("huge", 0, 1)
+	huge.Tokens = 1000
+	alone := New()
+	alone.Add(huge)
+	assert.Equal(t, len(alone.Assign(now, []Engine{small})), 1, "an item above the estimate must not wait for ever")
+}
+
 func TestItemOfOneVersionContinuesOnlyUnderIt(t *testing.T) {
 	plan := New()
 	single := item("j", 0, 1)
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -49,12 +49,29 @@
 	// Next is the offset of the next record to read.
 	Next int64
 
-	// otherSeenAt is when the newest record of a holder on another machine was
-	// read, renewalsSince counts the renewals read after it.
-	otherSeenAt   time.Time
+	// lost and released tell of the newest holders on another machine that lost
+	// the lease and that gave it up.
+	lost     predecessor
+	released predecessor
+}
+
+// predecessor is an earlier holder on another machine.
+type predecessor struct {
+	// seenAt is when its newest record was read; zero when there was none.
+	seenAt time.Time
+	// renewalsSince counts the renewals of others read after it.
 	renewalsSince int
 }
 
+// quietUntil is when the holder was last heard of plus quiet; the zero time when
+// that has passed for certain.
+func (p predecessor) quietUntil(quiet time.Duration) time.Time {
+	if p.seenAt.IsZero() || time.Duration(p.renewalsSince)*MinRenewalGap > quiet {
+		return time.Time{}
+	}
+	return p.seenAt.Add(quiet)
+}
+
 // Apply takes the record at the offset Next, read at the given time. It reports
 // whether the epoch changed.
 func (s *State) Apply(record Record, at time.Time) bool {
@@ -75,7 +92,8 @@
 		}
 		if record.Epoch == s.Epoch && !s.Released {
 			s.SeenAt = at
-			s.renewalsSince++
+			s.lost.renewalsSince++
+			s.released.renewalsSince++
 		}
 	case Release:
 		if record.Epoch == s.Epoch {
@@ -87,7 +105,12 @@
 
 func (s *State) adopt(epoch int64, record Record, at time.Time) {
 	if s.Epoch != 0 && s.Node != record.Node {
-		s.otherSeenAt, s.renewalsSince = s.SeenAt, 0
+		before := predecessor{seenAt: s.SeenAt}
+		if s.Released {
+			s.released = before
+		} else {
+			s.lost = before
+		}
 	}
 	s.Epoch, s.Holder, s.Node, s.Released, s.SeenAt = epoch, record.Holder, record.Node, false, at
 }
@@ -113,11 +136,17 @@
 	return now.Sub(from) > ttl
 }
 
-// QuietUntil is when a holder on another machine was last heard of plus the
-// given time; the zero time when that time has passed for certain.
-func (s *State) QuietUntil(quiet time.Duration) time.Time {
-	if s.otherSeenAt.IsZero() || time.Duration(s.renewalsSince)*MinRenewalGap > quiet {
-		return time.Time{}
+// QuietUntil is the time before which no engine may be ordered: quiet after a
+// holder on another machine was last heard of, or the zero time when that has
+// passed for certain. A holder that gave the lease up orders no more; where
+// engines refuse its fencing token as well, it needs no quiet time.
+func (s *State) QuietUntil(quiet time.Duration, enginesFence bool) time.Time {
+	until := s.lost.quietUntil(quiet)
+	if enginesFence {
+		return until
+	}
+	if released := s.released.quietUntil(quiet); released.After(until) {
+		return released
 	}
-	return s.otherSeenAt.Add(quiet)
+	return until
 }
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -69,17 +69,28 @@
 	const quiet = 300 * time.Millisecond
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
-	assert.Assert(t, state.QuietUntil(quiet).IsZero(), "nobody ordered before")
+	assert.Assert(t, state.QuietUntil(quiet, true).IsZero(), "nobody ordered before")
 	state.Apply(claim("a", "a2", 1), start)
-	assert.Assert(t, state.QuietUntil(quiet).IsZero(), "the same machine ordered before")
+	assert.Assert(t, state.QuietUntil(quiet, true).IsZero(), "the same machine ordered before")
 	state.Apply(claim("b", "b1", 2), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil(quiet), start.Add(quiet))
+	assert.Equal(t, state.QuietUntil(quiet, true), start.Add(quiet))
 	state.Apply(claim("b", "b2", 3), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil(quiet), start.Add(quiet), "a restart does not end the quiet time")
+	assert.Equal(t, state.QuietUntil(quiet, true), start.Add(quiet), "a restart does not end the quiet time")
 	for range 4 {
 		state.Apply(Record{Kind: Renew, Holder: "b2", Node: "b", Epoch: 4}, start)
 	}
-	assert.Assert(t, state.QuietUntil(quiet).IsZero(), "four renewals prove that the time has passed")
+	assert.Assert(t, state.QuietUntil(quiet, true).IsZero(), "four renewals prove that the time has passed")
+}
+
+func TestHandoverNeedsNoQuietTimeWhereEnginesFence(t *testing.T) {
+	const quiet = 300 * time.Millisecond
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(claim("b", "b1", 1), start.Add(ttl))
+	state.Apply(Record{Kind: Release, Holder: "b1", Node: "b", Epoch: 2}, start.Add(ttl))
+	state.Apply(claim("c", "c1", 2), start.Add(2*ttl))
+	assert.Equal(t, state.QuietUntil(quiet, true), start.Add(quiet), "only a, which lost the lease, counts")
+	assert.Equal(t, state.QuietUntil(quiet, false), start.Add(ttl+quiet), "b may be heard by engines without fences")
 }
 
 // TestEpochsRiseAndHaveOneHolder drives the state with random records.
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -57,6 +57,8 @@
 type Service struct {
 	Name           string
 	MaxConnections int
+	// EngineTokens is the memory of one engine, in tokens; zero when unknown.
+	EngineTokens int
 	// Models lists the models that its engines hold, none for plain services.
 	Models []string
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -147,7 +147,7 @@
 	})
 	n.elector = leadership.New(log, leadership.Options{
 		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
-		Quiet: time.Duration(config.Hosted.OrderQuiet), Logger: logger,
+		Quiet: time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence, Logger: logger,
 	}, n.lead)
 	return n, n.listen(logrelay.NewHandler(direct))
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -43,8 +43,9 @@
 	if route == nil || len(route.Parts) == 0 {
 		return batchrun.Route{}, false
 	}
+	service, _ := table.Service(route.Parts[0].Service)
 	return batchrun.Route{
-		Service: route.Parts[0].Service, MaxAttempts: route.MaxAttempts,
+		Service: route.Parts[0].Service, EngineTokens: service.EngineTokens, MaxAttempts: route.MaxAttempts,
 		SingleVersion: route.SingleVersion, Retention: route.Retention,
 	}, true
 }
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -11,12 +11,15 @@
 	takenOut = 2600 * time.Millisecond
 	// exitSlack is what is left of the grace period when the process ends.
 	exitSlack = 700 * time.Millisecond
-	// releaseTimeout bounds giving up the leadership.
+	// releaseTimeout bounds giving up the leadership, for which the last part of
+	// the grace period is kept.
 	releaseTimeout = 1500 * time.Millisecond
 )
 
-// stop carries out the planned stop: no longer ready, leadership released, and
-// requests answered until none comes any more or the grace period is over.
+// stop carries out the planned stop: no longer ready, requests answered until
+// none comes any more or the grace period is nearly over, and then the
+// leadership released. It is kept until then, since in a rolling restart all
+// other nodes may be stopping or starting.
 func (n *node) stop(stopRoles context.CancelFunc) {
 	began := time.Now()
 	n.state.beginStop()
@@ -24,16 +27,20 @@
 	grace := n.state.graceTime()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitSlack))
 	defer cancel()
-	release, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
-	n.elector.Stop(release)
-	cancelRelease()
+	n.elector.Hesitate()
 	timer := time.NewTimer(time.Until(began.Add(min(takenOut, grace/2))))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	n.callers.drain(ctx)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		n.callers.drain(ctx)
+	}()
+	n.releaseOnce(ctx, drained, began.Add(grace-exitSlack-releaseTimeout))
+	<-drained
 	_ = n.callers.http.Shutdown(ctx)
 	stopRoles()
 	_ = n.operators.http.Close()
@@ -41,3 +48,17 @@
 	_ = n.callers.http.Close()
 	n.logger.Info().Dur("took_ms", time.Since(began)).Int64("in_flight", n.callers.inFlight.Load()).Msg("node drained")
 }
+
+// releaseOnce gives up the leadership once all requests are answered, or when
+// just enough of the grace period is left for it.
+func (n *node) releaseOnce(ctx context.Context, drained <-chan struct{}, latest time.Time) {
+	timer := time.NewTimer(time.Until(latest))
+	defer timer.Stop()
+	select {
+	case <-drained:
+	case <-timer.C:
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	n.elector.Stop(ctx)
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -31,6 +31,9 @@
 	renewalTimeout = 400 * time.Millisecond
 	// maxOpenRenewals bounds the renewals that are waited for.
 	maxOpenRenewals = 32
+	// hesitantDelay is how long a node that is about to stop leaves a free lease to
+	// others.
+	hesitantDelay = 250 * time.Millisecond
 	// handoverTimeout bounds the end of the role before a lease is released.
 	handoverTimeout = time.Second
 	handoverCheck   = 10 * time.Millisecond
@@ -62,8 +65,10 @@
 	// TTL is how long a lease holds after its last renewal.
 	TTL time.Duration
 	// Quiet is the time that must lie between orders of two machines.
-	Quiet  time.Duration
-	Logger zerolog.Logger
+	Quiet time.Duration
+	// EnginesFence is true when engines refuse lower fencing tokens than one seen.
+	EnginesFence bool
+	Logger       zerolog.Logger
 }
 
 // Elector takes part in the election and runs the role while it leads.
@@ -88,6 +93,8 @@
 	sequence int64
 	sentAt   map[int64]time.Time
 	stopping bool
+	// hesitant is true while the node is about to stop.
+	hesitant bool
 	// leading is true while the role runs.
 	leading bool
 
@@ -138,6 +145,14 @@
 	return e.state.Holder, e.state.Epoch
 }
 
+// Hesitate leaves a free lease to others for a moment, since this node is about
+// to stop. A lease that it holds it keeps until Stop: others may be stopping too.
+func (e *Elector) Hesitate() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hesitant = true
+}
+
 // Stop gives up the lease, if it is held, and claims none any more.
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
@@ -190,7 +205,7 @@
 // lead runs the role until the lease is lost.
 func (e *Elector) lead(ctx context.Context, epoch int64) {
 	e.mu.Lock()
-	term := Term{Epoch: epoch, QuietUntil: e.state.QuietUntil(e.options.Quiet)}
+	term := Term{Epoch: epoch, QuietUntil: e.state.QuietUntil(e.options.Quiet, e.options.EnginesFence)}
 	e.mu.Unlock()
 	e.options.Logger.Info().Int64("epoch", epoch).Dur("quiet_ms", max(0, time.Until(term.QuietUntil))).
 		Msg("leadership gained")
@@ -299,6 +314,10 @@
 	free := inContact && !e.stopping &&
 		e.state.Claimable(e.options.Node, e.options.Holder, e.readAt, e.contactSince, e.options.TTL)
 	ownMachine := e.state.Node == e.options.Node
+	hesitation := time.Duration(0)
+	if e.hesitant {
+		hesitation = hesitantDelay
+	}
 	next, previous := e.state.Next, e.state.Epoch
 	pending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
 	e.mu.Unlock()
@@ -306,7 +325,7 @@
 		return
 	}
 	if !ownMachine {
-		sleep(ctx, rand.N(claimJitter))
+		sleep(ctx, rand.N(claimJitter)+hesitation)
 	}
 	e.mu.Lock()
 	if e.state.Next != next {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,8 @@
 	// OrderQuiet is the least time between orders to engines from two machines,
 	// 0..1 min.
 	OrderQuiet Duration `toml:"order_quiet"`
+	// EnginesFence is true when engines refuse orders with lower fencing tokens.
+	EnginesFence bool `toml:"engines_fence"`
 	// Partitions is the number of partitions of batch jobs, 1..1024. It is the
 	// same on all nodes and never changes while jobs are kept.
 	Partitions int `toml:"partitions"`
--- a/test/hosted/batch_test.go
+++ b/test/hosted/batch_test.go
@@ -129,12 +129,13 @@
 	assert.Equal(t, d.runsOf("a"), 1)
 }
 
-// TestNewLeaderContinuesWhatRuns stops the leader while items run: the texts are
+// TestNewLeaderContinuesWhatRuns stops the leader while items run that outlast its
+// planned stop: the texts are
 // whole, and the runs were continued rather than begun again.
 func TestNewLeaderContinuesWhatRuns(t *testing.T) {
 	t.Parallel()
 	d := deploy(t)
-	const events = 60
+	const events = 150
 	engines := []*standin.Engine{
 		d.addModelEngine("e1", 1, events, 30*time.Millisecond), d.addModelEngine("e2", 1, events, 30*time.Millisecond),
 	}
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -140,7 +141,8 @@
 	d.t.Helper()
 	config := settings.Default()
 	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
-	config.Listen = settings.Listen{Callers: freeAddress(d.t), Operators: freeAddress(d.t), Peers: freeAddress(d.t)}
+	addresses := freeAddresses(d.t, 3)
+	config.Listen = settings.Listen{Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
 	config.Hosted.Log = d.address
 	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
 	config.Hosted.OrderQuiet = settings.Duration(200 * time.Millisecond)
@@ -169,11 +171,17 @@
 	return p
 }
 
-func freeAddress(t *testing.T) string {
+// freeAddresses returns addresses that nobody listens on, each another one.
+func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	server := httptest.NewServer(nil)
-	defer server.Close()
-	return strings.TrimPrefix(server.URL, "http://")
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
 }
 
 func (p *process) status(path string) int {
