Pace reads of the log by the number of nodes

Change: waits and pauses of reads grow with the nodes beyond 12; a node for which nobody waits lets records gather; a throttled call counts a quarter towards going through another node, since it helps only if this node alone is throttled.

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -44,7 +44,9 @@
 	CallBytes   int
 	// KeepJobs is how long a job can be read after it was read first.
 	KeepJobs time.Duration
-	Logger   zerolog.Logger
+	// Nodes returns the number of nodes that share the log.
+	Nodes  func() int
+	Logger zerolog.Logger
 }
 
 // Service serves batch jobs.
@@ -58,7 +60,7 @@
 func New(log eventlog.Log, options Options) *Service {
 	s := &Service{log: log, options: options}
 	for number := range options.Partitions {
-		s.partitions = append(s.partitions, newPartition(log, number, options.Logger))
+		s.partitions = append(s.partitions, newPartition(log, number, options.Nodes, options.Logger))
 	}
 	return s
 }
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -10,12 +10,19 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
 const (
 	// pollWait is how long a read of the index waits for a record.
-	pollWait   = 600 * time.Millisecond
+	pollWait = 600 * time.Millisecond
+	// maxPollWait bounds it where many nodes share the log's reads.
+	maxPollWait = 10 * time.Second
+	// readGap is the time between two reads where nobody here waits for what they
+	// bring: every record ends a read that waits. It grows with the nodes.
+	readGap    = 20 * time.Millisecond
+	maxReadGap = 2 * time.Second
 	retryDelay = 100 * time.Millisecond
 	// freshness is the age up to which what was read counts as the present. A
 	// position that somebody read elsewhere must be found here a second later.
@@ -29,7 +36,10 @@
 	log    eventlog.Log
 	index  eventlog.Partition
 	data   eventlog.Partition
+	nodes  func() int
 	logger zerolog.Logger
+	// hurry ends the pause between two reads.
+	hurry chan struct{}
 
 	mu    sync.Mutex
 	state *batch.Partition
@@ -38,14 +48,20 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	healthy bool
+	// observed is true while an observer wants changes at once, waiters counts the
+	// readers that do.
+	observed bool
+	waiters  int
 }
 
-func newPartition(log eventlog.Log, number int, logger zerolog.Logger) *partition {
+func newPartition(log eventlog.Log, number int, nodes func() int, logger zerolog.Logger) *partition {
 	return &partition{
 		log:     log,
 		index:   eventlog.Partition{Topic: indexTopic, Number: number},
 		data:    eventlog.Partition{Topic: dataTopic, Number: number},
 		logger:  logger.With().Int("partition", number).Logger(),
+		nodes:   nodes,
+		hurry:   make(chan struct{}, 1),
 		state:   batch.NewPartition(),
 		changed: make(chan struct{}),
 	}
@@ -54,10 +70,45 @@
 // tail reads the partition until ctx ends.
 func (p *partition) tail(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := p.read(ctx, pollWait); err != nil && ctx.Err() == nil {
+		err := p.read(ctx, pacing.Stretch(pollWait, maxPollWait, p.nodes()))
+		if err != nil && ctx.Err() == nil {
 			p.contact(err)
 			sleep(ctx, retryDelay)
+			continue
 		}
+		p.pause(ctx)
+	}
+}
+
+// pause lets records gather, unless somebody here waits for them.
+func (p *partition) pause(ctx context.Context) {
+	p.mu.Lock()
+	wanted := p.observed || p.waiters > 0
+	p.mu.Unlock()
+	if wanted {
+		return
+	}
+	timer := time.NewTimer(pacing.Stretch(readGap, maxReadGap, p.nodes()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.hurry:
+	}
+}
+
+// wait counts a reader that waits for records, or no longer does.
+func (p *partition) wait(change int) {
+	p.mu.Lock()
+	p.waiters += change
+	p.mu.Unlock()
+	p.hurryUp()
+}
+
+func (p *partition) hurryUp() {
+	select {
+	case p.hurry <- struct{}{}:
+	default:
 	}
 }
 
@@ -138,8 +189,10 @@
 }
 
 func (p *partition) observe(observer batch.Observer) {
+	defer p.hurryUp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.observed = observer != nil
 	p.state.Observe(observer)
 }
 
@@ -199,6 +252,8 @@
 // awaitResults waits until the job has a result at the position, was ended, or
 // the time is over.
 func (p *partition) awaitResults(ctx context.Context, jobID string, position int, wait time.Duration) {
+	p.wait(1)
+	defer p.wait(-1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -65,6 +65,9 @@
 // and never will have one.
 var ErrNotDone = errors.New("the log did not take the call")
 
+// ErrThrottled is an ErrNotDone: the nodes together have called too often.
+var ErrThrottled = errors.Wrap(ErrNotDone, "throttled")
+
 // ErrOutcomeUnknown means that the call may have had its effect, or may still
 // have it later.
 var ErrOutcomeUnknown = errors.New("the outcome of the call to the log is unknown")
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -17,12 +18,15 @@
 	// pollWait is how long a read waits for a change. It bounds how long a
 	// store that has stopped telling of changes goes unnoticed.
 	pollWait = 500 * time.Millisecond
+	// maxPollWait bounds it where many nodes share the log's reads.
+	maxPollWait = 10 * time.Second
 	// firstDelay and maxDelay are the waits between tries while reads fail.
 	firstDelay = 50 * time.Millisecond
 	maxDelay   = 400 * time.Millisecond
 	// refreshPeriod is the time between two full reads, which find what a
 	// tailing read has missed.
-	refreshPeriod = 5 * time.Second
+	refreshPeriod    = 5 * time.Second
+	maxRefreshPeriod = time.Minute
 )
 
 // Handler takes the records of a topic in the order of their offsets, each
@@ -34,7 +38,9 @@
 	log     eventlog.Log
 	topic   string
 	handler Handler
-	logger  zerolog.Logger
+	// nodes returns the number of nodes that share the log.
+	nodes  func() int
+	logger zerolog.Logger
 
 	// offsets holds the offset of the newest record handled for each key.
 	offsets map[string]int64
@@ -46,11 +52,12 @@
 }
 
 // New returns a follower; Run starts it.
-func New(log eventlog.Log, topic string, handler Handler, logger zerolog.Logger) *Follower {
+func New(log eventlog.Log, topic string, handler Handler, nodes func() int, logger zerolog.Logger) *Follower {
 	return &Follower{
 		log:     log,
 		topic:   topic,
 		handler: handler,
+		nodes:   nodes,
 		logger:  logger.With().Str("topic", topic).Logger(),
 		offsets: make(map[string]int64),
 		loaded:  make(chan struct{}),
@@ -91,9 +98,9 @@
 		if err := f.refresh(ctx); err != nil {
 			return err
 		}
-		f.refreshDue = now.Add(refreshPeriod)
+		f.refreshDue = now.Add(pacing.Stretch(refreshPeriod, maxRefreshPeriod, f.nodes()))
 	}
-	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, pollWait)
+	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, pacing.Stretch(pollWait, maxPollWait, f.nodes()))
 	if err != nil {
 		return err
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -46,7 +46,7 @@
 func start(t *testing.T, log eventlog.Log) *view {
 	t.Helper()
 	v := &view{values: map[string]string{}, last: map[string]int64{}, t: t}
-	follower := New(log, topic, v.handle, zerolog.Nop())
+	follower := New(log, topic, v.handle, func() int { return 1 }, zerolog.Nop())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corkpulley/corkpulley/internal/core/lease"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -24,7 +25,12 @@
 	// marginShare is the share of its time by which a holder stops early.
 	marginShare = 6
 	// pollWait is short, since a claim wants an answer to a read that shows no renewal.
-	pollWait   = 300 * time.Millisecond
+	pollWait    = 300 * time.Millisecond
+	maxPollWait = time.Second
+	// readGap is the time between two reads of a node that does not lead: every
+	// renewal ends a read that waits. It grows with the nodes.
+	readGap    = 20 * time.Millisecond
+	maxReadGap = 400 * time.Millisecond
 	readLimit  = 256 << 10
 	retryDelay = 100 * time.Millisecond
 	// renewalTimeout bounds one renewal; the next one does not wait longer.
@@ -68,7 +74,9 @@
 	Quiet time.Duration
 	// EnginesFence is true when engines refuse lower fencing tokens than one seen.
 	EnginesFence bool
-	Logger       zerolog.Logger
+	// Nodes returns the number of nodes that share the log.
+	Nodes  func() int
+	Logger zerolog.Logger
 }
 
 // Elector takes part in the election and runs the role while it leads.
@@ -344,11 +352,12 @@
 		e.mu.Lock()
 		next := e.state.Next
 		e.mu.Unlock()
-		batch, err := e.log.Read(ctx, e.partition, next, readLimit, pollWait)
+		batch, err := e.log.Read(ctx, e.partition, next, readLimit, pacing.Stretch(pollWait, maxPollWait, e.options.Nodes()))
 		var gone *eventlog.GoneError
 		switch {
 		case err == nil:
 			e.apply(batch)
+			sleep(ctx, e.gap())
 		case errors.As(err, &gone):
 			e.skipTo(gone.First)
 		default:
@@ -358,6 +367,17 @@
 	}
 }
 
+// gap is the pause before the next read.
+func (e *Elector) gap() time.Duration {
+	e.mu.Lock()
+	leading := e.leading
+	e.mu.Unlock()
+	if leading {
+		return 0
+	}
+	return pacing.Stretch(readGap, maxReadGap, e.options.Nodes())
+}
+
 func (e *Elector) apply(batch eventlog.Batch) {
 	now := time.Now()
 	e.mu.Lock()
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -21,6 +22,7 @@
 	announcePeriod = 5 * time.Second
 	memberLife     = 4 * announcePeriod
 	readPeriod     = time.Second
+	maxReadPeriod  = 5 * time.Second
 	readLimit      = 256 << 10
 )
 
@@ -66,10 +68,11 @@
 	return addresses
 }
 
+// Nodes returns the number of nodes known, this one included.
+func (d *Directory) Nodes() int { return len(d.Peers()) + 1 }
+
 // Run announces this node and reads of the others until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
-	ticker := time.NewTicker(readPeriod)
-	defer ticker.Stop()
 	announced := time.Time{}
 	for {
 		if time.Since(announced) >= announcePeriod && d.announce(ctx) == nil {
@@ -79,7 +82,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-time.After(pacing.Stretch(readPeriod, maxReadPeriod, d.Nodes())):
 		}
 	}
 }
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -16,8 +16,11 @@
 
 const (
 	// failuresToSwitch is how many direct calls in a row must fail before calls go
-	// by way of another node.
+	// by way of another node. A throttled call counts a quarter: another node's way
+	// helps only if this one alone is throttled.
 	failuresToSwitch = 3
+	failureWeight    = 4
+	switchWeight     = failuresToSwitch * failureWeight
 	// probePeriod is the time between two tries of the direct way meanwhile, which
 	// are reads of their own, so that no call waits for them.
 	probePeriod  = 400 * time.Millisecond
@@ -39,7 +42,7 @@
 	logger zerolog.Logger
 
 	mu sync.Mutex
-	// failures counts direct calls that failed in a row.
+	// failures is the weight of the direct calls that failed in a row.
 	failures int
 	// probing is true while the direct way is being tried.
 	probing bool
@@ -68,7 +71,7 @@
 func (f *Fallback) way() (eventlog.Log, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failures < failuresToSwitch {
+	if f.failures < switchWeight {
 		return f.direct, ""
 	}
 	now := time.Now()
@@ -111,13 +114,16 @@
 		}
 		return
 	}
-	before := f.failures >= failuresToSwitch
-	if works {
+	before := f.failures >= switchWeight
+	switch {
+	case works:
 		f.failures = 0
-	} else {
+	case errors.Is(err, eventlog.ErrThrottled):
 		f.failures++
+	default:
+		f.failures += failureWeight
 	}
-	after := f.failures >= failuresToSwitch
+	after := f.failures >= switchWeight
 	if after != before {
 		f.logger.Info().Err(err).Bool("direct", !after).Int("peers", len(f.peers())).Msg("way to the log changed")
 	}
