--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -73,7 +74,7 @@
 		err := p.read(ctx, pacing.Stretch(pollWait, maxPollWait, p.nodes()))
 		if err != nil && ctx.Err() == nil {
 			p.contact(err)
-			sleep(ctx, retryDelay)
+			retry.Sleep(ctx, retryDelay)
 			continue
 		}
 		p.pause(ctx)
@@ -273,12 +274,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
@@ -53,7 +54,7 @@
 		if !errors.Is(err, eventlog.ErrNotDone) {
 			mayBeDone = true
 		}
-		sleep(ctx, delay)
+		retry.Sleep(ctx, delay)
 		if ctx.Err() == nil {
 			continue
 		}
--- /dev/null
+++ b/internal/batchrun/demand.go
@@ -0,0 +1,41 @@
+package batchrun
+
+import ()
+
+// Running returns the number of items that run at the engine.
+func (r *Runner) Running(engine string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan.Running(engine)
+}
+
+// Demand is what open jobs ask of a model.
+type Demand struct {
+	// Tokens is the expected output of all items of its open jobs.
+	Tokens int
+	// MinVersion is the newest of the versions that its open jobs want at least.
+	MinVersion int64
+	// Waiting is the number of its items that wait for an engine.
+	Waiting int
+}
+
+// Demands returns the demand for each model.
+func (r *Runner) Demands() map[string]Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	demands := make(map[string]Demand)
+	for _, job := range r.jobs {
+		demand := demands[job.record.Model]
+		demand.MinVersion = max(demand.MinVersion, job.record.MinVersion)
+		for _, item := range job.record.Items {
+			demand.Tokens += item.Tokens
+		}
+		demands[job.record.Model] = demand
+	}
+	for model, waiting := range r.plan.WaitingByModel() {
+		demand := demands[model]
+		demand.Waiting = waiting
+		demands[model] = demand
+	}
+	return demands
+}
--- /dev/null
+++ b/internal/batchrun/observe.go
@@ -0,0 +1,180 @@
+package batchrun
+
+import (
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+)
+
+// JobAdded implements batch.Observer.
+func (r *Runner) JobAdded(job *batch.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, found := r.jobs[job.ID]; found || r.ctx.Err() != nil {
+		return
+	}
+	added := &openJob{
+		record:  job.JobRecord,
+		items:   make([]itemState, len(job.Items)),
+		addedAt: time.Now(),
+		kept:    make(map[int]batch.Progress),
+		left:    len(job.Items) - len(job.Results),
+	}
+	for i := range added.items {
+		added.items[i].done = job.Listed(i)
+		added.items[i].completed = job.Listed(i)
+		if kept, found := job.Progress(i); found {
+			added.kept[i] = kept
+		}
+	}
+	r.jobs[job.ID] = added
+	r.wait.Go(func() { r.load(added) })
+}
+
+// load reads what the engines are sent and queues the items.
+func (r *Runner) load(job *openJob) {
+	for r.ctx.Err() == nil {
+		payloads, err := r.options.Jobs.Payloads(r.ctx, job.record)
+		if err == nil && len(payloads) == len(job.items) {
+			r.queueJob(job, payloads, r.loadKept(job))
+			return
+		}
+		r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("payloads", len(payloads)).
+			Msg("payloads not read")
+		retry.Sleep(r.ctx, loadDelay)
+	}
+}
+
+// loadKept reads the output that other leaders left. What cannot be read is
+// made again.
+func (r *Runner) loadKept(job *openJob) map[int]progress {
+	found := make(map[int]progress)
+	for item, kept := range job.kept {
+		text, err := r.options.Jobs.KeptText(r.ctx, job.record.ID, kept)
+		if err != nil {
+			r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
+			continue
+		}
+		found[item] = keptProgress(kept, text)
+	}
+	return found
+}
+
+func (r *Runner) queueJob(job *openJob, payloads []batch.Payload, kept map[int]progress) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[job.record.ID] != job {
+		return
+	}
+	job.payloads = payloads
+	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
+	job.single = route.SingleVersion
+	queued, continued := 0, 0
+	for i := range job.items {
+		state := &job.items[i]
+		if state.done {
+			continue
+		}
+		if left, found := kept[i]; found && left.fits(job.record.MinVersion, route.SingleVersion) {
+			state.progress = left
+			continued++
+		}
+		if r.takeCarried(job, i, route.SingleVersion) {
+			r.finish(job, i, batch.Completed, "whole in an earlier job")
+			continue
+		}
+		r.queueItem(job, i, "", time.Time{})
+		queued++
+	}
+	r.options.Logger.Info().Str("job", job.record.ID).Int64("step", job.record.Step).
+		Str("model", job.record.Model).Int64("min_version", job.record.MinVersion).
+		Int("items", len(job.items)).Int("queued", queued).Int("continued", continued).Msg("job taken up")
+	r.Wake()
+}
+
+// queueItem puts an item into the plan; mu is held.
+func (r *Runner) queueItem(job *openJob, index int, avoid string, notBefore time.Time) {
+	route, found := r.options.RouteOf(job.record.Host, job.record.Path)
+	if !found {
+		r.finish(job, index, batch.Expired, "no route")
+		return
+	}
+	record, state := job.record.Items[index], &job.items[index]
+	if route.SingleVersion && len(state.progress.versions) > 1 {
+		state.progress = progress{}
+	}
+	item := batchplan.Item{
+		Key:     batchplan.Key{Job: job.record.ID, Item: index},
+		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
+		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
+	}
+	if route.SingleVersion && len(state.progress.versions) == 1 {
+		item.SameVersion = state.progress.versions[0]
+	}
+	r.plan.Add(item)
+}
+
+// expectedTokens is the memory that an item will take at an engine: its prompt
+// and its expected output, half of the most where none is told.
+func expectedTokens(record batch.ItemRecord) int {
+	most := max(record.Tokens-record.Prompt, 0)
+	if record.Length == 0 {
+		return record.Prompt + most/2
+	}
+	return record.Prompt + min(record.Length, most)
+}
+
+// ItemListed implements batch.Observer.
+func (r *Runner) ItemListed(job *batch.Job, item int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.jobs[job.ID]
+	if !found {
+		return
+	}
+	known.items[item].completed = true
+	r.drop(known, item)
+	known.left--
+	if known.left <= 0 {
+		r.forget(known)
+	}
+}
+
+// JobEnded implements batch.Observer.
+func (r *Runner) JobEnded(job *batch.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.jobs[job.ID]
+	if !found {
+		return
+	}
+	stopped := 0
+	r.carry(known)
+	for i := range known.items {
+		if !known.items[i].done {
+			stopped++
+			r.drop(known, i)
+		}
+	}
+	r.forget(known)
+	r.options.Logger.Info().Str("job", job.ID).Int64("step", known.record.Step).
+		Dur("after_ms", time.Since(known.addedAt)).Int("unfinished", stopped).Msg("job ended")
+}
+
+// drop takes an item out of the plan and ends its run; mu is held.
+func (r *Runner) drop(job *openJob, index int) {
+	key := batchplan.Key{Job: job.record.ID, Item: index}
+	job.items[index].done = true
+	r.plan.Remove(key)
+	if running, found := r.runs[key]; found {
+		running.stop(stopDropped)
+	}
+}
+
+// forget drops a job; mu is held.
+func (r *Runner) forget(job *openJob) {
+	delete(r.jobs, job.record.ID)
+	r.plan.ForgetJob(job.record.ID)
+}
--- a/internal/batchrun/recorder.go
+++ b/internal/batchrun/recorder.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 )
 
 const (
@@ -86,7 +87,7 @@
 // write records until nothing is pending.
 func (r *recorder) write(ctx context.Context, partition int) {
 	for {
-		sleep(ctx, collectTime)
+		retry.Sleep(ctx, collectTime)
 		r.mu.Lock()
 		finished := r.pending[partition]
 		r.pending[partition] = nil
@@ -112,7 +113,7 @@
 			return true
 		}
 		r.logger.Info().Err(err).Int("partition", partition).Int("items", len(finished)).Msg("results not recorded")
-		sleep(ctx, recordDelay)
+		retry.Sleep(ctx, recordDelay)
 	}
 	return false
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
@@ -87,7 +88,7 @@
 			continue
 		}
 		f.contact(err)
-		sleep(ctx, delay)
+		retry.Sleep(ctx, delay)
 		delay = min(2*delay, maxDelay)
 	}
 	return nil
@@ -160,12 +161,3 @@
 		f.logger.Info().Err(err).Bool("reachable", healthy).Int64("offset", f.next).Msg("topic contact changed")
 	}
 }
-
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/leadership/renew.go
@@ -0,0 +1,146 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
+)
+
+// awaitRole waits for the end of the role, which hands its work over.
+func (e *Elector) awaitRole(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		leading := e.leading
+		e.mu.Unlock()
+		if !leading {
+			return
+		}
+		retry.Sleep(ctx, handoverCheck)
+	}
+}
+
+func (e *Elector) setLeading(leading bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leading = leading
+}
+
+// lead runs the role until the lease is lost.
+func (e *Elector) lead(ctx context.Context, epoch int64) {
+	e.mu.Lock()
+	term := Term{Epoch: epoch, QuietUntil: e.state.QuietUntil(e.options.Quiet, e.options.EnginesFence)}
+	e.mu.Unlock()
+	e.options.Logger.Info().Int64("epoch", epoch).Dur("quiet_ms", max(0, time.Until(term.QuietUntil))).
+		Msg("leadership gained")
+	e.setLeading(true)
+	defer e.setLeading(false)
+	roleContext, cancel := context.WithCancel(ctx)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		e.role(roleContext, term)
+	}()
+	e.renewWhileHeld(ctx, epoch)
+	cancel()
+	<-finished
+	holder, newest := e.Leader()
+	e.options.Logger.Info().Int64("epoch", epoch).Str("holder", holder).Int64("newest_epoch", newest).
+		Msg("leadership lost")
+}
+
+// renewWhileHeld renews until another epoch is in force or the node stops. While
+// the log is out of reach the role goes on, since no promise rests on it: orders
+// ask Valid, and what the role records is decided when it is read. Without a
+// read no renewal is sent, so a node that is only heard, or that cannot know of a
+// newer epoch, does not keep others from leading.
+func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
+	period := e.options.TTL / renewalsPerTTL
+	for ctx.Err() == nil && e.inForce(epoch) {
+		sent := time.Now()
+		if e.readWithin(e.options.TTL) {
+			e.renew(ctx, epoch, sent)
+		}
+		e.sleepWhileInForce(ctx, epoch, max(period-time.Since(sent), lease.MinRenewalGap))
+	}
+}
+
+func (e *Elector) renew(ctx context.Context, epoch int64, sent time.Time) {
+	record := e.record(lease.Renew, epoch)
+	record.Sequence = e.noteRenewal(sent)
+	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
+	defer cancel()
+	if err := e.append(ctx, record); err != nil {
+		e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
+		return
+	}
+	e.extend(epoch, sent)
+}
+
+// inForce tells whether this node holds the epoch as far as it knows.
+func (e *Elector) inForce(epoch int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && !e.state.Released && !e.stopping
+}
+
+func (e *Elector) readWithin(period time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.readAt) < period
+}
+
+// sleepWhileInForce sleeps, but not on when the lease has gone.
+func (e *Elector) sleepWhileInForce(ctx context.Context, epoch int64, period time.Duration) {
+	for until := time.Now().Add(period); ctx.Err() == nil && e.inForce(epoch); {
+		left := time.Until(until)
+		if left <= 0 {
+			return
+		}
+		retry.Sleep(ctx, min(left, checkPeriod))
+	}
+}
+
+// noteRenewal numbers a renewal and remembers when it was sent: one whose answer
+// is lost counts once it is read back.
+func (e *Elector) noteRenewal(sent time.Time) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.sentAt) >= maxOpenRenewals {
+		clear(e.sentAt)
+	}
+	e.sequence++
+	e.sentAt[e.sequence] = sent
+	return e.sequence
+}
+
+// extend counts the lease from when the acknowledged record was sent.
+func (e *Elector) extend(epoch int64, sent time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.extendLocked(epoch, sent)
+}
+
+// extendLocked is extend with mu held.
+func (e *Elector) extendLocked(epoch int64, sent time.Time) {
+	if e.state.Epoch != epoch || e.state.Holder != e.options.Holder || e.stopping {
+		return
+	}
+	if until := sent.Add(e.options.TTL - e.options.TTL/marginShare); until.After(e.validUntil) {
+		e.validUntil = until
+	}
+}
+
+// readBack counts an own renewal that was read from the log; mu is held.
+func (e *Elector) readBack(record lease.Record) {
+	if record.Holder != e.options.Holder || record.Kind != lease.Renew {
+		return
+	}
+	if sent, open := e.sentAt[record.Sequence]; open {
+		delete(e.sentAt, record.Sequence)
+		e.extendLocked(record.Epoch, sent)
+	}
+}
--- /dev/null
+++ b/internal/leadership/tail.go
@@ -0,0 +1,97 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// tail reads the lease's records for good.
+func (e *Elector) tail(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		next := e.state.Next
+		e.mu.Unlock()
+		batch, err := e.log.Read(ctx, e.partition, next, readLimit, pacing.Stretch(pollWait, maxPollWait, e.options.Nodes()))
+		var gone *eventlog.GoneError
+		switch {
+		case err == nil:
+			e.apply(batch)
+			retry.Sleep(ctx, e.gap())
+		case errors.As(err, &gone):
+			e.skipTo(gone.First)
+		default:
+			e.lostContact(err)
+			retry.Sleep(ctx, retryDelay)
+		}
+	}
+}
+
+// gap is the pause before the next read.
+func (e *Elector) gap() time.Duration {
+	e.mu.Lock()
+	leading := e.leading
+	e.mu.Unlock()
+	if leading {
+		return 0
+	}
+	return pacing.Stretch(readGap, maxReadGap, e.options.Nodes())
+}
+
+func (e *Elector) apply(batch eventlog.Batch) {
+	now := time.Now()
+	e.mu.Lock()
+	for _, raw := range batch.Records {
+		var record lease.Record
+		if err := msgpack.Unmarshal(raw, &record); err != nil {
+			e.state.Skip()
+			continue
+		}
+		if e.state.Apply(record, now) {
+			e.epochChanged(record)
+		}
+		e.readBack(record)
+	}
+	if e.state.Next >= batch.End {
+		e.readAt = now
+		if e.contactSince.IsZero() {
+			e.contactSince = now
+		}
+	}
+	e.mu.Unlock()
+	if len(batch.Records) > 0 {
+		e.signal()
+	}
+}
+
+// epochChanged starts the own lease from when its claim was sent; mu is held.
+func (e *Elector) epochChanged(record lease.Record) {
+	if record.Holder == e.options.Holder {
+		e.validUntil = e.claimSent.Add(e.options.TTL - e.options.TTL/marginShare)
+	}
+	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
+}
+
+// skipTo passes over records that are no longer kept. Renewals go on while a
+// holder lives, so the epoch in force shows in the first record kept.
+func (e *Elector) skipTo(first int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Next = max(e.state.Next, first)
+}
+
+func (e *Elector) lostContact(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.contactSince.IsZero() {
+		e.options.Logger.Info().Err(err).Int64("offset", e.state.Next).Msg("lease contact lost")
+	}
+	e.contactSince = time.Time{}
+}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
 )
@@ -92,7 +93,7 @@
 
 // awaitVersion asks the engine until it has the version.
 func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
-	sleep(ctx, firstCheck)
+	retry.Sleep(ctx, firstCheck)
 	for ctx.Err() == nil && time.Since(began) < loadTimeout {
 		if _, known := m.options.Fleet.Get(engine.ID); !known {
 			return false
@@ -102,7 +103,7 @@
 			m.observe(engine, report)
 			return true
 		}
-		sleep(ctx, checkPeriod)
+		retry.Sleep(ctx, checkPeriod)
 	}
 	return false
 }
@@ -118,12 +119,3 @@
 		m.options.Fleet.Observe(engine.ID, model, version)
 	}
 }
-
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
