Hold the configuration's limits of headers and idle time; run the platform's stand-in as a process

Cause: headers up to 64 KiB were taken whatever the configuration said, and idle connections stayed for two minutes; the stand-in of the platform could be reached from tests only.

--- a/internal/bench/standins/standins.go
+++ b/internal/bench/standins/standins.go
@@ -15,6 +15,7 @@
 	"github.com/corkpulley/corkpulley/internal/standin/httpserver"
 	"github.com/corkpulley/corkpulley/internal/standin/logservice"
 	"github.com/corkpulley/corkpulley/internal/standin/machines"
+	"github.com/corkpulley/corkpulley/internal/standin/platform"
 	"github.com/corkpulley/corkpulley/internal/standin/scorer"
 	"github.com/corkpulley/corkpulley/internal/standin/trainer"
 	"github.com/corkpulley/corkpulley/internal/standin/weightstore"
@@ -27,10 +28,15 @@
 	WeightStore *weightstore.Config `arg:"subcommand:weightstore" help:"rate-limited weight store"`
 	Machines    *machines.Config    `arg:"subcommand:machines" help:"lagging list of machines"`
 	Scorer      *scorer.Config      `arg:"subcommand:scorer" help:"scoring service"`
+	Platform    *platform.Config    `arg:"subcommand:platform" help:"a whole platform for hosted nodes: store, configuration and engines"`
 	Trainer     *trainer.Config     `arg:"subcommand:trainer" help:"trainer; prints its report when it is done"`
 }
 
-const kindTrainer = "trainer"
+// Kinds of stand-ins that only this command runs.
+const (
+	kindTrainer  = "trainer"
+	kindPlatform = "platform"
+)
 
 // listening is the line printed once a stand-in listens.
 type listening struct {
@@ -61,10 +67,12 @@
 		return runService(ctx, topology.KindWeightStore, weightstore.New(*arguments.WeightStore), output)
 	case arguments.Machines != nil:
 		return runService(ctx, topology.KindMachines, machines.New(*arguments.Machines), output)
+	case arguments.Platform != nil:
+		return runService(ctx, kindPlatform, platform.NewService(*arguments.Platform), output)
 	case arguments.Trainer != nil:
 		return runTrainer(ctx, *arguments.Trainer, output)
 	default:
-		return errors.New("no stand-in named: expected log, engine, weightstore, machines, scorer or trainer")
+		return errors.New("no stand-in named: expected log, engine, weightstore, machines, scorer, platform or trainer")
 	}
 }
 
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -52,6 +52,7 @@
 	// OutcomeUnknownRepeatable: the call may have had its effect, and the same
 	// call sent again has none beyond it. OutcomeUnknown makes no such promise.
 	OutcomeUnknownRepeatable
+	HeaderTooLarge
 	kindCount
 )
 
@@ -114,6 +115,7 @@
 	OutcomeUnknownRepeatable: {
 		"outcome_unknown_repeatable", http.StatusBadGateway, Unknown, true, time.Second,
 	},
+	HeaderTooLarge: {"header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotExecuted, false, 0},
 }
 
 // All returns every kind in the order of its number.
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -13,7 +13,8 @@
 
 const (
 	// defaultMaxBody holds until a configuration is known.
-	defaultMaxBody = 1 << 20
+	defaultMaxBody  = 1 << 20
+	defaultIdleTime = time.Minute
 	// acceptTimeout bounds the writing of a batch job, endTimeout of its end.
 	acceptTimeout = 2500 * time.Millisecond
 	endTimeout    = 3 * time.Second
@@ -82,6 +83,24 @@
 	return table.Limits.MaxBodyBytes
 }
 
+// MaxHeaderBytes implements Callers.
+func (n *node) MaxHeaderBytes() int {
+	table := n.state.table()
+	if table == nil || table.Limits.MaxHeaderBytes <= 0 {
+		return maxHeaderBytes
+	}
+	return min(table.Limits.MaxHeaderBytes, maxHeaderBytes)
+}
+
+// idleTime is how long a connection may stay open without a request.
+func (n *node) idleTime() time.Duration {
+	table := n.state.table()
+	if table == nil || table.Limits.IdleTimeout <= 0 {
+		return defaultIdleTime
+	}
+	return table.Limits.IdleTimeout
+}
+
 // Refused implements Callers.
 func (n *node) Refused(id string, failure *errkind.Error) {
 	n.metrics.refused.WithLabelValues(failure.Kind.String()).Inc()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -57,7 +57,9 @@
 	End(ctx context.Context, jobID string) error
 	// Stopping is true during the planned stop.
 	Stopping() bool
+	// MaxBodyBytes and MaxHeaderBytes bound what a client may send.
 	MaxBodyBytes() int64
+	MaxHeaderBytes() int
 	// Refused is told of each error answer.
 	Refused(id string, failure *errkind.Error)
 }
@@ -155,13 +157,14 @@
 
 func (n *node) listen(peers http.Handler) error {
 	var err error
-	if n.peers, err = listen(n.config.Listen.Peers, peers); err != nil {
+	if n.peers, err = listen(n.config.Listen.Peers, peers, fixedIdleTime); err != nil {
 		return err
 	}
-	if n.callers, err = listen(n.config.Listen.Callers, n.platform.CallersHandler(n)); err != nil {
+	if n.callers, err = listen(n.config.Listen.Callers, n.platform.CallersHandler(n), n.idleTime); err != nil {
 		return err
 	}
-	n.operators, err = listen(n.config.Listen.Operators, n.platform.OperatorsHandler(n.ready, n.metrics.handler(n.registry)))
+	operators := n.platform.OperatorsHandler(n.ready, n.metrics.handler(n.registry))
+	n.operators, err = listen(n.config.Listen.Operators, operators, fixedIdleTime)
 	return err
 }
 
--- /dev/null
+++ b/internal/hosted/idle_test.go
@@ -0,0 +1,44 @@
+package hosted
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestIdleTimeFollowsTheConfiguration: a connection is closed when it has been
+// idle for the time in force, and not while a request is being answered.
+func TestIdleTimeFollowsTheConfiguration(t *testing.T) {
+	var idle atomic.Int64
+	idle.Store(int64(time.Hour))
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(150 * time.Millisecond) })
+	s, err := listen("127.0.0.1:0", handler, func() time.Duration { return time.Duration(idle.Load()) })
+	assert.NilError(t, err)
+	go func() { _ = s.serve() }()
+	t.Cleanup(func() { _ = s.http.Close() })
+
+	connection, err := net.Dial("tcp", s.address())
+	assert.NilError(t, err)
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	ask := func() {
+		_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	ask()
+	idle.Store(int64(50 * time.Millisecond))
+	ask() // longer than the idle time, but not idle
+	assert.NilError(t, connection.SetReadDeadline(time.Now().Add(20*time.Second)))
+	_, err = reader.ReadByte()
+	assert.Assert(t, errors.Is(err, io.EOF), "the idle connection was not closed: %v", err)
+}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	headerTimeout = 3 * time.Second
-	// idleTimeout is longer than any time for which clients reuse a connection.
-	idleTimeout    = 2 * time.Minute
+	// headerTimeout is beyond any that a configuration is known to allow.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds what is read at all; the configuration's bound is lower.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -27,19 +27,21 @@
 	inFlight atomic.Int64
 }
 
-func listen(address string, handler http.Handler) (*server, error) {
+// listen returns a server at the address. Idle connections are closed after
+// idleTime, which is asked each time and may change.
+func listen(address string, handler http.Handler, idleTime func() time.Duration) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	s := &server{listener: listener}
+	s := &server{listener: &idleListener{Listener: listener, idleTime: idleTime}}
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
 		handler.ServeHTTP(w, r)
 	})
 	s.http = &http.Server{
-		Handler: counted, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: counted, ReadHeaderTimeout: headerTimeout, ConnState: noteIdle,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 	return s, nil
--- /dev/null
+++ b/internal/standin/platform/service.go
@@ -0,0 +1,214 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+// Config describes a whole platform in one process: a store with a
+// configuration, and engines of two services.
+type Config struct {
+	Listen      string        `arg:"--listen" default:"127.0.0.1:0" placeholder:"IP:PORT" help:"address of the store"`
+	Zone        string        `arg:"--zone" default:"z1" help:"zone of the engines"`
+	Lookups     int           `arg:"--lookup-engines" default:"2" help:"engines of the service lookup, with plain answers"`
+	Drafts      int           `arg:"--draft-engines" default:"3" help:"engines of the service drafts, with event streams"`
+	Slots       int           `arg:"--slots" default:"8" help:"requests that an engine runs at once"`
+	Events      int           `arg:"--events" default:"16" help:"events of an item"`
+	EventTime   time.Duration `arg:"--event-time" default:"40ms" help:"time for each event"`
+	LoadTime    time.Duration `arg:"--load-time" default:"900ms" help:"time of a change of weights"`
+	Slow        time.Duration `arg:"--slow" help:"time before each answer of the store"`
+	Refuse      float64       `arg:"--refuse" help:"share of the store's calls that are refused, 0 to 1"`
+	LoseAnswers float64       `arg:"--lose-answers" help:"share of appends that are done and not answered, 0 to 1"`
+	Late        float64       `arg:"--late" help:"share of appends that are done seconds later and not answered, 0 to 1"`
+	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the faults"`
+}
+
+// Names of what the configuration holds.
+const (
+	ServiceLookup = "lookup"
+	ServiceDrafts = "drafts"
+	ModelDrafts   = "drafts-model"
+	RouteHost     = "desk.example"
+	PrefixLookup  = "/lookup/"
+	PrefixDrafts  = "/drafts/"
+)
+
+// lateEffects is the time between two releases of late effects.
+const lateEffects = 3 * time.Second
+
+// Service is a running platform.
+type Service struct {
+	config   Config
+	store    *Store
+	listener net.Listener
+	ready    chan struct{}
+}
+
+// NewService returns a platform; Run serves it.
+func NewService(config Config) *Service {
+	return &Service{config: config, store: NewStore(DefaultLimits()), ready: make(chan struct{})}
+}
+
+// Ready is closed once the platform listens and its configuration is in force.
+func (s *Service) Ready() <-chan struct{} { return s.ready }
+
+// Address returns the store's address; only once the platform is ready.
+func (s *Service) Address() string { return s.listener.Addr().String() }
+
+// check returns an error that names every wrong value.
+func (c Config) check() error {
+	var wrong []string
+	for name, share := range map[string]float64{"refuse": c.Refuse, "lose-answers": c.LoseAnswers, "late": c.Late} {
+		if share < 0 || share > 1 {
+			wrong = append(wrong, fmt.Sprintf("--%s is %g, expected 0 to 1", name, share))
+		}
+	}
+	for name, count := range map[string]int{
+		"lookup-engines": c.Lookups, "draft-engines": c.Drafts, "slots": c.Slots, "events": c.Events,
+	} {
+		if count < 1 {
+			wrong = append(wrong, fmt.Sprintf("--%s is %d, expected 1 or more", name, count))
+		}
+	}
+	if len(wrong) > 0 {
+		return errors.New(strings.Join(wrong, "; "))
+	}
+	return nil
+}
+
+// Run serves until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	if err := s.config.check(); err != nil {
+		return err
+	}
+	var err error
+	if s.listener, err = net.Listen("tcp", s.config.Listen); err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	serve := func(listener net.Listener, handler http.Handler) {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+		group.Go(func() error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		group.Go(func() error {
+			<-ctx.Done()
+			return server.Close()
+		})
+	}
+	if err := s.startEngines(serve); err != nil {
+		return err
+	}
+	s.store.Log.Put(topicControl, "config", s.configuration())
+	s.store.Slow(s.config.Slow)
+	s.store.Log.SetFault(s.faults())
+	serve(s.listener, s.store)
+	group.Go(func() error {
+		s.releaseLate(ctx)
+		return nil
+	})
+	close(s.ready)
+	return group.Wait()
+}
+
+func (s *Service) startEngines(serve func(net.Listener, http.Handler)) error {
+	for i := range s.config.Lookups + s.config.Drafts {
+		options := EngineOptions{
+			ID: fmt.Sprintf("i-%d", i), Service: ServiceLookup, Zone: s.config.Zone, Slots: s.config.Slots,
+			LoadTime: s.config.LoadTime, EventTime: s.config.EventTime, CheckFences: true,
+			Events: func(string) int { return s.config.Events },
+		}
+		if i >= s.config.Lookups {
+			options.Service, options.Versions = ServiceDrafts, map[string]int64{ModelDrafts: 1}
+		}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen for an engine")
+		}
+		engine := NewEngine(options)
+		serve(listener, engine)
+		s.store.Log.Put(topicEngines, options.ID, engine.Entry(listener.Addr().String(), "ready"))
+	}
+	return nil
+}
+
+func (s *Service) configuration() []byte {
+	raw, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{
+			{
+				"name": "lookup", "host": RouteHost, "pathPrefix": PrefixLookup, "routeKind": "safe",
+				"service": ServiceLookup, "timeoutMs": 2000, "targetMs": 150, "maxAttempts": 2,
+			},
+			{
+				"name": "drafts", "host": RouteHost, "pathPrefix": PrefixDrafts, "routeKind": "rollout",
+				"service": ServiceDrafts, "timeoutMs": 10000, "targetMs": 400, "maxAttempts": 3,
+				"queueTtlS": 60, "resumable": true,
+			},
+		},
+		"services": []map[string]any{
+			{"name": ServiceLookup, "maxConns": 100},
+			{"name": ServiceDrafts, "maxConns": 100, "engine": map[string]any{
+				"models": []map[string]any{{"name": ModelDrafts}},
+			}},
+		},
+		"limits": map[string]any{
+			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+		},
+	})
+	if err != nil {
+		panic(err) // a map of plain values always encodes
+	}
+	return raw
+}
+
+// faults draws the fate of each call from the seed.
+func (s *Service) faults() func(memlog.Call) memlog.Fault {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(s.config.Seed, 0))
+	return func(call memlog.Call) memlog.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		draw := random.Float64()
+		switch {
+		case draw < s.config.Refuse:
+			return memlog.Refused
+		case !call.Append:
+			return memlog.None
+		case draw < s.config.Refuse+s.config.LoseAnswers:
+			return memlog.LostAnswer
+		case draw < s.config.Refuse+s.config.LoseAnswers+s.config.Late:
+			return memlog.LateEffect
+		default:
+			return memlog.None
+		}
+	}
+}
+
+func (s *Service) releaseLate(ctx context.Context) {
+	ticker := time.NewTicker(lateEffects)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.store.Log.Release()
+		}
+	}
+}
--- a/test/hosted/live_test.go
+++ b/test/hosted/live_test.go
@@ -43,6 +43,8 @@
 	assert.Equal(t, node.call(http.MethodPost, "/b/x", "id1", "").status, http.StatusNotFound)
 	tooLong := strings.Repeat("x", 1<<20+1)
 	assert.Equal(t, node.call(http.MethodPost, "/a/x", "id2", tooLong).status, http.StatusRequestEntityTooLarge)
+	large := node.call(http.MethodPost, "/a/x", "id3", "", "X-Large", strings.Repeat("x", 17000))
+	assert.Equal(t, large.status, http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, len(engine.Runs()), 0)
 }
 
