--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -1,7 +1,5 @@
 package batchrun
 
-import ()
-
 // Running returns the number of items that run at the engine.
 func (r *Runner) Running(engine string) int {
 	r.mu.Lock()
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -90,9 +90,6 @@
 // Job returns a job by ID; nil when there is none.
 func (p *Partition) Job(id string) *Job { return p.jobs[id] }
 
-// Jobs returns the number of jobs kept.
-func (p *Partition) Jobs() int { return len(p.jobs) }
-
 // Observe tells the observer of all open jobs, and from then on of changes. A
 // nil observer ends that.
 func (p *Partition) Observe(observer Observer) {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -170,8 +170,6 @@
 	At time.Time
 	// Failed: no whole answer came, whatever the reason, and the client had not left.
 	Failed bool
-	// Refused: the engine said that it did not run the request.
-	Refused bool
 	// Gone: another engine answers at the address.
 	Gone bool
 	// Load is what the engine said of itself, if it did.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -163,7 +163,7 @@
 	defer answer.Body.Close()
 	outcome.Load = answer.Load
 	if answer.WrongEngine || answer.NotExecuted {
-		outcome.Refused, outcome.Gone = true, answer.WrongEngine
+		outcome.Gone = answer.WrongEngine
 		return tryNext
 	}
 	x.ran++
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,7 +31,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Model  string
 	// Budget is the time that the caller waits; zero when it did not say.
 	Budget   time.Duration
 	Received time.Time
