Carry over only a text that was made whole here

Cause: a result record of an earlier leader took effect after its takeover, while the next leader still ran the item. Ruled out: the chain of kept parts (the run continued where the kept text ends), a stream that ends early.

Change: the progress itself says whether it is whole; an item that another leader listed leaves its text as a part, which the later job continues.

Conclusion: what a record of the log says of an item and what this process has of its text are kept apart.

--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -35,6 +35,8 @@
 	// last is the number of the last event.
 	last     int64
 	versions []int64
+	// whole is true once events are the whole output.
+	whole bool
 
 	// chain names this sequence of runs in the log, continues the one that it
 	// took up there; both are empty until the first write.
@@ -186,7 +188,6 @@
 // may come again in a later job.
 type carried struct {
 	progress progress
-	whole    bool
 	at       time.Time
 }
 
@@ -205,7 +206,7 @@
 		if broken[record.Group] && len(state.progress.events) > 0 {
 			kept := state.progress
 			kept.chain, kept.continues, kept.keptTo, kept.keptEvents = "", "", 0, 0
-			r.carriedOver[record.ID] = carried{progress: kept, whole: state.completed, at: now}
+			r.carriedOver[record.ID] = carried{progress: kept, at: now}
 		}
 	}
 	for id, each := range r.carriedOver {
@@ -228,5 +229,5 @@
 		return false
 	}
 	state.progress = left.progress
-	return left.whole
+	return left.progress.whole
 }
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -75,7 +75,8 @@
 type itemState struct {
 	// done is true once the item has ended here or has a recorded result.
 	done bool
-	// completed is true once the item has its whole output.
+	// completed is true once the item has ended with its whole output, here or in
+	// the record of another leader, whose text is not known here.
 	completed bool
 	failures  int
 	// moves counts how often it was moved to a faster engine.
@@ -158,6 +159,7 @@
 		finished.Text, finished.Versions = state.progress.text(), state.progress.versions
 		// One piece in place of many, should a later job want it.
 		state.progress.events = [][]byte{finished.Text}
+		state.progress.whole = true
 		state.completed = true
 	}
 	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[index].ID).
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -215,3 +215,26 @@
 	assert.DeepEqual(t, at, []string{"a", "b"})
 	assert.Assert(t, calls[1].After > 0)
 }
+
+// TestTextThatAnotherLeaderListedIsNotTakenAsWhole lists an item by the record of
+// an earlier leader while this one still runs it. The part made here must not
+// pass for the whole output when the group returns in a later job.
+func TestTextThatAnotherLeaderListedIsNotTakenAsWhole(t *testing.T) {
+	w := newWorld(t, "a")
+	w.engines.events["x"], w.engines.events["y"] = 40, 40
+	w.engines.pause["a"] = 20 * time.Millisecond
+	r, _ := w.lead()
+	w.submit("j1", 1, "x", "y")
+	w.await("some events", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		job := r.jobs["j1"]
+		return job != nil && job.items[0].progress.last >= 5
+	})
+	w.jobs.apply(batch.Record{Results: []batch.ResultRecord{{Job: "j1", Item: 0, Outcome: batch.Completed}}})
+	w.jobs.apply(batch.Record{End: "j1"})
+	w.submit("j2", 1, "x", "y")
+	results := w.awaitResults(2)
+	assert.Equal(t, string(results["j2/0"].Text), wholeText("x", 40))
+	assert.Equal(t, string(results["j2/1"].Text), wholeText("y", 40))
+}
