Pace reads by what the log serves; read idle index partitions seldom

Cause: with 89 nodes a read of the configuration waited 3.7 s for a change. Ruled out: the relay through other nodes (the whole store was silent), the retries' delays (0.4 s at most).

Reads of the configuration and the engine list wait 1 s at most. An index partition is followed closely only where somebody waits for its records, and read once a second otherwise; who asks reads to the end, as before. Nodes announce themselves less often where they are many, and tell how long they count.

Conclusion: what all nodes do together follows the budget of what they share, and no wait may be longer than an outage's aftermath allows.

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -14,6 +14,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -44,8 +45,8 @@
 	CallBytes   int
 	// KeepJobs is how long a job can be read after it was read first.
 	KeepJobs time.Duration
-	// Nodes returns the number of nodes that share the log.
-	Nodes  func() int
+	// Budget is what all nodes together may read of the log.
+	Budget pacing.Budget
 	Logger zerolog.Logger
 }
 
@@ -60,7 +61,7 @@
 func New(log eventlog.Log, options Options) *Service {
 	s := &Service{log: log, options: options}
 	for number := range options.Partitions {
-		s.partitions = append(s.partitions, newPartition(log, number, options.Nodes, options.Logger))
+		s.partitions = append(s.partitions, newPartition(log, number, options.Budget, options.Logger))
 	}
 	return s
 }
--- /dev/null
+++ b/internal/batchjobs/batchjobs_test.go
@@ -0,0 +1,178 @@
+package batchjobs
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+// countingLog counts reads of the index.
+type countingLog struct {
+	*memlog.Log
+	indexReads atomic.Int64
+}
+
+func (l *countingLog) Read(
+	ctx context.Context, partition eventlog.Partition, from int64, limit int, wait time.Duration,
+) (eventlog.Batch, error) {
+	if partition.Topic == indexTopic {
+		l.indexReads.Add(1)
+	}
+	return l.Log.Read(ctx, partition, from, limit, wait)
+}
+
+func newService(log eventlog.Log) *Service {
+	return New(log, Options{
+		Partitions: 2, RecordBytes: 4096, CallBytes: 8192, KeepJobs: time.Minute, Logger: zerolog.Nop(),
+	})
+}
+
+// follow runs the service's reads of the index for the rest of the test.
+func follow(t *testing.T, service *Service) {
+	t.Helper()
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(done)
+		_ = service.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if service.Current() {
+			return poll.Success()
+		}
+		return poll.Continue("the index is not read yet")
+	}, poll.WithTimeout(10*time.Second))
+}
+
+func submission(id string, items ...string) Submission {
+	s := Submission{Job: batch.JobRecord{ID: id, Model: "m"}}
+	for _, item := range items {
+		s.Job.Items = append(s.Job.Items, batch.ItemRecord{ID: item})
+		s.Payloads = append(s.Payloads, batch.Payload{Path: "/" + item, Body: []byte("body of " + item)})
+	}
+	return s
+}
+
+func finished(job string, item int, text string) []FinishedItem {
+	return []FinishedItem{{JobID: job, Item: item, Outcome: batch.Completed, Text: []byte(text), Versions: []int64{1}}}
+}
+
+// TestAnyNodeTellsOfAJobAtOnce asks a node that follows nothing closely.
+func TestAnyNodeTellsOfAJobAtOnce(t *testing.T) {
+	log := memlog.New()
+	one, other := newService(log), newService(log)
+	follow(t, other)
+	ctx := t.Context()
+	assert.NilError(t, one.Accept(ctx, submission("j", "a", "b")))
+	body, err := other.Body(ctx, "j", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "body of b")
+	assert.NilError(t, one.Record(ctx, one.PartitionOf("j"), finished("j", 1, "text of b")))
+	results, err := other.Results(ctx, "j", 0, 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, results.Total, 2)
+	assert.Equal(t, len(results.Results), 1)
+	assert.Equal(t, string(results.Results[0].Text), "text of b")
+}
+
+func TestUnknownJobsAreDeniedOnlyAfterAReadToTheEnd(t *testing.T) {
+	log := memlog.New()
+	service := newService(log)
+	follow(t, service)
+	_, err := service.Results(t.Context(), "none", 0, 0)
+	assert.Equal(t, errkind.KindOf(err), errkind.NotFound)
+	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	_, err = service.Results(t.Context(), "none", 0, 0)
+	assert.Equal(t, errkind.KindOf(err), errkind.LogUnavailable)
+}
+
+// TestRepeatedRecordsChangeNothing: a job that is handed in twice is taken once,
+// and the first result of an item stands.
+func TestRepeatedRecordsChangeNothing(t *testing.T) {
+	log := memlog.New()
+	one, other := newService(log), newService(log)
+	ctx := t.Context()
+	assert.NilError(t, one.Accept(ctx, submission("j", "a")))
+	assert.NilError(t, other.Accept(ctx, submission("j", "a")))
+	assert.NilError(t, one.Record(ctx, one.PartitionOf("j"), finished("j", 0, "first")))
+	assert.NilError(t, other.Record(ctx, other.PartitionOf("j"), finished("j", 0, "second")))
+	for _, service := range []*Service{one, other} {
+		results, err := service.Results(ctx, "j", 0, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(results.Results), 1)
+		assert.Equal(t, string(results.Results[0].Text), "first")
+	}
+}
+
+// TestOnlyACertainRefusalSaysNotExecuted: an index append without an answer may
+// have been done, so the caller is not told that the job will not run.
+func TestOnlyACertainRefusalSaysNotExecuted(t *testing.T) {
+	for name, each := range map[string]struct {
+		fault memlog.Fault
+		kind  errkind.Kind
+	}{
+		"refused":     {memlog.Refused, errkind.LogUnavailable},
+		"lost answer": {memlog.LostAnswer, errkind.OutcomeUnknownRepeatable},
+		"late effect": {memlog.LateEffect, errkind.OutcomeUnknownRepeatable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := memlog.New()
+			log.SetFault(func(call memlog.Call) memlog.Fault {
+				if call.Append && call.Partition.Topic == indexTopic {
+					return each.fault
+				}
+				return memlog.None
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			err := newService(log).Accept(ctx, submission("j", "a"))
+			assert.Equal(t, errkind.KindOf(err), each.kind, "%v", err)
+		})
+	}
+}
+
+// TestTextsOfSeveralRecordsAreWhole writes a text beyond the limit of a record.
+func TestTextsOfSeveralRecordsAreWhole(t *testing.T) {
+	log := memlog.New()
+	service := newService(log)
+	ctx := t.Context()
+	assert.NilError(t, service.Accept(ctx, submission("j", "a")))
+	text := make([]byte, 3*4096+17)
+	for i := range text {
+		text[i] = byte('a' + i%26)
+	}
+	assert.NilError(t, service.Record(ctx, service.PartitionOf("j"), finished("j", 0, string(text))))
+	results, err := service.Results(ctx, "j", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(results.Results[0].Text), string(text))
+}
+
+// TestPartitionsThatNobodyAsksForAreReadSeldom: however quickly records come, a
+// node that nobody asks reads each partition once a period.
+func TestPartitionsThatNobodyAsksForAreReadSeldom(t *testing.T) {
+	log := &countingLog{Log: memlog.New()}
+	idle := newService(log)
+	follow(t, idle)
+	began, before := time.Now(), log.indexReads.Load()
+	for range 200 {
+		assert.NilError(t, newService(log.Log).Accept(t.Context(), submission("j", "a")))
+		time.Sleep(time.Millisecond) // lets a reader that follows closely read each record
+	}
+	reads := log.indexReads.Load() - before
+	periods := int64(time.Since(began)/idleReadPeriod) + 2
+	assert.Assert(t, reads <= periods*int64(idle.options.Partitions), "%d reads in %d periods", reads, periods)
+}
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -16,15 +16,14 @@
 )
 
 const (
-	// pollWait is how long a read of the index waits for a record.
+	// pollWait is how long a read of the index waits for a record, where somebody
+	// here waits for what it brings.
 	pollWait = 600 * time.Millisecond
-	// maxPollWait bounds it where many nodes share the log's reads.
-	maxPollWait = 10 * time.Second
-	// readGap is the time between two reads where nobody here waits for what they
-	// bring: every record ends a read that waits. It grows with the nodes.
-	readGap    = 20 * time.Millisecond
-	maxReadGap = 2 * time.Second
-	retryDelay = 100 * time.Millisecond
+	// idleReadPeriod is the time between two reads where nobody does: they only
+	// keep what is left to read small. It grows with the nodes.
+	idleReadPeriod    = time.Second
+	maxIdleReadPeriod = 30 * time.Second
+	retryDelay        = 100 * time.Millisecond
 	// freshness is the age up to which what was read counts as the present. A
 	// position that somebody read elsewhere must be found here a second later.
 	freshness = 900 * time.Millisecond
@@ -37,7 +36,7 @@
 	log    eventlog.Log
 	index  eventlog.Partition
 	data   eventlog.Partition
-	nodes  func() int
+	budget pacing.Budget
 	logger zerolog.Logger
 	// hurry ends the pause between two reads.
 	hurry chan struct{}
@@ -55,13 +54,13 @@
 	waiters  int
 }
 
-func newPartition(log eventlog.Log, number int, nodes func() int, logger zerolog.Logger) *partition {
+func newPartition(log eventlog.Log, number int, budget pacing.Budget, logger zerolog.Logger) *partition {
 	return &partition{
 		log:     log,
 		index:   eventlog.Partition{Topic: indexTopic, Number: number},
 		data:    eventlog.Partition{Topic: dataTopic, Number: number},
 		logger:  logger.With().Int("partition", number).Logger(),
-		nodes:   nodes,
+		budget:  budget,
 		hurry:   make(chan struct{}, 1),
 		state:   batch.NewPartition(),
 		changed: make(chan struct{}),
@@ -71,25 +70,35 @@
 // tail reads the partition until ctx ends.
 func (p *partition) tail(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := p.read(ctx, pacing.Stretch(pollWait, maxPollWait, p.nodes()))
+		wait := time.Duration(0)
+		if p.wanted() {
+			wait = pollWait
+		}
+		atEnd, err := p.read(ctx, wait)
 		if err != nil && ctx.Err() == nil {
 			p.contact(err)
 			retry.Sleep(ctx, retryDelay)
 			continue
 		}
-		p.pause(ctx)
+		if atEnd {
+			p.pause(ctx)
+		}
 	}
 }
 
+// wanted tells whether somebody here waits for records.
+func (p *partition) wanted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.observed || p.waiters > 0
+}
+
 // pause lets records gather, unless somebody here waits for them.
 func (p *partition) pause(ctx context.Context) {
-	p.mu.Lock()
-	wanted := p.observed || p.waiters > 0
-	p.mu.Unlock()
-	if wanted {
+	if p.wanted() {
 		return
 	}
-	timer := time.NewTimer(pacing.Stretch(readGap, maxReadGap, p.nodes()))
+	timer := time.NewTimer(p.budget.Stretch(idleReadPeriod, maxIdleReadPeriod))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -113,8 +122,9 @@
 	}
 }
 
-// read reads once from where the state stands and applies what is new there.
-func (p *partition) read(ctx context.Context, wait time.Duration) error {
+// read reads once from where the state stands and applies what is new there. It
+// reports whether that was all.
+func (p *partition) read(ctx context.Context, wait time.Duration) (bool, error) {
 	p.mu.Lock()
 	from := p.state.Next
 	p.mu.Unlock()
@@ -123,13 +133,13 @@
 	var gone *eventlog.GoneError
 	if errors.As(err, &gone) {
 		p.skipTo(gone.First)
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	p.apply(read, sent)
-	return nil
+	return read.First+int64(len(read.Records)) >= read.End, nil
 }
 
 // apply takes the records that another read has not brought meanwhile.
@@ -221,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	for !p.readSince(asked) {
-		if err := p.read(ctx, 0); err != nil {
+		if _, err := p.read(ctx, 0); err != nil {
 			return batch.Job{}, unavailable(err)
 		}
 		if ctx.Err() != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,8 +19,9 @@
 	// pollWait is how long a read waits for a change. It bounds how long a
 	// store that has stopped telling of changes goes unnoticed.
 	pollWait = 500 * time.Millisecond
-	// maxPollWait bounds it where many nodes share the log's reads.
-	maxPollWait = 10 * time.Second
+	// maxPollWait bounds it where many nodes share the log's reads. A read that
+	// was sent to a silent log hangs for this long beyond the end of the outage.
+	maxPollWait = time.Second
 	// firstDelay and maxDelay are the waits between tries while reads fail.
 	firstDelay = 50 * time.Millisecond
 	maxDelay   = 400 * time.Millisecond
@@ -39,9 +40,8 @@
 	log     eventlog.Log
 	topic   string
 	handler Handler
-	// nodes returns the number of nodes that share the log.
-	nodes  func() int
-	logger zerolog.Logger
+	budget  pacing.Budget
+	logger  zerolog.Logger
 
 	// offsets holds the offset of the newest record handled for each key.
 	offsets map[string]int64
@@ -53,12 +53,12 @@
 }
 
 // New returns a follower; Run starts it.
-func New(log eventlog.Log, topic string, handler Handler, nodes func() int, logger zerolog.Logger) *Follower {
+func New(log eventlog.Log, topic string, handler Handler, budget pacing.Budget, logger zerolog.Logger) *Follower {
 	return &Follower{
 		log:     log,
 		topic:   topic,
 		handler: handler,
-		nodes:   nodes,
+		budget:  budget,
 		logger:  logger.With().Str("topic", topic).Logger(),
 		offsets: make(map[string]int64),
 		loaded:  make(chan struct{}),
@@ -99,9 +99,9 @@
 		if err := f.refresh(ctx); err != nil {
 			return err
 		}
-		f.refreshDue = now.Add(pacing.Stretch(refreshPeriod, maxRefreshPeriod, f.nodes()))
+		f.refreshDue = now.Add(f.budget.Stretch(refreshPeriod, maxRefreshPeriod))
 	}
-	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, pacing.Stretch(pollWait, maxPollWait, f.nodes()))
+	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, f.budget.Stretch(pollWait, maxPollWait))
 	if err != nil {
 		return err
 	}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -133,15 +133,15 @@
 	}
 	n.metrics = newMetrics(n.registry)
 	direct := platform.Log()
-	n.directory = logrelay.NewDirectory(direct, config.Node.ID, config.Listen.Peers, logger)
+	n.directory = logrelay.NewDirectory(direct, config.Node.ID, config.Listen.Peers, config.Hosted.ReadsPerSecond, logger)
 	log := logrelay.NewFallback(direct, n.directory.Peers, logger)
 	n.directory.SetLog(log)
-	n.control = follow.New(log, platform.ControlTopic(), n.takeControl, n.directory.Nodes, logger)
-	n.engines = follow.New(log, platform.EngineTopic(), n.takeEngine, n.directory.Nodes, logger)
+	n.control = follow.New(log, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
+	n.engines = follow.New(log, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
-		KeepJobs: time.Duration(config.Hosted.KeepJobs), Nodes: n.directory.Nodes, Logger: logger,
+		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Logger: logger,
 	})
 	n.relay = ingress.New(ingress.Options{
 		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table,
@@ -150,7 +150,7 @@
 	n.elector = leadership.New(log, leadership.Options{
 		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
 		Quiet: time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
-		Nodes: n.directory.Nodes, Logger: logger,
+		Budget: n.directory.Budget(), Logger: logger,
 	}, n.lead)
 	return n, n.listen(logrelay.NewHandler(direct))
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -14,6 +14,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -72,8 +73,8 @@
 	Quiet time.Duration
 	// EnginesFence is true when engines refuse lower fencing tokens than one seen.
 	EnginesFence bool
-	// Nodes returns the number of nodes that share the log.
-	Nodes  func() int
+	// Budget is what all nodes together may read of the log.
+	Budget pacing.Budget
 	Logger zerolog.Logger
 }
 
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -9,7 +9,6 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
-	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -19,7 +18,7 @@
 		e.mu.Lock()
 		next := e.state.Next
 		e.mu.Unlock()
-		batch, err := e.log.Read(ctx, e.partition, next, readLimit, pacing.Stretch(pollWait, maxPollWait, e.options.Nodes()))
+		batch, err := e.log.Read(ctx, e.partition, next, readLimit, e.options.Budget.Stretch(pollWait, maxPollWait))
 		var gone *eventlog.GoneError
 		switch {
 		case err == nil:
@@ -42,7 +41,7 @@
 	if leading {
 		return 0
 	}
-	return pacing.Stretch(readGap, maxReadGap, e.options.Nodes())
+	return e.options.Budget.Stretch(readGap, maxReadGap)
 }
 
 func (e *Elector) apply(batch eventlog.Batch) {
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -17,25 +17,29 @@
 const (
 	// directoryTopic holds where the nodes listen for each other.
 	directoryTopic = "corkpulley.nodes"
-	// announcePeriod is the time between two records of a node, memberLife the
-	// time after which one that is silent is forgotten.
-	announcePeriod = 5 * time.Second
-	memberLife     = 4 * announcePeriod
-	readPeriod     = time.Second
-	maxReadPeriod  = 5 * time.Second
-	readLimit      = 256 << 10
+	// announcePeriod is the time between two records of a node; one that is silent
+	// for missedAnnouncements of them is forgotten.
+	announcePeriod      = 5 * time.Second
+	maxAnnouncePeriod   = 30 * time.Second
+	missedAnnouncements = 4
+	readPeriod          = time.Second
+	maxReadPeriod       = 5 * time.Second
+	readLimit           = 256 << 10
 )
 
 // member is a record of the directory, encoded as msgpack.
 type member struct {
 	Node    string `msgpack:"n"`
 	Address string `msgpack:"a"`
+	// Life is the time after which the node is forgotten unless it is heard again.
+	Life time.Duration `msgpack:"l"`
 }
 
 // Directory knows where other nodes listen.
 type Directory struct {
 	log    eventlog.Log
 	own    member
+	reads  int
 	logger zerolog.Logger
 
 	mu      sync.Mutex
@@ -44,10 +48,11 @@
 	seenAt  map[string]time.Time
 }
 
-// NewDirectory returns a directory for the node that listens at address.
-func NewDirectory(log eventlog.Log, node, address string, logger zerolog.Logger) *Directory {
+// NewDirectory returns a directory for the node that listens at address. All
+// nodes together may make the given number of reads a second, zero for no bound.
+func NewDirectory(log eventlog.Log, node, address string, readsPerSecond int, logger zerolog.Logger) *Directory {
 	return &Directory{
-		log: log, own: member{Node: node, Address: address}, logger: logger,
+		log: log, own: member{Node: node, Address: address}, reads: readsPerSecond, logger: logger,
 		members: make(map[string]member), seenAt: make(map[string]time.Time),
 	}
 }
@@ -61,7 +66,7 @@
 	defer d.mu.Unlock()
 	var addresses []string
 	for node, each := range d.members {
-		if node != d.own.Node && time.Since(d.seenAt[node]) < memberLife {
+		if node != d.own.Node && time.Since(d.seenAt[node]) < each.Life {
 			addresses = append(addresses, each.Address)
 		}
 	}
@@ -71,24 +76,32 @@
 // Nodes returns the number of nodes known, this one included.
 func (d *Directory) Nodes() int { return len(d.Peers()) + 1 }
 
+// Budget is what all nodes together may read of the log.
+func (d *Directory) Budget() pacing.Budget {
+	return pacing.Budget{ReadsPerSecond: d.reads, Nodes: d.Nodes}
+}
+
 // Run announces this node and reads of the others until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	announced := time.Time{}
 	for {
-		if time.Since(announced) >= announcePeriod && d.announce(ctx) == nil {
+		period := d.Budget().Stretch(announcePeriod, maxAnnouncePeriod)
+		if time.Since(announced) >= period && d.announce(ctx, period) == nil {
 			announced = time.Now()
 		}
 		d.read(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(pacing.Stretch(readPeriod, maxReadPeriod, d.Nodes())):
+		case <-time.After(d.Budget().Stretch(readPeriod, maxReadPeriod)):
 		}
 	}
 }
 
-func (d *Directory) announce(ctx context.Context) error {
-	raw, err := msgpack.Marshal(&d.own)
+func (d *Directory) announce(ctx context.Context, period time.Duration) error {
+	own := d.own
+	own.Life = missedAnnouncements * period
+	raw, err := msgpack.Marshal(&own)
 	if err != nil {
 		return errors.Wrap(err, "encode the member")
 	}
@@ -116,7 +129,7 @@
 			d.logger.Error().Int64("offset", d.next-1).Msg("directory record passed over")
 			continue
 		}
-		if known, found := d.members[each.Node]; !found || known != each {
+		if known, found := d.members[each.Node]; !found || known.Address != each.Address {
 			d.logger.Info().Str("member", each.Node).Str("address", each.Address).Msg("node listed")
 		}
 		d.members[each.Node], d.seenAt[each.Node] = each, now
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -24,19 +24,20 @@
 
 // Ranges of the numeric settings.
 const (
-	MinProbeInterval = 50 * time.Millisecond
-	MaxProbeInterval = 10 * time.Second
-	MinGrace         = time.Second
-	MaxGrace         = time.Hour
-	MinLoads         = 1
-	MaxLoads         = 10_000
-	MinLease         = 500 * time.Millisecond
-	MaxLease         = time.Minute
-	MaxPartitions    = 1024
-	MinRecordBytes   = 4 << 10
-	MaxRecordBytes   = 64 << 20
-	MinKeepJobs      = time.Second
-	MaxKeepJobs      = 24 * time.Hour
+	MinProbeInterval  = 50 * time.Millisecond
+	MaxProbeInterval  = 10 * time.Second
+	MinGrace          = time.Second
+	MaxGrace          = time.Hour
+	MinLoads          = 1
+	MaxLoads          = 10_000
+	MinLease          = 500 * time.Millisecond
+	MaxLease          = time.Minute
+	MaxPartitions     = 1024
+	MaxReadsPerSecond = 10_000_000
+	MinRecordBytes    = 4 << 10
+	MaxRecordBytes    = 64 << 20
+	MinKeepJobs       = time.Second
+	MaxKeepJobs       = 24 * time.Hour
 )
 
 // Policies and Levels list the allowed words.
@@ -160,6 +161,7 @@
 	c.number("hosted.partitions", hosted.Partitions, 1, MaxPartitions)
 	c.number("hosted.record_bytes", hosted.RecordBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
+	c.number("hosted.reads_per_second", hosted.ReadsPerSecond, 0, MaxReadsPerSecond)
 	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,9 @@
 	// RecordBytes and CallBytes are the log's limits for a record and a call.
 	RecordBytes int `toml:"record_bytes"`
 	CallBytes   int `toml:"call_bytes"`
+	// ReadsPerSecond is what the log serves to all nodes together; they read less
+	// often than they would where they are many. 0 for no bound, ..10000000.
+	ReadsPerSecond int `toml:"reads_per_second"`
 	// KeepJobs is how long a batch job can be read after it was accepted, 1 s..24 h.
 	KeepJobs Duration `toml:"keep_jobs"`
 }
