Learn how many engines may load together

Cause: two engines of a service loaded together, always. Ruled out: the choice of engines (items waited with engines idle), the trainers' own lateness.

Change: weightplan.Limiter doubles the number with each round of fast loads until the first slow one, then takes what that shows the source to feed and probes upwards slowly. Loads of one round lower it once. The settings do not name the number; it is the same code for 2 at once (the small sites) and 10 (the grown one).

--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -30,12 +30,13 @@
 	}
 	m.options.Logger.Info().Str("engine", engine.ID).Str("model", load.Model).Int64("version", load.Version).
 		Uint8("answer", uint8(answer)).Bool("done", done).Int64("fence", m.options.Fence).
-		Dur("took_ms", time.Since(began)).Msg("weights ordered")
+		Dur("took_ms", time.Since(began)).Int("loads_at_once", m.loadLimit()).Msg("weights ordered")
 	m.mu.Lock()
-	delete(m.loading, engine.ID)
 	if done && answer == Taken {
 		m.noteLoadTime(time.Since(began))
+		m.limiter.Ended(began, time.Now(), m.loading[engine.ID].together)
 	}
+	delete(m.loading, engine.ID)
 	if !done {
 		delete(m.counts, engine.ID)
 		m.retryAt[engine.ID] = time.Now().Add(orderPause)
@@ -44,6 +45,13 @@
 	m.options.Loaded()
 }
 
+// loadLimit is how many engines may load together now.
+func (m *Manager) loadLimit() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.limiter.Limit()
+}
+
 // noteLoadTime takes a load's time into the mean; mu is held.
 func (m *Manager) noteLoadTime(took time.Duration) {
 	if m.loadTime == 0 {
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -18,8 +18,6 @@
 const (
 	// tickPeriod is the time between two looks at what is to be loaded.
 	tickPeriod = 50 * time.Millisecond
-	// loadsAtOnce is how many engines of a service load together.
-	loadsAtOnce = 2
 	// firstCheck and checkPeriod pace the questions whether a load is done.
 	firstCheck  = 950 * time.Millisecond
 	checkPeriod = 100 * time.Millisecond
@@ -127,7 +125,8 @@
 
 	mu sync.Mutex
 	// loading holds what each engine is loading.
-	loading map[string]underway
+	loading map[string]*underway
+	limiter *weightplan.Limiter
 	// loadTime is the moving mean of the time until a load is reported as done.
 	loadTime time.Duration
 	// counts holds each engine's count of orders, as far as known.
@@ -145,13 +144,17 @@
 type underway struct {
 	model string
 	since time.Time
+	// together is the most loads that were under way at one time since, this one
+	// included.
+	together int
 }
 
 // New returns a manager for one term.
 func New(options Options) *Manager {
 	return &Manager{
 		options:    options,
-		loading:    make(map[string]underway),
+		limiter:    weightplan.NewLimiter(),
+		loading:    make(map[string]*underway),
 		counts:     make(map[string]int64),
 		retryAt:    make(map[string]time.Time),
 		allocators: make(map[string]*weightplan.Allocator),
@@ -164,7 +167,10 @@
 func (m *Manager) Loading(engine string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.loading[engine].model
+	if load, found := m.loading[engine]; found {
+		return load.model
+	}
+	return ""
 }
 
 // Run orders loads until ctx ends.
@@ -204,18 +210,40 @@
 		m.allocators[target.Service] = allocator
 	}
 	models := allocator.Allocate(engines, targets)
-	for _, load := range weightplan.NextLoads(engines, models, targets, loadsAtOnce+m.nearlyDone(now)) {
+	atOnce := m.limiter.Limit() + m.nearlyDone(now) - m.loadingElsewhere(engines)
+	for _, load := range weightplan.NextLoads(engines, models, targets, atOnce) {
 		engine, known := m.options.Fleet.Get(load.Engine)
 		if !known {
 			continue
 		}
-		m.loading[load.Engine] = underway{model: load.Model, since: now}
+		m.loading[load.Engine] = &underway{model: load.Model, since: now}
 		mode := Continue
 		if target.SingleVersion {
 			mode = Finish
 		}
 		m.wait.Go(func() { m.load(ctx, engine, load, mode) })
 	}
+	m.noteTogether(now)
+}
+
+// noteTogether notes how many loads are under way beside each other; mu is held.
+func (m *Manager) noteTogether(now time.Time) {
+	together := len(m.loading) - m.nearlyDone(now)
+	for _, each := range m.loading {
+		each.together = max(each.together, together)
+	}
+}
+
+// loadingElsewhere counts the loads of engines that are not among these, which
+// share the source of the weights; mu is held.
+func (m *Manager) loadingElsewhere(engines []weightplan.Engine) int {
+	elsewhere := len(m.loading)
+	for _, engine := range engines {
+		if engine.Loading {
+			elsewhere--
+		}
+	}
+	return elsewhere
 }
 
 // nearlyDone counts the loads that should be done but are not reported yet; mu is held.
@@ -242,7 +270,7 @@
 		m.mu.Lock()
 		views = append(views, weightplan.Engine{
 			ID: engine.ID, Versions: engine.Versions, Running: running,
-			Loading: m.loading[engine.ID].model != "",
+			Loading: m.loading[engine.ID] != nil,
 			Usable:  !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]),
 		})
 		m.mu.Unlock()
