--- a/internal/bench/faultproxy/faultproxy.go
+++ b/internal/bench/faultproxy/faultproxy.go
@@ -113,6 +113,12 @@
 	return l.replace(toxicStall, map[string]int64{"timeout": 0})
 }
 
+// StallOneWay swallows all bytes towards the caller, with connections left open,
+// until Restore: what is sent arrives, and no answer comes back.
+func (l *Link) StallOneWay() error {
+	return l.replaceIn(toxicStall, directions[1:], map[string]int64{"timeout": 0})
+}
+
 // SetLatency delays both directions by the one-way time, rounded up to whole
 // milliseconds; zero removes the delay.
 func (l *Link) SetLatency(oneWay time.Duration) error {
@@ -166,9 +172,13 @@
 }
 
 func (l *Link) replace(kind string, attributes map[string]int64) error {
+	return l.replaceIn(kind, directions, attributes)
+}
+
+func (l *Link) replaceIn(kind string, in []string, attributes map[string]int64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, direction := range directions {
+	for _, direction := range in {
 		name := kind + "_" + direction
 		body, err := json.Marshal(toxicDocument{name, kind, direction, attributes})
 		if err != nil {
--- /dev/null
+++ b/internal/bench/soak/check_test.go
@@ -0,0 +1,256 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	bounds = DefaultBounds()
+)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// textOf is the whole output of an item, made by one version.
+func textOf(id string, version int64) string {
+	text := ""
+	for number := 1; number <= eventsOf(id); number++ {
+		if number > 1 {
+			text += "\n"
+		}
+		text += eventData(id, number, version)
+	}
+	return text
+}
+
+func streamOf(id string) standin.LiveAnswer {
+	answer := standin.LiveAnswer{Status: statusOK, ID: id, Stamped: true}
+	for number := 1; number <= eventsOf(id); number++ {
+		answer.Events = append(answer.Events, eventData(id, number, 3))
+		answer.Numbers = append(answer.Numbers, int64(number))
+	}
+	return answer
+}
+
+func plainOf(id string) standin.LiveAnswer {
+	return standin.LiveAnswer{Status: statusOK, ID: id, Stamped: true, Body: standin.Answer(id)}
+}
+
+func runOf(id, path, body string, seconds float64) standin.Run {
+	return standin.Run{ID: id, Path: path, Body: body, At: at(seconds)}
+}
+
+// Places in the history of a run without a fault.
+const (
+	callSafe = iota
+	callUnsafe
+	callStream
+	callRefused
+)
+
+// sound is the history of a run in which every promise held.
+func sound() *History {
+	job := &JobSeen{
+		Job: standin.Job{ID: "job", MinVersion: 3, Items: []standin.JobItem{
+			{ID: "item-1", Body: "b1"}, {ID: "item-2", Body: "b2"}, {ID: failPrefix + "3", Body: "b3"},
+		}},
+		Accepted: true, Complete: true, EndAskedAt: at(20), EndedAt: at(20.1), FinalStatus: map[string]int{},
+		Positions: []standin.ItemResult{
+			{ID: "item-2", State: standin.StateCompleted, Text: textOf("item-2", 4), Versions: []int64{4}},
+			{ID: failPrefix + "3", State: "expired"},
+			{ID: "item-1", State: standin.StateCompleted, Text: textOf("item-1", 3), Versions: []int64{3}},
+		},
+	}
+	refused := &JobSeen{
+		Job:        standin.Job{ID: "refused", Items: []standin.JobItem{{ID: "item-9", Body: "b9"}}},
+		AllRefused: true, FinalStatus: map[string]int{},
+	}
+	open := &JobSeen{
+		Job:      standin.Job{ID: "open", Items: []standin.JobItem{{ID: "item-5", Body: "b5"}}},
+		Accepted: true, Complete: true, FinalStatus: map[string]int{},
+		Positions: []standin.ItemResult{
+			{ID: "item-5", State: standin.StateCompleted, Text: textOf("item-5", 1), Versions: []int64{1}},
+		},
+	}
+	return &History{
+		Calls: []LiveCall{
+			{ID: "safe", Path: "/lookup/safe", Body: "s", Kind: standin.RouteSafe, SentAt: at(1), Answer: plainOf("safe"), Whole: true},
+			{ID: "unsafe", Path: "/permit/unsafe", Body: "u", Kind: standin.RouteUnsafe, SentAt: at(1), Answer: plainOf("unsafe"), Whole: true},
+			{ID: "stream", Path: "/stream/stream", Body: "t", Kind: standin.RouteStream, SentAt: at(1), Answer: streamOf("stream"), Whole: true},
+			{ID: "refused-call", Path: "/permit/r", Kind: standin.RouteUnsafe, SentAt: at(1), Answer: standin.LiveAnswer{Status: 503}, Whole: true},
+		},
+		Jobs:    []*JobSeen{job, refused, open},
+		Configs: []ConfigSeen{{Version: 7, AckedAt: at(10)}},
+		Probes: []Probe{
+			{Node: 0, Life: 1, Version: 7, SentAt: at(10.5), EndedAt: at(10.6), Status: statusNotFound},
+			{Node: 0, Life: 1, Version: 7, SentAt: at(11), EndedAt: at(11.1), Status: statusOK},
+			{Node: 0, Life: 1, Version: 7, SentAt: at(20), EndedAt: at(20.1), Status: statusOK},
+			{Node: 1, Life: 1, Version: 7, SentAt: at(20), EndedAt: at(20.1), Status: statusOK},
+		},
+		Leaves: []LeaveSeen{{Engine: "e1", At: at(10)}},
+		Engines: []EngineSeen{
+			{
+				ID: "e1", Service: standin.ServiceDrafts,
+				Runs: []standin.Run{
+					runOf("safe", "/lookup/safe", "s", 1), runOf("unsafe", "/permit/unsafe", "u", 1),
+					runOf("stream", "/stream/stream", "t", 1), runOf("item-1", standin.ItemPath("item-1"), "b1", 2),
+					runOf(failPrefix+"3", standin.ItemPath(failPrefix+"3"), "b3", 2),
+				},
+				Orders: []standin.OrderSeen{
+					{Holder: "a", Fence: 1, Version: 3, At: at(1), Status: 202},
+					{Holder: "b", Fence: 5, Version: 4, At: at(5), Status: 202},
+					{Holder: "a", Fence: 1, Version: 4, At: at(6), Status: statusFenced},
+					{Holder: "a", Fence: 9, Version: 5, At: at(30), Status: 202},
+				},
+			},
+			{ID: "e2", Service: standin.ServiceDrafts, Runs: []standin.Run{
+				runOf("item-2", standin.ItemPath("item-2"), "b2", 3), runOf("item-2", standin.ItemPath("item-2"), "b2", 4),
+				runOf("item-5", standin.ItemPath("item-5"), "b5", 4),
+			}},
+		},
+	}
+}
+
+func TestSoundHistoryBreaksNoPromise(t *testing.T) {
+	assert.DeepEqual(t, Check(sound(), bounds), []Violation(nil))
+}
+
+func addRun(h *History, engine int, run standin.Run) {
+	h.Engines[engine].Runs = append(h.Engines[engine].Runs, run)
+}
+
+// mutants each break one promise in the sound history.
+var mutants = []struct {
+	name   string
+	rule   string
+	change func(h *History)
+}{
+	{"body of another", "MIXED", func(h *History) { h.Calls[callSafe].Answer.Body = standin.Answer("other") }},
+	{"body cut, looks whole", "MIXED", func(h *History) { h.Calls[callUnsafe].Answer.Body = "the whole" }},
+	{"answer to another", "MIXED", func(h *History) { h.Calls[callSafe].Answer.ID = "other" }},
+	{"success without an engine", "MIXED", func(h *History) { h.Calls[callSafe].Answer.Stamped = false }},
+	{"stream lacks an event", "ORDER", func(h *History) {
+		answer := &h.Calls[callStream].Answer
+		answer.Events, answer.Numbers = answer.Events[1:], answer.Numbers[1:]
+	}},
+	{"stream ends early, looks whole", "ORDER", func(h *History) {
+		answer := &h.Calls[callStream].Answer
+		answer.Events, answer.Numbers = answer.Events[:2], answer.Numbers[:2]
+	}},
+	{"stream repeats an event", "ORDER", func(h *History) { h.Calls[callStream].Answer.Events[1] = h.Calls[callStream].Answer.Events[0] }},
+	{"run that nobody asked for", "UNASKED", func(h *History) { addRun(h, 0, runOf("none", "/lookup/none", "", 2)) }},
+	{"body changed on the way", "UNASKED", func(h *History) { h.Engines[0].Runs[0].Body = "changed" }},
+	{"path changed on the way", "UNASKED", func(h *History) { h.Engines[0].Runs[0].Path = "/lookup/" }},
+	{"item runs after its job's end", "UNASKED", func(h *History) {
+		addRun(h, 1, runOf("item-2", standin.ItemPath("item-2"), "b2", 30))
+	}},
+	{"not repeatable, run twice", "TWICE", func(h *History) { addRun(h, 1, runOf("unsafe", "/permit/unsafe", "u", 2)) }},
+	{"stream run twice", "TWICE", func(h *History) { addRun(h, 1, runOf("stream", "/stream/stream", "t", 2)) }},
+	{"item at two positions", "TWICE", func(h *History) {
+		h.Jobs[0].Positions = append(h.Jobs[0].Positions, h.Jobs[0].Positions[0])
+	}},
+	{"position changed", "TWICE", func(h *History) {
+		h.takeResults(h.Jobs[0], 1, []standin.ItemResult{{ID: "item-1", State: standin.StateCompleted}})
+	}},
+	{"refused call runs", "REFUSED", func(h *History) { addRun(h, 1, runOf("refused-call", "/permit/r", "", 2)) }},
+	{"item of a refused job runs", "REFUSED", func(h *History) { addRun(h, 1, runOf("item-9", standin.ItemPath("item-9"), "b9", 2)) }},
+	{"engine that leaves gets work", "DRAIN", func(h *History) {
+		addRun(h, 0, runOf("item-5", standin.ItemPath("item-5"), "b5", 16))
+	}},
+	{"configuration not in force", "CONFIG", func(h *History) {
+		h.Probes = append(h.Probes, Probe{Node: 2, Life: 1, Version: 7, SentAt: at(20), EndedAt: at(20.1), Status: statusNotFound})
+	}},
+	{"configuration reverts", "CONFIG", func(h *History) {
+		h.Probes = append(h.Probes, Probe{Node: 0, Life: 1, Version: 7, SentAt: at(12), EndedAt: at(12.1), Status: statusNotFound})
+	}},
+	{"item never listed", "LOST", func(h *History) { h.Jobs[2].Positions, h.Jobs[2].Complete = nil, false }},
+	{"job cannot be read", "LOST", func(h *History) { h.Jobs[0].FinalStatus["node 1"] = statusNotFound }},
+	{"failing item tried without end", "BUDGET", func(h *History) {
+		for range 9 {
+			addRun(h, 1, runOf(failPrefix+"3", standin.ItemPath(failPrefix+"3"), "b3", 3))
+		}
+	}},
+	{"sample names a version too many", "VERSION", func(h *History) { h.Jobs[0].Positions[0].Versions = []int64{3, 4} }},
+	{"sample hides a version", "VERSION", func(h *History) {
+		first := &h.Jobs[0].Positions[0]
+		first.Text = eventData("item-2", 1, 5) + first.Text[len(eventData("item-2", 1, 4)):]
+	}},
+	{"sample older than allowed", "VERSION", func(h *History) {
+		h.Jobs[0].Positions[2].Text, h.Jobs[0].Positions[2].Versions = textOf("item-1", 2), []int64{2}
+	}},
+	{"sample lacks its end", "VERSION", func(h *History) { h.Jobs[0].Positions[0].Text = eventData("item-2", 1, 4) }},
+	{"sample of another job", "VERSION", func(h *History) { h.Jobs[0].Positions[0].ID = "item-5" }},
+	{"item given up while its job is open", "VERSION", func(h *History) {
+		h.Jobs[2].Positions[0] = standin.ItemResult{ID: "item-5", State: "expired"}
+	}},
+	{"two holders of one token", "ONE", func(h *History) { h.Engines[0].Orders[1].Fence = 1 }},
+	{"fenced holder goes on", "ONE", func(h *History) {
+		h.Engines[0].Orders = append(h.Engines[0].Orders, standin.OrderSeen{Holder: "a", Fence: 1, At: at(12), Status: statusFenced})
+	}},
+}
+
+// TestEachMutantIsCaught: every check can fail, and fails for what it is for.
+func TestEachMutantIsCaught(t *testing.T) {
+	caught := make(map[string]bool)
+	for _, mutant := range mutants {
+		t.Run(mutant.name, func(t *testing.T) {
+			h := sound()
+			mutant.change(h)
+			violations := Check(h, bounds)
+			assert.Assert(t, len(violations) > 0, "nothing found")
+			for _, violation := range violations {
+				caught[violation.Rule] = true
+				assert.Equal(t, violation.Rule, mutant.rule, "%s", violation.Detail)
+			}
+		})
+	}
+	for _, each := range checks {
+		assert.Assert(t, caught[each.rule], "no mutant for %s", each.rule)
+	}
+}
+
+// TestBoundedPromisesSpareNodesOutOfTouch: a node that was disturbed just before
+// may still have the configuration before.
+func TestBoundedPromisesSpareNodesOutOfTouch(t *testing.T) {
+	h := sound()
+	h.Probes = append(h.Probes, Probe{Node: 2, Life: 1, Version: 7, SentAt: at(20), EndedAt: at(20.1), Status: statusNotFound})
+	h.Disturbances = append(h.Disturbances, &Disturbance{Node: 2, From: at(9), To: at(18)})
+	assert.DeepEqual(t, Check(h, bounds), []Violation(nil))
+	h.Disturbances[0].Node = 1
+	assert.Equal(t, len(Check(h, bounds)), 1)
+}
+
+func TestSchedulesFollowFromTheSeedAlone(t *testing.T) {
+	const length = 3 * time.Minute
+	one := Draw(7, length)
+	assert.DeepEqual(t, Draw(7, length), one)
+	assert.Assert(t, len(one) > 20, "%d faults", len(one))
+	for i, fault := range one {
+		assert.Equal(t, fault.Number, i+1)
+		assert.Assert(t, fault.At >= calmStart && fault.At+fault.For <= length-calmEnd)
+	}
+	shorter := Without(one, []int{2, 3})
+	assert.Equal(t, len(shorter), len(one)-2)
+	assert.DeepEqual(t, shorter[1:], one[3:])
+}
+
+func TestEveryKindOfFaultIsDrawn(t *testing.T) {
+	drawn := make(map[Kind]bool)
+	for _, fault := range Draw(1, time.Hour) {
+		drawn[fault.Kind] = true
+	}
+	for _, each := range weights {
+		assert.Assert(t, drawn[each.kind], "%s is never drawn", each.kind)
+	}
+}
+
+func TestArgumentsAreChecked(t *testing.T) {
+	for _, wrong := range []Arguments{{Minutes: 0, Nodes: 3}, {Minutes: 500, Nodes: 3}, {Minutes: 1, Nodes: 0}, {Minutes: 1, Nodes: 99}} {
+		assert.Assert(t, Run(t.Context(), &wrong, nil) != nil)
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/deployment.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
+	"github.com/corkpulley/corkpulley/internal/bench/process"
+	"github.com/corkpulley/corkpulley/internal/bench/topology"
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+)
+
+const (
+	lookupEngines = 2
+	draftEngines  = 4
+	zones         = 2
+	startTimeout  = 30 * time.Second
+)
+
+func zoneOf(number int) string { return fmt.Sprintf("z%d", number%zones+1) }
+
+// deployment is the whole system of a soak: real nodes, each behind a proxy to
+// the store, and the stand-ins of the store and the engines.
+type deployment struct {
+	history *History
+	network *faultproxy.Network
+	store   *storeFaults
+	nodes   []*node
+	places  []*place
+
+	closers []func()
+	wait    sync.WaitGroup
+}
+
+// deploy starts everything and waits until the nodes are ready.
+func deploy(ctx context.Context, nodes int, directory string, history *History) (*deployment, error) {
+	binaries, err := topology.Find(ctx, directory)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{history: history, network: faultproxy.NewNetwork(), store: newStoreFaults()}
+	d.closers = append(d.closers, d.network.Close)
+	storeAddress, err := d.serveStore()
+	if err != nil {
+		return d, err
+	}
+	for number := range lookupEngines + draftEngines {
+		if err := d.addPlace(number); err != nil {
+			return d, err
+		}
+	}
+	for number := range nodes {
+		if err := d.addNode(number, binaries.Daemon, directory, storeAddress); err != nil {
+			return d, err
+		}
+	}
+	d.wait.Go(func() { d.store.releaseLate(ctx) })
+	for _, each := range d.nodes {
+		d.wait.Go(func() { each.run(ctx) })
+	}
+	return d, nil
+}
+
+func (d *deployment) serveStore() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen for the store")
+	}
+	server := &http.Server{Handler: d.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	d.closers = append(d.closers, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+func (d *deployment) addPlace(number int) error {
+	listen, err := process.FreeAddress()
+	if err != nil {
+		return err
+	}
+	link, err := d.network.AddLink(fmt.Sprintf("engine-%d", number), "127.0.0.1:0", listen)
+	if err != nil {
+		return err
+	}
+	service := standin.ServiceLookup
+	if number >= lookupEngines {
+		service = standin.ServiceDrafts
+	}
+	p := &place{number: number, service: service, store: d.store.store, history: d.history, link: link, listen: listen}
+	if err := p.start(); err != nil {
+		return err
+	}
+	d.places = append(d.places, p)
+	d.closers = append(d.closers, p.stop)
+	return nil
+}
+
+func (d *deployment) addNode(number int, daemon, directory, storeAddress string) error {
+	link, err := d.network.AddLink(fmt.Sprintf("node-%d", number), "127.0.0.1:0", storeAddress)
+	if err != nil {
+		return err
+	}
+	var addresses [3]string
+	for i := range addresses {
+		if addresses[i], err = process.FreeAddress(); err != nil {
+			return err
+		}
+	}
+	n := &node{
+		number: number, callers: addresses[0], operators: addresses[1], daemon: daemon, directory: directory, link: link,
+		settings: filepath.Join(directory, fmt.Sprintf("node-%d.toml", number)),
+	}
+	if err := writeFile(n.settings, n.settingsText(link.Address(), addresses[2])); err != nil {
+		return err
+	}
+	d.nodes = append(d.nodes, n)
+	return nil
+}
+
+// awaitReady waits until every node is ready.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, each := range d.nodes {
+		for !each.ready(ctx) {
+			if ctx.Err() != nil {
+				return errors.Errorf("node %d is not ready after %s", each.number, startTimeout)
+			}
+			retry.Sleep(ctx, 50*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// engines returns what every engine saw.
+func (d *deployment) engines() []EngineSeen {
+	var all []EngineSeen
+	for _, each := range d.places {
+		all = append(all, each.seen()...)
+	}
+	return all
+}
+
+// unplannedEnds returns the ends of nodes that the soak did not cause.
+func (d *deployment) unplannedEnds() []string {
+	var all []string
+	for _, each := range d.nodes {
+		each.mu.Lock()
+		all = append(all, each.unplanned...)
+		each.mu.Unlock()
+	}
+	return all
+}
+
+// close ends the nodes, which nobody restarts any more, and the stand-ins.
+func (d *deployment) close() {
+	for _, each := range d.nodes {
+		each.kill()
+	}
+	d.wait.Wait()
+	for i := len(d.closers) - 1; i >= 0; i-- {
+		d.closers[i]()
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/drive.go
@@ -0,0 +1,281 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+)
+
+const (
+	// callGap is the time between two requests of one live caller.
+	callGap      = 120 * time.Millisecond
+	callDeadline = 4 * time.Second
+	callTimeout  = 8 * time.Second
+	// probeGap is the time between two probes of one node, configGap between two
+	// configurations, keptRoutes how many of their routes a configuration holds.
+	probeGap   = 150 * time.Millisecond
+	configGap  = 3 * time.Second
+	keptRoutes = 3
+	// trainers submit one job after the other.
+	trainers     = 2
+	itemsPerJob  = 12
+	groupSize    = 4
+	readWait     = 500 * time.Millisecond
+	retryGap     = 150 * time.Millisecond
+	submitTries  = 8
+	earlyEndPart = 5
+	// failingPart and neverPart are one in how many items always fail or can
+	// never be run.
+	failingPart = 30
+	neverPart   = 40
+)
+
+// Prefixes of the live routes beside the lookups.
+const (
+	prefixPermit = "/permit/"
+	prefixStream = "/stream/"
+)
+
+// driver sends the load of a soak.
+type driver struct {
+	deployment *deployment
+	history    *History
+	client     *standin.Client
+	random     func(n int) int
+
+	// version is the newest weight version named; config the newest configuration.
+	version atomic.Int64
+	config  atomic.Int64
+	ids     atomic.Int64
+
+	callers sync.WaitGroup
+	jobs    sync.WaitGroup
+}
+
+func newDriver(d *deployment) *driver {
+	driver := &driver{
+		deployment: d, history: d.history, client: standin.NewClient(callTimeout), random: rand.IntN,
+	}
+	driver.version.Store(1)
+	return driver
+}
+
+func (v *driver) anyNode() *node { return v.deployment.nodes[v.random(len(v.deployment.nodes))] }
+
+func (v *driver) newID(prefix string) string {
+	return fmt.Sprintf("%s%d", prefix, v.ids.Add(1))
+}
+
+// configure puts the next configuration in force.
+func (v *driver) configure() {
+	version := v.config.Load() + 1
+	routes := []standin.Route{
+		{Name: "lookup", Prefix: standin.PrefixLookup, Kind: standin.RouteSafe, Service: standin.ServiceLookup},
+		{Name: "permit", Prefix: prefixPermit, Kind: standin.RouteUnsafe, Service: standin.ServiceLookup},
+		{Name: "stream", Prefix: prefixStream, Kind: standin.RouteStream, Service: standin.ServiceDrafts},
+		{Name: "drafts", Prefix: standin.PrefixDrafts, Kind: standin.RouteBatch, Service: standin.ServiceDrafts},
+	}
+	for kept := max(1, version-keptRoutes+1); kept <= version; kept++ {
+		routes = append(routes, standin.Route{
+			Name: fmt.Sprintf("probe-%d", kept), Prefix: probePrefix(kept), Kind: standin.RouteSafe, Service: standin.ServiceLookup,
+		})
+	}
+	v.deployment.store.store.Configure(standin.Configuration{Version: version, Routes: routes})
+	v.history.update(func() {
+		v.history.Configs = append(v.history.Configs, ConfigSeen{Version: version, AckedAt: time.Now()})
+	})
+	v.config.Store(version)
+}
+
+func probePrefix(version int64) string { return fmt.Sprintf("/probe-%d/", version) }
+
+// operate changes the configuration until ctx ends.
+func (v *driver) operate(ctx context.Context) {
+	for retry.Sleep(ctx, configGap) {
+		v.configure()
+	}
+}
+
+// probe asks one node for the newest configuration's route until ctx ends.
+func (v *driver) probe(ctx context.Context, target *node) {
+	for retry.Sleep(ctx, probeGap) {
+		version := v.config.Load()
+		_, life := target.current()
+		path, sent := probePrefix(version)+"x", time.Now()
+		id := v.newID("probe-")
+		answer, err := v.client.Live(ctx, target.callers, path, id, "", callDeadline)
+		v.note(LiveCall{ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Answer: answer, Whole: err == nil})
+		_, after := target.current()
+		if err != nil || life != after || v.config.Load() >= version+keptRoutes {
+			continue
+		}
+		v.history.update(func() {
+			v.history.Probes = append(v.history.Probes, Probe{
+				Node: target.number, Life: life, Version: version, SentAt: sent, EndedAt: time.Now(), Status: answer.Status,
+			})
+		})
+	}
+}
+
+func (v *driver) note(call LiveCall) { v.history.addCall(call) }
+
+// call sends live requests of one kind until ctx ends.
+func (v *driver) call(ctx context.Context, kind, prefix string) {
+	for retry.Sleep(ctx, callGap) {
+		id := v.newID(kind + "-")
+		call := LiveCall{ID: id, Path: prefix + id, Body: "body of " + id, Kind: kind, SentAt: time.Now()}
+		var err error
+		call.Answer, err = v.client.Live(ctx, v.anyNode().callers, call.Path, id, call.Body, callDeadline)
+		call.Whole = err == nil
+		v.note(call)
+	}
+}
+
+// train submits one job after the other until ctx ends; the last one goes on
+// until lasting ends.
+func (v *driver) train(ctx, lasting context.Context, trainer int) {
+	for step := int64(0); ctx.Err() == nil; step++ {
+		job := v.newJob(trainer, step)
+		seen := v.history.addJob(job)
+		if !v.submit(lasting, seen) {
+			continue
+		}
+		v.readUntilDone(lasting, seen)
+		v.nameVersion()
+	}
+}
+
+func (v *driver) nameVersion() {
+	v.deployment.store.store.NameVersion(standin.ModelDrafts, v.version.Add(1))
+}
+
+func (v *driver) newJob(trainer int, step int64) standin.Job {
+	job := standin.Job{
+		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, v.version.Load()-1),
+	}
+	for i := range itemsPerJob {
+		prefix := "item-"
+		switch {
+		case v.random(failingPart) == 0:
+			prefix = failPrefix
+		case v.random(neverPart) == 0:
+			prefix = neverPrefix
+		}
+		id := v.newID(fmt.Sprintf("%s%d-%d-", prefix, trainer, step))
+		job.Items = append(job.Items, standin.JobItem{
+			ID: id, Group: fmt.Sprintf("group-%d-%d-%d", trainer, step, i/groupSize), Body: "body of " + id,
+		})
+	}
+	return job
+}
+
+// submit hands a job in at one node after the other until one takes it. It gives
+// up after some tries, unless the job may have been taken.
+func (v *driver) submit(ctx context.Context, seen *JobSeen) bool {
+	refusals, tries := 0, 0
+	for ; ctx.Err() == nil && (tries < submitTries || refusals < tries); tries++ {
+		status, err := v.client.Submit(ctx, v.anyNode().callers, seen.Job)
+		switch {
+		case err == nil && status == http.StatusAccepted:
+			v.history.update(func() { seen.Accepted = true })
+			return true
+		case err == nil && standin.Refused(status):
+			refusals++
+		}
+		retry.Sleep(ctx, retryGap)
+	}
+	v.history.update(func() { seen.AllRefused = tries > 0 && refusals == tries })
+	return false
+}
+
+// readUntilDone reads a job at one node after the other until it is listed whole
+// or its trainer ends it early.
+func (v *driver) readUntilDone(ctx context.Context, seen *JobSeen) {
+	early := v.random(earlyEndPart) == 0
+	for ctx.Err() == nil {
+		from := 0
+		v.history.update(func() { from = len(seen.Positions) })
+		if v.random(earlyEndPart) == 0 {
+			from = v.random(from + 1) // reads again what it has read
+		}
+		results, status, err := v.client.Results(ctx, v.anyNode().callers, seen.Job.ID, from, readWait)
+		if err != nil || status != http.StatusOK {
+			retry.Sleep(ctx, retryGap)
+			continue
+		}
+		v.history.takeResults(seen, from, results.Results)
+		done, some := false, false
+		v.history.update(func() { done, some = seen.Complete, len(seen.Positions) > 0 })
+		if early && some || done {
+			v.end(ctx, seen)
+			return
+		}
+	}
+}
+
+// end ends a job at one node after the other until one has acknowledged it.
+func (v *driver) end(ctx context.Context, seen *JobSeen) {
+	v.history.update(func() { seen.EndAskedAt = time.Now() })
+	for ctx.Err() == nil {
+		status, err := v.client.End(ctx, v.anyNode().callers, seen.Job.ID)
+		if err == nil && status == http.StatusOK {
+			v.history.update(func() { seen.EndedAt = time.Now() })
+			return
+		}
+		retry.Sleep(ctx, retryGap)
+	}
+}
+
+// readAll reads every accepted job from its start at every node.
+func (v *driver) readAll(ctx context.Context) {
+	for _, seen := range v.history.Jobs {
+		if !seen.Accepted {
+			continue
+		}
+		for _, each := range v.deployment.nodes {
+			v.readWhole(ctx, seen, each)
+		}
+	}
+}
+
+// readWhole reads all positions of a job at a node, trying again after failures.
+func (v *driver) readWhole(ctx context.Context, seen *JobSeen, at *node) {
+	status := 0
+	for range submitTries {
+		results, got, err := v.client.Results(ctx, at.callers, seen.Job.ID, 0, 0)
+		status = got
+		if err == nil && got == http.StatusOK {
+			v.history.takeResults(seen, 0, results.Results)
+			if missing := len(seen.Positions) - len(results.Results); missing > 0 {
+				seen.FinalStatus[fmt.Sprintf("node %d, %d results less", at.number, missing)] = got
+			}
+			return
+		}
+		retry.Sleep(ctx, retryGap)
+	}
+	seen.FinalStatus[fmt.Sprintf("node %d", at.number)] = status
+}
+
+// run sends the whole load until ctx ends. Open jobs go on until lasting ends.
+func (v *driver) run(ctx, lasting context.Context) {
+	v.callers.Go(func() { v.operate(ctx) })
+	for _, each := range v.deployment.nodes {
+		v.callers.Go(func() { v.probe(ctx, each) })
+	}
+	for _, each := range []struct{ kind, prefix string }{
+		{standin.RouteSafe, standin.PrefixLookup}, {standin.RouteUnsafe, prefixPermit}, {standin.RouteStream, prefixStream},
+	} {
+		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
+		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
+	}
+	for trainer := range trainers {
+		v.jobs.Go(func() { v.train(ctx, lasting, trainer) })
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/history.go
@@ -0,0 +1,177 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+)
+
+// LiveCall is one request of a live caller, with its own ID.
+type LiveCall struct {
+	ID   string
+	Path string
+	Body string
+	// Kind is the kind of its route.
+	Kind   string
+	SentAt time.Time
+	// Answer is what came back, Whole is false when the connection broke off.
+	Answer standin.LiveAnswer
+	Whole  bool
+}
+
+// JobSeen is one batch job as its trainer knows it.
+type JobSeen struct {
+	Job standin.Job
+	// Accepted: a node answered 202. AllRefused: every try was answered with a
+	// promise that nothing runs.
+	Accepted   bool
+	AllRefused bool
+	// EndAskedAt and EndedAt are when the trainer asked for its end and when that
+	// was acknowledged; zero when it was not.
+	EndAskedAt time.Time
+	EndedAt    time.Time
+	// Positions are the results by position, as first read.
+	Positions []standin.ItemResult
+	// Complete is true once every item was read as listed.
+	Complete bool
+	// FinalStatus holds the statuses of the last reads, by node, that did not work.
+	FinalStatus map[string]int
+}
+
+// Probe asks one node for a route that one configuration added.
+type Probe struct {
+	Node int
+	// Life counts the starts of the node's process.
+	Life int
+	// Version is the configuration whose route is asked for.
+	Version int64
+	SentAt  time.Time
+	EndedAt time.Time
+	Status  int
+}
+
+// ConfigSeen is a configuration that the operator put in force.
+type ConfigSeen struct {
+	Version int64
+	AckedAt time.Time
+}
+
+// LeaveSeen is an engine that was listed as leaving.
+type LeaveSeen struct {
+	Engine string
+	At     time.Time
+}
+
+// EngineSeen is what one engine saw.
+type EngineSeen struct {
+	ID      string
+	Service string
+	Runs    []standin.Run
+	Orders  []standin.OrderSeen
+}
+
+// anyNode stands for all nodes in a Disturbance.
+const anyNode = -1
+
+// Disturbance is a time in which a node is not in touch.
+type Disturbance struct {
+	Node int
+	From time.Time
+	// To is zero while it lasts.
+	To time.Time
+}
+
+// History is all that callers, trainers, the operator and the engines have seen.
+type History struct {
+	mu           sync.Mutex
+	Calls        []LiveCall
+	Jobs         []*JobSeen
+	Probes       []Probe
+	Configs      []ConfigSeen
+	Leaves       []LeaveSeen
+	Engines      []EngineSeen
+	Disturbances []*Disturbance
+	// Changed holds positions of jobs that were read twice with different content.
+	Changed []string
+}
+
+func (h *History) addCall(call LiveCall) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Calls = append(h.Calls, call)
+}
+
+func (h *History) addJob(job standin.Job) *JobSeen {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := &JobSeen{Job: job, FinalStatus: make(map[string]int)}
+	h.Jobs = append(h.Jobs, seen)
+	return seen
+}
+
+// update changes a job under the history's lock.
+func (h *History) update(change func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change()
+}
+
+// takeResults notes the results read at a position of a job.
+func (h *History) takeResults(job *JobSeen, from int, results []standin.ItemResult) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, result := range results {
+		position := from + i
+		switch {
+		case position < len(job.Positions):
+			if known := job.Positions[position]; !sameResult(known, result) {
+				h.Changed = append(h.Changed, fmt.Sprintf("job %s position %d held %+v, then %+v", job.Job.ID, position, known, result))
+			}
+		case position == len(job.Positions):
+			job.Positions = append(job.Positions, result)
+		}
+	}
+	job.Complete = len(job.Positions) == len(job.Job.Items)
+}
+
+func sameResult(one, other standin.ItemResult) bool {
+	if len(one.Versions) != len(other.Versions) {
+		return false
+	}
+	for i := range one.Versions {
+		if one.Versions[i] != other.Versions[i] {
+			return false
+		}
+	}
+	return one.ID == other.ID && one.State == other.State && one.Text == other.Text
+}
+
+// disturb notes that a node is not in touch until the returned function is called.
+func (h *History) disturb(node int) func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	disturbance := &Disturbance{Node: node, From: time.Now()}
+	h.Disturbances = append(h.Disturbances, disturbance)
+	return sync.OnceFunc(func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		disturbance.To = time.Now()
+	})
+}
+
+// inTouch tells whether a node was undisturbed from the contact time before from
+// until to; with anyNode, whether all were.
+func (h *History) inTouch(node int, from, to time.Time, contact time.Duration) bool {
+	from = from.Add(-contact)
+	for _, each := range h.Disturbances {
+		if node != anyNode && each.Node != anyNode && each.Node != node {
+			continue
+		}
+		if each.From.Before(to) && (each.To.IsZero() || each.To.After(from)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/bench/soak/items.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// failPrefix and neverPrefix begin the IDs of items that end with a failure at
+	// each run, and of those that an engine says can never be run.
+	failPrefix  = "fail-"
+	neverPrefix = "never-"
+
+	minEvents = 3
+	// longShare is one in how many outputs is longEvents long, the others are up to
+	// shortEvents longer than minEvents.
+	longShare   = 12
+	longEvents  = 60
+	shortEvents = 16
+)
+
+// eventsOf is the length of an output in events, by the ID that asks for it.
+func eventsOf(id string) int {
+	draw := xxhash.Sum64String(id)
+	if draw%longShare == 0 {
+		return longEvents
+	}
+	return minEvents + int(draw/longShare%shortEvents)
+}
+
+func failsAlways(id string) bool { return strings.HasPrefix(id, failPrefix) }
+
+func neverPossible(id string) bool { return strings.HasPrefix(id, neverPrefix) }
--- /dev/null
+++ b/internal/bench/soak/soak.go
@@ -0,0 +1,254 @@
+// Package soak runs real nodes as they run on the users' platform, strikes them
+// with faults drawn from a seed, from outside, and checks the promises from what
+// callers, trainers, the operator and the engines see.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Arguments are the flags of a soak.
+type Arguments struct {
+	Seed    uint64  `arg:"--seed" help:"seed of the schedule of faults; 0 draws one"`
+	Minutes float64 `arg:"--minutes" default:"1" help:"length of the load (0.1..120)"`
+	Nodes   int     `arg:"--nodes" default:"4" help:"nodes, each a process (1..24)"`
+	Without []int   `arg:"--without,separate" placeholder:"NUMBER" help:"leave out the fault with this number; may stand several times"`
+	Print   bool    `arg:"--print" help:"print the schedule and do not run it"`
+	JSON    bool    `arg:"--json" help:"end with one JSON object, the summary"`
+	Keep    string  `arg:"--keep" placeholder:"DIR" help:"directory for the logs of the nodes; they are kept there"`
+}
+
+// Bounds of the arguments.
+const (
+	minMinutes = 0.1
+	maxMinutes = 120
+	maxNodes   = 24
+	// finishTime is what open jobs may take once all faults are over.
+	finishTime = 45 * time.Second
+	// progressPeriod is the time between two lines of progress.
+	progressPeriod = 15 * time.Second
+)
+
+// DefaultBounds are those of the users' pages, with some slack for a machine
+// that has more to do.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Contact: 4 * time.Second, Apply: 3 * time.Second, Drain: 4 * time.Second,
+		Cancel: 4 * time.Second, Lease: 3 * time.Second,
+	}
+}
+
+// Summary is the outcome of a soak.
+type Summary struct {
+	Seed       uint64      `json:"seed"`
+	Seconds    float64     `json:"seconds"`
+	Faults     int         `json:"faults"`
+	Calls      int         `json:"calls"`
+	Answered   int         `json:"answered"`
+	Jobs       int         `json:"jobs"`
+	Accepted   int         `json:"accepted"`
+	Results    int         `json:"results"`
+	Probes     int         `json:"probes"`
+	Runs       int         `json:"runs"`
+	Orders     int         `json:"orders"`
+	Violations []Violation `json:"violations"`
+}
+
+// ErrBroken is returned when a promise was broken.
+var ErrBroken = errors.New("a promise was broken")
+
+func (a *Arguments) check() error {
+	switch {
+	case a.Minutes < minMinutes || a.Minutes > maxMinutes:
+		return errors.Errorf("--minutes is %g, expected %g..%d", a.Minutes, minMinutes, maxMinutes)
+	case a.Nodes < 1 || a.Nodes > maxNodes:
+		return errors.Errorf("--nodes is %d, expected 1..%d", a.Nodes, maxNodes)
+	}
+	return nil
+}
+
+// Run runs one soak. Progress goes to output, and with JSON set the summary as
+// its last line. It returns ErrBroken when a promise was broken; no process is
+// left behind.
+func Run(ctx context.Context, arguments *Arguments, output io.Writer) error {
+	if err := arguments.check(); err != nil {
+		return err
+	}
+	seed := arguments.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	length := time.Duration(arguments.Minutes * float64(time.Minute))
+	faults := Without(Draw(seed, length), arguments.Without)
+	if arguments.Print {
+		printSchedule(output, faults)
+		return nil
+	}
+	directory, cleanUp, err := logDirectory(arguments.Keep)
+	if err != nil {
+		return err
+	}
+	summary, err := soak(ctx, seed, arguments.Nodes, length, faults, directory, output)
+	if err != nil {
+		cleanUp()
+		return err
+	}
+	return conclude(summary, arguments.JSON, directory, cleanUp, output)
+}
+
+// logDirectory returns where the logs go, and what removes them.
+func logDirectory(keep string) (string, func(), error) {
+	if keep != "" {
+		const mode = 0o755
+		if err := os.MkdirAll(keep, mode); err != nil {
+			return "", nil, errors.Wrap(err, "make the directory for logs")
+		}
+		return keep, func() {}, nil
+	}
+	directory, err := os.MkdirTemp("", "corkpulley-soak-")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "make the directory for logs")
+	}
+	return directory, func() { _ = os.RemoveAll(directory) }, nil
+}
+
+// conclude prints the outcome. The logs of a soak that broke a promise stay.
+func conclude(summary Summary, asJSON bool, directory string, cleanUp func(), output io.Writer) error {
+	for _, violation := range summary.Violations {
+		_, _ = fmt.Fprintf(output, "BROKEN %s: %s\n", violation.Rule, violation.Detail)
+	}
+	_, _ = fmt.Fprintf(output, "seed %d: %d faults in %.0f s; %d of %d calls answered whole, %d of %d jobs accepted, %d results, %d runs, %d orders, %d probes; %d promises broken\n",
+		summary.Seed, summary.Faults, summary.Seconds, summary.Answered, summary.Calls, summary.Accepted, summary.Jobs,
+		summary.Results, summary.Runs, summary.Orders, summary.Probes, len(summary.Violations))
+	if asJSON {
+		raw, err := json.Marshal(summary)
+		if err != nil {
+			return errors.Wrap(err, "encode the summary")
+		}
+		_, _ = fmt.Fprintln(output, string(raw))
+	}
+	if len(summary.Violations) > 0 {
+		_, _ = fmt.Fprintln(output, "logs:", directory)
+		return ErrBroken
+	}
+	cleanUp()
+	return nil
+}
+
+// soak runs the load and the faults, waits until open jobs are done, and checks.
+func soak(
+	ctx context.Context, seed uint64, nodes int, length time.Duration, faults []Fault, directory string, output io.Writer,
+) (Summary, error) {
+	history := &History{}
+	lasting, stop := context.WithCancel(ctx)
+	defer stop()
+	d, err := deploy(lasting, nodes, directory, history)
+	if d != nil {
+		defer func() {
+			stop()
+			d.close()
+		}()
+	}
+	if err != nil {
+		return Summary{}, err
+	}
+	driver := newDriver(d)
+	driver.configure()
+	if err := d.awaitReady(ctx); err != nil {
+		return Summary{}, err
+	}
+	began := time.Now()
+	loaded, cancel := context.WithDeadline(ctx, began.Add(length))
+	defer cancel()
+	driver.run(loaded, lasting)
+	var progress sync.Mutex
+	go reportProgress(loaded, history, &progress, output)
+	d.inject(loaded, faults, func(fault Fault) {
+		progress.Lock()
+		defer progress.Unlock()
+		_, _ = fmt.Fprintln(output, fault)
+	})
+	<-loaded.Done()
+	if ctx.Err() != nil {
+		return Summary{}, errors.Wrap(ctx.Err(), "the soak was ended before its time")
+	}
+	driver.callers.Wait()
+	waitAtMost(driver.jobs.Wait, finishTime)
+	if err := d.awaitReady(ctx); err != nil {
+		return Summary{}, err
+	}
+	driver.readAll(ctx)
+	return summarize(seed, time.Since(began), len(faults), d), nil
+}
+
+// waitAtMost waits for what must end, but not beyond the limit: what has not
+// ended by then shows in the checks.
+func waitAtMost(wait func(), limit time.Duration) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		wait()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(limit):
+	}
+}
+
+func reportProgress(ctx context.Context, history *History, progress *sync.Mutex, output io.Writer) {
+	ticker := time.NewTicker(progressPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		progress.Lock()
+		history.update(func() {
+			_, _ = fmt.Fprintf(output, "     %d calls, %d jobs, %d configurations, %d probes\n",
+				len(history.Calls), len(history.Jobs), len(history.Configs), len(history.Probes))
+		})
+		progress.Unlock()
+	}
+}
+
+// summarize checks the history and counts what was done.
+func summarize(seed uint64, took time.Duration, faults int, d *deployment) Summary {
+	history := d.history
+	history.mu.Lock()
+	defer history.mu.Unlock()
+	history.Engines = d.engines()
+	summary := Summary{
+		Seed: seed, Seconds: took.Seconds(), Faults: faults, Calls: len(history.Calls), Jobs: len(history.Jobs),
+		Probes: len(history.Probes), Violations: Check(history, DefaultBounds()),
+	}
+	for _, end := range d.unplannedEnds() {
+		summary.Violations = append(summary.Violations, Violation{Rule: "FAULT", Detail: end})
+	}
+	for _, call := range history.Calls {
+		if call.Whole && call.Answer.Status == statusOK {
+			summary.Answered++
+		}
+	}
+	for _, job := range history.Jobs {
+		if job.Accepted {
+			summary.Accepted++
+		}
+		summary.Results += len(job.Positions)
+	}
+	for _, engine := range history.Engines {
+		summary.Runs += len(engine.Runs)
+		summary.Orders += len(engine.Orders)
+	}
+	return summary
+}
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -63,6 +63,16 @@
 	At    time.Time
 }
 
+// OrderSeen is one order as the engine received it.
+type OrderSeen struct {
+	Holder  string
+	Fence   int64
+	Version int64
+	At      time.Time
+	// Status is the engine's answer.
+	Status int
+}
+
 // EngineOptions describe an engine.
 type EngineOptions struct {
 	ID      string
@@ -75,6 +85,8 @@
 	// Events is the number of events of an item, EventTime the time for each.
 	Events    func(id string) int
 	EventTime time.Duration
+	// Data makes the data of an event; EventData without the version when nil.
+	Data func(id string, number int, version int64) string
 	// LoadTime is how long a change of weights takes.
 	LoadTime time.Duration
 	// CheckFences refuses orders with lower fencing tokens than one seen.
@@ -94,11 +106,14 @@
 	busy     bool
 	orders   int64
 	fence    int64
-	holders  []string
+	seen     []OrderSeen
 }
 
 // NewEngine returns an engine.
 func NewEngine(options EngineOptions) *Engine {
+	if options.Data == nil {
+		options.Data = func(id string, number int, _ int64) string { return EventData(id, number) }
+	}
 	e := &Engine{options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true)}
 	e.router.HandleFunc("/report", e.report).Methods(http.MethodGet)
 	e.router.HandleFunc("/order", e.order).Methods(http.MethodPost)
@@ -144,9 +159,28 @@
 func (e *Engine) Holders() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]string(nil), e.holders...)
+	var holders []string
+	for _, order := range e.seen {
+		if order.Status == http.StatusAccepted {
+			holders = append(holders, order.Holder)
+		}
+	}
+	return holders
 }
 
+// Orders returns all orders that the engine received and could read.
+func (e *Engine) Orders() []OrderSeen {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]OrderSeen(nil), e.seen...)
+}
+
+// ID returns the engine's own ID, which no other start of an engine has.
+func (e *Engine) ID() string { return e.options.ID }
+
+// Service returns the name of the engine's service.
+func (e *Engine) Service() string { return e.options.Service }
+
 // Entry is the engine's record in the list of engines.
 func (e *Engine) Entry(address, state string) []byte {
 	e.mu.Lock()
@@ -305,7 +339,7 @@
 			version = now
 			_, _ = fmt.Fprintf(w, "%s: %d\n", strings.ToLower(headerVersions), version)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, EventData(id, number))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, e.options.Data(id, number, version))
 		_ = flush.Flush()
 	}
 }
@@ -340,21 +374,25 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	status := http.StatusAccepted
 	switch {
 	case e.options.CheckFences && body.Fence < e.fence:
-		w.WriteHeader(http.StatusPreconditionFailed)
-		return
+		status = http.StatusPreconditionFailed
 	case e.busy || body.Expected != nil && *body.Expected != e.orders:
-		w.WriteHeader(http.StatusConflict)
-		return
+		status = http.StatusConflict
 	case e.versions[body.Model] == body.Version:
-		w.WriteHeader(http.StatusOK)
+		status = http.StatusOK
+	}
+	e.seen = append(e.seen, OrderSeen{
+		Holder: body.Holder, Fence: body.Fence, Version: body.Version, At: time.Now(), Status: status,
+	})
+	if status != http.StatusAccepted {
+		w.WriteHeader(status)
 		return
 	}
 	e.fence = max(e.fence, body.Fence)
 	e.orders++
 	e.busy = true
-	e.holders = append(e.holders, body.Holder)
 	time.AfterFunc(e.options.LoadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/standin/platform/service.go
+++ b/internal/standin/platform/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -114,7 +113,7 @@
 	if err := s.startEngines(serve); err != nil {
 		return err
 	}
-	s.store.Log.Put(topicControl, "config", s.configuration())
+	s.store.Configure(s.configuration())
 	s.store.Slow(s.config.Slow)
 	s.store.Log.SetFault(s.faults())
 	serve(s.listener, s.store)
@@ -142,39 +141,16 @@
 		}
 		engine := NewEngine(options)
 		serve(listener, engine)
-		s.store.Log.Put(topicEngines, options.ID, engine.Entry(listener.Addr().String(), "ready"))
+		s.store.ListEngine(engine, listener.Addr().String(), false)
 	}
 	return nil
 }
 
-func (s *Service) configuration() []byte {
-	raw, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{
-			{
-				"name": "lookup", "host": RouteHost, "pathPrefix": PrefixLookup, "routeKind": "safe",
-				"service": ServiceLookup, "timeoutMs": 2000, "targetMs": 150, "maxAttempts": 2,
-			},
-			{
-				"name": "drafts", "host": RouteHost, "pathPrefix": PrefixDrafts, "routeKind": "rollout",
-				"service": ServiceDrafts, "timeoutMs": 10000, "targetMs": 400, "maxAttempts": 3,
-				"queueTtlS": 60, "resumable": true,
-			},
-		},
-		"services": []map[string]any{
-			{"name": ServiceLookup, "maxConns": 100},
-			{"name": ServiceDrafts, "maxConns": 100, "engine": map[string]any{
-				"models": []map[string]any{{"name": ModelDrafts}},
-			}},
-		},
-		"limits": map[string]any{
-			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
-		},
-	})
-	if err != nil {
-		panic(err) // a map of plain values always encodes
-	}
-	return raw
+func (s *Service) configuration() Configuration {
+	return Configuration{Version: 1, Routes: []Route{
+		{Name: "lookup", Prefix: PrefixLookup, Kind: RouteSafe, Service: ServiceLookup},
+		{Name: "drafts", Prefix: PrefixDrafts, Kind: RouteBatch, Service: ServiceDrafts},
+	}}
 }
 
 // faults draws the fate of each call from the seed.
