Take out the simulator of hollow nodes

Slopes of single parts (corkbench slopes) stay: the bench tells none.

Conclusion: one tool for whole deployments.

--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -13,7 +13,6 @@
 
 	"github.com/corkpulley/corkpulley/internal/bench/demo"
 	"github.com/corkpulley/corkpulley/internal/bench/pathcost"
-	"github.com/corkpulley/corkpulley/internal/bench/scale"
 	"github.com/corkpulley/corkpulley/internal/bench/soak"
 	"github.com/corkpulley/corkpulley/internal/bench/standins"
 )
@@ -33,7 +32,6 @@
 	Standin *standins.Arguments `arg:"subcommand:standin" help:"run one of the platform's stand-ins until SIGTERM"`
 	Demo    *demo.Arguments     `arg:"subcommand:demo" help:"start a small deployment, run live requests and a trainer, and check every answer"`
 	Load    *loadArguments      `arg:"subcommand:load" help:"send live load to running nodes"`
-	Scale   *scale.Settings     `arg:"subcommand:scale" help:"run hundreds of hollow nodes in one process and measure how they act together"`
 	Soak    *soak.Arguments     `arg:"subcommand:soak" help:"strike real nodes with faults drawn from a seed and check every promise"`
 	Slopes  *slopesArguments    `arg:"subcommand:slopes" help:"measure what each request, record, member, slot and row costs a node"`
 	Run     *runArguments       `arg:"subcommand:run" help:"measure a deployment's trainers and live calls, and compare scheduling policies"`
@@ -53,7 +51,6 @@
   corkbench standin engine --listen 127.0.0.1:7501 --id e1 --zone tumwater --pool clerk --model clerk@1
   corkbench run --workload cascadia --compare round-robin --json
   corkbench load --address 127.0.0.1:8080 --service clerk-lookup --rate 50 --seconds 30
-  corkbench scale --nodes 100 --zones 4 --regions 2 --engines 1450 --only tables,weights
   corkbench slopes --json
   corkbench soak --minutes 5 --json
 
@@ -84,8 +81,6 @@
 		err = demo.Run(ctx, parsed.Demo, output)
 	case parsed.Load != nil:
 		err = runLoad(ctx, parsed.Load, output)
-	case parsed.Scale != nil:
-		err = scale.Run(ctx, parsed.Scale, output)
 	case parsed.Soak != nil:
 		err = soak.Run(ctx, parsed.Soak, output)
 	case parsed.Slopes != nil:
@@ -106,7 +101,7 @@
 	names := parser.SubcommandNames()
 	switch {
 	case len(names) == 0:
-		return errors.New("no command named: expected standin, demo, load, run, scale, slopes, soak or path-cost")
+		return errors.New("no command named: expected standin, demo, load, run, slopes, soak or path-cost")
 	case len(names) == 1 && names[0] == standinCommand:
 		return errors.New("no stand-in named: expected log, engine, weightstore, machines, scorer or trainer")
 	default:
