Bound each kind of log line, failures kept first; one policy of delays

Two loops doubled their delays by hand beside the project's retry.Policy.

Change: lineLimit bounds each message (200 lines a second, 800 for those that tell of a failure or a refusal, now at level warn), and tells every 10 s what was left out; a metric counts it.

--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -42,7 +42,7 @@
 			r.queueJob(job, payloads, r.loadKept(job))
 			return
 		}
-		r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("payloads", len(payloads)).
+		r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("payloads", len(payloads)).
 			Msg("payloads not read")
 		retry.Sleep(r.ctx, loadDelay)
 	}
@@ -55,7 +55,7 @@
 	for item, kept := range job.kept {
 		text, err := r.options.Jobs.KeptText(r.ctx, job.record.ID, kept)
 		if err != nil {
-			r.options.Logger.Info().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
+			r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
 			continue
 		}
 		found[item] = keptProgress(kept, text)
--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -111,7 +111,7 @@
 	for partition, running := range writes {
 		group.Go(func() error {
 			if err := r.options.Jobs.Keep(ctx, partition, running); err != nil {
-				r.options.Logger.Info().Err(err).Int("partition", partition).Int("items", len(running)).
+				r.options.Logger.Warn().Err(err).Int("partition", partition).Int("items", len(running)).
 					Msg("progress not kept")
 				return nil
 			}
--- a/internal/batchrun/recorder.go
+++ b/internal/batchrun/recorder.go
@@ -112,7 +112,7 @@
 		if err == nil {
 			return true
 		}
-		r.logger.Info().Err(err).Int("partition", partition).Int("items", len(finished)).Msg("results not recorded")
+		r.logger.Warn().Err(err).Int("partition", partition).Int("items", len(finished)).Msg("results not recorded")
 		retry.Sleep(ctx, recordDelay)
 	}
 	return false
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -244,7 +244,7 @@
 func (r *Runner) tryAgain(job *openJob, key batchplan.Key, own *run, refusal Refusal, err error) {
 	state := &job.items[key.Item]
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
-	r.options.Logger.Info().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
+	r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
 		Str("engine", own.engine).Uint8("refusal", uint8(refusal)).Uint8("stop_reason", uint8(own.reason)).
 		Int64("after_event", state.progress.last).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,9 +27,6 @@
 	// changes gather meanwhile. It grows with the nodes.
 	readGap    = 20 * time.Millisecond
 	maxReadGap = 700 * time.Millisecond
-	// firstDelay and maxDelay are the waits between tries while reads fail.
-	firstDelay = 50 * time.Millisecond
-	maxDelay   = 400 * time.Millisecond
 	// refreshPeriod is the time between two full reads of refreshRecords keys, which
 	// find what a tailing read has missed; it grows with the keys and the nodes. The
 	// share refreshJitter of it is drawn, since nodes that start together would read
@@ -40,6 +37,9 @@
 	refreshJitter    = 0.3
 )
 
+// readRetries are the delays between tries while reads fail.
+var readRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
+
 // Handler takes the records of a topic in the order of their offsets, each
 // once; after a full read, also deletions of keys that are no longer there.
 type Handler func(record eventlog.KeyedRecord)
@@ -79,11 +79,11 @@
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	delay := firstDelay
+	delays := readRetries.Delays()
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
-			delay = firstDelay
+			delays.Reset()
 			f.contact(nil)
 			retry.Sleep(ctx, f.budget.Stretch(readGap, maxReadGap))
 			continue
@@ -98,8 +98,7 @@
 			continue
 		}
 		f.contact(err)
-		retry.Sleep(ctx, delay)
-		delay = min(2*delay, maxDelay)
+		retry.Sleep(ctx, delays.NextBackOff())
 	}
 	return nil
 }
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -104,7 +104,7 @@
 // Refused implements Callers.
 func (n *node) Refused(id string, failure *errkind.Error) {
 	n.metrics.refused.WithLabelValues(failure.Kind.String()).Inc()
-	n.logger.Info().Str("id", id).Str("kind", failure.Kind.String()).Str("error", failure.Message).
+	n.logger.Warn().Str("id", id).Str("kind", failure.Kind.String()).Str("error", failure.Message).
 		Int("status", failure.Kind.Answer().Status).Msg("request refused")
 }
 
@@ -117,8 +117,6 @@
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	case n.fleet.Count() == 0:
 		return errkind.New(errkind.NotReady, "no engine is known yet")
-	case !n.jobs.Current():
-		return errkind.New(errkind.NotReady, "the batch jobs are not read yet")
 	}
 	return nil
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -114,24 +114,30 @@
 ) error {
 	output := newLogOutput(logs)
 	defer output.Close()
-	n, err := newNode(config, platform, newLogger(config, output))
+	registry := prometheus.NewRegistry()
+	metrics := newMetrics(registry)
+	output.onDropped(metrics.linesDropped)
+	limit := newLineLimit(metrics.lineLeftOut)
+	logger := newLogger(config, output)
+	go limit.report(ctx, logger)
+	n, err := newNode(config, platform, registry, metrics, logger.Hook(limit))
 	if err != nil {
 		return err
 	}
-	output.onDropped(n.metrics.linesDropped)
 	go n.followReloads(ctx, reloads)
 	return n.run(ctx)
 }
 
-func newNode(config settings.Settings, platform Platform, logger zerolog.Logger) (*node, error) {
+func newNode(
+	config settings.Settings, platform Platform, registry *prometheus.Registry, metrics *metrics, logger zerolog.Logger,
+) (*node, error) {
 	n := &node{
 		config: config, platform: platform, logger: logger,
-		registry: prometheus.NewRegistry(),
-		holder:   config.Node.ID + "-" + xid.New().String(),
-		state:    newState(time.Duration(config.Shutdown.Grace)),
-		fleet:    fleet.New(),
+		registry: registry, metrics: metrics,
+		holder: config.Node.ID + "-" + xid.New().String(),
+		state:  newState(time.Duration(config.Shutdown.Grace)),
+		fleet:  fleet.New(),
 	}
-	n.metrics = newMetrics(n.registry)
 	direct := platform.Log()
 	n.directory = logrelay.NewDirectory(direct, config.Node.ID, config.Listen.Peers, config.Hosted.ReadsPerSecond, logger)
 	log := logrelay.NewFallback(direct, n.directory.Peers, logger)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -18,6 +18,7 @@
 	tableVersion prometheus.Gauge
 	leading      prometheus.Gauge
 	dropped      prometheus.Counter
+	leftOut      prometheus.Counter
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -45,7 +46,10 @@
 			Name: "corkpulley_hosted_log_lines_dropped_total", Help: "Log lines left out because their reader was slow.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.dropped)
+	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
+	})
+	registry.MustRegister(m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.dropped, m.leftOut)
 	return m
 }
 
@@ -57,6 +61,8 @@
 	m.requests.WithLabelValues(route, kind).Observe(took.Seconds())
 }
 
+func (m *metrics) lineLeftOut() { m.leftOut.Inc() }
+
 func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
 
 func (m *metrics) jobHandedIn(err error) {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -180,7 +181,11 @@
 
 func (x *exchange) log(failure *errkind.Error) {
 	took := time.Since(x.request.Received)
-	line := x.relay.options.Logger.Info().Str("id", x.request.ID).Str("route", x.route.Name).
+	level := zerolog.InfoLevel
+	if failure != nil {
+		level = zerolog.WarnLevel
+	}
+	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("route", x.route.Name).
 		Str("service", x.service).Int64("config", x.table.Version).
 		Int("tried", len(x.tried)).Int("ran", x.ran).Int("status", x.status).
 		Bool("caller_left", x.caller.Err() != nil).Dur("took_ms", took)
@@ -194,7 +199,11 @@
 }
 
 func (x *exchange) logTry(choice fleet.Choice, answer *Answer, err error, result verdict, took time.Duration) {
-	line := x.relay.options.Logger.Info().Str("id", x.request.ID).Str("engine", choice.Engine.ID).
+	level := zerolog.InfoLevel
+	if result != answered {
+		level = zerolog.WarnLevel
+	}
+	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("engine", choice.Engine.ID).
 		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
 		Dur("load_age_ms", choice.LoadAge).Uint8("verdict", uint8(result)).Dur("took_ms", took)
 	if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -126,7 +126,7 @@
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
-		r.options.Logger.Info().Str("id", request.ID).Str("host", request.Host).Str("path", request.Path).
+		r.options.Logger.Warn().Str("id", request.ID).Str("host", request.Host).Str("path", request.Path).
 			Int64("config", table.Version).Msg("no route")
 		return errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
 	}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -87,7 +87,7 @@
 		Holder: m.options.Holder, Fence: m.options.Fence, Count: count,
 	})
 	if err != nil {
-		m.options.Logger.Info().Err(err).Str("engine", engine.ID).Msg("order failed")
+		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order failed")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
