Read an index partition where it is asked for; nodes without a way to the log say so

Cause: after the loss of all machines each node replayed the whole index of batch jobs before it was ready: at 300 machines serving began 30 s after the kill. Ruled out: what the leader spends (17 % of a core at the most).

A partition of the index is read once somebody asks for a job there or the node leads; readiness no longer waits for it. A node that does not reach the log itself says so at once, and who asked goes on to the next within the same call.

Conclusion: what every node reads must not grow with what all do.

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -1,6 +1,7 @@
 // Package batchjobs keeps batch jobs in the log: it accepts them, tells their
-// results and bodies, and ends them. Each node reads every index partition; a
-// text or a body is read from the log when it is asked for.
+// results and bodies, and ends them. A node reads an index partition once it is
+// asked for a job there, or leads; a text or a body is read from the log when it
+// is asked for.
 package batchjobs
 
 import (
@@ -101,16 +102,6 @@
 	return s.partitions[xxhash.Sum64String(jobID)%uint64(len(s.partitions))]
 }
 
-// Current tells whether the index was read to its end once.
-func (s *Service) Current() bool {
-	for _, each := range s.partitions {
-		if !each.current() {
-			return false
-		}
-	}
-	return true
-}
-
 // Observe tells the observer of all open jobs and of what changes; nil ends that.
 func (s *Service) Observe(observer batch.Observer) {
 	for _, each := range s.partitions {
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -48,10 +48,16 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	healthy bool
+	// followed is true once somebody here has asked for what the partition holds.
+	// Until then it is not read: a node would read the whole index after each start.
+	followed bool
 	// observed is true while an observer wants changes at once, waiters counts the
 	// readers that do.
 	observed bool
 	waiters  int
+	// joining is an observer that is told of changes from the next read on that
+	// reaches the end; until then it would hear of jobs that are long over.
+	joining batch.Observer
 }
 
 func newPartition(log eventlog.Log, number int, budget pacing.Budget, logger zerolog.Logger) *partition {
@@ -67,14 +73,11 @@
 	}
 }
 
-// tail reads the partition until ctx ends.
+// tail reads the partition until ctx ends, once somebody has asked for it.
 func (p *partition) tail(ctx context.Context) {
+	p.awaitInterest(ctx)
 	for ctx.Err() == nil {
-		wait := time.Duration(0)
-		if p.wanted() {
-			wait = pollWait
-		}
-		atEnd, err := p.read(ctx, wait)
+		atEnd, err := p.read(ctx, p.pollTime())
 		if err != nil && ctx.Err() == nil {
 			p.contact(err)
 			retry.Sleep(ctx, retryDelay)
@@ -86,6 +89,34 @@
 	}
 }
 
+// awaitInterest waits until somebody here asks for what the partition holds.
+func (p *partition) awaitInterest(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		followed := p.followed
+		p.mu.Unlock()
+		if followed {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.hurry:
+		}
+	}
+}
+
+// pollTime is how long the next read waits for a record. It waits only where
+// somebody here waits for what it brings, and not while an observer is to join.
+func (p *partition) pollTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.joining == nil && (p.observed || p.waiters > 0) {
+		return pollWait
+	}
+	return 0
+}
+
 // wanted tells whether somebody here waits for records.
 func (p *partition) wanted() bool {
 	p.mu.Lock()
@@ -111,6 +142,7 @@
 func (p *partition) wait(change int) {
 	p.mu.Lock()
 	p.waiters += change
+	p.followed = true
 	p.mu.Unlock()
 	p.hurryUp()
 }
@@ -167,6 +199,10 @@
 			p.readAt = now
 		}
 	}
+	if p.joining != nil && p.state.Next >= read.End {
+		p.state.Observe(p.joining)
+		p.joining = nil
+	}
 	if !p.healthy {
 		p.healthy = true
 		p.logger.Info().Int64("offset", p.state.Next).Msg("index partition in reach")
@@ -193,18 +229,14 @@
 	}
 }
 
-func (p *partition) current() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.readAt.IsZero()
-}
-
 func (p *partition) observe(observer batch.Observer) {
 	defer p.hurryUp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.observed = observer != nil
-	p.state.Observe(observer)
+	p.followed = true
+	p.joining = observer
+	p.state.Observe(nil)
 }
 
 func (p *partition) forget(before time.Time) {
@@ -225,6 +257,7 @@
 // now and the job is known.
 func (p *partition) lookUp(ctx context.Context, jobID string) (batch.Job, error) {
 	asked := time.Now()
+	p.follow()
 	if job, found := p.snapshot(jobID, asked.Add(-freshness)); found {
 		return job, nil
 	}
@@ -244,6 +277,17 @@
 	return batch.Job{}, errkind.New(errkind.NotFound, "no batch job %s", jobID)
 }
 
+// follow has the partition read from now on.
+func (p *partition) follow() {
+	p.mu.Lock()
+	before := p.followed
+	p.followed = true
+	p.mu.Unlock()
+	if !before {
+		p.hurryUp()
+	}
+}
+
 func (p *partition) readSince(asked time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -12,10 +12,8 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-const (
-	firstAppendDelay = 30 * time.Millisecond
-	maxAppendDelay   = 300 * time.Millisecond
-)
+// appendRetries are the delays between tries of an append.
+var appendRetries = retry.Policy{First: 30 * time.Millisecond, Longest: 300 * time.Millisecond}
 
 // appendIndex writes a record of the index. Records may be written twice: the
 // first one wins, so a call without an answer is sent again.
@@ -46,7 +44,7 @@
 // error says whether any of the calls may have had an effect.
 func (s *Service) appendUntilDone(ctx context.Context, partition eventlog.Partition, records [][]byte) (int64, error) {
 	mayBeDone := false
-	for delay := firstAppendDelay; ; delay = min(2*delay, maxAppendDelay) {
+	for delays := appendRetries.Delays(); ; {
 		first, err := s.log.Append(ctx, partition, records)
 		if err == nil {
 			return first, nil
@@ -54,7 +52,7 @@
 		if !errors.Is(err, eventlog.ErrNotDone) {
 			mayBeDone = true
 		}
-		retry.Sleep(ctx, delay)
+		retry.Sleep(ctx, delays.NextBackOff())
 		if ctx.Err() == nil {
 			continue
 		}
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -23,7 +23,8 @@
 
 // JobSeen is one batch job as its trainer knows it.
 type JobSeen struct {
-	Job standin.Job
+	Job    standin.Job
+	SentAt time.Time
 	// Accepted: a node answered 202. AllRefused: every try was answered with a
 	// promise that nothing runs.
 	Accepted   bool
@@ -106,7 +107,7 @@
 func (h *History) addJob(job standin.Job) *JobSeen {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	seen := &JobSeen{Job: job, FinalStatus: make(map[string]int)}
+	seen := &JobSeen{Job: job, SentAt: time.Now(), FinalStatus: make(map[string]int)}
 	h.Jobs = append(h.Jobs, seen)
 	return seen
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -111,7 +111,20 @@
 	} else {
 		text += "; not finished"
 	}
-	return text + "." + way.contextNotes()
+	return text + "." + jobEnds(way) + way.contextNotes()
+}
+
+// jobEnds tells when the item's jobs were ended, which ends its runs: it may have
+// come again in a later job.
+func jobEnds(way *Way) string {
+	text := ""
+	for _, line := range way.Lines {
+		if line.Message == "job ended" {
+			text += fmt.Sprintf(" Its job %s was ended by its submitter after %.0f ms with %.0f items unfinished.",
+				line.text("job"), line.number("after_ms"), line.number("unfinished"))
+		}
+	}
+	return text
 }
 
 func firstStart(way *Way) *Line {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -159,7 +159,7 @@
 		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
 		Budget: n.directory.Budget(), Logger: logger,
 	}, n.lead)
-	return n, n.listen(logrelay.NewHandler(direct))
+	return n, n.listen(logrelay.NewHandler(direct, log.Direct))
 }
 
 // weakDelay is how long a node with hardly any processor leaves a free lease to
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -25,6 +25,9 @@
 	// are reads of their own, so that no call waits for them.
 	probePeriod  = 400 * time.Millisecond
 	probeTimeout = time.Second
+	// maxPeersAsked bounds the nodes asked for one call, of which all but the last
+	// said at once that they do not reach the log.
+	maxPeersAsked = 6
 	// peerPause is how long a node that could not help is left alone.
 	peerPause = time.Second
 
@@ -152,10 +155,21 @@
 }
 
 func do[Result any](f *Fallback, call func(log eventlog.Log) (Result, error)) (Result, error) {
-	log, address := f.way()
-	result, err := call(log)
-	f.ended(address, err)
-	return result, err
+	for asked := 1; ; asked++ {
+		log, address := f.way()
+		result, err := call(log)
+		f.ended(address, err)
+		if asked == maxPeersAsked || !errors.Is(err, errNoWay) {
+			return result, err
+		}
+	}
+}
+
+// Direct tells whether the log is called directly, as far as known.
+func (f *Fallback) Direct() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures < switchWeight
 }
 
 // Append implements eventlog.Log.
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -46,8 +46,13 @@
 	unknown
 	conflict
 	gone
+	// noWay: the node cannot reach the log itself, so nothing was tried.
+	noWay
 )
 
+// errNoWay means that another node was asked that cannot reach the log itself.
+var errNoWay = errors.Wrap(eventlog.ErrNotDone, "the other node does not reach the log")
+
 // response is the answer to a request, encoded as msgpack.
 type response struct {
 	Outcome outcome                `msgpack:"o"`
@@ -83,6 +88,8 @@
 		return &eventlog.ConflictError{End: r.Offset}
 	case gone:
 		return &eventlog.GoneError{First: r.Offset}
+	case noWay:
+		return errNoWay
 	case notDone:
 		return errors.Wrap(eventlog.ErrNotDone, "through another node: "+r.Detail)
 	default:
--- a/internal/logrelay/server.go
+++ b/internal/logrelay/server.go
@@ -23,8 +23,9 @@
 )
 
 // NewHandler serves calls of other nodes with the node's own connection to the
-// log, never by way of a third one.
-func NewHandler(direct eventlog.Log) http.Handler {
+// log, never by way of a third one. While able is false it tells them at once to
+// ask another node.
+func NewHandler(direct eventlog.Log, able func() bool) http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc(Path, func(w http.ResponseWriter, r *http.Request) {
 		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
@@ -39,7 +40,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		answer, err := msgpack.Marshal(serve(r.Context(), direct, call))
+		answer, err := msgpack.Marshal(serveIfAble(r.Context(), direct, able, call))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -49,6 +50,13 @@
 	return router
 }
 
+func serveIfAble(ctx context.Context, direct eventlog.Log, able func() bool, call request) response {
+	if !able() {
+		return response{Outcome: noWay}
+	}
+	return serve(ctx, direct, call)
+}
+
 func serve(ctx context.Context, direct eventlog.Log, call request) response {
 	wait := min(call.Wait, maxWait)
 	switch call.Operation {
--- /dev/null
+++ b/internal/weightorders/weightorders_test.go
@@ -0,0 +1,229 @@
+package weightorders
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+)
+
+const (
+	service  = "s"
+	model    = "m"
+	loadTime = 150 * time.Millisecond
+)
+
+// fakeEngines hold versions and take orders as engines do.
+type fakeEngines struct {
+	mu       sync.Mutex
+	versions map[string]int64
+	counts   map[string]int64
+	busy     map[string]bool
+	orders   []Order
+	// most is the most loads that were under way at one time.
+	loading, most int
+	// answer, when set, decides an order's answer in place of the engine.
+	answer func(engine string, order Order) (Answer, bool)
+}
+
+func newFakeEngines(ids ...string) *fakeEngines {
+	f := &fakeEngines{versions: map[string]int64{}, counts: map[string]int64{}, busy: map[string]bool{}}
+	for _, id := range ids {
+		f.versions[id] = 1
+	}
+	return f
+}
+
+func (f *fakeEngines) Report(_ context.Context, engine fleet.Engine) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Report{
+		Versions: map[string]int64{model: f.versions[engine.ID]}, Busy: f.busy[engine.ID], Count: f.counts[engine.ID],
+	}, nil
+}
+
+func (f *fakeEngines) Order(_ context.Context, engine fleet.Engine, order Order) (Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, order)
+	if f.answer != nil {
+		if answer, decided := f.answer(engine.ID, order); decided {
+			return answer, nil
+		}
+	}
+	switch {
+	case f.busy[engine.ID] || order.Count != f.counts[engine.ID]:
+		return Conflict, nil
+	case f.versions[engine.ID] == order.Version:
+		return Held, nil
+	}
+	f.counts[engine.ID]++
+	f.busy[engine.ID] = true
+	f.loading++
+	f.most = max(f.most, f.loading)
+	time.AfterFunc(loadTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.versions[engine.ID], f.busy[engine.ID] = order.Version, false
+		f.loading--
+	})
+	return Taken, nil
+}
+
+func (f *fakeEngines) allAt(version int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, each := range f.versions {
+		if each != version {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fakeEngines) orderCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
+// world is a manager with what it works with.
+type world struct {
+	engines *fakeEngines
+	fleet   *fleet.Fleet
+	version atomic.Int64
+	valid   atomic.Bool
+}
+
+func manage(t *testing.T, engineCount int, change func(*Options)) *world {
+	t.Helper()
+	w := &world{fleet: fleet.New()}
+	w.version.Store(2)
+	w.valid.Store(true)
+	var ids []string
+	for i := range engineCount {
+		id := fmt.Sprint("e", i)
+		ids = append(ids, id)
+		w.fleet.Put(fleet.Engine{ID: id, Service: service, Slots: 4, Versions: map[string]int64{model: 1}})
+	}
+	w.engines = newFakeEngines(ids...)
+	options := Options{
+		Engines: w.engines, Fleet: w.fleet, Valid: w.valid.Load,
+		Targets: func() []Target {
+			return []Target{{Service: service, Versions: map[string]int64{model: w.version.Load()}}}
+		},
+		Running: func(string) int { return 0 },
+		Demands: func() map[string]batchrun.Demand { return nil },
+		Loaded:  func() {}, Holder: "h", Fence: 7, Logger: zerolog.Nop(),
+	}
+	if change != nil {
+		change(&options)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		New(options).Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return w
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func TestAllEnginesFollowTheNamedVersion(t *testing.T) {
+	w := manage(t, 5, nil)
+	await(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	w.version.Store(3)
+	await(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	assert.Equal(t, len(w.engines.orders), 10, "an engine was ordered twice for one version")
+	for _, order := range w.engines.orders {
+		assert.Equal(t, order.Fence, int64(7))
+		assert.Equal(t, order.Mode, Continue)
+	}
+}
+
+// TestMoreLoadTogetherWhereTheSourceFeedsThem: loads here never hold each other up.
+func TestMoreLoadTogetherWhereTheSourceFeedsThem(t *testing.T) {
+	w := manage(t, 24, nil)
+	await(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	assert.Assert(t, w.engines.most > 4, "%d loads together", w.engines.most)
+}
+
+func TestNobodyOrdersBeforeTheQuietTimeIsOver(t *testing.T) {
+	from := time.Now().Add(400 * time.Millisecond)
+	w := manage(t, 1, func(options *Options) { options.OrderFrom = from })
+	await(t, "an order", func() bool { return w.engines.orderCount() > 0 })
+	assert.Assert(t, !time.Now().Before(from))
+}
+
+func TestOnlyTheHolderOfTheLeaseOrders(t *testing.T) {
+	w := manage(t, 2, nil)
+	await(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	w.valid.Store(false)
+	before := w.engines.orderCount()
+	w.version.Store(3)
+	time.Sleep(4 * tickPeriod) // in which a holder would have ordered
+	assert.Equal(t, w.engines.orderCount(), before)
+	w.valid.Store(true)
+	await(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
+}
+
+// TestAnOrderThatWasOvertakenIsGivenAnew: another's order came between, so that
+// the count of orders is no longer the one known here.
+func TestAnOrderThatWasOvertakenIsGivenAnew(t *testing.T) {
+	w := manage(t, 1, nil)
+	await(t, "version 2", func() bool { return w.engines.allAt(2) })
+	w.engines.mu.Lock()
+	w.engines.counts["e0"] += 3
+	w.engines.mu.Unlock()
+	w.version.Store(3)
+	await(t, "version 3", func() bool { return w.engines.allAt(3) })
+}
+
+// TestLostAnswersAreNotTakenForRefusals: the engine loads, though the order has
+// no answer.
+func TestLostAnswersAreNotTakenForRefusals(t *testing.T) {
+	w := manage(t, 1, func(options *Options) {
+		engines := options.Engines.(*fakeEngines)
+		var lost atomic.Bool
+		engines.answer = func(engine string, order Order) (Answer, bool) {
+			if lost.Swap(true) {
+				return 0, false
+			}
+			engines.counts[engine]++
+			engines.versions[engine] = order.Version
+			return Unanswered, true
+		}
+	})
+	await(t, "version 2", func() bool { return w.engines.allAt(2) })
+	w.version.Store(3)
+	await(t, "version 3", func() bool { return w.engines.allAt(3) })
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	assert.Equal(t, len(w.engines.orders), 2)
+}
