Try the direct way after nodes without a way; keep most engines serving while weights load

Nodes that do not reach the log refuse the calls of others until their own probe works again, every 0.4 s; in an outage for all, the calls by way of others that used to find the end of the outage now failed until then. (2) The learned number of loads took 6 of 11 engines of a small service out of work for up to 3 s at the first change of version, where the source feeds 2.

Change: (1) after six nodes without a way a call goes the direct way. (2) at most a quarter of a service's engines load at once, two at least; loads that wait for running items say nothing of the source.

Conclusion: a fast no from others needs a way out when all say no.

--- a/internal/core/weightplan/limiter.go
+++ b/internal/core/weightplan/limiter.go
@@ -5,6 +5,9 @@
 const (
 	// MinLoadsAtOnce is how many engines may always load together.
 	MinLoadsAtOnce = 2
+	// loadingPart is one in how many engines of a service may load together beyond
+	// MinLoadsAtOnce: the others go on serving.
+	loadingPart = 4
 	// slowLoad is how much longer than the fastest load one must take to count as
 	// held up by the others.
 	slowLoad = 1.35
@@ -30,9 +33,15 @@
 // NewLimiter returns a limiter that has seen no load.
 func NewLimiter() *Limiter { return &Limiter{limit: MinLoadsAtOnce} }
 
-// Limit is the number of engines that may load together.
+// Limit is the number of engines that the source was seen to feed together.
 func (l *Limiter) Limit() int { return int(l.limit) }
 
+// LimitOf is the number of engines that may load together of a service that has
+// so many.
+func (l *Limiter) LimitOf(engines int) int {
+	return min(l.Limit(), max(MinLoadsAtOnce, engines/loadingPart))
+}
+
 // Ended takes a load beside which at most together-1 others ran.
 func (l *Limiter) Ended(began, ended time.Time, together int) {
 	took := ended.Sub(began)
--- a/internal/core/weightplan/limiter_test.go
+++ b/internal/core/weightplan/limiter_test.go
@@ -82,3 +82,14 @@
 	}
 	assert.Equal(t, limiter.Limit(), 10)
 }
+
+// TestMostEnginesOfAServiceGoOnServing: a source that feeds any number does not
+// take a small service out of work.
+func TestMostEnginesOfAServiceGoOnServing(t *testing.T) {
+	limiter := NewLimiter()
+	play(limiter, source{feeds: 100, alone: time.Second}, 4, start)
+	assert.Equal(t, limiter.LimitOf(3), MinLoadsAtOnce)
+	assert.Equal(t, limiter.LimitOf(9), MinLoadsAtOnce)
+	assert.Equal(t, limiter.LimitOf(48), 12)
+	assert.Equal(t, limiter.LimitOf(3000), limiter.Limit())
+}
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -25,8 +25,8 @@
 	// are reads of their own, so that no call waits for them.
 	probePeriod  = 400 * time.Millisecond
 	probeTimeout = time.Second
-	// maxPeersAsked bounds the nodes asked for one call, of which all but the last
-	// said at once that they do not reach the log.
+	// maxPeersAsked bounds the nodes asked for one call while each says at once that
+	// it does not reach the log; after them the direct way is tried.
 	maxPeersAsked = 6
 	// peerPause is how long a node that could not help is left alone.
 	peerPause = time.Second
@@ -155,14 +155,18 @@
 }
 
 func do[Result any](f *Fallback, call func(log eventlog.Log) (Result, error)) (Result, error) {
-	for asked := 1; ; asked++ {
+	for range maxPeersAsked {
 		log, address := f.way()
 		result, err := call(log)
 		f.ended(address, err)
-		if asked == maxPeersAsked || !errors.Is(err, errNoWay) {
+		if !errors.Is(err, errNoWay) {
 			return result, err
 		}
 	}
+	// The log may be away for all, and be back by now.
+	result, err := call(f.direct)
+	f.ended("", err)
+	return result, err
 }
 
 // Direct tells whether the log is called directly, as far as known.
--- a/internal/logrelay/logrelay_test.go
+++ b/internal/logrelay/logrelay_test.go
@@ -147,6 +147,26 @@
 	assert.Equal(t, log.End(part), int64(1))
 }
 
+// TestAnOutageForAllEndsWithTheNextCall: the other nodes say that they have no
+// way, which they had when they last tried.
+func TestAnOutageForAllEndsWithTheNextCall(t *testing.T) {
+	log := refusing()
+	var addresses []string
+	for range 2 * maxPeersAsked {
+		server := httptest.NewServer(NewHandler(log, func() bool { return false }))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	fallback := NewFallback(log, func() []string { return addresses }, zerolog.Nop())
+	for range failuresToSwitch {
+		_, _ = fallback.Append(t.Context(), part, nil)
+	}
+	log.SetFault(nil)
+	_, err := fallback.Append(t.Context(), part, [][]byte{[]byte("a")})
+	assert.NilError(t, err)
+	assert.Assert(t, fallback.Direct())
+}
+
 func TestUnreadableCallsAreRefused(t *testing.T) {
 	server := httptest.NewServer(NewHandler(memlog.New(), always))
 	t.Cleanup(server.Close)
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -34,7 +34,10 @@
 	m.mu.Lock()
 	if done && answer == Taken {
 		m.noteLoadTime(time.Since(began))
-		m.limiter.Ended(began, time.Now(), m.loading[engine.ID].together)
+		if mode == Continue {
+			// Any other waits for running items, so its time says nothing of the source.
+			m.limiter.Ended(began, time.Now(), m.loading[engine.ID].together)
+		}
 	}
 	delete(m.loading, engine.ID)
 	if !done {
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -209,7 +209,7 @@
 		m.allocators[target.Service] = allocator
 	}
 	models := allocator.Allocate(engines, targets)
-	atOnce := m.limiter.Limit() + m.nearlyDone(now) - m.loadingElsewhere(engines)
+	atOnce := m.limiter.LimitOf(len(engines)) + m.nearlyDone(now) - m.loadingElsewhere(engines)
 	for _, load := range weightplan.NextLoads(engines, models, targets, atOnce) {
 		engine, known := m.options.Fleet.Get(load.Engine)
 		if !known {
