--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 // countingLog counts reads of the index.
@@ -210,24 +210,14 @@
 	service, seen := newService(log), &observer{}
 	follow(t, service)
 	service.Observe(seen)
-	await(t, "the open job", func() bool { return seen.sees(1, 0) })
+	testwait.Until(t, "the open job", func() bool { return seen.sees(1, 0) })
 	assert.NilError(t, before.Accept(ctx, submission("new", "a")))
 	assert.NilError(t, before.End(ctx, "open"))
-	await(t, "the changes", func() bool { return seen.sees(2, 1) })
+	testwait.Until(t, "the changes", func() bool { return seen.sees(2, 1) })
 	assert.DeepEqual(t, seen.added, []string{"open", "new"})
 	assert.DeepEqual(t, seen.ended, []string{"open"})
 }
 
-func await(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if condition() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
-}
-
 // TestPartitionsThatNobodyAsksForAreReadSeldom: however quickly records come, a
 // node that nobody asks reads each partition once a period.
 func TestPartitionsThatNobodyAsksForAreReadSeldom(t *testing.T) {
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 // fakeJobs keeps jobs in a reducer of its own.
@@ -222,19 +222,9 @@
 	w.jobs.apply(batch.Record{Job: &record})
 }
 
-func (w *world) await(what string, condition func() bool) {
-	w.t.Helper()
-	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
-		if condition() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
-}
-
 func (w *world) awaitResults(count int) map[string]batchjobs.FinishedItem {
 	w.t.Helper()
-	w.await(fmt.Sprintf("%d results", count), func() bool { return len(w.jobs.results()) >= count })
+	testwait.Until(w.t, fmt.Sprintf("%d results", count), func() bool { return len(w.jobs.results()) >= count })
 	byItem := map[string]batchjobs.FinishedItem{}
 	for _, result := range w.jobs.results() {
 		byItem[fmt.Sprint(result.JobID, "/", result.Item)] = result
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 func TestBrokenRunContinuesAtItsLastEvent(t *testing.T) {
@@ -16,7 +17,7 @@
 	w.engines.pause["a"], w.engines.pause["b"] = 10*time.Millisecond, 10*time.Millisecond
 	r, _ := w.lead()
 	w.submit("j", 1, "x")
-	w.await("some events", func() bool {
+	testwait.Until(t, "some events", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs["j"]
@@ -41,7 +42,7 @@
 	w.fleet.Observe("a", "m", 5) // believed, while the engine still has version 1
 	w.lead()
 	w.submit("j", 5, "x")
-	w.await("a run that is refused", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) >= 2 })
+	testwait.Until(t, "a run that is refused", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) >= 2 })
 	assert.Equal(t, len(w.jobs.results()), 0)
 	w.engines.setVersion("a", 5)
 	result := w.awaitResults(1)["j/0"]
@@ -56,7 +57,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, _ := w.lead()
 	w.submit("j", 1, "x")
-	w.await("some events", func() bool {
+	testwait.Until(t, "some events", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs["j"]
@@ -104,7 +105,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, stop := w.lead()
 	w.submit("j", 1, "x")
-	w.await("some events", func() bool {
+	testwait.Until(t, "some events", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs["j"]
@@ -128,7 +129,7 @@
 	w.jobs.down = true
 	w.jobs.mu.Unlock()
 	w.submit("j", 1, "x")
-	w.await("the run", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
+	testwait.Until(t, "the run", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
 	time.Sleep(200 * time.Millisecond) // an outage, not a wait for a condition
 	w.jobs.mu.Lock()
 	w.jobs.down = false
@@ -146,7 +147,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, _ := w.lead()
 	w.submit("j1", 1, "x", "y")
-	w.await("some events", func() bool {
+	testwait.Until(t, "some events", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs["j1"]
@@ -154,7 +155,7 @@
 	})
 	w.jobs.apply(batch.Record{End: "j1"})
 	w.submit("j2", 1, "x", "y")
-	w.await("both of the second job", func() bool {
+	testwait.Until(t, "both of the second job", func() bool {
 		count := 0
 		for _, result := range w.jobs.results() {
 			if result.JobID == "j2" {
@@ -180,7 +181,7 @@
 	w.engines.pause["slow"], w.engines.pause["fast"] = 40*time.Millisecond, 5*time.Millisecond
 	w.lead()
 	w.submit("j", 1, "x")
-	w.await("x runs", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
+	testwait.Until(t, "x runs", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
 	for _, id := range []string{"fast", "fast2", "fast3"} {
 		w.engines.setVersion(id, 1)
 		w.fleet.Put(fleet.Engine{ID: id, Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}})
@@ -199,11 +200,11 @@
 	w.engines.pause["a"], w.engines.pause["b"] = 20*time.Millisecond, 20*time.Millisecond
 	r, _ := w.lead()
 	w.submit("j", 1, "x")
-	w.await("x runs", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
+	testwait.Until(t, "x runs", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) == 1 })
 	w.engines.setVersion("b", 1)
 	w.fleet.Put(fleet.Engine{ID: "b", Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}})
 	w.submit("j2", 1, "y")
-	w.await("the pace of b is known", func() bool {
+	testwait.Until(t, "the pace of b is known", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		return r.plan.Pace("b") > 0
@@ -225,7 +226,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, _ := w.lead()
 	w.submit("j1", 1, "x", "y")
-	w.await("some events", func() bool {
+	testwait.Until(t, "some events", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs["j1"]
--- /dev/null
+++ b/internal/bench/soak/check_operator.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+)
+
+// checkDrain: an engine that leaves gets no new work after a while.
+func checkDrain(h *History, bounds Bounds) []string {
+	var found []string
+	leaves := make(map[string]time.Time)
+	for _, leave := range h.Leaves {
+		leaves[leave.Engine] = leave.At
+	}
+	eachRun(h, func(engine *EngineSeen, run standin.Run) {
+		left, leaving := leaves[engine.ID]
+		if !leaving || run.At.Sub(left) <= bounds.Drain {
+			return
+		}
+		if h.inTouch(anyNode, left, run.At, bounds.Contact) {
+			found = append(found, fmt.Sprintf("engine %s got %s, %s after it was listed as leaving", engine.ID, run.ID, run.At.Sub(left)))
+		}
+	})
+	return found
+}
+
+const statusNotFound = 404
+
+// checkConfig: a configuration is in force everywhere after a while.
+func checkConfig(h *History, bounds Bounds) []string {
+	var found []string
+	acked := make(map[int64]time.Time)
+	for _, config := range h.Configs {
+		acked[config.Version] = config.AckedAt
+	}
+	for _, probe := range h.Probes {
+		at, known := acked[probe.Version]
+		if !known || probe.Status != statusNotFound || probe.SentAt.Sub(at) <= bounds.Apply {
+			continue
+		}
+		if h.inTouch(probe.Node, probe.SentAt.Add(-bounds.Apply), probe.EndedAt, bounds.Contact) {
+			found = append(found, fmt.Sprintf("node %d denies the route of configuration %d, %s after its acceptance",
+				probe.Node, probe.Version, probe.SentAt.Sub(at)))
+		}
+	}
+	return found
+}
+
+// checkNoReturn: within the life of a process, a configuration that took effect
+// stays in effect.
+func checkNoReturn(h *History, _ Bounds) []string {
+	var found []string
+	type life struct{ node, life int }
+	served := make(map[life]map[int64]time.Time)
+	for _, probe := range h.Probes {
+		key := life{probe.Node, probe.Life}
+		if served[key] == nil {
+			served[key] = make(map[int64]time.Time)
+		}
+		if first := served[key][probe.Version]; probe.Status == statusOK && (first.IsZero() || probe.EndedAt.Before(first)) {
+			served[key][probe.Version] = probe.EndedAt
+		}
+	}
+	for _, probe := range h.Probes {
+		first, was := served[life{probe.Node, probe.Life}][probe.Version]
+		if probe.Status == statusNotFound && was && probe.SentAt.After(first) {
+			found = append(found, fmt.Sprintf("node %d denies the route of configuration %d, which it served %s before",
+				probe.Node, probe.Version, probe.SentAt.Sub(first)))
+		}
+	}
+	return found
+}
+
+const statusFenced = 412
+
+// checkOneHolder: an engine never takes the same fencing token from two holders,
+// and a holder that was refused for a newer one soon stops.
+func checkOneHolder(h *History, bounds Bounds) []string {
+	var found []string
+	type token struct {
+		holder string
+		fence  int64
+	}
+	for _, engine := range h.Engines {
+		holders := make(map[int64]string)
+		fencedAt := make(map[token]time.Time)
+		for _, order := range engine.Orders {
+			if holder, known := holders[order.Fence]; known && holder != order.Holder {
+				found = append(found, fmt.Sprintf("engine %s has orders of %s and %s under token %d", engine.ID, holder, order.Holder, order.Fence))
+			}
+			holders[order.Fence] = order.Holder
+			key := token{order.Holder, order.Fence}
+			if refused, was := fencedAt[key]; was && order.At.Sub(refused) > bounds.Lease {
+				found = append(found, fmt.Sprintf("engine %s: %s orders %s after it was fenced", engine.ID, order.Holder, order.At.Sub(refused)))
+			}
+			if order.Status == statusFenced {
+				if _, was := fencedAt[key]; !was {
+					fencedAt[key] = order.At
+				}
+			}
+		}
+	}
+	return found
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 const topic = "keyed.test"
@@ -58,26 +58,16 @@
 	return v
 }
 
-func await(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if condition() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
-}
-
 func TestChangesAreFollowed(t *testing.T) {
 	log := memlog.New()
 	log.Put(topic, "a", []byte("1"))
 	v := start(t, log)
-	await(t, "the first value", func() bool { return v.is("a", "1") })
+	testwait.Until(t, "the first value", func() bool { return v.is("a", "1") })
 	log.Put(topic, "a", []byte("2"))
 	log.Put(topic, "b", []byte("3"))
-	await(t, "the changes", func() bool { return v.is("a", "2") && v.is("b", "3") })
+	testwait.Until(t, "the changes", func() bool { return v.is("a", "2") && v.is("b", "3") })
 	log.Put(topic, "a", nil)
-	await(t, "the deletion", func() bool { return v.is("a", "") })
+	testwait.Until(t, "the deletion", func() bool { return v.is("a", "") })
 }
 
 // TestHistoryLostInAnOutageIsMadeUpFor changes, deletes and adds keys while the
@@ -87,14 +77,14 @@
 	log.Put(topic, "changed", []byte("1"))
 	log.Put(topic, "deleted", []byte("1"))
 	v := start(t, log)
-	await(t, "the first values", func() bool { return v.is("changed", "1") && v.is("deleted", "1") })
+	testwait.Until(t, "the first values", func() bool { return v.is("changed", "1") && v.is("deleted", "1") })
 	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
 	log.Put(topic, "changed", []byte("2"))
 	log.Put(topic, "deleted", nil)
 	log.Put(topic, "added", []byte("3"))
 	log.Trim(eventlog.Partition{Topic: topic}, log.End(eventlog.Partition{Topic: topic}))
 	log.SetFault(nil)
-	await(t, "the state after the outage", func() bool {
+	testwait.Until(t, "the state after the outage", func() bool {
 		return v.is("changed", "2") && v.is("deleted", "") && v.is("added", "3")
 	})
 	assert.Equal(t, len(v.last), 3)
@@ -126,7 +116,7 @@
 	budget := pacing.Budget{ReadsPerSecond: 100, Nodes: func() int { return 1000 }}
 	follower := New(log, topic, v.handle, budget, zerolog.Nop())
 	go func() { _ = follower.Run(t.Context()) }()
-	await(t, "a read", func() bool {
+	testwait.Until(t, "a read", func() bool {
 		log.mu.Lock()
 		defer log.mu.Unlock()
 		return log.reads > 0
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 const testTTL = 600 * time.Millisecond
@@ -67,16 +67,6 @@
 	return c
 }
 
-func await(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if condition() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
-}
-
 func TestOneOfManyLeads(t *testing.T) {
 	log := memlog.New()
 	candidates := []*candidate{join(t, log, "a", "a1"), join(t, log, "b", "b1"), join(t, log, "c", "c1")}
@@ -89,7 +79,7 @@
 		}
 		return leading
 	}
-	await(t, "one leads", func() bool { return count() == 1 })
+	testwait.Until(t, "one leads", func() bool { return count() == 1 })
 	leader, epoch := candidates[0].elector.Leader()
 	assert.Assert(t, leader != "" && epoch > 0)
 }
@@ -97,10 +87,10 @@
 func TestAnotherTakesOverWhenTheLeaderDies(t *testing.T) {
 	log := memlog.New()
 	first := join(t, log, "a", "a1")
-	await(t, "a leads", first.leads)
+	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
 	first.cancel()
-	await(t, "b leads", second.leads)
+	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, second.lastTerm().Epoch > first.lastTerm().Epoch)
 	assert.Assert(t, !second.lastTerm().QuietUntil.IsZero(), "the other machine may have ordered just now")
 }
@@ -112,19 +102,19 @@
 	const delay = 2 * time.Second
 	weak := joinAfter(t, log, "weak", "weak1", delay)
 	able := join(t, log, "able", "able1")
-	await(t, "the able node leads", able.leads)
+	testwait.Until(t, "the able node leads", able.leads)
 	able.elector.Stop(t.Context())
 	able.cancel()
-	await(t, "the weak node leads", weak.leads)
+	testwait.Until(t, "the weak node leads", weak.leads)
 }
 
 func TestReleaseHandsOver(t *testing.T) {
 	log := memlog.New()
 	first := join(t, log, "a", "a1")
-	await(t, "a leads", first.leads)
+	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
 	first.elector.Stop(t.Context())
-	await(t, "b leads", second.leads)
+	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch))
 }
 
@@ -134,14 +124,14 @@
 	log := memlog.New()
 	link := &cutLog{Log: log}
 	first := join(t, link, "a", "a1")
-	await(t, "a leads", first.leads)
+	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
 	link.cut(true)
-	await(t, "b leads", second.leads)
+	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch), "a still counts its lease as valid")
 	link.cut(false)
-	await(t, "a learns of b", func() bool { holder, _ := first.elector.Leader(); return holder == "b1" })
-	await(t, "a stops", func() bool { return !first.leads() })
+	testwait.Until(t, "a learns of b", func() bool { holder, _ := first.elector.Leader(); return holder == "b1" })
+	testwait.Until(t, "a stops", func() bool { return !first.leads() })
 	assert.Assert(t, second.leads())
 }
 
@@ -150,7 +140,7 @@
 func TestLeaderSurvivesLostAnswers(t *testing.T) {
 	log := memlog.New()
 	first := join(t, log, "a", "a1")
-	await(t, "a leads", first.leads)
+	testwait.Until(t, "a leads", first.leads)
 	epoch := first.lastTerm().Epoch
 	log.SetFault(func(call memlog.Call) memlog.Fault {
 		if call.Append {
@@ -159,7 +149,7 @@
 		return memlog.None
 	})
 	from := log.End(eventlog.Partition{Topic: topic})
-	await(t, "many renewals", func() bool { return log.End(eventlog.Partition{Topic: topic}) > from+4*renewalsPerTTL })
+	testwait.Until(t, "many renewals", func() bool { return log.End(eventlog.Partition{Topic: topic}) > from+4*renewalsPerTTL })
 	assert.Assert(t, first.elector.Valid(epoch))
 	assert.Equal(t, len(first.terms), 1)
 }
@@ -169,16 +159,16 @@
 func TestOutageMovesNoLeadership(t *testing.T) {
 	log := memlog.New()
 	first := join(t, log, "a", "a1")
-	await(t, "a leads", first.leads)
+	testwait.Until(t, "a leads", first.leads)
 	epoch := first.lastTerm().Epoch
 	second := join(t, log, "b", "b1")
-	await(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
 	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
-	await(t, "a may not order", func() bool { return !first.elector.Valid(epoch) })
+	testwait.Until(t, "a may not order", func() bool { return !first.elector.Valid(epoch) })
 	time.Sleep(2 * testTTL) // an outage, not a wait for a condition
 	assert.Assert(t, first.leads(), "the role ended in the outage")
 	log.SetFault(nil)
-	await(t, "a may order again", func() bool { return first.elector.Valid(epoch) })
+	testwait.Until(t, "a may order again", func() bool { return first.elector.Valid(epoch) })
 	assert.Assert(t, first.leads() && !second.leads())
 	holder, newest := second.elector.Leader()
 	assert.Equal(t, holder, "a1")
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 const (
@@ -141,21 +141,11 @@
 	return w
 }
 
-func await(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if condition() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
-}
-
 func TestAllEnginesFollowTheNamedVersion(t *testing.T) {
 	w := manage(t, 5, nil)
-	await(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
 	w.version.Store(3)
-	await(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
+	testwait.Until(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
 	assert.Equal(t, len(w.engines.orders), 10, "an engine was ordered twice for one version")
@@ -168,7 +158,7 @@
 // TestMoreLoadTogetherWhereTheSourceFeedsThem: loads here never hold each other up.
 func TestMoreLoadTogetherWhereTheSourceFeedsThem(t *testing.T) {
 	w := manage(t, 48, nil)
-	await(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
 	assert.Assert(t, w.engines.most > 4, "%d loads together", w.engines.most)
@@ -177,32 +167,32 @@
 func TestNobodyOrdersBeforeTheQuietTimeIsOver(t *testing.T) {
 	from := time.Now().Add(400 * time.Millisecond)
 	w := manage(t, 1, func(options *Options) { options.OrderFrom = from })
-	await(t, "an order", func() bool { return w.engines.orderCount() > 0 })
+	testwait.Until(t, "an order", func() bool { return w.engines.orderCount() > 0 })
 	assert.Assert(t, !time.Now().Before(from))
 }
 
 func TestOnlyTheHolderOfTheLeaseOrders(t *testing.T) {
 	w := manage(t, 2, nil)
-	await(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
 	w.valid.Store(false)
 	before := w.engines.orderCount()
 	w.version.Store(3)
 	time.Sleep(4 * tickPeriod) // in which a holder would have ordered
 	assert.Equal(t, w.engines.orderCount(), before)
 	w.valid.Store(true)
-	await(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
+	testwait.Until(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
 }
 
 // TestAnOrderThatWasOvertakenIsGivenAnew: another's order came between, so that
 // the count of orders is no longer the one known here.
 func TestAnOrderThatWasOvertakenIsGivenAnew(t *testing.T) {
 	w := manage(t, 1, nil)
-	await(t, "version 2", func() bool { return w.engines.allAt(2) })
+	testwait.Until(t, "version 2", func() bool { return w.engines.allAt(2) })
 	w.engines.mu.Lock()
 	w.engines.counts["e0"] += 3
 	w.engines.mu.Unlock()
 	w.version.Store(3)
-	await(t, "version 3", func() bool { return w.engines.allAt(3) })
+	testwait.Until(t, "version 3", func() bool { return w.engines.allAt(3) })
 }
 
 // TestLostAnswersAreNotTakenForRefusals: the engine loads, though the order has
@@ -220,9 +210,9 @@
 			return Unanswered, true
 		}
 	})
-	await(t, "version 2", func() bool { return w.engines.allAt(2) })
+	testwait.Until(t, "version 2", func() bool { return w.engines.allAt(2) })
 	w.version.Store(3)
-	await(t, "version 3", func() bool { return w.engines.allAt(3) })
+	testwait.Until(t, "version 3", func() bool { return w.engines.allAt(3) })
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
 	assert.Equal(t, len(w.engines.orders), 2)
--- a/test/hosted/batch_test.go
+++ b/test/hosted/batch_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 func (d *deployment) addModelEngine(id string, version int64, events int, eventTime time.Duration) *standin.Engine {
@@ -122,7 +123,7 @@
 	got := node.call(http.MethodPost, "/batch/x", "job1", job(1, "a"))
 	assert.Assert(t, got.status != http.StatusServiceUnavailable && got.status != http.StatusTooManyRequests, "%d", got.status)
 	d.noFault()
-	d.await("the job is taken", func() bool {
+	testwait.Until(t, "the job is taken", func() bool {
 		return node.call(http.MethodPost, "/batch/x", "job1", job(1, "a")).status == http.StatusAccepted
 	})
 	checkWhole(t, d.awaitResults(node, "job1", 1), []string{"a"}, 4)
@@ -141,11 +142,11 @@
 	}
 	d.configure(batchRoute("/batch/"))
 	leader := d.start("n1")
-	d.await("n1 leads", func() bool { return strings.Contains(leader.logs.String(), "leadership gained") })
+	testwait.Until(t, "n1 leads", func() bool { return strings.Contains(leader.logs.String(), "leadership gained") })
 	other := d.start("n2")
 	ids := itemIDs(4)
 	assert.Equal(t, leader.call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
-	d.await("the items run", func() bool { return d.runsOf(ids[0]) == 1 && d.runsOf(ids[3]) == 1 })
+	testwait.Until(t, "the items run", func() bool { return d.runsOf(ids[0]) == 1 && d.runsOf(ids[3]) == 1 })
 	time.Sleep(900 * time.Millisecond) // lets the items make some events
 	leader.cancel()
 	checkWhole(t, d.awaitResults(other, "job1", len(ids)), ids, events)
@@ -211,11 +212,11 @@
 	node := d.start("n1")
 	ids := itemIDs(30)
 	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
-	d.await("items run", func() bool { return len(d.engines[0].Runs()) == 8 })
+	testwait.Until(t, "items run", func() bool { return len(d.engines[0].Runs()) == 8 })
 	assert.Equal(t, node.call(http.MethodDelete, "/lots/job1", "", "").status, http.StatusOK)
-	d.await("the leader knows", func() bool { return strings.Contains(node.logs.String(), "job ended") })
+	testwait.Until(t, "the leader knows", func() bool { return strings.Contains(node.logs.String(), "job ended") })
 	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job2", job(1, "after")).status, http.StatusAccepted)
-	d.await("the next job runs", func() bool { return d.runsOf("after") == 1 })
+	testwait.Until(t, "the next job runs", func() bool { return d.runsOf("after") == 1 })
 	assert.Equal(t, len(d.engines[0].Runs()), 9)
 }
 
@@ -258,7 +259,7 @@
 	_, status := node.readResults("job1", 0)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	d.store.Refuse(nil)
-	d.await("not found", func() bool {
+	testwait.Until(t, "not found", func() bool {
 		_, status := node.readResults("job1", 0)
 		return status == http.StatusNotFound
 	})
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -18,12 +18,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/hosted"
 	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 	"github.com/corkpulley/corkpulley/platform"
 )
 
@@ -167,7 +167,7 @@
 			d.t.Logf("logs of %s:\n%s", id, p.logs)
 		}
 	})
-	d.await("node "+id+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
+	testwait.Until(d.t, "node "+id+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
 	return p
 }
 
@@ -193,16 +193,6 @@
 	return response.StatusCode
 }
 
-func (d *deployment) await(what string, condition func() bool) {
-	d.t.Helper()
-	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
-		if condition() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
-}
-
 // answer is what a client saw.
 type answer struct {
 	status int
@@ -276,7 +266,7 @@
 func (d *deployment) awaitResults(p *process, id string, count int) results {
 	d.t.Helper()
 	var last results
-	d.await(fmt.Sprintf("%d results of %s", count, id), func() bool {
+	testwait.Until(d.t, fmt.Sprintf("%d results of %s", count, id), func() bool {
 		last, _ = p.readResults(id, 0)
 		return len(last.Results) >= count
 	})
--- a/test/hosted/live_test.go
+++ b/test/hosted/live_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 func desk(d *deployment, id string) *standin.Engine {
@@ -156,7 +157,7 @@
 	d.configure(safeRoute("/a/"))
 	node := d.start("n1")
 	d.configure(safeRoute("/a/"), safeRoute("/new/"))
-	d.await("the new route", func() bool {
+	testwait.Until(t, "the new route", func() bool {
 		return node.call(http.MethodPost, "/new/x", "id1", "").status == http.StatusOK
 	})
 	// An older version that comes later is not put in force.
@@ -165,7 +166,7 @@
 	d.store.Log.Put("keyed.op", "config", []byte("no configuration"))
 	d.config += 6
 	d.configure(safeRoute("/a/"), safeRoute("/new/"), safeRoute("/newest/"))
-	d.await("the newest route", func() bool {
+	testwait.Until(t, "the newest route", func() bool {
 		return node.call(http.MethodPost, "/newest/x", "id2", "").status == http.StatusOK
 	})
 	assert.Equal(t, node.call(http.MethodPost, "/old/x", "id3", "").status, http.StatusNotFound)
@@ -179,7 +180,7 @@
 	d.configure(safeRoute("/a/"))
 	node := d.start("n1")
 	d.store.Log.Put("keyed.servers", "e1", leaving.Entry("127.0.0.1:1", "draining"))
-	d.await("the entry is known", func() bool {
+	testwait.Until(t, "the entry is known", func() bool {
 		return strings.Contains(node.logs.String(), `"draining":true`)
 	})
 	before := len(leaving.Runs())
@@ -204,9 +205,9 @@
 	node := d.start("n1")
 	answers := make(chan answer)
 	go func() { answers <- node.call(http.MethodPost, "/s/x", "id1", "") }()
-	d.await("the engine runs it", func() bool { return d.runsOf("id1") == 1 })
+	testwait.Until(t, "the engine runs it", func() bool { return d.runsOf("id1") == 1 })
 	node.cancel()
-	d.await("the node is not ready", func() bool { return node.status("/readyz") != http.StatusOK })
+	testwait.Until(t, "the node is not ready", func() bool { return node.status("/readyz") != http.StatusOK })
 	got := <-answers
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusOK)
