Give the soak's schedule calm windows in which engines leave

Cause: two mutants of the product were not found: live requests to engines that leave, items that go on after their job's end. The promises are bounded and hold for nodes that have been undisturbed for 4 s; with a fault each 2.5 s on the mean there was hardly such a time. Ruled out: the checks (mutants of the history are caught).

Change: every 30 s a window of 20 s in which an engine leaves and nothing else happens.

--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -239,6 +239,25 @@
 	assert.DeepEqual(t, shorter[1:], one[3:])
 }
 
+// TestEnginesLeaveInCalmWindows: a check of what holds for undisturbed nodes needs
+// times in which they are.
+func TestEnginesLeaveInCalmWindows(t *testing.T) {
+	faults := Draw(5, 5*time.Minute)
+	windows := 0
+	for _, fault := range faults {
+		calm := fault.Kind == EngineLeaves
+		for _, other := range faults {
+			if other != fault && other.At < fault.At+bounds.Drain+time.Second && other.At+other.For > fault.At-bounds.Contact {
+				calm = false
+			}
+		}
+		if calm {
+			windows++
+		}
+	}
+	assert.Assert(t, windows >= 4, "%d calm windows", windows)
+}
+
 func TestEveryKindOfFaultIsDrawn(t *testing.T) {
 	drawn := make(map[Kind]bool)
 	for _, fault := range Draw(1, time.Hour) {
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -74,9 +74,16 @@
 	meanGap = 2500 * time.Millisecond
 	// calmStart and calmEnd are left without faults, so that the deployment is up
 	// and can finish its work.
-	calmStart  = 2 * time.Second
-	calmEnd    = 2 * time.Second
-	minFault   = 300 * time.Millisecond
+	calmStart = 2 * time.Second
+	calmEnd   = 2 * time.Second
+	minFault  = 300 * time.Millisecond
+	// calmEvery is the time between two windows in which an engine leaves and nothing
+	// else happens: bounded promises apply only to nodes that have been undisturbed
+	// for a while. The engine leaves calmBefore into a window, once the faults before
+	// it are over.
+	calmEvery  = 30 * time.Second
+	calmWindow = 20 * time.Second
+	calmBefore = 11 * time.Second
 	maxTargets = 1 << 16
 )
 
@@ -88,8 +95,16 @@
 		total += each.weight
 	}
 	var faults []Fault
-	at := calmStart
+	at, nextCalm := calmStart, calmEvery
 	for {
+		if at > nextCalm {
+			at, nextCalm = at+calmWindow, at+calmWindow+calmEvery
+			leave := Fault{At: at - calmWindow + calmBefore, For: minFault, Kind: EngineLeaves, Target: random.IntN(maxTargets)}
+			if leave.At < length-calmEnd {
+				leave.Number = len(faults) + 1
+				faults = append(faults, leave)
+			}
+		}
 		at += time.Duration(random.ExpFloat64() * float64(meanGap))
 		lasting := minFault + time.Duration(random.Float64()*maxFaultSeconds*float64(time.Second))
 		kind := drawKind(random.IntN(total))
