End a soak at once when it is interrupted while it reads

Cause: a soak that was ended by SIGTERM during its last reads went on for 45 minutes, with its nodes: the loop that reads again did not look at the context, and its waits returned at once.

Change: the loop ends with the context, and the soak says that it was ended.

--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -255,7 +255,7 @@
 // that was read may take settleTime to be found at all nodes.
 func (v *driver) readWhole(ctx context.Context, seen *JobSeen, at *node) {
 	problem, status := "", 0
-	for began := time.Now(); time.Since(began) < settleTime+callTimeout; retry.Sleep(ctx, retryGap) {
+	for began := time.Now(); ctx.Err() == nil && time.Since(began) < settleTime+callTimeout; retry.Sleep(ctx, retryGap) {
 		results, got, err := v.client.Results(ctx, at.callers, seen.Job.ID, 0, 0)
 		if err != nil || got != http.StatusOK {
 			problem, status = fmt.Sprintf("node %d", at.number), got
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -230,6 +230,9 @@
 		return Summary{}, err
 	}
 	driver.readAll(ctx)
+	if ctx.Err() != nil {
+		return Summary{}, errors.Wrap(ctx.Err(), "the soak was ended before its checks")
+	}
 	return r.summarize(time.Since(began), d), nil
 }
 
