--- a/internal/batchjobs/lookup.go
+++ b/internal/batchjobs/lookup.go
@@ -42,13 +42,7 @@
 
 // follow has the partition read from now on.
 func (p *partition) follow() {
-	p.mu.Lock()
-	before := p.followed
-	p.followed = true
-	p.mu.Unlock()
-	if !before {
-		p.hurryUp()
-	}
+	p.asked.Do(func() { close(p.interest) })
 }
 
 func (p *partition) readSince(asked time.Time) bool {
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -39,6 +39,10 @@
 	logger zerolog.Logger
 	// hurry ends the pause between two reads.
 	hurry chan struct{}
+	// interest is closed once somebody here has asked for what the partition holds.
+	// Until then it is not read: a node would read the whole index after each start.
+	interest chan struct{}
+	asked    sync.Once
 
 	mu    sync.Mutex
 	state *batch.Partition
@@ -47,9 +51,6 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	healthy bool
-	// followed is true once somebody here has asked for what the partition holds.
-	// Until then it is not read: a node would read the whole index after each start.
-	followed bool
 	// observed is true while an observer wants changes at once, waiters counts the
 	// readers that do.
 	observed bool
@@ -61,20 +62,24 @@
 
 func newPartition(log eventlog.Log, number int, budget pacing.Budget, logger zerolog.Logger) *partition {
 	return &partition{
-		log:     log,
-		index:   eventlog.Partition{Topic: indexTopic, Number: number},
-		data:    eventlog.Partition{Topic: dataTopic, Number: number},
-		logger:  logger.With().Int("partition", number).Logger(),
-		budget:  budget,
-		hurry:   make(chan struct{}, 1),
-		state:   batch.NewPartition(),
-		changed: make(chan struct{}),
+		log:      log,
+		index:    eventlog.Partition{Topic: indexTopic, Number: number},
+		data:     eventlog.Partition{Topic: dataTopic, Number: number},
+		logger:   logger.With().Int("partition", number).Logger(),
+		budget:   budget,
+		hurry:    make(chan struct{}, 1),
+		interest: make(chan struct{}),
+		state:    batch.NewPartition(),
+		changed:  make(chan struct{}),
 	}
 }
 
 // tail reads the partition until ctx ends, once somebody has asked for it.
 func (p *partition) tail(ctx context.Context) {
-	p.awaitInterest(ctx)
+	select {
+	case <-ctx.Done():
+	case <-p.interest:
+	}
 	for ctx.Err() == nil {
 		atEnd, err := p.read(ctx, p.pollTime())
 		if err != nil && ctx.Err() == nil {
@@ -88,44 +93,28 @@
 	}
 }
 
-// awaitInterest waits until somebody here asks for what the partition holds.
-func (p *partition) awaitInterest(ctx context.Context) {
-	for {
-		p.mu.Lock()
-		followed := p.followed
-		p.mu.Unlock()
-		if followed {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.hurry:
-		}
-	}
-}
-
 // pollTime is how long the next read waits for a record. It waits only where
 // somebody here waits for what it brings, and not while an observer is to join.
 func (p *partition) pollTime() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.joining == nil && (p.observed || p.waiters > 0) {
+	if p.joining == nil && p.wanted() {
 		return pollWait
 	}
 	return 0
 }
 
-// wanted tells whether somebody here waits for records.
+// wanted tells whether somebody here waits for records; mu is held.
 func (p *partition) wanted() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	return p.observed || p.waiters > 0
 }
 
 // pause lets records gather, unless somebody here waits for them.
 func (p *partition) pause(ctx context.Context) {
-	if p.wanted() {
+	p.mu.Lock()
+	wanted := p.wanted()
+	p.mu.Unlock()
+	if wanted {
 		return
 	}
 	timer := time.NewTimer(p.budget.Stretch(idleReadPeriod, maxIdleReadPeriod))
@@ -141,7 +130,6 @@
 func (p *partition) wait(change int) {
 	p.mu.Lock()
 	p.waiters += change
-	p.followed = true
 	p.mu.Unlock()
 	p.hurryUp()
 }
@@ -229,11 +217,11 @@
 }
 
 func (p *partition) observe(observer batch.Observer) {
+	p.follow()
 	defer p.hurryUp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.observed = observer != nil
-	p.followed = true
 	p.joining = observer
 	p.state.Observe(nil)
 }
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -11,18 +11,24 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
+// awaitEvents waits until the first item of a job has so many events.
+func awaitEvents(t *testing.T, r *Runner, jobID string, events int64) {
+	t.Helper()
+	testwait.Until(t, "some events", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		job := r.jobs[jobID]
+		return job != nil && job.items[0].progress.last >= events
+	})
+}
+
 func TestBrokenRunContinuesAtItsLastEvent(t *testing.T) {
 	w := newWorld(t, "a", "b")
 	w.engines.events["x"] = 6
 	w.engines.pause["a"], w.engines.pause["b"] = 10*time.Millisecond, 10*time.Millisecond
 	r, _ := w.lead()
 	w.submit("j", 1, "x")
-	testwait.Until(t, "some events", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		job := r.jobs["j"]
-		return job != nil && job.items[0].progress.last >= 2
-	})
+	awaitEvents(t, r, "j", 2)
 	r.mu.Lock()
 	for _, each := range r.runs {
 		each.stop(stopStalled)
@@ -57,12 +63,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, _ := w.lead()
 	w.submit("j", 1, "x")
-	testwait.Until(t, "some events", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		job := r.jobs["j"]
-		return job != nil && job.items[0].progress.last >= 3
-	})
+	awaitEvents(t, r, "j", 3)
 	w.engines.setVersion("a", 2)
 	w.fleet.Observe("a", "m", 2)
 	result := w.awaitResults(1)["j/0"]
@@ -105,12 +106,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, stop := w.lead()
 	w.submit("j", 1, "x")
-	testwait.Until(t, "some events", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		job := r.jobs["j"]
-		return job != nil && job.items[0].progress.last >= 5
-	})
+	awaitEvents(t, r, "j", 5)
 	stop()
 	w.lead()
 	assert.Equal(t, string(w.awaitResults(1)["j/0"].Text), wholeText("x", 40))
@@ -226,12 +222,7 @@
 	w.engines.pause["a"] = 20 * time.Millisecond
 	r, _ := w.lead()
 	w.submit("j1", 1, "x", "y")
-	testwait.Until(t, "some events", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		job := r.jobs["j1"]
-		return job != nil && job.items[0].progress.last >= 5
-	})
+	awaitEvents(t, r, "j1", 5)
 	w.jobs.apply(batch.Record{Results: []batch.ResultRecord{{Job: "j1", Item: 0, Outcome: batch.Completed}}})
 	w.jobs.apply(batch.Record{End: "j1"})
 	w.submit("j2", 1, "x", "y")
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -125,11 +125,14 @@
 }
 
 // awaitReady waits until every node is ready.
-func (d *deployment) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+func (d *deployment) awaitReady(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, startTimeout)
 	defer cancel()
 	for _, each := range d.nodes {
 		for !each.ready(ctx) {
+			if parent.Err() != nil {
+				return errors.Wrap(parent.Err(), "wait for the nodes")
+			}
 			if ctx.Err() != nil {
 				return errors.Errorf("node %d is not ready after %s", each.number, startTimeout)
 			}
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -19,7 +19,8 @@
 	callDeadline = 4 * time.Second
 	callTimeout  = 8 * time.Second
 	// probeGap is the time between two probes of one node, configGap between two
-	// configurations, beyond the bound for one of them, keptRoutes how many of their routes a configuration holds.
+	// configurations, beyond the bound for one of them, keptRoutes how many of their
+	// routes a configuration holds.
 	probeGap   = 150 * time.Millisecond
 	configGap  = 7 * time.Second
 	keptRoutes = 3
@@ -52,7 +53,6 @@
 	deployment *deployment
 	history    *History
 	client     *standin.Client
-	random     func(n int) int
 
 	// version is the newest weight version named; config the newest configuration.
 	version atomic.Int64
@@ -65,13 +65,13 @@
 
 func newDriver(d *deployment) *driver {
 	driver := &driver{
-		deployment: d, history: d.history, client: standin.NewClient(callTimeout), random: rand.IntN,
+		deployment: d, history: d.history, client: standin.NewClient(callTimeout),
 	}
 	driver.version.Store(1)
 	return driver
 }
 
-func (v *driver) anyNode() *node { return v.deployment.nodes[v.random(len(v.deployment.nodes))] }
+func (v *driver) anyNode() *node { return v.deployment.nodes[rand.IntN(len(v.deployment.nodes))] }
 
 func (v *driver) newID(prefix string) string {
 	return fmt.Sprintf("%s%d", prefix, v.ids.Add(1))
@@ -115,7 +115,7 @@
 		path, sent := probePrefix(version)+"x", time.Now()
 		id := v.newID("probe-")
 		answer, err := v.client.Live(ctx, target.callers, path, id, "", callDeadline)
-		v.note(LiveCall{ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Answer: answer, Whole: err == nil})
+		v.history.addCall(LiveCall{ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Answer: answer, Whole: err == nil})
 		_, after := target.current()
 		if err != nil || life != after || v.config.Load() >= version+keptRoutes {
 			continue
@@ -128,8 +128,6 @@
 	}
 }
 
-func (v *driver) note(call LiveCall) { v.history.addCall(call) }
-
 // call sends live requests of one kind until ctx ends.
 func (v *driver) call(ctx context.Context, kind, prefix string) {
 	for retry.Sleep(ctx, callGap) {
@@ -138,7 +136,7 @@
 		var err error
 		call.Answer, err = v.client.Live(ctx, v.anyNode().callers, call.Path, id, call.Body, callDeadline)
 		call.Whole = err == nil
-		v.note(call)
+		v.history.addCall(call)
 	}
 }
 
@@ -167,9 +165,9 @@
 	for i := range itemsPerJob {
 		prefix := "item-"
 		switch {
-		case v.random(failingPart) == 0:
+		case rand.IntN(failingPart) == 0:
 			prefix = failPrefix
-		case v.random(neverPart) == 0:
+		case rand.IntN(neverPart) == 0:
 			prefix = neverPrefix
 		}
 		id := v.newID(fmt.Sprintf("%s%d-%d-", prefix, trainer, step))
@@ -202,12 +200,12 @@
 // readUntilDone reads a job at one node after the other until it is listed whole
 // or its trainer ends it early.
 func (v *driver) readUntilDone(ctx context.Context, seen *JobSeen) {
-	early := v.random(earlyEndPart) == 0
+	early := rand.IntN(earlyEndPart) == 0
 	for ctx.Err() == nil {
 		from := 0
 		v.history.update(func() { from = len(seen.Positions) })
-		if v.random(earlyEndPart) == 0 {
-			from = v.random(from + 1) // reads again what it has read
+		if rand.IntN(earlyEndPart) == 0 {
+			from = rand.IntN(from + 1) // reads again what it has read
 		}
 		results, status, err := v.client.Results(ctx, v.anyNode().callers, seen.Job.ID, from, readWait)
 		if err != nil || status != http.StatusOK {
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -138,15 +139,8 @@
 }
 
 func sameResult(one, other standin.ItemResult) bool {
-	if len(one.Versions) != len(other.Versions) {
-		return false
-	}
-	for i := range one.Versions {
-		if one.Versions[i] != other.Versions[i] {
-			return false
-		}
-	}
-	return one.ID == other.ID && one.State == other.State && one.Text == other.Text
+	return one.ID == other.ID && one.State == other.State && one.Text == other.Text &&
+		slices.Equal(one.Versions, other.Versions)
 }
 
 // disturb notes that a node is not in touch until the returned function is called.
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -15,29 +15,28 @@
 // links the proxies between processes, those of the store and the engines the
 // stand-ins.
 const (
-	NodeKilled      Kind = "node-killed"
-	NodeStopped     Kind = "node-stopped"
-	NodeFrozen      Kind = "node-frozen"
-	AllKilled       Kind = "all-killed"
-	LinkCut         Kind = "link-cut"
-	LinkSilent      Kind = "link-silent"
-	LinkOneWay      Kind = "link-one-way"
-	LinkSlow        Kind = "link-slow"
-	LinkReset       Kind = "link-reset"
-	StoreRefuses    Kind = "store-refuses"
-	StoreSilent     Kind = "store-silent"
-	StorePartDown   Kind = "store-part-down"
-	StoreLoses      Kind = "store-loses-answers"
-	StoreLate       Kind = "store-late"
-	StoreSlow       Kind = "store-slow"
-	StoreForgets    Kind = "store-forgets"
-	EngineCrashed   Kind = "engine-crashed"
-	EngineLeaves    Kind = "engine-leaves"
-	EngineCut       Kind = "engine-cut"
-	EngineAnswers   Kind = "engine-answers-wrongly"
-	EnginesMute     Kind = "engine-silent"
-	NothingFails    Kind = "nothing"
-	maxFaultSeconds      = 6.0
+	NodeKilled    Kind = "node-killed"
+	NodeStopped   Kind = "node-stopped"
+	NodeFrozen    Kind = "node-frozen"
+	AllKilled     Kind = "all-killed"
+	LinkCut       Kind = "link-cut"
+	LinkSilent    Kind = "link-silent"
+	LinkOneWay    Kind = "link-one-way"
+	LinkSlow      Kind = "link-slow"
+	LinkReset     Kind = "link-reset"
+	StoreRefuses  Kind = "store-refuses"
+	StoreSilent   Kind = "store-silent"
+	StorePartDown Kind = "store-part-down"
+	StoreLoses    Kind = "store-loses-answers"
+	StoreLate     Kind = "store-late"
+	StoreSlow     Kind = "store-slow"
+	StoreForgets  Kind = "store-forgets"
+	EngineCrashed Kind = "engine-crashed"
+	EngineLeaves  Kind = "engine-leaves"
+	EngineCut     Kind = "engine-cut"
+	EngineAnswers Kind = "engine-answers-wrongly"
+	EnginesMute   Kind = "engine-silent"
+	NothingFails  Kind = "nothing"
 )
 
 // weights say how often each kind is drawn.
@@ -76,7 +75,9 @@
 	// and can finish its work.
 	calmStart = 2 * time.Second
 	calmEnd   = 2 * time.Second
-	minFault  = 300 * time.Millisecond
+	// A fault lasts minFault and up to maxFaultSeconds more.
+	minFault        = 300 * time.Millisecond
+	maxFaultSeconds = 6.0
 	// calmEvery is the time between two windows in which an engine leaves and nothing
 	// else happens: bounded promises apply only to nodes that have been undisturbed
 	// for a while. The engine leaves calmBefore into a window, once the faults before
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 )
 
 // Arguments are the flags of a soak.
@@ -251,14 +253,7 @@
 }
 
 func reportProgress(ctx context.Context, history *History, progress *sync.Mutex, output io.Writer) {
-	ticker := time.NewTicker(progressPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for retry.Sleep(ctx, progressPeriod) {
 		progress.Lock()
 		history.update(func() {
 			_, _ = fmt.Fprintf(output, "     %d calls, %d jobs, %d configurations, %d probes\n",
--- a/internal/hosted/linelimit.go
+++ b/internal/hosted/linelimit.go
@@ -7,6 +7,8 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 )
 
 const (
@@ -89,14 +91,7 @@
 
 // report logs now and then which lines were left out, until ctx ends.
 func (l *lineLimit) report(ctx context.Context, logger zerolog.Logger) {
-	ticker := time.NewTicker(leftOutPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for retry.Sleep(ctx, leftOutPeriod) {
 		for message, count := range l.drain() {
 			logger.Warn().Str("left_out", message).Int("lines", count).Msg("log lines left out")
 		}
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -20,7 +20,8 @@
 	headerDeadline = "X-Corkpulley-Deadline-Ms"
 	headerTokens   = "X-Corkpulley-Token-Count"
 	headerWait     = "X-Corkpulley-Wait-Ms"
-	// itemTokens is the size of each item, in the prompt and at most out.
+	// itemPromptTokens and itemOutputTokens are the size of each item, in the prompt
+	// and at most out.
 	itemPromptTokens = 10
 	itemOutputTokens = 90
 )
@@ -86,7 +87,8 @@
 		Stamped: response.Header.Get(headerStamp) != "",
 	}
 	if response.Header.Get("Content-Type") == "text/event-stream" {
-		return answer, answer.readEvents(response.Body)
+		err := answer.readEvents(response.Body)
+		return answer, err
 	}
 	raw, err := io.ReadAll(response.Body)
 	answer.Body = string(raw)
@@ -220,14 +222,3 @@
 	}
 	return results, response.StatusCode, nil
 }
-
-// Body reads the body of an item and returns the status beside it.
-func (c *Client) Body(ctx context.Context, address, jobID, itemID string) (string, int, error) {
-	response, err := c.do(ctx, http.MethodGet, address, "/items/"+jobID+"?id="+itemID, nil, nil)
-	if err != nil {
-		return "", 0, err
-	}
-	defer response.Body.Close()
-	raw, err := io.ReadAll(response.Body)
-	return string(raw), response.StatusCode, err
-}
--- /dev/null
+++ b/internal/standin/platform/engine_control.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	answerJSON(w, http.StatusOK, map[string]any{
+		"stage": "both", "models": e.modelList(), "busy": e.busy, "seqNo": e.orders,
+		"queuedCount": 0, "runningCount": e.running,
+	})
+}
+
+func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headerInstance, e.options.ID)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Kind     string `json:"opKind"`
+		Model    string `json:"model"`
+		Version  int64  `json:"version"`
+		Holder   string `json:"holder"`
+		Fence    int64  `json:"fence"`
+		Expected *int64 `json:"expectedRev"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Kind != "version" ||
+		body.Holder == "" || body.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	status := http.StatusAccepted
+	switch {
+	case e.options.CheckFences && body.Fence < e.fence:
+		status = http.StatusPreconditionFailed
+	case e.busy || body.Expected != nil && *body.Expected != e.orders:
+		status = http.StatusConflict
+	case e.versions[body.Model] == body.Version:
+		status = http.StatusOK
+	}
+	e.seen = append(e.seen, OrderSeen{
+		Holder: body.Holder, Fence: body.Fence, Version: body.Version, At: time.Now(), Status: status,
+	})
+	if status != http.StatusAccepted {
+		w.WriteHeader(status)
+		return
+	}
+	e.fence = max(e.fence, body.Fence)
+	e.orders++
+	e.busy = true
+	time.AfterFunc(e.options.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.versions[body.Model] = body.Version
+		e.busy = false
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -28,9 +28,6 @@
 	if done {
 		m.options.Fleet.Observe(engine.ID, load.Model, load.Version)
 	}
-	m.options.Logger.Info().Str("engine", engine.ID).Str("model", load.Model).Int64("version", load.Version).
-		Uint8("answer", uint8(answer)).Bool("done", done).Int64("fence", m.options.Fence).
-		Dur("took_ms", time.Since(began)).Int("loads_at_once", m.loadLimit()).Msg("weights ordered")
 	m.mu.Lock()
 	if done && answer == Taken {
 		m.noteLoadTime(time.Since(began))
@@ -44,17 +41,14 @@
 		delete(m.counts, engine.ID)
 		m.retryAt[engine.ID] = time.Now().Add(orderPause)
 	}
+	limit := m.limiter.Limit()
 	m.mu.Unlock()
+	m.options.Logger.Info().Str("engine", engine.ID).Str("model", load.Model).Int64("version", load.Version).
+		Uint8("answer", uint8(answer)).Bool("done", done).Int64("fence", m.options.Fence).
+		Dur("took_ms", time.Since(began)).Int("loads_at_once", limit).Msg("weights ordered")
 	m.options.Loaded()
 }
 
-// loadLimit is how many engines may load together now.
-func (m *Manager) loadLimit() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.limiter.Limit()
-}
-
 // noteLoadTime takes a load's time into the mean; mu is held.
 func (m *Manager) noteLoadTime(took time.Duration) {
 	if m.loadTime == 0 {
