Let the test of who may order be able to fail

Cause: without the check of the lease TestOnlyTheHolderOfTheLeaseOrders passed: it looked 0.2 s after the engines had loaded, while the manager still waited for their reports and would not have ordered anyway.

Change: the test waits until the manager knows that both loads are done.

Conclusion: stricter than before, and no product code changed.

--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -172,8 +172,9 @@
 }
 
 func TestOnlyTheHolderOfTheLeaseOrders(t *testing.T) {
-	w := manage(t, 2, nil)
-	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	var loaded atomic.Int64
+	w := manage(t, 2, func(options *Options) { options.Loaded = func() { loaded.Add(1) } })
+	testwait.Until(t, "both loads are known to be done", func() bool { return loaded.Load() == 2 })
 	w.valid.Store(false)
 	before := w.engines.orderCount()
 	w.version.Store(3)
