--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -187,6 +187,8 @@
 	Outcome  batch.Outcome
 	Text     []byte
 	Versions []int64
+	// Score is what the item's scoring call brought; empty where it has none.
+	Score string
 }
 
 // Results are the results of a job from a position on.
@@ -224,6 +226,7 @@
 			Outcome:  result.Outcome,
 			Text:     texts[i],
 			Versions: result.Versions,
+			Score:    result.Score,
 		})
 	}
 	return answer, nil
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -70,6 +70,8 @@
 	Outcome  batch.Outcome
 	Text     []byte
 	Versions []int64
+	// Score is what the item's scoring call brought; empty where it has none.
+	Score string
 }
 
 // PartitionOf returns the number of the job's partition.
@@ -86,6 +88,7 @@
 		results[i] = batch.ResultRecord{
 			Job: item.JobID, Item: item.Item, Outcome: item.Outcome, Versions: item.Versions,
 			Text: batch.Span{First: int64(len(records)), Count: len(pieces)}, TextBytes: len(item.Text),
+			Score: item.Score,
 		}
 		records = append(records, pieces...)
 	}
@@ -119,12 +122,14 @@
 		progress[i].TextBytes = len(item.Text)
 		records = append(records, pieces...)
 	}
-	first, err := s.appendData(ctx, target, records)
-	if err != nil {
-		return err
-	}
-	for i := range progress {
-		progress[i].Text.First += first
+	if len(records) > 0 {
+		first, err := s.appendData(ctx, target, records)
+		if err != nil {
+			return err
+		}
+		for i := range progress {
+			progress[i].Text.First += first
+		}
 	}
 	return s.appendIndex(ctx, target, batch.Record{Progress: progress})
 }
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 )
 
@@ -24,12 +26,7 @@
 }
 
 // Event is one event of an item's stream.
-type Event struct {
-	Number int64
-	Data   []byte
-	// Version is the weight version that made it.
-	Version int64
-}
+type Event = batchitem.Event
 
 // Refusal is how an engine did not serve a call.
 type Refusal uint8
@@ -70,6 +67,28 @@
 	Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error)
 }
 
+// Scoring is how a scoring call ended.
+type Scoring struct {
+	// Score is the score; empty when there is none.
+	Score string
+	// Refused is true when no engine had a place.
+	Refused bool
+	// Failures counts the engines that ran the call and failed it; MaxAttempts is
+	// how many may.
+	Failures    int
+	MaxAttempts int
+	// Detail says why there is no score.
+	Detail string
+}
+
+// Scorer makes scoring calls.
+type Scorer interface {
+	// Score makes the call once, at as many engines as its route allows.
+	Score(ctx context.Context, call batch.ScoringCall) Scoring
+	// Places names the service that would answer the call now, and its places.
+	Places(call batch.ScoringCall) (service string, places admission.Places)
+}
+
 // Jobs is what the runner needs of the kept jobs.
 type Jobs interface {
 	Observe(observer batch.Observer)
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -5,6 +5,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 )
 
@@ -17,15 +18,16 @@
 	}
 	added := &openJob{
 		record:  job.JobRecord,
-		items:   make([]itemState, len(job.Items)),
+		items:   make([]batchitem.Item, len(job.Items)),
 		addedAt: time.Now(),
 		kept:    make(map[int]batch.Progress),
 		left:    len(job.Items) - len(job.Results),
 	}
 	for i := range added.items {
 		added.tokens += job.Items[i].Tokens
-		added.items[i].done = job.Listed(i)
-		added.items[i].completed = job.Listed(i)
+		if job.Listed(i) {
+			added.items[i].Listed()
+		}
 		if kept, found := job.Progress(i); found {
 			added.kept[i] = kept
 		}
@@ -50,20 +52,22 @@
 
 // loadKept reads the output that other leaders left. What cannot be read is
 // made again.
-func (r *Runner) loadKept(job *openJob) map[int]progress {
-	found := make(map[int]progress)
+func (r *Runner) loadKept(job *openJob) map[int]batchitem.Output {
+	found := make(map[int]batchitem.Output)
 	for item, kept := range job.kept {
 		text, err := r.options.Jobs.KeptText(r.ctx, job.record.ID, kept)
 		if err != nil {
 			r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
 			continue
 		}
-		found[item] = keptProgress(kept, text)
+		found[item] = batchitem.Restore(batchitem.Kept{
+			Chain: kept.Chain, Last: kept.To, Versions: kept.Versions, Text: text, Whole: kept.Whole,
+		})
 	}
 	return found
 }
 
-func (r *Runner) queueJob(job *openJob, payloads []batch.Payload, kept map[int]progress) {
+func (r *Runner) queueJob(job *openJob, payloads []batch.Payload, kept map[int]batchitem.Output) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.jobs[job.record.ID] != job {
@@ -73,17 +77,19 @@
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
 	job.single = route.SingleVersion
 	queued, continued := 0, 0
+	limits := job.limits()
 	for i := range job.items {
-		state := &job.items[i]
-		if state.done {
+		item := &job.items[i]
+		if item.Ended() {
 			continue
 		}
-		if left, found := kept[i]; found && left.fits(job.record.MinVersion, route.SingleVersion) {
-			state.progress = left
+		if left, found := kept[i]; found && left.Fits(limits) {
+			item.Output = left
 			continued++
 		}
-		if r.takeCarried(job, i, route.SingleVersion) {
-			r.finish(job, i, batch.Completed, "whole in an earlier job")
+		r.takeCarried(job, i)
+		if item.Output.IsWhole() {
+			r.textWhole(job, i, "whole before")
 			continue
 		}
 		r.queueItem(job, i, "", time.Time{})
@@ -99,20 +105,22 @@
 func (r *Runner) queueItem(job *openJob, index int, avoid string, notBefore time.Time) {
 	route, found := r.options.RouteOf(job.record.Host, job.record.Path)
 	if !found {
-		r.finish(job, index, batch.Expired, "no route")
+		r.expire(job, index, "no route")
 		return
 	}
 	record, state := job.record.Items[index], &job.items[index]
-	if route.SingleVersion && len(state.progress.versions) > 1 {
-		state.progress = progress{}
+	state.Queue()
+	versions := state.Output.Versions()
+	if route.SingleVersion && len(versions) > 1 {
+		state.Output = batchitem.Output{}
 	}
 	item := batchplan.Item{
 		Key:     batchplan.Key{Job: job.record.ID, Item: index},
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
 	}
-	if route.SingleVersion && len(state.progress.versions) == 1 {
-		item.SameVersion = state.progress.versions[0]
+	if route.SingleVersion && len(versions) == 1 {
+		item.SameVersion = versions[0]
 	}
 	r.plan.Add(item)
 }
@@ -135,8 +143,8 @@
 	if !found {
 		return
 	}
-	known.items[item].completed = true
 	r.drop(known, item)
+	known.items[item].Listed()
 	known.left--
 	if known.left <= 0 {
 		r.forget(known)
@@ -154,7 +162,7 @@
 	stopped := 0
 	r.carry(known)
 	for i := range known.items {
-		if !known.items[i].done {
+		if !known.items[i].Ended() {
 			stopped++
 			r.drop(known, i)
 		}
@@ -164,14 +172,12 @@
 		Dur("after_ms", time.Since(known.addedAt)).Int("unfinished", stopped).Msg("job ended")
 }
 
-// drop takes an item out of the plan and ends its run; mu is held.
+// drop takes an item out of the plan and ends its run or scoring call; mu is held.
 func (r *Runner) drop(job *openJob, index int) {
 	key := batchplan.Key{Job: job.record.ID, Item: index}
-	job.items[index].done = true
+	job.items[index].Drop()
 	r.plan.Remove(key)
-	if running, found := r.runs[key]; found {
-		running.stop(stopDropped)
-	}
+	r.stopWork(key)
 }
 
 // forget drops a job; mu is held.
--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -1,9 +1,7 @@
 package batchrun
 
 import (
-	"bytes"
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +9,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 )
 
@@ -27,55 +26,6 @@
 	carryTime = 20 * time.Second
 )
 
-// progress is what an item has of its output.
-type progress struct {
-	// events holds the data of events; that of several may stand in one, separated
-	// by line feeds.
-	events [][]byte
-	// last is the number of the last event.
-	last     int64
-	versions []int64
-	// whole is true once events are the whole output.
-	whole bool
-
-	// chain names this sequence of runs in the log, continues the one that it
-	// took up there; both are empty until the first write.
-	chain     string
-	continues string
-	// keptTo is the last event that is in the log, keptEvents counts events up to it.
-	keptTo     int64
-	keptEvents int
-}
-
-func (p *progress) add(event Event) {
-	p.events = append(p.events, event.Data)
-	p.last = event.Number
-	if !slices.Contains(p.versions, event.Version) {
-		p.versions = append(p.versions, event.Version)
-	}
-}
-
-// text is the data of all events, separated by line feeds.
-func (p *progress) text() []byte { return bytes.Join(p.events, []byte{'\n'}) }
-
-// fits tells whether all versions are new enough for a job.
-func (p *progress) fits(minVersion int64, single bool) bool {
-	for _, version := range p.versions {
-		if version < minVersion {
-			return false
-		}
-	}
-	return !single || len(p.versions) <= 1
-}
-
-// keptProgress is a progress as another leader left it in the log.
-func keptProgress(kept batch.Progress, text []byte) progress {
-	return progress{
-		events: [][]byte{text}, last: kept.To, versions: slices.Clone(kept.Versions),
-		continues: kept.Chain, keptTo: kept.To, keptEvents: 1,
-	}
-}
-
 // keepLoop writes what running items have, for the next leader.
 func (r *Runner) keepLoop(ctx context.Context) {
 	ticker := time.NewTicker(keepPeriod)
@@ -97,10 +47,8 @@
 
 // kept is a part of a progress that is being written.
 type kept struct {
-	key   batchplan.Key
-	chain string
-	to    int64
-	count int
+	key  batchplan.Key
+	part batchitem.Part
 }
 
 // keep writes what items that have run for at least minAge have beyond what is
@@ -147,25 +95,34 @@
 func (r *Runner) unkeptItem(
 	job *openJob, index int, now time.Time, minAge time.Duration,
 ) (batchjobs.RunningItem, kept, bool) {
-	state := &job.items[index]
-	p := &state.progress
-	if state.done || p.last == p.keptTo {
+	item := &job.items[index]
+	if item.Ended() || !item.Output.Unkept() {
 		return batchjobs.RunningItem{}, kept{}, false
 	}
 	key := batchplan.Key{Job: job.record.ID, Item: index}
-	if running, runs := r.runs[key]; runs && now.Sub(running.started) < minAge {
+	if since, busy := r.workingSince(key); busy && now.Sub(since) < minAge {
 		return batchjobs.RunningItem{}, kept{}, false
 	}
-	if p.chain == "" {
-		r.chains++
-		p.chain = r.options.Term + "." + strconv.Itoa(r.chains)
-	}
+	part := item.Output.NextPart(r.newChain)
 	record := batch.ProgressRecord{
-		Job: key.Job, Item: index, Chain: p.chain, Continues: p.continues,
-		From: p.keptTo, To: p.last, Versions: slices.Clone(p.versions),
+		Job: key.Job, Item: index, Chain: part.Chain, Continues: part.Continues,
+		From: part.From, To: part.To, Versions: part.Versions, Whole: part.Whole,
+	}
+	return batchjobs.RunningItem{Record: record, Text: part.Text}, kept{key, part}, true
+}
+
+// workingSince tells since when an item runs or waits for its score; mu is held.
+func (r *Runner) workingSince(key batchplan.Key) (time.Time, bool) {
+	if running, runs := r.runs[key]; runs {
+		return running.started, true
 	}
-	running := batchjobs.RunningItem{Record: record, Text: bytes.Join(p.events[p.keptEvents:], []byte{'\n'})}
-	return running, kept{key, p.chain, p.last, len(p.events)}, true
+	return r.scoring.since(key)
+}
+
+// newChain names a chain of this term; mu is held.
+func (r *Runner) newChain() string {
+	r.chains++
+	return r.options.Term + "." + strconv.Itoa(r.chains)
 }
 
 // markKept notes what is in the log now.
@@ -177,18 +134,15 @@
 		if job == nil {
 			continue
 		}
-		p := &job.items[mark.key.Item].progress
-		if p.chain == mark.chain {
-			p.keptTo, p.keptEvents, p.continues = mark.to, mark.count, ""
-		}
+		job.items[mark.key.Item].Output.MarkKept(mark.part)
 	}
 }
 
 // carried is the output of an item whose job ended without using it. Its group
 // may come again in a later job.
 type carried struct {
-	progress progress
-	at       time.Time
+	output batchitem.Output
+	at     time.Time
 }
 
 // carry keeps the output of the groups of an ended job that were not whole; mu
@@ -196,17 +150,15 @@
 func (r *Runner) carry(job *openJob) {
 	broken := make(map[string]bool)
 	for i := range job.items {
-		if !job.items[i].completed {
+		if !job.items[i].Completed() {
 			broken[job.record.Items[i].Group] = true
 		}
 	}
 	now := time.Now()
 	for i := range job.items {
 		state, record := &job.items[i], job.record.Items[i]
-		if broken[record.Group] && len(state.progress.events) > 0 {
-			kept := state.progress
-			kept.chain, kept.continues, kept.keptTo, kept.keptEvents = "", "", 0, 0
-			r.carriedOver[record.ID] = carried{progress: kept, at: now}
+		if broken[record.Group] && !state.Output.Empty() {
+			r.carriedOver[record.ID] = carried{output: state.Output.Detached(), at: now}
 		}
 	}
 	for id, each := range r.carriedOver {
@@ -217,17 +169,15 @@
 }
 
 // takeCarried gives an item of a new job the output that an earlier job left, if
-// its versions fit. It reports whether the item is whole; mu is held.
-func (r *Runner) takeCarried(job *openJob, index int, single bool) bool {
-	record, state := job.record.Items[index], &job.items[index]
+// its versions fit; mu is held.
+func (r *Runner) takeCarried(job *openJob, index int) {
+	record, item := job.record.Items[index], &job.items[index]
 	left, found := r.carriedOver[record.ID]
 	if !found {
-		return false
+		return
 	}
 	delete(r.carriedOver, record.ID)
-	if len(state.progress.events) > 0 || !left.progress.fits(job.record.MinVersion, single) {
-		return false
+	if item.Output.Empty() && left.output.Fits(job.limits()) {
+		item.Output = left.output
 	}
-	state.progress = left.progress
-	return left.progress.whole
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 )
@@ -115,10 +115,11 @@
 	started := &run{engine: engine.ID, started: time.Now(), cancel: cancel}
 	r.runs[key] = started
 	state := &job.items[key.Item]
+	state.Start()
 	record := job.record.Items[key.Item]
 	call := Call{
 		ItemID: record.ID, Host: job.record.Host, Payload: job.payloads[key.Item],
-		After: state.progress.last, Started: len(state.progress.events) > 0,
+		After: state.Output.Last(), Started: !state.Output.Empty(),
 	}
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("engine", engine.ID).
 		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
@@ -168,22 +169,18 @@
 ) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := &job.items[key.Item]
-	if state.done || r.runs[key] != own || own.reason != notStopped {
+	item := &job.items[key.Item]
+	if item.Ended() || r.runs[key] != own || own.reason != notStopped {
 		return errNotWanted
 	}
-	if state.progress.last != 0 && event.Number != state.progress.last+1 {
+	switch item.Output.Add(event, job.limits()) {
+	case batchitem.OutOfOrder:
 		return &RefusedError{Refusal: Broken, Detail: "an event is missing or stands twice"}
-	}
-	if event.Version < job.record.MinVersion {
-		state.progress = progress{}
+	case batchitem.TooOld:
 		return &RefusedError{Refusal: NotExecuted, Detail: "made by weights older than the job allows"}
-	}
-	if job.single && len(state.progress.versions) > 0 && event.Version != state.progress.versions[0] {
-		state.progress = progress{}
+	case batchitem.SecondVersion:
 		return &RefusedError{Refusal: NotExecuted, Detail: "the weights changed, and the route wants one version"}
 	}
-	state.progress.add(event)
 	r.observePace(own, now)
 	return nil
 }
@@ -228,12 +225,19 @@
 		delete(r.runs, key)
 		r.plan.Ended(key)
 	}
-	state := &job.items[key.Item]
-	if state.done || r.jobs[key.Job] != job || r.ctx.Err() != nil {
+	if job.items[key.Item].Ended() || r.jobs[key.Job] != job {
 		return
 	}
-	if whole && own.reason == notStopped {
-		r.finish(job, key.Item, batch.Completed, "whole")
+	whole = whole && own.reason == notStopped
+	switch {
+	case r.ctx.Err() != nil && whole:
+		// The term is over: the next leader finds in the log that nothing is missing.
+		job.items[key.Item].Whole()
+		return
+	case r.ctx.Err() != nil:
+		return
+	case whole:
+		r.textWhole(job, key.Item, "whole")
 		r.Wake()
 		return
 	}
@@ -246,7 +250,7 @@
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
 	r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
 		Str("engine", own.engine).Uint8("refusal", uint8(refusal)).Uint8("stop_reason", uint8(own.reason)).
-		Int64("after_event", state.progress.last).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
+		Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
 	if own.reason != notStopped {
 		r.queueItem(job, key.Item, own.engine, time.Time{})
@@ -255,12 +259,11 @@
 	}
 	switch refusal {
 	case Impossible:
-		r.finish(job, key.Item, batch.Expired, "impossible")
+		r.expire(job, key.Item, "impossible")
 		return
 	case Failed:
-		state.failures++
-		if state.failures >= max(1, route.MaxAttempts) {
-			r.finish(job, key.Item, batch.Expired, "attempts used up")
+		if state.RunFailed(route.MaxAttempts) {
+			r.expire(job, key.Item, "attempts used up")
 			return
 		}
 	}
@@ -293,10 +296,10 @@
 		if engine, known := r.options.Fleet.Get(each.engine); known && engine.Draining {
 			wanted = 0
 		}
-		if state.moves >= maxMoves || now.Sub(each.started) < wanted {
+		if state.Moves >= maxMoves || now.Sub(each.started) < wanted {
 			continue
 		}
-		state.moves++
+		state.Moves++
 		room[job.record.Model]--
 		each.stop(stopMoved)
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -11,6 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/dutycycle"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -34,6 +35,7 @@
 	Jobs    Jobs
 	Engines Engines
 	Fleet   *fleet.Fleet
+	Scorer  Scorer
 	RouteOf RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine string) string
@@ -53,6 +55,8 @@
 	plan *batchplan.Plan
 	jobs map[string]*openJob
 	runs map[batchplan.Key]*run
+	// scoring holds the items whose output is whole and whose score is not there.
+	scoring *scoringQueue
 	// tickedAt is when the runner last looked round.
 	tickedAt time.Time
 	// chains counts the chains of this term.
@@ -67,7 +71,7 @@
 type openJob struct {
 	record   batch.JobRecord
 	payloads []batch.Payload
-	items    []itemState
+	items    []batchitem.Item
 	addedAt  time.Time
 	// single is true when a result may bear one weight version only.
 	single bool
@@ -79,17 +83,9 @@
 	tokens int
 }
 
-// itemState is what the runner knows of one item.
-type itemState struct {
-	// done is true once the item has ended here or has a recorded result.
-	done bool
-	// completed is true once the item has ended with its whole output, here or in
-	// the record of another leader, whose text is not known here.
-	completed bool
-	failures  int
-	// moves counts how often it was moved to a faster engine.
-	moves    int
-	progress progress
+// limits are the weight versions that may make the job's items.
+func (j *openJob) limits() batchitem.Limits {
+	return batchitem.Limits{MinVersion: j.record.MinVersion, Single: j.single}
 }
 
 // New returns a runner for one term of leading.
@@ -100,6 +96,7 @@
 		plan:    batchplan.New(),
 		jobs:    make(map[string]*openJob),
 		runs:    make(map[batchplan.Key]*run),
+		scoring: newScoringQueue(),
 
 		carriedOver: make(map[string]carried),
 	}
@@ -135,6 +132,7 @@
 			r.giveUpOld()
 			rounds(moving, r.moveStragglers)
 		}
+		r.startScoring(time.Now())
 		rounds(assigning, r.assign)
 		retry.Sleep(ctx, assigning.Wait(time.Now()))
 	}
@@ -167,28 +165,49 @@
 	}
 }
 
-// finish hands an item's end to the recorder; mu is held.
-func (r *Runner) finish(job *openJob, index int, outcome batch.Outcome, reason string) {
-	state := &job.items[index]
-	if state.done {
+// complete hands an item's output and score to the recorder; mu is held.
+func (r *Runner) complete(job *openJob, index int, score, reason string) {
+	item := &job.items[index]
+	if item.Ended() {
 		return
 	}
-	state.done = true
-	r.plan.Remove(batchplan.Key{Job: job.record.ID, Item: index})
-	finished := batchjobs.FinishedItem{JobID: job.record.ID, Item: index, Outcome: outcome}
-	if outcome == batch.Completed {
-		finished.Text, finished.Versions = state.progress.text(), state.progress.versions
-		// One piece in place of many, should a later job want it.
-		state.progress.events = [][]byte{finished.Text}
-		state.progress.whole = true
-		state.completed = true
+	text := item.Complete()
+	r.record(job, reason, batchjobs.FinishedItem{
+		JobID: job.record.ID, Item: index, Outcome: batch.Completed,
+		Text: text, Versions: item.Output.Versions(), Score: score,
+	})
+}
+
+// expire gives an item up; mu is held.
+func (r *Runner) expire(job *openJob, index int, reason string) {
+	item := &job.items[index]
+	if item.Ended() {
+		return
 	}
-	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[index].ID).
-		Int("index", index).Bool("completed", outcome == batch.Completed).Str("reason", reason).
-		Ints64("versions", finished.Versions).Int64("events", state.progress.last).Dur("after_ms", time.Since(job.addedAt)).Msg("item finished")
+	r.stopWork(batchplan.Key{Job: job.record.ID, Item: index})
+	item.Drop()
+	r.record(job, reason, batchjobs.FinishedItem{JobID: job.record.ID, Item: index, Outcome: batch.Expired})
+}
+
+// record hands the end of an item to the recorder; mu is held.
+func (r *Runner) record(job *openJob, reason string, finished batchjobs.FinishedItem) {
+	r.plan.Remove(batchplan.Key{Job: job.record.ID, Item: finished.Item})
+	item := &job.items[finished.Item]
+	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[finished.Item].ID).
+		Int("index", finished.Item).Bool("completed", finished.Outcome == batch.Completed).Str("reason", reason).
+		Ints64("versions", finished.Versions).Int64("events", item.Output.Last()).Str("score", finished.Score).
+		Dur("after_ms", time.Since(job.addedAt)).Msg("item finished")
 	r.recorder.add(finished)
 }
 
+// stopWork ends the run or the scoring call of an item; mu is held.
+func (r *Runner) stopWork(key batchplan.Key) {
+	if running, found := r.runs[key]; found {
+		running.stop(stopDropped)
+	}
+	r.scoring.cancel(key)
+}
+
 // assign starts what the plan assigns.
 func (r *Runner) assign() {
 	now := time.Now()
@@ -236,13 +255,7 @@
 			continue
 		}
 		for i := range job.items {
-			if job.items[i].done {
-				continue
-			}
-			if running, runs := r.runs[batchplan.Key{Job: job.record.ID, Item: i}]; runs {
-				running.stop(stopDropped)
-			}
-			r.finish(job, i, batch.Expired, "time over or route gone")
+			r.expire(job, i, "time over or route gone")
 		}
 	}
 }
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -18,7 +18,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs[jobID]
-		return job != nil && job.items[0].progress.last >= events
+		return job != nil && job.items[0].Output.Last() >= events
 	})
 }
 
@@ -147,7 +147,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		job := r.jobs["j1"]
-		return job != nil && job.items[0].progress.last >= 5 && job.items[1].completed
+		return job != nil && job.items[0].Output.Last() >= 5 && job.items[1].Completed()
 	})
 	w.jobs.apply(batch.Record{End: "j1"})
 	w.submit("j2", 1, "x", "y")
--- /dev/null
+++ b/internal/batchrun/scoring.go
@@ -0,0 +1,190 @@
+package batchrun
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/admission"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+)
+
+// scoringRetries are the delays between tries of a scoring call.
+var scoringRetries = retry.Policy{First: 50 * time.Millisecond, Longest: time.Second}
+
+// scoringItem is an item whose output is whole and whose score is not there yet.
+type scoringItem struct {
+	key  batchplan.Key
+	call batch.ScoringCall
+	// jobSince is when its job was taken up, since when its output was whole.
+	jobSince time.Time
+	since    time.Time
+	// notBefore holds the call back after a failure; delays are the pauses to come.
+	notBefore time.Time
+	delays    *retry.Delays
+	tries     int
+	// service answers the call under way.
+	service string
+	// cancel ends the call under way; nil when there is none.
+	cancel context.CancelFunc
+}
+
+// scoringQueue holds the items that wait for their score. The runner's mu guards it.
+type scoringQueue struct {
+	items map[batchplan.Key]*scoringItem
+	// windows bound the calls under way at each service.
+	windows map[string]*admission.Window
+}
+
+func newScoringQueue() *scoringQueue {
+	return &scoringQueue{
+		items:   make(map[batchplan.Key]*scoringItem),
+		windows: make(map[string]*admission.Window),
+	}
+}
+
+// window returns the service's window.
+func (q *scoringQueue) window(service string) *admission.Window {
+	window, found := q.windows[service]
+	if !found {
+		window = admission.NewWindow()
+		q.windows[service] = window
+	}
+	return window
+}
+
+// cancel ends the scoring of an item, if it is there.
+func (q *scoringQueue) cancel(key batchplan.Key) {
+	item, found := q.items[key]
+	if !found {
+		return
+	}
+	delete(q.items, key)
+	if item.cancel != nil {
+		item.cancel()
+	}
+}
+
+// since tells since when an item waits for its score.
+func (q *scoringQueue) since(key batchplan.Key) (time.Time, bool) {
+	item, found := q.items[key]
+	if !found {
+		return time.Time{}, false
+	}
+	return item.since, true
+}
+
+// due returns the items whose call may begin, those of older jobs first, then
+// those that have waited longest.
+func (q *scoringQueue) due(now time.Time) []*scoringItem {
+	var due []*scoringItem
+	for _, item := range q.items {
+		if item.cancel == nil && !item.notBefore.After(now) {
+			due = append(due, item)
+		}
+	}
+	slices.SortFunc(due, func(a, b *scoringItem) int {
+		if order := a.jobSince.Compare(b.jobSince); order != 0 {
+			return order
+		}
+		return a.since.Compare(b.since)
+	})
+	return due
+}
+
+// textWhole takes an item whose output is whole: it is scored first if it wants a
+// score, and completed otherwise; mu is held.
+func (r *Runner) textWhole(job *openJob, index int, reason string) {
+	item := &job.items[index]
+	call := job.payloads[index].Scoring
+	if call == nil {
+		r.complete(job, index, "", reason)
+		return
+	}
+	key := batchplan.Key{Job: job.record.ID, Item: index}
+	item.Whole()
+	r.plan.Remove(key)
+	r.scoring.items[key] = &scoringItem{
+		key: key, call: *call, jobSince: job.addedAt, since: time.Now(), delays: scoringRetries.Delays(),
+	}
+	r.Wake()
+}
+
+// startScoring begins as many scoring calls as the service has room for.
+func (r *Runner) startScoring(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.scoring.items) == 0 || r.ctx.Err() != nil {
+		return
+	}
+	full := make(map[string]bool)
+	for _, item := range r.scoring.due(now) {
+		service, places := r.options.Scorer.Places(item.call)
+		if full[service] {
+			continue
+		}
+		if !r.scoring.window(service).Admits(places) {
+			full[service] = true
+			continue
+		}
+		item.service = service
+		r.score(item)
+	}
+}
+
+// score begins the scoring call of an item; mu is held.
+func (r *Runner) score(item *scoringItem) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	item.cancel = cancel
+	item.tries++
+	r.scoring.window(item.service).Began()
+	r.wait.Go(func() {
+		defer cancel()
+		began := time.Now()
+		scoring := r.options.Scorer.Score(ctx, item.call)
+		r.scored(item, scoring, time.Since(began), ctx.Err() != nil)
+	})
+}
+
+// scored takes the end of a scoring call: it completes the item, gives it up or
+// has the call made again.
+func (r *Runner) scored(item *scoringItem, scoring Scoring, took time.Duration, canceled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	window := r.scoring.window(item.service)
+	countScoring(window, scoring, canceled)
+	job := r.jobs[item.key.Job]
+	if r.scoring.items[item.key] != item || job == nil {
+		return
+	}
+	r.options.Logger.Info().Str("job", item.key.Job).Str("item", job.record.Items[item.key.Item].ID).
+		Str("call", item.call.ID).Str("score", scoring.Score).Int("tries", item.tries).Bool("refused", scoring.Refused).
+		Int("failures", scoring.Failures).Str("detail", scoring.Detail).Int("under_way", window.UnderWay()).
+		Dur("waited_ms", time.Since(item.since)-took).Dur("took_ms", took).Msg("scoring call ended")
+	item.cancel = nil
+	switch {
+	case scoring.Score != "":
+		delete(r.scoring.items, item.key)
+		r.complete(job, item.key.Item, scoring.Score, "scored")
+	case job.items[item.key.Item].ScoreFailed(scoring.Failures, scoring.MaxAttempts) && scoring.Failures > 0:
+		delete(r.scoring.items, item.key)
+		r.expire(job, item.key.Item, "scoring attempts used up")
+	default:
+		item.notBefore = time.Now().Add(item.delays.NextBackOff())
+	}
+	r.Wake()
+}
+
+// countScoring tells a window how a call ended.
+func countScoring(window *admission.Window, scoring Scoring, canceled bool) {
+	switch {
+	case scoring.Score != "":
+		window.Answered()
+	case scoring.Refused && !canceled:
+		window.Refused()
+	default:
+		window.Failed()
+	}
+}
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -47,6 +47,7 @@
 	{"LOST", checkLost},
 	{"BUDGET", checkBudget},
 	{"VERSION", checkVersions},
+	{"SCORE", checkScores},
 	{"ONE", checkOneHolder},
 }
 
@@ -80,6 +81,9 @@
 	for _, job := range h.Jobs {
 		for _, item := range job.Job.Items {
 			known[item.ID] = asked{path: standin.ItemPath(item.ID), body: item.Body, job: job}
+			if item.ScoringID != "" {
+				known[item.ScoringID] = asked{path: standin.ScoringPath(item.ScoringID), body: item.ScoringBody(), job: job}
+			}
 		}
 	}
 	return known
--- a/internal/bench/soak/check_batch.go
+++ b/internal/bench/soak/check_batch.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 )
@@ -126,3 +127,36 @@
 	}
 	return ""
 }
+
+// checkScores: a sample bears the stamp of the answer to its own scoring call,
+// which began after the item did; items without a call bear none.
+func checkScores(h *History, _ Bounds) []string {
+	var found []string
+	firstRuns := make(map[string]time.Time)
+	eachRun(h, func(_ *EngineSeen, run standin.Run) {
+		if first, seen := firstRuns[run.ID]; !seen || run.At.Before(first) {
+			firstRuns[run.ID] = run.At
+		}
+	})
+	for _, job := range h.Jobs {
+		calls := make(map[string]string)
+		for _, item := range job.Job.Items {
+			calls[item.ID] = item.ScoringID
+		}
+		for _, result := range job.Positions {
+			if result.State != standin.StateCompleted {
+				continue
+			}
+			call := calls[result.ID]
+			if call == "" && result.Score == "" {
+				continue
+			}
+			began, made := firstRuns[call]
+			if call == "" || !made || result.Score != standin.Stamp(call) || began.Before(firstRuns[result.ID]) {
+				found = append(found, fmt.Sprintf("job %s item %s: score %q, call %q made at an engine: %t",
+					job.Job.ID, result.ID, result.Score, call, made))
+			}
+		}
+	}
+	return found
+}
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -57,13 +57,13 @@
 func sound() *History {
 	job := &JobSeen{
 		Job: standin.Job{ID: "job", MinVersion: 3, Items: []standin.JobItem{
-			{ID: "item-1", Body: "b1"}, {ID: "item-2", Body: "b2"}, {ID: failPrefix + "3", Body: "b3"},
+			{ID: "item-1", Body: "b1", ScoringID: "score-1"}, {ID: "item-2", Body: "b2"}, {ID: failPrefix + "3", Body: "b3"},
 		}},
 		Accepted: true, Complete: true, EndAskedAt: at(20), EndedAt: at(20.1), FinalStatus: map[string]int{},
 		Positions: []standin.ItemResult{
 			{ID: "item-2", State: standin.StateCompleted, Text: textOf("item-2", 4), Versions: []int64{4}},
 			{ID: failPrefix + "3", State: "expired"},
-			{ID: "item-1", State: standin.StateCompleted, Text: textOf("item-1", 3), Versions: []int64{3}},
+			{ID: "item-1", State: standin.StateCompleted, Text: textOf("item-1", 3), Versions: []int64{3}, Score: standin.Stamp("score-1")},
 		},
 	}
 	refused := &JobSeen{
@@ -99,6 +99,7 @@
 				Runs: []standin.Run{
 					runOf("safe", "/lookup/safe", "s", 1), runOf("unsafe", "/permit/unsafe", "u", 1),
 					runOf("stream", "/stream/stream", "t", 1), runOf("item-1", standin.ItemPath("item-1"), "b1", 2),
+					runOf("score-1", standin.ScoringPath("score-1"), "score item-1", 3),
 					runOf(failPrefix+"3", standin.ItemPath(failPrefix+"3"), "b3", 2),
 				},
 				Orders: []standin.OrderSeen{
@@ -188,6 +189,16 @@
 	{"item given up while its job is open", "VERSION", func(h *History) {
 		h.Jobs[2].Positions[0] = standin.ItemResult{ID: "item-5", State: "expired"}
 	}},
+	{"sample without its score", "SCORE", func(h *History) { h.Jobs[0].Positions[2].Score = "" }},
+	{"score of another call", "SCORE", func(h *History) { h.Jobs[0].Positions[2].Score = standin.Stamp("safe") }},
+	{"score that nobody asked for", "SCORE", func(h *History) { h.Jobs[0].Positions[0].Score = standin.Stamp("safe") }},
+	{"score made before the text", "SCORE", func(h *History) {
+		for i, run := range h.Engines[0].Runs {
+			if run.ID == "score-1" {
+				h.Engines[0].Runs[i].At = at(1)
+			}
+		}
+	}},
 	{"two holders of one token", "ONE", func(h *History) { h.Engines[0].Orders[1].Fence = 1 }},
 	{"fenced holder goes on", "ONE", func(h *History) {
 		h.Engines[0].Orders = append(h.Engines[0].Orders, standin.OrderSeen{Holder: "a", Fence: 1, At: at(12), Status: statusFenced})
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -85,6 +85,7 @@
 		{Name: "permit", Prefix: prefixPermit, Kind: standin.RouteUnsafe, Service: standin.ServiceLookup},
 		{Name: "stream", Prefix: prefixStream, Kind: standin.RouteStream, Service: standin.ServiceDrafts},
 		{Name: "drafts", Prefix: standin.PrefixDrafts, Kind: standin.RouteBatch, Service: standin.ServiceDrafts},
+		{Name: "scoring", Prefix: standin.PrefixScoring, Kind: standin.RouteSafe, Service: standin.ServiceLookup},
 	}
 	for kept := max(1, version-keptRoutes+1); kept <= version; kept++ {
 		routes = append(routes, standin.Route{
@@ -173,6 +174,7 @@
 		id := v.newID(fmt.Sprintf("%s%d-%d-", prefix, trainer, step))
 		job.Items = append(job.Items, standin.JobItem{
 			ID: id, Group: fmt.Sprintf("group-%d-%d-%d", trainer, step, i/groupSize), Body: "body of " + id,
+			ScoringID: scoringIDOf(id),
 		})
 	}
 	return job
--- a/internal/bench/soak/items.go
+++ b/internal/bench/soak/items.go
@@ -32,3 +32,14 @@
 func failsAlways(id string) bool { return strings.HasPrefix(id, failPrefix) }
 
 func neverPossible(id string) bool { return strings.HasPrefix(id, neverPrefix) }
+
+// unscoredShare is one in how many items has no scoring call.
+const unscoredShare = 4
+
+// scoringIDOf names an item's scoring call; empty for items that have none.
+func scoringIDOf(id string) string {
+	if xxhash.Sum64String("scoring of "+id)%unscoredShare == 0 {
+		return ""
+	}
+	return "score-" + id
+}
--- a/internal/common/retry/retry.go
+++ b/internal/common/retry/retry.go
@@ -19,9 +19,12 @@
 	Longest time.Duration
 }
 
+// Delays are the delays of one row of tries.
+type Delays = backoff.ExponentialBackOff
+
 // Delays returns new delays under the policy, which never end: each is
 // backoff.DefaultMultiplier (1.5) times the one before. They serve one goroutine.
-func (p Policy) Delays() *backoff.ExponentialBackOff {
+func (p Policy) Delays() *Delays {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = p.First
 	delays.MaxInterval = p.Longest
--- /dev/null
+++ b/internal/core/admission/admission_test.go
@@ -0,0 +1,60 @@
+package admission
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fill begins calls until the window admits no more and returns their number.
+func fill(w *Window, places Places) int {
+	began := 0
+	for w.Admits(Places{Slots: places.Slots, Busy: places.Busy + began}) && began < 100 {
+		w.Began()
+		began++
+	}
+	return began
+}
+
+func TestHalfOfThePlacesStayFree(t *testing.T) {
+	w := NewWindow()
+	for range 200 {
+		w.Began()
+		w.Answered()
+	}
+	assert.Equal(t, fill(w, Places{Slots: 24}), 12)
+}
+
+func TestOthersRequestsTakeFromTheShare(t *testing.T) {
+	w := NewWindow()
+	for range 200 {
+		w.Began()
+		w.Answered()
+	}
+	assert.Equal(t, fill(w, Places{Slots: 24, Busy: 9}), 3)
+}
+
+func TestServiceOfWhichNothingIsKnownIsTriedByOneCall(t *testing.T) {
+	assert.Equal(t, fill(NewWindow(), Places{}), 1)
+}
+
+func TestRefusalsLowerTheLimitAndAnswersRaiseIt(t *testing.T) {
+	w := NewWindow()
+	assert.Equal(t, fill(w, Places{Slots: 100}), firstLimit)
+	for range firstLimit {
+		w.Refused()
+	}
+	assert.Equal(t, fill(w, Places{Slots: 100}), 1)
+	w.Answered()
+	assert.Equal(t, fill(w, Places{Slots: 100}), 2)
+}
+
+func TestOtherFailuresLeaveTheLimit(t *testing.T) {
+	w := NewWindow()
+	before := fill(w, Places{Slots: 100})
+	for range before {
+		w.Failed()
+	}
+	assert.Equal(t, w.UnderWay(), 0)
+	assert.Equal(t, fill(w, Places{Slots: 100}), before)
+}
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -12,6 +12,8 @@
 	Versions  []int64
 	Text      Span
 	TextBytes int
+	// Score is what the item's scoring call brought; empty where it has none.
+	Score string
 }
 
 // Job is one batch job.
@@ -39,6 +41,8 @@
 	// Parts hold the text; the events of all parts are separated by line feeds.
 	Parts     []Span
 	TextBytes int
+	// Whole is true when no event is missing.
+	Whole bool
 }
 
 // Progress returns what is kept of an item's output.
@@ -140,9 +144,11 @@
 		return
 	}
 	// The slices are built anew: copies of the job were handed out.
-	kept.Chain, kept.To = record.Chain, record.To
-	kept.Parts = append(slices.Clip(kept.Parts), record.Text)
-	kept.TextBytes += record.TextBytes
+	kept.Chain, kept.To, kept.Whole = record.Chain, record.To, record.Whole
+	if record.To > record.From {
+		kept.Parts = append(slices.Clip(kept.Parts), record.Text)
+		kept.TextBytes += record.TextBytes
+	}
 	kept.Versions = slices.Clip(kept.Versions)
 	for _, version := range record.Versions {
 		if !slices.Contains(kept.Versions, version) {
@@ -196,7 +202,7 @@
 	delete(job.progress, record.Item)
 	job.Results = append(job.Results, Result{
 		Item: record.Item, Outcome: record.Outcome, Versions: record.Versions,
-		Text: record.Text, TextBytes: record.TextBytes,
+		Text: record.Text, TextBytes: record.TextBytes, Score: record.Score,
 	})
 	if p.observer != nil {
 		p.observer.ItemListed(job, record.Item)
--- a/internal/core/batch/partition_test.go
+++ b/internal/core/batch/partition_test.go
@@ -78,6 +78,30 @@
 	assert.Assert(t, !found)
 }
 
+func TestPartWithoutEventsSaysThatNothingIsMissing(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("j", 1), at)
+	p.Apply(progressOf("a", "", 0, 3), at)
+	end := progressOf("a", "", 3, 3)
+	end.Progress[0].Whole = true
+	end.Progress[0].Text = Span{}
+	p.Apply(end, at)
+	kept, _ := p.Job("j").Progress(0)
+	assert.Assert(t, kept.Whole)
+	assert.DeepEqual(t, kept.Parts, []Span{{First: 3, Count: 1}})
+}
+
+func TestResultBearsItsScore(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("j", 1), at)
+	for _, score := range []string{"first", "second"} {
+		scored := result("j", 0, Completed)
+		scored.Results[0].Score = score
+		p.Apply(scored, at)
+	}
+	assert.Equal(t, p.Job("j").Results[0].Score, "first")
+}
+
 func TestPayloadsAreFoundAcrossSpans(t *testing.T) {
 	job := Job{JobRecord: JobRecord{Payloads: []Span{{First: 10, Count: 2}, {First: 40, Count: 1}}}}
 	assert.Equal(t, job.PayloadOffset(1), int64(11))
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -66,6 +66,8 @@
 	Text Span `msgpack:"d"`
 	// TextBytes is the length of the output.
 	TextBytes int `msgpack:"b"`
+	// Score is what the item's scoring call brought; empty where it has none.
+	Score string `msgpack:"s,omitempty"`
 }
 
 // ProgressRecord keeps output of an item that still runs, so that another leader
@@ -85,6 +87,8 @@
 	Versions  []int64 `msgpack:"v"`
 	Text      Span    `msgpack:"d"`
 	TextBytes int     `msgpack:"b"`
+	// Whole is true when no event follows; such a part may hold no event itself.
+	Whole bool `msgpack:"w,omitempty"`
 }
 
 // Record is one record of the index topic: one of its fields is set.
@@ -125,6 +129,17 @@
 	Path    string   `msgpack:"p"`
 	Headers []Header `msgpack:"h"`
 	Body    []byte   `msgpack:"b"`
+	// Scoring is made once the output is whole; nil where the item has no score.
+	Scoring *ScoringCall `msgpack:"s,omitempty"`
+}
+
+// ScoringCall is a request whose answer scores an item's output.
+type ScoringCall struct {
+	// ID is the request's name at the scoring service.
+	ID   string `msgpack:"i"`
+	Host string `msgpack:"h"`
+	Path string `msgpack:"p"`
+	Body []byte `msgpack:"b"`
 }
 
 // Encode returns the payload's bytes.
--- /dev/null
+++ b/internal/core/batchitem/batchitem_test.go
@@ -0,0 +1,130 @@
+package batchitem
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func event(number, version int64) Event {
+	return Event{Number: number, Data: fmt.Appendf(nil, "e%d", number), Version: version}
+}
+
+func TestOutputTakesEventsInOrder(t *testing.T) {
+	var o Output
+	assert.Equal(t, o.Add(event(1, 3), Limits{}), Taken)
+	assert.Equal(t, o.Add(event(3, 3), Limits{}), OutOfOrder)
+	assert.Equal(t, o.Add(event(1, 3), Limits{}), OutOfOrder)
+	assert.Equal(t, o.Add(event(2, 4), Limits{}), Taken)
+	assert.Equal(t, string(o.Text()), "e1\ne2")
+	assert.DeepEqual(t, o.Versions(), []int64{3, 4})
+}
+
+func TestOutputBeginsAnewWhereTheLimitsForbidAnEvent(t *testing.T) {
+	var old, second Output
+	old.Add(event(1, 3), Limits{MinVersion: 3})
+	assert.Equal(t, old.Add(event(2, 2), Limits{MinVersion: 3}), TooOld)
+	assert.Assert(t, old.Empty() && old.Last() == 0)
+	second.Add(event(1, 3), Limits{Single: true})
+	assert.Equal(t, second.Add(event(2, 4), Limits{Single: true}), SecondVersion)
+	assert.Assert(t, second.Empty())
+}
+
+func TestFits(t *testing.T) {
+	o := Restore(Kept{Versions: []int64{3, 4}, Last: 2, Text: []byte("e1\ne2")})
+	assert.Assert(t, o.Fits(Limits{MinVersion: 3}))
+	assert.Assert(t, !o.Fits(Limits{MinVersion: 4}))
+	assert.Assert(t, !o.Fits(Limits{Single: true}))
+}
+
+func TestStagesLeadToAnEndThatStands(t *testing.T) {
+	var item Item
+	item.Queue()
+	item.Start()
+	assert.Equal(t, item.Stage(), Running)
+	item.Output.Add(event(1, 1), Limits{})
+	item.Whole()
+	assert.Equal(t, item.Stage(), Scoring)
+	assert.Assert(t, item.Output.IsWhole() && !item.Completed())
+	assert.Equal(t, string(item.Complete()), "e1")
+	assert.Assert(t, item.Ended() && item.Completed())
+	item.Queue()
+	item.Start()
+	item.Whole()
+	assert.Equal(t, item.Stage(), Ended)
+}
+
+func TestDroppedItemIsNotCompletedAndAListedOneIs(t *testing.T) {
+	var dropped, listed Item
+	dropped.Drop()
+	listed.Listed()
+	assert.Assert(t, dropped.Ended() && !dropped.Completed())
+	assert.Assert(t, listed.Ended() && listed.Completed())
+	assert.Assert(t, !listed.Output.IsWhole(), "the text of another node's result is not known here")
+}
+
+func TestAttemptsAreUsedUp(t *testing.T) {
+	var item Item
+	assert.Assert(t, !item.RunFailed(2))
+	assert.Assert(t, item.RunFailed(2))
+	assert.Assert(t, !item.ScoreFailed(1, 2), "failed runs counted as failed scoring calls")
+	assert.Assert(t, !item.ScoreFailed(0, 2))
+	assert.Assert(t, item.ScoreFailed(1, 2))
+}
+
+// TestPartsInTheLogMakeTheOutput writes parts at random moments, some of which the
+// log does not take, and restores what the log has.
+func TestPartsInTheLogMakeTheOutput(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o Output
+		var texts []string
+		var last, number int64
+		whole, chains := false, 0
+		newChain := func() string { chains++; return fmt.Sprint("chain", chains) }
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "event") {
+				number++
+				assert.Equal(t, o.Add(event(number, 1), Limits{}), Taken)
+				continue
+			}
+			if !o.Unkept() {
+				continue
+			}
+			part := o.NextPart(newChain)
+			if rapid.Bool().Draw(t, "taken") {
+				assert.Equal(t, part.From, last)
+				texts, last, whole = append(texts, string(part.Text)), part.To, part.Whole
+				o.MarkKept(part)
+			}
+		}
+		o.whole = true
+		if o.Unkept() {
+			part := o.NextPart(newChain)
+			if part.To > part.From {
+				texts = append(texts, string(part.Text))
+			}
+			last, whole = part.To, part.Whole
+			o.MarkKept(part)
+		}
+		assert.Assert(t, whole && !o.Unkept())
+		assert.Equal(t, last, number)
+		assert.Equal(t, strings.Join(texts, "\n"), string(o.Text()))
+	})
+}
+
+// TestPartOfAnOutputThatBeganAnewIsNotMarked: the write was under way meanwhile.
+func TestPartOfAnOutputThatBeganAnewIsNotMarked(t *testing.T) {
+	var o Output
+	o.Add(event(1, 1), Limits{})
+	part := o.NextPart(func() string { return "a" })
+	o.Add(event(2, 0), Limits{MinVersion: 1})
+	o.Add(event(1, 1), Limits{})
+	o.MarkKept(part)
+	assert.Assert(t, o.Unkept())
+	next := o.NextPart(func() string { return "b" })
+	assert.Equal(t, next.From, int64(0))
+	assert.Equal(t, string(next.Text), "e1")
+}
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -105,11 +105,7 @@
 
 // score is the engine's occupancy after this request, in time it would take.
 func score(candidate *member, query Query) float64 {
-	busy := candidate.inFlight
-	if query.Now.Sub(candidate.loadAt) < reportedLoadLife {
-		busy = max(busy, candidate.load.Running+candidate.load.Waiting)
-	}
-	score := float64(busy+1) / float64(max(1, candidate.engine.Slots))
+	score := float64(candidate.busy(query.Now)+1) / float64(max(1, candidate.engine.Slots))
 	score *= 1 + candidate.latency.Seconds()
 	if candidate.engine.Zone != query.Zone {
 		score += otherZoneCost
@@ -119,3 +115,12 @@
 	}
 	return score
 }
+
+// busy is the number of requests at the engine: those of this process, or what
+// the engine said of itself lately if that is more.
+func (m *member) busy(now time.Time) int {
+	if now.Sub(m.loadAt) >= reportedLoadLife {
+		return m.inFlight
+	}
+	return max(m.inFlight, m.load.Running+m.load.Waiting)
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -149,6 +149,23 @@
 	return engines
 }
 
+// Places returns how many requests the engines of a service work on at once, and
+// how many they have as far as this process knows. Engines that leave or failed
+// recently do not count.
+func (f *Fleet) Places(service string, now time.Time) (slots, busy int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.byService[service] {
+		each := f.members[id]
+		if each.engine.Draining || now.Before(each.suspectUntil) {
+			continue
+		}
+		slots += each.engine.Slots
+		busy += each.busy(now)
+	}
+	return slots, busy
+}
+
 // Count returns the number of engines known.
 func (f *Fleet) Count() int {
 	f.mu.Lock()
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -105,6 +105,7 @@
 	if len(breaks) > 0 {
 		text += "; runs ended early: " + strings.Join(breaks, "; ")
 	}
+	text += scoringNotes(way)
 	if finished := way.last("item finished"); finished != nil {
 		text += fmt.Sprintf("; finished by %s after %.0f ms (%s, %.0f events)", finished.Node,
 			finished.number("after_ms"), finished.text("reason"), finished.number("events"))
@@ -114,6 +115,19 @@
 	return text + "." + jobEnds(way) + way.contextNotes()
 }
 
+// scoringNotes tells how the item's scoring calls went.
+func scoringNotes(way *Way) string {
+	last := way.last("scoring call ended")
+	if last == nil {
+		return ""
+	}
+	if last.text("score") == "" {
+		return fmt.Sprintf("; not scored in %.0f tries (%s)", last.number("tries"), last.text("detail"))
+	}
+	return fmt.Sprintf("; scored at try %.0f, %.0f ms after its output was whole",
+		last.number("tries"), last.number("waited_ms")+last.number("took_ms"))
+}
+
 // jobEnds tells when the item's jobs were ended, which ends its runs: it may have
 // come again in a later job.
 func jobEnds(way *Way) string {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
 
@@ -17,6 +18,7 @@
 	jobs         *prometheus.CounterVec
 	tableVersion prometheus.Gauge
 	leading      prometheus.Gauge
+	scoring      *prometheus.HistogramVec
 	dropped      prometheus.Counter
 	leftOut      prometheus.Counter
 }
@@ -42,6 +44,10 @@
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_hosted_leading", Help: "1 while this node leads.",
 		}),
+		scoring: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "corkpulley_hosted_scoring_seconds", Help: "Time of a try of a scoring call, by its outcome.",
+			Buckets: requestBuckets,
+		}, []string{"outcome"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corkpulley_hosted_log_lines_dropped_total", Help: "Log lines left out because their reader was slow.",
 		}),
@@ -49,7 +55,7 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
-	registry.MustRegister(m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.dropped, m.leftOut)
+	registry.MustRegister(m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.dropped, m.leftOut)
 	return m
 }
 
@@ -61,6 +67,18 @@
 	m.requests.WithLabelValues(route, kind).Observe(took.Seconds())
 }
 
+// scored counts a try of a scoring call.
+func (m *metrics) scored(scoring batchrun.Scoring, took time.Duration) {
+	outcome := "failed"
+	switch {
+	case scoring.Score != "":
+		outcome = "scored"
+	case scoring.Refused:
+		outcome = "refused"
+	}
+	m.scoring.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 func (m *metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
--- /dev/null
+++ b/internal/hosted/scorer.go
@@ -0,0 +1,58 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/admission"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/ingress"
+)
+
+// scoringBudget is the time that one try of a scoring call has.
+const scoringBudget = 1500 * time.Millisecond
+
+var _ batchrun.Scorer = (*node)(nil)
+
+// Score implements batchrun.Scorer: a scoring call goes the way of a live request.
+func (n *node) Score(ctx context.Context, call batch.ScoringCall) batchrun.Scoring {
+	began := time.Now()
+	reply, failure := n.relay.Call(ctx, &ingress.Request{
+		ID: call.ID, Method: http.MethodPost, Target: call.Path, Path: call.Path, Host: call.Host,
+		Header: http.Header{}, Body: call.Body, Budget: scoringBudget, Received: began,
+	})
+	scoring := batchrun.Scoring{Failures: reply.ServerErrors, MaxAttempts: reply.MaxAttempts}
+	switch {
+	case failure != nil:
+		scoring.Refused = failure.Kind == errkind.NoCapacity
+		scoring.Detail = failure.Message
+	case reply.Status/100 != 2:
+		scoring.Detail = http.StatusText(reply.Status)
+	default:
+		scoring.Score = reply.Stamp
+	}
+	n.metrics.scored(scoring, time.Since(began))
+	return scoring
+}
+
+// Places implements batchrun.Scorer.
+func (n *node) Places(call batch.ScoringCall) (string, admission.Places) {
+	table := n.state.table()
+	if table == nil {
+		return "", admission.Places{}
+	}
+	route := table.Match(call.Host, call.Path)
+	if route == nil || len(route.Parts) == 0 {
+		return "", admission.Places{}
+	}
+	var places admission.Places
+	for _, part := range route.Parts {
+		slots, busy := n.fleet.Places(part.Service, time.Now())
+		places.Slots += slots
+		places.Busy += busy
+	}
+	return route.Parts[0].Service, places
+}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -80,7 +80,7 @@
 	if length != "" && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
 		header.Set("Content-Length", length)
 	}
-	x.status = answer.Status
+	x.status, x.stamp = answer.Status, answer.Stamp
 	x.w.WriteHeader(answer.Status)
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -29,8 +29,12 @@
 	tried []string
 	// ran counts the engines that may have run the request.
 	ran int
-	// status is what was written to the caller; zero when nothing was.
+	// serverErrors counts the engines that ran the request and answered 500.
+	serverErrors int
+	// status is what was written to the caller, zero when nothing was, and stamp
+	// the signature of the engine that made it.
 	status int
+	stamp  string
 	// after and streamed are the state of a stream that was begun.
 	after    int64
 	streamed bool
@@ -168,6 +172,9 @@
 		return tryNext
 	}
 	x.ran++
+	if answer.Status == http.StatusInternalServerError {
+		x.serverErrors++
+	}
 	retryable := answer.Status >= http.StatusInternalServerError && x.route.Repeatable()
 	if retryable && x.ran < max(1, x.route.MaxAttempts) && x.ctx.Err() == nil {
 		outcome.Failed = true
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -61,6 +61,8 @@
 	WrongEngine bool
 	// Load is what the engine said of itself; nil when it did not.
 	Load *fleet.Load
+	// Stamp is the engine's signature of the answer; empty when there is none.
+	Stamp string
 }
 
 // SendError is a try that gave no answer.
@@ -120,15 +122,33 @@
 // Serve answers a request of a live route. It returns the error that the caller
 // is to be told; nil when an answer was written or nobody waits any more.
 func (r *Relay) Serve(w http.ResponseWriter, callerContext context.Context, request *Request) *errkind.Error {
+	x, cancel, failure := r.begin(w, callerContext, request)
+	if failure != nil {
+		return failure
+	}
+	defer cancel()
+	failure = x.run()
+	x.log(failure)
+	if failure != nil && x.status != 0 {
+		// Ends the caller's connection: what was written must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+	return failure
+}
+
+// begin finds the way of a request by the configuration in force.
+func (r *Relay) begin(
+	w http.ResponseWriter, callerContext context.Context, request *Request,
+) (*exchange, context.CancelFunc, *errkind.Error) {
 	table := r.options.Table()
 	if table == nil {
-		return errkind.New(errkind.NotReady, "no configuration is known yet")
+		return nil, nil, errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
 		r.options.Logger.Warn().Str("id", request.ID).Str("host", request.Host).Str("path", request.Path).
 			Int64("config", table.Version).Msg("no route")
-		return errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
+		return nil, nil, errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
 	}
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
@@ -138,16 +158,8 @@
 		timeout = min(timeout, request.Budget)
 	}
 	ctx, cancel := context.WithDeadline(callerContext, request.Received.Add(timeout))
-	defer cancel()
-	x := &exchange{
+	return &exchange{
 		relay: r, request: request, route: route, table: table, ctx: ctx, caller: callerContext, w: w,
 		service: r.splitter.Pick(route),
-	}
-	failure := x.run()
-	x.log(failure)
-	if failure != nil && x.status != 0 {
-		// Ends the caller's connection: what was written must not look whole.
-		panic(http.ErrAbortHandler)
-	}
-	return failure
+	}, cancel, nil
 }
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -124,6 +124,31 @@
 	ID    string
 	Group string
 	Body  string
+	// ScoringID names the item's scoring call under PrefixScoring; empty for none.
+	ScoringID string
+}
+
+// ScoringPath is the path of a scoring call.
+func ScoringPath(id string) string { return PrefixScoring + id }
+
+// ScoringBody is the body of the item's scoring call.
+func (i JobItem) ScoringBody() string { return "score " + i.ID }
+
+type wireScoring struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body string `json:"body"`
+}
+
+func (i JobItem) scoring() *wireScoring {
+	if i.ScoringID == "" {
+		return nil
+	}
+	return &wireScoring{
+		ID: i.ScoringID, Host: RouteHost, Path: ScoringPath(i.ScoringID),
+		Body: base64.StdEncoding.EncodeToString([]byte(i.ScoringBody())),
+	}
 }
 
 // ItemPath is the path under which engines get an item.
@@ -136,6 +161,7 @@
 	Body    string            `json:"body"`
 	Tokens  int               `json:"tokenCount"`
 	Group   string            `json:"group"`
+	Scoring *wireScoring      `json:"scoringCall,omitempty"`
 }
 
 func (j Job) encode() ([]byte, error) {
@@ -146,7 +172,7 @@
 			Headers: map[string]string{
 				headerModel: ModelDrafts, headerTokens: fmt.Sprintf("%d,%d", itemPromptTokens, itemOutputTokens),
 			},
-			Body: base64.StdEncoding.EncodeToString([]byte(item.Body)),
+			Body: base64.StdEncoding.EncodeToString([]byte(item.Body)), Scoring: item.scoring(),
 		}
 	}
 	raw, err := json.Marshal(map[string]any{
@@ -189,6 +215,8 @@
 	State    string  `json:"state"`
 	Text     string  `json:"text"`
 	Versions []int64 `json:"versions"`
+	// Score is the stamp of the answer to the scoring call.
+	Score string `json:"score"`
 }
 
 // StateCompleted is the state of an item whose whole output is listed.
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -248,7 +248,7 @@
 		return
 	}
 	defer e.end()
-	w.Header().Set(headerStamp, "stamp-"+id)
+	w.Header().Set(headerStamp, Stamp(id))
 	w.Header().Set(headerLoad, fmt.Sprintf("1,0,%d", e.options.Slots))
 	switch fault {
 	case Fails:
@@ -271,6 +271,9 @@
 	}
 }
 
+// Stamp is the signature of an engine's answer.
+func Stamp(id string) string { return "stamp-" + id }
+
 // Answer is the body of a plain answer.
 func Answer(id string) string { return "the whole answer to " + id }
 
--- a/internal/standin/platform/service.go
+++ b/internal/standin/platform/service.go
@@ -42,6 +42,7 @@
 	RouteHost     = "desk.example"
 	PrefixLookup  = "/lookup/"
 	PrefixDrafts  = "/drafts/"
+	PrefixScoring = "/scoring/"
 )
 
 // lateEffects is the time between two releases of late effects.
@@ -150,6 +151,7 @@
 	return Configuration{Version: 1, Routes: []Route{
 		{Name: "lookup", Prefix: PrefixLookup, Kind: RouteSafe, Service: ServiceLookup},
 		{Name: "drafts", Prefix: PrefixDrafts, Kind: RouteBatch, Service: ServiceDrafts},
+		{Name: "scoring", Prefix: PrefixScoring, Kind: RouteSafe, Service: ServiceLookup},
 	}}
 }
 
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -223,7 +223,15 @@
 }
 
 // job is a batch job as a trainer hands it in.
-func job(minVersion int64, ids ...string) string {
+func job(minVersion int64, ids ...string) string { return encodeJob(minVersion, false, ids) }
+
+// scoredJob is a job whose items each have a scoring call.
+func scoredJob(minVersion int64, ids ...string) string { return encodeJob(minVersion, true, ids) }
+
+// scoringID names an item's scoring call.
+func scoringID(item string) string { return "score-" + item }
+
+func encodeJob(minVersion int64, scored bool, ids []string) string {
 	var items []map[string]any
 	for _, id := range ids {
 		items = append(items, map[string]any{
@@ -231,6 +239,12 @@
 			"headers": map[string]string{"X-Corkpulley-Model": model, "X-Corkpulley-Token-Count": "10,90"},
 			"body":    base64.StdEncoding.EncodeToString([]byte("body of " + id)),
 		})
+		if scored {
+			items[len(items)-1]["scoringCall"] = map[string]string{
+				"id": scoringID(id), "host": host, "path": "/scoring/" + id,
+				"body": base64.StdEncoding.EncodeToString([]byte("score " + id)),
+			}
+		}
 	}
 	raw, err := json.Marshal(map[string]any{
 		"step": 1, "model": model, "minVersion": minVersion, "desiredCount": len(ids), "requests": items,
@@ -249,6 +263,7 @@
 		State    string  `json:"state"`
 		Text     string  `json:"text"`
 		Versions []int64 `json:"versions"`
+		Score    string  `json:"score"`
 	} `json:"results"`
 }
 
--- /dev/null
+++ b/test/hosted/scoring_test.go
@@ -0,0 +1,170 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// deployScored is a deployment with a model engine, scoring engines and routes to
+// both.
+func deployScored(t *testing.T, scorers ...string) *deployment {
+	t.Helper()
+	d := deploy(t)
+	d.addModelEngine("e1", 1, 4, 5*time.Millisecond)
+	for _, id := range scorers {
+		d.addEngine(standin.EngineOptions{ID: id, Service: "desk"})
+	}
+	d.configure(batchRoute("/batch/"), safeRoute("/scoring/"))
+	return d
+}
+
+// failCalls has every scoring engine treat calls as fate says.
+func (d *deployment) failCalls(fate func(id string) standin.EngineFault) {
+	for _, engine := range d.engines {
+		if engine.Service() == "desk" {
+			engine.SetFault(fate)
+		}
+	}
+}
+
+func always(fault standin.EngineFault) func(string) standin.EngineFault {
+	return func(string) standin.EngineFault { return fault }
+}
+
+// TestEachResultBearsTheStampOfItsOwnCall: the call is made as the item says,
+// after the last event.
+func TestEachResultBearsTheStampOfItsOwnCall(t *testing.T) {
+	t.Parallel()
+	d := deployScored(t, "d1", "d2")
+	nodes := []*process{d.start("n1"), d.start("n2")}
+	ids := itemIDs(20)
+	assert.Equal(t, nodes[0].call(http.MethodPost, "/batch/x", "job1", scoredJob(1, ids...)).status, http.StatusAccepted)
+	got := d.awaitResults(nodes[1], "job1", len(ids))
+	checkWhole(t, got, ids, 4)
+	for _, result := range got.Results {
+		assert.Equal(t, result.Score, standin.Stamp(scoringID(result.ID)))
+	}
+	began := map[string]time.Time{}
+	for _, run := range d.engines[0].Runs() {
+		began[run.ID] = run.At
+	}
+	for _, engine := range d.engines[1:] {
+		for _, run := range engine.Runs() {
+			item := strings.TrimPrefix(run.Path, "/scoring/")
+			assert.Equal(t, run.ID, scoringID(item))
+			assert.Equal(t, run.Body, "score "+item)
+			assert.Equal(t, run.Host, host)
+			assert.Assert(t, run.At.Sub(began[item]) >= 4*5*time.Millisecond, "scored before its text was whole")
+		}
+	}
+}
+
+// TestScoringCallIsMadeAgainUntilItsAttemptsAreUsedUp: lost answers and refusals
+// are no failed attempts, answers of 500 are.
+func TestScoringCallIsMadeAgainUntilItsAttemptsAreUsedUp(t *testing.T) {
+	t.Parallel()
+	d := deployScored(t, "d1", "d2")
+	var lost atomic.Int64
+	d.failCalls(func(id string) standin.EngineFault {
+		switch {
+		case id == scoringID("bad"):
+			return standin.Fails
+		case id == scoringID("lost") && lost.Add(1) <= 2:
+			return standin.AnswerLost
+		default:
+			return standin.Works
+		}
+	})
+	node := d.start("n1")
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", scoredJob(1, "bad", "lost", "good")).status, http.StatusAccepted)
+	states := map[string]string{}
+	for _, result := range d.awaitResults(node, "job1", 3).Results {
+		states[result.ID] = result.State + " " + result.Score
+	}
+	assert.DeepEqual(t, states, map[string]string{
+		"bad": "expired ", "lost": "completed " + standin.Stamp(scoringID("lost")),
+		"good": "completed " + standin.Stamp(scoringID("good")),
+	})
+	assert.Equal(t, d.runsOf(scoringID("bad")), 2)
+	assert.Equal(t, d.runsOf(scoringID("lost")), 3)
+	assert.Equal(t, d.runsOf("lost"), 1, "the text was made again")
+}
+
+// TestNextLeaderOnlyScoresWhatIsWhole: nobody takes scoring calls until the leader
+// is gone. Its successor finds the texts in the log.
+func TestNextLeaderOnlyScoresWhatIsWhole(t *testing.T) {
+	t.Parallel()
+	d := deployScored(t, "d1")
+	d.failCalls(always(standin.Full))
+	leader := d.start("n1")
+	ids := itemIDs(6)
+	assert.Equal(t, leader.call(http.MethodPost, "/batch/x", "job1", scoredJob(1, ids...)).status, http.StatusAccepted)
+	for _, id := range ids {
+		testwait.Until(t, "a refused call of each item", func() bool {
+			return strings.Contains(leader.logs.String(), fmt.Sprintf(`"call":%q`, scoringID(id)))
+		})
+	}
+	next := d.start("n2")
+	leader.cancel()
+	<-leader.done
+	d.failCalls(nil)
+	checkWhole(t, d.awaitResults(next, "job1", len(ids)), ids, 4)
+	for _, id := range ids {
+		assert.Equal(t, d.runsOf(id), 1, "%s ran again", id)
+		assert.Equal(t, d.runsOf(scoringID(id)), 1)
+	}
+}
+
+// TestNoScoringCallAfterTheEndOfItsJob ends a job whose items wait for their score.
+func TestNoScoringCallAfterTheEndOfItsJob(t *testing.T) {
+	t.Parallel()
+	d := deployScored(t, "d1")
+	d.failCalls(always(standin.Full))
+	node := d.start("n1")
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", scoredJob(1, "a")).status, http.StatusAccepted)
+	testwait.Until(t, "a refused call", func() bool { return strings.Contains(node.logs.String(), "scoring call ended") })
+	assert.Equal(t, node.call(http.MethodDelete, "/lots/job1", "", "").status, http.StatusOK)
+	testwait.Until(t, "the end is known", func() bool { return strings.Contains(node.logs.String(), `"message":"job ended"`) })
+	d.failCalls(nil)
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job2", scoredJob(1, "b")).status, http.StatusAccepted)
+	d.awaitResults(node, "job2", 1)
+	assert.Equal(t, d.runsOf(scoringID("a")), 0)
+}
+
+// TestScoringFollowsTheRouteInForce: the route is gone when the text is whole, and
+// comes back on another service's engine.
+func TestScoringFollowsTheRouteInForce(t *testing.T) {
+	t.Parallel()
+	d := deployScored(t, "d1")
+	d.failCalls(always(standin.Full))
+	node := d.start("n1")
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", scoredJob(1, "a")).status, http.StatusAccepted)
+	testwait.Until(t, "a refused call", func() bool { return strings.Contains(node.logs.String(), "scoring call ended") })
+	d.configure(batchRoute("/batch/"))
+	testwait.Until(t, "a call without a route", func() bool { return strings.Contains(node.logs.String(), "no route for") })
+	d.failCalls(nil)
+	d.configure(batchRoute("/batch/"), safeRoute("/scoring/"))
+	got := d.awaitResults(node, "job1", 1)
+	assert.Equal(t, got.Results[0].Score, standin.Stamp(scoringID("a")))
+}
+
+// TestUnreadableScoringCallIsRefused: the job says what is wrong and never runs.
+func TestUnreadableScoringCallIsRefused(t *testing.T) {
+	t.Parallel()
+	d := deployScored(t, "d1")
+	node := d.start("n1")
+	body := strings.Replace(scoredJob(1, "a"), `"path":"/scoring/a"`, `"path":"scoring"`, 1)
+	got := node.call(http.MethodPost, "/batch/x", "job1", body)
+	assert.Equal(t, got.status, http.StatusBadRequest)
+	assert.Assert(t, strings.Contains(got.body, "scoring call"), got.body)
+	assert.Equal(t, d.runsOf("a"), 0)
+}
