Tell by engine which orders need quiet time; read kept outputs together

Ruled out: the way of the lease itself (leadership came 50 ms after a release). Change: a leader writes an Order record before it orders an engine; only an engine that another machine may have ordered within the quiet time waits, and the holder's own clock in its records proves time that has passed. Missing records make all wait. 24 kept outputs are read at a time. The test of a quiet time by renewals is replaced by tests of proven time, gaps, same machine and fences.

--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -25,6 +25,9 @@
 	// texts holds kept texts by the offset of their span.
 	texts map[int64][]byte
 	down  bool
+	// readers, where it is set, is waited for before a kept text is read: so many
+	// readers at a time.
+	readers *sync.WaitGroup
 }
 
 func newFakeJobs() *fakeJobs {
@@ -78,7 +81,20 @@
 	return nil
 }
 
-func (f *fakeJobs) KeptText(_ context.Context, _ string, progress batch.Progress) ([]byte, error) {
+func (f *fakeJobs) KeptText(ctx context.Context, _ string, progress batch.Progress) ([]byte, error) {
+	if f.readers != nil {
+		f.readers.Done()
+		met := make(chan struct{})
+		go func() {
+			f.readers.Wait()
+			close(met)
+		}()
+		select {
+		case <-met:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var text []byte
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -1,8 +1,11 @@
 package batchrun
 
 import (
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
@@ -50,20 +53,30 @@
 	}
 }
 
-// loadKept reads the output that other leaders left. What cannot be read is
-// made again.
+// loadKept reads the output that other leaders left, many items at a time: each
+// takes a read for every part that was written of it. What cannot be read is made
+// again.
 func (r *Runner) loadKept(job *openJob) map[int]batchitem.Output {
+	var mu sync.Mutex
 	found := make(map[int]batchitem.Output)
+	var group errgroup.Group
+	group.SetLimit(keptReads)
 	for item, kept := range job.kept {
-		text, err := r.options.Jobs.KeptText(r.ctx, job.record.ID, kept)
-		if err != nil {
-			r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
-			continue
-		}
-		found[item] = batchitem.Restore(batchitem.Kept{
-			Chain: kept.Chain, Last: kept.To, Versions: kept.Versions, Text: text, Whole: kept.Whole,
+		group.Go(func() error {
+			text, err := r.options.Jobs.KeptText(r.ctx, job.record.ID, kept)
+			if err != nil {
+				r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("index", item).Msg("kept progress not read")
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found[item] = batchitem.Restore(batchitem.Kept{
+				Chain: kept.Chain, Last: kept.To, Versions: kept.Versions, Text: text, Whole: kept.Whole,
+			})
+			return nil
 		})
 	}
+	_ = group.Wait()
 	return found
 }
 
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -121,7 +121,7 @@
 		ItemID: record.ID, Host: job.record.Host, Payload: job.payloads[key.Item],
 		After: state.Output.Last(), Started: !state.Output.Empty(),
 	}
-	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("engine", engine.ID).
+	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Str("engine", engine.ID).
 		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
 		Int("length", record.Length).Int("tokens", record.Tokens).
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -28,6 +28,8 @@
 	moveShare   = 0.05
 	// loadDelay is the wait between two tries to read a job's payloads.
 	loadDelay = 100 * time.Millisecond
+	// keptReads is how many items' kept outputs are read at a time.
+	keptReads = 24
 )
 
 // Options are the parts that a runner works with.
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -1,6 +1,8 @@
 package batchrun
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -117,6 +119,27 @@
 
 // TestResultsOfAnOutageAreRecordedAfterIt: what ended while the log was away is
 // not run again.
+// TestKeptOutputsAreReadTogether: no read ends before all have begun.
+func TestKeptOutputsAreReadTogether(t *testing.T) {
+	w := newWorld(t, "a")
+	w.engines.pause["a"] = 30 * time.Millisecond
+	items := []string{"x0", "x1", "x2", "x3", "x4"}
+	for _, item := range items {
+		w.engines.events[item] = 60
+	}
+	r, stop := w.lead()
+	w.submit("j", 1, items...)
+	awaitEvents(t, r, "j", 25)
+	stop()
+	w.jobs.readers = &sync.WaitGroup{}
+	w.jobs.readers.Add(len(items))
+	w.lead()
+	results := w.awaitResults(len(items))
+	for i, item := range items {
+		assert.Equal(t, string(results[fmt.Sprint("j/", i)].Text), wholeText(item, 60))
+	}
+}
+
 func TestResultsOfAnOutageAreRecordedAfterIt(t *testing.T) {
 	w := newWorld(t, "a")
 	w.engines.events["x"] = 2
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -18,6 +18,8 @@
 	Claim RecordKind = iota + 1
 	Renew
 	Release
+	// Order says that the holder is about to order engines.
+	Order
 )
 
 // Record is one record of the partition, encoded as msgpack.
@@ -30,10 +32,15 @@
 	Epoch int64 `msgpack:"e"`
 	// Sequence numbers the renewals of one holder.
 	Sequence int64 `msgpack:"s,omitempty"`
+	// Held is the time from when the holder read its own claim to when it sent this
+	// record, by its steady clock. So the log proves that a time has passed to those
+	// who read it later.
+	Held time.Duration `msgpack:"t,omitempty"`
+	// Engines are the engines that an Order is about.
+	Engines []string `msgpack:"g,omitempty"`
 }
 
-// MinRenewalGap is the least time between two renewals that a holder sends. So
-// a number of renewals in the log proves that a time has passed, without clocks.
+// MinRenewalGap is the least time between two renewals that a holder sends.
 const MinRenewalGap = 100 * time.Millisecond
 
 // State is what a reader knows of the lease.
@@ -49,27 +56,7 @@
 	// Next is the offset of the next record to read.
 	Next int64
 
-	// lost and released tell of the newest holders on another machine that lost
-	// the lease and that gave it up.
-	lost     predecessor
-	released predecessor
-}
-
-// predecessor is an earlier holder on another machine.
-type predecessor struct {
-	// seenAt is when its newest record was read; zero when there was none.
-	seenAt time.Time
-	// renewalsSince counts the renewals of others read after it.
-	renewalsSince int
-}
-
-// quietUntil is when the holder was last heard of plus quiet; the zero time when
-// that has passed for certain.
-func (p predecessor) quietUntil(quiet time.Duration) time.Time {
-	if p.seenAt.IsZero() || time.Duration(p.renewalsSince)*MinRenewalGap > quiet {
-		return time.Time{}
-	}
-	return p.seenAt.Add(quiet)
+	history history
 }
 
 // Apply takes the record at the offset Next, read at the given time. It reports
@@ -77,46 +64,53 @@
 func (s *State) Apply(record Record, at time.Time) bool {
 	offset := s.Next
 	s.Next++
+	s.history.read(at)
 	switch record.Kind {
 	case Claim:
 		if record.Epoch != s.Epoch {
 			return false
 		}
+		s.history.began(0)
 		s.adopt(offset+1, record, at)
 		return true
 	case Renew:
 		if record.Epoch > s.Epoch {
 			// The claim was won in records that are no longer kept.
+			s.history.began(record.Held)
 			s.adopt(record.Epoch, record, at)
 			return true
 		}
 		if record.Epoch == s.Epoch && !s.Released {
 			s.SeenAt = at
-			s.lost.renewalsSince++
-			s.released.renewalsSince++
+			s.history.heard(record.Held)
 		}
 	case Release:
 		if record.Epoch == s.Epoch {
 			s.Released = true
+			s.history.released(record.Node)
+		}
+	case Order:
+		if record.Epoch == s.Epoch {
+			s.history.heard(record.Held)
 		}
+		// One of an earlier epoch may have been followed by its order all the same.
+		s.history.ordered(record.Node, record.Engines, at)
 	}
 	return false
 }
 
 func (s *State) adopt(epoch int64, record Record, at time.Time) {
-	if s.Epoch != 0 && s.Node != record.Node {
-		before := predecessor{seenAt: s.SeenAt}
-		if s.Released {
-			s.released = before
-		} else {
-			s.lost = before
-		}
-	}
 	s.Epoch, s.Holder, s.Node, s.Released, s.SeenAt = epoch, record.Holder, record.Node, false, at
 }
 
 // Skip passes over a record that cannot be read.
-func (s *State) Skip() { s.Next++ }
+func (s *State) Skip() { s.SkipTo(s.Next + 1) }
+
+// SkipTo passes over records that are no longer kept.
+func (s *State) SkipTo(next int64) {
+	s.Next = max(s.Next, next)
+	s.history.gap = true
+}
 
 // Claimable tells whether the lease may be claimed by a process on the node:
 // never held, released, held by an earlier process of the same machine, or not
@@ -136,17 +130,10 @@
 	return now.Sub(from) > ttl
 }
 
-// QuietUntil is the time before which no engine may be ordered: quiet after a
-// holder on another machine was last heard of, or the zero time when that has
-// passed for certain. A holder that gave the lease up orders no more; where
+// QuietUntil is the time before which the node in force may not order the engine:
+// quiet after another machine may have ordered it last, or the zero time when that
+// has passed for certain. A holder that gave the lease up orders no more; where
 // engines refuse its fencing token as well, it needs no quiet time.
-func (s *State) QuietUntil(quiet time.Duration, enginesFence bool) time.Time {
-	until := s.lost.quietUntil(quiet)
-	if enginesFence {
-		return until
-	}
-	if released := s.released.quietUntil(quiet); released.After(until) {
-		return released
-	}
-	return until
+func (s *State) QuietUntil(engine string, quiet time.Duration, enginesFence bool) time.Time {
+	return s.history.quietUntil(s.Node, engine, quiet, enginesFence)
 }
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,32 +66,93 @@
 	assert.Assert(t, !state.Claimable("b", "b1", start, start, ttl))
 }
 
-func TestQuietTimeFollowsAChangeOfMachine(t *testing.T) {
-	const quiet = 300 * time.Millisecond
+const quiet = 300 * time.Millisecond
+
+func orderOf(node string, epoch int64, held time.Duration, engines ...string) Record {
+	return Record{Kind: Order, Node: node, Holder: node + "1", Epoch: epoch, Held: held, Engines: engines}
+}
+
+func renewal(node, holder string, epoch int64, held time.Duration) Record {
+	return Record{Kind: Renew, Node: node, Holder: holder, Epoch: epoch, Held: held}
+}
+
+func TestQuietTimeFollowsOnlyWhereAnotherMachineOrdered(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
-	assert.Assert(t, state.QuietUntil(quiet, true).IsZero(), "nobody ordered before")
+	state.Apply(orderOf("a", 1, 0, "e1"), start)
+	assert.Assert(t, state.QuietUntil("e1", quiet, false).IsZero(), "the same machine ordered it")
 	state.Apply(claim("a", "a2", 1), start)
-	assert.Assert(t, state.QuietUntil(quiet, true).IsZero(), "the same machine ordered before")
-	state.Apply(claim("b", "b1", 2), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil(quiet, true), start.Add(quiet))
-	state.Apply(claim("b", "b2", 3), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil(quiet, true), start.Add(quiet), "a restart does not end the quiet time")
-	for range 4 {
-		state.Apply(Record{Kind: Renew, Holder: "b2", Node: "b", Epoch: 4}, start)
-	}
-	assert.Assert(t, state.QuietUntil(quiet, true).IsZero(), "four renewals prove that the time has passed")
+	assert.Assert(t, state.QuietUntil("e1", quiet, false).IsZero(), "an earlier process of the same machine ordered it")
+	state.Apply(claim("b", "b1", 3), start.Add(ttl))
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet))
+	assert.Assert(t, state.QuietUntil("e2", quiet, false).IsZero(), "nobody ordered it")
+	state.Apply(claim("b", "b2", 4), start.Add(ttl))
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet), "a restart does not end the quiet time")
+}
+
+func TestOrderOfAnEarlierEpochCounts(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(claim("b", "b1", 1), start)
+	state.Apply(orderOf("a", 1, 0, "e1"), start.Add(ttl))
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(ttl+quiet))
+}
+
+func TestLogProvesThatTimeHasPassed(t *testing.T) {
+	var state State
+	// All of it is read at one moment, by a process that began just now.
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(orderOf("a", 1, ttl, "e1"), start)
+	state.Apply(claim("b", "b1", 1), start)
+	state.Apply(renewal("b", "b1", 3, 100*time.Millisecond), start)
+	state.Apply(renewal("b", "b1", 3, 200*time.Millisecond), start)
+	state.Apply(renewal("b", "b1", 3, 150*time.Millisecond), start)
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(100*time.Millisecond), "200 ms are proven, once")
+}
+
+func TestProvenTimeIsNotCountedBesideTheReadersOwn(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(orderOf("a", 1, 0, "e1"), start)
+	state.Apply(claim("b", "b1", 1), start)
+	later := start.Add(200 * time.Millisecond)
+	state.Apply(renewal("b", "b1", 3, 200*time.Millisecond), later)
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet))
+}
+
+func TestMissingRecordsMayHideAnOrder(t *testing.T) {
+	var state State
+	state.SkipTo(500)
+	state.Apply(renewal("a", "a1", 77, 10*ttl), start)
+	state.Apply(claim("b", "b1", 77), start)
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet))
+	state.Apply(renewal("b", "b1", 502, quiet), start)
+	assert.Assert(t, !state.QuietUntil("e1", quiet, false).After(start), "the time since the gap is proven")
+	state.Skip()
+	state.Apply(renewal("b", "b1", 502, quiet), start.Add(ttl))
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(ttl+quiet), "a record that cannot be read is a gap")
 }
 
 func TestHandoverNeedsNoQuietTimeWhereEnginesFence(t *testing.T) {
-	const quiet = 300 * time.Millisecond
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
-	state.Apply(claim("b", "b1", 1), start.Add(ttl))
-	state.Apply(Record{Kind: Release, Holder: "b1", Node: "b", Epoch: 2}, start.Add(ttl))
-	state.Apply(claim("c", "c1", 2), start.Add(2*ttl))
-	assert.Equal(t, state.QuietUntil(quiet, true), start.Add(quiet), "only a, which lost the lease, counts")
-	assert.Equal(t, state.QuietUntil(quiet, false), start.Add(ttl+quiet), "b may be heard by engines without fences")
+	state.Apply(orderOf("a", 1, 0, "e1"), start)
+	state.Apply(Record{Kind: Release, Holder: "a1", Node: "a", Epoch: 1}, start)
+	state.Apply(claim("b", "b1", 1), start)
+	assert.Assert(t, state.QuietUntil("e1", quiet, true).IsZero())
+	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet), "a may be heard by engines without fences")
+	state.Apply(orderOf("b", 4, 0, "e1"), start)
+	state.Apply(claim("c", "c1", 4), start)
+	assert.Equal(t, state.QuietUntil("e1", quiet, true), start.Add(quiet), "b lost the lease")
+}
+
+func TestOldOrdersAreForgotten(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	for i := range 3 * maxOrders {
+		state.Apply(orderOf("a", 1, 0, fmt.Sprint("e", i)), start.Add(time.Duration(i)*time.Second))
+	}
+	assert.Assert(t, len(state.history.orders) <= maxOrders+1)
 }
 
 // TestEpochsRiseAndHaveOneHolder drives the state with random records.
@@ -101,7 +163,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "records") {
 			holder := rapid.SampledFrom([]string{"a1", "a2", "b1", "c1"}).Draw(t, "holder")
 			record := Record{
-				Kind: rapid.SampledFrom([]RecordKind{Claim, Renew, Release}).Draw(t, "kind"), Holder: holder,
+				Kind: rapid.SampledFrom([]RecordKind{Claim, Renew, Release, Order}).Draw(t, "kind"), Holder: holder,
 				Node: holder[:1], Epoch: rapid.Int64Range(max(0, state.Epoch-2), state.Epoch).Draw(t, "epoch"),
 			}
 			before := state.Epoch
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -19,7 +19,11 @@
 		Running: func(engine string) int { return runner.Running(engine) },
 		Demands: func() map[string]batchrun.Demand { return runner.Demands() },
 		Loaded:  func() { runner.Wake() },
-		Holder:  n.holder, Fence: term.Epoch, OrderFrom: term.QuietUntil, Logger: n.logger,
+		Holder:  n.holder, Fence: term.Epoch, Logger: n.logger,
+		QuietUntil: n.elector.QuietUntil,
+		Announce: func(ctx context.Context, engine string) error {
+			return n.elector.RecordOrder(ctx, term.Epoch, engine)
+		},
 	})
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, RouteOf: n.batchRoute,
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -46,6 +46,8 @@
 	handoverCheck   = 10 * time.Millisecond
 	// checkPeriod is the time between two looks at a lease held by another.
 	checkPeriod = 50 * time.Millisecond
+	// arrivalSlack is how long after its record an order may reach its engine.
+	arrivalSlack = 500 * time.Millisecond
 	// claimJitter spreads the claims of nodes that find a lease free at once.
 	claimJitter = 60 * time.Millisecond
 )
@@ -54,9 +56,6 @@
 type Term struct {
 	// Epoch is the fencing token: higher than that of every earlier term.
 	Epoch int64
-	// QuietUntil is the time before which no engine may be ordered: a leader on
-	// another machine may have ordered it just now. It may lie in the past.
-	QuietUntil time.Time
 }
 
 // Role is what a leader does. It returns soon after ctx ends.
@@ -98,6 +97,8 @@
 	validUntil time.Time
 	// claimSent is when the open claim was sent.
 	claimSent time.Time
+	// termBegan is when this node read its own newest claim.
+	termBegan time.Time
 	// sequence numbers the renewals, sentAt holds when those that were not read
 	// back yet were sent.
 	sequence int64
@@ -148,6 +149,22 @@
 	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && time.Now().Before(e.validUntil)
 }
 
+// QuietUntil is the time before which this node, leading, may not order the
+// engine: another machine may have ordered it just now. It may lie in the past.
+func (e *Elector) QuietUntil(engine string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.QuietUntil(engine, e.options.Quiet+arrivalSlack, e.options.EnginesFence)
+}
+
+// RecordOrder says in the log that this node is about to order an engine in the
+// epoch. Without an error the order may follow at once, if Valid still holds.
+func (e *Elector) RecordOrder(ctx context.Context, epoch int64, engine string) error {
+	record := e.record(lease.Order, epoch)
+	record.Engines = []string{engine}
+	return e.append(ctx, record)
+}
+
 // Leader returns the holder of the lease and its epoch, as last read.
 func (e *Elector) Leader() (string, int64) {
 	e.mu.Lock()
@@ -230,7 +247,13 @@
 }
 
 func (e *Elector) record(kind lease.RecordKind, epoch int64) lease.Record {
-	return lease.Record{Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Epoch: epoch}
+	record := lease.Record{Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Epoch: epoch}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if kind != lease.Claim && !e.termBegan.IsZero() {
+		record.Held = time.Since(e.termBegan)
+	}
+	return record
 }
 
 func (e *Elector) append(ctx context.Context, record lease.Record) error {
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -89,10 +89,14 @@
 	first := join(t, log, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
+	assert.NilError(t, first.elector.RecordOrder(t.Context(), first.lastTerm().Epoch, "ordered"))
+	recorded := time.Now()
 	first.cancel()
 	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, second.lastTerm().Epoch > first.lastTerm().Epoch)
-	assert.Assert(t, !second.lastTerm().QuietUntil.IsZero(), "the other machine may have ordered just now")
+	until := second.elector.QuietUntil("ordered")
+	assert.Assert(t, !until.Before(recorded.Add(testTTL)), "the other machine ordered it just now")
+	assert.Assert(t, second.elector.QuietUntil("another").IsZero(), "the other machine ordered only one engine")
 }
 
 // TestAbleNodesLead: a node that leaves a free lease to others for a while leads
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -31,11 +31,8 @@
 
 // lead runs the role until the lease is lost.
 func (e *Elector) lead(ctx context.Context, epoch int64) {
-	e.mu.Lock()
-	term := Term{Epoch: epoch, QuietUntil: e.state.QuietUntil(e.options.Quiet, e.options.EnginesFence)}
-	e.mu.Unlock()
-	e.options.Logger.Info().Int64("epoch", epoch).Dur("quiet_ms", max(0, time.Until(term.QuietUntil))).
-		Msg("leadership gained")
+	term := Term{Epoch: epoch}
+	e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership gained")
 	e.setLeading(true)
 	defer e.setLeading(false)
 	roleContext, cancel := context.WithCancel(ctx)
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -74,6 +74,7 @@
 func (e *Elector) epochChanged(record lease.Record) {
 	if record.Holder == e.options.Holder {
 		e.validUntil = e.claimSent.Add(e.options.TTL - e.options.TTL/marginShare)
+		e.termBegan = time.Now()
 	}
 	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
 }
@@ -83,7 +84,7 @@
 func (e *Elector) skipTo(first int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.Next = max(e.state.Next, first)
+	e.state.SkipTo(first)
 }
 
 func (e *Elector) lostContact(err error) {
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -13,6 +13,9 @@
 // callTimeout bounds one call to an engine.
 const callTimeout = 800 * time.Millisecond
 
+// announceTimeout bounds the writing of an announcement.
+const announceTimeout = 500 * time.Millisecond
+
 func sortTargets(targets []weightplan.Target) {
 	sort.Slice(targets, func(i, j int) bool { return targets[i].Model < targets[j].Model })
 }
@@ -74,7 +77,7 @@
 		}
 		count = report.Count
 	}
-	if !m.options.Valid() || ctx.Err() != nil {
+	if !m.options.Valid() || ctx.Err() != nil || !m.announce(ctx, engine) || !m.options.Valid() {
 		return Refused
 	}
 	callContext, cancel := context.WithTimeout(ctx, callTimeout)
@@ -96,6 +99,17 @@
 	return answer
 }
 
+// announce writes down that the engine is about to be ordered.
+func (m *Manager) announce(ctx context.Context, engine fleet.Engine) bool {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if err := m.options.Announce(ctx, engine.ID); err != nil {
+		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order not announced")
+		return false
+	}
+	return true
+}
+
 // awaitVersion asks the engine until it has the version.
 func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
 	retry.Sleep(ctx, firstCheck)
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -118,9 +118,12 @@
 	Loaded func()
 	Holder string
 	Fence  int64
-	// OrderFrom is when the first order may be given.
-	OrderFrom time.Time
-	Logger    zerolog.Logger
+	// QuietUntil is the time before which an engine may not be ordered.
+	QuietUntil func(engine string) time.Time
+	// Announce writes down that an engine is about to be ordered. It is ordered only
+	// without an error.
+	Announce func(ctx context.Context, engine string) error
+	Logger   zerolog.Logger
 }
 
 // Manager orders loads during one term of leading.
@@ -182,10 +185,8 @@
 	cycle := dutycycle.New(tickPeriod, planShare)
 	for retry.Sleep(ctx, cycle.Wait(time.Now())) {
 		began := time.Now()
-		if !began.Before(m.options.OrderFrom) {
-			for _, target := range m.options.Targets() {
-				m.plan(ctx, target)
-			}
+		for _, target := range m.options.Targets() {
+			m.plan(ctx, target)
 		}
 		cycle.Ended(began, time.Now())
 	}
@@ -270,7 +271,8 @@
 		views = append(views, weightplan.Engine{
 			ID: engine.ID, Versions: engine.Versions, Running: running,
 			Loading: m.loading[engine.ID] != nil,
-			Usable:  !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]),
+			Usable: !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]) &&
+				now.After(m.options.QuietUntil(engine.ID)),
 		})
 		m.mu.Unlock()
 	}
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -90,6 +91,12 @@
 	return true
 }
 
+func (f *fakeEngines) versionOf(engine string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions[engine]
+}
+
 func (f *fakeEngines) orderCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -124,6 +131,8 @@
 		Running: func(string) int { return 0 },
 		Demands: func() map[string]batchrun.Demand { return nil },
 		Loaded:  func() {}, Holder: "h", Fence: 7, Logger: zerolog.Nop(),
+		QuietUntil: func(string) time.Time { return time.Time{} },
+		Announce:   func(context.Context, string) error { return nil },
 	}
 	if change != nil {
 		change(&options)
@@ -164,11 +173,44 @@
 	assert.Assert(t, w.engines.most > 4, "%d loads together", w.engines.most)
 }
 
-func TestNobodyOrdersBeforeTheQuietTimeIsOver(t *testing.T) {
-	from := time.Now().Add(400 * time.Millisecond)
-	w := manage(t, 1, func(options *Options) { options.OrderFrom = from })
-	testwait.Until(t, "an order", func() bool { return w.engines.orderCount() > 0 })
-	assert.Assert(t, !time.Now().Before(from))
+// TestNoEngineIsOrderedBeforeItsQuietTimeIsOver: another engine is ordered at once.
+func TestNoEngineIsOrderedBeforeItsQuietTimeIsOver(t *testing.T) {
+	var over atomic.Bool
+	w := manage(t, 2, func(options *Options) {
+		options.QuietUntil = func(engine string) time.Time {
+			if engine == "e0" && !over.Load() {
+				return time.Now().Add(time.Hour)
+			}
+			return time.Time{}
+		}
+	})
+	testwait.Until(t, "the other engine has version 2", func() bool { return w.engines.versionOf("e1") == 2 })
+	time.Sleep(4 * tickPeriod) // in which a holder would have ordered
+	assert.Equal(t, w.engines.orderCount(), 1)
+	over.Store(true)
+	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+}
+
+// TestNoOrderWithoutItsAnnouncement: the log takes none, so no engine is ordered;
+// each order has its announcement before it.
+func TestNoOrderWithoutItsAnnouncement(t *testing.T) {
+	var away atomic.Bool
+	var announced atomic.Int64
+	away.Store(true)
+	w := manage(t, 3, func(options *Options) {
+		options.Announce = func(context.Context, string) error {
+			if away.Load() {
+				return errors.New("the log is away")
+			}
+			announced.Add(1)
+			return nil
+		}
+	})
+	time.Sleep(4 * tickPeriod)
+	assert.Equal(t, w.engines.orderCount(), 0)
+	away.Store(false)
+	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	assert.Assert(t, int(announced.Load()) >= w.engines.orderCount())
 }
 
 func TestOnlyTheHolderOfTheLeaseOrders(t *testing.T) {
