Hold a trainer's read until it may have all it waits for

Ruled out: recording (30 ms), the index's readers. Change: a read that may wait is answered when as many groups are whole as are wanted, when one that may have come again becomes whole after that, when nothing is missing, or when its time is over, not at the first result (core/batch.groups).

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -198,14 +198,16 @@
 }
 
 // Results returns the results at position from and after it: at least one if
-// there is one, which it waits for up to the given time.
+// there is one. It waits up to the given time for the moment at which the submitter
+// may have all that it waits for, since a reader that is told of a part comes back
+// only a while later.
 func (s *Service) Results(ctx context.Context, jobID string, from int, wait time.Duration) (Results, error) {
 	target := s.partitionOf(jobID)
 	job, err := target.lookUp(ctx, jobID)
 	if err != nil {
 		return Results{}, err
 	}
-	if from >= len(job.Results) && wait > 0 {
+	if wait > 0 && !worthTelling(&job, from) {
 		target.awaitResults(ctx, jobID, from, wait)
 		if job, err = target.lookUp(ctx, jobID); err != nil {
 			return Results{}, err
@@ -232,6 +234,20 @@
 	return answer, nil
 }
 
+// worthTelling tells whether a reader of the positions from on should be answered
+// at once. Where the submitter did not say how many groups it wants, each result is
+// worth it.
+func worthTelling(job *batch.Job, from int) bool {
+	switch {
+	case job.Ended || len(job.Results) == len(job.Items):
+		return true
+	case job.Wanted <= 0:
+		return len(job.Results) > from
+	default:
+		return job.Milestone() > from
+	}
+}
+
 // selectResults returns the first results, at least one, within the size of an answer.
 func selectResults(results []batch.Result) []batch.Result {
 	size := 0
--- a/internal/batchjobs/lookup.go
+++ b/internal/batchjobs/lookup.go
@@ -61,8 +61,8 @@
 	return *job, true
 }
 
-// awaitResults waits until the job has a result at the position, was ended, or
-// the time is over.
+// awaitResults waits until a reader of the positions from the given one on should
+// be answered, or the time is over.
 func (p *partition) awaitResults(ctx context.Context, jobID string, position int, wait time.Duration) {
 	p.wait(1)
 	defer p.wait(-1)
@@ -71,7 +71,7 @@
 	for {
 		p.mu.Lock()
 		job, changed := p.state.Job(jobID), p.changed
-		done := job == nil || job.Ended || len(job.Results) > position
+		done := job == nil || worthTelling(job, position)
 		p.mu.Unlock()
 		if done {
 			return
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -27,6 +27,7 @@
 	SeenAt time.Time
 	listed []bool
 	byID   map[string]int
+	groups groups
 	// progress holds what is kept of the output of items without a result.
 	progress map[int]Progress
 }
@@ -63,6 +64,10 @@
 // Open tells whether items of the job are still to be run.
 func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
 
+// Milestone is the number of results at the newest moment at which the submitter
+// may have had all that it waits for; zero when there was none.
+func (j *Job) Milestone() int { return j.groups.milestone }
+
 // PayloadOffset returns the offset of the item's payload.
 func (j *Job) PayloadOffset(item int) int64 {
 	for _, span := range j.Payloads {
@@ -170,6 +175,7 @@
 		SeenAt:    at,
 		listed:    make([]bool, len(record.Items)),
 		byID:      make(map[string]int, len(record.Items)),
+		groups:    newGroups(record),
 	}
 	for i, item := range record.Items {
 		job.byID[item.ID] = i
@@ -204,6 +210,7 @@
 		Item: record.Item, Outcome: record.Outcome, Versions: record.Versions,
 		Text: record.Text, TextBytes: record.TextBytes, Score: record.Score,
 	})
+	job.groups.listed(job.Items[record.Item].Group, len(job.Results))
 	if p.observer != nil {
 		p.observer.ItemListed(job, record.Item)
 	}
--- a/test/hosted/batch_test.go
+++ b/test/hosted/batch_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -68,6 +69,35 @@
 	}
 }
 
+// TestHeldReaderIsToldWhenNothingIsMissing: the first of two groups is whole long
+// before the second; a reader that waits hears of both at once, one that does not
+// hears of the first.
+func TestHeldReaderIsToldWhenNothingIsMissing(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addEngine(standin.EngineOptions{
+		ID: "e1", Service: "llm", Versions: map[string]int64{model: 1}, EventTime: 10 * time.Millisecond,
+		Events: func(id string) int {
+			if id == "long" {
+				return 80
+			}
+			return 2
+		},
+	})
+	d.configure(batchRoute("/batch/"))
+	node := d.start("n1")
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", job(1, "short", "long")).status, http.StatusAccepted)
+	held := make(chan answer, 1)
+	go func() {
+		held <- node.call(http.MethodGet, "/lots/job1?afterRev=0", "", "", "X-Corkpulley-Wait-Ms", "5000")
+	}()
+	first := d.awaitResults(node, "job1", 1)
+	assert.Equal(t, len(first.Results), 1)
+	var told results
+	assert.NilError(t, json.Unmarshal([]byte((<-held).body), &told))
+	assert.Equal(t, len(told.Results), 2)
+}
+
 func TestUnreadableJobIsRefusedWithWhatIsWrong(t *testing.T) {
 	t.Parallel()
 	d := deploy(t)
