--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -221,6 +222,9 @@
 		outcome.Failed = true
 	}
 	r.options.Fleet.Ended(own.engine, outcome)
+	if refusal == NotExecuted && own.reason == notStopped {
+		r.heldBack[own.engine] = outcome.At.Add(refusedPause)
+	}
 	if r.runs[key] == own {
 		delete(r.runs, key)
 		r.plan.Ended(key)
@@ -280,10 +284,12 @@
 	if best == 0 {
 		return
 	}
-	r.plan.ForgetEngines(func(engine string) bool {
+	gone := func(engine string) bool {
 		_, known := r.options.Fleet.Get(engine)
 		return !known
-	})
+	}
+	r.plan.ForgetEngines(gone)
+	maps.DeleteFunc(r.heldBack, func(engine string, _ time.Time) bool { return gone(engine) })
 	room := r.roomAtFast(best)
 	now := time.Now()
 	for key, each := range r.runs {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -20,6 +20,9 @@
 const (
 	// tickPeriod is the longest time between two looks at the plan.
 	tickPeriod = 50 * time.Millisecond
+	// refusedPause holds an engine back after it did not run an item: it is full or
+	// changes its weights, and would refuse the next one as well.
+	refusedPause = 250 * time.Millisecond
 	// retryDelay holds an item back after an engine did not run it.
 	retryDelay = 60 * time.Millisecond
 	// assignShare and moveShare are the most of its time that the runner spends on
@@ -59,6 +62,8 @@
 	runs map[batchplan.Key]*run
 	// scoring holds the items whose output is whole and whose score is not there.
 	scoring *scoringQueue
+	// heldBack holds until when engines that refused an item get none.
+	heldBack map[string]time.Time
 	// tickedAt is when the runner last looked round.
 	tickedAt time.Time
 	// chains counts the chains of this term.
@@ -100,6 +105,7 @@
 		runs:    make(map[batchplan.Key]*run),
 		scoring: newScoringQueue(),
 
+		heldBack:    make(map[string]time.Time),
 		carriedOver: make(map[string]carried),
 	}
 	r.recorder = newRecorder(options.Jobs, options.Logger)
@@ -237,7 +243,8 @@
 			views = append(views, batchplan.Engine{
 				ID: engine.ID, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
 				Tokens: route.EngineTokens, Loading: r.options.Loading(engine.ID),
-				Usable: !engine.Draining && !r.options.Fleet.Suspected(engine.ID, now),
+				Usable: !engine.Draining && !r.options.Fleet.Suspected(engine.ID, now) &&
+					!now.Before(r.heldBack[engine.ID]),
 			})
 		}
 	}
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -73,6 +73,36 @@
 	assert.Equal(t, string(result.Text), wholeText("x", 10))
 }
 
+// TestEngineThatRefusedGetsNoMoreItemsForAWhile: a leader that is new does not know
+// which engines change their weights; one refusal tells it.
+func TestEngineThatRefusedGetsNoMoreItemsForAWhile(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	var items []string
+	for i := range 40 {
+		items = append(items, fmt.Sprint("x", i))
+		w.engines.events[items[i]] = 2
+	}
+	w.engines.pause["a"], w.engines.pause["b"] = 5*time.Millisecond, 5*time.Millisecond
+	w.engines.refuse = func(engine string, _ Call) *RefusedError {
+		if engine == "a" {
+			return &RefusedError{Refusal: NotExecuted}
+		}
+		return nil
+	}
+	w.lead()
+	w.submit("j", 1, items...)
+	w.awaitResults(len(items))
+	asked := 0
+	w.engines.mu.Lock()
+	for _, engine := range w.engines.at {
+		if engine == "a" {
+			asked++
+		}
+	}
+	w.engines.mu.Unlock()
+	assert.Assert(t, asked <= 8, "%d items were sent to the engine that refuses, more than its places at once", asked)
+}
+
 func TestFailuresAndImpossibleItemsExpire(t *testing.T) {
 	w := newWorld(t, "a", "b")
 	w.engines.refuse = func(_ string, call Call) *RefusedError {
