Leave an item waiting where a fast place ends it sooner

Change: the plan compares what an item loses at a slower engine with the expected wait for the next place at a fast one (core/batchplan, waiting.go); the events of an item are expected from its length by what earlier items came to have.

--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -24,7 +24,11 @@
 	// byID holds the places of the engines in the slice.
 	byID    map[string]int
 	typical time.Duration
-	classes map[class]*candidates
+	// bestPace is the pace of the fast engines, turnover the time that a running item is
+	// expected to take there; both are zero when unknown.
+	bestPace time.Duration
+	turnover time.Duration
+	classes  map[class]*candidates
 }
 
 // class is what decides which engines may run an item at all.
@@ -42,6 +46,10 @@
 	// memory that one of them had left.
 	blocked    bool
 	freeTokens int
+	// fastRunning counts the items at fast engines of the class when the pass began,
+	// left those that were left to wait for one of them.
+	fastRunning int
+	left        int
 }
 
 type candidate struct {
@@ -76,6 +84,7 @@
 func newPass(plan *Plan, engines []Engine) *pass {
 	p := &pass{
 		plan: plan, engines: engines, typical: plan.TypicalPace(),
+		bestPace: plan.BestPace(), turnover: plan.turnover(),
 		byID: make(map[string]int, len(engines)), classes: make(map[class]*candidates),
 	}
 	for i := range engines {
@@ -93,6 +102,9 @@
 	}
 	known = &candidates{}
 	for i := range p.engines {
+		if p.isFast(&p.engines[i]) && p.eligible(&p.engines[i], key) {
+			known.fastRunning += p.plan.count[p.engines[i].ID]
+		}
 		if p.serves(&p.engines[i], key) {
 			known.entries = append(known.entries, candidate{i, p.score(&p.engines[i])})
 		}
@@ -102,12 +114,17 @@
 	return known
 }
 
-// serves tells whether an engine may run items of a class while it has room.
+// serves tells whether an engine may run items of a class now.
 func (p *pass) serves(engine *Engine, key class) bool {
+	return p.eligible(engine, key) && p.hasSlot(engine)
+}
+
+// eligible tells whether an engine may run items of a class while it has room.
+func (p *pass) eligible(engine *Engine, key class) bool {
 	if !engine.Usable || engine.Service != key.service || engine.Loading != "" && engine.Loading == key.model {
 		return false
 	}
-	return engine.Versions[key.model] >= key.minVersion && p.hasSlot(engine)
+	return engine.Versions[key.model] >= key.minVersion
 }
 
 func (p *pass) hasSlot(engine *Engine) bool { return p.plan.count[engine.ID] < engine.Slots }
@@ -138,6 +155,10 @@
 		}
 		return "", false
 	}
+	if p.worthWaiting(item, &p.engines[best.engine], of) {
+		of.left++
+		return "", false
+	}
 	return p.engines[best.engine].ID, true
 }
 
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -82,6 +82,31 @@
 	paces map[string]time.Duration
 	// homes is the engine of each group's latest item.
 	homes map[string]string
+	// lengths and events sum up the lengths that were expected of whole items and the
+	// events that they came to have.
+	lengths float64
+	events  float64
+}
+
+// lengthMemory is what a new observation leaves of the older ones.
+const lengthMemory = 0.995
+
+// ObserveLength notes how many events an item of an expected length came to have.
+func (p *Plan) ObserveLength(length int, events int64) {
+	if length <= 0 || events <= 0 {
+		return
+	}
+	p.lengths = lengthMemory*p.lengths + float64(length)
+	p.events = lengthMemory*p.events + float64(events)
+}
+
+// expectedEvents is the number of events that an item of the length is expected to
+// have; zero when nothing is known.
+func (p *Plan) expectedEvents(length int) float64 {
+	if p.lengths == 0 {
+		return 0
+	}
+	return float64(length) * p.events / p.lengths
 }
 
 // New returns an empty plan.
@@ -131,6 +156,7 @@
 type placed struct {
 	engine string
 	tokens int
+	length int
 }
 
 // ForgetJob drops what is kept of a job without items.
@@ -200,7 +226,7 @@
 		assigned = append(assigned, Assignment{
 			Item: item, Engine: engine, Running: p.count[engine], Pace: p.paces[engine],
 		})
-		p.running[item.Key] = placed{engine, item.Tokens}
+		p.running[item.Key] = placed{engine, item.Tokens, item.Length}
 		p.count[engine]++
 		p.tokens[engine] += item.Tokens
 		p.homes[item.Group] = engine
