Trace the test that failed once: a crash before the request began to run

Cause: the stand-in sends the head of an answer when it takes a request, and its step loop begins the request a moment later. A crash in between leaves no history, as it should: the request never ran. Change: the test waits for the first tokens before it crashes the engine; what it asserts is unchanged.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -263,6 +263,10 @@
 func TestCrashBreaksStreams(t *testing.T) {
 	h := start(t, standin.Config{})
 	stream := h.generate(t, ask("r", 9_999))
+	// The answer's head comes before the request begins to run, and one that never
+	// ran has no history.
+	_, err := stream.Receive()
+	assert.NilError(t, err)
 	h.Control(standin.Control{Crash: true})
 	for {
 		_, err := stream.Receive()
@@ -271,7 +275,7 @@
 			break
 		}
 	}
-	_, err := h.Client.Status(t.Context(), h.address)
+	_, err = h.Client.Status(t.Context(), h.address)
 	assert.Assert(t, err != nil)
 	h.waitOutcome(t, standin.OutcomeBroken)
 }
