--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -128,9 +128,19 @@
 		return err
 	}
 	submission.Job.Payloads = spans
+	submission.Job.CountReturned(s.earlier(&submission.Job))
 	return s.appendIndex(ctx, target, batch.Record{Job: &submission.Job})
 }
 
+// earlier returns the jobs of steps before the job that this node knows.
+func (s *Service) earlier(than *batch.JobRecord) []batch.EarlierJob {
+	var earlier []batch.EarlierJob
+	for _, each := range s.partitions {
+		earlier = append(earlier, each.earlier(than)...)
+	}
+	return earlier
+}
+
 // writePayloads writes the payloads in as many calls as the log's limit wants.
 // They mean nothing until the job's record names them.
 func (s *Service) writePayloads(ctx context.Context, target *partition, payloads []batch.Payload) ([]batch.Span, error) {
--- a/internal/batchjobs/lookup.go
+++ b/internal/batchjobs/lookup.go
@@ -85,3 +85,9 @@
 		}
 	}
 }
+
+func (p *partition) earlier(than *batch.JobRecord) []batch.EarlierJob {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Earlier(than)
+}
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -99,6 +99,24 @@
 // Job returns a job by ID; nil when there is none.
 func (p *Partition) Job(id string) *Job { return p.jobs[id] }
 
+// Earlier returns the known jobs of the same model and host that are of one of the
+// steps before the job.
+func (p *Partition) Earlier(than *JobRecord) []EarlierJob {
+	var earlier []EarlierJob
+	for _, job := range p.jobs {
+		same := job.Model == than.Model && job.Host == than.Host
+		if !same || job.Step >= than.Step || job.Step < than.Step-stepsCompared {
+			continue
+		}
+		names := make(map[string]bool, len(job.groups.left))
+		for name := range job.groups.left {
+			names[name] = true
+		}
+		earlier = append(earlier, EarlierJob{Step: job.Step, Groups: names})
+	}
+	return earlier
+}
+
 // Observe tells the observer of all open jobs, and from then on of changes. A
 // nil observer ends that.
 func (p *Partition) Observe(observer Observer) {
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -42,6 +42,10 @@
 	Items      []ItemRecord `msgpack:"t"`
 	// Payloads hold one record for each item, in order.
 	Payloads []Span `msgpack:"d"`
+	// ReturnedKnown is true when the node that took the job knew the jobs before it;
+	// then Returned is the number of leading groups that stood in one of them.
+	ReturnedKnown bool `msgpack:"rk,omitempty"`
+	Returned      int  `msgpack:"rn,omitempty"`
 }
 
 // ItemRecord is one item of a job.
