--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -40,6 +40,10 @@
 	engines []*standin.Engine
 	nodes   []*process
 	config  int64
+	// orderQuiet is the least time between orders to one engine from two nodes.
+	orderQuiet time.Duration
+	// enginesFence is told to the nodes.
+	enginesFence bool
 }
 
 // process is one node.
@@ -72,7 +76,10 @@
 	t.Helper()
 	limits := standin.DefaultLimits()
 	limits.AppendTime = 0
-	d := &deployment{t: t, store: standin.NewStore(limits)}
+	d := &deployment{
+		t: t, store: standin.NewStore(limits),
+		orderQuiet: 200 * time.Millisecond, enginesFence: settings.Default().Hosted.EnginesFence,
+	}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	d.address = strings.TrimPrefix(server.URL, "http://")
@@ -145,7 +152,8 @@
 	config.Listen = settings.Listen{Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
 	config.Hosted.Log = d.address
 	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
-	config.Hosted.OrderQuiet = settings.Duration(200 * time.Millisecond)
+	config.Hosted.OrderQuiet = settings.Duration(d.orderQuiet)
+	config.Hosted.EnginesFence = d.enginesFence
 	config.Shutdown.Grace = settings.Duration(3 * time.Second)
 	assert.Equal(d.t, len(settings.Check(config)), 0, "%v", settings.Check(config))
 	ctx, cancel := context.WithCancel(context.Background())
