--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -25,6 +26,8 @@
 	// texts holds kept texts by the offset of their span.
 	texts map[int64][]byte
 	down  bool
+	// scored: each item has a scoring call.
+	scored bool
 	// readers, where it is set, is waited for before a kept text is read: so many
 	// readers at a time.
 	readers *sync.WaitGroup
@@ -50,6 +53,9 @@
 	payloads := make([]batch.Payload, len(job.Items))
 	for i, item := range job.Items {
 		payloads[i] = batch.Payload{Path: "/" + item.ID}
+		if f.scored {
+			payloads[i].Scoring = &batch.ScoringCall{ID: "score of " + item.ID, Host: "h", Path: "/score"}
+		}
 	}
 	return payloads, nil
 }
@@ -185,19 +191,67 @@
 
 func (s *fakeStream) Close() {}
 
+// fakeScorer scores with the name of the call, once it is let to.
+type fakeScorer struct {
+	mu     sync.Mutex
+	places admission.Places
+	// fate decides for each call; nil for a score.
+	fate func(call batch.ScoringCall) Scoring
+	// hold, where it is set, is waited for before a call ends.
+	hold     chan struct{}
+	underWay int
+	most     int
+	calls    []string
+}
+
+func (f *fakeScorer) Score(ctx context.Context, call batch.ScoringCall) Scoring {
+	f.mu.Lock()
+	f.underWay++
+	f.most = max(f.most, f.underWay)
+	f.calls = append(f.calls, call.ID)
+	hold, fate := f.hold, f.fate
+	f.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.underWay--
+	if fate != nil {
+		return fate(call)
+	}
+	return Scoring{Score: "stamp of " + call.ID}
+}
+
+func (f *fakeScorer) Places(batch.ScoringCall) (string, admission.Places) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return "scoring", admission.Places{Slots: f.places.Slots, Busy: f.places.Busy + f.underWay}
+}
+
+func (f *fakeScorer) made() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.calls...)
+}
+
 // world is a runner with what it works with.
 type world struct {
 	t       *testing.T
 	jobs    *fakeJobs
 	engines *fakeEngines
 	fleet   *fleet.Fleet
+	scorer  *fakeScorer
 	route   Route
 	terms   int
 }
 
 func newWorld(t *testing.T, engineIDs ...string) *world {
 	w := &world{
-		t: t, jobs: newFakeJobs(), fleet: fleet.New(),
+		t: t, jobs: newFakeJobs(), fleet: fleet.New(), scorer: &fakeScorer{places: admission.Places{Slots: 100}},
 		engines: &fakeEngines{events: map[string]int{}, pause: map[string]time.Duration{}, version: map[string]int64{}},
 		route:   Route{Service: "s", MaxAttempts: 2, Retention: time.Minute},
 	}
@@ -212,7 +266,7 @@
 func (w *world) lead() (*Runner, func()) {
 	w.terms++
 	r := New(Options{
-		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet,
+		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet, Scorer: w.scorer,
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
 		Loading: func(string) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
--- /dev/null
+++ b/internal/ingress/call_test.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+)
+
+// scriptedEngines answer as the engine's name says.
+type scriptedEngines map[string]Answer
+
+func (e scriptedEngines) Send(_ context.Context, engine fleet.Engine, _ Call) (*Answer, error) {
+	answer := e[engine.ID]
+	answer.Header = http.Header{}
+	answer.Body = io.NopCloser(strings.NewReader("body"))
+	return &answer, nil
+}
+
+func callRelay(engines scriptedEngines, path string) (Reply, *errkind.Error) {
+	known := fleet.New()
+	for id := range engines {
+		known.Put(fleet.Engine{ID: id, Service: "s", Slots: 1})
+	}
+	table := routes.NewTable(1, routes.Limits{}, nil, []routes.Route{{
+		Name: "r", Host: "h", Prefix: "/x/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
+		Timeout: time.Second, MaxAttempts: 2,
+	}})
+	relay := New(Options{
+		Engines: engines, Fleet: known, Table: func() *routes.Table { return table },
+		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
+	})
+	return relay.Call(context.Background(), &Request{
+		ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: "h", Received: time.Now(),
+	})
+}
+
+func TestCallTellsTheStampOfAWholeAnswer(t *testing.T) {
+	reply, failure := callRelay(scriptedEngines{"a": {Status: http.StatusOK, Stamp: "stamp"}}, "/x/1")
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, reply, Reply{Status: http.StatusOK, Stamp: "stamp", MaxAttempts: 2})
+}
+
+func TestCallCountsTheEnginesThatFailedIt(t *testing.T) {
+	reply, failure := callRelay(scriptedEngines{
+		"a": {Status: http.StatusInternalServerError}, "b": {Status: http.StatusInternalServerError},
+	}, "/x/1")
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, reply.Status, http.StatusInternalServerError)
+	assert.Equal(t, reply.ServerErrors, 2)
+}
+
+func TestRefusalIsNoFailedAttemptOfACall(t *testing.T) {
+	reply, failure := callRelay(scriptedEngines{"a": {Status: http.StatusServiceUnavailable, NotExecuted: true}}, "/x/1")
+	assert.Equal(t, failure.Kind, errkind.NoCapacity)
+	assert.Equal(t, reply.ServerErrors, 0)
+}
+
+func TestCallWithoutARouteFails(t *testing.T) {
+	_, failure := callRelay(scriptedEngines{"a": {Status: http.StatusOK}}, "/y/1")
+	assert.Equal(t, failure.Kind, errkind.UnknownService)
+}
