Let a fault link wait for its address

A process that another test starts at that moment holds a copy of each socket from its fork to its exec. Ruled out: another allocation of the port (each is reserved by a UDP socket) and outgoing connections (their range begins above). Conclusion: traced and mended; a fault of the test's proxy, not of the product.

--- a/internal/bench/faultproxy/faultproxy.go
+++ b/internal/bench/faultproxy/faultproxy.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"syscall"
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -157,11 +158,28 @@
 	return l.start()
 }
 
+const (
+	// addressPatience bounds the wait for the link's address, addressPause is the time
+	// between two tries.
+	addressPatience = 2 * time.Second
+	addressPause    = time.Millisecond
+)
+
+// start listens again. A process that this one starts holds a copy of each open
+// socket from its fork to its exec, so the address of a listener that was closed
+// in between is in use for some milliseconds more.
 func (l *Link) start() error {
-	if err := l.proxy.Start(); err != nil {
-		return errors.Wrapf(err, "restore link %s", l.name)
+	deadline := time.Now().Add(addressPatience)
+	for {
+		err := l.proxy.Start()
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return errors.Wrapf(err, "restore link %s", l.name)
+		}
+		time.Sleep(addressPause)
 	}
-	return nil
 }
 
 type toxicDocument struct {
--- a/internal/bench/faultproxy/faultproxy_test.go
+++ b/internal/bench/faultproxy/faultproxy_test.go
@@ -100,3 +100,15 @@
 	assert.NilError(t, link.Reset())
 	assert.NilError(t, echo(dial(t, link), patience))
 }
+
+// TestRestoreWaitsForItsAddress: another socket holds the link's address for a
+// moment, as a process that is just being started does.
+func TestRestoreWaitsForItsAddress(t *testing.T) {
+	link := echoLink(t)
+	link.Cut()
+	holder, err := net.Listen("tcp", link.Address())
+	assert.NilError(t, err)
+	time.AfterFunc(stalled, func() { _ = holder.Close() })
+	assert.NilError(t, link.Restore())
+	assert.NilError(t, echo(dial(t, link), patience))
+}
