--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -3,15 +3,15 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 )
 
 const (
 	// slowFactor is how much slower than the best engine one must be for its items
-	// to be moved, slowishFactor for its long items, and fastFactor how much slower
-	// the new one may be.
+	// to be moved, slowishFactor for its long items.
 	slowFactor    = 1.8
 	slowishFactor = 1.2
-	fastFactor    = 1.1
 	// minMovedAge spares items that have only just begun, minLongAge is the age
 	// from which an item counts as a long one.
 	minMovedAge = 250 * time.Millisecond
@@ -77,7 +77,7 @@
 	room := make(map[string]int)
 	for _, engine := range r.engineViews(time.Now()) {
 		pace := r.plan.Pace(engine.ID)
-		if !engine.Usable || pace == 0 || float64(pace) > fastFactor*float64(best) {
+		if !engine.Usable || pace == 0 || !batchplan.IsFast(pace, best) {
 			continue
 		}
 		for model, version := range engine.Versions {
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -122,7 +122,6 @@
 		return
 	}
 	record, state := job.record.Items[index], &job.items[index]
-	state.Queue()
 	versions := state.Output.Versions()
 	if route.SingleVersion && len(versions) > 1 {
 		state.Output = batchitem.Output{}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -102,7 +102,6 @@
 	started := &run{engine: engine.ID, started: time.Now(), cancel: cancel}
 	r.runs[key] = started
 	state := &job.items[key.Item]
-	state.Start()
 	record := job.record.Items[key.Item]
 	call := Call{
 		ItemID: record.ID, Host: job.record.Host, Payload: job.payloads[key.Item],
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -25,9 +25,10 @@
 	refusedPause = 250 * time.Millisecond
 	// retryDelay holds an item back after an engine did not run it.
 	retryDelay = 60 * time.Millisecond
-	// assignShare and moveShare are the most of its time that the runner spends on
-	// looking for engines and for items to move.
+	// assignShare, scoreShare and moveShare are the most of its time that the runner
+	// spends on looking for engines, for scoring calls to make and for items to move.
 	assignShare = 0.25
+	scoreShare  = 0.1
 	moveShare   = 0.05
 	// loadDelay is the wait between two tries to read a job's payloads.
 	loadDelay = 100 * time.Millisecond
@@ -130,6 +131,7 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	assigning := dutycycle.New(0, assignShare)
+	scoring := dutycycle.New(0, scoreShare)
 	moving := dutycycle.New(tickPeriod, moveShare)
 	for ctx.Err() == nil {
 		select {
@@ -140,7 +142,7 @@
 			r.giveUpOld()
 			rounds(moving, r.moveStragglers)
 		}
-		r.startScoring(time.Now())
+		rounds(scoring, r.startScoring)
 		rounds(assigning, r.assign)
 		retry.Sleep(ctx, assigning.Wait(time.Now()))
 	}
--- a/internal/batchrun/scoring.go
+++ b/internal/batchrun/scoring.go
@@ -113,14 +113,14 @@
 }
 
 // startScoring begins as many scoring calls as the service has room for.
-func (r *Runner) startScoring(now time.Time) {
+func (r *Runner) startScoring() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.scoring.items) == 0 || r.ctx.Err() != nil {
 		return
 	}
 	full := make(map[string]bool)
-	for _, item := range r.scoring.due(now) {
+	for _, item := range r.scoring.due(time.Now()) {
 		service, places := r.options.Scorer.Places(item.call)
 		if full[service] {
 			continue
@@ -168,7 +168,7 @@
 	case scoring.Score != "":
 		delete(r.scoring.items, item.key)
 		r.complete(job, item.key.Item, scoring.Score, "scored")
-	case job.items[item.key.Item].ScoreFailed(scoring.Failures, scoring.MaxAttempts) && scoring.Failures > 0:
+	case scoring.Failures > 0 && job.items[item.key.Item].ScoreFailed(scoring.Failures, scoring.MaxAttempts):
 		delete(r.scoring.items, item.key)
 		r.expire(job, item.key.Item, "scoring attempts used up")
 	default:
--- a/internal/bench/faultproxy/faultproxy_test.go
+++ b/internal/bench/faultproxy/faultproxy_test.go
@@ -112,3 +112,14 @@
 	assert.NilError(t, link.Restore())
 	assert.NilError(t, echo(dial(t, link), patience))
 }
+
+// TestNewLinkWaitsForItsAddress: the same at its first start.
+func TestNewLinkWaitsForItsAddress(t *testing.T) {
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	time.AfterFunc(stalled, func() { _ = holder.Close() })
+	network := NewNetwork()
+	t.Cleanup(network.Close)
+	_, err = network.AddLink("late", holder.Addr().String(), "127.0.0.1:1")
+	assert.NilError(t, err)
+}
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -31,8 +31,8 @@
 // NewWindow returns a window that has learned nothing.
 func NewWindow() *Window { return &Window{limit: firstLimit} }
 
-// Admits tells whether one more call may begin. A service of which nothing is
-// known gets one call at a time, so that it is tried.
+// Admits tells whether one more call may begin. One at a time always may, so that a
+// service is tried of which nothing is known, and none is left out for good.
 func (w *Window) Admits(places Places) bool {
 	if w.underWay == 0 {
 		return true
--- a/internal/core/batch/groups.go
+++ b/internal/core/batch/groups.go
@@ -52,9 +52,9 @@
 	}
 }
 
-// LeadingGroups returns the names of the job's groups in the order in which they
+// leadingGroups returns the names of the job's groups in the order in which they
 // first appear, at most so many.
-func (j *JobRecord) LeadingGroups(most int) []string {
+func (j *JobRecord) leadingGroups(most int) []string {
 	var names []string
 	seen := make(map[string]bool)
 	for _, item := range j.Items {
@@ -97,7 +97,7 @@
 		}
 	}
 	j.ReturnedKnown = true
-	for _, name := range j.LeadingGroups(j.Wanted / returnedShare) {
+	for _, name := range j.leadingGroups(j.Wanted / returnedShare) {
 		if !anyHas(earlier, name) {
 			return
 		}
--- a/internal/core/batchitem/item.go
+++ b/internal/core/batchitem/item.go
@@ -1,20 +1,18 @@
 // Package batchitem is the life of one item of a batch job at the node that runs
-// it: waiting for an engine, running, scoring, ended. It has no input, output or
-// clock.
+// it: open, scoring, ended. Whether an open item waits for an engine or runs is the
+// plan's to know. It has no input, output or clock.
 //
-// Invariants: an item whose output is whole never runs again; its scoring call is
-// made only then; an item that has ended changes no more.
+// Invariants: stages only go forward, so an item is scored only once its output is
+// whole, and one that has ended changes no more.
 package batchitem
 
 // Stage is how far an item has come.
 type Stage uint8
 
-// The stages, in their order. A run that ends early leads back to Waiting.
+// The stages, in their order; none is left backwards.
 const (
-	// Waiting: no engine runs it.
-	Waiting Stage = iota
-	// Running: an engine makes its output.
-	Running
+	// Open: an engine makes its output, or is to make it.
+	Open Stage = iota
 	// Scoring: its output is whole, its score is still to come.
 	Scoring
 	// Ended: it has a result, or nobody wants one any more.
@@ -45,16 +43,13 @@
 // or listed by another node, whose text is not known here.
 func (i *Item) Completed() bool { return i.completed }
 
-// Queue notes that the item waits for an engine.
-func (i *Item) Queue() { i.advance(Waiting) }
-
-// Start notes that an engine runs the item.
-func (i *Item) Start() { i.advance(Running) }
-
 // Whole notes that the output is whole; the score is still to come.
 func (i *Item) Whole() {
+	if i.stage != Open {
+		return
+	}
 	i.Output.whole = true
-	i.advance(Scoring)
+	i.stage = Scoring
 }
 
 // Complete ends the item with its whole output and returns its text.
@@ -69,12 +64,6 @@
 // Listed ends the item since a result of it stands in the log.
 func (i *Item) Listed() { i.completed, i.stage = true, Ended }
 
-func (i *Item) advance(stage Stage) {
-	if i.stage != Ended {
-		i.stage = stage
-	}
-}
-
 // RunFailed counts a run that the engine itself failed and tells whether the item
 // is to be given up.
 func (i *Item) RunFailed(maxAttempts int) bool {
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -82,9 +82,9 @@
 }
 
 func newPass(plan *Plan, engines []Engine) *pass {
+	typical, best := plan.typicalAndBestPace()
 	p := &pass{
-		plan: plan, engines: engines, typical: plan.TypicalPace(),
-		bestPace: plan.BestPace(), turnover: plan.turnover(),
+		plan: plan, engines: engines, typical: typical, bestPace: best, turnover: plan.turnover(best),
 		byID: make(map[string]int, len(engines)), classes: make(map[class]*candidates),
 	}
 	for i := range engines {
@@ -102,11 +102,15 @@
 	}
 	known = &candidates{}
 	for i := range p.engines {
-		if p.isFast(&p.engines[i]) && p.eligible(&p.engines[i], key) {
-			known.fastRunning += p.plan.count[p.engines[i].ID]
+		engine := &p.engines[i]
+		if !p.eligible(engine, key) {
+			continue
+		}
+		if p.turnover > 0 && p.isFast(engine) {
+			known.fastRunning += p.plan.count[engine.ID]
 		}
-		if p.serves(&p.engines[i], key) {
-			known.entries = append(known.entries, candidate{i, p.score(&p.engines[i])})
+		if p.hasSlot(engine) {
+			known.entries = append(known.entries, candidate{i, p.score(engine)})
 		}
 	}
 	heap.Init(known)
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -86,6 +86,8 @@
 	// events that they came to have.
 	lengths float64
 	events  float64
+	// runningLength is the sum of the lengths expected of the running items.
+	runningLength int
 }
 
 // lengthMemory is what a new observation leaves of the older ones.
@@ -144,6 +146,7 @@
 		return
 	}
 	delete(p.running, key)
+	p.runningLength -= place.length
 	p.count[place.engine]--
 	p.tokens[place.engine] -= place.tokens
 	if p.count[place.engine] == 0 {
@@ -190,19 +193,21 @@
 // Pace returns the engine's time between events; zero when unknown.
 func (p *Plan) Pace(engine string) time.Duration { return p.paces[engine] }
 
-// TypicalPace is the median over all engines; zero when unknown.
-func (p *Plan) TypicalPace() time.Duration { return p.paceAt(0.5) }
-
 // BestPace is the lower quartile over all engines, which one engine that was
 // measured wrongly does not move; zero when unknown.
-func (p *Plan) BestPace() time.Duration { return p.paceAt(0.25) }
+func (p *Plan) BestPace() time.Duration {
+	_, best := p.typicalAndBestPace()
+	return best
+}
 
-func (p *Plan) paceAt(quantile float64) time.Duration {
+// typicalAndBestPace returns the median over all engines and the lower quartile;
+// zero when unknown.
+func (p *Plan) typicalAndBestPace() (typical, best time.Duration) {
 	if len(p.paces) == 0 {
-		return 0
+		return 0, 0
 	}
 	paces := slices.Sorted(maps.Values(p.paces))
-	return paces[int(quantile*float64(len(paces)))]
+	return paces[len(paces)/2], paces[len(paces)/4]
 }
 
 // ForgetEngines drops what is known of engines that are gone.
@@ -226,14 +231,20 @@
 		assigned = append(assigned, Assignment{
 			Item: item, Engine: engine, Running: p.count[engine], Pace: p.paces[engine],
 		})
-		p.running[item.Key] = placed{engine, item.Tokens, item.Length}
-		p.count[engine]++
-		p.tokens[engine] += item.Tokens
-		p.homes[item.Group] = engine
+		p.place(item, engine)
 	}
 	return assigned
 }
 
+// place notes that an item runs at an engine.
+func (p *Plan) place(item Item, engine string) {
+	p.running[item.Key] = placed{engine, item.Tokens, item.Length}
+	p.runningLength += item.Length
+	p.count[engine]++
+	p.tokens[engine] += item.Tokens
+	p.homes[item.Group] = engine
+}
+
 // queue returns the items that may start, in the order in which they should.
 func (p *Plan) queue(now time.Time) []Item {
 	queue := make([]Item, 0, len(p.waiting))
--- a/internal/core/batchplan/waiting.go
+++ b/internal/core/batchplan/waiting.go
@@ -6,23 +6,23 @@
 // fast.
 const fastFactor = 1.1
 
-// turnover is the time that the running items are expected to take at the best
-// pace, on average; zero when unknown.
-func (p *Plan) turnover() time.Duration {
+// IsFast tells whether a pace is about as fast as the best one. An unknown pace,
+// which is zero, counts as fast.
+func IsFast(pace, best time.Duration) bool {
+	return float64(pace) <= fastFactor*float64(best)
+}
+
+// turnover is the time that the running items are expected to take at the pace, on
+// average; zero when unknown.
+func (p *Plan) turnover(pace time.Duration) time.Duration {
 	if len(p.running) == 0 {
 		return 0
 	}
-	events := 0.0
-	for _, each := range p.running {
-		events += p.expectedEvents(each.length)
-	}
-	return time.Duration(events / float64(len(p.running)) * float64(p.BestPace()))
+	return time.Duration(p.expectedEvents(p.runningLength) / float64(len(p.running)) * float64(pace))
 }
 
-// isFast tells whether the engine is about as fast as the best; one of unknown
-// pace counts as fast.
 func (p *pass) isFast(engine *Engine) bool {
-	return float64(p.plan.paces[engine.ID]) <= fastFactor*float64(p.bestPace)
+	return IsFast(p.plan.paces[engine.ID], p.bestPace)
 }
 
 // worthWaiting tells whether an item is expected to end sooner if it waits for the
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -40,9 +40,6 @@
 	Engines []string `msgpack:"g,omitempty"`
 }
 
-// MinRenewalGap is the least time between two renewals that a holder sends.
-const MinRenewalGap = 100 * time.Millisecond
-
 // State is what a reader knows of the lease.
 type State struct {
 	// Epoch is the fencing token in force: the offset of its claim plus one.
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -23,6 +23,8 @@
 	topic = "corkpulley.lease"
 	// renewalsPerTTL is how often a lease is renewed in its time.
 	renewalsPerTTL = 5
+	// minRenewalGap is the least time between two renewals.
+	minRenewalGap = 100 * time.Millisecond
 	// marginShare is the share of its time by which a holder stops early.
 	marginShare = 6
 	// pollWait is short, since a claim wants an answer to a read that shows no renewal.
@@ -46,8 +48,9 @@
 	handoverCheck   = 10 * time.Millisecond
 	// checkPeriod is the time between two looks at a lease held by another.
 	checkPeriod = 50 * time.Millisecond
-	// arrivalSlack is how long after its record an order may reach its engine.
-	arrivalSlack = 500 * time.Millisecond
+	// arrivalSlack is how long after its record an order may reach its engine: calls of
+	// engines end after 0.8 s.
+	arrivalSlack = 800 * time.Millisecond
 	// claimJitter spreads the claims of nodes that find a lease free at once.
 	claimJitter = 60 * time.Millisecond
 )
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -61,7 +61,7 @@
 		if e.readWithin(e.options.TTL) {
 			e.renew(ctx, epoch, sent)
 		}
-		e.sleepWhileInForce(ctx, epoch, max(period-time.Since(sent), lease.MinRenewalGap))
+		e.sleepWhileInForce(ctx, epoch, max(period-time.Since(sent), minRenewalGap))
 	}
 }
 
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -77,7 +77,11 @@
 		}
 		count = report.Count
 	}
-	if !m.options.Valid() || ctx.Err() != nil || !m.announce(ctx, engine) || !m.options.Valid() {
+	if !m.options.Valid() || !m.announce(ctx, engine) {
+		return Refused
+	}
+	// Writing the announcement took its time.
+	if !m.options.Valid() || ctx.Err() != nil {
 		return Refused
 	}
 	callContext, cancel := context.WithTimeout(ctx, callTimeout)
