Let tests of hosted nodes take reserved ports

Cause: a node of TestScoringCallIsMadeAgainUntilItsAttemptsAreUsedUp could not listen, once, in a run beside other packages: 'address already in use'. The test took a port by listening on 0 and closed it until the node listened; a listener of another test got the same one. Change: internal/bench/process.FreeAddress, which other deployments of tests use, serves here as well: ports below that range, each reserved.

--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	benchprocess "github.com/corkpulley/corkpulley/internal/bench/process"
 	"github.com/corkpulley/corkpulley/internal/hosted"
 	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
@@ -179,15 +179,15 @@
 	return p
 }
 
-// freeAddresses returns addresses that nobody listens on, each another one.
+// freeAddresses returns addresses that nobody listens on and that nobody else gets,
+// each another one.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses := make([]string, count)
+	for i := range addresses {
+		address, err := benchprocess.FreeAddress()
 		assert.NilError(t, err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		addresses[i] = address
 	}
 	return addresses
 }
