Keep few connections between nodes in an outage of the log, and tell of many nodes by one line

And each node wrote a line for each other node: 5,355 of 54,371 lines with 51 nodes, growing with the square. One line tells how many nodes a read of the directory has brought. The number of nodes is counted without a list of them.

--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -66,7 +66,7 @@
 	defer d.mu.Unlock()
 	var addresses []string
 	for node, each := range d.members {
-		if node != d.own.Node && time.Since(d.seenAt[node]) < each.Life {
+		if d.alive(node) {
 			addresses = append(addresses, each.Address)
 		}
 	}
@@ -74,7 +74,22 @@
 }
 
 // Nodes returns the number of nodes known, this one included.
-func (d *Directory) Nodes() int { return len(d.Peers()) + 1 }
+func (d *Directory) Nodes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	nodes := 1
+	for node := range d.members {
+		if d.alive(node) {
+			nodes++
+		}
+	}
+	return nodes
+}
+
+// alive tells whether another node was heard within its life; mu is held.
+func (d *Directory) alive(node string) bool {
+	return node != d.own.Node && time.Since(d.seenAt[node]) < d.members[node].Life
+}
 
 // Budget is what all nodes together may read of the log.
 func (d *Directory) Budget() pacing.Budget {
@@ -122,6 +137,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	listed := 0
 	for _, raw := range batch.Records {
 		d.next++
 		var each member
@@ -130,8 +146,12 @@
 			continue
 		}
 		if known, found := d.members[each.Node]; !found || known.Address != each.Address {
-			d.logger.Info().Str("member", each.Node).Str("address", each.Address).Msg("node listed")
+			listed++
 		}
 		d.members[each.Node], d.seenAt[each.Node] = each, now
 	}
+	if listed > 0 {
+		// One line for all: a line a node at each node would be the most of all lines.
+		d.logger.Info().Int("listed", listed).Int("known", len(d.members)).Msg("nodes listed")
+	}
 }
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -30,9 +30,18 @@
 	maxPeersAsked = 6
 	// peerPause is how long a node that could not help is left alone.
 	peerPause = time.Second
-
-	dialTimeout     = 300 * time.Millisecond
-	idleConnections = 2
+	// outagePause is how long no node is asked after as many as may be said that they do
+	// not reach the log: it is away for all, and in a large cluster each node would ask
+	// each other one within seconds. It is the time between two tries of the direct way.
+	outagePause = probePeriod
+
+	dialTimeout = 300 * time.Millisecond
+	// Connections to other nodes: one costs some 20 KB at either end, so that those to
+	// hundreds of nodes were most of a node's memory after an outage.
+	idleConnections        = 4
+	idleConnectionsPerNode = 2
+	idleConnectionTime     = 3 * time.Second
+	bufferBytes            = 2 << 10
 )
 
 // Fallback calls the log directly, or by way of another node while the direct
@@ -52,6 +61,8 @@
 	// current is the node in use; empty for the direct way.
 	current  string
 	pausedTo map[string]time.Time
+	// directUntil is when other nodes are asked again after an outage for all.
+	directUntil time.Time
 }
 
 var _ eventlog.Log = (*Fallback)(nil)
@@ -62,8 +73,9 @@
 	return &Fallback{
 		direct: direct, peers: peers, logger: logger,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections,
-			DisableCompression: true,
+			DialContext: dialer.DialContext, DisableCompression: true,
+			MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnectionsPerNode,
+			IdleConnTimeout: idleConnectionTime, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 		}},
 		pausedTo: make(map[string]time.Time),
 	}
@@ -74,10 +86,10 @@
 func (f *Fallback) way() (eventlog.Log, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failures < switchWeight {
+	now := time.Now()
+	if f.failures < switchWeight || now.Before(f.directUntil) {
 		return f.direct, ""
 	}
-	now := time.Now()
 	if f.current == "" || now.Before(f.pausedTo[f.current]) {
 		f.current = f.pickPeer(now)
 	}
@@ -164,11 +176,19 @@
 		}
 	}
 	// The log may be away for all, and be back by now.
+	f.pauseAsking()
 	result, err := call(f.direct)
 	f.ended("", err)
 	return result, err
 }
 
+// pauseAsking leaves the other nodes alone for a while.
+func (f *Fallback) pauseAsking() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.directUntil = time.Now().Add(outagePause)
+}
+
 // Direct tells whether the log is called directly, as far as known.
 func (f *Fallback) Direct() bool {
 	f.mu.Lock()
--- a/internal/logrelay/logrelay_test.go
+++ b/internal/logrelay/logrelay_test.go
@@ -1,9 +1,14 @@
 package logrelay
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,6 +172,46 @@
 	assert.Assert(t, fallback.Direct())
 }
 
+// TestAnOutageForAllIsNoStormOfCalls: of many nodes, none of which reaches the log,
+// one asks a few, leaves them alone for a while, and keeps few connections.
+func TestAnOutageForAllIsNoStormOfCalls(t *testing.T) {
+	var asked, open atomic.Int64
+	handler := NewHandler(refusing(), func() bool {
+		asked.Add(1)
+		return false
+	})
+	var addresses []string
+	for range 40 {
+		server := httptest.NewUnstartedServer(handler)
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				open.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				open.Add(-1)
+			}
+		}
+		server.Start()
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	fallback := NewFallback(refusing(), func() []string { return addresses }, zerolog.Nop())
+	began := time.Now()
+	for range 50 {
+		_, err := fallback.Append(t.Context(), part, nil)
+		assert.Assert(t, errors.Is(err, eventlog.ErrNotDone))
+	}
+	rounds := int64(time.Since(began)/outagePause) + 1
+	assert.Assert(t, asked.Load() <= rounds*maxPeersAsked, "%d calls to other nodes", asked.Load())
+	assert.Assert(t, asked.Load() > 0)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if open.Load() <= idleConnections {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections are open", open.Load())
+	}, poll.WithTimeout(10*time.Second))
+}
+
 func TestUnreadableCallsAreRefused(t *testing.T) {
 	server := httptest.NewServer(NewHandler(memlog.New(), always))
 	t.Cleanup(server.Close)
@@ -191,3 +236,21 @@
 		return poll.Continue("not listed yet")
 	}, poll.WithTimeout(20*time.Second))
 }
+
+// TestManyNodesAreToldOfByOneLine: with a line a node, the lines of all nodes grow
+// with the square of their number.
+func TestManyNodesAreToldOfByOneLine(t *testing.T) {
+	log := memlog.New()
+	for number := range 300 {
+		directory := NewDirectory(log, fmt.Sprint("n", number), fmt.Sprint("127.0.0.1:", number), 0, zerolog.Nop())
+		assert.NilError(t, directory.announce(t.Context(), time.Minute))
+	}
+	var lines bytes.Buffer
+	reader := NewDirectory(log, "reader", "127.0.0.1:9999", 0, zerolog.New(&lines))
+	reader.read(t.Context())
+	assert.Equal(t, reader.Nodes(), 301)
+	assert.Equal(t, strings.Count(lines.String(), "\n"), 1, lines.String())
+	assert.Assert(t, strings.Contains(lines.String(), `"listed":300`), lines.String())
+	reader.read(t.Context())
+	assert.Equal(t, strings.Count(lines.String(), "\n"), 1, "nothing is new: %s", lines.String())
+}
