Start items of unknown length before those known to be short; order jobs by step

Cause: half of the items tell no length. They started last in their step, and a step ends with its longest items (89 events of 80 ms are 7.1 of the 7.5 s that are due), of which half were among them. Change: items of unknown length are placed where the longest quarter of a job's known ones ends; a job starts before later steps of its model. Tests: TestItemsOfUnknownLengthStartBeforeThoseKnownToBeShort, TestEarlierStepsStartFirstInWhateverOrderTheyAreHeardOf; the fuzz of places is unchanged.

--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -2,8 +2,8 @@
 // when. It has no input, output or clock; every event comes with its time.
 //
 // The order in which items start decides when the last group of a job is whole:
-// older jobs come first, in a job the longest items, as far as lengths are
-// known. An item goes to the engine that is expected to make its tokens
+// older jobs come first, in a job the items that are expected to be long, then those
+// of unknown length, then those known to be short. An item goes to the engine that is expected to make its tokens
 // fastest; the items of a group stay together while there is room, since they
 // share their prompt.
 package batchplan
@@ -11,7 +11,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -31,7 +30,7 @@
 	// SameVersion is the only version that may continue the item; zero for any.
 	SameVersion int64
 	Group       string
-	// Length is the expected output; longer items start first.
+	// Length is the expected output; zero when unknown.
 	Length int
 	// Tokens is the memory that it is expected to take at an engine.
 	Tokens int
@@ -70,10 +69,11 @@
 
 // Plan holds the waiting and the running items.
 type Plan struct {
-	jobOrder map[string]int
-	nextJob  int
-	waiting  map[Key]Item
-	running  map[Key]placed
+	// jobs holds the known jobs, order the same in the order in which their items start.
+	jobs    map[string]*jobRank
+	order   []*jobRank
+	waiting map[Key]Item
+	running map[Key]placed
 	// count is the number of running items of each engine.
 	count map[string]int
 	// tokens is the memory expected of the running items of each engine.
@@ -114,21 +114,20 @@
 // New returns an empty plan.
 func New() *Plan {
 	return &Plan{
-		jobOrder: make(map[string]int),
-		waiting:  make(map[Key]Item),
-		running:  make(map[Key]placed),
-		tokens:   make(map[string]int),
-		count:    make(map[string]int),
-		paces:    make(map[string]time.Duration),
-		homes:    make(map[string]string),
+		jobs:    make(map[string]*jobRank),
+		waiting: make(map[Key]Item),
+		running: make(map[Key]placed),
+		tokens:  make(map[string]int),
+		count:   make(map[string]int),
+		paces:   make(map[string]time.Duration),
+		homes:   make(map[string]string),
 	}
 }
 
 // Add puts an item into the queue, for the first time or again.
 func (p *Plan) Add(item Item) {
-	if _, found := p.jobOrder[item.Key.Job]; !found {
-		p.jobOrder[item.Key.Job] = p.nextJob
-		p.nextJob++
+	if _, found := p.jobs[item.Key.Job]; !found {
+		p.AddJob(Job{ID: item.Key.Job, Model: item.Model})
 	}
 	p.waiting[item.Key] = item
 }
@@ -162,9 +161,6 @@
 	length int
 }
 
-// ForgetJob drops what is kept of a job without items.
-func (p *Plan) ForgetJob(job string) { delete(p.jobOrder, job) }
-
 // Running returns the number of items at the engine.
 func (p *Plan) Running(engine string) int { return p.count[engine] }
 
@@ -244,24 +240,3 @@
 	p.tokens[engine] += item.Tokens
 	p.homes[item.Group] = engine
 }
-
-// queue returns the items that may start, in the order in which they should.
-func (p *Plan) queue(now time.Time) []Item {
-	queue := make([]Item, 0, len(p.waiting))
-	for _, item := range p.waiting {
-		if !item.NotBefore.After(now) {
-			queue = append(queue, item)
-		}
-	}
-	sort.Slice(queue, func(i, j int) bool {
-		a, b := queue[i], queue[j]
-		if a.Key.Job != b.Key.Job {
-			return p.jobOrder[a.Key.Job] < p.jobOrder[b.Key.Job]
-		}
-		if a.Length != b.Length {
-			return a.Length > b.Length
-		}
-		return a.Key.Item < b.Key.Item
-	})
-	return queue
-}
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -40,6 +40,42 @@
 	assert.Equal(t, plan.Waiting(), 1)
 }
 
+// TestItemsOfUnknownLengthStartBeforeThoseKnownToBeShort: any of them may be the one
+// that the job waits for.
+func TestItemsOfUnknownLengthStartBeforeThoseKnownToBeShort(t *testing.T) {
+	plan := New()
+	lengths := []int{10, 0, 900, 20, 30, 0, 40, 50}
+	plan.AddJob(Job{ID: "j", Model: "m", Lengths: lengths})
+	for index, length := range lengths {
+		plan.Add(item("j", index, length))
+	}
+	assigned := plan.Assign(now, []Engine{engine("e", 4, 3)})
+	assert.DeepEqual(t, started(assigned), []Key{{"j", 2}, {"j", 1}, {"j", 5}, {"j", 7}})
+	// Those that have started do not change the place of the others.
+	assigned = plan.Assign(now, []Engine{engine("e", 8, 3)})
+	assert.DeepEqual(t, started(assigned), []Key{{"j", 6}, {"j", 4}, {"j", 3}, {"j", 0}})
+}
+
+// TestEarlierStepsStartFirstInWhateverOrderTheyAreHeardOf: a new leader hears of all
+// open jobs at once.
+func TestEarlierStepsStartFirstInWhateverOrderTheyAreHeardOf(t *testing.T) {
+	plan := New()
+	plan.AddJob(Job{ID: "step-5", Model: "m", Step: 5})
+	plan.AddJob(Job{ID: "other", Model: "n", Step: 1})
+	plan.AddJob(Job{ID: "step-4", Model: "m", Step: 4})
+	for _, job := range []string{"step-5", "other", "step-4"} {
+		plan.Add(item(job, 0, 10))
+	}
+	assigned := plan.Assign(now, []Engine{engine("e", 4, 3)})
+	assert.DeepEqual(t, started(assigned), []Key{{"step-4", 0}, {"step-5", 0}, {"other", 0}})
+	plan.ForgetJob("step-5")
+	plan.AddJob(Job{ID: "step-6", Model: "m", Step: 6})
+	plan.Add(item("step-6", 0, 10))
+	plan.Add(item("other", 1, 1))
+	assigned = plan.Assign(now, []Engine{engine("e", 8, 3)})
+	assert.DeepEqual(t, started(assigned), []Key{{"other", 1}, {"step-6", 0}})
+}
+
 func TestOnlyFittingEnginesGetItems(t *testing.T) {
 	loading := engine("loading", 1, 3)
 	loading.Loading = "m"
