Begin with loads on an eighth of the engines

Change: the limit begins with one in eight of the service's engines (sources were seen to feed one in five), at least two.

--- a/internal/core/weightplan/limiter.go
+++ b/internal/core/weightplan/limiter.go
@@ -8,6 +8,10 @@
 	// loadingPart is one in how many engines of a service may load together beyond
 	// MinLoadsAtOnce: the others go on serving.
 	loadingPart = 4
+	// startPart is one in how many engines load together before anything is known of
+	// the source. Sources were seen to feed one in five of their engines, so this is
+	// below what they feed, and each leader begins to learn anew.
+	startPart = 8
 	// slowLoad is how much longer than the fastest load one must take to count as
 	// held up by the others.
 	slowLoad = 1.35
@@ -16,9 +20,9 @@
 )
 
 // Limiter learns how many engines can load together before the source of the
-// weights holds them up. It doubles with each round of fast loads until the first
-// slow one, and then falls to what the slow load shows: where n loads together take r
-// times as long as one, the source feeds n/r of them.
+// weights holds them up. It begins with a part of the engines, doubles with each round
+// of fast loads until the first slow one, and then falls to what the slow load shows:
+// where n loads together take r times as long as one, the source feeds n/r of them.
 type Limiter struct {
 	limit float64
 	// fastest is the shortest load seen.
@@ -39,6 +43,9 @@
 // LimitOf is the number of engines that may load together of a service that has
 // so many.
 func (l *Limiter) LimitOf(engines int) int {
+	if !l.held {
+		l.limit = max(l.limit, float64(engines/startPart))
+	}
 	return min(l.Limit(), max(MinLoadsAtOnce, engines/loadingPart))
 }
 
--- a/internal/core/weightplan/limiter_test.go
+++ b/internal/core/weightplan/limiter_test.go
@@ -93,3 +93,14 @@
 	assert.Equal(t, limiter.LimitOf(48), 12)
 	assert.Equal(t, limiter.LimitOf(3000), limiter.Limit())
 }
+
+// TestALargeServiceBeginsWithManyLoads: doubling from two takes five rounds until a
+// hundred engines follow a version. What a slow load has shown stands.
+func TestALargeServiceBeginsWithManyLoads(t *testing.T) {
+	limiter := NewLimiter()
+	assert.Equal(t, limiter.LimitOf(11), MinLoadsAtOnce)
+	assert.Equal(t, limiter.LimitOf(122), 15)
+	limiter.Ended(start, start.Add(time.Second), 1)
+	limiter.Ended(start, start.Add(3*time.Second), 15)
+	assert.Equal(t, limiter.LimitOf(122), 5)
+}
