--- a/cmd/corkpulleyd/main.go
+++ b/cmd/corkpulleyd/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/hosted"
 	"github.com/corkpulley/corkpulley/internal/node"
@@ -25,7 +26,11 @@
 	exitSettings = 2
 )
 
-func main() { os.Exit(run()) }
+func main() {
+	// Durations in logs are whole milliseconds.
+	zerolog.DurationFieldInteger = true
+	os.Exit(run())
+}
 
 func run() int {
 	var flags settings.Flags
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -39,6 +39,13 @@
 	stopStalled
 )
 
+var stopReasonNames = [...]string{
+	notStopped: "", stopDropped: "dropped", stopMoved: "moved", stopStalled: "silent",
+}
+
+// String returns the reason as it stands in logs; empty for none.
+func (r stopReason) String() string { return stopReasonNames[r] }
+
 // run is one item at one engine.
 type run struct {
 	engine  string
@@ -238,7 +245,7 @@
 	state := &job.items[key.Item]
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
 	r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
-		Str("engine", own.engine).Uint8("refusal", uint8(refusal)).Uint8("stop_reason", uint8(own.reason)).
+		Str("engine", own.engine).Stringer("refusal", refusal).Stringer("stop_reason", own.reason).
 		Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
 	if own.reason != notStopped {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -5,17 +5,23 @@
 	"strings"
 )
 
-// Numbers of the fields "refusal", "stop_reason" and "verdict" as nodes log them.
+// Values of the fields "refusal" and "stop_reason" as nodes log them, in the words of a
+// sentence. Others are told as they are.
 var (
-	refusals    = []string{"", "not run", "another engine at the address", "the run failed", "impossible", "broken"}
-	stopReasons = []string{"", "dropped", "moved to a faster engine", "silent"}
+	refusals = map[string]string{
+		"not_executed": "not run", "wrong_engine": "another engine at the address", "failed": "the run failed",
+	}
+	stopReasons = map[string]string{"moved": "moved to a faster engine"}
 )
 
-func named(names []string, number float64) string {
-	if index := int(number); index > 0 && index < len(names) {
-		return names[index]
+// answered is the value of "verdict" for a try that ended a request.
+const answered = "answered"
+
+func inWords(words map[string]string, value string) string {
+	if told, found := words[value]; found {
+		return told
 	}
-	return "unknown"
+	return value
 }
 
 // cause says in a sentence how the way ended and why.
@@ -43,7 +49,7 @@
 func requestCause(way *Way) string {
 	var tries []string
 	for _, line := range way.Lines {
-		if line.Message == "engine tried" && line.number("verdict") != 0 {
+		if line.Message == "engine tried" && line.text("verdict") != answered {
 			reason := line.text("error")
 			if reason == "" {
 				reason = fmt.Sprintf("status %.0f", line.number("status"))
@@ -91,9 +97,9 @@
 		if line.Message != "run ended early" {
 			continue
 		}
-		why := named(refusals, line.number("refusal"))
-		if reason := line.number("stop_reason"); reason != 0 {
-			why = named(stopReasons, reason)
+		why := inWords(refusals, line.text("refusal"))
+		if reason := line.text("stop_reason"); reason != "" {
+			why = inWords(stopReasons, reason)
 		}
 		breaks = append(breaks, fmt.Sprintf("%s after %.0f ms at event %.0f (%s)",
 			line.text("engine"), line.number("ran_ms"), line.number("after_event"), why))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -12,12 +12,12 @@
   17.8 edge-3 {"level":"info","node":"n3","zone":"z","time":1000,"message":"node started"}
   17.9 edge-3 {"level":"info","node":"n3","zone":"z","topic":"keyed","error":"status 503","reachable":false,"time":1200,"message":"topic contact changed"}
 {"level":"info","node":"n3","zone":"z","id":"r1","kind":"not_ready","error":"no configuration is known yet","status":503,"time":1300,"message":"request refused"}
-{"level":"info","node":"n1","zone":"z","id":"r2","engine":"e1","verdict":1,"took_ms":300.5,"error":"context deadline exceeded","time":5300,"message":"engine tried"}
+{"level":"info","node":"n1","zone":"z","id":"r2","engine":"e1","verdict":"try_next","took_ms":300.5,"error":"context deadline exceeded","time":5300,"message":"engine tried"}
 {"level":"info","node":"n1","zone":"z","id":"r2","status":200,"took_ms":340,"caller_left":false,"time":5340,"message":"request ended"}
 {"level":"info","node":"n1","zone":"z","job":"j1","error":"","time":6000,"message":"job handed in"}
 {"level":"info","node":"n2","zone":"z","job":"j1","time":6010,"message":"job taken up"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","waited_ms":15,"time":6015,"message":"item started"}
-{"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","refusal":5,"stop_reason":3,"after_event":7,"ran_ms":1300,"time":7315,"message":"run ended early"}
+{"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","refusal":"broken","stop_reason":"silent","after_event":7,"ran_ms":1300,"time":7315,"message":"run ended early"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e2","waited_ms":1315,"time":7316,"message":"item started"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","completed":true,"reason":"whole","events":20,"after_ms":2500,"time":8500,"message":"item finished"}
 {"level":"info","node":"n2","zone":"z","job":"j1","after_ms":2600,"unfinished":1,"time":8600,"message":"job ended"}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -77,6 +77,16 @@
 // Loaded is closed once the topic was read whole for the first time.
 func (f *Follower) Loaded() <-chan struct{} { return f.loaded }
 
+// IsLoaded tells whether the topic was read whole once.
+func (f *Follower) IsLoaded() bool {
+	select {
+	case <-f.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	delays := readRetries.Delays()
@@ -146,10 +156,9 @@
 		}
 	}
 	f.next = max(f.next, batch.Next)
-	select {
-	case <-f.loaded:
-	default:
+	if !f.IsLoaded() {
 		close(f.loaded)
+		f.logger.Info().Int("keys", len(f.offsets)).Int64("offset", f.next).Msg("topic read whole")
 	}
 	return nil
 }
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -118,6 +118,10 @@
 		// Versions change with every load; who orders one says so.
 		return
 	}
+	if !n.engines.IsLoaded() {
+		// The first read is told of by one line.
+		return
+	}
 	n.logger.Info().Str("engine", engine.ID).Str("service", engine.Service).Str("address", engine.Address).
 		Str("zone", engine.Zone).Bool("draining", engine.Draining).Interface("versions", engine.Versions).
 		Int64("offset", record.Offset).Msg("engine listed")
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -52,6 +52,11 @@
 	giveUp
 )
 
+var verdictNames = [...]string{answered: "answered", tryNext: "try_next", giveUp: "give_up"}
+
+// String returns the verdict as it stands in logs.
+func (v verdict) String() string { return verdictNames[v] }
+
 func (x *exchange) run() *errkind.Error {
 	for len(x.tried) < maxTries {
 		if x.ctx.Err() != nil {
@@ -212,7 +217,7 @@
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("engine", choice.Engine.ID).
 		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
-		Dur("load_age_ms", choice.LoadAge).Uint8("verdict", uint8(result)).Dur("took_ms", took)
+		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if err != nil {
 		line = line.Err(err)
 	}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -47,7 +47,7 @@
 	limit := m.limiter.Limit()
 	m.mu.Unlock()
 	m.options.Logger.Info().Str("engine", engine.ID).Str("model", load.Model).Int64("version", load.Version).
-		Uint8("answer", uint8(answer)).Bool("done", done).Int64("fence", m.options.Fence).
+		Stringer("answer", answer).Bool("done", done).Int64("fence", m.options.Fence).
 		Dur("took_ms", time.Since(began)).Int("loads_at_once", limit).Msg("weights ordered")
 	m.options.Loaded()
 }
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -80,6 +80,13 @@
 	Refused
 )
 
+var answerNames = [...]string{
+	Unanswered: "unanswered", Taken: "taken", Held: "held", Conflict: "conflict", Fenced: "fenced", Refused: "refused",
+}
+
+// String returns the answer as it stands in logs.
+func (a Answer) String() string { return answerNames[a] }
+
 // Report is what an engine says of itself.
 type Report struct {
 	Versions map[string]int64
