Hand followed topics on through a few nodes of each zone

At 24.6 s the configuration grows by 1,440 routes; every node reads it at that moment, which takes all that the store serves, and the prompts of the next step reach the leader 0.7 to 1.7 s later (job taken up after 1.36, 1.71, 1.02 s; else 0.02). Ruled out: the leader's processor (0.13 core), the appends (accepted in 80 ms). Change: from 100 nodes on, one in 16 nodes of each zone (of the most able ones, chosen by each node from the directory) follows configuration and engine list; the others ask two of these and go to the log where an answer is late, older than 1.3 s, or refused.

--- /dev/null
+++ b/internal/core/replicaset/replicaset.go
@@ -0,0 +1,93 @@
+// Package replicaset decides which nodes of a large cluster follow the log's compacted
+// topics themselves, the replicas, and which of them each other node asks instead. It
+// has no input, output or clock.
+//
+// A change of a compacted topic is read by every node that follows it: with hundreds of
+// nodes, one large configuration takes all that the log serves for seconds, and what
+// somebody waits for with it. So in each zone a few nodes read it, and pass it on.
+package replicaset
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MinNodes is the number of nodes from which there are replicas. Below it, a change
+	// of half a megabyte takes the log about half a second.
+	MinNodes = 100
+	// readersPerReplica is the number of nodes of a zone for each replica: a replica with
+	// a link of 600 Mbit/s hands half a megabyte to them in about 0.1 s.
+	readersPerReplica = 16
+	// maxSources bounds the replicas that one node asks.
+	maxSources = 2
+)
+
+// Member is a node of the cluster.
+type Member struct {
+	Node    string
+	Zone    string
+	Address string
+	// Processors is its share of processors; zero when unknown, which counts as one.
+	Processors float64
+}
+
+func (m Member) capacity() float64 {
+	if m.Processors <= 0 {
+		return 1
+	}
+	return m.Processors
+}
+
+// Replicas returns the replicas of a zone: of its most able nodes as many as its size
+// asks for. Nodes that see the same members choose the same ones, and one node more or
+// less changes at most one of them.
+func Replicas(members []Member, zone string) []Member {
+	if len(members) < MinNodes {
+		return nil
+	}
+	var able []Member
+	size, best := 0, 0.0
+	for _, member := range members {
+		if member.Zone != zone {
+			continue
+		}
+		size++
+		switch {
+		case member.capacity() > best:
+			best, able = member.capacity(), []Member{member}
+		case member.capacity() == best:
+			able = append(able, member)
+		}
+	}
+	slices.SortFunc(able, func(a, b Member) int { return compareHashes(a.Node, b.Node, "") })
+	return able[:min(len(able), (size+readersPerReplica-1)/readersPerReplica)]
+}
+
+// Sources returns the replicas that a node asks, the first choice first; none when the
+// node reads the log itself.
+func Sources(members []Member, self Member) []Member {
+	replicas := Replicas(members, self.Zone)
+	isSelf := func(member Member) bool { return member.Node == self.Node }
+	if slices.ContainsFunc(replicas, isSelf) {
+		return nil
+	}
+	slices.SortFunc(replicas, func(a, b Member) int { return compareHashes(a.Node, b.Node, self.Node) })
+	return replicas[:min(len(replicas), maxSources)]
+}
+
+// compareHashes orders two nodes by the hash of their names and the seed, so that each
+// seed orders them in a way of its own.
+func compareHashes(a, b, seed string) int {
+	hashA, hashB := xxhash.Sum64String(seed+"/"+a), xxhash.Sum64String(seed+"/"+b)
+	switch {
+	case hashA < hashB:
+		return -1
+	case hashA > hashB:
+		return 1
+	default:
+		return strings.Compare(a, b)
+	}
+}
--- /dev/null
+++ b/internal/core/replicaset/replicaset_test.go
@@ -0,0 +1,80 @@
+package replicaset
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// cluster returns nodes of two zones; each eighth node has four times the processors.
+func cluster(nodes int) []Member {
+	members := make([]Member, nodes)
+	for i := range members {
+		members[i] = Member{Node: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%2), Address: fmt.Sprint("a", i), Processors: 0.2}
+		if i%16 < 2 {
+			members[i].Processors = 0.8
+		}
+	}
+	return members
+}
+
+func TestSmallClustersHaveNoReplicas(t *testing.T) {
+	members := cluster(MinNodes - 1)
+	assert.Equal(t, len(Replicas(members, "z0")), 0)
+	assert.Equal(t, len(Sources(members, members[5])), 0)
+}
+
+func TestReplicasAreAbleNodesOfTheZone(t *testing.T) {
+	replicas := Replicas(cluster(320), "z1")
+	assert.Equal(t, len(replicas), 10)
+	for _, replica := range replicas {
+		assert.Equal(t, replica.Zone, "z1")
+		assert.Equal(t, replica.Processors, 0.8)
+	}
+}
+
+func TestReadersAreSpreadOverTheReplicas(t *testing.T) {
+	members := cluster(320)
+	readers := make(map[string]int)
+	for _, member := range members {
+		sources := Sources(members, member)
+		if len(sources) == 0 {
+			assert.Assert(t, slices.Contains(Replicas(members, member.Zone), member))
+			continue
+		}
+		assert.Equal(t, len(sources), maxSources)
+		assert.Equal(t, sources[0].Zone, member.Zone)
+		readers[sources[0].Node]++
+	}
+	assert.Equal(t, len(readers), 20)
+	for node, count := range readers {
+		assert.Assert(t, count <= 2*readersPerReplica, "%s has %d readers", node, count)
+	}
+}
+
+// TestOneNodeMoreOrLessChangesOneReplica checks any order of members and any node.
+func TestOneNodeMoreOrLessChangesOneReplica(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := cluster(rapid.IntRange(MinNodes+1, 300).Draw(t, "nodes"))
+		before := Replicas(members, "z0")
+		gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
+		left := rapid.Permutation(slices.Delete(slices.Clone(members), gone, gone+1)).Draw(t, "order")
+		after := Replicas(left, "z0")
+		kept := 0
+		for _, replica := range after {
+			if slices.Contains(before, replica) {
+				kept++
+			}
+		}
+		assert.Assert(t, kept >= len(before)-1, "%d of %d", kept, len(before))
+	})
+}
+
+func TestAZoneWithoutMembersHasNoReplicas(t *testing.T) {
+	members := cluster(200)
+	assert.Equal(t, len(Replicas(members, "elsewhere")), 0)
+	assert.Equal(t, len(Sources(members, Member{Node: "n", Zone: "elsewhere"})), 0)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,6 +56,8 @@
 	offsets map[string]int64
 	next    int64
 	healthy bool
+	// replica holds what was read, for other nodes.
+	replica *Replica
 	// loaded is closed after the first full read.
 	loaded     chan struct{}
 	refreshDue time.Time
@@ -71,9 +73,13 @@
 		logger:  logger.With().Str("topic", topic).Logger(),
 		offsets: make(map[string]int64),
 		loaded:  make(chan struct{}),
+		replica: newReplica(),
 	}
 }
 
+// Replica returns what the follower has read, for other nodes.
+func (f *Follower) Replica() *Replica { return f.replica }
+
 // Loaded is closed once the topic was read whole for the first time.
 func (f *Follower) Loaded() <-chan struct{} { return f.loaded }
 
@@ -120,6 +126,7 @@
 		}
 		f.refreshDue = now.Add(f.untilRefresh())
 	}
+	sent := time.Now()
 	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, f.budget.Stretch(pollWait, maxPollWait))
 	if err != nil {
 		return err
@@ -128,6 +135,11 @@
 		f.handle(record)
 	}
 	f.next = batch.Next
+	if len(batch.Records) == 0 {
+		// The read waited and nothing came: this is the state of its answer.
+		sent = time.Now()
+	}
+	f.replica.reached(f.next, sent)
 	return nil
 }
 
@@ -141,6 +153,7 @@
 // refresh reads the topic whole. A key that is missing was deleted, unless its
 // record is newer than the read.
 func (f *Follower) refresh(ctx context.Context) error {
+	sent := time.Now()
 	batch, err := f.log.Newest(ctx, f.topic)
 	if err != nil {
 		return err
@@ -156,6 +169,7 @@
 		}
 	}
 	f.next = max(f.next, batch.Next)
+	f.replica.reached(f.next, sent)
 	if !f.IsLoaded() {
 		close(f.loaded)
 		f.logger.Info().Int("keys", len(f.offsets)).Int64("offset", f.next).Msg("topic read whole")
@@ -176,6 +190,7 @@
 	} else {
 		f.offsets[record.Key] = record.Offset
 	}
+	f.replica.take(record)
 	f.handler(record)
 }
 
--- /dev/null
+++ b/internal/follow/replica.go
@@ -0,0 +1,132 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// maxDeletions is how many deletions a replica remembers. A reader that may have missed
+// an older one reads whole.
+const maxDeletions = 4096
+
+// Replica holds the newest record of each key of a followed topic, for nodes that do not
+// read the log themselves. It is safe for concurrent use.
+//
+// Invariant: what it tells is what the log said at the time of its age or later, and
+// offsets are those of the log, so a reader may change between replicas and the log.
+type Replica struct {
+	mu      sync.Mutex
+	records map[string]eventlog.KeyedRecord
+	// deleted counts the records without a value; deletions below forgotten were dropped.
+	deleted   int
+	forgotten int64
+	next      int64
+	// contactAt is the newest moment at which this was all there was.
+	contactAt time.Time
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newReplica() *Replica {
+	return &Replica{records: make(map[string]eventlog.KeyedRecord), changed: make(chan struct{})}
+}
+
+// take keeps a record that the follower has handled.
+func (r *Replica) take(record eventlog.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.records[record.Key].Deleted {
+		r.deleted--
+	}
+	if record.Deleted {
+		r.deleted++
+	}
+	r.records[record.Key] = record
+	if r.deleted > maxDeletions {
+		r.forgetDeletions()
+	}
+}
+
+// forgetDeletions drops all deletions; mu is held.
+func (r *Replica) forgetDeletions() {
+	for key, record := range r.records {
+		if record.Deleted {
+			r.forgotten = max(r.forgotten, record.Offset+1)
+			delete(r.records, key)
+		}
+	}
+	r.deleted = 0
+}
+
+// reached notes that at the given time there was nothing from next on. A read may leave
+// records beyond a megabyte to the next one, which follows within a read's gap.
+func (r *Replica) reached(next int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contactAt = at
+	if next > r.next {
+		r.next = next
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+}
+
+// Newest returns the newest record of each key, and the age of that knowledge; false
+// until the topic was read whole.
+func (r *Replica) Newest() (eventlog.KeyedBatch, time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := eventlog.KeyedBatch{Next: r.next}
+	for _, record := range r.records {
+		if !record.Deleted {
+			batch.Records = append(batch.Records, record)
+		}
+	}
+	return batch, time.Since(r.contactAt), !r.contactAt.IsZero()
+}
+
+// Read returns the records from an offset on, waiting for one up to the given time, and
+// the age of that knowledge. A reader that may have missed a deletion gets a
+// *eventlog.GoneError.
+func (r *Replica) Read(
+	ctx context.Context, from int64, wait time.Duration,
+) (eventlog.KeyedBatch, time.Duration, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		batch, err := r.since(from)
+		age, changed := time.Since(r.contactAt), r.changed
+		r.mu.Unlock()
+		if err != nil || len(batch.Records) > 0 {
+			return batch, age, err
+		}
+		select {
+		case <-ctx.Done():
+			return batch, age, nil
+		case <-timer.C:
+			return batch, age, nil
+		case <-changed:
+		}
+	}
+}
+
+// since returns what is known from an offset on; mu is held.
+func (r *Replica) since(from int64) (eventlog.KeyedBatch, error) {
+	if from < r.forgotten {
+		return eventlog.KeyedBatch{}, &eventlog.GoneError{First: r.forgotten}
+	}
+	// A reader that comes from a replica which knows more keeps its place.
+	batch := eventlog.KeyedBatch{Next: max(from, r.next)}
+	for _, record := range r.records {
+		if record.Offset >= from && record.Offset < r.next {
+			batch.Records = append(batch.Records, record)
+		}
+	}
+	slices.SortFunc(batch.Records, func(a, b eventlog.KeyedRecord) int { return int(a.Offset - b.Offset) })
+	return batch, nil
+}
--- /dev/null
+++ b/internal/follow/replica_test.go
@@ -0,0 +1,88 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+func record(key, value string, offset int64) eventlog.KeyedRecord {
+	return eventlog.KeyedRecord{Key: key, Value: []byte(value), Deleted: value == "", Offset: offset}
+}
+
+func TestReplicaTellsWhatCameSinceAnOffset(t *testing.T) {
+	replica := newReplica()
+	_, _, known := replica.Newest()
+	assert.Assert(t, !known)
+	for offset, value := range []string{"a", "b", "c"} {
+		replica.take(record(value, value, int64(offset)))
+	}
+	replica.take(record("a", "", 3))
+	replica.reached(4, time.Now())
+	batch, _, err := replica.Read(t.Context(), 1, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, batch.Next, int64(4))
+	assert.Equal(t, len(batch.Records), 3)
+	assert.Equal(t, batch.Records[0].Key, "b")
+	assert.Assert(t, batch.Records[2].Deleted)
+	newest, _, known := replica.Newest()
+	assert.Assert(t, known)
+	assert.Equal(t, len(newest.Records), 2)
+}
+
+// TestReaderThatIsAheadKeepsItsPlace: it comes from a replica that has read more.
+func TestReaderThatIsAheadKeepsItsPlace(t *testing.T) {
+	replica := newReplica()
+	replica.take(record("a", "1", 0))
+	replica.reached(1, time.Now())
+	batch, _, err := replica.Read(t.Context(), 7, time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 0)
+	assert.Equal(t, batch.Next, int64(7))
+}
+
+func TestWaitingReaderIsWokenByAChange(t *testing.T) {
+	replica := newReplica()
+	replica.reached(1, time.Now())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	go func() {
+		replica.take(record("a", "1", 1))
+		replica.reached(2, time.Now())
+	}()
+	batch, _, err := replica.Read(ctx, 1, time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 1)
+}
+
+func TestAgeGrowsWhileTheLogIsAway(t *testing.T) {
+	replica := newReplica()
+	replica.reached(1, time.Now().Add(-time.Hour))
+	_, age, _ := replica.Newest()
+	assert.Assert(t, age >= time.Hour)
+	replica.reached(1, time.Now())
+	_, age, _ = replica.Newest()
+	assert.Assert(t, age < time.Hour)
+}
+
+// TestReaderThatMayHaveMissedADeletionReadsWhole: replicas forget old deletions.
+func TestReaderThatMayHaveMissedADeletionReadsWhole(t *testing.T) {
+	replica := newReplica()
+	offset := int64(0)
+	for number := range maxDeletions + 1 {
+		replica.take(record(fmt.Sprint("k", number), "", offset))
+		offset++
+	}
+	replica.reached(offset, time.Now())
+	var gone *eventlog.GoneError
+	_, _, err := replica.Read(t.Context(), 5, 0)
+	assert.Assert(t, errors.As(err, &gone), "%v", err)
+	_, _, err = replica.Read(t.Context(), offset, 0)
+	assert.NilError(t, err)
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -139,11 +139,14 @@
 		fleet:  fleet.New(),
 	}
 	direct := platform.Log()
-	n.directory = logrelay.NewDirectory(direct, config.Node.ID, config.Listen.Peers, config.Hosted.ReadsPerSecond, logger)
+	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
+		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Processors: config.Node.Processors,
+	}, config.Hosted.ReadsPerSecond, logger)
 	log := logrelay.NewFallback(direct, n.directory.Peers, logger)
 	n.directory.SetLog(log)
-	n.control = follow.New(log, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
-	n.engines = follow.New(log, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
+	replicas := logrelay.NewReplicaReader(log, n.directory.Sources)
+	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
+	n.engines = follow.New(replicas, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
@@ -159,7 +162,22 @@
 		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
 		Budget: n.directory.Budget(), Logger: logger,
 	}, n.lead)
-	return n, n.listen(logrelay.NewHandler(direct, log.Direct))
+	return n, n.listen(logrelay.NewHandler(direct, log.Direct, n))
+}
+
+// Replica implements logrelay.Replicas.
+func (n *node) Replica(topic string) (logrelay.Replica, bool) {
+	if !n.directory.IsReplica() {
+		return nil, false
+	}
+	switch topic {
+	case n.platform.ControlTopic():
+		return n.control.Replica(), true
+	case n.platform.EngineTopic():
+		return n.engines.Replica(), true
+	default:
+		return nil, false
+	}
 }
 
 // weakDelay is how long a node with hardly any processor leaves a free lease to
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
+	"github.com/corkpulley/corkpulley/internal/core/replicaset"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -31,6 +33,9 @@
 type member struct {
 	Node    string `msgpack:"n"`
 	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z,omitempty"`
+	// Processors is the node's share of processors; zero when unknown.
+	Processors float64 `msgpack:"p,omitempty"`
 	// Life is the time after which the node is forgotten unless it is heard again.
 	Life time.Duration `msgpack:"l"`
 }
@@ -46,13 +51,27 @@
 	next    int64
 	members map[string]member
 	seenAt  map[string]time.Time
+	// sources are the replicas that this node asks, isReplica whether it is one.
+	sources   []string
+	isReplica bool
 }
 
-// NewDirectory returns a directory for the node that listens at address. All
-// nodes together may make the given number of reads a second, zero for no bound.
-func NewDirectory(log eventlog.Log, node, address string, readsPerSecond int, logger zerolog.Logger) *Directory {
+// Self says who this node is.
+type Self struct {
+	Node string
+	// Address is where it listens for other nodes.
+	Address string
+	Zone    string
+	// Processors is its share of processors; zero when unknown.
+	Processors float64
+}
+
+// NewDirectory returns a directory for a node. All nodes together may make the given
+// number of reads a second, zero for no bound.
+func NewDirectory(log eventlog.Log, self Self, readsPerSecond int, logger zerolog.Logger) *Directory {
+	own := member{Node: self.Node, Address: self.Address, Zone: self.Zone, Processors: self.Processors}
 	return &Directory{
-		log: log, own: member{Node: node, Address: address}, reads: readsPerSecond, logger: logger,
+		log: log, own: own, reads: readsPerSecond, logger: logger,
 		members: make(map[string]member), seenAt: make(map[string]time.Time),
 	}
 }
@@ -105,6 +124,7 @@
 			announced = time.Now()
 		}
 		d.read(ctx)
+		d.chooseReplicas()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -124,6 +144,48 @@
 	return err
 }
 
+// Sources returns the addresses of the replicas that this node asks for followed
+// topics, the first choice first; none when it reads the log itself.
+func (d *Directory) Sources() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sources
+}
+
+// IsReplica tells whether this node hands followed topics to others.
+func (d *Directory) IsReplica() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isReplica
+}
+
+// chooseReplicas decides from the nodes known now.
+func (d *Directory) chooseReplicas() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self := d.own.candidate()
+	members := []replicaset.Member{self}
+	for node, each := range d.members {
+		if d.alive(node) {
+			members = append(members, each.candidate())
+		}
+	}
+	isReplica := slices.Contains(replicaset.Replicas(members, self.Zone), self)
+	var sources []string
+	for _, source := range replicaset.Sources(members, self) {
+		sources = append(sources, source.Address)
+	}
+	if isReplica != d.isReplica || !slices.Equal(sources, d.sources) {
+		d.logger.Info().Bool("replica", isReplica).Strs("sources", sources).Int("nodes", len(members)).
+			Msg("sources of followed topics changed")
+	}
+	d.isReplica, d.sources = isReplica, sources
+}
+
+func (m member) candidate() replicaset.Member {
+	return replicaset.Member{Node: m.Node, Zone: m.Zone, Address: m.Address, Processors: m.Processors}
+}
+
 func (d *Directory) read(ctx context.Context) {
 	batch, err := d.log.Read(ctx, eventlog.Partition{Topic: directoryTopic}, d.next, readLimit, 0)
 	var gone *eventlog.GoneError
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -69,18 +69,22 @@
 
 // NewFallback returns a log that calls direct, or one of the peers.
 func NewFallback(direct eventlog.Log, peers func() []string, logger zerolog.Logger) *Fallback {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Fallback{
-		direct: direct, peers: peers, logger: logger,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableCompression: true,
-			MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnectionsPerNode,
-			IdleConnTimeout: idleConnectionTime, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-		}},
+		direct: direct, peers: peers, logger: logger, client: newClient(),
 		pausedTo: make(map[string]time.Time),
 	}
 }
 
+// newClient returns a client of other nodes.
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnectionsPerNode,
+		IdleConnTimeout: idleConnectionTime, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+	}}
+}
+
 // way returns how the next call goes: the log and the node's address, which is
 // empty for the direct way.
 func (f *Fallback) way() (eventlog.Log, string) {
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -20,6 +20,9 @@
 	opRead
 	opNewest
 	opReadKeyed
+	// opReplicaNewest and opReplicaRead ask for what the other node itself has read.
+	opReplicaNewest
+	opReplicaRead
 )
 
 // request is a call of the log, encoded as msgpack.
@@ -61,6 +64,8 @@
 	Records [][]byte               `msgpack:"r,omitempty"`
 	Keyed   []eventlog.KeyedRecord `msgpack:"k,omitempty"`
 	Detail  string                 `msgpack:"d,omitempty"`
+	// Age is how old the knowledge of a replica is.
+	Age time.Duration `msgpack:"g,omitempty"`
 }
 
 // failed returns the response that tells of an error.
--- a/internal/logrelay/logrelay_test.go
+++ b/internal/logrelay/logrelay_test.go
@@ -39,7 +39,7 @@
 func connect(t *testing.T) *network {
 	t.Helper()
 	n := &network{log: memlog.New()}
-	server := httptest.NewServer(NewHandler(n.log, always))
+	server := httptest.NewServer(NewHandler(n.log, always, noReplicas{}))
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
 	n.fallback = NewFallback(refusing(), func() []string { return []string{address} }, zerolog.Nop())
@@ -104,7 +104,7 @@
 
 func TestDirectWayIsTakenAgainOnceItWorks(t *testing.T) {
 	direct, other := memlog.New(), memlog.New()
-	server := httptest.NewServer(NewHandler(other, always))
+	server := httptest.NewServer(NewHandler(other, always, noReplicas{}))
 	t.Cleanup(server.Close)
 	fallback := NewFallback(direct, func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }, zerolog.Nop())
 	direct.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
@@ -138,7 +138,7 @@
 	log := memlog.New()
 	var addresses []string
 	for _, able := range []bool{false, false, true, false} {
-		server := httptest.NewServer(NewHandler(log, func() bool { return able }))
+		server := httptest.NewServer(NewHandler(log, func() bool { return able }, noReplicas{}))
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
@@ -158,7 +158,7 @@
 	log := refusing()
 	var addresses []string
 	for range 2 * maxPeersAsked {
-		server := httptest.NewServer(NewHandler(log, func() bool { return false }))
+		server := httptest.NewServer(NewHandler(log, func() bool { return false }, noReplicas{}))
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
@@ -179,7 +179,7 @@
 	handler := NewHandler(refusing(), func() bool {
 		asked.Add(1)
 		return false
-	})
+	}, noReplicas{})
 	var addresses []string
 	for range 40 {
 		server := httptest.NewUnstartedServer(handler)
@@ -213,7 +213,7 @@
 }
 
 func TestUnreadableCallsAreRefused(t *testing.T) {
-	server := httptest.NewServer(NewHandler(memlog.New(), always))
+	server := httptest.NewServer(NewHandler(memlog.New(), always, noReplicas{}))
 	t.Cleanup(server.Close)
 	response, err := server.Client().Post(server.URL+Path, "", strings.NewReader("\xdf\xff\xff\xff\xff"))
 	assert.NilError(t, err)
@@ -223,8 +223,8 @@
 
 func TestDirectoryListsTheOthers(t *testing.T) {
 	log := memlog.New()
-	one := NewDirectory(log, "n1", "127.0.0.1:1", 0, zerolog.Nop())
-	two := NewDirectory(log, "n2", "127.0.0.1:2", 0, zerolog.Nop())
+	one := NewDirectory(log, Self{Node: "n1", Address: "127.0.0.1:1"}, 0, zerolog.Nop())
+	two := NewDirectory(log, Self{Node: "n2", Address: "127.0.0.1:2"}, 0, zerolog.Nop())
 	go func() { _ = one.Run(t.Context()) }()
 	go func() { _ = two.Run(t.Context()) }()
 	_, err := log.Append(t.Context(), eventlog.Partition{Topic: directoryTopic}, [][]byte{[]byte("no member")})
@@ -242,11 +242,12 @@
 func TestManyNodesAreToldOfByOneLine(t *testing.T) {
 	log := memlog.New()
 	for number := range 300 {
-		directory := NewDirectory(log, fmt.Sprint("n", number), fmt.Sprint("127.0.0.1:", number), 0, zerolog.Nop())
+		self := Self{Node: fmt.Sprint("n", number), Address: fmt.Sprint("127.0.0.1:", number)}
+		directory := NewDirectory(log, self, 0, zerolog.Nop())
 		assert.NilError(t, directory.announce(t.Context(), time.Minute))
 	}
 	var lines bytes.Buffer
-	reader := NewDirectory(log, "reader", "127.0.0.1:9999", 0, zerolog.New(&lines))
+	reader := NewDirectory(log, Self{Node: "reader", Address: "127.0.0.1:9999"}, 0, zerolog.New(&lines))
 	reader.read(t.Context())
 	assert.Equal(t, reader.Nodes(), 301)
 	assert.Equal(t, strings.Count(lines.String(), "\n"), 1, lines.String())
--- /dev/null
+++ b/internal/logrelay/replicareader.go
@@ -0,0 +1,139 @@
+package logrelay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// replicaWait bounds how long a replica holds a read, replicaTimeout how much later
+	// its answer may come, and maxReplicaAge how old its knowledge may be (it reads once a
+	// second at least). Together they bound how much later than by itself a node learns
+	// of a change through a replica that froze or lost the log just then: 1.8 s, where
+	// a changed configuration has to be in force after 2 s or more.
+	replicaWait    = 300 * time.Millisecond
+	replicaTimeout = 300 * time.Millisecond
+	maxReplicaAge  = 1300 * time.Millisecond
+	// replicaReadGap is the time between two reads of a topic from a replica, in which
+	// changes gather.
+	replicaReadGap = 100 * time.Millisecond
+	// newestTimeout bounds a read of a whole topic from a replica: megabytes over a link
+	// of 60 Mbit/s.
+	newestTimeout = time.Second
+	// brokenPause leaves a replica alone that did not answer, stalePause one that does not
+	// know enough: it has lost the log, or has just started.
+	brokenPause = 3 * time.Second
+	stalePause  = 300 * time.Millisecond
+)
+
+// ReplicaReader is a log whose compacted topics are read from replicas where the cluster
+// has them, and from the log itself where it has none, they don't answer, or they know
+// too little. It implements eventlog.Log.
+type ReplicaReader struct {
+	eventlog.Log
+	// sources returns the replicas to ask, the first choice first.
+	sources func() []string
+	client  *http.Client
+
+	mu       sync.Mutex
+	pausedTo map[string]time.Time
+	// readAt is when each topic was read from a replica last.
+	readAt map[string]time.Time
+}
+
+var _ eventlog.Log = (*ReplicaReader)(nil)
+
+// NewReplicaReader returns a reader that asks the sources, or else the log.
+func NewReplicaReader(log eventlog.Log, sources func() []string) *ReplicaReader {
+	return &ReplicaReader{
+		Log: log, sources: sources, client: newClient(),
+		pausedTo: make(map[string]time.Time), readAt: make(map[string]time.Time),
+	}
+}
+
+// Newest implements eventlog.Log.
+func (r *ReplicaReader) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
+	answer, known, _ := r.ask(ctx, request{Operation: opReplicaNewest, Topic: topic}, newestTimeout)
+	if !known {
+		return r.Log.Newest(ctx, topic)
+	}
+	return eventlog.KeyedBatch{Records: answer.Keyed, Next: answer.Offset}, nil
+}
+
+// ReadKeyed implements eventlog.Log.
+func (r *ReplicaReader) ReadKeyed(
+	ctx context.Context, topic string, from int64, wait time.Duration,
+) (eventlog.KeyedBatch, error) {
+	call := request{Operation: opReplicaRead, Topic: topic, Offset: from, Wait: min(wait, replicaWait)}
+	retry.Sleep(ctx, r.gapLeft(topic))
+	answer, known, err := r.ask(ctx, call, call.Wait+replicaTimeout)
+	if !known {
+		return r.Log.ReadKeyed(ctx, topic, from, wait)
+	}
+	if err != nil {
+		return eventlog.KeyedBatch{}, err
+	}
+	return eventlog.KeyedBatch{Records: answer.Keyed, Next: answer.Offset}, nil
+}
+
+// gapLeft is the time until the topic should be read from a replica again.
+func (r *ReplicaReader) gapLeft(topic string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, replicaReadGap-time.Since(r.readAt[topic]))
+}
+
+// ask asks the first replica that is not paused. The answer is worth something only if
+// known is true; then err is nil or says that the reader has to read whole.
+func (r *ReplicaReader) ask(
+	ctx context.Context, call request, timeout time.Duration,
+) (answer response, known bool, err error) {
+	address, found := r.source()
+	if !found {
+		return response{}, false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	replica := &peer{client: r.client, address: address}
+	answer, err = replica.call(ctx, call)
+	var gone *eventlog.GoneError
+	switch {
+	case errors.As(err, &gone):
+		return answer, true, err
+	case errors.Is(err, errNoWay), err == nil && answer.Age > maxReplicaAge:
+		r.pause(address, stalePause)
+		return response{}, false, nil
+	case err != nil:
+		r.pause(address, brokenPause)
+		return response{}, false, nil
+	}
+	r.mu.Lock()
+	r.readAt[call.Topic] = time.Now()
+	r.mu.Unlock()
+	return answer, true, nil
+}
+
+// source returns the first replica that is not paused.
+func (r *ReplicaReader) source() (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range r.sources() {
+		if !time.Now().Before(r.pausedTo[address]) {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+func (r *ReplicaReader) pause(address string, period time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedTo[address] = time.Now().Add(period)
+}
--- a/internal/logrelay/server.go
+++ b/internal/logrelay/server.go
@@ -22,10 +22,23 @@
 	maxWait = 2 * time.Second
 )
 
+// Replicas are the followed topics that a node hands to others.
+type Replicas interface {
+	// Replica returns what the node has read of a topic itself; false when it reads it
+	// through another node or not at all.
+	Replica(topic string) (Replica, bool)
+}
+
+// Replica is what a node has read of a topic; see follow.Replica.
+type Replica interface {
+	Newest() (eventlog.KeyedBatch, time.Duration, bool)
+	Read(ctx context.Context, from int64, wait time.Duration) (eventlog.KeyedBatch, time.Duration, error)
+}
+
 // NewHandler serves calls of other nodes with the node's own connection to the
 // log, never by way of a third one. While able is false it tells them at once to
 // ask another node.
-func NewHandler(direct eventlog.Log, able func() bool) http.Handler {
+func NewHandler(direct eventlog.Log, able func() bool, replicas Replicas) http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc(Path, func(w http.ResponseWriter, r *http.Request) {
 		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
@@ -40,21 +53,47 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		answer, err := msgpack.Marshal(serveIfAble(r.Context(), direct, able, call))
+		encoded, err := msgpack.Marshal(answer(r.Context(), direct, able, replicas, call))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		_, _ = w.Write(answer)
+		_, _ = w.Write(encoded)
 	}).Methods(http.MethodPost)
 	return router
 }
 
-func serveIfAble(ctx context.Context, direct eventlog.Log, able func() bool, call request) response {
-	if !able() {
+func answer(
+	ctx context.Context, direct eventlog.Log, able func() bool, replicas Replicas, call request,
+) response {
+	switch {
+	case call.Operation == opReplicaNewest || call.Operation == opReplicaRead:
+		return serveReplica(ctx, replicas, call)
+	case !able():
+		return response{Outcome: noWay}
+	default:
+		return serve(ctx, direct, call)
+	}
+}
+
+// serveReplica answers from what the node has read itself.
+func serveReplica(ctx context.Context, replicas Replicas, call request) response {
+	replica, found := replicas.Replica(call.Topic)
+	if !found {
 		return response{Outcome: noWay}
 	}
-	return serve(ctx, direct, call)
+	if call.Operation == opReplicaNewest {
+		batch, age, known := replica.Newest()
+		if !known {
+			return response{Outcome: noWay}
+		}
+		return response{Outcome: done, Offset: batch.Next, Keyed: batch.Records, Age: age}
+	}
+	batch, age, err := replica.Read(ctx, call.Offset, min(call.Wait, maxWait))
+	if err != nil {
+		return failed(err)
+	}
+	return response{Outcome: done, Offset: batch.Next, Keyed: batch.Records, Age: age}
 }
 
 func serve(ctx context.Context, direct eventlog.Log, call request) response {
