--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -33,7 +33,6 @@
 	Demo    *demo.Arguments     `arg:"subcommand:demo" help:"start a small deployment, run live requests and a trainer, and check every answer"`
 	Load    *loadArguments      `arg:"subcommand:load" help:"send live load to running nodes"`
 	Soak    *soak.Arguments     `arg:"subcommand:soak" help:"strike real nodes with faults drawn from a seed and check every promise"`
-	Slopes  *slopesArguments    `arg:"subcommand:slopes" help:"measure what each request, record, member, slot and row costs a node"`
 	Run     *runArguments       `arg:"subcommand:run" help:"measure a deployment's trainers and live calls, and compare scheduling policies"`
 
 	PathCost *pathcost.Arguments `arg:"subcommand:path-cost" help:"measure what a request and a relayed chunk cost, against the standard library's reverse proxy"`
@@ -51,7 +50,6 @@
   corkbench standin engine --listen 127.0.0.1:7501 --id e1 --zone tumwater --pool clerk --model clerk@1
   corkbench run --workload cascadia --compare round-robin --json
   corkbench load --address 127.0.0.1:8080 --service clerk-lookup --rate 50 --seconds 30
-  corkbench slopes --json
   corkbench soak --minutes 5 --json
 
 Exit codes: 0 done, 1 failed or a promise was broken, 2 usage.`
@@ -83,8 +81,6 @@
 		err = runLoad(ctx, parsed.Load, output)
 	case parsed.Soak != nil:
 		err = soak.Run(ctx, parsed.Soak, output)
-	case parsed.Slopes != nil:
-		err = runSlopes(ctx, parsed.Slopes, output, problems)
 	case parsed.Run != nil:
 		err = runExperiment(ctx, parsed.Run, output)
 	case parsed.PathCost != nil:
@@ -101,7 +97,7 @@
 	names := parser.SubcommandNames()
 	switch {
 	case len(names) == 0:
-		return errors.New("no command named: expected standin, demo, load, run, slopes, soak or path-cost")
+		return errors.New("no command named: expected standin, demo, load, run, soak or path-cost")
 	case len(names) == 1 && names[0] == standinCommand:
 		return errors.New("no stand-in named: expected log, engine, weightstore, machines, scorer or trainer")
 	default:
