Spread the whole reads that come due in an outage of the log

Whole reads of the followed topics came due at all 295 nodes meanwhile and were made at its return: the topics' contact came back between 36.5 and 38.5 s, jobs accepted at 35.8 s were taken up 2.1 to 3.2 s later, and ends asked after 38 s. Change: a whole read that came due in an outage is made within two seconds (stretched by the nodes) after the first read of changes that works, once; lost history still makes one due at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,6 +35,10 @@
 	maxRefreshPeriod = 2 * time.Minute
 	refreshRecords   = 500
 	refreshJitter    = 0.3
+	// refreshDelay is the longest time for which a whole read that came due in an outage
+	// is postponed; it grows with the nodes.
+	refreshDelay    = 2 * time.Second
+	maxRefreshDelay = 10 * time.Second
 )
 
 // readRetries are the delays between tries while reads fail.
@@ -59,8 +63,8 @@
 	// replica holds what was read, for other nodes.
 	replica *Replica
 	// loaded is closed after the first full read.
-	loaded     chan struct{}
-	refreshDue time.Time
+	loaded chan struct{}
+	whole  refreshSchedule
 }
 
 // New returns a follower; Run starts it.
@@ -73,6 +77,7 @@
 		logger:  logger.With().Str("topic", topic).Logger(),
 		offsets: make(map[string]int64),
 		loaded:  make(chan struct{}),
+		whole:   refreshSchedule{postponed: true},
 		replica: newReplica(),
 	}
 }
@@ -110,9 +115,10 @@
 		var gone *eventlog.GoneError
 		if errors.As(err, &gone) {
 			f.logger.Info().Int64("offset", f.next).Int64("first_kept", gone.First).Msg("history lost, reading whole")
-			f.refreshDue = time.Time{}
+			f.whole.force()
 			continue
 		}
+		f.whole.failed()
 		f.contact(err)
 		retry.Sleep(ctx, delays.NextBackOff())
 	}
@@ -120,11 +126,11 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if now := time.Now(); now.After(f.refreshDue) {
+	if now := time.Now(); f.whole.isDue(now) {
 		if err := f.refresh(ctx); err != nil {
 			return err
 		}
-		f.refreshDue = now.Add(f.untilRefresh())
+		f.whole.done(now, f.untilRefresh())
 	}
 	sent := time.Now()
 	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, f.budget.Stretch(pollWait, maxPollWait))
@@ -140,6 +146,7 @@
 		sent = time.Now()
 	}
 	f.replica.reached(f.next, sent)
+	f.whole.worked(time.Now(), rand.N(f.budget.Stretch(refreshDelay, maxRefreshDelay)))
 	return nil
 }
 
