Let a few nodes of a large cluster answer questions about batch jobs

All 295 nodes restart at 36 s and are asked about jobs; each reads whole partitions of the index (1 MB each, 4 of them), a gigabyte of which the store gives 80 MB/s. Ruled out: an outage (small reads of the directory worked all the time). Change: results, bodies and ends are asked of the replicas, two of the node's zone and two of others; where none answers, or the node has not read of the others yet, the caller is told to ask elsewhere. Texts of a job are read eight runs at a time, not one after the other.

--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
@@ -165,9 +166,16 @@
 	return records, nil
 }
 
-// readTexts returns the texts of results. Neighbours in the log are read together.
+// textReads is how many reads of a job's texts are under way at a time: a whole job takes
+// a hundred of them, each some 8 ms.
+const textReads = 8
+
+// readTexts returns the texts of results. Neighbours in the log are read together, and
+// several such runs at a time.
 func (s *Service) readTexts(ctx context.Context, target *partition, results []batch.Result) ([][]byte, error) {
 	texts := make([][]byte, len(results))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(textReads)
 	for start := 0; start < len(results); {
 		end := start + 1
 		span, size := results[start].Text, results[start].TextBytes
@@ -176,17 +184,21 @@
 			size += results[end].TextBytes
 			end++
 		}
-		records, err := s.readData(ctx, target, span, min(size+recordOverhead*span.Count, readLimit))
-		if err != nil {
-			return nil, err
-		}
-		for i := start; i < end; i++ {
-			for range results[i].Text.Count {
-				texts[i] = append(texts[i], records[0]...)
-				records = records[1:]
+		neighbours, into := results[start:end], texts[start:end]
+		group.Go(func() error {
+			records, err := s.readData(ctx, target, span, min(size+recordOverhead*span.Count, readLimit))
+			if err != nil {
+				return err
 			}
-		}
+			for i := range neighbours {
+				for range neighbours[i].Text.Count {
+					into[i] = append(into[i], records[0]...)
+					records = records[1:]
+				}
+			}
+			return nil
+		})
 		start = end
 	}
-	return texts, nil
+	return texts, group.Wait()
 }
--- a/internal/core/replicaset/replicaset.go
+++ b/internal/core/replicaset/replicaset.go
@@ -21,8 +21,10 @@
 	// readersPerReplica is the number of nodes of a zone for each replica: a replica with
 	// a link of 600 Mbit/s hands half a megabyte to them in about 0.1 s.
 	readersPerReplica = 16
-	// maxSources bounds the replicas that one node asks.
-	maxSources = 2
+	// zoneSources is how many replicas of its zone a node asks, and otherSources how many
+	// of other zones after these: those of one zone may fail together.
+	zoneSources  = 2
+	otherSources = 2
 )
 
 // Member is a node of the cluster.
@@ -69,13 +71,32 @@
 // Sources returns the replicas that a node asks, the first choice first; none when the
 // node reads the log itself.
 func Sources(members []Member, self Member) []Member {
-	replicas := Replicas(members, self.Zone)
+	near := Replicas(members, self.Zone)
 	isSelf := func(member Member) bool { return member.Node == self.Node }
-	if slices.ContainsFunc(replicas, isSelf) {
+	if slices.ContainsFunc(near, isSelf) {
 		return nil
 	}
+	var far []Member
+	for _, zone := range otherZones(members, self.Zone) {
+		far = append(far, Replicas(members, zone)...)
+	}
+	return append(preferred(near, self, zoneSources), preferred(far, self, otherSources)...)
+}
+
+// preferred returns the first few replicas in the node's own order.
+func preferred(replicas []Member, self Member, most int) []Member {
 	slices.SortFunc(replicas, func(a, b Member) int { return compareHashes(a.Node, b.Node, self.Node) })
-	return replicas[:min(len(replicas), maxSources)]
+	return replicas[:min(len(replicas), most)]
+}
+
+func otherZones(members []Member, own string) []string {
+	var zones []string
+	for _, member := range members {
+		if member.Zone != own && !slices.Contains(zones, member.Zone) {
+			zones = append(zones, member.Zone)
+		}
+	}
+	return zones
 }
 
 // compareHashes orders two nodes by the hash of their names and the seed, so that each
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -54,19 +54,19 @@
 
 // Results implements Callers.
 func (n *node) Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error) {
-	return n.jobs.Results(ctx, jobID, from, min(wait, maxWait))
+	return n.askedJobs.Results(ctx, jobID, from, min(wait, maxWait))
 }
 
 // Body implements Callers.
 func (n *node) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
-	return n.jobs.Body(ctx, jobID, itemID)
+	return n.askedJobs.Body(ctx, jobID, itemID)
 }
 
 // End implements Callers.
 func (n *node) End(ctx context.Context, jobID string) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	err := n.jobs.End(ctx, jobID)
+	err := n.askedJobs.End(ctx, jobID)
 	n.logger.Info().Err(err).Str("job", jobID).Msg("job end asked")
 	return err
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
@@ -24,6 +25,7 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/follow"
 	"github.com/corkpulley/corkpulley/internal/ingress"
+	"github.com/corkpulley/corkpulley/internal/jobrelay"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 	"github.com/corkpulley/corkpulley/internal/logrelay"
 	"github.com/corkpulley/corkpulley/internal/settings"
@@ -96,8 +98,10 @@
 	control *follow.Follower
 	engines *follow.Follower
 	jobs    *batchjobs.Service
-	relay   *ingress.Relay
-	elector *leadership.Elector
+	// askedJobs answers questions about jobs, through other nodes in a large cluster.
+	askedJobs *jobrelay.Relay
+	relay     *ingress.Relay
+	elector   *leadership.Elector
 
 	directory *logrelay.Directory
 
@@ -152,6 +156,7 @@
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
 		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Logger: logger,
 	})
+	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.Sources, n.directory.Known(), logrelay.NewClient(), logger)
 	n.relay = ingress.New(ingress.Options{
 		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
@@ -162,7 +167,15 @@
 		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
 		Budget: n.directory.Budget(), Logger: logger,
 	}, n.lead)
-	return n, n.listen(logrelay.NewHandler(direct, log.Direct, n))
+	return n, n.listen(n.peersHandler(direct, log))
+}
+
+// peersHandler serves other nodes.
+func (n *node) peersHandler(direct eventlog.Log, log *logrelay.Fallback) http.Handler {
+	router := mux.NewRouter()
+	router.Handle(logrelay.Path, logrelay.NewHandler(direct, log.Direct, n))
+	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.IsReplica)).Methods(http.MethodPost)
+	return router
 }
 
 // Replica implements logrelay.Replicas.
--- /dev/null
+++ b/internal/jobrelay/jobrelay.go
@@ -0,0 +1,94 @@
+// Package jobrelay has a large cluster's questions about batch jobs answered by a few
+// nodes, the replicas of the zone (internal/core/replicaset). A node that answers itself
+// reads the whole index partition of the job first; after a restart of hundreds of nodes
+// that takes more than the log serves, reads time out and begin again, and no job can be
+// read for as long as somebody asks.
+package jobrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+)
+
+// Jobs answers questions about batch jobs; see batchjobs.Service.
+type Jobs interface {
+	Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error)
+	Body(ctx context.Context, jobID, itemID string) ([]byte, error)
+	End(ctx context.Context, jobID string) error
+}
+
+var _ Jobs = (*batchjobs.Service)(nil)
+
+// operation says what a request asks.
+type operation uint8
+
+const (
+	opResults operation = iota + 1
+	opBody
+	opEnd
+)
+
+// request is a question to a replica, encoded as msgpack.
+type request struct {
+	Operation operation     `msgpack:"o"`
+	Job       string        `msgpack:"j"`
+	Item      string        `msgpack:"i,omitempty"`
+	From      int           `msgpack:"f,omitempty"`
+	Wait      time.Duration `msgpack:"w,omitempty"`
+}
+
+// response is the answer to a request, encoded as msgpack.
+type response struct {
+	// NoReplica: the node answers for itself only, so nothing was done.
+	NoReplica bool `msgpack:"n,omitempty"`
+	// Error is nil when the question was answered.
+	Error *errkind.Error `msgpack:"e,omitempty"`
+
+	Total   int      `msgpack:"t,omitempty"`
+	Results []result `msgpack:"r,omitempty"`
+	Body    []byte   `msgpack:"b,omitempty"`
+}
+
+// result is one result of a job.
+type result struct {
+	Item     string        `msgpack:"i"`
+	Outcome  batch.Outcome `msgpack:"o"`
+	Text     []byte        `msgpack:"t"`
+	Versions []int64       `msgpack:"v,omitempty"`
+	Score    string        `msgpack:"s,omitempty"`
+}
+
+func encodeResults(results batchjobs.Results) response {
+	encoded := response{Total: results.Total}
+	for _, each := range results.Results {
+		encoded.Results = append(encoded.Results, result{
+			Item: each.ItemID, Outcome: each.Outcome, Text: each.Text, Versions: each.Versions, Score: each.Score,
+		})
+	}
+	return encoded
+}
+
+func (r response) results() batchjobs.Results {
+	decoded := batchjobs.Results{Total: r.Total}
+	for _, each := range r.Results {
+		decoded.Results = append(decoded.Results, batchjobs.ResultText{
+			ItemID: each.Item, Outcome: each.Outcome, Text: each.Text, Versions: each.Versions, Score: each.Score,
+		})
+	}
+	return decoded
+}
+
+// failed returns the response that tells of an error.
+func failed(err error) response { return response{Error: errkind.From(err)} }
+
+// err returns the error that the response tells of; nil when there is none.
+func (r response) err() error {
+	if r.Error == nil {
+		return nil
+	}
+	return r.Error
+}
--- /dev/null
+++ b/internal/jobrelay/relay.go
@@ -0,0 +1,195 @@
+package jobrelay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+)
+
+const (
+	// answerTimeout bounds a replica's answer beyond the time that it may wait: a megabyte
+	// of results takes it some 0.3 s, and a caller waits 1.5 s longer than it allows.
+	answerTimeout = 1300 * time.Millisecond
+	// brokenPause leaves a replica alone that did not answer, otherPause one that says
+	// that it is none.
+	brokenPause = 3 * time.Second
+	otherPause  = time.Second
+	// directoryWait bounds the wait of a node that has just started for what it knows of
+	// the others: about as long as a caller waits.
+	directoryWait = 1200 * time.Millisecond
+	// maxResponseBytes bounds an answer; results come a megabyte at a time.
+	maxResponseBytes = 4 << 20
+)
+
+// Relay asks replicas about jobs, and the node itself where there are none. Where there
+// are some, and none answers, the caller is told to ask another node: if all nodes read
+// the index when a few are slow, the log would be too slow for all. It implements Jobs.
+type Relay struct {
+	own Jobs
+	// sources returns the replicas to ask, the first choice first; known is closed once
+	// the node has read of the others.
+	sources func() []string
+	known   <-chan struct{}
+	client  *http.Client
+	logger  zerolog.Logger
+
+	mu       sync.Mutex
+	pausedTo map[string]time.Time
+}
+
+var _ Jobs = (*Relay)(nil)
+
+// NewRelay returns a relay that asks the sources over the client, or else own.
+func NewRelay(
+	own Jobs, sources func() []string, known <-chan struct{}, client *http.Client, logger zerolog.Logger,
+) *Relay {
+	return &Relay{
+		own: own, sources: sources, known: known, client: client, logger: logger,
+		pausedTo: make(map[string]time.Time),
+	}
+}
+
+// Results implements Jobs.
+func (r *Relay) Results(
+	ctx context.Context, jobID string, from int, wait time.Duration,
+) (batchjobs.Results, error) {
+	replicas, err := r.replicas(ctx)
+	if err != nil {
+		return batchjobs.Results{}, err
+	}
+	if len(replicas) == 0 {
+		return r.own.Results(ctx, jobID, from, wait)
+	}
+	answer, err := r.ask(ctx, replicas, request{Operation: opResults, Job: jobID, From: from, Wait: wait})
+	if err != nil {
+		return batchjobs.Results{}, err
+	}
+	return answer.results(), nil
+}
+
+// Body implements Jobs.
+func (r *Relay) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
+	replicas, err := r.replicas(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(replicas) == 0 {
+		return r.own.Body(ctx, jobID, itemID)
+	}
+	answer, err := r.ask(ctx, replicas, request{Operation: opBody, Job: jobID, Item: itemID})
+	return answer.Body, err
+}
+
+// End implements Jobs. An end may be recorded twice, so it is asked of the next replica
+// after a lost answer.
+func (r *Relay) End(ctx context.Context, jobID string) error {
+	replicas, err := r.replicas(ctx)
+	if err != nil {
+		return err
+	}
+	if len(replicas) == 0 {
+		return r.own.End(ctx, jobID)
+	}
+	_, err = r.ask(ctx, replicas, request{Operation: opEnd, Job: jobID})
+	return err
+}
+
+// replicas returns the replicas to ask; none where the node is one, or the cluster is
+// small. Before the node has read of the others it can't know.
+func (r *Relay) replicas(ctx context.Context) ([]string, error) {
+	timer := time.NewTimer(directoryWait)
+	defer timer.Stop()
+	select {
+	case <-r.known:
+		return r.sources(), nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return nil, errkind.New(errkind.LogUnavailable, "this node has just started and has not read of the others yet")
+}
+
+// ask asks the replicas in turn until one has answered.
+func (r *Relay) ask(ctx context.Context, replicas []string, question request) (response, error) {
+	lost := false
+	for _, address := range replicas {
+		if r.isPaused(address) {
+			continue
+		}
+		answer, err := r.call(ctx, address, question)
+		switch {
+		case ctx.Err() != nil:
+			// The caller has left; the replica is not to blame.
+			return response{}, errkind.New(errkind.Canceled, "the caller has left")
+		case err != nil:
+			r.logger.Warn().Err(err).Str("replica", address).Str("job", question.Job).Msg("replica did not answer")
+			r.pause(address, brokenPause)
+			lost = true
+		case answer.NoReplica:
+			r.pause(address, otherPause)
+		default:
+			return answer, answer.err()
+		}
+		// The time that the caller allows has passed with the first replica.
+		question.Wait = 0
+	}
+	if lost && question.Operation == opEnd {
+		return response{}, errkind.New(errkind.OutcomeUnknownRepeatable, "no replica told how the end was taken")
+	}
+	return response{}, errkind.New(errkind.LogUnavailable, "none of %d replicas answers", len(replicas))
+}
+
+func (r *Relay) call(ctx context.Context, address string, question request) (response, error) {
+	ctx, cancel := context.WithTimeout(ctx, question.Wait+answerTimeout)
+	defer cancel()
+	raw, err := msgpack.Marshal(&question)
+	if err != nil {
+		return response{}, errors.Wrap(err, "encode the question")
+	}
+	sent, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(raw))
+	if err != nil {
+		return response{}, errors.Wrap(err, "build the question")
+	}
+	answer, err := r.client.Do(sent)
+	if err != nil {
+		return response{}, errors.Wrap(err, "ask")
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes))
+	if err != nil {
+		return response{}, errors.Wrap(err, "read the answer")
+	}
+	if answer.StatusCode != http.StatusOK {
+		return response{}, errors.Errorf("status %d", answer.StatusCode)
+	}
+	if err := msgpackguard.Check(content); err != nil {
+		return response{}, errors.Wrap(err, "check the answer")
+	}
+	var decoded response
+	if err := msgpack.Unmarshal(content, &decoded); err != nil {
+		return response{}, errors.Wrap(err, "decode the answer")
+	}
+	return decoded, nil
+}
+
+func (r *Relay) isPaused(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.pausedTo[address])
+}
+
+func (r *Relay) pause(address string, period time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedTo[address] = time.Now().Add(period)
+}
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -54,6 +54,8 @@
 	// sources are the replicas that this node asks, isReplica whether it is one.
 	sources   []string
 	isReplica bool
+	// known is closed once the directory was read for the first time.
+	known chan struct{}
 }
 
 // Self says who this node is.
@@ -72,7 +74,7 @@
 	own := member{Node: self.Node, Address: self.Address, Zone: self.Zone, Processors: self.Processors}
 	return &Directory{
 		log: log, own: own, reads: readsPerSecond, logger: logger,
-		members: make(map[string]member), seenAt: make(map[string]time.Time),
+		members: make(map[string]member), seenAt: make(map[string]time.Time), known: make(chan struct{}),
 	}
 }
 
@@ -123,8 +125,9 @@
 		if time.Since(announced) >= period && d.announce(ctx, period) == nil {
 			announced = time.Now()
 		}
-		d.read(ctx)
-		d.chooseReplicas()
+		if d.read(ctx) {
+			d.chooseReplicas()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -180,21 +183,30 @@
 			Msg("sources of followed topics changed")
 	}
 	d.isReplica, d.sources = isReplica, sources
+	select {
+	case <-d.known:
+	default:
+		close(d.known)
+	}
 }
 
 func (m member) candidate() replicaset.Member {
 	return replicaset.Member{Node: m.Node, Zone: m.Zone, Address: m.Address, Processors: m.Processors}
 }
 
-func (d *Directory) read(ctx context.Context) {
+// Known is closed once the node has read of the others.
+func (d *Directory) Known() <-chan struct{} { return d.known }
+
+// read takes what is new in the directory and reports whether it could be read.
+func (d *Directory) read(ctx context.Context) bool {
 	batch, err := d.log.Read(ctx, eventlog.Partition{Topic: directoryTopic}, d.next, readLimit, 0)
 	var gone *eventlog.GoneError
 	if errors.As(err, &gone) {
 		d.next = gone.First
-		return
+		return false
 	}
 	if err != nil {
-		return
+		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -216,4 +228,5 @@
 		// One line for all: a line a node at each node would be the most of all lines.
 		d.logger.Info().Int("listed", listed).Int("known", len(d.members)).Msg("nodes listed")
 	}
+	return true
 }
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -70,13 +70,13 @@
 // NewFallback returns a log that calls direct, or one of the peers.
 func NewFallback(direct eventlog.Log, peers func() []string, logger zerolog.Logger) *Fallback {
 	return &Fallback{
-		direct: direct, peers: peers, logger: logger, client: newClient(),
+		direct: direct, peers: peers, logger: logger, client: NewClient(),
 		pausedTo: make(map[string]time.Time),
 	}
 }
 
-// newClient returns a client of other nodes.
-func newClient() *http.Client {
+// NewClient returns a client of other nodes.
+func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -53,7 +53,7 @@
 // NewReplicaReader returns a reader that asks the sources, or else the log.
 func NewReplicaReader(log eventlog.Log, sources func() []string) *ReplicaReader {
 	return &ReplicaReader{
-		Log: log, sources: sources, client: newClient(),
+		Log: log, sources: sources, client: NewClient(),
 		pausedTo: make(map[string]time.Time), readAt: make(map[string]time.Time),
 	}
 }
