Give pauses of peers one home; look at the directory before the caller's end

Change: internal/common/pauses serves both and forgets pauses that are over; what is known is looked at first. Conclusion: traced and mended; nothing else changes.

--- /dev/null
+++ b/internal/common/pauses/pauses_test.go
@@ -0,0 +1,28 @@
+package pauses
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAPauseHoldsForOnePeerUntilItIsOver(t *testing.T) {
+	pauses := New()
+	pauses.Begin("a", time.Hour)
+	assert.Assert(t, pauses.Active("a"))
+	assert.Assert(t, !pauses.Active("b"))
+	pauses.Begin("a", 0)
+	assert.Assert(t, !pauses.Active("a"))
+}
+
+func TestPausesThatAreOverAreForgotten(t *testing.T) {
+	pauses := New()
+	pauses.Begin("kept", time.Hour)
+	for number := range 10 * forgetAt {
+		pauses.Begin(fmt.Sprint("n", number), 0)
+	}
+	assert.Assert(t, pauses.Active("kept"))
+	assert.Assert(t, len(pauses.until) <= forgetAt)
+}
--- a/internal/jobrelay/relay.go
+++ b/internal/jobrelay/relay.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/common/pauses"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 )
@@ -43,9 +43,7 @@
 	known   <-chan struct{}
 	client  *http.Client
 	logger  zerolog.Logger
-
-	mu       sync.Mutex
-	pausedTo map[string]time.Time
+	paused  *pauses.Pauses
 }
 
 var _ Jobs = (*Relay)(nil)
@@ -55,8 +53,7 @@
 	own Jobs, sources func() []string, known <-chan struct{}, client *http.Client, logger zerolog.Logger,
 ) *Relay {
 	return &Relay{
-		own: own, sources: sources, known: known, client: client, logger: logger,
-		pausedTo: make(map[string]time.Time),
+		own: own, sources: sources, known: known, client: client, logger: logger, paused: pauses.New(),
 	}
 }
 
@@ -108,6 +105,12 @@
 // replicas returns the replicas to ask; none where the node is one, or the cluster is
 // small. Before the node has read of the others it can't know.
 func (r *Relay) replicas(ctx context.Context) ([]string, error) {
+	// First without a wait: of several channels that are ready, select takes any.
+	select {
+	case <-r.known:
+		return r.sources(), nil
+	default:
+	}
 	timer := time.NewTimer(directoryWait)
 	defer timer.Stop()
 	select {
@@ -123,7 +126,7 @@
 func (r *Relay) ask(ctx context.Context, replicas []string, question request) (response, error) {
 	lost := false
 	for _, address := range replicas {
-		if r.isPaused(address) {
+		if r.paused.Active(address) {
 			continue
 		}
 		answer, err := r.call(ctx, address, question)
@@ -133,10 +136,10 @@
 			return response{}, errkind.New(errkind.Canceled, "the caller has left")
 		case err != nil:
 			r.logger.Warn().Err(err).Str("replica", address).Str("job", question.Job).Msg("replica did not answer")
-			r.pause(address, brokenPause)
+			r.paused.Begin(address, brokenPause)
 			lost = true
 		case answer.NoReplica:
-			r.pause(address, otherPause)
+			r.paused.Begin(address, otherPause)
 		default:
 			return answer, answer.err()
 		}
@@ -181,15 +184,3 @@
 	}
 	return decoded, nil
 }
-
-func (r *Relay) isPaused(address string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Now().Before(r.pausedTo[address])
-}
-
-func (r *Relay) pause(address string, period time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pausedTo[address] = time.Now().Add(period)
-}
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/pauses"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
@@ -41,9 +42,9 @@
 	// sources returns the replicas to ask, the first choice first.
 	sources func() []string
 	client  *http.Client
+	paused  *pauses.Pauses
 
-	mu       sync.Mutex
-	pausedTo map[string]time.Time
+	mu sync.Mutex
 	// readAt is when each topic was read from a replica last.
 	readAt map[string]time.Time
 }
@@ -53,8 +54,8 @@
 // NewReplicaReader returns a reader that asks the sources, or else the log.
 func NewReplicaReader(log eventlog.Log, sources func() []string) *ReplicaReader {
 	return &ReplicaReader{
-		Log: log, sources: sources, client: NewClient(),
-		pausedTo: make(map[string]time.Time), readAt: make(map[string]time.Time),
+		Log: log, sources: sources, client: NewClient(), paused: pauses.New(),
+		readAt: make(map[string]time.Time),
 	}
 }
 
@@ -108,10 +109,10 @@
 	case errors.As(err, &gone):
 		return answer, true, err
 	case errors.Is(err, errNoWay), err == nil && answer.Age > maxReplicaAge:
-		r.pause(address, stalePause)
+		r.paused.Begin(address, stalePause)
 		return response{}, false, nil
 	case err != nil:
-		r.pause(address, brokenPause)
+		r.paused.Begin(address, brokenPause)
 		return response{}, false, nil
 	}
 	r.mu.Lock()
@@ -122,18 +123,10 @@
 
 // source returns the first replica that is not paused.
 func (r *ReplicaReader) source() (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, address := range r.sources() {
-		if !time.Now().Before(r.pausedTo[address]) {
+		if !r.paused.Active(address) {
 			return address, true
 		}
 	}
 	return "", false
 }
-
-func (r *ReplicaReader) pause(address string, period time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pausedTo[address] = time.Now().Add(period)
-}
