Write what an outage left in as many calls as the log's limit asks for

Change: both are written in batches within the limits; what was written before a failure is not written again. Conclusion: traced and mended.

--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -73,6 +73,15 @@
 	return []FinishedItem{{JobID: job, Item: item, Outcome: batch.Completed, Text: []byte(text), Versions: []int64{1}}}
 }
 
+func record(t *testing.T, service *Service, items []FinishedItem) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	recorded, err := service.Record(ctx, service.PartitionOf("j"), items)
+	assert.NilError(t, err)
+	assert.Equal(t, recorded, len(items))
+}
+
 // TestAnyNodeTellsOfAJobAtOnce asks a node that follows nothing closely.
 func TestAnyNodeTellsOfAJobAtOnce(t *testing.T) {
 	log := memlog.New()
@@ -83,7 +92,7 @@
 	body, err := other.Body(ctx, "j", "b")
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "body of b")
-	assert.NilError(t, one.Record(ctx, one.PartitionOf("j"), finished("j", 1, "text of b")))
+	record(t, one, finished("j", 1, "text of b"))
 	results, err := other.Results(ctx, "j", 0, 5*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, results.Total, 2)
@@ -110,8 +119,8 @@
 	ctx := t.Context()
 	assert.NilError(t, one.Accept(ctx, submission("j", "a")))
 	assert.NilError(t, other.Accept(ctx, submission("j", "a")))
-	assert.NilError(t, one.Record(ctx, one.PartitionOf("j"), finished("j", 0, "first")))
-	assert.NilError(t, other.Record(ctx, other.PartitionOf("j"), finished("j", 0, "second")))
+	record(t, one, finished("j", 0, "first"))
+	record(t, other, finished("j", 0, "second"))
 	for _, service := range []*Service{one, other} {
 		results, err := service.Results(ctx, "j", 0, 0)
 		assert.NilError(t, err)
@@ -157,7 +166,7 @@
 	for i := range text {
 		text[i] = byte('a' + i%26)
 	}
-	assert.NilError(t, service.Record(ctx, service.PartitionOf("j"), finished("j", 0, string(text))))
+	record(t, service, finished("j", 0, string(text)))
 	results, err := service.Results(ctx, "j", 0, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, string(results.Results[0].Text), string(text))
--- a/internal/batchjobs/kept_test.go
+++ b/internal/batchjobs/kept_test.go
@@ -38,7 +38,8 @@
 				Text: fmt.Appendf(nil, "%d-%d", item, round+1),
 			})
 		}
-		assert.NilError(t, service.Keep(ctx, service.PartitionOf("j"), running))
+		_, err := service.Keep(ctx, service.PartitionOf("j"), running)
+		assert.NilError(t, err)
 	}
 	var heard openJob
 	_, err := service.Results(ctx, "j", 0, 0)
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -78,10 +78,18 @@
 // PartitionOf returns the number of the job's partition.
 func (s *Service) PartitionOf(jobID string) int { return s.partitionOf(jobID).index.Number }
 
-// Record writes the ends of items of one partition: the texts first, then the
-// record that lists them. It is repeated until done or ctx ends.
-func (s *Service) Record(ctx context.Context, number int, finished []FinishedItem) error {
-	target := s.partitions[number]
+// Record writes the ends of items of one partition, in as many calls as the log's limits
+// ask for: the texts first, then the record that lists them. It returns how many of
+// them, from the first on, are recorded; all without an error.
+func (s *Service) Record(ctx context.Context, number int, finished []FinishedItem) (int, error) {
+	size := func(item FinishedItem) int { return len(item.Text) }
+	return writeBatches(finished, size, s.options.CallBytes, func(batch []FinishedItem) error {
+		return s.recordBatch(ctx, s.partitions[number], batch)
+	})
+}
+
+// recordBatch writes the ends of items whose texts go into one call.
+func (s *Service) recordBatch(ctx context.Context, target *partition, finished []FinishedItem) error {
 	results := make([]batch.ResultRecord, len(finished))
 	var records [][]byte
 	for i, item := range finished {
@@ -111,9 +119,18 @@
 	Text   []byte
 }
 
-// Keep writes output of items of one partition that still run.
-func (s *Service) Keep(ctx context.Context, number int, running []RunningItem) error {
-	target := s.partitions[number]
+// Keep writes output of items of one partition that still run, in as many calls as the
+// log's limits ask for. It returns how many of them, from the first on, are kept; all
+// without an error.
+func (s *Service) Keep(ctx context.Context, number int, running []RunningItem) (int, error) {
+	size := func(item RunningItem) int { return len(item.Text) }
+	return writeBatches(running, size, s.options.CallBytes, func(batch []RunningItem) error {
+		return s.keepBatch(ctx, s.partitions[number], batch)
+	})
+}
+
+// keepBatch writes output of items that goes into one call.
+func (s *Service) keepBatch(ctx context.Context, target *partition, running []RunningItem) error {
 	progress := make([]batch.ProgressRecord, len(running))
 	var records [][]byte
 	for i, item := range running {
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -100,8 +100,9 @@
 type Jobs interface {
 	Observe(observer batch.Observer)
 	Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error)
-	Record(ctx context.Context, partition int, finished []batchjobs.FinishedItem) error
-	Keep(ctx context.Context, partition int, running []batchjobs.RunningItem) error
+	// Record and Keep return how many of the items, from the first on, were written.
+	Record(ctx context.Context, partition int, finished []batchjobs.FinishedItem) (int, error)
+	Keep(ctx context.Context, partition int, running []batchjobs.RunningItem) (int, error)
 	// KeptTexts returns the texts of kept progress by item; with an error those that
 	// could be read.
 	KeptTexts(ctx context.Context, jobID string, kept map[int]batch.Progress) (map[int][]byte, error)
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -59,11 +59,11 @@
 	return payloads, nil
 }
 
-func (f *fakeJobs) Record(_ context.Context, _ int, finished []batchjobs.FinishedItem) error {
+func (f *fakeJobs) Record(_ context.Context, _ int, finished []batchjobs.FinishedItem) (int, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return fmt.Errorf("the log is away")
+		return 0, fmt.Errorf("the log is away")
 	}
 	f.recorded = append(f.recorded, finished...)
 	for _, item := range finished {
@@ -71,10 +71,10 @@
 			Job: item.JobID, Item: item.Item, Outcome: item.Outcome, Versions: item.Versions,
 		}}}, time.Now())
 	}
-	return nil
+	return len(finished), nil
 }
 
-func (f *fakeJobs) Keep(_ context.Context, _ int, running []batchjobs.RunningItem) error {
+func (f *fakeJobs) Keep(_ context.Context, _ int, running []batchjobs.RunningItem) (int, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, item := range running {
@@ -83,7 +83,7 @@
 		f.kept = append(f.kept, item)
 		f.state.Apply(batch.Record{Progress: []batch.ProgressRecord{item.Record}}, time.Now())
 	}
-	return nil
+	return len(running), nil
 }
 
 func (f *fakeJobs) KeptTexts(
--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -58,12 +58,12 @@
 	var group errgroup.Group
 	for partition, running := range writes {
 		group.Go(func() error {
-			if err := r.options.Jobs.Keep(ctx, partition, running); err != nil {
-				r.options.Logger.Warn().Err(err).Int("partition", partition).Int("items", len(running)).
+			written, err := r.options.Jobs.Keep(ctx, partition, running)
+			if err != nil {
+				r.options.Logger.Warn().Err(err).Int("partition", partition).Int("items", len(running)-written).
 					Msg("progress not kept")
-				return nil
 			}
-			r.markKept(marks[partition])
+			r.markKept(marks[partition][:written])
 			return nil
 		})
 	}
--- a/internal/batchrun/recorder.go
+++ b/internal/batchrun/recorder.go
@@ -107,11 +107,12 @@
 func (r *recorder) record(ctx context.Context, partition int, finished []batchjobs.FinishedItem) bool {
 	for ctx.Err() == nil {
 		tryContext, cancel := context.WithTimeout(ctx, recordTimeout)
-		err := r.jobs.Record(tryContext, partition, finished)
+		recorded, err := r.jobs.Record(tryContext, partition, finished)
 		cancel()
 		if err == nil {
 			return true
 		}
+		finished = finished[recorded:]
 		r.logger.Warn().Err(err).Int("partition", partition).Int("items", len(finished)).Msg("results not recorded")
 		retry.Sleep(ctx, recordDelay)
 	}
