Test replicas with real nodes in a cluster that lists a hundred others

Cause: the parts had tests, the whole way through real nodes none, since replicas exist from 100 nodes on. Change: the stand-in's log lists a hundred nodes of another zone; jobs are read, ended and unknown ones denied at nodes that read no index, configurations reach them, and without its replica a node answers 503, never 404. Conclusion: no product code changed.

--- /dev/null
+++ b/test/hosted/replicas_test.go
@@ -0,0 +1,115 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/replicaset"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// listDistantNodes lists as many nodes of another zone as make the cluster a large one.
+// Nothing answers at their addresses.
+func (d *deployment) listDistantNodes() {
+	d.t.Helper()
+	var records [][]byte
+	for number := range replicaset.MinNodes {
+		raw, err := msgpack.Marshal(map[string]any{
+			"n": fmt.Sprint("distant", number), "a": "127.0.0.1:9", "z": "distant", "l": time.Hour,
+		})
+		assert.NilError(d.t, err)
+		records = append(records, raw)
+	}
+	_, err := d.store.Log.Append(d.t.Context(), eventlog.Partition{Topic: "corkpulley.nodes"}, records)
+	assert.NilError(d.t, err)
+}
+
+// isReplica tells whether the node hands on what it reads, as its newest line on it says.
+func (p *process) isReplica() bool {
+	lines := p.logs.String()
+	newest := strings.LastIndex(lines, "sources of followed topics changed")
+	if newest < 0 {
+		return false
+	}
+	start := strings.LastIndex(lines[:newest], "\n") + 1
+	return strings.Contains(lines[start:newest], `"replica":true`)
+}
+
+// replicaOf waits until one node is the replica and returns it and the others.
+func replicaOf(t *testing.T, nodes []*process) (replica *process, others []*process) {
+	t.Helper()
+	testwait.Until(t, "one replica and its readers", func() bool {
+		replica, others = nil, nil
+		for _, node := range nodes {
+			switch {
+			case node.isReplica():
+				replica = node
+			case strings.Contains(node.logs.String(), "sources of followed topics changed"):
+				others = append(others, node)
+			}
+		}
+		return replica != nil && len(others) == len(nodes)-1
+	})
+	return replica, others
+}
+
+// TestALargeClusterAsksItsReplicas: jobs are read, ended and unknown ones denied at nodes
+// that read no index themselves, and configurations reach these too.
+func TestALargeClusterAsksItsReplicas(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addModelEngine("e1", 1, 4, 0)
+	d.configure(batchRoute("/batch/"))
+	d.listDistantNodes()
+	nodes := []*process{d.start("n1"), d.start("n2"), d.start("n3"), d.start("n4")}
+	_, others := replicaOf(t, nodes)
+	ids := itemIDs(20)
+	assert.Equal(t, others[0].call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
+	for _, node := range nodes {
+		checkWhole(t, d.awaitResults(node, "job1", len(ids)), ids, 4)
+		assert.Equal(t, node.call(http.MethodGet, "/lots/nobody", "", "").status, http.StatusNotFound)
+	}
+	assert.Equal(t, others[1].call(http.MethodDelete, "/lots/job1", "", "").status, http.StatusOK)
+	for _, node := range others {
+		leads := strings.Contains(node.logs.String(), "leadership gained")
+		readsIndex := strings.Contains(node.logs.String(), "index partition in reach")
+		assert.Assert(t, leads || !readsIndex, "a node that is no replica reads the index")
+	}
+	d.configure(batchRoute("/batch/"), batchRoute("/later/"))
+	for number, node := range nodes {
+		id := fmt.Sprint("later", number)
+		testwait.Until(t, "the new route at each node", func() bool {
+			return node.call(http.MethodPost, "/later/x", id, job(1, "only"+id)).status == http.StatusAccepted
+		})
+	}
+}
+
+// TestWithoutItsReplicaANodeIsNotSure: it says neither that there is no such job nor that
+// it has not run; configurations reach it all the same.
+func TestWithoutItsReplicaANodeIsNotSure(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addModelEngine("e1", 1, 4, 0)
+	d.configure(batchRoute("/batch/"))
+	d.listDistantNodes()
+	nodes := []*process{d.start("n1"), d.start("n2"), d.start("n3")}
+	replica, others := replicaOf(t, nodes)
+	assert.Equal(t, others[0].call(http.MethodPost, "/batch/x", "job1", job(1, "a")).status, http.StatusAccepted)
+	d.awaitResults(others[0], "job1", 1)
+	replica.cancel()
+	<-replica.done
+	testwait.Until(t, "an answer without the replica", func() bool {
+		return others[0].call(http.MethodGet, "/lots/job1", "", "").status == http.StatusServiceUnavailable
+	})
+	d.configure(batchRoute("/batch/"), batchRoute("/later/"))
+	testwait.Until(t, "the new route", func() bool {
+		return others[0].call(http.MethodPost, "/later/x", "job2", job(1, "b")).status == http.StatusAccepted
+	})
+}
