--- /dev/null
+++ b/internal/batchjobs/results.go
@@ -0,0 +1,188 @@
+package batchjobs
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+)
+
+// ResultText is one result as it is told to a reader.
+type ResultText struct {
+	ItemID   string
+	Outcome  batch.Outcome
+	Text     []byte
+	Versions []int64
+	// Score is what the item's scoring call brought; empty where it has none.
+	Score string
+}
+
+// Results are the results of a job from a position on.
+type Results struct {
+	Total   int
+	Results []ResultText
+}
+
+// Results returns the results at position from and after it: at least one if
+// there is one. It waits up to the given time for the moment at which the submitter
+// may have all that it waits for, since a reader that is told of a part comes back
+// only a while later.
+func (s *Service) Results(ctx context.Context, jobID string, from int, wait time.Duration) (Results, error) {
+	target := s.partitionOf(jobID)
+	job, err := target.lookUp(ctx, jobID)
+	if err != nil {
+		return Results{}, err
+	}
+	if wait > 0 && !worthTelling(&job, from) {
+		target.awaitResults(ctx, jobID, from, wait)
+		if job, err = target.lookUp(ctx, jobID); err != nil {
+			return Results{}, err
+		}
+	}
+	answer := Results{Total: len(job.Items)}
+	if from >= len(job.Results) {
+		return answer, nil
+	}
+	selected := selectResults(job.Results[from:])
+	texts, err := s.readTexts(ctx, target, selected)
+	if err != nil {
+		return Results{}, err
+	}
+	for i, result := range selected {
+		answer.Results = append(answer.Results, ResultText{
+			ItemID:   job.Items[result.Item].ID,
+			Outcome:  result.Outcome,
+			Text:     texts[i],
+			Versions: result.Versions,
+			Score:    result.Score,
+		})
+	}
+	return answer, nil
+}
+
+// worthTelling tells whether a reader of the positions from on should be answered
+// at once. Where the submitter did not say how many groups it wants, each result is
+// worth it.
+func worthTelling(job *batch.Job, from int) bool {
+	switch {
+	case job.Ended || len(job.Results) == len(job.Items):
+		return true
+	case job.Wanted <= 0:
+		return len(job.Results) > from
+	default:
+		return job.Milestone() > from
+	}
+}
+
+// selectResults returns the first results, at least one, within the size of an answer.
+func selectResults(results []batch.Result) []batch.Result {
+	size := 0
+	for i, result := range results {
+		size += result.TextBytes
+		if i > 0 && size > maxResultBytes {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+// Body returns the body of an item.
+func (s *Service) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
+	target := s.partitionOf(jobID)
+	job, err := target.lookUp(ctx, jobID)
+	if err != nil {
+		return nil, err
+	}
+	index, found := job.ItemIndex(itemID)
+	if !found {
+		return nil, errkind.New(errkind.NotFound, "job %s has no item %s", jobID, itemID)
+	}
+	payloads, err := s.readPayloads(ctx, target, []batch.Span{{First: job.PayloadOffset(index), Count: 1}}, bodyReadLimit)
+	if err != nil {
+		return nil, err
+	}
+	return payloads[0].Body, nil
+}
+
+// Payloads returns what is sent to the engines for the items of a job.
+func (s *Service) Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error) {
+	return s.readPayloads(ctx, s.partitionOf(job.ID), job.Payloads, readLimit)
+}
+
+func (s *Service) readPayloads(
+	ctx context.Context, target *partition, spans []batch.Span, limit int,
+) ([]batch.Payload, error) {
+	var payloads []batch.Payload
+	for _, span := range spans {
+		records, err := s.readData(ctx, target, span, limit)
+		if err != nil {
+			return nil, err
+		}
+		for _, raw := range records {
+			payload, err := batch.DecodePayload(raw)
+			if err != nil {
+				return nil, err
+			}
+			payloads = append(payloads, payload)
+		}
+	}
+	return payloads, nil
+}
+
+// readData returns the records of a span, read about limit bytes at a time.
+func (s *Service) readData(ctx context.Context, target *partition, span batch.Span, limit int) ([][]byte, error) {
+	var records [][]byte
+	for next := span.First; len(records) < span.Count; {
+		read, err := s.log.Read(ctx, target.data, next, limit, 0)
+		if err != nil {
+			return nil, unavailable(err)
+		}
+		if len(read.Records) == 0 {
+			return nil, errkind.New(errkind.LogUnavailable, "%s has no record %d", target.data, next)
+		}
+		wanted := min(len(read.Records), span.Count-len(records))
+		records = append(records, read.Records[:wanted]...)
+		next += int64(wanted)
+	}
+	return records, nil
+}
+
+// textReads is how many reads of a job's texts are under way at a time: a whole job takes
+// a hundred of them, each some 8 ms.
+const textReads = 8
+
+// readTexts returns the texts of results. Neighbours in the log are read together, and
+// several such runs at a time.
+func (s *Service) readTexts(ctx context.Context, target *partition, results []batch.Result) ([][]byte, error) {
+	texts := make([][]byte, len(results))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(textReads)
+	for start := 0; start < len(results); {
+		end := start + 1
+		span, size := results[start].Text, results[start].TextBytes
+		for end < len(results) && results[end].Text.First == span.First+int64(span.Count) {
+			span.Count += results[end].Text.Count
+			size += results[end].TextBytes
+			end++
+		}
+		neighbours, into := results[start:end], texts[start:end]
+		group.Go(func() error {
+			records, err := s.readData(ctx, target, span, min(size+recordOverhead*span.Count, readLimit))
+			if err != nil {
+				return err
+			}
+			for i := range neighbours {
+				for range neighbours[i].Text.Count {
+					into[i] = append(into[i], records[0]...)
+					records = records[1:]
+				}
+			}
+			return nil
+		})
+		start = end
+	}
+	return texts, group.Wait()
+}
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
@@ -164,58 +163,3 @@
 	}
 	return pieces
 }
-
-// readData returns the records of a span, read about limit bytes at a time.
-func (s *Service) readData(ctx context.Context, target *partition, span batch.Span, limit int) ([][]byte, error) {
-	var records [][]byte
-	for next := span.First; len(records) < span.Count; {
-		read, err := s.log.Read(ctx, target.data, next, limit, 0)
-		if err != nil {
-			return nil, unavailable(err)
-		}
-		if len(read.Records) == 0 {
-			return nil, errkind.New(errkind.LogUnavailable, "%s has no record %d", target.data, next)
-		}
-		wanted := min(len(read.Records), span.Count-len(records))
-		records = append(records, read.Records[:wanted]...)
-		next += int64(wanted)
-	}
-	return records, nil
-}
-
-// textReads is how many reads of a job's texts are under way at a time: a whole job takes
-// a hundred of them, each some 8 ms.
-const textReads = 8
-
-// readTexts returns the texts of results. Neighbours in the log are read together, and
-// several such runs at a time.
-func (s *Service) readTexts(ctx context.Context, target *partition, results []batch.Result) ([][]byte, error) {
-	texts := make([][]byte, len(results))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(textReads)
-	for start := 0; start < len(results); {
-		end := start + 1
-		span, size := results[start].Text, results[start].TextBytes
-		for end < len(results) && results[end].Text.First == span.First+int64(span.Count) {
-			span.Count += results[end].Text.Count
-			size += results[end].TextBytes
-			end++
-		}
-		neighbours, into := results[start:end], texts[start:end]
-		group.Go(func() error {
-			records, err := s.readData(ctx, target, span, min(size+recordOverhead*span.Count, readLimit))
-			if err != nil {
-				return err
-			}
-			for i := range neighbours {
-				for range neighbours[i].Text.Count {
-					into[i] = append(into[i], records[0]...)
-					records = records[1:]
-				}
-			}
-			return nil
-		})
-		start = end
-	}
-	return texts, group.Wait()
-}
