Carry questions between nodes by one piece of code

Cause: the relay to the log and the one for jobs each encoded, bounded, checked and decoded msgpack over HTTP by themselves. Change: internal/common/msgpackhttp serves both, at either end. Conclusion: tests of both relays and of real nodes green.

--- /dev/null
+++ b/internal/common/msgpackhttp/msgpackhttp.go
@@ -0,0 +1,76 @@
+// Package msgpackhttp carries one question and one answer between nodes: msgpack over an
+// HTTP POST, both bounded and checked before they are decoded.
+package msgpackhttp
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+)
+
+// Ask sends a question to a URL and decodes the answer, of at most maxBytes, into answer.
+// The question is sent once: an error says nothing of whether it took effect.
+func Ask(ctx context.Context, client *http.Client, url string, question, answer any, maxBytes int64) error {
+	raw, err := msgpack.Marshal(question)
+	if err != nil {
+		return errors.Wrap(err, "encode the question")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrap(err, "build the question")
+	}
+	// Without GetBody the transport never sends it a second time.
+	request.GetBody = nil
+	response, err := client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask")
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	if err != nil {
+		return errors.Wrap(err, "read the answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", response.StatusCode)
+	}
+	return decode(content, answer)
+}
+
+// Handle returns a handler that decodes questions of at most maxBytes and encodes the
+// answers. One that cannot be read is answered with 400.
+func Handle[Question, Answer any](maxBytes int64, answer func(context.Context, Question) Answer) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+		var question Question
+		if err == nil {
+			err = decode(raw, &question)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		encoded, err := msgpack.Marshal(answer(r.Context(), question))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		// One that has left asks another node.
+		_, _ = w.Write(encoded)
+	})
+}
+
+func decode(raw []byte, into any) error {
+	if err := msgpackguard.Check(raw); err != nil {
+		return errors.Wrap(err, "check the message")
+	}
+	if err := msgpack.Unmarshal(raw, into); err != nil {
+		return errors.Wrap(err, "decode the message")
+	}
+	return nil
+}
--- a/internal/jobrelay/relay.go
+++ b/internal/jobrelay/relay.go
@@ -1,20 +1,16 @@
 package jobrelay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
 	"github.com/corkpulley/corkpulley/internal/common/pauses"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
-	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 )
 
 const (
@@ -155,32 +151,7 @@
 func (r *Relay) call(ctx context.Context, address string, question request) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, question.Wait+answerTimeout)
 	defer cancel()
-	raw, err := msgpack.Marshal(&question)
-	if err != nil {
-		return response{}, errors.Wrap(err, "encode the question")
-	}
-	sent, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(raw))
-	if err != nil {
-		return response{}, errors.Wrap(err, "build the question")
-	}
-	answer, err := r.client.Do(sent)
-	if err != nil {
-		return response{}, errors.Wrap(err, "ask")
-	}
-	defer answer.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes))
-	if err != nil {
-		return response{}, errors.Wrap(err, "read the answer")
-	}
-	if answer.StatusCode != http.StatusOK {
-		return response{}, errors.Errorf("status %d", answer.StatusCode)
-	}
-	if err := msgpackguard.Check(content); err != nil {
-		return response{}, errors.Wrap(err, "check the answer")
-	}
-	var decoded response
-	if err := msgpack.Unmarshal(content, &decoded); err != nil {
-		return response{}, errors.Wrap(err, "decode the answer")
-	}
-	return decoded, nil
+	var answer response
+	err := msgpackhttp.Ask(ctx, r.client, "http://"+address+Path, &question, &answer, maxResponseBytes)
+	return answer, err
 }
--- a/internal/jobrelay/server.go
+++ b/internal/jobrelay/server.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
 )
 
 const (
@@ -22,30 +19,11 @@
 
 // NewHandler answers questions of other nodes while this node is a replica.
 func NewHandler(jobs Jobs, isReplica func() bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-		var asked request
-		if err == nil {
-			err = msgpackguard.Check(raw)
-		}
-		if err == nil {
-			err = msgpack.Unmarshal(raw, &asked)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		answer := response{NoReplica: true}
-		if isReplica() {
-			answer = serve(r.Context(), jobs, asked)
-		}
-		encoded, err := msgpack.Marshal(answer)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
+	return msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, asked request) response {
+		if !isReplica() {
+			return response{NoReplica: true}
 		}
-		// A reader that has left asks another node.
-		_, _ = w.Write(encoded)
+		return serve(ctx, jobs, asked)
 	})
 }
 
--- a/internal/logrelay/client.go
+++ b/internal/logrelay/client.go
@@ -1,16 +1,13 @@
 package logrelay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -33,35 +30,9 @@
 func (p *peer) call(ctx context.Context, call request) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Wait+callTimeout)
 	defer cancel()
-	raw, err := msgpack.Marshal(&call)
-	if err != nil {
-		return response{}, errors.Wrap(err, "encode the call")
-	}
-	target := "http://" + p.address + Path
-	sent, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(raw))
-	if err != nil {
-		return response{}, errors.Wrap(err, "build the call")
-	}
-	// Without GetBody the transport never sends the call a second time.
-	sent.GetBody = nil
-	answer, err := p.client.Do(sent)
-	if err != nil {
-		return response{}, errors.Wrap(eventlog.ErrOutcomeUnknown, err.Error())
-	}
-	defer answer.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes))
-	if err == nil && answer.StatusCode != http.StatusOK {
-		err = errors.Errorf("status %d", answer.StatusCode)
-	}
-	if err == nil {
-		err = msgpackguard.Check(content)
-	}
 	var decoded response
-	if err == nil {
-		err = msgpack.Unmarshal(content, &decoded)
-	}
-	if err != nil {
-		return response{}, errors.Wrap(eventlog.ErrOutcomeUnknown, "answer of "+p.address+": "+err.Error())
+	if err := msgpackhttp.Ask(ctx, p.client, "http://"+p.address+Path, &call, &decoded, maxResponseBytes); err != nil {
+		return response{}, errors.Wrap(eventlog.ErrOutcomeUnknown, "through "+p.address+": "+err.Error())
 	}
 	return decoded, decoded.err()
 }
--- a/internal/logrelay/server.go
+++ b/internal/logrelay/server.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
+	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -40,26 +38,9 @@
 // ask another node.
 func NewHandler(direct eventlog.Log, able func() bool, replicas Replicas) http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc(Path, func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-		var call request
-		if err == nil {
-			err = msgpackguard.Check(raw)
-		}
-		if err == nil {
-			err = msgpack.Unmarshal(raw, &call)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		encoded, err := msgpack.Marshal(answer(r.Context(), direct, able, replicas, call))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(encoded)
-	}).Methods(http.MethodPost)
+	router.Handle(Path, msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, call request) response {
+		return answer(ctx, direct, able, replicas, call)
+	})).Methods(http.MethodPost)
 	return router
 }
 
