Correct the bound on what a replica may cost, and a name that was shadowed

Cause: a last read of the whole change. Change: the figure, and endOf. Conclusion: nothing that runs changes.

--- a/internal/batchjobs/kept.go
+++ b/internal/batchjobs/kept.go
@@ -80,26 +80,26 @@
 	slices.SortFunc(parts, func(a, b keptPart) int { return int(a.span.First - b.span.First) })
 	var joined []keptPart
 	for _, part := range parts {
-		if len(joined) == 0 || part.span.First-end(joined[len(joined)-1].span) > gap {
+		if len(joined) == 0 || part.span.First-endOf(joined[len(joined)-1].span) > gap {
 			joined = append(joined, part)
 			continue
 		}
 		last := &joined[len(joined)-1]
-		last.span.Count = int(max(end(last.span), end(part.span)) - last.span.First)
+		last.span.Count = int(max(endOf(last.span), endOf(part.span)) - last.span.First)
 		last.bytes += part.bytes
 	}
 	return joined
 }
 
-// end is the offset behind a span's last record.
-func end(span batch.Span) int64 { return span.First + int64(span.Count) }
+// endOf is the offset behind a span's last record.
+func endOf(span batch.Span) int64 { return span.First + int64(span.Count) }
 
 // textOf returns the text of the parts, separated by line feeds; false if a record
 // of them is missing.
 func textOf(parts []batch.Span, records map[int64][]byte) ([]byte, bool) {
 	texts := make([][]byte, len(parts))
 	for i, part := range parts {
-		for offset := part.First; offset < end(part); offset++ {
+		for offset := part.First; offset < endOf(part); offset++ {
 			record, found := records[offset]
 			if !found {
 				return nil, false
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -16,9 +16,9 @@
 const (
 	// replicaWait bounds how long a replica holds a read, replicaTimeout how much later
 	// its answer may come, and maxReplicaAge how old its knowledge may be (it reads once a
-	// second at least). Together they bound how much later than by itself a node learns
-	// of a change through a replica that froze or lost the log just then: 1.8 s, where
-	// a changed configuration has to be in force after 2 s or more.
+	// second at least). With replicaReadGap they add up to the 2 s by which a node may learn
+	// later of a change, through a replica that froze or lost the log just then. Where
+	// there are replicas, a configuration has to be in force after 4 s.
 	replicaWait    = 300 * time.Millisecond
 	replicaTimeout = 300 * time.Millisecond
 	maxReplicaAge  = 1300 * time.Millisecond
