Ask each request for the key of a tenant, and tell engines the tenant in its place

Cause: the configuration's tenants were not read. Change: routes.Table finds a key's tenant in one look-up; ingress asks it for live requests, a node for calls about batch jobs. A job's name among all jobs holds its tenant, so that tenants share no names and find no others' jobs. A key that is unknown while the configuration is more than 3 s old is answered 503 in place of 401.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -16,7 +16,9 @@
 
 // Call is one try of an item at an engine.
 type Call struct {
-	ItemID  string
+	ItemID string
+	// Tenant is the tenant of the item's job; empty for none.
+	Tenant  string
 	Host    string
 	Payload batch.Payload
 	// After is the number of the last event that is already there; zero for none.
@@ -90,8 +92,8 @@
 
 // Scorer makes scoring calls.
 type Scorer interface {
-	// Score makes the call once, at as many engines as its route allows.
-	Score(ctx context.Context, call batch.ScoringCall) Scoring
+	// Score makes the call of a tenant's item once, at as many engines as its route allows.
+	Score(ctx context.Context, tenant string, call batch.ScoringCall) Scoring
 	// Places names the service that would answer the call now, and its places.
 	Places(call batch.ScoringCall) (service string, places admission.Places)
 }
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -201,7 +201,7 @@
 	calls    []string
 }
 
-func (f *fakeScorer) Score(ctx context.Context, call batch.ScoringCall) Scoring {
+func (f *fakeScorer) Score(ctx context.Context, _ string, call batch.ScoringCall) Scoring {
 	f.mu.Lock()
 	f.underWay++
 	f.most = max(f.most, f.underWay)
--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -158,7 +158,7 @@
 	for i := range job.items {
 		state, record := &job.items[i], job.record.Items[i]
 		if broken[record.Group] && !state.Output.Empty() {
-			r.carriedOver[record.ID] = carried{output: state.Output.Detached(), at: now}
+			r.carriedOver[batch.QualifiedID(job.record.Tenant, record.ID)] = carried{output: state.Output.Detached(), at: now}
 		}
 	}
 	for id, each := range r.carriedOver {
@@ -172,11 +172,12 @@
 // its versions fit; mu is held.
 func (r *Runner) takeCarried(job *openJob, index int) {
 	record, item := job.record.Items[index], &job.items[index]
-	left, found := r.carriedOver[record.ID]
+	id := batch.QualifiedID(job.record.Tenant, record.ID)
+	left, found := r.carriedOver[id]
 	if !found {
 		return
 	}
-	delete(r.carriedOver, record.ID)
+	delete(r.carriedOver, id)
 	if item.Output.Empty() && left.output.Fits(job.limits()) {
 		item.Output = left.output
 	}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -111,7 +111,7 @@
 	state := &job.items[key.Item]
 	record := job.record.Items[key.Item]
 	call := Call{
-		ItemID: record.ID, Host: job.record.Host, Payload: job.payloads[key.Item],
+		ItemID: record.ID, Tenant: job.record.Tenant, Host: job.record.Host, Payload: job.payloads[key.Item],
 		After: state.Output.Last(), Started: !state.Output.Empty(),
 	}
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Str("engine", engine.ID).
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -75,7 +75,7 @@
 	tickedAt time.Time
 	// chains counts the chains of this term.
 	chains int
-	// carriedOver holds output left by ended jobs, by item ID.
+	// carriedOver holds output left by ended jobs, by item ID qualified by its tenant.
 	carriedOver map[string]carried
 	// wait counts the goroutines of runs and loads.
 	wait sync.WaitGroup
--- a/internal/batchrun/scoring.go
+++ b/internal/batchrun/scoring.go
@@ -16,8 +16,9 @@
 
 // scoringItem is an item whose output is whole and whose score is not there yet.
 type scoringItem struct {
-	key  batchplan.Key
-	call batch.ScoringCall
+	key    batchplan.Key
+	tenant string
+	call   batch.ScoringCall
 	// jobSince is when its job was taken up, since when its output was whole.
 	jobSince time.Time
 	since    time.Time
@@ -107,7 +108,7 @@
 	item.Whole()
 	r.plan.Remove(key)
 	r.scoring.items[key] = &scoringItem{
-		key: key, call: *call, jobSince: job.addedAt, since: time.Now(), delays: scoringRetries.Delays(),
+		key: key, tenant: job.record.Tenant, call: *call, jobSince: job.addedAt, since: time.Now(), delays: scoringRetries.Delays(),
 	}
 	r.Wake()
 }
@@ -143,7 +144,7 @@
 	r.wait.Go(func() {
 		defer cancel()
 		began := time.Now()
-		scoring := r.options.Scorer.Score(ctx, item.call)
+		scoring := r.options.Scorer.Score(ctx, item.tenant, item.call)
 		r.scored(item, scoring, time.Since(began), ctx.Err() != nil)
 	})
 }
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -30,7 +30,10 @@
 
 // JobRecord accepts a batch job.
 type JobRecord struct {
+	// ID is the job's name among all jobs; see QualifiedID.
 	ID string `msgpack:"i"`
+	// Tenant is the tenant that handed the job in; empty for none.
+	Tenant string `msgpack:"o,omitempty"`
 	// Host and Path are those of the call that handed the job in; they lead to
 	// its route in each version of the configuration.
 	Host       string       `msgpack:"h"`
@@ -48,6 +51,16 @@
 	Returned      int  `msgpack:"rn,omitempty"`
 }
 
+// QualifiedID is the name of a tenant's job among all jobs, made of the name that the
+// tenant gave it. So tenants share no names, and one finds no other's job. Names that
+// tenants give hold no slash.
+func QualifiedID(tenant, id string) string {
+	if tenant == "" {
+		return id
+	}
+	return tenant + "/" + id
+}
+
 // ItemRecord is one item of a job.
 type ItemRecord struct {
 	ID     string `msgpack:"i"`
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -53,6 +53,8 @@
 	// call sent again has none beyond it. OutcomeUnknown makes no such promise.
 	OutcomeUnknownRepeatable
 	HeaderTooLarge
+	// Unauthorized: the request shows no API key that the configuration knows.
+	Unauthorized
 	kindCount
 )
 
@@ -116,6 +118,7 @@
 		"outcome_unknown_repeatable", http.StatusBadGateway, Unknown, true, time.Second,
 	},
 	HeaderTooLarge: {"header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotExecuted, false, 0},
+	Unauthorized:   {"unauthorized", http.StatusUnauthorized, NotExecuted, false, 0},
 }
 
 // All returns every kind in the order of its number.
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -48,6 +48,8 @@
 	Priority      int
 	Resumable     bool
 	SingleVersion bool
+	// Open routes take requests without an API key, also where there are tenants.
+	Open bool
 }
 
 // Repeatable tells whether a request that may have run may be sent again.
@@ -71,6 +73,16 @@
 	IdleTimeout    time.Duration
 }
 
+// Definition is what one version of the configuration says.
+type Definition struct {
+	Version  int64
+	Limits   Limits
+	Services []Service
+	Routes   []Route
+	// Tenants is nil where the configuration knows no tenants: requests need no key then.
+	Tenants []Tenant
+}
+
 // Table is one version of the configuration. It is not changed once built.
 type Table struct {
 	Version  int64
@@ -78,19 +90,23 @@
 	services map[string]Service
 	// byHost holds each host's routes, longest prefix first.
 	byHost map[string][]*Route
+	// tenants is nil where the configuration knows no tenants.
+	tenants *tenants
 }
 
 // NewTable builds a table.
-func NewTable(version int64, limits Limits, services []Service, all []Route) *Table {
+func NewTable(definition Definition) *Table {
 	table := &Table{
-		Version:  version,
-		Limits:   limits,
-		services: make(map[string]Service, len(services)),
+		Version:  definition.Version,
+		Limits:   definition.Limits,
+		services: make(map[string]Service, len(definition.Services)),
 		byHost:   make(map[string][]*Route),
+		tenants:  newTenants(definition.Tenants),
 	}
-	for _, service := range services {
+	for _, service := range definition.Services {
 		table.services[service.Name] = service
 	}
+	all := definition.Routes
 	for i := range all {
 		host := normalHost(all[i].Host)
 		table.byHost[host] = append(table.byHost[host], &all[i])
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -8,10 +8,10 @@
 )
 
 func TestLongestPrefixOfTheHostWins(t *testing.T) {
-	table := NewTable(1, Limits{}, nil, []Route{
+	table := NewTable(Definition{Version: 1, Routes: []Route{
 		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/"},
-	})
+	}})
 	for _, try := range []struct{ host, path, want string }{
 		{"a.example", "/x/y/z", "long"}, {"a.example:8080", "/x/z", "short"}, {"A.Example", "/x/", "short"},
 		{"b.example", "/anything", "other"}, {"a.example", "/x", ""}, {"c.example", "/x/", ""},
--- /dev/null
+++ b/internal/core/routes/tenants.go
@@ -0,0 +1,115 @@
+package routes
+
+import (
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+)
+
+// Tenant is one customer, known by its API keys.
+type Tenant struct {
+	Name string
+	Keys []string
+	// Priority goes before that of a route, 0 first; nil where the tenant has none.
+	Priority *int
+}
+
+// Credentials are what a request shows of its sender.
+type Credentials struct {
+	// Key is the API key; empty where the request shows none.
+	Key string
+	// Problem says why what the request shows is no key, and never holds it; empty
+	// where it is one or where nothing is shown.
+	Problem string
+}
+
+// Sender is who sent a request, as the configuration says.
+type Sender struct {
+	// Tenant is the tenant's name; empty where the configuration knows no tenants or
+	// the route is open.
+	Tenant string
+	// Checked is true where the configuration knows tenants. What the request shows of
+	// its sender is then this system's own affair, and no engine sees it.
+	Checked bool
+	// Priority is the rank of the request, 0 first: the tenant's, or else the route's.
+	Priority int
+}
+
+// tenants finds the tenant of a key.
+type tenants struct {
+	byKey map[string]*Tenant
+}
+
+// newTenants returns nil for a nil list. A key that stands at two tenants is that of
+// the first one.
+func newTenants(list []Tenant) *tenants {
+	if list == nil {
+		return nil
+	}
+	keys := 0
+	for i := range list {
+		keys += len(list[i].Keys)
+	}
+	found := &tenants{byKey: make(map[string]*Tenant, keys)}
+	for i := range list {
+		for _, key := range list[i].Keys {
+			if _, taken := found.byKey[key]; !taken && key != "" {
+				found.byKey[key] = &list[i]
+			}
+		}
+	}
+	return found
+}
+
+// SenderOf returns who sent a request on a route. An error is of the kind
+// Unauthorized.
+func (t *Table) SenderOf(route *Route, credentials Credentials) (Sender, *errkind.Error) {
+	sender := Sender{Checked: t.tenants != nil, Priority: route.Priority}
+	if t.tenants == nil || route.Open {
+		return sender, nil
+	}
+	tenant, failure := t.tenants.find(credentials)
+	if failure != nil {
+		return Sender{}, failure
+	}
+	sender.Tenant = tenant.Name
+	if tenant.Priority != nil {
+		sender.Priority = *tenant.Priority
+	}
+	return sender, nil
+}
+
+// OwnerOf returns the tenant whose batch jobs a call for one of a host may see; empty
+// for those that belong to no tenant. Such a call names no route.
+func (t *Table) OwnerOf(host string, credentials Credentials) (string, *errkind.Error) {
+	if t.tenants == nil || credentials == (Credentials{}) && t.hasOpenBatch(host) {
+		return "", nil
+	}
+	tenant, failure := t.tenants.find(credentials)
+	if failure != nil {
+		return "", failure
+	}
+	return tenant.Name, nil
+}
+
+// hasOpenBatch tells whether jobs without a tenant may be handed in at the host.
+func (t *Table) hasOpenBatch(host string) bool {
+	for _, route := range t.byHost[normalHost(host)] {
+		if route.Kind == Batch && route.Open {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *tenants) find(credentials Credentials) (*Tenant, *errkind.Error) {
+	switch {
+	case credentials.Problem != "":
+		return nil, errkind.New(errkind.Unauthorized, "%s", credentials.Problem)
+	case credentials.Key == "":
+		return nil, errkind.New(errkind.Unauthorized, "the request shows no API key")
+	}
+	tenant, found := t.byKey[credentials.Key]
+	if !found {
+		return nil, errkind.New(errkind.Unauthorized, "the API key is unknown or was taken away")
+	}
+	return tenant, nil
+}
--- /dev/null
+++ b/internal/core/routes/tenants_test.go
@@ -0,0 +1,113 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+)
+
+func tenanted(tenants ...Tenant) *Table {
+	return NewTable(Definition{Version: 1, Tenants: tenants, Routes: []Route{
+		{Name: "own", Host: "h", Prefix: "/own/", Kind: Safe, Priority: 4},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: Safe, Open: true, Priority: 5},
+		{Name: "openjobs", Host: "jobs", Prefix: "/", Kind: Batch, Open: true},
+	}})
+}
+
+func TestSenderIsTheTenantOfTheKey(t *testing.T) {
+	urgent := 1
+	table := tenanted(
+		Tenant{Name: "a", Keys: []string{"ka", "kb"}, Priority: &urgent}, Tenant{Name: "b", Keys: []string{"kc"}})
+	own := table.Match("h", "/own/x")
+	for key, want := range map[string]Sender{
+		"ka": {Tenant: "a", Checked: true, Priority: 1}, "kb": {Tenant: "a", Checked: true, Priority: 1},
+		"kc": {Tenant: "b", Checked: true, Priority: 4},
+	} {
+		sender, failure := table.SenderOf(own, Credentials{Key: key})
+		assert.Assert(t, failure == nil, key)
+		assert.Equal(t, sender, want)
+	}
+}
+
+func TestCredentialsThatOpenNothing(t *testing.T) {
+	table := tenanted(Tenant{Name: "a", Keys: []string{"ka", ""}})
+	for name, credentials := range map[string]Credentials{
+		"unknown": {Key: "kz"}, "none": {}, "malformed": {Problem: "two keys"}, "long": {Key: strings.Repeat("k", 8<<10)},
+	} {
+		_, failure := table.SenderOf(table.Match("h", "/own/x"), credentials)
+		assert.Assert(t, failure != nil, name)
+		assert.Equal(t, failure.Kind, errkind.Unauthorized, name)
+		assert.Equal(t, failure.Kind.Answer().Execution, errkind.NotExecuted, name)
+		if credentials.Key != "" {
+			assert.Assert(t, !strings.Contains(failure.Error(), credentials.Key), "the error tells the key")
+		}
+		_, failure = table.OwnerOf("h", credentials)
+		assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized, name)
+	}
+}
+
+func TestAnOpenRouteNeedsNoKeyAndNamesNoTenant(t *testing.T) {
+	table := tenanted(Tenant{Name: "a", Keys: []string{"ka"}})
+	for _, credentials := range []Credentials{{}, {Key: "kz"}, {Key: "ka"}, {Problem: "x"}} {
+		sender, failure := table.SenderOf(table.Match("h", "/open/x"), credentials)
+		assert.Assert(t, failure == nil)
+		assert.Equal(t, sender, Sender{Checked: true, Priority: 5})
+	}
+	owner, failure := table.OwnerOf("jobs", Credentials{})
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, owner, "")
+	_, failure = table.OwnerOf("jobs", Credentials{Key: "kz"})
+	assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized)
+}
+
+func TestWithoutTenantsNoKeyIsAskedFor(t *testing.T) {
+	table := NewTable(Definition{Version: 1, Routes: []Route{{Name: "r", Host: "h", Prefix: "/", Priority: 2}}})
+	sender, failure := table.SenderOf(table.Match("h", "/"), Credentials{Key: "anything"})
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, sender, Sender{Priority: 2})
+	owner, failure := table.OwnerOf("h", Credentials{})
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, owner, "")
+	// A configuration that knows tenants and names none admits nobody.
+	_, failure = NewTable(Definition{Tenants: []Tenant{}}).OwnerOf("h", Credentials{Key: "anything"})
+	assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized)
+}
+
+// manyTenants returns tenants with so many keys in all, ten each.
+func manyTenants(keys int) []Tenant {
+	list := make([]Tenant, keys/10)
+	for i := range list {
+		list[i].Name = fmt.Sprintf("tenant-%d", i)
+		for k := range 10 {
+			list[i].Keys = append(list[i].Keys, fmt.Sprintf("key-%08d-%d", i, k))
+		}
+	}
+	return list
+}
+
+// BenchmarkFindTenant looks one of 100,000 keys up.
+func BenchmarkFindTenant(b *testing.B) {
+	table := tenanted(manyTenants(100_000)...)
+	route := table.Match("h", "/own/x")
+	credentials := Credentials{Key: "key-00005000-5"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, failure := table.SenderOf(route, credentials); failure != nil {
+			b.Fatal(failure)
+		}
+	}
+}
+
+// BenchmarkChangeTenants builds a table with 100,000 keys, as each change of the
+// configuration does.
+func BenchmarkChangeTenants(b *testing.B) {
+	list := manyTenants(100_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		tenanted(list...)
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// Age is how old the newest knowledge of the topic is; very old before the first read.
+func (f *Follower) Age() time.Duration { return f.replica.age() }
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	delays := readRetries.Delays()
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// age is the time since this was last known to be all there was.
+func (r *Replica) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.contactAt)
+}
+
 // Newest returns the newest record of each key, and the age of that knowledge; false
 // until the topic was read whole.
 func (r *Replica) Newest() (eventlog.KeyedBatch, time.Duration, bool) {
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/ingress"
@@ -18,6 +19,9 @@
 	// acceptTimeout bounds the writing of a batch job, endTimeout of its end.
 	acceptTimeout = 2500 * time.Millisecond
 	endTimeout    = 3 * time.Second
+	// configurationAge is the age beyond which the configuration may be an old one: a
+	// read waits a second at most, its answer takes another.
+	configurationAge = 3 * time.Second
 	// maxWait bounds how long a reader of results is held.
 	maxWait = 5 * time.Second
 )
@@ -40,8 +44,14 @@
 }
 
 // Accept implements Callers.
-func (n *node) Accept(ctx context.Context, submission batchjobs.Submission) error {
+func (n *node) Accept(ctx context.Context, credentials routes.Credentials, submission batchjobs.Submission) error {
 	began := time.Now()
+	sender, failure := n.submitter(credentials, submission.Job)
+	if failure != nil {
+		return failure
+	}
+	submission.Job.Tenant = sender.Tenant
+	submission.Job.ID = batch.QualifiedID(sender.Tenant, submission.Job.ID)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
 	err := n.jobs.Accept(ctx, submission)
@@ -52,21 +62,74 @@
 	return err
 }
 
+// submitter returns who hands a job in.
+func (n *node) submitter(credentials routes.Credentials, job batch.JobRecord) (routes.Sender, *errkind.Error) {
+	table := n.state.table()
+	if table == nil {
+		return routes.Sender{}, errkind.New(errkind.NotReady, "no configuration is known yet")
+	}
+	route := table.Match(job.Host, job.Path)
+	if route == nil {
+		return routes.Sender{}, errkind.New(errkind.UnknownService, "no route for %s%s", job.Host, job.Path)
+	}
+	sender, failure := table.SenderOf(route, credentials)
+	return sender, n.refusal(credentials, failure)
+}
+
+// qualified returns a job's name among all jobs. Jobs of other tenants have none that
+// the caller could ask for.
+func (n *node) qualified(job JobName) (string, error) {
+	table := n.state.table()
+	if table == nil {
+		return "", errkind.New(errkind.NotReady, "no configuration is known yet")
+	}
+	tenant, failure := table.OwnerOf(job.Host, job.Credentials)
+	if failure = n.refusal(job.Credentials, failure); failure != nil {
+		return "", failure
+	}
+	return batch.QualifiedID(tenant, job.ID), nil
+}
+
+// refusal is the answer to credentials that the table in force refuses: a key may have
+// been added in one that this node cannot have read.
+func (n *node) refusal(credentials routes.Credentials, failure *errkind.Error) *errkind.Error {
+	if failure != nil && credentials.Key != "" && !n.isCurrent() {
+		return errkind.New(errkind.NotCurrent, "the API key is not known here, and the configuration may be old")
+	}
+	return failure
+}
+
+// isCurrent tells whether the configuration in force is known to be the newest one,
+// but for a few seconds.
+func (n *node) isCurrent() bool { return n.control.Age() < configurationAge }
+
 // Results implements Callers.
-func (n *node) Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error) {
-	return n.askedJobs.Results(ctx, jobID, from, min(wait, maxWait))
+func (n *node) Results(ctx context.Context, job JobName, from int, wait time.Duration) (batchjobs.Results, error) {
+	id, err := n.qualified(job)
+	if err != nil {
+		return batchjobs.Results{}, err
+	}
+	return n.askedJobs.Results(ctx, id, from, min(wait, maxWait))
 }
 
 // Body implements Callers.
-func (n *node) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
-	return n.askedJobs.Body(ctx, jobID, itemID)
+func (n *node) Body(ctx context.Context, job JobName, itemID string) ([]byte, error) {
+	id, err := n.qualified(job)
+	if err != nil {
+		return nil, err
+	}
+	return n.askedJobs.Body(ctx, id, itemID)
 }
 
 // End implements Callers.
-func (n *node) End(ctx context.Context, jobID string) error {
+func (n *node) End(ctx context.Context, job JobName) error {
+	jobID, err := n.qualified(job)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	err := n.askedJobs.End(ctx, jobID)
+	err = n.askedJobs.End(ctx, jobID)
 	n.logger.Info().Err(err).Str("job", jobID).Msg("job end asked")
 	return err
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -47,16 +47,26 @@
 	ModelVersion int64
 }
 
+// JobName is how a caller names a batch job.
+type JobName struct {
+	// Host is that of the call.
+	Host        string
+	Credentials routes.Credentials
+	// ID is the name that its submitter gave the job.
+	ID string
+}
+
 // Callers is what a node does for those who call it.
 type Callers interface {
 	// Relay answers a live request; see ingress.Relay.
 	Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error
 	// TakesBatch tells whether a batch job is handed in under the path.
 	TakesBatch(host, path string) bool
-	Accept(ctx context.Context, submission batchjobs.Submission) error
-	Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error)
-	Body(ctx context.Context, jobID, itemID string) ([]byte, error)
-	End(ctx context.Context, jobID string) error
+	// Accept keeps a job that was handed in on its host and path.
+	Accept(ctx context.Context, credentials routes.Credentials, submission batchjobs.Submission) error
+	Results(ctx context.Context, job JobName, from int, wait time.Duration) (batchjobs.Results, error)
+	Body(ctx context.Context, job JobName, itemID string) ([]byte, error)
+	End(ctx context.Context, job JobName) error
 	// Stopping is true during the planned stop.
 	Stopping() bool
 	// MaxBodyBytes and MaxHeaderBytes bound what a client may send.
@@ -158,7 +168,7 @@
 	})
 	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.Sources, n.directory.Known(), logrelay.NewClient(), logger)
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table,
+		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 	})
 	n.elector = leadership.New(log, leadership.Options{
--- a/internal/hosted/scorer.go
+++ b/internal/hosted/scorer.go
@@ -9,6 +9,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/ingress"
 )
 
@@ -18,11 +19,12 @@
 var _ batchrun.Scorer = (*node)(nil)
 
 // Score implements batchrun.Scorer: a scoring call goes the way of a live request.
-func (n *node) Score(ctx context.Context, call batch.ScoringCall) batchrun.Scoring {
+func (n *node) Score(ctx context.Context, tenant string, call batch.ScoringCall) batchrun.Scoring {
 	began := time.Now()
+	sender := routes.Sender{Tenant: tenant, Checked: tenant != ""}
 	reply, failure := n.relay.Call(ctx, &ingress.Request{
 		ID: call.ID, Method: http.MethodPost, Target: call.Path, Path: call.Path, Host: call.Host,
-		Header: http.Header{}, Body: call.Body, Budget: scoringBudget, Received: began,
+		Header: http.Header{}, Body: call.Body, Sender: &sender, Budget: scoringBudget, Received: began,
 	})
 	scoring := batchrun.Scoring{Failures: reply.ServerErrors, MaxAttempts: reply.MaxAttempts}
 	switch {
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -31,12 +31,12 @@
 	for id := range engines {
 		known.Put(fleet.Engine{ID: id, Service: "s", Slots: 1})
 	}
-	table := routes.NewTable(1, routes.Limits{}, nil, []routes.Route{{
+	table := routes.NewTable(routes.Definition{Version: 1, Routes: []routes.Route{{
 		Name: "r", Host: "h", Prefix: "/x/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
 		Timeout: time.Second, MaxAttempts: 2,
-	}})
+	}}})
 	relay := New(Options{
-		Engines: engines, Fleet: known, Table: func() *routes.Table { return table },
+		Engines: engines, Fleet: known, Table: func() *routes.Table { return table }, Current: func() bool { return true },
 		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 	})
 	return relay.Call(context.Background(), &Request{
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -19,6 +19,7 @@
 	request *Request
 	route   *routes.Route
 	table   *routes.Table
+	sender  routes.Sender
 	service string
 	// ctx ends at the request's deadline or when the caller leaves, caller only
 	// when it leaves.
@@ -119,7 +120,7 @@
 	defer cancel()
 	x.relay.options.Fleet.Began(engine.ID)
 	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
-		Request: x.request, Remaining: remaining,
+		Request: x.request, Sender: x.sender, Remaining: remaining,
 		After: x.after, HasAfter: x.streamed && x.after > 0,
 	})
 	outcome := fleet.Outcome{}
@@ -198,7 +199,7 @@
 		level = zerolog.WarnLevel
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("route", x.route.Name).
-		Str("service", x.service).Int64("config", x.table.Version).
+		Str("service", x.service).Str("tenant", x.sender.Tenant).Int64("config", x.table.Version).
 		Int("tried", len(x.tried)).Int("ran", x.ran).Int("status", x.status).
 		Bool("caller_left", x.caller.Err() != nil).Dur("took_ms", took)
 	kind := "ok"
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,6 +31,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Credentials are what the caller shows of itself.
+	Credentials routes.Credentials
+	// Sender is who sent a request that this process makes itself, whose credentials
+	// were checked before; nil for those of callers.
+	Sender *routes.Sender
 	// Budget is the time that the caller waits; zero when it did not say.
 	Budget   time.Duration
 	Received time.Time
@@ -43,6 +48,8 @@
 // Call is one try of a request at an engine.
 type Call struct {
 	Request *Request
+	// Sender is who sent the request; engines are told the tenant and never the key.
+	Sender routes.Sender
 	// Remaining is the time that the engine has.
 	Remaining time.Duration
 	// After and HasAfter say where a stream continues.
@@ -85,10 +92,12 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	// Table returns the configuration in force; nil when none is known.
-	Table  func() *routes.Table
-	Zone   string
-	Seed   uint64
-	Logger zerolog.Logger
+	Table func() *routes.Table
+	// Current tells whether Table is known to be the newest one, but for a few seconds.
+	Current func() bool
+	Zone    string
+	Seed    uint64
+	Logger  zerolog.Logger
 	// Observe is told of each request's end.
 	Observe func(route string, kind string, took time.Duration)
 }
@@ -150,6 +159,10 @@
 			Int64("config", table.Version).Msg("no route")
 		return nil, nil, errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
 	}
+	sender, failure := r.senderOf(table, route, request)
+	if failure != nil {
+		return nil, nil, failure
+	}
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -159,7 +172,20 @@
 	}
 	ctx, cancel := context.WithDeadline(callerContext, request.Received.Add(timeout))
 	return &exchange{
-		relay: r, request: request, route: route, table: table, ctx: ctx, caller: callerContext, w: w,
+		relay: r, request: request, route: route, table: table, sender: sender, ctx: ctx, caller: callerContext, w: w,
 		service: r.splitter.Pick(route),
 	}, cancel, nil
 }
+
+// senderOf returns who sent a request. A key that is unknown here may have been added
+// in a configuration that this node cannot have read; then it is not refused for good.
+func (r *Relay) senderOf(table *routes.Table, route *routes.Route, request *Request) (routes.Sender, *errkind.Error) {
+	if request.Sender != nil {
+		return *request.Sender, nil
+	}
+	sender, failure := table.SenderOf(route, request.Credentials)
+	if failure != nil && request.Credentials.Key != "" && !r.options.Current() {
+		return routes.Sender{}, errkind.New(errkind.NotCurrent, "the API key is not known here, and the configuration may be old")
+	}
+	return sender, failure
+}
--- a/internal/ingress/relay_bench_test.go
+++ b/internal/ingress/relay_bench_test.go
@@ -31,13 +31,13 @@
 	for _, id := range []string{"a", "b", "c"} {
 		engines.Put(fleet.Engine{ID: id, Service: "s", Zone: "z", Slots: 6})
 	}
-	table := routes.NewTable(1, routes.Limits{}, nil, []routes.Route{{
+	table := routes.NewTable(routes.Definition{Version: 1, Routes: []routes.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
 		Timeout: time.Second, Objective: 100 * time.Millisecond, MaxAttempts: 2,
-	}})
+	}}})
 	relay := New(Options{
 		Engines: &instantEngines{answer: strings.Repeat("x", 800)}, Fleet: engines, Zone: "z",
-		Table:  func() *routes.Table { return table },
+		Table: func() *routes.Table { return table }, Current: func() bool { return true },
 		Logger: zerolog.New(io.Discard), Observe: func(string, string, time.Duration) {},
 	})
 	b.ReportAllocs()
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -25,6 +25,8 @@
 	headerVersions    = "X-Corkpulley-Weight-Versions"
 	headerModel       = "X-Corkpulley-Model"
 	headerLastEvent   = "Last-Event-Id"
+	headerTenant      = "X-Corkpulley-Tenant"
+	headerCredentials = "Authorization"
 )
 
 // EngineFault is what happens to a request at an engine.
@@ -61,6 +63,10 @@
 	After int64
 	Host  string
 	At    time.Time
+	// Tenant is the tenant that the engine was told, Credentials what it was shown of
+	// the client's.
+	Tenant      string
+	Credentials string
 }
 
 // OrderSeen is one order as the engine received it.
@@ -219,6 +225,7 @@
 	e.running++
 	e.runs = append(e.runs, Run{
 		ID: id, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body, After: after, Host: r.Host, At: time.Now(),
+		Tenant: r.Header.Get(headerTenant), Credentials: r.Header.Get(headerCredentials),
 	})
 	return fault, true
 }
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -40,6 +40,8 @@
 	engines []*standin.Engine
 	nodes   []*process
 	config  int64
+	// tenants is what the configuration says of tenants; nil for nothing.
+	tenants []tenant
 	// orderQuiet is the least time between orders to one engine from two nodes.
 	orderQuiet time.Duration
 	// enginesFence is told to the nodes.
@@ -106,6 +108,12 @@
 
 type route map[string]any
 
+// tenant is one tenant of the configuration.
+type tenant struct {
+	Name string   `json:"name"`
+	Keys []string `json:"apiKeys"`
+}
+
 func safeRoute(prefix string) route {
 	return route{
 		"name": "r" + prefix, "host": host, "pathPrefix": prefix, "routeKind": "safe", "service": "desk",
@@ -124,7 +132,7 @@
 func (d *deployment) configure(routes ...route) {
 	d.t.Helper()
 	d.config += 3
-	raw, err := json.Marshal(map[string]any{
+	configuration := map[string]any{
 		"version": d.config, "routes": routes,
 		"services": []map[string]any{
 			{"name": "desk", "maxConns": 100},
@@ -133,7 +141,11 @@
 		"limits": map[string]any{
 			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
 		},
-	})
+	}
+	if d.tenants != nil {
+		configuration["tenants"] = d.tenants
+	}
+	raw, err := json.Marshal(configuration)
 	assert.NilError(d.t, err)
 	d.store.Log.Put("keyed.op", "config", raw)
 }
@@ -221,6 +233,10 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
+	return send(request)
+}
+
+func send(request *http.Request) answer {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return answer{err: err}
