--- a/cmd/corkpulleyd/main.go
+++ b/cmd/corkpulleyd/main.go
@@ -66,7 +66,7 @@
 	defer signal.Stop(hangups)
 	reloads := make(chan settings.Settings)
 	go reloadOnHangup(ctx, flags, hangups, reloads)
-	return hosted.Run(ctx, loaded, platform.New(loaded.Hosted.Log), reloads, os.Stdout)
+	return hosted.Run(ctx, loaded, platform.New(loaded.Hosted.Log, loaded.Hosted.Duties), reloads, os.Stdout)
 }
 
 // reloadOnHangup reads the settings anew at each SIGHUP. Settings with mistakes
--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -35,3 +35,10 @@
 	}
 	return demands
 }
+
+// Items returns the number of items of each service that run or wait.
+func (r *Runner) Items() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan.Items()
+}
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -156,9 +156,10 @@
 
 // placed is where an item runs.
 type placed struct {
-	engine string
-	tokens int
-	length int
+	service string
+	engine  string
+	tokens  int
+	length  int
 }
 
 // Running returns the number of items at the engine.
@@ -167,6 +168,18 @@
 // Waiting returns the number of waiting items.
 func (p *Plan) Waiting() int { return len(p.waiting) }
 
+// Items returns the number of waiting and running items of each service.
+func (p *Plan) Items() map[string]int {
+	items := make(map[string]int)
+	for _, item := range p.waiting {
+		items[item.Service]++
+	}
+	for _, place := range p.running {
+		items[place.service]++
+	}
+	return items
+}
+
 // WaitingByModel returns the number of waiting items of each model.
 func (p *Plan) WaitingByModel() map[string]int {
 	waiting := make(map[string]int)
@@ -234,7 +247,7 @@
 
 // place notes that an item runs at an engine.
 func (p *Plan) place(item Item, engine string) {
-	p.running[item.Key] = placed{engine, item.Tokens, item.Length}
+	p.running[item.Key] = placed{item.Service, engine, item.Tokens, item.Length}
 	p.runningLength += item.Length
 	p.count[engine]++
 	p.tokens[engine] += item.Tokens
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/scaling"
 )
 
 // Kind says how a route's requests may be run.
@@ -63,6 +65,18 @@
 	EngineTokens int
 	// Models lists the models that its engines hold, none for plain services.
 	Models []string
+	// Scaling says how engines may be ordered; nil where they may not.
+	Scaling *Scaling
+}
+
+// Scaling says how engines of a service may be ordered.
+type Scaling struct {
+	Bounds scaling.Bounds
+	// BootTime is how long a new engine takes to begin to serve.
+	BootTime time.Duration
+	// PreemptiblePrice is what a preemptible engine costs of the price of another;
+	// zero where there are none.
+	PreemptiblePrice float64
 }
 
 // Limits bound what a client may send.
@@ -134,6 +148,17 @@
 	return service, found
 }
 
+// Scaled returns the services whose engines may be ordered.
+func (t *Table) Scaled() []Service {
+	var scaled []Service
+	for _, service := range t.services {
+		if service.Scaling != nil {
+			scaled = append(scaled, service)
+		}
+	}
+	return scaled
+}
+
 // Batch returns all batch routes.
 func (t *Table) Batch() []*Route {
 	var batch []*Route
--- /dev/null
+++ b/internal/core/scaling/scaling.go
@@ -0,0 +1,117 @@
+// Package scaling decides how many engines of a service each zone should have. It has
+// no input, output or clock; every event comes with its time.
+package scaling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Bounds are what the configuration allows for a service.
+type Bounds struct {
+	// Min and Max bound the number of engines in each zone.
+	Min int
+	Max int
+	// Prices is what a second of an engine costs in each zone where they can be had.
+	Prices map[string]float64
+}
+
+// Demand is what is asked of a service at a moment.
+type Demand struct {
+	// Items is the number of items that run or wait.
+	Items int
+	// Slots is the number of items that one engine runs at once.
+	Slots int
+}
+
+const (
+	// headroom is the share of places above the peak of items: engines leave, load
+	// weights or turn slow, and their items need places elsewhere.
+	headroom = 1.15
+	// memory is the time for which a peak counts: trainers submit every few seconds and
+	// pause for as long, and an engine takes seconds to start.
+	memory = 2 * time.Minute
+)
+
+// peak is the most items of a span of time.
+type peak struct {
+	at    time.Time
+	items int
+}
+
+// Planner sizes one service by the work that is due.
+//
+// Invariant: it asks for no fewer engines in a zone than there were once, until no peak
+// within its memory needs them.
+type Planner struct {
+	peaks []peak
+	// most is the most engines seen in each zone since the planner began.
+	most map[string]int
+}
+
+// NewPlanner returns a planner that knows of no demand.
+func NewPlanner() *Planner { return &Planner{most: make(map[string]int)} }
+
+// Observe takes the demand and the number of engines in each zone at a moment.
+func (p *Planner) Observe(now time.Time, demand Demand, engines map[string]int) {
+	for zone, count := range engines {
+		p.most[zone] = max(p.most[zone], count)
+	}
+	p.peaks = slices.DeleteFunc(p.peaks, func(each peak) bool {
+		return each.items <= demand.Items || now.Sub(each.at) > memory
+	})
+	p.peaks = append(p.peaks, peak{at: now, items: demand.Items})
+}
+
+// Wanted returns the number of engines that each zone should have.
+func (p *Planner) Wanted(bounds Bounds, slots int) map[string]int {
+	zones := zonesByPrice(bounds.Prices)
+	wanted := make(map[string]int, len(zones))
+	total := 0
+	for _, zone := range zones {
+		wanted[zone] = min(max(p.most[zone], bounds.Min), bounds.Max)
+		total += wanted[zone]
+	}
+	for need := p.need(slots); total < need; total++ {
+		zone, found := leastFull(zones, wanted, bounds.Max)
+		if !found {
+			break
+		}
+		wanted[zone]++
+	}
+	return wanted
+}
+
+// need is the number of engines that the peak asks for.
+func (p *Planner) need(slots int) int {
+	items := 0
+	for _, each := range p.peaks {
+		items = max(items, each.items)
+	}
+	return int(math.Ceil(headroom * float64(items) / float64(max(1, slots))))
+}
+
+// leastFull returns the zone with the fewest engines, so that the loss of a zone takes
+// as few as possible; between equals the cheapest.
+func leastFull(zones []string, wanted map[string]int, most int) (string, bool) {
+	best, found := "", false
+	for _, zone := range zones {
+		if wanted[zone] < most && (!found || wanted[zone] < wanted[best]) {
+			best, found = zone, true
+		}
+	}
+	return best, found
+}
+
+func zonesByPrice(prices map[string]float64) []string {
+	zones := make([]string, 0, len(prices))
+	for zone := range prices {
+		zones = append(zones, zone)
+	}
+	slices.SortFunc(zones, func(a, b string) int {
+		return cmp.Or(cmp.Compare(prices[a], prices[b]), cmp.Compare(a, b))
+	})
+	return zones
+}
--- /dev/null
+++ b/internal/core/usage/usage_test.go
@@ -0,0 +1,79 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestWindowsCountFrom1970(t *testing.T) {
+	at := time.Unix(1767225607, 999)
+	window := WindowOf(at, 5*time.Second)
+	assert.Equal(t, window, Window(353445121))
+	assert.Assert(t, window.End(5*time.Second).Equal(time.Unix(1767225610, 0)))
+	assert.Equal(t, WindowOf(window.End(5*time.Second), 5*time.Second), window+1)
+}
+
+func TestLaterCountsOfAProcessReplaceItsEarlierOnes(t *testing.T) {
+	ledger := NewLedger()
+	for _, record := range []CountRecord{
+		{"a", 7, Counts{"x": 1}}, {"a", 7, Counts{"x": 2, "y": 1}}, {"b", 7, Counts{"x": 4}},
+		// Written again after its answer was lost.
+		{"a", 7, Counts{"x": 1}}, {"b", 7, Counts{"x": 4}},
+		{"a", 8, Counts{"x": 9}},
+	} {
+		assert.Equal(t, ledger.ApplyCount(record), int64(0))
+	}
+	assert.Equal(t, ledger.Next(9), Window(7))
+	assert.Equal(t, ledger.Next(3), Window(3))
+	assert.DeepEqual(t, ledger.Report(7), ReportRecord{Window: 7, Counts: Counts{"x": 6, "y": 1}, CountsFrom: 5})
+	assert.DeepEqual(t, ledger.Report(6), ReportRecord{Window: 6, Counts: Counts{}, CountsFrom: 0})
+}
+
+func TestTheFirstReportOfAWindowStands(t *testing.T) {
+	ledger := NewLedger()
+	ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 1}})
+	ledger.ApplyReport(ReportRecord{Window: 7, Counts: Counts{"x": 1}, CountsFrom: 1})
+	ledger.ApplyReport(ReportRecord{Window: 7, Counts: Counts{"x": 5}, CountsFrom: 1})
+	newest, found := ledger.Newest()
+	assert.Assert(t, found)
+	assert.DeepEqual(t, newest.Counts, Counts{"x": 1})
+	assert.Equal(t, ledger.Next(100), Window(8))
+	assert.Equal(t, ledger.ApplyCount(CountRecord{"b", 7, Counts{"x": 3}}), int64(3), "came too late")
+	assert.Equal(t, ledger.NextReport, int64(2))
+}
+
+// TestAReaderThatStartsAtTheNewestReportComesToTheSameReports: it passes over all
+// counts before CountsFrom.
+func TestAReaderThatStartsAtTheNewestReportComesToTheSameReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		window := rapid.Int64Range(1, 4)
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) CountRecord {
+			return CountRecord{
+				Source: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "source"),
+				Window: Window(window.Draw(t, "window")), Counts: Counts{"x": rapid.Int64Range(1, 9).Draw(t, "count")},
+			}
+		}), 0, 30).Draw(t, "records")
+		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
+		of := Window(window.Draw(t, "reported"))
+		whole := NewLedger()
+		for _, record := range records[:cut] {
+			whole.ApplyCount(record)
+		}
+		report := whole.Report(of)
+		whole.ApplyReport(report)
+		for _, record := range records[cut:] {
+			whole.ApplyCount(record)
+		}
+		late := NewLedger()
+		late.ApplyReport(report)
+		for int(late.NextCount) < len(records) {
+			late.ApplyCount(records[late.NextCount])
+		}
+		for next := of + 1; next <= 5; next++ {
+			assert.DeepEqual(t, late.Report(next), whole.Report(next))
+		}
+	})
+}
--- /dev/null
+++ b/internal/duties/counter.go
@@ -0,0 +1,160 @@
+package duties
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
+	"github.com/corkpulley/corkpulley/internal/core/usage"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// The log's partitions of counts and of reports.
+var (
+	countPartition  = eventlog.Partition{Topic: "corkpulley.usage"}
+	reportPartition = eventlog.Partition{Topic: "corkpulley.usagereports"}
+)
+
+const (
+	// countDelay is the time for which counts gather before they are written: what a
+	// process that is killed has not written is lost. It grows with the nodes, so that
+	// 420 of them write some 300 records a second of the 500 that a partition takes.
+	countDelay    = 200 * time.Millisecond
+	maxCountDelay = 2 * time.Second
+	// countLife is how long counts are kept that could not be written: reports of older
+	// windows were given up.
+	countLife = 5 * time.Minute
+	// lastWrite bounds the write at the end of the process.
+	lastWrite = 600 * time.Millisecond
+)
+
+var countRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
+
+// Counter counts the requests that this process sees begin, and writes the counts.
+type Counter struct {
+	log    eventlog.Log
+	source string
+	span   time.Duration
+	budget pacing.Budget
+	logger zerolog.Logger
+
+	mu sync.Mutex
+	// counts holds all counts of the windows that still may change, unwritten the
+	// windows whose newest counts are not in the log.
+	counts    map[usage.Window]usage.Counts
+	unwritten map[usage.Window]bool
+	added     chan struct{}
+}
+
+// NewCounter returns a counter of windows of the given span; zero when nothing is to be
+// counted. Source names the process start.
+func NewCounter(
+	log eventlog.Log, source string, span time.Duration, budget pacing.Budget, logger zerolog.Logger,
+) *Counter {
+	return &Counter{
+		log: log, source: source, span: span, budget: budget, logger: logger,
+		counts: make(map[usage.Window]usage.Counts), unwritten: make(map[usage.Window]bool),
+		added: make(chan struct{}, 1),
+	}
+}
+
+// Began notes that a request of a tenant began to run.
+func (c *Counter) Began(tenant string, at time.Time) {
+	if c.span <= 0 || tenant == "" {
+		return
+	}
+	window := usage.WindowOf(at, c.span)
+	c.mu.Lock()
+	if c.counts[window] == nil {
+		c.counts[window] = make(usage.Counts)
+	}
+	c.counts[window][tenant]++
+	c.unwritten[window] = true
+	c.mu.Unlock()
+	select {
+	case c.added <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes counts until ctx ends, and then what is left.
+func (c *Counter) Run(ctx context.Context) error {
+	if c.span <= 0 {
+		return nil
+	}
+	delays := countRetries.Delays()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			continue
+		case <-c.added:
+		}
+		retry.Sleep(ctx, c.budget.Stretch(countDelay, maxCountDelay))
+		for err := c.write(ctx); err != nil && ctx.Err() == nil; err = c.write(ctx) {
+			c.logger.Warn().Err(err).Int("windows", c.open()).Msg("counts of use not written")
+			retry.Sleep(ctx, delays.NextBackOff())
+		}
+		delays.Reset()
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWrite)
+	defer cancel()
+	if err := c.write(last); err != nil {
+		c.logger.Warn().Err(err).Int("windows", c.open()).Msg("counts of use not written")
+	}
+	return nil
+}
+
+func (c *Counter) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unwritten)
+}
+
+// write writes the counts of all windows that have changed in one call.
+func (c *Counter) write(ctx context.Context) error {
+	records, windows, err := c.take()
+	if err != nil || len(records) == 0 {
+		return err
+	}
+	if _, err := c.log.Append(ctx, countPartition, records); err != nil {
+		c.putBack(windows)
+		return errors.Wrap(err, "append counts")
+	}
+	return nil
+}
+
+// take returns the records of what is not written yet, and counts it as written.
+func (c *Counter) take() ([][]byte, []usage.Window, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	oldest := usage.WindowOf(time.Now().Add(-countLife), c.span)
+	maps.DeleteFunc(c.counts, func(window usage.Window, _ usage.Counts) bool { return window < oldest })
+	maps.DeleteFunc(c.unwritten, func(window usage.Window, _ bool) bool { return window < oldest })
+	windows := slices.Sorted(maps.Keys(c.unwritten))
+	var records [][]byte
+	for _, window := range windows {
+		raw, err := msgpack.Marshal(&usage.CountRecord{Source: c.source, Window: window, Counts: c.counts[window]})
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "encode counts")
+		}
+		records = append(records, raw)
+	}
+	clear(c.unwritten)
+	return records, windows, nil
+}
+
+func (c *Counter) putBack(windows []usage.Window) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, window := range windows {
+		c.unwritten[window] = true
+	}
+}
--- /dev/null
+++ b/internal/duties/duties.go
@@ -0,0 +1,104 @@
+// Package duties makes the calls to the platform that one node at a time may make: it
+// reports the tenants' use and orders engines. Both ride the leader's lease: the epoch is
+// the fencing token, and a call follows only after the log says that it may come.
+package duties
+
+import (
+	"context"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/usage"
+)
+
+// Holder says who makes a call.
+type Holder struct {
+	// Node is the machine's name.
+	Node string
+	// Fence is the fencing token, which rises with each holder.
+	Fence int64
+}
+
+// Answer is the platform's answer to a call.
+type Answer uint8
+
+// The answers.
+const (
+	// Unanswered: the call may be carried out now, later or never.
+	Unanswered Answer = iota
+	// Done: the call has its effect.
+	Done
+	// Conflict: a higher fencing token was seen, or there is nothing to be had.
+	Conflict
+	// NotDone: the call had no effect; another try may.
+	NotDone
+	// Refused: the platform cannot read the call, another try is of no use.
+	Refused
+)
+
+var answerNames = [...]string{
+	Unanswered: "unanswered", Done: "done", Conflict: "conflict", NotDone: "not_done", Refused: "refused",
+}
+
+// String returns the answer as it stands in logs.
+func (a Answer) String() string { return answerNames[a] }
+
+// EngineOrder sets the number of a service's engines in a zone.
+type EngineOrder struct {
+	Service string
+	Zone    string
+	Count   int
+	// Preemptible engines cost less and may be taken away; they are counted apart.
+	Preemptible bool
+}
+
+// Platform takes the calls. An error tells why an answer is not Done.
+type Platform interface {
+	ReportUsage(ctx context.Context, holder Holder, window usage.Window, counts usage.Counts) (Answer, error)
+	OrderEngines(ctx context.Context, holder Holder, order EngineOrder) (Answer, error)
+}
+
+// Term is a time of leading: what one may do in it.
+type Term interface {
+	// Valid tells whether this node leads at this moment.
+	Valid() bool
+	// QuietUntil is the time before which a subject may not be called about, since
+	// another machine may just have done so.
+	QuietUntil(subject string) time.Time
+	// Announce says in the log that a call about the subject may follow.
+	Announce(ctx context.Context, subject string) error
+}
+
+const (
+	// callTimeout bounds one call to the platform, announceTimeout the writing of its
+	// announcement.
+	callTimeout     = 1500 * time.Millisecond
+	announceTimeout = 500 * time.Millisecond
+)
+
+// caller makes calls under a term.
+type caller struct {
+	term   Term
+	holder Holder
+}
+
+// call makes a call about a subject if this node may, and returns NotDone if not.
+func (c *caller) call(
+	ctx context.Context, subject string, call func(context.Context) (Answer, error),
+) (Answer, error) {
+	if !c.term.Valid() || time.Now().Before(c.term.QuietUntil(subject)) {
+		return NotDone, nil
+	}
+	announcing, cancel := context.WithTimeout(ctx, announceTimeout)
+	err := c.term.Announce(announcing, subject)
+	cancel()
+	if err != nil {
+		return NotDone, err
+	}
+	// Writing the announcement took its time.
+	if !c.term.Valid() || ctx.Err() != nil {
+		return NotDone, ctx.Err()
+	}
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return call(calling)
+}
--- /dev/null
+++ b/internal/duties/fakes_test.go
@@ -0,0 +1,108 @@
+package duties
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/usage"
+)
+
+// fakePlatform takes calls as the users' platform does: it checks fencing tokens and
+// keeps what it took.
+type fakePlatform struct {
+	mu sync.Mutex
+	// answer is given in place of the platform's own, when set.
+	answer  func() (Answer, bool)
+	fence   map[string]int64
+	reports map[usage.Window]usage.Counts
+	// calls counts the reports that arrived, changed those whose window had another one.
+	calls   int
+	changed int
+	orders  []EngineOrder
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{fence: make(map[string]int64), reports: make(map[usage.Window]usage.Counts)}
+}
+
+// take checks a call; mu is held.
+func (p *fakePlatform) take(subject string, holder Holder) (Answer, bool) {
+	if p.answer != nil {
+		if answer, given := p.answer(); given {
+			return answer, answer == Unanswered
+		}
+	}
+	if holder.Fence < p.fence[subject] {
+		return Conflict, false
+	}
+	p.fence[subject] = holder.Fence
+	return Done, true
+}
+
+func (p *fakePlatform) ReportUsage(
+	_ context.Context, holder Holder, window usage.Window, counts usage.Counts,
+) (Answer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	answer, effect := p.take(usageSubject, holder)
+	if effect {
+		if known, found := p.reports[window]; found && !maps.Equal(known, counts) {
+			p.changed++
+		}
+		p.reports[window] = maps.Clone(counts)
+	}
+	return answer, nil
+}
+
+func (p *fakePlatform) OrderEngines(_ context.Context, holder Holder, order EngineOrder) (Answer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answer, effect := p.take(order.Service+"/"+order.Zone, holder)
+	if effect {
+		p.orders = append(p.orders, order)
+	}
+	return answer, nil
+}
+
+func (p *fakePlatform) reported(window usage.Window) (usage.Counts, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts, found := p.reports[window]
+	return counts, found
+}
+
+// fakeTerm is a term that a test ends.
+type fakeTerm struct {
+	mu        sync.Mutex
+	over      bool
+	quiet     time.Time
+	announced []string
+}
+
+func (t *fakeTerm) Valid() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.over
+}
+
+func (t *fakeTerm) QuietUntil(string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quiet
+}
+
+func (t *fakeTerm) Announce(_ context.Context, subject string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announced = append(t.announced, subject)
+	return nil
+}
+
+func (t *fakeTerm) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.over = true
+}
--- /dev/null
+++ b/internal/duties/reporter.go
@@ -0,0 +1,193 @@
+package duties
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/usage"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// usageSubject names the reports in announcements: all windows are one subject.
+	usageSubject = "usage"
+	// settleShare is the part of the time until a report is due for which it waits
+	// for late counts; the rest is for a change of leaders or an outage.
+	settleShare = 0.5
+	// recoverTime is how long the reporter waits after the log was out of reach: the
+	// counts that nodes could not write come within their longest pause between tries.
+	recoverTime = time.Second
+	// maxBacklog is the age beyond which a window is passed over: the log no longer
+	// holds its counts.
+	maxBacklog = 4 * time.Minute
+	// usagePause is the time between two tries.
+	usagePause = 150 * time.Millisecond
+	// conflictPause follows a conflict, which a holder of a valid lease does not meet.
+	conflictPause  = 5 * time.Second
+	usageReadLimit = 512 << 10
+)
+
+// ReporterOptions are the parts that a reporter works with.
+type ReporterOptions struct {
+	Log      eventlog.Log
+	Platform Platform
+	Term     Term
+	Holder   Holder
+	// Span is the length of a window, Late the time after its end by which its report
+	// is due.
+	Span   time.Duration
+	Late   time.Duration
+	Logger zerolog.Logger
+}
+
+// Reporter reports the use of all tenants during one term of leading.
+type Reporter struct {
+	options ReporterOptions
+	caller  caller
+	ledger  *usage.Ledger
+	// failedAt is when the log was last out of reach.
+	failedAt time.Time
+	// told is the newest window that the platform was told in this term.
+	told usage.Window
+}
+
+// NewReporter returns a reporter for one term.
+func NewReporter(options ReporterOptions) *Reporter {
+	return &Reporter{
+		options: options, caller: caller{term: options.Term, holder: options.Holder}, ledger: usage.NewLedger(),
+	}
+}
+
+// Run reports windows as they come due, in their order, until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	began := usage.WindowOf(time.Now(), r.options.Span)
+	for ctx.Err() == nil {
+		if err := r.step(ctx, began); err != nil && ctx.Err() == nil {
+			r.failedAt = time.Now()
+			r.options.Logger.Warn().Err(err).Int64("window", int64(r.ledger.Next(began))).Msg("use not reported yet")
+		}
+		retry.Sleep(ctx, usagePause)
+	}
+}
+
+// step tells what is decided and not told, and decides about the next window if that
+// is due.
+func (r *Reporter) step(ctx context.Context, began usage.Window) error {
+	if r.ledger.NextReport == 0 {
+		// Reports of earlier leaders come first.
+		if err := r.readReports(ctx); err != nil {
+			return err
+		}
+	}
+	if newest, found := r.ledger.Newest(); found && newest.Window > r.told {
+		return r.tell(ctx, newest)
+	}
+	next := r.ledger.Next(began)
+	ready := next.End(r.options.Span).Add(time.Duration(settleShare * float64(r.options.Late)))
+	if now := time.Now(); now.Before(ready) || now.Sub(r.failedAt) < recoverTime || !r.options.Term.Valid() {
+		return nil
+	}
+	if err := r.readCounts(ctx); err != nil {
+		return err
+	}
+	return r.decide(ctx, max(r.ledger.Next(began), r.oldest()))
+}
+
+// oldest is the first window whose counts the log still holds.
+func (r *Reporter) oldest() usage.Window {
+	return usage.WindowOf(time.Now().Add(-maxBacklog), r.options.Span)
+}
+
+// decide writes the report of a window, unless another leader was first.
+func (r *Reporter) decide(ctx context.Context, window usage.Window) error {
+	raw, err := msgpack.Marshal(r.ledger.Report(window))
+	if err != nil {
+		return errors.Wrap(err, "encode the report")
+	}
+	_, err = r.options.Log.AppendAt(ctx, reportPartition, r.ledger.NextReport, [][]byte{raw})
+	var conflict *eventlog.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return errors.Wrap(err, "append the report")
+	}
+	return r.readReports(ctx)
+}
+
+// tell sends a decided report until the platform has it.
+func (r *Reporter) tell(ctx context.Context, report usage.ReportRecord) error {
+	answer, err := r.caller.call(ctx, usageSubject, func(ctx context.Context) (Answer, error) {
+		return r.options.Platform.ReportUsage(ctx, r.caller.holder, report.Window, report.Counts)
+	})
+	if answer == NotDone && err == nil {
+		// Not this node's turn, or not yet.
+		return nil
+	}
+	late := time.Since(report.Window.End(r.options.Span)) - r.options.Late
+	r.options.Logger.Info().Err(err).Int64("window", int64(report.Window)).Int64("requests", report.Counts.Sum()).
+		Int("tenants", len(report.Counts)).Stringer("answer", answer).Bool("in_time", late <= 0).
+		Int64("fence", r.caller.holder.Fence).Msg("use reported")
+	switch answer {
+	case Done, Refused:
+		r.told = report.Window
+	case Conflict:
+		retry.Sleep(ctx, conflictPause)
+	}
+	return nil
+}
+
+func (r *Reporter) readReports(ctx context.Context) error {
+	return readToEnd(ctx, r.options.Log, reportPartition, &r.ledger.NextReport, func(raw []byte) error {
+		var record usage.ReportRecord
+		if err := msgpack.Unmarshal(raw, &record); err != nil {
+			r.ledger.NextReport++
+			return errors.Wrap(err, "decode a report")
+		}
+		r.ledger.ApplyReport(record)
+		return nil
+	})
+}
+
+func (r *Reporter) readCounts(ctx context.Context) error {
+	return readToEnd(ctx, r.options.Log, countPartition, &r.ledger.NextCount, func(raw []byte) error {
+		var record usage.CountRecord
+		if err := msgpack.Unmarshal(raw, &record); err != nil {
+			r.ledger.NextCount++
+			return errors.Wrap(err, "decode counts")
+		}
+		if late := r.ledger.ApplyCount(record); late > 0 {
+			r.options.Logger.Warn().Int64("window", int64(record.Window)).Str("source", record.Source).
+				Int64("requests", late).Msg("counts of use came too late")
+		}
+		return nil
+	})
+}
+
+// readToEnd reads a partition from next on to where it ended at the call. The handler
+// moves next on by one for each record.
+func readToEnd(
+	ctx context.Context, log eventlog.Log, partition eventlog.Partition, next *int64, handle func(raw []byte) error,
+) error {
+	for {
+		batch, err := log.Read(ctx, partition, *next, usageReadLimit, 0)
+		var gone *eventlog.GoneError
+		if errors.As(err, &gone) {
+			*next = max(*next+1, gone.First)
+			continue
+		}
+		if err != nil {
+			return errors.Wrapf(err, "read %s", partition)
+		}
+		for _, raw := range batch.Records {
+			if err := handle(raw); err != nil {
+				return err
+			}
+		}
+		if *next >= batch.End {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/duties/reporter_test.go
@@ -0,0 +1,217 @@
+package duties
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
+	"github.com/corkpulley/corkpulley/internal/core/usage"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// span and due are short, so that tests need not wait for long.
+const (
+	span = 400 * time.Millisecond
+	due  = 800 * time.Millisecond
+)
+
+// start runs something until the test ends or the returned function is called.
+func start(t *testing.T, run func(ctx context.Context)) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func counting(t *testing.T, log *memlog.Log, source string) (counter *Counter, stop func()) {
+	t.Helper()
+	counter = NewCounter(log, source, span, pacing.Budget{}, zerolog.Nop())
+	return counter, start(t, func(ctx context.Context) { _ = counter.Run(ctx) })
+}
+
+func reporting(t *testing.T, log *memlog.Log, platform Platform, term *fakeTerm, fence int64) (stop func()) {
+	t.Helper()
+	reporter := NewReporter(ReporterOptions{
+		Log: log, Platform: platform, Term: term, Holder: Holder{Node: "n", Fence: fence},
+		Span: span, Late: due, Logger: zerolog.Nop(),
+	})
+	return start(t, reporter.Run)
+}
+
+func awaitReport(t *testing.T, platform *fakePlatform, window usage.Window) usage.Counts {
+	t.Helper()
+	testwait.Until(t, "the window is reported", func() bool {
+		_, found := platform.reported(window)
+		return found
+	})
+	counts, _ := platform.reported(window)
+	return counts
+}
+
+func TestAWindowIsReportedWithTheCountsOfAllNodes(t *testing.T) {
+	t.Parallel()
+	log, platform, term := memlog.New(), newFakePlatform(), &fakeTerm{}
+	one, _ := counting(t, log, "one")
+	two, _ := counting(t, log, "two")
+	now := time.Now()
+	reporting(t, log, platform, term, 1)
+	for range 3 {
+		one.Began("a", now)
+	}
+	two.Began("a", now)
+	two.Began("b", now)
+	two.Began("", now)
+	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)), usage.Counts{"a": 4, "b": 1})
+	// A window in which nothing began is reported as well.
+	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)+1), usage.Counts{})
+	assert.Assert(t, len(term.announced) >= 2)
+	assert.Equal(t, term.announced[0], usageSubject)
+}
+
+func TestWhatAStoppingNodeCountedIsWritten(t *testing.T) {
+	t.Parallel()
+	log, platform := memlog.New(), newFakePlatform()
+	counter, stop := counting(t, log, "one")
+	now := time.Now()
+	counter.Began("a", now)
+	stop()
+	reporting(t, log, platform, &fakeTerm{}, 1)
+	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)), usage.Counts{"a": 1})
+}
+
+// TestCountsOutliveLostAnswersAndOutages: what is written twice counts once.
+func TestCountsOutliveLostAnswersAndOutages(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]memlog.Fault{
+		"lost answers": memlog.LostAnswer, "refused": memlog.Refused, "lost calls": memlog.LostCall,
+		"late effects": memlog.LateEffect,
+	} {
+		t.Run(name, func(t *testing.T) {
+			log, platform := memlog.New(), newFakePlatform()
+			log.SetFault(func(call memlog.Call) memlog.Fault {
+				if call.Append {
+					return fault
+				}
+				return memlog.None
+			})
+			counter, _ := counting(t, log, "one")
+			// The window is decided about once the faults are over.
+			now := time.Now().Add(due)
+			counter.Began("a", now)
+			reporting(t, log, platform, &fakeTerm{}, 1)
+			time.Sleep(2 * countDelay)
+			counter.Began("a", now)
+			time.Sleep(2 * countDelay)
+			log.SetFault(nil)
+			log.Release()
+			assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)), usage.Counts{"a": 2})
+			assert.Equal(t, platform.changed, 0)
+		})
+	}
+}
+
+// TestANewHolderRepeatsTheReportExactly: the one before decided, and its call has no
+// answer. Counts that come later change nothing.
+func TestANewHolderRepeatsTheReportExactly(t *testing.T) {
+	t.Parallel()
+	log, platform := memlog.New(), newFakePlatform()
+	platform.answer = func() (Answer, bool) { return Unanswered, true }
+	counter, _ := counting(t, log, "one")
+	now := time.Now()
+	window := usage.WindowOf(now, span)
+	counter.Began("a", now)
+	first := &fakeTerm{}
+	stop := reporting(t, log, platform, first, 1)
+	awaitReport(t, platform, window)
+	first.end()
+	stop()
+	counter.Began("a", now)
+	time.Sleep(2 * countDelay)
+	platform.mu.Lock()
+	platform.answer = nil
+	before := platform.calls
+	platform.mu.Unlock()
+	reporting(t, log, platform, &fakeTerm{}, 2)
+	awaitReport(t, platform, window+2)
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	assert.Equal(t, platform.changed, 0, "two reports of a window")
+	assert.Assert(t, platform.calls > before)
+	assert.DeepEqual(t, platform.reports[window], usage.Counts{"a": 1})
+}
+
+// TestTwoLeadersDecideOnce: both believe that they lead, and count what they have read.
+func TestTwoLeadersDecideOnce(t *testing.T) {
+	t.Parallel()
+	log, platform := memlog.New(), newFakePlatform()
+	counter, _ := counting(t, log, "one")
+	stopped := make(chan struct{})
+	start(t, func(ctx context.Context) {
+		defer close(stopped)
+		for ctx.Err() == nil {
+			counter.Began("a", time.Now().Add(-due))
+			time.Sleep(time.Millisecond)
+		}
+	})
+	reporting(t, log, platform, &fakeTerm{}, 1)
+	reporting(t, log, platform, &fakeTerm{}, 2)
+	awaitReport(t, platform, usage.WindowOf(time.Now(), span)+4)
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	assert.Equal(t, platform.changed, 0, "two reports of a window")
+}
+
+// TestAHolderThatWasRefusedDoesNotHurry: nor does one whose term is over call at all.
+func TestAHolderThatWasRefusedDoesNotHurry(t *testing.T) {
+	t.Parallel()
+	log, platform, term := memlog.New(), newFakePlatform(), &fakeTerm{}
+	platform.fence[usageSubject] = 9
+	reporting(t, log, platform, term, 1)
+	testwait.Until(t, "one call", func() bool {
+		platform.mu.Lock()
+		defer platform.mu.Unlock()
+		return platform.calls == 1
+	})
+	time.Sleep(4 * span)
+	term.end()
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	assert.Equal(t, platform.calls, 1)
+	assert.Equal(t, len(platform.reports), 0)
+}
+
+func TestNobodyCallsInTheQuietTimeAfterAnotherHolder(t *testing.T) {
+	t.Parallel()
+	log, platform := memlog.New(), newFakePlatform()
+	term := &fakeTerm{quiet: time.Now().Add(3 * due)}
+	now := time.Now()
+	reporting(t, log, platform, term, 2)
+	awaitReport(t, platform, usage.WindowOf(now, span))
+	assert.Assert(t, time.Now().After(term.quiet))
+}
+
+// TestWhereNothingIsReportedNothingIsCounted: also at the end of the process.
+func TestWhereNothingIsReportedNothingIsCounted(t *testing.T) {
+	t.Parallel()
+	log := memlog.New()
+	counter := NewCounter(log, "one", 0, pacing.Budget{}, zerolog.Nop())
+	counter.Began("a", time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, counter.Run(ctx))
+	assert.Equal(t, log.End(countPartition), int64(0))
+}
--- /dev/null
+++ b/internal/duties/scaler.go
@@ -0,0 +1,125 @@
+package duties
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/scaling"
+)
+
+const (
+	// scalePeriod is the time between two looks at what services need.
+	scalePeriod = 300 * time.Millisecond
+	// orderSlack is how long, beyond its start, an engine may take to be listed. An
+	// order that has not brought its engines by then is given again.
+	orderSlack = 3 * time.Second
+	// soldOutPause follows an order for which there was nothing to be had.
+	soldOutPause = 2 * time.Second
+)
+
+// ScaledService is a service whose engines may be ordered.
+type ScaledService struct {
+	Name   string
+	Bounds scaling.Bounds
+	// BootTime is how long a new engine takes to begin to serve.
+	BootTime time.Duration
+	Demand   scaling.Demand
+	// Engines is the number of engines in each zone, those that leave not counted.
+	Engines map[string]int
+}
+
+// ScalerOptions are the parts that a scaler works with.
+type ScalerOptions struct {
+	Platform Platform
+	Term     Term
+	Holder   Holder
+	// Services returns the services and what is asked of them now.
+	Services func() []ScaledService
+	Logger   zerolog.Logger
+}
+
+// Scaler orders engines during one term of leading.
+type Scaler struct {
+	options  ScalerOptions
+	caller   caller
+	planners map[string]*scaling.Planner
+	orders   map[subject]*standing
+}
+
+// subject is a service in a zone.
+type subject struct{ service, zone string }
+
+// String is the subject's name in announcements.
+func (s subject) String() string { return "scale/" + s.service + "/" + s.zone }
+
+// standing is the last order about a subject in this term.
+type standing struct {
+	count int
+	// repeatAt is when the order is given again if its engines are not there.
+	repeatAt time.Time
+}
+
+// NewScaler returns a scaler for one term.
+func NewScaler(options ScalerOptions) *Scaler {
+	return &Scaler{
+		options: options, caller: caller{term: options.Term, holder: options.Holder},
+		planners: make(map[string]*scaling.Planner), orders: make(map[subject]*standing),
+	}
+}
+
+// Run orders engines until ctx ends.
+func (s *Scaler) Run(ctx context.Context) {
+	for retry.Sleep(ctx, scalePeriod) {
+		for _, service := range s.options.Services() {
+			s.scale(ctx, service)
+		}
+	}
+}
+
+// scale orders what a service lacks.
+func (s *Scaler) scale(ctx context.Context, service ScaledService) {
+	planner, known := s.planners[service.Name]
+	if !known {
+		planner = scaling.NewPlanner()
+		s.planners[service.Name] = planner
+	}
+	planner.Observe(time.Now(), service.Demand, service.Engines)
+	wanted := planner.Wanted(service.Bounds, service.Demand.Slots)
+	for _, zone := range slices.Sorted(maps.Keys(wanted)) {
+		s.order(ctx, service, zone, wanted[zone])
+	}
+}
+
+// order gives the order about one zone, if it is due.
+func (s *Scaler) order(ctx context.Context, service ScaledService, zone string, count int) {
+	about := subject{service.Name, zone}
+	last, ordered := s.orders[about]
+	present := service.Engines[zone]
+	if !ordered && present == count {
+		return
+	}
+	if ordered && last.count == count && (present >= count || time.Now().Before(last.repeatAt)) {
+		return
+	}
+	order := EngineOrder{Service: service.Name, Zone: zone, Count: count}
+	answer, err := s.caller.call(ctx, about.String(), func(ctx context.Context) (Answer, error) {
+		return s.options.Platform.OrderEngines(ctx, s.caller.holder, order)
+	})
+	if answer == NotDone && err == nil {
+		// Not this node's turn, or not yet.
+		return
+	}
+	s.options.Logger.Info().Err(err).Str("service", service.Name).Str("zone", zone).Int("count", count).
+		Int("present", present).Int("items", service.Demand.Items).Stringer("answer", answer).
+		Int64("fence", s.caller.holder.Fence).Msg("engines ordered")
+	pause := soldOutPause
+	if answer == Done || answer == Unanswered {
+		pause = service.BootTime + orderSlack
+	}
+	s.orders[about] = &standing{count: count, repeatAt: time.Now().Add(pause)}
+}
--- /dev/null
+++ b/internal/duties/scaler_test.go
@@ -0,0 +1,91 @@
+package duties
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/scaling"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+func scalerOf(t *testing.T, platform Platform, term Term, services func() []ScaledService) {
+	t.Helper()
+	scaler := NewScaler(ScalerOptions{
+		Platform: platform, Term: term, Holder: Holder{Node: "n", Fence: 1}, Services: services, Logger: zerolog.Nop(),
+	})
+	start(t, scaler.Run)
+}
+
+func service(items int, engines map[string]int) ScaledService {
+	return ScaledService{
+		Name: "s", Bounds: scaling.Bounds{Min: 1, Max: 4, Prices: map[string]float64{"a": 1, "b": 2}},
+		Demand: scaling.Demand{Items: items, Slots: 8}, Engines: engines,
+	}
+}
+
+func (p *fakePlatform) ordered() []EngineOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]EngineOrder(nil), p.orders...)
+}
+
+func TestEnginesThatAreMissingAreOrderedOnce(t *testing.T) {
+	t.Parallel()
+	platform, term := newFakePlatform(), &fakeTerm{}
+	scalerOf(t, platform, term, func() []ScaledService { return []ScaledService{service(30, map[string]int{"a": 2, "b": 2})} })
+	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) == 1 })
+	time.Sleep(3 * scalePeriod)
+	assert.DeepEqual(t, platform.ordered(), []EngineOrder{{Service: "s", Zone: "a", Count: 3}})
+	assert.DeepEqual(t, term.announced, []string{"scale/s/a"})
+}
+
+func TestWhatStandsIsNotOrdered(t *testing.T) {
+	t.Parallel()
+	platform := newFakePlatform()
+	scalerOf(t, platform, &fakeTerm{}, func() []ScaledService { return []ScaledService{service(0, map[string]int{"a": 2, "b": 1})} })
+	time.Sleep(3 * scalePeriod)
+	assert.Equal(t, len(platform.ordered()), 0)
+}
+
+func TestEnginesThatWereTakenAwayAreReplaced(t *testing.T) {
+	t.Parallel()
+	platform := newFakePlatform()
+	var taken atomic.Bool
+	scalerOf(t, platform, &fakeTerm{}, func() []ScaledService {
+		if taken.Load() {
+			return []ScaledService{service(0, map[string]int{"a": 2})}
+		}
+		return []ScaledService{service(0, map[string]int{"a": 2, "b": 3})}
+	})
+	time.Sleep(2 * scalePeriod)
+	taken.Store(true)
+	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) == 1 })
+	assert.DeepEqual(t, platform.ordered()[0], EngineOrder{Service: "s", Zone: "b", Count: 3})
+}
+
+// TestWhereNothingIsToBeHadTheOrderComesAgain: after a pause.
+func TestWhereNothingIsToBeHadTheOrderComesAgain(t *testing.T) {
+	t.Parallel()
+	platform := newFakePlatform()
+	var refused atomic.Int64
+	platform.answer = func() (Answer, bool) { return Conflict, refused.Add(1) <= 2 }
+	began := time.Now()
+	scalerOf(t, platform, &fakeTerm{}, func() []ScaledService { return []ScaledService{service(30, map[string]int{"a": 2, "b": 2})} })
+	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) == 1 })
+	assert.Assert(t, time.Since(began) >= 2*soldOutPause)
+	assert.Equal(t, refused.Load(), int64(3))
+}
+
+func TestNobodyOrdersAfterItsTerm(t *testing.T) {
+	t.Parallel()
+	platform, term := newFakePlatform(), &fakeTerm{}
+	term.end()
+	scalerOf(t, platform, term, func() []ScaledService { return []ScaledService{service(30, nil)} })
+	time.Sleep(3 * scalePeriod)
+	assert.Equal(t, len(platform.ordered()), 0)
+	assert.Equal(t, len(term.announced), 0)
+}
--- /dev/null
+++ b/internal/hosted/duties.go
@@ -0,0 +1,85 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/scaling"
+	"github.com/corkpulley/corkpulley/internal/duties"
+	"github.com/corkpulley/corkpulley/internal/leadership"
+	"github.com/corkpulley/corkpulley/internal/settings"
+)
+
+// termOfDuties is a term of leading as duties see it. It implements duties.Term.
+type termOfDuties struct {
+	elector *leadership.Elector
+	epoch   int64
+}
+
+// Valid implements duties.Term.
+func (t termOfDuties) Valid() bool { return t.elector.Valid(t.epoch) }
+
+// QuietUntil implements duties.Term.
+func (t termOfDuties) QuietUntil(subject string) time.Time { return t.elector.QuietUntil(subject) }
+
+// Announce implements duties.Term.
+func (t termOfDuties) Announce(ctx context.Context, subject string) error {
+	return t.elector.RecordOrder(ctx, t.epoch, subject)
+}
+
+// usageWindow is the span of time for which use is reported; zero when it is not.
+func usageWindow(hosted settings.Hosted) time.Duration {
+	if !hosted.Duty(settings.DutyUsage) {
+		return 0
+	}
+	return time.Duration(hosted.UsageWindow)
+}
+
+// startDuties starts what the leader does for the platform, as the settings ask for.
+func (n *node) startDuties(ctx context.Context, roles *sync.WaitGroup, term leadership.Term, runner *batchrun.Runner) {
+	hosted := n.config.Hosted
+	own := termOfDuties{elector: n.elector, epoch: term.Epoch}
+	holder := duties.Holder{Node: n.config.Node.ID, Fence: term.Epoch}
+	if hosted.Duty(settings.DutyUsage) {
+		reporter := duties.NewReporter(duties.ReporterOptions{
+			Log: n.log, Platform: n.platform.Duties(), Term: own, Holder: holder,
+			Span: time.Duration(hosted.UsageWindow), Late: time.Duration(hosted.UsageDue), Logger: n.logger,
+		})
+		roles.Go(func() { reporter.Run(ctx) })
+	}
+	if hosted.Duty(settings.DutyScaler) {
+		scaler := duties.NewScaler(duties.ScalerOptions{
+			Platform: n.platform.Duties(), Term: own, Holder: holder, Logger: n.logger,
+			Services: func() []duties.ScaledService { return n.scaledServices(runner) },
+		})
+		roles.Go(func() { scaler.Run(ctx) })
+	}
+}
+
+// scaledServices returns the services whose engines may be ordered, and what is asked
+// of them.
+func (n *node) scaledServices(runner *batchrun.Runner) []duties.ScaledService {
+	table := n.state.table()
+	if table == nil {
+		return nil
+	}
+	items := runner.Items()
+	var scaled []duties.ScaledService
+	for _, service := range table.Scaled() {
+		engines := make(map[string]int)
+		slots := 1
+		for _, engine := range n.fleet.Engines(service.Name) {
+			if !engine.Draining {
+				engines[engine.Zone]++
+				slots = max(slots, engine.Slots)
+			}
+		}
+		scaled = append(scaled, duties.ScaledService{
+			Name: service.Name, Bounds: service.Scaling.Bounds, BootTime: service.Scaling.BootTime,
+			Demand: scaling.Demand{Items: items[service.Name], Slots: slots}, Engines: engines,
+		})
+	}
+	return scaled
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -22,6 +22,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/duties"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/follow"
 	"github.com/corkpulley/corkpulley/internal/ingress"
@@ -81,6 +82,8 @@
 type Platform interface {
 	Log() eventlog.Log
 	Engines() Engines
+	// Duties makes the calls that one node at a time makes.
+	Duties() duties.Platform
 	// ControlTopic and EngineTopic name the compacted topics with the operator's
 	// records and the engine list.
 	ControlTopic() string
@@ -112,6 +115,9 @@
 	askedJobs *jobrelay.Relay
 	relay     *ingress.Relay
 	elector   *leadership.Elector
+	// log is the platform's log, directly or by way of another node.
+	log     eventlog.Log
+	counter *duties.Counter
 
 	directory *logrelay.Directory
 
@@ -167,9 +173,12 @@
 		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Logger: logger,
 	})
 	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.Sources, n.directory.Known(), logrelay.NewClient(), logger)
+	n.log = log
+	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
 	n.relay = ingress.New(ingress.Options{
 		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
+		Began: n.counter.Began,
 	})
 	n.elector = leadership.New(log, leadership.Options{
 		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
@@ -237,7 +246,7 @@
 	group.Go(n.operators.serve)
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
-		n.control.Run, n.engines.Run, n.jobs.Run, n.directory.Run, n.electWhenCurrent,
+		n.control.Run, n.engines.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -32,6 +32,7 @@
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
 	var roles sync.WaitGroup
+	n.startDuties(ctx, &roles, term, runner)
 	roles.Go(func() { runner.Run(ctx) })
 	roles.Go(func() { orders.Run(ctx) })
 	roles.Wait()
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -37,6 +37,7 @@
 	}}})
 	relay := New(Options{
 		Engines: engines, Fleet: known, Table: func() *routes.Table { return table }, Current: func() bool { return true },
+		Began:  func(string, time.Time) {},
 		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 	})
 	return relay.Call(context.Background(), &Request{
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -30,6 +30,8 @@
 	tried []string
 	// ran counts the engines that may have run the request.
 	ran int
+	// counted is true once the request was told of as begun.
+	counted bool
 	// serverErrors counts the engines that ran the request and answered 500.
 	serverErrors int
 	// status is what was written to the caller, zero when nothing was, and stamp
@@ -124,6 +126,7 @@
 		After: x.after, HasAfter: x.streamed && x.after > 0,
 	})
 	outcome := fleet.Outcome{}
+	x.countBegun(answer, err, began)
 	var result verdict
 	if err != nil {
 		result = x.unanswered(err, &outcome)
@@ -142,6 +145,18 @@
 	return result
 }
 
+// countBegun tells of a request that an engine may have begun, once.
+func (x *exchange) countBegun(answer *Answer, err error, sent time.Time) {
+	var failure *SendError
+	refused := errors.As(err, &failure) && !failure.MayHaveRun ||
+		err == nil && (answer.NotExecuted || answer.WrongEngine)
+	if refused || x.counted || x.request.Sender != nil {
+		return
+	}
+	x.counted = true
+	x.relay.options.Began(x.sender.Tenant, sent)
+}
+
 // withPatience bounds a try after which another is possible.
 func (x *exchange) withPatience(remaining time.Duration) (context.Context, context.CancelFunc) {
 	last := x.ran+1 >= max(1, x.route.MaxAttempts)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -98,6 +98,9 @@
 	Zone    string
 	Seed    uint64
 	Logger  zerolog.Logger
+	// Began is told once of each caller's request that an engine has begun to run, and
+	// when it did.
+	Began func(tenant string, at time.Time)
 	// Observe is told of each request's end.
 	Observe func(route string, kind string, took time.Duration)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -39,6 +39,8 @@
 	MaxRecordBytes    = 64 << 20
 	MinKeepJobs       = time.Second
 	MaxKeepJobs       = 24 * time.Hour
+	MinUsageWindow    = 100 * time.Millisecond
+	MaxUsageWindow    = time.Hour
 )
 
 // Policies and Levels list the allowed words.
@@ -167,6 +169,20 @@
 	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.reads_per_second", hosted.ReadsPerSecond, 0, MaxReadsPerSecond)
 	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
+	c.duties(hosted)
+}
+
+// duties checks how the calls are made that one node at a time makes.
+func (c *checker) duties(hosted Hosted) {
+	if hosted.Duties != "" {
+		c.reachable("hosted.duties", hosted.Duties)
+	} else if hosted.DutyKinds != "" {
+		c.add("hosted.duties", "", "ip:port of the platform's calls, since hosted.duty_kinds names some")
+	}
+	if hosted.UsageWindow != 0 || hosted.Duty(DutyUsage) {
+		c.duration("hosted.usage_window", hosted.UsageWindow, MinUsageWindow, MaxUsageWindow)
+	}
+	c.duration("hosted.usage_due", hosted.UsageDue, MinUsageWindow, MaxUsageWindow)
 }
 
 func (c *checker) loads(value int) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,8 @@
 package settings
 
 import (
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -84,6 +86,27 @@
 	ReadsPerSecond int `toml:"reads_per_second"`
 	// KeepJobs is how long a batch job can be read after it was accepted, 1 s..24 h.
 	KeepJobs Duration `toml:"keep_jobs"`
+	// Duties is the address, ip:port, of the platform's calls that one node at a time
+	// makes; empty when there are none.
+	Duties string `toml:"duties"`
+	// DutyKinds lists the kinds of those calls, separated by commas: DutyUsage, the
+	// reports of use, and DutyScaler, the orders of engines.
+	DutyKinds string `toml:"duty_kinds"`
+	// UsageWindow is the span of time for which the tenants' use is reported, 0 for no
+	// reports, ..1 h; UsageDue the time after its end by which the report is due, ..1 h.
+	UsageWindow Duration `toml:"usage_window"`
+	UsageDue    Duration `toml:"usage_due"`
+}
+
+// The kinds of duties that nodes know.
+const (
+	DutyUsage  = "usage"
+	DutyScaler = "scaler"
+)
+
+// Duty tells whether a kind of duty is among the settings.
+func (h Hosted) Duty(kind string) bool {
+	return h.Duties != "" && slices.Contains(strings.Split(h.DutyKinds, ","), kind)
 }
 
 // Scheduling chooses how cells and engines are chosen.
@@ -135,6 +158,7 @@
 	DefaultRecordBytes        = 256 << 10
 	DefaultCallBytes          = 2 << 20
 	DefaultKeepJobs           = 2 * time.Minute
+	DefaultUsageDue           = 10 * time.Second
 	DefaultCallersAddress     = "127.0.0.1:8080"
 	DefaultPeersAddress       = "127.0.0.1:7070"
 	DefaultOperatorsAddress   = "127.0.0.1:9090"
@@ -152,7 +176,7 @@
 		Hosted: Hosted{
 			Lease: Duration(DefaultLease), OrderQuiet: Duration(DefaultOrderQuiet), Partitions: DefaultPartitions,
 			RecordBytes: DefaultRecordBytes, CallBytes: DefaultCallBytes,
-			KeepJobs: Duration(DefaultKeepJobs),
+			KeepJobs: Duration(DefaultKeepJobs), UsageDue: Duration(DefaultUsageDue),
 		},
 		Scheduling: Scheduling{Policy: DefaultPolicy},
 		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -42,6 +42,10 @@
 	config  int64
 	// tenants is what the configuration says of tenants; nil for nothing.
 	tenants []tenant
+	// duties is the address of the platform's calls; empty for none.
+	duties string
+	// scaled is true when engines of the model may be ordered.
+	scaled bool
 	// orderQuiet is the least time between orders to one engine from two nodes.
 	orderQuiet time.Duration
 	// enginesFence is told to the nodes.
@@ -132,11 +136,17 @@
 func (d *deployment) configure(routes ...route) {
 	d.t.Helper()
 	d.config += 3
+	models := map[string]any{
+		"name": "llm", "maxConns": 100, "engine": map[string]any{"models": []map[string]any{{"name": model}}},
+	}
+	if d.scaled {
+		models["scaling"] = map[string]any{"min": 1, "max": 3, "bootTimeS": 1, "zonePrices": map[string]any{"z1": 1}}
+	}
 	configuration := map[string]any{
 		"version": d.config, "routes": routes,
 		"services": []map[string]any{
 			{"name": "desk", "maxConns": 100},
-			{"name": "llm", "maxConns": 100, "engine": map[string]any{"models": []map[string]any{{"name": model}}}},
+			models,
 		},
 		"limits": map[string]any{
 			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
@@ -166,6 +176,10 @@
 	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
 	config.Hosted.OrderQuiet = settings.Duration(d.orderQuiet)
 	config.Hosted.EnginesFence = d.enginesFence
+	if d.duties != "" {
+		config.Hosted.Duties, config.Hosted.DutyKinds = d.duties, "usage,scaler"
+		config.Hosted.UsageWindow, config.Hosted.UsageDue = settings.Duration(usageWindow), settings.Duration(usageDue)
+	}
 	config.Shutdown.Grace = settings.Duration(3 * time.Second)
 	assert.Equal(d.t, len(settings.Check(config)), 0, "%v", settings.Check(config))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -175,7 +189,7 @@
 	}
 	go func() {
 		defer close(p.done)
-		if err := hosted.Run(ctx, config, platform.New(d.address), nil, p.logs); err != nil {
+		if err := hosted.Run(ctx, config, platform.New(d.address, d.duties), nil, p.logs); err != nil {
 			d.t.Errorf("node %s: %v", id, err)
 		}
 	}()
