Soak with tenants whose keys are taken away, and with reports of use

Change: the soak's configurations name tenants; the live callers' keys change with each of them, and every node is tried with one that was taken away. Nodes report use to a stand-in.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -38,17 +38,20 @@
 	{"ORDER", checkStreams},
 	{"UNASKED", checkUnasked},
 	{"UNASKED", checkRunsAfterEnd},
+	{"UNASKED", checkTenants},
 	{"TWICE", checkTwice},
 	{"TWICE", checkPositions},
 	{"REFUSED", checkRefused},
 	{"DRAIN", checkDrain},
 	{"CONFIG", checkConfig},
 	{"CONFIG", checkNoReturn},
+	{"CONFIG", checkRevoked},
 	{"LOST", checkLost},
 	{"BUDGET", checkBudget},
 	{"VERSION", checkVersions},
 	{"SCORE", checkScores},
 	{"ONE", checkOneHolder},
+	{"ONE", checkUsage},
 }
 
 // Check returns every broken promise. The history must not change meanwhile.
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -92,7 +92,9 @@
 			Name: fmt.Sprintf("probe-%d", kept), Prefix: probePrefix(kept), Kind: standin.RouteSafe, Service: standin.ServiceLookup,
 		})
 	}
-	v.deployment.store.store.Configure(standin.Configuration{Version: version, Routes: routes})
+	v.deployment.store.store.Configure(standin.Configuration{
+		Version: version, Routes: routes, Tenants: tenantsOf(version),
+	})
 	v.history.update(func() {
 		v.history.Configs = append(v.history.Configs, ConfigSeen{Version: version, AckedAt: time.Now()})
 	})
@@ -115,7 +117,7 @@
 		_, life := target.current()
 		path, sent := probePrefix(version)+"x", time.Now()
 		id := v.newID("probe-")
-		answer, err := v.client.Live(ctx, target.callers, path, id, "", callDeadline)
+		answer, err := v.client.WithKey(settledKey(version)).Live(ctx, target.callers, path, id, "", callDeadline)
 		v.history.addCall(LiveCall{ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Answer: answer, Whole: err == nil})
 		_, after := target.current()
 		if err != nil || life != after || v.config.Load() >= version+keptRoutes {
@@ -135,7 +137,8 @@
 		id := v.newID(kind + "-")
 		call := LiveCall{ID: id, Path: prefix + id, Body: "body of " + id, Kind: kind, SentAt: time.Now()}
 		var err error
-		call.Answer, err = v.client.Live(ctx, v.anyNode().callers, call.Path, id, call.Body, callDeadline)
+		client := v.client.WithKey(settledKey(v.config.Load()))
+		call.Answer, err = client.Live(ctx, v.anyNode().callers, call.Path, id, call.Body, callDeadline)
 		call.Whole = err == nil
 		v.history.addCall(call)
 	}
@@ -146,7 +149,7 @@
 func (v *driver) train(ctx, lasting context.Context, trainer int) {
 	for step := int64(0); ctx.Err() == nil; step++ {
 		job := v.newJob(trainer, step)
-		seen := v.history.addJob(job)
+		seen := v.history.addJob(job, trainer)
 		if !v.submit(lasting, seen) {
 			continue
 		}
@@ -185,7 +188,7 @@
 func (v *driver) submit(ctx context.Context, seen *JobSeen) bool {
 	refusals, tries := 0, 0
 	for ; ctx.Err() == nil && (tries < submitTries || refusals < tries); tries++ {
-		status, err := v.client.Submit(ctx, v.anyNode().callers, seen.Job)
+		status, err := v.client.WithKey(seen.Key).Submit(ctx, v.anyNode().callers, seen.Job)
 		switch {
 		case err == nil && status == http.StatusAccepted:
 			v.history.update(func() { seen.Accepted = true })
@@ -209,7 +212,7 @@
 		if rand.IntN(earlyEndPart) == 0 {
 			from = rand.IntN(from + 1) // reads again what it has read
 		}
-		results, status, err := v.client.Results(ctx, v.anyNode().callers, seen.Job.ID, from, readWait)
+		results, status, err := v.client.WithKey(seen.Key).Results(ctx, v.anyNode().callers, seen.Job.ID, from, readWait)
 		if err != nil || status != http.StatusOK {
 			retry.Sleep(ctx, retryGap)
 			continue
@@ -228,7 +231,7 @@
 func (v *driver) end(ctx context.Context, seen *JobSeen) {
 	v.history.update(func() { seen.EndAskedAt = time.Now() })
 	for ctx.Err() == nil {
-		status, err := v.client.End(ctx, v.anyNode().callers, seen.Job.ID)
+		status, err := v.client.WithKey(seen.Key).End(ctx, v.anyNode().callers, seen.Job.ID)
 		if err == nil && status == http.StatusOK {
 			v.history.update(func() { seen.EndedAt = time.Now() })
 			return
@@ -256,7 +259,7 @@
 func (v *driver) readWhole(ctx context.Context, seen *JobSeen, at *node) {
 	problem, status := "", 0
 	for began := time.Now(); ctx.Err() == nil && time.Since(began) < settleTime+callTimeout; retry.Sleep(ctx, retryGap) {
-		results, got, err := v.client.Results(ctx, at.callers, seen.Job.ID, 0, 0)
+		results, got, err := v.client.WithKey(seen.Key).Results(ctx, at.callers, seen.Job.ID, 0, 0)
 		if err != nil || got != http.StatusOK {
 			problem, status = fmt.Sprintf("node %d", at.number), got
 			continue
@@ -279,6 +282,7 @@
 	v.callers.Go(func() { v.operate(ctx) })
 	for _, each := range v.deployment.nodes {
 		v.callers.Go(func() { v.probe(ctx, each) })
+		v.callers.Go(func() { v.tryRevoked(ctx, each) })
 	}
 	for _, each := range []struct{ kind, prefix string }{
 		{standin.RouteSafe, standin.PrefixLookup}, {standin.RouteUnsafe, prefixPermit}, {standin.RouteStream, prefixStream},
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -24,7 +24,10 @@
 
 // JobSeen is one batch job as its trainer knows it.
 type JobSeen struct {
-	Job    standin.Job
+	Job standin.Job
+	// Tenant is its trainer's, Key the one that the trainer shows.
+	Tenant string
+	Key    string
 	SentAt time.Time
 	// Accepted: a node answered 202. AllRefused: every try was answered with a
 	// promise that nothing runs.
@@ -87,10 +90,14 @@
 
 // History is all that callers, trainers, the operator and the engines have seen.
 type History struct {
-	mu           sync.Mutex
-	Calls        []LiveCall
-	Jobs         []*JobSeen
-	Probes       []Probe
+	mu     sync.Mutex
+	Calls  []LiveCall
+	Jobs   []*JobSeen
+	Probes []Probe
+	// Revoked are probes with a key that their configuration took away.
+	Revoked []Probe
+	// Usage holds the reports of use as the platform received them.
+	Usage        []standin.UsageCall
 	Configs      []ConfigSeen
 	Leaves       []LeaveSeen
 	Engines      []EngineSeen
@@ -105,10 +112,13 @@
 	h.Calls = append(h.Calls, call)
 }
 
-func (h *History) addJob(job standin.Job) *JobSeen {
+func (h *History) addJob(job standin.Job, trainer int) *JobSeen {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	seen := &JobSeen{Job: job, SentAt: time.Now(), FinalStatus: make(map[string]int)}
+	seen := &JobSeen{
+		Job: job, Tenant: tenantOf(trainer), Key: trainerKey(trainer), SentAt: time.Now(),
+		FinalStatus: make(map[string]int),
+	}
 	h.Jobs = append(h.Jobs, seen)
 	return seen
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -269,6 +269,7 @@
 	history.mu.Lock()
 	defer history.mu.Unlock()
 	history.Engines = d.engines()
+	history.Usage = d.duties.Usage()
 	summary := Summary{
 		Seed: r.seed, Seconds: took.Seconds(), Faults: len(r.faults), Calls: len(history.Calls), Jobs: len(history.Jobs),
 		Probes: len(history.Probes), Violations: Check(history, r.bounds),
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -28,7 +28,14 @@
 
 // Client calls nodes as live callers and trainers do, each call on a connection
 // of its own.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// key is the API key that it shows; empty for none.
+	key string
+}
+
+// WithKey returns a client that shows an API key.
+func (c *Client) WithKey(key string) *Client { return &Client{http: c.http, key: key} }
 
 // NewClient returns a client whose calls end after the timeout.
 func NewClient(timeout time.Duration) *Client {
@@ -70,6 +77,9 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
+	if c.key != "" {
+		request.Header.Set(headerCredentials, "Bearer "+c.key)
+	}
 	return c.http.Do(request)
 }
 
--- a/internal/standin/platform/operator.go
+++ b/internal/standin/platform/operator.go
@@ -41,10 +41,18 @@
 	Resumable bool
 }
 
+// Tenant is one tenant of a Configuration.
+type Tenant struct {
+	Name string   `json:"name"`
+	Keys []string `json:"apiKeys"`
+}
+
 // Configuration is what an operator puts in force.
 type Configuration struct {
 	Version int64
 	Routes  []Route
+	// Tenants is nil where requests need no key.
+	Tenants []Tenant
 }
 
 type wireRoute struct {
@@ -81,7 +89,7 @@
 	for i, route := range c.Routes {
 		routes[i] = route.wire()
 	}
-	raw, err := json.Marshal(map[string]any{
+	content := map[string]any{
 		"version": c.Version,
 		"routes":  routes,
 		"services": []map[string]any{
@@ -94,7 +102,11 @@
 			"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes,
 			"headerTimeoutMs": headerTimeoutMs, "idleTimeoutMs": idleTimeoutMs,
 		},
-	})
+	}
+	if c.Tenants != nil {
+		content["tenants"] = c.Tenants
+	}
+	raw, err := json.Marshal(content)
 	if err != nil {
 		panic(err) // plain values always encode
 	}
