Order no engines before their list has settled

Cause: the leader begins before the engines have listed themselves. Ruled out: too few engines ordered later, the orders were for 14 to 30 a zone within a second of the load. Change: a planner asks for nothing within 2.5 s of the last time that more engines were seen than ever before, and nothing of a zone without any for 10 s.

--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -33,6 +33,14 @@
 	// memory is the time for which a peak counts: trainers submit every few seconds and
 	// pause for as long, and an engine takes seconds to start.
 	memory = 2 * time.Minute
+	// settleTime is how long no further engine must have come before their number is
+	// believed: a process that has just started hears of them one after the other, and
+	// an order for as many as it knows would have the others taken away. Engines write
+	// their entries about every second.
+	settleTime = 2500 * time.Millisecond
+	// blindTime is how long a zone without any engine is taken for one that was not
+	// heard of.
+	blindTime = 10 * time.Second
 )
 
 // peak is the most items of a span of time.
@@ -49,6 +57,10 @@
 	peaks []peak
 	// most is the most engines seen in each zone since the planner began.
 	most map[string]int
+	// began is when it was first told of engines, grownAt when there were last more of
+	// them in a zone than ever before.
+	began   time.Time
+	grownAt time.Time
 }
 
 // NewPlanner returns a planner that knows of no demand.
@@ -56,8 +68,13 @@
 
 // Observe takes the demand and the number of engines in each zone at a moment.
 func (p *Planner) Observe(now time.Time, demand Demand, engines map[string]int) {
+	if p.began.IsZero() {
+		p.began, p.grownAt = now, now
+	}
 	for zone, count := range engines {
-		p.most[zone] = max(p.most[zone], count)
+		if count > p.most[zone] {
+			p.most[zone], p.grownAt = count, now
+		}
 	}
 	p.peaks = slices.DeleteFunc(p.peaks, func(each peak) bool {
 		return each.items <= demand.Items || now.Sub(each.at) > memory
@@ -65,9 +82,15 @@
 	p.peaks = append(p.peaks, peak{at: now, items: demand.Items})
 }
 
-// Wanted returns the number of engines that each zone should have.
-func (p *Planner) Wanted(bounds Bounds, slots int) map[string]int {
-	zones := zonesByPrice(bounds.Prices)
+// Wanted returns the number of engines that each zone should have; nothing of zones of
+// which too little is known.
+func (p *Planner) Wanted(now time.Time, bounds Bounds, slots int) map[string]int {
+	if now.Sub(p.grownAt) < settleTime {
+		return nil
+	}
+	zones := slices.DeleteFunc(zonesByPrice(bounds.Prices), func(zone string) bool {
+		return p.most[zone] == 0 && now.Sub(p.began) < blindTime
+	})
 	wanted := make(map[string]int, len(zones))
 	total := 0
 	for _, zone := range zones {
--- a/internal/core/scaling/scaling_test.go
+++ b/internal/core/scaling/scaling_test.go
@@ -8,8 +8,10 @@
 )
 
 var (
-	now    = time.Unix(1000, 0)
-	bounds = Bounds{Min: 1, Max: 30, Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25}}
+	now = time.Unix(1000, 0)
+	// settled is when a planner that was told at now believes it.
+	settled = now.Add(blindTime)
+	bounds  = Bounds{Min: 1, Max: 30, Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25}}
 )
 
 func observed(items int, engines map[string]int) *Planner {
@@ -21,29 +23,52 @@
 func TestWhatStandsIsKept(t *testing.T) {
 	planner := observed(0, map[string]int{"a": 15, "b": 15, "c": 15})
 	planner.Observe(now.Add(time.Second), Demand{}, map[string]int{"a": 15, "b": 9, "c": 0})
-	assert.DeepEqual(t, planner.Wanted(bounds, 8), map[string]int{"a": 15, "b": 15, "c": 15})
+	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 15, "b": 15, "c": 15})
+}
+
+// TestNothingIsOrderedWhileEnginesAreStillHeardOf: an order for those that a new leader
+// has heard of would have the others taken away.
+func TestNothingIsOrderedWhileEnginesAreStillHeardOf(t *testing.T) {
+	planner := observed(500, nil)
+	assert.Equal(t, len(planner.Wanted(now.Add(settleTime), bounds, 8)), 0)
+	for i := range 4 {
+		at := now.Add(time.Duration(i+1) * time.Second)
+		planner.Observe(at, Demand{Items: 500, Slots: 8}, map[string]int{"a": i + 1})
+		assert.Equal(t, len(planner.Wanted(at.Add(settleTime-1), bounds, 8)), 0)
+	}
+	assert.DeepEqual(t, planner.Wanted(now.Add(4*time.Second+settleTime), bounds, 8), map[string]int{"a": 30})
+	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 24, "b": 24, "c": 24})
 }
 
 func TestZonesAreFilledEvenlyTheCheapestFirst(t *testing.T) {
 	planner := observed(200, map[string]int{"a": 2, "b": 2, "c": 9})
 	// 200 items on 8 places with 15 % more are 29 engines.
-	assert.DeepEqual(t, planner.Wanted(bounds, 8), map[string]int{"a": 10, "b": 10, "c": 9})
+	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 10, "b": 10, "c": 9})
 	planner = observed(202, map[string]int{"a": 2, "b": 2, "c": 9})
-	assert.DeepEqual(t, planner.Wanted(bounds, 8), map[string]int{"a": 10, "b": 10, "c": 10})
+	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 10, "b": 10, "c": 10})
 }
 
 func TestBoundsHold(t *testing.T) {
-	assert.DeepEqual(t, observed(0, nil).Wanted(bounds, 8), map[string]int{"a": 1, "b": 1, "c": 1})
-	assert.DeepEqual(t, observed(100_000, nil).Wanted(bounds, 8), map[string]int{"a": 30, "b": 30, "c": 30})
-	assert.DeepEqual(t, observed(0, map[string]int{"a": 40}).Wanted(bounds, 8), map[string]int{"a": 30, "b": 1, "c": 1})
-	assert.DeepEqual(t, observed(9, nil).Wanted(Bounds{Max: 3}, 8), map[string]int{})
+	for _, try := range []struct {
+		items   int
+		engines map[string]int
+		bounds  Bounds
+		want    map[string]int
+	}{
+		{0, nil, bounds, map[string]int{"a": 1, "b": 1, "c": 1}},
+		{100_000, nil, bounds, map[string]int{"a": 30, "b": 30, "c": 30}},
+		{0, map[string]int{"a": 40}, bounds, map[string]int{"a": 30, "b": 1, "c": 1}},
+		{9, nil, Bounds{Max: 3}, map[string]int{}},
+	} {
+		assert.DeepEqual(t, observed(try.items, try.engines).Wanted(settled, try.bounds, 8), try.want)
+	}
 }
 
 func TestAPeakCountsForAWhile(t *testing.T) {
 	planner := observed(400, nil)
-	later := now.Add(memory / 2)
-	planner.Observe(later, Demand{Items: 10, Slots: 8}, nil)
-	assert.DeepEqual(t, planner.Wanted(bounds, 8), map[string]int{"a": 19, "b": 20, "c": 19})
-	planner.Observe(now.Add(memory+time.Second), Demand{Items: 0, Slots: 8}, nil)
-	assert.DeepEqual(t, planner.Wanted(bounds, 8), map[string]int{"a": 1, "b": 1, "c": 1})
+	planner.Observe(now.Add(memory/2), Demand{Items: 10, Slots: 8}, nil)
+	assert.DeepEqual(t, planner.Wanted(now.Add(memory/2), bounds, 8), map[string]int{"a": 19, "b": 20, "c": 19})
+	after := now.Add(memory + time.Second)
+	planner.Observe(after, Demand{Items: 0, Slots: 8}, nil)
+	assert.DeepEqual(t, planner.Wanted(after, bounds, 8), map[string]int{"a": 1, "b": 1, "c": 1})
 }
--- a/internal/duties/scaler.go
+++ b/internal/duties/scaler.go
@@ -88,8 +88,9 @@
 		planner = scaling.NewPlanner()
 		s.planners[service.Name] = planner
 	}
-	planner.Observe(time.Now(), service.Demand, service.Engines)
-	wanted := planner.Wanted(service.Bounds, service.Demand.Slots)
+	now := time.Now()
+	planner.Observe(now, service.Demand, service.Engines)
+	wanted := planner.Wanted(now, service.Bounds, service.Demand.Slots)
 	for _, zone := range slices.Sorted(maps.Keys(wanted)) {
 		s.order(ctx, service, zone, wanted[zone])
 	}
