Share the loads of weights evenly between models

Cause: with 45 to 90 engines three models want 11 to 22 loads a second of the 10 that the source feeds. Ruled out: the leader's processor (0.14 cores of 0.8 at most), too few places (720). Change: the next load is that of the model with the smallest part of its engines at the named version; within a model as before.

--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -151,39 +151,84 @@
 }
 
 // NextLoads returns the loads to order now, at most atOnce under way together.
-// Engines too old for open jobs come first, then the one furthest behind. An
-// engine that could start waiting items is left to them.
+//
+// The source feeds a bounded number of loads, which all models share. So the next load
+// is that of the model with the smallest part of its engines at the named version, or on
+// the way there: each model finds some engines for its next job, which comes with the
+// next version. Among the engines of a model, those too old for open jobs come first,
+// then the one furthest behind. An engine that could start waiting items is left to
+// them.
 func NextLoads(engines []Engine, models map[string]string, targets []Target, atOnce int) []Load {
 	byModel := make(map[string]Target, len(targets))
 	for _, target := range targets {
 		byModel[target.Model] = target
 	}
 	loading := 0
-	var candidates []candidate
+	counts := make(map[string]int, len(targets))
+	current := make(map[string]int, len(targets))
+	candidates := make(map[string][]candidate, len(targets))
 	for _, engine := range engines {
+		target, found := byModel[models[engine.ID]]
 		if engine.Loading {
 			loading++
-			continue
 		}
-		target, found := byModel[models[engine.ID]]
-		if !found || !engine.Usable {
+		if !found {
 			continue
 		}
-		if lag := target.Version - engine.Versions[target.Model]; lag > 0 && due(engine, target) {
-			candidates = append(candidates, candidate{engine, target, lag})
+		counts[target.Model]++
+		lag := target.Version - engine.Versions[target.Model]
+		switch {
+		case engine.Loading || lag <= 0:
+			current[target.Model]++
+		case engine.Usable && due(engine, target):
+			candidates[target.Model] = append(candidates[target.Model], candidate{engine, target, lag})
 		}
 	}
-	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].before(candidates[j]) })
-	var loads []Load
 	for _, each := range candidates {
-		if loading+len(loads) >= atOnce {
+		sort.SliceStable(each, func(i, j int) bool { return each[i].before(each[j]) })
+	}
+	var loads []Load
+	for loading+len(loads) < atOnce {
+		model, found := scarcest(candidates, current, counts)
+		if !found {
 			break
 		}
-		loads = append(loads, Load{Engine: each.engine.ID, Model: each.target.Model, Version: each.target.Version})
+		next := candidates[model][0]
+		candidates[model] = candidates[model][1:]
+		current[model]++
+		loads = append(loads, Load{Engine: next.engine.ID, Model: model, Version: next.target.Version})
 	}
 	return loads
 }
 
+// scarcest returns the model, among those with a candidate, that has the smallest part
+// of its engines at the named version. Between equals, candidates too old for open jobs
+// decide, then those further behind, then the name.
+func scarcest(candidates map[string][]candidate, current, counts map[string]int) (string, bool) {
+	best, found := "", false
+	part := func(model string) float64 { return float64(current[model]) / float64(counts[model]) }
+	for model, of := range candidates {
+		if len(of) == 0 {
+			continue
+		}
+		if !found {
+			best, found = model, true
+			continue
+		}
+		switch own, other := part(model), part(best); {
+		case own != other:
+			if own < other {
+				best = model
+			}
+		case of[0].before(candidates[best][0]):
+			best = model
+		case !candidates[best][0].before(of[0]) && model < best:
+			best = model
+		}
+	}
+	return best, found
+}
+
 // candidate is an engine that may load now.
 type candidate struct {
 	engine Engine
--- a/internal/core/weightplan/weightplan_test.go
+++ b/internal/core/weightplan/weightplan_test.go
@@ -102,3 +102,30 @@
 	models := map[string]string{"e0": "a", "e1": "a"}
 	assert.Equal(t, len(NextLoads(all, models, []Target{{Model: "a", Version: 2}}, 2)), 0)
 }
+
+// TestEachModelGetsEnginesForItsNextJob: one model's engines that are too old for its
+// open job do not keep another's from getting ready for the job to come.
+func TestEachModelGetsEnginesForItsNextJob(t *testing.T) {
+	var all []Engine
+	models := map[string]string{}
+	for i := range 12 {
+		engine := Engine{ID: fmt.Sprintf("a%02d", i), Versions: map[string]int64{"a": 1}, Usable: true}
+		if i < 6 {
+			engine.Versions["a"] = 3
+		}
+		models[engine.ID] = "a"
+		all = append(all, engine)
+	}
+	for i := range 12 {
+		engine := Engine{ID: fmt.Sprintf("b%02d", i), Versions: map[string]int64{"b": 2}, Usable: true}
+		models[engine.ID] = "b"
+		all = append(all, engine)
+	}
+	targets := []Target{{Model: "a", Version: 3, MinVersion: 2, Waiting: 40}, {Model: "b", Version: 3, MinVersion: 1}}
+	count := map[string]int{}
+	for _, load := range NextLoads(all, models, targets, 8) {
+		count[load.Model]++
+	}
+	// Half of the first model's engines have the version; the other gets as many first.
+	assert.DeepEqual(t, count, map[string]int{"a": 1, "b": 7})
+}
