Explain reports of use, orders of engines and jobs of tenants from logs

Change: corkctl explain takes the number of a window of use and the name of a service; a job is found by the name that its tenant gave it. The line of an order named its zone twice, once as the node's: it has a field of its own now.

--- a/internal/duties/scaler.go
+++ b/internal/duties/scaler.go
@@ -115,7 +115,7 @@
 		// Not this node's turn, or not yet.
 		return
 	}
-	s.options.Logger.Info().Err(err).Str("service", service.Name).Str("zone", zone).Int("count", count).
+	s.options.Logger.Info().Err(err).Str("service", service.Name).Str("zone_ordered", zone).Int("count", count).
 		Int("present", present).Int("items", service.Demand.Items).Stringer("answer", answer).
 		Int64("fence", s.caller.holder.Fence).Msg("engines ordered")
 	pause := soldOutPause
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -27,6 +27,10 @@
 // cause says in a sentence how the way ended and why.
 func cause(way *Way) string {
 	switch {
+	case way.last(usageReported) != nil || way.last(usageDelayed) != nil:
+		return windowCause(way)
+	case way.last(enginesOrdered) != nil:
+		return orderCause(way)
 	case way.isJob():
 		return jobCause(way)
 	case way.last("item started") != nil || way.last("item finished") != nil:
@@ -39,7 +43,7 @@
 // isJob tells whether the ID is that of a batch job.
 func (w *Way) isJob() bool {
 	for _, line := range w.Lines {
-		if line.text("job") == w.ID {
+		if isJobID(line.text("job"), w.ID) {
 			return true
 		}
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -111,12 +111,13 @@
 // ErrUnknown is returned when no line names the ID.
 var ErrUnknown = errors.New("no line names this ID")
 
-// Find returns the way of an ID.
+// Find returns the way of an ID: a request's, an item's or a batch job's, the number of a
+// window of use, or a service whose engines were ordered.
 func (l *Log) Find(id string) (Way, error) {
 	way := Way{ID: id}
 	jobs, engines, nodes := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, line := range l.Lines {
-		if line.text("id") != id && line.text("job") != id && line.text("item") != id {
+		if !line.names(id) {
 			continue
 		}
 		way.Lines = append(way.Lines, line)
@@ -147,7 +148,7 @@
 // addJobLines adds to an item's way the lines of its jobs that name no item.
 func (l *Log) addJobLines(way *Way, id string, jobs map[string]bool) {
 	for _, line := range l.Lines {
-		if jobs[line.text("job")] && line.text("item") == "" && line.text("job") != id {
+		if jobs[line.text("job")] && line.text("item") == "" && !isJobID(line.text("job"), id) {
 			way.Lines = append(way.Lines, line)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -21,6 +21,12 @@
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e2","waited_ms":1315,"time":7316,"message":"item started"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","completed":true,"reason":"whole","events":20,"after_ms":2500,"time":8500,"message":"item finished"}
 {"level":"info","node":"n2","zone":"z","job":"j1","after_ms":2600,"unfinished":1,"time":8600,"message":"job ended"}
+{"level":"info","node":"n2","zone":"z","job":"tenant-a/j2","error":"the log did not answer","time":9000,"message":"job handed in"}
+{"level":"warn","node":"n4","zone":"z","id":"r4","kind":"unauthorized","error":"the API key is unknown or was taken away","status":401,"time":9100,"message":"request refused"}
+{"level":"info","node":"n2","zone":"z","window":356294935,"requests":33,"tenants":23,"answer":"done","in_time":true,"fence":7,"time":9200,"message":"use reported"}
+{"level":"warn","node":"n2","zone":"z","window":356294935,"source":"n5-abc","requests":2,"time":9300,"message":"counts of use came too late"}
+{"level":"warn","node":"n2","zone":"z","window":356294936,"error":"status 503","time":9400,"message":"use not reported yet"}
+{"level":"info","node":"n2","zone":"z","service":"drafts","zone_ordered":"z1","count":9,"present":4,"items":70,"answer":"conflict","fence":7,"time":9500,"message":"engines ordered"}
 {"level":"info","node":"n2","zone":"z","time":1,"message
 a line of somebody else
 `
@@ -35,7 +41,7 @@
 func TestTornLinesAreCountedAndForeignOnesIgnored(t *testing.T) {
 	log := read(t)
 	assert.Equal(t, log.Torn, 1)
-	assert.Equal(t, len(log.Lines), 12)
+	assert.Equal(t, len(log.Lines), 18)
 }
 
 func TestCauseIsNamed(t *testing.T) {
@@ -46,6 +52,12 @@
 		"j1": {"Ended by its submitter after 2600 ms with 1 items unfinished, taken up 1 times"},
 		"i1": {"Started 2 times", "e1 after 1300 ms at event 7 (silent)", "finished by n2 after 2500 ms (whole, 20 events)",
 			"Its job j1 was ended by its submitter after 2600 ms with 1 items unfinished"},
+		"j2": {"Not accepted by n2: the log did not answer"},
+		"r4": {"Refused by n4 with 401 unauthorized: the API key is unknown or was taken away"},
+		"356294935": {"Reported 1 times, last by n2 under token 7 with 33 requests of 23 tenants: done, in time",
+			"Counts of n5-abc with 2 requests came after it was decided"},
+		"356294936": {"Not reported; n2 last tried and met: status 503"},
+		"drafts":    {"9 in z1 where 4 were, for 70 items (conflict by n2)"},
 	} {
 		way, err := log.Find(id)
 		assert.NilError(t, err)
