--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -249,6 +249,11 @@
 	terms   int
 }
 
+// engineOf is an engine with the first version of the model.
+func engineOf(id string) fleet.Engine {
+	return fleet.Engine{ID: id, Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}}
+}
+
 func newWorld(t *testing.T, engineIDs ...string) *world {
 	w := &world{
 		t: t, jobs: newFakeJobs(), fleet: fleet.New(), scorer: &fakeScorer{places: admission.Places{Slots: 100}},
@@ -257,7 +262,7 @@
 	}
 	for _, id := range engineIDs {
 		w.engines.version[id] = 1
-		w.fleet.Put(fleet.Engine{ID: id, Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}})
+		w.fleet.Put(engineOf(id))
 	}
 	return w
 }
