--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -27,8 +27,10 @@
 	maxBacklog = 4 * time.Minute
 	// usagePause is the time between two tries.
 	usagePause = 150 * time.Millisecond
-	// conflictPause follows a conflict, which a holder of a valid lease does not meet.
+	// conflictPause follows a conflict, which a holder of a valid lease does not meet;
+	// after maxConflicts this term reports no more.
 	conflictPause  = 5 * time.Second
+	maxConflicts   = 2
 	usageReadLimit = 512 << 10
 )
 
@@ -54,6 +56,8 @@
 	failedAt time.Time
 	// told is the newest window that the platform was told in this term.
 	told usage.Window
+	// conflicts counts the calls that met a higher fencing token.
+	conflicts int
 }
 
 // NewReporter returns a reporter for one term.
@@ -66,7 +70,7 @@
 // Run reports windows as they come due, in their order, until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	began := usage.WindowOf(time.Now(), r.options.Span)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && r.conflicts < maxConflicts {
 		if err := r.step(ctx, began); err != nil && ctx.Err() == nil {
 			r.failedAt = time.Now()
 			r.options.Logger.Warn().Err(err).Int64("window", int64(r.ledger.Next(began))).Msg("use not reported yet")
@@ -134,6 +138,7 @@
 	case Done, Refused:
 		r.told = report.Window
 	case Conflict:
+		r.conflicts++
 		retry.Sleep(ctx, conflictPause)
 	}
 	return nil
