Keep items away from engines whose memory is given away

An engine has memory for 29,534 tokens and 8 places, and the longest items take 11,000: where three of them meet, one is interrupted until another ends. Up to twice the memory was given away without a price. Ruled out: loads of weights (the two ways tried before).

--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -10,6 +10,11 @@
 	occupancyCost = 0.006
 	// homeBonus is the share of its score that a group's engine is spared.
 	homeBonus = 0.05
+	// memoryCost is the share by which an engine is expected to be slower for each time
+	// that its memory is given away beyond the part memoryRoom of it: an engine whose
+	// memory runs out interrupts an item, for a second or more, until others have ended.
+	memoryCost = 0.5
+	memoryRoom = 0.75
 	// memoryOvercommit is how often an engine's memory may be given away: items grow
 	// into theirs, end at different times, and their lengths are estimates.
 	memoryOvercommit = 2
@@ -140,7 +145,17 @@
 	if pace, found := p.plan.paces[engine.ID]; found && p.typical > 0 {
 		score = float64(pace) / float64(p.typical)
 	}
-	return score * (1 + occupancyCost*float64(p.plan.count[engine.ID]))
+	return score * (1 + occupancyCost*float64(p.plan.count[engine.ID])) * p.memoryPressure(engine)
+}
+
+// memoryPressure is the factor by which an engine is expected to be slower for what was
+// given away of its memory.
+func (p *pass) memoryPressure(engine *Engine) float64 {
+	if engine.Tokens <= 0 {
+		return 1
+	}
+	given := float64(p.plan.tokens[engine.ID]) / float64(engine.Tokens)
+	return 1 + memoryCost*max(0, given-memoryRoom)
 }
 
 // choose returns the best engine for an item.
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -243,3 +243,32 @@
 		}
 	})
 }
+
+// TestItemsKeepAwayFromEnginesWhoseMemoryIsGivenAway: such an engine would interrupt one
+// of them. Where nothing else is free they start there all the same.
+func TestItemsKeepAwayFromEnginesWhoseMemoryIsGivenAway(t *testing.T) {
+	plan := New()
+	plan.ObservePace("fast", 50*time.Millisecond)
+	plan.ObservePace("slowish", 54*time.Millisecond)
+	fast, slowish := engine("fast", 8, 3), engine("slowish", 8, 3)
+	fast.Tokens, slowish.Tokens = 100, 100
+	large := func(index int) {
+		added := item("j", index, 0)
+		added.Group, added.Tokens = fmt.Sprint(index), 55
+		plan.Add(added)
+	}
+	placed := func(engines ...Engine) []string {
+		var at []string
+		for _, each := range plan.Assign(now, engines) {
+			at = append(at, each.Engine)
+		}
+		return at
+	}
+	large(0)
+	large(1)
+	assert.DeepEqual(t, placed(fast, slowish), []string{"fast", "fast"})
+	large(2)
+	assert.DeepEqual(t, placed(fast, slowish), []string{"slowish"})
+	large(3)
+	assert.DeepEqual(t, placed(fast), []string{"fast"})
+}
