Decide about unknown keys in one place; split files that had grown

Change, no behaviour: whether an unknown key is refused for good or for now was decided twice, in ingress and in hosted, and is part of routes.Table now, with a test; the soak's checks of late probes share one piece.

--- a/internal/bench/soak/check_operator.go
+++ b/internal/bench/soak/check_operator.go
@@ -37,21 +37,36 @@
 // checkConfig: a configuration is in force everywhere after a while.
 func checkConfig(h *History, bounds Bounds) []string {
 	var found []string
+	for _, late := range h.bound(h.Probes, bounds) {
+		if denies(late.Status) {
+			found = append(found, fmt.Sprintf("node %d denies the route of configuration %d, %s after its acceptance",
+				late.Node, late.Version, late.after))
+		}
+	}
+	return found
+}
+
+// boundProbe is a probe that a configuration binds, so long after its acceptance.
+type boundProbe struct {
+	Probe
+	after time.Duration
+}
+
+// bound returns the probes by which their configuration must have been in force.
+func (h *History) bound(probes []Probe, bounds Bounds) []boundProbe {
 	acked := make(map[int64]time.Time)
 	for _, config := range h.Configs {
 		acked[config.Version] = config.AckedAt
 	}
-	for _, probe := range h.Probes {
+	var bound []boundProbe
+	for _, probe := range probes {
 		at, known := acked[probe.Version]
-		if !known || !denies(probe.Status) || probe.SentAt.Sub(at) <= bounds.Apply {
-			continue
-		}
-		if h.inTouch(probe.Node, probe.SentAt.Add(-bounds.Apply), probe.EndedAt, bounds.Contact) {
-			found = append(found, fmt.Sprintf("node %d denies the route of configuration %d, %s after its acceptance",
-				probe.Node, probe.Version, probe.SentAt.Sub(at)))
+		after := probe.SentAt.Sub(at)
+		if known && after > bounds.Apply && h.inTouch(probe.Node, probe.SentAt.Add(-bounds.Apply), probe.EndedAt, bounds.Contact) {
+			bound = append(bound, boundProbe{probe, after})
 		}
 	}
-	return found
+	return bound
 }
 
 // checkNoReturn: within the life of a process, a configuration that took effect
--- a/internal/bench/soak/tenants.go
+++ b/internal/bench/soak/tenants.go
@@ -71,18 +71,10 @@
 // checkRevoked: a key that a configuration took away opens nothing after a while.
 func checkRevoked(h *History, bounds Bounds) []string {
 	var found []string
-	acked := make(map[int64]time.Time)
-	for _, config := range h.Configs {
-		acked[config.Version] = config.AckedAt
-	}
-	for _, probe := range h.Revoked {
-		at, known := acked[probe.Version]
-		if !known || probe.Status != http.StatusOK || probe.SentAt.Sub(at) <= bounds.Apply {
-			continue
-		}
-		if h.inTouch(probe.Node, probe.SentAt.Add(-bounds.Apply), probe.EndedAt, bounds.Contact) {
+	for _, late := range h.bound(h.Revoked, bounds) {
+		if late.Status == http.StatusOK {
 			found = append(found, fmt.Sprintf("node %d serves a key %s after configuration %d took it away",
-				probe.Node, probe.SentAt.Sub(at), probe.Version))
+				late.Node, late.after, late.Version))
 		}
 	}
 	return found
--- a/internal/core/routes/tenants.go
+++ b/internal/core/routes/tenants.go
@@ -59,14 +59,15 @@
 	return found
 }
 
-// SenderOf returns who sent a request on a route. An error is of the kind
-// Unauthorized.
-func (t *Table) SenderOf(route *Route, credentials Credentials) (Sender, *errkind.Error) {
+// SenderOf returns who sent a request on a route. Current tells whether the table is
+// known to be the newest one, but for a few seconds. An error is of the kind Unauthorized,
+// or NotCurrent where the key may have been added in a newer table.
+func (t *Table) SenderOf(route *Route, credentials Credentials, current bool) (Sender, *errkind.Error) {
 	sender := Sender{Checked: t.tenants != nil, Priority: route.Priority}
 	if t.tenants == nil || route.Open {
 		return sender, nil
 	}
-	tenant, failure := t.tenants.find(credentials)
+	tenant, failure := t.tenants.find(credentials, current)
 	if failure != nil {
 		return Sender{}, failure
 	}
@@ -78,12 +79,13 @@
 }
 
 // OwnerOf returns the tenant whose batch jobs a call for one of a host may see; empty
-// for those that belong to no tenant. Such a call names no route.
-func (t *Table) OwnerOf(host string, credentials Credentials) (string, *errkind.Error) {
+// for those that belong to no tenant. Such a call names no route. Errors are those of
+// SenderOf.
+func (t *Table) OwnerOf(host string, credentials Credentials, current bool) (string, *errkind.Error) {
 	if t.tenants == nil || credentials == (Credentials{}) && t.hasOpenBatch(host) {
 		return "", nil
 	}
-	tenant, failure := t.tenants.find(credentials)
+	tenant, failure := t.tenants.find(credentials, current)
 	if failure != nil {
 		return "", failure
 	}
@@ -100,16 +102,18 @@
 	return false
 }
 
-func (t *tenants) find(credentials Credentials) (*Tenant, *errkind.Error) {
+func (t *tenants) find(credentials Credentials, current bool) (*Tenant, *errkind.Error) {
 	switch {
 	case credentials.Problem != "":
 		return nil, errkind.New(errkind.Unauthorized, "%s", credentials.Problem)
 	case credentials.Key == "":
 		return nil, errkind.New(errkind.Unauthorized, "the request shows no API key")
 	}
-	tenant, found := t.byKey[credentials.Key]
-	if !found {
-		return nil, errkind.New(errkind.Unauthorized, "the API key is unknown or was taken away")
+	if tenant, found := t.byKey[credentials.Key]; found {
+		return tenant, nil
 	}
-	return tenant, nil
+	if !current {
+		return nil, errkind.New(errkind.NotCurrent, "the API key is unknown here, and the configuration may be old")
+	}
+	return nil, errkind.New(errkind.Unauthorized, "the API key is unknown or was taken away")
 }
--- a/internal/core/routes/tenants_test.go
+++ b/internal/core/routes/tenants_test.go
@@ -27,7 +27,7 @@
 		"ka": {Tenant: "a", Checked: true, Priority: 1}, "kb": {Tenant: "a", Checked: true, Priority: 1},
 		"kc": {Tenant: "b", Checked: true, Priority: 4},
 	} {
-		sender, failure := table.SenderOf(own, Credentials{Key: key})
+		sender, failure := table.SenderOf(own, Credentials{Key: key}, true)
 		assert.Assert(t, failure == nil, key)
 		assert.Equal(t, sender, want)
 	}
@@ -38,14 +38,14 @@
 	for name, credentials := range map[string]Credentials{
 		"unknown": {Key: "kz"}, "none": {}, "malformed": {Problem: "two keys"}, "long": {Key: strings.Repeat("k", 8<<10)},
 	} {
-		_, failure := table.SenderOf(table.Match("h", "/own/x"), credentials)
+		_, failure := table.SenderOf(table.Match("h", "/own/x"), credentials, true)
 		assert.Assert(t, failure != nil, name)
 		assert.Equal(t, failure.Kind, errkind.Unauthorized, name)
 		assert.Equal(t, failure.Kind.Answer().Execution, errkind.NotExecuted, name)
 		if credentials.Key != "" {
 			assert.Assert(t, !strings.Contains(failure.Error(), credentials.Key), "the error tells the key")
 		}
-		_, failure = table.OwnerOf("h", credentials)
+		_, failure = table.OwnerOf("h", credentials, true)
 		assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized, name)
 	}
 }
@@ -53,27 +53,47 @@
 func TestAnOpenRouteNeedsNoKeyAndNamesNoTenant(t *testing.T) {
 	table := tenanted(Tenant{Name: "a", Keys: []string{"ka"}})
 	for _, credentials := range []Credentials{{}, {Key: "kz"}, {Key: "ka"}, {Problem: "x"}} {
-		sender, failure := table.SenderOf(table.Match("h", "/open/x"), credentials)
+		sender, failure := table.SenderOf(table.Match("h", "/open/x"), credentials, true)
 		assert.Assert(t, failure == nil)
 		assert.Equal(t, sender, Sender{Checked: true, Priority: 5})
 	}
-	owner, failure := table.OwnerOf("jobs", Credentials{})
+	owner, failure := table.OwnerOf("jobs", Credentials{}, true)
 	assert.Assert(t, failure == nil)
 	assert.Equal(t, owner, "")
-	_, failure = table.OwnerOf("jobs", Credentials{Key: "kz"})
+	_, failure = table.OwnerOf("jobs", Credentials{Key: "kz"}, true)
 	assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized)
 }
 
+// TestAnUnknownKeyMayBeNewerThanTheTable: nothing else is.
+func TestAnUnknownKeyMayBeNewerThanTheTable(t *testing.T) {
+	table := tenanted(Tenant{Name: "a", Keys: []string{"ka"}})
+	own := table.Match("h", "/own/x")
+	for _, try := range []struct {
+		credentials Credentials
+		want        errkind.Kind
+	}{
+		{Credentials{Key: "kz"}, errkind.NotCurrent}, {Credentials{}, errkind.Unauthorized},
+		{Credentials{Problem: "two keys"}, errkind.Unauthorized},
+	} {
+		_, failure := table.SenderOf(own, try.credentials, false)
+		assert.Equal(t, errkind.KindOf(failure), try.want)
+		_, failure = table.OwnerOf("h", try.credentials, false)
+		assert.Equal(t, errkind.KindOf(failure), try.want)
+	}
+	_, failure := table.SenderOf(own, Credentials{Key: "ka"}, false)
+	assert.Assert(t, failure == nil)
+}
+
 func TestWithoutTenantsNoKeyIsAskedFor(t *testing.T) {
 	table := NewTable(Definition{Version: 1, Routes: []Route{{Name: "r", Host: "h", Prefix: "/", Priority: 2}}})
-	sender, failure := table.SenderOf(table.Match("h", "/"), Credentials{Key: "anything"})
+	sender, failure := table.SenderOf(table.Match("h", "/"), Credentials{Key: "anything"}, true)
 	assert.Assert(t, failure == nil)
 	assert.Equal(t, sender, Sender{Priority: 2})
-	owner, failure := table.OwnerOf("h", Credentials{})
+	owner, failure := table.OwnerOf("h", Credentials{}, true)
 	assert.Assert(t, failure == nil)
 	assert.Equal(t, owner, "")
 	// A configuration that knows tenants and names none admits nobody.
-	_, failure = NewTable(Definition{Tenants: []Tenant{}}).OwnerOf("h", Credentials{Key: "anything"})
+	_, failure = NewTable(Definition{Tenants: []Tenant{}}).OwnerOf("h", Credentials{Key: "anything"}, true)
 	assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized)
 }
 
@@ -96,7 +116,7 @@
 	credentials := Credentials{Key: "key-00005000-5"}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, failure := table.SenderOf(route, credentials); failure != nil {
+		if _, failure := table.SenderOf(route, credentials, true); failure != nil {
 			b.Fatal(failure)
 		}
 	}
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -72,8 +72,7 @@
 	if route == nil {
 		return routes.Sender{}, errkind.New(errkind.UnknownService, "no route for %s%s", job.Host, job.Path)
 	}
-	sender, failure := table.SenderOf(route, credentials)
-	return sender, n.refusal(credentials, failure)
+	return table.SenderOf(route, credentials, n.isCurrent())
 }
 
 // qualified returns a job's name among all jobs. Jobs of other tenants have none that
@@ -83,22 +82,13 @@
 	if table == nil {
 		return "", errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
-	tenant, failure := table.OwnerOf(job.Host, job.Credentials)
-	if failure = n.refusal(job.Credentials, failure); failure != nil {
+	tenant, failure := table.OwnerOf(job.Host, job.Credentials, n.isCurrent())
+	if failure != nil {
 		return "", failure
 	}
 	return batch.QualifiedID(tenant, job.ID), nil
 }
 
-// refusal is the answer to credentials that the table in force refuses: a key may have
-// been added in one that this node cannot have read.
-func (n *node) refusal(credentials routes.Credentials, failure *errkind.Error) *errkind.Error {
-	if failure != nil && credentials.Key != "" && !n.isCurrent() {
-		return errkind.New(errkind.NotCurrent, "the API key is not known here, and the configuration may be old")
-	}
-	return failure
-}
-
 // isCurrent tells whether the configuration in force is known to be the newest one,
 // but for a few seconds.
 func (n *node) isCurrent() bool { return n.control.Age() < configurationAge }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -180,15 +180,10 @@
 	}, cancel, nil
 }
 
-// senderOf returns who sent a request. A key that is unknown here may have been added
-// in a configuration that this node cannot have read; then it is not refused for good.
+// senderOf returns who sent a request.
 func (r *Relay) senderOf(table *routes.Table, route *routes.Route, request *Request) (routes.Sender, *errkind.Error) {
 	if request.Sender != nil {
 		return *request.Sender, nil
 	}
-	sender, failure := table.SenderOf(route, request.Credentials)
-	if failure != nil && request.Credentials.Key != "" && !r.options.Current() {
-		return routes.Sender{}, errkind.New(errkind.NotCurrent, "the API key is not known here, and the configuration may be old")
-	}
-	return sender, failure
+	return table.SenderOf(route, request.Credentials, r.options.Current())
 }
--- /dev/null
+++ b/internal/standin/platform/engine_answers.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
+	if id == "" {
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	fault, begun := e.begin(r, string(body))
+	if !begun {
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
+	w.Header().Set(headerStamp, Stamp(id))
+	w.Header().Set(headerLoad, fmt.Sprintf("1,0,%d", e.options.Slots))
+	switch fault {
+	case Fails:
+		w.WriteHeader(http.StatusInternalServerError)
+	case Impossible:
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	case Silent:
+		<-r.Context().Done()
+	case AnswerLost:
+		loseAnswer()
+	case Foreign:
+		w.Header().Set(headerRequestID, "another")
+		_, _ = io.WriteString(w, Answer(id))
+	default:
+		if len(e.options.Versions) > 0 {
+			e.stream(w, r, id, fault)
+			return
+		}
+		e.plain(w, id, fault)
+	}
+}
+
+// Stamp is the signature of an engine's answer.
+func Stamp(id string) string { return "stamp-" + id }
+
+// Answer is the body of a plain answer.
+func Answer(id string) string { return "the whole answer to " + id }
+
+// EventData is the data of an event of an item.
+func EventData(id string, number int) string { return fmt.Sprintf("%s-%d", id, number) }
+
+// Text is the whole output of an item.
+func Text(id string, events int) string {
+	lines := make([]string, events)
+	for i := range lines {
+		lines[i] = EventData(id, i+1)
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (e *Engine) plain(w http.ResponseWriter, id string, fault EngineFault) {
+	answer := Answer(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if fault == CutOff {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		loseAnswer()
+	}
+	_, _ = io.WriteString(w, answer)
+	if fault == Surplus {
+		surplus(w, answer)
+	}
+}
+
+// surplus sends the whole answer again, in the place of the next one.
+func surplus(w http.ResponseWriter, answer string) {
+	control := http.NewResponseController(w)
+	if control.Flush() != nil {
+		return
+	}
+	connection, buffered, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s: another\r\nContent-Length: %d\r\n\r\n%s",
+		headerRequestID, len(answer), answer)
+	_ = buffered.Flush()
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, fault EngineFault) {
+	model := r.Header.Get(headerModel)
+	after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	version := e.Version(model)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(headerVersions, strconv.FormatInt(version, 10))
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	events := e.options.Events(id)
+	for number := after + 1; number <= events; number++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.options.EventTime):
+		}
+		if fault == CutOff && number > (after+events)/2 {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", number)
+			_ = flush.Flush()
+			loseAnswer()
+		}
+		if now := e.Version(model); now != version {
+			version = now
+			_, _ = fmt.Fprintf(w, "%s: %d\n", strings.ToLower(headerVersions), version)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, e.options.Data(id, number, version))
+		_ = flush.Flush()
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/store_append.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	partition, err := partitionOf(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	records, err := s.readRecords(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if partition.Topic == topicEngines {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	if !s.takeTurn(partition) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendLocked(w, r.URL.Query(), partition, records)
+}
+
+// takeTurn waits for the partition; false when too much waits already.
+func (s *Store) takeTurn(partition eventlog.Partition) bool {
+	s.mu.Lock()
+	now := time.Now()
+	turn := s.busyUntil[partition]
+	if turn.Before(now) {
+		turn = now
+	}
+	wait := turn.Sub(now)
+	if wait > s.limits.MaxQueue {
+		s.mu.Unlock()
+		return false
+	}
+	s.busyUntil[partition] = turn.Add(s.limits.AppendTime)
+	s.mu.Unlock()
+	time.Sleep(wait + s.limits.AppendTime)
+	return true
+}
+
+func (s *Store) appendLocked(w http.ResponseWriter, query url.Values, partition eventlog.Partition, records [][]byte) {
+	writer, known, status, why := s.checkProducer(query, partition)
+	if status != 0 {
+		answerJSON(w, status, why)
+		return
+	}
+	if known != nil {
+		answerJSON(w, http.StatusOK, known)
+		return
+	}
+	size := 0
+	for _, record := range records {
+		size += len(record)
+	}
+	if s.used+size > s.limits.TotalBytes {
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
+	first, err := s.appendTo(query, partition, records)
+	var conflict *eventlog.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		answerJSON(w, http.StatusPreconditionFailed, map[string]int64{"end": conflict.End})
+		return
+	case errors.Is(err, eventlog.ErrOutcomeUnknown):
+		loseAnswer()
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.used += size
+	answer := appended{Offset: first, End: first + int64(len(records))}
+	if writer != nil && len(records) > 0 {
+		writer.remember(answer)
+	}
+	answerJSON(w, http.StatusOK, answer)
+}
+
+func (s *Store) appendTo(query url.Values, partition eventlog.Partition, records [][]byte) (int64, error) {
+	if query.Get("at") == "" {
+		return s.Log.Append(context.Background(), partition, records)
+	}
+	at, err := strconv.ParseInt(query.Get("at"), 10, 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "at")
+	}
+	return s.Log.AppendAt(context.Background(), partition, at, records)
+}
+
+type refusal struct {
+	Why    string `json:"why"`
+	Wanted int64  `json:"seqNo,omitempty"`
+	Epoch  int64  `json:"epoch,omitempty"`
+}
+
+// checkProducer applies epoch and sequence of a producer. It returns the first
+// answer of a call that is repeated, or the status of one that is refused.
+func (s *Store) checkProducer(query url.Values, partition eventlog.Partition) (*producer, *appended, int, *refusal) {
+	name := query.Get("producer")
+	if name == "" {
+		return nil, nil, 0, nil
+	}
+	epoch, errEpoch := strconv.ParseInt(query.Get("epoch"), 10, 64)
+	sequence, errSequence := strconv.ParseInt(query.Get("seqNo"), 10, 64)
+	if errEpoch != nil || errSequence != nil {
+		return nil, nil, http.StatusBadRequest, &refusal{Why: "epoch and seqNo are wanted"}
+	}
+	key := producerKey{partition, name}
+	known, found := s.producers[key]
+	switch {
+	case !found || epoch > known.epoch:
+		known = &producer{epoch: epoch, sequence: sequence - 1, answers: make(map[int64]appended)}
+		s.producers[key] = known
+	case epoch < known.epoch:
+		return nil, nil, http.StatusConflict, &refusal{Why: "fenced", Epoch: known.epoch}
+	}
+	if answer, repeated := known.answers[sequence]; repeated {
+		return known, &answer, 0, nil
+	}
+	if sequence != known.sequence+1 {
+		return nil, nil, http.StatusConflict, &refusal{Why: "seq", Wanted: known.sequence + 1}
+	}
+	return known, nil, 0, nil
+}
+
+// remember keeps the answer of the producer's newest call.
+func (p *producer) remember(answer appended) {
+	p.sequence++
+	p.answers[p.sequence] = answer
+	delete(p.answers, p.sequence-answersKept)
+}
+
+func (s *Store) readRecords(body io.Reader) ([][]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, int64(s.limits.CallBytes)+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read the call")
+	}
+	if len(raw) > s.limits.CallBytes {
+		return nil, errors.Errorf("a call of more than %d bytes", s.limits.CallBytes)
+	}
+	var records [][]byte
+	for len(raw) > 0 {
+		if len(raw) < 4 {
+			return nil, errors.New("a length is cut off")
+		}
+		length := int(binary.BigEndian.Uint32(raw))
+		raw = raw[4:]
+		if length > len(raw) || length > s.limits.RecordBytes {
+			return nil, errors.Errorf("a record of %d bytes", length)
+		}
+		records = append(records, raw[:length])
+		raw = raw[length:]
+	}
+	return records, nil
+}
