--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -49,7 +49,9 @@
 	for i := range record.Items {
 		lengths[i] = record.Items[i].Length
 	}
-	return batchplan.Job{ID: record.ID, Model: record.Model, Step: record.Step, Lengths: lengths}
+	return batchplan.Job{
+		ID: record.ID, Model: record.Model, Priority: record.Priority, Step: record.Step, Lengths: lengths,
+	}
 }
 
 // restored notes that a job is loaded, or will not be.
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -34,6 +34,8 @@
 	ID string `msgpack:"i"`
 	// Tenant is the tenant that handed the job in; empty for none.
 	Tenant string `msgpack:"o,omitempty"`
+	// Priority is the job's rank, 0 first: its tenant's, or else its route's.
+	Priority int `msgpack:"pr,omitempty"`
 	// Host and Path are those of the call that handed the job in; they lead to
 	// its route in each version of the configuration.
 	Host       string       `msgpack:"h"`
--- a/internal/core/batchplan/order.go
+++ b/internal/core/batchplan/order.go
@@ -15,6 +15,8 @@
 type Job struct {
 	ID    string
 	Model string
+	// Priority is the job's rank, 0 first.
+	Priority int
 	// Step is the submitter's number of the job, which rises; zero when it has none.
 	Step int64
 	// Lengths are the expected outputs of all items, zero for unknown ones.
@@ -23,21 +25,28 @@
 
 // jobRank is a job's place in the order of starts.
 type jobRank struct {
-	id    string
-	model string
-	step  int64
+	id       string
+	model    string
+	priority int
+	step     int64
 	// place is the job's index in the order.
 	place int
 	// long is the length from which an item counts as one of the job's longest.
 	long int
 }
 
-// AddJob tells the plan of a job before its items. Jobs start in the order in which
-// they are added, but no job starts before one of the same model and an earlier step:
-// a new leader hears of all open jobs at once, in any order.
+// AddJob tells the plan of a job before its items. Jobs start in the order of their
+// priorities; those of one priority in the order in which they are added, but none before
+// one of the same model and an earlier step: a new leader hears of all open jobs at once,
+// in any order.
 func (p *Plan) AddJob(job Job) {
-	rank := &jobRank{id: job.ID, model: job.Model, step: job.Step, long: longFrom(job.Lengths)}
+	rank := &jobRank{
+		id: job.ID, model: job.Model, priority: job.Priority, step: job.Step, long: longFrom(job.Lengths),
+	}
 	place := slices.IndexFunc(p.order, func(other *jobRank) bool {
+		if other.priority != rank.priority {
+			return other.priority > rank.priority
+		}
 		return other.model == rank.model && other.step > rank.step
 	})
 	if place < 0 {
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -244,6 +244,20 @@
 	})
 }
 
+// TestJobsOfAHigherPriorityStartFirst: whenever they come.
+func TestJobsOfAHigherPriorityStartFirst(t *testing.T) {
+	plan := New()
+	for _, job := range []Job{
+		{ID: "late", Model: "m", Priority: 2, Step: 1}, {ID: "plain", Model: "m", Priority: 1, Step: 9},
+		{ID: "earlier", Model: "m", Priority: 1, Step: 8}, {ID: "urgent", Model: "m", Step: 9},
+	} {
+		plan.AddJob(job)
+		plan.Add(item(job.ID, 0, 10))
+	}
+	assigned := plan.Assign(now, []Engine{engine("e", 8, 3)})
+	assert.DeepEqual(t, started(assigned), []Key{{"urgent", 0}, {"earlier", 0}, {"plain", 0}, {"late", 0}})
+}
+
 // TestItemsKeepAwayFromEnginesWhoseMemoryIsGivenAway: such an engine would interrupt one
 // of them. Where nothing else is free they start there all the same.
 func TestItemsKeepAwayFromEnginesWhoseMemoryIsGivenAway(t *testing.T) {
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -50,7 +50,7 @@
 	if failure != nil {
 		return failure
 	}
-	submission.Job.Tenant = sender.Tenant
+	submission.Job.Tenant, submission.Job.Priority = sender.Tenant, sender.Priority
 	submission.Job.ID = batch.QualifiedID(sender.Tenant, submission.Job.ID)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
