Find jobs of open routes also where the caller shows a key

Cause: found by reading. A job that is handed in on an open route belongs to no tenant; a reader that showed a key of its own was looked up under its tenant and told that there is no such job. Change: on hosts with an open batch route a job is asked for under the caller's tenant and then under none. Test: with real nodes; it fails on the code before.

--- a/internal/core/routes/tenants.go
+++ b/internal/core/routes/tenants.go
@@ -78,18 +78,25 @@
 	return sender, nil
 }
 
-// OwnerOf returns the tenant whose batch jobs a call for one of a host may see; empty
-// for those that belong to no tenant. Such a call names no route. Errors are those of
-// SenderOf.
-func (t *Table) OwnerOf(host string, credentials Credentials, current bool) (string, *errkind.Error) {
-	if t.tenants == nil || credentials == (Credentials{}) && t.hasOpenBatch(host) {
-		return "", nil
+// OwnersOf returns the tenants whose batch jobs a call for one of a host may see, the
+// likeliest first; empty stands for jobs that were handed in on an open route. Such a
+// call names no route. Errors are those of SenderOf.
+func (t *Table) OwnersOf(host string, credentials Credentials, current bool) ([]string, *errkind.Error) {
+	if t.tenants == nil {
+		return []string{""}, nil
 	}
+	open := t.hasOpenBatch(host)
 	tenant, failure := t.tenants.find(credentials, current)
-	if failure != nil {
-		return "", failure
+	switch {
+	case failure != nil && open:
+		return []string{""}, nil
+	case failure != nil:
+		return nil, failure
+	case open:
+		return []string{tenant.Name, ""}, nil
+	default:
+		return []string{tenant.Name}, nil
 	}
-	return tenant.Name, nil
 }
 
 // hasOpenBatch tells whether jobs without a tenant may be handed in at the host.
--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -51,8 +51,8 @@
 
 // Planner sizes one service by the work that is due.
 //
-// Invariant: it asks for no fewer engines in a zone than there were once, until no peak
-// within its memory needs them.
+// Invariant: it asks for no fewer engines in a zone than it has seen there. It knows of
+// the work of batch jobs only, so it cannot tell which engines live requests need.
 type Planner struct {
 	peaks []peak
 	// most is the most engines seen in each zone since the planner began.
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -75,18 +75,37 @@
 	return table.SenderOf(route, credentials, n.isCurrent())
 }
 
-// qualified returns a job's name among all jobs. Jobs of other tenants have none that
-// the caller could ask for.
-func (n *node) qualified(job JobName) (string, error) {
+// names returns what a job may be called among all jobs, the likeliest first. Jobs of
+// other tenants have no name that the caller could ask for.
+func (n *node) names(job JobName) ([]string, error) {
 	table := n.state.table()
 	if table == nil {
-		return "", errkind.New(errkind.NotReady, "no configuration is known yet")
+		return nil, errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
-	tenant, failure := table.OwnerOf(job.Host, job.Credentials, n.isCurrent())
+	tenants, failure := table.OwnersOf(job.Host, job.Credentials, n.isCurrent())
 	if failure != nil {
-		return "", failure
+		return nil, failure
 	}
-	return batch.QualifiedID(tenant, job.ID), nil
+	names := make([]string, len(tenants))
+	for i, tenant := range tenants {
+		names[i] = batch.QualifiedID(tenant, job.ID)
+	}
+	return names, nil
+}
+
+// askOf asks about the job by each of its names until one is that of a job.
+func askOf[Answer any](n *node, job JobName, ask func(id string) (Answer, error)) (Answer, error) {
+	var answer Answer
+	names, err := n.names(job)
+	if err != nil {
+		return answer, err
+	}
+	for _, name := range names {
+		if answer, err = ask(name); !errkind.Is(err, errkind.NotFound) {
+			break
+		}
+	}
+	return answer, err
 }
 
 // isCurrent tells whether the configuration in force is known to be the newest one,
@@ -95,32 +114,27 @@
 
 // Results implements Callers.
 func (n *node) Results(ctx context.Context, job JobName, from int, wait time.Duration) (batchjobs.Results, error) {
-	id, err := n.qualified(job)
-	if err != nil {
-		return batchjobs.Results{}, err
-	}
-	return n.askedJobs.Results(ctx, id, from, min(wait, maxWait))
+	return askOf(n, job, func(id string) (batchjobs.Results, error) {
+		return n.askedJobs.Results(ctx, id, from, min(wait, maxWait))
+	})
 }
 
 // Body implements Callers.
 func (n *node) Body(ctx context.Context, job JobName, itemID string) ([]byte, error) {
-	id, err := n.qualified(job)
-	if err != nil {
-		return nil, err
-	}
-	return n.askedJobs.Body(ctx, id, itemID)
+	return askOf(n, job, func(id string) ([]byte, error) {
+		return n.askedJobs.Body(ctx, id, itemID)
+	})
 }
 
 // End implements Callers.
 func (n *node) End(ctx context.Context, job JobName) error {
-	jobID, err := n.qualified(job)
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	err = n.askedJobs.End(ctx, jobID)
-	n.logger.Info().Err(err).Str("job", jobID).Msg("job end asked")
+	_, err := askOf(n, job, func(id string) (struct{}, error) {
+		err := n.askedJobs.End(ctx, id)
+		n.logger.Info().Err(err).Str("job", id).Msg("job end asked")
+		return struct{}{}, err
+	})
 	return err
 }
 
--- a/test/hosted/tenants_test.go
+++ b/test/hosted/tenants_test.go
@@ -172,3 +172,29 @@
 	assert.Equal(t, node.call(http.MethodPost, "/a/x", "id", "", authorization, bearer("key-one")).status, http.StatusOK)
 	assert.Equal(t, node.call(http.MethodPost, "/a/x", "id", "").status, http.StatusUnauthorized)
 }
+
+// TestJobsOfAnOpenRouteAreReadWithAndWithoutAKey: also where its host has routes that
+// want one.
+func TestJobsOfAnOpenRouteAreReadWithAndWithoutAKey(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addEngine(standin.EngineOptions{ID: "l1", Service: "llm", Versions: map[string]int64{model: 1}})
+	d.tenants = []tenant{{"first", []string{"key-one"}}}
+	open := batchRoute("/open/")
+	open["anonymous"] = true
+	d.configure(batchRoute("/batch/"), open)
+	node := d.start("n1")
+	key := []string{authorization, bearer("key-one")}
+	assert.Equal(t, node.call(http.MethodPost, "/open/o", "o", job(1, "a"), key...).status, http.StatusAccepted)
+	assert.Equal(t, node.call(http.MethodPost, "/batch/c", "c", job(1, "b"), key...).status, http.StatusAccepted)
+	for _, shown := range [][]string{nil, key} {
+		testwait.Until(t, "the open job is read", func() bool {
+			return strings.Contains(node.call(http.MethodGet, "/lots/o?afterRev=0", "", "", shown...).body, `"id":"a"`)
+		})
+	}
+	testwait.Until(t, "the tenant's job is read", func() bool {
+		return strings.Contains(node.call(http.MethodGet, "/lots/c?afterRev=0", "", "", key...).body, `"id":"b"`)
+	})
+	assert.Equal(t, node.call(http.MethodGet, "/lots/c?afterRev=0", "", "").status, http.StatusNotFound)
+	assert.Equal(t, node.call(http.MethodDelete, "/lots/o", "", "").status, http.StatusOK)
+}
