Take back that runs which do not begin are given up sooner

Where all items begin anew at once, on engines that turn slow, none begins within half a second, and each that is cut off reads its prompt again elsewhere. Change: the run's patience is 1.3 s again, as before. Tried in thought only: patience learned from how long runs take to begin. The test that an item goes on where an engine hangs stays.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -17,12 +17,7 @@
 	// stallTimeout ends a run whose stream has been silent for so long,
 	// loadingTimeout one at an engine that changes its weights, which keeps it
 	// silent for a second or two.
-	stallTimeout = 1300 * time.Millisecond
-	// beginTimeout and beginPaces end a run sooner of which nothing was heard yet: the
-	// larger of the two, the latter in times between events of a fast engine. An engine
-	// with room begins within two or three of them.
-	beginTimeout   = 500 * time.Millisecond
-	beginPaces     = 10
+	stallTimeout   = 1300 * time.Millisecond
 	loadingTimeout = 3500 * time.Millisecond
 	// stoodStill is the time between two ticks after which this process itself
 	// must have stood still.
@@ -61,9 +56,7 @@
 	// heardAt is when the stream was heard last, in nanoseconds since 1970; stall
 	// looks at it when it may have fallen silent.
 	heardAt atomic.Int64
-	// heard is true once an event has come.
-	heard atomic.Bool
-	stall atomic.Pointer[time.Timer]
+	stall   atomic.Pointer[time.Timer]
 	// measured counts the events since measuredFrom; the runner's mu guards both.
 	measured     int
 	measuredFrom time.Time
@@ -72,9 +65,12 @@
 // checkStall stops a run whose stream is silent, or looks again later. A process
 // that stood still itself gives its streams time to be heard.
 func (r *Runner) checkStall(own *run) {
+	timeout := stallTimeout
+	if r.options.Loading(own.engine) != "" {
+		timeout = loadingTimeout
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	timeout := r.patience(own)
 	now := time.Now()
 	left := timeout - now.Sub(time.Unix(0, own.heardAt.Load()))
 	if stood := now.Sub(r.tickedAt); stood > stoodStill {
@@ -89,18 +85,6 @@
 	}
 }
 
-// patience is how long the run may be silent; mu is held.
-func (r *Runner) patience(own *run) time.Duration {
-	switch best := r.plan.BestPace(); {
-	case r.options.Loading(own.engine) != "":
-		return loadingTimeout
-	case !own.heard.Load() && best > 0:
-		return min(stallTimeout, max(beginTimeout, beginPaces*best))
-	default:
-		return stallTimeout
-	}
-}
-
 // stop ends the run; the first reason stands. The runner's mu is held.
 func (r *run) stop(reason stopReason) {
 	if r.reason == notStopped {
@@ -148,7 +132,7 @@
 	ctx context.Context, job *openJob, key batchplan.Key, engine fleet.Engine, own *run, call Call,
 ) error {
 	own.heardAt.Store(time.Now().UnixNano())
-	stall := time.AfterFunc(beginTimeout, func() { r.checkStall(own) })
+	stall := time.AfterFunc(stallTimeout, func() { r.checkStall(own) })
 	own.stall.Store(stall)
 	defer stall.Stop()
 	stream, err := r.options.Engines.Stream(ctx, engine, call)
@@ -163,7 +147,6 @@
 		}
 		now := time.Now()
 		own.heardAt.Store(now.UnixNano())
-		own.heard.Store(true)
 		if err := r.take(job, key, own, event, now); err != nil {
 			return err
 		}
