Tell requests by what they ask for, and what became of engines that lost them

Tries of the same request bear other IDs, and a try that lost its connection did not say whether its engine had ended.

Change: a request has a fingerprint (sender, method, host, path with query, body) that stands in each try that was not answered; a connection that an engine ended while a request or an item was there makes the node look whether the engine still takes connections, in one line and one counter. Nothing is decided by it yet.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
@@ -12,6 +13,8 @@
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
+	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
 // Call is one try of an item at an engine.
@@ -27,6 +30,13 @@
 	Started bool
 }
 
+// fingerprint returns the fingerprint of the item's request.
+func (c Call) fingerprint() quarantine.Fingerprint {
+	return quarantine.Request{
+		Tenant: c.Tenant, Method: http.MethodPost, Host: c.Host, Target: c.Payload.Path, Body: c.Payload.Body,
+	}.Fingerprint()
+}
+
 // Event is one event of an item's stream.
 type Event = batchitem.Event
 
@@ -57,7 +67,9 @@
 // RefusedError is the error of a call that gave no stream.
 type RefusedError struct {
 	Refusal Refusal
-	Detail  string
+	// ConnectionLost: the engine ended the connection before its answer was whole.
+	ConnectionLost bool
+	Detail         string
 }
 
 // Error implements the error interface.
@@ -76,6 +88,12 @@
 	Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error)
 }
 
+// Crashes finds out what became of engines that ended an item's stream.
+type Crashes interface {
+	// ConnectionLost tells whether the engine has ended under the item.
+	ConnectionLost(ctx context.Context, loss crashes.Loss) bool
+}
+
 // Scoring is how a scoring call ended.
 type Scoring struct {
 	// Score is the score; empty when there is none.
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -11,6 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
 const (
@@ -123,10 +124,22 @@
 	r.wait.Go(func() {
 		defer cancel()
 		err := r.follow(ctx, job, key, engine, started, call)
+		r.lookForCrash(engine, call, err)
 		r.ended(job, key, started, err)
 	})
 }
 
+// lookForCrash finds out what became of an engine that ended an item's stream.
+func (r *Runner) lookForCrash(engine fleet.Engine, call Call, err error) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) || !refused.ConnectionLost {
+		return
+	}
+	r.options.Crashes.ConnectionLost(r.ctx, crashes.Loss{
+		Engine: engine, RequestID: call.ItemID, Fingerprint: call.fingerprint(),
+	})
+}
+
 // follow starts the stream and takes its events until it ends.
 func (r *Runner) follow(
 	ctx context.Context, job *openJob, key batchplan.Key, engine fleet.Engine, own *run, call Call,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -44,6 +44,7 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Scorer  Scorer
+	Crashes Crashes
 	RouteOf RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine string) string
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -187,6 +187,8 @@
 	At time.Time
 	// Failed: no whole answer came, whatever the reason, and the client had not left.
 	Failed bool
+	// ConnectionLost: the engine ended the connection before its answer was whole.
+	ConnectionLost bool
 	// Gone: another engine answers at the address.
 	Gone bool
 	// Load is what the engine said of itself, if it did.
--- a/internal/hosted/docs_test.go
+++ b/internal/hosted/docs_test.go
@@ -22,7 +22,7 @@
 // hostedPackages write the lines of a hosted node.
 var hostedPackages = []string{
 	"hosted", "follow", "leadership", "logrelay", "jobrelay", "batchjobs", "batchrun", "weightorders", "ingress",
-	"duties",
+	"duties", "crashes",
 }
 
 func operationsPage(t *testing.T) string {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -22,6 +22,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/duties"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/follow"
@@ -38,6 +39,7 @@
 	ingress.Engines
 	batchrun.Engines
 	weightorders.Engines
+	crashes.Prober
 }
 
 // ControlChange is one change by the operator or a trainer: a new table, or a
@@ -114,6 +116,7 @@
 	// askedJobs answers questions about jobs, through other nodes in a large cluster.
 	askedJobs *jobrelay.Relay
 	relay     *ingress.Relay
+	crashes   *crashes.Watch
 	elector   *leadership.Elector
 	// log is the platform's log, directly or by way of another node.
 	log     eventlog.Log
@@ -175,8 +178,11 @@
 	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.Sources, n.directory.Known(), logrelay.NewClient(), logger)
 	n.log = log
 	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
+	n.crashes = crashes.NewWatch(crashes.Options{
+		Prober: platform.Engines(), Fleet: n.fleet, Logger: logger, Observe: n.metrics.connectionLost,
+	})
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Table: n.state.table, Current: n.isCurrent,
+		Engines: platform.Engines(), Fleet: n.fleet, Crashes: n.crashes, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -19,6 +19,7 @@
 	tableVersion prometheus.Gauge
 	leading      prometheus.Gauge
 	scoring      *prometheus.HistogramVec
+	lost         *prometheus.CounterVec
 	dropped      prometheus.Counter
 	leftOut      prometheus.Counter
 }
@@ -48,6 +49,10 @@
 			Name: "corkpulley_hosted_scoring_seconds", Help: "Time of a try of a scoring call, by its outcome.",
 			Buckets: requestBuckets,
 		}, []string{"outcome"}),
+		lost: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_engine_connections_lost_total",
+			Help: "Connections that an engine ended while a request was there, by what became of the engine.",
+		}, []string{"service", "liveness"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corkpulley_hosted_log_lines_dropped_total", Help: "Log lines left out because their reader was slow.",
 		}),
@@ -55,7 +60,9 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
-	registry.MustRegister(m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.dropped, m.leftOut)
+	registry.MustRegister(
+		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.dropped, m.leftOut,
+	)
 	return m
 }
 
@@ -79,6 +86,10 @@
 	m.scoring.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
+func (m *metrics) connectionLost(service, liveness string) {
+	m.lost.WithLabelValues(service, liveness).Inc()
+}
+
 func (m *metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/connlost"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/eventstream"
 )
@@ -58,13 +59,13 @@
 		_, _ = x.w.Write(start.Bytes())
 		return answered
 	case err != nil:
-		outcome.Failed = true
+		outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
 		return x.again()
 	}
 	x.writeHead(answer, answer.Header.Get("Content-Length"))
 	_, err = io.Copy(x.w, io.MultiReader(&start, answer.Body))
 	if err != nil {
-		outcome.Failed = true
+		outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
 		return giveUp
 	}
 	return answered
@@ -101,7 +102,7 @@
 			return answered
 		}
 		if err != nil || event.HasID && x.after != 0 && event.ID != x.after+1 {
-			outcome.Failed = true
+			outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
 			return x.streamBroke()
 		}
 		if _, err := x.w.Write(event.Raw); err != nil {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -10,7 +10,9 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
 // exchange is the way of one request through the relay.
@@ -28,6 +30,8 @@
 	w      http.ResponseWriter
 
 	tried []string
+	// fingerprint is nil until it is asked for.
+	fingerprint *quarantine.Fingerprint
 	// ran counts the engines that may have run the request.
 	ran int
 	// counted is true once the request was told of as begun.
@@ -141,6 +145,11 @@
 		outcome.Failed = false
 	}
 	x.relay.options.Fleet.Ended(engine.ID, outcome)
+	if outcome.ConnectionLost {
+		x.relay.options.Crashes.ConnectionLost(x.ctx, crashes.Loss{
+			Engine: engine, RequestID: x.request.ID, Fingerprint: x.fingerprintOf(),
+		})
+	}
 	x.logTry(choice, answer, err, result, outcome.At.Sub(began))
 	return result
 }
@@ -173,6 +182,7 @@
 	if errors.As(err, &failure) && !failure.MayHaveRun {
 		return tryNext
 	}
+	outcome.ConnectionLost = failure != nil && failure.ConnectionLost
 	x.ran++
 	return x.again()
 }
@@ -207,6 +217,18 @@
 	return x.relayWhole(answer, outcome)
 }
 
+// fingerprintOf returns the fingerprint of the request.
+func (x *exchange) fingerprintOf() quarantine.Fingerprint {
+	if x.fingerprint == nil {
+		fingerprint := quarantine.Request{
+			Tenant: x.sender.Tenant, Method: x.request.Method, Host: x.request.Host, Target: x.request.Target,
+			Body: x.request.Body,
+		}.Fingerprint()
+		x.fingerprint = &fingerprint
+	}
+	return *x.fingerprint
+}
+
 func (x *exchange) log(failure *errkind.Error) {
 	took := time.Since(x.request.Received)
 	level := zerolog.InfoLevel
@@ -234,6 +256,9 @@
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("engine", choice.Engine.ID).
 		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
+	if result != answered {
+		line = line.Stringer("fingerprint", x.fingerprintOf())
+	}
 	if err != nil {
 		line = line.Err(err)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
 // Request is one request of a caller.
@@ -76,7 +77,9 @@
 type SendError struct {
 	// MayHaveRun is false when no byte of the request was sent.
 	MayHaveRun bool
-	Cause      error
+	// ConnectionLost: the engine ended the connection before its answer was whole.
+	ConnectionLost bool
+	Cause          error
 }
 
 // Error implements the error interface.
@@ -87,10 +90,17 @@
 	Send(ctx context.Context, engine fleet.Engine, call Call) (*Answer, error)
 }
 
+// Crashes finds out what became of engines that ended a request's connection.
+type Crashes interface {
+	// ConnectionLost tells whether the engine has ended under the request.
+	ConnectionLost(ctx context.Context, loss crashes.Loss) bool
+}
+
 // Options are the parts that a relay works with.
 type Options struct {
 	Engines Engines
 	Fleet   *fleet.Fleet
+	Crashes Crashes
 	// Table returns the configuration in force; nil when none is known.
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
