--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -92,6 +92,11 @@
 	Data func(id string, number int, version int64) string
 	// LoadTime is how long a change of weights takes.
 	LoadTime time.Duration
+	// EndsUnder tells which runs end the engine's process, EventsBeforeEnd how many
+	// events of a stream it makes before. End ends the process. See EngineHost.
+	EndsUnder       func(run Run) bool
+	EventsBeforeEnd int
+	End             func()
 	// CheckFences refuses orders with lower fencing tokens than one seen.
 	CheckFences bool
 }
@@ -207,7 +212,12 @@
 	return list
 }
 
-func (e *Engine) begin(r *http.Request, body string) (EngineFault, bool) {
+// endsUnder tells whether the engine's process ends under a run.
+func (e *Engine) endsUnder(run Run) bool {
+	return e.options.EndsUnder != nil && e.options.EndsUnder(run)
+}
+
+func (e *Engine) begin(r *http.Request, body string) (Run, EngineFault, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	fault := Works
@@ -216,15 +226,16 @@
 		fault = e.fault(id)
 	}
 	if fault == Full || e.running >= e.options.Slots {
-		return Full, false
+		return Run{}, Full, false
 	}
 	after, _ := strconv.ParseInt(r.Header.Get(headerLastEvent), 10, 64)
 	e.running++
-	e.runs = append(e.runs, Run{
+	run := Run{
 		ID: id, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body, After: after, Host: r.Host, At: time.Now(),
 		Tenant: r.Header.Get(headerTenant), Credentials: r.Header.Get(headerCredentials),
-	})
-	return fault, true
+	}
+	e.runs = append(e.runs, run)
+	return run, fault, true
 }
 
 func (e *Engine) end() {
--- a/internal/standin/platform/engine_answers.go
+++ b/internal/standin/platform/engine_answers.go
@@ -21,7 +21,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	fault, begun := e.begin(r, string(body))
+	run, fault, begun := e.begin(r, string(body))
 	if !begun {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -44,9 +44,13 @@
 		_, _ = io.WriteString(w, Answer(id))
 	default:
 		if len(e.options.Versions) > 0 {
-			e.stream(w, r, id, fault)
+			e.stream(w, r, run, fault)
 			return
 		}
+		if e.endsUnder(run) {
+			e.options.End()
+			loseAnswer()
+		}
 		e.plain(w, id, fault)
 	}
 }
@@ -98,7 +102,7 @@
 	_ = buffered.Flush()
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, fault EngineFault) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run Run, fault EngineFault) {
 	model := r.Header.Get(headerModel)
 	after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
 	version := e.Version(model)
@@ -106,13 +110,17 @@
 	w.Header().Set(headerVersions, strconv.FormatInt(version, 10))
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w)
-	events := e.options.Events(id)
+	events := e.options.Events(run.ID)
 	for number := after + 1; number <= events; number++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(e.options.EventTime):
 		}
+		if e.endsUnder(run) && number > after+e.options.EventsBeforeEnd {
+			e.options.End()
+			loseAnswer()
+		}
 		if fault == CutOff && number > (after+events)/2 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", number)
 			_ = flush.Flush()
@@ -122,7 +130,7 @@
 			version = now
 			_, _ = fmt.Fprintf(w, "%s: %d\n", strings.ToLower(headerVersions), version)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, e.options.Data(id, number, version))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, e.options.Data(run.ID, number, version))
 		_ = flush.Flush()
 	}
 }
