Keep requests under which engines ended away from the others

Class: state of a decision that lived as long as one exchange at one node, while its subject comes again anywhere.

Change: engines' ends are records of a compacted topic, one for each request (fingerprint) and engine; all nodes follow it, and tell each other while the log takes nothing. A live request or a scoring call is refused at once with 503 and Retry-After when two engines have ended under it, an item waits when three have; suspect items do not share an engine. A whole answer clears a request. After a hold of a minute, four times as long each time, the first claim in the log may send it once.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -88,10 +88,14 @@
 	Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error)
 }
 
-// Crashes finds out what became of engines that ended an item's stream.
-type Crashes interface {
+// Guard keeps items under which engines ended away from the others; see crashes.Guard.
+type Guard interface {
 	// ConnectionLost tells whether the engine has ended under the item.
 	ConnectionLost(ctx context.Context, loss crashes.Loss) bool
+	// Standing returns what is known of an item.
+	Standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing
+	// Answered notes that an engine made the whole output of the item.
+	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
 // Scoring is how a scoring call ended.
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -189,11 +190,17 @@
 
 func (s *fakeStream) Close() {}
 
-// noCrashes stands in for the watch where no engine ends.
+// noCrashes stands in for the guard where no engine ends.
 type noCrashes struct{}
 
 func (noCrashes) ConnectionLost(context.Context, crashes.Loss) bool { return false }
 
+func (noCrashes) Standing(func() quarantine.Fingerprint) quarantine.Standing {
+	return quarantine.Standing{}
+}
+
+func (noCrashes) Answered(func() quarantine.Fingerprint) {}
+
 // fakeScorer scores with the name of the call, once it is let to.
 type fakeScorer struct {
 	mu     sync.Mutex
@@ -277,7 +284,7 @@
 func (w *world) lead() (*Runner, func()) {
 	w.terms++
 	r := New(Options{
-		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet, Scorer: w.scorer, Crashes: noCrashes{},
+		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet, Scorer: w.scorer, Guard: noCrashes{},
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
 		Loading: func(string) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -7,6 +7,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 )
 
 // JobAdded implements batch.Observer.
@@ -141,15 +142,21 @@
 		r.expire(job, index, "no route")
 		return
 	}
+	key := batchplan.Key{Job: job.record.ID, Item: index}
+	standing := r.options.Guard.Standing(job.call(index).fingerprint)
+	if r.quarantine(job, key, standing) {
+		return
+	}
 	record, state := job.record.Items[index], &job.items[index]
 	versions := state.Output.Versions()
 	if route.SingleVersion && len(versions) > 1 {
 		state.Output = batchitem.Output{}
 	}
 	item := batchplan.Item{
-		Key:     batchplan.Key{Job: job.record.ID, Item: index},
+		Key:     key,
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
+		Suspect: standing.Crashes >= quarantine.ItemLimit-1,
 	}
 	if route.SingleVersion && len(versions) == 1 {
 		item.SameVersion = versions[0]
@@ -209,6 +216,7 @@
 	key := batchplan.Key{Job: job.record.ID, Item: index}
 	job.items[index].Drop()
 	r.plan.Remove(key)
+	delete(r.quarantined, key)
 	r.stopWork(key)
 }
 
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -111,10 +111,8 @@
 	r.runs[key] = started
 	state := &job.items[key.Item]
 	record := job.record.Items[key.Item]
-	call := Call{
-		ItemID: record.ID, Tenant: job.record.Tenant, Host: job.record.Host, Payload: job.payloads[key.Item],
-		After: state.Output.Last(), Started: !state.Output.Empty(),
-	}
+	call := job.call(key.Item)
+	call.After, call.Started = state.Output.Last(), !state.Output.Empty()
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Str("engine", engine.ID).
 		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
@@ -124,18 +122,23 @@
 	r.wait.Go(func() {
 		defer cancel()
 		err := r.follow(ctx, job, key, engine, started, call)
-		r.lookForCrash(engine, call, err)
+		r.observeCrash(engine, call, err)
 		r.ended(job, key, started, err)
 	})
 }
 
-// lookForCrash finds out what became of an engine that ended an item's stream.
-func (r *Runner) lookForCrash(engine fleet.Engine, call Call, err error) {
+// observeCrash finds out what became of an engine that ended an item's stream, and
+// remembers which items gave a whole one.
+func (r *Runner) observeCrash(engine fleet.Engine, call Call, err error) {
+	if errors.Is(err, io.EOF) {
+		r.options.Guard.Answered(call.fingerprint)
+		return
+	}
 	var refused *RefusedError
 	if !errors.As(err, &refused) || !refused.ConnectionLost {
 		return
 	}
-	r.options.Crashes.ConnectionLost(r.ctx, crashes.Loss{
+	r.options.Guard.ConnectionLost(r.ctx, crashes.Loss{
 		Engine: engine, RequestID: call.ItemID, Fingerprint: call.fingerprint(),
 	})
 }
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -44,7 +44,7 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Scorer  Scorer
-	Crashes Crashes
+	Guard   Guard
 	RouteOf RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine string) string
@@ -74,6 +74,9 @@
 	heldBack map[string]time.Time
 	// tickedAt is when the runner last looked round.
 	tickedAt time.Time
+	// quarantined holds until when items are kept away from engines, because engines ended
+	// under them.
+	quarantined map[batchplan.Key]time.Time
 	// chains counts the chains of this term.
 	chains int
 	// carriedOver holds output left by ended jobs, by item ID qualified by its tenant.
@@ -114,6 +117,7 @@
 		scoring: newScoringQueue(),
 
 		heldBack:    make(map[string]time.Time),
+		quarantined: make(map[batchplan.Key]time.Time),
 		carriedOver: make(map[string]carried),
 	}
 	r.recorder = newRecorder(options.Jobs, options.Logger)
@@ -147,6 +151,7 @@
 		case now := <-ticker.C:
 			r.tick(now)
 			r.giveUpOld()
+			r.queueReleased(now)
 			rounds(moving, r.moveStragglers)
 		}
 		rounds(scoring, r.startScoring)
@@ -209,7 +214,9 @@
 
 // record hands the end of an item to the recorder; mu is held.
 func (r *Runner) record(job *openJob, reason string, finished batchjobs.FinishedItem) {
-	r.plan.Remove(batchplan.Key{Job: job.record.ID, Item: finished.Item})
+	key := batchplan.Key{Job: job.record.ID, Item: finished.Item}
+	r.plan.Remove(key)
+	delete(r.quarantined, key)
 	item := &job.items[finished.Item]
 	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[finished.Item].ID).
 		Int("index", finished.Item).Bool("completed", finished.Outcome == batch.Completed).Str("reason", reason).
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -169,7 +169,7 @@
 		best, found = home, true
 	}
 	if !found {
-		if item.Avoid == "" && item.SameVersion == 0 {
+		if item.Avoid == "" && item.SameVersion == 0 && !item.Suspect {
 			p.block(of)
 		}
 		return "", false
@@ -228,6 +228,9 @@
 	if engine.ID == item.Avoid && len(p.plan.paces) > 1 {
 		return false
 	}
+	if item.Suspect && p.plan.suspects[engine.ID] > 0 {
+		return false
+	}
 	if item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion {
 		return false
 	}
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -38,6 +38,9 @@
 	NotBefore time.Time
 	// Avoid is the engine that failed it last.
 	Avoid string
+	// Suspect: engines have ended while they ran the item among others. No two of these
+	// run at one engine, so that the next end tells which of them it was.
+	Suspect bool
 }
 
 // Engine is an engine as the plan sees it.
@@ -78,6 +81,8 @@
 	count map[string]int
 	// tokens is the memory expected of the running items of each engine.
 	tokens map[string]int
+	// suspects counts the running items of each engine that are suspect.
+	suspects map[string]int
 	// paces is the moving mean of the time between events of each engine.
 	paces map[string]time.Duration
 	// homes is the engine of each group's latest item.
@@ -114,13 +119,14 @@
 // New returns an empty plan.
 func New() *Plan {
 	return &Plan{
-		jobs:    make(map[string]*jobRank),
-		waiting: make(map[Key]Item),
-		running: make(map[Key]placed),
-		tokens:  make(map[string]int),
-		count:   make(map[string]int),
-		paces:   make(map[string]time.Duration),
-		homes:   make(map[string]string),
+		jobs:     make(map[string]*jobRank),
+		waiting:  make(map[Key]Item),
+		running:  make(map[Key]placed),
+		tokens:   make(map[string]int),
+		count:    make(map[string]int),
+		suspects: make(map[string]int),
+		paces:    make(map[string]time.Duration),
+		homes:    make(map[string]string),
 	}
 }
 
@@ -148,9 +154,13 @@
 	p.runningLength -= place.length
 	p.count[place.engine]--
 	p.tokens[place.engine] -= place.tokens
+	if place.suspect {
+		p.suspects[place.engine]--
+	}
 	if p.count[place.engine] == 0 {
 		delete(p.count, place.engine)
 		delete(p.tokens, place.engine)
+		delete(p.suspects, place.engine)
 	}
 }
 
@@ -160,6 +170,7 @@
 	engine  string
 	tokens  int
 	length  int
+	suspect bool
 }
 
 // Running returns the number of items at the engine.
@@ -247,7 +258,10 @@
 
 // place notes that an item runs at an engine.
 func (p *Plan) place(item Item, engine string) {
-	p.running[item.Key] = placed{item.Service, engine, item.Tokens, item.Length}
+	p.running[item.Key] = placed{item.Service, engine, item.Tokens, item.Length, item.Suspect}
+	if item.Suspect {
+		p.suspects[engine]++
+	}
 	p.runningLength += item.Length
 	p.count[engine]++
 	p.tokens[engine] += item.Tokens
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -55,6 +55,8 @@
 	HeaderTooLarge
 	// Unauthorized: the request shows no API key that the configuration knows.
 	Unauthorized
+	// Quarantined: engines ended while they ran this request, so no other gets it.
+	Quarantined
 	kindCount
 )
 
@@ -119,6 +121,7 @@
 	},
 	HeaderTooLarge: {"header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotExecuted, false, 0},
 	Unauthorized:   {"unauthorized", http.StatusUnauthorized, NotExecuted, false, 0},
+	Quarantined:    {"quarantined", http.StatusServiceUnavailable, NotExecuted, true, 10 * time.Second},
 }
 
 // All returns every kind in the order of its number.
--- /dev/null
+++ b/internal/core/quarantine/ledger_test.go
@@ -0,0 +1,168 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var (
+	request = Request{Target: "/crashing"}.Fingerprint()
+	began   = time.Unix(1_000_000, 0)
+)
+
+func end(engine string, at time.Duration, offset int64) Record {
+	return Record{Fingerprint: request, Engine: engine, At: began.Add(at), Offset: offset}
+}
+
+func trial(name string, at time.Duration, offset int64) Record {
+	return Record{Fingerprint: request, Trial: name, At: began.Add(at), Offset: offset}
+}
+
+func ledgerOf(records ...Record) *Ledger {
+	ledger := NewLedger()
+	for _, record := range records {
+		ledger.Put(record)
+	}
+	return ledger
+}
+
+func TestARequestIsHeldOnceItsLimitOfEnginesHasEnded(t *testing.T) {
+	ledger := ledgerOf(end("a", 0, 0))
+	now := began.Add(time.Second)
+	assert.Equal(t, ledger.Standing(request, now).Crashes, 1)
+	assert.Assert(t, !ledger.Standing(request, now).Held(RequestLimit, now))
+
+	ledger.Put(end("b", time.Second, 1))
+	standing := ledger.Standing(request, now)
+	assert.Assert(t, standing.Held(RequestLimit, now))
+	assert.Assert(t, !standing.Held(ItemLimit, now))
+	assert.Equal(t, standing.HeldUntil, began.Add(time.Second+firstHold))
+
+	other := Request{Target: "/other"}.Fingerprint()
+	assert.Equal(t, ledger.Standing(other, now), Standing{})
+}
+
+func TestTheSameEndSeenByTwoNodesCountsOnce(t *testing.T) {
+	ledger := NewLedger()
+	assert.Assert(t, ledger.Put(end("a", 0, Unlogged)))
+	assert.Assert(t, !ledger.Put(end("a", time.Millisecond, 4)))
+	assert.Equal(t, ledger.Standing(request, began).Crashes, 1)
+	assert.Assert(t, ledger.Logged(end("a", 0, 0)))
+}
+
+func TestHoldsGrowWithEachEngineUpToTheLongest(t *testing.T) {
+	ledger := NewLedger()
+	hold := firstHold
+	for i := range 12 {
+		ledger.Put(end(fmt.Sprint(i), 0, int64(i)))
+		if i+1 < RequestLimit {
+			continue
+		}
+		assert.Equal(t, ledger.Standing(request, began).HeldUntil, began.Add(hold), "%d engines", i+1)
+		hold = min(hold*holdFactor, longestHold)
+	}
+}
+
+func TestTheFirstClaimAfterTheHoldIsGrantedAndNoOther(t *testing.T) {
+	over := firstHold
+	ledger := ledgerOf(end("a", 0, 0), end("b", 0, 1),
+		trial("early", over-time.Second, 2), trial("first", over, 3), trial("second", over, 4))
+	standing := ledger.Standing(request, began.Add(over))
+	assert.Equal(t, standing.Granted, "first")
+	assert.Assert(t, standing.Held(RequestLimit, began.Add(over)), "the trial itself holds the request again")
+	assert.Equal(t, standing.HeldUntil, began.Add(over+holdFactor*firstHold))
+}
+
+func TestAClaimThatIsNotInTheLogIsNotGranted(t *testing.T) {
+	ledger := ledgerOf(end("a", 0, 0), end("b", 0, 1), trial("claim", firstHold, Unlogged))
+	assert.Equal(t, ledger.Standing(request, began.Add(firstHold)).Granted, "")
+}
+
+func TestAnAnswerClearsTheRequest(t *testing.T) {
+	ledger := ledgerOf(end("a", 0, 0), end("b", 0, 1), trial("claim", firstHold, 2))
+	for _, record := range ledger.Records(request) {
+		ledger.Drop(request, record.Name())
+	}
+	assert.Equal(t, ledger.Len(), 0)
+	assert.Equal(t, ledger.Standing(request, began), Standing{})
+}
+
+func TestWhatIsOldIsForgotten(t *testing.T) {
+	single := ledgerOf(end("a", 0, 0))
+	assert.Equal(t, len(single.Expired(began.Add(suspicionLife))), 0)
+	assert.Equal(t, len(single.Expired(began.Add(suspicionLife+time.Second))), 1)
+	assert.Equal(t, single.Standing(request, began.Add(suspicionLife+time.Second)), Standing{})
+
+	held := ledgerOf(end("a", 0, 0), end("b", 0, 1))
+	assert.Equal(t, len(held.Expired(began.Add(firstHold+holdMemory))), 0)
+	assert.Equal(t, len(held.Expired(began.Add(firstHold+holdMemory+time.Second))), 2)
+}
+
+func TestTheLedgerIsBounded(t *testing.T) {
+	ledger := NewLedger()
+	for i := range maxEntries + 1 {
+		ledger.Put(Record{
+			Fingerprint: Request{Target: fmt.Sprint(i)}.Fingerprint(), Engine: "e",
+			At: began.Add(time.Duration(i) * time.Second), Offset: int64(i),
+		})
+	}
+	assert.Assert(t, ledger.Len() <= maxEntries)
+	newest := Request{Target: fmt.Sprint(maxEntries)}.Fingerprint()
+	oldest := Request{Target: "0"}.Fingerprint()
+	assert.Equal(t, len(ledger.Records(newest)), 1)
+	assert.Equal(t, len(ledger.Records(oldest)), 0)
+}
+
+// TestNodesThatHaveReadTheSameAgree: whatever the order and however often records come.
+func TestNodesThatHaveReadTheSameAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "records")
+		var records []Record
+		for i := range count {
+			at := time.Duration(rapid.IntRange(0, 600).Draw(t, "at")) * time.Second
+			if rapid.Bool().Draw(t, "trial") {
+				records = append(records, trial(fmt.Sprint("t", i), at, int64(i)))
+			} else {
+				records = append(records, end(fmt.Sprint("e", i), at, int64(i)))
+			}
+		}
+		now := began.Add(20 * time.Minute)
+		want := ledgerOf(records...).Standing(request, now)
+		shuffled := append(append([]Record(nil), records...), records...)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		assert.Equal(t, ledgerOf(shuffled...).Standing(request, now), want)
+	})
+}
+
+// TestTrialsAreApart: between two trials that are granted lies the hold of the first, and
+// no trial is granted to two claims.
+func TestTrialsAreApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledger := ledgerOf(end("a", 0, 0), end("b", 0, 1))
+		var grantedAt []time.Duration
+		last := ""
+		for i := range rapid.IntRange(1, 20).Draw(t, "claims") {
+			at := time.Duration(rapid.IntRange(0, 3600).Draw(t, "at")) * time.Second
+			ledger.Put(trial(fmt.Sprint(i), at, int64(i+2)))
+			if granted := ledger.Standing(request, began).Granted; granted != last {
+				last, grantedAt = granted, append(grantedAt, at)
+			}
+		}
+		for i, at := range grantedAt {
+			least := firstHold
+			for range i {
+				least *= holdFactor
+			}
+			if i > 0 {
+				least += grantedAt[i-1]
+			}
+			assert.Assert(t, at >= least, "trial %d at %s, expected %s or later", i, at, least)
+		}
+	})
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -55,6 +55,8 @@
 	// Read returns records from an offset on, about limit bytes of them, waiting
 	// for one up to the given time. Offsets no longer kept give a *GoneError.
 	Read(ctx context.Context, partition Partition, from int64, limit int, wait time.Duration) (Batch, error)
+	// PutKeyed adds records to a compacted topic in one piece; their offsets are not read.
+	PutKeyed(ctx context.Context, topic string, records []KeyedRecord) error
 	// Newest returns the newest record of each key of a compacted topic.
 	Newest(ctx context.Context, topic string) (KeyedBatch, error)
 	// ReadKeyed is Read of a compacted topic.
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -22,6 +22,9 @@
 	// configurationAge is the age beyond which the configuration may be an old one: a
 	// read waits a second at most, its answer takes another.
 	configurationAge = 3 * time.Second
+	// crashesWait is how long a node that knows its configuration waits until it has read
+	// under which requests engines ended: one read of the log, and one more after a failure.
+	crashesWait = 3 * time.Second
 	// maxWait bounds how long a reader of results is held.
 	maxWait = 5 * time.Second
 )
@@ -30,9 +33,18 @@
 
 // Relay implements Callers.
 func (n *node) Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error {
+	if !n.knowsCrashes() {
+		return errkind.New(errkind.NotReady, "it is not known yet which requests end their engines")
+	}
 	return n.relay.Serve(w, ctx, request)
 }
 
+// knowsCrashes tells whether the node has read under which requests engines ended. Where the
+// log tells the configuration but not that, the node does not wait for it any longer.
+func (n *node) knowsCrashes() bool {
+	return n.ended.IsLoaded() || n.state.configuredFor() > crashesWait
+}
+
 // TakesBatch implements Callers.
 func (n *node) TakesBatch(host, path string) bool {
 	table := n.state.table()
@@ -184,6 +196,8 @@
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	case n.fleet.Count() == 0:
 		return errkind.New(errkind.NotReady, "no engine is known yet")
+	case !n.knowsCrashes():
+		return errkind.New(errkind.NotReady, "it is not known yet which requests end their engines")
 	}
 	return nil
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -90,6 +90,8 @@
 	// records and the engine list.
 	ControlTopic() string
 	EngineTopic() string
+	// CrashTopic names the compacted topic with the requests under which engines ended.
+	CrashTopic() string
 	DecodeControl(record eventlog.KeyedRecord) (ControlChange, error)
 	DecodeEngine(record eventlog.KeyedRecord) (fleet.Engine, error)
 	// CallersHandler serves live callers and trainers.
@@ -116,7 +118,8 @@
 	// askedJobs answers questions about jobs, through other nodes in a large cluster.
 	askedJobs *jobrelay.Relay
 	relay     *ingress.Relay
-	crashes   *crashes.Watch
+	guard     *crashes.Guard
+	ended     *follow.Follower
 	elector   *leadership.Elector
 	// log is the platform's log, directly or by way of another node.
 	log     eventlog.Log
@@ -178,11 +181,10 @@
 	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.Sources, n.directory.Known(), logrelay.NewClient(), logger)
 	n.log = log
 	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
-	n.crashes = crashes.NewWatch(crashes.Options{
-		Prober: platform.Engines(), Fleet: n.fleet, Logger: logger, Observe: n.metrics.connectionLost,
-	})
+	n.guard = n.newGuard(log)
+	n.ended = follow.New(replicas, platform.CrashTopic(), n.guard.Take, n.directory.Budget(), logger)
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Crashes: n.crashes, Table: n.state.table, Current: n.isCurrent,
+		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
@@ -200,9 +202,21 @@
 	router := mux.NewRouter()
 	router.Handle(logrelay.Path, logrelay.NewHandler(direct, log.Direct, n))
 	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.IsReplica)).Methods(http.MethodPost)
+	router.Handle(crashes.Path, n.guard.Handler()).Methods(http.MethodPost)
 	return router
 }
 
+// newGuard returns what keeps requests under which engines ended away from the others.
+func (n *node) newGuard(log eventlog.Log) *crashes.Guard {
+	watch := crashes.NewWatch(crashes.Options{
+		Prober: n.platform.Engines(), Fleet: n.fleet, Logger: n.logger, Observe: n.metrics.connectionLost,
+	})
+	peers := crashes.NewPeers(n.directory.Peers, logrelay.NewClient(), n.logger)
+	return crashes.NewGuard(crashes.GuardOptions{
+		Watch: watch, Log: log, Topic: n.platform.CrashTopic(), Unwritten: peers.Tell, Logger: n.logger,
+	})
+}
+
 // Replica implements logrelay.Replicas.
 func (n *node) Replica(topic string) (logrelay.Replica, bool) {
 	if !n.directory.IsReplica() {
@@ -213,6 +227,8 @@
 		return n.control.Replica(), true
 	case n.platform.EngineTopic():
 		return n.engines.Replica(), true
+	case n.platform.CrashTopic():
+		return n.ended.Replica(), true
 	default:
 		return nil, false
 	}
@@ -252,7 +268,7 @@
 	group.Go(n.operators.serve)
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
-		n.control.Run, n.engines.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
+		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
@@ -293,5 +309,11 @@
 		case <-loaded:
 		}
 	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.ended.Loaded():
+	case <-time.After(crashesWait):
+	}
 	return n.elector.Run(ctx)
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -26,7 +26,7 @@
 		},
 	})
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Crashes: n.crashes, RouteOf: n.batchRoute,
+		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
 		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
@@ -35,6 +35,7 @@
 	n.startDuties(ctx, &roles, term, runner)
 	roles.Go(func() { runner.Run(ctx) })
 	roles.Go(func() { orders.Run(ctx) })
+	roles.Go(func() { n.guard.Sweep(ctx) })
 	roles.Wait()
 }
 
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -13,10 +13,12 @@
 
 // state is the configuration in force and the named weight versions.
 type state struct {
-	mu       sync.RWMutex
-	current  *routes.Table
-	versions map[string]int64
-	stopping bool
+	mu      sync.RWMutex
+	current *routes.Table
+	// configuredAt is when the first table was put in force.
+	configuredAt time.Time
+	versions     map[string]int64
+	stopping     bool
 	// grace is the time that a planned stop may take.
 	grace time.Duration
 }
@@ -38,10 +40,23 @@
 	if s.current != nil && s.current.Version >= table.Version {
 		return false
 	}
+	if s.current == nil {
+		s.configuredAt = time.Now()
+	}
 	s.current = table
 	return true
 }
 
+// configuredFor is the time since a first table was put in force; zero before.
+func (s *state) configuredFor() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.current == nil {
+		return 0
+	}
+	return time.Since(s.configuredAt)
+}
+
 func (s *state) setVersion(model string, version int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -57,6 +57,7 @@
 	case errors.Is(err, io.EOF):
 		x.writeHead(answer, strconv.Itoa(start.Len()))
 		_, _ = x.w.Write(start.Bytes())
+		x.whole = true
 		return answered
 	case err != nil:
 		outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
@@ -68,6 +69,7 @@
 		outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
 		return giveUp
 	}
+	x.whole = true
 	return answered
 }
 
@@ -99,6 +101,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			x.whole = true
 			return answered
 		}
 		if err != nil || event.HasID && x.after != 0 && event.ID != x.after+1 {
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -13,15 +13,24 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
-// noCrashes stands in for the watch where no engine ends.
+// noCrashes stands in for the guard where no engine ends.
 type noCrashes struct{}
 
+func (noCrashes) Admit(context.Context, func() quarantine.Fingerprint) *errkind.Error { return nil }
+
 func (noCrashes) ConnectionLost(context.Context, crashes.Loss) bool { return false }
 
+func (noCrashes) Standing(func() quarantine.Fingerprint) quarantine.Standing {
+	return quarantine.Standing{}
+}
+
+func (noCrashes) Answered(func() quarantine.Fingerprint) {}
+
 // scriptedEngines answer as the engine's name says.
 type scriptedEngines map[string]Answer
 
@@ -42,7 +51,7 @@
 		Timeout: time.Second, MaxAttempts: 2,
 	}}})
 	relay := New(Options{
-		Engines: engines, Fleet: known, Crashes: noCrashes{}, Table: func() *routes.Table { return table }, Current: func() bool { return true },
+		Engines: engines, Fleet: known, Guard: noCrashes{}, Table: func() *routes.Table { return table }, Current: func() bool { return true },
 		Began:  func(string, time.Time) {},
 		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 	})
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -42,6 +42,8 @@
 	// the signature of the engine that made it.
 	status int
 	stamp  string
+	// whole is true once the caller was given an engine's whole answer.
+	whole bool
 	// after and streamed are the state of a stream that was begun.
 	after    int64
 	streamed bool
@@ -65,6 +67,9 @@
 func (v verdict) String() string { return verdictNames[v] }
 
 func (x *exchange) run() *errkind.Error {
+	if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
+		return failure
+	}
 	for len(x.tried) < maxTries {
 		if x.ctx.Err() != nil {
 			return x.timedOut()
@@ -145,15 +150,26 @@
 		outcome.Failed = false
 	}
 	x.relay.options.Fleet.Ended(engine.ID, outcome)
-	if outcome.ConnectionLost {
-		x.relay.options.Crashes.ConnectionLost(x.ctx, crashes.Loss{
-			Engine: engine, RequestID: x.request.ID, Fingerprint: x.fingerprintOf(),
-		})
+	if outcome.ConnectionLost && x.quarantined(engine) {
+		result = giveUp
+	}
+	if x.whole {
+		x.relay.options.Guard.Answered(x.fingerprintOf)
 	}
 	x.logTry(choice, answer, err, result, outcome.At.Sub(began))
 	return result
 }
 
+// quarantined finds out whether the engine that lost the request has ended, and tells whether
+// the request is kept away from the others now.
+func (x *exchange) quarantined(engine fleet.Engine) bool {
+	guard := x.relay.options.Guard
+	crashed := guard.ConnectionLost(x.ctx, crashes.Loss{
+		Engine: engine, RequestID: x.request.ID, Fingerprint: x.fingerprintOf(),
+	})
+	return crashed && guard.Standing(x.fingerprintOf).Crashes >= quarantine.RequestLimit
+}
+
 // countBegun tells of a request that an engine may have begun, once.
 func (x *exchange) countBegun(answer *Answer, err error, sent time.Time) {
 	var failure *SendError
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,6 +17,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
@@ -90,17 +91,24 @@
 	Send(ctx context.Context, engine fleet.Engine, call Call) (*Answer, error)
 }
 
-// Crashes finds out what became of engines that ended a request's connection.
-type Crashes interface {
+// Guard keeps requests under which engines ended away from the others; see
+// crashes.Guard.
+type Guard interface {
+	// Admit returns nil if the request may go to an engine, or why it may not.
+	Admit(ctx context.Context, fingerprint func() quarantine.Fingerprint) *errkind.Error
 	// ConnectionLost tells whether the engine has ended under the request.
 	ConnectionLost(ctx context.Context, loss crashes.Loss) bool
+	// Standing returns what is known of a request.
+	Standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing
+	// Answered notes that an engine gave a whole answer to the request.
+	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
 // Options are the parts that a relay works with.
 type Options struct {
 	Engines Engines
 	Fleet   *fleet.Fleet
-	Crashes Crashes
+	Guard   Guard
 	// Table returns the configuration in force; nil when none is known.
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
--- a/internal/logrelay/client.go
+++ b/internal/logrelay/client.go
@@ -69,6 +69,12 @@
 	return eventlog.Batch{First: answer.Offset, End: answer.End, Records: answer.Records}, nil
 }
 
+// PutKeyed implements eventlog.Log.
+func (p *peer) PutKeyed(ctx context.Context, topic string, records []eventlog.KeyedRecord) error {
+	_, err := p.call(ctx, request{Operation: opPutKeyed, Topic: topic, Keyed: records})
+	return err
+}
+
 // Newest implements eventlog.Log.
 func (p *peer) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
 	answer, err := p.call(ctx, request{Operation: opNewest, Topic: topic})
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -221,6 +221,12 @@
 	})
 }
 
+// PutKeyed implements eventlog.Log.
+func (f *Fallback) PutKeyed(ctx context.Context, topic string, records []eventlog.KeyedRecord) error {
+	_, err := do(f, func(log eventlog.Log) (struct{}, error) { return struct{}{}, log.PutKeyed(ctx, topic, records) })
+	return err
+}
+
 // Newest implements eventlog.Log.
 func (f *Fallback) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
 	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) { return log.Newest(ctx, topic) })
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -23,17 +23,19 @@
 	// opReplicaNewest and opReplicaRead ask for what the other node itself has read.
 	opReplicaNewest
 	opReplicaRead
+	opPutKeyed
 )
 
 // request is a call of the log, encoded as msgpack.
 type request struct {
-	Operation operation     `msgpack:"o"`
-	Topic     string        `msgpack:"t"`
-	Number    int           `msgpack:"n,omitempty"`
-	Records   [][]byte      `msgpack:"r,omitempty"`
-	Offset    int64         `msgpack:"f,omitempty"`
-	Limit     int           `msgpack:"l,omitempty"`
-	Wait      time.Duration `msgpack:"w,omitempty"`
+	Operation operation              `msgpack:"o"`
+	Topic     string                 `msgpack:"t"`
+	Number    int                    `msgpack:"n,omitempty"`
+	Records   [][]byte               `msgpack:"r,omitempty"`
+	Keyed     []eventlog.KeyedRecord `msgpack:"k,omitempty"`
+	Offset    int64                  `msgpack:"f,omitempty"`
+	Limit     int                    `msgpack:"l,omitempty"`
+	Wait      time.Duration          `msgpack:"w,omitempty"`
 }
 
 func (r request) partition() eventlog.Partition {
--- a/internal/logrelay/server.go
+++ b/internal/logrelay/server.go
@@ -85,6 +85,9 @@
 		return appended(direct.Append(context.WithoutCancel(ctx), call.partition(), call.Records))
 	case opAppendAt:
 		return appended(direct.AppendAt(context.WithoutCancel(ctx), call.partition(), call.Offset, call.Records))
+	case opPutKeyed:
+		err := direct.PutKeyed(context.WithoutCancel(ctx), call.Topic, call.Keyed)
+		return appended(0, err)
 	case opRead:
 		batch, err := direct.Read(ctx, call.partition(), call.Offset, call.Limit, wait)
 		if err != nil {
--- a/internal/standin/memlog/memlog.go
+++ b/internal/standin/memlog/memlog.go
@@ -158,6 +158,19 @@
 	return l.write(ctx, name, func(end int64) bool { return end == at }, records)
 }
 
+// PutKeyed implements eventlog.Log.
+func (l *Log) PutKeyed(ctx context.Context, topic string, records []eventlog.KeyedRecord) error {
+	raw := make([][]byte, len(records))
+	for i, record := range records {
+		raw[i] = append([]byte{byte(len(record.Key))}, record.Key...)
+		if !record.Deleted {
+			raw[i] = append(raw[i], record.Value...)
+		}
+	}
+	_, err := l.Append(ctx, eventlog.Partition{Topic: topic}, raw)
+	return err
+}
+
 func (l *Log) write(
 	ctx context.Context, name eventlog.Partition, holds func(end int64) bool, records [][]byte,
 ) (int64, error) {
--- a/test/hosted/crash_test.go
+++ b/test/hosted/crash_test.go
@@ -5,14 +5,17 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	benchprocess "github.com/corkpulley/corkpulley/internal/bench/process"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 	"github.com/corkpulley/corkpulley/internal/testwait"
+	"github.com/corkpulley/corkpulley/platform"
 )
 
 const (
@@ -144,3 +147,165 @@
 	}
 	assertNotSentOnAndOn(t, hosts)
 }
+
+// TestARequestStaysAwayFromEnginesOverARestartOfAll: whoever starts knows what others saw.
+func TestARequestStaysAwayFromEnginesOverARestartOfAll(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	hosts := d.addHosts(3, standin.EngineOptions{Service: "desk"})
+	d.configure(safeRoute("/a/"))
+	before := []*process{d.start("n1"), d.start("n2")}
+	sendCrashing(t, before, "/a/", time.Second)
+	ended := len(crashingRuns(hosts))
+	assert.Assert(t, ended >= 2, "%d engines ended", ended)
+	for _, node := range before {
+		node.cancel()
+		<-node.done
+	}
+	after := []*process{d.start("n1"), d.start("n2")}
+	for _, status := range sendCrashing(t, after, "/a/", 2*time.Second) {
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(crashingRuns(hosts)), ended)
+}
+
+// TestARequestStaysAwayFromEnginesInAnOutage: the store takes and tells nothing, from
+// before the first engine ends until after the last.
+func TestARequestStaysAwayFromEnginesInAnOutage(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	hosts := d.addHosts(3, standin.EngineOptions{Service: "desk"})
+	d.configure(safeRoute("/a/"))
+	nodes := []*process{d.start("n1"), d.start("n2"), d.start("n3")}
+	testwait.Until(t, "the nodes know each other", func() bool {
+		for _, node := range nodes {
+			if !strings.Contains(node.logs.String(), `"known":3`) {
+				return false
+			}
+		}
+		return true
+	})
+	d.store.Log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	sendCrashing(t, nodes, "/a/", 4*time.Second)
+	assertNotSentOnAndOn(t, hosts)
+	ended := len(crashingRuns(hosts))
+	d.noFault()
+	testwait.Until(t, "the records are in the log", func() bool {
+		newest, err := d.store.Log.Newest(t.Context(), platform.New(d.address, "").CrashTopic())
+		return err == nil && len(newest.Records) >= ended
+	})
+	sendCrashing(t, nodes, "/a/", time.Second)
+	assertNotSentOnAndOn(t, hosts)
+}
+
+// TestOtherKindsOfRequestsAreNotSentOnAndOn: those that run at most once come again as
+// other requests, streams that may go on elsewhere end each engine midway.
+func TestOtherKindsOfRequestsAreNotSentOnAndOn(t *testing.T) {
+	t.Parallel()
+	unsafe := safeRoute("/a/")
+	unsafe["routeKind"] = "unsafe"
+	streaming := batchRoute("/a/")
+	streaming["routeKind"] = "streaming"
+	for name, route := range map[string]route{"unsafe": unsafe, "resumable stream": streaming} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			options := standin.EngineOptions{Service: "desk"}
+			if route["service"] == "llm" {
+				options = standin.EngineOptions{
+					Service: "llm", Versions: map[string]int64{model: 1}, Events: func(string) int { return 20 },
+					EventTime: 10 * time.Millisecond, EventsBeforeEnd: 2,
+				}
+			}
+			hosts := d.addHosts(3, options)
+			d.configure(route)
+			nodes := []*process{d.start("n1"), d.start("n2")}
+			sendCrashing(t, nodes, "/a/", 3*time.Second)
+			assertNotSentOnAndOn(t, hosts)
+			assert.Assert(t, len(crashingRuns(hosts)) >= 2)
+		})
+	}
+}
+
+// TestAScoringCallThatCrashesItsEnginesIsNotMadeOnAndOn: other items are scored.
+func TestAScoringCallThatCrashesItsEnginesIsNotMadeOnAndOn(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addEngine(standin.EngineOptions{ID: "llm-1", Service: "llm", Versions: map[string]int64{model: 1}})
+	hosts := d.addHosts(3, standin.EngineOptions{Service: "desk"})
+	d.configure(batchRoute("/batch/"), safeRoute("/scoring/"))
+	node := d.start("n1")
+	ids := []string{"a", crashing, "b"}
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", scoredJob(1, ids...)).status, http.StatusAccepted)
+	d.awaitResults(node, "job1", len(ids)-1)
+	time.Sleep(3 * time.Second)
+	got, _ := node.readResults("job1", 0)
+	assert.Equal(t, len(got.Results), len(ids)-1)
+	assertNotSentOnAndOn(t, hosts)
+}
+
+// TestARequestBesideOneThatCrashesIsServed: the same lookup comes again and again from
+// several callers, and many of them are lost with their engines.
+func TestARequestBesideOneThatCrashesIsServed(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addHosts(3, standin.EngineOptions{Service: "desk"})
+	d.configure(safeRoute("/a/"))
+	nodes := []*process{d.start("n1"), d.start("n2")}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for caller := range 4 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				nodes[i%len(nodes)].call(http.MethodPost, "/a/popular", fmt.Sprintf("popular-%d-%d", caller, i), "")
+			}
+		})
+	}
+	for i := range 5 {
+		// Another request each time, so that engines go on ending.
+		body := fmt.Sprintf("%s %d", crashing, i)
+		for range 3 {
+			nodes[i%len(nodes)].call(http.MethodPost, "/a/x", fmt.Sprintf("crash-%d-%d", i, time.Now().UnixNano()), body)
+		}
+		time.Sleep(2 * engineDownTime)
+	}
+	close(stop)
+	callers.Wait()
+	for _, node := range nodes {
+		testwait.Until(t, "the popular request is served", func() bool {
+			return node.call(http.MethodPost, "/a/popular", fmt.Sprint("last-", time.Now().UnixNano()), "").status == http.StatusOK
+		})
+	}
+}
+
+// TestEnginesThatCrashByThemselvesBlameNoItem: engines end again and again under a job's
+// items, each time another one.
+func TestEnginesThatCrashByThemselvesBlameNoItem(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	hosts := d.addHosts(4, standin.EngineOptions{
+		Service: "llm", Versions: map[string]int64{model: 1}, Events: func(string) int { return 60 },
+		EventTime: 15 * time.Millisecond,
+	})
+	d.configure(batchRoute("/batch/"))
+	node := d.start("n1")
+	var ids []string
+	for i := range 12 {
+		ids = append(ids, fmt.Sprint("item-", i))
+	}
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
+	for _, host := range hosts[:2] {
+		testwait.Until(t, "items run", func() bool { return len(host.Engines()[len(host.Engines())-1].Runs()) > 0 })
+		host.Crash()
+	}
+	for _, result := range d.awaitResults(node, "job1", len(ids)).Results {
+		assert.Equal(t, result.State, "completed")
+		assert.Equal(t, result.Text, standin.Text(result.ID, 60))
+	}
+	assert.Assert(t, !strings.Contains(node.logs.String(), "item kept away from engines"))
+}
