Count the time for which a machine is suspended

A leader that wakes held its lease for valid until it had read of another (at most 1.5 s, if its connections are dead), a replica told knowledge from before as fresh, and an engine was given time that was over.

Change: package boottime (CLOCK_BOOTTIME). Leases, the age of followed topics and the time left of a request count by it. An empty answer of a read that waits is as old as its read plus its wait, not as new as the moment at which it is looked at.

The project's own deployment (keyed, tables, weights, coordinator) still counts by the steady clock: listed as open.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
@@ -135,8 +136,9 @@
 		}
 		f.whole.done(now, f.untilRefresh())
 	}
-	sent := time.Now()
-	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, f.budget.Stretch(pollWait, maxPollWait))
+	wait := f.budget.Stretch(pollWait, maxPollWait)
+	sent := boottime.Now()
+	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, wait)
 	if err != nil {
 		return err
 	}
@@ -144,15 +146,24 @@
 		f.handle(record)
 	}
 	f.next = batch.Next
+	known := sent
 	if len(batch.Records) == 0 {
-		// The read waited and nothing came: this is the state of its answer.
-		sent = time.Now()
+		known = answeredAt(sent, wait, boottime.Now())
 	}
-	f.replica.reached(f.next, sent)
+	f.replica.reached(f.next, known)
 	f.whole.worked(time.Now(), rand.N(f.budget.Stretch(refreshDelay, maxRefreshDelay)))
 	return nil
 }
 
+// answeredAt is when a read that found nothing was answered at the earliest: once it had
+// waited. The answer may have lain here since, if this process or machine stood still.
+func answeredAt(sent time.Time, wait time.Duration, now time.Time) time.Time {
+	if waited := sent.Add(wait); waited.Before(now) {
+		return waited
+	}
+	return now
+}
+
 // untilRefresh is the time until the next full read.
 func (f *Follower) untilRefresh() time.Duration {
 	size := 1 + len(f.offsets)/refreshRecords
@@ -163,7 +174,7 @@
 // refresh reads the topic whole. A key that is missing was deleted, unless its
 // record is newer than the read.
 func (f *Follower) refresh(ctx context.Context) error {
-	sent := time.Now()
+	sent := boottime.Now()
 	batch, err := f.log.Newest(ctx, f.topic)
 	if err != nil {
 		return err
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -25,7 +26,8 @@
 	deleted   int
 	forgotten int64
 	next      int64
-	// contactAt is the newest moment at which this was all there was.
+	// contactAt is the newest moment at which this was all there was, by the clock of
+	// package boottime: a machine that was suspended knows nothing of the time since.
 	contactAt time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
@@ -79,7 +81,7 @@
 func (r *Replica) age() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.contactAt)
+	return boottime.Now().Sub(r.contactAt)
 }
 
 // Newest returns the newest record of each key, and the age of that knowledge; false
@@ -93,7 +95,7 @@
 			batch.Records = append(batch.Records, record)
 		}
 	}
-	return batch, time.Since(r.contactAt), !r.contactAt.IsZero()
+	return batch, boottime.Now().Sub(r.contactAt), !r.contactAt.IsZero()
 }
 
 // Read returns the records from an offset on, waiting for one up to the given time, and
@@ -107,7 +109,7 @@
 	for {
 		r.mu.Lock()
 		batch, err := r.since(from)
-		age, changed := time.Since(r.contactAt), r.changed
+		age, changed := boottime.Now().Sub(r.contactAt), r.changed
 		r.mu.Unlock()
 		if err != nil || len(batch.Records) > 0 {
 			return batch, age, err
--- a/internal/follow/replica_test.go
+++ b/internal/follow/replica_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -24,7 +25,7 @@
 		replica.take(record(value, value, int64(offset)))
 	}
 	replica.take(record("a", "", 3))
-	replica.reached(4, time.Now())
+	replica.reached(4, boottime.Now())
 	batch, _, err := replica.Read(t.Context(), 1, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, batch.Next, int64(4))
@@ -40,7 +41,7 @@
 func TestReaderThatIsAheadKeepsItsPlace(t *testing.T) {
 	replica := newReplica()
 	replica.take(record("a", "1", 0))
-	replica.reached(1, time.Now())
+	replica.reached(1, boottime.Now())
 	batch, _, err := replica.Read(t.Context(), 7, time.Millisecond)
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Records), 0)
@@ -49,12 +50,12 @@
 
 func TestWaitingReaderIsWokenByAChange(t *testing.T) {
 	replica := newReplica()
-	replica.reached(1, time.Now())
+	replica.reached(1, boottime.Now())
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	go func() {
 		replica.take(record("a", "1", 1))
-		replica.reached(2, time.Now())
+		replica.reached(2, boottime.Now())
 	}()
 	batch, _, err := replica.Read(ctx, 1, time.Minute)
 	assert.NilError(t, err)
@@ -63,10 +64,10 @@
 
 func TestAgeGrowsWhileTheLogIsAway(t *testing.T) {
 	replica := newReplica()
-	replica.reached(1, time.Now().Add(-time.Hour))
+	replica.reached(1, boottime.Now().Add(-time.Hour))
 	_, age, _ := replica.Newest()
 	assert.Assert(t, age >= time.Hour)
-	replica.reached(1, time.Now())
+	replica.reached(1, boottime.Now())
 	_, age, _ = replica.Newest()
 	assert.Assert(t, age < time.Hour)
 }
@@ -79,10 +80,19 @@
 		replica.take(record(fmt.Sprint("k", number), "", offset))
 		offset++
 	}
-	replica.reached(offset, time.Now())
+	replica.reached(offset, boottime.Now())
 	var gone *eventlog.GoneError
 	_, _, err := replica.Read(t.Context(), 5, 0)
 	assert.Assert(t, errors.As(err, &gone), "%v", err)
 	_, _, err = replica.Read(t.Context(), offset, 0)
 	assert.NilError(t, err)
 }
+
+// TestAnAnswerThatLayHereIsAsOldAsItsRead: the machine was suspended after a read had been
+// answered, so what it found is seconds old although it is looked at just now.
+func TestAnAnswerThatLayHereIsAsOldAsItsRead(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	assert.Equal(t, answeredAt(sent, time.Second, sent.Add(1100*time.Millisecond)), sent.Add(time.Second))
+	assert.Equal(t, answeredAt(sent, time.Second, sent.Add(6*time.Second)), sent.Add(time.Second))
+	assert.Equal(t, answeredAt(sent, time.Second, sent.Add(300*time.Millisecond)), sent.Add(300*time.Millisecond))
+}
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
@@ -42,6 +43,11 @@
 }
 
 func callRelay(engines scriptedEngines, path string) (Reply, *errkind.Error) {
+	return callOf(newRelay(engines, noCrashes{}), path)
+}
+
+// newRelay returns a relay of a service whose engines answer as their names say.
+func newRelay(engines scriptedEngines, guard Guard) *Relay {
 	known := fleet.New()
 	for id := range engines {
 		known.Put(fleet.Engine{ID: id, Service: "s", Slots: 1})
@@ -50,11 +56,14 @@
 		Name: "r", Host: "h", Prefix: "/x/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
 		Timeout: time.Second, MaxAttempts: 2,
 	}}})
-	relay := New(Options{
-		Engines: engines, Fleet: known, Guard: noCrashes{}, Table: func() *routes.Table { return table }, Current: func() bool { return true },
+	return New(Options{
+		Engines: engines, Fleet: known, Guard: guard, Table: func() *routes.Table { return table }, Current: func() bool { return true },
 		Began:  func(string, time.Time) {},
 		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 	})
+}
+
+func callOf(relay *Relay, path string) (Reply, *errkind.Error) {
 	return relay.Call(context.Background(), &Request{
 		ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: "h", Received: time.Now(),
 	})
@@ -85,3 +94,17 @@
 	_, failure := callRelay(scriptedEngines{"a": {Status: http.StatusOK}}, "/y/1")
 	assert.Equal(t, failure.Kind, errkind.UnknownService)
 }
+
+// TestASuspendedMachineGivesEnginesNoTimeThatIsOver: the machine is suspended after the
+// request came in, for longer than its caller waits.
+func TestASuspendedMachineGivesEnginesNoTimeThatIsOver(t *testing.T) {
+	relay := newRelay(scriptedEngines{"a": {Status: http.StatusOK, Stamp: "stamp"}}, noCrashes{})
+	suspended := time.Duration(0)
+	relay.now = func() time.Time {
+		now := boottime.Now().Add(suspended)
+		suspended = 2 * time.Second
+		return now
+	}
+	_, failure := callOf(relay, "/x/1")
+	assert.Equal(t, failure.Kind, errkind.NoCapacity)
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -28,6 +28,9 @@
 	ctx    context.Context
 	caller context.Context
 	w      http.ResponseWriter
+	// endsAt is the deadline by the relay's clock: that of ctx does not count the time
+	// for which the machine is suspended.
+	endsAt time.Time
 
 	tried []string
 	// fingerprint is nil until it is asked for.
@@ -122,8 +125,7 @@
 	engine := choice.Engine
 	x.tried = append(x.tried, engine.ID)
 	began := time.Now()
-	deadline, _ := x.ctx.Deadline()
-	remaining := deadline.Sub(began)
+	remaining := x.endsAt.Sub(x.relay.now())
 	if remaining < minRemaining {
 		return giveUp
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
@@ -127,11 +128,13 @@
 type Relay struct {
 	options  Options
 	splitter *routes.Splitter
+	// now reads a clock that goes on while the machine is suspended.
+	now func() time.Time
 }
 
 // New returns a relay.
 func New(options Options) *Relay {
-	return &Relay{options: options, splitter: routes.NewSplitter(options.Seed)}
+	return &Relay{options: options, splitter: routes.NewSplitter(options.Seed), now: boottime.Now}
 }
 
 const (
@@ -191,10 +194,11 @@
 	if request.Budget > 0 {
 		timeout = min(timeout, request.Budget)
 	}
-	ctx, cancel := context.WithDeadline(callerContext, request.Received.Add(timeout))
+	deadline := request.Received.Add(timeout)
+	ctx, cancel := context.WithDeadline(callerContext, deadline)
 	return &exchange{
 		relay: r, request: request, route: route, table: table, sender: sender, ctx: ctx, caller: callerContext, w: w,
-		service: r.splitter.Pick(route),
+		service: r.splitter.Pick(route), endsAt: r.now().Add(time.Until(deadline)),
 	}, cancel, nil
 }
 
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -89,6 +90,9 @@
 	partition eventlog.Partition
 	options   Options
 	role      Role
+	// now reads the clock of all times below. It goes on while the machine is suspended:
+	// a leader that wakes must know that its lease is over.
+	now func() time.Time
 
 	mu    sync.Mutex
 	state lease.State
@@ -122,6 +126,7 @@
 		partition: eventlog.Partition{Topic: topic},
 		options:   options,
 		role:      role,
+		now:       boottime.Now,
 		sentAt:    make(map[int64]time.Time),
 		changed:   make(chan struct{}, 1),
 	}
@@ -149,15 +154,21 @@
 func (e *Elector) Valid(epoch int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && time.Now().Before(e.validUntil)
+	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && e.now().Before(e.validUntil)
 }
 
 // QuietUntil is the time before which this node, leading, may not order the
-// engine: another machine may have ordered it just now. It may lie in the past.
+// engine: another machine may have ordered it just now. It may lie in the past. It is
+// a time of time.Now.
 func (e *Elector) QuietUntil(engine string) time.Time {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.state.QuietUntil(engine, e.options.Quiet+arrivalSlack, e.options.EnginesFence)
+	until := e.state.QuietUntil(engine, e.options.Quiet+arrivalSlack, e.options.EnginesFence)
+	e.mu.Unlock()
+	if until.IsZero() {
+		return until
+	}
+	left := until.Sub(e.now())
+	return time.Now().Add(left)
 }
 
 // RecordOrder says in the log that this node is about to order an engine in the
@@ -208,11 +219,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	own := e.state.Epoch > 0 && e.state.Holder == e.options.Holder && !e.state.Released && !e.stopping
-	return e.state.Epoch, own && time.Now().Before(e.validUntil)
+	return e.state.Epoch, own && e.now().Before(e.validUntil)
 }
 
 func (e *Elector) claimIfFree(ctx context.Context) {
-	now := time.Now()
+	now := e.now()
 	e.mu.Lock()
 	inContact := !e.contactSince.IsZero()
 	free := inContact && !e.stopping &&
@@ -236,7 +247,7 @@
 		e.mu.Unlock()
 		return
 	}
-	e.claimSent = time.Now()
+	e.claimSent = e.now()
 	e.mu.Unlock()
 	err := e.appendAt(ctx, next, e.record(lease.Claim, previous))
 	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
@@ -254,7 +265,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if kind != lease.Claim && !e.termBegan.IsZero() {
-		record.Held = time.Since(e.termBegan)
+		record.Held = e.now().Sub(e.termBegan)
 	}
 	return record
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -220,3 +222,36 @@
 	}
 	return c.Log.Read(ctx, name, from, limit, wait)
 }
+
+// suspendableClock is a clock that goes on while the machine is suspended.
+type suspendableClock struct{ suspended atomic.Int64 }
+
+func (c *suspendableClock) now() time.Time {
+	return boottime.Now().Add(time.Duration(c.suspended.Load()))
+}
+
+// suspend passes time that no other clock counts.
+func (c *suspendableClock) suspend(lasting time.Duration) { c.suspended.Add(int64(lasting)) }
+
+// TestASuspendedLeaderKnowsThatItsLeaseIsOver: the steady clock does not count the time, and
+// its connections tell nothing when it wakes.
+func TestASuspendedLeaderKnowsThatItsLeaseIsOver(t *testing.T) {
+	log := memlog.New()
+	link := &cutLog{Log: log}
+	clock := &suspendableClock{}
+	first := &candidate{}
+	first.elector = New(link, Options{
+		Holder: "a1", Node: "a", TTL: testTTL, Quiet: testTTL, Logger: zerolog.Nop(),
+	}, first.role)
+	first.elector.now = clock.now
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = first.elector.Run(ctx) }()
+	testwait.Until(t, "a leads", func() bool { return first.leads() && first.elector.Valid(first.lastTerm().Epoch) })
+	epoch := first.lastTerm().Epoch
+	link.cut(true)
+	clock.suspend(testTTL)
+	assert.Assert(t, !first.elector.Valid(epoch), "the lease counts as valid after it was suspended")
+	link.cut(false)
+	testwait.Until(t, "a may order again, since nobody else leads", func() bool { return first.elector.Valid(epoch) })
+}
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -57,11 +57,11 @@
 func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
 	period := e.options.TTL / renewalsPerTTL
 	for ctx.Err() == nil && e.inForce(epoch) {
-		sent := time.Now()
+		sent := e.now()
 		if e.readWithin(e.options.TTL) {
 			e.renew(ctx, epoch, sent)
 		}
-		e.sleepWhileInForce(ctx, epoch, max(period-time.Since(sent), minRenewalGap))
+		e.sleepWhileInForce(ctx, epoch, max(period-e.now().Sub(sent), minRenewalGap))
 	}
 }
 
@@ -87,13 +87,13 @@
 func (e *Elector) readWithin(period time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Since(e.readAt) < period
+	return e.now().Sub(e.readAt) < period
 }
 
 // sleepWhileInForce sleeps, but not on when the lease has gone.
 func (e *Elector) sleepWhileInForce(ctx context.Context, epoch int64, period time.Duration) {
-	for until := time.Now().Add(period); ctx.Err() == nil && e.inForce(epoch); {
-		left := time.Until(until)
+	for until := e.now().Add(period); ctx.Err() == nil && e.inForce(epoch); {
+		left := until.Sub(e.now())
 		if left <= 0 {
 			return
 		}
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -45,7 +45,7 @@
 }
 
 func (e *Elector) apply(batch eventlog.Batch) {
-	now := time.Now()
+	now := e.now()
 	e.mu.Lock()
 	for _, raw := range batch.Records {
 		var record lease.Record
@@ -74,7 +74,7 @@
 func (e *Elector) epochChanged(record lease.Record) {
 	if record.Holder == e.options.Holder {
 		e.validUntil = e.claimSent.Add(e.options.TTL - e.options.TTL/marginShare)
-		e.termBegan = time.Now()
+		e.termBegan = e.now()
 	}
 	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
 }
