Requests that crash their engines, in the soak

Change: callers send a few requests under which each engine ends, again and again with other IDs at any node; one in three jobs has such an item; a crashed engine refuses connections, as its machine would. A check counts what is sent once three engines have ended and all nodes that are in touch had time to know; one mutant of a sound history.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -48,6 +48,7 @@
 	{"CONFIG", checkRevoked},
 	{"LOST", checkLost},
 	{"BUDGET", checkBudget},
+	{"BUDGET", checkCrashes},
 	{"VERSION", checkVersions},
 	{"SCORE", checkScores},
 	{"ONE", checkOneHolder},
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -200,6 +201,7 @@
 			addRun(h, 1, runOf(failPrefix+"3", standin.ItemPath(failPrefix+"3"), "b3", 3))
 		}
 	}},
+	{"request under which engines end is sent on", "BUDGET", func(h *History) { addCrashes(h, 4) }},
 	{"sample names a version too many", "VERSION", func(h *History) { h.Jobs[0].Positions[0].Versions = []int64{3, 4} }},
 	{"sample hides a version", "VERSION", func(h *History) {
 		first := &h.Jobs[0].Positions[0]
@@ -230,6 +232,31 @@
 }
 
 // TestEachMutantIsCaught: every check can fail, and fails for what it is for.
+// addCrashes adds a request under which three engines ended, and how often it was sent after.
+func addCrashes(h *History, sends int) {
+	path, body := standin.PrefixLookup+crashPrefix+"0", "body of "+crashPrefix+"0"
+	send := func(seconds float64) {
+		id := fmt.Sprint("again-", seconds)
+		h.Calls = append(h.Calls, LiveCall{ID: id, Path: path, Body: body, Kind: standin.RouteSafe, SentAt: at(seconds)})
+		addRun(h, 1, runOf(id, path, body, seconds))
+	}
+	for i := range crashesAllowed {
+		send(float64(i))
+		h.Ends = append(h.Ends, EndSeen{Path: path, Body: body, At: at(float64(i))})
+	}
+	for i := range sends {
+		send(30 + float64(i))
+	}
+}
+
+// TestSomeSendsOfARequestUnderWhichEnginesEndAreAllowed: trials, and those that cross the
+// knowledge.
+func TestSomeSendsOfARequestUnderWhichEnginesEndAreAllowed(t *testing.T) {
+	h := sound()
+	addCrashes(h, sendsAfterCrashes)
+	assert.DeepEqual(t, Check(h, bounds), []Violation(nil))
+}
+
 func TestEachMutantIsCaught(t *testing.T) {
 	caught := make(map[string]bool)
 	for _, mutant := range mutants {
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -166,9 +166,15 @@
 	job := standin.Job{
 		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, v.version.Load()-1),
 	}
+	crashing := -1
+	if rand.IntN(crashingPart) == 0 {
+		crashing = rand.IntN(itemsPerJob)
+	}
 	for i := range itemsPerJob {
 		prefix := "item-"
 		switch {
+		case i == crashing:
+			prefix = crashPrefix
 		case rand.IntN(failingPart) == 0:
 			prefix = failPrefix
 		case rand.IntN(neverPart) == 0:
@@ -290,6 +296,7 @@
 		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
 		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
 	}
+	v.callers.Go(func() { v.crashEngines(ctx) })
 	for trainer := range trainers {
 		v.jobs.Go(func() { v.train(ctx, lasting, trainer) })
 	}
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -69,6 +69,13 @@
 	At     time.Time
 }
 
+// EndSeen is an engine that ended under a request.
+type EndSeen struct {
+	Path string
+	Body string
+	At   time.Time
+}
+
 // EngineSeen is what one engine saw.
 type EngineSeen struct {
 	ID      string
@@ -101,6 +108,7 @@
 	Configs      []ConfigSeen
 	Leaves       []LeaveSeen
 	Engines      []EngineSeen
+	Ends         []EndSeen
 	Disturbances []*Disturbance
 	// Changed holds positions of jobs that were read twice with different content.
 	Changed []string
@@ -145,7 +153,30 @@
 			job.Positions = append(job.Positions, result)
 		}
 	}
-	job.Complete = len(job.Positions) == len(job.Job.Items)
+	job.Complete = job.listed() == job.owed()
+}
+
+// owed is the number of items that are to be listed: those that end their engines may wait
+// for the end of their job.
+func (j *JobSeen) owed() int {
+	owed := 0
+	for _, item := range j.Job.Items {
+		if !crashesEngine(item.Body) {
+			owed++
+		}
+	}
+	return owed
+}
+
+// listed is the number of these that were read as listed.
+func (j *JobSeen) listed() int {
+	listed := 0
+	for _, result := range j.Positions {
+		if !crashesEngine(result.ID) {
+			listed++
+		}
+	}
+	return listed
 }
 
 func sameResult(one, other standin.ItemResult) bool {
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -68,7 +68,7 @@
 			end()
 		})
 	case EngineCrashed:
-		d.replace(at, func() { at.crash(ctx, max(downTime, fault.For)) })
+		d.replace(at, func() { at.crash(ctx, max(downTime, fault.For))() })
 	case EngineLeaves:
 		d.replace(at, func() { at.leave(ctx) })
 	case EngineAnswers, EnginesMute:
@@ -107,6 +107,23 @@
 	_ = link.Restore()
 }
 
+// crashUnder ends the engine of a place under a run, unless it is being replaced, and has
+// another one start.
+func (d *deployment) crashUnder(ctx context.Context, at *place, run standin.Run) {
+	if ctx.Err() != nil || !at.replacing.TryLock() {
+		return
+	}
+	d.history.update(func() {
+		d.history.Ends = append(d.history.Ends, EndSeen{Path: run.Path, Body: run.Body, At: time.Now()})
+	})
+	rest := at.crash(ctx, downTime)
+	d.wait.Go(func() {
+		defer at.replacing.Unlock()
+		rest()
+		d.startAgain(at)
+	})
+}
+
 // replace ends the engine of a place, unless that is under way, and starts another.
 func (d *deployment) replace(at *place, end func()) {
 	if !at.replacing.TryLock() {
@@ -114,6 +131,11 @@
 	}
 	defer at.replacing.Unlock()
 	end()
+	d.startAgain(at)
+}
+
+// startAgain starts the next engine of a place.
+func (d *deployment) startAgain(at *place) {
 	if err := at.start(); err != nil {
 		d.nodes[0].note("an engine did not start again: " + err.Error())
 	}
--- a/internal/bench/soak/items.go
+++ b/internal/bench/soak/items.go
@@ -11,6 +11,8 @@
 	// each run, and of those that an engine says can never be run.
 	failPrefix  = "fail-"
 	neverPrefix = "never-"
+	// crashPrefix stands in the body of requests and items under which each engine ends.
+	crashPrefix = "crash-"
 
 	minEvents = 3
 	// longShare is one in how many outputs is longEvents long, the others are up to
@@ -33,6 +35,9 @@
 
 func neverPossible(id string) bool { return strings.HasPrefix(id, neverPrefix) }
 
+// crashesEngine tells whether an engine ends when it begins a request with the body.
+func crashesEngine(body string) bool { return strings.Contains(body, crashPrefix) }
+
 // unscoredShare is one in how many items has no scoring call.
 const unscoredShare = 4
 
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -96,7 +96,7 @@
 	// events of a stream it makes before. End ends the process. See EngineHost.
 	EndsUnder       func(run Run) bool
 	EventsBeforeEnd int
-	End             func()
+	End             func(run Run)
 	// CheckFences refuses orders with lower fencing tokens than one seen.
 	CheckFences bool
 }
--- a/internal/standin/platform/engine_answers.go
+++ b/internal/standin/platform/engine_answers.go
@@ -48,7 +48,7 @@
 			return
 		}
 		if e.endsUnder(run) {
-			e.options.End()
+			e.options.End(run)
 			loseAnswer()
 		}
 		e.plain(w, id, fault)
@@ -118,7 +118,7 @@
 		case <-time.After(e.options.EventTime):
 		}
 		if e.endsUnder(run) && number > after+e.options.EventsBeforeEnd {
-			e.options.End()
+			e.options.End(run)
 			loseAnswer()
 		}
 		if fault == CutOff && number > (after+events)/2 {
--- a/internal/standin/platform/engine_host.go
+++ b/internal/standin/platform/engine_host.go
@@ -48,7 +48,7 @@
 	}
 	options := h.options
 	options.ID = fmt.Sprintf("%s-%d", h.options.ID, len(h.engines)+1)
-	options.End = h.crash
+	options.End = func(Run) { h.crash() }
 	engine := NewEngine(options)
 	server := &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
 	h.engines, h.server = append(h.engines, engine), server
