End a node in time beside a silent log; close gaps of the new tests

The last write of the guard's records had 500 ms, the roles of a node that stops have 350.

Change: 200 ms for the last write.

--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -286,3 +286,21 @@
 	large(3)
 	assert.DeepEqual(t, placed(fast), []string{"fast"})
 }
+
+// TestSuspectItemsDoNotShareAnEngine: others run beside them.
+func TestSuspectItemsDoNotShareAnEngine(t *testing.T) {
+	plan := New()
+	for i := range 3 {
+		suspect := item("j", i, 100-i)
+		suspect.Suspect = true
+		plan.Add(suspect)
+	}
+	plan.Add(item("j", 3, 1))
+	engines := []Engine{engine("a", 8, 3), engine("b", 8, 3)}
+	assigned := plan.Assign(now, engines)
+	assert.DeepEqual(t, started(assigned), []Key{{"j", 0}, {"j", 1}, {"j", 3}})
+	assert.Assert(t, assigned[0].Engine != assigned[1].Engine)
+	assert.Equal(t, len(plan.Assign(now, engines)), 0)
+	plan.Ended(Key{"j", 1})
+	assert.DeepEqual(t, started(plan.Assign(now, engines)), []Key{{"j", 2}})
+}
--- a/internal/crashes/guard_test.go
+++ b/internal/crashes/guard_test.go
@@ -246,6 +246,33 @@
 	}
 }
 
+// silentLog never answers.
+type silentLog struct{}
+
+func (silentLog) PutKeyed(ctx context.Context, _ string, _ []eventlog.KeyedRecord) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestANodeThatStopsDoesNotWaitForASilentLog: its roles have 350 ms to end.
+func TestANodeThatStopsDoesNotWaitForASilentLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := newWriter(silentLog{}, topic, func(context.Context, []eventlog.KeyedRecord) {}, zerolog.Nop())
+		writer.add(eventlog.KeyedRecord{Key: "k", Value: []byte("v")})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			writer.run(ctx)
+		}()
+		time.Sleep(10 * time.Second)
+		stopped := time.Now()
+		cancel()
+		<-ended
+		assert.Assert(t, time.Since(stopped) < 350*time.Millisecond, "%s", time.Since(stopped))
+	})
+}
+
 func TestWhatIsOldIsTakenOutOfTheLog(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		c.lose(0, "a")
--- a/internal/crashes/writer.go
+++ b/internal/crashes/writer.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// writeTimeout bounds one write, lastWriteTimeout the one when the node stops.
+	// writeTimeout bounds one write, lastWriteTimeout the one when the node stops, whose
+	// roles have 350 ms to end.
 	writeTimeout     = 1500 * time.Millisecond
-	lastWriteTimeout = 500 * time.Millisecond
+	lastWriteTimeout = 200 * time.Millisecond
 	// writeBatch is the most records of one write.
 	writeBatch = 500
 )
--- a/test/hosted/crash_test.go
+++ b/test/hosted/crash_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,6 +170,31 @@
 	assert.Equal(t, len(crashingRuns(hosts)), ended)
 }
 
+// TestANodeThatStartsWaitsUntilItKnowsWhichRequestsCrash: the log tells everything else
+// before.
+func TestANodeThatStartsWaitsUntilItKnowsWhichRequestsCrash(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	hosts := d.addHosts(3, standin.EngineOptions{Service: "desk"})
+	d.configure(safeRoute("/a/"))
+	first := d.start("n1")
+	sendCrashing(t, []*process{first}, "/a/", time.Second)
+	first.cancel()
+	<-first.done
+	ended := len(crashingRuns(hosts))
+	topic := platform.New(d.address, "").CrashTopic()
+	var refused atomic.Int64
+	d.store.Log.SetFault(func(call memlog.Call) memlog.Fault {
+		if call.Partition.Topic == topic && refused.Add(1) <= 4 {
+			return memlog.Refused
+		}
+		return memlog.None
+	})
+	second := d.start("n2")
+	assert.Equal(t, sendCrashing(t, []*process{second}, "/a/", time.Millisecond)[0], http.StatusServiceUnavailable)
+	assert.Equal(t, len(crashingRuns(hosts)), ended)
+}
+
 // TestARequestStaysAwayFromEnginesInAnOutage: the store takes and tells nothing, from
 // before the first engine ends until after the last.
 func TestARequestStaysAwayFromEnginesInAnOutage(t *testing.T) {
