--- a/internal/crashes/guard.go
+++ b/internal/crashes/guard.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/xid"
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
@@ -15,27 +13,17 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-const (
-	// trialWait bounds how long a request waits for its trial to be granted: a write to
-	// the log and a read of it.
-	trialWait = time.Second
-	// A record that another node told of is written by this one as well unless it stands in
-	// the log by then: the other node may have ended. The time is drawn, so that one node
-	// does it for all.
-	adoptAfter  = 5 * time.Second
-	adoptSpread = 10 * time.Second
-	adoptPeriod = time.Second
-	// sweepPeriod is the time between two looks at what need not be remembered any longer.
-	sweepPeriod = time.Minute
-)
+// sweepPeriod is the time between two looks at what need not be remembered any longer.
+const sweepPeriod = time.Minute
 
 // Guard keeps requests under which engines ended away from the others. What a node sees
 // is kept in the log, which all nodes follow; while the log takes nothing, the nodes
 // tell each other. It is safe for concurrent use.
 type Guard struct {
-	watch  *Watch
-	writer *writer
-	logger zerolog.Logger
+	watch   *Watch
+	writer  *writer
+	observe func(requests int)
+	logger  zerolog.Logger
 
 	// known is the number of requests in the ledger: most of the time there are none, and
 	// nothing needs to be worked out for a request.
@@ -51,12 +39,6 @@
 	adopted map[string]adoption
 }
 
-// adoption is a record that another node told of.
-type adoption struct {
-	record eventlog.KeyedRecord
-	due    time.Time
-}
-
 // GuardOptions are the parts that a guard works with.
 type GuardOptions struct {
 	Watch *Watch
@@ -65,15 +47,17 @@
 	Topic string
 	// Unwritten is called with records that the log did not take.
 	Unwritten func(ctx context.Context, records []eventlog.KeyedRecord)
-	Logger    zerolog.Logger
+	// Observe is told how many requests are remembered whenever that may have changed.
+	Observe func(requests int)
+	Logger  zerolog.Logger
 }
 
 // NewGuard returns a guard; Run starts it.
 func NewGuard(options GuardOptions) *Guard {
 	return &Guard{
-		watch:  options.Watch,
-		writer: newWriter(options.Log, options.Topic, options.Unwritten, options.Logger),
-		logger: options.Logger, ledger: quarantine.NewLedger(), changed: make(chan struct{}),
+		watch:   options.Watch,
+		writer:  newWriter(options.Log, options.Topic, options.Unwritten, options.Logger),
+		observe: options.Observe, logger: options.Logger, ledger: quarantine.NewLedger(), changed: make(chan struct{}),
 		asking: make(map[quarantine.Fingerprint]bool), adopted: make(map[string]adoption),
 	}
 }
@@ -109,17 +93,23 @@
 	} else {
 		g.put(record, "log")
 	}
-	g.known.Store(int64(g.ledger.Len()))
+	g.count()
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
 
+// count notes how many requests are remembered; mu is held.
+func (g *Guard) count() {
+	g.known.Store(int64(g.ledger.Len()))
+	g.observe(g.ledger.Len())
+}
+
 // put adds a record and tells of what is new; mu is held.
 func (g *Guard) put(record quarantine.Record, source string) {
 	if !g.ledger.Put(record) {
 		return
 	}
-	g.known.Store(int64(g.ledger.Len()))
+	g.count()
 	standing := g.ledger.Standing(record.Fingerprint, time.Now())
 	if standing.Crashes < quarantine.RequestLimit {
 		return
@@ -129,42 +119,6 @@
 		Msg("request kept away from engines")
 }
 
-// takeFromPeer takes a record that another node could not write.
-func (g *Guard) takeFromPeer(from eventlog.KeyedRecord) {
-	from.Offset = quarantine.Unlogged
-	record, err := decode(from)
-	if err != nil {
-		g.logger.Error().Err(err).Str("key", from.Key).Msg("record of an ended engine passed over")
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if from.Deleted {
-		g.ledger.Drop(record.Fingerprint, record.Name())
-		g.known.Store(int64(g.ledger.Len()))
-		delete(g.adopted, from.Key)
-		return
-	}
-	g.put(record, "peer")
-	g.adopted[from.Key] = adoption{record: from, due: time.Now().Add(adoptAfter + rand.N(adoptSpread))}
-}
-
-// writeAdopted writes what other nodes told of and have not written since.
-func (g *Guard) writeAdopted(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for key, each := range g.adopted {
-		record, err := decode(each.record)
-		switch {
-		case err != nil || g.ledger.Logged(record):
-			delete(g.adopted, key)
-		case !now.Before(each.due):
-			delete(g.adopted, key)
-			g.writer.add(each.record)
-		}
-	}
-}
-
 // ConnectionLost finds out whether the engine has ended under the request, and remembers
 // it.
 func (g *Guard) ConnectionLost(ctx context.Context, loss Loss) bool {
@@ -203,7 +157,7 @@
 		g.ledger.Drop(of, record.Name())
 		delete(g.adopted, keyOf(record))
 	}
-	g.known.Store(int64(g.ledger.Len()))
+	g.count()
 	g.mu.Unlock()
 	if len(records) == 0 {
 		return
@@ -243,57 +197,12 @@
 	if standing.Crashes < quarantine.RequestLimit {
 		return nil
 	}
-	failure := errkind.New(errkind.Quarantined, "%d engines ended under this request", standing.Crashes)
+	failure := errkind.New(errkind.Quarantined, "%d engines ended under this request, fingerprint %s",
+		standing.Crashes, fingerprint())
 	failure.RetryAfter = max(standing.HeldUntil.Sub(now), failure.Kind.Answer().RetryAfter)
 	return failure
 }
 
-// askForTrial tells whether this node may send a held request once. The first claim in
-// the log is granted, so that one node at most sends it, whatever fails meanwhile.
-func (g *Guard) askForTrial(ctx context.Context, fingerprint quarantine.Fingerprint) bool {
-	g.mu.Lock()
-	if g.asking[fingerprint] {
-		g.mu.Unlock()
-		return false
-	}
-	g.asking[fingerprint] = true
-	g.mu.Unlock()
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.asking, fingerprint)
-	}()
-	ctx, cancel := context.WithTimeout(ctx, trialWait)
-	defer cancel()
-	claim := quarantine.Record{Fingerprint: fingerprint, Trial: xid.New().String(), At: time.Now()}
-	encoded, err := encode(claim)
-	if err == nil {
-		err = g.writer.log.PutKeyed(ctx, g.writer.topic, []eventlog.KeyedRecord{encoded})
-	}
-	granted := err == nil && g.awaitTrial(ctx, claim)
-	g.logger.Info().Err(err).Stringer("fingerprint", fingerprint).Str("trial", claim.Trial).Bool("granted", granted).
-		Msg("trial of a held request")
-	return granted
-}
-
-// awaitTrial waits until the claim was read back, and tells whether it was granted.
-func (g *Guard) awaitTrial(ctx context.Context, claim quarantine.Record) bool {
-	for {
-		g.mu.Lock()
-		logged, changed := g.ledger.Logged(claim), g.changed
-		granted := g.ledger.Standing(claim.Fingerprint, time.Now()).Granted == claim.Trial
-		g.mu.Unlock()
-		if logged {
-			return granted
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-changed:
-		}
-	}
-}
-
 // Sweep takes out of the log what need not be remembered any longer, until ctx ends. One
 // node does it at a time.
 func (g *Guard) Sweep(ctx context.Context) {
@@ -315,7 +224,7 @@
 	for _, record := range expired {
 		g.ledger.Drop(record.Fingerprint, record.Name())
 	}
-	g.known.Store(int64(g.ledger.Len()))
+	g.count()
 	g.mu.Unlock()
 	if len(expired) > 0 {
 		g.logger.Info().Int("records", len(expired)).Msg("records of ended engines forgotten")
--- a/internal/crashes/guard_test.go
+++ b/internal/crashes/guard_test.go
@@ -52,7 +52,7 @@
 func (c *cluster) node() (*Guard, *follow.Follower) {
 	guard := NewGuard(GuardOptions{
 		Watch: watchOf(&fakeProber{answer: Ended}, engineAt("a", "a:1"), engineAt("b", "b:1"), engineAt("c", "c:1")),
-		Log:   c.log, Topic: topic, Logger: zerolog.Nop(),
+		Log:   c.log, Topic: topic, Logger: zerolog.Nop(), Observe: func(int) {},
 		Unwritten: func(_ context.Context, records []eventlog.KeyedRecord) {
 			for _, other := range c.guards {
 				for _, record := range records {
@@ -300,7 +300,7 @@
 func BenchmarkAdmit(b *testing.B) {
 	for _, held := range []int{0, 100} {
 		b.Run(fmt.Sprintf("held-%d", held), func(b *testing.B) {
-			guard := NewGuard(GuardOptions{Watch: watchOf(&fakeProber{}), Log: memlog.New(), Topic: topic, Logger: zerolog.Nop()})
+			guard := NewGuard(GuardOptions{Watch: watchOf(&fakeProber{}), Log: memlog.New(), Topic: topic, Logger: zerolog.Nop(), Observe: func(int) {}})
 			for i := range held {
 				other := quarantine.Request{Target: fmt.Sprint(i)}.Fingerprint()
 				guard.put(quarantine.Record{Fingerprint: other, Engine: "e", At: time.Now()}, "test")
--- /dev/null
+++ b/internal/crashes/trial.go
@@ -0,0 +1,61 @@
+package crashes
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/xid"
+
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// trialWait bounds how long a request waits for its trial to be granted: a write to the
+// log and a read of it.
+const trialWait = time.Second
+
+// askForTrial tells whether this node may send a held request once. The first claim in
+// the log is granted, so that one node at most sends it, whatever fails meanwhile.
+func (g *Guard) askForTrial(ctx context.Context, fingerprint quarantine.Fingerprint) bool {
+	g.mu.Lock()
+	if g.asking[fingerprint] {
+		g.mu.Unlock()
+		return false
+	}
+	g.asking[fingerprint] = true
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.asking, fingerprint)
+	}()
+	ctx, cancel := context.WithTimeout(ctx, trialWait)
+	defer cancel()
+	claim := quarantine.Record{Fingerprint: fingerprint, Trial: xid.New().String(), At: time.Now()}
+	encoded, err := encode(claim)
+	if err == nil {
+		err = g.writer.log.PutKeyed(ctx, g.writer.topic, []eventlog.KeyedRecord{encoded})
+	}
+	granted := err == nil && g.awaitTrial(ctx, claim)
+	g.logger.Info().Err(err).Stringer("fingerprint", fingerprint).Str("trial", claim.Trial).Bool("granted", granted).
+		Msg("trial of a held request")
+	return granted
+}
+
+// awaitTrial waits until the claim was read back, and tells whether it was granted.
+func (g *Guard) awaitTrial(ctx context.Context, claim quarantine.Record) bool {
+	for {
+		g.mu.Lock()
+		logged, changed := g.ledger.Logged(claim), g.changed
+		granted := g.ledger.Standing(claim.Fingerprint, time.Now()).Granted == claim.Trial
+		g.mu.Unlock()
+		if logged {
+			return granted
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -22,9 +22,6 @@
 	// configurationAge is the age beyond which the configuration may be an old one: a
 	// read waits a second at most, its answer takes another.
 	configurationAge = 3 * time.Second
-	// crashesWait is how long a node that knows its configuration waits until it has read
-	// under which requests engines ended: one read of the log, and one more after a failure.
-	crashesWait = 3 * time.Second
 	// maxWait bounds how long a reader of results is held.
 	maxWait = 5 * time.Second
 )
@@ -39,12 +36,6 @@
 	return n.relay.Serve(w, ctx, request)
 }
 
-// knowsCrashes tells whether the node has read under which requests engines ended. Where the
-// log tells the configuration but not that, the node does not wait for it any longer.
-func (n *node) knowsCrashes() bool {
-	return n.ended.IsLoaded() || n.state.configuredFor() > crashesWait
-}
-
 // TakesBatch implements Callers.
 func (n *node) TakesBatch(host, path string) bool {
 	table := n.state.table()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -206,17 +206,6 @@
 	return router
 }
 
-// newGuard returns what keeps requests under which engines ended away from the others.
-func (n *node) newGuard(log eventlog.Log) *crashes.Guard {
-	watch := crashes.NewWatch(crashes.Options{
-		Prober: n.platform.Engines(), Fleet: n.fleet, Logger: n.logger, Observe: n.metrics.connectionLost,
-	})
-	peers := crashes.NewPeers(n.directory.Peers, logrelay.NewClient(), n.logger)
-	return crashes.NewGuard(crashes.GuardOptions{
-		Watch: watch, Log: log, Topic: n.platform.CrashTopic(), Unwritten: peers.Tell, Logger: n.logger,
-	})
-}
-
 // Replica implements logrelay.Replicas.
 func (n *node) Replica(topic string) (logrelay.Replica, bool) {
 	if !n.directory.IsReplica() {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -20,6 +20,7 @@
 	leading      prometheus.Gauge
 	scoring      *prometheus.HistogramVec
 	lost         *prometheus.CounterVec
+	suspected    prometheus.Gauge
 	dropped      prometheus.Counter
 	leftOut      prometheus.Counter
 }
@@ -53,6 +54,9 @@
 			Name: "corkpulley_hosted_engine_connections_lost_total",
 			Help: "Connections that an engine ended while a request was there, by what became of the engine.",
 		}, []string{"service", "liveness"}),
+		suspected: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "corkpulley_hosted_suspected_requests", Help: "Requests under which an engine ended, as this node knows.",
+		}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corkpulley_hosted_log_lines_dropped_total", Help: "Log lines left out because their reader was slow.",
 		}),
@@ -61,7 +65,7 @@
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
 	registry.MustRegister(
-		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.dropped, m.leftOut,
+		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.dropped, m.leftOut,
 	)
 	return m
 }
@@ -90,6 +94,8 @@
 	m.lost.WithLabelValues(service, liveness).Inc()
 }
 
+func (m *metrics) requestsSuspected(requests int) { m.suspected.Set(float64(requests)) }
+
 func (m *metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
