Tell of late counts of use only what a report lacks; test the bound of conflicts

A new leader that reads counts again told of those that the report of the leader before holds as "too late", and a process that writes its whole count again was told of with all of it. The bound of conflicts in a term had no test.

Change: the ledger keeps the counts of the newest reported window and tells only what goes beyond its report, once; of older windows it tells nothing any more. The map that held one report is one record.

--- a/internal/core/usage/usage.go
+++ b/internal/core/usage/usage.go
@@ -50,74 +50,120 @@
 	CountsFrom int64 `msgpack:"f"`
 }
 
-// window is what is known of a window that was not reported yet.
+// window is what is known of the counts of a window.
 type window struct {
 	// first is the offset of its first count.
 	first    int64
 	bySource map[string]Counts
 }
 
+// take takes a count; a smaller one is older.
+func (w *window) take(record CountRecord) {
+	if record.Counts.Sum() > w.bySource[record.Source].Sum() {
+		w.bySource[record.Source] = record.Counts
+	}
+}
+
+// sum adds up the counts of all processes.
+func (w *window) sum() Counts {
+	sum := make(Counts)
+	for counts := range maps.Values(w.bySource) {
+		for tenant, count := range counts {
+			sum[tenant] += count
+		}
+	}
+	return sum
+}
+
+// beyond is how many requests of the counts a report lacks.
+func (c Counts) beyond(reported Counts) int64 {
+	var lacking int64
+	for tenant, count := range c {
+		lacking += max(0, count-reported[tenant])
+	}
+	return lacking
+}
+
 // Ledger is what a reader of the records knows.
 type Ledger struct {
 	// NextCount and NextReport are the offsets to read from.
 	NextCount  int64
 	NextReport int64
 	windows    map[Window]*window
-	reports    map[Window]Counts
-	newest     Window
+	// newest is the newest report, nil before the first; reported holds what was read of
+	// the counts of its window, and missing how many of them were told as too late.
+	newest   *ReportRecord
+	reported *window
+	missing  int64
 }
 
 // NewLedger returns the state before the first record.
 func NewLedger() *Ledger {
-	return &Ledger{windows: make(map[Window]*window), reports: make(map[Window]Counts)}
+	return &Ledger{windows: make(map[Window]*window)}
 }
 
-// ApplyCount takes the count at the offset NextCount. It returns how many requests came
-// too late for the report of their window.
+// ApplyCount takes the count at the offset NextCount. It returns how many requests more are
+// known to have come too late for the report of their window. Of windows before the
+// newest that was reported nothing is known any more.
 func (l *Ledger) ApplyCount(record CountRecord) int64 {
 	offset := l.NextCount
 	l.NextCount++
 	if l.isOver(record.Window) {
-		return record.Counts.Sum()
+		return l.applyLate(record)
 	}
 	known, found := l.windows[record.Window]
 	if !found {
 		known = &window{first: offset, bySource: make(map[string]Counts)}
 		l.windows[record.Window] = known
 	}
-	if record.Counts.Sum() > known.bySource[record.Source].Sum() {
-		known.bySource[record.Source] = record.Counts
-	}
+	known.take(record)
 	return 0
 }
 
+// applyLate takes a count of a window that was reported. The report may hold it: processes
+// write their whole count again, and a new leader reads what the one before has read.
+func (l *Ledger) applyLate(record CountRecord) int64 {
+	if record.Window != l.newest.Window {
+		return 0
+	}
+	l.reported.take(record)
+	before := l.missing
+	l.missing = max(before, l.reported.sum().beyond(l.newest.Counts))
+	return l.missing - before
+}
+
 // ApplyReport takes the report at the offset NextReport.
 func (l *Ledger) ApplyReport(record ReportRecord) {
 	l.NextReport++
 	if l.isOver(record.Window) {
 		return
 	}
-	l.reports = map[Window]Counts{record.Window: record.Counts}
-	l.newest = record.Window
+	l.newest, l.missing = &record, 0
+	l.reported = l.windows[record.Window]
+	if l.reported == nil {
+		l.reported = &window{bySource: make(map[string]Counts)}
+	}
 	maps.DeleteFunc(l.windows, func(each Window, _ *window) bool { return each <= record.Window })
 	l.NextCount = max(l.NextCount, record.CountsFrom)
 }
 
 // isOver tells whether the window's report stands in the log, or one of a later window:
 // reports are written in the order of their windows.
-func (l *Ledger) isOver(each Window) bool { return len(l.reports) > 0 && each <= l.newest }
+func (l *Ledger) isOver(each Window) bool { return l.newest != nil && each <= l.newest.Window }
 
 // Newest returns the newest report; false when there is none.
 func (l *Ledger) Newest() (ReportRecord, bool) {
-	counts, found := l.reports[l.newest]
-	return ReportRecord{Window: l.newest, Counts: counts}, found
+	if l.newest == nil {
+		return ReportRecord{}, false
+	}
+	return *l.newest, true
 }
 
 // Next is the window to report next: the one after the newest that was reported, or
 // else the earlier one of the first with a count and the given one.
 func (l *Ledger) Next(otherwise Window) Window {
-	if len(l.reports) > 0 {
-		return l.newest + 1
+	if l.newest != nil {
+		return l.newest.Window + 1
 	}
 	next := otherwise
 	for each := range l.windows {
@@ -130,11 +176,7 @@
 func (l *Ledger) Report(of Window) ReportRecord {
 	report := ReportRecord{Window: of, Counts: make(Counts), CountsFrom: l.NextCount}
 	if known, found := l.windows[of]; found {
-		for counts := range maps.Values(known.bySource) {
-			for tenant, count := range counts {
-				report.Counts[tenant] += count
-			}
-		}
+		report.Counts = known.sum()
 	}
 	for each, known := range l.windows {
 		if each > of {
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -77,3 +77,19 @@
 		}
 	})
 }
+
+// TestOnlyWhatAReportLacksCameTooLate: a process writes its whole count again, and a new
+// leader reads counts that the report of the leader before holds.
+func TestOnlyWhatAReportLacksCameTooLate(t *testing.T) {
+	ledger := NewLedger()
+	ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 3}})
+	ledger.ApplyReport(ReportRecord{Window: 7, Counts: Counts{"x": 3}, CountsFrom: 1})
+	assert.Equal(t, ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 3}}), int64(0), "the report holds it")
+	assert.Equal(t, ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 5}}), int64(2), "two more than the report holds")
+	assert.Equal(t, ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 5}}), int64(0), "told before")
+	assert.Equal(t, ledger.ApplyCount(CountRecord{"b", 7, Counts{"y": 1}}), int64(1))
+
+	next := NewLedger()
+	next.ApplyReport(ReportRecord{Window: 7, Counts: Counts{"x": 3}, CountsFrom: 0})
+	assert.Equal(t, next.ApplyCount(CountRecord{"a", 7, Counts{"x": 3}}), int64(0), "the report holds it")
+}
--- a/internal/duties/reporter_test.go
+++ b/internal/duties/reporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -194,6 +195,22 @@
 	assert.Equal(t, len(platform.reports), 0)
 }
 
+// TestAHolderThatWasRefusedTwiceReportsNoMore: in this term, whatever is decided after.
+func TestAHolderThatWasRefusedTwiceReportsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, platform := memlog.New(), newFakePlatform()
+		platform.fence[usageSubject] = 9
+		stop := reporting(t, log, platform, &fakeTerm{}, 1)
+		time.Sleep(6 * conflictPause)
+		synctest.Wait()
+		platform.mu.Lock()
+		calls := platform.calls
+		platform.mu.Unlock()
+		assert.Equal(t, calls, maxConflicts)
+		stop()
+	})
+}
+
 func TestNobodyCallsInTheQuietTimeAfterAnotherHolder(t *testing.T) {
 	t.Parallel()
 	log, platform := memlog.New(), newFakePlatform()
