Clear requests only by a success; tell other nodes of it in an outage

Cause: found while the change was read once more. An engine may answer a failure without having begun (its own 504 at the deadline, an engine that fails whatever comes), and any whole answer cleared a request. In an outage other nodes were not told of a success where they had been told of the ends before: the key counted as told.

Change: only a 2xx clears (items: a whole stream, as before). What was told of a key is forgotten when its record becomes a deletion.

Figures: TestOnlyASuccessClearsARequest (400, 500, 504) and TestNodesTellEachOtherOfAnAnswerWhileTheLogIsAway failed before; both pass.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -94,7 +94,7 @@
 	ConnectionLost(ctx context.Context, loss crashes.Loss) bool
 	// Standing returns what is known of an item.
 	Standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing
-	// Answered notes that an engine made the whole output of the item.
+	// Answered notes that an engine ran the item to a good end.
 	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
--- a/internal/crashes/guard.go
+++ b/internal/crashes/guard.go
@@ -144,8 +144,9 @@
 	g.writer.add(encoded)
 }
 
-// Answered notes that an engine gave a whole answer to the request: whatever ended other
-// engines, it was not this request.
+// Answered notes that an engine ran the request to a good end: whatever ended other
+// engines, it was not this request. A failure says nothing, since an engine may fail what it
+// has not begun.
 func (g *Guard) Answered(fingerprint func() quarantine.Fingerprint) {
 	if g.known.Load() == 0 {
 		return
--- a/internal/crashes/guard_test.go
+++ b/internal/crashes/guard_test.go
@@ -137,6 +137,23 @@
 	})
 }
 
+// TestNodesTellEachOtherOfAnAnswerWhileTheLogIsAway: of the same request of which they told
+// that engines had ended under it.
+func TestNodesTellEachOtherOfAnAnswerWhileTheLogIsAway(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		c.log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+		c.lose(0, "a")
+		c.lose(0, "b")
+		c.settle()
+		c.assertHeld(true)
+		c.guards[0].Answered(fingerprint)
+		c.settle()
+		c.assertHeld(false)
+		c.log.SetFault(nil)
+		c.settle()
+	})
+}
+
 // TestWhatAnotherNodeToldOfReachesTheLogAlthoughItEnded: the log is away, the node that saw
 // the engines end is gone before it is back.
 func TestWhatAnotherNodeToldOfReachesTheLogAlthoughItEnded(t *testing.T) {
--- a/internal/crashes/writer.go
+++ b/internal/crashes/writer.go
@@ -61,6 +61,9 @@
 	}
 	w.mu.Lock()
 	for _, record := range records {
+		if w.pending[record.Key].Deleted != record.Deleted {
+			delete(w.told, record.Key)
+		}
 		w.pending[record.Key] = record
 	}
 	w.mu.Unlock()
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -115,9 +115,12 @@
 // countingGuard counts the engines that ended under the only request there is.
 type countingGuard struct {
 	noCrashes
-	crashes int
+	crashes  int
+	answered int
 }
 
+func (g *countingGuard) Answered(func() quarantine.Fingerprint) { g.answered++ }
+
 func (g *countingGuard) ConnectionLost(context.Context, crashes.Loss) bool {
 	g.crashes++
 	return true
@@ -150,3 +153,17 @@
 func (*refusingGuard) Admit(context.Context, func() quarantine.Fingerprint) *errkind.Error {
 	return errkind.New(errkind.Quarantined, "held")
 }
+
+// TestOnlyASuccessClearsARequest: an engine may fail a request that it has not begun, at its
+// deadline or because it fails whatever comes.
+func TestOnlyASuccessClearsARequest(t *testing.T) {
+	for status, cleared := range map[int]int{
+		http.StatusOK: 1, http.StatusBadRequest: 0, http.StatusInternalServerError: 0, http.StatusGatewayTimeout: 0,
+	} {
+		guard := &countingGuard{}
+		reply, failure := callOf(newRelay(scriptedEngines{"a": {Status: status, Stamp: "stamp"}}, guard, 1), "/x/1")
+		assert.Assert(t, failure == nil)
+		assert.Equal(t, reply.Status, status)
+		assert.Equal(t, guard.answered, cleared, "status %d", status)
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -155,7 +155,7 @@
 	if outcome.ConnectionLost && x.quarantined(engine) {
 		result = giveUp
 	}
-	if x.whole {
+	if x.whole && x.status/100 == 2 {
 		x.relay.options.Guard.Answered(x.fingerprintOf)
 	}
 	x.logTry(choice, answer, err, result, outcome.At.Sub(began))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -101,7 +101,7 @@
 	ConnectionLost(ctx context.Context, loss crashes.Loss) bool
 	// Standing returns what is known of a request.
 	Standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing
-	// Answered notes that an engine gave a whole answer to the request.
+	// Answered notes that an engine ran the request to a good end.
 	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
