Send live requests of the soak in one place

Cause: the same lines stood in drive.go and crash.go. Change: one function. Figures: none; unit tests of the soak pass. Conclusion: no change of behaviour.

--- a/internal/bench/soak/crash.go
+++ b/internal/bench/soak/crash.go
@@ -31,12 +31,6 @@
 			kind, prefix = standin.RouteUnsafe, prefixPermit
 		}
 		name := fmt.Sprintf("%s%d", crashPrefix, number)
-		id := v.newID("again-")
-		call := LiveCall{ID: id, Path: prefix + name, Body: "body of " + name, Kind: kind, SentAt: time.Now()}
-		var err error
-		client := v.client.WithKey(settledKey(v.config.Load()))
-		call.Answer, err = client.Live(ctx, v.anyNode().callers, call.Path, id, call.Body, callDeadline)
-		call.Whole = err == nil
-		v.history.addCall(call)
+		v.send(ctx, LiveCall{ID: v.newID("again-"), Path: prefix + name, Body: "body of " + name, Kind: kind})
 	}
 }
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -140,15 +140,20 @@
 func (v *driver) call(ctx context.Context, kind, prefix string) {
 	for retry.Sleep(ctx, callGap) {
 		id := v.newID(kind + "-")
-		call := LiveCall{ID: id, Path: prefix + id, Body: "body of " + id, Kind: kind, SentAt: time.Now()}
-		var err error
-		client := v.client.WithKey(settledKey(v.config.Load()))
-		call.Answer, err = client.Live(ctx, v.anyNode().callers, call.Path, id, call.Body, callDeadline)
-		call.Whole = err == nil
-		v.history.addCall(call)
+		v.send(ctx, LiveCall{ID: id, Path: prefix + id, Body: "body of " + id, Kind: kind})
 	}
 }
 
+// send sends a live request to any node and notes what came back.
+func (v *driver) send(ctx context.Context, call LiveCall) {
+	call.SentAt = time.Now()
+	client := v.client.WithKey(settledKey(v.config.Load()))
+	var err error
+	call.Answer, err = client.Live(ctx, v.anyNode().callers, call.Path, call.ID, call.Body, callDeadline)
+	call.Whole = err == nil
+	v.history.addCall(call)
+}
+
 // train submits one job after the other until ctx ends; the last one goes on
 // until lasting ends.
 func (v *driver) train(ctx, lasting context.Context, trainer int) {
