Begin suspect items apart, and blame them only for ends they alone may have caused

Change: an item under which two engines ended begins at the engine where the last item began longest ago, which takes nothing else for two seconds. Records say whether an end came within that time; an item is held at three ends of which one is such, or at five.

--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -7,7 +7,6 @@
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
-	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 )
 
 // JobAdded implements batch.Observer.
@@ -156,7 +155,7 @@
 		Key:     key,
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
-		Suspect: standing.Crashes >= quarantine.ItemLimit-1,
+		Suspect: standing.ItemSuspect(),
 	}
 	if route.SingleVersion && len(versions) == 1 {
 		item.SameVersion = versions[0]
--- a/internal/batchrun/quarantine.go
+++ b/internal/batchrun/quarantine.go
@@ -18,7 +18,7 @@
 // whether it is. It may not be given up before its time, so it waits for that or for the
 // end of its job; mu is held.
 func (r *Runner) quarantine(job *openJob, key batchplan.Key, standing quarantine.Standing) bool {
-	if !standing.Held(quarantine.ItemLimit, time.Now()) {
+	if !standing.ItemHeld(time.Now()) {
 		return false
 	}
 	r.options.Logger.Warn().Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
--- a/internal/batchrun/quarantine_test.go
+++ b/internal/batchrun/quarantine_test.go
@@ -35,7 +35,7 @@
 	w.engines.events["x"], w.engines.events["y"] = 2, 2
 	until := time.Now().Add(time.Second)
 	w.guard = &fakeGuard{standing: map[quarantine.Fingerprint]quarantine.Standing{
-		itemFingerprint("x"): {Crashes: quarantine.ItemLimit, HeldUntil: until},
+		itemFingerprint("x"): {Crashes: quarantine.ItemLimit, Isolated: 1, HeldUntil: until},
 	}}
 	w.lead()
 	w.submit("j", 1, "x", "y")
@@ -47,12 +47,13 @@
 	assert.Assert(t, !time.Now().Before(until))
 }
 
-// TestAnItemBelowItsLimitRuns: engines that crash by themselves take items with them.
-func TestAnItemBelowItsLimitRuns(t *testing.T) {
+// TestAnItemThatWasNeverApartRuns: engines that crash by themselves, or under others, take
+// items with them.
+func TestAnItemThatWasNeverApartRuns(t *testing.T) {
 	w := newWorld(t, "a")
 	w.engines.events["x"] = 2
 	w.guard = &fakeGuard{standing: map[quarantine.Fingerprint]quarantine.Standing{
-		itemFingerprint("x"): {Crashes: quarantine.ItemLimit - 1, HeldUntil: time.Now().Add(time.Hour)},
+		itemFingerprint("x"): {Crashes: quarantine.SharedItemLimit - 1, HeldUntil: time.Now().Add(time.Hour)},
 	}}
 	w.lead()
 	w.submit("j", 1, "x")
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -51,7 +51,9 @@
 type run struct {
 	engine  string
 	started time.Time
-	cancel  context.CancelFunc
+	// apart is true where nothing else begins at the engine for batchplan.IsolationTime.
+	apart  bool
+	cancel context.CancelFunc
 	// reason is guarded by the runner's mu.
 	reason stopReason
 	// heardAt is when the stream was heard last, in nanoseconds since 1970; stall
@@ -107,7 +109,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	started := &run{engine: engine.ID, started: time.Now(), cancel: cancel}
+	started := &run{engine: engine.ID, started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel}
 	r.runs[key] = started
 	state := &job.items[key.Item]
 	record := job.record.Items[key.Item]
@@ -122,14 +124,14 @@
 	r.wait.Go(func() {
 		defer cancel()
 		err := r.follow(ctx, job, key, engine, started, call)
-		r.observeCrash(engine, call, err)
+		r.observeCrash(engine, started, call, err)
 		r.ended(job, key, started, err)
 	})
 }
 
 // observeCrash finds out what became of an engine that ended an item's stream, and
 // remembers which items gave a whole one.
-func (r *Runner) observeCrash(engine fleet.Engine, call Call, err error) {
+func (r *Runner) observeCrash(engine fleet.Engine, own *run, call Call, err error) {
 	if errors.Is(err, io.EOF) {
 		r.options.Guard.Answered(call.fingerprint)
 		return
@@ -140,6 +142,7 @@
 	}
 	r.options.Guard.ConnectionLost(r.ctx, crashes.Loss{
 		Engine: engine, RequestID: call.ItemID, Fingerprint: call.fingerprint(),
+		Isolated: own.apart && time.Since(own.started) < batchplan.IsolationTime,
 	})
 }
 
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -25,6 +25,7 @@
 // of items keeps its engines in a heap, whose top is looked at anew before use.
 type pass struct {
 	plan    *Plan
+	now     time.Time
 	engines []Engine
 	// byID holds the places of the engines in the slice.
 	byID    map[string]int
@@ -86,10 +87,10 @@
 	return c.engine < other.engine
 }
 
-func newPass(plan *Plan, engines []Engine) *pass {
+func newPass(plan *Plan, engines []Engine, now time.Time) *pass {
 	typical, best := plan.typicalAndBestPace()
 	p := &pass{
-		plan: plan, engines: engines, typical: typical, bestPace: best, turnover: plan.turnover(best),
+		plan: plan, now: now, engines: engines, typical: typical, bestPace: best, turnover: plan.turnover(best),
 		byID: make(map[string]int, len(engines)), classes: make(map[class]*candidates),
 	}
 	for i := range engines {
@@ -136,7 +137,15 @@
 	return engine.Versions[key.model] >= key.minVersion
 }
 
-func (p *pass) hasSlot(engine *Engine) bool { return p.plan.count[engine.ID] < engine.Slots }
+func (p *pass) hasSlot(engine *Engine) bool {
+	return p.plan.count[engine.ID] < engine.Slots && !p.isolated(engine)
+}
+
+// isolated tells whether an engine takes nothing beside a suspect item. Most of the time there
+// is none.
+func (p *pass) isolated(engine *Engine) bool {
+	return len(p.plan.isolatedUntil) > 0 && p.now.Before(p.plan.isolatedUntil[engine.ID])
+}
 
 // score is the time between events expected at the engine with one item more, in
 // units of the typical one.
@@ -160,6 +169,9 @@
 
 // choose returns the best engine for an item.
 func (p *pass) choose(item Item) (string, bool) {
+	if item.Suspect {
+		return p.chooseApart(item)
+	}
 	of := p.classOf(item)
 	if of.blocked && item.Tokens > of.freeTokens {
 		return "", false
@@ -169,7 +181,7 @@
 		best, found = home, true
 	}
 	if !found {
-		if item.Avoid == "" && item.SameVersion == 0 && !item.Suspect {
+		if item.Avoid == "" && item.SameVersion == 0 {
 			p.block(of)
 		}
 		return "", false
@@ -181,6 +193,26 @@
 	return p.engines[best.engine].ID, true
 }
 
+// chooseApart returns the engine for a suspect item: the one where the last item began
+// longest ago, since whatever ends engines does so soon after it begins.
+func (p *pass) chooseApart(item Item) (string, bool) {
+	key := class{item.Service, item.Model, item.MinVersion}
+	var best *Engine
+	for i := range p.engines {
+		engine := &p.engines[i]
+		if !p.serves(engine, key) || !p.fits(item, engine) {
+			continue
+		}
+		if best == nil || p.plan.startedAt[engine.ID].Before(p.plan.startedAt[best.ID]) {
+			best = engine
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.ID, true
+}
+
 // best returns the candidate with the lowest score that fits the item itself.
 func (p *pass) best(item Item, of *candidates) (candidate, bool) {
 	var unfit []candidate
@@ -228,9 +260,6 @@
 	if engine.ID == item.Avoid && len(p.plan.paces) > 1 {
 		return false
 	}
-	if item.Suspect && p.plan.suspects[engine.ID] > 0 {
-		return false
-	}
 	if item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion {
 		return false
 	}
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -38,8 +38,8 @@
 	NotBefore time.Time
 	// Avoid is the engine that failed it last.
 	Avoid string
-	// Suspect: engines have ended while they ran the item among others. No two of these
-	// run at one engine, so that the next end tells which of them it was.
+	// Suspect: engines have ended while they ran the item among others. It begins apart, so
+	// that the next end tells whether it was this one; see IsolationTime.
 	Suspect bool
 }
 
@@ -70,6 +70,10 @@
 // paceWeight is the weight of a new observation in an engine's moving mean.
 const paceWeight = 0.1
 
+// IsolationTime is how long after a suspect item has begun its engine takes no other item.
+// What ends engines does so soon after it begins.
+const IsolationTime = 2 * time.Second
+
 // Plan holds the waiting and the running items.
 type Plan struct {
 	// jobs holds the known jobs, order the same in the order in which their items start.
@@ -81,8 +85,10 @@
 	count map[string]int
 	// tokens is the memory expected of the running items of each engine.
 	tokens map[string]int
-	// suspects counts the running items of each engine that are suspect.
-	suspects map[string]int
+	// startedAt is when an item began last at each engine, isolatedUntil the time until which
+	// an engine takes no item beside a suspect one.
+	startedAt     map[string]time.Time
+	isolatedUntil map[string]time.Time
 	// paces is the moving mean of the time between events of each engine.
 	paces map[string]time.Duration
 	// homes is the engine of each group's latest item.
@@ -119,14 +125,15 @@
 // New returns an empty plan.
 func New() *Plan {
 	return &Plan{
-		jobs:     make(map[string]*jobRank),
-		waiting:  make(map[Key]Item),
-		running:  make(map[Key]placed),
-		tokens:   make(map[string]int),
-		count:    make(map[string]int),
-		suspects: make(map[string]int),
-		paces:    make(map[string]time.Duration),
-		homes:    make(map[string]string),
+		jobs:          make(map[string]*jobRank),
+		waiting:       make(map[Key]Item),
+		running:       make(map[Key]placed),
+		tokens:        make(map[string]int),
+		count:         make(map[string]int),
+		startedAt:     make(map[string]time.Time),
+		isolatedUntil: make(map[string]time.Time),
+		paces:         make(map[string]time.Duration),
+		homes:         make(map[string]string),
 	}
 }
 
@@ -155,12 +162,11 @@
 	p.count[place.engine]--
 	p.tokens[place.engine] -= place.tokens
 	if place.suspect {
-		p.suspects[place.engine]--
+		delete(p.isolatedUntil, place.engine)
 	}
 	if p.count[place.engine] == 0 {
 		delete(p.count, place.engine)
 		delete(p.tokens, place.engine)
-		delete(p.suspects, place.engine)
 	}
 }
 
@@ -233,6 +239,7 @@
 // ForgetEngines drops what is known of engines that are gone.
 func (p *Plan) ForgetEngines(gone func(engine string) bool) {
 	maps.DeleteFunc(p.paces, func(engine string, _ time.Duration) bool { return gone(engine) })
+	maps.DeleteFunc(p.startedAt, func(engine string, _ time.Time) bool { return gone(engine) })
 }
 
 // Assign starts waiting items at engines with room and returns what it started.
@@ -240,7 +247,7 @@
 	if len(p.waiting) == 0 {
 		return nil
 	}
-	pass := newPass(p, engines)
+	pass := newPass(p, engines, now)
 	var assigned []Assignment
 	for _, item := range p.queue(now) {
 		engine, found := pass.choose(item)
@@ -251,16 +258,17 @@
 		assigned = append(assigned, Assignment{
 			Item: item, Engine: engine, Running: p.count[engine], Pace: p.paces[engine],
 		})
-		p.place(item, engine)
+		p.place(item, engine, now)
 	}
 	return assigned
 }
 
 // place notes that an item runs at an engine.
-func (p *Plan) place(item Item, engine string) {
+func (p *Plan) place(item Item, engine string, now time.Time) {
 	p.running[item.Key] = placed{item.Service, engine, item.Tokens, item.Length, item.Suspect}
+	p.startedAt[engine] = now
 	if item.Suspect {
-		p.suspects[engine]++
+		p.isolatedUntil[engine] = now.Add(IsolationTime)
 	}
 	p.runningLength += item.Length
 	p.count[engine]++
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -189,7 +189,7 @@
 
 // bestOfAll is the choice that looks at every engine for every item.
 func bestOfAll(plan *Plan, item Item, engines []Engine) (string, bool) {
-	look := newPass(plan, engines)
+	look := newPass(plan, engines, now)
 	best, bestScore := "", 0.0
 	for i := range engines {
 		engine := &engines[i]
@@ -230,7 +230,7 @@
 			each.Avoid = rapid.SampledFrom([]string{"", "", "e0", "e1"}).Draw(t, "avoid")
 			plan.Add(each)
 		}
-		pass := newPass(plan, engines)
+		pass := newPass(plan, engines, now)
 		for _, each := range plan.queue(now) {
 			want, wantFound := bestOfAll(plan, each, engines)
 			got, found := pass.choose(each)
@@ -238,7 +238,7 @@
 				t.Fatalf("item %+v: %q %t, the best of all is %q %t", each, got, found, want, wantFound)
 			}
 			if found {
-				plan.place(each, got)
+				plan.place(each, got, now)
 			}
 		}
 	})
@@ -287,8 +287,8 @@
 	assert.DeepEqual(t, placed(fast), []string{"fast"})
 }
 
-// TestSuspectItemsDoNotShareAnEngine: others run beside them.
-func TestSuspectItemsDoNotShareAnEngine(t *testing.T) {
+// TestNothingBeginsBesideASuspectItem: for a while, or until it has ended.
+func TestNothingBeginsBesideASuspectItem(t *testing.T) {
 	plan := New()
 	for i := range 3 {
 		suspect := item("j", i, 100-i)
@@ -298,9 +298,27 @@
 	plan.Add(item("j", 3, 1))
 	engines := []Engine{engine("a", 8, 3), engine("b", 8, 3)}
 	assigned := plan.Assign(now, engines)
-	assert.DeepEqual(t, started(assigned), []Key{{"j", 0}, {"j", 1}, {"j", 3}})
+	assert.DeepEqual(t, started(assigned), []Key{{"j", 0}, {"j", 1}})
 	assert.Assert(t, assigned[0].Engine != assigned[1].Engine)
-	assert.Equal(t, len(plan.Assign(now, engines)), 0)
+	assert.Equal(t, len(plan.Assign(now.Add(IsolationTime-1), engines)), 0)
 	plan.Ended(Key{"j", 1})
 	assert.DeepEqual(t, started(plan.Assign(now, engines)), []Key{{"j", 2}})
+	assert.DeepEqual(t, started(plan.Assign(now.Add(IsolationTime), engines)), []Key{{"j", 3}})
+}
+
+// TestASuspectItemBeginsWhereNothingBeganJustNow: another that ends engines may have.
+func TestASuspectItemBeginsWhereNothingBeganJustNow(t *testing.T) {
+	plan := New()
+	engines := []Engine{engine("a", 8, 3), engine("b", 8, 3)}
+	plan.Add(item("j", 0, 1))
+	plan.Add(item("j", 2, 1))
+	first := plan.Assign(now, engines[:1])
+	assert.Equal(t, len(first), 2)
+	plan.Add(item("j", 4, 1))
+	plan.Assign(now.Add(time.Second), engines[1:])
+	suspect := item("j", 6, 1)
+	suspect.Suspect = true
+	plan.Add(suspect)
+	assigned := plan.Assign(now.Add(time.Second), engines)
+	assert.Equal(t, assigned[0].Engine, "a")
 }
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -12,8 +12,11 @@
 	// what one exchange may ask.
 	RequestLimit = 2
 	// ItemLimit is the same for items of batch jobs. They run for seconds beside others of
-	// their engine, all of which are lost with it, so one engine more decides between them.
-	ItemLimit = 3
+	// their engine, all of which are lost with it: one engine more, at which the item began
+	// apart from others, decides between them. SharedItemLimit holds where none of the ends
+	// was such a one.
+	ItemLimit       = 3
+	SharedItemLimit = 5
 
 	// firstHold is how long a request is kept away once two engines have ended under it;
 	// each engine more, and each trial, multiplies it by holdFactor, up to longestHold.
@@ -41,6 +44,8 @@
 	Fingerprint Fingerprint
 	// Engine is the engine that ended while it ran the request; empty in a trial.
 	Engine string
+	// Isolated: nothing else began at the engine shortly before.
+	Isolated bool
 	// Trial names a claim to send the request once, although it is held; empty in an
 	// observed end.
 	Trial string
@@ -63,6 +68,8 @@
 type Standing struct {
 	// Crashes counts the engines that ended under it.
 	Crashes int
+	// Isolated counts those of them at which nothing else began shortly before.
+	Isolated int
 	// HeldUntil is the time until which it is kept away from engines once Crashes has
 	// reached its limit.
 	HeldUntil time.Time
@@ -75,6 +82,15 @@
 	return s.Crashes >= limit && now.Before(s.HeldUntil)
 }
 
+// ItemHeld tells whether an item of a batch job is kept away from engines.
+func (s Standing) ItemHeld(now time.Time) bool {
+	blamed := s.Crashes >= ItemLimit && s.Isolated > 0 || s.Crashes >= SharedItemLimit
+	return blamed && now.Before(s.HeldUntil)
+}
+
+// ItemSuspect tells whether an item is to begin apart from others.
+func (s Standing) ItemSuspect() bool { return s.Crashes >= ItemLimit-1 }
+
 // OnTrial tells whether the request may be sent once more, by whoever is granted it.
 func (s Standing) OnTrial(limit int, now time.Time) bool {
 	return s.Crashes >= limit && !now.Before(s.HeldUntil)
@@ -180,6 +196,9 @@
 		switch {
 		case record.Engine != "":
 			standing.Crashes++
+			if record.Isolated {
+				standing.Isolated++
+			}
 		case standing.OnTrial(RequestLimit, record.At) && record.Offset != Unlogged:
 			trials++
 			standing.Granted = record.Trial
--- a/internal/core/quarantine/ledger_test.go
+++ b/internal/core/quarantine/ledger_test.go
@@ -47,6 +47,25 @@
 	assert.Equal(t, ledger.Standing(other, now), Standing{})
 }
 
+func TestAnItemIsHeldForAnEndThatItAloneMayHaveCaused(t *testing.T) {
+	isolated := func(record Record) Record {
+		record.Isolated = true
+		return record
+	}
+	shared := ledgerOf(end("a", 0, 0), end("b", 0, 1), end("c", 0, 2), end("d", 0, 3))
+	assert.Assert(t, !shared.Standing(request, began).ItemHeld(began), "never apart from others")
+	shared.Put(end("e", 0, 4))
+	assert.Assert(t, shared.Standing(request, began).ItemHeld(began), "too often")
+
+	apart := ledgerOf(end("a", 0, 0))
+	assert.Assert(t, !apart.Standing(request, began).ItemSuspect())
+	apart.Put(end("b", 0, 1))
+	assert.Assert(t, apart.Standing(request, began).ItemSuspect())
+	assert.Assert(t, !apart.Standing(request, began).ItemHeld(began))
+	apart.Put(isolated(end("c", 0, 2)))
+	assert.Assert(t, apart.Standing(request, began).ItemHeld(began))
+}
+
 func TestTheSameEndSeenByTwoNodesCountsOnce(t *testing.T) {
 	ledger := NewLedger()
 	assert.Assert(t, ledger.Put(end("a", 0, Unlogged)))
--- a/internal/crashes/record.go
+++ b/internal/crashes/record.go
@@ -26,6 +26,8 @@
 type value struct {
 	// AtMs is the time of day of the observation in milliseconds since 1970.
 	AtMs int64 `msgpack:"a"`
+	// Isolated is quarantine.Record.Isolated.
+	Isolated bool `msgpack:"i,omitempty"`
 }
 
 func keyOf(record quarantine.Record) string {
@@ -38,7 +40,7 @@
 
 // encode returns the record as it stands in the log.
 func encode(record quarantine.Record) (eventlog.KeyedRecord, error) {
-	raw, err := msgpack.Marshal(&value{AtMs: record.At.UnixMilli()})
+	raw, err := msgpack.Marshal(&value{AtMs: record.At.UnixMilli(), Isolated: record.Isolated})
 	if err != nil {
 		return eventlog.KeyedRecord{}, errors.Wrap(err, "encode the record")
 	}
@@ -80,6 +82,6 @@
 	if err := msgpack.Unmarshal(from.Value, &decoded); err != nil {
 		return quarantine.Record{}, errors.Wrap(err, "decode the value")
 	}
-	record.At = time.UnixMilli(decoded.AtMs)
+	record.At, record.Isolated = time.UnixMilli(decoded.AtMs), decoded.Isolated
 	return record, nil
 }
--- a/internal/crashes/record_test.go
+++ b/internal/crashes/record_test.go
@@ -14,7 +14,7 @@
 
 func TestRecordsAreReadAsTheyWereWritten(t *testing.T) {
 	for _, record := range []quarantine.Record{
-		{Fingerprint: crashing, Engine: "i-1/2", At: time.UnixMilli(1234), Offset: 7},
+		{Fingerprint: crashing, Engine: "i-1/2", Isolated: true, At: time.UnixMilli(1234), Offset: 7},
 		{Fingerprint: crashing, Trial: "claim", At: time.UnixMilli(1234), Offset: 7},
 	} {
 		encoded, err := encode(record)
--- a/internal/crashes/watch.go
+++ b/internal/crashes/watch.go
@@ -45,6 +45,8 @@
 	// RequestID is the ID of the request or of the item.
 	RequestID   string
 	Fingerprint quarantine.Fingerprint
+	// Isolated: nothing else began at the engine shortly before.
+	Isolated bool
 }
 
 // Options are the parts that a watch works with.
