Give roles what is left of the grace period to end, and less to each last write

Roles had 350 ms after the node had drained, though seconds of the grace period were left; the last write of counts of use may take 600 ms.

Change: roles have until 350 ms before the end of the grace period, the last write of counts 300 ms.

--- a/internal/batchrun/quarantine_test.go
+++ b/internal/batchrun/quarantine_test.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
+	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -16,6 +18,21 @@
 	noCrashes
 	mu       sync.Mutex
 	standing map[quarantine.Fingerprint]quarantine.Standing
+	losses   []crashes.Loss
+}
+
+func (g *fakeGuard) ConnectionLost(_ context.Context, loss crashes.Loss) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losses = append(g.losses, loss)
+	return true
+}
+
+// lost returns the connections that were lost.
+func (g *fakeGuard) lost() []crashes.Loss {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]crashes.Loss(nil), g.losses...)
 }
 
 func (g *fakeGuard) Standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing {
@@ -59,3 +76,26 @@
 	w.submit("j", 1, "x")
 	assert.Equal(t, string(w.awaitResults(1)["j/0"].Text), wholeText("x", 2))
 }
+
+// TestOnlyAnEndOfAnItemThatBeganApartIsTold: of an item that is suspect, soon after it began.
+func TestOnlyAnEndOfAnItemThatBeganApartIsTold(t *testing.T) {
+	for name, ended := range map[string]int{"suspect": quarantine.ItemLimit - 1, "not suspect": 1} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, "a", "b")
+			w.engines.events["x"] = 2
+			guard := &fakeGuard{standing: map[quarantine.Fingerprint]quarantine.Standing{itemFingerprint("x"): {Crashes: ended}}}
+			w.guard = guard
+			w.engines.refuse = func(_ string, call Call) *RefusedError {
+				if calls := guard.lost(); len(calls) == 0 {
+					return &RefusedError{Refusal: Broken, ConnectionLost: true, Detail: "EOF"}
+				}
+				return nil
+			}
+			w.lead()
+			w.submit("j", 1, "x")
+			w.awaitResults(1)
+			assert.Equal(t, len(guard.lost()), 1)
+			assert.Equal(t, guard.lost()[0].Isolated, ended >= quarantine.ItemLimit-1)
+		})
+	}
+}
--- a/internal/duties/counter.go
+++ b/internal/duties/counter.go
@@ -32,8 +32,9 @@
 	// countLife is how long counts are kept that could not be written: reports of older
 	// windows were given up.
 	countLife = 5 * time.Minute
-	// lastWrite bounds the write at the end of the process.
-	lastWrite = 600 * time.Millisecond
+	// lastWrite bounds the write at the end of the process, whose roles have 350 ms at
+	// least to end.
+	lastWrite = 300 * time.Millisecond
 )
 
 var countRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
--- a/internal/duties/reporter_test.go
+++ b/internal/duties/reporter_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/core/usage"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -95,6 +96,33 @@
 }
 
 // TestCountsOutliveLostAnswersAndOutages: what is written twice counts once.
+// silentLog never answers.
+type silentLog struct{ *memlog.Log }
+
+func (silentLog) Append(ctx context.Context, _ eventlog.Partition, _ [][]byte) (int64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// TestANodeThatStopsDoesNotWaitForASilentLog: its roles have 350 ms at least to end.
+func TestANodeThatStopsDoesNotWaitForASilentLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter := NewCounter(silentLog{memlog.New()}, "one", span, pacing.Budget{}, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = counter.Run(ctx)
+		}()
+		counter.Began("a", time.Now())
+		time.Sleep(10 * time.Second)
+		stopped := time.Now()
+		cancel()
+		<-ended
+		assert.Assert(t, time.Since(stopped) < 350*time.Millisecond, "%s", time.Since(stopped))
+	})
+}
+
 func TestCountsOutliveLostAnswersAndOutages(t *testing.T) {
 	t.Parallel()
 	for name, fault := range map[string]memlog.Fault{
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -267,8 +267,8 @@
 	case <-ctx.Done():
 	case <-groupContext.Done():
 	}
-	n.stop(stopRoles)
-	err := waitAtMost(group.Wait, exitSlack/2)
+	left := n.stop(stopRoles)
+	err := waitAtMost(group.Wait, left)
 	n.logger.Info().Err(err).Msg("node stopped")
 	return err
 }
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -11,6 +11,9 @@
 	takenOut = 2600 * time.Millisecond
 	// exitSlack is what is left of the grace period when the process ends.
 	exitSlack = 700 * time.Millisecond
+	// minRoleTime is the least time that the roles have to end; as much is left to the
+	// process after them.
+	minRoleTime = exitSlack / 2
 	// releaseTimeout bounds giving up the leadership, for which the last part of
 	// the grace period is kept.
 	releaseTimeout = 1500 * time.Millisecond
@@ -19,8 +22,9 @@
 // stop carries out the planned stop: no longer ready, requests answered until
 // none comes any more or the grace period is nearly over, and then the
 // leadership released. It is kept until then, since in a rolling restart all
-// other nodes may be stopping or starting.
-func (n *node) stop(stopRoles context.CancelFunc) {
+// other nodes may be stopping or starting. It returns the time that the roles, told to
+// end, still have: they write what is left, and the log may be slow to take it.
+func (n *node) stop(stopRoles context.CancelFunc) time.Duration {
 	began := time.Now()
 	n.state.beginStop()
 	n.logger.Info().Int64("in_flight", n.callers.inFlight.Load()).Msg("node stopping")
@@ -47,6 +51,7 @@
 	_ = n.peers.http.Close()
 	_ = n.callers.http.Close()
 	n.logger.Info().Dur("took_ms", time.Since(began)).Int64("in_flight", n.callers.inFlight.Load()).Msg("node drained")
+	return max(minRoleTime, time.Until(began.Add(grace-minRoleTime)))
 }
 
 // releaseOnce gives up the leadership once all requests are answered, or when
