Tell by what an order was allowed, and of records behind a later claim

Cause: the nodes' output could not tell the three hypotheses apart: not where and when an order was recorded, how old the node's newest read was, how much of its lease was left, when the engine answered, nor that a record of an earlier holder stood behind a later claim. Change: lines 'order recorded', 'order answered' and 'record of an earlier lease', a counter of such records. No change of logic.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -13,6 +13,16 @@
 // RecordKind is what a record does.
 type RecordKind uint8
 
+// String returns the kind as it stands in logs.
+func (k RecordKind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+var kindNames = [...]string{Claim: "claim", Renew: "renew", Release: "release", Order: "order"}
+
 // The kinds of records.
 const (
 	Claim RecordKind = iota + 1
@@ -100,6 +110,12 @@
 	s.Epoch, s.Holder, s.Node, s.Released, s.SeenAt = epoch, record.Holder, record.Node, false, at
 }
 
+// IsBehind tells whether a record that comes next is one of a holder whose epoch is over: it
+// was written after another claim had won. It tells an observer that its writer did not know.
+func (s *State) IsBehind(record Record) bool {
+	return (record.Kind == Renew || record.Kind == Order) && record.Epoch < s.Epoch
+}
+
 // Skip passes over a record that cannot be read.
 func (s *State) Skip() { s.SkipTo(s.Next + 1) }
 
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -192,7 +192,7 @@
 		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
 		ClaimDelay: claimDelay(config.Node.Processors),
 		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
-		Budget: n.directory.Budget(), Logger: logger,
+		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: logger,
 	}, n.lead)
 	return n, n.listen(n.peersHandler(direct, log))
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
 // metrics are the counters and histograms of a hosted node.
@@ -21,6 +22,7 @@
 	scoring      *prometheus.HistogramVec
 	lost         *prometheus.CounterVec
 	suspected    prometheus.Gauge
+	behind       *prometheus.CounterVec
 	dropped      prometheus.Counter
 	leftOut      prometheus.Counter
 }
@@ -57,6 +59,10 @@
 		suspected: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_hosted_suspected_requests", Help: "Requests under which an engine ended, as this node knows.",
 		}),
+		behind: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_earlier_lease_records_total",
+			Help: "Records that a holder of the lease wrote after another claim had won, by kind.",
+		}, []string{"kind"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corkpulley_hosted_log_lines_dropped_total", Help: "Log lines left out because their reader was slow.",
 		}),
@@ -65,7 +71,8 @@
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
 	registry.MustRegister(
-		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.dropped, m.leftOut,
+		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
+		m.dropped, m.leftOut,
 	)
 	return m
 }
@@ -96,6 +103,9 @@
 
 func (m *metrics) requestsSuspected(requests int) { m.suspected.Set(float64(requests)) }
 
+// recordBehind counts a record of an earlier holder of the lease.
+func (m *metrics) recordBehind(kind lease.RecordKind) { m.behind.WithLabelValues(kind.String()).Inc() }
+
 func (m *metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -81,6 +81,8 @@
 	EnginesFence bool
 	// Budget is what all nodes together may read of the log.
 	Budget pacing.Budget
+	// Behind, if set, is told of each record that a holder wrote after another claim had won.
+	Behind func(kind lease.RecordKind)
 	Logger zerolog.Logger
 }
 
@@ -176,7 +178,21 @@
 func (e *Elector) RecordOrder(ctx context.Context, epoch int64, engine string) error {
 	record := e.record(lease.Order, epoch)
 	record.Engines = []string{engine}
-	return e.append(ctx, record)
+	began := e.now()
+	offset, err := e.append(ctx, record)
+	e.logOrder(engine, epoch, offset, began, err)
+	return err
+}
+
+// logOrder tells by what an order was allowed: the place of its record, how old the node's
+// knowledge of the log was, and how much of its lease was left.
+func (e *Elector) logOrder(engine string, epoch, offset int64, began time.Time, err error) {
+	now := e.now()
+	e.mu.Lock()
+	readAge, leaseLeft := now.Sub(e.readAt), e.validUntil.Sub(now)
+	e.mu.Unlock()
+	e.options.Logger.Info().Err(err).Str("engine", engine).Int64("epoch", epoch).Int64("offset", offset).
+		Dur("took_ms", now.Sub(began)).Dur("read_age_ms", readAge).Dur("lease_left_ms", leaseLeft).Msg("order recorded")
 }
 
 // Leader returns the holder of the lease and its epoch, as last read.
@@ -207,7 +223,7 @@
 	}
 	e.awaitRole(ctx)
 	for ctx.Err() == nil {
-		if err := e.append(ctx, e.record(lease.Release, epoch)); err == nil {
+		if _, err := e.append(ctx, e.record(lease.Release, epoch)); err == nil {
 			e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership released")
 			return
 		}
@@ -270,13 +286,13 @@
 	return record
 }
 
-func (e *Elector) append(ctx context.Context, record lease.Record) error {
+// append returns the offset of the record.
+func (e *Elector) append(ctx context.Context, record lease.Record) (int64, error) {
 	raw, err := msgpack.Marshal(&record)
 	if err != nil {
-		return errors.Wrap(err, "encode the lease record")
+		return 0, errors.Wrap(err, "encode the lease record")
 	}
-	_, err = e.log.Append(ctx, e.partition, [][]byte{raw})
-	return err
+	return e.log.Append(ctx, e.partition, [][]byte{raw})
 }
 
 func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) error {
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -70,7 +70,7 @@
 	record.Sequence = e.noteRenewal(sent)
 	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
 	defer cancel()
-	if err := e.append(ctx, record); err != nil {
+	if _, err := e.append(ctx, record); err != nil {
 		e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
 		return
 	}
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -53,6 +53,9 @@
 			e.state.Skip()
 			continue
 		}
+		if e.state.IsBehind(record) {
+			e.noteBehind(record)
+		}
 		if e.state.Apply(record, now) {
 			e.epochChanged(record)
 		}
@@ -70,6 +73,17 @@
 	}
 }
 
+// noteBehind tells that a holder wrote after another claim had won: two nodes took
+// themselves for the leader at that place of the log. mu is held.
+func (e *Elector) noteBehind(record lease.Record) {
+	e.options.Logger.Warn().Stringer("kind", record.Kind).Str("holder", record.Holder).Int64("epoch", record.Epoch).
+		Int64("newest_epoch", e.state.Epoch).Int64("offset", e.state.Next).Strs("engines", record.Engines).
+		Msg("record of an earlier lease")
+	if e.options.Behind != nil {
+		e.options.Behind(record.Kind)
+	}
+}
+
 // epochChanged starts the own lease from when its claim was sent; mu is held.
 func (e *Elector) epochChanged(record lease.Record) {
 	if record.Holder == e.options.Holder {
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -84,6 +84,7 @@
 	if !m.options.Valid() || ctx.Err() != nil {
 		return Refused
 	}
+	began := time.Now()
 	callContext, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := m.options.Engines.Order(callContext, engine, Order{
@@ -93,6 +94,8 @@
 	if err != nil {
 		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order failed")
 	}
+	m.options.Logger.Info().Str("engine", engine.ID).Int64("fence", m.options.Fence).Stringer("answer", answer).
+		Dur("took_ms", time.Since(began)).Msg("order answered")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if answer == Taken {
