--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -167,12 +167,18 @@
 
 // start starts a node and waits until it is ready.
 func (d *deployment) start(id string) *process {
+	d.t.Helper()
+	return d.startThrough(id, d.address)
+}
+
+// startThrough starts a node that calls the log at an address of its own.
+func (d *deployment) startThrough(id, log string) *process {
 	d.t.Helper()
 	config := settings.Default()
 	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
 	addresses := freeAddresses(d.t, 3)
 	config.Listen = settings.Listen{Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
-	config.Hosted.Log = d.address
+	config.Hosted.Log = log
 	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
 	config.Hosted.OrderQuiet = settings.Duration(d.orderQuiet)
 	config.Hosted.EnginesFence = d.enginesFence
@@ -189,7 +195,7 @@
 	}
 	go func() {
 		defer close(p.done)
-		if err := hosted.Run(ctx, config, platform.New(d.address, d.duties), nil, p.logs); err != nil {
+		if err := hosted.Run(ctx, config, platform.New(log, d.duties), nil, p.logs); err != nil {
 			d.t.Errorf("node %s: %v", id, err)
 		}
 	}()
