Test that a late record of an order hides no newer order

Cause: only the newest record of an engine is kept, and an append without an answer may be done seconds later. The record of an earlier holder then replaces that of a newer one, and the earlier holder's machine, leading again, waits for nobody. Fails here, three times of three under -race; the code is not changed.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -191,3 +191,18 @@
 		}
 	})
 }
+
+// TestALateRecordOfAnOrderHidesNoNewerOrder: an append without an answer may be done
+// seconds later, so the record of an earlier holder's order may stand after that of a
+// newer holder, whose order is the newer one all the same.
+func TestALateRecordOfAnOrderHidesNoNewerOrder(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(claim("b", "b1", 1), start)
+	ordered := start.Add(ttl)
+	state.Apply(orderOf("b", 2, 0, "e1"), ordered)
+	state.Apply(orderOf("a", 1, 0, "e1"), ordered)
+	assert.Assert(t, state.Apply(claim("a", "a1", 2), ordered))
+	until := state.QuietUntil("e1", quiet, false)
+	assert.Assert(t, !until.Before(ordered.Add(quiet)), "a may order at %s, b did so at %s", until, ordered)
+}
