Test that a reader after a gap agrees who holds the lease

Cause: a reader for which all records of the holder are gone knows no epoch, and may claim at once. Its claim names no epoch; it counts for that reader alone until its first renewal. Fails here, three times of three under -race; the code is not changed.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -206,3 +206,23 @@
 	until := state.QuietUntil("e1", quiet, false)
 	assert.Assert(t, !until.Before(ordered.Add(quiet)), "a may order at %s, b did so at %s", until, ordered)
 }
+
+// TestAReaderAfterAGapAgreesWhoHoldsTheLease: it reads what is still kept, the others have
+// read all. A claim counts for all of them or for none.
+func TestAReaderAfterAGapAgreesWhoHoldsTheLease(t *testing.T) {
+	var all, rest State
+	apply := func(record Record) {
+		all.Apply(record, start)
+		rest.Apply(record, start)
+	}
+	all.Apply(claim("a", "a1", 0), start)
+	all.Apply(renewal("a", "a1", 1, 0), start)
+	rest.SkipTo(all.Next)
+	// It knows nobody. If it may claim, it names what it knows.
+	if !rest.Claimable("c", "c1", start, start, ttl) {
+		return
+	}
+	apply(claim("c", "c1", rest.Epoch))
+	assert.Equal(t, rest.Holder, all.Holder)
+	assert.Equal(t, rest.Epoch, all.Epoch)
+}
