Test that a late renewal puts no earlier epoch in force

Cause: a reader after a gap takes the epoch from the first renewal that it reads, and an append without an answer may be done seconds later, so that it may be of a holder that was followed by another. The reader's claim then names an epoch that is in force for nobody else.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -226,3 +226,23 @@
 	assert.Equal(t, rest.Holder, all.Holder)
 	assert.Equal(t, rest.Epoch, all.Epoch)
 }
+
+// TestALateRenewalPutsNoEarlierEpochInForce: the reader after a gap takes the epoch from the
+// first renewal, which may be one that was done seconds later, after another holder's claim.
+func TestALateRenewalPutsNoEarlierEpochInForce(t *testing.T) {
+	var all, rest State
+	apply := func(record Record) {
+		all.Apply(record, start)
+		rest.Apply(record, start)
+	}
+	all.Apply(claim("a", "a1", 0), start)
+	all.Apply(claim("b", "b1", 1), start)
+	rest.SkipTo(all.Next)
+	apply(renewal("a", "a1", 1, ttl))
+	later := start.Add(2 * ttl)
+	if rest.Claimable("c", "c1", later, start, ttl) {
+		apply(claim("c", "c1", rest.Epoch))
+	}
+	assert.Equal(t, rest.Holder, all.Holder)
+	assert.Equal(t, rest.Epoch, all.Epoch)
+}
