Test that no time is proven from before an order

Cause: the order of an earlier holder takes its place at the newest time that the holder in force has proven, which may lie a renewal's period and more before it; the next renewal then proves that as time after the order.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -246,3 +246,16 @@
 	assert.Equal(t, rest.Holder, all.Holder)
 	assert.Equal(t, rest.Epoch, all.Epoch)
 }
+
+// TestNoTimeIsProvenFromBeforeAnOrder: a renewal proves the time since the one before it, not
+// since an order of an earlier holder whose record stands between the two.
+func TestNoTimeIsProvenFromBeforeAnOrder(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(claim("b", "b1", 1), start)
+	ordered := start.Add(time.Second)
+	state.Apply(orderOf("a", 1, 0, "e1"), ordered)
+	state.Apply(renewal("b", "b1", 2, time.Second), ordered)
+	until := state.QuietUntil("e1", quiet, false)
+	assert.Assert(t, !until.Before(ordered.Add(quiet)), "quiet until %s, ordered at %s", until, ordered)
+}
