Test that the quiet time follows the latest arrival of an order

Cause: the quiet time is counted from where others read the announcement, plus 0.8 s. The order leaves only when the announcement is acknowledged, up to 0.5 s later, and its call may take 0.8 s from then.

--- /dev/null
+++ b/internal/leadership/arrival_test.go
@@ -0,0 +1,49 @@
+package leadership
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// engineCall is how long a call of an engine may take: weightorders.callTimeout.
+const engineCall = 800 * time.Millisecond
+
+// slowAnswers is a link to a log whose answers to plain appends come late.
+type slowAnswers struct {
+	eventlog.Log
+	delay time.Duration
+}
+
+func (s *slowAnswers) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
+	offset, err := s.Log.Append(ctx, name, records)
+	time.Sleep(s.delay)
+	return offset, err
+}
+
+// TestQuietTimeFollowsTheLatestArrivalOfAnOrder: an order leaves once the announcement is
+// acknowledged, which may be long after others have read of it, and arrives up to the time
+// of a call later still.
+func TestQuietTimeFollowsTheLatestArrivalOfAnOrder(t *testing.T) {
+	log := memlog.New()
+	const delay = 350 * time.Millisecond // an announcement may take 500 ms
+	first := join(t, &slowAnswers{Log: log, delay: delay}, "a", "a1")
+	testwait.Until(t, "a leads", first.leads)
+	second := join(t, log, "b", "b1")
+	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	epoch := first.lastTerm().Epoch
+	assert.NilError(t, first.elector.RecordOrder(t.Context(), epoch, "ordered"))
+	assert.Assert(t, first.elector.Valid(epoch), "a may not order")
+	arrives := time.Now().Add(engineCall)
+	first.cancel()
+	testwait.Until(t, "b leads", second.leads)
+	until := second.elector.QuietUntil("ordered")
+	gap := until.Sub(arrives)
+	assert.Assert(t, gap >= testTTL, "b may order %s after the order of a arrives, quiet is %s", gap, testTTL)
+}
