Test that the quiet time follows an order of an earlier process

Cause: no time lies between the orders of two processes of one machine, though the bytes that the earlier one sent may arrive later, with the lower fencing token. A test of core/lease states the opposite (an earlier process of the same machine ordered it) and would have to be replaced.

--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -47,3 +47,19 @@
 	gap := until.Sub(arrives)
 	assert.Assert(t, gap >= testTTL, "b may order %s after the order of a arrives, quiet is %s", gap, testTTL)
 }
+
+// TestQuietTimeFollowsAnOrderOfAnEarlierProcess: bytes that a process has sent arrive although
+// it has ended, beside the first orders of the next one, which bear a higher fencing token.
+func TestQuietTimeFollowsAnOrderOfAnEarlierProcess(t *testing.T) {
+	log := memlog.New()
+	first := join(t, log, "a", "a1")
+	testwait.Until(t, "a leads", first.leads)
+	assert.NilError(t, first.elector.RecordOrder(t.Context(), first.lastTerm().Epoch, "ordered"))
+	arrives := time.Now().Add(engineCall)
+	first.cancel()
+	second := join(t, log, "a", "a2")
+	testwait.Until(t, "the next process leads", second.leads)
+	until := second.elector.QuietUntil("ordered")
+	assert.Assert(t, !until.Before(arrives), "may order %s before the order of the earlier process has arrived",
+		time.Until(arrives))
+}
