Test that an earlier process of a machine may not act beside the next

Cause: a process claims at once from an earlier one of its machine, which may not have ended and whose reads and appends fail. TestRestartedMachineClaimsAtOnce states the opposite.

--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -63,3 +63,18 @@
 	assert.Assert(t, !until.Before(arrives), "may order %s before the order of the earlier process has arrived",
 		time.Until(arrives))
 }
+
+// TestAnEarlierProcessOfTheMachineMayNotActBesideTheNext: the earlier one has not ended, and its
+// reads hang.
+func TestAnEarlierProcessOfTheMachineMayNotActBesideTheNext(t *testing.T) {
+	log := memlog.New()
+	link := &cutLog{Log: log}
+	first := join(t, link, "a", "a1")
+	testwait.Until(t, "a leads", first.leads)
+	epoch := first.lastTerm().Epoch
+	link.cut(true)
+	second := join(t, log, "a", "a2")
+	testwait.Until(t, "the next process leads", second.leads)
+	newest := second.lastTerm().Epoch
+	assert.Assert(t, !first.elector.Valid(epoch) || !second.elector.Valid(newest), "both hold the lease")
+}
