Test that a job that the log forgot is not denied

Cause: a node that passes over index records that are no longer kept then answers that there is no such job, though it may have stood in what is missing and other nodes know it. Fails here, three times of three under -race; the code is not changed.

--- a/internal/batchjobs/late_test.go
+++ b/internal/batchjobs/late_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
@@ -85,3 +87,23 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestAJobThatTheLogForgotIsNotDenied: a node that starts after the log has dropped the job's
+// record does not know whether there is such a job, while others know it.
+func TestAJobThatTheLogForgotIsNotDenied(t *testing.T) {
+	t.Parallel()
+	log := memlog.New()
+	first := newService(log)
+	follow(t, first)
+	assert.NilError(t, first.Accept(t.Context(), submission("j1", "i1")))
+	_, err := first.Results(t.Context(), "j1", 0, 0)
+	assert.NilError(t, err)
+	index := eventlog.Partition{Topic: indexTopic, Number: first.PartitionOf("j1")}
+	log.Trim(index, log.End(index))
+	second := newService(log)
+	follow(t, second)
+	_, err = second.Results(t.Context(), "j1", 0, 0)
+	var failure *errkind.Error
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	assert.Assert(t, failure.Kind != errkind.NotFound, "the job is denied: %v", failure)
+}
