Test that any quiet time of the platform is taken

Cause: the setting is bounded by a minute; a node whose platform names a longer time does not start. Orders are remembered for two minutes, which would have to follow. Fails here for 90 s, three times of three under -race; 0, 500 ms and 10 s are taken. The code is not changed.

--- /dev/null
+++ b/internal/settings/lease_test.go
@@ -0,0 +1,20 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAnyQuietTimeOfThePlatformIsTaken: the platform names the time; a node that refuses it
+// does not start.
+func TestAnyQuietTimeOfThePlatformIsTaken(t *testing.T) {
+	for _, quiet := range []time.Duration{0, 500 * time.Millisecond, 10 * time.Second, 90 * time.Second} {
+		settings := Default()
+		settings.Node = Node{ID: "n1", Zone: "tumwater", Region: "pnw"}
+		settings.Hosted.Log = "127.0.0.1:1"
+		settings.Hosted.OrderQuiet = Duration(quiet)
+		assert.Equal(t, len(Check(settings)), 0, "%s: %v", quiet, Check(settings))
+	}
+}
