Test that the quiet time follows an order of an earlier term

Cause: as for an earlier process of the machine: no time lies between the orders of one machine, though another one led in between and what was sent in the earlier term may arrive after an order of the later one, with the lower token. Fails here, three times of three under -race; the code is not changed.

--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -78,3 +78,24 @@
 	newest := second.lastTerm().Epoch
 	assert.Assert(t, !first.elector.Valid(epoch) || !second.elector.Valid(newest), "both hold the lease")
 }
+
+// TestQuietTimeFollowsAnOrderOfAnEarlierTerm: the node has led before, another one meanwhile,
+// which ordered nothing. What it sent in its earlier term may still be on its way.
+func TestQuietTimeFollowsAnOrderOfAnEarlierTerm(t *testing.T) {
+	log := memlog.New()
+	link := &cutLog{Log: log}
+	first := join(t, link, "a", "a1")
+	testwait.Until(t, "a leads", first.leads)
+	earlier := first.lastTerm().Epoch
+	second := join(t, log, "b", "b1")
+	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	assert.NilError(t, first.elector.RecordOrder(t.Context(), earlier, "ordered"))
+	arrives := time.Now().Add(engineCall)
+	link.cut(true)
+	testwait.Until(t, "b leads", second.leads)
+	link.cut(false)
+	second.elector.Stop(t.Context())
+	testwait.Until(t, "a leads again", func() bool { return first.leads() && first.lastTerm().Epoch > earlier })
+	until := first.elector.QuietUntil("ordered")
+	assert.Assert(t, !until.Before(arrives), "may order although the order of the earlier term may arrive until %s", arrives)
+}
