--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -191,3 +191,86 @@
 		}
 	})
 }
+
+// TestALateRecordOfAnOrderHidesNoNewerOrder: an append without an answer may be done
+// seconds later, so the record of an earlier holder's order may stand after that of a
+// newer holder, whose order is the newer one all the same.
+func TestALateRecordOfAnOrderHidesNoNewerOrder(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(claim("b", "b1", 1), start)
+	ordered := start.Add(ttl)
+	state.Apply(orderOf("b", 2, 0, "e1"), ordered)
+	state.Apply(orderOf("a", 1, 0, "e1"), ordered)
+	assert.Assert(t, state.Apply(claim("a", "a1", 2), ordered))
+	until := state.QuietUntil("e1", quiet, false)
+	assert.Assert(t, !until.Before(ordered.Add(quiet)), "a may order at %s, b did so at %s", until, ordered)
+}
+
+// TestAReaderAfterAGapAgreesWhoHoldsTheLease: it reads what is still kept, the others have
+// read all. A claim counts for all of them or for none.
+func TestAReaderAfterAGapAgreesWhoHoldsTheLease(t *testing.T) {
+	var all, rest State
+	apply := func(record Record) {
+		all.Apply(record, start)
+		rest.Apply(record, start)
+	}
+	all.Apply(claim("a", "a1", 0), start)
+	all.Apply(renewal("a", "a1", 1, 0), start)
+	rest.SkipTo(all.Next)
+	// It knows nobody. If it may claim, it names what it knows.
+	if !rest.Claimable("c", "c1", start, start, ttl) {
+		return
+	}
+	apply(claim("c", "c1", rest.Epoch))
+	assert.Equal(t, rest.Holder, all.Holder)
+	assert.Equal(t, rest.Epoch, all.Epoch)
+}
+
+// TestALateRenewalPutsNoEarlierEpochInForce: the reader after a gap takes the epoch from the
+// first renewal, which may be one that was done seconds later, after another holder's claim.
+func TestALateRenewalPutsNoEarlierEpochInForce(t *testing.T) {
+	var all, rest State
+	apply := func(record Record) {
+		all.Apply(record, start)
+		rest.Apply(record, start)
+	}
+	all.Apply(claim("a", "a1", 0), start)
+	all.Apply(claim("b", "b1", 1), start)
+	rest.SkipTo(all.Next)
+	apply(renewal("a", "a1", 1, ttl))
+	later := start.Add(2 * ttl)
+	if rest.Claimable("c", "c1", later, start, ttl) {
+		apply(claim("c", "c1", rest.Epoch))
+	}
+	assert.Equal(t, rest.Holder, all.Holder)
+	assert.Equal(t, rest.Epoch, all.Epoch)
+}
+
+// TestNoTimeIsProvenFromBeforeAnOrder: a renewal proves the time since the one before it, not
+// since an order of an earlier holder whose record stands between the two.
+func TestNoTimeIsProvenFromBeforeAnOrder(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(claim("b", "b1", 1), start)
+	ordered := start.Add(time.Second)
+	state.Apply(orderOf("a", 1, 0, "e1"), ordered)
+	state.Apply(renewal("b", "b1", 2, time.Second), ordered)
+	until := state.QuietUntil("e1", quiet, false)
+	assert.Assert(t, !until.Before(ordered.Add(quiet)), "quiet until %s, ordered at %s", until, ordered)
+}
+
+// TestNoTimeIsProvenFromBeforeAGapEnded: the records that are missing may hide an order given
+// just before the first one that is there again.
+func TestNoTimeIsProvenFromBeforeAGapEnded(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(renewal("a", "a1", 1, 0), start)
+	back := start.Add(10 * time.Second)
+	state.SkipTo(state.Next + 50)
+	state.Apply(renewal("a", "a1", 1, 10*time.Second), back)
+	state.Apply(Record{Kind: Release, Holder: "a1", Node: "a", Epoch: 1}, back)
+	assert.Assert(t, state.Apply(claim("b", "b1", 1), back))
+	until := state.QuietUntil("e1", quiet, false)
+	assert.Assert(t, !until.Before(back.Add(quiet)), "quiet until %s, the gap ended at %s", until, back)
+}
