Test that renewals in a gap count

Cause: a reader that passes over records goes on counting the time without a renewal from the last one that it has read, although what is missing may hold newer ones. Fails here, three times of three under -race; the code is not changed.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -274,3 +274,14 @@
 	until := state.QuietUntil("e1", quiet, false)
 	assert.Assert(t, !until.Before(back.Add(quiet)), "quiet until %s, the gap ended at %s", until, back)
 }
+
+// TestRenewalsInAGapCount: what is missing may hold renewals, so the time without any begins
+// anew when a reader has passed over records.
+func TestRenewalsInAGapCount(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(renewal("a", "a1", 1, 0), start)
+	now := start.Add(ttl + 1)
+	state.SkipTo(state.Next + 5)
+	assert.Assert(t, !state.Claimable("b", "b1", now, start, ttl), "the renewals are in the gap")
+}
