--- a/internal/core/lease/history.go
+++ b/internal/core/lease/history.go
@@ -21,9 +21,9 @@
 	// from which on none is missing; the zero moment when none ever was.
 	gap      bool
 	complete moment
-	// orders holds the newest order of each engine; once there are more than forgetAt,
-	// old ones are forgotten.
-	orders   map[string]order
+	// orders holds the newest order of each engine by each machine; once there are more
+	// engines than forgetAt, old ones are forgotten.
+	orders   map[string][]order
 	forgetAt int
 }
 
@@ -31,31 +31,40 @@
 type moment struct {
 	at     time.Time
 	proven time.Duration
+	// unproven is true when the record at that place did not tell how much time had
+	// passed by then: the time that a later one proves may have begun before it.
+	unproven bool
 }
 
-// order is the newest order that an engine may have been given.
+// order is the newest order that an engine may have been given by a machine.
 type order struct {
 	node     string
+	epoch    int64
 	when     moment
 	released bool
 }
 
 const (
-	// minForgetAt is the number of orders up to which none is forgotten.
+	// minForgetAt is the number of engines up to which no order is forgotten.
 	minForgetAt = 1024
-	// orderLife is how long an order is remembered: as long as any quiet time.
-	orderLife = 2 * time.Minute
+	// orderLife is how long an order is remembered: longer than any quiet time.
+	orderLife = MaxQuiet + time.Minute
 )
 
-func (h *history) read(at time.Time) {
-	h.readAt = at
+func (h *history) read(at time.Time) { h.readAt = at }
+
+// settle ends a gap behind the newest record; proves tells whether that record told how long
+// its holder has held the epoch in force.
+func (h *history) settle(proves bool) {
 	if h.gap {
 		h.gap = false
-		h.complete = h.now()
+		h.complete = h.now(proves)
 	}
 }
 
-func (h *history) now() moment { return moment{at: h.readAt, proven: h.proven} }
+func (h *history) now(proves bool) moment {
+	return moment{at: h.readAt, proven: h.proven, unproven: !proves}
+}
 
 // began notes that an epoch came into force of which this time has passed.
 func (h *history) began(held time.Duration) { h.held = held }
@@ -70,30 +79,51 @@
 
 // released notes that the node orders no more.
 func (h *history) released(node string) {
-	for engine, each := range h.orders {
-		if each.node == node {
-			each.released = true
-			h.orders[engine] = each
+	for _, orders := range h.orders {
+		for i := range orders {
+			orders[i].released = orders[i].released || orders[i].node == node
 		}
 	}
 }
 
-func (h *history) ordered(node string, engines []string, at time.Time) {
+// ordered notes an Order record; proves as in settle.
+func (h *history) ordered(record Record, proves bool, at time.Time) {
 	if h.orders == nil {
-		h.orders = make(map[string]order)
+		h.orders = make(map[string][]order)
 	}
 	if len(h.orders) > max(h.forgetAt, minForgetAt) {
 		h.forgetOld(at)
 	}
-	for _, engine := range engines {
-		h.orders[engine] = order{node: node, when: h.now()}
+	newest := order{node: record.Node, epoch: record.Epoch, when: h.now(proves)}
+	for _, engine := range record.Engines {
+		h.orders[engine] = append(h.others(engine, newest, at), newest)
 	}
 }
 
+// others returns the orders of an engine that a quiet time may still follow and that a newer one
+// does not take the place of: those of other machines, and of a later epoch.
+func (h *history) others(engine string, newest order, at time.Time) []order {
+	kept := h.orders[engine][:0]
+	for _, each := range h.orders[engine] {
+		replaced := each.node == newest.node && each.epoch <= newest.epoch
+		if !replaced && !h.since(each.when, orderLife).Before(at) {
+			kept = append(kept, each)
+		}
+	}
+	return kept
+}
+
 // forgetOld drops orders that no quiet time follows any more. It looks at all of
-// them, so it waits until there are twice as many as it leaves.
+// them, so it waits until there are twice as many engines as it leaves.
 func (h *history) forgetOld(at time.Time) {
-	maps.DeleteFunc(h.orders, func(_ string, each order) bool { return h.since(each.when, orderLife).Before(at) })
+	maps.DeleteFunc(h.orders, func(_ string, orders []order) bool {
+		for _, each := range orders {
+			if !h.since(each.when, orderLife).Before(at) {
+				return false
+			}
+		}
+		return true
+	})
 	h.forgetAt = 2 * len(h.orders)
 }
 
@@ -101,6 +131,9 @@
 // or by what later records prove if that is sooner.
 func (h *history) since(begin moment, period time.Duration) time.Time {
 	byClock := begin.at.Add(period)
+	if begin.unproven {
+		return byClock
+	}
 	byLog := h.readAt.Add(period - (h.proven - begin.proven))
 	if byLog.Before(byClock) {
 		return byLog
@@ -108,17 +141,33 @@
 	return byClock
 }
 
-func (h *history) quietUntil(node, engine string, quiet time.Duration, enginesFence bool) time.Time {
+func (h *history) quietUntil(epoch int64, node, engine string, quiet Quiet) time.Time {
 	var until time.Time
 	if !h.complete.at.IsZero() {
-		until = h.since(h.complete, quiet)
-	}
-	last, found := h.orders[engine]
-	if !found || last.node == node || last.released && enginesFence {
-		return until
+		until = h.since(h.complete, quiet.Between+quiet.Arrival)
 	}
-	if own := h.since(last.when, quiet); own.After(until) {
-		return own
+	for _, each := range h.orders[engine] {
+		period, needed := quiet.after(each, epoch, node)
+		if !needed {
+			continue
+		}
+		if own := h.since(each.when, period); own.After(until) {
+			until = own
+		}
 	}
 	return until
 }
+
+// after is how long a holder leaves an engine alone after another one may have ordered it.
+func (q Quiet) after(last order, epoch int64, node string) (time.Duration, bool) {
+	switch {
+	case last.epoch == epoch:
+		return 0, false
+	case q.EnginesFence && (last.released || last.node == node):
+		return 0, false
+	case last.node == node:
+		return q.Arrival, true
+	default:
+		return q.Between + q.Arrival, true
+	}
+}
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -37,18 +37,25 @@
 func TestLeaseIsClaimableOnlyAfterItsTimeInContact(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
-	assert.Assert(t, !state.Claimable("b", "b1", start.Add(ttl), start, ttl))
-	assert.Assert(t, state.Claimable("b", "b1", start.Add(ttl+1), start, ttl))
+	assert.Assert(t, !state.Claimable("b", "b1", "", start.Add(ttl), start, ttl))
+	assert.Assert(t, state.Claimable("b", "b1", "", start.Add(ttl+1), start, ttl))
 	// A reader that was out of reach of the log has not seen the renewals.
 	backAt := start.Add(10 * ttl)
-	assert.Assert(t, !state.Claimable("b", "b1", backAt.Add(ttl/2), backAt, ttl))
+	assert.Assert(t, !state.Claimable("b", "b1", "", backAt.Add(ttl/2), backAt, ttl))
 }
 
+// TestRestartedMachineClaimsAtOnce: but only a process that holds the address of the earlier one,
+// so that this one has ended for certain. The machine's name alone, which another machine may
+// bear by now, says nothing of that.
 func TestRestartedMachineClaimsAtOnce(t *testing.T) {
 	var state State
-	state.Apply(claim("a", "a1", 0), start)
-	assert.Assert(t, state.Claimable("a", "a2", start, start, ttl))
-	assert.Assert(t, !state.Claimable("a", "a1", start, start, ttl))
+	first := state.NewClaim("a", "a1", "10.0.0.1:7000")
+	state.Apply(first, start)
+	assert.Assert(t, state.Claimable("a", "a2", "10.0.0.1:7000", start, start, ttl))
+	assert.Assert(t, !state.Claimable("a", "a1", "10.0.0.1:7000", start, start, ttl))
+	assert.Assert(t, !state.Claimable("a", "a2", "10.0.0.2:7000", start, start, ttl), "another machine of this name")
+	assert.Assert(t, !state.Claimable("a", "a2", "", start, start, ttl), "nothing shows that it is the same machine")
+	assert.Assert(t, !state.Claimable("b", "b1", "10.0.0.1:7000", start, start, ttl), "another machine at the address")
 }
 
 func TestReleasedLeaseIsFreeAndStaysReleased(t *testing.T) {
@@ -56,18 +63,22 @@
 	state.Apply(claim("a", "a1", 0), start)
 	state.Apply(Record{Kind: Release, Holder: "a1", Node: "a", Epoch: 1}, start)
 	state.Apply(Record{Kind: Renew, Holder: "a1", Node: "a", Epoch: 1}, start.Add(ttl))
-	assert.Assert(t, state.Claimable("b", "b1", start, start, ttl))
+	assert.Assert(t, state.Claimable("b", "b1", "", start, start, ttl))
 }
 
 func TestEpochIsFoundInRenewalsWhenTheClaimIsGone(t *testing.T) {
 	state := State{Next: 500}
 	assert.Assert(t, state.Apply(Record{Kind: Renew, Holder: "a1", Node: "a", Epoch: 77}, start))
 	assert.Equal(t, state.Epoch, int64(77))
-	assert.Assert(t, !state.Claimable("b", "b1", start, start, ttl))
+	assert.Assert(t, !state.Claimable("b", "b1", "", start, start, ttl))
 }
 
 const quiet = 300 * time.Millisecond
 
+func quietUntil(state *State, engine string, enginesFence bool) time.Time {
+	return state.QuietUntil(engine, Quiet{Between: quiet, EnginesFence: enginesFence})
+}
+
 func orderOf(node string, epoch int64, held time.Duration, engines ...string) Record {
 	return Record{Kind: Order, Node: node, Holder: node + "1", Epoch: epoch, Held: held, Engines: engines}
 }
@@ -80,14 +91,14 @@
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
 	state.Apply(orderOf("a", 1, 0, "e1"), start)
-	assert.Assert(t, state.QuietUntil("e1", quiet, false).IsZero(), "the same machine ordered it")
+	assert.Assert(t, quietUntil(&state, "e1", false).IsZero(), "the same machine ordered it")
 	state.Apply(claim("a", "a2", 1), start)
-	assert.Assert(t, state.QuietUntil("e1", quiet, false).IsZero(), "an earlier process of the same machine ordered it")
+	assert.Assert(t, !quietUntil(&state, "e1", false).After(start), "an earlier process of the same machine ordered it")
 	state.Apply(claim("b", "b1", 3), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet))
-	assert.Assert(t, state.QuietUntil("e2", quiet, false).IsZero(), "nobody ordered it")
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet))
+	assert.Assert(t, quietUntil(&state, "e2", false).IsZero(), "nobody ordered it")
 	state.Apply(claim("b", "b2", 4), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet), "a restart does not end the quiet time")
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet), "a restart does not end the quiet time")
 }
 
 func TestOrderOfAnEarlierEpochCounts(t *testing.T) {
@@ -95,7 +106,7 @@
 	state.Apply(claim("a", "a1", 0), start)
 	state.Apply(claim("b", "b1", 1), start)
 	state.Apply(orderOf("a", 1, 0, "e1"), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(ttl+quiet))
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(ttl+quiet))
 }
 
 func TestLogProvesThatTimeHasPassed(t *testing.T) {
@@ -107,7 +118,7 @@
 	state.Apply(renewal("b", "b1", 3, 100*time.Millisecond), start)
 	state.Apply(renewal("b", "b1", 3, 200*time.Millisecond), start)
 	state.Apply(renewal("b", "b1", 3, 150*time.Millisecond), start)
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(100*time.Millisecond), "200 ms are proven, once")
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(100*time.Millisecond), "200 ms are proven, once")
 }
 
 func TestProvenTimeIsNotCountedBesideTheReadersOwn(t *testing.T) {
@@ -117,20 +128,20 @@
 	state.Apply(claim("b", "b1", 1), start)
 	later := start.Add(200 * time.Millisecond)
 	state.Apply(renewal("b", "b1", 3, 200*time.Millisecond), later)
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet))
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet))
 }
 
 func TestMissingRecordsMayHideAnOrder(t *testing.T) {
 	var state State
-	state.SkipTo(500)
+	state.SkipTo(500, start)
 	state.Apply(renewal("a", "a1", 77, 10*ttl), start)
 	state.Apply(claim("b", "b1", 77), start)
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet))
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet))
 	state.Apply(renewal("b", "b1", 502, quiet), start)
-	assert.Assert(t, !state.QuietUntil("e1", quiet, false).After(start), "the time since the gap is proven")
-	state.Skip()
+	assert.Assert(t, !quietUntil(&state, "e1", false).After(start), "the time since the gap is proven")
+	state.Skip(start)
 	state.Apply(renewal("b", "b1", 502, quiet), start.Add(ttl))
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(ttl+quiet), "a record that cannot be read is a gap")
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(ttl+quiet), "a record that cannot be read is a gap")
 }
 
 func TestHandoverNeedsNoQuietTimeWhereEnginesFence(t *testing.T) {
@@ -139,11 +150,11 @@
 	state.Apply(orderOf("a", 1, 0, "e1"), start)
 	state.Apply(Record{Kind: Release, Holder: "a1", Node: "a", Epoch: 1}, start)
 	state.Apply(claim("b", "b1", 1), start)
-	assert.Assert(t, state.QuietUntil("e1", quiet, true).IsZero())
-	assert.Equal(t, state.QuietUntil("e1", quiet, false), start.Add(quiet), "a may be heard by engines without fences")
+	assert.Assert(t, quietUntil(&state, "e1", true).IsZero())
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet), "a may be heard by engines without fences")
 	state.Apply(orderOf("b", 4, 0, "e1"), start)
 	state.Apply(claim("c", "c1", 4), start)
-	assert.Equal(t, state.QuietUntil("e1", quiet, true), start.Add(quiet), "b lost the lease")
+	assert.Equal(t, quietUntil(&state, "e1", true), start.Add(quiet), "b lost the lease")
 }
 
 func TestOldOrdersAreForgotten(t *testing.T) {
@@ -164,7 +175,7 @@
 	}
 	state.Apply(claim("b", "b1", 1), start)
 	for i := range engines {
-		assert.Equal(t, state.QuietUntil(fmt.Sprint("e", i), quiet, false), start.Add(quiet))
+		assert.Equal(t, quietUntil(&state, fmt.Sprint("e", i), false), start.Add(quiet))
 	}
 }
 
@@ -203,7 +214,7 @@
 	state.Apply(orderOf("b", 2, 0, "e1"), ordered)
 	state.Apply(orderOf("a", 1, 0, "e1"), ordered)
 	assert.Assert(t, state.Apply(claim("a", "a1", 2), ordered))
-	until := state.QuietUntil("e1", quiet, false)
+	until := quietUntil(&state, "e1", false)
 	assert.Assert(t, !until.Before(ordered.Add(quiet)), "a may order at %s, b did so at %s", until, ordered)
 }
 
@@ -217,12 +228,12 @@
 	}
 	all.Apply(claim("a", "a1", 0), start)
 	all.Apply(renewal("a", "a1", 1, 0), start)
-	rest.SkipTo(all.Next)
+	rest.SkipTo(all.Next, start)
 	// It knows nobody. If it may claim, it names what it knows.
-	if !rest.Claimable("c", "c1", start, start, ttl) {
+	if !rest.Claimable("c", "c1", "", start, start, ttl) {
 		return
 	}
-	apply(claim("c", "c1", rest.Epoch))
+	apply(rest.NewClaim("c", "c1", ""))
 	assert.Equal(t, rest.Holder, all.Holder)
 	assert.Equal(t, rest.Epoch, all.Epoch)
 }
@@ -237,11 +248,11 @@
 	}
 	all.Apply(claim("a", "a1", 0), start)
 	all.Apply(claim("b", "b1", 1), start)
-	rest.SkipTo(all.Next)
+	rest.SkipTo(all.Next, start)
 	apply(renewal("a", "a1", 1, ttl))
 	later := start.Add(2 * ttl)
-	if rest.Claimable("c", "c1", later, start, ttl) {
-		apply(claim("c", "c1", rest.Epoch))
+	if rest.Claimable("c", "c1", "", later, start, ttl) {
+		apply(rest.NewClaim("c", "c1", ""))
 	}
 	assert.Equal(t, rest.Holder, all.Holder)
 	assert.Equal(t, rest.Epoch, all.Epoch)
@@ -256,7 +267,7 @@
 	ordered := start.Add(time.Second)
 	state.Apply(orderOf("a", 1, 0, "e1"), ordered)
 	state.Apply(renewal("b", "b1", 2, time.Second), ordered)
-	until := state.QuietUntil("e1", quiet, false)
+	until := quietUntil(&state, "e1", false)
 	assert.Assert(t, !until.Before(ordered.Add(quiet)), "quiet until %s, ordered at %s", until, ordered)
 }
 
@@ -267,11 +278,11 @@
 	state.Apply(claim("a", "a1", 0), start)
 	state.Apply(renewal("a", "a1", 1, 0), start)
 	back := start.Add(10 * time.Second)
-	state.SkipTo(state.Next + 50)
+	state.SkipTo(state.Next+50, back)
 	state.Apply(renewal("a", "a1", 1, 10*time.Second), back)
 	state.Apply(Record{Kind: Release, Holder: "a1", Node: "a", Epoch: 1}, back)
 	assert.Assert(t, state.Apply(claim("b", "b1", 1), back))
-	until := state.QuietUntil("e1", quiet, false)
+	until := quietUntil(&state, "e1", false)
 	assert.Assert(t, !until.Before(back.Add(quiet)), "quiet until %s, the gap ended at %s", until, back)
 }
 
@@ -282,6 +293,91 @@
 	state.Apply(claim("a", "a1", 0), start)
 	state.Apply(renewal("a", "a1", 1, 0), start)
 	now := start.Add(ttl + 1)
-	state.SkipTo(state.Next + 5)
-	assert.Assert(t, !state.Claimable("b", "b1", now, start, ttl), "the renewals are in the gap")
+	state.SkipTo(state.Next+5, now)
+	assert.Assert(t, !state.Claimable("b", "b1", "", now, start, ttl), "the renewals are in the gap")
+}
+
+// TestAnOrderOfAnEarlierProcessMayStillArrive: it bears a lower fencing token than those of the next
+// process, which waits until it must have arrived. Engines that check tokens refuse it.
+func TestAnOrderOfAnEarlierProcessMayStillArrive(t *testing.T) {
+	const arrival = 100 * time.Millisecond
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(orderOf("a", 1, 0, "e1"), start)
+	state.Apply(claim("a", "a2", 1), start)
+	waits := Quiet{Between: quiet, Arrival: arrival}
+	assert.Equal(t, state.QuietUntil("e1", waits), start.Add(arrival))
+	waits.EnginesFence = true
+	assert.Assert(t, state.QuietUntil("e1", waits).IsZero())
+}
+
+// TestAClaimCountsByItsPlace: not where it stands elsewhere, whatever epoch it names.
+func TestAClaimCountsByItsPlace(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	lost := state.NewClaim("b", "b1", "")
+	won := state.NewClaim("c", "c1", "")
+	assert.Assert(t, state.Apply(won, start))
+	assert.Assert(t, !state.Apply(lost, start))
+	assert.Equal(t, state.Holder, "c1")
+	assert.Equal(t, state.Epoch, won.Begins)
+}
+
+// TestAReleaseBeforeAGapFreesNothing: another node may have claimed in the missing records.
+func TestAReleaseBeforeAGapFreesNothing(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(Record{Kind: Release, Holder: "a1", Node: "a", Epoch: 1}, start)
+	back := start.Add(10 * ttl)
+	state.SkipTo(state.Next+10, back)
+	assert.Assert(t, !state.Claimable("b", "b1", "", back, back, ttl))
+	assert.Assert(t, state.Claimable("b", "b1", "", back.Add(ttl+1), back, ttl))
+}
+
+// TestReadersAgreeWhateverTheyMissed drives several nodes with one log. Each appends only where the log
+// ends as it has read, and claims or writes as its own view allows; some miss records. Those who have
+// read a record in force since then agree on the holder, and no record of a holder stands behind a
+// later claim.
+func TestReadersAgreeWhateverTheyMissed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a1", "b1", "c1"}
+		views := make([]State, len(names))
+		var log []Record
+		var claimed int64
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			index := rapid.IntRange(0, len(names)-1).Draw(t, "node")
+			view, name := &views[index], names[index]
+			switch rapid.SampledFrom([]string{"read", "miss", "claim", "write"}).Draw(t, "step") {
+			case "read":
+				for view.Next < int64(len(log)) {
+					view.Apply(log[view.Next], start)
+				}
+			case "miss":
+				view.SkipTo(int64(len(log)), start)
+			case "claim":
+				if view.Next == int64(len(log)) {
+					log = append(log, view.NewClaim(name[:1], name, ""))
+					claimed = int64(len(log))
+				}
+			case "write":
+				if view.Next != int64(len(log)) || !view.HeldBy(name, view.Epoch) {
+					continue
+				}
+				if view.Epoch != claimed {
+					t.Fatalf("%s writes in epoch %d, the newest claim began %d", name, view.Epoch, claimed)
+				}
+				kind := rapid.SampledFrom([]RecordKind{Renew, Order, Release}).Draw(t, "kind")
+				log = append(log, Record{Kind: kind, Node: name[:1], Holder: name, Epoch: view.Epoch})
+			}
+		}
+		for i := range views {
+			view := &views[i]
+			for view.Next < int64(len(log)) {
+				view.Apply(log[view.Next], start)
+			}
+			if !view.missed && view.Epoch != claimed {
+				t.Fatalf("%s takes epoch %d for the one in force, it is %d", names[i], view.Epoch, claimed)
+			}
+		}
+	})
 }
--- /dev/null
+++ b/internal/core/lease/term.go
@@ -0,0 +1,26 @@
+package lease
+
+import (
+	"context"
+	"time"
+)
+
+// Permit allows one order, or one call to the platform, for a short time.
+type Permit interface {
+	// Open tells whether the order may still leave this node. It is asked right before the bytes
+	// do: between the permit and them may lie a connection to be made, the scheduler, or a pause
+	// of the whole machine.
+	Open() bool
+}
+
+// Term is one time of leading: what its holder may do in it.
+type Term interface {
+	// Valid tells whether this node leads at this moment, as far as it knows.
+	Valid() bool
+	// QuietUntil is the time before which a subject may not be ordered, or called about, since
+	// another holder may just have done so. It is a time of time.Now.
+	QuietUntil(subject string) time.Time
+	// Permit says in the log that an order about the subject may follow, and returns the leave to
+	// send it. It fails where this node does not lead, or the quiet time is not over.
+	Permit(ctx context.Context, subject string) (Permit, error)
+}
--- a/internal/duties/arrival_test.go
+++ b/internal/duties/arrival_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
@@ -16,86 +17,80 @@
 )
 
 const (
-	// lease and quiet are those of the electors below.
-	lease = 600 * time.Millisecond
-	quiet = 600 * time.Millisecond
+	// leaseTime and quietTime are those of the electors below.
+	leaseTime = 600 * time.Millisecond
+	quietTime = 600 * time.Millisecond
+	// inFlight is how long bytes that have left may be on their way: the adapter gives up
+	// those of calls that are not acknowledged for so long.
+	inFlight = 500 * time.Millisecond
 )
 
-// latePlatform takes a call as late as its caller allows.
+// latePlatform has a call leave as late as it may and arrive as late as it can.
 type latePlatform struct {
 	fakePlatform
-	arrived chan time.Time
+	arrived time.Time
 }
 
 func (p *latePlatform) ReportUsage(
-	ctx context.Context, _ Holder, _ usage.Window, _ usage.Counts,
+	_ context.Context, holder Holder, _ usage.Window, _ usage.Counts,
 ) (Answer, error) {
-	<-ctx.Done()
-	p.arrived <- time.Now()
-	return Unanswered, ctx.Err()
+	for holder.MayLeave() {
+		time.Sleep(time.Millisecond)
+	}
+	p.arrived = time.Now().Add(inFlight)
+	return Unanswered, context.DeadlineExceeded
 }
 
 // leadingTerm is the newest term of an elector.
 type leadingTerm struct {
-	elector *leadership.Elector
-	mu      sync.Mutex
-	epoch   int64
+	mu     sync.Mutex
+	newest lease.Term
 }
 
 func (l *leadingTerm) lead(ctx context.Context, term leadership.Term) {
-	l.set(term.Epoch)
-	<-ctx.Done()
-	l.set(0)
-}
-
-func (l *leadingTerm) set(epoch int64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.epoch = epoch
+	l.newest = term
+	l.mu.Unlock()
+	<-ctx.Done()
 }
 
-func (l *leadingTerm) held() int64 {
+// term returns the newest term; nil before the first.
+func (l *leadingTerm) term() lease.Term {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.epoch
-}
-
-func (l *leadingTerm) Valid() bool {
-	epoch := l.held()
-	return epoch > 0 && l.elector.Valid(epoch)
+	return l.newest
 }
 
-func (l *leadingTerm) QuietUntil(subject string) time.Time { return l.elector.QuietUntil(subject) }
-
-func (l *leadingTerm) Announce(ctx context.Context, subject string) error {
-	return l.elector.RecordOrder(ctx, l.held(), subject)
+func (l *leadingTerm) leads() bool {
+	term := l.term()
+	return term != nil && term.Valid()
 }
 
 // electing takes part in the election until the test ends or the returned function is called.
 func electing(t *testing.T, log *memlog.Log, node string) (term *leadingTerm, stop func()) {
 	t.Helper()
 	term = &leadingTerm{}
-	term.elector = leadership.New(log, leadership.Options{
-		Holder: node + "1", Node: node, TTL: lease, Quiet: quiet, Logger: zerolog.Nop(),
+	elector := leadership.New(log, leadership.Options{
+		Holder: node + "1", Node: node, TTL: leaseTime, Quiet: quietTime, Logger: zerolog.Nop(),
 	}, term.lead)
-	return term, start(t, func(ctx context.Context) { _ = term.elector.Run(ctx) })
+	return term, start(t, func(ctx context.Context) { _ = elector.Run(ctx) })
 }
 
 // TestQuietTimeFollowsTheLatestArrivalOfACall: a call to the platform may take longer than one
 // to an engine, and is announced in the same way.
 func TestQuietTimeFollowsTheLatestArrivalOfACall(t *testing.T) {
 	t.Parallel()
-	log, platform := memlog.New(), &latePlatform{arrived: make(chan time.Time, 1)}
+	log, platform := memlog.New(), &latePlatform{}
 	first, stop := electing(t, log, "a")
-	testwait.Until(t, "a leads", first.Valid)
+	testwait.Until(t, "a leads", first.leads)
 	second, _ := electing(t, log, "b")
-	calls := caller{term: first, holder: Holder{Node: "a", Fence: first.held()}}
-	_, err := calls.call(t.Context(), usageSubject, func(ctx context.Context) (Answer, error) {
+	calls := caller{term: first.term(), holder: Holder{Node: "a", Fence: 1}}
+	_, err := calls.call(t.Context(), usageSubject, func(ctx context.Context, holder Holder) (Answer, error) {
 		go stop()
-		return platform.ReportUsage(ctx, calls.holder, 1, nil)
+		return platform.ReportUsage(ctx, holder, 1, nil)
 	})
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
-	testwait.Until(t, "b leads", second.Valid)
-	gap := second.QuietUntil(usageSubject).Sub(<-platform.arrived)
-	assert.Assert(t, gap >= quiet, "b may call %s after the call of a arrives, quiet is %s", gap, quiet)
+	testwait.Until(t, "b leads", second.leads)
+	gap := second.term().QuietUntil(usageSubject).Sub(platform.arrived)
+	assert.Assert(t, gap >= quietTime, "b may call %s after the call of a arrives, quiet is %s", gap, quietTime)
 }
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 )
 
@@ -16,6 +17,9 @@
 	Node string
 	// Fence is the fencing token, which rises with each holder.
 	Fence int64
+	// MayLeave tells whether the call may still leave this node; it is asked right before its bytes
+	// do. Nil where nothing limits it.
+	MayLeave func() bool
 }
 
 // Answer is the platform's answer to a call.
@@ -57,48 +61,32 @@
 	OrderEngines(ctx context.Context, holder Holder, order EngineOrder) (Answer, error)
 }
 
-// Term is a time of leading: what one may do in it.
-type Term interface {
-	// Valid tells whether this node leads at this moment.
-	Valid() bool
-	// QuietUntil is the time before which a subject may not be called about, since
-	// another machine may just have done so.
-	QuietUntil(subject string) time.Time
-	// Announce says in the log that a call about the subject may follow.
-	Announce(ctx context.Context, subject string) error
-}
-
-const (
-	// callTimeout bounds one call to the platform, announceTimeout the writing of its
-	// announcement.
-	callTimeout     = 1500 * time.Millisecond
-	announceTimeout = 500 * time.Millisecond
-)
+// callTimeout bounds one call to the platform.
+const callTimeout = 1500 * time.Millisecond
 
 // caller makes calls under a term.
 type caller struct {
-	term   Term
+	term   lease.Term
 	holder Holder
 }
 
 // call makes a call about a subject if this node may, and returns NotDone if not.
 func (c *caller) call(
-	ctx context.Context, subject string, call func(context.Context) (Answer, error),
+	ctx context.Context, subject string, call func(context.Context, Holder) (Answer, error),
 ) (Answer, error) {
 	if !c.term.Valid() || time.Now().Before(c.term.QuietUntil(subject)) {
 		return NotDone, nil
 	}
-	announcing, cancel := context.WithTimeout(ctx, announceTimeout)
-	err := c.term.Announce(announcing, subject)
-	cancel()
+	permit, err := c.term.Permit(ctx, subject)
 	if err != nil {
 		return NotDone, err
 	}
-	// Writing the announcement took its time.
-	if !c.term.Valid() || ctx.Err() != nil {
+	if !permit.Open() || ctx.Err() != nil {
 		return NotDone, ctx.Err()
 	}
+	holder := c.holder
+	holder.MayLeave = permit.Open
 	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return call(calling)
+	return call(calling, holder)
 }
--- a/internal/duties/fakes_test.go
+++ b/internal/duties/fakes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"sync"
-	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 )
@@ -73,36 +72,3 @@
 	counts, found := p.reports[window]
 	return counts, found
 }
-
-// fakeTerm is a term that a test ends.
-type fakeTerm struct {
-	mu        sync.Mutex
-	over      bool
-	quiet     time.Time
-	announced []string
-}
-
-func (t *fakeTerm) Valid() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.over
-}
-
-func (t *fakeTerm) QuietUntil(string) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.quiet
-}
-
-func (t *fakeTerm) Announce(_ context.Context, subject string) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.announced = append(t.announced, subject)
-	return nil
-}
-
-func (t *fakeTerm) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.over = true
-}
--- a/internal/duties/history_test.go
+++ b/internal/duties/history_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/usage"
+	"github.com/corkpulley/corkpulley/internal/standin/leaseterm"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
@@ -19,17 +20,17 @@
 	now := time.Now()
 	window := usage.WindowOf(now, span)
 	one.Began("a", now)
-	first := &fakeTerm{}
+	first := &leaseterm.Term{}
 	stop := reporting(t, log, platform, first, 1)
 	awaitReport(t, platform, window)
-	first.end()
+	first.SetOver(true)
 	stop()
 	log.Trim(reportPartition, log.End(reportPartition))
 	log.Trim(countPartition, log.End(countPartition))
 	two, _ := counting(t, log, "two")
 	two.Began("a", now)
 	two.Began("a", now)
-	reporting(t, log, platform, &fakeTerm{}, 2)
+	reporting(t, log, platform, &leaseterm.Term{}, 2)
 	awaitReport(t, platform, usage.WindowOf(time.Now(), span)+2)
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
@@ -38,7 +39,7 @@
 type ReporterOptions struct {
 	Log      eventlog.Log
 	Platform Platform
-	Term     Term
+	Term     lease.Term
 	Holder   Holder
 	// Span is the length of a window, Late the time after its end by which its report
 	// is due.
@@ -123,8 +124,8 @@
 
 // tell sends a decided report until the platform has it.
 func (r *Reporter) tell(ctx context.Context, report usage.ReportRecord) error {
-	answer, err := r.caller.call(ctx, usageSubject, func(ctx context.Context) (Answer, error) {
-		return r.options.Platform.ReportUsage(ctx, r.caller.holder, report.Window, report.Counts)
+	answer, err := r.caller.call(ctx, usageSubject, func(ctx context.Context, holder Holder) (Answer, error) {
+		return r.options.Platform.ReportUsage(ctx, holder, report.Window, report.Counts)
 	})
 	if answer == NotDone && err == nil {
 		// Not this node's turn, or not yet.
--- a/internal/duties/reporter_test.go
+++ b/internal/duties/reporter_test.go
@@ -12,6 +12,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/leaseterm"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -45,7 +46,7 @@
 	return counter, start(t, func(ctx context.Context) { _ = counter.Run(ctx) })
 }
 
-func reporting(t *testing.T, log *memlog.Log, platform Platform, term *fakeTerm, fence int64) (stop func()) {
+func reporting(t *testing.T, log *memlog.Log, platform Platform, term *leaseterm.Term, fence int64) (stop func()) {
 	t.Helper()
 	reporter := NewReporter(ReporterOptions{
 		Log: log, Platform: platform, Term: term, Holder: Holder{Node: "n", Fence: fence},
@@ -66,7 +67,7 @@
 
 func TestAWindowIsReportedWithTheCountsOfAllNodes(t *testing.T) {
 	t.Parallel()
-	log, platform, term := memlog.New(), newFakePlatform(), &fakeTerm{}
+	log, platform, term := memlog.New(), newFakePlatform(), &leaseterm.Term{}
 	one, _ := counting(t, log, "one")
 	two, _ := counting(t, log, "two")
 	now := time.Now()
@@ -80,8 +81,8 @@
 	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)), usage.Counts{"a": 4, "b": 1})
 	// A window in which nothing began is reported as well.
 	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)+1), usage.Counts{})
-	assert.Assert(t, len(term.announced) >= 2)
-	assert.Equal(t, term.announced[0], usageSubject)
+	assert.Assert(t, len(term.Permitted()) >= 2)
+	assert.Equal(t, term.Permitted()[0], usageSubject)
 }
 
 func TestWhatAStoppingNodeCountedIsWritten(t *testing.T) {
@@ -91,7 +92,7 @@
 	now := time.Now()
 	counter.Began("a", now)
 	stop()
-	reporting(t, log, platform, &fakeTerm{}, 1)
+	reporting(t, log, platform, &leaseterm.Term{}, 1)
 	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)), usage.Counts{"a": 1})
 }
 
@@ -141,7 +142,7 @@
 			// The window is decided about once the faults are over.
 			now := time.Now().Add(due)
 			counter.Began("a", now)
-			reporting(t, log, platform, &fakeTerm{}, 1)
+			reporting(t, log, platform, &leaseterm.Term{}, 1)
 			time.Sleep(2 * countDelay)
 			counter.Began("a", now)
 			time.Sleep(2 * countDelay)
@@ -163,10 +164,10 @@
 	now := time.Now()
 	window := usage.WindowOf(now, span)
 	counter.Began("a", now)
-	first := &fakeTerm{}
+	first := &leaseterm.Term{}
 	stop := reporting(t, log, platform, first, 1)
 	awaitReport(t, platform, window)
-	first.end()
+	first.SetOver(true)
 	stop()
 	counter.Began("a", now)
 	time.Sleep(2 * countDelay)
@@ -174,7 +175,7 @@
 	platform.answer = nil
 	before := platform.calls
 	platform.mu.Unlock()
-	reporting(t, log, platform, &fakeTerm{}, 2)
+	reporting(t, log, platform, &leaseterm.Term{}, 2)
 	awaitReport(t, platform, window+2)
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
@@ -196,8 +197,8 @@
 			time.Sleep(time.Millisecond)
 		}
 	})
-	reporting(t, log, platform, &fakeTerm{}, 1)
-	reporting(t, log, platform, &fakeTerm{}, 2)
+	reporting(t, log, platform, &leaseterm.Term{}, 1)
+	reporting(t, log, platform, &leaseterm.Term{}, 2)
 	awaitReport(t, platform, usage.WindowOf(time.Now(), span)+4)
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
@@ -207,7 +208,7 @@
 // TestAHolderThatWasRefusedDoesNotHurry: nor does one whose term is over call at all.
 func TestAHolderThatWasRefusedDoesNotHurry(t *testing.T) {
 	t.Parallel()
-	log, platform, term := memlog.New(), newFakePlatform(), &fakeTerm{}
+	log, platform, term := memlog.New(), newFakePlatform(), &leaseterm.Term{}
 	platform.fence[usageSubject] = 9
 	reporting(t, log, platform, term, 1)
 	testwait.Until(t, "one call", func() bool {
@@ -216,7 +217,7 @@
 		return platform.calls == 1
 	})
 	time.Sleep(4 * span)
-	term.end()
+	term.SetOver(true)
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	assert.Equal(t, platform.calls, 1)
@@ -228,7 +229,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log, platform := memlog.New(), newFakePlatform()
 		platform.fence[usageSubject] = 9
-		stop := reporting(t, log, platform, &fakeTerm{}, 1)
+		stop := reporting(t, log, platform, &leaseterm.Term{}, 1)
 		time.Sleep(6 * conflictPause)
 		synctest.Wait()
 		platform.mu.Lock()
@@ -242,11 +243,12 @@
 func TestNobodyCallsInTheQuietTimeAfterAnotherHolder(t *testing.T) {
 	t.Parallel()
 	log, platform := memlog.New(), newFakePlatform()
-	term := &fakeTerm{quiet: time.Now().Add(3 * due)}
+	quietUntil := time.Now().Add(3 * due)
+	term := &leaseterm.Term{Quiet: func(string) time.Time { return quietUntil }}
 	now := time.Now()
 	reporting(t, log, platform, term, 2)
 	awaitReport(t, platform, usage.WindowOf(now, span))
-	assert.Assert(t, time.Now().After(term.quiet))
+	assert.Assert(t, time.Now().After(quietUntil))
 }
 
 // TestWhereNothingIsReportedNothingIsCounted: also at the end of the process.
--- a/internal/duties/scaler.go
+++ b/internal/duties/scaler.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/scaling"
 )
 
@@ -36,7 +37,7 @@
 // ScalerOptions are the parts that a scaler works with.
 type ScalerOptions struct {
 	Platform Platform
-	Term     Term
+	Term     lease.Term
 	Holder   Holder
 	// Services returns the services and what is asked of them now.
 	Services func() []ScaledService
@@ -108,8 +109,8 @@
 		return
 	}
 	order := EngineOrder{Service: service.Name, Zone: zone, Count: count}
-	answer, err := s.caller.call(ctx, about.String(), func(ctx context.Context) (Answer, error) {
-		return s.options.Platform.OrderEngines(ctx, s.caller.holder, order)
+	answer, err := s.caller.call(ctx, about.String(), func(ctx context.Context, holder Holder) (Answer, error) {
+		return s.options.Platform.OrderEngines(ctx, holder, order)
 	})
 	if answer == NotDone && err == nil {
 		// Not this node's turn, or not yet.
--- a/internal/duties/scaler_test.go
+++ b/internal/duties/scaler_test.go
@@ -8,11 +8,13 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/scaling"
+	"github.com/corkpulley/corkpulley/internal/standin/leaseterm"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-func scalerOf(t *testing.T, platform Platform, term Term, services func() []ScaledService) {
+func scalerOf(t *testing.T, platform Platform, term lease.Term, services func() []ScaledService) {
 	t.Helper()
 	scaler := NewScaler(ScalerOptions{
 		Platform: platform, Term: term, Holder: Holder{Node: "n", Fence: 1}, Services: services, Logger: zerolog.Nop(),
@@ -35,18 +37,18 @@
 
 func TestEnginesThatAreMissingAreOrderedOnce(t *testing.T) {
 	t.Parallel()
-	platform, term := newFakePlatform(), &fakeTerm{}
+	platform, term := newFakePlatform(), &leaseterm.Term{}
 	scalerOf(t, platform, term, func() []ScaledService { return []ScaledService{service(30, map[string]int{"a": 2, "b": 2})} })
 	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) == 1 })
 	time.Sleep(3 * scalePeriod)
 	assert.DeepEqual(t, platform.ordered(), []EngineOrder{{Service: "s", Zone: "a", Count: 3}})
-	assert.DeepEqual(t, term.announced, []string{"scale/s/a"})
+	assert.DeepEqual(t, term.Permitted(), []string{"scale/s/a"})
 }
 
 func TestWhatStandsIsNotOrdered(t *testing.T) {
 	t.Parallel()
 	platform := newFakePlatform()
-	scalerOf(t, platform, &fakeTerm{}, func() []ScaledService { return []ScaledService{service(0, map[string]int{"a": 2, "b": 1})} })
+	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService { return []ScaledService{service(0, map[string]int{"a": 2, "b": 1})} })
 	time.Sleep(3 * scalePeriod)
 	assert.Equal(t, len(platform.ordered()), 0)
 }
@@ -55,7 +57,7 @@
 	t.Parallel()
 	platform := newFakePlatform()
 	var taken atomic.Bool
-	scalerOf(t, platform, &fakeTerm{}, func() []ScaledService {
+	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService {
 		if taken.Load() {
 			return []ScaledService{service(0, map[string]int{"a": 2})}
 		}
@@ -74,7 +76,7 @@
 	var refused atomic.Int64
 	platform.answer = func() (Answer, bool) { return Conflict, refused.Add(1) <= 2 }
 	began := time.Now()
-	scalerOf(t, platform, &fakeTerm{}, func() []ScaledService { return []ScaledService{service(30, map[string]int{"a": 2, "b": 2})} })
+	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService { return []ScaledService{service(30, map[string]int{"a": 2, "b": 2})} })
 	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) == 1 })
 	assert.Assert(t, time.Since(began) >= 2*soldOutPause)
 	assert.Equal(t, refused.Load(), int64(3))
@@ -82,10 +84,10 @@
 
 func TestNobodyOrdersAfterItsTerm(t *testing.T) {
 	t.Parallel()
-	platform, term := newFakePlatform(), &fakeTerm{}
-	term.end()
+	platform, term := newFakePlatform(), &leaseterm.Term{}
+	term.SetOver(true)
 	scalerOf(t, platform, term, func() []ScaledService { return []ScaledService{service(30, nil)} })
 	time.Sleep(3 * scalePeriod)
 	assert.Equal(t, len(platform.ordered()), 0)
-	assert.Equal(t, len(term.announced), 0)
+	assert.Equal(t, len(term.Permitted()), 0)
 }
--- a/internal/hosted/duties.go
+++ b/internal/hosted/duties.go
@@ -12,23 +12,6 @@
 	"github.com/corkpulley/corkpulley/internal/settings"
 )
 
-// termOfDuties is a term of leading as duties see it. It implements duties.Term.
-type termOfDuties struct {
-	elector *leadership.Elector
-	epoch   int64
-}
-
-// Valid implements duties.Term.
-func (t termOfDuties) Valid() bool { return t.elector.Valid(t.epoch) }
-
-// QuietUntil implements duties.Term.
-func (t termOfDuties) QuietUntil(subject string) time.Time { return t.elector.QuietUntil(subject) }
-
-// Announce implements duties.Term.
-func (t termOfDuties) Announce(ctx context.Context, subject string) error {
-	return t.elector.RecordOrder(ctx, t.epoch, subject)
-}
-
 // usageWindow is the span of time for which use is reported; zero when it is not.
 func usageWindow(hosted settings.Hosted) time.Duration {
 	if !hosted.Duty(settings.DutyUsage) {
@@ -40,18 +23,17 @@
 // startDuties starts what the leader does for the platform, as the settings ask for.
 func (n *node) startDuties(ctx context.Context, roles *sync.WaitGroup, term leadership.Term, runner *batchrun.Runner) {
 	hosted := n.config.Hosted
-	own := termOfDuties{elector: n.elector, epoch: term.Epoch}
 	holder := duties.Holder{Node: n.config.Node.ID, Fence: term.Epoch}
 	if hosted.Duty(settings.DutyUsage) {
 		reporter := duties.NewReporter(duties.ReporterOptions{
-			Log: n.log, Platform: n.platform.Duties(), Term: own, Holder: holder,
+			Log: n.log, Platform: n.platform.Duties(), Term: term, Holder: holder,
 			Span: time.Duration(hosted.UsageWindow), Late: time.Duration(hosted.UsageDue), Logger: n.logger,
 		})
 		roles.Go(func() { reporter.Run(ctx) })
 	}
 	if hosted.Duty(settings.DutyScaler) {
 		scaler := duties.NewScaler(duties.ScalerOptions{
-			Platform: n.platform.Duties(), Term: own, Holder: holder, Logger: n.logger,
+			Platform: n.platform.Duties(), Term: term, Holder: holder, Logger: n.logger,
 			Services: func() []duties.ScaledService { return n.scaledServices(runner) },
 		})
 		roles.Go(func() { scaler.Run(ctx) })
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -189,7 +189,7 @@
 		Began: n.counter.Began,
 	})
 	n.elector = leadership.New(log, leadership.Options{
-		Holder: n.holder, Node: config.Node.ID, TTL: time.Duration(config.Hosted.Lease),
+		Holder: n.holder, Node: config.Node.ID, Address: config.Listen.Peers, TTL: time.Duration(config.Hosted.Lease),
 		ClaimDelay: claimDelay(config.Node.Processors),
 		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
 		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: logger,
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -15,15 +15,10 @@
 	var runner *batchrun.Runner
 	orders := weightorders.New(weightorders.Options{
 		Engines: n.platform.Engines(), Fleet: n.fleet, Targets: n.weightTargets,
-		Valid:   func() bool { return n.elector.Valid(term.Epoch) },
 		Running: func(engine string) int { return runner.Running(engine) },
 		Demands: func() map[string]batchrun.Demand { return runner.Demands() },
 		Loaded:  func() { runner.Wake() },
-		Holder:  n.holder, Fence: term.Epoch, Logger: n.logger,
-		QuietUntil: n.elector.QuietUntil,
-		Announce: func(ctx context.Context, engine string) error {
-			return n.elector.RecordOrder(ctx, term.Epoch, engine)
-		},
+		Term:    term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
 	})
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -7,22 +7,33 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// engineCall is how long a call of an engine may take: weightorders.callTimeout.
-const engineCall = 800 * time.Millisecond
+// inFlight is how long bytes that have left may be on their way: the adapter gives up those of
+// orders that are not acknowledged for so long.
+const inFlight = 500 * time.Millisecond
 
-// slowAnswers is a link to a log whose answers to plain appends come late.
+// latestArrival is when an order may arrive at the latest that leaves at the last moment.
+func latestArrival(given lease.Permit) time.Time {
+	last := given.(*permit)
+	left := last.until.Sub(last.term.elector.now())
+	return time.Now().Add(left + inFlight)
+}
+
+// slowAnswers is a link to a log whose answers to appends come late.
 type slowAnswers struct {
 	eventlog.Log
 	delay time.Duration
 }
 
-func (s *slowAnswers) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
-	offset, err := s.Log.Append(ctx, name, records)
+func (s *slowAnswers) AppendAt(
+	ctx context.Context, name eventlog.Partition, at int64, records [][]byte,
+) (int64, error) {
+	offset, err := s.Log.AppendAt(ctx, name, at, records)
 	time.Sleep(s.delay)
 	return offset, err
 }
@@ -37,13 +48,12 @@
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
 	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
-	epoch := first.lastTerm().Epoch
-	assert.NilError(t, first.elector.RecordOrder(t.Context(), epoch, "ordered"))
-	assert.Assert(t, first.elector.Valid(epoch), "a may not order")
-	arrives := time.Now().Add(engineCall)
+	given := first.permit(t, "ordered")
+	assert.Assert(t, given.Open(), "a may not order")
+	arrives := latestArrival(given)
 	first.cancel()
 	testwait.Until(t, "b leads", second.leads)
-	until := second.elector.QuietUntil("ordered")
+	until := second.lastTerm().QuietUntil("ordered")
 	gap := until.Sub(arrives)
 	assert.Assert(t, gap >= testTTL, "b may order %s after the order of a arrives, quiet is %s", gap, testTTL)
 }
@@ -52,14 +62,15 @@
 // it has ended, beside the first orders of the next one, which bear a higher fencing token.
 func TestQuietTimeFollowsAnOrderOfAnEarlierProcess(t *testing.T) {
 	log := memlog.New()
-	first := join(t, log, "a", "a1")
+	const address = "10.0.0.1:7000"
+	first := joinAt(t, log, "a", "a1", address)
 	testwait.Until(t, "a leads", first.leads)
-	assert.NilError(t, first.elector.RecordOrder(t.Context(), first.lastTerm().Epoch, "ordered"))
-	arrives := time.Now().Add(engineCall)
+	given := first.permit(t, "ordered")
 	first.cancel()
-	second := join(t, log, "a", "a2")
+	second := joinAt(t, log, "a", "a2", address)
 	testwait.Until(t, "the next process leads", second.leads)
-	until := second.elector.QuietUntil("ordered")
+	until := second.lastTerm().QuietUntil("ordered")
+	arrives := latestArrival(given)
 	assert.Assert(t, !until.Before(arrives), "may order %s before the order of the earlier process has arrived",
 		time.Until(arrives))
 }
@@ -89,13 +100,13 @@
 	earlier := first.lastTerm().Epoch
 	second := join(t, log, "b", "b1")
 	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
-	assert.NilError(t, first.elector.RecordOrder(t.Context(), earlier, "ordered"))
-	arrives := time.Now().Add(engineCall)
+	given := first.permit(t, "ordered")
+	arrives := latestArrival(given)
 	link.cut(true)
 	testwait.Until(t, "b leads", second.leads)
 	link.cut(false)
 	second.elector.Stop(t.Context())
 	testwait.Until(t, "a leads again", func() bool { return first.leads() && first.lastTerm().Epoch > earlier })
-	until := first.elector.QuietUntil("ordered")
+	until := first.lastTerm().QuietUntil("ordered")
 	assert.Assert(t, !until.Before(arrives), "may order although the order of the earlier term may arrive until %s", arrives)
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -8,9 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
@@ -37,10 +35,8 @@
 	maxReadGap = 400 * time.Millisecond
 	readLimit  = 256 << 10
 	retryDelay = 100 * time.Millisecond
-	// renewalTimeout bounds one renewal; the next one does not wait longer.
-	renewalTimeout = 400 * time.Millisecond
-	// maxOpenRenewals bounds the renewals that are waited for.
-	maxOpenRenewals = 32
+	// recordTimeout bounds the writing of one record; the next one does not wait longer.
+	recordTimeout = 400 * time.Millisecond
 	// hesitantDelay is how long a node that is about to stop leaves a free lease to
 	// others.
 	hesitantDelay = 250 * time.Millisecond
@@ -49,19 +45,17 @@
 	handoverCheck   = 10 * time.Millisecond
 	// checkPeriod is the time between two looks at a lease held by another.
 	checkPeriod = 50 * time.Millisecond
-	// arrivalSlack is how long after its record an order may reach its engine: calls of
-	// engines end after 0.8 s.
-	arrivalSlack = 800 * time.Millisecond
+	// sendWindow is how long after its record was written an order may leave the node. It bounds
+	// the time that the log takes to acknowledge the record, that a connection takes to be
+	// made, and that the process gets no processor.
+	sendWindow = 500 * time.Millisecond
+	// arrivalTime is how long after its record an order may arrive: bytes that nobody
+	// acknowledges are given up after half a second (the adapter's limit for orders).
+	arrivalTime = sendWindow + 500*time.Millisecond
 	// claimJitter spreads the claims of nodes that find a lease free at once.
 	claimJitter = 60 * time.Millisecond
 )
 
-// Term is one time of leading.
-type Term struct {
-	// Epoch is the fencing token: higher than that of every earlier term.
-	Epoch int64
-}
-
 // Role is what a leader does. It returns soon after ctx ends.
 type Role func(ctx context.Context, term Term)
 
@@ -70,6 +64,9 @@
 	// Holder names this process, Node its machine.
 	Holder string
 	Node   string
+	// Address is one that this process holds for as long as it lives; empty for none. A process
+	// that starts where another one held it takes the lease over at once.
+	Address string
 	// TTL is how long a lease holds after its last renewal.
 	TTL time.Duration
 	// ClaimDelay is how long this node leaves a free lease to others, which are more
@@ -104,20 +101,27 @@
 	readAt time.Time
 	// validUntil is when this node's own lease ends unless renewed.
 	validUntil time.Time
-	// claimSent is when the open claim was sent.
+	// claimSent is when the newest claim was sent.
 	claimSent time.Time
 	// termBegan is when this node read its own newest claim.
 	termBegan time.Time
-	// sequence numbers the renewals, sentAt holds when those that were not read
-	// back yet were sent.
+	// sequence numbers the own records, written holds those that were not read back yet.
 	sequence int64
-	sentAt   map[int64]time.Time
+	written  map[int64]*written
+	// knownEnd is where the log ends after the newest own record that it acknowledged.
+	knownEnd int64
+	// waiting are the orders that the next record is to name.
+	waiting  []*orderRequest
 	stopping bool
 	// hesitant is true while the node is about to stop.
 	hesitant bool
 	// leading is true while the role runs.
 	leading bool
+	// progress is closed, and replaced, when records were read.
+	progress chan struct{}
 
+	// turn is held while a record is being written: they go one after the other.
+	turn    chan struct{}
 	changed chan struct{}
 }
 
@@ -129,7 +133,9 @@
 		options:   options,
 		role:      role,
 		now:       boottime.Now,
-		sentAt:    make(map[int64]time.Time),
+		written:   make(map[int64]*written),
+		progress:  make(chan struct{}),
+		turn:      make(chan struct{}, 1),
 		changed:   make(chan struct{}, 1),
 	}
 }
@@ -143,7 +149,7 @@
 		case <-e.changed:
 		case <-time.After(checkPeriod):
 		}
-		if epoch, held := e.held(); held {
+		if epoch, held := e.own(); held {
 			e.lead(ctx, epoch)
 			continue
 		}
@@ -152,47 +158,12 @@
 	return nil
 }
 
-// Valid tells whether this node holds the epoch at this moment.
+// Valid tells whether this node holds the epoch at this moment, as far as it knows. That alone is no
+// leave to order an engine: see Term.Permit.
 func (e *Elector) Valid(epoch int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && e.now().Before(e.validUntil)
-}
-
-// QuietUntil is the time before which this node, leading, may not order the
-// engine: another machine may have ordered it just now. It may lie in the past. It is
-// a time of time.Now.
-func (e *Elector) QuietUntil(engine string) time.Time {
-	e.mu.Lock()
-	until := e.state.QuietUntil(engine, e.options.Quiet+arrivalSlack, e.options.EnginesFence)
-	e.mu.Unlock()
-	if until.IsZero() {
-		return until
-	}
-	left := until.Sub(e.now())
-	return time.Now().Add(left)
-}
-
-// RecordOrder says in the log that this node is about to order an engine in the
-// epoch. Without an error the order may follow at once, if Valid still holds.
-func (e *Elector) RecordOrder(ctx context.Context, epoch int64, engine string) error {
-	record := e.record(lease.Order, epoch)
-	record.Engines = []string{engine}
-	began := e.now()
-	offset, err := e.append(ctx, record)
-	e.logOrder(engine, epoch, offset, began, err)
-	return err
-}
-
-// logOrder tells by what an order was allowed: the place of its record, how old the node's
-// knowledge of the log was, and how much of its lease was left.
-func (e *Elector) logOrder(engine string, epoch, offset int64, began time.Time, err error) {
-	now := e.now()
-	e.mu.Lock()
-	readAge, leaseLeft := now.Sub(e.readAt), e.validUntil.Sub(now)
-	e.mu.Unlock()
-	e.options.Logger.Info().Err(err).Str("engine", engine).Int64("epoch", epoch).Int64("offset", offset).
-		Dur("took_ms", now.Sub(began)).Dur("read_age_ms", readAge).Dur("lease_left_ms", leaseLeft).Msg("order recorded")
+	return e.holdsLocked(epoch) && e.now().Before(e.validUntil)
 }
 
 // Leader returns the holder of the lease and its epoch, as last read.
@@ -214,16 +185,17 @@
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
-	epoch, own := e.state.Epoch, e.state.Holder == e.options.Holder
+	epoch := e.state.Epoch
+	own := e.holdsLocked(epoch)
 	e.validUntil = time.Time{}
 	e.mu.Unlock()
 	e.signal()
-	if !own || epoch == 0 {
+	if !own {
 		return
 	}
 	e.awaitRole(ctx)
 	for ctx.Err() == nil {
-		if _, err := e.append(ctx, e.record(lease.Release, epoch)); err == nil {
+		if _, err := e.write(ctx, epoch, lease.Release, nil); err == nil {
 			e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership released")
 			return
 		}
@@ -231,11 +203,16 @@
 	}
 }
 
-func (e *Elector) held() (int64, bool) {
+// own returns the epoch that this node holds, if it does.
+func (e *Elector) own() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	own := e.state.Epoch > 0 && e.state.Holder == e.options.Holder && !e.state.Released && !e.stopping
-	return e.state.Epoch, own && e.now().Before(e.validUntil)
+	return e.state.Epoch, e.holdsLocked(e.state.Epoch) && !e.stopping
+}
+
+// holdsLocked tells whether this node holds the epoch as far as it has read; mu is held.
+func (e *Elector) holdsLocked(epoch int64) bool {
+	return e.state.HeldBy(e.options.Holder, epoch)
 }
 
 func (e *Elector) claimIfFree(ctx context.Context) {
@@ -243,13 +220,13 @@
 	e.mu.Lock()
 	inContact := !e.contactSince.IsZero()
 	free := inContact && !e.stopping &&
-		e.state.Claimable(e.options.Node, e.options.Holder, e.readAt, e.contactSince, e.options.TTL)
+		e.state.Claimable(e.options.Node, e.options.Holder, e.options.Address, e.readAt, e.contactSince, e.options.TTL)
 	ownMachine := e.state.Node == e.options.Node
 	hesitation := e.options.ClaimDelay
 	if e.hesitant {
 		hesitation += hesitantDelay
 	}
-	next, previous := e.state.Next, e.state.Epoch
+	next := e.state.Next
 	pending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
 	e.mu.Unlock()
 	if !free || pending {
@@ -258,15 +235,7 @@
 	if !ownMachine {
 		retry.Sleep(ctx, rand.N(claimJitter)+hesitation)
 	}
-	e.mu.Lock()
-	if e.state.Next != next {
-		e.mu.Unlock()
-		return
-	}
-	e.claimSent = e.now()
-	e.mu.Unlock()
-	err := e.appendAt(ctx, next, e.record(lease.Claim, previous))
-	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
+	e.claim(ctx, next)
 }
 
 func (e *Elector) signal() {
@@ -275,31 +244,3 @@
 	default:
 	}
 }
-
-func (e *Elector) record(kind lease.RecordKind, epoch int64) lease.Record {
-	record := lease.Record{Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Epoch: epoch}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if kind != lease.Claim && !e.termBegan.IsZero() {
-		record.Held = e.now().Sub(e.termBegan)
-	}
-	return record
-}
-
-// append returns the offset of the record.
-func (e *Elector) append(ctx context.Context, record lease.Record) (int64, error) {
-	raw, err := msgpack.Marshal(&record)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode the lease record")
-	}
-	return e.log.Append(ctx, e.partition, [][]byte{raw})
-}
-
-func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) error {
-	raw, err := msgpack.Marshal(&record)
-	if err != nil {
-		return errors.Wrap(err, "encode the lease record")
-	}
-	_, err = e.log.AppendAt(ctx, e.partition, end, [][]byte{raw})
-	return err
-}
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -50,6 +51,14 @@
 	return c.terms[len(c.terms)-1]
 }
 
+// permit returns the leave to order an engine once.
+func (c *candidate) permit(t *testing.T, engine string) lease.Permit {
+	t.Helper()
+	given, err := c.lastTerm().Permit(t.Context(), engine)
+	assert.NilError(t, err)
+	return given
+}
+
 func join(t *testing.T, log eventlog.Log, node, holder string) *candidate {
 	t.Helper()
 	return joinAfter(t, log, node, holder, 0)
@@ -58,10 +67,20 @@
 // joinAfter joins a node that leaves a free lease to others for a while.
 func joinAfter(t *testing.T, log eventlog.Log, node, holder string, delay time.Duration) *candidate {
 	t.Helper()
+	return joinWith(t, log, Options{Holder: holder, Node: node, ClaimDelay: delay})
+}
+
+// joinAt joins a process that holds an address.
+func joinAt(t *testing.T, log eventlog.Log, node, holder, address string) *candidate {
+	t.Helper()
+	return joinWith(t, log, Options{Holder: holder, Node: node, Address: address})
+}
+
+func joinWith(t *testing.T, log eventlog.Log, options Options) *candidate {
+	t.Helper()
+	options.TTL, options.Quiet, options.Logger = testTTL, testTTL, zerolog.Nop()
 	c := &candidate{}
-	c.elector = New(log, Options{
-		Holder: holder, Node: node, TTL: testTTL, Quiet: testTTL, ClaimDelay: delay, Logger: zerolog.Nop(),
-	}, c.role)
+	c.elector = New(log, options, c.role)
 	ctx, cancel := context.WithCancel(t.Context())
 	c.cancel = cancel
 	go func() { _ = c.elector.Run(ctx) }()
@@ -91,14 +110,29 @@
 	first := join(t, log, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
-	assert.NilError(t, first.elector.RecordOrder(t.Context(), first.lastTerm().Epoch, "ordered"))
+	first.permit(t, "ordered")
 	recorded := time.Now()
 	first.cancel()
 	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, second.lastTerm().Epoch > first.lastTerm().Epoch)
-	until := second.elector.QuietUntil("ordered")
+	until := second.lastTerm().QuietUntil("ordered")
 	assert.Assert(t, !until.Before(recorded.Add(testTTL)), "the other machine ordered it just now")
-	assert.Assert(t, second.elector.QuietUntil("another").IsZero(), "the other machine ordered only one engine")
+	assert.Assert(t, second.lastTerm().QuietUntil("another").IsZero(), "the other machine ordered only one engine")
+}
+
+// TestARestartedProcessLeadsAtOnce: it holds the address of the earlier one, which has therefore
+// ended; the others wait for a lease.
+func TestARestartedProcessLeadsAtOnce(t *testing.T) {
+	log := memlog.New()
+	const address = "10.0.0.1:7000"
+	first := joinAt(t, log, "a", "a1", address)
+	testwait.Until(t, "a leads", first.leads)
+	first.cancel()
+	testwait.Until(t, "a has ended", func() bool { return !first.leads() })
+	// It would claim before the other one only if it need not wait for a lease as well.
+	join(t, log, "b", "b1")
+	second := joinAt(t, log, "a", "a2", address)
+	testwait.Until(t, "the next process leads", second.leads)
 }
 
 // TestAbleNodesLead: a node that leaves a free lease to others for a while leads
--- a/internal/leadership/overlap_test.go
+++ b/internal/leadership/overlap_test.go
@@ -158,7 +158,7 @@
 	found := overlap(first, second, epoch, newer, testTTL)
 	ctx, cancel := context.WithTimeout(t.Context(), testTTL)
 	defer cancel()
-	recorded := first.elector.RecordOrder(ctx, epoch, "engine")
+	_, recorded := first.lastTerm().Permit(ctx, "engine")
 	assert.Equal(t, found, 0, "two leases held at one time, for about so many milliseconds")
 	assert.Assert(t, recorded != nil, "an order of the earlier holder was recorded after the claim of the next one")
 }
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -31,7 +31,7 @@
 
 // lead runs the role until the lease is lost.
 func (e *Elector) lead(ctx context.Context, epoch int64) {
-	term := Term{Epoch: epoch}
+	term := Term{Epoch: epoch, elector: e}
 	e.options.Logger.Info().Int64("epoch", epoch).Msg("leadership gained")
 	e.setLeading(true)
 	defer e.setLeading(false)
@@ -52,36 +52,32 @@
 // renewWhileHeld renews until another epoch is in force or the node stops. While
 // the log is out of reach the role goes on, since no promise rests on it: orders
 // ask Valid, and what the role records is decided when it is read. Without a
-// read no renewal is sent, so a node that is only heard, or that cannot know of a
-// newer epoch, does not keep others from leading.
+// read no renewal is sent, so a node that is only heard does not keep others from leading.
 func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
 	period := e.options.TTL / renewalsPerTTL
 	for ctx.Err() == nil && e.inForce(epoch) {
 		sent := e.now()
 		if e.readWithin(e.options.TTL) {
-			e.renew(ctx, epoch, sent)
+			e.renew(ctx, epoch)
 		}
 		e.sleepWhileInForce(ctx, epoch, max(period-e.now().Sub(sent), minRenewalGap))
 	}
 }
 
-func (e *Elector) renew(ctx context.Context, epoch int64, sent time.Time) {
-	record := e.record(lease.Renew, epoch)
-	record.Sequence = e.noteRenewal(sent)
-	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
-	defer cancel()
-	if _, err := e.append(ctx, record); err != nil {
+func (e *Elector) renew(ctx context.Context, epoch int64) {
+	taken, err := e.write(ctx, epoch, lease.Renew, nil)
+	if err != nil {
 		e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
 		return
 	}
-	e.extend(epoch, sent)
+	e.extend(epoch, taken.sent)
 }
 
 // inForce tells whether this node holds the epoch as far as it knows.
 func (e *Elector) inForce(epoch int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.Epoch == epoch && e.state.Holder == e.options.Holder && !e.state.Released && !e.stopping
+	return e.holdsLocked(epoch) && !e.stopping
 }
 
 func (e *Elector) readWithin(period time.Duration) bool {
@@ -101,19 +97,6 @@
 	}
 }
 
-// noteRenewal numbers a renewal and remembers when it was sent: one whose answer
-// is lost counts once it is read back.
-func (e *Elector) noteRenewal(sent time.Time) int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.sentAt) >= maxOpenRenewals {
-		clear(e.sentAt)
-	}
-	e.sequence++
-	e.sentAt[e.sequence] = sent
-	return e.sequence
-}
-
 // extend counts the lease from when the acknowledged record was sent.
 func (e *Elector) extend(epoch int64, sent time.Time) {
 	e.mu.Lock()
@@ -123,21 +106,10 @@
 
 // extendLocked is extend with mu held.
 func (e *Elector) extendLocked(epoch int64, sent time.Time) {
-	if e.state.Epoch != epoch || e.state.Holder != e.options.Holder || e.stopping {
+	if !e.holdsLocked(epoch) || e.stopping {
 		return
 	}
 	if until := sent.Add(e.options.TTL - e.options.TTL/marginShare); until.After(e.validUntil) {
 		e.validUntil = until
 	}
 }
-
-// readBack counts an own renewal that was read from the log; mu is held.
-func (e *Elector) readBack(record lease.Record) {
-	if record.Holder != e.options.Holder || record.Kind != lease.Renew {
-		return
-	}
-	if sent, open := e.sentAt[record.Sequence]; open {
-		delete(e.sentAt, record.Sequence)
-		e.extendLocked(record.Epoch, sent)
-	}
-}
--- a/internal/leadership/stale_test.go
+++ b/internal/leadership/stale_test.go
@@ -33,11 +33,13 @@
 	return l.delay, l.refused
 }
 
-func (l *lateLog) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
+func (l *lateLog) AppendAt(
+	ctx context.Context, name eventlog.Partition, at int64, records [][]byte,
+) (int64, error) {
 	if _, refused := l.now(); refused {
 		return 0, eventlog.ErrNotDone
 	}
-	return l.Log.Append(ctx, name, records)
+	return l.Log.AppendAt(ctx, name, at, records)
 }
 
 func (l *lateLog) Read(
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -50,7 +50,7 @@
 	for _, raw := range batch.Records {
 		var record lease.Record
 		if err := msgpack.Unmarshal(raw, &record); err != nil {
-			e.state.Skip()
+			e.state.Skip(now)
 			continue
 		}
 		if e.state.IsBehind(record) {
@@ -61,6 +61,9 @@
 		}
 		e.readBack(record)
 	}
+	if len(batch.Records) > 0 {
+		e.tellProgress()
+	}
 	if e.state.Next >= batch.End {
 		e.readAt = now
 		if e.contactSince.IsZero() {
@@ -73,6 +76,12 @@
 	}
 }
 
+// tellProgress wakes those who wait for records to be read; mu is held.
+func (e *Elector) tellProgress() {
+	close(e.progress)
+	e.progress = make(chan struct{})
+}
+
 // noteBehind tells that a holder wrote after another claim had won: two nodes took
 // themselves for the leader at that place of the log. mu is held.
 func (e *Elector) noteBehind(record lease.Record) {
@@ -84,10 +93,10 @@
 	}
 }
 
-// epochChanged starts the own lease from when its claim was sent; mu is held.
+// epochChanged ends the lease of the earlier epoch, which may have been this node's; mu is held.
 func (e *Elector) epochChanged(record lease.Record) {
+	e.validUntil = time.Time{}
 	if record.Holder == e.options.Holder {
-		e.validUntil = e.claimSent.Add(e.options.TTL - e.options.TTL/marginShare)
 		e.termBegan = e.now()
 	}
 	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
@@ -98,7 +107,8 @@
 func (e *Elector) skipTo(first int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.SkipTo(first)
+	e.state.SkipTo(first, e.now())
+	e.tellProgress()
 }
 
 func (e *Elector) lostContact(err error) {
--- /dev/null
+++ b/internal/leadership/write.go
@@ -0,0 +1,205 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corkpulley/corkpulley/internal/core/lease"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// errNotHeld is returned where this node does not hold the lease, as far as it has read.
+var errNotHeld = errors.New("this node does not hold the lease")
+
+// written is an own record that was not read back yet.
+type written struct {
+	// sent is when it was composed, before it was sent.
+	sent time.Time
+	// readBack is closed once it was read.
+	readBack chan struct{}
+}
+
+// receipt says that the log took a record in the epoch of its holder.
+type receipt struct {
+	offset int64
+	sent   time.Time
+}
+
+// maxWritten is the number of records up to which none is forgotten that was not read back.
+const maxWritten = 32
+
+// write appends a record of the epoch that this node holds. The log takes it only where it ends as
+// this node has read, so that an acknowledgement proves that the epoch is in force at its place. A
+// node that does not know of a newer claim gets no acknowledgement.
+func (e *Elector) write(ctx context.Context, epoch int64, kind lease.RecordKind, engines []string) (receipt, error) {
+	select {
+	case e.turn <- struct{}{}:
+	case <-ctx.Done():
+		return receipt{}, ctx.Err()
+	}
+	defer func() { <-e.turn }()
+	return e.writeInTurn(ctx, epoch, kind, engines)
+}
+
+// writeInTurn is write by the one whose turn it is: two at a time would take the same place.
+func (e *Elector) writeInTurn(
+	ctx context.Context, epoch int64, kind lease.RecordKind, engines []string,
+) (receipt, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	for {
+		record, at, err := e.compose(epoch, kind, engines)
+		if err != nil {
+			return receipt{}, err
+		}
+		sent, err := e.appendOwn(ctx, at, record)
+		if err == nil {
+			return receipt{offset: at, sent: sent}, nil
+		}
+		var conflict *eventlog.ConflictError
+		if !errors.As(err, &conflict) || !e.awaitRead(ctx, conflict.End) {
+			return receipt{}, err
+		}
+	}
+}
+
+// compose returns the next record of the epoch and the offset that it is for.
+func (e *Elector) compose(epoch int64, kind lease.RecordKind, engines []string) (lease.Record, int64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.holdsLocked(epoch) {
+		return lease.Record{}, 0, errNotHeld
+	}
+	record := lease.Record{
+		Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Address: e.options.Address,
+		Epoch: epoch, Engines: engines,
+	}
+	if !e.termBegan.IsZero() {
+		record.Held = e.now().Sub(e.termBegan)
+	}
+	e.noteLocked(&record)
+	return record, max(e.state.Next, e.knownEnd), nil
+}
+
+// noteLocked numbers a record and remembers when it was composed; mu is held.
+func (e *Elector) noteLocked(record *lease.Record) *written {
+	now := e.now()
+	if len(e.written) >= maxWritten {
+		e.forgetWritten(now)
+	}
+	e.sequence++
+	record.Sequence = e.sequence
+	entry := &written{sent: now, readBack: make(chan struct{})}
+	e.written[e.sequence] = entry
+	return entry
+}
+
+// forgetWritten drops records that extend no lease any more, should they still be read back; mu
+// is held.
+func (e *Elector) forgetWritten(now time.Time) {
+	for sequence, entry := range e.written {
+		if now.Sub(entry.sent) > e.options.TTL+recordTimeout {
+			delete(e.written, sequence)
+		}
+	}
+}
+
+// appendOwn appends a record that was noted and returns when it was composed. A record counts as
+// taken once the log says so or it is read back, whichever is first: where answers are lost the
+// next record need not wait for a time-out.
+func (e *Elector) appendOwn(ctx context.Context, at int64, record lease.Record) (time.Time, error) {
+	e.mu.Lock()
+	entry := e.written[record.Sequence]
+	e.mu.Unlock()
+	answered := make(chan error, 1)
+	go func() {
+		// It goes on where its caller has read the record back, or has given up: an append that is
+		// broken off costs its connection and says nothing of the outcome.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+		defer cancel()
+		answered <- e.appendAt(ctx, at, record)
+	}()
+	var err error
+	select {
+	case err = <-answered:
+	case <-entry.readBack:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		return time.Time{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.knownEnd = max(e.knownEnd, at+1)
+	return entry.sent, nil
+}
+
+func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) error {
+	raw, err := msgpack.Marshal(&record)
+	if err != nil {
+		return errors.Wrap(err, "encode the lease record")
+	}
+	_, err = e.log.AppendAt(ctx, e.partition, end, [][]byte{raw})
+	return err
+}
+
+// awaitRead waits until this node has read up to the offset; false when ctx ended first.
+func (e *Elector) awaitRead(ctx context.Context, end int64) bool {
+	for {
+		e.mu.Lock()
+		read, progress := e.state.Next >= end, e.progress
+		e.mu.Unlock()
+		if read {
+			return true
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// claim appends a claim, unless records were read since the lease was found free at the offset.
+func (e *Elector) claim(ctx context.Context, next int64) {
+	e.mu.Lock()
+	if e.state.Next != next {
+		e.mu.Unlock()
+		return
+	}
+	previous := e.state.Epoch
+	record := e.state.NewClaim(e.options.Node, e.options.Holder, e.options.Address)
+	e.claimSent = e.noteLocked(&record).sent
+	e.mu.Unlock()
+	err := e.appendAt(ctx, next, record)
+	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
+}
+
+// readBack counts an own record that was read from the log; mu is held. One whose answer was
+// lost counts from when it was sent, not from when one like it was sent again.
+func (e *Elector) readBack(record lease.Record) {
+	if record.Holder != e.options.Holder {
+		return
+	}
+	entry, open := e.written[record.Sequence]
+	if !open {
+		return
+	}
+	delete(e.written, record.Sequence)
+	close(entry.readBack)
+	if record.Kind == lease.Claim || record.Kind == lease.Renew {
+		e.extendLocked(e.epochOf(record), entry.sent)
+	}
+}
+
+// epochOf is the epoch that an own record is of, which was just read; mu is held.
+func (e *Elector) epochOf(record lease.Record) int64 {
+	if record.Kind == lease.Claim {
+		return record.Begins
+	}
+	return record.Epoch
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
 // Problem is one mistake in the settings.
@@ -24,14 +26,16 @@
 
 // Ranges of the numeric settings.
 const (
-	MinProbeInterval  = 50 * time.Millisecond
-	MaxProbeInterval  = 10 * time.Second
-	MinGrace          = time.Second
-	MaxGrace          = time.Hour
-	MinLoads          = 1
-	MaxLoads          = 10_000
-	MinLease          = 500 * time.Millisecond
-	MaxLease          = time.Minute
+	MinProbeInterval = 50 * time.Millisecond
+	MaxProbeInterval = 10 * time.Second
+	MinGrace         = time.Second
+	MaxGrace         = time.Hour
+	MinLoads         = 1
+	MaxLoads         = 10_000
+	MinLease         = 500 * time.Millisecond
+	MaxLease         = time.Minute
+	// MaxOrderQuiet is as long as orders are remembered.
+	MaxOrderQuiet     = lease.MaxQuiet
 	MaxPartitions     = 1024
 	MaxProcessors     = 1024
 	MaxReadsPerSecond = 10_000_000
@@ -163,7 +167,7 @@
 func (c *checker) hosted(hosted Hosted) {
 	c.reachable("hosted.log", hosted.Log)
 	c.duration("hosted.lease", hosted.Lease, MinLease, MaxLease)
-	c.duration("hosted.order_quiet", hosted.OrderQuiet, 0, MaxLease)
+	c.duration("hosted.order_quiet", hosted.OrderQuiet, 0, MaxOrderQuiet)
 	c.number("hosted.partitions", hosted.Partitions, 1, MaxPartitions)
 	c.number("hosted.record_bytes", hosted.RecordBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -13,9 +13,6 @@
 // callTimeout bounds one call to an engine.
 const callTimeout = 800 * time.Millisecond
 
-// announceTimeout bounds the writing of an announcement.
-const announceTimeout = 500 * time.Millisecond
-
 func sortTargets(targets []weightplan.Target) {
 	sort.Slice(targets, func(i, j int) bool { return targets[i].Model < targets[j].Model })
 }
@@ -67,6 +64,7 @@
 	count, known := m.counts[engine.ID]
 	m.mu.Unlock()
 	if !known {
+		// The answer also shows that the engine hears: what an earlier holder sent it is there by now.
 		report, err := m.report(ctx, engine)
 		if err != nil || report.Busy {
 			return Refused
@@ -77,11 +75,15 @@
 		}
 		count = report.Count
 	}
-	if !m.options.Valid() || !m.announce(ctx, engine) {
+	if !m.options.Term.Valid() {
+		return Refused
+	}
+	permit, err := m.options.Term.Permit(ctx, engine.ID)
+	if err != nil {
+		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order not announced")
 		return Refused
 	}
-	// Writing the announcement took its time.
-	if !m.options.Valid() || ctx.Err() != nil {
+	if !permit.Open() || ctx.Err() != nil {
 		return Refused
 	}
 	began := time.Now()
@@ -90,6 +92,7 @@
 	answer, err := m.options.Engines.Order(callContext, engine, Order{
 		Model: load.Model, Version: load.Version, Mode: mode,
 		Holder: m.options.Holder, Fence: m.options.Fence, Count: count,
+		MayLeave: permit.Open,
 	})
 	if err != nil {
 		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order failed")
@@ -106,17 +109,6 @@
 	return answer
 }
 
-// announce writes down that the engine is about to be ordered.
-func (m *Manager) announce(ctx context.Context, engine fleet.Engine) bool {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	if err := m.options.Announce(ctx, engine.ID); err != nil {
-		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order not announced")
-		return false
-	}
-	return true
-}
-
 // awaitVersion asks the engine until it has the version.
 func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
 	retry.Sleep(ctx, firstCheck)
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -87,7 +87,7 @@
 			ID: engine.ID, Versions: engine.Versions, Running: running,
 			Loading: m.loading[engine.ID] != nil,
 			Usable: !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]) &&
-				now.After(m.options.QuietUntil(engine.ID)),
+				now.After(m.options.Term.QuietUntil(engine.ID)),
 		})
 		m.mu.Unlock()
 	}
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -14,6 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/dutycycle"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
 )
 
@@ -59,6 +60,9 @@
 	Fence  int64
 	// Count is the engine's count of orders that this one follows.
 	Count int64
+	// MayLeave tells whether the order may still leave this node; it is asked right before its
+	// bytes do. Nil where nothing limits it.
+	MayLeave func() bool
 }
 
 // Answer is an engine's answer to an order.
@@ -116,8 +120,8 @@
 	Fleet   *fleet.Fleet
 	// Targets returns what is to be loaded now.
 	Targets func() []Target
-	// Valid tells whether this node still leads.
-	Valid func() bool
+	// Term is the time of leading in which the manager orders.
+	Term lease.Term
 	// Running and Demands tell what the runner does.
 	Running func(engine string) int
 	Demands func() map[string]batchrun.Demand
@@ -125,12 +129,7 @@
 	Loaded func()
 	Holder string
 	Fence  int64
-	// QuietUntil is the time before which an engine may not be ordered.
-	QuietUntil func(engine string) time.Time
-	// Announce writes down that an engine is about to be ordered. It is ordered only
-	// without an error.
-	Announce func(ctx context.Context, engine string) error
-	Logger   zerolog.Logger
+	Logger zerolog.Logger
 }
 
 // Manager orders loads during one term of leading.
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/standin/leaseterm"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -108,14 +109,13 @@
 	engines *fakeEngines
 	fleet   *fleet.Fleet
 	version atomic.Int64
-	valid   atomic.Bool
+	term    *leaseterm.Term
 }
 
 func manage(t *testing.T, engineCount int, change func(*Options)) *world {
 	t.Helper()
-	w := &world{fleet: fleet.New()}
+	w := &world{fleet: fleet.New(), term: &leaseterm.Term{}}
 	w.version.Store(2)
-	w.valid.Store(true)
 	var ids []string
 	for i := range engineCount {
 		id := fmt.Sprint("e", i)
@@ -124,15 +124,13 @@
 	}
 	w.engines = newFakeEngines(ids...)
 	options := Options{
-		Engines: w.engines, Fleet: w.fleet, Valid: w.valid.Load,
+		Engines: w.engines, Fleet: w.fleet, Term: w.term,
 		Targets: func() []Target {
 			return []Target{{Service: service, Versions: map[string]int64{model: w.version.Load()}}}
 		},
 		Running: func(string) int { return 0 },
 		Demands: func() map[string]batchrun.Demand { return nil },
 		Loaded:  func() {}, Holder: "h", Fence: 7, Logger: zerolog.Nop(),
-		QuietUntil: func(string) time.Time { return time.Time{} },
-		Announce:   func(context.Context, string) error { return nil },
 	}
 	if change != nil {
 		change(&options)
@@ -177,12 +175,12 @@
 func TestNoEngineIsOrderedBeforeItsQuietTimeIsOver(t *testing.T) {
 	var over atomic.Bool
 	w := manage(t, 2, func(options *Options) {
-		options.QuietUntil = func(engine string) time.Time {
+		options.Term = &leaseterm.Term{Quiet: func(engine string) time.Time {
 			if engine == "e0" && !over.Load() {
 				return time.Now().Add(time.Hour)
 			}
 			return time.Time{}
-		}
+		}}
 	})
 	testwait.Until(t, "the other engine has version 2", func() bool { return w.engines.versionOf("e1") == 2 })
 	time.Sleep(4 * tickPeriod) // in which a holder would have ordered
@@ -198,13 +196,13 @@
 	var announced atomic.Int64
 	away.Store(true)
 	w := manage(t, 3, func(options *Options) {
-		options.Announce = func(context.Context, string) error {
+		options.Term = &leaseterm.Term{Refuses: func(string) error {
 			if away.Load() {
 				return errors.New("the log is away")
 			}
 			announced.Add(1)
 			return nil
-		}
+		}}
 	})
 	time.Sleep(4 * tickPeriod)
 	assert.Equal(t, w.engines.orderCount(), 0)
@@ -217,15 +215,32 @@
 	var loaded atomic.Int64
 	w := manage(t, 2, func(options *Options) { options.Loaded = func() { loaded.Add(1) } })
 	testwait.Until(t, "both loads are known to be done", func() bool { return loaded.Load() == 2 })
-	w.valid.Store(false)
+	w.term.SetOver(true)
 	before := w.engines.orderCount()
 	w.version.Store(3)
 	time.Sleep(4 * tickPeriod) // in which a holder would have ordered
 	assert.Equal(t, w.engines.orderCount(), before)
-	w.valid.Store(true)
+	w.term.SetOver(false)
 	testwait.Until(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
 }
 
+// TestNoOrderLeavesOnceItsPermitHasEnded: writing its record took too long, or the lease went.
+func TestNoOrderLeavesOnceItsPermitHasEnded(t *testing.T) {
+	term := &leaseterm.Term{}
+	term.ClosePermits(true)
+	w := manage(t, 2, func(options *Options) { options.Term = term })
+	testwait.Until(t, "orders have been permitted", func() bool { return len(term.Permitted()) >= 2 })
+	time.Sleep(4 * tickPeriod) // in which an order would have left
+	assert.Equal(t, w.engines.orderCount(), 0)
+	term.ClosePermits(false)
+	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	for _, order := range w.engines.orders {
+		assert.Assert(t, order.MayLeave != nil && order.MayLeave(), "the adapter cannot ask whether the order may leave")
+	}
+}
+
 // TestAnOrderThatWasOvertakenIsGivenAnew: another's order came between, so that
 // the count of orders is no longer the one known here.
 func TestAnOrderThatWasOvertakenIsGivenAnew(t *testing.T) {
