--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -16,6 +16,9 @@
 	Node string
 	// Fence is the fencing token, which rises with each holder.
 	Fence int64
+	// MayLeave tells whether a call may still leave this node. It is asked right before
+	// its bytes do; nil sets no limit.
+	MayLeave func() bool
 }
 
 // Answer is the platform's answer to a call.
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -59,6 +59,9 @@
 	Fence  int64
 	// Count is the engine's count of orders that this one follows.
 	Count int64
+	// MayLeave tells whether the order may still leave this node. It is asked right
+	// before its bytes do; nil sets no limit.
+	MayLeave func() bool
 }
 
 // Answer is an engine's answer to an order.
