--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -17,7 +17,7 @@
 	// Fence is the fencing token, which rises with each holder.
 	Fence int64
 	// MayLeave tells whether a call may still leave this node. It is asked right before
-	// its bytes do; nil sets no limit.
+	// its bytes do, in any goroutine; nil sets no limit.
 	MayLeave func() bool
 }
 
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -60,7 +60,7 @@
 	// Count is the engine's count of orders that this one follows.
 	Count int64
 	// MayLeave tells whether the order may still leave this node. It is asked right
-	// before its bytes do; nil sets no limit.
+	// before its bytes do, in any goroutine; nil sets no limit.
 	MayLeave func() bool
 }
 
