--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -17,8 +17,8 @@
 	Node string
 	// Fence is the fencing token, which rises with each holder.
 	Fence int64
-	// MayLeave tells whether the call may still leave this node; it is asked right before its bytes
-	// do. Nil where nothing limits it.
+	// MayLeave tells whether a call may still leave this node. It is asked right before
+	// its bytes do, in any goroutine; nil sets no limit.
 	MayLeave func() bool
 }
 
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -60,8 +60,8 @@
 	Fence  int64
 	// Count is the engine's count of orders that this one follows.
 	Count int64
-	// MayLeave tells whether the order may still leave this node; it is asked right before its
-	// bytes do. Nil where nothing limits it.
+	// MayLeave tells whether the order may still leave this node. It is asked right
+	// before its bytes do, in any goroutine; nil sets no limit.
 	MayLeave func() bool
 }
 
