Bound an order's call by its permit; tests of permits

Cause: an order's call was given up 0.8 s, and a call to the platform 1.5 s, after it was sent, whatever time its record had taken; bytes that something between holds arrive until then. Others waited 0.8 s from the record. Ruled out: bytes after the reset (the adapter's tests with a relay). Change: lease.Permit.Bound ends the call 1 s after the record was written, where the adapter resets the connection; the quiet time adds the same second. One bound for engines and for the platform's calls. Conclusion: what the next holder waits for and what a sender may do are one constant.

--- a/internal/core/lease/term.go
+++ b/internal/core/lease/term.go
@@ -11,6 +11,9 @@
 	// do: between the permit and them may lie a connection to be made, the scheduler, or a pause
 	// of the whole machine.
 	Open() bool
+	// Bound returns a context that ends when the order may no longer arrive. Whoever sends it drops
+	// what is still on its way then: the next holder waits that long, and no longer.
+	Bound(ctx context.Context) (context.Context, context.CancelFunc)
 }
 
 // Term is one time of leading: what its holder may do in it.
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -61,9 +61,6 @@
 	OrderEngines(ctx context.Context, holder Holder, order EngineOrder) (Answer, error)
 }
 
-// callTimeout bounds one call to the platform.
-const callTimeout = 1500 * time.Millisecond
-
 // caller makes calls under a term.
 type caller struct {
 	term   lease.Term
@@ -86,7 +83,7 @@
 	}
 	holder := c.holder
 	holder.MayLeave = permit.Open
-	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	calling, cancel := permit.Bound(ctx)
 	defer cancel()
 	return call(calling, holder)
 }
--- a/internal/leadership/permit.go
+++ b/internal/leadership/permit.go
@@ -73,6 +73,12 @@
 	return p.term.Valid() && p.term.elector.now().Before(p.until)
 }
 
+// Bound implements lease.Permit.
+func (p *permit) Bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	left := p.until.Add(inFlightTime).Sub(p.term.elector.now())
+	return context.WithTimeout(ctx, left)
+}
+
 // orderRequest is an order that waits for its record.
 type orderRequest struct {
 	epoch  int64
--- a/internal/standin/leaseterm/leaseterm.go
+++ b/internal/standin/leaseterm/leaseterm.go
@@ -62,6 +62,14 @@
 	return !p.term.over && !p.term.closed
 }
 
+// permitTime is how long the bound of a permit lasts: as that of a real one.
+const permitTime = time.Second
+
+// Bound implements lease.Permit.
+func (p permit) Bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, permitTime)
+}
+
 // SetOver ends the term, or begins it again.
 func (t *Term) SetOver(over bool) {
 	t.mu.Lock()
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -10,8 +10,8 @@
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
 )
 
-// callTimeout bounds one call to an engine.
-const callTimeout = 800 * time.Millisecond
+// reportTimeout bounds the question what an engine has loaded.
+const reportTimeout = 800 * time.Millisecond
 
 func sortTargets(targets []weightplan.Target) {
 	sort.Slice(targets, func(i, j int) bool { return targets[i].Model < targets[j].Model })
@@ -87,7 +87,7 @@
 		return Refused
 	}
 	began := time.Now()
-	callContext, cancel := context.WithTimeout(ctx, callTimeout)
+	callContext, cancel := permit.Bound(ctx)
 	defer cancel()
 	answer, err := m.options.Engines.Order(callContext, engine, Order{
 		Model: load.Model, Version: load.Version, Mode: mode,
@@ -127,7 +127,7 @@
 }
 
 func (m *Manager) report(ctx context.Context, engine fleet.Engine) (Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	return m.options.Engines.Report(ctx, engine)
 }
