--- a/internal/core/lease/history.go
+++ b/internal/core/lease/history.go
@@ -38,12 +38,18 @@
 
 // order is the newest order that an engine may have been given by a machine.
 type order struct {
-	node     string
+	machine  machine
 	epoch    int64
 	when     moment
 	released bool
 }
 
+// machine tells one machine from others: a name may be given to another one.
+type machine struct {
+	node    string
+	address string
+}
+
 const (
 	// minForgetAt is the number of engines up to which no order is forgotten.
 	minForgetAt = 1024
@@ -77,11 +83,11 @@
 	}
 }
 
-// released notes that the node orders no more.
-func (h *history) released(node string) {
+// released notes that the holder of the epoch orders no more.
+func (h *history) released(epoch int64) {
 	for _, orders := range h.orders {
 		for i := range orders {
-			orders[i].released = orders[i].released || orders[i].node == node
+			orders[i].released = orders[i].released || orders[i].epoch == epoch
 		}
 	}
 }
@@ -94,7 +100,7 @@
 	if len(h.orders) > max(h.forgetAt, minForgetAt) {
 		h.forgetOld(at)
 	}
-	newest := order{node: record.Node, epoch: record.Epoch, when: h.now(proves)}
+	newest := order{machine: record.machine(), epoch: record.Epoch, when: h.now(proves)}
 	for _, engine := range record.Engines {
 		h.orders[engine] = append(h.others(engine, newest, at), newest)
 	}
@@ -105,7 +111,7 @@
 func (h *history) others(engine string, newest order, at time.Time) []order {
 	kept := h.orders[engine][:0]
 	for _, each := range h.orders[engine] {
-		replaced := each.node == newest.node && each.epoch <= newest.epoch
+		replaced := each.machine == newest.machine && each.epoch <= newest.epoch
 		if !replaced && !h.since(each.when, orderLife).Before(at) {
 			kept = append(kept, each)
 		}
@@ -141,13 +147,13 @@
 	return byClock
 }
 
-func (h *history) quietUntil(epoch int64, node, engine string, quiet Quiet) time.Time {
+func (h *history) quietUntil(epoch int64, own machine, engine string, quiet Quiet) time.Time {
 	var until time.Time
 	if !h.complete.at.IsZero() {
 		until = h.since(h.complete, quiet.Between+quiet.Arrival)
 	}
 	for _, each := range h.orders[engine] {
-		period, needed := quiet.after(each, epoch, node)
+		period, needed := quiet.after(each, epoch, own)
 		if !needed {
 			continue
 		}
@@ -159,13 +165,13 @@
 }
 
 // after is how long a holder leaves an engine alone after another one may have ordered it.
-func (q Quiet) after(last order, epoch int64, node string) (time.Duration, bool) {
+func (q Quiet) after(last order, epoch int64, own machine) (time.Duration, bool) {
 	switch {
 	case last.epoch == epoch:
 		return 0, false
-	case q.EnginesFence && (last.released || last.node == node):
+	case q.EnginesFence && (last.released || last.machine == own):
 		return 0, false
-	case last.node == node:
+	case last.machine == own:
 		return q.Arrival, true
 	default:
 		return q.Between + q.Arrival, true
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -63,6 +63,8 @@
 	Engines []string `msgpack:"g,omitempty"`
 }
 
+func (r Record) machine() machine { return machine{node: r.Node, address: r.Address} }
+
 // State is what a reader knows of the lease.
 type State struct {
 	// Epoch is the fencing token in force: the offset of its claim plus one.
@@ -136,7 +138,7 @@
 		}
 	case Release:
 		s.Released = true
-		s.history.released(record.Node)
+		s.history.released(record.Epoch)
 	}
 	return changed, true
 }
@@ -217,8 +219,8 @@
 // QuietUntil is the time before which the holder in force may not order the engine: after
 // another machine may have ordered it, the time between and the arrival; after the same machine
 // may have in an earlier epoch, the arrival alone. It is the zero time when
-// that has passed for certain. A holder that gave the lease up orders no more; where
-// engines refuse its fencing token as well, it needs no quiet time.
+// that has passed for certain. A holder that gave the lease up orders no more, which it does only
+// where its process ends; where engines refuse its fencing token as well, it needs no quiet time.
 func (s *State) QuietUntil(engine string, quiet Quiet) time.Time {
-	return s.history.quietUntil(s.Epoch, s.Node, engine, quiet)
+	return s.history.quietUntil(s.Epoch, machine{node: s.Node, address: s.Address}, engine, quiet)
 }
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -334,6 +334,20 @@
 	assert.Assert(t, state.Claimable("b", "b1", "", back.Add(ttl+1), back, ttl))
 }
 
+// TestAReplacedMachineIsAnotherOne: a machine is replaced under its name. The earlier one ran
+// on at another address and ordered; orders of two machines lie the quiet time apart.
+func TestAReplacedMachineIsAnotherOne(t *testing.T) {
+	waits := Quiet{Between: quiet, Arrival: quiet / 3}
+	var s State
+	at := start
+	s.Apply(s.NewClaim("a", "a1", "10.0.0.1:7000"), at)
+	s.Apply(Record{Kind: Order, Holder: "a1", Node: "a", Address: "10.0.0.1:7000", Epoch: s.Epoch, Engines: []string{"e"}}, at)
+	at = at.Add(quiet / 10)
+	s.Apply(s.NewClaim("a", "a2", "10.0.0.2:7000"), at)
+	left := s.QuietUntil("e", waits).Sub(at)
+	assert.Assert(t, left > waits.Between, "another machine of the same name may order after %s", left)
+}
+
 // TestReadersAgreeWhateverTheyMissed drives several nodes with one log. Each appends only where the log
 // ends as it has read, and claims or writes as its own view allows; some miss records. Those who have
 // read a record in force since then agree on the holder, and no record of a holder stands behind a
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -37,6 +37,9 @@
 	retryDelay = 100 * time.Millisecond
 	// recordTimeout bounds the writing of one record; the next one does not wait longer.
 	recordTimeout = 400 * time.Millisecond
+	// permitTimeout bounds the wait for a permit: for the record under way, and for the one that
+	// names the order.
+	permitTimeout = 2 * recordTimeout
 	// hesitantDelay is how long a node that is about to stop leaves a free lease to
 	// others.
 	hesitantDelay = 250 * time.Millisecond
--- a/internal/leadership/permit.go
+++ b/internal/leadership/permit.go
@@ -49,7 +49,7 @@
 	if time.Now().Before(t.QuietUntil(subject)) {
 		return nil, errQuiet
 	}
-	ctx, cancel := context.WithTimeout(ctx, sendWindow)
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	began := t.elector.now()
 	taken, err := t.elector.recordOrder(ctx, t.Epoch, subject)
@@ -57,6 +57,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Records that were read while this one was written may tell of another order.
+	if time.Now().Before(t.QuietUntil(subject)) {
+		return nil, errQuiet
+	}
 	return &permit{term: t, until: taken.sent.Add(sendWindow)}, nil
 }
 
--- a/internal/leadership/write.go
+++ b/internal/leadership/write.go
@@ -55,12 +55,12 @@
 		if err != nil {
 			return receipt{}, err
 		}
-		sent, err := e.appendOwn(ctx, at, record)
+		sent, err := e.appendOwn(ctx, at, record, recordTimeout)
 		if err == nil {
 			return receipt{offset: at, sent: sent}, nil
 		}
 		var conflict *eventlog.ConflictError
-		if !errors.As(err, &conflict) || !e.awaitRead(ctx, conflict.End) {
+		if !errors.As(err, &conflict) || conflict.End <= at || !e.awaitRead(ctx, conflict.End) {
 			return receipt{}, err
 		}
 	}
@@ -110,7 +110,9 @@
 // appendOwn appends a record that was noted and returns when it was composed. A record counts as
 // taken once the log says so or it is read back, whichever is first: where answers are lost the
 // next record need not wait for a time-out.
-func (e *Elector) appendOwn(ctx context.Context, at int64, record lease.Record) (time.Time, error) {
+func (e *Elector) appendOwn(
+	ctx context.Context, at int64, record lease.Record, timeout time.Duration,
+) (time.Time, error) {
 	e.mu.Lock()
 	entry := e.written[record.Sequence]
 	e.mu.Unlock()
@@ -118,7 +120,7 @@
 	go func() {
 		// It goes on where its caller has read the record back, or has given up: an append that is
 		// broken off costs its connection and says nothing of the outcome.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 		defer cancel()
 		answered <- e.appendAt(ctx, at, record)
 	}()
@@ -175,7 +177,9 @@
 	record := e.state.NewClaim(e.options.Node, e.options.Holder, e.options.Address)
 	e.claimSent = e.noteLocked(&record).sent
 	e.mu.Unlock()
-	err := e.appendAt(ctx, next, record)
+	// The answer may be lost, and others wait for a lease from reading the claim: it counts as soon as
+	// it is read back.
+	_, err := e.appendOwn(ctx, next, record, e.options.TTL)
 	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
 }
 
