--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -1,14 +1,12 @@
 package leadership
 
 import (
-	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/lease"
-	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -24,30 +22,18 @@
 	return time.Now().Add(left + inFlight)
 }
 
-// slowAnswers is a link to a log whose answers to appends come late.
-type slowAnswers struct {
-	eventlog.Log
-	delay time.Duration
-}
-
-func (s *slowAnswers) AppendAt(
-	ctx context.Context, name eventlog.Partition, at int64, records [][]byte,
-) (int64, error) {
-	offset, err := s.Log.AppendAt(ctx, name, at, records)
-	time.Sleep(s.delay)
-	return offset, err
-}
-
 // TestQuietTimeFollowsTheLatestArrivalOfAnOrder: an order leaves once the announcement is
 // acknowledged, which may be long after others have read of it, and arrives up to the time
 // of a call later still.
 func TestQuietTimeFollowsTheLatestArrivalOfAnOrder(t *testing.T) {
 	log := memlog.New()
 	const delay = 350 * time.Millisecond // an announcement may take 500 ms
-	first := join(t, &slowAnswers{Log: log, delay: delay}, "a", "a1")
+	way := newLink(log)
+	way.faults(appendsAnsweredAfter(delay), nil)
+	first := join(t, way, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
-	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	second.knows(t, "a1")
 	given := first.permit(t, "ordered")
 	assert.Assert(t, given.Open(), "a may not order")
 	arrives := latestArrival(given)
@@ -79,11 +65,11 @@
 // reads hang.
 func TestAnEarlierProcessOfTheMachineMayNotActBesideTheNext(t *testing.T) {
 	log := memlog.New()
-	link := &cutLog{Log: log}
-	first := join(t, link, "a", "a1")
+	way := newLink(log)
+	first := join(t, way, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	epoch := first.lastTerm().Epoch
-	link.cut(true)
+	way.refuse(true)
 	second := join(t, log, "a", "a2")
 	testwait.Until(t, "the next process leads", second.leads)
 	newest := second.lastTerm().Epoch
@@ -94,17 +80,17 @@
 // which ordered nothing. What it sent in its earlier term may still be on its way.
 func TestQuietTimeFollowsAnOrderOfAnEarlierTerm(t *testing.T) {
 	log := memlog.New()
-	link := &cutLog{Log: log}
-	first := join(t, link, "a", "a1")
+	way := newLink(log)
+	first := join(t, way, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	earlier := first.lastTerm().Epoch
 	second := join(t, log, "b", "b1")
-	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	second.knows(t, "a1")
 	given := first.permit(t, "ordered")
 	arrives := latestArrival(given)
-	link.cut(true)
+	way.refuse(true)
 	testwait.Until(t, "b leads", second.leads)
-	link.cut(false)
+	way.refuse(false)
 	second.elector.Stop(t.Context())
 	testwait.Until(t, "a leads again", func() bool { return first.leads() && first.lastTerm().Epoch > earlier })
 	until := first.lastTerm().QuietUntil("ordered")
--- a/internal/leadership/gap_test.go
+++ b/internal/leadership/gap_test.go
@@ -11,18 +11,15 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// TestANodeThatStartsLeavesALeaseThatItCannotReadOf: the log has dropped all records when the
-// node starts, and the leader is out of reach of it for less than a lease.
-func TestANodeThatStartsLeavesALeaseThatItCannotReadOf(t *testing.T) {
-	log := memlog.New()
-	link := &cutLog{Log: log}
-	first := join(t, link, "a", "a1")
-	testwait.Until(t, "a leads", first.leads)
-	epoch := first.lastTerm().Epoch
-	link.cut(true)
+// forget drops all records of the lease that the log holds.
+func forget(log *memlog.Log) {
 	partition := eventlog.Partition{Topic: topic}
 	log.Trim(partition, log.End(partition))
-	second := join(t, log, "b", "b1")
+}
+
+// assertAlone: while the first holds its lease the second holds none.
+func assertAlone(t *testing.T, first, second *candidate, epoch int64) {
+	t.Helper()
 	for first.elector.Valid(epoch) {
 		holder, newest := second.elector.Leader()
 		held := holder == "b1" && second.elector.Valid(newest)
@@ -30,3 +27,36 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestANodeThatStartsLeavesALeaseThatItCannotReadOf: the log has dropped all records when the
+// node starts, and the leader is out of reach of it for less than a lease.
+func TestANodeThatStartsLeavesALeaseThatItCannotReadOf(t *testing.T) {
+	log := memlog.New()
+	way := newLink(log)
+	first := join(t, way, "a", "a1")
+	testwait.Until(t, "a leads", first.leads)
+	epoch := first.lastTerm().Epoch
+	way.refuse(true)
+	forget(log)
+	second := join(t, log, "b", "b1")
+	assertAlone(t, first, second, epoch)
+}
+
+// TestANodeThatMissedRenewalsClaimsNothing: one read of the node takes longer than a lease. When
+// it is answered the log has dropped all records, and the leader's next renewal is late.
+func TestANodeThatMissedRenewalsClaimsNothing(t *testing.T) {
+	log := memlog.New()
+	leaders, others := newLink(log), newLink(log)
+	first := join(t, leaders, "a", "a1")
+	testwait.Until(t, "a leads", first.leads)
+	epoch := first.lastTerm().Epoch
+	second := join(t, others, "b", "b1")
+	second.knows(t, "a1")
+	released := make(chan struct{})
+	others.faults(nil, readsHangUntil(released))
+	time.Sleep(testTTL + testTTL/2) // in which b's read waits
+	leaders.refuse(true)
+	forget(log)
+	close(released)
+	assertAlone(t, first, second, epoch)
+}
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -162,14 +162,14 @@
 // off. Its role goes on, without leave to order, until it can read of the other.
 func TestLeaderOutOfReachOfTheLogMayNotOrderOnceAnotherLeads(t *testing.T) {
 	log := memlog.New()
-	link := &cutLog{Log: log}
-	first := join(t, link, "a", "a1")
+	way := newLink(log)
+	first := join(t, way, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
-	link.cut(true)
+	way.refuse(true)
 	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch), "a still counts its lease as valid")
-	link.cut(false)
+	way.refuse(false)
 	testwait.Until(t, "a learns of b", func() bool { holder, _ := first.elector.Leader(); return holder == "b1" })
 	testwait.Until(t, "a stops", func() bool { return !first.leads() })
 	assert.Assert(t, second.leads())
@@ -202,7 +202,7 @@
 	testwait.Until(t, "a leads", first.leads)
 	epoch := first.lastTerm().Epoch
 	second := join(t, log, "b", "b1")
-	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	second.knows(t, "a1")
 	log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
 	testwait.Until(t, "a may not order", func() bool { return !first.elector.Valid(epoch) })
 	time.Sleep(2 * testTTL) // an outage, not a wait for a condition
@@ -215,63 +215,6 @@
 	assert.Equal(t, newest, epoch)
 }
 
-// cutLog is a link to a log that can be cut.
-type cutLog struct {
-	eventlog.Log
-	mu   sync.Mutex
-	down bool
-	// readsDown is true while reads alone do not work.
-	readsDown bool
-}
-
-func (c *cutLog) cut(down bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.down = down
-}
-
-// cutReads takes the reads away, while appends work.
-func (c *cutLog) cutReads(down bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readsDown = down
-}
-
-func (c *cutLog) areReadsDown() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.down || c.readsDown
-}
-
-func (c *cutLog) isDown() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.down
-}
-
-func (c *cutLog) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
-	if c.isDown() {
-		return 0, eventlog.ErrNotDone
-	}
-	return c.Log.Append(ctx, name, records)
-}
-
-func (c *cutLog) AppendAt(ctx context.Context, name eventlog.Partition, at int64, records [][]byte) (int64, error) {
-	if c.isDown() {
-		return 0, eventlog.ErrNotDone
-	}
-	return c.Log.AppendAt(ctx, name, at, records)
-}
-
-func (c *cutLog) Read(
-	ctx context.Context, name eventlog.Partition, from int64, limit int, wait time.Duration,
-) (eventlog.Batch, error) {
-	if c.areReadsDown() {
-		return eventlog.Batch{}, eventlog.ErrNotDone
-	}
-	return c.Log.Read(ctx, name, from, limit, wait)
-}
-
 // suspendableClock is a clock that goes on while the machine is suspended.
 type suspendableClock struct{ suspended atomic.Int64 }
 
@@ -286,10 +229,10 @@
 // its connections tell nothing when it wakes.
 func TestASuspendedLeaderKnowsThatItsLeaseIsOver(t *testing.T) {
 	log := memlog.New()
-	link := &cutLog{Log: log}
+	way := newLink(log)
 	clock := &suspendableClock{}
 	first := &candidate{}
-	first.elector = New(link, Options{
+	first.elector = New(way, Options{
 		Holder: "a1", Node: "a", TTL: testTTL, Quiet: testTTL, Logger: zerolog.Nop(),
 	}, first.role)
 	first.elector.now = clock.now
@@ -298,11 +241,11 @@
 	go func() { _ = first.elector.Run(ctx) }()
 	testwait.Until(t, "a leads", func() bool { return first.leads() && first.elector.Valid(first.lastTerm().Epoch) })
 	epoch := first.lastTerm().Epoch
-	link.cutReads(true)
+	way.faults(nil, readsRefused)
 	clock.suspend(testTTL)
 	assert.Assert(t, !first.elector.Valid(epoch), "the lease counts as valid after it was suspended")
 	time.Sleep(testTTL) // time in which it might renew without having read, not a wait for a condition
 	assert.Assert(t, !first.elector.Valid(epoch), "renewed without knowing who leads")
-	link.cutReads(false)
+	way.faults(nil, nil)
 	testwait.Until(t, "a may order again, since nobody else leads", func() bool { return first.elector.Valid(epoch) })
 }
--- a/internal/leadership/permit_test.go
+++ b/internal/leadership/permit_test.go
@@ -4,13 +4,14 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -63,7 +64,7 @@
 	testwait.Until(t, "a leads", first.leads)
 	first.permit(t, "engine")
 	second := join(t, log, "b", "b1")
-	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	second.knows(t, "a1")
 	first.elector.Stop(t.Context())
 	testwait.Until(t, "b leads", second.leads)
 	_, err := second.lastTerm().Permit(t.Context(), "engine")
@@ -71,36 +72,20 @@
 	second.permit(t, "another")
 }
 
-// countingLog counts appends, each of which takes a while.
-type countingLog struct {
-	eventlog.Log
-	mu      sync.Mutex
-	appends int
-	pause   time.Duration
-}
-
-func (l *countingLog) AppendAt(
-	ctx context.Context, name eventlog.Partition, at int64, records [][]byte,
-) (int64, error) {
-	l.mu.Lock()
-	l.appends++
-	l.mu.Unlock()
-	time.Sleep(l.pause)
-	return l.Log.AppendAt(ctx, name, at, records)
-}
-
-func (l *countingLog) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.appends
-}
-
 // TestOrdersThatWaitTogetherShareARecord: a slow log slows a hundred orders no more than a few.
 func TestOrdersThatWaitTogetherShareARecord(t *testing.T) {
-	log := &countingLog{Log: memlog.New(), pause: 50 * time.Millisecond}
-	first := join(t, log, "a", "a1")
+	log := memlog.New()
+	way := newLink(log)
+	const pause = 50 * time.Millisecond
+	var appends atomic.Int64
+	way.faults(func(_ context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
+		appends.Add(1)
+		time.Sleep(pause)
+		return call()
+	}, nil)
+	first := join(t, way, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
-	before := log.count()
+	before := appends.Load()
 	const orders = 100
 	var wait sync.WaitGroup
 	failed := make([]error, orders)
@@ -112,9 +97,9 @@
 		assert.NilError(t, failed[i])
 	}
 	const most = 12 // renewals among them
-	assert.Assert(t, log.count()-before <= most, "%d appends", log.count()-before)
-	second := join(t, log.Log, "b", "b1")
-	testwait.Until(t, "b knows a", func() bool { holder, _ := second.elector.Leader(); return holder == "a1" })
+	assert.Assert(t, appends.Load()-before <= most, "%d appends", appends.Load()-before)
+	second := join(t, log, "b", "b1")
+	second.knows(t, "a1")
 	first.cancel()
 	testwait.Until(t, "b leads", second.leads)
 	for i := range orders {
@@ -142,38 +127,11 @@
 // TestARecordCountsOnceItIsReadBack: answers are lost, and the next record need not wait for a
 // time-out.
 func TestARecordCountsOnceItIsReadBack(t *testing.T) {
-	log := &silentAppends{Log: memlog.New()}
-	first := join(t, log, "a", "a1")
+	way := newLink(memlog.New())
+	first := join(t, way, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
-	log.silence()
+	way.faults(appendsUnanswered, nil)
 	began := time.Now()
 	first.permit(t, "engine")
 	assert.Assert(t, time.Since(began) < recordTimeout, "the order waited for a time-out: %s", time.Since(began))
 }
-
-// silentAppends takes appends and never answers them once it is told so.
-type silentAppends struct {
-	eventlog.Log
-	mu     sync.Mutex
-	silent bool
-}
-
-func (l *silentAppends) silence() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.silent = true
-}
-
-func (l *silentAppends) AppendAt(
-	ctx context.Context, name eventlog.Partition, at int64, records [][]byte,
-) (int64, error) {
-	offset, err := l.Log.AppendAt(ctx, name, at, records)
-	l.mu.Lock()
-	silent := l.silent
-	l.mu.Unlock()
-	if !silent {
-		return offset, err
-	}
-	<-ctx.Done()
-	return 0, eventlog.ErrOutcomeUnknown
-}
