--- a/internal/leadership/link_test.go
+++ b/internal/leadership/link_test.go
@@ -20,7 +20,7 @@
 	onRead   readFault
 }
 
-// appendFault decides about a conditional append: call makes it.
+// appendFault decides about an append: call makes it.
 type appendFault func(ctx context.Context, record lease.Record, at int64, call func() (int64, error)) (int64, error)
 
 // readFault decides about a read: call makes it.
@@ -41,9 +41,20 @@
 	return l.onAppend, l.onRead
 }
 
+// anyEnd is the place that an append without a condition names.
+const anyEnd = -1
+
+// Append implements eventlog.Log.
+func (l *link) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
+	return l.append(ctx, anyEnd, records, func() (int64, error) { return l.Log.Append(ctx, name, records) })
+}
+
 // AppendAt implements eventlog.Log.
 func (l *link) AppendAt(ctx context.Context, name eventlog.Partition, at int64, records [][]byte) (int64, error) {
-	call := func() (int64, error) { return l.Log.AppendAt(ctx, name, at, records) }
+	return l.append(ctx, at, records, func() (int64, error) { return l.Log.AppendAt(ctx, name, at, records) })
+}
+
+func (l *link) append(ctx context.Context, at int64, records [][]byte, call func() (int64, error)) (int64, error) {
 	fault, _ := l.current()
 	if fault == nil {
 		return call()
