--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -297,6 +297,17 @@
 	assert.Assert(t, !state.Claimable("b", "b1", "", now, start, ttl), "the renewals are in the gap")
 }
 
+// TestARecordOfTheHolderHidesNoOrderOfAnother: its own order may never have left, since the record's answer was
+// lost; the other machine's, recorded just before, may have.
+func TestARecordOfTheHolderHidesNoOrderOfAnother(t *testing.T) {
+	var state State
+	state.Apply(claim("a", "a1", 0), start)
+	state.Apply(orderOf("a", 1, 0, "e1"), start)
+	state.Apply(claim("b", "b1", 1), start)
+	state.Apply(orderOf("b", 3, 0, "e1"), start.Add(quiet/3))
+	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet))
+}
+
 // TestAnOrderOfAnEarlierProcessMayStillArrive: it bears a lower fencing token than those of the next
 // process, which waits until it must have arrived. Engines that check tokens refuse it.
 func TestAnOrderOfAnEarlierProcessMayStillArrive(t *testing.T) {
