Date the log's answers from their reads, not from their arrival

Cause: batchjobs and logstream took the end of the log as known as of an answer's arrival. An answer that lay on its way, as by way of another node, or in a process that stood still, made old knowledge the present: a result that stood in the log for longer than a second was not told. Ruled out: slow applying (the answer itself is late), the lookup's own read (it counts from when it was sent already). follow has had the right rule since its replicas.

Change: follow's answeredAt moves to internal/common/answered with its test; batchjobs and logstream count from when a read was sent, or had waited in vain. batchjobs counts on boottime, so that a suspended machine does not take old jobs for the present. logstream keeps the steady clock: its contact is compared and gossiped as a time.Time by tables, keyed and cluster.

Conclusion: what the log said is as old as its answer.

--- a/internal/batchjobs/lookup.go
+++ b/internal/batchjobs/lookup.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
@@ -19,7 +20,7 @@
 // the reader. It reads to the end of the log first, unless that was done just
 // now and the job is known.
 func (p *partition) lookUp(ctx context.Context, jobID string) (batch.Job, error) {
-	asked := time.Now()
+	asked := boottime.Now()
 	p.follow()
 	if job, found := p.snapshot(jobID, asked.Add(-freshness)); found {
 		return job, nil
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -8,6 +8,8 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/answered"
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -46,7 +48,8 @@
 
 	mu    sync.Mutex
 	state *batch.Partition
-	// readAt is when the newest read that reached the end was sent.
+	// readAt is as of when the end was reached, by boottime: a suspended machine must not
+	// take what it knew before for the present.
 	readAt time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
@@ -147,7 +150,7 @@
 	p.mu.Lock()
 	from := p.state.Next
 	p.mu.Unlock()
-	sent := time.Now()
+	sent := boottime.Now()
 	read, err := p.log.Read(ctx, p.index, from, readLimit, wait)
 	var gone *eventlog.GoneError
 	if errors.As(err, &gone) {
@@ -157,12 +160,17 @@
 	if err != nil {
 		return false, err
 	}
-	p.apply(read, sent)
+	known := sent
+	if len(read.Records) == 0 {
+		known = answered.At(sent, wait, boottime.Now())
+	}
+	p.apply(read, known)
 	return read.First+int64(len(read.Records)) >= read.End, nil
 }
 
-// apply takes the records that another read has not brought meanwhile.
-func (p *partition) apply(read eventlog.Batch, sent time.Time) {
+// apply takes the records that another read has not brought meanwhile. What the read says of the
+// end holds as of the given time.
+func (p *partition) apply(read eventlog.Batch, known time.Time) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -179,12 +187,8 @@
 		}
 		p.state.Apply(record, now)
 	}
-	if p.state.Next >= read.End && sent.After(p.readAt) {
-		p.readAt = sent
-		if len(read.Records) == 0 {
-			// The read waited and nothing came: this is the state of its answer.
-			p.readAt = now
-		}
+	if p.state.Next >= read.End && known.After(p.readAt) {
+		p.readAt = known
 	}
 	if p.joining != nil && p.state.Next >= read.End {
 		p.state.Observe(p.joining)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/answered"
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -148,22 +149,13 @@
 	f.next = batch.Next
 	known := sent
 	if len(batch.Records) == 0 {
-		known = answeredAt(sent, wait, boottime.Now())
+		known = answered.At(sent, wait, boottime.Now())
 	}
 	f.replica.reached(f.next, known)
 	f.whole.worked(time.Now(), rand.N(f.budget.Stretch(refreshDelay, maxRefreshDelay)))
 	return nil
 }
 
-// answeredAt is when a read that found nothing was answered at the earliest: once it had
-// waited. The answer may have lain here since, if this process or machine stood still.
-func answeredAt(sent time.Time, wait time.Duration, now time.Time) time.Time {
-	if waited := sent.Add(wait); waited.Before(now) {
-		return waited
-	}
-	return now
-}
-
 // untilRefresh is the time until the next full read.
 func (f *Follower) untilRefresh() time.Duration {
 	size := 1 + len(f.offsets)/refreshRecords
--- a/internal/follow/replica_test.go
+++ b/internal/follow/replica_test.go
@@ -87,12 +87,3 @@
 	_, _, err = replica.Read(t.Context(), offset, 0)
 	assert.NilError(t, err)
 }
-
-// TestAnAnswerThatLayHereIsAsOldAsItsRead: the machine was suspended after a read had been
-// answered, so what it found is seconds old although it is looked at just now.
-func TestAnAnswerThatLayHereIsAsOldAsItsRead(t *testing.T) {
-	sent := time.Unix(1000, 0)
-	assert.Equal(t, answeredAt(sent, time.Second, sent.Add(1100*time.Millisecond)), sent.Add(time.Second))
-	assert.Equal(t, answeredAt(sent, time.Second, sent.Add(6*time.Second)), sent.Add(time.Second))
-	assert.Equal(t, answeredAt(sent, time.Second, sent.Add(300*time.Millisecond)), sent.Add(300*time.Millisecond))
-}
--- a/internal/logstream/manager.go
+++ b/internal/logstream/manager.go
@@ -61,8 +61,9 @@
 	return m.options.Writer + "~" + strconv.Itoa(m.opens[name])
 }
 
-// LastContact returns when a read of the open stream last reached its end;
-// the zero time when none did, or when the stream is not open.
+// LastContact returns as of when a read of the open stream last reached its end: when
+// the read was sent, or had waited in vain. It is the zero time when none did, or
+// when the stream is not open.
 func (m *Manager) LastContact(stream string) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/logstream/tail.go
+++ b/internal/logstream/tail.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/common/answered"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/logrecord"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
@@ -36,13 +37,14 @@
 	delays := logRetries.Delays()
 	limit := readLimit
 	for s.ctx.Err() == nil {
+		sent := time.Now()
 		batch, err := s.poll(limit)
 		s.manager.metrics.reads.WithLabelValues(s.class, outcomeLabel(err)).Inc()
 		if err == nil {
 			s.manager.failures.succeeded(operationRead)
 			delays.Reset()
 			limit = min(limit*2, readLimit)
-			s.applyBatch(batch)
+			s.applyBatch(batch, sent)
 			continue
 		}
 		if s.ctx.Err() != nil {
@@ -71,14 +73,19 @@
 	return batch, nil
 }
 
-func (s *TailedStream) applyBatch(batch logservice.Batch) {
+// applyBatch takes the answer to a read that was sent at the given time.
+func (s *TailedStream) applyBatch(batch logservice.Batch, sent time.Time) {
+	contact := sent
+	if len(batch.Entries) == 0 {
+		contact = answered.At(sent, s.manager.options.PollWait, time.Now())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, entry := range batch.Entries {
 		s.applyEntry(entry)
 	}
-	if s.applied >= batch.End {
-		s.lastContact = time.Now()
+	if s.applied >= batch.End && contact.After(s.lastContact) {
+		s.lastContact = contact
 	}
 	s.releaseWaiters()
 	s.queueSnapshot()
