Report no window that a lost report may have been of

Cause: where the log had dropped the reports, a new holder began with the oldest window it had a count of. A node that was out of reach writes its counts late, so that a window was reported again, with other counts: two reports of a window that differ. Ruled out: the append at an end (it keeps two holders apart, but knows nothing of dropped records), the reader of counts (a late count is right where the report is known).

Change: a gap of the reports' partition sets the first window that nobody can have reported, the one of the moment, until a report behind the gap is read, which is of a later window than all that were lost. Windows between are left out: a missing report is a lesser fault than two. A copy of the newest window in a keyed topic was weighed: it leaves none out, and costs a write before each report and care for copies that land late.

Conclusion: what may have been reported is not reported again.

--- a/internal/core/usage/usage.go
+++ b/internal/core/usage/usage.go
@@ -95,6 +95,9 @@
 	newest   *ReportRecord
 	reported *window
 	missing  int64
+	// unreported is a window that was surely not reported when reports were lost, as long as
+	// none was read since; zero otherwise.
+	unreported Window
 }
 
 // NewLedger returns the state before the first record.
@@ -135,6 +138,8 @@
 // ApplyReport takes the report at the offset NextReport.
 func (l *Ledger) ApplyReport(record ReportRecord) {
 	l.NextReport++
+	// Reports are written in the order of their windows: none that was lost is of a later one.
+	l.unreported = 0
 	if l.isOver(record.Window) {
 		return
 	}
@@ -147,6 +152,17 @@
 	l.NextCount = max(l.NextCount, record.CountsFrom)
 }
 
+// LoseReports passes over reports that the log no longer holds, up to the offset of the first that
+// it does. Which windows they were of is not known, so that those before the given one, which
+// nobody can have reported yet, are left out unless a report behind tells more: the platform does
+// without a report, but two of a window that differ break the promise. A copy of the newest window
+// under a key of a compacted topic would leave none out, for one more write before each report and
+// care for copies that land late; the log holds reports for longer than windows are made up for.
+func (l *Ledger) LoseReports(first int64, unreported Window) {
+	l.NextReport = max(l.NextReport+1, first)
+	l.unreported = unreported
+}
+
 // isOver tells whether the window's report stands in the log, or one of a later window:
 // reports are written in the order of their windows.
 func (l *Ledger) isOver(each Window) bool { return l.newest != nil && each <= l.newest.Window }
@@ -160,16 +176,17 @@
 }
 
 // Next is the window to report next: the one after the newest that was reported, or
-// else the earlier one of the first with a count and the given one.
+// else the earlier one of the first with a count and the given one. None is returned that
+// a lost report may have been of.
 func (l *Ledger) Next(otherwise Window) Window {
 	if l.newest != nil {
-		return l.newest.Window + 1
+		return max(l.newest.Window+1, l.unreported)
 	}
 	next := otherwise
 	for each := range l.windows {
 		next = min(next, each)
 	}
-	return next
+	return max(next, l.unreported)
 }
 
 // Report returns the report of a window as far as counts were read.
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -93,3 +93,18 @@
 	next.ApplyReport(ReportRecord{Window: 7, Counts: Counts{"x": 3}, CountsFrom: 0})
 	assert.Equal(t, next.ApplyCount(CountRecord{"a", 7, Counts{"x": 3}}), int64(0), "the report holds it")
 }
+
+// TestNoWindowOfALostReportIsNext: until a report behind the lost ones is read, which is of a later
+// window than all of them.
+func TestNoWindowOfALostReportIsNext(t *testing.T) {
+	ledger := NewLedger()
+	ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 1}})
+	ledger.LoseReports(4, 9)
+	assert.Equal(t, ledger.NextReport, int64(4))
+	assert.Equal(t, ledger.Next(5), Window(9))
+	assert.Equal(t, ledger.Next(12), Window(9), "the first that nobody can have reported")
+	ledger.ApplyReport(ReportRecord{Window: 7, Counts: Counts{"x": 1}})
+	assert.Equal(t, ledger.Next(5), Window(8))
+	ledger.LoseReports(9, 12)
+	assert.Equal(t, ledger.Next(5), Window(12))
+}
--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -146,7 +146,13 @@
 }
 
 func (r *Reporter) readReports(ctx context.Context) error {
-	return readToEnd(ctx, r.options.Log, reportPartition, &r.ledger.NextReport, func(raw []byte) error {
+	lost := func(first int64) {
+		unreported := usage.WindowOf(time.Now(), r.options.Span)
+		r.options.Logger.Warn().Int64("offset", r.ledger.NextReport).Int64("first_kept", first).
+			Int64("window", int64(unreported)).Msg("reports of use lost")
+		r.ledger.LoseReports(first, unreported)
+	}
+	return readToEnd(ctx, r.options.Log, reportPartition, &r.ledger.NextReport, lost, func(raw []byte) error {
 		var record usage.ReportRecord
 		if err := msgpack.Unmarshal(raw, &record); err != nil {
 			r.ledger.NextReport++
@@ -158,7 +164,8 @@
 }
 
 func (r *Reporter) readCounts(ctx context.Context) error {
-	return readToEnd(ctx, r.options.Log, countPartition, &r.ledger.NextCount, func(raw []byte) error {
+	lost := func(first int64) { r.ledger.NextCount = max(r.ledger.NextCount+1, first) }
+	return readToEnd(ctx, r.options.Log, countPartition, &r.ledger.NextCount, lost, func(raw []byte) error {
 		var record usage.CountRecord
 		if err := msgpack.Unmarshal(raw, &record); err != nil {
 			r.ledger.NextCount++
@@ -173,15 +180,16 @@
 }
 
 // readToEnd reads a partition from next on to where it ended at the call. The handler
-// moves next on by one for each record.
+// moves next on by one for each record, lost to the first that the log still holds.
 func readToEnd(
-	ctx context.Context, log eventlog.Log, partition eventlog.Partition, next *int64, handle func(raw []byte) error,
+	ctx context.Context, log eventlog.Log, partition eventlog.Partition, next *int64,
+	lost func(first int64), handle func(raw []byte) error,
 ) error {
 	for {
 		batch, err := log.Read(ctx, partition, *next, usageReadLimit, 0)
 		var gone *eventlog.GoneError
 		if errors.As(err, &gone) {
-			*next = max(*next+1, gone.First)
+			lost(gone.First)
 			continue
 		}
 		if err != nil {
