Delete a record of an ended engine again when it lands late

Cause: a put that the log carries out after its deletion stands as new: a request that an answer had cleared is held again, at all nodes and at those that start later. The writer's own order cannot help, since the call had no answer. Ruled out: a number in the record (the deletion of a compacted topic leaves nothing to compare it with).

Change: a node remembers for ten minutes which records were taken out, passes over what comes under their keys, and deletes it again if it was the one that had taken it out. The key tells older from newer: an engine ends once, and a trial is claimed once. What was adopted from another node and was cleared since is no longer written.

Conclusion: a late record changes nothing, as the writer says.

--- a/internal/crashes/adopt.go
+++ b/internal/crashes/adopt.go
@@ -36,7 +36,10 @@
 	if from.Deleted {
 		g.ledger.Drop(record.Fingerprint, record.Name())
 		g.count()
-		delete(g.adopted, from.Key)
+		g.clear(from.Key, false)
+		return
+	}
+	if g.isCleared(from.Key) {
 		return
 	}
 	g.put(record, "peer")
--- a/internal/crashes/guard.go
+++ b/internal/crashes/guard.go
@@ -37,6 +37,8 @@
 	asking map[quarantine.Fingerprint]bool
 	// adopted holds what other nodes told of, by key, and when this one writes it.
 	adopted map[string]adoption
+	// cleared holds the records that were taken out, by key.
+	cleared map[string]clearing
 }
 
 // GuardOptions are the parts that a guard works with.
@@ -59,6 +61,7 @@
 		writer:  newWriter(options.Log, options.Topic, options.Unwritten, options.Logger),
 		observe: options.Observe, logger: options.Logger, ledger: quarantine.NewLedger(), changed: make(chan struct{}),
 		asking: make(map[quarantine.Fingerprint]bool), adopted: make(map[string]adoption),
+		cleared: make(map[string]clearing),
 	}
 }
 
@@ -73,6 +76,7 @@
 		case <-ctx.Done():
 		case now := <-ticker.C:
 			g.writeAdopted(now)
+			g.forgetCleared(now)
 		}
 	}
 	group.Wait()
@@ -88,9 +92,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if from.Deleted {
+	switch {
+	case from.Deleted:
 		g.ledger.Drop(record.Fingerprint, record.Name())
-	} else {
+		g.clear(from.Key, false)
+	case g.isCleared(from.Key):
+		g.clearAgain(from)
+	default:
 		g.put(record, "log")
 	}
 	g.count()
@@ -129,9 +137,14 @@
 		Fingerprint: loss.Fingerprint, Engine: loss.Engine.ID, Isolated: loss.Isolated, At: time.Now(), Offset: quarantine.Unlogged,
 	}
 	g.mu.Lock()
-	g.put(record, "self")
+	cleared := g.isCleared(keyOf(record))
+	if !cleared {
+		g.put(record, "self")
+	}
 	g.mu.Unlock()
-	g.write(record)
+	if !cleared {
+		g.write(record)
+	}
 	return true
 }
 
@@ -156,7 +169,7 @@
 	records := g.ledger.Records(of)
 	for _, record := range records {
 		g.ledger.Drop(of, record.Name())
-		delete(g.adopted, keyOf(record))
+		g.clear(keyOf(record), true)
 	}
 	g.count()
 	g.mu.Unlock()
@@ -224,6 +237,7 @@
 	expired := g.ledger.Expired(now)
 	for _, record := range expired {
 		g.ledger.Drop(record.Fingerprint, record.Name())
+		g.clear(keyOf(record), true)
 	}
 	g.count()
 	g.mu.Unlock()
--- a/internal/crashes/writer.go
+++ b/internal/crashes/writer.go
@@ -29,7 +29,8 @@
 }
 
 // writer writes records until the log has taken them. A record that is written twice, or
-// late, changes nothing, so that it never matters whether a lost answer had its effect.
+// late, changes nothing (one that lands after its deletion is deleted again, see
+// Guard.clear), so that it never matters whether a lost answer had its effect.
 type writer struct {
 	log    Log
 	topic  string
