Carry out no relayed write whose sender has left

Cause: a node that stood still found calls in its socket when it went on, and carried them out seconds or minutes after their senders had given up. The log allows late records, but this made them ordinary. Ruled out: the request's context alone: the end of the connection is noticed beside the handler, at times after the call was made.

Change: a call that writes is sent only once the node asks for it (Expect: 100-continue), which it does as it begins, so that a sender that left is found to have left. The call also says how long its sender waits; a node that has had it for longer, by boottime, or whose caller's connection has ended answers that nothing was done. Cost: one round trip between nodes for a relayed write. Reads are sent as before.

Conclusion: a frozen node no longer turns a lost write into a late one, beyond the moment between the check and the log's own call.

--- a/internal/common/msgpackhttp/msgpackhttp.go
+++ b/internal/common/msgpackhttp/msgpackhttp.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,20 @@
 // Ask sends a question to a URL and decodes the answer, of at most maxBytes, into answer.
 // The question is sent once: an error says nothing of whether it took effect.
 func Ask(ctx context.Context, client *http.Client, url string, question, answer any, maxBytes int64) error {
+	return ask(ctx, client, url, nil, question, answer, maxBytes)
+}
+
+// AskOnceHeard is Ask, but sends the question only once the other end asks for it, which takes a
+// round trip. So a question whose sender has left is not found by a node that stood still: it must
+// be asked for while its sender waits. The client's transport needs an ExpectContinueTimeout that
+// is longer than ctx lasts, since the question is sent unasked after that.
+func AskOnceHeard(ctx context.Context, client *http.Client, url string, question, answer any, maxBytes int64) error {
+	return ask(ctx, client, url, http.Header{"Expect": {"100-continue"}}, question, answer, maxBytes)
+}
+
+func ask(
+	ctx context.Context, client *http.Client, url string, header http.Header, question, answer any, maxBytes int64,
+) error {
 	raw, err := msgpack.Marshal(question)
 	if err != nil {
 		return errors.Wrap(err, "encode the question")
@@ -25,6 +40,7 @@
 	if err != nil {
 		return errors.Wrap(err, "build the question")
 	}
+	maps.Copy(request.Header, header)
 	// Without GetBody the transport never sends it a second time.
 	request.GetBody = nil
 	response, err := client.Do(request)
--- a/internal/common/msgpackhttp/msgpackhttp_test.go
+++ b/internal/common/msgpackhttp/msgpackhttp_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -51,3 +52,32 @@
 	server.Close()
 	assert.ErrorContains(t, Ask(t.Context(), http.DefaultClient, server.URL, &question{}, &got, 64), "ask")
 }
+
+// TestAQuestionIsSentOnceItIsAskedFor: a node that has not begun with it finds nothing when its
+// sender has left.
+func TestAQuestionIsSentOnceItIsAskedFor(t *testing.T) {
+	goesOn, answered := make(chan struct{}), make(chan struct{})
+	asked := 0
+	count := func(ctx context.Context, of question) answer {
+		asked++
+		return echo(ctx, of)
+	}
+	handler := Handle(64, count)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-goesOn
+		handler.ServeHTTP(w, r)
+		answered <- struct{}{}
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var got answer
+	assert.ErrorIs(t, AskOnceHeard(ctx, client, server.URL, &question{Text: "a"}, &got, 64), context.DeadlineExceeded)
+	close(goesOn)
+	<-answered
+	assert.Equal(t, asked, 0)
+	go func() { <-answered }()
+	assert.NilError(t, AskOnceHeard(t.Context(), client, server.URL, &question{Text: "a"}, &got, 64))
+	assert.Equal(t, got.Text, "re: a")
+}
--- a/internal/logrelay/client.go
+++ b/internal/logrelay/client.go
@@ -30,8 +30,13 @@
 func (p *peer) call(ctx context.Context, call request) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Wait+callTimeout)
 	defer cancel()
+	ask := msgpackhttp.Ask
+	if call.writes() {
+		ask = msgpackhttp.AskOnceHeard
+		call.Patience = callTimeout
+	}
 	var decoded response
-	if err := msgpackhttp.Ask(ctx, p.client, "http://"+p.address+Path, &call, &decoded, maxResponseBytes); err != nil {
+	if err := ask(ctx, p.client, "http://"+p.address+Path, &call, &decoded, maxResponseBytes); err != nil {
 		return response{}, errors.Wrap(eventlog.ErrOutcomeUnknown, "through "+p.address+": "+err.Error())
 	}
 	return decoded, decoded.err()
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -36,6 +36,9 @@
 	outagePause = probePeriod
 
 	dialTimeout = 300 * time.Millisecond
+	// unaskedTimeout is longer than any call that writes: none is sent before the other node
+	// asks for it; see msgpackhttp.AskOnceHeard.
+	unaskedTimeout = 2 * callTimeout
 	// Connections to other nodes: one costs some 20 KB at either end, so that those to
 	// hundreds of nodes were most of a node's memory after an outage.
 	idleConnections        = 4
@@ -81,7 +84,8 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnectionsPerNode,
-		IdleConnTimeout: idleConnectionTime, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+		ExpectContinueTimeout: unaskedTimeout,
+		IdleConnTimeout:       idleConnectionTime, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 	}}
 }
 
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -36,6 +36,14 @@
 	Offset    int64                  `msgpack:"f,omitempty"`
 	Limit     int                    `msgpack:"l,omitempty"`
 	Wait      time.Duration          `msgpack:"w,omitempty"`
+	// Patience is how long the sender of a call that writes waits for its end; zero when
+	// unknown.
+	Patience time.Duration `msgpack:"p,omitempty"`
+}
+
+// writes tells whether the call changes the log.
+func (r request) writes() bool {
+	return r.Operation == opAppend || r.Operation == opAppendAt || r.Operation == opPutKeyed
 }
 
 func (r request) partition() eventlog.Partition {
--- a/internal/logrelay/server.go
+++ b/internal/logrelay/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
@@ -38,12 +39,24 @@
 // ask another node.
 func NewHandler(direct eventlog.Log, able func() bool, replicas Replicas) http.Handler {
 	router := mux.NewRouter()
-	router.Handle(Path, msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, call request) response {
-		return answer(ctx, direct, able, replicas, call)
-	})).Methods(http.MethodPost)
+	router.HandleFunc(Path, func(w http.ResponseWriter, r *http.Request) {
+		began := boottime.Now()
+		msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, call request) response {
+			if call.writes() && isLate(ctx, call, boottime.Now().Sub(began)) {
+				return response{Outcome: notDone, Detail: "its sender has left"}
+			}
+			return answer(ctx, direct, able, replicas, call)
+		}).ServeHTTP(w, r)
+	}).Methods(http.MethodPost)
 	return router
 }
 
+// isLate tells whether the sender of a call has left. It waited still when it was asked for the
+// call, but this node may have stood still since.
+func isLate(ctx context.Context, call request, age time.Duration) bool {
+	return ctx.Err() != nil || call.Patience > 0 && age > call.Patience
+}
+
 func answer(
 	ctx context.Context, direct eventlog.Log, able func() bool, replicas Replicas, call request,
 ) response {
