Be sure of no job that the log may have dropped

Cause: a node that finds a gap of the index passed over it and forgot it: it denied jobs whose records it had not read, and listed later results of a job that it knew at the places of those it had missed. Ruled out: the read to the log's end before a 404, which reads only what is kept; a reader's order of records, which is the log's.

Change: behind a gap, a job that the node does not know is answered with a new kind of error, history_lost (503), until KeepJobs has passed, and so are for good the results of a job that lacked some of them at the gap. Bodies and ends of such a job are served, and its leader goes on running it. A replica that is not sure is not the last one asked, and a name of which the node is not sure hides no job of another name, as after a restart of all nodes some minutes after the first start, when each has a gap in front of what is kept.

Conclusion: a gap costs a refusal, not a wrong answer, as long as the log keeps records for longer than jobs stay open and are handed in again.

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -62,7 +62,7 @@
 func New(log eventlog.Log, options Options) *Service {
 	s := &Service{log: log, options: options}
 	for number := range options.Partitions {
-		s.partitions = append(s.partitions, newPartition(log, number, options.Budget, options.Logger))
+		s.partitions = append(s.partitions, newPartition(log, number, options))
 	}
 	return s
 }
--- a/internal/batchjobs/gap_test.go
+++ b/internal/batchjobs/gap_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
@@ -68,3 +70,80 @@
 		}
 	}
 }
+
+// forget drops what the index of a job holds.
+func forget(log *memlog.Log, service *Service, jobID string) {
+	index := eventlog.Partition{Topic: indexTopic, Number: service.PartitionOf(jobID)}
+	log.Trim(index, log.End(index))
+}
+
+// TestBehindAGapUnknownJobsAreDeniedOnceNoneCanBeAskedFor: KeepJobs later.
+func TestBehindAGapUnknownJobsAreDeniedOnceNoneCanBeAskedFor(t *testing.T) {
+	t.Parallel()
+	log := memlog.New()
+	assert.NilError(t, newService(log).Accept(t.Context(), submission("j", "a")))
+	service := newService(log)
+	forget(log, service, "j")
+	follow(t, service)
+	assert.Equal(t, errkind.KindOf(service.End(t.Context(), "j")), errkind.HistoryLost)
+	target := service.partitionOf("j")
+	target.mu.Lock()
+	target.lostAt = boottime.Now().Add(-service.options.KeepJobs)
+	target.mu.Unlock()
+	assert.Equal(t, errkind.KindOf(service.End(t.Context(), "j")), errkind.NotFound)
+}
+
+// TestBehindAGapNewJobsAreServed: a cluster in which all nodes have restarted late has one.
+func TestBehindAGapNewJobsAreServed(t *testing.T) {
+	t.Parallel()
+	log := memlog.New()
+	assert.NilError(t, newService(log).Accept(t.Context(), submission("old", "a")))
+	service := newService(log)
+	forget(log, service, "old")
+	follow(t, service)
+	assert.NilError(t, service.Accept(t.Context(), submission("j", "a")))
+	record(t, service, finished("j", 0, "text"))
+	results, err := service.Results(t.Context(), "j", 0, 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(results.Results[0].Text), "text")
+}
+
+// TestOverAGapAKnownJobCanBeEndedAndItsBodiesRead: only its results may be in other places.
+func TestOverAGapAKnownJobCanBeEndedAndItsBodiesRead(t *testing.T) {
+	t.Parallel()
+	log := memlog.New()
+	service, other := newService(log), newService(log)
+	follow(t, service)
+	assert.NilError(t, service.Accept(t.Context(), submission("j", "a", "b")))
+	record(t, service, finished("j", 0, "text"))
+	_, err := service.Results(t.Context(), "j", 0, 0)
+	assert.NilError(t, err)
+	target := service.partitionOf("j")
+	target.skipTo(log.End(target.index))
+	_, err = service.Results(t.Context(), "j", 0, 0)
+	assert.Equal(t, errkind.KindOf(err), errkind.HistoryLost)
+	body, err := service.Body(t.Context(), "j", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "body of b")
+	assert.NilError(t, service.End(t.Context(), "j"))
+	known, err := other.partitionOf("j").lookUp(t.Context(), "j")
+	assert.NilError(t, err)
+	assert.Assert(t, known.Ended)
+}
+
+// TestOverAGapAWholeJobIsTold: nothing can be missing of it.
+func TestOverAGapAWholeJobIsTold(t *testing.T) {
+	t.Parallel()
+	log := memlog.New()
+	service := newService(log)
+	follow(t, service)
+	assert.NilError(t, service.Accept(t.Context(), submission("j", "a")))
+	record(t, service, finished("j", 0, "text"))
+	_, err := service.Results(t.Context(), "j", 0, 0)
+	assert.NilError(t, err)
+	target := service.partitionOf("j")
+	target.skipTo(log.End(target.index))
+	results, err := service.Results(t.Context(), "j", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(results.Results[0].Text), "text")
+}
--- a/internal/batchjobs/lookup.go
+++ b/internal/batchjobs/lookup.go
@@ -38,9 +38,30 @@
 	if job, found := p.snapshot(jobID, asked); found {
 		return job, nil
 	}
+	if p.mayHaveMissed(asked) {
+		return batch.Job{}, errkind.New(errkind.HistoryLost, "the log may have dropped batch job %s", jobID)
+	}
 	return batch.Job{}, errkind.New(errkind.NotFound, "no batch job %s", jobID)
 }
 
+// lookUpWhole is lookUp for whoever tells results: all of the job's must be known, in their places.
+func (p *partition) lookUpWhole(ctx context.Context, jobID string) (batch.Job, error) {
+	job, err := p.lookUp(ctx, jobID)
+	if err == nil && job.Incomplete {
+		return batch.Job{}, errkind.New(errkind.HistoryLost, "the log may have dropped results of batch job %s", jobID)
+	}
+	return job, err
+}
+
+// mayHaveMissed tells whether a job that may be asked for may stand in records that the log dropped
+// before they were read here. A job that was handed in before that need not be known any more once
+// KeepJobs has passed.
+func (p *partition) mayHaveMissed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.lostAt.IsZero() && now.Sub(p.lostAt) < p.keepJobs
+}
+
 // follow has the partition read from now on.
 func (p *partition) follow() {
 	p.asked.Do(func() { close(p.interest) })
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -39,6 +39,8 @@
 	data   eventlog.Partition
 	budget pacing.Budget
 	logger zerolog.Logger
+	// keepJobs is Options.KeepJobs.
+	keepJobs time.Duration
 	// hurry ends the pause between two reads.
 	hurry chan struct{}
 	// interest is closed once somebody here has asked for what the partition holds.
@@ -51,6 +53,8 @@
 	// readAt is as of when the end was reached, by boottime: a suspended machine must not
 	// take what it knew before for the present.
 	readAt time.Time
+	// lostAt is when records were missed last that the log had dropped, by boottime; zero for never.
+	lostAt time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	healthy bool
@@ -63,13 +67,14 @@
 	joining batch.Observer
 }
 
-func newPartition(log eventlog.Log, number int, budget pacing.Budget, logger zerolog.Logger) *partition {
+func newPartition(log eventlog.Log, number int, options Options) *partition {
 	return &partition{
 		log:      log,
 		index:    eventlog.Partition{Topic: indexTopic, Number: number},
 		data:     eventlog.Partition{Topic: dataTopic, Number: number},
-		logger:   logger.With().Int("partition", number).Logger(),
-		budget:   budget,
+		logger:   options.Logger.With().Int("partition", number).Logger(),
+		budget:   options.Budget,
+		keepJobs: options.KeepJobs,
 		hurry:    make(chan struct{}, 1),
 		interest: make(chan struct{}),
 		state:    batch.NewPartition(),
@@ -208,7 +213,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.logger.Warn().Int64("offset", p.state.Next).Int64("first_kept", first).Msg("index history lost")
-	p.state.Next = max(p.state.Next, first)
+	p.state.SkipTo(first)
+	p.lostAt = boottime.Now()
 }
 
 func (p *partition) contact(err error) {
--- a/internal/batchjobs/results.go
+++ b/internal/batchjobs/results.go
@@ -32,13 +32,13 @@
 // only a while later.
 func (s *Service) Results(ctx context.Context, jobID string, from int, wait time.Duration) (Results, error) {
 	target := s.partitionOf(jobID)
-	job, err := target.lookUp(ctx, jobID)
+	job, err := target.lookUpWhole(ctx, jobID)
 	if err != nil {
 		return Results{}, err
 	}
 	if wait > 0 && !worthTelling(&job, from) {
 		target.awaitResults(ctx, jobID, from, wait)
-		if job, err = target.lookUp(ctx, jobID); err != nil {
+		if job, err = target.lookUpWhole(ctx, jobID); err != nil {
 			return Results{}, err
 		}
 	}
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -25,9 +25,12 @@
 	Ended bool
 	// SeenAt is when this reader read the job's record.
 	SeenAt time.Time
-	listed []bool
-	byID   map[string]int
-	groups groups
+	// Incomplete: results may have been passed over, so that the places of those that came
+	// since are not known, nor whether the job is ended.
+	Incomplete bool
+	listed     []bool
+	byID       map[string]int
+	groups     groups
 	// progress holds what is kept of the output of items without a result.
 	progress map[int]Progress
 }
@@ -134,6 +137,18 @@
 // Skip passes over a record that cannot be read.
 func (p *Partition) Skip() { p.Next++ }
 
+// SkipTo passes over records that the log no longer holds, up to the given offset. Jobs that lack
+// results are incomplete from then on. They stay open, since whoever runs them is to go on: what it
+// records again changes nothing.
+func (p *Partition) SkipTo(first int64) {
+	p.Next = max(p.Next, first)
+	for _, job := range p.jobs {
+		if len(job.Results) < len(job.Items) {
+			job.Incomplete = true
+		}
+	}
+}
+
 // Apply takes the record at the offset Next, read at the given time.
 func (p *Partition) Apply(record Record, at time.Time) {
 	p.Next++
--- a/internal/core/batch/partition_test.go
+++ b/internal/core/batch/partition_test.go
@@ -242,3 +242,23 @@
 		}
 	}
 }
+
+// TestJobsThatLackResultsAreIncompleteBehindAGap: those behind it and those that had all of them
+// are not. All go on to be run.
+func TestJobsThatLackResultsAreIncompleteBehindAGap(t *testing.T) {
+	p := NewPartition()
+	p.Apply(jobRecord("whole", 1), at)
+	p.Apply(result("whole", 0, Completed), at)
+	p.Apply(jobRecord("lacking", 2), at)
+	p.Apply(result("lacking", 1, Completed), at)
+	p.SkipTo(9)
+	assert.Equal(t, p.Next, int64(9))
+	p.Apply(jobRecord("behind", 1), at)
+	assert.Assert(t, !p.Job("whole").Incomplete)
+	assert.Assert(t, p.Job("lacking").Incomplete)
+	assert.Assert(t, !p.Job("behind").Incomplete)
+	assert.Assert(t, p.Job("lacking").Open())
+	p.Apply(result("lacking", 0, Completed), at)
+	assert.Assert(t, p.Job("lacking").Incomplete)
+	assert.Assert(t, !p.Job("lacking").Open())
+}
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -57,6 +57,9 @@
 	Unauthorized
 	// Quarantined: engines ended while they ran this request, so no other gets it.
 	Quarantined
+	// HistoryLost: the log dropped records that this node has not read, so that it cannot be sure
+	// of what is asked; another node may be.
+	HistoryLost
 	kindCount
 )
 
@@ -122,6 +125,7 @@
 	HeaderTooLarge: {"header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotExecuted, false, 0},
 	Unauthorized:   {"unauthorized", http.StatusUnauthorized, NotExecuted, false, 0},
 	Quarantined:    {"quarantined", http.StatusServiceUnavailable, NotExecuted, true, 10 * time.Second},
+	HistoryLost:    {"history_lost", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
 }
 
 // All returns every kind in the order of its number.
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -98,16 +98,30 @@
 
 // askOf asks about the job by each of its names until one is that of a job.
 func askOf[Answer any](n *node, job JobName, ask func(id string) (Answer, error)) (Answer, error) {
-	var answer Answer
 	names, err := n.names(job)
 	if err != nil {
-		return answer, err
+		var none Answer
+		return none, err
 	}
+	return askFirst(names, ask)
+}
+
+// askFirst asks by each name until one is that of a job. A name of which this node is not sure does
+// not hide the job that another one is of; where there is none, nobody is told that there is no job.
+func askFirst[Answer any](names []string, ask func(id string) (Answer, error)) (answer Answer, err error) {
+	var unsure error
 	for _, name := range names {
-		if answer, err = ask(name); !errkind.Is(err, errkind.NotFound) {
-			break
+		answer, err = ask(name)
+		switch {
+		case errkind.Is(err, errkind.HistoryLost):
+			unsure = err
+		case !errkind.Is(err, errkind.NotFound):
+			return answer, err
 		}
 	}
+	if unsure != nil {
+		return answer, unsure
+	}
 	return answer, err
 }
 
--- a/internal/jobrelay/jobrelay_test.go
+++ b/internal/jobrelay/jobrelay_test.go
@@ -196,3 +196,18 @@
 	defer answer.Body.Close()
 	assert.Equal(t, answer.StatusCode, http.StatusBadRequest)
 }
+
+// TestAReplicaThatIsNotSureIsNotTheLast: another one may know what the log has dropped.
+func TestAReplicaThatIsNotSureIsNotTheLast(t *testing.T) {
+	own, unsure := &fakeJobs{name: "own"}, &fakeJobs{fail: errkind.New(errkind.HistoryLost, "why")}
+	replica := &fakeJobs{name: "replica"}
+	relay := relayTo(own, serving(t, unsure, always), serving(t, replica, always))
+	for range 2 {
+		body, err := relay.Body(t.Context(), "j", "i")
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "replica")
+	}
+	assert.Equal(t, unsure.asked.Load(), int64(2), "it may know other jobs")
+	_, err := relayTo(own, serving(t, unsure, always), silent(t)).Body(t.Context(), "j", "i")
+	assert.Equal(t, errkind.KindOf(err), errkind.HistoryLost)
+}
--- a/internal/jobrelay/relay.go
+++ b/internal/jobrelay/relay.go
@@ -118,9 +118,10 @@
 	return nil, errkind.New(errkind.LogUnavailable, "this node has just started and has not read of the others yet")
 }
 
-// ask asks the replicas in turn until one has answered.
+// ask asks the replicas in turn until one has answered and is sure.
 func (r *Relay) ask(ctx context.Context, replicas []string, question request) (response, error) {
 	lost := false
+	var unsure error
 	for _, address := range replicas {
 		if r.paused.Active(address) {
 			continue
@@ -136,6 +137,8 @@
 			lost = true
 		case answer.NoReplica:
 			r.paused.Begin(address, otherPause)
+		case errkind.Is(answer.err(), errkind.HistoryLost):
+			unsure = answer.err()
 		default:
 			return answer, answer.err()
 		}
@@ -145,6 +148,9 @@
 	if lost && question.Operation == opEnd {
 		return response{}, errkind.New(errkind.OutcomeUnknownRepeatable, "no replica told how the end was taken")
 	}
+	if unsure != nil {
+		return response{}, unsure
+	}
 	return response{}, errkind.New(errkind.LogUnavailable, "none of %d replicas answers", len(replicas))
 }
 
