--- a/internal/core/lease/history.go
+++ b/internal/core/lease/history.go
@@ -50,6 +50,9 @@
 	address string
 }
 
+// same tells whether two are surely one machine.
+func (m machine) same(other machine) bool { return m == other && m.address != "" }
+
 const (
 	// minForgetAt is the number of engines up to which no order is forgotten.
 	minForgetAt = 1024
@@ -169,9 +172,9 @@
 	switch {
 	case last.epoch == epoch:
 		return 0, false
-	case q.EnginesFence && (last.released || last.machine == own):
+	case q.EnginesFence && (last.released || last.machine.same(own)):
 		return 0, false
-	case last.machine == own:
+	case last.machine.same(own):
 		return q.Arrival, true
 	default:
 		return q.Between + q.Arrival, true
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -13,8 +13,11 @@
 
 var start = time.Unix(1000, 0)
 
+// addressOf is the address that the processes of a machine hold, one after the other.
+func addressOf(node string) string { return "machine-" + node + ":7000" }
+
 func claim(node, holder string, follows int64) Record {
-	return Record{Kind: Claim, Node: node, Holder: holder, Epoch: follows}
+	return Record{Kind: Claim, Node: node, Holder: holder, Address: addressOf(node), Epoch: follows}
 }
 
 func TestFirstOfTwoRacingClaimsWins(t *testing.T) {
@@ -80,7 +83,7 @@
 }
 
 func orderOf(node string, epoch int64, held time.Duration, engines ...string) Record {
-	return Record{Kind: Order, Node: node, Holder: node + "1", Epoch: epoch, Held: held, Engines: engines}
+	return Record{Kind: Order, Node: node, Holder: node + "1", Address: addressOf(node), Epoch: epoch, Held: held, Engines: engines}
 }
 
 func renewal(node, holder string, epoch int64, held time.Duration) Record {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -189,7 +190,7 @@
 		Began: n.counter.Began,
 	})
 	n.elector = leadership.New(log, leadership.Options{
-		Holder: n.holder, Node: config.Node.ID, Address: config.Listen.Peers, TTL: time.Duration(config.Hosted.Lease),
+		Holder: n.holder, Node: config.Node.ID, Address: exclusiveAddress(config.Listen.Peers), TTL: time.Duration(config.Hosted.Lease),
 		ClaimDelay: claimDelay(config.Node.Processors),
 		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
 		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: logger,
@@ -236,6 +237,16 @@
 	return time.Duration((1 - processors) * float64(weakDelay))
 }
 
+// exclusiveAddress is the address that a process listens on, if no process of another machine can: empty
+// where it is loopback, all addresses of the machine, or a port that the system chooses.
+func exclusiveAddress(listen string) string {
+	address, err := netip.ParseAddrPort(listen)
+	if err != nil || address.Port() == 0 || address.Addr().IsLoopback() || address.Addr().IsUnspecified() {
+		return ""
+	}
+	return listen
+}
+
 func (n *node) listen(peers http.Handler) error {
 	var err error
 	if n.peers, err = listen(n.config.Listen.Peers, peers, fixedIdleTime); err != nil {
--- a/internal/leadership/answers_test.go
+++ b/internal/leadership/answers_test.go
@@ -59,6 +59,23 @@
 	assert.Assert(t, count.Load() < most, "%d appends in a second", count.Load())
 }
 
+// TestARecordProvesTimeOnlyUntilItWasComposed: the machine may be suspended between two looks at the clock. A
+// record that counts the time held at the first and the permit at the second, or the other way round,
+// proves time that an order may still take.
+func TestARecordProvesTimeOnlyUntilItWasComposed(t *testing.T) {
+	elector := New(memlog.New(), Options{Holder: "a1", Node: "a", TTL: testTTL}, nil)
+	clock := elector.now()
+	elector.now = func() time.Time {
+		clock = clock.Add(time.Second)
+		return clock
+	}
+	elector.state.Apply(elector.state.NewClaim("a", "a1", ""), clock)
+	elector.termBegan = clock
+	record, _, err := elector.compose(elector.state.Epoch, lease.Order, []string{"engine"})
+	assert.NilError(t, err)
+	assert.Equal(t, record.Held, elector.written[record.Sequence].sent.Sub(elector.termBegan))
+}
+
 // TestAStopWhoseReleaseGetsNoAnswerEnds: the release took effect.
 func TestAStopWhoseReleaseGetsNoAnswerEnds(t *testing.T) {
 	way := newLink(memlog.New())
--- a/internal/leadership/write.go
+++ b/internal/leadership/write.go
@@ -78,10 +78,11 @@
 		Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Address: e.options.Address,
 		Epoch: epoch, Engines: engines,
 	}
+	entry := e.noteLocked(&record)
 	if !e.termBegan.IsZero() {
-		record.Held = e.now().Sub(e.termBegan)
+		// One look at the clock for both: the record must not prove time that a permit still has.
+		record.Held = entry.sent.Sub(e.termBegan)
 	}
-	e.noteLocked(&record)
 	return record, max(e.state.Next, e.knownEnd), nil
 }
 
