Tell machines apart in one place

Cause: two ways to say that a holder is of this machine. Change: machine.same serves both. Conclusion: no change of behaviour.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -85,6 +85,9 @@
 	history history
 }
 
+// machine is that of the holder in force.
+func (s *State) machine() machine { return machine{node: s.Node, address: s.Address} }
+
 // NewClaim is the claim of a process that has read all records so far. It must be appended on the
 // condition that the log ends at Next.
 func (s *State) NewClaim(node, holder, address string) Record {
@@ -203,7 +206,7 @@
 // that: a machine that was replaced may still run, and so may a process that was not
 // waited for.
 func (s *State) heldByEarlierProcess(node, holder, address string) bool {
-	return s.Node == node && s.Holder != holder && address != "" && s.Address == address
+	return s.Holder != holder && s.machine().same(machine{node: node, address: address})
 }
 
 // MaxQuiet bounds the time between orders of two machines.
@@ -221,9 +224,9 @@
 
 // QuietUntil is the time before which the holder in force may not order the engine: after
 // another machine may have ordered it, the time between and the arrival; after the same machine
-// may have in an earlier epoch, the arrival alone. It is the zero time when
-// that has passed for certain. A holder that gave the lease up orders no more, which it does only
-// where its process ends; where engines refuse its fencing token as well, it needs no quiet time.
+// may have in an earlier epoch, the arrival alone. It is the zero time when that has passed for
+// certain. A holder that gave the lease up, which it does only where its process ends, orders no
+// more; where engines refuse its fencing token as well, it needs no quiet time.
 func (s *State) QuietUntil(engine string, quiet Quiet) time.Time {
-	return s.history.quietUntil(s.Epoch, machine{node: s.Node, address: s.Address}, engine, quiet)
+	return s.history.quietUntil(s.Epoch, s.machine(), engine, quiet)
 }
