Pass a record's note on with it

Cause: a record's note was looked up again after it was composed; a machine suspended in between may have forgotten it, which would have ended the process (by reading). Change: draft holds record, place and note.

--- a/internal/leadership/answers_test.go
+++ b/internal/leadership/answers_test.go
@@ -71,9 +71,9 @@
 	}
 	elector.state.Apply(elector.state.NewClaim("a", "a1", ""), clock)
 	elector.termBegan = clock
-	record, _, err := elector.compose(elector.state.Epoch, lease.Order, []string{"engine"})
+	next, err := elector.compose(elector.state.Epoch, lease.Order, []string{"engine"})
 	assert.NilError(t, err)
-	assert.Equal(t, record.Held, elector.written[record.Sequence].sent.Sub(elector.termBegan))
+	assert.Equal(t, next.record.Held, next.noted.sent.Sub(elector.termBegan))
 }
 
 // TestAStopWhoseReleaseGetsNoAnswerEnds: the release took effect.
--- a/internal/leadership/write.go
+++ b/internal/leadership/write.go
@@ -23,6 +23,13 @@
 	readBack chan struct{}
 }
 
+// draft is a record that is about to be appended where the log ends at the offset.
+type draft struct {
+	record lease.Record
+	at     int64
+	noted  *written
+}
+
 // receipt says that the log took a record in the epoch of its holder.
 type receipt struct {
 	offset int64
@@ -52,38 +59,37 @@
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	for {
-		record, at, err := e.compose(epoch, kind, engines)
+		next, err := e.compose(epoch, kind, engines)
 		if err != nil {
 			return receipt{}, err
 		}
-		sent, err := e.appendOwn(ctx, at, record, recordTimeout)
-		if err == nil {
-			return receipt{offset: at, sent: sent}, nil
+		if err = e.appendDraft(ctx, next, recordTimeout); err == nil {
+			return receipt{offset: next.at, sent: next.noted.sent}, nil
 		}
 		var conflict *eventlog.ConflictError
-		if !errors.As(err, &conflict) || conflict.End <= at || !e.catchUp(ctx, conflict.End) {
+		if !errors.As(err, &conflict) || conflict.End <= next.at || !e.catchUp(ctx, conflict.End) {
 			return receipt{}, err
 		}
 	}
 }
 
-// compose returns the next record of the epoch and the offset that it is for.
-func (e *Elector) compose(epoch int64, kind lease.RecordKind, engines []string) (lease.Record, int64, error) {
+// compose returns the next record of the epoch.
+func (e *Elector) compose(epoch int64, kind lease.RecordKind, engines []string) (draft, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.holdsLocked(epoch) {
-		return lease.Record{}, 0, errNotHeld
+		return draft{}, errNotHeld
 	}
 	record := lease.Record{
 		Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Address: e.options.Address,
 		Epoch: epoch, Engines: engines,
 	}
-	entry := e.noteLocked(&record)
+	noted := e.noteLocked(&record)
 	if !e.termBegan.IsZero() {
 		// One look at the clock for both: the record must not prove time that a permit still has.
-		record.Held = entry.sent.Sub(e.termBegan)
+		record.Held = noted.sent.Sub(e.termBegan)
 	}
-	return record, max(e.state.Next, e.knownEnd), nil
+	return draft{record: record, at: max(e.state.Next, e.knownEnd), noted: noted}, nil
 }
 
 // noteLocked numbers a record and remembers when it was composed; mu is held.
@@ -109,37 +115,31 @@
 	}
 }
 
-// appendOwn appends a record that was noted and returns when it was composed. A record counts as
-// taken once the log says so or it is read back, whichever is first: where answers are lost the
-// next record need not wait for a time-out.
-func (e *Elector) appendOwn(
-	ctx context.Context, at int64, record lease.Record, timeout time.Duration,
-) (time.Time, error) {
-	e.mu.Lock()
-	entry := e.written[record.Sequence]
-	e.mu.Unlock()
+// appendDraft appends a record. It counts as taken once the log says so or it is read back, whichever
+// is first: where answers are lost the next record need not wait for a time-out.
+func (e *Elector) appendDraft(ctx context.Context, next draft, timeout time.Duration) error {
 	answered := make(chan error, 1)
 	go func() {
 		// It goes on where its caller has read the record back, or has given up: an append that is
 		// broken off costs its connection and says nothing of the outcome.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 		defer cancel()
-		answered <- e.appendAt(ctx, at, record)
+		answered <- e.appendAt(ctx, next.at, next.record)
 	}()
 	var err error
 	select {
 	case err = <-answered:
-	case <-entry.readBack:
+	case <-next.noted.readBack:
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
 	if err != nil {
-		return time.Time{}, err
+		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.knownEnd = max(e.knownEnd, at+1)
-	return entry.sent, nil
+	e.knownEnd = max(e.knownEnd, next.at+1)
+	return nil
 }
 
 func (e *Elector) appendAt(ctx context.Context, end int64, record lease.Record) error {
@@ -176,11 +176,12 @@
 	}
 	previous := e.state.Epoch
 	record := e.state.NewClaim(e.options.Node, e.options.Holder, e.options.Address)
-	e.claimSent = e.noteLocked(&record).sent
+	noted := e.noteLocked(&record)
+	e.claimSent = noted.sent
 	e.mu.Unlock()
 	// The answer may be lost, and others wait for a lease from reading the claim: it counts as soon as
 	// it is read back.
-	_, err := e.appendOwn(ctx, next, record, e.options.TTL)
+	err := e.appendDraft(ctx, draft{record: record, at: next, noted: noted}, e.options.TTL)
 	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
 }
 
