--- a/internal/core/lease/history.go
+++ b/internal/core/lease/history.go
@@ -7,9 +7,9 @@
 
 // history is what a reader knows of the orders that holders gave.
 //
-// Invariant: an engine was ordered by a holder only after an Order record of it
-// was acknowledged; so what stands in no record was not ordered, unless a gap
-// hides the record.
+// Invariant: an engine is ordered by a holder only after an Order record of it was taken
+// in the holder's epoch. So what stands in no record before the next claim is not ordered
+// by an earlier holder, unless a gap hides the record.
 type history struct {
 	// held is the newest Held of the epoch in force, proven the sum of all times that
 	// records proved to have passed.
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -11,6 +11,8 @@
 //     acknowledgement names no epoch, and two holders were seen to order engines for
 //     half a lease by it.
 //   - A claim counts by its place alone, for every reader, whatever it has missed.
+//     Programs of before append renewals without a condition and claims without
+//     their place; beside these, readers that missed records may differ for a while.
 //   - A holder counts its lease from before it sent the record that took effect, all
 //     others from after they read it, so the holder always stops first.
 package lease
@@ -43,7 +45,7 @@
 type Record struct {
 	Kind   RecordKind `msgpack:"k"`
 	Holder string     `msgpack:"h"`
-	// Node is the machine's name. A machine runs one process at a time.
+	// Node is the machine's name, which another machine may be given.
 	Node string `msgpack:"n"`
 	// Address is held by the process for as long as it lives, so that no two processes
 	// have it at one time; empty when it holds none.
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -50,8 +50,8 @@
 }
 
 // renewWhileHeld renews until another epoch is in force or the node stops. While
-// the log is out of reach the role goes on, since no promise rests on it: orders
-// ask Valid, and what the role records is decided when it is read. Without a
+// the log is out of reach the role goes on, since no promise rests on it: orders need
+// a permit, and what the role records is decided when it is read. Without a
 // read no renewal is sent, so a node that is only heard does not keep others from leading.
 func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
 	period := e.options.TTL / renewalsPerTTL
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -109,8 +109,8 @@
 	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
 }
 
-// skipTo passes over records that are no longer kept. Renewals go on while a
-// holder lives, so the epoch in force shows in the first record kept.
+// skipTo passes over records that are no longer kept. Until a record tells the epoch in force this node
+// neither claims at once nor, should it hold the lease, writes.
 func (e *Elector) skipTo(first int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
