--- a/internal/bench/soak/check_one.go
+++ b/internal/bench/soak/check_one.go
@@ -25,7 +25,7 @@
 
 // String names a command in what is found.
 func (c command) String() string {
-	return fmt.Sprintf("%s under token %d at %s", c.holder, c.fence, c.at.Format("15:04:05.000"))
+	return fmt.Sprintf("%s under token %d at %s", c.holder, c.fence, c.at.Format(clockFormat))
 }
 
 // nodeOf returns the number of the machine in a holder's name, "node-3-xyz" or
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -21,8 +21,11 @@
 const (
 	lookupEngines = 2
 	draftEngines  = 4
-	zones         = 2
-	startTimeout  = 30 * time.Second
+	// orderedEngines are as many that the leader, which has a few load at a time, does not
+	// order some for longer than the quiet time.
+	orderedEngines = 10
+	zones          = 2
+	startTimeout   = 30 * time.Second
 )
 
 func zoneOf(number int) string { return fmt.Sprintf("z%d", number%zones+1) }
@@ -64,7 +67,7 @@
 	if err != nil {
 		return d, err
 	}
-	for number := range lookupEngines + draftEngines {
+	for number := range lookupEngines + plan.drafts() {
 		if err := d.addPlace(ctx, number); err != nil {
 			return d, err
 		}
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -59,6 +59,8 @@
 	history    *History
 	client     *standin.Client
 
+	// crashes is true where requests are sent under which engines end.
+	crashes bool
 	// version is the newest weight version named; config the newest configuration.
 	version atomic.Int64
 	config  atomic.Int64
@@ -198,7 +200,7 @@
 		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, v.version.Load()-1),
 	}
 	crashing := -1
-	if rand.IntN(crashingPart) == 0 {
+	if v.crashes && rand.IntN(crashingPart) == 0 {
 		crashing = rand.IntN(itemsPerJob)
 	}
 	for i := range itemsPerJob {
@@ -327,7 +329,9 @@
 		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
 		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
 	}
-	v.callers.Go(func() { v.crashEngines(ctx) })
+	if v.crashes {
+		v.callers.Go(func() { v.crashEngines(ctx) })
+	}
 	for trainer := range trainers {
 		v.jobs.Go(func() { v.train(ctx, lasting, trainer) })
 	}
--- a/internal/bench/soak/inject_leader.go
+++ b/internal/bench/soak/inject_leader.go
@@ -31,17 +31,33 @@
 // random returns the draws of a fault's details, which follow from its target.
 func (f Fault) random() *rand.Rand { return rand.New(rand.NewPCG(uint64(f.Target), uint64(f.At))) }
 
+// hang returns which reads of a node hang under a fault: all, or those of the lease alone.
+func (f Fault) hang() effect {
+	const leaseAlone = 2 // one in how many
+	if f.Target%leaseAlone == 0 {
+		return hangLeaseReads
+	}
+	return hangReads
+}
+
+// slow tells whether writes that work again are slow.
+func (f Fault) slow() bool {
+	const slow = 4 // one of every two in how many
+	return f.Target%slow > 1
+}
+
 // strikeNode is a fault of one node's way to the store, or of its process amid an order,
 // from its begin to its end; false where the kind is another.
 func (d *deployment) strikeNode(ctx context.Context, target *node, fault Fault) bool {
+	hang := fault.hang()
 	var strike func()
 	switch fault.Kind {
 	case NodeReadsHang:
-		strike = func() { target.store.suffer(ctx, fault.For, hangReads) }
+		strike = func() { target.store.suffer(ctx, fault.For, hang) }
 	case NodeWritesRefused:
 		strike = func() { target.store.suffer(ctx, fault.For, refuseWrites) }
 	case NodeAnswersLost:
-		strike = func() { target.store.suffer(ctx, fault.For, loseAnswers, hangReads) }
+		strike = func() { target.store.suffer(ctx, fault.For, loseAnswers, hang) }
 	case NodeCallsLate:
 		strike = func() { target.store.suffer(ctx, fault.For, lateWrites) }
 	case NodeWritesThenReads:
@@ -69,13 +85,16 @@
 // from before the end of that to fault.For after it.
 func (s *nodeStore) writesThenReads(ctx context.Context, fault Fault) {
 	random := fault.random()
-	hang := between(random, earliestHang, latestHang)
+	hangAfter := between(random, earliestHang, latestHang)
 	refusal := between(random, shortestRefusal, longestRefusal)
 	admit := s.begin(refuseWrites)
 	defer admit()
-	retry.Sleep(ctx, hang)
-	defer s.begin(hangReads)()
-	retry.Sleep(ctx, refusal-hang)
+	retry.Sleep(ctx, hangAfter)
+	defer s.begin(fault.hang())()
+	if fault.slow() {
+		defer s.begin(slowWrites)()
+	}
+	retry.Sleep(ctx, refusal-hangAfter)
 	admit()
 	retry.Sleep(ctx, fault.For)
 }
@@ -110,14 +129,14 @@
 func (d *deployment) loseClaims(ctx context.Context, leader *node, fault Fault) {
 	ctx, cancel := context.WithTimeout(ctx, claimWait+claimHang+claimSpread)
 	defer cancel()
-	hang := between(fault.random(), claimHang, claimHang+claimSpread)
+	lasting := between(fault.random(), claimHang, claimHang+claimSpread)
 	for _, each := range d.nodes {
 		if each == leader {
 			continue
 		}
 		forget := each.store.loseNextClaim(func() {
 			d.wait.Go(func() {
-				d.disturbed(each.number, func() { each.store.suffer(ctx, hang, loseAnswers, hangReads) })
+				d.disturbed(each.number, func() { each.store.suffer(ctx, lasting, loseAnswers, fault.hang()) })
 			})
 		})
 		defer forget()
--- a/internal/bench/soak/node_store.go
+++ b/internal/bench/soak/node_store.go
@@ -19,10 +19,14 @@
 const (
 	// hangReads: reads get no answer while it lasts.
 	hangReads effect = iota
+	// hangLeaseReads: the same, for reads of the lease alone, which is a partition of its own.
+	hangLeaseReads
 	// refuseWrites: writes are refused.
 	refuseWrites
 	// loseAnswers: writes take effect, and their answers are lost.
 	loseAnswers
+	// slowWrites: writes work, and their answers come late.
+	slowWrites
 	// lateWrites: writes are carried out late.
 	lateWrites
 
@@ -30,6 +34,9 @@
 )
 
 const (
+	// slowWrite is the time by which the answer to a slow write is late: below the time for
+	// which a node waits for a renewal, 400 ms.
+	slowWrite = 300 * time.Millisecond
 	// latestWrite is the most by which a late write is late: it outlasts its caller.
 	latestWrite = 3 * time.Second
 	// maxWrite bounds the body of a write; the store's own bound is lower.
@@ -106,9 +113,11 @@
 func (s *nodeStore) read(w http.ResponseWriter, r *http.Request) {
 	answer := newHeldAnswer()
 	s.store.ServeHTTP(answer, r)
-	if s.outlast(r.Context(), hangReads) {
-		answer.giveTo(w)
+	aboutLease := r.URL.Query().Get("topic") == leaseTopic
+	if aboutLease && !s.outlast(r.Context(), hangLeaseReads) || !s.outlast(r.Context(), hangReads) {
+		return
 	}
+	answer.giveTo(w)
 }
 
 func (s *nodeStore) write(w http.ResponseWriter, r *http.Request) {
@@ -135,6 +144,9 @@
 	if s.losesAnswer(write) {
 		s.lose(r.Context())
 	}
+	if slow, _ := s.under(slowWrites); slow {
+		retry.Sleep(r.Context(), slowWrite)
+	}
 	answer.giveTo(w)
 	s.spring(w, write)
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -44,6 +44,8 @@
 	finishTime = 45 * time.Second
 	// progressPeriod is the time between two lines of progress.
 	progressPeriod = 15 * time.Second
+	// clockFormat is how a time of day is printed.
+	clockFormat = "15:04:05.000"
 )
 
 // DefaultBounds are those of the users' pages, with some slack for a machine
@@ -205,6 +207,14 @@
 	schedule     string
 }
 
+// drafts is the number of engines that are ordered.
+func (p plan) drafts() int {
+	if p.schedule == LeaderFaults {
+		return orderedEngines
+	}
+	return draftEngines
+}
+
 // play runs the load and the faults, waits until open jobs are done, and checks.
 func (p plan) play(ctx context.Context, directory string, output io.Writer) (Summary, error) {
 	history := &History{EnginesFence: p.enginesFence}
@@ -221,11 +231,13 @@
 		return Summary{}, err
 	}
 	driver := newDriver(d)
+	driver.crashes = p.schedule == GeneralFaults
 	driver.configure()
 	if err := d.awaitReady(ctx); err != nil {
 		return Summary{}, err
 	}
 	began := time.Now()
+	_, _ = fmt.Fprintln(output, "load began at", began.Format(clockFormat))
 	loaded, cancel := context.WithDeadline(ctx, began.Add(p.length))
 	defer cancel()
 	driver.run(loaded, lasting)
