Soak: the engines' senders known from their sockets; silent and late ways to the engines

An order named its sender itself, and all nodes shared one link to an engine, so no fault could strike one node's orders on their way.

Each engine now stands behind a front that looks up, by the kernel's socket diagnosis, which node's process holds the other end of a connection, and passes its bytes on from an address of that node: the checks of ONE judge by it, and one node's bytes to all engines can wait or come late.

--- a/internal/bench/soak/check_one.go
+++ b/internal/bench/soak/check_one.go
@@ -38,15 +38,20 @@
 }
 
 // commandsOf returns the commands by what they are about, each in the order of arrival,
-// and those that name no node.
+// and those that bear the name of no node, or of another than the one whose process sent
+// them. The machine is the sender's, whatever name it bears.
 func commandsOf(h *History) (commands [][]command, found []string) {
 	for i := range h.Engines {
 		engine := &h.Engines[i]
 		var sent []command
 		for _, order := range engine.Orders {
 			node, known := nodeOf(order.Holder)
-			if !known {
-				found = append(found, fmt.Sprintf("engine %s has an order of %q, which is no node", engine.ID, order.Holder))
+			sender, told := senderAt(order.From)
+			if !known || told && sender != node {
+				found = append(found, fmt.Sprintf("engine %s has an order in the name of %q from node %d", engine.ID, order.Holder, sender))
+			}
+			if told {
+				node = sender
 			}
 			sent = append(sent, command{engine.ID, order.Holder, node, order.Fence, order.At})
 		}
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -269,6 +269,7 @@
 		unfenced(h, order("node-0-a", 5, 50), order("node-1-b", 4, 54))
 		h.Resumed = []Resumption{{Node: 1, At: at(54.1)}}
 	}},
+	{"order in the name of another node", "ONE", func(h *History) { h.Engines[0].Orders[0].From = "127.7.0.2" }},
 	{"order of no node", "ONE", func(h *History) { h.Engines[0].Orders[0].Holder = "someone" }},
 	{"report of no node", "ONE", func(h *History) { h.Usage[0].Holder = "someone" }},
 	{"report under a lower token", "ONE", func(h *History) {
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -39,6 +39,8 @@
 	duties  *standin.Duties
 	nodes   []*node
 	places  []*place
+	// senders tells the nodes apart at the engines.
+	senders *senders
 	// leader is the node that leads.
 	leader *leaderSeen
 	// enginesFence is true where the engines, and what takes the platform's calls,
@@ -57,7 +59,7 @@
 	}
 	d := &deployment{
 		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
-		leader: newLeaderSeen(), enginesFence: plan.enginesFence,
+		leader: newLeaderSeen(), enginesFence: plan.enginesFence, senders: &senders{unknown: newWay(anyNode)},
 	}
 	if !plan.enginesFence {
 		d.duties.IgnoreFences()
@@ -77,6 +79,11 @@
 			return d, err
 		}
 	}
+	for _, each := range d.places {
+		if err := each.front.listen(); err != nil {
+			return d, err
+		}
+	}
 	d.wait.Go(func() { d.store.releaseLate(ctx) })
 	for _, each := range d.nodes {
 		d.wait.Go(func() { each.run(ctx) })
@@ -101,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := d.network.AddLink(fmt.Sprintf("engine-%d", number), "127.0.0.1:0", listen)
+	listed, err := process.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -109,13 +116,16 @@
 	if number >= lookupEngines {
 		service = standin.ServiceDrafts
 	}
-	p := &place{number: number, service: service, store: d.store.store, history: d.history, link: link, listen: listen, checkFences: d.enginesFence}
+	p := &place{
+		number: number, service: service, store: d.store.store, history: d.history, listen: listen, checkFences: d.enginesFence,
+		front: newFront(listed, listen, d.senders.wayOf),
+	}
 	p.crashed = func(run standin.Run) { d.crashUnder(ctx, p, run) }
 	if err := p.start(); err != nil {
 		return err
 	}
 	d.places = append(d.places, p)
-	d.closers = append(d.closers, p.stop)
+	d.closers = append(d.closers, p.stop, p.front.cut)
 	return nil
 }
 
@@ -143,6 +153,8 @@
 		return err
 	}
 	d.nodes = append(d.nodes, n)
+	d.senders.nodes = append(d.senders.nodes, n)
+	d.senders.ways = append(d.senders.ways, newWay(number))
 	return nil
 }
 
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 )
@@ -30,7 +29,7 @@
 )
 
 // place is where engines of one service run, one after the other: each start is
-// a new engine with a new ID, behind the same proxy.
+// a new engine with a new ID, behind the same front.
 type place struct {
 	number  int
 	service string
@@ -38,7 +37,7 @@
 	history *History
 	// checkFences: the engines refuse lower fencing tokens than one seen.
 	checkFences bool
-	link        *faultproxy.Link
+	front       *front
 	// crashed is told of a run that ends the engine.
 	crashed func(run standin.Run)
 	listen  string
@@ -86,7 +85,7 @@
 	server := &http.Server{Handler: p.engine, ReadHeaderTimeout: time.Minute}
 	p.server = server
 	go func() { _ = server.Serve(listener) }()
-	p.store.ListEngine(p.engine, p.link.Address(), false)
+	p.store.ListEngine(p.engine, p.front.address, false)
 	return nil
 }
 
@@ -125,25 +124,24 @@
 	p.mu.Lock()
 	engine := p.engine
 	p.mu.Unlock()
-	p.store.ListEngine(engine, p.link.Address(), true)
+	p.store.ListEngine(engine, p.front.address, true)
 	p.history.update(func() { p.history.Leaves = append(p.history.Leaves, LeaveSeen{Engine: engine.ID(), At: time.Now()}) })
 	retry.Sleep(ctx, leaveTime)
 	p.stop()
 	p.store.UnlistEngine(engine.ID())
 }
 
-// crash ends the engine without a word: its address refuses connections, and its entry
-// goes some time later. The returned function is the rest.
+// crash ends the engine without a word: its address refuses connections, until the next
+// one starts, and its entry goes some time later. The returned function is the rest.
 func (p *place) crash(ctx context.Context, lasting time.Duration) func() {
 	p.mu.Lock()
 	id := p.engine.ID()
 	p.mu.Unlock()
-	p.link.Cut()
+	p.front.cut()
 	p.stop()
 	return func() {
 		retry.Sleep(ctx, lasting)
 		p.store.UnlistEngine(id)
-		_ = p.link.Restore()
 	}
 }
 
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -55,11 +55,14 @@
 			}
 		})
 	case LinkCut, LinkSilent, LinkOneWay, LinkSlow, LinkReset:
-		d.disturbed(target.number, func() { d.strikeLink(ctx, target.link, fault, func() {}) })
+		d.disturbed(target.number, func() { d.strikeLink(ctx, target.link, fault) })
 	case EngineCut:
 		// Requests that a cut holds up arrive late, so no node counts as in touch.
 		d.disturbed(anyNode, func() {
-			d.strikeLink(ctx, at.link, fault, func() { d.history.resume(anyNode) })
+			at.front.cut()
+			retry.Sleep(ctx, fault.For)
+			d.history.resume(anyNode)
+			d.openFront(at)
 		})
 	case StoreForgets:
 		d.disturbed(anyNode, d.store.forget)
@@ -91,8 +94,7 @@
 	fault()
 }
 
-// strikeLink strikes a link; heals is called when it is about to heal.
-func (d *deployment) strikeLink(ctx context.Context, link *faultproxy.Link, fault Fault, heals func()) {
+func (d *deployment) strikeLink(ctx context.Context, link *faultproxy.Link, fault Fault) {
 	switch fault.Kind {
 	case LinkReset:
 		_ = link.Reset()
@@ -107,7 +109,6 @@
 		link.Cut()
 	}
 	retry.Sleep(ctx, fault.For)
-	heals()
 	_ = link.Restore()
 }
 
@@ -138,8 +139,16 @@
 	d.startAgain(at)
 }
 
+// openFront has a place take connections again.
+func (d *deployment) openFront(at *place) {
+	if err := at.front.listen(); err != nil {
+		d.nodes[0].note("an engine takes no connections again: " + err.Error())
+	}
+}
+
 // startAgain starts the next engine of a place.
 func (d *deployment) startAgain(at *place) {
+	d.openFront(at)
 	if err := at.start(); err != nil {
 		d.nodes[0].note("an engine did not start again: " + err.Error())
 	}
--- a/internal/bench/soak/inject_leader.go
+++ b/internal/bench/soak/inject_leader.go
@@ -19,6 +19,10 @@
 	// Its reads hang from earliestHang after the begin of that on, latestHang at the latest.
 	earliestHang = 500 * time.Millisecond
 	latestHang   = leaseTime
+	// What a node sends the engines arrives between leastDelay and mostDelay late: some of
+	// it after the 0.8 s for which a node waits for an engine's answer to an order.
+	leastDelay = 200 * time.Millisecond
+	mostDelay  = 1200 * time.Millisecond
 	// orderWait is how long a freeze waits for an order of the node that it is to strike.
 	orderWait = 1500 * time.Millisecond
 	// claimWait is how long after the end of a leader claims are waited for.
@@ -62,6 +66,10 @@
 		strike = func() { target.store.suffer(ctx, fault.For, lateWrites) }
 	case NodeWritesThenReads:
 		strike = func() { target.store.writesThenReads(ctx, fault) }
+	case EnginesSilent:
+		strike = func() { d.holdEngines(ctx, target.number, fault.For) }
+	case EnginesLate:
+		strike = func() { d.delayEngines(ctx, target.number, fault) }
 	case FrozenOrdering:
 		strike = func() { d.freezeOrdering(ctx, target, fault.For) }
 	case ClaimsUnanswered:
@@ -107,6 +115,22 @@
 	target.signal(syscall.SIGCONT)
 }
 
+// holdEngines keeps back what a node and the engines send each other.
+func (d *deployment) holdEngines(ctx context.Context, node int, lasting time.Duration) {
+	release := d.senders.ways[node].hold()
+	retry.Sleep(ctx, lasting)
+	d.history.resume(node)
+	release()
+}
+
+// delayEngines has what a node and the engines send each other arrive late.
+func (d *deployment) delayEngines(ctx context.Context, node int, fault Fault) {
+	d.senders.ways[node].delay(between(fault.random(), leastDelay, mostDelay))
+	retry.Sleep(ctx, fault.For)
+	d.history.resume(node)
+	d.senders.ways[node].delay(0)
+}
+
 // freezeOrdering stops a node's process when it has recorded an order that it is about
 // to send.
 func (d *deployment) freezeOrdering(ctx context.Context, target *node, lasting time.Duration) {
--- /dev/null
+++ b/internal/bench/soak/node_store_test.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/lease"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+const otherTopic = "other"
+
+// faultyStore is one node's way to a store, served on a socket.
+type faultyStore struct {
+	*nodeStore
+	log    *standin.Store
+	leader *leaderSeen
+	url    string
+}
+
+func newFaultyStore(t *testing.T) *faultyStore {
+	t.Helper()
+	s := &faultyStore{log: standin.NewStore(standin.DefaultLimits()), leader: newLeaderSeen()}
+	s.nodeStore = newNodeStore(s.log, s.leader.wrote)
+	server := httptest.NewServer(s.nodeStore)
+	t.Cleanup(server.Close)
+	s.url = server.URL
+	return s
+}
+
+// call returns the status of a call, zero where no answer came in time.
+func (s *faultyStore) call(t *testing.T, wait time.Duration, method, path string, body []byte) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, s.url+path, bytes.NewReader(body))
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (s *faultyStore) read(t *testing.T, wait time.Duration, topic string) int {
+	t.Helper()
+	return s.call(t, wait, http.MethodGet, "/log-read?part=0&from=0&topic="+topic, nil)
+}
+
+func (s *faultyStore) write(t *testing.T, wait time.Duration, topic string, record lease.Record) int {
+	t.Helper()
+	raw, err := msgpack.Marshal(&record)
+	assert.NilError(t, err)
+	body := append(binary.BigEndian.AppendUint32(nil, uint32(len(raw))), raw...)
+	return s.call(t, wait, http.MethodPost, "/log-append?part=0&topic="+topic, body)
+}
+
+func (s *faultyStore) end(topic string) int64 { return s.log.Log.End(eventlog.Partition{Topic: topic}) }
+
+func TestReadsHangWhileWritesWork(t *testing.T) {
+	s := newFaultyStore(t)
+	end := s.begin(hangReads)
+	assert.Equal(t, s.read(t, quiet, otherTopic), 0)
+	assert.Equal(t, s.write(t, patience, otherTopic, lease.Record{}), http.StatusOK)
+	time.AfterFunc(quiet, end)
+	assert.Equal(t, s.read(t, patience, otherTopic), http.StatusOK)
+}
+
+func TestReadsOfTheLeaseHangAlone(t *testing.T) {
+	s := newFaultyStore(t)
+	defer s.begin(hangLeaseReads)()
+	assert.Equal(t, s.read(t, quiet, leaseTopic), 0)
+	assert.Equal(t, s.read(t, patience, otherTopic), http.StatusOK)
+}
+
+func TestReadsWorkWhileWritesAreRefused(t *testing.T) {
+	s := newFaultyStore(t)
+	end := s.begin(refuseWrites)
+	assert.Equal(t, s.write(t, patience, otherTopic, lease.Record{}), http.StatusServiceUnavailable)
+	assert.Equal(t, s.read(t, patience, otherTopic), http.StatusOK)
+	assert.Equal(t, s.end(otherTopic), int64(0))
+	end()
+	assert.Equal(t, s.write(t, patience, otherTopic, lease.Record{}), http.StatusOK)
+}
+
+func TestWritesTakeEffectWithoutAnAnswer(t *testing.T) {
+	s := newFaultyStore(t)
+	defer s.begin(loseAnswers)()
+	assert.Equal(t, s.write(t, quiet, otherTopic, lease.Record{}), 0)
+	testwait.Until(t, "the write takes effect", func() bool { return s.end(otherTopic) == 1 })
+}
+
+// TestLateWritesOutlastTheirCaller: they take effect after it has given up.
+func TestLateWritesOutlastTheirCaller(t *testing.T) {
+	s := newFaultyStore(t)
+	defer s.begin(lateWrites)()
+	const writes = 4
+	for range writes {
+		_ = s.write(t, quiet, otherTopic, lease.Record{})
+	}
+	testwait.Until(t, "the writes take effect", func() bool { return s.end(otherTopic) == writes })
+}
+
+func TestAnswerToOneClaimIsLost(t *testing.T) {
+	s := newFaultyStore(t)
+	told := make(chan struct{}, 2)
+	forget := s.loseNextClaim(func() { told <- struct{}{} })
+	defer forget()
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Renew, Node: "node-1"}), http.StatusOK)
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Claim, Node: "node-1"}), 0)
+	<-told
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Claim, Node: "node-1"}), http.StatusOK)
+	assert.Equal(t, s.end(leaseTopic), int64(3))
+}
+
+func TestTrapSpringsAtTheRecordOfAnOrder(t *testing.T) {
+	s := newFaultyStore(t)
+	sprung := make(chan struct{}, 2)
+	s.setTrap(func() { sprung <- struct{}{} })
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Renew, Node: "node-1"}), http.StatusOK)
+	assert.Equal(t, len(sprung), 0)
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Order, Node: "node-1"}), http.StatusOK)
+	<-sprung
+}
+
+// TestFaultsFindTheLeader: by the machine that a record names, since it may have come by
+// way of another.
+func TestFaultsFindTheLeader(t *testing.T) {
+	s := newFaultyStore(t)
+	const nodes = 4
+	assert.Equal(t, s.leader.aim(Fault{Aim: AimLeader, Target: 7}, nodes), 3)
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Claim, Node: "node-1"}), http.StatusOK)
+	assert.Equal(t, s.leader.aim(Fault{Aim: AimLeader, Target: 7}, nodes), 1)
+	assert.Equal(t, s.write(t, patience, leaseTopic, lease.Record{Kind: lease.Claim, Node: "node-2"}), http.StatusOK)
+	assert.Equal(t, s.leader.aim(Fault{Aim: AimNumber, Target: 7}, nodes), 3)
+	assert.Equal(t, s.leader.aim(Fault{Aim: AimSame}, nodes), 1)
+	assert.Equal(t, s.leader.aim(Fault{Aim: AimLeader}, nodes), 2)
+}
--- a/internal/bench/soak/schedule_leader.go
+++ b/internal/bench/soak/schedule_leader.go
@@ -25,6 +25,11 @@
 	ClaimsUnanswered Kind = "claims-unanswered"
 	// FrozenOrdering: the node is stopped between its record of an order and the order.
 	FrozenOrdering Kind = "node-frozen-ordering"
+	// EnginesSilent: what the node and the engines send each other waits, on connections
+	// that stay open, and arrives at the end.
+	EnginesSilent Kind = "node-engines-silent"
+	// EnginesLate: it arrives late.
+	EnginesLate Kind = "node-engines-late"
 )
 
 // Aim says which node a fault strikes.
@@ -45,7 +50,7 @@
 // leaderWeights say how often each kind is drawn for a series.
 var leaderWeights = []weighted{
 	{NodeReadsHang, 3}, {NodeWritesRefused, 3}, {NodeWritesThenReads, 8}, {NodeAnswersLost, 4}, {NodeCallsLate, 3},
-	{ClaimsUnanswered, 4}, {FrozenOrdering, 5},
+	{ClaimsUnanswered, 4}, {FrozenOrdering, 5}, {EnginesSilent, 3}, {EnginesLate, 3},
 	{NodeKilled, 2}, {NodeStopped, 2}, {NodeFrozen, 3}, {LinkCut, 2}, {LinkSilent, 3}, {LinkOneWay, 3}, {LinkSlow, 2},
 }
 
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -72,6 +72,8 @@
 	Fence   int64
 	Version int64
 	At      time.Time
+	// From is the address that the order came from, without the port.
+	From string
 	// Status is the engine's answer.
 	Status int
 }
--- a/internal/standin/platform/engine_control.go
+++ b/internal/standin/platform/engine_control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 )
@@ -20,6 +21,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// hostOf is an address without its port.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Kind     string `json:"opKind"`
@@ -46,7 +56,7 @@
 		status = http.StatusOK
 	}
 	e.seen = append(e.seen, OrderSeen{
-		Holder: body.Holder, Fence: body.Fence, Version: body.Version, At: time.Now(), Status: status,
+		Holder: body.Holder, Fence: body.Fence, Version: body.Version, At: time.Now(), From: hostOf(r.RemoteAddr), Status: status,
 	})
 	if status != http.StatusAccepted {
 		w.WriteHeader(status)
