--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -270,6 +270,7 @@
 		h.Resumed = []Resumption{{Node: 1, At: at(54.1)}}
 	}},
 	{"order in the name of another node", "ONE", func(h *History) { h.Engines[0].Orders[0].From = "127.7.0.2" }},
+	{"report in the name of another node", "ONE", func(h *History) { h.Usage[0].From = "127.7.0.3" }},
 	{"order of no node", "ONE", func(h *History) { h.Engines[0].Orders[0].Holder = "someone" }},
 	{"report of no node", "ONE", func(h *History) { h.Usage[0].Holder = "someone" }},
 	{"report under a lower token", "ONE", func(h *History) {
--- a/internal/bench/soak/front.go
+++ b/internal/bench/soak/front.go
@@ -134,7 +134,7 @@
 	both.Wait()
 }
 
-// way is one node's way to all engines.
+// way is one node's way to all engines, and to what takes the platform's calls.
 type way struct {
 	// node is anyNode where the sender is not known.
 	node int
--- a/internal/standin/platform/duties.go
+++ b/internal/standin/platform/duties.go
@@ -13,8 +13,10 @@
 
 // UsageCall is a report of use as it arrived.
 type UsageCall struct {
-	Holder string           `json:"-"`
-	Fence  int64            `json:"-"`
+	Holder string `json:"-"`
+	Fence  int64  `json:"-"`
+	// From is the address that the call came from, without the port.
+	From   string           `json:"-"`
 	At     time.Time        `json:"-"`
 	Window int64            `json:"windowNo"`
 	Counts map[string]int64 `json:"counts"`
@@ -113,7 +115,7 @@
 }
 
 func (d *Duties) takeUsage(w http.ResponseWriter, r *http.Request) {
-	call := UsageCall{At: time.Now()}
+	call := UsageCall{At: time.Now(), From: hostOf(r.RemoteAddr)}
 	holder, fence, read := readCall(r, &call)
 	call.Holder, call.Fence = holder, fence
 	d.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// TestShortSoakOfTheLeader plays faults of the leader in series at nodes whose engines do
+// not check fencing tokens: nothing but the lease keeps two nodes from ordering.
+func TestShortSoakOfTheLeader(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 732217, Minutes: 0.34, Nodes: 4, Slack: 6, EnginesFence: soak.No, Schedule: soak.LeaderFaults,
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+}
+
 func TestKeptSeedsAreDescribed(t *testing.T) {
 	kept, err := soak.ReadSeeds("seeds.toml")
 	assert.NilError(t, err)
