Soak: reads answered late, with what the store held before; longer hangs after a claim

A hang that ends lets a node read all that it missed at once, so a lease that was counted too long was over in the same moment. Answers that wait on their way are stale as well: each read of a node is now, for a quarter of the faults, answered 0.8 s late. After a claim whose answer is lost reads hang for up to 2.4 s, in which others claim.

--- a/internal/bench/soak/inject_leader.go
+++ b/internal/bench/soak/inject_leader.go
@@ -29,25 +29,21 @@
 	claimWait = 2 * leaseTime
 	// claimHang is how long reads hang after a claim, claimSpread more at most.
 	claimHang   = 700 * time.Millisecond
-	claimSpread = 900 * time.Millisecond
+	claimSpread = 1700 * time.Millisecond
 )
 
 // random returns the draws of a fault's details, which follow from its target.
 func (f Fault) random() *rand.Rand { return rand.New(rand.NewPCG(uint64(f.Target), uint64(f.At))) }
 
-// hang returns which reads of a node hang under a fault: all, or those of the lease alone.
-func (f Fault) hang() effect {
-	const leaseAlone = 2 // one in how many
-	if f.Target%leaseAlone == 0 {
-		return hangLeaseReads
-	}
-	return hangReads
-}
+// hangs are what becomes of a node's reads under a fault, chosen by its target: those of
+// the lease hang alone, all do, or all are answered late.
+var hangs = []effect{hangLeaseReads, hangReads, hangLeaseReads, lateReads}
+
+func (f Fault) hang() effect { return hangs[f.Target%len(hangs)] }
 
-// slow tells whether writes that work again are slow.
+// slow tells whether writes that work again are slow: for half of the targets.
 func (f Fault) slow() bool {
-	const slow = 4 // one of every two in how many
-	return f.Target%slow > 1
+	return f.Target/len(hangs)%2 == 1
 }
 
 // strikeNode is a fault of one node's way to the store, or of its process amid an order,
--- a/internal/bench/soak/node_store.go
+++ b/internal/bench/soak/node_store.go
@@ -21,6 +21,8 @@
 	hangReads effect = iota
 	// hangLeaseReads: the same, for reads of the lease alone, which is a partition of its own.
 	hangLeaseReads
+	// lateReads: reads are answered late, with what the store held when they came.
+	lateReads
 	// refuseWrites: writes are refused.
 	refuseWrites
 	// loseAnswers: writes take effect, and their answers are lost.
@@ -37,6 +39,9 @@
 	// slowWrite is the time by which the answer to a slow write is late: below the time for
 	// which a node waits for a renewal, 400 ms.
 	slowWrite = 300 * time.Millisecond
+	// lateRead is the time by which the answer to a late read is late: below the time for
+	// which a node waits for it, 0.9 s beyond what it lets the store wait.
+	lateRead = 800 * time.Millisecond
 	// latestWrite is the most by which a late write is late: it outlasts its caller.
 	latestWrite = 3 * time.Second
 	// maxWrite bounds the body of a write; the store's own bound is lower.
@@ -113,6 +118,9 @@
 func (s *nodeStore) read(w http.ResponseWriter, r *http.Request) {
 	answer := newHeldAnswer()
 	s.store.ServeHTTP(answer, r)
+	if late, _ := s.under(lateReads); late && !retry.Sleep(r.Context(), lateRead) {
+		return
+	}
 	aboutLease := r.URL.Query().Get("topic") == leaseTopic
 	if aboutLease && !s.outlast(r.Context(), hangLeaseReads) || !s.outlast(r.Context(), hangReads) {
 		return
--- a/internal/bench/soak/node_store_test.go
+++ b/internal/bench/soak/node_store_test.go
@@ -84,6 +84,15 @@
 	assert.Equal(t, s.read(t, patience, otherTopic), http.StatusOK)
 }
 
+// TestLateReadsTellWhatWas: as answers do that wait on their way.
+func TestLateReadsTellWhatWas(t *testing.T) {
+	s := newFaultyStore(t)
+	defer s.begin(lateReads)()
+	began := time.Now()
+	assert.Equal(t, s.read(t, patience, otherTopic), http.StatusOK)
+	assert.Assert(t, time.Since(began) >= lateRead)
+}
+
 func TestReadsWorkWhileWritesAreRefused(t *testing.T) {
 	s := newFaultyStore(t)
 	end := s.begin(refuseWrites)
