--- a/internal/bench/soak/check_one.go
+++ b/internal/bench/soak/check_one.go
@@ -139,6 +139,23 @@
 	return found
 }
 
+// closeChanges counts the commands that came within turnTime after one of another node on
+// the same subject. The quiet time between two nodes' orders is to keep that from
+// happening; by itself it breaks no promise, as no node takes a turn again.
+func closeChanges(h *History, bounds Bounds) int {
+	count := 0
+	commands, _ := commandsOf(h)
+	for _, sent := range commands {
+		counted := h.counted(sent, bounds.Thaw)
+		for i, each := range counted {
+			if i > 0 && counted[i-1].node != each.node && each.at.Sub(counted[i-1].at) < turnTime {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // turns finds each return to a node within turnTime after another one's command.
 func turns(sent []command) []string {
 	var found []string
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -374,6 +374,14 @@
 	}
 }
 
+// TestCloseChangesAreCounted: nodes that order one engine one after the other within the
+// lease's time, but not those that do after it, nor processes of one node.
+func TestCloseChangesAreCounted(t *testing.T) {
+	h := sound()
+	unfenced(h, order("node-0-a", 1, 50), order("node-0-b", 2, 51), order("node-1-b", 3, 52), order("node-2-c", 4, 55.1))
+	assert.Equal(t, closeChanges(h, bounds), 1)
+}
+
 // TestBoundedPromisesSpareNodesOutOfTouch: a node that was disturbed just before
 // may still have the configuration before.
 func TestBoundedPromisesSpareNodesOutOfTouch(t *testing.T) {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -68,19 +68,22 @@
 
 // Summary is the outcome of a soak.
 type Summary struct {
-	Seed       uint64      `json:"seed"`
-	Seconds    float64     `json:"seconds"`
-	Faults     int         `json:"faults"`
-	Calls      int         `json:"calls"`
-	Answered   int         `json:"answered"`
-	Jobs       int         `json:"jobs"`
-	Accepted   int         `json:"accepted"`
-	Results    int         `json:"results"`
-	Probes     int         `json:"probes"`
-	Runs       int         `json:"runs"`
-	Orders     int         `json:"orders"`
-	Leaders    int         `json:"leaders"`
-	Violations []Violation `json:"violations"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Faults   int     `json:"faults"`
+	Calls    int     `json:"calls"`
+	Answered int     `json:"answered"`
+	Jobs     int     `json:"jobs"`
+	Accepted int     `json:"accepted"`
+	Results  int     `json:"results"`
+	Probes   int     `json:"probes"`
+	Runs     int     `json:"runs"`
+	Orders   int     `json:"orders"`
+	// Leaders counts the processes that ordered, CloseChanges the orders and reports that
+	// came within the lease's time after one of another node.
+	Leaders      int         `json:"leaders"`
+	CloseChanges int         `json:"close_changes"`
+	Violations   []Violation `json:"violations"`
 }
 
 // ErrBroken is returned when a promise was broken.
@@ -178,9 +181,9 @@
 	for _, violation := range summary.Violations {
 		_, _ = fmt.Fprintf(output, "BROKEN %s: %s\n", violation.Rule, violation.Detail)
 	}
-	_, _ = fmt.Fprintf(output, "seed %d: %d faults in %.0f s; %d of %d calls answered whole, %d of %d jobs accepted, %d results, %d runs, %d orders of %d processes, %d probes; %d promises broken\n",
+	_, _ = fmt.Fprintf(output, "seed %d: %d faults in %.0f s; %d of %d calls answered whole, %d of %d jobs accepted, %d results, %d runs, %d orders of %d processes, %d within 3 s after another node, %d probes; %d promises broken\n",
 		summary.Seed, summary.Faults, summary.Seconds, summary.Answered, summary.Calls, summary.Accepted, summary.Jobs,
-		summary.Results, summary.Runs, summary.Orders, summary.Leaders, summary.Probes, len(summary.Violations))
+		summary.Results, summary.Runs, summary.Orders, summary.Leaders, summary.CloseChanges, summary.Probes, len(summary.Violations))
 	if asJSON {
 		raw, err := json.Marshal(summary)
 		if err != nil {
@@ -325,6 +328,6 @@
 		summary.Runs += len(engine.Runs)
 		summary.Orders += len(engine.Orders)
 	}
-	summary.Leaders = len(leaders)
+	summary.Leaders, summary.CloseChanges = len(leaders), closeChanges(history, p.bounds)
 	return summary
 }
