--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -26,9 +26,9 @@
 	keptRoutes = 3
 	// versionGap is the least time between two versions of a burst, of burstLength on the
 	// mean, versionPause the least time between two bursts.
-	versionGap   = 350 * time.Millisecond
+	versionGap   = 150 * time.Millisecond
 	versionPause = 2 * time.Second
-	burstLength  = 6
+	burstLength  = 15
 	// trainers submit one job after the other.
 	trainers    = 2
 	itemsPerJob = 48
