--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -21,8 +21,11 @@
 const (
 	lookupEngines = 2
 	draftEngines  = 4
-	zones         = 2
-	startTimeout  = 30 * time.Second
+	// orderedEngines are as many that the leader, which has a few load at a time, does not
+	// order some for longer than the quiet time.
+	orderedEngines = 10
+	zones          = 2
+	startTimeout   = 30 * time.Second
 )
 
 func zoneOf(number int) string { return fmt.Sprintf("z%d", number%zones+1) }
@@ -34,39 +37,53 @@
 	network *faultproxy.Network
 	store   *storeFaults
 	duties  *standin.Duties
-	nodes   []*node
-	places  []*place
+	// dutiesFront is where the nodes find duties.
+	dutiesFront *front
+	nodes       []*node
+	places      []*place
+	// senders tells the nodes apart at the engines.
+	senders *senders
+	// leader is the node that leads.
+	leader *leaderSeen
+	// enginesFence is true where the engines, and what takes the platform's calls,
+	// refuse lower fencing tokens than one seen.
+	enginesFence bool
 
 	closers []func()
 	wait    sync.WaitGroup
 }
 
 // deploy starts everything and waits until the nodes are ready.
-func deploy(ctx context.Context, nodes int, directory string, history *History) (*deployment, error) {
+func deploy(ctx context.Context, plan plan, directory string, history *History) (*deployment, error) {
 	binaries, err := topology.Find(ctx, directory)
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties()}
-	d.closers = append(d.closers, d.network.Close)
-	storeAddress, err := d.serve(d.store)
-	if err != nil {
-		return d, err
+	d := &deployment{
+		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
+		leader: newLeaderSeen(), enginesFence: plan.enginesFence, senders: &senders{unknown: newWay(anyNode)},
+	}
+	if !plan.enginesFence {
+		d.duties.IgnoreFences()
 	}
-	dutiesAddress, err := d.serve(d.duties)
+	d.closers = append(d.closers, d.network.Close)
+	dutiesAddress, err := d.serveDuties()
 	if err != nil {
 		return d, err
 	}
-	for number := range lookupEngines + draftEngines {
+	for number := range lookupEngines + plan.drafts() {
 		if err := d.addPlace(ctx, number); err != nil {
 			return d, err
 		}
 	}
-	for number := range nodes {
-		if err := d.addNode(number, binaries.Daemon, directory, storeAddress, dutiesAddress); err != nil {
+	for number := range plan.nodes {
+		if err := d.addNode(number, binaries.Daemon, directory, dutiesAddress); err != nil {
 			return d, err
 		}
 	}
+	if err := d.openFronts(); err != nil {
+		return d, err
+	}
 	d.wait.Go(func() { d.store.releaseLate(ctx) })
 	for _, each := range d.nodes {
 		d.wait.Go(func() { each.run(ctx) })
@@ -74,6 +91,36 @@
 	return d, nil
 }
 
+// serveDuties serves what takes the platform's calls behind a front, and returns its
+// address.
+func (d *deployment) serveDuties() (string, error) {
+	upstream, err := d.serve(d.duties)
+	if err != nil {
+		return "", err
+	}
+	listed, err := process.FreeAddress()
+	if err != nil {
+		return "", err
+	}
+	d.dutiesFront = newFront(listed, upstream, d.senders.wayOf)
+	d.closers = append(d.closers, d.dutiesFront.cut)
+	return listed, nil
+}
+
+// openFronts has all fronts take connections, once the nodes are known.
+func (d *deployment) openFronts() error {
+	fronts := []*front{d.dutiesFront}
+	for _, each := range d.places {
+		fronts = append(fronts, each.front)
+	}
+	for _, each := range fronts {
+		if err := each.listen(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // serve serves a stand-in and returns its address.
 func (d *deployment) serve(handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -91,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := d.network.AddLink(fmt.Sprintf("engine-%d", number), "127.0.0.1:0", listen)
+	listed, err := process.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -99,17 +146,25 @@
 	if number >= lookupEngines {
 		service = standin.ServiceDrafts
 	}
-	p := &place{number: number, service: service, store: d.store.store, history: d.history, link: link, listen: listen}
+	p := &place{
+		number: number, service: service, store: d.store.store, history: d.history, listen: listen, checkFences: d.enginesFence,
+		front: newFront(listed, listen, d.senders.wayOf),
+	}
 	p.crashed = func(run standin.Run) { d.crashUnder(ctx, p, run) }
 	if err := p.start(); err != nil {
 		return err
 	}
 	d.places = append(d.places, p)
-	d.closers = append(d.closers, p.stop)
+	d.closers = append(d.closers, p.stop, p.front.cut)
 	return nil
 }
 
-func (d *deployment) addNode(number int, daemon, directory, storeAddress, dutiesAddress string) error {
+func (d *deployment) addNode(number int, daemon, directory, dutiesAddress string) error {
+	store := newNodeStore(d.store, d.leader.wrote)
+	storeAddress, err := d.serve(store)
+	if err != nil {
+		return err
+	}
 	link, err := d.network.AddLink(fmt.Sprintf("node-%d", number), "127.0.0.1:0", storeAddress)
 	if err != nil {
 		return err
@@ -121,13 +176,15 @@
 		}
 	}
 	n := &node{
-		number: number, callers: addresses[0], operators: addresses[1], daemon: daemon, directory: directory, link: link,
-		settings: filepath.Join(directory, fmt.Sprintf("node-%d.toml", number)),
+		number: number, callers: addresses[0], operators: addresses[1], daemon: daemon, directory: directory, link: link, store: store,
+		enginesFence: d.enginesFence, settings: filepath.Join(directory, fmt.Sprintf("node-%d.toml", number)),
 	}
 	if err := writeFile(n.settings, n.settingsText(link.Address(), dutiesAddress, addresses[2])); err != nil {
 		return err
 	}
 	d.nodes = append(d.nodes, n)
+	d.senders.nodes = append(d.senders.nodes, n)
+	d.senders.ways = append(d.senders.ways, newWay(number))
 	return nil
 }
 
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -24,6 +24,11 @@
 	probeGap   = 150 * time.Millisecond
 	configGap  = 7 * time.Second
 	keptRoutes = 3
+	// versionGap is the least time between two versions of a burst, of burstLength on the
+	// mean, versionPause the least time between two bursts.
+	versionGap   = 150 * time.Millisecond
+	versionPause = 2 * time.Second
+	burstLength  = 15
 	// trainers submit one job after the other.
 	trainers    = 2
 	itemsPerJob = 48
@@ -54,6 +59,8 @@
 	history    *History
 	client     *standin.Client
 
+	// crashes is true where requests are sent under which engines end.
+	crashes bool
 	// version is the newest weight version named; config the newest configuration.
 	version atomic.Int64
 	config  atomic.Int64
@@ -172,12 +179,28 @@
 	v.deployment.store.store.NameVersion(standin.ModelDrafts, v.version.Add(1))
 }
 
+// nameVersions names one weight version after the other until ctx ends, in bursts with
+// pauses between: a pause lets a leader forgo orders for longer than the quiet time, so
+// that the next one may order at once.
+func (v *driver) nameVersions(ctx context.Context) {
+	for {
+		gap := versionGap + rand.N(versionGap)
+		if rand.IntN(burstLength) == 0 {
+			gap = versionPause + rand.N(versionPause)
+		}
+		if !retry.Sleep(ctx, gap) {
+			return
+		}
+		v.nameVersion()
+	}
+}
+
 func (v *driver) newJob(trainer int, step int64) standin.Job {
 	job := standin.Job{
 		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, v.version.Load()-1),
 	}
 	crashing := -1
-	if rand.IntN(crashingPart) == 0 {
+	if v.crashes && rand.IntN(crashingPart) == 0 {
 		crashing = rand.IntN(itemsPerJob)
 	}
 	for i := range itemsPerJob {
@@ -306,7 +329,9 @@
 		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
 		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
 	}
-	v.callers.Go(func() { v.crashEngines(ctx) })
+	if v.crashes {
+		v.callers.Go(func() { v.crashEngines(ctx) })
+	}
 	for trainer := range trainers {
 		v.jobs.Go(func() { v.train(ctx, lasting, trainer) })
 	}
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/bench/faultproxy"
@@ -35,7 +34,10 @@
 
 // strike is one fault from its begin to its end.
 func (d *deployment) strike(ctx context.Context, fault Fault) {
-	target := d.nodes[fault.Target%len(d.nodes)]
+	target := d.nodes[d.leader.aim(fault, len(d.nodes))]
+	if d.strikeNode(ctx, target, fault) {
+		return
+	}
 	at := d.places[fault.Target%len(d.places)]
 	switch fault.Kind {
 	case NodeKilled:
@@ -44,9 +46,7 @@
 		d.disturbed(target.number, func() { target.stop(ctx) })
 	case NodeFrozen:
 		d.disturbed(target.number, func() {
-			target.signal(syscall.SIGSTOP)
-			retry.Sleep(ctx, fault.For)
-			target.signal(syscall.SIGCONT)
+			d.freeze(ctx, target, fault.For)
 		})
 	case AllKilled:
 		d.disturbed(anyNode, func() {
@@ -58,7 +58,12 @@
 		d.disturbed(target.number, func() { d.strikeLink(ctx, target.link, fault) })
 	case EngineCut:
 		// Requests that a cut holds up arrive late, so no node counts as in touch.
-		d.disturbed(anyNode, func() { d.strikeLink(ctx, at.link, fault) })
+		d.disturbed(anyNode, func() {
+			at.front.cut()
+			retry.Sleep(ctx, fault.For)
+			d.history.resume(anyNode)
+			d.openFront(at)
+		})
 	case StoreForgets:
 		d.disturbed(anyNode, d.store.forget)
 	case StoreRefuses, StoreSilent, StorePartDown, StoreLoses, StoreLate, StoreSlow:
@@ -134,8 +139,16 @@
 	d.startAgain(at)
 }
 
+// openFront has a place take connections again.
+func (d *deployment) openFront(at *place) {
+	if err := at.front.listen(); err != nil {
+		d.nodes[0].note("an engine takes no connections again: " + err.Error())
+	}
+}
+
 // startAgain starts the next engine of a place.
 func (d *deployment) startAgain(at *place) {
+	d.openFront(at)
 	if err := at.start(); err != nil {
 		d.nodes[0].note("an engine did not start again: " + err.Error())
 	}
--- a/internal/standin/platform/duties.go
+++ b/internal/standin/platform/duties.go
@@ -13,8 +13,10 @@
 
 // UsageCall is a report of use as it arrived.
 type UsageCall struct {
-	Holder string           `json:"-"`
-	Fence  int64            `json:"-"`
+	Holder string `json:"-"`
+	Fence  int64  `json:"-"`
+	// From is the address that the call came from, without the port.
+	From   string           `json:"-"`
 	At     time.Time        `json:"-"`
 	Window int64            `json:"windowNo"`
 	Counts map[string]int64 `json:"counts"`
@@ -38,6 +40,8 @@
 	router *mux.Router
 
 	mu sync.Mutex
+	// ignoreFences is true where lower fencing tokens than one seen are taken.
+	ignoreFences bool
 	// fences holds the highest fencing token of each subject.
 	fences map[string]int64
 	usage  []UsageCall
@@ -73,6 +77,13 @@
 	d.loseAnswers = lose
 }
 
+// IgnoreFences has calls with lower fencing tokens than one seen taken as well.
+func (d *Duties) IgnoreFences() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ignoreFences = true
+}
+
 // Usage returns the reports in the order of their arrival.
 func (d *Duties) Usage() []UsageCall {
 	d.mu.Lock()
@@ -104,7 +115,7 @@
 }
 
 func (d *Duties) takeUsage(w http.ResponseWriter, r *http.Request) {
-	call := UsageCall{At: time.Now()}
+	call := UsageCall{At: time.Now(), From: hostOf(r.RemoteAddr)}
 	holder, fence, read := readCall(r, &call)
 	call.Holder, call.Fence = holder, fence
 	d.mu.Lock()
@@ -138,10 +149,10 @@
 	switch {
 	case !read:
 		return http.StatusBadRequest
-	case fence < d.fences[subject]:
+	case fence < d.fences[subject] && !d.ignoreFences:
 		return http.StatusConflict
 	}
-	d.fences[subject] = fence
+	d.fences[subject] = max(fence, d.fences[subject])
 	if soldOut {
 		return http.StatusConflict
 	}
