--- a/internal/core/lease/term.go
+++ b/internal/core/lease/term.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// InFlight is how long the bytes of an order that have left may be on their way. The adapter's sockets
+// drop what nobody acknowledges for so long, senders reset what something between holds, and the
+// next holder waits for it.
+const InFlight = 500 * time.Millisecond
+
 // Permit allows one order, or one call to the platform, for a short time.
 type Permit interface {
 	// Open tells whether the order may still leave this node. It is asked right before the bytes
--- a/internal/duties/arrival_test.go
+++ b/internal/duties/arrival_test.go
@@ -20,9 +20,6 @@
 	// leaseTime and quietTime are those of the electors below.
 	leaseTime = 600 * time.Millisecond
 	quietTime = 600 * time.Millisecond
-	// inFlight is how long bytes that have left may be on their way: the adapter gives up
-	// those of calls that are not acknowledged for so long.
-	inFlight = 500 * time.Millisecond
 )
 
 // latePlatform has a call leave as late as it may and arrive as late as it can.
@@ -37,7 +34,7 @@
 	for holder.MayLeave() {
 		time.Sleep(time.Millisecond)
 	}
-	p.arrived = time.Now().Add(inFlight)
+	p.arrived = time.Now().Add(lease.InFlight)
 	return Unanswered, context.DeadlineExceeded
 }
 
--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -11,15 +11,11 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// inFlight is how long bytes that have left may be on their way: the adapter gives up those of
-// orders that are not acknowledged for so long.
-const inFlight = 500 * time.Millisecond
-
 // latestArrival is when an order may arrive at the latest that leaves at the last moment.
 func latestArrival(given lease.Permit) time.Time {
 	last := given.(*permit)
 	left := last.until.Sub(last.term.elector.now())
-	return time.Now().Add(left + inFlight)
+	return time.Now().Add(left + lease.InFlight)
 }
 
 // TestQuietTimeFollowsTheLatestArrivalOfAnOrder: an order leaves once the announcement is
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -53,13 +53,8 @@
 	// the time that the log takes to acknowledge the record, that a connection takes to be
 	// made, and that the process gets no processor.
 	sendWindow = 500 * time.Millisecond
-	// inFlightTime is how long after that its bytes may be on their way, and its sender waits for the
-	// answer at least. It then resets the connection, so that what something between still holds
-	// is dropped; the kernel drops what nobody acknowledges for half a second even where the
-	// process stands still.
-	inFlightTime = 500 * time.Millisecond
 	// arrivalTime is how long after its record an order may arrive.
-	arrivalTime = sendWindow + inFlightTime
+	arrivalTime = sendWindow + lease.InFlight
 	// claimJitter spreads the claims of nodes that find a lease free at once.
 	claimJitter = 60 * time.Millisecond
 )
--- a/internal/leadership/permit.go
+++ b/internal/leadership/permit.go
@@ -79,7 +79,7 @@
 
 // Bound implements lease.Permit.
 func (p *permit) Bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	left := p.until.Add(inFlightTime).Sub(p.term.elector.now())
+	left := p.until.Add(lease.InFlight).Sub(p.term.elector.now())
 	return context.WithTimeout(ctx, left)
 }
 
--- a/internal/leadership/permit_test.go
+++ b/internal/leadership/permit_test.go
@@ -31,7 +31,7 @@
 	testwait.Until(t, "the permit has ended", func() bool { return !given.Open() })
 	assert.Assert(t, time.Since(asked) >= sendWindow-time.Millisecond)
 	assert.Assert(t, first.elector.Valid(first.lastTerm().Epoch), "the lease went on")
-	assert.Assert(t, deadline.Before(time.Now().Add(inFlightTime+time.Millisecond)))
+	assert.Assert(t, deadline.Before(time.Now().Add(lease.InFlight+time.Millisecond)))
 }
 
 // TestAPermitEndsWithTheSuspensionOfItsMachine: the steady clock does not count the time.
