--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -1,7 +1,9 @@
 package batchrun
 
+import "github.com/corkpulley/corkpulley/internal/core/incarnation"
+
 // Running returns the number of items that run at the engine.
-func (r *Runner) Running(engine string) int {
+func (r *Runner) Running(engine incarnation.ID) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.plan.Running(engine)
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -288,7 +289,7 @@
 	r := New(Options{
 		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard,
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
-		Loading: func(string) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
+		Loading: func(incarnation.ID) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 const (
@@ -31,12 +32,12 @@
 	if best == 0 {
 		return
 	}
-	gone := func(engine string) bool {
-		_, known := r.options.Fleet.Get(engine)
+	gone := func(engine incarnation.ID) bool {
+		_, known := r.options.Fleet.Find(engine)
 		return !known
 	}
 	r.plan.ForgetEngines(gone)
-	maps.DeleteFunc(r.heldBack, func(engine string, _ time.Time) bool { return gone(engine) })
+	maps.DeleteFunc(r.heldBack, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
 	room := r.roomAtFast(best)
 	now := time.Now()
 	for key, each := range r.runs {
@@ -46,7 +47,7 @@
 		}
 		state := &job.items[key.Item]
 		wanted := moveAge(float64(r.plan.Pace(each.engine)) / float64(best))
-		if engine, known := r.options.Fleet.Get(each.engine); known && engine.Draining {
+		if engine, known := r.options.Fleet.Find(each.engine); known && !r.options.Fleet.TakesWork(engine) {
 			wanted = 0
 		}
 		if state.Moves >= maxMoves || now.Sub(each.started) < wanted {
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -7,6 +7,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 // JobAdded implements batch.Observer.
@@ -125,7 +126,7 @@
 			r.textWhole(job, i, "whole before")
 			continue
 		}
-		r.queueItem(job, i, "", time.Time{})
+		r.queueItem(job, i, incarnation.ID{}, time.Time{})
 		queued++
 	}
 	r.options.Logger.Info().Str("job", job.record.ID).Int64("step", job.record.Step).
@@ -135,7 +136,7 @@
 }
 
 // queueItem puts an item into the plan; mu is held.
-func (r *Runner) queueItem(job *openJob, index int, avoid string, notBefore time.Time) {
+func (r *Runner) queueItem(job *openJob, index int, avoid incarnation.ID, notBefore time.Time) {
 	route, found := r.options.RouteOf(job.record.Host, job.record.Path)
 	if !found {
 		r.expire(job, index, "no route")
--- a/internal/batchrun/quarantine.go
+++ b/internal/batchrun/quarantine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 )
 
@@ -39,7 +40,7 @@
 		}
 		delete(r.quarantined, key)
 		if job != nil && !job.items[key.Item].Ended() {
-			r.queueItem(job, key.Item, "", time.Time{})
+			r.queueItem(job, key.Item, incarnation.ID{}, time.Time{})
 		}
 	}
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -11,6 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
@@ -49,7 +50,7 @@
 
 // run is one item at one engine.
 type run struct {
-	engine  string
+	engine  incarnation.ID
 	started time.Time
 	// apart is true where nothing else begins at the engine for batchplan.IsolationTime.
 	apart  bool
@@ -100,16 +101,16 @@
 func (r *Runner) start(assignment batchplan.Assignment) {
 	key := assignment.Item.Key
 	job := r.jobs[key.Job]
-	engine, known := r.options.Fleet.Get(assignment.Engine)
+	engine, known := r.options.Fleet.Find(assignment.Engine)
 	if job == nil || !known {
 		r.plan.Ended(key)
 		if job != nil {
-			r.queueItem(job, key.Item, "", time.Time{})
+			r.queueItem(job, key.Item, incarnation.ID{}, time.Time{})
 		}
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	started := &run{engine: engine.ID, started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel}
+	started := &run{engine: engine.Incarnation(), started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel}
 	r.runs[key] = started
 	state := &job.items[key.Item]
 	record := job.record.Items[key.Item]
@@ -120,7 +121,7 @@
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
 		Int("length", record.Length).Int("tokens", record.Tokens).
 		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
-	r.options.Fleet.Began(engine.ID)
+	r.options.Fleet.Began(engine.Incarnation())
 	r.wait.Go(func() {
 		defer cancel()
 		err := r.follow(ctx, job, key, engine, started, call)
@@ -264,7 +265,7 @@
 	state := &job.items[key.Item]
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
 	r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
-		Str("engine", own.engine).Stringer("refusal", refusal).Stringer("stop_reason", own.reason).
+		Stringer("engine", own.engine).Stringer("refusal", refusal).Stringer("stop_reason", own.reason).
 		Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
 	if own.reason != notStopped {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -15,6 +15,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/dutycycle"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 const (
@@ -47,7 +48,7 @@
 	Guard   Guard
 	RouteOf RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
-	Loading func(engine string) string
+	Loading func(engine incarnation.ID) string
 	// Term names this term of leading among all terms.
 	Term   string
 	Logger zerolog.Logger
@@ -71,7 +72,7 @@
 	// scoring holds the items whose output is whole and whose score is not there.
 	scoring *scoringQueue
 	// heldBack holds until when engines that refused an item get none.
-	heldBack map[string]time.Time
+	heldBack map[incarnation.ID]time.Time
 	// tickedAt is when the runner last looked round.
 	tickedAt time.Time
 	// quarantined holds until when items are kept away from engines, because engines ended
@@ -116,7 +117,7 @@
 		runs:    make(map[batchplan.Key]*run),
 		scoring: newScoringQueue(),
 
-		heldBack:    make(map[string]time.Time),
+		heldBack:    make(map[incarnation.ID]time.Time),
 		quarantined: make(map[batchplan.Key]time.Time),
 		carriedOver: make(map[string]carried),
 	}
@@ -260,11 +261,11 @@
 		}
 		seen[route.Service] = true
 		for _, engine := range r.options.Fleet.Engines(route.Service) {
+			id := engine.Incarnation()
 			views = append(views, batchplan.Engine{
-				ID: engine.ID, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
-				Tokens: route.EngineTokens, Loading: r.options.Loading(engine.ID),
-				Usable: !engine.Draining && !r.options.Fleet.Suspected(engine.ID, now) &&
-					!now.Before(r.heldBack[engine.ID]),
+				ID: id, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
+				Tokens: route.EngineTokens, Loading: r.options.Loading(id),
+				Usable: r.options.Fleet.TakesWork(engine) && !r.options.Fleet.Suspected(id, now) && !now.Before(r.heldBack[id]),
 			})
 		}
 	}
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -46,7 +47,7 @@
 func TestTextMadeByWeightsThatAreTooOldIsThrownAway(t *testing.T) {
 	w := newWorld(t, "a")
 	w.engines.events["x"] = 3
-	w.fleet.Observe("a", "m", 5) // believed, while the engine still has version 1
+	w.fleet.Observe(incarnation.ID{Engine: "a"}, "m", 5) // believed, while the engine still has version 1
 	w.lead()
 	w.submit("j", 5, "x")
 	testwait.Until(t, "a run that is refused", func() bool { calls, _ := w.engines.callsOf("x"); return len(calls) >= 2 })
@@ -66,7 +67,7 @@
 	w.submit("j", 1, "x")
 	awaitEvents(t, r, "j", 3)
 	w.engines.setVersion("a", 2)
-	w.fleet.Observe("a", "m", 2)
+	w.fleet.Observe(incarnation.ID{Engine: "a"}, "m", 2)
 	result := w.awaitResults(1)["j/0"]
 	assert.Equal(t, len(result.Versions), 1, "%v", result.Versions)
 	assert.Equal(t, string(result.Text), wholeText("x", 10))
@@ -253,7 +254,7 @@
 	testwait.Until(t, "the pace of b is known", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.plan.Pace("b") > 0
+		return r.plan.Pace(incarnation.ID{Engine: "b"}) > 0
 	})
 	w.fleet.Put(fleet.Engine{ID: "a", Service: "s", Slots: 8, Draining: true, Versions: map[string]int64{"m": 1}})
 	results := w.awaitResults(2)
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 const (
@@ -28,7 +30,7 @@
 	now     time.Time
 	engines []Engine
 	// byID holds the places of the engines in the slice.
-	byID    map[string]int
+	byID    map[incarnation.ID]int
 	typical time.Duration
 	// bestPace is the pace of the fast engines, turnover the time that a running item is
 	// expected to take there; both are zero when unknown.
@@ -91,7 +93,7 @@
 	typical, best := plan.typicalAndBestPace()
 	p := &pass{
 		plan: plan, now: now, engines: engines, typical: typical, bestPace: best, turnover: plan.turnover(best),
-		byID: make(map[string]int, len(engines)), classes: make(map[class]*candidates),
+		byID: make(map[incarnation.ID]int, len(engines)), classes: make(map[class]*candidates),
 	}
 	for i := range engines {
 		p.byID[engines[i].ID] = i
@@ -168,34 +170,34 @@
 }
 
 // choose returns the best engine for an item.
-func (p *pass) choose(item Item) (string, bool) {
+func (p *pass) choose(item Item) (incarnation.ID, bool) {
 	if item.Suspect {
 		return p.chooseApart(item)
 	}
 	of := p.classOf(item)
 	if of.blocked && item.Tokens > of.freeTokens {
-		return "", false
+		return incarnation.ID{}, false
 	}
 	best, found := p.best(item, of)
 	if home, isHome := p.home(item, of); isHome && (!found || home.before(best)) {
 		best, found = home, true
 	}
 	if !found {
-		if item.Avoid == "" && item.SameVersion == 0 {
+		if item.Avoid.IsZero() && item.SameVersion == 0 {
 			p.block(of)
 		}
-		return "", false
+		return incarnation.ID{}, false
 	}
 	if p.worthWaiting(item, &p.engines[best.engine], of) {
 		of.left++
-		return "", false
+		return incarnation.ID{}, false
 	}
 	return p.engines[best.engine].ID, true
 }
 
 // chooseApart returns the engine for a suspect item: the one where the last item began
 // longest ago, since whatever ends engines does so soon after it begins.
-func (p *pass) chooseApart(item Item) (string, bool) {
+func (p *pass) chooseApart(item Item) (incarnation.ID, bool) {
 	key := class{item.Service, item.Model, item.MinVersion}
 	var best *Engine
 	for i := range p.engines {
@@ -208,7 +210,7 @@
 		}
 	}
 	if best == nil {
-		return "", false
+		return incarnation.ID{}, false
 	}
 	return best.ID, true
 }
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -12,6 +12,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 // Key names an item of a job.
@@ -37,7 +39,7 @@
 	// NotBefore holds the item back after a failure.
 	NotBefore time.Time
 	// Avoid is the engine that failed it last.
-	Avoid string
+	Avoid incarnation.ID
 	// Suspect: engines have ended while they ran the item among others. It begins apart, so
 	// that the next end tells whether it was this one; see IsolationTime.
 	Suspect bool
@@ -45,7 +47,7 @@
 
 // Engine is an engine as the plan sees it.
 type Engine struct {
-	ID      string
+	ID      incarnation.ID
 	Service string
 	Slots   int
 	// Tokens is its memory; zero when unknown.
@@ -60,7 +62,7 @@
 // Assignment sends an item to an engine.
 type Assignment struct {
 	Item   Item
-	Engine string
+	Engine incarnation.ID
 	// Running is the number of items at the engine before this one.
 	Running int
 	// Pace is the time between events expected there; zero when unknown.
@@ -82,17 +84,17 @@
 	waiting map[Key]Item
 	running map[Key]placed
 	// count is the number of running items of each engine.
-	count map[string]int
+	count map[incarnation.ID]int
 	// tokens is the memory expected of the running items of each engine.
-	tokens map[string]int
+	tokens map[incarnation.ID]int
 	// startedAt is when an item began last at each engine, isolatedUntil the time until which
 	// an engine takes no item beside a suspect one.
-	startedAt     map[string]time.Time
-	isolatedUntil map[string]time.Time
+	startedAt     map[incarnation.ID]time.Time
+	isolatedUntil map[incarnation.ID]time.Time
 	// paces is the moving mean of the time between events of each engine.
-	paces map[string]time.Duration
+	paces map[incarnation.ID]time.Duration
 	// homes is the engine of each group's latest item.
-	homes map[string]string
+	homes map[string]incarnation.ID
 	// lengths and events sum up the lengths that were expected of whole items and the
 	// events that they came to have.
 	lengths float64
@@ -128,12 +130,12 @@
 		jobs:          make(map[string]*jobRank),
 		waiting:       make(map[Key]Item),
 		running:       make(map[Key]placed),
-		tokens:        make(map[string]int),
-		count:         make(map[string]int),
-		startedAt:     make(map[string]time.Time),
-		isolatedUntil: make(map[string]time.Time),
-		paces:         make(map[string]time.Duration),
-		homes:         make(map[string]string),
+		tokens:        make(map[incarnation.ID]int),
+		count:         make(map[incarnation.ID]int),
+		startedAt:     make(map[incarnation.ID]time.Time),
+		isolatedUntil: make(map[incarnation.ID]time.Time),
+		paces:         make(map[incarnation.ID]time.Duration),
+		homes:         make(map[string]incarnation.ID),
 	}
 }
 
@@ -173,14 +175,14 @@
 // placed is where an item runs.
 type placed struct {
 	service string
-	engine  string
+	engine  incarnation.ID
 	tokens  int
 	length  int
 	suspect bool
 }
 
 // Running returns the number of items at the engine.
-func (p *Plan) Running(engine string) int { return p.count[engine] }
+func (p *Plan) Running(engine incarnation.ID) int { return p.count[engine] }
 
 // Waiting returns the number of waiting items.
 func (p *Plan) Waiting() int { return len(p.waiting) }
@@ -207,7 +209,7 @@
 }
 
 // ObservePace notes the time between two events of an item at the engine.
-func (p *Plan) ObservePace(engine string, pause time.Duration) {
+func (p *Plan) ObservePace(engine incarnation.ID, pause time.Duration) {
 	known, found := p.paces[engine]
 	if !found {
 		p.paces[engine] = pause
@@ -217,7 +219,7 @@
 }
 
 // Pace returns the engine's time between events; zero when unknown.
-func (p *Plan) Pace(engine string) time.Duration { return p.paces[engine] }
+func (p *Plan) Pace(engine incarnation.ID) time.Duration { return p.paces[engine] }
 
 // BestPace is the lower quartile over all engines, which one engine that was
 // measured wrongly does not move; zero when unknown.
@@ -237,9 +239,9 @@
 }
 
 // ForgetEngines drops what is known of engines that are gone.
-func (p *Plan) ForgetEngines(gone func(engine string) bool) {
-	maps.DeleteFunc(p.paces, func(engine string, _ time.Duration) bool { return gone(engine) })
-	maps.DeleteFunc(p.startedAt, func(engine string, _ time.Time) bool { return gone(engine) })
+func (p *Plan) ForgetEngines(gone func(engine incarnation.ID) bool) {
+	maps.DeleteFunc(p.paces, func(engine incarnation.ID, _ time.Duration) bool { return gone(engine) })
+	maps.DeleteFunc(p.startedAt, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
 }
 
 // Assign starts waiting items at engines with room and returns what it started.
@@ -264,7 +266,7 @@
 }
 
 // place notes that an item runs at an engine.
-func (p *Plan) place(item Item, engine string, now time.Time) {
+func (p *Plan) place(item Item, engine incarnation.ID, now time.Time) {
 	p.running[item.Key] = placed{item.Service, engine, item.Tokens, item.Length, item.Suspect}
 	p.startedAt[engine] = now
 	if item.Suspect {
--- a/internal/core/batchplan/plan_bench_test.go
+++ b/internal/core/batchplan/plan_bench_test.go
@@ -11,7 +11,7 @@
 	engines := make([]Engine, count)
 	for i := range engines {
 		engines[i] = Engine{
-			ID: fmt.Sprintf("engine-%d", i), Service: "s", Slots: slots, Usable: true,
+			ID: named(fmt.Sprintf("engine-%d", i)), Service: "s", Slots: slots, Usable: true,
 			Versions: map[string]int64{"m0": 1, "m1": 1, "m2": 1},
 		}
 	}
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"pgregory.net/rapid"
 )
 
@@ -19,7 +21,7 @@
 }
 
 func engine(id string, slots int, version int64) Engine {
-	return Engine{ID: id, Service: "s", Slots: slots, Versions: map[string]int64{"m": version}, Usable: true}
+	return Engine{ID: named(id), Service: "s", Slots: slots, Versions: map[string]int64{"m": version}, Usable: true}
 }
 
 func started(assigned []Assignment) []Key {
@@ -126,16 +128,16 @@
 
 func TestFasterEnginesAreFilledFirst(t *testing.T) {
 	plan := New()
-	plan.ObservePace("slow", 60*time.Millisecond)
-	plan.ObservePace("fast", 40*time.Millisecond)
+	plan.ObservePace(named("slow"), 60*time.Millisecond)
+	plan.ObservePace(named("fast"), 40*time.Millisecond)
 	plan.Add(item("j", 0, 1))
 	plan.Add(item("j", 1, 1))
 	plan.Add(item("j", 2, 1))
-	counts := map[string]int{}
+	counts := map[incarnation.ID]int{}
 	for _, each := range plan.Assign(now, []Engine{engine("slow", 4, 3), engine("fast", 2, 3)}) {
 		counts[each.Engine]++
 	}
-	assert.DeepEqual(t, counts, map[string]int{"fast": 2, "slow": 1})
+	assert.DeepEqual(t, counts, map[incarnation.ID]int{named("fast"): 2, named("slow"): 1})
 }
 
 func TestItemsOfAGroupStayTogether(t *testing.T) {
@@ -143,7 +145,7 @@
 	for i := range 8 {
 		plan.Add(item("j", i, 1))
 	}
-	homes := map[string]string{}
+	homes := map[string]incarnation.ID{}
 	engines := []Engine{engine("a", 16, 3), engine("b", 16, 3), engine("c", 16, 3)}
 	for _, each := range plan.Assign(now, engines) {
 		if home, found := homes[each.Item.Group]; found {
@@ -158,7 +160,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		plan := New()
 		engines := []Engine{engine("a", 2, 3), engine("b", 3, 3)}
-		running := map[Key]string{}
+		running := map[Key]incarnation.ID{}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
@@ -174,7 +176,7 @@
 					running[each.Item.Key] = each.Engine
 				}
 			}
-			counts := map[string]int{}
+			counts := map[incarnation.ID]int{}
 			for _, id := range running {
 				counts[id]++
 			}
@@ -188,9 +190,9 @@
 }
 
 // bestOfAll is the choice that looks at every engine for every item.
-func bestOfAll(plan *Plan, item Item, engines []Engine) (string, bool) {
+func bestOfAll(plan *Plan, item Item, engines []Engine) (incarnation.ID, bool) {
 	look := newPass(plan, engines, now)
-	best, bestScore := "", 0.0
+	best, bestScore := incarnation.ID{}, 0.0
 	for i := range engines {
 		engine := &engines[i]
 		if !look.serves(engine, class{item.Service, item.Model, item.MinVersion}) || !look.fits(item, engine) {
@@ -200,11 +202,11 @@
 		if plan.homes[item.Group] == engine.ID {
 			score -= homeBonus
 		}
-		if best == "" || score < bestScore {
+		if best.IsZero() || score < bestScore {
 			best, bestScore = engine.ID, score
 		}
 	}
-	return best, best != ""
+	return best, !best.IsZero()
 }
 
 // TestChoiceIsTheBestOfAllEngines compares each choice of a pass with one that
@@ -227,7 +229,7 @@
 			each.Tokens = rapid.IntRange(1, 150).Draw(t, "tokens")
 			each.MinVersion = rapid.Int64Range(2, 4).Draw(t, "least")
 			each.SameVersion = rapid.SampledFrom([]int64{0, 0, 0, 3}).Draw(t, "same")
-			each.Avoid = rapid.SampledFrom([]string{"", "", "e0", "e1"}).Draw(t, "avoid")
+			each.Avoid = rapid.SampledFrom([]incarnation.ID{{}, {}, named("e0"), named("e1")}).Draw(t, "avoid")
 			plan.Add(each)
 		}
 		pass := newPass(plan, engines, now)
@@ -235,7 +237,7 @@
 			want, wantFound := bestOfAll(plan, each, engines)
 			got, found := pass.choose(each)
 			if found != wantFound || got != want {
-				t.Fatalf("item %+v: %q %t, the best of all is %q %t", each, got, found, want, wantFound)
+				t.Fatalf("item %+v: %s %t, the best of all is %s %t", each, got, found, want, wantFound)
 			}
 			if found {
 				plan.place(each, got, now)
@@ -262,8 +264,8 @@
 // of them. Where nothing else is free they start there all the same.
 func TestItemsKeepAwayFromEnginesWhoseMemoryIsGivenAway(t *testing.T) {
 	plan := New()
-	plan.ObservePace("fast", 50*time.Millisecond)
-	plan.ObservePace("slowish", 54*time.Millisecond)
+	plan.ObservePace(named("fast"), 50*time.Millisecond)
+	plan.ObservePace(named("slowish"), 54*time.Millisecond)
 	fast, slowish := engine("fast", 8, 3), engine("slowish", 8, 3)
 	fast.Tokens, slowish.Tokens = 100, 100
 	large := func(index int) {
@@ -274,7 +276,7 @@
 	placed := func(engines ...Engine) []string {
 		var at []string
 		for _, each := range plan.Assign(now, engines) {
-			at = append(at, each.Engine)
+			at = append(at, each.Engine.Engine)
 		}
 		return at
 	}
@@ -320,5 +322,7 @@
 	suspect.Suspect = true
 	plan.Add(suspect)
 	assigned := plan.Assign(now.Add(time.Second), engines)
-	assert.Equal(t, assigned[0].Engine, "a")
+	assert.Equal(t, assigned[0].Engine, named("a"))
 }
+
+func named(engine string) incarnation.ID { return incarnation.ID{Engine: engine} }
--- a/internal/core/batchplan/waiting_test.go
+++ b/internal/core/batchplan/waiting_test.go
@@ -12,14 +12,14 @@
 func busyPlan(runningLength int, slowPace time.Duration) (*Plan, []Engine) {
 	plan := New()
 	plan.ObserveLength(10, 10)
-	plan.ObservePace("fast", 10*time.Millisecond)
-	plan.ObservePace("fast2", 10*time.Millisecond)
+	plan.ObservePace(named("fast"), 10*time.Millisecond)
+	plan.ObservePace(named("fast2"), 10*time.Millisecond)
 	for i := range 4 {
 		plan.Add(item("before", i, runningLength))
 	}
 	fast := engine("fast", 4, 3)
 	plan.Assign(now, []Engine{fast})
-	plan.ObservePace("slow", slowPace)
+	plan.ObservePace(named("slow"), slowPace)
 	return plan, []Engine{fast, engine("slow", 4, 3)}
 }
 
@@ -29,13 +29,13 @@
 	assert.Equal(t, len(plan.Assign(now, engines)), 0, "200 ms more at the slow engine, 50 ms of waiting")
 	plan.Ended(Key{"before", 0})
 	assigned := plan.Assign(now, engines)
-	assert.Equal(t, assigned[0].Engine, "fast")
+	assert.Equal(t, assigned[0].Engine, named("fast"))
 }
 
 func TestItemStartsAtASlowEngineWhereWaitingTakesLonger(t *testing.T) {
 	plan, engines := busyPlan(400, 11500*time.Microsecond)
 	plan.Add(item("j", 0, 50))
-	assert.Equal(t, plan.Assign(now, engines)[0].Engine, "slow", "75 ms more at the slow engine, a second of waiting")
+	assert.Equal(t, plan.Assign(now, engines)[0].Engine, named("slow"), "75 ms more at the slow engine, a second of waiting")
 }
 
 func TestEachWaitingItemMakesTheNextOneWaitLonger(t *testing.T) {
@@ -51,5 +51,5 @@
 	plan, engines := busyPlan(20, 30*time.Millisecond)
 	plan.Add(item("j", 0, 50))
 	engines[0].Usable = false
-	assert.Equal(t, plan.Assign(now, engines)[0].Engine, "slow")
+	assert.Equal(t, plan.Assign(now, engines)[0].Engine, named("slow"))
 }
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -56,7 +56,7 @@
 	var candidates []*member
 	for _, id := range f.byService[query.Service] {
 		candidate := f.members[id]
-		if candidate.engine.Draining || contains(query.Tried, id) {
+		if !f.takesWork(candidate.engine) || contains(query.Tried, id) {
 			continue
 		}
 		if !suspectsToo && query.Now.Before(candidate.suspectUntil) {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -7,12 +7,17 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
-// Engine is one life of an engine as its list entry describes it.
+// Engine is one incarnation of an engine as its list entry describes it.
 type Engine struct {
-	// ID is found nowhere else: every start of an engine has a new one.
-	ID      string
+	// ID names the engine in the list. An engine may start again under its ID.
+	ID string
+	// Born is when the engine started, in milliseconds since 1970 by its own clock; zero where it does
+	// not tell.
+	Born    int64
 	Service string
 	// Address is ip:port.
 	Address  string
@@ -25,6 +30,9 @@
 	ColdUntil time.Time
 }
 
+// Incarnation names this life of the engine.
+func (e Engine) Incarnation() incarnation.ID { return incarnation.ID{Engine: e.ID, Born: e.Born} }
+
 // Load is what an engine said of itself with an answer.
 type Load struct {
 	Running int
@@ -71,6 +79,9 @@
 		f.unlist(known.engine)
 		found = false
 	}
+	if known.engine.Born != engine.Born {
+		*known = member{}
+	}
 	engine.Versions = newest(known.engine.Versions, engine.Versions)
 	known.engine = engine
 	if !found {
@@ -82,10 +93,10 @@
 
 // Observe notes that an engine has at least a version of a model. Versions of
 // one life of an engine only rise.
-func (f *Fleet) Observe(id, model string, version int64) {
+func (f *Fleet) Observe(of incarnation.ID, model string, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, found := f.members[id]
+	known, found := f.lookUp(of)
 	if !found || known.engine.Versions[model] >= version {
 		return
 	}
@@ -127,7 +138,27 @@
 	f.byService[engine.Service] = kept
 }
 
-// Get returns an engine by ID.
+// lookUp returns an incarnation, unless another one took its place; mu is held.
+func (f *Fleet) lookUp(of incarnation.ID) (*member, bool) {
+	known, found := f.members[of.Engine]
+	if !found || known.engine.Born != of.Born {
+		return nil, false
+	}
+	return known, true
+}
+
+// TakesWork tells whether an engine may be sent anything new, however it is chosen: it has not said
+// that it leaves. What failed recently still does.
+func (f *Fleet) TakesWork(engine Engine) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.takesWork(engine)
+}
+
+// takesWork is TakesWork; mu is held.
+func (f *Fleet) takesWork(engine Engine) bool { return !engine.Draining }
+
+// Get returns the current incarnation of an engine.
 func (f *Fleet) Get(id string) (Engine, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -138,6 +169,17 @@
 	return known.engine, true
 }
 
+// Find returns an incarnation of an engine; found is false once another one took its place.
+func (f *Fleet) Find(of incarnation.ID) (engine Engine, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.lookUp(of)
+	if !found {
+		return Engine{}, false
+	}
+	return known.engine, true
+}
+
 // Engines returns the engines of a service in the order of their IDs.
 func (f *Fleet) Engines(service string) []Engine {
 	f.mu.Lock()
@@ -157,7 +199,7 @@
 	defer f.mu.Unlock()
 	for _, id := range f.byService[service] {
 		each := f.members[id]
-		if each.engine.Draining || now.Before(each.suspectUntil) {
+		if !f.takesWork(each.engine) || now.Before(each.suspectUntil) {
 			continue
 		}
 		slots += each.engine.Slots
@@ -174,10 +216,10 @@
 }
 
 // Began notes that a request was sent to the engine.
-func (f *Fleet) Began(id string) {
+func (f *Fleet) Began(of incarnation.ID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if known, found := f.members[id]; found {
+	if known, found := f.lookUp(of); found {
 		known.inFlight++
 	}
 }
@@ -207,10 +249,10 @@
 )
 
 // Ended notes how a request at the engine ended.
-func (f *Fleet) Ended(id string, outcome Outcome) {
+func (f *Fleet) Ended(of incarnation.ID, outcome Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, found := f.members[id]
+	known, found := f.lookUp(of)
 	if !found {
 		return
 	}
@@ -237,9 +279,9 @@
 }
 
 // Suspected tells whether recent failures keep new requests from the engine.
-func (f *Fleet) Suspected(id string, now time.Time) bool {
+func (f *Fleet) Suspected(of incarnation.ID, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, found := f.members[id]
+	known, found := f.lookUp(of)
 	return found && now.Before(known.suspectUntil)
 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 var now = time.Unix(1000, 0)
@@ -40,42 +42,42 @@
 func TestFreeEngineOfTheZoneIsPreferred(t *testing.T) {
 	f := fleetOf(listed("a", "z1"), listed("b", "z2"))
 	assert.Equal(t, chosen(f, Query{Zone: "z2"}), "b")
-	f.Began("b")
-	f.Began("b")
+	f.Began(named("b"))
+	f.Began(named("b"))
 	assert.Equal(t, chosen(f, Query{Zone: "z2"}), "a")
 }
 
 func TestReportedLoadCounts(t *testing.T) {
 	f := fleetOf(listed("a", "z"), listed("b", "z"))
-	f.Began("a")
-	f.Ended("a", Outcome{At: now, Load: &Load{Running: 4, Waiting: 2}, Latency: time.Millisecond})
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, Load: &Load{Running: 4, Waiting: 2}, Latency: time.Millisecond})
 	assert.Equal(t, chosen(f, Query{Zone: "z"}), "b")
 }
 
 func TestFailedEngineIsAvoidedForAWhileUnlessItIsTheOnlyOne(t *testing.T) {
 	f := fleetOf(listed("a", "z"), listed("b", "z"))
-	f.Began("a")
-	f.Ended("a", Outcome{At: now, Failed: true})
-	assert.Assert(t, f.Suspected("a", now))
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, Failed: true})
+	assert.Assert(t, f.Suspected(named("a"), now))
 	assert.Equal(t, chosen(f, Query{}), "b")
 	assert.Equal(t, chosen(f, Query{Tried: []string{"b"}}), "a")
-	assert.Assert(t, !f.Suspected("a", now.Add(firstSuspicion)))
+	assert.Assert(t, !f.Suspected(named("a"), now.Add(firstSuspicion)))
 	for range 10 {
-		f.Began("a")
-		f.Ended("a", Outcome{At: now, Failed: true})
+		f.Began(named("a"))
+		f.Ended(named("a"), Outcome{At: now, Failed: true})
 	}
-	assert.Assert(t, f.Suspected("a", now.Add(maxSuspicion-1)))
-	assert.Assert(t, !f.Suspected("a", now.Add(maxSuspicion)))
+	assert.Assert(t, f.Suspected(named("a"), now.Add(maxSuspicion-1)))
+	assert.Assert(t, !f.Suspected(named("a"), now.Add(maxSuspicion)))
 }
 
 func TestOldWeightsAreFilteredAndObservedVersionsOnlyRise(t *testing.T) {
 	f := fleetOf(listed("a", "z"))
 	assert.Equal(t, chosen(f, Query{Model: "m", MinVersion: 2}), "")
-	f.Observe("a", "m", 2)
+	f.Observe(named("a"), "m", 2)
 	before, _ := f.Get("a")
 	f.Put(listed("a", "z")) // a late entry tells of version 1
 	assert.Equal(t, chosen(f, Query{Model: "m", MinVersion: 2}), "a")
-	f.Observe("a", "m", 5)
+	f.Observe(named("a"), "m", 5)
 	assert.Equal(t, before.Versions["m"], int64(2), "a view that was handed out must not change")
 }
 
@@ -87,3 +89,5 @@
 	assert.Equal(t, len(f.Engines("s")), 0)
 	assert.Equal(t, len(f.Engines("other")), 1)
 }
+
+func named(engine string) incarnation.ID { return incarnation.ID{Engine: engine} }
--- /dev/null
+++ b/internal/core/incarnation/incarnation_test.go
@@ -0,0 +1,16 @@
+package incarnation
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestIncarnationsOfOneEngineDiffer(t *testing.T) {
+	before, after := ID{Engine: "e1", Born: 1000}, ID{Engine: "e1", Born: 2000}
+	assert.Assert(t, before != after)
+	assert.Equal(t, before.String(), "e1@1000")
+	assert.Equal(t, ID{Engine: "e1"}.String(), "e1")
+	assert.Assert(t, ID{}.IsZero())
+	assert.Assert(t, !after.IsZero())
+}
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -52,6 +52,8 @@
 	SingleVersion bool
 	// Open routes take requests without an API key, also where there are tenants.
 	Open bool
+	// Homes are the regions that alone may serve and keep the route's requests; none for all.
+	Homes []string
 }
 
 // Repeatable tells whether a request that may have run may be sent again.
@@ -67,6 +69,17 @@
 	Models []string
 	// Scaling says how engines may be ordered; nil where they may not.
 	Scaling *Scaling
+	// SlowStart bounds what its engines take while they are cold; the zero value where they are not.
+	SlowStart SlowStart
+}
+
+// SlowStart says what an engine bears while it is cold: after its start, and whenever it says so.
+type SlowStart struct {
+	// Period is how long an engine stays cold after its start.
+	Period time.Duration
+	// RatePerSecond is the requests a second that all nodes together may send to it meanwhile; zero
+	// for no bound.
+	RatePerSecond float64
 }
 
 // Scaling says how engines of a service may be ordered.
--- a/internal/core/routes/tenants.go
+++ b/internal/core/routes/tenants.go
@@ -10,6 +10,9 @@
 	Keys []string
 	// Priority goes before that of a route, 0 first; nil where the tenant has none.
 	Priority *int
+	// Homes are the regions that alone may serve and keep the tenant's requests; none for all. Where
+	// its route has homes too, both bind.
+	Homes []string
 }
 
 // Credentials are what a request shows of its sender.
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -10,11 +10,13 @@
 import (
 	"math"
 	"sort"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 // Engine is an engine as the plan sees it.
 type Engine struct {
-	ID       string
+	ID       incarnation.ID
 	Versions map[string]int64
 	// Running is the number of items that it runs.
 	Running int
@@ -41,14 +43,14 @@
 
 // Allocator keeps which model each engine follows.
 type Allocator struct {
-	models map[string]string
+	models map[incarnation.ID]string
 }
 
 // NewAllocator returns an allocator that knows of no engine.
-func NewAllocator() *Allocator { return &Allocator{models: make(map[string]string)} }
+func NewAllocator() *Allocator { return &Allocator{models: make(map[incarnation.ID]string)} }
 
 // Allocate returns the model that each engine follows.
-func (a *Allocator) Allocate(engines []Engine, targets []Target) map[string]string {
+func (a *Allocator) Allocate(engines []Engine, targets []Target) map[incarnation.ID]string {
 	a.forgetGone(engines)
 	wanted := shares(len(engines), targets)
 	counts := make(map[string]int)
@@ -61,7 +63,7 @@
 	for _, target := range targets {
 		for counts[target.Model] < wanted[target.Model] {
 			moved := a.donor(engines, target.Model, counts, wanted)
-			if moved == "" {
+			if moved.IsZero() {
 				break
 			}
 			counts[a.models[moved]]--
@@ -73,7 +75,7 @@
 }
 
 func (a *Allocator) forgetGone(engines []Engine) {
-	present := make(map[string]bool, len(engines))
+	present := make(map[incarnation.ID]bool, len(engines))
 	for _, engine := range engines {
 		present[engine.ID] = true
 	}
@@ -86,8 +88,8 @@
 
 // donor returns the engine that another model can best spare: of those beyond
 // their model's share, the one with the newest weights of the wanting model.
-func (a *Allocator) donor(engines []Engine, model string, counts, wanted map[string]int) string {
-	best, bestVersion := "", int64(-1)
+func (a *Allocator) donor(engines []Engine, model string, counts, wanted map[string]int) incarnation.ID {
+	best, bestVersion := incarnation.ID{}, int64(-1)
 	for _, engine := range engines {
 		from := a.models[engine.ID]
 		if from == model || counts[from] <= wanted[from] {
@@ -145,7 +147,7 @@
 
 // Load is one order to give.
 type Load struct {
-	Engine  string
+	Engine  incarnation.ID
 	Model   string
 	Version int64
 }
@@ -158,7 +160,7 @@
 // next version. Among the engines of a model, those too old for open jobs come first,
 // then the one furthest behind. An engine that could start waiting items is left to
 // them.
-func NextLoads(engines []Engine, models map[string]string, targets []Target, atOnce int) []Load {
+func NextLoads(engines []Engine, models map[incarnation.ID]string, targets []Target, atOnce int) []Load {
 	byModel := make(map[string]Target, len(targets))
 	for _, target := range targets {
 		byModel[target.Model] = target
--- a/internal/core/weightplan/weightplan_test.go
+++ b/internal/core/weightplan/weightplan_test.go
@@ -5,17 +5,19 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 func engines(count int, versions map[string]int64) []Engine {
 	all := make([]Engine, count)
 	for i := range all {
-		all[i] = Engine{ID: fmt.Sprintf("e%d", i), Versions: versions, Usable: true}
+		all[i] = Engine{ID: named(fmt.Sprintf("e%d", i)), Versions: versions, Usable: true}
 	}
 	return all
 }
 
-func countModels(models map[string]string) map[string]int {
+func countModels(models map[incarnation.ID]string) map[string]int {
 	counts := map[string]int{}
 	for _, model := range models {
 		counts[model]++
@@ -37,11 +39,11 @@
 
 func TestNewLeaderKeepsTheModelThatAnEngineFollows(t *testing.T) {
 	all := []Engine{
-		{ID: "e0", Versions: map[string]int64{"a": 9, "b": 1}}, {ID: "e1", Versions: map[string]int64{"a": 1, "b": 7}},
-		{ID: "e2", Versions: map[string]int64{"a": 9, "b": 2}}, {ID: "e3", Versions: map[string]int64{"a": 1, "b": 7}},
+		{ID: named("e0"), Versions: map[string]int64{"a": 9, "b": 1}}, {ID: named("e1"), Versions: map[string]int64{"a": 1, "b": 7}},
+		{ID: named("e2"), Versions: map[string]int64{"a": 9, "b": 2}}, {ID: named("e3"), Versions: map[string]int64{"a": 1, "b": 7}},
 	}
 	models := NewAllocator().Allocate(all, []Target{{Model: "a", Version: 9}, {Model: "b", Version: 7}})
-	assert.DeepEqual(t, models, map[string]string{"e0": "a", "e1": "b", "e2": "a", "e3": "b"})
+	assert.DeepEqual(t, models, map[incarnation.ID]string{named("e0"): "a", named("e1"): "b", named("e2"): "a", named("e3"): "b"})
 }
 
 func TestOneEngineServesOneOfTwoModels(t *testing.T) {
@@ -54,14 +56,14 @@
 	all := engines(4, map[string]int64{"a": 1})
 	all[0].Running = 5
 	all[1].Loading = true
-	models := map[string]string{"e0": "a", "e1": "a", "e2": "a", "e3": "a"}
+	models := map[incarnation.ID]string{named("e0"): "a", named("e1"): "a", named("e2"): "a", named("e3"): "a"}
 	loads := NextLoads(all, models, []Target{{Model: "a", Version: 2}}, 2)
-	assert.DeepEqual(t, loads, []Load{{Engine: "e2", Model: "a", Version: 2}})
+	assert.DeepEqual(t, loads, []Load{{Engine: named("e2"), Model: "a", Version: 2}})
 }
 
 func TestEnginesThatWaitingItemsCanUseAreLeftToThem(t *testing.T) {
 	all := engines(1, map[string]int64{"a": 1})
-	models := map[string]string{"e0": "a"}
+	models := map[incarnation.ID]string{named("e0"): "a"}
 	busy := Target{Model: "a", Version: 2, MinVersion: 1, Waiting: 3}
 	assert.Equal(t, len(NextLoads(all, models, []Target{busy}, 2)), 0)
 	busy.MinVersion = 2
@@ -73,7 +75,7 @@
 func TestLoadsThatInterruptWaitForRunningItems(t *testing.T) {
 	all := engines(1, map[string]int64{"a": 1})
 	all[0].Running = 5
-	models := map[string]string{"e0": "a"}
+	models := map[incarnation.ID]string{named("e0"): "a"}
 	calm := Target{Model: "a", Version: 2, MinVersion: 1, Interrupts: true}
 	assert.Equal(t, len(NextLoads(all, models, []Target{calm}, 2)), 0)
 	calm.Interrupts = false
@@ -84,14 +86,14 @@
 
 func TestTooOldEnginesLoadFirstThenThoseFurthestBehind(t *testing.T) {
 	all := []Engine{
-		{ID: "near", Versions: map[string]int64{"a": 8}, Usable: true},
-		{ID: "far", Versions: map[string]int64{"a": 7}, Usable: true},
-		{ID: "old", Versions: map[string]int64{"b": 1}, Usable: true, Running: 9},
+		{ID: named("near"), Versions: map[string]int64{"a": 8}, Usable: true},
+		{ID: named("far"), Versions: map[string]int64{"a": 7}, Usable: true},
+		{ID: named("old"), Versions: map[string]int64{"b": 1}, Usable: true, Running: 9},
 	}
-	models := map[string]string{"near": "a", "far": "a", "old": "b"}
+	models := map[incarnation.ID]string{named("near"): "a", named("far"): "a", named("old"): "b"}
 	targets := []Target{{Model: "a", Version: 9, MinVersion: 7}, {Model: "b", Version: 3, MinVersion: 2}}
 	assert.DeepEqual(t, NextLoads(all, models, targets, 2), []Load{
-		{Engine: "old", Model: "b", Version: 3}, {Engine: "far", Model: "a", Version: 9},
+		{Engine: named("old"), Model: "b", Version: 3}, {Engine: named("far"), Model: "a", Version: 9},
 	})
 }
 
@@ -99,7 +101,7 @@
 	all := engines(2, map[string]int64{"a": 2})
 	all[1].Versions = map[string]int64{"a": 1}
 	all[1].Usable = false
-	models := map[string]string{"e0": "a", "e1": "a"}
+	models := map[incarnation.ID]string{named("e0"): "a", named("e1"): "a"}
 	assert.Equal(t, len(NextLoads(all, models, []Target{{Model: "a", Version: 2}}, 2)), 0)
 }
 
@@ -107,9 +109,9 @@
 // open job do not keep another's from getting ready for the job to come.
 func TestEachModelGetsEnginesForItsNextJob(t *testing.T) {
 	var all []Engine
-	models := map[string]string{}
+	models := map[incarnation.ID]string{}
 	for i := range 12 {
-		engine := Engine{ID: fmt.Sprintf("a%02d", i), Versions: map[string]int64{"a": 1}, Usable: true}
+		engine := Engine{ID: named(fmt.Sprintf("a%02d", i)), Versions: map[string]int64{"a": 1}, Usable: true}
 		if i < 6 {
 			engine.Versions["a"] = 3
 		}
@@ -117,7 +119,7 @@
 		all = append(all, engine)
 	}
 	for i := range 12 {
-		engine := Engine{ID: fmt.Sprintf("b%02d", i), Versions: map[string]int64{"b": 2}, Usable: true}
+		engine := Engine{ID: named(fmt.Sprintf("b%02d", i)), Versions: map[string]int64{"b": 2}, Usable: true}
 		models[engine.ID] = "b"
 		all = append(all, engine)
 	}
@@ -129,3 +131,5 @@
 	// Half of the first model's engines have the version; the other gets as many first.
 	assert.DeepEqual(t, count, map[string]int{"a": 1, "b": 7})
 }
+
+func named(engine string) incarnation.ID { return incarnation.ID{Engine: engine} }
--- a/internal/hosted/duties.go
+++ b/internal/hosted/duties.go
@@ -53,7 +53,7 @@
 		engines := make(map[string]int)
 		slots := 1
 		for _, engine := range n.fleet.Engines(service.Name) {
-			if !engine.Draining {
+			if n.fleet.TakesWork(engine) {
 				engines[engine.Zone]++
 				slots = max(slots, engine.Slots)
 			}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -43,12 +43,20 @@
 	crashes.Prober
 }
 
-// ControlChange is one change by the operator or a trainer: a new table, or a
-// named weight version. Both are empty for records of no interest.
+// ControlChange is one change by the operator or a trainer: a new table, a named weight
+// version, or an evacuation. All are empty for records of no interest.
 type ControlChange struct {
 	Table        *routes.Table
 	Model        string
 	ModelVersion int64
+	Evacuation   *Evacuation
+}
+
+// Evacuation says whether the engines of a zone are to get no new work.
+type Evacuation struct {
+	Zone string
+	// InForce is false once the operator has taken the evacuation back.
+	InForce bool
 }
 
 // JobName is how a caller names a batch job.
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
@@ -15,7 +16,7 @@
 	var runner *batchrun.Runner
 	orders := weightorders.New(weightorders.Options{
 		Engines: n.platform.Engines(), Fleet: n.fleet, Targets: n.weightTargets,
-		Running: func(engine string) int { return runner.Running(engine) },
+		Running: func(engine incarnation.ID) int { return runner.Running(engine) },
 		Demands: func() map[string]batchrun.Demand { return runner.Demands() },
 		Loaded:  func() { runner.Wake() },
 		Term:    term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -131,7 +131,7 @@
 	}
 	ctx, cancel := x.withPatience(remaining)
 	defer cancel()
-	x.relay.options.Fleet.Began(engine.ID)
+	x.relay.options.Fleet.Began(engine.Incarnation())
 	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
 		Request: x.request, Sender: x.sender, Remaining: remaining,
 		After: x.after, HasAfter: x.streamed && x.after > 0,
@@ -151,7 +151,7 @@
 	if x.caller.Err() != nil {
 		outcome.Failed = false
 	}
-	x.relay.options.Fleet.Ended(engine.ID, outcome)
+	x.relay.options.Fleet.Ended(engine.Incarnation(), outcome)
 	if outcome.ConnectionLost && x.quarantined(engine) {
 		result = giveUp
 	}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -26,20 +26,20 @@
 		done = m.awaitVersion(ctx, engine, load, began)
 	}
 	if done {
-		m.options.Fleet.Observe(engine.ID, load.Model, load.Version)
+		m.options.Fleet.Observe(engine.Incarnation(), load.Model, load.Version)
 	}
 	m.mu.Lock()
 	if done && answer == Taken {
 		m.noteLoadTime(time.Since(began))
 		if mode == Continue {
 			// Any other waits for running items, so its time says nothing of the source.
-			m.limiter.Ended(began, time.Now(), m.loading[engine.ID].together)
+			m.limiter.Ended(began, time.Now(), m.loading[engine.Incarnation()].together)
 		}
 	}
-	delete(m.loading, engine.ID)
+	delete(m.loading, engine.Incarnation())
 	if !done {
-		delete(m.counts, engine.ID)
-		m.retryAt[engine.ID] = time.Now().Add(orderPause)
+		delete(m.counts, engine.Incarnation())
+		m.retryAt[engine.Incarnation()] = time.Now().Add(orderPause)
 	}
 	limit := m.limiter.Limit()
 	m.mu.Unlock()
@@ -61,7 +61,7 @@
 // order sends the order under the count of orders that the engine is known to have.
 func (m *Manager) order(ctx context.Context, engine fleet.Engine, load weightplan.Load, mode Mode) Answer {
 	m.mu.Lock()
-	count, known := m.counts[engine.ID]
+	count, known := m.counts[engine.Incarnation()]
 	m.mu.Unlock()
 	if !known {
 		// The answer also shows that the engine hears: what an earlier holder sent it is there by now.
@@ -102,9 +102,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if answer == Taken {
-		m.counts[engine.ID] = count + 1
+		m.counts[engine.Incarnation()] = count + 1
 	} else {
-		delete(m.counts, engine.ID)
+		delete(m.counts, engine.Incarnation())
 	}
 	return answer
 }
@@ -113,7 +113,7 @@
 func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
 	retry.Sleep(ctx, firstCheck)
 	for ctx.Err() == nil && time.Since(began) < loadTimeout {
-		if _, known := m.options.Fleet.Get(engine.ID); !known {
+		if _, known := m.options.Fleet.Find(engine.Incarnation()); !known {
 			return false
 		}
 		report, err := m.report(ctx, engine)
@@ -134,6 +134,6 @@
 
 func (m *Manager) observe(engine fleet.Engine, report Report) {
 	for model, version := range report.Versions {
-		m.options.Fleet.Observe(engine.ID, model, version)
+		m.options.Fleet.Observe(engine.Incarnation(), model, version)
 	}
 }
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -27,7 +27,7 @@
 	models := allocator.Allocate(engines, targets)
 	atOnce := m.limiter.LimitOf(len(engines)) + m.nearlyDone(now) - m.loadingElsewhere(engines)
 	for _, load := range weightplan.NextLoads(engines, models, targets, atOnce) {
-		engine, known := m.options.Fleet.Get(load.Engine)
+		engine, known := m.options.Fleet.Find(load.Engine)
 		if !known {
 			continue
 		}
@@ -78,15 +78,16 @@
 func (m *Manager) engineViews(service string, now time.Time) []weightplan.Engine {
 	var views []weightplan.Engine
 	for _, engine := range m.options.Fleet.Engines(service) {
-		if engine.Draining {
+		if !m.options.Fleet.TakesWork(engine) {
 			continue
 		}
-		running := m.options.Running(engine.ID)
+		id := engine.Incarnation()
+		running := m.options.Running(id)
 		m.mu.Lock()
 		views = append(views, weightplan.Engine{
-			ID: engine.ID, Versions: engine.Versions, Running: running,
-			Loading: m.loading[engine.ID] != nil,
-			Usable: !m.options.Fleet.Suspected(engine.ID, now) && now.After(m.retryAt[engine.ID]) &&
+			ID: id, Versions: engine.Versions, Running: running,
+			Loading: m.loading[id] != nil,
+			Usable: !m.options.Fleet.Suspected(id, now) && now.After(m.retryAt[id]) &&
 				now.After(m.options.Term.QuietUntil(engine.ID)),
 		})
 		m.mu.Unlock()
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -14,6 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/dutycycle"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
 )
@@ -123,7 +124,7 @@
 	// Term is the time of leading in which the manager orders.
 	Term lease.Term
 	// Running and Demands tell what the runner does.
-	Running func(engine string) int
+	Running func(engine incarnation.ID) int
 	Demands func() map[string]batchrun.Demand
 	// Loaded is called after an engine has loaded.
 	Loaded func()
@@ -138,14 +139,14 @@
 
 	mu sync.Mutex
 	// loading holds what each engine is loading.
-	loading map[string]*underway
+	loading map[incarnation.ID]*underway
 	limiter *weightplan.Limiter
 	// loadTime is the moving mean of the time until a load is reported as done.
 	loadTime time.Duration
 	// counts holds each engine's count of orders, as far as known.
-	counts map[string]int64
+	counts map[incarnation.ID]int64
 	// retryAt holds back engines that did not take an order.
-	retryAt    map[string]time.Time
+	retryAt    map[incarnation.ID]time.Time
 	allocators map[string]*weightplan.Allocator
 	demands    map[string]float64
 	// named holds the version that was last seen named for each model.
@@ -167,9 +168,9 @@
 	return &Manager{
 		options:    options,
 		limiter:    weightplan.NewLimiter(),
-		loading:    make(map[string]*underway),
-		counts:     make(map[string]int64),
-		retryAt:    make(map[string]time.Time),
+		loading:    make(map[incarnation.ID]*underway),
+		counts:     make(map[incarnation.ID]int64),
+		retryAt:    make(map[incarnation.ID]time.Time),
 		allocators: make(map[string]*weightplan.Allocator),
 		demands:    make(map[string]float64),
 		named:      make(map[string]int64),
@@ -177,7 +178,7 @@
 }
 
 // Loading returns the model that an engine is loading; empty for none.
-func (m *Manager) Loading(engine string) string {
+func (m *Manager) Loading(engine incarnation.ID) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if load, found := m.loading[engine]; found {
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/standin/leaseterm"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -128,7 +129,7 @@
 		Targets: func() []Target {
 			return []Target{{Service: service, Versions: map[string]int64{model: w.version.Load()}}}
 		},
-		Running: func(string) int { return 0 },
+		Running: func(incarnation.ID) int { return 0 },
 		Demands: func() map[string]batchrun.Demand { return nil },
 		Loaded:  func() {}, Holder: "h", Fence: 7, Logger: zerolog.Nop(),
 	}
