Fleet: what is believed of an engine ends with the start that it was seen of

Cause: engines may start again under their ID, at their address, without their entry ever missing. Put compared starts for equality only: a late entry of the start before brought it back (and its end would have counted again when the later one wrote), an engine whose clock had jumped back flapped with it, and nobody could ask what had become of a start. Ruled out: the order of the list alone (a late entry wins), a start that is earlier is never taken (locks an engine out whose clock jumped back), two entries of it in a row (entries are written on change, the second may never come).

A request whose entry went and came back no longer makes the count of requests in flight negative. batchplan and weightplan go by incarnation already: a test each.

--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -326,3 +326,27 @@
 }
 
 func named(engine string) incarnation.ID { return incarnation.ID{Engine: engine} }
+
+// TestTheNextStartOfAnEngineHasAllItsPlaces: items of the start before have not been told of as ended yet, one
+// of them ran apart, and its pace was measured.
+func TestTheNextStartOfAnEngineHasAllItsPlaces(t *testing.T) {
+	plan := New()
+	first := Engine{ID: incarnation.ID{Engine: "e", Born: 1000}, Service: "s", Slots: 1, Versions: map[string]int64{"m": 1}, Usable: true}
+	second := first
+	second.ID.Born = 2000
+	item := func(index int, suspect bool) Item {
+		return Item{Key: Key{Job: "j", Item: index}, Service: "s", Model: "m", Suspect: suspect}
+	}
+	now := time.Unix(1000, 0)
+	plan.Add(item(0, true))
+	assert.Equal(t, len(plan.Assign(now, []Engine{first})), 1)
+	plan.ObservePace(first.ID, time.Second)
+	plan.Add(item(1, false))
+	assert.Equal(t, len(plan.Assign(now, []Engine{first})), 0)
+
+	assigned := plan.Assign(now, []Engine{second})
+	assert.Equal(t, len(assigned), 1)
+	assert.Equal(t, assigned[0].Engine, second.ID)
+	assert.Equal(t, assigned[0].Running, 0)
+	assert.Equal(t, assigned[0].Pace, time.Duration(0))
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -4,7 +4,6 @@
 package fleet
 
 import (
-	"sort"
 	"sync"
 	"time"
 
@@ -28,6 +27,8 @@
 	Versions map[string]int64
 	// ColdUntil is the time until which the engine stays slow after its start.
 	ColdUntil time.Time
+	// ReadAt is when the entry was read from the list.
+	ReadAt time.Time
 }
 
 // Incarnation names this life of the engine.
@@ -51,6 +52,10 @@
 	failures     int
 	suspectUntil time.Time
 	latency      time.Duration
+	// previous is the incarnation that this one followed, as its last entry described it; empty for none.
+	previous Engine
+	// earlier is an entry of an incarnation that began before this one, read after it; nil for none.
+	earlier *Engine
 }
 
 // Fleet is the set of engines that may be sent requests. It is safe for
@@ -60,6 +65,8 @@
 	members map[string]*member
 	// byService holds the IDs of each service's engines in order.
 	byService map[string][]string
+	// replacements counts the incarnations that were followed by another one.
+	replacements int64
 }
 
 // New returns an empty fleet.
@@ -67,30 +74,6 @@
 	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string)}
 }
 
-// Put adds an engine or changes what its entry says.
-func (f *Fleet) Put(engine Engine) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known, found := f.members[engine.ID]
-	if !found {
-		known = &member{}
-		f.members[engine.ID] = known
-	} else if known.engine.Service != engine.Service {
-		f.unlist(known.engine)
-		found = false
-	}
-	if known.engine.Born != engine.Born {
-		*known = member{}
-	}
-	engine.Versions = newest(known.engine.Versions, engine.Versions)
-	known.engine = engine
-	if !found {
-		ids := append(f.byService[engine.Service], engine.ID)
-		sort.Strings(ids)
-		f.byService[engine.Service] = ids
-	}
-}
-
 // Observe notes that an engine has at least a version of a model. Versions of
 // one life of an engine only rise.
 func (f *Fleet) Observe(of incarnation.ID, model string, version int64) {
@@ -116,28 +99,6 @@
 	return merged
 }
 
-// Remove forgets an engine.
-func (f *Fleet) Remove(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if known, found := f.members[id]; found {
-		f.unlist(known.engine)
-		delete(f.members, id)
-	}
-}
-
-// unlist takes an engine out of its service; mu is held.
-func (f *Fleet) unlist(engine Engine) {
-	ids := f.byService[engine.Service]
-	kept := ids[:0:0]
-	for _, id := range ids {
-		if id != engine.ID {
-			kept = append(kept, id)
-		}
-	}
-	f.byService[engine.Service] = kept
-}
-
 // lookUp returns an incarnation, unless another one took its place; mu is held.
 func (f *Fleet) lookUp(of incarnation.ID) (*member, bool) {
 	known, found := f.members[of.Engine]
@@ -256,7 +217,8 @@
 	if !found {
 		return
 	}
-	known.inFlight--
+	// An entry that went and came back while the request was there has begun a new count.
+	known.inFlight = max(0, known.inFlight-1)
 	if outcome.Load != nil {
 		known.load, known.loadAt = *outcome.Load, outcome.At
 	}
--- a/internal/core/incarnation/incarnation.go
+++ b/internal/core/incarnation/incarnation.go
@@ -25,3 +25,12 @@
 	}
 	return i.Engine + "@" + strconv.FormatInt(i.Born, 10)
 }
+
+// Contradicts tells whether two names cannot be of the same incarnation. One that does not tell when it
+// began contradicts none of its engine.
+func (i ID) Contradicts(other ID) bool {
+	if i.Engine != other.Engine {
+		return true
+	}
+	return i.Born != 0 && other.Born != 0 && i.Born != other.Born
+}
--- a/internal/core/incarnation/incarnation_test.go
+++ b/internal/core/incarnation/incarnation_test.go
@@ -14,3 +14,12 @@
 	assert.Assert(t, ID{}.IsZero())
 	assert.Assert(t, !after.IsZero())
 }
+
+func TestOnlyATimeThatIsToldContradicts(t *testing.T) {
+	first := ID{Engine: "e1", Born: 1000}
+	assert.Assert(t, !first.Contradicts(first))
+	assert.Assert(t, first.Contradicts(ID{Engine: "e1", Born: 2000}))
+	assert.Assert(t, first.Contradicts(ID{Engine: "e2", Born: 1000}))
+	assert.Assert(t, !first.Contradicts(ID{Engine: "e1"}))
+	assert.Assert(t, !ID{Engine: "e1"}.Contradicts(first))
+}
--- a/internal/core/weightplan/weightplan_test.go
+++ b/internal/core/weightplan/weightplan_test.go
@@ -133,3 +133,16 @@
 }
 
 func named(engine string) incarnation.ID { return incarnation.ID{Engine: engine} }
+
+// TestTheNextStartOfAnEngineFollowsTheModelThatItHas: not the one that the start before followed.
+func TestTheNextStartOfAnEngineFollowsTheModelThatItHas(t *testing.T) {
+	targets := []Target{{Model: "a", Version: 9}, {Model: "b", Version: 9}}
+	start := func(engine string, born, a, b int64) Engine {
+		return Engine{ID: incarnation.ID{Engine: engine, Born: born}, Versions: map[string]int64{"a": a, "b": b}, Usable: true}
+	}
+	allocator := NewAllocator()
+	before := []Engine{start("e0", 1000, 9, 1), start("e1", 1000, 1, 9)}
+	assert.DeepEqual(t, allocator.Allocate(before, targets), map[incarnation.ID]string{before[0].ID: "a", before[1].ID: "b"})
+	after := []Engine{start("e0", 2000, 1, 9), start("e1", 2000, 9, 1)}
+	assert.DeepEqual(t, allocator.Allocate(after, targets), map[incarnation.ID]string{after[0].ID: "b", after[1].ID: "a"})
+}
