Engine list: an entry that is not in order names no engine to use, and stops nothing

Cause: the list has other writers. An entry that could not be read left the one before in force ("engine record passed over"), one with fields of the right types and no sense in them (no slots, a state nobody knows, no address) was used, of a field that stood twice the last one held, and names matched in any letter case. A record without a readable key, or with a value that is no base64, stopped the topic for good: each read of it failed again.

Change: the adapter reads an entry strictly (platform/engineentry.go) and returns a typed error with a fault of a closed list. Such an entry withdraws the engine; the others hold, a good entry puts it back. "engine entry unusable" tells of a key once until its fault changes, corkpulley_hosted_engine_entries_unusable_total counts by fault. An engine whose service no configuration names is kept, since list and configuration are two topics, but a node that knows no other is not ready. A record that cannot be read is passed on without a key, or without a value, and judged by who takes it, also through replicas. "born" is decoded, "engine started again" and "engine entry of an earlier start" tell of it, and a node settles deferred entries as of when it knows the list.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -31,7 +31,7 @@
 }
 
 // KeyedRecord is one record of a compacted topic. A record without a value
-// deletes its key.
+// deletes its key. One that cannot be read at all has no key.
 type KeyedRecord struct {
 	Key     string
 	Value   []byte
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -164,7 +164,7 @@
 }
 
 // refresh reads the topic whole. A key that is missing was deleted, unless its
-// record is newer than the read.
+// record is newer than the read, or could not be read and has no key.
 func (f *Follower) refresh(ctx context.Context) error {
 	sent := boottime.Now()
 	batch, err := f.log.Newest(ctx, f.topic)
@@ -177,7 +177,7 @@
 		f.handle(record)
 	}
 	for key, offset := range f.offsets {
-		if !present[key] && offset < batch.Next {
+		if !present[key] && offset < batch.Next && key != "" {
 			f.handle(eventlog.KeyedRecord{Key: key, Deleted: true, Offset: batch.Next - 1})
 		}
 	}
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -199,7 +199,7 @@
 		return errkind.New(errkind.ShuttingDown, "this node is stopping")
 	case n.state.table() == nil:
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
-	case n.fleet.Count() == 0:
+	case !n.knowsEngine(n.state.table()):
 		return errkind.New(errkind.NotReady, "no engine is known yet")
 	case !n.knowsCrashes():
 		return errkind.New(errkind.NotReady, "it is not known yet which requests end their engines")
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -102,6 +102,7 @@
 	// CrashTopic names the compacted topic with the requests under which engines ended.
 	CrashTopic() string
 	DecodeControl(record eventlog.KeyedRecord) (ControlChange, error)
+	// DecodeEngine reads an entry of the engine list; its error is an *EntryError.
 	DecodeEngine(record eventlog.KeyedRecord) (fleet.Engine, error)
 	// CallersHandler serves live callers and trainers.
 	CallersHandler(node Callers) http.Handler
@@ -123,7 +124,9 @@
 	fleet   *fleet.Fleet
 	control *follow.Follower
 	engines *follow.Follower
-	jobs    *batchjobs.Service
+	// unusable holds the entries of the engine list that name no engine to use.
+	unusable unusableEntries
+	jobs     *batchjobs.Service
 	// askedJobs answers questions about jobs, through other nodes in a large cluster.
 	askedJobs *jobrelay.Relay
 	relay     *ingress.Relay
@@ -171,7 +174,7 @@
 		registry: registry, metrics: metrics,
 		holder: config.Node.ID + "-" + xid.New().String(),
 		state:  newState(time.Duration(config.Shutdown.Grace)),
-		fleet:  fleet.New(),
+		fleet:  fleet.New(), unusable: make(unusableEntries),
 	}
 	direct := platform.Log()
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
@@ -277,6 +280,7 @@
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
 		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
+		n.settleEngines,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -22,9 +22,12 @@
 	scoring      *prometheus.HistogramVec
 	lost         *prometheus.CounterVec
 	suspected    prometheus.Gauge
-	behind       *prometheus.CounterVec
-	dropped      prometheus.Counter
-	leftOut      prometheus.Counter
+	unusable     *prometheus.CounterVec
+	// enginesStartedAgain counts engines that started again under their ID.
+	enginesStartedAgain prometheus.Counter
+	behind              *prometheus.CounterVec
+	dropped             prometheus.Counter
+	leftOut             prometheus.Counter
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -59,6 +62,14 @@
 		suspected: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_hosted_suspected_requests", Help: "Requests under which an engine ended, as this node knows.",
 		}),
+		unusable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_engine_entries_unusable_total",
+			Help: "Entries of the engine list that name no engine to use, by what is wrong with them.",
+		}, []string{"fault"}),
+		enginesStartedAgain: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corkpulley_hosted_engines_started_again_total",
+			Help: "Engines that started again under their ID, as the engine list told this node.",
+		}),
 		behind: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corkpulley_hosted_earlier_lease_records_total",
 			Help: "Records that a holder of the lease wrote after another claim had won, by kind.",
@@ -72,7 +83,7 @@
 	})
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
-		m.dropped, m.leftOut,
+		m.dropped, m.leftOut, m.unusable, m.enginesStartedAgain,
 	)
 	return m
 }
@@ -103,6 +114,9 @@
 
 func (m *metrics) requestsSuspected(requests int) { m.suspected.Set(float64(requests)) }
 
+// entryUnusable counts an entry that names no engine to use.
+func (m *metrics) entryUnusable(fault EntryFault) { m.unusable.WithLabelValues(fault.String()).Inc() }
+
 // recordBehind counts a record of an earlier holder of the lease.
 func (m *metrics) recordBehind(kind lease.RecordKind) { m.behind.WithLabelValues(kind.String()).Inc() }
 
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -115,31 +115,4 @@
 	}
 }
 
-// takeEngine takes a record of the engine list.
-func (n *node) takeEngine(record eventlog.KeyedRecord) {
-	if record.Deleted {
-		n.fleet.Remove(record.Key)
-		n.logger.Info().Str("engine", record.Key).Int64("offset", record.Offset).Msg("engine gone")
-		return
-	}
-	engine, err := n.platform.DecodeEngine(record)
-	if err != nil {
-		n.logger.Error().Err(err).Str("engine", record.Key).Int64("offset", record.Offset).Msg("engine record passed over")
-		return
-	}
-	known, listed := n.fleet.Get(engine.ID)
-	n.fleet.Put(engine)
-	if listed && known.Address == engine.Address && known.Draining == engine.Draining {
-		// Versions change with every load; who orders one says so.
-		return
-	}
-	if !n.engines.IsLoaded() {
-		// The first read is told of by one line.
-		return
-	}
-	n.logger.Info().Str("engine", engine.ID).Str("service", engine.Service).Str("address", engine.Address).
-		Str("zone", engine.Zone).Bool("draining", engine.Draining).Interface("versions", engine.Versions).
-		Int64("offset", record.Offset).Msg("engine listed")
-}
-
 func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
