Orders, items and ends of engines go by the start of an engine

Cause: an answer to the question what an engine has loaded was credited to whichever start had been asked, so that an engine that started again during a load was taken to have it; a run at a start that had ended went on as long as its stream was heard; the second start that ended under a request wrote the same record as the first one, and after an answer had cleared the request no end of a later start counted at all. The look at a lost connection found the next start listening, and looks at two starts were one.

Change: a report names the start that answered; one that contradicts the one asked is no answer ("another start of the engine answered"): nothing is observed, the load is not taken for done, the order waits for the list. Counts and pauses of ended engines are dropped. Records of ends name the start; those without one are read as before. A start that was followed by another, or whose address passed to another engine of any service, has ended unless it had said that it leaves; so has one in whose place another start answers the report. Orders stay announced by the engine's ID: the quiet time binds the next start (tested). The stand-in engine tells when it started and may start again under its ID.

--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -100,3 +100,21 @@
 	}
 	return newest
 }
+
+// stopAtEnded ends the runs at engines that have started again, so that their items go on elsewhere: what
+// such a run still hears comes from a start that knows nothing of it, or never. Nobody is blamed for the end
+// of an engine here, since the item may have begun after it; a connection that the engine ended tells.
+func (r *Runner) stopAtEnded() {
+	replacements := r.options.Fleet.Replacements()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.replacements == replacements {
+		return
+	}
+	r.replacements = replacements
+	for _, each := range r.runs {
+		if r.options.Fleet.Followed(each.engine) {
+			each.stop(stopEngineEnded)
+		}
+	}
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -39,10 +39,13 @@
 	stopMoved
 	// stopStalled: the stream fell silent.
 	stopStalled
+	// stopEngineEnded: the list tells of another start of the engine.
+	stopEngineEnded
 )
 
 var stopReasonNames = [...]string{
 	notStopped: "", stopDropped: "dropped", stopMoved: "moved", stopStalled: "silent",
+	stopEngineEnded: "engine_ended",
 }
 
 // String returns the reason as it stands in logs; empty for none.
@@ -116,7 +119,7 @@
 	record := job.record.Items[key.Item]
 	call := job.call(key.Item)
 	call.After, call.Started = state.Output.Last(), !state.Output.Empty()
-	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Str("engine", engine.ID).
+	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Stringer("engine", started.engine).
 		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
 		Int("length", record.Length).Int("tokens", record.Tokens).
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -73,6 +73,8 @@
 	scoring *scoringQueue
 	// heldBack holds until when engines that refused an item get none.
 	heldBack map[incarnation.ID]time.Time
+	// replacements is how many engines had started again when the runs were looked through last.
+	replacements int64
 	// tickedAt is when the runner last looked round.
 	tickedAt time.Time
 	// quarantined holds until when items are kept away from engines, because engines ended
@@ -151,6 +153,7 @@
 		case <-r.wake:
 		case now := <-ticker.C:
 			r.tick(now)
+			r.stopAtEnded()
 			r.giveUpOld()
 			r.queueReleased(now)
 			rounds(moving, r.moveStragglers)
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -42,7 +42,9 @@
 // Record is one observation of a request.
 type Record struct {
 	Fingerprint Fingerprint
-	// Engine is the engine that ended while it ran the request; empty in a trial.
+	// Engine is the incarnation of the engine that ended while it ran the request, as
+	// incarnation.ID writes it, so that each end counts, also where the engine starts again
+	// under its ID; empty in a trial.
 	Engine string
 	// Isolated: nothing else began at the engine shortly before.
 	Isolated bool
--- a/internal/crashes/guard.go
+++ b/internal/crashes/guard.go
@@ -134,7 +134,8 @@
 		return false
 	}
 	record := quarantine.Record{
-		Fingerprint: loss.Fingerprint, Engine: loss.Engine.ID, Isolated: loss.Isolated, At: time.Now(), Offset: quarantine.Unlogged,
+		Fingerprint: loss.Fingerprint, Engine: loss.Engine.Incarnation().String(), Isolated: loss.Isolated,
+		At: time.Now(), Offset: quarantine.Unlogged,
 	}
 	g.mu.Lock()
 	cleared := g.isCleared(keyOf(record))
--- a/internal/crashes/watch.go
+++ b/internal/crashes/watch.go
@@ -76,7 +76,7 @@
 	liveness, listed := w.look(ctx, loss.Engine)
 	crashed := listed && liveness == Ended
 	w.options.Logger.Warn().Str("id", loss.RequestID).Stringer("fingerprint", loss.Fingerprint).
-		Str("engine", loss.Engine.ID).Str("address", loss.Engine.Address).Stringer("liveness", liveness).
+		Stringer("engine", loss.Engine.Incarnation()).Str("address", loss.Engine.Address).Stringer("liveness", liveness).
 		Bool("listed", listed).Bool("crashed", crashed).Dur("took_ms", time.Since(began)).
 		Msg("engine lost a request")
 	w.options.Observe(loss.Engine.Service, liveness.String())
@@ -86,27 +86,17 @@
 // look returns what became of an engine. Listed is false for one that was leaving: its end
 // was planned, whatever it ran.
 func (w *Watch) look(ctx context.Context, engine fleet.Engine) (liveness Liveness, listed bool) {
-	known, found := w.options.Fleet.Get(engine.ID)
-	if !found || known.Draining {
+	listing := w.options.Fleet.Listing(engine)
+	switch {
+	case listing.Draining, !listing.Listed && !listing.Replaced:
 		return Unknown, false
-	}
-	if w.replaced(engine) {
+	case listing.Replaced:
 		return Ended, true
 	}
-	answer, _, _ := w.probes.Do(engine.ID, func() (any, error) {
+	answer, _, _ := w.probes.Do(engine.Incarnation().String(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
 		return w.options.Prober.Probe(ctx, engine), nil
 	})
 	return answer.(Liveness), true
 }
-
-// replaced tells whether another engine is listed at the address.
-func (w *Watch) replaced(engine fleet.Engine) bool {
-	for _, each := range w.options.Fleet.Engines(engine.Service) {
-		if each.ID != engine.ID && each.Address == engine.Address {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/crashes/watch_test.go
+++ b/internal/crashes/watch_test.go
@@ -87,3 +87,57 @@
 		assert.Equal(t, prober.asked.Load(), int64(1))
 	})
 }
+
+// startOf is an engine that started at a time.
+func startOf(id, address string, born int64) fleet.Engine {
+	engine := engineAt(id, address)
+	engine.Born = born
+	return engine
+}
+
+// TestAnEngineThatStartedAgainHasCrashed: the next start listens at the address before anybody looks.
+func TestAnEngineThatStartedAgainHasCrashed(t *testing.T) {
+	first, second := startOf("e", "a:1", 1000), startOf("e", "a:1", 2000)
+	prober := &fakeProber{answer: Listening}
+	watch := watchOf(prober, first, second)
+	assert.Assert(t, watch.ConnectionLost(t.Context(), Loss{Engine: first}))
+	assert.Equal(t, prober.asked.Load(), int64(0), "who listens there is another start")
+	assert.Assert(t, !watch.ConnectionLost(t.Context(), Loss{Engine: second}))
+}
+
+// TestAnEngineThatLeftAndStartedAgainHasNotCrashed: its end was planned.
+func TestAnEngineThatLeftAndStartedAgainHasNotCrashed(t *testing.T) {
+	first := startOf("e", "a:1", 1000)
+	leaving := first
+	leaving.Draining = true
+	watch := watchOf(&fakeProber{answer: Ended}, first, leaving, startOf("e", "a:1", 2000))
+	assert.Assert(t, !watch.ConnectionLost(t.Context(), Loss{Engine: first}))
+}
+
+// TestAnEngineWhoseAddressHasPassedOnHasCrashed: an engine of another service is listed there.
+func TestAnEngineWhoseAddressHasPassedOnHasCrashed(t *testing.T) {
+	first, next := startOf("e", "a:1", 1000), startOf("f", "a:1", 2000)
+	next.Service = "other"
+	watch := watchOf(&fakeProber{answer: Listening}, first, next)
+	assert.Assert(t, watch.ConnectionLost(t.Context(), Loss{Engine: first}))
+}
+
+// TestEachStartOfAnEngineIsLookedAtApart: a look that hangs is not the answer for the next start.
+func TestEachStartOfAnEngineIsLookedAtApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := startOf("e", "a:1", 1000), startOf("e", "a:1", 2000)
+		known := fleet.New()
+		known.Put(first)
+		prober := &fakeProber{answer: Ended, hold: make(chan struct{})}
+		watch := NewWatch(Options{Prober: prober, Fleet: known, Logger: zerolog.Nop(), Observe: func(string, string) {}})
+		var group sync.WaitGroup
+		group.Go(func() { watch.ConnectionLost(t.Context(), Loss{Engine: first}) })
+		synctest.Wait()
+		known.Put(second)
+		group.Go(func() { watch.ConnectionLost(t.Context(), Loss{Engine: second}) })
+		synctest.Wait()
+		assert.Equal(t, prober.asked.Load(), int64(2))
+		close(prober.hold)
+		group.Wait()
+	})
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -271,7 +271,7 @@
 	if result != answered {
 		level = zerolog.WarnLevel
 	}
-	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("engine", choice.Engine.ID).
+	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Stringer("engine", choice.Engine.Incarnation()).
 		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if result != answered {
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -80,7 +80,9 @@
 
 // EngineOptions describe an engine.
 type EngineOptions struct {
-	ID      string
+	ID string
+	// Born is when the engine started, in milliseconds since 1970; zero where it does not tell.
+	Born    int64
 	Service string
 	Zone    string
 	Slots   int
@@ -185,7 +187,7 @@
 	return append([]OrderSeen(nil), e.seen...)
 }
 
-// ID returns the engine's own ID, which no other start of an engine has.
+// ID returns the engine's own ID, which a later start of it may have again.
 func (e *Engine) ID() string { return e.options.ID }
 
 // Service returns the name of the engine's service.
@@ -195,16 +197,24 @@
 func (e *Engine) Entry(address, state string) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	raw, err := json.Marshal(map[string]any{
+	raw, err := json.Marshal(e.withBorn(map[string]any{
 		"service": e.options.Service, "address": address, "zone": e.options.Zone, "version": "v1",
 		"slots": e.options.Slots, "state": state, "coldLeftMs": 0, "models": e.modelList(), "seqNo": e.orders,
-	})
+	}))
 	if err != nil {
 		panic(err) // a map of plain values always encodes
 	}
 	return raw
 }
 
+// withBorn adds when the engine started to what it says of itself.
+func (e *Engine) withBorn(said map[string]any) map[string]any {
+	if e.options.Born != 0 {
+		said["born"] = e.options.Born
+	}
+	return said
+}
+
 // modelList is the wire form of the versions; mu is held.
 func (e *Engine) modelList() []map[string]any {
 	list := []map[string]any{}
--- a/internal/standin/platform/engine_control.go
+++ b/internal/standin/platform/engine_control.go
@@ -10,10 +10,10 @@
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	answerJSON(w, http.StatusOK, map[string]any{
+	answerJSON(w, http.StatusOK, e.withBorn(map[string]any{
 		"stage": "both", "models": e.modelList(), "busy": e.busy, "seqNo": e.orders,
 		"queuedCount": 0, "runningCount": e.running,
-	})
+	}))
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
@@ -43,7 +45,7 @@
 	}
 	limit := m.limiter.Limit()
 	m.mu.Unlock()
-	m.options.Logger.Info().Str("engine", engine.ID).Str("model", load.Model).Int64("version", load.Version).
+	m.options.Logger.Info().Stringer("engine", engine.Incarnation()).Str("model", load.Model).Int64("version", load.Version).
 		Stringer("answer", answer).Bool("done", done).Int64("fence", m.options.Fence).
 		Dur("took_ms", time.Since(began)).Int("loads_at_once", limit).Msg("weights ordered")
 	m.options.Loaded()
@@ -80,7 +82,7 @@
 	}
 	permit, err := m.options.Term.Permit(ctx, engine.ID)
 	if err != nil {
-		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order not announced")
+		m.options.Logger.Warn().Err(err).Stringer("engine", engine.Incarnation()).Msg("order not announced")
 		return Refused
 	}
 	if !permit.Open() || ctx.Err() != nil {
@@ -95,9 +97,9 @@
 		MayLeave: permit.Open,
 	})
 	if err != nil {
-		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order failed")
+		m.options.Logger.Warn().Err(err).Stringer("engine", engine.Incarnation()).Msg("order failed")
 	}
-	m.options.Logger.Info().Str("engine", engine.ID).Int64("fence", m.options.Fence).Stringer("answer", answer).
+	m.options.Logger.Info().Stringer("engine", engine.Incarnation()).Int64("fence", m.options.Fence).Stringer("answer", answer).
 		Dur("took_ms", time.Since(began)).Msg("order answered")
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -109,7 +111,7 @@
 	return answer
 }
 
-// awaitVersion asks the engine until it has the version.
+// awaitVersion asks the engine until it has the version. It gives up once the engine has ended.
 func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
 	retry.Sleep(ctx, firstCheck)
 	for ctx.Err() == nil && time.Since(began) < loadTimeout {
@@ -117,6 +119,9 @@
 			return false
 		}
 		report, err := m.report(ctx, engine)
+		if errors.Is(err, errStartedAgain) {
+			return false
+		}
 		if err == nil && report.Versions[load.Model] >= load.Version && !report.Busy {
 			m.observe(engine, report)
 			return true
@@ -126,10 +131,24 @@
 	return false
 }
 
+// errStartedAgain is the error of a report by another incarnation than the one that was asked.
+var errStartedAgain = errors.New("the engine has started again")
+
+// report asks an engine what it has loaded. What another incarnation answers says nothing of the one that
+// was asked, and the list tells of that one soon.
 func (m *Manager) report(ctx context.Context, engine fleet.Engine) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return m.options.Engines.Report(ctx, engine)
+	report, err := m.options.Engines.Report(ctx, engine)
+	if err != nil {
+		return Report{}, err
+	}
+	if asked := engine.Incarnation(); asked.Contradicts(report.Of) {
+		m.options.Logger.Info().Stringer("engine", asked).Stringer("answered", report.Of).
+			Msg("another start of the engine answered")
+		return Report{}, errStartedAgain
+	}
+	return report, nil
 }
 
 func (m *Manager) observe(engine fleet.Engine, report Report) {
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -94,6 +95,8 @@
 
 // Report is what an engine says of itself.
 type Report struct {
+	// Of is the incarnation that answered. It is the one that was asked only if it began when that did.
+	Of       incarnation.ID
 	Versions map[string]int64
 	Busy     bool
 	Count    int64
@@ -146,9 +149,11 @@
 	// counts holds each engine's count of orders, as far as known.
 	counts map[incarnation.ID]int64
 	// retryAt holds back engines that did not take an order.
-	retryAt    map[incarnation.ID]time.Time
-	allocators map[string]*weightplan.Allocator
-	demands    map[string]float64
+	retryAt map[incarnation.ID]time.Time
+	// replacements is how many engines had started again when counts and retryAt were looked through last.
+	replacements int64
+	allocators   map[string]*weightplan.Allocator
+	demands      map[string]float64
 	// named holds the version that was last seen named for each model.
 	named map[string]int64
 	wait  sync.WaitGroup
@@ -192,6 +197,7 @@
 	cycle := dutycycle.New(tickPeriod, planShare)
 	for retry.Sleep(ctx, cycle.Wait(time.Now())) {
 		began := time.Now()
+		m.forgetEnded()
 		for _, target := range m.options.Targets() {
 			m.plan(ctx, target)
 		}
@@ -199,3 +205,22 @@
 	}
 	m.wait.Wait()
 }
+
+// forgetEnded drops what is known of engines that have ended, once some have started again.
+func (m *Manager) forgetEnded() {
+	replacements := m.options.Fleet.Replacements()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.replacements == replacements {
+		return
+	}
+	m.replacements = replacements
+	maps.DeleteFunc(m.counts, func(engine incarnation.ID, _ int64) bool { return m.hasEnded(engine) })
+	maps.DeleteFunc(m.retryAt, func(engine incarnation.ID, _ time.Time) bool { return m.hasEnded(engine) })
+}
+
+// hasEnded tells whether an engine is not listed any more.
+func (m *Manager) hasEnded(engine incarnation.ID) bool {
+	_, known := m.options.Fleet.Find(engine)
+	return !known
+}
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -31,7 +31,9 @@
 	versions map[string]int64
 	counts   map[string]int64
 	busy     map[string]bool
-	orders   []Order
+	// born is when each engine started; zero where it does not tell.
+	born   map[string]int64
+	orders []Order
 	// most is the most loads that were under way at one time.
 	loading, most int
 	// answer, when set, decides an order's answer in place of the engine.
@@ -39,7 +41,9 @@
 }
 
 func newFakeEngines(ids ...string) *fakeEngines {
-	f := &fakeEngines{versions: map[string]int64{}, counts: map[string]int64{}, busy: map[string]bool{}}
+	f := &fakeEngines{
+		versions: map[string]int64{}, counts: map[string]int64{}, busy: map[string]bool{}, born: map[string]int64{},
+	}
 	for _, id := range ids {
 		f.versions[id] = 1
 	}
@@ -50,6 +54,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return Report{
+		Of:       incarnation.ID{Engine: engine.ID, Born: f.born[engine.ID]},
 		Versions: map[string]int64{model: f.versions[engine.ID]}, Busy: f.busy[engine.ID], Count: f.counts[engine.ID],
 	}, nil
 }
