--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -173,6 +173,14 @@
 
 // startThrough starts a node that calls the log at an address of its own.
 func (d *deployment) startThrough(id, log string) *process {
+	d.t.Helper()
+	p := d.startUnready(id, log)
+	testwait.Until(d.t, "node "+id+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
+	return p
+}
+
+// startUnready is startThrough, but does not wait until the node is ready.
+func (d *deployment) startUnready(id, log string) *process {
 	d.t.Helper()
 	config := settings.Default()
 	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
@@ -207,7 +215,6 @@
 			d.t.Logf("logs of %s:\n%s", id, p.logs)
 		}
 	})
-	testwait.Until(d.t, "node "+id+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
 	return p
 }
 
