Runs end also where the entry went before the next start; a start that goes on writing settles

Cause: found on reading: runs were looked through only when one start replaced another in the list, not when the entry had lapsed between them; and each entry of an earlier start began its 3 s anew, so that an engine whose clock had jumped back and whose entry changes every second was never taken up. An engine whose entry had gone before its next start counted as crashed, whether it had left or not.

Change: the fleet counts the starts that were listed (Starts, in place of Replacements); a deferred entry waits from the first one of its start; Listing knows nothing of a start whose entry went before another one came.

Red with each of the three taken back, one at a time: TestARunEndsAlsoWhereTheEntryWentBeforeTheNextStart and TestStartsAreCounted; TestAnEngineWhoseClockJumpedBackIsTakenUp; TestListingTellsWhatBecameOfAnIncarnation. They pass after.

--- a/internal/batchrun/incarnation_test.go
+++ b/internal/batchrun/incarnation_test.go
@@ -60,6 +60,23 @@
 	assert.Equal(t, len(calls), 1)
 }
 
+// TestARunEndsAlsoWhereTheEntryWentBeforeTheNextStart: the engine was away for longer than its entry lasts.
+func TestARunEndsAlsoWhereTheEntryWentBeforeTheNextStart(t *testing.T) {
+	w := newWorld(t)
+	w.fleet.Put(startOf("a", 1000))
+	w.engines.version["a"], w.engines.pause["a"] = 1, 10*time.Millisecond
+	w.engines.events["x"] = 1_000_000
+	r, _ := w.lead()
+	w.submit("j", 1, "x")
+	awaitEvents(t, r, "j", 2)
+	w.fleet.Remove("a")
+	w.fleet.Put(startOf("a", 2000))
+	testwait.Until(t, "the item is run by the next start", func() bool {
+		calls, _ := w.engines.callsOf("x")
+		return len(calls) == 2
+	})
+}
+
 // TestTheNextStartOfAnEngineIsNotHeldBack: what the start before refused says nothing of it, nor does its pace.
 func TestTheNextStartOfAnEngineIsNotHeldBack(t *testing.T) {
 	w := newWorld(t)
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -105,13 +105,13 @@
 // such a run still hears comes from a start that knows nothing of it, or never. Nobody is blamed for the end
 // of an engine here, since the item may have begun after it; a connection that the engine ended tells.
 func (r *Runner) stopAtEnded() {
-	replacements := r.options.Fleet.Replacements()
+	starts := r.options.Fleet.Starts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replacements == replacements {
+	if r.starts == starts {
 		return
 	}
-	r.replacements = replacements
+	r.starts = starts
 	for _, each := range r.runs {
 		if r.options.Fleet.Followed(each.engine) {
 			each.stop(stopEngineEnded)
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -73,8 +73,8 @@
 	scoring *scoringQueue
 	// heldBack holds until when engines that refused an item get none.
 	heldBack map[incarnation.ID]time.Time
-	// replacements is how many engines had started again when the runs were looked through last.
-	replacements int64
+	// starts is how many starts of engines were listed when the runs were looked through last.
+	starts int64
 	// tickedAt is when the runner last looked round.
 	tickedAt time.Time
 	// quarantined holds until when items are kept away from engines, because engines ended
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,8 +65,8 @@
 	members map[string]*member
 	// byService holds the IDs of each service's engines in order.
 	byService map[string][]string
-	// replacements counts the incarnations that were followed by another one.
-	replacements int64
+	// starts counts the incarnations that were listed.
+	starts int64
 }
 
 // New returns an empty fleet.
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -42,12 +42,13 @@
 	switch {
 	case !found:
 		f.add(&member{engine: engine})
+		f.starts++
 		return Added
 	case known.engine.Born == engine.Born:
 		f.renew(known, engine)
 		return Renewed
 	case engine.Born < known.engine.Born:
-		known.earlier = &engine
+		known.postpone(engine)
 		return Deferred
 	default:
 		f.replace(known, engine)
@@ -98,11 +99,19 @@
 	}
 }
 
+// postpone keeps an entry of an earlier start. It waits from its first entry on.
+func (m *member) postpone(engine Engine) {
+	if m.earlier != nil && m.earlier.Born == engine.Born {
+		engine.ReadAt = m.earlier.ReadAt
+	}
+	m.earlier = &engine
+}
+
 // replace ends an incarnation and begins another one; mu is held.
 func (f *Fleet) replace(ended *member, engine Engine) {
 	f.unlist(ended.engine)
 	f.add(&member{engine: engine, previous: ended.engine})
-	f.replacements++
+	f.starts++
 }
 
 // Remove forgets an engine.
@@ -140,12 +149,12 @@
 	return services
 }
 
-// Replacements returns how many incarnations have been followed by another one so far, so that whoever
-// has work at engines need not ask after each of them.
-func (f *Fleet) Replacements() int64 {
+// Starts returns how many incarnations have been listed so far. As long as it stays, none has taken the
+// place of another one, so that whoever has work at engines need not ask after each of them.
+func (f *Fleet) Starts() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replacements
+	return f.starts
 }
 
 // Listing is what the list says of one incarnation of an engine.
@@ -168,6 +177,9 @@
 		return Listing{}
 	case known.engine.Born == of.Born:
 		return Listing{Listed: true, Replaced: f.addressTaken(of), Draining: known.engine.Draining}
+	case known.previous.ID == "":
+		// Its entry went before this one came, so that nothing is known of its end.
+		return Listing{}
 	default:
 		leaving := known.previous.Incarnation() == of.Incarnation() && known.previous.Draining
 		return Listing{Replaced: true, Draining: leaving}
--- a/internal/core/fleet/list_test.go
+++ b/internal/core/fleet/list_test.go
@@ -89,6 +89,15 @@
 	assert.Assert(t, f.Followed(before.Incarnation()))
 	assert.Equal(t, f.Put(after), Renewed)
 
+	f = fleetOf(before)
+	f.Put(after)
+	later := after
+	later.ReadAt, later.Slots = now.Add(deferTime-1), 7
+	assert.Equal(t, f.Put(later), Deferred)
+	taken = f.Settle(now.Add(deferTime))
+	assert.Equal(t, len(taken), 1, "it goes on writing")
+	assert.Equal(t, taken[0].Engine.Slots, 7)
+
 	f = fleetOf(before)
 	f.Remove("a")
 	assert.Equal(t, f.Put(after), Added)
@@ -104,17 +113,20 @@
 	assert.Equal(t, f.Put(life("a", 1000)), Replaced)
 }
 
-func TestEnginesThatWereFollowedAreCounted(t *testing.T) {
+func TestStartsAreCounted(t *testing.T) {
 	f := fleetOf(life("a", 1000), life("b", 1000))
-	assert.Equal(t, f.Replacements(), int64(0))
+	assert.Equal(t, f.Starts(), int64(2))
 	f.Put(life("a", 1000))
-	assert.Equal(t, f.Replacements(), int64(0))
+	assert.Equal(t, f.Starts(), int64(2))
 	f.Put(life("a", 2000))
-	assert.Equal(t, f.Replacements(), int64(1))
+	assert.Equal(t, f.Starts(), int64(3))
 	assert.Assert(t, f.Followed(incarnation.ID{Engine: "a", Born: 1000}))
 	assert.Assert(t, !f.Followed(incarnation.ID{Engine: "a", Born: 2000}))
 	f.Remove("a")
 	assert.Assert(t, !f.Followed(incarnation.ID{Engine: "a", Born: 1000}), "an entry that went tells of no end")
+	f.Put(life("a", 3000))
+	assert.Equal(t, f.Starts(), int64(4))
+	assert.Assert(t, f.Followed(incarnation.ID{Engine: "a", Born: 1000}))
 }
 
 func TestListingTellsWhatBecameOfAnIncarnation(t *testing.T) {
@@ -124,8 +136,12 @@
 	assert.Equal(t, f.Listing(first), Listing{Listed: true})
 	f.Put(life("a", 2000))
 	assert.Equal(t, f.Listing(first), Listing{Replaced: true})
+	f.Put(life("a", 3000))
+	assert.Equal(t, f.Listing(first), Listing{Replaced: true}, "two starts ago")
 	f.Remove("a")
 	assert.Equal(t, f.Listing(first), Listing{})
+	f.Put(life("a", 4000))
+	assert.Equal(t, f.Listing(first), Listing{}, "its entry went: nobody knows whether it had left")
 
 	leaving := first
 	leaving.Draining = true
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -150,10 +150,10 @@
 	counts map[incarnation.ID]int64
 	// retryAt holds back engines that did not take an order.
 	retryAt map[incarnation.ID]time.Time
-	// replacements is how many engines had started again when counts and retryAt were looked through last.
-	replacements int64
-	allocators   map[string]*weightplan.Allocator
-	demands      map[string]float64
+	// starts is how many starts of engines were listed when counts and retryAt were looked through last.
+	starts     int64
+	allocators map[string]*weightplan.Allocator
+	demands    map[string]float64
 	// named holds the version that was last seen named for each model.
 	named map[string]int64
 	wait  sync.WaitGroup
@@ -206,15 +206,15 @@
 	m.wait.Wait()
 }
 
-// forgetEnded drops what is known of engines that have ended, once some have started again.
+// forgetEnded drops what is known of engines that have ended, once others have started.
 func (m *Manager) forgetEnded() {
-	replacements := m.options.Fleet.Replacements()
+	starts := m.options.Fleet.Starts()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.replacements == replacements {
+	if m.starts == starts {
 		return
 	}
-	m.replacements = replacements
+	m.starts = starts
 	maps.DeleteFunc(m.counts, func(engine incarnation.ID, _ int64) bool { return m.hasEnded(engine) })
 	maps.DeleteFunc(m.retryAt, func(engine incarnation.ID, _ time.Time) bool { return m.hasEnded(engine) })
 }
