A silent way to the log is noticed by one unanswered write

Ruled out: slow elections (0.02 s). Change: a write unanswered for 150 ms makes the node look with a small read; without an answer it goes through another node at once, and calls that hang on the direct way end.

--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -66,6 +66,10 @@
 	pausedTo map[string]time.Time
 	// directUntil is when other nodes are asked again after an outage for all.
 	directUntil time.Time
+	// looking is true while the direct way is looked at since a write is not answered.
+	looking bool
+	// calls are the direct calls under way.
+	calls directCalls
 }
 
 var _ eventlog.Log = (*Fallback)(nil)
@@ -74,7 +78,7 @@
 func NewFallback(direct eventlog.Log, peers func() []string, logger zerolog.Logger) *Fallback {
 	return &Fallback{
 		direct: direct, peers: peers, logger: logger, client: NewClient(),
-		pausedTo: make(map[string]time.Time),
+		pausedTo: make(map[string]time.Time), calls: newDirectCalls(),
 	}
 }
 
@@ -137,20 +141,31 @@
 		}
 		return
 	}
-	before := f.failures >= switchWeight
 	switch {
 	case works:
-		f.failures = 0
+		f.switchLocked(0, err)
 	case errors.Is(err, eventlog.ErrThrottled):
-		f.failures++
+		f.switchLocked(f.failures+1, err)
 	default:
-		f.failures += failureWeight
+		f.switchLocked(f.failures+failureWeight, err)
 	}
-	after := f.failures >= switchWeight
-	if after != before {
-		f.logger.Info().Err(err).Bool("direct", !after).Int("peers", len(f.peers())).Msg("way to the log changed")
+}
+
+// switchLocked sets the weight of the direct calls that failed in a row, and changes the way where that
+// asks for it; mu is held.
+func (f *Fallback) switchLocked(failures int, err error) {
+	before, after := f.failures >= switchWeight, failures >= switchWeight
+	f.failures = failures
+	if after == before {
+		return
+	}
+	f.logger.Info().Err(err).Bool("direct", !after).Int("peers", len(f.peers())).Msg("way to the log changed")
+	if !after {
+		return
 	}
-	if after && !f.probing {
+	f.calls.cancel()
+	f.calls = newDirectCalls()
+	if !f.probing {
 		f.probing = true
 		go f.probe()
 	}
@@ -160,11 +175,7 @@
 func (f *Fallback) probe() {
 	for {
 		time.Sleep(probePeriod)
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		_, err := f.direct.Read(ctx, eventlog.Partition{Topic: directoryTopic}, 0, 1, 0)
-		cancel()
-		var lost *eventlog.GoneError
-		if err == nil || errors.As(err, &lost) {
+		if f.look(probeTimeout) == nil {
 			f.mu.Lock()
 			f.probing = false
 			f.mu.Unlock()
@@ -174,10 +185,17 @@
 	}
 }
 
-func do[Result any](f *Fallback, call func(log eventlog.Log) (Result, error)) (Result, error) {
+// call is one call of the log, by whichever way.
+type call[Result any] func(ctx context.Context, log eventlog.Log) (Result, error)
+
+// do makes a call by the way that works.
+func do[Result any](ctx context.Context, f *Fallback, call call[Result]) (Result, error) {
 	for range maxPeersAsked {
 		log, address := f.way()
-		result, err := call(log)
+		if address == "" {
+			return doDirect(ctx, f, call)
+		}
+		result, err := call(ctx, log)
 		f.ended(address, err)
 		if !errors.Is(err, errNoWay) {
 			return result, err
@@ -185,11 +203,24 @@
 	}
 	// The log may be away for all, and be back by now.
 	f.pauseAsking()
-	result, err := call(f.direct)
+	return doDirect(ctx, f, call)
+}
+
+// doDirect makes a call directly. It ends early once the direct way has fallen silent.
+func doDirect[Result any](ctx context.Context, f *Fallback, call call[Result]) (Result, error) {
+	ctx, cancel := f.bound(ctx)
+	defer cancel()
+	result, err := call(ctx, f.direct)
 	f.ended("", err)
 	return result, err
 }
 
+// doWrite is do for a call that the log answers without waiting for anything.
+func doWrite[Result any](ctx context.Context, f *Fallback, call call[Result]) (Result, error) {
+	defer f.watchSilence()()
+	return do(ctx, f, call)
+}
+
 // pauseAsking leaves the other nodes alone for a while.
 func (f *Fallback) pauseAsking() {
 	f.mu.Lock()
@@ -206,41 +237,49 @@
 
 // Append implements eventlog.Log.
 func (f *Fallback) Append(ctx context.Context, partition eventlog.Partition, records [][]byte) (int64, error) {
-	return do(f, func(log eventlog.Log) (int64, error) { return log.Append(ctx, partition, records) })
+	return doWrite(ctx, f, func(ctx context.Context, log eventlog.Log) (int64, error) {
+		return log.Append(ctx, partition, records)
+	})
 }
 
 // AppendAt implements eventlog.Log.
 func (f *Fallback) AppendAt(
 	ctx context.Context, partition eventlog.Partition, end int64, records [][]byte,
 ) (int64, error) {
-	return do(f, func(log eventlog.Log) (int64, error) { return log.AppendAt(ctx, partition, end, records) })
+	return doWrite(ctx, f, func(ctx context.Context, log eventlog.Log) (int64, error) {
+		return log.AppendAt(ctx, partition, end, records)
+	})
 }
 
 // Read implements eventlog.Log.
 func (f *Fallback) Read(
 	ctx context.Context, partition eventlog.Partition, from int64, limit int, wait time.Duration,
 ) (eventlog.Batch, error) {
-	return do(f, func(log eventlog.Log) (eventlog.Batch, error) {
+	return do(ctx, f, func(ctx context.Context, log eventlog.Log) (eventlog.Batch, error) {
 		return log.Read(ctx, partition, from, limit, wait)
 	})
 }
 
 // PutKeyed implements eventlog.Log.
 func (f *Fallback) PutKeyed(ctx context.Context, topic string, records []eventlog.KeyedRecord) error {
-	_, err := do(f, func(log eventlog.Log) (struct{}, error) { return struct{}{}, log.PutKeyed(ctx, topic, records) })
+	_, err := doWrite(ctx, f, func(ctx context.Context, log eventlog.Log) (struct{}, error) {
+		return struct{}{}, log.PutKeyed(ctx, topic, records)
+	})
 	return err
 }
 
 // Newest implements eventlog.Log.
 func (f *Fallback) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
-	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) { return log.Newest(ctx, topic) })
+	return do(ctx, f, func(ctx context.Context, log eventlog.Log) (eventlog.KeyedBatch, error) {
+		return log.Newest(ctx, topic)
+	})
 }
 
 // ReadKeyed implements eventlog.Log.
 func (f *Fallback) ReadKeyed(
 	ctx context.Context, topic string, from int64, wait time.Duration,
 ) (eventlog.KeyedBatch, error) {
-	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) {
+	return do(ctx, f, func(ctx context.Context, log eventlog.Log) (eventlog.KeyedBatch, error) {
 		return log.ReadKeyed(ctx, topic, from, wait)
 	})
 }
