The first loads of a large fleet are few enough to show what the source of the weights feeds

Change: no more than 16 loads begin together before one has ended; the limit doubles with each round of fast loads as before. Deployments of up to 128 engines are as before.

--- a/internal/core/weightplan/limiter.go
+++ b/internal/core/weightplan/limiter.go
@@ -12,6 +12,10 @@
 	// the source. Sources were seen to feed one in five of their engines, so this is
 	// below what they feed, and each leader begins to learn anew.
 	startPart = 8
+	// maxStart bounds that part. The first loads tell how long one takes alone: where all of them are
+	// slow, none of them shows it. 360 of 2,900 engines ordered at once from a source that fed ten
+	// served nothing for half a minute; from 16 on the limit doubles with each round of fast loads.
+	maxStart = 16
 	// slowLoad is how much longer than the fastest load one must take to count as
 	// held up by the others.
 	slowLoad = 1.35
@@ -44,7 +48,7 @@
 // so many.
 func (l *Limiter) LimitOf(engines int) int {
 	if !l.held {
-		l.limit = max(l.limit, float64(engines/startPart))
+		l.limit = max(l.limit, float64(min(engines/startPart, maxStart)))
 	}
 	return min(l.Limit(), max(MinLoadsAtOnce, engines/loadingPart))
 }
--- a/internal/core/weightplan/limiter_test.go
+++ b/internal/core/weightplan/limiter_test.go
@@ -104,3 +104,19 @@
 	limiter.Ended(start, start.Add(3*time.Second), 15)
 	assert.Equal(t, limiter.LimitOf(122), 5)
 }
+
+// TestALargeFleetDoesNotDrownASourceThatFeedsFew: the first loads of hundreds of engines end soon, and
+// show what the source feeds.
+func TestALargeFleetDoesNotDrownASourceThatFeedsFew(t *testing.T) {
+	const engines = 2880
+	limiter := NewLimiter()
+	from := source{feeds: 10, alone: 900 * time.Millisecond}
+	now, loaded := start, 0
+	for now.Before(start.Add(10 * time.Second)) {
+		together := limiter.LimitOf(engines)
+		now = play(limiter, from, 1, now)
+		loaded += together
+	}
+	assert.Assert(t, loaded >= 90, "%d engines loaded in ten seconds, the source feeds 110", loaded)
+	assert.Assert(t, limiter.LimitOf(engines) <= 2*from.feeds, "%d at once", limiter.LimitOf(engines))
+}
