Evacuation of a zone: nothing is sent to its engines until it is taken back

Cause: the operator's record was decoded and dropped. Filtering at the choice alone is ruled out as enough: a dial, a queue or a standstill lies between the choice and the first byte, and the request that arrives late counts.

Change: fleet.Hold is the one filter, for live choice, retries, scoring calls, items, weight orders and questions about loads. sendgate asks it once more right before the first byte is written to the connection; what is held back has not run and goes to another engine, which is not blamed. A node is ready only once the control topic was read whole, and after a standstill sends nothing until it has read it again (1.5 s at most, since in an outage for all nobody can evacuate); the first read then waits for no change. A whole read of a replica that is behind no longer brings back a key whose deletion was read: a zone that was taken back would have been evacuated for up to two minutes. Items in the zone finish. All zones: refused at once, items wait. Operators evacuate, take back and see the zones through any hosted node; logs, metrics and explain name the evacuation where it decided.

Tests seen red by mutation: the filter off (choice, items, live, real nodes); the last look off; the look at each write; reports in the zone; items moved; a replica behind; the read after a standstill waiting; readiness without the whole topic; the standstill passed over; no way through other nodes; never taken back; a held request blaming its engine. The leader's filter of weight orders alone has no red test: the last look and the check of reports stop the same orders.

Changes to existing tests: an engine of test/hosted may be in a zone of its own; the runner of batchrun's tests may be given other engines.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -255,3 +255,35 @@
 	Cells         []CellStatus `json:"cells"`
 	Steps         []StepStatus `json:"steps"`
 }
+
+// Zones is one node's view of the zones that engines are in.
+type Zones struct {
+	Node string `json:"node"`
+	// Leading is true while the node runs the items of batch jobs.
+	Leading bool `json:"leading"`
+	// AgeMs is how old the newest of what the node knows of evacuations is.
+	AgeMs int64        `json:"age_ms"`
+	Zones []ZoneStatus `json:"zones"`
+}
+
+// ZoneStatus is one zone as a node sees it.
+type ZoneStatus struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+	// Since is when the evacuation came into force at this node or was taken back there, and Offset the
+	// place of its record in the log; both are absent where there never was one.
+	Since  string `json:"since,omitempty"`
+	Offset int64  `json:"offset,omitempty"`
+	// Engines is the number of engines listed in the zone; zero for a zone that nobody knows.
+	Engines int `json:"engines"`
+	// InFlight is the number of this node's requests at them, and Items how many of these are items of
+	// batch jobs, which only a leading node has.
+	InFlight int `json:"in_flight"`
+	Items    int `json:"items"`
+}
+
+// EvacuationAccepted is the answer to an order about a zone: the log has it.
+type EvacuationAccepted struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+}
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -28,6 +28,9 @@
 	After int64
 	// Started is true when the stream is a continuation.
 	Started bool
+	// MayLeave tells whether the call may still leave this node. It is asked right before its first
+	// byte does, in any goroutine; nil sets no limit.
+	MayLeave func() bool
 }
 
 // fingerprint returns the fingerprint of the item's request.
@@ -55,10 +58,13 @@
 	Impossible
 	// Broken: no answer, or none that can be read.
 	Broken
+	// HeldBack: the call was not permitted to leave when its connection was there.
+	HeldBack
 )
 
 var refusalNames = [...]string{
 	NotExecuted: "not_executed", WrongEngine: "wrong_engine", Failed: "failed", Impossible: "impossible", Broken: "broken",
+	HeldBack: "held_back",
 }
 
 // String returns the refusal as it stands in logs; empty for none.
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -284,10 +284,13 @@
 }
 
 // lead runs a runner until the returned function is called.
-func (w *world) lead() (*Runner, func()) {
+func (w *world) lead() (*Runner, func()) { return w.leadWith(w.engines) }
+
+// leadWith is lead with other engines.
+func (w *world) leadWith(engines Engines) (*Runner, func()) {
 	w.terms++
 	r := New(Options{
-		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard,
+		Jobs: w.jobs, Engines: engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard,
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
 		Loading: func(incarnation.ID) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -24,7 +24,8 @@
 
 // moveStragglers ends runs at engines that are slower than others with room, so
 // that their items continue there. An engine that leaves or has become slow loses
-// all its items, one that always was slower only those that have run for long.
+// all its items, one that always was slower only those that have run for long. Items in an
+// evacuated zone finish there: its engines serve on, and moving an item has its prompt read again.
 func (r *Runner) moveStragglers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -47,7 +48,7 @@
 		}
 		state := &job.items[key.Item]
 		wanted := moveAge(float64(r.plan.Pace(each.engine)) / float64(best))
-		if engine, known := r.options.Fleet.Find(each.engine); known && !r.options.Fleet.TakesWork(engine) {
+		if engine, known := r.options.Fleet.Find(each.engine); known && engine.Draining {
 			wanted = 0
 		}
 		if state.Moves >= maxMoves || now.Sub(each.started) < wanted {
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -13,6 +13,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/crashes"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 )
 
 const (
@@ -55,6 +56,8 @@
 	// apart is true where nothing else begins at the engine for batchplan.IsolationTime.
 	apart  bool
 	cancel context.CancelFunc
+	// look is the last look at the call before it leaves.
+	look *sendgate.Look
 	// reason is guarded by the runner's mu.
 	reason stopReason
 	// heardAt is when the stream was heard last, in nanoseconds since 1970; stall
@@ -110,12 +113,16 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	started := &run{engine: engine.Incarnation(), started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel}
+	started := &run{
+		engine: engine.Incarnation(), started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel,
+		look: r.options.Gate.Look(engine.Incarnation()),
+	}
 	r.runs[key] = started
 	state := &job.items[key.Item]
 	record := job.record.Items[key.Item]
 	call := job.call(key.Item)
 	call.After, call.Started = state.Output.Last(), !state.Output.Empty()
+	call.MayLeave = started.look.MayLeave
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Str("engine", engine.ID).
 		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
@@ -266,6 +273,7 @@
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
 	r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
 		Stringer("engine", own.engine).Stringer("refusal", refusal).Stringer("stop_reason", own.reason).
+		Stringer("held_back", own.look.Held()).
 		Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(own.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
 	if own.reason != notStopped {
@@ -274,6 +282,10 @@
 		return
 	}
 	switch refusal {
+	case HeldBack:
+		r.queueItem(job, key.Item, own.engine, time.Time{})
+		r.Wake()
+		return
 	case Impossible:
 		r.expire(job, key.Item, "impossible")
 		return
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -16,6 +16,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/dutycycle"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 )
 
 const (
@@ -46,6 +47,8 @@
 	Fleet   *fleet.Fleet
 	Scorer  Scorer
 	Guard   Guard
+	// Gate is asked before calls leave; nil for one that asks Fleet.
+	Gate    *sendgate.Gate
 	RouteOf RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine incarnation.ID) string
@@ -78,6 +81,8 @@
 	// quarantined holds until when items are kept away from engines, because engines ended
 	// under them.
 	quarantined map[batchplan.Key]time.Time
+	// evacuatedToldAt is when it was last told that items wait for evacuated zones.
+	evacuatedToldAt time.Time
 	// chains counts the chains of this term.
 	chains int
 	// carriedOver holds output left by ended jobs, by item ID qualified by its tenant.
@@ -109,6 +114,9 @@
 
 // New returns a runner for one term of leading.
 func New(options Options) *Runner {
+	if options.Gate == nil {
+		options.Gate = sendgate.New(sendgate.Options{Fleet: options.Fleet})
+	}
 	r := &Runner{
 		options: options,
 		wake:    make(chan struct{}, 1),
@@ -239,13 +247,15 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.plan.Waiting() == 0 || r.ctx.Err() != nil {
+	if r.plan.Waiting() == 0 || r.ctx.Err() != nil || !r.options.Gate.Known() {
 		return
 	}
 	if r.restoring > 0 && now.Sub(r.began) < restoreWait {
 		return
 	}
-	for _, assignment := range r.plan.Assign(now, r.engineViews(now)) {
+	views := r.engineViews(now)
+	r.tellEvacuated(now, views)
+	for _, assignment := range r.plan.Assign(now, views) {
 		r.start(assignment)
 	}
 }
--- /dev/null
+++ b/internal/common/standstill/standstill_test.go
@@ -0,0 +1,40 @@
+package standstill
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// machine has the clocks of a watch.
+type machine struct{ wall, boot time.Time }
+
+func (m *machine) watch() *Watch {
+	return newWatch(clocks{wall: func() time.Time { return m.wall }, boot: func() time.Time { return m.boot }})
+}
+
+func (m *machine) pass(wall, boot time.Duration) {
+	m.wall, m.boot = m.wall.Add(wall), m.boot.Add(boot)
+}
+
+// TestAStandstillIsNoticedByWhoeverAsksFirst: also before the ticker runs again.
+func TestAStandstillIsNoticedByWhoeverAsksFirst(t *testing.T) {
+	m := &machine{wall: time.Unix(1000, 0), boot: time.Unix(50, 0)}
+	watch := m.watch()
+	m.pass(minStandstill-1, minStandstill-1)
+	assert.Assert(t, watch.WokeAt().IsZero(), "a delay counts as a standstill")
+	m.pass(minStandstill, minStandstill)
+	woke := m.boot
+	assert.Equal(t, watch.WokeAt(), woke)
+	m.pass(tickPeriod, tickPeriod)
+	assert.Equal(t, watch.WokeAt(), woke)
+}
+
+// TestAClockThatIsSetIsNoStandstill: the time of day jumps, the machine has run all the time.
+func TestAClockThatIsSetIsNoStandstill(t *testing.T) {
+	m := &machine{wall: time.Unix(1000, 0), boot: time.Unix(50, 0)}
+	watch := m.watch()
+	m.pass(time.Hour, tickPeriod)
+	assert.Assert(t, watch.WokeAt().IsZero())
+}
--- /dev/null
+++ b/internal/core/fleet/evacuation_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+)
+
+func TestEnginesOfAnEvacuatedZoneAreNotChosen(t *testing.T) {
+	f := fleetOf(listed("a", "z1"), listed("b", "z2"))
+	assert.Assert(t, f.Evacuate("z1", now, 7))
+	assert.Equal(t, chosen(f, Query{Zone: "z1"}), "b")
+	assert.Equal(t, chosen(f, Query{Tried: []string{"b"}}), "")
+	assert.Equal(t, f.Hold(named("a")), HeldEvacuated)
+	assert.Equal(t, f.Evacuated("s"), 1)
+	slots, _ := f.Places("s", now)
+	assert.Equal(t, slots, 4)
+	// One that is listed later is in the zone as well.
+	f.Put(listed("c", "z1"))
+	assert.Assert(t, !f.TakesWork(listed("c", "z1")))
+	assert.Assert(t, f.TakeBack("z1", now.Add(time.Second), 8))
+	assert.Equal(t, f.Hold(named("a")), NotHeld)
+	assert.Equal(t, f.ReturnedAt("z1"), now.Add(time.Second))
+}
+
+func TestEvacuationsStandApart(t *testing.T) {
+	f := fleetOf(listed("a", "z1"), listed("b", "z2"))
+	f.Evacuate("z1", now, 7)
+	f.Evacuate("z2", now, 8)
+	assert.DeepEqual(t, f.EvacuatedZones(), []string{"z1", "z2"})
+	f.TakeBack("z1", now, 9)
+	assert.Equal(t, chosen(f, Query{}), "a")
+	assert.Assert(t, f.IsEvacuated("z2"))
+}
+
+// TestARecordThatSaysNothingNewChangesNothing: an evacuation that is written again goes on from when it
+// came into force, and a zone that was never evacuated has not returned.
+func TestARecordThatSaysNothingNewChangesNothing(t *testing.T) {
+	f := fleetOf(listed("a", "z1"))
+	assert.Assert(t, !f.TakeBack("z1", now, 1))
+	assert.Assert(t, f.ReturnedAt("z1").IsZero())
+	f.Evacuate("z1", now, 2)
+	assert.Assert(t, !f.Evacuate("z1", now.Add(time.Minute), 3))
+	assert.Equal(t, f.Zones()[0].Since, now)
+	assert.Equal(t, f.Zones()[0].Offset, int64(3))
+	assert.Assert(t, f.ReturnedAt("z1").IsZero())
+}
+
+func TestALifeThatIsNotListedAnyMoreIsHeld(t *testing.T) {
+	f := fleetOf(listed("a", "z1"))
+	assert.Equal(t, f.Hold(incarnation.ID{Engine: "a", Born: 5}), HeldGone)
+	draining := listed("a", "z1")
+	draining.Draining = true
+	f.Put(draining)
+	assert.Equal(t, f.Hold(named("a")), HeldDraining)
+	f.Remove("a")
+	assert.Equal(t, f.Hold(named("a")), HeldGone)
+}
+
+func TestZonesTellWhatIsThere(t *testing.T) {
+	f := fleetOf(listed("a", "z1"), listed("b", "z2"), listed("c", "z2"))
+	f.Began(named("c"))
+	f.Evacuate("unknown", now, 4)
+	zones := f.Zones()
+	assert.Equal(t, len(zones), 3)
+	assert.Equal(t, zones[0].Name, "unknown")
+	assert.Assert(t, zones[0].Evacuated && zones[0].Engines == 0)
+	assert.Equal(t, zones[1].InFlight, 0)
+	assert.Equal(t, zones[2].Engines, 2)
+	assert.Equal(t, zones[2].InFlight, 1)
+}
+
+func TestNamesThatNoZoneCanHave(t *testing.T) {
+	for _, name := range []string{"wcape-a", "Z_1", "zone.münchen"} {
+		assert.NilError(t, CheckZoneName(name))
+	}
+	for _, name := range []string{"", "a/b", "a b", "a\n", "\xff", strings.Repeat("z", maxZoneName+1)} {
+		var invalid *ZoneNameError
+		assert.Assert(t, errors.As(CheckZoneName(name), &invalid), "%q", name)
+		assert.Assert(t, len(invalid.Error()) < 5*maxZoneName)
+	}
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -60,11 +60,15 @@
 	members map[string]*member
 	// byService holds the IDs of each service's engines in order.
 	byService map[string][]string
+	// zones holds what was last said of the evacuation of each zone.
+	zones map[string]zoneState
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string)}
+	return &Fleet{
+		members: make(map[string]*member), byService: make(map[string][]string), zones: make(map[string]zoneState),
+	}
 }
 
 // Put adds an engine or changes what its entry says.
@@ -148,7 +152,7 @@
 }
 
 // TakesWork tells whether an engine may be sent anything new, however it is chosen: it has not said
-// that it leaves. What failed recently still does.
+// that it leaves, and its zone is not evacuated. What failed recently still does.
 func (f *Fleet) TakesWork(engine Engine) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -156,7 +160,7 @@
 }
 
 // takesWork is TakesWork; mu is held.
-func (f *Fleet) takesWork(engine Engine) bool { return !engine.Draining }
+func (f *Fleet) takesWork(engine Engine) bool { return f.hold(engine) == NotHeld }
 
 // Get returns the current incarnation of an engine.
 func (f *Fleet) Get(id string) (Engine, bool) {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -10,12 +10,17 @@
 var (
 	refusals = map[string]string{
 		"not_executed": "not run", "wrong_engine": "another engine at the address", "failed": "the run failed",
+		"held_back": "held back before it left",
 	}
 	stopReasons = map[string]string{"moved": "moved to a faster engine"}
 )
 
-// answered is the value of "verdict" for a try that ended a request.
-const answered = "answered"
+// answered is the value of "verdict" for a try that ended a request, notHeld that of "held_back" for one
+// that was not held back.
+const (
+	answered = "answered"
+	notHeld  = "none"
+)
 
 func inWords(words map[string]string, value string) string {
 	if told, found := words[value]; found {
@@ -58,6 +63,9 @@
 			if reason == "" {
 				reason = fmt.Sprintf("status %.0f", line.number("status"))
 			}
+			if held := line.text("held_back"); held != "" && held != notHeld {
+				reason = "held back before it left: " + held
+			}
 			tries = append(tries, fmt.Sprintf("%s after %.0f ms (%s)", line.text("engine"), line.number("took_ms"), reason))
 		}
 	}
@@ -102,6 +110,9 @@
 			continue
 		}
 		why := inWords(refusals, line.text("refusal"))
+		if held := line.text("held_back"); held != "" && held != notHeld {
+			why += ": " + held
+		}
 		if reason := line.text("stop_reason"); reason != "" {
 			why = inWords(stopReasons, reason)
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -96,6 +96,8 @@
 	"leadership lost": true, "topic contact changed": true, "way to the log changed": true,
 	"index partition out of reach": true, "index partition in reach": true, "node started": true,
 	"node stopping": true, "weights ordered": true, "results not recorded": true, "lease not renewed": true,
+	"zone evacuated": true, "zone taken back": true, "items wait for evacuated zones": true,
+	"sending on after a standstill": true,
 }
 
 // Way is the way of one request, job or item.
@@ -193,6 +195,14 @@
 			note = "the log did not answer " + line.Node
 		case "engine gone":
 			note = "engine " + line.text("engine") + " went"
+		case "zone evacuated":
+			note = "zone " + line.text("engine_zone") + " was evacuated"
+		case "zone taken back":
+			note = "zone " + line.text("engine_zone") + " was taken back"
+		case "items wait for evacuated zones":
+			note = "no engine of " + line.text("service") + " was left outside evacuated zones"
+		case "sending on after a standstill":
+			note = line.Node + " had stood still"
 		case "leadership gained":
 			note = line.Node + " became the leader"
 		case "node started":
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,6 +43,10 @@
 	maxRefreshDelay = 10 * time.Second
 )
 
+// StaleAge is beyond any age that knowledge of a topic has while its reads work. A read that comes
+// after it, such as the first one after the machine was suspended, waits for no change.
+const StaleAge = maxPollWait + maxReadGap + 300*time.Millisecond
+
 // readRetries are the delays between tries while reads fail.
 var readRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
 
@@ -111,7 +115,9 @@
 		if err == nil {
 			delays.Reset()
 			f.contact(nil)
-			retry.Sleep(ctx, f.budget.Stretch(readGap, maxReadGap))
+			if f.Age() < StaleAge {
+				retry.Sleep(ctx, f.budget.Stretch(readGap, maxReadGap))
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -138,6 +144,9 @@
 		f.whole.done(now, f.untilRefresh())
 	}
 	wait := f.budget.Stretch(pollWait, maxPollWait)
+	if f.Age() >= StaleAge {
+		wait = 0
+	}
 	sent := boottime.Now()
 	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, wait)
 	if err != nil {
@@ -174,7 +183,9 @@
 	present := make(map[string]bool, len(batch.Records))
 	for _, record := range batch.Records {
 		present[record.Key] = true
-		f.handle(record)
+		if !f.deletedSince(batch, record) {
+			f.handle(record)
+		}
 	}
 	for key, offset := range f.offsets {
 		if !present[key] && offset < batch.Next {
@@ -190,6 +201,13 @@
 	return nil
 }
 
+// deletedSince tells whether a key that a whole read has is known to have been deleted after it: the
+// read was of a replica that knows less than this follower has read already.
+func (f *Follower) deletedSince(read eventlog.KeyedBatch, record eventlog.KeyedRecord) bool {
+	_, found := f.offsets[record.Key]
+	return !found && read.Next < f.next && record.Offset < f.next
+}
+
 // handle passes a record on unless a newer one of its key was handled.
 func (f *Follower) handle(record eventlog.KeyedRecord) {
 	if known, found := f.offsets[record.Key]; found && record.Offset <= known {
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -30,6 +30,9 @@
 
 // Relay implements Callers.
 func (n *node) Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error {
+	if !n.control.IsLoaded() {
+		return errkind.New(errkind.NotReady, "it is not known yet which zones are evacuated")
+	}
 	if !n.knowsCrashes() {
 		return errkind.New(errkind.NotReady, "it is not known yet which requests end their engines")
 	}
@@ -199,6 +202,8 @@
 		return errkind.New(errkind.ShuttingDown, "this node is stopping")
 	case n.state.table() == nil:
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
+	case !n.control.IsLoaded():
+		return errkind.New(errkind.NotReady, "it is not known yet which zones are evacuated")
 	case n.fleet.Count() == 0:
 		return errkind.New(errkind.NotReady, "no engine is known yet")
 	case !n.knowsCrashes():
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/common/standstill"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
@@ -31,6 +33,7 @@
 	"github.com/corkpulley/corkpulley/internal/jobrelay"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 	"github.com/corkpulley/corkpulley/internal/logrelay"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
@@ -102,6 +105,8 @@
 	// CrashTopic names the compacted topic with the requests under which engines ended.
 	CrashTopic() string
 	DecodeControl(record eventlog.KeyedRecord) (ControlChange, error)
+	// EncodeEvacuation returns the record of the control topic that says so.
+	EncodeEvacuation(evacuation Evacuation) eventlog.KeyedRecord
 	DecodeEngine(record eventlog.KeyedRecord) (fleet.Engine, error)
 	// CallersHandler serves live callers and trainers.
 	CallersHandler(node Callers) http.Handler
@@ -119,8 +124,13 @@
 	// holder names this process start.
 	holder string
 
-	state   *state
-	fleet   *fleet.Fleet
+	state *state
+	fleet *fleet.Fleet
+	// gate is asked before requests leave for engines.
+	gate       *sendgate.Gate
+	standstill *standstill.Watch
+	// runner runs the items of batch jobs while this node leads; nil otherwise.
+	runner  atomic.Pointer[batchrun.Runner]
 	control *follow.Follower
 	engines *follow.Follower
 	jobs    *batchjobs.Service
@@ -171,7 +181,7 @@
 		registry: registry, metrics: metrics,
 		holder: config.Node.ID + "-" + xid.New().String(),
 		state:  newState(time.Duration(config.Shutdown.Grace)),
-		fleet:  fleet.New(),
+		fleet:  fleet.New(), standstill: standstill.New(),
 	}
 	direct := platform.Log()
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
@@ -181,6 +191,8 @@
 	n.directory.SetLog(log)
 	replicas := logrelay.NewReplicaReader(log, n.directory.Sources)
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
+	knowledge := newZoneKnowledge(n.standstill, n.control, logger)
+	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: knowledge.known, HeldBack: metrics.heldBackAt})
 	n.engines = follow.New(replicas, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
@@ -193,7 +205,7 @@
 	n.guard = n.newGuard(log)
 	n.ended = follow.New(replicas, platform.CrashTopic(), n.guard.Take, n.directory.Budget(), logger)
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Table: n.state.table, Current: n.isCurrent,
+		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Gate: n.gate, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
@@ -263,7 +275,7 @@
 	if n.callers, err = listen(n.config.Listen.Callers, n.platform.CallersHandler(n), n.idleTime); err != nil {
 		return err
 	}
-	operators := n.platform.OperatorsHandler(n.ready, n.metrics.handler(n.registry))
+	operators := n.operatorsHandler(n.platform.OperatorsHandler(n.ready, n.metrics.handler(n.registry)))
 	n.operators, err = listen(n.config.Listen.Operators, operators, fixedIdleTime)
 	return err
 }
@@ -277,6 +289,7 @@
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
 		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
+		n.standstill.Run,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -15,18 +15,20 @@
 func (n *node) lead(ctx context.Context, term leadership.Term) {
 	var runner *batchrun.Runner
 	orders := weightorders.New(weightorders.Options{
-		Engines: n.platform.Engines(), Fleet: n.fleet, Targets: n.weightTargets,
+		Engines: n.platform.Engines(), Fleet: n.fleet, Gate: n.gate, Targets: n.weightTargets,
 		Running: func(engine incarnation.ID) int { return runner.Running(engine) },
 		Demands: func() map[string]batchrun.Demand { return runner.Demands() },
 		Loaded:  func() { runner.Wake() },
 		Term:    term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
 	})
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
+		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, Gate: n.gate, RouteOf: n.batchRoute,
 		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
+	n.runner.Store(runner)
+	defer n.runner.Store(nil)
 	var roles sync.WaitGroup
 	n.startDuties(ctx, &roles, term, runner)
 	roles.Go(func() { runner.Run(ctx) })
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
@@ -25,6 +26,8 @@
 	behind       *prometheus.CounterVec
 	dropped      prometheus.Counter
 	leftOut      prometheus.Counter
+	evacuated    prometheus.Gauge
+	heldBack     *prometheus.CounterVec
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -70,9 +73,19 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "corkpulley_hosted_evacuated_zones", Help: "Zones whose engines get no new work, as this node knows.",
+	})
+	m.heldBack = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "corkpulley_hosted_held_back_total",
+		Help: "Requests and items held back right before they left for the engine that was chosen, by reason.",
+	}, []string{"reason"})
+	for _, reason := range fleet.Holds() {
+		m.heldBack.WithLabelValues(reason.String())
+	}
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
-		m.dropped, m.leftOut,
+		m.dropped, m.leftOut, m.evacuated, m.heldBack,
 	)
 	return m
 }
@@ -106,6 +119,9 @@
 // recordBehind counts a record of an earlier holder of the lease.
 func (m *metrics) recordBehind(kind lease.RecordKind) { m.behind.WithLabelValues(kind.String()).Inc() }
 
+// heldBackAt counts a request that was held back.
+func (m *metrics) heldBackAt(reason fleet.Hold) { m.heldBack.WithLabelValues(reason.String()).Inc() }
+
 func (m *metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *metrics) linesDropped(missed int) { m.dropped.Add(float64(missed)) }
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -113,6 +113,9 @@
 		n.logger.Info().Str("model", change.Model).Int64("version", change.ModelVersion).
 			Int64("offset", record.Offset).Msg("version named")
 	}
+	if change.Evacuation != nil {
+		n.takeEvacuation(*change.Evacuation, record.Offset)
+	}
 }
 
 // takeEngine takes a record of the engine list.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -77,6 +77,9 @@
 		if x.ctx.Err() != nil {
 			return x.timedOut()
 		}
+		if !x.relay.options.Gate.AwaitKnown(x.ctx) {
+			return x.unknownZones()
+		}
 		choice, found := x.relay.options.Fleet.Choose(fleet.Query{
 			Service: x.service, Zone: x.relay.options.Zone, Tried: x.tried, Now: time.Now(),
 		})
@@ -115,11 +118,27 @@
 	if x.ran > 0 {
 		return errkind.New(errkind.EngineFailed, "%d engines were asked and none answered in time", x.ran)
 	}
+	if evacuated := x.relay.options.Fleet.Evacuated(x.service); evacuated > 0 && len(x.tried) == 0 {
+		failure := errkind.New(errkind.NoCapacity, "no engine of %s takes requests, %d are in evacuated zones", x.service, evacuated)
+		failure.RetryAfter = evacuatedRetry
+		return failure
+	}
 	failure := errkind.New(errkind.NoCapacity, "no engine of %s took the request, %d were asked", x.service, len(x.tried))
 	failure.RetryAfter = refusalRetry
 	return failure
 }
 
+// unknownZones is the answer while this node does not know which zones are evacuated. Others do, or
+// it does itself a moment later.
+func (x *exchange) unknownZones() *errkind.Error {
+	if x.ctx.Err() != nil || x.ran > 0 || x.status != 0 {
+		return x.timedOut()
+	}
+	failure := errkind.New(errkind.NotReady, "this node stood still and does not know yet which zones are evacuated")
+	failure.RetryAfter = refusalRetry
+	return failure
+}
+
 // try sends the request to one engine.
 func (x *exchange) try(choice fleet.Choice) verdict {
 	engine := choice.Engine
@@ -132,9 +151,10 @@
 	ctx, cancel := x.withPatience(remaining)
 	defer cancel()
 	x.relay.options.Fleet.Began(engine.Incarnation())
+	look := x.relay.options.Gate.Look(engine.Incarnation())
 	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
 		Request: x.request, Sender: x.sender, Remaining: remaining,
-		After: x.after, HasAfter: x.streamed && x.after > 0,
+		After: x.after, HasAfter: x.streamed && x.after > 0, MayLeave: look.MayLeave,
 	})
 	outcome := fleet.Outcome{}
 	x.countBegun(answer, err, began)
@@ -158,7 +178,7 @@
 	if x.whole && x.status/100 == 2 {
 		x.relay.options.Guard.Answered(x.fingerprintOf)
 	}
-	x.logTry(choice, answer, err, result, outcome.At.Sub(began))
+	x.logTry(choice, look.Held(), answer, err, result, outcome.At.Sub(began))
 	return result
 }
 
@@ -196,8 +216,9 @@
 
 func (x *exchange) unanswered(err error, outcome *fleet.Outcome) verdict {
 	var failure *SendError
-	outcome.Failed = true
-	if errors.As(err, &failure) && !failure.MayHaveRun {
+	known := errors.As(err, &failure)
+	outcome.Failed = !known || !failure.HeldBack
+	if known && !failure.MayHaveRun {
 		return tryNext
 	}
 	outcome.ConnectionLost = failure != nil && failure.ConnectionLost
@@ -266,7 +287,9 @@
 	x.relay.options.Observe(x.route.Name, kind, took)
 }
 
-func (x *exchange) logTry(choice fleet.Choice, answer *Answer, err error, result verdict, took time.Duration) {
+func (x *exchange) logTry(
+	choice fleet.Choice, held fleet.Hold, answer *Answer, err error, result verdict, took time.Duration,
+) {
 	level := zerolog.InfoLevel
 	if result != answered {
 		level = zerolog.WarnLevel
@@ -278,7 +301,7 @@
 		line = line.Stringer("fingerprint", x.fingerprintOf())
 	}
 	if err != nil {
-		line = line.Err(err)
+		line = line.Err(err).Stringer("held_back", held)
 	}
 	if answer != nil {
 		line = line.Int("status", answer.Status).Bool("not_executed", answer.NotExecuted)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 )
 
 // Request is one request of a caller.
@@ -58,6 +59,9 @@
 	// After and HasAfter say where a stream continues.
 	After    int64
 	HasAfter bool
+	// MayLeave tells whether the request may still leave this node. It is asked right before its
+	// first byte does, in any goroutine; nil sets no limit.
+	MayLeave func() bool
 }
 
 // Answer is an engine's answer, its body not yet read.
@@ -79,6 +83,8 @@
 type SendError struct {
 	// MayHaveRun is false when no byte of the request was sent.
 	MayHaveRun bool
+	// HeldBack: the request was not permitted to leave when its connection was there.
+	HeldBack bool
 	// ConnectionLost: the engine ended the connection before its answer was whole.
 	ConnectionLost bool
 	Cause          error
@@ -110,6 +116,8 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Guard   Guard
+	// Gate is asked before requests leave; nil for one that asks Fleet.
+	Gate *sendgate.Gate
 	// Table returns the configuration in force; nil when none is known.
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
@@ -134,6 +142,9 @@
 
 // New returns a relay.
 func New(options Options) *Relay {
+	if options.Gate == nil {
+		options.Gate = sendgate.New(sendgate.Options{Fleet: options.Fleet})
+	}
 	return &Relay{options: options, splitter: routes.NewSplitter(options.Seed), now: boottime.Now}
 }
 
@@ -142,8 +153,10 @@
 	maxTries = 5
 	// defaultTimeout holds for requests for which neither caller nor route has one.
 	defaultTimeout = 30 * time.Second
-	// refusalRetry is the delay that a refused caller is told.
-	refusalRetry = 150 * time.Millisecond
+	// refusalRetry is the delay that a refused caller is told, evacuatedRetry one whose engines are all
+	// in evacuated zones: these come back when an operator says so, which takes seconds at least.
+	refusalRetry   = 150 * time.Millisecond
+	evacuatedRetry = time.Second
 	// minPatience and patienceObjectives say how long an engine may be silent
 	// before a repeatable request is tried at another: the larger of the two.
 	minPatience        = 200 * time.Millisecond
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -26,6 +26,9 @@
 	PathEngines = "/v1/engines"
 	PathSteps   = "/v1/steps"
 	PathDrain   = "/v1/drain"
+	// PathZones and PathEvacuation are served where the engine list is kept by a platform.
+	PathZones      = "/v1/zones"
+	PathEvacuation = "/v1/zones/{zone}/evacuation"
 )
 
 // Query parameters of the operators' interface.
--- /dev/null
+++ b/internal/sendgate/sendgate_test.go
@@ -0,0 +1,57 @@
+package sendgate
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+)
+
+func engineInZone(zone string) (*fleet.Fleet, fleet.Engine) {
+	known := fleet.New()
+	engine := fleet.Engine{ID: "e", Service: "s", Zone: zone, Slots: 1}
+	known.Put(engine)
+	return known, engine
+}
+
+// TestARequestThatIsHeldBackIsCountedOnce: however often it is asked whether it may leave.
+func TestARequestThatIsHeldBackIsCountedOnce(t *testing.T) {
+	known, engine := engineInZone("za")
+	var reasons []fleet.Hold
+	gate := New(Options{Fleet: known, HeldBack: func(reason fleet.Hold) { reasons = append(reasons, reason) }})
+	look := gate.Look(engine.Incarnation())
+	assert.Assert(t, look.MayLeave())
+	assert.Equal(t, look.Held(), fleet.NotHeld)
+	known.Evacuate("za", time.Now(), 1)
+	assert.Assert(t, !look.MayLeave())
+	assert.Assert(t, !look.MayLeave())
+	assert.Equal(t, look.Held(), fleet.HeldEvacuated)
+	assert.DeepEqual(t, reasons, []fleet.Hold{fleet.HeldEvacuated})
+}
+
+// TestNothingLeavesWhileTheEvacuationsAreNotKnown: also where the zone is not known to be evacuated.
+func TestNothingLeavesWhileTheEvacuationsAreNotKnown(t *testing.T) {
+	known, engine := engineInZone("za")
+	var learned atomic.Bool
+	gate := New(Options{Fleet: known, Known: learned.Load})
+	look := gate.Look(engine.Incarnation())
+	assert.Assert(t, !look.MayLeave())
+	assert.Equal(t, look.Held(), fleet.HeldUnknown)
+	assert.Assert(t, !gate.AwaitKnown(t.Context()))
+	learned.Store(true)
+	assert.Assert(t, gate.AwaitKnown(t.Context()))
+	assert.Assert(t, gate.Look(engine.Incarnation()).MayLeave())
+}
+
+// TestACallerThatLeavesEndsTheWait: nobody waits for it any more.
+func TestACallerThatLeavesEndsTheWait(t *testing.T) {
+	known, _ := engineInZone("za")
+	gate := New(Options{Fleet: known, Known: func() bool { return false }})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !gate.AwaitKnown(ctx))
+}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
@@ -67,6 +69,7 @@
 		// The answer also shows that the engine hears: what an earlier holder sent it is there by now.
 		report, err := m.report(ctx, engine)
 		if err != nil || report.Busy {
+			m.logUnasked(engine, err)
 			return Refused
 		}
 		m.observe(engine, report)
@@ -87,18 +90,19 @@
 		return Refused
 	}
 	began := time.Now()
+	look := m.options.Gate.Look(engine.Incarnation())
 	callContext, cancel := permit.Bound(ctx)
 	defer cancel()
 	answer, err := m.options.Engines.Order(callContext, engine, Order{
 		Model: load.Model, Version: load.Version, Mode: mode,
 		Holder: m.options.Holder, Fence: m.options.Fence, Count: count,
-		MayLeave: permit.Open,
+		MayLeave: func() bool { return permit.Open() && look.MayLeave() },
 	})
 	if err != nil {
 		m.options.Logger.Warn().Err(err).Str("engine", engine.ID).Msg("order failed")
 	}
 	m.options.Logger.Info().Str("engine", engine.ID).Int64("fence", m.options.Fence).Stringer("answer", answer).
-		Dur("took_ms", time.Since(began)).Msg("order answered")
+		Stringer("held_back", look.Held()).Dur("took_ms", time.Since(began)).Msg("order answered")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if answer == Taken {
@@ -117,6 +121,11 @@
 			return false
 		}
 		report, err := m.report(ctx, engine)
+		var evacuated *evacuatedError
+		if errors.As(err, &evacuated) {
+			m.logUnasked(engine, err)
+			return false
+		}
 		if err == nil && report.Versions[load.Model] >= load.Version && !report.Busy {
 			m.observe(engine, report)
 			return true
@@ -126,12 +135,31 @@
 	return false
 }
 
+// evacuatedError: an engine is not asked, since its zone is evacuated.
+type evacuatedError struct{ zone string }
+
+// Error implements the error interface.
+func (e *evacuatedError) Error() string { return "zone " + e.zone + " is evacuated" }
+
+// report asks an engine what it has loaded, unless its zone is evacuated: nothing at all is sent
+// there. What it has loaded meanwhile stands in its entry in the engine list.
 func (m *Manager) report(ctx context.Context, engine fleet.Engine) (Report, error) {
+	if m.options.Fleet.IsEvacuated(engine.Zone) {
+		return Report{}, &evacuatedError{zone: engine.Zone}
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	return m.options.Engines.Report(ctx, engine)
 }
 
+// logUnasked tells that an engine was not ordered or no longer asked because of an evacuation.
+func (m *Manager) logUnasked(engine fleet.Engine, err error) {
+	var evacuated *evacuatedError
+	if errors.As(err, &evacuated) {
+		m.options.Logger.Info().Err(err).Str("engine", engine.ID).Msg("load left to the engine")
+	}
+}
+
 func (m *Manager) observe(engine fleet.Engine, report Report) {
 	for model, version := range report.Versions {
 		m.options.Fleet.Observe(engine.Incarnation(), model, version)
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -17,6 +17,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 )
 
 const (
@@ -119,6 +120,8 @@
 type Options struct {
 	Engines Engines
 	Fleet   *fleet.Fleet
+	// Gate is asked before orders leave; nil for one that asks Fleet.
+	Gate *sendgate.Gate
 	// Targets returns what is to be loaded now.
 	Targets func() []Target
 	// Term is the time of leading in which the manager orders.
@@ -165,6 +168,9 @@
 
 // New returns a manager for one term.
 func New(options Options) *Manager {
+	if options.Gate == nil {
+		options.Gate = sendgate.New(sendgate.Options{Fleet: options.Fleet})
+	}
 	return &Manager{
 		options:    options,
 		limiter:    weightplan.NewLimiter(),
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -101,7 +101,9 @@
 	if options.Events == nil {
 		options.Events = func(string) int { return 4 }
 	}
-	options.Zone = "z1"
+	if options.Zone == "" {
+		options.Zone = "z1"
+	}
 	engine := standin.NewEngine(options)
 	server := httptest.NewServer(engine)
 	d.t.Cleanup(server.Close)
