Engines lost to an evacuation are ordered in other zones, and none in the evacuated one

Cause: engines of an evacuated zone would have counted as lost, and the planner orders lost engines again in the zone that lost them, where they would get no work. Ruled out: asking only for what batch demand needs, since the planner cannot tell what live requests need and asks for no fewer than it saw.

Change: the planner is told of all engines and of the evacuated zones. It asks nothing of these, neither more nor fewer, and fills the others to the number there was, within bounds. What was asked for stays after the return and stands in for the next zone, so evacuations in turn do not add up; what has not come by then is neither asked for again nor taken back.

Tests seen red: the evacuated zone not left out (planner and scaler); stand-ins taken back; stand-ins not counted.

--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +17,8 @@
 	Max int
 	// Prices is what a second of an engine costs in each zone where they can be had.
 	Prices map[string]float64
+	// Evacuated are the zones whose engines get no work at the moment.
+	Evacuated map[string]bool
 }
 
 // Demand is what is asked of a service at a moment.
@@ -52,7 +55,9 @@
 // Planner sizes one service by the work that is due.
 //
 // Invariant: it asks for no fewer engines in a zone than it has seen there. It knows of
-// the work of batch jobs only, so it cannot tell which engines live requests need.
+// the work of batch jobs only, so it cannot tell which engines live requests need. Of an
+// evacuated zone it asks for nothing, neither more nor fewer; the engines that are lost there
+// for a while are asked for in the other zones.
 type Planner struct {
 	peaks []peak
 	// most is the most engines seen in each zone since the planner began.
@@ -61,12 +66,21 @@
 	// them in a zone than ever before.
 	began   time.Time
 	grownAt time.Time
+	// asked is the most engines asked for in each zone in place of evacuated ones, standIns their
+	// number in all. They stay when the zone returns, and stand in for the next one.
+	asked    map[string]int
+	standIns int
+	// whole is the most engines seen in all zones, but for those that stand in.
+	whole int
 }
 
 // NewPlanner returns a planner that knows of no demand.
-func NewPlanner() *Planner { return &Planner{most: make(map[string]int)} }
+func NewPlanner() *Planner {
+	return &Planner{most: make(map[string]int), asked: make(map[string]int)}
+}
 
-// Observe takes the demand and the number of engines in each zone at a moment.
+// Observe takes the demand and the number of engines in each zone at a moment, those of
+// evacuated zones included.
 func (p *Planner) Observe(now time.Time, demand Demand, engines map[string]int) {
 	if p.began.IsZero() {
 		p.began, p.grownAt = now, now
@@ -76,6 +90,7 @@
 			p.most[zone], p.grownAt = count, now
 		}
 	}
+	p.whole = max(p.whole, p.seen()-p.standIns)
 	p.peaks = slices.DeleteFunc(p.peaks, func(each peak) bool {
 		return each.items <= demand.Items || now.Sub(each.at) > memory
 	})
@@ -89,22 +104,63 @@
 		return nil
 	}
 	zones := slices.DeleteFunc(zonesByPrice(bounds.Prices), func(zone string) bool {
-		return p.most[zone] == 0 && now.Sub(p.began) < blindTime
+		return bounds.Evacuated[zone] || p.most[zone] == 0 && now.Sub(p.began) < blindTime
 	})
 	wanted := make(map[string]int, len(zones))
-	total := 0
 	for _, zone := range zones {
 		wanted[zone] = min(max(p.most[zone], bounds.Min), bounds.Max)
-		total += wanted[zone]
 	}
-	for need := p.need(slots); total < need; total++ {
-		zone, found := leastFull(zones, wanted, bounds.Max)
+	fill(zones, wanted, bounds.Max, p.need(slots))
+	if len(bounds.Evacuated) > 0 {
+		p.standIn(zones, wanted, bounds.Max)
+		return wanted
+	}
+	for zone, count := range p.asked {
+		if wanted[zone] < count {
+			// What was asked for is not needed any more, and is not taken back either.
+			delete(wanted, zone)
+		}
+	}
+	return wanted
+}
+
+// standIn asks the zones for as many engines as there are without an evacuation.
+func (p *Planner) standIn(zones []string, wanted map[string]int, most int) {
+	for _, zone := range zones {
+		wanted[zone] = min(max(wanted[zone], p.asked[zone]), most)
+	}
+	before := maps.Clone(wanted)
+	fill(zones, wanted, most, p.whole)
+	for _, zone := range zones {
+		if wanted[zone] > before[zone] {
+			p.asked[zone] = wanted[zone]
+			p.standIns += wanted[zone] - before[zone]
+		}
+	}
+}
+
+// fill asks for more engines until there are as many as needed or all zones are full.
+func fill(zones []string, wanted map[string]int, most, need int) {
+	total := 0
+	for _, count := range wanted {
+		total += count
+	}
+	for ; total < need; total++ {
+		zone, found := leastFull(zones, wanted, most)
 		if !found {
-			break
+			return
 		}
 		wanted[zone]++
 	}
-	return wanted
+}
+
+// seen is the most engines seen in all zones.
+func (p *Planner) seen() int {
+	total := 0
+	for _, count := range p.most {
+		total += count
+	}
+	return total
 }
 
 // need is the number of engines that the peak asks for.
--- a/internal/core/scaling/scaling_test.go
+++ b/internal/core/scaling/scaling_test.go
@@ -72,3 +72,46 @@
 	planner.Observe(after, Demand{Items: 0, Slots: 8}, nil)
 	assert.DeepEqual(t, planner.Wanted(after, bounds, 8), map[string]int{"a": 1, "b": 1, "c": 1})
 }
+
+// evacuating returns the bounds while zones are evacuated.
+func evacuating(zones ...string) Bounds {
+	changed := bounds
+	changed.Evacuated = make(map[string]bool)
+	for _, zone := range zones {
+		changed.Evacuated[zone] = true
+	}
+	return changed
+}
+
+// TestPlacesOfAnEvacuatedZoneAreAskedForInTheOthers: nothing is asked for in the zone itself, also where
+// its engines are lost meanwhile, and once asked for the engines are not asked for again while they start.
+func TestPlacesOfAnEvacuatedZoneAreAskedForInTheOthers(t *testing.T) {
+	planner := observed(0, map[string]int{"a": 4, "b": 4, "c": 4})
+	for range 3 {
+		assert.DeepEqual(t, planner.Wanted(settled, evacuating("a"), 8), map[string]int{"b": 6, "c": 6})
+	}
+	planner.Observe(settled, Demand{}, map[string]int{"b": 4, "c": 4})
+	assert.DeepEqual(t, planner.Wanted(settled, evacuating("a"), 8), map[string]int{"b": 6, "c": 6})
+}
+
+// TestAZoneThatReturnsTakesNothingBack: the engines that stood in stay, and the next evacuation needs
+// fewer of them.
+func TestAZoneThatReturnsTakesNothingBack(t *testing.T) {
+	planner := observed(0, map[string]int{"a": 4, "b": 4, "c": 4})
+	planner.Wanted(settled, evacuating("a"), 8)
+	// They have not started yet: nothing is asked for, and nothing is taken back.
+	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 4})
+	planner.Observe(settled, Demand{}, map[string]int{"a": 4, "b": 6, "c": 6})
+	later := settled.Add(settleTime)
+	assert.DeepEqual(t, planner.Wanted(later, bounds, 8), map[string]int{"a": 4, "b": 6, "c": 6})
+	assert.DeepEqual(t, planner.Wanted(later, evacuating("a"), 8), map[string]int{"b": 6, "c": 6})
+	assert.DeepEqual(t, planner.Wanted(later, evacuating("b"), 8), map[string]int{"a": 6, "c": 6})
+}
+
+// TestEvacuationsThatOverlapStayWithinBounds: the zone that is left is filled, and with no zone left
+// nothing is asked for.
+func TestEvacuationsThatOverlapStayWithinBounds(t *testing.T) {
+	planner := observed(0, map[string]int{"a": 12, "b": 12, "c": 12})
+	assert.DeepEqual(t, planner.Wanted(settled, evacuating("a", "b"), 8), map[string]int{"c": 30})
+	assert.DeepEqual(t, planner.Wanted(settled, evacuating("a", "b", "c"), 8), map[string]int{})
+}
--- a/internal/duties/scaler_test.go
+++ b/internal/duties/scaler_test.go
@@ -91,3 +91,23 @@
 	assert.Equal(t, len(platform.ordered()), 0)
 	assert.Equal(t, len(term.Permitted()), 0)
 }
+
+// TestNothingIsOrderedInAnEvacuatedZone: its engines are lost meanwhile, and their places ordered elsewhere.
+func TestNothingIsOrderedInAnEvacuatedZone(t *testing.T) {
+	t.Parallel()
+	platform := newFakePlatform()
+	var lost atomic.Bool
+	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService {
+		if !lost.Load() {
+			return []ScaledService{service(0, map[string]int{"a": 2, "b": 2})}
+		}
+		evacuated := service(0, map[string]int{"a": 2})
+		evacuated.Bounds.Evacuated = map[string]bool{"b": true}
+		return []ScaledService{evacuated}
+	})
+	time.Sleep(2 * scalePeriod)
+	lost.Store(true)
+	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) > 0 })
+	time.Sleep(3 * scalePeriod)
+	assert.DeepEqual(t, platform.ordered(), []EngineOrder{{Service: "s", Zone: "a", Count: 4}})
+}
--- a/internal/hosted/duties.go
+++ b/internal/hosted/duties.go
@@ -48,18 +48,24 @@
 		return nil
 	}
 	items := runner.Items()
+	evacuated := make(map[string]bool)
+	for _, zone := range n.fleet.EvacuatedZones() {
+		evacuated[zone] = true
+	}
 	var scaled []duties.ScaledService
 	for _, service := range table.Scaled() {
 		engines := make(map[string]int)
 		slots := 1
 		for _, engine := range n.fleet.Engines(service.Name) {
-			if n.fleet.TakesWork(engine) {
+			if !engine.Draining {
 				engines[engine.Zone]++
 				slots = max(slots, engine.Slots)
 			}
 		}
+		bounds := service.Scaling.Bounds
+		bounds.Evacuated = evacuated
 		scaled = append(scaled, duties.ScaledService{
-			Name: service.Name, Bounds: service.Scaling.Bounds, BootTime: service.Scaling.BootTime,
+			Name: service.Name, Bounds: bounds, BootTime: service.Scaling.BootTime,
 			Demand: scaling.Demand{Items: items[service.Name], Slots: slots}, Engines: engines,
 		})
 	}
