--- a/internal/ctl/arguments.go
+++ b/internal/ctl/arguments.go
@@ -18,6 +18,11 @@
 	Engines *enginesArguments `arg:"subcommand:engines" help:"list engines"`
 	Steps   *stepsArguments   `arg:"subcommand:steps" help:"list trainers' steps"`
 	Drain   *drainArguments   `arg:"subcommand:drain" help:"begin the planned stop of one node"`
+	Zones   *zonesArguments   `arg:"subcommand:zones" help:"show what each server knows of the zones of engines, and what it has running there"`
+
+	Evacuate *evacuateArguments `arg:"subcommand:evacuate" help:"have nothing more sent to the engines of a zone"`
+	TakeBack *takeBackArguments `arg:"subcommand:take-back" help:"end the evacuation of a zone"`
+
 	Explain *explainArguments `arg:"subcommand:explain" help:"tell from log files, without any server, what became of a request, batch job or item"`
 
 	Server  []string      `arg:"--server,separate" placeholder:"HOST:PORT" help:"node to ask; repeat it or list several with commas, the next is tried when one is unreachable [env: CORKCTL_SERVER]"`
@@ -70,6 +75,18 @@
 
 type drainArguments struct{}
 
+type zonesArguments struct{}
+
+type evacuateArguments struct{ evacuationArguments }
+
+type takeBackArguments struct{ evacuationArguments }
+
+// evacuationArguments are those of both orders about a zone.
+type evacuationArguments struct {
+	Zone string `arg:"positional,required" help:"zone of engines"`
+	Wait bool   `arg:"--wait" help:"wait until the order is in force at every --server and, for an evacuation, no request of theirs is left in the zone (bounded by --timeout, counted anew)"`
+}
+
 type explainArguments struct {
 	ID    string   `arg:"positional,required" help:"ID of a request, batch job or item"`
 	Files []string `arg:"positional,required" placeholder:"LOGFILE" help:"log files of the nodes; - for standard input"`
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -90,6 +90,12 @@
 		return s.online(s.steps)
 	case parsed.Drain != nil:
 		return s.online(s.drain)
+	case parsed.Zones != nil:
+		return s.online(s.zones)
+	case parsed.Evacuate != nil:
+		return s.online(s.evacuate)
+	case parsed.TakeBack != nil:
+		return s.online(s.takeBack)
 	case parsed.Explain != nil:
 		return s.explain
 	default:
--- a/internal/ctl/help.go
+++ b/internal/ctl/help.go
@@ -45,6 +45,9 @@
 	"engines":       {"corkctl engines", "corkctl engines --all --json"},
 	"steps":         {"corkctl steps"},
 	"drain":         {"corkctl drain --server 10.0.0.1:9090"},
+	"zones":         {"corkctl zones", "corkctl zones --json --server 10.0.0.1:9090"},
+	"evacuate":      {"corkctl evacuate hillsboro --wait", "corkctl zones"},
+	"take-back":     {"corkctl take-back hillsboro --wait"},
 }
 
 // writeHelp writes the help of a command, with examples and exit codes.
