--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -67,11 +67,15 @@
 	byService map[string][]string
 	// starts counts the incarnations that were listed.
 	starts int64
+	// zones holds what was last said of the evacuation of each zone.
+	zones map[string]zoneState
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string)}
+	return &Fleet{
+		members: make(map[string]*member), byService: make(map[string][]string), zones: make(map[string]zoneState),
+	}
 }
 
 // Observe notes that an engine has at least a version of a model. Versions of
@@ -109,7 +113,7 @@
 }
 
 // TakesWork tells whether an engine may be sent anything new, however it is chosen: it has not said
-// that it leaves. What failed recently still does.
+// that it leaves, and its zone is not evacuated. What failed recently still does.
 func (f *Fleet) TakesWork(engine Engine) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,7 +121,7 @@
 }
 
 // takesWork is TakesWork; mu is held.
-func (f *Fleet) takesWork(engine Engine) bool { return !engine.Draining }
+func (f *Fleet) takesWork(engine Engine) bool { return f.hold(engine) == NotHeld }
 
 // Get returns the current incarnation of an engine.
 func (f *Fleet) Get(id string) (Engine, bool) {
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -69,6 +69,7 @@
 		// The answer also shows that the engine hears: what an earlier holder sent it is there by now.
 		report, err := m.report(ctx, engine)
 		if err != nil || report.Busy {
+			m.logUnasked(engine, err)
 			return Refused
 		}
 		m.observe(engine, report)
@@ -89,18 +90,19 @@
 		return Refused
 	}
 	began := time.Now()
+	look := m.options.Gate.Look(engine.Incarnation())
 	callContext, cancel := permit.Bound(ctx)
 	defer cancel()
 	answer, err := m.options.Engines.Order(callContext, engine, Order{
 		Model: load.Model, Version: load.Version, Mode: mode,
 		Holder: m.options.Holder, Fence: m.options.Fence, Count: count,
-		MayLeave: permit.Open,
+		MayLeave: func() bool { return permit.Open() && look.MayLeave() },
 	})
 	if err != nil {
 		m.options.Logger.Warn().Err(err).Stringer("engine", engine.Incarnation()).Msg("order failed")
 	}
 	m.options.Logger.Info().Stringer("engine", engine.Incarnation()).Int64("fence", m.options.Fence).Stringer("answer", answer).
-		Dur("took_ms", time.Since(began)).Msg("order answered")
+		Stringer("held_back", look.Held()).Dur("took_ms", time.Since(began)).Msg("order answered")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if answer == Taken {
@@ -122,6 +124,11 @@
 		if errors.Is(err, errStartedAgain) {
 			return false
 		}
+		var evacuated *evacuatedError
+		if errors.As(err, &evacuated) {
+			m.logUnasked(engine, err)
+			return false
+		}
 		if err == nil && report.Versions[load.Model] >= load.Version && !report.Busy {
 			m.observe(engine, report)
 			return true
@@ -134,9 +141,19 @@
 // errStartedAgain is the error of a report by another incarnation than the one that was asked.
 var errStartedAgain = errors.New("the engine has started again")
 
-// report asks an engine what it has loaded. What another incarnation answers says nothing of the one that
-// was asked, and the list tells of that one soon.
+// evacuatedError: an engine is not asked, since its zone is evacuated.
+type evacuatedError struct{ zone string }
+
+// Error implements the error interface.
+func (e *evacuatedError) Error() string { return "zone " + e.zone + " is evacuated" }
+
+// report asks an engine what it has loaded, unless its zone is evacuated: nothing at all is sent
+// there, and what it has loaded meanwhile stands in its entry in the engine list. What another incarnation
+// answers says nothing of the one that was asked, and the list tells of that one soon.
 func (m *Manager) report(ctx context.Context, engine fleet.Engine) (Report, error) {
+	if m.options.Fleet.IsEvacuated(engine.Zone) {
+		return Report{}, &evacuatedError{zone: engine.Zone}
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := m.options.Engines.Report(ctx, engine)
@@ -151,6 +168,14 @@
 	return report, nil
 }
 
+// logUnasked tells that an engine was not ordered or no longer asked because of an evacuation.
+func (m *Manager) logUnasked(engine fleet.Engine, err error) {
+	var evacuated *evacuatedError
+	if errors.As(err, &evacuated) {
+		m.options.Logger.Info().Err(err).Stringer("engine", engine.Incarnation()).Msg("load left to the engine")
+	}
+}
+
 func (m *Manager) observe(engine fleet.Engine, report Report) {
 	for model, version := range report.Versions {
 		m.options.Fleet.Observe(engine.Incarnation(), model, version)
