--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -15,7 +15,9 @@
 	MinVersion int64
 	// Tried lists engines that this request was already sent to.
 	Tried []string
-	Now   time.Time
+	// WithoutCold leaves out engines that count as cold.
+	WithoutCold bool
+	Now         time.Time
 }
 
 // Choice is the engine chosen, with the figures that decided it.
@@ -27,6 +29,8 @@
 	Score   float64
 	// Candidates is the number of engines that passed the filters.
 	Candidates int
+	// Cold is true where the engine counts as cold: it may be sent nothing without a permit.
+	Cold bool
 }
 
 // Costs that the score adds to an engine's occupancy (1 = all slots taken).
@@ -38,7 +42,8 @@
 )
 
 // Choose returns the engine with the lowest score. Engines that failed recently
-// are chosen only when no other is left; found is false when none is.
+// are chosen only when no other is left; found is false when none is. One that counts as cold is
+// chosen only where all others are full.
 func (f *Fleet) Choose(query Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -49,6 +54,9 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
+	if warm, cold := f.byColdness(candidates, query.Now); len(cold) > 0 {
+		return pickWarmFirst(warm, cold, query), true
+	}
 	return pick(candidates, query), true
 }
 
@@ -65,6 +73,9 @@
 		if query.Model != "" && candidate.engine.Versions[query.Model] < query.MinVersion {
 			continue
 		}
+		if query.WithoutCold && f.isCold(candidate, query.Now) {
+			continue
+		}
 		candidates = append(candidates, candidate)
 	}
 	return candidates
--- /dev/null
+++ b/internal/core/fleet/choosecold.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// isCold tells whether a member counts as cold; mu is held.
+func (f *Fleet) isCold(of *member, now time.Time) bool {
+	_, cold := f.coldnessOf(of, now)
+	return cold
+}
+
+// byColdness splits candidates; mu is held.
+func (f *Fleet) byColdness(candidates []*member, now time.Time) (warm, cold []*member) {
+	for _, candidate := range candidates {
+		if f.isCold(candidate, now) {
+			cold = append(cold, candidate)
+		} else {
+			warm = append(warm, candidate)
+		}
+	}
+	return warm, cold
+}
+
+// pickWarmFirst picks a cold engine only where each warm one has all its places taken.
+func pickWarmFirst(warm, cold []*member, query Query) Choice {
+	hasPlace := func(candidate *member) bool { return candidate.busy(query.Now) < max(1, candidate.engine.Slots) }
+	if slices.ContainsFunc(warm, hasPlace) {
+		return pick(warm, query)
+	}
+	choice := pick(cold, query)
+	choice.Cold = true
+	return choice
+}
+
+// ColdCandidates returns the cold engines that a query may be answered by, the best first, at most
+// as many as asked for.
+func (f *Fleet) ColdCandidates(query Query, limit int) []Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, cold := f.byColdness(f.filter(query, false), query.Now)
+	if len(cold) == 0 {
+		_, cold = f.byColdness(f.filter(query, true), query.Now)
+	}
+	scores := make(map[*member]float64, len(cold))
+	for _, candidate := range cold {
+		scores[candidate] = score(candidate, query)
+	}
+	slices.SortStableFunc(cold, func(a, b *member) int {
+		switch {
+		case scores[a] < scores[b]:
+			return -1
+		case scores[a] > scores[b]:
+			return 1
+		default:
+			return 0
+		}
+	})
+	var engines []Engine
+	for _, candidate := range cold[:min(limit, len(cold))] {
+		engines = append(engines, candidate.engine)
+	}
+	return engines
+}
+
+// ChoiceOf returns an engine as a choice, for one that was not picked by its score alone.
+func (f *Fleet) ChoiceOf(engine Engine, query Query, candidates int) (Choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.lookUp(engine.Incarnation())
+	if !found || !f.takesWork(known.engine) {
+		return Choice{}, false
+	}
+	choice := pick([]*member{known}, query)
+	choice.Candidates, choice.Cold = candidates, true
+	return choice, true
+}
--- /dev/null
+++ b/internal/core/fleet/cold_test.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+)
+
+var slow = routes.SlowStart{Period: 3 * time.Second, RatePerSecond: 7.9}
+
+// pacedFleet is a fleet whose service has a slow start.
+func pacedFleet(engines ...Engine) *Fleet {
+	f := fleetOf(engines...)
+	f.SetSlowStarts(map[string]routes.SlowStart{"s": slow})
+	return f
+}
+
+func coldReason(f *Fleet, engine string, at time.Time) string {
+	found, _ := f.Cold(named(engine), at)
+	return found.Reason.String()
+}
+
+func toldCold(id string) Engine {
+	engine := listed(id, "z")
+	engine.ColdUntil = now.Add(time.Second)
+	return engine
+}
+
+func TestAnEngineIsColdForAsLongAsItsEntrySays(t *testing.T) {
+	f := pacedFleet(toldCold("a"))
+	assert.Equal(t, coldReason(f, "a", now), "told_cold")
+	assert.Equal(t, coldReason(f, "a", now.Add(time.Second)), "")
+	f.SetSlowStarts(nil)
+	assert.Equal(t, coldReason(f, "a", now), "", "a service without a bound")
+}
+
+func TestADoubtfulEngineIsColdForThePeriod(t *testing.T) {
+	f := pacedFleet()
+	f.MarkDoubtful(named("a"), FirstSeen, now)
+	f.Put(listed("a", "z"))
+	assert.Equal(t, coldReason(f, "a", now.Add(slow.Period-1)), "first_seen")
+	assert.Equal(t, coldReason(f, "a", now.Add(slow.Period)), "")
+}
+
+func TestTheEnginesOfAZoneThatReturnsAreInDoubt(t *testing.T) {
+	f := pacedFleet(listed("a", "z1"), listed("b", "z2"))
+	f.MarkZoneDoubtful("z2", ZoneReturned, now)
+	assert.Equal(t, coldReason(f, "a", now), "")
+	assert.Equal(t, coldReason(f, "b", now), "zone_returned")
+}
+
+// TestAnEngineOutOfReachIsColdForThePeriodAfterItWasHeardAgain: it may have started at any moment
+// until then.
+func TestAnEngineOutOfReachIsColdForThePeriodAfterItWasHeardAgain(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, Failed: true, Unreached: true})
+	later := now.Add(time.Minute)
+	assert.Equal(t, coldReason(f, "a", later), "unreached")
+	f.Heard(named("a"), later)
+	f.Heard(named("a"), later.Add(time.Second))
+	assert.Equal(t, coldReason(f, "a", later.Add(slow.Period-1)), "unreached")
+	assert.Equal(t, coldReason(f, "a", later.Add(slow.Period)), "")
+}
+
+func TestAnEngineThatRefusedAnItemIsColdUntilItRunsOne(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, RefusedItem: true})
+	assert.Equal(t, coldReason(f, "a", now), "refused_item")
+	f.Heard(named("a"), now.Add(time.Millisecond))
+	assert.Equal(t, coldReason(f, "a", now.Add(time.Millisecond)), "")
+}
+
+func TestARefusalDoesNotHideAnotherDoubt(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	f.MarkDoubtful(named("a"), FirstSeen, now)
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, RefusedItem: true})
+	f.Heard(named("a"), now)
+	assert.Equal(t, coldReason(f, "a", now), "first_seen")
+}
+
+func TestWarmEnginesArePreferredUnlessAllAreFull(t *testing.T) {
+	f := pacedFleet(listed("a", "z"), toldCold("b"))
+	for range 4 {
+		choice, _ := f.Choose(Query{Service: "s", Now: now})
+		assert.Equal(t, choice.Engine.ID, "a")
+		assert.Assert(t, !choice.Cold)
+		f.Began(named("a"))
+	}
+	choice, _ := f.Choose(Query{Service: "s", Now: now})
+	assert.Equal(t, choice.Engine.ID, "b")
+	assert.Assert(t, choice.Cold)
+	choice, _ = f.Choose(Query{Service: "s", Now: now, WithoutCold: true})
+	assert.Equal(t, choice.Engine.ID, "a", "what the cold one may not take")
+	_, found := f.Choose(Query{Service: "s", Now: now, WithoutCold: true, Tried: []string{"a"}})
+	assert.Assert(t, !found)
+}
+
+func TestColdCandidatesComeBestFirst(t *testing.T) {
+	f := pacedFleet(toldCold("a"), toldCold("b"), toldCold("c"), listed("d", "z"))
+	f.Began(named("a"))
+	query := Query{Service: "s", Now: now, Tried: []string{"c"}}
+	engines := f.ColdCandidates(query, 5)
+	assert.Equal(t, len(engines), 2)
+	assert.Equal(t, engines[0].ID, "b")
+	assert.Equal(t, len(f.ColdCandidates(query, 1)), 1)
+	choice, found := f.ChoiceOf(engines[1], query, 2)
+	assert.Assert(t, found)
+	assert.Equal(t, choice.Engine.ID, "a")
+	f.Remove("a")
+	_, found = f.ChoiceOf(engines[1], query, 2)
+	assert.Assert(t, !found)
+}
+
+func TestDoubtsOfEnginesThatAreGoneAreForgotten(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	f.MarkDoubtful(named("a"), ZoneReturned, now)
+	assert.Equal(t, len(f.ColdEngines(now)), 1)
+	f.Remove("a")
+	assert.Equal(t, len(f.ColdEngines(now.Add(markLead))), 0)
+	assert.Equal(t, len(f.cold.doubts), 1, "it may be put back the next moment")
+	f.ColdEngines(now.Add(markLead + 1))
+	assert.Equal(t, len(f.cold.doubts), 0)
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -60,11 +60,12 @@
 	members map[string]*member
 	// byService holds the IDs of each service's engines in order.
 	byService map[string][]string
+	cold      coldness
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string)}
+	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string), cold: newColdness()}
 }
 
 // Put adds an engine or changes what its entry says.
@@ -233,6 +234,10 @@
 	ConnectionLost bool
 	// Gone: another engine answers at the address.
 	Gone bool
+	// Unreached: a connection was refused, lost or silent, so that the engine may have started again.
+	Unreached bool
+	// RefusedItem: the engine did not run an item of a batch job, whose places are counted.
+	RefusedItem bool
 	// Load is what the engine said of itself, if it did.
 	Load *Load
 	// Latency is the time to the whole answer; zero when there was none.
@@ -257,6 +262,7 @@
 		return
 	}
 	known.inFlight--
+	f.noteOutcome(of, outcome)
 	if outcome.Load != nil {
 		known.load, known.loadAt = *outcome.Load, outcome.At
 	}
