--- /dev/null
+++ b/internal/core/batchplan/cold_test.go
@@ -0,0 +1,166 @@
+package batchplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/core/slowstart"
+)
+
+func coldEngine(id string, slots, starts int) Engine {
+	cold := engine(id, slots, 3)
+	cold.Cold, cold.Starts = true, starts
+	return cold
+}
+
+func perEngine(assigned []Assignment) map[string]int {
+	count := make(map[string]int)
+	for _, each := range assigned {
+		count[each.Engine.Engine]++
+	}
+	return count
+}
+
+func TestAColdEngineGetsNoMoreItemsThanMayStart(t *testing.T) {
+	plan := New()
+	for i := range 20 {
+		plan.Add(item("j", i, 10))
+	}
+	got := perEngine(plan.Assign(now, []Engine{coldEngine("a", 8, 2), engine("b", 8, 3), coldEngine("c", 8, 0)}))
+	assert.DeepEqual(t, got, map[string]int{"a": 2, "b": 8})
+}
+
+// TestTheHomeOfAGroupAndASuspectItemCountAsWell: both choose an engine past the best one.
+func TestTheHomeOfAGroupAndASuspectItemCountAsWell(t *testing.T) {
+	plan := New()
+	for i := range 6 {
+		each := item("j", i, 10)
+		each.Group, each.Suspect = "one", i > 3
+		plan.Add(each)
+	}
+	assert.DeepEqual(t, perEngine(plan.Assign(now, []Engine{coldEngine("a", 8, 1)})), map[string]int{"a": 1})
+	assert.DeepEqual(t, perEngine(plan.Assign(now, []Engine{coldEngine("a", 8, 2)})), map[string]int{"a": 2})
+}
+
+// zone is twelve engines that came back cold together, and the rest of the fleet.
+type zone struct {
+	plan  *Plan
+	pacer *slowstart.Pacer
+	warm  []Engine
+	cold  []Engine
+	// began holds the starts at each cold engine.
+	began map[incarnation.ID][]time.Time
+	next  int
+}
+
+const (
+	coldRate   = 7.9
+	zoneSize   = 12
+	fleetSlots = 8
+	lookPeriod = 50 * time.Millisecond
+)
+
+func newZone(warm int) *zone {
+	z := &zone{plan: New(), pacer: slowstart.New(now.Add(-slowstart.SettleTime)), began: make(map[incarnation.ID][]time.Time)}
+	for i := range warm {
+		z.warm = append(z.warm, engine(fmt.Sprint("w", i), fleetSlots, 3))
+	}
+	for i := range zoneSize {
+		z.cold = append(z.cold, coldEngine(fmt.Sprint("c", i), fleetSlots, 0))
+	}
+	return z
+}
+
+// look keeps items waiting and gives them to the engines, as the runner does.
+func (z *zone) look(at time.Time) []Assignment {
+	for z.plan.Waiting() < 1000 {
+		z.plan.Add(item("j", z.next, 10))
+		z.next++
+	}
+	engines := append([]Engine(nil), z.warm...)
+	for _, each := range z.cold {
+		each.Starts = z.pacer.Room(each.ID, coldRate, at)
+		engines = append(engines, each)
+	}
+	assigned := z.plan.Assign(at, engines)
+	for _, each := range assigned {
+		if each.Engine.Engine[0] == 'c' && z.pacer.Admit(each.Engine, coldRate, at) == 0 {
+			z.began[each.Engine] = append(z.began[each.Engine], at)
+		}
+	}
+	return assigned
+}
+
+// TestAZoneThatReturnsColdFillsAtItsRateBesideTheOthers: no place at a warm engine stays free, and
+// each cold one gets its rate, even where it gives all of them back at once.
+func TestAZoneThatReturnsColdFillsAtItsRateBesideTheOthers(t *testing.T) {
+	z := newZone(36)
+	for at := now; at.Before(now.Add(3 * time.Second)); at = at.Add(lookPeriod) {
+		for _, each := range z.look(at) {
+			if each.Engine.Engine[0] == 'c' {
+				z.plan.Ended(each.Item.Key) // refused
+			}
+		}
+		for _, each := range z.warm {
+			assert.Equal(t, z.plan.Running(each.ID), fleetSlots)
+		}
+	}
+	assert.Equal(t, len(z.began), zoneSize)
+	for engine, starts := range z.began {
+		assert.Assert(t, len(starts) >= 23, "%s: %d starts in 3 s", engine, len(starts))
+		for i := range starts {
+			inSecond := 0
+			for _, other := range starts[i:] {
+				if other.Sub(starts[i]) < time.Second {
+					inSecond++
+				}
+			}
+			assert.Assert(t, inSecond <= 8+slowstart.Burst, "%s: %d in a second", engine, inSecond)
+		}
+	}
+}
+
+func TestAFleetOfColdEnginesServesTheSumOfTheirRates(t *testing.T) {
+	z := newZone(0)
+	begun := 0
+	for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(lookPeriod) {
+		for _, each := range z.look(at) {
+			begun++
+			z.plan.Ended(each.Item.Key)
+		}
+	}
+	assert.Assert(t, begun >= 2*zoneSize*7, "%d", begun)
+}
+
+func TestNoPassStartsMoreThanAnEngineHasPlacesAndStarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plan := New()
+		var engines []Engine
+		for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
+			slots, starts := rapid.IntRange(0, 9).Draw(t, "slots"), rapid.IntRange(0, 9).Draw(t, "starts")
+			each := engine(fmt.Sprint("e", i), slots, 3)
+			each.Cold, each.Starts = rapid.Bool().Draw(t, "cold"), starts
+			engines = append(engines, each)
+		}
+		for i := range rapid.IntRange(0, 60).Draw(t, "items") {
+			each := item("j", i, rapid.IntRange(0, 50).Draw(t, "length"))
+			each.Suspect = rapid.IntRange(0, 9).Draw(t, "suspect") == 0
+			plan.Add(each)
+		}
+		got := perEngine(plan.Assign(now, engines))
+		for _, each := range engines {
+			most := each.Slots
+			if each.Cold {
+				most = min(most, each.Starts)
+			}
+			if got[each.ID.Engine] > most {
+				t.Fatalf("%d items at %+v", got[each.ID.Engine], each)
+			}
+		}
+	})
+}
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -30,7 +30,9 @@
 	now     time.Time
 	engines []Engine
 	// byID holds the places of the engines in the slice.
-	byID    map[incarnation.ID]int
+	byID map[incarnation.ID]int
+	// starts is how many items each engine may still be given in this pass.
+	starts  []int
 	typical time.Duration
 	// bestPace is the pace of the fast engines, turnover the time that a running item is
 	// expected to take there; both are zero when unknown.
@@ -94,9 +96,14 @@
 	p := &pass{
 		plan: plan, now: now, engines: engines, typical: typical, bestPace: best, turnover: plan.turnover(best),
 		byID: make(map[incarnation.ID]int, len(engines)), classes: make(map[class]*candidates),
+		starts: make([]int, len(engines)),
 	}
 	for i := range engines {
 		p.byID[engines[i].ID] = i
+		p.starts[i] = unbounded
+		if engines[i].Cold {
+			p.starts[i] = engines[i].Starts
+		}
 	}
 	return p
 }
@@ -140,9 +147,12 @@
 }
 
 func (p *pass) hasSlot(engine *Engine) bool {
-	return p.plan.count[engine.ID] < engine.Slots && !p.isolated(engine)
+	return p.plan.count[engine.ID] < engine.Slots && p.starts[p.byID[engine.ID]] > 0 && !p.isolated(engine)
 }
 
+// began notes that the pass gave an item to an engine.
+func (p *pass) began(engine incarnation.ID) { p.starts[p.byID[engine]]-- }
+
 // isolated tells whether an engine takes nothing beside a suspect item. Most of the time there
 // is none.
 func (p *pass) isolated(engine *Engine) bool {
@@ -268,7 +278,7 @@
 	return item.Tokens <= p.freeTokens(engine)
 }
 
-// unbounded is the memory left at an engine that takes any item.
+// unbounded is the memory left at an engine that takes any item, and the starts at one that is not cold.
 const unbounded = int(^uint(0) >> 1)
 
 // freeTokens is the memory that an engine may still give away. One that runs
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -57,6 +57,9 @@
 	Loading string
 	// Usable is false for engines that leave or failed just now.
 	Usable bool
+	// Cold is true for one that takes only so many items now, Starts, since it started just now.
+	Cold   bool
+	Starts int
 }
 
 // Assignment sends an item to an engine.
@@ -261,6 +264,7 @@
 			Item: item, Engine: engine, Running: p.count[engine], Pace: p.paces[engine],
 		})
 		p.place(item, engine, now)
+		pass.began(engine)
 	}
 	return assigned
 }
