--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
@@ -28,6 +30,8 @@
 	After int64
 	// Started is true when the stream is a continuation.
 	Started bool
+	// MayLeave tells, right before the call does, whether it still may; nil where nothing bounds that.
+	MayLeave func() bool
 }
 
 // fingerprint returns the fingerprint of the item's request.
@@ -55,10 +59,13 @@
 	Impossible
 	// Broken: no answer, or none that can be read.
 	Broken
+	// NotSent: the permit to send ended before any byte had left.
+	NotSent
 )
 
 var refusalNames = [...]string{
 	NotExecuted: "not_executed", WrongEngine: "wrong_engine", Failed: "failed", Impossible: "impossible", Broken: "broken",
+	NotSent: "not_sent",
 }
 
 // String returns the refusal as it stands in logs; empty for none.
@@ -98,6 +105,18 @@
 	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
+// ColdStarts admits items to engines that count as cold; see coldpermits.Decider.
+type ColdStarts interface {
+	// Room returns how many items may start at a cold engine now.
+	Room(to incarnation.ID, cold fleet.Coldness) int
+	// Admit admits one item to a cold engine.
+	Admit(
+		sender coldpermits.Sender, to incarnation.ID, cold fleet.Coldness,
+	) (coldpermits.Permit, time.Duration, coldpermits.Outcome)
+	// Note counts an item at an engine that is not known to be cold.
+	Note(to incarnation.ID, ratePerSecond float64)
+}
+
 // Scoring is how a scoring call ended.
 type Scoring struct {
 	// Score is the score; empty when there is none.
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -83,7 +83,7 @@
 		}
 		for model, version := range engine.Versions {
 			if engine.Loading != model && version >= r.minVersion(model) {
-				room[model] += engine.Slots - r.plan.Running(engine.ID)
+				room[model] += roomAt(engine, r.plan.Running(engine.ID))
 			}
 		}
 	}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -109,6 +109,12 @@
 		}
 		return
 	}
+	mayLeave, admitted := r.admit(engine)
+	if !admitted {
+		r.plan.Ended(key)
+		r.plan.Add(assignment.Item)
+		return
+	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	started := &run{engine: engine.Incarnation(), started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel}
 	r.runs[key] = started
@@ -116,8 +122,9 @@
 	record := job.record.Items[key.Item]
 	call := job.call(key.Item)
 	call.After, call.Started = state.Output.Last(), !state.Output.Empty()
+	call.MayLeave = mayLeave
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Str("engine", engine.ID).
-		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
+		Int("running", assignment.Running).Bool("cold", mayLeave != nil).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
 		Int("length", record.Length).Int("tokens", record.Tokens).
 		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
@@ -202,6 +209,7 @@
 // that had to wait in this process come together; mu is held.
 func (r *Runner) observePace(own *run, now time.Time) {
 	if own.measuredFrom.IsZero() {
+		r.options.Fleet.Heard(own.engine, now)
 		own.measuredFrom = now
 		return
 	}
@@ -228,10 +236,12 @@
 	}
 	if own.reason == notStopped && !whole && r.ctx.Err() == nil {
 		outcome.Failed = refusal == Broken
+		outcome.Unreached = refusal == Broken
+		outcome.RefusedItem = refusal == NotExecuted
 		outcome.Gone = refusal == WrongEngine
 	}
 	if own.reason == stopStalled {
-		outcome.Failed = true
+		outcome.Failed, outcome.Unreached = true, true
 	}
 	r.options.Fleet.Ended(own.engine, outcome)
 	if refusal == NotExecuted && own.reason == notStopped {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -46,7 +46,9 @@
 	Fleet   *fleet.Fleet
 	Scorer  Scorer
 	Guard   Guard
-	RouteOf RouteOf
+	// ColdStarts is asked for the engines of services that have a slow start only.
+	ColdStarts ColdStarts
+	RouteOf    RouteOf
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine incarnation.ID) string
 	// Term names this term of leading among all terms.
@@ -262,7 +264,9 @@
 		seen[route.Service] = true
 		for _, engine := range r.options.Fleet.Engines(route.Service) {
 			id := engine.Incarnation()
+			cold, starts := r.coldStarts(id, now)
 			views = append(views, batchplan.Engine{
+				Cold: cold, Starts: starts,
 				ID: id, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
 				Tokens: route.EngineTokens, Loading: r.options.Loading(id),
 				Usable: r.options.Fleet.TakesWork(engine) && !r.options.Fleet.Suspected(id, now) && !now.Before(r.heldBack[id]),
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
@@ -33,6 +34,8 @@
 	endsAt time.Time
 
 	tried []string
+	// denial says why no cold engine was asked, if one was left.
+	denial coldpermits.Denial
 	// fingerprint is nil until it is asked for.
 	fingerprint *quarantine.Fingerprint
 	// ran counts the engines that may have run the request.
@@ -77,13 +80,14 @@
 		if x.ctx.Err() != nil {
 			return x.timedOut()
 		}
-		choice, found := x.relay.options.Fleet.Choose(fleet.Query{
-			Service: x.service, Zone: x.relay.options.Zone, Tried: x.tried, Now: time.Now(),
-		})
+		choice, mayLeave, found := x.choose()
+		if !found && x.waitForPermit() {
+			continue
+		}
 		if !found {
 			break
 		}
-		switch x.try(choice) {
+		switch x.try(choice, mayLeave) {
 		case answered:
 			return nil
 		case giveUp:
@@ -115,13 +119,16 @@
 	if x.ran > 0 {
 		return errkind.New(errkind.EngineFailed, "%d engines were asked and none answered in time", x.ran)
 	}
+	if x.denial.Outcome != coldpermits.Granted {
+		return x.onlyColdLeft()
+	}
 	failure := errkind.New(errkind.NoCapacity, "no engine of %s took the request, %d were asked", x.service, len(x.tried))
 	failure.RetryAfter = refusalRetry
 	return failure
 }
 
-// try sends the request to one engine.
-func (x *exchange) try(choice fleet.Choice) verdict {
+// try sends the request to one engine, if it may leave by then; nil sets no limit.
+func (x *exchange) try(choice fleet.Choice, mayLeave func() bool) verdict {
 	engine := choice.Engine
 	x.tried = append(x.tried, engine.ID)
 	began := time.Now()
@@ -134,7 +141,7 @@
 	x.relay.options.Fleet.Began(engine.Incarnation())
 	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
 		Request: x.request, Sender: x.sender, Remaining: remaining,
-		After: x.after, HasAfter: x.streamed && x.after > 0,
+		After: x.after, HasAfter: x.streamed && x.after > 0, MayLeave: mayLeave,
 	})
 	outcome := fleet.Outcome{}
 	x.countBegun(answer, err, began)
@@ -196,11 +203,14 @@
 
 func (x *exchange) unanswered(err error, outcome *fleet.Outcome) verdict {
 	var failure *SendError
-	outcome.Failed = true
-	if errors.As(err, &failure) && !failure.MayHaveRun {
+	known := errors.As(err, &failure)
+	outcome.Failed = !known || !failure.NotSent
+	if known && !failure.MayHaveRun {
+		outcome.Unreached = !failure.NotSent
 		return tryNext
 	}
 	outcome.ConnectionLost = failure != nil && failure.ConnectionLost
+	outcome.Unreached = outcome.ConnectionLost
 	x.ran++
 	return x.again()
 }
@@ -272,7 +282,7 @@
 		level = zerolog.WarnLevel
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("engine", choice.Engine.ID).
-		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
+		Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).Int("candidates", choice.Candidates).Float64("score", choice.Score).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if result != answered {
 		line = line.Stringer("fingerprint", x.fingerprintOf())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -58,6 +59,8 @@
 	// After and HasAfter say where a stream continues.
 	After    int64
 	HasAfter bool
+	// MayLeave tells, right before the request does, whether it still may; nil where nothing bounds that.
+	MayLeave func() bool
 }
 
 // Answer is an engine's answer, its body not yet read.
@@ -81,7 +84,9 @@
 	MayHaveRun bool
 	// ConnectionLost: the engine ended the connection before its answer was whole.
 	ConnectionLost bool
-	Cause          error
+	// NotSent: the permit to send ended before any byte had left.
+	NotSent bool
+	Cause   error
 }
 
 // Error implements the error interface.
@@ -105,11 +110,19 @@
 	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
+// ColdPermits lets requests go to engines that count as cold; see coldpermits.Asker.
+type ColdPermits interface {
+	// Ask returns a permit for one of the engines of a service.
+	Ask(ctx context.Context, service string, engines []fleet.Engine) (coldpermits.Permit, coldpermits.Denial)
+}
+
 // Options are the parts that a relay works with.
 type Options struct {
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Guard   Guard
+	// ColdPermits is asked for the engines of services that have a slow start only.
+	ColdPermits ColdPermits
 	// Table returns the configuration in force; nil when none is known.
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
