--- a/internal/coldpermits/asker.go
+++ b/internal/coldpermits/asker.go
@@ -21,7 +21,7 @@
 	askAtOnce = 16
 	// unansweredPause is how long nothing more is asked for a service after a question that was not
 	// answered.
-	unansweredPause = 250 * time.Millisecond
+	unansweredPause = 500 * time.Millisecond
 )
 
 // Denial is why no cold engine may be sent a request now.
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -43,7 +43,7 @@
 
 // Choose returns the engine with the lowest score. Engines that failed recently
 // are chosen only when no other is left; found is false when none is. One that counts as cold is
-// chosen only where all others are full.
+// chosen only where all others are full, or to find out whether it is in reach again.
 func (f *Fleet) Choose(query Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -55,7 +55,7 @@
 		return Choice{}, false
 	}
 	if warm, cold := f.byColdness(candidates, query.Now); len(cold) > 0 {
-		return pickWarmFirst(warm, cold, query), true
+		return f.pickWarmFirst(warm, cold, query), true
 	}
 	return pick(candidates, query), true
 }
--- a/internal/core/fleet/choosecold.go
+++ b/internal/core/fleet/choosecold.go
@@ -11,6 +11,18 @@
 	return cold
 }
 
+// isDueForTrial tells whether an engine counts as cold only because nothing was heard of it since it was
+// out of reach, and that for the period of its slow start. It would never be heard if none were sent there
+// while others have places. mu is held.
+func (f *Fleet) isDueForTrial(of *member, now time.Time) bool {
+	if now.Before(of.engine.ColdUntil) {
+		return false
+	}
+	known := f.cold.doubts[of.engine.Incarnation()]
+	period := f.cold.services[of.engine.Service].Period
+	return known.reason == Unreached && known.heardAt.IsZero() && !now.Before(known.at.Add(period))
+}
+
 // byColdness splits candidates; mu is held.
 func (f *Fleet) byColdness(candidates []*member, now time.Time) (warm, cold []*member) {
 	for _, candidate := range candidates {
@@ -23,14 +35,21 @@
 	return warm, cold
 }
 
-// pickWarmFirst picks a cold engine only where each warm one has all its places taken.
-func pickWarmFirst(warm, cold []*member, query Query) Choice {
+// pickWarmFirst picks a cold engine only where each warm one has all its places taken, or where it is
+// due to be tried again; mu is held.
+func (f *Fleet) pickWarmFirst(warm, cold []*member, query Query) Choice {
 	hasPlace := func(candidate *member) bool { return candidate.busy(query.Now) < max(1, candidate.engine.Slots) }
+	candidates := cold
 	if slices.ContainsFunc(warm, hasPlace) {
-		return pick(warm, query)
+		candidates = warm
+		for _, each := range cold {
+			if f.isDueForTrial(each, query.Now) {
+				candidates = append(candidates, each)
+			}
+		}
 	}
-	choice := pick(cold, query)
-	choice.Cold = true
+	choice := pick(candidates, query)
+	choice.Cold = f.isCold(f.members[choice.Engine.ID], query.Now)
 	return choice
 }
 
--- a/internal/core/fleet/cold_test.go
+++ b/internal/core/fleet/cold_test.go
@@ -101,6 +101,25 @@
 	assert.Assert(t, !found)
 }
 
+// TestAnEngineThatWasOutOfReachIsTriedAgain though others have places: it would count as cold for good.
+func TestAnEngineThatWasOutOfReachIsTriedAgain(t *testing.T) {
+	f := pacedFleet(listed("a", "z"), listed("b", "z"))
+	f.Began(named("a"))
+	f.Began(named("b"))
+	f.Ended(named("b"), Outcome{At: now, Failed: true, Unreached: true})
+	choose := func(at time.Time) Choice {
+		choice, _ := f.Choose(Query{Service: "s", Now: at})
+		return choice
+	}
+	assert.Equal(t, choose(now.Add(slow.Period-1)).Engine.ID, "a")
+	due := choose(now.Add(slow.Period))
+	assert.Equal(t, due.Engine.ID, "b")
+	assert.Assert(t, due.Cold)
+	f.Heard(named("b"), now.Add(slow.Period))
+	assert.Equal(t, choose(now.Add(slow.Period)).Engine.ID, "a")
+	assert.Assert(t, !choose(now.Add(2*slow.Period)).Cold)
+}
+
 func TestColdCandidatesComeBestFirst(t *testing.T) {
 	f := pacedFleet(toldCold("a"), toldCold("b"), toldCold("c"), listed("d", "z"))
 	f.Began(named("a"))
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -172,6 +172,17 @@
 	return scaled
 }
 
+// SlowStarts returns the services whose engines take a bounded rate while they are cold.
+func (t *Table) SlowStarts() map[string]SlowStart {
+	bounded := make(map[string]SlowStart)
+	for name, service := range t.services {
+		if service.SlowStart.RatePerSecond > 0 {
+			bounded[name] = service.SlowStart
+		}
+	}
+	return bounded
+}
+
 // Batch returns all batch routes.
 func (t *Table) Batch() []*Route {
 	var batch []*Route
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -20,6 +20,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
@@ -130,6 +131,9 @@
 	guard     *crashes.Guard
 	ended     *follow.Follower
 	elector   *leadership.Elector
+	// coldDecider admits requests to cold engines while this node leads, coldPermits asks whichever leads.
+	coldDecider *coldpermits.Decider
+	coldPermits *coldpermits.Asker
 	// log is the platform's log, directly or by way of another node.
 	log     eventlog.Log
 	counter *duties.Counter
@@ -192,8 +196,9 @@
 	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
 	n.guard = n.newGuard(log)
 	n.ended = follow.New(replicas, platform.CrashTopic(), n.guard.Take, n.directory.Budget(), logger)
+	n.coldDecider, n.coldPermits = n.newColdPermits()
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Table: n.state.table, Current: n.isCurrent,
+		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, ColdPermits: n.coldPermits, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
@@ -212,6 +217,7 @@
 	router.Handle(logrelay.Path, logrelay.NewHandler(direct, log.Direct, n))
 	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.IsReplica)).Methods(http.MethodPost)
 	router.Handle(crashes.Path, n.guard.Handler()).Methods(http.MethodPost)
+	router.Handle(coldpermits.Path, n.coldDecider.Handler(n.fleet.SlowStart)).Methods(http.MethodPost)
 	return router
 }
 
@@ -276,7 +282,7 @@
 	group.Go(n.operators.serve)
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
-		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
+		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent, n.watchColdEngines,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -21,9 +21,11 @@
 		Loaded:  func() { runner.Wake() },
 		Term:    term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
 	})
+	defer n.coldDecider.Lead(term.Valid)()
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
-		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
+		ColdStarts: n.coldDecider,
+		Loading:    orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -25,6 +25,9 @@
 	behind       *prometheus.CounterVec
 	dropped      prometheus.Counter
 	leftOut      prometheus.Counter
+	cold         prometheus.Gauge
+	admissions   *prometheus.CounterVec
+	coldPermits  *prometheus.CounterVec
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -70,9 +73,10 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
+	m.addSlowStart()
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
-		m.dropped, m.leftOut,
+		m.dropped, m.leftOut, m.cold, m.admissions, m.coldPermits,
 	)
 	return m
 }
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -107,6 +107,7 @@
 	}
 	if change.Table != nil && n.state.setTable(change.Table) {
 		n.metrics.tableVersion.Set(float64(change.Table.Version))
+		n.fleet.SetSlowStarts(change.Table.SlowStarts())
 		n.logger.Info().Int64("config", change.Table.Version).Int64("offset", record.Offset).Msg("configuration in force")
 	}
 	if change.Model != "" && n.state.setVersion(change.Model, change.ModelVersion) {
@@ -128,6 +129,7 @@
 		return
 	}
 	known, listed := n.fleet.Get(engine.ID)
+	n.doubtNew(engine, listed && known.Incarnation() == engine.Incarnation())
 	n.fleet.Put(engine)
 	if listed && known.Address == engine.Address && known.Draining == engine.Draining {
 		// Versions change with every load; who orders one says so.
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -173,6 +173,23 @@
 	return e.state.Holder, e.state.Epoch
 }
 
+// Holder is the process that holds the lease, as last read.
+type Holder struct {
+	Node string
+	// Address is where it listens for other nodes; empty when it told none.
+	Address string
+}
+
+// Holder returns who holds the lease, as last read; the zero value where it was given up.
+func (e *Elector) Holder() Holder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state.Released {
+		return Holder{}
+	}
+	return Holder{Node: e.state.Node, Address: e.state.Address}
+}
+
 // Hesitate leaves a free lease to others for a moment, since this node is about
 // to stop. A lease that it holds it keeps until Stop: others may be stopping too.
 func (e *Elector) Hesitate() {
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -94,6 +94,16 @@
 	return addresses
 }
 
+// AddressOf returns where another node listens; empty when it is not known to be there.
+func (d *Directory) AddressOf(node string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.alive(node) {
+		return ""
+	}
+	return d.members[node].Address
+}
+
 // Nodes returns the number of nodes known, this one included.
 func (d *Directory) Nodes() int {
 	d.mu.Lock()
