--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -99,6 +99,8 @@
 	EndsUnder       func(run Run) bool
 	EventsBeforeEnd int
 	End             func(run Run)
+	// ColdFor is how long after its start the engine's entry says that it is cold.
+	ColdFor time.Duration
 	// CheckFences refuses orders with lower fencing tokens than one seen.
 	CheckFences bool
 }
@@ -107,11 +109,13 @@
 type Engine struct {
 	options EngineOptions
 	router  *mux.Router
+	started time.Time
 
 	mu       sync.Mutex
 	versions map[string]int64
 	fault    func(id string) EngineFault
 	runs     []Run
+	arrivals []time.Time
 	running  int
 	busy     bool
 	orders   int64
@@ -124,7 +128,7 @@
 	if options.Data == nil {
 		options.Data = func(id string, number int, _ int64) string { return EventData(id, number) }
 	}
-	e := &Engine{options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true)}
+	e := &Engine{started: time.Now(), options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true)}
 	e.router.HandleFunc("/report", e.report).Methods(http.MethodGet)
 	e.router.HandleFunc("/order", e.order).Methods(http.MethodPost)
 	e.router.HandleFunc("/healthz", e.health).Methods(http.MethodGet)
@@ -158,6 +162,26 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// Arrivals returns when requests and items came, also those that the engine refused, in the order in
+// which they came. Those meant for another engine do not count.
+func (e *Engine) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.arrivals...)
+}
+
+// noteArrival notes that a request or an item came.
+func (e *Engine) noteArrival() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals = append(e.arrivals, time.Now())
+}
+
+// coldLeft is how long the engine stays cold.
+func (e *Engine) coldLeft() time.Duration {
+	return max(0, e.options.ColdFor-time.Since(e.started))
+}
+
 // Version returns the engine's version of a model.
 func (e *Engine) Version(model string) int64 {
 	e.mu.Lock()
@@ -197,7 +221,7 @@
 	defer e.mu.Unlock()
 	raw, err := json.Marshal(map[string]any{
 		"service": e.options.Service, "address": address, "zone": e.options.Zone, "version": "v1",
-		"slots": e.options.Slots, "state": state, "coldLeftMs": 0, "models": e.modelList(), "seqNo": e.orders,
+		"slots": e.options.Slots, "state": state, "coldLeftMs": e.coldLeft().Milliseconds(), "models": e.modelList(), "seqNo": e.orders,
 	})
 	if err != nil {
 		panic(err) // a map of plain values always encodes
