--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -46,6 +47,8 @@
 	duties string
 	// scaled is true when engines of the model may be ordered.
 	scaled bool
+	// slowStart is told of all services; empty for nothing.
+	slowStart map[string]any
 	// orderQuiet is the least time between orders to one engine from two nodes.
 	orderQuiet time.Duration
 	// enginesFence is told to the nodes.
@@ -142,12 +145,13 @@
 	if d.scaled {
 		models["scaling"] = map[string]any{"min": 1, "max": 3, "bootTimeS": 1, "zonePrices": map[string]any{"z1": 1}}
 	}
+	services := []map[string]any{{"name": "desk", "maxConns": 100}, models}
+	for _, service := range services {
+		maps.Copy(service, d.slowStart)
+	}
 	configuration := map[string]any{
 		"version": d.config, "routes": routes,
-		"services": []map[string]any{
-			{"name": "desk", "maxConns": 100},
-			models,
-		},
+		"services": services,
 		"limits": map[string]any{
 			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
 		},
