--- a/internal/coldpermits/asker.go
+++ b/internal/coldpermits/asker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -70,12 +71,13 @@
 }
 
 func (a *Asker) ask(ctx context.Context, service string, engines []fleet.Engine) (Permit, Denial) {
-	if a.options.Decider.Leads() {
-		return a.decide(engines)
-	}
 	if denial, paused := a.isPaused(service); paused {
 		return Permit{}, denial
 	}
+	if a.options.Decider.Leads() {
+		permit, denial := a.decide(engines)
+		return permit, a.pauseUnlessGranted(ctx, service, denial)
+	}
 	select {
 	case a.places <- struct{}{}:
 		defer func() { <-a.places }()
@@ -83,10 +85,7 @@
 		return Permit{}, Denial{Outcome: Withheld, Wait: unansweredPause}
 	}
 	permit, denial := a.askLeader(ctx, service, engines)
-	if denial.Outcome != Granted && ctx.Err() == nil {
-		a.pause(service, denial)
-	}
-	return permit, denial
+	return permit, a.pauseUnlessGranted(ctx, service, denial)
 }
 
 // decide is the question of the node that leads itself.
@@ -151,9 +150,15 @@
 	return Denial{Outcome: Withheld, Wait: left}, true
 }
 
-// pause notes that nothing is to be asked for a service until the wait is over.
-func (a *Asker) pause(service string, denial Denial) {
+// pauseUnlessGranted notes that nothing is to be asked for a service until the wait is over. The wait is
+// stretched by up to a half: all nodes are told the same moment, and the leader would be first each time.
+func (a *Asker) pauseUnlessGranted(ctx context.Context, service string, denial Denial) Denial {
+	if denial.Outcome == Granted || ctx.Err() != nil {
+		return denial
+	}
+	denial.Wait += rand.N(denial.Wait/2 + 1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.paused[service] = a.now().Add(min(denial.Wait, notLeadingWait))
+	return denial
 }
