--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -217,6 +217,7 @@
 	if own.measured < measuredEvents {
 		return
 	}
+	r.options.Fleet.Continues(own.engine, own.started, own.measuredFrom)
 	if r.options.Loading(own.engine) == "" {
 		r.plan.ObservePace(own.engine, now.Sub(own.measuredFrom)/measuredEvents)
 	}
--- a/internal/core/fleet/cold.go
+++ b/internal/core/fleet/cold.go
@@ -113,6 +113,24 @@
 	f.heard(of, at)
 }
 
+// sameLifeMargin is how long before a lost connection was noticed an engine may have ended, and how
+// long after it events that it had made before may still be read.
+const sameLifeMargin = 300 * time.Millisecond
+
+// Continues notes that an engine goes on with a stream that began before, as its events from one time
+// on show. It ends with all its streams, so it has not started again since the stream began.
+func (f *Fleet) Continues(of incarnation.ID, began, eventsFrom time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.cold.doubts[of]
+	if !found || known.reason != Unreached {
+		return
+	}
+	if began.Before(known.at.Add(-sameLifeMargin)) && eventsFrom.After(known.at.Add(sameLifeMargin)) {
+		delete(f.cold.doubts, of)
+	}
+}
+
 // heard is Heard; mu is held.
 func (f *Fleet) heard(of incarnation.ID, at time.Time) {
 	known, found := f.cold.doubts[of]
--- a/internal/core/fleet/cold_test.go
+++ b/internal/core/fleet/cold_test.go
@@ -66,6 +66,23 @@
 	assert.Equal(t, coldReason(f, "a", later.Add(slow.Period)), "")
 }
 
+// TestAnEngineThatGoesOnWithItsOtherStreamsHasNotStartedAgain, but one that was sent something after the
+// loss may have, and so may one whose last events are only read late.
+func TestAnEngineThatGoesOnWithItsOtherStreamsHasNotStartedAgain(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, Failed: true, Unreached: true})
+	before, after := now.Add(-time.Second), now.Add(time.Second)
+	f.Continues(named("a"), now, after)
+	f.Continues(named("a"), before, now)
+	assert.Equal(t, coldReason(f, "a", after), "unreached")
+	f.Continues(named("a"), before, after)
+	assert.Equal(t, coldReason(f, "a", after), "")
+	f.MarkDoubtful(named("a"), ZoneReturned, now)
+	f.Continues(named("a"), before, after)
+	assert.Equal(t, coldReason(f, "a", after), "zone_returned", "it may be cold without a start")
+}
+
 func TestAnEngineThatRefusedAnItemIsColdUntilItRunsOne(t *testing.T) {
 	f := pacedFleet(listed("a", "z"))
 	f.Began(named("a"))
