--- a/internal/hosted/slowstart.go
+++ b/internal/hosted/slowstart.go
@@ -78,7 +78,7 @@
 		if told[id] == each.Reason {
 			continue
 		}
-		n.logger.Info().Stringer("engine", id).Str("service", each.Engine.Service).Str("zone", each.Engine.Zone).
+		n.logger.Info().Stringer("engine", id).Str("service", each.Engine.Service).Str("engine_zone", each.Engine.Zone).
 			Stringer("reason", each.Reason).Float64("rate_per_second", each.RatePerSecond).
 			Dur("told_left_ms", max(0, time.Until(each.Engine.ColdUntil))).Msg("engine counts as cold")
 	}
