--- a/internal/batchrun/cold_test.go
+++ b/internal/batchrun/cold_test.go
@@ -122,6 +122,20 @@
 	assert.Assert(t, !cold)
 }
 
+// TestAnEngineWhoseOutputIsNotWantedIsNotPaced: it ran the item.
+func TestAnEngineWhoseOutputIsNotWantedIsNotPaced(t *testing.T) {
+	w := newColdWorld(t, time.Time{})
+	w.engines.version["e"] = 0
+	w.submit("j", 1, itemNames(w, 1)...)
+	w.lead()
+	testwait.Until(t, "it is started again", func() bool {
+		_, denied, noted := w.starts.counts()
+		return denied > 0 || noted > 1
+	})
+	_, denied, _ := w.starts.counts()
+	assert.Equal(t, denied, 0)
+}
+
 // TestAnEngineThatFailsAnItemIsPaced: it may have started again.
 func TestAnEngineThatFailsAnItemIsPaced(t *testing.T) {
 	w := newColdWorld(t, time.Time{})
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -61,6 +61,8 @@
 	// looks at it when it may have fallen silent.
 	heardAt atomic.Int64
 	stall   atomic.Pointer[time.Timer]
+	// began is true once the engine has sent an event; guarded by the runner's mu.
+	began bool
 	// measured counts the events since measuredFrom; the runner's mu guards both.
 	measured     int
 	measuredFrom time.Time
@@ -193,6 +195,10 @@
 	if item.Ended() || r.runs[key] != own || own.reason != notStopped {
 		return errNotWanted
 	}
+	if !own.began {
+		own.began = true
+		r.options.Fleet.Heard(own.engine, now)
+	}
 	switch item.Output.Add(event, job.limits()) {
 	case batchitem.OutOfOrder:
 		return &RefusedError{Refusal: Broken, Detail: "an event is missing or stands twice"}
@@ -209,7 +215,6 @@
 // that had to wait in this process come together; mu is held.
 func (r *Runner) observePace(own *run, now time.Time) {
 	if own.measuredFrom.IsZero() {
-		r.options.Fleet.Heard(own.engine, now)
 		own.measuredFrom = now
 		return
 	}
@@ -238,7 +243,7 @@
 	if own.reason == notStopped && !whole && r.ctx.Err() == nil {
 		outcome.Failed = refusal == Broken
 		outcome.Unreached = refusal == Broken
-		outcome.RefusedItem = refusal == NotExecuted
+		outcome.RefusedItem = refusal == NotExecuted && !own.began
 		outcome.Gone = refusal == WrongEngine
 	}
 	if own.reason == stopStalled {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -10,6 +10,7 @@
 var (
 	refusals = map[string]string{
 		"not_executed": "not run", "wrong_engine": "another engine at the address", "failed": "the run failed",
+		"not_sent": "not sent, its permit for a cold engine had ended",
 	}
 	stopReasons = map[string]string{"moved": "moved to a faster engine"}
 )
