Merge: slow start of cold engines

Change: one pacer at the leader decides for all senders (core/slowstart, internal/coldpermits); plans, live requests and scoring calls ask it; a new leader admits nothing for a while. A permit is one more reason of the last look (sendgate), in place of a second mechanism on the connection.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
@@ -104,6 +106,18 @@
 	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
+// ColdStarts admits items to engines that count as cold; see coldpermits.Decider.
+type ColdStarts interface {
+	// Room returns how many items may start at a cold engine now.
+	Room(to incarnation.ID, cold fleet.Coldness) int
+	// Admit admits one item to a cold engine.
+	Admit(
+		sender coldpermits.Sender, to incarnation.ID, cold fleet.Coldness,
+	) (coldpermits.Permit, time.Duration, coldpermits.Outcome)
+	// Note counts an item at an engine that is not known to be cold.
+	Note(to incarnation.ID, ratePerSecond float64)
+}
+
 // Scoring is how a scoring call ended.
 type Scoring struct {
 	// Score is the score; empty when there is none.
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -67,6 +67,8 @@
 	// looks at it when it may have fallen silent.
 	heardAt atomic.Int64
 	stall   atomic.Pointer[time.Timer]
+	// began is true once the engine has sent an event; guarded by the runner's mu.
+	began bool
 	// measured counts the events since measuredFrom; the runner's mu guards both.
 	measured     int
 	measuredFrom time.Time
@@ -115,10 +117,16 @@
 		}
 		return
 	}
+	mayLeave, admitted := r.admit(engine)
+	if !admitted {
+		r.plan.Ended(key)
+		r.plan.Add(assignment.Item)
+		return
+	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	started := &run{
 		engine: engine.Incarnation(), started: time.Now(), apart: assignment.Item.Suspect, cancel: cancel,
-		look: r.options.Gate.Look(engine.Incarnation()),
+		look: r.options.Gate.Look(engine.Incarnation(), mayLeave),
 	}
 	r.runs[key] = started
 	state := &job.items[key.Item]
@@ -127,7 +135,7 @@
 	call.After, call.Started = state.Output.Last(), !state.Output.Empty()
 	call.MayLeave = started.look.MayLeave
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).Stringer("engine", started.engine).
-		Int("running", assignment.Running).Dur("pace_ms", assignment.Pace).
+		Int("running", assignment.Running).Bool("cold", mayLeave != nil).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.After).
 		Int("length", record.Length).Int("tokens", record.Tokens).
 		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
@@ -196,6 +204,10 @@
 	if item.Ended() || r.runs[key] != own || own.reason != notStopped {
 		return errNotWanted
 	}
+	if !own.began {
+		own.began = true
+		r.options.Fleet.Heard(own.engine, now)
+	}
 	switch item.Output.Add(event, job.limits()) {
 	case batchitem.OutOfOrder:
 		return &RefusedError{Refusal: Broken, Detail: "an event is missing or stands twice"}
@@ -219,6 +231,7 @@
 	if own.measured < measuredEvents {
 		return
 	}
+	r.options.Fleet.Continues(own.engine, own.started, own.measuredFrom)
 	if r.options.Loading(own.engine) == "" {
 		r.plan.ObservePace(own.engine, now.Sub(own.measuredFrom)/measuredEvents)
 	}
@@ -238,10 +251,12 @@
 	}
 	if own.reason == notStopped && !whole && r.ctx.Err() == nil {
 		outcome.Failed = refusal == Broken
+		outcome.Unreached = refusal == Broken
+		outcome.RefusedItem = refusal == NotExecuted && !own.began
 		outcome.Gone = refusal == WrongEngine
 	}
 	if own.reason == stopStalled {
-		outcome.Failed = true
+		outcome.Failed, outcome.Unreached = true, true
 	}
 	r.options.Fleet.Ended(own.engine, outcome)
 	if refusal == NotExecuted && own.reason == notStopped {
--- a/internal/core/fleet/evacuation.go
+++ b/internal/core/fleet/evacuation.go
@@ -27,17 +27,20 @@
 	HeldGone
 	// HeldUnknown: this process does not know which zones are evacuated, and learns it shortly.
 	HeldUnknown
+	// HeldPaced: the engine is cold, and the permit to send to it has ended.
+	HeldPaced
 )
 
 var holdNames = [...]string{
 	NotHeld: "none", HeldDraining: "draining", HeldEvacuated: "evacuated", HeldGone: "gone", HeldUnknown: "unknown",
+	HeldPaced: "paced",
 }
 
 // String returns the reason as it stands in logs and metrics.
 func (h Hold) String() string { return holdNames[h] }
 
 // Holds returns every reason for which an engine is sent nothing.
-func Holds() []Hold { return []Hold{HeldDraining, HeldEvacuated, HeldGone, HeldUnknown} }
+func Holds() []Hold { return []Hold{HeldDraining, HeldEvacuated, HeldGone, HeldUnknown, HeldPaced} }
 
 // zoneState is what was last said of a zone's evacuation.
 type zoneState struct {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -69,12 +69,14 @@
 	starts int64
 	// zones holds what was last said of the evacuation of each zone.
 	zones map[string]zoneState
+	cold  coldness
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{
 		members: make(map[string]*member), byService: make(map[string][]string), zones: make(map[string]zoneState),
+		cold: newColdness(),
 	}
 }
 
@@ -198,6 +200,10 @@
 	ConnectionLost bool
 	// Gone: another engine answers at the address.
 	Gone bool
+	// Unreached: a connection was refused, lost or silent, so that the engine may have started again.
+	Unreached bool
+	// RefusedItem: the engine did not run an item of a batch job, whose places are counted.
+	RefusedItem bool
 	// Load is what the engine said of itself, if it did.
 	Load *Load
 	// Latency is the time to the whole answer; zero when there was none.
@@ -223,6 +229,7 @@
 	}
 	// An entry that went and came back while the request was there has begun a new count.
 	known.inFlight = max(0, known.inFlight-1)
+	f.noteOutcome(of, outcome)
 	if outcome.Load != nil {
 		known.load, known.loadAt = *outcome.Load, outcome.At
 	}
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -48,7 +48,8 @@
 		delete(n.unusable, record.Key)
 	}
 	engine.ReadAt = time.Now()
-	known, _ := n.fleet.Get(engine.ID)
+	known, listed := n.fleet.Get(engine.ID)
+	n.doubtNew(engine, listed && known.Incarnation() == engine.Incarnation())
 	change := n.fleet.Put(engine)
 	n.tellChange(known, engine, change, record.Offset)
 }
@@ -121,6 +122,7 @@
 func (n *node) settleEngines(ctx context.Context) error {
 	for retry.Sleep(ctx, settlePeriod) {
 		for _, settled := range n.fleet.Settle(time.Now().Add(-n.engines.Age())) {
+			n.fleet.MarkDoubtful(settled.Engine.Incarnation(), fleet.FirstSeen, time.Now())
 			n.tellStartedAgain(settled.Ended, settled.Engine)
 		}
 	}
--- a/internal/hosted/evacuation.go
+++ b/internal/hosted/evacuation.go
@@ -8,6 +8,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/standstill"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/follow"
 )
 
@@ -18,11 +19,15 @@
 
 // takeEvacuation puts the operator's record for a zone in force.
 func (n *node) takeEvacuation(evacuation Evacuation, offset int64) {
+	now := time.Now()
 	change := n.fleet.TakeBack
 	if evacuation.InForce {
 		change = n.fleet.Evacuate
+	} else if n.fleet.IsEvacuated(evacuation.Zone) {
+		// Its engines may have turned cold meanwhile; none may be chosen as a warm one first.
+		n.fleet.MarkZoneDoubtful(evacuation.Zone, fleet.ZoneReturned, now)
 	}
-	if !change(evacuation.Zone, time.Now(), offset) {
+	if !change(evacuation.Zone, now, offset) {
 		return
 	}
 	n.metrics.evacuated.Set(float64(len(n.fleet.EvacuatedZones())))
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -21,6 +21,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/standstill"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -143,6 +144,9 @@
 	guard     *crashes.Guard
 	ended     *follow.Follower
 	elector   *leadership.Elector
+	// coldDecider admits requests to cold engines while this node leads, coldPermits asks whichever leads.
+	coldDecider *coldpermits.Decider
+	coldPermits *coldpermits.Asker
 	// log is the platform's log, directly or by way of another node.
 	log     eventlog.Log
 	counter *duties.Counter
@@ -207,8 +211,10 @@
 	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
 	n.guard = n.newGuard(log)
 	n.ended = follow.New(replicas, platform.CrashTopic(), n.guard.Take, n.directory.Budget(), logger)
+	n.coldDecider, n.coldPermits = n.newColdPermits()
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Gate: n.gate, Table: n.state.table, Current: n.isCurrent,
+		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Gate: n.gate, ColdPermits: n.coldPermits,
+		Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
@@ -227,6 +233,7 @@
 	router.Handle(logrelay.Path, logrelay.NewHandler(direct, log.Direct, n))
 	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.IsReplica)).Methods(http.MethodPost)
 	router.Handle(crashes.Path, n.guard.Handler()).Methods(http.MethodPost)
+	router.Handle(coldpermits.Path, n.coldDecider.Handler(n.fleet.SlowStart)).Methods(http.MethodPost)
 	return router
 }
 
@@ -293,7 +300,7 @@
 	for _, role := range []func(context.Context) error{
 		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
 		n.settleEngines,
-		n.standstill.Run,
+		n.standstill.Run, n.watchColdEngines,
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -21,8 +21,10 @@
 		Loaded:  func() { runner.Wake() },
 		Term:    term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
 	})
+	defer n.coldDecider.Lead(term.Valid)()
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, Gate: n.gate, RouteOf: n.batchRoute,
+		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, Gate: n.gate,
+		ColdStarts: n.coldDecider, RouteOf: n.batchRoute,
 		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -31,6 +31,9 @@
 	leftOut             prometheus.Counter
 	evacuated           prometheus.Gauge
 	heldBack            *prometheus.CounterVec
+	cold                prometheus.Gauge
+	admissions          *prometheus.CounterVec
+	coldPermits         *prometheus.CounterVec
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -94,9 +97,11 @@
 	for _, reason := range fleet.Holds() {
 		m.heldBack.WithLabelValues(reason.String())
 	}
+	m.addSlowStart()
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
 		m.dropped, m.leftOut, m.unusable, m.enginesStartedAgain, m.evacuated, m.heldBack,
+		m.cold, m.admissions, m.coldPermits,
 	)
 	return m
 }
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -107,6 +107,7 @@
 	}
 	if change.Table != nil && n.state.setTable(change.Table) {
 		n.metrics.tableVersion.Set(float64(change.Table.Version))
+		n.fleet.SetSlowStarts(change.Table.SlowStarts())
 		n.logger.Info().Int64("config", change.Table.Version).Int64("offset", record.Offset).Msg("configuration in force")
 	}
 	if change.Model != "" && n.state.setVersion(change.Model, change.ModelVersion) {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
@@ -33,6 +34,8 @@
 	endsAt time.Time
 
 	tried []string
+	// denial says why no cold engine was asked, if one was left.
+	denial coldpermits.Denial
 	// fingerprint is nil until it is asked for.
 	fingerprint *quarantine.Fingerprint
 	// ran counts the engines that may have run the request.
@@ -80,13 +83,14 @@
 		if !x.relay.options.Gate.AwaitKnown(x.ctx) {
 			return x.unknownZones()
 		}
-		choice, found := x.relay.options.Fleet.Choose(fleet.Query{
-			Service: x.service, Zone: x.relay.options.Zone, Tried: x.tried, Now: time.Now(),
-		})
+		choice, mayLeave, found := x.choose()
+		if !found && x.waitForPermit() {
+			continue
+		}
 		if !found {
 			break
 		}
-		switch x.try(choice) {
+		switch x.try(choice, mayLeave) {
 		case answered:
 			return nil
 		case giveUp:
@@ -123,6 +127,9 @@
 		failure.RetryAfter = evacuatedRetry
 		return failure
 	}
+	if x.denial.Outcome != coldpermits.Granted {
+		return x.onlyColdLeft()
+	}
 	failure := errkind.New(errkind.NoCapacity, "no engine of %s took the request, %d were asked", x.service, len(x.tried))
 	failure.RetryAfter = refusalRetry
 	return failure
@@ -139,8 +146,8 @@
 	return failure
 }
 
-// try sends the request to one engine.
-func (x *exchange) try(choice fleet.Choice) verdict {
+// try sends the request to one engine, if it may leave by then; nil sets no limit.
+func (x *exchange) try(choice fleet.Choice, mayLeave func() bool) verdict {
 	engine := choice.Engine
 	x.tried = append(x.tried, engine.ID)
 	began := time.Now()
@@ -151,7 +158,7 @@
 	ctx, cancel := x.withPatience(remaining)
 	defer cancel()
 	x.relay.options.Fleet.Began(engine.Incarnation())
-	look := x.relay.options.Gate.Look(engine.Incarnation())
+	look := x.relay.options.Gate.Look(engine.Incarnation(), mayLeave)
 	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
 		Request: x.request, Sender: x.sender, Remaining: remaining,
 		After: x.after, HasAfter: x.streamed && x.after > 0, MayLeave: look.MayLeave,
@@ -219,9 +226,11 @@
 	known := errors.As(err, &failure)
 	outcome.Failed = !known || !failure.HeldBack
 	if known && !failure.MayHaveRun {
+		outcome.Unreached = !failure.HeldBack
 		return tryNext
 	}
 	outcome.ConnectionLost = failure != nil && failure.ConnectionLost
+	outcome.Unreached = outcome.ConnectionLost
 	x.ran++
 	return x.again()
 }
@@ -295,7 +304,7 @@
 		level = zerolog.WarnLevel
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Stringer("engine", choice.Engine.Incarnation()).
-		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
+		Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).Int("candidates", choice.Candidates).Float64("score", choice.Score).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if result != answered {
 		line = line.Stringer("fingerprint", x.fingerprintOf())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -111,6 +112,12 @@
 	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
+// ColdPermits lets requests go to engines that count as cold; see coldpermits.Asker.
+type ColdPermits interface {
+	// Ask returns a permit for one of the engines of a service.
+	Ask(ctx context.Context, service string, engines []fleet.Engine) (coldpermits.Permit, coldpermits.Denial)
+}
+
 // Options are the parts that a relay works with.
 type Options struct {
 	Engines Engines
@@ -118,6 +125,8 @@
 	Guard   Guard
 	// Gate is asked before requests leave; nil for one that asks Fleet.
 	Gate *sendgate.Gate
+	// ColdPermits is asked for the engines of services that have a slow start only.
+	ColdPermits ColdPermits
 	// Table returns the configuration in force; nil when none is known.
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -56,13 +56,17 @@
 	return false
 }
 
-// Look returns the last look at one request for an engine.
-func (g *Gate) Look(engine incarnation.ID) *Look { return &Look{gate: g, engine: engine} }
+// Look returns the last look at one request for an engine. A request to a cold engine has a permit;
+// nil stands for none, and none needed.
+func (g *Gate) Look(engine incarnation.ID, permit func() bool) *Look {
+	return &Look{gate: g, engine: engine, permit: permit}
+}
 
 // Look is the last look at one request. It is safe for concurrent use.
 type Look struct {
 	gate   *Gate
 	engine incarnation.ID
+	permit func() bool
 	held   atomic.Uint32
 }
 
@@ -86,5 +90,11 @@
 	if !l.gate.Known() {
 		return fleet.HeldUnknown
 	}
-	return l.gate.options.Fleet.Hold(l.engine)
+	if held := l.gate.options.Fleet.Hold(l.engine); held != fleet.NotHeld {
+		return held
+	}
+	if l.permit != nil && !l.permit() {
+		return fleet.HeldPaced
+	}
+	return fleet.NotHeld
 }
--- a/internal/sendgate/sendgate_test.go
+++ b/internal/sendgate/sendgate_test.go
@@ -23,7 +23,7 @@
 	known, engine := engineInZone("za")
 	var reasons []fleet.Hold
 	gate := New(Options{Fleet: known, HeldBack: func(reason fleet.Hold) { reasons = append(reasons, reason) }})
-	look := gate.Look(engine.Incarnation())
+	look := gate.Look(engine.Incarnation(), nil)
 	assert.Assert(t, look.MayLeave())
 	assert.Equal(t, look.Held(), fleet.NotHeld)
 	known.Evacuate("za", time.Now(), 1)
@@ -38,13 +38,13 @@
 	known, engine := engineInZone("za")
 	var learned atomic.Bool
 	gate := New(Options{Fleet: known, Known: learned.Load})
-	look := gate.Look(engine.Incarnation())
+	look := gate.Look(engine.Incarnation(), nil)
 	assert.Assert(t, !look.MayLeave())
 	assert.Equal(t, look.Held(), fleet.HeldUnknown)
 	assert.Assert(t, !gate.AwaitKnown(t.Context()))
 	learned.Store(true)
 	assert.Assert(t, gate.AwaitKnown(t.Context()))
-	assert.Assert(t, gate.Look(engine.Incarnation()).MayLeave())
+	assert.Assert(t, gate.Look(engine.Incarnation(), nil).MayLeave())
 }
 
 // TestACallerThatLeavesEndsTheWait: nobody waits for it any more.
@@ -55,3 +55,20 @@
 	cancel()
 	assert.Assert(t, !gate.AwaitKnown(ctx))
 }
+
+// TestARequestToAColdEngineLeavesWhileItsPermitIsOpen, and an evacuation goes before it.
+func TestARequestToAColdEngineLeavesWhileItsPermitIsOpen(t *testing.T) {
+	known, engine := engineInZone("za")
+	var open atomic.Bool
+	open.Store(true)
+	gate := New(Options{Fleet: known})
+	assert.Assert(t, gate.Look(engine.Incarnation(), open.Load).MayLeave())
+	open.Store(false)
+	look := gate.Look(engine.Incarnation(), open.Load)
+	assert.Assert(t, !look.MayLeave())
+	assert.Equal(t, look.Held(), fleet.HeldPaced)
+	known.Evacuate("za", time.Now(), 1)
+	look = gate.Look(engine.Incarnation(), open.Load)
+	assert.Assert(t, !look.MayLeave())
+	assert.Equal(t, look.Held(), fleet.HeldEvacuated)
+}
