Topology and homes: which zone lies in which region, which regions may serve a request

Cause: nodes knew their own region only, so nothing could tell an engine of another region from a near one. Change: core/topology (regions of zones, distances), core/homes (sets of regions), the settings table topology.zones, laid out from the platform's zones and checked with the others. Conclusion: the base of residency and of choice by distance.

--- /dev/null
+++ b/internal/core/homes/homes_test.go
@@ -0,0 +1,58 @@
+package homes
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestOnlyRegionsOfTheSetAreAllowed(t *testing.T) {
+	for _, test := range []struct {
+		set     Set
+		region  string
+		allowed bool
+	}{
+		{Set{}, "north", true},
+		{Set{}, "", true},
+		{Of([]string{}), "north", true},
+		{Of([]string{"north", "south"}), "north", true},
+		{Of([]string{"north", "south"}), "south", true},
+		{Of([]string{"north", "south"}), "nort", false},
+		{Of([]string{"north", "south"}), "orth", false},
+		{Of([]string{"north", "south"}), "west", false},
+		{Of([]string{"north"}), "", false},
+		{Of([]string{""}), "", false},
+	} {
+		assert.Equal(t, test.set.Allows(test.region), test.allowed, "%s, %q", test.set, test.region)
+	}
+}
+
+func TestBothSetsBind(t *testing.T) {
+	both := Of([]string{"north", "south"})
+	north, south := Of([]string{"north"}), Of([]string{"south"})
+	assert.Equal(t, Set{}.Intersect(Set{}), Set{})
+	assert.Equal(t, Set{}.Intersect(north), north)
+	assert.Equal(t, north.Intersect(Set{}), north)
+	assert.Equal(t, both.Intersect(north), north)
+	nowhere := north.Intersect(south)
+	assert.Assert(t, nowhere.Nowhere() && nowhere.Bound())
+	assert.Assert(t, !nowhere.Allows("north") && !nowhere.Allows("south") && !nowhere.Allows(""))
+	assert.Equal(t, nowhere.Intersect(Set{}), nowhere, "a set without regions stays one")
+	assert.Assert(t, !Set{}.Nowhere() && !north.Nowhere())
+}
+
+func TestSetsOfTheSameRegionsAreEqual(t *testing.T) {
+	assert.Equal(t, Of([]string{"b", "a", "b"}), Of([]string{"a", "b"}))
+	assert.Assert(t, Of([]string{"ab"}) != Of([]string{"a", "b"}))
+	assert.DeepEqual(t, Of([]string{"b", "a"}).Regions(), []string{"a", "b"})
+	assert.Assert(t, Set{}.Regions() == nil)
+	assert.Equal(t, Of([]string{"b", "a"}).String(), "a,b")
+	assert.Equal(t, Set{}.String(), "everywhere")
+}
+
+func TestACallCarriesItsHomes(t *testing.T) {
+	north := Of([]string{"north"})
+	assert.Equal(t, FromContext(context.Background()), Set{})
+	assert.Equal(t, FromContext(context.WithoutCancel(NewContext(context.Background(), north))), north)
+}
--- /dev/null
+++ b/internal/core/topology/topology_test.go
@@ -0,0 +1,34 @@
+package topology
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRegionsOfZones(t *testing.T) {
+	known := NewMap(map[string]string{"a1": "a", "b1": "b"}, "c1", "c")
+	assert.Equal(t, known.Region("a1"), "a")
+	assert.Equal(t, known.Region("c1"), "c", "the node's own zone needs no entry")
+	assert.Equal(t, known.Region("d1"), "", "an unknown zone has no region")
+	assert.Assert(t, known.HasRegion("b") && known.HasRegion("c"))
+	assert.Assert(t, !known.HasRegion("d") && !known.HasRegion(""))
+}
+
+func TestDistances(t *testing.T) {
+	own := Place{Zone: "a1", Region: "a"}
+	for _, test := range []struct {
+		other  Place
+		wanted Distance
+	}{
+		{Place{"a1", "a"}, SameZone},
+		{Place{"a2", "a"}, SameRegion},
+		{Place{"b1", "b"}, OtherRegion},
+		{Place{"x1", ""}, OtherRegion},
+	} {
+		assert.Equal(t, Between(own, test.other), test.wanted, "%v", test.other)
+		assert.Equal(t, Between(test.other, own), test.wanted, "%v", test.other)
+	}
+	assert.Equal(t, Between(Place{Zone: "x1"}, Place{Zone: "x2"}), OtherRegion, "two unknown regions may differ")
+	assert.Assert(t, SameZone.RoundTrip() < SameRegion.RoundTrip() && SameRegion.RoundTrip() < OtherRegion.RoundTrip())
+}
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,7 +33,8 @@
 	if level, err := zerolog.ParseLevel(reloaded.Log.Level); err == nil {
 		zerolog.SetGlobalLevel(level)
 	}
-	restart := reloaded.Node != n.config.Node || reloaded.Listen != n.config.Listen || reloaded.Hosted != n.config.Hosted
+	restart := reloaded.Node != n.config.Node || reloaded.Listen != n.config.Listen || reloaded.Hosted != n.config.Hosted ||
+		!maps.Equal(reloaded.Topology.Zones, n.config.Topology.Zones)
 	n.logger.Info().Dur("grace_ms", grace).Str("level", reloaded.Log.Level).Bool("needs_restart", restart).
 		Msg("settings reloaded")
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -71,6 +72,7 @@
 	if p := settings.Node.Processors; !(p >= 0 && p <= MaxProcessors) {
 		c.add("node.processors", fmt.Sprint(p), fmt.Sprintf("0..%d", MaxProcessors))
 	}
+	c.topology(settings.Topology, settings.Node)
 	c.listeners(settings.Listen)
 	c.advertised(settings.Listen.Peers, settings.Advertise.Peers)
 	for i, seed := range settings.Cluster.Seeds {
@@ -102,6 +104,22 @@
 	}
 }
 
+// topology checks the regions of the zones.
+func (c *checker) topology(topology Topology, node Node) {
+	for _, zone := range slices.Sorted(maps.Keys(topology.Zones)) {
+		region := topology.Zones[zone]
+		key := "topology.zones." + zone
+		switch {
+		case !namePattern.MatchString(zone):
+			c.add(key, zone, "the name of a zone, 1..63 of a-z, 0-9 and '-'")
+		case zone == node.Zone && region != node.Region:
+			c.add(key, region, fmt.Sprintf("the region of this node, which lies in that zone: %q", node.Region))
+		default:
+			c.pattern(key, region, namePattern, "the name of a region, 1..63 of a-z, 0-9 and '-'")
+		}
+	}
+}
+
 // listeners checks the three addresses that this node binds.
 func (c *checker) listeners(listen Listen) {
 	bound := make(map[netip.AddrPort]string)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 // Settings are the checked settings of one daemon.
 type Settings struct {
 	Node       Node       `toml:"node"`
+	Topology   Topology   `toml:"topology"`
 	Listen     Listen     `toml:"listen"`
 	Advertise  Advertise  `toml:"advertise"`
 	Cluster    Cluster    `toml:"cluster"`
@@ -34,6 +35,13 @@
 	Processors float64 `toml:"processors"`
 }
 
+// Topology says where the zones of the whole system lie.
+type Topology struct {
+	// Zones names the region of each zone. Zones that are not named, but for the node's own, count as
+	// far away, and as outside of whatever regions a request is bound to.
+	Zones map[string]string `toml:"zones"`
+}
+
 // Listen holds the addresses ("ip:port"; port 0 picks a free one) of the three listeners.
 type Listen struct {
 	Callers   string `toml:"callers"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +99,21 @@
 	_, problems := Load(Flags{File: filepath.Join("..", "..", "examples", "corkpulleyd.toml")})
 	assert.Equal(t, len(problems), 0, "%v", problems)
 }
+
+func TestTheTopologyIsChecked(t *testing.T) {
+	good := "[topology.zones]\ntumwater = \"pnw\"\nhillsboro = \"pnw\"\nomaha = \"plains\"\n"
+	loaded, problems := Load(Flags{File: writeFile(t, completeFile+good)})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Topology.Zones["omaha"], "plains")
+	for _, test := range []struct{ text, key, expected string }{
+		{"tumwater = \"plains\"", "topology.zones.tumwater", "the region of this node"},
+		{"omaha = \"The Plains\"", "topology.zones.omaha", "the name of a region"},
+		{"omaha = \"\"", "topology.zones.omaha", "the name of a region"},
+		{"\"Omaha 1\" = \"plains\"", "topology.zones.Omaha 1", "the name of a zone"},
+	} {
+		_, problems := Load(Flags{File: writeFile(t, completeFile+"[topology.zones]\n"+test.text+"\n")})
+		assert.Equal(t, len(problems), 1, "%s: %v", test.text, problems)
+		assert.Equal(t, problems[0].Key, test.key)
+		assert.Assert(t, strings.Contains(problems[0].Expected, test.expected), problems[0].Expected)
+	}
+}
