Engines outside of a request's home regions are never chosen

Cause: routes and tenants may name the regions that alone may serve their requests; both bind. Nothing read them. Change: routes.Sender carries the regions of route and tenant, fleet.Query.Regions filters by them, at each try and by the newest configuration; a request without an engine at home is refused as not run (outside_homes).

--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -60,6 +60,8 @@
 	// HistoryLost: the log dropped records that this node has not read, so that it cannot be sure
 	// of what is asked; another node may be.
 	HistoryLost
+	// OutsideHomes: no engine, or no node, of the regions that alone may serve the request is there.
+	OutsideHomes
 	kindCount
 )
 
@@ -126,6 +128,7 @@
 	Unauthorized:   {"unauthorized", http.StatusUnauthorized, NotExecuted, false, 0},
 	Quarantined:    {"quarantined", http.StatusServiceUnavailable, NotExecuted, true, 10 * time.Second},
 	HistoryLost:    {"history_lost", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
+	OutsideHomes:   {"outside_homes", http.StatusServiceUnavailable, NotExecuted, true, 2 * time.Second},
 }
 
 // All returns every kind in the order of its number.
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // Query asks for an engine for one request.
@@ -13,6 +15,8 @@
 	// Model and MinVersion are set for requests that want certain weights.
 	Model      string
 	MinVersion int64
+	// Regions are those whose engines may run the request.
+	Regions homes.Set
 	// Tried lists engines that this request was already sent to.
 	Tried []string
 	Now   time.Time
@@ -56,7 +60,7 @@
 	var candidates []*member
 	for _, id := range f.byService[query.Service] {
 		candidate := f.members[id]
-		if !f.takesWork(candidate.engine) || contains(query.Tried, id) {
+		if !f.takesWork(candidate.engine) || !query.Regions.Allows(candidate.engine.Region) || contains(query.Tried, id) {
 			continue
 		}
 		if !suspectsToo && query.Now.Before(candidate.suspectUntil) {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
@@ -20,8 +21,10 @@
 	Born    int64
 	Service string
 	// Address is ip:port.
-	Address  string
-	Zone     string
+	Address string
+	Zone    string
+	// Region is that of the zone; empty where it is not known.
+	Region   string
 	Slots    int
 	Draining bool
 	// Versions holds the weight version of each model.
@@ -191,6 +194,18 @@
 	return engines
 }
 
+// Serves tells whether a service has an engine in one of the regions that may be sent anything new.
+func (f *Fleet) Serves(service string, regions homes.Set) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.byService[service] {
+		if engine := f.members[id].engine; f.takesWork(engine) && regions.Allows(engine.Region) {
+			return true
+		}
+	}
+	return false
+}
+
 // Places returns how many requests the engines of a service work on at once, and
 // how many they have as far as this process knows. Engines that leave or failed
 // recently do not count.
--- a/internal/core/routes/tenants.go
+++ b/internal/core/routes/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // Tenant is one customer, known by its API keys.
@@ -34,11 +35,15 @@
 	Checked bool
 	// Priority is the rank of the request, 0 first: the tenant's, or else the route's.
 	Priority int
+	// Homes are the regions that alone may serve and keep the request: those of the route and of the
+	// tenant, where both have some those that both name.
+	Homes homes.Set
 }
 
 // tenants finds the tenant of a key.
 type tenants struct {
-	byKey map[string]*Tenant
+	byKey  map[string]*Tenant
+	byName map[string]*Tenant
 }
 
 // newTenants returns nil for a nil list. A key that stands at two tenants is that of
@@ -51,8 +56,9 @@
 	for i := range list {
 		keys += len(list[i].Keys)
 	}
-	found := &tenants{byKey: make(map[string]*Tenant, keys)}
+	found := &tenants{byKey: make(map[string]*Tenant, keys), byName: make(map[string]*Tenant, len(list))}
 	for i := range list {
+		found.byName[list[i].Name] = &list[i]
 		for _, key := range list[i].Keys {
 			if _, taken := found.byKey[key]; !taken && key != "" {
 				found.byKey[key] = &list[i]
@@ -66,7 +72,7 @@
 // known to be the newest one, but for a few seconds. An error is of the kind Unauthorized,
 // or NotCurrent where the key may have been added in a newer table.
 func (t *Table) SenderOf(route *Route, credentials Credentials, current bool) (Sender, *errkind.Error) {
-	sender := Sender{Checked: t.tenants != nil, Priority: route.Priority}
+	sender := Sender{Checked: t.tenants != nil, Priority: route.Priority, Homes: homes.Of(route.Homes)}
 	if t.tenants == nil || route.Open {
 		return sender, nil
 	}
@@ -75,6 +81,7 @@
 		return Sender{}, failure
 	}
 	sender.Tenant = tenant.Name
+	sender.Homes = sender.Homes.Intersect(homes.Of(tenant.Homes))
 	if tenant.Priority != nil {
 		sender.Priority = *tenant.Priority
 	}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -78,7 +79,7 @@
 			return x.timedOut()
 		}
 		choice, found := x.relay.options.Fleet.Choose(fleet.Query{
-			Service: x.service, Zone: x.relay.options.Zone, Tried: x.tried, Now: time.Now(),
+			Service: x.service, Zone: x.relay.options.Zone, Regions: x.homes(), Tried: x.tried, Now: time.Now(),
 		})
 		if !found {
 			break
@@ -99,6 +100,19 @@
 	return x.failed()
 }
 
+// homes returns the regions whose engines may run the request now: a newer configuration than the
+// request began with may have moved them.
+func (x *exchange) homes() homes.Set {
+	table := x.relay.options.Table()
+	if table == nil || table.Version <= x.table.Version {
+		return x.sender.Homes
+	}
+	if set, known := table.HomesOf(x.request.Host, x.request.Path, x.sender.Tenant); known {
+		return set
+	}
+	return x.sender.Homes
+}
+
 // timedOut is the answer when the time is over. Nobody reads it if the caller left.
 func (x *exchange) timedOut() *errkind.Error {
 	if x.caller.Err() != nil && x.ran == 0 {
@@ -115,6 +129,9 @@
 	if x.ran > 0 {
 		return errkind.New(errkind.EngineFailed, "%d engines were asked and none answered in time", x.ran)
 	}
+	if regions := x.homes(); !x.relay.options.Fleet.Serves(x.service, regions) && regions.Bound() {
+		return errkind.New(errkind.OutsideHomes, "no engine of %s is in %s", x.service, regions)
+	}
 	failure := errkind.New(errkind.NoCapacity, "no engine of %s took the request, %d were asked", x.service, len(x.tried))
 	failure.RetryAfter = refusalRetry
 	return failure
@@ -257,6 +274,9 @@
 		Str("service", x.service).Str("tenant", x.sender.Tenant).Int64("config", x.table.Version).
 		Int("tried", len(x.tried)).Int("ran", x.ran).Int("status", x.status).
 		Bool("caller_left", x.caller.Err() != nil).Dur("took_ms", took)
+	if x.sender.Homes.Bound() {
+		line = line.Stringer("homes", x.sender.Homes)
+	}
 	kind := "ok"
 	if failure != nil {
 		kind = failure.Kind.String()
--- /dev/null
+++ b/internal/ingress/homes_test.go
@@ -0,0 +1,143 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+)
+
+// homedDeployment is a relay in the south whose routes and tenants name regions.
+type homedDeployment struct {
+	*Relay
+	fleet *fleet.Fleet
+
+	mu sync.Mutex
+	// table is the configuration in force.
+	table *routes.Table
+	// asked are the regions of the engines that were sent a request, in order.
+	asked []string
+	// answers tells how the engine of a region answers; those of others break off.
+	answers map[string]Answer
+	// sent is called, if set, with each request that is sent.
+	sent func()
+}
+
+// Send implements Engines.
+func (d *homedDeployment) Send(ctx context.Context, engine fleet.Engine, call Call) (*Answer, error) {
+	d.mu.Lock()
+	d.asked = append(d.asked, engine.Region)
+	answer, sent := d.answers[engine.Region], d.sent
+	d.mu.Unlock()
+	if sent != nil {
+		sent()
+	}
+	return scriptedEngines{engine.ID: answer}.Send(ctx, engine, call)
+}
+
+func (d *homedDeployment) put(table *routes.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table = table
+}
+
+func (d *homedDeployment) current() *routes.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table
+}
+
+// homedTable has a route and a tenant with the given homes.
+func homedTable(version int64, ofRoute, ofTenant []string) *routes.Table {
+	return routes.NewTable(routes.Definition{
+		Version: version,
+		Routes: []routes.Route{{
+			Name: "r", Host: "h", Prefix: "/x/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
+			Timeout: time.Second, MaxAttempts: maxTries, Homes: ofRoute,
+		}},
+		Tenants: []routes.Tenant{{Name: "t", Keys: []string{"key"}, Homes: ofTenant}},
+	})
+}
+
+func newHomedDeployment(ofRoute, ofTenant []string) *homedDeployment {
+	d := &homedDeployment{fleet: fleet.New(), table: homedTable(1, ofRoute, ofTenant), answers: map[string]Answer{}}
+	for _, region := range []string{"north", "south", "west"} {
+		for _, name := range []string{"1", "2"} {
+			d.fleet.Put(fleet.Engine{
+				ID: region + name, Service: "s", Zone: region + name, Region: region, Slots: 4,
+			})
+		}
+	}
+	d.Relay = New(Options{
+		Engines: d, Fleet: d.fleet, Guard: noCrashes{}, Table: d.current, Current: func() bool { return true },
+		Zone: "south1", Began: func(string, time.Time) {},
+		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
+	})
+	return d
+}
+
+func (d *homedDeployment) request() (Reply, *errkind.Error) {
+	return d.Call(context.Background(), &Request{
+		ID: "id", Method: http.MethodPost, Target: "/x/1", Path: "/x/1", Host: "h", Received: time.Now(),
+		Credentials: routes.Credentials{Key: "key"},
+	})
+}
+
+func TestRequestsAndTheirRetriesStayAtHome(t *testing.T) {
+	for name, homes := range map[string]struct{ ofRoute, ofTenant []string }{
+		"route":  {[]string{"north"}, nil},
+		"tenant": {nil, []string{"north"}},
+		"both":   {[]string{"north", "south"}, []string{"west", "north"}},
+	} {
+		d := newHomedDeployment(homes.ofRoute, homes.ofTenant)
+		_, failure := d.request()
+		assert.Equal(t, failure.Kind, errkind.EngineFailed, name)
+		assert.DeepEqual(t, d.asked, []string{"north", "north"})
+	}
+}
+
+func TestARequestWithoutAnEngineAtHomeIsRefusedAsNotRun(t *testing.T) {
+	for name, homes := range map[string]struct{ ofRoute, ofTenant []string }{
+		"no engine there":     {[]string{"east"}, nil},
+		"no region of both":   {[]string{"north"}, []string{"south"}},
+		"none of the tenant":  {nil, []string{"east"}},
+		"a region of no name": {[]string{""}, nil},
+	} {
+		d := newHomedDeployment(homes.ofRoute, homes.ofTenant)
+		_, failure := d.request()
+		assert.Equal(t, failure.Kind, errkind.OutsideHomes, name)
+		assert.Equal(t, failure.Kind.Answer().Execution, errkind.NotExecuted)
+		assert.Assert(t, failure.Delay() > 0)
+		assert.Equal(t, len(d.asked), 0, name)
+	}
+}
+
+// TestARetryGoesByTheNewestHomes: the configuration moves the homes while the first engine is asked.
+func TestARetryGoesByTheNewestHomes(t *testing.T) {
+	d := newHomedDeployment([]string{"north"}, nil)
+	d.answers["west"] = Answer{Status: http.StatusOK}
+	d.sent = func() { d.put(homedTable(2, []string{"west"}, nil)) }
+	_, failure := d.request()
+	assert.Assert(t, failure == nil)
+	assert.DeepEqual(t, d.asked, []string{"north", "west"})
+}
+
+// TestAnOwnCallIsBoundByTheHomesOfItsTenant: a scoring call shows no key.
+func TestAnOwnCallIsBoundByTheHomesOfItsTenant(t *testing.T) {
+	d := newHomedDeployment(nil, []string{"west"})
+	d.answers["west"] = Answer{Status: http.StatusOK}
+	sender := routes.Sender{Tenant: "t", Checked: true}
+	_, failure := d.Call(context.Background(), &Request{
+		ID: "id", Method: http.MethodPost, Target: "/x/1", Path: "/x/1", Host: "h", Received: time.Now(), Sender: &sender,
+	})
+	assert.Assert(t, failure == nil)
+	assert.DeepEqual(t, d.asked, []string{"west"})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -205,7 +205,9 @@
 // senderOf returns who sent a request.
 func (r *Relay) senderOf(table *routes.Table, route *routes.Route, request *Request) (routes.Sender, *errkind.Error) {
 	if request.Sender != nil {
-		return *request.Sender, nil
+		sender := *request.Sender
+		sender.Homes, _ = table.HomesOf(request.Host, request.Path, sender.Tenant)
+		return sender, nil
 	}
 	return table.SenderOf(route, request.Credentials, r.options.Current())
 }
