--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -102,13 +102,30 @@
 	return s.partitions[xxhash.Sum64String(jobID)%uint64(len(s.partitions))]
 }
 
-// Observe tells the observer of all open jobs and of what changes; nil ends that.
+// Observe tells the observer of all open jobs and of what changes, until Unobserve. One that observes
+// already is told of all open jobs again.
 func (s *Service) Observe(observer batch.Observer) {
 	for _, each := range s.partitions {
 		each.observe(observer)
 	}
 }
 
+// Unobserve tells the observer nothing more.
+func (s *Service) Unobserve(observer batch.Observer) {
+	for _, each := range s.partitions {
+		each.unobserve(observer)
+	}
+}
+
+// Knows tells whether a job was accepted, as of now.
+func (s *Service) Knows(ctx context.Context, jobID string) (bool, error) {
+	_, err := s.partitionOf(jobID).lookUp(ctx, jobID)
+	if errkind.Is(err, errkind.NotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // Submission is a batch job as it is handed in.
 type Submission struct {
 	Job      batch.JobRecord
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,13 +59,11 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	healthy bool
-	// observed is true while an observer wants changes at once, waiters counts the
-	// readers that do.
-	observed bool
-	waiters  int
-	// joining is an observer that is told of changes from the next read on that
-	// reaches the end; until then it would hear of jobs that are long over.
-	joining batch.Observer
+	// waiters counts the readers that want changes at once, as observers do.
+	waiters int
+	// joining are observers that are told of changes from the next read on that
+	// reaches the end; until then they would hear of jobs that are long over.
+	joining []batch.Observer
 }
 
 func newPartition(log eventlog.Log, number int, options Options) *partition {
@@ -106,7 +105,7 @@
 func (p *partition) pollTime() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.joining == nil && p.wanted() {
+	if len(p.joining) == 0 && p.wanted() {
 		return pollWait
 	}
 	return 0
@@ -114,7 +113,7 @@
 
 // wanted tells whether somebody here waits for records; mu is held.
 func (p *partition) wanted() bool {
-	return p.observed || p.waiters > 0
+	return p.state.Observed() || len(p.joining) > 0 || p.waiters > 0
 }
 
 // pause lets records gather, unless somebody here waits for them.
@@ -195,8 +194,10 @@
 	if p.state.Next >= read.End && known.After(p.readAt) {
 		p.readAt = known
 	}
-	if p.joining != nil && p.state.Next >= read.End {
-		p.state.Observe(p.joining)
+	if p.state.Next >= read.End {
+		for _, observer := range p.joining {
+			p.state.Observe(observer)
+		}
 		p.joining = nil
 	}
 	if !p.healthy {
@@ -231,9 +232,14 @@
 	defer p.hurryUp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.observed = observer != nil
-	p.joining = observer
-	p.state.Observe(nil)
+	p.joining = append(p.joining, observer)
+}
+
+func (p *partition) unobserve(observer batch.Observer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.joining = slices.DeleteFunc(p.joining, func(each batch.Observer) bool { return each == observer })
+	p.state.Unobserve(observer)
 }
 
 func (p *partition) forget(before time.Time) {
--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -19,7 +19,7 @@
 	Waiting int
 }
 
-// Demands returns the demand for each model.
+// Demands returns the demand for each model, of the jobs of all runners.
 func (r *Runner) Demands() map[string]Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -30,6 +30,13 @@
 		demand.Tokens += job.tokens
 		demands[job.record.Model] = demand
 	}
+	// The jobs that other runners run ask for weights as well; which of their items wait is not known.
+	for _, job := range r.others {
+		demand := demands[job.record.Model]
+		demand.MinVersion = max(demand.MinVersion, job.record.MinVersion)
+		demand.Tokens += job.tokens
+		demands[job.record.Model] = demand
+	}
 	for model, waiting := range r.plan.WaitingByModel() {
 		demand := demands[model]
 		demand.Waiting = waiting
@@ -38,9 +45,15 @@
 	return demands
 }
 
-// Items returns the number of items of each service that run or wait.
+// Items returns the number of items of each service that run or wait, here or at other runners.
 func (r *Runner) Items() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.plan.Items()
+	items := r.plan.Items()
+	for _, job := range r.others {
+		if route, found := r.options.RouteOf(job.record.Host, job.record.Path); found {
+			items[route.Service] += job.left
+		}
+	}
+	return items
 }
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -122,7 +122,10 @@
 
 // Jobs is what the runner needs of the kept jobs.
 type Jobs interface {
+	// Observe tells the observer of all open jobs, and of changes until Unobserve. One that observes
+	// already is told of all open jobs again.
 	Observe(observer batch.Observer)
+	Unobserve(observer batch.Observer)
 	Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error)
 	// Record and Keep return how many of the items, from the first on, were written.
 	Record(ctx context.Context, partition int, finished []batchjobs.FinishedItem) (int, error)
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/admission"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -31,12 +33,18 @@
 	down  bool
 	// scored: each item has a scoring call.
 	scored bool
+	// readers are the homes of the calls that read the payloads of each job; unreadable jobs have none.
+	readers    map[string][]homes.Set
+	unreadable map[string]bool
 	// holdKept, where it is set, is waited for before kept texts are read.
 	holdKept chan struct{}
 }
 
 func newFakeJobs() *fakeJobs {
-	return &fakeJobs{state: batch.NewPartition(), texts: make(map[int64][]byte)}
+	return &fakeJobs{
+		state: batch.NewPartition(), texts: make(map[int64][]byte),
+		readers: make(map[string][]homes.Set), unreadable: make(map[string]bool),
+	}
 }
 
 func (f *fakeJobs) apply(record batch.Record) {
@@ -51,7 +59,20 @@
 	f.state.Observe(observer)
 }
 
-func (f *fakeJobs) Payloads(_ context.Context, job batch.JobRecord) ([]batch.Payload, error) {
+func (f *fakeJobs) Unobserve(observer batch.Observer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Unobserve(observer)
+}
+
+func (f *fakeJobs) Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error) {
+	f.mu.Lock()
+	f.readers[job.ID] = append(f.readers[job.ID], homes.FromContext(ctx))
+	unreadable := f.unreadable[job.ID]
+	f.mu.Unlock()
+	if unreadable {
+		return nil, fmt.Errorf("the log is away")
+	}
 	payloads := make([]batch.Payload, len(job.Items))
 	for i, item := range job.Items {
 		payloads[i] = batch.Payload{Path: "/" + item.ID}
@@ -115,6 +136,13 @@
 
 func (f *fakeJobs) PartitionOf(string) int { return 0 }
 
+// readersOf returns the homes of the calls that read a job's payloads.
+func (f *fakeJobs) readersOf(job string) []homes.Set {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.readers[job])
+}
+
 func (f *fakeJobs) results() []batchjobs.FinishedItem {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -262,6 +290,32 @@
 	guard   Guard
 	route   Route
 	terms   int
+
+	// homes holds the homes of each job, config the version of the configuration that says so.
+	mu     sync.Mutex
+	homes  map[string]homes.Set
+	config int64
+}
+
+// homesOf are the homes of a job by the configuration in force.
+func (w *world) homesOf(job *batch.JobRecord) homes.Set {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.homes[job.ID]
+}
+
+func (w *world) configVersion() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.config
+}
+
+// setHomes puts a configuration in force that binds a job to the regions.
+func (w *world) setHomes(job string, regions ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.homes[job] = homes.Of(regions)
+	w.config++
 }
 
 // engineOf is an engine with the first version of the model.
@@ -273,8 +327,8 @@
 	w := &world{
 		t: t, jobs: newFakeJobs(), fleet: fleet.New(), scorer: &fakeScorer{places: admission.Places{Slots: 100}},
 		engines: &fakeEngines{events: map[string]int{}, pause: map[string]time.Duration{}, version: map[string]int64{}},
-		guard:   noCrashes{},
-		route:   Route{Service: "s", MaxAttempts: 2, Retention: time.Minute},
+		guard:   noCrashes{}, homes: make(map[string]homes.Set),
+		route: Route{Service: "s", MaxAttempts: 2, Retention: time.Minute},
 	}
 	for _, id := range engineIDs {
 		w.engines.version[id] = 1
@@ -283,12 +337,16 @@
 	return w
 }
 
-// lead runs a runner until the returned function is called.
-func (w *world) lead() (*Runner, func()) {
+// lead runs a runner of the jobs without homes until the returned function is called.
+func (w *world) lead() (*Runner, func()) { return w.run() }
+
+// run runs a runner of the jobs that are bound to the regions until the returned function is called.
+func (w *world) run(regions ...string) (*Runner, func()) {
 	w.terms++
 	r := New(Options{
 		Jobs: w.jobs, Engines: w.engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard,
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
+		Within:  homes.Of(regions), HomesOf: w.homesOf, Config: w.configVersion,
 		Loading: func(incarnation.ID) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"context"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/common/retry"
@@ -17,12 +18,20 @@
 	if _, found := r.jobs[job.ID]; found || r.ctx.Err() != nil {
 		return
 	}
+	if !r.owns(&job.JobRecord) {
+		r.others[job.ID] = newOtherJob(job)
+		return
+	}
+	delete(r.others, job.ID)
+	loading, stopLoading := context.WithCancel(r.ctx)
 	added := &openJob{
 		record:  job.JobRecord,
 		items:   make([]batchitem.Item, len(job.Items)),
 		addedAt: time.Now(),
 		kept:    make(map[int]batch.Progress),
 		left:    len(job.Items) - len(job.Results),
+
+		stopLoading: stopLoading,
 	}
 	for i := range added.items {
 		added.tokens += job.Items[i].Tokens
@@ -39,7 +48,7 @@
 		r.restoring++
 	}
 	r.wait.Go(func() {
-		r.load(added)
+		r.load(loading, added)
 		r.restored(added)
 	})
 }
@@ -67,26 +76,26 @@
 }
 
 // load reads what the engines are sent and queues the items.
-func (r *Runner) load(job *openJob) {
-	for r.ctx.Err() == nil {
-		payloads, err := r.options.Jobs.Payloads(r.ctx, job.record)
+func (r *Runner) load(ctx context.Context, job *openJob) {
+	for ctx.Err() == nil {
+		payloads, err := r.options.Jobs.Payloads(ctx, job.record)
 		if err == nil && len(payloads) == len(job.items) {
-			r.queueJob(job, payloads, r.loadKept(job))
+			r.queueJob(job, payloads, r.loadKept(ctx, job))
 			return
 		}
 		r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("payloads", len(payloads)).
 			Msg("payloads not read")
-		retry.Sleep(r.ctx, loadDelay)
+		retry.Sleep(ctx, loadDelay)
 	}
 }
 
 // loadKept reads the output that other leaders left. What cannot be read is made
 // again.
-func (r *Runner) loadKept(job *openJob) map[int]batchitem.Output {
+func (r *Runner) loadKept(ctx context.Context, job *openJob) map[int]batchitem.Output {
 	if len(job.kept) == 0 {
 		return nil
 	}
-	texts, err := r.options.Jobs.KeptTexts(r.ctx, job.record.ID, job.kept)
+	texts, err := r.options.Jobs.KeptTexts(ctx, job.record.ID, job.kept)
 	if err != nil {
 		r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("items", len(job.kept)).
 			Int("read", len(texts)).Msg("kept progress not read")
@@ -180,6 +189,7 @@
 	defer r.mu.Unlock()
 	known, found := r.jobs[job.ID]
 	if !found {
+		r.otherListed(job.ID, item)
 		return
 	}
 	r.drop(known, item)
@@ -194,6 +204,7 @@
 func (r *Runner) JobEnded(job *batch.Job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.others, job.ID)
 	known, found := r.jobs[job.ID]
 	if !found {
 		return
@@ -222,6 +233,7 @@
 
 // forget drops a job; mu is held.
 func (r *Runner) forget(job *openJob) {
+	job.stopLoading()
 	delete(r.jobs, job.record.ID)
 	r.plan.ForgetJob(job.record.ID)
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -102,10 +102,10 @@
 	key := assignment.Item.Key
 	job := r.jobs[key.Job]
 	engine, known := r.options.Fleet.Find(assignment.Engine)
-	if job == nil || !known {
+	if job == nil || !known || !r.mayRun(job, engine) {
 		r.plan.Ended(key)
 		if job != nil {
-			r.queueItem(job, key.Item, incarnation.ID{}, time.Time{})
+			r.queueItem(job, key.Item, incarnation.ID{}, time.Now().Add(retryDelay))
 		}
 		return
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -15,6 +15,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/dutycycle"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
@@ -47,6 +48,12 @@
 	Scorer  Scorer
 	Guard   Guard
 	RouteOf RouteOf
+	// Within are the home regions of the jobs that this runner runs: just those that are bound to them,
+	// or, where it bounds nothing, those that are bound to none. HomesOf tells those of a job by the
+	// configuration in force, whose version is Config.
+	Within  homes.Set
+	HomesOf func(job *batch.JobRecord) homes.Set
+	Config  func() int64
 	// Loading tells which model's weights an engine is changing; empty for none.
 	Loading func(engine incarnation.ID) string
 	// Term names this term of leading among all terms.
@@ -64,7 +71,11 @@
 	ctx  context.Context
 	plan *batchplan.Plan
 	jobs map[string]*openJob
-	runs map[batchplan.Key]*run
+	// others are the open jobs that other runners run; scopedBy is the version of the configuration
+	// by which that was decided.
+	others   map[string]*otherJob
+	scopedBy int64
+	runs     map[batchplan.Key]*run
 	// restoring counts the jobs whose kept outputs are being read; began is the start
 	// of the term.
 	restoring int
@@ -96,6 +107,8 @@
 	single bool
 	// kept holds the progress that other leaders left in the log.
 	kept map[int]batch.Progress
+	// stopLoading ends the reading of what the engines are sent.
+	stopLoading context.CancelFunc
 	// left counts the items without a recorded result.
 	left int
 	// tokens is the size of all items.
@@ -114,6 +127,7 @@
 		wake:    make(chan struct{}, 1),
 		plan:    batchplan.New(),
 		jobs:    make(map[string]*openJob),
+		others:  make(map[string]*otherJob),
 		runs:    make(map[batchplan.Key]*run),
 		scoring: newScoringQueue(),
 
@@ -125,8 +139,10 @@
 	return r
 }
 
-// Run runs items until ctx ends.
+// Run runs items until ctx ends. What it reads and writes of their bodies and texts goes by way of no
+// node outside of their homes.
 func (r *Runner) Run(ctx context.Context) {
+	ctx = homes.NewContext(ctx, r.options.Within)
 	r.mu.Lock()
 	r.ctx, r.began = ctx, time.Now()
 	r.mu.Unlock()
@@ -151,7 +167,9 @@
 		case <-r.wake:
 		case now := <-ticker.C:
 			r.tick(now)
+			r.rescope()
 			r.giveUpOld()
+			r.giveUpOthers(now)
 			r.queueReleased(now)
 			rounds(moving, r.moveStragglers)
 		}
@@ -159,7 +177,7 @@
 		rounds(assigning, r.assign)
 		retry.Sleep(ctx, assigning.Wait(time.Now()))
 	}
-	r.options.Jobs.Observe(nil)
+	r.options.Jobs.Unobserve(r)
 	r.wait.Wait()
 	_ = group.Wait()
 }
@@ -261,6 +279,9 @@
 		}
 		seen[route.Service] = true
 		for _, engine := range r.options.Fleet.Engines(route.Service) {
+			if !r.options.Within.Allows(engine.Region) {
+				continue
+			}
 			id := engine.Incarnation()
 			views = append(views, batchplan.Engine{
 				ID: id, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -91,9 +91,10 @@
 
 // Partition is the state after the records before Next.
 type Partition struct {
-	Next     int64
-	jobs     map[string]*Job
-	observer Observer
+	Next int64
+	jobs map[string]*Job
+	// observers hear of what records change, in the order in which they began.
+	observers []Observer
 }
 
 // NewPartition returns the state before the first record.
@@ -120,12 +121,11 @@
 	return earlier
 }
 
-// Observe tells the observer of all open jobs, and from then on of changes. A
-// nil observer ends that.
+// Observe tells the observer of all open jobs, and from then on of changes. One that observes
+// already is told of all open jobs again.
 func (p *Partition) Observe(observer Observer) {
-	p.observer = observer
-	if observer == nil {
-		return
+	if !slices.Contains(p.observers, observer) {
+		p.observers = append(p.observers, observer)
 	}
 	for _, job := range p.jobs {
 		if job.Open() {
@@ -134,6 +134,14 @@
 	}
 }
 
+// Unobserve tells the observer nothing more.
+func (p *Partition) Unobserve(observer Observer) {
+	p.observers = slices.DeleteFunc(p.observers, func(each Observer) bool { return each == observer })
+}
+
+// Observed tells whether there is an observer.
+func (p *Partition) Observed() bool { return len(p.observers) > 0 }
+
 // Skip passes over a record that cannot be read.
 func (p *Partition) Skip() { p.Next++ }
 
@@ -214,8 +222,8 @@
 		job.byID[item.ID] = i
 	}
 	p.jobs[record.ID] = job
-	if p.observer != nil {
-		p.observer.JobAdded(job)
+	for _, observer := range p.observers {
+		observer.JobAdded(job)
 	}
 }
 
@@ -226,8 +234,8 @@
 	}
 	job.Ended = true
 	job.progress = nil
-	if p.observer != nil {
-		p.observer.JobEnded(job)
+	for _, observer := range p.observers {
+		observer.JobEnded(job)
 	}
 }
 
@@ -244,8 +252,8 @@
 		Text: record.Text, TextBytes: record.TextBytes, Score: record.Score,
 	})
 	job.groups.listed(job.Items[record.Item].Group, len(job.Results))
-	if p.observer != nil {
-		p.observer.ItemListed(job, record.Item)
+	for _, observer := range p.observers {
+		observer.ItemListed(job, record.Item)
 	}
 }
 
--- a/internal/core/batch/partition_test.go
+++ b/internal/core/batch/partition_test.go
@@ -138,7 +138,7 @@
 	p.Apply(result("open", 0, Completed), at)
 	p.Apply(Record{End: "new"}, at)
 	p.Apply(Record{End: "new"}, at)
-	p.Observe(nil)
+	p.Unobserve(&seen)
 	p.Apply(Record{End: "open"}, at)
 	assert.DeepEqual(t, seen.added, []string{"open", "new"})
 	assert.DeepEqual(t, seen.listed, []string{"open"})
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -51,6 +51,10 @@
 	// then Returned is the number of leading groups that stood in one of them.
 	ReturnedKnown bool `msgpack:"rk,omitempty"`
 	Returned      int  `msgpack:"rn,omitempty"`
+	// Homes are the regions that alone may serve and keep the job, as the node that took it knew them from
+	// the configuration of the version Config; none for all.
+	Homes  []string `msgpack:"hm,omitempty"`
+	Config int64    `msgpack:"cv,omitempty"`
 }
 
 // QualifiedID is the name of a tenant's job among all jobs, made of the name that the
--- a/internal/core/replicaset/replicaset.go
+++ b/internal/core/replicaset/replicaset.go
@@ -12,6 +12,9 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
 )
 
 const (
@@ -22,15 +25,17 @@
 	// a link of 600 Mbit/s hands half a megabyte to them in about 0.1 s.
 	readersPerReplica = 16
 	// zoneSources is how many replicas of its zone a node asks, and otherSources how many
-	// of other zones after these: those of one zone may fail together.
+	// of other zones after these, those of its region first: those of one zone may fail together.
 	zoneSources  = 2
 	otherSources = 2
 )
 
 // Member is a node of the cluster.
 type Member struct {
-	Node    string
-	Zone    string
+	Node string
+	Zone string
+	// Region is empty where it is not known.
+	Region  string
 	Address string
 	// Processors is its share of processors; zero when unknown, which counts as one.
 	Processors float64
@@ -68,23 +73,33 @@
 	return able[:min(len(able), (size+readersPerReplica-1)/readersPerReplica)]
 }
 
-// Sources returns the replicas that a node asks, the first choice first; none when the
-// node reads the log itself.
-func Sources(members []Member, self Member) []Member {
+// Sources returns the replicas within the regions that a node asks, the first choice first: those of
+// its zone, of its region, of others. There are none when the node reads the log itself.
+func Sources(members []Member, self Member, within homes.Set) []Member {
 	near := Replicas(members, self.Zone)
 	isSelf := func(member Member) bool { return member.Node == self.Node }
 	if slices.ContainsFunc(near, isSelf) {
 		return nil
 	}
-	var far []Member
+	far := make(map[topology.Distance][]Member)
 	for _, zone := range otherZones(members, self.Zone) {
-		far = append(far, Replicas(members, zone)...)
+		for _, replica := range Replicas(members, zone) {
+			distance := topology.Between(self.place(), replica.place())
+			far[distance] = append(far[distance], replica)
+		}
 	}
-	return append(preferred(near, self, zoneSources), preferred(far, self, otherSources)...)
+	others := append(
+		preferred(far[topology.SameRegion], self, otherSources, within),
+		preferred(far[topology.OtherRegion], self, otherSources, within)...,
+	)
+	return append(preferred(near, self, zoneSources, within), others[:min(len(others), otherSources)]...)
 }
 
-// preferred returns the first few replicas in the node's own order.
-func preferred(replicas []Member, self Member, most int) []Member {
+func (m Member) place() topology.Place { return topology.Place{Zone: m.Zone, Region: m.Region} }
+
+// preferred returns the first few replicas within the regions, in the node's own order.
+func preferred(replicas []Member, self Member, most int, within homes.Set) []Member {
+	replicas = slices.DeleteFunc(replicas, func(replica Member) bool { return !within.Allows(replica.Region) })
 	slices.SortFunc(replicas, func(a, b Member) int { return compareHashes(a.Node, b.Node, self.Node) })
 	return replicas[:min(len(replicas), most)]
 }
--- a/internal/core/replicaset/replicaset_test.go
+++ b/internal/core/replicaset/replicaset_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // cluster returns nodes of two zones; each eighth node has four times the processors.
@@ -24,7 +26,7 @@
 func TestSmallClustersHaveNoReplicas(t *testing.T) {
 	members := cluster(MinNodes - 1)
 	assert.Equal(t, len(Replicas(members, "z0")), 0)
-	assert.Equal(t, len(Sources(members, members[5])), 0)
+	assert.Equal(t, len(Sources(members, members[5], homes.Set{})), 0)
 }
 
 func TestReplicasAreAbleNodesOfTheZone(t *testing.T) {
@@ -40,7 +42,7 @@
 	members := cluster(320)
 	readers := make(map[string]int)
 	for _, member := range members {
-		sources := Sources(members, member)
+		sources := Sources(members, member, homes.Set{})
 		if len(sources) == 0 {
 			assert.Assert(t, slices.Contains(Replicas(members, member.Zone), member))
 			continue
@@ -81,5 +83,49 @@
 	members := cluster(200)
 	assert.Equal(t, len(Replicas(members, "elsewhere")), 0)
 	alone := Member{Node: "alone", Zone: "elsewhere"}
-	assert.Equal(t, len(Sources(append(members, alone), alone)), 0)
+	assert.Equal(t, len(Sources(append(members, alone), alone, homes.Set{})), 0)
+}
+
+// regions returns nodes of four zones, two of them in each of two regions.
+func regions(nodes int) []Member {
+	members := make([]Member, nodes)
+	for i := range members {
+		zone := i % 4
+		members[i] = Member{
+			Node: fmt.Sprint("n", i), Address: fmt.Sprint("a", i), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("r", zone/2),
+		}
+	}
+	return members
+}
+
+func TestReplicasOfTheOwnRegionAreAskedBeforeOthers(t *testing.T) {
+	members := regions(320)
+	for _, member := range members {
+		sources := Sources(members, member, homes.Set{})
+		for place, source := range sources {
+			assert.Equal(t, source.Zone == member.Zone, place < zoneSources)
+			assert.Equal(t, source.Region, member.Region)
+		}
+	}
+}
+
+func TestOnlyReplicasWithinTheRegionsAreAsked(t *testing.T) {
+	members := regions(320)
+	for _, member := range members {
+		inside := Sources(members, member, homes.Of([]string{member.Region}))
+		assert.Equal(t, len(inside), len(Sources(members, member, homes.Set{})))
+		if len(inside) == 0 {
+			continue // a replica itself
+		}
+		other := "r0"
+		if member.Region == other {
+			other = "r1"
+		}
+		sources := Sources(members, member, homes.Of([]string{other}))
+		assert.Equal(t, len(sources), otherSources)
+		for _, source := range sources {
+			assert.Equal(t, source.Region, other)
+		}
+		assert.Equal(t, len(Sources(members, member, homes.Of([]string{"r2"}))), 0)
+	}
 }
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -8,6 +8,7 @@
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/ingress"
 )
@@ -55,10 +56,12 @@
 	}
 	submission.Job.Tenant, submission.Job.Priority = sender.Tenant, sender.Priority
 	submission.Job.ID = batch.QualifiedID(sender.Tenant, submission.Job.ID)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
+	submission.Job.Homes, submission.Job.Config = sender.Homes.Regions(), n.configVersion()
+	ctx, cancel := context.WithTimeout(homes.NewContext(context.WithoutCancel(ctx), sender.Homes), acceptTimeout)
 	defer cancel()
-	err := n.jobs.Accept(ctx, submission)
+	err := n.acceptAtHome(ctx, submission, sender.Homes)
 	n.logger.Info().Err(err).Str("job", submission.Job.ID).Int64("step", submission.Job.Step).
+		Stringer("homes", sender.Homes).
 		Str("model", submission.Job.Model).Int64("min_version", submission.Job.MinVersion).
 		Int("items", len(submission.Job.Items)).Dur("took_ms", time.Since(began)).Msg("job handed in")
 	n.metrics.jobHandedIn(err)
@@ -78,9 +81,16 @@
 	return table.SenderOf(route, credentials, n.isCurrent())
 }
 
-// names returns what a job may be called among all jobs, the likeliest first. Jobs of
+// jobQuestion is a question about a job by one of the names that it may have.
+type jobQuestion struct {
+	id string
+	// homes are the regions in which other nodes may answer.
+	homes homes.Set
+}
+
+// questions returns by which names a job may be asked for, the likeliest first. Jobs of
 // other tenants have no name that the caller could ask for.
-func (n *node) names(job JobName) ([]string, error) {
+func (n *node) questions(job JobName) ([]jobQuestion, error) {
 	table := n.state.table()
 	if table == nil {
 		return nil, errkind.New(errkind.NotReady, "no configuration is known yet")
@@ -89,29 +99,35 @@
 	if failure != nil {
 		return nil, failure
 	}
-	names := make([]string, len(tenants))
+	questions := make([]jobQuestion, len(tenants))
 	for i, tenant := range tenants {
-		names[i] = batch.QualifiedID(tenant, job.ID)
+		questions[i] = jobQuestion{batch.QualifiedID(tenant, job.ID), table.QuestionHomes(job.Host, tenant)}
 	}
-	return names, nil
+	return questions, nil
 }
 
 // askOf asks about the job by each of its names until one is that of a job.
-func askOf[Answer any](n *node, job JobName, ask func(id string) (Answer, error)) (Answer, error) {
-	names, err := n.names(job)
+func askOf[Answer any](
+	ctx context.Context, n *node, job JobName, ask func(ctx context.Context, id string) (Answer, error),
+) (Answer, error) {
+	questions, err := n.questions(job)
 	if err != nil {
 		var none Answer
 		return none, err
 	}
-	return askFirst(names, ask)
+	return askFirst(questions, func(question jobQuestion) (Answer, error) {
+		return ask(homes.NewContext(ctx, question.homes), question.id)
+	})
 }
 
 // askFirst asks by each name until one is that of a job. A name of which this node is not sure does
 // not hide the job that another one is of; where there is none, nobody is told that there is no job.
-func askFirst[Answer any](names []string, ask func(id string) (Answer, error)) (answer Answer, err error) {
+func askFirst[Question, Answer any](
+	questions []Question, ask func(question Question) (Answer, error),
+) (answer Answer, err error) {
 	var unsure error
-	for _, name := range names {
-		answer, err = ask(name)
+	for _, question := range questions {
+		answer, err = ask(question)
 		switch {
 		case errkind.Is(err, errkind.HistoryLost):
 			unsure = err
@@ -131,14 +147,14 @@
 
 // Results implements Callers.
 func (n *node) Results(ctx context.Context, job JobName, from int, wait time.Duration) (batchjobs.Results, error) {
-	return askOf(n, job, func(id string) (batchjobs.Results, error) {
+	return askOf(ctx, n, job, func(ctx context.Context, id string) (batchjobs.Results, error) {
 		return n.askedJobs.Results(ctx, id, from, min(wait, maxWait))
 	})
 }
 
 // Body implements Callers.
 func (n *node) Body(ctx context.Context, job JobName, itemID string) ([]byte, error) {
-	return askOf(n, job, func(id string) ([]byte, error) {
+	return askOf(ctx, n, job, func(ctx context.Context, id string) ([]byte, error) {
 		return n.askedJobs.Body(ctx, id, itemID)
 	})
 }
@@ -147,7 +163,7 @@
 func (n *node) End(ctx context.Context, job JobName) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	_, err := askOf(n, job, func(id string) (struct{}, error) {
+	_, err := askOf(ctx, n, job, func(ctx context.Context, id string) (struct{}, error) {
 		err := n.askedJobs.End(ctx, id)
 		n.logger.Info().Err(err).Str("job", id).Msg("job end asked")
 		return struct{}{}, err
--- /dev/null
+++ b/internal/hosted/homerunners.go
@@ -0,0 +1,184 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/leadership"
+)
+
+// homeLeasePrefix begins the topics that hold the leases of those who run jobs that are bound to regions.
+const homeLeasePrefix = "corkpulley.lease."
+
+// homeRunners takes part in elections among the nodes of home regions: for each set of regions to which
+// batch jobs are bound, the nodes that lie there elect one that runs those jobs. So no other machine
+// reads what they hold.
+type homeRunners struct {
+	node *node
+	// changed is told of each new configuration.
+	changed chan struct{}
+
+	mu       sync.Mutex
+	electors map[homes.Set]*leadership.Elector
+	// hesitant and stopped are those of a planned stop.
+	hesitant bool
+	stopped  bool
+}
+
+func newHomeRunners(n *node) *homeRunners {
+	return &homeRunners{node: n, changed: make(chan struct{}, 1), electors: make(map[homes.Set]*leadership.Elector)}
+}
+
+// TableChanged tells of a new configuration.
+func (h *homeRunners) TableChanged() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes part in the elections until ctx ends.
+func (h *homeRunners) Run(ctx context.Context) error {
+	var elections sync.WaitGroup
+	ends := make(map[homes.Set]func())
+	for ctx.Err() == nil {
+		wanted := h.wanted()
+		for set, end := range ends {
+			if !wanted[set] {
+				end()
+				delete(ends, set)
+			}
+		}
+		for set := range wanted {
+			if ends[set] == nil {
+				ends[set] = h.begin(ctx, set, &elections)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-h.changed:
+		}
+	}
+	elections.Wait()
+	return nil
+}
+
+// wanted returns the sets of regions in whose elections this node takes part now.
+func (h *homeRunners) wanted() map[homes.Set]bool {
+	wanted := make(map[homes.Set]bool)
+	table := h.node.state.table()
+	if table == nil {
+		return wanted
+	}
+	for _, set := range table.BatchHomes() {
+		if set.Allows(h.node.config.Node.Region) {
+			wanted[set] = true
+		}
+	}
+	return wanted
+}
+
+// begin takes part in one election and returns what ends that.
+func (h *homeRunners) begin(ctx context.Context, set homes.Set, elections *sync.WaitGroup) func() {
+	n := h.node
+	options := n.leaseOptions()
+	options.Topic = homeLeasePrefix + homesID(set)
+	options.Logger = n.logger.With().Stringer("homes", set).Logger()
+	elector := leadership.New(n.log, options, func(ctx context.Context, term leadership.Term) {
+		n.runAtHome(ctx, term, set)
+	})
+	if !h.add(set, elector) {
+		return func() {}
+	}
+	electing, cancel := context.WithCancel(ctx)
+	elections.Go(func() {
+		defer h.remove(set, elector)
+		if err := elector.Run(electing); err != nil {
+			options.Logger.Error().Err(err).Msg("election of a runner ended")
+		}
+	})
+	return func() {
+		h.remove(set, elector)
+		releasing, released := context.WithTimeout(ctx, releaseTimeout)
+		elections.Go(func() {
+			defer released()
+			// Stop waits until the role has ended, so the lease is released only after it.
+			cancel()
+			elector.Stop(releasing)
+		})
+	}
+}
+
+// add notes an elector, unless the node is about to stop.
+func (h *homeRunners) add(set homes.Set, elector *leadership.Elector) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		return false
+	}
+	if h.hesitant {
+		elector.Hesitate()
+	}
+	h.electors[set] = elector
+	return true
+}
+
+// remove drops an elector, unless a newer one took its place.
+func (h *homeRunners) remove(set homes.Set, elector *leadership.Elector) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.electors[set] == elector {
+		delete(h.electors, set)
+	}
+}
+
+// Hesitate leaves free leases to others for a moment, since the node is about to stop.
+func (h *homeRunners) Hesitate() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hesitant = true
+	for _, elector := range h.electors {
+		elector.Hesitate()
+	}
+}
+
+// Stop gives up all leases, and claims none any more.
+func (h *homeRunners) Stop(ctx context.Context) {
+	h.mu.Lock()
+	h.stopped = true
+	var stopping sync.WaitGroup
+	for _, elector := range h.electors {
+		stopping.Go(func() { elector.Stop(ctx) })
+	}
+	h.mu.Unlock()
+	stopping.Wait()
+}
+
+// homesID names a set of regions in topics and chains.
+func homesID(set homes.Set) string { return fmt.Sprintf("%016x", xxhash.Sum64String(set.String())) }
+
+// runAtHome runs the items of the jobs that are bound to a set of regions. Engines are shared with the
+// runners of other jobs, which count only what they run themselves; an engine that is full refuses.
+//
+// A cold engine takes only what the leader's pacer grants: where engines start slowly, this role has to
+// ask for its permits as every other sender does.
+func (n *node) runAtHome(ctx context.Context, term leadership.Term, set homes.Set) {
+	runner := batchrun.New(batchrun.Options{
+		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
+		Within: set, HomesOf: n.jobHomes, Config: n.configVersion,
+		// The leader orders the weights; an engine that changes them refuses.
+		Loading: func(incarnation.ID) string { return "" },
+		Term:    fmt.Sprintf("%s.%d", homesID(set), term.Epoch),
+		Logger:  n.logger.With().Stringer("homes", set).Logger(),
+	})
+	gauge := n.metrics.runningAtHome.WithLabelValues(set.String())
+	gauge.Set(1)
+	defer gauge.Set(0)
+	runner.Run(ctx)
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/duties"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
@@ -130,6 +132,11 @@
 	guard     *crashes.Guard
 	ended     *follow.Follower
 	elector   *leadership.Elector
+	// homeRunners elect who runs the batch jobs that are bound to regions.
+	homeRunners *homeRunners
+	topology    *topology.Map
+	// unknownZones holds the zones of engines whose region is not known.
+	unknownZones sync.Map
 	// log is the platform's log, directly or by way of another node.
 	log     eventlog.Log
 	counter *duties.Counter
@@ -172,12 +179,15 @@
 		holder: config.Node.ID + "-" + xid.New().String(),
 		state:  newState(time.Duration(config.Shutdown.Grace)),
 		fleet:  fleet.New(),
+
+		topology: topology.NewMap(config.Topology.Zones, config.Node.Zone, config.Node.Region),
 	}
 	direct := platform.Log()
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
-		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Processors: config.Node.Processors,
+		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Region: config.Node.Region,
+		Processors: config.Node.Processors,
 	}, config.Hosted.ReadsPerSecond, logger)
-	log := logrelay.NewFallback(direct, n.directory.Peers, logger)
+	log := logrelay.NewFallback(direct, n.directory.Others, logger)
 	n.directory.SetLog(log)
 	replicas := logrelay.NewReplicaReader(log, n.directory.Sources)
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
@@ -187,7 +197,7 @@
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
 		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Logger: logger,
 	})
-	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.Sources, n.directory.Known(), logrelay.NewClient(), logger)
+	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.SourcesWithin, n.directory.Known(), logrelay.NewClient(), logger)
 	n.log = log
 	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
 	n.guard = n.newGuard(log)
@@ -197,15 +207,21 @@
 		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
-	n.elector = leadership.New(log, leadership.Options{
-		Holder: n.holder, Node: config.Node.ID, Address: exclusiveAddress(config.Listen.Peers), TTL: time.Duration(config.Hosted.Lease),
-		ClaimDelay: claimDelay(config.Node.Processors),
-		Quiet:      time.Duration(config.Hosted.OrderQuiet), EnginesFence: config.Hosted.EnginesFence,
-		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: logger,
-	}, n.lead)
+	n.elector = leadership.New(log, n.leaseOptions(), n.lead)
+	n.homeRunners = newHomeRunners(n)
 	return n, n.listen(n.peersHandler(direct, log))
 }
 
+// leaseOptions say how this node asks for the leader's lease.
+func (n *node) leaseOptions() leadership.Options {
+	return leadership.Options{
+		Holder: n.holder, Node: n.config.Node.ID, Address: exclusiveAddress(n.config.Listen.Peers),
+		TTL: time.Duration(n.config.Hosted.Lease), ClaimDelay: claimDelay(n.config.Node.Processors),
+		Quiet: time.Duration(n.config.Hosted.OrderQuiet), EnginesFence: n.config.Hosted.EnginesFence,
+		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: n.logger,
+	}
+}
+
 // peersHandler serves other nodes.
 func (n *node) peersHandler(direct eventlog.Log, log *logrelay.Fallback) http.Handler {
 	router := mux.NewRouter()
@@ -276,7 +292,8 @@
 	group.Go(n.operators.serve)
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
-		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run, n.electWhenCurrent,
+		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run,
+		n.whenCurrent(n.elector.Run), n.whenCurrent(n.homeRunners.Run),
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
@@ -307,21 +324,22 @@
 	}
 }
 
-// electWhenCurrent takes part in the election once the node knows what a leader
-// must know.
-func (n *node) electWhenCurrent(ctx context.Context) error {
-	for _, loaded := range []<-chan struct{}{n.control.Loaded(), n.engines.Loaded()} {
+// whenCurrent returns an election that begins once the node knows what a leader must know.
+func (n *node) whenCurrent(elect func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for _, loaded := range []<-chan struct{}{n.control.Loaded(), n.engines.Loaded()} {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-loaded:
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-loaded:
+		case <-n.ended.Loaded():
+		case <-time.After(crashesWait):
 		}
+		return elect(ctx)
 	}
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-n.ended.Loaded():
-	case <-time.After(crashesWait):
-	}
-	return n.elector.Run(ctx)
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -11,7 +11,8 @@
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
 
-// lead is the leader's part: it runs batch items and orders weights.
+// lead is the leader's part: it runs the items of batch jobs that are bound to no regions, and orders
+// weights for all.
 func (n *node) lead(ctx context.Context, term leadership.Term) {
 	var runner *batchrun.Runner
 	orders := weightorders.New(weightorders.Options{
@@ -23,7 +24,7 @@
 	})
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
-		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
+		HomesOf: n.jobHomes, Config: n.configVersion, Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -19,12 +19,14 @@
 	jobs         *prometheus.CounterVec
 	tableVersion prometheus.Gauge
 	leading      prometheus.Gauge
-	scoring      *prometheus.HistogramVec
-	lost         *prometheus.CounterVec
-	suspected    prometheus.Gauge
-	behind       *prometheus.CounterVec
-	dropped      prometheus.Counter
-	leftOut      prometheus.Counter
+	// runningAtHome is by the regions to which the jobs are bound that the node runs.
+	runningAtHome *prometheus.GaugeVec
+	scoring       *prometheus.HistogramVec
+	lost          *prometheus.CounterVec
+	suspected     prometheus.Gauge
+	behind        *prometheus.CounterVec
+	dropped       prometheus.Counter
+	leftOut       prometheus.Counter
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -48,6 +50,9 @@
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_hosted_leading", Help: "1 while this node leads.",
 		}),
+		runningAtHome: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corkpulley_hosted_running_homes", Help: "1 while this node runs the batch jobs that are bound to the regions.",
+		}, []string{"homes"}),
 		scoring: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "corkpulley_hosted_scoring_seconds", Help: "Time of a try of a scoring call, by its outcome.",
 			Buckets: requestBuckets,
@@ -71,7 +76,7 @@
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
 	registry.MustRegister(
-		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
+		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.runningAtHome, m.scoring, m.lost, m.suspected, m.behind,
 		m.dropped, m.leftOut,
 	)
 	return m
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -107,6 +107,8 @@
 	}
 	if change.Table != nil && n.state.setTable(change.Table) {
 		n.metrics.tableVersion.Set(float64(change.Table.Version))
+		n.checkHomes(change.Table)
+		n.homeRunners.TableChanged()
 		n.logger.Info().Int64("config", change.Table.Version).Int64("offset", record.Offset).Msg("configuration in force")
 	}
 	if change.Model != "" && n.state.setVersion(change.Model, change.ModelVersion) {
@@ -127,6 +129,7 @@
 		n.logger.Error().Err(err).Str("engine", record.Key).Int64("offset", record.Offset).Msg("engine record passed over")
 		return
 	}
+	engine.Region = n.regionOf(engine)
 	known, listed := n.fleet.Get(engine.ID)
 	n.fleet.Put(engine)
 	if listed && known.Address == engine.Address && known.Draining == engine.Draining {
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -32,6 +33,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitSlack))
 	defer cancel()
 	n.elector.Hesitate()
+	n.homeRunners.Hesitate()
 	timer := time.NewTimer(time.Until(began.Add(min(takenOut, grace/2))))
 	defer timer.Stop()
 	select {
@@ -65,5 +67,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	n.elector.Stop(ctx)
+	var released sync.WaitGroup
+	released.Go(func() { n.elector.Stop(ctx) })
+	released.Go(func() { n.homeRunners.Stop(ctx) })
+	released.Wait()
 }
--- a/internal/jobrelay/jobrelay.go
+++ b/internal/jobrelay/jobrelay.go
@@ -39,6 +39,8 @@
 	Item      string        `msgpack:"i,omitempty"`
 	From      int           `msgpack:"f,omitempty"`
 	Wait      time.Duration `msgpack:"w,omitempty"`
+	// Homes are the regions that alone may keep what the answer holds; none for all.
+	Homes []string `msgpack:"h,omitempty"`
 }
 
 // response is the answer to a request, encoded as msgpack.
--- a/internal/jobrelay/jobrelay_test.go
+++ b/internal/jobrelay/jobrelay_test.go
@@ -15,6 +15,7 @@
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // fakeJobs answers with its name and counts the questions.
@@ -71,7 +72,7 @@
 func relayTo(own Jobs, addresses ...string) *Relay {
 	known := make(chan struct{})
 	close(known)
-	return NewRelay(own, func() []string { return addresses }, known, &http.Client{}, zerolog.Nop())
+	return NewRelay(own, func(homes.Set) []string { return addresses }, known, &http.Client{}, zerolog.Nop())
 }
 
 func TestReplicaAnswersWhole(t *testing.T) {
@@ -170,7 +171,7 @@
 	known := make(chan struct{})
 	var sources atomic.Pointer[[]string]
 	sources.Store(&[]string{})
-	relay := NewRelay(own, func() []string { return *sources.Load() }, known, &http.Client{}, zerolog.Nop())
+	relay := NewRelay(own, func(homes.Set) []string { return *sources.Load() }, known, &http.Client{}, zerolog.Nop())
 	time.AfterFunc(directoryWait/10, func() {
 		sources.Store(&[]string{address})
 		close(known)
@@ -183,7 +184,7 @@
 // TestANodeThatKnowsNobodyYetIsNotSure: the directory can't be read.
 func TestANodeThatKnowsNobodyYetIsNotSure(t *testing.T) {
 	own := &fakeJobs{name: "own"}
-	relay := NewRelay(own, func() []string { return nil }, make(chan struct{}), &http.Client{}, zerolog.Nop())
+	relay := NewRelay(own, func(homes.Set) []string { return nil }, make(chan struct{}), &http.Client{}, zerolog.Nop())
 	_, err := relay.Results(t.Context(), "j", 0, 0)
 	assert.Equal(t, errkind.KindOf(err), errkind.LogUnavailable)
 	assert.Equal(t, own.asked.Load(), int64(0))
--- a/internal/jobrelay/relay.go
+++ b/internal/jobrelay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
 	"github.com/corkpulley/corkpulley/internal/common/pauses"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 const (
@@ -33,9 +34,9 @@
 // the index when a few are slow, the log would be too slow for all. It implements Jobs.
 type Relay struct {
 	own Jobs
-	// sources returns the replicas to ask, the first choice first; known is closed once
-	// the node has read of the others.
-	sources func() []string
+	// sources returns the replicas within the regions to ask, the first choice first; known is
+	// closed once the node has read of the others.
+	sources func(within homes.Set) []string
 	known   <-chan struct{}
 	client  *http.Client
 	logger  zerolog.Logger
@@ -44,9 +45,10 @@
 
 var _ Jobs = (*Relay)(nil)
 
-// NewRelay returns a relay that asks the sources over the client, or else own.
+// NewRelay returns a relay that asks the sources over the client, or else own. A question whose context
+// names homes is asked only of replicas there, and the node itself answers where there are none.
 func NewRelay(
-	own Jobs, sources func() []string, known <-chan struct{}, client *http.Client, logger zerolog.Logger,
+	own Jobs, sources func(within homes.Set) []string, known <-chan struct{}, client *http.Client, logger zerolog.Logger,
 ) *Relay {
 	return &Relay{
 		own: own, sources: sources, known: known, client: client, logger: logger, paused: pauses.New(),
@@ -57,14 +59,15 @@
 func (r *Relay) Results(
 	ctx context.Context, jobID string, from int, wait time.Duration,
 ) (batchjobs.Results, error) {
-	replicas, err := r.replicas(ctx)
+	within := homes.FromContext(ctx)
+	replicas, err := r.replicas(ctx, within)
 	if err != nil {
 		return batchjobs.Results{}, err
 	}
 	if len(replicas) == 0 {
 		return r.own.Results(ctx, jobID, from, wait)
 	}
-	answer, err := r.ask(ctx, replicas, request{Operation: opResults, Job: jobID, From: from, Wait: wait})
+	answer, err := r.ask(ctx, replicas, request{Operation: opResults, Job: jobID, From: from, Wait: wait, Homes: within.Regions()})
 	if err != nil {
 		return batchjobs.Results{}, err
 	}
@@ -73,21 +76,23 @@
 
 // Body implements Jobs.
 func (r *Relay) Body(ctx context.Context, jobID, itemID string) ([]byte, error) {
-	replicas, err := r.replicas(ctx)
+	within := homes.FromContext(ctx)
+	replicas, err := r.replicas(ctx, within)
 	if err != nil {
 		return nil, err
 	}
 	if len(replicas) == 0 {
 		return r.own.Body(ctx, jobID, itemID)
 	}
-	answer, err := r.ask(ctx, replicas, request{Operation: opBody, Job: jobID, Item: itemID})
+	answer, err := r.ask(ctx, replicas, request{Operation: opBody, Job: jobID, Item: itemID, Homes: within.Regions()})
 	return answer.Body, err
 }
 
 // End implements Jobs. An end may be recorded twice, so it is asked of the next replica
 // after a lost answer.
 func (r *Relay) End(ctx context.Context, jobID string) error {
-	replicas, err := r.replicas(ctx)
+	// An end tells nothing of what the job holds.
+	replicas, err := r.replicas(ctx, homes.Set{})
 	if err != nil {
 		return err
 	}
@@ -98,20 +103,20 @@
 	return err
 }
 
-// replicas returns the replicas to ask; none where the node is one, or the cluster is
+// replicas returns the replicas within the regions to ask; none where the node is one, or the cluster is
 // small. Before the node has read of the others it can't know.
-func (r *Relay) replicas(ctx context.Context) ([]string, error) {
+func (r *Relay) replicas(ctx context.Context, within homes.Set) ([]string, error) {
 	// First without a wait: of several channels that are ready, select takes any.
 	select {
 	case <-r.known:
-		return r.sources(), nil
+		return r.sources(within), nil
 	default:
 	}
 	timer := time.NewTimer(directoryWait)
 	defer timer.Stop()
 	select {
 	case <-r.known:
-		return r.sources(), nil
+		return r.sources(within), nil
 	case <-ctx.Done():
 	case <-timer.C:
 	}
--- a/internal/jobrelay/server.go
+++ b/internal/jobrelay/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/common/msgpackhttp"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 const (
@@ -28,6 +29,7 @@
 }
 
 func serve(ctx context.Context, jobs Jobs, asked request) response {
+	ctx = homes.NewContext(ctx, homes.Of(asked.Homes))
 	switch asked.Operation {
 	case opResults:
 		results, err := jobs.Results(ctx, asked.Job, asked.From, min(asked.Wait, maxWait))
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// topic holds the lease's records in its only partition.
+	// topic holds the lease's records in its only partition, unless the options name another one.
 	topic = "corkpulley.lease"
 	// renewalsPerTTL is how often a lease is renewed in its time.
 	renewalsPerTTL = 5
@@ -64,6 +64,9 @@
 
 // Options say who asks for leadership and how.
 type Options struct {
+	// Topic holds the records of the lease in its only partition; empty for those of the leader of all
+	// nodes. Each topic has a holder of its own.
+	Topic string
 	// Holder names this process, Node its machine.
 	Holder string
 	Node   string
@@ -128,9 +131,12 @@
 
 // New returns an elector; Run starts it.
 func New(log eventlog.Log, options Options, role Role) *Elector {
+	if options.Topic == "" {
+		options.Topic = topic
+	}
 	return &Elector{
 		log:       log,
-		partition: eventlog.Partition{Topic: topic},
+		partition: eventlog.Partition{Topic: options.Topic},
 		options:   options,
 		role:      role,
 		now:       boottime.Now,
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -10,9 +10,11 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/core/replicaset"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -34,6 +36,7 @@
 	Node    string `msgpack:"n"`
 	Address string `msgpack:"a"`
 	Zone    string `msgpack:"z,omitempty"`
+	Region  string `msgpack:"r,omitempty"`
 	// Processors is the node's share of processors; zero when unknown.
 	Processors float64 `msgpack:"p,omitempty"`
 	// Life is the time after which the node is forgotten unless it is heard again.
@@ -64,6 +67,7 @@
 	// Address is where it listens for other nodes.
 	Address string
 	Zone    string
+	Region  string
 	// Processors is its share of processors; zero when unknown.
 	Processors float64
 }
@@ -71,7 +75,7 @@
 // NewDirectory returns a directory for a node. All nodes together may make the given
 // number of reads a second, zero for no bound.
 func NewDirectory(log eventlog.Log, self Self, readsPerSecond int, logger zerolog.Logger) *Directory {
-	own := member{Node: self.Node, Address: self.Address, Zone: self.Zone, Processors: self.Processors}
+	own := member{Node: self.Node, Address: self.Address, Zone: self.Zone, Region: self.Region, Processors: self.Processors}
 	return &Directory{
 		log: log, own: own, reads: readsPerSecond, logger: logger,
 		members: make(map[string]member), seenAt: make(map[string]time.Time), known: make(chan struct{}),
@@ -94,6 +98,29 @@
 	return addresses
 }
 
+// Others returns the other nodes.
+func (d *Directory) Others() []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var others []Peer
+	for node, each := range d.members {
+		if d.alive(node) {
+			others = append(others, Peer{
+				Address: each.Address, Region: each.Region, Distance: topology.Between(d.own.place(), each.place()),
+			})
+		}
+	}
+	return others
+}
+
+// HasNodeIn tells whether a node within the regions is known, be it this one.
+func (d *Directory) HasNodeIn(regions homes.Set) bool {
+	if regions.Allows(d.own.Region) {
+		return true
+	}
+	return slices.ContainsFunc(d.Others(), func(other Peer) bool { return regions.Allows(other.Region) })
+}
+
 // Nodes returns the number of nodes known, this one included.
 func (d *Directory) Nodes() int {
 	d.mu.Lock()
@@ -155,6 +182,17 @@
 	return d.sources
 }
 
+// SourcesWithin returns those of the replicas within the regions that this node asks, the first choice
+// first; none when it answers itself.
+func (d *Directory) SourcesWithin(regions homes.Set) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !regions.Bound() || len(d.sources) == 0 {
+		return d.sources
+	}
+	return d.sourcesAmong(d.candidates(), regions)
+}
+
 // IsReplica tells whether this node hands followed topics to others.
 func (d *Directory) IsReplica() bool {
 	d.mu.Lock()
@@ -166,18 +204,9 @@
 func (d *Directory) chooseReplicas() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	self := d.own.candidate()
-	members := []replicaset.Member{self}
-	for node, each := range d.members {
-		if d.alive(node) {
-			members = append(members, each.candidate())
-		}
-	}
-	isReplica := slices.Contains(replicaset.Replicas(members, self.Zone), self)
-	var sources []string
-	for _, source := range replicaset.Sources(members, self) {
-		sources = append(sources, source.Address)
-	}
+	members := d.candidates()
+	isReplica := slices.Contains(replicaset.Replicas(members, d.own.Zone), d.own.candidate())
+	sources := d.sourcesAmong(members, homes.Set{})
 	if isReplica != d.isReplica || !slices.Equal(sources, d.sources) {
 		d.logger.Info().Bool("replica", isReplica).Strs("sources", sources).Int("nodes", len(members)).
 			Msg("sources of followed topics changed")
@@ -190,10 +219,34 @@
 	}
 }
 
+// candidates returns all nodes known, this one included; mu is held.
+func (d *Directory) candidates() []replicaset.Member {
+	members := []replicaset.Member{d.own.candidate()}
+	for node, each := range d.members {
+		if d.alive(node) {
+			members = append(members, each.candidate())
+		}
+	}
+	return members
+}
+
+// sourcesAmong returns the replicas within the regions that this node asks; mu is held.
+func (d *Directory) sourcesAmong(members []replicaset.Member, regions homes.Set) []string {
+	var sources []string
+	for _, source := range replicaset.Sources(members, d.own.candidate(), regions) {
+		sources = append(sources, source.Address)
+	}
+	return sources
+}
+
 func (m member) candidate() replicaset.Member {
-	return replicaset.Member{Node: m.Node, Zone: m.Zone, Address: m.Address, Processors: m.Processors}
+	return replicaset.Member{
+		Node: m.Node, Zone: m.Zone, Region: m.Region, Address: m.Address, Processors: m.Processors,
+	}
 }
 
+func (m member) place() topology.Place { return topology.Place{Zone: m.Zone, Region: m.Region} }
+
 // Known is closed once the node has read of the others.
 func (d *Directory) Known() <-chan struct{} { return d.known }
 
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -51,8 +51,8 @@
 // way fails and another node's does not. It implements eventlog.Log.
 type Fallback struct {
 	direct eventlog.Log
-	// peers returns the addresses of other nodes.
-	peers  func() []string
+	// peers returns the other nodes.
+	peers  func() []Peer
 	client *http.Client
 	logger zerolog.Logger
 
@@ -61,8 +61,8 @@
 	failures int
 	// probing is true while the direct way is being tried.
 	probing bool
-	// current is the node in use; empty for the direct way.
-	current  string
+	// current holds the node in use by the homes of the calls; none for the direct way.
+	current  map[homes.Set]string
 	pausedTo map[string]time.Time
 	// directUntil is when other nodes are asked again after an outage for all.
 	directUntil time.Time
@@ -70,11 +70,12 @@
 
 var _ eventlog.Log = (*Fallback)(nil)
 
-// NewFallback returns a log that calls direct, or one of the peers.
-func NewFallback(direct eventlog.Log, peers func() []string, logger zerolog.Logger) *Fallback {
+// NewFallback returns a log that calls direct, or one of the peers. A call whose context names homes
+// goes only by way of peers there.
+func NewFallback(direct eventlog.Log, peers func() []Peer, logger zerolog.Logger) *Fallback {
 	return &Fallback{
 		direct: direct, peers: peers, logger: logger, client: NewClient(),
-		pausedTo: make(map[string]time.Time),
+		current: make(map[homes.Set]string), pausedTo: make(map[string]time.Time),
 	}
 }
 
@@ -89,36 +90,24 @@
 	}}
 }
 
-// way returns how the next call goes: the log and the node's address, which is
-// empty for the direct way.
-func (f *Fallback) way() (eventlog.Log, string) {
+// way returns how the next call of the given homes goes: the log and the node's address, which
+// is empty for the direct way.
+func (f *Fallback) way(within homes.Set) (eventlog.Log, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	if f.failures < switchWeight || now.Before(f.directUntil) {
 		return f.direct, ""
 	}
-	if f.current == "" || now.Before(f.pausedTo[f.current]) {
-		f.current = f.pickPeer(now)
+	current := f.current[within]
+	if current == "" || now.Before(f.pausedTo[current]) {
+		current = choosePeer(f.peers(), within, f.pausedTo, now)
+		f.current[within] = current
 	}
-	if f.current == "" {
+	if current == "" {
 		return f.direct, ""
 	}
-	return &peer{client: f.client, address: f.current}, f.current
-}
-
-// pickPeer returns a node that has not failed just now; mu is held.
-func (f *Fallback) pickPeer(now time.Time) string {
-	var able []string
-	for _, address := range f.peers() {
-		if !now.Before(f.pausedTo[address]) {
-			able = append(able, address)
-		}
-	}
-	if len(able) == 0 {
-		return ""
-	}
-	return able[rand.IntN(len(able))]
+	return &peer{client: f.client, address: current}, current
 }
 
 // ended notes how a call ended. Only answers of the log count as success.
@@ -174,9 +163,10 @@
 	}
 }
 
-func do[Result any](f *Fallback, call func(log eventlog.Log) (Result, error)) (Result, error) {
+func do[Result any](ctx context.Context, f *Fallback, call func(log eventlog.Log) (Result, error)) (Result, error) {
+	within := homes.FromContext(ctx)
 	for range maxPeersAsked {
-		log, address := f.way()
+		log, address := f.way(within)
 		result, err := call(log)
 		f.ended(address, err)
 		if !errors.Is(err, errNoWay) {
@@ -206,41 +196,41 @@
 
 // Append implements eventlog.Log.
 func (f *Fallback) Append(ctx context.Context, partition eventlog.Partition, records [][]byte) (int64, error) {
-	return do(f, func(log eventlog.Log) (int64, error) { return log.Append(ctx, partition, records) })
+	return do(ctx, f, func(log eventlog.Log) (int64, error) { return log.Append(ctx, partition, records) })
 }
 
 // AppendAt implements eventlog.Log.
 func (f *Fallback) AppendAt(
 	ctx context.Context, partition eventlog.Partition, end int64, records [][]byte,
 ) (int64, error) {
-	return do(f, func(log eventlog.Log) (int64, error) { return log.AppendAt(ctx, partition, end, records) })
+	return do(ctx, f, func(log eventlog.Log) (int64, error) { return log.AppendAt(ctx, partition, end, records) })
 }
 
 // Read implements eventlog.Log.
 func (f *Fallback) Read(
 	ctx context.Context, partition eventlog.Partition, from int64, limit int, wait time.Duration,
 ) (eventlog.Batch, error) {
-	return do(f, func(log eventlog.Log) (eventlog.Batch, error) {
+	return do(ctx, f, func(log eventlog.Log) (eventlog.Batch, error) {
 		return log.Read(ctx, partition, from, limit, wait)
 	})
 }
 
 // PutKeyed implements eventlog.Log.
 func (f *Fallback) PutKeyed(ctx context.Context, topic string, records []eventlog.KeyedRecord) error {
-	_, err := do(f, func(log eventlog.Log) (struct{}, error) { return struct{}{}, log.PutKeyed(ctx, topic, records) })
+	_, err := do(ctx, f, func(log eventlog.Log) (struct{}, error) { return struct{}{}, log.PutKeyed(ctx, topic, records) })
 	return err
 }
 
 // Newest implements eventlog.Log.
 func (f *Fallback) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
-	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) { return log.Newest(ctx, topic) })
+	return do(ctx, f, func(log eventlog.Log) (eventlog.KeyedBatch, error) { return log.Newest(ctx, topic) })
 }
 
 // ReadKeyed implements eventlog.Log.
 func (f *Fallback) ReadKeyed(
 	ctx context.Context, topic string, from int64, wait time.Duration,
 ) (eventlog.KeyedBatch, error) {
-	return do(f, func(log eventlog.Log) (eventlog.KeyedBatch, error) {
+	return do(ctx, f, func(log eventlog.Log) (eventlog.KeyedBatch, error) {
 		return log.ReadKeyed(ctx, topic, from, wait)
 	})
 }
--- /dev/null
+++ b/internal/logrelay/homes_test.go
@@ -0,0 +1,137 @@
+package logrelay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// relayingNode is another node, with the number of calls that it was asked for.
+type relayingNode struct {
+	peer  Peer
+	calls *atomic.Int64
+}
+
+// relayingNodes serve the log, one in each region; able tells whether they reach it.
+func relayingNodes(t *testing.T, log eventlog.Log, able func() bool) map[string]relayingNode {
+	t.Helper()
+	nodes := make(map[string]relayingNode)
+	for distance, region := range []string{"north", "south", "west"} {
+		calls := new(atomic.Int64)
+		handler := NewHandler(log, able, noReplicas{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			handler.ServeHTTP(w, r)
+		}))
+		t.Cleanup(server.Close)
+		nodes[region] = relayingNode{calls: calls, peer: Peer{
+			Address: strings.TrimPrefix(server.URL, "http://"), Region: region, Distance: topology.Distance(distance),
+		}}
+	}
+	return nodes
+}
+
+// refusedBy returns the log of a node that the log itself refuses.
+func refusedBy(t *testing.T, nodes map[string]relayingNode) *Fallback {
+	t.Helper()
+	fallback := NewFallback(refusing(), func() []Peer {
+		var peers []Peer
+		for _, node := range nodes {
+			peers = append(peers, node.peer)
+		}
+		return peers
+	}, zerolog.Nop())
+	for range failuresToSwitch {
+		_, _ = fallback.Append(t.Context(), part, nil)
+	}
+	assert.Assert(t, !fallback.Direct())
+	return fallback
+}
+
+func TestBoundCallsGoOnlyByWayOfNodesAtHome(t *testing.T) {
+	log := memlog.New()
+	nodes := relayingNodes(t, log, always)
+	fallback := refusedBy(t, nodes)
+	south := homes.NewContext(t.Context(), homes.Of([]string{"south"}))
+	for range 5 {
+		_, err := fallback.Append(south, part, [][]byte{[]byte("body")})
+		assert.NilError(t, err)
+		_, err = fallback.Read(context.WithoutCancel(south), part, 0, 1024, 0)
+		assert.NilError(t, err)
+		_, err = fallback.Append(t.Context(), part, [][]byte{[]byte("anywhere")})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, nodes["south"].calls.Load(), int64(10))
+	assert.Equal(t, nodes["west"].calls.Load(), int64(0))
+	assert.Equal(t, nodes["north"].calls.Load(), int64(5), "the nearest, where nothing binds")
+
+	// No node at home: the call ends as the log itself answers it.
+	end := log.End(part)
+	_, err := fallback.Append(homes.NewContext(t.Context(), homes.Of([]string{"east"})), part, [][]byte{[]byte("body")})
+	assert.ErrorIs(t, err, eventlog.ErrNotDone)
+	assert.Equal(t, log.End(part), end)
+}
+
+// TestBoundCallsStayAtHomeWhenTheNodeThereFails: a node elsewhere would help.
+func TestBoundCallsStayAtHomeWhenTheNodeThereFails(t *testing.T) {
+	log := memlog.New()
+	nodes := relayingNodes(t, log, func() bool { return false })
+	fallback := refusedBy(t, nodes)
+	_, err := fallback.Append(homes.NewContext(t.Context(), homes.Of([]string{"south"})), part, [][]byte{[]byte("body")})
+	assert.ErrorIs(t, err, eventlog.ErrNotDone)
+	assert.Assert(t, nodes["south"].calls.Load() > 0)
+	assert.Equal(t, nodes["north"].calls.Load()+nodes["west"].calls.Load(), int64(0))
+}
+
+func TestNearNodesGoFirstUnlessTheyFailTogether(t *testing.T) {
+	now := time.Now()
+	near, nearToo := Peer{Address: "near1"}, Peer{Address: "near2"}
+	nearest := Peer{Address: "near3"}
+	far := Peer{Address: "far", Distance: topology.OtherRegion}
+	peers := []Peer{far, near, nearToo, nearest}
+	paused := map[string]time.Time{}
+	for range 20 {
+		assert.Assert(t, choosePeer(peers, homes.Set{}, paused, now) != "far")
+	}
+	paused["near1"] = now.Add(time.Second)
+	assert.Assert(t, choosePeer(peers, homes.Set{}, paused, now) != "far", "one alone may have failed")
+	paused["near2"] = now.Add(time.Second)
+	assert.Equal(t, choosePeer(peers, homes.Set{}, paused, now), "far", "the zone may be cut off")
+	paused["far"] = now.Add(time.Second)
+	assert.Equal(t, choosePeer(peers, homes.Set{}, paused, now), "near3", "the last one left")
+	paused["near3"] = now.Add(time.Second)
+	assert.Equal(t, choosePeer(peers, homes.Set{}, paused, now), "")
+}
+
+func TestTheDirectoryTellsWhereNodesLie(t *testing.T) {
+	log := memlog.New()
+	own := NewDirectory(log, Self{Node: "n1", Address: "127.0.0.1:1", Zone: "a1", Region: "a"}, 0, zerolog.Nop())
+	other := NewDirectory(log, Self{Node: "n2", Address: "127.0.0.1:2", Zone: "b1", Region: "b"}, 0, zerolog.Nop())
+	near := NewDirectory(log, Self{Node: "n3", Address: "127.0.0.1:3", Zone: "a2", Region: "a"}, 0, zerolog.Nop())
+	for _, directory := range []*Directory{own, other, near} {
+		go func() { _ = directory.Run(t.Context()) }()
+	}
+	testwait.Until(t, "the others are listed", func() bool { return len(own.Others()) == 2 })
+	for _, peer := range own.Others() {
+		wanted := Peer{Address: "127.0.0.1:2", Region: "b", Distance: topology.OtherRegion}
+		if peer.Region == "a" {
+			wanted = Peer{Address: "127.0.0.1:3", Region: "a", Distance: topology.SameRegion}
+		}
+		assert.Equal(t, peer, wanted)
+	}
+	assert.Assert(t, own.HasNodeIn(homes.Of([]string{"b"})) && own.HasNodeIn(homes.Of([]string{"a"})))
+	assert.Assert(t, !own.HasNodeIn(homes.Of([]string{"c"})))
+}
