An engine is chosen by the time in which it is expected to answer, the way included

Cause: a fixed share of an engine's places stood for "another zone", the same for 0.5 and for 12 ms, for answers of 25 ms and of seconds. Ruled out: measured ways (a node sends too little to most engines), the engine's own answer time in place of the service's (one slow answer would keep requests away for good).

--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
 )
 
 // Query asks for an engine for one request.
 type Query struct {
 	Service string
-	// Zone is the asking node's; engines there are preferred slightly.
-	Zone string
+	// Zone and Region are those of the asking node.
+	Zone   string
+	Region string
 	// Model and MinVersion are set for requests that want certain weights.
 	Model      string
 	MinVersion int64
@@ -28,20 +30,25 @@
 	InFlight int
 	// LoadAge is the age of the load that the engine reported; negative when unknown.
 	LoadAge time.Duration
-	Score   float64
+	// Expected is the time in which the answer is expected, by the engine's load and distance.
+	Expected time.Duration
+	// Distance is how far the engine is from the asking node.
+	Distance topology.Distance
 	// Candidates is the number of engines that passed the filters.
 	Candidates int
 }
 
-// Costs that the score adds to an engine's occupancy (1 = all slots taken).
 const (
-	otherZoneCost = 0.1
-	coldCost      = 0.5
+	// coldCost is what a cold engine adds to its occupancy (1 = all slots taken).
+	coldCost = 0.5
 	// reportedLoadLife is how long a reported load is believed.
 	reportedLoadLife = 500 * time.Millisecond
+	// assumedAnswerTime stands in for the time of a service's answers until the first ones: that of a
+	// small request, so that a near engine goes first unless it is full.
+	assumedAnswerTime = 50 * time.Millisecond
 )
 
-// Choose returns the engine with the lowest score. Engines that failed recently
+// Choose returns the engine that is expected to answer first. Engines that failed recently
 // are chosen only when no other is left; found is false when none is.
 func (f *Fleet) Choose(query Query) (Choice, bool) {
 	f.mu.Lock()
@@ -53,7 +60,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	return pick(candidates, query), true
+	return f.pick(candidates, query), true
 }
 
 func (f *Fleet) filter(query Query, suspectsToo bool) []*member {
@@ -83,15 +90,18 @@
 	return false
 }
 
-func pick(candidates []*member, query Query) Choice {
+// pick returns the candidate that is expected to answer first; mu is held.
+func (f *Fleet) pick(candidates []*member, query Query) Choice {
+	answerTime := f.answerTime(query.Service)
 	var best *member
-	bestScore, ties := 0.0, 0
+	var soonest time.Duration
+	ties := 0
 	for _, candidate := range candidates {
-		score := score(candidate, query)
+		expected := expectedTime(candidate, query, answerTime)
 		switch {
-		case best == nil || score < bestScore:
-			best, bestScore, ties = candidate, score, 1
-		case score == bestScore:
+		case best == nil || expected < soonest:
+			best, soonest, ties = candidate, expected, 1
+		case expected == soonest:
 			ties++
 			if rand.IntN(ties) == 0 {
 				best = candidate
@@ -99,7 +109,8 @@
 		}
 	}
 	choice := Choice{
-		Engine: best.engine, InFlight: best.inFlight, LoadAge: -1, Score: bestScore, Candidates: len(candidates),
+		Engine: best.engine, InFlight: best.inFlight, LoadAge: -1, Expected: soonest,
+		Distance: distanceOf(best, query), Candidates: len(candidates),
 	}
 	if !best.loadAt.IsZero() {
 		choice.LoadAge = query.Now.Sub(best.loadAt)
@@ -107,17 +118,35 @@
 	return choice
 }
 
-// score is the engine's occupancy after this request, in time it would take.
-func score(candidate *member, query Query) float64 {
-	score := float64(candidate.busy(query.Now)+1) / float64(max(1, candidate.engine.Slots))
-	score *= 1 + candidate.latency.Seconds()
-	if candidate.engine.Zone != query.Zone {
-		score += otherZoneCost
-	}
+// expectedTime is the time in which an engine is expected to answer: that of the service's answers, in
+// proportion to the engine's occupancy after this request, and the way there and back. So the way
+// decides between engines that are about as busy, and the more the shorter the answers are.
+func expectedTime(candidate *member, query Query, answerTime time.Duration) time.Duration {
+	load := float64(candidate.busy(query.Now)+1) / float64(max(1, candidate.engine.Slots))
+	load *= 1 + candidate.latency.Seconds()
 	if query.Now.Before(candidate.engine.ColdUntil) {
-		score += coldCost
+		load += coldCost
+	}
+	return time.Duration(load*float64(answerTime)) + distanceOf(candidate, query).RoundTrip()
+}
+
+func distanceOf(candidate *member, query Query) topology.Distance {
+	own := topology.Place{Zone: query.Zone, Region: query.Region}
+	return topology.Between(own, topology.Place{Zone: candidate.engine.Zone, Region: candidate.engine.Region})
+}
+
+// answerTime is the time of the service's answers, as lately seen; mu is held.
+func (f *Fleet) answerTime(service string) time.Duration {
+	if seen, found := f.answerTimes[service]; found {
+		return seen
 	}
-	return score
+	return assumedAnswerTime
+}
+
+// observeAnswer notes the time of a whole answer of the service; mu is held.
+func (f *Fleet) observeAnswer(service string, took time.Duration) {
+	known := f.answerTime(service)
+	f.answerTimes[service] = known + time.Duration(latencyWeight*float64(took-known))
 }
 
 // busy is the number of requests at the engine: those of this process, or what
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -63,11 +63,13 @@
 	members map[string]*member
 	// byService holds the IDs of each service's engines in order.
 	byService map[string][]string
+	// answerTimes holds the moving mean of the time of each service's whole answers.
+	answerTimes map[string]time.Duration
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string)}
+	return &Fleet{members: make(map[string]*member), byService: make(map[string][]string), answerTimes: make(map[string]time.Duration)}
 }
 
 // Put adds an engine or changes what its entry says.
@@ -283,6 +285,7 @@
 		known.suspect(outcome.At, min(firstSuspicion<<min(known.failures-1, 4), maxSuspicion))
 	case outcome.Latency > 0:
 		known.failures = 0
+		f.observeAnswer(known.engine.Service, outcome.Latency)
 		known.latency += time.Duration(latencyWeight * float64(outcome.Latency-known.latency))
 	}
 }
--- a/internal/core/fleet/homes_test.go
+++ b/internal/core/fleet/homes_test.go
@@ -24,7 +24,7 @@
 func TestEnginesOutsideOfTheRegionsAreNeverChosen(t *testing.T) {
 	now := time.Now()
 	known := twoRegions(now)
-	query := Query{Service: "live", Zone: "s1", Now: now}
+	query := Query{Service: "live", Zone: "s1", Region: "south", Now: now}
 	choice, found := known.Choose(query)
 	assert.Assert(t, found)
 	assert.Equal(t, choice.Engine.ID, "s")
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -204,7 +204,7 @@
 	n.ended = follow.New(replicas, platform.CrashTopic(), n.guard.Take, n.directory.Budget(), logger)
 	n.relay = ingress.New(ingress.Options{
 		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Table: n.state.table, Current: n.isCurrent,
-		Zone: config.Node.Zone, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
+		Zone: config.Node.Zone, Region: config.Node.Region, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
 	n.elector = leadership.New(log, n.leaseOptions(), n.lead)
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -79,7 +79,8 @@
 			return x.timedOut()
 		}
 		choice, found := x.relay.options.Fleet.Choose(fleet.Query{
-			Service: x.service, Zone: x.relay.options.Zone, Regions: x.homes(), Tried: x.tried, Now: time.Now(),
+			Service: x.service, Zone: x.relay.options.Zone, Region: x.relay.options.Region,
+			Regions: x.homes(), Tried: x.tried, Now: time.Now(),
 		})
 		if !found {
 			break
@@ -292,7 +293,7 @@
 		level = zerolog.WarnLevel
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("engine", choice.Engine.ID).
-		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Float64("score", choice.Score).
+		Int("in_flight", choice.InFlight).Int("candidates", choice.Candidates).Dur("expected_ms", choice.Expected).Stringer("distance", choice.Distance).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if result != answered {
 		line = line.Stringer("fingerprint", x.fingerprintOf())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -114,9 +114,11 @@
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
 	Current func() bool
-	Zone    string
-	Seed    uint64
-	Logger  zerolog.Logger
+	// Zone and Region are those of this node.
+	Zone   string
+	Region string
+	Seed   uint64
+	Logger zerolog.Logger
 	// Began is told once of each caller's request that an engine has begun to run, and
 	// when it did.
 	Began func(tenant string, at time.Time)
