Tests of whole nodes in three regions: bound work stays at home

Each node has a way to the log of its own that notes which calls touch bodies and texts. Seen red with a runner that owns all jobs, with nodes outside taking part in the election, with jobs handed in without homes in their context, and with what a job was taken by left out. One test failed at first for a fault of its own: a node learns of weights that another one ordered from the list of engines, which the stand-in writes only when asked to.

--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -38,10 +38,16 @@
 	store   *standin.Store
 	address string
 	engines []*standin.Engine
-	nodes   []*process
-	config  int64
-	// tenants is what the configuration says of tenants; nil for nothing.
-	tenants []tenant
+	// addresses holds those of the engines by their IDs.
+	addresses map[string]string
+	nodes     []*process
+	config    int64
+	// tenants is what the configuration says of tenants; nil for nothing. tenantHomes holds the home
+	// regions of those that have some.
+	tenants     []tenant
+	tenantHomes map[string][]string
+	// zones holds the region of each zone; nodes are told it.
+	zones map[string]string
 	// duties is the address of the platform's calls; empty for none.
 	duties string
 	// scaled is true when engines of the model may be ordered.
@@ -83,7 +89,7 @@
 	limits := standin.DefaultLimits()
 	limits.AppendTime = 0
 	d := &deployment{
-		t: t, store: standin.NewStore(limits),
+		t: t, store: standin.NewStore(limits), addresses: make(map[string]string),
 		orderQuiet: 200 * time.Millisecond, enginesFence: settings.Default().Hosted.EnginesFence,
 	}
 	server := httptest.NewServer(d.store)
@@ -101,15 +107,23 @@
 	if options.Events == nil {
 		options.Events = func(string) int { return 4 }
 	}
-	options.Zone = "z1"
+	if options.Zone == "" {
+		options.Zone = "z1"
+	}
 	engine := standin.NewEngine(options)
 	server := httptest.NewServer(engine)
 	d.t.Cleanup(server.Close)
-	d.store.Log.Put("keyed.servers", options.ID, engine.Entry(strings.TrimPrefix(server.URL, "http://"), "ready"))
+	d.addresses[options.ID] = strings.TrimPrefix(server.URL, "http://")
+	d.list(engine)
 	d.engines = append(d.engines, engine)
 	return engine
 }
 
+// list writes an engine's entry as it stands now.
+func (d *deployment) list(engine *standin.Engine) {
+	d.store.Log.Put("keyed.servers", engine.ID(), engine.Entry(d.addresses[engine.ID()], "ready"))
+}
+
 type route map[string]any
 
 // tenant is one tenant of the configuration.
@@ -153,13 +167,26 @@
 		},
 	}
 	if d.tenants != nil {
-		configuration["tenants"] = d.tenants
+		configuration["tenants"] = d.tenantEntries()
 	}
 	raw, err := json.Marshal(configuration)
 	assert.NilError(d.t, err)
 	d.store.Log.Put("keyed.op", "config", raw)
 }
 
+// tenantEntries is what the configuration says of the tenants.
+func (d *deployment) tenantEntries() []map[string]any {
+	entries := []map[string]any{}
+	for _, each := range d.tenants {
+		entry := map[string]any{"name": each.Name, "apiKeys": each.Keys}
+		if homes := d.tenantHomes[each.Name]; homes != nil {
+			entry["homeRegions"] = homes
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
 // nameVersion names a weight version.
 func (d *deployment) nameVersion(version int64) {
 	d.store.Log.Put("keyed.op", "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
@@ -174,8 +201,15 @@
 // startThrough starts a node that calls the log at an address of its own.
 func (d *deployment) startThrough(id, log string) *process {
 	d.t.Helper()
+	return d.startAt(settings.Node{ID: id, Zone: "z1", Region: "r1"}, log)
+}
+
+// startAt starts a node in a place, which calls the log at an address of its own.
+func (d *deployment) startAt(node settings.Node, log string) *process {
+	d.t.Helper()
+	id := node.ID
 	config := settings.Default()
-	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
+	config.Node, config.Topology.Zones = node, d.zones
 	addresses := freeAddresses(d.t, 3)
 	config.Listen = settings.Listen{Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
 	config.Hosted.Log = log
