--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	homeset "github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // Values of the fields "refusal" and "stop_reason" as nodes log them, in the words of a
@@ -80,11 +82,16 @@
 	return "No line tells its end: the node ended or lost lines." + failed + way.contextNotes()
 }
 
+// isBound tells whether the field "homes" of a line names regions.
+func isBound(homes string) bool { return homes != "" && homes != (homeset.Set{}).String() }
+
 func jobCause(way *Way) string {
 	handed, taken, ended := way.last("job handed in"), way.last("job taken up"), way.last("job ended")
 	switch {
 	case taken == nil && handed != nil && handed.text("error") != "":
 		return fmt.Sprintf("Not accepted by %s: %s.%s", handed.Node, handed.text("error"), way.contextNotes())
+	case taken == nil && handed != nil && isBound(handed.text("homes")):
+		return fmt.Sprintf("Handed in, but no node in %s, which alone may run it, took it up.%s", handed.text("homes"), way.contextNotes())
 	case taken == nil:
 		return "Handed in, but no leader took it up." + way.contextNotes()
 	case ended == nil:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -79,3 +79,16 @@
 	_, err := read(t).Find("nobody")
 	assert.Assert(t, errors.Is(err, ErrUnknown))
 }
+
+func TestAJobThatNoNodeAtHomeTookUpNamesItsHomes(t *testing.T) {
+	for homes, wanted := range map[string]string{
+		"north,west": "no node in north,west, which alone may run it", "everywhere": "no leader took it up",
+	} {
+		line := `{"level":"info","node":"n1","zone":"z","job":"j1","homes":"` + homes + `","time":1,"message":"job handed in"}`
+		log := &Log{}
+		assert.NilError(t, log.Read(strings.NewReader(line+"\n")))
+		way, err := log.Find("j1")
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(way.Cause, wanted), way.Cause)
+	}
+}
--- a/internal/hosted/homerunners.go
+++ b/internal/hosted/homerunners.go
@@ -170,7 +170,7 @@
 // ask for its permits as every other sender does.
 func (n *node) runAtHome(ctx context.Context, term leadership.Term, set homes.Set) {
 	runner := batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
+		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
 		Within: set, HomesOf: n.jobHomes, Config: n.configVersion,
 		// The leader orders the weights; an engine that changes them refuses.
 		Loading: func(incarnation.ID) string { return "" },
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -140,6 +140,8 @@
 	// log is the platform's log, directly or by way of another node.
 	log     eventlog.Log
 	counter *duties.Counter
+	// engineCalls sends requests to engines and counts them.
+	engineCalls Engines
 
 	directory *logrelay.Directory
 
@@ -182,14 +184,17 @@
 
 		topology: topology.NewMap(config.Topology.Zones, config.Node.Zone, config.Node.Region),
 	}
+	n.engineCalls = &countedEngines{
+		platform.Engines(), metrics.traffic, topology.Place{Zone: config.Node.Zone, Region: config.Node.Region},
+	}
 	direct := platform.Log()
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
 		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Region: config.Node.Region,
 		Processors: config.Node.Processors,
 	}, config.Hosted.ReadsPerSecond, logger)
-	log := logrelay.NewFallback(direct, n.directory.Others, logger)
+	log := logrelay.NewFallback(direct, n.directory.Others, n.counted(logrelay.NewClient(), logTraffic), logger)
 	n.directory.SetLog(log)
-	replicas := logrelay.NewReplicaReader(log, n.directory.Sources)
+	replicas := logrelay.NewReplicaReader(log, n.directory.Sources, n.counted(logrelay.NewClient(), replicaTraffic))
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
 	n.engines = follow.New(replicas, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
@@ -197,13 +202,15 @@
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
 		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Logger: logger,
 	})
-	n.askedJobs = jobrelay.NewRelay(n.jobs, n.directory.SourcesWithin, n.directory.Known(), logrelay.NewClient(), logger)
+	n.askedJobs = jobrelay.NewRelay(
+		n.jobs, n.directory.SourcesWithin, n.directory.Known(), n.counted(logrelay.NewClient(), jobTraffic), logger,
+	)
 	n.log = log
 	n.counter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
 	n.guard = n.newGuard(log)
 	n.ended = follow.New(replicas, platform.CrashTopic(), n.guard.Take, n.directory.Budget(), logger)
 	n.relay = ingress.New(ingress.Options{
-		Engines: platform.Engines(), Fleet: n.fleet, Guard: n.guard, Table: n.state.table, Current: n.isCurrent,
+		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.guard, Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Region: config.Node.Region, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -23,7 +23,7 @@
 		Term:    term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
 	})
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
+		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.guard, RouteOf: n.batchRoute,
 		HomesOf: n.jobHomes, Config: n.configVersion, Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -27,6 +27,8 @@
 	behind        *prometheus.CounterVec
 	dropped       prometheus.Counter
 	leftOut       prometheus.Counter
+	// traffic counts messages to other machines.
+	traffic *traffic
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -75,6 +77,7 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corkpulley_hosted_log_lines_left_out_total", Help: "Log lines left out because too many of their kind came.",
 	})
+	m.traffic = newTraffic(registry)
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.runningAtHome, m.scoring, m.lost, m.suspected, m.behind,
 		m.dropped, m.leftOut,
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -113,6 +113,18 @@
 	return others
 }
 
+// DistanceOf returns how far the node at an address is; far where it is not known.
+func (d *Directory) DistanceOf(address string) topology.Distance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, each := range d.members {
+		if each.Address == address {
+			return topology.Between(d.own.place(), each.place())
+		}
+	}
+	return topology.OtherRegion
+}
+
 // HasNodeIn tells whether a node within the regions is known, be it this one.
 func (d *Directory) HasNodeIn(regions homes.Set) bool {
 	if regions.Allows(d.own.Region) {
--- a/internal/logrelay/homes_test.go
+++ b/internal/logrelay/homes_test.go
@@ -53,7 +53,7 @@
 			peers = append(peers, node.peer)
 		}
 		return peers
-	}, zerolog.Nop())
+	}, NewClient(), zerolog.Nop())
 	for range failuresToSwitch {
 		_, _ = fallback.Append(t.Context(), part, nil)
 	}
--- a/internal/logrelay/logrelay_test.go
+++ b/internal/logrelay/logrelay_test.go
@@ -51,7 +51,7 @@
 	server := httptest.NewServer(NewHandler(n.log, always, noReplicas{}))
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	n.fallback = NewFallback(refusing(), peersAt(address), zerolog.Nop())
+	n.fallback = NewFallback(refusing(), peersAt(address), NewClient(), zerolog.Nop())
 	for range failuresToSwitch {
 		_, err := n.fallback.Append(t.Context(), part, nil)
 		assert.Assert(t, errors.Is(err, eventlog.ErrNotDone))
@@ -115,7 +115,7 @@
 	direct, other := memlog.New(), memlog.New()
 	server := httptest.NewServer(NewHandler(other, always, noReplicas{}))
 	t.Cleanup(server.Close)
-	fallback := NewFallback(direct, peersAt(strings.TrimPrefix(server.URL, "http://")), zerolog.Nop())
+	fallback := NewFallback(direct, peersAt(strings.TrimPrefix(server.URL, "http://")), NewClient(), zerolog.Nop())
 	direct.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
 	for range failuresToSwitch {
 		_, _ = fallback.Append(t.Context(), part, nil)
@@ -134,7 +134,7 @@
 }
 
 func TestWithoutOtherNodesTheDirectWayIsKept(t *testing.T) {
-	fallback := NewFallback(refusing(), peersAt(), zerolog.Nop())
+	fallback := NewFallback(refusing(), peersAt(), NewClient(), zerolog.Nop())
 	for range 3 * failuresToSwitch {
 		_, err := fallback.Append(t.Context(), part, nil)
 		assert.Assert(t, errors.Is(err, eventlog.ErrNotDone))
@@ -151,7 +151,7 @@
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
-	fallback := NewFallback(refusing(), peersAt(addresses...), zerolog.Nop())
+	fallback := NewFallback(refusing(), peersAt(addresses...), NewClient(), zerolog.Nop())
 	for range failuresToSwitch {
 		_, _ = fallback.Append(t.Context(), part, nil)
 	}
@@ -171,7 +171,7 @@
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
-	fallback := NewFallback(log, peersAt(addresses...), zerolog.Nop())
+	fallback := NewFallback(log, peersAt(addresses...), NewClient(), zerolog.Nop())
 	for range failuresToSwitch {
 		_, _ = fallback.Append(t.Context(), part, nil)
 	}
@@ -204,7 +204,7 @@
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
-	fallback := NewFallback(refusing(), peersAt(addresses...), zerolog.Nop())
+	fallback := NewFallback(refusing(), peersAt(addresses...), NewClient(), zerolog.Nop())
 	began := time.Now()
 	for range 50 {
 		_, err := fallback.Append(t.Context(), part, nil)
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -51,10 +51,10 @@
 
 var _ eventlog.Log = (*ReplicaReader)(nil)
 
-// NewReplicaReader returns a reader that asks the sources, or else the log.
-func NewReplicaReader(log eventlog.Log, sources func() []string) *ReplicaReader {
+// NewReplicaReader returns a reader that asks the sources over the client, or else the log.
+func NewReplicaReader(log eventlog.Log, sources func() []string, client *http.Client) *ReplicaReader {
 	return &ReplicaReader{
-		Log: log, sources: sources, client: NewClient(), paused: pauses.New(),
+		Log: log, sources: sources, client: client, paused: pauses.New(),
 		readAt: make(map[string]time.Time),
 	}
 }
--- a/internal/logrelay/replicareader_test.go
+++ b/internal/logrelay/replicareader_test.go
@@ -83,7 +83,7 @@
 	}))
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	c.follow(NewReplicaReader(c.own, func() []string { return []string{address} }), c.take)
+	c.follow(NewReplicaReader(c.own, func() []string { return []string{address} }, NewClient()), c.take)
 	return c
 }
 
@@ -167,7 +167,7 @@
 	t.Cleanup(server.Close)
 	log := &keyedLog{Log: memlog.New()}
 	log.Put(followed, "k", []byte("v"))
-	reader := NewReplicaReader(log, func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} })
+	reader := NewReplicaReader(log, func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }, NewClient())
 	batch, err := reader.Newest(t.Context(), followed)
 	assert.NilError(t, err)
 	assert.Equal(t, string(batch.Records[0].Value), "v")
