--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -297,27 +297,6 @@
 	config int64
 }
 
-// homesOf are the homes of a job by the configuration in force.
-func (w *world) homesOf(job *batch.JobRecord) homes.Set {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.homes[job.ID]
-}
-
-func (w *world) configVersion() int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.config
-}
-
-// setHomes puts a configuration in force that binds a job to the regions.
-func (w *world) setHomes(job string, regions ...string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.homes[job] = homes.Of(regions)
-	w.config++
-}
-
 // engineOf is an engine with the first version of the model.
 func engineOf(id string) fleet.Engine {
 	return fleet.Engine{ID: id, Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}}
--- a/internal/batchrun/scope_test.go
+++ b/internal/batchrun/scope_test.go
@@ -13,6 +13,27 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
+// homesOf are the homes of a job by the configuration in force.
+func (w *world) homesOf(job *batch.JobRecord) homes.Set {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.homes[job.ID]
+}
+
+func (w *world) configVersion() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.config
+}
+
+// setHomes puts a configuration in force that binds a job to the regions.
+func (w *world) setHomes(job string, regions ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.homes[job] = homes.Of(regions)
+	w.config++
+}
+
 // newRegions returns a world with two engines in each of two regions, named after them.
 func newRegions(t *testing.T) *world {
 	w := newWorld(t)
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -50,13 +50,13 @@
 // Accept implements Callers.
 func (n *node) Accept(ctx context.Context, credentials routes.Credentials, submission batchjobs.Submission) error {
 	began := time.Now()
-	sender, failure := n.submitter(credentials, submission.Job)
+	sender, config, failure := n.submitter(credentials, submission.Job)
 	if failure != nil {
 		return failure
 	}
 	submission.Job.Tenant, submission.Job.Priority = sender.Tenant, sender.Priority
 	submission.Job.ID = batch.QualifiedID(sender.Tenant, submission.Job.ID)
-	submission.Job.Homes, submission.Job.Config = sender.Homes.Regions(), n.configVersion()
+	submission.Job.Homes, submission.Job.Config = sender.Homes.Regions(), config
 	ctx, cancel := context.WithTimeout(homes.NewContext(context.WithoutCancel(ctx), sender.Homes), acceptTimeout)
 	defer cancel()
 	err := n.acceptAtHome(ctx, submission, sender.Homes)
@@ -68,17 +68,18 @@
 	return err
 }
 
-// submitter returns who hands a job in.
-func (n *node) submitter(credentials routes.Credentials, job batch.JobRecord) (routes.Sender, *errkind.Error) {
+// submitter returns who hands a job in, and the version of the configuration that says so.
+func (n *node) submitter(credentials routes.Credentials, job batch.JobRecord) (routes.Sender, int64, *errkind.Error) {
 	table := n.state.table()
 	if table == nil {
-		return routes.Sender{}, errkind.New(errkind.NotReady, "no configuration is known yet")
+		return routes.Sender{}, 0, errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
 	route := table.Match(job.Host, job.Path)
 	if route == nil {
-		return routes.Sender{}, errkind.New(errkind.UnknownService, "no route for %s%s", job.Host, job.Path)
+		return routes.Sender{}, 0, errkind.New(errkind.UnknownService, "no route for %s%s", job.Host, job.Path)
 	}
-	return table.SenderOf(route, credentials, n.isCurrent())
+	sender, failure := table.SenderOf(route, credentials, n.isCurrent())
+	return sender, table.Version, failure
 }
 
 // jobQuestion is a question about a job by one of the names that it may have.
--- a/internal/ingress/homes_test.go
+++ b/internal/ingress/homes_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 )
 
@@ -92,12 +93,12 @@
 }
 
 func TestRequestsAndTheirRetriesStayAtHome(t *testing.T) {
-	for name, homes := range map[string]struct{ ofRoute, ofTenant []string }{
+	for name, named := range map[string]struct{ ofRoute, ofTenant []string }{
 		"route":  {[]string{"north"}, nil},
 		"tenant": {nil, []string{"north"}},
 		"both":   {[]string{"north", "south"}, []string{"west", "north"}},
 	} {
-		d := newHomedDeployment(homes.ofRoute, homes.ofTenant)
+		d := newHomedDeployment(named.ofRoute, named.ofTenant)
 		_, failure := d.request()
 		assert.Equal(t, failure.Kind, errkind.EngineFailed, name)
 		assert.DeepEqual(t, d.asked, []string{"north", "north"})
@@ -105,13 +106,13 @@
 }
 
 func TestARequestWithoutAnEngineAtHomeIsRefusedAsNotRun(t *testing.T) {
-	for name, homes := range map[string]struct{ ofRoute, ofTenant []string }{
+	for name, named := range map[string]struct{ ofRoute, ofTenant []string }{
 		"no engine there":     {[]string{"east"}, nil},
 		"no region of both":   {[]string{"north"}, []string{"south"}},
 		"none of the tenant":  {nil, []string{"east"}},
 		"a region of no name": {[]string{""}, nil},
 	} {
-		d := newHomedDeployment(homes.ofRoute, homes.ofTenant)
+		d := newHomedDeployment(named.ofRoute, named.ofTenant)
 		_, failure := d.request()
 		assert.Equal(t, failure.Kind, errkind.OutsideHomes, name)
 		assert.Equal(t, failure.Kind.Answer().Execution, errkind.NotExecuted)
@@ -140,4 +141,14 @@
 	})
 	assert.Assert(t, failure == nil)
 	assert.DeepEqual(t, d.asked, []string{"west"})
+
+	// The tenant is gone: what bound its job still does.
+	d = newHomedDeployment(nil, nil)
+	d.answers["north"] = Answer{Status: http.StatusOK}
+	sender.Tenant = "gone"
+	_, failure = d.Call(homes.NewContext(context.Background(), homes.Of([]string{"north"})), &Request{
+		ID: "id", Method: http.MethodPost, Target: "/x/1", Path: "/x/1", Host: "h", Received: time.Now(), Sender: &sender,
+	})
+	assert.Assert(t, failure == nil)
+	assert.DeepEqual(t, d.asked, []string{"north"})
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -185,7 +186,7 @@
 			Int64("config", table.Version).Msg("no route")
 		return nil, nil, errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
 	}
-	sender, failure := r.senderOf(table, route, request)
+	sender, failure := r.senderOf(callerContext, table, route, request)
 	if failure != nil {
 		return nil, nil, failure
 	}
@@ -204,11 +205,18 @@
 	}, cancel, nil
 }
 
-// senderOf returns who sent a request.
-func (r *Relay) senderOf(table *routes.Table, route *routes.Route, request *Request) (routes.Sender, *errkind.Error) {
+// senderOf returns who sent a request. An own one of a tenant that the configuration does not hold any
+// more is bound by the homes of the work that it is made for.
+func (r *Relay) senderOf(
+	ctx context.Context, table *routes.Table, route *routes.Route, request *Request,
+) (routes.Sender, *errkind.Error) {
 	if request.Sender != nil {
 		sender := *request.Sender
-		sender.Homes, _ = table.HomesOf(request.Host, request.Path, sender.Tenant)
+		set, known := table.HomesOf(request.Host, request.Path, sender.Tenant)
+		if !known {
+			set = set.Intersect(homes.FromContext(ctx))
+		}
+		sender.Homes = set
 		return sender, nil
 	}
 	return table.SenderOf(route, request.Credentials, r.options.Current())
--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -70,8 +70,8 @@
 
 var _ eventlog.Log = (*Fallback)(nil)
 
-// NewFallback returns a log that calls direct, or one of the peers over the client. A call whose context names homes
-// goes only by way of peers there.
+// NewFallback returns a log that calls direct, or one of the peers over the client. A call whose context
+// names homes goes only by way of peers there.
 func NewFallback(direct eventlog.Log, peers func() []Peer, client *http.Client, logger zerolog.Logger) *Fallback {
 	return &Fallback{
 		direct: direct, peers: peers, logger: logger, client: client,
--- a/test/hosted/homes_test.go
+++ b/test/hosted/homes_test.go
@@ -18,7 +18,10 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-const dataTopic = "corkpulley.data"
+const (
+	dataTopic      = "corkpulley.data"
+	directoryTopic = "corkpulley.nodes"
+)
 
 // dataLink is one node's way to the log. It notes which calls touch bodies and texts.
 type dataLink struct {
@@ -27,8 +30,9 @@
 
 	mu    sync.Mutex
 	calls []string
-	// refused: the log takes no calls of this node.
+	// refused: the log takes no calls of this node. Alone: it never reads of other nodes.
 	refused bool
+	alone   bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -38,7 +42,7 @@
 	if ofData {
 		l.calls = append(l.calls, r.URL.Path)
 	}
-	refused := l.refused
+	refused := l.refused || l.alone && r.URL.Query().Get("topic") == directoryTopic
 	l.mu.Unlock()
 	if refused {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -84,7 +88,11 @@
 
 func (d *deployment) startIn(id, zone string) regional {
 	d.t.Helper()
-	link := &dataLink{store: d.store}
+	return d.startBehind(&dataLink{store: d.store}, id, zone)
+}
+
+func (d *deployment) startBehind(link *dataLink, id, zone string) regional {
+	d.t.Helper()
 	server := httptest.NewServer(link)
 	d.t.Cleanup(server.Close)
 	link.address = strings.TrimPrefix(server.URL, "http://")
@@ -110,6 +118,14 @@
 	testwait.Until(t, "the metric "+line, func() bool { return strings.Contains(p.metrics(), line+"\n") })
 }
 
+// awaitOthers waits until the node has read of so many nodes, itself among them.
+func (p *process) awaitOthers(t *testing.T, nodes int) {
+	t.Helper()
+	testwait.Until(t, "the nodes know each other", func() bool {
+		return strings.Contains(p.logs.String(), fmt.Sprintf(`"known":%d,`, nodes))
+	})
+}
+
 const leads = "corkpulley_hosted_leading 1"
 
 func runsAt(homes string) string {
@@ -168,7 +184,8 @@
 	assert.Equal(t, south.call(http.MethodGet, "/lots/none", "", "").status, http.StatusNotFound)
 	south.awaitMetric(t, leads)
 
-	// The node that a client has reached itself takes its job and answers it.
+	// The node that a client has reached itself takes its job and answers it, once it knows of the others.
+	south.awaitOthers(t, 3)
 	assert.Equal(t, south.call(http.MethodPost, "/batch/x", "job2", job(1, "other")).status, http.StatusAccepted)
 	checkWhole(t, d.awaitResults(south.process, "job2", 1), []string{"other"}, 4)
 	for _, region := range d.regionsOfRuns("other") {
@@ -220,6 +237,31 @@
 	assert.Equal(t, len(south.link.touched()), 0)
 }
 
+// TestAnotherNodeAtHomeTakesUpTheItemsOfOneThatIsCutOff: that one has no way to the log any more and goes
+// on with its items for a while, as a leader does.
+func TestAnotherNodeAtHomeTakesUpTheItemsOfOneThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	const events = 150
+	d := deployRegions(t, 20*time.Millisecond, events)
+	d.configure(bound(batchRoute("/batch/"), "north"))
+	south := d.startIn("south", "s1")
+	first := d.startBehind(&dataLink{store: d.store, alone: true}, "north1", "n1")
+	first.awaitMetric(t, runsAt("north"))
+	second := d.startIn("north2", "n1")
+	ids := itemIDs(4)
+	assert.Equal(t, second.call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
+	testwait.Until(t, "all items run", func() bool {
+		return !slices.ContainsFunc(ids, func(id string) bool { return d.runsOf(id) == 0 })
+	})
+	first.link.refuse(true)
+	second.awaitMetric(t, runsAt("north"))
+	checkWhole(t, d.awaitResults(second.process, "job1", len(ids)), ids, events)
+	assert.DeepEqual(t, d.regionsOfRuns(ids...), []string{"north"})
+	assert.Equal(t, len(south.link.touched()), 0)
+	first.link.refuse(false)
+	second.awaitMetric(t, runsAt("north"))
+}
+
 func TestHomesThatChangeMoveTheItemsUnderWay(t *testing.T) {
 	t.Parallel()
 	const events = 150
@@ -278,6 +320,23 @@
 	assert.Equal(t, len(d.regionsOfRuns("c", "lost")), 0)
 }
 
+// TestAJobThatWasTakenIsNotRefusedWhenNoNodeIsAtHomeAnyMore: a refusal says that nothing of it runs.
+func TestAJobThatWasTakenIsNotRefusedWhenNoNodeIsAtHomeAnyMore(t *testing.T) {
+	t.Parallel()
+	d := deployRegions(t, 0, 4)
+	d.configure(batchRoute("/batch/"))
+	south := d.startIn("south", "s1")
+	assert.Equal(t, south.call(http.MethodPost, "/batch/x", "job1", job(1, "a")).status, http.StatusAccepted)
+	checkWhole(t, d.awaitResults(south.process, "job1", 1), []string{"a"}, 4)
+	d.configure(bound(batchRoute("/batch/"), "east"))
+	testwait.Until(t, "the configuration is in force", func() bool {
+		return strings.Contains(south.logs.String(), "home region without a zone")
+	})
+	assert.Equal(t, south.call(http.MethodPost, "/batch/x", "job2", job(1, "b")).status, http.StatusServiceUnavailable)
+	assert.Equal(t, south.call(http.MethodPost, "/batch/x", "job1", job(1, "a")).status, http.StatusAccepted)
+	assert.Equal(t, d.runsOf("b"), 0)
+}
+
 // TestANodeThatTheLogRefusesSendsBodiesOnlyByWayOfHome: the node in the south, which clients still reach,
 // gets to the log through others, of which the nearest is no home.
 func TestANodeThatTheLogRefusesSendsBodiesOnlyByWayOfHome(t *testing.T) {
@@ -286,9 +345,7 @@
 	d.configure(bound(batchRoute("/batch/"), "north"))
 	south, north, near := d.startIn("south", "s1"), d.startIn("north", "n1"), d.startIn("south2", "s1")
 	for _, node := range []regional{south, north, near} {
-		testwait.Until(t, "the nodes know each other", func() bool {
-			return strings.Contains(node.logs.String(), `"known":3`)
-		})
+		node.awaitOthers(t, 3)
 	}
 	south.link.refuse(true)
 	testwait.Until(t, "the node goes another way", func() bool {
