Replicas for bound questions are tested with a directory of 320 nodes; corkctl explain tells runners of homes apart

Cause: the choice was tested without the directory; a node that began to run bound jobs was told of as the leader. Tests: seen red with the sources of unbound questions. Conclusion: no change to what nodes do.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -195,6 +195,9 @@
 			note = "engine " + line.text("engine") + " went"
 		case "leadership gained":
 			note = line.Node + " became the leader"
+			if homes := line.text("homes"); isBound(homes) {
+				note = line.Node + " began to run the jobs bound to " + homes
+			}
 		case "node started":
 			note = line.Node + " had just started"
 		case "node stopping":
--- a/internal/logrelay/homes_test.go
+++ b/internal/logrelay/homes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -135,3 +136,31 @@
 	assert.Assert(t, own.HasNodeIn(homes.Of([]string{"b"})) && own.HasNodeIn(homes.Of([]string{"a"})))
 	assert.Assert(t, !own.HasNodeIn(homes.Of([]string{"c"})))
 }
+
+// TestReplicasForBoundQuestionsLieAtHome: a large cluster of two regions.
+func TestReplicasForBoundQuestionsLieAtHome(t *testing.T) {
+	log := memlog.New()
+	regions := map[string]string{}
+	for number := range 320 {
+		zone := number % 4
+		self := Self{
+			Node: fmt.Sprint("n", number), Address: fmt.Sprint("127.0.0.1:", number),
+			Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("r", zone/2),
+		}
+		regions[self.Address] = self.Region
+		assert.NilError(t, NewDirectory(log, self, 0, zerolog.Nop()).announce(t.Context(), time.Minute))
+	}
+	reader := NewDirectory(log, Self{Node: "reader", Address: "127.0.0.1:9999", Zone: "z0", Region: "r0"}, 0, zerolog.Nop())
+	assert.Assert(t, reader.read(t.Context()))
+	reader.chooseReplicas()
+	assert.Assert(t, len(reader.Sources()) > 0)
+	assert.DeepEqual(t, reader.SourcesWithin(homes.Set{}), reader.Sources())
+	for _, region := range []string{"r0", "r1"} {
+		sources := reader.SourcesWithin(homes.Of([]string{region}))
+		assert.Assert(t, len(sources) > 0, region)
+		for _, address := range sources {
+			assert.Equal(t, regions[address], region)
+		}
+	}
+	assert.Equal(t, len(reader.SourcesWithin(homes.Of([]string{"r2"}))), 0)
+}
