Merge: home regions, and choice by distance

Cause: nothing knew of regions: homes were ignored, and a fixed charge stood for the way to an engine. Change: core/homes and core/topology; requests bound to regions reach engines and nodes there only; batch work that is bound is run by an elected node at home (hosted/homerunners.go); engines, replicas and relaying nodes are chosen by distance and load. Runners at home ask the leader for permits to cold engines (coldpermits.Stock), since one pacer decides for all. Unit tests and test/hosted pass after the merge.

--- /dev/null
+++ b/internal/coldpermits/stock.go
@@ -0,0 +1,147 @@
+package coldpermits
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+)
+
+// StockOptions are the parts that a stock works with.
+type StockOptions struct {
+	// Ask asks whoever leads; see Asker.Ask.
+	Ask func(ctx context.Context, service string, engines []fleet.Engine) (Permit, Denial)
+	// Find returns an engine that is listed.
+	Find func(of incarnation.ID) (fleet.Engine, bool)
+	// Granted is called after a permit came in.
+	Granted func()
+}
+
+// Stock holds permits for the items of a runner that does not lead. A runner places many items at once
+// and waits for nobody meanwhile, so its wish for an engine has permits asked for in the background, and
+// what was granted is there at its next look. It is safe for concurrent use.
+type Stock struct {
+	ctx     context.Context
+	options StockOptions
+
+	mu sync.Mutex
+	// wanted holds the engines of the last looks for which nothing was asked yet.
+	wanted map[incarnation.ID]bool
+	asking bool
+	// open holds the permits that were not used yet. Some may have ended.
+	open map[incarnation.ID][]Permit
+}
+
+// NewStock returns a stock that asks until ctx ends.
+func NewStock(ctx context.Context, options StockOptions) *Stock {
+	return &Stock{
+		ctx: ctx, options: options, wanted: make(map[incarnation.ID]bool), open: make(map[incarnation.ID][]Permit),
+	}
+}
+
+// Room returns how many items may start at a cold engine now, and has more permits asked for where there
+// is none.
+func (s *Stock) Room(to incarnation.ID, _ fleet.Coldness) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropEnded(to)
+	if room := len(s.open[to]); room > 0 {
+		return room
+	}
+	s.wanted[to] = true
+	if !s.asking {
+		s.asking = true
+		go s.fill()
+	}
+	return 0
+}
+
+// Admit uses a permit for one item.
+func (s *Stock) Admit(_ Sender, to incarnation.ID, _ fleet.Coldness) (Permit, time.Duration, Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropEnded(to)
+	permits := s.open[to]
+	if len(permits) == 0 {
+		return Permit{}, 0, Paced
+	}
+	s.open[to] = permits[1:]
+	return permits[0], 0, Granted
+}
+
+// Note does nothing: only the leader counts what goes to engines that are not known to be cold.
+func (s *Stock) Note(incarnation.ID, float64) {}
+
+// dropEnded drops the permits to an engine that have ended; mu is held.
+func (s *Stock) dropEnded(to incarnation.ID) {
+	var open []Permit
+	for _, permit := range s.open[to] {
+		if permit.Open() {
+			open = append(open, permit)
+		}
+	}
+	if len(open) == 0 {
+		delete(s.open, to)
+		return
+	}
+	s.open[to] = open
+}
+
+// fill asks for permits until nothing is wanted any more.
+func (s *Stock) fill() {
+	for {
+		services := s.takeWanted()
+		if len(services) == 0 {
+			return
+		}
+		for service, engines := range services {
+			s.fillService(service, engines)
+		}
+	}
+}
+
+// takeWanted returns the engines for which permits are wanted, by service. None ends the filling.
+func (s *Stock) takeWanted() map[string][]fleet.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	services := make(map[string][]fleet.Engine)
+	for id := range s.wanted {
+		if engine, listed := s.options.Find(id); listed {
+			services[engine.Service] = append(services[engine.Service], engine)
+		}
+	}
+	clear(s.wanted)
+	s.asking = len(services) > 0 && s.ctx.Err() == nil
+	if !s.asking {
+		return nil
+	}
+	return services
+}
+
+// fillService asks for one permit after the other until one is denied. Each engine is given one of them
+// at most: more would end before the runner's next look.
+func (s *Stock) fillService(service string, engines []fleet.Engine) {
+	for len(engines) > 0 {
+		permit, denial := s.options.Ask(s.ctx, service, engines)
+		if denial.Outcome != Granted {
+			return
+		}
+		s.mu.Lock()
+		s.open[permit.Engine] = append(s.open[permit.Engine], permit)
+		s.mu.Unlock()
+		s.options.Granted()
+		engines = without(engines, permit.Engine)
+	}
+}
+
+func without(engines []fleet.Engine, left incarnation.ID) []fleet.Engine {
+	var others []fleet.Engine
+	for _, engine := range engines {
+		if engine.Incarnation() != left {
+			others = append(others, engine)
+		}
+	}
+	return others
+}
--- a/internal/core/fleet/choosecold.go
+++ b/internal/core/fleet/choosecold.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -48,7 +49,7 @@
 			}
 		}
 	}
-	choice := pick(candidates, query)
+	choice := f.pick(candidates, query)
 	choice.Cold = f.isCold(f.members[choice.Engine.ID], query.Now)
 	return choice
 }
@@ -62,20 +63,12 @@
 	if len(cold) == 0 {
 		_, cold = f.byColdness(f.filter(query, true), query.Now)
 	}
-	scores := make(map[*member]float64, len(cold))
+	answerTime := f.answerTime(query.Service)
+	expected := make(map[*member]time.Duration, len(cold))
 	for _, candidate := range cold {
-		scores[candidate] = score(candidate, query)
+		expected[candidate] = expectedTime(candidate, query, answerTime)
 	}
-	slices.SortStableFunc(cold, func(a, b *member) int {
-		switch {
-		case scores[a] < scores[b]:
-			return -1
-		case scores[a] > scores[b]:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortStableFunc(cold, func(a, b *member) int { return cmp.Compare(expected[a], expected[b]) })
 	var engines []Engine
 	for _, candidate := range cold[:min(limit, len(cold))] {
 		engines = append(engines, candidate.engine)
@@ -83,7 +76,7 @@
 	return engines
 }
 
-// ChoiceOf returns an engine as a choice, for one that was not picked by its score alone.
+// ChoiceOf returns an engine as a choice, for one that was not picked by its expected time alone.
 func (f *Fleet) ChoiceOf(engine Engine, query Query, candidates int) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -91,7 +84,7 @@
 	if !found || !f.takesWork(known.engine) {
 		return Choice{}, false
 	}
-	choice := pick([]*member{known}, query)
+	choice := f.pick([]*member{known}, query)
 	choice.Candidates, choice.Cold = candidates, true
 	return choice, true
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
@@ -19,8 +20,10 @@
 	Born    int64
 	Service string
 	// Address is ip:port.
-	Address  string
-	Zone     string
+	Address string
+	Zone    string
+	// Region is that of the zone; empty where it is not known.
+	Region   string
 	Slots    int
 	Draining bool
 	// Versions holds the weight version of each model.
@@ -70,13 +73,16 @@
 	// zones holds what was last said of the evacuation of each zone.
 	zones map[string]zoneState
 	cold  coldness
+	// answerTimes holds the moving mean of the time of each service's whole answers.
+	answerTimes map[string]time.Duration
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{
 		members: make(map[string]*member), byService: make(map[string][]string), zones: make(map[string]zoneState),
-		cold: newColdness(),
+		cold:        newColdness(),
+		answerTimes: make(map[string]time.Duration),
 	}
 }
 
@@ -158,6 +164,18 @@
 	return engines
 }
 
+// Serves tells whether a service has an engine in one of the regions that may be sent anything new.
+func (f *Fleet) Serves(service string, regions homes.Set) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.byService[service] {
+		if engine := f.members[id].engine; f.takesWork(engine) && regions.Allows(engine.Region) {
+			return true
+		}
+	}
+	return false
+}
+
 // Places returns how many requests the engines of a service work on at once, and
 // how many they have as far as this process knows. Engines that leave or failed
 // recently do not count.
@@ -241,6 +259,7 @@
 		known.suspect(outcome.At, min(firstSuspicion<<min(known.failures-1, 4), maxSuspicion))
 	case outcome.Latency > 0:
 		known.failures = 0
+		f.observeAnswer(known.engine.Service, outcome.Latency)
 		known.latency += time.Duration(latencyWeight * float64(outcome.Latency-known.latency))
 	}
 }
--- a/internal/core/fleet/list_test.go
+++ b/internal/core/fleet/list_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
 )
 
 // life is an entry of an engine that started at a time.
@@ -37,7 +38,8 @@
 	choice, _ := f.Choose(Query{Service: "s", Zone: "z", Now: now})
 	assert.Equal(t, choice.InFlight, 0)
 	assert.Equal(t, choice.LoadAge, time.Duration(-1))
-	assert.Equal(t, choice.Score, 0.25, "one of four slots, and no latency known")
+	assert.Equal(t, choice.Expected, f.answerTimes["s"]/4+topology.SameZone.RoundTrip(),
+		"one of four slots at the pace of the service, and no latency of the engine known")
 	slots, busy := f.Places("s", now)
 	assert.Equal(t, slots, 4)
 	assert.Equal(t, busy, 0)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -205,6 +205,9 @@
 			note = line.Node + " had stood still"
 		case "leadership gained":
 			note = line.Node + " became the leader"
+			if homes := line.text("homes"); isBound(homes) {
+				note = line.Node + " began to run the jobs bound to " + homes
+			}
 		case "node started":
 			note = line.Node + " had just started"
 		case "node stopping":
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -48,6 +48,7 @@
 		delete(n.unusable, record.Key)
 	}
 	engine.ReadAt = time.Now()
+	engine.Region = n.regionOf(engine)
 	known, listed := n.fleet.Get(engine.ID)
 	n.doubtNew(engine, listed && known.Incarnation() == engine.Incarnation())
 	change := n.fleet.Put(engine)
--- a/internal/hosted/enginelist_test.go
+++ b/internal/hosted/enginelist_test.go
@@ -14,6 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/follow"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
@@ -38,6 +39,7 @@
 	logs = &bytes.Buffer{}
 	n = &node{
 		platform: entryDecoder{}, fleet: fleet.New(), unusable: make(unusableEntries), state: newState(time.Second),
+		topology: topology.NewMap(nil, "z", "r"),
 		registry: prometheus.NewRegistry(), logger: zerolog.New(logs),
 	}
 	n.metrics = newMetrics(n.registry)
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -11,7 +11,8 @@
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
 
-// lead is the leader's part: it runs batch items and orders weights.
+// lead is the leader's part: it runs the items of batch jobs that are bound to no regions, and orders
+// weights for all.
 func (n *node) lead(ctx context.Context, term leadership.Term) {
 	var runner *batchrun.Runner
 	orders := weightorders.New(weightorders.Options{
@@ -23,8 +24,8 @@
 	})
 	defer n.coldDecider.Lead(term.Valid)()
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.platform.Engines(), Fleet: n.fleet, Scorer: n, Guard: n.guard, Gate: n.gate,
-		ColdStarts: n.coldDecider, RouteOf: n.batchRoute,
+		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.guard, Gate: n.gate,
+		ColdStarts: n.coldDecider, RouteOf: n.batchRoute, HomesOf: n.jobHomes, Config: n.configVersion,
 		Loading: orders.Loading, Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	n.metrics.leading.Set(1)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -34,6 +34,10 @@
 	cold                prometheus.Gauge
 	admissions          *prometheus.CounterVec
 	coldPermits         *prometheus.CounterVec
+	// runningAtHome is by the regions to which the jobs are bound that the node runs.
+	runningAtHome *prometheus.GaugeVec
+	// traffic counts messages to other machines.
+	traffic *traffic
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -57,6 +61,9 @@
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corkpulley_hosted_leading", Help: "1 while this node leads.",
 		}),
+		runningAtHome: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corkpulley_hosted_running_homes", Help: "1 while this node runs the batch jobs that are bound to the regions.",
+		}, []string{"homes"}),
 		scoring: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "corkpulley_hosted_scoring_seconds", Help: "Time of a try of a scoring call, by its outcome.",
 			Buckets: requestBuckets,
@@ -98,10 +105,11 @@
 		m.heldBack.WithLabelValues(reason.String())
 	}
 	m.addSlowStart()
+	m.traffic = newTraffic(registry)
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
 		m.dropped, m.leftOut, m.unusable, m.enginesStartedAgain, m.evacuated, m.heldBack,
-		m.cold, m.admissions, m.coldPermits,
+		m.cold, m.admissions, m.coldPermits, m.runningAtHome,
 	)
 	return m
 }
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -21,7 +21,10 @@
 func (x *exchange) choose() (choice fleet.Choice, mayLeave func() bool, found bool) {
 	x.denial = coldpermits.Denial{}
 	engines := x.relay.options.Fleet
-	query := fleet.Query{Service: x.service, Zone: x.relay.options.Zone, Tried: x.tried, Now: time.Now()}
+	query := fleet.Query{
+		Service: x.service, Zone: x.relay.options.Zone, Region: x.relay.options.Region,
+		Regions: x.homes(), Tried: x.tried, Now: time.Now(),
+	}
 	choice, found = engines.Choose(query)
 	if !found || !choice.Cold {
 		return choice, nil, found
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -106,6 +107,19 @@
 	return x.failed()
 }
 
+// homes returns the regions whose engines may run the request now: a newer configuration than the
+// request began with may have moved them.
+func (x *exchange) homes() homes.Set {
+	table := x.relay.options.Table()
+	if table == nil || table.Version <= x.table.Version {
+		return x.sender.Homes
+	}
+	if set, known := table.HomesOf(x.request.Host, x.request.Path, x.sender.Tenant); known {
+		return set
+	}
+	return x.sender.Homes
+}
+
 // timedOut is the answer when the time is over. Nobody reads it if the caller left.
 func (x *exchange) timedOut() *errkind.Error {
 	if x.caller.Err() != nil && x.ran == 0 {
@@ -122,6 +136,9 @@
 	if x.ran > 0 {
 		return errkind.New(errkind.EngineFailed, "%d engines were asked and none answered in time", x.ran)
 	}
+	if regions := x.homes(); !x.relay.options.Fleet.Serves(x.service, regions) && regions.Bound() {
+		return errkind.New(errkind.OutsideHomes, "no engine of %s is in %s", x.service, regions)
+	}
 	if evacuated := x.relay.options.Fleet.Evacuated(x.service); evacuated > 0 && len(x.tried) == 0 {
 		failure := errkind.New(errkind.NoCapacity, "no engine of %s takes requests, %d are in evacuated zones", x.service, evacuated)
 		failure.RetryAfter = evacuatedRetry
@@ -287,6 +304,9 @@
 		Str("service", x.service).Str("tenant", x.sender.Tenant).Int64("config", x.table.Version).
 		Int("tried", len(x.tried)).Int("ran", x.ran).Int("status", x.status).
 		Bool("caller_left", x.caller.Err() != nil).Dur("took_ms", took)
+	if x.sender.Homes.Bound() {
+		line = line.Stringer("homes", x.sender.Homes)
+	}
 	kind := "ok"
 	if failure != nil {
 		kind = failure.Kind.String()
@@ -304,7 +324,7 @@
 		level = zerolog.WarnLevel
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Stringer("engine", choice.Engine.Incarnation()).
-		Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).Int("candidates", choice.Candidates).Float64("score", choice.Score).
+		Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).Int("candidates", choice.Candidates).Dur("expected_ms", choice.Expected).Stringer("distance", choice.Distance).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if result != answered {
 		line = line.Stringer("fingerprint", x.fingerprintOf())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -131,9 +132,11 @@
 	Table func() *routes.Table
 	// Current tells whether Table is known to be the newest one, but for a few seconds.
 	Current func() bool
-	Zone    string
-	Seed    uint64
-	Logger  zerolog.Logger
+	// Zone and Region are those of this node.
+	Zone   string
+	Region string
+	Seed   uint64
+	Logger zerolog.Logger
 	// Began is told once of each caller's request that an engine has begun to run, and
 	// when it did.
 	Began func(tenant string, at time.Time)
@@ -205,7 +208,7 @@
 			Int64("config", table.Version).Msg("no route")
 		return nil, nil, errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
 	}
-	sender, failure := r.senderOf(table, route, request)
+	sender, failure := r.senderOf(callerContext, table, route, request)
 	if failure != nil {
 		return nil, nil, failure
 	}
@@ -224,10 +227,19 @@
 	}, cancel, nil
 }
 
-// senderOf returns who sent a request.
-func (r *Relay) senderOf(table *routes.Table, route *routes.Route, request *Request) (routes.Sender, *errkind.Error) {
+// senderOf returns who sent a request. An own one of a tenant that the configuration does not hold any
+// more is bound by the homes of the work that it is made for.
+func (r *Relay) senderOf(
+	ctx context.Context, table *routes.Table, route *routes.Route, request *Request,
+) (routes.Sender, *errkind.Error) {
 	if request.Sender != nil {
-		return *request.Sender, nil
+		sender := *request.Sender
+		set, known := table.HomesOf(request.Host, request.Path, sender.Tenant)
+		if !known {
+			set = set.Intersect(homes.FromContext(ctx))
+		}
+		sender.Homes = set
+		return sender, nil
 	}
 	return table.SenderOf(route, request.Credentials, r.options.Current())
 }
--- a/internal/logrelay/silence_test.go
+++ b/internal/logrelay/silence_test.go
@@ -56,7 +56,7 @@
 	server := httptest.NewServer(NewHandler(log, always, noReplicas{}))
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	return NewFallback(direct, func() []string { return []string{address} }, zerolog.Nop())
+	return NewFallback(direct, func() []Peer { return []Peer{{Address: address}} }, NewClient(), zerolog.Nop())
 }
 
 // TestOneSilentWriteIsEnoughToGoThroughAnotherNode: nobody waits for the time-outs of three calls, and
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -39,10 +39,16 @@
 	store   *standin.Store
 	address string
 	engines []*standin.Engine
-	nodes   []*process
-	config  int64
-	// tenants is what the configuration says of tenants; nil for nothing.
-	tenants []tenant
+	// addresses holds those of the engines by their IDs.
+	addresses map[string]string
+	nodes     []*process
+	config    int64
+	// tenants is what the configuration says of tenants; nil for nothing. tenantHomes holds the home
+	// regions of those that have some.
+	tenants     []tenant
+	tenantHomes map[string][]string
+	// zones holds the region of each zone; nodes are told it.
+	zones map[string]string
 	// duties is the address of the platform's calls; empty for none.
 	duties string
 	// scaled is true when engines of the model may be ordered.
@@ -86,7 +92,7 @@
 	limits := standin.DefaultLimits()
 	limits.AppendTime = 0
 	d := &deployment{
-		t: t, store: standin.NewStore(limits),
+		t: t, store: standin.NewStore(limits), addresses: make(map[string]string),
 		orderQuiet: 200 * time.Millisecond, enginesFence: settings.Default().Hosted.EnginesFence,
 	}
 	server := httptest.NewServer(d.store)
@@ -110,11 +116,17 @@
 	engine := standin.NewEngine(options)
 	server := httptest.NewServer(engine)
 	d.t.Cleanup(server.Close)
-	d.store.Log.Put("keyed.servers", options.ID, engine.Entry(strings.TrimPrefix(server.URL, "http://"), "ready"))
+	d.addresses[options.ID] = strings.TrimPrefix(server.URL, "http://")
+	d.list(engine)
 	d.engines = append(d.engines, engine)
 	return engine
 }
 
+// list writes an engine's entry as it stands now.
+func (d *deployment) list(engine *standin.Engine) {
+	d.store.Log.Put("keyed.servers", engine.ID(), engine.Entry(d.addresses[engine.ID()], "ready"))
+}
+
 type route map[string]any
 
 // tenant is one tenant of the configuration.
@@ -159,13 +171,26 @@
 		},
 	}
 	if d.tenants != nil {
-		configuration["tenants"] = d.tenants
+		configuration["tenants"] = d.tenantEntries()
 	}
 	raw, err := json.Marshal(configuration)
 	assert.NilError(d.t, err)
 	d.store.Log.Put("keyed.op", "config", raw)
 }
 
+// tenantEntries is what the configuration says of the tenants.
+func (d *deployment) tenantEntries() []map[string]any {
+	entries := []map[string]any{}
+	for _, each := range d.tenants {
+		entry := map[string]any{"name": each.Name, "apiKeys": each.Keys}
+		if homes := d.tenantHomes[each.Name]; homes != nil {
+			entry["homeRegions"] = homes
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
 // nameVersion names a weight version.
 func (d *deployment) nameVersion(version int64) {
 	d.store.Log.Put("keyed.op", "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
@@ -180,16 +205,25 @@
 // startThrough starts a node that calls the log at an address of its own.
 func (d *deployment) startThrough(id, log string) *process {
 	d.t.Helper()
-	p := d.startUnready(id, log)
+	p := d.startUnready(settings.Node{ID: id, Zone: "z1", Region: "r1"}, log)
 	testwait.Until(d.t, "node "+id+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
 	return p
 }
 
-// startUnready is startThrough, but does not wait until the node is ready.
-func (d *deployment) startUnready(id, log string) *process {
+// startAt starts a node in a place, which calls the log at an address of its own.
+func (d *deployment) startAt(node settings.Node, log string) *process {
+	d.t.Helper()
+	p := d.startUnready(node, log)
+	testwait.Until(d.t, "node "+node.ID+" is ready", func() bool { return p.status("/readyz") == http.StatusOK })
+	return p
+}
+
+// startUnready is startAt, but does not wait until the node is ready.
+func (d *deployment) startUnready(node settings.Node, log string) *process {
 	d.t.Helper()
+	id := node.ID
 	config := settings.Default()
-	config.Node = settings.Node{ID: id, Zone: "z1", Region: "r1"}
+	config.Node, config.Topology.Zones = node, d.zones
 	addresses := freeAddresses(d.t, 3)
 	config.Listen = settings.Listen{Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
 	config.Hosted.Log = log
--- a/test/hosted/incarnation_test.go
+++ b/test/hosted/incarnation_test.go
@@ -12,6 +12,7 @@
 
 	benchprocess "github.com/corkpulley/corkpulley/internal/bench/process"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/settings"
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 	"github.com/corkpulley/corkpulley/platform"
@@ -267,7 +268,7 @@
 	d := deploy(t)
 	d.addEngine(standin.EngineOptions{ID: "e1", Service: "nobody's"})
 	d.configure(safeRoute("/a/"))
-	node := d.startUnready("n1", d.address)
+	node := d.startUnready(settings.Node{ID: "n1", Zone: "z1", Region: "r1"}, d.address)
 	testwait.Until(t, "the entry is read", func() bool { return strings.Contains(node.logs.String(), "topic read whole") })
 	testwait.Until(t, "it says what is missing", func() bool { return node.status("/readyz") == http.StatusServiceUnavailable })
 	desk(d, "e2")
