An entry that stayed behind at an address ends nobody

Cause: the look after a lost connection took any other engine listed at the address for the one that came after. The entry of an engine that crashed stays for three heartbeats, while its address may pass on after two seconds: a connection that the next engine lost meanwhile, for whatever reason, was the crash of that engine, without a probe. Ruled out: that the probe would tell (it isn't asked once the list speaks of a replacement), and that the service keeps the two apart (the look is at all services).

Change: the fleet notes in which order engines were listed at their addresses; only one that came later has replaced another. A whole read is handed on in the order of offsets, as the follower's handler promises, so that the order holds for a node that starts, too.

Conclusion: an entry that another writer lists later at a live engine's address still looks like a replacement.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -56,6 +56,8 @@
 	previous Engine
 	// earlier is an entry of an incarnation that began before this one, read after it; nil for none.
 	earlier *Engine
+	// placed orders the members by when they were listed at their addresses.
+	placed int64
 }
 
 // Fleet is the set of engines that may be sent requests. It is safe for
@@ -67,6 +69,8 @@
 	byService map[string][]string
 	// starts counts the incarnations that were listed.
 	starts int64
+	// placements counts the listings of engines at an address where they were not listed before.
+	placements int64
 }
 
 // New returns an empty fleet.
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -41,8 +41,7 @@
 	known, found := f.members[engine.ID]
 	switch {
 	case !found:
-		f.add(&member{engine: engine})
-		f.starts++
+		f.begin(&member{engine: engine})
 		return Added
 	case known.engine.Born == engine.Born:
 		f.renew(known, engine)
@@ -77,6 +76,12 @@
 	return settled
 }
 
+// place notes that a member is the last one that was listed at its address; mu is held.
+func (f *Fleet) place(placed *member) {
+	f.placements++
+	placed.placed = f.placements
+}
+
 // add lists a member under the service of its engine; mu is held.
 func (f *Fleet) add(added *member) {
 	engine := added.engine
@@ -89,6 +94,9 @@
 // renew takes a further entry of a known incarnation; mu is held.
 func (f *Fleet) renew(known *member, engine Engine) {
 	engine.Versions = newest(known.engine.Versions, engine.Versions)
+	if known.engine.Address != engine.Address {
+		f.place(known)
+	}
 	moved := known.engine.Service != engine.Service
 	if moved {
 		f.unlist(known.engine)
@@ -110,8 +118,14 @@
 // replace ends an incarnation and begins another one; mu is held.
 func (f *Fleet) replace(ended *member, engine Engine) {
 	f.unlist(ended.engine)
-	f.add(&member{engine: engine, previous: ended.engine})
+	f.begin(&member{engine: engine, previous: ended.engine})
+}
+
+// begin lists an incarnation; mu is held.
+func (f *Fleet) begin(started *member) {
 	f.starts++
+	f.place(started)
+	f.add(started)
 }
 
 // Remove forgets an engine.
@@ -176,7 +190,7 @@
 	case !found:
 		return Listing{}
 	case known.engine.Born == of.Born:
-		return Listing{Listed: true, Replaced: f.addressTaken(of), Draining: known.engine.Draining}
+		return Listing{Listed: true, Replaced: f.addressTaken(of, known.placed), Draining: known.engine.Draining}
 	case known.previous.ID == "":
 		// Its entry went before this one came, so that nothing is known of its end.
 		return Listing{}
@@ -186,11 +200,11 @@
 	}
 }
 
-// addressTaken tells whether an engine under another ID is listed at the address, of whatever service; mu is
-// held.
-func (f *Fleet) addressTaken(of Engine) bool {
+// addressTaken tells whether an engine under another ID, of whatever service, was listed at the address since
+// this one was. An entry from before may be of an engine that has ended: it stays for seconds. mu is held.
+func (f *Fleet) addressTaken(of Engine, since int64) bool {
 	for id, each := range f.members {
-		if id != of.ID && each.engine.Address == of.Address {
+		if id != of.ID && each.engine.Address == of.Address && each.placed > since {
 			return true
 		}
 	}
--- a/internal/core/fleet/list_test.go
+++ b/internal/core/fleet/list_test.go
@@ -159,6 +159,33 @@
 	assert.Equal(t, f.Listing(first), Listing{Listed: true, Replaced: true})
 }
 
+// TestAnEntryThatStayedBehindEndsNobody: the entry of an engine that crashed stays for seconds, while the next
+// engine is listed at its address.
+func TestAnEntryThatStayedBehindEndsNobody(t *testing.T) {
+	ended, next := life("b", 1000), life("a", 2000)
+	ended.Address, next.Address = "address:1", "address:1"
+	f := fleetOf(ended, next)
+	assert.Equal(t, f.Listing(next), Listing{Listed: true})
+	assert.Equal(t, f.Listing(ended), Listing{Listed: true, Replaced: true})
+	f.Put(next)
+	f.Put(ended)
+	assert.Equal(t, f.Listing(next), Listing{Listed: true}, "a further entry takes no address")
+
+	again := life("b", 3000)
+	again.Address = "address:1"
+	f.Put(again)
+	assert.Equal(t, f.Listing(next), Listing{Listed: true, Replaced: true}, "a start takes its address")
+
+	f = fleetOf(ended)
+	elsewhere := next
+	elsewhere.Address = "address:2"
+	f.Put(elsewhere)
+	moved := ended
+	moved.Address = "address:2"
+	f.Put(moved)
+	assert.Equal(t, f.Listing(elsewhere), Listing{Listed: true, Replaced: true}, "so does an engine that moves")
+}
+
 // TestRequestsInFlightAreNeverFewerThanNone: the entry went and came back while a request was there.
 func TestRequestsInFlightAreNeverFewerThanNone(t *testing.T) {
 	engine := life("a", 1000)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -4,8 +4,10 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -171,6 +173,7 @@
 	if err != nil {
 		return err
 	}
+	slices.SortFunc(batch.Records, func(a, b eventlog.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	present := make(map[string]bool, len(batch.Records))
 	for _, record := range batch.Records {
 		present[record.Key] = true
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -72,6 +72,19 @@
 
 // TestHistoryLostInAnOutageIsMadeUpFor changes, deletes and adds keys while the
 // log is away, and then drops the records.
+// TestAWholeReadIsHandedOnInOrder: the log tells it by key, and what holds of two keys may depend on which one
+// was written last.
+func TestAWholeReadIsHandedOnInOrder(t *testing.T) {
+	log := memlog.New()
+	for _, key := range []string{"c", "a", "b"} {
+		log.Put(topic, key, []byte("1"))
+	}
+	var keys []string
+	follower := New(log, topic, func(record eventlog.KeyedRecord) { keys = append(keys, record.Key) }, pacing.Budget{}, zerolog.Nop())
+	assert.NilError(t, follower.refresh(t.Context()))
+	assert.DeepEqual(t, keys, []string{"c", "a", "b"})
+}
+
 func TestHistoryLostInAnOutageIsMadeUpFor(t *testing.T) {
 	log := memlog.New()
 	log.Put(topic, "changed", []byte("1"))
