What became of the start that was asked is found by its name

Cause: the lines of requests and items name an engine with its start, "engine gone" named it without, so that `explain` left out what other nodes told of it; it did not know "engine started again" nor the reason of items that are stopped by it.

Change: "engine gone" names the start; `explain` takes "engine started again" for what concerns the one that ended, and says both in words.

Before: TestAnEngineThatIsGoneIsNamedWithItsStart and TestAnEngineThatStartedAgainIsNamed fail; after: they pass, with the packages' other tests.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -11,7 +11,7 @@
 	refusals = map[string]string{
 		"not_executed": "not run", "wrong_engine": "another engine at the address", "failed": "the run failed",
 	}
-	stopReasons = map[string]string{"moved": "moved to a faster engine"}
+	stopReasons = map[string]string{"moved": "moved to a faster engine", "engine_ended": "its engine started again"}
 )
 
 // answered is the value of "verdict" for a try that ended a request.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -96,6 +96,7 @@
 	"leadership lost": true, "topic contact changed": true, "way to the log changed": true,
 	"index partition out of reach": true, "index partition in reach": true, "node started": true,
 	"node stopping": true, "weights ordered": true, "results not recorded": true, "lease not renewed": true,
+	"engine started again": true,
 }
 
 // Way is the way of one request, job or item.
@@ -135,7 +136,7 @@
 	first, last := way.Lines[0].Time, way.Lines[len(way.Lines)-1].Time
 	for _, line := range l.Lines {
 		near := line.Time >= first-contextBefore && line.Time <= last+contextAfter
-		concerns := nodes[line.Node] || engines[line.text("engine")]
+		concerns := nodes[line.Node] || engines[line.text("engine")] || engines[line.text("ended")]
 		if near && concerns && beliefs[line.Message] {
 			way.Context = append(way.Context, line)
 		}
@@ -193,6 +194,8 @@
 			note = "the log did not answer " + line.Node
 		case "engine gone":
 			note = "engine " + line.text("engine") + " went"
+		case "engine started again":
+			note = "engine " + line.text("ended") + " ended and started again"
 		case "leadership gained":
 			note = line.Node + " became the leader"
 		case "node started":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -79,3 +79,19 @@
 	_, err := read(t).Find("nobody")
 	assert.Assert(t, errors.Is(err, ErrUnknown))
 }
+
+// TestAnEngineThatStartedAgainIsNamed: other nodes tell what became of the start that was asked.
+func TestAnEngineThatStartedAgainIsNamed(t *testing.T) {
+	log := &Log{}
+	assert.NilError(t, log.Read(strings.NewReader(`
+{"level":"info","node":"n1","zone":"z","job":"j1","item":"i1","engine":"e1@1000","waited_ms":15,"time":6015,"message":"item started"}
+{"level":"info","node":"n2","zone":"z","engine":"e1@2000","ended":"e1@1000","time":6100,"message":"engine started again"}
+{"level":"info","node":"n2","zone":"z","engine":"e2@2000","ended":"e2@1000","time":6100,"message":"engine started again"}
+{"level":"info","node":"n1","zone":"z","job":"j1","item":"i1","engine":"e1@1000","refusal":"broken","stop_reason":"engine_ended","after_event":7,"ran_ms":90,"time":6105,"message":"run ended early"}
+`)))
+	way, err := log.Find("i1")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(way.Cause, "at event 7 (its engine started again)"), way.Cause)
+	assert.Assert(t, strings.Contains(way.Cause, "engine e1@1000 ended and started again"), way.Cause)
+	assert.Assert(t, !strings.Contains(way.Cause, "e2"), way.Cause)
+}
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -32,14 +32,15 @@
 func (n *node) takeEngine(record eventlog.KeyedRecord) {
 	if record.Deleted {
 		delete(n.unusable, record.Key)
-		if n.forgetEngine(record.Key) {
-			n.logger.Info().Str("engine", record.Key).Int64("offset", record.Offset).Msg("engine gone")
+		if gone, known := n.forgetEngine(record.Key); known {
+			n.logger.Info().Stringer("engine", gone.Incarnation()).Int64("offset", record.Offset).Msg("engine gone")
 		}
 		return
 	}
 	engine, err := n.platform.DecodeEngine(record)
 	if err != nil {
-		n.tellUnusable(record, err, n.forgetEngine(record.Key))
+		_, withdrawn := n.forgetEngine(record.Key)
+		n.tellUnusable(record, err, withdrawn)
 		return
 	}
 	if fault := n.serviceFault(engine); fault != nil {
@@ -53,11 +54,11 @@
 	n.tellChange(known, engine, change, record.Offset)
 }
 
-// forgetEngine takes an engine out of the fleet and tells whether it was there.
-func (n *node) forgetEngine(id string) bool {
-	_, known := n.fleet.Get(id)
+// forgetEngine takes an engine out of the fleet and returns it; known is false if it was not there.
+func (n *node) forgetEngine(id string) (engine fleet.Engine, known bool) {
+	engine, known = n.fleet.Get(id)
 	n.fleet.Remove(id)
-	return known
+	return engine, known
 }
 
 // serviceFault returns the fault of an engine whose service no configuration names; nil while none is known.
--- a/internal/hosted/enginelist_test.go
+++ b/internal/hosted/enginelist_test.go
@@ -86,6 +86,14 @@
 	assert.Equal(t, len(n.unusable), 0, "a key that was deleted is not remembered")
 }
 
+// TestAnEngineThatIsGoneIsNamedWithItsStart: as in the lines of the requests that it was sent.
+func TestAnEngineThatIsGoneIsNamedWithItsStart(t *testing.T) {
+	n, logs := listReader()
+	n.fleet.Put(fleet.Engine{ID: "a", Born: 1000, Service: "s"})
+	n.takeEntry("a", "")
+	assert.Assert(t, strings.Contains(logs.String(), `"engine":"a@1000"`), "%s", logs)
+}
+
 // TestAnUnusableEntryWithdrawsItsEngineOnly: the others hold, and a good one puts it back.
 func TestAnUnusableEntryWithdrawsItsEngineOnly(t *testing.T) {
 	n, _ := listReader()
