The test of a node that knows no service's engines waits until all is read

Cause: it took any 503 for the answer, also that of a node that was still reading.

Change: it waits for the configuration and the three topics, and then asks once.

Conclusion: no fault behind it; the check is as strict at any speed of the machine.

--- a/test/hosted/incarnation_test.go
+++ b/test/hosted/incarnation_test.go
@@ -268,8 +268,11 @@
 	d.addEngine(standin.EngineOptions{ID: "e1", Service: "nobody's"})
 	d.configure(safeRoute("/a/"))
 	node := d.startUnready("n1", d.address)
-	testwait.Until(t, "the entry is read", func() bool { return strings.Contains(node.logs.String(), "topic read whole") })
-	testwait.Until(t, "it says what is missing", func() bool { return node.status("/readyz") == http.StatusServiceUnavailable })
+	testwait.Until(t, "configuration, engine list and ends of engines are read", func() bool {
+		logs := node.logs.String()
+		return strings.Contains(logs, "configuration in force") && strings.Count(logs, "topic read whole") == 3
+	})
+	assert.Equal(t, node.status("/readyz"), http.StatusServiceUnavailable)
 	desk(d, "e2")
 	testwait.Until(t, "it is ready", func() bool { return node.status("/readyz") == http.StatusOK })
 }
