The fleet counts no engines that nobody asks for

Cause: readiness goes by the services that the configuration names, and nothing but tests asked for the number of all engines.

Change: Fleet.Count is gone; its tests count the engines of the service, in which all of theirs are.

Before and after: tests of fleet and hosted pass.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -173,13 +173,6 @@
 	return slots, busy
 }
 
-// Count returns the number of engines known.
-func (f *Fleet) Count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.members)
-}
-
 // Began notes that a request was sent to the engine.
 func (f *Fleet) Began(of incarnation.ID) {
 	f.mu.Lock()
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -36,7 +36,7 @@
 	assert.Equal(t, chosen(f, Query{Tried: []string{"a"}}), "c")
 	f.Remove("c")
 	assert.Equal(t, chosen(f, Query{Tried: []string{"a"}}), "")
-	assert.Equal(t, f.Count(), 2)
+	assert.Equal(t, len(f.Engines("s")), 2)
 }
 
 func TestFreeEngineOfTheZoneIsPreferred(t *testing.T) {
--- a/internal/hosted/enginelist_test.go
+++ b/internal/hosted/enginelist_test.go
@@ -105,7 +105,7 @@
 	_, found = n.fleet.Get("b")
 	assert.Assert(t, found)
 	n.takeEntry("a", "s")
-	assert.Equal(t, n.fleet.Count(), 2)
+	assert.Equal(t, len(n.fleet.Engines("s")), 2)
 }
 
 // TestAnEngineOfAnUnknownServiceWaitsForItsConfiguration: list and configuration come on their own.
