--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -59,6 +59,8 @@
 	previous Engine
 	// earlier is an entry of an incarnation that began before this one, read after it; nil for none.
 	earlier *Engine
+	// placed orders the members by when they were listed at their addresses.
+	placed int64
 }
 
 // Fleet is the set of engines that may be sent requests. It is safe for
@@ -75,6 +77,8 @@
 	cold  coldness
 	// answerTimes holds the moving mean of the time of each service's whole answers.
 	answerTimes map[string]time.Duration
+	// placements counts the listings of engines at an address where they were not listed before.
+	placements int64
 }
 
 // New returns an empty fleet.
@@ -193,13 +197,6 @@
 	return slots, busy
 }
 
-// Count returns the number of engines known.
-func (f *Fleet) Count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.members)
-}
-
 // Began notes that a request was sent to the engine.
 func (f *Fleet) Began(of incarnation.ID) {
 	f.mu.Lock()
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -14,7 +14,7 @@
 		"not_executed": "not run", "wrong_engine": "another engine at the address", "failed": "the run failed",
 		"held_back": "held back before it left",
 	}
-	stopReasons = map[string]string{"moved": "moved to a faster engine"}
+	stopReasons = map[string]string{"moved": "moved to a faster engine", "engine_ended": "its engine started again"}
 )
 
 // answered is the value of "verdict" for a try that ended a request, notHeld that of "held_back" for one
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -98,6 +98,7 @@
 	"node stopping": true, "weights ordered": true, "results not recorded": true, "lease not renewed": true,
 	"zone evacuated": true, "zone taken back": true, "items wait for evacuated zones": true,
 	"sending on after a standstill": true,
+	"engine started again":          true,
 }
 
 // Way is the way of one request, job or item.
@@ -137,7 +138,7 @@
 	first, last := way.Lines[0].Time, way.Lines[len(way.Lines)-1].Time
 	for _, line := range l.Lines {
 		near := line.Time >= first-contextBefore && line.Time <= last+contextAfter
-		concerns := nodes[line.Node] || engines[line.text("engine")]
+		concerns := nodes[line.Node] || engines[line.text("engine")] || engines[line.text("ended")]
 		if near && concerns && beliefs[line.Message] {
 			way.Context = append(way.Context, line)
 		}
@@ -203,6 +204,8 @@
 			note = "no engine of " + line.text("service") + " was left outside evacuated zones"
 		case "sending on after a standstill":
 			note = line.Node + " had stood still"
+		case "engine started again":
+			note = "engine " + line.text("ended") + " ended and started again"
 		case "leadership gained":
 			note = line.Node + " became the leader"
 			if homes := line.text("homes"); isBound(homes) {
--- a/internal/hosted/enginelist_test.go
+++ b/internal/hosted/enginelist_test.go
@@ -88,6 +88,14 @@
 	assert.Equal(t, len(n.unusable), 0, "a key that was deleted is not remembered")
 }
 
+// TestAnEngineThatIsGoneIsNamedWithItsStart: as in the lines of the requests that it was sent.
+func TestAnEngineThatIsGoneIsNamedWithItsStart(t *testing.T) {
+	n, logs := listReader()
+	n.fleet.Put(fleet.Engine{ID: "a", Born: 1000, Service: "s"})
+	n.takeEntry("a", "")
+	assert.Assert(t, strings.Contains(logs.String(), `"engine":"a@1000"`), "%s", logs)
+}
+
 // TestAnUnusableEntryWithdrawsItsEngineOnly: the others hold, and a good one puts it back.
 func TestAnUnusableEntryWithdrawsItsEngineOnly(t *testing.T) {
 	n, _ := listReader()
@@ -99,7 +107,7 @@
 	_, found = n.fleet.Get("b")
 	assert.Assert(t, found)
 	n.takeEntry("a", "s")
-	assert.Equal(t, n.fleet.Count(), 2)
+	assert.Equal(t, len(n.fleet.Engines("s")), 2)
 }
 
 // TestAnEngineOfAnUnknownServiceWaitsForItsConfiguration: list and configuration come on their own.
