Soak: placement faults, in three regions, and checks of arrivals at engines

Cause: the soak knew no engine that starts again under its ID, no entry of another writer, no evacuation, no cold engine and no request bound to regions.

Change: a third kind of schedule, placement: engines reborn quickly or after a while, with or without their weights; entries that name no engine, some in the place of a good one; evacuations that overlap and are taken back; engines that turn cold alone or a zone at once; homes that change with configurations; beside them, in storms, kills of the leader and outages of the store. Each family can be left out (--leave-out). Zones lie in three regions. The draws of the other schedules are as before; where the seed decides, a third of the seeds has each schedule, so the test of that draw asks for thirds in place of halves.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -27,6 +27,11 @@
 	// Thaw is how long after its sender went on from a freeze, or its way healed, an
 	// order does not count.
 	Thaw time.Duration
+	// Evacuate is the time for an evacuation, Notice for the word of an engine that turns
+	// cold while it runs, Reorder for orders of an engine that has lost its weights.
+	Evacuate time.Duration
+	Notice   time.Duration
+	Reorder  time.Duration
 }
 
 // check is one promise.
@@ -58,6 +63,13 @@
 	{"ONE", checkTokens},
 	{"ONE", checkTurns},
 	{"ONE", checkUsage},
+	{"EVAC", checkEvacuations},
+	{"COLD", checkSlowStart},
+	{"HOME", checkHomes},
+	{"HOME", checkBodies},
+	{"LIFE", checkOrderCounts},
+	{"LIFE", checkReborn},
+	{"ENTRY", checkEntries},
 }
 
 // Check returns every broken promise. The history must not change meanwhile.
--- a/internal/bench/soak/check_one.go
+++ b/internal/bench/soak/check_one.go
@@ -37,10 +37,12 @@
 	return node, isNode && err == nil
 }
 
-// commandsOf returns the commands by what they are about, each in the order of arrival,
+// commandsOf returns the commands by what they are about, each in the order of arrival (the
+// incarnations of an engine are one subject),
 // and those that bear the name of no node, or of another than the one whose process sent
 // them. The machine is the sender's, whatever name it bears.
 func commandsOf(h *History) (commands [][]command, found []string) {
+	places := make(map[string]int)
 	for i := range h.Engines {
 		engine := &h.Engines[i]
 		var sent []command
@@ -51,6 +53,11 @@
 			}
 			sent = append(sent, command{engine.ID, order.Holder, node, order.Fence, order.At})
 		}
+		if place, reborn := places[engine.ID]; reborn {
+			commands[place] = append(commands[place], sent...)
+			continue
+		}
+		places[engine.ID] = len(commands)
 		commands = append(commands, sent)
 	}
 	var reports []command
--- a/internal/bench/soak/check_operator.go
+++ b/internal/bench/soak/check_operator.go
@@ -94,7 +94,10 @@
 	return found
 }
 
-const statusFenced = 412
+const (
+	statusAccepted = 202
+	statusFenced   = 412
+)
 
 // checkOneHolder: an engine never takes the same fencing token from two holders,
 // and a holder that was refused for a newer one soon stops.
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -83,7 +84,7 @@
 			{ID: "item-5", State: standin.StateCompleted, Text: textOf("item-5", 1), Versions: []int64{1}},
 		},
 	}
-	return &History{
+	h := &History{
 		EnginesFence: true,
 		Calls: []LiveCall{
 			{ID: "safe", Path: "/lookup/safe", Body: "s", Kind: standin.RouteSafe, SentAt: at(1), Answer: plainOf("safe"), Whole: true},
@@ -132,6 +133,8 @@
 			}},
 		},
 	}
+	addPlacement(h)
+	return h
 }
 
 func TestSoundHistoryBreaksNoPromise(t *testing.T) {
@@ -152,12 +155,15 @@
 	h.EnginesFence, h.Engines[0].Orders, h.Usage = false, orders, nil
 }
 
-// mutants each break one promise in the sound history.
-var mutants = []struct {
+// mutant changes a sound history so that it breaks one promise.
+type mutant struct {
 	name   string
 	rule   string
 	change func(h *History)
-}{
+}
+
+// mutants each break one promise in the sound history.
+var mutants = []mutant{
 	{"body of another", "MIXED", func(h *History) { h.Calls[callSafe].Answer.Body = standin.Answer("other") }},
 	{"body cut, looks whole", "MIXED", func(h *History) { h.Calls[callUnsafe].Answer.Body = "the whole" }},
 	{"answer to another", "MIXED", func(h *History) { h.Calls[callSafe].Answer.ID = "other" }},
@@ -313,7 +319,7 @@
 // TestEachMutantIsCaught: every check can fail, and fails for what it is for.
 func TestEachMutantIsCaught(t *testing.T) {
 	caught := make(map[string]bool)
-	for _, mutant := range mutants {
+	for _, mutant := range append(slices.Clone(mutants), placementMutants...) {
 		t.Run(mutant.name, func(t *testing.T) {
 			h := sound()
 			mutant.change(h)
@@ -449,23 +455,25 @@
 }
 
 // TestSeedsDrawTheirModes: about half of the seeds have engines that do not check, and
-// about half faults of the leader; flags go before.
+// about a third each of the schedules; flags go before.
 func TestSeedsDrawTheirModes(t *testing.T) {
 	const seeds = 1000
-	fenced, leaders := 0, 0
+	fenced := 0
+	drawn := make(map[string]int)
 	for seed := range uint64(seeds) {
 		enginesFence, schedule := (&Arguments{EnginesFence: Drawn, Schedule: Drawn}).modes(seed)
 		if enginesFence {
 			fenced++
 		}
-		if schedule == LeaderFaults {
-			leaders++
-		}
+		drawn[schedule]++
 		enginesFence, schedule = (&Arguments{EnginesFence: No, Schedule: GeneralFaults}).modes(seed)
 		assert.Assert(t, !enginesFence && schedule == GeneralFaults)
 	}
 	assert.Assert(t, fenced > seeds*2/5 && fenced < seeds*3/5, "%d", fenced)
-	assert.Assert(t, leaders > seeds*2/5 && leaders < seeds*3/5, "%d", leaders)
+	assert.Equal(t, len(drawn), len(schedules))
+	for _, each := range schedules {
+		assert.Assert(t, drawn[each] > seeds*4/15 && drawn[each] < seeds*6/15, "%s: %d", each, drawn[each])
+	}
 }
 
 // TestEnginesLeaveInCalmWindows: a check of what holds for undisturbed nodes needs
@@ -502,6 +510,7 @@
 		{Minutes: 0, Nodes: 3, Slack: 1}, {Minutes: 500, Nodes: 3, Slack: 1}, {Minutes: 1, Nodes: 0, Slack: 1},
 		{Minutes: 1, Nodes: maxNodes + 1, Slack: 1}, {Minutes: 1, Nodes: 3}, {Minutes: 1, Nodes: 3, Slack: 1, Seeds: "none.toml"},
 		{Minutes: 1, Nodes: 3, Slack: 1, EnginesFence: "perhaps"}, {Minutes: 1, Nodes: 3, Slack: 1, Schedule: "none"},
+		{Minutes: 1, Nodes: 3, Slack: 1, LeaveOut: []Family{"none"}},
 	} {
 		assert.Assert(t, Run(t.Context(), &wrong, nil) != nil)
 	}
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -24,12 +24,9 @@
 	// orderedEngines are as many that the leader, which has a few load at a time, does not
 	// order some for longer than the quiet time.
 	orderedEngines = 10
-	zones          = 2
 	startTimeout   = 30 * time.Second
 )
 
-func zoneOf(number int) string { return fmt.Sprintf("z%d", number%zones+1) }
-
 // deployment is the whole system of a soak: real nodes, each behind a proxy to
 // the store, and the stand-ins of the store and the engines.
 type deployment struct {
@@ -45,6 +42,14 @@
 	senders *senders
 	// leader is the node that leads.
 	leader *leaderSeen
+	// evacuated counts the evacuations under way.
+	evacuated *evacuated
+	// strayAddress is where entries that name no engine point to.
+	strayAddress string
+	// placement is true under a schedule of placement faults, rebears where engines that
+	// end under a request start again under their ID.
+	placement bool
+	rebears   bool
 	// enginesFence is true where the engines, and what takes the platform's calls,
 	// refuse lower fencing tokens than one seen.
 	enginesFence bool
@@ -62,6 +67,7 @@
 	d := &deployment{
 		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
 		leader: newLeaderSeen(), enginesFence: plan.enginesFence, senders: &senders{unknown: newWay(anyNode)},
+		evacuated: newEvacuated(), placement: plan.placement(), rebears: plan.placement() && plan.has(Incarnations),
 	}
 	if !plan.enginesFence {
 		d.duties.IgnoreFences()
@@ -71,8 +77,15 @@
 	if err != nil {
 		return d, err
 	}
-	for number := range lookupEngines + plan.drafts() {
-		if err := d.addPlace(ctx, number); err != nil {
+	if d.strayAddress, err = d.serve(http.HandlerFunc(history.takeStray)); err != nil {
+		return d, err
+	}
+	for number := range plan.lookups() + plan.drafts() {
+		service := standin.ServiceLookup
+		if number >= plan.lookups() {
+			service = standin.ServiceDrafts
+		}
+		if err := d.addPlace(ctx, number, service); err != nil {
 			return d, err
 		}
 	}
@@ -133,7 +146,7 @@
 	return listener.Addr().String(), nil
 }
 
-func (d *deployment) addPlace(ctx context.Context, number int) error {
+func (d *deployment) addPlace(ctx context.Context, number int, service string) error {
 	listen, err := process.FreeAddress()
 	if err != nil {
 		return err
@@ -142,14 +155,13 @@
 	if err != nil {
 		return err
 	}
-	service := standin.ServiceLookup
-	if number >= lookupEngines {
-		service = standin.ServiceDrafts
-	}
 	p := &place{
 		number: number, service: service, store: d.store.store, history: d.history, listen: listen, checkFences: d.enginesFence,
 		front: newFront(listed, listen, d.senders.wayOf),
 	}
+	if d.placement {
+		p.coldFor = coldStart
+	}
 	p.crashed = func(run standin.Run) { d.crashUnder(ctx, p, run) }
 	if err := p.start(); err != nil {
 		return err
@@ -161,6 +173,9 @@
 
 func (d *deployment) addNode(number int, daemon, directory, dutiesAddress string) error {
 	store := newNodeStore(d.store, d.leader.wrote)
+	if d.placement {
+		store.gave = func(answer []byte) { d.history.addBodies(number, answer) }
+	}
 	storeAddress, err := d.serve(store)
 	if err != nil {
 		return err
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -61,6 +61,10 @@
 
 	// crashes is true where requests are sent under which engines end.
 	crashes bool
+	// placement is true under placement faults, changesHomes where the homes of routes and
+	// tenants change with configurations.
+	placement    bool
+	changesHomes bool
 	// version is the newest weight version named; config the newest configuration.
 	version atomic.Int64
 	config  atomic.Int64
@@ -99,12 +103,15 @@
 			Name: fmt.Sprintf("probe-%d", kept), Prefix: probePrefix(kept), Kind: standin.RouteSafe, Service: standin.ServiceLookup,
 		})
 	}
-	v.deployment.store.store.Configure(standin.Configuration{
-		Version: version, Routes: routes, Tenants: tenantsOf(version),
-	})
-	v.history.update(func() {
-		v.history.Configs = append(v.history.Configs, ConfigSeen{Version: version, AckedAt: time.Now()})
-	})
+	configuration := standin.Configuration{Version: version, Routes: routes, Tenants: tenantsOf(version)}
+	config := ConfigSeen{Version: version, SentAt: time.Now()}
+	if v.placement {
+		config.Homes = v.homesOf(version)
+		bindToRegions(&configuration, config.Homes)
+	}
+	v.deployment.store.store.Configure(configuration)
+	config.AckedAt = time.Now()
+	v.history.update(func() { v.history.Configs = append(v.history.Configs, config) })
 	v.config.Store(version)
 }
 
@@ -143,18 +150,31 @@
 	}
 }
 
+// traffic is what one live caller sends.
+type traffic struct {
+	kind   string
+	prefix string
+	// tenant is whose key is shown; tenantLive when empty.
+	tenant string
+	gap    time.Duration
+}
+
 // call sends live requests of one kind until ctx ends.
-func (v *driver) call(ctx context.Context, kind, prefix string) {
-	for retry.Sleep(ctx, callGap) {
-		id := v.newID(kind + "-")
-		v.send(ctx, LiveCall{ID: id, Path: prefix + id, Body: "body of " + id, Kind: kind})
+func (v *driver) call(ctx context.Context, sent traffic) {
+	for retry.Sleep(ctx, sent.gap) {
+		id := v.newID(sent.kind + "-")
+		v.send(ctx, LiveCall{ID: id, Path: sent.prefix + id, Body: "body of " + id, Kind: sent.kind, Tenant: sent.tenant})
 	}
 }
 
 // send sends a live request to any node and notes what came back.
 func (v *driver) send(ctx context.Context, call LiveCall) {
 	call.SentAt = time.Now()
-	client := v.client.WithKey(settledKey(v.config.Load()))
+	key := settledKey(v.config.Load())
+	if call.Tenant == tenantHomed {
+		key = keyHomed
+	}
+	client := v.client.WithKey(key)
 	var err error
 	call.Answer, err = client.Live(ctx, v.anyNode().callers, call.Path, call.ID, call.Body, callDeadline)
 	call.Whole = err == nil
@@ -215,7 +235,7 @@
 		}
 		id := v.newID(fmt.Sprintf("%s%d-%d-", prefix, trainer, step))
 		job.Items = append(job.Items, standin.JobItem{
-			ID: id, Group: fmt.Sprintf("group-%d-%d-%d", trainer, step, i/groupSize), Body: "body of " + id,
+			ID: id, Group: fmt.Sprintf("group-%d-%d-%d", trainer, step, i/groupSize), Body: v.bodyOf(trainer, id),
 			ScoringID: scoringIDOf(id),
 		})
 	}
@@ -227,7 +247,9 @@
 func (v *driver) submit(ctx context.Context, seen *JobSeen) bool {
 	refusals, tries := 0, 0
 	for ; ctx.Err() == nil && (tries < submitTries || refusals < tries); tries++ {
-		status, err := v.client.WithKey(seen.Key).Submit(ctx, v.anyNode().callers, seen.Job)
+		at := v.anyNode()
+		v.history.update(func() { seen.Asked = append(seen.Asked, at.number) })
+		status, err := v.client.WithKey(seen.Key).Submit(ctx, at.callers, seen.Job)
 		switch {
 		case err == nil && status == http.StatusAccepted:
 			v.history.update(func() { seen.Accepted = true })
@@ -323,11 +345,9 @@
 		v.callers.Go(func() { v.probe(ctx, each) })
 		v.callers.Go(func() { v.tryRevoked(ctx, each) })
 	}
-	for _, each := range []struct{ kind, prefix string }{
-		{standin.RouteSafe, standin.PrefixLookup}, {standin.RouteUnsafe, prefixPermit}, {standin.RouteStream, prefixStream},
-	} {
-		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
-		v.callers.Go(func() { v.call(ctx, each.kind, each.prefix) })
+	for _, each := range v.traffic() {
+		v.callers.Go(func() { v.call(ctx, each) })
+		v.callers.Go(func() { v.call(ctx, each) })
 	}
 	if v.crashes {
 		v.callers.Go(func() { v.crashEngines(ctx) })
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -26,10 +26,25 @@
 	leaveTime = 8 * time.Second
 	// wrongShare is the share of answers that a faulty engine spoils.
 	wrongShare = 0.3
+	// firstVersion is the weight version that an engine begins with.
+	firstVersion = 1
 )
 
-// place is where engines of one service run, one after the other: each start is
-// a new engine with a new ID, behind the same front.
+// incarnation is one run of an engine's process.
+type incarnation struct {
+	engine *standin.Engine
+	// reborn: an engine ran under this ID before. version is what it began with.
+	reborn    bool
+	version   int64
+	startedAt time.Time
+	// endedAt is zero while it runs.
+	endedAt time.Time
+	leaving bool
+	cold    []ColdSeen
+}
+
+// place is where engines of one service run, one after the other, behind the same front:
+// each start is a new engine with a new ID, or the same engine's next incarnation.
 type place struct {
 	number  int
 	service string
@@ -38,6 +53,8 @@
 	// checkFences: the engines refuse lower fencing tokens than one seen.
 	checkFences bool
 	front       *front
+	// coldFor is how long engines are cold after each start but the first.
+	coldFor time.Duration
 	// crashed is told of a run that ends the engine.
 	crashed func(run standin.Run)
 	listen  string
@@ -47,10 +64,11 @@
 
 	mu     sync.Mutex
 	starts int
-	engine *standin.Engine
 	server *http.Server
-	// past holds the engines that ran here before.
-	past []*standin.Engine
+	// runs holds the incarnations of engines here, the newest last.
+	runs []*incarnation
+	// born is the newest start in Unix milliseconds.
+	born int64
 	// wrong is the fault that answers may have; Works for none.
 	wrong standin.EngineFault
 }
@@ -59,36 +77,94 @@
 func (p *place) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	version := int64(firstVersion)
+	if len(p.runs) > 0 {
+		version = p.engine().Version(standin.ModelDrafts)
+	}
+	p.starts++
+	return p.begin(fmt.Sprintf("engine-%d-%d", p.number, p.starts), version)
+}
+
+// startReborn begins the next incarnation of the engine that ran here last. It has the
+// weights of the one before, unless it forgets them.
+func (p *place) startReborn(forgets bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.engine()
+	version := int64(firstVersion)
+	if !forgets {
+		version = before.Version(standin.ModelDrafts)
+	}
+	return p.begin(before.ID(), version)
+}
+
+// engine is the one that runs here; mu is held.
+func (p *place) engine() *standin.Engine { return p.runs[len(p.runs)-1].engine }
+
+// id is the ID of the engine that runs here.
+func (p *place) id() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engine().ID()
+}
+
+// list writes the engine's entry.
+func (p *place) list() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.store.ListEngine(p.engine(), p.front.address, false)
+}
+
+// unlist takes the engine's entry away.
+func (p *place) unlist() { p.store.UnlistEngine(p.id()) }
+
+// begin begins an incarnation of an engine; mu is held.
+func (p *place) begin(id string, version int64) error {
 	listener, err := net.Listen("tcp", p.listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for an engine")
 	}
-	p.starts++
+	p.born = max(p.born+1, time.Now().UnixMilli())
 	options := standin.EngineOptions{
-		ID: fmt.Sprintf("engine-%d-%d", p.number, p.starts), Service: p.service, Zone: zoneOf(p.number),
+		ID: id, Service: p.service, Zone: zoneOf(p.number), Born: p.born,
 		Slots: lookupSlots, Events: eventsOf, EventTime: eventTime, Data: eventData, LoadTime: loadTime, CheckFences: p.checkFences,
 		EndsUnder: func(run standin.Run) bool { return crashesEngine(run.Body) }, End: p.crashed,
 	}
 	if p.service == standin.ServiceDrafts {
-		version := int64(1)
-		if p.engine != nil {
-			version = p.engine.Version(standin.ModelDrafts)
-		}
 		options.Versions = map[string]int64{standin.ModelDrafts: version}
 		options.Slots = draftSlots
 	}
-	if p.engine != nil {
-		p.past = append(p.past, p.engine)
+	started := &incarnation{version: version, startedAt: time.Now()}
+	if len(p.runs) > 0 {
+		options.ColdFor = p.coldFor
+		started.reborn = p.engine().ID() == id
+	}
+	if options.ColdFor > 0 {
+		started.cold = append(started.cold, ColdSeen{From: started.startedAt, To: started.startedAt.Add(options.ColdFor)})
 	}
-	p.engine = standin.NewEngine(options)
-	p.engine.SetFault(p.fate)
-	server := &http.Server{Handler: p.engine, ReadHeaderTimeout: time.Minute}
-	p.server = server
+	started.engine = standin.NewEngine(options)
+	started.engine.SetFault(p.fate)
+	server := &http.Server{Handler: started.engine, ReadHeaderTimeout: time.Minute}
+	p.server, p.runs = server, append(p.runs, started)
 	go func() { _ = server.Serve(listener) }()
-	p.store.ListEngine(p.engine, p.front.address, false)
+	p.store.ListEngine(started.engine, p.front.address, false)
 	return nil
 }
 
+// turnCold makes the engine that runs here cold, which its entry tells at once.
+func (p *place) turnCold(lasting time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running := p.runs[len(p.runs)-1]
+	if !running.endedAt.IsZero() || running.leaving {
+		return
+	}
+	running.engine.TurnCold(lasting)
+	p.store.ListEngine(running.engine, p.front.address, false)
+	now := time.Now()
+	running.cold = append(running.cold, ColdSeen{From: now, To: now.Add(lasting), Announced: true})
+}
+
 // fate decides what happens to a request.
 func (p *place) fate(id string) standin.EngineFault {
 	switch {
@@ -117,12 +193,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.server.Close()
+	if running := p.runs[len(p.runs)-1]; running.endedAt.IsZero() {
+		running.endedAt = time.Now()
+	}
 }
 
 // leave lists the engine as leaving, lets it serve on, and ends it.
 func (p *place) leave(ctx context.Context) {
 	p.mu.Lock()
-	engine := p.engine
+	engine := p.engine()
+	p.runs[len(p.runs)-1].leaving = true
 	p.mu.Unlock()
 	p.store.ListEngine(engine, p.front.address, true)
 	p.history.update(func() { p.history.Leaves = append(p.history.Leaves, LeaveSeen{Engine: engine.ID(), At: time.Now()}) })
@@ -134,9 +214,7 @@
 // crash ends the engine without a word: its address refuses connections, until the next
 // one starts, and its entry goes some time later. The returned function is the rest.
 func (p *place) crash(ctx context.Context, lasting time.Duration) func() {
-	p.mu.Lock()
-	id := p.engine.ID()
-	p.mu.Unlock()
+	id := p.id()
 	p.front.cut()
 	p.stop()
 	return func() {
@@ -150,8 +228,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var all []EngineSeen
-	for _, engine := range append(append([]*standin.Engine(nil), p.past...), p.engine) {
-		all = append(all, EngineSeen{ID: engine.ID(), Service: engine.Service(), Runs: engine.Runs(), Orders: engine.Orders()})
+	for _, each := range p.runs {
+		engine := each.engine
+		all = append(all, EngineSeen{
+			ID: engine.ID(), Service: engine.Service(), Zone: zoneOf(p.number), Region: regionOf(p.number),
+			Reborn: each.reborn, Version: each.version, StartedAt: each.startedAt, EndedAt: each.endedAt,
+			Runs: engine.Runs(), Orders: engine.Orders(), Arrivals: engine.ArrivalsSeen(), Cold: each.cold,
+		})
 	}
 	return all
 }
--- /dev/null
+++ b/internal/bench/soak/entries.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// strayID names an entry of another writer.
+func strayID(number int) string { return fmt.Sprintf("stray-%d", number) }
+
+// badEntries returns entries of the list of engines that name no engine to use. All that
+// can be read in them points to an address where no engine is.
+func badEntries(service, address string) [][]byte {
+	entry := func(fields string) []byte {
+		return fmt.Appendf(nil, `{"address":%q,%s}`, address, fields)
+	}
+	rest := `"zone":"z1","version":"v1","slots":4,"coldLeftMs":0,"models":[],"seqNo":1`
+	return [][]byte{
+		[]byte("\xff\xfe\x00 unreadable"),
+		entry(fmt.Sprintf(`"service":%q,"state":"ready",%s`, service, rest))[1:],
+		[]byte(`[]`),
+		[]byte(`null`),
+		[]byte(`7`),
+		entry(`"state":"ready",` + rest),
+		entry(fmt.Sprintf(`"service":%q,%s`, service, rest)),
+		entry(`"service":"no-such-service","state":"ready",` + rest),
+		entry(fmt.Sprintf(`"service":%q,"state":"resting",%s`, service, rest)),
+		entry(`"service":7,"state":"ready",` + rest),
+		entry(fmt.Sprintf(`"service":%q,"state":["ready"],%s`, service, rest)),
+		entry(fmt.Sprintf(`"service":%q,"service":%q,"state":"ready",%s`, service, service, rest)),
+		entry(fmt.Sprintf(`"service":%q,"state":"ready","born":"today",%s`, service, rest)),
+		entry(fmt.Sprintf(`"service":%q,"state":"ready","zone":"z1","version":"v1","slots":"many","seqNo":1`, service)),
+		entry(fmt.Sprintf(`"service":%q,"state":"ready","zone":"z1","version":"v1","slots":-4,"seqNo":1`, service)),
+		entry(fmt.Sprintf(`"service":%q,"state":"ready","zone":"z1","version":"v1","slots":4,"seqNo":1e300`, service)),
+	}
+}
+
+// StraySeen is a call at the address of an entry that names no engine.
+type StraySeen struct {
+	Call string
+	At   time.Time
+}
+
+// takeStray takes the calls at that address.
+func (h *History) takeStray(w http.ResponseWriter, r *http.Request) {
+	h.update(func() {
+		h.Strays = append(h.Strays, StraySeen{Call: r.Method + " " + r.URL.Path, At: time.Now()})
+	})
+	w.WriteHeader(http.StatusNotFound)
+}
+
+// checkEntries: an entry that cannot be understood names no engine to use.
+func checkEntries(h *History, _ Bounds) []string {
+	var found []string
+	for _, stray := range h.Strays {
+		found = append(found, fmt.Sprintf("%s at %s at the address of an entry that names no engine", stray.Call, stray.At.Format(clockFormat)))
+	}
+	return found
+}
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -15,7 +15,9 @@
 	Path string
 	Body string
 	// Kind is the kind of its route.
-	Kind   string
+	Kind string
+	// Tenant is whose key was shown; tenantLive when empty.
+	Tenant string
 	SentAt time.Time
 	// Answer is what came back, Whole is false when the connection broke off.
 	Answer standin.LiveAnswer
@@ -29,6 +31,8 @@
 	Tenant string
 	Key    string
 	SentAt time.Time
+	// Asked holds the nodes at which it was handed in.
+	Asked []int
 	// Accepted: a node answered 202. AllRefused: every try was answered with a
 	// promise that nothing runs.
 	Accepted   bool
@@ -60,7 +64,27 @@
 // ConfigSeen is a configuration that the operator put in force.
 type ConfigSeen struct {
 	Version int64
+	SentAt  time.Time
+	AckedAt time.Time
+	// Homes are the regions that it names.
+	Homes Homes
+}
+
+// EvacuationSeen is an evacuation of a zone.
+type EvacuationSeen struct {
+	Zone    string
 	AckedAt time.Time
+	// TakenBackAt is zero while it is in force.
+	TakenBackAt time.Time
+}
+
+// ColdSeen is a time in which an engine is cold.
+type ColdSeen struct {
+	From time.Time
+	To   time.Time
+	// Announced: it turned cold while it ran, as its entry told at From; it was cold from
+	// its start otherwise.
+	Announced bool
 }
 
 // LeaveSeen is an engine that was listed as leaving.
@@ -76,12 +100,23 @@
 	At   time.Time
 }
 
-// EngineSeen is what one engine saw.
+// EngineSeen is what one incarnation of an engine saw.
 type EngineSeen struct {
 	ID      string
 	Service string
-	Runs    []standin.Run
-	Orders  []standin.OrderSeen
+	Zone    string
+	Region  string
+	// Reborn: an engine ran under this ID before.
+	Reborn bool
+	// Version is the weight version that it began with.
+	Version   int64
+	StartedAt time.Time
+	// EndedAt is zero when it ran to the end.
+	EndedAt  time.Time
+	Runs     []standin.Run
+	Orders   []standin.OrderSeen
+	Arrivals []standin.Arrival
+	Cold     []ColdSeen
 }
 
 // anyNode stands for all nodes in a Disturbance.
@@ -110,11 +145,17 @@
 	// Revoked are probes with a key that their configuration took away.
 	Revoked []Probe
 	// Usage holds the reports of use as the platform received them.
-	Usage        []standin.UsageCall
-	Configs      []ConfigSeen
-	Leaves       []LeaveSeen
-	Engines      []EngineSeen
-	Ends         []EndSeen
+	Usage       []standin.UsageCall
+	Configs     []ConfigSeen
+	Leaves      []LeaveSeen
+	Engines     []EngineSeen
+	Ends        []EndSeen
+	Evacuations []*EvacuationSeen
+	// Strays are calls at the address of entries that name no engine.
+	Strays []StraySeen
+	// Bodies holds what nodes first read from the store of the bodies of items that are
+	// bound to regions.
+	Bodies       map[bodyRead]time.Time
 	Disturbances []*Disturbance
 	// Resumed holds the ends of freezes and of faults between nodes and engines.
 	Resumed []Resumption
@@ -194,6 +235,24 @@
 		slices.Equal(one.Versions, other.Versions)
 }
 
+// addEvacuation notes an evacuation that the store has taken.
+func (h *History) addEvacuation(zone string) {
+	h.update(func() {
+		h.Evacuations = append(h.Evacuations, &EvacuationSeen{Zone: zone, AckedAt: time.Now()})
+	})
+}
+
+// endEvacuation notes that the evacuation of a zone is about to be taken back.
+func (h *History) endEvacuation(zone string) {
+	h.update(func() {
+		for _, each := range h.Evacuations {
+			if each.Zone == zone && each.TakenBackAt.IsZero() {
+				each.TakenBackAt = time.Now()
+			}
+		}
+	})
+}
+
 // disturb notes that a node is not in touch until the returned function is called.
 func (h *History) disturb(node int) func() {
 	h.mu.Lock()
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -34,6 +34,9 @@
 
 // strike is one fault from its begin to its end.
 func (d *deployment) strike(ctx context.Context, fault Fault) {
+	if d.strikePlacement(ctx, fault) {
+		return
+	}
 	target := d.nodes[d.leader.aim(fault, len(d.nodes))]
 	if d.strikeNode(ctx, target, fault) {
 		return
@@ -124,6 +127,10 @@
 	rest := at.crash(ctx, downTime)
 	d.wait.Go(func() {
 		defer at.replacing.Unlock()
+		if d.rebears {
+			d.rebearSoon(ctx, at)
+			return
+		}
 		rest()
 		d.startAgain(at)
 	})
--- a/internal/bench/soak/modes.go
+++ b/internal/bench/soak/modes.go
@@ -19,8 +19,13 @@
 	// faults of the leader.
 	GeneralFaults = "general"
 	LeaderFaults  = "leader"
+	// PlacementFaults change which engines may be sent a request, and how much.
+	PlacementFaults = "placement"
 )
 
+// schedules are the kinds of schedules.
+var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults}
+
 // modeStream keeps the draws of modes apart from those of faults.
 const modeStream = 1
 
@@ -32,18 +37,24 @@
 	return errors.Errorf("%s is %q, expected one of %s, %q", flag, value, Drawn, values)
 }
 
-// modes returns whether the engines check fencing tokens and which schedule is played:
-// about half of the seeds have either.
+// placementPart is one in how many seeds has placement faults.
+const placementPart = 3
+
+// modes returns whether the engines check fencing tokens, as about half of the seeds have
+// it, and which schedule is played: each for about a third of the seeds.
 func (a *Arguments) modes(seed uint64) (enginesFence bool, schedule string) {
 	random := rand.New(rand.NewPCG(seed, modeStream))
 	enginesFence, schedule = random.IntN(2) == 0, GeneralFaults
 	if random.IntN(2) == 0 {
 		schedule = LeaderFaults
 	}
+	if random.IntN(placementPart) == 0 {
+		schedule = PlacementFaults
+	}
 	if a.EnginesFence == Yes || a.EnginesFence == No {
 		enginesFence = a.EnginesFence == Yes
 	}
-	if a.Schedule == GeneralFaults || a.Schedule == LeaderFaults {
+	if slices.Contains(schedules, a.Schedule) {
 		schedule = a.Schedule
 	}
 	return enginesFence, schedule
@@ -51,8 +62,12 @@
 
 // drawSchedule returns the faults of a schedule.
 func drawSchedule(schedule string, seed uint64, length time.Duration) []Fault {
-	if schedule == LeaderFaults {
+	switch schedule {
+	case LeaderFaults:
 		return DrawLeader(seed, length)
+	case PlacementFaults:
+		return DrawPlacement(seed, length)
+	default:
+		return Draw(seed, length)
 	}
-	return Draw(seed, length)
 }
--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -54,7 +54,7 @@
 	return fmt.Sprintf(`[node]
 id = "%s%d"
 zone = "%s"
-region = "r1"
+region = "%s"
 
 [listen]
 callers = "%s"
@@ -72,7 +72,8 @@
 
 [shutdown]
 grace = "%ds"
-`, nodePrefix, n.number, zoneOf(n.number), n.callers, n.operators, peers, store, n.enginesFence, duties, usageWindow, usageDue, graceSeconds)
+%s`, nodePrefix, n.number, zoneOf(n.number), regionOf(n.number), n.callers, n.operators, peers, store, n.enginesFence, duties,
+		usageWindow, usageDue, graceSeconds, topologyTable())
 }
 
 // run keeps the process running until ctx ends.
--- a/internal/bench/soak/node_store.go
+++ b/internal/bench/soak/node_store.go
@@ -54,6 +54,8 @@
 	store http.Handler
 	// wrote is told of each write that took effect.
 	wrote func(w leaseWrite)
+	// gave, when set, is told of each answer to a read that is given.
+	gave func(answer []byte)
 
 	mu     sync.Mutex
 	active [effects]int
@@ -125,6 +127,9 @@
 	if aboutLease && !s.outlast(r.Context(), hangLeaseReads) || !s.outlast(r.Context(), hangReads) {
 		return
 	}
+	if s.gave != nil {
+		s.gave(answer.body.Bytes())
+	}
 	answer.giveTo(w)
 }
 
--- a/internal/bench/soak/seeds.go
+++ b/internal/bench/soak/seeds.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"slices"
+
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
 )
@@ -31,8 +33,8 @@
 	if k.EnginesFence != Yes && k.EnginesFence != No {
 		return errors.Errorf("seed %d: engines_fence is %q, expected %s or %s", k.Number, k.EnginesFence, Yes, No)
 	}
-	if k.Schedule != GeneralFaults && k.Schedule != LeaderFaults {
-		return errors.Errorf("seed %d: schedule is %q, expected %s or %s", k.Number, k.Schedule, GeneralFaults, LeaderFaults)
+	if !slices.Contains(schedules, k.Schedule) {
+		return errors.Errorf("seed %d: schedule is %q, expected one of %q", k.Number, k.Schedule, schedules)
 	}
 	return nil
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,17 +21,18 @@
 
 // Arguments are the flags of a soak.
 type Arguments struct {
-	Seed         uint64  `arg:"--seed" help:"seed of the schedule of faults; 0 draws one"`
-	Minutes      float64 `arg:"--minutes" default:"1" help:"length of the load (0.1..120)"`
-	Nodes        int     `arg:"--nodes" default:"4" help:"nodes, each a process (1..100)"`
-	Without      []int   `arg:"--without,separate" placeholder:"NUMBER" help:"leave out the fault with this number; may stand several times"`
-	Seeds        string  `arg:"--seeds" placeholder:"FILE" help:"play each kept seed of this file, for its length"`
-	Slack        float64 `arg:"--slack" default:"1" help:"factor for the times within which promises are to hold (1..100), for a slow machine"`
-	Print        bool    `arg:"--print" help:"print the schedule and do not run it"`
-	EnginesFence string  `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
-	Schedule     string  `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults, faults of the leader in series, or drawn from the seed"`
-	JSON         bool    `arg:"--json" help:"end with one JSON object, the summary"`
-	Keep         string  `arg:"--keep" placeholder:"DIR" help:"directory for the logs of the nodes; they are kept there"`
+	Seed         uint64   `arg:"--seed" help:"seed of the schedule of faults; 0 draws one"`
+	Minutes      float64  `arg:"--minutes" default:"1" help:"length of the load (0.1..120)"`
+	Nodes        int      `arg:"--nodes" default:"4" help:"nodes, each a process (1..100)"`
+	Without      []int    `arg:"--without,separate" placeholder:"NUMBER" help:"leave out the fault with this number; may stand several times"`
+	Seeds        string   `arg:"--seeds" placeholder:"FILE" help:"play each kept seed of this file, for its length"`
+	Slack        float64  `arg:"--slack" default:"1" help:"factor for the times within which promises are to hold (1..100), for a slow machine"`
+	Print        bool     `arg:"--print" help:"print the schedule and do not run it"`
+	EnginesFence string   `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
+	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults, faults of the leader in series, placement faults, or drawn from the seed"`
+	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of placement faults: incarnations, entries, evacuations, slow-starts, home-changes; may stand several times"`
+	JSON         bool     `arg:"--json" help:"end with one JSON object, the summary"`
+	Keep         string   `arg:"--keep" placeholder:"DIR" help:"directory for the logs of the nodes; they are kept there"`
 }
 
 // Bounds of the arguments.
@@ -54,6 +56,7 @@
 	return Bounds{
 		Contact: 4 * time.Second, Apply: 3 * time.Second, Drain: 4 * time.Second,
 		Cancel: 4 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond,
+		Evacuate: 5 * time.Second, Notice: 500 * time.Millisecond, Reorder: 10 * time.Second,
 	}
 }
 
@@ -63,6 +66,7 @@
 	return Bounds{
 		Contact: stretch(b.Contact), Apply: stretch(b.Apply), Drain: stretch(b.Drain),
 		Cancel: stretch(b.Cancel), Lease: stretch(b.Lease), Thaw: stretch(b.Thaw),
+		Evacuate: stretch(b.Evacuate), Notice: stretch(b.Notice), Reorder: stretch(b.Reorder),
 	}
 }
 
@@ -101,7 +105,12 @@
 	if err := checkMode("--engines-fence", a.EnginesFence, Yes, No); err != nil {
 		return err
 	}
-	return checkMode("--schedule", a.Schedule, GeneralFaults, LeaderFaults)
+	for _, family := range a.LeaveOut {
+		if !slices.Contains(families, family) {
+			return errors.Errorf("--leave-out is %q, expected one of %q", family, families)
+		}
+	}
+	return checkMode("--schedule", a.Schedule, schedules...)
 }
 
 // Run runs a soak, or one for each kept seed. Progress goes to output, and with
@@ -139,7 +148,7 @@
 	length := time.Duration(arguments.Minutes * float64(time.Minute))
 	enginesFence, schedule := arguments.modes(seed)
 	_, _ = fmt.Fprintf(output, "seed %d, %s faults, engines check fencing tokens: %t\n", seed, schedule, enginesFence)
-	faults := Without(drawSchedule(schedule, seed, length), arguments.Without)
+	faults := withoutFamilies(Without(drawSchedule(schedule, seed, length), arguments.Without), arguments.LeaveOut)
 	if arguments.Print {
 		printSchedule(output, faults)
 		return nil
@@ -150,7 +159,7 @@
 	}
 	run := plan{
 		seed: seed, nodes: arguments.Nodes, length: length, faults: faults, bounds: DefaultBounds().times(arguments.Slack),
-		enginesFence: enginesFence, schedule: schedule,
+		enginesFence: enginesFence, schedule: schedule, leftOut: arguments.LeaveOut,
 	}
 	summary, err := run.play(ctx, directory, output)
 	if err != nil {
@@ -208,14 +217,34 @@
 	bounds       Bounds
 	enginesFence bool
 	schedule     string
+	leftOut      []Family
+}
+
+// placement tells whether placement faults are played.
+func (p plan) placement() bool { return p.schedule == PlacementFaults }
+
+// has tells whether a family of placement faults is played.
+func (p plan) has(family Family) bool { return !slices.Contains(p.leftOut, family) }
+
+// lookups is the number of engines that are not ordered, one in each zone under placement
+// faults.
+func (p plan) lookups() int {
+	if p.placement() {
+		return zones
+	}
+	return lookupEngines
 }
 
 // drafts is the number of engines that are ordered.
 func (p plan) drafts() int {
-	if p.schedule == LeaderFaults {
+	switch p.schedule {
+	case LeaderFaults:
 		return orderedEngines
+	case PlacementFaults:
+		return zones
+	default:
+		return draftEngines
 	}
-	return draftEngines
 }
 
 // play runs the load and the faults, waits until open jobs are done, and checks.
@@ -234,7 +263,8 @@
 		return Summary{}, err
 	}
 	driver := newDriver(d)
-	driver.crashes = p.schedule == GeneralFaults
+	driver.crashes = p.schedule != LeaderFaults
+	driver.placement, driver.changesHomes = p.placement(), p.has(HomeChanges)
 	driver.configure()
 	if err := d.awaitReady(ctx); err != nil {
 		return Summary{}, err
--- a/internal/bench/soak/tenants.go
+++ b/internal/bench/soak/tenants.go
@@ -86,6 +86,9 @@
 	known := askedByID(h)
 	eachRun(h, func(engine *EngineSeen, run standin.Run) {
 		want := tenantLive
+		if call := known[run.ID].call; call != nil && call.Tenant != "" {
+			want = call.Tenant
+		}
 		if job := known[run.ID].job; job != nil {
 			want = job.Tenant
 		}
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -22,6 +22,7 @@
 	headerVersions    = "X-Corkpulley-Weight-Versions"
 	headerModel       = "X-Corkpulley-Model"
 	headerLastEvent   = "Last-Event-Id"
+	headerColdMs      = "X-Corkpulley-Cold-Ms"
 	headerTenant      = "X-Corkpulley-Tenant"
 	headerCredentials = "Authorization"
 )
@@ -74,6 +75,10 @@
 	At      time.Time
 	// From is the address that the order came from, without the port.
 	From string
+	// Expected is how many orders the sender believed the engine to have taken, noCount
+	// where it does not say; Taken is how many it had.
+	Expected int64
+	Taken    int64
 	// Status is the engine's answer.
 	Status int
 }
@@ -83,6 +88,10 @@
 	ID      string
 	Service string
 	Zone    string
+	// Born is the Unix millisecond of the start of its process; zero where it does not tell.
+	Born int64
+	// ColdFor is how long it is cold after its start.
+	ColdFor time.Duration
 	Slots   int
 	// Versions holds the weight version of each model; an engine without models
 	// gives plain answers.
@@ -117,6 +126,9 @@
 	orders   int64
 	fence    int64
 	seen     []OrderSeen
+	arrivals []Arrival
+	// coldUntil is when it is warm.
+	coldUntil time.Time
 }
 
 // NewEngine returns an engine.
@@ -124,7 +136,10 @@
 	if options.Data == nil {
 		options.Data = func(id string, number int, _ int64) string { return EventData(id, number) }
 	}
-	e := &Engine{options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true)}
+	e := &Engine{
+		options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true),
+		coldUntil: time.Now().Add(options.ColdFor),
+	}
 	e.router.HandleFunc("/report", e.report).Methods(http.MethodGet)
 	e.router.HandleFunc("/order", e.order).Methods(http.MethodPost)
 	e.router.HandleFunc("/healthz", e.health).Methods(http.MethodGet)
@@ -185,7 +200,7 @@
 	return append([]OrderSeen(nil), e.seen...)
 }
 
-// ID returns the engine's own ID, which no other start of an engine has.
+// ID returns the engine's own ID, which it may share with engines that ran before.
 func (e *Engine) ID() string { return e.options.ID }
 
 // Service returns the name of the engine's service.
@@ -195,10 +210,13 @@
 func (e *Engine) Entry(address, state string) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	raw, err := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": e.options.Service, "address": address, "zone": e.options.Zone, "version": "v1",
-		"slots": e.options.Slots, "state": state, "coldLeftMs": 0, "models": e.modelList(), "seqNo": e.orders,
-	})
+		"slots": e.options.Slots, "state": state, "coldLeftMs": e.coldLeft().Milliseconds(), "models": e.modelList(),
+		"seqNo": e.orders,
+	}
+	e.tellBorn(entry)
+	raw, err := json.Marshal(entry)
 	if err != nil {
 		panic(err) // a map of plain values always encodes
 	}
--- a/internal/standin/platform/engine_answers.go
+++ b/internal/standin/platform/engine_answers.go
@@ -10,6 +10,7 @@
 )
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	e.arrived(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/internal/standin/platform/engine_control.go
+++ b/internal/standin/platform/engine_control.go
@@ -4,23 +4,40 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	answerJSON(w, http.StatusOK, map[string]any{
+	content := map[string]any{
 		"stage": "both", "models": e.modelList(), "busy": e.busy, "seqNo": e.orders,
 		"queuedCount": 0, "runningCount": e.running,
-	})
+	}
+	e.tellBorn(content)
+	answerJSON(w, http.StatusOK, content)
+}
+
+// tellBorn adds the engine's start to what it says of itself.
+func (e *Engine) tellBorn(content map[string]any) {
+	if e.options.Born != 0 {
+		content["born"] = e.options.Born
+	}
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	cold := e.coldLeft()
+	e.mu.Unlock()
 	w.Header().Set(headerInstance, e.options.ID)
+	w.Header().Set(headerColdMs, strconv.FormatInt(cold.Milliseconds(), 10))
 	w.WriteHeader(http.StatusOK)
 }
 
+// noCount stands in an OrderSeen for an order that does not say how many came before it.
+const noCount = -1
+
 // hostOf is an address without its port.
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
@@ -55,9 +72,14 @@
 	case e.versions[body.Model] == body.Version:
 		status = http.StatusOK
 	}
-	e.seen = append(e.seen, OrderSeen{
-		Holder: body.Holder, Fence: body.Fence, Version: body.Version, At: time.Now(), From: hostOf(r.RemoteAddr), Status: status,
-	})
+	seen := OrderSeen{
+		Holder: body.Holder, Fence: body.Fence, Version: body.Version, At: time.Now(), From: hostOf(r.RemoteAddr),
+		Expected: noCount, Taken: e.orders, Status: status,
+	}
+	if body.Expected != nil {
+		seen.Expected = *body.Expected
+	}
+	e.seen = append(e.seen, seen)
 	if status != http.StatusAccepted {
 		w.WriteHeader(status)
 		return
--- a/internal/standin/platform/operator.go
+++ b/internal/standin/platform/operator.go
@@ -39,12 +39,23 @@
 	Kind      string
 	Service   string
 	Resumable bool
+	// Homes are the regions that alone may serve and keep its requests; none for all.
+	Homes []string
 }
 
 // Tenant is one tenant of a Configuration.
 type Tenant struct {
 	Name string   `json:"name"`
 	Keys []string `json:"apiKeys"`
+	// Homes are as those of a Route.
+	Homes []string `json:"homeRegions,omitempty"`
+}
+
+// SlowStart says how long engines are cold after their start, and how many requests a
+// second one bears meanwhile.
+type SlowStart struct {
+	Seconds   float64
+	PerSecond float64
 }
 
 // Configuration is what an operator puts in force.
@@ -53,6 +64,8 @@
 	Routes  []Route
 	// Tenants is nil where requests need no key.
 	Tenants []Tenant
+	// SlowStart holds that of each service whose engines are cold after their start.
+	SlowStart map[string]SlowStart
 }
 
 type wireRoute struct {
@@ -66,11 +79,35 @@
 	MaxAttempts int    `json:"maxAttempts"`
 	RetentionS  int    `json:"queueTtlS,omitempty"`
 	Resumable   bool   `json:"resumable,omitempty"`
+
+	Homes []string `json:"homeRegions,omitempty"`
+}
+
+type wireService struct {
+	Name           string         `json:"name"`
+	MaxConnections int            `json:"maxConns"`
+	ColdSeconds    float64        `json:"coldStartS"`
+	ColdPerSecond  float64        `json:"coldPerS"`
+	Engine         map[string]any `json:"engine,omitempty"`
+}
+
+// services is the wire form of the services.
+func (c Configuration) services() []wireService {
+	plain := wireService{Name: ServiceLookup, MaxConnections: engineConnCap}
+	drafts := wireService{Name: ServiceDrafts, MaxConnections: engineConnCap, Engine: map[string]any{
+		"models": []map[string]any{{"name": ModelDrafts}},
+	}}
+	all := []wireService{plain, drafts}
+	for i := range all {
+		slowStart := c.SlowStart[all[i].Name]
+		all[i].ColdSeconds, all[i].ColdPerSecond = slowStart.Seconds, slowStart.PerSecond
+	}
+	return all
 }
 
 func (r Route) wire() wireRoute {
 	wire := wireRoute{
-		Name: r.Name, Host: RouteHost, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, Resumable: r.Resumable,
+		Name: r.Name, Host: RouteHost, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, Resumable: r.Resumable, Homes: r.Homes,
 		TimeoutMs: lookupTimeoutMs, TargetMs: targetMs, MaxAttempts: maxAttempts,
 	}
 	switch r.Kind {
@@ -90,14 +127,9 @@
 		routes[i] = route.wire()
 	}
 	content := map[string]any{
-		"version": c.Version,
-		"routes":  routes,
-		"services": []map[string]any{
-			{"name": ServiceLookup, "maxConns": engineConnCap},
-			{"name": ServiceDrafts, "maxConns": engineConnCap, "engine": map[string]any{
-				"models": []map[string]any{{"name": ModelDrafts}},
-			}},
-		},
+		"version":  c.Version,
+		"routes":   routes,
+		"services": c.services(),
 		"limits": map[string]any{
 			"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes,
 			"headerTimeoutMs": headerTimeoutMs, "idleTimeoutMs": idleTimeoutMs,
@@ -123,6 +155,19 @@
 	s.Log.Put(topicControl, "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
 }
 
+// keyEvacuate begins the key of the record that evacuates a zone.
+const keyEvacuate = "evacuate/"
+
+// Evacuate asks that engines of a zone get nothing more, until EndEvacuation.
+func (s *Store) Evacuate(zone string) { s.Log.Put(topicControl, keyEvacuate+zone, []byte("{}")) }
+
+// EndEvacuation takes the evacuation of a zone back.
+func (s *Store) EndEvacuation(zone string) { s.Log.Put(topicControl, keyEvacuate+zone, nil) }
+
+// PutEngineEntry writes an entry of the list of engines as another writer may, with any
+// content.
+func (s *Store) PutEngineEntry(id string, content []byte) { s.Log.Put(topicEngines, id, content) }
+
 // ListEngine lists an engine at an address, or changes its entry.
 func (s *Store) ListEngine(engine *Engine, address string, draining bool) {
 	state := stateReady
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,6 +35,18 @@
 	}
 }
 
+// TestShortSoakOfPlacement plays changes of what may be sent a request: engines that start
+// again under their ID, entries that name no engine, evacuations, cold engines, homes.
+func TestShortSoakOfPlacement(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 5, Minutes: 0.4, Nodes: 4, Slack: 6, EnginesFence: soak.No, Schedule: soak.PlacementFaults,
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+}
+
 func TestKeptSeedsAreDescribed(t *testing.T) {
 	kept, err := soak.ReadSeeds("seeds.toml")
 	assert.NilError(t, err)
