Test: requests that crash one engine again and again, which is back under its ID within 150 ms

Cause: the ends of an engine that starts again under its ID are taken for one end: with one engine, 25 incarnations ended under one request, 17 of them a second after the third and later. With new IDs in place of new starts (the same test, KeepsID false) it passes, so it is the identity and neither the single engine nor the short time.

Change: the stand-in's hosts can keep an engine's ID (KeepsID) and tell another start each time; the test runs with one, two and three engines.

--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -90,6 +90,8 @@
 	Zone    string
 	// Born is the Unix millisecond of the start of its process; zero where it does not tell.
 	Born int64
+	// KeepsID: all engines of an EngineHost have this ID, and each a start of its own.
+	KeepsID bool
 	// ColdFor is how long it is cold after its start.
 	ColdFor time.Duration
 	Slots   int
--- a/internal/standin/platform/engine_host.go
+++ b/internal/standin/platform/engine_host.go
@@ -10,8 +10,9 @@
 	"github.com/go-faster/errors"
 )
 
-// EngineHost runs an engine at one address, again and again: each start is another
-// engine with an ID of its own, as where a supervisor restarts a process that crashed.
+// EngineHost runs an engine at one address, again and again, as where a supervisor restarts
+// a process that crashed: each start is another engine with an ID of its own, or the next
+// incarnation of the same engine where its options say so.
 type EngineHost struct {
 	store   *Store
 	address string
@@ -27,6 +28,8 @@
 	closed  bool
 	crashes []time.Time
 	timers  []*time.Timer
+	// born is the newest start in Unix milliseconds.
+	born int64
 }
 
 // NewEngineHost starts the first engine at an address where nobody else listens. The
@@ -48,6 +51,10 @@
 	}
 	options := h.options
 	options.ID = fmt.Sprintf("%s-%d", h.options.ID, len(h.engines)+1)
+	if options.KeepsID {
+		h.born = max(h.born+1, time.Now().UnixMilli())
+		options.ID, options.Born = h.options.ID, h.born
+	}
 	options.End = func(Run) { h.crash() }
 	engine := NewEngine(options)
 	server := &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
@@ -68,11 +75,21 @@
 	engine := h.engines[len(h.engines)-1]
 	_ = h.server.Close()
 	h.server = nil
-	lapse := time.AfterFunc(h.lapseTime, func() { h.store.UnlistEngine(engine.ID()) })
+	lapse := time.AfterFunc(h.lapseTime, func() { h.lapse(engine) })
 	restart := time.AfterFunc(h.downTime, h.restart)
 	h.timers = append(h.timers, lapse, restart)
 }
 
+// lapse takes the entry of an engine that ended away, unless another has started under its ID.
+func (h *EngineHost) lapse(ended *Engine) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	newest := h.engines[len(h.engines)-1]
+	if newest == ended || newest.ID() != ended.ID() {
+		h.store.UnlistEngine(ended.ID())
+	}
+}
+
 // restart begins the next engine, or tries again soon while the address is taken.
 func (h *EngineHost) restart() {
 	h.mu.Lock()
--- a/test/hosted/crash_test.go
+++ b/test/hosted/crash_test.go
@@ -26,6 +26,8 @@
 	// its entry stays listed.
 	engineDownTime = 300 * time.Millisecond
 	engineLapse    = 250 * time.Millisecond
+	// rebirthTime is how long an engine that starts again under its ID is away.
+	rebirthTime = 150 * time.Millisecond
 	// crashesAllowed is how many engines may end under a request before it is kept
 	// away from them, knownAfter the time that all nodes may take to know, and
 	// sendsAfter how many sends are allowed beyond.
@@ -38,6 +40,12 @@
 
 // addHosts starts engines of a service that crash under some requests and come back.
 func (d *deployment) addHosts(count int, options standin.EngineOptions) []*standin.EngineHost {
+	d.t.Helper()
+	return d.addHostsThatAreAway(count, options, engineDownTime)
+}
+
+// addHostsThatAreAway is addHosts with engines that are away for a time after a crash.
+func (d *deployment) addHostsThatAreAway(count int, options standin.EngineOptions, downTime time.Duration) []*standin.EngineHost {
 	d.t.Helper()
 	var hosts []*standin.EngineHost
 	options.Zone, options.Slots = "z1", 8
@@ -48,7 +56,7 @@
 		address, err := benchprocess.FreeAddress()
 		assert.NilError(d.t, err)
 		options.ID = fmt.Sprintf("%s-%d", options.Service, i)
-		host, err := standin.NewEngineHost(d.store, address, options, engineDownTime, engineLapse)
+		host, err := standin.NewEngineHost(d.store, address, options, downTime, engineLapse)
 		assert.NilError(d.t, err)
 		d.t.Cleanup(host.Close)
 		hosts = append(hosts, host)
@@ -122,6 +130,28 @@
 	}
 }
 
+// TestARequestThatCrashesOneEngineAgainAndAgainIsNotSentOnAndOn: the engine is back under
+// its ID before its entry has gone; the end of each of its incarnations counts.
+func TestARequestThatCrashesOneEngineAgainAndAgainIsNotSentOnAndOn(t *testing.T) {
+	t.Parallel()
+	for _, engines := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			hosts := d.addHostsThatAreAway(engines, standin.EngineOptions{Service: "desk", KeepsID: true}, rebirthTime)
+			d.configure(safeRoute("/a/"))
+			nodes := []*process{d.start("n1"), d.start("n2"), d.start("n3")}
+			sendCrashing(t, nodes, "/a/", 4*time.Second)
+			assertNotSentOnAndOn(t, hosts)
+			for i, node := range nodes {
+				testwait.Until(t, "others are served", func() bool {
+					return node.call(http.MethodPost, "/a/other", fmt.Sprintf("other-%d", i), "").status == http.StatusOK
+				})
+			}
+		})
+	}
+}
+
 // TestAnItemThatCrashesItsEnginesIsNotRunOnAndOn: the other items of its job are whole, and
 // the item is given up at its time.
 func TestAnItemThatCrashesItsEnginesIsNotRunOnAndOn(t *testing.T) {
