--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -70,6 +70,7 @@
 	{"LIFE", checkOrderCounts},
 	{"LIFE", checkReborn},
 	{"ENTRY", checkEntries},
+	{"ENTRY", checkSpoiled},
 }
 
 // Check returns every broken promise. The history must not change meanwhile.
--- a/internal/bench/soak/check_placement_test.go
+++ b/internal/bench/soak/check_placement_test.go
@@ -66,6 +66,10 @@
 	crowd(h, 69.5, 20)
 	crowd(h, 70.5, 8)
 	crowd(h, 80.1, 20)
+	h.Engines[engineReborn].Spoiled = []TimeSpan{{From: at(120), To: at(128)}}
+	for _, seconds := range []float64{123.9, 128.1} {
+		arrive(h, engineReborn, "tenant", 0, seconds)
+	}
 	h.Evacuations = []*EvacuationSeen{{Zone: zoneOf(engineCold), AckedAt: at(100), TakenBackAt: at(110)}}
 	crowd(h, 104, 3)
 	crowd(h, 110.1, 3)
@@ -124,6 +128,7 @@
 	{"node elsewhere reads a body", "HOME", func(h *History) { h.Bodies[bodyRead{1, "item-h"}] = at(51) }},
 	{"order as if of the incarnation before", "LIFE", func(h *History) { h.Engines[engineReborn].Orders[1].Expected = 3 }},
 	{"engine that lost its weights gets no order", "LIFE", func(h *History) { h.Engines[engineReborn].Orders = nil }},
+	{"engine without an entry gets work", "ENTRY", func(h *History) { arrive(h, engineReborn, "tenant", 0, 125) }},
 	{"call at the address of a bad entry", "ENTRY", func(h *History) {
 		h.Strays = append(h.Strays, StraySeen{Call: "POST /lookup/x", At: at(10)})
 	}},
@@ -153,6 +158,10 @@
 			arrive(h, engineCold, "tenant", 0, 106)
 			disturb(h, 0, 95, 103)
 		}},
+		{"a request of a node out of touch at an engine without an entry", func(h *History) {
+			arrive(h, engineReborn, "tenant", 0, 125)
+			disturb(h, 0, 118, 122)
+		}},
 		{"a request at another zone", func(h *History) { arrive(h, engineReborn, "tenant", 0, 106) }},
 		{"homes that a node out of touch still has", func(h *History) {
 			arrive(h, 0, "later", 0, 160.1)
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -41,6 +41,7 @@
 	endedAt time.Time
 	leaving bool
 	cold    []ColdSeen
+	spoiled []TimeSpan
 }
 
 // place is where engines of one service run, one after the other, behind the same front:
@@ -71,6 +72,8 @@
 	born int64
 	// wrong is the fault that answers may have; Works for none.
 	wrong standin.EngineFault
+	// spoiled is true while an entry that names no engine stands in the place of this one's.
+	spoiled bool
 }
 
 // start begins a new engine with the weight version that the place had.
@@ -108,11 +111,23 @@
 	return p.engine().ID()
 }
 
-// list writes the engine's entry.
-func (p *place) list() {
+// spoilEntry puts content in the place of the engine's entry. The returned function writes
+// the entry again.
+func (p *place) spoilEntry(content []byte) func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.store.ListEngine(p.engine(), p.front.address, false)
+	p.spoiled = true
+	engine := p.engine()
+	p.store.PutEngineEntry(engine.ID(), content)
+	running := p.runs[len(p.runs)-1]
+	began := time.Now()
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		running.spoiled = append(running.spoiled, TimeSpan{From: began, To: time.Now()})
+		p.spoiled = false
+		p.store.ListEngine(engine, p.front.address, false)
+	}
 }
 
 // unlist takes the engine's entry away.
@@ -156,7 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	running := p.runs[len(p.runs)-1]
-	if !running.endedAt.IsZero() || running.leaving {
+	if !running.endedAt.IsZero() || running.leaving || p.spoiled {
 		return
 	}
 	running.engine.TurnCold(lasting)
@@ -233,7 +248,7 @@
 		all = append(all, EngineSeen{
 			ID: engine.ID(), Service: engine.Service(), Zone: zoneOf(p.number), Region: regionOf(p.number),
 			Reborn: each.reborn, Version: each.version, StartedAt: each.startedAt, EndedAt: each.endedAt,
-			Runs: engine.Runs(), Orders: engine.Orders(), Arrivals: engine.ArrivalsSeen(), Cold: each.cold,
+			Runs: engine.Runs(), Orders: engine.Orders(), Arrivals: engine.ArrivalsSeen(), Cold: each.cold, Spoiled: each.spoiled,
 		})
 	}
 	return all
--- a/internal/bench/soak/entries.go
+++ b/internal/bench/soak/entries.go
@@ -50,6 +50,26 @@
 	w.WriteHeader(http.StatusNotFound)
 }
 
+// checkSpoiled: an engine whose entry has given way to one that cannot be understood gets
+// nothing new after a while.
+func checkSpoiled(h *History, bounds Bounds) []string {
+	var found []string
+	for i := range h.Engines {
+		engine := &h.Engines[i]
+		for _, spoiled := range engine.Spoiled {
+			for _, arrival := range engine.Arrivals {
+				late := arrival.At.Sub(spoiled.From)
+				node := senderOfArrival(arrival)
+				if late > bounds.Drain && arrival.At.Before(spoiled.To) && h.inTouch(node, arrival.At, arrival.At, bounds.Contact) {
+					found = append(found, fmt.Sprintf("engine %s got %s from node %d, %s after its entry had given way to one that names no engine",
+						engine.ID, arrival.ID, node, late))
+				}
+			}
+		}
+	}
+	return found
+}
+
 // checkEntries: an entry that cannot be understood names no engine to use.
 func checkEntries(h *History, _ Bounds) []string {
 	var found []string
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -100,6 +100,9 @@
 	At   time.Time
 }
 
+// TimeSpan is a time from one moment to another.
+type TimeSpan struct{ From, To time.Time }
+
 // EngineSeen is what one incarnation of an engine saw.
 type EngineSeen struct {
 	ID      string
@@ -117,6 +120,8 @@
 	Orders   []standin.OrderSeen
 	Arrivals []standin.Arrival
 	Cold     []ColdSeen
+	// Spoiled are times in which an entry that names no engine stood in the place of its own.
+	Spoiled []TimeSpan
 }
 
 // anyNode stands for all nodes in a Disturbance.
--- a/internal/bench/soak/inject_placement.go
+++ b/internal/bench/soak/inject_placement.go
@@ -123,8 +123,7 @@
 	}
 	if fault.forgets() && at.replacing.TryLock() {
 		defer at.replacing.Unlock()
-		store.PutEngineEntry(at.id(), bad[fault.Target%len(bad)])
-		defer at.list()
+		defer at.spoilEntry(bad[fault.Target%len(bad)])()
 	}
 	retry.Sleep(ctx, fault.For)
 	for i := range bad {
--- a/internal/bench/soak/schedule_placement.go
+++ b/internal/bench/soak/schedule_placement.go
@@ -61,12 +61,12 @@
 type span struct{ shortest, longest time.Duration }
 
 // placementSpans holds the lengths of faults: an engine is reborn within the time in which
-// no entry lapses, and evacuations are both shorter than the time in which they must be in
-// force and much longer.
+// no entry lapses, and evacuations and bad entries are both shorter than the time in which
+// they must have effect and much longer.
 var placementSpans = map[Kind]span{
 	EngineReborn:     {20 * time.Millisecond, 200 * time.Millisecond},
 	EngineRebornLate: {downTime, 3 * time.Second},
-	EntriesBad:       {500 * time.Millisecond, 5 * time.Second},
+	EntriesBad:       {500 * time.Millisecond, 9 * time.Second},
 	ZoneEvacuated:    {500 * time.Millisecond, 14 * time.Second},
 	EngineCold:       {time.Second, 5 * time.Second},
 	ZoneCold:         {time.Second, 5 * time.Second},
