Soak: engines write their entries on and on, and late entries of the incarnation before

Cause: engines of the platform write their entries about every second; without that, nothing tells a late entry of an earlier start from an engine whose clock jumped back, and the soak would hold a product to what it cannot know.

Change: under placement faults each engine writes its entry each second; for half of the engines that start again, the last entry of the incarnation before comes 0.1 s after the start. An address that is still held for a moment is waited for. The stand-in's hosts keep an engine's ID where Born is set.

--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -167,6 +167,9 @@
 		return err
 	}
 	d.places = append(d.places, p)
+	if d.placement {
+		d.wait.Go(func() { p.writeOnAndOn(ctx) })
+	}
 	d.closers = append(d.closers, p.stop, p.front.cut)
 	return nil
 }
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -26,6 +26,8 @@
 	leaveTime = 8 * time.Second
 	// wrongShare is the share of answers that a faulty engine spoils.
 	wrongShare = 0.3
+	// heartbeat is the time between two writes of an engine's entry.
+	heartbeat = time.Second
 	// firstVersion is the weight version that an engine begins with.
 	firstVersion = 1
 )
@@ -135,7 +137,11 @@
 
 // begin begins an incarnation of an engine; mu is held.
 func (p *place) begin(id string, version int64) error {
-	listener, err := net.Listen("tcp", p.listen)
+	var listener net.Listener
+	err := untilFree(func() (err error) {
+		listener, err = net.Listen("tcp", p.listen)
+		return err
+	})
 	if err != nil {
 		return errors.Wrap(err, "listen for an engine")
 	}
@@ -213,6 +219,30 @@
 	}
 }
 
+// write writes the entry of the engine that runs here, unless it leaves or another writer's
+// entry stands in its place.
+func (p *place) write() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if running := p.runs[len(p.runs)-1]; running.endedAt.IsZero() && !running.leaving && !p.spoiled {
+		p.store.ListEngine(running.engine, p.front.address, false)
+	}
+}
+
+// writeOnAndOn has the engine write its entry again and again until ctx ends.
+func (p *place) writeOnAndOn(ctx context.Context) {
+	for retry.Sleep(ctx, heartbeat) {
+		p.write()
+	}
+}
+
+// entry is the engine's entry as it stands now.
+func (p *place) entry() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engine().Entry(p.front.address, standin.StateReady)
+}
+
 // leave lists the engine as leaving, lets it serve on, and ends it.
 func (p *place) leave(ctx context.Context) {
 	p.mu.Lock()
--- a/internal/bench/soak/front.go
+++ b/internal/bench/soak/front.go
@@ -44,15 +44,20 @@
 
 // listen begins to take connections, unless it does so already.
 func (f *front) listen() error {
+	if err := untilFree(f.tryListen); err != nil {
+		return errors.Wrap(err, "listen for an engine's connections")
+	}
+	return nil
+}
+
+// untilFree tries to listen until the address is free.
+func untilFree(listen func() error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), frontPatience)
 	defer cancel()
 	for delays := frontTries.Delays(); ; {
-		err := f.tryListen()
-		if err == nil {
-			return nil
-		}
+		err := listen()
 		if !errors.Is(err, syscall.EADDRINUSE) || !retry.Sleep(ctx, delays.NextBackOff()) {
-			return errors.Wrap(err, "listen for an engine's connections")
+			return err
 		}
 	}
 }
--- a/internal/bench/soak/inject_placement.go
+++ b/internal/bench/soak/inject_placement.go
@@ -61,6 +61,7 @@
 		return
 	}
 	defer at.replacing.Unlock()
+	before := at.entry()
 	at.front.cut()
 	at.stop()
 	if fault.Kind == EngineRebornLate {
@@ -68,8 +69,19 @@
 	}
 	retry.Sleep(ctx, fault.For)
 	d.startReborn(at, fault.forgets())
+	if fault.writesLate() {
+		retry.Sleep(ctx, lateEntry)
+		d.store.store.PutEngineEntry(at.id(), before)
+	}
 }
 
+// lateEntry is how long after the start of an engine the last entry of the incarnation
+// before may still come.
+const lateEntry = 100 * time.Millisecond
+
+// writesLate tells whether it does: for half of the targets.
+func (f Fault) writesLate() bool { return f.Target/(2*zones)%2 == 0 }
+
 // rebirthTime is how long an engine that ended under a request is away at most, where it
 // starts again under its ID.
 const rebirthTime = 200 * time.Millisecond
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -85,15 +85,11 @@
 
 // EngineOptions describe an engine.
 type EngineOptions struct {
-	ID      string
+	ID string
+	// Born is when the engine started, in milliseconds since 1970; zero where it does not tell.
+	Born    int64
 	Service string
 	Zone    string
-	// Born is the Unix millisecond of the start of its process; zero where it does not tell.
-	Born int64
-	// KeepsID: all engines of an EngineHost have this ID, and each a start of its own.
-	KeepsID bool
-	// ColdFor is how long it is cold after its start.
-	ColdFor time.Duration
 	Slots   int
 	// Versions holds the weight version of each model; an engine without models
 	// gives plain answers.
@@ -110,6 +106,8 @@
 	EndsUnder       func(run Run) bool
 	EventsBeforeEnd int
 	End             func(run Run)
+	// ColdFor is how long after its start the engine's entry says that it is cold.
+	ColdFor time.Duration
 	// CheckFences refuses orders with lower fencing tokens than one seen.
 	CheckFences bool
 }
@@ -202,7 +200,7 @@
 	return append([]OrderSeen(nil), e.seen...)
 }
 
-// ID returns the engine's own ID, which it may share with engines that ran before.
+// ID returns the engine's own ID, which a later start of it may have again.
 func (e *Engine) ID() string { return e.options.ID }
 
 // Service returns the name of the engine's service.
@@ -212,19 +210,25 @@
 func (e *Engine) Entry(address, state string) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	entry := map[string]any{
+	raw, err := json.Marshal(e.withBorn(map[string]any{
 		"service": e.options.Service, "address": address, "zone": e.options.Zone, "version": "v1",
 		"slots": e.options.Slots, "state": state, "coldLeftMs": e.coldLeft().Milliseconds(), "models": e.modelList(),
 		"seqNo": e.orders,
-	}
-	e.tellBorn(entry)
-	raw, err := json.Marshal(entry)
+	}))
 	if err != nil {
 		panic(err) // a map of plain values always encodes
 	}
 	return raw
 }
 
+// withBorn adds when the engine started to what it says of itself.
+func (e *Engine) withBorn(said map[string]any) map[string]any {
+	if e.options.Born != 0 {
+		said["born"] = e.options.Born
+	}
+	return said
+}
+
 // modelList is the wire form of the versions; mu is held.
 func (e *Engine) modelList() []map[string]any {
 	list := []map[string]any{}
--- a/internal/standin/platform/engine_control.go
+++ b/internal/standin/platform/engine_control.go
@@ -11,19 +11,10 @@
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	content := map[string]any{
+	answerJSON(w, http.StatusOK, e.withBorn(map[string]any{
 		"stage": "both", "models": e.modelList(), "busy": e.busy, "seqNo": e.orders,
 		"queuedCount": 0, "runningCount": e.running,
-	}
-	e.tellBorn(content)
-	answerJSON(w, http.StatusOK, content)
-}
-
-// tellBorn adds the engine's start to what it says of itself.
-func (e *Engine) tellBorn(content map[string]any) {
-	if e.options.Born != 0 {
-		content["born"] = e.options.Born
-	}
+	}))
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/platform/engine_host.go
+++ b/internal/standin/platform/engine_host.go
@@ -11,8 +11,8 @@
 )
 
 // EngineHost runs an engine at one address, again and again, as where a supervisor restarts
-// a process that crashed: each start is another engine with an ID of its own, or the next
-// incarnation of the same engine where its options say so.
+// a process that crashed: each start is another engine with an ID of its own, or, where the
+// options tell when the first one started, the same ID with a later start.
 type EngineHost struct {
 	store   *Store
 	address string
@@ -28,12 +28,10 @@
 	closed  bool
 	crashes []time.Time
 	timers  []*time.Timer
-	// born is the newest start in Unix milliseconds.
-	born int64
 }
 
 // NewEngineHost starts the first engine at an address where nobody else listens. The
-// options' ID is the prefix of the engines' IDs.
+// options' ID is the prefix of the engines' IDs, or the ID of all where Born is set.
 func NewEngineHost(
 	store *Store, address string, options EngineOptions, downTime, lapseTime time.Duration,
 ) (*EngineHost, error) {
@@ -49,12 +47,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for an engine")
 	}
-	options := h.options
-	options.ID = fmt.Sprintf("%s-%d", h.options.ID, len(h.engines)+1)
-	if options.KeepsID {
-		h.born = max(h.born+1, time.Now().UnixMilli())
-		options.ID, options.Born = h.options.ID, h.born
-	}
+	options := h.nextOptions()
 	options.End = func(Run) { h.crash() }
 	engine := NewEngine(options)
 	server := &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
@@ -64,6 +57,29 @@
 	return nil
 }
 
+// nextOptions are those of the next start; mu is held.
+func (h *EngineHost) nextOptions() EngineOptions {
+	options := h.options
+	if options.Born == 0 {
+		options.ID = fmt.Sprintf("%s-%d", options.ID, len(h.engines)+1)
+		return options
+	}
+	if len(h.engines) > 0 {
+		options.Born = max(time.Now().UnixMilli(), h.engines[len(h.engines)-1].options.Born+1)
+	}
+	return options
+}
+
+// lapse has an engine's entry go, unless a later start under its ID has written it meanwhile.
+func (h *EngineHost) lapse(engine *Engine) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	newest := h.engines[len(h.engines)-1]
+	if newest == engine || newest.ID() != engine.ID() {
+		h.store.UnlistEngine(engine.ID())
+	}
+}
+
 // crash ends the engine with all its connections and has another one start.
 func (h *EngineHost) crash() {
 	h.mu.Lock()
@@ -80,16 +96,6 @@
 	h.timers = append(h.timers, lapse, restart)
 }
 
-// lapse takes the entry of an engine that ended away, unless another has started under its ID.
-func (h *EngineHost) lapse(ended *Engine) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	newest := h.engines[len(h.engines)-1]
-	if newest == ended || newest.ID() != ended.ID() {
-		h.store.UnlistEngine(ended.ID())
-	}
-}
-
 // restart begins the next engine, or tries again soon while the address is taken.
 func (h *EngineHost) restart() {
 	h.mu.Lock()
--- a/internal/standin/platform/operator.go
+++ b/internal/standin/platform/operator.go
@@ -27,11 +27,13 @@
 	headerTimeoutMs  = 3_000
 	idleTimeoutMs    = 15_000
 	engineConnCap    = 100
-	stateReady       = "ready"
 	stateDraining    = "draining"
 	keyConfiguration = "config"
 )
 
+// StateReady is the state of an engine that takes work.
+const StateReady = "ready"
+
 // Route is one route of a Configuration; its host is RouteHost.
 type Route struct {
 	Name      string
@@ -170,7 +172,7 @@
 
 // ListEngine lists an engine at an address, or changes its entry.
 func (s *Store) ListEngine(engine *Engine, address string, draining bool) {
-	state := stateReady
+	state := StateReady
 	if draining {
 		state = stateDraining
 	}
--- a/test/hosted/crash_test.go
+++ b/test/hosted/crash_test.go
@@ -138,7 +138,7 @@
 		t.Run(fmt.Sprint(engines), func(t *testing.T) {
 			t.Parallel()
 			d := deploy(t)
-			hosts := d.addHostsThatAreAway(engines, standin.EngineOptions{Service: "desk", KeepsID: true}, rebirthTime)
+			hosts := d.addHostsThatAreAway(engines, standin.EngineOptions{Service: "desk", Born: 1}, rebirthTime)
 			d.configure(safeRoute("/a/"))
 			nodes := []*process{d.start("n1"), d.start("n2"), d.start("n3")}
 			sendCrashing(t, nodes, "/a/", 4*time.Second)
