--- a/internal/bench/soak/entries.go
+++ b/internal/bench/soak/entries.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 )
 
 // strayID names an entry of another writer.
@@ -38,14 +40,16 @@
 
 // StraySeen is a call at the address of an entry that names no engine.
 type StraySeen struct {
-	Call string
-	At   time.Time
+	// Entry is the key of the entry that the call is meant for; empty where it tells none.
+	Entry string
+	Call  string
+	At    time.Time
 }
 
 // takeStray takes the calls at that address.
 func (h *History) takeStray(w http.ResponseWriter, r *http.Request) {
 	h.update(func() {
-		h.Strays = append(h.Strays, StraySeen{Call: r.Method + " " + r.URL.Path, At: time.Now()})
+		h.Strays = append(h.Strays, StraySeen{Entry: standin.ExpectedEngine(r), Call: r.Method + " " + r.URL.Path, At: time.Now()})
 	})
 	w.WriteHeader(http.StatusNotFound)
 }
@@ -74,7 +78,8 @@
 func checkEntries(h *History, _ Bounds) []string {
 	var found []string
 	for _, stray := range h.Strays {
-		found = append(found, fmt.Sprintf("%s at %s at the address of an entry that names no engine", stray.Call, stray.At.Format(clockFormat)))
+		found = append(found, fmt.Sprintf("%s came at %s to the address of entry %s, which names no engine",
+			stray.Call, stray.At.Format(clockFormat), stray.Entry))
 	}
 	return found
 }
--- a/internal/standin/platform/engine_arrivals.go
+++ b/internal/standin/platform/engine_arrivals.go
@@ -14,6 +14,9 @@
 	From string
 }
 
+// ExpectedEngine is the ID of the engine that a request is meant for; empty where it tells none.
+func ExpectedEngine(r *http.Request) string { return r.Header.Get(headerExpect) }
+
 // arrived notes a request.
 func (e *Engine) arrived(r *http.Request) {
 	e.mu.Lock()
