Soak: no lock of a place is taken under an engine's; bodies are read by nodes that were asked

Cause: an engine asks its place for the fate of a request under its own lock, and the place writes the engine's entry, which takes that lock, under its own: a trial of half a minute stood still for five minutes. Ruled out: jobs that are not readable, and the nodes, which went on. What spoils answers has a lock of its own now.

A node that the trainer asks about a job may read its bodies from the store, from then on. The trainer that is bound to regions asks two nodes about a job, so that the others show.

--- a/internal/bench/soak/check_homes.go
+++ b/internal/bench/soak/check_homes.go
@@ -109,7 +109,7 @@
 }
 
 // checkBodies: the body of an item that is bound to regions is read by no node outside
-// them, but by those at which its job was handed in.
+// them, but by those that its trainer has asked about the job.
 func checkBodies(h *History, bounds Bounds) []string {
 	known := askedByID(h)
 	type reader struct {
@@ -119,7 +119,10 @@
 	items := make(map[reader]int)
 	for read, at := range h.Bodies {
 		want, isKnown := known[read.item]
-		if !isKnown || want.job == nil || slices.Contains(want.job.Asked, read.node) {
+		if !isKnown || want.job == nil {
+			continue
+		}
+		if asked := want.job.Asked[read.node]; !asked.IsZero() && !at.Before(asked) {
 			continue
 		}
 		if !h.mayServe(want, regionOf(read.node), read.node, at, bounds) {
--- a/internal/bench/soak/check_placement_test.go
+++ b/internal/bench/soak/check_placement_test.go
@@ -37,7 +37,7 @@
 	}
 	h.Jobs = append(h.Jobs, &JobSeen{
 		Job:    standin.Job{ID: "bound", Items: []standin.JobItem{{ID: "item-h", Body: homedBody("item-h"), ScoringID: "score-h"}}},
-		Tenant: tenantOf(homedTrainer), SentAt: at(50), Asked: []int{4}, FinalStatus: map[string]int{},
+		Tenant: tenantOf(homedTrainer), SentAt: at(50), Asked: map[int]time.Time{4: at(50)}, FinalStatus: map[string]int{},
 	})
 	h.addBodies(0, []byte("a record with "+homedBody("item-h")))
 	h.addBodies(4, []byte(homedBody("item-h")))
@@ -126,6 +126,7 @@
 		disturb(h, 0, 30, 70)
 	}},
 	{"node elsewhere reads a body", "HOME", func(h *History) { h.Bodies[bodyRead{1, "item-h"}] = at(51) }},
+	{"node elsewhere reads a body before it is asked", "HOME", func(h *History) { h.Jobs[len(h.Jobs)-1].Asked[4] = at(52) }},
 	{"order as if of the incarnation before", "LIFE", func(h *History) { h.Engines[engineReborn].Orders[1].Expected = 3 }},
 	{"engine that lost its weights gets no order", "LIFE", func(h *History) { h.Engines[engineReborn].Orders = nil }},
 	{"engine without an entry gets work", "ENTRY", func(h *History) { arrive(h, engineReborn, "tenant", 0, 125) }},
--- a/internal/bench/soak/drive.go
+++ b/internal/bench/soak/drive.go
@@ -247,8 +247,7 @@
 func (v *driver) submit(ctx context.Context, seen *JobSeen) bool {
 	refusals, tries := 0, 0
 	for ; ctx.Err() == nil && (tries < submitTries || refusals < tries); tries++ {
-		at := v.anyNode()
-		v.history.update(func() { seen.Asked = append(seen.Asked, at.number) })
+		at := v.nodeFor(seen)
 		status, err := v.client.WithKey(seen.Key).Submit(ctx, at.callers, seen.Job)
 		switch {
 		case err == nil && status == http.StatusAccepted:
@@ -273,7 +272,7 @@
 		if rand.IntN(earlyEndPart) == 0 {
 			from = rand.IntN(from + 1) // reads again what it has read
 		}
-		results, status, err := v.client.WithKey(seen.Key).Results(ctx, v.anyNode().callers, seen.Job.ID, from, readWait)
+		results, status, err := v.client.WithKey(seen.Key).Results(ctx, v.nodeFor(seen).callers, seen.Job.ID, from, readWait)
 		if err != nil || status != http.StatusOK {
 			retry.Sleep(ctx, retryGap)
 			continue
@@ -292,7 +291,7 @@
 func (v *driver) end(ctx context.Context, seen *JobSeen) {
 	v.history.update(func() { seen.EndAskedAt = time.Now() })
 	for ctx.Err() == nil {
-		status, err := v.client.WithKey(seen.Key).End(ctx, v.anyNode().callers, seen.Job.ID)
+		status, err := v.client.WithKey(seen.Key).End(ctx, v.nodeFor(seen).callers, seen.Job.ID)
 		if err == nil && status == http.StatusOK {
 			v.history.update(func() { seen.EndedAt = time.Now() })
 			return
@@ -309,6 +308,7 @@
 			continue
 		}
 		for _, each := range v.deployment.nodes {
+			v.history.ask(seen, each.number)
 			v.readWhole(ctx, seen, each)
 		}
 	}
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -72,10 +72,14 @@
 	runs []*incarnation
 	// born is the newest start in Unix milliseconds.
 	born int64
-	// wrong is the fault that answers may have; Works for none.
-	wrong standin.EngineFault
 	// spoiled is true while an entry that names no engine stands in the place of this one's.
 	spoiled bool
+
+	// answers guards wrong. It is a lock of its own: engines ask for the fate of a request
+	// under their own lock, which is taken under mu.
+	answers sync.Mutex
+	// wrong is the fault that answers may have; Works for none.
+	wrong standin.EngineFault
 }
 
 // start begins a new engine with the weight version that the place had.
@@ -194,8 +198,8 @@
 	case neverPossible(id):
 		return standin.Impossible
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.answers.Lock()
+	defer p.answers.Unlock()
 	if p.wrong != standin.Works && rand.Float64() < wrongShare {
 		return p.wrong
 	}
@@ -204,8 +208,8 @@
 
 // spoil makes the engine give wrong answers of the kind, Works for none.
 func (p *place) spoil(fault standin.EngineFault) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.answers.Lock()
+	defer p.answers.Unlock()
 	p.wrong = fault
 }
 
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -31,8 +31,9 @@
 	Tenant string
 	Key    string
 	SentAt time.Time
-	// Asked holds the nodes at which it was handed in.
-	Asked []int
+	// Asked tells when each node was first asked about it: to take it, for its results, or
+	// for its end.
+	Asked map[int]time.Time
 	// Accepted: a node answered 202. AllRefused: every try was answered with a
 	// promise that nothing runs.
 	Accepted   bool
@@ -181,12 +182,21 @@
 	defer h.mu.Unlock()
 	seen := &JobSeen{
 		Job: job, Tenant: tenantOf(trainer), Key: trainerKey(trainer), SentAt: time.Now(),
-		FinalStatus: make(map[string]int),
+		Asked: make(map[int]time.Time), FinalStatus: make(map[string]int),
 	}
 	h.Jobs = append(h.Jobs, seen)
 	return seen
 }
 
+// ask notes that a trainer is about to ask a node about a job.
+func (h *History) ask(job *JobSeen, node int) {
+	h.update(func() {
+		if job.Asked[node].IsZero() {
+			job.Asked[node] = time.Now()
+		}
+	})
+}
+
 // update makes a change under the history's lock.
 func (h *History) update(change func()) {
 	h.mu.Lock()
--- a/internal/bench/soak/placement.go
+++ b/internal/bench/soak/placement.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"time"
 
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
@@ -88,6 +89,21 @@
 	)
 }
 
+// homedNodes is how many nodes the trainer that is bound to regions asks about a job: the
+// others are to learn nothing of it.
+const homedNodes = 2
+
+// nodeFor draws a node that a trainer asks about a job.
+func (v *driver) nodeFor(job *JobSeen) *node {
+	at := v.anyNode()
+	if v.placement && job.Tenant == tenantOf(homedTrainer) {
+		nodes := v.deployment.nodes
+		at = nodes[(int(job.Job.Step)+rand.IntN(homedNodes))%len(nodes)]
+	}
+	v.history.ask(job, at.number)
+	return at
+}
+
 // bodyOf is the body of a trainer's item.
 func (v *driver) bodyOf(trainer int, id string) string {
 	if v.placement && trainer == homedTrainer {
