--- a/internal/bench/soak/check_homes.go
+++ b/internal/bench/soak/check_homes.go
@@ -117,6 +117,7 @@
 		job  string
 	}
 	items := make(map[reader]int)
+	first := make(map[reader]time.Time)
 	for read, at := range h.Bodies {
 		want, isKnown := known[read.item]
 		if !isKnown || want.job == nil {
@@ -126,13 +127,17 @@
 			continue
 		}
 		if !h.mayServe(want, regionOf(read.node), read.node, at, bounds) {
-			items[reader{read.node, want.job.Job.ID}]++
+			by := reader{read.node, want.job.Job.ID}
+			items[by]++
+			if first[by].IsZero() || at.Before(first[by]) {
+				first[by] = at
+			}
 		}
 	}
 	var found []string
 	for reader, count := range items {
-		found = append(found, fmt.Sprintf("node %d in region %s read the bodies of %d items of job %s",
-			reader.node, regionOf(reader.node), count, reader.job))
+		found = append(found, fmt.Sprintf("node %d in region %s read the bodies of %d items of job %s, the first at %s",
+			reader.node, regionOf(reader.node), count, reader.job, first[reader].Format(clockFormat)))
 	}
 	slices.Sort(found)
 	return found
