--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -68,7 +68,7 @@
 	{"HOME", checkHomes},
 	{"HOME", checkBodies},
 	{"LIFE", checkOrderCounts},
-	{"LIFE", checkReborn},
+	{"LIFE", checkReordered},
 	{"ENTRY", checkEntries},
 	{"ENTRY", checkSpoiled},
 }
--- a/internal/bench/soak/check_incarnation.go
+++ b/internal/bench/soak/check_incarnation.go
@@ -13,7 +13,7 @@
 	var found []string
 	for i := range h.Engines {
 		engine := &h.Engines[i]
-		if !engine.Reborn {
+		if !engine.Restarted {
 			continue
 		}
 		for _, order := range engine.Orders {
@@ -28,12 +28,12 @@
 	return found
 }
 
-// checkReborn: an engine that started again without the weights that it had is ordered.
-func checkReborn(h *History, bounds Bounds) []string {
+// checkReordered: an engine that started again without the weights that it had is ordered.
+func checkReordered(h *History, bounds Bounds) []string {
 	var found []string
 	for i := range h.Engines {
 		engine := &h.Engines[i]
-		if !engine.Reborn || engine.Service != standin.ServiceDrafts {
+		if !engine.Restarted || engine.Service != standin.ServiceDrafts {
 			continue
 		}
 		due := engine.StartedAt.Add(bounds.Reorder)
--- a/internal/bench/soak/check_one.go
+++ b/internal/bench/soak/check_one.go
@@ -53,7 +53,7 @@
 			}
 			sent = append(sent, command{engine.ID, order.Holder, node, order.Fence, order.At})
 		}
-		if place, reborn := places[engine.ID]; reborn {
+		if place, restarted := places[engine.ID]; restarted {
 			commands[place] = append(commands[place], sent...)
 			continue
 		}
--- a/internal/bench/soak/check_placement_test.go
+++ b/internal/bench/soak/check_placement_test.go
@@ -14,8 +14,8 @@
 
 // Places in the history of addPlacement.
 const (
-	engineCold   = 1
-	engineReborn = 2
+	engineCold      = 1
+	engineRestarted = 2
 )
 
 // addPlacement adds to the sound history engines in zones, one of which has started again,
@@ -45,7 +45,7 @@
 		h.Bodies[read] = at(51)
 	}
 	h.Engines = append(h.Engines, EngineSeen{
-		ID: "e3", Service: standin.ServiceDrafts, Reborn: true, Version: 1, StartedAt: at(40),
+		ID: "e3", Service: standin.ServiceDrafts, Restarted: true, Version: 1, StartedAt: at(40),
 		Orders: []standin.OrderSeen{
 			{Holder: "node-0-a", Fence: 9, Version: 5, At: at(41), Expected: 3, Taken: 0, Status: 409},
 			{Holder: "node-0-a", Fence: 9, Version: 5, At: at(46), Expected: 0, Taken: 0, Status: statusAccepted},
@@ -63,16 +63,16 @@
 	for _, id := range []string{"route", "tenant", "both"} {
 		arrive(h, engineCold, id, 0, 60)
 	}
-	crowd(h, 69.5, 20)
-	crowd(h, 70.5, 8)
-	crowd(h, 80.1, 20)
-	h.Engines[engineReborn].Spoiled = []TimeSpan{{From: at(120), To: at(128)}}
+	addDense(h, 69.5, 20)
+	addDense(h, 70.5, 8)
+	addDense(h, 80.1, 20)
+	h.Engines[engineRestarted].Spoiled = []TimeSpan{{From: at(120), To: at(128)}}
 	for _, seconds := range []float64{123.9, 128.1} {
-		arrive(h, engineReborn, "tenant", 0, seconds)
+		arrive(h, engineRestarted, "tenant", 0, seconds)
 	}
 	h.Evacuations = []*EvacuationSeen{{Zone: zoneOf(engineCold), AckedAt: at(100), TakenBackAt: at(110)}}
-	crowd(h, 104, 3)
-	crowd(h, 110.1, 3)
+	addDense(h, 104, 3)
+	addDense(h, 110.1, 3)
 	arrive(h, engineCold, "later", 0, 160.1)
 }
 
@@ -83,8 +83,8 @@
 	})
 }
 
-// crowd adds requests of several nodes at the cold engine, within less than half a second.
-func crowd(h *History, seconds float64, requests int) {
+// addDense adds requests of several nodes at the cold engine, within less than half a second.
+func addDense(h *History, seconds float64, requests int) {
 	for i := range requests {
 		arrive(h, engineCold, "tenant", i%3, seconds+float64(i)/50)
 	}
@@ -107,29 +107,29 @@
 		disturb(h, 0, 95, 104)
 	}},
 	{"cold engine gets one too many", "COLD", func(h *History) { h.insert(engineCold, 70.9) }},
-	{"cold engine gets a crowd of nodes out of touch", "COLD", func(h *History) {
+	{"cold engine gets too many of nodes out of touch", "COLD", func(h *History) {
 		h.insert(engineCold, 70.9)
 		disturb(h, anyNode, 60, 80)
 	}},
-	{"engine that turned cold gets a crowd", "COLD", func(h *History) { h.Engines[engineCold].Cold[1].From = at(79.5) }},
+	{"engine that turned cold gets too many", "COLD", func(h *History) { h.Engines[engineCold].Cold[1].From = at(79.5) }},
 	{"cold engine gets more across the border of two seconds", "COLD", func(h *History) {
 		h.Engines[engineCold].Cold[0] = ColdSeen{From: at(69.6), To: at(72)}
 	}},
-	{"bound route at an engine elsewhere", "HOME", func(h *History) { arrive(h, engineReborn, "route", 0, 60) }},
+	{"bound route at an engine elsewhere", "HOME", func(h *History) { arrive(h, engineRestarted, "route", 0, 60) }},
 	{"bound tenant at an engine elsewhere", "HOME", func(h *History) { arrive(h, 0, "tenant", 0, 60) }},
-	{"bound by both, at an engine of one", "HOME", func(h *History) { arrive(h, engineReborn, "both", 0, 60) }},
-	{"item of a bound job at an engine elsewhere", "HOME", func(h *History) { arrive(h, engineReborn, "item-h", 0, 60) }},
-	{"scoring call of a bound job at an engine elsewhere", "HOME", func(h *History) { arrive(h, engineReborn, "score-h", 0, 60) }},
+	{"bound by both, at an engine of one", "HOME", func(h *History) { arrive(h, engineRestarted, "both", 0, 60) }},
+	{"item of a bound job at an engine elsewhere", "HOME", func(h *History) { arrive(h, engineRestarted, "item-h", 0, 60) }},
+	{"scoring call of a bound job at an engine elsewhere", "HOME", func(h *History) { arrive(h, engineRestarted, "score-h", 0, 60) }},
 	{"homes that have been replaced", "HOME", func(h *History) { arrive(h, 0, "later", 0, 160.1) }},
 	{"bound request of a node out of touch at an engine elsewhere", "HOME", func(h *History) {
-		arrive(h, engineReborn, "route", 0, 60)
+		arrive(h, engineRestarted, "route", 0, 60)
 		disturb(h, 0, 30, 70)
 	}},
 	{"node elsewhere reads a body", "HOME", func(h *History) { h.Bodies[bodyRead{1, "item-h"}] = at(51) }},
 	{"node elsewhere reads a body before it is asked", "HOME", func(h *History) { h.Jobs[len(h.Jobs)-1].Asked[4] = at(52) }},
-	{"order as if of the incarnation before", "LIFE", func(h *History) { h.Engines[engineReborn].Orders[1].Expected = 3 }},
-	{"engine that lost its weights gets no order", "LIFE", func(h *History) { h.Engines[engineReborn].Orders = nil }},
-	{"engine without an entry gets work", "ENTRY", func(h *History) { arrive(h, engineReborn, "tenant", 0, 125) }},
+	{"order as if of the incarnation before", "LIFE", func(h *History) { h.Engines[engineRestarted].Orders[1].Expected = 3 }},
+	{"engine that lost its weights gets no order", "LIFE", func(h *History) { h.Engines[engineRestarted].Orders = nil }},
+	{"engine without an entry gets work", "ENTRY", func(h *History) { arrive(h, engineRestarted, "tenant", 0, 125) }},
 	{"call at the address of a bad entry", "ENTRY", func(h *History) {
 		h.Strays = append(h.Strays, StraySeen{Call: "POST /lookup/x", At: at(10)})
 	}},
@@ -160,23 +160,23 @@
 			disturb(h, 0, 95, 103)
 		}},
 		{"a request of a node out of touch at an engine without an entry", func(h *History) {
-			arrive(h, engineReborn, "tenant", 0, 125)
+			arrive(h, engineRestarted, "tenant", 0, 125)
 			disturb(h, 0, 118, 122)
 		}},
-		{"a request at another zone", func(h *History) { arrive(h, engineReborn, "tenant", 0, 106) }},
+		{"a request at another zone", func(h *History) { arrive(h, engineRestarted, "tenant", 0, 106) }},
 		{"homes that a node out of touch still has", func(h *History) {
 			arrive(h, 0, "later", 0, 160.1)
 			disturb(h, 0, 140, 159)
 		}},
 		{"an engine that lost its weights in an evacuated zone", func(h *History) {
-			h.Engines[engineReborn].Orders = nil
-			h.Evacuations = append(h.Evacuations, &EvacuationSeen{Zone: zoneOf(engineReborn), AckedAt: at(39), TakenBackAt: at(45)})
+			h.Engines[engineRestarted].Orders = nil
+			h.Evacuations = append(h.Evacuations, &EvacuationSeen{Zone: zoneOf(engineRestarted), AckedAt: at(39), TakenBackAt: at(45)})
 		}},
 		{"an engine that starts again once more", func(h *History) {
-			h.Engines[engineReborn].Orders, h.Engines[engineReborn].EndedAt = nil, at(45)
+			h.Engines[engineRestarted].Orders, h.Engines[engineRestarted].EndedAt = nil, at(45)
 		}},
 		{"an engine that has the newest weights", func(h *History) {
-			h.Engines[engineReborn].Orders, h.Engines[engineReborn].Version = nil, 5
+			h.Engines[engineRestarted].Orders, h.Engines[engineRestarted].Version = nil, 5
 		}},
 	} {
 		t.Run(allowed.name, func(t *testing.T) {
@@ -188,7 +188,7 @@
 }
 
 // TestPlacementFaultsFollowFromTheSeedAlone: every kind is drawn, no other fault outside
-// storms, and a family that is left out changes no other fault.
+// disturbed phases, and a family that is left out changes no other fault.
 func TestPlacementFaultsFollowFromTheSeedAlone(t *testing.T) {
 	const length = 30 * time.Minute
 	faults := DrawPlacement(7, length)
@@ -199,7 +199,7 @@
 		assert.Equal(t, fault.Number, i+1)
 		assert.Assert(t, fault.At >= calmStart && fault.At+fault.For <= length-calmEnd)
 		_, ours := placementSpans[fault.Kind]
-		assert.Assert(t, ours || fault.At%stormPeriod < stormLength+nextInSeries, "%s", fault)
+		assert.Assert(t, ours || fault.At%disturbedPeriod < disturbedLength+nextInSeries, "%s", fault)
 	}
 	for _, each := range append(slices.Clone(placementWeights), besideWeights...) {
 		assert.Assert(t, drawn[each.kind], "%s is never drawn", each.kind)
@@ -219,9 +219,9 @@
 func TestSeedsKeepTheirPlacementFaults(t *testing.T) {
 	var printed strings.Builder
 	printSchedule(&printed, DrawPlacement(5, 12*time.Second))
-	assert.Equal(t, printed.String(), `  1     2.92 s  for  0.19 s  engine-reborn          target 4065
+	assert.Equal(t, printed.String(), `  1     2.92 s  for  0.19 s  engine-restarted       target 4065
   2     5.08 s  for  2.61 s  zone-evacuated         target 3193
   3     5.26 s  for  0.53 s  all-killed             target leader
-  4     8.23 s  for  0.20 s  engine-reborn          target 40191
+  4     8.23 s  for  0.20 s  engine-restarted       target 40191
 `)
 }
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -46,10 +46,10 @@
 	evacuated *evacuated
 	// strayAddress is where entries that name no engine point to.
 	strayAddress string
-	// placement is true under a schedule of placement faults, rebears where engines that
+	// placement is true under a schedule of placement faults, restartsUnderID where engines that
 	// end under a request start again under their ID.
-	placement bool
-	rebears   bool
+	placement       bool
+	restartsUnderID bool
 	// enginesFence is true where the engines, and what takes the platform's calls,
 	// refuse lower fencing tokens than one seen.
 	enginesFence bool
@@ -67,7 +67,7 @@
 	d := &deployment{
 		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
 		leader: newLeaderSeen(), enginesFence: plan.enginesFence, senders: &senders{unknown: newWay(anyNode)},
-		evacuated: newEvacuated(), placement: plan.placement(), rebears: plan.placement() && plan.has(Incarnations),
+		evacuated: newEvacuated(), placement: plan.placement(), restartsUnderID: plan.placement() && plan.has(Incarnations),
 	}
 	if !plan.enginesFence {
 		d.duties.IgnoreFences()
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -35,8 +35,8 @@
 // incarnation is one run of an engine's process.
 type incarnation struct {
 	engine *standin.Engine
-	// reborn: an engine ran under this ID before. version is what it began with.
-	reborn    bool
+	// restarted: an engine ran under this ID before. version is what it began with.
+	restarted bool
 	version   int64
 	startedAt time.Time
 	// endedAt is zero while it runs.
@@ -94,9 +94,9 @@
 	return p.begin(fmt.Sprintf("engine-%d-%d", p.number, p.starts), version)
 }
 
-// startReborn begins the next incarnation of the engine that ran here last. It has the
+// startUnderID begins the next incarnation of the engine that ran here last. It has the
 // weights of the one before, unless it forgets them.
-func (p *place) startReborn(forgets bool) error {
+func (p *place) startUnderID(forgets bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.engine()
@@ -162,7 +162,7 @@
 	started := &incarnation{version: version, startedAt: time.Now()}
 	if len(p.runs) > 0 {
 		options.ColdFor = p.coldFor
-		started.reborn = p.engine().ID() == id
+		started.restarted = p.engine().ID() == id
 	}
 	if options.ColdFor > 0 {
 		started.cold = append(started.cold, ColdSeen{From: started.startedAt, To: started.startedAt.Add(options.ColdFor)})
@@ -281,7 +281,7 @@
 		engine := each.engine
 		all = append(all, EngineSeen{
 			ID: engine.ID(), Service: engine.Service(), Zone: zoneOf(p.number), Region: regionOf(p.number),
-			Reborn: each.reborn, Version: each.version, StartedAt: each.startedAt, EndedAt: each.endedAt,
+			Restarted: each.restarted, Version: each.version, StartedAt: each.startedAt, EndedAt: each.endedAt,
 			Runs: engine.Runs(), Orders: engine.Orders(), Arrivals: engine.ArrivalsSeen(), Cold: each.cold, Spoiled: each.spoiled,
 		})
 	}
--- a/internal/bench/soak/engines_test.go
+++ b/internal/bench/soak/engines_test.go
@@ -43,7 +43,7 @@
 	assert.Assert(t, first.Born > 0 && first.ColdLeftMs == 0)
 	for range 3 {
 		p.stop()
-		assert.NilError(t, p.startReborn(true))
+		assert.NilError(t, p.startUnderID(true))
 		next := entryOf(t, p)
 		assert.Assert(t, p.id() == id && next.Born > first.Born && next.ColdLeftMs > 0)
 		assert.Equal(t, next.Models[0].Version, int64(firstVersion))
@@ -54,7 +54,7 @@
 	assert.Assert(t, p.id() != id)
 	seen := p.seen()
 	assert.Equal(t, len(seen), 5)
-	assert.Assert(t, !seen[0].Reborn && seen[1].Reborn && seen[3].Reborn && !seen[4].Reborn)
+	assert.Assert(t, !seen[0].Restarted && seen[1].Restarted && seen[3].Restarted && !seen[4].Restarted)
 	assert.Assert(t, len(seen[0].Cold) == 0 && len(seen[1].Cold) == 1)
 }
 
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -110,8 +110,8 @@
 	Service string
 	Zone    string
 	Region  string
-	// Reborn: an engine ran under this ID before.
-	Reborn bool
+	// Restarted: an engine ran under this ID before.
+	Restarted bool
 	// Version is the weight version that it began with.
 	Version   int64
 	StartedAt time.Time
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -127,8 +127,8 @@
 	rest := at.crash(ctx, downTime)
 	d.wait.Go(func() {
 		defer at.replacing.Unlock()
-		if d.rebears {
-			d.rebearSoon(ctx, at)
+		if d.restartsUnderID {
+			d.restartSoon(ctx, at)
 			return
 		}
 		rest()
--- a/internal/bench/soak/inject_placement.go
+++ b/internal/bench/soak/inject_placement.go
@@ -35,8 +35,8 @@
 func (d *deployment) strikePlacement(ctx context.Context, fault Fault) bool {
 	at := d.places[fault.Target%len(d.places)]
 	switch fault.Kind {
-	case EngineReborn, EngineRebornLate:
-		d.rebear(ctx, at, fault)
+	case EngineRestarted, EngineRestartedLate:
+		d.restartEngine(ctx, at, fault)
 	case EntriesBad:
 		d.spoilEntries(ctx, at, fault)
 	case ZoneEvacuated:
@@ -55,8 +55,8 @@
 // half of the targets.
 func (f Fault) forgets() bool { return f.Target/zones%2 == 0 }
 
-// rebear ends the engine of a place and starts it again under its ID.
-func (d *deployment) rebear(ctx context.Context, at *place, fault Fault) {
+// restartEngine ends the engine of a place and starts it again under its ID.
+func (d *deployment) restartEngine(ctx context.Context, at *place, fault Fault) {
 	if !at.replacing.TryLock() {
 		return
 	}
@@ -64,11 +64,11 @@
 	before := at.entry()
 	at.front.cut()
 	at.stop()
-	if fault.Kind == EngineRebornLate {
+	if fault.Kind == EngineRestartedLate {
 		at.unlist()
 	}
 	retry.Sleep(ctx, fault.For)
-	d.startReborn(at, fault.forgets())
+	d.startUnderID(at, fault.forgets())
 	if fault.writesLate() {
 		retry.Sleep(ctx, lateEntry)
 		d.store.store.PutEngineEntry(at.id(), before)
@@ -82,19 +82,19 @@
 // writesLate tells whether it does: for half of the targets.
 func (f Fault) writesLate() bool { return f.Target/(2*zones)%2 == 0 }
 
-// rebirthTime is how long an engine that ended under a request is away at most, where it
+// restartTime is how long an engine that ended under a request is away at most, where it
 // starts again under its ID.
-const rebirthTime = 200 * time.Millisecond
+const restartTime = 200 * time.Millisecond
 
-// rebearSoon starts the engine of a place, which has just ended, again under its ID.
-func (d *deployment) rebearSoon(ctx context.Context, at *place) {
-	retry.Sleep(ctx, rand.N(rebirthTime))
-	d.startReborn(at, true)
+// restartSoon starts the engine of a place, which has just ended, again under its ID.
+func (d *deployment) restartSoon(ctx context.Context, at *place) {
+	retry.Sleep(ctx, rand.N(restartTime))
+	d.startUnderID(at, true)
 }
 
-func (d *deployment) startReborn(at *place, forgets bool) {
+func (d *deployment) startUnderID(at *place, forgets bool) {
 	d.openFront(at)
-	if err := at.startReborn(forgets); err != nil {
+	if err := at.startUnderID(forgets); err != nil {
 		d.nodes[0].note("an engine did not start again: " + err.Error())
 	}
 }
--- a/internal/bench/soak/placement.go
+++ b/internal/bench/soak/placement.go
@@ -14,10 +14,10 @@
 	tenantHomed  = "homed"
 	keyHomed     = "key-homed"
 	homedTrainer = 1
-	// crowdGap is the time between two requests of a caller of a crowd: some ten times what
+	// denseGap is the time between two requests of a caller with dense traffic: some ten times what
 	// the cold engines bear.
-	crowdGap     = 25 * time.Millisecond
-	crowdCallers = 3
+	denseGap     = 25 * time.Millisecond
+	denseCallers = 3
 	// coldStart is how long an engine is cold after its start.
 	coldStart = 2 * time.Second
 )
@@ -79,8 +79,8 @@
 	if !v.placement {
 		return all
 	}
-	for range crowdCallers {
-		all = append(all, traffic{kind: standin.RouteSafe, prefix: standin.PrefixLookup, gap: crowdGap})
+	for range denseCallers {
+		all = append(all, traffic{kind: standin.RouteSafe, prefix: standin.PrefixLookup, gap: denseGap})
 	}
 	return append(all,
 		traffic{kind: standin.RouteSafe, prefix: prefixHomed, gap: callGap},
--- a/internal/bench/soak/schedule_placement.go
+++ b/internal/bench/soak/schedule_placement.go
@@ -9,11 +9,11 @@
 // The kinds of faults of a schedule of placement faults: what changes which engines may
 // be sent a request, and how much.
 const (
-	// EngineReborn: an engine's process ends and starts again under its ID before anyone
+	// EngineRestarted: an engine's process ends and starts again under its ID before anyone
 	// can miss its entry.
-	EngineReborn Kind = "engine-reborn"
-	// EngineRebornLate: the same, after its entry has gone.
-	EngineRebornLate Kind = "engine-reborn-late"
+	EngineRestarted Kind = "engine-restarted"
+	// EngineRestartedLate: the same, after its entry has gone.
+	EngineRestartedLate Kind = "engine-restarted-late"
 	// EntriesBad: other writers write entries that name no engine, some in the place of a
 	// good one.
 	EntriesBad Kind = "entries-bad"
@@ -41,7 +41,7 @@
 var families = []Family{Incarnations, Entries, Evacuations, SlowStarts, HomeChanges}
 
 var familyOf = map[Kind]Family{
-	EngineReborn: Incarnations, EngineRebornLate: Incarnations, EntriesBad: Entries, ZoneEvacuated: Evacuations,
+	EngineRestarted: Incarnations, EngineRestartedLate: Incarnations, EntriesBad: Entries, ZoneEvacuated: Evacuations,
 	EngineCold: SlowStarts, ZoneCold: SlowStarts,
 }
 
@@ -49,7 +49,7 @@
 // often each kind that strikes beside them.
 var (
 	placementWeights = []weighted{
-		{EngineReborn, 5}, {EngineRebornLate, 3}, {EntriesBad, 3}, {ZoneEvacuated, 5}, {EngineCold, 3}, {ZoneCold, 3},
+		{EngineRestarted, 5}, {EngineRestartedLate, 3}, {EntriesBad, 3}, {ZoneEvacuated, 5}, {EngineCold, 3}, {ZoneCold, 3},
 	}
 	besideWeights = []weighted{
 		{NodeKilled, 5}, {NodeStopped, 2}, {NodeFrozen, 3}, {AllKilled, 1}, {LinkCut, 2}, {LinkSilent, 2},
@@ -60,26 +60,26 @@
 // span is the shortest and the longest time of a fault.
 type span struct{ shortest, longest time.Duration }
 
-// placementSpans holds the lengths of faults: an engine is reborn within the time in which
+// placementSpans holds the lengths of faults: an engine starts again within the time in which
 // no entry lapses, and evacuations and bad entries are both shorter than the time in which
 // they must have effect and much longer.
 var placementSpans = map[Kind]span{
-	EngineReborn:     {20 * time.Millisecond, 200 * time.Millisecond},
-	EngineRebornLate: {downTime, 3 * time.Second},
-	EntriesBad:       {500 * time.Millisecond, 9 * time.Second},
-	ZoneEvacuated:    {500 * time.Millisecond, 14 * time.Second},
-	EngineCold:       {time.Second, 5 * time.Second},
-	ZoneCold:         {time.Second, 5 * time.Second},
+	EngineRestarted:     {20 * time.Millisecond, 200 * time.Millisecond},
+	EngineRestartedLate: {downTime, 3 * time.Second},
+	EntriesBad:          {500 * time.Millisecond, 9 * time.Second},
+	ZoneEvacuated:       {500 * time.Millisecond, 14 * time.Second},
+	EngineCold:          {time.Second, 5 * time.Second},
+	ZoneCold:            {time.Second, 5 * time.Second},
 }
 
 const (
 	// placementGap is the mean time between two placement faults; they may overlap.
 	placementGap = 1800 * time.Millisecond
-	// stormPeriod is the time between the begins of two storms, in which placementBeside of
+	// disturbedPeriod is the time between the begins of two disturbed phases, in which placementBeside of
 	// the placement faults have another fault beside them, within nextInSeries. Between
-	// storms all nodes are in touch for long enough that bounded promises apply.
-	stormPeriod     = 40 * time.Second
-	stormLength     = 16 * time.Second
+	// them all nodes are in touch for long enough that bounded promises apply.
+	disturbedPeriod = 40 * time.Second
+	disturbedLength = 16 * time.Second
 	placementBeside = 0.5
 	// leaderShare is the share of those faults that strike the node that leads.
 	leaderShare = 0.6
@@ -88,14 +88,14 @@
 )
 
 // DrawPlacement returns the faults of a seed for a run of the given length, by time:
-// placement faults, and in storms some others beside them.
+// placement faults, and in disturbed phases some others beside them.
 func DrawPlacement(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, placementStream))
 	var faults []Fault
 	for at := calmStart; at <= length; {
 		at += time.Duration(random.ExpFloat64() * float64(placementGap))
 		drawn := []Fault{drawPlacementFault(random, at)}
-		if beside := drawBeside(random, at); at%stormPeriod < stormLength && random.Float64() < placementBeside {
+		if beside := drawBeside(random, at); at%disturbedPeriod < disturbedLength && random.Float64() < placementBeside {
 			drawn = append(drawn, beside)
 		}
 		for _, fault := range drawn {
