--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -26,10 +26,28 @@
 	leaveTime = 8 * time.Second
 	// wrongShare is the share of answers that a faulty engine spoils.
 	wrongShare = 0.3
+	// heartbeat is the time between two writes of an engine's entry.
+	heartbeat = time.Second
+	// firstVersion is the weight version that an engine begins with.
+	firstVersion = 1
 )
 
-// place is where engines of one service run, one after the other: each start is
-// a new engine with a new ID, behind the same front.
+// incarnation is one run of an engine's process.
+type incarnation struct {
+	engine *standin.Engine
+	// restarted: an engine ran under this ID before. version is what it began with.
+	restarted bool
+	version   int64
+	startedAt time.Time
+	// endedAt is zero while it runs.
+	endedAt time.Time
+	leaving bool
+	cold    []ColdSeen
+	spoiled []TimeSpan
+}
+
+// place is where engines of one service run, one after the other, behind the same front:
+// each start is a new engine with a new ID, or the same engine's next incarnation.
 type place struct {
 	number  int
 	service string
@@ -38,6 +56,8 @@
 	// checkFences: the engines refuse lower fencing tokens than one seen.
 	checkFences bool
 	front       *front
+	// coldFor is how long engines are cold after each start but the first.
+	coldFor time.Duration
 	// crashed is told of a run that ends the engine.
 	crashed func(run standin.Run)
 	listen  string
@@ -47,10 +67,17 @@
 
 	mu     sync.Mutex
 	starts int
-	engine *standin.Engine
 	server *http.Server
-	// past holds the engines that ran here before.
-	past []*standin.Engine
+	// runs holds the incarnations of engines here, the newest last.
+	runs []*incarnation
+	// born is the newest start in Unix milliseconds.
+	born int64
+	// spoiled is true while an entry that names no engine stands in the place of this one's.
+	spoiled bool
+
+	// answers guards wrong. It is a lock of its own: engines ask for the fate of a request
+	// under their own lock, which is taken under mu.
+	answers sync.Mutex
 	// wrong is the fault that answers may have; Works for none.
 	wrong standin.EngineFault
 }
@@ -59,36 +86,110 @@
 func (p *place) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listener, err := net.Listen("tcp", p.listen)
+	version := int64(firstVersion)
+	if len(p.runs) > 0 {
+		version = p.engine().Version(standin.ModelDrafts)
+	}
+	p.starts++
+	return p.begin(fmt.Sprintf("engine-%d-%d", p.number, p.starts), version)
+}
+
+// startUnderID begins the next incarnation of the engine that ran here last. It has the
+// weights of the one before, unless it forgets them.
+func (p *place) startUnderID(forgets bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.engine()
+	version := int64(firstVersion)
+	if !forgets {
+		version = before.Version(standin.ModelDrafts)
+	}
+	return p.begin(before.ID(), version)
+}
+
+// engine is the one that runs here; mu is held.
+func (p *place) engine() *standin.Engine { return p.runs[len(p.runs)-1].engine }
+
+// id is the ID of the engine that runs here.
+func (p *place) id() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engine().ID()
+}
+
+// spoilEntry puts content in the place of the engine's entry. The returned function writes
+// the entry again.
+func (p *place) spoilEntry(content []byte) func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spoiled = true
+	engine := p.engine()
+	p.store.PutEngineEntry(engine.ID(), content)
+	running := p.runs[len(p.runs)-1]
+	began := time.Now()
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		running.spoiled = append(running.spoiled, TimeSpan{From: began, To: time.Now()})
+		p.spoiled = false
+		p.store.ListEngine(engine, p.front.address, false)
+	}
+}
+
+// unlist takes the engine's entry away.
+func (p *place) unlist() { p.store.UnlistEngine(p.id()) }
+
+// begin begins an incarnation of an engine; mu is held.
+func (p *place) begin(id string, version int64) error {
+	var listener net.Listener
+	err := untilFree(func() (err error) {
+		listener, err = net.Listen("tcp", p.listen)
+		return err
+	})
 	if err != nil {
 		return errors.Wrap(err, "listen for an engine")
 	}
-	p.starts++
+	p.born = max(p.born+1, time.Now().UnixMilli())
 	options := standin.EngineOptions{
-		ID: fmt.Sprintf("engine-%d-%d", p.number, p.starts), Service: p.service, Zone: zoneOf(p.number),
+		ID: id, Service: p.service, Zone: zoneOf(p.number), Born: p.born,
 		Slots: lookupSlots, Events: eventsOf, EventTime: eventTime, Data: eventData, LoadTime: loadTime, CheckFences: p.checkFences,
 		EndsUnder: func(run standin.Run) bool { return crashesEngine(run.Body) }, End: p.crashed,
 	}
 	if p.service == standin.ServiceDrafts {
-		version := int64(1)
-		if p.engine != nil {
-			version = p.engine.Version(standin.ModelDrafts)
-		}
 		options.Versions = map[string]int64{standin.ModelDrafts: version}
 		options.Slots = draftSlots
 	}
-	if p.engine != nil {
-		p.past = append(p.past, p.engine)
+	started := &incarnation{version: version, startedAt: time.Now()}
+	if len(p.runs) > 0 {
+		options.ColdFor = p.coldFor
+		started.restarted = p.engine().ID() == id
+	}
+	if options.ColdFor > 0 {
+		started.cold = append(started.cold, ColdSeen{From: started.startedAt, To: started.startedAt.Add(options.ColdFor)})
 	}
-	p.engine = standin.NewEngine(options)
-	p.engine.SetFault(p.fate)
-	server := &http.Server{Handler: p.engine, ReadHeaderTimeout: time.Minute}
-	p.server = server
+	started.engine = standin.NewEngine(options)
+	started.engine.SetFault(p.fate)
+	server := &http.Server{Handler: started.engine, ReadHeaderTimeout: time.Minute}
+	p.server, p.runs = server, append(p.runs, started)
 	go func() { _ = server.Serve(listener) }()
-	p.store.ListEngine(p.engine, p.front.address, false)
+	p.store.ListEngine(started.engine, p.front.address, false)
 	return nil
 }
 
+// turnCold makes the engine that runs here cold, which its entry tells at once.
+func (p *place) turnCold(lasting time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running := p.runs[len(p.runs)-1]
+	if !running.endedAt.IsZero() || running.leaving || p.spoiled {
+		return
+	}
+	running.engine.TurnCold(lasting)
+	p.store.ListEngine(running.engine, p.front.address, false)
+	now := time.Now()
+	running.cold = append(running.cold, ColdSeen{From: now, To: now.Add(lasting), Announced: true})
+}
+
 // fate decides what happens to a request.
 func (p *place) fate(id string) standin.EngineFault {
 	switch {
@@ -97,8 +198,8 @@
 	case neverPossible(id):
 		return standin.Impossible
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.answers.Lock()
+	defer p.answers.Unlock()
 	if p.wrong != standin.Works && rand.Float64() < wrongShare {
 		return p.wrong
 	}
@@ -107,8 +208,8 @@
 
 // spoil makes the engine give wrong answers of the kind, Works for none.
 func (p *place) spoil(fault standin.EngineFault) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.answers.Lock()
+	defer p.answers.Unlock()
 	p.wrong = fault
 }
 
@@ -117,12 +218,40 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.server.Close()
+	if running := p.runs[len(p.runs)-1]; running.endedAt.IsZero() {
+		running.endedAt = time.Now()
+	}
+}
+
+// write writes the entry of the engine that runs here, unless it leaves or another writer's
+// entry stands in its place.
+func (p *place) write() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if running := p.runs[len(p.runs)-1]; running.endedAt.IsZero() && !running.leaving && !p.spoiled {
+		p.store.ListEngine(running.engine, p.front.address, false)
+	}
+}
+
+// writeOnAndOn has the engine write its entry again and again until ctx ends.
+func (p *place) writeOnAndOn(ctx context.Context) {
+	for retry.Sleep(ctx, heartbeat) {
+		p.write()
+	}
+}
+
+// entry is the engine's entry as it stands now.
+func (p *place) entry() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engine().Entry(p.front.address, standin.StateReady)
 }
 
 // leave lists the engine as leaving, lets it serve on, and ends it.
 func (p *place) leave(ctx context.Context) {
 	p.mu.Lock()
-	engine := p.engine
+	engine := p.engine()
+	p.runs[len(p.runs)-1].leaving = true
 	p.mu.Unlock()
 	p.store.ListEngine(engine, p.front.address, true)
 	p.history.update(func() { p.history.Leaves = append(p.history.Leaves, LeaveSeen{Engine: engine.ID(), At: time.Now()}) })
@@ -134,9 +263,7 @@
 // crash ends the engine without a word: its address refuses connections, until the next
 // one starts, and its entry goes some time later. The returned function is the rest.
 func (p *place) crash(ctx context.Context, lasting time.Duration) func() {
-	p.mu.Lock()
-	id := p.engine.ID()
-	p.mu.Unlock()
+	id := p.id()
 	p.front.cut()
 	p.stop()
 	return func() {
@@ -150,8 +277,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var all []EngineSeen
-	for _, engine := range append(append([]*standin.Engine(nil), p.past...), p.engine) {
-		all = append(all, EngineSeen{ID: engine.ID(), Service: engine.Service(), Runs: engine.Runs(), Orders: engine.Orders()})
+	for _, each := range p.runs {
+		engine := each.engine
+		all = append(all, EngineSeen{
+			ID: engine.ID(), Service: engine.Service(), Zone: zoneOf(p.number), Region: regionOf(p.number),
+			Restarted: each.restarted, Version: each.version, StartedAt: each.startedAt, EndedAt: each.endedAt,
+			Runs: engine.Runs(), Orders: engine.Orders(), Arrivals: engine.ArrivalsSeen(), Cold: each.cold, Spoiled: each.spoiled,
+		})
 	}
 	return all
 }
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -22,6 +22,7 @@
 	headerVersions    = "X-Corkpulley-Weight-Versions"
 	headerModel       = "X-Corkpulley-Model"
 	headerLastEvent   = "Last-Event-Id"
+	headerColdMs      = "X-Corkpulley-Cold-Ms"
 	headerTenant      = "X-Corkpulley-Tenant"
 	headerCredentials = "Authorization"
 )
@@ -74,6 +75,10 @@
 	At      time.Time
 	// From is the address that the order came from, without the port.
 	From string
+	// Expected is how many orders the sender believed the engine to have taken, noCount
+	// where it does not say; Taken is how many it had.
+	Expected int64
+	Taken    int64
 	// Status is the engine's answer.
 	Status int
 }
@@ -111,18 +116,19 @@
 type Engine struct {
 	options EngineOptions
 	router  *mux.Router
-	started time.Time
 
 	mu       sync.Mutex
 	versions map[string]int64
 	fault    func(id string) EngineFault
 	runs     []Run
-	arrivals []time.Time
 	running  int
 	busy     bool
 	orders   int64
 	fence    int64
 	seen     []OrderSeen
+	arrivals []Arrival
+	// coldUntil is when it is warm.
+	coldUntil time.Time
 }
 
 // NewEngine returns an engine.
@@ -130,7 +136,10 @@
 	if options.Data == nil {
 		options.Data = func(id string, number int, _ int64) string { return EventData(id, number) }
 	}
-	e := &Engine{started: time.Now(), options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true)}
+	e := &Engine{
+		options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true),
+		coldUntil: time.Now().Add(options.ColdFor),
+	}
 	e.router.HandleFunc("/report", e.report).Methods(http.MethodGet)
 	e.router.HandleFunc("/order", e.order).Methods(http.MethodPost)
 	e.router.HandleFunc("/healthz", e.health).Methods(http.MethodGet)
@@ -164,26 +173,6 @@
 	return append([]Run(nil), e.runs...)
 }
 
-// Arrivals returns when requests and items came, also those that the engine refused, in the order in
-// which they came. Those meant for another engine do not count.
-func (e *Engine) Arrivals() []time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]time.Time(nil), e.arrivals...)
-}
-
-// noteArrival notes that a request or an item came.
-func (e *Engine) noteArrival() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.arrivals = append(e.arrivals, time.Now())
-}
-
-// coldLeft is how long the engine stays cold.
-func (e *Engine) coldLeft() time.Duration {
-	return max(0, e.options.ColdFor-time.Since(e.started))
-}
-
 // Version returns the engine's version of a model.
 func (e *Engine) Version(model string) int64 {
 	e.mu.Lock()
@@ -223,7 +212,8 @@
 	defer e.mu.Unlock()
 	raw, err := json.Marshal(e.withBorn(map[string]any{
 		"service": e.options.Service, "address": address, "zone": e.options.Zone, "version": "v1",
-		"slots": e.options.Slots, "state": state, "coldLeftMs": e.coldLeft().Milliseconds(), "models": e.modelList(), "seqNo": e.orders,
+		"slots": e.options.Slots, "state": state, "coldLeftMs": e.coldLeft().Milliseconds(), "models": e.modelList(),
+		"seqNo": e.orders,
 	}))
 	if err != nil {
 		panic(err) // a map of plain values always encodes
