The planner takes no engines away, and asks elsewhere only for places of evacuated zones

Cause: the planner cut what it wants of a zone to the configured maximum, so a maximum below what is there, or below what was asked for in place of an evacuated zone, made an order for fewer; its invariant says that it never asks for fewer than it saw. While any zone was evacuated, one without engines included, it filled the priced zones up to all engines ever seen, those in zones without a price included, which serve on. After the return a zone was left out of all orders until demand asked for more than had been asked for in place of the other, also where that order was refused, while its share of the demand was counted as served. Ruled out: a fault of the scaler, which sends what the planner wants.

Change: a zone beyond its maximum is asked for nothing and counts as it stands; engines in zones that are neither evacuated nor orderable are subtracted; demand beyond what a zone has asks it for the places that were asked for as well.

Conclusion: no order of the planner is below what it has seen.

--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -54,7 +54,8 @@
 
 // Planner sizes one service by the work that is due.
 //
-// Invariant: it asks for no fewer engines in a zone than it has seen there. It knows of
+// Invariant: it asks for no fewer engines in a zone than it has seen there; of a zone with more than its
+// bound it asks for nothing, since an order for fewer takes engines away. It knows of
 // the work of batch jobs only, so it cannot tell which engines live requests need. Of an
 // evacuated zone it asks for nothing, neither more nor fewer; the engines that are lost there
 // for a while are asked for in the other zones.
@@ -108,29 +109,39 @@
 	})
 	wanted := make(map[string]int, len(zones))
 	for _, zone := range zones {
-		wanted[zone] = min(max(p.most[zone], bounds.Min), bounds.Max)
+		wanted[zone] = max(p.most[zone], min(bounds.Min, bounds.Max))
 	}
-	fill(zones, wanted, bounds.Max, p.need(slots))
+	p.fillDemand(zones, wanted, bounds.Max, slots)
 	if len(bounds.Evacuated) > 0 {
-		p.standIn(zones, wanted, bounds.Max)
-		return wanted
+		p.standIn(zones, wanted, bounds)
 	}
-	for zone, count := range p.asked {
-		if wanted[zone] < count {
-			// What was asked for is not needed any more, and is not taken back either.
-			delete(wanted, zone)
+	maps.DeleteFunc(wanted, func(zone string, count int) bool {
+		// An order for the bound would take away what is there beyond it, and one for less than was
+		// asked for in place of evacuated zones what is still starting.
+		return count > bounds.Max || count < p.asked[zone]
+	})
+	return wanted
+}
+
+// fillDemand asks for the engines that the peak needs. A zone that is to have more than it had is asked for
+// what it was asked for in place of evacuated ones too, which may not have been to be had.
+func (p *Planner) fillDemand(zones []string, wanted map[string]int, most, slots int) {
+	before := maps.Clone(wanted)
+	fill(zones, wanted, most, p.need(slots))
+	for _, zone := range zones {
+		if wanted[zone] > before[zone] {
+			wanted[zone] = max(wanted[zone], p.asked[zone])
 		}
 	}
-	return wanted
 }
 
 // standIn asks the zones for as many engines as there are without an evacuation.
-func (p *Planner) standIn(zones []string, wanted map[string]int, most int) {
+func (p *Planner) standIn(zones []string, wanted map[string]int, bounds Bounds) {
 	for _, zone := range zones {
-		wanted[zone] = min(max(wanted[zone], p.asked[zone]), most)
+		wanted[zone] = max(wanted[zone], p.asked[zone])
 	}
 	before := maps.Clone(wanted)
-	fill(zones, wanted, most, p.whole)
+	fill(zones, wanted, bounds.Max, p.whole-p.elsewhere(wanted, bounds.Evacuated))
 	for _, zone := range zones {
 		if wanted[zone] > before[zone] {
 			p.asked[zone] = wanted[zone]
@@ -139,6 +150,18 @@
 	}
 }
 
+// elsewhere is the most engines seen in zones that are not evacuated and in which none are ordered: they
+// serve on.
+func (p *Planner) elsewhere(wanted map[string]int, evacuated map[string]bool) int {
+	total := 0
+	for zone, count := range p.most {
+		if _, ordered := wanted[zone]; !ordered && !evacuated[zone] {
+			total += count
+		}
+	}
+	return total
+}
+
 // fill asks for more engines until there are as many as needed or all zones are full.
 func fill(zones []string, wanted map[string]int, most, need int) {
 	total := 0
