Questions to engines are looked at before they leave, and none goes to an evacuated zone

Cause: the question which start of an engine answers, asked when a connection to it was lost, went out whatever the zone's state; nothing is to be sent there. The question about a load asked for the zone only when it began, so a dial or a standstill let it out after the evacuation. Ruled out: live requests, items and orders, which ask at their first byte also on kept connections.

Change: Report takes the permission of its caller and asks it at the first byte, as other requests do; the look at a lost engine asks nothing in an evacuated zone and still finds out that connections are refused.

Conclusion: whatever carries a request to an engine asks again before its first byte.

--- a/internal/crashes/watch.go
+++ b/internal/crashes/watch.go
@@ -32,7 +32,8 @@
 
 // Prober looks whether an engine still takes connections.
 type Prober interface {
-	Probe(ctx context.Context, engine fleet.Engine) Liveness
+	// Probe may ask the engine something only while mayAsk permits it; a connection asks nothing.
+	Probe(ctx context.Context, engine fleet.Engine, mayAsk func() bool) Liveness
 }
 
 // probeTimeout bounds one look at an engine. Whoever lost a connection waits for it
@@ -96,7 +97,7 @@
 	answer, _, _ := w.probes.Do(engine.Incarnation().String(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
-		return w.options.Prober.Probe(ctx, engine), nil
+		return w.options.Prober.Probe(ctx, engine, func() bool { return !w.options.Fleet.IsEvacuated(engine.Zone) }), nil
 	})
 	return answer.(Liveness), true
 }
--- a/internal/crashes/watch_test.go
+++ b/internal/crashes/watch_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -17,12 +18,15 @@
 type fakeProber struct {
 	answer Liveness
 	asked  atomic.Int64
+	// mayAsk is whether the last probe was permitted to ask the engine something.
+	mayAsk atomic.Bool
 	// hold, where it is set, is waited for before an answer.
 	hold chan struct{}
 }
 
-func (p *fakeProber) Probe(context.Context, fleet.Engine) Liveness {
+func (p *fakeProber) Probe(_ context.Context, _ fleet.Engine, mayAsk func() bool) Liveness {
 	p.asked.Add(1)
+	p.mayAsk.Store(mayAsk())
 	if p.hold != nil {
 		<-p.hold
 	}
@@ -141,3 +145,17 @@
 		group.Wait()
 	})
 }
+
+// TestAnEngineInAnEvacuatedZoneIsAskedNothing: nothing is sent there; that it refuses connections is seen
+// without a question.
+func TestAnEngineInAnEvacuatedZoneIsAskedNothing(t *testing.T) {
+	engine := engineAt("e", "a:1")
+	engine.Zone = "za"
+	prober := &fakeProber{answer: Listening}
+	watch := watchOf(prober, engine)
+	watch.ConnectionLost(t.Context(), Loss{Engine: engine})
+	assert.Assert(t, prober.mayAsk.Load())
+	watch.options.Fleet.Evacuate("za", time.Now(), 1)
+	watch.ConnectionLost(t.Context(), Loss{Engine: engine})
+	assert.Assert(t, !prober.mayAsk.Load())
+}
--- a/internal/weightorders/evacuation_test.go
+++ b/internal/weightorders/evacuation_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -16,8 +18,14 @@
 type zoneWatch struct {
 	Engines
 	fleet *fleet.Fleet
-	mu    sync.Mutex
-	asked []string
+	// dialling and release, where they are set, hold each question to zone za up before it asks for the
+	// permission to leave.
+	dialling chan string
+	release  chan struct{}
+	mu       sync.Mutex
+	asked    []string
+	// ended counts the questions held up that have ended.
+	ended atomic.Int64
 }
 
 func (z *zoneWatch) note(engine fleet.Engine, what string) {
@@ -28,9 +36,17 @@
 	}
 }
 
-func (z *zoneWatch) Report(ctx context.Context, engine fleet.Engine) (Report, error) {
+func (z *zoneWatch) Report(ctx context.Context, engine fleet.Engine, mayLeave func() bool) (Report, error) {
+	if z.dialling != nil && engine.Zone == "za" {
+		defer z.ended.Add(1)
+		z.dialling <- engine.ID
+		<-z.release
+	}
+	if !mayLeave() {
+		return Report{}, errors.New("not permitted")
+	}
 	z.note(engine, "report")
-	return z.Engines.Report(ctx, engine)
+	return z.Engines.Report(ctx, engine, mayLeave)
 }
 
 // Order asks for the permission to send as a client of engines does.
@@ -75,3 +91,23 @@
 	w.fleet.TakeBack("za", time.Now(), 2)
 	testwait.Until(t, "the engine loads when its zone is back", func() bool { return w.engines.versionOf("e0") == 3 })
 }
+
+// TestAQuestionThatWasDialledBeforeAnEvacuationDoesNotLeave: the engine is asked when its zone is back.
+func TestAQuestionThatWasDialledBeforeAnEvacuationDoesNotLeave(t *testing.T) {
+	t.Parallel()
+	var watch *zoneWatch
+	w := manage(t, 2, func(options *Options) {
+		watch = &zoneWatch{
+			Engines: options.Engines, fleet: options.Fleet, dialling: make(chan string, 64), release: make(chan struct{}),
+		}
+		options.Engines = watch
+		options.Fleet.Put(fleet.Engine{ID: "e0", Service: service, Zone: "za", Slots: 4, Versions: map[string]int64{model: 1}})
+	})
+	<-watch.dialling
+	w.fleet.Evacuate("za", time.Now(), 1)
+	close(watch.release)
+	testwait.Until(t, "the question ends", func() bool { return watch.ended.Load() > 0 })
+	assert.DeepEqual(t, watch.noted(), []string(nil))
+	w.fleet.TakeBack("za", time.Now(), 2)
+	testwait.Until(t, "the engine loads when its zone is back", func() bool { return w.engines.versionOf("e0") == 2 })
+}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -156,7 +156,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := m.options.Engines.Report(ctx, engine)
+	report, err := m.options.Engines.Report(ctx, engine, func() bool {
+		return m.options.Gate.Known() && !m.options.Fleet.IsEvacuated(engine.Zone)
+	})
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -105,7 +105,9 @@
 
 // Engines orders engines.
 type Engines interface {
-	Report(ctx context.Context, engine fleet.Engine) (Report, error)
+	// Report asks what an engine has loaded. mayLeave is asked right before the question leaves, in any
+	// goroutine.
+	Report(ctx context.Context, engine fleet.Engine, mayLeave func() bool) (Report, error)
 	Order(ctx context.Context, engine fleet.Engine, order Order) (Answer, error)
 }
 
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -50,7 +50,7 @@
 	return f
 }
 
-func (f *fakeEngines) Report(_ context.Context, engine fleet.Engine) (Report, error) {
+func (f *fakeEngines) Report(_ context.Context, engine fleet.Engine, _ func() bool) (Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return Report{
