Operators' calls about zones that are none are answered from the table of errors

Cause: the router of these calls was a bare one. A wrong method got 405 with an empty body, which corkctl cannot tell, and a path without a zone was redirected (301) to a cleaned one, which turns a PUT into a GET. Ruled out: the check of names, which answers invalid_request.

Change: the router that the other listeners use.

Figures: POST /v1/zones, POST to an evacuation and PUT without a zone were answered without an error body before (test red at the first); all six calls of the test have their status and code after.

Conclusion: bad calls are told why.

--- a/internal/hosted/zonesapi.go
+++ b/internal/hosted/zonesapi.go
@@ -21,7 +21,7 @@
 
 // operatorsHandler serves the operators' calls about zones, and all others by next.
 func (n *node) operatorsHandler(next http.Handler) http.Handler {
-	router := mux.NewRouter()
+	router := httpapi.NewRouter()
 	router.HandleFunc(operatorapi.PathZones, n.getZones).Methods(http.MethodGet)
 	router.HandleFunc(operatorapi.PathEvacuation, n.evacuate).Methods(http.MethodPut)
 	router.HandleFunc(operatorapi.PathEvacuation, n.takeBack).Methods(http.MethodDelete)
