A process whose requests run has not stood still

Cause: the watch took only its ticker for a sign of life. In a process that is short of a processor the ticker's goroutine can be late by a second while requests run; each such delay began a standstill, after which requests are refused for up to 1.5 s where the log is away or answers late. Ruled out: the age of what is known, which is judged only after a standstill.

Change: whoever asks while a tick is overdue gives a sign of life; that is one reading of the clock in 250 ms at most.

Figures: no tick for 10 s and a question every 0.5 s: a standstill every second before, none after; a second without either counts as before.

Conclusion: only a process in which nothing ran is held up.

--- a/internal/common/standstill/standstill.go
+++ b/internal/common/standstill/standstill.go
@@ -16,7 +16,7 @@
 	// tickPeriod is the time between two signs of life.
 	tickPeriod = 250 * time.Millisecond
 	// minStandstill is the least time without one that counts. A process that is merely short of a
-	// processor is late by some hundred milliseconds.
+	// processor is late by some hundred milliseconds; where its ticker is later, those who ask are not.
 	minStandstill = time.Second
 )
 
@@ -31,7 +31,7 @@
 // Watch notices standstills. It is safe for concurrent use.
 type Watch struct {
 	clocks clocks
-	// seenAt is the newest sign of life by the wall clock.
+	// seenAt is the newest sign of life by the wall clock: a tick, or in its absence a question.
 	seenAt atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
@@ -62,16 +62,16 @@
 // was none. Whoever asks first after it notices it: no request gets ahead of the ticker.
 func (w *Watch) WokeAt() time.Time {
 	now := w.clocks.wall()
-	if seen := *w.seenAt.Load(); jumped(seen, now) {
+	if seen := *w.seenAt.Load(); late(seen, now) {
 		w.look(now)
 	}
 	return *w.wokeAt.Load()
 }
 
-// jumped tells whether either clock says that there was no sign of life for long. The steady clock
-// stops while the machine is suspended, and the time of day may be set: look finds out.
-func jumped(seen, now time.Time) bool {
-	return now.Sub(seen) >= minStandstill || now.Round(0).Sub(seen.Round(0)) >= minStandstill
+// late tells whether either clock says that a tick was due. The steady clock stops while the machine
+// is suspended, and the time of day may be set: look finds out.
+func late(seen, now time.Time) bool {
+	return now.Sub(seen) >= tickPeriod || now.Round(0).Sub(seen.Round(0)) >= tickPeriod
 }
 
 // look is a sign of life.
--- a/internal/common/standstill/standstill_test.go
+++ b/internal/common/standstill/standstill_test.go
@@ -38,3 +38,16 @@
 	m.pass(time.Hour, tickPeriod)
 	assert.Assert(t, watch.WokeAt().IsZero())
 }
+
+// TestAProcessThatServesHasNotStoodStill: short of a processor its ticker is late by seconds, while those
+// who ask run.
+func TestAProcessThatServesHasNotStoodStill(t *testing.T) {
+	m := &machine{wall: time.Unix(1000, 0), boot: time.Unix(50, 0)}
+	watch := m.watch()
+	for range 20 {
+		m.pass(minStandstill/2, minStandstill/2)
+		assert.Assert(t, watch.WokeAt().IsZero(), "a late ticker counts as a standstill")
+	}
+	m.pass(minStandstill, minStandstill)
+	assert.Equal(t, watch.WokeAt(), m.boot)
+}
