--- a/internal/core/fleet/evacuation.go
+++ b/internal/core/fleet/evacuation.go
@@ -23,7 +23,7 @@
 	HeldDraining
 	// HeldEvacuated: an operator has its zone evacuated.
 	HeldEvacuated
-	// HeldGone: this life of the engine is not listed any more.
+	// HeldGone: this incarnation of the engine is not listed any more.
 	HeldGone
 	// HeldUnknown: this process does not know which zones are evacuated, and learns it shortly.
 	HeldUnknown
@@ -106,7 +106,7 @@
 	return zones
 }
 
-// Hold tells why a life of an engine may be sent nothing new; NotHeld when it may. It is asked when
+// Hold tells why an incarnation of an engine may be sent nothing new; NotHeld when it may. It is asked when
 // an engine is chosen, and once more right before the bytes of a request leave.
 func (f *Fleet) Hold(of incarnation.ID) Hold {
 	f.mu.Lock()
@@ -154,8 +154,8 @@
 	// Engines is the number of engines listed there, InFlight that of this process's requests at them.
 	Engines  int
 	InFlight int
-	// Lives are these engines.
-	Lives []incarnation.ID
+	// Incarnations are these engines.
+	Incarnations []incarnation.ID
 }
 
 // Zones returns all zones that have engines or of which an evacuation is known, in order.
@@ -177,7 +177,7 @@
 		known := zone(each.engine.Zone)
 		known.Engines++
 		known.InFlight += each.inFlight
-		known.Lives = append(known.Lives, each.engine.Incarnation())
+		known.Incarnations = append(known.Incarnations, each.engine.Incarnation())
 	}
 	zones := make([]Zone, 0, len(byName))
 	for _, known := range byName {
--- a/internal/hosted/zonesapi.go
+++ b/internal/hosted/zonesapi.go
@@ -46,7 +46,7 @@
 			status.Since = zone.Since.UTC().Format(time.RFC3339Nano)
 		}
 		if runner != nil {
-			for _, engine := range zone.Lives {
+			for _, engine := range zone.Incarnations {
 				status.Items += runner.Running(engine)
 			}
 		}
