Tests of two sides of the wait after a standstill that nothing held

Cause: two mutants lived: items chosen while the evacuations are not known (each would be held back and chosen again without an end), and a reader that leaves its gap after an answer that had lain there during a standstill. Ruled out as untested: the last look, the reading of stale replicas and the next standstill, whose mutants four tests find.

Change: a test of each; the reader's gap is a function of its own. No behaviour changes.

Conclusion: both were right, and stay so.

--- a/internal/batchrun/evacuation_test.go
+++ b/internal/batchrun/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -117,3 +119,22 @@
 		assert.Equal(t, result.Outcome, batch.Completed)
 	}
 }
+
+// TestNoItemIsChosenWhileTheEvacuationsAreNotKnown: it would be held back and chosen again without an end.
+// It runs once they are known.
+func TestNoItemIsChosenWhileTheEvacuationsAreNotKnown(t *testing.T) {
+	t.Parallel()
+	w := inZones(t)
+	w.engines.events["i0"] = 3
+	var known atomic.Bool
+	w.gate = sendgate.New(sendgate.Options{Fleet: w.fleet, Known: known.Load})
+	r, _ := w.lead()
+	w.submit("job", 1, "i0")
+	testwait.Until(t, "the item waits", func() bool { return r.Demands()["m"].Waiting == 1 })
+	r.assign()
+	assert.Equal(t, r.Demands()["m"].Waiting, 1)
+	known.Store(true)
+	for _, result := range w.awaitResults(1) {
+		assert.Equal(t, result.Outcome, batch.Completed)
+	}
+}
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -17,6 +17,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -262,6 +263,8 @@
 	guard   Guard
 	route   Route
 	terms   int
+	// gate is asked before calls leave; nil for one that asks fleet.
+	gate *sendgate.Gate
 }
 
 // engineOf is an engine with the first version of the model.
@@ -290,7 +293,7 @@
 func (w *world) leadWith(engines Engines) (*Runner, func()) {
 	w.terms++
 	r := New(Options{
-		Jobs: w.jobs, Engines: engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard,
+		Jobs: w.jobs, Engines: engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard, Gate: w.gate,
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
 		Loading: func(incarnation.ID) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -115,9 +115,7 @@
 		if err == nil {
 			delays.Reset()
 			f.contact(nil)
-			if f.Age() < StaleAge {
-				retry.Sleep(ctx, f.budget.Stretch(readGap, maxReadGap))
-			}
+			retry.Sleep(ctx, f.gap())
 			continue
 		}
 		if ctx.Err() != nil {
@@ -136,6 +134,15 @@
 	return nil
 }
 
+// gap is the time until the next read. None is left after an answer that had lain here while the process
+// stood still.
+func (f *Follower) gap() time.Duration {
+	if f.Age() >= StaleAge {
+		return 0
+	}
+	return f.budget.Stretch(readGap, maxReadGap)
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if now := time.Now(); f.whole.isDue(now) {
 		if err := f.refresh(ctx); err != nil {
--- a/internal/follow/stale_test.go
+++ b/internal/follow/stale_test.go
@@ -54,7 +54,9 @@
 	assert.NilError(t, follower.step(t.Context()))
 	follower.replica.reached(0, follower.replica.contactAt.Add(-StaleAge))
 	log.longest = 0
+	assert.Equal(t, follower.gap().String(), "0s")
 	assert.NilError(t, follower.step(t.Context()))
 	assert.Equal(t, log.longest.String(), "0s")
 	assert.Assert(t, follower.Age() < StaleAge)
+	assert.Equal(t, follower.gap(), readGap)
 }
