corkctl: a server that does not answer holds no evacuation up

Ruled out: servers that refuse connections, which were left at once.

Change: 5 s for each server, longer than a node waits for the log.

Conclusion: one order is enough while any server listed answers.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -27,6 +27,9 @@
 	// proposeTimeout bounds one proposal at one server; it is longer than a
 	// node waits for the log's verdict.
 	proposeTimeout = 20 * time.Second
+	// evacuationTimeout bounds one order about a zone at one server; it is longer than
+	// a node waits for the log.
+	evacuationTimeout = 5 * time.Second
 	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 64 << 20
 )
--- a/internal/ctl/zones.go
+++ b/internal/ctl/zones.go
@@ -116,7 +116,9 @@
 	mayBeWritten := false
 	for range s.client.servers {
 		var accepted api.EvacuationAccepted
-		err := s.client.attempt(ctx, method, path, nil, nil, &accepted)
+		attemptContext, cancelAttempt := context.WithTimeout(ctx, evacuationTimeout)
+		err := s.client.attempt(attemptContext, method, path, nil, nil, &accepted)
+		cancelAttempt()
 		if err == nil {
 			return accepted, nil
 		}
--- a/internal/ctl/zones_test.go
+++ b/internal/ctl/zones_test.go
@@ -134,3 +134,14 @@
 	server := newZoneServer(t)
 	assert.Equal(t, corkctl("", "evacuate", "za", "--server", gone.URL, "--server", server.URL).code, ExitOK)
 }
+
+// TestAServerThatDoesNotAnswerHoldsNoEvacuationUp: the next one takes the order, which is harmless twice.
+func TestAServerThatDoesNotAnswerHoldsNoEvacuationUp(t *testing.T) {
+	t.Parallel()
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(silent.Close)
+	server := newZoneServer(t)
+	got := corkctl("", "evacuate", "za", "--timeout", "20s", "--server", silent.URL, "--server", server.URL)
+	assert.Equal(t, got.code, ExitOK, got.errors)
+	assert.Equal(t, len(server.ordered()), 1)
+}
