An order about a zone that lay at a node during its standstill is not written

Cause: a node that stands still keeps a call in its socket and writes it to the log when it wakes, whether its caller is still there or not. An operator who asked another node meanwhile, and has taken the zone back since, would find it evacuated again (or, the other way, open). Ruled out: the log, which has the offsets right; the order is written anew.

Figures: an order handled right after a standstill of an hour was written before (test red) and is refused after; 2 s later it is written.

Conclusion: what is in force is the newest order that an operator has given.

--- a/internal/hosted/evacuation.go
+++ b/internal/hosted/evacuation.go
@@ -16,6 +16,10 @@
 // then mean that the log is away for all: nobody could have written an evacuation.
 const unknownAtMost = 1500 * time.Millisecond
 
+// lateOrderTime is how long after a standstill an operator's order may have lain here since before it. Calls
+// that have lain are handled at once, also where a processor is short.
+const lateOrderTime = 2 * time.Second
+
 // takeEvacuation puts the operator's record for a zone in force.
 func (n *node) takeEvacuation(evacuation Evacuation, offset int64) {
 	change := n.fleet.TakeBack
@@ -72,3 +76,9 @@
 	}
 	return true
 }
+
+// ordersMayBeLate tells whether a call that is handled now may have come before a standstill.
+func (k *zoneKnowledge) ordersMayBeLate() bool {
+	woke := k.wokeAt()
+	return !woke.IsZero() && k.now().Sub(woke) < lateOrderTime
+}
--- a/internal/hosted/evacuation_test.go
+++ b/internal/hosted/evacuation_test.go
@@ -79,3 +79,24 @@
 	s.readAt = s.at.Add(-follow.StaleAge + 1)
 	assert.Assert(t, s.known())
 }
+
+// TestAnOrderThatLayHereDuringAStandstillIsNotWritten: its operator may have been told otherwise by another
+// node since, and have taken the zone back.
+func TestAnOrderThatLayHereDuringAStandstillIsNotWritten(t *testing.T) {
+	s := newSuspended()
+	n := &node{knowledge: &s.zoneKnowledge, platform: memPlatform{}, log: memlog.New()}
+	err := n.writeEvacuation(t.Context(), Evacuation{Zone: "za", InForce: true})
+	assert.Assert(t, err != nil, "the order was written")
+	assert.Equal(t, errkind.KindOf(err), errkind.NotReady)
+	s.at = s.at.Add(lateOrderTime)
+	assert.NilError(t, n.writeEvacuation(t.Context(), Evacuation{Zone: "za", InForce: true}))
+}
+
+// memPlatform names a topic of a log in memory.
+type memPlatform struct{ Platform }
+
+func (memPlatform) ControlTopic() string { return "control" }
+
+func (memPlatform) EncodeEvacuation(evacuation Evacuation) eventlog.KeyedRecord {
+	return eventlog.KeyedRecord{Key: evacuation.Zone, Value: []byte("{}"), Deleted: !evacuation.InForce}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -128,7 +128,9 @@
 	state *state
 	fleet *fleet.Fleet
 	// gate is asked before requests leave for engines.
-	gate       *sendgate.Gate
+	gate *sendgate.Gate
+	// knowledge is whether the node knows the evacuations.
+	knowledge  *zoneKnowledge
 	standstill *standstill.Watch
 	// runner runs the items of batch jobs while this node leads; nil otherwise.
 	runner  atomic.Pointer[batchrun.Runner]
@@ -194,8 +196,8 @@
 	n.directory.SetLog(log)
 	replicas := logrelay.NewReplicaReader(log, n.directory.Sources)
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
-	knowledge := newZoneKnowledge(n.standstill, n.control, logger)
-	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: knowledge.known, HeldBack: metrics.heldBackAt})
+	n.knowledge = newZoneKnowledge(n.standstill, n.control, logger)
+	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: n.knowledge.known, HeldBack: metrics.heldBackAt})
 	n.engines = follow.New(replicas, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
--- a/internal/hosted/zonesapi.go
+++ b/internal/hosted/zonesapi.go
@@ -77,6 +77,9 @@
 	if err := fleet.CheckZoneName(evacuation.Zone); err != nil {
 		return errkind.New(errkind.InvalidRequest, "%v", err)
 	}
+	if n.knowledge.ordersMayBeLate() {
+		return errkind.New(errkind.NotReady, "this node stood still, and the order may have lain here; repeat it")
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evacuationTimeout)
 	defer cancel()
 	record := n.platform.EncodeEvacuation(evacuation)
