--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
+	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -291,6 +292,8 @@
 	starts  *scriptedStarts
 	route   Route
 	terms   int
+	// gate is asked before calls leave; nil for one that asks fleet.
+	gate *sendgate.Gate
 
 	// homes holds the homes of each job, config the version of the configuration that says so.
 	mu     sync.Mutex
@@ -328,6 +331,7 @@
 	w.terms++
 	r := New(Options{
 		Jobs: w.jobs, Engines: engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard, ColdStarts: w.starts,
+		Gate:    w.gate,
 		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
 		Within:  homes.Of(regions), HomesOf: w.homesOf, Config: w.configVersion,
 		Loading: func(incarnation.ID) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
--- a/internal/hosted/zonesapi.go
+++ b/internal/hosted/zonesapi.go
@@ -21,7 +21,7 @@
 
 // operatorsHandler serves the operators' calls about zones, and all others by next.
 func (n *node) operatorsHandler(next http.Handler) http.Handler {
-	router := mux.NewRouter()
+	router := httpapi.NewRouter()
 	router.HandleFunc(operatorapi.PathZones, n.getZones).Methods(http.MethodGet)
 	router.HandleFunc(operatorapi.PathEvacuation, n.evacuate).Methods(http.MethodPut)
 	router.HandleFunc(operatorapi.PathEvacuation, n.takeBack).Methods(http.MethodDelete)
@@ -46,7 +46,7 @@
 			status.Since = zone.Since.UTC().Format(time.RFC3339Nano)
 		}
 		if runner != nil {
-			for _, engine := range zone.Lives {
+			for _, engine := range zone.Incarnations {
 				status.Items += runner.Running(engine)
 			}
 		}
@@ -77,6 +77,9 @@
 	if err := fleet.CheckZoneName(evacuation.Zone); err != nil {
 		return errkind.New(errkind.InvalidRequest, "%v", err)
 	}
+	if n.knowledge.ordersMayBeLate() {
+		return errkind.New(errkind.NotReady, "this node stood still, and the order may have lain here; repeat it")
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evacuationTimeout)
 	defer cancel()
 	record := n.platform.EncodeEvacuation(evacuation)
