Bodies and texts of jobs that are bound to regions lie in topics of their own

A read of the log brings neighbours of what is asked for along, up to its limit. Change: one data topic for each set of homes, named by the job's record; texts that are written to different topics are never in one call. Jobs without homes are as before.

--- a/internal/batchjobs/batches_test.go
+++ b/internal/batchjobs/batches_test.go
@@ -89,7 +89,7 @@
 	defer cancel()
 	recorded, err := service.Record(ctx, service.PartitionOf("j"), ended)
 	assert.Assert(t, err != nil)
-	assert.Equal(t, recorded, 2*firstBatch(ended, func(item FinishedItem) int { return len(item.Text) }, boundedCalls))
+	assert.Equal(t, recorded, 2*firstBatch(ended, finishedTexts, boundedCalls))
 	log.callsLeft = 1000
 	record(t, service, ended[recorded:])
 	results, err := service.Results(t.Context(), "j", 0, 0)
@@ -98,9 +98,19 @@
 }
 
 func TestABatchHasOneItemAtLeastAndABoundedNumber(t *testing.T) {
-	sizes := func(size int) int { return size }
+	sizes := texts[int]{
+		size: func(size int) int { return size },
+		data: func(size int) eventlog.Partition { return eventlog.Partition{Number: size % 2} },
+	}
 	assert.Equal(t, firstBatch([]int{9000, 1}, sizes, boundedCalls), 1)
 	assert.Equal(t, firstBatch([]int{4000, 4000, 4000}, sizes, boundedCalls), 2)
 	assert.Equal(t, firstBatch(make([]int, 5000), sizes, 1<<20), maxBatchItems)
 	assert.Equal(t, firstBatch([]int{1}, sizes, boundedCalls), 1)
+	assert.Equal(t, firstBatch([]int{2, 4, 3}, sizes, boundedCalls), 2, "the third is written elsewhere")
+}
+
+// finishedTexts tells of texts that all lie in one place.
+var finishedTexts = texts[FinishedItem]{
+	size: func(item FinishedItem) int { return len(item.Text) },
+	data: func(FinishedItem) eventlog.Partition { return eventlog.Partition{} },
 }
--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -140,7 +140,7 @@
 	if target.has(submission.Job.ID) {
 		return nil
 	}
-	spans, err := s.writePayloads(ctx, target, submission.Payloads)
+	spans, err := s.writePayloads(ctx, target.data(submission.Job.Homes), submission.Payloads)
 	if err != nil {
 		return err
 	}
@@ -160,7 +160,9 @@
 
 // writePayloads writes the payloads in as many calls as the log's limit wants.
 // They mean nothing until the job's record names them.
-func (s *Service) writePayloads(ctx context.Context, target *partition, payloads []batch.Payload) ([]batch.Span, error) {
+func (s *Service) writePayloads(
+	ctx context.Context, data eventlog.Partition, payloads []batch.Payload,
+) ([]batch.Span, error) {
 	var spans []batch.Span
 	var records [][]byte
 	size := 0
@@ -168,7 +170,7 @@
 		if len(records) == 0 {
 			return nil
 		}
-		first, err := s.appendData(ctx, target, records)
+		first, err := s.appendData(ctx, data, records)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/batchjobs/homes_test.go
@@ -0,0 +1,77 @@
+package batchjobs
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+// listeningLog keeps all that was read from it.
+type listeningLog struct {
+	*memlog.Log
+	mu   sync.Mutex
+	read []byte
+}
+
+func (l *listeningLog) Read(
+	ctx context.Context, partition eventlog.Partition, from int64, limit int, wait time.Duration,
+) (eventlog.Batch, error) {
+	read, err := l.Log.Read(ctx, partition, from, limit, wait)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, record := range read.Records {
+		l.read = append(l.read, record...)
+	}
+	return read, err
+}
+
+func (l *listeningLog) heard(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Contains(l.read, []byte(text))
+}
+
+// TestReadsBringNoNeighboursOfOtherHomes: a read of the log goes beyond what is asked for, so a node that
+// reads bodies, kept texts or results of one job sees nothing of a job that is bound to other regions.
+func TestReadsBringNoNeighboursOfOtherHomes(t *testing.T) {
+	log := &listeningLog{Log: memlog.New()}
+	service := newService(log)
+	follow(t, service)
+	bound := submission("bound", "secret")
+	bound.Job.Homes = []string{"north"}
+	free := submission("free", "a")
+	for service.PartitionOf("bound") != service.PartitionOf(free.Job.ID) {
+		free.Job.ID += "e"
+	}
+	assert.NilError(t, service.Accept(t.Context(), free))
+	assert.NilError(t, service.Accept(t.Context(), bound))
+	_, err := service.Results(t.Context(), free.Job.ID, 0, 0)
+	assert.NilError(t, err)
+	_, err = service.Results(t.Context(), "bound", 0, 0)
+	assert.NilError(t, err)
+	both := append(finished(free.Job.ID, 0, "open text"), finished("bound", 0, "hidden text")...)
+	recorded, err := service.Record(t.Context(), service.PartitionOf("bound"), both)
+	assert.NilError(t, err)
+	assert.Equal(t, recorded, 2)
+
+	_, err = service.Body(t.Context(), free.Job.ID, "a")
+	assert.NilError(t, err)
+	results, err := service.Results(t.Context(), free.Job.ID, 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(results.Results[0].Text), "open text")
+	assert.Assert(t, !log.heard("body of secret") && !log.heard("hidden text"))
+
+	body, err := service.Body(t.Context(), "bound", "secret")
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "body of secret")
+	results, err = service.Results(t.Context(), "bound", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(results.Results[0].Text), "hidden text")
+}
--- a/internal/batchjobs/kept.go
+++ b/internal/batchjobs/kept.go
@@ -26,14 +26,14 @@
 func (s *Service) KeptTexts(
 	ctx context.Context, jobID string, kept map[int]batch.Progress,
 ) (map[int][]byte, error) {
-	target := s.partitionOf(jobID)
+	data := s.partitionOf(jobID).dataOf(jobID)
 	var mu sync.Mutex
 	records := make(map[int64][]byte)
 	var group errgroup.Group
 	group.SetLimit(keptReads)
 	for _, part := range joinParts(partsOf(kept), keptGap) {
 		group.Go(func() error {
-			read, err := s.readData(ctx, target, part.span, min(part.bytes, readLimit))
+			read, err := s.readData(ctx, data, part.span, min(part.bytes, readLimit))
 			if err != nil {
 				return err
 			}
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -13,6 +13,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
@@ -37,7 +38,6 @@
 type partition struct {
 	log    eventlog.Log
 	index  eventlog.Partition
-	data   eventlog.Partition
 	budget pacing.Budget
 	logger zerolog.Logger
 	// keepJobs is Options.KeepJobs.
@@ -70,7 +70,6 @@
 	return &partition{
 		log:      log,
 		index:    eventlog.Partition{Topic: indexTopic, Number: number},
-		data:     eventlog.Partition{Topic: dataTopic, Number: number},
 		logger:   options.Logger.With().Int("partition", number).Logger(),
 		budget:   options.Budget,
 		keepJobs: options.KeepJobs,
@@ -81,6 +80,27 @@
 	}
 }
 
+// data is where bodies and texts of jobs that are bound to regions are written, or of those that are
+// bound to none. A read of the log brings neighbours along, so jobs that may not be read in the same regions
+// share no topic.
+func (p *partition) data(regions []string) eventlog.Partition {
+	topic := dataTopic
+	if set := homes.Of(regions); set.Bound() {
+		topic += "." + set.ID()
+	}
+	return eventlog.Partition{Topic: topic, Number: p.index.Number}
+}
+
+// dataOf is data for a job that was read from the index.
+func (p *partition) dataOf(jobID string) eventlog.Partition {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if job := p.state.Job(jobID); job != nil {
+		return p.data(job.Homes)
+	}
+	return p.data(nil)
+}
+
 // tail reads the partition until ctx ends, once somebody has asked for it.
 func (p *partition) tail(ctx context.Context) {
 	select {
--- a/internal/batchjobs/results.go
+++ b/internal/batchjobs/results.go
@@ -8,6 +8,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
 // ResultText is one result as it is told to a reader.
@@ -47,7 +48,7 @@
 		return answer, nil
 	}
 	selected := selectResults(job.Results[from:])
-	texts, err := s.readTexts(ctx, target, selected)
+	texts, err := s.readTexts(ctx, target.data(job.Homes), selected)
 	if err != nil {
 		return Results{}, err
 	}
@@ -100,7 +101,7 @@
 	if !found {
 		return nil, errkind.New(errkind.NotFound, "job %s has no item %s", jobID, itemID)
 	}
-	payloads, err := s.readPayloads(ctx, target, []batch.Span{{First: job.PayloadOffset(index), Count: 1}}, bodyReadLimit)
+	payloads, err := s.readPayloads(ctx, target.data(job.Homes), []batch.Span{{First: job.PayloadOffset(index), Count: 1}}, bodyReadLimit)
 	if err != nil {
 		return nil, err
 	}
@@ -109,15 +110,15 @@
 
 // Payloads returns what is sent to the engines for the items of a job.
 func (s *Service) Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error) {
-	return s.readPayloads(ctx, s.partitionOf(job.ID), job.Payloads, readLimit)
+	return s.readPayloads(ctx, s.partitionOf(job.ID).data(job.Homes), job.Payloads, readLimit)
 }
 
 func (s *Service) readPayloads(
-	ctx context.Context, target *partition, spans []batch.Span, limit int,
+	ctx context.Context, data eventlog.Partition, spans []batch.Span, limit int,
 ) ([]batch.Payload, error) {
 	var payloads []batch.Payload
 	for _, span := range spans {
-		records, err := s.readData(ctx, target, span, limit)
+		records, err := s.readData(ctx, data, span, limit)
 		if err != nil {
 			return nil, err
 		}
@@ -133,15 +134,15 @@
 }
 
 // readData returns the records of a span, read about limit bytes at a time.
-func (s *Service) readData(ctx context.Context, target *partition, span batch.Span, limit int) ([][]byte, error) {
+func (s *Service) readData(ctx context.Context, data eventlog.Partition, span batch.Span, limit int) ([][]byte, error) {
 	var records [][]byte
 	for next := span.First; len(records) < span.Count; {
-		read, err := s.log.Read(ctx, target.data, next, limit, 0)
+		read, err := s.log.Read(ctx, data, next, limit, 0)
 		if err != nil {
 			return nil, unavailable(err)
 		}
 		if len(read.Records) == 0 {
-			return nil, errkind.New(errkind.LogUnavailable, "%s has no record %d", target.data, next)
+			return nil, errkind.New(errkind.LogUnavailable, "%s has no record %d", data, next)
 		}
 		wanted := min(len(read.Records), span.Count-len(records))
 		records = append(records, read.Records[:wanted]...)
@@ -156,7 +157,7 @@
 
 // readTexts returns the texts of results. Neighbours in the log are read together, and
 // several such runs at a time.
-func (s *Service) readTexts(ctx context.Context, target *partition, results []batch.Result) ([][]byte, error) {
+func (s *Service) readTexts(ctx context.Context, data eventlog.Partition, results []batch.Result) ([][]byte, error) {
 	texts := make([][]byte, len(results))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(textReads)
@@ -170,7 +171,7 @@
 		}
 		neighbours, into := results[start:end], texts[start:end]
 		group.Go(func() error {
-			records, err := s.readData(ctx, target, span, min(size+recordOverhead*span.Count, readLimit))
+			records, err := s.readData(ctx, data, span, min(size+recordOverhead*span.Count, readLimit))
 			if err != nil {
 				return err
 			}
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -31,8 +31,8 @@
 
 // appendData writes records of the data topic. Copies that a lost answer leaves
 // behind are never named.
-func (s *Service) appendData(ctx context.Context, target *partition, records [][]byte) (int64, error) {
-	first, err := s.appendUntilDone(ctx, target.data, records)
+func (s *Service) appendData(ctx context.Context, data eventlog.Partition, records [][]byte) (int64, error) {
+	first, err := s.appendUntilDone(ctx, data, records)
 	if err != nil {
 		// No index record names these, so nothing of them will ever run.
 		return 0, errkind.New(errkind.LogUnavailable, "%s", err.Error())
@@ -81,9 +81,13 @@
 // ask for: the texts first, then the record that lists them. It returns how many of
 // them, from the first on, are recorded; all without an error.
 func (s *Service) Record(ctx context.Context, number int, finished []FinishedItem) (int, error) {
-	size := func(item FinishedItem) int { return len(item.Text) }
-	return writeBatches(finished, size, s.options.CallBytes, func(batch []FinishedItem) error {
-		return s.recordBatch(ctx, s.partitions[number], batch)
+	target := s.partitions[number]
+	texts := texts[FinishedItem]{
+		size: func(item FinishedItem) int { return len(item.Text) },
+		data: func(item FinishedItem) eventlog.Partition { return target.dataOf(item.JobID) },
+	}
+	return writeBatches(finished, texts, s.options.CallBytes, func(batch []FinishedItem) error {
+		return s.recordBatch(ctx, target, batch)
 	})
 }
 
@@ -101,7 +105,7 @@
 		records = append(records, pieces...)
 	}
 	if len(records) > 0 {
-		first, err := s.appendData(ctx, target, records)
+		first, err := s.appendData(ctx, target.dataOf(finished[0].JobID), records)
 		if err != nil {
 			return err
 		}
@@ -122,9 +126,13 @@
 // log's limits ask for. It returns how many of them, from the first on, are kept; all
 // without an error.
 func (s *Service) Keep(ctx context.Context, number int, running []RunningItem) (int, error) {
-	size := func(item RunningItem) int { return len(item.Text) }
-	return writeBatches(running, size, s.options.CallBytes, func(batch []RunningItem) error {
-		return s.keepBatch(ctx, s.partitions[number], batch)
+	target := s.partitions[number]
+	texts := texts[RunningItem]{
+		size: func(item RunningItem) int { return len(item.Text) },
+		data: func(item RunningItem) eventlog.Partition { return target.dataOf(item.Record.Job) },
+	}
+	return writeBatches(running, texts, s.options.CallBytes, func(batch []RunningItem) error {
+		return s.keepBatch(ctx, target, batch)
 	})
 }
 
@@ -140,7 +148,7 @@
 		records = append(records, pieces...)
 	}
 	if len(records) > 0 {
-		first, err := s.appendData(ctx, target, records)
+		first, err := s.appendData(ctx, target.dataOf(running[0].Record.Job), records)
 		if err != nil {
 			return err
 		}
--- a/internal/core/homes/homes.go
+++ b/internal/core/homes/homes.go
@@ -3,8 +3,11 @@
 package homes
 
 import (
+	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Set is a set of regions. The zero value bounds nothing: every region is in it. Sets compare
@@ -68,6 +71,9 @@
 	return false
 }
 
+// ID names the set in topics of the log: alike on all nodes, and of a bounded length.
+func (s Set) ID() string { return fmt.Sprintf("%016x", xxhash.Sum64String(s.String())) }
+
 // Regions returns the regions in order; nil where the set bounds nothing.
 func (s Set) Regions() []string {
 	if !s.bound {
--- a/internal/hosted/homerunners.go
+++ b/internal/hosted/homerunners.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
@@ -89,7 +87,7 @@
 func (h *homeRunners) begin(ctx context.Context, set homes.Set, elections *sync.WaitGroup) func() {
 	n := h.node
 	options := n.leaseOptions()
-	options.Topic = homeLeasePrefix + homesID(set)
+	options.Topic = homeLeasePrefix + set.ID()
 	options.Logger = n.logger.With().Stringer("homes", set).Logger()
 	elector := leadership.New(n.log, options, func(ctx context.Context, term leadership.Term) {
 		n.runAtHome(ctx, term, set)
@@ -161,9 +159,6 @@
 	stopping.Wait()
 }
 
-// homesID names a set of regions in topics and chains.
-func homesID(set homes.Set) string { return fmt.Sprintf("%016x", xxhash.Sum64String(set.String())) }
-
 // runAtHome runs the items of the jobs that are bound to a set of regions. Engines are shared with the
 // runners of other jobs, which count only what they run themselves; an engine that is full refuses.
 //
@@ -180,7 +175,7 @@
 		Within: set, HomesOf: n.jobHomes, Config: n.configVersion,
 		// The leader orders the weights; an engine that changes them refuses.
 		Loading: func(incarnation.ID) string { return "" },
-		Term:    fmt.Sprintf("%s.%d", homesID(set), term.Epoch),
+		Term:    fmt.Sprintf("%s.%d", set.ID(), term.Epoch),
 		Logger:  n.logger.With().Stringer("homes", set).Logger(),
 	})
 	gauge := n.metrics.runningAtHome.WithLabelValues(set.String())
