Stand-in: an engine that turns cold again is not warm sooner; tests of the merged parts

Ruled out: the nodes, which held it for cold until its entry said otherwise. Change: the longer time holds. A test of the reads of bound jobs waits for its result.

--- a/internal/batchjobs/homes_test.go
+++ b/internal/batchjobs/homes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 // listeningLog keeps all that was read from it.
@@ -63,15 +64,26 @@
 
 	_, err = service.Body(t.Context(), free.Job.ID, "a")
 	assert.NilError(t, err)
-	results, err := service.Results(t.Context(), free.Job.ID, 0, 0)
-	assert.NilError(t, err)
-	assert.Equal(t, string(results.Results[0].Text), "open text")
+	assert.Equal(t, textOfFirst(t, service, free.Job.ID), "open text")
 	assert.Assert(t, !log.heard("body of secret") && !log.heard("hidden text"))
 
 	body, err := service.Body(t.Context(), "bound", "secret")
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "body of secret")
-	results, err = service.Results(t.Context(), "bound", 0, 0)
-	assert.NilError(t, err)
-	assert.Equal(t, string(results.Results[0].Text), "hidden text")
+	assert.Equal(t, textOfFirst(t, service, "bound"), "hidden text")
+}
+
+// textOfFirst returns the text of a job's first result, once it is listed.
+func textOfFirst(t *testing.T, service *Service, job string) string {
+	t.Helper()
+	var text string
+	testwait.Until(t, "job "+job+" has a result", func() bool {
+		results, err := service.Results(t.Context(), job, 0, 0)
+		if err != nil || len(results.Results) == 0 {
+			return false
+		}
+		text = string(results.Results[0].Text)
+		return true
+	})
+	return text
 }
--- a/internal/standin/platform/engine_arrivals.go
+++ b/internal/standin/platform/engine_arrivals.go
@@ -40,12 +40,14 @@
 	return times
 }
 
-// TurnCold makes the engine cold for a time from now on. Its entry in the list is to be
-// listed again.
+// TurnCold makes the engine cold for a time from now on, or for as long as it is cold already. Its entry
+// in the list is to be listed again.
 func (e *Engine) TurnCold(lasting time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.coldUntil = time.Now().Add(lasting)
+	if until := time.Now().Add(lasting); until.After(e.coldUntil) {
+		e.coldUntil = until
+	}
 }
 
 // coldLeft is how much longer the engine is cold; mu is held.
