A set of homes that is named again begins a new term

Cause: where a configuration took a set of home regions away and the next one named it again, the node began a second election for it while the first was still ending. Both had one holder, so the second read the lease as its own and ran the set's jobs in the first one's term; a lease that could not be given up was taken on in the same way later. Two runners of one term number their chains alike, so what they keep of an item may be joined to one text. Ruled out: the sets of other nodes, whose holders differ, and the leader, which has one election for as long as its process lives. Change: an election of a set begins once the one before has ended, its role and its lease, and each has a holder of its own. What ends an election gives the lease up itself, in its order.

--- a/internal/hosted/homerunners.go
+++ b/internal/hosted/homerunners.go
@@ -20,8 +20,12 @@
 // reads what they hold.
 type homeRunners struct {
 	node *node
+	// role is what the holder of a set's lease does.
+	role func(ctx context.Context, term leadership.Term, set homes.Set)
 	// changed is told of each new configuration.
 	changed chan struct{}
+	// begun counts the elections; Run's alone.
+	begun int
 
 	mu       sync.Mutex
 	electors map[homes.Set]*leadership.Elector
@@ -31,7 +35,9 @@
 }
 
 func newHomeRunners(n *node) *homeRunners {
-	return &homeRunners{node: n, changed: make(chan struct{}, 1), electors: make(map[homes.Set]*leadership.Elector)}
+	return &homeRunners{
+		node: n, role: n.runAtHome, changed: make(chan struct{}, 1), electors: make(map[homes.Set]*leadership.Elector),
+	}
 }
 
 // TableChanged tells of a new configuration.
@@ -42,21 +48,30 @@
 	}
 }
 
+// election is one that this node takes part in.
+type election struct {
+	// end leaves it; ended is closed once the role is over and the lease was given up, if it could be.
+	end   func()
+	ended <-chan struct{}
+}
+
 // Run takes part in the elections until ctx ends.
 func (h *homeRunners) Run(ctx context.Context) error {
 	var elections sync.WaitGroup
-	ends := make(map[homes.Set]func())
+	ongoing, left := make(map[homes.Set]election), make(map[homes.Set]election)
 	for ctx.Err() == nil {
 		wanted := h.wanted()
-		for set, end := range ends {
+		for set, each := range ongoing {
 			if !wanted[set] {
-				end()
-				delete(ends, set)
+				each.end()
+				left[set] = each
+				delete(ongoing, set)
 			}
 		}
 		for set := range wanted {
-			if ends[set] == nil {
-				ends[set] = h.begin(ctx, set, &elections)
+			if _, found := ongoing[set]; !found {
+				ongoing[set] = h.begin(ctx, set, left[set].ended, &elections)
+				delete(left, set)
 			}
 		}
 		select {
@@ -83,35 +98,45 @@
 	return wanted
 }
 
-// begin takes part in one election and returns what ends that.
-func (h *homeRunners) begin(ctx context.Context, set homes.Set, elections *sync.WaitGroup) func() {
+// begin takes part in one election, once the one before for the same set has ended; nil for none. Each has
+// a holder of its own: to the holder of a lease that could not be given up, its term would go on, and what
+// two runners of one term keep can't be told apart.
+func (h *homeRunners) begin(
+	ctx context.Context, set homes.Set, before <-chan struct{}, elections *sync.WaitGroup,
+) election {
 	n := h.node
+	h.begun++
 	options := n.leaseOptions()
 	options.Topic = homeLeasePrefix + set.ID()
+	options.Holder = fmt.Sprintf("%s.%d", n.holder, h.begun)
 	options.Logger = n.logger.With().Stringer("homes", set).Logger()
 	elector := leadership.New(n.log, options, func(ctx context.Context, term leadership.Term) {
-		n.runAtHome(ctx, term, set)
+		h.role(ctx, term, set)
 	})
 	if !h.add(set, elector) {
-		return func() {}
+		return election{end: func() {}, ended: before}
 	}
 	electing, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
 	elections.Go(func() {
+		defer close(ended)
+		defer cancel()
 		defer h.remove(set, elector)
+		if before != nil {
+			<-before
+		}
 		if err := elector.Run(electing); err != nil {
 			options.Logger.Error().Err(err).Msg("election of a runner ended")
 		}
+		releasing, released := context.WithTimeout(ctx, releaseTimeout)
+		defer released()
+		elector.Stop(releasing)
 	})
-	return func() {
+	end := func() {
 		h.remove(set, elector)
-		releasing, released := context.WithTimeout(ctx, releaseTimeout)
-		elections.Go(func() {
-			defer released()
-			// Stop waits until the role has ended, so the lease is released only after it.
-			cancel()
-			elector.Stop(releasing)
-		})
+		cancel()
 	}
+	return election{end: end, ended: ended}
 }
 
 // add notes an elector, unless the node is about to stop.
