A node outside the homes has questions about bound jobs answered at home

Cause: in a cluster of fewer than 100 nodes, and on each replica, a question about a bound job was answered by the node that the client reached, wherever it lies. The answer may pass there, but the read of the log goes on to its limit (4 KB for a body), so bodies and texts of other jobs with the same homes came along. Ruled out: reads of unbound jobs, which have a topic of their own, and nodes that are no replica in a large cluster, which ask replicas at home. Change: a node outside asks nodes at home: replicas, or any node of a small cluster, which answers such questions. Where none is known it reads the log as before. Questions without homes go as before. While all nodes at home are silent and not forgotten yet, such a question is refused.

--- a/internal/core/replicaset/replicaset.go
+++ b/internal/core/replicaset/replicaset.go
@@ -74,8 +74,12 @@
 }
 
 // Sources returns the replicas within the regions that a node asks, the first choice first: those of
-// its zone, of its region, of others. There are none when the node reads the log itself.
+// its zone, of its region, of others. There are none when the node reads the log itself. A node outside of
+// the regions does so only where no node is known there: a read brings records of other jobs along.
 func Sources(members []Member, self Member, within homes.Set) []Member {
+	if !within.Allows(self.Region) {
+		return preferred(answering(members), self, otherSources, within)
+	}
 	near := Replicas(members, self.Zone)
 	isSelf := func(member Member) bool { return member.Node == self.Node }
 	if slices.ContainsFunc(near, isSelf) {
@@ -95,6 +99,23 @@
 	return append(preferred(near, self, zoneSources, within), others[:min(len(others), otherSources)]...)
 }
 
+// answering returns the nodes that answer for others: the replicas, or all nodes of a small cluster.
+func answering(members []Member) []Member {
+	if len(members) < MinNodes {
+		return slices.Clone(members)
+	}
+	var replicas []Member
+	for _, zone := range otherZones(members, "") {
+		replicas = append(replicas, Replicas(members, zone)...)
+	}
+	return replicas
+}
+
+// Answers tells whether a node answers for others that lie outside of the regions.
+func Answers(members []Member, self Member, within homes.Set) bool {
+	return within.Bound() && within.Allows(self.Region) && len(members) < MinNodes
+}
+
 func (m Member) place() topology.Place { return topology.Place{Zone: m.Zone, Region: m.Region} }
 
 // preferred returns the first few replicas within the regions, in the node's own order.
--- a/internal/core/replicaset/replicaset_test.go
+++ b/internal/core/replicaset/replicaset_test.go
@@ -129,3 +129,35 @@
 		assert.Equal(t, len(Sources(members, member, homes.Of([]string{"r2"}))), 0)
 	}
 }
+
+// TestANodeOutsideAsksNodesAtHomeInASmallClusterToo: it reads nothing of bound jobs itself while one is known there.
+func TestANodeOutsideAsksNodesAtHomeInASmallClusterToo(t *testing.T) {
+	members := regions(MinNodes - 1)
+	home := homes.Of([]string{"r0"})
+	for _, member := range members {
+		sources := Sources(members, member, home)
+		assert.Equal(t, Answers(members, member, home), member.Region == "r0")
+		assert.Assert(t, !Answers(members, member, homes.Set{}))
+		if member.Region == "r0" {
+			assert.Equal(t, len(sources), 0, "it answers itself")
+			continue
+		}
+		assert.Equal(t, len(sources), otherSources)
+		for _, source := range sources {
+			assert.Equal(t, source.Region, "r0")
+		}
+	}
+	assert.Assert(t, !Answers(regions(MinNodes), members[0], home), "a large one has replicas")
+}
+
+// TestAReplicaOutsideAsksReplicasAtHome: that it is one says nothing of where it may read.
+func TestAReplicaOutsideAsksReplicasAtHome(t *testing.T) {
+	members := regions(320)
+	for _, zone := range otherZones(members, "") {
+		for _, replica := range Replicas(members, zone) {
+			if replica.Region != "r0" {
+				assert.Equal(t, len(Sources(members, replica, homes.Of([]string{"r0"}))), otherSources)
+			}
+		}
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -256,7 +256,7 @@
 func (n *node) peersHandler(direct eventlog.Log, log *logrelay.Fallback) http.Handler {
 	router := mux.NewRouter()
 	router.Handle(logrelay.Path, logrelay.NewHandler(direct, log.Direct, n))
-	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.IsReplica)).Methods(http.MethodPost)
+	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.AnswersWithin)).Methods(http.MethodPost)
 	router.Handle(crashes.Path, n.guard.Handler()).Methods(http.MethodPost)
 	router.Handle(coldpermits.Path, n.coldDecider.Handler(n.fleet.SlowStart)).Methods(http.MethodPost)
 	return router
--- a/internal/jobrelay/jobrelay_test.go
+++ b/internal/jobrelay/jobrelay_test.go
@@ -49,12 +49,12 @@
 	return f.fail
 }
 
-func always() bool { return true }
+func always(homes.Set) bool { return true }
 
 // serving returns the address of a node with these jobs.
-func serving(t *testing.T, jobs Jobs, isReplica func() bool) string {
+func serving(t *testing.T, jobs Jobs, answers func(homes.Set) bool) string {
 	t.Helper()
-	server := httptest.NewServer(NewHandler(jobs, isReplica))
+	server := httptest.NewServer(NewHandler(jobs, answers))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -123,7 +123,7 @@
 // and does not say that there is no such job.
 func TestWhereReplicasDoNotAnswerTheCallerAsksElsewhere(t *testing.T) {
 	own := &fakeJobs{name: "own"}
-	other := serving(t, &fakeJobs{name: "other"}, func() bool { return false })
+	other := serving(t, &fakeJobs{name: "other"}, func(homes.Set) bool { return false })
 	for _, address := range []string{other, silent(t)} {
 		_, err := relayTo(own, address).Body(t.Context(), "j", "i")
 		assert.Equal(t, errkind.KindOf(err), errkind.LogUnavailable)
--- a/internal/jobrelay/server.go
+++ b/internal/jobrelay/server.go
@@ -18,18 +18,18 @@
 	maxWait = 5 * time.Second
 )
 
-// NewHandler answers questions of other nodes while this node is a replica.
-func NewHandler(jobs Jobs, isReplica func() bool) http.Handler {
+// NewHandler answers questions of other nodes that are bound to regions where this node answers for them.
+func NewHandler(jobs Jobs, answers func(within homes.Set) bool) http.Handler {
 	return msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, asked request) response {
-		if !isReplica() {
+		within := homes.Of(asked.Homes)
+		if !answers(within) {
 			return response{NoReplica: true}
 		}
-		return serve(ctx, jobs, asked)
+		return serve(homes.NewContext(ctx, within), jobs, asked)
 	})
 }
 
 func serve(ctx context.Context, jobs Jobs, asked request) response {
-	ctx = homes.NewContext(ctx, homes.Of(asked.Homes))
 	switch asked.Operation {
 	case opResults:
 		results, err := jobs.Results(ctx, asked.Job, asked.From, min(asked.Wait, maxWait))
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -209,12 +209,19 @@
 func (d *Directory) SourcesWithin(regions homes.Set) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !regions.Bound() || len(d.sources) == 0 {
+	if !regions.Bound() {
 		return d.sources
 	}
 	return d.sourcesAmong(d.candidates(), regions)
 }
 
+// AnswersWithin tells whether this node answers questions of others that are bound to the regions.
+func (d *Directory) AnswersWithin(regions homes.Set) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isReplica || replicaset.Answers(d.candidates(), d.own.candidate(), regions)
+}
+
 // IsReplica tells whether this node hands followed topics to others.
 func (d *Directory) IsReplica() bool {
 	d.mu.Lock()
--- a/test/hosted/homes_test.go
+++ b/test/hosted/homes_test.go
@@ -366,3 +366,20 @@
 	assert.Assert(t, len(north.link.touched()) > 0)
 	assert.Equal(t, len(near.link.touched()), 0, "bodies went by way of a node outside: %v", near.link.touched())
 }
+
+// TestANodeOutsideHasBoundJobsAnsweredAtHome: a read of the log would show it bodies and texts of other jobs.
+func TestANodeOutsideHasBoundJobsAnsweredAtHome(t *testing.T) {
+	t.Parallel()
+	d := deployRegions(t, 0, 4)
+	d.configure(bound(batchRoute("/batch/"), "north"))
+	south, north := d.startIn("south", "s1"), d.startIn("north", "n1")
+	for _, node := range []regional{south, north} {
+		node.awaitOthers(t, 2)
+	}
+	ids := itemIDs(10)
+	assert.Equal(t, north.call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
+	checkWhole(t, d.awaitResults(south.process, "job1", len(ids)), ids, 4)
+	body := south.call(http.MethodGet, "/items/job1?id="+ids[0], "", "")
+	assert.Equal(t, body.status, http.StatusOK, body.body)
+	assert.Equal(t, len(south.link.touched()), 0, "the node outside read bodies or texts: %v", south.link.touched())
+}
