Texts are written to the topic of their own job's record

Cause: which topic a text is written to was looked up in the index as this node knows it. A job that has ended and is forgotten there (the look comes every 5 s) was taken for one without homes, so a late result or a kept part of a bound job went to the topic that all nodes read. Ruled out: jobs that are open, which are never forgotten, and payloads, which are written before there is a record. Change: the runner, which holds the job's record, names its homes with each text; a read of kept texts goes by that record as well. The look into the index, one lock for each text, is gone. The test of the topics hands the homes over with its bound text, and demands what it did.

--- a/internal/batchjobs/homes_test.go
+++ b/internal/batchjobs/homes_test.go
@@ -58,6 +58,7 @@
 	_, err = service.Results(t.Context(), "bound", 0, 0)
 	assert.NilError(t, err)
 	both := append(finished(free.Job.ID, 0, "open text"), finished("bound", 0, "hidden text")...)
+	both[1].Homes = bound.Job.Homes
 	recorded, err := service.Record(t.Context(), service.PartitionOf("bound"), both)
 	assert.NilError(t, err)
 	assert.Equal(t, recorded, 2)
@@ -87,3 +88,30 @@
 	})
 	return text
 }
+
+// TestTextsOfAForgottenJobStayInTheTopicOfItsHomes: what is recorded late may be of a job that this node knows no more.
+func TestTextsOfAForgottenJobStayInTheTopicOfItsHomes(t *testing.T) {
+	log := &listeningLog{Log: memlog.New()}
+	service := newService(log)
+	follow(t, service)
+	bound := submission("bound", "secret")
+	bound.Job.Homes = []string{"north"}
+	assert.NilError(t, service.Accept(t.Context(), bound))
+	assert.NilError(t, service.End(t.Context(), "bound"))
+	target := service.partitionOf("bound")
+	testwait.Until(t, "the job is forgotten", func() bool {
+		target.forget(time.Now().Add(time.Hour))
+		return !target.has("bound")
+	})
+	late := finished("bound", 0, "hidden text")
+	late[0].Homes = bound.Job.Homes
+	_, err := service.Record(t.Context(), service.PartitionOf("bound"), late)
+	assert.NilError(t, err)
+	kept := RunningItem{Homes: bound.Job.Homes, Text: []byte("hidden part")}
+	kept.Record.Job, kept.Record.To = "bound", 1
+	_, err = service.Keep(t.Context(), service.PartitionOf("bound"), []RunningItem{kept})
+	assert.NilError(t, err)
+	open, err := log.Read(t.Context(), target.data(nil), 0, readLimit, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(open.Records), 0, "%q", open.Records)
+}
--- a/internal/batchjobs/kept.go
+++ b/internal/batchjobs/kept.go
@@ -24,9 +24,9 @@
 // of all running items in one call, so parts that lie together are read together. With
 // an error, texts that could be read are returned as well.
 func (s *Service) KeptTexts(
-	ctx context.Context, jobID string, kept map[int]batch.Progress,
+	ctx context.Context, job batch.JobRecord, kept map[int]batch.Progress,
 ) (map[int][]byte, error) {
-	data := s.partitionOf(jobID).dataOf(jobID)
+	data := s.partitionOf(job.ID).data(job.Homes)
 	var mu sync.Mutex
 	records := make(map[int64][]byte)
 	var group errgroup.Group
--- a/internal/batchjobs/kept_test.go
+++ b/internal/batchjobs/kept_test.go
@@ -61,7 +61,7 @@
 	service := newService(log)
 	kept := keptJob(t.Context(), t, service, 40, 5)
 	before := log.dataReads.Load()
-	texts, err := service.KeptTexts(t.Context(), "j", kept)
+	texts, err := service.KeptTexts(t.Context(), batch.JobRecord{ID: "j"}, kept)
 	assert.NilError(t, err)
 	for item := range kept {
 		assert.Equal(t, string(texts[item]), fmt.Sprintf("%[1]d-1\n%[1]d-2\n%[1]d-3\n%[1]d-4\n%[1]d-5", item))
@@ -78,7 +78,7 @@
 	lost := kept[1]
 	lost.Parts = []batch.Span{{First: 1 << 30, Count: 1}}
 	kept[1] = lost
-	texts, err := service.KeptTexts(t.Context(), "j", kept)
+	texts, err := service.KeptTexts(t.Context(), batch.JobRecord{ID: "j"}, kept)
 	assert.ErrorContains(t, err, "no record")
 	assert.Equal(t, string(texts[0]), "0-1")
 	_, found := texts[1]
@@ -100,7 +100,7 @@
 	service := newService(log)
 	kept := keptJob(t.Context(), t, service, 40, 5)
 	log.dataBytes.Store(0)
-	_, err := service.KeptTexts(t.Context(), "j", kept)
+	_, err := service.KeptTexts(t.Context(), batch.JobRecord{ID: "j"}, kept)
 	assert.NilError(t, err)
 	wanted := 0
 	for _, progress := range kept {
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -91,16 +91,6 @@
 	return eventlog.Partition{Topic: topic, Number: p.index.Number}
 }
 
-// dataOf is data for a job that was read from the index.
-func (p *partition) dataOf(jobID string) eventlog.Partition {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if job := p.state.Job(jobID); job != nil {
-		return p.data(job.Homes)
-	}
-	return p.data(nil)
-}
-
 // tail reads the partition until ctx ends, once somebody has asked for it.
 func (p *partition) tail(ctx context.Context) {
 	select {
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -65,7 +65,9 @@
 
 // FinishedItem is the end of one item, to be recorded.
 type FinishedItem struct {
-	JobID    string
+	JobID string
+	// Homes are those of the job's record, by which its texts are kept.
+	Homes    []string
 	Item     int
 	Outcome  batch.Outcome
 	Text     []byte
@@ -84,7 +86,7 @@
 	target := s.partitions[number]
 	texts := texts[FinishedItem]{
 		size: func(item FinishedItem) int { return len(item.Text) },
-		data: func(item FinishedItem) eventlog.Partition { return target.dataOf(item.JobID) },
+		data: func(item FinishedItem) eventlog.Partition { return target.data(item.Homes) },
 	}
 	return writeBatches(finished, texts, s.options.CallBytes, func(batch []FinishedItem) error {
 		return s.recordBatch(ctx, target, batch)
@@ -105,7 +107,7 @@
 		records = append(records, pieces...)
 	}
 	if len(records) > 0 {
-		first, err := s.appendData(ctx, target.dataOf(finished[0].JobID), records)
+		first, err := s.appendData(ctx, target.data(finished[0].Homes), records)
 		if err != nil {
 			return err
 		}
@@ -118,6 +120,8 @@
 
 // RunningItem is output of an item that still runs, to be kept.
 type RunningItem struct {
+	// Homes are those of the job's record, by which its texts are kept.
+	Homes  []string
 	Record batch.ProgressRecord
 	Text   []byte
 }
@@ -129,7 +133,7 @@
 	target := s.partitions[number]
 	texts := texts[RunningItem]{
 		size: func(item RunningItem) int { return len(item.Text) },
-		data: func(item RunningItem) eventlog.Partition { return target.dataOf(item.Record.Job) },
+		data: func(item RunningItem) eventlog.Partition { return target.data(item.Homes) },
 	}
 	return writeBatches(running, texts, s.options.CallBytes, func(batch []RunningItem) error {
 		return s.keepBatch(ctx, target, batch)
@@ -148,7 +152,7 @@
 		records = append(records, pieces...)
 	}
 	if len(records) > 0 {
-		first, err := s.appendData(ctx, target.dataOf(running[0].Record.Job), records)
+		first, err := s.appendData(ctx, target.data(running[0].Homes), records)
 		if err != nil {
 			return err
 		}
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -152,7 +152,7 @@
 	Keep(ctx context.Context, partition int, running []batchjobs.RunningItem) (int, error)
 	// KeptTexts returns the texts of kept progress by item; with an error those that
 	// could be read.
-	KeptTexts(ctx context.Context, jobID string, kept map[int]batch.Progress) (map[int][]byte, error)
+	KeptTexts(ctx context.Context, job batch.JobRecord, kept map[int]batch.Progress) (map[int][]byte, error)
 	PartitionOf(jobID string) int
 }
 
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -112,7 +112,7 @@
 }
 
 func (f *fakeJobs) KeptTexts(
-	ctx context.Context, _ string, kept map[int]batch.Progress,
+	ctx context.Context, _ batch.JobRecord, kept map[int]batch.Progress,
 ) (map[int][]byte, error) {
 	if f.holdKept != nil {
 		select {
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -95,7 +95,7 @@
 	if len(job.kept) == 0 {
 		return nil
 	}
-	texts, err := r.options.Jobs.KeptTexts(ctx, job.record.ID, job.kept)
+	texts, err := r.options.Jobs.KeptTexts(ctx, job.record, job.kept)
 	if err != nil {
 		r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("items", len(job.kept)).
 			Int("read", len(texts)).Msg("kept progress not read")
--- a/internal/batchrun/progress.go
+++ b/internal/batchrun/progress.go
@@ -108,7 +108,7 @@
 		Job: key.Job, Item: index, Chain: part.Chain, Continues: part.Continues,
 		From: part.From, To: part.To, Versions: part.Versions, Whole: part.Whole,
 	}
-	return batchjobs.RunningItem{Record: record, Text: part.Text}, kept{key, part}, true
+	return batchjobs.RunningItem{Homes: job.record.Homes, Record: record, Text: part.Text}, kept{key, part}, true
 }
 
 // workingSince tells since when an item runs or waits for its score; mu is held.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -228,7 +228,7 @@
 	text := item.Complete()
 	r.plan.ObserveLength(job.record.Items[index].Length, item.Output.Last())
 	r.record(job, reason, batchjobs.FinishedItem{
-		JobID: job.record.ID, Item: index, Outcome: batch.Completed,
+		JobID: job.record.ID, Homes: job.record.Homes, Item: index, Outcome: batch.Completed,
 		Text: text, Versions: item.Output.Versions(), Score: score,
 	})
 }
--- a/internal/batchrun/scope_test.go
+++ b/internal/batchrun/scope_test.go
@@ -203,3 +203,21 @@
 	w.setHomes("j", "south")
 	assert.Assert(t, !r.mayRun(job, north))
 }
+
+// TestWhatIsKeptNamesTheHomesOfTheJobsRecord: whatever the configuration says by now, the job's texts lie there.
+func TestWhatIsKeptNamesTheHomesOfTheJobsRecord(t *testing.T) {
+	w := newRegions(t)
+	w.setHomes("bound", "south")
+	w.run("south")
+	items := w.itemsOf("bound", 2, 200)
+	w.submitRecord(batch.JobRecord{ID: "bound", Model: "m", MinVersion: 1, Homes: []string{"north"}}, items)
+	for _, result := range w.awaitResults(len(items)) {
+		assert.DeepEqual(t, result.Homes, []string{"north"})
+	}
+	w.jobs.mu.Lock()
+	defer w.jobs.mu.Unlock()
+	assert.Assert(t, len(w.jobs.kept) > 0)
+	for _, part := range w.jobs.kept {
+		assert.DeepEqual(t, part.Homes, []string{"north"})
+	}
+}
