Sets of homes with different regions have different IDs

Cause: the ID, which names a set's lease and its topic, was the hash of the form for logs, in which a comma parts the regions. A region "a,b" and the regions "a" and "b" had one ID: one runner would be elected for both, and the jobs of the other set would wait for good. Ruled out: equality of sets, which goes by the regions themselves. Change: the ID is the hash of what equality compares. Figures: the test finds one ID before, two after.

--- a/internal/core/homes/homes.go
+++ b/internal/core/homes/homes.go
@@ -72,7 +72,7 @@
 }
 
 // ID names the set in topics of the log: alike on all nodes, and of a bounded length.
-func (s Set) ID() string { return fmt.Sprintf("%016x", xxhash.Sum64String(s.String())) }
+func (s Set) ID() string { return fmt.Sprintf("%016x", xxhash.Sum64String(s.names)) }
 
 // Regions returns the regions in order; nil where the set bounds nothing.
 func (s Set) Regions() []string {
--- a/internal/core/homes/homes_test.go
+++ b/internal/core/homes/homes_test.go
@@ -49,6 +49,13 @@
 	assert.Assert(t, Set{}.Regions() == nil)
 	assert.Equal(t, Of([]string{"b", "a"}).String(), "a,b")
 	assert.Equal(t, Set{}.String(), "everywhere")
+	assert.Equal(t, Of([]string{"b", "a"}).ID(), Of([]string{"a", "b"}).ID())
+}
+
+// TestDifferentSetsHaveDifferentIDs: sets of one ID would share a lease and a topic.
+func TestDifferentSetsHaveDifferentIDs(t *testing.T) {
+	assert.Assert(t, Of([]string{"a,b"}).ID() != Of([]string{"a", "b"}).ID())
+	assert.Assert(t, Of([]string{"everywhere"}).ID() != Set{}.ID())
 }
 
 func TestACallCarriesItsHomes(t *testing.T) {
