The time of another runner's job goes on when it is told again

Cause: a configuration that moves some job to another runner has all open jobs told again, and the leader took each job of others anew, with a time that began then. Where such configurations come again and again, items that nobody may run are never given up. Ruled out: jobs of its own, which are passed over when told again. Change: a known job of another runner is passed over as well; its results are told of as they come.

--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -19,7 +19,9 @@
 		return
 	}
 	if !r.owns(&job.JobRecord) {
-		r.others[job.ID] = newOtherJob(job)
+		if r.others[job.ID] == nil {
+			r.others[job.ID] = newOtherJob(job)
+		}
 		return
 	}
 	delete(r.others, job.ID)
--- a/internal/batchrun/scope_test.go
+++ b/internal/batchrun/scope_test.go
@@ -221,3 +221,23 @@
 		assert.DeepEqual(t, part.Homes, []string{"north"})
 	}
 }
+
+// TestTheTimeOfAnotherRunnersJobGoesOnWhenItIsToldAgain: as it is with each configuration that moves some job.
+func TestTheTimeOfAnotherRunnersJobGoesOnWhenItIsToldAgain(t *testing.T) {
+	w := newRegions(t)
+	w.setHomes("bound", "west")
+	r, _ := w.run()
+	w.submit("bound", 1, w.itemsOf("bound", 2, 3)...)
+	seenAt := func() (at time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if job := r.others["bound"]; job != nil {
+			at = job.seenAt
+		}
+		return at
+	}
+	testwait.Until(t, "the job is known", func() bool { return !seenAt().IsZero() })
+	first := seenAt()
+	w.jobs.Observe(r)
+	assert.Equal(t, seenAt(), first)
+}
