A job whose route its runner does not know yet waits for the configuration

Cause: a job that was taken under a new route by a node that had read the configuration was given up with "no route" by a runner that had not, though it was taken for good. The leader did the same to jobs of other runners after 5 s. Ruled out: routes that are gone, whose jobs name an older configuration than the runner's. Change: where the job's record names a newer configuration than the one in force here, and the route is missing, the job is not loaded and not given up. Figures: in the test the 2 items of such a job expired at once; now they complete once the configuration is there, and those of a job whose route is gone expire as before.

--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -332,7 +332,7 @@
 	r := New(Options{
 		Jobs: w.jobs, Engines: engines, Fleet: w.fleet, Scorer: w.scorer, Guard: w.guard, ColdStarts: w.starts,
 		Gate:    w.gate,
-		RouteOf: func(string, string) (Route, bool) { return w.route, w.route.Service != "" },
+		RouteOf: w.routeOf,
 		Within:  homes.Of(regions), HomesOf: w.homesOf, Config: w.configVersion,
 		Loading: func(incarnation.ID) string { return "" }, Term: fmt.Sprint(w.terms), Logger: zerolog.Nop(),
 	})
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -80,6 +80,10 @@
 // load reads what the engines are sent and queues the items.
 func (r *Runner) load(ctx context.Context, job *openJob) {
 	for ctx.Err() == nil {
+		if r.awaitsRoute(&job.record) {
+			retry.Sleep(ctx, loadDelay)
+			continue
+		}
 		payloads, err := r.options.Jobs.Payloads(ctx, job.record)
 		if err == nil && len(payloads) == len(job.items) {
 			r.queueJob(job, payloads, r.loadKept(ctx, job))
--- a/internal/batchrun/scope.go
+++ b/internal/batchrun/scope.go
@@ -37,6 +37,13 @@
 // owns tells whether this runner runs a job by the configuration in force.
 func (r *Runner) owns(job *batch.JobRecord) bool { return r.options.HomesOf(job) == r.options.Within }
 
+// awaitsRoute tells whether a job's route may only not be known yet: the node that took the job knew a newer
+// configuration.
+func (r *Runner) awaitsRoute(job *batch.JobRecord) bool {
+	_, found := r.options.RouteOf(job.Host, job.Path)
+	return !found && job.Config > r.options.Config()
+}
+
 // mayRun tells whether an item of the job may be sent to the engine: the last look before it is.
 func (r *Runner) mayRun(job *openJob, engine fleet.Engine) bool {
 	return r.owns(&job.record) && r.options.Within.Allows(engine.Region)
@@ -113,7 +120,7 @@
 		route, found := r.options.RouteOf(job.record.Host, job.record.Path)
 		limit := otherGrace
 		switch {
-		case found && route.Retention <= 0:
+		case found && route.Retention <= 0, r.awaitsRoute(&job.record):
 			continue
 		case found:
 			limit += route.Retention
--- a/internal/batchrun/scope_test.go
+++ b/internal/batchrun/scope_test.go
@@ -26,6 +26,20 @@
 	return w.config
 }
 
+func (w *world) routeOf(string, string) (Route, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.route, w.route.Service != ""
+}
+
+// setRoute puts a configuration in force that has this route.
+func (w *world) setRoute(to Route) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.route = to
+	w.config++
+}
+
 // setHomes puts a configuration in force that binds a job to the regions.
 func (w *world) setHomes(job string, regions ...string) {
 	w.mu.Lock()
@@ -241,3 +255,27 @@
 	w.jobs.Observe(r)
 	assert.Equal(t, seenAt(), first)
 }
+
+// TestAJobWhoseRouteIsNotKnownYetIsNotGivenUp: the node that took it knew a newer configuration than its runner.
+func TestAJobWhoseRouteIsNotKnownYetIsNotGivenUp(t *testing.T) {
+	w := newRegions(t)
+	route := w.route
+	w.route = Route{}
+	r, _ := w.run()
+	w.setHomes("bound", "west")
+	newer := w.configVersion() + 1
+	w.submitRecord(batch.JobRecord{ID: "new", Model: "m", Config: newer}, w.itemsOf("new", 2, 3))
+	w.submitRecord(batch.JobRecord{ID: "bound", Model: "m", Config: newer}, w.itemsOf("bound", 2, 3))
+	w.submit("gone", 1, w.itemsOf("gone", 2, 3)...)
+	for key, result := range w.awaitResults(2) {
+		assert.Assert(t, result.Outcome == batch.Expired && strings.HasPrefix(key, "gone"), key)
+	}
+	r.giveUpOthers(time.Now().Add(otherGrace))
+	r.mu.Lock()
+	assert.Assert(t, r.others["bound"] != nil)
+	r.mu.Unlock()
+	w.setRoute(route)
+	for key, result := range w.awaitResults(4) {
+		assert.Equal(t, result.Outcome == batch.Completed, strings.HasPrefix(key, "new"), key)
+	}
+}
