--- a/test/hosted/homes_test.go
+++ b/test/hosted/homes_test.go
@@ -37,7 +37,7 @@
 
 // ServeHTTP implements http.Handler.
 func (l *dataLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ofData := r.URL.Query().Get("topic") == dataTopic
+	ofData := strings.HasPrefix(r.URL.Query().Get("topic"), dataTopic)
 	l.mu.Lock()
 	if ofData {
 		l.calls = append(l.calls, r.URL.Path)
