--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -19,7 +19,9 @@
 		return
 	}
 	if !r.owns(&job.JobRecord) {
-		r.others[job.ID] = newOtherJob(job)
+		if r.others[job.ID] == nil {
+			r.others[job.ID] = newOtherJob(job)
+		}
 		return
 	}
 	delete(r.others, job.ID)
@@ -78,6 +80,10 @@
 // load reads what the engines are sent and queues the items.
 func (r *Runner) load(ctx context.Context, job *openJob) {
 	for ctx.Err() == nil {
+		if r.awaitsRoute(&job.record) {
+			retry.Sleep(ctx, loadDelay)
+			continue
+		}
 		payloads, err := r.options.Jobs.Payloads(ctx, job.record)
 		if err == nil && len(payloads) == len(job.items) {
 			r.queueJob(job, payloads, r.loadKept(ctx, job))
@@ -95,7 +101,7 @@
 	if len(job.kept) == 0 {
 		return nil
 	}
-	texts, err := r.options.Jobs.KeptTexts(ctx, job.record.ID, job.kept)
+	texts, err := r.options.Jobs.KeptTexts(ctx, job.record, job.kept)
 	if err != nil {
 		r.options.Logger.Warn().Err(err).Str("job", job.record.ID).Int("items", len(job.kept)).
 			Int("read", len(texts)).Msg("kept progress not read")
--- a/internal/batchrun/scope_test.go
+++ b/internal/batchrun/scope_test.go
@@ -26,6 +26,20 @@
 	return w.config
 }
 
+func (w *world) routeOf(string, string) (Route, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.route, w.route.Service != ""
+}
+
+// setRoute puts a configuration in force that has this route.
+func (w *world) setRoute(to Route) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.route = to
+	w.config++
+}
+
 // setHomes puts a configuration in force that binds a job to the regions.
 func (w *world) setHomes(job string, regions ...string) {
 	w.mu.Lock()
@@ -203,3 +217,65 @@
 	w.setHomes("j", "south")
 	assert.Assert(t, !r.mayRun(job, north))
 }
+
+// TestWhatIsKeptNamesTheHomesOfTheJobsRecord: whatever the configuration says by now, the job's texts lie there.
+func TestWhatIsKeptNamesTheHomesOfTheJobsRecord(t *testing.T) {
+	w := newRegions(t)
+	w.setHomes("bound", "south")
+	w.run("south")
+	items := w.itemsOf("bound", 2, 200)
+	w.submitRecord(batch.JobRecord{ID: "bound", Model: "m", MinVersion: 1, Homes: []string{"north"}}, items)
+	for _, result := range w.awaitResults(len(items)) {
+		assert.DeepEqual(t, result.Homes, []string{"north"})
+	}
+	w.jobs.mu.Lock()
+	defer w.jobs.mu.Unlock()
+	assert.Assert(t, len(w.jobs.kept) > 0)
+	for _, part := range w.jobs.kept {
+		assert.DeepEqual(t, part.Homes, []string{"north"})
+	}
+}
+
+// TestTheTimeOfAnotherRunnersJobGoesOnWhenItIsToldAgain: as it is with each configuration that moves some job.
+func TestTheTimeOfAnotherRunnersJobGoesOnWhenItIsToldAgain(t *testing.T) {
+	w := newRegions(t)
+	w.setHomes("bound", "west")
+	r, _ := w.run()
+	w.submit("bound", 1, w.itemsOf("bound", 2, 3)...)
+	seenAt := func() (at time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if job := r.others["bound"]; job != nil {
+			at = job.seenAt
+		}
+		return at
+	}
+	testwait.Until(t, "the job is known", func() bool { return !seenAt().IsZero() })
+	first := seenAt()
+	w.jobs.Observe(r)
+	assert.Equal(t, seenAt(), first)
+}
+
+// TestAJobWhoseRouteIsNotKnownYetIsNotGivenUp: the node that took it knew a newer configuration than its runner.
+func TestAJobWhoseRouteIsNotKnownYetIsNotGivenUp(t *testing.T) {
+	w := newRegions(t)
+	route := w.route
+	w.route = Route{}
+	r, _ := w.run()
+	w.setHomes("bound", "west")
+	newer := w.configVersion() + 1
+	w.submitRecord(batch.JobRecord{ID: "new", Model: "m", Config: newer}, w.itemsOf("new", 2, 3))
+	w.submitRecord(batch.JobRecord{ID: "bound", Model: "m", Config: newer}, w.itemsOf("bound", 2, 3))
+	w.submit("gone", 1, w.itemsOf("gone", 2, 3)...)
+	for key, result := range w.awaitResults(2) {
+		assert.Assert(t, result.Outcome == batch.Expired && strings.HasPrefix(key, "gone"), key)
+	}
+	r.giveUpOthers(time.Now().Add(otherGrace))
+	r.mu.Lock()
+	assert.Assert(t, r.others["bound"] != nil)
+	r.mu.Unlock()
+	w.setRoute(route)
+	for key, result := range w.awaitResults(4) {
+		assert.Equal(t, result.Outcome == batch.Completed, strings.HasPrefix(key, "new"), key)
+	}
+}
