Files of one job: what a node needs of its platform, elections, tries of a live request

Cause: two files had grown beyond a screenful of topics while four parts were joined in them. No change of behaviour.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -34,7 +34,7 @@
 	ReadAt time.Time
 }
 
-// Incarnation names this life of the engine.
+// Incarnation names the engine since its start.
 func (e Engine) Incarnation() incarnation.ID { return incarnation.ID{Engine: e.ID, Born: e.Born} }
 
 // Load is what an engine said of itself with an answer.
@@ -91,7 +91,7 @@
 }
 
 // Observe notes that an engine has at least a version of a model. Versions of
-// one life of an engine only rise.
+// one incarnation only rise.
 func (f *Fleet) Observe(of incarnation.ID, model string, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/core/incarnation/incarnation.go
+++ b/internal/core/incarnation/incarnation.go
@@ -1,9 +1,10 @@
-// Package incarnation names one life of an engine, from its start to its end.
+// Package incarnation names engines from one start to the next: what was known of one is void once it
+// has started again.
 package incarnation
 
 import "strconv"
 
-// ID names one life of an engine. An engine may start again under the ID that it had; it then
+// ID names an engine between one start and its end. An engine may start again under the ID that it had; it then
 // holds and knows nothing of before, so what is believed of an engine is kept by its incarnation
 // and goes with it.
 type ID struct {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +23,7 @@
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/standstill"
-	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
-	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/duties"
@@ -38,86 +35,8 @@
 	"github.com/corkpulley/corkpulley/internal/logrelay"
 	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/settings"
-	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
 
-// Engines calls the model engines for all roles.
-type Engines interface {
-	ingress.Engines
-	batchrun.Engines
-	weightorders.Engines
-	crashes.Prober
-}
-
-// ControlChange is one change by the operator or a trainer: a new table, a named weight
-// version, or an evacuation. All are empty for records of no interest.
-type ControlChange struct {
-	Table        *routes.Table
-	Model        string
-	ModelVersion int64
-	Evacuation   *Evacuation
-}
-
-// Evacuation says whether the engines of a zone are to get no new work.
-type Evacuation struct {
-	Zone string
-	// InForce is false once the operator has taken the evacuation back.
-	InForce bool
-}
-
-// JobName is how a caller names a batch job.
-type JobName struct {
-	// Host is that of the call.
-	Host        string
-	Credentials routes.Credentials
-	// ID is the name that its submitter gave the job.
-	ID string
-}
-
-// Callers is what a node does for those who call it.
-type Callers interface {
-	// Relay answers a live request; see ingress.Relay.
-	Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error
-	// TakesBatch tells whether a batch job is handed in under the path.
-	TakesBatch(host, path string) bool
-	// Accept keeps a job that was handed in on its host and path.
-	Accept(ctx context.Context, credentials routes.Credentials, submission batchjobs.Submission) error
-	Results(ctx context.Context, job JobName, from int, wait time.Duration) (batchjobs.Results, error)
-	Body(ctx context.Context, job JobName, itemID string) ([]byte, error)
-	End(ctx context.Context, job JobName) error
-	// Stopping is true during the planned stop.
-	Stopping() bool
-	// MaxBodyBytes and MaxHeaderBytes bound what a client may send.
-	MaxBodyBytes() int64
-	MaxHeaderBytes() int
-	// Refused is told of each error answer.
-	Refused(id string, failure *errkind.Error)
-}
-
-// Platform is what a node needs of the platform that hosts it: names, formats
-// and calls.
-type Platform interface {
-	Log() eventlog.Log
-	Engines() Engines
-	// Duties makes the calls that one node at a time makes.
-	Duties() duties.Platform
-	// ControlTopic and EngineTopic name the compacted topics with the operator's
-	// records and the engine list.
-	ControlTopic() string
-	EngineTopic() string
-	// CrashTopic names the compacted topic with the requests under which engines ended.
-	CrashTopic() string
-	DecodeControl(record eventlog.KeyedRecord) (ControlChange, error)
-	// EncodeEvacuation returns the record of the control topic that says so.
-	EncodeEvacuation(evacuation Evacuation) eventlog.KeyedRecord
-	// DecodeEngine reads an entry of the engine list; its error is an *EntryError.
-	DecodeEngine(record eventlog.KeyedRecord) (fleet.Engine, error)
-	// CallersHandler serves live callers and trainers.
-	CallersHandler(node Callers) http.Handler
-	// OperatorsHandler serves the question whether the node is ready, and metrics.
-	OperatorsHandler(ready func() error, metrics http.Handler) http.Handler
-}
-
 // node is one running process.
 type node struct {
 	config   settings.Settings
@@ -242,16 +161,6 @@
 	return n, n.listen(n.peersHandler(direct, log))
 }
 
-// leaseOptions say how this node asks for the leader's lease.
-func (n *node) leaseOptions() leadership.Options {
-	return leadership.Options{
-		Holder: n.holder, Node: n.config.Node.ID, Address: exclusiveAddress(n.config.Listen.Peers),
-		TTL: time.Duration(n.config.Hosted.Lease), ClaimDelay: claimDelay(n.config.Node.Processors),
-		Quiet: time.Duration(n.config.Hosted.OrderQuiet), EnginesFence: n.config.Hosted.EnginesFence,
-		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: n.logger,
-	}
-}
-
 // peersHandler serves other nodes.
 func (n *node) peersHandler(direct eventlog.Log, log *logrelay.Fallback) http.Handler {
 	router := mux.NewRouter()
@@ -279,29 +188,6 @@
 	}
 }
 
-// weakDelay is how long a node with hardly any processor leaves a free lease to
-// others.
-const weakDelay = 150 * time.Millisecond
-
-// claimDelay is longer the smaller a node's share of a processor is: a leader runs
-// the items of all jobs. A node that does not know its share counts as whole.
-func claimDelay(processors float64) time.Duration {
-	if processors <= 0 || processors >= 1 {
-		return 0
-	}
-	return time.Duration((1 - processors) * float64(weakDelay))
-}
-
-// exclusiveAddress is the address that a process listens on, if no process of another machine can: empty
-// where it is loopback, all addresses of the machine, or a port that the system chooses.
-func exclusiveAddress(listen string) string {
-	address, err := netip.ParseAddrPort(listen)
-	if err != nil || address.Port() == 0 || address.Addr().IsLoopback() || address.Addr().IsUnspecified() {
-		return ""
-	}
-	return listen
-}
-
 func (n *node) listen(peers http.Handler) error {
 	var err error
 	if n.peers, err = listen(n.config.Listen.Peers, peers, fixedIdleTime); err != nil {
@@ -355,23 +241,3 @@
 		return errRolesHang
 	}
 }
-
-// whenCurrent returns an election that begins once the node knows what a leader must know.
-func (n *node) whenCurrent(elect func(context.Context) error) func(context.Context) error {
-	return func(ctx context.Context) error {
-		for _, loaded := range []<-chan struct{}{n.control.Loaded(), n.engines.Loaded()} {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-loaded:
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.ended.Loaded():
-		case <-time.After(crashesWait):
-		}
-		return elect(ctx)
-	}
-}
