Choosing an engine of a service without slow start splits no candidates

Cause: Choose sorted all candidates into warm and cold for each request of each service, two slices that grow. Ruled out: the filter before it, which was there without slow start as well. Change: only services that have a slow start are looked at for cold engines.

--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -65,8 +65,10 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	if warm, cold := f.byColdness(candidates, query.Now); len(cold) > 0 {
-		return f.pickWarmFirst(warm, cold, query), true
+	if _, bounded := f.cold.services[query.Service]; bounded {
+		if warm, cold := f.byColdness(candidates, query.Now); len(cold) > 0 {
+			return f.pickWarmFirst(warm, cold, query), true
+		}
 	}
 	return f.pick(candidates, query), true
 }
--- a/internal/core/fleet/cold_test.go
+++ b/internal/core/fleet/cold_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -163,3 +164,15 @@
 	f.ColdEngines(now.Add(markLead + 1))
 	assert.Equal(t, len(f.cold.doubts), 0)
 }
+
+// TestAServiceWithoutSlowStartIsChosenForAsBefore: each request of every service goes this way.
+func TestAServiceWithoutSlowStartIsChosenForAsBefore(t *testing.T) {
+	var engines []Engine
+	for i := range 64 {
+		engines = append(engines, listed(strconv.Itoa(i), "z"))
+	}
+	f := fleetOf(engines...)
+	query := Query{Service: "s", Now: now}
+	filtered := testing.AllocsPerRun(100, func() { f.filter(query, false) })
+	assert.Equal(t, testing.AllocsPerRun(100, func() { f.Choose(query) }), filtered)
+}
