A loss of contact and another doubt of an engine stand side by side

Cause: each new doubt took the place of the one before. An engine whose zone had returned and whose connection was lost counted as warm as soon as a stream went on; one out of reach whose zone returned counted as warm after the period though nothing was heard of it. Ruled out: entries that say cold, which are looked at first. Change: a doubt that answers do not end is kept beside an Unreached; each ends by itself.

--- a/internal/core/fleet/cold.go
+++ b/internal/core/fleet/cold.go
@@ -43,6 +43,8 @@
 	at     time.Time
 	// heardAt is when the engine was heard first after an Unreached.
 	heardAt time.Time
+	// other is a doubt beside an Unreached, which answers of the engine do not end; nil for none.
+	other *doubt
 }
 
 // lasts tells whether the doubt still counts. An engine may have started at any moment until it
@@ -72,6 +74,31 @@
 	return coldness{services: make(map[string]routes.SlowStart), doubts: make(map[incarnation.ID]doubt)}
 }
 
+// add notes a doubt. An Unreached and one of another reason stand side by side: each ends by itself.
+func (c *coldness) add(of incarnation.ID, added doubt) {
+	known, found := c.doubts[of]
+	switch {
+	case found && known.reason == Unreached && added.reason != Unreached:
+		known.other = &added
+		c.doubts[of] = known
+		return
+	case found && known.reason == Unreached:
+		added.other = known.other
+	case found && added.reason == Unreached && !known.reason.heardEnds():
+		added.other = &known
+	}
+	c.doubts[of] = added
+}
+
+// end drops a doubt, and leaves the one beside it.
+func (c *coldness) end(of incarnation.ID) {
+	if other := c.doubts[of].other; other != nil {
+		c.doubts[of] = *other
+		return
+	}
+	delete(c.doubts, of)
+}
+
 // SetSlowStarts sets the services whose engines take a bounded rate while they are cold.
 func (f *Fleet) SetSlowStarts(services map[string]routes.SlowStart) {
 	f.mu.Lock()
@@ -92,7 +119,7 @@
 func (f *Fleet) MarkDoubtful(of incarnation.ID, reason ColdReason, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cold.doubts[of] = doubt{reason: reason, at: at}
+	f.cold.add(of, doubt{reason: reason, at: at})
 }
 
 // MarkZoneDoubtful is MarkDoubtful for all engines of a zone.
@@ -101,7 +128,7 @@
 	defer f.mu.Unlock()
 	for _, each := range f.members {
 		if each.engine.Zone == zone {
-			f.cold.doubts[each.engine.Incarnation()] = doubt{reason: reason, at: at}
+			f.cold.add(each.engine.Incarnation(), doubt{reason: reason, at: at})
 		}
 	}
 }
@@ -127,7 +154,7 @@
 		return
 	}
 	if began.Before(known.at.Add(-sameLifeMargin)) && eventsFrom.After(known.at.Add(sameLifeMargin)) {
-		delete(f.cold.doubts, of)
+		f.cold.end(of)
 	}
 }
 
@@ -151,7 +178,7 @@
 func (f *Fleet) noteOutcome(of incarnation.ID, outcome Outcome) {
 	switch {
 	case outcome.Unreached:
-		f.cold.doubts[of] = doubt{reason: Unreached, at: outcome.At}
+		f.cold.add(of, doubt{reason: Unreached, at: outcome.At})
 	case outcome.RefusedItem:
 		if _, doubtful := f.cold.doubts[of]; !doubtful {
 			f.cold.doubts[of] = doubt{reason: RefusedItem, at: outcome.At}
@@ -183,15 +210,16 @@
 		return Coldness{Reason: ToldCold, RatePerSecond: slowStart.RatePerSecond}, true
 	}
 	id := of.engine.Incarnation()
-	known, doubtful := f.cold.doubts[id]
-	if !doubtful {
-		return Coldness{}, false
-	}
-	if !known.lasts(slowStart.Period, now) {
-		delete(f.cold.doubts, id)
-		return Coldness{}, false
+	for {
+		known, doubtful := f.cold.doubts[id]
+		if !doubtful {
+			return Coldness{}, false
+		}
+		if known.lasts(slowStart.Period, now) {
+			return Coldness{Reason: known.reason, RatePerSecond: slowStart.RatePerSecond}, true
+		}
+		f.cold.end(id)
 	}
-	return Coldness{Reason: known.reason, RatePerSecond: slowStart.RatePerSecond}, true
 }
 
 // ColdEngine is an engine that counts as cold.
--- a/internal/core/fleet/cold_test.go
+++ b/internal/core/fleet/cold_test.go
@@ -176,3 +176,42 @@
 	filtered := testing.AllocsPerRun(100, func() { f.filter(query, false) })
 	assert.Equal(t, testing.AllocsPerRun(100, func() { f.Choose(query) }), filtered)
 }
+
+// TestADoubtOutlastsALossOfContact: that the engine goes on says nothing of whether it is cold without a start.
+func TestADoubtOutlastsALossOfContact(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	began, lost := now.Add(time.Millisecond), now.Add(time.Second)
+	f.MarkDoubtful(named("a"), ZoneReturned, now)
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: lost, Failed: true, Unreached: true})
+	assert.Equal(t, coldReason(f, "a", lost), "unreached")
+	f.Continues(named("a"), began, lost.Add(time.Second))
+	assert.Equal(t, coldReason(f, "a", now.Add(slow.Period-1)), "zone_returned")
+	assert.Equal(t, coldReason(f, "a", now.Add(slow.Period)), "")
+}
+
+// TestAnEngineOutOfReachStaysInDoubtThoughItsZoneReturns: nothing was heard of it by then.
+func TestAnEngineOutOfReachStaysInDoubtThoughItsZoneReturns(t *testing.T) {
+	for _, mark := range []func(*Fleet){
+		func(f *Fleet) { f.MarkZoneDoubtful("z", ZoneReturned, now.Add(time.Second)) },
+		func(f *Fleet) { f.MarkDoubtful(named("a"), FirstSeen, now.Add(time.Second)) },
+	} {
+		f := pacedFleet(listed("a", "z"))
+		f.Began(named("a"))
+		f.Ended(named("a"), Outcome{At: now, Failed: true, Unreached: true})
+		mark(f)
+		assert.Equal(t, coldReason(f, "a", now.Add(time.Minute)), "unreached")
+	}
+}
+
+// TestTheLaterEndOfTwoDoubtsHolds where the engine was heard before its zone returned.
+func TestTheLaterEndOfTwoDoubtsHolds(t *testing.T) {
+	f := pacedFleet(listed("a", "z"))
+	f.Began(named("a"))
+	f.Ended(named("a"), Outcome{At: now, Failed: true, Unreached: true})
+	f.Heard(named("a"), now)
+	returned := now.Add(time.Second)
+	f.MarkZoneDoubtful("z", ZoneReturned, returned)
+	assert.Equal(t, coldReason(f, "a", now.Add(slow.Period)), "zone_returned")
+	assert.Equal(t, coldReason(f, "a", returned.Add(slow.Period)), "")
+}
