Permits for cold engines are asked for while items wait that they could run

Cause: a look at how many items may start asked for permits as a side effect, also for engines that leave or are evacuated, and when nothing waited. Each grant counts for all senders, so live requests and the leader's items were left short. Beside it an engine whose deferred start came to hold could be chosen as a warm one for a moment. Ruled out: the leader's own items, whose look asks nobody. Change: the look is pure, the runner says what it wants after it has placed what it could; a deferred start is doubtful from the moment at which it holds.

--- a/internal/batchrun/cold.go
+++ b/internal/batchrun/cold.go
@@ -46,3 +46,12 @@
 	}
 	return free
 }
+
+// wantColdStarts tells which cold engines could run more items, were they admitted.
+func (r *Runner) wantColdStarts(engines []batchplan.Engine) {
+	for _, engine := range engines {
+		if engine.Cold && engine.Usable && engine.Starts == 0 {
+			r.options.ColdStarts.Want(engine.ID)
+		}
+	}
+}
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -1,6 +1,6 @@
-// Package batchrun runs the items of batch jobs at the engines. Only the leader
-// runs it; a second one for a moment costs work and no promise, since the first
-// recorded result of an item wins.
+// Package batchrun runs the items of batch jobs at the engines. The leader runs it for the jobs that are
+// bound to no region, an elected node at home for those that are. A second one for a moment costs work and
+// no promise, since the first recorded result of an item wins.
 package batchrun
 
 import (
@@ -110,6 +110,8 @@
 type ColdStarts interface {
 	// Room returns how many items may start at a cold engine now.
 	Room(to incarnation.ID, cold fleet.Coldness) int
+	// Want says that items wait which a cold engine without room could run.
+	Want(to incarnation.ID)
 	// Admit admits one item to a cold engine.
 	Admit(
 		sender coldpermits.Sender, to incarnation.ID, cold fleet.Coldness,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -281,6 +281,9 @@
 	for _, assignment := range r.plan.Assign(now, views) {
 		r.start(assignment)
 	}
+	if r.plan.Waiting() > 0 {
+		r.wantColdStarts(views)
+	}
 }
 
 // engineViews returns the engines of all services that open jobs run at; mu is held.
--- a/internal/coldpermits/decider.go
+++ b/internal/coldpermits/decider.go
@@ -124,6 +124,9 @@
 	return leading.pacer.Room(to, cold.RatePerSecond, d.now())
 }
 
+// Want does nothing: who decides asks nobody.
+func (d *Decider) Want(incarnation.ID) {}
+
 // Note counts a request to an engine that is not known to be cold; see slowstart.Pacer.
 func (d *Decider) Note(to incarnation.ID, ratePerSecond float64) {
 	if leading, leads := d.leads(); leads {
--- a/internal/coldpermits/stock.go
+++ b/internal/coldpermits/stock.go
@@ -20,14 +20,14 @@
 }
 
 // Stock holds permits for the items of a runner that does not lead. A runner places many items at once
-// and waits for nobody meanwhile, so its wish for an engine has permits asked for in the background, and
-// what was granted is there at its next look. It is safe for concurrent use.
+// and waits for nobody meanwhile, so permits are asked for in the background once it wants some, and what
+// was granted is there at its next look. It is safe for concurrent use.
 type Stock struct {
 	ctx     context.Context
 	options StockOptions
 
 	mu sync.Mutex
-	// wanted holds the engines of the last looks for which nothing was asked yet.
+	// wanted holds the engines for which nothing was asked yet.
 	wanted map[incarnation.ID]bool
 	asking bool
 	// open holds the permits that were not used yet. Some may have ended.
@@ -41,21 +41,24 @@
 	}
 }
 
-// Room returns how many items may start at a cold engine now, and has more permits asked for where there
-// is none.
+// Room returns how many items may start at a cold engine now.
 func (s *Stock) Room(to incarnation.ID, _ fleet.Coldness) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropEnded(to)
-	if room := len(s.open[to]); room > 0 {
-		return room
-	}
+	return len(s.open[to])
+}
+
+// Want has permits to a cold engine asked for. What is granted counts for all senders, so it is asked for
+// only while items wait that the engine may run.
+func (s *Stock) Want(to incarnation.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.wanted[to] = true
 	if !s.asking {
 		s.asking = true
 		go s.fill()
 	}
-	return 0
 }
 
 // Admit uses a permit for one item.
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -63,12 +63,14 @@
 
 // Settle notes that the list is known as of a time, and returns what took the place of a later incarnation
 // since.
-func (f *Fleet) Settle(asOf time.Time) []Replacement {
+func (f *Fleet) Settle(asOf, now time.Time) []Replacement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var settled []Replacement
 	for _, known := range f.members {
 		if earlier := known.earlier; earlier != nil && asOf.Sub(earlier.ReadAt) >= deferTime {
+			// No request may find it as a warm one first.
+			f.cold.add(earlier.Incarnation(), doubt{reason: FirstSeen, at: now})
 			f.replace(known, *earlier)
 			settled = append(settled, Replacement{Ended: known.engine, Engine: *earlier})
 		}
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -123,8 +123,8 @@
 // ctx ends. An outage of the list does not count.
 func (n *node) settleEngines(ctx context.Context) error {
 	for retry.Sleep(ctx, settlePeriod) {
-		for _, settled := range n.fleet.Settle(time.Now().Add(-n.engines.Age())) {
-			n.fleet.MarkDoubtful(settled.Engine.Incarnation(), fleet.FirstSeen, time.Now())
+		now := time.Now()
+		for _, settled := range n.fleet.Settle(now.Add(-n.engines.Age()), now) {
 			n.tellStartedAgain(settled.Ended, settled.Engine)
 		}
 	}
