--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -168,7 +168,8 @@
 	return engines
 }
 
-// Serves tells whether a service has an engine in one of the regions that may be sent anything new.
+// Serves tells whether a service has an engine in one of the regions, be its zone evacuated now, that has not
+// said that it leaves.
 func (f *Fleet) Serves(service string, regions homes.Set) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
