A refused call stays refused when the way to the log changes in the same moment

The call whose failure brings the switch to other nodes ends all direct calls, itself among them, and whatever error it had was then replaced. Ruled out: the stand-in of the log (it answers "refused" without a look at its context) and the test's addresses (the failing call is a direct one). By reading, a condition that was found unmet, or records that are gone, were replaced as well.

Change: only an error that says nothing but that the call was ended is replaced.

Before: the new test fails on the code before ("the log did not take the call" is not what the caller gets).

Callers treated the unknown outcome with care, so nothing ran twice by it; a request that was certainly not taken was told as one that may have been.

--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -202,8 +202,9 @@
 	defer cancel()
 	result, err := call(direct, f.direct)
 	f.ended("", err)
-	if err != nil && direct.Err() != nil && ctx.Err() == nil {
-		// Its caller still waits, and may make it again by another way.
+	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		// Its caller still waits, and may make it again by another way. An error that tells what
+		// became of the call stays: the refused call that brings the switch ends these as well.
 		err = errors.Wrap(eventlog.ErrOutcomeUnknown, "the way to the log fell silent: "+err.Error())
 	}
 	return result, err
--- a/internal/logrelay/silence_test.go
+++ b/internal/logrelay/silence_test.go
@@ -90,3 +90,31 @@
 	assert.Assert(t, fallback.Direct())
 	assert.Equal(t, direct.End(part), int64(2))
 }
+
+// lateRefusal is a log that refuses a call, or finds a condition unmet, only once its caller has given up.
+type lateRefusal struct {
+	*memlog.Log
+	refusal error
+}
+
+func (l lateRefusal) Append(ctx context.Context, _ eventlog.Partition, _ [][]byte) (int64, error) {
+	<-ctx.Done()
+	return 0, l.refusal
+}
+
+// TestACallThatWasRefusedStaysRefusedWhenTheWayFallsSilent: what the log says of a call is certain, also
+// when all calls are ended in the same moment; the one that brings the switch always is.
+func TestACallThatWasRefusedStaysRefusedWhenTheWayFallsSilent(t *testing.T) {
+	for _, refusal := range []error{eventlog.ErrNotDone, &eventlog.ConflictError{End: 7}} {
+		fallback := beside(t, lateRefusal{Log: memlog.New(), refusal: refusal}, memlog.New())
+		result := make(chan error)
+		go func() {
+			_, err := fallback.Append(t.Context(), part, nil)
+			result <- err
+		}()
+		fallback.mu.Lock()
+		fallback.calls.cancel()
+		fallback.mu.Unlock()
+		assert.Assert(t, errors.Is(<-result, refusal), "%v", refusal)
+	}
+}
