--- a/internal/bench/faultproxy/faultproxy_test.go
+++ b/internal/bench/faultproxy/faultproxy_test.go
@@ -123,3 +123,41 @@
 	_, err = network.AddLink("late", holder.Addr().String(), "127.0.0.1:1")
 	assert.NilError(t, err)
 }
+
+// TestFaultsAreSetBesideAReaderThatStandsStill: bytes to a process that is stopped wait in its connection.
+func TestFaultsAreSetBesideAReaderThatStandsStill(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	network := NewNetwork()
+	t.Cleanup(network.Close)
+	link, err := network.AddLink("unread", "127.0.0.1:0", listener.Addr().String())
+	assert.NilError(t, err)
+	connection := dial(t, link)
+	fillUntilBlocked(t, connection)
+	done := make(chan error, 1)
+	go func() {
+		_ = link.SetLatency(time.Millisecond)
+		_ = link.StallOneWay()
+		_ = link.Stall()
+		done <- link.Restore()
+	}()
+	select {
+	case err := <-done:
+		assert.NilError(t, err)
+	case <-time.After(patience):
+		t.Fatal("a fault waits for a peer that does not read")
+	}
+}
+
+// fillUntilBlocked writes until nothing more is taken.
+func fillUntilBlocked(t *testing.T, connection net.Conn) {
+	t.Helper()
+	block := make([]byte, 1<<20)
+	for {
+		assert.NilError(t, connection.SetWriteDeadline(time.Now().Add(stalled)))
+		if _, err := connection.Write(block); err != nil {
+			return
+		}
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -154,20 +154,29 @@
 }
 
 func (s *clientSession) handleMessage(received frame) error {
-	a := s.find(received.streamID)
+	a := s.takeMessage(received.streamID)
 	if a == nil {
 		received.body.release()
 		return nil
 	}
 	a.counters.addReceived(received.size())
-	if err := a.inbox.push(received.body); err != nil {
-		return err
-	}
+	err := a.inbox.push(received.body)
 	if a.single {
-		s.remove(received.streamID)
 		a.inbox.finish(io.EOF)
 	}
-	return nil
+	return err
+}
+
+// takeMessage returns the answer that a message belongs to. A call's only message ends it: its caller
+// finds the connection idle once it has the answer.
+func (s *clientSession) takeMessage(streamID uint32) *remoteAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.answers[streamID]
+	if a != nil && a.single {
+		delete(s.answers, streamID)
+	}
+	return a
 }
 
 func (s *clientSession) handleError(received frame) error {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 const testLimit = 20 * time.Second
@@ -291,3 +292,28 @@
 	assert.Assert(t, session.closeIdle(dialerIdleTicks))
 	assert.NilError(t, client.Call(ctx, server.Address(), MethodTable, &echo{}, nil))
 }
+
+// TestACallIsOverBeforeItsAnswerIsHandedOn: who has the answer finds the connection idle.
+func TestACallIsOverBeforeItsAnswerIsHandedOn(t *testing.T) {
+	server := newTestTransport(t, "server", func(registry Registry) { registry.HandleCall(MethodTable, echoCall) })
+	client := newTestTransport(t, "client", func(Registry) {})
+	ctx := testContext(t)
+	assert.NilError(t, client.Call(ctx, server.Address(), MethodTable, &echo{}, nil))
+	l, err := client.link(server.Address())
+	assert.NilError(t, err)
+	session, err := l.get(ctx)
+	assert.NilError(t, err)
+	pending := session.newAnswer(frameCall, MethodTable)
+	assert.NilError(t, session.register(pending))
+	// The reader of the connection cannot hand the answer on until this test lets it.
+	pending.inbox.mu.Lock()
+	handled := make(chan error, 1)
+	go func() {
+		handled <- session.handleMessage(frame{kind: frameMessage, streamID: pending.streamID, body: newBody(1)})
+	}()
+	testwait.Until(t, "the end of the call", func() bool { return session.activeStreams() == 0 })
+	pending.inbox.mu.Unlock()
+	assert.NilError(t, <-handled)
+	_, err = pending.inbox.next(nil)
+	assert.NilError(t, err)
+}
