Engines are put in their place of the list without sorting it anew

Cause: each entry of the engine list sorted the IDs of its service anew: E engines cost E times E log E comparisons, where a leader reads 9,998 of them. Ruled out: a map without order, since choices would differ from look to look. Change: an ID is put in by binary search, and taken out the same way. Before: by count, 10,000 engines are sorted 10,000 times.

--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -1,7 +1,8 @@
 package fleet
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
@@ -88,9 +89,17 @@
 func (f *Fleet) add(added *member) {
 	engine := added.engine
 	f.members[engine.ID] = added
-	ids := append(f.byService[engine.Service], engine.ID)
-	sort.Strings(ids)
-	f.byService[engine.Service] = ids
+	f.byService[engine.Service] = insertOrdered(f.byService[engine.Service], engine.ID, strings.Compare)
+}
+
+// insertOrdered puts an ID into ordered ones, if it is not there. A list of E engines is read whole with
+// E log E comparisons; sorting anew for each engine takes E times as many, seconds where there are 10,000.
+func insertOrdered(ids []string, id string, compare func(a, b string) int) []string {
+	place, found := slices.BinarySearchFunc(ids, id, compare)
+	if found {
+		return ids
+	}
+	return slices.Insert(ids, place, id)
 }
 
 // renew takes a further entry of a known incarnation; mu is held.
@@ -143,13 +152,9 @@
 // unlist takes an engine out of its service; mu is held.
 func (f *Fleet) unlist(engine Engine) {
 	ids := f.byService[engine.Service]
-	kept := ids[:0:0]
-	for _, id := range ids {
-		if id != engine.ID {
-			kept = append(kept, id)
-		}
+	if place, found := slices.BinarySearch(ids, engine.ID); found {
+		f.byService[engine.Service] = slices.Delete(ids, place, place+1)
 	}
-	f.byService[engine.Service] = kept
 }
 
 // Services returns the services that have engines.
