Tries of a log that fails are made less often where many nodes share it

Cause: nodes tried again every 50 to 400 ms whatever their number, so that N nodes with three topics each ask 7.5 N times a second of a log that refuses since too much is asked of it: at 985 nodes 7,400 reads a second beside all others, of 16,000 served. What overloaded the log may be long gone, and the tries keep it overloaded. Ruled out: a longer delay for all, which small clusters would pay for with seconds after each outage. Change: the delays grow with the nodes as the reads themselves do (core/pacing), up to 4 s; so do those of the lease's readers, up to 1 s. Before: 200 nodes at a log of 500 reads a second make at most its half in an outage, 400 nodes 988 a second. After: under 250 both times, and all nodes know the newest record within 8 s of its end (TestTriesOfManyNodesStayWithinWhatTheLogServes, in virtual time).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,7 +49,12 @@
 // after it, such as the first one after the machine was suspended, waits for no change.
 const StaleAge = maxPollWait + maxReadGap + 300*time.Millisecond
 
-// readRetries are the delays between tries while reads fail.
+// maxReadRetry bounds the delays of readRetries once they have grown with the nodes.
+const maxReadRetry = 4 * time.Second
+
+// readRetries are the delays between tries while reads fail, where few nodes share the log. They grow with the
+// nodes: when reads fail since all nodes together ask for more than the log serves, tries at a fixed pace keep it
+// overloaded for good.
 var readRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
 
 // Handler takes the records of a topic in the order of their offsets, each
@@ -131,7 +136,7 @@
 		}
 		f.whole.failed()
 		f.contact(err)
-		retry.Sleep(ctx, delays.NextBackOff())
+		retry.Sleep(ctx, f.budget.Stretch(delays.NextBackOff(), maxReadRetry))
 	}
 	return nil
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -35,7 +35,9 @@
 	readGap    = 20 * time.Millisecond
 	maxReadGap = 400 * time.Millisecond
 	readLimit  = 256 << 10
-	retryDelay = 100 * time.Millisecond
+	// retryDelay is the time between two tries of a read; it grows with the nodes, up to maxRetryDelay.
+	retryDelay    = 100 * time.Millisecond
+	maxRetryDelay = time.Second
 	// recordTimeout bounds the writing of one record; the next one does not wait longer.
 	recordTimeout = 400 * time.Millisecond
 	// permitTimeout bounds the wait for a permit: for the record under way, and for the one that
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -17,7 +17,7 @@
 	for ctx.Err() == nil {
 		if err := e.read(ctx, e.options.Budget.Stretch(pollWait, maxPollWait)); err != nil {
 			e.lostContact(err)
-			retry.Sleep(ctx, retryDelay)
+			retry.Sleep(ctx, e.options.Budget.Stretch(retryDelay, maxRetryDelay))
 			continue
 		}
 		retry.Sleep(ctx, e.gap())
