Nodes of a large cluster follow the engines that they may choose, and replicas lead it

Cause: each node took each entry of the engine list and each change of it: N times E, 985 times 9,998, though 9,530 of these engines run batch items only, which one node sends. Every node stood for election and read the lease, N readers of each renewal. Ruled out: a subset by hash, since live requests need few engines of few services, and whoever runs items needs all of them. Change: replicas keep the service of each entry, and a node of a large cluster (100 nodes) leaves out the services that batch routes alone use; entries that the log itself brings are dropped as well. What it needs is looked at every 0.1 s: a new configuration, a term, a place among the replicas have the list read anew. Replicas, who hold it whole and are the most able nodes, stand for election; all others only once nobody has led for 5 s, and read the lease once a second. Messages have one field more, which older builds pass over (they send all).

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -262,8 +262,10 @@
 	// Leading is true while the node runs the items of batch jobs.
 	Leading bool `json:"leading"`
 	// AgeMs is how old the newest of what the node knows of evacuations is.
-	AgeMs int64        `json:"age_ms"`
-	Zones []ZoneStatus `json:"zones"`
+	AgeMs int64 `json:"age_ms"`
+	// LeftOut are the services whose engines this node does not follow, which are missing in the counts.
+	LeftOut []string     `json:"left_out,omitempty"`
+	Zones   []ZoneStatus `json:"zones"`
 }
 
 // ZoneStatus is one zone as a node sees it.
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -3,6 +3,8 @@
 package routes
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -196,6 +198,25 @@
 	return batch
 }
 
+// BatchOnly returns the services to which batch routes alone send, in order: whoever runs no batch items sends
+// nothing to their engines.
+func (t *Table) BatchOnly() []string {
+	live, batch := make(map[string]bool), make(map[string]bool)
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			uses := live
+			if route.Kind == Batch {
+				uses = batch
+			}
+			for _, part := range route.Parts {
+				uses[part.Service] = true
+			}
+		}
+	}
+	maps.DeleteFunc(batch, func(service string, _ bool) bool { return live[service] })
+	return slices.Sorted(maps.Keys(batch))
+}
+
 // normalHost is the host in lower case without its port.
 func normalHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -78,6 +79,12 @@
 	// loaded is closed after the first full read.
 	loaded chan struct{}
 	whole  refreshSchedule
+	// classOf tells the class of a record; nil where all are of one.
+	classOf func(eventlog.KeyedRecord) string
+
+	mu sync.Mutex
+	// reloads are closed after the next full read.
+	reloads []chan struct{}
 }
 
 // New returns a follower; Run starts it.
@@ -95,6 +102,35 @@
 	}
 }
 
+// Classify has readers of the replica leave out whole classes of records; before Run only.
+func (f *Follower) Classify(classOf func(record eventlog.KeyedRecord) string) { f.classOf = classOf }
+
+// Reload has the topic read whole once more, since what its reads bring has changed. The channel is closed
+// after that.
+func (f *Follower) Reload() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reloaded := make(chan struct{})
+	f.reloads = append(f.reloads, reloaded)
+	return reloaded
+}
+
+// takeReloads returns the reloads asked for since the last call.
+func (f *Follower) takeReloads() []chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asked := f.reloads
+	f.reloads = nil
+	return asked
+}
+
+// keepReloads leaves reloads to the next full read.
+func (f *Follower) keepReloads(asked []chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reloads = append(asked, f.reloads...)
+}
+
 // Replica returns what the follower has read, for other nodes.
 func (f *Follower) Replica() *Replica { return f.replica }
 
@@ -151,11 +187,8 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if now := time.Now(); f.whole.isDue(now) {
-		if err := f.refresh(ctx); err != nil {
-			return err
-		}
-		f.whole.done(now, f.untilRefresh())
+	if err := f.refreshIfDue(ctx); err != nil {
+		return err
 	}
 	wait := f.budget.Stretch(pollWait, maxPollWait)
 	if f.Age() >= StaleAge {
@@ -179,6 +212,24 @@
 	return nil
 }
 
+// refreshIfDue reads the topic whole if its time has come, or somebody has asked for it.
+func (f *Follower) refreshIfDue(ctx context.Context) error {
+	asked := f.takeReloads()
+	now := time.Now()
+	if len(asked) == 0 && !f.whole.isDue(now) {
+		return nil
+	}
+	if err := f.refresh(ctx, len(asked) > 0); err != nil {
+		f.keepReloads(asked)
+		return err
+	}
+	f.whole.done(now, f.untilRefresh())
+	for _, each := range asked {
+		close(each)
+	}
+	return nil
+}
+
 // untilRefresh is the time until the next full read.
 func (f *Follower) untilRefresh() time.Duration {
 	size := 1 + len(f.offsets)/refreshRecords
@@ -187,8 +238,9 @@
 }
 
 // refresh reads the topic whole. A key that is missing was deleted, unless its
-// record is newer than the read, or could not be read and has no key.
-func (f *Follower) refresh(ctx context.Context) error {
+// record is newer than the read, or could not be read and has no key. A record that was handled
+// before is handled once more if all are to be.
+func (f *Follower) refresh(ctx context.Context, all bool) error {
 	sent := boottime.Now()
 	batch, err := f.log.Newest(ctx, f.topic)
 	if err != nil {
@@ -199,7 +251,7 @@
 	for _, record := range batch.Records {
 		present[record.Key] = true
 		if !f.deletedSince(batch, record) {
-			f.handle(record)
+			f.handleIf(record, all)
 		}
 	}
 	for key, offset := range f.offsets {
@@ -223,9 +275,12 @@
 	return !found && read.Next < f.next && record.Offset < f.next
 }
 
-// handle passes a record on unless a newer one of its key was handled.
-func (f *Follower) handle(record eventlog.KeyedRecord) {
-	if known, found := f.offsets[record.Key]; found && record.Offset <= known {
+// handle passes a record on unless it was handled, or a newer one of its key.
+func (f *Follower) handle(record eventlog.KeyedRecord) { f.handleIf(record, false) }
+
+// handleIf is handle, but passes a record on again if asked to.
+func (f *Follower) handleIf(record eventlog.KeyedRecord, again bool) {
+	if known, found := f.offsets[record.Key]; found && (record.Offset < known || record.Offset == known && !again) {
 		return
 	}
 	if record.Deleted {
@@ -236,7 +291,11 @@
 	} else {
 		f.offsets[record.Key] = record.Offset
 	}
-	f.replica.take(record)
+	class := ""
+	if f.classOf != nil && !record.Deleted {
+		class = f.classOf(record)
+	}
+	f.replica.take(record, class)
 	f.handler(record)
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -81,7 +81,7 @@
 	}
 	var keys []string
 	follower := New(log, topic, func(record eventlog.KeyedRecord) { keys = append(keys, record.Key) }, pacing.Budget{}, zerolog.Nop())
-	assert.NilError(t, follower.refresh(t.Context()))
+	assert.NilError(t, follower.refresh(t.Context(), false))
 	assert.DeepEqual(t, keys, []string{"c", "a", "b"})
 }
 
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -21,7 +21,7 @@
 // offsets are those of the log, so a reader may change between replicas and the log.
 type Replica struct {
 	mu      sync.Mutex
-	records map[string]eventlog.KeyedRecord
+	records map[string]entry
 	// deleted counts the records without a value; deletions below forgotten were dropped.
 	deleted   int
 	forgotten int64
@@ -33,21 +33,42 @@
 	changed chan struct{}
 }
 
+// entry is the newest record of a key.
+type entry struct {
+	eventlog.KeyedRecord
+	// class is that of the record; empty for one that all readers get.
+	class string
+}
+
+// isFor tells whether a reader that leaves out some classes gets the entry.
+func (e entry) isFor(leftOut []string) bool {
+	return e.class == "" || !slices.Contains(leftOut, e.class)
+}
+
 func newReplica() *Replica {
-	return &Replica{records: make(map[string]eventlog.KeyedRecord), changed: make(chan struct{})}
+	return &Replica{records: make(map[string]entry), changed: make(chan struct{})}
 }
 
-// take keeps a record that the follower has handled.
-func (r *Replica) take(record eventlog.KeyedRecord) {
+// take keeps a record of a class that the follower has handled. A deletion is for those who got what was
+// deleted. A key whose class changes is for all from then on: those who left out the new class have the old
+// record.
+func (r *Replica) take(record eventlog.KeyedRecord, class string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.records[record.Key].Deleted {
+	known, found := r.records[record.Key]
+	switch {
+	case record.Deleted:
+		class = known.class
+	case found && known.class != class:
+		class = ""
+	}
+	if known.Deleted {
 		r.deleted--
 	}
 	if record.Deleted {
 		r.deleted++
 	}
-	r.records[record.Key] = record
+	r.records[record.Key] = entry{KeyedRecord: record, class: class}
 	if r.deleted > maxDeletions {
 		r.forgetDeletions()
 	}
@@ -84,31 +105,31 @@
 	return boottime.Now().Sub(r.contactAt)
 }
 
-// Newest returns the newest record of each key, and the age of that knowledge; false
-// until the topic was read whole.
-func (r *Replica) Newest() (eventlog.KeyedBatch, time.Duration, bool) {
+// Newest returns the newest record of each key but those of the classes left out, and the age of that
+// knowledge; false until the topic was read whole.
+func (r *Replica) Newest(leftOut []string) (eventlog.KeyedBatch, time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	batch := eventlog.KeyedBatch{Next: r.next}
 	for _, record := range r.records {
-		if !record.Deleted {
-			batch.Records = append(batch.Records, record)
+		if !record.Deleted && record.isFor(leftOut) {
+			batch.Records = append(batch.Records, record.KeyedRecord)
 		}
 	}
 	return batch, boottime.Now().Sub(r.contactAt), !r.contactAt.IsZero()
 }
 
-// Read returns the records from an offset on, waiting for one up to the given time, and
-// the age of that knowledge. A reader that may have missed a deletion gets a
+// Read returns the records from an offset on but those of the classes left out, waiting for one up to the
+// given time, and the age of that knowledge. A reader that may have missed a deletion gets a
 // *eventlog.GoneError.
 func (r *Replica) Read(
-	ctx context.Context, from int64, wait time.Duration,
+	ctx context.Context, from int64, wait time.Duration, leftOut []string,
 ) (eventlog.KeyedBatch, time.Duration, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		r.mu.Lock()
-		batch, err := r.since(from)
+		batch, err := r.since(from, leftOut)
 		age, changed := boottime.Now().Sub(r.contactAt), r.changed
 		r.mu.Unlock()
 		if err != nil || len(batch.Records) > 0 {
@@ -125,15 +146,15 @@
 }
 
 // since returns what is known from an offset on; mu is held.
-func (r *Replica) since(from int64) (eventlog.KeyedBatch, error) {
+func (r *Replica) since(from int64, leftOut []string) (eventlog.KeyedBatch, error) {
 	if from < r.forgotten {
 		return eventlog.KeyedBatch{}, &eventlog.GoneError{First: r.forgotten}
 	}
 	// A reader that comes from a replica which knows more keeps its place.
 	batch := eventlog.KeyedBatch{Next: max(from, r.next)}
 	for _, record := range r.records {
-		if record.Offset >= from && record.Offset < r.next {
-			batch.Records = append(batch.Records, record)
+		if record.Offset >= from && record.Offset < r.next && record.isFor(leftOut) {
+			batch.Records = append(batch.Records, record.KeyedRecord)
 		}
 	}
 	slices.SortFunc(batch.Records, func(a, b eventlog.KeyedRecord) int { return int(a.Offset - b.Offset) })
--- a/internal/follow/replica_test.go
+++ b/internal/follow/replica_test.go
@@ -19,20 +19,20 @@
 
 func TestReplicaTellsWhatCameSinceAnOffset(t *testing.T) {
 	replica := newReplica()
-	_, _, known := replica.Newest()
+	_, _, known := replica.Newest(nil)
 	assert.Assert(t, !known)
 	for offset, value := range []string{"a", "b", "c"} {
-		replica.take(record(value, value, int64(offset)))
+		replica.take(record(value, value, int64(offset)), "")
 	}
-	replica.take(record("a", "", 3))
+	replica.take(record("a", "", 3), "")
 	replica.reached(4, boottime.Now())
-	batch, _, err := replica.Read(t.Context(), 1, 0)
+	batch, _, err := replica.Read(t.Context(), 1, 0, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, batch.Next, int64(4))
 	assert.Equal(t, len(batch.Records), 3)
 	assert.Equal(t, batch.Records[0].Key, "b")
 	assert.Assert(t, batch.Records[2].Deleted)
-	newest, _, known := replica.Newest()
+	newest, _, known := replica.Newest(nil)
 	assert.Assert(t, known)
 	assert.Equal(t, len(newest.Records), 2)
 }
@@ -40,9 +40,9 @@
 // TestReaderThatIsAheadKeepsItsPlace: it comes from a replica that has read more.
 func TestReaderThatIsAheadKeepsItsPlace(t *testing.T) {
 	replica := newReplica()
-	replica.take(record("a", "1", 0))
+	replica.take(record("a", "1", 0), "")
 	replica.reached(1, boottime.Now())
-	batch, _, err := replica.Read(t.Context(), 7, time.Millisecond)
+	batch, _, err := replica.Read(t.Context(), 7, time.Millisecond, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Records), 0)
 	assert.Equal(t, batch.Next, int64(7))
@@ -54,10 +54,10 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	go func() {
-		replica.take(record("a", "1", 1))
+		replica.take(record("a", "1", 1), "")
 		replica.reached(2, boottime.Now())
 	}()
-	batch, _, err := replica.Read(ctx, 1, time.Minute)
+	batch, _, err := replica.Read(ctx, 1, time.Minute, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Records), 1)
 }
@@ -65,10 +65,10 @@
 func TestAgeGrowsWhileTheLogIsAway(t *testing.T) {
 	replica := newReplica()
 	replica.reached(1, boottime.Now().Add(-time.Hour))
-	_, age, _ := replica.Newest()
+	_, age, _ := replica.Newest(nil)
 	assert.Assert(t, age >= time.Hour)
 	replica.reached(1, boottime.Now())
-	_, age, _ = replica.Newest()
+	_, age, _ = replica.Newest(nil)
 	assert.Assert(t, age < time.Hour)
 }
 
@@ -77,13 +77,13 @@
 	replica := newReplica()
 	offset := int64(0)
 	for number := range maxDeletions + 1 {
-		replica.take(record(fmt.Sprint("k", number), "", offset))
+		replica.take(record(fmt.Sprint("k", number), "", offset), "")
 		offset++
 	}
 	replica.reached(offset, boottime.Now())
 	var gone *eventlog.GoneError
-	_, _, err := replica.Read(t.Context(), 5, 0)
+	_, _, err := replica.Read(t.Context(), 5, 0, nil)
 	assert.Assert(t, errors.As(err, &gone), "%v", err)
-	_, _, err = replica.Read(t.Context(), offset, 0)
+	_, _, err = replica.Read(t.Context(), offset, 0, nil)
 	assert.NilError(t, err)
 }
--- /dev/null
+++ b/internal/hosted/coverage_test.go
@@ -0,0 +1,73 @@
+package hosted
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/routes"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+// batchAndLive is a configuration whose service "models" runs batch items only.
+func batchAndLive(version int64, liveServices ...string) *routes.Table {
+	definition := routes.Definition{
+		Version:  version,
+		Services: []routes.Service{{Name: "models"}, {Name: "desk"}},
+		Routes:   []routes.Route{{Host: "h", Prefix: "/batch/", Kind: routes.Batch, Parts: []routes.Part{{Service: "models"}}}},
+	}
+	for _, service := range liveServices {
+		definition.Routes = append(definition.Routes, routes.Route{
+			Host: "h", Prefix: "/" + service + "/", Kind: routes.Safe, Parts: []routes.Part{{Service: service}},
+		})
+	}
+	return routes.NewTable(definition)
+}
+
+func TestServicesOfBatchRoutesAloneAreLeftOut(t *testing.T) {
+	assert.DeepEqual(t, batchAndLive(1, "desk").BatchOnly(), []string{"models"})
+	assert.Equal(t, len(batchAndLive(1, "desk", "models").BatchOnly()), 0)
+}
+
+// TestEnginesThatAreLeftOutAreNotKept: the log itself tells them all the same. Once they are needed they come back.
+func TestEnginesThatAreLeftOutAreNotKept(t *testing.T) {
+	n, logs := listReader()
+	n.state.setTable(batchAndLive(2, "desk"))
+	n.takeEntry("m1", "models")
+	n.takeEntry("d1", "desk")
+	assert.Equal(t, len(n.fleet.Services()), 2)
+	assert.Assert(t, n.coverage.change([]string{"models"}))
+	assert.Assert(t, !n.coverage.isSteady(), "the list was not read again yet")
+	n.takeEntry("m1", "models")
+	n.takeEntry("m2", "models")
+	assert.DeepEqual(t, n.fleet.Services(), []string{"desk"})
+	assert.Assert(t, !strings.Contains(logs.String(), "engine gone"))
+	n.coverage.read([]string{"models"})
+	assert.Assert(t, n.coverage.isSteady() && !n.coverage.isWhole())
+	assert.Assert(t, n.coverage.change(nil))
+	n.takeEntry("m2", "models")
+	assert.Equal(t, len(n.fleet.Engines("models")), 1)
+}
+
+// TestOnlyWhoHoldsTheWholeListHandsItOn and may lead by it.
+func TestOnlyWhoHoldsTheWholeListHandsItOn(t *testing.T) {
+	var held coverage
+	assert.Assert(t, !held.isWhole(), "nothing was read yet")
+	held.read(nil)
+	assert.Assert(t, held.isWhole())
+	held.change([]string{"models"})
+	assert.Assert(t, !held.isWhole(), "changes of these engines are missing from now on")
+	held.read([]string{"models"})
+	held.change(nil)
+	assert.Assert(t, !held.isWhole(), "their entries were not read yet")
+	held.read(nil)
+	assert.Assert(t, held.isWhole())
+}
+
+// TestAnEntryThatCannotBeReadIsForAllReaders: each counts and tells it.
+func TestAnEntryThatCannotBeReadIsForAllReaders(t *testing.T) {
+	n, _ := listReader()
+	assert.Equal(t, n.engineClass(eventlog.KeyedRecord{Key: "a", Value: []byte("s")}), "s")
+	assert.Equal(t, n.engineClass(eventlog.KeyedRecord{Key: "a", Value: []byte("unreadable")}), "")
+}
--- a/internal/hosted/election.go
+++ b/internal/hosted/election.go
@@ -14,7 +14,8 @@
 		Holder: n.holder, Node: n.config.Node.ID, Address: exclusiveAddress(n.config.Listen.Peers),
 		TTL: time.Duration(n.config.Hosted.Lease), ClaimDelay: claimDelay(n.config.Node.Processors),
 		Quiet: time.Duration(n.config.Hosted.OrderQuiet), EnginesFence: n.config.Hosted.EnginesFence,
-		Budget: n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: n.logger,
+		Eligible: n.mayLead,
+		Budget:   n.directory.Budget(), Behind: n.metrics.recordBehind, Logger: n.logger,
 	}
 }
 
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -32,7 +32,7 @@
 func (n *node) takeEngine(record eventlog.KeyedRecord) {
 	if record.Deleted {
 		delete(n.unusable, record.Key)
-		if gone, known := n.forgetEngine(record.Key); known {
+		if gone, known := n.forgetEngine(record.Key); known && !n.coverage.leaves(gone.Service) {
 			n.logger.Info().Stringer("engine", gone.Incarnation()).Int64("offset", record.Offset).Msg("engine gone")
 		}
 		return
@@ -43,6 +43,11 @@
 		n.tellUnusable(record, err, withdrawn)
 		return
 	}
+	if n.coverage.leaves(engine.Service) {
+		delete(n.unusable, record.Key)
+		n.forgetEngine(record.Key)
+		return
+	}
 	if fault := n.serviceFault(engine); fault != nil {
 		n.tellUnusable(record, fault, false)
 	} else {
@@ -131,8 +136,12 @@
 	return nil
 }
 
-// knowsEngine tells whether an engine is known whose service the configuration names.
+// knowsEngine tells whether an engine is known whose service the configuration names, or this node need know
+// none of some service.
 func (n *node) knowsEngine(table *routes.Table) bool {
+	if n.engines.IsLoaded() && len(n.coverage.leftOutNow()) > 0 {
+		return true
+	}
 	for _, service := range n.fleet.Services() {
 		if _, found := table.Service(service); found {
 			return true
--- a/internal/hosted/homerunners.go
+++ b/internal/hosted/homerunners.go
@@ -190,6 +190,8 @@
 // A cold engine takes only what the leader's pacer grants, so this role asks for permits as every other
 // sender does.
 func (n *node) runAtHome(ctx context.Context, term leadership.Term, set homes.Set) {
+	n.itemRunners.Add(1)
+	defer n.itemRunners.Add(-1)
 	var runner *batchrun.Runner
 	permits := coldpermits.NewStock(ctx, coldpermits.StockOptions{
 		Ask: n.coldPermits.Ask, Find: n.fleet.Find, Granted: func() { runner.Wake() },
--- a/internal/hosted/homerunners_test.go
+++ b/internal/hosted/homerunners_test.go
@@ -64,6 +64,7 @@
 	n.config.Node.ID, n.config.Node.Region = "a", "north"
 	n.config.Hosted.Lease = settings.Duration(600 * time.Millisecond)
 	n.directory = logrelay.NewDirectory(n.log, logrelay.Self{Node: "a", Region: "north"}, 0, n.logger)
+	n.coverage.read(nil)
 	ran := &roleLog{}
 	runners := newHomeRunners(n)
 	runners.role = ran.run
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -54,6 +54,10 @@
 	// knowledge is whether the node knows the evacuations.
 	knowledge  *zoneKnowledge
 	standstill *standstill.Watch
+	// coverage is which part of the engine list this node follows.
+	coverage coverage
+	// itemRunners counts the runners of batch items on this node.
+	itemRunners atomic.Int32
 	// runner runs the items of batch jobs while this node leads; nil otherwise.
 	runner  atomic.Pointer[batchrun.Runner]
 	control *follow.Follower
@@ -133,10 +137,12 @@
 	log := logrelay.NewFallback(direct, n.directory.Others, n.counted(logrelay.NewClient(), logTraffic), logger)
 	n.directory.SetLog(log)
 	replicas := logrelay.NewReplicaReader(log, n.directory.Sources, n.counted(logrelay.NewClient(), replicaTraffic))
+	replicas.LeaveOut(n.leftOutOf)
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
 	n.knowledge = newZoneKnowledge(n.standstill, n.control, logger)
 	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: n.knowledge.known, HeldBack: metrics.heldBackAt})
 	n.engines = follow.New(replicas, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
+	n.engines.Classify(n.engineClass)
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
@@ -180,7 +186,7 @@
 	case n.platform.ControlTopic():
 		return n.control.Replica(), true
 	case n.platform.EngineTopic():
-		return n.engines.Replica(), true
+		return n.engines.Replica(), n.coverage.isWhole()
 	case n.platform.CrashTopic():
 		return n.ended.Replica(), true
 	default:
@@ -209,7 +215,7 @@
 	group.Go(n.operators.serve)
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
-		n.control.Run, n.engines.Run, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run,
+		n.control.Run, n.followEngines, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run,
 		n.applyDeferred, n.standstill.Run, n.watchColdEngines,
 		n.whenCurrent(n.elector.Run), n.whenCurrent(n.homeRunners.Run),
 	} {
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -14,6 +14,8 @@
 // lead is the leader's part: it runs the items of batch jobs that are bound to no regions, and orders
 // weights for all.
 func (n *node) lead(ctx context.Context, term leadership.Term) {
+	n.itemRunners.Add(1)
+	defer n.itemRunners.Add(-1)
 	var runner *batchrun.Runner
 	orders := weightorders.New(weightorders.Options{
 		Engines: n.platform.Engines(), Fleet: n.fleet, Gate: n.gate, Targets: n.weightTargets,
--- a/internal/hosted/zonesapi.go
+++ b/internal/hosted/zonesapi.go
@@ -35,7 +35,7 @@
 
 // zones returns this node's view of the zones.
 func (n *node) zones() api.Zones {
-	zones := api.Zones{Node: n.config.Node.ID, AgeMs: n.control.Age().Milliseconds(), Zones: []api.ZoneStatus{}}
+	zones := api.Zones{Node: n.config.Node.ID, AgeMs: n.control.Age().Milliseconds(), LeftOut: n.coverage.leftOutNow(), Zones: []api.ZoneStatus{}}
 	runner := n.runner.Load()
 	zones.Leading = runner != nil
 	for _, zone := range n.fleet.Zones() {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -59,6 +59,10 @@
 	arrivalTime = sendWindow + lease.InFlight
 	// claimJitter spreads the claims of nodes that find a lease free at once.
 	claimJitter = 60 * time.Millisecond
+	// observerGap is the time between two reads of a node that is not to lead: who leads it must know only to
+	// ask that node for permits. In a cluster of a thousand nodes, those that may lead read three times a
+	// second each, and all others were most of what the log served.
+	observerGap = time.Second
 )
 
 // Role is what a leader does. It returns soon after ctx ends.
@@ -84,6 +88,8 @@
 	Quiet time.Duration
 	// EnginesFence is true when engines refuse lower fencing tokens than one seen.
 	EnginesFence bool
+	// Eligible tells whether this node may claim a lease now; nil for always. A lease that it holds it keeps.
+	Eligible func() bool
 	// Budget is what all nodes together may read of the log.
 	Budget pacing.Budget
 	// Behind, if set, is told of each record that a holder wrote after another claim had won.
@@ -245,7 +251,28 @@
 	return e.state.HeldBy(e.options.Holder, epoch)
 }
 
+// isEligible tells whether this node may claim the lease.
+func (e *Elector) isEligible() bool { return e.options.Eligible == nil || e.options.Eligible() }
+
+// Unheld tells whether nobody has held the lease for a period longer than it takes to claim one, as far as
+// this node has been in contact with the log for that long.
+func (e *Elector) Unheld(period time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.contactSince.IsZero() {
+		return false
+	}
+	since := e.state.SeenAt
+	if e.contactSince.After(since) {
+		since = e.contactSince
+	}
+	return e.readAt.Sub(since) >= e.options.TTL+period
+}
+
 func (e *Elector) claimIfFree(ctx context.Context) {
+	if !e.isEligible() {
+		return
+	}
 	now := e.now()
 	e.mu.Lock()
 	inContact := !e.contactSince.IsZero()
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -55,6 +55,9 @@
 	if leading {
 		return 0
 	}
+	if !e.isEligible() {
+		return observerGap
+	}
 	return e.options.Budget.Stretch(readGap, maxReadGap)
 }
 
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -39,6 +39,9 @@
 	// Patience is how long the sender of a call that writes waits for its end; zero when
 	// unknown.
 	Patience time.Duration `msgpack:"p,omitempty"`
+	// LeftOut are the classes of records that a reader of a replica does without. One that does not know the
+	// field is sent all.
+	LeftOut []string `msgpack:"x,omitempty"`
 }
 
 // writes tells whether the call changes the log.
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -52,6 +52,8 @@
 	sources func() []string
 	client  *http.Client
 	paused  *pauses.Pauses
+	// leftOut returns the classes of a topic's records that this node does without.
+	leftOut func(topic string) []string
 
 	mu sync.Mutex
 	// readAt is when each topic was read from a replica last.
@@ -64,13 +66,18 @@
 func NewReplicaReader(log eventlog.Log, sources func() []string, client *http.Client) *ReplicaReader {
 	return &ReplicaReader{
 		Log: log, sources: sources, client: client, paused: pauses.New(),
-		readAt: make(map[string]time.Time),
+		leftOut: func(string) []string { return nil },
+		readAt:  make(map[string]time.Time),
 	}
 }
 
+// LeaveOut has replicas leave out the classes of a topic's records that the function returns at each read;
+// before the first read only. The log itself tells all records.
+func (r *ReplicaReader) LeaveOut(leftOut func(topic string) []string) { r.leftOut = leftOut }
+
 // Newest implements eventlog.Log.
 func (r *ReplicaReader) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
-	call := request{Operation: opReplicaNewest, Topic: topic}
+	call := request{Operation: opReplicaNewest, Topic: topic, LeftOut: r.leftOut(topic)}
 	answer, known, _ := r.askPatiently(ctx, call, newestTimeout, wholePatience)
 	if !known {
 		return r.Log.Newest(ctx, topic)
@@ -82,7 +89,9 @@
 func (r *ReplicaReader) ReadKeyed(
 	ctx context.Context, topic string, from int64, wait time.Duration,
 ) (eventlog.KeyedBatch, error) {
-	call := request{Operation: opReplicaRead, Topic: topic, Offset: from, Wait: min(wait, replicaWait)}
+	call := request{
+		Operation: opReplicaRead, Topic: topic, Offset: from, Wait: min(wait, replicaWait), LeftOut: r.leftOut(topic),
+	}
 	retry.Sleep(ctx, r.gapLeft(topic))
 	answer, known, err := r.askPatiently(ctx, call, call.Wait+replicaTimeout, tailPatience)
 	if !known {
--- a/internal/logrelay/replicareader_test.go
+++ b/internal/logrelay/replicareader_test.go
@@ -241,3 +241,34 @@
 		assert.Equal(t, own.reads.Load(), int64(0), "reader %d", reader)
 	}
 }
+
+// TestReadersOfAReplicaGetWhatTheyDoNotLeaveOut: the class of a record decides.
+func TestReadersOfAReplicaGetWhatTheyDoNotLeaveOut(t *testing.T) {
+	log := memlog.New()
+	for _, key := range []string{"a1", "a2", "b1"} {
+		log.Put(followed, key, []byte("v"))
+	}
+	follower := follow.New(log, followed, func(eventlog.KeyedRecord) {}, pacing.Budget{}, zerolog.Nop())
+	follower.Classify(func(record eventlog.KeyedRecord) string { return record.Key[:1] })
+	go func() { _ = follower.Run(t.Context()) }()
+	<-follower.Loaded()
+	server := httptest.NewServer(NewHandler(log, always, oneReplica{follower}))
+	t.Cleanup(server.Close)
+	reader := NewReplicaReader(log, func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }, NewClient())
+	reader.LeaveOut(func(string) []string { return []string{"a"} })
+	batch, err := reader.Newest(t.Context(), followed)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 1)
+	log.Put(followed, "a3", []byte("v"))
+	log.Put(followed, "b2", []byte("v"))
+	var keys []string
+	for next := batch.Next; len(keys) == 0; {
+		changes, err := reader.ReadKeyed(t.Context(), followed, next, time.Second)
+		assert.NilError(t, err)
+		for _, record := range changes.Records {
+			keys = append(keys, record.Key)
+		}
+		next = changes.Next
+	}
+	assert.DeepEqual(t, keys, []string{"b2"})
+}
--- a/internal/logrelay/server.go
+++ b/internal/logrelay/server.go
@@ -30,8 +30,10 @@
 
 // Replica is what a node has read of a topic; see follow.Replica.
 type Replica interface {
-	Newest() (eventlog.KeyedBatch, time.Duration, bool)
-	Read(ctx context.Context, from int64, wait time.Duration) (eventlog.KeyedBatch, time.Duration, error)
+	Newest(leftOut []string) (eventlog.KeyedBatch, time.Duration, bool)
+	Read(
+		ctx context.Context, from int64, wait time.Duration, leftOut []string,
+	) (eventlog.KeyedBatch, time.Duration, error)
 }
 
 // NewHandler serves calls of other nodes with the node's own connection to the
@@ -77,13 +79,13 @@
 		return response{Outcome: noWay}
 	}
 	if call.Operation == opReplicaNewest {
-		batch, age, known := replica.Newest()
+		batch, age, known := replica.Newest(call.LeftOut)
 		if !known {
 			return response{Outcome: noWay}
 		}
 		return response{Outcome: done, Offset: batch.Next, Keyed: batch.Records, Age: age}
 	}
-	batch, age, err := replica.Read(ctx, call.Offset, min(call.Wait, maxWait))
+	batch, age, err := replica.Read(ctx, call.Offset, min(call.Wait, maxWait), call.LeftOut)
 	if err != nil {
 		return failed(err)
 	}
--- a/test/hosted/replicas_test.go
+++ b/test/hosted/replicas_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/core/replicaset"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
@@ -113,3 +114,46 @@
 		return others[0].call(http.MethodPost, "/later/x", "job2", job(1, "b")).status == http.StatusAccepted
 	})
 }
+
+// leavesOutModels tells whether the node follows the engine list without the engines of batch items, as its newest
+// line on it says.
+func (p *process) leavesOutModels() bool {
+	lines := p.logs.String()
+	newest := strings.LastIndex(lines, "engine list followed")
+	if newest < 0 {
+		return false
+	}
+	start := strings.LastIndex(lines[:newest], "\n") + 1
+	return strings.Contains(lines[start:newest], `"left_out":["llm"]`)
+}
+
+// TestNodesOfALargeClusterLeaveOutEnginesThatTheyNeverChoose: live requests are served and batch items run all the
+// same, also once a configuration sends live requests to these engines.
+func TestNodesOfALargeClusterLeaveOutEnginesThatTheyNeverChoose(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addEngine(standin.EngineOptions{ID: "desk1", Service: "desk"})
+	models := d.addModelEngine("e1", 1, 4, 0)
+	d.configure(safeRoute("/lookup/"), batchRoute("/batch/"))
+	d.listDistantNodes()
+	nodes := []*process{d.start("n1"), d.start("n2"), d.start("n3"), d.start("n4")}
+	replica, others := replicaOf(t, nodes)
+	for number, node := range others {
+		testwait.Until(t, "a node without engines of batch items", node.leavesOutModels)
+		assert.Equal(t, node.call(http.MethodGet, "/lookup/x", fmt.Sprint("live", number), "").status, http.StatusOK)
+	}
+	assert.Assert(t, !replica.leavesOutModels())
+	ids := itemIDs(20)
+	assert.Equal(t, others[0].call(http.MethodPost, "/batch/x", "job1", job(1, ids...)).status, http.StatusAccepted)
+	checkWhole(t, d.awaitResults(others[1], "job1", len(ids)), ids, 4)
+	d.list(models)
+	live := safeRoute("/lookup/")
+	live["service"] = "llm"
+	d.configure(live, batchRoute("/batch/"))
+	for number, node := range others {
+		testwait.Until(t, "an answer of an engine that was left out", func() bool {
+			id := fmt.Sprint("moved", number)
+			return !node.leavesOutModels() && node.call(http.MethodPost, "/lookup/x", id, "x").status == http.StatusOK
+		})
+	}
+}
