An engine that ends with more items than its memory holds is held against none of them

Cause: engines fall over when the requests that they hold grow beyond their memory. A runner gives an engine's memory away up to twice over, since items grow into theirs; each item there at the end then counted as one that may have ended it, and two such ends keep an item away from all engines. Ruled out: giving no more away than there is, which leaves places unused wherever lengths are estimated too long. Change: where the items at the engine were expected to need more than its memory together, its end says nothing of an item that fits by itself, twice at most for one item: what really ends engines is not sent on and on.

--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -38,6 +38,7 @@
 		return !known
 	}
 	r.plan.ForgetEngines(gone)
+	maps.DeleteFunc(r.crowded, func(engine incarnation.ID, _ crowding) bool { return gone(engine) })
 	maps.DeleteFunc(r.pausedUntil, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
 	room := r.roomAtFast(best)
 	now := time.Now()
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -234,6 +234,7 @@
 	job.items[index].Drop()
 	r.plan.Remove(key)
 	delete(r.quarantined, key)
+	delete(r.crowdedEnds, key)
 	r.stopWork(key)
 }
 
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -143,14 +143,14 @@
 	r.wait.Go(func() {
 		defer cancel()
 		err := r.follow(ctx, job, key, engine, started, call)
-		r.observeCrash(engine, started, call, err)
+		r.observeCrash(key, engine, started, call, err)
 		r.ended(job, key, started, err)
 	})
 }
 
 // observeCrash finds out what became of an engine that ended an item's stream, and
 // remembers which items gave a whole one.
-func (r *Runner) observeCrash(engine fleet.Engine, own *run, call Call, err error) {
+func (r *Runner) observeCrash(key batchplan.Key, engine fleet.Engine, own *run, call Call, err error) {
 	if errors.Is(err, io.EOF) {
 		r.options.Guard.Answered(call.fingerprint)
 		return
@@ -159,6 +159,11 @@
 	if !errors.As(err, &refused) || !refused.ConnectionLost {
 		return
 	}
+	if r.endedCrowded(key, engine, time.Now()) {
+		r.options.Logger.Warn().Str("job", key.Job).Str("item", call.ItemID).Stringer("engine", engine.Incarnation()).
+			Msg("engine ended with more items than its memory holds")
+		return
+	}
 	r.options.Guard.ConnectionLost(r.ctx, crashes.Loss{
 		Engine: engine, RequestID: call.ItemID, Fingerprint: call.fingerprint(),
 		Isolated: own.apart && time.Since(own.started) < batchplan.IsolationTime,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -91,6 +91,10 @@
 	scoring *scoringQueue
 	// pausedUntil holds until when engines that refused an item get none.
 	pausedUntil map[incarnation.ID]time.Time
+	// crowded tells of engines that lost a connection whether they had been given more than their memory holds.
+	crowded map[incarnation.ID]crowding
+	// crowdedEnds counts the engines that ended under an item because they were crowded.
+	crowdedEnds map[batchplan.Key]int
 	// starts is how many starts of engines were listed when the runs were looked through last.
 	starts int64
 	// tickedAt is when the runner last looked round.
@@ -144,6 +148,8 @@
 		scoring: newScoringQueue(),
 
 		pausedUntil: make(map[incarnation.ID]time.Time),
+		crowded:     make(map[incarnation.ID]crowding),
+		crowdedEnds: make(map[batchplan.Key]int),
 		quarantined: make(map[batchplan.Key]time.Time),
 		carriedOver: make(map[string]carried),
 	}
@@ -249,6 +255,7 @@
 	key := batchplan.Key{Job: job.record.ID, Item: finished.Item}
 	r.plan.Remove(key)
 	delete(r.quarantined, key)
+	delete(r.crowdedEnds, key)
 	item := &job.items[finished.Item]
 	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[finished.Item].ID).
 		Int("index", finished.Item).Bool("completed", finished.Outcome == batch.Completed).Str("reason", reason).
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -187,6 +187,17 @@
 // Running returns the number of items at the engine.
 func (p *Plan) Running(engine incarnation.ID) int { return p.count[engine] }
 
+// Crowded tells whether the running items of an engine are expected to need more than its memory together, though
+// the named one fits by itself.
+//
+// What items need is estimated: prompts are known, outputs are what the submitter expects, or half of the most.
+// So the sum errs either way, by up to a third for a few items and less for many; items that run longer than
+// expected make it too small.
+func (p *Plan) Crowded(key Key, engine incarnation.ID, memory int) bool {
+	place, found := p.running[key]
+	return found && memory > 0 && place.tokens <= memory && p.tokens[engine] > memory
+}
+
 // AllRunning returns the number of items at each engine, where some run.
 func (p *Plan) AllRunning() map[incarnation.ID]int { return maps.Clone(p.count) }
 
