A load header of four figures is read, and one that can't be is told of

Cause: some services' engines tell as a fourth figure how long work takes there right now. A header of other than three figures was dropped without a word, so that no load of these engines was known at all. Ruled out: questions to engines that have not been heard lately: the figure changes several times a second, so each question is worth one request at most, and engines are paid for each (design/engine-load.md). Change: the figure is part of the load (1 for as usual) and weighs in the expected time of an answer for 150 ms; further figures are passed over. What cannot be read counts, is told of once an engine, and leaves the load unknown. Before: "3,0,8,250" gives no load.

--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -45,8 +45,10 @@
 const (
 	// coldCost is what a cold engine adds to its occupancy (1 = all slots taken).
 	coldCost = 0.5
-	// reportedLoadLife is how long a reported load is believed.
+	// reportedLoadLife is how long a reported load is believed, slowdownLife how long a reported slowdown is: that
+	// changes several times a second.
 	reportedLoadLife = 500 * time.Millisecond
+	slowdownLife     = 150 * time.Millisecond
 	// assumedAnswerTime stands in for the time of a service's answers until the first ones: that of a
 	// small request, so that a near engine goes first unless it is full.
 	assumedAnswerTime = 50 * time.Millisecond
@@ -138,6 +140,7 @@
 	share := float64(candidate.busy(query.Now)+1) / float64(max(1, candidate.engine.Slots))
 	// An engine that took a second longer lately counts as twice as full: engines of a service differ.
 	share *= 1 + candidate.latency.Seconds()
+	share *= candidate.slowdown(query.Now)
 	if query.Now.Before(candidate.engine.ColdUntil) {
 		share += coldCost
 	}
@@ -163,6 +166,15 @@
 	f.answerTimes[service] = known + time.Duration(latencyWeight*float64(took-known))
 }
 
+// slowdown is how much longer than usual work is expected to take at the engine: as it said just now, or else
+// as usual.
+func (m *member) slowdown(now time.Time) float64 {
+	if m.load.Slowdown <= 0 || now.Sub(m.loadAt) >= slowdownLife {
+		return 1
+	}
+	return m.load.Slowdown
+}
+
 // busy is the number of requests at the engine: those of this process, or what
 // the engine said of itself lately if that is more.
 func (m *member) busy(now time.Time) int {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -42,6 +42,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how long work takes at the engine at that moment in proportion to what is usual there; zero
+	// where it does not tell. Engines share their machines with others.
+	Slowdown float64
 }
 
 // member is an engine with what this process has seen of it.
--- a/internal/hosted/coverage_test.go
+++ b/internal/hosted/coverage_test.go
@@ -4,12 +4,16 @@
 	"strings"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
+// errStandIn stands in for whatever is wrong with a load.
+var errStandIn = errors.New("no number")
+
 // batchAndLive is a configuration whose service "models" runs batch items only.
 func batchAndLive(version int64, liveServices ...string) *routes.Table {
 	definition := routes.Definition{
@@ -71,3 +75,18 @@
 	assert.Equal(t, n.engineClass(eventlog.KeyedRecord{Key: "a", Value: []byte("s")}), "s")
 	assert.Equal(t, n.engineClass(eventlog.KeyedRecord{Key: "a", Value: []byte("unreadable")}), "")
 }
+
+// TestAnEngineThatTellsNoReadableLoadIsToldOfOnce: it may answer many times a second.
+func TestAnEngineThatTellsNoReadableLoadIsToldOfOnce(t *testing.T) {
+	n, logs := listReader()
+	n.takeEntry("a", "s")
+	engine, _ := n.fleet.Get("a")
+	for range 3 {
+		n.loadUnreadable(engine, errStandIn)
+	}
+	assert.Equal(t, strings.Count(logs.String(), "engine load unreadable"), 1)
+	n.takeEntry("a", "")
+	n.takeEntry("a", "s")
+	n.loadUnreadable(engine, errStandIn)
+	assert.Equal(t, strings.Count(logs.String(), "engine load unreadable"), 2, "it was gone meanwhile")
+}
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -65,6 +65,7 @@
 func (n *node) forgetEngine(id string) (engine fleet.Engine, known bool) {
 	engine, known = n.fleet.Get(id)
 	n.fleet.Remove(id)
+	n.unreadableLoads.Delete(engine.Incarnation())
 	return engine, known
 }
 
@@ -96,6 +97,15 @@
 		Bool("withdrawn", withdrawn).Msg("engine entry unusable")
 }
 
+// loadUnreadable counts an answer whose engine told a load that cannot be read, and tells of each engine once.
+func (n *node) loadUnreadable(engine fleet.Engine, fault error) {
+	n.metrics.loadsUnreadable.Inc()
+	if _, told := n.unreadableLoads.LoadOrStore(engine.Incarnation(), true); !told {
+		n.logger.Warn().Err(fault).Stringer("engine", engine.Incarnation()).Str("service", engine.Service).
+			Msg("engine load unreadable")
+	}
+}
+
 // tellChange tells of what an entry changed.
 func (n *node) tellChange(known, engine fleet.Engine, change fleet.Change, offset int64) {
 	if !n.engines.IsLoaded() {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -54,6 +54,8 @@
 	// knowledge is whether the node knows the evacuations.
 	knowledge  *zoneKnowledge
 	standstill *standstill.Watch
+	// unreadableLoads are the engines of whose loads it was told that they cannot be read.
+	unreadableLoads sync.Map
 	// coverage is which part of the engine list this node follows.
 	coverage coverage
 	// itemRunners counts the runners of batch items on this node.
@@ -158,7 +160,8 @@
 	n.coldDecider, n.coldPermits = n.newColdPermits()
 	n.relay = ingress.New(ingress.Options{
 		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.guard, Gate: n.gate, ColdPermits: n.coldPermits,
-		Table: n.state.table, Current: n.isCurrent,
+		LoadUnreadable: n.loadUnreadable,
+		Table:          n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Region: config.Node.Region, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -36,6 +36,8 @@
 	coldPermits         *prometheus.CounterVec
 	// runningAtHome is by the regions to which the jobs are bound that the node runs.
 	runningAtHome *prometheus.GaugeVec
+	// loadsUnreadable counts answers whose load cannot be read.
+	loadsUnreadable prometheus.Counter
 	// traffic counts messages to other machines.
 	traffic *traffic
 }
@@ -104,6 +106,10 @@
 	for _, reason := range fleet.Holds() {
 		m.heldBack.WithLabelValues(reason.String())
 	}
+	m.loadsUnreadable = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "corkpulley_hosted_engine_loads_unreadable_total", Help: "Answers of engines whose load cannot be read.",
+	})
+	registry.MustRegister(m.loadsUnreadable)
 	m.addSlowStart()
 	m.traffic = newTraffic(registry)
 	registry.MustRegister(
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -77,6 +77,8 @@
 	WrongEngine bool
 	// Load is what the engine said of itself; nil when it did not.
 	Load *fleet.Load
+	// LoadFault says why what the engine said of its load cannot be read; nil where it can, or there is none.
+	LoadFault error
 	// Stamp is the engine's signature of the answer; empty when there is none.
 	Stamp string
 }
@@ -140,6 +142,8 @@
 	// Began is told once of each caller's request that an engine has begun to run, and
 	// when it did.
 	Began func(tenant string, at time.Time)
+	// LoadUnreadable, if set, is told of each answer whose load cannot be read.
+	LoadUnreadable func(engine fleet.Engine, fault error)
 	// Observe is told of each request's end.
 	Observe func(route string, kind string, took time.Duration)
 }
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		result = x.unanswered(err, &outcome)
 	} else {
+		x.tellLoadFault(engine, answer)
 		result = x.takeAnswer(answer, &outcome)
 	}
 	outcome.At = time.Now()
@@ -61,6 +62,13 @@
 	return result
 }
 
+// tellLoadFault tells of a load that cannot be read.
+func (x *exchange) tellLoadFault(engine fleet.Engine, answer *Answer) {
+	if tell := x.relay.options.LoadUnreadable; tell != nil && answer.LoadFault != nil {
+		tell(engine, answer.LoadFault)
+	}
+}
+
 // quarantined finds out whether the engine that lost the request has ended, and tells whether
 // the request is kept away from the others now.
 func (x *exchange) quarantined(engine fleet.Engine) bool {
