What a node holds for callers is bounded, and engines do not wait for slow ones

Cause: an answer was copied at its caller's pace, so that a caller that stops left an engine's answer unread; the engine breaks it off after some seconds, and that counted as its failure and as a connection lost under the request. Bodies, and results of batch jobs, were taken into memory whatever was there: a thousand readers that stop while they read results of 0.8 MB ask for 1.6 GB, on machines of 112 MB. Ruled out: a write deadline alone, which comes later than the engine bears; see design/slow-readers.md. Change: a budget of bytes a node, a sixth of node.memory_mb, for bodies, answers and results; what is new is refused beyond it with a time to come back, what is under way is delivered. Answers above 256 KB and streams go through a spool of 1 MB a caller; an engine that waited half a second for a caller is not blamed. hosted.caller_stall (20 s) cuts off a caller that takes nothing. Callers' sockets hold 256 KB at most. Gauges, counters, a line.

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -48,6 +48,9 @@
 	KeepJobs time.Duration
 	// Budget is what all nodes together may read of the log.
 	Budget pacing.Budget
+	// Hold, if set, holds memory of the node for bytes that are about to be read for a reader, or returns the
+	// error that the reader is told.
+	Hold   func(bytes int) (release func(), err error)
 	Logger zerolog.Logger
 }
 
@@ -60,6 +63,9 @@
 
 // New returns a service; Run reads the log.
 func New(log eventlog.Log, options Options) *Service {
+	if options.Hold == nil {
+		options.Hold = func(int) (func(), error) { return func() {}, nil }
+	}
 	s := &Service{log: log, options: options}
 	for number := range options.Partitions {
 		s.partitions = append(s.partitions, newPartition(log, number, options))
--- a/internal/batchjobs/results.go
+++ b/internal/batchjobs/results.go
@@ -48,6 +48,11 @@
 		return answer, nil
 	}
 	selected := selectResults(job.Results[from:])
+	release, err := s.options.Hold(readCopies * textBytes(selected))
+	if err != nil {
+		return Results{}, err
+	}
+	defer release()
 	texts, err := s.readTexts(ctx, target.data(job.Homes), selected)
 	if err != nil {
 		return Results{}, err
@@ -64,6 +69,18 @@
 	return answer, nil
 }
 
+// readCopies is how many times a text is in memory while it is read: as it came and put together.
+const readCopies = 2
+
+// textBytes is the size of the texts of results.
+func textBytes(results []batch.Result) int {
+	size := 0
+	for _, result := range results {
+		size += result.TextBytes
+	}
+	return size
+}
+
 // worthTelling tells whether a reader of the positions from on should be answered
 // at once. Where the submitter did not say how many groups it wants, each result is
 // worth it.
@@ -101,6 +118,11 @@
 	if !found {
 		return nil, errkind.New(errkind.NotFound, "job %s has no item %s", jobID, itemID)
 	}
+	release, err := s.options.Hold(s.options.RecordBytes)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
 	payloads, err := s.readPayloads(ctx, target.data(job.Homes), []batch.Span{{First: job.PayloadOffset(index), Count: 1}}, bodyReadLimit)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/callerwrite/callerwrite_test.go
@@ -0,0 +1,135 @@
+package callerwrite
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// stall is short, since the callers of these tests read at once or never.
+const stall = 200 * time.Millisecond
+
+// serve answers each call by the handler and returns the server's address.
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// call asks for an answer and reads nothing of it.
+func call(t *testing.T, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	// A small window, so that the answer does not fit into the sockets.
+	assert.NilError(t, connection.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	return connection
+}
+
+func TestACallerThatTakesNothingIsCutOff(t *testing.T) {
+	var left atomic.Int64
+	budget := bytebudget.New(1 << 30)
+	limits := Limits{Budget: budget, Stall: stall, Stalled: func(bytes int) { left.Store(int64(bytes)) }}
+	ended := make(chan error, 1)
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		ended <- limits.Write(w, make([]byte, 32<<20))
+	})
+	call(t, address)
+	assert.Assert(t, <-ended != nil)
+	assert.Assert(t, left.Load() > 0)
+	assert.Equal(t, budget.Held(bytebudget.Answers), int64(0))
+}
+
+func TestACallerThatReadsGetsAll(t *testing.T) {
+	content := bytes.Repeat([]byte("answer "), 1<<20)
+	limits := Limits{Stall: stall}
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/whole" {
+			_ = limits.Write(w, content)
+			return
+		}
+		spool := NewSpool(w, limits)
+		for rest := content; len(rest) > 0; {
+			piece := rest[:min(1000, len(rest))]
+			if err := spool.Write(piece); errors.Is(err, ErrFull) {
+				spool.Await(r.Context())
+				continue
+			}
+			rest = rest[len(piece):]
+		}
+		assert.NilError(t, spool.Close())
+	})
+	for _, path := range []string{"/whole", "/spooled"} {
+		answer, err := http.Get("http://" + address + path)
+		assert.NilError(t, err)
+		read, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		_ = answer.Body.Close()
+		assert.Assert(t, bytes.Equal(read, content), path)
+	}
+}
+
+// TestWhoMakesAnAnswerNeverWaitsForItsCaller: up to what is held for one caller.
+func TestWhoMakesAnAnswerNeverWaitsForItsCaller(t *testing.T) {
+	budget := bytebudget.New(1 << 30)
+	ended := make(chan error, 1)
+	full := make(chan int, 1)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		spool := NewSpool(w, Limits{Budget: budget, Stall: stall})
+		taken, told := 0, false
+		for taken < 64<<20 {
+			err := spool.Write(make([]byte, 8<<10))
+			switch {
+			case err == nil:
+				taken += 8 << 10
+				continue
+			case !errors.Is(err, ErrFull):
+				ended <- spool.Close()
+				return
+			case !told:
+				told = true
+				full <- taken
+			}
+			spool.Await(r.Context())
+		}
+		ended <- spool.Close()
+	})
+	call(t, address)
+	assert.Assert(t, <-full >= MaxHeld-8<<10)
+	assert.Assert(t, <-ended != nil)
+	testwait.Until(t, "all bytes given back", func() bool { return budget.Held(bytebudget.Answers) == 0 })
+}
+
+// TestNothingMoreIsTakenWhileTheNodeHoldsTooMuch: others than this caller hold it.
+func TestNothingMoreIsTakenWhileTheNodeHoldsTooMuch(t *testing.T) {
+	budget := bytebudget.New(1 << 20)
+	budget.Take(bytebudget.Answers, 2<<20)
+	failure := make(chan error, 1)
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		spool := NewSpool(w, Limits{Budget: budget, Stall: stall})
+		err := error(nil)
+		for err == nil {
+			err = spool.Write(make([]byte, 64<<10))
+		}
+		failure <- err
+		_ = spool.Close()
+	})
+	call(t, address)
+	assert.Assert(t, errors.Is(<-failure, ErrFull))
+}
--- /dev/null
+++ b/internal/core/bytebudget/bytebudget_test.go
@@ -0,0 +1,70 @@
+package bytebudget
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestNewBytesAreRefusedBeyondTheBudget(t *testing.T) {
+	budget := New(100)
+	assert.Assert(t, budget.Reserve(Bodies, 50))
+	assert.Assert(t, !budget.Reserve(Bodies, 1), "beyond the share of its kind")
+	assert.Assert(t, budget.Reserve(Results, 50))
+	assert.Assert(t, !budget.Reserve(Answers, 1))
+	budget.Release(Bodies, 50)
+	assert.Assert(t, budget.Reserve(Answers, 50))
+}
+
+func TestBytesThatAreThereAreTakenAndKeepNewOnesOut(t *testing.T) {
+	budget := New(100)
+	budget.Take(Answers, 300)
+	assert.Assert(t, budget.IsShort())
+	assert.Assert(t, !budget.Reserve(Bodies, 1))
+	budget.Release(Answers, 300)
+	assert.Assert(t, !budget.IsShort())
+	assert.Assert(t, budget.Reserve(Bodies, 1))
+}
+
+func TestOneRequestLargerThanTheBudgetIsTakenAlone(t *testing.T) {
+	budget := New(100)
+	assert.Assert(t, budget.Reserve(Bodies, 300))
+	assert.Assert(t, !budget.Reserve(Bodies, 1))
+}
+
+func TestWithoutABudgetNothingIsBounded(t *testing.T) {
+	var budget *Budget
+	assert.Assert(t, budget.Reserve(Bodies, 1<<40))
+	assert.Equal(t, budget.Held(Bodies), int64(0))
+}
+
+// TestReservedBytesStayWithinTheBudget: whatever is taken and given back.
+func TestReservedBytesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1000
+		budget := New(limit)
+		var reserved [kindCount][]int64
+		total := func() (sum int64) {
+			for _, kind := range Kinds() {
+				sum += budget.Held(kind)
+			}
+			return sum
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			kind := rapid.SampledFrom(Kinds()).Draw(t, "kind")
+			if len(reserved[kind]) > 0 && rapid.Bool().Draw(t, "release") {
+				budget.Release(kind, reserved[kind][0])
+				reserved[kind] = reserved[kind][1:]
+				continue
+			}
+			bytes, before := rapid.Int64Range(1, 2*limit).Draw(t, "bytes"), total()
+			if budget.Reserve(kind, bytes) {
+				reserved[kind] = append(reserved[kind], bytes)
+				assert.Assert(t, before == 0 || total() <= limit)
+			} else {
+				assert.Equal(t, total(), before)
+			}
+		}
+	})
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -21,8 +21,10 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/callerwrite"
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/standstill"
+	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -54,6 +56,9 @@
 	// knowledge is whether the node knows the evacuations.
 	knowledge  *zoneKnowledge
 	standstill *standstill.Watch
+	// bytes bounds what is held for callers and engines, callerLimits that for callers who read slowly.
+	bytes        *bytebudget.Budget
+	callerLimits callerwrite.Limits
 	// unreadableLoads are the engines of whose loads it was told that they cannot be read.
 	unreadableLoads sync.Map
 	// coverage is which part of the engine list this node follows.
@@ -128,6 +133,9 @@
 
 		topology: topology.NewMap(config.Topology.Zones, config.Node.Zone, config.Node.Region),
 	}
+	n.bytes = newByteBudget(config.Node)
+	metrics.bytes.Store(n.bytes)
+	n.callerLimits = n.newCallerLimits()
 	n.engineCalls = &countedEngines{
 		platform.Engines(), metrics.traffic, topology.Place{Zone: config.Node.Zone, Region: config.Node.Region},
 	}
@@ -148,7 +156,7 @@
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
-		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Logger: logger,
+		KeepJobs: time.Duration(config.Hosted.KeepJobs), Budget: n.directory.Budget(), Hold: n.HoldResult, Logger: logger,
 	})
 	n.askedJobs = jobrelay.NewRelay(
 		n.jobs, n.directory.SourcesWithin, n.directory.Known(), n.counted(logrelay.NewClient(), jobTraffic), logger,
@@ -160,8 +168,8 @@
 	n.coldDecider, n.coldPermits = n.newColdPermits()
 	n.relay = ingress.New(ingress.Options{
 		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.guard, Gate: n.gate, ColdPermits: n.coldPermits,
-		LoadUnreadable: n.loadUnreadable,
-		Table:          n.state.table, Current: n.isCurrent,
+		Callers: n.callerLimits, LoadUnreadable: n.loadUnreadable,
+		Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Region: config.Node.Region, Seed: seedOf(n.holder), Logger: logger, Observe: n.metrics.requestEnded,
 		Began: n.counter.Began,
 	})
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
@@ -38,6 +40,10 @@
 	runningAtHome *prometheus.GaugeVec
 	// loadsUnreadable counts answers whose load cannot be read.
 	loadsUnreadable prometheus.Counter
+	// bytes is what the node holds for others; nil before it is built.
+	bytes          atomic.Pointer[bytebudget.Budget]
+	callersStalled prometheus.Counter
+	memoryRefused  *prometheus.CounterVec
 	// traffic counts messages to other machines.
 	traffic *traffic
 }
@@ -111,6 +117,7 @@
 	})
 	registry.MustRegister(m.loadsUnreadable)
 	m.addSlowStart()
+	m.addHeldBytes(registry)
 	m.traffic = newTraffic(registry)
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
--- a/internal/hosted/platform.go
+++ b/internal/hosted/platform.go
@@ -7,6 +7,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/callerwrite"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
@@ -66,6 +67,12 @@
 	// MaxBodyBytes and MaxHeaderBytes bound what a client may send.
 	MaxBodyBytes() int64
 	MaxHeaderBytes() int
+	// HoldBody and HoldResult hold memory of the node for a body that is being received, and for an answer about
+	// a batch job until its caller has taken it. Where none is left the error says when to come back.
+	HoldBody() *HeldBody
+	HoldResult(bytes int) (release func(), err error)
+	// CallerLimits bounds what is held for callers that read slowly.
+	CallerLimits() callerwrite.Limits
 	// Refused is told of each error answer.
 	Refused(id string, failure *errkind.Error)
 }
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -19,6 +21,18 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// sendBufferBytes is what the kernel holds of an answer for a caller that does not read, twice at most: memory of
+// the machine that no budget of the process counts. A thousand such callers take 256 MB of it, in place of some 4 GB.
+const sendBufferBytes = 128 << 10
+
+// boundSendBuffer sets the send buffer of a listener, which its connections inherit. A system that does not bound it
+// keeps its own.
+func boundSendBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes)
+	})
+}
+
 // server is one listener with its handler.
 type server struct {
 	listener net.Listener
@@ -30,7 +44,8 @@
 // listen returns a server at the address. Idle connections are closed after
 // idleTime, which is asked each time and may change.
 func listen(address string, handler http.Handler, idleTime func() time.Duration) (*server, error) {
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: boundSendBuffer}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/callerwrite"
 	"github.com/corkpulley/corkpulley/internal/common/connlost"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/eventstream"
@@ -17,7 +19,12 @@
 const (
 	// wholeBytes is up to which size an answer is read whole before its first
 	// byte goes to the caller, so that one cut off can be asked for again.
-	wholeBytes  = 256 << 10
+	wholeBytes = 256 << 10
+	// copyBytes is what is read at once of a larger one.
+	copyBytes = 32 << 10
+	// heldUp is how long an engine must have waited for the caller that its breaking off is no failure of its own:
+	// they break off what is not read for some seconds, and this node's reads lag by less.
+	heldUp      = 500 * time.Millisecond
 	eventStream = "text/event-stream"
 )
 
@@ -56,7 +63,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		x.writeHead(answer, strconv.Itoa(start.Len()))
-		_, _ = x.w.Write(start.Bytes())
+		_ = x.relay.options.Callers.Write(x.w, start.Bytes())
 		x.whole = true
 		return answered
 	case err != nil:
@@ -64,13 +71,54 @@
 		return x.again()
 	}
 	x.writeHead(answer, answer.Header.Get("Content-Length"))
-	_, err = io.Copy(x.w, io.MultiReader(&start, answer.Body))
-	if err != nil {
-		outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
+	return x.relayLarge(io.MultiReader(&start, answer.Body), outcome)
+}
+
+// relayLarge passes on an answer that is too large to be read whole first, at the engine's pace for as long as
+// what the caller has not taken is within bounds.
+func (x *exchange) relayLarge(source io.Reader, outcome *fleet.Outcome) verdict {
+	spool := callerwrite.NewSpool(x.w, x.relay.options.Callers)
+	readErr, writeErr, waited := x.copyTo(spool, source)
+	engineFailed := waited < heldUp
+	if err := spool.Close(); writeErr == nil {
+		writeErr = err
+	}
+	switch {
+	case writeErr != nil:
 		return giveUp
+	case readErr != nil:
+		outcome.Failed, outcome.ConnectionLost = engineFailed, engineFailed && connlost.Is(readErr)
+		return giveUp
+	default:
+		x.whole = true
+		return answered
+	}
+}
+
+// copyTo reads an engine's answer into the spool until it ends. waited is how long the engine had to wait for the
+// caller.
+func (x *exchange) copyTo(spool *callerwrite.Spool, source io.Reader) (readErr, writeErr error, waited time.Duration) {
+	buffer := make([]byte, copyBytes)
+	for {
+		count, err := source.Read(buffer)
+		if count > 0 {
+			writeErr = spool.Write(buffer[:count])
+			began := x.relay.now()
+			for errors.Is(writeErr, callerwrite.ErrFull) && x.ctx.Err() == nil {
+				spool.Await(x.ctx)
+				writeErr = spool.Write(buffer[:count])
+			}
+			waited += x.relay.now().Sub(began)
+		}
+		switch {
+		case writeErr != nil:
+			return nil, writeErr, waited
+		case errors.Is(err, io.EOF):
+			return nil, nil, waited
+		case err != nil:
+			return err, nil, waited
+		}
 	}
-	x.whole = true
-	return answered
 }
 
 func (x *exchange) writeHead(answer *Answer, length string) {
@@ -96,7 +144,16 @@
 		x.streamed = true
 		x.after = x.request.After
 	}
-	flush := http.NewResponseController(x.w)
+	spool := callerwrite.NewSpool(x.w, x.relay.options.Callers)
+	result := x.relayEvents(answer, spool, outcome)
+	if err := spool.Close(); err != nil && result == answered {
+		x.whole = false
+	}
+	return result
+}
+
+// relayEvents reads an engine's events into the spool until the stream ends.
+func (x *exchange) relayEvents(answer *Answer, spool *callerwrite.Spool, outcome *fleet.Outcome) verdict {
 	events := eventstream.NewReader(answer.Body)
 	for {
 		event, err := events.Next()
@@ -108,10 +165,14 @@
 			outcome.Failed, outcome.ConnectionLost = true, connlost.Is(err)
 			return x.streamBroke()
 		}
-		if _, err := x.w.Write(event.Raw); err != nil {
+		err = spool.Write(event.Raw)
+		if errors.Is(err, callerwrite.ErrFull) {
+			// What was written must not look whole.
+			return giveUp
+		}
+		if err != nil {
 			return answered
 		}
-		_ = flush.Flush()
 		if event.HasID {
 			x.after = event.ID
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/callerwrite"
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
@@ -138,7 +139,9 @@
 	Zone   string
 	Region string
 	Seed   uint64
-	Logger zerolog.Logger
+	// Callers bounds what is held for callers that read slowly.
+	Callers callerwrite.Limits
+	Logger  zerolog.Logger
 	// Began is told once of each caller's request that an engine has begun to run, and
 	// when it did.
 	Began func(tenant string, at time.Time)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -39,6 +39,7 @@
 	MaxOrderQuiet     = lease.MaxQuiet
 	MaxPartitions     = 1024
 	MaxProcessors     = 1024
+	MaxMemoryMB       = 1 << 20
 	MaxReadsPerSecond = 10_000_000
 	MinRecordBytes    = 4 << 10
 	MaxRecordBytes    = 64 << 20
@@ -46,6 +47,8 @@
 	MaxKeepJobs       = 24 * time.Hour
 	MinUsageWindow    = 100 * time.Millisecond
 	MaxUsageWindow    = time.Hour
+	MinCallerStall    = time.Second
+	MaxCallerStall    = time.Hour
 )
 
 // Policies and Levels list the allowed words.
@@ -72,6 +75,7 @@
 	if p := settings.Node.Processors; !(p >= 0 && p <= MaxProcessors) {
 		c.add("node.processors", fmt.Sprint(p), fmt.Sprintf("0..%d", MaxProcessors))
 	}
+	c.number("node.memory_mb", settings.Node.MemoryMB, 0, MaxMemoryMB)
 	c.topology(settings.Topology, settings.Node)
 	c.listeners(settings.Listen)
 	c.advertised(settings.Listen.Peers, settings.Advertise.Peers)
@@ -191,6 +195,7 @@
 	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.reads_per_second", hosted.ReadsPerSecond, 0, MaxReadsPerSecond)
 	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
+	c.duration("hosted.caller_stall", hosted.CallerStall, MinCallerStall, MaxCallerStall)
 	c.duties(hosted)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,9 @@
 	// Processors is the share of processors that this machine may use, 0..1024; 0
 	// when it is not known. Able machines lead rather than others.
 	Processors float64 `toml:"processors"`
+	// MemoryMB is the memory that this process may use, in MB, 0..1048576; 0 when it is not known. A part of it
+	// may be held for callers and engines.
+	MemoryMB int `toml:"memory_mb"`
 }
 
 // Topology says where the zones of the whole system lie.
@@ -104,6 +107,8 @@
 	// reports, ..1 h; UsageDue the time after its end by which the report is due, ..1 h.
 	UsageWindow Duration `toml:"usage_window"`
 	UsageDue    Duration `toml:"usage_due"`
+	// CallerStall is how long a caller may take no byte of its answer before it is cut off, 1 s..1 h.
+	CallerStall Duration `toml:"caller_stall"`
 }
 
 // The kinds of duties that nodes know.
@@ -167,6 +172,7 @@
 	DefaultCallBytes          = 2 << 20
 	DefaultKeepJobs           = 2 * time.Minute
 	DefaultUsageDue           = 10 * time.Second
+	DefaultCallerStall        = 20 * time.Second
 	DefaultCallersAddress     = "127.0.0.1:8080"
 	DefaultPeersAddress       = "127.0.0.1:7070"
 	DefaultOperatorsAddress   = "127.0.0.1:9090"
@@ -185,6 +191,7 @@
 			Lease: Duration(DefaultLease), OrderQuiet: Duration(DefaultOrderQuiet), Partitions: DefaultPartitions,
 			RecordBytes: DefaultRecordBytes, CallBytes: DefaultCallBytes,
 			KeepJobs: Duration(DefaultKeepJobs), UsageDue: Duration(DefaultUsageDue),
+			CallerStall: Duration(DefaultCallerStall),
 		},
 		Scheduling: Scheduling{Policy: DefaultPolicy},
 		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
