--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -89,8 +89,12 @@
 			return d, err
 		}
 	}
+	builds := []string{binaries.Daemon}
+	if plan.otherDaemon != "" {
+		builds = append(builds, plan.otherDaemon)
+	}
 	for number := range plan.nodes {
-		if err := d.addNode(number, binaries.Daemon, directory, dutiesAddress); err != nil {
+		if err := d.addNode(number, builds, directory, dutiesAddress); err != nil {
 			return d, err
 		}
 	}
@@ -174,7 +178,7 @@
 	return nil
 }
 
-func (d *deployment) addNode(number int, daemon, directory, dutiesAddress string) error {
+func (d *deployment) addNode(number int, builds []string, directory, dutiesAddress string) error {
 	store := newNodeStore(d.store, d.leader.wrote)
 	if d.placement {
 		store.gave = func(answer []byte) { d.history.addBodies(number, answer) }
@@ -194,7 +198,7 @@
 		}
 	}
 	n := &node{
-		number: number, callers: addresses[0], operators: addresses[1], daemon: daemon, directory: directory, link: link, store: store,
+		number: number, callers: addresses[0], operators: addresses[1], builds: builds, directory: directory, link: link, store: store,
 		enginesFence: d.enginesFence, settings: filepath.Join(directory, fmt.Sprintf("node-%d.toml", number)),
 	}
 	if err := writeFile(n.settings, n.settingsText(link.Address(), dutiesAddress, addresses[2])); err != nil {
--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -32,7 +32,8 @@
 	callers   string
 	operators string
 	settings  string
-	daemon    string
+	// builds are the programs that its lives start from in turn.
+	builds    []string
 	directory string
 	// enginesFence is the setting of the same name.
 	enginesFence bool
@@ -101,7 +102,7 @@
 	n.life++
 	n.expected = false
 	started, err := process.Start(process.Spec{
-		Name: fmt.Sprintf("node-%d", n.number), Path: n.daemon, Arguments: []string{"--settings", n.settings},
+		Name: fmt.Sprintf("node-%d", n.number), Path: n.build(), Arguments: []string{"--settings", n.settings},
 		LogPath: filepath.Join(n.directory, fmt.Sprintf("node-%d.%d.log", n.number, n.life)),
 	})
 	if err != nil {
@@ -111,6 +112,10 @@
 	return started, nil
 }
 
+// build is the program that the current life starts from: nodes side by side differ, and so do the lives of one
+// node. mu is held.
+func (n *node) build() string { return n.builds[(n.number+n.life)%len(n.builds)] }
+
 func (n *node) note(problem string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -31,6 +31,7 @@
 	EnginesFence string   `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
 	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults, faults of the leader in series, placement faults, or drawn from the seed"`
 	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of placement faults: incarnations, entries, evacuations, slow-starts, home-changes; may stand several times"`
+	OtherDaemon  string   `arg:"--other-daemon" placeholder:"FILE" help:"daemon of another build: half of the nodes start from it, and each node changes its build whenever it starts again"`
 	JSON         bool     `arg:"--json" help:"end with one JSON object, the summary"`
 	Keep         string   `arg:"--keep" placeholder:"DIR" help:"directory for the logs of the nodes; they are kept there"`
 }
@@ -159,7 +160,7 @@
 	}
 	run := plan{
 		seed: seed, nodes: arguments.Nodes, length: length, faults: faults, bounds: DefaultBounds().times(arguments.Slack),
-		enginesFence: enginesFence, schedule: schedule, leftOut: arguments.LeaveOut,
+		enginesFence: enginesFence, schedule: schedule, leftOut: arguments.LeaveOut, otherDaemon: arguments.OtherDaemon,
 	}
 	summary, err := run.play(ctx, directory, output)
 	if err != nil {
@@ -218,6 +219,8 @@
 	enginesFence bool
 	schedule     string
 	leftOut      []Family
+	// otherDaemon is the daemon of another build; empty for none.
+	otherDaemon string
 }
 
 // placement tells whether placement faults are played.
