--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -78,7 +78,7 @@
 // what the caller has not taken is within bounds.
 func (x *exchange) relayLarge(source io.Reader, outcome *fleet.Outcome) verdict {
 	spool := callerwrite.NewSpool(x.w, x.relay.options.Callers)
-	readErr, writeErr, waited := x.copyTo(spool, source)
+	waited, readErr, writeErr := x.copyTo(spool, source)
 	engineFailed := waited < heldUp
 	if err := spool.Close(); writeErr == nil {
 		writeErr = err
@@ -97,7 +97,7 @@
 
 // copyTo reads an engine's answer into the spool until it ends. waited is how long the engine had to wait for the
 // caller.
-func (x *exchange) copyTo(spool *callerwrite.Spool, source io.Reader) (readErr, writeErr error, waited time.Duration) {
+func (x *exchange) copyTo(spool *callerwrite.Spool, source io.Reader) (waited time.Duration, readErr, writeErr error) {
 	buffer := make([]byte, copyBytes)
 	for {
 		count, err := source.Read(buffer)
@@ -112,11 +112,11 @@
 		}
 		switch {
 		case writeErr != nil:
-			return nil, writeErr, waited
+			return waited, nil, writeErr
 		case errors.Is(err, io.EOF):
-			return nil, nil, waited
+			return waited, nil, nil
 		case err != nil:
-			return err, nil, waited
+			return waited, err, nil
 		}
 	}
 }
