Tests of demands and of stopped readers name what they mean

TestTheLeaderAsksForTheWeightsOfAllJobs compares a demand whole, which now tells its open items as well. TestAThousandReadersThatStopTakeNoMoreThanTheirShare asked once to be refused: of a thousand readers that come at once so many are refused for what others hold while they are read to that there may be room for one more afterwards (held 6 of 9.3 MB). Ruled out: that more is held than allowed (asserted). Change: the demand with its two items; readers that stop are added until one is told to come back.

--- a/internal/batchrun/scope_test.go
+++ b/internal/batchrun/scope_test.go
@@ -126,7 +126,7 @@
 	record.Items = []batch.ItemRecord{{ID: "a", Group: "g", Tokens: 30}, {ID: "b", Group: "g", Tokens: 12}}
 	w.jobs.apply(batch.Record{Job: &record})
 	testwait.Until(t, "the job is known", func() bool { return r.Demands()["m"].Tokens > 0 })
-	assert.Equal(t, r.Demands()["m"], Demand{Tokens: 42, MinVersion: 7})
+	assert.Equal(t, r.Demands()["m"], Demand{Tokens: 42, MinVersion: 7, Items: 2})
 	assert.Equal(t, r.Items()["s"], 2)
 	w.jobs.apply(batch.Record{Results: []batch.ResultRecord{{Job: "bound", Item: 1, Outcome: batch.Completed}}})
 	assert.Equal(t, r.Items()["s"], 1)
--- a/test/hosted/slowreaders_test.go
+++ b/test/hosted/slowreaders_test.go
@@ -83,8 +83,13 @@
 	for number := range 20 {
 		assert.Equal(t, node.call(http.MethodGet, "/lookup/x", fmt.Sprint("live", number), "").status, http.StatusOK)
 	}
-	denied := node.call(http.MethodGet, "/lots/job1", "", "")
-	assert.Equal(t, denied.status, http.StatusServiceUnavailable)
+	var denied answer
+	testwait.Until(t, "a reader for whom there is no memory", func() bool {
+		// Of a thousand that came at once some were refused for what others held while they were read to.
+		readers = append(readers, node.askAndStop(t, "job1"))
+		denied = node.call(http.MethodGet, "/lots/job1", "", "")
+		return denied.status == http.StatusServiceUnavailable
+	})
 	assert.Assert(t, denied.header.Get("Retry-After") != "")
 	for _, reader := range readers {
 		_ = reader.Close()
