--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -49,11 +49,6 @@
 	// changes several times a second.
 	reportedLoadLife = 500 * time.Millisecond
 	slowdownLife     = 150 * time.Millisecond
-	// connectionLife is how long after a request the connection to its engine is taken to be open still: clients keep
-	// it for 10 s, engines for as long at the least.
-	connectionLife = 8 * time.Second
-	// connectTime is what making a connection counts for: it decides between engines that are as near and as idle.
-	connectTime = time.Millisecond
 	// assumedAnswerTime stands in for the time of a service's answers until the first ones: that of a
 	// small request, so that a near engine goes first unless it is full.
 	assumedAnswerTime = 50 * time.Millisecond
@@ -139,24 +134,17 @@
 }
 
 // expectedTime is the time in which an engine is expected to answer: that of the service's answers, in
-// proportion to the engine's occupancy after this request, the way there and back, and a connection where none is
-// kept. So the way decides between engines that are about as busy, and the more the shorter the
-// answers are; and a node among hundreds of idle engines stays with a few. An engine that has answered nothing
-// here counts as one that takes as long as others: as one that takes no time, each request would go to another
-// engine, over a connection of its own.
+// proportion to the engine's occupancy after this request, and the way there and back. So the way
+// decides between engines that are about as busy, and the more the shorter the answers are.
 func expectedTime(candidate *member, query Query, answerTime time.Duration) time.Duration {
 	share := float64(candidate.busy(query.Now)+1) / float64(max(1, candidate.engine.Slots))
-	// Engines of a service differ.
-	share *= candidate.slowness(answerTime)
+	// An engine that took a second longer lately counts as twice as full: engines of a service differ.
+	share *= 1 + candidate.latency.Seconds()
 	share *= candidate.slowdown(query.Now)
 	if query.Now.Before(candidate.engine.ColdUntil) {
 		share += coldCost
 	}
-	expected := time.Duration(share*float64(answerTime)) + distanceOf(candidate, query).RoundTrip()
-	if query.Now.Sub(candidate.answeredAt) >= connectionLife {
-		expected += connectTime
-	}
-	return expected
+	return time.Duration(share*float64(answerTime)) + distanceOf(candidate, query).RoundTrip()
 }
 
 func distanceOf(candidate *member, query Query) topology.Distance {
@@ -178,15 +166,6 @@
 	f.answerTimes[service] = known + time.Duration(latencyWeight*float64(took-known))
 }
 
-// slowness is how full an engine counts for how long its answers took lately: twice as full for a second more than
-// the service's answers take. One that has answered nothing here counts as any other.
-func (m *member) slowness(answerTime time.Duration) float64 {
-	if m.latency == 0 {
-		return 1
-	}
-	return (1 + m.latency.Seconds()) / (1 + answerTime.Seconds())
-}
-
 // slowdown is how much longer than usual work is expected to take at the engine: as it said just now, or else
 // as usual.
 func (m *member) slowdown(now time.Time) float64 {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -57,11 +57,7 @@
 	// failures counts failures in a row; suspectUntil follows from it.
 	failures     int
 	suspectUntil time.Time
-	// latency is the moving mean of the time of the engine's whole answers to this process; zero for none yet.
-	latency time.Duration
-	// answeredAt is when the engine last gave this process a whole answer, which leaves its connection to be used
-	// again.
-	answeredAt time.Time
+	latency      time.Duration
 	// previous is the incarnation that this one followed, as its last entry described it; empty for none.
 	previous Engine
 	// earlier is an entry of an incarnation that began before this one, read after it; nil for none.
--- a/internal/core/fleet/outcome.go
+++ b/internal/core/fleet/outcome.go
@@ -57,20 +57,10 @@
 	case outcome.Latency > 0:
 		known.failures = 0
 		f.observeAnswer(known.engine.Service, outcome.Latency)
-		known.observeLatency(outcome.Latency)
-		known.answeredAt = outcome.At
+		known.latency += time.Duration(latencyWeight * float64(outcome.Latency-known.latency))
 	}
 }
 
-// observeLatency takes the time of a whole answer into the mean.
-func (m *member) observeLatency(took time.Duration) {
-	if m.latency == 0 {
-		m.latency = took
-		return
-	}
-	m.latency += time.Duration(latencyWeight * float64(took-m.latency))
-}
-
 func (m *member) suspect(now time.Time, period time.Duration) {
 	if until := now.Add(period); until.After(m.suspectUntil) {
 		m.suspectUntil = until
