Count calls of the log by topic and outcome

corkpulley_hosted_log_calls_total and corkpulley_hosted_log_bytes_total count them; while calls fail, one line in 10 s names them by topic (calls of the log failed). Nothing else changes.

--- a/internal/hosted/docs_test.go
+++ b/internal/hosted/docs_test.go
@@ -22,7 +22,7 @@
 // hostedPackages write the lines of a hosted node.
 var hostedPackages = []string{
 	"hosted", "follow", "leadership", "logrelay", "jobrelay", "batchjobs", "batchrun", "weightorders", "ingress",
-	"duties", "crashes", "coldpermits",
+	"duties", "crashes", "coldpermits", "logusage",
 }
 
 func operationsPage(t *testing.T) string {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -87,8 +87,9 @@
 	// unknownZones holds the zones of engines whose region is not known.
 	unknownZones sync.Map
 	// log is the platform's log, directly or by way of another node.
-	log     eventlog.Log
-	counter *duties.Counter
+	log      eventlog.Log
+	logCalls *logCalls
+	counter  *duties.Counter
 	// engineCalls sends requests to engines and counts them.
 	engineCalls Engines
 
@@ -139,7 +140,8 @@
 	n.engineCalls = &countedEngines{
 		platform.Engines(), metrics.traffic, topology.Place{Zone: config.Node.Zone, Region: config.Node.Region},
 	}
-	direct := platform.Log()
+	n.logCalls = newLogCalls(metrics, logger)
+	direct := n.logCalls.counted(platform.Log(), false)
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
 		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Region: config.Node.Region,
 		Processors: config.Node.Processors,
@@ -175,7 +177,7 @@
 	})
 	n.elector = leadership.New(log, n.leaseOptions(), n.lead)
 	n.homeRunners = newHomeRunners(n)
-	return n, n.listen(n.peersHandler(direct, log))
+	return n, n.listen(n.peersHandler(n.logCalls.counted(platform.Log(), true), log))
 }
 
 // peersHandler serves other nodes.
@@ -227,7 +229,7 @@
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
 		n.control.Run, n.followEngines, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run,
-		n.applyDeferred, n.standstill.Run, n.watchColdEngines,
+		n.applyDeferred, n.standstill.Run, n.watchColdEngines, n.logCalls.summary.Run,
 		n.whenCurrent(n.elector.Run), n.whenCurrent(n.homeRunners.Run),
 	} {
 		group.Go(func() error { return role(groupContext) })
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -46,6 +46,9 @@
 	memoryRefused  *prometheus.CounterVec
 	// traffic counts messages to other machines.
 	traffic *traffic
+	// logCalls and logBytes count calls of the log.
+	logCalls *prometheus.CounterVec
+	logBytes *prometheus.CounterVec
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -119,6 +122,7 @@
 	m.addSlowStart()
 	m.addHeldBytes(registry)
 	m.traffic = newTraffic(registry)
+	m.addLogCalls(registry)
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring, m.lost, m.suspected, m.behind,
 		m.dropped, m.leftOut, m.unusable, m.enginesStartedAgain, m.evacuated, m.heldBack,
--- /dev/null
+++ b/internal/logusage/logusage_test.go
@@ -0,0 +1,98 @@
+package logusage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+// TestCallsAreCountedByTopicAndOutcome guards against counts that name another topic or outcome than the call had.
+func TestCallsAreCountedByTopicAndOutcome(t *testing.T) {
+	below := memlog.New()
+	var calls []Call
+	log := New(below, func(call Call) { calls = append(calls, call) })
+	partition := eventlog.Partition{Topic: "t"}
+	_, err := log.Append(t.Context(), partition, [][]byte{[]byte("four")})
+	assert.NilError(t, err)
+	_, err = log.AppendAt(t.Context(), partition, 7, [][]byte{[]byte("four")})
+	assert.ErrorContains(t, err, "ends at")
+	_, err = log.Read(t.Context(), partition, 0, 1024, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, log.PutKeyed(t.Context(), "keyed.t", []eventlog.KeyedRecord{{Key: "k", Value: []byte("v")}}))
+	_, err = log.Newest(t.Context(), "keyed.t")
+	assert.NilError(t, err)
+	_, err = log.ReadKeyed(t.Context(), "keyed.t", 0, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, calls, []Call{
+		{"t", OperationAppend, Answered, 4},
+		{"t", OperationAppend, Answered, 4},
+		{"t", OperationRead, Answered, 4},
+		{"keyed.t", OperationAppend, Answered, 2},
+		{"keyed.t", OperationNewest, Answered, 2},
+		{"keyed.t", OperationRead, Answered, 2},
+	})
+}
+
+// silentLog answers no read.
+type silentLog struct{ *memlog.Log }
+
+func (silentLog) Read(
+	ctx context.Context, _ eventlog.Partition, _ int64, _ int, _ time.Duration,
+) (eventlog.Batch, error) {
+	<-ctx.Done()
+	return eventlog.Batch{}, ctx.Err()
+}
+
+// TestFailedCallsAreToldApart guards against a log that refuses, and one that is silent, counting as the same.
+func TestFailedCallsAreToldApart(t *testing.T) {
+	partition := eventlog.Partition{Topic: "t"}
+	var calls []Call
+	count := func(call Call) { calls = append(calls, call) }
+	refusing := memlog.New()
+	refusing.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+	_, _ = New(refusing, count).Read(t.Context(), partition, 0, 1024, 0)
+	silent := New(silentLog{memlog.New()}, count)
+	late, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, _ = silent.Read(late, partition, 0, 1024, 0)
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	_, _ = silent.Read(left, partition, 0, 1024, 0)
+	assert.Equal(t, len(calls), 3)
+	assert.Equal(t, calls[0].Outcome, Refused)
+	assert.Equal(t, calls[1].Outcome, Unanswered)
+	assert.Equal(t, calls[2].Outcome, Abandoned)
+}
+
+// TestSummaryIsWrittenWhileCallsFail guards against an overload of the log that no line attributes to a topic, and
+// against lines in calm times.
+func TestSummaryIsWrittenWhileCallsFail(t *testing.T) {
+	var output bytes.Buffer
+	summary := NewSummary(zerolog.New(&output))
+	summary.Add(Call{Topic: "calm", Operation: OperationRead, Outcome: Answered, Bytes: 10}, false)
+	summary.write()
+	assert.Equal(t, output.Len(), 0)
+	summary.Add(Call{Topic: "calm", Operation: OperationRead, Outcome: Answered, Bytes: 10}, false)
+	summary.Add(Call{Topic: "busy", Operation: OperationRead, Outcome: Unanswered}, true)
+	summary.Add(Call{Topic: "busy", Operation: OperationRead, Outcome: Refused}, false)
+	summary.write()
+	var line struct {
+		Topics map[string]map[string]int `json:"topics"`
+	}
+	assert.NilError(t, json.Unmarshal(output.Bytes(), &line))
+	assert.DeepEqual(t, line.Topics, map[string]map[string]int{
+		"calm": {"calls": 1, "refused": 0, "unanswered": 0, "relayed": 0, "bytes": 10},
+		"busy": {"calls": 2, "refused": 1, "unanswered": 1, "relayed": 1, "bytes": 0},
+	})
+	output.Reset()
+	summary.write()
+	assert.Equal(t, output.Len(), 0, "counts are of one period")
+}
--- /dev/null
+++ b/internal/logusage/summary.go
@@ -0,0 +1,92 @@
+package logusage
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// summaryPeriod is the time between two summaries of failed calls.
+const summaryPeriod = 10 * time.Second
+
+// Summary logs, while calls of the log fail, what a node asked of it by topic.
+type Summary struct {
+	logger zerolog.Logger
+
+	mu     sync.Mutex
+	topics map[string]*topicUsage
+}
+
+// topicUsage is what was asked of a topic since the summary before.
+type topicUsage struct {
+	calls, refused, unanswered, relayed, bytes int
+}
+
+// NewSummary returns a summary; Run logs it.
+func NewSummary(logger zerolog.Logger) *Summary {
+	return &Summary{logger: logger, topics: make(map[string]*topicUsage)}
+}
+
+// Add counts a call; relayed calls are made for another node.
+func (s *Summary) Add(call Call, relayed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usage, found := s.topics[call.Topic]
+	if !found {
+		usage = &topicUsage{}
+		s.topics[call.Topic] = usage
+	}
+	usage.calls++
+	usage.bytes += call.Bytes
+	if relayed {
+		usage.relayed++
+	}
+	switch call.Outcome {
+	case Refused:
+		usage.refused++
+	case Unanswered:
+		usage.unanswered++
+	}
+}
+
+// Run logs a summary of each period in which calls failed, until ctx ends.
+func (s *Summary) Run(ctx context.Context) error {
+	ticker := time.NewTicker(summaryPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.write()
+		}
+	}
+}
+
+// write logs one line and begins anew.
+func (s *Summary) write() {
+	s.mu.Lock()
+	topics := s.topics
+	s.topics = make(map[string]*topicUsage)
+	s.mu.Unlock()
+	names := make([]string, 0, len(topics))
+	failed := false
+	for name, usage := range topics {
+		names = append(names, name)
+		failed = failed || usage.refused+usage.unanswered > 0
+	}
+	if !failed {
+		return
+	}
+	slices.Sort(names)
+	byTopic := zerolog.Dict()
+	for _, name := range names {
+		usage := topics[name]
+		byTopic.Dict(name, zerolog.Dict().Int("calls", usage.calls).Int("refused", usage.refused).
+			Int("unanswered", usage.unanswered).Int("relayed", usage.relayed).Int("bytes", usage.bytes))
+	}
+	s.logger.Info().Dur("period_ms", summaryPeriod).Dict("topics", byTopic).Msg("calls of the log failed")
+}
