Read the directory from its end, and large topics only once it is known

Cause, a metastable failure: what a node asks of the log at its start grew with the number of nodes, with the time for which the log keeps announcements, and with the configuration, and its tries were spaced by the number of nodes it knew, which it could learn only from the log it overloaded. (1) Each node replayed the directory from its oldest record on, up to 256 KB a try, every 0.1 s after a try that timed out. (2) Each node read the whole configuration from the log, since only the engine list waited for the directory. Reads give up after 0.9 and 1.8 s and the log has up to 2 s of them waiting, so that it worked at its full rate for readers that had left.

Change: the directory is read from its end backwards until half of the nodes have been seen twice; reads of a node wait for late answers while it knows nobody. Full reads of every topic wait until the directory has settled, so that replicas make them and hand them on. Nodes that get no answer of replicas spread full reads over the time in which the log hands out as much to all (hosted.read_mb_per_second, new); periodic full reads do the same; reads of changes that fail wait twice as long for replicas each time.

--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -5,22 +5,38 @@
 import "time"
 
 const (
-	// readsPerNode is the number of reads a second that a node makes at its base
-	// periods on a busy day, as measured.
+	// readsPerNode estimates a node's reads per second at its base periods.
 	readsPerNode = 50
 	// sharedPart is the part of the log's budget that paced reads may take; the
 	// rest is for those that somebody waits for.
 	sharedPart = 0.5
 )
 
-// Budget is what the log serves to all nodes together.
-type Budget struct {
+// Limits are what the log serves to all nodes together.
+type Limits struct {
 	// ReadsPerSecond is the number of reads; zero when it is not bounded.
 	ReadsPerSecond int
-	// Nodes returns the number of nodes that share it; nil for a single one.
+	// BytesPerSecond is the size of the records that reads bring; zero when it is not bounded.
+	BytesPerSecond int
+}
+
+// Budget is a node's share of the limits.
+type Budget struct {
+	Limits
+	// Nodes returns the number of nodes that share them; nil for a single one.
 	Nodes func() int
 }
 
+// Spread returns the time over which all nodes have to spread reads of so many bytes each, so that they take no
+// more than their part of what the log serves; zero where that is not bounded.
+func (b Budget) Spread(bytes int, limit time.Duration) time.Duration {
+	if b.BytesPerSecond <= 0 || b.Nodes == nil {
+		return 0
+	}
+	seconds := float64(max(1, b.Nodes())*bytes) / (sharedPart * float64(b.BytesPerSecond))
+	return min(time.Duration(seconds*float64(time.Second)), limit)
+}
+
 // Stretch returns a period in place of the base: longer in proportion to what
 // the nodes would read beyond their part of the budget, up to the limit.
 func (b Budget) Stretch(base, limit time.Duration) time.Duration {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,6 +40,10 @@
 	maxRefreshPeriod = 2 * time.Minute
 	refreshRecords   = 500
 	refreshJitter    = 0.3
+	// fullReadBytes is about how large a full read may be. Nodes whose full reads fail try again within the time
+	// that the log takes to hand out as much to all of them, fullReadSpread at most.
+	fullReadBytes  = 1 << 20
+	fullReadSpread = 30 * time.Second
 	// refreshDelay is the longest time for which a whole read that came due in an outage
 	// is postponed; it grows with the nodes.
 	refreshDelay    = 2 * time.Second
@@ -73,7 +77,9 @@
 	// offsets holds the offset of the newest record handled for each key.
 	offsets map[string]int64
 	next    int64
-	healthy bool
+	// fullBytes is the size of the newest full read.
+	fullBytes int
+	healthy   bool
 	// replica holds what was read, for other nodes.
 	replica *Replica
 	// loaded is closed after the first full read.
@@ -172,11 +178,20 @@
 		}
 		f.whole.failed()
 		f.contact(err)
-		retry.Sleep(ctx, f.budget.Stretch(delays.NextBackOff(), maxReadRetry))
+		retry.Sleep(ctx, f.retryDelay(delays))
 	}
 	return nil
 }
 
+// retryDelay is the time until a failed read is tried again. Nodes that have not read the topic yet make full reads.
+func (f *Follower) retryDelay(delays *retry.Delays) time.Duration {
+	delay := f.budget.Stretch(delays.NextBackOff(), maxReadRetry)
+	if !f.IsLoaded() {
+		delay += rand.N(max(f.budget.Spread(fullReadBytes, fullReadSpread), 1))
+	}
+	return delay
+}
+
 // gap is the time until the next read. None is left after an answer that had lain here while the process
 // stood still.
 func (f *Follower) gap() time.Duration {
@@ -230,10 +245,11 @@
 	return nil
 }
 
-// untilRefresh is the time until the next full read.
+// untilRefresh is the time until the next full read: long enough for the log to hand out as much to all nodes.
 func (f *Follower) untilRefresh() time.Duration {
 	size := 1 + len(f.offsets)/refreshRecords
 	period := f.budget.Stretch(time.Duration(size)*refreshPeriod, maxRefreshPeriod)
+	period = max(period, f.budget.Spread(f.fullBytes, maxRefreshPeriod))
 	return period - time.Duration(rand.Float64()*refreshJitter*float64(period))
 }
 
@@ -248,8 +264,10 @@
 	}
 	slices.SortFunc(batch.Records, func(a, b eventlog.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	present := make(map[string]bool, len(batch.Records))
+	f.fullBytes = 0
 	for _, record := range batch.Records {
 		present[record.Key] = true
+		f.fullBytes += len(record.Key) + len(record.Value)
 		if !f.deletedSince(batch, record) {
 			f.handleIf(record, all)
 		}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -26,6 +26,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/standstill"
 	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/duties"
@@ -145,11 +146,13 @@
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
 		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Region: config.Node.Region,
 		Processors: config.Node.Processors,
-	}, config.Hosted.ReadsPerSecond, logger)
+	}, logLimits(config.Hosted), logger)
 	log := logrelay.NewFallback(direct, n.directory.Others, n.counted(logrelay.NewClient(), logTraffic), logger)
 	n.directory.SetLog(log)
-	replicas := logrelay.NewReplicaReader(log, n.directory.Sources, n.counted(logrelay.NewClient(), replicaTraffic))
-	replicas.LeaveOut(n.leftOutOf)
+	replicas := logrelay.NewReplicaReader(log, logrelay.ReplicaOptions{
+		Sources: n.directory.Sources, AwaitSources: n.directory.AwaitSettled, Budget: n.directory.Budget(),
+		LeftOut: n.leftOutOf, Client: n.counted(logrelay.NewClient(), replicaTraffic),
+	})
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
 	n.knowledge = newZoneKnowledge(n.standstill, n.control, logger)
 	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: n.knowledge.known, HeldBack: metrics.heldBackAt})
@@ -180,6 +183,13 @@
 	return n, n.listen(n.peersHandler(n.logCalls.counted(platform.Log(), true), log))
 }
 
+// logLimits is what the log serves to all nodes together.
+func logLimits(hosted settings.Hosted) pacing.Limits {
+	return pacing.Limits{
+		ReadsPerSecond: hosted.ReadsPerSecond, BytesPerSecond: int(hosted.ReadMBPerSecond * 1e6),
+	}
+}
+
 // peersHandler serves other nodes.
 func (n *node) peersHandler(direct eventlog.Log, log *logrelay.Fallback) http.Handler {
 	router := mux.NewRouter()
--- /dev/null
+++ b/internal/logrelay/bootstrap.go
@@ -0,0 +1,120 @@
+package logrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+)
+
+const (
+	// recentRecords is how many announcements one step backwards covers, recentBytes about their size.
+	recentRecords = 256
+	recentBytes   = 32 << 10
+	// endBytes bounds the read that finds the end of the directory.
+	endBytes = 1 << 10
+	// repeatedShare is one in how many nodes must have announced themselves twice in what was read: all others
+	// have announced themselves once then, since their periods are alike.
+	repeatedShare = 2
+	// firstPatience and longestPatience bound how much longer than the log's usual time a node waits for the first
+	// answers. An answer that comes late has been paid for by the log, and giving it up has the log pay again.
+	firstPatience   = 500 * time.Millisecond
+	longestPatience = 4 * time.Second
+)
+
+// bootstrap reads the directory from its end backwards, until it holds an announcement of each node. What lies
+// before that is history, which grows with the time for which the log keeps records: a restart of all nodes at once
+// would read it as many times as there are nodes.
+type bootstrap struct {
+	done bool
+	// located is true once the end is known; low is the offset of the oldest record read since, high that of the
+	// first one that is not read backwards.
+	located   bool
+	low, high int64
+	// announced is what was read, in the order of the offsets, and nodes who announced themselves there.
+	announced []member
+	nodes     map[string]bool
+	// patience grows while the log does not answer.
+	patience time.Duration
+}
+
+// readRecent goes on with the bootstrap as far as the log answers, and reports whether that ended it.
+func (d *Directory) readRecent(ctx context.Context) bool {
+	partition := eventlog.Partition{Topic: directoryTopic}
+	for !d.bootstrap.done {
+		if err := d.stepBack(ctx, partition); err != nil {
+			d.bootstrap.patience = min(max(firstPatience, 2*d.bootstrap.patience), longestPatience)
+			return false
+		}
+	}
+	d.apply(d.bootstrap.announced)
+	d.next = d.bootstrap.high
+	d.bootstrap = bootstrap{done: true}
+	return true
+}
+
+// stepBack finds the end of the directory, or reads the records before those read so far.
+func (d *Directory) stepBack(ctx context.Context, partition eventlog.Partition) error {
+	state := &d.bootstrap
+	if !state.located {
+		return d.locateEnd(ctx, partition)
+	}
+	from := max(0, state.low-recentRecords)
+	members, first, err := d.readRange(ctx, partition, from, state.low)
+	if err != nil {
+		return err
+	}
+	state.announced = append(members, state.announced...)
+	for _, each := range members {
+		state.nodes[each.Node] = true
+	}
+	state.low = first
+	repeated := len(state.announced) - len(state.nodes)
+	state.done = first > from || first == 0 || repeated*repeatedShare >= len(state.nodes)
+	return nil
+}
+
+// locateEnd finds where the directory ends.
+func (d *Directory) locateEnd(ctx context.Context, partition eventlog.Partition) error {
+	state := &d.bootstrap
+	batch, err := d.log.Read(ctx, partition, 0, endBytes, state.patience)
+	var gone *eventlog.GoneError
+	if errors.As(err, &gone) {
+		batch, err = d.log.Read(ctx, partition, gone.First, endBytes, state.patience)
+	}
+	if err != nil {
+		return err
+	}
+	state.located, state.low, state.high = true, batch.End, batch.End
+	state.nodes = make(map[string]bool)
+	state.done = batch.End == 0
+	return nil
+}
+
+// readRange returns the announcements at offsets [from, to), and the first offset of them that the log still keeps.
+func (d *Directory) readRange(
+	ctx context.Context, partition eventlog.Partition, from, to int64,
+) (members []member, first int64, err error) {
+	first = from
+	for next := from; next < to; {
+		batch, err := d.log.Read(ctx, partition, next, recentBytes, d.bootstrap.patience)
+		var gone *eventlog.GoneError
+		if errors.As(err, &gone) && gone.First > next {
+			next = min(gone.First, to)
+			first, members = next, nil
+			continue
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		records := batch.Records[:min(len(batch.Records), int(to-next))]
+		if len(records) == 0 {
+			return nil, 0, errors.Errorf("the directory has no record %d", next)
+		}
+		members = append(members, decodeMembers(records, next, d.logger)...)
+		next += int64(len(records))
+	}
+	return members, first, nil
+}
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -47,8 +47,10 @@
 type Directory struct {
 	log    eventlog.Log
 	own    member
-	reads  int
+	limits pacing.Limits
 	logger zerolog.Logger
+	// bootstrap reads the newest announcements; used by Run's goroutine only.
+	bootstrap bootstrap
 
 	mu      sync.Mutex
 	next    int64
@@ -76,12 +78,11 @@
 	Processors float64
 }
 
-// NewDirectory returns a directory for a node. All nodes together may make the given
-// number of reads a second, zero for no bound.
-func NewDirectory(log eventlog.Log, self Self, readsPerSecond int, logger zerolog.Logger) *Directory {
+// NewDirectory returns a directory for a node. The limits are those of the log for all nodes together.
+func NewDirectory(log eventlog.Log, self Self, limits pacing.Limits, logger zerolog.Logger) *Directory {
 	own := member{Node: self.Node, Address: self.Address, Zone: self.Zone, Region: self.Region, Processors: self.Processors}
 	return &Directory{
-		log: log, own: own, reads: readsPerSecond, logger: logger,
+		log: log, own: own, limits: limits, logger: logger,
 		members: make(map[string]member), seenAt: make(map[string]time.Time),
 		known: make(chan struct{}), settled: make(chan struct{}),
 	}
@@ -168,7 +169,7 @@
 
 // Budget is what all nodes together may read of the log.
 func (d *Directory) Budget() pacing.Budget {
-	return pacing.Budget{ReadsPerSecond: d.reads, Nodes: d.Nodes}
+	return pacing.Budget{Limits: d.limits, Nodes: d.Nodes}
 }
 
 // Run announces this node and reads of the others until ctx ends.
@@ -289,8 +290,11 @@
 // Known is closed once the node has read of the others.
 func (d *Directory) Known() <-chan struct{} { return d.known }
 
-// read takes what is new in the directory and reports whether it could be read.
+// read applies what is new in the directory and reports whether it could be read.
 func (d *Directory) read(ctx context.Context) bool {
+	if !d.bootstrap.done {
+		return d.readRecent(ctx)
+	}
 	batch, err := d.log.Read(ctx, eventlog.Partition{Topic: directoryTopic}, d.next, readLimit, 0)
 	var gone *eventlog.GoneError
 	if errors.As(err, &gone) {
@@ -300,17 +304,32 @@
 	if err != nil {
 		return false
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	listed := 0
-	for _, raw := range batch.Records {
-		d.next++
+	d.next += int64(len(batch.Records))
+	d.apply(decodeMembers(batch.Records, batch.First, d.logger))
+	return true
+}
+
+// decodeMembers returns the announcements that can be read, in their order.
+func decodeMembers(records [][]byte, first int64, logger zerolog.Logger) []member {
+	members := make([]member, 0, len(records))
+	for i, raw := range records {
 		var each member
 		if msgpackguard.Check(raw) != nil || msgpack.Unmarshal(raw, &each) != nil || each.Node == "" {
-			d.logger.Error().Int64("offset", d.next-1).Msg("directory record passed over")
+			logger.Error().Int64("offset", first+int64(i)).Msg("directory record passed over")
 			continue
 		}
+		members = append(members, each)
+	}
+	return members
+}
+
+// apply records announcements, the newest last.
+func (d *Directory) apply(announced []member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	listed := 0
+	for _, each := range announced {
 		if known, found := d.members[each.Node]; !found || known.Address != each.Address {
 			listed++
 		}
@@ -320,5 +339,4 @@
 		// One line for all: a line a node at each node would be the most of all lines.
 		d.logger.Info().Int("listed", listed).Int("known", len(d.members)).Msg("nodes listed")
 	}
-	return true
 }
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -11,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/pauses"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -26,61 +27,83 @@
 	// replicaReadGap is the time between two reads of a topic from a replica, in which
 	// changes gather.
 	replicaReadGap = 100 * time.Millisecond
-	// newestTimeout bounds a read of a whole topic from a replica: megabytes over a link
-	// of 60 Mbit/s.
-	newestTimeout = time.Second
+	// newestTimeout bounds a full read from a replica, which serves many readers at once.
+	newestTimeout = 2 * time.Second
 	// brokenPause leaves a replica alone that did not answer, stalePause one that does not
 	// know enough: it has lost the log, or has just started.
 	brokenPause = 3 * time.Second
 	stalePause  = 300 * time.Millisecond
-	// tailPatience and wholePatience are how long reads wait for replicas, where the cluster has some, before
-	// the log itself is asked: at the least, and up to twice as long, each node for itself. Replicas read a
-	// topic in about a second after all nodes have started at once. A thousand nodes that read 3 MB each from
-	// the log meanwhile would keep it, and with it the replicas, busy for as long as they try.
+	// tailPatience and wholePatience are how long reads wait for replicas before the log itself is asked: at the
+	// least, and up to twice as long, each node for itself. Nodes that read from the log what replicas are still
+	// reading keep the replicas from it.
 	tailPatience  = 300 * time.Millisecond
 	wholePatience = 2 * time.Second
+	// fullReadBytes is about how large a full read may be, and maxSpread bounds the time over which nodes that get
+	// no answer of replicas spread such reads.
+	fullReadBytes = 1 << 20
+	maxSpread     = 30 * time.Second
+	// maxDoublings bounds how often the patience of reads of changes doubles.
+	maxDoublings = 10
 	// askAgain is the time between two looks for a replica that answers.
 	askAgain = 100 * time.Millisecond
 )
 
+// ReplicaOptions say how a ReplicaReader finds and asks replicas.
+type ReplicaOptions struct {
+	// Sources returns the replicas to ask, the first choice first; none where the node reads the log itself.
+	Sources func() []string
+	// AwaitSources waits until the node knows whether there are replicas, as long as that makes sense; nil for
+	// no wait.
+	AwaitSources func(ctx context.Context)
+	// Budget is what all nodes together may read of the log.
+	Budget pacing.Budget
+	// LeftOut returns the classes of a topic's records that this node does without; nil for none. The log itself
+	// returns all records.
+	LeftOut func(topic string) []string
+	Client  *http.Client
+}
+
 // ReplicaReader is a log whose compacted topics are read from replicas where the cluster
 // has them, and from the log itself where it has none, or they don't answer or know
 // too little for a while. It implements eventlog.Log.
 type ReplicaReader struct {
 	eventlog.Log
-	// sources returns the replicas to ask, the first choice first.
-	sources func() []string
-	client  *http.Client
+	options ReplicaOptions
 	paused  *pauses.Pauses
-	// leftOut returns the classes of a topic's records that this node does without.
-	leftOut func(topic string) []string
+	awaited sync.Once
 
 	mu sync.Mutex
 	// readAt is when each topic was read from a replica last.
 	readAt map[string]time.Time
+	// failed counts the reads of each topic from the log, in place of replicas, that failed in a row.
+	failed map[string]int
 }
 
 var _ eventlog.Log = (*ReplicaReader)(nil)
 
-// NewReplicaReader returns a reader that asks the sources over the client, or else the log.
-func NewReplicaReader(log eventlog.Log, sources func() []string, client *http.Client) *ReplicaReader {
+// NewReplicaReader returns a reader that asks replicas, or else the log.
+func NewReplicaReader(log eventlog.Log, options ReplicaOptions) *ReplicaReader {
+	if options.LeftOut == nil {
+		options.LeftOut = func(string) []string { return nil }
+	}
 	return &ReplicaReader{
-		Log: log, sources: sources, client: client, paused: pauses.New(),
-		leftOut: func(string) []string { return nil },
-		readAt:  make(map[string]time.Time),
+		Log: log, options: options, paused: pauses.New(),
+		readAt: make(map[string]time.Time), failed: make(map[string]int),
 	}
 }
 
-// LeaveOut has replicas leave out the classes of a topic's records that the function returns at each read;
-// before the first read only. The log itself tells all records.
-func (r *ReplicaReader) LeaveOut(leftOut func(topic string) []string) { r.leftOut = leftOut }
-
 // Newest implements eventlog.Log.
 func (r *ReplicaReader) Newest(ctx context.Context, topic string) (eventlog.KeyedBatch, error) {
-	call := request{Operation: opReplicaNewest, Topic: topic, LeftOut: r.leftOut(topic)}
-	answer, known, _ := r.askPatiently(ctx, call, newestTimeout, wholePatience)
+	if r.options.AwaitSources != nil {
+		r.awaited.Do(func() { r.options.AwaitSources(ctx) })
+	}
+	call := request{Operation: opReplicaNewest, Topic: topic, LeftOut: r.options.LeftOut(topic)}
+	spread := r.options.Budget.Spread(fullReadBytes, maxSpread)
+	answer, known, _ := r.askPatiently(ctx, call, newestTimeout, wholePatience+draw(max(wholePatience, spread)))
 	if !known {
-		return r.Log.Newest(ctx, topic)
+		batch, err := r.Log.Newest(ctx, topic)
+		r.readFromLog(topic, err)
+		return batch, err
 	}
 	return eventlog.KeyedBatch{Records: answer.Keyed, Next: answer.Offset}, nil
 }
@@ -90,12 +113,15 @@
 	ctx context.Context, topic string, from int64, wait time.Duration,
 ) (eventlog.KeyedBatch, error) {
 	call := request{
-		Operation: opReplicaRead, Topic: topic, Offset: from, Wait: min(wait, replicaWait), LeftOut: r.leftOut(topic),
+		Operation: opReplicaRead, Topic: topic, Offset: from, Wait: min(wait, replicaWait),
+		LeftOut: r.options.LeftOut(topic),
 	}
 	retry.Sleep(ctx, r.gapLeft(topic))
-	answer, known, err := r.askPatiently(ctx, call, call.Wait+replicaTimeout, tailPatience)
+	answer, known, err := r.askPatiently(ctx, call, call.Wait+replicaTimeout, r.tailPatience(topic))
 	if !known {
-		return r.Log.ReadKeyed(ctx, topic, from, wait)
+		batch, err := r.Log.ReadKeyed(ctx, topic, from, wait)
+		r.readFromLog(topic, err)
+		return batch, err
 	}
 	if err != nil {
 		return eventlog.KeyedBatch{}, err
@@ -110,15 +136,40 @@
 	return max(0, replicaReadGap-time.Since(r.readAt[topic]))
 }
 
-// askPatiently asks replicas until one answers or the patience, and up to as much again, is over. It does not
-// wait where the cluster has no replicas.
+// draw returns a random time below the limit.
+func draw(limit time.Duration) time.Duration { return rand.N(max(limit, 1)) }
+
+// tailPatience is how long a read of changes waits for replicas. It doubles with each read that the log itself did
+// not answer: the changes may be large, and all nodes may be asking for them.
+func (r *ReplicaReader) tailPatience(topic string) time.Duration {
+	r.mu.Lock()
+	failed := r.failed[topic]
+	r.mu.Unlock()
+	spread := r.options.Budget.Spread(fullReadBytes, maxSpread)
+	return tailPatience + draw(max(tailPatience, min(tailPatience<<failed, spread)))
+}
+
+// readFromLog records how a read of the log in place of replicas ended.
+func (r *ReplicaReader) readFromLog(topic string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone *eventlog.GoneError
+	if err == nil || errors.As(err, &gone) {
+		delete(r.failed, topic)
+		return
+	}
+	r.failed[topic] = min(r.failed[topic]+1, maxDoublings)
+}
+
+// askPatiently asks replicas until one answers or the patience is over. It does not wait where the cluster has no
+// replicas.
 func (r *ReplicaReader) askPatiently(
 	ctx context.Context, call request, timeout, patience time.Duration,
 ) (answer response, known bool, err error) {
-	until := time.Now().Add(patience + rand.N(patience))
+	until := time.Now().Add(patience)
 	for {
 		answer, known, err = r.ask(ctx, call, timeout)
-		if known || len(r.sources()) == 0 || time.Now().After(until) || !retry.Sleep(ctx, askAgain) {
+		if known || len(r.options.Sources()) == 0 || time.Now().After(until) || !retry.Sleep(ctx, askAgain) {
 			return answer, known, err
 		}
 		// The time in which the first replica might have told of a change has passed.
@@ -137,7 +188,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	replica := &peer{client: r.client, address: address}
+	replica := &peer{client: r.options.Client, address: address}
 	answer, err = replica.call(ctx, call)
 	var gone *eventlog.GoneError
 	switch {
@@ -158,7 +209,7 @@
 
 // source returns the first replica that is not paused.
 func (r *ReplicaReader) source() (string, bool) {
-	for _, address := range r.sources() {
+	for _, address := range r.options.Sources() {
 		if !r.paused.Active(address) {
 			return address, true
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,14 +41,16 @@
 	MaxProcessors     = 1024
 	MaxMemoryMB       = 1 << 20
 	MaxReadsPerSecond = 10_000_000
-	MinRecordBytes    = 4 << 10
-	MaxRecordBytes    = 64 << 20
-	MinKeepJobs       = time.Second
-	MaxKeepJobs       = 24 * time.Hour
-	MinUsageWindow    = 100 * time.Millisecond
-	MaxUsageWindow    = time.Hour
-	MinCallerStall    = time.Second
-	MaxCallerStall    = time.Hour
+	// MaxReadMBPerSecond is in megabytes.
+	MaxReadMBPerSecond = 1_000_000
+	MinRecordBytes     = 4 << 10
+	MaxRecordBytes     = 64 << 20
+	MinKeepJobs        = time.Second
+	MaxKeepJobs        = 24 * time.Hour
+	MinUsageWindow     = 100 * time.Millisecond
+	MaxUsageWindow     = time.Hour
+	MinCallerStall     = time.Second
+	MaxCallerStall     = time.Hour
 )
 
 // Policies and Levels list the allowed words.
@@ -194,6 +196,9 @@
 	c.number("hosted.record_bytes", hosted.RecordBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.call_bytes", hosted.CallBytes, MinRecordBytes, MaxRecordBytes)
 	c.number("hosted.reads_per_second", hosted.ReadsPerSecond, 0, MaxReadsPerSecond)
+	if rate := hosted.ReadMBPerSecond; !(rate >= 0 && rate <= MaxReadMBPerSecond) {
+		c.add("hosted.read_mb_per_second", fmt.Sprint(rate), fmt.Sprintf("0..%d", MaxReadMBPerSecond))
+	}
 	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
 	c.duration("hosted.caller_stall", hosted.CallerStall, MinCallerStall, MaxCallerStall)
 	c.duties(hosted)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -95,6 +95,9 @@
 	// ReadsPerSecond is what the log serves to all nodes together; they read less
 	// often than they would where they are many. 0 for no bound, ..10000000.
 	ReadsPerSecond int `toml:"reads_per_second"`
+	// ReadMBPerSecond is the megabytes a second that the log's reads bring to all nodes together; where many nodes
+	// need the same large records, they spread their reads. 0 for no bound, ..1000000.
+	ReadMBPerSecond float64 `toml:"read_mb_per_second"`
 	// KeepJobs is how long a batch job can be read after it was accepted, 1 s..24 h.
 	KeepJobs Duration `toml:"keep_jobs"`
 	// Duties is the address, ip:port, of the platform's calls that one node at a time
