Name the replica selection in the terms of replication

Comments of core/replicaset state invariants and what a constant bounds. The figures behind the constants were: half a megabyte takes the log about 0.5 s below 100 nodes; a replica on 600 Mbit/s serves half a megabyte to 16 readers in 0.1 s, to 55 in 0.4 s; of 62 full reads of a 7 MB engine list a log that gives 85 MB/s was busy for 5 s, of 18 for 1.5 s.

No behaviour change.

--- a/internal/core/replicaset/replicaset.go
+++ b/internal/core/replicaset/replicaset.go
@@ -1,10 +1,10 @@
-// Package replicaset decides which nodes of a large cluster follow the log's compacted
-// topics themselves, the replicas, and which of them each other node asks instead. It
+// Package replicaset selects the nodes of a large cluster that follow the log's compacted
+// topics directly, the replicas, and the replicas that each other node reads from. It
 // has no input, output or clock.
 //
-// A change of a compacted topic is read by every node that follows it: with hundreds of
-// nodes, one large configuration takes all that the log serves for seconds, and what
-// somebody waits for with it. So in each zone a few nodes read it, and pass it on.
+// If every node of a large cluster followed the topics, one configuration change would
+// saturate the log's read bandwidth and delay all other reads. A few nodes of each zone
+// read from the log and serve the rest.
 package replicaset
 
 import (
@@ -18,19 +18,14 @@
 )
 
 const (
-	// MinNodes is the number of nodes from which there are replicas. Below it, a change
-	// of half a megabyte takes the log about half a second.
+	// MinNodes is the cluster size from which there are replicas.
 	MinNodes = 100
-	// readersPerReplica is the number of nodes of a zone for each replica: a replica with
-	// a link of 600 Mbit/s hands half a megabyte to them in about 0.1 s.
+	// readersPerReplica is the number of nodes of a zone for each replica.
 	readersPerReplica = 16
-	// maxReplicas bounds the replicas of a zone: each reads the whole engine list from the log, 7 MB for 10,000
-	// engines that start together. Of 62 such readers a log that gives 85 MB a second was busy for 5 s, reads of
-	// the lease timed out behind theirs, and theirs began anew; 18 of them take it 1.5 s, however many nodes
-	// there are. A replica with a link of 600 Mbit/s hands half a megabyte to 55 readers in 0.4 s.
+	// maxReplicas bounds the replicas of a zone, and with them the readers of the log, whatever the cluster size.
 	maxReplicas = 3
-	// zoneSources is how many replicas of its zone a node asks, and otherSources how many
-	// of other zones after these, those of its region first: those of one zone may fail together.
+	// zoneSources bounds the replicas of its own zone that a node reads from, otherSources
+	// those of other zones after them: the replicas of one zone may fail together.
 	zoneSources  = 2
 	otherSources = 2
 )
@@ -39,10 +34,10 @@
 type Member struct {
 	Node string
 	Zone string
-	// Region is empty where it is not known.
+	// Region is empty when unknown.
 	Region  string
 	Address string
-	// Processors is its share of processors; zero when unknown, which counts as one.
+	// Processors is its share of processors; zero when unknown, which is treated as one.
 	Processors float64
 }
 
@@ -53,14 +48,14 @@
 	return m.Processors
 }
 
-// Replicas returns the replicas of a zone: of its most able nodes as many as its size
-// asks for. Nodes that see the same members choose the same ones, and one node more or
-// less changes at most one of them.
+// Replicas returns the replicas of a zone, chosen among the nodes with the most processors.
+// Nodes with the same member list choose the same replicas, and adding or removing one
+// member changes at most one of them.
 func Replicas(members []Member, zone string) []Member {
 	if len(members) < MinNodes {
 		return nil
 	}
-	var able []Member
+	var candidates []Member
 	size, best := 0, 0.0
 	for _, member := range members {
 		if member.Zone != zone {
@@ -69,42 +64,42 @@
 		size++
 		switch {
 		case member.capacity() > best:
-			best, able = member.capacity(), []Member{member}
+			best, candidates = member.capacity(), []Member{member}
 		case member.capacity() == best:
-			able = append(able, member)
+			candidates = append(candidates, member)
 		}
 	}
-	slices.SortFunc(able, func(a, b Member) int { return compareHashes(a.Node, b.Node, "") })
-	return able[:min(len(able), maxReplicas, (size+readersPerReplica-1)/readersPerReplica)]
+	slices.SortFunc(candidates, func(a, b Member) int { return compareHashes(a.Node, b.Node, "") })
+	return candidates[:min(len(candidates), maxReplicas, (size+readersPerReplica-1)/readersPerReplica)]
 }
 
-// Sources returns the replicas within the regions that a node asks, the first choice first: those of
-// its zone, of its region, of others. There are none when the node reads the log itself. A node outside of
-// the regions does so only where no node is known there: a read brings records of other jobs along.
+// Sources returns the replicas within the regions that a node reads from, in order of preference: its
+// zone, its region, other regions. It is empty when the node reads the log itself. A node outside
+// the regions does so only when no node inside them is known, since a read also returns records of other jobs.
 func Sources(members []Member, self Member, within homes.Set) []Member {
 	if !within.Allows(self.Region) {
 		return preferred(answering(members), self, otherSources, within)
 	}
-	near := Replicas(members, self.Zone)
+	sameZone := Replicas(members, self.Zone)
 	isSelf := func(member Member) bool { return member.Node == self.Node }
-	if slices.ContainsFunc(near, isSelf) {
+	if slices.ContainsFunc(sameZone, isSelf) {
 		return nil
 	}
-	far := make(map[topology.Distance][]Member)
+	byDistance := make(map[topology.Distance][]Member)
 	for _, zone := range otherZones(members, self.Zone) {
 		for _, replica := range Replicas(members, zone) {
 			distance := topology.Between(self.place(), replica.place())
-			far[distance] = append(far[distance], replica)
+			byDistance[distance] = append(byDistance[distance], replica)
 		}
 	}
 	others := append(
-		preferred(far[topology.SameRegion], self, otherSources, within),
-		preferred(far[topology.OtherRegion], self, otherSources, within)...,
+		preferred(byDistance[topology.SameRegion], self, otherSources, within),
+		preferred(byDistance[topology.OtherRegion], self, otherSources, within)...,
 	)
-	return append(preferred(near, self, zoneSources, within), others[:min(len(others), otherSources)]...)
+	return append(preferred(sameZone, self, zoneSources, within), others[:min(len(others), otherSources)]...)
 }
 
-// answering returns the nodes that answer for others: the replicas, or all nodes of a small cluster.
+// answering returns the nodes that answer on behalf of others: the replicas, or every node of a small cluster.
 func answering(members []Member) []Member {
 	if len(members) < MinNodes {
 		return slices.Clone(members)
@@ -116,14 +111,14 @@
 	return replicas
 }
 
-// Answers tells whether a node answers for others that lie outside of the regions.
+// Answers reports whether a node of a small cluster answers on behalf of nodes outside the regions.
 func Answers(members []Member, self Member, within homes.Set) bool {
 	return within.Bound() && within.Allows(self.Region) && len(members) < MinNodes
 }
 
 func (m Member) place() topology.Place { return topology.Place{Zone: m.Zone, Region: m.Region} }
 
-// preferred returns the first few replicas within the regions, in the node's own order.
+// preferred returns at most the given number of replicas within the regions, in an order that differs between nodes.
 func preferred(replicas []Member, self Member, most int, within homes.Set) []Member {
 	replicas = slices.DeleteFunc(replicas, func(replica Member) bool { return !within.Allows(replica.Region) })
 	slices.SortFunc(replicas, func(a, b Member) int { return compareHashes(a.Node, b.Node, self.Node) })
@@ -140,8 +135,7 @@
 	return zones
 }
 
-// compareHashes orders two nodes by the hash of their names and the seed, so that each
-// seed orders them in a way of its own.
+// compareHashes orders two nodes by the hash of the seed and their names.
 func compareHashes(a, b, seed string) int {
 	hashA, hashB := xxhash.Sum64String(seed+"/"+a), xxhash.Sum64String(seed+"/"+b)
 	switch {
--- a/internal/core/replicaset/replicaset_test.go
+++ b/internal/core/replicaset/replicaset_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// TestReadersOfTheLogDoNotGrowWithTheCluster: twice the nodes read no byte more of it.
+// TestReadersOfTheLogDoNotGrowWithTheCluster: with twice the nodes, as many read the log.
 func TestReadersOfTheLogDoNotGrowWithTheCluster(t *testing.T) {
 	readersOf := func(nodes int) (readers int) {
 		members := cluster(nodes)
@@ -93,8 +93,7 @@
 	})
 }
 
-// TestALoneNodeOfAZoneIsItsReplica: the others' replicas are asked only by nodes of
-// zones that have more nodes.
+// TestALoneNodeOfAZoneIsItsReplica: a zone's only node reads the log, not a replica of another zone.
 func TestALoneNodeOfAZoneIsItsReplica(t *testing.T) {
 	members := cluster(200)
 	assert.Equal(t, len(Replicas(members, "elsewhere")), 0)
@@ -146,7 +145,7 @@
 	}
 }
 
-// TestANodeOutsideAsksNodesAtHomeInASmallClusterToo: it reads nothing of bound jobs itself while one is known there.
+// TestANodeOutsideAsksNodesAtHomeInASmallClusterToo: it reads no bound jobs itself while a node at home is known.
 func TestANodeOutsideAsksNodesAtHomeInASmallClusterToo(t *testing.T) {
 	members := regions(MinNodes - 1)
 	home := homes.Of([]string{"r0"})
@@ -166,7 +165,7 @@
 	assert.Assert(t, !Answers(regions(MinNodes), members[0], home), "a large one has replicas")
 }
 
-// TestAReplicaOutsideAsksReplicasAtHome: that it is one says nothing of where it may read.
+// TestAReplicaOutsideAsksReplicasAtHome: being a replica does not permit it to read bound jobs.
 func TestAReplicaOutsideAsksReplicasAtHome(t *testing.T) {
 	members := regions(320)
 	for _, zone := range otherZones(members, "") {
