Name job queries and replicas in jobrelay in the field's terms

NoReplica becomes NotReplica (its msgpack tag stays), a question a query, the node's own jobs the local ones; pauses and timeouts say what they bound. Measured before: a megabyte of results takes a replica some 0.3 s, a caller waits 1.5 s longer than it allows.

--- a/internal/jobrelay/homes_test.go
+++ b/internal/jobrelay/homes_test.go
@@ -13,7 +13,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
-// boundJobs notes the homes of each question that it answers.
+// boundJobs records the homes of each query that it answers.
 type boundJobs struct {
 	fakeJobs
 	within []homes.Set
@@ -31,7 +31,7 @@
 	return b.fakeJobs.Body(ctx, jobID, itemID)
 }
 
-// TestBoundQuestionsAreAskedOnlyOfReplicasAtHome: the near replica lies outside.
+// TestBoundQuestionsAreAskedOnlyOfReplicasAtHome: the nearest replica is outside the homes.
 func TestBoundQuestionsAreAskedOnlyOfReplicasAtHome(t *testing.T) {
 	north := homes.Of([]string{"north"})
 	own := &boundJobs{fakeJobs: fakeJobs{name: "own"}}
@@ -61,7 +61,7 @@
 		assert.Equal(t, within, north, "the replica's own reads of the log are bound as well")
 	}
 
-	// Without a replica at home the node, which the client has reached, reads the log itself.
+	// Without a replica at home the node reads the log itself.
 	nowhere := homes.NewContext(t.Context(), homes.Of([]string{"west"}))
 	body, err = relay.Body(nowhere, "job", "item")
 	assert.NilError(t, err)
--- a/internal/jobrelay/jobrelay.go
+++ b/internal/jobrelay/jobrelay.go
@@ -1,8 +1,7 @@
-// Package jobrelay has a large cluster's questions about batch jobs answered by a few
-// nodes, the replicas of the zone (internal/core/replicaset). A node that answers itself
-// reads the whole index partition of the job first; after a restart of hundreds of nodes
-// that takes more than the log serves, reads time out and begin again, and no job can be
-// read for as long as somebody asks.
+// Package jobrelay forwards queries about batch jobs to the zone's replicas
+// (internal/core/replicaset) in a large cluster. A node that answers a query itself first
+// reads the job's whole index partition; after a restart of hundreds of nodes such reads
+// overload the log, time out and are retried, and no job can be read.
 package jobrelay
 
 import (
@@ -14,7 +13,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
 
-// Jobs answers questions about batch jobs; see batchjobs.Service.
+// Jobs answers queries about batch jobs; see batchjobs.Service.
 type Jobs interface {
 	Results(ctx context.Context, jobID string, from int, wait time.Duration) (batchjobs.Results, error)
 	Body(ctx context.Context, jobID, itemID string) ([]byte, error)
@@ -23,7 +22,7 @@
 
 var _ Jobs = (*batchjobs.Service)(nil)
 
-// operation says what a request asks.
+// operation is the kind of a request.
 type operation uint8
 
 const (
@@ -32,22 +31,22 @@
 	opEnd
 )
 
-// request is a question to a replica, encoded as msgpack.
+// request is a query to a replica, encoded as msgpack.
 type request struct {
 	Operation operation     `msgpack:"o"`
 	Job       string        `msgpack:"j"`
 	Item      string        `msgpack:"i,omitempty"`
 	From      int           `msgpack:"f,omitempty"`
 	Wait      time.Duration `msgpack:"w,omitempty"`
-	// Homes are the regions that alone may keep what the answer holds; none for all.
+	// Homes are the only regions in which the answer's data may be stored; empty for all.
 	Homes []string `msgpack:"h,omitempty"`
 }
 
 // response is the answer to a request, encoded as msgpack.
 type response struct {
-	// NoReplica: the node answers for itself only, so nothing was done.
-	NoReplica bool `msgpack:"n,omitempty"`
-	// Error is nil when the question was answered.
+	// NotReplica: the peer is not a replica; the request was not executed.
+	NotReplica bool `msgpack:"n,omitempty"`
+	// Error is nil when the request succeeded.
 	Error *errkind.Error `msgpack:"e,omitempty"`
 
 	Total   int      `msgpack:"t,omitempty"`
@@ -84,10 +83,10 @@
 	return decoded
 }
 
-// failed returns the response that tells of an error.
+// failed returns the response that carries an error.
 func failed(err error) response { return response{Error: errkind.From(err)} }
 
-// err returns the error that the response tells of; nil when there is none.
+// err returns the error that the response carries, if any.
 func (r response) err() error {
 	if r.Error == nil {
 		return nil
--- a/internal/jobrelay/jobrelay_test.go
+++ b/internal/jobrelay/jobrelay_test.go
@@ -18,13 +18,13 @@
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
-// fakeJobs answers with its name and counts the questions.
+// fakeJobs answers with its name and counts the queries.
 type fakeJobs struct {
 	name  string
 	asked atomic.Int64
-	// fail is what each question ends with; nil for an answer.
+	// fail is the error of each query; nil for an answer.
 	fail error
-	// waits is the wait of the newest question for results.
+	// waits is the wait of the newest query for results.
 	waits atomic.Int64
 }
 
@@ -59,7 +59,7 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// silent returns the address of a node that answers nothing before the test's end.
+// silent returns the address of a node that does not answer before the test ends.
 func silent(t *testing.T) string {
 	t.Helper()
 	release := make(chan struct{})
@@ -91,8 +91,7 @@
 	assert.Equal(t, own.asked.Load(), int64(0))
 }
 
-// TestErrorsKeepTheirKind: what the replica is sure of needs no second opinion, and what
-// it cannot know the caller is told.
+// TestErrorsKeepTheirKind: a replica's definite error is returned without asking another one.
 func TestErrorsKeepTheirKind(t *testing.T) {
 	for _, kind := range []errkind.Kind{errkind.NotFound, errkind.LogUnavailable, errkind.OutcomeUnknownRepeatable} {
 		own, replica := &fakeJobs{}, &fakeJobs{fail: errkind.New(kind, "why")}
@@ -119,8 +118,8 @@
 	assert.Equal(t, own.asked.Load(), int64(3))
 }
 
-// TestWhereReplicasDoNotAnswerTheCallerAsksElsewhere: the node reads no index by itself,
-// and does not say that there is no such job.
+// TestWhereReplicasDoNotAnswerTheCallerAsksElsewhere: the node does not read the index
+// itself and does not deny the job.
 func TestWhereReplicasDoNotAnswerTheCallerAsksElsewhere(t *testing.T) {
 	own := &fakeJobs{name: "own"}
 	other := serving(t, &fakeJobs{name: "other"}, func(homes.Set) bool { return false })
@@ -134,8 +133,8 @@
 	assert.Equal(t, own.asked.Load(), int64(0))
 }
 
-// TestASilentReplicaCostsOneTimeout: the next one is asked, without the wait that has
-// passed, and the silent one is left alone.
+// TestASilentReplicaCostsOneTimeout: the next one is asked without a further wait, and the
+// unresponsive one is skipped afterwards.
 func TestASilentReplicaCostsOneTimeout(t *testing.T) {
 	own, replica := &fakeJobs{name: "own"}, &fakeJobs{name: "replica"}
 	relay := relayTo(own, silent(t), serving(t, replica, always))
@@ -164,7 +163,7 @@
 	assert.Equal(t, own.asked.Load(), int64(0))
 }
 
-// TestAFreshNodeWaitsForTheDirectory: it would read a whole index by itself.
+// TestAFreshNodeWaitsForTheDirectory: without it, it would read the whole index itself.
 func TestAFreshNodeWaitsForTheDirectory(t *testing.T) {
 	own, replica := &fakeJobs{name: "own"}, &fakeJobs{name: "replica"}
 	address := serving(t, replica, always)
@@ -172,7 +171,7 @@
 	var sources atomic.Pointer[[]string]
 	sources.Store(&[]string{})
 	relay := NewRelay(own, func(homes.Set) []string { return *sources.Load() }, known, &http.Client{}, zerolog.Nop())
-	time.AfterFunc(directoryWait/10, func() {
+	time.AfterFunc(directoryTimeout/10, func() {
 		sources.Store(&[]string{address})
 		close(known)
 	})
@@ -181,7 +180,7 @@
 	assert.Equal(t, string(body), "replica")
 }
 
-// TestANodeThatKnowsNobodyYetIsNotSure: the directory can't be read.
+// TestANodeThatKnowsNobodyYetIsNotSure: the directory cannot be read.
 func TestANodeThatKnowsNobodyYetIsNotSure(t *testing.T) {
 	own := &fakeJobs{name: "own"}
 	relay := NewRelay(own, func(homes.Set) []string { return nil }, make(chan struct{}), &http.Client{}, zerolog.Nop())
@@ -198,7 +197,7 @@
 	assert.Equal(t, answer.StatusCode, http.StatusBadRequest)
 }
 
-// TestAReplicaThatIsNotSureIsNotTheLast: another one may know what the log has dropped.
+// TestAReplicaThatIsNotSureIsNotTheLast: another replica may have read what the log has dropped.
 func TestAReplicaThatIsNotSureIsNotTheLast(t *testing.T) {
 	own, unsure := &fakeJobs{name: "own"}, &fakeJobs{fail: errkind.New(errkind.HistoryLost, "why")}
 	replica := &fakeJobs{name: "replica"}
--- a/internal/jobrelay/relay.go
+++ b/internal/jobrelay/relay.go
@@ -15,27 +15,27 @@
 )
 
 const (
-	// answerTimeout bounds a replica's answer beyond the time that it may wait: a megabyte
-	// of results takes it some 0.3 s, and a caller waits 1.5 s longer than it allows.
+	// answerTimeout bounds how long a response may take beyond the requested wait. It is
+	// shorter than the margin that callers allow.
 	answerTimeout = 1300 * time.Millisecond
-	// brokenPause leaves a replica alone that did not answer, otherPause one that says
-	// that it is none.
-	brokenPause = 3 * time.Second
-	otherPause  = time.Second
-	// directoryWait bounds the wait of a node that has just started for what it knows of
-	// the others: about as long as a caller waits.
-	directoryWait = 1200 * time.Millisecond
-	// maxResponseBytes bounds an answer; results come a megabyte at a time.
+	// unresponsivePause is how long a replica that did not answer is skipped,
+	// notReplicaPause how long a peer that is not a replica is.
+	unresponsivePause = 3 * time.Second
+	notReplicaPause   = time.Second
+	// directoryTimeout bounds how long a query waits for the first read of the node directory.
+	directoryTimeout = 1200 * time.Millisecond
+	// maxResponseBytes bounds a response.
 	maxResponseBytes = 4 << 20
 )
 
-// Relay asks replicas about jobs, and the node itself where there are none. Where there
-// are some, and none answers, the caller is told to ask another node: if all nodes read
-// the index when a few are slow, the log would be too slow for all. It implements Jobs.
+// Relay queries replicas about jobs, or the local node when there are no replicas. It
+// implements Jobs. When replicas exist but none answers, the query fails as retryable
+// instead of falling back to the local node: all nodes reading the index would overload
+// the log.
 type Relay struct {
-	own Jobs
-	// sources returns the replicas within the regions to ask, the first choice first; known is
-	// closed once the node has read of the others.
+	local Jobs
+	// sources returns the replicas within the regions in order of preference; known is
+	// closed after the first read of the node directory.
 	sources func(within homes.Set) []string
 	known   <-chan struct{}
 	client  *http.Client
@@ -45,13 +45,13 @@
 
 var _ Jobs = (*Relay)(nil)
 
-// NewRelay returns a relay that asks the sources over the client, or else own. A question whose context
-// names homes is asked only of replicas there, and the node itself answers where there are none.
+// NewRelay returns a relay that queries the sources over the client. A query whose context names homes
+// goes only to replicas there; without any, the local node answers.
 func NewRelay(
-	own Jobs, sources func(within homes.Set) []string, known <-chan struct{}, client *http.Client, logger zerolog.Logger,
+	local Jobs, sources func(within homes.Set) []string, known <-chan struct{}, client *http.Client, logger zerolog.Logger,
 ) *Relay {
 	return &Relay{
-		own: own, sources: sources, known: known, client: client, logger: logger, paused: pauses.New(),
+		local: local, sources: sources, known: known, client: client, logger: logger, paused: pauses.New(),
 	}
 }
 
@@ -65,7 +65,7 @@
 		return batchjobs.Results{}, err
 	}
 	if len(replicas) == 0 {
-		return r.own.Results(ctx, jobID, from, wait)
+		return r.local.Results(ctx, jobID, from, wait)
 	}
 	answer, err := r.ask(ctx, replicas, request{Operation: opResults, Job: jobID, From: from, Wait: wait, Homes: within.Regions()})
 	if err != nil {
@@ -82,37 +82,37 @@
 		return nil, err
 	}
 	if len(replicas) == 0 {
-		return r.own.Body(ctx, jobID, itemID)
+		return r.local.Body(ctx, jobID, itemID)
 	}
 	answer, err := r.ask(ctx, replicas, request{Operation: opBody, Job: jobID, Item: itemID, Homes: within.Regions()})
 	return answer.Body, err
 }
 
-// End implements Jobs. An end may be recorded twice, so it is asked of the next replica
+// End implements Jobs. Ending a job is idempotent, so it is retried at the next replica
 // after a lost answer.
 func (r *Relay) End(ctx context.Context, jobID string) error {
-	// An end tells nothing of what the job holds.
+	// The request carries none of the job's data, so the homes do not apply.
 	replicas, err := r.replicas(ctx, homes.Set{})
 	if err != nil {
 		return err
 	}
 	if len(replicas) == 0 {
-		return r.own.End(ctx, jobID)
+		return r.local.End(ctx, jobID)
 	}
 	_, err = r.ask(ctx, replicas, request{Operation: opEnd, Job: jobID})
 	return err
 }
 
-// replicas returns the replicas within the regions to ask; none where the node is one, or the cluster is
-// small. Before the node has read of the others it can't know.
+// replicas returns the replicas within the regions; none when this node is a replica or the cluster is
+// small. It waits for the first read of the node directory.
 func (r *Relay) replicas(ctx context.Context, within homes.Set) ([]string, error) {
-	// First without a wait: of several channels that are ready, select takes any.
+	// Checked first without ctx: select picks at random among ready channels.
 	select {
 	case <-r.known:
 		return r.sources(within), nil
 	default:
 	}
-	timer := time.NewTimer(directoryWait)
+	timer := time.NewTimer(directoryTimeout)
 	defer timer.Stop()
 	select {
 	case <-r.known:
@@ -123,46 +123,46 @@
 	return nil, errkind.New(errkind.LogUnavailable, "this node has just started and has not read of the others yet")
 }
 
-// ask asks the replicas in turn until one has answered and is sure.
-func (r *Relay) ask(ctx context.Context, replicas []string, question request) (response, error) {
-	lost := false
-	var unsure error
+// ask queries the replicas in turn until one gives a definite answer.
+func (r *Relay) ask(ctx context.Context, replicas []string, query request) (response, error) {
+	unanswered := false
+	var historyLost error
 	for _, address := range replicas {
 		if r.paused.Active(address) {
 			continue
 		}
-		answer, err := r.call(ctx, address, question)
+		answer, err := r.call(ctx, address, query)
 		switch {
 		case ctx.Err() != nil:
-			// The caller has left; the replica is not to blame.
+			// The caller canceled; the replica has not failed.
 			return response{}, errkind.New(errkind.Canceled, "the caller has left")
 		case err != nil:
-			r.logger.Warn().Err(err).Str("replica", address).Str("job", question.Job).Msg("replica did not answer")
-			r.paused.Begin(address, brokenPause)
-			lost = true
-		case answer.NoReplica:
-			r.paused.Begin(address, otherPause)
+			r.logger.Warn().Err(err).Str("replica", address).Str("job", query.Job).Msg("replica did not answer")
+			r.paused.Begin(address, unresponsivePause)
+			unanswered = true
+		case answer.NotReplica:
+			r.paused.Begin(address, notReplicaPause)
 		case errkind.Is(answer.err(), errkind.HistoryLost):
-			unsure = answer.err()
+			historyLost = answer.err()
 		default:
 			return answer, answer.err()
 		}
-		// The time that the caller allows has passed with the first replica.
-		question.Wait = 0
+		// The caller's wait was spent on the first replica.
+		query.Wait = 0
 	}
-	if lost && question.Operation == opEnd {
+	if unanswered && query.Operation == opEnd {
 		return response{}, errkind.New(errkind.OutcomeUnknownRepeatable, "no replica told how the end was taken")
 	}
-	if unsure != nil {
-		return response{}, unsure
+	if historyLost != nil {
+		return response{}, historyLost
 	}
 	return response{}, errkind.New(errkind.LogUnavailable, "none of %d replicas answers", len(replicas))
 }
 
-func (r *Relay) call(ctx context.Context, address string, question request) (response, error) {
-	ctx, cancel := context.WithTimeout(ctx, question.Wait+answerTimeout)
+func (r *Relay) call(ctx context.Context, address string, query request) (response, error) {
+	ctx, cancel := context.WithTimeout(ctx, query.Wait+answerTimeout)
 	defer cancel()
 	var answer response
-	err := msgpackhttp.Ask(ctx, r.client, "http://"+address+Path, &question, &answer, maxResponseBytes)
+	err := msgpackhttp.Ask(ctx, r.client, "http://"+address+Path, &query, &answer, maxResponseBytes)
 	return answer, err
 }
--- a/internal/jobrelay/server.go
+++ b/internal/jobrelay/server.go
@@ -10,45 +10,46 @@
 )
 
 const (
-	// Path is where other nodes send their questions.
+	// Path is the endpoint for queries of other nodes.
 	Path = "/jobs"
-	// maxRequestBytes bounds a question: two IDs and a few numbers.
+	// maxRequestBytes bounds a request.
 	maxRequestBytes = 16 << 10
-	// maxWait bounds how long a reader of results is held.
+	// maxWait bounds a long poll for results.
 	maxWait = 5 * time.Second
 )
 
-// NewHandler answers questions of other nodes that are bound to regions where this node answers for them.
+// NewHandler serves queries of other nodes. answers reports whether this node answers on behalf of
+// others for jobs that are bound to the regions.
 func NewHandler(jobs Jobs, answers func(within homes.Set) bool) http.Handler {
-	return msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, asked request) response {
-		within := homes.Of(asked.Homes)
+	return msgpackhttp.Handle(maxRequestBytes, func(ctx context.Context, query request) response {
+		within := homes.Of(query.Homes)
 		if !answers(within) {
-			return response{NoReplica: true}
+			return response{NotReplica: true}
 		}
-		return serve(homes.NewContext(ctx, within), jobs, asked)
+		return serve(homes.NewContext(ctx, within), jobs, query)
 	})
 }
 
-func serve(ctx context.Context, jobs Jobs, asked request) response {
-	switch asked.Operation {
+func serve(ctx context.Context, jobs Jobs, query request) response {
+	switch query.Operation {
 	case opResults:
-		results, err := jobs.Results(ctx, asked.Job, asked.From, min(asked.Wait, maxWait))
+		results, err := jobs.Results(ctx, query.Job, query.From, min(query.Wait, maxWait))
 		if err != nil {
 			return failed(err)
 		}
 		return encodeResults(results)
 	case opBody:
-		body, err := jobs.Body(ctx, asked.Job, asked.Item)
+		body, err := jobs.Body(ctx, query.Job, query.Item)
 		if err != nil {
 			return failed(err)
 		}
 		return response{Body: body}
 	case opEnd:
-		if err := jobs.End(ctx, asked.Job); err != nil {
+		if err := jobs.End(ctx, query.Job); err != nil {
 			return failed(err)
 		}
 		return response{}
 	default:
-		return response{NoReplica: true}
+		return response{NotReplica: true}
 	}
 }
