Describe batchjobs in the terms of logs and queries

Partitions are activated by a query or an observer, queries are answered or wait, results are written and retried; internal names follow (activate, hasWaiters, lookUpComplete, shouldAnswer). Figures that stood beside constants: an index record takes some 150 bytes an item, and 256 KB is the least record limit seen; a whole job takes about a hundred reads of texts of some 8 ms each.

--- a/internal/batchjobs/batches.go
+++ b/internal/batchjobs/batches.go
@@ -2,17 +2,17 @@
 
 import "github.com/corkpulley/corkpulley/internal/eventlog"
 
-// maxBatchItems bounds the items that one index record lists: some 150 bytes each, within
-// the least record limit that platforms were seen to have (256 KB).
+// maxBatchItems bounds the items that one index record lists, so that it stays within the log's
+// record limit.
 const maxBatchItems = 1000
 
-// writeBatches writes items in batches whose texts fit into one call of the log, in their
-// order, until one fails. It returns how many items were written.
+// writeBatches writes items in order, in batches whose texts fit into one call of the log, until
+// a batch fails. It returns how many items were written.
 //
-// While the log is out of reach, ends of items gather. A call with all of them may pass
-// the log's limit; it would be refused however often it is repeated.
+// Results accumulate while the log is unavailable. A single call with all of them may exceed the
+// log's limit and would be rejected on every retry.
 func writeBatches[Item any](
-	items []Item, texts texts[Item], callBytes int, write func([]Item) error,
+	items []Item, texts textAccess[Item], callBytes int, write func([]Item) error,
 ) (int, error) {
 	written := 0
 	for written < len(items) {
@@ -25,16 +25,16 @@
 	return written, nil
 }
 
-// texts tells of the texts of items.
-type texts[Item any] struct {
-	// size is the bytes of an item's text, data where it is written.
+// textAccess returns properties of the items' texts.
+type textAccess[Item any] struct {
+	// size returns the length of an item's text in bytes, data the partition it is written to.
 	size func(Item) int
 	data func(Item) eventlog.Partition
 }
 
-// firstBatch returns how many of the items go into the first batch, at least one. Texts that are written
-// to different places are never in one.
-func firstBatch[Item any](items []Item, texts texts[Item], callBytes int) int {
+// firstBatch returns how many of the items go into the first batch, at least one. All texts of a batch
+// are written to the same partition.
+func firstBatch[Item any](items []Item, texts textAccess[Item], callBytes int) int {
 	size := 0
 	for i, item := range items {
 		size += texts.size(item) + recordOverhead
--- a/internal/batchjobs/batches_test.go
+++ b/internal/batchjobs/batches_test.go
@@ -14,8 +14,8 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// boundedLog refuses appends beyond a number of bytes, as the platform's log does, and
-// those after a number of calls.
+// boundedLog rejects appends above a number of bytes, as the platform's log does, and
+// all appends after a number of calls.
 type boundedLog struct {
 	*memlog.Log
 	callBytes int
@@ -41,7 +41,7 @@
 
 const boundedCalls = 8192
 
-// outageOf returns items that ended while the log was away: ten times what a call takes.
+// outageOf returns items that ended during an outage of the log: ten times the limit of a call.
 func outageOf(t *testing.T, service *Service) ([]FinishedItem, []RunningItem) {
 	t.Helper()
 	var names []string
@@ -59,8 +59,7 @@
 	return ended, running
 }
 
-// TestWhatAnOutageLeftIsWrittenInSeveralCalls: one call with all of it would be refused
-// each time.
+// TestWhatAnOutageLeftIsWrittenInSeveralCalls: a single call would be rejected on every retry.
 func TestWhatAnOutageLeftIsWrittenInSeveralCalls(t *testing.T) {
 	service := newService(&boundedLog{Log: memlog.New(), callBytes: boundedCalls, callsLeft: 1000})
 	ended, running := outageOf(t, service)
@@ -78,7 +77,7 @@
 	}
 }
 
-// TestWhatWasWrittenBeforeAFailureIsTold: it need not be written again.
+// TestWhatWasWrittenBeforeAFailureIsTold: the caller does not write it again.
 func TestWhatWasWrittenBeforeAFailureIsTold(t *testing.T) {
 	log := &boundedLog{Log: memlog.New(), callBytes: boundedCalls, callsLeft: 1000}
 	service := newService(log)
@@ -98,7 +97,7 @@
 }
 
 func TestABatchHasOneItemAtLeastAndABoundedNumber(t *testing.T) {
-	sizes := texts[int]{
+	sizes := textAccess[int]{
 		size: func(size int) int { return size },
 		data: func(size int) eventlog.Partition { return eventlog.Partition{Number: size % 2} },
 	}
@@ -109,8 +108,8 @@
 	assert.Equal(t, firstBatch([]int{2, 4, 3}, sizes, boundedCalls), 2, "the third is written elsewhere")
 }
 
-// finishedTexts tells of texts that all lie in one place.
-var finishedTexts = texts[FinishedItem]{
+// finishedTexts accesses texts that all belong to one partition.
+var finishedTexts = textAccess[FinishedItem]{
 	size: func(item FinishedItem) int { return len(item.Text) },
 	data: func(FinishedItem) eventlog.Partition { return eventlog.Partition{} },
 }
--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -1,7 +1,7 @@
-// Package batchjobs keeps batch jobs in the log: it accepts them, tells their
-// results and bodies, and ends them. A node reads an index partition once it is
-// asked for a job there, or leads; a text or a body is read from the log when it
-// is asked for.
+// Package batchjobs stores batch jobs in the log: it accepts them, returns their
+// results and bodies, and ends them. A node starts to read an index partition with the
+// first request for a job there, or once it leads; texts and bodies are read from the
+// log on request.
 package batchjobs
 
 import (
@@ -32,24 +32,24 @@
 	bodyReadLimit = 4 << 10
 	// maxResultBytes bounds the texts of one answer.
 	maxResultBytes = 900 << 10
-	// recordOverhead is what a record takes beside its bytes.
+	// recordOverhead is the framing of a record, in bytes.
 	recordOverhead = 8
 	forgetPeriod   = 5 * time.Second
 )
 
 // Options are the settings of batch jobs.
 type Options struct {
-	// Partitions is the number of partitions; the same on all nodes, for good.
+	// Partitions is the number of partitions. It must be the same on all nodes and never change.
 	Partitions int
 	// RecordBytes and CallBytes are the log's limits.
 	RecordBytes int
 	CallBytes   int
-	// KeepJobs is how long a job can be read after it was read first.
+	// KeepJobs is how long a closed job can be read after its record was first read.
 	KeepJobs time.Duration
-	// Budget is what all nodes together may read of the log.
+	// Budget bounds the log reads of all nodes together.
 	Budget pacing.Budget
-	// Hold, if set, holds memory of the node for bytes that are about to be read for a reader, or returns the
-	// error that the reader is told.
+	// Hold, if set, reserves memory for bytes that are about to be read for a caller. Its error is
+	// returned to the caller.
 	Hold   func(bytes int) (release func(), err error)
 	Logger zerolog.Logger
 }
@@ -61,7 +61,7 @@
 	partitions []*partition
 }
 
-// New returns a service; Run reads the log.
+// New returns a service; Run reads the index.
 func New(log eventlog.Log, options Options) *Service {
 	if options.Hold == nil {
 		options.Hold = func(int) (func(), error) { return func() {}, nil }
@@ -108,22 +108,22 @@
 	return s.partitions[xxhash.Sum64String(jobID)%uint64(len(s.partitions))]
 }
 
-// Observe tells the observer of all open jobs and of what changes, until Unobserve. One that observes
-// already is told of all open jobs again.
+// Observe notifies the observer of all open jobs and of changes, until Unobserve. An observer that is
+// already registered is notified of all open jobs again.
 func (s *Service) Observe(observer batch.Observer) {
 	for _, each := range s.partitions {
 		each.observe(observer)
 	}
 }
 
-// Unobserve tells the observer nothing more.
+// Unobserve unregisters the observer.
 func (s *Service) Unobserve(observer batch.Observer) {
 	for _, each := range s.partitions {
 		each.unobserve(observer)
 	}
 }
 
-// Knows tells whether a job was accepted, as of now.
+// Knows reports whether a job was accepted, as of the call.
 func (s *Service) Knows(ctx context.Context, jobID string) (bool, error) {
 	_, err := s.partitionOf(jobID).lookUp(ctx, jobID)
 	if errkind.Is(err, errkind.NotFound) {
@@ -132,18 +132,18 @@
 	return err == nil, err
 }
 
-// Submission is a batch job as it is handed in.
+// Submission is a batch job as submitted.
 type Submission struct {
 	Job      batch.JobRecord
 	Payloads []batch.Payload
 }
 
-// Accept keeps a job. A nil error means that it is kept for good, whether by
-// this call or an earlier one. An error of a kind that says "not executed"
-// means that no record of the job was or will be written by this call.
+// Accept stores a job. A nil error means that the job is durable, by this call or
+// an earlier one. An error of a kind that says "not executed" means that this call
+// has not written a record of the job and never will.
 func (s *Service) Accept(ctx context.Context, submission Submission) error {
 	target := s.partitionOf(submission.Job.ID)
-	if target.has(submission.Job.ID) {
+	if target.isKnown(submission.Job.ID) {
 		return nil
 	}
 	spans, err := s.writePayloads(ctx, target.data(submission.Job.Homes), submission.Payloads)
@@ -155,7 +155,7 @@
 	return s.appendIndex(ctx, target, batch.Record{Job: &submission.Job})
 }
 
-// earlier returns the jobs of steps before the job that this node knows.
+// earlier returns the known jobs of steps before the given job's.
 func (s *Service) earlier(than *batch.JobRecord) []batch.EarlierJob {
 	var earlier []batch.EarlierJob
 	for _, each := range s.partitions {
@@ -164,8 +164,8 @@
 	return earlier
 }
 
-// writePayloads writes the payloads in as many calls as the log's limit wants.
-// They mean nothing until the job's record names them.
+// writePayloads writes the payloads in as many calls as the log's limits require.
+// They have no effect until the job's record references them.
 func (s *Service) writePayloads(
 	ctx context.Context, data eventlog.Partition, payloads []batch.Payload,
 ) ([]batch.Span, error) {
@@ -203,7 +203,7 @@
 	return spans, flush()
 }
 
-// End ends a job. A nil error means that it is ended for good.
+// End ends a job. A nil error means that the end is durable.
 func (s *Service) End(ctx context.Context, jobID string) error {
 	target := s.partitionOf(jobID)
 	known, err := target.lookUp(ctx, jobID)
@@ -216,7 +216,7 @@
 	return s.appendIndex(ctx, target, batch.Record{End: jobID})
 }
 
-// unavailable turns a failure of the log into the error of a read.
+// unavailable converts a failure of the log to the error of a query.
 func unavailable(err error) error {
 	var known *errkind.Error
 	if errors.As(err, &known) {
--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -17,8 +17,8 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// countingLog counts reads of the index and of the data, and the bytes of data that
-// they ask for.
+// countingLog counts reads of the index and of the data, and the bytes of data
+// requested.
 type countingLog struct {
 	*memlog.Log
 	indexReads atomic.Int64
@@ -82,7 +82,7 @@
 	assert.Equal(t, recorded, len(items))
 }
 
-// TestAnyNodeTellsOfAJobAtOnce asks a node that follows nothing closely.
+// TestAnyNodeTellsOfAJobAtOnce queries a node that does not follow the partition closely.
 func TestAnyNodeTellsOfAJobAtOnce(t *testing.T) {
 	log := memlog.New()
 	one, other := newService(log), newService(log)
@@ -111,8 +111,8 @@
 	assert.Equal(t, errkind.KindOf(err), errkind.LogUnavailable)
 }
 
-// TestRepeatedRecordsChangeNothing: a job that is handed in twice is taken once,
-// and the first result of an item stands.
+// TestRepeatedRecordsChangeNothing: a job that is submitted twice is accepted once, and
+// the first result of an item wins.
 func TestRepeatedRecordsChangeNothing(t *testing.T) {
 	log := memlog.New()
 	one, other := newService(log), newService(log)
@@ -129,8 +129,8 @@
 	}
 }
 
-// TestOnlyACertainRefusalSaysNotExecuted: an index append without an answer may
-// have been done, so the caller is not told that the job will not run.
+// TestOnlyACertainRefusalSaysNotExecuted: an index append without an answer may have
+// taken effect, so the error must not say that the job will not run.
 func TestOnlyACertainRefusalSaysNotExecuted(t *testing.T) {
 	for name, each := range map[string]struct {
 		fault memlog.Fault
@@ -156,7 +156,7 @@
 	}
 }
 
-// TestTextsOfSeveralRecordsAreWhole writes a text beyond the limit of a record.
+// TestTextsOfSeveralRecordsAreWhole writes a text above the limit of a record.
 func TestTextsOfSeveralRecordsAreWhole(t *testing.T) {
 	log := memlog.New()
 	service := newService(log)
@@ -172,8 +172,8 @@
 	assert.Equal(t, string(results.Results[0].Text), string(text))
 }
 
-// TestPartitionsAreReadOnceSomebodyAsks: a node that only serves live requests
-// reads nothing of the index, however much there is.
+// TestPartitionsAreReadOnceSomebodyAsks: a node that serves live requests only does not
+// read the index.
 func TestPartitionsAreReadOnceSomebodyAsks(t *testing.T) {
 	log := &countingLog{Log: memlog.New()}
 	assert.NilError(t, newService(log.Log).Accept(t.Context(), submission("j", "a")))
@@ -186,7 +186,7 @@
 	assert.Equal(t, results.Total, 1)
 }
 
-// observer notes the jobs that it is told of.
+// observer records its notifications.
 type observer struct {
 	mu    sync.Mutex
 	added []string
@@ -213,8 +213,8 @@
 	return len(o.added) >= added && len(o.ended) >= ended
 }
 
-// TestObserversHearOnlyOfWhatIsOpen: a node that begins to lead and has read
-// nothing yet is not told of jobs that ended long ago.
+// TestObserversHearOnlyOfWhatIsOpen: a new leader that has not read the index yet is not
+// notified of jobs that have ended.
 func TestObserversHearOnlyOfWhatIsOpen(t *testing.T) {
 	log := memlog.New()
 	ctx, before := t.Context(), newService(log)
@@ -234,8 +234,8 @@
 	assert.DeepEqual(t, seen.ended, []string{"open"})
 }
 
-// TestPartitionsThatNobodyAsksForAreReadSeldom: however quickly records come, a
-// node that nobody asks reads each partition once a period.
+// TestPartitionsThatNobodyAsksForAreReadSeldom: without queries a node reads each partition
+// once a period, at any rate of records.
 func TestPartitionsThatNobodyAsksForAreReadSeldom(t *testing.T) {
 	log := &countingLog{Log: memlog.New()}
 	idle := newService(log)
--- a/internal/batchjobs/gap_test.go
+++ b/internal/batchjobs/gap_test.go
@@ -15,7 +15,7 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// slowReads is a log on which reads of the index wait while the gate is locked.
+// slowReads is a log whose index reads block while the gate is locked.
 type slowReads struct {
 	*memlog.Log
 	gate sync.Mutex
@@ -35,8 +35,8 @@
 	return s.Log.Read(ctx, partition, from, limit, wait)
 }
 
-// TestAPositionHoldsOneResultThoughTheLogForgot: a node that knows the job misses the record of
-// its first result. It may tell nothing then, but no other result at that position.
+// TestAPositionHoldsOneResultThoughTheLogForgot: a node that knows the job has missed the record of
+// its first result. It may fail then, but must not return another result at that position.
 func TestAPositionHoldsOneResultThoughTheLogForgot(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
@@ -71,13 +71,13 @@
 	}
 }
 
-// forget drops what the index of a job holds.
+// forget trims the index partition of a job.
 func forget(log *memlog.Log, service *Service, jobID string) {
 	index := eventlog.Partition{Topic: indexTopic, Number: service.PartitionOf(jobID)}
 	log.Trim(index, log.End(index))
 }
 
-// TestBehindAGapUnknownJobsAreDeniedOnceNoneCanBeAskedFor: KeepJobs later.
+// TestBehindAGapUnknownJobsAreDeniedOnceNoneCanBeAskedFor: after KeepJobs.
 func TestBehindAGapUnknownJobsAreDeniedOnceNoneCanBeAskedFor(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
@@ -93,7 +93,7 @@
 	assert.Equal(t, errkind.KindOf(service.End(t.Context(), "j")), errkind.NotFound)
 }
 
-// TestBehindAGapNewJobsAreServed: a cluster in which all nodes have restarted late has one.
+// TestBehindAGapNewJobsAreServed: a cluster whose nodes have all restarted late has a gap everywhere.
 func TestBehindAGapNewJobsAreServed(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
@@ -108,7 +108,7 @@
 	assert.Equal(t, string(results.Results[0].Text), "text")
 }
 
-// TestOverAGapAKnownJobCanBeEndedAndItsBodiesRead: only its results may be in other places.
+// TestOverAGapAKnownJobCanBeEndedAndItsBodiesRead: only the positions of its results are unknown.
 func TestOverAGapAKnownJobCanBeEndedAndItsBodiesRead(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
@@ -131,7 +131,7 @@
 	assert.Assert(t, known.Ended)
 }
 
-// TestOverAGapAWholeJobIsTold: nothing can be missing of it.
+// TestOverAGapAWholeJobIsTold: none of its results can be missing.
 func TestOverAGapAWholeJobIsTold(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
--- a/internal/batchjobs/homes_test.go
+++ b/internal/batchjobs/homes_test.go
@@ -14,7 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// listeningLog keeps all that was read from it.
+// listeningLog records everything that is read from it.
 type listeningLog struct {
 	*memlog.Log
 	mu   sync.Mutex
@@ -39,8 +39,8 @@
 	return bytes.Contains(l.read, []byte(text))
 }
 
-// TestReadsBringNoNeighboursOfOtherHomes: a read of the log goes beyond what is asked for, so a node that
-// reads bodies, kept texts or results of one job sees nothing of a job that is bound to other regions.
+// TestReadsBringNoNeighboursOfOtherHomes: a read of the log returns adjacent records as well, so the bodies,
+// kept texts and results of a job must not be adjacent to those of a job with other homes.
 func TestReadsBringNoNeighboursOfOtherHomes(t *testing.T) {
 	log := &listeningLog{Log: memlog.New()}
 	service := newService(log)
@@ -89,7 +89,7 @@
 	return text
 }
 
-// TestTextsOfAForgottenJobStayInTheTopicOfItsHomes: what is recorded late may be of a job that this node knows no more.
+// TestTextsOfAForgottenJobStayInTheTopicOfItsHomes: a late result may belong to a job that this node has forgotten.
 func TestTextsOfAForgottenJobStayInTheTopicOfItsHomes(t *testing.T) {
 	log := &listeningLog{Log: memlog.New()}
 	service := newService(log)
@@ -101,7 +101,7 @@
 	target := service.partitionOf("bound")
 	testwait.Until(t, "the job is forgotten", func() bool {
 		target.forget(time.Now().Add(time.Hour))
-		return !target.has("bound")
+		return !target.isKnown("bound")
 	})
 	late := finished("bound", 0, "hidden text")
 	late[0].Homes = bound.Job.Homes
--- a/internal/batchjobs/kept.go
+++ b/internal/batchjobs/kept.go
@@ -13,16 +13,15 @@
 )
 
 const (
-	// keptReads is how many reads of kept texts are under way at a time.
+	// keptReads bounds the concurrent reads of kept texts.
 	keptReads = 8
-	// keptGap is the most records between two wanted ones that are read along with
-	// them: one more read costs as much as a few texts.
+	// keptGap bounds the unneeded records that are read between two needed ones to save a call.
 	keptGap = 4
 )
 
-// KeptTexts returns the texts of kept progress by item. A leader leaves the new parts
-// of all running items in one call, so parts that lie together are read together. With
-// an error, texts that could be read are returned as well.
+// KeptTexts returns the texts of kept progress by item. A leader writes the new parts of all
+// running items in one call, so adjacent parts are read together. On an error, the texts that
+// could be read are returned as well.
 func (s *Service) KeptTexts(
 	ctx context.Context, job batch.JobRecord, kept map[int]batch.Progress,
 ) (map[int][]byte, error) {
@@ -48,21 +47,21 @@
 	err := group.Wait()
 	texts := make(map[int][]byte, len(kept))
 	for item, progress := range kept {
-		if text, whole := textOf(progress.Parts, records); whole {
+		if text, complete := textOf(progress.Parts, records); complete {
 			texts[item] = text
 		}
 	}
 	return texts, err
 }
 
-// keptPart is where a part of a text lies, and about how many bytes it has.
+// keptPart is the span of a part of a text, with its approximate size in bytes.
 type keptPart struct {
 	span  batch.Span
 	bytes int
 }
 
-// partsOf returns the parts of all texts. Only the size of a whole text is known, so
-// its parts are taken to be alike.
+// partsOf returns the parts of all texts. Only the size of a complete text is known, so
+// its parts are assumed to be of equal size.
 func partsOf(kept map[int]batch.Progress) []keptPart {
 	var parts []keptPart
 	for progress := range maps.Values(kept) {
@@ -74,8 +73,7 @@
 	return parts
 }
 
-// joinParts returns parts that cover all of the given ones, where those with at most
-// gap records between them are one.
+// joinParts merges parts that have at most gap records between them.
 func joinParts(parts []keptPart, gap int64) []keptPart {
 	slices.SortFunc(parts, func(a, b keptPart) int { return int(a.span.First - b.span.First) })
 	var joined []keptPart
@@ -91,11 +89,11 @@
 	return joined
 }
 
-// endOf is the offset behind a span's last record.
+// endOf returns the offset after a span's last record.
 func endOf(span batch.Span) int64 { return span.First + int64(span.Count) }
 
-// textOf returns the text of the parts, separated by line feeds; false if a record
-// of them is missing.
+// textOf returns the text of the parts, separated by line feeds, and false if a record
+// is missing.
 func textOf(parts []batch.Span, records map[int64][]byte) ([]byte, bool) {
 	texts := make([][]byte, len(parts))
 	for i, part := range parts {
--- a/internal/batchjobs/kept_test.go
+++ b/internal/batchjobs/kept_test.go
@@ -12,50 +12,50 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// openJob is an observer that keeps the newest job it heard of.
+// openJob is an observer that keeps the newest job.
 type openJob struct{ job *batch.Job }
 
 func (o *openJob) JobAdded(job *batch.Job)    { o.job = job }
 func (o *openJob) ItemListed(*batch.Job, int) {}
 func (o *openJob) JobEnded(*batch.Job)        {}
 
-// keptJob writes parts of many items' outputs in rounds, as a leader does, and returns
-// what the log tells the next one of them.
-func keptJob(ctx context.Context, t *testing.T, service *Service, items, rounds int) map[int]batch.Progress {
+// keptJob writes parts of many items' outputs, each part of all items in one call as a leader
+// does, and returns the progress that the next leader reads.
+func keptJob(ctx context.Context, t *testing.T, service *Service, items, parts int) map[int]batch.Progress {
 	t.Helper()
 	var names []string
 	for item := range items {
 		names = append(names, fmt.Sprint("item", item))
 	}
 	assert.NilError(t, service.Accept(ctx, submission("j", names...)))
-	for round := range rounds {
+	for part := range parts {
 		var running []RunningItem
 		for item := range items {
 			running = append(running, RunningItem{
 				Record: batch.ProgressRecord{
-					Job: "j", Item: item, Chain: "c", From: int64(round), To: int64(round + 1), Versions: []int64{1},
+					Job: "j", Item: item, Chain: "c", From: int64(part), To: int64(part + 1), Versions: []int64{1},
 				},
-				Text: fmt.Appendf(nil, "%d-%d", item, round+1),
+				Text: fmt.Appendf(nil, "%d-%d", item, part+1),
 			})
 		}
 		_, err := service.Keep(ctx, service.PartitionOf("j"), running)
 		assert.NilError(t, err)
 	}
-	var heard openJob
+	var observer openJob
 	_, err := service.Results(ctx, "j", 0, 0)
 	assert.NilError(t, err)
-	service.partitionOf("j").state.Observe(&heard)
+	service.partitionOf("j").state.Observe(&observer)
 	kept := make(map[int]batch.Progress)
 	for item := range items {
-		progress, found := heard.job.Progress(item)
+		progress, found := observer.job.Progress(item)
 		assert.Assert(t, found)
 		kept[item] = progress
 	}
 	return kept
 }
 
-// TestPartsThatLieTogetherAreReadTogether: forty items of five parts each take one
-// read for what was left in each round, not one for each part.
+// TestPartsThatLieTogetherAreReadTogether: forty items of five parts each take one read for
+// each call that wrote them, not one for each part.
 func TestPartsThatLieTogetherAreReadTogether(t *testing.T) {
 	log := &countingLog{Log: memlog.New()}
 	service := newService(log)
@@ -70,7 +70,7 @@
 	assert.Assert(t, reads <= 5, "%d reads", reads)
 }
 
-// TestTextsThatCanBeReadSurviveAFailedRead: one unreadable part costs its own items.
+// TestTextsThatCanBeReadSurviveAFailedRead: an unreadable part affects its own items only.
 func TestTextsThatCanBeReadSurviveAFailedRead(t *testing.T) {
 	log := memlog.New()
 	service := newService(log)
@@ -93,8 +93,8 @@
 	assert.Equal(t, joined[1], keptPart{batch.Span{First: 20, Count: 2}, 10})
 }
 
-// TestReadsOfKeptTextsAskForLittleMore: a read that asks for as much as it may is
-// answered with whatever else lies behind the wanted records.
+// TestReadsOfKeptTextsAskForLittleMore: a read with the largest limit would also return the
+// records that follow the needed ones.
 func TestReadsOfKeptTextsAskForLittleMore(t *testing.T) {
 	log := &countingLog{Log: memlog.New()}
 	service := newService(log)
--- a/internal/batchjobs/late_test.go
+++ b/internal/batchjobs/late_test.go
@@ -15,12 +15,12 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// lateLog is a log whose answers to reads of the index come late, once it is told so.
+// lateLog is a log that can delay its answers to index reads.
 type lateLog struct {
 	*memlog.Log
 	mu    sync.Mutex
 	delay time.Duration
-	// answered counts the answers that lie on their way, or did.
+	// answered counts the delayed answers.
 	answered int
 }
 
@@ -51,9 +51,9 @@
 	return read, err
 }
 
-// TestAnOldAnswerIsNotThePresent: an answer that tells of no new record may be on its way for
-// longer than a second, as by way of another node. A result that stood in the log for longer
-// than that is told.
+// TestAnOldAnswerIsNotThePresent: an answer without a new record may be in transit for more than
+// a second, as through another node. A result that has been in the log for longer than that must
+// be returned.
 func TestAnOldAnswerIsNotThePresent(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
@@ -89,7 +89,7 @@
 }
 
 // TestAJobThatTheLogForgotIsNotDenied: a node that starts after the log has dropped the job's
-// record does not know whether there is such a job, while others know it.
+// record cannot know that there is no such job.
 func TestAJobThatTheLogForgotIsNotDenied(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
--- a/internal/batchjobs/lookup.go
+++ b/internal/batchjobs/lookup.go
@@ -9,25 +9,24 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
 
-// has tells whether the job is known without asking the log.
-func (p *partition) has(jobID string) bool {
+// isKnown reports whether the job is known, without reading the log.
+func (p *partition) isKnown(jobID string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.state.Job(jobID) != nil
 }
 
-// lookUp returns a copy of the job as of now: its results cannot change under
-// the reader. It reads to the end of the log first, unless that was done just
-// now and the job is known.
+// lookUp returns a copy of the job as of the call. It first reads to the end of the
+// log, unless the job is known and the last such read is within freshness.
 func (p *partition) lookUp(ctx context.Context, jobID string) (batch.Job, error) {
-	asked := boottime.Now()
-	p.follow()
-	if job, found := p.snapshot(jobID, asked.Add(-freshness)); found {
+	calledAt := boottime.Now()
+	p.activate()
+	if job, found := p.snapshot(jobID, calledAt.Add(-freshness)); found {
 		return job, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	for !p.readSince(asked) {
+	for !p.readSince(calledAt) {
 		if _, err := p.read(ctx, 0); err != nil {
 			return batch.Job{}, unavailable(err)
 		}
@@ -35,17 +34,17 @@
 			return batch.Job{}, unavailable(ctx.Err())
 		}
 	}
-	if job, found := p.snapshot(jobID, asked); found {
+	if job, found := p.snapshot(jobID, calledAt); found {
 		return job, nil
 	}
-	if p.mayHaveMissed(asked) {
+	if p.mayHaveMissed(calledAt) {
 		return batch.Job{}, errkind.New(errkind.HistoryLost, "the log may have dropped batch job %s", jobID)
 	}
 	return batch.Job{}, errkind.New(errkind.NotFound, "no batch job %s", jobID)
 }
 
-// lookUpWhole is lookUp for whoever tells results: all of the job's must be known, in their places.
-func (p *partition) lookUpWhole(ctx context.Context, jobID string) (batch.Job, error) {
+// lookUpComplete is lookUp for queries of results: it fails unless every result and its position is known.
+func (p *partition) lookUpComplete(ctx context.Context, jobID string) (batch.Job, error) {
 	job, err := p.lookUp(ctx, jobID)
 	if err == nil && job.Incomplete {
 		return batch.Job{}, errkind.New(errkind.HistoryLost, "the log may have dropped results of batch job %s", jobID)
@@ -53,24 +52,23 @@
 	return job, err
 }
 
-// mayHaveMissed tells whether a job that may be asked for may stand in records that the log dropped
-// before they were read here. A job that was handed in before that need not be known any more once
-// KeepJobs has passed.
+// mayHaveMissed reports whether records of a job that is still within KeepJobs may have been dropped by
+// the log before this node read them.
 func (p *partition) mayHaveMissed(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !p.lostAt.IsZero() && now.Sub(p.lostAt) < p.keepJobs
 }
 
-// follow has the partition read from now on.
-func (p *partition) follow() {
-	p.asked.Do(func() { close(p.interest) })
+// activate starts reading the partition.
+func (p *partition) activate() {
+	p.activateOnce.Do(func() { close(p.activated) })
 }
 
-func (p *partition) readSince(asked time.Time) bool {
+func (p *partition) readSince(since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.readAt.Before(asked)
+	return !p.readAt.Before(since)
 }
 
 func (p *partition) snapshot(jobID string, readAfter time.Time) (batch.Job, bool) {
@@ -83,17 +81,17 @@
 	return *job, true
 }
 
-// awaitResults waits until a reader of the positions from the given one on should
-// be answered, or the time is over.
+// awaitResults blocks until a query for the positions from the given one on should
+// be answered, or the wait is over.
 func (p *partition) awaitResults(ctx context.Context, jobID string, position int, wait time.Duration) {
-	p.wait(1)
-	defer p.wait(-1)
+	p.addWaiters(1)
+	defer p.addWaiters(-1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		p.mu.Lock()
 		job, changed := p.state.Job(jobID), p.changed
-		done := job == nil || worthTelling(job, position)
+		done := job == nil || shouldAnswer(job, position)
 		p.mu.Unlock()
 		if done {
 			return
--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -19,18 +19,17 @@
 )
 
 const (
-	// pollWait is how long a read of the index waits for a record, where somebody
-	// here waits for what it brings.
+	// pollWait is the long-poll wait of an index read while this node has waiters or observers.
 	pollWait = 600 * time.Millisecond
-	// idleReadPeriod is the time between two reads where nobody does: they only
-	// keep what is left to read small. It grows with the nodes.
+	// idleReadPeriod is the time between two reads without any; they keep the backlog
+	// small. It grows with the number of nodes.
 	idleReadPeriod    = time.Second
 	maxIdleReadPeriod = 30 * time.Second
 	retryDelay        = 100 * time.Millisecond
-	// freshness is the age up to which what was read counts as the present. A
-	// position that somebody read elsewhere must be found here a second later.
+	// freshness is the age up to which a read counts as current. It must be below a second:
+	// a position that a caller read at another node must be readable here that much later.
 	freshness = 900 * time.Millisecond
-	// catchUpTimeout bounds a read that makes the state fresh again.
+	// catchUpTimeout bounds the reads to the end of the log for one query.
 	catchUpTimeout = 800 * time.Millisecond
 )
 
@@ -42,47 +41,46 @@
 	logger zerolog.Logger
 	// keepJobs is Options.KeepJobs.
 	keepJobs time.Duration
-	// hurry ends the pause between two reads.
-	hurry chan struct{}
-	// interest is closed once somebody here has asked for what the partition holds.
-	// Until then it is not read: a node would read the whole index after each start.
-	interest chan struct{}
-	asked    sync.Once
+	// wake ends the pause between two reads.
+	wake chan struct{}
+	// activated is closed by the first query or observer. Until then the partition is not
+	// read, so that a node does not read the whole index after each start.
+	activated    chan struct{}
+	activateOnce sync.Once
 
 	mu    sync.Mutex
 	state *batch.Partition
-	// readAt is as of when the end was reached, by boottime: a suspended machine must not
-	// take what it knew before for the present.
+	// readAt is the time as of which the state is complete, by boottime: state from before a
+	// suspension of the machine must not count as current.
 	readAt time.Time
-	// lostAt is when records were missed last that the log had dropped, by boottime; zero for never.
+	// lostAt is when this node last found that the log had dropped unread records, by boottime; zero for never.
 	lostAt time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	healthy bool
-	// waiters counts the readers that want changes at once, as observers do.
+	// waiters counts the queries that wait for new results.
 	waiters int
-	// joining are observers that are told of changes from the next read on that
-	// reaches the end; until then they would hear of jobs that are long over.
+	// joining are observers that are registered after the next read that reaches the end;
+	// before that they would be notified of jobs that have long ended.
 	joining []batch.Observer
 }
 
 func newPartition(log eventlog.Log, number int, options Options) *partition {
 	return &partition{
-		log:      log,
-		index:    eventlog.Partition{Topic: indexTopic, Number: number},
-		logger:   options.Logger.With().Int("partition", number).Logger(),
-		budget:   options.Budget,
-		keepJobs: options.KeepJobs,
-		hurry:    make(chan struct{}, 1),
-		interest: make(chan struct{}),
-		state:    batch.NewPartition(),
-		changed:  make(chan struct{}),
+		log:       log,
+		index:     eventlog.Partition{Topic: indexTopic, Number: number},
+		logger:    options.Logger.With().Int("partition", number).Logger(),
+		budget:    options.Budget,
+		keepJobs:  options.KeepJobs,
+		wake:      make(chan struct{}, 1),
+		activated: make(chan struct{}),
+		state:     batch.NewPartition(),
+		changed:   make(chan struct{}),
 	}
 }
 
-// data is where bodies and texts of jobs that are bound to regions are written, or of those that are
-// bound to none. A read of the log brings neighbours along, so jobs that may not be read in the same regions
-// share no topic.
+// data returns the partition for bodies and texts of jobs that are bound to the regions; none for unbound
+// jobs. A read of the log also returns adjacent records, so jobs with different homes must not share a topic.
 func (p *partition) data(regions []string) eventlog.Partition {
 	topic := dataTopic
 	if set := homes.Of(regions); set.Bound() {
@@ -91,16 +89,16 @@
 	return eventlog.Partition{Topic: topic, Number: p.index.Number}
 }
 
-// tail reads the partition until ctx ends, once somebody has asked for it.
+// tail reads the partition from its activation until ctx ends.
 func (p *partition) tail(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-p.interest:
+	case <-p.activated:
 	}
 	for ctx.Err() == nil {
 		atEnd, err := p.read(ctx, p.pollTime())
 		if err != nil && ctx.Err() == nil {
-			p.contact(err)
+			p.contactLost(err)
 			retry.Sleep(ctx, retryDelay)
 			continue
 		}
@@ -110,28 +108,28 @@
 	}
 }
 
-// pollTime is how long the next read waits for a record. It waits only where
-// somebody here waits for what it brings, and not while an observer is to join.
+// pollTime returns the long-poll wait of the next read: none without waiters and observers, and none
+// while an observer is joining.
 func (p *partition) pollTime() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.joining) == 0 && p.wanted() {
+	if len(p.joining) == 0 && p.hasWaiters() {
 		return pollWait
 	}
 	return 0
 }
 
-// wanted tells whether somebody here waits for records; mu is held.
-func (p *partition) wanted() bool {
+// hasWaiters reports whether queries or observers wait for records. Must be called with mu held.
+func (p *partition) hasWaiters() bool {
 	return p.state.Observed() || len(p.joining) > 0 || p.waiters > 0
 }
 
-// pause lets records gather, unless somebody here waits for them.
+// pause delays the next read while there are no waiters.
 func (p *partition) pause(ctx context.Context) {
 	p.mu.Lock()
-	wanted := p.wanted()
+	waiting := p.hasWaiters()
 	p.mu.Unlock()
-	if wanted {
+	if waiting {
 		return
 	}
 	timer := time.NewTimer(p.budget.Stretch(idleReadPeriod, maxIdleReadPeriod))
@@ -139,27 +137,27 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-p.hurry:
+	case <-p.wake:
 	}
 }
 
-// wait counts a reader that waits for records, or no longer does.
-func (p *partition) wait(change int) {
+// addWaiters changes the number of waiting queries.
+func (p *partition) addWaiters(change int) {
 	p.mu.Lock()
 	p.waiters += change
 	p.mu.Unlock()
-	p.hurryUp()
+	p.wakeUp()
 }
 
-func (p *partition) hurryUp() {
+func (p *partition) wakeUp() {
 	select {
-	case p.hurry <- struct{}{}:
+	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
-// read reads once from where the state stands and applies what is new there. It
-// reports whether that was all.
+// read reads once from the next offset, applies the new records and reports whether
+// it has reached the end.
 func (p *partition) read(ctx context.Context, wait time.Duration) (bool, error) {
 	p.mu.Lock()
 	from := p.state.Next
@@ -174,17 +172,17 @@
 	if err != nil {
 		return false, err
 	}
-	known := sent
+	currentAt := sent
 	if len(read.Records) == 0 {
-		known = answered.At(sent, wait, boottime.Now())
+		currentAt = answered.At(sent, wait, boottime.Now())
 	}
-	p.apply(read, known)
+	p.apply(read, currentAt)
 	return read.First+int64(len(read.Records)) >= read.End, nil
 }
 
-// apply takes the records that another read has not brought meanwhile. What the read says of the
-// end holds as of the given time.
-func (p *partition) apply(read eventlog.Batch, known time.Time) {
+// apply applies the records that a concurrent read has not applied. The read's end of the partition
+// was current at the given time.
+func (p *partition) apply(read eventlog.Batch, currentAt time.Time) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -201,8 +199,8 @@
 		}
 		p.state.Apply(record, now)
 	}
-	if p.state.Next >= read.End && known.After(p.readAt) {
-		p.readAt = known
+	if p.state.Next >= read.End && currentAt.After(p.readAt) {
+		p.readAt = currentAt
 	}
 	if p.state.Next >= read.End {
 		for _, observer := range p.joining {
@@ -228,7 +226,7 @@
 	p.lostAt = boottime.Now()
 }
 
-func (p *partition) contact(err error) {
+func (p *partition) contactLost(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.healthy {
@@ -238,8 +236,8 @@
 }
 
 func (p *partition) observe(observer batch.Observer) {
-	p.follow()
-	defer p.hurryUp()
+	p.activate()
+	defer p.wakeUp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.joining = append(p.joining, observer)
--- a/internal/batchjobs/results.go
+++ b/internal/batchjobs/results.go
@@ -11,13 +11,13 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// ResultText is one result as it is told to a reader.
+// ResultText is one result with its text.
 type ResultText struct {
 	ItemID   string
 	Outcome  batch.Outcome
 	Text     []byte
 	Versions []int64
-	// Score is what the item's scoring call brought; empty where it has none.
+	// Score is the result of the item's scoring call; empty if it has none.
 	Score string
 }
 
@@ -27,19 +27,18 @@
 	Results []ResultText
 }
 
-// Results returns the results at position from and after it: at least one if
-// there is one. It waits up to the given time for the moment at which the submitter
-// may have all that it waits for, since a reader that is told of a part comes back
-// only a while later.
+// Results returns the results from a position on, at least one if there is one. It waits
+// up to the given time until the submitter may have everything that it waits for, since
+// a caller that receives only a part of it polls again after a delay.
 func (s *Service) Results(ctx context.Context, jobID string, from int, wait time.Duration) (Results, error) {
 	target := s.partitionOf(jobID)
-	job, err := target.lookUpWhole(ctx, jobID)
+	job, err := target.lookUpComplete(ctx, jobID)
 	if err != nil {
 		return Results{}, err
 	}
-	if wait > 0 && !worthTelling(&job, from) {
+	if wait > 0 && !shouldAnswer(&job, from) {
 		target.awaitResults(ctx, jobID, from, wait)
-		if job, err = target.lookUpWhole(ctx, jobID); err != nil {
+		if job, err = target.lookUpComplete(ctx, jobID); err != nil {
 			return Results{}, err
 		}
 	}
@@ -69,10 +68,10 @@
 	return answer, nil
 }
 
-// readCopies is how many times a text is in memory while it is read: as it came and put together.
+// readCopies is the number of copies of a text in memory during a read: the records and the joined text.
 const readCopies = 2
 
-// textBytes is the size of the texts of results.
+// textBytes returns the total size of the results' texts.
 func textBytes(results []batch.Result) int {
 	size := 0
 	for _, result := range results {
@@ -81,10 +80,10 @@
 	return size
 }
 
-// worthTelling tells whether a reader of the positions from on should be answered
-// at once. Where the submitter did not say how many groups it wants, each result is
-// worth it.
-func worthTelling(job *batch.Job, from int) bool {
+// shouldAnswer reports whether a query for the positions from the given one on should be
+// answered at once. If the submitter did not say how many groups it wants, any new
+// result suffices.
+func shouldAnswer(job *batch.Job, from int) bool {
 	switch {
 	case job.Ended || len(job.Results) == len(job.Items):
 		return true
@@ -95,7 +94,7 @@
 	}
 }
 
-// selectResults returns the first results, at least one, within the size of an answer.
+// selectResults returns the first results that fit into maxResultBytes, at least one.
 func selectResults(results []batch.Result) []batch.Result {
 	size := 0
 	for i, result := range results {
@@ -130,7 +129,7 @@
 	return payloads[0].Body, nil
 }
 
-// Payloads returns what is sent to the engines for the items of a job.
+// Payloads returns the engine requests of a job's items.
 func (s *Service) Payloads(ctx context.Context, job batch.JobRecord) ([]batch.Payload, error) {
 	return s.readPayloads(ctx, s.partitionOf(job.ID).data(job.Homes), job.Payloads, readLimit)
 }
@@ -155,7 +154,7 @@
 	return payloads, nil
 }
 
-// readData returns the records of a span, read about limit bytes at a time.
+// readData returns the records of a span, in reads of about limit bytes.
 func (s *Service) readData(ctx context.Context, data eventlog.Partition, span batch.Span, limit int) ([][]byte, error) {
 	var records [][]byte
 	for next := span.First; len(records) < span.Count; {
@@ -173,12 +172,11 @@
 	return records, nil
 }
 
-// textReads is how many reads of a job's texts are under way at a time: a whole job takes
-// a hundred of them, each some 8 ms.
+// textReads bounds the concurrent reads of a job's texts.
 const textReads = 8
 
-// readTexts returns the texts of results. Neighbours in the log are read together, and
-// several such runs at a time.
+// readTexts returns the texts of results. Texts that are adjacent in the log are read in one
+// call, and several calls run concurrently.
 func (s *Service) readTexts(ctx context.Context, data eventlog.Partition, results []batch.Result) ([][]byte, error) {
 	texts := make([][]byte, len(results))
 	group, ctx := errgroup.WithContext(ctx)
@@ -191,14 +189,14 @@
 			size += results[end].TextBytes
 			end++
 		}
-		neighbours, into := results[start:end], texts[start:end]
+		adjacent, into := results[start:end], texts[start:end]
 		group.Go(func() error {
 			records, err := s.readData(ctx, data, span, min(size+recordOverhead*span.Count, readLimit))
 			if err != nil {
 				return err
 			}
-			for i := range neighbours {
-				for range neighbours[i].Text.Count {
+			for i := range adjacent {
+				for range adjacent[i].Text.Count {
 					into[i] = append(into[i], records[0]...)
 					records = records[1:]
 				}
--- a/internal/batchjobs/write.go
+++ b/internal/batchjobs/write.go
@@ -12,11 +12,11 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// appendRetries are the delays between tries of an append.
+// appendRetries are the delays between attempts of an append.
 var appendRetries = retry.Policy{First: 30 * time.Millisecond, Longest: 300 * time.Millisecond}
 
-// appendIndex writes a record of the index. Records may be written twice: the
-// first one wins, so a call without an answer is sent again.
+// appendIndex writes an index record. A record that is written twice has the effect of
+// the first one, so a call without an answer is retried.
 func (s *Service) appendIndex(ctx context.Context, target *partition, record batch.Record) error {
 	raw, err := record.Encode()
 	if err != nil {
@@ -29,19 +29,19 @@
 	return err
 }
 
-// appendData writes records of the data topic. Copies that a lost answer leaves
-// behind are never named.
+// appendData writes records of the data topic. Copies that retries leave behind are
+// never referenced.
 func (s *Service) appendData(ctx context.Context, data eventlog.Partition, records [][]byte) (int64, error) {
 	first, err := s.appendUntilDone(ctx, data, records)
 	if err != nil {
-		// No index record names these, so nothing of them will ever run.
+		// No index record references these records, so they will never be executed.
 		return 0, errkind.New(errkind.LogUnavailable, "%s", err.Error())
 	}
 	return first, nil
 }
 
-// appendUntilDone repeats an append until it is acknowledged or ctx ends. Its
-// error says whether any of the calls may have had an effect.
+// appendUntilDone retries an append until it is acknowledged or ctx ends. The kind of its
+// error says whether any attempt may have taken effect.
 func (s *Service) appendUntilDone(ctx context.Context, partition eventlog.Partition, records [][]byte) (int64, error) {
 	mayBeDone := false
 	for delays := appendRetries.Delays(); ; {
@@ -63,28 +63,28 @@
 	}
 }
 
-// FinishedItem is the end of one item, to be recorded.
+// FinishedItem is the outcome of one item, to be recorded.
 type FinishedItem struct {
 	JobID string
-	// Homes are those of the job's record, by which its texts are kept.
+	// Homes are those of the job's record; they select the topic of its texts.
 	Homes    []string
 	Item     int
 	Outcome  batch.Outcome
 	Text     []byte
 	Versions []int64
-	// Score is what the item's scoring call brought; empty where it has none.
+	// Score is the result of the item's scoring call; empty if it has none.
 	Score string
 }
 
 // PartitionOf returns the number of the job's partition.
 func (s *Service) PartitionOf(jobID string) int { return s.partitionOf(jobID).index.Number }
 
-// Record writes the ends of items of one partition, in as many calls as the log's limits
-// ask for: the texts first, then the record that lists them. It returns how many of
-// them, from the first on, are recorded; all without an error.
+// Record writes outcomes of items of one partition, in as many calls as the log's limits
+// require: the texts first, then the index record that references them. It returns how many of
+// the items, from the first on, are recorded; without an error all are.
 func (s *Service) Record(ctx context.Context, number int, finished []FinishedItem) (int, error) {
 	target := s.partitions[number]
-	texts := texts[FinishedItem]{
+	texts := textAccess[FinishedItem]{
 		size: func(item FinishedItem) int { return len(item.Text) },
 		data: func(item FinishedItem) eventlog.Partition { return target.data(item.Homes) },
 	}
@@ -93,7 +93,7 @@
 	})
 }
 
-// recordBatch writes the ends of items whose texts go into one call.
+// recordBatch writes outcomes of items whose texts fit into one call.
 func (s *Service) recordBatch(ctx context.Context, target *partition, finished []FinishedItem) error {
 	results := make([]batch.ResultRecord, len(finished))
 	var records [][]byte
@@ -118,20 +118,20 @@
 	return s.appendIndex(ctx, target, batch.Record{Results: results})
 }
 
-// RunningItem is output of an item that still runs, to be kept.
+// RunningItem is partial output of a running item, to be kept.
 type RunningItem struct {
-	// Homes are those of the job's record, by which its texts are kept.
+	// Homes are those of the job's record; they select the topic of its texts.
 	Homes  []string
 	Record batch.ProgressRecord
 	Text   []byte
 }
 
-// Keep writes output of items of one partition that still run, in as many calls as the
-// log's limits ask for. It returns how many of them, from the first on, are kept; all
-// without an error.
+// Keep writes partial output of running items of one partition, in as many calls as the log's
+// limits require. It returns how many of the items, from the first on, are kept; without an
+// error all are.
 func (s *Service) Keep(ctx context.Context, number int, running []RunningItem) (int, error) {
 	target := s.partitions[number]
-	texts := texts[RunningItem]{
+	texts := textAccess[RunningItem]{
 		size: func(item RunningItem) int { return len(item.Text) },
 		data: func(item RunningItem) eventlog.Partition { return target.data(item.Homes) },
 	}
@@ -140,7 +140,7 @@
 	})
 }
 
-// keepBatch writes output of items that goes into one call.
+// keepBatch writes partial output that fits into one call.
 func (s *Service) keepBatch(ctx context.Context, target *partition, running []RunningItem) error {
 	progress := make([]batch.ProgressRecord, len(running))
 	var records [][]byte
