Describe the lease in the terms of epochs, gaps and quiet times

The reason for conditional appends stood in a comment: with plain ones two holders were seen to order engines for half a lease.

No behaviour change: tokens compared without comments; tests with -race of core/lease, leadership, duties and weightorders passed.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -1,28 +1,28 @@
-// Package lease decides who leads, from the records of one partition read in
-// order. Every reader comes to the same answer. It has no input, output or
-// clock; every event comes with its time.
+// Package lease determines the leader from the records of one partition, applied in
+// order. Every reader reaches the same result. It has no input, output or clock; the
+// time of each event is passed in.
 //
 // Invariants:
-//   - Epochs only rise, and an epoch has one holder.
-//   - Every record of a holder is appended on the condition that the log ends where
-//     the holder has read to, and its epoch is in force there. So what the log took
-//     is proof that the epoch was in force at that place, and no record of a holder
-//     stands behind a later claim. A plain append proves neither: its
-//     acknowledgement names no epoch, and two holders were seen to order engines for
-//     half a lease by it.
-//   - A claim counts by its place alone, for every reader, whatever it has missed.
-//     Programs of before append renewals without a condition and claims without
-//     their place; beside these, readers that missed records may differ for a while.
-//   - A holder counts its lease from before it sent the record that took effect, all
-//     others from after they read it, so the holder always stops first.
+//   - Epochs are monotonic, and an epoch has one holder.
+//   - A holder appends each record on the condition that the log ends at the offset
+//     up to which it has read, and that its epoch is in force there. An appended
+//     record therefore proves that the epoch was in force at its offset, and no record
+//     of a holder follows a later claim. An unconditional append proves neither, since
+//     its acknowledgement names no epoch.
+//   - A claim takes effect by its offset alone, for every reader, whatever records the
+//     reader has missed. Older versions append renewals without a condition and claims
+//     without their offset; in a cluster with these, readers that missed records may
+//     disagree for a while.
+//   - A holder measures its lease from before it sent the record, all others from
+//     after they read it, so the holder always stops first.
 package lease
 
 import "time"
 
-// RecordKind is what a record does.
+// RecordKind is the kind of a record.
 type RecordKind uint8
 
-// String returns the kind as it stands in logs.
+// String returns the kind as logged.
 func (k RecordKind) String() string {
 	if int(k) < len(kindNames) {
 		return kindNames[k]
@@ -37,7 +37,7 @@
 	Claim RecordKind = iota + 1
 	Renew
 	Release
-	// Order says that the holder is about to order engines.
+	// Order announces that the holder is about to order engines.
 	Order
 )
 
@@ -45,32 +45,31 @@
 type Record struct {
 	Kind   RecordKind `msgpack:"k"`
 	Holder string     `msgpack:"h"`
-	// Node is the machine's name, which another machine may be given.
+	// Node is the machine's name. A replacement machine may have the same name.
 	Node string `msgpack:"n"`
-	// Address is held by the process for as long as it lives, so that no two processes
-	// have it at one time; empty when it holds none.
+	// Address is bound by the process for its lifetime, so that no two processes have it
+	// at the same time; empty if there is none.
 	Address string `msgpack:"a,omitempty"`
-	// Epoch is the holder's own; for a claim, the epoch that it follows.
+	// Epoch is the holder's epoch; in a claim, the epoch that it succeeds.
 	Epoch int64 `msgpack:"e"`
-	// Begins is the epoch that a claim begins: its own offset plus one. Zero in claims
-	// of programs that did not write it, which count where they name the epoch in force.
+	// Begins is the epoch that a claim begins: its own offset plus one. It is zero in claims
+	// of older versions, which win if they name the epoch in force.
 	Begins int64 `msgpack:"b,omitempty"`
 	// Sequence numbers the records of one holder.
 	Sequence int64 `msgpack:"s,omitempty"`
-	// Held is the time from when the holder read its own claim to when it sent this
-	// record, by its steady clock. So the log proves that a time has passed to those
-	// who read it later.
+	// Held is the time between the holder's read of its own claim and the sending of this
+	// record, by its monotonic clock. It proves to later readers that this time has passed.
 	Held time.Duration `msgpack:"t,omitempty"`
-	// Engines are the engines that an Order is about.
+	// Engines are the engines of an Order.
 	Engines []string `msgpack:"g,omitempty"`
 }
 
 func (r Record) machine() machine { return machine{node: r.Node, address: r.Address} }
 
-// State is what a reader knows of the lease.
+// State is the lease as a reader knows it.
 type State struct {
 	// Epoch is the fencing token in force: the offset of its claim plus one.
-	// Zero when nobody ever claimed.
+	// Zero when there was no claim.
 	Epoch    int64
 	Holder   string
 	Node     string
@@ -81,47 +80,47 @@
 	// Next is the offset of the next record to read.
 	Next int64
 
-	// missed is true while records are missing since which no record told the epoch in
-	// force: another one may be by now.
+	// missed is true from a gap in the records until a record proves which epoch is in
+	// force: the gap may hide a claim.
 	missed  bool
 	history history
 }
 
-// machine is that of the holder in force.
+// machine returns the machine of the holder.
 func (s *State) machine() machine { return machine{node: s.Node, address: s.Address} }
 
-// NewClaim is the claim of a process that has read all records so far. It must be appended on the
-// condition that the log ends at Next.
+// NewClaim returns a claim that succeeds the epoch in force. It must be appended on the condition
+// that the log ends at Next.
 func (s *State) NewClaim(node, holder, address string) Record {
 	return Record{Kind: Claim, Node: node, Holder: holder, Address: address, Epoch: s.Epoch, Begins: s.Next + 1}
 }
 
-// Apply takes the record at the offset Next, read at the given time. It reports
+// Apply applies the record at the offset Next, read at the given time, and reports
 // whether the epoch changed.
 func (s *State) Apply(record Record, at time.Time) bool {
 	offset := s.Next
 	s.Next++
-	s.history.read(at)
-	changed, proves := s.take(record, offset, at)
+	s.history.recordRead(at)
+	changed, proves := s.update(record, offset, at)
 	if proves {
 		s.missed = false
 	}
-	s.history.settle(proves)
+	s.history.closeGap(proves)
 	if record.Kind == Order {
-		// One of an earlier epoch may have been followed by its order all the same.
-		s.history.ordered(record, proves, at)
+		// The order may have been sent even if the record's epoch is over.
+		s.history.addOrders(record, proves, at)
 	}
 	return changed
 }
 
-// take applies what a record says of the lease. It reports whether the epoch changed, and whether
-// the record proves that its epoch is in force at its place.
-func (s *State) take(record Record, offset int64, at time.Time) (changed, proves bool) {
+// update updates the lease by a record. It reports whether the epoch changed, and whether the
+// record proves that its epoch is in force at its offset.
+func (s *State) update(record Record, offset int64, at time.Time) (changed, proves bool) {
 	if record.Kind == Claim {
 		if !s.wins(record, offset) {
 			return false, false
 		}
-		s.history.began(0)
+		s.history.beginEpoch(0)
 		s.adopt(offset+1, record, at)
 		return true, true
 	}
@@ -129,12 +128,12 @@
 	case record.Epoch < s.Epoch || record.Epoch == 0:
 		return false, false
 	case record.Epoch > s.Epoch:
-		// The claim was won in records that are no longer kept.
-		s.history.began(record.Held)
+		// The winning claim is among the missed records.
+		s.history.beginEpoch(record.Held)
 		s.adopt(record.Epoch, record, at)
 		changed = true
 	default:
-		s.history.heard(record.Held)
+		s.history.advance(record.Held)
 	}
 	switch record.Kind {
 	case Renew:
@@ -143,12 +142,12 @@
 		}
 	case Release:
 		s.Released = true
-		s.history.released(record.Epoch)
+		s.history.markReleased(record.Epoch)
 	}
 	return changed, true
 }
 
-// wins tells whether a claim takes effect at the offset.
+// wins reports whether a claim takes effect at the offset.
 func (s *State) wins(claim Record, offset int64) bool {
 	if claim.Begins == 0 {
 		return claim.Epoch == s.Epoch
@@ -161,23 +160,23 @@
 	s.Released, s.SeenAt = false, at
 }
 
-// HeldBy tells whether the holder has the epoch in force. Where records are missing it may have lost
-// it in one of them.
+// HeldBy reports whether the holder holds the epoch and it is in force. After a gap it is false, since
+// the gap may hide another claim.
 func (s *State) HeldBy(holder string, epoch int64) bool {
 	return epoch > 0 && s.Epoch == epoch && s.Holder == holder && !s.Released && !s.missed
 }
 
-// IsBehind tells whether a record that comes next is one of a holder whose epoch is over: it
-// was written after another claim had won. It tells an observer that its writer did not know.
+// IsBehind reports whether the next record belongs to an epoch that is over: its writer did not
+// know of a later claim.
 func (s *State) IsBehind(record Record) bool {
 	return (record.Kind == Renew || record.Kind == Order) && record.Epoch < s.Epoch
 }
 
-// Skip passes over a record that cannot be read.
+// Skip skips an unreadable record.
 func (s *State) Skip(at time.Time) { s.SkipTo(s.Next+1, at) }
 
-// SkipTo passes over records that are no longer kept, as found at the given time. The holder
-// may have renewed in the last of them.
+// SkipTo skips records that the log has dropped, as found at the given time. The last of them
+// may be a renewal.
 func (s *State) SkipTo(next int64, at time.Time) {
 	if next <= s.Next {
 		return
@@ -188,10 +187,10 @@
 	s.history.gap = true
 }
 
-// Claimable tells whether the lease may be claimed by a process on the node that holds
-// the address: never held, released, held by an earlier process of the same machine, or not
-// renewed for ttl while the log was in reach since contactSince. Where records are missing
-// it is always the last: what was known before them may be over.
+// Claimable reports whether a process on the node that has bound the address may claim the
+// lease: it was never held, is released, is held by an earlier process of the same machine, or
+// was not renewed for ttl while the log was reachable since contactSince. After a gap only the
+// last condition applies, since the gap may hide another claim.
 func (s *State) Claimable(node, holder, address string, now, contactSince time.Time, ttl time.Duration) bool {
 	if !s.missed && (s.Epoch == 0 || s.Released || s.heldByEarlierProcess(node, holder, address)) {
 		return true
@@ -203,32 +202,31 @@
 	return now.Sub(from) > ttl
 }
 
-// heldByEarlierProcess tells whether the holder is a process that has ended for certain: it was on
-// this machine and held the address that this process holds now. A name alone says nothing of
-// that: a machine that was replaced may still run, and so may a process that was not
-// waited for.
+// heldByEarlierProcess reports whether the holder is a process that has certainly ended: it ran on
+// this machine and had bound the address that this process has bound now. The name alone is no
+// proof: a replaced machine may still run, and so may a process that was not waited for.
 func (s *State) heldByEarlierProcess(node, holder, address string) bool {
-	return s.Holder != holder && s.machine().same(machine{node: node, address: address})
+	return s.Holder != holder && s.machine().isSame(machine{node: node, address: address})
 }
 
 // MaxQuiet bounds the time between orders of two machines.
 const MaxQuiet = 10 * time.Minute
 
-// Quiet says how long orders of two holders must lie apart.
+// Quiet defines the minimum time between orders of two holders.
 type Quiet struct {
 	// Between is the least time between orders of two machines.
 	Between time.Duration
-	// Arrival is how long after its record an order may still arrive.
+	// Arrival is how long after its record an order may still arrive at the engine.
 	Arrival time.Duration
-	// EnginesFence is true when engines refuse lower fencing tokens than one seen.
+	// EnginesFence is true when engines reject fencing tokens lower than the highest one seen.
 	EnginesFence bool
 }
 
-// QuietUntil is the time before which the holder in force may not order the engine: after
-// another machine may have ordered it, the time between and the arrival; after the same machine
-// may have in an earlier epoch, the arrival alone. It is the zero time when that has passed for
-// certain. A holder that gave the lease up, which it does only where its process ends, orders no
-// more; where engines refuse its fencing token as well, it needs no quiet time.
+// QuietUntil returns the time before which the holder must not order the engine: Between and
+// Arrival after a possible order of another machine, Arrival after a possible order of the same
+// machine in an earlier epoch. It is the zero time when that has certainly passed. A holder
+// releases the lease only when its process ends; if engines also reject its fencing token, no
+// quiet time follows its orders.
 func (s *State) QuietUntil(engine string, quiet Quiet) time.Time {
 	return s.history.quietUntil(s.Epoch, s.machine(), engine, quiet)
 }
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Unix(1000, 0)
 
-// addressOf is the address that the processes of a machine hold, one after the other.
+// addressOf returns the address that the processes of a machine bind, one after the other.
 func addressOf(node string) string { return "machine-" + node + ":7000" }
 
 func claim(node, holder string, follows int64) Record {
@@ -42,14 +42,14 @@
 	state.Apply(claim("a", "a1", 0), start)
 	assert.Assert(t, !state.Claimable("b", "b1", "", start.Add(ttl), start, ttl))
 	assert.Assert(t, state.Claimable("b", "b1", "", start.Add(ttl+1), start, ttl))
-	// A reader that was out of reach of the log has not seen the renewals.
+	// A reader without contact with the log has not seen the renewals.
 	backAt := start.Add(10 * ttl)
 	assert.Assert(t, !state.Claimable("b", "b1", "", backAt.Add(ttl/2), backAt, ttl))
 }
 
-// TestRestartedMachineClaimsAtOnce: but only a process that holds the address of the earlier one,
-// so that this one has ended for certain. The machine's name alone, which another machine may
-// bear by now, says nothing of that.
+// TestRestartedMachineClaimsAtOnce: only a process that has bound the address of the earlier one,
+// which has certainly ended then. The machine's name alone is no proof, since a replacement may
+// have it.
 func TestRestartedMachineClaimsAtOnce(t *testing.T) {
 	var state State
 	first := state.NewClaim("a", "a1", "10.0.0.1:7000")
@@ -114,7 +114,7 @@
 
 func TestLogProvesThatTimeHasPassed(t *testing.T) {
 	var state State
-	// All of it is read at one moment, by a process that began just now.
+	// All records are read at one moment, by a process that has just started.
 	state.Apply(claim("a", "a1", 0), start)
 	state.Apply(orderOf("a", 1, ttl, "e1"), start)
 	state.Apply(claim("b", "b1", 1), start)
@@ -182,7 +182,7 @@
 	}
 }
 
-// TestEpochsRiseAndHaveOneHolder drives the state with random records.
+// TestEpochsRiseAndHaveOneHolder applies random records.
 func TestEpochsRiseAndHaveOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var state State
@@ -206,9 +206,9 @@
 	})
 }
 
-// TestALateRecordOfAnOrderHidesNoNewerOrder: an append without an answer may be done
-// seconds later, so the record of an earlier holder's order may stand after that of a
-// newer holder, whose order is the newer one all the same.
+// TestALateRecordOfAnOrderHidesNoNewerOrder: an append without an answer may take effect seconds
+// later, so an Order record of an earlier holder may follow one of a newer holder, whose order is
+// still the newer one.
 func TestALateRecordOfAnOrderHidesNoNewerOrder(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -221,8 +221,8 @@
 	assert.Assert(t, !until.Before(ordered.Add(quiet)), "a may order at %s, b did so at %s", until, ordered)
 }
 
-// TestAReaderAfterAGapAgreesWhoHoldsTheLease: it reads what is still kept, the others have
-// read all. A claim counts for all of them or for none.
+// TestAReaderAfterAGapAgreesWhoHoldsTheLease: it reads only what the log still holds. A claim takes
+// effect for all readers or for none.
 func TestAReaderAfterAGapAgreesWhoHoldsTheLease(t *testing.T) {
 	var all, rest State
 	apply := func(record Record) {
@@ -232,7 +232,7 @@
 	all.Apply(claim("a", "a1", 0), start)
 	all.Apply(renewal("a", "a1", 1, 0), start)
 	rest.SkipTo(all.Next, start)
-	// It knows nobody. If it may claim, it names what it knows.
+	// It knows no holder. If it may claim, it names the epoch that it knows.
 	if !rest.Claimable("c", "c1", "", start, start, ttl) {
 		return
 	}
@@ -241,8 +241,8 @@
 	assert.Equal(t, rest.Epoch, all.Epoch)
 }
 
-// TestALateRenewalPutsNoEarlierEpochInForce: the reader after a gap takes the epoch from the
-// first renewal, which may be one that was done seconds later, after another holder's claim.
+// TestALateRenewalPutsNoEarlierEpochInForce: a reader after a gap learns the epoch from the first
+// renewal, which may have taken effect seconds late, after another holder's claim.
 func TestALateRenewalPutsNoEarlierEpochInForce(t *testing.T) {
 	var all, rest State
 	apply := func(record Record) {
@@ -262,7 +262,7 @@
 }
 
 // TestNoTimeIsProvenFromBeforeAnOrder: a renewal proves the time since the one before it, not
-// since an order of an earlier holder whose record stands between the two.
+// since an order of an earlier holder whose record is between the two.
 func TestNoTimeIsProvenFromBeforeAnOrder(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -274,8 +274,8 @@
 	assert.Assert(t, !until.Before(ordered.Add(quiet)), "quiet until %s, ordered at %s", until, ordered)
 }
 
-// TestNoTimeIsProvenFromBeforeAGapEnded: the records that are missing may hide an order given
-// just before the first one that is there again.
+// TestNoTimeIsProvenFromBeforeAGapEnded: a gap may hide an order right before the first record
+// after it.
 func TestNoTimeIsProvenFromBeforeAGapEnded(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -289,8 +289,7 @@
 	assert.Assert(t, !until.Before(back.Add(quiet)), "quiet until %s, the gap ended at %s", until, back)
 }
 
-// TestRenewalsInAGapCount: what is missing may hold renewals, so the time without any begins
-// anew when a reader has passed over records.
+// TestRenewalsInAGapCount: a gap may hide renewals, so the time without renewals restarts after it.
 func TestRenewalsInAGapCount(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -300,8 +299,8 @@
 	assert.Assert(t, !state.Claimable("b", "b1", "", now, start, ttl), "the renewals are in the gap")
 }
 
-// TestARecordOfTheHolderHidesNoOrderOfAnother: its own order may never have left, since the record's answer was
-// lost; the other machine's, recorded just before, may have.
+// TestARecordOfTheHolderHidesNoOrderOfAnother: the holder's own order may not have been sent, since the
+// record's answer was lost; the other machine's, recorded just before, may have been.
 func TestARecordOfTheHolderHidesNoOrderOfAnother(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -311,8 +310,8 @@
 	assert.Equal(t, quietUntil(&state, "e1", false), start.Add(quiet))
 }
 
-// TestAnOrderOfAnEarlierProcessMayStillArrive: it bears a lower fencing token than those of the next
-// process, which waits until it must have arrived. Engines that check tokens refuse it.
+// TestAnOrderOfAnEarlierProcessMayStillArrive: it has a lower fencing token than the orders of the next
+// process, which waits until it must have arrived. Engines that check tokens reject it.
 func TestAnOrderOfAnEarlierProcessMayStillArrive(t *testing.T) {
 	const arrival = 100 * time.Millisecond
 	var state State
@@ -325,7 +324,7 @@
 	assert.Assert(t, state.QuietUntil("e1", waits).IsZero())
 }
 
-// TestAClaimCountsByItsPlace: not where it stands elsewhere, whatever epoch it names.
+// TestAClaimCountsByItsPlace: at another offset it has no effect, whatever epoch it names.
 func TestAClaimCountsByItsPlace(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -337,7 +336,7 @@
 	assert.Equal(t, state.Epoch, won.Begins)
 }
 
-// TestAReleaseBeforeAGapFreesNothing: another node may have claimed in the missing records.
+// TestAReleaseBeforeAGapFreesNothing: the gap may hide a claim of another node.
 func TestAReleaseBeforeAGapFreesNothing(t *testing.T) {
 	var state State
 	state.Apply(claim("a", "a1", 0), start)
@@ -348,8 +347,8 @@
 	assert.Assert(t, state.Claimable("b", "b1", "", back.Add(ttl+1), back, ttl))
 }
 
-// TestAReplacedMachineIsAnotherOne: a machine is replaced under its name. The earlier one ran
-// on at another address and ordered; orders of two machines lie the quiet time apart.
+// TestAReplacedMachineIsAnotherOne: a machine is replaced under its name while the earlier one
+// still runs at another address and has ordered. The quiet time applies.
 func TestAReplacedMachineIsAnotherOne(t *testing.T) {
 	waits := Quiet{Between: quiet, Arrival: quiet / 3}
 	var s State
@@ -362,10 +361,10 @@
 	assert.Assert(t, left > waits.Between, "another machine of the same name may order after %s", left)
 }
 
-// TestReadersAgreeWhateverTheyMissed drives several nodes with one log. Each appends only where the log
-// ends as it has read, and claims or writes as its own view allows; some miss records. Those who have
-// read a record in force since then agree on the holder, and no record of a holder stands behind a
-// later claim.
+// TestReadersAgreeWhateverTheyMissed runs several nodes on one log. Each appends on the condition that the
+// log ends where it has read to, and claims or writes as its own view allows; some miss records. All that
+// have since read a record of the epoch in force agree on the holder, and no record of a holder follows
+// a later claim.
 func TestReadersAgreeWhateverTheyMissed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"a1", "b1", "c1"}
--- a/internal/core/lease/term.go
+++ b/internal/core/lease/term.go
@@ -5,30 +5,30 @@
 	"time"
 )
 
-// InFlight is how long the bytes of an order that have left may be on their way. The adapter's sockets
-// drop what nobody acknowledges for so long, senders reset what something between holds, and the
-// next holder waits for it.
+// InFlight bounds the transit time of an order's bytes. The adapter's sockets drop bytes that are
+// unacknowledged for this time, senders reset connections that a middlebox holds, and the next
+// holder waits for it.
 const InFlight = 500 * time.Millisecond
 
-// Permit allows one order, or one call to the platform, for a short time.
+// Permit allows one order, or one call to the platform, within a short window.
 type Permit interface {
-	// Open tells whether the order may still leave this node. It is asked right before the bytes
-	// do: between the permit and them may lie a connection to be made, the scheduler, or a pause
-	// of the whole machine.
+	// Open reports whether the order may still be sent. It is checked right before the bytes are
+	// written: dialing, scheduling, or a pause of the whole machine may have taken time since the
+	// permit was granted.
 	Open() bool
-	// Bound returns a context that ends when the order may no longer arrive. Whoever sends it drops
-	// what is still on its way then: the next holder waits that long, and no longer.
+	// Bound returns a context that ends when the order may no longer arrive. The sender must then
+	// drop the bytes in transit, since the next holder waits no longer than that.
 	Bound(ctx context.Context) (context.Context, context.CancelFunc)
 }
 
-// Term is one time of leading: what its holder may do in it.
+// Term is one term of leadership.
 type Term interface {
-	// Valid tells whether this node leads at this moment, as far as it knows.
+	// Valid reports whether this node leads, as far as it knows.
 	Valid() bool
-	// QuietUntil is the time before which a subject may not be ordered, or called about, since
-	// another holder may just have done so. It is a time of time.Now.
+	// QuietUntil returns the time, by time.Now, before which the subject must not be ordered or
+	// called about, since another holder may recently have done so.
 	QuietUntil(subject string) time.Time
-	// Permit says in the log that an order about the subject may follow, and returns the leave to
-	// send it. It fails where this node does not lead, or the quiet time is not over.
+	// Permit announces an order about the subject in the log and returns the permission to send
+	// it. It fails if this node does not lead or the quiet time is not over.
 	Permit(ctx context.Context, subject string) (Permit, error)
 }
