--- a/internal/leadership/answers_test.go
+++ b/internal/leadership/answers_test.go
@@ -17,23 +17,23 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// TestAPermitWaitsForAnOrderReadWhileItsRecordWasWritten: a program that appends without a
-// condition records an order of its earlier epoch behind the claim of the next holder, which reads
-// of it only as its own order's record meets a conflict.
+// TestAPermitWaitsForAnOrderReadWhileItsRecordWasWritten: an older version, which appends without a
+// condition, records an order of its epoch after the claim of the next holder. That one reads it only
+// when the append of its own order conflicts.
 func TestAPermitWaitsForAnOrderReadWhileItsRecordWasWritten(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
+	path := newLink(log)
 	first := join(t, log, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	earlier := first.lastTerm().Epoch
 	first.elector.Stop(t.Context())
 	first.cancel()
-	second := join(t, way, "b", "b1")
+	second := join(t, path, "b", "b1")
 	testwait.Until(t, "b leads", second.leads)
 	raw, err := msgpack.Marshal(&lease.Record{Kind: lease.Order, Holder: "a1", Node: "a", Epoch: earlier, Engines: []string{"e"}})
 	assert.NilError(t, err)
 	var once sync.Once
-	way.faults(func(ctx context.Context, record lease.Record, _ int64, call func() (int64, error)) (int64, error) {
+	path.faults(func(ctx context.Context, record lease.Record, _ int64, call func() (int64, error)) (int64, error) {
 		if record.Kind == lease.Order {
 			once.Do(func() { _, _ = log.Append(ctx, eventlog.Partition{Topic: topic}, [][]byte{raw}) })
 		}
@@ -44,13 +44,13 @@
 	assert.Assert(t, err != nil || !time.Now().Before(until), "permit given, quiet for another %s", time.Until(until))
 }
 
-// TestAConflictThatNothingExplainsDoesNotSpin: the log says that it ends where the holder appends.
+// TestAConflictThatNothingExplainsDoesNotSpin: the conflict names the end at which the holder appends.
 func TestAConflictThatNothingExplainsDoesNotSpin(t *testing.T) {
-	way := newLink(memlog.New())
-	first := join(t, way, "a", "a1")
+	path := newLink(memlog.New())
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	var count atomic.Int64
-	way.faults(func(_ context.Context, _ lease.Record, at int64, _ func() (int64, error)) (int64, error) {
+	path.faults(func(_ context.Context, _ lease.Record, at int64, _ func() (int64, error)) (int64, error) {
 		count.Add(1)
 		return 0, &eventlog.ConflictError{End: at}
 	}, nil)
@@ -59,9 +59,9 @@
 	assert.Assert(t, count.Load() < most, "%d appends in a second", count.Load())
 }
 
-// TestARecordProvesTimeOnlyUntilItWasComposed: the machine may be suspended between two looks at the clock. A
-// record that counts the time held at the first and the permit at the second, or the other way round,
-// proves time that an order may still take.
+// TestARecordProvesTimeOnlyUntilItWasComposed: the machine may be suspended between two readings of the
+// clock. With one for the time held and another for the permit, a record would prove time in which an
+// order may still be sent.
 func TestARecordProvesTimeOnlyUntilItWasComposed(t *testing.T) {
 	elector := New(memlog.New(), Options{Holder: "a1", Node: "a", TTL: testTTL}, nil)
 	clock := elector.now()
@@ -73,15 +73,15 @@
 	elector.termBegan = clock
 	next, err := elector.compose(elector.state.Epoch, lease.Order, []string{"engine"})
 	assert.NilError(t, err)
-	assert.Equal(t, next.record.Held, next.noted.sent.Sub(elector.termBegan))
+	assert.Equal(t, next.record.Held, next.pending.sent.Sub(elector.termBegan))
 }
 
 // TestAStopWhoseReleaseGetsNoAnswerEnds: the release took effect.
 func TestAStopWhoseReleaseGetsNoAnswerEnds(t *testing.T) {
-	way := newLink(memlog.New())
-	first := join(t, way, "a", "a1")
+	path := newLink(memlog.New())
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
-	way.faults(func(_ context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
+	path.faults(func(_ context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
 		_, _ = call()
 		return 0, eventlog.ErrOutcomeUnknown
 	}, nil)
@@ -92,7 +92,7 @@
 	assert.NilError(t, ctx.Err(), "the stop waited for an answer until its time was over")
 }
 
-// TestANodeThatStopsClaimsNothing: it was about to claim.
+// TestANodeThatStopsClaimsNothing: the node was about to claim.
 func TestANodeThatStopsClaimsNothing(t *testing.T) {
 	log := memlog.New()
 	const delay = 200 * time.Millisecond
@@ -107,18 +107,18 @@
 	assert.Equal(t, log.End(eventlog.Partition{Topic: topic}), int64(0), "it claimed after it had stopped")
 }
 
-// TestAHolderRenewsWhileItsReadHangs: the answer to a renewal was lost, so that the next one meets a
-// conflict, and the read that would tell of it never ends.
+// TestAHolderRenewsWhileItsReadHangs: the answer to a renewal was lost, so that the next one conflicts,
+// and the tail's read never ends.
 func TestAHolderRenewsWhileItsReadHangs(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
-	first := join(t, way, "a", "a1")
+	path := newLink(log)
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
-	// The first read hangs for good, all later ones work.
+	// The first read never returns, all later ones work.
 	var hung atomic.Bool
 	lost := make(chan struct{})
 	var once sync.Once
-	way.faults(func(ctx context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
+	path.faults(func(ctx context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
 		offset, err := call()
 		select {
 		case <-lost:
@@ -141,8 +141,8 @@
 	}
 }
 
-// TestAClaimWhoseAnswerIsLostLeads: it counts as soon as it is read back, before the call that was to
-// answer it ends.
+// TestAClaimWhoseAnswerIsLostLeads: the claim takes effect once it is read back, before its call
+// ends.
 func TestAClaimWhoseAnswerIsLostLeads(t *testing.T) {
 	log := memlog.New()
 	const hang = 1500 * time.Millisecond
@@ -157,9 +157,9 @@
 	began := time.Now()
 	var all []*candidate
 	for _, node := range []string{"a", "b", "c"} {
-		way := newLink(log)
-		way.faults(claimsUnanswered, nil)
-		all = append(all, join(t, way, node, node+"1"))
+		path := newLink(log)
+		path.faults(claimsUnanswered, nil)
+		all = append(all, join(t, path, node, node+"1"))
 	}
 	var led time.Duration
 	for time.Since(began) < 6*time.Second && led == 0 {
--- a/internal/leadership/arrival_test.go
+++ b/internal/leadership/arrival_test.go
@@ -11,22 +11,22 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// latestArrival is when an order may arrive at the latest that leaves at the last moment.
+// latestArrival returns the latest arrival of an order that is sent at the last moment.
 func latestArrival(given lease.Permit) time.Time {
 	last := given.(*permit)
 	left := last.until.Sub(last.term.elector.now())
 	return time.Now().Add(left + lease.InFlight)
 }
 
-// TestQuietTimeFollowsTheLatestArrivalOfAnOrder: an order leaves once the announcement is
-// acknowledged, which may be long after others have read of it, and arrives up to the time
-// of a call later still.
+// TestQuietTimeFollowsTheLatestArrivalOfAnOrder: an order is sent once its record is
+// acknowledged, which may be long after others have read it, and arrives up to a call's
+// duration after that.
 func TestQuietTimeFollowsTheLatestArrivalOfAnOrder(t *testing.T) {
 	log := memlog.New()
-	const delay = 350 * time.Millisecond // an announcement may take 500 ms
-	way := newLink(log)
-	way.faults(appendsAnsweredAfter(delay), readsAnsweredAfter(delay)) // nor is the record read back sooner
-	first := join(t, way, "a", "a1")
+	const delay = 350 * time.Millisecond // below the timeout of a record
+	path := newLink(log)
+	path.faults(appendsAnsweredAfter(delay), readsAnsweredAfter(delay)) // the record is not read back sooner
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
 	second.knows(t, "a1")
@@ -39,8 +39,8 @@
 	assert.Assert(t, gap >= testTTL, "b may order %s after the order of a arrives, quiet is %s", gap, testTTL)
 }
 
-// TestQuietTimeFollowsAnOrderOfAnEarlierProcess: bytes that a process has sent arrive although
-// it has ended, beside the first orders of the next one, which bear a higher fencing token.
+// TestQuietTimeFollowsAnOrderOfAnEarlierProcess: bytes of a process that has ended may arrive
+// together with the first orders of the next one, which have a higher fencing token.
 func TestQuietTimeFollowsAnOrderOfAnEarlierProcess(t *testing.T) {
 	log := memlog.New()
 	const address = "10.0.0.1:7000"
@@ -56,36 +56,36 @@
 		time.Until(arrives))
 }
 
-// TestAnEarlierProcessOfTheMachineMayNotActBesideTheNext: the earlier one has not ended, and its
+// TestAnEarlierProcessOfTheMachineMayNotActBesideTheNext: the earlier process still runs, and its
 // reads hang.
 func TestAnEarlierProcessOfTheMachineMayNotActBesideTheNext(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
-	first := join(t, way, "a", "a1")
+	path := newLink(log)
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	epoch := first.lastTerm().Epoch
-	way.refuse(true)
+	path.refuse(true)
 	second := join(t, log, "a", "a2")
 	testwait.Until(t, "the next process leads", second.leads)
 	newest := second.lastTerm().Epoch
 	assert.Assert(t, !first.elector.Valid(epoch) || !second.elector.Valid(newest), "both hold the lease")
 }
 
-// TestQuietTimeFollowsAnOrderOfAnEarlierTerm: the node has led before, another one meanwhile,
-// which ordered nothing. What it sent in its earlier term may still be on its way.
+// TestQuietTimeFollowsAnOrderOfAnEarlierTerm: the node leads again after a leader that ordered
+// nothing. Orders of its earlier term may still be in transit.
 func TestQuietTimeFollowsAnOrderOfAnEarlierTerm(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
-	first := join(t, way, "a", "a1")
+	path := newLink(log)
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	earlier := first.lastTerm().Epoch
 	second := join(t, log, "b", "b1")
 	second.knows(t, "a1")
 	given := first.permit(t, "ordered")
 	arrives := latestArrival(given)
-	way.refuse(true)
+	path.refuse(true)
 	testwait.Until(t, "b leads", second.leads)
-	way.refuse(false)
+	path.refuse(false)
 	second.elector.Stop(t.Context())
 	testwait.Until(t, "a leads again", func() bool { return first.leads() && first.lastTerm().Epoch > earlier })
 	until := first.lastTerm().QuietUntil("ordered")
--- a/internal/leadership/gap_test.go
+++ b/internal/leadership/gap_test.go
@@ -11,13 +11,13 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// forget drops all records of the lease that the log holds.
+// forget trims all records of the lease.
 func forget(log *memlog.Log) {
 	partition := eventlog.Partition{Topic: topic}
 	log.Trim(partition, log.End(partition))
 }
 
-// assertAlone: while the first holds its lease the second holds none.
+// assertAlone checks that the second holds no lease while the first does.
 func assertAlone(t *testing.T, first, second *candidate, epoch int64) {
 	t.Helper()
 	for first.elector.Valid(epoch) {
@@ -29,21 +29,21 @@
 }
 
 // TestANodeThatStartsLeavesALeaseThatItCannotReadOf: the log has dropped all records when the
-// node starts, and the leader is out of reach of it for less than a lease.
+// node starts, and the leader has no contact with it for less than a TTL.
 func TestANodeThatStartsLeavesALeaseThatItCannotReadOf(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
-	first := join(t, way, "a", "a1")
+	path := newLink(log)
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	epoch := first.lastTerm().Epoch
-	way.refuse(true)
+	path.refuse(true)
 	forget(log)
 	second := join(t, log, "b", "b1")
 	assertAlone(t, first, second, epoch)
 }
 
-// TestANodeThatMissedRenewalsClaimsNothing: one read of the node takes longer than a lease. When
-// it is answered the log has dropped all records, and the leader's next renewal is late.
+// TestANodeThatMissedRenewalsClaimsNothing: a read of the node takes longer than a TTL. When it is
+// answered the log has dropped all records, and the leader's next renewal is late.
 func TestANodeThatMissedRenewalsClaimsNothing(t *testing.T) {
 	log := memlog.New()
 	leaders, others := newLink(log), newLink(log)
--- a/internal/leadership/hunt_test.go
+++ b/internal/leadership/hunt_test.go
@@ -19,14 +19,14 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// Longer hunts are run by hand: go test ./internal/leadership -run TestRandomFaults -hunt-seconds 120 -hunt-seeds 12.
+// Longer runs are started by hand: go test ./internal/leadership -run TestRandomFaults -hunt-seconds 120 -hunt-seeds 12.
 var (
 	huntSeconds = flag.Int("hunt-seconds", 6, "length of a hunt")
 	huntSeeds   = flag.Int("hunt-seeds", 1, "hunts of each kind, each with its seed")
 	huntFirst   = flag.Uint64("hunt-first", 1, "the first seed")
 )
 
-// mode is how a machine's calls of the log fare.
+// mode is the fault of a machine's calls to the log.
 type mode string
 
 const (
@@ -46,7 +46,7 @@
 	diceSides     = 1000
 )
 
-// huntedMachine is a machine: its way to the log, its clock, and whether it is frozen.
+// huntedMachine is a machine with its connection to the log, its clock, and whether it is frozen.
 type huntedMachine struct {
 	log    *memlog.Log
 	rate   float64
@@ -60,7 +60,7 @@
 	changed chan struct{}
 }
 
-// pass waits while the machine is frozen.
+// pass blocks while the machine is frozen.
 func (m *huntedMachine) pass() {
 	m.frozen.RLock()
 	defer m.frozen.RUnlock()
@@ -87,8 +87,8 @@
 	m.changed = make(chan struct{})
 }
 
-// Append implements eventlog.Log. The elector never appends without a condition; a copy that does, to see that
-// this hunt finds it, comes through here.
+// Append implements eventlog.Log. The elector only appends conditionally; this serves mutants that do not, which
+// the test must find.
 func (m *huntedMachine) Append(ctx context.Context, name eventlog.Partition, records [][]byte) (int64, error) {
 	return m.AppendAt(ctx, name, anyEnd, records)
 }
@@ -120,7 +120,7 @@
 		retry.Sleep(ctx, callLimit)
 		return 0, eventlog.ErrOutcomeUnknown
 	case late:
-		// Carried out seconds afterwards, where the condition still holds; also of a dead sender.
+		// Takes effect seconds later, if the condition still holds, even if the sender has ended.
 		time.AfterFunc(time.Duration(dice)*3*time.Millisecond, func() {
 			_, _ = m.take(name, at, records)
 		})
@@ -178,17 +178,17 @@
 	panic("the election uses no keyed topic")
 }
 
-// arrival is an order as its engine sees it.
+// arrival is an order as received by its engine.
 type arrival struct {
 	engine, node string
 	epoch        int64
 	left, at     time.Time
 }
 
-// spell is the time in which a lease was found valid.
+// spell is the period in which a lease was found valid.
 type spell struct{ first, last time.Time }
 
-// hunt is one play: machines, their orders, and their leases.
+// hunt is one run: machines, their orders, and their leases.
 type hunt struct {
 	t     *testing.T
 	log   *memlog.Log
@@ -234,12 +234,12 @@
 	}
 }
 
-// order orders an engine again and again as long as the term lasts.
+// order repeatedly orders an engine while the term lasts.
 func (h *hunt) order(ctx context.Context, dead *atomic.Bool, term Term, node, holder, engine string, random *rand.Rand) {
 	for ctx.Err() == nil {
 		permit, err := term.Permit(ctx, engine)
 		if err == nil {
-			// A connection is made, which takes a while.
+			// Dialing takes time.
 			if random.IntN(2) == 0 {
 				time.Sleep(time.Duration(300+random.IntN(250)) * time.Millisecond)
 			}
@@ -261,7 +261,7 @@
 	}
 }
 
-// sample notes when a lease was valid: surely at a moment between the looks at the clock.
+// sample records when a lease was valid, as a moment between two readings of the clock.
 func (h *hunt) sample(ctx context.Context, elector *Elector, epoch int64) {
 	for ctx.Err() == nil {
 		before := boottime.Now()
@@ -281,7 +281,7 @@
 	}
 }
 
-// check returns the least gap between orders of two machines to one engine.
+// check returns the shortest time between orders of two machines to one engine.
 func (h *hunt) check(tolerance time.Duration) (worst time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -314,7 +314,7 @@
 	return worst
 }
 
-// run has three machines take part, strikes each with faults of its own, and waits for all to end.
+// run starts three machines, injects independent faults into each, and waits for all to end.
 func (h *hunt) run(seed uint64, lasting time.Duration, rates float64, trims bool) {
 	random := rand.New(rand.NewPCG(seed, 99))
 	h.valid, h.holders, h.log = make(map[int64]*spell), make(map[int64]string), memlog.New()
@@ -363,9 +363,9 @@
 	h.wait.Wait()
 }
 
-// TestRandomFaults: no two leases at one time, no token with two holders, no lower token after a higher one, and no
-// turns within the quiet time, while machines freeze, end, start again, run fast and slow, and the log refuses,
-// loses, delays and forgets, each for each machine by itself.
+// TestRandomFaults: no two leases at the same time, no token with two holders, no lower token after a higher one, and
+// no orders of two machines within the quiet time, while machines freeze, end, restart, have fast and slow clocks, and
+// the log rejects, loses, delays and drops records, independently for each machine.
 func TestRandomFaults(t *testing.T) {
 	lasting := time.Duration(*huntSeconds) * time.Second
 	for seed := *huntFirst; seed < *huntFirst+uint64(*huntSeeds); seed++ {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -1,5 +1,5 @@
-// Package leadership elects one leader among the nodes through the log and
-// tells it for how long it may act. See internal/core/lease for the rules.
+// Package leadership elects one leader among the nodes through the log and grants it
+// permits for its orders. See internal/core/lease for the rules.
 package leadership
 
 import (
@@ -21,110 +21,106 @@
 const (
 	// topic holds the lease's records in its only partition, unless the options name another one.
 	topic = "corkpulley.lease"
-	// renewalsPerTTL is how often a lease is renewed in its time.
+	// renewalsPerTTL is the number of renewals within a TTL.
 	renewalsPerTTL = 5
 	// minRenewalGap is the least time between two renewals.
 	minRenewalGap = 100 * time.Millisecond
-	// marginShare is the share of its time by which a holder stops early.
+	// marginShare: a holder stops TTL/marginShare before its lease ends.
 	marginShare = 6
-	// pollWait is short, since a claim wants an answer to a read that shows no renewal.
+	// pollWait is short, since a claim requires an answered read without a renewal.
 	pollWait    = 300 * time.Millisecond
 	maxPollWait = time.Second
-	// readGap is the time between two reads of a node that does not lead: every
-	// renewal ends a read that waits. It grows with the nodes.
+	// readGap is the pause between two reads of a node that does not lead, as every renewal
+	// ends a long poll. It grows with the number of nodes.
 	readGap    = 20 * time.Millisecond
 	maxReadGap = 400 * time.Millisecond
 	readLimit  = 256 << 10
-	// retryDelay is the time between two tries of a read; it grows with the nodes, up to maxRetryDelay.
+	// retryDelay is the time between two attempts of a read; it grows with the number of nodes, up to maxRetryDelay.
 	retryDelay    = 100 * time.Millisecond
 	maxRetryDelay = time.Second
-	// recordTimeout bounds the writing of one record; the next one does not wait longer.
+	// recordTimeout bounds the append of one record, and how long the next one waits for it.
 	recordTimeout = 400 * time.Millisecond
-	// permitTimeout bounds the wait for a permit: for the record under way, and for the one that
-	// names the order.
+	// permitTimeout bounds the wait for a permit: for the append in progress, and for the one with
+	// the order.
 	permitTimeout = 2 * recordTimeout
-	// hesitantDelay is how long a node that is about to stop leaves a free lease to
-	// others.
+	// hesitantDelay is how long a node that is about to stop defers a claim.
 	hesitantDelay = 250 * time.Millisecond
-	// handoverTimeout bounds the end of the role before a lease is released.
+	// handoverTimeout bounds how long a release waits for the role to end.
 	handoverTimeout = time.Second
 	handoverCheck   = 10 * time.Millisecond
-	// checkPeriod is the time between two looks at a lease held by another.
+	// checkPeriod is the interval between two checks of the lease.
 	checkPeriod = 50 * time.Millisecond
-	// sendWindow is how long after its record was written an order may leave the node. It bounds
-	// the time that the log takes to acknowledge the record, that a connection takes to be
-	// made, and that the process gets no processor.
+	// sendWindow is how long after its record was composed an order may be sent. It has to cover the
+	// append, dialing and scheduling delays.
 	sendWindow = 500 * time.Millisecond
-	// arrivalTime is how long after its record an order may arrive.
+	// arrivalTime is how long after its record was composed an order may arrive.
 	arrivalTime = sendWindow + lease.InFlight
-	// claimJitter spreads the claims of nodes that find a lease free at once.
+	// claimJitter spreads the claims of nodes that find the lease free at the same time.
 	claimJitter = 60 * time.Millisecond
-	// observerGap is the time between two reads of a node that is not to lead: who leads it must know only to
-	// ask that node for permits. In a cluster of a thousand nodes, those that may lead read three times a
-	// second each, and all others were most of what the log served.
+	// observerGap is the pause between two reads of a node that is not eligible. It needs the leader only to
+	// request permits for cold engines.
 	observerGap = time.Second
 )
 
-// Role is what a leader does. It returns soon after ctx ends.
+// Role runs while the node leads. It must return soon after ctx ends.
 type Role func(ctx context.Context, term Term)
 
-// Options say who asks for leadership and how.
+// Options configure an elector.
 type Options struct {
-	// Topic holds the records of the lease in its only partition; empty for those of the leader of all
-	// nodes. Each topic has a holder of its own.
+	// Topic holds the lease's records in its only partition; empty for the cluster's leader. Each topic
+	// is a lease of its own.
 	Topic string
-	// Holder names this process, Node its machine.
+	// Holder identifies this process, Node its machine.
 	Holder string
 	Node   string
-	// Address is one that this process holds for as long as it lives; empty for none. A process
-	// that starts where another one held it takes the lease over at once.
+	// Address is bound by this process for its lifetime; empty for none. A process that has bound the
+	// holder's address takes the lease over at once.
 	Address string
-	// TTL is how long a lease holds after its last renewal.
+	// TTL is how long a lease is valid after its last renewal.
 	TTL time.Duration
-	// ClaimDelay is how long this node leaves a free lease to others, which are more
-	// able to lead.
+	// ClaimDelay is how long this node defers a claim in favor of more capable nodes.
 	ClaimDelay time.Duration
-	// Quiet is the time that must lie between orders of two machines.
+	// Quiet is the minimum time between orders of two machines.
 	Quiet time.Duration
-	// EnginesFence is true when engines refuse lower fencing tokens than one seen.
+	// EnginesFence is true when engines reject fencing tokens lower than the highest one seen.
 	EnginesFence bool
-	// Eligible tells whether this node may claim a lease now; nil for always. A lease that it holds it keeps.
+	// Eligible reports whether this node may claim the lease; nil for always. A held lease is kept in any case.
 	Eligible func() bool
-	// Budget is what all nodes together may read of the log.
+	// Budget bounds the log reads of all nodes together.
 	Budget pacing.Budget
-	// Behind, if set, is told of each record that a holder wrote after another claim had won.
+	// Behind, if set, is called for each record that a holder wrote after another claim had won.
 	Behind func(kind lease.RecordKind)
 	Logger zerolog.Logger
 }
 
-// Elector takes part in the election and runs the role while it leads.
+// Elector takes part in the election and runs the role while this node leads.
 type Elector struct {
 	log       eventlog.Log
 	partition eventlog.Partition
 	options   Options
 	role      Role
-	// now reads the clock of all times below. It goes on while the machine is suspended:
-	// a leader that wakes must know that its lease is over.
+	// now reads the clock of all times below. It must advance while the machine is suspended, so
+	// that a leader that resumes knows that its lease is over.
 	now func() time.Time
 
 	mu    sync.Mutex
 	state lease.State
-	// contactSince is the start of the time during which reads have succeeded.
+	// contactSince is when reads began to succeed without interruption; zero without contact.
 	contactSince time.Time
-	// readAt is when the newest read was answered that reached the end.
+	// readAt is when the newest read that reached the end was answered.
 	readAt time.Time
-	// validUntil is when this node's own lease ends unless renewed.
+	// validUntil is when this node's lease ends unless renewed.
 	validUntil time.Time
 	// claimSent is when the newest claim was sent.
 	claimSent time.Time
-	// termBegan is when this node read its own newest claim.
+	// termBegan is when this node read back its newest claim.
 	termBegan time.Time
-	// sequence numbers the own records, written holds those that were not read back yet.
+	// sequence numbers this node's records, pending holds those not read back yet.
 	sequence int64
-	written  map[int64]*written
-	// knownEnd is where the log ends after the newest own record that it acknowledged.
+	pending  map[int64]*pendingRecord
+	// knownEnd is the offset after this node's newest acknowledged record.
 	knownEnd int64
-	// waiting are the orders that the next record is to name.
+	// waiting are the orders for the next Order record.
 	waiting  []*orderRequest
 	stopping bool
 	// hesitant is true while the node is about to stop.
@@ -132,9 +128,9 @@
 	// leading is true while the role runs.
 	leading bool
 
-	// turn is held while a record is being written: they go one after the other.
-	turn    chan struct{}
-	changed chan struct{}
+	// writeSlot is a semaphore: records are appended one at a time.
+	writeSlot chan struct{}
+	changed   chan struct{}
 }
 
 // New returns an elector; Run starts it.
@@ -148,13 +144,13 @@
 		options:   options,
 		role:      role,
 		now:       boottime.Now,
-		written:   make(map[int64]*written),
-		turn:      make(chan struct{}, 1),
+		pending:   make(map[int64]*pendingRecord),
+		writeSlot: make(chan struct{}, 1),
 		changed:   make(chan struct{}, 1),
 	}
 }
 
-// Run takes part until ctx ends.
+// Run takes part in the election until ctx ends.
 func (e *Elector) Run(ctx context.Context) error {
 	go e.tail(ctx)
 	for ctx.Err() == nil {
@@ -163,7 +159,7 @@
 		case <-e.changed:
 		case <-time.After(checkPeriod):
 		}
-		if epoch, held := e.own(); held {
+		if epoch, held := e.heldEpoch(); held {
 			e.lead(ctx, epoch)
 			continue
 		}
@@ -172,8 +168,8 @@
 	return nil
 }
 
-// Valid tells whether this node holds the epoch at this moment, as far as it knows. That alone is no
-// leave to order an engine: see Term.Permit.
+// Valid reports whether this node holds the epoch, as far as it knows. An order needs a permit as
+// well, see Term.Permit.
 func (e *Elector) Valid(epoch int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -190,11 +186,11 @@
 // Holder is the process that holds the lease, as last read.
 type Holder struct {
 	Node string
-	// Address is where it listens for other nodes; empty when it told none.
+	// Address is where it listens for other nodes; empty if not announced.
 	Address string
 }
 
-// Holder returns who holds the lease, as last read; the zero value where it was given up.
+// Holder returns the holder of the lease, as last read; the zero value if it is released.
 func (e *Elector) Holder() Holder {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -204,24 +200,24 @@
 	return Holder{Node: e.state.Node, Address: e.state.Address}
 }
 
-// Hesitate leaves a free lease to others for a moment, since this node is about
-// to stop. A lease that it holds it keeps until Stop: others may be stopping too.
+// Hesitate defers claims from now on, since this node is about to stop. It keeps a lease that it
+// holds until Stop, since all other nodes may be stopping too.
 func (e *Elector) Hesitate() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.hesitant = true
 }
 
-// Stop gives up the lease, if it is held, and claims none any more.
+// Stop releases the lease, if held, and stops claiming.
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
 	epoch := e.state.Epoch
-	own := e.holdsLocked(epoch)
+	held := e.holdsLocked(epoch)
 	e.validUntil = time.Time{}
 	e.mu.Unlock()
 	e.signal()
-	if !own {
+	if !held {
 		return
 	}
 	e.awaitRole(ctx)
@@ -232,30 +228,30 @@
 			return
 		}
 		if errors.Is(err, errNotHeld) {
-			// Another node leads, or a release whose answer was lost has taken effect.
+			// Another node leads, or an earlier release whose answer was lost took effect.
 			return
 		}
 		retry.Sleep(ctx, retryDelay)
 	}
 }
 
-// own returns the epoch that this node holds, if it does.
-func (e *Elector) own() (int64, bool) {
+// heldEpoch returns the epoch in force and whether this node holds it.
+func (e *Elector) heldEpoch() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state.Epoch, e.holdsLocked(e.state.Epoch) && !e.stopping
 }
 
-// holdsLocked tells whether this node holds the epoch as far as it has read; mu is held.
+// holdsLocked reports whether this node holds the epoch, as far as it has read. Must be called with mu held.
 func (e *Elector) holdsLocked(epoch int64) bool {
 	return e.state.HeldBy(e.options.Holder, epoch)
 }
 
-// isEligible tells whether this node may claim the lease.
+// isEligible reports whether this node may claim the lease.
 func (e *Elector) isEligible() bool { return e.options.Eligible == nil || e.options.Eligible() }
 
-// Unheld tells whether nobody has held the lease for a period longer than it takes to claim one, as far as
-// this node has been in contact with the log for that long.
+// Unheld reports whether no node has renewed the lease for its TTL and the given period, while this node
+// was in contact with the log.
 func (e *Elector) Unheld(period time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -279,18 +275,18 @@
 	free := inContact && !e.stopping &&
 		e.state.Claimable(e.options.Node, e.options.Holder, e.options.Address, e.readAt, e.contactSince, e.options.TTL)
 	ownMachine := e.state.Node == e.options.Node
-	hesitation := e.options.ClaimDelay
+	delay := e.options.ClaimDelay
 	if e.hesitant {
-		hesitation += hesitantDelay
+		delay += hesitantDelay
 	}
 	next := e.state.Next
-	pending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
+	claimPending := now.Sub(e.claimSent) < e.options.TTL/renewalsPerTTL
 	e.mu.Unlock()
-	if !free || pending {
+	if !free || claimPending {
 		return
 	}
 	if !ownMachine {
-		retry.Sleep(ctx, rand.N(claimJitter)+hesitation)
+		retry.Sleep(ctx, rand.N(claimJitter)+delay)
 	}
 	e.claim(ctx, next)
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -19,7 +19,7 @@
 
 const testTTL = 600 * time.Millisecond
 
-// candidate is one elector with what its role was told.
+// candidate is one elector with its role's terms.
 type candidate struct {
 	elector *Elector
 	cancel  context.CancelFunc
@@ -51,7 +51,7 @@
 	return c.terms[len(c.terms)-1]
 }
 
-// permit returns the leave to order an engine once.
+// permit returns a permit for one order to an engine.
 func (c *candidate) permit(t *testing.T, engine string) lease.Permit {
 	t.Helper()
 	given, err := c.lastTerm().Permit(t.Context(), engine)
@@ -64,13 +64,13 @@
 	return joinAfter(t, log, node, holder, 0)
 }
 
-// joinAfter joins a node that leaves a free lease to others for a while.
+// joinAfter joins a node with a claim delay.
 func joinAfter(t *testing.T, log eventlog.Log, node, holder string, delay time.Duration) *candidate {
 	t.Helper()
 	return joinWith(t, log, Options{Holder: holder, Node: node, ClaimDelay: delay})
 }
 
-// joinAt joins a process that holds an address.
+// joinAt joins a process that has bound an address.
 func joinAt(t *testing.T, log eventlog.Log, node, holder, address string) *candidate {
 	t.Helper()
 	return joinWith(t, log, Options{Holder: holder, Node: node, Address: address})
@@ -120,8 +120,8 @@
 	assert.Assert(t, second.lastTerm().QuietUntil("another").IsZero(), "the other machine ordered only one engine")
 }
 
-// TestARestartedProcessLeadsAtOnce: it holds the address of the earlier one, which has therefore
-// ended; the others wait for a lease.
+// TestARestartedProcessLeadsAtOnce: it has bound the address of the earlier process, which has therefore
+// ended; the others wait for a TTL.
 func TestARestartedProcessLeadsAtOnce(t *testing.T) {
 	log := memlog.New()
 	const address = "10.0.0.1:7000"
@@ -129,14 +129,13 @@
 	testwait.Until(t, "a leads", first.leads)
 	first.cancel()
 	testwait.Until(t, "a has ended", func() bool { return !first.leads() })
-	// It would claim before the other one only if it need not wait for a lease as well.
+	// It claims before the other one only if it does not wait for a TTL as well.
 	join(t, log, "b", "b1")
 	second := joinAt(t, log, "a", "a2", address)
 	testwait.Until(t, "the next process leads", second.leads)
 }
 
-// TestAbleNodesLead: a node that leaves a free lease to others for a while leads
-// only where no other does.
+// TestAbleNodesLead: a node with a claim delay leads only if no other node claims.
 func TestAbleNodesLead(t *testing.T) {
 	log := memlog.New()
 	const delay = 2 * time.Second
@@ -158,24 +157,24 @@
 	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch))
 }
 
-// TestLeaderOutOfReachOfTheLogMayNotOrderOnceAnotherLeads cuts only the leader
-// off. Its role goes on, without leave to order, until it can read of the other.
+// TestLeaderOutOfReachOfTheLogMayNotOrderOnceAnotherLeads partitions only the leader
+// from the log. Its role continues, without permits, until it reads the other's claim.
 func TestLeaderOutOfReachOfTheLogMayNotOrderOnceAnotherLeads(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
-	first := join(t, way, "a", "a1")
+	path := newLink(log)
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	second := join(t, log, "b", "b1")
-	way.refuse(true)
+	path.refuse(true)
 	testwait.Until(t, "b leads", second.leads)
 	assert.Assert(t, !first.elector.Valid(first.lastTerm().Epoch), "a still counts its lease as valid")
-	way.refuse(false)
+	path.refuse(false)
 	testwait.Until(t, "a learns of b", func() bool { holder, _ := first.elector.Leader(); return holder == "b1" })
 	testwait.Until(t, "a stops", func() bool { return !first.leads() })
 	assert.Assert(t, second.leads())
 }
 
-// TestLeaderSurvivesLostAnswers loses the answer of every append: renewals count
+// TestLeaderSurvivesLostAnswers loses the answer of every append: renewals take effect
 // once they are read back.
 func TestLeaderSurvivesLostAnswers(t *testing.T) {
 	log := memlog.New()
@@ -194,8 +193,8 @@
 	assert.Equal(t, len(first.terms), 1)
 }
 
-// TestOutageMovesNoLeadership takes the whole log away for longer than a lease:
-// the leader may not order meanwhile, and leads on when the log is back.
+// TestOutageMovesNoLeadership makes the log unavailable for longer than a TTL: the
+// leader may not order meanwhile, and continues to lead afterwards.
 func TestOutageMovesNoLeadership(t *testing.T) {
 	log := memlog.New()
 	first := join(t, log, "a", "a1")
@@ -215,24 +214,24 @@
 	assert.Equal(t, newest, epoch)
 }
 
-// suspendableClock is a clock that goes on while the machine is suspended.
+// suspendableClock is a clock that advances while the machine is suspended.
 type suspendableClock struct{ suspended atomic.Int64 }
 
 func (c *suspendableClock) now() time.Time {
 	return boottime.Now().Add(time.Duration(c.suspended.Load()))
 }
 
-// suspend passes time that no other clock counts.
+// suspend advances this clock only.
 func (c *suspendableClock) suspend(lasting time.Duration) { c.suspended.Add(int64(lasting)) }
 
-// TestASuspendedLeaderKnowsThatItsLeaseIsOver: the steady clock does not count the time, and
-// its connections tell nothing when it wakes.
+// TestASuspendedLeaderKnowsThatItsLeaseIsOver: the monotonic clock does not count the suspension, and
+// its reads fail when it resumes.
 func TestASuspendedLeaderKnowsThatItsLeaseIsOver(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
+	path := newLink(log)
 	clock := &suspendableClock{}
 	first := &candidate{}
-	first.elector = New(way, Options{
+	first.elector = New(path, Options{
 		Holder: "a1", Node: "a", TTL: testTTL, Quiet: testTTL, Logger: zerolog.Nop(),
 	}, first.role)
 	first.elector.now = clock.now
@@ -241,11 +240,11 @@
 	go func() { _ = first.elector.Run(ctx) }()
 	testwait.Until(t, "a leads", func() bool { return first.leads() && first.elector.Valid(first.lastTerm().Epoch) })
 	epoch := first.lastTerm().Epoch
-	way.faults(nil, readsRefused)
+	path.faults(nil, readsRefused)
 	clock.suspend(testTTL)
 	assert.Assert(t, !first.elector.Valid(epoch), "the lease counts as valid after it was suspended")
 	time.Sleep(testTTL) // time in which it might renew without having read, not a wait for a condition
 	assert.Assert(t, !first.elector.Valid(epoch), "renewed without knowing who leads")
-	way.faults(nil, nil)
+	path.faults(nil, nil)
 	testwait.Until(t, "a may order again, since nobody else leads", func() bool { return first.elector.Valid(epoch) })
 }
--- a/internal/leadership/link_test.go
+++ b/internal/leadership/link_test.go
@@ -11,7 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// link is a node's way to the log, on which a test puts faults of appends and of reads, each alone.
+// link is a node's connection to the log, with separate faults for appends and reads.
 type link struct {
 	eventlog.Log
 
@@ -20,15 +20,15 @@
 	onRead   readFault
 }
 
-// appendFault decides about an append: call makes it.
+// appendFault handles an append; call executes it.
 type appendFault func(ctx context.Context, record lease.Record, at int64, call func() (int64, error)) (int64, error)
 
-// readFault decides about a read: call makes it.
+// readFault handles a read; call executes it.
 type readFault func(ctx context.Context, call func() (eventlog.Batch, error)) (eventlog.Batch, error)
 
 func newLink(log eventlog.Log) *link { return &link{Log: log} }
 
-// faults puts faults in the place of those before; nil for none.
+// faults replaces the faults; nil for none.
 func (l *link) faults(appends appendFault, reads readFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,7 +41,7 @@
 	return l.onAppend, l.onRead
 }
 
-// anyEnd is the place that an append without a condition names.
+// anyEnd is the end of an unconditional append.
 const anyEnd = -1
 
 // Append implements eventlog.Log.
@@ -66,8 +66,7 @@
 	return fault(ctx, record, at, call)
 }
 
-// Read implements eventlog.Log. A fault that begins while a read is under way decides about its
-// answer.
+// Read implements eventlog.Log. A fault that begins during a read applies to its answer.
 func (l *link) Read(
 	ctx context.Context, name eventlog.Partition, from int64, limit int, wait time.Duration,
 ) (eventlog.Batch, error) {
@@ -82,17 +81,17 @@
 	return batch, err
 }
 
-// appendsRefused is a log that takes no append and says so.
+// appendsRefused rejects appends.
 func appendsRefused(context.Context, lease.Record, int64, func() (int64, error)) (int64, error) {
 	return 0, eventlog.ErrNotDone
 }
 
-// readsRefused is a log that answers no read and says so.
+// readsRefused rejects reads.
 func readsRefused(context.Context, func() (eventlog.Batch, error)) (eventlog.Batch, error) {
 	return eventlog.Batch{}, eventlog.ErrNotDone
 }
 
-// appendsUnanswered takes appends and never answers them.
+// appendsUnanswered executes appends and never answers them.
 func appendsUnanswered(
 	ctx context.Context, _ lease.Record, _ int64, call func() (int64, error),
 ) (int64, error) {
@@ -101,7 +100,7 @@
 	return 0, eventlog.ErrOutcomeUnknown
 }
 
-// appendsAnsweredAfter answers appends late.
+// appendsAnsweredAfter delays the answers of appends.
 func appendsAnsweredAfter(delay time.Duration) appendFault {
 	return func(_ context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
 		offset, err := call()
@@ -110,7 +109,7 @@
 	}
 }
 
-// readsAnsweredAfter answers reads late.
+// readsAnsweredAfter delays the answers of reads.
 func readsAnsweredAfter(delay time.Duration) readFault {
 	return func(_ context.Context, call func() (eventlog.Batch, error)) (eventlog.Batch, error) {
 		batch, err := call()
@@ -119,7 +118,7 @@
 	}
 }
 
-// readsHangUntil holds reads until the channel is closed.
+// readsHangUntil blocks reads until the channel is closed.
 func readsHangUntil(released <-chan struct{}) readFault {
 	return func(ctx context.Context, call func() (eventlog.Batch, error)) (eventlog.Batch, error) {
 		select {
@@ -131,7 +130,7 @@
 	}
 }
 
-// refuse takes the link away, or brings it back.
+// refuse breaks or restores the link.
 func (l *link) refuse(all bool) {
 	if all {
 		l.faults(appendsRefused, readsRefused)
--- a/internal/leadership/permit.go
+++ b/internal/leadership/permit.go
@@ -10,12 +10,12 @@
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
-// errQuiet is returned where another holder may have ordered an engine just now.
+// errQuiet is returned when another holder may have ordered the engine recently.
 var errQuiet = errors.New("the quiet time after another holder's order is not over")
 
-// Term is one time of leading. It implements lease.Term.
+// Term is one term of leadership. It implements lease.Term.
 type Term struct {
-	// Epoch is the fencing token: higher than that of every earlier term.
+	// Epoch is the fencing token. It is higher than that of every earlier term.
 	Epoch int64
 
 	elector *Elector
@@ -41,7 +41,7 @@
 }
 
 // Permit implements lease.Term. The next holder reads the record before it may claim, so it knows
-// that an order may still arrive, and until when.
+// until when the order may still arrive.
 func (t Term) Permit(ctx context.Context, subject string) (lease.Permit, error) {
 	if !t.Valid() {
 		return nil, errNotHeld
@@ -52,23 +52,23 @@
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	began := t.elector.now()
-	taken, err := t.elector.recordOrder(ctx, t.Epoch, subject)
-	t.elector.logOrder(subject, t.Epoch, taken, began, err)
+	accepted, err := t.elector.recordOrder(ctx, t.Epoch, subject)
+	t.elector.logOrder(subject, t.Epoch, accepted, began, err)
 	if err != nil {
 		return nil, err
 	}
-	// Records that were read while this one was written may tell of another order.
+	// Records that were read during the append may contain another order.
 	if time.Now().Before(t.QuietUntil(subject)) {
 		return nil, errQuiet
 	}
-	return &permit{term: t, until: taken.sent.Add(sendWindow)}, nil
+	return &permit{term: t, until: accepted.sent.Add(sendWindow)}, nil
 }
 
-// permit is the leave to send one order. It implements lease.Permit.
+// permit is the permission to send one order. It implements lease.Permit.
 type permit struct {
 	term Term
-	// until is a time of the elector's clock: that of the record, not of its answer, and it
-	// goes on while the machine is suspended.
+	// until is a time of the elector's clock, counted from the sending of the record and not from
+	// its answer.
 	until time.Time
 }
 
@@ -83,38 +83,38 @@
 	return context.WithTimeout(ctx, left)
 }
 
-// orderRequest is an order that waits for its record.
+// orderRequest is an order that waits for its Order record.
 type orderRequest struct {
 	epoch  int64
 	engine string
-	// ended is closed once taken and err are set.
-	ended chan struct{}
-	taken receipt
-	err   error
+	// done is closed once accepted and err are set.
+	done     chan struct{}
+	accepted receipt
+	err      error
 }
 
-// recordOrder writes down that an engine is about to be ordered. Orders that wait for the log
-// together are named by one record, so that their number does not slow them.
+// recordOrder records that an engine is about to be ordered. Concurrent requests are batched into
+// one record, so that their latency does not grow with their number.
 func (e *Elector) recordOrder(ctx context.Context, epoch int64, engine string) (receipt, error) {
-	request := &orderRequest{epoch: epoch, engine: engine, ended: make(chan struct{})}
+	request := &orderRequest{epoch: epoch, engine: engine, done: make(chan struct{})}
 	e.mu.Lock()
 	e.waiting = append(e.waiting, request)
 	e.mu.Unlock()
 	select {
-	case e.turn <- struct{}{}:
+	case e.writeSlot <- struct{}{}:
 		e.writeOrders(ctx, epoch)
-		<-e.turn
-	case <-request.ended:
+		<-e.writeSlot
+	case <-request.done:
 	case <-ctx.Done():
 		e.withdraw(request)
 		return receipt{}, ctx.Err()
 	}
-	// Whoever had the turn before has ended this request or left it to be taken now.
-	<-request.ended
-	return request.taken, request.err
+	// The request was part of an earlier batch or of the one just written.
+	<-request.done
+	return request.accepted, request.err
 }
 
-// writeOrders writes the record of all orders that wait, by the one whose turn it is.
+// writeOrders writes one record with all waiting orders. Must be called with the write slot held.
 func (e *Elector) writeOrders(ctx context.Context, epoch int64) {
 	e.mu.Lock()
 	requests := e.waiting
@@ -127,31 +127,31 @@
 	for i, each := range requests {
 		engines[i] = each.engine
 	}
-	// The others' orders do not end with this one's.
-	taken, err := e.writeInTurn(context.WithoutCancel(ctx), epoch, lease.Order, engines)
+	// The caller's cancellation must not affect the other orders.
+	accepted, err := e.writeWithSlot(context.WithoutCancel(ctx), epoch, lease.Order, engines)
 	for _, each := range requests {
-		each.taken, each.err = taken, err
+		each.accepted, each.err = accepted, err
 		if each.epoch != epoch {
 			each.err = errNotHeld
 		}
-		close(each.ended)
+		close(each.done)
 	}
 }
 
-// withdraw takes a request back that no record names yet.
+// withdraw removes a request that is in no record yet.
 func (e *Elector) withdraw(request *orderRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting = slices.DeleteFunc(e.waiting, func(each *orderRequest) bool { return each == request })
 }
 
-// logOrder tells by what an order was allowed: the place of its record, how old the node's
-// knowledge of the log was, and how much of its lease was left.
-func (e *Elector) logOrder(engine string, epoch int64, taken receipt, began time.Time, err error) {
+// logOrder logs what an order's permit rests on: the offset of its record, the age of the newest read,
+// and the remaining time of the lease.
+func (e *Elector) logOrder(engine string, epoch int64, accepted receipt, began time.Time, err error) {
 	now := e.now()
 	e.mu.Lock()
 	readAge, leaseLeft := now.Sub(e.readAt), e.validUntil.Sub(now)
 	e.mu.Unlock()
-	e.options.Logger.Info().Err(err).Str("engine", engine).Int64("epoch", epoch).Int64("offset", taken.offset).
+	e.options.Logger.Info().Err(err).Str("engine", engine).Int64("epoch", epoch).Int64("offset", accepted.offset).
 		Dur("took_ms", now.Sub(began)).Dur("read_age_ms", readAge).Dur("lease_left_ms", leaseLeft).Msg("order recorded")
 }
--- a/internal/leadership/permit_test.go
+++ b/internal/leadership/permit_test.go
@@ -16,8 +16,8 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// TestAPermitEndsWithItsWindow: an order that has not left by then may not leave any more, and what
-// has left is dropped by the time that the next holder waits for.
+// TestAPermitEndsWithItsWindow: an order that was not sent by then must not be sent, and bytes in transit
+// are dropped within the time that the next holder waits.
 func TestAPermitEndsWithItsWindow(t *testing.T) {
 	first := join(t, memlog.New(), "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
@@ -34,7 +34,7 @@
 	assert.Assert(t, deadline.Before(time.Now().Add(lease.InFlight+time.Millisecond)))
 }
 
-// TestAPermitEndsWithTheSuspensionOfItsMachine: the steady clock does not count the time.
+// TestAPermitEndsWithTheSuspensionOfItsMachine: the monotonic clock does not count the suspension.
 func TestAPermitEndsWithTheSuspensionOfItsMachine(t *testing.T) {
 	clock := &suspendableClock{}
 	first := &candidate{}
@@ -48,7 +48,7 @@
 	assert.Assert(t, !given.Open(), "an order may leave although the machine was suspended since")
 }
 
-// TestAPermitEndsWithTheLease: the node gives the lease up while an order is about to leave.
+// TestAPermitEndsWithTheLease: the node releases the lease while an order is about to be sent.
 func TestAPermitEndsWithTheLease(t *testing.T) {
 	first := join(t, memlog.New(), "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
@@ -57,7 +57,7 @@
 	assert.Assert(t, !given.Open())
 }
 
-// TestNoPermitInTheQuietTime: another machine ordered the engine just now.
+// TestNoPermitInTheQuietTime: another machine has recently ordered the engine.
 func TestNoPermitInTheQuietTime(t *testing.T) {
 	log := memlog.New()
 	first := join(t, log, "a", "a1")
@@ -72,18 +72,18 @@
 	second.permit(t, "another")
 }
 
-// TestOrdersThatWaitTogetherShareARecord: a slow log slows a hundred orders no more than a few.
+// TestOrdersThatWaitTogetherShareARecord: with a slow log, a hundred orders take no longer than a few.
 func TestOrdersThatWaitTogetherShareARecord(t *testing.T) {
 	log := memlog.New()
-	way := newLink(log)
+	path := newLink(log)
 	const pause = 50 * time.Millisecond
 	var appends atomic.Int64
-	way.faults(func(_ context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
+	path.faults(func(_ context.Context, _ lease.Record, _ int64, call func() (int64, error)) (int64, error) {
 		appends.Add(1)
 		time.Sleep(pause)
 		return call()
 	}, nil)
-	first := join(t, way, "a", "a1")
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	before := appends.Load()
 	const orders = 100
@@ -107,12 +107,12 @@
 	}
 }
 
-// TestAnOrderWhoseCallerLeftIsInNoLaterRecord: it waited for its turn.
+// TestAnOrderWhoseCallerLeftIsInNoLaterRecord: the request was withdrawn while it waited for the write slot.
 func TestAnOrderWhoseCallerLeftIsInNoLaterRecord(t *testing.T) {
 	first := join(t, memlog.New(), "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
 	elector := first.elector
-	elector.turn <- struct{}{}
+	elector.writeSlot <- struct{}{}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	_, err := first.lastTerm().Permit(ctx, "engine")
@@ -121,16 +121,16 @@
 	waiting := len(elector.waiting)
 	elector.mu.Unlock()
 	assert.Equal(t, waiting, 0)
-	<-elector.turn
+	<-elector.writeSlot
 }
 
-// TestARecordCountsOnceItIsReadBack: answers are lost, and the next record need not wait for a
-// time-out.
+// TestARecordCountsOnceItIsReadBack: answers are lost, and the next record must not wait for their
+// timeout.
 func TestARecordCountsOnceItIsReadBack(t *testing.T) {
-	way := newLink(memlog.New())
-	first := join(t, way, "a", "a1")
+	path := newLink(memlog.New())
+	first := join(t, path, "a", "a1")
 	testwait.Until(t, "a leads", first.leads)
-	way.faults(appendsUnanswered, nil)
+	path.faults(appendsUnanswered, nil)
 	began := time.Now()
 	first.permit(t, "engine")
 	assert.Assert(t, time.Since(began) < recordTimeout, "the order waited for a time-out: %s", time.Since(began))
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -8,7 +8,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
-// awaitRole waits for the end of the role, which hands its work over.
+// awaitRole waits until the role has ended and handed its work over.
 func (e *Elector) awaitRole(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
@@ -49,10 +49,10 @@
 		Msg("leadership lost")
 }
 
-// renewWhileHeld renews until another epoch is in force or the node stops. While
-// the log is out of reach the role goes on, since no promise rests on it: orders need
-// a permit, and what the role records is decided when it is read. Without a
-// read no renewal is sent, so a node that is only heard does not keep others from leading.
+// renewWhileHeld renews until another epoch is in force or the node stops. The role
+// continues while the log is unreachable, which breaks no guarantee: orders need a permit, and
+// records of the role are judged when they are read. Without a recent read no renewal is sent,
+// so that a node that can write but not read does not block other leaders.
 func (e *Elector) renewWhileHeld(ctx context.Context, epoch int64) {
 	period := e.options.TTL / renewalsPerTTL
 	for ctx.Err() == nil && e.inForce(epoch) {
@@ -65,15 +65,15 @@
 }
 
 func (e *Elector) renew(ctx context.Context, epoch int64) {
-	taken, err := e.write(ctx, epoch, lease.Renew, nil)
+	accepted, err := e.write(ctx, epoch, lease.Renew, nil)
 	if err != nil {
 		e.options.Logger.Info().Err(err).Int64("epoch", epoch).Msg("lease not renewed")
 		return
 	}
-	e.extend(epoch, taken.sent)
+	e.extend(epoch, accepted.sent)
 }
 
-// inForce tells whether this node holds the epoch as far as it knows.
+// inForce reports whether this node holds the epoch, as far as it knows, and is not stopping.
 func (e *Elector) inForce(epoch int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -86,7 +86,7 @@
 	return e.now().Sub(e.readAt) < period
 }
 
-// sleepWhileInForce sleeps, but not on when the lease has gone.
+// sleepWhileInForce sleeps until the period is over or the lease is lost.
 func (e *Elector) sleepWhileInForce(ctx context.Context, epoch int64, period time.Duration) {
 	for until := e.now().Add(period); ctx.Err() == nil && e.inForce(epoch); {
 		left := until.Sub(e.now())
@@ -97,14 +97,14 @@
 	}
 }
 
-// extend counts the lease from when the acknowledged record was sent.
+// extend extends the lease, counted from the sending of the accepted record.
 func (e *Elector) extend(epoch int64, sent time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.extendLocked(epoch, sent)
 }
 
-// extendLocked is extend with mu held.
+// extendLocked is extend. Must be called with mu held.
 func (e *Elector) extendLocked(epoch int64, sent time.Time) {
 	if !e.holdsLocked(epoch) || e.stopping {
 		return
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -12,7 +12,7 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// tail reads the lease's records for good.
+// tail reads the lease's records until ctx ends.
 func (e *Elector) tail(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := e.read(ctx, e.options.Budget.Stretch(pollWait, maxPollWait)); err != nil {
@@ -24,8 +24,8 @@
 	}
 }
 
-// read reads what stands behind the newest record that is known, waiting for some. Two reads may be
-// under way at one time.
+// read reads and applies the records after the newest known one, with a long poll. It may run
+// concurrently.
 func (e *Elector) read(ctx context.Context, wait time.Duration) error {
 	batch, err := e.log.Read(ctx, e.partition, e.next(), readLimit, wait)
 	var gone *eventlog.GoneError
@@ -40,14 +40,14 @@
 	return nil
 }
 
-// next is the offset of the next record to read.
+// next returns the offset of the next record to read.
 func (e *Elector) next() int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state.Next
 }
 
-// gap is the pause before the next read.
+// gap returns the pause before the next read.
 func (e *Elector) gap() time.Duration {
 	e.mu.Lock()
 	leading := e.leading
@@ -61,7 +61,7 @@
 	return e.options.Budget.Stretch(readGap, maxReadGap)
 }
 
-// apply takes the records that another read has not brought meanwhile.
+// apply applies the records that a concurrent read has not applied.
 func (e *Elector) apply(batch eventlog.Batch) {
 	now := e.now()
 	e.mu.Lock()
@@ -73,12 +73,12 @@
 			continue
 		}
 		if e.state.IsBehind(record) {
-			e.noteBehind(record)
+			e.reportBehind(record)
 		}
 		if e.state.Apply(record, now) {
 			e.epochChanged(record)
 		}
-		e.readBack(record)
+		e.confirm(record)
 	}
 	if e.state.Next >= batch.End {
 		e.readAt = now
@@ -92,9 +92,9 @@
 	}
 }
 
-// noteBehind tells that a holder wrote after another claim had won: two nodes took
-// themselves for the leader at that place of the log. mu is held.
-func (e *Elector) noteBehind(record lease.Record) {
+// reportBehind reports a record that a holder wrote after another claim had won: two nodes
+// believed that they led. Must be called with mu held.
+func (e *Elector) reportBehind(record lease.Record) {
 	e.options.Logger.Warn().Stringer("kind", record.Kind).Str("holder", record.Holder).Int64("epoch", record.Epoch).
 		Int64("newest_epoch", e.state.Epoch).Int64("offset", e.state.Next).Strs("engines", record.Engines).
 		Msg("record of an earlier lease")
@@ -103,7 +103,7 @@
 	}
 }
 
-// epochChanged ends the lease of the earlier epoch, which may have been this node's; mu is held.
+// epochChanged ends this node's lease of an earlier epoch, if any. Must be called with mu held.
 func (e *Elector) epochChanged(record lease.Record) {
 	e.validUntil = time.Time{}
 	if record.Holder == e.options.Holder {
@@ -112,8 +112,8 @@
 	e.options.Logger.Info().Str("holder", e.state.Holder).Int64("epoch", e.state.Epoch).Msg("leader changed")
 }
 
-// skipTo passes over records that are no longer kept. Until a record tells the epoch in force this node
-// neither claims at once nor, should it hold the lease, writes.
+// skipTo skips records that the log has dropped. Until a record proves the epoch in force this node
+// neither claims without waiting for the TTL nor writes as the holder.
 func (e *Elector) skipTo(first int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/leadership/write.go
+++ b/internal/leadership/write.go
@@ -12,48 +12,48 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// errNotHeld is returned where this node does not hold the lease, as far as it has read.
+// errNotHeld is returned when this node does not hold the lease, as far as it has read.
 var errNotHeld = errors.New("this node does not hold the lease")
 
-// written is an own record that was not read back yet.
-type written struct {
-	// sent is when it was composed, before it was sent.
+// pendingRecord is a record of this node that was not read back yet.
+type pendingRecord struct {
+	// sent is when it was composed, before the append.
 	sent time.Time
 	// readBack is closed once it was read.
 	readBack chan struct{}
 }
 
-// draft is a record that is about to be appended where the log ends at the offset.
+// draft is a record to be appended on the condition that the log ends at the offset.
 type draft struct {
-	record lease.Record
-	at     int64
-	noted  *written
+	record  lease.Record
+	at      int64
+	pending *pendingRecord
 }
 
-// receipt says that the log took a record in the epoch of its holder.
+// receipt identifies a record that the log accepted in its holder's epoch.
 type receipt struct {
 	offset int64
 	sent   time.Time
 }
 
-// maxWritten is the number of records up to which none is forgotten that was not read back.
-const maxWritten = 32
+// maxPending is the number of pending records above which expired ones are dropped.
+const maxPending = 32
 
-// write appends a record of the epoch that this node holds. The log takes it only where it ends as
-// this node has read, so that an acknowledgement proves that the epoch is in force at its place. A
-// node that does not know of a newer claim gets no acknowledgement.
+// write appends a record of the epoch that this node holds, on the condition that the log ends where
+// this node has read to. An acknowledgement thus proves that the epoch is in force at the record's
+// offset; a node that has missed a newer claim gets none.
 func (e *Elector) write(ctx context.Context, epoch int64, kind lease.RecordKind, engines []string) (receipt, error) {
 	select {
-	case e.turn <- struct{}{}:
+	case e.writeSlot <- struct{}{}:
 	case <-ctx.Done():
 		return receipt{}, ctx.Err()
 	}
-	defer func() { <-e.turn }()
-	return e.writeInTurn(ctx, epoch, kind, engines)
+	defer func() { <-e.writeSlot }()
+	return e.writeWithSlot(ctx, epoch, kind, engines)
 }
 
-// writeInTurn is write by the one whose turn it is: two at a time would take the same place.
-func (e *Elector) writeInTurn(
+// writeWithSlot is write. Must be called with the write slot held: concurrent appends would conflict.
+func (e *Elector) writeWithSlot(
 	ctx context.Context, epoch int64, kind lease.RecordKind, engines []string,
 ) (receipt, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -64,7 +64,7 @@
 			return receipt{}, err
 		}
 		if err = e.appendDraft(ctx, next, recordTimeout); err == nil {
-			return receipt{offset: next.at, sent: next.noted.sent}, nil
+			return receipt{offset: next.at, sent: next.pending.sent}, nil
 		}
 		var conflict *eventlog.ConflictError
 		if !errors.As(err, &conflict) || conflict.End <= next.at || !e.catchUp(ctx, conflict.End) {
@@ -84,44 +84,44 @@
 		Kind: kind, Holder: e.options.Holder, Node: e.options.Node, Address: e.options.Address,
 		Epoch: epoch, Engines: engines,
 	}
-	noted := e.noteLocked(&record)
+	pending := e.trackLocked(&record)
 	if !e.termBegan.IsZero() {
-		// One look at the clock for both: the record must not prove time that a permit still has.
-		record.Held = noted.sent.Sub(e.termBegan)
+		// Both times come from one reading of the clock: the record must not prove time that a permit still has.
+		record.Held = pending.sent.Sub(e.termBegan)
 	}
-	return draft{record: record, at: max(e.state.Next, e.knownEnd), noted: noted}, nil
+	return draft{record: record, at: max(e.state.Next, e.knownEnd), pending: pending}, nil
 }
 
-// noteLocked numbers a record and remembers when it was composed; mu is held.
-func (e *Elector) noteLocked(record *lease.Record) *written {
+// trackLocked numbers a record and adds it to the pending ones. Must be called with mu held.
+func (e *Elector) trackLocked(record *lease.Record) *pendingRecord {
 	now := e.now()
-	if len(e.written) >= maxWritten {
-		e.forgetWritten(now)
+	if len(e.pending) >= maxPending {
+		e.dropExpired(now)
 	}
 	e.sequence++
 	record.Sequence = e.sequence
-	entry := &written{sent: now, readBack: make(chan struct{})}
-	e.written[e.sequence] = entry
+	entry := &pendingRecord{sent: now, readBack: make(chan struct{})}
+	e.pending[e.sequence] = entry
 	return entry
 }
 
-// forgetWritten drops records that extend no lease any more, should they still be read back; mu
-// is held.
-func (e *Elector) forgetWritten(now time.Time) {
-	for sequence, entry := range e.written {
+// dropExpired drops pending records that could no longer extend the lease if read back. Must be
+// called with mu held.
+func (e *Elector) dropExpired(now time.Time) {
+	for sequence, entry := range e.pending {
 		if now.Sub(entry.sent) > e.options.TTL+recordTimeout {
-			delete(e.written, sequence)
+			delete(e.pending, sequence)
 		}
 	}
 }
 
-// appendDraft appends a record. It counts as taken once the log says so or it is read back, whichever
-// is first: where answers are lost the next record need not wait for a time-out.
+// appendDraft appends a record. The record is accepted once it is acknowledged or read back, whichever
+// is first, so that the next record does not wait for the timeout of a lost answer.
 func (e *Elector) appendDraft(ctx context.Context, next draft, timeout time.Duration) error {
 	answered := make(chan error, 1)
 	go func() {
-		// It goes on where its caller has read the record back, or has given up: an append that is
-		// broken off costs its connection and says nothing of the outcome.
+		// The append continues after the record is read back or the caller has left: canceling it would
+		// close the connection and leave the outcome unknown.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 		defer cancel()
 		answered <- e.appendAt(ctx, next.at, next.record)
@@ -129,7 +129,7 @@
 	var err error
 	select {
 	case err = <-answered:
-	case <-next.noted.readBack:
+	case <-next.pending.readBack:
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -151,9 +151,8 @@
 	return err
 }
 
-// catchUp reads up to the offset; false when ctx ended first. It does not wait for the tail, whose
-// read may hang: with a third of the reads hanging a holder then had a valid lease 59 % of the time,
-// with reads of its own 75 %.
+// catchUp reads up to the offset and reports whether it got there before ctx ended. It makes its own
+// reads, since the tail's read may hang.
 func (e *Elector) catchUp(ctx context.Context, end int64) bool {
 	for e.next() < end {
 		if err := e.read(ctx, 0); err != nil {
@@ -167,7 +166,7 @@
 }
 
 // claim appends a claim, unless records were read since the lease was found free at the offset, or the
-// node has been told to stop.
+// node is stopping.
 func (e *Elector) claim(ctx context.Context, next int64) {
 	e.mu.Lock()
 	if e.state.Next != next || e.stopping {
@@ -176,33 +175,33 @@
 	}
 	previous := e.state.Epoch
 	record := e.state.NewClaim(e.options.Node, e.options.Holder, e.options.Address)
-	noted := e.noteLocked(&record)
-	e.claimSent = noted.sent
+	pending := e.trackLocked(&record)
+	e.claimSent = pending.sent
 	e.mu.Unlock()
-	// The answer may be lost, and others wait for a lease from reading the claim: it counts as soon as
-	// it is read back.
-	err := e.appendDraft(ctx, draft{record: record, at: next, noted: noted}, e.options.TTL)
+	// Other nodes wait for a TTL from reading the claim, also if its answer is lost, so reading it
+	// back is sufficient.
+	err := e.appendDraft(ctx, draft{record: record, at: next, pending: pending}, e.options.TTL)
 	e.options.Logger.Info().Err(err).Int64("follows_epoch", previous).Int64("offset", next).Msg("leadership claimed")
 }
 
-// readBack counts an own record that was read from the log; mu is held. One whose answer was
-// lost counts from when it was sent, not from when one like it was sent again.
-func (e *Elector) readBack(record lease.Record) {
+// confirm processes a record of this node that was read back. A record whose answer was lost extends
+// the lease from its own sending, not from that of a later retry. Must be called with mu held.
+func (e *Elector) confirm(record lease.Record) {
 	if record.Holder != e.options.Holder {
 		return
 	}
-	entry, open := e.written[record.Sequence]
-	if !open {
+	entry, found := e.pending[record.Sequence]
+	if !found {
 		return
 	}
-	delete(e.written, record.Sequence)
+	delete(e.pending, record.Sequence)
 	close(entry.readBack)
 	if record.Kind == lease.Claim || record.Kind == lease.Renew {
 		e.extendLocked(e.epochOf(record), entry.sent)
 	}
 }
 
-// epochOf is the epoch that an own record is of, which was just read; mu is held.
+// epochOf returns the epoch of a record of this node.
 func (e *Elector) epochOf(record lease.Record) int64 {
 	if record.Kind == lease.Claim {
 		return record.Begins
