Describe the batch reducer in the terms of records, results and groups

Internal names of the groups follow (complete, requiredSteps, comparedSteps, maxReturnedDivisor, containsGroup).

--- a/internal/core/batch/groups.go
+++ b/internal/core/batch/groups.go
@@ -1,30 +1,31 @@
 package batch
 
-// groups tells when the submitter of a job may have all that it waits for: as many
-// whole groups as it wants, and all that came again from an earlier job. These
-// stand first and are at most half as many. Where their number is not known, each
-// of the first ones that becomes whole late may be the last of them.
+// groups determines when the submitter of a job may have everything that it waits for:
+// as many complete groups as it wants, and all groups that return from an earlier job.
+// Returned groups come first and are at most half as many as wanted. If their number is
+// unknown, each of the first groups that completes late may be the last one.
 type groups struct {
 	wanted int
-	// left counts the items without a result of each group.
+	// left counts the items without a result by group.
 	left map[string]int
-	// awaited holds the groups that came again, or that may have, and are not whole;
-	// exact is true when they did.
+	// awaited holds the incomplete groups that return from an earlier job, or may;
+	// exact is true when they are known to.
 	awaited map[string]bool
 	exact   bool
-	whole   int
-	// milestone is the number of results at the newest such moment.
+	// complete counts the groups without missing results.
+	complete int
+	// milestone is the number of results when the submitter last may have had everything.
 	milestone int
 }
 
-// returnedShare is one in how many of the wanted groups may have come again.
-const returnedShare = 2
+// maxReturnedDivisor: at most wanted/maxReturnedDivisor groups return from earlier jobs.
+const maxReturnedDivisor = 2
 
 func newGroups(record JobRecord) groups {
 	g := groups{
 		wanted: record.Wanted, left: make(map[string]int), awaited: make(map[string]bool), exact: record.ReturnedKnown,
 	}
-	returned := record.Wanted / returnedShare
+	returned := record.Wanted / maxReturnedDivisor
 	if record.ReturnedKnown {
 		returned = record.Returned
 	}
@@ -37,28 +38,28 @@
 	return g
 }
 
-// listed takes the result of an item of the group, the latest of so many.
-func (g *groups) listed(group string, results int) {
+// addResult counts a result of the group; results is the job's number of results with it.
+func (g *groups) addResult(group string, results int) {
 	g.left[group]--
 	if g.left[group] > 0 {
 		return
 	}
-	g.whole++
+	g.complete++
 	late := g.awaited[group]
 	delete(g.awaited, group)
-	enough := g.whole >= g.wanted && (!g.exact || len(g.awaited) == 0)
-	if enough && (g.whole == g.wanted || late || g.whole == len(g.left)) {
+	enough := g.complete >= g.wanted && (!g.exact || len(g.awaited) == 0)
+	if enough && (g.complete == g.wanted || late || g.complete == len(g.left)) {
 		g.milestone = results
 	}
 }
 
-// leadingGroups returns the names of the job's groups in the order in which they
-// first appear, at most so many.
-func (j *JobRecord) leadingGroups(most int) []string {
+// leadingGroups returns the names of the job's first groups in the order of their items,
+// at most the given number.
+func (j *JobRecord) leadingGroups(limit int) []string {
 	var names []string
 	seen := make(map[string]bool)
 	for _, item := range j.Items {
-		if len(names) == most {
+		if len(names) == limit {
 			break
 		}
 		if !seen[item.Group] {
@@ -69,43 +70,42 @@
 	return names
 }
 
-// EarlierJob is what a job's groups are compared with.
+// EarlierJob is a job of an earlier step with its groups.
 type EarlierJob struct {
 	Step   int64
 	Groups map[string]bool
 }
 
 const (
-	// stepsBefore are the steps before a job that must be known to tell which groups
-	// came again: a submitter asks for one step ahead, so they come from the second
-	// one before.
-	stepsBefore = 2
-	// stepsCompared are the steps before a job whose groups are compared.
-	stepsCompared = 4
+	// requiredSteps is the number of preceding steps that must be known to determine the
+	// returned groups: submitters run one step ahead, so groups return two steps later.
+	requiredSteps = 2
+	// comparedSteps is the number of preceding steps whose groups are compared.
+	comparedSteps = 4
 )
 
-// CountReturned sets how many leading groups of the job stood in one of the earlier
+// CountReturned sets how many leading groups of the job return from one of the earlier
 // jobs of its model, if these are known.
 func (j *JobRecord) CountReturned(earlier []EarlierJob) {
 	steps := make(map[int64]bool)
 	for _, job := range earlier {
 		steps[job.Step] = true
 	}
-	for step := max(0, j.Step-stepsBefore); step < j.Step; step++ {
+	for step := max(0, j.Step-requiredSteps); step < j.Step; step++ {
 		if !steps[step] {
 			return
 		}
 	}
 	j.ReturnedKnown = true
-	for _, name := range j.leadingGroups(j.Wanted / returnedShare) {
-		if !anyHas(earlier, name) {
+	for _, name := range j.leadingGroups(j.Wanted / maxReturnedDivisor) {
+		if !containsGroup(earlier, name) {
 			return
 		}
 		j.Returned++
 	}
 }
 
-func anyHas(jobs []EarlierJob, group string) bool {
+func containsGroup(jobs []EarlierJob, group string) bool {
 	for _, job := range jobs {
 		if job.Groups[group] {
 			return true
--- a/internal/core/batch/groups_test.go
+++ b/internal/core/batch/groups_test.go
@@ -19,14 +19,14 @@
 
 func TestMilestonesAreWhereTheSubmitterMayHaveAll(t *testing.T) {
 	p := NewPartition()
-	// Groups 0 and 1 may have come again.
+	// Groups 0 and 1 may return from an earlier job.
 	p.Apply(groupedJob(6, 4), at)
 	for _, step := range []struct{ item, milestone int }{
-		{4, 0}, {5, 0}, // group 2 is whole
+		{4, 0}, {5, 0}, // group 2 is complete
 		{6, 0}, {7, 0}, // 3
 		{8, 0}, {9, 0}, // 4
 		{0, 0},
-		{10, 0}, {11, 9}, // 5: as many as are wanted
+		{10, 0}, {11, 9}, // 5: as many as wanted
 		{2, 9}, {3, 11}, // 1 may have been the last to wait for
 		{1, 12}, // 0 as well, and nothing is missing
 	} {
@@ -54,7 +54,7 @@
 	job.Job.ReturnedKnown, job.Job.Returned = true, 2
 	p.Apply(job, at)
 	for _, step := range []struct{ item, milestone int }{
-		{4, 0}, {5, 0}, {6, 0}, {7, 0}, {8, 0}, {9, 0}, {10, 0}, {11, 0}, // 2 to 5 are whole, enough but for 0 and 1
+		{4, 0}, {5, 0}, {6, 0}, {7, 0}, {8, 0}, {9, 0}, {10, 0}, {11, 0}, // 2 to 5 are complete, enough except for 0 and 1
 		{2, 0}, {3, 0},
 		{0, 0}, {1, 12},
 	} {
@@ -74,7 +74,7 @@
 	assert.Equal(t, p.Job("j").Milestone(), 4)
 }
 
-// stepOf is a job of a step with these groups, of one item each.
+// stepOf returns a job of a step with groups of one item each.
 func stepOf(step int64, groups ...string) JobRecord {
 	record := JobRecord{ID: fmt.Sprint("job", step), Model: "m", Host: "h", Step: step, Wanted: 4}
 	for i, group := range groups {
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// Result is what stands at one position of a job.
+// Result is the result at one position of a job.
 type Result struct {
 	Item      int
 	Outcome   Outcome
 	Versions  []int64
 	Text      Span
 	TextBytes int
-	// Score is what the item's scoring call brought; empty where it has none.
+	// Score is the result of the item's scoring call; empty if it has none.
 	Score string
 }
 
@@ -21,23 +21,23 @@
 	JobRecord
 	// Results holds the results by position.
 	Results []Result
-	// Ended is true once the submitter ended the job.
+	// Ended is true once the submitter has ended the job.
 	Ended bool
-	// SeenAt is when this reader read the job's record.
+	// SeenAt is when this process read the job's record.
 	SeenAt time.Time
-	// Incomplete: results may have been passed over, so that the places of those that came
-	// since are not known, nor whether the job is ended.
+	// Incomplete: results may be in records that were skipped, so the positions of later results
+	// are unknown, and so is whether the job has ended.
 	Incomplete bool
 	listed     []bool
 	byID       map[string]int
 	groups     groups
-	// progress holds what is kept of the output of items without a result.
+	// progress holds the kept partial output of items without a result.
 	progress map[int]Progress
 }
 
-// Progress is what is kept of the output of an item that has no result yet.
+// Progress is the kept partial output of an item without a result.
 type Progress struct {
-	// Chain names the run that made the last part.
+	// Chain identifies the run that produced the last part.
 	Chain string
 	// To is the number of the last event.
 	To       int64
@@ -49,13 +49,13 @@
 	Whole bool
 }
 
-// Progress returns what is kept of an item's output.
+// Progress returns the kept partial output of an item.
 func (j *Job) Progress(item int) (Progress, bool) {
 	progress, found := j.progress[item]
 	return progress, found
 }
 
-// Listed tells whether the item has a result.
+// Listed reports whether the item has a result.
 func (j *Job) Listed(item int) bool { return j.listed[item] }
 
 // ItemIndex returns the index of an item by its ID.
@@ -64,11 +64,11 @@
 	return index, found
 }
 
-// Open tells whether items of the job are still to be run.
+// Open reports whether the job has items to run.
 func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
 
-// Milestone is the number of results at the newest moment at which the submitter
-// may have had all that it waits for; zero when there was none.
+// Milestone returns the number of results when the submitter last may have had everything
+// that it waits for; zero if it never had.
 func (j *Job) Milestone() int { return j.groups.milestone }
 
 // PayloadOffset returns the offset of the item's payload.
@@ -82,7 +82,7 @@
 	return -1
 }
 
-// Observer hears of what records change, in their order. It must not block.
+// Observer is notified of changes in the order of the records. It must not block.
 type Observer interface {
 	JobAdded(job *Job)
 	ItemListed(job *Job, item int)
@@ -93,23 +93,23 @@
 type Partition struct {
 	Next int64
 	jobs map[string]*Job
-	// observers hear of what records change, in the order in which they began.
+	// observers are notified in the order of their registration.
 	observers []Observer
 }
 
 // NewPartition returns the state before the first record.
 func NewPartition() *Partition { return &Partition{jobs: make(map[string]*Job)} }
 
-// Job returns a job by ID; nil when there is none.
+// Job returns a job by ID, nil if there is none.
 func (p *Partition) Job(id string) *Job { return p.jobs[id] }
 
-// Earlier returns the known jobs of the same model and host that are of one of the
-// steps before the job.
+// Earlier returns the known jobs of the same model and host in the comparedSteps before
+// the job's step.
 func (p *Partition) Earlier(than *JobRecord) []EarlierJob {
 	var earlier []EarlierJob
 	for _, job := range p.jobs {
 		same := job.Model == than.Model && job.Host == than.Host
-		if !same || job.Step >= than.Step || job.Step < than.Step-stepsCompared {
+		if !same || job.Step >= than.Step || job.Step < than.Step-comparedSteps {
 			continue
 		}
 		names := make(map[string]bool, len(job.groups.left))
@@ -121,8 +121,8 @@
 	return earlier
 }
 
-// Observe tells the observer of all open jobs, and from then on of changes. One that observes
-// already is told of all open jobs again.
+// Observe notifies the observer of all open jobs and from then on of changes. An observer that is
+// already registered is notified of all open jobs again.
 func (p *Partition) Observe(observer Observer) {
 	if !slices.Contains(p.observers, observer) {
 		p.observers = append(p.observers, observer)
@@ -134,20 +134,20 @@
 	}
 }
 
-// Unobserve tells the observer nothing more.
+// Unobserve unregisters the observer.
 func (p *Partition) Unobserve(observer Observer) {
 	p.observers = slices.DeleteFunc(p.observers, func(each Observer) bool { return each == observer })
 }
 
-// Observed tells whether there is an observer.
+// Observed reports whether an observer is registered.
 func (p *Partition) Observed() bool { return len(p.observers) > 0 }
 
-// Skip passes over a record that cannot be read.
+// Skip skips an unreadable record.
 func (p *Partition) Skip() { p.Next++ }
 
-// SkipTo passes over records that the log no longer holds, up to the given offset. Jobs that lack
-// results are incomplete from then on. They stay open, since whoever runs them is to go on: what it
-// records again changes nothing.
+// SkipTo skips records that the log has dropped, up to the given offset. Jobs with missing results
+// become incomplete. They stay open, since their runner must continue: a result that it records a
+// second time has no effect.
 func (p *Partition) SkipTo(first int64) {
 	p.Next = max(p.Next, first)
 	for _, job := range p.jobs {
@@ -157,7 +157,7 @@
 	}
 }
 
-// Apply takes the record at the offset Next, read at the given time.
+// Apply applies the record at the offset Next, read at the given time.
 func (p *Partition) Apply(record Record, at time.Time) {
 	p.Next++
 	switch {
@@ -174,9 +174,9 @@
 	}
 }
 
-// addProgress keeps a part of an item's output. A part from the start begins a
-// new chain; any other must continue the chain that is kept, else it was made by
-// a run that did not know of it and is dropped.
+// addProgress keeps a part of an item's output. A part from the start begins a new
+// chain. Any other part must continue the kept chain; otherwise it comes from a run that
+// did not know the chain, and is dropped.
 func (p *Partition) addProgress(record ProgressRecord) {
 	job, found := p.jobs[record.Job]
 	if !found || record.Item < 0 || record.Item >= len(job.Items) || job.listed[record.Item] || job.Ended {
@@ -189,7 +189,7 @@
 	case record.From != kept.To || record.Chain != kept.Chain && record.Continues != kept.Chain:
 		return
 	}
-	// The slices are built anew: copies of the job were handed out.
+	// The slices are copied on append, since copies of the job share them.
 	kept.Chain, kept.To, kept.Whole = record.Chain, record.To, record.Whole
 	if record.To > record.From {
 		kept.Parts = append(slices.Clip(kept.Parts), record.Text)
@@ -239,7 +239,7 @@
 	}
 }
 
-// addResult lists a result unless the item has one: the first record wins.
+// addResult adds a result unless the item has one: the first record wins.
 func (p *Partition) addResult(record ResultRecord) {
 	job, found := p.jobs[record.Job]
 	if !found || record.Item < 0 || record.Item >= len(job.Items) || job.listed[record.Item] {
@@ -251,14 +251,14 @@
 		Item: record.Item, Outcome: record.Outcome, Versions: record.Versions,
 		Text: record.Text, TextBytes: record.TextBytes, Score: record.Score,
 	})
-	job.groups.listed(job.Items[record.Item].Group, len(job.Results))
+	job.groups.addResult(job.Items[record.Item].Group, len(job.Results))
 	for _, observer := range p.observers {
 		observer.ItemListed(job, record.Item)
 	}
 }
 
-// Forget drops jobs that were read before the given time and are not open. An
-// ended job is kept as long as a result may be asked for.
+// Forget drops jobs that were read before the given time and are not open, and returns
+// their number.
 func (p *Partition) Forget(before time.Time) int {
 	dropped := 0
 	for id, job := range p.jobs {
--- a/internal/core/batch/partition_test.go
+++ b/internal/core/batch/partition_test.go
@@ -62,8 +62,8 @@
 		{progressOf("b", "x", 5, 8), "a", 5}, // continues a chain that is not kept
 		{progressOf("b", "a", 3, 8), "a", 5}, // was asked to continue an earlier event
 		{progressOf("c", "a", 5, 9), "c", 9}, // continues here
-		{progressOf("a", "", 5, 7), "c", 9},  // the run before wakes up
-		{progressOf("a", "", 9, 11), "c", 9}, // and happens to be as far
+		{progressOf("a", "", 5, 7), "c", 9},  // the previous run resumes
+		{progressOf("a", "", 9, 11), "c", 9}, // and has reached the same event
 		{progressOf("d", "", 0, 2), "d", 2},  // begins again
 	} {
 		p.Apply(step.record, at)
@@ -120,7 +120,7 @@
 	assert.Assert(t, p.Job("open") != nil && p.Job("young") != nil && p.Job("ended") == nil)
 }
 
-// recorder notes what an observer is told.
+// recorder records an observer's notifications.
 type recorder struct{ added, listed, ended []string }
 
 func (r *recorder) JobAdded(job *Job)          { r.added = append(r.added, job.ID) }
@@ -243,8 +243,8 @@
 	}
 }
 
-// TestJobsThatLackResultsAreIncompleteBehindAGap: those behind it and those that had all of them
-// are not. All go on to be run.
+// TestJobsThatLackResultsAreIncompleteBehindAGap: jobs after the gap and jobs with all results are
+// complete. All open jobs stay open.
 func TestJobsThatLackResultsAreIncompleteBehindAGap(t *testing.T) {
 	p := NewPartition()
 	p.Apply(jobRecord("whole", 1), at)
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -1,9 +1,9 @@
-// Package batch decides, from the records of one partition read in order, which
-// batch jobs exist, which result stands at which position, and which jobs have
-// ended. Every reader comes to the same answer. It has no input or output.
+// Package batch determines, from the records of one partition applied in order, which
+// batch jobs exist, which result is at which position, and which jobs have ended.
+// Every reader reaches the same result. It has no input or output.
 //
-// Invariants: a job is taken once, by its first record; the first result record
-// of an item wins; positions are the order of winning records and never change.
+// Invariants: the first record of a job and the first result record of an item win;
+// positions are the order of winning result records and never change.
 package batch
 
 import (
@@ -11,18 +11,18 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Outcome is how an item ended.
+// Outcome is the outcome of an item.
 type Outcome uint8
 
 // The outcomes of items.
 const (
-	// Completed items have their whole output.
+	// Completed items have their complete output.
 	Completed Outcome = iota + 1
-	// Expired items were given up.
+	// Expired items were abandoned.
 	Expired
 )
 
-// Span names records of the data topic, in the partition of the same number.
+// Span refers to records of the data topic, in the partition of the same number.
 type Span struct {
 	First int64 `msgpack:"f"`
 	Count int   `msgpack:"c"`
@@ -30,14 +30,14 @@
 
 // JobRecord accepts a batch job.
 type JobRecord struct {
-	// ID is the job's name among all jobs; see QualifiedID.
+	// ID is unique among all jobs; see QualifiedID.
 	ID string `msgpack:"i"`
-	// Tenant is the tenant that handed the job in; empty for none.
+	// Tenant is the tenant that submitted the job; empty for none.
 	Tenant string `msgpack:"o,omitempty"`
-	// Priority is the job's rank, 0 first: its tenant's, or else its route's.
+	// Priority is that of the job's tenant, or else of its route; 0 is first.
 	Priority int `msgpack:"pr,omitempty"`
-	// Host and Path are those of the call that handed the job in; they lead to
-	// its route in each version of the configuration.
+	// Host and Path are those of the submission. They select the job's route in each
+	// version of the configuration.
 	Host       string       `msgpack:"h"`
 	Path       string       `msgpack:"p"`
 	Model      string       `msgpack:"m"`
@@ -47,19 +47,18 @@
 	Items      []ItemRecord `msgpack:"t"`
 	// Payloads hold one record for each item, in order.
 	Payloads []Span `msgpack:"d"`
-	// ReturnedKnown is true when the node that took the job knew the jobs before it;
-	// then Returned is the number of leading groups that stood in one of them.
+	// ReturnedKnown is true if the node that accepted the job knew the preceding jobs; Returned
+	// is then the number of leading groups that return from them.
 	ReturnedKnown bool `msgpack:"rk,omitempty"`
 	Returned      int  `msgpack:"rn,omitempty"`
-	// Homes are the regions that alone may serve and keep the job, as the node that took it knew them from
-	// the configuration of the version Config; none for all.
+	// Homes are the only regions that may serve and store the job, by the configuration version Config that
+	// was in force at the accepting node; empty for all.
 	Homes  []string `msgpack:"hm,omitempty"`
 	Config int64    `msgpack:"cv,omitempty"`
 }
 
-// QualifiedID is the name of a tenant's job among all jobs, made of the name that the
-// tenant gave it. So tenants share no names, and one finds no other's job. Names that
-// tenants give hold no slash.
+// QualifiedID returns the unique ID of a tenant's job. Each tenant has a namespace of its
+// own; IDs chosen by tenants contain no slash.
 func QualifiedID(tenant, id string) string {
 	if tenant == "" {
 		return id
@@ -74,52 +73,52 @@
 	Tokens int    `msgpack:"t"`
 	// Prompt is the number of tokens of the prompt; zero when unknown.
 	Prompt int `msgpack:"p"`
-	// Length is the expected output in tokens; zero when unknown.
+	// Length is the expected output length in tokens; zero when unknown.
 	Length int `msgpack:"l"`
 }
 
-// ResultRecord says how one item ended.
+// ResultRecord records the outcome of one item.
 type ResultRecord struct {
 	Job string `msgpack:"j"`
 	// Item is the item's index in its job.
 	Item     int     `msgpack:"n"`
 	Outcome  Outcome `msgpack:"o"`
 	Versions []int64 `msgpack:"v,omitempty"`
-	// Text holds the output in one or more records.
+	// Text refers to the output, in one or more records.
 	Text Span `msgpack:"d"`
 	// TextBytes is the length of the output.
 	TextBytes int `msgpack:"b"`
-	// Score is what the item's scoring call brought; empty where it has none.
+	// Score is the result of the item's scoring call; empty if it has none.
 	Score string `msgpack:"s,omitempty"`
 }
 
-// ProgressRecord keeps output of an item that still runs, so that another leader
-// continues it. Parts form a chain: each begins where the one before ended, and
-// was made by the same run or by a run that was asked to continue there.
+// ProgressRecord keeps partial output of a running item, so that another leader can
+// continue it. Parts form a chain: each begins where its predecessor ended, and comes
+// from the same run or from a run that was started to continue there.
 type ProgressRecord struct {
 	Job  string `msgpack:"j"`
 	Item int    `msgpack:"n"`
-	// Chain names the run that made this part; Continues names the chain that
-	// the run took up, empty when it began from nothing.
+	// Chain identifies the run that produced this part, Continues the chain that the run
+	// continued; empty if it started from the beginning.
 	Chain     string `msgpack:"c"`
 	Continues string `msgpack:"k,omitempty"`
-	// From and To are the numbers of the last event before and in this part.
+	// From and To are the numbers of the last event before this part and in it.
 	From int64 `msgpack:"f"`
 	To   int64 `msgpack:"t"`
-	// Versions made the events of this part.
+	// Versions are the weight versions of the part's events.
 	Versions  []int64 `msgpack:"v"`
 	Text      Span    `msgpack:"d"`
 	TextBytes int     `msgpack:"b"`
-	// Whole is true when no event follows; such a part may hold no event itself.
+	// Whole is true when no event follows. Such a part may have no event itself.
 	Whole bool `msgpack:"w,omitempty"`
 }
 
-// Record is one record of the index topic: one of its fields is set.
+// Record is one record of the index topic. Exactly one of its fields is set.
 type Record struct {
 	Job      *JobRecord       `msgpack:"j,omitempty"`
 	Results  []ResultRecord   `msgpack:"r,omitempty"`
 	Progress []ProgressRecord `msgpack:"p,omitempty"`
-	// End is the ID of a job that its submitter ended.
+	// End is the ID of a job that its submitter has ended.
 	End string `msgpack:"e,omitempty"`
 }
 
@@ -147,18 +146,18 @@
 	Value string `msgpack:"v"`
 }
 
-// Payload is what is sent to an engine for an item: one record of the data topic.
+// Payload is the engine request of an item, one record of the data topic.
 type Payload struct {
 	Path    string   `msgpack:"p"`
 	Headers []Header `msgpack:"h"`
 	Body    []byte   `msgpack:"b"`
-	// Scoring is made once the output is whole; nil where the item has no score.
+	// Scoring is sent once the output is complete; nil if the item is not scored.
 	Scoring *ScoringCall `msgpack:"s,omitempty"`
 }
 
-// ScoringCall is a request whose answer scores an item's output.
+// ScoringCall is a request whose response scores an item's output.
 type ScoringCall struct {
-	// ID is the request's name at the scoring service.
+	// ID identifies the request at the scoring service.
 	ID   string `msgpack:"i"`
 	Host string `msgpack:"h"`
 	Path string `msgpack:"p"`
