Describe the duties in the terms of reports, orders and permits

A comment above a stand-in moves to its test.

No behaviour change: tokens compared without comments; tests with -race of duties passed.

--- a/internal/duties/arrival_test.go
+++ b/internal/duties/arrival_test.go
@@ -22,7 +22,7 @@
 	quietTime = 600 * time.Millisecond
 )
 
-// latePlatform has a call leave as late as it may and arrive as late as it can.
+// latePlatform sends a call at the last permitted moment and delays its arrival to the latest one.
 type latePlatform struct {
 	fakePlatform
 	arrived time.Time
@@ -38,7 +38,7 @@
 	return Unanswered, context.DeadlineExceeded
 }
 
-// leadingTerm is the newest term of an elector.
+// leadingTerm holds the newest term of an elector.
 type leadingTerm struct {
 	mu     sync.Mutex
 	newest lease.Term
@@ -73,8 +73,8 @@
 	return term, start(t, func(ctx context.Context) { _ = elector.Run(ctx) })
 }
 
-// TestQuietTimeFollowsTheLatestArrivalOfACall: a call to the platform may take longer than one
-// to an engine, and is announced in the same way.
+// TestQuietTimeFollowsTheLatestArrivalOfACall: a call to the platform may take longer than an order
+// to an engine, and needs the same permit.
 func TestQuietTimeFollowsTheLatestArrivalOfACall(t *testing.T) {
 	t.Parallel()
 	log, platform := memlog.New(), &latePlatform{}
--- a/internal/duties/counter.go
+++ b/internal/duties/counter.go
@@ -17,29 +17,26 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// The log's partitions of counts and of reports.
+// Partitions for counts and reports.
 var (
 	countPartition  = eventlog.Partition{Topic: "corkpulley.usage"}
 	reportPartition = eventlog.Partition{Topic: "corkpulley.usagereports"}
 )
 
 const (
-	// countDelay is the time for which counts gather before they are written: what a
-	// process that is killed has not written is lost. It grows with the nodes, so that
-	// 420 of them write some 300 records a second of the 500 that a partition takes.
+	// countDelay is how long counts are batched before they are written; a process that is
+	// killed loses them. It grows with the number of nodes, which share a partition's write rate.
 	countDelay    = 200 * time.Millisecond
 	maxCountDelay = 2 * time.Second
-	// countLife is how long counts are kept that could not be written: reports of older
-	// windows were given up.
-	countLife = 5 * time.Minute
-	// lastWrite bounds the write at the end of the process, whose roles have 350 ms at
-	// least to end.
-	lastWrite = 300 * time.Millisecond
+	// countTTL is how long unwritten counts are kept: reports of older windows are skipped.
+	countTTL = 5 * time.Minute
+	// finalWriteTimeout bounds the write at shutdown. It must be below the time that roles have to end.
+	finalWriteTimeout = 300 * time.Millisecond
 )
 
 var countRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
 
-// Counter counts the requests that this process sees begin, and writes the counts.
+// Counter counts the requests that begin at this process and writes the counts to the log.
 type Counter struct {
 	log    eventlog.Log
 	source string
@@ -48,15 +45,15 @@
 	logger zerolog.Logger
 
 	mu sync.Mutex
-	// counts holds all counts of the windows that still may change, unwritten the
-	// windows whose newest counts are not in the log.
+	// counts holds the counts of the windows within countTTL, unwritten the windows whose
+	// newest counts are not in the log.
 	counts    map[usage.Window]usage.Counts
 	unwritten map[usage.Window]bool
 	added     chan struct{}
 }
 
-// NewCounter returns a counter of windows of the given span; zero when nothing is to be
-// counted. Source names the process start.
+// NewCounter returns a counter for windows of the given span; a zero span disables it.
+// source identifies the process start.
 func NewCounter(
 	log eventlog.Log, source string, span time.Duration, budget pacing.Budget, logger zerolog.Logger,
 ) *Counter {
@@ -67,7 +64,7 @@
 	}
 }
 
-// Began notes that a request of a tenant began to run.
+// Began counts a request of a tenant that began to run.
 func (c *Counter) Began(tenant string, at time.Time) {
 	if c.span <= 0 || tenant == "" {
 		return
@@ -86,7 +83,7 @@
 	}
 }
 
-// Run writes counts until ctx ends, and then what is left.
+// Run writes counts until ctx ends, and then once more.
 func (c *Counter) Run(ctx context.Context) error {
 	if c.span <= 0 {
 		return nil
@@ -100,43 +97,43 @@
 		}
 		retry.Sleep(ctx, c.budget.Stretch(countDelay, maxCountDelay))
 		for err := c.write(ctx); err != nil && ctx.Err() == nil; err = c.write(ctx) {
-			c.logger.Warn().Err(err).Int("windows", c.open()).Msg("counts of use not written")
+			c.logger.Warn().Err(err).Int("windows", c.unwrittenWindows()).Msg("counts of use not written")
 			retry.Sleep(ctx, delays.NextBackOff())
 		}
 		delays.Reset()
 	}
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWrite)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalWriteTimeout)
 	defer cancel()
 	if err := c.write(last); err != nil {
-		c.logger.Warn().Err(err).Int("windows", c.open()).Msg("counts of use not written")
+		c.logger.Warn().Err(err).Int("windows", c.unwrittenWindows()).Msg("counts of use not written")
 	}
 	return nil
 }
 
-func (c *Counter) open() int {
+func (c *Counter) unwrittenWindows() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.unwritten)
 }
 
-// write writes the counts of all windows that have changed in one call.
+// write writes the counts of all changed windows in one call.
 func (c *Counter) write(ctx context.Context) error {
-	records, windows, err := c.take()
+	records, windows, err := c.drain()
 	if err != nil || len(records) == 0 {
 		return err
 	}
 	if _, err := c.log.Append(ctx, countPartition, records); err != nil {
-		c.putBack(windows)
+		c.markUnwritten(windows)
 		return errors.Wrap(err, "append counts")
 	}
 	return nil
 }
 
-// take returns the records of what is not written yet, and counts it as written.
-func (c *Counter) take() ([][]byte, []usage.Window, error) {
+// drain returns the records of the unwritten windows and marks these as written.
+func (c *Counter) drain() ([][]byte, []usage.Window, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	oldest := usage.WindowOf(time.Now().Add(-countLife), c.span)
+	oldest := usage.WindowOf(time.Now().Add(-countTTL), c.span)
 	maps.DeleteFunc(c.counts, func(window usage.Window, _ usage.Counts) bool { return window < oldest })
 	maps.DeleteFunc(c.unwritten, func(window usage.Window, _ bool) bool { return window < oldest })
 	windows := slices.Sorted(maps.Keys(c.unwritten))
@@ -152,7 +149,7 @@
 	return records, windows, nil
 }
 
-func (c *Counter) putBack(windows []usage.Window) {
+func (c *Counter) markUnwritten(windows []usage.Window) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, window := range windows {
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -1,6 +1,6 @@
 // Package duties makes the calls to the platform that one node at a time may make: it
-// reports the tenants' use and orders engines. Both ride the leader's lease: the epoch is
-// the fencing token, and a call follows only after the log says that it may come.
+// reports the tenants' usage and orders engines. Both depend on the leader's lease: the epoch is
+// the fencing token, and each call needs a permit from the log.
 package duties
 
 import (
@@ -11,14 +11,14 @@
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 )
 
-// Holder says who makes a call.
+// Holder identifies the caller.
 type Holder struct {
 	// Node is the machine's name.
 	Node string
-	// Fence is the fencing token, which rises with each holder.
+	// Fence is the fencing token, which increases with each holder.
 	Fence int64
-	// MayLeave tells whether a call may still leave this node. It is asked right before
-	// its bytes do, in any goroutine; nil sets no limit.
+	// MayLeave reports whether the call may still be sent. It is called right before its
+	// first byte is written, from any goroutine; nil means no limit.
 	MayLeave func() bool
 }
 
@@ -27,15 +27,15 @@
 
 // The answers.
 const (
-	// Unanswered: the call may be carried out now, later or never.
+	// Unanswered: the call may take effect now, later or never.
 	Unanswered Answer = iota
-	// Done: the call has its effect.
+	// Done: the call took effect.
 	Done
-	// Conflict: a higher fencing token was seen, or there is nothing to be had.
+	// Conflict: the platform has seen a higher fencing token, or cannot satisfy the order.
 	Conflict
-	// NotDone: the call had no effect; another try may.
+	// NotDone: the call had no effect and may be retried.
 	NotDone
-	// Refused: the platform cannot read the call, another try is of no use.
+	// Refused: the platform rejected the call as invalid; a retry is useless.
 	Refused
 )
 
@@ -43,7 +43,7 @@
 	Unanswered: "unanswered", Done: "done", Conflict: "conflict", NotDone: "not_done", Refused: "refused",
 }
 
-// String returns the answer as it stands in logs.
+// String returns the answer as logged.
 func (a Answer) String() string { return answerNames[a] }
 
 // EngineOrder sets the number of a service's engines in a zone.
@@ -51,23 +51,23 @@
 	Service string
 	Zone    string
 	Count   int
-	// Preemptible engines cost less and may be taken away; they are counted apart.
+	// Preemptible engines cost less and may be reclaimed; they are counted separately.
 	Preemptible bool
 }
 
-// Platform takes the calls. An error tells why an answer is not Done.
+// Platform makes the calls. An error explains an answer other than Done.
 type Platform interface {
 	ReportUsage(ctx context.Context, holder Holder, window usage.Window, counts usage.Counts) (Answer, error)
 	OrderEngines(ctx context.Context, holder Holder, order EngineOrder) (Answer, error)
 }
 
-// caller makes calls under a term.
+// caller makes calls within a term.
 type caller struct {
 	term   lease.Term
 	holder Holder
 }
 
-// call makes a call about a subject if this node may, and returns NotDone if not.
+// call makes a call about a subject if this node holds a permit, and returns NotDone otherwise.
 func (c *caller) call(
 	ctx context.Context, subject string, call func(context.Context, Holder) (Answer, error),
 ) (Answer, error) {
--- a/internal/duties/fakes_test.go
+++ b/internal/duties/fakes_test.go
@@ -8,15 +8,14 @@
 	"github.com/corkpulley/corkpulley/internal/core/usage"
 )
 
-// fakePlatform takes calls as the users' platform does: it checks fencing tokens and
-// keeps what it took.
+// fakePlatform checks fencing tokens as the platform does and records accepted calls.
 type fakePlatform struct {
 	mu sync.Mutex
-	// answer is given in place of the platform's own, when set.
+	// answer overrides the platform's answer when set.
 	answer  func() (Answer, bool)
 	fence   map[string]int64
 	reports map[usage.Window]usage.Counts
-	// calls counts the reports that arrived, changed those whose window had another one.
+	// calls counts the received reports, changed those that differ from an earlier one of their window.
 	calls   int
 	changed int
 	orders  []EngineOrder
@@ -26,7 +25,7 @@
 	return &fakePlatform{fence: make(map[string]int64), reports: make(map[usage.Window]usage.Counts)}
 }
 
-// take checks a call; mu is held.
+// take checks a call. Must be called with mu held.
 func (p *fakePlatform) take(subject string, holder Holder) (Answer, bool) {
 	if p.answer != nil {
 		if answer, given := p.answer(); given {
--- a/internal/duties/history_test.go
+++ b/internal/duties/history_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestAWindowIsReportedOnceThoughTheLogForgot: the log has dropped its records when the next
-// holder begins, and a node that was out of reach writes what it had counted.
+// holder starts, and a node that was partitioned writes its old counts.
 func TestAWindowIsReportedOnceThoughTheLogForgot(t *testing.T) {
 	t.Parallel()
 	log, platform := memlog.New(), newFakePlatform()
--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	// usageSubject names the reports in announcements: all windows are one subject.
+	// usageSubject is the subject of the permits for reports of all windows.
 	usageSubject = "usage"
-	// settleShare is the part of the time until a report is due for which it waits
-	// for late counts; the rest is for a change of leaders or an outage.
+	// settleShare is the share of the time until a report is due in which late counts are
+	// awaited. The rest is left for a change of leaders or an outage.
 	settleShare = 0.5
-	// recoverTime is how long the reporter waits after the log was out of reach: the
-	// counts that nodes could not write come within their longest pause between tries.
+	// recoverTime is how long the reporter waits after a failure of the log. It must exceed the
+	// longest pause between two attempts of a Counter.
 	recoverTime = time.Second
-	// maxBacklog is the age beyond which a window is passed over: the log no longer
-	// holds its counts.
+	// maxBacklog is the age above which a window is skipped, since the log no longer holds
+	// its counts.
 	maxBacklog = 4 * time.Minute
-	// usagePause is the time between two tries.
-	usagePause = 150 * time.Millisecond
-	// conflictPause follows a conflict, which a holder of a valid lease does not meet;
-	// after maxConflicts this term reports no more.
+	// reportPause is the time between two steps.
+	reportPause = 150 * time.Millisecond
+	// conflictPause follows a conflict, which does not happen to the holder of a valid lease.
+	// After maxConflicts this term sends no more reports.
 	conflictPause  = 5 * time.Second
 	maxConflicts   = 2
 	usageReadLimit = 512 << 10
@@ -41,23 +41,22 @@
 	Platform Platform
 	Term     lease.Term
 	Holder   Holder
-	// Span is the length of a window, Late the time after its end by which its report
-	// is due.
+	// Span is the length of a window, Late the time after its end at which its report is due.
 	Span   time.Duration
 	Late   time.Duration
 	Logger zerolog.Logger
 }
 
-// Reporter reports the use of all tenants during one term of leading.
+// Reporter reports the usage of all tenants during one term of leadership.
 type Reporter struct {
 	options ReporterOptions
 	caller  caller
 	ledger  *usage.Ledger
-	// failedAt is when the log was last out of reach.
+	// failedAt is when the log last failed.
 	failedAt time.Time
-	// told is the newest window that the platform was told in this term.
-	told usage.Window
-	// conflicts counts the calls that met a higher fencing token.
+	// sent is the newest window that was reported to the platform in this term.
+	sent usage.Window
+	// conflicts counts the calls that were rejected for a higher fencing token.
 	conflicts int
 }
 
@@ -68,7 +67,7 @@
 	}
 }
 
-// Run reports windows as they come due, in their order, until ctx ends.
+// Run reports windows in order as they become due, until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	began := usage.WindowOf(time.Now(), r.options.Span)
 	for ctx.Err() == nil && r.conflicts < maxConflicts {
@@ -76,21 +75,21 @@
 			r.failedAt = time.Now()
 			r.options.Logger.Warn().Err(err).Int64("window", int64(r.ledger.Next(began))).Msg("use not reported yet")
 		}
-		retry.Sleep(ctx, usagePause)
+		retry.Sleep(ctx, reportPause)
 	}
 }
 
-// step tells what is decided and not told, and decides about the next window if that
-// is due.
+// step sends the newest decided report if it was not sent yet, and otherwise decides the
+// report of the next window if it is due.
 func (r *Reporter) step(ctx context.Context, began usage.Window) error {
 	if r.ledger.NextReport == 0 {
-		// Reports of earlier leaders come first.
+		// Reports of earlier leaders must be known first.
 		if err := r.readReports(ctx); err != nil {
 			return err
 		}
 	}
-	if newest, found := r.ledger.Newest(); found && newest.Window > r.told {
-		return r.tell(ctx, newest)
+	if newest, found := r.ledger.Newest(); found && newest.Window > r.sent {
+		return r.send(ctx, newest)
 	}
 	next := r.ledger.Next(began)
 	ready := next.End(r.options.Span).Add(time.Duration(settleShare * float64(r.options.Late)))
@@ -103,12 +102,12 @@
 	return r.decide(ctx, max(r.ledger.Next(began), r.oldest()))
 }
 
-// oldest is the first window whose counts the log still holds.
+// oldest returns the first window whose counts the log still holds.
 func (r *Reporter) oldest() usage.Window {
 	return usage.WindowOf(time.Now().Add(-maxBacklog), r.options.Span)
 }
 
-// decide writes the report of a window, unless another leader was first.
+// decide appends the report of a window, unless another leader has appended one.
 func (r *Reporter) decide(ctx context.Context, window usage.Window) error {
 	raw, err := msgpack.Marshal(r.ledger.Report(window))
 	if err != nil {
@@ -122,13 +121,13 @@
 	return r.readReports(ctx)
 }
 
-// tell sends a decided report until the platform has it.
-func (r *Reporter) tell(ctx context.Context, report usage.ReportRecord) error {
+// send sends a decided report to the platform.
+func (r *Reporter) send(ctx context.Context, report usage.ReportRecord) error {
 	answer, err := r.caller.call(ctx, usageSubject, func(ctx context.Context, holder Holder) (Answer, error) {
 		return r.options.Platform.ReportUsage(ctx, holder, report.Window, report.Counts)
 	})
 	if answer == NotDone && err == nil {
-		// Not this node's turn, or not yet.
+		// This node may not call now.
 		return nil
 	}
 	late := time.Since(report.Window.End(r.options.Span)) - r.options.Late
@@ -137,7 +136,7 @@
 		Int64("fence", r.caller.holder.Fence).Msg("use reported")
 	switch answer {
 	case Done, Refused:
-		r.told = report.Window
+		r.sent = report.Window
 	case Conflict:
 		r.conflicts++
 		retry.Sleep(ctx, conflictPause)
@@ -179,8 +178,8 @@
 	})
 }
 
-// readToEnd reads a partition from next on to where it ended at the call. The handler
-// moves next on by one for each record, lost to the first that the log still holds.
+// readToEnd reads a partition from next to its end. handle must advance next by one for each
+// record, lost must set it to the first offset that the log still holds.
 func readToEnd(
 	ctx context.Context, log eventlog.Log, partition eventlog.Partition, next *int64,
 	lost func(first int64), handle func(raw []byte) error,
--- a/internal/duties/reporter_test.go
+++ b/internal/duties/reporter_test.go
@@ -17,13 +17,13 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// span and due are short, so that tests need not wait for long.
+// span and due are short to keep the tests fast.
 const (
 	span = 400 * time.Millisecond
 	due  = 800 * time.Millisecond
 )
 
-// start runs something until the test ends or the returned function is called.
+// start runs a function until the test ends or the returned function is called.
 func start(t *testing.T, run func(ctx context.Context)) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -96,8 +96,7 @@
 	assert.DeepEqual(t, awaitReport(t, platform, usage.WindowOf(now, span)), usage.Counts{"a": 1})
 }
 
-// TestCountsOutliveLostAnswersAndOutages: what is written twice counts once.
-// silentLog never answers.
+// silentLog never answers appends.
 type silentLog struct{ *memlog.Log }
 
 func (silentLog) Append(ctx context.Context, _ eventlog.Partition, _ [][]byte) (int64, error) {
@@ -105,7 +104,7 @@
 	return 0, ctx.Err()
 }
 
-// TestANodeThatStopsDoesNotWaitForASilentLog: its roles have 350 ms at least to end.
+// TestANodeThatStopsDoesNotWaitForASilentLog: roles may have only 350 ms to end.
 func TestANodeThatStopsDoesNotWaitForASilentLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		counter := NewCounter(silentLog{memlog.New()}, "one", span, pacing.Budget{}, zerolog.Nop())
@@ -124,6 +123,7 @@
 	})
 }
 
+// TestCountsOutliveLostAnswersAndOutages: records that are written twice count once.
 func TestCountsOutliveLostAnswersAndOutages(t *testing.T) {
 	t.Parallel()
 	for name, fault := range map[string]memlog.Fault{
@@ -139,7 +139,7 @@
 				return memlog.None
 			})
 			counter, _ := counting(t, log, "one")
-			// The window is decided about once the faults are over.
+			// The report is decided once the faults are over.
 			now := time.Now().Add(due)
 			counter.Began("a", now)
 			reporting(t, log, platform, &leaseterm.Term{}, 1)
@@ -154,8 +154,8 @@
 	}
 }
 
-// TestANewHolderRepeatsTheReportExactly: the one before decided, and its call has no
-// answer. Counts that come later change nothing.
+// TestANewHolderRepeatsTheReportExactly: the previous holder has decided the report, and its call
+// got no answer. Later counts must not change the report.
 func TestANewHolderRepeatsTheReportExactly(t *testing.T) {
 	t.Parallel()
 	log, platform := memlog.New(), newFakePlatform()
@@ -184,7 +184,7 @@
 	assert.DeepEqual(t, platform.reports[window], usage.Counts{"a": 1})
 }
 
-// TestTwoLeadersDecideOnce: both believe that they lead, and count what they have read.
+// TestTwoLeadersDecideOnce: both believe that they lead and have read different counts.
 func TestTwoLeadersDecideOnce(t *testing.T) {
 	t.Parallel()
 	log, platform := memlog.New(), newFakePlatform()
@@ -205,7 +205,7 @@
 	assert.Equal(t, platform.changed, 0, "two reports of a window")
 }
 
-// TestAHolderThatWasRefusedDoesNotHurry: nor does one whose term is over call at all.
+// TestAHolderThatWasRefusedDoesNotHurry: a holder whose term is over does not call at all.
 func TestAHolderThatWasRefusedDoesNotHurry(t *testing.T) {
 	t.Parallel()
 	log, platform, term := memlog.New(), newFakePlatform(), &leaseterm.Term{}
@@ -224,7 +224,7 @@
 	assert.Equal(t, len(platform.reports), 0)
 }
 
-// TestAHolderThatWasRefusedTwiceReportsNoMore: in this term, whatever is decided after.
+// TestAHolderThatWasRefusedTwiceReportsNoMore: it sends no more reports in this term.
 func TestAHolderThatWasRefusedTwiceReportsNoMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, platform := memlog.New(), newFakePlatform()
@@ -251,7 +251,7 @@
 	assert.Assert(t, time.Now().After(quietUntil))
 }
 
-// TestWhereNothingIsReportedNothingIsCounted: also at the end of the process.
+// TestWhereNothingIsReportedNothingIsCounted: not at shutdown either.
 func TestWhereNothingIsReportedNothingIsCounted(t *testing.T) {
 	t.Parallel()
 	log := memlog.New()
--- a/internal/duties/scaler.go
+++ b/internal/duties/scaler.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// scalePeriod is the time between two looks at what services need.
+	// scalePeriod is the interval between two evaluations of the services.
 	scalePeriod = 300 * time.Millisecond
-	// orderSlack is how long, beyond its start, an engine may take to be listed. An
-	// order that has not brought its engines by then is given again.
+	// orderSlack is how long an engine may take to be listed beyond its boot time. An order
+	// whose engines are missing by then is repeated.
 	orderSlack = 3 * time.Second
-	// soldOutPause follows an order for which there was nothing to be had.
+	// soldOutPause follows an order that the platform could not satisfy.
 	soldOutPause = 2 * time.Second
 )
 
@@ -27,10 +27,10 @@
 type ScaledService struct {
 	Name   string
 	Bounds scaling.Bounds
-	// BootTime is how long a new engine takes to begin to serve.
+	// BootTime is how long a new engine takes until it serves.
 	BootTime time.Duration
 	Demand   scaling.Demand
-	// Engines is the number of engines in each zone, those that leave not counted.
+	// Engines is the number of engines in each zone, excluding those that leave.
 	Engines map[string]int
 }
 
@@ -39,29 +39,29 @@
 	Platform Platform
 	Term     lease.Term
 	Holder   Holder
-	// Services returns the services and what is asked of them now.
+	// Services returns the services with their current demand.
 	Services func() []ScaledService
 	Logger   zerolog.Logger
 }
 
-// Scaler orders engines during one term of leading.
+// Scaler orders engines during one term of leadership.
 type Scaler struct {
 	options  ScalerOptions
 	caller   caller
 	planners map[string]*scaling.Planner
-	orders   map[subject]*standing
+	orders   map[subject]*lastOrder
 }
 
 // subject is a service in a zone.
 type subject struct{ service, zone string }
 
-// String is the subject's name in announcements.
+// String returns the subject of permits.
 func (s subject) String() string { return "scale/" + s.service + "/" + s.zone }
 
-// standing is the last order about a subject in this term.
-type standing struct {
+// lastOrder is the last order for a subject in this term.
+type lastOrder struct {
 	count int
-	// repeatAt is when the order is given again if its engines are not there.
+	// repeatAt is when the order is repeated if its engines are missing.
 	repeatAt time.Time
 }
 
@@ -69,7 +69,7 @@
 func NewScaler(options ScalerOptions) *Scaler {
 	return &Scaler{
 		options: options, caller: caller{term: options.Term, holder: options.Holder},
-		planners: make(map[string]*scaling.Planner), orders: make(map[subject]*standing),
+		planners: make(map[string]*scaling.Planner), orders: make(map[subject]*lastOrder),
 	}
 }
 
@@ -82,7 +82,7 @@
 	}
 }
 
-// scale orders what a service lacks.
+// scale orders the missing engines of a service.
 func (s *Scaler) scale(ctx context.Context, service ScaledService) {
 	planner, known := s.planners[service.Name]
 	if !known {
@@ -97,7 +97,7 @@
 	}
 }
 
-// order gives the order about one zone, if it is due.
+// order sends the order for one zone if it is due.
 func (s *Scaler) order(ctx context.Context, service ScaledService, zone string, count int) {
 	about := subject{service.Name, zone}
 	last, ordered := s.orders[about]
@@ -113,7 +113,7 @@
 		return s.options.Platform.OrderEngines(ctx, holder, order)
 	})
 	if answer == NotDone && err == nil {
-		// Not this node's turn, or not yet.
+		// This node may not call now.
 		return
 	}
 	s.options.Logger.Info().Err(err).Str("service", service.Name).Str("zone_ordered", zone).Int("count", count).
@@ -123,5 +123,5 @@
 	if answer == Done || answer == Unanswered {
 		pause = service.BootTime + orderSlack
 	}
-	s.orders[about] = &standing{count: count, repeatAt: time.Now().Add(pause)}
+	s.orders[about] = &lastOrder{count: count, repeatAt: time.Now().Add(pause)}
 }
--- a/internal/duties/scaler_test.go
+++ b/internal/duties/scaler_test.go
@@ -69,7 +69,7 @@
 	assert.DeepEqual(t, platform.ordered()[0], EngineOrder{Service: "s", Zone: "b", Count: 3})
 }
 
-// TestWhereNothingIsToBeHadTheOrderComesAgain: after a pause.
+// TestWhereNothingIsToBeHadTheOrderComesAgain: the order is repeated after a pause.
 func TestWhereNothingIsToBeHadTheOrderComesAgain(t *testing.T) {
 	t.Parallel()
 	platform := newFakePlatform()
@@ -92,7 +92,7 @@
 	assert.Equal(t, len(term.Permitted()), 0)
 }
 
-// TestNothingIsOrderedInAnEvacuatedZone: its engines are lost meanwhile, and their places ordered elsewhere.
+// TestNothingIsOrderedInAnEvacuatedZone: its engines are lost meanwhile, and replacements are ordered elsewhere.
 func TestNothingIsOrderedInAnEvacuatedZone(t *testing.T) {
 	t.Parallel()
 	platform := newFakePlatform()
