Describe the usage ledger in the terms of records and reports

Considered for lost reports and not built, formerly a comment: a copy of the newest window under a key of a compacted topic, which would skip no window, for one more write before each report and care for copies that land late.

--- a/internal/core/usage/usage.go
+++ b/internal/core/usage/usage.go
@@ -1,11 +1,11 @@
-// Package usage decides what is reported of the tenants' use: per window of time, how
-// many requests of each tenant began to run. Nodes write what they counted into the
-// log; the leader adds it up, writes the report there, and only then tells it. It has
-// no input, output or clock.
+// Package usage determines the reports of the tenants' usage: the number of requests of
+// each tenant that began to run, by time window. Nodes write their counts to the log; the
+// leader aggregates them, appends the report to the log, and only then sends it. The package
+// has no input, output or clock.
 //
-// Invariants: the first report of a window that stands in the log is the only one that
-// is ever told; a node's later counts of a window take the place of its earlier ones,
-// so a record that is written twice counts once.
+// Invariants: the first report of a window in the log is the only one that is ever sent;
+// later counts of a process for a window replace its earlier ones, so a record that is
+// written twice counts once.
 package usage
 
 import (
@@ -13,19 +13,19 @@
 	"time"
 )
 
-// Window numbers a span of time: window k begins k spans after the start of 1970.
+// Window is the number of a time window: window k begins k spans after the Unix epoch.
 type Window int64
 
-// WindowOf returns the window that a moment lies in.
+// WindowOf returns the window that contains a moment.
 func WindowOf(at time.Time, span time.Duration) Window { return Window(at.UnixNano() / int64(span)) }
 
-// End is the moment at which the window ends.
+// End returns the end of the window.
 func (w Window) End(span time.Duration) time.Time { return time.Unix(0, int64(w+1)*int64(span)) }
 
 // Counts is the number of requests of each tenant.
 type Counts map[string]int64
 
-// Sum is the number of requests of all tenants.
+// Sum returns the number of requests of all tenants.
 func (c Counts) Sum() int64 {
 	var sum int64
 	for count := range maps.Values(c) {
@@ -34,9 +34,9 @@
 	return sum
 }
 
-// CountRecord is what one process has counted in a window so far, encoded as msgpack.
+// CountRecord is the count of one process for a window so far, encoded as msgpack.
 type CountRecord struct {
-	// Source names the process start.
+	// Source identifies the process start.
 	Source string `msgpack:"s"`
 	Window Window `msgpack:"w"`
 	Counts Counts `msgpack:"c"`
@@ -46,25 +46,25 @@
 type ReportRecord struct {
 	Window Window `msgpack:"w"`
 	Counts Counts `msgpack:"c"`
-	// CountsFrom is the offset before which no count of a later window stands.
+	// CountsFrom is an offset before which there are no counts of later windows.
 	CountsFrom int64 `msgpack:"f"`
 }
 
-// window is what is known of the counts of a window.
+// window holds the known counts of a window.
 type window struct {
 	// first is the offset of its first count.
 	first    int64
 	bySource map[string]Counts
 }
 
-// take takes a count; a smaller one is older.
-func (w *window) take(record CountRecord) {
+// apply applies a count; of two counts of a source the smaller one is older.
+func (w *window) apply(record CountRecord) {
 	if record.Counts.Sum() > w.bySource[record.Source].Sum() {
 		w.bySource[record.Source] = record.Counts
 	}
 }
 
-// sum adds up the counts of all processes.
+// sum returns the counts of all processes by tenant.
 func (w *window) sum() Counts {
 	sum := make(Counts)
 	for counts := range maps.Values(w.bySource) {
@@ -75,28 +75,28 @@
 	return sum
 }
 
-// beyond is how many requests of the counts a report lacks.
-func (c Counts) beyond(reported Counts) int64 {
-	var lacking int64
+// missingIn returns the number of requests that a report lacks.
+func (c Counts) missingIn(reported Counts) int64 {
+	var missing int64
 	for tenant, count := range c {
-		lacking += max(0, count-reported[tenant])
+		missing += max(0, count-reported[tenant])
 	}
-	return lacking
+	return missing
 }
 
-// Ledger is what a reader of the records knows.
+// Ledger is the state of a reader of the records.
 type Ledger struct {
-	// NextCount and NextReport are the offsets to read from.
+	// NextCount and NextReport are the next offsets to read.
 	NextCount  int64
 	NextReport int64
 	windows    map[Window]*window
-	// newest is the newest report, nil before the first; reported holds what was read of
-	// the counts of its window, and missing how many of them were told as too late.
+	// newest is the newest report, nil before the first; reported holds the counts of its
+	// window that were read, and late how many of them were returned as too late.
 	newest   *ReportRecord
 	reported *window
-	missing  int64
-	// unreported is a window that was surely not reported when reports were lost, as long as
-	// none was read since; zero otherwise.
+	late     int64
+	// unreported is a window that was certainly unreported when reports were lost, until another
+	// report is read; zero otherwise.
 	unreported Window
 }
 
@@ -105,9 +105,9 @@
 	return &Ledger{windows: make(map[Window]*window)}
 }
 
-// ApplyCount takes the count at the offset NextCount. It returns how many requests more are
-// known to have come too late for the report of their window. Of windows before the
-// newest that was reported nothing is known any more.
+// ApplyCount applies the count at the offset NextCount. It returns how many further requests
+// are found to be too late for the report of their window; zero for windows before the
+// newest reported one, which are no longer tracked.
 func (l *Ledger) ApplyCount(record CountRecord) int64 {
 	offset := l.NextCount
 	l.NextCount++
@@ -119,31 +119,31 @@
 		known = &window{first: offset, bySource: make(map[string]Counts)}
 		l.windows[record.Window] = known
 	}
-	known.take(record)
+	known.apply(record)
 	return 0
 }
 
-// applyLate takes a count of a window that was reported. The report may hold it: processes
-// write their whole count again, and a new leader reads what the one before has read.
+// applyLate applies a count of a reported window. The report may contain it already: processes
+// repeat their full count, and a new leader reads counts that its predecessor has read.
 func (l *Ledger) applyLate(record CountRecord) int64 {
 	if record.Window != l.newest.Window {
 		return 0
 	}
-	l.reported.take(record)
-	before := l.missing
-	l.missing = max(before, l.reported.sum().beyond(l.newest.Counts))
-	return l.missing - before
+	l.reported.apply(record)
+	before := l.late
+	l.late = max(before, l.reported.sum().missingIn(l.newest.Counts))
+	return l.late - before
 }
 
-// ApplyReport takes the report at the offset NextReport.
+// ApplyReport applies the report at the offset NextReport.
 func (l *Ledger) ApplyReport(record ReportRecord) {
 	l.NextReport++
-	// Reports are written in the order of their windows: none that was lost is of a later one.
+	// Reports are appended in the order of their windows, so the lost ones are of earlier windows.
 	l.unreported = 0
 	if l.isOver(record.Window) {
 		return
 	}
-	l.newest, l.missing = &record, 0
+	l.newest, l.late = &record, 0
 	l.reported = l.windows[record.Window]
 	if l.reported == nil {
 		l.reported = &window{bySource: make(map[string]Counts)}
@@ -152,22 +152,20 @@
 	l.NextCount = max(l.NextCount, record.CountsFrom)
 }
 
-// LoseReports passes over reports that the log no longer holds, up to the offset of the first that
-// it does. Which windows they were of is not known, so that those before the given one, which
-// nobody can have reported yet, are left out unless a report behind tells more: the platform does
-// without a report, but two of a window that differ break the promise. A copy of the newest window
-// under a key of a compacted topic would leave none out, for one more write before each report and
-// care for copies that land late; the log holds reports for longer than windows are made up for.
+// LoseReports skips reports that the log has dropped, up to the first offset that it holds. Their
+// windows are unknown. unreported is a window that no node can have reported yet; windows before it
+// are skipped until a later report is read, since a missing report is tolerable and two different
+// reports of a window are not.
 func (l *Ledger) LoseReports(first int64, unreported Window) {
 	l.NextReport = max(l.NextReport+1, first)
 	l.unreported = unreported
 }
 
-// isOver tells whether the window's report stands in the log, or one of a later window:
-// reports are written in the order of their windows.
+// isOver reports whether a report of the window or of a later one was read. Reports are
+// appended in the order of their windows.
 func (l *Ledger) isOver(each Window) bool { return l.newest != nil && each <= l.newest.Window }
 
-// Newest returns the newest report; false when there is none.
+// Newest returns the newest report, if any.
 func (l *Ledger) Newest() (ReportRecord, bool) {
 	if l.newest == nil {
 		return ReportRecord{}, false
@@ -175,9 +173,9 @@
 	return *l.newest, true
 }
 
-// Next is the window to report next: the one after the newest that was reported, or
-// else the earlier one of the first with a count and the given one. None is returned that
-// a lost report may have been of.
+// Next returns the next window to report: the one after the newest reported one, or without
+// any the earlier of the first window with a count and the given one. Windows that a lost
+// report may cover are skipped.
 func (l *Ledger) Next(otherwise Window) Window {
 	if l.newest != nil {
 		return max(l.newest.Window+1, l.unreported)
@@ -189,7 +187,7 @@
 	return max(next, l.unreported)
 }
 
-// Report returns the report of a window as far as counts were read.
+// Report returns the report of a window from the counts read so far.
 func (l *Ledger) Report(of Window) ReportRecord {
 	report := ReportRecord{Window: of, Counts: make(Counts), CountsFrom: l.NextCount}
 	if known, found := l.windows[of]; found {
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -45,8 +45,8 @@
 	assert.Equal(t, ledger.NextReport, int64(2))
 }
 
-// TestAReaderThatStartsAtTheNewestReportComesToTheSameReports: it passes over all
-// counts before CountsFrom.
+// TestAReaderThatStartsAtTheNewestReportComesToTheSameReports: it skips all counts
+// before CountsFrom.
 func TestAReaderThatStartsAtTheNewestReportComesToTheSameReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		window := rapid.Int64Range(1, 4)
@@ -78,8 +78,8 @@
 	})
 }
 
-// TestOnlyWhatAReportLacksCameTooLate: a process writes its whole count again, and a new
-// leader reads counts that the report of the leader before holds.
+// TestOnlyWhatAReportLacksCameTooLate: processes repeat their full count, and a new leader
+// reads counts that its predecessor's report contains.
 func TestOnlyWhatAReportLacksCameTooLate(t *testing.T) {
 	ledger := NewLedger()
 	ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 3}})
@@ -94,8 +94,8 @@
 	assert.Equal(t, next.ApplyCount(CountRecord{"a", 7, Counts{"x": 3}}), int64(0), "the report holds it")
 }
 
-// TestNoWindowOfALostReportIsNext: until a report behind the lost ones is read, which is of a later
-// window than all of them.
+// TestNoWindowOfALostReportIsNext: until a report after the lost ones is read, whose window is
+// later than all of theirs.
 func TestNoWindowOfALostReportIsNext(t *testing.T) {
 	ledger := NewLedger()
 	ledger.ApplyCount(CountRecord{"a", 7, Counts{"x": 1}})
