--- a/internal/core/scaling/scaling_test.go
+++ b/internal/core/scaling/scaling_test.go
@@ -9,8 +9,8 @@
 
 var (
 	now = time.Unix(1000, 0)
-	// settled is when a planner that was told at now believes it.
-	settled = now.Add(blindTime)
+	// settled is when a planner acts on an observation at now.
+	settled = now.Add(unseenPeriod)
 	bounds  = Bounds{Min: 1, Max: 30, Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25}}
 )
 
@@ -26,8 +26,8 @@
 	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 15, "b": 15, "c": 15})
 }
 
-// TestNothingIsOrderedWhileEnginesAreStillHeardOf: an order for those that a new leader
-// has heard of would have the others taken away.
+// TestNothingIsOrderedWhileEnginesAreStillHeardOf: an order for the engines that a new leader
+// knows so far would remove the others.
 func TestNothingIsOrderedWhileEnginesAreStillHeardOf(t *testing.T) {
 	planner := observed(500, nil)
 	assert.Equal(t, len(planner.Wanted(now.Add(settleTime), bounds, 8)), 0)
@@ -42,7 +42,7 @@
 
 func TestZonesAreFilledEvenlyTheCheapestFirst(t *testing.T) {
 	planner := observed(200, map[string]int{"a": 2, "b": 2, "c": 9})
-	// 200 items on 8 places with 15 % more are 29 engines.
+	// 200 items with 15 % headroom on 8 slots need 29 engines.
 	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 10, "b": 10, "c": 9})
 	planner = observed(202, map[string]int{"a": 2, "b": 2, "c": 9})
 	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 10, "b": 10, "c": 10})
@@ -67,9 +67,9 @@
 
 func TestAPeakCountsForAWhile(t *testing.T) {
 	planner := observed(400, nil)
-	planner.Observe(now.Add(memory/2), Demand{Items: 10, Slots: 8}, nil)
-	assert.DeepEqual(t, planner.Wanted(now.Add(memory/2), bounds, 8), map[string]int{"a": 19, "b": 20, "c": 19})
-	after := now.Add(memory + time.Second)
+	planner.Observe(now.Add(peakPeriod/2), Demand{Items: 10, Slots: 8}, nil)
+	assert.DeepEqual(t, planner.Wanted(now.Add(peakPeriod/2), bounds, 8), map[string]int{"a": 19, "b": 20, "c": 19})
+	after := now.Add(peakPeriod + time.Second)
 	planner.Observe(after, Demand{Items: 0, Slots: 8}, nil)
 	assert.DeepEqual(t, planner.Wanted(after, bounds, 8), map[string]int{"a": 1, "b": 1, "c": 1})
 }
@@ -84,8 +84,8 @@
 	return changed
 }
 
-// TestPlacesOfAnEvacuatedZoneAreAskedForInTheOthers: nothing is asked for in the zone itself, also where
-// its engines are lost meanwhile, and once asked for the engines are not asked for again while they start.
+// TestPlacesOfAnEvacuatedZoneAreAskedForInTheOthers: nothing is requested in the zone itself, even if its
+// engines are lost meanwhile, and substitutes are not requested again while they start.
 func TestPlacesOfAnEvacuatedZoneAreAskedForInTheOthers(t *testing.T) {
 	planner := observed(0, map[string]int{"a": 4, "b": 4, "c": 4})
 	for range 3 {
@@ -95,12 +95,12 @@
 	assert.DeepEqual(t, planner.Wanted(settled, evacuating("a"), 8), map[string]int{"b": 6, "c": 6})
 }
 
-// TestAZoneThatReturnsTakesNothingBack: the engines that stood in stay, and the next evacuation needs
-// fewer of them.
+// TestAZoneThatReturnsTakesNothingBack: the substitutes stay, and the next evacuation needs fewer of
+// them.
 func TestAZoneThatReturnsTakesNothingBack(t *testing.T) {
 	planner := observed(0, map[string]int{"a": 4, "b": 4, "c": 4})
 	planner.Wanted(settled, evacuating("a"), 8)
-	// They have not started yet: nothing is asked for, and nothing is taken back.
+	// The substitutes have not started yet: nothing is requested and nothing removed.
 	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 4})
 	planner.Observe(settled, Demand{}, map[string]int{"a": 4, "b": 6, "c": 6})
 	later := settled.Add(settleTime)
@@ -109,16 +109,16 @@
 	assert.DeepEqual(t, planner.Wanted(later, evacuating("b"), 8), map[string]int{"a": 6, "c": 6})
 }
 
-// TestEvacuationsThatOverlapStayWithinBounds: the zone that is left is filled, and with no zone left
-// nothing is asked for.
+// TestEvacuationsThatOverlapStayWithinBounds: the remaining zone is filled, and without one nothing is
+// requested.
 func TestEvacuationsThatOverlapStayWithinBounds(t *testing.T) {
 	planner := observed(0, map[string]int{"a": 12, "b": 12, "c": 12})
 	assert.DeepEqual(t, planner.Wanted(settled, evacuating("a", "b"), 8), map[string]int{"c": 30})
 	assert.DeepEqual(t, planner.Wanted(settled, evacuating("a", "b", "c"), 8), map[string]int{})
 }
 
-// TestABoundBelowWhatStandsTakesNothingAway: neither engines that are there nor those asked for in place of
-// others. A zone beyond its bound is asked for nothing.
+// TestABoundBelowWhatStandsTakesNothingAway: neither present engines nor substitutes are removed, and
+// nothing is requested in a zone above its bound.
 func TestABoundBelowWhatStandsTakesNothingAway(t *testing.T) {
 	lowered := func(most int, zones ...string) Bounds {
 		changed := evacuating(zones...)
@@ -133,8 +133,8 @@
 	assert.DeepEqual(t, planner.Wanted(settled, lowered(5), 8), map[string]int{"a": 4})
 }
 
-// TestOnlyThePlacesOfEvacuatedZonesAreAskedForElsewhere: not those of a zone that is not evacuated and in
-// which none can be ordered.
+// TestOnlyThePlacesOfEvacuatedZonesAreAskedForElsewhere: not those of a zone that is not evacuated but
+// offers no engines.
 func TestOnlyThePlacesOfEvacuatedZonesAreAskedForElsewhere(t *testing.T) {
 	planner := observed(0, map[string]int{"a": 4, "b": 4, "unpriced": 6})
 	assert.DeepEqual(t, planner.Wanted(settled, evacuating("nowhere"), 8), map[string]int{"a": 4, "b": 4, "c": 1})
@@ -143,12 +143,12 @@
 	assert.DeepEqual(t, planner.Wanted(settled, evacuating("unpriced"), 8), map[string]int{"a": 5, "b": 5, "c": 4})
 }
 
-// TestDemandAsksAgainForPlacesThatWereNotToBeHad: the order in place of the evacuated zone was refused, and
-// the demand that comes after its return must not count on it.
+// TestDemandAsksAgainForPlacesThatWereNotToBeHad: the order for substitutes was refused, and the demand
+// after the zone's return must not rely on them.
 func TestDemandAsksAgainForPlacesThatWereNotToBeHad(t *testing.T) {
 	planner := observed(0, map[string]int{"a": 4, "b": 4, "c": 4})
 	planner.Wanted(settled, evacuating("a"), 8)
-	// 97 items on 8 places with 15 % more are 14 engines.
+	// 97 items with 15 % headroom on 8 slots need 14 engines.
 	planner.Observe(settled, Demand{Items: 97, Slots: 8}, map[string]int{"a": 4, "b": 4, "c": 4})
 	assert.DeepEqual(t, planner.Wanted(settled, bounds, 8), map[string]int{"a": 5, "b": 6})
 }
