--- a/internal/core/peak/peak.go
+++ b/internal/core/peak/peak.go
@@ -1,4 +1,4 @@
-// Package peak keeps the largest value of a span of time. It has no input, output or clock.
+// Package peak tracks the maximum over a sliding time window. It has no input, output or clock.
 package peak
 
 import (
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Window keeps the largest of the values observed within a span of time. The zero value has observed none.
+// Window tracks the maximum of the values observed within a time span. The zero value has observed none.
 //
-// Invariant: the values fall from the oldest to the newest, since one that is followed by a larger one never
-// counts again.
+// Invariant: values are strictly decreasing from the oldest to the newest, since a value that is followed by
+// a larger one can never be the maximum again.
 type Window struct {
 	values []value
 }
@@ -19,7 +19,7 @@
 	value int
 }
 
-// Observe takes the value at a moment; those observed longer ago than the span are dropped.
+// Observe adds a value and drops those older than the span.
 func (w *Window) Observe(now time.Time, observed int, span time.Duration) {
 	w.values = slices.DeleteFunc(w.values, func(each value) bool {
 		return each.value <= observed || now.Sub(each.at) > span
@@ -27,7 +27,7 @@
 	w.values = append(w.values, value{at: now, value: observed})
 }
 
-// Most returns the largest value of the span that ended with the newest one; zero when there was none.
+// Most returns the maximum over the span before the newest observation; zero without observations.
 func (w *Window) Most() int {
 	if len(w.values) == 0 {
 		return 0
