Describe permits for cold engines as requests and terms

question and answer become permitRequest and permitResponse (the msgpack tags stay), a time of leading a term.

--- a/internal/coldpermits/asker.go
+++ b/internal/coldpermits/asker.go
@@ -16,54 +16,54 @@
 )
 
 const (
-	// askTimeout bounds a question: an answer that comes later leaves no time to use the permit.
+	// askTimeout bounds a request. A later response would leave no time to use the permit.
 	askTimeout = slowstart.PermitLife - 50*time.Millisecond
-	// askAtOnce bounds the questions of this node that are under way.
-	askAtOnce = 16
-	// unansweredPause is how long nothing more is asked for a service after a question that was not
-	// answered.
+	// maxConcurrentAsks bounds the concurrent requests of this node.
+	maxConcurrentAsks = 16
+	// unansweredPause is how long requests for a service are suspended after one without a response.
 	unansweredPause = 500 * time.Millisecond
 )
 
-// Denial is why no cold engine may be sent a request now.
+// Denial is the reason why no permit was granted.
 type Denial struct {
 	Outcome Outcome
-	// Wait is the time after which another try may succeed.
+	// Wait is the time after which a retry may succeed.
 	Wait time.Duration
 }
 
 // Options are the parts that an asker works with.
 type Options struct {
 	Decider *Decider
-	// Cold tells whether an engine counts as cold.
+	// Cold reports whether an engine counts as cold.
 	Cold func(engine fleet.Engine) (fleet.Coldness, bool)
-	// Leader returns where the node that leads listens for other nodes; empty when it is not known.
+	// Leader returns the peer address of the leader; empty when unknown.
 	Leader func() string
 	Client *http.Client
 	Logger zerolog.Logger
-	// Observe is told how each question ended.
+	// Observe is called with the outcome of each request.
 	Observe func(outcome Outcome)
 }
 
-// Asker gets permits for the requests of this node. It is safe for concurrent use.
+// Asker requests permits for this node. It is safe for concurrent use.
 type Asker struct {
 	options Options
 	now     func() time.Time
-	places  chan struct{}
+	// slots is a semaphore of maxConcurrentAsks.
+	slots chan struct{}
 
 	mu sync.Mutex
-	// paused holds until when nothing is asked for a service.
+	// paused holds the end of each service's pause.
 	paused map[string]time.Time
 }
 
 // NewAsker returns an asker.
 func NewAsker(options Options) *Asker {
 	return &Asker{
-		options: options, now: boottime.Now, places: make(chan struct{}, askAtOnce), paused: make(map[string]time.Time),
+		options: options, now: boottime.Now, slots: make(chan struct{}, maxConcurrentAsks), paused: make(map[string]time.Time),
 	}
 }
 
-// Ask returns a permit for one of the engines of a service, the first ones rather than the last ones.
+// Ask returns a permit for one of the engines of a service, which are in order of preference.
 func (a *Asker) Ask(ctx context.Context, service string, engines []fleet.Engine) (Permit, Denial) {
 	permit, denial := a.ask(ctx, service, engines)
 	a.options.Observe(denial.Outcome)
@@ -79,8 +79,8 @@
 		return permit, a.pauseUnlessGranted(ctx, service, denial)
 	}
 	select {
-	case a.places <- struct{}{}:
-		defer func() { <-a.places }()
+	case a.slots <- struct{}{}:
+		defer func() { <-a.slots }()
 	default:
 		return Permit{}, Denial{Outcome: Withheld, Wait: unansweredPause}
 	}
@@ -88,7 +88,7 @@
 	return permit, a.pauseUnlessGranted(ctx, service, denial)
 }
 
-// decide is the question of the node that leads itself.
+// decide requests a permit from this node's own decider, since it leads.
 func (a *Asker) decide(engines []fleet.Engine) (Permit, Denial) {
 	denial := Denial{Outcome: Paced}
 	for _, each := range engines {
@@ -107,34 +107,35 @@
 	return Permit{}, denial
 }
 
-// askLeader asks the node that leads, once. The permit counts from before the question was sent, since
-// its grant may lie at any moment after that; one whose answer is lost is not used by anyone.
+// askLeader requests a permit from the leader, without retries. The permit's lifetime starts before the
+// request is sent, since it may be granted at any moment after that. A permit whose response is lost
+// stays unused.
 func (a *Asker) askLeader(ctx context.Context, service string, engines []fleet.Engine) (Permit, Denial) {
 	leader := a.options.Leader()
 	if leader == "" {
 		return Permit{}, Denial{Outcome: Unanswered, Wait: notLeadingWait}
 	}
-	asked := question{Service: service}
+	request := permitRequest{Service: service}
 	for _, each := range engines[:min(len(engines), MaxEngines)] {
-		asked.Engines = append(asked.Engines, engine{ID: each.ID, Born: each.Born})
+		request.Engines = append(request.Engines, engine{ID: each.ID, Born: each.Born})
 	}
 	began := a.now()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var answered answer
-	err := msgpackhttp.Ask(ctx, a.options.Client, "http://"+leader+Path, &asked, &answered, maxAnswerBytes)
+	var response permitResponse
+	err := msgpackhttp.Ask(ctx, a.options.Client, "http://"+leader+Path, &request, &response, maxResponseBytes)
 	if err != nil {
 		a.options.Logger.Info().Err(err).Str("leader", leader).Str("service", service).Int("engines", len(engines)).
 			Dur("took_ms", a.now().Sub(began)).Msg("permit for a cold engine not answered")
 		return Permit{}, Denial{Outcome: Unanswered, Wait: unansweredPause}
 	}
-	if answered.Outcome != Granted {
-		return Permit{}, Denial{Outcome: answered.Outcome, Wait: max(answered.Wait, time.Millisecond)}
+	if response.Outcome != Granted {
+		return Permit{}, Denial{Outcome: response.Outcome, Wait: max(response.Wait, time.Millisecond)}
 	}
-	return Permit{Engine: answered.Engine.incarnation(), until: began.Add(slowstart.PermitLife), now: a.now}, Denial{Outcome: Granted}
+	return Permit{Engine: response.Engine.incarnation(), until: began.Add(slowstart.PermitLife), now: a.now}, Denial{Outcome: Granted}
 }
 
-// isPaused tells whether a question was refused so recently that the next one would be as well.
+// isPaused reports whether requests for a service are suspended, and returns the denial for them.
 func (a *Asker) isPaused(service string) (Denial, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -150,8 +151,9 @@
 	return Denial{Outcome: Withheld, Wait: left}, true
 }
 
-// pauseUnlessGranted notes that nothing is to be asked for a service until the wait is over. The wait is
-// stretched by up to a half: all nodes are told the same moment, and the leader would be first each time.
+// pauseUnlessGranted suspends requests for a service until a denial's wait is over. The wait is
+// extended by a jitter of up to a half: otherwise all nodes would retry at the same moment, and the leader
+// would always be first.
 func (a *Asker) pauseUnlessGranted(ctx context.Context, service string, denial Denial) Denial {
 	if denial.Outcome == Granted || ctx.Err() != nil {
 		return denial
--- a/internal/coldpermits/coldpermits_test.go
+++ b/internal/coldpermits/coldpermits_test.go
@@ -22,7 +22,7 @@
 
 const rate = 7.9
 
-// handClock is moved by the test.
+// handClock is a clock that the test advances.
 type handClock struct {
 	mu  sync.Mutex
 	now time.Time
@@ -40,7 +40,7 @@
 	c.now = c.now.Add(by)
 }
 
-// lateAnswers lets requests through and holds their answers while it is told to.
+// lateAnswers is a transport that can delay responses and refuse requests.
 type lateAnswers struct {
 	mu     sync.Mutex
 	asked  int
@@ -75,7 +75,7 @@
 	return l.asked
 }
 
-// cluster is a node that leads, and others that ask it.
+// cluster is a leader and nodes that request permits from it.
 type cluster struct {
 	t       *testing.T
 	clock   *handClock
@@ -99,23 +99,23 @@
 	return c
 }
 
-// lead makes the cluster's node lead, with all that its earlier terms admitted behind it.
+// lead makes the cluster's node lead, after the pause that follows earlier terms.
 func (c *cluster) lead() (end func()) {
 	end = c.decider.Lead(func() bool { return true })
 	c.clock.move(slowstart.TakeoverPause)
 	return end
 }
 
-// asker is another node.
+// asker returns another node.
 func (c *cluster) asker() (*Asker, *lateAnswers) {
-	way := &lateAnswers{}
+	transport := &lateAnswers{}
 	asker := NewAsker(Options{
 		Decider: newDecider(c.clock), Leader: func() string { return strings.TrimPrefix(c.server.URL, "http://") },
-		Client: &http.Client{Transport: way}, Logger: zerolog.Nop(), Observe: func(Outcome) {},
+		Client: &http.Client{Transport: transport}, Logger: zerolog.Nop(), Observe: func(Outcome) {},
 		Cold: func(fleet.Engine) (fleet.Coldness, bool) { return fleet.Coldness{RatePerSecond: rate}, true },
 	})
 	asker.now = c.clock.read
-	return asker, way
+	return asker, transport
 }
 
 func cold(id string) fleet.Engine { return fleet.Engine{ID: id, Born: 7, Service: "s"} }
@@ -124,7 +124,7 @@
 	return asker.Ask(context.Background(), "s", engines)
 }
 
-// sendAll asks again and again for a time and returns when requests left.
+// sendAll requests permits repeatedly for a period and returns the times of the sent requests.
 func (c *cluster) sendAll(askers []*Asker, period time.Duration) []time.Time {
 	var left []time.Time
 	for until := c.clock.read().Add(period); c.clock.read().Before(until); c.clock.move(10 * time.Millisecond) {
@@ -149,7 +149,7 @@
 	return most
 }
 
-// TestAllNodesTogetherGetTheRate, the leader's items among them.
+// TestAllNodesTogetherGetTheRate includes the leader's own requests.
 func TestAllNodesTogetherGetTheRate(t *testing.T) {
 	c := newCluster(t)
 	defer c.lead()()
@@ -182,30 +182,30 @@
 	assert.Assert(t, denial.Wait > 0 && denial.Wait <= time.Second/7*3/2, "%s", denial.Wait)
 }
 
-// TestARefusedNodeAsksOnceUntilItMayComeAgain: callers do not make it ask for each of them.
+// TestARefusedNodeAsksOnceUntilItMayComeAgain: further callers cause no further requests.
 func TestARefusedNodeAsksOnceUntilItMayComeAgain(t *testing.T) {
 	c := newCluster(t)
 	defer c.lead()()
-	asker, way := c.asker()
+	asker, transport := c.asker()
 	for range slowstart.Burst + 1 {
 		ask(asker, cold("e"))
 	}
-	asked := way.count()
+	asked := transport.count()
 	_, first := ask(asker, cold("e"))
 	assert.Equal(t, first.Outcome, Withheld)
-	assert.Equal(t, way.count(), asked)
+	assert.Equal(t, transport.count(), asked)
 	c.clock.move(first.Wait)
 	_, denial := ask(asker, cold("e"))
 	assert.Equal(t, denial.Outcome, Granted, "whoever waits as told is admitted")
 }
 
-// TestANodeThatIsCutOffGetsNothing, and the others get the whole rate meanwhile.
+// TestANodeThatIsCutOffGetsNothing: the other nodes get the full rate meanwhile.
 func TestANodeThatIsCutOffGetsNothing(t *testing.T) {
 	c := newCluster(t)
 	defer c.lead()()
-	cut, way := c.asker()
+	cut, transport := c.asker()
 	other, _ := c.asker()
-	way.set(func(l *lateAnswers) { l.refuse = true })
+	transport.set(func(l *lateAnswers) { l.refuse = true })
 	assert.Equal(t, len(c.sendAll([]*Asker{cut}, 2*time.Second)), 0)
 	_, denial := ask(cut, cold("e"))
 	assert.Assert(t, denial.Outcome == Unanswered || denial.Outcome == Withheld)
@@ -213,13 +213,13 @@
 	assert.Assert(t, len(c.sendAll([]*Asker{cut, other}, 2*time.Second)) >= 2*7)
 }
 
-// TestAPermitWhoseAnswerIsLostIsUsedByNobody: its engine gets less, never more.
+// TestAPermitWhoseAnswerIsLostIsUsedByNobody: the engine gets fewer requests, never more.
 func TestAPermitWhoseAnswerIsLostIsUsedByNobody(t *testing.T) {
 	c := newCluster(t)
 	defer c.lead()()
-	asker, way := c.asker()
+	asker, transport := c.asker()
 	hold := make(chan struct{})
-	way.set(func(l *lateAnswers) { l.hold = hold })
+	transport.set(func(l *lateAnswers) { l.hold = hold })
 	done := make(chan Denial)
 	go func() {
 		permit, denial := ask(asker, cold("e"))
@@ -233,12 +233,12 @@
 	})
 	c.clock.move(slowstart.PermitLife)
 	close(hold)
-	// The answer comes, and its permit is over: it counts from when it was asked for.
+	// The permit of the late response has expired, since its lifetime starts with the request.
 	denial := <-done
 	assert.Assert(t, denial.Outcome != 99, "an old permit was open")
 }
 
-// TestASuspendedNodeThatWakesHoldsAnEndedPermit by the clock that goes on.
+// TestASuspendedNodeThatWakesHoldsAnEndedPermit: the clock advances during a suspension.
 func TestASuspendedNodeThatWakesHoldsAnEndedPermit(t *testing.T) {
 	c := newCluster(t)
 	defer c.lead()()
@@ -269,8 +269,8 @@
 	end()
 }
 
-// TestALeaderThatIsKilledWithPermitsOut: the ones that hold them use them as late as they may, and the
-// next leader admits all that it can from its first moment.
+// TestALeaderThatIsKilledWithPermitsOut: outstanding permits are used at the last moment, and the next
+// leader admits as much as it can from the start.
 func TestALeaderThatIsKilledWithPermitsOut(t *testing.T) {
 	c := newCluster(t)
 	c.lead()
@@ -287,7 +287,7 @@
 				out = append(out, permit)
 			}
 		}
-		// Each permit is used at the last moment at which it is open.
+		// Each permit is used at the last moment of its window.
 		out = slices.DeleteFunc(out, func(permit Permit) bool {
 			c.clock.move(10 * time.Millisecond)
 			last := !permit.Open()
@@ -322,21 +322,21 @@
 	assert.Equal(t, denial.Outcome, Unknown)
 }
 
-// TestOnlySoManyQuestionsAreUnderWay: the others are refused at once.
+// TestOnlySoManyQuestionsAreUnderWay: further ones are denied without a request.
 func TestOnlySoManyQuestionsAreUnderWay(t *testing.T) {
 	c := newCluster(t)
 	defer c.lead()()
-	asker, way := c.asker()
+	asker, transport := c.asker()
 	hold := make(chan struct{})
-	way.set(func(l *lateAnswers) { l.hold = hold })
+	transport.set(func(l *lateAnswers) { l.hold = hold })
 	var waiting sync.WaitGroup
-	for range askAtOnce {
+	for range maxConcurrentAsks {
 		waiting.Go(func() { ask(asker, cold("e")) })
 	}
-	testwait.Until(t, "all places are taken", func() bool { return way.count() == askAtOnce })
+	testwait.Until(t, "all places are taken", func() bool { return transport.count() == maxConcurrentAsks })
 	_, denial := ask(asker, cold("e"))
 	assert.Equal(t, denial.Outcome, Withheld)
-	assert.Equal(t, way.count(), askAtOnce)
+	assert.Equal(t, transport.count(), maxConcurrentAsks)
 	close(hold)
 	waiting.Wait()
 }
--- a/internal/coldpermits/decider.go
+++ b/internal/coldpermits/decider.go
@@ -1,5 +1,5 @@
-// Package coldpermits admits requests to engines that count as cold. The node that leads decides for
-// all senders: for its own requests and items at once, for those of other nodes by a message. See
+// Package coldpermits admits requests to engines that count as cold. The leader decides for all
+// senders: locally for its own requests and items, by a message for those of other nodes. See
 // docs/design/slow-start.md.
 package coldpermits
 
@@ -13,36 +13,36 @@
 	"github.com/corkpulley/corkpulley/internal/core/slowstart"
 )
 
-// Sender is who wants to send.
+// Sender is the kind of sender of a request.
 type Sender uint8
 
 // The senders.
 const (
-	// Items are those of batch jobs, which the leader runs.
+	// Items are items of batch jobs that the leader runs.
 	Items Sender = iota
-	// Requests are live ones of this node.
+	// Requests are live requests of this node.
 	Requests
-	// Peers are other nodes.
+	// Peers are requests and items of other nodes.
 	Peers
 )
 
 var senderNames = [...]string{Items: "items", Requests: "requests", Peers: "peers"}
 
-// String returns the sender as it stands in metrics.
+// String returns the sender's name in metrics.
 func (s Sender) String() string { return senderNames[s] }
 
-// Permit allows one request to one engine for a short time.
+// Permit allows one request to one engine within a short window.
 type Permit struct {
 	Engine incarnation.ID
-	// until is a time of the clock that goes on while the machine is suspended.
+	// until is a time of boottime, which advances while the machine is suspended.
 	until time.Time
-	// valid tells whether the node that gave the permit still leads, as far as it knows; nil where
-	// another node gave it. The next leader waits for those.
+	// valid reports whether this node, which granted the permit, still leads as far as it knows. It is
+	// nil for permits of another node; the next leader waits for these to expire.
 	valid func() bool
 	now   func() time.Time
 }
 
-// Open tells whether the request may leave now. It is asked right before the bytes do.
+// Open reports whether the request may be sent. It is checked right before the bytes are written.
 func (p Permit) Open() bool {
 	return p.now().Before(p.until) && (p.valid == nil || p.valid())
 }
@@ -50,28 +50,28 @@
 // Decider admits requests while its node leads. It is safe for concurrent use.
 type Decider struct {
 	now func() time.Time
-	// observe is told of each decision.
+	// observe is called after each decision.
 	observe func(sender Sender, outcome Outcome)
 
 	mu sync.Mutex
 	// current is nil while the node does not lead.
-	current *leading
+	current *term
 }
 
-// leading is one time of leading.
-type leading struct {
+// term is one term of leadership.
+type term struct {
 	pacer *slowstart.Pacer
 	valid func() bool
 }
 
-// NewDecider returns a decider of a node that does not lead yet.
+// NewDecider returns a decider of a node that does not lead.
 func NewDecider(observe func(sender Sender, outcome Outcome)) *Decider {
 	return &Decider{now: boottime.Now, observe: observe}
 }
 
-// Lead begins a time of leading, for as long as valid says, and returns what ends it.
+// Lead begins a term, which lasts while valid reports true, and returns a function that ends it.
 func (d *Decider) Lead(valid func() bool) (end func()) {
-	began := &leading{pacer: slowstart.New(d.now()), valid: valid}
+	began := &term{pacer: slowstart.New(d.now()), valid: valid}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.current = began
@@ -84,8 +84,8 @@
 	}
 }
 
-// leads returns the time of leading, if it is one.
-func (d *Decider) leads() (*leading, bool) {
+// currentTerm returns the term, if this node leads.
+func (d *Decider) currentTerm() (*term, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current == nil || !d.current.valid() {
@@ -94,49 +94,49 @@
 	return d.current, true
 }
 
-// Leads tells whether this node decides.
+// Leads reports whether this node decides.
 func (d *Decider) Leads() bool {
-	_, leads := d.leads()
+	_, leads := d.currentTerm()
 	return leads
 }
 
-// Admit admits one request to a cold engine. Where it does not, wait is the time after which another
-// try may succeed.
+// Admit admits one request to a cold engine. Otherwise wait is the time after which a retry may
+// succeed.
 func (d *Decider) Admit(sender Sender, to incarnation.ID, cold fleet.Coldness) (permit Permit, wait time.Duration, outcome Outcome) {
 	defer func() { d.observe(sender, outcome) }()
-	leading, leads := d.leads()
+	current, leads := d.currentTerm()
 	if !leads {
 		return Permit{}, notLeadingWait, NotLeading
 	}
 	now := d.now()
-	if wait := leading.pacer.Admit(to, cold.RatePerSecond, now); wait > 0 {
+	if wait := current.pacer.Admit(to, cold.RatePerSecond, now); wait > 0 {
 		return Permit{}, wait, Paced
 	}
-	return Permit{Engine: to, until: now.Add(slowstart.PermitLife), valid: leading.valid, now: d.now}, 0, Granted
+	return Permit{Engine: to, until: now.Add(slowstart.PermitLife), valid: current.valid, now: d.now}, 0, Granted
 }
 
 // Room returns how many requests to a cold engine would be admitted at once.
 func (d *Decider) Room(to incarnation.ID, cold fleet.Coldness) int {
-	leading, leads := d.leads()
+	current, leads := d.currentTerm()
 	if !leads {
 		return 0
 	}
-	return leading.pacer.Room(to, cold.RatePerSecond, d.now())
+	return current.pacer.Room(to, cold.RatePerSecond, d.now())
 }
 
-// Want does nothing: who decides asks nobody.
+// Want does nothing: the leader needs no permits of others.
 func (d *Decider) Want(incarnation.ID) {}
 
 // Note counts a request to an engine that is not known to be cold; see slowstart.Pacer.
 func (d *Decider) Note(to incarnation.ID, ratePerSecond float64) {
-	if leading, leads := d.leads(); leads {
-		leading.pacer.Note(to, ratePerSecond, d.now())
+	if current, leads := d.currentTerm(); leads {
+		current.pacer.Note(to, ratePerSecond, d.now())
 	}
 }
 
-// Forget drops what no longer counts.
+// Forget drops expired state.
 func (d *Decider) Forget() {
-	if leading, leads := d.leads(); leads {
-		leading.pacer.Forget(d.now())
+	if current, leads := d.currentTerm(); leads {
+		current.pacer.Forget(d.now())
 	}
 }
--- a/internal/coldpermits/message.go
+++ b/internal/coldpermits/message.go
@@ -11,7 +11,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 )
 
-// Outcome is how a question for a permit ended. Values are sent between processes: append new ones
+// Outcome is the outcome of a request for a permit. Values are sent between processes: append new ones
 // at the end and never renumber.
 type Outcome uint8
 
@@ -19,16 +19,16 @@
 const (
 	// Granted: the request may be sent.
 	Granted Outcome = iota
-	// Paced: the engines have had what they take for now.
+	// Paced: the engines have reached their rate.
 	Paced
-	// NotLeading: the node that was asked does not decide.
+	// NotLeading: the receiving node does not lead.
 	NotLeading
-	// Unknown: the node that was asked knows no slow start of the service.
+	// Unknown: the receiving node knows no slow start of the service.
 	Unknown
-	// Unanswered: no node that decides is known, or it did not answer in time.
+	// Unanswered: no leader is known, or it did not answer in time.
 	Unanswered
-	// Withheld: the question was not sent, since the one before was refused just now, or too many
-	// are under way.
+	// Withheld: the request was not sent, since a recent one was denied or too many are in
+	// progress.
 	Withheld
 )
 
@@ -37,7 +37,7 @@
 	Unanswered: "unanswered", Withheld: "withheld",
 }
 
-// String returns the outcome as it stands in logs and metrics.
+// String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
 	if int(o) < len(outcomeNames) {
 		return outcomeNames[o]
@@ -46,19 +46,19 @@
 }
 
 const (
-	// Path is where other nodes ask for permits.
+	// Path is the endpoint for requests of other nodes.
 	Path = "/cold-permits"
-	// MaxEngines is how many engines a question names: any of them will do.
+	// MaxEngines bounds the engines of a request.
 	MaxEngines = 16
-	// maxQuestionBytes bounds a question of MaxEngines IDs, maxAnswerBytes the answer with one.
-	maxQuestionBytes = 16 << 10
-	maxAnswerBytes   = 1 << 10
-	// notLeadingWait is the least time in which another node takes over and learns the engines.
+	// maxRequestBytes bounds a request with MaxEngines IDs, maxResponseBytes a response with one.
+	maxRequestBytes  = 16 << 10
+	maxResponseBytes = 1 << 10
+	// notLeadingWait is the least time in which another node takes over.
 	notLeadingWait = time.Second
 )
 
-// question asks for a permit for one of the engines, in their order.
-type question struct {
+// permitRequest requests a permit for one of the engines, which are in order of preference.
+type permitRequest struct {
 	Service string   `msgpack:"s"`
 	Engines []engine `msgpack:"e"`
 }
@@ -71,31 +71,31 @@
 
 func (e engine) incarnation() incarnation.ID { return incarnation.ID{Engine: e.ID, Born: e.Born} }
 
-// answer is the engine that was granted, or when to come back.
-type answer struct {
+// permitResponse is the engine of a granted permit, or the wait before a retry.
+type permitResponse struct {
 	Outcome Outcome       `msgpack:"o"`
 	Engine  engine        `msgpack:"e"`
 	Wait    time.Duration `msgpack:"w,omitempty"`
 }
 
-// Handler answers other nodes. The rate is that of this node's own configuration.
+// Handler serves other nodes. The rate is that of this node's configuration.
 func (d *Decider) Handler(slowStart func(service string) (routes.SlowStart, bool)) http.Handler {
-	return msgpackhttp.Handle(maxQuestionBytes, func(_ context.Context, asked question) answer {
-		limits, bounded := slowStart(asked.Service)
+	return msgpackhttp.Handle(maxRequestBytes, func(_ context.Context, request permitRequest) permitResponse {
+		limits, bounded := slowStart(request.Service)
 		if !bounded {
 			d.observe(Peers, Unknown)
-			return answer{Outcome: Unknown, Wait: notLeadingWait}
+			return permitResponse{Outcome: Unknown, Wait: notLeadingWait}
 		}
-		refused := answer{Outcome: Unknown, Wait: notLeadingWait}
-		for _, each := range asked.Engines[:min(len(asked.Engines), MaxEngines)] {
+		denied := permitResponse{Outcome: Unknown, Wait: notLeadingWait}
+		for _, each := range request.Engines[:min(len(request.Engines), MaxEngines)] {
 			_, wait, outcome := d.Admit(Peers, each.incarnation(), fleet.Coldness{RatePerSecond: limits.RatePerSecond})
 			if outcome == Granted {
-				return answer{Outcome: Granted, Engine: each}
+				return permitResponse{Outcome: Granted, Engine: each}
 			}
-			if refused.Outcome == Unknown || wait < refused.Wait {
-				refused = answer{Outcome: outcome, Wait: wait}
+			if denied.Outcome == Unknown || wait < denied.Wait {
+				denied = permitResponse{Outcome: outcome, Wait: wait}
 			}
 		}
-		return refused
+		return denied
 	})
 }
--- a/internal/coldpermits/stock.go
+++ b/internal/coldpermits/stock.go
@@ -11,30 +11,31 @@
 
 // StockOptions are the parts that a stock works with.
 type StockOptions struct {
-	// Ask asks whoever leads; see Asker.Ask.
+	// Ask requests a permit from the leader; see Asker.Ask.
 	Ask func(ctx context.Context, service string, engines []fleet.Engine) (Permit, Denial)
-	// Find returns an engine that is listed.
+	// Find returns a listed engine.
 	Find func(of incarnation.ID) (fleet.Engine, bool)
-	// Granted is called after a permit came in.
+	// Granted is called after each granted permit.
 	Granted func()
 }
 
-// Stock holds permits for the items of a runner that does not lead. A runner places many items at once
-// and waits for nobody meanwhile, so permits are asked for in the background once it wants some, and what
-// was granted is there at its next look. It is safe for concurrent use.
+// Stock holds permits for the items of a runner on a node that does not lead. A runner places many items
+// in one pass without blocking, so permits are requested in the background and are available to its next
+// pass. It is safe for concurrent use.
 type Stock struct {
 	ctx     context.Context
 	options StockOptions
 
 	mu sync.Mutex
-	// wanted holds the engines for which nothing was asked yet.
+	// wanted holds the engines for which no permit was requested yet.
 	wanted map[incarnation.ID]bool
+	// asking is true while fill runs.
 	asking bool
-	// open holds the permits that were not used yet. Some may have ended.
+	// open holds the unused permits. Some may have expired.
 	open map[incarnation.ID][]Permit
 }
 
-// NewStock returns a stock that asks until ctx ends.
+// NewStock returns a stock that requests permits until ctx ends.
 func NewStock(ctx context.Context, options StockOptions) *Stock {
 	return &Stock{
 		ctx: ctx, options: options, wanted: make(map[incarnation.ID]bool), open: make(map[incarnation.ID][]Permit),
@@ -49,8 +50,8 @@
 	return len(s.open[to])
 }
 
-// Want has permits to a cold engine asked for. What is granted counts for all senders, so it is asked for
-// only while items wait that the engine may run.
+// Want requests permits for a cold engine. A granted permit uses up the rate of all senders, so Want must
+// be called only while items wait that the engine may run.
 func (s *Stock) Want(to incarnation.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,10 +75,10 @@
 	return permits[0], 0, Granted
 }
 
-// Note does nothing: only the leader counts what goes to engines that are not known to be cold.
+// Note does nothing: only the leader counts requests to engines that are not known to be cold.
 func (s *Stock) Note(incarnation.ID, float64) {}
 
-// dropEnded drops the permits to an engine that have ended; mu is held.
+// dropEnded drops the expired permits of an engine. Must be called with mu held.
 func (s *Stock) dropEnded(to incarnation.ID) {
 	var open []Permit
 	for _, permit := range s.open[to] {
@@ -92,7 +93,7 @@
 	s.open[to] = open
 }
 
-// fill asks for permits until nothing is wanted any more.
+// fill requests permits until none are wanted.
 func (s *Stock) fill() {
 	for {
 		services := s.takeWanted()
@@ -105,7 +106,7 @@
 	}
 }
 
-// takeWanted returns the engines for which permits are wanted, by service. None ends the filling.
+// takeWanted returns the wanted engines by service and clears them. Without any, fill ends.
 func (s *Stock) takeWanted() map[string][]fleet.Engine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,8 +124,8 @@
 	return services
 }
 
-// fillService asks for one permit after the other until one is denied. Each engine is given one of them
-// at most: more would end before the runner's next look.
+// fillService requests permits one after the other until one is denied, at most one for each engine:
+// more would expire before the runner's next pass.
 func (s *Stock) fillService(service string, engines []fleet.Engine) {
 	for len(engines) > 0 {
 		permit, denial := s.options.Ask(s.ctx, service, engines)
--- a/internal/coldpermits/stock_test.go
+++ b/internal/coldpermits/stock_test.go
@@ -14,7 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// grants is a leader that gives one permit for each engine, until it denies.
+// grants is a leader that grants permits until denies is set.
 type grants struct {
 	mu     sync.Mutex
 	denies bool
@@ -47,7 +47,7 @@
 	coldTwo = fleet.Engine{ID: "b", Service: "s", Slots: 4}
 )
 
-// TestAnItemNeedsAPermitThatWasGranted: nothing starts before, and each permit lets one item start.
+// TestAnItemNeedsAPermitThatWasGranted: each granted permit admits one item.
 func TestAnItemNeedsAPermitThatWasGranted(t *testing.T) {
 	leader := &grants{given: make(map[incarnation.ID]int), life: time.Hour}
 	stock := stockOf(t, leader, coldOne, coldTwo)
@@ -78,7 +78,7 @@
 	}
 }
 
-// TestAPermitThatHasEndedLetsNothingStart: it may lie there for longer than it is open.
+// TestAPermitThatHasEndedLetsNothingStart: a permit may expire in the stock.
 func TestAPermitThatHasEndedLetsNothingStart(t *testing.T) {
 	leader := &grants{given: make(map[incarnation.ID]int), life: -time.Second}
 	stock := stockOf(t, leader, coldOne)
