--- a/internal/core/homes/homes.go
+++ b/internal/core/homes/homes.go
@@ -1,5 +1,5 @@
-// Package homes holds the regions that alone may serve and keep a request (data residency): those of
-// its route, of its tenant, or of both. It has no input, output or clock.
+// Package homes defines sets of regions for data residency: the only regions that may serve and store a
+// request, by its route, its tenant, or both. It has no input, output or clock.
 package homes
 
 import (
@@ -9,19 +9,19 @@
 	"strings"
 )
 
-// Set is a set of regions. The zero value bounds nothing: every region is in it. Sets compare
-// with ==, also as keys of maps.
+// Set is a set of regions. The zero value is unbound: it contains every region. Sets are comparable
+// with == and usable as map keys.
 type Set struct {
-	// bound is false where every region is in the set.
+	// bound is false if the set contains every region.
 	bound bool
-	// names holds the regions in order, each followed by nameEnd.
+	// names holds the sorted regions, each followed by nameEnd.
 	names string
 }
 
-// nameEnd ends the name of a region; no name holds it.
+// nameEnd terminates the name of a region. No name contains it.
 const nameEnd = "\x00"
 
-// Of returns the set of the named regions; without names every region is in it.
+// Of returns the set of the named regions; without names, that of all regions.
 func Of(regions []string) Set {
 	if len(regions) == 0 {
 		return Set{}
@@ -29,7 +29,7 @@
 	return bounded(regions)
 }
 
-// bounded returns the set of just these regions, which may be none.
+// bounded returns the bound set of the regions, which may be empty.
 func bounded(regions []string) Set {
 	sorted := slices.Compact(slices.Sorted(slices.Values(regions)))
 	set := Set{bound: true}
@@ -50,14 +50,14 @@
 	return bounded(slices.DeleteFunc(s.Regions(), func(region string) bool { return !other.Allows(region) }))
 }
 
-// Bound tells whether some region may be outside the set.
+// Bound reports whether the set excludes regions.
 func (s Set) Bound() bool { return s.bound }
 
-// Nowhere tells whether no region is in the set.
+// Nowhere reports whether the set is empty.
 func (s Set) Nowhere() bool { return s.bound && s.names == "" }
 
-// Allows tells whether a region is in the set. An unknown region, which is empty, is in no set that
-// bounds anything.
+// Allows reports whether a region is in the set. An unknown region, which is empty, is in no bound
+// set.
 func (s Set) Allows(region string) bool {
 	if !s.bound {
 		return true
@@ -70,17 +70,17 @@
 	return false
 }
 
-// idBytes is how much of its hash names a set: no two sets share an ID by accident or design.
+// idBytes is the length of the truncated hash. It must rule out collisions, also intended ones.
 const idBytes = 16
 
-// ID names the set in topics of the log: alike on all nodes, and of a bounded length. Sets are kept apart
-// by it, so it is a cryptographic hash.
+// ID identifies the set in the log's topic names. It is the same on all nodes and of bounded length. It
+// separates the data of sets, so it is a cryptographic hash.
 func (s Set) ID() string {
 	sum := sha256.Sum256([]byte(s.names))
 	return hex.EncodeToString(sum[:idBytes])
 }
 
-// Regions returns the regions in order; nil where the set bounds nothing.
+// Regions returns the sorted regions; nil if the set is unbound.
 func (s Set) Regions() []string {
 	if !s.bound {
 		return nil
@@ -88,7 +88,7 @@
 	return strings.FieldsFunc(s.names, func(r rune) bool { return string(r) == nameEnd })
 }
 
-// String is the form used in logs: the regions in order, "everywhere" or "nowhere".
+// String returns the form used in logs: the sorted regions, "everywhere" or "nowhere".
 func (s Set) String() string {
 	switch {
 	case !s.bound:
