Describe distances in the terms of round trips

The values of roundTrips are twice 0.2 ms inside a zone, 0.5 ms between neighbouring data centres and 12 ms between regions.

--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -1,15 +1,15 @@
-// Package topology knows which zone lies in which region, and how far places are apart. It has no
-// input, output or clock.
+// Package topology maps zones to regions and defines distances between places. It has no input, output
+// or clock.
 package topology
 
 import "time"
 
-// Map names the region of each zone. It is not changed once built.
+// Map holds the region of each zone. It is immutable.
 type Map struct {
 	regions map[string]string
 }
 
-// NewMap returns the map of a node that lies in a zone and region of its own.
+// NewMap returns a map with the given regions and the node's own zone.
 func NewMap(regions map[string]string, ownZone, ownRegion string) *Map {
 	known := make(map[string]string, len(regions)+1)
 	for zone, region := range regions {
@@ -19,10 +19,10 @@
 	return &Map{regions: known}
 }
 
-// Region returns the region of a zone; empty where it is not known.
+// Region returns the region of a zone; empty if unknown.
 func (m *Map) Region(zone string) string { return m.regions[zone] }
 
-// HasRegion tells whether a zone lies in the region.
+// HasRegion reports whether the region has a zone.
 func (m *Map) HasRegion(region string) bool {
 	for _, each := range m.regions {
 		if each == region {
@@ -32,21 +32,21 @@
 	return false
 }
 
-// Place is where a machine stands.
+// Place is the location of a machine.
 type Place struct {
 	Zone string
-	// Region is empty where it is not known.
+	// Region is empty if unknown.
 	Region string
 }
 
-// Distance says how far two places are apart.
+// Distance is the network distance of two places.
 type Distance uint8
 
 // The distances, the nearest first.
 const (
 	SameZone Distance = iota
 	SameRegion
-	// OtherRegion holds for places of unknown regions as well.
+	// OtherRegion includes places in unknown regions.
 	OtherRegion
 
 	distances
@@ -56,7 +56,7 @@
 	SameZone: "same_zone", SameRegion: "same_region", OtherRegion: "other_region",
 }
 
-// String returns the distance as it stands in logs and metrics.
+// String returns the distance's name in logs and metrics.
 func (d Distance) String() string { return distanceNames[d] }
 
 // Between returns the distance between two places.
@@ -71,13 +71,13 @@
 	}
 }
 
-// roundTrips are twice what packets usually need one way inside a zone (0.2 ms), between neighbouring data
-// centres (0.5 ms), and between regions of a continent (12 ms, routers on the way included).
+// roundTrips are typical round-trip times within a zone, between the zones of a region, and between regions
+// of a continent.
 var roundTrips = [distances]time.Duration{
 	SameZone:    400 * time.Microsecond,
 	SameRegion:  time.Millisecond,
 	OtherRegion: 24 * time.Millisecond,
 }
 
-// RoundTrip is the time that a question and its answer are expected to be on their way.
+// RoundTrip returns the expected round-trip time.
 func (d Distance) RoundTrip() time.Duration { return roundTrips[d] }
