--- a/internal/core/bytebudget/bytebudget.go
+++ b/internal/core/bytebudget/bytebudget.go
@@ -1,39 +1,39 @@
-// Package bytebudget counts the bytes that a node holds for others, callers and engines, and bounds them
-// together. What is new is refused before it is taken; what is under way may pass the bound, and keeps new work
-// out for as long as it does. It has no input, output or clock.
+// Package bytebudget bounds the memory that a node holds for callers and engines. New work is rejected
+// above the budget; work in progress may exceed it, and new work is rejected while it does. It has no
+// input, output or clock.
 package bytebudget
 
 import "sync"
 
-// Kind is what bytes are held for.
+// Kind is the purpose of held bytes.
 type Kind uint8
 
 // The kinds.
 const (
-	// Bodies are bodies of requests and of batch jobs that callers send.
+	// Bodies are request and batch job bodies from callers.
 	Bodies Kind = iota
-	// Answers are answers of engines that callers have not taken yet.
+	// Answers are engine responses that callers have not read yet.
 	Answers
-	// Results are results and bodies of batch jobs that callers have asked for.
+	// Results are results and bodies of batch jobs for callers.
 	Results
 	kindCount
 )
 
 var kindNames = [kindCount]string{Bodies: "bodies", Answers: "answers", Results: "results"}
 
-// String returns the kind as it stands in logs and metrics.
+// String returns the kind's name in logs and metrics.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns every kind.
 func Kinds() []Kind { return []Kind{Bodies, Answers, Results} }
 
-// newShare is one in how many bytes of the budget each kind may take of what is new, so that those who submit
-// cannot keep out those who read, nor the other way round.
-const newShare = 2
+// kindDivisor: reservations of one kind are limited to limit/kindDivisor, so that submitting callers cannot
+// starve reading ones, nor the other way round.
+const kindDivisor = 2
 
-// Budget bounds the bytes held. A nil one bounds nothing. It is safe for concurrent use.
+// Budget bounds the held bytes. A nil Budget is unlimited. It is safe for concurrent use.
 //
-// Invariant: Reserve succeeds only while the sum of all kinds is within the limit afterwards, or nothing is held.
+// Invariant: Reserve succeeds only if the total is within the limit afterwards, or nothing was held before.
 type Budget struct {
 	limit int64
 
@@ -42,18 +42,18 @@
 	total int64
 }
 
-// New returns a budget of so many bytes.
+// New returns a budget of the given number of bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
-// Reserve takes bytes of a kind that may still be refused, and tells whether they fit. Bytes that are more than
-// the whole budget fit where nothing else is held.
+// Reserve reserves bytes for new work and reports whether they fit. More than the whole budget fits if nothing
+// else is held.
 func (b *Budget) Reserve(kind Kind, bytes int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	fits := b.total+bytes <= b.limit && b.held[kind]+bytes <= b.limit/newShare
+	fits := b.total+bytes <= b.limit && b.held[kind]+bytes <= b.limit/kindDivisor
 	if !fits && b.total > 0 {
 		return false
 	}
@@ -61,7 +61,7 @@
 	return true
 }
 
-// Take takes bytes of a kind that are there already and have to be delivered.
+// Take adds bytes of work in progress, which are held in any case.
 func (b *Budget) Take(kind Kind, bytes int64) {
 	if b == nil {
 		return
@@ -71,7 +71,7 @@
 	b.add(kind, bytes)
 }
 
-// Release gives bytes back.
+// Release returns bytes to the budget.
 func (b *Budget) Release(kind Kind, bytes int64) { b.Take(kind, -bytes) }
 
 // Held returns the bytes held of a kind.
@@ -84,7 +84,7 @@
 	return b.held[kind]
 }
 
-// IsShort tells whether more is held than the budget has.
+// IsShort reports whether the held bytes exceed the budget.
 func (b *Budget) IsShort() bool {
 	if b == nil {
 		return false
@@ -94,7 +94,7 @@
 	return b.total > b.limit
 }
 
-// add changes what is held; mu is held.
+// add changes the held bytes. Must be called with mu held.
 func (b *Budget) add(kind Kind, bytes int64) {
 	b.held[kind] += bytes
 	b.total += bytes
--- a/internal/core/bytebudget/bytebudget_test.go
+++ b/internal/core/bytebudget/bytebudget_test.go
@@ -39,7 +39,7 @@
 	assert.Equal(t, budget.Held(Bodies), int64(0))
 }
 
-// TestReservedBytesStayWithinTheBudget: whatever is taken and given back.
+// TestReservedBytesStayWithinTheBudget: for any sequence of reservations and releases.
 func TestReservedBytesStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 1000
