--- a/internal/core/lengths/lengths.go
+++ b/internal/core/lengths/lengths.go
@@ -1,22 +1,22 @@
-// Package lengths learns how long answers of a prompt group are, in tokens, so
-// that the longest expected ones can start first. It has no input or output
-// and its state depends only on the order of the calls.
+// Package lengths estimates the answer length of a prompt group, in tokens, so
+// that the longest answers can be started first. It has no input or output, and
+// its state depends only on the order of the calls.
 package lengths
 
 import "slices"
 
 const (
-	// window is the number of last answers remembered for each group.
+	// window is the number of recent answers kept for each group.
 	window = 64
-	// MaxGroups bounds the groups remembered; the one observed longest ago goes first.
+	// MaxGroups bounds the number of groups; the least recently observed one is evicted.
 	MaxGroups = 4096
-	// quantilePercent of the remembered lengths is the expectation: above the
-	// median, since a start too late costs more than a start too early.
+	// quantilePercent is the percentile of the kept lengths used as the estimate. It is
+	// above the median, since starting too late costs more than starting too early.
 	quantilePercent = 75
 )
 
-// Estimator learns expected answer lengths. The zero value is not ready; use
-// New. It is not safe for concurrent use.
+// Estimator estimates answer lengths. Use New to create one. It is not safe for
+// concurrent use.
 type Estimator struct {
 	groups map[string]*samples
 	// overall is for groups that were never observed.
@@ -24,19 +24,19 @@
 	clock   uint64
 }
 
-// samples is a ring of the last lengths.
+// samples is a ring buffer of recent lengths.
 type samples struct {
 	lengths  []int
 	next     int
 	lastUsed uint64
 }
 
-// New returns an estimator that has seen no answers.
+// New returns an estimator without observations.
 func New() *Estimator {
 	return &Estimator{groups: make(map[string]*samples)}
 }
 
-// Observe notes the length of a finished answer; lengths below zero are ignored.
+// Observe records the length of a finished answer; negative lengths are ignored.
 func (e *Estimator) Observe(group string, tokens int) {
 	if tokens < 0 {
 		return
@@ -45,7 +45,7 @@
 	e.overall.add(tokens)
 	known, found := e.groups[group]
 	if !found {
-		e.makeRoom()
+		e.evictOldest()
 		known = &samples{}
 		e.groups[group] = known
 	}
@@ -53,9 +53,8 @@
 	known.lastUsed = e.clock
 }
 
-// Expect returns the expected length for a group, at most maxTokens: learnt
-// from the group, else from all groups, else maxTokens itself (an unknown
-// answer may be the longest).
+// Expect returns the estimate for a group, at most maxTokens: from the group's
+// answers, else from those of all groups, else maxTokens.
 func (e *Estimator) Expect(group string, maxTokens int) int {
 	if known := e.groups[group]; known != nil {
 		return min(known.quantile(), maxTokens)
@@ -66,7 +65,7 @@
 	return maxTokens
 }
 
-func (e *Estimator) makeRoom() {
+func (e *Estimator) evictOldest() {
 	if len(e.groups) < MaxGroups {
 		return
 	}
