--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -1,8 +1,8 @@
-// Package sendgate decides whether a request may still leave for the engine that was chosen for it.
+// Package sendgate decides whether a request may still be sent to the engine that was chosen for it.
 //
-// Between the choice and the first byte lie a dial, queues and maybe a process that stood still, so
-// the filter of the choice is asked once more right before the bytes leave. A request that is held
-// back there has not run and may go to another engine.
+// Dialing, queueing or a suspension of the process may take time between the choice and the first
+// byte, so the conditions of the choice are checked again right before the bytes are written. A
+// request that is held back there has not run and may be sent to another engine.
 package sendgate
 
 import (
@@ -16,29 +16,29 @@
 )
 
 const (
-	// knowledgeWait bounds how long a request waits until it is known which zones are evacuated: one
-	// read of the log, and one more after a failure. Its caller is better served by another node then.
+	// knowledgeWait bounds how long a request waits until the evacuations are known. It covers a read
+	// of the log and a retry; after that another node serves the caller sooner.
 	knowledgeWait = 300 * time.Millisecond
-	// knowledgeCheck is the time between two looks meanwhile.
+	// knowledgeCheck is the interval between two checks during the wait.
 	knowledgeCheck = 10 * time.Millisecond
 )
 
 // Options are the parts that a gate works with.
 type Options struct {
 	Fleet *fleet.Fleet
-	// Known tells whether it is known which zones are evacuated; nil where that never lapses.
+	// Known reports whether the evacuations are known; nil if they always are.
 	Known func() bool
-	// HeldBack is told of each request that was held back after its engine was chosen; nil for nobody.
+	// HeldBack, if set, is called for each request that is held back after its engine was chosen.
 	HeldBack func(reason fleet.Hold)
 }
 
-// Gate is asked before requests leave. It is safe for concurrent use.
+// Gate is checked before requests are sent. It is safe for concurrent use.
 type Gate struct{ options Options }
 
 // New returns a gate.
 func New(options Options) *Gate { return &Gate{options: options} }
 
-// OrNew returns the gate, or one that asks the fleet alone where it is nil.
+// OrNew returns the gate, or one that checks the fleet only if it is nil.
 func OrNew(gate *Gate, engines *fleet.Fleet) *Gate {
 	if gate == nil {
 		return New(Options{Fleet: engines})
@@ -46,10 +46,10 @@
 	return gate
 }
 
-// Known tells whether it is known which zones are evacuated.
+// Known reports whether the evacuations are known.
 func (g *Gate) Known() bool { return g.options.Known == nil || g.options.Known() }
 
-// AwaitKnown waits for a short time until it is known which zones are evacuated, and tells whether it is.
+// AwaitKnown waits at most knowledgeWait until the evacuations are known, and reports whether they are.
 func (g *Gate) AwaitKnown(ctx context.Context) bool {
 	if g.Known() {
 		return true
@@ -64,13 +64,13 @@
 	return false
 }
 
-// Look returns the last look at one request for an engine. A request to a cold engine has a permit;
-// nil stands for none, and none needed.
+// Look returns the final check of one request for an engine. permit reports whether the permit of a
+// request to a cold engine is valid; nil if none is needed.
 func (g *Gate) Look(engine incarnation.ID, permit func() bool) *Look {
 	return &Look{gate: g, engine: engine, permit: permit}
 }
 
-// Look is the last look at one request. It is safe for concurrent use.
+// Look is the final check of one request. It is safe for concurrent use.
 type Look struct {
 	gate   *Gate
 	engine incarnation.ID
@@ -78,8 +78,8 @@
 	held   atomic.Uint32
 }
 
-// MayLeave tells whether the request may leave now. It is asked right before its first byte would,
-// in any goroutine.
+// MayLeave reports whether the request may be sent now. It is called right before its first byte is
+// written, from any goroutine.
 func (l *Look) MayLeave() bool {
 	reason := l.reason()
 	if reason == fleet.NotHeld {
@@ -91,7 +91,7 @@
 	return false
 }
 
-// Held is why the request was held back; fleet.NotHeld if it was not.
+// Held returns why the request was held back; fleet.NotHeld if it was not.
 func (l *Look) Held() fleet.Hold { return fleet.Hold(l.held.Load()) }
 
 func (l *Look) reason() fleet.Hold {
--- a/internal/sendgate/sendgate_test.go
+++ b/internal/sendgate/sendgate_test.go
@@ -18,7 +18,7 @@
 	return known, engine
 }
 
-// TestARequestThatIsHeldBackIsCountedOnce: however often it is asked whether it may leave.
+// TestARequestThatIsHeldBackIsCountedOnce: HeldBack is called once for several calls of MayLeave.
 func TestARequestThatIsHeldBackIsCountedOnce(t *testing.T) {
 	known, engine := engineInZone("za")
 	var reasons []fleet.Hold
@@ -33,7 +33,7 @@
 	assert.DeepEqual(t, reasons, []fleet.Hold{fleet.HeldEvacuated})
 }
 
-// TestNothingLeavesWhileTheEvacuationsAreNotKnown: also where the zone is not known to be evacuated.
+// TestNothingLeavesWhileTheEvacuationsAreNotKnown: the zone may be evacuated.
 func TestNothingLeavesWhileTheEvacuationsAreNotKnown(t *testing.T) {
 	known, engine := engineInZone("za")
 	var learned atomic.Bool
@@ -47,7 +47,7 @@
 	assert.Assert(t, gate.Look(engine.Incarnation(), nil).MayLeave())
 }
 
-// TestACallerThatLeavesEndsTheWait: nobody waits for it any more.
+// TestACallerThatLeavesEndsTheWait: AwaitKnown ends with its context.
 func TestACallerThatLeavesEndsTheWait(t *testing.T) {
 	known, _ := engineInZone("za")
 	gate := New(Options{Fleet: known, Known: func() bool { return false }})
@@ -56,7 +56,7 @@
 	assert.Assert(t, !gate.AwaitKnown(ctx))
 }
 
-// TestARequestToAColdEngineLeavesWhileItsPermitIsOpen, and an evacuation goes before it.
+// TestARequestToAColdEngineLeavesWhileItsPermitIsOpen: an evacuation takes precedence over a permit.
 func TestARequestToAColdEngineLeavesWhileItsPermitIsOpen(t *testing.T) {
 	known, engine := engineInZone("za")
 	var open atomic.Bool
