--- a/internal/core/answer/answer.go
+++ b/internal/core/answer/answer.go
@@ -1,10 +1,10 @@
-// Package answer puts the messages of a request's answer streams together into
-// one ordered token stream. Streams break, are re-attached and are continued
-// under a later attempt; the same token may arrive more than once. The package
-// has no input or output and reads no clock.
+// Package answer assembles the messages of a request's answer streams into one
+// ordered token stream. Streams break, are re-attached and are continued by a later
+// attempt; the same token may arrive more than once. The package has no input, output
+// or clock.
 //
-// Invariant: an Assembler hands out each token index exactly once, in order,
-// and only tokens of the attempt in force, each with the weight version that
+// Invariant: an Assembler returns each token index exactly once, in order,
+// and only tokens of the current attempt, each with the weight version that
 // produced it.
 package answer
 
@@ -17,14 +17,14 @@
 	"github.com/corkpulley/corkpulley/internal/message"
 )
 
-// ErrUnnamedVersion is returned for tokens that name no weight version.
+// ErrUnnamedVersion is returned for tokens without a weight version.
 var ErrUnnamedVersion = errors.New("answer: tokens without a weight version")
 
-// ErrNegativeIndex is returned for a message that starts before the answer.
+// ErrNegativeIndex is returned for a message with a negative token index.
 var ErrNegativeIndex = errors.New("answer: negative token index")
 
 // GapError is returned when tokens are missing before a message: the receiver
-// has to attach to the stream again, from Want on.
+// must attach to the stream again from Want.
 type GapError struct {
 	// Want is the index of the first missing token, Got the message's first.
 	Want, Got int
@@ -35,8 +35,8 @@
 	return fmt.Sprintf("answer: tokens %d to %d are missing", e.Want, e.Got-1)
 }
 
-// ShortError is returned when a stream says that it finished before a token
-// that the same attempt already delivered.
+// ShortError is returned when a stream finishes before a token that was already
+// returned.
 type ShortError struct {
 	// Have is the number of tokens delivered, Finished the length claimed.
 	Have, Finished int
@@ -47,8 +47,8 @@
 	return fmt.Sprintf("answer: finished at %d tokens after %d were delivered", e.Finished, e.Have)
 }
 
-// Run is a run of new tokens in order, under one version. Tokens shares its
-// memory with the message that it came from.
+// Run is a sequence of new tokens of one version. Tokens shares its memory with
+// the message.
 type Run struct {
 	FirstToken int
 	Tokens     []string
@@ -66,14 +66,14 @@
 	cachedTokens int
 }
 
-// StartAttempt makes the attempt the one in force: messages of all others are
-// dropped from now on. Attempts only rise; a lower number is ignored.
+// StartAttempt sets the current attempt: messages of others are dropped from now
+// on. Attempts only increase; a lower number is ignored.
 func (a *Assembler) StartAttempt(attempt uint32) {
 	a.attempt = max(a.attempt, attempt)
 }
 
-// Accept takes one message and returns the tokens in it that are new; an empty
-// run when there are none. An error leaves the assembler as it was:
+// Accept applies one message and returns its new tokens, which may be none. An
+// error leaves the assembler unchanged:
 // *GapError, *ShortError, ErrUnnamedVersion or ErrNegativeIndex.
 func (a *Assembler) Accept(progress *message.Progress) (Run, error) {
 	if a.finished || progress.Attempt != a.attempt {
@@ -92,13 +92,13 @@
 	if end > a.next && progress.Version == 0 {
 		return Run{}, ErrUnnamedVersion
 	}
-	run := a.take(progress, end)
-	a.note(progress)
+	run := a.advance(progress, end)
+	a.recordEnd(progress)
 	return run, nil
 }
 
-// take moves the stream to end and returns the tokens from where it stood.
-func (a *Assembler) take(progress *message.Progress, end int) Run {
+// advance advances the answer to end and returns the tokens that it lacked.
+func (a *Assembler) advance(progress *message.Progress, end int) Run {
 	if end <= a.next {
 		return Run{}
 	}
@@ -121,9 +121,9 @@
 	a.spans = append(a.spans, api.VersionSpan{Version: version, From: from, To: to})
 }
 
-func (a *Assembler) note(progress *message.Progress) {
-	// The engine of the first attempt tells how much of the prompt was cached;
-	// later ones would count tokens of the answer as part of the prompt.
+func (a *Assembler) recordEnd(progress *message.Progress) {
+	// Only the first attempt's engine reports the cached prompt tokens; later ones
+	// count tokens of the answer as part of the prompt.
 	if a.cachedTokens == 0 {
 		a.cachedTokens = progress.CachedTokens
 	}
@@ -133,12 +133,11 @@
 	}
 }
 
-// FinishLength is the finish reason of an answer that reached its bound.
+// FinishLength is the finish reason of an answer that reached its token limit.
 const FinishLength = "length"
 
-// CompleteAt ends an answer that already has as many tokens as were asked for:
-// it is whole even when the message that would say so was lost. It reports
-// whether the answer is whole.
+// CompleteAt finishes an answer that has the requested number of tokens, even if
+// the final message was lost, and reports whether the answer is complete.
 func (a *Assembler) CompleteAt(maxTokens int) bool {
 	if !a.finished && a.next >= maxTokens {
 		a.finished = true
@@ -147,11 +146,11 @@
 	return a.finished
 }
 
-// Next returns the index of the next token wanted, which is the number of
-// tokens handed out.
+// Next returns the index of the next token, which is the number of returned
+// tokens.
 func (a *Assembler) Next() int { return a.next }
 
-// Finished reports whether the answer is whole.
+// Finished reports whether the answer is complete.
 func (a *Assembler) Finished() bool { return a.finished }
 
 // FinishReason returns the engine's reason; empty until Finished.
@@ -160,8 +159,8 @@
 // CachedTokens returns the prompt tokens that came from a prefix cache.
 func (a *Assembler) CachedTokens() int { return a.cachedTokens }
 
-// Versions returns the spans handed out so far. They cover [0, Next()) without
-// a gap, and neighbours differ in version. The result is the caller's own.
+// Versions returns a copy of the spans so far. They cover [0, Next()) without a
+// gap, and adjacent ones differ in version.
 func (a *Assembler) Versions() []api.VersionSpan {
 	return append([]api.VersionSpan(nil), a.spans...)
 }
