--- a/internal/core/routes/homes.go
+++ b/internal/core/routes/homes.go
@@ -7,9 +7,9 @@
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
-// HomesOf returns the regions that alone may serve and keep a tenant's request on a path of a host.
-// The tenant is empty for requests of none. Known is false where the route or the tenant is not in the
-// table, which then does not tell of all that binds the request.
+// HomesOf returns the only regions that may serve and store a tenant's request for a path of a host. The
+// tenant is empty for requests without one. known is false if the route or the tenant is not in the table;
+// the returned homes are then incomplete.
 func (t *Table) HomesOf(host, path, tenant string) (set homes.Set, known bool) {
 	route := t.Match(host, path)
 	ofTenant, found := t.homesOfTenant(tenant)
@@ -19,8 +19,7 @@
 	return homes.Of(route.Homes).Intersect(ofTenant), found
 }
 
-// homesOfTenant returns the homes of a tenant, if the table has it. Where the configuration knows no
-// tenants, and for requests of none, nothing is missing.
+// homesOfTenant returns the homes of a tenant, and false if the tenant is not in the table.
 func (t *Table) homesOfTenant(name string) (homes.Set, bool) {
 	if name == "" || t.tenants == nil {
 		return homes.Set{}, name == ""
@@ -32,8 +31,8 @@
 	return homes.Of(tenant.Homes), true
 }
 
-// BatchHomes returns the different sets of regions that batch jobs are bound to: those of each batch
-// route with those of each tenant. Sets without regions are left out, since nobody may run such jobs.
+// BatchHomes returns the distinct sets of regions to which batch jobs are bound, by batch route and tenant.
+// Empty sets are excluded, since no node may run such jobs.
 func (t *Table) BatchHomes() []homes.Set {
 	ofTenants := map[homes.Set]bool{{}: true}
 	if t.tenants != nil {
@@ -59,8 +58,8 @@
 	return sets
 }
 
-// QuestionHomes returns regions in which questions about a tenant's jobs at a host may be answered by
-// other nodes: such a call names no route, so it is bound by the homes of all batch routes there.
+// QuestionHomes returns the regions in which other nodes may answer queries about a tenant's jobs at a host.
+// Such a query names no route, so the homes of all batch routes of the host apply.
 func (t *Table) QuestionHomes(host, tenant string) homes.Set {
 	set, _ := t.homesOfTenant(tenant)
 	for _, route := range t.byHost[normalHost(host)] {
@@ -71,7 +70,7 @@
 	return set
 }
 
-// NamedHomes returns all regions that routes and tenants name.
+// NamedHomes returns all regions that occur in the homes of routes and tenants, sorted.
 func (t *Table) NamedHomes() []string {
 	seen := make(map[string]bool)
 	for _, routes := range t.byHost {
--- a/internal/core/routes/homes_test.go
+++ b/internal/core/routes/homes_test.go
@@ -15,7 +15,8 @@
 	northWest = homes.Of([]string{"north", "west"})
 )
 
-// homedTable has a route bound to north and west, one without homes, and tenants of either kind.
+// homedTable returns a table with a route bound to north and west, one without homes, and tenants with and
+// without homes.
 func homedTable() *Table {
 	return NewTable(Definition{
 		Version: 1,
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -1,5 +1,5 @@
-// Package routes holds the routing configuration: which requests go to which
-// service, and within which bounds. It has no input or output.
+// Package routes holds the routing configuration: the services, limits and tenants of
+// requests. It has no input or output.
 package routes
 
 import (
@@ -12,22 +12,23 @@
 	"github.com/corkpulley/corkpulley/internal/core/scaling"
 )
 
-// Kind says how a route's requests may be run.
+// Kind defines how often a route's requests may be executed.
 type Kind string
 
 // The kinds of routes.
 const (
-	// Safe requests may run more than once.
+	// Safe requests may be executed more than once.
 	Safe Kind = "safe"
-	// Unsafe requests run at most once.
+	// Unsafe requests are executed at most once.
 	Unsafe Kind = "unsafe"
-	// Streaming answers are event streams; they run at most once unless resumable.
+	// Streaming requests are answered by event streams. They are executed at most once unless
+	// resumable.
 	Streaming Kind = "streaming"
-	// Batch routes take batch jobs, whose items are event streams.
+	// Batch routes accept batch jobs, whose items are answered by event streams.
 	Batch Kind = "batch"
 )
 
-// Part is one service of a route with its share of the requests.
+// Part is one service of a route with its weight.
 type Part struct {
 	Service string
 	Weight  int
@@ -40,25 +41,25 @@
 	Prefix string
 	Kind   Kind
 	Parts  []Part
-	// Timeout bounds how long a request is held; zero means no bound.
+	// Timeout bounds the duration of a request; zero means no bound.
 	Timeout time.Duration
-	// Objective is the time within which an answer earns its full worth.
+	// Objective is the latency objective of an answer.
 	Objective time.Duration
-	// ResultsDue is the time after its submission by which a job's results are due.
+	// ResultsDue is the time after the submission at which a job's results are due.
 	ResultsDue time.Duration
-	// Retention is the time after which items of a job may be given up.
+	// Retention is the time after which items of a job may expire.
 	Retention     time.Duration
 	MaxAttempts   int
 	Priority      int
 	Resumable     bool
 	SingleVersion bool
-	// Open routes take requests without an API key, also where there are tenants.
+	// Open routes accept requests without an API key even if there are tenants.
 	Open bool
-	// Homes are the regions that alone may serve and keep the route's requests; none for all.
+	// Homes are the only regions that may serve and store the route's requests; empty for all.
 	Homes []string
 }
 
-// Repeatable tells whether a request that may have run may be sent again.
+// Repeatable reports whether a request that may have run may be sent again.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Resumable }
 
 // Service is one service of the configuration.
@@ -67,30 +68,30 @@
 	MaxConnections int
 	// EngineTokens is the memory of one engine, in tokens; zero when unknown.
 	EngineTokens int
-	// Models lists the models that its engines hold, none for plain services.
+	// Models lists the models of its engines; empty for plain services.
 	Models []string
-	// Scaling says how engines may be ordered; nil where they may not.
+	// Scaling defines how engines may be ordered; nil if they may not.
 	Scaling *Scaling
-	// SlowStart bounds what its engines take while they are cold; the zero value where they are not.
+	// SlowStart bounds the requests to cold engines; the zero value for no bound.
 	SlowStart SlowStart
 }
 
-// SlowStart says what an engine bears while it is cold: after its start, and whenever it says so.
+// SlowStart bounds the load of an engine that is cold: after its start, and whenever it reports so.
 type SlowStart struct {
 	// Period is how long an engine stays cold after its start.
 	Period time.Duration
-	// RatePerSecond is the requests a second that all nodes together may send to it meanwhile; zero
-	// for no bound.
+	// RatePerSecond bounds the requests per second of all nodes together to a cold engine; zero for no
+	// bound.
 	RatePerSecond float64
 }
 
-// Scaling says how engines of a service may be ordered.
+// Scaling defines how engines of a service may be ordered.
 type Scaling struct {
 	Bounds scaling.Bounds
-	// BootTime is how long a new engine takes to begin to serve.
+	// BootTime is how long a new engine takes until it serves.
 	BootTime time.Duration
-	// PreemptiblePrice is what a preemptible engine costs of the price of another;
-	// zero where there are none.
+	// PreemptiblePrice is the price of a preemptible engine relative to that of a regular one;
+	// zero if there are none.
 	PreemptiblePrice float64
 }
 
@@ -102,24 +103,24 @@
 	IdleTimeout    time.Duration
 }
 
-// Definition is what one version of the configuration says.
+// Definition is the content of one version of the configuration.
 type Definition struct {
 	Version  int64
 	Limits   Limits
 	Services []Service
 	Routes   []Route
-	// Tenants is nil where the configuration knows no tenants: requests need no key then.
+	// Tenants is nil if the configuration has no tenants, so that requests need no key.
 	Tenants []Tenant
 }
 
-// Table is one version of the configuration. It is not changed once built.
+// Table is one version of the configuration. It is immutable.
 type Table struct {
 	Version  int64
 	Limits   Limits
 	services map[string]Service
 	// byHost holds each host's routes, longest prefix first.
 	byHost map[string][]*Route
-	// tenants is nil where the configuration knows no tenants.
+	// tenants is nil if the configuration has no tenants.
 	tenants *tenants
 }
 
@@ -146,8 +147,8 @@
 	return table
 }
 
-// Match returns the route of the host whose prefix is the longest that begins
-// the path; nil when there is none.
+// Match returns the route of the host with the longest prefix of the path, nil if there
+// is none.
 func (t *Table) Match(host, path string) *Route {
 	for _, route := range t.byHost[normalHost(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
@@ -174,7 +175,7 @@
 	return scaled
 }
 
-// SlowStarts returns the services whose engines take a bounded rate while they are cold.
+// SlowStarts returns the services with a rate bound for cold engines.
 func (t *Table) SlowStarts() map[string]SlowStart {
 	bounded := make(map[string]SlowStart)
 	for name, service := range t.services {
@@ -198,7 +199,7 @@
 	return batch
 }
 
-// BatchOnly returns the services to which batch routes alone send, in order: whoever runs no batch items sends
+// BatchOnly returns the services that are used by batch routes only, sorted: nodes that run no batch items send
 // nothing to their engines.
 func (t *Table) BatchOnly() []string {
 	live, batch := make(map[string]bool), make(map[string]bool)
@@ -217,7 +218,7 @@
 	return slices.Sorted(maps.Keys(batch))
 }
 
-// normalHost is the host in lower case without its port.
+// normalHost returns the host in lower case without its port.
 func normalHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -31,7 +31,7 @@
 	assert.Assert(t, (&Route{Kind: Streaming, Resumable: true}).Repeatable())
 }
 
-// TestSplitFollowsTheWeights: over any run of requests each part is within two
+// TestSplitFollowsTheWeights: over any sequence of requests each part is within two
 // of its exact share.
 func TestSplitFollowsTheWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/core/routes/split.go
+++ b/internal/core/routes/split.go
@@ -2,23 +2,23 @@
 
 import "sync"
 
-// Splitter spreads the requests of a route over its parts by their weights.
-// It is the smooth weighted round-robin: over any run of requests each part's
-// count stays within one of its exact share.
+// Splitter distributes the requests of a route over its parts by smooth weighted
+// round-robin: over any sequence of requests each part's count stays within one of its
+// exact share.
 type Splitter struct {
 	mu     sync.Mutex
 	scores map[string][]int
 	start  uint64
 }
 
-// NewSplitter returns a splitter; the seed sets where its rounds begin, so that
-// nodes which see few requests do not all begin with the heaviest part.
+// NewSplitter returns a splitter. The seed shifts its starting position, so that nodes
+// with few requests do not all start with the heaviest part.
 func NewSplitter(seed uint64) *Splitter {
 	return &Splitter{scores: make(map[string][]int), start: seed}
 }
 
-// Pick returns the service for the next request of the route; empty when the
-// route has no part with a weight.
+// Pick returns the service for the next request of the route; empty if no part has a
+// weight.
 func (s *Splitter) Pick(route *Route) string {
 	if len(route.Parts) == 1 {
 		return route.Parts[0].Service
@@ -50,7 +50,7 @@
 		return scores
 	}
 	scores = make([]int, len(route.Parts))
-	// Move the start by a part of a round: the scores keep their sum of zero.
+	// The shift keeps the sum of the scores at zero.
 	shift := int(s.start % uint64(total))
 	scores[0] -= shift
 	scores[len(scores)-1] += shift
--- a/internal/core/routes/tenants.go
+++ b/internal/core/routes/tenants.go
@@ -5,49 +5,49 @@
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
-// Tenant is one customer, known by its API keys.
+// Tenant is one customer, identified by its API keys.
 type Tenant struct {
 	Name string
 	Keys []string
-	// Priority goes before that of a route, 0 first; nil where the tenant has none.
+	// Priority overrides that of a route, 0 first; nil for none.
 	Priority *int
-	// Homes are the regions that alone may serve and keep the tenant's requests; none for all. Where
-	// its route has homes too, both bind.
+	// Homes are the only regions that may serve and store the tenant's requests; empty for all. The homes
+	// of the route apply as well.
 	Homes []string
 }
 
-// Credentials are what a request shows of its sender.
+// Credentials are the credentials of a request.
 type Credentials struct {
-	// Key is the API key; empty where the request shows none.
+	// Key is the API key; empty for none.
 	Key string
-	// Problem says why what the request shows is no key, and never holds it; empty
-	// where it is one or where nothing is shown.
+	// Problem says why the credentials are malformed, without containing them; empty if they
+	// are well-formed or missing.
 	Problem string
 }
 
-// Sender is who sent a request, as the configuration says.
+// Sender is the sender of a request by the configuration.
 type Sender struct {
-	// Tenant is the tenant's name; empty where the configuration knows no tenants or
-	// the route is open.
+	// Tenant is the tenant's name; empty if the configuration has no tenants or the route is
+	// open.
 	Tenant string
-	// Checked is true where the configuration knows tenants. What the request shows of
-	// its sender is then this system's own affair, and no engine sees it.
+	// Checked is true if the configuration has tenants. The request's credentials are then
+	// checked here and must not be forwarded to engines.
 	Checked bool
-	// Priority is the rank of the request, 0 first: the tenant's, or else the route's.
+	// Priority is that of the tenant, or else of the route; 0 is first.
 	Priority int
-	// Homes are the regions that alone may serve and keep the request: those of the route and of the
-	// tenant, where both have some those that both name.
+	// Homes are the only regions that may serve and store the request: the intersection of those of the
+	// route and of the tenant.
 	Homes homes.Set
 }
 
-// tenants finds the tenant of a key.
+// tenants indexes the tenants by key and name.
 type tenants struct {
 	byKey  map[string]*Tenant
 	byName map[string]*Tenant
 }
 
-// newTenants returns nil for a nil list. A key that stands at two tenants is that of
-// the first one.
+// newTenants returns nil for a nil list. A key that two tenants have belongs to the first
+// one.
 func newTenants(list []Tenant) *tenants {
 	if list == nil {
 		return nil
@@ -60,7 +60,7 @@
 	for i := range list {
 		found.byName[list[i].Name] = &list[i]
 		for _, key := range list[i].Keys {
-			if _, taken := found.byKey[key]; !taken && key != "" {
+			if _, used := found.byKey[key]; !used && key != "" {
 				found.byKey[key] = &list[i]
 			}
 		}
@@ -68,9 +68,9 @@
 	return found
 }
 
-// SenderOf returns who sent a request on a route. Current tells whether the table is
-// known to be the newest one, but for a few seconds. An error is of the kind Unauthorized,
-// or NotCurrent where the key may have been added in a newer table.
+// SenderOf returns the sender of a request on a route. current is whether the table is
+// known to be the newest one, up to a few seconds. An error is of the kind Unauthorized,
+// or NotCurrent if a newer table may contain the key.
 func (t *Table) SenderOf(route *Route, credentials Credentials, current bool) (Sender, *errkind.Error) {
 	sender := Sender{Checked: t.tenants != nil, Priority: route.Priority, Homes: homes.Of(route.Homes)}
 	if t.tenants == nil || route.Open {
@@ -88,9 +88,9 @@
 	return sender, nil
 }
 
-// OwnersOf returns the tenants whose batch jobs a call for one of a host may see, the
-// likeliest first; empty stands for jobs that were handed in on an open route. Such a
-// call names no route. Errors are those of SenderOf.
+// OwnersOf returns the tenants whose batch jobs of a host a caller may access, the
+// likeliest first; an empty name stands for jobs submitted on an open route. Errors are
+// those of SenderOf.
 func (t *Table) OwnersOf(host string, credentials Credentials, current bool) ([]string, *errkind.Error) {
 	if t.tenants == nil {
 		return []string{""}, nil
@@ -109,7 +109,7 @@
 	}
 }
 
-// hasOpenBatch tells whether jobs without a tenant may be handed in at the host.
+// hasOpenBatch reports whether the host accepts jobs without a tenant.
 func (t *Table) hasOpenBatch(host string) bool {
 	for _, route := range t.byHost[normalHost(host)] {
 		if route.Kind == Batch && route.Open {
--- a/internal/core/routes/tenants_test.go
+++ b/internal/core/routes/tenants_test.go
@@ -62,13 +62,13 @@
 		assert.Assert(t, failure == nil)
 		assert.DeepEqual(t, owners, []string{""})
 	}
-	// Who shows a key may ask for its own jobs of other routes as well.
+	// A caller with a key may access its own jobs of other routes as well.
 	owners, failure := table.OwnersOf("jobs", Credentials{Key: "ka"}, true)
 	assert.Assert(t, failure == nil)
 	assert.DeepEqual(t, owners, []string{"a", ""})
 }
 
-// TestAnUnknownKeyMayBeNewerThanTheTable: nothing else is.
+// TestAnUnknownKeyMayBeNewerThanTheTable: other failures do not depend on the table's age.
 func TestAnUnknownKeyMayBeNewerThanTheTable(t *testing.T) {
 	table := tenanted(Tenant{Name: "a", Keys: []string{"ka"}})
 	own := table.Match("h", "/own/x")
@@ -96,12 +96,12 @@
 	owners, failure := table.OwnersOf("h", Credentials{}, true)
 	assert.Assert(t, failure == nil)
 	assert.DeepEqual(t, owners, []string{""})
-	// A configuration that knows tenants and names none admits nobody.
+	// A configuration with an empty list of tenants admits no caller.
 	_, failure = NewTable(Definition{Tenants: []Tenant{}}).OwnersOf("h", Credentials{Key: "anything"}, true)
 	assert.Equal(t, errkind.KindOf(failure), errkind.Unauthorized)
 }
 
-// manyTenants returns tenants with so many keys in all, ten each.
+// manyTenants returns tenants with the given number of keys in total, ten each.
 func manyTenants(keys int) []Tenant {
 	list := make([]Tenant, keys/10)
 	for i := range list {
@@ -113,7 +113,7 @@
 	return list
 }
 
-// BenchmarkFindTenant looks one of 100,000 keys up.
+// BenchmarkFindTenant looks up one of 100,000 keys.
 func BenchmarkFindTenant(b *testing.B) {
 	table := tenanted(manyTenants(100_000)...)
 	route := table.Match("h", "/own/x")
