--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -1,6 +1,6 @@
-// Package quarantine decides which requests are kept away from the engines, because
-// engines have ended while they ran them. It has no input, output or clock; every
-// event comes with its time.
+// Package quarantine determines which requests are quarantined because engines ended
+// while they ran them. It has no input, output or clock; the time of each event is
+// passed in.
 package quarantine
 
 import (
@@ -9,20 +9,20 @@
 	"encoding/hex"
 )
 
-// fingerprintBytes is the size of a fingerprint. Requests come from anybody, so that
-// nobody may be able to find a second request with the fingerprint of a first.
+// fingerprintBytes is the size of a fingerprint. Requests are untrusted, so it must rule
+// out second preimages.
 const fingerprintBytes = 16
 
-// Fingerprint stands for all requests that ask for the same: it does not change when a
-// request comes again under another ID, at another node, or in a later batch job.
+// Fingerprint identifies all requests with the same content: it does not depend on the
+// request's ID, the receiving node, or the batch job.
 type Fingerprint [fingerprintBytes]byte
 
-// String returns the fingerprint in hexadecimal, as it stands in logs.
+// String returns the fingerprint in hexadecimal, as logged.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
-// Request is what the fingerprint is made of.
+// Request is the content that a fingerprint covers.
 type Request struct {
-	// Tenant is the sender; empty where the configuration knows no tenants.
+	// Tenant is the sender; empty if the configuration has no tenants.
 	Tenant string
 	Method string
 	Host   string
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -7,103 +7,97 @@
 )
 
 const (
-	// RequestLimit is how many engines may end under a live request before it is kept
-	// away from them: a single one is most often a machine that failed, and two in a row are
-	// what one exchange may ask.
+	// RequestLimit is the number of engines that end under a live request before it is
+	// quarantined. It is above one, since a single engine may have ended by a failure of its
+	// machine.
 	RequestLimit = 2
-	// ItemLimit is the same for items of batch jobs. They run for seconds beside others of
-	// their engine, all of which are lost with it: one engine more, at which the item began
-	// apart from others, decides between them. SharedItemLimit holds where none of the ends
-	// was such a one.
+	// ItemLimit is the same for items of batch jobs, if one of the ends was isolated. Items run
+	// concurrently with others that are lost with the same engine, so an end at which the item
+	// had started alone is needed to tell them apart. SharedItemLimit applies without one.
 	ItemLimit       = 3
 	SharedItemLimit = 5
 
-	// firstHold is how long a request is kept away once two engines have ended under it;
-	// each engine more, and each trial, multiplies it by holdFactor, up to longestHold.
+	// firstHold is the duration of the quarantine at RequestLimit. Each further engine and each
+	// trial multiplies it by holdFactor, up to longestHold.
 	firstHold   = time.Minute
 	holdFactor  = 4
 	longestHold = 24 * time.Hour
 
-	// suspicionLife is how long a single engine that ended under a request is remembered,
-	// holdMemory how long a request is remembered beyond the time for which it was held.
-	suspicionLife = time.Hour
-	holdMemory    = 24 * time.Hour
+	// suspicionTTL is how long records below RequestLimit are kept, holdTTL how long records
+	// are kept after the end of a quarantine.
+	suspicionTTL = time.Hour
+	holdTTL      = 24 * time.Hour
 
-	// maxEntries bounds the requests that are remembered; beyond it those go that were seen
-	// last a long time ago.
+	// maxEntries bounds the number of requests. Above it the least recently seen ones are evicted.
 	maxEntries = 20_000
-	// evictedShare is the part of them that goes then.
+	// evictedShare is the share of requests that is evicted at a time.
 	evictedShare = 0.1
 )
 
-// Unlogged is the offset of a record that is not in the log yet, or was not read back.
+// Unlogged is the offset of a record that was not read from the log yet.
 const Unlogged = int64(1<<63 - 1)
 
 // Record is one observation of a request.
 type Record struct {
 	Fingerprint Fingerprint
-	// Engine is the incarnation of the engine that ended while it ran the request, as
-	// incarnation.ID writes it, so that each end counts, also where the engine starts again
-	// under its ID; empty in a trial.
+	// Engine is the incarnation of the engine that ended while it ran the request, in the form
+	// of incarnation.ID, so that the ends of several incarnations are counted; empty in a trial.
 	Engine string
-	// Isolated: nothing else began at the engine shortly before.
+	// Isolated: no other request began at the engine shortly before.
 	Isolated bool
-	// Trial names a claim to send the request once, although it is held; empty in an
-	// observed end.
+	// Trial identifies a claim to send the quarantined request once; empty in an observed end.
 	Trial string
-	// At is the time of day of the node that made the record.
+	// At is the wall-clock time of the node that created the record.
 	At time.Time
-	// Offset is the record's place in the log, or Unlogged.
+	// Offset is the record's offset in the log, or Unlogged.
 	Offset int64
 }
 
-// Name names the record among those of its request.
+// Name returns the record's key among those of its request.
 func (r Record) Name() Name { return Name{Engine: r.Engine, Trial: r.Trial} }
 
-// Name names a record among those of its request: one of the two is empty.
+// Name is the key of a record among those of its request: one of the two is empty.
 type Name struct {
 	Engine string
 	Trial  string
 }
 
-// Standing is what is known of a request.
+// Standing is the state of a request.
 type Standing struct {
 	// Crashes counts the engines that ended under it.
 	Crashes int
-	// Isolated counts those of them at which nothing else began shortly before.
+	// Isolated counts the isolated ones among them.
 	Isolated int
-	// HeldUntil is the time until which it is kept away from engines once Crashes has
-	// reached its limit.
+	// HeldUntil is the end of the quarantine once Crashes has reached its limit.
 	HeldUntil time.Time
-	// Granted names the newest trial that was granted; empty for none.
+	// Granted is the newest granted trial; empty for none.
 	Granted string
 }
 
-// Held tells whether the request is kept away from engines.
+// Held reports whether the request is quarantined.
 func (s Standing) Held(limit int, now time.Time) bool {
 	return s.Crashes >= limit && now.Before(s.HeldUntil)
 }
 
-// ItemHeld tells whether an item of a batch job is kept away from engines.
+// ItemHeld reports whether an item of a batch job is quarantined.
 func (s Standing) ItemHeld(now time.Time) bool {
 	blamed := s.Crashes >= ItemLimit && s.Isolated > 0 || s.Crashes >= SharedItemLimit
 	return blamed && now.Before(s.HeldUntil)
 }
 
-// ItemSuspect tells whether an item is to begin apart from others.
+// ItemSuspect reports whether an item must be started in isolation.
 func (s Standing) ItemSuspect() bool { return s.Crashes >= ItemLimit-1 }
 
-// OnTrial tells whether the request may be sent once more, by whoever is granted it.
+// OnTrial reports whether a trial of the request may be granted.
 func (s Standing) OnTrial(limit int, now time.Time) bool {
 	return s.Crashes >= limit && !now.Before(s.HeldUntil)
 }
 
-// Ledger holds what is known of all requests under which engines ended.
+// Ledger holds the records of all requests under which engines ended.
 //
-// Invariant: the records of a request are a set, and what follows from them depends on
-// their offsets and times only. So nodes that have read the same records agree,
-// whatever the order in which they came, and a record that comes twice changes
-// nothing. It is not safe for concurrent use.
+// Invariant: the records of a request are a set, and its state depends on their offsets
+// and times only. Nodes with the same records agree regardless of the order of arrival, and
+// duplicates have no effect. It is not safe for concurrent use.
 type Ledger struct {
 	entries map[Fingerprint]map[Name]Record
 }
@@ -111,11 +105,11 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger { return &Ledger{entries: make(map[Fingerprint]map[Name]Record)} }
 
-// Len returns the number of requests known.
+// Len returns the number of requests.
 func (l *Ledger) Len() int { return len(l.entries) }
 
-// Put adds a record; it reports whether it was new. One that was known without its
-// place in the log gets it.
+// Put adds a record and reports whether it was new. A known record without an offset gets
+// the offset.
 func (l *Ledger) Put(record Record) bool {
 	entry, found := l.entries[record.Fingerprint]
 	if !found {
@@ -133,7 +127,7 @@
 	return !repeated
 }
 
-// Drop takes a record out.
+// Drop removes a record.
 func (l *Ledger) Drop(fingerprint Fingerprint, name Name) {
 	entry := l.entries[fingerprint]
 	delete(entry, name)
@@ -151,13 +145,13 @@
 	return records
 }
 
-// Logged tells whether a record's place in the log is known.
+// Logged reports whether a record's offset in the log is known.
 func (l *Ledger) Logged(record Record) bool {
 	known, found := l.entries[record.Fingerprint][record.Name()]
 	return found && known.Offset != Unlogged
 }
 
-// Standing returns what is known of a request now.
+// Standing returns the state of a request at the given time.
 func (l *Ledger) Standing(fingerprint Fingerprint, now time.Time) Standing {
 	standing, last := fold(l.Records(fingerprint))
 	if expired(standing, last, now) {
@@ -166,29 +160,29 @@
 	return standing
 }
 
-// Expired returns the records that need not be remembered any longer.
+// Expired returns the records that are no longer needed.
 func (l *Ledger) Expired(now time.Time) []Record {
 	var records []Record
 	for fingerprint := range l.entries {
-		own := l.Records(fingerprint)
-		if standing, last := fold(own); expired(standing, last, now) {
-			records = append(records, own...)
+		ofRequest := l.Records(fingerprint)
+		if standing, last := fold(ofRequest); expired(standing, last, now) {
+			records = append(records, ofRequest...)
 		}
 	}
 	return records
 }
 
-// expired tells whether a request need not be remembered any longer; last is when it was
-// seen last.
+// expired reports whether the records of a request are no longer needed; last is the time
+// of the newest one.
 func expired(standing Standing, last, now time.Time) bool {
 	if standing.Crashes < RequestLimit {
-		return now.Sub(last) > suspicionLife
+		return now.Sub(last) > suspicionTTL
 	}
-	return now.Sub(standing.HeldUntil) > holdMemory
+	return now.Sub(standing.HeldUntil) > holdTTL
 }
 
-// fold returns what follows from the records of one request, and when it was seen last. A trial
-// is granted to the first that asks, in the order of the log, once the hold before is over.
+// fold returns the state that follows from the records of one request, and the time of the newest
+// one. The first claim in log order after the end of a quarantine is granted.
 func fold(records []Record) (standing Standing, last time.Time) {
 	slices.SortFunc(records, func(a, b Record) int {
 		return cmp.Or(cmp.Compare(a.Offset, b.Offset), a.At.Compare(b.At))
@@ -210,13 +204,13 @@
 		if record.At.After(last) {
 			last = record.At
 		}
-		standing.HeldUntil = last.Add(holdTime(standing.Crashes + trials))
+		standing.HeldUntil = last.Add(holdDuration(standing.Crashes + trials))
 	}
 	return standing, last
 }
 
-// holdTime is how long a request is kept away after its last engine or trial.
-func holdTime(count int) time.Duration {
+// holdDuration returns the duration of the quarantine after the newest end or trial.
+func holdDuration(count int) time.Duration {
 	hold := firstHold
 	for range count - RequestLimit {
 		if hold *= holdFactor; hold >= longestHold {
@@ -226,7 +220,7 @@
 	return hold
 }
 
-// evict drops those that were seen longest ago.
+// evict drops the least recently seen requests.
 func (l *Ledger) evict() {
 	type seen struct {
 		fingerprint Fingerprint
--- a/internal/core/quarantine/ledger_test.go
+++ b/internal/core/quarantine/ledger_test.go
@@ -113,13 +113,13 @@
 
 func TestWhatIsOldIsForgotten(t *testing.T) {
 	single := ledgerOf(end("a", 0, 0))
-	assert.Equal(t, len(single.Expired(began.Add(suspicionLife))), 0)
-	assert.Equal(t, len(single.Expired(began.Add(suspicionLife+time.Second))), 1)
-	assert.Equal(t, single.Standing(request, began.Add(suspicionLife+time.Second)), Standing{})
+	assert.Equal(t, len(single.Expired(began.Add(suspicionTTL))), 0)
+	assert.Equal(t, len(single.Expired(began.Add(suspicionTTL+time.Second))), 1)
+	assert.Equal(t, single.Standing(request, began.Add(suspicionTTL+time.Second)), Standing{})
 
 	held := ledgerOf(end("a", 0, 0), end("b", 0, 1))
-	assert.Equal(t, len(held.Expired(began.Add(firstHold+holdMemory))), 0)
-	assert.Equal(t, len(held.Expired(began.Add(firstHold+holdMemory+time.Second))), 2)
+	assert.Equal(t, len(held.Expired(began.Add(firstHold+holdTTL))), 0)
+	assert.Equal(t, len(held.Expired(began.Add(firstHold+holdTTL+time.Second))), 2)
 }
 
 func TestTheLedgerIsBounded(t *testing.T) {
@@ -137,7 +137,7 @@
 	assert.Equal(t, len(ledger.Records(oldest)), 0)
 }
 
-// TestNodesThatHaveReadTheSameAgree: whatever the order and however often records come.
+// TestNodesThatHaveReadTheSameAgree: for any order and repetition of the records.
 func TestNodesThatHaveReadTheSameAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 12).Draw(t, "records")
@@ -159,8 +159,8 @@
 	})
 }
 
-// TestTrialsAreApart: between two trials that are granted lies the hold of the first, and
-// no trial is granted to two claims.
+// TestTrialsAreApart: two granted trials are separated by the hold of the first, and no
+// trial is granted to two claims.
 func TestTrialsAreApart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ledger := ledgerOf(end("a", 0, 0), end("b", 0, 1))
