Describe crashed engines in the terms of probes, records and quarantine

Records of peers are applied, claims of trials claimed, unwritten records reported; internal names follow.

--- a/internal/crashes/adopt.go
+++ b/internal/crashes/adopt.go
@@ -9,22 +9,23 @@
 )
 
 const (
-	// A record that another node told of is written by this one as well unless it stands in
-	// the log by then: the other node may have ended. The time is drawn, so that one node
-	// does it for all.
+	// A record received from a peer that is not in the log after adoptAfter and a random part of
+	// adoptSpread is written by this node, since the peer may have ended. The random part makes
+	// it likely that only one node does so.
 	adoptAfter  = 5 * time.Second
 	adoptSpread = 10 * time.Second
 	adoptPeriod = time.Second
 )
 
-// adoption is a record that another node told of.
+// adoption is a record that was received from a peer.
 type adoption struct {
 	record eventlog.KeyedRecord
-	due    time.Time
+	// due is when this node writes the record.
+	due time.Time
 }
 
-// takeFromPeer takes a record that another node could not write.
-func (g *Guard) takeFromPeer(from eventlog.KeyedRecord) {
+// applyFromPeer applies a record that a peer could not write.
+func (g *Guard) applyFromPeer(from eventlog.KeyedRecord) {
 	from.Offset = quarantine.Unlogged
 	record, err := decode(from)
 	if err != nil {
@@ -46,7 +47,7 @@
 	g.adopted[from.Key] = adoption{record: from, due: time.Now().Add(adoptAfter + rand.N(adoptSpread))}
 }
 
-// writeAdopted writes what other nodes told of and have not written since.
+// writeAdopted writes records of peers that are due and still not in the log.
 func (g *Guard) writeAdopted(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/crashes/cleared.go
+++ b/internal/crashes/cleared.go
@@ -6,33 +6,33 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// clearedLife is how long a node remembers that a record was taken out: for longer than a write that
-// was left without an answer may land late, or a node that observed the end may be cut off.
-const clearedLife = 10 * time.Minute
+// clearedTTL is how long a node remembers a deleted record. It must exceed the delay of writes without an
+// answer, and the time for which a node that observed the end may be partitioned.
+const clearedTTL = 10 * time.Minute
 
-// clearing says that a record was taken out.
+// clearing is a deleted record.
 type clearing struct {
 	until time.Time
-	// own: it was this node that took it out.
+	// own: this node deleted the record.
 	own bool
 }
 
-// clear notes that a record was taken out; mu is held. Its key never stands for anything new: an
-// engine ends once, and a trial is claimed once. So whatever comes under it is late.
+// clear remembers that a record was deleted. Keys are never reused, since an incarnation ends once and
+// a trial is claimed once, so any later record with the key is late. Must be called with mu held.
 func (g *Guard) clear(key string, own bool) {
 	own = own || g.cleared[key].own
-	g.cleared[key] = clearing{until: time.Now().Add(clearedLife), own: own}
+	g.cleared[key] = clearing{until: time.Now().Add(clearedTTL), own: own}
 	delete(g.adopted, key)
 }
 
-// isCleared tells whether the record was taken out; mu is held.
+// isCleared reports whether the record was deleted. Must be called with mu held.
 func (g *Guard) isCleared(key string) bool {
 	_, found := g.cleared[key]
 	return found
 }
 
-// clearAgain takes a record out that landed after its deletion, if it was this node that deleted it:
-// one that starts would take it for new. mu is held.
+// clearAgain deletes a record that was written after its deletion, if this node had deleted it: a node
+// that starts would apply it. Must be called with mu held.
 func (g *Guard) clearAgain(late eventlog.KeyedRecord) {
 	g.logger.Info().Str("key", late.Key).Int64("offset", late.Offset).Bool("own", g.cleared[late.Key].own).
 		Msg("record of an ended engine came after its deletion")
@@ -42,7 +42,7 @@
 	}
 }
 
-// forgetCleared forgets what can no longer come late.
+// forgetCleared drops expired entries.
 func (g *Guard) forgetCleared(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/crashes/cleared_test.go
+++ b/internal/crashes/cleared_test.go
@@ -10,7 +10,7 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// TestALateRecordIsTakenOutOfTheLogAgain: a node that starts later knows nothing of its deletion.
+// TestALateRecordIsTakenOutOfTheLogAgain: a node that starts later does not know of its deletion.
 func TestALateRecordIsTakenOutOfTheLogAgain(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		c.lose(0, "a")
@@ -31,8 +31,8 @@
 	})
 }
 
-// TestWhatWasClearedIsNotAdopted: the node that told of the ends was slow to write them, the one
-// that would write them for it has heard of the answer.
+// TestWhatWasClearedIsNotAdopted: a peer's records are not written yet when this node learns that the
+// request was answered.
 func TestWhatWasClearedIsNotAdopted(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		c.log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
@@ -51,13 +51,13 @@
 	})
 }
 
-// TestClearingsAreForgotten: they would pile up.
+// TestClearingsAreForgotten: they would accumulate.
 func TestClearingsAreForgotten(t *testing.T) {
 	inCluster(t, 1, func(c *cluster) {
 		c.lose(0, "a")
 		c.settle()
 		c.guards[0].Answered(fingerprint)
-		time.Sleep(clearedLife + 2*adoptPeriod)
+		time.Sleep(clearedTTL + 2*adoptPeriod)
 		c.guards[0].mu.Lock()
 		defer c.guards[0].mu.Unlock()
 		assert.Equal(t, len(c.guards[0].cleared), 0)
--- a/internal/crashes/guard.go
+++ b/internal/crashes/guard.go
@@ -13,31 +13,31 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// sweepPeriod is the time between two looks at what need not be remembered any longer.
+// sweepPeriod is the interval between two sweeps of expired records.
 const sweepPeriod = time.Minute
 
-// Guard keeps requests under which engines ended away from the others. What a node sees
-// is kept in the log, which all nodes follow; while the log takes nothing, the nodes
-// tell each other. It is safe for concurrent use.
+// Guard quarantines requests under which engines ended. Nodes write their observations to
+// the log, which all nodes follow; while the log is unavailable, they send them to each other.
+// It is safe for concurrent use.
 type Guard struct {
 	watch   *Watch
 	writer  *writer
 	observe func(requests int)
 	logger  zerolog.Logger
 
-	// known is the number of requests in the ledger: most of the time there are none, and
-	// nothing needs to be worked out for a request.
+	// known is the number of requests in the ledger. While it is zero, no fingerprints are
+	// computed.
 	known atomic.Int64
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
-	// changed is closed and replaced when records were read from the log.
+	// changed is closed and replaced when records are read from the log.
 	changed chan struct{}
-	// asking holds the requests for which this node asks for a trial.
+	// asking holds the requests for which this node is claiming a trial.
 	asking map[quarantine.Fingerprint]bool
-	// adopted holds what other nodes told of, by key, and when this one writes it.
+	// adopted holds records of peers by key.
 	adopted map[string]adoption
-	// cleared holds the records that were taken out, by key.
+	// cleared holds deleted records by key.
 	cleared map[string]clearing
 }
 
@@ -47,9 +47,9 @@
 	Log   Log
 	// Topic is a compacted topic of the log.
 	Topic string
-	// Unwritten is called with records that the log did not take.
+	// Unwritten is called with records that could not be written.
 	Unwritten func(ctx context.Context, records []eventlog.KeyedRecord)
-	// Observe is told how many requests are remembered whenever that may have changed.
+	// Observe is called with the number of requests whenever it may have changed.
 	Observe func(requests int)
 	Logger  zerolog.Logger
 }
@@ -65,7 +65,7 @@
 	}
 }
 
-// Run writes what this node sees until ctx ends.
+// Run writes observations until ctx ends.
 func (g *Guard) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	group.Go(func() { g.writer.run(ctx) })
@@ -83,7 +83,7 @@
 	return nil
 }
 
-// Take takes a record of the log; see follow.Handler.
+// Take applies a record of the log; see follow.Handler.
 func (g *Guard) Take(from eventlog.KeyedRecord) {
 	record, err := decode(from)
 	if err != nil {
@@ -106,13 +106,13 @@
 	g.changed = make(chan struct{})
 }
 
-// count notes how many requests are remembered; mu is held.
+// count updates the number of requests. Must be called with mu held.
 func (g *Guard) count() {
 	g.known.Store(int64(g.ledger.Len()))
 	g.observe(g.ledger.Len())
 }
 
-// put adds a record and tells of what is new; mu is held.
+// put adds a record and logs a new quarantine. Must be called with mu held.
 func (g *Guard) put(record quarantine.Record, source string) {
 	if !g.ledger.Put(record) {
 		return
@@ -127,7 +127,7 @@
 		Msg("request kept away from engines")
 }
 
-// ConnectionLost finds out whether the engine has ended under the request, and remembers
+// ConnectionLost reports whether the engine has ended under the request, and records
 // it.
 func (g *Guard) ConnectionLost(ctx context.Context, loss Loss) bool {
 	if !g.watch.ConnectionLost(ctx, loss) {
@@ -158,9 +158,9 @@
 	g.writer.add(encoded)
 }
 
-// Answered notes that an engine ran the request to a good end: whatever ended other
-// engines, it was not this request. A failure says nothing, since an engine may fail what it
-// has not begun.
+// Answered clears a request that an engine completed successfully: it did not cause the ends
+// of other engines. Failures prove nothing, since an engine may reject a request without
+// starting it.
 func (g *Guard) Answered(fingerprint func() quarantine.Fingerprint) {
 	if g.known.Load() == 0 {
 		return
@@ -189,7 +189,7 @@
 	g.writer.add(deletions...)
 }
 
-// Standing returns what is known of a request.
+// Standing returns the state of a request.
 func (g *Guard) Standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing {
 	if g.known.Load() == 0 {
 		return quarantine.Standing{}
@@ -200,13 +200,12 @@
 	return g.ledger.Standing(of, time.Now())
 }
 
-// Admit returns nil if a live request may go to an engine, or why it may not. Once the time
-// is over for which it was held, one request is let through as a trial, by whichever
-// node asks first.
+// Admit returns nil if a live request may be sent to an engine, or why it may not. After the end of
+// a quarantine one request is admitted as a trial, at the node that claims it first.
 func (g *Guard) Admit(ctx context.Context, fingerprint func() quarantine.Fingerprint) *errkind.Error {
 	now := time.Now()
 	standing := g.Standing(fingerprint)
-	if standing.OnTrial(quarantine.RequestLimit, now) && g.askForTrial(ctx, fingerprint()) {
+	if standing.OnTrial(quarantine.RequestLimit, now) && g.claimTrial(ctx, fingerprint()) {
 		return nil
 	}
 	if standing.Crashes < quarantine.RequestLimit {
@@ -218,8 +217,8 @@
 	return failure
 }
 
-// Sweep takes out of the log what need not be remembered any longer, until ctx ends. One
-// node does it at a time.
+// Sweep deletes expired records from the log until ctx ends. It must run on one node at a
+// time.
 func (g *Guard) Sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
--- a/internal/crashes/guard_test.go
+++ b/internal/crashes/guard_test.go
@@ -23,7 +23,7 @@
 
 const topic = "keyed.crashes"
 
-// cluster is some nodes' guards on one log, in the bubble of a test whose time is its own.
+// cluster is the guards of some nodes on one log, in a synctest bubble.
 type cluster struct {
 	t      *testing.T
 	log    *memlog.Log
@@ -56,7 +56,7 @@
 		Unwritten: func(_ context.Context, records []eventlog.KeyedRecord) {
 			for _, other := range c.guards {
 				for _, record := range records {
-					other.takeFromPeer(record)
+					other.applyFromPeer(record)
 				}
 			}
 		},
@@ -65,7 +65,7 @@
 	return guard, follow.New(c.log, topic, guard.Take, pacing.Budget{}, zerolog.Nop())
 }
 
-// settle lets everything happen that takes less than some seconds.
+// settle waits until all effects within some seconds have happened.
 func (c *cluster) settle() {
 	time.Sleep(3 * time.Second)
 	synctest.Wait()
@@ -73,7 +73,7 @@
 
 func fingerprint() quarantine.Fingerprint { return crashing }
 
-// lose has a node see an engine end under the request.
+// lose makes a node observe the end of an engine under the request.
 func (c *cluster) lose(node int, engine string) {
 	c.t.Helper()
 	crashed := c.guards[node].ConnectionLost(c.t.Context(), Loss{
@@ -82,7 +82,7 @@
 	assert.Assert(c.t, crashed)
 }
 
-// assertHeld checks at each node whether it keeps the request away from engines.
+// assertHeld checks at each node whether the request is quarantined.
 func (c *cluster) assertHeld(held bool) {
 	c.t.Helper()
 	for i, guard := range c.guards {
@@ -106,7 +106,7 @@
 	})
 }
 
-// TestANodeThatStartsKnowsWhatOthersSaw: also after a restart of all.
+// TestANodeThatStartsKnowsWhatOthersSaw: also after a restart of all nodes.
 func TestANodeThatStartsKnowsWhatOthersSaw(t *testing.T) {
 	inCluster(t, 1, func(c *cluster) {
 		c.lose(0, "a")
@@ -137,8 +137,8 @@
 	})
 }
 
-// TestNodesTellEachOtherOfAnAnswerWhileTheLogIsAway: of the same request of which they told
-// that engines had ended under it.
+// TestNodesTellEachOtherOfAnAnswerWhileTheLogIsAway: the deletion of records that were sent to
+// peers is sent to them as well.
 func TestNodesTellEachOtherOfAnAnswerWhileTheLogIsAway(t *testing.T) {
 	inCluster(t, 3, func(c *cluster) {
 		c.log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
@@ -154,15 +154,15 @@
 	})
 }
 
-// TestWhatAnotherNodeToldOfReachesTheLogAlthoughItEnded: the log is away, the node that saw
-// the engines end is gone before it is back.
+// TestWhatAnotherNodeToldOfReachesTheLogAlthoughItEnded: the node that observed the ends stops
+// during an outage of the log.
 func TestWhatAnotherNodeToldOfReachesTheLogAlthoughItEnded(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		c.log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
 		for _, engine := range []string{"a", "b"} {
 			record, err := encode(quarantine.Record{Fingerprint: crashing, Engine: engine, At: time.Now()})
 			assert.NilError(c.t, err)
-			c.guards[0].takeFromPeer(record)
+			c.guards[0].applyFromPeer(record)
 		}
 		time.Sleep(adoptAfter + adoptSpread + adoptPeriod)
 		c.log.SetFault(nil)
@@ -171,7 +171,7 @@
 	})
 }
 
-// TestLostAndLateAnswersOfTheLogChangeNothing: each write is done, and told as unknown.
+// TestLostAndLateAnswersOfTheLogChangeNothing: each write takes effect and reports an unknown outcome.
 func TestLostAndLateAnswersOfTheLogChangeNothing(t *testing.T) {
 	for name, fault := range map[string]memlog.Fault{"lost": memlog.LostAnswer, "late": memlog.LateEffect} {
 		t.Run(name, func(t *testing.T) {
@@ -210,8 +210,8 @@
 	})
 }
 
-// TestOneNodeIsGrantedATrial: once the hold is over, all nodes are asked at the same time,
-// again and again.
+// TestOneNodeIsGrantedATrial: after the hold, all nodes receive the request concurrently and
+// repeatedly.
 func TestOneNodeIsGrantedATrial(t *testing.T) {
 	inCluster(t, 5, func(c *cluster) {
 		c.lose(0, "a")
@@ -271,7 +271,7 @@
 	return ctx.Err()
 }
 
-// TestANodeThatStopsDoesNotWaitForASilentLog: its roles have 350 ms to end.
+// TestANodeThatStopsDoesNotWaitForASilentLog: roles have 350 ms to end.
 func TestANodeThatStopsDoesNotWaitForASilentLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		writer := newWriter(silentLog{}, topic, func(context.Context, []eventlog.KeyedRecord) {}, zerolog.Nop())
@@ -313,7 +313,7 @@
 	})
 }
 
-// BenchmarkAdmit asks about a request of a kilobyte while some others are held.
+// BenchmarkAdmit admits a request of a kilobyte while others are quarantined.
 func BenchmarkAdmit(b *testing.B) {
 	for _, held := range []int{0, 100} {
 		b.Run(fmt.Sprintf("held-%d", held), func(b *testing.B) {
--- a/internal/crashes/incarnation_test.go
+++ b/internal/crashes/incarnation_test.go
@@ -9,7 +9,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 )
 
-// start has all nodes read that the engine has started.
+// start lists a new incarnation of the engine at all nodes.
 func (c *cluster) start(engine string, born int64) fleet.Engine {
 	started := startOf(engine, engine+":1", born)
 	for _, guard := range c.guards {
@@ -18,14 +18,14 @@
 	return started
 }
 
-// loseStart has a node see a start of an engine end under the request.
+// loseStart makes a node observe the end of an incarnation under the request.
 func (c *cluster) loseStart(node int, engine fleet.Engine) {
 	c.t.Helper()
 	assert.Assert(c.t, c.guards[node].ConnectionLost(c.t.Context(), Loss{Engine: engine, Fingerprint: crashing}))
 }
 
-// TestTwoStartsOfOneEngineThatEndAreTwoEnds: a service may have a single engine, which starts again under
-// its ID each time.
+// TestTwoStartsOfOneEngineThatEndAreTwoEnds: a service may have a single engine, which restarts under its
+// ID each time.
 func TestTwoStartsOfOneEngineThatEndAreTwoEnds(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		c.loseStart(0, c.start("a", 1000))
@@ -37,7 +37,7 @@
 	})
 }
 
-// TestAnEndThatTwoNodesSeeCountsOnce: one before the next start was listed, the other one after.
+// TestAnEndThatTwoNodesSeeCountsOnce: one sees it before the next incarnation is listed, the other after.
 func TestAnEndThatTwoNodesSeeCountsOnce(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		first := c.start("a", 1000)
@@ -50,8 +50,8 @@
 	})
 }
 
-// TestTheNextStartOfAnEngineIsNotClearedWithTheOneBefore: an answer cleared the request of the end of one
-// start; that it ended the next ones is new.
+// TestTheNextStartOfAnEngineIsNotClearedWithTheOneBefore: an answer cleared the end of an incarnation; the
+// ends of later ones count.
 func TestTheNextStartOfAnEngineIsNotClearedWithTheOneBefore(t *testing.T) {
 	inCluster(t, 1, func(c *cluster) {
 		c.loseStart(0, c.start("a", 1000))
@@ -63,7 +63,7 @@
 	})
 }
 
-// TestRecordsWithoutAStartAreRead: an engine that does not tell when it started is named by its ID alone.
+// TestRecordsWithoutAStartAreRead: an engine that does not report its start time is identified by its ID alone.
 func TestRecordsWithoutAStartAreRead(t *testing.T) {
 	record := quarantine.Record{Fingerprint: crashing, Engine: engineAt("a", "").Incarnation().String()}
 	assert.Equal(t, keyOf(record), crashing.String()+"/engine/a")
--- a/internal/crashes/late_test.go
+++ b/internal/crashes/late_test.go
@@ -6,8 +6,8 @@
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 )
 
-// TestALateRecordDoesNotHoldARequestThatWasCleared: the log has taken the records of two ends
-// without an answer, and carries them out once the request was answered and cleared.
+// TestALateRecordDoesNotHoldARequestThatWasCleared: the writes of two ends got no answer and take
+// effect after the request was answered and cleared.
 func TestALateRecordDoesNotHoldARequestThatWasCleared(t *testing.T) {
 	inCluster(t, 2, func(c *cluster) {
 		c.log.SetFault(func(call memlog.Call) memlog.Fault {
--- a/internal/crashes/peers.go
+++ b/internal/crashes/peers.go
@@ -14,19 +14,18 @@
 )
 
 const (
-	// Path is where other nodes send their records.
+	// Path is the endpoint for records of other nodes.
 	Path = "/crashes"
-	// maxMessageBytes bounds a message: writeBatch records of some 100 bytes.
+	// maxMessageBytes bounds a message of maxBatch records.
 	maxMessageBytes = 256 << 10
 	// maxAnswerBytes bounds the answer, which is empty.
 	maxAnswerBytes = 64
-	// tellTimeout bounds the telling of one node, tellAtOnce the nodes that are told at
-	// the same time.
-	tellTimeout = 500 * time.Millisecond
-	tellAtOnce  = 16
+	// sendTimeout bounds the sending to one node, maxConcurrentSends the concurrent sends.
+	sendTimeout        = 500 * time.Millisecond
+	maxConcurrentSends = 16
 )
 
-// message carries records that the log did not take to other nodes, encoded as msgpack.
+// message carries unwritten records to other nodes, encoded as msgpack.
 type message struct {
 	Records []eventlog.KeyedRecord `msgpack:"r"`
 }
@@ -34,31 +33,31 @@
 // received is the answer to a message.
 type received struct{}
 
-// Peers tells the other nodes what the log does not take.
+// Peers sends unwritten records to the other nodes.
 type Peers struct {
-	// addresses returns where the other nodes listen.
+	// addresses returns the peer addresses of the other nodes.
 	addresses func() []string
 	client    *http.Client
 	logger    zerolog.Logger
 }
 
-// NewPeers returns the way to the other nodes.
+// NewPeers returns a sender to the nodes at the addresses.
 func NewPeers(addresses func() []string, client *http.Client, logger zerolog.Logger) *Peers {
 	return &Peers{addresses: addresses, client: client, logger: logger}
 }
 
-// Tell sends records to all other nodes. Whoever is not reached learns from the log.
+// Tell sends records to all other nodes. Unreachable nodes read them from the log later.
 func (p *Peers) Tell(ctx context.Context, records []eventlog.KeyedRecord) {
 	addresses := p.addresses()
 	var group errgroup.Group
-	group.SetLimit(tellAtOnce)
+	group.SetLimit(maxConcurrentSends)
 	var mu sync.Mutex
 	reached := 0
 	for _, address := range addresses {
 		group.Go(func() error {
-			asking, cancel := context.WithTimeout(ctx, tellTimeout)
+			sending, cancel := context.WithTimeout(ctx, sendTimeout)
 			defer cancel()
-			err := msgpackhttp.Ask(asking, p.client, "http://"+address+Path, &message{Records: records}, &received{}, maxAnswerBytes)
+			err := msgpackhttp.Ask(sending, p.client, "http://"+address+Path, &message{Records: records}, &received{}, maxAnswerBytes)
 			if err == nil {
 				mu.Lock()
 				reached++
@@ -72,11 +71,11 @@
 		Msg("nodes told of ended engines")
 }
 
-// Handler takes the records of other nodes.
+// Handler receives records of other nodes.
 func (g *Guard) Handler() http.Handler {
-	return msgpackhttp.Handle(maxMessageBytes, func(_ context.Context, told message) received {
-		for _, record := range told.Records {
-			g.takeFromPeer(record)
+	return msgpackhttp.Handle(maxMessageBytes, func(_ context.Context, sent message) received {
+		for _, record := range sent.Records {
+			g.applyFromPeer(record)
 		}
 		return received{}
 	})
--- a/internal/crashes/record.go
+++ b/internal/crashes/record.go
@@ -13,8 +13,8 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// A record's key in the log is FINGERPRINT/engine/ID or FINGERPRINT/trial/ID, so that
-// each observation has a key of its own and writing it twice changes nothing.
+// A record's key in the log is FINGERPRINT/engine/ID or FINGERPRINT/trial/ID. Each
+// observation has a unique key, so writing it is idempotent.
 const (
 	keySeparator = "/"
 	keyEngine    = "engine"
@@ -22,9 +22,9 @@
 	keyParts     = 3
 )
 
-// value is what a record holds beside its key, encoded as msgpack.
+// value is the value of a record, encoded as msgpack.
 type value struct {
-	// AtMs is the time of day of the observation in milliseconds since 1970.
+	// AtMs is the wall-clock time of the observation in Unix milliseconds.
 	AtMs int64 `msgpack:"a"`
 	// Isolated is quarantine.Record.Isolated.
 	Isolated bool `msgpack:"i,omitempty"`
@@ -38,7 +38,7 @@
 	return strings.Join([]string{record.Fingerprint.String(), kind, id}, keySeparator)
 }
 
-// encode returns the record as it stands in the log.
+// encode returns the log record.
 func encode(record quarantine.Record) (eventlog.KeyedRecord, error) {
 	raw, err := msgpack.Marshal(&value{AtMs: record.At.UnixMilli(), Isolated: record.Isolated})
 	if err != nil {
@@ -47,12 +47,12 @@
 	return eventlog.KeyedRecord{Key: keyOf(record), Value: raw}, nil
 }
 
-// deletion returns what takes the record out of the log.
+// deletion returns the log record that deletes the record.
 func deletion(record quarantine.Record) eventlog.KeyedRecord {
 	return eventlog.KeyedRecord{Key: keyOf(record), Deleted: true}
 }
 
-// decode reads a record of the log; of one that was deleted only its name and offset.
+// decode decodes a log record. For a deletion, it returns only the name and offset.
 func decode(from eventlog.KeyedRecord) (quarantine.Record, error) {
 	parts := strings.SplitN(from.Key, keySeparator, keyParts)
 	if len(parts) != keyParts || parts[2] == "" {
--- a/internal/crashes/trial.go
+++ b/internal/crashes/trial.go
@@ -10,13 +10,13 @@
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
-// trialWait bounds how long a request waits for its trial to be granted: a write to the
-// log and a read of it.
-const trialWait = time.Second
+// trialTimeout bounds how long a request waits for its trial to be granted, which takes a write
+// to the log and a read.
+const trialTimeout = time.Second
 
-// askForTrial tells whether this node may send a held request once. The first claim in
-// the log is granted, so that one node at most sends it, whatever fails meanwhile.
-func (g *Guard) askForTrial(ctx context.Context, fingerprint quarantine.Fingerprint) bool {
+// claimTrial reports whether this node may send a quarantined request once. The first claim in
+// the log is granted, so at most one node sends the request under any faults.
+func (g *Guard) claimTrial(ctx context.Context, fingerprint quarantine.Fingerprint) bool {
 	g.mu.Lock()
 	if g.asking[fingerprint] {
 		g.mu.Unlock()
@@ -29,7 +29,7 @@
 		defer g.mu.Unlock()
 		delete(g.asking, fingerprint)
 	}()
-	ctx, cancel := context.WithTimeout(ctx, trialWait)
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
 	claim := quarantine.Record{Fingerprint: fingerprint, Trial: xid.New().String(), At: time.Now()}
 	encoded, err := encode(claim)
@@ -42,7 +42,7 @@
 	return granted
 }
 
-// awaitTrial waits until the claim was read back, and tells whether it was granted.
+// awaitTrial waits until the claim is read back and reports whether it was granted.
 func (g *Guard) awaitTrial(ctx context.Context, claim quarantine.Record) bool {
 	for {
 		g.mu.Lock()
--- a/internal/crashes/watch.go
+++ b/internal/crashes/watch.go
@@ -1,4 +1,4 @@
-// Package crashes notices engines that end while they run a request.
+// Package crashes detects engines that end while they run a request.
 package crashes
 
 import (
@@ -12,41 +12,41 @@
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 )
 
-// Liveness is what a look at an engine's address says of it.
+// Liveness is the result of a probe of an engine.
 type Liveness uint8
 
 // The answers.
 const (
-	// Unknown: nothing was heard in time.
+	// Unknown: there was no answer in time.
 	Unknown Liveness = iota
-	// Listening: somebody takes connections there.
+	// Listening: the address accepts connections.
 	Listening
-	// Ended: nobody takes connections there.
+	// Ended: the address refuses connections, or another incarnation listens there.
 	Ended
 )
 
 var livenessNames = [...]string{Unknown: "unknown", Listening: "listening", Ended: "ended"}
 
-// String returns the answer as it stands in logs.
+// String returns the liveness as logged.
 func (l Liveness) String() string { return livenessNames[l] }
 
-// Prober looks whether an engine still takes connections.
+// Prober probes whether an engine is alive.
 type Prober interface {
-	// Probe may ask the engine something only while mayAsk permits it; a connection asks nothing.
+	// Probe may send a request to the engine only while mayAsk reports true. Connecting is always permitted.
 	Probe(ctx context.Context, engine fleet.Engine, mayAsk func() bool) Liveness
 }
 
-// probeTimeout bounds one look at an engine. Whoever lost a connection waits for it
-// before the request is sent anywhere else; an engine that ended refuses at once.
+// probeTimeout bounds a probe. A request that lost its connection waits for the probe before it is
+// sent to another engine; an engine that has ended refuses connections at once.
 const probeTimeout = 100 * time.Millisecond
 
-// Loss is a connection that an engine ended while a request was there.
+// Loss is a connection that the engine closed during a request.
 type Loss struct {
 	Engine fleet.Engine
 	// RequestID is the ID of the request or of the item.
 	RequestID   string
 	Fingerprint quarantine.Fingerprint
-	// Isolated: nothing else began at the engine shortly before.
+	// Isolated: no other request began at the engine shortly before.
 	Isolated bool
 }
 
@@ -55,26 +55,24 @@
 	Prober Prober
 	Fleet  *fleet.Fleet
 	Logger zerolog.Logger
-	// Observe is told of each lost connection, by the engine's service and what became
-	// of the engine.
+	// Observe is called for each lost connection with the engine's service and liveness.
 	Observe func(service, liveness string)
 }
 
-// Watch finds out what became of engines whose connections were lost. It is safe for
-// concurrent use.
+// Watch probes engines whose connections were lost. It is safe for concurrent use.
 type Watch struct {
 	options Options
-	// probes joins the looks at one engine: all its connections are lost at once.
+	// probes deduplicates concurrent probes of an engine, which loses all its connections at once.
 	probes singleflight.Group
 }
 
 // NewWatch returns a watch.
 func NewWatch(options Options) *Watch { return &Watch{options: options} }
 
-// ConnectionLost finds out whether the engine has ended under the request, and tells.
+// ConnectionLost probes and reports whether the engine has ended under the request.
 func (w *Watch) ConnectionLost(ctx context.Context, loss Loss) bool {
 	began := time.Now()
-	liveness, listed := w.look(ctx, loss.Engine)
+	liveness, listed := w.probe(ctx, loss.Engine)
 	crashed := listed && liveness == Ended
 	w.options.Logger.Warn().Str("id", loss.RequestID).Stringer("fingerprint", loss.Fingerprint).
 		Stringer("engine", loss.Engine.Incarnation()).Str("address", loss.Engine.Address).Stringer("liveness", liveness).
@@ -84,9 +82,9 @@
 	return crashed
 }
 
-// look returns what became of an engine. Listed is false for one that was leaving: its end
-// was planned, whatever it ran.
-func (w *Watch) look(ctx context.Context, engine fleet.Engine) (liveness Liveness, listed bool) {
+// probe returns the liveness of an engine. listed is false for an engine that was leaving, whose
+// end was planned.
+func (w *Watch) probe(ctx context.Context, engine fleet.Engine) (liveness Liveness, listed bool) {
 	listing := w.options.Fleet.Listing(engine)
 	switch {
 	case listing.Draining, !listing.Listed && !listing.Replaced:
--- a/internal/crashes/watch_test.go
+++ b/internal/crashes/watch_test.go
@@ -14,13 +14,13 @@
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 )
 
-// fakeProber gives one answer and counts how often it was asked.
+// fakeProber returns a fixed answer and counts its probes.
 type fakeProber struct {
 	answer Liveness
 	asked  atomic.Int64
-	// mayAsk is whether the last probe was permitted to ask the engine something.
+	// mayAsk is whether the last probe was permitted to send a request.
 	mayAsk atomic.Bool
-	// hold, where it is set, is waited for before an answer.
+	// hold, if set, delays the answer until it is closed.
 	hold chan struct{}
 }
 
@@ -57,19 +57,19 @@
 	leaving := engineAt("e", "a:1")
 	leaving.Draining = true
 	assert.Assert(t, !watchOf(&fakeProber{answer: Ended}, leaving).ConnectionLost(t.Context(), Loss{Engine: leaving}))
-	// Its entry is gone.
+	// Its entry was removed.
 	assert.Assert(t, !watchOf(&fakeProber{answer: Ended}).ConnectionLost(t.Context(), Loss{Engine: leaving}))
 }
 
-// TestAnEngineThatWasReplacedHasCrashed: a node that was suspended hears of the lost
-// connection when another engine has the address.
+// TestAnEngineThatWasReplacedHasCrashed: a node that was suspended notices the lost connection
+// when another engine has the address.
 func TestAnEngineThatWasReplacedHasCrashed(t *testing.T) {
 	engine := engineAt("e", "a:1")
 	watch := watchOf(&fakeProber{answer: Listening}, engine, engineAt("next", "a:1"))
 	assert.Assert(t, watch.ConnectionLost(t.Context(), Loss{Engine: engine}))
 }
 
-// TestConnectionsLostTogetherAreOneLook: an engine that ends loses all its requests.
+// TestConnectionsLostTogetherAreOneLook: an engine that ends loses all its connections at once.
 func TestConnectionsLostTogetherAreOneLook(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine := engineAt("e", "a:1")
@@ -92,14 +92,14 @@
 	})
 }
 
-// startOf is an engine that started at a time.
+// startOf returns an engine with a start time.
 func startOf(id, address string, born int64) fleet.Engine {
 	engine := engineAt(id, address)
 	engine.Born = born
 	return engine
 }
 
-// TestAnEngineThatStartedAgainHasCrashed: the next start listens at the address before anybody looks.
+// TestAnEngineThatStartedAgainHasCrashed: the next incarnation listens at the address before the probe.
 func TestAnEngineThatStartedAgainHasCrashed(t *testing.T) {
 	first, second := startOf("e", "a:1", 1000), startOf("e", "a:1", 2000)
 	prober := &fakeProber{answer: Listening}
@@ -126,7 +126,7 @@
 	assert.Assert(t, watch.ConnectionLost(t.Context(), Loss{Engine: first}))
 }
 
-// TestEachStartOfAnEngineIsLookedAtApart: a look that hangs is not the answer for the next start.
+// TestEachStartOfAnEngineIsLookedAtApart: a hanging probe of an incarnation is not joined by probes of the next.
 func TestEachStartOfAnEngineIsLookedAtApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first, second := startOf("e", "a:1", 1000), startOf("e", "a:1", 2000)
@@ -146,8 +146,8 @@
 	})
 }
 
-// TestAnEngineInAnEvacuatedZoneIsAskedNothing: nothing is sent there; that it refuses connections is seen
-// without a question.
+// TestAnEngineInAnEvacuatedZoneIsAskedNothing: no request is sent there; refused connections are detected
+// without one.
 func TestAnEngineInAnEvacuatedZoneIsAskedNothing(t *testing.T) {
 	engine := engineAt("e", "a:1")
 	engine.Zone = "za"
--- a/internal/crashes/writer.go
+++ b/internal/crashes/writer.go
@@ -12,38 +12,38 @@
 )
 
 const (
-	// writeTimeout bounds one write, lastWriteTimeout the one when the node stops, whose
-	// roles have 350 ms to end.
-	writeTimeout     = 1500 * time.Millisecond
-	lastWriteTimeout = 200 * time.Millisecond
-	// writeBatch is the most records of one write.
-	writeBatch = 500
+	// writeTimeout bounds one write, finalWriteTimeout the write at shutdown, which must be below
+	// the time that roles have to end.
+	writeTimeout      = 1500 * time.Millisecond
+	finalWriteTimeout = 200 * time.Millisecond
+	// maxBatch bounds the records of one write.
+	maxBatch = 500
 )
 
-// writeRetries are the delays between tries while writes fail.
+// writeRetries are the delays between attempts while writes fail.
 var writeRetries = retry.Policy{First: 50 * time.Millisecond, Longest: time.Second}
 
-// Log is where the records are kept.
+// Log stores the records.
 type Log interface {
 	PutKeyed(ctx context.Context, topic string, records []eventlog.KeyedRecord) error
 }
 
-// writer writes records until the log has taken them. A record that is written twice, or
-// late, changes nothing (one that lands after its deletion is deleted again, see
-// Guard.clear), so that it never matters whether a lost answer had its effect.
+// writer retries writes until they are acknowledged. Duplicate and late records have no effect
+// (one that follows its deletion is deleted again, see Guard.clearAgain), so a write without an
+// answer can always be retried.
 type writer struct {
 	log    Log
 	topic  string
 	logger zerolog.Logger
-	// unwritten is called once with records that the log did not take at the first try.
+	// unwritten is called once for records whose first write failed.
 	unwritten func(ctx context.Context, records []eventlog.KeyedRecord)
 	wake      chan struct{}
 
 	mu sync.Mutex
-	// pending holds what is to be written by key, the newest of each.
+	// pending holds the newest record to write for each key.
 	pending map[string]eventlog.KeyedRecord
-	// told holds the keys that unwritten was called with.
-	told map[string]bool
+	// reported holds the keys for which unwritten was called.
+	reported map[string]bool
 }
 
 func newWriter(
@@ -51,11 +51,11 @@
 ) *writer {
 	return &writer{
 		log: log, topic: topic, unwritten: unwritten, logger: logger, wake: make(chan struct{}, 1),
-		pending: make(map[string]eventlog.KeyedRecord), told: make(map[string]bool),
+		pending: make(map[string]eventlog.KeyedRecord), reported: make(map[string]bool),
 	}
 }
 
-// add has a record written soon.
+// add queues records.
 func (w *writer) add(records ...eventlog.KeyedRecord) {
 	if len(records) == 0 {
 		return
@@ -63,7 +63,7 @@
 	w.mu.Lock()
 	for _, record := range records {
 		if w.pending[record.Key].Deleted != record.Deleted {
-			delete(w.told, record.Key)
+			delete(w.reported, record.Key)
 		}
 		w.pending[record.Key] = record
 	}
@@ -74,13 +74,13 @@
 	}
 }
 
-// run writes until ctx ends, and then once more what is left.
+// run writes until ctx ends, and then once more.
 func (w *writer) run(ctx context.Context) {
 	delays := writeRetries.Delays()
 	for {
 		select {
 		case <-ctx.Done():
-			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWriteTimeout)
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalWriteTimeout)
 			defer cancel()
 			_ = w.write(last, w.batch())
 			return
@@ -98,13 +98,13 @@
 				delays.Reset()
 				continue
 			}
-			w.tell(ctx, batch)
+			w.reportUnwritten(ctx, batch)
 			retry.Sleep(ctx, delays.NextBackOff())
 		}
 	}
 }
 
-// write writes a batch and takes out what was written.
+// write writes a batch and removes it from the pending records.
 func (w *writer) write(ctx context.Context, batch []eventlog.KeyedRecord) error {
 	if len(batch) == 0 {
 		return nil
@@ -119,18 +119,18 @@
 		if w.pending[record.Key].Deleted == record.Deleted {
 			delete(w.pending, record.Key)
 		}
-		delete(w.told, record.Key)
+		delete(w.reported, record.Key)
 	}
 	return nil
 }
 
-// batch returns what is to be written next.
+// batch returns the next records to write.
 func (w *writer) batch() []eventlog.KeyedRecord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	batch := make([]eventlog.KeyedRecord, 0, min(len(w.pending), writeBatch))
+	batch := make([]eventlog.KeyedRecord, 0, min(len(w.pending), maxBatch))
 	for _, record := range w.pending {
-		if len(batch) == writeBatch {
+		if len(batch) == maxBatch {
 			break
 		}
 		batch = append(batch, record)
@@ -138,18 +138,18 @@
 	return batch
 }
 
-// tell hands on what the log did not take, once.
-func (w *writer) tell(ctx context.Context, batch []eventlog.KeyedRecord) {
-	var untold []eventlog.KeyedRecord
+// reportUnwritten calls unwritten once for each record of a failed batch.
+func (w *writer) reportUnwritten(ctx context.Context, batch []eventlog.KeyedRecord) {
+	var unreported []eventlog.KeyedRecord
 	w.mu.Lock()
 	for _, record := range batch {
-		if !w.told[record.Key] {
-			w.told[record.Key] = true
-			untold = append(untold, record)
+		if !w.reported[record.Key] {
+			w.reported[record.Key] = true
+			unreported = append(unreported, record)
 		}
 	}
 	w.mu.Unlock()
-	if len(untold) > 0 {
-		w.unwritten(ctx, untold)
+	if len(unreported) > 0 {
+		w.unwritten(ctx, unreported)
 	}
 }
