Describe the weight plan in the terms of shares, lags and saturation

Figures that stood beside constants: 9,500 engines of six models that change every 4 s would take 2,400 orders a second for 2,200 items (slotsPerItem); sources sustained one in five of their engines (startDivisor); 360 of 2,900 engines ordered at once from a source that sustained ten served nothing for half a minute (maxStart).

--- a/internal/core/weightplan/limiter.go
+++ b/internal/core/weightplan/limiter.go
@@ -3,80 +3,78 @@
 import "time"
 
 const (
-	// MinLoadsAtOnce is how many engines may always load together.
+	// MinLoadsAtOnce is the number of loads that are always permitted concurrently.
 	MinLoadsAtOnce = 2
-	// loadingPart is one in how many engines of a service may load together beyond
-	// MinLoadsAtOnce: the others go on serving.
-	loadingPart = 4
-	// startPart is one in how many engines load together before anything is known of
-	// the source. Sources were seen to feed one in five of their engines, so this is
-	// below what they feed, and each leader begins to learn anew.
-	startPart = 8
-	// maxStart bounds that part. The first loads tell how long one takes alone: where all of them are
-	// slow, none of them shows it. 360 of 2,900 engines ordered at once from a source that fed ten
-	// served nothing for half a minute; from 16 on the limit doubles with each round of fast loads.
+	// maxLoadingDivisor: above MinLoadsAtOnce at most engines/maxLoadingDivisor of a service load
+	// concurrently, so that the others keep serving.
+	maxLoadingDivisor = 4
+	// startDivisor: the initial limit is engines/startDivisor, which should be below what the
+	// source sustains. Each leader starts to learn anew.
+	startDivisor = 8
+	// maxStart bounds the initial limit. The duration of an unimpeded load is learned from the first
+	// loads, so these must not saturate the source.
 	maxStart = 16
-	// slowLoad is how much longer than the fastest load one must take to count as
-	// held up by the others.
-	slowLoad = 1.35
-	// probeStep is what a fast load adds to the limit once a slow one was seen.
+	// slowRatio is the ratio to the fastest load above which a load counts as slowed down by
+	// concurrent ones.
+	slowRatio = 1.35
+	// probeStep is the increase of the limit by a fast load once a slow one was seen.
 	probeStep = 0.15
 )
 
-// Limiter learns how many engines can load together before the source of the
-// weights holds them up. It begins with a part of the engines, doubles with each round
-// of fast loads until the first slow one, and then falls to what the slow load shows:
-// where n loads together take r times as long as one, the source feeds n/r of them.
+// Limiter learns how many concurrent loads the source of the weights sustains at full
+// speed. The limit starts at a share of the engines and doubles with each batch of fast
+// loads until the first slow one. It then falls to the observed throughput: if n concurrent
+// loads take r times as long as one, the source sustains n/r of them.
 type Limiter struct {
 	limit float64
 	// fastest is the shortest load seen.
 	fastest time.Duration
-	// held is true once a slow load was seen.
-	held bool
-	// loweredAt is when the limit fell last. Loads that began before say nothing of
-	// the new limit.
+	// saturated is true once a slow load was seen.
+	saturated bool
+	// loweredAt is when the limit was last lowered. Loads that began before do not count
+	// for the new limit.
 	loweredAt time.Time
 }
 
-// NewLimiter returns a limiter that has seen no load.
+// NewLimiter returns a limiter without observations.
 func NewLimiter() *Limiter { return &Limiter{limit: MinLoadsAtOnce} }
 
-// Limit is the number of engines that the source was seen to feed together.
+// Limit returns the number of concurrent loads that the source sustains.
 func (l *Limiter) Limit() int { return int(l.limit) }
 
-// LimitOf is the number of engines that may load together of a service that has
-// so many.
+// LimitOf returns the number of concurrent loads for a service with the given number of
+// engines.
 func (l *Limiter) LimitOf(engines int) int {
-	if !l.held {
-		l.limit = max(l.limit, float64(min(engines/startPart, maxStart)))
+	if !l.saturated {
+		l.limit = max(l.limit, float64(min(engines/startDivisor, maxStart)))
 	}
-	return min(l.Limit(), max(MinLoadsAtOnce, engines/loadingPart))
+	return min(l.Limit(), max(MinLoadsAtOnce, engines/maxLoadingDivisor))
 }
 
-// Ended takes a load beside which at most together-1 others ran.
+// Ended records a load; together is the maximum number of concurrent loads during it, itself included.
 func (l *Limiter) Ended(began, ended time.Time, together int) {
 	took := ended.Sub(began)
 	if l.fastest == 0 || took < l.fastest {
 		l.fastest = took
 	}
 	ratio := float64(took) / float64(l.fastest)
-	if ratio > slowLoad {
+	if ratio > slowRatio {
 		if began.After(l.loweredAt) {
 			l.lower(float64(together)/ratio, ended)
 		}
 		return
 	}
 	switch {
-	case l.held && together >= l.Limit():
+	case l.saturated && together >= l.Limit():
 		l.limit += probeStep
-	case !l.held && 2*together > l.Limit():
+	case !l.saturated && 2*together > l.Limit():
 		l.limit++
 	}
 }
 
-// lower sets the limit to what the source was seen to feed.
-func (l *Limiter) lower(fed float64, at time.Time) {
-	l.limit = min(l.limit, max(fed, MinLoadsAtOnce))
-	l.held = true
+// lower lowers the limit to the number of sustained loads.
+func (l *Limiter) lower(sustained float64, at time.Time) {
+	l.limit = min(l.limit, max(sustained, MinLoadsAtOnce))
+	l.saturated = true
 	l.loweredAt = at
 }
--- a/internal/core/weightplan/limiter_test.go
+++ b/internal/core/weightplan/limiter_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// source feeds a number of loads at full speed and shares itself among more.
+// source sustains a number of loads at full speed and divides its bandwidth among more.
 type source struct {
 	feeds int
 	alone time.Duration
@@ -17,7 +17,7 @@
 	return max(s.alone, s.alone*time.Duration(together)/time.Duration(s.feeds))
 }
 
-// play runs rounds of as many loads as the limiter allows, from a time on, and
+// play runs batches of as many loads as the limiter allows, from a time on, and
 // returns when they have ended.
 func play(limiter *Limiter, from source, rounds int, now time.Time) time.Time {
 	for range rounds {
@@ -38,7 +38,7 @@
 		limiter := NewLimiter()
 		from := source{feeds: feeds, alone: time.Second}
 		play(limiter, from, 60, start)
-		assert.Assert(t, limiter.Limit() >= feeds*9/10 && float64(limiter.Limit()) <= float64(feeds)*slowLoad+1,
+		assert.Assert(t, limiter.Limit() >= feeds*9/10 && float64(limiter.Limit()) <= float64(feeds)*slowRatio+1,
 			"%d loads together where the source feeds %d", limiter.Limit(), feeds)
 	}
 }
@@ -63,7 +63,7 @@
 	assert.Equal(t, limiter.Limit(), MinLoadsAtOnce)
 }
 
-// TestLoadsBelowTheLimitSayNothingOfIt: what was not tried is not allowed.
+// TestLoadsBelowTheLimitSayNothingOfIt: they must not raise it.
 func TestLoadsBelowTheLimitSayNothingOfIt(t *testing.T) {
 	limiter := NewLimiter()
 	for range 10 {
@@ -72,7 +72,7 @@
 	assert.Equal(t, limiter.Limit(), MinLoadsAtOnce)
 }
 
-// TestLoadsOfOneRoundLowerTheLimitOnce: those that began before the limit fell
+// TestLoadsOfOneRoundLowerTheLimitOnce: loads that began before the limit was lowered
 // were slow for the same reason.
 func TestLoadsOfOneRoundLowerTheLimitOnce(t *testing.T) {
 	limiter := NewLimiter()
@@ -83,8 +83,8 @@
 	assert.Equal(t, limiter.Limit(), 10)
 }
 
-// TestMostEnginesOfAServiceGoOnServing: a source that feeds any number does not
-// take a small service out of work.
+// TestMostEnginesOfAServiceGoOnServing: even if the source sustains any number of loads,
+// most engines of a small service keep serving.
 func TestMostEnginesOfAServiceGoOnServing(t *testing.T) {
 	limiter := NewLimiter()
 	play(limiter, source{feeds: 100, alone: time.Second}, 4, start)
@@ -94,8 +94,8 @@
 	assert.Equal(t, limiter.LimitOf(3000), limiter.Limit())
 }
 
-// TestALargeServiceBeginsWithManyLoads: doubling from two takes five rounds until a
-// hundred engines follow a version. What a slow load has shown stands.
+// TestALargeServiceBeginsWithManyLoads: doubling from two would take five batches for a
+// hundred engines. A limit lowered by a slow load is kept.
 func TestALargeServiceBeginsWithManyLoads(t *testing.T) {
 	limiter := NewLimiter()
 	assert.Equal(t, limiter.LimitOf(11), MinLoadsAtOnce)
@@ -105,8 +105,8 @@
 	assert.Equal(t, limiter.LimitOf(122), 5)
 }
 
-// TestALargeFleetDoesNotDrownASourceThatFeedsFew: the first loads of hundreds of engines end soon, and
-// show what the source feeds.
+// TestALargeFleetDoesNotDrownASourceThatFeedsFew: the first loads must end soon, so that the limiter learns
+// what the source sustains.
 func TestALargeFleetDoesNotDrownASourceThatFeedsFew(t *testing.T) {
 	const engines = 2880
 	limiter := NewLimiter()
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -1,11 +1,10 @@
-// Package weightplan decides which engines serve which model, and which of them
-// loads new weights next. It has no input, output or clock.
+// Package weightplan determines which engines follow which model, and which of them
+// load new weights next. It has no input, output or clock.
 //
-// Each engine holds a version of every model, but loading one costs it about a
-// second, so an engine follows the versions of one model only. Engines are
-// shared between models by demand; an engine changes its model only when the
-// shares have moved by a whole engine. Where there are more engines than the items of
-// all models need, the rest follows no model and loads nothing until it is needed.
+// Each engine holds a version of every model, but loads interrupt its service, so an
+// engine follows the versions of one model only. Engines are divided between models by
+// demand; an engine is reassigned only when the shares have shifted by a full engine.
+// Engines that the items of all models do not need follow no model and load nothing.
 package weightplan
 
 import (
@@ -18,58 +17,56 @@
 )
 
 const (
-	// placesPerItem is how many places a model's engines have for each of its items at their peak. The loss of
-	// a third of the engines, and loads under way at a third, leave a place for each item, and there is a choice
-	// of faster ones. Beyond that each engine costs an order, a load and a report for each version, and a
-	// connection of the leader: 9,500 engines of six models that change every 4 s would take 2,400 orders a
-	// second, for 2,200 items.
-	placesPerItem = 3
-	// unknownNeed is the number of engines that follow a model of which no item has been seen.
-	unknownNeed = 32
+	// slotsPerItem is the number of slots of a model's engines for each of its items at their peak. With a
+	// third of the engines lost and a third loading, each item still has a slot. More engines would only
+	// cost the leader an order, a load and a report each for every version.
+	slotsPerItem = 3
+	// defaultEngines is the number of engines that follow a model without any items seen.
+	defaultEngines = 32
 )
 
-// Engine is an engine as the plan sees it.
+// Engine is the state of an engine.
 type Engine struct {
 	ID incarnation.ID
-	// Slots is the number of items that it runs at once.
+	// Slots is the number of items that it runs concurrently.
 	Slots    int
 	Versions map[string]int64
 	// Running is the number of items that it runs.
 	Running int
-	// Loading is true while an order to it is under way.
+	// Loading is true while a load is in progress.
 	Loading bool
-	// Usable is false for engines that leave or failed just now.
+	// Usable is false for engines that leave or have recently failed.
 	Usable bool
 }
 
-// Target is the newest version of a model, and what is asked of it.
+// Target is the newest version of a model with its demand.
 type Target struct {
 	Model   string
 	Version int64
-	// MinVersion is the newest version that open jobs want at least.
+	// MinVersion is the highest minimum version of the open jobs.
 	MinVersion int64
-	// Demand is a moving mean of the work asked of the model; zero when unknown.
+	// Demand is a moving average of the model's requested work; zero when unknown.
 	Demand float64
-	// Items is the most items that were open at one time lately; zero when none was seen.
+	// Items is the recent peak of open items; zero when none were seen.
 	Items int
 	// Waiting is the number of items that wait for an engine.
 	Waiting int
-	// Interrupts is true when a load makes running items wait or fail, so that it
-	// has to wait for them.
+	// Interrupts is true when a load delays or fails running items, so that it must wait
+	// for them.
 	Interrupts bool
 }
 
-// Allocator keeps which model each engine follows.
+// Allocator holds the model that each engine follows.
 type Allocator struct {
 	models map[incarnation.ID]string
 }
 
-// NewAllocator returns an allocator that knows of no engine.
+// NewAllocator returns an allocator without engines.
 func NewAllocator() *Allocator { return &Allocator{models: make(map[incarnation.ID]string)} }
 
-// Allocate returns the model that each engine follows; engines that follow none are missing.
+// Allocate returns the model that each engine follows. Engines that follow none are not included.
 func (a *Allocator) Allocate(engines []Engine, targets []Target) map[incarnation.ID]string {
-	a.forgetGone(engines)
+	a.removeMissing(engines)
 	wanted := wantedEngines(engines, targets)
 	counts := make(map[string]int)
 	var free []Engine
@@ -81,24 +78,24 @@
 		}
 	}
 	for _, target := range targets {
-		free = a.follow(free, target.Model, counts, wanted)
+		free = a.assign(free, target.Model, counts, wanted)
 	}
 	for _, target := range targets {
 		if counts[target.Model] < wanted[target.Model] {
-			a.move(engines, target.Model, counts, wanted)
+			a.reassign(engines, target.Model, counts, wanted)
 		}
 	}
 	return a.models
 }
 
-// follow has free engines follow a model until it has as many as wanted, those with its newest weights
-// first: after a change of leader they followed it before. It returns the engines that are left.
-func (a *Allocator) follow(free []Engine, model string, counts, wanted map[string]int) []Engine {
+// assign assigns free engines to a model until it has as many as wanted, and returns the remaining ones.
+// Engines with the model's newest weights come first: after a change of leader, they followed it before.
+func (a *Allocator) assign(free []Engine, model string, counts, wanted map[string]int) []Engine {
 	missing := min(wanted[model]-counts[model], len(free))
 	if missing <= 0 {
 		return free
 	}
-	byVersion(free, model)
+	sortByVersion(free, model)
 	for _, engine := range free[:missing] {
 		a.models[engine.ID] = model
 	}
@@ -106,15 +103,15 @@
 	return free[missing:]
 }
 
-// move has engines that other models can spare follow a model, those with its newest weights first.
-func (a *Allocator) move(engines []Engine, model string, counts, wanted map[string]int) {
+// reassign assigns surplus engines of other models to a model, those with its newest weights first.
+func (a *Allocator) reassign(engines []Engine, model string, counts, wanted map[string]int) {
 	var spare []Engine
 	for _, engine := range engines {
 		if from := a.models[engine.ID]; from != "" && from != model && counts[from] > wanted[from] {
 			spare = append(spare, engine)
 		}
 	}
-	byVersion(spare, model)
+	sortByVersion(spare, model)
 	for _, engine := range spare {
 		from := a.models[engine.ID]
 		if counts[model] >= wanted[model] {
@@ -129,15 +126,15 @@
 	}
 }
 
-// byVersion puts the engines with the newest weights of a model first.
-func byVersion(engines []Engine, model string) {
+// sortByVersion sorts engines by their version of a model, newest first.
+func sortByVersion(engines []Engine, model string) {
 	slices.SortStableFunc(engines, func(one, other Engine) int {
 		return cmp.Compare(other.Versions[model], one.Versions[model])
 	})
 }
 
-// wantedEngines is the number of engines that are to follow each model: its share, or fewer if they have
-// enough places for its items.
+// wantedEngines returns the number of engines for each model: its share, or fewer if these have
+// slotsPerItem slots for its items.
 func wantedEngines(engines []Engine, targets []Target) map[string]int {
 	wanted := shares(len(engines), targets)
 	slots := 0
@@ -145,17 +142,17 @@
 		slots += max(1, engine.Slots)
 	}
 	for _, target := range targets {
-		need := unknownNeed
+		need := defaultEngines
 		if target.Items > 0 {
-			places := float64(placesPerItem * target.Items)
-			need = int(math.Ceil(places * float64(len(engines)) / float64(max(1, slots))))
+			needed := float64(slotsPerItem * target.Items)
+			need = int(math.Ceil(needed * float64(len(engines)) / float64(max(1, slots))))
 		}
 		wanted[target.Model] = min(wanted[target.Model], need)
 	}
 	return wanted
 }
 
-func (a *Allocator) forgetGone(engines []Engine) {
+func (a *Allocator) removeMissing(engines []Engine) {
 	present := make(map[incarnation.ID]bool, len(engines))
 	for _, engine := range engines {
 		present[engine.ID] = true
@@ -167,8 +164,8 @@
 	}
 }
 
-// shares spreads the engines over the models by demand, at least one for each
-// as long as there are enough.
+// shares divides the engines between the models by demand, with at least one for each
+// if there are enough.
 func shares(engines int, targets []Target) map[string]int {
 	total := 0.0
 	for _, target := range targets {
@@ -198,21 +195,20 @@
 	return wanted
 }
 
-// Load is one order to give.
+// Load is a load to order.
 type Load struct {
 	Engine  incarnation.ID
 	Model   string
 	Version int64
 }
 
-// NextLoads returns the loads to order now, at most atOnce under way together.
+// NextLoads returns the loads to order now, with at most atOnce in progress.
 //
-// The source feeds a bounded number of loads, which all models share. So the next load
-// is that of the model with the smallest part of its engines at the named version, or on
-// the way there: each model finds some engines for its next job, which comes with the
-// next version. Among the engines of a model, those too old for open jobs come first,
-// then the one furthest behind. An engine that could start waiting items is left to
-// them.
+// The source of the weights sustains a bounded number of loads, which all models share.
+// The next load is therefore that of the model with the smallest share of its engines at the
+// named version or loading it, so that each model has some engines for its next job.
+// Among the engines of a model, those too old for open jobs come first, then those with
+// the largest lag. Engines that could start waiting items do not load.
 func NextLoads(engines []Engine, models map[incarnation.ID]string, targets []Target, atOnce int) []Load {
 	byModel := make(map[string]Target, len(targets))
 	for _, target := range targets {
@@ -256,12 +252,11 @@
 	return loads
 }
 
-// scarcest returns the model, among those with a candidate, that has the smallest part
-// of its engines at the named version. Between equals, candidates too old for open jobs
-// decide, then those further behind, then the name.
+// scarcest returns the model, among those with a candidate, with the smallest share of its
+// engines at the named version. Ties are broken by the first candidates, then by name.
 func scarcest(candidates map[string][]candidate, current, counts map[string]int) (string, bool) {
 	best, found := "", false
-	part := func(model string) float64 { return float64(current[model]) / float64(counts[model]) }
+	share := func(model string) float64 { return float64(current[model]) / float64(counts[model]) }
 	for model, of := range candidates {
 		if len(of) == 0 {
 			continue
@@ -270,7 +265,7 @@
 			best, found = model, true
 			continue
 		}
-		switch own, other := part(model), part(best); {
+		switch own, other := share(model), share(best); {
 		case own != other:
 			if own < other {
 				best = model
@@ -288,7 +283,7 @@
 type candidate struct {
 	engine Engine
 	target Target
-	// lag is the number of versions that it is behind.
+	// lag is the number of versions between the engine's and the target's.
 	lag int64
 }
 
@@ -302,12 +297,12 @@
 	return c.engine.Running < other.engine.Running
 }
 
-// tooOld tells whether the engine can serve none of the open jobs.
+// tooOld reports whether the engine's version is below the minimum of the open jobs.
 func tooOld(engine Engine, target Target) bool {
 	return engine.Versions[target.Model] < target.MinVersion
 }
 
-// due tells whether a load of the engine may begin now.
+// due reports whether a load of the engine may begin now.
 func due(engine Engine, target Target) bool {
 	if tooOld(engine, target) {
 		return true
--- a/internal/core/weightplan/weightplan_test.go
+++ b/internal/core/weightplan/weightplan_test.go
@@ -105,8 +105,8 @@
 	assert.Equal(t, len(NextLoads(all, models, []Target{{Model: "a", Version: 2}}, 2)), 0)
 }
 
-// TestEachModelGetsEnginesForItsNextJob: one model's engines that are too old for its
-// open job do not keep another's from getting ready for the job to come.
+// TestEachModelGetsEnginesForItsNextJob: engines that are too old for the open job of one
+// model do not block the loads for another model's next job.
 func TestEachModelGetsEnginesForItsNextJob(t *testing.T) {
 	var all []Engine
 	models := map[incarnation.ID]string{}
@@ -128,13 +128,13 @@
 	for _, load := range NextLoads(all, models, targets, 8) {
 		count[load.Model]++
 	}
-	// Half of the first model's engines have the version; the other gets as many first.
+	// Half of the first model's engines have the version; the other model catches up first.
 	assert.DeepEqual(t, count, map[string]int{"a": 1, "b": 7})
 }
 
 func named(engine string) incarnation.ID { return incarnation.ID{Engine: engine} }
 
-// TestTheNextStartOfAnEngineFollowsTheModelThatItHas: not the one that the start before followed.
+// TestTheNextStartOfAnEngineFollowsTheModelThatItHas: not the one that its earlier incarnation followed.
 func TestTheNextStartOfAnEngineFollowsTheModelThatItHas(t *testing.T) {
 	targets := []Target{{Model: "a", Version: 9}, {Model: "b", Version: 9}}
 	start := func(engine string, born, a, b int64) Engine {
@@ -147,7 +147,7 @@
 	assert.DeepEqual(t, allocator.Allocate(after, targets), map[incarnation.ID]string{after[0].ID: "b", after[1].ID: "a"})
 }
 
-// fleetOf returns engines with six places each.
+// fleetOf returns engines with six slots each.
 func fleetOf(count int) []Engine {
 	all := engines(count, map[string]int64{"a": 1, "b": 1})
 	for i := range all {
@@ -156,7 +156,7 @@
 	return all
 }
 
-// TestEnginesBeyondWhatItemsNeedFollowNoModel: how many load does not depend on how many there are.
+// TestEnginesBeyondWhatItemsNeedFollowNoModel: the number of loads does not depend on the size of the fleet.
 func TestEnginesBeyondWhatItemsNeedFollowNoModel(t *testing.T) {
 	targets := []Target{{Model: "a", Version: 2, Items: 100}, {Model: "b", Version: 2, Items: 40}}
 	for _, fleet := range []int{1_000, 2_000} {
@@ -173,12 +173,12 @@
 	assert.DeepEqual(t, countModels(NewAllocator().Allocate(fleetOf(20), targets)), map[string]int{"a": 10, "b": 10})
 }
 
-// TestMoreItemsBringMoreEngines: those of before stay, and fewer items later take none away.
+// TestMoreItemsBringMoreEngines: earlier engines are kept, and fewer items release none.
 func TestMoreItemsBringMoreEngines(t *testing.T) {
 	all := fleetOf(1_000)
 	allocator := NewAllocator()
 	target := Target{Model: "a", Version: 2}
-	assert.Equal(t, len(allocator.Allocate(all, []Target{target})), unknownNeed)
+	assert.Equal(t, len(allocator.Allocate(all, []Target{target})), defaultEngines)
 	target.Items = 100
 	assert.Equal(t, len(allocator.Allocate(all, []Target{target})), 50)
 	before := allocator.models[all[0].ID]
@@ -187,7 +187,7 @@
 	assert.Equal(t, allocator.models[all[0].ID], before)
 }
 
-// TestAnEngineThatEndsIsReplaced by one that followed no model.
+// TestAnEngineThatEndsIsReplaced: an engine that followed no model replaces it.
 func TestAnEngineThatEndsIsReplaced(t *testing.T) {
 	all := fleetOf(1_000)
 	allocator := NewAllocator()
@@ -207,7 +207,7 @@
 	assert.Equal(t, len(allocator.Allocate(left, targets)), 50)
 }
 
-// TestANewLeaderFindsTheEnginesOfEachModel: by the weights that they hold.
+// TestANewLeaderFindsTheEnginesOfEachModel: by the versions that they hold.
 func TestANewLeaderFindsTheEnginesOfEachModel(t *testing.T) {
 	all := fleetOf(1_000)
 	followed := make(map[incarnation.ID]string)
