Describe weight orders in the terms of loads in progress and reports

underway becomes loadInProgress, a question a report request; internal names follow.

No behaviour change: tokens compared without comments; tests with -race of weightorders and hosted passed.

--- a/internal/weightorders/evacuation_test.go
+++ b/internal/weightorders/evacuation_test.go
@@ -14,17 +14,17 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// zoneWatch notes each question and order to an engine after its zone was evacuated.
+// zoneWatch records each report request and order to an engine in an evacuated zone.
 type zoneWatch struct {
 	Engines
 	fleet *fleet.Fleet
-	// dialling and release, where they are set, hold each question to zone za up before it asks for the
-	// permission to leave.
+	// dialling and release, if set, block each report request to zone za before its check whether it may
+	// be sent.
 	dialling chan string
 	release  chan struct{}
 	mu       sync.Mutex
 	asked    []string
-	// ended counts the questions held up that have ended.
+	// ended counts the blocked requests that have ended.
 	ended atomic.Int64
 }
 
@@ -49,7 +49,7 @@
 	return z.Engines.Report(ctx, engine, mayLeave)
 }
 
-// Order asks for the permission to send as a client of engines does.
+// Order checks the permission to send as a client of engines does.
 func (z *zoneWatch) Order(ctx context.Context, engine fleet.Engine, order Order) (Answer, error) {
 	if !order.MayLeave() {
 		return Refused, nil
@@ -64,8 +64,8 @@
 	return append([]string(nil), z.asked...)
 }
 
-// TestEnginesOfAnEvacuatedZoneAreNeitherOrderedNorAsked: also where a load is under way there. They load
-// when the zone returns.
+// TestEnginesOfAnEvacuatedZoneAreNeitherOrderedNorAsked: even with a load in progress there. They load
+// when the zone is readmitted.
 func TestEnginesOfAnEvacuatedZoneAreNeitherOrderedNorAsked(t *testing.T) {
 	t.Parallel()
 	var watch *zoneWatch
@@ -92,7 +92,7 @@
 	testwait.Until(t, "the engine loads when its zone is back", func() bool { return w.engines.versionOf("e0") == 3 })
 }
 
-// TestAQuestionThatWasDialledBeforeAnEvacuationDoesNotLeave: the engine is asked when its zone is back.
+// TestAQuestionThatWasDialledBeforeAnEvacuationDoesNotLeave: the report is requested when the zone is readmitted.
 func TestAQuestionThatWasDialledBeforeAnEvacuationDoesNotLeave(t *testing.T) {
 	t.Parallel()
 	var watch *zoneWatch
--- a/internal/weightorders/incarnation_test.go
+++ b/internal/weightorders/incarnation_test.go
@@ -15,31 +15,31 @@
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
-// Starts of an engine.
+// Start times of an engine's incarnations.
 const (
 	firstStart  = 1000
 	secondStart = 2000
 )
 
-// entryOf is what the list says of a start of the engine, which begins with version 1.
+// entryOf returns the list entry of an incarnation of the engine, which starts with version 1.
 func entryOf(born int64) fleet.Engine {
 	return fleet.Engine{ID: "e0", Born: born, Service: service, Slots: 4, Versions: map[string]int64{model: 1}}
 }
 
-// startAgain begins another start of the engine: it knows nothing of what came before.
+// startAgain starts another incarnation of the engine, without the state of the earlier one.
 func (f *fakeEngines) startAgain(born, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.restart(born, version)
 }
 
-// restart is startAgain; mu is held.
+// restart is startAgain. Must be called with mu held.
 func (f *fakeEngines) restart(born, version int64) {
 	f.born["e0"], f.versions["e0"], f.counts["e0"], f.busy["e0"] = born, version, 0, false
 }
 
-// TestAnEngineThatStartedAgainIsOrderedAnew: its count of orders begins anew, and no order names the count of
-// the start before.
+// TestAnEngineThatStartedAgainIsOrderedAnew: its count of orders restarts, and no order names the count of the
+// earlier incarnation.
 func TestAnEngineThatStartedAgainIsOrderedAnew(t *testing.T) {
 	var loaded atomic.Int64
 	w := manage(t, 1, func(options *Options) {
@@ -59,8 +59,8 @@
 	assert.Equal(t, believed.Versions[model], int64(2))
 }
 
-// TestAnAnswerOfAnotherStartIsNotCredited: the engine starts again after it has taken an order, and the list
-// does not tell yet. What the second start has is not what the first one has.
+// TestAnAnswerOfAnotherStartIsNotCredited: the engine restarts after it has accepted an order, before the list
+// shows it. Versions of the second incarnation must not be attributed to the first.
 func TestAnAnswerOfAnotherStartIsNotCredited(t *testing.T) {
 	var loaded atomic.Int64
 	w := manage(t, 1, func(options *Options) {
@@ -111,7 +111,7 @@
 	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
 }
 
-// TestWhatIsKnownOfAnEngineThatEndedIsDropped: its count and the pause that it was given.
+// TestWhatIsKnownOfAnEngineThatEndedIsDropped: its count of orders and its pause.
 func TestWhatIsKnownOfAnEngineThatEndedIsDropped(t *testing.T) {
 	known := fleet.New()
 	known.Put(entryOf(firstStart))
@@ -124,7 +124,7 @@
 	assert.Equal(t, len(manager.retryAt), 0)
 }
 
-// TestTheNextStartOfAnEngineIsOrderedAtOnce: that the start before did not take an order says nothing of it.
+// TestTheNextStartOfAnEngineIsOrderedAtOnce: the pause of the earlier incarnation does not apply to it.
 func TestTheNextStartOfAnEngineIsOrderedAtOnce(t *testing.T) {
 	engines, known := newFakeEngines("e0"), fleet.New()
 	engines.busy["e0"] = true
@@ -141,7 +141,7 @@
 	assert.Assert(t, isUsable(manager, paused))
 }
 
-// isUsable tells whether the only engine may be ordered.
+// isUsable reports whether the only engine may be ordered.
 func isUsable(manager *Manager, now time.Time) bool {
 	listed := manager.options.Fleet.List(service, now)
 	views := manager.engineViews(listed, nil)
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -12,14 +12,14 @@
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
 )
 
-// reportTimeout bounds the question what an engine has loaded.
+// reportTimeout bounds the request for an engine's report.
 const reportTimeout = 800 * time.Millisecond
 
 func sortTargets(targets []weightplan.Target) {
 	sort.Slice(targets, func(i, j int) bool { return targets[i].Model < targets[j].Model })
 }
 
-// load orders one load and waits until it is done.
+// load orders a load and waits until it is done.
 func (m *Manager) load(ctx context.Context, engine fleet.Engine, load weightplan.Load, mode Mode) {
 	began := time.Now()
 	answer := m.order(ctx, engine, load, mode)
@@ -32,9 +32,9 @@
 	}
 	m.mu.Lock()
 	if done && answer == Taken {
-		m.noteLoadTime(time.Since(began))
+		m.recordLoadTime(time.Since(began))
 		if mode == Continue {
-			// Any other waits for running items, so its time says nothing of the source.
+			// In the other mode the duration includes the wait for running items.
 			m.limiter.Ended(began, time.Now(), m.loading[engine.Incarnation()].together)
 		}
 	}
@@ -51,8 +51,8 @@
 	m.options.Loaded()
 }
 
-// noteLoadTime takes a load's time into the mean; mu is held.
-func (m *Manager) noteLoadTime(took time.Duration) {
+// recordLoadTime updates the average load time. Must be called with mu held.
+func (m *Manager) recordLoadTime(took time.Duration) {
 	if m.loadTime == 0 {
 		m.loadTime = took
 		return
@@ -60,16 +60,17 @@
 	m.loadTime += time.Duration(loadWeight * float64(took-m.loadTime))
 }
 
-// order sends the order under the count of orders that the engine is known to have.
+// order sends the order with the engine's count of orders.
 func (m *Manager) order(ctx context.Context, engine fleet.Engine, load weightplan.Load, mode Mode) Answer {
 	m.mu.Lock()
 	count, known := m.counts[engine.Incarnation()]
 	m.mu.Unlock()
 	if !known {
-		// The answer also shows that the engine hears: what an earlier holder sent it is there by now.
+		// The report also proves that the engine is reachable, so orders that an earlier holder sent have
+		// arrived.
 		report, err := m.report(ctx, engine)
 		if err != nil || report.Busy {
-			m.logUnasked(engine, err)
+			m.logUnreported(engine, err)
 			return Refused
 		}
 		m.observe(engine, report)
@@ -113,7 +114,8 @@
 	return answer
 }
 
-// awaitVersion asks the engine until it has the version. It gives up once the engine has ended.
+// awaitVersion polls the engine until it has the version, and reports whether it does. It stops when the
+// engine has ended.
 func (m *Manager) awaitVersion(ctx context.Context, engine fleet.Engine, load weightplan.Load, began time.Time) bool {
 	retry.Sleep(ctx, firstCheck)
 	for ctx.Err() == nil && time.Since(began) < loadTimeout {
@@ -126,7 +128,7 @@
 		}
 		var evacuated *evacuatedError
 		if errors.As(err, &evacuated) {
-			m.logUnasked(engine, err)
+			m.logUnreported(engine, err)
 			return false
 		}
 		if err == nil && report.Versions[load.Model] >= load.Version && !report.Busy {
@@ -138,18 +140,18 @@
 	return false
 }
 
-// errStartedAgain is the error of a report by another incarnation than the one that was asked.
+// errStartedAgain is returned for a report of another incarnation than the one addressed.
 var errStartedAgain = errors.New("the engine has started again")
 
-// evacuatedError: an engine is not asked, since its zone is evacuated.
+// evacuatedError is returned for an engine in an evacuated zone, which gets no requests.
 type evacuatedError struct{ zone string }
 
 // Error implements the error interface.
 func (e *evacuatedError) Error() string { return "zone " + e.zone + " is evacuated" }
 
-// report asks an engine what it has loaded, unless its zone is evacuated: nothing at all is sent
-// there, and what it has loaded meanwhile stands in its entry in the engine list. What another incarnation
-// answers says nothing of the one that was asked, and the list tells of that one soon.
+// report requests an engine's report, unless its zone is evacuated: no requests are sent there, and
+// the engine list contains what it has loaded meanwhile. A report of another incarnation is an error, since
+// it does not apply to the addressed one.
 func (m *Manager) report(ctx context.Context, engine fleet.Engine) (Report, error) {
 	if m.options.Fleet.IsEvacuated(engine.Zone) {
 		return Report{}, &evacuatedError{zone: engine.Zone}
@@ -162,16 +164,16 @@
 	if err != nil {
 		return Report{}, err
 	}
-	if asked := engine.Incarnation(); asked.Contradicts(report.Of) {
-		m.options.Logger.Info().Stringer("engine", asked).Stringer("answered", report.Of).
+	if addressed := engine.Incarnation(); addressed.Contradicts(report.Of) {
+		m.options.Logger.Info().Stringer("engine", addressed).Stringer("answered", report.Of).
 			Msg("another start of the engine answered")
 		return Report{}, errStartedAgain
 	}
 	return report, nil
 }
 
-// logUnasked tells why an engine was not ordered or is no longer asked; nothing where there is no error.
-func (m *Manager) logUnasked(engine fleet.Engine, err error) {
+// logUnreported logs why an engine was not ordered or is no longer polled, if there is an error.
+func (m *Manager) logUnreported(engine fleet.Engine, err error) {
 	if err == nil {
 		return
 	}
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -37,26 +37,26 @@
 		if !known {
 			continue
 		}
-		m.loading[load.Engine] = &underway{model: load.Model, since: now}
+		m.loading[load.Engine] = &loadInProgress{model: load.Model, since: now}
 		mode := Continue
 		if target.SingleVersion {
 			mode = Finish
 		}
 		m.wait.Go(func() { m.load(ctx, engine, load, mode) })
 	}
-	m.noteTogether(now)
+	m.updateTogether(now)
 }
 
-// noteTogether notes how many loads are under way beside each other; mu is held.
-func (m *Manager) noteTogether(now time.Time) {
+// updateTogether updates the number of concurrent loads of each load. Must be called with mu held.
+func (m *Manager) updateTogether(now time.Time) {
 	together := len(m.loading) - m.nearlyDone(now)
 	for _, each := range m.loading {
 		each.together = max(each.together, together)
 	}
 }
 
-// loadingElsewhere counts the loads of engines that are not among these, which
-// share the source of the weights; mu is held.
+// loadingElsewhere counts the loads of engines that are not among these but share the
+// source of the weights. Must be called with mu held.
 func (m *Manager) loadingElsewhere(engines []weightplan.Engine) int {
 	elsewhere := len(m.loading)
 	for _, engine := range engines {
@@ -67,21 +67,21 @@
 	return elsewhere
 }
 
-// nearlyDone counts the loads that should be done but are not reported yet; mu is held.
+// nearlyDone counts the loads that are about to be reported as done. Must be called with mu held.
 func (m *Manager) nearlyDone(now time.Time) int {
 	if m.loadTime == 0 {
 		return 0
 	}
 	count := 0
 	for _, each := range m.loading {
-		if now.Sub(each.since) > time.Duration(takenShare*float64(m.loadTime)) {
+		if now.Sub(each.since) > time.Duration(nearlyDoneShare*float64(m.loadTime)) {
 			count++
 		}
 	}
 	return count
 }
 
-// engineViews returns the engines that take work as the plan sees them, none of them usable yet; mu is held.
+// engineViews returns the engines that take work, none of them usable yet. Must be called with mu held.
 func (m *Manager) engineViews(listed []fleet.Listed, running map[incarnation.ID]int) []weightplan.Engine {
 	views := make([]weightplan.Engine, 0, len(listed))
 	for _, each := range listed {
@@ -97,8 +97,8 @@
 	return views
 }
 
-// findUsable finds which of the engines that follow a model may be ordered now. The others load nothing, so
-// that nobody asks after them. mu is held.
+// findUsable marks the engines that follow a model and may be ordered now. It does not check the others,
+// which load nothing. Must be called with mu held.
 func (m *Manager) findUsable(
 	engines []weightplan.Engine, listed []fleet.Listed, models map[incarnation.ID]string, now time.Time,
 ) {
@@ -117,7 +117,7 @@
 	}
 }
 
-// targets returns the models of the service with named versions; mu is held.
+// targets returns the models of the service with their demand. Must be called with mu held.
 func (m *Manager) targets(target Target, demands map[string]batchrun.Demand, now time.Time) []weightplan.Target {
 	var targets []weightplan.Target
 	for model, version := range target.Versions {
@@ -138,7 +138,7 @@
 			items = &peak.Window{}
 			m.items[model] = items
 		}
-		items.Observe(now, demand.Items, itemMemory)
+		items.Observe(now, demand.Items, itemPeakPeriod)
 		targets = append(targets, weightplan.Target{
 			Model: model, Version: version, MinVersion: demand.MinVersion, Items: items.Most(),
 			Demand: m.demands[model], Waiting: demand.Waiting, Interrupts: target.SingleVersion,
--- a/internal/weightorders/scale_test.go
+++ b/internal/weightorders/scale_test.go
@@ -14,8 +14,8 @@
 	"github.com/corkpulley/corkpulley/internal/standin/leaseterm"
 )
 
-// workOf plans the loads of a fleet once, and returns how often the lease was asked about an engine and how many
-// loads began.
+// workOf plans the loads of a fleet once and returns the number of queries to the lease and of started
+// loads.
 func workOf(t *testing.T, engineCount int) (questions, loads int) {
 	t.Helper()
 	known := fleet.New()
@@ -24,7 +24,7 @@
 	}
 	engines := newFakeEngines()
 	for i := range engineCount {
-		// One that is busy refuses, so that a load is over once it has asked.
+		// Busy engines reject orders, so that each load ends at once.
 		engines.busy[fmt.Sprint("e", i)] = true
 	}
 	manager := New(Options{
@@ -37,7 +37,7 @@
 		}},
 	})
 	for range 200 {
-		// Loads that take no longer than others raise what may load together.
+		// Fast loads raise the limit of concurrent loads.
 		manager.limiter.Ended(time.Now(), time.Now().Add(time.Second), 1000)
 	}
 	engines.mu.Lock()
@@ -48,8 +48,8 @@
 	return questions, loads
 }
 
-// TestLoadsFollowTheItemsAndNotTheFleet: twice the engines for the same items cost no order more, and no
-// question more to the lease.
+// TestLoadsFollowTheItemsAndNotTheFleet: twice the engines for the same items cause no more orders and no
+// more queries to the lease.
 func TestLoadsFollowTheItemsAndNotTheFleet(t *testing.T) {
 	questions, loads := workOf(t, 2_000)
 	assert.Assert(t, questions > 0 && loads > 0)
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -1,6 +1,6 @@
-// Package weightorders moves the engines to the named weight versions. Only the
-// leader orders, under its epoch as the fencing token; an engine's count of
-// orders makes an order that arrives late void.
+// Package weightorders orders the engines to load the named weight versions. Only the
+// leader sends orders, with its epoch as the fencing token. Each order names the engine's
+// count of orders, so that late orders are rejected.
 package weightorders
 
 import (
@@ -23,37 +23,37 @@
 )
 
 const (
-	// tickPeriod is the time between two looks at what is to be loaded, planShare the
-	// most of its time that the manager spends on them.
+	// tickPeriod is the interval between two planning passes, planShare bounds the share of
+	// time that the manager spends on them.
 	tickPeriod = 50 * time.Millisecond
 	planShare  = 0.05
-	// firstCheck and checkPeriod pace the questions whether a load is done.
+	// firstCheck is the delay of the first check whether a load is done, checkPeriod the interval of
+	// further ones.
 	firstCheck  = 950 * time.Millisecond
 	checkPeriod = 100 * time.Millisecond
-	// takenShare is the share of the usual time of a load after which the next one
-	// may begin: engines report the end of theirs some hundred milliseconds late.
-	takenShare = 0.8
-	// loadWeight is the weight of a new load's time in the moving mean.
+	// nearlyDoneShare is the share of the mean load time after which a load no longer counts as in
+	// progress, since engines report its end late.
+	nearlyDoneShare = 0.8
+	// loadWeight is the weight of a new sample in the moving average of load times.
 	loadWeight = 0.3
-	// loadTimeout gives up waiting for a load; it may be ordered again.
+	// loadTimeout bounds the wait for a load. It may be ordered again after that.
 	loadTimeout = 5 * time.Second
-	// orderPause keeps an engine that did not take an order alone for a while.
+	// orderPause is how long an engine that did not accept an order gets none.
 	orderPause = 500 * time.Millisecond
-	// demandWeight is the weight of a new demand in the moving mean.
+	// demandWeight is the weight of a new sample in the moving average of the demand.
 	demandWeight = 0.02
-	// itemMemory is the time for which a peak of items counts: trainers submit every few seconds, and pause for
-	// as long while they train.
-	itemMemory = 2 * time.Minute
+	// itemPeakPeriod is how long a peak of items counts. It spans the pauses of trainers between two steps.
+	itemPeakPeriod = 2 * time.Minute
 )
 
-// Mode says what becomes of the items that run while weights change.
+// Mode defines what happens to running items during a load.
 type Mode string
 
 // The modes.
 const (
-	// Finish lets running items end first.
+	// Finish waits for running items before the load.
 	Finish Mode = "finish"
-	// Continue lets running items go on under the new weights.
+	// Continue continues running items with the new weights.
 	Continue Mode = "continue"
 )
 
@@ -62,13 +62,13 @@
 	Model   string
 	Version int64
 	Mode    Mode
-	// Holder and Fence name who orders and under which epoch.
+	// Holder is the ordering process, Fence its epoch.
 	Holder string
 	Fence  int64
-	// Count is the engine's count of orders that this one follows.
+	// Count is the engine's count of orders before this one.
 	Count int64
-	// MayLeave tells whether the order may still leave this node. It is asked right
-	// before its bytes do, in any goroutine; nil sets no limit.
+	// MayLeave reports whether the order may still be sent. It is called right before its
+	// first byte is written, from any goroutine; nil means no limit.
 	MayLeave func() bool
 }
 
@@ -77,17 +77,17 @@
 
 // The answers.
 const (
-	// Unanswered: the order may be carried out now, later or never.
+	// Unanswered: the order may take effect now, later or never.
 	Unanswered Answer = iota
-	// Taken: the order is under way.
+	// Taken: the order is in progress.
 	Taken
 	// Held: the engine has the version already.
 	Held
-	// Conflict: another order is under way or came before.
+	// Conflict: another order is in progress or has come before.
 	Conflict
 	// Fenced: a newer leader has ordered the engine.
 	Fenced
-	// Refused: the engine does not take this order.
+	// Refused: the engine rejected this order.
 	Refused
 )
 
@@ -95,12 +95,12 @@
 	Unanswered: "unanswered", Taken: "taken", Held: "held", Conflict: "conflict", Fenced: "fenced", Refused: "refused",
 }
 
-// String returns the answer as it stands in logs.
+// String returns the answer as logged.
 func (a Answer) String() string { return answerNames[a] }
 
-// Report is what an engine says of itself.
+// Report is the state that an engine reports.
 type Report struct {
-	// Of is the incarnation that answered. It is the one that was asked only if it began when that did.
+	// Of is the incarnation that answered, which may differ from the one addressed.
 	Of       incarnation.ID
 	Versions map[string]int64
 	Busy     bool
@@ -109,8 +109,8 @@
 
 // Engines orders engines.
 type Engines interface {
-	// Report asks what an engine has loaded. mayLeave is asked right before the question leaves, in any
-	// goroutine.
+	// Report returns what an engine has loaded. mayLeave is called right before the request is sent, from
+	// any goroutine.
 	Report(ctx context.Context, engine fleet.Engine, mayLeave func() bool) (Report, error)
 	Order(ctx context.Context, engine fleet.Engine, order Order) (Answer, error)
 }
@@ -118,10 +118,10 @@
 // Target is a service with the versions named for its models.
 type Target struct {
 	Service string
-	// Versions holds the named version of each model of the service, zero when
-	// none was named.
+	// Versions holds the named version of each model of the service; zero if none is
+	// named.
 	Versions map[string]int64
-	// SingleVersion is true when items must not see two versions.
+	// SingleVersion is true if an item must not be run under two versions.
 	SingleVersion bool
 }
 
@@ -129,14 +129,14 @@
 type Options struct {
 	Engines Engines
 	Fleet   *fleet.Fleet
-	// Gate is asked before orders leave; nil for one that asks Fleet.
+	// Gate is checked before orders are sent; nil for one that checks Fleet only.
 	Gate *sendgate.Gate
-	// Targets returns what is to be loaded now.
+	// Targets returns the versions to load.
 	Targets func() []Target
-	// Term is the time of leading in which the manager orders.
+	// Term is the term of leadership of the manager.
 	Term lease.Term
-	// Running and Demands tell what the runner does: the items that run at each engine where some do, and what
-	// is asked of each model.
+	// Running returns the number of running items by engine, without idle engines; Demands the demand by
+	// model.
 	Running func() map[incarnation.ID]int
 	Demands func() map[string]batchrun.Demand
 	// Loaded is called after an engine has loaded.
@@ -146,36 +146,36 @@
 	Logger zerolog.Logger
 }
 
-// Manager orders loads during one term of leading.
+// Manager orders loads during one term of leadership.
 type Manager struct {
 	options Options
 
 	mu sync.Mutex
-	// loading holds what each engine is loading.
-	loading map[incarnation.ID]*underway
+	// loading holds the load in progress of each engine.
+	loading map[incarnation.ID]*loadInProgress
 	limiter *weightplan.Limiter
-	// loadTime is the moving mean of the time until a load is reported as done.
+	// loadTime is the moving average of the time until a load is reported as done.
 	loadTime time.Duration
-	// counts holds each engine's count of orders, as far as known.
+	// counts holds the known counts of orders by engine.
 	counts map[incarnation.ID]int64
-	// retryAt holds back engines that did not take an order.
+	// retryAt is when an engine that did not accept an order may be ordered again.
 	retryAt map[incarnation.ID]time.Time
-	// starts is how many starts of engines were listed when counts and retryAt were looked through last.
+	// starts is Fleet.Starts as of the last cleanup of counts and retryAt.
 	starts     int64
 	allocators map[string]*weightplan.Allocator
 	demands    map[string]float64
-	// items holds the peak of each model's open items.
+	// items tracks the peak of open items by model.
 	items map[string]*peak.Window
-	// named holds the version that was last seen named for each model.
+	// named holds the last logged version by model.
 	named map[string]int64
 	wait  sync.WaitGroup
 }
 
-// underway is a load that an engine has been ordered.
-type underway struct {
+// loadInProgress is a load that an engine was ordered.
+type loadInProgress struct {
 	model string
 	since time.Time
-	// together is the most loads that were under way at one time since, this one
+	// together is the maximum number of concurrent loads since then, this one
 	// included.
 	together int
 }
@@ -186,7 +186,7 @@
 	return &Manager{
 		options:    options,
 		limiter:    weightplan.NewLimiter(),
-		loading:    make(map[incarnation.ID]*underway),
+		loading:    make(map[incarnation.ID]*loadInProgress),
 		counts:     make(map[incarnation.ID]int64),
 		retryAt:    make(map[incarnation.ID]time.Time),
 		allocators: make(map[string]*weightplan.Allocator),
@@ -196,7 +196,7 @@
 	}
 }
 
-// AllLoading returns the model that each engine is loading, where one is.
+// AllLoading returns the models being loaded by engine.
 func (m *Manager) AllLoading() map[incarnation.ID]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -231,7 +231,7 @@
 	m.wait.Wait()
 }
 
-// forgetEnded drops what is known of engines that have ended, once others have started.
+// forgetEnded drops the state of engines that have ended, whenever others have started.
 func (m *Manager) forgetEnded() {
 	starts := m.options.Fleet.Starts()
 	m.mu.Lock()
@@ -244,7 +244,7 @@
 	maps.DeleteFunc(m.retryAt, func(engine incarnation.ID, _ time.Time) bool { return m.hasEnded(engine) })
 }
 
-// hasEnded tells whether an engine is not listed any more.
+// hasEnded reports whether an engine is no longer listed.
 func (m *Manager) hasEnded(engine incarnation.ID) bool {
 	_, known := m.options.Fleet.Find(engine)
 	return !known
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -25,18 +25,18 @@
 	loadTime = 150 * time.Millisecond
 )
 
-// fakeEngines hold versions and take orders as engines do.
+// fakeEngines hold versions and execute orders.
 type fakeEngines struct {
 	mu       sync.Mutex
 	versions map[string]int64
 	counts   map[string]int64
 	busy     map[string]bool
-	// born is when each engine started; zero where it does not tell.
+	// born is each engine's start time; zero if it does not report one.
 	born   map[string]int64
 	orders []Order
-	// most is the most loads that were under way at one time.
+	// most is the maximum number of concurrent loads.
 	loading, most int
-	// answer, when set, decides an order's answer in place of the engine.
+	// answer, if set, overrides the engine's answer to an order.
 	answer func(engine string, order Order) (Answer, bool)
 }
 
@@ -110,7 +110,7 @@
 	return len(f.orders)
 }
 
-// world is a manager with what it works with.
+// world is a manager with its dependencies.
 type world struct {
 	engines *fakeEngines
 	fleet   *fleet.Fleet
@@ -168,7 +168,7 @@
 	}
 }
 
-// TestMoreLoadTogetherWhereTheSourceFeedsThem: loads here never hold each other up.
+// TestMoreLoadTogetherWhereTheSourceFeedsThem: concurrent loads do not slow each other down here.
 func TestMoreLoadTogetherWhereTheSourceFeedsThem(t *testing.T) {
 	w := manage(t, 48, func(options *Options) {
 		options.Demands = func() map[string]batchrun.Demand { return map[string]batchrun.Demand{model: {Items: 48 * 4}} }
@@ -197,8 +197,8 @@
 	testwait.Until(t, "version 2 everywhere", func() bool { return w.engines.allAt(2) })
 }
 
-// TestNoOrderWithoutItsAnnouncement: the log takes none, so no engine is ordered;
-// each order has its announcement before it.
+// TestNoOrderWithoutItsAnnouncement: without a permit no engine is ordered, and each order has a
+// permit of its own.
 func TestNoOrderWithoutItsAnnouncement(t *testing.T) {
 	var away atomic.Bool
 	var announced atomic.Int64
@@ -232,7 +232,7 @@
 	testwait.Until(t, "version 3 everywhere", func() bool { return w.engines.allAt(3) })
 }
 
-// TestNoOrderLeavesOnceItsPermitHasEnded: writing its record took too long, or the lease went.
+// TestNoOrderLeavesOnceItsPermitHasEnded: its record took too long to write, or the lease was lost.
 func TestNoOrderLeavesOnceItsPermitHasEnded(t *testing.T) {
 	term := &leaseterm.Term{}
 	term.ClosePermits(true)
@@ -249,8 +249,8 @@
 	}
 }
 
-// TestAnOrderThatWasOvertakenIsGivenAnew: another's order came between, so that
-// the count of orders is no longer the one known here.
+// TestAnOrderThatWasOvertakenIsGivenAnew: another holder's order has changed the count of
+// orders.
 func TestAnOrderThatWasOvertakenIsGivenAnew(t *testing.T) {
 	w := manage(t, 1, nil)
 	testwait.Until(t, "version 2", func() bool { return w.engines.allAt(2) })
@@ -261,8 +261,8 @@
 	testwait.Until(t, "version 3", func() bool { return w.engines.allAt(3) })
 }
 
-// TestLostAnswersAreNotTakenForRefusals: the engine loads, though the order has
-// no answer.
+// TestLostAnswersAreNotTakenForRefusals: the engine loads although the order got no
+// answer.
 func TestLostAnswersAreNotTakenForRefusals(t *testing.T) {
 	w := manage(t, 1, func(options *Options) {
 		engines := options.Engines.(*fakeEngines)
