--- a/internal/common/standstill/standstill.go
+++ b/internal/common/standstill/standstill.go
@@ -1,5 +1,5 @@
-// Package standstill notices that this process or its machine stood still: what it knows of others
-// is older than it seems then.
+// Package standstill detects that this process or its machine was suspended, after which its state of
+// other nodes is older than it appears.
 package standstill
 
 import (
@@ -13,69 +13,69 @@
 )
 
 const (
-	// tickPeriod is the time between two signs of life.
+	// tickPeriod is the interval between two ticks.
 	tickPeriod = 250 * time.Millisecond
-	// minStandstill is the least time without one that counts. A process that is merely short of a
-	// processor is late by some hundred milliseconds; where its ticker is later, those who ask are not.
+	// minStandstill is the least time without a tick that counts as a standstill. It must exceed the
+	// delays of a process on a busy machine; callers of WokeAt tick as well if the ticker is late.
 	minStandstill = time.Second
 )
 
 // clocks are the clocks that a watch reads.
 type clocks struct {
-	// wall is the time of day with the steady clock; it costs no system call.
+	// wall is the wall clock with its monotonic reading, which needs no system call.
 	wall func() time.Time
-	// boot goes on while the machine is suspended.
+	// boot advances while the machine is suspended.
 	boot func() time.Time
 }
 
-// Watch notices standstills. It is safe for concurrent use.
+// Watch detects standstills. It is safe for concurrent use.
 type Watch struct {
 	clocks clocks
-	// seenAt is the newest sign of life by the wall clock: a tick, or in its absence a question.
-	seenAt atomic.Pointer[time.Time]
+	// tickedAt is the wall-clock time of the newest tick.
+	tickedAt atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	bootAt time.Time
 	wokeAt atomic.Pointer[time.Time]
 }
 
-// New returns a watch; Run keeps it going.
+// New returns a watch. Run must be running.
 func New() *Watch { return newWatch(clocks{wall: time.Now, boot: boottime.Now}) }
 
 func newWatch(clocks clocks) *Watch {
 	w := &Watch{clocks: clocks, bootAt: clocks.boot()}
 	seen := clocks.wall()
-	w.seenAt.Store(&seen)
+	w.tickedAt.Store(&seen)
 	w.wokeAt.Store(&time.Time{})
 	return w
 }
 
-// Run gives signs of life until ctx ends.
+// Run ticks until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
 	for retry.Sleep(ctx, tickPeriod) {
-		w.look(w.clocks.wall())
+		w.tick(w.clocks.wall())
 	}
 	return nil
 }
 
-// WokeAt returns when the newest standstill ended, by the clock of package boottime; zero when there
-// was none. Whoever asks first after it notices it: no request gets ahead of the ticker.
+// WokeAt returns when the newest standstill ended, by boottime; zero if there was none. The first call
+// after a standstill detects it, even before the ticker runs.
 func (w *Watch) WokeAt() time.Time {
 	now := w.clocks.wall()
-	if seen := *w.seenAt.Load(); late(seen, now) {
-		w.look(now)
+	if ticked := *w.tickedAt.Load(); isLate(ticked, now) {
+		w.tick(now)
 	}
 	return *w.wokeAt.Load()
 }
 
-// late tells whether either clock says that a tick was due. The steady clock stops while the machine
-// is suspended, and the time of day may be set: look finds out.
-func late(seen, now time.Time) bool {
-	return now.Sub(seen) >= tickPeriod || now.Round(0).Sub(seen.Round(0)) >= tickPeriod
+// isLate reports whether a tick is due by the monotonic or the wall clock. The monotonic clock stops while the
+// machine is suspended, and the wall clock may be set; tick reads a clock without these faults.
+func isLate(ticked, now time.Time) bool {
+	return now.Sub(ticked) >= tickPeriod || now.Round(0).Sub(ticked.Round(0)) >= tickPeriod
 }
 
-// look is a sign of life.
-func (w *Watch) look(now time.Time) {
+// tick records that the process runs, and detects a standstill before it.
+func (w *Watch) tick(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	boot := w.clocks.boot()
@@ -83,5 +83,5 @@
 		w.wokeAt.Store(&boot)
 	}
 	w.bootAt = boot
-	w.seenAt.Store(&now)
+	w.tickedAt.Store(&now)
 }
--- a/internal/common/standstill/standstill_test.go
+++ b/internal/common/standstill/standstill_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// machine has the clocks of a watch.
+// machine provides the clocks of a watch.
 type machine struct{ wall, boot time.Time }
 
 func (m *machine) watch() *Watch {
@@ -18,7 +18,7 @@
 	m.wall, m.boot = m.wall.Add(wall), m.boot.Add(boot)
 }
 
-// TestAStandstillIsNoticedByWhoeverAsksFirst: also before the ticker runs again.
+// TestAStandstillIsNoticedByWhoeverAsksFirst: even before the ticker runs again.
 func TestAStandstillIsNoticedByWhoeverAsksFirst(t *testing.T) {
 	m := &machine{wall: time.Unix(1000, 0), boot: time.Unix(50, 0)}
 	watch := m.watch()
@@ -31,7 +31,7 @@
 	assert.Equal(t, watch.WokeAt(), woke)
 }
 
-// TestAClockThatIsSetIsNoStandstill: the time of day jumps, the machine has run all the time.
+// TestAClockThatIsSetIsNoStandstill: the wall clock jumps while the machine runs.
 func TestAClockThatIsSetIsNoStandstill(t *testing.T) {
 	m := &machine{wall: time.Unix(1000, 0), boot: time.Unix(50, 0)}
 	watch := m.watch()
@@ -39,8 +39,8 @@
 	assert.Assert(t, watch.WokeAt().IsZero())
 }
 
-// TestAProcessThatServesHasNotStoodStill: short of a processor its ticker is late by seconds, while those
-// who ask run.
+// TestAProcessThatServesHasNotStoodStill: on a busy machine the ticker may be late by seconds while callers
+// run.
 func TestAProcessThatServesHasNotStoodStill(t *testing.T) {
 	m := &machine{wall: time.Unix(1000, 0), boot: time.Unix(50, 0)}
 	watch := m.watch()
