--- a/internal/common/pauses/pauses.go
+++ b/internal/common/pauses/pauses.go
@@ -1,5 +1,4 @@
-// Package pauses remembers which peers are left alone for a while, after a call of them
-// did not help.
+// Package pauses tracks peers that are skipped for a while after a failed call.
 package pauses
 
 import (
@@ -8,19 +7,19 @@
 	"time"
 )
 
-// forgetAt is the number of peers from which those whose pause is over are forgotten.
+// forgetAt is the number of peers above which expired pauses are dropped.
 const forgetAt = 64
 
-// Pauses holds when the pause of each peer ends. It is safe for concurrent use.
+// Pauses holds the end of each peer's pause. It is safe for concurrent use.
 type Pauses struct {
 	mu    sync.Mutex
 	until map[string]time.Time
 }
 
-// New returns pauses of nobody.
+// New returns an empty set of pauses.
 func New() *Pauses { return &Pauses{until: make(map[string]time.Time)} }
 
-// Begin leaves a peer alone for the period.
+// Begin pauses a peer for the period.
 func (p *Pauses) Begin(peer string, period time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -31,7 +30,7 @@
 	p.until[peer] = now.Add(period)
 }
 
-// Active tells whether a peer is being left alone.
+// Active reports whether a peer is paused.
 func (p *Pauses) Active(peer string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
