--- a/internal/common/retry/retry.go
+++ b/internal/common/retry/retry.go
@@ -1,6 +1,6 @@
-// Package retry holds what every loop that tries again has in common: delays
-// that grow with jitter, and a wait that ends with its context. How often, and
-// whether, something may be tried again is decided by the loops themselves.
+// Package retry provides the common parts of retry loops: delays that grow with
+// jitter, and a wait that ends with its context. The loops decide whether and how
+// often they retry.
 package retry
 
 import (
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 )
 
-// Policy names the bounds of the delays between tries. Both must be above zero.
+// Policy bounds the delays between attempts. Both bounds must be above zero.
 type Policy struct {
 	// First is the delay after the first failure, before jitter.
 	First time.Duration
@@ -19,11 +19,11 @@
 	Longest time.Duration
 }
 
-// Delays are the delays of one row of tries.
+// Delays are the delays of one sequence of attempts.
 type Delays = backoff.ExponentialBackOff
 
-// Delays returns new delays under the policy, which never end: each is
-// backoff.DefaultMultiplier (1.5) times the one before. They serve one goroutine.
+// Delays returns an unlimited sequence of delays: each is backoff.DefaultMultiplier
+// (1.5) times its predecessor. It is not safe for concurrent use.
 func (p Policy) Delays() *Delays {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = p.First
@@ -31,7 +31,7 @@
 	return delays
 }
 
-// Sleep waits for the duration; false when ctx ended first.
+// Sleep waits for the duration and reports whether it passed before ctx ended.
 func Sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
