--- a/internal/common/answered/answered_test.go
+++ b/internal/common/answered/answered_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestAnAnswerThatLayHereIsAsOldAsItsRead: the machine was suspended after a read had been
-// answered, so what it found is seconds old although it is looked at just now.
+// TestAnAnswerThatLayHereIsAsOldAsItsRead: the machine was suspended after a read was answered, so
+// the answer is seconds old when it is processed.
 func TestAnAnswerThatLayHereIsAsOldAsItsRead(t *testing.T) {
 	sent := time.Unix(1000, 0)
 	assert.Equal(t, At(sent, time.Second, sent.Add(1100*time.Millisecond)), sent.Add(time.Second))
