--- a/internal/common/boottime/boottime.go
+++ b/internal/common/boottime/boottime.go
@@ -1,6 +1,6 @@
-// Package boottime reads a clock that goes on while the machine is suspended. The steady
-// clock of package time stops then, and the time of day may be set: whoever counts how
-// long a lease still holds, or how old knowledge is, needs neither.
+// Package boottime reads a monotonic clock that advances while the machine is suspended. The
+// monotonic clock of package time stops then, and the wall clock may be set, so neither is
+// suitable for leases and the age of cached state.
 package boottime
 
 import (
@@ -9,8 +9,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Now returns the time since the machine was started as a time.Time. It may be compared
-// with other values of this clock only, never with those of time.Now.
+// Now returns the time since boot as a time.Time. It must be compared only with other values
+// of this clock, never with those of time.Now.
 func Now() time.Time {
 	var read unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &read); err != nil {
--- a/internal/common/boottime/boottime_test.go
+++ b/internal/common/boottime/boottime_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestTheClockGoesOn compares it with the steady clock, which a machine that is not
-// suspended meanwhile moves on as fast.
+// TestTheClockGoesOn compares it with the monotonic clock, which advances at the same rate
+// while the machine is not suspended.
 func TestTheClockGoesOn(t *testing.T) {
 	steady, began := time.Now(), Now()
 	time.Sleep(20 * time.Millisecond)
