--- a/internal/common/connlost/connlost.go
+++ b/internal/common/connlost/connlost.go
@@ -1,5 +1,5 @@
-// Package connlost tells connections that the other side ended from those that were
-// given up here or fell silent.
+// Package connlost distinguishes connections that the peer closed from those that were
+// canceled locally or became unresponsive.
 package connlost
 
 import (
@@ -9,11 +9,11 @@
 	"github.com/go-faster/errors"
 )
 
-// causes are the errors of a connection that the other side closed or reset before
-// its answer was whole.
+// causes are the errors of a connection that the peer closed or reset before its answer
+// was complete.
 var causes = []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}
 
-// Is tells whether the other side ended the connection.
+// Is reports whether the peer closed the connection.
 func Is(err error) bool {
 	for _, cause := range causes {
 		if errors.Is(err, cause) {
