--- a/internal/common/msgpackhttp/msgpackhttp.go
+++ b/internal/common/msgpackhttp/msgpackhttp.go
@@ -1,5 +1,5 @@
-// Package msgpackhttp carries one question and one answer between nodes: msgpack over an
-// HTTP POST, both bounded and checked before they are decoded.
+// Package msgpackhttp makes calls between nodes with msgpack over HTTP POST. Requests and
+// responses are bounded, and checked before they are decoded.
 package msgpackhttp
 
 import (
@@ -15,16 +15,16 @@
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 )
 
-// Ask sends a question to a URL and decodes the answer, of at most maxBytes, into answer.
-// The question is sent once: an error says nothing of whether it took effect.
+// Ask sends a request to a URL and decodes the response, of at most maxBytes, into answer.
+// It does not retry; after an error the request may have taken effect.
 func Ask(ctx context.Context, client *http.Client, url string, question, answer any, maxBytes int64) error {
 	return ask(ctx, client, url, nil, question, answer, maxBytes)
 }
 
-// AskOnceHeard is Ask, but sends the question only once the other end asks for it, which takes a
-// round trip. So a question whose sender has left is not found by a node that stood still: it must
-// be asked for while its sender waits. The client's transport needs an ExpectContinueTimeout that
-// is longer than ctx lasts, since the question is sent unasked after that.
+// AskOnceHeard is Ask with "Expect: 100-continue": the body is sent only when the peer requests it, which
+// takes a round trip. A peer that resumes after a suspension thus never executes a request whose sender has
+// given up. The client's transport needs an ExpectContinueTimeout that exceeds ctx, since the body is sent
+// unrequested after it.
 func AskOnceHeard(ctx context.Context, client *http.Client, url string, question, answer any, maxBytes int64) error {
 	return ask(ctx, client, url, http.Header{"Expect": {"100-continue"}}, question, answer, maxBytes)
 }
@@ -41,7 +41,7 @@
 		return errors.Wrap(err, "build the question")
 	}
 	maps.Copy(request.Header, header)
-	// Without GetBody the transport never sends it a second time.
+	// Without GetBody the transport cannot resend the request.
 	request.GetBody = nil
 	response, err := client.Do(request)
 	if err != nil {
@@ -58,8 +58,8 @@
 	return decode(content, answer)
 }
 
-// Handle returns a handler that decodes questions of at most maxBytes and encodes the
-// answers. One that cannot be read is answered with 400.
+// Handle returns a handler that decodes requests of at most maxBytes and encodes the
+// responses. Unreadable requests are answered with status 400.
 func Handle[Question, Answer any](maxBytes int64, answer func(context.Context, Question) Answer) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
@@ -76,7 +76,7 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		// One that has left asks another node.
+		// A caller that has left retries at another node.
 		_, _ = w.Write(encoded)
 	})
 }
--- a/internal/common/msgpackhttp/msgpackhttp_test.go
+++ b/internal/common/msgpackhttp/msgpackhttp_test.go
@@ -53,8 +53,8 @@
 	assert.ErrorContains(t, Ask(t.Context(), http.DefaultClient, server.URL, &question{}, &got, 64), "ask")
 }
 
-// TestAQuestionIsSentOnceItIsAskedFor: a node that has not begun with it finds nothing when its
-// sender has left.
+// TestAQuestionIsSentOnceItIsAskedFor: a peer that has not started to serve the request receives no
+// body once its sender has left.
 func TestAQuestionIsSentOnceItIsAskedFor(t *testing.T) {
 	goesOn, answered := make(chan struct{}), make(chan struct{})
 	asked := 0
