--- a/internal/common/fixedseed/fixedseed.go
+++ b/internal/common/fixedseed/fixedseed.go
@@ -1,6 +1,6 @@
-// Package fixedseed gives property tests a fixed seed, so that a test run has
-// the same verdict each time. Property tests import it for its effect; the flag
-// -rapid.seed=0 asks for random seeds, any other value for that seed.
+// Package fixedseed sets a fixed seed for property tests, so that test runs are
+// reproducible. Property tests import it for its side effect. The flag -rapid.seed=0
+// selects random seeds, any other value that seed.
 package fixedseed
 
 import (
