--- a/internal/leadership/overlap_test.go
+++ b/internal/leadership/overlap_test.go
@@ -108,7 +108,7 @@
 	second.knows(t, "a1")
 	_, epoch := second.elector.Leader()
 	time.Sleep(testTTL - testTTL/10) // just before b may claim
-	path.faults(appendsRefused, nil)  // so that a cannot renew
+	path.faults(appendsRefused, nil) // so that a cannot renew
 	close(released)
 	first.knows(t, "a1")
 	never := make(chan struct{})
