--- a/internal/core/peak/peak.go
+++ b/internal/core/peak/peak.go
@@ -27,8 +27,8 @@
 	w.values = append(w.values, value{at: now, value: observed})
 }
 
-// Most returns the maximum over the span before the newest observation; zero without observations.
-func (w *Window) Most() int {
+// Max returns the maximum over the span before the newest observation; zero without observations.
+func (w *Window) Max() int {
 	if len(w.values) == 0 {
 		return 0
 	}
--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -178,7 +178,7 @@
 
 // need returns the number of engines for the peak.
 func (p *Planner) need(slots int) int {
-	return int(math.Ceil(headroom * float64(p.items.Most()) / float64(max(1, slots))))
+	return int(math.Ceil(headroom * float64(p.items.Max()) / float64(max(1, slots))))
 }
 
 // leastFull returns the zone below the limit with the fewest engines, so that the loss of a zone
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -140,7 +140,7 @@
 		}
 		items.Observe(now, demand.Items, itemPeakPeriod)
 		targets = append(targets, weightplan.Target{
-			Model: model, Version: version, MinVersion: demand.MinVersion, Items: items.Most(),
+			Model: model, Version: version, MinVersion: demand.MinVersion, Items: items.Max(),
 			Demand: m.demands[model], Waiting: demand.Waiting, Interrupts: target.SingleVersion,
 		})
 	}
