--- a/internal/common/msgpackhttp/msgpackhttp.go
+++ b/internal/common/msgpackhttp/msgpackhttp.go
@@ -22,8 +22,8 @@
 }
 
 // AskOnceHeard is Ask with "Expect: 100-continue": the body is sent only when the peer requests it, which
-// takes a round trip. A peer that resumes after a suspension thus never executes a request whose sender has
-// given up. The client's transport needs an ExpectContinueTimeout that exceeds ctx, since the body is sent
+// takes a round trip. A peer that resumes after a suspension thus receives no request whose sender has given
+// up meanwhile. The client's transport needs an ExpectContinueTimeout that exceeds ctx, since the body is sent
 // unrequested after it.
 func AskOnceHeard(ctx context.Context, client *http.Client, url string, question, answer any, maxBytes int64) error {
 	return ask(ctx, client, url, http.Header{"Expect": {"100-continue"}}, question, answer, maxBytes)
