Build a timeline from nodes' log lines

On-call engineers had `corkctl explain` for one ID, and nothing that shows a whole run: when answers stopped, who led, when contact with the log was lost, and where no node made progress at all.

internal/report/timeline reads JSON log lines, with or without a collector's prefix, one at a time and from files in any order, into typed records: batch jobs, requests and engine tries by outcome, terms of leaders and takeovers, contact with the log, configuration versions by first and last node, starts of nodes, and gaps. A term whose end no line reports, a refused end of a job and a version read at a node's start are kept apart from what the lines do report; what they lack is listed. Unreadable lines are counted by file. Counts lie in buckets that widen, and each list has a bound, so memory does not grow with the logs.

--- /dev/null
+++ b/internal/report/timeline/bounds_test.go
@@ -0,0 +1,92 @@
+package timeline
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against events lost or doubled when buckets are widened, and against buckets without bound.
+func TestRatesKeepEachEventInBoundedBuckets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		times := rapid.SliceOfN(rapid.Int64Range(1, int64(400*24*time.Hour/time.Millisecond)), 1, 200).Draw(t, "times")
+		rates := newRates()
+		for _, at := range times {
+			rates.add(at, Answered)
+		}
+		first, last := slices.Min(times), slices.Max(times)
+		bins := int((last/rates.width)-(first/rates.width)) + 1
+		if bins > maxBuckets {
+			t.Fatalf("%d buckets", bins)
+		}
+		sum := 0.0
+		for _, rate := range rates.PerSecond(Answered, time.UnixMilli(first), rates.Width(), bins) {
+			sum += rate * rates.Width().Seconds()
+		}
+		if int(sum+0.5) != len(times) || rates.Total() != len(times) {
+			t.Fatalf("%v and %d events of %d", sum, rates.Total(), len(times))
+		}
+	})
+}
+
+// Guards against a gap that is missed, or whose ends are those of buckets.
+func TestGapsAreThoseBetweenNeighbouringTimes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		times := rapid.SliceOfN(rapid.Int64Range(1000, 100000), 1, 60).Draw(t, "times")
+		minimum := rapid.Int64Range(initialWidth, 20000).Draw(t, "minimum")
+		progress := newProgressLog()
+		for _, at := range times {
+			progress.add(at)
+		}
+		found := progress.gaps(time.UnixMilli(500), time.UnixMilli(101000), time.Duration(minimum)*time.Millisecond)
+		var expected []Gap
+		sorted := append(append([]int64{500}, slices.Sorted(slices.Values(times))...), 101000)
+		for i := 1; i < len(sorted); i++ {
+			if sorted[i]-sorted[i-1] >= minimum {
+				expected = append(expected, Gap{From: time.UnixMilli(sorted[i-1]), To: time.UnixMilli(sorted[i])})
+			}
+		}
+		if !slices.Equal(found, expected) {
+			t.Fatalf("found %v, expected %v", found, expected)
+		}
+	})
+}
+
+// Guards against lists that grow with the logs, and against events beyond the bound that nobody is shown.
+func TestJobsBeyondTheBoundAreCountedAsOmitted(t *testing.T) {
+	lines := make([]string, 0, maxJobs+5)
+	for i := range maxJobs + 5 {
+		lines = append(lines, line(1000, "n1", fmt.Sprintf(`"job":"j%d","model":"m",`, i), messageJobSubmitted))
+	}
+	built := readLines(t, Options{MinimumGap: time.Second}, lines...)
+	assert.Equal(t, len(built.Jobs), maxJobs)
+	assert.Equal(t, built.Lines.Omitted, 5)
+}
+
+// Guards against a label for each of many topics.
+func TestLabelsAreBounded(t *testing.T) {
+	rates := newRates()
+	for i := range 10 * maxLabels {
+		rates.add(1000, fmt.Sprint(i))
+	}
+	assert.Equal(t, len(rates.Labels()), maxLabels+1)
+	assert.Equal(t, rates.Total(otherLabel), 9*maxLabels)
+}
+
+// Guards against a gap without what on-call engineers see in it.
+func TestAGapNamesWhatElseItsTimeHolds(t *testing.T) {
+	built := readLines(t, Options{MinimumGap: time.Second},
+		line(1000, "n1", "", messageRequestEnded),
+		line(2500, "n1", `"kind":"log_unavailable",`, messageRequestRefused),
+		line(2600, "n2", "", messageNodeStarted),
+		line(2700, "n1", `"topic":"t","reachable":false,`, messageTopicContact),
+		line(2800, "n1", `"direct":false,`, messagePathChanged),
+		line(5000, "n1", `"topic":"t","reachable":true,`, messageTopicContact))
+	assert.DeepEqual(t, built.Gaps, []Gap{{
+		From: time.UnixMilli(1000), To: time.UnixMilli(5000), Refused: 1, NodesStarted: 1, ContactLost: 1, PathChanges: 1,
+	}})
+}
--- /dev/null
+++ b/internal/report/timeline/gaps.go
@@ -0,0 +1,111 @@
+package timeline
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxGaps bounds the gaps reported, the longest ones first.
+const maxGaps = 40
+
+// Gap is a time in which no node made progress: none read a topic in full, put a configuration in force or regained
+// contact with the log, and no request, call of a trainer, engine or item got its answer.
+type Gap struct {
+	From, To time.Time
+	// Counts of other events within this time, from whole buckets.
+	Refused      int
+	NodesStarted int
+	ContactLost  int
+	PathChanges  int
+}
+
+// Duration returns the gap's length.
+func (g Gap) Duration() time.Duration { return g.To.Sub(g.From) }
+
+// progressLog keeps the first and last progress of each bucket, so that gaps at least as long as a bucket are
+// found exactly.
+type progressLog struct {
+	width           int64
+	buckets         map[int64]progressSpan
+	lowest, highest int64
+}
+
+type progressSpan struct{ first, last int64 }
+
+func newProgressLog() *progressLog {
+	return &progressLog{width: initialWidth, buckets: map[int64]progressSpan{}}
+}
+
+func (p *progressLog) add(at int64) {
+	number := at / p.width
+	if len(p.buckets) == 0 {
+		p.lowest, p.highest = number, number
+	}
+	p.lowest, p.highest = min(p.lowest, number), max(p.highest, number)
+	p.merge(number, progressSpan{at, at})
+	for p.highest-p.lowest >= maxBuckets {
+		p.widen()
+	}
+}
+
+func (p *progressLog) merge(number int64, span progressSpan) {
+	if known, found := p.buckets[number]; found {
+		span = progressSpan{min(known.first, span.first), max(known.last, span.last)}
+	}
+	p.buckets[number] = span
+}
+
+// widen doubles the width.
+func (p *progressLog) widen() {
+	narrow := p.buckets
+	p.buckets = make(map[int64]progressSpan, len(narrow)/2)
+	p.width *= 2
+	p.lowest, p.highest = p.lowest/2, p.highest/2
+	for number, span := range narrow {
+		p.merge(number/2, span)
+	}
+}
+
+// gaps returns the times between first and last without progress that last at least minimum, or a bucket if
+// that is longer.
+func (p *progressLog) gaps(first, last time.Time, minimum time.Duration) []Gap {
+	minimum = max(minimum, time.Duration(p.width)*time.Millisecond)
+	var gaps []Gap
+	since := first
+	note := func(until time.Time) {
+		if until.Sub(since) >= minimum {
+			gaps = append(gaps, Gap{From: since, To: until})
+		}
+	}
+	for _, number := range slices.Sorted(maps.Keys(p.buckets)) {
+		note(time.UnixMilli(p.buckets[number].first))
+		since = time.UnixMilli(p.buckets[number].last)
+	}
+	note(last)
+	return gaps
+}
+
+// longestGaps returns the longest gaps in order of time.
+func longestGaps(gaps []Gap) []Gap {
+	gaps = slices.Clone(gaps)
+	slices.SortStableFunc(gaps, func(a, b Gap) int { return cmp.Compare(b.Duration(), a.Duration()) })
+	gaps = gaps[:min(len(gaps), maxGaps)]
+	slices.SortFunc(gaps, func(a, b Gap) int { return a.From.Compare(b.From) })
+	return gaps
+}
+
+// describe adds to the gap what the timeline holds of its time.
+func (g *Gap) describe(timeline *Timeline) {
+	from, until := g.From.UnixMilli(), g.To.UnixMilli()
+	for label, count := range timeline.Requests.between(from, until) {
+		if label != Answered {
+			g.Refused += count
+		}
+	}
+	g.NodesStarted = timeline.Processes.between(from, until)[NodeStarted]
+	contact := timeline.Contact.between(from, until)
+	g.ContactLost = contact[ContactLost]
+	g.PathChanges = contact[PathDirect] + contact[PathThroughPeer]
+}
--- /dev/null
+++ b/internal/report/timeline/jobs.go
@@ -0,0 +1,180 @@
+package timeline
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+)
+
+const (
+	// maxJobs bounds the jobs kept, maxAcceptances those of one job.
+	maxJobs        = 20000
+	maxAcceptances = 64
+)
+
+// Job is one batch job, a step of a trainer. A time that no line holds is zero.
+type Job struct {
+	ID    string
+	Model string
+	Step  int64
+	Items int
+	// Submitted is when a node took the submission, EndAsked when its submitter's end was taken.
+	Submitted, EndAsked time.Time
+	// Accepted are the times at which a leader began to run it: more than one after a takeover.
+	Accepted []time.Time
+	// FirstStart is when its first item went to an engine.
+	FirstStart time.Time
+	// Ended is when a leader ended its runs.
+	Ended         time.Time
+	ItemsFinished int
+	// SubmitsRefused and EndsRefused count calls that failed; the times bound those for its end.
+	SubmitsRefused, EndsRefused       int
+	FirstEndRefused, LastEndRefused   time.Time
+	FirstSubmitTried, LastSubmitTried time.Time
+}
+
+type jobRecord struct {
+	Job   string `json:"job"`
+	Model string `json:"model"`
+	Step  int64  `json:"step"`
+	Items int    `json:"items"`
+	Error string `json:"error"`
+}
+
+// job returns the job that the line names; nil beyond the bound or without a name.
+func (b *Builder) job(raw []byte) (*Job, jobRecord, error) {
+	var record jobRecord
+	if err := json.Unmarshal(raw, &record); err != nil {
+		return nil, record, err
+	}
+	if record.Job == "" {
+		return nil, record, errIncomplete
+	}
+	known := b.jobs[record.Job]
+	if known == nil && len(b.jobs) >= maxJobs {
+		b.timeline.Lines.Omitted++
+		return nil, record, nil
+	}
+	if known == nil {
+		known = &Job{ID: record.Job}
+		b.jobs[record.Job] = known
+	}
+	if record.Model != "" {
+		known.Model, known.Step, known.Items = record.Model, record.Step, record.Items
+	}
+	return known, record, nil
+}
+
+func (b *Builder) addJobSubmitted(line header, raw []byte) error {
+	job, record, err := b.job(raw)
+	if job == nil {
+		return err
+	}
+	at := time.UnixMilli(line.Time)
+	setEarliest(&job.FirstSubmitTried, at)
+	setLatest(&job.LastSubmitTried, at)
+	if record.Error != "" {
+		job.SubmitsRefused++
+		return nil
+	}
+	setEarliest(&job.Submitted, at)
+	b.progress.add(line.Time)
+	return nil
+}
+
+func (b *Builder) addJobEndAsked(line header, raw []byte) error {
+	job, record, err := b.job(raw)
+	if job == nil {
+		return err
+	}
+	at := time.UnixMilli(line.Time)
+	if record.Error != "" {
+		job.EndsRefused++
+		setEarliest(&job.FirstEndRefused, at)
+		setLatest(&job.LastEndRefused, at)
+		return nil
+	}
+	setEarliest(&job.EndAsked, at)
+	b.progress.add(line.Time)
+	return nil
+}
+
+func (b *Builder) addJobTakenUp(line header, raw []byte) error {
+	job, _, err := b.job(raw)
+	if job == nil {
+		return err
+	}
+	if len(job.Accepted) >= maxAcceptances {
+		b.timeline.Lines.Omitted++
+		return nil
+	}
+	job.Accepted = append(job.Accepted, time.UnixMilli(line.Time))
+	return nil
+}
+
+func (b *Builder) addJobEnded(line header, raw []byte) error {
+	job, _, err := b.job(raw)
+	if job == nil {
+		return err
+	}
+	setLatest(&job.Ended, time.UnixMilli(line.Time))
+	return nil
+}
+
+func (b *Builder) addItemStarted(line header, raw []byte) error {
+	job, _, err := b.job(raw)
+	if job == nil {
+		return err
+	}
+	setEarliest(&job.FirstStart, time.UnixMilli(line.Time))
+	return nil
+}
+
+func (b *Builder) addItemFinished(line header, raw []byte) error {
+	job, _, err := b.job(raw)
+	if job == nil {
+		return err
+	}
+	job.ItemsFinished++
+	b.progress.add(line.Time)
+	return nil
+}
+
+func setEarliest(known *time.Time, at time.Time) {
+	if known.IsZero() || at.Before(*known) {
+		*known = at
+	}
+}
+
+func setLatest(known *time.Time, at time.Time) {
+	if at.After(*known) {
+		*known = at
+	}
+}
+
+// First returns the earliest time that a line of the job has.
+func (j *Job) First() time.Time {
+	var first time.Time
+	for _, at := range append([]time.Time{
+		j.FirstSubmitTried, j.EndAsked, j.FirstEndRefused, j.FirstStart, j.Ended,
+	}, j.Accepted...) {
+		if !at.IsZero() {
+			setEarliest(&first, at)
+		}
+	}
+	return first
+}
+
+// sortedJobs returns the jobs in order of their first line.
+func (b *Builder) sortedJobs() []Job {
+	jobs := make([]Job, 0, len(b.jobs))
+	for _, job := range b.jobs {
+		slices.SortFunc(job.Accepted, time.Time.Compare)
+		jobs = append(jobs, *job)
+	}
+	slices.SortFunc(jobs, func(a, b Job) int {
+		return cmp.Or(a.First().Compare(b.First()), cmp.Compare(a.ID, b.ID))
+	})
+	return jobs
+}
--- /dev/null
+++ b/internal/report/timeline/notinlogs.go
@@ -0,0 +1,57 @@
+package timeline
+
+import "fmt"
+
+// neverLogged is what no node logs today.
+var neverLogged = []string{
+	"why an item waited: its lines have how long, not for what",
+	"how many items ran at a time, and the weights version of each engine over time",
+	"the moment at which a killed or frozen process stopped, which has no line",
+	"each failed call of the log: there are lines only for contact lost or regained and for changes of the path",
+	"lines that a node dropped since their reader was slow; only its metrics count them",
+}
+
+// absentNotes describe what cannot be shown without any line of a message.
+var absentNotes = []struct{ message, note string }{
+	{messageLeadershipGain, "who led: no node in these logs gained the leadership"},
+	{messageJobSubmitted, "submissions of batch jobs"},
+	{messageJobEndAsked, "ends of batch jobs"},
+	{messageJobTakenUp, "when a leader began to run a job: the leader's lines are missing, or none accepted one"},
+	{messageItemStarted, "when a job's first item went to an engine"},
+	{messageRequestEnded, "answers to live requests"},
+	{messageEngineTried, "engine tries"},
+	{messageTopicRead, "full reads of topics"},
+	{messageTopicContact, "losses and returns of contact with topics"},
+	{messageConfiguration, "configurations put in force"},
+	{messageNodeStarted, "starts of nodes: all ran before these lines begin, or the lines of the starts are missing"},
+}
+
+// notInLogs lists what the lines read lack, then what no lines hold.
+func (b *Builder) notInLogs() []string {
+	var notes []string
+	for _, absent := range absentNotes {
+		if b.seen[absent.message] == 0 {
+			notes = append(notes, fmt.Sprintf("%s (no line %q)", absent.note, absent.message))
+		}
+	}
+	if count := b.timeline.jobsWithout(func(job *Job) bool { return job.Submitted.IsZero() }); count > 0 {
+		notes = append(notes, fmt.Sprintf("the accepted submission of %d jobs that other lines name", count))
+	}
+	if count := b.timeline.jobsWithout(func(job *Job) bool { return job.EndAsked.IsZero() }); count > 0 {
+		notes = append(notes, fmt.Sprintf("the accepted end of %d jobs: they ran on, or the line is missing", count))
+	}
+	if count := b.timeline.Lines.Suppressed; count > 0 {
+		notes = append(notes, fmt.Sprintf("%d lines that nodes suppressed above their limit per message: rates are lower bounds", count))
+	}
+	return append(notes, neverLogged...)
+}
+
+func (t *Timeline) jobsWithout(lacks func(*Job) bool) int {
+	count := 0
+	for i := range t.Jobs {
+		if lacks(&t.Jobs[i]) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/report/timeline/requests.go
@@ -0,0 +1,87 @@
+package timeline
+
+import (
+	"encoding/json"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+)
+
+// Answered labels a request or a try that got its answer; other requests have their error code.
+const Answered = "answered"
+
+// Labels of a try that did not get its answer.
+const (
+	TryNext   = "try_next"
+	GiveUp    = "give_up"
+	TryHeld   = "not sent"
+	noHold    = "none"
+	unsetKind = ""
+)
+
+type requestRecord struct {
+	Kind string `json:"kind"`
+}
+
+type tryRecord struct {
+	Verdict  string `json:"verdict"`
+	HeldBack string `json:"held_back"`
+}
+
+var errorCodes = codesOf(errkind.All())
+
+func codesOf(kinds []errkind.Kind) map[string]bool {
+	codes := map[string]bool{}
+	for _, kind := range kinds {
+		codes[kind.Answer().Code] = true
+	}
+	return codes
+}
+
+// addRequestEnded counts answers only: an error answer has a line of its own, "request refused".
+func (b *Builder) addRequestEnded(line header, raw []byte) error {
+	var record requestRecord
+	if err := json.Unmarshal(raw, &record); err != nil {
+		return err
+	}
+	if record.Kind == unsetKind {
+		b.timeline.Requests.add(line.Time, Answered)
+		b.progress.add(line.Time)
+	}
+	return nil
+}
+
+func (b *Builder) addRequestRefused(line header, raw []byte) error {
+	var record requestRecord
+	if err := json.Unmarshal(raw, &record); err != nil {
+		return err
+	}
+	kind := record.Kind
+	if !errorCodes[kind] {
+		kind = otherLabel
+	}
+	b.timeline.Requests.add(line.Time, kind)
+	return nil
+}
+
+func (b *Builder) addTry(line header, raw []byte) error {
+	var record tryRecord
+	if err := json.Unmarshal(raw, &record); err != nil {
+		return err
+	}
+	b.timeline.Tries.add(line.Time, record.outcome())
+	if record.Verdict == Answered {
+		b.progress.add(line.Time)
+	}
+	return nil
+}
+
+func (r tryRecord) outcome() string {
+	switch {
+	case r.HeldBack != "" && r.HeldBack != noHold:
+		return TryHeld
+	case r.Verdict == Answered, r.Verdict == TryNext, r.Verdict == GiveUp:
+		return r.Verdict
+	default:
+		return otherLabel
+	}
+}
