Add corkctl report: a run's log lines as one page and pictures

`corkctl report LOG...` writes from nodes' log lines one HTML page, with its pictures inside and no reference to anything else, and the same pictures as PNG files: batch jobs by model, requests and engine tries per second by outcome, leadership, contact with the log, configuration versions, starts of nodes.

The page carries a policy that allows inlined pictures only, and names in log lines are escaped.

Checked: the page of the kept logs parses as XML and refers to nothing outside, names with markup stay text, each PNG decodes with its size and holds the colors of its events and of the gap, the exit codes for missing files, foreign lines and wrong flags.

--- a/internal/ctl/arguments.go
+++ b/internal/ctl/arguments.go
@@ -24,6 +24,7 @@
 	TakeBack *takeBackArguments `arg:"subcommand:take-back" help:"end the evacuation of a zone"`
 
 	Explain *explainArguments `arg:"subcommand:explain" help:"tell from log files, without any server, what became of a request, batch job or item"`
+	Report  *reportArguments  `arg:"subcommand:report" help:"draw from log files, without any server, what happened when, as an HTML page and pictures"`
 
 	Server  []string      `arg:"--server,separate" placeholder:"HOST:PORT" help:"node to ask; repeat it or list several with commas, the next is tried when one is unreachable [env: CORKCTL_SERVER]"`
 	JSON    bool          `arg:"--json" help:"print JSON"`
@@ -92,6 +93,14 @@
 	Files []string `arg:"positional,required" placeholder:"LOGFILE" help:"log files of the nodes; - for standard input"`
 }
 
+type reportArguments struct {
+	Files []string      `arg:"positional,required" placeholder:"LOGFILE" help:"log files of the nodes; - for standard input"`
+	Out   string        `arg:"--out" placeholder:"DIRECTORY" default:"corkpulley-report" help:"directory for report.html and the pictures; it is made if it is missing, files of the same names are replaced"`
+	From  string        `arg:"--from" placeholder:"TIME" help:"first time to show, such as 2026-11-30T05:20:00Z [default: the first line's]"`
+	Until string        `arg:"--until" placeholder:"TIME" help:"last time to show [default: the last line's]"`
+	Gap   time.Duration `arg:"--gap" default:"2s" help:"shortest time without progress to report"`
+}
+
 // Description introduces the help.
 func (arguments) Description() string {
 	return "corkctl operates corkpulley: the table of services, its nodes, engines and steps.\n"
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -98,6 +98,8 @@
 		return s.online(s.takeBack)
 	case parsed.Explain != nil:
 		return s.explain
+	case parsed.Report != nil:
+		return s.report
 	default:
 		return nil
 	}
--- a/internal/ctl/help.go
+++ b/internal/ctl/help.go
@@ -48,6 +48,10 @@
 	"zones":         {"corkctl zones", "corkctl zones --json --server 10.0.0.1:9090"},
 	"evacuate":      {"corkctl evacuate hillsboro --wait", "corkctl zones"},
 	"take-back":     {"corkctl take-back hillsboro --wait"},
+	"report": {
+		"corkctl report --out bad-hour node-*.log",
+		"corkctl report --from 2026-11-30T05:20:00Z --until 2026-11-30T06:20:00Z - < all.log",
+	},
 }
 
 // writeHelp writes the help of a command, with examples and exit codes.
--- /dev/null
+++ b/internal/report/page.go
@@ -0,0 +1,111 @@
+package report
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/base64"
+	"fmt"
+	"html/template"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/report/picture"
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+const (
+	stampForm = "2006-01-02 15:04:05.000"
+	clockForm = "15:04:05.000"
+	// maxTableRows bounds the rows of each table but the totals.
+	maxTableRows = 50
+)
+
+//go:embed page.html.tmpl
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
+	"stamp": func(at time.Time) string { return at.UTC().Format(stampForm) },
+	"clock": clock,
+	"seconds": func(duration time.Duration) string {
+		return fmt.Sprintf("%.3f s", duration.Seconds())
+	},
+	"inline": func(each picture.Picture) template.URL {
+		return template.URL("data:image/png;base64," + base64.StdEncoding.EncodeToString(each.PNG))
+	},
+	"width": func() int { return picture.Width },
+}).Parse(pageText))
+
+// page is what the template shows.
+type page struct {
+	Timeline *timeline.Timeline
+	Totals   []totalRow
+	Pictures []picture.Picture
+	// Takeovers, Versions and Unreadable hold the first Shown rows.
+	Takeovers  []timeline.Takeover
+	Versions   []timeline.Version
+	Unreadable []timeline.Source
+	Shown      int
+}
+
+// totalRow is one line of the table of totals.
+type totalRow struct{ Name, Value string }
+
+func renderPage(built *timeline.Timeline, pictures []picture.Picture) ([]byte, error) {
+	unreadable := slices.DeleteFunc(slices.Clone(built.Sources), func(source timeline.Source) bool {
+		return source.Unreadable == 0
+	})
+	shown := page{
+		Timeline: built, Totals: totalRows(Sum(built)), Pictures: pictures,
+		Takeovers: firstRows(built.Takeovers), Versions: firstRows(built.Versions), Unreadable: firstRows(unreadable),
+		Shown: maxTableRows,
+	}
+	var written bytes.Buffer
+	if err := pageTemplate.Execute(&written, shown); err != nil {
+		return nil, errors.Wrap(err, "render the page")
+	}
+	return written.Bytes(), nil
+}
+
+func firstRows[Row any](rows []Row) []Row { return rows[:min(len(rows), maxTableRows)] }
+
+func clock(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return at.UTC().Format(clockForm)
+}
+
+func totalRows(totals Totals) []totalRow {
+	lines, jobs := totals.Lines, totals.Jobs
+	return []totalRow{
+		{"nodes", fmt.Sprint(totals.Nodes)},
+		{"lines read", fmt.Sprintf("%d, %d unreadable, %d out of range, %d suppressed by the nodes",
+			lines.Read, lines.Unreadable, lines.OutOfRange, lines.Suppressed)},
+		{"events beyond the report's bounds", fmt.Sprint(lines.Omitted)},
+		{"requests", listCounts(totals.Requests)},
+		{"engine tries", listCounts(totals.Tries)},
+		{"batch jobs", fmt.Sprintf("%d named, %d submitted, %d ended; %d submissions and %d ends refused; %d items finished",
+			jobs.Named, jobs.Submitted, jobs.Ended, jobs.SubmitsRefused, jobs.EndsRefused, jobs.ItemsFinished)},
+		{"leadership", fmt.Sprintf("%d terms, %d takeovers", totals.Terms, totals.Takeover)},
+		{"contact with the log", listCounts(totals.Contact)},
+		{"topics read in full", fmt.Sprint(totals.TopicReads)},
+		{"configuration versions", fmt.Sprint(totals.Versions)},
+		{"processes", listCounts(totals.Processes)},
+		{"gaps", fmt.Sprintf("%d, the longest %.3f s", totals.Gaps, totals.LongestGap)},
+	}
+}
+
+// listCounts writes counts in order of their size.
+func listCounts(counted map[string]int) string {
+	var parts []string
+	for _, label := range byCount(counted) {
+		parts = append(parts, fmt.Sprintf("%d %s", counted[label], label))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/report/picture/configurations.go
@@ -0,0 +1,56 @@
+package picture
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/vg/draw"
+
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+// maxVersionRows bounds the height that versions get.
+const maxVersionRows = 10
+
+// startMark marks the first and last node that read a version after its start.
+var startMark = glyph(draw.RingGlyph{}, orange)
+
+func configurationsOf(from *timeline.Timeline) func(*timeAxis) (Picture, error) {
+	return func(axis *timeAxis) (Picture, error) {
+		drawn := axis.newPanel("configuration versions coming into force", "version", rowsHeight(min(len(from.Versions), maxVersionRows)))
+		bars := &spans{}
+		for i := range from.Versions {
+			bars.addVersion(axis, &from.Versions[i])
+		}
+		drawn.plot.Add(bars)
+		drawn.plot.Y.Min, drawn.plot.Y.Max = versionRange(from.Versions)
+		drawn.plot.Y.Tick.Marker = plot.TickerFunc(wholeTicks)
+		if len(from.Versions) == 0 {
+			drawn.noteNone()
+		}
+		drawn.legend.Add("first to last running node", swatch{blue})
+		drawn.legend.Add("read at a node's start", markSample{startMark})
+		return render(Picture{
+			Name: "configurations", Title: "Configuration versions",
+			Caption: "A bar goes from the first to the last running node that put the version in force. Rings are the first and the last node " +
+				"that read it after their start, which is no delay.",
+		}, drawn)
+	}
+}
+
+func (s *spans) addVersion(axis *timeAxis, version *timeline.Version) {
+	row := float64(version.Number)
+	if running := version.Running; running.Nodes > 0 {
+		s.bars = append(s.bars, span{row: row, from: axis.at(running.First), to: axis.at(running.Last), share: barShare / 2, color: blue})
+	}
+	if starting := version.Starting; starting.Nodes > 0 {
+		s.marks = append(s.marks,
+			mark{row: row, at: axis.at(starting.First), style: startMark},
+			mark{row: row, at: axis.at(starting.Last), style: startMark})
+	}
+}
+
+func versionRange(versions []timeline.Version) (low, high float64) {
+	if len(versions) == 0 {
+		return 0, 1
+	}
+	return float64(versions[0].Number) - 1, float64(versions[len(versions)-1].Number) + 1
+}
--- /dev/null
+++ b/internal/report/picture/jobs.go
@@ -0,0 +1,122 @@
+package picture
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"gonum.org/v1/plot/vg/draw"
+
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+// Heights of row pictures in pixels.
+const (
+	rowHeight   = 18
+	thinRow     = 7
+	manyRows    = 60
+	maxRows     = 160
+	frameHeight = 70
+	minHeight   = 150
+)
+
+// rowsHeight returns the height of a panel of rows.
+func rowsHeight(rows int) int {
+	height := rowHeight
+	if rows > manyRows {
+		height = thinRow
+	}
+	return max(minHeight, frameHeight+rows*height)
+}
+
+// Styles of the marks on jobs.
+var (
+	acceptedMark     = glyph(draw.PyramidGlyph{}, black)
+	refusedEndMark   = glyph(draw.CrossGlyph{}, red)
+	refusedStartMark = glyph(draw.PlusGlyph{}, pink)
+)
+
+func jobsOf(from *timeline.Timeline) func(*timeAxis) (Picture, error) {
+	return func(axis *timeAxis) (Picture, error) {
+		lanes := lanesOf(from.Jobs, from.Last)
+		omitted := max(0, len(lanes)-maxRows)
+		lanes = lanes[:len(lanes)-omitted]
+		drawn := axis.newPanel("batch jobs by model", "", rowsHeight(len(lanes)))
+		drawn.showRows(laneLabels(lanes))
+		bars := &spans{}
+		for i, lane := range lanes {
+			for _, job := range lane.jobs {
+				bars.addJob(axis, job, rowPlace(i, len(lanes)), from.Last)
+			}
+		}
+		drawn.plot.Add(bars)
+		addJobLegend(&drawn)
+		caption := "One bar a batch job, with the number of its step, from its submission to the accepted call for its end. " +
+			"Rows with the same model hold jobs that overlap. A thin line shows time whose beginning or end is not in the logs."
+		if omitted > 0 {
+			caption += fmt.Sprintf(" %d further rows are not drawn.", omitted)
+		}
+		return render(Picture{Name: "jobs", Title: "Batch jobs", Caption: caption}, drawn)
+	}
+}
+
+// laneLabels names each model once.
+func laneLabels(lanes []*lane) []string {
+	labels := make([]string, len(lanes))
+	for i, lane := range lanes {
+		if i == 0 || lanes[i-1].model != lane.model {
+			labels[i] = lane.model
+		}
+	}
+	return labels
+}
+
+func addJobLegend(drawn *panel) {
+	drawn.legend.Add("until its first item started", swatch{pale(blue)})
+	drawn.legend.Add("from its first item to its end", swatch{blue})
+	drawn.legend.Add("no first item in the logs", swatch{gray})
+	drawn.legend.Add("a leader began to run it", markSample{acceptedMark})
+	drawn.legend.Add("first and last end refused", markSample{refusedEndMark})
+	drawn.legend.Add("submission refused", markSample{refusedStartMark})
+}
+
+// addJob adds the bars and marks of one job.
+func (s *spans) addJob(axis *timeAxis, job *timeline.Job, row float64, last time.Time) {
+	end := endOf(job, last)
+	s.addBody(axis, job, row, end)
+	for _, at := range job.Accepted {
+		s.marks = append(s.marks, mark{row: row, at: axis.at(at), style: acceptedMark})
+	}
+	if job.EndsRefused > 0 {
+		s.marks = append(s.marks,
+			mark{row: row, at: axis.at(job.FirstEndRefused), style: refusedEndMark},
+			mark{row: row, at: axis.at(job.LastEndRefused), style: refusedEndMark})
+	}
+	if job.SubmitsRefused > 0 {
+		s.marks = append(s.marks, mark{row: row, at: axis.at(job.FirstSubmitTried), style: refusedStartMark})
+	}
+}
+
+// stepLabel returns the number of the job's step, if its model and so its step are in the logs.
+func stepLabel(job *timeline.Job) string {
+	if job.Model == "" {
+		return ""
+	}
+	return strconv.FormatInt(job.Step, 10)
+}
+
+// addBody adds the job's bar: thin where its submission or its end is not in the logs.
+func (s *spans) addBody(axis *timeAxis, job *timeline.Job, row float64, end time.Time) {
+	share := barShare
+	if job.Submitted.IsZero() || job.EndAsked.IsZero() {
+		share = thinShare
+	}
+	begin := job.First()
+	if job.FirstStart.IsZero() {
+		s.bars = append(s.bars, span{row: row, from: axis.at(begin), to: axis.at(end), share: share, color: gray})
+		return
+	}
+	s.bars = append(s.bars,
+		span{row: row, from: axis.at(begin), to: axis.at(job.FirstStart), share: share, color: pale(blue)},
+		span{row: row, from: axis.at(job.FirstStart), to: axis.at(end), share: share, color: blue, label: stepLabel(job)})
+}
--- /dev/null
+++ b/internal/report/picture/lanes.go
@@ -0,0 +1,53 @@
+package picture
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+// noModel groups the jobs whose submission is not in the logs.
+const noModel = "model not in the logs"
+
+// lane is one row of jobs that don't overlap.
+type lane struct {
+	model string
+	jobs  []*timeline.Job
+	until time.Time
+}
+
+// lanesOf packs jobs into lanes, by model and in order of time.
+func lanesOf(jobs []timeline.Job, last time.Time) []*lane {
+	byModel := map[string][]*lane{}
+	for i := range jobs {
+		job := &jobs[i]
+		model := cmp.Or(job.Model, noModel)
+		fitting := slices.IndexFunc(byModel[model], func(known *lane) bool { return known.until.Before(job.First()) })
+		if fitting < 0 {
+			fitting = len(byModel[model])
+			byModel[model] = append(byModel[model], &lane{model: model})
+		}
+		chosen := byModel[model][fitting]
+		chosen.jobs = append(chosen.jobs, job)
+		chosen.until = endOf(job, last)
+	}
+	var lanes []*lane
+	for _, group := range byModel {
+		lanes = append(lanes, group...)
+	}
+	slices.SortStableFunc(lanes, func(a, b *lane) int { return cmp.Compare(a.model, b.model) })
+	return lanes
+}
+
+// endOf returns when the job's bar ends: at its accepted end, else at the end of the logs.
+func endOf(job *timeline.Job, last time.Time) time.Time {
+	if !job.EndAsked.IsZero() {
+		return job.EndAsked
+	}
+	if !job.Ended.IsZero() {
+		return job.Ended
+	}
+	return last
+}
--- /dev/null
+++ b/internal/report/picture/picture.go
@@ -0,0 +1,93 @@
+// Package picture draws a timeline as PNG images that share one time axis.
+package picture
+
+import (
+	"bytes"
+
+	"github.com/go-faster/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+// Sizes in pixels.
+const (
+	// Width is every picture's width.
+	Width       = 1280
+	legendWidth = 220
+	// dataLeft is where the time axis begins, alike in all pictures.
+	dataLeft    = 220
+	panelHeight = 190
+	margin      = 12
+	resolution  = 96
+)
+
+// Picture is one image of a timeline.
+type Picture struct {
+	// Name is the file's name without its ending.
+	Name    string
+	Title   string
+	Caption string
+	// Height is the image's height in pixels.
+	Height int
+	PNG    []byte
+}
+
+// panel is one plot of a picture with its legend.
+type panel struct {
+	plot   *plot.Plot
+	legend plot.Legend
+	// height in pixels.
+	height int
+}
+
+// All draws every picture of the timeline.
+func All(timeline *timeline.Timeline) ([]Picture, error) {
+	axis := newTimeAxis(timeline)
+	var pictures []Picture
+	for _, draw := range []func(*timeAxis) (Picture, error){
+		jobsOf(timeline), requestsOf(timeline), triesOf(timeline), leadershipOf(timeline),
+		contactOf(timeline), configurationsOf(timeline), nodesOf(timeline),
+	} {
+		picture, err := draw(axis)
+		if err != nil {
+			return nil, errors.Wrapf(err, "draw %s", picture.Name)
+		}
+		pictures = append(pictures, picture)
+	}
+	return pictures, nil
+}
+
+func pixels(count int) vg.Length { return vg.Length(count) * vg.Inch / resolution }
+
+// draw draws the plot, its data area from dataLeft on, and the legend to its right.
+func (p *panel) draw(tile draw.Canvas) {
+	area := draw.Crop(tile, pixels(margin), -pixels(legendWidth), 0, 0)
+	area = draw.Crop(area, pixels(dataLeft)-p.plot.DataCanvas(area).Min.X, 0, 0, 0)
+	p.plot.Draw(area)
+	p.legend.Draw(draw.Crop(tile, pixels(Width-legendWidth+margin), 0, 0, -pixels(2*margin)))
+}
+
+// render draws the panels one below the other into the picture.
+func render(picture Picture, panels ...panel) (Picture, error) {
+	for _, panel := range panels {
+		picture.Height += panel.height
+	}
+	image := vgimg.NewWith(vgimg.UseWH(pixels(Width), pixels(picture.Height)), vgimg.UseDPI(resolution))
+	whole := draw.New(image)
+	top := picture.Height
+	for _, panel := range panels {
+		tile := draw.Crop(whole, 0, 0, pixels(top-panel.height), -pixels(picture.Height-top))
+		panel.draw(tile)
+		top -= panel.height
+	}
+	var encoded bytes.Buffer
+	if _, err := (vgimg.PngCanvas{Canvas: image}).WriteTo(&encoded); err != nil {
+		return picture, errors.Wrap(err, "encode the image")
+	}
+	picture.PNG = encoded.Bytes()
+	return picture, nil
+}
--- /dev/null
+++ b/internal/report/picture/stack.go
@@ -0,0 +1,124 @@
+package picture
+
+import (
+	"fmt"
+	"image/color"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/vg/draw"
+
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+const (
+	// maxBins bounds the bars of a panel.
+	maxBins = 240
+	minBin  = time.Second
+	// maxSeries bounds the series of a panel; the rarest ones are drawn as one.
+	maxSeries = 9
+	headRoom  = 1.08
+)
+
+// series is a row of rates, one for each bin.
+type series struct {
+	name  string
+	color color.Color
+	rates []float64
+	total int
+}
+
+// stack draws series as bars on top of each other; it implements plot.Plotter and plot.DataRanger.
+type stack struct {
+	binWidth float64
+	series   []series
+}
+
+// Plot implements plot.Plotter.
+func (s *stack) Plot(canvas draw.Canvas, drawn *plot.Plot) {
+	x, y := drawn.Transforms(&canvas)
+	below := s.emptyBins()
+	for _, each := range s.series {
+		for bin, rate := range each.rates {
+			if rate == 0 {
+				continue
+			}
+			left, right := float64(bin)*s.binWidth, float64(bin+1)*s.binWidth
+			bar := rectangle(x(left), x(right), y(below[bin]), y(below[bin]+rate))
+			canvas.FillPolygon(each.color, canvas.ClipPolygonXY(bar))
+			below[bin] += rate
+		}
+	}
+}
+
+func (s *stack) emptyBins() []float64 {
+	if len(s.series) == 0 {
+		return nil
+	}
+	return make([]float64, len(s.series[0].rates))
+}
+
+// highest returns the highest bar.
+func (s *stack) highest() float64 {
+	sums, highest := s.emptyBins(), 0.0
+	for _, each := range s.series {
+		for bin, rate := range each.rates {
+			sums[bin] += rate
+			highest = max(highest, sums[bin])
+		}
+	}
+	return highest
+}
+
+// bins returns the width and the number of the bins in which rates are drawn over the axis.
+func (a *timeAxis) bins(rates *timeline.Rates) (time.Duration, int) {
+	width := rates.Width()
+	for width < minBin || a.span/width >= maxBins {
+		width += rates.Width()
+	}
+	return width, int(a.span/width) + 1
+}
+
+// stackOf returns the rates of the labels, the rarest ones as one series. A label without events is omitted.
+func (a *timeAxis) stackOf(rates *timeline.Rates, labels []string, colors []color.RGBA) *stack {
+	width, count := a.bins(rates)
+	stacked := &stack{binWidth: width.Seconds()}
+	for _, label := range labels {
+		total := rates.Total(label)
+		if total == 0 {
+			continue
+		}
+		values := rates.PerSecond(label, a.first, width, count)
+		if len(stacked.series) == maxSeries {
+			stacked.series[maxSeries-1].merge(values, total)
+			continue
+		}
+		fill := colors[min(len(stacked.series), len(colors)-1)]
+		stacked.series = append(stacked.series, series{name: label, color: fill, rates: values, total: total})
+	}
+	return stacked
+}
+
+func (s *series) merge(rates []float64, total int) {
+	s.name = "others"
+	s.total += total
+	for bin, rate := range rates {
+		s.rates[bin] += rate
+	}
+}
+
+// ratePanel returns a panel with the rates of the labels.
+func (a *timeAxis) ratePanel(title string, rates *timeline.Rates, labels []string, colors []color.RGBA) panel {
+	drawn := a.newPanel(title, "per second", panelHeight)
+	stacked := a.stackOf(rates, labels, colors)
+	drawn.plot.Add(stacked)
+	drawn.plot.Y.Min, drawn.plot.Y.Max = 0, max(stacked.highest()*headRoom, 1)
+	drawn.plot.Y.Tick.Marker = plot.TickerFunc(wholeTicks)
+	if len(stacked.series) == 0 {
+		drawn.noteNone()
+	}
+	for _, each := range stacked.series {
+		drawn.legend.Add(fmt.Sprintf("%s (%d)", shorten(each.name), each.total), swatch{each.color})
+	}
+	return drawn
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,49 @@
+// Package report writes a timeline of nodes' log lines as one HTML page without references to other files,
+// and its pictures as PNG files beside it.
+package report
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/report/picture"
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+const (
+	// PageName is the page's file name.
+	PageName = "report.html"
+
+	directoryMode = 0o755
+	fileMode      = 0o644
+)
+
+// Write draws the timeline into the directory, which is made if it is missing, and returns the files written,
+// the page first.
+func Write(directory string, built *timeline.Timeline) ([]string, error) {
+	pictures, err := picture.All(built)
+	if err != nil {
+		return nil, err
+	}
+	page, err := renderPage(built, pictures)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return nil, errors.Wrap(err, "make the report's directory")
+	}
+	files := []string{filepath.Join(directory, PageName)}
+	if err := os.WriteFile(files[0], page, fileMode); err != nil {
+		return nil, errors.Wrap(err, "write the page")
+	}
+	for _, each := range pictures {
+		file := filepath.Join(directory, each.Name+".png")
+		if err := os.WriteFile(file, each.PNG, fileMode); err != nil {
+			return nil, errors.Wrap(err, "write a picture")
+		}
+		files = append(files, file)
+	}
+	return files, nil
+}
