--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -18,7 +18,6 @@
 
 const (
 	stampForm = "2006-01-02 15:04:05.000"
-	clockForm = "15:04:05.000"
 	// maxTableRows bounds the rows of each table but the totals.
 	maxTableRows = 50
 )
@@ -27,8 +26,7 @@
 var pageText string
 
 var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
-	"stamp": func(at time.Time) string { return at.UTC().Format(stampForm) },
-	"clock": clock,
+	"stamp": stamp,
 	"seconds": func(duration time.Duration) string {
 		return fmt.Sprintf("%.3f s", duration.Seconds())
 	},
@@ -71,11 +69,11 @@
 
 func firstRows[Row any](rows []Row) []Row { return rows[:min(len(rows), maxTableRows)] }
 
-func clock(at time.Time) string {
+func stamp(at time.Time) string {
 	if at.IsZero() {
 		return "-"
 	}
-	return at.UTC().Format(clockForm)
+	return at.UTC().Format(stampForm)
 }
 
 func totalRows(totals Totals) []totalRow {
--- a/internal/report/picture/axis.go
+++ b/internal/report/picture/axis.go
@@ -17,7 +17,8 @@
 	// maxTicks bounds the labelled ticks of the time axis.
 	maxTicks  = 12
 	clockForm = "15:04:05"
-	dateForm  = "01-02 15:04"
+	hourForm  = "01-02 15:04"
+	dayForm   = "2006-01-02"
 	// minSpan keeps an axis drawable when all lines have the same time.
 	minSpan = time.Second
 
@@ -31,7 +32,7 @@
 	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
 	time.Minute, 2 * time.Minute, 5 * time.Minute, 10 * time.Minute, 30 * time.Minute,
 	time.Hour, 2 * time.Hour, 6 * time.Hour, 12 * time.Hour, 24 * time.Hour, 7 * 24 * time.Hour, 30 * 24 * time.Hour,
-	365 * 24 * time.Hour,
+	365 * 24 * time.Hour, 10 * 365 * 24 * time.Hour, 50 * 365 * 24 * time.Hour,
 }
 
 // timeAxis places times on an axis of seconds since the timeline's first line.
@@ -65,8 +66,11 @@
 		}
 	}
 	form := clockForm
-	if step >= 2*time.Hour {
-		form = dateForm
+	switch {
+	case step >= 24*time.Hour:
+		form = dayForm
+	case step >= 2*time.Hour:
+		form = hourForm
 	}
 	var ticks []plot.Tick
 	first := a.first.UTC()
--- a/internal/report/picture/jobs.go
+++ b/internal/report/picture/jobs.go
@@ -31,7 +31,7 @@
 
 // Styles of the marks on jobs.
 var (
-	acceptedMark     = glyph(draw.PyramidGlyph{}, black)
+	takeoverMark     = glyph(draw.PyramidGlyph{}, black)
 	refusedEndMark   = glyph(draw.CrossGlyph{}, red)
 	refusedStartMark = glyph(draw.PlusGlyph{}, pink)
 )
@@ -75,7 +75,7 @@
 	drawn.legend.Add("until its first item started", swatch{pale(blue)})
 	drawn.legend.Add("from its first item to its end", swatch{blue})
 	drawn.legend.Add("no first item in the logs", swatch{gray})
-	drawn.legend.Add("a leader began to run it", markSample{acceptedMark})
+	drawn.legend.Add("run by a further leader", markSample{takeoverMark})
 	drawn.legend.Add("first and last end refused", markSample{refusedEndMark})
 	drawn.legend.Add("submission refused", markSample{refusedStartMark})
 }
@@ -84,8 +84,10 @@
 func (s *spans) addJob(axis *timeAxis, job *timeline.Job, row float64, last time.Time) {
 	end := endOf(job, last)
 	s.addBody(axis, job, row, end)
-	for _, at := range job.Accepted {
-		s.marks = append(s.marks, mark{row: row, at: axis.at(at), style: acceptedMark})
+	if len(job.Accepted) > 1 {
+		for _, at := range job.Accepted[1:] {
+			s.marks = append(s.marks, mark{row: row, at: axis.at(at), style: takeoverMark})
+		}
 	}
 	if job.EndsRefused > 0 {
 		s.marks = append(s.marks,
--- /dev/null
+++ b/internal/report/picture/jobs_test.go
@@ -0,0 +1,33 @@
+package picture
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/report/timeline"
+)
+
+// Guards against a full bar for a job whose beginning or end no line holds.
+func TestAJobWithoutBothEndsHasAThinBar(t *testing.T) {
+	axis := &timeAxis{first: time.UnixMilli(0), span: 10 * time.Second}
+	submitted, ended, last := time.UnixMilli(1000), time.UnixMilli(4000), time.UnixMilli(9000)
+	for _, known := range []struct {
+		job      timeline.Job
+		from, to float64
+		share    float64
+	}{
+		{timeline.Job{FirstSubmitTried: submitted, Submitted: submitted, EndAsked: ended}, 1, 4, barShare},
+		{timeline.Job{FirstSubmitTried: submitted, Submitted: submitted}, 1, 9, thinShare},
+		{timeline.Job{Ended: ended, EndAsked: ended}, 4, 4, thinShare},
+		{timeline.Job{FirstEndRefused: ended, LastEndRefused: ended, EndsRefused: 1}, 4, 9, thinShare},
+	} {
+		drawn := &spans{}
+		drawn.addJob(axis, &known.job, 0, last)
+		assert.Equal(t, len(drawn.bars), 1)
+		assert.Equal(t, drawn.bars[0].from, known.from)
+		assert.Equal(t, drawn.bars[0].to, known.to)
+		assert.Equal(t, drawn.bars[0].share, known.share)
+	}
+}
--- a/internal/report/picture/leadership.go
+++ b/internal/report/picture/leadership.go
@@ -13,13 +13,14 @@
 		rows := leaderRows(from.Terms)
 		omitted := max(0, len(rows)-maxRows)
 		rows = rows[:len(rows)-omitted]
-		drawn := axis.newPanel("leadership by scope and node", "", rowsHeight(len(rows)))
+		drawn := axis.newPanel("leadership by node", "", rowsHeight(len(rows)))
 		drawn.showRows(rows)
 		drawn.plot.Add(termBars(axis, from.Terms, rows))
 		drawn.legend.Add("led", swatch{green})
 		drawn.legend.Add("led; the end is not logged", swatch{pale(green)})
 		caption := "From a node's line that it gained the leadership to its line that it lost or released it. Where that is missing, the bar " +
-			"ends at the node's next start or stop, the next leader's first line, or the end of the logs. A scope is a set of home regions."
+			"ends at the node's next start or stop, the next leader's first line, or the end of the logs. Names in brackets are the home " +
+			"regions to whose jobs the leadership is bound."
 		if omitted > 0 {
 			caption += fmt.Sprintf(" %d further rows are not drawn.", omitted)
 		}
@@ -29,7 +30,10 @@
 
 // rowOf names the row of a term.
 func rowOf(term timeline.Term) string {
-	return fmt.Sprintf("%s: %s", term.Scope, term.Node)
+	if term.Scope == timeline.Everywhere {
+		return term.Node
+	}
+	return fmt.Sprintf("%s [%s]", term.Node, term.Scope)
 }
 
 // leaderRows returns the rows, those of the unbound scope first, each scope's in order of the first term.
--- a/internal/report/picture/picture_test.go
+++ b/internal/report/picture/picture_test.go
@@ -116,7 +116,7 @@
 
 // Guards against a long run whose ticks cover each other or whose bars are thinner than a pixel.
 func TestTicksAndBinsAreBoundedForAnySpan(t *testing.T) {
-	for _, span := range []time.Duration{0, time.Second, time.Minute, time.Hour, 24 * time.Hour, 400 * 24 * time.Hour} {
+	for _, span := range []time.Duration{0, time.Second, time.Minute, time.Hour, 24 * time.Hour, 40 * 24 * time.Hour, 400 * 24 * time.Hour, 80000 * 24 * time.Hour} {
 		last := time.UnixMilli(1000).Add(span)
 		built := read(t, fmt.Sprintf(`{"node":"n","time":1000,"message":"request ended"}
 {"node":"n","time":%d,"message":"request ended"}`, last.UnixMilli()))
--- a/internal/report/picture/spans.go
+++ b/internal/report/picture/spans.go
@@ -13,6 +13,7 @@
 const (
 	barShare  = 0.7
 	minBar    = 1.5 // points
+	minEdged  = 6   // points
 	markSize  = 2.6 // points
 	thinShare = 0.12
 )
@@ -51,7 +52,9 @@
 			low, high = middle-vg.Points(minBar)/2, middle+vg.Points(minBar)/2
 		}
 		canvas.FillPolygon(bar.color, canvas.ClipPolygonXY(rectangle(left, right, low, high)))
-		canvas.StrokeLine2(edgeStyle, right, low, right, high)
+		if right-left >= vg.Points(minEdged) {
+			canvas.StrokeLine2(edgeStyle, right, low, right, high)
+		}
 		writeInto(canvas, bar.label, left, right, low, high)
 	}
 	for _, mark := range s.marks {
@@ -144,11 +147,14 @@
 func (p *panel) noteNone() { p.plot.Title.Text += ": none in these logs" }
 
 // maxLabel bounds a label's characters.
-const maxLabel = 28
+const maxLabel = 32
 
+// shorten cuts a label in its middle, since names alike often differ at their ends.
 func shorten(label string) string {
-	if letters := []rune(label); len(letters) > maxLabel {
-		return string(letters[:maxLabel-1]) + "…"
+	letters := []rune(label)
+	if len(letters) <= maxLabel {
+		return label
 	}
-	return label
+	head := maxLabel / 2
+	return string(letters[:head]) + "…" + string(letters[len(letters)-(maxLabel-head-1):])
 }
--- a/internal/report/picture/stack.go
+++ b/internal/report/picture/stack.go
@@ -72,10 +72,9 @@
 
 // bins returns the width and the number of the bins in which rates are drawn over the axis.
 func (a *timeAxis) bins(rates *timeline.Rates) (time.Duration, int) {
-	width := rates.Width()
-	for width < minBin || a.span/width >= maxBins {
-		width += rates.Width()
-	}
+	bucket := rates.Width()
+	least := max(minBin, a.span/maxBins+1)
+	width := (least + bucket - 1) / bucket * bucket
 	return width, int(a.span/width) + 1
 }
 
@@ -112,9 +111,10 @@
 	drawn := a.newPanel(title, "per second", panelHeight)
 	stacked := a.stackOf(rates, labels, colors)
 	drawn.plot.Add(stacked)
-	drawn.plot.Y.Min, drawn.plot.Y.Max = 0, max(stacked.highest()*headRoom, 1)
-	drawn.plot.Y.Tick.Marker = plot.TickerFunc(wholeTicks)
+	drawn.plot.Y.Min, drawn.plot.Y.Max = 0, stacked.highest()*headRoom
+	drawn.plot.Y.Tick.Marker = plot.TickerFunc(rateTicks)
 	if len(stacked.series) == 0 {
+		drawn.plot.Y.Max = 1
 		drawn.noteNone()
 	}
 	for _, each := range stacked.series {
--- a/internal/report/picture/ticks.go
+++ b/internal/report/picture/ticks.go
@@ -7,25 +7,46 @@
 	"gonum.org/v1/plot"
 )
 
-// maxValueTicks bounds the labelled ticks of a value axis.
-const maxValueTicks = 6
+const (
+	// maxValueTicks bounds the labelled ticks of a value axis.
+	maxValueTicks = 6
+	// finestStep is the smallest distance between ticks.
+	finestStep = 1e-6
+)
 
 // roundSteps are the distances between ticks within a power of ten.
-var roundSteps = []float64{1, 2, 5, 10}
+var roundSteps = []float64{1, 2, 5}
 
 // wholeTicks labels whole numbers at round distances.
-func wholeTicks(low, high float64) []plot.Tick {
-	step := wholeStep(high - low)
+func wholeTicks(low, high float64) []plot.Tick { return ticksFrom(low, high, 1) }
+
+// rateTicks labels numbers, fractions too, at round distances.
+func rateTicks(low, high float64) []plot.Tick { return ticksFrom(low, high, finestStep) }
+
+func ticksFrom(low, high, leastStep float64) []plot.Tick {
+	step := roundStep(high-low, leastStep)
+	first := math.Ceil(low/step) * step
 	var ticks []plot.Tick
-	for value := math.Ceil(low/step) * step; value <= high; value += step {
-		ticks = append(ticks, plot.Tick{Value: value, Label: strconv.FormatFloat(value, 'f', 0, 64)})
+	// The count bounds the loop where a step is too small to change so large a value.
+	for i := range maxValueTicks + 1 {
+		value := first + float64(i)*step
+		if value > high {
+			break
+		}
+		ticks = append(ticks, plot.Tick{Value: value, Label: tickLabel(value, step)})
 	}
 	return ticks
 }
 
-// wholeStep returns the smallest round step, at least 1, that gives at most maxValueTicks ticks over the span.
-func wholeStep(span float64) float64 {
-	for power := 1.0; ; power *= 10 {
+// tickLabel writes the value with as many digits as the step needs.
+func tickLabel(value, step float64) string {
+	digits := max(0, int(math.Ceil(-math.Log10(step))))
+	return strconv.FormatFloat(value, 'f', digits, 64)
+}
+
+// roundStep returns the smallest round step, at least least, that gives at most maxValueTicks ticks over the span.
+func roundStep(span, least float64) float64 {
+	for power := least; ; power *= 10 {
 		for _, round := range roundSteps {
 			if span/(power*round) < maxValueTicks {
 				return power * round
--- a/internal/report/timeline/bounds_test.go
+++ b/internal/report/timeline/bounds_test.go
@@ -90,3 +90,20 @@
 		From: time.UnixMilli(1000), To: time.UnixMilli(5000), Refused: 1, NodesStarted: 1, ContactLost: 1, PathChanges: 1,
 	}})
 }
+
+// Guards against a long gap that many short ones push from the page.
+func TestTheLongestGapsComeFirst(t *testing.T) {
+	progress := newProgressLog()
+	at := int64(1000)
+	for length := range int64(maxGaps + 5) {
+		progress.add(at)
+		at += 1000 + 10*length
+	}
+	progress.add(at)
+	found := progress.gaps(time.UnixMilli(1000), time.UnixMilli(at), time.Second)
+	assert.Equal(t, len(found), maxGaps+5)
+	longest := longestGaps(found)
+	assert.Equal(t, len(longest), maxGaps)
+	assert.Equal(t, longest[0].Duration(), time.Duration(1000+10*(maxGaps+4))*time.Millisecond)
+	assert.Equal(t, longest[maxGaps-1].Duration(), 1050*time.Millisecond)
+}
--- a/internal/report/timeline/gaps.go
+++ b/internal/report/timeline/gaps.go
@@ -87,13 +87,11 @@
 	return gaps
 }
 
-// longestGaps returns the longest gaps in order of time.
+// longestGaps returns the longest gaps, the longest first.
 func longestGaps(gaps []Gap) []Gap {
 	gaps = slices.Clone(gaps)
 	slices.SortStableFunc(gaps, func(a, b Gap) int { return cmp.Compare(b.Duration(), a.Duration()) })
-	gaps = gaps[:min(len(gaps), maxGaps)]
-	slices.SortFunc(gaps, func(a, b Gap) int { return a.From.Compare(b.From) })
-	return gaps
+	return gaps[:min(len(gaps), maxGaps)]
 }
 
 // describe adds to the gap what the timeline holds of its time.
--- a/internal/report/timeline/lines.go
+++ b/internal/report/timeline/lines.go
@@ -9,14 +9,19 @@
 	"github.com/go-faster/errors"
 )
 
-// maxLineBytes bounds one line; a longer one is unreadable.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes bounds one line; a longer one is unreadable.
+	maxLineBytes = 1 << 20
+	// maxTime is the year 2200 in milliseconds; spans below it fit a time.Duration.
+	maxTime = 7258118400000
+)
 
 // Reasons why a line is unreadable.
 var (
 	errNoObject   = errors.New("no JSON object")
 	errIncomplete = errors.New("no time, node or message")
 	errTooLong    = errors.New("longer than 1 MiB")
+	errWrongTime  = errors.New("its time is beyond the year 2200")
 )
 
 // header holds the fields of every line.
@@ -40,6 +45,9 @@
 	if parsed.Time <= 0 || parsed.Node == "" || parsed.Message == "" {
 		return header{}, nil, errIncomplete
 	}
+	if parsed.Time > maxTime {
+		return header{}, nil, errWrongTime
+	}
 	return parsed, raw, nil
 }
 
--- a/internal/report/timeline/notinlogs.go
+++ b/internal/report/timeline/notinlogs.go
@@ -5,7 +5,8 @@
 // neverLogged is what no node logs today.
 var neverLogged = []string{
 	"why an item waited: its lines have how long, not for what",
-	"how many items ran at a time, and the weights version of each engine over time",
+	"the end of an item's whole run at its engine: \"item finished\" comes after its score, so places in use can't be counted",
+	"weights that an engine loads without an order",
 	"the moment at which a killed or frozen process stopped, which has no line",
 	"each failed call of the log: there are lines only for contact lost or regained and for changes of the path",
 	"lines that a node dropped since their reader was slow; only its metrics count them",
--- a/internal/report/timeline/timeline.go
+++ b/internal/report/timeline/timeline.go
@@ -22,7 +22,7 @@
 	Terms     []Term
 	Takeovers []Takeover
 	Versions  []Version
-	// Gaps are the longest ones in order of time, GapsFound the number of all.
+	// Gaps are the longest ones, the longest first, GapsFound the number of all.
 	Gaps      []Gap
 	GapsFound int
 
--- a/internal/report/timeline/timeline_test.go
+++ b/internal/report/timeline/timeline_test.go
@@ -157,3 +157,18 @@
 	assert.Equal(t, built.Lines.Unreadable, 0)
 	assert.Assert(t, strings.Contains(strings.Join(built.NotInLogs, "\n"), "120 lines that nodes suppressed"))
 }
+
+// Guards against an empty picture that reads as "nothing happened" where the lines are missing, and the reverse.
+func TestMissingKindsOfLinesAreListed(t *testing.T) {
+	built := readLines(t, Options{MinimumGap: time.Second},
+		line(1000, "n1", `"status":200,`, messageRequestEnded),
+		line(1000, "n1", `"epoch":1,`, messageLeadershipGain))
+	listed := strings.Join(built.NotInLogs, "\n")
+	for _, absent := range absentNotes {
+		isPresent := absent.message == messageRequestEnded || absent.message == messageLeadershipGain
+		assert.Equal(t, strings.Contains(listed, fmt.Sprintf("no line %q", absent.message)), !isPresent, absent.message)
+	}
+	for _, never := range neverLogged {
+		assert.Assert(t, strings.Contains(listed, never), never)
+	}
+}
