Back off in the directory while the log refuses its calls

Cause: a node that does not know the others yet reads ten times a second so as to see the cluster grow, also while its reads or its announcement are refused. 985 nodes that start together announce themselves in 2 s of a partition that takes 500 a second; those refused meanwhile made ten calls a second each. Change: delays between failed tries grow from 0.1 to 1 s, with jitter, and fall back after a try that works. Ruled out: a slower pace for nodes that can read, which would delay every start.

--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -31,6 +32,9 @@
 	readLimit           = 256 << 10
 )
 
+// directoryRetries are the delays between tries while the node cannot announce itself or read of the others.
+var directoryRetries = retry.Policy{First: 100 * time.Millisecond, Longest: time.Second}
+
 // member is a record of the directory, encoded as msgpack.
 type member struct {
 	Node    string `msgpack:"n"`
@@ -174,23 +178,29 @@
 
 // Run announces this node and reads of the others until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
+	// announcedFor is the period for which the newest announcement is valid. A node that has just started knows few
+	// others, so that its period grows; its announcement stays valid for the shorter one.
+	var announcedFor time.Duration
 	var announced time.Time
-	// told is the period that the newest announcement was made for. A node that has just started knows of few
-	// others, so that its period grows; what it told of its life holds for the shorter one. Nodes of a large
-	// cluster that started together would all be forgotten after 20 s, 10 s before they are heard again.
-	var told time.Duration
+	failures := directoryRetries.Delays()
 	for {
 		period := d.Budget().Stretch(announcePeriod, maxAnnouncePeriod)
-		if time.Since(announced) >= min(period, told) && d.announce(ctx, period) == nil {
-			announced, told = time.Now(), period
+		isAnnounced := time.Since(announced) < min(period, announcedFor)
+		if !isAnnounced && d.announce(ctx, period) == nil {
+			announced, announcedFor, isAnnounced = time.Now(), period, true
 		}
-		if d.read(ctx) {
+		isRead := d.read(ctx)
+		if isRead {
 			d.chooseReplicas()
 		}
-		select {
-		case <-ctx.Done():
+		delay := d.untilRead()
+		if isAnnounced && isRead {
+			failures.Reset()
+		} else {
+			delay = max(delay, failures.NextBackOff())
+		}
+		if !retry.Sleep(ctx, delay) {
 			return nil
-		case <-time.After(d.untilRead()):
 		}
 	}
 }
