Read less of the directory at a restart, and wait for it while it is being read

What callers would see at 985 nodes: full reads wait 4 s for the directory, and reading it takes the log longer than that once all nodes do (985 nodes read 1,536 announcements each, and those of the others as they come; 273 MB by the sizes of the records, of 85 MB a second). Change: steps of 128 announcements in place of 256, until one in eight nodes was seen twice in place of one in two; the 4 s count from when the directory was read last, 15 s at most altogether. Ruled out: asking peers for the list in place of the log, which needs a way to find the first of them and old builds do not answer.

--- a/internal/logrelay/bootstrap.go
+++ b/internal/logrelay/bootstrap.go
@@ -11,13 +11,13 @@
 
 const (
 	// recentRecords is how many announcements one step backwards covers, recentBytes about their size.
-	recentRecords = 256
-	recentBytes   = 32 << 10
+	recentRecords = 128
+	recentBytes   = 16 << 10
 	// endBytes bounds the read that finds the end of the directory.
 	endBytes = 1 << 10
 	// repeatedShare is one in how many nodes must have announced themselves twice in what was read: all others
 	// have announced themselves once then, since their periods are alike.
-	repeatedShare = 2
+	repeatedShare = 8
 	// firstPatience and longestPatience bound how much longer than the log's usual time a node waits for the first
 	// answers. An answer that comes late has been paid for by the log, and giving it up has the log pay again.
 	firstPatience   = 500 * time.Millisecond
@@ -71,6 +71,7 @@
 		state.nodes[each.Node] = true
 	}
 	state.low = first
+	d.progressed()
 	repeated := len(state.announced) - len(state.nodes)
 	state.done = first > from || first == 0 || repeated*repeatedShare >= len(state.nodes)
 	return nil
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -69,6 +69,8 @@
 	settled chan struct{}
 	// counted is the number of nodes that the read before found; zero before the first one.
 	counted int
+	// progressAt is when the directory was read last.
+	progressAt time.Time
 }
 
 // Self says who this node is.
@@ -315,6 +317,7 @@
 		return false
 	}
 	d.next += int64(len(batch.Records))
+	d.progressed()
 	d.apply(decodeMembers(batch.Records, batch.First, d.logger))
 	return true
 }
--- a/internal/logrelay/settle.go
+++ b/internal/logrelay/settle.go
@@ -13,8 +13,10 @@
 	settlingReadPeriod    = 100 * time.Millisecond
 	maxSettlingReadPeriod = time.Second
 	settledGrowth         = 0.05
-	// settleLimit bounds the wait for that.
-	settleLimit = 4 * time.Second
+	// settleLimit bounds the wait for that since the directory was read last, maxSettleLimit altogether: large clusters
+	// take longer, and a part of the log that is away must not keep a node from all others.
+	settleLimit    = 4 * time.Second
+	maxSettleLimit = 15 * time.Second
 )
 
 // untilRead is the time until the next read: short until the cluster is known.
@@ -37,13 +39,40 @@
 // AwaitSettled waits until the node knows about how large the cluster is, as far as that can be known: what
 // is large is read from the log by a few nodes of a large cluster only.
 func (d *Directory) AwaitSettled(ctx context.Context) {
-	timer := time.NewTimer(settleLimit)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-d.settled:
+	began := time.Now()
+	for {
+		left := min(time.Until(d.lastProgress(began).Add(settleLimit)), time.Until(began.Add(maxSettleLimit)))
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-d.settled:
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// progressed records that the directory was read.
+func (d *Directory) progressed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.progressAt = time.Now()
+}
+
+// lastProgress returns when the directory was read last, or since when that is awaited.
+func (d *Directory) lastProgress(since time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.progressAt.After(since) {
+		return d.progressAt
 	}
+	return since
 }
 
 // noteSize compares the nodes known with those that the read before found; mu is held.
