--- /dev/null
+++ b/internal/bench/soak/build.go
@@ -0,0 +1,45 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// settingsCheckTimeout bounds the check of a settings file by a daemon.
+const settingsCheckTimeout = 10 * time.Second
+
+// build is a daemon with its settings file. Builds differ in the settings that they know, as on the platform, which
+// fills the template of each.
+type build struct {
+	path     string
+	settings string
+}
+
+// newBuild writes the settings file of a daemon. The optional settings are left out where the daemon refuses them.
+func newBuild(ctx context.Context, daemon, file, text, optional string) (build, error) {
+	created := build{path: daemon, settings: file}
+	if err := writeFile(file, text+optional); err != nil {
+		return build{}, err
+	}
+	if created.check(ctx) == nil {
+		return created, nil
+	}
+	if err := writeFile(file, text); err != nil {
+		return build{}, err
+	}
+	return created, created.check(ctx)
+}
+
+// check returns an error if the daemon refuses its settings file.
+func (b build) check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settingsCheckTimeout)
+	defer cancel()
+	output, err := exec.CommandContext(ctx, b.path, "--settings", b.settings, "--check").CombinedOutput()
+	if err != nil {
+		return errors.Wrapf(err, "%s refuses its settings: %s", b.path, output)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/soak/build_test.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against nodes of an older build that never start, since the soak writes them a setting that they do not know.
+func TestABuildIsGivenOnlySettingsThatItKnows(t *testing.T) {
+	directory := t.TempDir()
+	daemon := func(name, refuses string) string {
+		path := filepath.Join(directory, name)
+		script := "#!/bin/sh\n! grep -q '" + refuses + "' \"$2\"\n"
+		assert.NilError(t, os.WriteFile(path, []byte(script), 0o755))
+		return path
+	}
+	read := func(b build) string {
+		raw, err := os.ReadFile(b.settings)
+		assert.NilError(t, err)
+		return string(raw)
+	}
+	file := filepath.Join(directory, "node.toml")
+	newer, err := newBuild(t.Context(), daemon("newer", "nothing"), file, "a = 1\n", "[new]\n")
+	assert.NilError(t, err)
+	assert.Equal(t, read(newer), "a = 1\n[new]\n")
+	older, err := newBuild(t.Context(), daemon("older", "new"), file, "a = 1\n", "[new]\n")
+	assert.NilError(t, err)
+	assert.Equal(t, read(older), "a = 1\n")
+	_, err = newBuild(t.Context(), daemon("other", "a = 1"), file, "a = 1\n", "[new]\n")
+	assert.ErrorContains(t, err, "refuses its settings")
+}
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -89,12 +89,12 @@
 			return d, err
 		}
 	}
-	builds := []string{binaries.Daemon}
+	daemons := []string{binaries.Daemon}
 	if plan.otherDaemon != "" {
-		builds = append(builds, plan.otherDaemon)
+		daemons = append(daemons, plan.otherDaemon)
 	}
 	for number := range plan.nodes {
-		if err := d.addNode(number, builds, directory, dutiesAddress); err != nil {
+		if err := d.addNode(ctx, number, daemons, directory, dutiesAddress); err != nil {
 			return d, err
 		}
 	}
@@ -178,7 +178,7 @@
 	return nil
 }
 
-func (d *deployment) addNode(number int, builds []string, directory, dutiesAddress string) error {
+func (d *deployment) addNode(ctx context.Context, number int, daemons []string, directory, dutiesAddress string) error {
 	store := newNodeStore(d.store, d.leader.wrote)
 	if d.placement {
 		store.gave = func(answer []byte) { d.history.addBodies(number, answer) }
@@ -198,11 +198,17 @@
 		}
 	}
 	n := &node{
-		number: number, callers: addresses[0], operators: addresses[1], builds: builds, directory: directory, link: link, store: store,
-		enginesFence: d.enginesFence, settings: filepath.Join(directory, fmt.Sprintf("node-%d.toml", number)),
-	}
-	if err := writeFile(n.settings, n.settingsText(link.Address(), dutiesAddress, addresses[2])); err != nil {
-		return err
+		number: number, callers: addresses[0], operators: addresses[1], directory: directory, link: link, store: store,
+		enginesFence: d.enginesFence,
+	}
+	text := n.settingsText(link.Address(), dutiesAddress, addresses[2])
+	for i, daemon := range daemons {
+		file := filepath.Join(directory, fmt.Sprintf("node-%d.build-%d.toml", number, i))
+		build, err := newBuild(ctx, daemon, file, text, topologyTable())
+		if err != nil {
+			return err
+		}
+		n.builds = append(n.builds, build)
 	}
 	d.nodes = append(d.nodes, n)
 	d.senders.nodes = append(d.senders.nodes, n)
--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -31,9 +31,8 @@
 	number    int
 	callers   string
 	operators string
-	settings  string
 	// builds are the programs that its lives start from in turn.
-	builds    []string
+	builds    []build
 	directory string
 	// enginesFence is the setting of the same name.
 	enginesFence bool
@@ -50,7 +49,7 @@
 	expected bool
 }
 
-// settingsText is the node's settings file.
+// settingsText is what the node's settings say for all builds.
 func (n *node) settingsText(store, duties, peers string) string {
 	return fmt.Sprintf(`[node]
 id = "%s%d"
@@ -73,8 +72,8 @@
 
 [shutdown]
 grace = "%ds"
-%s`, nodePrefix, n.number, zoneOf(n.number), regionOf(n.number), n.callers, n.operators, peers, store, n.enginesFence, duties,
-		usageWindow, usageDue, graceSeconds, topologyTable())
+`, nodePrefix, n.number, zoneOf(n.number), regionOf(n.number), n.callers, n.operators, peers, store, n.enginesFence, duties,
+		usageWindow, usageDue, graceSeconds)
 }
 
 // run keeps the process running until ctx ends.
@@ -101,8 +100,9 @@
 	defer n.mu.Unlock()
 	n.life++
 	n.expected = false
+	build := n.build()
 	started, err := process.Start(process.Spec{
-		Name: fmt.Sprintf("node-%d", n.number), Path: n.build(), Arguments: []string{"--settings", n.settings},
+		Name: fmt.Sprintf("node-%d", n.number), Path: build.path, Arguments: []string{"--settings", build.settings},
 		LogPath: filepath.Join(n.directory, fmt.Sprintf("node-%d.%d.log", n.number, n.life)),
 	})
 	if err != nil {
@@ -114,7 +114,7 @@
 
 // build is the program that the current life starts from: nodes side by side differ, and so do the lives of one
 // node. mu is held.
-func (n *node) build() string { return n.builds[(n.number+n.life)%len(n.builds)] }
+func (n *node) build() build { return n.builds[(n.number+n.life)%len(n.builds)] }
 
 func (n *node) note(problem string) {
 	n.mu.Lock()
