Log records of unknown kinds once for each kind

An older build skips what a newer one writes into the index of batch jobs and into the lease's topic, as it should, but its operators saw nothing of it: whether two builds side by side lose records could not be told from the logs. What such records do stays the same: one in the index says nothing, one of the lease proves its epoch.

--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -11,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/answered"
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
+	"github.com/corkpulley/corkpulley/internal/common/once"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
@@ -64,6 +65,8 @@
 	// joining are observers that are told of changes from the next read on that
 	// reaches the end; until then they would hear of jobs that are long over.
 	joining []batch.Observer
+	// unknownKinds holds the kinds of records that were logged as unknown.
+	unknownKinds once.PerKey
 }
 
 func newPartition(log eventlog.Log, number int, options Options) *partition {
@@ -199,6 +202,9 @@
 			p.state.Skip()
 			continue
 		}
+		if record.IsEmpty() {
+			p.logUnknown(batch.KindOf(raw))
+		}
 		p.state.Apply(record, now)
 	}
 	if p.state.Next >= read.End && known.After(p.readAt) {
@@ -220,6 +226,14 @@
 	}
 }
 
+// logUnknown logs a kind of record that only a newer build knows; mu is held.
+func (p *partition) logUnknown(kind string) {
+	if p.unknownKinds.First(kind) {
+		p.logger.Warn().Str("kind", kind).Str("topic", p.index.Topic).Int64("offset", p.state.Next).
+			Msg("records of unknown kind skipped")
+	}
+}
+
 func (p *partition) skipTo(first int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/common/once/once_test.go
@@ -0,0 +1,23 @@
+package once
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a line for each record of a kind that a newer build writes, and against keys without bound.
+func TestEachKeyIsFirstOnce(t *testing.T) {
+	var keys PerKey
+	assert.Assert(t, keys.First("a"))
+	assert.Assert(t, !keys.First("a"))
+	assert.Assert(t, keys.First("b"))
+	first := 2
+	for i := range 10 * maxKeys {
+		if keys.First(strconv.Itoa(i)) {
+			first++
+		}
+	}
+	assert.Equal(t, first, maxKeys)
+}
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -7,6 +7,10 @@
 package batch
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -141,6 +145,20 @@
 	return record, nil
 }
 
+// IsEmpty reports whether the record says nothing that this build knows.
+func (r Record) IsEmpty() bool {
+	return r.Job == nil && len(r.Results) == 0 && len(r.Progress) == 0 && r.End == ""
+}
+
+// KindOf returns the names of a record's fields, which tell its kind.
+func KindOf(raw []byte) string {
+	var fields map[string]msgpack.RawMessage
+	if err := msgpack.Unmarshal(raw, &fields); err != nil {
+		return ""
+	}
+	return strings.Join(slices.Sorted(maps.Keys(fields)), ",")
+}
+
 // Header is one header of an item.
 type Header struct {
 	Name  string `msgpack:"n"`
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -32,6 +32,9 @@
 
 var kindNames = [...]string{Claim: "claim", Renew: "renew", Release: "release", Order: "order"}
 
+// IsKnown reports whether the kind is one that this build knows.
+func (k RecordKind) IsKnown() bool { return k >= Claim && k <= Order }
+
 // The kinds of records.
 const (
 	Claim RecordKind = iota + 1
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
+	"github.com/corkpulley/corkpulley/internal/common/once"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -131,6 +132,8 @@
 	hesitant bool
 	// leading is true while the role runs.
 	leading bool
+	// unknownKinds holds the kinds of records that were logged as unknown.
+	unknownKinds once.PerKey
 
 	// turn is held while a record is being written: they go one after the other.
 	turn    chan struct{}
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,6 +73,7 @@
 			e.state.Skip(now)
 			continue
 		}
+		e.logUnknown(record.Kind)
 		if e.state.IsBehind(record) {
 			e.noteBehind(record)
 		}
@@ -92,6 +94,15 @@
 	}
 }
 
+// logUnknown logs a kind of record that only a newer build knows. Such a record proves its epoch and has no other
+// effect here. mu is held.
+func (e *Elector) logUnknown(kind lease.RecordKind) {
+	if !kind.IsKnown() && e.unknownKinds.First(strconv.Itoa(int(kind))) {
+		e.options.Logger.Warn().Uint8("kind", uint8(kind)).Str("topic", e.partition.Topic).Int64("offset", e.state.Next).
+			Msg("records of unknown kind skipped")
+	}
+}
+
 // noteBehind tells that a holder wrote after another claim had won: two nodes took
 // themselves for the leader at that place of the log. mu is held.
 func (e *Elector) noteBehind(record lease.Record) {
