Keep a cluster version in the log, and refuse builds below it

Builds run side by side while machines are replaced, and nothing said which records all of them read: a record of a new kind, or a field that an older reader must not pass over, could not be written safely, and a build that is too old for what stands in the log started all the same.

Each build now has a protocol version (internal/core/clusterversion), announced in its directory record; zero means a build from before the field. The cluster version is the lowest one of the live nodes. The leader raises it by a record of a compacted topic of its own, once all live nodes have announced at least that for 45 s during which the leader found its own announcements in the directory; the highest record counts, so it is never lowered.

Cost: a field of seven bytes in each announcement, one read of a node at its start, and no read while nothing can change (TestAClusterThatAgreesReadsNothing: none in an hour).

--- /dev/null
+++ b/internal/hosted/clusterversion_test.go
@@ -0,0 +1,183 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/clusterversion"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/logrelay"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+const versionTopic = "keyed.version"
+
+// agreed is longer than nodes take to agree and to read that they did.
+const agreed = 2 * time.Minute
+
+// versionedNode is a node that announces itself and follows the cluster version.
+type versionedNode struct {
+	*clusterVersion
+	directory *logrelay.Directory
+	stop      func()
+}
+
+// startVersioned starts a node. One of a build before Announced announces itself as such builds did.
+func startVersioned(t *testing.T, log eventlog.Log, id string, build clusterversion.Version, leads bool) *versionedNode {
+	t.Helper()
+	n := &versionedNode{}
+	logger := zerolog.Nop()
+	self := logrelay.Self{Node: id, Region: "north", Version: build}
+	if build < clusterversion.Announced {
+		self.Version = clusterversion.Unversioned
+	}
+	if build < clusterversion.Homes {
+		self.Region = ""
+	}
+	n.directory = logrelay.NewDirectory(log, self, 0, logger)
+	n.clusterVersion = newClusterVersion(clusterVersionOptions{
+		Log: log, Topic: versionTopic, Build: build, Holder: id, View: n.directory.Versions,
+		Leads: func() bool { return leads }, Budget: n.directory.Budget(),
+		OnVersions: func(_, _ clusterversion.Version) {}, Logger: logger,
+	})
+	n.now = time.Now
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = n.directory.Run(ctx) })
+	if build >= clusterversion.Announced {
+		running.Go(func() { _ = n.Run(ctx) })
+	}
+	n.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	return n
+}
+
+func (n *versionedNode) cluster() clusterversion.Version {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Cluster()
+}
+
+// Guards against a record of a version that is written while a node is live whose build cannot read it.
+func TestTheLeaderRaisesTheClusterOnceNoOlderNodeIsLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		old := startVersioned(t, log, "c", clusterversion.Homes, false)
+		leader := startVersioned(t, log, "a", clusterversion.Announced, true)
+		other := startVersioned(t, log, "b", clusterversion.Announced, false)
+		time.Sleep(agreed)
+		assert.Equal(t, leader.cluster(), clusterversion.Homes)
+		newest, err := log.Newest(t.Context(), versionTopic)
+		assert.NilError(t, err)
+		assert.Equal(t, len(newest.Records), 1)
+		assert.Equal(t, newest.Records[0].Key, clusterversion.Raised{Version: clusterversion.Homes}.Key())
+
+		old.stop()
+		time.Sleep(agreed)
+		assert.Equal(t, leader.cluster(), clusterversion.Announced)
+		assert.Equal(t, other.cluster(), clusterversion.Announced, "a node that does not lead missed it")
+		leader.stop()
+		other.stop()
+	})
+}
+
+// Guards against a feature that older builds must not miss and that is served while one may be live.
+func TestAFeatureIsNotServedWhileAnOlderNodeIsLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		old := startVersioned(t, log, "b", clusterversion.Unversioned, false)
+		node := startVersioned(t, log, "a", clusterversion.Announced, true)
+		assert.Assert(t, !node.Serves(clusterversion.Homes), "before the node knows of the others")
+		time.Sleep(agreed)
+		assert.Assert(t, !node.Serves(clusterversion.Homes))
+		old.stop()
+		time.Sleep(agreed)
+		assert.Assert(t, node.Serves(clusterversion.Homes))
+		node.stop()
+	})
+}
+
+// Guards against a node that does not start in an outage, and against one that stays although its build is too old.
+func TestANodeThatStartsInAnOutageLearnsTheClusterVersionLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		raise(t, log, clusterversion.Announced+1)
+		log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+		node := startVersioned(t, log, "a", clusterversion.Announced, true)
+		assert.NilError(t, node.checkBuild(t.Context()))
+		time.Sleep(agreed)
+		assert.Assert(t, !node.Serves(clusterversion.Homes), "without having read the log")
+		log.SetFault(nil)
+		time.Sleep(10 * time.Second)
+		var tooOld *clusterversion.TooOldError
+		select {
+		case err := <-node.tooOld:
+			assert.Assert(t, errors.As(err, &tooOld), "%v", err)
+		default:
+			t.Error("the node goes on")
+		}
+		node.stop()
+	})
+}
+
+// Guards against a read of every node again and again, which a large cluster's log would not bear.
+func TestAClusterThatAgreesReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		leader := startVersioned(t, log, "a", clusterversion.Announced, true)
+		other := startVersioned(t, log, "b", clusterversion.Announced, false)
+		time.Sleep(agreed)
+		assert.Equal(t, other.cluster(), clusterversion.Announced)
+		var mu sync.Mutex
+		reads := 0
+		log.SetFault(func(call memlog.Call) memlog.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if call.Partition.Topic == versionTopic {
+				reads++
+			}
+			return memlog.None
+		})
+		time.Sleep(time.Hour)
+		leader.stop()
+		other.stop()
+		assert.Equal(t, reads, 0)
+	})
+}
+
+// Guards against a kind of record of a later build that stops this one, or that is logged again and again.
+func TestRecordsOfUnknownKindsAreSkipped(t *testing.T) {
+	log := memlog.New()
+	log.Put(versionTopic, "later/1", []byte("x"))
+	log.Put(versionTopic, "later/2", []byte("y"))
+	log.Put(versionTopic, "raised/9", []byte("not a record"))
+	raise(t, log, clusterversion.Homes)
+	var logs bytes.Buffer
+	node := newClusterVersion(clusterVersionOptions{
+		Log: log, Topic: versionTopic, Build: clusterversion.Announced, Logger: zerolog.New(&logs),
+	})
+	for range 3 {
+		assert.NilError(t, node.checkBuild(t.Context()))
+	}
+	assert.Equal(t, node.state.Cluster(), clusterversion.Homes)
+	assert.Equal(t, strings.Count(logs.String(), "records of unknown kind skipped"), 1)
+}
+
+func raise(t *testing.T, log *memlog.Log, version clusterversion.Version) {
+	t.Helper()
+	raised := clusterversion.Raised{Version: version, Holder: "x"}
+	value, err := raised.Encode()
+	assert.NilError(t, err)
+	log.Put(versionTopic, raised.Key(), value)
+}
--- a/internal/hosted/election.go
+++ b/internal/hosted/election.go
@@ -19,6 +19,10 @@
 	}
 }
 
+// versionWait bounds how long a node that may lead waits until it knows the cluster version: where the log serves all
+// else, a cluster without a leader is worse than one led by a node that learns later that its build is too old.
+const versionWait = 3 * time.Second
+
 // weakDelay is how long a node with hardly any processor leaves a free lease to
 // others.
 const weakDelay = 150 * time.Millisecond
@@ -52,12 +56,19 @@
 			case <-loaded:
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.ended.Loaded():
-		case <-time.After(crashesWait):
-		}
+		awaitAtMost(ctx, n.ended.Loaded(), crashesWait)
+		awaitAtMost(ctx, n.clusterVersion.Known(), versionWait)
 		return elect(ctx)
 	}
 }
+
+// awaitAtMost waits until the channel is closed, ctx ends or the time is over.
+func awaitAtMost(ctx context.Context, done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	case <-timer.C:
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -25,6 +25,7 @@
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/standstill"
 	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
+	"github.com/corkpulley/corkpulley/internal/core/clusterversion"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/topology"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -93,6 +94,8 @@
 	engineCalls Engines
 
 	directory *logrelay.Directory
+	// clusterVersion is the protocol version that all nodes speak.
+	clusterVersion *clusterVersion
 
 	callers   *server
 	operators *server
@@ -113,7 +116,7 @@
 	limit := newLineLimit(metrics.lineLeftOut)
 	logger := newLogger(config, output)
 	go limit.report(ctx, logger)
-	n, err := newNode(config, platform, registry, metrics, logger.Hook(limit))
+	n, err := newNode(ctx, config, platform, registry, metrics, logger.Hook(limit))
 	if err != nil {
 		return err
 	}
@@ -122,7 +125,8 @@
 }
 
 func newNode(
-	config settings.Settings, platform Platform, registry *prometheus.Registry, metrics *metrics, logger zerolog.Logger,
+	ctx context.Context, config settings.Settings, platform Platform, registry *prometheus.Registry, metrics *metrics,
+	logger zerolog.Logger,
 ) (*node, error) {
 	n := &node{
 		config: config, platform: platform, logger: logger,
@@ -142,7 +146,7 @@
 	direct := platform.Log()
 	n.directory = logrelay.NewDirectory(direct, logrelay.Self{
 		Node: config.Node.ID, Address: config.Listen.Peers, Zone: config.Node.Zone, Region: config.Node.Region,
-		Processors: config.Node.Processors,
+		Processors: config.Node.Processors, Version: clusterversion.Build,
 	}, config.Hosted.ReadsPerSecond, logger)
 	log := logrelay.NewFallback(direct, n.directory.Others, n.counted(logrelay.NewClient(), logTraffic), logger)
 	n.directory.SetLog(log)
@@ -175,6 +179,10 @@
 	})
 	n.elector = leadership.New(log, n.leaseOptions(), n.lead)
 	n.homeRunners = newHomeRunners(n)
+	n.clusterVersion = newClusterVersion(n.clusterVersionOptions())
+	if err := n.clusterVersion.checkBuild(ctx); err != nil {
+		return nil, err
+	}
 	return n, n.listen(n.peersHandler(direct, log))
 }
 
@@ -227,19 +235,24 @@
 	group.Go(n.peers.serve)
 	for _, role := range []func(context.Context) error{
 		n.control.Run, n.followEngines, n.ended.Run, n.guard.Run, n.jobs.Run, n.directory.Run, n.counter.Run,
-		n.applyDeferred, n.standstill.Run, n.watchColdEngines,
+		n.applyDeferred, n.standstill.Run, n.watchColdEngines, n.clusterVersion.Run,
 		n.whenCurrent(n.elector.Run), n.whenCurrent(n.homeRunners.Run),
 	} {
 		group.Go(func() error { return role(groupContext) })
 	}
 	n.logger.Info().Str("holder", n.holder).Str("callers", n.callers.address()).
 		Str("operators", n.operators.address()).Str("log", n.config.Hosted.Log).Msg("node started")
+	var tooOld error
 	select {
 	case <-ctx.Done():
 	case <-groupContext.Done():
+	case tooOld = <-n.clusterVersion.tooOld:
 	}
 	left := n.stop(stopRoles)
 	err := waitAtMost(group.Wait, left)
+	if tooOld != nil {
+		err = tooOld
+	}
 	n.logger.Info().Err(err).Msg("node stopped")
 	return err
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -38,6 +38,8 @@
 	coldPermits         *prometheus.CounterVec
 	// runningAtHome is by the regions to which the jobs are bound that the node runs.
 	runningAtHome *prometheus.GaugeVec
+	// versions holds the cluster version and the lowest version of the live nodes.
+	versions *prometheus.GaugeVec
 	// loadsUnreadable counts answers whose load cannot be read.
 	loadsUnreadable prometheus.Counter
 	// bytes is what the node holds for others; nil before it is built.
@@ -116,6 +118,7 @@
 		Name: "corkpulley_hosted_engine_loads_unreadable_total", Help: "Answers of engines whose load cannot be read.",
 	})
 	registry.MustRegister(m.loadsUnreadable)
+	m.addVersions(registry)
 	m.addSlowStart()
 	m.addHeldBytes(registry)
 	m.traffic = newTraffic(registry)
--- a/internal/hosted/platform.go
+++ b/internal/hosted/platform.go
@@ -90,6 +90,8 @@
 	EngineTopic() string
 	// CrashTopic names the compacted topic with the requests under which engines ended.
 	CrashTopic() string
+	// VersionTopic names the compacted topic with the cluster version.
+	VersionTopic() string
 	DecodeControl(record eventlog.KeyedRecord) (ControlChange, error)
 	// EncodeEvacuation returns the record of the control topic that says so.
 	EncodeEvacuation(evacuation Evacuation) eventlog.KeyedRecord
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corkpulley/corkpulley/internal/core/clusterversion"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 	"github.com/corkpulley/corkpulley/internal/core/pacing"
@@ -39,6 +40,8 @@
 	Region  string `msgpack:"r,omitempty"`
 	// Processors is the node's share of processors; zero when unknown.
 	Processors float64 `msgpack:"p,omitempty"`
+	// Version is the protocol version of the node's build; zero in builds that announced none.
+	Version clusterversion.Version `msgpack:"v,omitempty"`
 	// Life is the time after which the node is forgotten unless it is heard again.
 	Life time.Duration `msgpack:"l"`
 }
@@ -74,12 +77,17 @@
 	Region  string
 	// Processors is its share of processors; zero when unknown.
 	Processors float64
+	// Version is the protocol version of its build.
+	Version clusterversion.Version
 }
 
 // NewDirectory returns a directory for a node. All nodes together may make the given
 // number of reads a second, zero for no bound.
 func NewDirectory(log eventlog.Log, self Self, readsPerSecond int, logger zerolog.Logger) *Directory {
-	own := member{Node: self.Node, Address: self.Address, Zone: self.Zone, Region: self.Region, Processors: self.Processors}
+	own := member{
+		Node: self.Node, Address: self.Address, Zone: self.Zone, Region: self.Region, Processors: self.Processors,
+		Version: self.Version,
+	}
 	return &Directory{
 		log: log, own: own, reads: readsPerSecond, logger: logger,
 		members: make(map[string]member), seenAt: make(map[string]time.Time),
