Refuse a bound job while a node may be live that knows no homes

A batch job that is bound to regions was taken in the middle of an upgrade from: a node of that build reads its record without the regions, and as leader it runs the items anywhere (the row in bold of docs/UPGRADING.md).

The node that is handed such a job now answers 503 upgrade_in_progress with Retry-After, unless the cluster has reached the version of builds that know homes, or its directory shows no older node. It keeps to what a refusal says: a job that an earlier call had kept is answered as taken. Evacuations and permits are not held back: an order that most nodes follow serves better than none.

--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -62,6 +62,8 @@
 	HistoryLost
 	// OutsideHomes: no engine, or no node, of the regions that alone may serve the request is there.
 	OutsideHomes
+	// UpgradeInProgress: a node may be live whose build does not know what the request needs.
+	UpgradeInProgress
 	kindCount
 )
 
@@ -129,6 +131,9 @@
 	Quarantined:    {"quarantined", http.StatusServiceUnavailable, NotExecuted, true, 10 * time.Second},
 	HistoryLost:    {"history_lost", http.StatusServiceUnavailable, NotExecuted, true, time.Second},
 	OutsideHomes:   {"outside_homes", http.StatusServiceUnavailable, NotExecuted, true, 2 * time.Second},
+	UpgradeInProgress: {
+		"upgrade_in_progress", http.StatusServiceUnavailable, NotExecuted, true, 5 * time.Second,
+	},
 }
 
 // All returns every kind in the order of its number.
--- a/internal/hosted/homes.go
+++ b/internal/hosted/homes.go
@@ -6,6 +6,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/clusterversion"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
@@ -41,9 +42,10 @@
 	return set
 }
 
-// acceptAtHome keeps a job, unless no node is known that may run it.
+// acceptAtHome keeps a job, unless no node may run it or a node may be live that would run it elsewhere.
 func (n *node) acceptAtHome(ctx context.Context, submission batchjobs.Submission, within homes.Set) error {
-	if n.hasRunnerFor(ctx, within) {
+	refusal := n.refusalAtHome(ctx, within)
+	if refusal == nil {
 		return n.jobs.Accept(ctx, submission)
 	}
 	// An earlier call may have had the job kept; then it may run, and a refusal would not be true.
@@ -54,8 +56,26 @@
 	case err != nil:
 		return errkind.New(errkind.OutcomeUnknownRepeatable, "whether the job was taken before is not known: %s", err.Error())
 	default:
+		return refusal
+	}
+}
+
+// refusalAtHome returns why a job is refused that is bound to the regions; nil when it may be kept.
+func (n *node) refusalAtHome(ctx context.Context, within homes.Set) error {
+	if !n.hasRunnerFor(ctx, within) {
 		return errkind.New(errkind.OutsideHomes, "no node is in %s", within)
 	}
+	if within.Bound() && !n.mayBind(ctx) {
+		return errkind.New(errkind.UpgradeInProgress, "a node may be live whose build does not know home regions")
+	}
+	return nil
+}
+
+// mayBind reports whether all nodes know home regions: one that does not would run a job that is bound to regions
+// anywhere.
+func (n *node) mayBind(ctx context.Context) bool {
+	awaitAtMost(ctx, n.directory.Known(), directoryWait)
+	return n.clusterVersion.Serves(clusterversion.Homes)
 }
 
 // hasRunnerFor tells whether a node may run a job that is bound to the regions, as far as this node knows
@@ -67,13 +87,7 @@
 	if within.Nowhere() {
 		return false
 	}
-	timer := time.NewTimer(directoryWait)
-	defer timer.Stop()
-	select {
-	case <-n.directory.Known():
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	awaitAtMost(ctx, n.directory.Known(), directoryWait)
 	return n.directory.HasNodeIn(within)
 }
 
