--- /dev/null
+++ b/internal/crashes/golden_test.go
@@ -0,0 +1,42 @@
+package crashes
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/goldenrecord"
+)
+
+// Guards against a record or message that an earlier build misreads, or whose earlier form this build does.
+func TestRecordsOfEarlierBuilds(t *testing.T) {
+	goldenrecord.Check(t,
+		goldenrecord.Sample{Name: "value", Value: &value{}},
+		goldenrecord.Sample{Name: "message", Value: &message{}},
+	)
+}
+
+// Guards against a key that another build reads as another engine, or not at all.
+func TestKeysOfEarlierBuilds(t *testing.T) {
+	record := quarantine.Record{Engine: "e-1", At: time.UnixMilli(1234), Isolated: true, Offset: 7}
+	record.Fingerprint[0] = 0xab
+	encoded, err := encode(record)
+	assert.NilError(t, err)
+	encoded.Offset = record.Offset
+	if commit := goldenrecord.Writing(); commit != "" {
+		goldenrecord.Write(t, commit, "keyed", &encoded)
+		return
+	}
+	for _, commit := range goldenrecord.Commits(t, "keyed") {
+		var golden eventlog.KeyedRecord
+		assert.NilError(t, msgpack.Unmarshal(goldenrecord.Read(t, commit, "keyed"), &golden))
+		assert.DeepEqual(t, golden, encoded)
+		decoded, err := decode(golden)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, record)
+	}
+}
--- /dev/null
+++ b/internal/goldenrecord/goldenrecord_test.go
@@ -0,0 +1,47 @@
+package goldenrecord
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+)
+
+type part struct {
+	Names []string       `msgpack:"n"`
+	Sizes map[string]int `msgpack:"s"`
+}
+
+type record struct {
+	ID    int64   `msgpack:"i"`
+	Raw   []byte  `msgpack:"r"`
+	Parts []part  `msgpack:"p,omitempty"`
+	Next  *part   `msgpack:"x,omitempty"`
+	Share float64 `msgpack:"f"`
+	Last  bool    `msgpack:"l"`
+}
+
+// Guards against fields that are left out of the comparison, since they are zero or lie deeper.
+func TestAllFieldsOfARecordAreCompared(t *testing.T) {
+	var filled record
+	Fill(&filled)
+	raw, err := msgpack.Marshal(&filled)
+	assert.NilError(t, err)
+	fields := fieldsOf(t, raw)
+	classes := make(map[string]string)
+	for path, value := range fields {
+		classes[path] = classOf(value)
+	}
+	assert.DeepEqual(t, classes, map[string]string{
+		"": "map", "i": "integer", "r": "[]uint8", "f": "float64", "l": "bool",
+		"p": "list", "p[]": "map", "p[].n": "list", "p[].n[]": "string", "p[].s": "map", "p[].s.key": "integer",
+		"x": "map", "x.n": "list", "x.n[]": "string", "x.s": "map", "x.s.key": "integer",
+	})
+}
+
+// Guards against a new field that is compared with nothing.
+func TestAddedFieldsAreFound(t *testing.T) {
+	earlier := map[string]any{"": object, "i": int8(1), "p": list}
+	today := map[string]any{"": object, "i": int8(1), "p": list, "p[]": int8(1), "z": object, "z.a": int8(1), "zz": int8(1)}
+	assert.DeepEqual(t, addedTo(earlier, today), []string{"p[]", "z", "zz"})
+}
--- /dev/null
+++ b/internal/jobrelay/golden_test.go
@@ -0,0 +1,22 @@
+package jobrelay
+
+import (
+	"testing"
+
+	"github.com/corkpulley/corkpulley/internal/goldenrecord"
+)
+
+// Guards against a record or message that an earlier build misreads, or whose earlier form this build does.
+func TestRecordsOfEarlierBuilds(t *testing.T) {
+	goldenrecord.Check(t,
+		goldenrecord.Sample{Name: "request", Value: &request{}, Added: map[string][]string{"843b092": {"h"}}},
+		goldenrecord.Sample{Name: "response", Value: &response{}},
+	)
+}
+
+// Guards against numbers that another build takes for another question.
+func TestNumbersOfEarlierBuilds(t *testing.T) {
+	goldenrecord.CheckNumbers(t, "numbers", map[string]int64{
+		"results": int64(opResults), "body": int64(opBody), "end": int64(opEnd),
+	})
+}
