Retry a raise of the cluster version that failed every ten seconds

While the log took no writes, the leader of a cluster that had agreed wrote and logged each second, under the message of a raise that worked. It now tries every 10 s, and logs "cluster version not raised". TestARaiseThatFailsIsRepeatedSeldom counts the tries.

--- a/internal/hosted/clusterversion.go
+++ b/internal/hosted/clusterversion.go
@@ -29,6 +29,8 @@
 	// up to maxVersionReadPeriod.
 	versionReadPeriod    = 2 * time.Second
 	maxVersionReadPeriod = 30 * time.Second
+	// raiseRetry is the time between two tries of the leader to raise the version.
+	raiseRetry = 10 * time.Second
 	// viewPeriod is the time between two observations of the live nodes.
 	viewPeriod = time.Second
 )
@@ -104,7 +106,7 @@
 // Run observes the live nodes, reads the cluster version while it may change, and raises it while this node leads,
 // until ctx ends or the build turns out to be too old.
 func (c *clusterVersion) Run(ctx context.Context) error {
-	var readAt time.Time
+	var readAt, raisedAt time.Time
 	for ctx.Err() == nil {
 		now := c.now()
 		needsRead, period := c.observe(now)
@@ -114,7 +116,9 @@
 				return nil
 			}
 		}
-		c.raiseIfDue(ctx)
+		if now.Sub(raisedAt) >= raiseRetry && c.raiseIfDue(ctx) {
+			raisedAt = now
+		}
 		retry.Sleep(ctx, min(viewPeriod, period))
 	}
 	return nil
@@ -197,19 +201,22 @@
 	}
 }
 
-// raiseIfDue raises the cluster version if this node leads and all live nodes have agreed.
-func (c *clusterVersion) raiseIfDue(ctx context.Context) {
+// raiseIfDue raises the cluster version if this node leads and all live nodes have agreed. It reports whether it tried.
+func (c *clusterVersion) raiseIfDue(ctx context.Context) bool {
 	c.mu.Lock()
 	version, due := c.state.Raise()
 	c.mu.Unlock()
 	if !due || !c.options.Leads() {
-		return
+		return false
 	}
 	err := c.write(ctx, clusterversion.Raised{Version: version, Holder: c.options.Holder})
-	c.options.Logger.Info().Err(err).Uint32("cluster", uint32(version)).Msg("cluster version raised")
-	if err == nil {
-		_ = c.read(ctx)
+	if err != nil {
+		c.options.Logger.Warn().Err(err).Uint32("cluster", uint32(version)).Msg("cluster version not raised")
+		return true
 	}
+	c.options.Logger.Info().Uint32("cluster", uint32(version)).Msg("cluster version raised")
+	_ = c.read(ctx)
+	return true
 }
 
 func (c *clusterVersion) write(ctx context.Context, raised clusterversion.Raised) error {
--- a/internal/hosted/clusterversion_test.go
+++ b/internal/hosted/clusterversion_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,6 +132,31 @@
 	})
 }
 
+// Guards against a leader that writes, and logs, each second while the log takes nothing.
+func TestARaiseThatFailsIsRepeatedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		var writes atomic.Int32
+		log.SetFault(func(call memlog.Call) memlog.Fault {
+			if !call.Append || call.Partition.Topic != versionTopic {
+				return memlog.None
+			}
+			writes.Add(1)
+			return memlog.Refused
+		})
+		leader := startVersioned(t, log, "a", clusterversion.Announced, true)
+		time.Sleep(agreed)
+		before := writes.Load()
+		time.Sleep(10 * raiseRetry)
+		failed := writes.Load() - before
+		log.SetFault(nil)
+		time.Sleep(2 * raiseRetry)
+		assert.Equal(t, leader.cluster(), clusterversion.Announced)
+		leader.stop()
+		assert.Assert(t, before > 0 && failed > 0 && failed <= 11, "%d tries", failed)
+	})
+}
+
 // Guards against a read of every node again and again, which a large cluster's log would not bear.
 func TestAClusterThatAgreesReadsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
