Do not take other nodes for gone while the directory is not read

A node whose reads of the directory failed for longer than others are remembered saw itself alone, so that it served what older nodes must not miss.

--- a/internal/logrelay/versions.go
+++ b/internal/logrelay/versions.go
@@ -11,12 +11,17 @@
 const ownRecordAge = maxAnnouncePeriod + 2*maxReadPeriod
 
 // Versions returns the versions of the live nodes. The view is current while this node finds its own announcements
-// in the directory: reads that fail, or lag behind, show others as gone that are live.
+// in the directory: reads that fail, or lag behind, show others as gone that are live. For the same reason the others
+// are not known any more where these announcements have ceased.
 func (d *Directory) Versions() clusterversion.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	seenAt, found := d.seenAt[d.own.Node]
+	recent := time.Since(seenAt) < ownRecordAge
 	view := clusterversion.View{
-		Lowest: d.own.version(), Highest: d.own.version(), Known: isClosed(d.known), Current: d.readsItselfLocked(),
+		Lowest: d.own.version(), Highest: d.own.version(),
+		Known:   isClosed(d.known) && (recent || !found),
+		Current: recent && found && d.isSettled(),
 	}
 	for node, each := range d.members {
 		if d.alive(node) {
@@ -26,12 +31,6 @@
 	return view
 }
 
-// readsItselfLocked reports whether this node has found a recent announcement of itself; mu is held.
-func (d *Directory) readsItselfLocked() bool {
-	seenAt, found := d.seenAt[d.own.Node]
-	return found && time.Since(seenAt) < ownRecordAge && d.isSettled()
-}
-
 func isClosed(done <-chan struct{}) bool {
 	select {
 	case <-done:
