Read the cluster version only once the nodes have agreed

In a cluster that has just started, or just finished an upgrade, each node read the version's topic from the first moment on at which no older node was listed, every 2 s where reads are not paced: for 45 s of that the leader raises nothing. A node now waits for the same agreement as the leader, and then reads every 5 s, a minute at most where reads are paced, until it has the record.

--- a/internal/core/clusterversion/clusterversion_test.go
+++ b/internal/core/clusterversion/clusterversion_test.go
@@ -88,11 +88,15 @@
 func TestTheLogIsReadOnlyWhenARaiseIsPossible(t *testing.T) {
 	s := New(Announced)
 	assert.NilError(t, s.Learn(Homes))
+	alike := View{Lowest: Announced, Highest: Announced, Current: true}
 	assert.Assert(t, !s.NeedsRead(View{Lowest: Homes, Highest: Announced}))
-	assert.Assert(t, s.NeedsRead(View{Lowest: Announced, Highest: Announced}))
 	assert.Assert(t, s.NeedsRead(View{Lowest: Homes, Highest: Announced + 1}))
+	now := observeFor(s, alike, start, agreementTime)
+	assert.Assert(t, !s.NeedsRead(alike), "before the leader raises it")
+	observeFor(s, alike, now, 2*time.Second)
+	assert.Assert(t, s.NeedsRead(alike))
 	assert.NilError(t, s.Learn(Announced))
-	assert.Assert(t, !s.NeedsRead(View{Lowest: Announced, Highest: Announced}))
+	assert.Assert(t, !s.NeedsRead(alike))
 	assert.Assert(t, !s.NeedsRead(View{Lowest: Unversioned, Highest: Announced}), "an older node that joins late")
 }
 
--- a/internal/core/clusterversion/state.go
+++ b/internal/core/clusterversion/state.go
@@ -58,9 +58,9 @@
 }
 
 // NeedsRead reports whether the log may hold a higher cluster version than is known: it was not read yet, all live
-// nodes may have agreed on one, or nodes of later builds may.
+// nodes have agreed on one, or nodes of later builds may have.
 func (s *State) NeedsRead(view View) bool {
-	return !s.known || view.Lowest > s.cluster || view.Highest > s.build
+	return !s.known || s.hasAgreement() || view.Highest > s.build
 }
 
 // Observe applies what a node sees of the others.
@@ -74,6 +74,10 @@
 
 // Raise returns the version to which the leader raises the cluster now.
 func (s *State) Raise() (Version, bool) {
-	due := s.known && s.agreed > s.cluster && s.observedAt.Sub(s.agreedSince) >= agreementTime
-	return s.agreed, due
+	return s.agreed, s.known && s.hasAgreement()
+}
+
+// hasAgreement reports whether all live nodes have announced a version above the cluster's for long enough.
+func (s *State) hasAgreement() bool {
+	return s.agreed > s.cluster && s.observedAt.Sub(s.agreedSince) >= agreementTime
 }
--- a/internal/hosted/clusterversion.go
+++ b/internal/hosted/clusterversion.go
@@ -27,8 +27,8 @@
 	maxVersionRetry = 4 * time.Second
 	// versionReadPeriod is the time between two reads while the version may have been raised; it grows with the nodes,
 	// up to maxVersionReadPeriod.
-	versionReadPeriod    = 2 * time.Second
-	maxVersionReadPeriod = 30 * time.Second
+	versionReadPeriod    = 5 * time.Second
+	maxVersionReadPeriod = time.Minute
 	// raiseRetry is the time between two tries of the leader to raise the version.
 	raiseRetry = 10 * time.Second
 	// viewPeriod is the time between two observations of the live nodes.
