--- a/internal/hosted/election.go
+++ b/internal/hosted/election.go
@@ -58,6 +58,9 @@
 		}
 		awaitAtMost(ctx, n.ended.Loaded(), crashesWait)
 		awaitAtMost(ctx, n.clusterVersion.Known(), versionWait)
+		if ctx.Err() != nil {
+			return nil
+		}
 		return elect(ctx)
 	}
 }
