--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -11,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/answered"
 	"github.com/corkpulley/corkpulley/internal/common/boottime"
+	"github.com/corkpulley/corkpulley/internal/common/once"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
@@ -63,6 +64,8 @@
 	// joining are observers that are registered after the next read that reaches the end;
 	// before that they would be notified of jobs that have long ended.
 	joining []batch.Observer
+	// unknownKinds holds the kinds of records that were logged as unknown.
+	unknownKinds once.PerKey
 }
 
 func newPartition(log eventlog.Log, number int, options Options) *partition {
@@ -197,6 +200,9 @@
 			p.state.Skip()
 			continue
 		}
+		if record.IsEmpty() {
+			p.logUnknown(batch.KindOf(raw))
+		}
 		p.state.Apply(record, now)
 	}
 	if p.state.Next >= read.End && currentAt.After(p.readAt) {
@@ -218,6 +224,14 @@
 	}
 }
 
+// logUnknown logs a kind of record that only a newer build knows; mu is held.
+func (p *partition) logUnknown(kind string) {
+	if p.unknownKinds.First(kind) {
+		p.logger.Warn().Str("kind", kind).Str("topic", p.index.Topic).Int64("offset", p.state.Next).
+			Msg("records of unknown kind skipped")
+	}
+}
+
 func (p *partition) skipTo(first int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/leadership/tail.go
+++ b/internal/leadership/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,6 +73,7 @@
 			e.state.Skip(now)
 			continue
 		}
+		e.logUnknown(record.Kind)
 		if e.state.IsBehind(record) {
 			e.reportBehind(record)
 		}
@@ -92,6 +94,15 @@
 	}
 }
 
+// logUnknown logs a kind of record that only a newer build knows. Such a record proves its epoch and has no other
+// effect here. Must be called with mu held.
+func (e *Elector) logUnknown(kind lease.RecordKind) {
+	if !kind.IsKnown() && e.unknownKinds.First(strconv.Itoa(int(kind))) {
+		e.options.Logger.Warn().Uint8("kind", uint8(kind)).Str("topic", e.partition.Topic).Int64("offset", e.state.Next).
+			Msg("records of unknown kind skipped")
+	}
+}
+
 // reportBehind reports a record that a holder wrote after another claim had won: two nodes
 // believed that they led. Must be called with mu held.
 func (e *Elector) reportBehind(record lease.Record) {
