Read kept seeds beyond the integers of TOML

A seed of a failed soak above 2^63 - 1, as half of those drawn are, could not be entered in test/soak/seeds.toml: the file was refused as a whole ("out of range for int64").

Cause: TOML integers have 64 bits with a sign, seeds 64 bits without. Change: the number may be written as a string.

Test: TestEverySeedThatIsDrawnCanBeKept failed before ("TOML value has type string; destination has type integer").

--- a/internal/bench/soak/seeds.go
+++ b/internal/bench/soak/seeds.go
@@ -2,15 +2,29 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
 )
 
+// SeedNumber is the number of a kept seed. One beyond the integers of TOML is written as a string.
+type SeedNumber uint64
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (n *SeedNumber) UnmarshalText(text []byte) error {
+	number, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "number of a seed")
+	}
+	*n = SeedNumber(number)
+	return nil
+}
+
 // KeptSeed is a seed that failed once and is played for good.
 type KeptSeed struct {
-	Number  uint64  `toml:"number"`
-	Minutes float64 `toml:"minutes"`
+	Number  SeedNumber `toml:"number"`
+	Minutes float64    `toml:"minutes"`
 	// EnginesFence and Schedule are the flags under which it failed.
 	EnginesFence string `toml:"engines_fence"`
 	Schedule     string `toml:"schedule"`
--- /dev/null
+++ b/internal/bench/soak/seeds_test.go
@@ -0,0 +1,41 @@
+package soak
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// keptFile writes a file with one kept seed of this number, as TOML has it.
+func keptFile(t *testing.T, number string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "seeds.toml")
+	text := "[[seed]]\nnumber = " + number + `
+minutes = 0.5
+engines_fence = "no"
+schedule = "placement"
+found = "2026-12-03"
+rule = "COLD"
+cause = "c"
+mended = "m"
+`
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// TestEverySeedThatIsDrawnCanBeKept guards against seeds of failed soaks that could not be entered: half of them are
+// beyond the integers of TOML.
+func TestEverySeedThatIsDrawnCanBeKept(t *testing.T) {
+	for number, want := range map[string]SeedNumber{"7": 7, `"18446744073709551615"`: math.MaxUint64} {
+		kept, err := ReadSeeds(keptFile(t, number))
+		assert.NilError(t, err)
+		assert.Equal(t, kept[0].Number, want)
+	}
+	for _, number := range []string{`"18446744073709551616"`, `"x"`, "-1", "0"} {
+		_, err := ReadSeeds(keptFile(t, number))
+		assert.Assert(t, err != nil, number)
+	}
+}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -131,7 +131,7 @@
 	var failed error
 	for _, seed := range kept {
 		one := *arguments
-		one.Seed, one.Minutes = seed.Number, seed.Minutes
+		one.Seed, one.Minutes = uint64(seed.Number), seed.Minutes
 		one.EnginesFence, one.Schedule = seed.EnginesFence, seed.Schedule
 		if err := runOne(ctx, &one, output); err != nil {
 			failed = errors.Wrapf(err, "seed %d", seed.Number)
