Read the engine list again before sending after a standstill

Cause: a node that wakes waits until it has read the control topic again, for the evacuations, and then sends by the engine list of before the standstill.

Change: what a node knows counts as known after a standstill once both topics have been read.

Test: TestAfterAStandstillNothingIsSentUntilTheEngineListIsRead failed before at "requests leave by the engine list of before the standstill".

Why it works: a request is chosen after the wait, and the last look before its first byte asks for the same knowledge, so that nothing leaves between the wake and the read of the list.

--- a/internal/core/fleet/evacuation.go
+++ b/internal/core/fleet/evacuation.go
@@ -25,7 +25,8 @@
 	HeldEvacuated
 	// HeldGone: this incarnation of the engine is not listed any more.
 	HeldGone
-	// HeldUnknown: this process does not know which zones are evacuated, and learns it shortly.
+	// HeldUnknown: what this process knows of evacuations and engines is from before a standstill, and is read again
+	// shortly.
 	HeldUnknown
 	// HeldPaced: the engine is cold, and the permit to send to it has ended.
 	HeldPaced
--- a/internal/hosted/evacuation_test.go
+++ b/internal/hosted/evacuation_test.go
@@ -19,7 +19,7 @@
 
 // suspended is the knowledge of a node whose machine was suspended for an hour, and its clock.
 type suspended struct {
-	zoneKnowledge
+	placementKnowledge
 	at     time.Time
 	woke   time.Time
 	readAt time.Time
@@ -28,10 +28,10 @@
 func newSuspended() *suspended {
 	began := time.Unix(1000, 0)
 	s := &suspended{at: began.Add(time.Hour), woke: began.Add(time.Hour), readAt: began}
-	s.zoneKnowledge.wokeAt = func() time.Time { return s.woke }
-	s.zoneKnowledge.age = func() time.Duration { return s.at.Sub(s.readAt) }
-	s.zoneKnowledge.now = func() time.Time { return s.at }
-	s.zoneKnowledge.logger = zerolog.Nop()
+	s.placementKnowledge.wokeAt = func() time.Time { return s.woke }
+	s.placementKnowledge.age = func() time.Duration { return s.at.Sub(s.readAt) }
+	s.placementKnowledge.now = func() time.Time { return s.at }
+	s.placementKnowledge.logger = zerolog.Nop()
 	return s
 }
 
@@ -84,7 +84,7 @@
 // node since, and have taken the zone back.
 func TestAnOrderThatLayHereDuringAStandstillIsNotWritten(t *testing.T) {
 	s := newSuspended()
-	n := &node{knowledge: &s.zoneKnowledge, platform: memPlatform{}, log: memlog.New()}
+	n := &node{knowledge: &s.placementKnowledge, platform: memPlatform{}, log: memlog.New()}
 	err := n.writeEvacuation(t.Context(), Evacuation{Zone: "za", InForce: true})
 	assert.Assert(t, err != nil, "the order was written")
 	assert.Equal(t, errkind.KindOf(err), errkind.NotReady)
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -53,8 +53,8 @@
 	fleet *fleet.Fleet
 	// gate is asked before requests leave for engines.
 	gate *sendgate.Gate
-	// knowledge is whether the node knows the evacuations.
-	knowledge  *zoneKnowledge
+	// knowledge is whether the node knows the evacuations and the engine list.
+	knowledge  *placementKnowledge
 	standstill *standstill.Watch
 	// bytes bounds what is held for callers and engines, callerLimits that for callers who read slowly.
 	bytes        *bytebudget.Budget
@@ -149,10 +149,10 @@
 	replicas := logrelay.NewReplicaReader(log, n.directory.Sources, n.counted(logrelay.NewClient(), replicaTraffic))
 	replicas.LeaveOut(n.leftOutOf)
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
-	n.knowledge = newZoneKnowledge(n.standstill, n.control, logger)
-	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: n.knowledge.known, HeldBack: metrics.heldBackAt})
 	n.engines = follow.New(replicas, platform.EngineTopic(), n.takeEngine, n.directory.Budget(), logger)
 	n.engines.Classify(n.engineClass)
+	n.knowledge = newPlacementKnowledge(n.standstill, n.control, n.engines, logger)
+	n.gate = sendgate.New(sendgate.Options{Fleet: n.fleet, Known: n.knowledge.known, HeldBack: metrics.heldBackAt})
 	n.jobs = batchjobs.New(log, batchjobs.Options{
 		Partitions:  config.Hosted.Partitions,
 		RecordBytes: config.Hosted.RecordBytes, CallBytes: config.Hosted.CallBytes,
--- /dev/null
+++ b/internal/hosted/standstill_test.go
@@ -0,0 +1,94 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/common/boottime"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/settings"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// logPlatform is a platform with a log in memory, and no callers.
+type logPlatform struct {
+	entryDecoder
+	log *memlog.Log
+}
+
+func (p logPlatform) Log() eventlog.Log { return p.log }
+
+func (logPlatform) Engines() Engines { return nil }
+
+func (logPlatform) ControlTopic() string { return "control" }
+
+func (logPlatform) EngineTopic() string { return "engines" }
+
+func (logPlatform) CrashTopic() string { return "crashes" }
+
+func (logPlatform) CallersHandler(Callers) http.Handler { return http.NotFoundHandler() }
+
+func (logPlatform) OperatorsHandler(func() error, http.Handler) http.Handler {
+	return http.NotFoundHandler()
+}
+
+// wokenNode returns a node that has just woken from a standstill and knows nothing yet.
+func wokenNode(t *testing.T) *node {
+	t.Helper()
+	config := settings.Default()
+	config.Node.ID = "n"
+	config.Listen.Callers, config.Listen.Operators, config.Listen.Peers = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	registry := prometheus.NewRegistry()
+	n, err := newNode(config, logPlatform{log: memlog.New()}, registry, newMetrics(registry), zerolog.Nop())
+	assert.NilError(t, err)
+	for _, each := range []*server{n.callers, n.operators, n.peers} {
+		t.Cleanup(func() { _ = each.listener.Close() })
+	}
+	woke := boottime.Now()
+	n.knowledge.wokeAt = func() time.Time { return woke }
+	n.knowledge.now = func() time.Time { return woke }
+	return n
+}
+
+// runRole runs one of the node's roles until the test ends.
+func runRole(t *testing.T, role func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = role(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// TestAfterAStandstillNothingIsSentUntilTheEngineListIsRead guards against a burst to an engine that turned cold
+// while this node stood still, after the control topic was read and before the engine list was.
+func TestAfterAStandstillNothingIsSentUntilTheEngineListIsRead(t *testing.T) {
+	n := wokenNode(t)
+	runRole(t, n.control.Run)
+	testwait.Until(t, "the control topic is read", n.control.IsLoaded)
+	assert.Assert(t, !n.gate.Known(), "requests leave by the engine list of before the standstill")
+	runRole(t, n.engines.Run)
+	testwait.Until(t, "requests leave", n.gate.Known)
+}
+
+// TestAfterAStandstillTheEngineListAloneIsNotEnough: the evacuations are missing.
+func TestAfterAStandstillTheEngineListAloneIsNotEnough(t *testing.T) {
+	n := wokenNode(t)
+	runRole(t, n.engines.Run)
+	testwait.Until(t, "the engine list is read", n.engines.IsLoaded)
+	assert.Assert(t, !n.gate.Known())
+	runRole(t, n.control.Run)
+	testwait.Until(t, "requests leave", n.gate.Known)
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -79,7 +79,7 @@
 			return x.timedOut()
 		}
 		if !x.relay.options.Gate.AwaitKnown(x.ctx) {
-			return x.unknownZones()
+			return x.standstillFailure()
 		}
 		choice, mayLeave, found := x.choose()
 		if !found && x.waitForPermit() {
@@ -149,13 +149,13 @@
 	return failure
 }
 
-// unknownZones is the answer while this node does not know which zones are evacuated. Others do, or
-// it does itself a moment later.
-func (x *exchange) unknownZones() *errkind.Error {
+// standstillFailure is the answer while what this node knows of evacuations and engines is from before a standstill.
+// Other nodes know more, and so does this one a moment later.
+func (x *exchange) standstillFailure() *errkind.Error {
 	if x.ctx.Err() != nil || x.ran > 0 || x.status != 0 {
 		return x.timedOut()
 	}
-	failure := errkind.New(errkind.NotReady, "this node stood still and does not know yet which zones are evacuated")
+	failure := errkind.New(errkind.NotReady, "this node stood still and has not read the evacuations and the engine list again")
 	failure.RetryAfter = refusalRetry
 	return failure
 }
--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// knowledgeWait bounds how long a request waits until it is known which zones are evacuated: one
+	// knowledgeWait bounds how long a request waits until it is known which engines may get it: one
 	// read of the log, and one more after a failure. Its caller is better served by another node then.
 	knowledgeWait = 300 * time.Millisecond
 	// knowledgeCheck is the time between two looks meanwhile.
@@ -26,7 +26,8 @@
 // Options are the parts that a gate works with.
 type Options struct {
 	Fleet *fleet.Fleet
-	// Known tells whether it is known which zones are evacuated; nil where that never lapses.
+	// Known reports whether it is known which zones are evacuated and which engines are listed, and how; nil where
+	// that never lapses.
 	Known func() bool
 	// HeldBack is told of each request that was held back after its engine was chosen; nil for nobody.
 	HeldBack func(reason fleet.Hold)
@@ -46,10 +47,10 @@
 	return gate
 }
 
-// Known tells whether it is known which zones are evacuated.
+// Known reports whether it is known which engines may get requests.
 func (g *Gate) Known() bool { return g.options.Known == nil || g.options.Known() }
 
-// AwaitKnown waits for a short time until it is known which zones are evacuated, and tells whether it is.
+// AwaitKnown waits for a short time until it is known which engines may get requests, and reports whether it is.
 func (g *Gate) AwaitKnown(ctx context.Context) bool {
 	if g.Known() {
 		return true
