Hold back requests whose engine turned cold since it was chosen

A request that was chosen for a warm engine, and whose dial ended after the engine had turned cold, was sent there beyond the engine's rate. Nobody admitted it. Found by reading (review of slow start), shown by a test.

Cause: the last look before the first byte asked for the permit of a request, and one that was chosen for a warm engine has none. Ruled out: the pacer counts items that start at warm engines at the leader, not live requests of other nodes, so its margin is no bound.

Change: without a permit the look lets a request leave only while its engine does not count as cold; it is held back as paced, and goes to another engine as one that was not sent, as with a permit that has ended. Orders of weights are no requests and have a look of their own.

Tests: TestARequestDoesNotLeaveForAnEngineThatTurnedColdSinceItWasChosen failed before ("engines.sent[0] is turnedCold"); TestOnlyOrdersLeaveWithoutAPermitForAnEngineThatTurnedCold is new with the look at orders.

--- a/internal/core/fleet/evacuation.go
+++ b/internal/core/fleet/evacuation.go
@@ -28,7 +28,7 @@
 	// HeldUnknown: what this process knows of evacuations and engines is from before a standstill, and is read again
 	// shortly.
 	HeldUnknown
-	// HeldPaced: the engine is cold, and the permit to send to it has ended.
+	// HeldPaced: the engine is cold, and there is no permit to send to it, or it has ended.
 	HeldPaced
 )
 
--- a/internal/ingress/cold_test.go
+++ b/internal/ingress/cold_test.go
@@ -77,6 +77,27 @@
 	assert.Equal(t, len(permits.asked), 1)
 }
 
+// TestARequestDoesNotLeaveForAnEngineThatTurnedColdSinceItWasChosen guards against requests beyond an engine's rate
+// that were chosen for it while it was warm and whose dials ended later.
+func TestARequestDoesNotLeaveForAnEngineThatTurnedColdSinceItWasChosen(t *testing.T) {
+	engines := &slowConnections{}
+	relay, known := relayOfZones(engines)
+	withCold(relay, &scriptedPermits{denials: 9})
+	turnedCold := ""
+	engines.dial = func(engine fleet.Engine) {
+		if turnedCold == "" {
+			turnedCold = engine.ID
+			known.MarkDoubtful(engine.Incarnation(), fleet.Unreached, time.Now())
+		}
+	}
+	reply, failure := callOf(relay, "/x/1")
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, len(engines.sent), 1)
+	assert.Assert(t, engines.sent[0] != turnedCold)
+	assert.Equal(t, reply.Stamp, engines.sent[0])
+	assert.Assert(t, !known.Suspected(incarnation.ID{Engine: turnedCold}, time.Now()))
+}
+
 // TestARequestThatHasBegunWaitsForAPermit: a refusal would say that it did not run.
 func TestARequestThatHasBegunWaitsForAPermit(t *testing.T) {
 	permits := &scriptedPermits{denials: 2, wait: time.Millisecond, grant: "cold"}
--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -65,12 +65,25 @@
 	return false
 }
 
-// Look returns the last look at one request for an engine. A request to a cold engine has a permit;
-// nil stands for none, and none needed.
+// Look returns the last look at one request for an engine. One that was chosen for a cold engine has a permit;
+// without one, nil, a request leaves only while its engine does not count as cold.
 func (g *Gate) Look(engine incarnation.ID, permit func() bool) *Look {
+	if permit == nil {
+		permit = func() bool { return !g.isCold(engine) }
+	}
 	return &Look{gate: g, engine: engine, permit: permit}
 }
 
+// LookAtOrder is Look for an order of weights, which does not count in an engine's rate.
+func (g *Gate) LookAtOrder(engine incarnation.ID) *Look {
+	return &Look{gate: g, engine: engine, permit: func() bool { return true }}
+}
+
+func (g *Gate) isCold(engine incarnation.ID) bool {
+	_, cold := g.options.Fleet.Cold(engine, time.Now())
+	return cold
+}
+
 // Look is the last look at one request. It is safe for concurrent use.
 type Look struct {
 	gate   *Gate
@@ -102,7 +115,7 @@
 	if held := l.gate.options.Fleet.Hold(l.engine); held != fleet.NotHeld {
 		return held
 	}
-	if l.permit != nil && !l.permit() {
+	if !l.permit() {
 		return fleet.HeldPaced
 	}
 	return fleet.NotHeld
--- a/internal/sendgate/sendgate_test.go
+++ b/internal/sendgate/sendgate_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
 )
 
 func engineInZone(zone string) (*fleet.Fleet, fleet.Engine) {
@@ -56,6 +57,19 @@
 	assert.Assert(t, !gate.AwaitKnown(ctx))
 }
 
+// TestOnlyOrdersLeaveWithoutAPermitForAnEngineThatTurnedCold: a request was chosen for it while it was warm.
+func TestOnlyOrdersLeaveWithoutAPermitForAnEngineThatTurnedCold(t *testing.T) {
+	known, engine := engineInZone("za")
+	known.SetSlowStarts(map[string]routes.SlowStart{"s": {Period: time.Hour, RatePerSecond: 4}})
+	gate := New(Options{Fleet: known})
+	look, order := gate.Look(engine.Incarnation(), nil), gate.LookAtOrder(engine.Incarnation())
+	assert.Assert(t, look.MayLeave() && order.MayLeave())
+	known.MarkDoubtful(engine.Incarnation(), fleet.Unreached, time.Now())
+	assert.Assert(t, !look.MayLeave())
+	assert.Equal(t, look.Held(), fleet.HeldPaced)
+	assert.Assert(t, order.MayLeave())
+}
+
 // TestARequestToAColdEngineLeavesWhileItsPermitIsOpen, and an evacuation goes before it.
 func TestARequestToAColdEngineLeavesWhileItsPermitIsOpen(t *testing.T) {
 	known, engine := engineInZone("za")
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -90,7 +90,7 @@
 		return Refused
 	}
 	began := time.Now()
-	look := m.options.Gate.Look(engine.Incarnation(), nil)
+	look := m.options.Gate.LookAtOrder(engine.Incarnation())
 	callContext, cancel := permit.Bound(ctx)
 	defer cancel()
 	answer, err := m.options.Engines.Order(callContext, engine, Order{
