Count engines as first seen while the coverage of the list changes

In a large cluster a node that begins to follow another service, or stops following one, does not count engines that are listed meanwhile as cold, also those of services that it has followed all the time: all nodes in that state may send such an engine what a warm one gets.

Cause: one answer for all services, whether the newest full read was of what the node needs now. Engines may have been listed before only if their service was excluded from that read.

Change: the answer is asked for by the engine's service. coverage.isSteady goes; its two assertions ask the same of the service that is excluded, and also of one that is not.

Test: TestAnEngineThatIsListedWhileTheCoverageChangesCountsAsCold failed before: the engine of the followed service was warm.

--- a/internal/hosted/coverage.go
+++ b/internal/hosted/coverage.go
@@ -62,11 +62,11 @@
 	return true
 }
 
-// isSteady tells whether the newest whole read was of what this node needs now.
-func (c *coverage) isSteady() bool {
+// wasLeftOut reports whether the newest full read excluded a service, so that its engines may have been listed before.
+func (c *coverage) wasLeftOut(service string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Equal(c.loaded, c.leftOut)
+	return slices.Contains(c.loaded, service)
 }
 
 // read notes a whole read that left out these services.
--- a/internal/hosted/coverage_test.go
+++ b/internal/hosted/coverage_test.go
@@ -3,12 +3,14 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 // errStandIn stands in for whatever is wrong with a load.
@@ -42,18 +44,42 @@
 	n.takeEntry("d1", "desk")
 	assert.Equal(t, len(n.fleet.Services()), 2)
 	assert.Assert(t, n.coverage.change([]string{"models"}))
-	assert.Assert(t, !n.coverage.isSteady(), "the list was not read again yet")
+	assert.Assert(t, !n.coverage.wasLeftOut("models"), "the list was not read again yet")
 	n.takeEntry("m1", "models")
 	n.takeEntry("m2", "models")
 	assert.DeepEqual(t, n.fleet.Services(), []string{"desk"})
 	assert.Assert(t, !strings.Contains(logs.String(), "engine gone"))
 	n.coverage.read([]string{"models"})
-	assert.Assert(t, n.coverage.isSteady() && !n.coverage.isWhole())
+	assert.Assert(t, n.coverage.wasLeftOut("models") && !n.coverage.wasLeftOut("desk") && !n.coverage.isWhole())
 	assert.Assert(t, n.coverage.change(nil))
 	n.takeEntry("m2", "models")
 	assert.Equal(t, len(n.fleet.Engines("models")), 1)
 }
 
+// TestAnEngineThatIsListedWhileTheCoverageChangesCountsAsCold guards against a burst to an engine of a service that
+// this node followed all the time, where it was listed while another service was being added or left out.
+func TestAnEngineThatIsListedWhileTheCoverageChangesCountsAsCold(t *testing.T) {
+	n, _ := listReader()
+	n.fleet.SetSlowStarts(map[string]routes.SlowStart{
+		"desk":   {Period: time.Hour, RatePerSecond: 4},
+		"models": {Period: time.Hour, RatePerSecond: 4},
+	})
+	runRole(t, n.engines.Run)
+	testwait.Until(t, "the list is read", n.engines.IsLoaded)
+	n.coverage.change([]string{"models"})
+	n.coverage.read([]string{"models"})
+	n.coverage.change(nil)
+	n.takeEntry("d1", "desk")
+	n.takeEntry("m1", "models")
+	isCold := func(id string) bool {
+		engine, _ := n.fleet.Get(id)
+		_, cold := n.fleet.Cold(engine.Incarnation(), time.Now())
+		return cold
+	}
+	assert.Assert(t, isCold("d1"))
+	assert.Assert(t, !isCold("m1"), "it may have been there all the time, left out")
+}
+
 // TestOnlyWhoHoldsTheWholeListHandsItOn and may lead by it.
 func TestOnlyWhoHoldsTheWholeListHandsItOn(t *testing.T) {
 	var held coverage
--- a/internal/hosted/slowstart.go
+++ b/internal/hosted/slowstart.go
@@ -43,7 +43,7 @@
 // doubtNew counts an engine as cold that this process saw start: unlike one that was there when the
 // list was first read, or read for a service that this node had left out, which is as warm as its entry says.
 func (n *node) doubtNew(engine fleet.Engine, known bool) {
-	if !known && n.engines.IsLoaded() && n.coverage.isSteady() {
+	if !known && n.engines.IsLoaded() && !n.coverage.wasLeftOut(engine.Service) {
 		n.fleet.MarkDoubtful(engine.Incarnation(), fleet.FirstSeen, time.Now())
 	}
 }
