Bound the wait after a round of repeated work

Cause: the manager of orders spends a twentieth of its time on planning, and waits 19 times as long as a round took. The leader's process was stopped for 3.4 s within a round. Its log: "version to load" 2 at 55:53.077, the freeze from 55:54.2 on, "sending on after a standstill" at 55:57.638, and then no further "version to load" until 57:01.706: 3.4 s / 0.05 after the round. The rounds of the runner of items (0.25, 0.1 and 0.05 of its time) wait in the same way.

Change: the wait after a round is 2 s at most. Rounds of up to 100 ms keep to a twentieth of the time.

Test: TestARoundDuringAStandstillDoesNotPutOffTheNextForLong failed before with a wait of 1m4.6s.

--- a/internal/core/dutycycle/dutycycle.go
+++ b/internal/core/dutycycle/dutycycle.go
@@ -5,6 +5,10 @@
 
 import "time"
 
+// maxWait bounds the wait after a round. One that seems to have taken seconds did not work for so long: its process or
+// machine stood still.
+const maxWait = 2 * time.Second
+
 // Cycle paces one piece of repeated work. It is not safe for concurrent use.
 type Cycle struct {
 	period time.Duration
@@ -13,7 +17,7 @@
 }
 
 // New returns a cycle whose rounds begin at least period apart and take at most
-// the given share (0 to 1) of the time.
+// the given share (0 to 1) of the time, as far as that puts none off for longer than maxWait.
 func New(period time.Duration, share float64) *Cycle {
 	return &Cycle{period: period, share: share}
 }
@@ -27,5 +31,6 @@
 // Ended takes the time of a round.
 func (c *Cycle) Ended(began, ended time.Time) {
 	took := ended.Sub(began)
-	c.next = began.Add(max(c.period, time.Duration(float64(took)/c.share)))
+	wait := time.Duration(float64(took)/c.share) - took
+	c.next = ended.Add(max(began.Add(c.period).Sub(ended), min(wait, maxWait)))
 }
--- a/internal/core/dutycycle/dutycycle_test.go
+++ b/internal/core/dutycycle/dutycycle_test.go
@@ -31,3 +31,12 @@
 	share := worked.Seconds() / now.Sub(start).Seconds()
 	assert.Assert(t, share > 0.19 && share < 0.21, "%.2f of the time", share)
 }
+
+// TestARoundDuringAStandstillDoesNotPutOffTheNextForLong guards against a leader that ordered no weights for a minute
+// after its process had been stopped for seconds in the middle of a round.
+func TestARoundDuringAStandstillDoesNotPutOffTheNextForLong(t *testing.T) {
+	cycle := New(50*time.Millisecond, 0.05)
+	const standstill = 3400 * time.Millisecond
+	cycle.Ended(start, start.Add(standstill))
+	assert.Equal(t, cycle.Wait(start.Add(standstill)), 2*time.Second)
+}
