--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// knowledgeWait bounds how long a request waits until the evacuations are known. It covers a read
-	// of the log and a retry; after that another node serves the caller sooner.
+	// knowledgeWait bounds how long a request waits until it is known which engines may get it. It covers a
+	// read of the log and a retry; after that another node serves the caller sooner.
 	knowledgeWait = 300 * time.Millisecond
 	// knowledgeCheck is the interval between two checks during the wait.
 	knowledgeCheck = 10 * time.Millisecond
@@ -26,7 +26,8 @@
 // Options are the parts that a gate works with.
 type Options struct {
 	Fleet *fleet.Fleet
-	// Known reports whether the evacuations are known; nil if they always are.
+	// Known reports whether it is known which zones are evacuated and which engines are listed; nil if that
+	// never lapses.
 	Known func() bool
 	// HeldBack, if set, is called for each request that is held back after its engine was chosen.
 	HeldBack func(reason fleet.Hold)
@@ -46,10 +47,10 @@
 	return gate
 }
 
-// Known reports whether the evacuations are known.
+// Known reports whether it is known which engines may get requests.
 func (g *Gate) Known() bool { return g.options.Known == nil || g.options.Known() }
 
-// AwaitKnown waits at most knowledgeWait until the evacuations are known, and reports whether they are.
+// AwaitKnown waits at most knowledgeWait until it is known which engines may get requests, and reports whether it is.
 func (g *Gate) AwaitKnown(ctx context.Context) bool {
 	if g.Known() {
 		return true
@@ -64,12 +65,25 @@
 	return false
 }
 
-// Look returns the final check of one request for an engine. permit reports whether the permit of a
-// request to a cold engine is valid; nil if none is needed.
+// Look returns the final check of one request for an engine. permit reports whether the permit of a request to a
+// cold engine is valid; without one, nil, a request leaves only while its engine does not count as cold.
 func (g *Gate) Look(engine incarnation.ID, permit func() bool) *Look {
+	if permit == nil {
+		permit = func() bool { return !g.isCold(engine) }
+	}
 	return &Look{gate: g, engine: engine, permit: permit}
 }
 
+// LookAtOrder is Look for an order of weights, which does not count in an engine's rate.
+func (g *Gate) LookAtOrder(engine incarnation.ID) *Look {
+	return &Look{gate: g, engine: engine, permit: func() bool { return true }}
+}
+
+func (g *Gate) isCold(engine incarnation.ID) bool {
+	_, cold := g.options.Fleet.Cold(engine, time.Now())
+	return cold
+}
+
 // Look is the final check of one request. It is safe for concurrent use.
 type Look struct {
 	gate   *Gate
@@ -101,7 +115,7 @@
 	if held := l.gate.options.Fleet.Hold(l.engine); held != fleet.NotHeld {
 		return held
 	}
-	if l.permit != nil && !l.permit() {
+	if !l.permit() {
 		return fleet.HeldPaced
 	}
 	return fleet.NotHeld
