--- /dev/null
+++ b/internal/batchjobs/restart_test.go
@@ -0,0 +1,133 @@
+package batchjobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/pacing"
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+const (
+	narrowBytesPerSecond = 80_000_000
+	narrowReadTimeout    = 900 * time.Millisecond
+	narrowBacklog        = 2 * time.Second
+)
+
+// narrowLog hands out records at a rate that all reads share, in the order in which they come, also to readers that
+// have left. It refuses reads while too much is waiting.
+type narrowLog struct {
+	*memlog.Log
+
+	mu        sync.Mutex
+	busyUntil time.Time
+}
+
+// begin returns when so many bytes will have been handed out.
+func (l *narrowLog) begin(bytes int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(bytes) * time.Second / narrowBytesPerSecond)
+	return l.busyUntil
+}
+
+func (l *narrowLog) Read(
+	ctx context.Context, partition eventlog.Partition, from int64, limit int, wait time.Duration,
+) (eventlog.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+narrowReadTimeout)
+	defer cancel()
+	if time.Until(l.begin(0)) > narrowBacklog {
+		return eventlog.Batch{}, eventlog.ErrNotDone
+	}
+	read, err := l.Log.Read(ctx, partition, from, limit, wait)
+	if err != nil {
+		return read, err
+	}
+	size := 0
+	for _, record := range read.Records {
+		size += len(record)
+	}
+	timer := time.NewTimer(time.Until(l.begin(size)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return read, nil
+	case <-ctx.Done():
+		return eventlog.Batch{}, ctx.Err()
+	}
+}
+
+// jobInEachPartition accepts a job in each partition and returns their IDs.
+func jobInEachPartition(t *testing.T, service *Service, partitions int) []string {
+	t.Helper()
+	ids := make([]string, partitions)
+	for candidate, left := 0, partitions; left > 0; candidate++ {
+		id := fmt.Sprintf("job-%d", candidate)
+		number := service.PartitionOf(id)
+		if ids[number] != "" {
+			continue
+		}
+		ids[number] = id
+		left--
+		job := batch.JobRecord{ID: id, Items: []batch.ItemRecord{{ID: "i"}}}
+		assert.NilError(t, service.Accept(t.Context(), Submission{Job: job, Payloads: []batch.Payload{{}}}))
+	}
+	return ids
+}
+
+// TestReplicasThatRestartTogetherFindEveryJob guards against an index that is read in pieces so large that all replicas
+// together time out on each of them: after a restart of all machines no job could be read any more.
+func TestReplicasThatRestartTogetherFindEveryJob(t *testing.T) {
+	const partitions, replicas, indexBytes, recordBytes = 24, 18, 400 << 10, 2 << 10
+	synctest.Test(t, func(t *testing.T) {
+		below := memlog.New()
+		options := Options{
+			Partitions: partitions, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepJobs: 2 * time.Minute, Logger: zerolog.Nop(),
+			Budget: pacing.Budget{Limits: pacing.Limits{ReadsPerSecond: 16_000}, Nodes: func() int { return 300 }},
+		}
+		jobs := jobInEachPartition(t, New(below, options), partitions)
+		for number := range partitions {
+			for range indexBytes / recordBytes {
+				_, err := below.Append(t.Context(), eventlog.Partition{Topic: indexTopic, Number: number}, [][]byte{make([]byte, recordBytes)})
+				assert.NilError(t, err)
+			}
+		}
+		log := &narrowLog{Log: below}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running, queries sync.WaitGroup
+		for range replicas {
+			service := New(log, options)
+			running.Go(func() { _ = service.Run(ctx) })
+			for _, id := range jobs {
+				queries.Go(func() {
+					for ctx.Err() == nil {
+						if known, err := service.Knows(ctx, id); err == nil && known {
+							return
+						}
+						time.Sleep(time.Second)
+					}
+				})
+			}
+		}
+		time.AfterFunc(30*time.Second, cancel)
+		began := time.Now()
+		queries.Wait()
+		// Twice what the log takes to hand out the index to every replica once, and the pauses of those who ask.
+		limit := 2*time.Duration(replicas*partitions*indexBytes)*time.Second/narrowBytesPerSecond + 4*time.Second
+		assert.Assert(t, time.Since(began) <= limit, "%s, expected %s at most", time.Since(began), limit)
+		cancel()
+		running.Wait()
+	})
+}
