Read the job index in small pieces and back off while reads fail

Cause: every replica reads the whole index in pieces of 512 KB, 432 of them at once with 18 replicas and 24 partitions, 221 MB that a log of 80 MB a second hands out in 2.8 s; reads give up after 0.9 s, and are made again in full each 0.1 s. Change: pieces of 64 KB, of which a read that times out loses little; delays of 0.1 to 0.5 s between reads that fail. Ruled out: longer delays, since a new leader reads the index after an outage. Texts of jobs keep their pieces of 512 KB: only what is asked for is read.

--- a/internal/batchjobs/partition.go
+++ b/internal/batchjobs/partition.go
@@ -26,7 +26,9 @@
 	// small. It grows with the number of nodes.
 	idleReadPeriod    = time.Second
 	maxIdleReadPeriod = 30 * time.Second
-	retryDelay        = 100 * time.Millisecond
+	// indexReadLimit bounds one read of the index: replicas that restart together all read all of it, and a read
+	// that times out has to be made again in full.
+	indexReadLimit = 64 << 10
 	// freshness is the age up to which a read counts as current. It must be below a second:
 	// a position that a caller read at another node must be readable here that much later.
 	freshness = 900 * time.Millisecond
@@ -34,6 +36,9 @@
 	catchUpTimeout = 800 * time.Millisecond
 )
 
+// readRetries are the delays between reads that fail.
+var readRetries = retry.Policy{First: 100 * time.Millisecond, Longest: 500 * time.Millisecond}
+
 // partition reads one partition of the index.
 type partition struct {
 	log    eventlog.Log
@@ -98,13 +103,15 @@
 	case <-ctx.Done():
 	case <-p.activated:
 	}
+	failures := readRetries.Delays()
 	for ctx.Err() == nil {
 		atEnd, err := p.read(ctx, p.pollTime())
 		if err != nil && ctx.Err() == nil {
 			p.contactLost(err)
-			retry.Sleep(ctx, retryDelay)
+			retry.Sleep(ctx, failures.NextBackOff())
 			continue
 		}
+		failures.Reset()
 		if atEnd {
 			p.pause(ctx)
 		}
@@ -166,7 +173,7 @@
 	from := p.state.Next
 	p.mu.Unlock()
 	sent := boottime.Now()
-	read, err := p.log.Read(ctx, p.index, from, readLimit, wait)
+	read, err := p.log.Read(ctx, p.index, from, indexReadLimit, wait)
 	var gone *eventlog.GoneError
 	if errors.As(err, &gone) {
 		p.skipTo(gone.First)
