Back off by a node's own failures, not by the nodes that it knows

Cause: the spread over all nodes was taken before anything had failed, for replicas too, and it rested on the number of nodes known, which is one where the directory cannot be read. Change: the random part of the wait for replicas, and the delay after a full read that failed, begin small and double with each failure of this node and topic, up to 30 s; an answer of a replica ends that. Nothing in it needs to know the cluster.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,10 +40,11 @@
 	maxRefreshPeriod = 2 * time.Minute
 	refreshRecords   = 500
 	refreshJitter    = 0.3
-	// fullReadBytes is about how large a full read may be. Nodes whose full reads fail try again within the time
-	// that the log takes to hand out as much to all of them, fullReadSpread at most.
-	fullReadBytes  = 1 << 20
-	fullReadSpread = 30 * time.Second
+	// fullReadRetry is the longest time until the first full read that failed is tried again, maxFullReadRetry that
+	// until a later one: it doubles, so that nodes that know nothing of each other ask for less.
+	fullReadRetry    = 250 * time.Millisecond
+	maxFullReadRetry = 30 * time.Second
+	maxDoublings     = 7
 	// refreshDelay is the longest time for which a whole read that came due in an outage
 	// is postponed; it grows with the nodes.
 	refreshDelay    = 2 * time.Second
@@ -79,7 +80,9 @@
 	next    int64
 	// fullBytes is the size of the newest full read.
 	fullBytes int
-	healthy   bool
+	// failedLoads counts the reads that failed before the first full read, maxDoublings at the most.
+	failedLoads int
+	healthy     bool
 	// replica holds what was read, for other nodes.
 	replica *Replica
 	// loaded is closed after the first full read.
@@ -186,10 +189,12 @@
 // retryDelay is the time until a failed read is tried again. Nodes that have not read the topic yet make full reads.
 func (f *Follower) retryDelay(delays *retry.Delays) time.Duration {
 	delay := f.budget.Stretch(delays.NextBackOff(), maxReadRetry)
-	if !f.IsLoaded() {
-		delay += rand.N(max(f.budget.Spread(fullReadBytes, fullReadSpread), 1))
+	if f.IsLoaded() {
+		return delay
 	}
-	return delay
+	longest := min(fullReadRetry<<f.failedLoads, maxFullReadRetry)
+	f.failedLoads = min(f.failedLoads+1, maxDoublings)
+	return delay + rand.N(longest)
 }
 
 // gap is the time until the next read. None is left after an answer that had lain here while the process
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -154,7 +154,7 @@
 	log := logrelay.NewFallback(direct, n.directory.Others, n.counted(logrelay.NewClient(), logTraffic), logger)
 	n.directory.SetLog(log)
 	replicas := logrelay.NewReplicaReader(log, logrelay.ReplicaOptions{
-		Sources: n.directory.Sources, AwaitSources: n.directory.AwaitSettled, Budget: n.directory.Budget(),
+		Sources: n.directory.Sources, AwaitSources: n.directory.AwaitSettled,
 		LeftOut: n.leftOutOf, Client: n.counted(logrelay.NewClient(), replicaTraffic),
 	})
 	n.control = follow.New(replicas, platform.ControlTopic(), n.takeControl, n.directory.Budget(), logger)
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -11,7 +11,6 @@
 
 	"github.com/corkpulley/corkpulley/internal/common/pauses"
 	"github.com/corkpulley/corkpulley/internal/common/retry"
-	"github.com/corkpulley/corkpulley/internal/core/pacing"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -38,11 +37,9 @@
 	// reading keep the replicas from it.
 	tailPatience  = 300 * time.Millisecond
 	wholePatience = 2 * time.Second
-	// fullReadBytes is about how large a full read may be, and maxSpread bounds the time over which nodes that get
-	// no answer of replicas spread such reads.
-	fullReadBytes = 1 << 20
-	maxSpread     = 30 * time.Second
-	// maxDoublings bounds how often the patience of reads of changes doubles.
+	// maxSpread bounds the time over which nodes that get no answer of replicas spread their reads of the log.
+	maxSpread = 30 * time.Second
+	// maxDoublings bounds how often the patience doubles.
 	maxDoublings = 10
 	// askAgain is the time between two looks for a replica that answers.
 	askAgain = 100 * time.Millisecond
@@ -55,8 +52,6 @@
 	// AwaitSources waits until the node knows whether there are replicas, as long as that makes sense; nil for
 	// no wait.
 	AwaitSources func(ctx context.Context)
-	// Budget is what all nodes together may read of the log.
-	Budget pacing.Budget
 	// LeftOut returns the classes of a topic's records that this node does without; nil for none. The log itself
 	// returns all records.
 	LeftOut func(topic string) []string
@@ -98,8 +93,7 @@
 		r.awaited.Do(func() { r.options.AwaitSources(ctx) })
 	}
 	call := request{Operation: opReplicaNewest, Topic: topic, LeftOut: r.options.LeftOut(topic)}
-	spread := r.options.Budget.Spread(fullReadBytes, maxSpread)
-	answer, known, _ := r.askPatiently(ctx, call, newestTimeout, wholePatience+draw(max(wholePatience, spread)))
+	answer, known, _ := r.askPatiently(ctx, call, newestTimeout, r.patience(topic, wholePatience))
 	if !known {
 		batch, err := r.Log.Newest(ctx, topic)
 		r.readFromLog(topic, err)
@@ -117,7 +111,7 @@
 		LeftOut: r.options.LeftOut(topic),
 	}
 	retry.Sleep(ctx, r.gapLeft(topic))
-	answer, known, err := r.askPatiently(ctx, call, call.Wait+replicaTimeout, r.tailPatience(topic))
+	answer, known, err := r.askPatiently(ctx, call, call.Wait+replicaTimeout, r.patience(topic, tailPatience))
 	if !known {
 		batch, err := r.Log.ReadKeyed(ctx, topic, from, wait)
 		r.readFromLog(topic, err)
@@ -139,14 +133,13 @@
 // draw returns a random time below the limit.
 func draw(limit time.Duration) time.Duration { return rand.N(max(limit, 1)) }
 
-// tailPatience is how long a read of changes waits for replicas. It doubles with each read that the log itself did
-// not answer: the changes may be large, and all nodes may be asking for them.
-func (r *ReplicaReader) tailPatience(topic string) time.Duration {
+// patience is how long a read waits for replicas, which takes the given time at the least. Its random part doubles with
+// each read that the log itself did not answer: the records may be large, and all nodes may be asking for them.
+func (r *ReplicaReader) patience(topic string, least time.Duration) time.Duration {
 	r.mu.Lock()
 	failed := r.failed[topic]
 	r.mu.Unlock()
-	spread := r.options.Budget.Spread(fullReadBytes, maxSpread)
-	return tailPatience + draw(max(tailPatience, min(tailPatience<<failed, spread)))
+	return least + draw(min(least<<failed, maxSpread))
 }
 
 // readFromLog records how a read of the log in place of replicas ended.
@@ -203,6 +196,7 @@
 	}
 	r.mu.Lock()
 	r.readAt[call.Topic] = time.Now()
+	delete(r.failed, call.Topic)
 	r.mu.Unlock()
 	return answer, true, nil
 }
--- a/internal/logrelay/restart_test.go
+++ b/internal/logrelay/restart_test.go
@@ -30,6 +30,8 @@
 	bytes     int
 	lost      int
 	newest    int
+	// noDirectory has the log refuse reads of the directory.
+	noDirectory bool
 }
 
 // narrowLimits are what the log serves to all nodes together.
@@ -98,6 +100,9 @@
 ) (eventlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+narrowReadTimeout)
 	defer cancel()
+	if l.noDirectory && partition.Topic == directoryTopic {
+		return eventlog.Batch{}, eventlog.ErrNotDone
+	}
 	if err := l.admit(); err != nil {
 		return eventlog.Batch{}, err
 	}
@@ -212,7 +217,7 @@
 	self := selfOf(number)
 	directory := NewDirectory(c.log, self, narrowLimits, zerolog.Nop())
 	reader := NewReplicaReader(c.log, ReplicaOptions{
-		Sources: directory.Sources, AwaitSources: directory.AwaitSettled, Budget: directory.Budget(),
+		Sources: directory.Sources, AwaitSources: directory.AwaitSettled,
 		Client: &http.Client{Transport: c},
 	})
 	follower := follow.New(reader, followed, func(eventlog.KeyedRecord) {}, directory.Budget(), zerolog.Nop())
@@ -255,9 +260,14 @@
 // configurationBytes is the size of a configuration that fills a page of the platform's log.
 const configurationBytes = 900_000
 
-// restart starts so many nodes at once, behind a history of eight announcements of each. They do not reach each other
-// if isCut is true.
-func restart(t *testing.T, nodes int, isCut bool) (result restarted) {
+// restartFaults are what goes wrong beside a restart.
+type restartFaults struct {
+	// isCut: the nodes do not reach each other. noDirectory: the log refuses reads of the directory.
+	isCut, noDirectory bool
+}
+
+// restart starts so many nodes at once, behind a history of eight announcements of each.
+func restart(t *testing.T, nodes int, faults restartFaults) (result restarted) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		below := memlog.New()
@@ -266,9 +276,11 @@
 			announceAll(t, below, nodes)
 		}
 		c := &cluster{
-			log:      &narrowLog{Log: below, bytesPerSecond: narrowLimits.BytesPerSecond},
+			log: &narrowLog{
+				Log: below, bytesPerSecond: narrowLimits.BytesPerSecond, noDirectory: faults.noDirectory,
+			},
 			handlers: make(map[string]http.Handler),
-			isCut:    isCut,
+			isCut:    faults.isCut,
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
@@ -299,7 +311,7 @@
 	t.Helper()
 	result, found := restarts[nodes]
 	if !found {
-		result = restart(t, nodes, false)
+		result = restart(t, nodes, restartFaults{})
 		restarts[nodes] = result
 	}
 	return result
@@ -327,7 +339,7 @@
 // made again at once, where there are no replicas: in a smaller cluster, or where no node reaches another.
 func TestNodesThatReadFromTheLogSpreadTheirReads(t *testing.T) {
 	for _, nodes := range []int{90, 240} {
-		result := restart(t, nodes, true)
+		result := restart(t, nodes, restartFaults{isCut: true})
 		// Half of what the log serves is theirs.
 		ideal := nodes * configurationBytes * 4 / 3 / (narrowLimits.BytesPerSecond / 2)
 		assert.Assert(t, result.seconds <= ideal+10, "%d nodes: %+v", nodes, result)
