Read the directory back until no new node appears, whoever announces itself more often

Cause: one in eight nodes seen twice was taken to mean that all others were seen once, but nodes that have restarted announce themselves after 5 s. Beside it, what had been read counted only once the whole of it was there, so that a node counted as alone until then. Change: as many announcements as there are nodes, the oldest ones read, have to name about no new node (one in sixteen); each step counts at once.

--- a/internal/logrelay/bootstrap.go
+++ b/internal/logrelay/bootstrap.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,9 +16,10 @@
 	recentBytes   = 16 << 10
 	// endBytes bounds the read that finds the end of the directory.
 	endBytes = 1 << 10
-	// repeatedShare is one in how many nodes must have announced themselves twice in what was read: all others
-	// have announced themselves once then, since their periods are alike.
-	repeatedShare = 8
+	// newShare is one in how many announcements may be of a node that later ones did not name, in as many as there are
+	// nodes, once each node has been seen. Nodes that have restarted announce themselves more often than others, but
+	// each of the others does so once in its period.
+	newShare = 16
 	// firstPatience and longestPatience bound how much longer than the log's usual time a node waits for the first
 	// answers. An answer that comes late has been paid for by the log, and giving it up has the log pay again.
 	firstPatience   = 500 * time.Millisecond
@@ -33,13 +35,31 @@
 	// first one that is not read backwards.
 	located   bool
 	low, high int64
-	// announced is what was read, in the order of the offsets, and nodes who announced themselves there.
-	announced []member
-	nodes     map[string]bool
+	// nodes are those who announced themselves in what was read, and steps how many announcements of new and of known
+	// ones each step brought.
+	nodes map[string]bool
+	steps []bootstrapStep
 	// patience grows while the log does not answer.
 	patience time.Duration
 }
 
+// bootstrapStep counts what a step backwards read.
+type bootstrapStep struct{ announcements, newNodes int }
+
+// isComplete reports whether the oldest announcements read, as many as there are nodes, name about no node that later
+// ones did not name.
+func (b *bootstrap) isComplete() bool {
+	announcements, newNodes := 0, 0
+	for _, step := range slices.Backward(b.steps) {
+		if announcements >= len(b.nodes) {
+			break
+		}
+		announcements += step.announcements
+		newNodes += step.newNodes
+	}
+	return announcements >= len(b.nodes) && newNodes*newShare <= announcements
+}
+
 // readRecent goes on with the bootstrap as far as the log answers, and reports whether that ended it.
 func (d *Directory) readRecent(ctx context.Context) bool {
 	partition := eventlog.Partition{Topic: directoryTopic}
@@ -49,8 +69,10 @@
 			return false
 		}
 	}
-	d.apply(d.bootstrap.announced)
 	d.next = d.bootstrap.high
+	if listed := len(d.bootstrap.nodes); listed > 0 {
+		d.logger.Info().Int("listed", listed).Int("known", listed).Msg("nodes listed")
+	}
 	d.bootstrap = bootstrap{done: true}
 	return true
 }
@@ -66,14 +88,12 @@
 	if err != nil {
 		return err
 	}
-	state.announced = append(members, state.announced...)
-	for _, each := range members {
-		state.nodes[each.Node] = true
-	}
+	known := len(state.nodes)
+	d.applyOlder(members)
+	state.steps = append(state.steps, bootstrapStep{announcements: len(members), newNodes: len(state.nodes) - known})
 	state.low = first
 	d.progressed()
-	repeated := len(state.announced) - len(state.nodes)
-	state.done = first > from || first == 0 || repeated*repeatedShare >= len(state.nodes)
+	state.done = first > from || first == 0 || state.isComplete()
 	return nil
 }
 
@@ -119,3 +139,16 @@
 	}
 	return members, first, nil
 }
+
+// applyOlder records announcements, the newest last, that lie before all that were read so far.
+func (d *Directory) applyOlder(announced []member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, each := range slices.Backward(announced) {
+		if !d.bootstrap.nodes[each.Node] {
+			d.bootstrap.nodes[each.Node] = true
+			d.members[each.Node], d.seenAt[each.Node] = each, now
+		}
+	}
+}
--- /dev/null
+++ b/internal/logrelay/bootstrap_test.go
@@ -0,0 +1,45 @@
+package logrelay
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+// TestNodesThatRestartedHideNoOthers guards against a new node that knows only a part of the cluster, and takes wrong
+// nodes for replicas, since those that have just restarted announce themselves more often than the others.
+func TestNodesThatRestartedHideNoOthers(t *testing.T) {
+	const tenths = 10
+	for _, check := range []struct {
+		nodes, periodTenths, restartedZones int
+	}{
+		{300, 9*tenths + 5, 1}, {985, 30 * tenths, 1}, {300, 9*tenths + 5, 3}, {985, 30 * tenths, 3},
+	} {
+		log := memlog.New()
+		announce := func(number int) {
+			directory := NewDirectory(log, selfOf(number), narrowLimits, zerolog.Nop())
+			assert.NilError(t, directory.announce(t.Context(), maxAnnouncePeriod))
+		}
+		// For ten periods all announce themselves; some zones restart 6 s before the end, and again announce themselves
+		// 1 s before it.
+		for left := 10 * check.periodTenths; left > 0; left-- {
+			for number := range check.nodes {
+				hasRestarted := number%6 < check.restartedZones
+				switch {
+				case hasRestarted && left <= 6*tenths:
+					if left == 6*tenths || left == tenths {
+						announce(number)
+					}
+				case (left+number*7919)%check.periodTenths == 0:
+					announce(number)
+				}
+			}
+		}
+		directory := NewDirectory(log, Self{Node: "own", Address: "10.1.0.1:7000", Zone: "zone-5"}, narrowLimits, zerolog.Nop())
+		assert.Assert(t, directory.read(t.Context()))
+		assert.Assert(t, directory.Nodes() >= check.nodes*97/100, "%d of %+v", directory.Nodes(), check)
+	}
+}
