--- a/internal/core/dutycycle/dutycycle.go
+++ b/internal/core/dutycycle/dutycycle.go
@@ -5,8 +5,8 @@
 
 import "time"
 
-// maxWait bounds the wait after a round. One that seems to have taken seconds did not work for so long: its process or
-// machine stood still.
+// maxWait bounds the wait after work. Longer work exceeds its share (at a share of 1/20 from 105 ms on), since work
+// during which the process stood still cannot be told from it.
 const maxWait = 2 * time.Second
 
 // Cycle paces one piece of repeated work. It is not safe for concurrent use.
--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -8,7 +8,7 @@
 	// readsPerNode estimates a node's reads per second at its base periods.
 	readsPerNode = 50
 	// sharedPart is the part of the log's budget that paced reads may take; the
-	// rest is for those that somebody waits for.
+	// rest is for reads that a caller waits for.
 	sharedPart = 0.5
 )
 
@@ -20,15 +20,15 @@
 	BytesPerSecond int
 }
 
-// Budget is a node's share of the limits.
+// Budget paces the reads of one of the nodes that share the limits.
 type Budget struct {
 	Limits
 	// Nodes returns the number of nodes that share them; nil for a single one.
 	Nodes func() int
 }
 
-// Spread returns the time over which all nodes have to spread reads of so many bytes each, so that they take no
-// more than their part of what the log serves; zero where that is not bounded.
+// Spread returns the shortest period at which all nodes can each read so many bytes within their part of what the
+// log serves, up to the limit; zero where bytes are not bounded.
 func (b Budget) Spread(bytes int, limit time.Duration) time.Duration {
 	if b.BytesPerSecond <= 0 || b.Nodes == nil {
 		return 0
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -41,10 +41,11 @@
 	refreshRecords   = 500
 	refreshJitter    = 0.3
 	// fullReadRetry is the longest time until the first full read that failed is tried again, maxFullReadRetry that
-	// until a later one: it doubles, so that nodes that know nothing of each other ask for less.
+	// until a later one: it doubles, so that nodes that do not know each other yet do not overload the log.
 	fullReadRetry    = 250 * time.Millisecond
 	maxFullReadRetry = 30 * time.Second
-	maxDoublings     = 7
+	// maxDoublings is enough for fullReadRetry to reach maxFullReadRetry.
+	maxDoublings = 7
 	// refreshDelay is the longest time for which a whole read that came due in an outage
 	// is postponed; it grows with the nodes.
 	refreshDelay    = 2 * time.Second
@@ -75,6 +76,7 @@
 	budget  pacing.Budget
 	logger  zerolog.Logger
 
+	// The fields from here to classOf are used by Run's goroutine only, except for replica and loaded.
 	// offsets holds the offset of the newest record handled for each key.
 	offsets map[string]int64
 	next    int64
@@ -114,8 +116,7 @@
 // Classify has readers of the replica leave out whole classes of records; before Run only.
 func (f *Follower) Classify(classOf func(record eventlog.KeyedRecord) string) { f.classOf = classOf }
 
-// Reload has the topic read whole once more, since what its reads bring has changed. The channel is closed
-// after that.
+// Reload forces a full resync of the topic. The channel is closed after it.
 func (f *Follower) Reload() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -250,7 +251,7 @@
 	return nil
 }
 
-// untilRefresh is the time until the next full read: long enough for the log to hand out as much to all nodes.
+// untilRefresh is the time until the next full read: long enough for the log to serve it to all nodes.
 func (f *Follower) untilRefresh() time.Duration {
 	size := 1 + len(f.offsets)/refreshRecords
 	period := f.budget.Stretch(time.Duration(size)*refreshPeriod, maxRefreshPeriod)
--- a/internal/hosted/standstill.go
+++ b/internal/hosted/standstill.go
@@ -16,8 +16,7 @@
 // worked by then mean that the log is away for all: no operator could have written an evacuation.
 const unknownAtMost = 1500 * time.Millisecond
 
-// lateOrderTime is how long after a standstill an operator's order may have lain here since before it. Calls
-// that have lain are handled at once, also where a processor is short.
+// lateOrderTime bounds how long after a standstill a call may still be handled that arrived before it.
 const lateOrderTime = 2 * time.Second
 
 // placementKnowledge reports whether this node knows which engines may get requests, and at which rate. After
@@ -43,6 +42,7 @@
 	}
 }
 
+// known reports whether requests may be sent. The first call after a standstill that does logs it.
 func (k *placementKnowledge) known() bool {
 	woke := k.wokeAt()
 	if settled := k.settled.Load(); woke.IsZero() || settled != nil && settled.Equal(woke) {
--- a/internal/logrelay/bootstrap.go
+++ b/internal/logrelay/bootstrap.go
@@ -20,10 +20,11 @@
 	// nodes, once each node has been seen. Nodes that have restarted announce themselves more often than others, but
 	// each of the others does so once in its period.
 	newShare = 16
-	// firstPatience and longestPatience bound how much longer than the log's usual time a node waits for the first
-	// answers. An answer that comes late has been paid for by the log, and giving it up has the log pay again.
-	firstPatience   = 500 * time.Millisecond
-	longestPatience = 4 * time.Second
+	// minPatience and maxPatience bound the wait of a read after an earlier one failed; the first has none. The records
+	// exist, so that the wait only extends the read's timeout: an answer that arrives after it costs the log as much
+	// again.
+	minPatience = 500 * time.Millisecond
+	maxPatience = 4 * time.Second
 )
 
 // bootstrap reads the directory from its end backwards, until it holds an announcement of each node. What lies
@@ -39,7 +40,7 @@
 	// ones each step brought.
 	nodes map[string]bool
 	steps []bootstrapStep
-	// patience grows while the log does not answer.
+	// patience is the wait of the next read; it doubles with each read that fails.
 	patience time.Duration
 }
 
@@ -65,7 +66,7 @@
 	partition := eventlog.Partition{Topic: directoryTopic}
 	for !d.bootstrap.done {
 		if err := d.stepBack(ctx, partition); err != nil {
-			d.bootstrap.patience = min(max(firstPatience, 2*d.bootstrap.patience), longestPatience)
+			d.bootstrap.patience = min(max(minPatience, 2*d.bootstrap.patience), maxPatience)
 			return false
 		}
 	}
@@ -92,12 +93,13 @@
 	d.applyOlder(members)
 	state.steps = append(state.steps, bootstrapStep{announcements: len(members), newNodes: len(state.nodes) - known})
 	state.low = first
-	d.progressed()
+	d.recordRead()
+	// The log keeps no older records if the read began later than requested.
 	state.done = first > from || first == 0 || state.isComplete()
 	return nil
 }
 
-// locateEnd finds where the directory ends.
+// locateEnd reads a few of the oldest records, since a read also reports the partition's end.
 func (d *Directory) locateEnd(ctx context.Context, partition eventlog.Partition) error {
 	state := &d.bootstrap
 	batch, err := d.log.Read(ctx, partition, 0, endBytes, state.patience)
--- a/internal/logrelay/bootstrap_test.go
+++ b/internal/logrelay/bootstrap_test.go
@@ -23,8 +23,7 @@
 			directory := NewDirectory(log, selfOf(number), narrowLimits, zerolog.Nop())
 			assert.NilError(t, directory.announce(t.Context(), maxAnnouncePeriod))
 		}
-		// For ten periods all announce themselves; some zones restart 6 s before the end, and again announce themselves
-		// 1 s before it.
+		// The times are tenths of a second before the new node starts.
 		for left := 10 * check.periodTenths; left > 0; left-- {
 			for number := range check.nodes {
 				hasRestarted := number%6 < check.restartedZones
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -46,8 +46,8 @@
 	Processors float64 `msgpack:"p,omitempty"`
 	// Version is the protocol version of the node's build; zero in builds that announced none.
 	Version clusterversion.Version `msgpack:"v,omitempty"`
-	// Life is the time after which the node is forgotten unless it is heard again.
-	Life time.Duration `msgpack:"l"`
+	// TTL is how long the announcement stays valid.
+	TTL time.Duration `msgpack:"l"`
 }
 
 // Directory knows where other nodes listen.
@@ -56,11 +56,11 @@
 	own    member
 	limits pacing.Limits
 	logger zerolog.Logger
-	// bootstrap reads the newest announcements; used by Run's goroutine only.
+	// bootstrap reads the newest announcements, and next is the offset to read from; used by Run's goroutine only.
 	bootstrap bootstrap
+	next      int64
 
 	mu      sync.Mutex
-	next    int64
 	members map[string]member
 	seenAt  map[string]time.Time
 	// sources are the replicas that this node asks, isReplica whether it is one.
@@ -70,10 +70,10 @@
 	// found about the same nodes.
 	known   chan struct{}
 	settled chan struct{}
-	// counted is the number of nodes that the read before found; zero before the first one.
-	counted int
-	// progressAt is when the directory was read last.
-	progressAt time.Time
+	// lastSize is the number of nodes that the read before found; zero before the first one.
+	lastSize int
+	// lastReadAt is when the directory was read last.
+	lastReadAt time.Time
 }
 
 // Self says who this node is.
@@ -176,12 +176,12 @@
 	return nodes
 }
 
-// alive tells whether another node was heard within its life; mu is held.
+// alive tells whether another node announced itself within its TTL; mu is held.
 func (d *Directory) alive(node string) bool {
-	return node != d.own.Node && time.Since(d.seenAt[node]) < d.members[node].Life
+	return node != d.own.Node && time.Since(d.seenAt[node]) < d.members[node].TTL
 }
 
-// Budget is what all nodes together may read of the log.
+// Budget returns the pacing of this node's reads.
 func (d *Directory) Budget() pacing.Budget {
 	return pacing.Budget{Limits: d.limits, Nodes: d.Nodes}
 }
@@ -217,7 +217,7 @@
 
 func (d *Directory) announce(ctx context.Context, period time.Duration) error {
 	own := d.own
-	own.Life = missedAnnouncements * period
+	own.TTL = missedAnnouncements * period
 	raw, err := msgpack.Marshal(&own)
 	if err != nil {
 		return errors.Wrap(err, "encode the member")
@@ -271,10 +271,8 @@
 			Msg("sources of followed topics changed")
 	}
 	d.isReplica, d.sources = isReplica, sources
-	d.noteSize(len(members))
-	select {
-	case <-d.known:
-	default:
+	d.observeSize(len(members))
+	if !isClosed(d.known) {
 		close(d.known)
 	}
 }
@@ -325,7 +323,7 @@
 		return false
 	}
 	d.next += int64(len(batch.Records))
-	d.progressed()
+	d.recordRead()
 	d.apply(decodeMembers(batch.Records, batch.First, d.logger))
 	return true
 }
@@ -357,7 +355,7 @@
 		d.members[each.Node], d.seenAt[each.Node] = each, now
 	}
 	if listed > 0 {
-		// One line for all: a line a node at each node would be the most of all lines.
+		// One line for all: nodes times nodes lines would outnumber all others.
 		d.logger.Info().Int("listed", listed).Int("known", len(d.members)).Msg("nodes listed")
 	}
 }
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -32,16 +32,16 @@
 	// know enough: it has lost the log, or has just started.
 	brokenPause = 3 * time.Second
 	stalePause  = 300 * time.Millisecond
-	// tailPatience and wholePatience are how long reads wait for replicas before the log itself is asked: at the
-	// least, and up to twice as long, each node for itself. Nodes that read from the log what replicas are still
-	// reading keep the replicas from it.
-	tailPatience  = 300 * time.Millisecond
-	wholePatience = 2 * time.Second
-	// maxSpread bounds the time over which nodes that get no answer of replicas spread their reads of the log.
-	maxSpread = 30 * time.Second
-	// maxDoublings bounds how often the patience doubles.
+	// minTailWait and minNewestWait are the least times that reads wait for replicas before they go to the log. A
+	// random part of the same length is added; it doubles with each read of the log that fails. Nodes that read from
+	// the log what replicas are still reading keep the replicas from it.
+	minTailWait   = 300 * time.Millisecond
+	minNewestWait = 2 * time.Second
+	// maxRandomWait bounds the random part.
+	maxRandomWait = 30 * time.Second
+	// maxDoublings keeps the doubled wait from overflowing; maxRandomWait is reached before.
 	maxDoublings = 10
-	// askAgain is the time between two looks for a replica that answers.
+	// askAgain is the time between two attempts to find a replica that answers.
 	askAgain = 100 * time.Millisecond
 )
 
@@ -93,10 +93,10 @@
 		r.awaited.Do(func() { r.options.AwaitSources(ctx) })
 	}
 	call := request{Operation: opReplicaNewest, Topic: topic, LeftOut: r.options.LeftOut(topic)}
-	answer, known, _ := r.askPatiently(ctx, call, newestTimeout, r.patience(topic, wholePatience))
+	answer, known, _ := r.askUntil(ctx, call, newestTimeout, r.waitForReplicas(topic, minNewestWait))
 	if !known {
 		batch, err := r.Log.Newest(ctx, topic)
-		r.readFromLog(topic, err)
+		r.recordLogRead(topic, err)
 		return batch, err
 	}
 	return eventlog.KeyedBatch{Records: answer.Keyed, Next: answer.Offset}, nil
@@ -111,10 +111,10 @@
 		LeftOut: r.options.LeftOut(topic),
 	}
 	retry.Sleep(ctx, r.gapLeft(topic))
-	answer, known, err := r.askPatiently(ctx, call, call.Wait+replicaTimeout, r.patience(topic, tailPatience))
+	answer, known, err := r.askUntil(ctx, call, call.Wait+replicaTimeout, r.waitForReplicas(topic, minTailWait))
 	if !known {
 		batch, err := r.Log.ReadKeyed(ctx, topic, from, wait)
-		r.readFromLog(topic, err)
+		r.recordLogRead(topic, err)
 		return batch, err
 	}
 	if err != nil {
@@ -133,17 +133,17 @@
 // draw returns a random time below the limit.
 func draw(limit time.Duration) time.Duration { return rand.N(max(limit, 1)) }
 
-// patience is how long a read waits for replicas, which takes the given time at the least. Its random part doubles with
-// each read that the log itself did not answer: the records may be large, and all nodes may be asking for them.
-func (r *ReplicaReader) patience(topic string, least time.Duration) time.Duration {
+// waitForReplicas returns how long a read waits for replicas, the given time at the least. Its random part doubles with
+// each read that the log itself did not answer: the records may be large, and all nodes may be reading them.
+func (r *ReplicaReader) waitForReplicas(topic string, least time.Duration) time.Duration {
 	r.mu.Lock()
 	failed := r.failed[topic]
 	r.mu.Unlock()
-	return least + draw(min(least<<failed, maxSpread))
+	return least + draw(min(least<<failed, maxRandomWait))
 }
 
-// readFromLog records how a read of the log in place of replicas ended.
-func (r *ReplicaReader) readFromLog(topic string, err error) {
+// recordLogRead counts failures of reads that the log was to answer in place of replicas.
+func (r *ReplicaReader) recordLogRead(topic string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var gone *eventlog.GoneError
@@ -154,18 +154,18 @@
 	r.failed[topic] = min(r.failed[topic]+1, maxDoublings)
 }
 
-// askPatiently asks replicas until one answers or the patience is over. It does not wait where the cluster has no
+// askUntil asks replicas until one answers or the wait is over. It does not wait where the cluster has no
 // replicas.
-func (r *ReplicaReader) askPatiently(
-	ctx context.Context, call request, timeout, patience time.Duration,
+func (r *ReplicaReader) askUntil(
+	ctx context.Context, call request, timeout, wait time.Duration,
 ) (answer response, known bool, err error) {
-	until := time.Now().Add(patience)
+	until := time.Now().Add(wait)
 	for {
 		answer, known, err = r.ask(ctx, call, timeout)
 		if known || len(r.options.Sources()) == 0 || time.Now().After(until) || !retry.Sleep(ctx, askAgain) {
 			return answer, known, err
 		}
-		// The time in which the first replica might have told of a change has passed.
+		// The time in which the first replica might have reported a change has passed.
 		call.Wait = 0
 	}
 }
--- a/internal/logrelay/settle.go
+++ b/internal/logrelay/settle.go
@@ -6,10 +6,9 @@
 )
 
 const (
-	// settlingReadPeriod is the time between two reads while the cluster is still being listed, and
-	// settledGrowth the part by which a read may find more nodes than the one before once it is. A partition
-	// takes some 500 announcements a second, so that a thousand nodes that start together know of each other
-	// after two seconds.
+	// settlingReadPeriod is the time between two reads until the directory has settled; it grows with the nodes, up to
+	// maxSettlingReadPeriod. settledGrowth is the most by which a read may find more nodes than the one before once it
+	// has.
 	settlingReadPeriod    = 100 * time.Millisecond
 	maxSettlingReadPeriod = time.Second
 	settledGrowth         = 0.05
@@ -27,17 +26,10 @@
 	return d.Budget().Stretch(settlingReadPeriod, maxSettlingReadPeriod)
 }
 
-func (d *Directory) isSettled() bool {
-	select {
-	case <-d.settled:
-		return true
-	default:
-		return false
-	}
-}
+func (d *Directory) isSettled() bool { return isClosed(d.settled) }
 
-// AwaitSettled waits until the node knows about how large the cluster is, as far as that can be known: what
-// is large is read from the log by a few nodes of a large cluster only.
+// AwaitSettled waits until the directory has settled, within settleLimit and maxSettleLimit. Before that a node of a
+// large cluster does not know that replicas read large topics for it.
 func (d *Directory) AwaitSettled(ctx context.Context) {
 	began := time.Now()
 	for {
@@ -58,30 +50,30 @@
 	}
 }
 
-// progressed records that the directory was read.
-func (d *Directory) progressed() {
+// recordRead records that the directory was read.
+func (d *Directory) recordRead() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.progressAt = time.Now()
+	d.lastReadAt = time.Now()
 }
 
 // lastProgress returns when the directory was read last, or since when that is awaited.
 func (d *Directory) lastProgress(since time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.progressAt.After(since) {
-		return d.progressAt
+	if d.lastReadAt.After(since) {
+		return d.lastReadAt
 	}
 	return since
 }
 
-// noteSize compares the nodes known with those that the read before found; mu is held.
-func (d *Directory) noteSize(nodes int) {
+// observeSize compares the nodes known with those that the read before found; mu is held.
+func (d *Directory) observeSize(nodes int) {
 	if d.isSettled() {
 		return
 	}
-	if d.counted > 0 && float64(nodes) <= float64(d.counted)*(1+settledGrowth) {
+	if d.lastSize > 0 && float64(nodes) <= float64(d.lastSize)*(1+settledGrowth) {
 		close(d.settled)
 	}
-	d.counted = nodes
+	d.lastSize = nodes
 }
--- a/internal/logrelay/versions.go
+++ b/internal/logrelay/versions.go
@@ -11,8 +11,9 @@
 const ownRecordAge = maxAnnouncePeriod + 2*maxReadPeriod
 
 // Versions returns the versions of the live nodes. The view is current while this node finds its own announcements
-// in the directory: reads that fail, or lag behind, show others as gone that are live. For the same reason the others
-// are not known any more where these announcements have ceased.
+// in the directory: reads that fail, or lag behind, show others as gone that are live. Known is false
+// once its own announcement is older than ownRecordAge: others may have been missed. It is true before the first one is
+// found.
 func (d *Directory) Versions() clusterversion.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/logusage/logusage.go
+++ b/internal/logusage/logusage.go
@@ -28,9 +28,9 @@
 const (
 	// Answered: the log carried the call out, or said why its condition does not hold.
 	Answered Outcome = "answered"
-	// Refused: the log did not carry the call out.
+	// Refused: the log did not carry the call out, or was not reached.
 	Refused Outcome = "refused"
-	// Unanswered: the call timed out, or its connection ended.
+	// Unanswered: whether the log carried the call out is not known, or its answer did not arrive in full.
 	Unanswered Outcome = "unanswered"
 	// Abandoned: the caller ended the call.
 	Abandoned Outcome = "abandoned"
@@ -41,7 +41,7 @@
 	Topic     string
 	Operation Operation
 	Outcome   Outcome
-	// Bytes is the size of the records that were written or read.
+	// Bytes is the size of the records that were written or read; zero for a call that failed.
 	Bytes int
 }
 
@@ -105,6 +105,9 @@
 }
 
 func (l *Log) called(ctx context.Context, topic string, operation Operation, bytes int, err error) {
+	if err != nil {
+		bytes = 0
+	}
 	l.onCalled(Call{Topic: topic, Operation: operation, Outcome: outcomeOf(ctx, err), Bytes: bytes})
 }
 
--- a/internal/logusage/summary.go
+++ b/internal/logusage/summary.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// write logs one line and begins anew.
+// write logs the period's counts if calls failed, and resets them.
 func (s *Summary) write() {
 	s.mu.Lock()
 	topics := s.topics
--- a/internal/report/timeline/notinlogs.go
+++ b/internal/report/timeline/notinlogs.go
@@ -8,7 +8,7 @@
 	"the end of an item's whole run at its engine: \"item finished\" comes after its score, so places in use can't be counted",
 	"weights that an engine loads without an order",
 	"the moment at which a killed or frozen process stopped, which has no line",
-	"each failed call of the log: there are lines only for contact lost or regained and for changes of the path",
+	"each failed call of the log: nodes log sums by topic every 10 s while calls fail (calls of the log failed), which this page does not draw",
 	"lines that a node dropped since their reader was slow; only its metrics count them",
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -95,8 +95,8 @@
 	// ReadsPerSecond is what the log serves to all nodes together; they read less
 	// often than they would where they are many. 0 for no bound, ..10000000.
 	ReadsPerSecond int `toml:"reads_per_second"`
-	// ReadMBPerSecond is the megabytes a second that the log's reads bring to all nodes together; where many nodes
-	// need the same large records, they spread their reads. 0 for no bound, ..1000000.
+	// ReadMBPerSecond is the megabytes a second that the log's reads bring to all nodes together; periodic full
+	// reads of all nodes together stay within half of it where they can. 0 for no bound, ..1000000.
 	ReadMBPerSecond float64 `toml:"read_mb_per_second"`
 	// KeepJobs is how long a batch job can be read after it was accepted, 1 s..24 h.
 	KeepJobs Duration `toml:"keep_jobs"`
@@ -173,6 +173,7 @@
 	DefaultPartitions         = 4
 	DefaultRecordBytes        = 256 << 10
 	DefaultCallBytes          = 2 << 20
+	DefaultReadMBPerSecond    = 80
 	DefaultKeepJobs           = 2 * time.Minute
 	DefaultUsageDue           = 10 * time.Second
 	DefaultCallerStall        = 20 * time.Second
@@ -192,7 +193,7 @@
 		Cluster: Cluster{ProbeInterval: Duration(DefaultProbeInterval)},
 		Hosted: Hosted{
 			Lease: Duration(DefaultLease), OrderQuiet: Duration(DefaultOrderQuiet), Partitions: DefaultPartitions,
-			RecordBytes: DefaultRecordBytes, CallBytes: DefaultCallBytes,
+			RecordBytes: DefaultRecordBytes, CallBytes: DefaultCallBytes, ReadMBPerSecond: DefaultReadMBPerSecond,
 			KeepJobs: Duration(DefaultKeepJobs), UsageDue: Duration(DefaultUsageDue),
 			CallerStall: Duration(DefaultCallerStall),
 		},
