Wait for an evaluation before engines are lost in the scaler's tests

TestEnginesThatWereTakenAwayAreReplaced failed once at a load of 36 with an order of 1 engine instead of 3.

Cause: the test. It slept 2*scalePeriod and then took the engines of zone b away, without knowing whether the scaler had evaluated the full list by then. If it had not, the planner never saw zone b, treats it as a zone not known yet and requests the minimum of 1 once unseenPeriod is over. That is the planner's stated behavior: it keeps what it has seen, and nothing was seen.

Evidence, on the code before this change: with Run delayed by 700 ms in a scratch copy the test fails with Count 1 instead of 3, after 11 s. With unchanged code and the test process stopped for 700 ms from 150 ms after its start, 5 of 8 runs fail in the same way. TestNothingIsOrderedInAnEvacuatedZone has the same sleep; with the same delay it fails with "timeout hit after 30s: an order".

Change: both tests wait until the scaler has begun its second evaluation, which it does after the first is complete. The assertions are unchanged.

With the change both tests pass with Run delayed, and the first one in 8 of 8 runs with the process stopped. Mutants are still caught: a new planner for each evaluation and a planner that forgets what it saw fail both tests, the minimum in place of what was seen fails the first, an evacuated zone that is not excluded fails the second.

--- a/internal/duties/scaler_test.go
+++ b/internal/duties/scaler_test.go
@@ -29,6 +29,12 @@
 	}
 }
 
+// awaitEvaluation waits until the scaler has completed an evaluation: the second begins after the first.
+func awaitEvaluation(t *testing.T, begun *atomic.Int64) {
+	t.Helper()
+	testwait.Until(t, "a completed evaluation", func() bool { return begun.Load() >= 2 })
+}
+
 func (p *fakePlatform) ordered() []EngineOrder {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -57,13 +63,15 @@
 	t.Parallel()
 	platform := newFakePlatform()
 	var taken atomic.Bool
+	var begun atomic.Int64
 	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService {
+		begun.Add(1)
 		if taken.Load() {
 			return []ScaledService{service(0, map[string]int{"a": 2})}
 		}
 		return []ScaledService{service(0, map[string]int{"a": 2, "b": 3})}
 	})
-	time.Sleep(2 * scalePeriod)
+	awaitEvaluation(t, &begun)
 	taken.Store(true)
 	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) == 1 })
 	assert.DeepEqual(t, platform.ordered()[0], EngineOrder{Service: "s", Zone: "b", Count: 3})
@@ -97,7 +105,9 @@
 	t.Parallel()
 	platform := newFakePlatform()
 	var lost atomic.Bool
+	var begun atomic.Int64
 	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService {
+		begun.Add(1)
 		if !lost.Load() {
 			return []ScaledService{service(0, map[string]int{"a": 2, "b": 2})}
 		}
@@ -105,7 +115,7 @@
 		evacuated.Bounds.Evacuated = map[string]bool{"b": true}
 		return []ScaledService{evacuated}
 	})
-	time.Sleep(2 * scalePeriod)
+	awaitEvaluation(t, &begun)
 	lost.Store(true)
 	testwait.Until(t, "an order", func() bool { return len(platform.ordered()) > 0 })
 	time.Sleep(3 * scalePeriod)
