Give two tests of the scaler the time in which an order would come

TestWhatStandsIsNotOrdered and TestNobodyOrdersAfterItsTerm waited 0.9 s, and the planner orders nothing in the first 2.5 s, nor in a zone that it has not seen in the first 10, so that nothing could fail them. They wait 12 s now. Mutants: a scaler that orders what stands, and a term in force in place of one that is over, turn them red (not tried on the shorter waits, which end before the planner's first order).

--- a/internal/duties/scaler_test.go
+++ b/internal/duties/scaler_test.go
@@ -51,11 +51,15 @@
 	assert.DeepEqual(t, term.Permitted(), []string{"scale/s/a"})
 }
 
+// idleTime is longer than the planner takes to order what it wants.
+const idleTime = 12 * time.Second
+
+// TestWhatStandsIsNotOrdered guards against orders of engines that are there.
 func TestWhatStandsIsNotOrdered(t *testing.T) {
 	t.Parallel()
 	platform := newFakePlatform()
 	scalerOf(t, platform, &leaseterm.Term{}, func() []ScaledService { return []ScaledService{service(0, map[string]int{"a": 2, "b": 1})} })
-	time.Sleep(3 * scalePeriod)
+	time.Sleep(idleTime)
 	assert.Equal(t, len(platform.ordered()), 0)
 }
 
@@ -95,7 +99,7 @@
 	platform, term := newFakePlatform(), &leaseterm.Term{}
 	term.SetOver(true)
 	scalerOf(t, platform, term, func() []ScaledService { return []ScaledService{service(30, nil)} })
-	time.Sleep(3 * scalePeriod)
+	time.Sleep(idleTime)
 	assert.Equal(t, len(platform.ordered()), 0)
 	assert.Equal(t, len(term.Permitted()), 0)
 }
