Run the simulated restarts by the simulation's clock only

Cause: the followers date their knowledge by the clock of common/boottime, which is the real one also in a simulation. Where a simulated second takes many real ones, replicas count as out of date and followers as just woken, which read without a pause, so that it takes longer still. Change: a follower's clock can be replaced; the simulations use theirs. No bound is changed. Ruled out: fewer nodes, which would hide it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -87,6 +87,8 @@
 	healthy     bool
 	// replica holds what was read, for other nodes.
 	replica *Replica
+	// now reads a clock that goes on while the machine is suspended.
+	now func() time.Time
 	// loaded is closed after the first full read.
 	loaded chan struct{}
 	whole  refreshSchedule
@@ -110,6 +112,7 @@
 		loaded:  make(chan struct{}),
 		whole:   refreshSchedule{postponed: true},
 		replica: newReplica(),
+		now:     boottime.Now,
 	}
 }
 
@@ -141,6 +144,9 @@
 	f.reloads = append(asked, f.reloads...)
 }
 
+// UseClock replaces the clock of package boottime; before Run only. Simulations have a clock of their own.
+func (f *Follower) UseClock(now func() time.Time) { f.now, f.replica.now = now, now }
+
 // Replica returns what the follower has read, for other nodes.
 func (f *Follower) Replica() *Replica { return f.replica }
 
@@ -215,7 +221,7 @@
 	if f.Age() >= StaleAge {
 		wait = 0
 	}
-	sent := boottime.Now()
+	sent := f.now()
 	batch, err := f.log.ReadKeyed(ctx, f.topic, f.next, wait)
 	if err != nil {
 		return err
@@ -226,7 +232,7 @@
 	f.next = batch.Next
 	known := sent
 	if len(batch.Records) == 0 {
-		known = answered.At(sent, wait, boottime.Now())
+		known = answered.At(sent, wait, f.now())
 	}
 	f.replica.reached(f.next, known)
 	f.whole.worked(time.Now(), rand.N(f.budget.Stretch(refreshDelay, maxRefreshDelay)))
@@ -263,7 +269,7 @@
 // record is newer than the read, or could not be read and has no key. A record that was handled
 // before is handled once more if all are to be.
 func (f *Follower) refresh(ctx context.Context, all bool) error {
-	sent := boottime.Now()
+	sent := f.now()
 	batch, err := f.log.Newest(ctx, f.topic)
 	if err != nil {
 		return err
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -33,6 +33,8 @@
 	// contactAt is the newest moment at which this was all there was, by the clock of
 	// package boottime: a machine that was suspended knows nothing of the time since.
 	contactAt time.Time
+	// now reads that clock.
+	now func() time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -60,7 +62,7 @@
 }
 
 func newReplica() *Replica {
-	return &Replica{records: make(map[string]entry), changed: make(chan struct{})}
+	return &Replica{records: make(map[string]entry), changed: make(chan struct{}), now: boottime.Now}
 }
 
 // take keeps a record of a class that the follower has handled. A deletion is for those who got what was
@@ -131,7 +133,7 @@
 func (r *Replica) age() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return boottime.Now().Sub(r.contactAt)
+	return r.now().Sub(r.contactAt)
 }
 
 // Newest returns the newest record of each key but those of the classes left out, and the age of that
@@ -145,7 +147,7 @@
 			batch.Records = append(batch.Records, record.KeyedRecord)
 		}
 	}
-	return batch, boottime.Now().Sub(r.contactAt), !r.contactAt.IsZero()
+	return batch, r.now().Sub(r.contactAt), !r.contactAt.IsZero()
 }
 
 // Read returns the records from an offset on but those of the classes left out, waiting for one up to the
@@ -159,7 +161,7 @@
 	for {
 		r.mu.Lock()
 		batch, err := r.since(from, leftOut)
-		age, changed := boottime.Now().Sub(r.contactAt), r.changed
+		age, changed := r.now().Sub(r.contactAt), r.changed
 		r.mu.Unlock()
 		if err != nil || len(batch.Records) > 0 {
 			return batch, age, err
--- a/internal/logrelay/patience_test.go
+++ b/internal/logrelay/patience_test.go
@@ -96,6 +96,7 @@
 				defer mu.Unlock()
 				seen = string(record.Value)
 			}, budgetOf(nodes), zerolog.Nop())
+			follower.UseClock(time.Now)
 			ctx, cancel := context.WithCancel(t.Context())
 			var running sync.WaitGroup
 			running.Go(func() { _ = follower.Run(ctx) })
@@ -128,6 +129,7 @@
 			log.Put(followed, "k", []byte("0"))
 			reader := NewReplicaReader(log, ReplicaOptions{Sources: func() []string { return nil }, Client: NewClient()})
 			follower := follow.New(reader, followed, func(eventlog.KeyedRecord) {}, budgetOf(nodes), zerolog.Nop())
+			follower.UseClock(time.Now)
 			ctx, cancel := context.WithCancel(t.Context())
 			var running sync.WaitGroup
 			running.Go(func() { _ = follower.Run(ctx) })
@@ -146,6 +148,7 @@
 		log := memlog.New()
 		log.Put(followed, "k", []byte("0"))
 		replica := follow.New(log, followed, func(eventlog.KeyedRecord) {}, pacing.Budget{}, zerolog.Nop())
+		replica.UseClock(time.Now)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { _ = replica.Run(ctx) })
--- a/internal/logrelay/restart_test.go
+++ b/internal/logrelay/restart_test.go
@@ -87,6 +87,7 @@
 		Client: &http.Client{Transport: c},
 	})
 	follower := follow.New(reader, followed, func(eventlog.KeyedRecord) {}, directory.Budget(), zerolog.Nop())
+	follower.UseClock(time.Now)
 	handler := NewHandler(c.log, always, followedBy{directory, follower})
 	c.mu.Lock()
 	c.handlers[self.Address] = handler
