Log how long first reads of the log took, and requests served without crash records

Change: `first full read of the topic completed` has `failed_attempts`, `delayed_ms` (the delays between failed attempts) and `took_ms`; `node directory loaded` reports the same for the list of nodes; `serving without crash records` warns once when a node stops waiting for them. `retry.Progress` counts for both loops. No decision changes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -82,7 +82,9 @@
 	fullBytes int
 	// failedLoads counts the failed reads before the first full read, up to maxDoublings.
 	failedLoads int
-	healthy     bool
+	// firstRead counts the attempts of the first full read.
+	firstRead retry.Progress
+	healthy   bool
 	// replica is served to other nodes.
 	replica *Replica
 	// now reads a clock that advances while the machine is suspended.
@@ -168,6 +170,7 @@
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	f.firstRead = retry.Begin()
 	delays := readRetries.Delays()
 	for ctx.Err() == nil {
 		err := f.readOnce(ctx)
@@ -189,7 +192,11 @@
 		}
 		f.fullReads.recordFailure()
 		f.logReachability(err)
-		retry.Sleep(ctx, f.retryDelay(delays))
+		delay := f.retryDelay(delays)
+		if !f.IsLoaded() {
+			f.firstRead.RecordFailure(delay)
+		}
+		retry.Sleep(ctx, delay)
 	}
 	return nil
 }
@@ -296,7 +303,8 @@
 	f.replica.advance(f.next, sent)
 	if !f.IsLoaded() {
 		close(f.loaded)
-		f.logger.Info().Int("keys", len(f.offsets)).Int64("offset", f.next).Msg("first full read of the topic completed")
+		f.logger.Info().Int("keys", len(f.offsets)).Int64("offset", f.next).EmbedObject(&f.firstRead).
+			Msg("first full read of the topic completed")
 	}
 	return nil
 }
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -27,5 +27,15 @@
 // crashesKnown reports whether the crash records have been read, or the node has waited for them for crashReadWait
 // since it was configured.
 func (n *node) crashesKnown() bool {
-	return n.crashFollower.IsLoaded() || n.state.configuredFor() > crashReadWait
+	if n.crashFollower.IsLoaded() {
+		return true
+	}
+	waited := n.state.configuredFor()
+	if waited <= crashReadWait {
+		return false
+	}
+	n.logMissingCrashRecords.Do(func() {
+		n.logger.Warn().Int64("waited_ms", waited.Milliseconds()).Msg("serving without crash records")
+	})
+	return true
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -77,7 +77,9 @@
 	relay         *ingress.Relay
 	crashGuard    *crashes.Guard
 	crashFollower *follow.Follower
-	elector       *leadership.Elector
+	// logMissingCrashRecords limits the warning of crashesKnown to one.
+	logMissingCrashRecords sync.Once
+	elector                *leadership.Elector
 	// coldGranter admits requests to cold engines while this node leads; coldPermits requests permits from the
 	// leader.
 	coldGranter *coldpermits.Granter
--- a/internal/logrelay/directory.go
+++ b/internal/logrelay/directory.go
@@ -194,7 +194,7 @@
 	// starting node learns of others, but the TTL of an announcement already made does not.
 	var announcedPeriod time.Duration
 	var announcedAt time.Time
-	failures := directoryRetries.Delays()
+	failures, progress := directoryRetries.Delays(), retry.Begin()
 	for {
 		period := d.Budget().ScalePeriod(announcePeriod, maxAnnouncePeriod)
 		isAnnounced := time.Since(announcedAt) < min(period, announcedPeriod)
@@ -204,12 +204,14 @@
 		isRead := d.read(ctx)
 		if isRead {
 			d.chooseReplicas()
+			d.markLoaded(&progress)
 		}
 		delay := d.untilRead()
 		if isAnnounced && isRead {
 			failures.Reset()
 		} else {
 			delay = max(delay, failures.NextBackOff())
+			progress.RecordFailure(delay)
 		}
 		if !retry.Sleep(ctx, delay) {
 			return nil
@@ -273,9 +275,15 @@
 	}
 	d.isReplica, d.sources = isReplica, sources
 	d.recordSize(len(members))
-	if !isClosed(d.loaded) {
-		close(d.loaded)
+}
+
+// markLoaded closes loaded after the first complete read.
+func (d *Directory) markLoaded(progress *retry.Progress) {
+	if isClosed(d.loaded) {
+		return
 	}
+	close(d.loaded)
+	d.logger.Info().EmbedObject(progress).Msg("node directory loaded")
 }
 
 // candidates returns all live nodes, including this one. Must be called with mu held.
