Bound the delays before a starting node reads the crash records

What callers saw: a node that starts while the log refuses a few reads of the crash records serves before it has read them, so a quarantined request reaches one engine more for each such node.

Cause: a follower added a random delay of up to 0.25 s, doubled by each failed attempt up to 30 s, to its back-off. Four of them can exceed the 3 s for which a node waits, and after a long outage a node slept for up to 30 s while the log worked again.

Change: the delays spread full reads of nodes that do not know how many they are. Now an attempt after a failed full read first reads the topic at an offset without records, which fails on an overloaded or unavailable log too and costs no bytes. Delays between attempts are bounded (follow.MaxFirstReadDelay, 1.2 s in a small cluster), and only full reads that fail right after such a read succeeded are spread by doubling times. hosted.firstReadWait derives the waits for crash records and, the same fault, for the configuration from the bound: 3 s in a small cluster as before.

The bound holds for every draw, and the wait is longer by construction.

--- a/internal/common/retry/retry.go
+++ b/internal/common/retry/retry.go
@@ -30,6 +30,11 @@
 	return delays
 }
 
+// MaxDelay returns the upper bound of the delays, including jitter.
+func (p Policy) MaxDelay() time.Duration {
+	return p.Longest + time.Duration(backoff.DefaultRandomizationFactor*float64(p.Longest))
+}
+
 // Sleep waits for the duration. It returns false if ctx ends first.
 func Sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -38,12 +38,6 @@
 	maxRefreshPeriod = 2 * time.Minute
 	refreshRecords   = 500
 	refreshJitter    = 0.3
-	// fullReadRetry is the longest random delay after the first failed initial full read; it doubles up to
-	// maxFullReadRetry. Nodes that do not know of each other yet cannot adapt their rate to the cluster.
-	fullReadRetry    = 250 * time.Millisecond
-	maxFullReadRetry = 30 * time.Second
-	// maxDoublings suffices for fullReadRetry to reach maxFullReadRetry.
-	maxDoublings = 7
 	// refreshDelay is the longest time by which a full read that came due in an outage is postponed; it grows with
 	// the cluster up to maxRefreshDelay.
 	refreshDelay    = 2 * time.Second
@@ -54,13 +48,17 @@
 // example after a suspension of the machine, the next read does not wait for changes.
 const StaleAge = maxPollWait + maxReadGap + 300*time.Millisecond
 
-// maxReadRetry limits the delays of readRetries after they are scaled to the cluster.
+// maxReadRetry limits the delays of readRetries and firstReadRetries after they are scaled to the cluster.
 const maxReadRetry = 4 * time.Second
 
 // readRetries are the delays between attempts while reads fail, in a small cluster; they are scaled to the number
 // of nodes. Retries at a fixed rate by all nodes would keep an overloaded log overloaded.
 var readRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 400 * time.Millisecond}
 
+// firstReadRetries replace readRetries until the first full read: nodes that do not know of each other yet cannot
+// scale their rate to the cluster.
+var firstReadRetries = retry.Policy{First: 50 * time.Millisecond, Longest: 800 * time.Millisecond}
+
 // Handler receives each record of a topic once, in the order of offsets. After a full read, it also receives a
 // deletion for each key that no longer exists.
 type Handler func(record eventlog.KeyedRecord)
@@ -80,8 +78,6 @@
 	next    int64
 	// fullBytes is the size of the last full read.
 	fullBytes int
-	// failedLoads counts the failed reads before the first full read, up to maxDoublings.
-	failedLoads int
 	// firstRead counts the attempts of the first full read.
 	firstRead retry.Progress
 	healthy   bool
@@ -171,7 +167,7 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.firstRead = retry.Begin()
-	delays := readRetries.Delays()
+	delays, firstReadDelays := readRetries.Delays(), firstReadRetries.Delays()
 	for ctx.Err() == nil {
 		err := f.readOnce(ctx)
 		if err == nil {
@@ -192,25 +188,21 @@
 		}
 		f.fullReads.recordFailure()
 		f.logReachability(err)
-		delay := f.retryDelay(delays)
-		if !f.IsLoaded() {
-			f.firstRead.RecordFailure(delay)
+		if f.IsLoaded() {
+			retry.Sleep(ctx, f.budget.ScalePeriod(delays.NextBackOff(), maxReadRetry))
+			continue
 		}
+		delay := f.budget.ScalePeriod(firstReadDelays.NextBackOff(), maxReadRetry)
+		f.firstRead.RecordFailure(delay)
 		retry.Sleep(ctx, delay)
 	}
 	return nil
 }
 
-// retryDelay returns the delay before a failed read is retried. Initial full reads get a random part, because all
-// starting nodes make them.
-func (f *Follower) retryDelay(delays *retry.Delays) time.Duration {
-	delay := f.budget.ScalePeriod(delays.NextBackOff(), maxReadRetry)
-	if f.IsLoaded() {
-		return delay
-	}
-	longest := min(fullReadRetry<<f.failedLoads, maxFullReadRetry)
-	f.failedLoads = min(f.failedLoads+1, maxDoublings)
-	return delay + rand.N(longest)
+// MaxFirstReadDelay returns the longest delay between two attempts of the first full read. Whoever waits for that read
+// with a time limit must wait longer than this.
+func (f *Follower) MaxFirstReadDelay() time.Duration {
+	return f.budget.ScalePeriod(firstReadRetries.MaxDelay(), maxReadRetry)
 }
 
 // readDelay returns the time until the next read; zero if the data are already stale because the process was
--- a/internal/hosted/coverage.go
+++ b/internal/hosted/coverage.go
@@ -15,9 +15,6 @@
 const (
 	// coverageCheckPeriod is the interval at which the set of excluded services is recomputed.
 	coverageCheckPeriod = 100 * time.Millisecond
-	// configurationWait bounds how long a starting node waits for the configuration before it reads the engine
-	// list: the configuration determines which engines it needs.
-	configurationWait = 3 * time.Second
 	// unclaimedLeasePeriod is how long a lease must be unclaimed before nodes with a partial engine list load all
 	// of it to stand for election: by then all nodes with the full list must have failed.
 	unclaimedLeasePeriod = 5 * time.Second
@@ -122,7 +119,8 @@
 // followEngines follows the required part of the engine list until ctx ends.
 func (n *node) followEngines(ctx context.Context) error {
 	n.directory.AwaitSettled(ctx)
-	n.awaitConfiguration(ctx)
+	// The configuration determines which engines this node needs.
+	awaitWithTimeout(ctx, n.controlFollower.Loaded(), firstReadWait(n.controlFollower))
 	n.coverage.setExcluded(n.unneededServices())
 	var group errgroup.Group
 	group.Go(func() error { return n.engineFollower.Run(ctx) })
@@ -130,16 +128,6 @@
 	return group.Wait()
 }
 
-func (n *node) awaitConfiguration(ctx context.Context) {
-	timer := time.NewTimer(configurationWait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-n.controlFollower.Loaded():
-	}
-}
-
 // watchCoverage reloads the engine list when this node needs another part of it.
 func (n *node) watchCoverage(ctx context.Context) error {
 	loaded := n.engineFollower.Loaded()
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -5,12 +5,18 @@
 
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/follow"
 	"github.com/corkpulley/corkpulley/internal/logrelay"
 )
 
-// crashReadWait bounds how long a configured node waits for the crash records: enough for one read of the log and
-// one retry.
-const crashReadWait = 3 * time.Second
+// fullReadTime is the time in which a full read of a small topic succeeds or fails.
+const fullReadTime = 1800 * time.Millisecond
+
+// firstReadWait returns how long to wait for a follower's first full read: enough for an attempt that begins after the
+// longest delay between two attempts.
+func firstReadWait(follower *follow.Follower) time.Duration {
+	return follower.MaxFirstReadDelay() + fullReadTime
+}
 
 // newCrashGuard returns the guard that quarantines requests during which engines crashed.
 func (n *node) newCrashGuard(log eventlog.Log) *crashes.Guard {
@@ -24,14 +30,14 @@
 	})
 }
 
-// crashesKnown reports whether the crash records have been read, or the node has waited for them for crashReadWait
-// since it was configured.
+// crashesKnown reports whether the crash records have been read, or the node has waited for them for
+// firstReadWait since it was configured: the configuration is in the same log, so that log can be read.
 func (n *node) crashesKnown() bool {
 	if n.crashFollower.IsLoaded() {
 		return true
 	}
 	waited := n.state.configuredFor()
-	if waited <= crashReadWait {
+	if waited <= firstReadWait(n.crashFollower) {
 		return false
 	}
 	n.logMissingCrashRecords.Do(func() {
--- a/internal/hosted/election.go
+++ b/internal/hosted/election.go
@@ -55,7 +55,7 @@
 			case <-loaded:
 			}
 		}
-		awaitWithTimeout(ctx, n.crashFollower.Loaded(), crashReadWait)
+		awaitWithTimeout(ctx, n.crashFollower.Loaded(), firstReadWait(n.crashFollower))
 		awaitWithTimeout(ctx, n.clusterVersion.Known(), versionWait)
 		if ctx.Err() != nil {
 			return nil
--- /dev/null
+++ b/internal/logrelay/directreads_test.go
@@ -0,0 +1,80 @@
+package logrelay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/eventlog"
+	"github.com/corkpulley/corkpulley/internal/follow"
+	"github.com/corkpulley/corkpulley/internal/standin/memlog"
+)
+
+// TestFirstReadIsNotDelayedByEndedOutage guards against nodes that stay away from the log after an outage, the longer the
+// longer it lasted, and serve without the records that they have not read.
+func TestFirstReadIsNotDelayedByEndedOutage(t *testing.T) {
+	for _, nodes := range []int{1, 300} {
+		for range 50 {
+			synctest.Test(t, func(t *testing.T) {
+				log := memlog.New()
+				log.Put(followedTopic, "k", []byte("0"))
+				log.SetFault(func(memlog.Call) memlog.Fault { return memlog.Refused })
+				reader := NewReplicaReader(log, ReplicaOptions{Sources: func() []string { return nil }, Client: NewClient()})
+				follower := follow.New(reader, followedTopic, func(eventlog.KeyedRecord) {}, newBudget(nodes), zerolog.Nop())
+				follower.UseClock(time.Now)
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { _ = follower.Run(ctx) })
+				time.Sleep(time.Minute)
+				log.SetFault(nil)
+				available := time.Now()
+				<-follower.Loaded()
+				waited := time.Since(available)
+				assert.Assert(t, waited <= follower.MaxFirstReadDelay(), "%d nodes: %s", nodes, waited)
+				cancel()
+				running.Wait()
+			})
+		}
+	}
+}
+
+// fullReadFailingLog fails full reads, but no others, as a log does whose bandwidth is used up. It counts them.
+type fullReadFailingLog struct {
+	*memlog.Log
+	mu        sync.Mutex
+	fullReads int
+}
+
+func (l *fullReadFailingLog) Newest(context.Context, string) (eventlog.KeyedBatch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fullReads++
+	return eventlog.KeyedBatch{}, eventlog.ErrNotPerformed
+}
+
+// TestFailedFullReadsBackOffWhileSmallReadsSucceed guards against nodes that keep a log overloaded with full reads because
+// it still answers small ones.
+func TestFailedFullReadsBackOffWhileSmallReadsSucceed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fullReadFailingLog{Log: memlog.New()}
+		reader := NewReplicaReader(log, ReplicaOptions{
+			Sources: func() []string { return nil }, Client: &http.Client{Transport: &cluster{}},
+		})
+		follower := follow.New(reader, followedTopic, func(eventlog.KeyedRecord) {}, newBudget(1), zerolog.Nop())
+		follower.UseClock(time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = follower.Run(ctx) })
+		time.Sleep(10 * time.Minute)
+		// One per maxRepeatSpread/2 on average, after the first few.
+		assert.Assert(t, log.fullReads <= 2*40+maxDoublings, "%d full reads", log.fullReads)
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -36,9 +35,6 @@
 	// failed read of the log. Reading directly too early would compete with the replicas' own reads.
 	minChangesWait  = 300 * time.Millisecond
 	minFullReadWait = 2 * time.Second
-	maxRandomWait   = 30 * time.Second
-	// maxDoublings keeps the doubled wait from overflowing; maxRandomWait is reached earlier.
-	maxDoublings = 10
 	// queryInterval is the time between two attempts to find a replica that replies.
 	queryInterval = 100 * time.Millisecond
 )
@@ -63,13 +59,12 @@
 	eventlog.Log
 	options          ReplicaOptions
 	paused           *cooldown.Set
+	direct           *directReads
 	awaitSourcesOnce sync.Once
 
 	mu sync.Mutex
 	// readAt is the time of the last read from a replica, by topic.
 	readAt map[string]time.Time
-	// failedLogReads counts the consecutive failed reads of the log that replaced reads from replicas, by topic.
-	failedLogReads map[string]int
 }
 
 var _ eventlog.Log = (*ReplicaReader)(nil)
@@ -80,8 +75,8 @@
 		options.ExcludedClasses = func(string) []string { return nil }
 	}
 	return &ReplicaReader{
-		Log: log, options: options, paused: cooldown.New(),
-		readAt: make(map[string]time.Time), failedLogReads: make(map[string]int),
+		Log: log, options: options, paused: cooldown.New(), direct: newDirectReads(log),
+		readAt: make(map[string]time.Time),
 	}
 }
 
@@ -93,9 +88,7 @@
 	call := request{Operation: opReplicaNewest, Topic: topic, ExcludedClasses: r.options.ExcludedClasses(topic)}
 	answer, answered, _ := r.queryUntil(ctx, call, fullReadTimeout, r.replicaWaitLimit(topic, minFullReadWait))
 	if !answered {
-		batch, err := r.Log.Newest(ctx, topic)
-		r.recordLogRead(topic, err)
-		return batch, err
+		return r.direct.read(ctx, topic, func() (eventlog.KeyedBatch, error) { return r.Log.Newest(ctx, topic) })
 	}
 	return eventlog.KeyedBatch{Records: answer.Keyed, Next: answer.Offset}, nil
 }
@@ -104,6 +97,10 @@
 func (r *ReplicaReader) ReadKeyed(
 	ctx context.Context, topic string, from int64, wait time.Duration,
 ) (eventlog.KeyedBatch, error) {
+	if len(r.options.Sources()) == 0 {
+		// The follower paces these reads, and delays would postpone what it serves to other nodes.
+		return r.Log.ReadKeyed(ctx, topic, from, wait)
+	}
 	call := request{
 		Operation: opReplicaRead, Topic: topic, Offset: from, Wait: min(wait, replicaWait),
 		ExcludedClasses: r.options.ExcludedClasses(topic),
@@ -111,9 +108,9 @@
 	retry.Sleep(ctx, r.untilNextRead(topic))
 	answer, answered, err := r.queryUntil(ctx, call, call.Wait+replicaTimeout, r.replicaWaitLimit(topic, minChangesWait))
 	if !answered {
-		batch, err := r.Log.ReadKeyed(ctx, topic, from, wait)
-		r.recordLogRead(topic, err)
-		return batch, err
+		return r.direct.read(ctx, topic, func() (eventlog.KeyedBatch, error) {
+			return r.Log.ReadKeyed(ctx, topic, from, wait)
+		})
 	}
 	if err != nil {
 		return eventlog.KeyedBatch{}, err
@@ -128,28 +125,11 @@
 	return max(0, replicaReadGap-time.Since(r.readAt[topic]))
 }
 
-func randomBelow(limit time.Duration) time.Duration { return rand.N(max(limit, 1)) }
-
 // replicaWaitLimit returns how long a read of the topic may wait for replicas before it goes to the log, at least
 // minWait. The random part doubles with each failed read of the log: the records may be large, and all nodes may be
 // reading them.
 func (r *ReplicaReader) replicaWaitLimit(topic string, minWait time.Duration) time.Duration {
-	r.mu.Lock()
-	failedLogReads := r.failedLogReads[topic]
-	r.mu.Unlock()
-	return minWait + randomBelow(min(minWait<<failedLogReads, maxRandomWait))
-}
-
-// recordLogRead updates failedLogReads.
-func (r *ReplicaReader) recordLogRead(topic string, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var trimmed *eventlog.TrimmedError
-	if err == nil || errors.As(err, &trimmed) {
-		delete(r.failedLogReads, topic)
-		return
-	}
-	r.failedLogReads[topic] = min(r.failedLogReads[topic]+1, maxDoublings)
+	return minWait + randomBelow(min(minWait<<r.direct.failures(topic), maxRepeatSpread))
 }
 
 // queryUntil queries replicas until one replies or the wait is over. It does not wait if the cluster has no
@@ -192,9 +172,9 @@
 		r.paused.Start(address, unresponsivePause)
 		return response{}, false, nil
 	}
+	r.direct.reset(call.Topic)
 	r.mu.Lock()
 	r.readAt[call.Topic] = time.Now()
-	delete(r.failedLogReads, call.Topic)
 	r.mu.Unlock()
 	return answer, true, nil
 }
