Stop the wait for replicas from growing with failed reads of the log

What callers saw: after a restart of 240 nodes that cannot connect to each other, one to three nodes are not configured half a minute later and serve nothing, though the log is free.

Cause: a node that gets no reply from replicas waits before it reads the log itself. The random part of the wait doubled with each failed read up to 30 s, so a node with three failures waited for up to 16 s more while the log was idle. Reads of changes waited in the same way.

Change: the wait no longer grows, and is drawn once for each read of the log, not again for an attempt that ends because a read without records failed. That read, and the spread of full reads that fail although it succeeds, keep an overloaded log from more load.

--- a/internal/logrelay/directreads.go
+++ b/internal/logrelay/directreads.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
 
@@ -40,7 +39,7 @@
 type directRead struct {
 	// failures counts the failed reads, without those of no records.
 	failures int
-	// due is the earliest time of the next read.
+	// due is the earliest time of the next read; zero until it is scheduled.
 	due time.Time
 }
 
@@ -48,19 +47,42 @@
 	return &directReads{log: log, topics: make(map[string]directRead)}
 }
 
-// failures returns the number of consecutive failed reads of the topic, without those of no records.
-func (d *directReads) failures(topic string) int {
+// schedule sets the time of the topic's next read, unless it was set since the last read: after minWait and a random part
+// of up to the same length, or more after failures.
+func (d *directReads) schedule(topic string, minWait time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.topics[topic].failures
+	next := d.topics[topic]
+	if !next.due.IsZero() {
+		return
+	}
+	wait := minWait + randomBelow(minWait)
+	if next.failures > 0 {
+		wait += randomBelow(min(repeatSpread<<next.failures, maxRepeatSpread))
+	}
+	next.due = time.Now().Add(wait)
+	d.topics[topic] = next
+}
+
+// isDue reports whether the topic may be read from the log.
+func (d *directReads) isDue(topic string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !time.Now().Before(d.topics[topic].due)
+}
+
+// isRepeated reports whether the topic's last read failed.
+func (d *directReads) isRepeated(topic string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.topics[topic].failures > 0
 }
 
-// read makes a read of the topic, as soon as it is due.
+// read makes a read of the topic that is due.
 func (d *directReads) read(
 	ctx context.Context, topic string, call func() (eventlog.KeyedBatch, error),
 ) (eventlog.KeyedBatch, error) {
-	if d.failures(topic) > 0 {
-		retry.Sleep(ctx, d.untilDue(topic))
+	if d.isRepeated(topic) {
 		if err := d.probe(ctx, topic); err != nil {
 			return eventlog.KeyedBatch{}, err
 		}
@@ -84,16 +106,7 @@
 func (d *directReads) recordFailure(topic string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	failures := min(d.topics[topic].failures+1, maxDoublings)
-	spread := min(repeatSpread<<failures, maxRepeatSpread)
-	d.topics[topic] = directRead{failures: failures, due: time.Now().Add(randomBelow(spread))}
-}
-
-// untilDue returns the time until the topic's next read.
-func (d *directReads) untilDue(topic string) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return time.Until(d.topics[topic].due)
+	d.topics[topic] = directRead{failures: min(d.topics[topic].failures+1, maxDoublings)}
 }
 
 // reset forgets the failures of a topic, after a successful read.
--- a/internal/logrelay/directreads_test.go
+++ b/internal/logrelay/directreads_test.go
@@ -44,6 +44,50 @@
 	}
 }
 
+// TestReadsWithoutReplicasResumeSoonAfterOutage guards against nodes that cannot connect to the replicas and, after an
+// outage of the log, wait for them for up to half a minute before they read the log.
+func TestReadsWithoutReplicasResumeSoonAfterOutage(t *testing.T) {
+	for _, loaded := range []bool{false, true} {
+		for range 30 {
+			synctest.Test(t, func(t *testing.T) {
+				log := memlog.New()
+				log.Put(followedTopic, "k", []byte("before"))
+				refuse := func(memlog.Call) memlog.Fault { return memlog.Refused }
+				if !loaded {
+					log.SetFault(refuse)
+				}
+				reader := NewReplicaReader(log, ReplicaOptions{
+					Sources: func() []string { return []string{"10.0.0.1:1", "10.0.0.2:1"} },
+					Client:  &http.Client{Transport: &cluster{isDisconnected: true}},
+				})
+				changed := make(chan struct{})
+				follower := follow.New(reader, followedTopic, func(record eventlog.KeyedRecord) {
+					if string(record.Value) == "after" {
+						close(changed)
+					}
+				}, newBudget(300), zerolog.Nop())
+				follower.UseClock(time.Now)
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { _ = follower.Run(ctx) })
+				if loaded {
+					<-follower.Loaded()
+					log.SetFault(refuse)
+				}
+				time.Sleep(time.Minute)
+				log.SetFault(nil)
+				log.Put(followedTopic, "k", []byte("after"))
+				available := time.Now()
+				<-changed
+				// A configuration must take effect within 4 s where replicas are used.
+				assert.Assert(t, time.Since(available) <= 4*time.Second, "loaded %v: %s", loaded, time.Since(available))
+				cancel()
+				running.Wait()
+			})
+		}
+	}
+}
+
 // fullReadFailingLog fails full reads, but no others, as a log does whose bandwidth is used up. It counts them.
 type fullReadFailingLog struct {
 	*memlog.Log
--- a/internal/logrelay/replicareader.go
+++ b/internal/logrelay/replicareader.go
@@ -31,8 +31,8 @@
 	unresponsivePause = 3 * time.Second
 	stalePause        = 300 * time.Millisecond
 	// minChangesWait and minFullReadWait are the shortest times for which reads of changes and full reads wait for
-	// replicas before they go to the log. A random part of up to the same length is added; it doubles with each
-	// failed read of the log. Reading directly too early would compete with the replicas' own reads.
+	// replicas before they go to the log. A random part of up to the same length is added. Reading directly too early
+	// would compete with the replicas' own reads.
 	minChangesWait  = 300 * time.Millisecond
 	minFullReadWait = 2 * time.Second
 	// queryInterval is the time between two attempts to find a replica that replies.
@@ -86,7 +86,7 @@
 		r.awaitSourcesOnce.Do(func() { r.options.AwaitSources(ctx) })
 	}
 	call := request{Operation: opReplicaNewest, Topic: topic, ExcludedClasses: r.options.ExcludedClasses(topic)}
-	answer, answered, _ := r.queryUntil(ctx, call, fullReadTimeout, r.replicaWaitLimit(topic, minFullReadWait))
+	answer, answered, _ := r.queryUntilDue(ctx, call, fullReadTimeout, minFullReadWait)
 	if !answered {
 		return r.direct.read(ctx, topic, func() (eventlog.KeyedBatch, error) { return r.Log.Newest(ctx, topic) })
 	}
@@ -106,7 +106,7 @@
 		ExcludedClasses: r.options.ExcludedClasses(topic),
 	}
 	retry.Sleep(ctx, r.untilNextRead(topic))
-	answer, answered, err := r.queryUntil(ctx, call, call.Wait+replicaTimeout, r.replicaWaitLimit(topic, minChangesWait))
+	answer, answered, err := r.queryUntilDue(ctx, call, call.Wait+replicaTimeout, minChangesWait)
 	if !answered {
 		return r.direct.read(ctx, topic, func() (eventlog.KeyedBatch, error) {
 			return r.Log.ReadKeyed(ctx, topic, from, wait)
@@ -125,22 +125,20 @@
 	return max(0, replicaReadGap-time.Since(r.readAt[topic]))
 }
 
-// replicaWaitLimit returns how long a read of the topic may wait for replicas before it goes to the log, at least
-// minWait. The random part doubles with each failed read of the log: the records may be large, and all nodes may be
-// reading them.
-func (r *ReplicaReader) replicaWaitLimit(topic string, minWait time.Duration) time.Duration {
-	return minWait + randomBelow(min(minWait<<r.direct.failures(topic), maxRepeatSpread))
-}
-
-// queryUntil queries replicas until one replies or the wait is over. It does not wait if the cluster has no
-// replicas.
-func (r *ReplicaReader) queryUntil(
-	ctx context.Context, call request, timeout, wait time.Duration,
+// queryUntilDue queries replicas until one replies, or until the topic may be read from the log: after at least minWait if
+// the cluster has replicas, and later after failed reads of the log.
+func (r *ReplicaReader) queryUntilDue(
+	ctx context.Context, call request, timeout, minWait time.Duration,
 ) (answer response, answered bool, err error) {
-	deadline := time.Now().Add(wait)
+	hasReplicas := len(r.options.Sources()) > 0
+	if !hasReplicas {
+		minWait = 0
+	}
+	r.direct.schedule(call.Topic, minWait)
 	for {
 		answer, answered, err = r.query(ctx, call, timeout)
-		if answered || len(r.options.Sources()) == 0 || time.Now().After(deadline) || !retry.Sleep(ctx, queryInterval) {
+		becameReplica := hasReplicas && len(r.options.Sources()) == 0
+		if answered || becameReplica || r.direct.isDue(call.Topic) || !retry.Sleep(ctx, queryInterval) {
 			return answer, answered, err
 		}
 		// The first attempt has used up the time for which a read may wait for changes.
