--- a/test/hosted/crash_test.go
+++ b/test/hosted/crash_test.go
@@ -221,6 +221,25 @@
 	assert.Equal(t, len(crashRunTimes(hosts)), crashes)
 }
 
+// TestNodeServesWithoutUnreadableCrashRecords guards against a node that serves nothing while the log refuses only the crash
+// records.
+func TestNodeServesWithoutUnreadableCrashRecords(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.addEngine(standin.EngineOptions{ID: "e1", Service: "desk"})
+	d.configure(safeRoute("/a/"))
+	topic := platform.New(d.address, "").CrashTopic()
+	d.store.Log.SetFault(func(call memlog.Call) memlog.Fault {
+		if call.Partition.Topic == topic {
+			return memlog.Refused
+		}
+		return memlog.None
+	})
+	node := d.start("n1")
+	assert.Equal(t, node.call(http.MethodPost, "/a/1", "first", "").status, http.StatusOK)
+	assert.Assert(t, strings.Contains(node.logs.String(), "serving without crash records"))
+}
+
 // The log is down from before the first crash; nodes must exchange crash records directly and append them
 // once the log is back.
 func TestQuarantineHoldsDuringLogOutage(t *testing.T) {
