--- a/internal/logrelay/directreads_test.go
+++ b/internal/logrelay/directreads_test.go
@@ -102,6 +102,12 @@
 	return eventlog.KeyedBatch{}, eventlog.ErrNotPerformed
 }
 
+func (l *fullReadFailingLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fullReads
+}
+
 // TestFailedFullReadsBackOffWhileSmallReadsSucceed guards against nodes that keep a log overloaded with full reads because
 // it still answers small ones.
 func TestFailedFullReadsBackOffWhileSmallReadsSucceed(t *testing.T) {
@@ -117,7 +123,8 @@
 		running.Go(func() { _ = follower.Run(ctx) })
 		time.Sleep(10 * time.Minute)
 		// One per maxRepeatSpread/2 on average, after the first few.
-		assert.Assert(t, log.fullReads <= 2*40+maxDoublings, "%d full reads", log.fullReads)
+		fullReads := log.count()
+		assert.Assert(t, fullReads <= 2*40+maxDoublings, "%d full reads", fullReads)
 		cancel()
 		running.Wait()
 	})
