Report a starting node ready only once it has read the engine list

What callers saw: a request that arrives right after a node has become ready fails with 502 though another engine is listed.

Cause: a node was ready with its first usable engine, while the first full read of the engine list was still being applied.

Change: readiness requires the first full read, which is applied within milliseconds of the first engine.

--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -220,6 +220,8 @@
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	case !n.controlFollower.IsLoaded():
 		return errkind.New(errkind.NotReady, "it is not known yet which zones are evacuated")
+	case !n.engineFollower.IsLoaded():
+		return errkind.New(errkind.NotReady, "the engine list is not read yet")
 	case !n.hasUsableEngine(n.state.table()):
 		return errkind.New(errkind.NotReady, "no engine is known yet")
 	case !n.crashesKnown():
--- a/test/hosted/live_test.go
+++ b/test/hosted/live_test.go
@@ -1,7 +1,9 @@
 package hosted
 
 import (
+	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +12,7 @@
 
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 	"github.com/corkpulley/corkpulley/internal/testwait"
+	"github.com/corkpulley/corkpulley/platform"
 )
 
 func addDesk(d *deployment, id string) *standin.Engine {
@@ -237,3 +240,20 @@
 	}
 	assert.Equal(t, d.runCount("id1"), 2)
 }
+
+// TestNodeIsReadyOnceTheEngineListIsRead guards against nodes that accept requests while they know only the first engines of
+// the list, and fail a request for which another engine is listed.
+func TestNodeIsReadyOnceTheEngineListIsRead(t *testing.T) {
+	t.Parallel()
+	const unusableEntries = 5000
+	d := deploy(t)
+	addDesk(d, "e1")
+	topic := platform.New(d.address, "").EngineTopic()
+	for number := range unusableEntries {
+		d.store.Log.Put(topic, fmt.Sprintf("other-%05d", number), []byte("{}"))
+	}
+	d.configure(safeRoute("/a/"))
+	node := d.start("n1")
+	read := regexp.MustCompile(`"topic":"` + regexp.QuoteMeta(topic) + `".*first full read of the topic completed`)
+	assert.Assert(t, read.MatchString(node.logs.String()))
+}
