Add the order of jobs by due times

Cause: jobs start by priority and arrival. Neither due times nor how far a submitter is behind are inputs, so under a shortage submitters with long items lose a part of their steps that others do not.

Change: internal/core/joborder ranks open jobs by class (can still be complete in time, or not), slack, how far the submitter is behind, and its share of the recently started work; it marks the groups that the submitter does not wait for, and names each outranked and each late job once. Nothing uses it yet.

--- /dev/null
+++ b/internal/core/joborder/decision.go
@@ -0,0 +1,90 @@
+package joborder
+
+import "time"
+
+// Kind is the kind of a decision.
+type Kind uint8
+
+const (
+	// Outranked jobs have items that wait while a job that was accepted later precedes them.
+	Outranked Kind = iota + 1
+	// Late jobs cannot be complete in time.
+	Late
+)
+
+var kindNames = [...]string{Outranked: "outranked", Late: "late"}
+
+// String returns the kind's name in logs and metrics.
+func (k Kind) String() string { return kindNames[k] }
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Outranked, Late} }
+
+// Decision is a decision about a job with what determined it. There is at most one of each kind for a job.
+type Decision struct {
+	Kind Kind
+	Job  string
+	// Ahead is, for outranked jobs, the first job in the order that was accepted later.
+	Ahead string
+	// Reason is, for late jobs, why they cannot be complete in time.
+	Reason string
+	// Slack is the time until the results are due less Needed, the time that the job's longest items need. Soonest is
+	// the same for a fast engine, with lengths that are cautiously estimated.
+	Slack, Needed, Soonest time.Duration
+	// Behind is how long ago the submitter's earliest open job was due, Share the effect of its share on its slack.
+	Behind, Share time.Duration
+	// CanBeInTime reports whether the job can be complete in time.
+	CanBeInTime bool
+}
+
+// decide records the decisions that were not reported before.
+func (o *Order) decide(now time.Time) {
+	latest := make(map[competitors]*Entry)
+	for _, each := range o.ranked {
+		if !each.inTimePossible(now) && each.DueAfter > 0 {
+			o.report(each, Decision{Kind: Late, Reason: each.lateReason(now)})
+		}
+		if !each.ContendedSince(now.Add(-2 * RefreshInterval)) {
+			continue
+		}
+		key := competitors{each.service, each.Priority}
+		if ahead := latest[key]; ahead != nil && ahead.Accepted.After(each.Accepted) {
+			o.report(each, Decision{Kind: Outranked, Ahead: ahead.ID})
+		}
+		if latest[key] == nil || each.Accepted.After(latest[key].Accepted) {
+			latest[key] = each
+		}
+	}
+}
+
+// competitors identifies the jobs that compete for the same engines at one priority.
+type competitors struct {
+	service  string
+	priority int
+}
+
+// inTimePossible reports whether the job can be complete in time.
+func (j *Entry) inTimePossible(now time.Time) bool { return !now.Add(j.rank.soonest).After(j.due()) }
+
+// lateReason returns why a job cannot be complete in time.
+func (j *Entry) lateReason(now time.Time) string {
+	switch {
+	case !now.Before(j.due()):
+		return "due time passed"
+	case j.waits():
+		return "waiting items need longer"
+	default:
+		return "running items need longer"
+	}
+}
+
+func (o *Order) report(j *Entry, decision Decision) {
+	if j.reported[decision.Kind] {
+		return
+	}
+	j.reported[decision.Kind] = true
+	decision.Job, decision.CanBeInTime = j.ID, j.rank.class == inTime
+	decision.Slack, decision.Needed, decision.Soonest = j.rank.slack, j.rank.needed, j.rank.soonest
+	decision.Behind, decision.Share = j.rank.behind, j.rank.share
+	o.decisions = append(o.decisions, decision)
+}
--- /dev/null
+++ b/internal/core/joborder/entry.go
@@ -0,0 +1,125 @@
+package joborder
+
+import (
+	"slices"
+	"time"
+)
+
+// phase is what an item needs of the engines.
+type phase uint8
+
+const (
+	// waiting items wait for an engine, or will once their payload has been read.
+	waiting phase = iota
+	running
+	done
+)
+
+// itemState is the state of an item.
+type itemState struct {
+	phase     phase
+	startedAt time.Time
+	// counted is true once the item counts toward its submitter's share.
+	counted bool
+}
+
+// Entry is an open job in an Order, with the state of its items.
+type Entry struct {
+	Job
+	service string
+	items   []itemState
+	groups  []group
+	// groupOf is the index in groups of each item's group.
+	groupOf []int
+	// typicalLength is the median of the known lengths, which stands for unknown ones; zero if none is known.
+	typicalLength int
+	contendedAt   time.Time
+	rank          rank
+	positions     Positions
+	// reported holds the decisions that have been reported.
+	reported map[Kind]bool
+}
+
+func newEntry(added Job) *Entry {
+	created := &Entry{Job: added, items: make([]itemState, len(added.Items)), reported: make(map[Kind]bool)}
+	created.groups, created.groupOf = groupsOf(added.Items)
+	var known []int
+	for i, item := range added.Items {
+		if item.Done {
+			created.items[i].phase = done
+		}
+		if item.Length > 0 {
+			known = append(known, item.Length)
+		}
+	}
+	if len(known) > 0 {
+		slices.Sort(known)
+		created.typicalLength = known[len(known)/2]
+	}
+	return created
+}
+
+// setState changes the state of an item; items that the job does not name are added.
+func (j *Entry) setState(item int, state itemState) {
+	if item >= len(j.items) {
+		j.items = append(j.items, make([]itemState, item+1-len(j.items))...)
+	}
+	state.counted = j.items[item].counted
+	j.items[item] = state
+}
+
+// lengthOf returns an item's expected length; zero if no length of the job is known.
+func (j *Entry) lengthOf(item int) int {
+	if item < len(j.Items) && j.Items[item].Length > 0 {
+		return j.Items[item].Length
+	}
+	return j.typicalLength
+}
+
+// remaining returns the time that an item still needs at the pace, given its whole length.
+func (j *Entry) remaining(item, length int, pace time.Duration, now time.Time) time.Duration {
+	needed := time.Duration(length) * pace
+	if state := &j.items[item]; state.phase == running {
+		needed -= now.Sub(state.startedAt)
+	}
+	return max(needed, 0)
+}
+
+// waits reports whether an item of the job waits for an engine.
+func (j *Entry) waits() bool {
+	return slices.ContainsFunc(j.items, func(item itemState) bool { return item.phase == waiting })
+}
+
+// span returns the time in which the job's results are due, or assumedDueAfter if they are not.
+func (j *Entry) span() time.Duration {
+	if j.DueAfter > 0 {
+		return j.DueAfter
+	}
+	return assumedDueAfter
+}
+
+func (j *Entry) due() time.Time { return j.Accepted.Add(j.span()) }
+
+func (j *Entry) shareKey() shareKey { return shareKey{j.service, j.Submitter} }
+
+// Positions returns the places of the job's items as of the last call of Refresh.
+func (j *Entry) Positions() Positions { return j.positions }
+
+// IsSurplus reports whether the submitter does not wait for the item's group.
+func (j *Entry) IsSurplus(item int) bool {
+	return item < len(j.groupOf) && j.groups[j.groupOf[item]].surplus
+}
+
+// SetContended records that items of the job wait while its service has fewer free slots than waiting items.
+func (j *Entry) SetContended(now time.Time) { j.contendedAt = now }
+
+// ContendedSince reports whether items of the job had to wait for slots at or after the time.
+func (j *Entry) ContendedSince(at time.Time) bool { return !j.contendedAt.Before(at) }
+
+// without returns the jobs without the given one, in the same order.
+func without(jobs []*Entry, removed *Entry) []*Entry {
+	if index := slices.Index(jobs, removed); index >= 0 {
+		return slices.Delete(jobs, index, index+1)
+	}
+	return jobs
+}
--- /dev/null
+++ b/internal/core/joborder/groups.go
@@ -0,0 +1,91 @@
+package joborder
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// surplusAge is the age of a job, as a multiple of the time in which its results are due, from which on all of its
+// groups count as awaited, so that the items of surplus groups start however long the shortage lasts.
+const surplusAge = 2
+
+// group is a group of items whose results the submitter uses together.
+type group struct {
+	items []int
+	// surplus is true if the submitter does not wait for the group.
+	surplus bool
+}
+
+// groupsOf returns the groups in the order of their first items, and the index of each item's group.
+func groupsOf(items []Item) ([]group, []int) {
+	var groups []group
+	indices := make(map[string]int)
+	groupOf := make([]int, len(items))
+	for i, item := range items {
+		index, known := indices[item.Group]
+		if !known {
+			index = len(groups)
+			indices[item.Group] = index
+			groups = append(groups, group{})
+		}
+		groups[index].items = append(groups[index].items, i)
+		groupOf[i] = index
+	}
+	return groups, groupOf
+}
+
+// openGroup is a group with unfinished items.
+type openGroup struct {
+	index int
+	// left is the time, or without a known pace the length, that its longest unfinished item still needs.
+	left time.Duration
+}
+
+// markSurplus determines which groups the submitter does not wait for: of those that are not carried over, the ones
+// that are expected to end last, beyond the wanted number. Items of unknown length count as of typical length, so a
+// group is not put off because nothing is known of it.
+func (j *Entry) markSurplus(pace time.Duration, now time.Time) {
+	for i := range j.groups {
+		j.groups[i].surplus = false
+	}
+	if j.Wanted <= 0 || now.Sub(j.Accepted) >= surplusAge*j.span() {
+		return
+	}
+	open, needed := j.openGroups(max(pace, 1), now)
+	if needed >= len(open) {
+		return
+	}
+	slices.SortFunc(open, func(a, b openGroup) int {
+		return cmp.Or(cmp.Compare(a.left, b.left), a.index-b.index)
+	})
+	for _, late := range open[max(needed, 0):] {
+		j.groups[late.index].surplus = true
+	}
+}
+
+// openGroups returns the unfinished groups that are not carried over, and how many of them are needed.
+func (j *Entry) openGroups(pace time.Duration, now time.Time) (open []openGroup, needed int) {
+	needed = j.Wanted
+	for index := range j.groups {
+		left, unfinished := j.groupLeft(index, pace, now)
+		if !unfinished || index < j.CarriedOver {
+			needed--
+			continue
+		}
+		open = append(open, openGroup{index, left})
+	}
+	return open, needed
+}
+
+// groupLeft returns the time that the group's longest unfinished item still needs; false if the group has none.
+func (j *Entry) groupLeft(index int, pace time.Duration, now time.Time) (left time.Duration, unfinished bool) {
+	for _, item := range j.groups[index].items {
+		if j.items[item].phase == done {
+			continue
+		}
+		unfinished = true
+		left = max(left, j.remaining(item, j.lengthOf(item), pace, now))
+	}
+	return left, unfinished
+}
