Let the plan start items by due times under load

Change: Plan.OrderByDue. While the startable items of a service outnumber the free slots that may serve them, items start in the order of internal/core/joborder; otherwise, and without the call, in the order of arrival as before. A pass looks at each waiting item once and sorts small entries, so that the cost stays that of the order of arrival.

--- a/internal/core/batchplan/load_bench_test.go
+++ b/internal/core/batchplan/load_bench_test.go
@@ -19,7 +19,10 @@
 		job := Job{ID: fmt.Sprintf("job-%d", submitter), Model: fmt.Sprintf("m%d", submitter), Step: 1}
 		for i := range perJob {
 			job.Lengths = append(job.Lengths, (submitter*31+i*17)%971)
+			job.Due.Groups = append(job.Due.Groups, fmt.Sprintf("group-%d-%d", submitter, i/8))
 		}
+		job.Due.Submitter, job.Due.Accepted = job.Model, now.Add(-time.Duration(submitter)*10*time.Millisecond)
+		job.Due.DueAfter, job.Due.Wanted, job.Due.Done = 7500*time.Millisecond, perJob/8, make([]bool, perJob)
 		plan.AddJob(job)
 		for i := range perJob {
 			plan.Add(Item{
@@ -68,3 +71,24 @@
 }
 
 func BenchmarkLoadedPassArrival(b *testing.B) { benchmarkLoadedPass(b, New) }
+
+func BenchmarkLoadedPassDue(b *testing.B) {
+	benchmarkLoadedPass(b, func() *Plan {
+		plan := New()
+		plan.OrderByDue()
+		return plan
+	})
+}
+
+// BenchmarkRefreshOrder measures the computation of all ranks.
+func BenchmarkRefreshOrder(b *testing.B) {
+	plan := New()
+	plan.OrderByDue()
+	loadedPlan(plan)
+	at := now
+	b.ReportAllocs()
+	for b.Loop() {
+		at = at.Add(time.Second)
+		plan.RefreshOrder(at)
+	}
+}
--- a/internal/core/batchplan/order.go
+++ b/internal/core/batchplan/order.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/joborder"
 )
 
 // longestFraction is the fraction of a job's items of known length, the longest ones, that start
@@ -20,6 +22,9 @@
 	Step int64
 	// Lengths are the expected output lengths of all items in tokens; zero when unknown.
 	Lengths []int
+	// Due holds the properties that determine the order by due times; it is ignored by a plan that starts jobs in the
+	// order of their arrival.
+	Due DueJob
 }
 
 // jobRank is a job's position in the start order.
@@ -32,6 +37,11 @@
 	position int
 	// longThreshold is the length from which an item counts as one of the job's longest; zero if no length is known.
 	longThreshold int
+	// waiting is the number of the job's items that may start in this pass, class that of one of them. They are set only
+	// with due, the job's entry in the order by due times; nil if there is none.
+	waiting int
+	class   class
+	due     *joborder.Entry
 }
 
 // AddJob adds a job; it must be called before the job's items are added. Jobs start by priority, then
@@ -53,6 +63,7 @@
 	p.jobs[rank.id] = rank
 	p.order = slices.Insert(p.order, position, rank)
 	p.renumber()
+	rank.due = p.due.addJob(job)
 }
 
 // ForgetJob removes a job that has no items left.
@@ -64,6 +75,7 @@
 	delete(p.jobs, job)
 	p.order = slices.Delete(p.order, rank.position, rank.position+1)
 	p.renumber()
+	p.due.forgetJob(job)
 }
 
 func (p *Plan) renumber() {
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -140,7 +140,10 @@
 }
 
 // eligible reports whether an engine may run items of a class, regardless of free slots.
-func (p *pass) eligible(engine *Engine, key class) bool {
+func (p *pass) eligible(engine *Engine, key class) bool { return engine.eligible(key) }
+
+// eligible reports whether the engine may run items of a class, regardless of free slots.
+func (engine *Engine) eligible(key class) bool {
 	if !engine.Usable || engine.Service != key.service || engine.Loading != "" && engine.Loading == key.model {
 		return false
 	}
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -67,6 +67,8 @@
 	Engine incarnation.ID
 	// Running is the number of items that the engine already runs.
 	Running int
+	// Surplus is true if the item started after others because its submitter does not wait for its group.
+	Surplus bool
 	// Pace is the engine's mean time between events; zero when unknown.
 	Pace time.Duration
 }
@@ -103,6 +105,8 @@
 	eventCount float64
 	// runningLength is the sum of the expected lengths of the running items.
 	runningLength int
+	// due orders the jobs while items outnumber free slots; nil if they start in the order of their arrival.
+	due *dueOrder
 }
 
 // lengthDecay is the factor applied to older observations at each new one.
@@ -146,11 +150,13 @@
 		p.AddJob(Job{ID: item.Key.Job, Model: item.Model})
 	}
 	p.waiting[item.Key] = item
+	p.due.itemWaits(item)
 }
 
 // Remove removes an item, whether it waits or runs.
 func (p *Plan) Remove(key Key) {
 	delete(p.waiting, key)
+	p.due.itemDone(key)
 	p.Ended(key)
 }
 
@@ -263,7 +269,7 @@
 	}
 	pass := newPass(p, engines, now)
 	var assigned []Assignment
-	for _, item := range p.queue(now) {
+	for _, item := range p.startOrder(now, engines) {
 		engine, found := pass.choose(item)
 		if !found {
 			continue
@@ -271,6 +277,7 @@
 		delete(p.waiting, item.Key)
 		assigned = append(assigned, Assignment{
 			Item: item, Engine: engine, Running: p.runningCount[engine], Pace: p.paces[engine],
+			Surplus: p.startsAsSurplus(item.Key, now),
 		})
 		p.recordStart(item, engine, now)
 		pass.countStart(engine)
@@ -289,4 +296,5 @@
 	p.runningCount[engine]++
 	p.reservedTokens[engine] += item.Tokens
 	p.groupEngines[item.Group] = engine
+	p.due.itemStarted(item.Key, now)
 }
