Record when a job was accepted

Cause: due times count from the acceptance of a job. The only time known was when this process read the record, which is too late in a process that started since; a new leader would order the jobs differently.

Change: JobRecord.AcceptedMs, written by the accepting node. Job.AcceptedAt falls back to the time of the reading for records of earlier builds and for times after it or over 30 s before it, which come from wrong clocks. Earlier builds pass over the field.

--- a/internal/batchjobs/batchjobs.go
+++ b/internal/batchjobs/batchjobs.go
@@ -150,6 +150,7 @@
 	}
 	submission.Job.Payloads = spans
 	submission.Job.CountCarriedOver(s.earlierJobs(&submission.Job))
+	submission.Job.AcceptedMs = time.Now().UnixMilli()
 	return s.appendIndex(ctx, target, batch.Record{Job: &submission.Job})
 }
 
--- a/internal/core/batch/golden_test.go
+++ b/internal/core/batch/golden_test.go
@@ -9,7 +9,9 @@
 // Guards against records and payloads that earlier builds cannot decode, or whose earlier form this build cannot.
 func TestRecordsOfEarlierBuilds(t *testing.T) {
 	goldenrecord.Check(t,
-		goldenrecord.RecordType{Name: "record", Value: &Record{}, Added: map[string][]string{"843b092": {"j.cv", "j.hm"}}},
+		goldenrecord.RecordType{Name: "record", Value: &Record{}, Added: map[string][]string{
+			"843b092": {"j.at", "j.cv", "j.hm"}, "0fdc9d0": {"j.at"}, "34585b3": {"j.at"},
+		}},
 		goldenrecord.RecordType{Name: "payload", Value: &Payload{}},
 	)
 }
--- a/internal/core/batch/groups.go
+++ b/internal/core/batch/groups.go
@@ -27,10 +27,7 @@
 		wanted: record.Wanted, missing: make(map[string]int), awaited: make(map[string]bool),
 		carriedOverKnown: record.CarriedOverKnown,
 	}
-	carriedOver := record.Wanted / maxCarriedOverDivisor
-	if record.CarriedOverKnown {
-		carriedOver = record.CarriedOver
-	}
+	carriedOver := record.MaxCarriedOver()
 	for _, item := range record.Items {
 		if g.missing[item.Group] == 0 && len(g.awaited) < carriedOver {
 			g.awaited[item.Group] = true
@@ -40,6 +37,15 @@
 	return g
 }
 
+// MaxCarriedOver returns the number of leading groups that are or, if their number is unknown, may be carried over from
+// earlier jobs.
+func (j *JobRecord) MaxCarriedOver() int {
+	if j.CarriedOverKnown {
+		return j.CarriedOver
+	}
+	return j.Wanted / maxCarriedOverDivisor
+}
+
 // addResult counts a result of the group; results is the job's number of results, this one included.
 func (g *groups) addResult(group string, results int) {
 	g.missing[group]--
--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -49,6 +49,20 @@
 	Complete bool
 }
 
+// maxAcceptedAge bounds the time between the acceptance of a job and the reading of its record above which the two
+// clocks are assumed to differ. Submitters abandon jobs much earlier.
+const maxAcceptedAge = 30 * time.Second
+
+// AcceptedAt returns when the job was accepted. A node that reads the log only after it has started sees records late,
+// so the time in the record counts, unless the clock of the node that wrote it is evidently wrong.
+func (j *Job) AcceptedAt() time.Time {
+	accepted := time.UnixMilli(j.AcceptedMs)
+	if age := j.SeenAt.Sub(accepted); j.AcceptedMs == 0 || age < 0 || age > maxAcceptedAge {
+		return j.SeenAt
+	}
+	return accepted
+}
+
 // Progress returns the saved partial output of an item, and whether there is any.
 func (j *Job) Progress(item int) (Progress, bool) {
 	progress, found := j.progress[item]
--- a/internal/core/batch/partition_test.go
+++ b/internal/core/batch/partition_test.go
@@ -260,3 +260,20 @@
 	assert.Assert(t, p.Job("open").Incomplete)
 	assert.Assert(t, !p.Job("open").Open())
 }
+
+// Guards against due times that count from the restart of the process that reads the record, and against clocks of other
+// nodes that are evidently wrong.
+func TestAcceptedAtIsTheRecordedTimeUnlessItIsImplausible(t *testing.T) {
+	for offset, wanted := range map[time.Duration]time.Duration{
+		-3 * time.Second: -3 * time.Second, time.Second: 0, -time.Hour: 0,
+	} {
+		record := jobRecord("j", 1)
+		record.Job.AcceptedMs = now.Add(offset).UnixMilli()
+		p := NewPartition()
+		p.Apply(record, now)
+		assert.Assert(t, p.Job("j").AcceptedAt().Equal(now.Add(wanted)), "%s", offset)
+	}
+	p := NewPartition()
+	p.Apply(jobRecord("j", 1), now)
+	assert.Assert(t, p.Job("j").AcceptedAt().Equal(now), "a record of an earlier build has no time")
+}
--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -59,6 +59,9 @@
 	// version Config of the configuration, which the accepting node used.
 	Homes  []string `msgpack:"hm,omitempty"`
 	Config int64    `msgpack:"cv,omitempty"`
+	// AcceptedMs is when the accepting node's clock accepted the job, in milliseconds since 1970; zero when unknown. See
+	// Job.AcceptedAt.
+	AcceptedMs int64 `msgpack:"at,omitempty"`
 }
 
 // QualifiedID returns the unique ID of a tenant's job. Each tenant has its own namespace;
