Start the items of batch jobs by due times where configured

Change: the setting scheduling.job_order, arrival (default) or due, is passed to the runners of the leader and of the home regions. Nothing is expired because of it.

Result: tests with one engine: the late job's items start last and complete; each decision has one line; with arrival there is none.

--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -296,6 +296,8 @@
 	terms      int
 	// gate is the runners' Options.Gate.
 	gate *sendgate.Gate
+	// configure, if set, changes the options of each runner.
+	configure func(options *Options)
 
 	// mu guards route, homes (by job) and config, the version of the configuration.
 	mu     sync.Mutex
@@ -333,7 +335,7 @@
 // startRunnerWith is startBoundRunner with other engines.
 func (env *testEnv) startRunnerWith(engines Engines, regions ...string) (*Runner, func()) {
 	env.terms++
-	r := New(Options{
+	options := Options{
 		Jobs: env.jobs, Engines: engines, Fleet: env.fleet, Scorer: env.scorer, Guard: env.guard, ColdStarts: env.coldStarts,
 		Gate:    env.gate,
 		RouteOf: env.routeOf,
@@ -341,7 +343,11 @@
 		LoadingModel:  func(incarnation.ID) string { return "" },
 		LoadingModels: func() map[incarnation.ID]string { return nil },
 		Term:          fmt.Sprint(env.terms), Logger: zerolog.Nop(),
-	})
+	}
+	if env.configure != nil {
+		env.configure(&options)
+	}
+	r := New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/internal/batchrun/joborder_test.go
@@ -0,0 +1,123 @@
+package batchrun
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/joborder"
+	"github.com/corkpulley/corkpulley/internal/testwait"
+)
+
+// syncBuffer is a buffer for concurrent writers.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *syncBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// lines returns the lines that contain the text.
+func (b *syncBuffer) lines(text string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(b.text.String()) {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// newDueEnv returns an environment with one engine of one slot, whose runners order jobs by due times, and the log and
+// the decisions of the runners.
+func newDueEnv(t *testing.T) (*testEnv, *syncBuffer, func(kind joborder.Kind) int) {
+	env := newTestEnv(t, "a")
+	single := engineOf("a")
+	single.Slots = 1
+	env.fleet.Put(single)
+	env.engines.pause["a"] = 10 * time.Millisecond
+	env.route.ResultsDueAfter = 10 * time.Second
+	logs := &syncBuffer{}
+	var mu sync.Mutex
+	counts := make(map[joborder.Kind]int)
+	env.configure = func(options *Options) {
+		options.DueOrder, options.Logger = true, zerolog.New(logs)
+		options.OnJobDecision = func(kind joborder.Kind) {
+			mu.Lock()
+			defer mu.Unlock()
+			counts[kind]++
+		}
+	}
+	return env, logs, func(kind joborder.Kind) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return counts[kind]
+	}
+}
+
+// submitLate submits a job that was accepted the given time ago.
+func (env *testEnv) submitLate(id, model string, age time.Duration, items ...string) {
+	env.submitRecord(batch.JobRecord{ID: id, Model: model, AcceptedMs: time.Now().Add(-age).UnixMilli()}, items)
+}
+
+// Guards against a runner that ignores when jobs are due, and against decisions that are not reported, or repeatedly.
+func TestJobsStartByDueTimes(t *testing.T) {
+	env, logs, count := newDueEnv(t)
+	for _, item := range []string{"lost-0", "lost-1", "fresh-0", "fresh-1"} {
+		env.engines.events[item] = 20
+	}
+	env.submitLate("lost", "m", 10100*time.Millisecond, "lost-0", "lost-1")
+	env.submitLate("fresh", "m", 0, "fresh-0", "fresh-1")
+	env.startRunner()
+	env.awaitResults(4)
+	started := logs.lines("item started")
+	assert.Equal(t, len(started), 4)
+	last := started[len(started)-1]
+	assert.Assert(t, strings.Contains(last, `"job":"lost"`), "%v", started)
+	assert.Equal(t, count(joborder.Late), 1)
+	late := logs.lines("job cannot be complete in time")
+	assert.Equal(t, len(late), 1)
+	assert.Assert(t, strings.Contains(late[0], `"job":"lost"`) && strings.Contains(late[0], `"reason":"due time passed"`), late[0])
+	assert.Equal(t, len(logs.lines("items wait for a job that was accepted later")), count(joborder.Outranked))
+	assert.Assert(t, count(joborder.Outranked) <= 1)
+}
+
+// Guards against jobs that are expired because they are late.
+func TestLateJobStillCompletes(t *testing.T) {
+	env, _, count := newDueEnv(t)
+	env.engines.events["x"] = 2
+	env.submitLate("j", "m", 20*time.Second, "x")
+	env.startRunner()
+	result := env.awaitResults(1)["j/0"]
+	assert.Equal(t, result.Outcome, batch.Completed)
+	testwait.Until(t, "the report that the job is late", func() bool { return count(joborder.Late) == 1 })
+}
+
+// Guards against decisions, lines and ranks in deployments that keep the order of arrival.
+func TestArrivalOrderMakesNoDecisions(t *testing.T) {
+	env, logs, count := newDueEnv(t)
+	configure := env.configure
+	env.configure = func(options *Options) {
+		configure(options)
+		options.DueOrder = false
+	}
+	env.engines.events["x"], env.engines.events["y"] = 2, 2
+	env.submitLate("lost", "m", 10*time.Second, "x")
+	env.submitLate("fresh", "m", 0, "y")
+	env.startRunner()
+	env.awaitResults(2)
+	assert.Equal(t, count(joborder.Late)+count(joborder.Outranked), 0)
+	assert.Equal(t, len(logs.lines("surplus")), 0)
+}
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -45,7 +45,7 @@
 		}
 	}
 	r.jobs[job.ID] = added
-	r.plan.AddJob(planJob(&added.record))
+	r.plan.AddJob(r.planJob(job))
 	if len(added.savedProgress) > 0 {
 		r.pendingRestores++
 	}
@@ -55,15 +55,17 @@
 	})
 }
 
-// planJob converts a job record for the plan.
-func planJob(record *batch.JobRecord) batchplan.Job {
-	lengths := make([]int, len(record.Items))
-	for i := range record.Items {
-		lengths[i] = record.Items[i].Length
+// planJob converts a job for the plan.
+func (r *Runner) planJob(job *batch.Job) batchplan.Job {
+	lengths := make([]int, len(job.Items))
+	for i := range job.Items {
+		lengths[i] = job.Items[i].Length
 	}
-	return batchplan.Job{
-		ID: record.ID, Model: record.Model, Priority: record.Priority, Step: record.Step, Lengths: lengths,
+	converted := batchplan.Job{ID: job.ID, Model: job.Model, Priority: job.Priority, Step: job.Step, Lengths: lengths}
+	if r.options.DueOrder {
+		converted.Due = r.dueJob(job)
 	}
+	return converted
 }
 
 // loadFinished records that the job's saved progress is loaded, or that loading was canceled.
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -132,7 +132,11 @@
 	call := job.call(key.Item)
 	call.LastEvent, call.Continues = state.Output.Last(), !state.Output.Empty()
 	call.MaySend = started.sendCheck.MaySend
-	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).
+	line := r.options.Logger.Info()
+	if assignment.Surplus {
+		line = line.Bool("surplus", true)
+	}
+	line.Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).
 		Stringer("engine", started.engine).Int("running", assignment.Running).Bool("cold", permitValid != nil).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.LastEvent).
 		Int("length", record.Length).Int("tokens", record.Tokens).
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -17,6 +17,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/core/joborder"
 	"github.com/corkpulley/corkpulley/internal/sendgate"
 )
 
@@ -52,6 +53,10 @@
 	// ColdStarts is used only for engines of services with a slow start.
 	ColdStarts ColdStarts
 	RouteOf    RouteOf
+	// DueOrder makes jobs start by due times while items outnumber free slots, see joborder. OnJobDecision, if set, is
+	// called for each decision of that order.
+	DueOrder      bool
+	OnJobDecision func(kind joborder.Kind)
 	// Homes are the home regions whose jobs this runner runs: jobs bound to exactly these regions or, if it is
 	// unbound, jobs bound to none. HomesOf returns the homes of a job in the current configuration, whose version
 	// is ConfigVersion.
@@ -147,6 +152,9 @@
 		quarantinedUntil: make(map[batchplan.Key]time.Time),
 		carriedOver:      make(map[string]carriedOutput),
 	}
+	if options.DueOrder {
+		r.plan.OrderByDue()
+	}
 	r.recorder = newRecorder(options.Jobs, options.Logger)
 	return r
 }
@@ -271,6 +279,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refreshJobOrder(now)
 	if r.plan.Waiting() == 0 || r.ctx.Err() != nil || !r.options.Gate.EnginesKnown() {
 		return
 	}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -8,6 +8,7 @@
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/leadership"
+	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
 
@@ -27,6 +28,7 @@
 	defer n.coldGranter.Lead(term.Valid)()
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.crashGuard, Gate: n.gate,
+		DueOrder: n.config.Scheduling.JobOrder == settings.JobOrderDue, OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: n.coldGranter, RouteOf: n.batchRoute, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
 		Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
@@ -56,7 +58,7 @@
 	service, _ := table.Service(route.Parts[0].Service)
 	return batchrun.Route{
 		Service: route.Parts[0].Service, EngineTokens: service.EngineTokens, MaxAttempts: route.MaxAttempts,
-		SingleVersion: route.SingleVersion, Retention: route.Retention,
+		SingleVersion: route.SingleVersion, Retention: route.Retention, ResultsDueAfter: route.ResultsDueAfter,
 	}, true
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/joborder"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
@@ -36,6 +37,8 @@
 	coldEngines       prometheus.Gauge
 	coldAdmissions    *prometheus.CounterVec
 	coldPermits       *prometheus.CounterVec
+	// jobDecisions counts decisions of the order of jobs by due times.
+	jobDecisions *prometheus.CounterVec
 	// runningHomes is 1 for each region set whose jobs this node runs.
 	runningHomes *prometheus.GaugeVec
 	// versions holds the cluster version and the lowest version of the live nodes.
@@ -117,6 +120,13 @@
 	for _, reason := range fleet.Holds() {
 		m.heldBack.WithLabelValues(reason.String())
 	}
+	m.jobDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "corkpulley_hosted_job_decisions_total",
+		Help: "Batch jobs that were first outranked by a later one, or first known to be late, by kind.",
+	}, []string{"kind"})
+	for _, kind := range joborder.Kinds() {
+		m.jobDecisions.WithLabelValues(kind.String())
+	}
 	m.loadsUnreadable = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corkpulley_hosted_engine_loads_unreadable_total", Help: "Answers of engines whose load cannot be read.",
 	})
@@ -131,6 +141,7 @@
 		m.connectionsLost, m.suspectedRequests, m.staleLeaseRecords,
 		m.droppedLines, m.suppressedLines, m.unusableEntries, m.engineRestarts, m.evacuatedZones, m.heldBack,
 		m.coldEngines, m.coldAdmissions, m.coldPermits, m.runningHomes,
+		m.jobDecisions,
 	)
 	return m
 }
@@ -174,6 +185,9 @@
 	m.heldBack.WithLabelValues(reason.String()).Inc()
 }
 
+// jobDecided counts a decision about a job; see joborder.Decision.
+func (m *metrics) jobDecided(kind joborder.Kind) { m.jobDecisions.WithLabelValues(kind.String()).Inc() }
+
 func (m *metrics) lineSuppressed() { m.suppressedLines.Inc() }
 
 func (m *metrics) linesDropped(missed int) { m.droppedLines.Add(float64(missed)) }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -51,10 +51,11 @@
 	MaxCallerStall     = time.Hour
 )
 
-// Allowed values of scheduling.policy and log.level.
+// Allowed values of scheduling.policy, scheduling.job_order and log.level.
 var (
-	Policies = []string{"default", "round-robin", "least-load", "one-hop"}
-	Levels   = []string{"debug", "info", "warn", "error"}
+	Policies  = []string{"default", "round-robin", "least-load", "one-hop"}
+	JobOrders = []string{JobOrderArrival, JobOrderDue}
+	Levels    = []string{"debug", "info", "warn", "error"}
 )
 
 var (
@@ -92,6 +93,7 @@
 		c.url("platform.scorer", settings.Platform.Scorer)
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
+	c.oneOf("scheduling.job_order", settings.Scheduling.JobOrder, JobOrders)
 	c.concurrentLoads(settings.Weights.MaxConcurrentLoads)
 	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
 	c.oneOf("log.level", settings.Log.Level, Levels)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,8 +131,17 @@
 	// Policy is "default", or one of the baselines for benchmarks: "round-robin",
 	// "least-load" or "one-hop".
 	Policy string `toml:"policy"`
+	// JobOrder is the order in which the items of batch jobs start while more of them wait than slots are free:
+	// JobOrderArrival or JobOrderDue.
+	JobOrder string `toml:"job_order"`
 }
 
+// Values of Scheduling.JobOrder.
+const (
+	JobOrderArrival = "arrival" // by priority and arrival
+	JobOrderDue     = "due"     // by priority and due time, see docs/design/job-order.md
+)
+
 // Weights configures the rollout of weight versions.
 type Weights struct {
 	// MaxConcurrentLoads limits how many engines load weights concurrently over all
@@ -198,7 +207,7 @@
 			KeepJobs: Duration(DefaultKeepJobs), UsageDue: Duration(DefaultUsageDue),
 			CallerStall: Duration(DefaultCallerStall),
 		},
-		Scheduling: Scheduling{Policy: DefaultPolicy},
+		Scheduling: Scheduling{Policy: DefaultPolicy, JobOrder: JobOrderArrival},
 		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
 		Shutdown:   Shutdown{Grace: Duration(DefaultGrace)},
 		Log:        Log{Level: DefaultLevel},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,3 +117,18 @@
 		assert.Assert(t, strings.Contains(problems[0].Expected, test.expected), problems[0].Expected)
 	}
 }
+
+// Guards against a misspelled order that silently keeps another one.
+func TestLoadChecksJobOrder(t *testing.T) {
+	loaded, problems := Load(Flags{File: writeFile(t, completeFile)})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Scheduling.JobOrder, JobOrderArrival)
+	loaded, problems = Load(Flags{File: writeFile(t, completeFile+"[scheduling]\njob_order = \"due\"\n")})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Scheduling.JobOrder, JobOrderDue)
+	for _, value := range []string{"", "Due", "deadline"} {
+		_, problems = Load(Flags{File: writeFile(t, completeFile+"[scheduling]\njob_order = \""+value+"\"\n")})
+		assert.Equal(t, len(problems), 1, "%v", problems)
+		assert.Equal(t, problems[0].Key, "scheduling.job_order")
+	}
+}
