Name the decisions of the job order in corkctl explain

Cause: the cause of an item that waited or yielded did not say why.

Change: explain describes the lines about outranked and late jobs, and items that started late as part of a surplus group, for jobs and items.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -104,11 +104,12 @@
 	case accepted == nil:
 		return "Submitted, but no leader accepted it." + trace.contextNotes()
 	case ended == nil:
-		return fmt.Sprintf("Accepted by %s %d times; its end was not requested.%s",
-			accepted.Node, trace.count("job accepted by its runner"), trace.contextNotes())
+		return fmt.Sprintf("Accepted by %s %d times; its end was not requested.%s%s",
+			accepted.Node, trace.count("job accepted by its runner"), orderNotes(trace), trace.contextNotes())
 	default:
-		return fmt.Sprintf("Ended by its submitter after %.0f ms with %.0f items unfinished, accepted %d times.%s",
-			ended.number("after_ms"), ended.number("unfinished"), trace.count("job accepted by its runner"), trace.contextNotes())
+		return fmt.Sprintf("Ended by its submitter after %.0f ms with %.0f items unfinished, accepted %d times.%s%s",
+			ended.number("after_ms"), ended.number("unfinished"), trace.count("job accepted by its runner"), orderNotes(trace),
+			trace.contextNotes())
 	}
 }
 
@@ -142,7 +143,7 @@
 	} else {
 		text += "; not finished"
 	}
-	return text + "." + jobEndNotes(trace) + trace.contextNotes()
+	return text + "." + orderNotes(trace) + jobEndNotes(trace) + trace.contextNotes()
 }
 
 // scoringNotes describes the outcome of the item's scoring calls.
