--- a/internal/core/joborder/joborder_test.go
+++ b/internal/core/joborder/joborder_test.go
@@ -333,6 +333,7 @@
 	order := New()
 	old, tight := jobOf("old", "greedy", time.Minute, 20), jobOf("tight", "greedy", 0, 150)
 	order.Add(old)
+	order.Add(jobOf("older", "greedy", 2*time.Minute, 20))
 	order.Add(tight)
 	order.Add(jobOf("modest-tight", "modest", 0, 200))
 	order.Add(jobOf("modest", "modest", 0, 20))
@@ -341,10 +342,10 @@
 	order.Refresh(now, pace)
 	order.SetDueAfter("tight", 30*time.Second)
 	order.Refresh(now.Add(RefreshInterval), pace)
-	assert.DeepEqual(t, orderOf(order), []string{"modest-tight", "old", "modest", "tight"})
+	assert.DeepEqual(t, orderOf(order), []string{"modest-tight", "older", "old", "modest", "tight"})
 	order.SetDueAfter("tight", dueAfter)
 	order.Refresh(now.Add(2*RefreshInterval), pace)
-	assert.DeepEqual(t, orderOf(order), []string{"modest-tight", "old", "tight", "modest"})
+	assert.DeepEqual(t, orderOf(order), []string{"modest-tight", "older", "old", "tight", "modest"})
 }
 
 // Guards against positions that two jobs share, and against surplus items that precede awaited ones.
