Rank jobs of unknown age from their first ranking

Cause: a job without a time of acceptance had a slack beyond the range of durations, which overflowed and put it last.

Change: it counts as accepted when it is first ranked. The receivers of Entry are named after it, and the load simulation with exact hints runs once for both tests.

--- a/internal/core/batchplan/due_load_test.go
+++ b/internal/core/batchplan/due_load_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -235,6 +236,9 @@
 	return s
 }
 
+// overloadedByDue is the simulation with exact hints and the order by due times.
+var overloadedByDue = sync.OnceValue(func() *simulation { return overloaded(duePlan(), exactHint) })
+
 // totalInTime returns the number of jobs of all submitters that were complete in time.
 func (s *simulation) totalInTime() int {
 	total := 0
@@ -247,7 +251,7 @@
 // Guards against a shortage that falls on the submitters with long items, as it does when jobs start in the order of
 // their arrival: these then lose 0.80 to 0.90 of their jobs, the one with short items 0.45.
 func TestShortageIsShared(t *testing.T) {
-	arrival, due := overloaded(New(), exactHint), overloaded(duePlan(), exactHint)
+	arrival, due := overloaded(New(), exactHint), overloadedByDue()
 	least, worst := 1.0, 0.0
 	for _, name := range slices.Sorted(maps.Keys(due.submitted)) {
 		t.Logf("%s: %.2f late by arrival, %.2f by due time", name, arrival.loss(name), due.loss(name))
@@ -263,7 +267,7 @@
 
 // Guards against hints that are missing or wrong costing much more than exact ones.
 func TestWrongHintsCostLittle(t *testing.T) {
-	exact := overloaded(duePlan(), exactHint)
+	exact := overloadedByDue()
 	for name, hint := range map[string]func(*rand.Rand, int) int{
 		"unknown": func(*rand.Rand, int) int { return 0 },
 		"a third wrong": func(random *rand.Rand, events int) int {
--- a/internal/core/joborder/decision.go
+++ b/internal/core/joborder/decision.go
@@ -64,27 +64,27 @@
 }
 
 // inTimePossible reports whether the job can be complete in time.
-func (j *Entry) inTimePossible(now time.Time) bool { return !now.Add(j.rank.soonest).After(j.due()) }
+func (e *Entry) inTimePossible(now time.Time) bool { return !now.Add(e.rank.soonest).After(e.due()) }
 
 // lateReason returns why a job cannot be complete in time.
-func (j *Entry) lateReason(now time.Time) string {
+func (e *Entry) lateReason(now time.Time) string {
 	switch {
-	case !now.Before(j.due()):
+	case !now.Before(e.due()):
 		return "due time passed"
-	case j.waits():
+	case e.waits():
 		return "waiting items need longer"
 	default:
 		return "running items need longer"
 	}
 }
 
-func (o *Order) report(j *Entry, decision Decision) {
-	if j.reported[decision.Kind] {
+func (o *Order) report(e *Entry, decision Decision) {
+	if e.reported[decision.Kind] {
 		return
 	}
-	j.reported[decision.Kind] = true
-	decision.Job, decision.CanBeInTime = j.ID, j.rank.class == inTime
-	decision.Slack, decision.Needed, decision.Soonest = j.rank.slack, j.rank.needed, j.rank.soonest
-	decision.Behind, decision.Share = j.rank.behind, j.rank.share
+	e.reported[decision.Kind] = true
+	decision.Job, decision.CanBeInTime = e.ID, e.rank.class == inTime
+	decision.Slack, decision.Needed, decision.Soonest = e.rank.slack, e.rank.needed, e.rank.soonest
+	decision.Behind, decision.Share = e.rank.behind, e.rank.share
 	o.decisions = append(o.decisions, decision)
 }
--- a/internal/core/joborder/entry.go
+++ b/internal/core/joborder/entry.go
@@ -60,61 +60,61 @@
 }
 
 // setState changes the state of an item; items that the job does not name are added.
-func (j *Entry) setState(item int, state itemState) {
-	if item >= len(j.items) {
-		j.items = append(j.items, make([]itemState, item+1-len(j.items))...)
+func (e *Entry) setState(item int, state itemState) {
+	if item >= len(e.items) {
+		e.items = append(e.items, make([]itemState, item+1-len(e.items))...)
 	}
-	state.counted = j.items[item].counted
-	j.items[item] = state
+	state.counted = e.items[item].counted
+	e.items[item] = state
 }
 
 // lengthOf returns an item's expected length; zero if no length of the job is known.
-func (j *Entry) lengthOf(item int) int {
-	if item < len(j.Items) && j.Items[item].Length > 0 {
-		return j.Items[item].Length
+func (e *Entry) lengthOf(item int) int {
+	if item < len(e.Items) && e.Items[item].Length > 0 {
+		return e.Items[item].Length
 	}
-	return j.typicalLength
+	return e.typicalLength
 }
 
 // remaining returns the time that an item still needs at the pace, given its whole length.
-func (j *Entry) remaining(item, length int, pace time.Duration, now time.Time) time.Duration {
+func (e *Entry) remaining(item, length int, pace time.Duration, now time.Time) time.Duration {
 	needed := time.Duration(length) * pace
-	if state := &j.items[item]; state.phase == running {
+	if state := &e.items[item]; state.phase == running {
 		needed -= now.Sub(state.startedAt)
 	}
 	return max(needed, 0)
 }
 
 // waits reports whether an item of the job waits for an engine.
-func (j *Entry) waits() bool {
-	return slices.ContainsFunc(j.items, func(item itemState) bool { return item.phase == waiting })
+func (e *Entry) waits() bool {
+	return slices.ContainsFunc(e.items, func(item itemState) bool { return item.phase == waiting })
 }
 
 // span returns the time in which the job's results are due, or assumedDueAfter if they are not.
-func (j *Entry) span() time.Duration {
-	if j.DueAfter > 0 {
-		return j.DueAfter
+func (e *Entry) span() time.Duration {
+	if e.DueAfter > 0 {
+		return e.DueAfter
 	}
 	return assumedDueAfter
 }
 
-func (j *Entry) due() time.Time { return j.Accepted.Add(j.span()) }
+func (e *Entry) due() time.Time { return e.Accepted.Add(e.span()) }
 
-func (j *Entry) shareKey() shareKey { return shareKey{j.service, j.Submitter} }
+func (e *Entry) shareKey() shareKey { return shareKey{e.service, e.Submitter} }
 
 // Positions returns the places of the job's items as of the last call of Refresh.
-func (j *Entry) Positions() Positions { return j.positions }
+func (e *Entry) Positions() Positions { return e.positions }
 
 // IsSurplus reports whether the submitter does not wait for the item's group.
-func (j *Entry) IsSurplus(item int) bool {
-	return item < len(j.groupOf) && j.groups[j.groupOf[item]].surplus
+func (e *Entry) IsSurplus(item int) bool {
+	return item < len(e.groupOf) && e.groups[e.groupOf[item]].surplus
 }
 
 // SetContended records that items of the job wait while its service has fewer free slots than waiting items.
-func (j *Entry) SetContended(now time.Time) { j.contendedAt = now }
+func (e *Entry) SetContended(now time.Time) { e.contendedAt = now }
 
 // ContendedSince reports whether items of the job had to wait for slots at or after the time.
-func (j *Entry) ContendedSince(at time.Time) bool { return !j.contendedAt.Before(at) }
+func (e *Entry) ContendedSince(at time.Time) bool { return !e.contendedAt.Before(at) }
 
 // without returns the jobs without the given one, in the same order.
 func without(jobs []*Entry, removed *Entry) []*Entry {
--- a/internal/core/joborder/groups.go
+++ b/internal/core/joborder/groups.go
@@ -45,14 +45,14 @@
 // markSurplus determines which groups the submitter does not wait for: of those that are not carried over, the ones
 // that are expected to end last, beyond the wanted number. Items of unknown length count as of typical length, so a
 // group is not put off because nothing is known of it.
-func (j *Entry) markSurplus(pace time.Duration, now time.Time) {
-	for i := range j.groups {
-		j.groups[i].surplus = false
+func (e *Entry) markSurplus(pace time.Duration, now time.Time) {
+	for i := range e.groups {
+		e.groups[i].surplus = false
 	}
-	if j.Wanted <= 0 || now.Sub(j.Accepted) >= surplusAge*j.span() {
+	if e.Wanted <= 0 || now.Sub(e.Accepted) >= surplusAge*e.span() {
 		return
 	}
-	open, needed := j.openGroups(max(pace, 1), now)
+	open, needed := e.openGroups(max(pace, 1), now)
 	if needed >= len(open) {
 		return
 	}
@@ -60,16 +60,16 @@
 		return cmp.Or(cmp.Compare(a.left, b.left), a.index-b.index)
 	})
 	for _, late := range open[max(needed, 0):] {
-		j.groups[late.index].surplus = true
+		e.groups[late.index].surplus = true
 	}
 }
 
 // openGroups returns the unfinished groups that are not carried over, and how many of them are needed.
-func (j *Entry) openGroups(pace time.Duration, now time.Time) (open []openGroup, needed int) {
-	needed = j.Wanted
-	for index := range j.groups {
-		left, unfinished := j.groupLeft(index, pace, now)
-		if !unfinished || index < j.CarriedOver {
+func (e *Entry) openGroups(pace time.Duration, now time.Time) (open []openGroup, needed int) {
+	needed = e.Wanted
+	for index := range e.groups {
+		left, unfinished := e.groupLeft(index, pace, now)
+		if !unfinished || index < e.CarriedOver {
 			needed--
 			continue
 		}
@@ -79,13 +79,13 @@
 }
 
 // groupLeft returns the time that the group's longest unfinished item still needs; false if the group has none.
-func (j *Entry) groupLeft(index int, pace time.Duration, now time.Time) (left time.Duration, unfinished bool) {
-	for _, item := range j.groups[index].items {
-		if j.items[item].phase == done {
+func (e *Entry) groupLeft(index int, pace time.Duration, now time.Time) (left time.Duration, unfinished bool) {
+	for _, item := range e.groups[index].items {
+		if e.items[item].phase == done {
 			continue
 		}
 		unfinished = true
-		left = max(left, j.remaining(item, j.lengthOf(item), pace, now))
+		left = max(left, e.remaining(item, e.lengthOf(item), pace, now))
 	}
 	return left, unfinished
 }
--- a/internal/core/joborder/joborder.go
+++ b/internal/core/joborder/joborder.go
@@ -28,7 +28,8 @@
 	// Priority is the priority of the job; 0 is the highest.
 	Priority int
 	// Step is the sequence number that the submitter gave the job; zero for none.
-	Step     int64
+	Step int64
+	// Accepted is when the job was accepted; when it is first ranked if zero.
 	Accepted time.Time
 	// DueAfter is the time from Accepted until the results are due; zero for none.
 	DueAfter time.Duration
--- a/internal/core/joborder/joborder_test.go
+++ b/internal/core/joborder/joborder_test.go
@@ -232,6 +232,13 @@
 	assert.Equal(t, len(order.TakeDecisions()), 0)
 }
 
+// Guards against a slack that overflows when it is not known when a job was accepted.
+func TestJobOfUnknownAgeCountsFromItsFirstRanking(t *testing.T) {
+	unknown, older := jobOf("unknown", "a", 0, 20), jobOf("older", "b", time.Second, 20)
+	unknown.Accepted = time.Time{}
+	assert.DeepEqual(t, refreshed(now, unknown, older), []string{"older", "unknown"})
+}
+
 // Guards against ranks that are computed more than a few times a second, and against a new job that waits for them.
 func TestRanksAreComputedPeriodically(t *testing.T) {
 	order := New()
--- a/internal/core/joborder/rank.go
+++ b/internal/core/joborder/rank.go
@@ -51,6 +51,11 @@
 // Refresh computes the ranks of all jobs, at most once per RefreshInterval; in between it only ranks jobs that were
 // added.
 func (o *Order) Refresh(now time.Time, pace Pace) {
+	for _, added := range o.unranked {
+		if added.Accepted.IsZero() {
+			added.Accepted = now
+		}
+	}
 	if !o.Stale(now) {
 		o.insertUnranked()
 		return
@@ -83,7 +88,7 @@
 	priority  int
 }
 
-func (j *Entry) submitterKey() submitterKey { return submitterKey{j.Submitter, j.Priority} }
+func (e *Entry) submitterKey() submitterKey { return submitterKey{e.Submitter, e.Priority} }
 
 // earliestDue returns when the earliest open job of each submitter was or is due.
 func (o *Order) earliestDue() map[submitterKey]time.Time {
@@ -112,48 +117,48 @@
 }
 
 // evaluate computes a job's rank as of the last refresh.
-func (o *Order) evaluate(j *Entry, earliest map[submitterKey]time.Time) {
+func (o *Order) evaluate(e *Entry, earliest map[submitterKey]time.Time) {
 	now := o.refreshedAt
-	j.markSurplus(o.pace.Median, now)
+	e.markSurplus(o.pace.Median, now)
 	next := rank{
-		needed:  j.estimate(o.pace.Median, now, j.lengthOf),
-		soonest: j.estimate(o.pace.Best, now, j.leastLength),
-		share:   o.shares.adjustment(j.shareKey(), j.span()),
+		needed:  e.estimate(o.pace.Median, now, e.lengthOf),
+		soonest: e.estimate(o.pace.Best, now, e.leastLength),
+		share:   o.shares.adjustment(e.shareKey(), e.span()),
 	}
-	next.slack = j.due().Sub(now) - next.needed
-	if !o.shares.exceeded(j.shareKey()) {
-		next.behind = min(max(now.Sub(earliest[j.submitterKey()]), 0), j.span())
+	next.slack = e.due().Sub(now) - next.needed
+	if !o.shares.exceeded(e.shareKey()) {
+		next.behind = min(max(now.Sub(earliest[e.submitterKey()]), 0), e.span())
 	}
 	next.key = next.slack - next.behind + next.share
-	if j.DueAfter > 0 && now.Add(next.soonest).After(j.due()) {
+	if e.DueAfter > 0 && now.Add(next.soonest).After(e.due()) {
 		next.class = late
-		o.promote(j, &next)
+		o.promote(e, &next)
 	}
-	j.rank = next
+	e.rank = next
 }
 
 // promote gives a job that cannot be complete in time a rank among those that can once it has waited for long. Its rank
 // then rises with its age, unless its submitter got far more than its share: the old jobs of a submitter that submits more
 // than it can be given would otherwise delay those of all others.
-func (o *Order) promote(j *Entry, late *rank) {
-	waited := o.refreshedAt.Sub(j.Accepted) - time.Duration(promotionAge*float64(j.span()))
+func (o *Order) promote(e *Entry, late *rank) {
+	waited := o.refreshedAt.Sub(e.Accepted) - time.Duration(promotionAge*float64(e.span()))
 	if waited < 0 {
 		return
 	}
 	late.class, late.promoted, late.key = inTime, true, late.share
-	if !o.shares.exceeded(j.shareKey()) {
+	if !o.shares.exceeded(e.shareKey()) {
 		late.key -= waited
 	}
 }
 
 // estimate returns the time that the job's awaited items still need at the pace, without the few longest.
-func (j *Entry) estimate(pace time.Duration, now time.Time, length func(item int) int) time.Duration {
+func (e *Entry) estimate(pace time.Duration, now time.Time, length func(item int) int) time.Duration {
 	var needed []time.Duration
-	for item := range j.items {
-		if j.items[item].phase == done || j.IsSurplus(item) {
+	for item := range e.items {
+		if e.items[item].phase == done || e.IsSurplus(item) {
 			continue
 		}
-		needed = append(needed, j.remaining(item, length(item), pace, now))
+		needed = append(needed, e.remaining(item, length(item), pace, now))
 	}
 	if len(needed) == 0 {
 		return 0
@@ -164,12 +169,12 @@
 
 // leastLength returns a cautious estimate of an item's length: hints are right at the median and often far off, so half
 // of the difference to the median is left out.
-func (j *Entry) leastLength(item int) int {
-	length := j.lengthOf(item)
-	if length <= j.typicalLength {
+func (e *Entry) leastLength(item int) int {
+	length := e.lengthOf(item)
+	if length <= e.typicalLength {
 		return length
 	}
-	return (length + j.typicalLength) / 2
+	return (length + e.typicalLength) / 2
 }
 
 func (o *Order) sort() {
