Keep fast engines for long items in batchplan

Cause: fast engines are scarce where a quarter of the engines is fast; short items took their slots, and long items that concentrate there exceeded their KV cache.

Change: with classes, short items avoid a fast engine whose slots or KV cache are in use to a stated share, items are fitted by the memory projected for the next 50 events, no item waits for a fast engine, and a moved item starts at the engine that the move chose. The plan learns the events of running items through RecordEvents and the classes through Classify; until that is called nothing changes.

--- a/internal/core/batchplan/deferral.go
+++ b/internal/core/batchplan/deferral.go
@@ -21,13 +21,20 @@
 }
 
 func (p *pass) isFast(engine *Engine) bool {
+	if classes := p.speeds[engine.Service]; classes != nil {
+		return classes.IsFast(engine.ID)
+	}
 	return IsFast(p.plan.paces[engine.ID], p.bestPace)
 }
 
 // worthWaiting reports whether an item is expected to end sooner if it waits for a free slot at a
 // fast engine than if it starts at the given slower one now. It assumes that slots of fast engines
-// become free at a steady rate, and that the items deferred earlier in the pass take the first ones.
+// become free at a steady rate, and that the items deferred earlier in the pass take the first ones. With classes no
+// item waits: it can move to a fast engine later, which costs less than the wait.
 func (p *pass) worthWaiting(item Item, engine *Engine, candidates *candidateHeap) bool {
+	if p.speeds[item.Service] != nil {
+		return false
+	}
 	if candidates.fastRunning == 0 || p.expectedRunTime == 0 || p.isFast(engine) {
 		return false
 	}
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
+	"github.com/corkpulley/corkpulley/internal/core/enginespeed"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
@@ -40,6 +42,10 @@
 	bestPace        time.Duration
 	expectedRunTime time.Duration
 	classes         map[class]*candidateHeap
+	// speeds holds the speed classes of the services that have any, projected the memory that the running items of
+	// each engine of these services are projected to need; both are nil if no service has classes.
+	speeds    map[string]*enginespeed.Classes
+	projected map[incarnation.ID]float64
 }
 
 // class holds the properties of an item that determine which engines are eligible for it.
@@ -47,10 +53,18 @@
 	service    string
 	model      string
 	minVersion int64
+	// avoidsFast is true for items that are kept off fast engines.
+	avoidsFast bool
+}
+
+// classOf returns the class of an item.
+func (p *pass) classOf(item Item) class {
+	return class{item.Service, item.Model, item.MinVersion, p.plan.avoidsFast(p.speeds[item.Service], item)}
 }
 
 // candidateHeap is a heap.Interface of the engines that may run items of a class, lowest score on top.
 type candidateHeap struct {
+	class   class
 	entries []candidate
 	// blocked is true once no engine could take an item without constraints of its own; freeTokens
 	// is then the largest free memory of an engine.
@@ -99,6 +113,9 @@
 		byID:            make(map[incarnation.ID]int, len(engines)), classes: make(map[class]*candidateHeap),
 		startsLeft: make([]int, len(engines)),
 	}
+	if len(plan.speeds.classes) > 0 {
+		p.speeds, p.projected = plan.speeds.classes, plan.projectedByEngine()
+	}
 	for i := range engines {
 		p.byID[engines[i].ID] = i
 		p.startsLeft[i] = unbounded
@@ -111,12 +128,12 @@
 
 // candidatesFor returns the engines that may run items of the item's class.
 func (p *pass) candidatesFor(item Item) *candidateHeap {
-	key := class{item.Service, item.Model, item.MinVersion}
+	key := p.classOf(item)
 	candidates, found := p.classes[key]
 	if found {
 		return candidates
 	}
-	candidates = &candidateHeap{}
+	candidates = &candidateHeap{class: key}
 	for i := range p.engines {
 		engine := &p.engines[i]
 		if !p.eligible(engine, key) {
@@ -126,7 +143,7 @@
 			candidates.fastRunning += p.plan.runningCount[engine.ID]
 		}
 		if p.hasSlot(engine) {
-			candidates.entries = append(candidates.entries, candidate{i, p.score(engine)})
+			candidates.entries = append(candidates.entries, candidate{i, p.score(engine, key)})
 		}
 	}
 	heap.Init(candidates)
@@ -152,7 +169,12 @@
 }
 
 // countStart counts an item that was assigned to an engine in this pass.
-func (p *pass) countStart(engine incarnation.ID) { p.startsLeft[p.byID[engine]]-- }
+func (p *pass) countStart(item Item, engine incarnation.ID) {
+	p.startsLeft[p.byID[engine]]--
+	if p.speeds[item.Service] != nil {
+		p.projected[engine] += p.plan.projectedNeed(item.Prompt, item.Tokens, item.Events)
+	}
+}
 
 // isolated reports whether an engine takes no further items because of a suspect one.
 func (p *pass) isolated(engine *Engine) bool {
@@ -161,12 +183,20 @@
 
 // score returns the pace expected at the engine with one more item, relative to the median pace;
 // lower is better.
-func (p *pass) score(engine *Engine) float64 {
+func (p *pass) score(engine *Engine, key class) float64 {
+	if key.avoidsFast && p.keptForLongItems(engine) {
+		return keptScore * p.load(engine)
+	}
 	score := 1.0
 	if pace, found := p.plan.paces[engine.ID]; found && p.medianPace > 0 {
 		score = float64(pace) / float64(p.medianPace)
 	}
-	return score * (1 + occupancyCost*float64(p.plan.runningCount[engine.ID])) * p.memoryPressure(engine)
+	return score * p.load(engine)
+}
+
+// load returns the factor by which an engine is expected to slow down due to its items.
+func (p *pass) load(engine *Engine) float64 {
+	return (1 + occupancyCost*float64(p.plan.runningCount[engine.ID])) * p.memoryPressure(engine)
 }
 
 // memoryPressure returns the factor by which an engine is expected to slow down due to its
@@ -176,6 +206,9 @@
 		return 1
 	}
 	reserved := float64(p.plan.reservedTokens[engine.ID]) / float64(engine.Tokens)
+	if p.speeds[engine.Service] != nil {
+		reserved = p.projected[engine.ID] / float64(engine.Tokens)
+	}
 	return 1 + memoryPressureCost*max(0, reserved-memoryPressureThreshold)
 }
 
@@ -184,8 +217,11 @@
 	if item.Suspect {
 		return p.chooseIsolated(item)
 	}
+	if engine, found := p.preferredEngine(item); found {
+		return engine, true
+	}
 	candidates := p.candidatesFor(item)
-	if candidates.blocked && item.Tokens > candidates.freeTokens {
+	if candidates.blocked && p.need(item) > candidates.freeTokens {
 		return incarnation.ID{}, false
 	}
 	best, found := p.best(item, candidates)
@@ -208,7 +244,7 @@
 // chooseIsolated returns the engine for a suspect item: the one whose latest start is the longest
 // ago, since items that crash engines do so soon after they start.
 func (p *pass) chooseIsolated(item Item) (incarnation.ID, bool) {
-	key := class{item.Service, item.Model, item.MinVersion}
+	key := p.classOf(item)
 	var best *Engine
 	for i := range p.engines {
 		engine := &p.engines[i]
@@ -240,7 +276,7 @@
 			heap.Pop(candidates)
 			continue
 		}
-		if score := p.score(engine); score != top.score {
+		if score := p.score(engine, candidates.class); score != top.score {
 			top.score = score
 			heap.Fix(candidates, 0)
 			continue
@@ -261,10 +297,10 @@
 		return candidate{}, false
 	}
 	engine := &p.engines[index]
-	if !p.canServe(engine, class{item.Service, item.Model, item.MinVersion}) || !p.fits(item, engine) {
+	if !p.canServe(engine, candidates.class) || !p.fits(item, engine) {
 		return candidate{}, false
 	}
-	return candidate{index, p.score(engine) - groupBonus}, true
+	return candidate{index, p.score(engine, candidates.class) - groupBonus}, true
 }
 
 // fits reports whether an engine that serves the item's class meets the item's own constraints.
@@ -275,18 +311,29 @@
 	if item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion {
 		return false
 	}
-	return item.Tokens <= p.freeTokens(engine)
+	return p.need(item) <= p.freeTokens(engine)
+}
+
+// need returns the memory, in tokens, that has to be free at an engine to take an item.
+func (p *pass) need(item Item) int {
+	if p.speeds[item.Service] == nil {
+		return item.Tokens
+	}
+	return int(math.Ceil(p.plan.projectedNeed(item.Prompt, item.Tokens, item.Events)))
 }
 
 // unbounded is the free memory of an engine, or the number of permitted starts, if there is no limit.
 const unbounded = int(^uint(0) >> 1)
 
-// freeTokens returns the memory, in tokens, that can still be reserved at an engine. An idle
-// engine takes an item of any size.
+// freeTokens returns the memory, in tokens, that can still be reserved at an engine, or with classes the memory
+// that is projected to stay free. An idle engine takes an item of any size.
 func (p *pass) freeTokens(engine *Engine) int {
 	if engine.Tokens <= 0 || p.plan.runningCount[engine.ID] == 0 {
 		return unbounded
 	}
+	if p.speeds[engine.Service] != nil {
+		return engine.Tokens - int(math.Ceil(p.projected[engine.ID]))
+	}
 	return memoryOvercommit*engine.Tokens - p.plan.reservedTokens[engine.ID]
 }
 
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -33,8 +33,14 @@
 	Group       string
 	// Length is the expected output length in tokens; zero when unknown.
 	Length int
-	// Tokens is the memory that it is expected to need at an engine, in tokens.
+	// Tokens is the memory that it is expected to need at an engine, in tokens; Prompt is the part of it that its
+	// prompt needs.
 	Tokens int
+	Prompt int
+	// Events is the number of its events received in earlier runs.
+	Events int64
+	// DueAfter is the time from the job's submission until its results are due; zero when unknown.
+	DueAfter time.Duration
 	// NotBefore is the earliest start after a failure.
 	NotBefore time.Time
 	// Avoid is the engine of the latest failed run.
@@ -69,6 +75,10 @@
 	Running int
 	// Pace is the engine's mean time between events; zero when unknown.
 	Pace time.Duration
+	// Fast is true if the engine is in the fast class of its service, Long if the item counts as long. Both are false
+	// if the service has no classes.
+	Fast bool
+	Long bool
 }
 
 // paceWeight is the weight of a new observation in the moving average of an engine's pace.
@@ -97,6 +107,10 @@
 	paces map[incarnation.ID]time.Duration
 	// groupEngines is the engine of the latest started item of each group.
 	groupEngines map[string]incarnation.ID
+	// speeds holds the speed classes of the engines.
+	speeds speeds
+	// preferred is the engine at which a moved item starts if that can take it.
+	preferred map[Key]incarnation.ID
 	// lengthSum and eventCount are decaying sums of the expected lengths of completed items and of
 	// their actual numbers of events.
 	lengthSum  float64
@@ -137,6 +151,8 @@
 		isolatedUntil:  make(map[incarnation.ID]time.Time),
 		paces:          make(map[incarnation.ID]time.Duration),
 		groupEngines:   make(map[string]incarnation.ID),
+		speeds:         newSpeeds(),
+		preferred:      make(map[Key]incarnation.ID),
 	}
 }
 
@@ -151,6 +167,7 @@
 // Remove removes an item, whether it waits or runs.
 func (p *Plan) Remove(key Key) {
 	delete(p.waiting, key)
+	delete(p.preferred, key)
 	p.Ended(key)
 }
 
@@ -180,6 +197,9 @@
 	reservedTokens int
 	length         int
 	suspect        bool
+	// prompt is the part of reservedTokens that the item's prompt needs, events the number of its events so far.
+	prompt int
+	events int64
 }
 
 // Running returns the number of items that the engine runs.
@@ -254,6 +274,7 @@
 func (p *Plan) ForgetEngines(gone func(engine incarnation.ID) bool) {
 	maps.DeleteFunc(p.paces, func(engine incarnation.ID, _ time.Duration) bool { return gone(engine) })
 	maps.DeleteFunc(p.startedAt, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
+	p.speeds.forget(gone)
 }
 
 // Assign assigns waiting items to engines with free slots, records that they run, and returns the assignments.
@@ -269,18 +290,25 @@
 			continue
 		}
 		delete(p.waiting, item.Key)
+		classes := p.speeds.classes[item.Service]
 		assigned = append(assigned, Assignment{
 			Item: item, Engine: engine, Running: p.runningCount[engine], Pace: p.paces[engine],
+			Fast: classes.IsFast(engine), Long: p.isLong(classes, item),
 		})
 		p.recordStart(item, engine, now)
-		pass.countStart(engine)
+		pass.countStart(item, engine)
 	}
 	return assigned
 }
 
 // recordStart records that an item runs at an engine.
 func (p *Plan) recordStart(item Item, engine incarnation.ID, now time.Time) {
-	p.running[item.Key] = placement{item.Service, engine, item.Tokens, item.Length, item.Suspect}
+	p.running[item.Key] = placement{
+		service: item.Service, engine: engine, reservedTokens: item.Tokens, length: item.Length, suspect: item.Suspect,
+		prompt: item.Prompt, events: item.Events,
+	}
+	delete(p.preferred, item.Key)
+	p.speeds.services[engine] = item.Service
 	p.startedAt[engine] = now
 	if item.Suspect {
 		p.isolatedUntil[engine] = now.Add(IsolationTime)
