Choose moves to fast engines by their gain

Cause: moves went in random order, regardless of how much of an item was left.

Change: MovesToFast returns the items for which a move to a fast engine gains more than 0.5 s, the most time left first, each with the place that takes it. It is a function of the plan, the running items and the engines, and modifies nothing.

--- /dev/null
+++ b/internal/core/batchplan/moves.go
@@ -0,0 +1,157 @@
+package batchplan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+)
+
+const (
+	// minMoveGain is the least expected gain of a move to a fast engine. It covers the prefill of prompt and
+	// generated text (310 to 400 tokens per millisecond, so up to 0.1 s for a full engine), the new connection, and
+	// the risk of a wrong estimate.
+	minMoveGain = 500 * time.Millisecond
+	// minMoveAge is the least age of a run that is moved to a fast engine.
+	minMoveAge = 250 * time.Millisecond
+	// outrunShare is the least share of an item's events so far that it is expected to need still.
+	outrunShare = 0.5
+)
+
+// MoveCandidate is a running item that may be moved.
+type MoveCandidate struct {
+	Key        Key
+	Model      string
+	MinVersion int64
+	// SameVersion is the only version that may continue the item; zero for any.
+	SameVersion int64
+	// Started is the start of its run.
+	Started time.Time
+}
+
+// Move is a running item that is to continue at a fast engine.
+type Move struct {
+	Key  Key
+	From incarnation.ID
+	To   incarnation.ID
+	// Gain is the time by which the item is expected to end earlier, without the cost of the move.
+	Gain time.Duration
+}
+
+// movable is a candidate for which a move pays.
+type movable struct {
+	MoveCandidate
+	placement  placement
+	left, gain time.Duration
+}
+
+// MovesToFast returns the moves of running items from other engines to fast ones with a free slot, sufficient memory
+// and weights that may continue the item. Items with the most time left come first; a move has to gain more than
+// minMoveGain. Without classes there are none. The plan isn't modified.
+func (p *Plan) MovesToFast(now time.Time, candidates []MoveCandidate, engines []Engine) []Move {
+	items := p.movable(now, candidates)
+	if len(items) == 0 {
+		return nil
+	}
+	pass := newPass(p, engines, now)
+	places := pass.fastPlaces()
+	var moves []Move
+	for _, item := range items {
+		need := p.needOf(item.Key)
+		key := class{service: item.placement.service, model: item.Model, minVersion: item.MinVersion}
+		index := slices.IndexFunc(places, func(place place) bool {
+			return place.slots > 0 && need <= place.tokens && pass.eligible(place.engine, key) &&
+				(item.SameVersion == 0 || place.engine.Versions[item.Model] == item.SameVersion)
+		})
+		if index < 0 {
+			continue
+		}
+		chosen := &places[index]
+		chosen.slots--
+		chosen.tokens = min(chosen.tokens, chosen.engine.tokensOrUnbounded()) - need
+		moves = append(moves, Move{Key: item.Key, From: item.placement.engine, To: chosen.engine.ID, Gain: item.gain})
+	}
+	return moves
+}
+
+// movable returns the candidates that gain enough from a move to a fast engine, the most time left first.
+func (p *Plan) movable(now time.Time, candidates []MoveCandidate) []movable {
+	var items []movable
+	for _, candidate := range candidates {
+		placed, running := p.running[candidate.Key]
+		classes := p.speeds.classes[placed.service]
+		if !running || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < minMoveAge {
+			continue
+		}
+		pace := p.paces[placed.engine]
+		events := p.eventsLeft(placed)
+		gain := time.Duration(events * float64(pace-classes.FastPace))
+		if gain <= minMoveGain {
+			continue
+		}
+		items = append(items, movable{candidate, placed, time.Duration(events * float64(pace)), gain})
+	}
+	slices.SortFunc(items, func(a, b movable) int {
+		return cmp.Or(
+			cmp.Compare(b.left, a.left), cmp.Compare(a.Key.Job, b.Key.Job), cmp.Compare(a.Key.Item, b.Key.Item),
+		)
+	})
+	return items
+}
+
+// eventsLeft returns how many more events a running item is expected to have.
+func (p *Plan) eventsLeft(placed placement) float64 {
+	done := float64(placed.events)
+	return max(p.expectedEvents(placed.length)-done, outrunShare*done)
+}
+
+// place is a fast engine with free slots.
+type place struct {
+	engine        *Engine
+	slots, tokens int
+}
+
+// fastPlaces returns the fast engines with free slots in the order of the pass. Slots and memory that are needed by
+// items on their way to an engine aren't free.
+func (p *pass) fastPlaces() []place {
+	expected := make(map[incarnation.ID]place)
+	for key, engine := range p.plan.preferred {
+		arriving := expected[engine]
+		arriving.slots++
+		arriving.tokens += p.plan.needOf(key)
+		expected[engine] = arriving
+	}
+	var places []place
+	for i := range p.engines {
+		engine := &p.engines[i]
+		if !engine.Usable || !p.speeds[engine.Service].IsFast(engine.ID) || !p.hasSlot(engine) {
+			continue
+		}
+		slots, tokens := min(engine.Slots-p.plan.runningCount[engine.ID], p.startsLeft[i]), p.freeTokens(engine)
+		if arriving := expected[engine.ID]; arriving.slots > 0 {
+			slots -= arriving.slots
+			tokens = min(tokens, engine.tokensOrUnbounded()) - arriving.tokens
+		}
+		places = append(places, place{engine: engine, slots: slots, tokens: tokens})
+	}
+	return places
+}
+
+// needOf returns the memory, in tokens, that a waiting or running item is projected to need.
+func (p *Plan) needOf(key Key) int {
+	if placed, found := p.running[key]; found {
+		return int(math.Ceil(p.projectedNeed(placed.prompt, placed.reservedTokens, placed.events)))
+	}
+	item := p.waiting[key]
+	return int(math.Ceil(p.projectedNeed(item.Prompt, item.Tokens, item.Events)))
+}
+
+// tokensOrUnbounded returns the engine's memory; unbounded when unknown.
+func (e *Engine) tokensOrUnbounded() int {
+	if e.Tokens <= 0 {
+		return unbounded
+	}
+	return e.Tokens
+}
