Move items to fast engines by what each gains

Cause: the runner moved items from slow engines at random, at most three times each, and never where all engines counted as fast.

Change: with Options.MixedEngines the runner classifies engines at its ticks, reports events to the plan and carries out its moves. Items of draining engines and of services without classes move as before. Lines of starts and moves tell the class of the engine, whether the item counted as long and why it moved; corkctl explain names the reason.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -16,6 +16,13 @@
 	return r.plan.Running(engine)
 }
 
+// FastEngines returns the engines in the fast class of their service; none without classes.
+func (r *Runner) FastEngines() map[incarnation.ID]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan.FastEngines()
+}
+
 // Demand is the work of the open jobs of a model.
 type Demand struct {
 	// Tokens is the total size of the items of the model's open jobs.
--- a/internal/batchrun/dependencies.go
+++ b/internal/batchrun/dependencies.go
@@ -166,4 +166,6 @@
 	Retention     time.Duration
 	// EngineTokens is the memory of one engine in tokens; zero when unknown.
 	EngineTokens int
+	// ResultsDueAfter is the time from a job's submission until its results are due; zero for none.
+	ResultsDueAfter time.Duration
 }
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
@@ -21,10 +23,82 @@
 	maxMoves = 3
 )
 
+// MoveReason is why an item is moved to another engine.
+type MoveReason uint8
+
+const (
+	notMoved MoveReason = iota
+	// MovedFromDraining: its engine drains.
+	MovedFromDraining
+	// MovedFromSlow: its engine is slower than others with free slots. Applies where engines have no speed classes.
+	MovedFromSlow
+	// MovedToFast: it ends sooner at an engine of the fast class.
+	MovedToFast
+)
+
+var moveReasonNames = [...]string{
+	notMoved: "", MovedFromDraining: "draining_engine", MovedFromSlow: "slow_engine", MovedToFast: "fast_engine",
+}
+
+// MoveReasons returns all reasons.
+func MoveReasons() []MoveReason { return []MoveReason{MovedFromDraining, MovedFromSlow, MovedToFast} }
+
+// String returns the reason's name in logs and metrics; empty for none.
+func (r MoveReason) String() string { return moveReasonNames[r] }
+
+// move is why and where an item is moved.
+type move struct {
+	reason MoveReason
+	// to and gain are set for MovedToFast: the engine chosen and how much sooner the item is expected to end.
+	to   incarnation.ID
+	gain time.Duration
+}
+
+// addTo adds the move, if there is one, to a log line.
+func (m move) addTo(line *zerolog.Event) {
+	if m.reason == notMoved {
+		return
+	}
+	line.Stringer("move_reason", m.reason)
+	if m.reason == MovedToFast {
+		line.Stringer("move_to", m.to).Dur("gain_ms", m.gain)
+	}
+}
+
+// stopToMove stops a run so that its item continues at another engine. Must be called with mu held.
+func (r *Runner) stopToMove(running *run, move move) {
+	running.move = move
+	running.stop(stopMoved)
+	if r.options.OnMove != nil {
+		r.options.OnMove(move.reason)
+	}
+}
+
+// classifyEngines updates the speed classes of the engines.
+func (r *Runner) classifyEngines(now time.Time) {
+	if !r.options.MixedEngines {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, change := range r.plan.Classify(now) {
+		line := r.options.Logger.Info().Str("service", change.Service)
+		fast := 0
+		if classes := change.Classes; classes != nil {
+			fast = len(classes.Fast)
+			line.Int("others", classes.Others).Dur("fast_pace_ms", classes.FastPace).Dur("other_pace_ms", classes.OtherPace)
+		}
+		line.Int("fast", fast).Msg("engine speed classes changed")
+		if r.options.OnFastEngines != nil {
+			r.options.OnFastEngines(change.Service, fast)
+		}
+	}
+}
+
 // moveStragglers stops runs on engines that are slower than others with free slots, so that their items continue
 // there. An engine that drains or is much slower loses all its items, one that is slightly slower only the long
-// ones. Items in an evacuated zone finish there: its engines keep serving, and a move repeats the prompt
-// processing.
+// ones. With speed classes, items move to fast engines by what each gains instead. Items in an evacuated zone finish
+// there: its engines keep serving, and a move repeats the prompt processing.
 func (r *Runner) moveStragglers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -39,7 +113,8 @@
 	r.plan.ForgetEngines(gone)
 	maps.DeleteFunc(r.overcommitChecks, func(engine incarnation.ID, _ overcommitCheck) bool { return gone(engine) })
 	maps.DeleteFunc(r.pausedUntil, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
-	free := r.fastFreeSlots(best)
+	views := r.engineViews(time.Now())
+	free := r.fastFreeSlots(best, views)
 	now := time.Now()
 	for key, running := range r.runs {
 		job := r.jobs[key.Job]
@@ -47,16 +122,46 @@
 			continue
 		}
 		state := &job.items[key.Item]
-		minAge := minAgeToMove(float64(r.plan.Pace(running.engine)) / float64(best))
+		minAge, reason := minAgeToMove(float64(r.plan.Pace(running.engine))/float64(best)), MovedFromSlow
+		if r.plan.HasClasses(running.engine) {
+			minAge = never
+		}
 		if engine, known := r.options.Fleet.Find(running.engine); known && engine.Draining {
-			minAge = 0
+			minAge, reason = 0, MovedFromDraining
 		}
 		if state.Moves >= maxMoves || now.Sub(running.started) < minAge {
 			continue
 		}
 		state.Moves++
 		free[job.record.Model]--
-		running.stop(stopMoved)
+		r.stopToMove(running, move{reason: reason})
+	}
+	r.moveToFast(now, views)
+}
+
+// moveToFast stops the runs whose items continue on engines of the fast class. Each move has to pay for itself, so
+// maxMoves doesn't apply. Must be called with mu held.
+func (r *Runner) moveToFast(now time.Time, views []batchplan.Engine) {
+	if !r.options.MixedEngines {
+		return
+	}
+	var candidates []batchplan.MoveCandidate
+	for key, running := range r.runs {
+		job := r.jobs[key.Job]
+		if job == nil || running.reason != notStopped || !r.plan.HasClasses(running.engine) {
+			continue
+		}
+		candidate := batchplan.MoveCandidate{
+			Key: key, Model: job.record.Model, MinVersion: job.record.MinVersion, Started: running.started,
+		}
+		if versions := job.items[key.Item].Output.Versions(); job.singleVersion && len(versions) == 1 {
+			candidate.SameVersion = versions[0]
+		}
+		candidates = append(candidates, candidate)
+	}
+	for _, each := range r.plan.MovesToFast(now, candidates, views) {
+		r.plan.Prefer(each.Key, each.To)
+		r.stopToMove(r.runs[each.Key], move{reason: MovedToFast, to: each.To, gain: each.Gain})
 	}
 }
 
@@ -75,9 +180,9 @@
 
 // fastFreeSlots returns the number of free slots per model on engines about as fast as the best. Must be called
 // with mu held.
-func (r *Runner) fastFreeSlots(best time.Duration) map[string]int {
+func (r *Runner) fastFreeSlots(best time.Duration, views []batchplan.Engine) map[string]int {
 	free := make(map[string]int)
-	for _, engine := range r.engineViews(time.Now()) {
+	for _, engine := range views {
 		pace := r.plan.Pace(engine.ID)
 		if !engine.Usable || pace == 0 || !batchplan.IsFast(pace, best) {
 			continue
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -172,6 +172,7 @@
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
 		Suspect: status.ItemSuspect(),
+		Prompt:  record.Prompt, Events: state.Output.Last(), DueAfter: route.ResultsDueAfter,
 	}
 	if route.SingleVersion && len(versions) == 1 {
 		item.SameVersion = versions[0]
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -59,8 +59,11 @@
 	cancel   context.CancelFunc
 	// sendCheck is the final check before the call is sent.
 	sendCheck *sendgate.Check
-	// reason is guarded by the runner's mu.
+	// fast reports whether the engine is in the fast class of its service, long whether the item counted as long.
+	fast, long bool
+	// reason and move are guarded by the runner's mu; move is set if reason is stopMoved.
 	reason stopReason
+	move   move
 	// lastEventAt is when the stream last sent an event, as Unix time in nanoseconds; stallTimer fires when it may
 	// have stalled.
 	lastEventAt atomic.Int64
@@ -124,6 +127,7 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	started := &run{
 		engine: engine.Incarnation(), started: time.Now(), isolated: assignment.Item.Suspect, cancel: cancel,
+		fast: assignment.Fast, long: assignment.Long,
 		sendCheck: r.options.Gate.Check(engine.Incarnation(), permitValid),
 	}
 	r.runs[key] = started
@@ -135,7 +139,7 @@
 	r.options.Logger.Info().Str("job", key.Job).Str("item", record.ID).Str("group", record.Group).
 		Stringer("engine", started.engine).Int("running", assignment.Running).Bool("cold", permitValid != nil).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.LastEvent).
-		Int("length", record.Length).Int("tokens", record.Tokens).
+		Int("length", record.Length).Int("tokens", record.Tokens).Bool("fast", started.fast).Bool("long", started.long).
 		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
 	r.options.Fleet.RequestStarted(engine.Incarnation())
 	r.wait.Go(func() {
@@ -219,6 +223,9 @@
 		return &CallError{Kind: NotExecuted, Detail: "weight version changed, but the route requires a single version"}
 	}
 	r.observePace(current, now)
+	if r.options.MixedEngines {
+		r.plan.RecordEvents(key, item.Output.Last())
+	}
 	return nil
 }
 
@@ -292,10 +299,11 @@
 func (r *Runner) retryOrExpire(job *openJob, key batchplan.Key, current *run, errorKind CallErrorKind, err error) {
 	state := &job.items[key.Item]
 	route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
-	r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
+	line := r.options.Logger.Warn().Err(err).Str("job", key.Job).Str("item", job.record.Items[key.Item].ID).
 		Stringer("engine", current.engine).Stringer("refusal", errorKind).Stringer("stop_reason", current.reason).
-		Stringer("held_back", current.sendCheck.Held()).
-		Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(current.started)).Msg("run ended early")
+		Stringer("held_back", current.sendCheck.Held()).Bool("fast", current.fast).Bool("long", current.long)
+	current.move.addTo(line)
+	line.Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(current.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
 	if current.reason != notStopped {
 		r.queueItem(job, key.Item, current.engine, time.Time{})
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -62,6 +62,13 @@
 	// all engines that are loading.
 	LoadingModel  func(engine incarnation.ID) string
 	LoadingModels func() map[incarnation.ID]string
+	// MixedEngines divides the engines of each service into fast ones and others by their observed pace, keeps the fast
+	// ones for long items, and moves items to them.
+	MixedEngines bool
+	// OnMove, if set, is called for each item that is stopped to be moved, and OnFastEngines when the fast engines of a
+	// service change. Both are called with a lock held and must not call the runner.
+	OnMove        func(reason MoveReason)
+	OnFastEngines func(service string, fast int)
 	// Term identifies this leadership term among all terms.
 	Term   string
 	Logger zerolog.Logger
@@ -180,6 +187,7 @@
 		case now := <-ticker.C:
 			r.recordTick(now)
 			r.stopRunsOnRestartedEngines()
+			r.classifyEngines(now)
 			r.applyHomes()
 			r.expireOverdue()
 			r.expireOverdueOthers(now)
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -15,6 +15,10 @@
 		"held_back": "held back before it was sent",
 	}
 	stopReasonPhrases = map[string]string{"moved": "moved to a faster engine", "engine_ended": "its engine restarted"}
+	// moveReasonPhrases describes values of the log field "move_reason", which older builds don't log.
+	moveReasonPhrases = map[string]string{
+		"draining_engine": "moved, its engine drains", "slow_engine": "moved, its engine was slower than others with free slots",
+	}
 )
 
 const (
@@ -125,6 +129,14 @@
 		if stopReason := line.text("stop_reason"); stopReason != "" {
 			reason = phraseFor(stopReasonPhrases, stopReason)
 		}
+		switch moveReason := line.text("move_reason"); moveReason {
+		case "":
+		case "fast_engine":
+			reason = fmt.Sprintf("moved to the fast engine %s, expected to end %.0f ms sooner there",
+				line.text("move_to"), line.number("gain_ms"))
+		default:
+			reason = phraseFor(moveReasonPhrases, moveReason)
+		}
 		interruptions = append(interruptions, fmt.Sprintf("%s after %.0f ms at event %.0f (%s)",
 			line.text("engine"), line.number("ran_ms"), line.number("after_event"), reason))
 	}
