Divide fast engines between models separately

Cause: each engine follows one model without regard to speed, so a model got 0 to 6 of 12 fast engines.

Change: if there are at least as many fast engines as models, these are divided by demand first and the other engines make up each model's total, which stays as before. Among engines that are equally in need of a load, fast ones load first.

--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -37,6 +37,8 @@
 	Loading bool
 	// Usable is false for engines that accept no new work or have recently failed.
 	Usable bool
+	// Fast is true for engines in the fast class of their service; false for all if it has no classes.
+	Fast bool
 }
 
 // Target is the newest version of a model with its demand.
@@ -68,6 +70,17 @@
 func (a *Allocator) Allocate(engines []Engine, targets []Target) map[incarnation.ID]string {
 	a.removeMissing(engines)
 	wanted := wantedEngines(engines, targets)
+	if fast, others := divide(engines); len(fast) >= len(targets) && len(fast) > 0 && len(others) > 0 {
+		a.allocateFast(fast, targets, wanted)
+		a.allocate(others, targets, a.without(fast, wanted))
+	}
+	a.allocate(engines, targets, wanted)
+	return a.models
+}
+
+// allocate assigns free engines, and then surplus engines of other models, to the models that have fewer of these
+// engines than wanted.
+func (a *Allocator) allocate(engines []Engine, targets []Target, wanted map[string]int) {
 	counts := make(map[string]int)
 	var free []Engine
 	for _, engine := range engines {
@@ -85,7 +98,6 @@
 			a.reassign(engines, target.Model, counts, wanted)
 		}
 	}
-	return a.models
 }
 
 // assign assigns free engines to a model until it has as many as wanted, and returns the remaining ones. Engines
@@ -167,10 +179,7 @@
 // shares divides the engines between the models by demand, with at least one for each model if there are
 // enough. Engines left over by rounding go to the largest remainders.
 func shares(engines int, targets []Target) map[string]int {
-	total := 0.0
-	for _, target := range targets {
-		total += target.Demand
-	}
+	exactShares := exactShares(engines, targets)
 	wanted := make(map[string]int, len(targets))
 	type remainder struct {
 		model    string
@@ -179,10 +188,7 @@
 	var remainders []remainder
 	allocated := 0
 	for _, target := range targets {
-		exact := float64(engines) / float64(len(targets))
-		if total > 0 {
-			exact = float64(engines) * target.Demand / total
-		}
+		exact := exactShares[target.Model]
 		count := max(int(exact), min(1, engines/len(targets)))
 		wanted[target.Model] = count
 		allocated += count
@@ -195,6 +201,22 @@
 	return wanted
 }
 
+// exactShares divides the engines between the models by demand, evenly while no demand is known.
+func exactShares(engines int, targets []Target) map[string]float64 {
+	total := 0.0
+	for _, target := range targets {
+		total += target.Demand
+	}
+	exact := make(map[string]float64, len(targets))
+	for _, target := range targets {
+		exact[target.Model] = float64(engines) / float64(len(targets))
+		if total > 0 {
+			exact[target.Model] = float64(engines) * target.Demand / total
+		}
+	}
+	return exact
+}
+
 // Load is an order to an engine to load a version of a model.
 type Load struct {
 	Engine  incarnation.ID
@@ -292,6 +314,9 @@
 	if a, b := tooOld(c.engine, c.target), tooOld(other.engine, other.target); a != b {
 		return a
 	}
+	if c.engine.Fast != other.engine.Fast {
+		return c.engine.Fast
+	}
 	if c.lag != other.lag {
 		return c.lag > other.lag
 	}
--- a/internal/weightorders/incarnation_test.go
+++ b/internal/weightorders/incarnation_test.go
@@ -145,7 +145,7 @@
 // isUsable reports whether the only engine may be ordered.
 func isUsable(manager *Manager, now time.Time) bool {
 	listed := manager.options.Fleet.List(service, now)
-	views := manager.engineViews(listed, nil)
+	views := manager.engineViews(listed, nil, nil)
 	manager.markUsable(views, listed, map[incarnation.ID]string{views[0].ID: model}, now)
 	return views[0].Usable
 }
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -16,6 +16,10 @@
 	now := time.Now()
 	demands := m.options.Demands()
 	running := m.options.Running()
+	var fast map[incarnation.ID]bool
+	if m.options.Fast != nil {
+		fast = m.options.Fast()
+	}
 	listed := m.options.Fleet.List(target.Service, now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -28,7 +32,7 @@
 		allocator = weightplan.NewAllocator()
 		m.allocators[target.Service] = allocator
 	}
-	engines := m.engineViews(listed, running)
+	engines := m.engineViews(listed, running, fast)
 	models := allocator.Allocate(engines, targets)
 	m.markUsable(engines, listed, models, now)
 	available := m.limiter.LimitOf(len(models)) + m.countNearlyDone(now) - m.countOtherLoads(engines)
@@ -83,7 +87,9 @@
 
 // engineViews returns the planner's view of the engines that accept work, none of them marked usable. Must be
 // called with mu held.
-func (m *Manager) engineViews(listed []fleet.EngineStatus, running map[incarnation.ID]int) []weightplan.Engine {
+func (m *Manager) engineViews(
+	listed []fleet.EngineStatus, running map[incarnation.ID]int, fast map[incarnation.ID]bool,
+) []weightplan.Engine {
 	views := make([]weightplan.Engine, 0, len(listed))
 	for _, each := range listed {
 		if !each.AcceptsWork {
@@ -92,7 +98,7 @@
 		id := each.Engine.Incarnation()
 		views = append(views, weightplan.Engine{
 			ID: id, Slots: each.Engine.Slots, Versions: each.Engine.Versions, Running: running[id],
-			Loading: m.loading[id] != nil,
+			Loading: m.loading[id] != nil, Fast: fast[id],
 		})
 	}
 	return views
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -142,6 +142,9 @@
 	// model.
 	Running func() map[incarnation.ID]int
 	Demands func() map[string]batchrun.Demand
+	// Fast returns the engines in the fast class of their service; nil for none. Models share these engines separately
+	// from the others.
+	Fast func() map[incarnation.ID]bool
 	// OnLoadEnd is called after each ordered load has ended, successfully or not.
 	OnLoadEnd func()
 	// Holder and Fence are sent with each order.
