Add the setting scheduling.engine_speeds

Cause: engines of different speed are a property of a deployment; others are served as before.

Change: mixed turns on the classes of engines at all runners and at the leader's weight orders, uniform (default) leaves them off. mixed needs hosted.log. A gauge counts fast engines, a counter moves by reason. A change of the scheduling settings is told as needs_restart on a reload.

--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -6,8 +6,10 @@
 	"sync"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/leadership"
+	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/weightorders"
 )
 
@@ -21,6 +23,7 @@
 		Engines: n.platform.Engines(), Fleet: n.fleet, Gate: n.gate, Targets: n.weightTargets,
 		Running:   func() map[incarnation.ID]int { return runner.RunningByEngine() },
 		Demands:   func() map[string]batchrun.Demand { return runner.Demands() },
+		Fast:      func() map[incarnation.ID]bool { return runner.FastEngines() },
 		OnLoadEnd: func() { runner.Wake() },
 		Term:      term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
 	})
@@ -29,8 +32,10 @@
 		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.crashGuard, Gate: n.gate,
 		ColdStarts: n.coldGranter, RouteOf: n.batchRoute, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
+		MixedEngines: n.mixedEngines(), OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(homes.Set{}),
 		Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
+	defer n.metrics.forgetFastEngines(homes.Set{})
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
 	n.runner.Store(runner)
@@ -56,10 +61,13 @@
 	service, _ := table.Service(route.Parts[0].Service)
 	return batchrun.Route{
 		Service: route.Parts[0].Service, EngineTokens: service.EngineTokens, MaxAttempts: route.MaxAttempts,
-		SingleVersion: route.SingleVersion, Retention: route.Retention,
+		SingleVersion: route.SingleVersion, Retention: route.Retention, ResultsDueAfter: route.ResultsDueAfter,
 	}, true
 }
 
+// mixedEngines reports whether engines of a service may differ in speed.
+func (n *node) mixedEngines() bool { return n.config.Scheduling.EngineSpeeds == settings.EnginesMixed }
+
 // weightTargets returns the named model versions of each service on a batch route.
 func (n *node) weightTargets() []weightorders.Target {
 	table := n.state.table()
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/lease"
 )
 
@@ -38,6 +39,10 @@
 	coldPermits       *prometheus.CounterVec
 	// runningHomes is 1 for each region set whose jobs this node runs.
 	runningHomes *prometheus.GaugeVec
+	// fastEngines is the number of fast engines of the services whose engines have speed classes, by the homes of the
+	// runner that observes them; itemMoves counts items moved to another engine.
+	fastEngines *prometheus.GaugeVec
+	itemMoves   *prometheus.CounterVec
 	// versions holds the cluster version and the lowest version of the live nodes.
 	versions *prometheus.GaugeVec
 	// loadsUnreadable counts responses whose load report cannot be parsed.
@@ -123,6 +128,7 @@
 	registry.MustRegister(m.loadsUnreadable)
 	m.addVersionMetrics(registry)
 	m.addSlowStartMetrics()
+	m.addEngineSpeedMetrics(registry)
 	m.addHeldBytesMetrics(registry)
 	m.traffic = newTraffic(registry)
 	m.addLogCallMetrics(registry)
@@ -135,6 +141,36 @@
 	return m
 }
 
+func (m *metrics) addEngineSpeedMetrics(registry *prometheus.Registry) {
+	m.fastEngines = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "corkpulley_hosted_fast_engines",
+		Help: "Engines in the fast class of their service, as the runner of the jobs of these homes observes them.",
+	}, []string{"service", "homes"})
+	m.itemMoves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "corkpulley_hosted_item_moves_total", Help: "Running items stopped to continue at another engine, by reason.",
+	}, []string{"reason"})
+	for _, reason := range batchrun.MoveReasons() {
+		m.itemMoves.WithLabelValues(reason.String())
+	}
+	registry.MustRegister(m.fastEngines, m.itemMoves)
+}
+
+func (m *metrics) itemMoved(reason batchrun.MoveReason) {
+	m.itemMoves.WithLabelValues(reason.String()).Inc()
+}
+
+// fastEnginesOf returns a function that records the number of fast engines of a service for the runner of these homes.
+func (m *metrics) fastEnginesOf(set homes.Set) func(service string, fast int) {
+	return func(service string, fast int) {
+		m.fastEngines.WithLabelValues(service, set.String()).Set(float64(fast))
+	}
+}
+
+// forgetFastEngines removes the numbers of the runner of these homes.
+func (m *metrics) forgetFastEngines(set homes.Set) {
+	m.fastEngines.DeletePartialMatch(prometheus.Labels{"homes": set.String()})
+}
+
 func (m *metrics) handler(registry *prometheus.Registry) http.Handler {
 	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 }
--- a/internal/hosted/regionelections.go
+++ b/internal/hosted/regionelections.go
@@ -201,9 +201,11 @@
 		// The leader manages weight versions; an engine that is loading one refuses items.
 		LoadingModel:  func(incarnation.ID) string { return "" },
 		LoadingModels: func() map[incarnation.ID]string { return nil },
-		Term:          fmt.Sprintf("%s.%d", set.ID(), term.Epoch),
-		Logger:        n.logger.With().Stringer("homes", set).Logger(),
+		MixedEngines:  n.mixedEngines(), OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(set),
+		Term:   fmt.Sprintf("%s.%d", set.ID(), term.Epoch),
+		Logger: n.logger.With().Stringer("homes", set).Logger(),
 	})
+	defer n.metrics.forgetFastEngines(set)
 	gauge := n.metrics.runningHomes.WithLabelValues(set.String())
 	gauge.Set(1)
 	defer gauge.Set(0)
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -33,6 +33,7 @@
 		zerolog.SetGlobalLevel(level)
 	}
 	restart := reloaded.Node != n.config.Node || reloaded.Listen != n.config.Listen || reloaded.Hosted != n.config.Hosted ||
+		reloaded.Scheduling != n.config.Scheduling ||
 		!maps.Equal(reloaded.Topology.Zones, n.config.Topology.Zones)
 	n.logger.Info().Dur("grace_ms", grace).Str("level", reloaded.Log.Level).Bool("needs_restart", restart).
 		Msg("settings reloaded")
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -51,9 +51,10 @@
 	MaxCallerStall     = time.Hour
 )
 
-// Allowed values of scheduling.policy and log.level.
+// Allowed values of scheduling.policy, scheduling.engine_speeds and log.level.
 var (
 	Policies = []string{"default", "round-robin", "least-load", "one-hop"}
+	Speeds   = []string{EnginesUniform, EnginesMixed}
 	Levels   = []string{"debug", "info", "warn", "error"}
 )
 
@@ -92,6 +93,10 @@
 		c.url("platform.scorer", settings.Platform.Scorer)
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
+	c.oneOf("scheduling.engine_speeds", settings.Scheduling.EngineSpeeds, Speeds)
+	if settings.Scheduling.EngineSpeeds == EnginesMixed && settings.Hosted.Log == "" {
+		c.add("scheduling.engine_speeds", EnginesMixed, EnginesUniform+" unless hosted.log is set")
+	}
 	c.concurrentLoads(settings.Weights.MaxConcurrentLoads)
 	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
 	c.oneOf("log.level", settings.Log.Level, Levels)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,8 +131,17 @@
 	// Policy is "default", or one of the baselines for benchmarks: "round-robin",
 	// "least-load" or "one-hop".
 	Policy string `toml:"policy"`
+	// EngineSpeeds is EnginesUniform, or EnginesMixed to divide the engines of each service into fast ones and others
+	// by their observed pace. Requires Hosted.Log.
+	EngineSpeeds string `toml:"engine_speeds"`
 }
 
+// Values of Scheduling.EngineSpeeds.
+const (
+	EnginesUniform = "uniform" // engines of a service are about alike
+	EnginesMixed   = "mixed"   // some engines of a service may be much faster than the others
+)
+
 // Weights configures the rollout of weight versions.
 type Weights struct {
 	// MaxConcurrentLoads limits how many engines load weights concurrently over all
@@ -168,6 +177,7 @@
 	DefaultGrace              = 10 * time.Minute
 	DefaultMaxConcurrentLoads = 4096
 	DefaultPolicy             = "default"
+	DefaultEngineSpeeds       = EnginesUniform
 	DefaultLevel              = "info"
 	DefaultLease              = 1500 * time.Millisecond
 	DefaultOrderQuiet         = 3 * time.Second
@@ -198,7 +208,7 @@
 			KeepJobs: Duration(DefaultKeepJobs), UsageDue: Duration(DefaultUsageDue),
 			CallerStall: Duration(DefaultCallerStall),
 		},
-		Scheduling: Scheduling{Policy: DefaultPolicy},
+		Scheduling: Scheduling{Policy: DefaultPolicy, EngineSpeeds: DefaultEngineSpeeds},
 		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
 		Shutdown:   Shutdown{Grace: Duration(DefaultGrace)},
 		Log:        Log{Level: DefaultLevel},
