Learn classes anew after engines were alike

Cause: while a service had no classes, the limit of the fast side was the pace of a slow engine, and all engines got the fast class.

Change: without classes nothing is kept of the sides of paces. Tests of the classifier: an exact quarter fast, paces that change twice a second, two fifths of the engines gone, hysteresis, return under an ID.

--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -84,20 +84,31 @@
 		}
 	}
 	if len(sorted) < minEngines {
-		c.divided, c.mismatch, c.classes = false, time.Time{}, nil
-		clear(c.engines)
+		c.divided, c.mismatch = false, time.Time{}
+		c.reset()
 		return before != nil
 	}
 	slices.Sort(sorted)
 	decile, median := sorted[len(sorted)/10], sorted[len(sorted)/2]
 	limit := time.Duration(fastFactor * float64(decile))
 	fastNow, _ := slices.BinarySearch(sorted, limit+1)
+	wanted := float64(median) >= minMedianFactor*float64(decile) && 2*fastNow <= len(sorted)
+	if c.updateDivided(now, wanted); !c.divided && !wanted {
+		c.reset()
+		return before != nil
+	}
 	c.updateEngines(now, paces, limit)
-	c.updateDivided(now, float64(median) >= minMedianFactor*float64(decile) && 2*fastNow <= len(sorted))
 	c.classes = c.build(paces, decile, median)
 	return !sameFast(before, c.classes)
 }
 
+// reset drops all classes, so that engines get their first class anew: where engines are alike, which of them are within
+// the limit says nothing.
+func (c *Classifier) reset() {
+	clear(c.engines)
+	c.classes = nil
+}
+
 // updateEngines updates the class of each engine. Paces up to the limit are on the fast side.
 func (c *Classifier) updateEngines(now time.Time, paces map[incarnation.ID]time.Duration, limit time.Duration) {
 	for engine, pace := range paces {
