Load for waiting items first with fast engines

Cause: a model whose open step has no engine new enough waited behind loads that other models need only for their next steps.

Change: with classes, models with waiting items precede the others, the one with the smallest share of engines that are new enough first. A model without a fast engine gets one also from a model within its share.

--- a/internal/core/weightplan/fast.go
+++ b/internal/core/weightplan/fast.go
@@ -43,9 +43,13 @@
 }
 
 // takeFast reassigns to a model one engine of the model with the most engines above its share, with the newest weights
-// of the former. It returns false if no model has an engine to spare.
+// of the former. It returns false if no model has an engine to spare: only to a model without any, a model with more
+// than one gives one that is within its share.
 func (a *Allocator) takeFast(fast []Engine, model string, counts map[string]int, exact map[string]float64) bool {
 	donor, surplus := "", 0.0
+	if counts[model] == 0 {
+		surplus = -float64(len(fast))
+	}
 	for _, engine := range fast {
 		from := a.models[engine.ID]
 		if _, isTarget := exact[from]; from == model || isTarget && counts[from] <= 1 {
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -229,14 +229,18 @@
 // The source of the weights sustains a bounded number of loads, which all models share.
 // The next load is therefore that of the model with the smallest share of its engines at the
 // target version or loading it, so that each model has some engines for its next job.
-// Among the engines of a model, those too old for open jobs come first, then those with
+// Among the engines of a model, those too old for open jobs come first, then fast ones, then those with
 // the largest lag. Engines that could start waiting items do not load.
+//
+// With fast engines, models with waiting items precede the others, the one with the smallest share of engines that are
+// new enough first: the others need their loads only for their next steps.
 func NextLoads(engines []Engine, models map[incarnation.ID]string, targets []Target, maxConcurrent int) []Load {
 	byModel := make(map[string]Target, len(targets))
 	for _, target := range targets {
 		byModel[target.Model] = target
 	}
-	loading := 0
+	loading, mixed := 0, false
+	newEnough := make(map[string]int, len(targets))
 	counts := make(map[string]int, len(targets))
 	upToDate := make(map[string]int, len(targets))
 	candidates := make(map[string][]candidate, len(targets))
@@ -249,6 +253,10 @@
 			continue
 		}
 		counts[target.Model]++
+		mixed = mixed || engine.Fast
+		if engine.Loading || !tooOld(engine, target) {
+			newEnough[target.Model]++
+		}
 		lag := target.Version - engine.Versions[target.Model]
 		switch {
 		case engine.Loading || lag <= 0:
@@ -262,24 +270,42 @@
 	}
 	var loads []Load
 	for loading+len(loads) < maxConcurrent {
-		model, found := leastCovered(candidates, upToDate, counts)
+		model, found := "", false
+		if mixed {
+			model, found = leastCovered(withWaiting(candidates), newEnough, counts)
+		}
+		if !found {
+			model, found = leastCovered(candidates, upToDate, counts)
+		}
 		if !found {
 			break
 		}
 		next := candidates[model][0]
 		candidates[model] = candidates[model][1:]
 		upToDate[model]++
+		newEnough[model]++
 		loads = append(loads, Load{Engine: next.engine.ID, Model: model, Version: next.target.Version})
 	}
 	return loads
 }
 
+// withWaiting returns the candidates of the models with waiting items.
+func withWaiting(candidates map[string][]candidate) map[string][]candidate {
+	waiting := make(map[string][]candidate)
+	for model, each := range candidates {
+		if len(each) > 0 && each[0].target.Waiting > 0 {
+			waiting[model] = each
+		}
+	}
+	return waiting
+}
+
 // leastCovered returns the model, among those with a candidate, with the smallest share of its
-// engines at the target version or loading it. Ties are broken by the order of the models' first
+// engines that are covered: at the target version or loading it, or new enough. Ties are broken by the order of the models' first
 // candidates, then by name.
-func leastCovered(candidates map[string][]candidate, upToDate, counts map[string]int) (string, bool) {
+func leastCovered(candidates map[string][]candidate, covered, counts map[string]int) (string, bool) {
 	best, found := "", false
-	share := func(model string) float64 { return float64(upToDate[model]) / float64(counts[model]) }
+	share := func(model string) float64 { return float64(covered[model]) / float64(counts[model]) }
 	for model, ofModel := range candidates {
 		if len(ofModel) == 0 {
 			continue
