--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -296,11 +296,29 @@
 	terms      int
 	// gate is the runners' Options.Gate.
 	gate *sendgate.Gate
+	// mixed is the runners' Options.MixedEngines, logger their Logger; nil for none.
+	mixed  bool
+	logger *zerolog.Logger
 
 	// mu guards route, homes (by job) and config, the version of the configuration.
 	mu     sync.Mutex
 	homes  map[string]homes.Set
 	config int64
+	// moves holds the reason of each move, fastEngines each reported number of fast engines; guarded by mu.
+	moves       []MoveReason
+	fastEngines []int
+}
+
+func (env *testEnv) recordMove(reason MoveReason) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.moves = append(env.moves, reason)
+}
+
+func (env *testEnv) recordFastEngines(_ string, fast int) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.fastEngines = append(env.fastEngines, fast)
 }
 
 // engineOf returns an engine with version 1 of the model.
@@ -333,6 +351,10 @@
 // startRunnerWith is startBoundRunner with other engines.
 func (env *testEnv) startRunnerWith(engines Engines, regions ...string) (*Runner, func()) {
 	env.terms++
+	logger := zerolog.Nop()
+	if env.logger != nil {
+		logger = *env.logger
+	}
 	r := New(Options{
 		Jobs: env.jobs, Engines: engines, Fleet: env.fleet, Scorer: env.scorer, Guard: env.guard, ColdStarts: env.coldStarts,
 		Gate:    env.gate,
@@ -340,7 +362,8 @@
 		Homes:   homes.Of(regions), HomesOf: env.homesOf, ConfigVersion: env.configVersion,
 		LoadingModel:  func(incarnation.ID) string { return "" },
 		LoadingModels: func() map[incarnation.ID]string { return nil },
-		Term:          fmt.Sprint(env.terms), Logger: zerolog.Nop(),
+		Term:          fmt.Sprint(env.terms), Logger: logger,
+		MixedEngines: env.mixed, OnMove: env.recordMove, OnFastEngines: env.recordFastEngines,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,3 +117,23 @@
 		assert.Assert(t, strings.Contains(problems[0].Expected, test.expected), problems[0].Expected)
 	}
 }
+
+// Guards against a node that starts with an unknown value, or with mixed where nothing uses it.
+func TestLoadChecksEngineSpeeds(t *testing.T) {
+	hosted := "[hosted]\nlog = \"127.0.0.1:1\"\n"
+	loaded, problems := Load(Flags{File: writeFile(t, completeFile)})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Scheduling.EngineSpeeds, EnginesUniform)
+	loaded, problems = Load(Flags{File: writeFile(t, completeFile+hosted+"[scheduling]\nengine_speeds = \"mixed\"\n")})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Scheduling.EngineSpeeds, EnginesMixed)
+	for _, text := range []string{
+		hosted + "[scheduling]\nengine_speeds = \"fast\"\n", hosted + "[scheduling]\nengine_speeds = \"\"\n",
+		"[scheduling]\nengine_speeds = \"mixed\"\n",
+	} {
+		_, problems = Load(Flags{File: writeFile(t, completeFile+text)})
+		assert.Equal(t, len(problems), 1, "%s: %v", text, problems)
+		assert.Equal(t, problems[0].Key, "scheduling.engine_speeds")
+		assert.Assert(t, strings.Contains(problems[0].Expected, EnginesUniform), problems[0].Expected)
+	}
+}
