--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -13,8 +13,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
-	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 // newMixedEnv returns an environment of two fast and six slow engines with one slot each, which run one item each.
@@ -111,21 +112,93 @@
 	assert.Assert(t, !slices.Contains(env.moves, MovedToFast))
 }
 
-// Guards against items that stay on a draining engine because engines have classes: their gain would be too small.
+// idleRunner returns a runner that hasn't been started. Engine i of its plan is fast if i < fast and runs an item that
+// started 2 s ago; items have no hint and the given number of events. There are classes if fast > 0.
+func idleRunner(env *testEnv, fast int, events []int64) *Runner {
+	env.mixed = true
+	r := New(Options{
+		Fleet: env.fleet, Guard: env.guard, RouteOf: env.routeOf, HomesOf: env.homesOf, ConfigVersion: env.configVersion,
+		LoadingModel:  func(incarnation.ID) string { return "" },
+		LoadingModels: func() map[incarnation.ID]string { return nil },
+		Logger:        zerolog.Nop(), MixedEngines: true, OnMove: env.recordMove,
+	})
+	record := batch.JobRecord{ID: "j", Model: "m", MinVersion: 1, Items: make([]batch.ItemRecord, len(events))}
+	r.jobs["j"] = &openJob{record: record, items: make([]batchitem.Item, len(events))}
+	started := time.Now().Add(-2 * time.Second)
+	var views []batchplan.Engine
+	for i := range events {
+		engine := engineOf(fmt.Sprint("e", i))
+		env.fleet.Put(engine)
+		views = append(views, batchplan.Engine{
+			ID: engine.Incarnation(), Service: "s", Slots: 1, Versions: engine.Versions, Usable: true,
+		})
+		pace := 60 * time.Millisecond
+		if i < fast {
+			pace = 28 * time.Millisecond
+		}
+		r.plan.ObservePace(engine.Incarnation(), pace)
+		r.plan.Add(batchplan.Item{Key: batchplan.Key{Job: "j", Item: i}, Service: "s", Model: "m", MinVersion: 1})
+	}
+	for _, each := range r.plan.Assign(started, views) {
+		key := each.Item.Key
+		r.runs[key] = &run{engine: each.Engine, started: started, cancel: func() {}}
+		r.plan.RecordEvents(key, events[slices.IndexFunc(views, func(view batchplan.Engine) bool { return view.ID == each.Engine })])
+	}
+	for at := started; at.Before(started.Add(2 * time.Second)); at = at.Add(250 * time.Millisecond) {
+		r.classifyEngines(at)
+	}
+	return r
+}
+
+// movesByEngine returns the moves of stopped runs by the engine they leave.
+func movesByEngine(r *Runner) map[string]move {
+	moves := make(map[string]move)
+	for _, each := range r.runs {
+		if each.reason == stopMoved {
+			moves[each.engine.Engine] = each.move
+		}
+	}
+	return moves
+}
+
+// Guards against moves for which the plan doesn't know the engine chosen, and against the rule for engines without
+// classes, by which all items of the slow engines would move.
+func TestOnlyItemsThatGainMoveWithClasses(t *testing.T) {
+	env := newTestEnv(t)
+	r := idleRunner(env, 2, []int64{40, 40, 40, 10, 100, 10, 10, 10})
+	assert.Equal(t, len(r.FastEngines()), 2)
+	r.moveStragglers()
+	moves := movesByEngine(r)
+	assert.Equal(t, len(moves), 2, "%v", moves)
+	for engine, wantedGain := range map[string]time.Duration{"e2": 20 * 32 * time.Millisecond, "e4": 50 * 32 * time.Millisecond} {
+		assert.Equal(t, moves[engine].reason, MovedToFast)
+		assert.Equal(t, moves[engine].gain, wantedGain)
+		assert.Assert(t, r.FastEngines()[moves[engine].to])
+	}
+	for key, each := range r.runs {
+		if each.reason != stopMoved {
+			continue
+		}
+		r.plan.Ended(key)
+		r.plan.Add(batchplan.Item{Key: key, Service: "s", Model: "m", MinVersion: 1})
+	}
+	for _, each := range r.plan.Assign(time.Now(), r.engineViews(time.Now())) {
+		assert.Equal(t, each.Engine, r.runs[each.Item.Key].move.to)
+	}
+	// Each move to a fast engine has to pay for itself, so the limit doesn't count them.
+	for i := range r.jobs["j"].items {
+		assert.Equal(t, r.jobs["j"].items[i].Moves, 0)
+	}
+}
+
+// Guards against items that stay on a draining engine because engines have classes and the gain is small.
 func TestItemsMoveFromDrainingEngineWithClasses(t *testing.T) {
-	env := newMixedEnv(t, nil)
-	r, _ := env.startRunner()
-	submitMany(env, 8, 60)
-	testwait.Until(t, "there are classes", func() bool { return len(r.FastEngines()) == 2 })
-	draining := engineOf("slow7")
-	draining.Slots, draining.Draining = 1, true
+	env := newTestEnv(t)
+	r := idleRunner(env, 2, []int64{10, 10, 10, 10, 10, 10, 10, 10})
+	draining := engineOf("e7")
+	draining.Draining = true
 	env.fleet.Put(draining)
-	env.awaitResults(8)
-	env.mu.Lock()
-	defer env.mu.Unlock()
-	assert.Assert(t, slices.Contains(env.moves, MovedFromDraining), "%v", env.moves)
-	assert.Assert(t, !slices.Contains(env.moves, MovedFromSlow), "%v", env.moves)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	assert.Assert(t, r.plan.Pace(incarnation.ID{Engine: "slow7"}) > 0)
+	r.moveStragglers()
+	assert.DeepEqual(t, env.moves, []MoveReason{MovedFromDraining})
+	assert.Equal(t, movesByEngine(r)["e7"].reason, MovedFromDraining)
 }
--- a/internal/core/batchplan/speeds_test.go
+++ b/internal/core/batchplan/speeds_test.go
@@ -229,6 +229,40 @@
 	})
 }
 
+// Guards against items that wait for a fast engine although they can move there later.
+func TestNoItemWaitsForAFastEngineWithClasses(t *testing.T) {
+	plan, engines := mixedFleet(t, 8, 2)
+	for i := range 16 {
+		plan.recordStart(sized(plan, "fill", i, 10), engines[i%2].ID, now)
+	}
+	plan.Add(sized(plan, "j", 0, 150))
+	pass := newPass(plan, engines, now)
+	assert.Assert(t, pass.expectedRunTime > 0, "without classes the item would wait")
+	assert.Equal(t, len(plan.Assign(now, engines)), 1)
+}
+
+// Guards against a threshold of long items that doesn't follow from the due time and the pace of most engines.
+func TestLongItemsTakeMostOfTheTimeUntilDue(t *testing.T) {
+	plan, engines := mixedFleet(t, 8, 2)
+	classes := plan.speeds.classes["s"]
+	for events, want := range map[int]bool{10: false, 74: false, 76: true, 150: true} {
+		each := sized(plan, "j", 0, events)
+		assert.Equal(t, plan.isLong(classes, &each), want, "%d events", events)
+		assert.Equal(t, plan.avoidsFast(classes, &each), !want, "%d events", events)
+	}
+	each := sized(plan, "j", 0, 76)
+	plan.SetDueAfter("j", 10*time.Second)
+	assert.Assert(t, !plan.isLong(classes, &each))
+	plan.SetDueAfter("unknown", time.Second)
+	assert.Assert(t, !plan.isLong(nil, &each))
+	// The sum of the final sizes isn't the memory in use.
+	for i := range 6 {
+		plan.recordStart(sized(plan, "j", i, 150), engines[0].ID, now)
+	}
+	assert.Assert(t, plan.reservedTokens[engines[0].ID] > kvCapacity)
+	assert.Equal(t, newPass(plan, engines, now).memoryPressure(&engines[0]), 1+memoryPressureCost*(6*(promptTokens+50*tokensOfEvent)/float64(kvCapacity)-memoryPressureThreshold))
+}
+
 // Guards against a projection that ignores progress: an item that outruns its hint needs more than the hint says, one
 // that has just started less.
 func TestProjectedNeedFollowsProgress(t *testing.T) {
@@ -266,15 +300,18 @@
 	plan, engines := mixedFleet(t, 8, 2)
 	second := now.Add(-time.Second)
 	candidates := []MoveCandidate{
-		startAt(plan, sized(plan, "j", 0, 15), engines[2], second, 5),                  // short
-		startAt(plan, sized(plan, "j", 1, 15), engines[3], second, 60),                 // outran its hint
-		startAt(plan, sized(plan, "j", 2, 150), engines[4], second, 20),                // long
-		startAt(plan, sized(plan, "j", 3, 150), engines[5], now.Add(-minMoveAge+1), 1), // long, too young
-		startAt(plan, sized(plan, "j", 4, 150), engines[0], second, 1),                 // at a fast engine
-		startAt(plan, sized(plan, "j", 5, 150), engines[6], second, 140),               // half of 140 to come
-		startAt(plan, sized(plan, "j", 6, 36), engines[7], second, 20),                 // 16 events left: 0.51 s
-		startAt(plan, sized(plan, "j", 7, 35), engines[7], second, 20),                 // 15 events left: 0.48 s
-		{Key: Key{Job: "gone"}, Model: "m", Started: second},                           // not running
+		startAt(plan, sized(plan, "j", 0, 15), engines[2], second, 5),                          // short
+		startAt(plan, sized(plan, "j", 1, 15), engines[3], second, 60),                         // outran its hint
+		startAt(plan, sized(plan, "j", 2, 150), engines[4], second, 20),                        // long
+		startAt(plan, sized(plan, "j", 3, 150), engines[5], now.Add(-249*time.Millisecond), 1), // long, too young
+		startAt(plan, sized(plan, "j", 4, 150), engines[0], second, 1),                         // at a fast engine
+		startAt(plan, sized(plan, "j", 5, 150), engines[6], second, 140),                       // half of 140 to come
+		startAt(plan, sized(plan, "j", 6, 36), engines[7], second, 20),                         // 16 events left: 0.51 s
+		startAt(plan, sized(plan, "j", 7, 35), engines[7], second, 20),                         // 15 events left: 0.48 s
+		{Key: Key{Job: "gone"}, Model: "m", Started: second},                                   // not running
+	}
+	for range 100 {
+		plan.ObservePace(engines[0].ID, 100*time.Millisecond) // a slowdown that hasn't changed its class
 	}
 	var moved []int
 	for _, each := range plan.MovesToFast(now, candidates, engines) {
@@ -319,6 +356,13 @@
 	plan.Prefer(moves[0].Key, moves[0].To)
 	plan.Prefer(moves[1].Key, moves[1].To)
 	assert.Equal(t, len(plan.MovesToFast(now, candidates[:8], engines)), 1, "two slots are taken by items on their way")
+	plan, engines = mixedFleet(t, 8, 2)
+	engines[0].Tokens, engines[1].Usable = 20_000, false
+	candidates = nil
+	for i := range 4 {
+		candidates = append(candidates, startAt(plan, sized(plan, "j", i, 200), engines[2+i], second, 60))
+	}
+	assert.Equal(t, len(plan.MovesToFast(now, candidates, engines)), 2, "two items of 7976 tokens fit")
 	candidates[0].SameVersion = 2
 	assert.Equal(t, len(plan.MovesToFast(now, candidates[:1], engines)), 0, "no engine has the version that may continue")
 }
@@ -352,6 +396,12 @@
 		plan.Remove(again.Key)
 		engines[1] = before
 	}
+	waiting := moved
+	waiting.Key.Item = 7
+	plan.Prefer(waiting.Key, engines[1].ID)
+	plan.Add(waiting)
+	assert.Equal(t, len(plan.Assign(now, nil)), 0)
+	assert.Equal(t, len(plan.preferred), 0, "the choice applies to one attempt")
 	plan.Prefer(moved.Key, engines[1].ID)
 	plan.Remove(moved.Key)
 	assert.Equal(t, len(plan.preferred), 0, "an item that ended has no preferred engine")
--- a/internal/core/enginespeed/enginespeed_test.go
+++ b/internal/core/enginespeed/enginespeed_test.go
@@ -71,7 +71,8 @@
 	for name, paces := range map[string]map[incarnation.ID]time.Duration{
 		"none": nil, "seven engines": fleet(7, 2), "all alike": fleet(48, 0), "all fast": fleet(48, 48),
 		"more than half fast": fleet(48, 25), "fewer than a tenth fast": fleet(48, 4),
-		"seven engines with a pace": withZeros(fleet(7, 2), 20),
+		"a quarter faster by less than half": between(fleet(48, 12), 42*time.Millisecond),
+		"seven engines with a pace":          withZeros(fleet(7, 2), 20),
 	} {
 		c := New()
 		assert.Equal(t, run(c, 0, 10*time.Second, constant(paces)), 0, name)
@@ -83,6 +84,17 @@
 	assert.Equal(t, len(c.Classes().Fast), 24, "half of the engines")
 }
 
+// between returns the paces with that of the slow engines replaced by one pace, and that of the fast ones by fastPace.
+func between(paces map[incarnation.ID]time.Duration, slow time.Duration) map[incarnation.ID]time.Duration {
+	for engine, pace := range paces {
+		paces[engine] = fastPace
+		if pace >= slowPace {
+			paces[engine] = slow - time.Millisecond
+		}
+	}
+	return paces
+}
+
 func withZeros(paces map[incarnation.ID]time.Duration, count int) map[incarnation.ID]time.Duration {
 	for i := range count {
 		paces[id(1000+i)] = 0
--- a/internal/core/weightplan/fast_test.go
+++ b/internal/core/weightplan/fast_test.go
@@ -146,14 +146,15 @@
 		models[all[i].ID] = "abc"[i%3 : i%3+1]
 		all[i].Versions = map[string]int64{"a": 4, "b": 4, "c": 4}
 	}
-	all[1].Versions = map[string]int64{"b": 5}
+	// Two of four engines of b are new enough, though not at the target version.
+	all[1].Versions, all[4].Versions, all[2].Versions = map[string]int64{"b": 5}, map[string]int64{"b": 5}, map[string]int64{"c": 5}
 	targets := []Target{
-		{Model: "a", Version: 5, MinVersion: 4}, {Model: "b", Version: 5, MinVersion: 5, Waiting: 9},
+		{Model: "a", Version: 5, MinVersion: 4}, {Model: "b", Version: 6, MinVersion: 5, Waiting: 9},
 		{Model: "c", Version: 5, MinVersion: 5, Waiting: 1},
 	}
 	var order []string
 	for _, load := range NextLoads(all, models, targets, 12) {
 		order = append(order, load.Model)
 	}
-	assert.Equal(t, fmt.Sprint(order), "[c b c b c b c a a a a]")
+	assert.Equal(t, fmt.Sprint(order), "[c b c b c a a a a]")
 }
