--- a/internal/core/batchplan/due.go
+++ b/internal/core/batchplan/due.go
@@ -40,13 +40,6 @@
 // OrderStale reports whether RefreshOrder would compute the ranks of jobs anew.
 func (p *Plan) OrderStale(now time.Time) bool { return p.due != nil && p.due.jobs.Stale(now) }
 
-// SetDueAfter changes the time from a job's acceptance until its results are due.
-func (p *Plan) SetDueAfter(job string, dueAfter time.Duration) {
-	if p.due != nil {
-		p.due.jobs.SetDueAfter(job, dueAfter)
-	}
-}
-
 // RefreshOrder computes the ranks of jobs anew if that is due, and returns the decisions that were not returned before.
 func (p *Plan) RefreshOrder(now time.Time) []joborder.Decision {
 	if p.due == nil {
@@ -84,6 +77,12 @@
 	return d.jobs.Add(added)
 }
 
+func (d *dueOrder) setDueAfter(job string, dueAfter time.Duration) {
+	if d != nil {
+		d.jobs.SetDueAfter(job, dueAfter)
+	}
+}
+
 func (d *dueOrder) forgetJob(job string) {
 	if d != nil {
 		d.jobs.Forget(job)
@@ -153,7 +152,7 @@
 		}
 		job := p.jobs[item.Key.Job]
 		job.waiting++
-		job.class = class{item.Service, item.Model, item.MinVersion}
+		job.class = class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
 		startable = append(startable, candidateItem{item, job})
 	}
 	return startable
--- a/internal/core/batchplan/order.go
+++ b/internal/core/batchplan/order.go
@@ -42,6 +42,8 @@
 	waiting int
 	class   class
 	due     *joborder.Entry
+	// dueAfter is the time from the job's submission until its results are due; zero when unknown.
+	dueAfter time.Duration
 }
 
 // AddJob adds a job; it must be called before the job's items are added. Jobs start by priority, then
@@ -66,6 +68,15 @@
 	rank.due = p.due.addJob(job)
 }
 
+// SetDueAfter sets the time from a job's acceptance until its results are due. Without it no item of the job counts as
+// long, and none is kept off fast engines.
+func (p *Plan) SetDueAfter(job string, dueAfter time.Duration) {
+	if rank, found := p.jobs[job]; found {
+		rank.dueAfter = dueAfter
+	}
+	p.due.setDueAfter(job, dueAfter)
+}
+
 // ForgetJob removes a job that has no items left.
 func (p *Plan) ForgetJob(job string) {
 	rank, found := p.jobs[job]
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -37,6 +37,8 @@
 	Loading bool
 	// Usable is false for engines that accept no new work or have recently failed.
 	Usable bool
+	// Fast is true for engines in the fast class of their service; false for all if it has no classes.
+	Fast bool
 }
 
 // Target is the newest version of a model with its demand.
@@ -68,6 +70,17 @@
 func (a *Allocator) Allocate(engines []Engine, targets []Target) map[incarnation.ID]string {
 	a.removeMissing(engines)
 	wanted := wantedEngines(engines, targets)
+	if fast, others := divide(engines); len(fast) >= len(targets) && len(fast) > 0 && len(others) > 0 {
+		a.allocateFast(fast, targets, wanted)
+		a.allocate(others, targets, a.without(fast, wanted))
+	}
+	a.allocate(engines, targets, wanted)
+	return a.models
+}
+
+// allocate assigns free engines, and then surplus engines of other models, to the models that have fewer of these
+// engines than wanted.
+func (a *Allocator) allocate(engines []Engine, targets []Target, wanted map[string]int) {
 	counts := make(map[string]int)
 	var free []Engine
 	for _, engine := range engines {
@@ -85,7 +98,6 @@
 			a.reassign(engines, target.Model, counts, wanted)
 		}
 	}
-	return a.models
 }
 
 // assign assigns free engines to a model until it has as many as wanted, and returns the remaining ones. Engines
@@ -167,10 +179,7 @@
 // shares divides the engines between the models by demand, with at least one for each model if there are
 // enough. Engines left over by rounding go to the largest remainders.
 func shares(engines int, targets []Target) map[string]int {
-	total := 0.0
-	for _, target := range targets {
-		total += target.Demand
-	}
+	exactShares := exactShares(engines, targets)
 	wanted := make(map[string]int, len(targets))
 	type remainder struct {
 		model    string
@@ -179,10 +188,7 @@
 	var remainders []remainder
 	allocated := 0
 	for _, target := range targets {
-		exact := float64(engines) / float64(len(targets))
-		if total > 0 {
-			exact = float64(engines) * target.Demand / total
-		}
+		exact := exactShares[target.Model]
 		count := max(int(exact), min(1, engines/len(targets)))
 		wanted[target.Model] = count
 		allocated += count
@@ -195,6 +201,22 @@
 	return wanted
 }
 
+// exactShares divides the engines between the models by demand, evenly while no demand is known.
+func exactShares(engines int, targets []Target) map[string]float64 {
+	total := 0.0
+	for _, target := range targets {
+		total += target.Demand
+	}
+	exact := make(map[string]float64, len(targets))
+	for _, target := range targets {
+		exact[target.Model] = float64(engines) / float64(len(targets))
+		if total > 0 {
+			exact[target.Model] = float64(engines) * target.Demand / total
+		}
+	}
+	return exact
+}
+
 // Load is an order to an engine to load a version of a model.
 type Load struct {
 	Engine  incarnation.ID
@@ -207,14 +229,18 @@
 // The source of the weights sustains a bounded number of loads, which all models share.
 // The next load is therefore that of the model with the smallest share of its engines at the
 // target version or loading it, so that each model has some engines for its next job.
-// Among the engines of a model, those too old for open jobs come first, then those with
+// Among the engines of a model, those too old for open jobs come first, then fast ones, then those with
 // the largest lag. Engines that could start waiting items do not load.
+//
+// With fast engines, models with waiting items precede the others, the one with the smallest share of engines that are
+// new enough first: the others need their loads only for their next steps.
 func NextLoads(engines []Engine, models map[incarnation.ID]string, targets []Target, maxConcurrent int) []Load {
 	byModel := make(map[string]Target, len(targets))
 	for _, target := range targets {
 		byModel[target.Model] = target
 	}
-	loading := 0
+	loading, mixed := 0, false
+	newEnough := make(map[string]int, len(targets))
 	counts := make(map[string]int, len(targets))
 	upToDate := make(map[string]int, len(targets))
 	candidates := make(map[string][]candidate, len(targets))
@@ -227,6 +253,10 @@
 			continue
 		}
 		counts[target.Model]++
+		mixed = mixed || engine.Fast
+		if engine.Loading || !tooOld(engine, target) {
+			newEnough[target.Model]++
+		}
 		lag := target.Version - engine.Versions[target.Model]
 		switch {
 		case engine.Loading || lag <= 0:
@@ -240,24 +270,42 @@
 	}
 	var loads []Load
 	for loading+len(loads) < maxConcurrent {
-		model, found := leastCovered(candidates, upToDate, counts)
+		model, found := "", false
+		if mixed {
+			model, found = leastCovered(withWaiting(candidates), newEnough, counts)
+		}
+		if !found {
+			model, found = leastCovered(candidates, upToDate, counts)
+		}
 		if !found {
 			break
 		}
 		next := candidates[model][0]
 		candidates[model] = candidates[model][1:]
 		upToDate[model]++
+		newEnough[model]++
 		loads = append(loads, Load{Engine: next.engine.ID, Model: model, Version: next.target.Version})
 	}
 	return loads
 }
 
+// withWaiting returns the candidates of the models with waiting items.
+func withWaiting(candidates map[string][]candidate) map[string][]candidate {
+	waiting := make(map[string][]candidate)
+	for model, each := range candidates {
+		if len(each) > 0 && each[0].target.Waiting > 0 {
+			waiting[model] = each
+		}
+	}
+	return waiting
+}
+
 // leastCovered returns the model, among those with a candidate, with the smallest share of its
-// engines at the target version or loading it. Ties are broken by the order of the models' first
+// engines that are covered: at the target version or loading it, or new enough. Ties are broken by the order of the models' first
 // candidates, then by name.
-func leastCovered(candidates map[string][]candidate, upToDate, counts map[string]int) (string, bool) {
+func leastCovered(candidates map[string][]candidate, covered, counts map[string]int) (string, bool) {
 	best, found := "", false
-	share := func(model string) float64 { return float64(upToDate[model]) / float64(counts[model]) }
+	share := func(model string) float64 { return float64(covered[model]) / float64(counts[model]) }
 	for model, ofModel := range candidates {
 		if len(ofModel) == 0 {
 			continue
@@ -292,6 +340,9 @@
 	if a, b := tooOld(c.engine, c.target), tooOld(other.engine, other.target); a != b {
 		return a
 	}
+	if c.engine.Fast != other.engine.Fast {
+		return c.engine.Fast
+	}
 	if c.lag != other.lag {
 		return c.lag > other.lag
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -51,10 +51,11 @@
 	MaxCallerStall     = time.Hour
 )
 
-// Allowed values of scheduling.policy, scheduling.job_order and log.level.
+// Allowed values of scheduling.policy, scheduling.job_order, scheduling.engine_speeds and log.level.
 var (
 	Policies  = []string{"default", "round-robin", "least-load", "one-hop"}
 	JobOrders = []string{JobOrderArrival, JobOrderDue}
+	Speeds    = []string{EnginesUniform, EnginesMixed}
 	Levels    = []string{"debug", "info", "warn", "error"}
 )
 
@@ -94,6 +95,10 @@
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
 	c.oneOf("scheduling.job_order", settings.Scheduling.JobOrder, JobOrders)
+	c.oneOf("scheduling.engine_speeds", settings.Scheduling.EngineSpeeds, Speeds)
+	if settings.Scheduling.EngineSpeeds == EnginesMixed && settings.Hosted.Log == "" {
+		c.add("scheduling.engine_speeds", EnginesMixed, EnginesUniform+" unless hosted.log is set")
+	}
 	c.concurrentLoads(settings.Weights.MaxConcurrentLoads)
 	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
 	c.oneOf("log.level", settings.Log.Level, Levels)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,6 +134,9 @@
 	// JobOrder is the order in which the items of batch jobs start while more of them wait than slots are free:
 	// JobOrderArrival or JobOrderDue.
 	JobOrder string `toml:"job_order"`
+	// EngineSpeeds is EnginesUniform, or EnginesMixed to divide the engines of each service into fast ones and others
+	// by their observed pace. Requires Hosted.Log.
+	EngineSpeeds string `toml:"engine_speeds"`
 }
 
 // Values of Scheduling.JobOrder.
@@ -142,6 +145,12 @@
 	JobOrderDue     = "due"     // by priority and due time, see docs/design/job-order.md
 )
 
+// Values of Scheduling.EngineSpeeds.
+const (
+	EnginesUniform = "uniform" // engines of a service are about alike
+	EnginesMixed   = "mixed"   // some engines of a service may be much faster than the others
+)
+
 // Weights configures the rollout of weight versions.
 type Weights struct {
 	// MaxConcurrentLoads limits how many engines load weights concurrently over all
@@ -177,6 +186,7 @@
 	DefaultGrace              = 10 * time.Minute
 	DefaultMaxConcurrentLoads = 4096
 	DefaultPolicy             = "default"
+	DefaultEngineSpeeds       = EnginesUniform
 	DefaultLevel              = "info"
 	DefaultLease              = 1500 * time.Millisecond
 	DefaultOrderQuiet         = 3 * time.Second
@@ -207,7 +217,7 @@
 			KeepJobs: Duration(DefaultKeepJobs), UsageDue: Duration(DefaultUsageDue),
 			CallerStall: Duration(DefaultCallerStall),
 		},
-		Scheduling: Scheduling{Policy: DefaultPolicy, JobOrder: JobOrderArrival},
+		Scheduling: Scheduling{Policy: DefaultPolicy, JobOrder: JobOrderArrival, EngineSpeeds: DefaultEngineSpeeds},
 		Weights:    Weights{MaxConcurrentLoads: DefaultMaxConcurrentLoads},
 		Shutdown:   Shutdown{Grace: Duration(DefaultGrace)},
 		Log:        Log{Level: DefaultLevel},
