Measure a pass over jobs of one model each

Cause: the items of a job belong to one model, but those of the benchmark's jobs did not, and the lookup of the latest heap missed. A mutant that reports no events to the plan passed the tests.

Change: the benchmark's jobs have one model each; a test covers the events of running items.

--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -212,3 +212,23 @@
 	assert.DeepEqual(t, env.moves, []MoveReason{MovedFromDraining})
 	assert.Equal(t, movesByEngine(r)["e7"].reason, MovedFromDraining)
 }
+
+// Guards against a plan that doesn't learn how far running items are: an item that outruns its hint wouldn't move.
+func TestEventsOfRunningItemsReachThePlan(t *testing.T) {
+	env := newTestEnv(t)
+	r := idleRunner(env, 2, make([]int64, 8))
+	r.moveStragglers()
+	assert.Equal(t, len(movesByEngine(r)), 0)
+	for key, each := range r.runs {
+		if each.engine.Engine != "e7" {
+			continue
+		}
+		for number := range int64(40) {
+			event := Event{Number: number + 1, Data: []byte("x"), Version: 1}
+			at := each.started.Add(time.Duration(number) * 60 * time.Millisecond)
+			assert.NilError(t, r.addEvent(r.jobs["j"], key, each, event, at))
+		}
+	}
+	r.moveStragglers()
+	assert.Equal(t, movesByEngine(r)["e7"].reason, MovedToFast)
+}
--- a/internal/core/batchplan/plan_bench_test.go
+++ b/internal/core/batchplan/plan_bench_test.go
@@ -84,7 +84,7 @@
 		plan, engines := prepare()
 		for i := range 10_000 {
 			plan.Add(Item{
-				Key: Key{Job: fmt.Sprintf("job-%d", i%200), Item: i}, Service: "s", Model: fmt.Sprintf("m%d", i%3),
+				Key: Key{Job: fmt.Sprintf("job-%d", i%200), Item: i}, Service: "s", Model: fmt.Sprintf("m%d", i%200%3),
 				MinVersion: 1, Group: fmt.Sprintf("group-%d", i/8), Length: 70 * (i % 97), Tokens: 276 + 70*(i%97),
 			})
 		}
