Pass one flag to the score of an engine

Cause: the score took the whole class of an item by value, of which it needs one flag, for each engine and each rescoring.

Change: the score takes the flag.

--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -153,7 +153,7 @@
 			candidates.fastRunning += p.plan.runningCount[engine.ID]
 		}
 		if p.hasSlot(engine) {
-			candidates.entries = append(candidates.entries, candidate{i, p.score(engine, key)})
+			candidates.entries = append(candidates.entries, candidate{i, p.score(engine, key.avoidsFast)})
 		}
 	}
 	heap.Init(candidates)
@@ -192,9 +192,9 @@
 }
 
 // score returns the pace expected at the engine with one more item, relative to the median pace;
-// lower is better.
-func (p *pass) score(engine *Engine, key class) float64 {
-	if key.avoidsFast && p.keptForLongItems(engine) {
+// lower is better. avoidsFast is that of the item's class.
+func (p *pass) score(engine *Engine, avoidsFast bool) float64 {
+	if avoidsFast && p.keptForLongItems(engine) {
 		return keptScore * p.load(engine)
 	}
 	score := 1.0
@@ -288,7 +288,7 @@
 			heap.Pop(candidates)
 			continue
 		}
-		if score := p.score(engine, candidates.class); score != top.score {
+		if score := p.score(engine, candidates.class.avoidsFast); score != top.score {
 			top.score = score
 			heap.Fix(candidates, 0)
 			continue
@@ -312,7 +312,7 @@
 	if !p.canServe(engine, candidates.class) || !p.fits(item, engine) {
 		return candidate{}, false
 	}
-	return candidate{index, p.score(engine, candidates.class) - groupBonus}, true
+	return candidate{index, p.score(engine, candidates.class.avoidsFast) - groupBonus}, true
 }
 
 // fits reports whether an engine that serves the item's class meets the item's own constraints.
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -198,7 +198,7 @@
 		if !pass.canServe(engine, pass.classOf(&item)) || !pass.fits(item, engine) {
 			continue
 		}
-		score := pass.score(engine, pass.classOf(&item))
+		score := pass.score(engine, pass.classOf(&item).avoidsFast)
 		if plan.groupEngines[item.Group] == engine.ID {
 			score -= groupBonus
 		}
