Add calls that are encoded when the peer requests the body

A message with ages must not become younger while it waits for a connection or for the peer. CallDeferred encodes the request only after the peer has received the headers and asks for the body. The new test fails if the request is encoded at the start of the call.

--- a/internal/common/msgpackhttp/msgpackhttp.go
+++ b/internal/common/msgpackhttp/msgpackhttp.go
@@ -18,7 +18,11 @@
 // Call sends a request to a URL and decodes the response, of at most maxBytes, into response. It does not
 // retry; after an error the request may have taken effect.
 func Call(ctx context.Context, client *http.Client, url string, request, response any, maxBytes int64) error {
-	return call(ctx, client, url, nil, request, response, maxBytes)
+	raw, err := msgpack.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	return call(ctx, client, url, nil, bytes.NewReader(raw), response, maxBytes)
 }
 
 // CallExpectContinue is like Call with "Expect: 100-continue": the body is sent only when the peer requests it, at
@@ -26,17 +30,50 @@
 // already given up. The ExpectContinueTimeout of the client's transport must exceed the timeout of ctx: once it
 // expires, the transport sends the body without waiting for the peer any longer.
 func CallExpectContinue(ctx context.Context, client *http.Client, url string, request, response any, maxBytes int64) error {
-	return call(ctx, client, url, http.Header{"Expect": {"100-continue"}}, request, response, maxBytes)
-}
-
-func call(
-	ctx context.Context, client *http.Client, url string, header http.Header, request, response any, maxBytes int64,
-) error {
 	raw, err := msgpack.Marshal(request)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	return call(ctx, client, url, expectContinue(), bytes.NewReader(raw), response, maxBytes)
+}
+
+// CallDeferred is like CallExpectContinue, but calls encode for the request when the peer requests the body. Ages in the
+// request thus count from a time after the peer received the headers, however long the way there took. encode may be
+// called after CallDeferred has returned, but not more than once.
+func CallDeferred(
+	ctx context.Context, client *http.Client, url string, encode func() (any, error), response any, maxBytes int64,
+) error {
+	return call(ctx, client, url, expectContinue(), &deferredBody{encode: encode}, response, maxBytes)
+}
+
+func expectContinue() http.Header { return http.Header{"Expect": {"100-continue"}} }
+
+// deferredBody is a request body that is encoded when it is first read.
+type deferredBody struct {
+	encode  func() (any, error)
+	encoded *bytes.Reader
+}
+
+// Read implements io.Reader.
+func (b *deferredBody) Read(into []byte) (int, error) {
+	if b.encoded == nil {
+		request, err := b.encode()
+		if err != nil {
+			return 0, err
+		}
+		raw, err := msgpack.Marshal(request)
+		if err != nil {
+			return 0, errors.Wrap(err, "encode request")
+		}
+		b.encoded = bytes.NewReader(raw)
+	}
+	return b.encoded.Read(into)
+}
+
+func call(
+	ctx context.Context, client *http.Client, url string, header http.Header, body io.Reader, response any, maxBytes int64,
+) error {
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
 		return errors.Wrap(err, "create HTTP request")
 	}
--- a/internal/common/msgpackhttp/msgpackhttp_test.go
+++ b/internal/common/msgpackhttp/msgpackhttp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -83,3 +84,37 @@
 	assert.NilError(t, CallExpectContinue(t.Context(), client, server.URL, &testRequest{Text: "a"}, &got, 64))
 	assert.Equal(t, got.Text, "re: a")
 }
+
+// Guards against ages in a request that were computed before the request got to the peer: a request that waits on its
+// way must be encoded after the wait, and not at all if its sender gave up.
+func TestDeferredRequestIsEncodedWhenThePeerRequestsIt(t *testing.T) {
+	proceed, began := make(chan struct{}), make(chan time.Time, 1)
+	handler := Handle(64, echo)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-proceed
+		began <- time.Now()
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}
+	var got testResponse
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	neverEncoded := func() (any, error) {
+		t.Error("the request was encoded although its sender gave up")
+		return &testRequest{}, nil
+	}
+	assert.ErrorIs(t, CallDeferred(ctx, client, server.URL, neverEncoded, &got, 64), context.DeadlineExceeded)
+	close(proceed)
+	<-began
+	var encodedAt time.Time
+	encode := func() (any, error) {
+		encodedAt = time.Now()
+		return &testRequest{Text: "a"}, nil
+	}
+	assert.NilError(t, CallDeferred(t.Context(), client, server.URL, encode, &got, 64))
+	assert.Equal(t, got.Text, "re: a")
+	assert.Assert(t, !encodedAt.Before(<-began))
+	failing := func() (any, error) { return nil, io.ErrNoProgress }
+	assert.ErrorIs(t, CallDeferred(t.Context(), client, server.URL, failing, &got, 64), io.ErrNoProgress)
+}
