Use the load that other nodes report in the choice of an engine

The occupancy of an engine is the highest of its newest report and the requests of all nodes that counted them within 500 ms. Without reports of other nodes the choice is that of before: TestNodesChooseDifferentEngines- OnceTheyExchange covers both cases.

--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -29,6 +29,8 @@
 type Choice struct {
 	Engine   Engine
 	InFlight int
+	// InFlightOfPeers is the number of requests that other nodes reported to have at the engine.
+	InFlightOfPeers int
 	// LoadAge is the age of the load that the engine reported; negative if unknown.
 	LoadAge time.Duration
 	// Expected is the estimated response time, from the engine's load and distance.
@@ -128,6 +130,9 @@
 		Engine: best.engine, InFlight: best.inFlight, LoadAge: -1, Expected: bestExpected,
 		Distance: distanceOf(best, query), Candidates: len(candidates),
 	}
+	if best.peers != nil {
+		choice.InFlightOfPeers = best.peers.count(query.Now)
+	}
 	if !best.loadAt.IsZero() {
 		choice.LoadAge = query.Now.Sub(best.loadAt)
 	}
@@ -178,6 +183,9 @@
 // occupied returns the number of requests at the engine: those of this process, or the recently reported load
 // if that is higher.
 func (m *member) occupied(now time.Time) int {
+	if m.peers != nil {
+		return m.occupiedWithPeers(now)
+	}
 	if now.Sub(m.loadAt) >= reportedLoadTTL {
 		return m.inFlight
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,6 +65,10 @@
 	// addressClaim numbers the engine's claim to its current address. The highest claim to an address identifies
 	// the engine that was listed there last.
 	addressClaim int64
+	// peers is the load that other nodes reported; nil without the exchange of load data.
+	peers *peerLoad
+	// used is true if a request of this process was at the engine at the last call of OwnLoad or later.
+	used bool
 }
 
 // Fleet is the set of known engines. It is safe for concurrent use.
@@ -82,6 +86,8 @@
 	answerTimes map[string]time.Duration
 	// lastClaim is the highest member.addressClaim assigned so far.
 	lastClaim int64
+	// withPeerLoad holds the members whose field peers is set.
+	withPeerLoad []*member
 }
 
 func New() *Fleet {
@@ -230,6 +236,7 @@
 	defer f.mu.Unlock()
 	if m, found := f.lookUp(id); found {
 		m.inFlight++
+		m.used = true
 	}
 }
 
