Add the setting hosted.load_exchange

The interval at which nodes exchange the load of engines, 100 ms to 10 s; 0, the default, keeps the exchange off. Values outside are rejected with the field's name.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -49,6 +49,8 @@
 	MaxUsageWindow     = time.Hour
 	MinCallerStall     = time.Second
 	MaxCallerStall     = time.Hour
+	MinLoadExchange    = 100 * time.Millisecond
+	MaxLoadExchange    = 10 * time.Second
 )
 
 // Allowed values of scheduling.policy and log.level.
@@ -199,6 +201,9 @@
 	}
 	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
 	c.duration("hosted.caller_stall", hosted.CallerStall, MinCallerStall, MaxCallerStall)
+	if hosted.LoadExchange != 0 {
+		c.duration("hosted.load_exchange", hosted.LoadExchange, MinLoadExchange, MaxLoadExchange)
+	}
 	c.duties(hosted)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,8 @@
 	UsageDue    Duration `toml:"usage_due"`
 	// CallerStall is how long a caller may read nothing of its response before it is disconnected, 1 s..1 h.
 	CallerStall Duration `toml:"caller_stall"`
+	// LoadExchange is the interval at which nodes exchange the load of engines, 100 ms..10 s, or 0 for no exchange.
+	LoadExchange Duration `toml:"load_exchange"`
 }
 
 // Kinds of duties.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,3 +117,19 @@
 		assert.Assert(t, strings.Contains(problems[0].Expected, test.expected), problems[0].Expected)
 	}
 }
+
+// Guards against an interval at which nodes would call each other without pause, or an exchange that is on by default.
+func TestLoadChecksLoadExchange(t *testing.T) {
+	assert.Equal(t, Default().Hosted.LoadExchange, Duration(0))
+	const hosted = "[hosted]\nlog = \"127.0.0.1:1\"\nload_exchange = "
+	for _, value := range []string{`"0s"`, `"100ms"`, `"10s"`} {
+		_, problems := Load(Flags{File: writeFile(t, completeFile+hosted+value+"\n")})
+		assert.Equal(t, len(problems), 0, "%s: %v", value, problems)
+	}
+	for _, value := range []string{`"-1s"`, `"1ns"`, `"99ms"`, `"10001ms"`} {
+		_, problems := Load(Flags{File: writeFile(t, completeFile+hosted+value+"\n")})
+		assert.Equal(t, len(problems), 1, "%s: %v", value, problems)
+		assert.Equal(t, problems[0].Key, "hosted.load_exchange")
+		assert.Equal(t, problems[0].Expected, "100ms..10s")
+	}
+}
