--- a/internal/core/fleet/choose_benchmark_test.go
+++ b/internal/core/fleet/choose_benchmark_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/core/loadexchange"
 )
 
 // benchmarkEngines is the number of engines of one service among which a benchmark chooses.
@@ -43,3 +44,23 @@
 	}
 	_ = chosen
 }
+
+// BenchmarkChooseAmong1000WithPeerLoad has load data of other nodes for the 64 engines of a message.
+func BenchmarkChooseAmong1000WithPeerLoad(b *testing.B) {
+	f := benchmarkFleet()
+	var entries []loadexchange.Entry
+	for number := range loadexchange.MaxEngines {
+		id := incarnation.ID{Engine: fmt.Sprintf("engine-%04d", number), StartMillis: 1700000000000 + int64(number)}
+		entries = append(entries, loadexchange.Entry{
+			Engine: id, Service: "s", InFlight: 3, CountedAt: now, Running: 5, ReportedAt: now,
+		})
+	}
+	f.SetPeerLoad(entries)
+	query := Query{Service: "s", Zone: "z1", Region: "r", Model: "m", MinVersion: 1, Now: now.Add(100 * time.Millisecond)}
+	var chosen incarnation.ID
+	for b.Loop() {
+		choice, _ := f.Choose(query)
+		chosen = choice.Engine.Incarnation()
+	}
+	_ = chosen
+}
