Wire the load exchange into hosted nodes

With hosted.load_exchange set, a node exchanges load data in the background and serves the messages of others; without it the path answers 404 as before.

--- a/internal/core/loadexchange/state_test.go
+++ b/internal/core/loadexchange/state_test.go
@@ -171,3 +171,34 @@
 	}
 	assert.Equal(t, len(entries), 0, "reported and counted 500 ms ago")
 }
+
+// Guards against a view that grows with the number of nodes, or misses nodes: 87 nodes with requests at 49 engines, one
+// at the first engine, two at the second and so on.
+func TestViewOf87Nodes(t *testing.T) {
+	const nodes, engines = 87, 49
+	s := NewState()
+	for node := range nodes {
+		var entries []Entry
+		for number := range engines {
+			entry := counted(number, number+1, after(node))
+			entry.Running, entry.ReportedAt = 8, after(node)
+			entries = append(entries, entry)
+		}
+		name := fmt.Sprint("node-", node)
+		message, err := NewMessage(Message{Node: name, Services: []string{"s"}}, entries, after(node))
+		assert.NilError(t, err)
+		assert.Equal(t, len(message.Engines), engines)
+		received, err := message.Entries(after(node))
+		assert.NilError(t, err)
+		s.MergeNode(name, received, after(node))
+	}
+	view, err := NewMessage(Message{Node: "exchange"}, s.View("node-0", []string{"s"}, after(100)), after(100))
+	assert.NilError(t, err)
+	assert.Assert(t, len(encoded(t, view)) <= MaxBytes, "%d bytes", len(encoded(t, view)))
+	assert.Equal(t, len(view.Engines), engines)
+	for position := range engines {
+		assert.Equal(t, view.InFlight[position], (nodes-1)*(engines-position), "the fullest engine first")
+		assert.Equal(t, view.CountAges[position], 99, "counted by node-1")
+		assert.Equal(t, view.ReportAges[position], 14, "reported to node-86")
+	}
+}
--- a/internal/hosted/docs_test.go
+++ b/internal/hosted/docs_test.go
@@ -22,7 +22,7 @@
 // hostedPackages are the packages that write the log lines of a hosted node.
 var hostedPackages = []string{
 	"hosted", "follow", "leadership", "logrelay", "jobrelay", "batchjobs", "batchrun", "weightorders", "ingress",
-	"duties", "crashes", "coldpermits", "logusage",
+	"duties", "crashes", "coldpermits", "logusage", "peerload",
 }
 
 func operationsPage(t *testing.T) string {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -36,6 +36,7 @@
 	"github.com/corkpulley/corkpulley/internal/jobrelay"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 	"github.com/corkpulley/corkpulley/internal/logrelay"
+	"github.com/corkpulley/corkpulley/internal/peerload"
 	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/settings"
 )
@@ -84,6 +85,8 @@
 	// leader.
 	coldGranter *coldpermits.Granter
 	coldPermits *coldpermits.Client
+	// loadExchange exchanges the load of engines with other nodes; nil without it.
+	loadExchange *peerload.Exchange
 	// regionElections elects the runners of batch jobs that are bound to regions.
 	regionElections *regionElections
 	topology        *topology.Map
@@ -177,6 +180,7 @@
 	n.crashGuard = n.newCrashGuard(log)
 	n.crashFollower = follow.New(replicas, platform.CrashTopic(), n.crashGuard.HandleRecord, n.directory.Budget(), logger)
 	n.coldGranter, n.coldPermits = n.newColdPermits()
+	n.loadExchange = n.newLoadExchange()
 	n.relay = ingress.New(ingress.Options{
 		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.crashGuard, Gate: n.gate, ColdPermits: n.coldPermits,
 		CallerLimits: n.callerLimits, OnInvalidLoad: n.reportUnreadableLoad,
@@ -208,6 +212,9 @@
 	router.Handle(jobrelay.Path, jobrelay.NewHandler(n.jobs, n.directory.ServesReadsWithin)).Methods(http.MethodPost)
 	router.Handle(crashes.Path, n.crashGuard.Handler()).Methods(http.MethodPost)
 	router.Handle(coldpermits.Path, n.coldGranter.Handler(n.fleet.SlowStart)).Methods(http.MethodPost)
+	if n.loadExchange != nil {
+		router.Handle(peerload.Path, n.loadExchange.Handler()).Methods(http.MethodPost)
+	}
 	return router
 }
 
@@ -251,7 +258,7 @@
 	for _, task := range []func(context.Context) error{
 		n.controlFollower.Run, n.followEngines, n.crashFollower.Run, n.crashGuard.Run, n.jobs.Run, n.directory.Run,
 		n.usageCounter.Run, n.applyDeferred, n.suspension.Run, n.watchColdEngines, n.logCalls.summary.Run,
-		n.clusterVersion.Run, n.afterFirstRead(n.elector.Run), n.afterFirstRead(n.regionElections.Run),
+		n.clusterVersion.Run, n.exchangeLoad, n.afterFirstRead(n.elector.Run), n.afterFirstRead(n.regionElections.Run),
 	} {
 		group.Go(func() error { return task(groupContext) })
 	}
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -51,6 +51,9 @@
 	// logCalls and logBytes count calls to the event log.
 	logCalls *prometheus.CounterVec
 	logBytes *prometheus.CounterVec
+	// loadExchanges counts messages with the load of engines; loadViewEngines is the size of the newest view.
+	loadExchanges   *prometheus.CounterVec
+	loadViewEngines prometheus.Gauge
 }
 
 // requestBuckets are the bounds of the latency histogram, in seconds.
@@ -126,6 +129,7 @@
 	m.addHeldBytesMetrics(registry)
 	m.traffic = newTraffic(registry)
 	m.addLogCallMetrics(registry)
+	m.addLoadExchangeMetrics(registry)
 	registry.MustRegister(
 		m.requests, m.refused, m.jobs, m.tableVersion, m.leading, m.scoring,
 		m.connectionsLost, m.suspectedRequests, m.staleLeaseRecords,
--- a/internal/hosted/traffic.go
+++ b/internal/hosted/traffic.go
@@ -24,6 +24,7 @@
 	replicaTraffic trafficKind = "replica_read"
 	jobTraffic     trafficKind = "job_question"
 	logTraffic     trafficKind = "log_call"
+	loadTraffic    trafficKind = "load_exchange"
 )
 
 // traffic counts messages and bytes exchanged with other machines, by kind and distance.
@@ -129,6 +130,11 @@
 // RoundTrip implements http.RoundTripper.
 func (c *countedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	count := c.traffic.countMessage(c.kind, c.distanceOf(request.URL.Host), int(max(0, request.ContentLength)))
+	if request.ContentLength <= 0 && request.Body != nil && request.Body != http.NoBody {
+		// The length is not known: the request is encoded when it is read.
+		request = request.Clone(request.Context())
+		request.Body = &countedBody{request.Body, count}
+	}
 	response, err := c.RoundTripper.RoundTrip(request)
 	if err == nil {
 		response.Body = &countedBody{response.Body, count}
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -157,6 +157,9 @@
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Stringer("engine", choice.Engine.Incarnation()).
 		Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).Int("candidates", choice.Candidates).Dur("expected_ms", choice.Expected).Stringer("distance", choice.Distance).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
+	if choice.InFlightOfPeers > 0 {
+		line = line.Int("in_flight_of_peers", choice.InFlightOfPeers)
+	}
 	if result != answered {
 		line = line.Stringer("fingerprint", x.fingerprintOf())
 	}
