--- a/test/hosted/loadexchange_test.go
+++ b/test/hosted/loadexchange_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/corkpulley/corkpulley/internal/core/loadexchange"
 	"github.com/corkpulley/corkpulley/internal/standin/memlog"
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -100,9 +103,13 @@
 func TestNodesWithAndWithoutLoadExchangeRunSideBySide(t *testing.T) {
 	t.Parallel()
 	d := deployStreams(t)
-	plain := d.start("n1")
+	// The node without it is the one that the others ask first.
+	nodes := []loadexchange.Node{{ID: "n1", Zone: "z1"}, {ID: "n2", Zone: "z1"}, {ID: "n3", Zone: "z1"}}
+	first, _ := loadexchange.ExchangeNode(nodes, "z1", func(loadexchange.Node) bool { return false })
+	nodes = slices.DeleteFunc(nodes, func(node loadexchange.Node) bool { return node == first })
+	plain := d.start(first.ID)
 	d.loadExchange = exchangeInterval
-	one, two := d.start("n2"), d.start("n3")
+	one, two := d.start(nodes[0].ID), d.start(nodes[1].ID)
 	for _, node := range []*testNode{plain, one, two} {
 		node.awaitKnownNodes(t, 3)
 	}
@@ -112,4 +119,7 @@
 	})
 	assert.Equal(t, stop(), 0, "failed live requests")
 	assert.Equal(t, sum(answeredMetric, plain)+sum(unansweredMetric, plain), 0.0)
+	for _, node := range []*testNode{one, two} {
+		assert.Assert(t, strings.Contains(node.logs.String(), "unexpected HTTP status 404"))
+	}
 }
