--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -92,6 +92,9 @@
 		c.url("platform.weight_store", settings.Platform.WeightStore)
 		c.url("platform.machines", settings.Platform.Machines)
 		c.url("platform.scorer", settings.Platform.Scorer)
+		if interval := time.Duration(settings.Hosted.LoadExchange); interval != 0 {
+			c.add("hosted.load_exchange", interval.String(), "0, because hosted.log is not set")
+		}
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
 	c.concurrentLoads(settings.Weights.MaxConcurrentLoads)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -132,4 +132,7 @@
 		assert.Equal(t, problems[0].Key, "hosted.load_exchange")
 		assert.Equal(t, problems[0].Expected, "100ms..10s")
 	}
+	_, problems := Load(Flags{File: writeFile(t, completeFile+"[hosted]\nload_exchange = \"100ms\"\n")})
+	assert.Equal(t, len(problems), 1, "only hosted nodes exchange load data: %v", problems)
+	assert.Equal(t, problems[0].Key, "hosted.load_exchange")
 }
