--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -265,8 +265,8 @@
 }
 
 // checkExpiry clears the view once it is older than the TTL, also if the clock by which the fleet expires entries stood
-// still while the machine was suspended. Only a view that expired while this node had requests is
-// logged: without requests, expiry is normal.
+// still while the machine was suspended. Only a view that expired while this node had requests is logged: without
+// requests, expiry is normal.
 func (e *Exchange) checkExpiry(hasRequests bool) {
 	now := e.now()
 	if e.viewAt.IsZero() || now.Sub(e.viewAt) < loadexchange.TTL {
