Keep the time of a view independent of the number of nodes

A view went through the counts of all nodes of the zone, each of which requests one per interval, so that the work of an exchange node grew with the square of its zone. Tests cover sums that are reused while digests expire or are replaced.

--- a/internal/core/loadexchange/state.go
+++ b/internal/core/loadexchange/state.go
@@ -33,25 +33,22 @@
 type State struct {
 	nodes map[string]digest
 	zones map[string]digest
-	// merged holds the merged digests of nodes and zones; it is reused until mergedAt + maxAggregateAge.
-	merged   map[incarnation.ID]*total
-	mergedAt time.Time
+	// merged holds the merged digests of nodes and zones; it is reused until mergedAt + maxAggregateAge. mergedNodes are
+	// the digests of nodes that it contains.
+	merged      map[incarnation.ID]*total
+	mergedNodes map[string]digest
+	mergedAt    time.Time
 }
 
 // total is the load at one engine over several sources.
 type total struct {
+	// entry holds the sum of the counts, and the time of the oldest of them.
 	entry Entry
 	// reporter is the source of the entry's report.
 	reporter string
-	// counts holds the counted requests of each source that has any.
-	counts []count
-}
-
-// count is the number of requests that a source has at an engine.
-type count struct {
-	source   string
-	inFlight int
-	at       time.Time
+	// oldestFrom is the source of the oldest count; nextOldest is the time of the second oldest one.
+	oldestFrom string
+	nextOldest time.Time
 }
 
 // NewState returns an empty state.
@@ -98,7 +95,7 @@
 	addDigests(totals, nodeSource, s.nodes, now)
 	var entries []Entry
 	for _, each := range totals {
-		if entry, left := each.excluding("", now); left {
+		if entry, left := each.entry.withoutExpired(now); left {
 			entries = append(entries, entry)
 		}
 	}
@@ -109,17 +106,15 @@
 // View returns the load of all nodes but the given one at the engines of the services.
 func (s *State) View(node string, services []string, now time.Time) []Entry {
 	if s.merged == nil || now.Before(s.mergedAt) || now.Sub(s.mergedAt) >= maxAggregateAge {
-		s.dropExpired(now)
-		s.merged, s.mergedAt = make(map[incarnation.ID]*total), now
-		addDigests(s.merged, nodeSource, s.nodes, now)
-		addDigests(s.merged, zoneSource, s.zones, now)
+		s.mergeAll(now)
 	}
+	own := s.ownCounts(node)
 	var entries []Entry
-	for _, each := range s.merged {
+	for id, each := range s.merged {
 		if !slices.Contains(services, each.entry.Service) {
 			continue
 		}
-		if entry, left := each.excluding(nodeSource+node, now); left {
+		if entry, left := each.excluding(nodeSource+node, own[id]).withoutExpired(now); left {
 			entries = append(entries, entry)
 		}
 	}
@@ -127,16 +122,37 @@
 	return entries
 }
 
+// mergeAll merges the digests. Entries that expire while the result is reused are left out: a sum can't be corrected
+// later without going through all nodes for each view.
+func (s *State) mergeAll(now time.Time) {
+	s.dropExpired(now)
+	s.merged, s.mergedNodes, s.mergedAt = make(map[incarnation.ID]*total), maps.Clone(s.nodes), now
+	addDigests(s.merged, nodeSource, s.nodes, now.Add(maxAggregateAge))
+	addDigests(s.merged, zoneSource, s.zones, now.Add(maxAggregateAge))
+}
+
+// ownCounts returns the requests of a node that are part of the merged entries.
+func (s *State) ownCounts(node string) map[incarnation.ID]int {
+	counts := make(map[incarnation.ID]int)
+	for _, entry := range s.mergedNodes[node].entries {
+		if entry.HasCount(s.mergedAt.Add(maxAggregateAge)) {
+			counts[entry.Engine] += entry.InFlight
+		}
+	}
+	return counts
+}
+
 // Prefixes of sources, which distinguish a node from a zone of the same name.
 const (
 	nodeSource = "node "
 	zoneSource = "zone "
 )
 
-func addDigests(totals map[incarnation.ID]*total, prefix string, digests map[string]digest, now time.Time) {
+// addDigests adds the entries that have not expired at the given time.
+func addDigests(totals map[incarnation.ID]*total, prefix string, digests map[string]digest, at time.Time) {
 	for name, each := range digests {
 		for _, entry := range each.entries {
-			if fresh, left := entry.withoutExpired(now); left {
+			if fresh, left := entry.withoutExpired(at); left {
 				addEntry(totals, prefix+name, fresh)
 			}
 		}
@@ -149,9 +165,7 @@
 		sum = &total{entry: Entry{Engine: entry.Engine, Service: entry.Service}}
 		totals[entry.Engine] = sum
 	}
-	if entry.InFlight > 0 {
-		sum.counts = append(sum.counts, count{source: source, inFlight: entry.InFlight, at: entry.CountedAt})
-	}
+	sum.addCount(source, entry)
 	// The smaller name decides between equal reports, and between services, so that the order has no effect.
 	sum.entry.Service = min(sum.entry.Service, entry.Service)
 	switch merged := sum.entry.moreRecentReport(entry); {
@@ -162,21 +176,32 @@
 	}
 }
 
-// excluding returns the total without one source; false if nothing is left. The source's own report is left out too,
-// since the source has it.
-func (t *total) excluding(source string, now time.Time) (Entry, bool) {
+func (t *total) addCount(source string, entry Entry) {
+	if entry.InFlight == 0 {
+		return
+	}
+	t.entry.InFlight += entry.InFlight
+	switch {
+	case t.entry.CountedAt.IsZero() || entry.CountedAt.Before(t.entry.CountedAt):
+		t.nextOldest, t.entry.CountedAt, t.oldestFrom = t.entry.CountedAt, entry.CountedAt, source
+	case t.nextOldest.IsZero() || entry.CountedAt.Before(t.nextOldest):
+		t.nextOldest = entry.CountedAt
+	}
+}
+
+// excluding returns the total without one source, which counted ownCount requests. The source's own report is left out
+// too, since the source has it.
+func (t *total) excluding(source string, ownCount int) Entry {
 	entry := t.entry
 	if t.reporter == source {
 		entry.Running, entry.Waiting, entry.ReportedAt = 0, 0, time.Time{}
 	}
-	for _, each := range t.counts {
-		if each.source == source || !isFresh(each.at, now) {
-			continue
-		}
-		entry.InFlight += each.inFlight
-		if entry.CountedAt.IsZero() || each.at.Before(entry.CountedAt) {
-			entry.CountedAt = each.at
-		}
+	entry.InFlight -= ownCount
+	switch {
+	case entry.InFlight == 0:
+		entry.CountedAt = time.Time{}
+	case t.oldestFrom == source:
+		entry.CountedAt = t.nextOldest
 	}
-	return entry.withoutExpired(now)
+	return entry
 }
--- a/internal/core/loadexchange/state_test.go
+++ b/internal/core/loadexchange/state_test.go
@@ -102,13 +102,25 @@
 	s.MergeNode("a", []Entry{counted(1, 3, after(0))}, after(0))
 	s.MergeNode("b", []Entry{counted(1, 2, after(10))}, after(10))
 	s.MergeNode("c", []Entry{counted(1, 1, after(20))}, after(20))
-	s.MergeZone("a", []Entry{counted(1, 4, after(30))}, after(30))
-	assert.DeepEqual(t, s.View("a", []string{"s"}, after(40)), []Entry{counted(1, 7, after(10))})
-	assert.DeepEqual(t, s.View("b", []string{"s"}, after(40)), []Entry{counted(1, 8, after(0))})
+	// A zone may have the name of a node.
+	s.MergeZone("a", []Entry{counted(1, 4, after(30)), reported(2, 1, after(30))}, after(30))
+	other := reported(2, 1, after(30))
+	assert.DeepEqual(t, s.View("a", []string{"s"}, after(40)), []Entry{counted(1, 7, after(10)), other})
+	assert.DeepEqual(t, s.View("b", []string{"s"}, after(40)), []Entry{counted(1, 8, after(0)), other})
 	// Entries of other zones are not passed on.
 	assert.DeepEqual(t, s.ZoneEntries(after(40)), []Entry{counted(1, 6, after(0))})
 }
 
+// Guards against a wrong sum when a node's newer digest arrives while merged entries with its earlier one are reused.
+func TestReusedSumsExcludeTheDigestThatTheyContain(t *testing.T) {
+	s := NewState()
+	s.MergeNode("a", []Entry{counted(1, 3, after(0))}, after(0))
+	s.MergeNode("b", []Entry{counted(1, 2, after(0))}, after(0))
+	s.View("c", []string{"s"}, after(0))
+	s.MergeNode("a", []Entry{counted(1, 5, after(10))}, after(10))
+	assert.DeepEqual(t, s.View("a", []string{"s"}, after(10)), []Entry{counted(1, 2, after(0))})
+}
+
 func TestViewCoversOnlyTheServicesOfTheNode(t *testing.T) {
 	s := NewState()
 	other := counted(2, 5, after(0))
@@ -133,26 +145,44 @@
 	}
 }
 
-// Guards against old load data: an entry must expire TTL after the requests were counted or the engine reported, also
-// in merged entries that are reused, and although its digest arrived later.
+// Guards against old load data: an entry must expire TTL after the requests were counted or the engine reported, although
+// its digest arrived later, and also in merged entries that are reused, where it may expire up to maxAggregateAge earlier.
 func TestEntriesExpire(t *testing.T) {
 	s := NewState()
 	s.MergeNode("a", []Entry{counted(1, 3, after(0)), reported(2, 5, after(100))}, after(200))
 	s.MergeNode("b", []Entry{counted(1, 1, after(200))}, after(200))
-	assert.DeepEqual(t, s.View("c", []string{"s"}, after(490)), []Entry{
-		reported(2, 5, after(100)), counted(1, 4, after(0)),
-	})
-	// Within maxAggregateAge, so the merged entries are reused.
-	assert.DeepEqual(t, s.View("c", []string{"s"}, after(500)), []Entry{
-		reported(2, 5, after(100)), counted(1, 1, after(200)),
-	})
-	assert.DeepEqual(t, s.ZoneEntries(after(500)), s.View("c", []string{"s"}, after(500)))
-	assert.DeepEqual(t, s.View("c", []string{"s"}, after(600)), []Entry{counted(1, 1, after(200))})
-	assert.Equal(t, len(s.View("c", []string{"s"}, after(700))), 0)
+	view := func(at int) []Entry { return s.View("c", []string{"s"}, after(at)) }
+	all := []Entry{reported(2, 5, after(100)), counted(1, 4, after(0))}
+	withoutFirst := []Entry{reported(2, 5, after(100)), counted(1, 1, after(200))}
+	assert.DeepEqual(t, view(474), all)
+	assert.DeepEqual(t, view(474+24), all) // the merged entries are reused
+	assert.DeepEqual(t, view(500), withoutFirst)
+	assert.DeepEqual(t, s.ZoneEntries(after(499)), all) // zones get what is left at the time
+	assert.DeepEqual(t, s.ZoneEntries(after(500)), withoutFirst)
+	assert.DeepEqual(t, view(574), withoutFirst)
+	assert.DeepEqual(t, view(600), []Entry{counted(1, 1, after(200))})
+	assert.Equal(t, len(view(700)), 0)
 	assert.Assert(t, !s.HasNodes(after(700)))
 	assert.Equal(t, len(s.nodes), 0, "digests of nodes that left are dropped")
 }
 
+// Guards against a sum that contains an expired count because merged entries are reused, and against the loss of the
+// counts that have not expired.
+func TestReusedSumsContainNoExpiredCount(t *testing.T) {
+	for age := range 2 * int(maxAggregateAge.Milliseconds()) {
+		s := NewState()
+		s.MergeNode("a", []Entry{counted(1, 3, after(0))}, after(0))
+		s.MergeNode("b", []Entry{counted(1, 1, after(300))}, after(300))
+		mergedAt := 500 - 2*int(maxAggregateAge.Milliseconds()) + age
+		s.View("c", []string{"s"}, after(mergedAt))
+		for now := mergedAt; now < mergedAt+40; now++ {
+			view := s.View("c", []string{"s"}, after(now))
+			assert.Equal(t, len(view), 1, "merged at %d, used at %d", mergedAt, now)
+			assert.Assert(t, view[0].InFlight == 1 || view[0].InFlight == 4 && now < 500, "merged at %d, used at %d", mergedAt, now)
+		}
+	}
+}
+
 // Guards against an entry that becomes younger on its way over several nodes, the clocks of which have nothing in common.
 func TestEntriesKeepTheirAgeThroughEveryHop(t *testing.T) {
 	const hops, hopMillis = 5, 100
--- a/internal/peerload/benchmark_test.go
+++ b/internal/peerload/benchmark_test.go
@@ -9,8 +9,8 @@
 )
 
 // BenchmarkInterval reports the calls and the encoded bytes per second of all nodes at an interval of 100 ms, without
-// HTTP headers, and the processor time of a call at both ends. The numbers of nodes, zones and engines are those of
-// docs/design/load-exchange.md; each node has requests at the given number of engines.
+// HTTP headers, and the time of a call at both ends, without a network. The numbers of nodes, zones and engines are
+// those of docs/design/load-exchange.md; each node has requests at the given number of engines.
 func BenchmarkInterval(b *testing.B) {
 	for _, size := range []struct{ nodes, zones, engines, inUse int }{
 		{71, 5, 53, 4}, {71, 5, 53, 53}, {87, 4, 49, 4}, {87, 4, 49, 49}, {420, 5, 280, 4}, {420, 5, 280, 64},
