--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -49,6 +49,8 @@
 	MaxUsageWindow     = time.Hour
 	MinCallerStall     = time.Second
 	MaxCallerStall     = time.Hour
+	MinLoadExchange    = 100 * time.Millisecond
+	MaxLoadExchange    = 10 * time.Second
 )
 
 // Allowed values of scheduling.policy, scheduling.job_order, scheduling.engine_speeds and log.level.
@@ -92,6 +94,9 @@
 		c.url("platform.weight_store", settings.Platform.WeightStore)
 		c.url("platform.machines", settings.Platform.Machines)
 		c.url("platform.scorer", settings.Platform.Scorer)
+		if interval := time.Duration(settings.Hosted.LoadExchange); interval != 0 {
+			c.add("hosted.load_exchange", interval.String(), "0, because hosted.log is not set")
+		}
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
 	c.oneOf("scheduling.job_order", settings.Scheduling.JobOrder, JobOrders)
@@ -206,6 +211,9 @@
 	}
 	c.duration("hosted.keep_jobs", hosted.KeepJobs, MinKeepJobs, MaxKeepJobs)
 	c.duration("hosted.caller_stall", hosted.CallerStall, MinCallerStall, MaxCallerStall)
+	if hosted.LoadExchange != 0 {
+		c.duration("hosted.load_exchange", hosted.LoadExchange, MinLoadExchange, MaxLoadExchange)
+	}
 	c.duties(hosted)
 }
 
