--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -11,7 +11,8 @@
 )
 
 // Flags are the command-line flags of corkpulleyd. A flag overrides the same
-// key of the settings file.
+// key of the settings file. Settings that a deployment enables before all of its nodes know them
+// have an environment variable too: older builds ignore it, but refuse an unknown key or flag.
 type Flags struct {
 	File  string `arg:"--settings,env:CORKPULLEY_SETTINGS" placeholder:"FILE" help:"settings file (TOML)"`
 	Check bool   `arg:"--check" help:"check the settings, print every mistake, and exit"`
@@ -31,6 +32,8 @@
 	Scorer             *string        `arg:"--platform-scorer" placeholder:"URL" help:"platform.scorer"`
 	HostedLog          *string        `arg:"--hosted-log" placeholder:"IP:PORT" help:"hosted.log"`
 	Policy             *string        `arg:"--policy" placeholder:"NAME" help:"scheduling.policy: default, round-robin, least-load or one-hop"`
+	JobOrder           *string        `arg:"--job-order,env:CORKPULLEY_JOB_ORDER" placeholder:"ORDER" help:"scheduling.job_order: arrival or due"`
+	EngineSpeeds       *string        `arg:"--engine-speeds,env:CORKPULLEY_ENGINE_SPEEDS" placeholder:"SPEEDS" help:"scheduling.engine_speeds: uniform or mixed"`
 	MaxConcurrentLoads *int           `arg:"--max-concurrent-loads" placeholder:"N" help:"weights.max_concurrent_loads"`
 	Grace              *time.Duration `arg:"--grace" placeholder:"DURATION" help:"shutdown.grace"`
 	Level              *string        `arg:"--log-level" placeholder:"LEVEL" help:"log.level: debug, info, warn or error"`
@@ -116,6 +119,8 @@
 	override(f.Scorer, &into.Platform.Scorer)
 	override(f.HostedLog, &into.Hosted.Log)
 	override(f.Policy, &into.Scheduling.Policy)
+	override(f.JobOrder, &into.Scheduling.JobOrder)
+	override(f.EngineSpeeds, &into.Scheduling.EngineSpeeds)
 	override(f.MaxConcurrentLoads, &into.Weights.MaxConcurrentLoads)
 	override((*Duration)(f.Grace), &into.Shutdown.Grace)
 	override(f.Level, &into.Log.Level)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/alexflint/go-arg"
 	"gotest.tools/v3/assert"
 )
 
@@ -171,3 +172,22 @@
 	assert.Equal(t, len(problems), 1, "only hosted nodes exchange load data: %v", problems)
 	assert.Equal(t, problems[0].Key, "hosted.load_exchange")
 }
+
+// Guards against a deployment that enables a setting by a variable which nodes of this build ignore.
+func TestVariablesSetSchedulingFlags(t *testing.T) {
+	t.Setenv("CORKPULLEY_JOB_ORDER", JobOrderDue)
+	t.Setenv("CORKPULLEY_ENGINE_SPEEDS", EnginesMixed)
+	flags := Flags{File: writeFile(t, completeFile+"[hosted]\nlog = \"127.0.0.1:1\"\n")}
+	parser, err := arg.NewParser(arg.Config{}, &flags)
+	assert.NilError(t, err)
+	assert.NilError(t, parser.Parse(nil))
+	loaded, problems := Load(flags)
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, loaded.Scheduling.JobOrder, JobOrderDue)
+	assert.Equal(t, loaded.Scheduling.EngineSpeeds, EnginesMixed)
+	t.Setenv("CORKPULLEY_ENGINE_SPEEDS", "quick")
+	assert.NilError(t, parser.Parse(nil))
+	_, problems = Load(flags)
+	assert.Equal(t, len(problems), 1)
+	assert.Equal(t, problems[0].Key, "scheduling.engine_speeds")
+}
