Give stand-in engines a pace and report their actual load

The stand-in could not simulate engines of different speed, and its load header always named one running request.

Add a time for plain responses, a pace that can change while the engine runs, and the load header with the requests that run, on refusals too. With ReportsPace the header has the fourth figure, the pace in percent.

--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -95,6 +95,12 @@
 	// Events returns the number of events of an item; EventTime is the time for each.
 	Events    func(id string) int
 	EventTime time.Duration
+	// PlainTime is the time to produce a plain response. It and EventTime are multiplied by Pace, which SetPace changes;
+	// zero means 1.
+	PlainTime time.Duration
+	Pace      float64
+	// ReportsPace adds the pace, in percent, to the load in each response.
+	ReportsPace bool
 	// Data returns the data of an event. Defaults to EventData, which ignores the version.
 	Data func(id string, number int, version int64) string
 	// LoadTime is the duration of a weight change.
@@ -127,6 +133,7 @@
 	arrivals []Arrival
 	// coldUntil is the time until which the engine reports that it is cold.
 	coldUntil time.Time
+	pace      float64
 }
 
 // NewEngine returns an engine that is not listed in a store yet.
@@ -134,9 +141,12 @@
 	if options.Data == nil {
 		options.Data = func(id string, number int, _ int64) string { return EventData(id, number) }
 	}
+	if options.Pace == 0 {
+		options.Pace = 1
+	}
 	e := &Engine{
 		options: options, versions: maps.Clone(options.Versions), router: mux.NewRouter().SkipClean(true),
-		coldUntil: time.Now().Add(options.ColdFor),
+		coldUntil: time.Now().Add(options.ColdFor), pace: options.Pace,
 	}
 	e.router.HandleFunc("/report", e.handleReport).Methods(http.MethodGet)
 	e.router.HandleFunc("/order", e.handleOrder).Methods(http.MethodPost)
--- a/internal/standin/platform/engine_responses.go
+++ b/internal/standin/platform/engine_responses.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 )
 
 func (e *Engine) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -23,6 +22,7 @@
 		return
 	}
 	run, fault, begun := e.beginRun(r, string(body))
+	w.Header().Set(headerLoad, e.load())
 	if !begun {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -30,7 +30,6 @@
 	}
 	defer e.endRun()
 	w.Header().Set(headerStamp, Stamp(id))
-	w.Header().Set(headerLoad, fmt.Sprintf("1,0,%d", e.options.Slots))
 	switch fault {
 	case RespondsError:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -52,7 +51,9 @@
 			e.options.Crash(run)
 			abortConnection()
 		}
-		e.writePlain(w, id, fault)
+		if e.wait(r, e.options.PlainTime) {
+			e.writePlain(w, id, fault)
+		}
 	}
 }
 
@@ -114,10 +115,8 @@
 	controller := http.NewResponseController(w)
 	events := e.options.Events(run.ID)
 	for number := after + 1; number <= events; number++ {
-		select {
-		case <-r.Context().Done():
+		if !e.wait(r, e.options.EventTime) {
 			return
-		case <-time.After(e.options.EventTime):
 		}
 		if e.crashesOn(run) && number > after+e.options.EventsBeforeCrash {
 			e.options.Crash(run)
