Pass retry delays, length hints and due times through the stand-ins

A soak of contention needs the Retry-After header of refusals, jobs with length hints and a batch route with a due time. LiveResponse, JobItem and Route of the stand-in have them now; they are left out when not set.

--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -20,6 +20,9 @@
 	headerDeadline = "X-Corkpulley-Deadline-Ms"
 	headerTokens   = "X-Corkpulley-Token-Count"
 	headerWait     = "X-Corkpulley-Wait-Ms"
+
+	headerRetryAfter = "Retry-After"
+	headerLengthHint = "X-Corkpulley-Length-Hint"
 	// Token counts declared for each item: its prompt and its maximum output.
 	itemPromptTokens = 10
 	itemOutputTokens = 90
@@ -49,6 +52,8 @@
 	ID      string
 	Stamped bool
 	Body    string
+	// RetryAfter is the value of the Retry-After header; empty if there was none.
+	RetryAfter string
 	// Events and EventIDs are the data and the IDs of a stream's events, in order.
 	Events   []string
 	EventIDs []int64
@@ -91,7 +96,7 @@
 	defer response.Body.Close()
 	result := LiveResponse{
 		Status: response.StatusCode, ID: response.Header.Get(headerRequestID),
-		Stamped: response.Header.Get(headerStamp) != "",
+		Stamped: response.Header.Get(headerStamp) != "", RetryAfter: response.Header.Get(headerRetryAfter),
 	}
 	if response.Header.Get("Content-Type") == "text/event-stream" {
 		err := result.readEvents(response.Body)
@@ -133,6 +138,8 @@
 	Body  string
 	// ScoringID is the ID of the item's scoring call below PrefixScoring; empty for none.
 	ScoringID string
+	// LengthHint is the number of events that the trainer expects; zero for no hint.
+	LengthHint int
 }
 
 func ScoringPath(id string) string { return PrefixScoring + id }
@@ -172,12 +179,16 @@
 func (j Job) encode() ([]byte, error) {
 	items := make([]wireItem, len(j.Items))
 	for i, item := range j.Items {
+		headers := map[string]string{
+			headerModel: ModelDrafts, headerTokens: fmt.Sprintf("%d,%d", itemPromptTokens, itemOutputTokens),
+		}
+		if item.LengthHint > 0 {
+			headers[headerLengthHint] = strconv.Itoa(item.LengthHint)
+		}
 		items[i] = wireItem{
 			ID: item.ID, Path: ItemPath(item.ID), Group: item.Group, Tokens: itemPromptTokens + itemOutputTokens,
-			Headers: map[string]string{
-				headerModel: ModelDrafts, headerTokens: fmt.Sprintf("%d,%d", itemPromptTokens, itemOutputTokens),
-			},
-			Body: base64.StdEncoding.EncodeToString([]byte(item.Body)), Scoring: item.scoring(),
+			Headers: headers,
+			Body:    base64.StdEncoding.EncodeToString([]byte(item.Body)), Scoring: item.scoring(),
 		}
 	}
 	raw, err := json.Marshal(map[string]any{
--- a/internal/standin/platform/operator.go
+++ b/internal/standin/platform/operator.go
@@ -41,6 +41,8 @@
 	Kind      string
 	Service   string
 	Resumable bool
+	// ResultsDueMs is the time from a job's submission until its results are due; zero for none.
+	ResultsDueMs int
 	// HomeRegions are the only regions that may serve and store its requests; none allows all.
 	HomeRegions []string
 }
@@ -80,6 +82,7 @@
 	TargetMs    int    `json:"targetMs"`
 	MaxAttempts int    `json:"maxAttempts"`
 	RetentionS  int    `json:"queueTtlS,omitempty"`
+	ResultsDue  int    `json:"resultDueMs,omitempty"`
 	Resumable   bool   `json:"resumable,omitempty"`
 
 	Homes []string `json:"homeRegions,omitempty"`
@@ -110,7 +113,8 @@
 func (r Route) wire() wireRoute {
 	wire := wireRoute{
 		Name: r.Name, Host: RouteHost, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, Resumable: r.Resumable, Homes: r.HomeRegions,
-		TimeoutMs: lookupTimeoutMs, TargetMs: targetMs, MaxAttempts: maxAttempts,
+		ResultsDue: r.ResultsDueMs,
+		TimeoutMs:  lookupTimeoutMs, TargetMs: targetMs, MaxAttempts: maxAttempts,
 	}
 	switch r.Kind {
 	case RouteBatch:
