Add a schedule of contention to the soak

No schedule had more work than the engines can run for longer than a moment, engines of different speed, or several tenants that compete.

--schedule contention has engines of three speeds, some of which change while they run, bursts of live requests of six tenants above the capacity of the engines, one of which sends half of them, four trainers with short and with long items, and, in a part of each 30 s, kills of the leader, outages of the log and engines that leave. Configurations are applied during bursts. All of it is drawn from the seed. The settings of the components that decide under contention stand behind contentionSettings and are off until the daemon knows them.

--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -451,7 +451,7 @@
 	}
 }
 
-// Seeds must cover both fencing modes about equally, and each schedule for about a third; flags take
+// Seeds must cover both fencing modes about equally, and each schedule for about a quarter; flags take
 // precedence.
 func TestModesDistribution(t *testing.T) {
 	const seeds = 1000
@@ -469,7 +469,7 @@
 	assert.Assert(t, fenced > seeds*2/5 && fenced < seeds*3/5, "%d", fenced)
 	assert.Equal(t, len(drawn), len(schedules))
 	for _, each := range schedules {
-		assert.Assert(t, drawn[each] > seeds*4/15 && drawn[each] < seeds*6/15, "%s: %d", each, drawn[each])
+		assert.Assert(t, drawn[each] > seeds*4/20 && drawn[each] < seeds*6/20, "%s: %d", each, drawn[each])
 	}
 }
 
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -54,6 +54,10 @@
 	// enginesFence is set if the engines and the duties service reject fencing tokens lower than one that
 	// they saw.
 	enginesFence bool
+	// paces holds the pace of the engine of each slot under contention schedules; nil otherwise.
+	paces []float64
+	// settings are additional settings of the nodes, which builds of --other-daemon do not get.
+	settings nodeSettings
 
 	closers []func()
 	wait    sync.WaitGroup
@@ -72,6 +76,11 @@
 		evacuationCounts: newEvacuationCounts(), placementFaults: plan.hasPlacementFaults(),
 		restartsWithSameID: plan.hasPlacementFaults() && plan.includes(Incarnations),
 	}
+	if plan.hasContention() {
+		d.paces = paces(plan.seed, plan.lookupEngineCount(), plan.draftEngineCount())
+		d.settings = contentionSettings(contentionSettingsKnown)
+		history.Contention = &ContentionRecord{LiveWait: d.settings.liveWait}
+	}
 	if !plan.enginesFence {
 		d.duties.IgnoreFences()
 	}
@@ -165,6 +174,13 @@
 	slot := &engineSlot{
 		number: number, service: service, store: d.store.store, history: d.history, listenAddress: engineAddress, checkFences: d.enginesFence,
 		senderProxy: newSenderProxy(proxyAddress, engineAddress, d.pathResolver.pathOf),
+		slots:       lookupSlots, eventTime: eventTime, ownPace: 1, pace: 1,
+	}
+	if service == standin.ServiceDrafts {
+		slot.slots = draftSlots
+	}
+	if d.paces != nil {
+		slot.useContentionOptions(d.paces[number])
 	}
 	if d.placementFaults {
 		slot.coldFor = coldStart
@@ -204,8 +220,12 @@
 		number: number, callerAddress: addresses[0], operatorAddress: addresses[1], directory: directory, link: link, store: store,
 		enginesFence: d.enginesFence,
 	}
-	text := n.settingsText(link.Address(), dutiesAddress, addresses[2])
 	for i, daemon := range daemons {
+		settings := nodeSettings{}
+		if i == 0 {
+			settings = d.settings
+		}
+		text := n.settingsText(link.Address(), dutiesAddress, addresses[2], settings.hosted) + settings.tables
 		file := filepath.Join(directory, fmt.Sprintf("node-%d.build-%d.toml", number, i))
 		build, err := newBuild(ctx, daemon, file, text, topologyTable())
 		if err != nil {
--- a/internal/bench/soak/driver.go
+++ b/internal/bench/soak/driver.go
@@ -64,6 +64,10 @@
 	// regions of routes and tenants.
 	placementFaults bool
 	changesHomes    bool
+	// contention is set for contention schedules, whose load is drawn from seed.
+	contention bool
+	seed       uint64
+	trainers   int
 	// version is the newest announced weight version, config the version of the newest configuration.
 	version atomic.Int64
 	config  atomic.Int64
@@ -75,7 +79,7 @@
 
 func newDriver(d *deployment) *driver {
 	driver := &driver{
-		deployment: d, history: d.history, client: standin.NewClient(callTimeout),
+		deployment: d, history: d.history, client: standin.NewClient(callTimeout), trainers: trainers,
 	}
 	driver.version.Store(1)
 	return driver
@@ -102,7 +106,10 @@
 			Name: fmt.Sprintf("probe-%d", kept), Prefix: probePrefix(kept), Kind: standin.RouteSafe, Service: standin.ServiceLookup,
 		})
 	}
-	configuration := standin.Configuration{Version: version, Routes: routes, Tenants: tenantsOf(version)}
+	configuration := standin.Configuration{Version: version, Routes: routes, Tenants: tenantsOf(version, d.trainers)}
+	if d.contention {
+		addBurstTenants(&configuration)
+	}
 	config := ConfigRecord{Version: version, SentAt: time.Now()}
 	if d.placementFaults {
 		config.Homes = d.homesOf(version)
@@ -125,13 +132,15 @@
 
 // sendProbes requests the newest configuration's route from one node until ctx ends.
 func (d *driver) sendProbes(ctx context.Context, target *node) {
-	for retry.Sleep(ctx, probeGap) {
+	for retry.Sleep(ctx, d.probeGap()) {
 		version := d.config.Load()
 		_, incarnation := target.current()
 		path, sent := probePrefix(version)+"x", time.Now()
 		id := d.newID("probe-")
 		answer, err := d.client.WithKey(settledKey(version)).SendLive(ctx, target.callerAddress, path, id, "", callDeadline)
-		d.history.addCall(LiveCall{ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Answer: answer, Intact: err == nil})
+		d.history.addCall(LiveCall{
+			ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Deadline: callDeadline, EndedAt: time.Now(), Answer: answer, Intact: err == nil,
+		})
 		_, after := target.current()
 		newest := d.config.Load()
 		if err != nil || incarnation != after || newest >= version+keptProbeRoutes {
@@ -166,18 +175,31 @@
 	}
 }
 
-// send sends a live request to a random node and records the response.
-func (d *driver) send(ctx context.Context, call LiveCall) {
+// send sends a live request to a random node, with callDeadline unless the call has a deadline, and records the
+// response.
+func (d *driver) send(ctx context.Context, call LiveCall) LiveCall {
 	call.SentAt = time.Now()
-	key := settledKey(d.config.Load())
-	if call.Tenant == tenantPinned {
-		key = keyPinned
+	if call.Deadline == 0 {
+		call.Deadline = callDeadline
 	}
-	client := d.client.WithKey(key)
+	client := d.client.WithKey(d.keyOf(call.Tenant))
 	var err error
-	call.Answer, err = client.SendLive(ctx, d.randomNode().callerAddress, call.Path, call.ID, call.Body, callDeadline)
-	call.Intact = err == nil
+	call.Answer, err = client.SendLive(ctx, d.randomNode().callerAddress, call.Path, call.ID, call.Body, call.Deadline)
+	call.Intact, call.EndedAt = err == nil, time.Now()
 	d.history.addCall(call)
+	return call
+}
+
+// keyOf returns the key of a tenant of live requests; empty stands for tenantLive.
+func (d *driver) keyOf(tenant string) string {
+	switch tenant {
+	case "":
+		return settledKey(d.config.Load())
+	case tenantPinned:
+		return keyPinned
+	default:
+		return burstKey(tenant)
+	}
 }
 
 // runTrainer submits one job after the other until ctx ends; the last job may continue until jobCtx ends.
@@ -189,7 +211,9 @@
 			continue
 		}
 		d.readUntilDone(jobCtx, record)
-		d.announceVersion()
+		if !d.contention || trainer == versionTrainer {
+			d.announceVersion()
+		}
 	}
 }
 
@@ -213,6 +237,9 @@
 }
 
 func (d *driver) newJob(trainer int, step int64) standin.Job {
+	if d.contention {
+		return d.newContentionJob(trainer, step)
+	}
 	job := standin.Job{
 		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, d.version.Load()-1),
 	}
@@ -333,9 +360,13 @@
 	record.FailedReads[problem] = status
 }
 
-// run generates the load until ctx ends. Open jobs continue until jobCtx ends.
-func (d *driver) run(ctx, jobCtx context.Context) {
-	d.callers.Go(func() { d.reconfigure(ctx) })
+// run generates the load until ctx ends, part of which the schedule may hold. Open jobs continue until jobCtx ends.
+func (d *driver) run(ctx, jobCtx context.Context, faults []Fault) {
+	if d.contention {
+		d.callers.Go(func() { d.playEvents(ctx, faults) })
+	} else {
+		d.callers.Go(func() { d.reconfigure(ctx) })
+	}
 	for _, each := range d.deployment.nodes {
 		d.callers.Go(func() { d.sendProbes(ctx, each) })
 		d.callers.Go(func() { d.sendRevokedKeys(ctx, each) })
@@ -347,7 +378,7 @@
 	if d.sendsCrashing {
 		d.callers.Go(func() { d.crashEngines(ctx) })
 	}
-	for trainer := range trainers {
+	for trainer := range d.trainers {
 		d.jobs.Go(func() { d.runTrainer(ctx, jobCtx, trainer) })
 	}
 }
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -45,6 +45,7 @@
 	draining     bool
 	cold         []ColdPeriod
 	entryInvalid []TimeSpan
+	paces        []PaceChange
 }
 
 // engineSlot runs engines of one service, one after the other, behind the same proxy. Each start creates a new
@@ -59,6 +60,14 @@
 	senderProxy *senderProxy
 	// coldFor is how long engines are cold after each start but the first.
 	coldFor time.Duration
+	// slots, eventTime and plainTime are the options of its engines.
+	slots     int
+	eventTime time.Duration
+	plainTime time.Duration
+	// ownPace is the pace of its engines unless a fault has changed it.
+	ownPace float64
+	// reportsPace is set if the engines report their pace with their load.
+	reportsPace bool
 	// onCrash is called with the run that crashes the engine.
 	onCrash func(run standin.Run)
 	// listenAddress is the address that engines listen on, behind the proxy.
@@ -74,6 +83,8 @@
 	incarnations []*incarnation
 	// lastStartMillis is the time of the newest start in Unix milliseconds, strictly increasing.
 	lastStartMillis int64
+	// pace is the current pace of the running engine and of its replacements.
+	pace float64
 	// entryInvalid is set while an invalid entry replaces the engine's own.
 	entryInvalid bool
 
@@ -152,14 +163,15 @@
 	s.lastStartMillis = max(s.lastStartMillis+1, time.Now().UnixMilli())
 	options := standin.EngineOptions{
 		ID: id, Service: s.service, Zone: zoneOf(s.number), StartMillis: s.lastStartMillis,
-		Slots: lookupSlots, Events: eventsOf, EventTime: eventTime, Data: eventData, LoadTime: loadTime, CheckFences: s.checkFences,
+		Slots: s.slots, Events: eventsOf, EventTime: s.eventTime, Data: eventData, LoadTime: loadTime, CheckFences: s.checkFences,
+		PlainTime: s.plainTime, Pace: s.pace, ReportsPace: s.reportsPace,
 		CrashesOn: func(run standin.Run) bool { return crashesEngine(run.Body) }, Crash: s.onCrash,
 	}
 	if s.service == standin.ServiceDrafts {
 		options.Versions = map[string]int64{standin.ModelDrafts: version}
-		options.Slots = draftSlots
 	}
 	started := &incarnation{version: version, startedAt: time.Now()}
+	started.paces = append(started.paces, PaceChange{At: started.startedAt, Pace: s.pace})
 	if len(s.incarnations) > 0 {
 		options.ColdFor = s.coldFor
 		started.restarted = s.engine().ID() == id
@@ -190,6 +202,22 @@
 	running.cold = append(running.cold, ColdPeriod{From: now, To: now.Add(duration), Announced: true})
 }
 
+func (s *engineSlot) currentPace() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pace
+}
+
+// setPace changes the pace of the running engine and of its replacements.
+func (s *engineSlot) setPace(pace float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = pace
+	running := s.incarnations[len(s.incarnations)-1]
+	running.engine.SetPace(pace)
+	running.paces = append(running.paces, PaceChange{At: time.Now(), Pace: pace})
+}
+
 // faultFor returns the fault for a request.
 func (s *engineSlot) faultFor(id string) standin.EngineFault {
 	switch {
@@ -282,6 +310,7 @@
 			ID: engine.ID(), Service: engine.Service(), Zone: zoneOf(s.number), Region: regionOf(s.number),
 			Restarted: each.restarted, Version: each.version, StartedAt: each.startedAt, EndedAt: each.endedAt,
 			Runs: engine.Runs(), Orders: engine.Orders(), Arrivals: engine.Arrivals(), Cold: each.cold, EntryInvalid: each.entryInvalid,
+			Slots: s.slots, PlainTime: s.plainTime, Paces: each.paces,
 		})
 	}
 	return all
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -19,6 +19,11 @@
 	// Tenant is the tenant whose key was sent; empty for tenantLive.
 	Tenant string
 	SentAt time.Time
+	// Deadline is the deadline that was sent; EndedAt is when the response was complete or the connection broke.
+	Deadline time.Duration
+	EndedAt  time.Time
+	// RetryOf is the ID of the refused request that this one repeats; empty for none.
+	RetryOf string
 	// Answer is the response; Intact is false if the connection broke.
 	Answer standin.LiveResponse
 	Intact bool
@@ -41,6 +46,8 @@
 	// zero if it was not.
 	CancelSentAt time.Time
 	EndedAt      time.Time
+	// CompletedAt is when every expected item was first read as listed.
+	CompletedAt time.Time
 	// Positions are the results by position, as first read.
 	Positions []standin.ItemResult
 	// Complete is set once every expected item was read as listed.
@@ -104,6 +111,22 @@
 // TimeSpan is the period between two times.
 type TimeSpan struct{ From, To time.Time }
 
+// PaceChange is a change of the factor by which an engine's work takes longer.
+type PaceChange struct {
+	At   time.Time
+	Pace float64
+}
+
+// ContentionRecord describes the load of a contention schedule.
+type ContentionRecord struct {
+	// Bursts are the periods in which the burst tenants sent requests.
+	Bursts []TimeSpan
+	// LiveWait is the nodes' setting for the longest wait of a live request; zero if requests do not wait.
+	LiveWait time.Duration
+	// LoadEndedAt is when trainers stopped submitting jobs.
+	LoadEndedAt time.Time
+}
+
 // EngineRecord is what one incarnation of an engine observed.
 type EngineRecord struct {
 	ID      string
@@ -121,6 +144,11 @@
 	Orders   []standin.ReceivedOrder
 	Arrivals []standin.Arrival
 	Cold     []ColdPeriod
+	// Slots is the number of requests that it runs at once, PlainTime the time for a plain response at pace 1, and Paces
+	// are its pace from its start on.
+	Slots     int
+	PlainTime time.Duration
+	Paces     []PaceChange
 	// EntryInvalid lists the periods in which an invalid entry replaced its own.
 	EntryInvalid []TimeSpan
 }
@@ -163,6 +191,10 @@
 	// BodyReads is when each node first read the body of a pinned item from the store.
 	BodyReads    map[bodyRead]time.Time
 	Disturbances []*Disturbance
+	// Replacements are the periods in which an engine drained or had ended and no other had taken its place.
+	Replacements []TimeSpan
+	// Contention is nil for other schedules.
+	Contention *ContentionRecord
 	// Resumptions are the ends of freezes and of network faults between nodes and engines.
 	Resumptions []Resumption
 	// EnginesFence is set if engines reject fencing tokens lower than one that they saw.
@@ -220,6 +252,9 @@
 		}
 	}
 	job.Complete = job.listedResults() == job.expectedResults()
+	if job.Complete && job.CompletedAt.IsZero() {
+		job.CompletedAt = time.Now()
+	}
 }
 
 // expectedResults returns the number of items that must be listed. Items that crash engines may wait until
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -35,7 +35,7 @@
 
 // apply runs one fault from start to end.
 func (d *deployment) apply(ctx context.Context, fault Fault) {
-	if d.applyPlacementFault(ctx, fault) {
+	if d.applyPlacementFault(ctx, fault) || d.applyContentionEvent(ctx, fault) {
 		return
 	}
 	target := d.nodes[d.leader.selectNode(fault, len(d.nodes))]
@@ -143,8 +143,12 @@
 		return
 	}
 	defer slot.replacing.Unlock()
+	began := time.Now()
 	end()
 	d.startReplacement(slot)
+	d.history.update(func() {
+		d.history.Replacements = append(d.history.Replacements, TimeSpan{From: began, To: time.Now()})
+	})
 }
 
 // reopenProxy makes the proxy of a slot accept connections again.
--- a/internal/bench/soak/items.go
+++ b/internal/bench/soak/items.go
@@ -24,6 +24,9 @@
 // eventsOf returns the number of events in the output of a request, derived from its ID.
 func eventsOf(id string) int {
 	draw := xxhash.Sum64String(id)
+	if isLong(id) {
+		return minLongEvents + int(draw%longEventsSpread)
+	}
 	if draw%longOneIn == 0 {
 		return longEvents
 	}
--- a/internal/bench/soak/modes.go
+++ b/internal/bench/soak/modes.go
@@ -20,9 +20,11 @@
 	LeaderFaults  = "leader"
 	// PlacementFaults change the engines that may get a request, and their rate.
 	PlacementFaults = "placement"
+	// Contention is more work than the engines can run, of several tenants and trainers, with faults beside it.
+	Contention = "contention"
 )
 
-var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults}
+var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention}
 
 // modeStream is the PCG stream of modes, independent of those of faults.
 const modeStream = 1
@@ -35,11 +37,14 @@
 	return errors.Errorf("%s is %q, expected one of %s, %q", flag, value, Drawn, values)
 }
 
-// One in placementOneIn seeds has placement faults.
-const placementOneIn = 3
+// One in contentionOneIn seeds has contention, one in placementOneIn of the others placement faults.
+const (
+	placementOneIn  = 3
+	contentionOneIn = 4
+)
 
 // modes returns whether the engines check fencing tokens, as for about half of the seeds, and the
-// schedule, each for about a third of the seeds. Flags take precedence over the seed.
+// schedule, each for about a quarter of the seeds. Flags take precedence over the seed.
 func (a *Arguments) modes(seed uint64) (enginesFence bool, schedule string) {
 	random := rand.New(rand.NewPCG(seed, modeStream))
 	enginesFence, schedule = random.IntN(2) == 0, GeneralFaults
@@ -49,6 +54,9 @@
 	if random.IntN(placementOneIn) == 0 {
 		schedule = PlacementFaults
 	}
+	if random.IntN(contentionOneIn) == 0 {
+		schedule = Contention
+	}
 	if a.EnginesFence == EnginesFenceYes || a.EnginesFence == EnginesFenceNo {
 		enginesFence = a.EnginesFence == EnginesFenceYes
 	}
@@ -65,6 +73,8 @@
 		return DrawLeader(seed, length)
 	case PlacementFaults:
 		return DrawPlacement(seed, length)
+	case Contention:
+		return DrawContention(seed, length)
 	default:
 		return DrawGeneral(seed, length)
 	}
--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -51,7 +51,8 @@
 }
 
 // settingsText returns the settings that all builds know.
-func (n *node) settingsText(store, duties, peers string) string {
+// hosted holds additional lines of the section of this name.
+func (n *node) settingsText(store, duties, peers, hosted string) string {
 	return fmt.Sprintf(`[node]
 id = "%s%d"
 zone = "%s"
@@ -70,11 +71,11 @@
 duty_kinds = "usage"
 usage_window = "%s"
 usage_due = "%s"
-
+%s
 [shutdown]
 grace = "%ds"
 `, nodePrefix, n.number, zoneOf(n.number), regionOf(n.number), n.callerAddress, n.operatorAddress, peers, store, n.enginesFence, duties,
-		usageWindow, usageDue, graceSeconds)
+		usageWindow, usageDue, hosted, graceSeconds)
 }
 
 // run keeps the process running until ctx ends.
--- a/internal/bench/soak/placement.go
+++ b/internal/bench/soak/placement.go
@@ -76,6 +76,11 @@
 		{kind: standin.RouteUnsafe, prefix: prefixPermit, gap: callGap},
 		{kind: standin.RouteStream, prefix: prefixStream, gap: callGap},
 	}
+	if d.contention {
+		for i := range all {
+			all[i].gap = contentionCallGap
+		}
+	}
 	if !d.placementFaults {
 		return all
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -28,7 +28,7 @@
 	Slack        float64  `arg:"--slack" default:"1" help:"factor for the time limits of invariants (1..100), for a slow machine"`
 	Print        bool     `arg:"--print" help:"print the schedule and do not run it"`
 	EnginesFence string   `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
-	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults, faults of the leader in series, placement faults, or drawn from the seed"`
+	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), or drawn from the seed"`
 	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of placement faults: incarnations, entries, evacuations, slow-starts, home-changes; repeatable"`
 	OtherDaemon  string   `arg:"--other-daemon" placeholder:"FILE" help:"daemon of another build: half of the nodes start from it, and each node switches builds at each restart"`
 	JSON         bool     `arg:"--json" help:"print the summary as one JSON object at the end"`
@@ -223,15 +223,22 @@
 // hasPlacementFaults reports whether the schedule is of placement faults.
 func (p plan) hasPlacementFaults() bool { return p.schedule == PlacementFaults }
 
+// hasContention reports whether the schedule is of contention.
+func (p plan) hasContention() bool { return p.schedule == Contention }
+
 // includes reports whether a family of placement faults is included.
 func (p plan) includes(family Family) bool { return !slices.Contains(p.leftOut, family) }
 
 // lookupEngineCount is the number of engines that get no orders, one in each zone under placement faults.
 func (p plan) lookupEngineCount() int {
-	if p.hasPlacementFaults() {
+	switch p.schedule {
+	case PlacementFaults:
 		return zones
+	case Contention:
+		return contentionLookupEngines
+	default:
+		return lookupEngines
 	}
-	return lookupEngines
 }
 
 // draftEngineCount is the number of engines that get orders.
@@ -241,6 +248,8 @@
 		return leaderFaultDraftEngines
 	case PlacementFaults:
 		return zones
+	case Contention:
+		return contentionDraftEngines
 	default:
 		return draftEngines
 	}
@@ -262,8 +271,11 @@
 		return Summary{}, err
 	}
 	driver := newDriver(d)
-	driver.sendsCrashing = p.schedule != LeaderFaults
+	driver.sendsCrashing = p.schedule != LeaderFaults && !p.hasContention()
 	driver.placementFaults, driver.changesHomes = p.hasPlacementFaults(), p.includes(HomeChanges)
+	if p.hasContention() {
+		driver.contention, driver.seed, driver.trainers = true, p.seed, contentionTrainers
+	}
 	driver.configure()
 	if err := d.awaitReady(ctx); err != nil {
 		return Summary{}, err
@@ -272,7 +284,7 @@
 	_, _ = fmt.Fprintln(output, "load began at", began.Format(clockFormat))
 	loadCtx, cancel := context.WithDeadline(ctx, began.Add(p.length))
 	defer cancel()
-	driver.run(loadCtx, runCtx)
+	driver.run(loadCtx, runCtx, p.faults)
 	if p.schedule == LeaderFaults {
 		driver.callers.Go(func() { driver.announceVersions(loadCtx) })
 	}
@@ -284,6 +296,9 @@
 		_, _ = fmt.Fprintln(output, fault)
 	})
 	<-loadCtx.Done()
+	if history.Contention != nil {
+		history.update(func() { history.Contention.LoadEndedAt = time.Now() })
+	}
 	if ctx.Err() != nil {
 		return Summary{}, errors.Wrap(ctx.Err(), "the soak was interrupted before its end")
 	}
--- a/internal/bench/soak/tenants.go
+++ b/internal/bench/soak/tenants.go
@@ -33,7 +33,7 @@
 
 func trainerKey(trainer int) string { return fmt.Sprintf("key-trainer-%d", trainer) }
 
-func tenantsOf(version int64) []standin.Tenant {
+func tenantsOf(version int64, trainers int) []standin.Tenant {
 	live := standin.Tenant{Name: tenantLive}
 	for kept := max(1, version-liveKeys+1); kept <= version; kept++ {
 		live.Keys = append(live.Keys, liveKey(kept))
@@ -56,7 +56,9 @@
 		path := standin.PrefixLookup + id
 		client := d.client.WithKey(liveKey(version - liveKeys))
 		answer, err := client.SendLive(ctx, target.callerAddress, path, id, "", callDeadline)
-		d.history.addCall(LiveCall{ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Answer: answer, Intact: err == nil})
+		d.history.addCall(LiveCall{
+			ID: id, Path: path, Kind: standin.RouteSafe, SentAt: sent, Deadline: callDeadline, EndedAt: time.Now(), Answer: answer, Intact: err == nil,
+		})
 		if err != nil {
 			continue
 		}
