Check refusals, fairness and the end of jobs in the soak

The checks did not cover what the components for contention promise, and the check of refusals left out requests of repeatable routes.

REFUSED now covers these, too. RETRY: each refusal carries a Retry-After above zero and at most 10 s, but for requests under which engines crashed. LATE: a refusal comes within a quarter of the deadline after the longest wait that the settings allow. STARVED: jobs of every trainer end, each within the 12 s after which trainers abandon a step. FAIR: tenants within their equal share are answered at least as often as the one that sends half of all requests, within four standard errors, since chance alone exceeds these in one of 30,000 comparisons. Time under faults does not count. The count of live requests in usage reports is compared with the requests of their tenant only, in place of all tenants.

Each check fails on a history that violates it (18 mutations).

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -33,6 +33,10 @@
 	Evacuate   time.Duration
 	ColdNotice time.Duration
 	Reorder    time.Duration
+	// RefusalShare is the share of a request's deadline within which a request that does not wait is refused.
+	RefusalShare float64
+	// JobEnd is the time after which a trainer abandons a job.
+	JobEnd time.Duration
 }
 
 // invariant is a rule with the function that lists its violations.
@@ -72,6 +76,10 @@
 	{"LIFE", checkRestartedOrdered},
 	{"ENTRY", checkInvalidEntriesUnused},
 	{"ENTRY", checkInvalidatedEngines},
+	{"RETRY", checkRetryDelays},
+	{"LATE", checkRefusalTimes},
+	{"STARVED", checkJobsEnd},
+	{"FAIR", checkFairness},
 }
 
 // Check returns every violation. The history must not change during the call.
@@ -141,7 +149,7 @@
 	expected := expectedByID(h)
 	forEachRun(h, func(engine *EngineRecord, run standin.Run) {
 		want := expected[run.ID]
-		if call := want.call; call != nil && call.Intact && call.Kind != standin.RouteSafe && standin.GuaranteesNotExecuted(call.Answer.Status) {
+		if call := want.call; call != nil && call.Intact && standin.GuaranteesNotExecuted(call.Answer.Status) {
 			found = append(found, fmt.Sprintf("engine %s ran %s, which was rejected with status %d", engine.ID, run.ID, call.Answer.Status))
 		}
 		if want.job != nil && want.job.AllRejected {
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -90,7 +90,7 @@
 			{ID: "safe", Path: "/lookup/safe", Body: "s", Kind: standin.RouteSafe, SentAt: at(1), Answer: plainResponse("safe"), Intact: true},
 			{ID: "unsafe", Path: "/permit/unsafe", Body: "u", Kind: standin.RouteUnsafe, SentAt: at(1), Answer: plainResponse("unsafe"), Intact: true},
 			{ID: "stream", Path: "/stream/stream", Body: "t", Kind: standin.RouteStream, SentAt: at(1), Answer: streamResponse("stream"), Intact: true},
-			{ID: "refused-call", Path: "/permit/r", Kind: standin.RouteUnsafe, SentAt: at(1), Answer: standin.LiveResponse{Status: 503}, Intact: true},
+			{ID: "refused-call", Path: "/permit/r", Kind: standin.RouteUnsafe, SentAt: at(1), Answer: standin.LiveResponse{Status: 503, RetryAfter: "0.15"}, Intact: true},
 		},
 		Jobs:    []*JobRecord{job, refused, open},
 		Configs: []ConfigRecord{{Version: 7, AckedAt: at(10)}},
@@ -134,6 +134,7 @@
 		},
 	}
 	addPlacement(h)
+	addContention(h)
 	return h
 }
 
@@ -319,7 +320,7 @@
 // Guards against checks that cannot fail, or that report a violation of another rule.
 func TestCheckDetectsEachMutation(t *testing.T) {
 	detected := make(map[string]bool)
-	for _, mutation := range append(slices.Clone(mutations), placementMutations...) {
+	for _, mutation := range slices.Concat(mutations, placementMutations, contentionMutations) {
 		t.Run(mutation.name, func(t *testing.T) {
 			h := validHistory()
 			mutation.change(h)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -44,6 +44,11 @@
 	maxSlack   = 100
 	// finishTimeout is how long open jobs may continue once all faults are over.
 	finishTimeout = 45 * time.Second
+	// refusalShare leaves a client enough time for its retry, which it delays by at most a third of what is left.
+	refusalShare = 0.25
+	// jobEnd is the time after which trainers abandon a step. It is not scaled: the load of a run leaves room for a
+	// slow machine.
+	jobEnd = 12 * time.Second
 	// progressPeriod is the interval between two progress lines.
 	progressPeriod = 15 * time.Second
 	// clockFormat is the format of printed times of day.
@@ -56,6 +61,7 @@
 		Settle: 4 * time.Second, Apply: 3 * time.Second, Drain: 4 * time.Second,
 		Cancel: 4 * time.Second, FencedStop: 3 * time.Second, ResumeGrace: 300 * time.Millisecond,
 		Evacuate: 5 * time.Second, ColdNotice: 500 * time.Millisecond, Reorder: 10 * time.Second,
+		RefusalShare: refusalShare, JobEnd: jobEnd,
 	}
 }
 
@@ -66,6 +72,7 @@
 		Settle: scaled(b.Settle), Apply: scaled(b.Apply), Drain: scaled(b.Drain),
 		Cancel: scaled(b.Cancel), FencedStop: scaled(b.FencedStop), ResumeGrace: scaled(b.ResumeGrace),
 		Evacuate: scaled(b.Evacuate), ColdNotice: scaled(b.ColdNotice), Reorder: scaled(b.Reorder),
+		RefusalShare: min(factor*b.RefusalShare, maxRefusalShare), JobEnd: b.JobEnd,
 	}
 }
 
@@ -84,9 +91,11 @@
 	Orders   int     `json:"orders"`
 	// Leaders counts the processes that sent orders, CloseChanges the orders and usage reports that came
 	// within the lease time after one of another node.
-	Leaders      int         `json:"leaders"`
-	CloseChanges int         `json:"close_changes"`
-	Violations   []Violation `json:"violations"`
+	Leaders      int `json:"leaders"`
+	CloseChanges int `json:"close_changes"`
+	// Contention is nil for other schedules.
+	Contention *ContentionSummary `json:"contention,omitempty"`
+	Violations []Violation        `json:"violations"`
 }
 
 // ErrViolation is returned if an invariant was violated.
@@ -191,6 +200,9 @@
 	_, _ = fmt.Fprintf(output, "seed %d: %d faults in %.0f s; %d of %d calls answered completely, %d of %d jobs accepted, %d results, %d runs, %d orders of %d processes, %d within 3 s after another node, %d probes; %d invariants violated\n",
 		summary.Seed, summary.Faults, summary.Seconds, summary.Answered, summary.Calls, summary.Accepted, summary.Jobs,
 		summary.Results, summary.Runs, summary.Orders, summary.Leaders, summary.CloseChanges, summary.Probes, len(summary.Violations))
+	if summary.Contention != nil {
+		_, _ = fmt.Fprintln(output, summary.Contention)
+	}
 	if asJSON {
 		raw, err := json.Marshal(summary)
 		if err != nil {
@@ -372,6 +384,7 @@
 		summary.Runs += len(engine.Runs)
 		summary.Orders += len(engine.Orders)
 	}
+	summary.Contention = history.summarizeContention(p.bounds)
 	summary.Leaders, summary.CloseChanges = len(leaders), countCloseChanges(history, p.bounds)
 	return summary
 }
--- a/internal/bench/soak/tenants.go
+++ b/internal/bench/soak/tenants.go
@@ -142,6 +142,14 @@
 	return found
 }
 
-// liveRequests returns the maximum number of live requests that engines may have run: each counts once, even
-// if its connection broke.
-func liveRequests(h *History) int64 { return int64(len(h.Calls)) }
+// liveRequests returns the maximum number of live requests of tenantLive that engines may have run: each counts once,
+// even if its connection broke.
+func liveRequests(h *History) int64 {
+	count := int64(0)
+	for _, call := range h.Calls {
+		if call.Tenant == "" {
+			count++
+		}
+	}
+	return count
+}
