Do not take stalls of the soak for late refusals of nodes

The fault is the soak's: the nodes had answered within 68 to 470 ms, of which up to 0.4 s were the time that a connection to a stand-in engine took, and the rest passed between node and caller, both in the soak's process. The proxies before the engines read all open files of the nodes for each new connection, and the process did not get to run for up to a second.

Connections to the engines of live requests are not looked up in this schedule, since no check needs their sender there. A heartbeat records the periods in which the process did not run in time; refusals that overlap one are not judged by LATE and counted in the summary. The bound stays.

--- a/internal/bench/soak/check_contention.go
+++ b/internal/bench/soak/check_contention.go
@@ -44,14 +44,14 @@
 }
 
 // checkRefusalTimes reports refusals that came later than a small part of the deadline, beyond the longest wait that
-// the nodes' settings allow, while no fault was active.
+// the nodes' settings allow, while no fault was active and the process of the soak did not stall.
 func checkRefusalTimes(h *History, bounds Bounds) []string {
 	if h.Contention == nil {
 		return nil
 	}
 	var found []string
 	for _, call := range h.Calls {
-		if !call.isRefused() || !h.undisturbed(anyNode, call.SentAt, call.EndedAt, bounds.Settle) {
+		if !call.isRefused() || !h.undisturbed(anyNode, call.SentAt, call.EndedAt, bounds.Settle) || h.stalled(call.SentAt, call.EndedAt) {
 			continue
 		}
 		limit := min(h.Contention.LiveWait, call.Deadline) + time.Duration(bounds.RefusalShare*float64(call.Deadline))
--- a/internal/bench/soak/check_contention_test.go
+++ b/internal/bench/soak/check_contention_test.go
@@ -101,6 +101,10 @@
 		h.Contention.LiveWait = 10 * time.Second
 		setRefusalTime(h, 1300*time.Millisecond)
 	}},
+	{"late refusal after a stall of the soak", "LATE", func(h *History) {
+		h.Stalls = []TimeSpan{{From: at(0.5), To: at(0.9)}}
+		setRefusalTime(h, 560*time.Millisecond)
+	}},
 	{"job ends too late", "STARVED", func(h *History) { h.Jobs[2].CompletedAt = h.Jobs[2].SentAt.Add(13 * time.Second) }},
 	{"job ends only after the load", "STARVED", func(h *History) {
 		h.Jobs[2].SentAt, h.Jobs[2].CompletedAt = at(307), at(330)
@@ -137,6 +141,10 @@
 			setRefusalTime(h, 2*time.Second)
 			h.Disturbances = []*Disturbance{{Node: 0, From: at(0), To: at(1)}}
 		}},
+		{"a late refusal while the soak stalled", func(h *History) {
+			setRefusalTime(h, 2*time.Second)
+			h.Stalls = []TimeSpan{{From: at(2), To: at(2.1)}}
+		}},
 		{"a long delay after crashes of engines", func(h *History) {
 			h.Calls[callRefused].Body, h.Calls[callRefused].Answer.RetryAfter = "body of "+crashPrefix+"0", "42"
 		}},
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -171,9 +171,15 @@
 	if err != nil {
 		return err
 	}
+	pathOf := d.pathResolver.pathOf
+	if d.paces != nil && service == standin.ServiceLookup {
+		// A look-up reads the open files of all nodes. At the beginning of a burst, when nodes open many connections,
+		// these delayed refusals by up to 0.4 s. No check of contention needs the sender of a live request.
+		pathOf = func(net.Conn) *nodePath { return d.pathResolver.unknown }
+	}
 	slot := &engineSlot{
 		number: number, service: service, store: d.store.store, history: d.history, listenAddress: engineAddress, checkFences: d.enginesFence,
-		senderProxy: newSenderProxy(proxyAddress, engineAddress, d.pathResolver.pathOf),
+		senderProxy: newSenderProxy(proxyAddress, engineAddress, pathOf),
 		slots:       lookupSlots, eventTime: eventTime, ownPace: 1, pace: 1,
 	}
 	if service == standin.ServiceDrafts {
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -193,6 +193,8 @@
 	Disturbances []*Disturbance
 	// Replacements are the periods in which an engine drained or had ended and no other had taken its place.
 	Replacements []TimeSpan
+	// Stalls are the periods in which the process of the soak did not run in time, so that times are not those of nodes.
+	Stalls []TimeSpan
 	// Contention is nil for other schedules.
 	Contention *ContentionRecord
 	// Resumptions are the ends of freezes and of network faults between nodes and engines.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -292,6 +292,7 @@
 	if err := d.awaitReady(ctx); err != nil {
 		return Summary{}, err
 	}
+	go history.watchStalls(runCtx)
 	began := time.Now()
 	_, _ = fmt.Fprintln(output, "load began at", began.Format(clockFormat))
 	loadCtx, cancel := context.WithDeadline(ctx, began.Add(p.length))
--- a/internal/bench/soak/summary_contention.go
+++ b/internal/bench/soak/summary_contention.go
@@ -15,9 +15,11 @@
 	LargeSent     int `json:"large_sent"`
 	LargeAnswered int `json:"large_answered"`
 	// Refused counts the refusals, of which RefusedAtEngines reached an engine that refused them. LatestRefusal is the
-	// largest part of its deadline after which a request was refused.
+	// largest part of its deadline after which a request was refused. RefusedInStalls of them came while the process of
+	// the soak stalled, so that their time is not judged.
 	Refused          int     `json:"refused"`
 	RefusedAtEngines int     `json:"refused_at_engines"`
+	RefusedInStalls  int     `json:"refused_in_stalls"`
 	LatestRefusal    float64 `json:"latest_refusal"`
 	// JobsEnded counts the ended jobs of each trainer, LongestJob is the longest time of an accepted job.
 	JobsEnded  map[string]int `json:"jobs_ended"`
@@ -47,6 +49,10 @@
 		if arrived[call.ID] {
 			summary.RefusedAtEngines++
 		}
+		if h.stalled(call.SentAt, call.EndedAt) {
+			summary.RefusedInStalls++
+			continue
+		}
 		summary.LatestRefusal = max(summary.LatestRefusal, call.EndedAt.Sub(call.SentAt).Seconds()/call.Deadline.Seconds())
 	}
 	for _, job := range h.Jobs {
@@ -65,6 +71,6 @@
 
 // String returns the line that is printed.
 func (s *ContentionSummary) String() string {
-	return fmt.Sprintf("without faults: %d of %d requests of tenants within their share answered, %d of %d of the large one; %d refused, %d of them at engines, the latest after %.2f of its deadline; jobs ended %v, the longest after %s",
-		s.SmallAnswered, s.SmallSent, s.LargeAnswered, s.LargeSent, s.Refused, s.RefusedAtEngines, s.LatestRefusal, s.JobsEnded, s.LongestJob.Round(time.Millisecond))
+	return fmt.Sprintf("without faults: %d of %d requests of tenants within their share answered, %d of %d of the large one; %d refused, %d of them at engines, %d while the soak stalled, the latest of the others after %.2f of its deadline; jobs ended %v, the longest after %s",
+		s.SmallAnswered, s.SmallSent, s.LargeAnswered, s.LargeSent, s.Refused, s.RefusedAtEngines, s.RefusedInStalls, s.LatestRefusal, s.JobsEnded, s.LongestJob.Round(time.Millisecond))
 }
