--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,6 +47,26 @@
 	}
 }
 
+// Covers work beyond the capacity of the engines: bursts of several tenants, trainers with short and long items, engines
+// of different speed, beside kills of the leader, outages of the log and engines that leave. A larger slack would leave
+// hardly any time in which the nodes count as undisturbed.
+func TestShortSoakContention(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 11, Minutes: 0.8, Nodes: 4, Slack: 2, EnginesFence: soak.EnginesFenceYes, Schedule: soak.Contention, JSON: true,
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	var summary soak.Summary
+	assert.NilError(t, json.Unmarshal([]byte(lines[len(lines)-1]), &summary))
+	t.Log(summary.Contention)
+	// Without enough refused requests, or jobs of each trainer, the checks would have nothing to judge by.
+	assert.Assert(t, summary.Contention.Refused > 100 && summary.Contention.SmallSent > 100 && summary.Contention.LargeSent > 100)
+	assert.Equal(t, len(summary.Contention.JobsEnded), 4)
+}
+
 func TestSeedFileIsValid(t *testing.T) {
 	seeds, err := soak.ReadSeeds("seeds.toml")
 	assert.NilError(t, err)
