Check the retry delays of refused batch jobs in the soak

RETRY covered live requests only. The stand-in client returns the Retry-After of a submission, and trainers record each refusal.

--- a/internal/bench/soak/check_contention.go
+++ b/internal/bench/soak/check_contention.go
@@ -34,15 +34,30 @@
 		if !call.isRefused() {
 			continue
 		}
-		seconds, err := strconv.ParseFloat(call.Answer.RetryAfter, 64)
-		tooLong := seconds > maxRetryAfter.Seconds() && !crashesEngine(call.Body)
-		if err != nil || !(seconds > 0) || tooLong {
+		limit := maxRetryAfter.Seconds()
+		if crashesEngine(call.Body) {
+			limit = math.MaxFloat64
+		}
+		if !isDelay(call.Answer.RetryAfter, limit) {
 			found = append(found, fmt.Sprintf("request %s was refused with status %d and Retry-After %q", call.ID, call.Answer.Status, call.Answer.RetryAfter))
 		}
 	}
+	for _, job := range h.Jobs {
+		for _, refusal := range job.Refusals {
+			if !isDelay(refusal.RetryAfter, maxRetryAfter.Seconds()) {
+				found = append(found, fmt.Sprintf("job %s was refused with status %d and Retry-After %q", job.Job.ID, refusal.Status, refusal.RetryAfter))
+			}
+		}
+	}
 	return found
 }
 
+// isDelay reports whether the value of a Retry-After header is a number of seconds above zero and up to the limit.
+func isDelay(value string, limit float64) bool {
+	seconds, err := strconv.ParseFloat(value, 64)
+	return err == nil && seconds > 0 && seconds <= limit
+}
+
 // checkRefusalTimes reports refusals that came later than a small part of the deadline, beyond the longest wait that
 // the nodes' settings allow, while no fault was active and the process of the soak did not stall.
 func checkRefusalTimes(h *History, bounds Bounds) []string {
--- a/internal/bench/soak/check_contention_test.go
+++ b/internal/bench/soak/check_contention_test.go
@@ -92,6 +92,9 @@
 	{"refusal with a negative delay", "RETRY", func(h *History) { h.Calls[callRefused].Answer.RetryAfter = "-0.5" }},
 	{"refusal with an unbounded delay", "RETRY", func(h *History) { h.Calls[callRefused].Answer.RetryAfter = "10.1" }},
 	{"refusal with an unreadable delay", "RETRY", func(h *History) { h.Calls[callRefused].Answer.RetryAfter = "NaN" }},
+	{"refusal of a job without a delay", "RETRY", func(h *History) {
+		h.Jobs[1].Refusals = []standin.SubmitResponse{{Status: 503, RetryAfter: "5"}, {Status: 503}}
+	}},
 	{"refusal after more than the longest wait", "LATE", func(h *History) { setRefusalTime(h, 560*time.Millisecond) }},
 	{"refusal at once is late where requests do not wait", "LATE", func(h *History) {
 		h.Contention.LiveWait = 0
--- a/internal/bench/soak/contention.go
+++ b/internal/bench/soak/contention.go
@@ -253,8 +253,10 @@
 }
 
 // isRefused reports whether the request was refused with a status that means that it may be sent again.
-func (c *LiveCall) isRefused() bool {
-	return c.Intact && (c.Answer.Status == http.StatusTooManyRequests || c.Answer.Status == http.StatusServiceUnavailable)
+func (c *LiveCall) isRefused() bool { return c.Intact && isRefusal(c.Answer.Status) }
+
+func isRefusal(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
 // newContentionJob returns the next job of a trainer. Its items are drawn from the seed.
--- a/internal/bench/soak/driver.go
+++ b/internal/bench/soak/driver.go
@@ -272,12 +272,15 @@
 	refusals, tries := 0, 0
 	for ; ctx.Err() == nil && (tries < submitTries || refusals < tries); tries++ {
 		target := d.nodeFor(record)
-		status, err := d.client.WithKey(record.Key).Submit(ctx, target.callerAddress, record.Job)
+		answer, err := d.client.WithKey(record.Key).Submit(ctx, target.callerAddress, record.Job)
+		if err == nil && isRefusal(answer.Status) {
+			d.history.update(func() { record.Refusals = append(record.Refusals, answer) })
+		}
 		switch {
-		case err == nil && status == http.StatusAccepted:
+		case err == nil && answer.Status == http.StatusAccepted:
 			d.history.update(func() { record.Accepted = true })
 			return true
-		case err == nil && standin.GuaranteesNotExecuted(status):
+		case err == nil && standin.GuaranteesNotExecuted(answer.Status):
 			refusals++
 		}
 		retry.Sleep(ctx, retryGap)
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -42,6 +42,8 @@
 	// guarantees that nothing runs.
 	Accepted    bool
 	AllRejected bool
+	// Refusals are the submissions that were refused with a status that means that they may be repeated.
+	Refusals []standin.SubmitResponse
 	// CancelSentAt and EndedAt are when the trainer first sent the cancellation and when it was acknowledged;
 	// zero if it was not.
 	CancelSentAt time.Time
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -200,14 +200,25 @@
 	return raw, nil
 }
 
-// Submit submits a job and returns the response status; an error means that there was no response.
-func (c *Client) Submit(ctx context.Context, address string, job Job) (int, error) {
+// SubmitResponse is the response to the submission of a job.
+type SubmitResponse struct {
+	Status int
+	// RetryAfter is the value of the Retry-After header; empty if there was none.
+	RetryAfter string
+}
+
+// Submit submits a job; an error means that there was no response.
+func (c *Client) Submit(ctx context.Context, address string, job Job) (SubmitResponse, error) {
 	raw, err := job.encode()
 	if err != nil {
-		return 0, err
+		return SubmitResponse{}, err
 	}
 	response, err := c.do(ctx, http.MethodPost, address, PrefixDrafts+job.ID, raw, map[string]string{headerRequestID: job.ID})
-	return statusOf(response, err)
+	status, err := statusOf(response, err)
+	if err != nil {
+		return SubmitResponse{}, err
+	}
+	return SubmitResponse{Status: status, RetryAfter: response.Header.Get(headerRetryAfter)}, nil
 }
 
 // EndJob ends a job and returns the response status.
