Take a canceled job as ended when its cancellation is acknowledged

The fault was the check's.

The earlier of the two times counts. A test covers a job that is canceled and read at the end.

--- a/internal/bench/soak/check_contention.go
+++ b/internal/bench/soak/check_contention.go
@@ -107,15 +107,16 @@
 	return found
 }
 
-// endTime returns when the job was complete or its cancellation acknowledged, and false if it is open.
+// endTime returns when the job was complete or its cancellation acknowledged, whichever was first, and false if it is
+// open. The remaining items of a canceled job are read only at the end of the soak.
 func (j *JobRecord) endTime() (time.Time, bool) {
 	switch {
-	case !j.CompletedAt.IsZero():
+	case j.CompletedAt.IsZero():
+		return j.EndedAt, !j.EndedAt.IsZero()
+	case j.EndedAt.IsZero():
 		return j.CompletedAt, true
-	case !j.EndedAt.IsZero():
-		return j.EndedAt, true
 	default:
-		return time.Time{}, false
+		return earlier(j.CompletedAt, j.EndedAt), true
 	}
 }
 
--- a/internal/bench/soak/check_contention_test.go
+++ b/internal/bench/soak/check_contention_test.go
@@ -155,6 +155,9 @@
 			h.Jobs[2].SentAt, h.Jobs[2].CompletedAt = at(100), at(120)
 			h.Disturbances = []*Disturbance{{Node: anyNode, From: at(104), To: at(110)}}
 		}},
+		{"a job that is canceled and read at the end", func(h *History) {
+			h.Jobs[2].CancelSentAt, h.Jobs[2].EndedAt, h.Jobs[2].CompletedAt = at(3), at(3.1), at(330)
+		}},
 		{"a job that is open at the end of the load", func(h *History) {
 			h.Jobs[2].SentAt, h.Jobs[2].CompletedAt = at(315), at(322)
 		}},
