Find stalls of the soak with control requests

A heartbeat tells that a goroutine ran late, not that callers, proxies and stand-in engines did, which a refused request passes up to five times.

A control request takes the way of a request, without a node; its time of 20 ms and more is a stall.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -292,7 +292,13 @@
 	if err := d.awaitReady(ctx); err != nil {
 		return Summary{}, err
 	}
-	go history.watchStalls(runCtx)
+	if p.hasContention() {
+		control, err := d.serveControl()
+		if err != nil {
+			return Summary{}, err
+		}
+		d.wait.Go(func() { d.watchStalls(runCtx, control) })
+	}
 	began := time.Now()
 	_, _ = fmt.Fprintln(output, "load began at", began.Format(clockFormat))
 	loadCtx, cancel := context.WithDeadline(ctx, began.Add(p.length))
