--- a/internal/bench/soak/schedule_contention.go
+++ b/internal/bench/soak/schedule_contention.go
@@ -15,8 +15,9 @@
 	EngineSpeedChanged Kind = "engine-speed-changed"
 )
 
-// contentionWeights are the weights of the faults beside bursts and changes of speed.
-var contentionWeights = []weightedKind{{NodeKilled, 4}, {StoreSilent, 3}, {StoreRefuses, 1}, {EngineLeaves, 4}}
+// contentionWeights are the weights of the faults beside bursts and changes of speed. Engines that crash while they run
+// requests show whether a request that may have run is refused.
+var contentionWeights = []weightedKind{{NodeKilled, 4}, {StoreSilent, 3}, {StoreRefuses, 1}, {EngineLeaves, 4}, {EngineCrashed, 4}}
 
 // contentionDurations are the durations of the events. An outage of the log lasts up to the 8 s for which every
 // component must continue. Changes of speed range from those that must not change an engine's class to those that
@@ -26,6 +27,7 @@
 	EngineSpeedChanged: {300 * time.Millisecond, 8 * time.Second},
 	NodeKilled:         {minFault, minFault},
 	EngineLeaves:       {minFault, minFault},
+	EngineCrashed:      {minDowntime, 2 * time.Second},
 	StoreSilent:        {3 * time.Second, 8 * time.Second},
 	StoreRefuses:       {2 * time.Second, 6 * time.Second},
 }
