Number the steps of trainers that share a model in one sequence

Nodes start the jobs of one model in the order of their steps, whichever tenant sent them, and the schedule numbered the steps of each trainer from zero, while all share one model. Steps are steps of a model, so the fault was the load's.

The trainers of the schedule now take the step from one sequence.

--- a/internal/bench/soak/contention.go
+++ b/internal/bench/soak/contention.go
@@ -259,10 +259,11 @@
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-// newContentionJob returns the next job of a trainer. Its items are drawn from the seed.
+// newContentionJob returns the next job of a trainer. Its items are drawn from the seed. The steps of all trainers are one
+// sequence, since they are steps of one model: nodes start jobs of one model in the order of their steps.
 func (d *driver) newContentionJob(trainer int, step int64) standin.Job {
 	job := standin.Job{
-		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, d.version.Load()-1),
+		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: d.modelStep.Add(1), MinVersion: max(1, d.version.Load()-1),
 	}
 	random := rand.New(rand.NewPCG(d.seed, contentionStream+uint64(trainer)<<32+uint64(step)))
 	items, prefix := shortJobItems, "item-"
--- a/internal/bench/soak/driver.go
+++ b/internal/bench/soak/driver.go
@@ -68,6 +68,8 @@
 	contention bool
 	seed       uint64
 	trainers   int
+	// modelStep is the newest step of the model, which the trainers of contention schedules share.
+	modelStep atomic.Int64
 	// version is the newest announced weight version, config the version of the newest configuration.
 	version atomic.Int64
 	config  atomic.Int64
