Send the requests of a burst at exponential gaps

The fault is the load's: gaps varied by half around their mean, and the large tenant's stream, five times as dense as the others, was the more regular part of the load. Engines without a queue refuse a regular stream less often.

All streams have exponential gaps now, so that each request meets the same load whoever sends it.

--- a/internal/bench/soak/contention.go
+++ b/internal/bench/soak/contention.go
@@ -211,12 +211,12 @@
 	}
 }
 
-// sendBurst sends requests of a tenant at the given rate per second until the end of the burst.
+// sendBurst sends requests of a tenant at the given mean rate per second until the end of the burst. Gaps are exponential:
+// of several streams at full engines, one with more regular gaps than the others is refused less often.
 func (d *driver) sendBurst(ctx context.Context, tenant string, rate float64, end time.Time, random *rand.Rand) {
 	gap := float64(time.Second) / rate
 	for {
-		// Gaps vary by half, so that the tenants do not stay in step.
-		next := time.Duration(gap * (0.5 + random.Float64()))
+		next := time.Duration(gap * random.ExpFloat64())
 		if !retry.Sleep(ctx, next) || time.Now().After(end) {
 			return
 		}
