--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -153,13 +153,14 @@
 	}
 }
 
-// stop terminates the process and records a problem if it does not exit cleanly within its grace period.
+// stop terminates the process and records a problem if it does not exit cleanly within its grace period, which may
+// extend beyond the end of ctx.
 func (n *node) stop(ctx context.Context) {
 	running := n.expectExit()
 	if running == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	code, err := running.Terminate(ctx)
 	if err == nil && code == 0 {
