--- a/internal/bench/soak/contention_test.go
+++ b/internal/bench/soak/contention_test.go
@@ -24,8 +24,11 @@
 		if phase := fault.At % contentionPeriod; isFault {
 			assert.Assert(t, phase >= contentionFaultsFrom && phase < contentionFaultsTo, "%s", fault)
 		}
-		if fault.Kind == NodeKilled {
+		switch fault.Kind {
+		case NodeKilled:
 			assert.Equal(t, fault.Aim, AimLeader)
+		case EngineCrashed:
+			assert.Assert(t, fault.Target < contentionLookupEngines)
 		}
 	}
 	for kind := range contentionDurations {
--- a/internal/bench/soak/schedule_contention.go
+++ b/internal/bench/soak/schedule_contention.go
@@ -103,8 +103,12 @@
 	for period := time.Duration(0); period < length; period += contentionPeriod {
 		for at := period + contentionFaultsFrom; at < period+contentionFaultsTo; {
 			fault := drawContentionEvent(random, drawKind(contentionWeights, random), at)
-			if fault.Kind == NodeKilled {
+			switch fault.Kind {
+			case NodeKilled:
 				fault.Aim = AimLeader
+			case EngineCrashed:
+				// The engines of live requests have the lowest numbers.
+				fault.Target %= contentionLookupEngines
 			}
 			drawn = append(drawn, fault)
 			at += time.Duration(random.ExpFloat64() * float64(meanContentionFaultGap))
