Leave complete jobs out when a submitter counts as behind

A job stays open until its submitter ends it or its surplus groups are done. Such a job made the submitter's later jobs precede those of others, and was reported as one that cannot be complete in time.

--- a/internal/core/joborder/decision.go
+++ b/internal/core/joborder/decision.go
@@ -31,7 +31,7 @@
 	// Slack is the time until the results are due less Needed, the time that the job's longest items need. Soonest is
 	// the same for a fast engine, with lengths that are cautiously estimated.
 	Slack, Needed, Soonest time.Duration
-	// Behind is how long ago the submitter's earliest open job was due, Share the effect of its share on its slack.
+	// Behind is how long ago the submitter's earliest incomplete job was due, Share the effect of its share on its slack.
 	Behind, Share time.Duration
 	// CanBeInTime reports whether the job can be complete in time.
 	CanBeInTime bool
@@ -41,7 +41,7 @@
 func (o *Order) decide(now time.Time) {
 	latest := make(map[competitors]*Entry)
 	for _, each := range o.ranked {
-		if !each.inTimePossible(now) && each.DueAfter > 0 {
+		if each.DueAfter > 0 && !each.inTimePossible(now) && !each.complete() {
 			o.report(each, Decision{Kind: Late, Reason: each.lateReason(now)})
 		}
 		if !each.ContendedSince(now.Add(-2 * RefreshInterval)) {
--- a/internal/core/joborder/groups.go
+++ b/internal/core/joborder/groups.go
@@ -89,3 +89,22 @@
 	}
 	return left, unfinished
 }
+
+// complete reports whether the submitter waits for no item of the job. Unlike markSurplus this does not depend on the
+// job's age: the groups beyond the wanted number start at last, but they are not waited for.
+func (e *Entry) complete() bool {
+	unfinished := func(item itemState) bool { return item.phase != done }
+	if e.Wanted <= 0 || e.Wanted > len(e.groups) {
+		return !slices.ContainsFunc(e.items, unfinished)
+	}
+	finished := 0
+	for index := range e.groups {
+		switch {
+		case !slices.ContainsFunc(e.groups[index].items, func(item int) bool { return unfinished(e.items[item]) }):
+			finished++
+		case index < e.CarriedOver:
+			return false
+		}
+	}
+	return finished >= e.Wanted
+}
--- a/internal/core/joborder/joborder_test.go
+++ b/internal/core/joborder/joborder_test.go
@@ -374,3 +374,53 @@
 		assert.Equal(t, len(taken), 2*len(order.ranked))
 	})
 }
+
+// Guards against a job that is open only because its submitter has not ended it yet, or because of surplus groups, and
+// that makes the submitter's later jobs precede those of others.
+func TestCompleteJobLeavesItsSubmitterNotBehind(t *testing.T) {
+	withSurplus := jobOf("complete", "a", 2*dueAfter-time.Second, 100, 100)
+	withSurplus.Wanted, withSurplus.Items[0].Done = 1, true
+	old := withSurplus
+	old.Accepted = now.Add(-surplusAge*dueAfter - time.Second)
+	finished := jobOf("complete", "a", 2*dueAfter, 100)
+	finished.Items[0].Done = true
+	for _, complete := range []Job{withSurplus, old, finished} {
+		order := New()
+		order.Add(complete)
+		entry := order.Add(jobOf("next", "a", 500*time.Millisecond, 50))
+		earlier := order.Add(jobOf("earlier", "b", 3*time.Second, 50))
+		order.Refresh(now, pace)
+		assert.Equal(t, entry.rank.behind, time.Duration(0))
+		assert.Assert(t, earlier.Positions().Awaited < entry.Positions().Awaited)
+	}
+}
+
+// Guards against a submitter that no longer counts as behind while a group that it waits for is unfinished.
+func TestIncompleteJobPutsItsSubmitterBehind(t *testing.T) {
+	carried := jobOf("carried", "a", dueAfter+time.Second, 100, 100)
+	carried.Wanted, carried.CarriedOver, carried.Items[1].Done = 1, 1, true
+	wanted := jobOf("wanted", "a", dueAfter+time.Second, 100, 100, 100)
+	wanted.Wanted, wanted.Items[0].Done = 2, true
+	all := jobOf("all", "a", dueAfter+time.Second, 100, 100)
+	all.Items[0].Done = true
+	for _, incomplete := range []Job{carried, wanted, all} {
+		order := New()
+		order.Add(incomplete)
+		entry := order.Add(jobOf("next", "a", 0, 50))
+		order.Refresh(now, pace)
+		assert.Equal(t, entry.rank.behind, time.Second, "%s", incomplete.ID)
+		assert.Equal(t, len(order.TakeDecisions()), 1, "%s", incomplete.ID)
+	}
+}
+
+// Guards against the report that a job cannot be complete in time although its submitter waits for none of its items.
+func TestCompleteJobIsNotReportedLate(t *testing.T) {
+	complete := jobOf("complete", "a", 0, 100, 100)
+	complete.Wanted, complete.Items[0].Done = 1, true
+	order := New()
+	order.Add(complete)
+	for _, age := range []time.Duration{time.Second, dueAfter + time.Second, surplusAge*dueAfter + time.Second} {
+		order.Refresh(now.Add(age), pace)
+		assert.Equal(t, len(order.TakeDecisions()), 0, "%s", age)
+	}
+}
--- a/internal/core/joborder/rank.go
+++ b/internal/core/joborder/rank.go
@@ -41,7 +41,7 @@
 	// needed is the time that the job's longest items need at a median engine, soonest that at a fast one if their
 	// lengths are overestimated.
 	needed, soonest time.Duration
-	// behind is how long ago the submitter's earliest open job was due; zero if the submitter got far more than its
+	// behind is how long ago the submitter's earliest incomplete job was due; zero if the submitter got far more than its
 	// share.
 	behind time.Duration
 	// share is the effect of the submitter's share on the key.
@@ -90,10 +90,14 @@
 
 func (e *Entry) submitterKey() submitterKey { return submitterKey{e.Submitter, e.Priority} }
 
-// earliestDue returns when the earliest open job of each submitter was or is due.
+// earliestDue returns when the earliest incomplete job of each submitter was or is due. Submitters end a job some time
+// after the last group that they wait for; until then it is open, but no reason to prefer its submitter.
 func (o *Order) earliestDue() map[submitterKey]time.Time {
 	earliest := make(map[submitterKey]time.Time)
 	for _, each := range o.jobs {
+		if each.complete() {
+			continue
+		}
 		key := each.submitterKey()
 		if known, found := earliest[key]; !found || each.due().Before(known) {
 			earliest[key] = each.due()
@@ -126,8 +130,8 @@
 		share:   o.shares.adjustment(e.shareKey(), e.span()),
 	}
 	next.slack = e.due().Sub(now) - next.needed
-	if !o.shares.exceeded(e.shareKey()) {
-		next.behind = min(max(now.Sub(earliest[e.submitterKey()]), 0), e.span())
+	if due, found := earliest[e.submitterKey()]; found && !o.shares.exceeded(e.shareKey()) {
+		next.behind = min(max(now.Sub(due), 0), e.span())
 	}
 	next.key = next.slack - next.behind + next.share
 	if e.DueAfter > 0 && now.Add(next.soonest).After(e.due()) {
