Order items by due times where any class of them competes for slots

All waiting items of a service were compared with all of its free slots, so free slots of one model, of isolated engines and of engines without memory hid the shortage of another model, whose items then started in the order of arrival.

--- a/internal/core/batchplan/due.go
+++ b/internal/core/batchplan/due.go
@@ -23,7 +23,7 @@
 	Done   []bool
 }
 
-// dueOrder orders the jobs by due times while items outnumber free slots. The methods that record changes have no
+// dueOrder orders the jobs by due times while items compete for slots. The methods that record changes have no
 // effect on a nil *dueOrder.
 type dueOrder struct {
 	jobs *joborder.Order
@@ -114,13 +114,14 @@
 }
 
 // startOrder returns the waiting items that may start now, in start order.
-func (p *Plan) startOrder(now time.Time, engines []Engine) []Item {
+func (p *Plan) startOrder(pass *pass) []Item {
+	now := pass.now
 	if p.due == nil {
 		return p.queue(now)
 	}
 	p.refreshRanks(now)
-	waiting := p.startable(now)
-	p.due.countDemands(p, engines)
+	waiting := pass.startable()
+	p.due.countDemands(pass)
 	var unordered []Item
 	ordered := make([]orderedItem, 0, len(waiting))
 	for i := range waiting {
@@ -141,18 +142,19 @@
 }
 
 // startable returns the waiting items that may start now and counts them by job.
-func (p *Plan) startable(now time.Time) []candidateItem {
-	for _, job := range p.order {
-		job.waiting = 0
+func (p *pass) startable() []candidateItem {
+	for _, job := range p.plan.order {
+		job.demand = classDemand{}
 	}
-	startable := make([]candidateItem, 0, len(p.waiting))
-	for _, item := range p.waiting {
-		if item.NotBefore.After(now) {
+	startable := make([]candidateItem, 0, len(p.plan.waiting))
+	for _, item := range p.plan.waiting {
+		if item.NotBefore.After(p.now) {
 			continue
 		}
-		job := p.jobs[item.Key.Job]
-		job.waiting++
-		job.class = class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
+		job := p.plan.jobs[item.Key.Job]
+		need := p.need(&item)
+		job.demand.add(&classDemand{waiting: 1, need: need, leastNeed: need})
+		job.demand.class = class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
 		startable = append(startable, candidateItem{item, job})
 	}
 	return startable
@@ -176,9 +178,9 @@
 	}
 }
 
-// position returns an item's position in the order by due times; false if its service has enough free slots.
+// position returns an item's position in the order by due times; false if the items of its service do not compete.
 func (d *dueOrder) position(item *Item, job *jobRank, now time.Time) (int, bool) {
-	if !d.demands[item.Service].exceedsSlots() || job.due == nil {
+	if !d.demands[item.Service].exceedsSlots || job.due == nil {
 		return 0, false
 	}
 	job.due.SetContended(now)
--- a/internal/core/batchplan/due_test.go
+++ b/internal/core/batchplan/due_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +13,12 @@
 
 // addDueJob adds a job of the submitter with one item for each length, each in a group of its own.
 func addDueJob(plan *Plan, id, submitter string, accepted time.Time, wanted int, lengths ...int) {
-	job := Job{ID: id, Model: "m", Lengths: lengths, Due: DueJob{
+	addModelJob(plan, id, "m", submitter, accepted, wanted, lengths...)
+}
+
+// addModelJob is like addDueJob for a job of any model.
+func addModelJob(plan *Plan, id, model, submitter string, accepted time.Time, wanted int, lengths ...int) {
+	job := Job{ID: id, Model: model, Lengths: lengths, Due: DueJob{
 		Submitter: submitter, Accepted: accepted, DueAfter: simulatedDue, Wanted: wanted, Done: make([]bool, len(lengths)),
 	}}
 	for i := range lengths {
@@ -20,7 +27,7 @@
 	plan.AddJob(job)
 	for i, length := range lengths {
 		added := item(id, i, length)
-		added.Group = job.Due.Groups[i]
+		added.Model, added.Group = model, job.Due.Groups[i]
 		plan.Add(added)
 	}
 }
@@ -106,23 +113,41 @@
 	assert.DeepEqual(t, startedKeys(assigned), []Key{{"second", 0}, {"second", 1}})
 }
 
-// drawLoad adds drawn jobs in a drawn order and returns a pass's engines.
+var drawnModels = []string{"m", "m2", "m3"}
+
+// drawLoad draws jobs of a few models and a pass's engines, some of which hold several models or have a memory limit.
 func drawLoad(t *rapid.T) (add []func(plan *Plan), engines []Engine) {
 	for i := range rapid.IntRange(1, 8).Draw(t, "jobs") {
 		lengths := rapid.SliceOfN(rapid.IntRange(0, 9000), 1, 10).Draw(t, "lengths")
 		age := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "age")) * time.Millisecond
 		submitter := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "submitter"))
 		wanted := rapid.IntRange(0, len(lengths)).Draw(t, "wanted")
-		add = append(add, func(plan *Plan) { addDueJob(plan, fmt.Sprint("job-", i), submitter, now.Add(-age), wanted, lengths...) })
+		model := rapid.SampledFrom(drawnModels).Draw(t, "model")
+		tokens := rapid.IntRange(0, 1500).Draw(t, "tokens")
+		add = append(add, func(plan *Plan) {
+			id := fmt.Sprint("job-", i)
+			addModelJob(plan, id, model, submitter, now.Add(-age), wanted, lengths...)
+			for item := range lengths {
+				added := plan.waiting[Key{id, item}]
+				added.Tokens = tokens * (1 + item%3) / 2
+				plan.waiting[added.Key] = added
+			}
+		})
 	}
 	for i := range rapid.IntRange(1, 4).Draw(t, "engines") {
-		version := rapid.Int64Range(2, 4).Draw(t, "version")
-		engines = append(engines, engine(fmt.Sprint("engine-", i), rapid.IntRange(0, 4).Draw(t, "slots"), version))
+		added := engine(fmt.Sprint("engine-", i), rapid.IntRange(0, 20).Draw(t, "slots"), 0)
+		for _, model := range drawnModels {
+			added.Versions[model] = rapid.SampledFrom([]int64{0, 2, 3, 4}).Draw(t, "version")
+		}
+		if rapid.Bool().Draw(t, "limited") {
+			added.Tokens = rapid.IntRange(1, 4000).Draw(t, "memory")
+		}
+		engines = append(engines, added)
 	}
 	return add, engines
 }
 
-// Guards against a free slot at an engine that may run a waiting item.
+// Guards against a free slot, and enough memory, at an engine that may run a waiting item.
 func TestDueOrderLeavesNoSlotFree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		add, engines := drawLoad(t)
@@ -131,13 +156,120 @@
 			each(plan)
 		}
 		plan.Assign(now, engines)
+		after := newPass(plan, engines, now)
+		for _, waiting := range plan.waiting {
+			for i := range engines {
+				usable := after.canServe(&engines[i], after.classOf(&waiting)) && after.fits(waiting, &engines[i])
+				assert.Assert(t, !usable, "%v at %v", waiting.Key, engines[i].ID)
+			}
+		}
+	})
+}
+
+// Guards against items that start in the order of arrival while others of their model are left without a slot, because
+// slots of other models, or those that other models take, count as free.
+func TestItemsThatLeaveOthersWaitingStartByDueTimes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		add, engines := drawLoad(t)
 		for i := range engines {
-			usable := engines[i].Versions["m"] >= 3
-			assert.Assert(t, !usable || plan.Waiting() == 0 || plan.Running(engines[i].ID) == engines[i].Slots)
+			engines[i].Tokens = 0
+		}
+		plan := observePace(duePlan())
+		for _, each := range add {
+			each(plan)
+		}
+		for _, started := range plan.Assign(now, engines) {
+			for _, waiting := range plan.waiting {
+				if waiting.Model == started.Item.Model {
+					assert.Assert(t, positionOf(plan, started.Item) <= positionOf(plan, waiting))
+				}
+			}
 		}
 	})
 }
 
+// positionOf returns an item's position in the order by due times.
+func positionOf(plan *Plan, item Item) int {
+	entry := plan.jobs[item.Key.Job].due
+	if entry.IsSurplus(item.Key.Item) {
+		return entry.Positions().Surplus
+	}
+	return entry.Positions().Awaited
+}
+
+// addCompetitors adds a job with a short item and one with a long item, which precedes the former only by due time.
+func addCompetitors(plan *Plan) *Plan {
+	addDueJob(plan, "first", "a", now, 1, 100)
+	addDueJob(plan, "second", "b", now, 1, 5000)
+	return plan
+}
+
+// Guards against free slots of another model's engines that hide a shortage of slots.
+func TestFreeSlotsOfAnotherModelHideNoShortage(t *testing.T) {
+	plan := addCompetitors(observePace(duePlan()))
+	addModelJob(plan, "other", "m2", "c", now, 1, 100)
+	other := engine("other", 8, 0)
+	other.Versions = map[string]int64{"m2": 3}
+	started := startedKeys(plan.Assign(now, []Engine{engine("e", 1, 3), other}))
+	slices.SortFunc(started, func(a, b Key) int { return strings.Compare(a.Job, b.Job) })
+	assert.DeepEqual(t, started, []Key{{"other", 0}, {"second", 0}})
+}
+
+// Guards against a shortage that is hidden because it concerns one of many models with fewer items than the others.
+func TestShortageOfAModelWithFewItemsIsFound(t *testing.T) {
+	plan := addCompetitors(observePace(duePlan()))
+	engines := []Engine{engine("e", 1, 3)}
+	for i := range comparedClasses + 1 {
+		model := fmt.Sprint("other-", i)
+		addModelJob(plan, model, model, model, now, 0, 10, 10, 10)
+		engines = append(engines, engine(model, 8, 0))
+		engines[i+1].Versions = map[string]int64{model: 3}
+	}
+	started := startedKeys(plan.Assign(now, engines))
+	assert.Assert(t, slices.Contains(started, Key{"second", 0}) && !slices.Contains(started, Key{"first", 0}), "%v", started)
+}
+
+// Guards against slots that count as free at an engine that takes no items because a suspect one runs there.
+func TestSlotsOfIsolatedEnginesAreNotFree(t *testing.T) {
+	plan := observePace(duePlan())
+	addDueJob(plan, "suspect", "s", now, 1, 100)
+	suspect := plan.waiting[Key{"suspect", 0}]
+	suspect.Suspect = true
+	plan.Add(suspect)
+	isolated := engine("isolated", 8, 3)
+	assert.Equal(t, len(plan.Assign(now, []Engine{isolated})), 1)
+	addCompetitors(plan)
+	later := now.Add(IsolationTime / 2)
+	assert.DeepEqual(t, startedKeys(plan.Assign(later, []Engine{isolated, engine("e", 1, 3)})), []Key{{"second", 0}})
+}
+
+// Guards against slots that count as free at an engine whose memory takes none, or only some, of the waiting items.
+func TestSlotsWithoutMemoryAreNotFree(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		plan := observePace(duePlan())
+		limited := engine("limited", 8, 3)
+		limited.Tokens = 1000
+		engines := []Engine{limited}
+		if running {
+			addDueJob(plan, "running", "r", now, 1, 100)
+			setTokens(plan, 1900)
+			assert.Equal(t, len(plan.Assign(now, engines)), 1)
+			engines = append(engines, engine("e", 1, 3))
+		}
+		addCompetitors(plan)
+		setTokens(plan, 1900)
+		assert.DeepEqual(t, startedKeys(plan.Assign(now, engines)), []Key{{"second", 0}})
+	}
+}
+
+// setTokens sets the memory that all waiting items need.
+func setTokens(plan *Plan, tokens int) {
+	for key, waiting := range plan.waiting {
+		waiting.Tokens = tokens
+		plan.waiting[key] = waiting
+	}
+}
+
 // Guards against assignments of a new leader, which adds the open jobs in any order, that differ from those of the old.
 func TestNewLeaderStartsTheSameItems(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -146,20 +278,16 @@
 		for _, each := range add {
 			each(first)
 		}
-		waiting, slots := first.Waiting(), 0
-		for _, each := range engines {
-			if each.Versions["m"] >= 3 {
-				slots += each.Slots
-			}
-		}
 		for _, each := range rapid.Permutation(add).Draw(t, "order") {
 			each(second)
 		}
 		expected := startedKeys(first.Assign(now, engines))
 		started := startedKeys(second.Assign(now, engines))
-		if waiting > slots {
+		exceeds := first.due.demands["s"].exceedsSlots
+		assert.Equal(t, second.due.demands["s"].exceedsSlots, exceeds)
+		if exceeds {
 			assert.DeepEqual(t, started, expected)
-		} else {
+		} else if !slices.ContainsFunc(engines, func(each Engine) bool { return each.Tokens > 0 }) {
 			assert.Equal(t, len(started), len(expected))
 		}
 	})
--- a/internal/core/batchplan/order.go
+++ b/internal/core/batchplan/order.go
@@ -37,11 +37,10 @@
 	position int
 	// longThreshold is the length from which an item counts as one of the job's longest; zero if no length is known.
 	longThreshold int
-	// waiting is the number of the job's items that may start in this pass, class that of one of them. They are set only
-	// with due, the job's entry in the order by due times; nil if there is none.
-	waiting int
-	class   class
-	due     *joborder.Entry
+	// demand is that of the job's items that may start in this pass, with the class of one of them. It is set only with
+	// due, the job's entry in the order by due times; nil if there is none.
+	demand classDemand
+	due    *joborder.Entry
 	// dueAfter is the time from the job's submission until its results are due; zero when unknown.
 	dueAfter time.Duration
 }
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -346,6 +346,12 @@
 	if engine.Tokens <= 0 || p.plan.runningCount[engine.ID] == 0 {
 		return unbounded
 	}
+	return p.unreservedTokens(engine)
+}
+
+// unreservedTokens returns the part of an engine's known memory, in tokens, that can still be reserved, or with classes
+// that is projected to stay free.
+func (p *pass) unreservedTokens(engine *Engine) int {
 	if p.speeds[engine.Service] != nil {
 		return engine.Tokens - int(math.Ceil(p.projected[engine.ID]))
 	}
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -288,7 +288,7 @@
 	}
 	pass := newPass(p, engines, now)
 	var assigned []Assignment
-	for _, item := range p.startOrder(now, engines) {
+	for _, item := range p.startOrder(pass) {
 		engine, found := pass.choose(item)
 		if !found {
 			continue
--- a/internal/core/joborder/entry.go
+++ b/internal/core/joborder/entry.go
@@ -110,7 +110,7 @@
 	return item < len(e.groupOf) && e.groups[e.groupOf[item]].surplus
 }
 
-// SetContended records that items of the job wait while its service has fewer free slots than waiting items.
+// SetContended records that items of the job wait while items of its service compete for slots.
 func (e *Entry) SetContended(now time.Time) { e.contendedAt = now }
 
 // ContendedSince reports whether items of the job had to wait for slots at or after the time.
