Reject the order of jobs by due time without a hosted log

Only the runners of a hosted log apply it, so the setting had no effect without one and was accepted. The test of the setting accepted this as well; it now sets hosted.log.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -95,6 +95,9 @@
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
 	c.oneOf("scheduling.job_order", settings.Scheduling.JobOrder, JobOrders)
+	if settings.Scheduling.JobOrder == JobOrderDue && settings.Hosted.Log == "" {
+		c.add("scheduling.job_order", JobOrderDue, JobOrderArrival+" unless hosted.log is set")
+	}
 	c.oneOf("scheduling.engine_speeds", settings.Scheduling.EngineSpeeds, Speeds)
 	if settings.Scheduling.EngineSpeeds == EnginesMixed && settings.Hosted.Log == "" {
 		c.add("scheduling.engine_speeds", EnginesMixed, EnginesUniform+" unless hosted.log is set")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -118,18 +118,23 @@
 	}
 }
 
-// Guards against a misspelled order that silently keeps another one.
+// Guards against a misspelled order that silently keeps another one, and against due where nothing uses it.
 func TestLoadChecksJobOrder(t *testing.T) {
+	hosted := "[hosted]\nlog = \"127.0.0.1:1\"\n"
 	loaded, problems := Load(Flags{File: writeFile(t, completeFile)})
 	assert.Equal(t, len(problems), 0, "%v", problems)
 	assert.Equal(t, loaded.Scheduling.JobOrder, JobOrderArrival)
-	loaded, problems = Load(Flags{File: writeFile(t, completeFile+"[scheduling]\njob_order = \"due\"\n")})
+	loaded, problems = Load(Flags{File: writeFile(t, completeFile+hosted+"[scheduling]\njob_order = \"due\"\n")})
 	assert.Equal(t, len(problems), 0, "%v", problems)
 	assert.Equal(t, loaded.Scheduling.JobOrder, JobOrderDue)
-	for _, value := range []string{"", "Due", "deadline"} {
-		_, problems = Load(Flags{File: writeFile(t, completeFile+"[scheduling]\njob_order = \""+value+"\"\n")})
-		assert.Equal(t, len(problems), 1, "%v", problems)
+	for _, text := range []string{
+		hosted + "[scheduling]\njob_order = \"\"\n", hosted + "[scheduling]\njob_order = \"Due\"\n",
+		"[scheduling]\njob_order = \"deadline\"\n", "[scheduling]\njob_order = \"due\"\n",
+	} {
+		_, problems = Load(Flags{File: writeFile(t, completeFile+text)})
+		assert.Equal(t, len(problems), 1, "%s: %v", text, problems)
 		assert.Equal(t, problems[0].Key, "scheduling.job_order")
+		assert.Assert(t, strings.Contains(problems[0].Expected, JobOrderArrival), problems[0].Expected)
 	}
 }
 
