Subtract the events of an item from the time that it still needs

An item that continued after a move, a retry or a change of leader counted with its whole length again, so its job lost its slack or was reported as one that cannot be complete in time. The plan learns the events of running items with scheduling.job_order due as well.

--- a/internal/batchrun/joborder_test.go
+++ b/internal/batchrun/joborder_test.go
@@ -11,6 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/joborder"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -121,3 +124,29 @@
 	assert.Equal(t, count(joborder.Late)+count(joborder.Outranked), 0)
 	assert.Equal(t, len(logs.lines("surplus")), 0)
 }
+
+// Guards against an order of jobs that does not learn the events of running items unless engines are of different speed.
+func TestEventsOfRunningItemsReachTheJobOrder(t *testing.T) {
+	env := newTestEnv(t, "a")
+	r := New(Options{
+		Fleet: env.fleet, Guard: env.guard, RouteOf: env.routeOf, HomesOf: env.homesOf, ConfigVersion: env.configVersion,
+		Logger: zerolog.Nop(), DueOrder: true,
+		LoadingModel: func(incarnation.ID) string { return "" },
+	})
+	key, started, engine := batchplan.Key{Job: "j"}, time.Now(), engineOf("a")
+	r.plan.ObservePace(engine.Incarnation(), 10*time.Millisecond)
+	r.plan.ObserveLength(1, 1)
+	r.plan.AddJob(batchplan.Job{ID: key.Job, Model: "m", Lengths: []int{90}, Due: batchplan.DueJob{
+		Submitter: "m", Accepted: started, DueAfter: time.Second, Groups: []string{"g"}, Done: []bool{false},
+	}})
+	r.plan.Add(batchplan.Item{Key: key, Service: "s", Model: "m", MinVersion: 1, Length: 90})
+	view := batchplan.Engine{ID: engine.Incarnation(), Service: "s", Slots: 1, Versions: engine.Versions, Usable: true}
+	assert.Equal(t, len(r.plan.Assign(started, []batchplan.Engine{view})), 1)
+	current := &run{engine: engine.Incarnation(), started: started, cancel: func() {}}
+	job := &openJob{record: batch.JobRecord{ID: key.Job, Model: "m"}, items: make([]batchitem.Item, 1)}
+	r.runs[key], r.jobs[key.Job] = current, job
+	assert.NilError(t, r.addEvent(job, key, current, Event{Number: 1, Data: []byte("x"), Version: 1}, started))
+	decisions := r.plan.RefreshOrder(started.Add(500 * time.Millisecond))
+	assert.Equal(t, len(decisions), 1, "0.89 s of the item are left, and 0.5 s of the time until its results are due")
+	assert.Equal(t, decisions[0].Kind, joborder.Late)
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -227,7 +227,7 @@
 		return &CallError{Kind: NotExecuted, Detail: "weight version changed, but the route requires a single version"}
 	}
 	r.observePace(current, now)
-	if r.options.MixedEngines {
+	if r.options.MixedEngines || r.options.DueOrder {
 		r.plan.RecordEvents(key, item.Output.Last())
 	}
 	return nil
--- a/internal/core/batchplan/due.go
+++ b/internal/core/batchplan/due.go
@@ -57,6 +57,9 @@
 		pace = joborder.Pace{
 			Best: time.Duration(events * float64(best)), Median: time.Duration(events * float64(median)),
 		}
+		if events > 0 {
+			pace.TokensPerEvent = 1 / events
+		}
 	}
 	p.due.jobs.Refresh(now, pace)
 }
@@ -91,7 +94,7 @@
 
 func (d *dueOrder) itemWaits(item Item) {
 	if d != nil {
-		d.jobs.Waiting(item.Key.Job, item.Key.Item, item.Service)
+		d.jobs.Waiting(item.Key.Job, item.Key.Item, item.Service, item.Events)
 	}
 }
 
@@ -101,6 +104,12 @@
 	}
 }
 
+func (d *dueOrder) recordEvents(key Key, events int32) {
+	if d != nil {
+		d.jobs.RecordEvents(key.Job, key.Item, events)
+	}
+}
+
 func (d *dueOrder) itemDone(key Key) {
 	if d != nil {
 		d.jobs.Done(key.Job, key.Item)
--- a/internal/core/batchplan/due_test.go
+++ b/internal/core/batchplan/due_test.go
@@ -292,3 +292,22 @@
 		}
 	})
 }
+
+// Guards against events of earlier and of current runs that do not reach the order of jobs.
+func TestEventsCountTowardTheRankOfAJob(t *testing.T) {
+	plan := observePace(duePlan())
+	most := int32(simulatedDue / simulatedPace)
+	length := int(most) * 9 / 10 * tokensPerEvent
+	for id, events := range map[string]int32{"hardly-begun": 1, "half": 0, "continued": most / 2} {
+		addDueJob(plan, id, id, now, 0, length)
+		waiting := plan.waiting[Key{id, 0}]
+		waiting.Events = events
+		plan.Add(waiting)
+	}
+	assert.Equal(t, len(plan.Assign(now, []Engine{engine("e", 3, 3)})), 3)
+	assert.Equal(t, len(plan.RefreshOrder(now)), 0)
+	plan.RecordEvents(Key{"half", 0}, int64(most/2))
+	decisions := plan.RefreshOrder(now.Add(simulatedDue / 2))
+	assert.Equal(t, len(decisions), 1, "%+v", decisions)
+	assert.Equal(t, decisions[0].Job, "hardly-begun")
+}
--- a/internal/core/batchplan/speeds.go
+++ b/internal/core/batchplan/speeds.go
@@ -131,6 +131,7 @@
 	if placed, found := p.running[key]; found {
 		placed.events = int32(events)
 		p.running[key] = placed
+		p.due.recordEvents(key, int32(events))
 	}
 }
 
--- a/internal/core/joborder/entry.go
+++ b/internal/core/joborder/entry.go
@@ -19,6 +19,8 @@
 type itemState struct {
 	phase     phase
 	startedAt time.Time
+	// events is the number of the item's events so far, in all runs that its next one continues.
+	events int32
 	// counted is true once the item counts toward its submitter's share.
 	counted bool
 }
@@ -64,7 +66,7 @@
 	if item >= len(e.items) {
 		e.items = append(e.items, make([]itemState, item+1-len(e.items))...)
 	}
-	state.counted = e.items[item].counted
+	state.counted, state.events = e.items[item].counted, e.items[item].events
 	e.items[item] = state
 }
 
@@ -76,10 +78,14 @@
 	return e.typicalLength
 }
 
-// remaining returns the time that an item still needs at the pace, given its whole length.
-func (e *Entry) remaining(item, length int, pace time.Duration, now time.Time) time.Duration {
+// remaining returns the time that an item still needs at the pace, given its whole length: that of the tokens which its
+// events so far do not cover. Without events it is estimated from the start of the run.
+func (e *Entry) remaining(item, length int, pace time.Duration, tokensPerEvent float64, now time.Time) time.Duration {
 	needed := time.Duration(length) * pace
-	if state := &e.items[item]; state.phase == running {
+	switch state := &e.items[item]; {
+	case state.events > 0 && tokensPerEvent > 0:
+		needed -= time.Duration(float64(state.events) * tokensPerEvent * float64(pace))
+	case state.phase == running:
 		needed -= now.Sub(state.startedAt)
 	}
 	return max(needed, 0)
--- a/internal/core/joborder/groups.go
+++ b/internal/core/joborder/groups.go
@@ -45,14 +45,15 @@
 // markSurplus determines which groups the submitter does not wait for: of those that are not carried over, the ones
 // that are expected to end last, beyond the wanted number. Items of unknown length count as of typical length, so a
 // group is not put off because nothing is known of it.
-func (e *Entry) markSurplus(pace time.Duration, now time.Time) {
+func (e *Entry) markSurplus(pace Pace, now time.Time) {
 	for i := range e.groups {
 		e.groups[i].surplus = false
 	}
 	if e.Wanted <= 0 || now.Sub(e.Accepted) >= surplusAge*e.span() {
 		return
 	}
-	open, needed := e.openGroups(max(pace, 1), now)
+	pace.Median = max(pace.Median, 1)
+	open, needed := e.openGroups(pace, now)
 	if needed >= len(open) {
 		return
 	}
@@ -65,7 +66,7 @@
 }
 
 // openGroups returns the unfinished groups that are not carried over, and how many of them are needed.
-func (e *Entry) openGroups(pace time.Duration, now time.Time) (open []openGroup, needed int) {
+func (e *Entry) openGroups(pace Pace, now time.Time) (open []openGroup, needed int) {
 	needed = e.Wanted
 	for index := range e.groups {
 		left, unfinished := e.groupLeft(index, pace, now)
@@ -79,13 +80,13 @@
 }
 
 // groupLeft returns the time that the group's longest unfinished item still needs; false if the group has none.
-func (e *Entry) groupLeft(index int, pace time.Duration, now time.Time) (left time.Duration, unfinished bool) {
+func (e *Entry) groupLeft(index int, pace Pace, now time.Time) (left time.Duration, unfinished bool) {
 	for _, item := range e.groups[index].items {
 		if e.items[item].phase == done {
 			continue
 		}
 		unfinished = true
-		left = max(left, e.remaining(item, e.lengthOf(item), pace, now))
+		left = max(left, e.remaining(item, e.lengthOf(item), pace.Median, pace.TokensPerEvent, now))
 	}
 	return left, unfinished
 }
--- a/internal/core/joborder/joborder.go
+++ b/internal/core/joborder/joborder.go
@@ -54,6 +54,8 @@
 type Pace struct {
 	// Best is the pace of the fast engines, Median that of the median engine.
 	Best, Median time.Duration
+	// TokensPerEvent is the expected output, in tokens, that an event stands for; zero when unknown.
+	TokensPerEvent float64
 }
 
 // Order holds the open jobs in start order. Its state belongs to one leader; the shares of another one start from zero.
@@ -102,11 +104,20 @@
 	}
 }
 
-// Waiting records that an item waits for an engine of the service.
-func (o *Order) Waiting(id string, item int, service string) {
+// Waiting records that an item waits for an engine of the service, which will continue it after the given number of
+// events.
+func (o *Order) Waiting(id string, item int, service string, events int32) {
 	if changed, found := o.jobs[id]; found {
 		changed.service = service
 		changed.setState(item, itemState{phase: waiting})
+		changed.items[item].events = events
+	}
+}
+
+// RecordEvents records the number of events of a running item so far, including those of earlier runs.
+func (o *Order) RecordEvents(id string, item int, events int32) {
+	if changed, found := o.jobs[id]; found && item < len(changed.items) {
+		changed.items[item].events = events
 	}
 }
 
--- a/internal/core/joborder/joborder_test.go
+++ b/internal/core/joborder/joborder_test.go
@@ -345,7 +345,7 @@
 	order.Add(jobOf("modest-tight", "modest", 0, 200))
 	order.Add(jobOf("modest", "modest", 0, 20))
 	order.Started("tight", 0, now)
-	order.Waiting("tight", 0, "")
+	order.Waiting("tight", 0, "", 0)
 	order.Refresh(now, pace)
 	order.SetDueAfter("tight", 30*time.Second)
 	order.Refresh(now.Add(RefreshInterval), pace)
@@ -424,3 +424,53 @@
 		assert.Equal(t, len(order.TakeDecisions()), 0, "%s", age)
 	}
 }
+
+// Guards against an item that counts with its whole length again after a move, a retry or a change of leader, so that its
+// job loses its slack and is reported as one that cannot be complete in time.
+func TestContinuedItemCountsWithTheRestOfItsLength(t *testing.T) {
+	paceOfEvents := Pace{Best: pace.Best, Median: pace.Median, TokensPerEvent: 2}
+	moved := New()
+	entry := moved.Add(jobOf("j", "a", 0, 100))
+	moved.Waiting("j", 0, "s", 0)
+	moved.Started("j", 0, now)
+	at := now.Add(5 * time.Second)
+	moved.RecordEvents("j", 0, 40)
+	moved.Refresh(at, paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 1200*time.Millisecond)
+	moved.Waiting("j", 0, "s", 40)
+	at = at.Add(RefreshInterval)
+	moved.Refresh(at, paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 1200*time.Millisecond)
+	moved.Started("j", 0, at)
+	moved.RecordEvents("j", 0, 45)
+	at = at.Add(time.Second)
+	moved.Refresh(at, paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 600*time.Millisecond)
+
+	successor := New()
+	taken := successor.Add(jobOf("j", "a", 0, 100))
+	successor.Waiting("j", 0, "s", 45)
+	successor.Refresh(at, paceOfEvents)
+	assert.Equal(t, taken.rank, entry.rank)
+	assert.Equal(t, len(moved.TakeDecisions())+len(successor.TakeDecisions()), 0)
+
+	moved.Waiting("j", 0, "s", 0)
+	moved.Refresh(at.Add(RefreshInterval), paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 6*time.Second, "an item whose output was dropped starts anew")
+}
+
+// Guards against a running item that counts with its whole length until its events can be converted to tokens.
+func TestRunningItemWithoutEventsCountsFromItsStart(t *testing.T) {
+	order := New()
+	entry := order.Add(jobOf("j", "a", 0, 100))
+	order.Started("j", 0, now)
+	for _, each := range []struct {
+		events int32
+		pace   Pace
+	}{{0, Pace{Best: pace.Best, Median: pace.Median, TokensPerEvent: 2}}, {20, pace}} {
+		order.RecordEvents("j", 0, each.events)
+		order.refreshedAt = time.Time{}
+		order.Refresh(now.Add(2*time.Second), each.pace)
+		assert.Equal(t, entry.rank.needed, 4*time.Second)
+	}
+}
--- a/internal/core/joborder/rank.go
+++ b/internal/core/joborder/rank.go
@@ -123,10 +123,10 @@
 // evaluate computes a job's rank as of the last refresh.
 func (o *Order) evaluate(e *Entry, earliest map[submitterKey]time.Time) {
 	now := o.refreshedAt
-	e.markSurplus(o.pace.Median, now)
+	e.markSurplus(o.pace, now)
 	next := rank{
-		needed:  e.estimate(o.pace.Median, now, e.lengthOf),
-		soonest: e.estimate(o.pace.Best, now, e.leastLength),
+		needed:  e.estimate(o.pace.Median, o.pace.TokensPerEvent, now, e.lengthOf),
+		soonest: e.estimate(o.pace.Best, o.pace.TokensPerEvent, now, e.leastLength),
 		share:   o.shares.adjustment(e.shareKey(), e.span()),
 	}
 	next.slack = e.due().Sub(now) - next.needed
@@ -156,13 +156,15 @@
 }
 
 // estimate returns the time that the job's awaited items still need at the pace, without the few longest.
-func (e *Entry) estimate(pace time.Duration, now time.Time, length func(item int) int) time.Duration {
+func (e *Entry) estimate(
+	pace time.Duration, tokensPerEvent float64, now time.Time, length func(item int) int,
+) time.Duration {
 	var needed []time.Duration
 	for item := range e.items {
 		if e.items[item].phase == done || e.IsSurplus(item) {
 			continue
 		}
-		needed = append(needed, e.remaining(item, length(item), pace, now))
+		needed = append(needed, e.remaining(item, length(item), pace, tokensPerEvent, now))
 	}
 	if len(needed) == 0 {
 		return 0
