Count a submitter's share separately for each priority

Urgent work of a submitter counted against its old jobs of another priority, which then gained no rank for as long as the urgent work went on. The test that each job comes first eventually now covers submitters above their share, whose old jobs precede their own newer ones only.

--- a/internal/core/joborder/decision.go
+++ b/internal/core/joborder/decision.go
@@ -39,7 +39,7 @@
 
 // decide records the decisions that were not reported before.
 func (o *Order) decide(now time.Time) {
-	latest := make(map[competitors]*Entry)
+	latest := make(map[pool]*Entry)
 	for _, each := range o.ranked {
 		if each.DueAfter > 0 && !each.inTimePossible(now) && !each.complete() {
 			o.report(each, Decision{Kind: Late, Reason: each.lateReason(now)})
@@ -47,7 +47,7 @@
 		if !each.ContendedSince(now.Add(-2 * RefreshInterval)) {
 			continue
 		}
-		key := competitors{each.service, each.Priority}
+		key := each.shareKey().pool
 		if ahead := latest[key]; ahead != nil && ahead.Accepted.After(each.Accepted) {
 			o.report(each, Decision{Kind: Outranked, Ahead: ahead.ID})
 		}
@@ -57,12 +57,6 @@
 	}
 }
 
-// competitors identifies the jobs that compete for the same engines at one priority.
-type competitors struct {
-	service  string
-	priority int
-}
-
 // inTimePossible reports whether the job can be complete in time.
 func (e *Entry) inTimePossible(now time.Time) bool { return !now.Add(e.rank.soonest).After(e.due()) }
 
--- a/internal/core/joborder/entry.go
+++ b/internal/core/joborder/entry.go
@@ -106,7 +106,7 @@
 
 func (e *Entry) due() time.Time { return e.Accepted.Add(e.span()) }
 
-func (e *Entry) shareKey() shareKey { return shareKey{e.service, e.Submitter} }
+func (e *Entry) shareKey() shareKey { return shareKey{pool{e.service, e.Priority}, e.Submitter} }
 
 // Positions returns the places of the job's items as of the last call of Refresh.
 func (e *Entry) Positions() Positions { return e.positions }
--- a/internal/core/joborder/joborder_test.go
+++ b/internal/core/joborder/joborder_test.go
@@ -117,7 +117,7 @@
 	for range 3 {
 		order.Started("a1", 0, now)
 	}
-	started := order.shares.started[shareKey{"", "a"}]
+	started := order.shares.started[order.jobs["a1"].shareKey()]
 	assert.Equal(t, started.decayed(now), 1000.0)
 	assert.Equal(t, started.decayed(now.Add(shareHalfLife)), 500.0)
 	order.Forget("a1")
@@ -314,26 +314,63 @@
 	})
 }
 
-// Guards against a job that never becomes the first of its submitter and priority, however long it waits.
+// Guards against a job that never becomes the first of its submitter and priority, however long it waits, and against one
+// that never precedes those of others: it may be behind them only while work of its submitter at its own priority, which
+// it precedes, starts beyond the submitter's share.
 func TestEachJobComesFirstEventually(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		order := New()
-		for _, each := range drawJobs(t) {
+		old := drawJobs(t)
+		for _, each := range old {
 			order.Add(each)
 		}
-		const newest = 10 * time.Minute
-		fresh := jobOf("fresh", "fresh", -newest, rapid.IntRange(1, 200).Draw(t, "length"))
-		entry := order.Add(fresh)
-		order.Refresh(now.Add(newest), pace)
-		for _, each := range order.ranked {
-			if each.Priority == entry.Priority {
-				assert.Assert(t, each.positions.Awaited <= entry.positions.Awaited, "%s", each.ID)
-				assert.Assert(t, !slices.ContainsFunc(each.groups, func(g group) bool { return g.surplus }) || each == entry)
+		newest := now.Add(10 * time.Minute)
+		var fresh []*Entry
+		for priority := range 2 {
+			for submitter := range 5 {
+				length := rapid.SampledFrom([]int{1, 20, 100, 190}).Draw(t, "length")
+				job := jobOf(fmt.Sprint("fresh-", priority, submitter), fmt.Sprint(submitter), now.Sub(newest), length)
+				job.Priority, job.Model = priority, "another model" // the order of steps does not apply
+				fresh = append(fresh, order.Add(job))
+			}
+		}
+		started := rapid.SliceOf(rapid.SampledFrom(fresh)).Draw(t, "started")
+		if greedy := rapid.IntRange(-1, 3).Draw(t, "above its share"); greedy >= 0 {
+			name := fmt.Sprint(greedy)
+			started = slices.DeleteFunc(slices.Clone(fresh), func(each *Entry) bool { return each.Submitter != name })
+		}
+		for _, each := range started {
+			order.Started(each.ID, 0, newest)
+			order.Waiting(each.ID, 0, "", 0)
+		}
+		order.Refresh(newest, pace)
+		for _, job := range old {
+			waited := order.jobs[job.ID]
+			for _, other := range fresh {
+				if other.Priority != waited.Priority {
+					continue
+				}
+				yields := order.shares.exceeded(waited.shareKey()) && other.Submitter != waited.Submitter
+				assert.Assert(t, yields || waited.positions.Awaited < other.positions.Awaited, "%s %s", waited.ID, other.ID)
+				assert.Assert(t, !slices.ContainsFunc(waited.groups, func(g group) bool { return g.surplus }))
 			}
 		}
 	})
 }
 
+// Guards against an old job that gains no rank for as long as its submitter works at another priority.
+func TestWorkOfAnotherPriorityDoesNotHoldBackAnOldJob(t *testing.T) {
+	order := New()
+	order.Add(jobOf("old", "a", time.Minute, 100))
+	order.Add(jobOf("other", "b", 0, 190))
+	urgent := jobOf("urgent", "a", 0, 100)
+	urgent.Priority = -1
+	order.Add(urgent)
+	order.Started("urgent", 0, now)
+	order.Refresh(now, pace)
+	assert.DeepEqual(t, orderOf(order), []string{"urgent", "old", "other"})
+}
+
 // Guards against a submitter that submits more than it can be given: its old jobs must precede its own other ones, and
 // must not delay the jobs of others.
 func TestOldJobsOfASubmitterAboveItsShareDoNotDelayOthers(t *testing.T) {
--- a/internal/core/joborder/shares.go
+++ b/internal/core/joborder/shares.go
@@ -18,8 +18,18 @@
 	exceededExcess = 0.5
 )
 
-// shareKey identifies a submitter at a service.
-type shareKey struct{ service, submitter string }
+// pool identifies the submitters that share the engines of a service at a priority. Work of another priority does not
+// count: a submitter with urgent jobs would otherwise never gain rank with its old jobs of a lower priority.
+type pool struct {
+	service  string
+	priority int
+}
+
+// shareKey identifies a submitter in a pool.
+type shareKey struct {
+	pool
+	submitter string
+}
 
 // usage is a decaying sum of started work, in expected tokens, as of a time.
 type usage struct {
@@ -50,14 +60,14 @@
 
 // refresh computes the excess of the submitters with waiting items, and forgets work that has decayed.
 func (s *shares) refresh(waiting map[shareKey]bool, now time.Time) {
-	totals, counts := make(map[string]float64), make(map[string]int)
+	totals, counts := make(map[pool]float64), make(map[pool]int)
 	for key := range waiting {
-		totals[key.service] += s.started[key].decayed(now)
-		counts[key.service]++
+		totals[key.pool] += s.started[key].decayed(now)
+		counts[key.pool]++
 	}
 	clear(s.excess)
 	for key := range waiting {
-		if share := totals[key.service] / float64(counts[key.service]); share > 0 {
+		if share := totals[key.pool] / float64(counts[key.pool]); share > 0 {
 			s.excess[key] = min(s.started[key].decayed(now)/share-1, 1)
 		}
 	}
