Trust the recorded time of acceptance for ten minutes

A node that read a job's record more than 30 s after the acceptance took the time of reading instead, so a new leader ordered older jobs differently than the one before it.

--- a/internal/core/batch/partition.go
+++ b/internal/core/batch/partition.go
@@ -50,8 +50,9 @@
 }
 
 // maxAcceptedAge bounds the time between the acceptance of a job and the reading of its record above which the two
-// clocks are assumed to differ. Submitters abandon jobs much earlier.
-const maxAcceptedAge = 30 * time.Second
+// clocks are assumed to differ. A node that starts reads the records of all retained jobs and must reach the same time as
+// the nodes that read them at once, so the bound exceeds the default retention of two minutes several times.
+const maxAcceptedAge = 10 * time.Minute
 
 // AcceptedAt returns when the job was accepted. A node that reads the log only after it has started sees records late,
 // so the time in the record counts, unless the clock of the node that wrote it is evidently wrong.
--- a/internal/core/batch/partition_test.go
+++ b/internal/core/batch/partition_test.go
@@ -266,6 +266,7 @@
 func TestAcceptedAtIsTheRecordedTimeUnlessItIsImplausible(t *testing.T) {
 	for offset, wanted := range map[time.Duration]time.Duration{
 		-3 * time.Second: -3 * time.Second, time.Second: 0, -time.Hour: 0,
+		-maxAcceptedAge: -maxAcceptedAge, -maxAcceptedAge - time.Millisecond: 0,
 	} {
 		record := jobRecord("j", 1)
 		record.Job.AcceptedMs = now.Add(offset).UnixMilli()
@@ -277,3 +278,15 @@
 	p.Apply(jobRecord("j", 1), now)
 	assert.Assert(t, p.Job("j").AcceptedAt().Equal(now), "a record of an earlier build has no time")
 }
+
+// Guards against a new leader that orders retained jobs by other times than the old one, because it reads their records
+// minutes after they were accepted.
+func TestAcceptedAtOfRetainedJobsDoesNotDependOnTheReader(t *testing.T) {
+	record := jobRecord("j", 1)
+	record.Job.AcceptedMs = now.UnixMilli()
+	for _, delay := range []time.Duration{0, 31 * time.Second, 2 * time.Minute, 5 * time.Minute} {
+		p := NewPartition()
+		p.Apply(record, now.Add(delay))
+		assert.Assert(t, p.Job("j").AcceptedAt().Equal(now), "%s", delay)
+	}
+}
