--- a/internal/core/batchplan/due_test.go
+++ b/internal/core/batchplan/due_test.go
@@ -232,6 +232,45 @@
 	assert.Assert(t, !slices.Contains(started, Key{"first", 0}), "%v", started)
 }
 
+// Guards against two models that share engines with slots enough for either, but not for both.
+func TestShortageOfModelsThatShareSlotsIsFound(t *testing.T) {
+	plan := addCompetitors(observePace(duePlan()))
+	addModelJob(plan, "other", "m2", "c", now, 0, 9000, 9000)
+	shared, own := engine("shared", 3, 3), engine("own", 8, 0)
+	shared.Versions["m2"], own.Versions = 3, map[string]int64{"m3": 3}
+	started := startedKeys(plan.Assign(now, []Engine{shared, own}))
+	assert.DeepEqual(t, started, []Key{{"other", 0}, {"other", 1}, {"second", 0}})
+}
+
+// Guards against more models than are compared that share slots, of which each pair has enough.
+func TestShortageOfManyModelsThatShareSlotsIsFound(t *testing.T) {
+	plan := addCompetitors(observePace(duePlan()))
+	shared := engine("shared", comparedClasses+1, 3)
+	for i := range comparedClasses {
+		model := fmt.Sprint("other-", i)
+		addModelJob(plan, model, model, model, now, 0, 9000)
+		shared.Versions[model] = 3
+	}
+	plan.Assign(now, []Engine{shared})
+	_, waits := plan.waiting[Key{"first", 0}]
+	assert.Assert(t, plan.Waiting() == 1 && waits, "the item that waits is not the one with the most slack")
+}
+
+// Guards against an order by due times for want of engines that a model does not have yet, while each item of the models
+// that have engines gets a slot, the first ones at the best engines.
+func TestModelWithoutSlotsDoesNotApplyTheOrder(t *testing.T) {
+	for _, others := range []int{1, comparedClasses + 2} {
+		plan := addCompetitors(observePace(duePlan()))
+		for i := range others {
+			model := fmt.Sprint("other-", i)
+			addModelJob(plan, model, model, "c", now, 0, 9000)
+		}
+		slots := 2 + others // with many models all items are compared with the slots
+		started := startedKeys(plan.Assign(now, []Engine{engine("e", slots, 3)}))
+		assert.DeepEqual(t, started, []Key{{"first", 0}, {"second", 0}})
+	}
+}
+
 // Guards against slots that count as free at an engine that takes no items because a suspect one runs there.
 func TestSlotsOfIsolatedEnginesAreNotFree(t *testing.T) {
 	plan := observePace(duePlan())
