--- a/internal/batchrun/joborder_test.go
+++ b/internal/batchrun/joborder_test.go
@@ -11,6 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corkpulley/corkpulley/internal/core/batch"
+	"github.com/corkpulley/corkpulley/internal/core/batchitem"
+	"github.com/corkpulley/corkpulley/internal/core/batchplan"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/joborder"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -89,9 +92,44 @@
 	assert.Equal(t, count(joborder.Late), 1)
 	late := logs.lines("job cannot be complete in time")
 	assert.Equal(t, len(late), 1)
-	assert.Assert(t, strings.Contains(late[0], `"job":"lost"`) && strings.Contains(late[0], `"reason":"due time passed"`), late[0])
-	assert.Equal(t, len(logs.lines("items wait for a job that was accepted later")), count(joborder.Outranked))
-	assert.Assert(t, count(joborder.Outranked) <= 1)
+	assert.Assert(t, strings.Contains(late[0], `"job":"lost"`), late[0])
+	assert.Assert(t, strings.Contains(late[0], `"reason":"due time passed"`), late[0])
+}
+
+// Guards against a job that waits for one accepted later without a line and a count that say so, or with several.
+func TestOutrankedJobIsReportedOnce(t *testing.T) {
+	env, logs, count := newDueEnv(t)
+	env.engines.events["fresh-0"], env.engines.events["fresh-1"], env.engines.events["lost"] = 60, 60, 1
+	env.submitLate("lost", "m", 10100*time.Millisecond, "lost")
+	env.submitLate("fresh", "m", 0, "fresh-0", "fresh-1")
+	env.startRunner()
+	env.awaitResults(3)
+	assert.Equal(t, count(joborder.Outranked), 1)
+	outranked := logs.lines("items wait for a job that was accepted later")
+	assert.Equal(t, len(outranked), 1)
+	for _, field := range []string{`"job":"lost"`, `"ahead":"fresh"`, `"can_be_in_time":false`, `"unfinished":1`, `"slack_ms":-`} {
+		assert.Assert(t, strings.Contains(outranked[0], field), "%s: %s", field, outranked[0])
+	}
+}
+
+// Guards against starts of items that had to wait as surplus and whose lines do not say so, or starts of others that do.
+func TestStartsAsSurplusAreLogged(t *testing.T) {
+	env, logs, _ := newDueEnv(t)
+	double := engineOf("a")
+	double.Slots = 2
+	env.fleet.Put(double)
+	record := batch.JobRecord{ID: "j", Model: "m", Wanted: 1, AcceptedMs: time.Now().UnixMilli()}
+	for item, length := range map[string]int{"short": 10, "medium": 20, "long": 30} {
+		env.engines.events[item] = 5
+		record.Items = append(record.Items, batch.ItemRecord{ID: item, Group: "group of " + item, Length: length})
+	}
+	env.submitRecord(record, nil)
+	env.startRunner()
+	env.awaitResults(3)
+	started, surplus := logs.lines("item started"), logs.lines(`"surplus":true`)
+	assert.Equal(t, len(started), 3)
+	assert.Equal(t, len(surplus), 1, "the last item had a slot, so it did not start later than others: %v", surplus)
+	assert.Assert(t, strings.Contains(surplus[0], "item started") && strings.Contains(surplus[0], `"item":"long"`), surplus[0])
 }
 
 // Guards against jobs that are expired because they are late.
@@ -121,3 +159,29 @@
 	assert.Equal(t, count(joborder.Late)+count(joborder.Outranked), 0)
 	assert.Equal(t, len(logs.lines("surplus")), 0)
 }
+
+// Guards against an order of jobs that does not learn the events of running items unless engines are of different speed.
+func TestEventsOfRunningItemsReachTheJobOrder(t *testing.T) {
+	env := newTestEnv(t, "a")
+	r := New(Options{
+		Fleet: env.fleet, Guard: env.guard, RouteOf: env.routeOf, HomesOf: env.homesOf, ConfigVersion: env.configVersion,
+		Logger: zerolog.Nop(), DueOrder: true,
+		LoadingModel: func(incarnation.ID) string { return "" },
+	})
+	key, started, engine := batchplan.Key{Job: "j"}, time.Now(), engineOf("a")
+	r.plan.ObservePace(engine.Incarnation(), 10*time.Millisecond)
+	r.plan.ObserveLength(1, 1)
+	r.plan.AddJob(batchplan.Job{ID: key.Job, Model: "m", Lengths: []int{90}, Due: batchplan.DueJob{
+		Submitter: "m", Accepted: started, DueAfter: time.Second, Groups: []string{"g"}, Done: []bool{false},
+	}})
+	r.plan.Add(batchplan.Item{Key: key, Service: "s", Model: "m", MinVersion: 1, Length: 90})
+	view := batchplan.Engine{ID: engine.Incarnation(), Service: "s", Slots: 1, Versions: engine.Versions, Usable: true}
+	assert.Equal(t, len(r.plan.Assign(started, []batchplan.Engine{view})), 1)
+	current := &run{engine: engine.Incarnation(), started: started, cancel: func() {}}
+	job := &openJob{record: batch.JobRecord{ID: key.Job, Model: "m"}, items: make([]batchitem.Item, 1)}
+	r.runs[key], r.jobs[key.Job] = current, job
+	assert.NilError(t, r.addEvent(job, key, current, Event{Number: 1, Data: []byte("x"), Version: 1}, started))
+	decisions := r.plan.RefreshOrder(started.Add(500 * time.Millisecond))
+	assert.Equal(t, len(decisions), 1, "0.89 s of the item are left, and 0.5 s of the time until its results are due")
+	assert.Equal(t, decisions[0].Kind, joborder.Late)
+}
--- a/internal/core/joborder/decision.go
+++ b/internal/core/joborder/decision.go
@@ -24,14 +24,14 @@
 type Decision struct {
 	Kind Kind
 	Job  string
-	// Ahead is, for outranked jobs, the first job in the order that was accepted later.
+	// Ahead is, for outranked jobs, the one that was accepted last among the competing jobs before it in the order.
 	Ahead string
 	// Reason is, for late jobs, why they cannot be complete in time.
 	Reason string
 	// Slack is the time until the results are due less Needed, the time that the job's longest items need. Soonest is
 	// the same for a fast engine, with lengths that are cautiously estimated.
 	Slack, Needed, Soonest time.Duration
-	// Behind is how long ago the submitter's earliest open job was due, Share the effect of its share on its slack.
+	// Behind is how long ago the submitter's earliest incomplete job was due, Share the effect of its share on its slack.
 	Behind, Share time.Duration
 	// CanBeInTime reports whether the job can be complete in time.
 	CanBeInTime bool
@@ -39,15 +39,15 @@
 
 // decide records the decisions that were not reported before.
 func (o *Order) decide(now time.Time) {
-	latest := make(map[competitors]*Entry)
+	latest := make(map[pool]*Entry)
 	for _, each := range o.ranked {
-		if !each.inTimePossible(now) && each.DueAfter > 0 {
+		if each.DueAfter > 0 && !each.inTimePossible(now) && !each.complete() {
 			o.report(each, Decision{Kind: Late, Reason: each.lateReason(now)})
 		}
 		if !each.ContendedSince(now.Add(-2 * RefreshInterval)) {
 			continue
 		}
-		key := competitors{each.service, each.Priority}
+		key := each.shareKey().pool
 		if ahead := latest[key]; ahead != nil && ahead.Accepted.After(each.Accepted) {
 			o.report(each, Decision{Kind: Outranked, Ahead: ahead.ID})
 		}
@@ -57,12 +57,6 @@
 	}
 }
 
-// competitors identifies the jobs that compete for the same engines at one priority.
-type competitors struct {
-	service  string
-	priority int
-}
-
 // inTimePossible reports whether the job can be complete in time.
 func (e *Entry) inTimePossible(now time.Time) bool { return !now.Add(e.rank.soonest).After(e.due()) }
 
--- a/internal/core/joborder/joborder_test.go
+++ b/internal/core/joborder/joborder_test.go
@@ -117,7 +117,7 @@
 	for range 3 {
 		order.Started("a1", 0, now)
 	}
-	started := order.shares.started[shareKey{"", "a"}]
+	started := order.shares.started[order.jobs["a1"].shareKey()]
 	assert.Equal(t, started.decayed(now), 1000.0)
 	assert.Equal(t, started.decayed(now.Add(shareHalfLife)), 500.0)
 	order.Forget("a1")
@@ -314,26 +314,63 @@
 	})
 }
 
-// Guards against a job that never becomes the first of its submitter and priority, however long it waits.
+// Guards against a job that never becomes the first of its submitter and priority, however long it waits, and against one
+// that never precedes those of others: it may be behind them only while work of its submitter at its own priority, which
+// it precedes, starts beyond the submitter's share.
 func TestEachJobComesFirstEventually(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		order := New()
-		for _, each := range drawJobs(t) {
+		old := drawJobs(t)
+		for _, each := range old {
 			order.Add(each)
 		}
-		const newest = 10 * time.Minute
-		fresh := jobOf("fresh", "fresh", -newest, rapid.IntRange(1, 200).Draw(t, "length"))
-		entry := order.Add(fresh)
-		order.Refresh(now.Add(newest), pace)
-		for _, each := range order.ranked {
-			if each.Priority == entry.Priority {
-				assert.Assert(t, each.positions.Awaited <= entry.positions.Awaited, "%s", each.ID)
-				assert.Assert(t, !slices.ContainsFunc(each.groups, func(g group) bool { return g.surplus }) || each == entry)
+		newest := now.Add(10 * time.Minute)
+		var fresh []*Entry
+		for priority := range 2 {
+			for submitter := range 5 {
+				length := rapid.SampledFrom([]int{1, 20, 100, 190}).Draw(t, "length")
+				job := jobOf(fmt.Sprint("fresh-", priority, submitter), fmt.Sprint(submitter), now.Sub(newest), length)
+				job.Priority, job.Model = priority, "another model" // the order of steps does not apply
+				fresh = append(fresh, order.Add(job))
+			}
+		}
+		started := rapid.SliceOf(rapid.SampledFrom(fresh)).Draw(t, "started")
+		if greedy := rapid.IntRange(-1, 3).Draw(t, "above its share"); greedy >= 0 {
+			name := fmt.Sprint(greedy)
+			started = slices.DeleteFunc(slices.Clone(fresh), func(each *Entry) bool { return each.Submitter != name })
+		}
+		for _, each := range started {
+			order.Started(each.ID, 0, newest)
+			order.Waiting(each.ID, 0, "", 0)
+		}
+		order.Refresh(newest, pace)
+		for _, job := range old {
+			waited := order.jobs[job.ID]
+			for _, other := range fresh {
+				if other.Priority != waited.Priority {
+					continue
+				}
+				yields := order.shares.exceeded(waited.shareKey()) && other.Submitter != waited.Submitter
+				assert.Assert(t, yields || waited.positions.Awaited < other.positions.Awaited, "%s %s", waited.ID, other.ID)
+				assert.Assert(t, !slices.ContainsFunc(waited.groups, func(g group) bool { return g.surplus }))
 			}
 		}
 	})
 }
 
+// Guards against an old job that gains no rank for as long as its submitter works at another priority.
+func TestWorkOfAnotherPriorityDoesNotHoldBackAnOldJob(t *testing.T) {
+	order := New()
+	order.Add(jobOf("old", "a", time.Minute, 100))
+	order.Add(jobOf("other", "b", 0, 190))
+	urgent := jobOf("urgent", "a", 0, 100)
+	urgent.Priority = -1
+	order.Add(urgent)
+	order.Started("urgent", 0, now)
+	order.Refresh(now, pace)
+	assert.DeepEqual(t, orderOf(order), []string{"urgent", "old", "other"})
+}
+
 // Guards against a submitter that submits more than it can be given: its old jobs must precede its own other ones, and
 // must not delay the jobs of others.
 func TestOldJobsOfASubmitterAboveItsShareDoNotDelayOthers(t *testing.T) {
@@ -345,7 +382,7 @@
 	order.Add(jobOf("modest-tight", "modest", 0, 200))
 	order.Add(jobOf("modest", "modest", 0, 20))
 	order.Started("tight", 0, now)
-	order.Waiting("tight", 0, "")
+	order.Waiting("tight", 0, "", 0)
 	order.Refresh(now, pace)
 	order.SetDueAfter("tight", 30*time.Second)
 	order.Refresh(now.Add(RefreshInterval), pace)
@@ -374,3 +411,103 @@
 		assert.Equal(t, len(taken), 2*len(order.ranked))
 	})
 }
+
+// Guards against a job that is open only because its submitter has not ended it yet, or because of surplus groups, and
+// that makes the submitter's later jobs precede those of others.
+func TestCompleteJobLeavesItsSubmitterNotBehind(t *testing.T) {
+	withSurplus := jobOf("complete", "a", 2*dueAfter-time.Second, 100, 100)
+	withSurplus.Wanted, withSurplus.Items[0].Done = 1, true
+	old := withSurplus
+	old.Accepted = now.Add(-surplusAge*dueAfter - time.Second)
+	finished := jobOf("complete", "a", 2*dueAfter, 100)
+	finished.Items[0].Done = true
+	for _, complete := range []Job{withSurplus, old, finished} {
+		order := New()
+		order.Add(complete)
+		entry := order.Add(jobOf("next", "a", 500*time.Millisecond, 50))
+		earlier := order.Add(jobOf("earlier", "b", 3*time.Second, 50))
+		order.Refresh(now, pace)
+		assert.Equal(t, entry.rank.behind, time.Duration(0))
+		assert.Assert(t, earlier.Positions().Awaited < entry.Positions().Awaited)
+	}
+}
+
+// Guards against a submitter that no longer counts as behind while a group that it waits for is unfinished.
+func TestIncompleteJobPutsItsSubmitterBehind(t *testing.T) {
+	carried := jobOf("carried", "a", dueAfter+time.Second, 100, 100)
+	carried.Wanted, carried.CarriedOver, carried.Items[1].Done = 1, 1, true
+	wanted := jobOf("wanted", "a", dueAfter+time.Second, 100, 100, 100)
+	wanted.Wanted, wanted.Items[0].Done = 2, true
+	all := jobOf("all", "a", dueAfter+time.Second, 100, 100)
+	all.Items[0].Done = true
+	for _, incomplete := range []Job{carried, wanted, all} {
+		order := New()
+		order.Add(incomplete)
+		entry := order.Add(jobOf("next", "a", 0, 50))
+		order.Refresh(now, pace)
+		assert.Equal(t, entry.rank.behind, time.Second, "%s", incomplete.ID)
+		assert.Equal(t, len(order.TakeDecisions()), 1, "%s", incomplete.ID)
+	}
+}
+
+// Guards against the report that a job cannot be complete in time although its submitter waits for none of its items.
+func TestCompleteJobIsNotReportedLate(t *testing.T) {
+	complete := jobOf("complete", "a", 0, 100, 100)
+	complete.Wanted, complete.Items[0].Done = 1, true
+	order := New()
+	order.Add(complete)
+	for _, age := range []time.Duration{time.Second, dueAfter + time.Second, surplusAge*dueAfter + time.Second} {
+		order.Refresh(now.Add(age), pace)
+		assert.Equal(t, len(order.TakeDecisions()), 0, "%s", age)
+	}
+}
+
+// Guards against an item that counts with its whole length again after a move, a retry or a change of leader, so that its
+// job loses its slack and is reported as one that cannot be complete in time.
+func TestContinuedItemCountsWithTheRestOfItsLength(t *testing.T) {
+	paceOfEvents := Pace{Best: pace.Best, Median: pace.Median, TokensPerEvent: 2}
+	moved := New()
+	entry := moved.Add(jobOf("j", "a", 0, 100))
+	moved.Waiting("j", 0, "s", 0)
+	moved.Started("j", 0, now)
+	at := now.Add(5 * time.Second)
+	moved.RecordEvents("j", 0, 40)
+	moved.Refresh(at, paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 1200*time.Millisecond)
+	moved.Waiting("j", 0, "s", 40)
+	at = at.Add(RefreshInterval)
+	moved.Refresh(at, paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 1200*time.Millisecond)
+	moved.Started("j", 0, at)
+	moved.RecordEvents("j", 0, 45)
+	at = at.Add(time.Second)
+	moved.Refresh(at, paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 600*time.Millisecond)
+
+	successor := New()
+	taken := successor.Add(jobOf("j", "a", 0, 100))
+	successor.Waiting("j", 0, "s", 45)
+	successor.Refresh(at, paceOfEvents)
+	assert.Equal(t, taken.rank, entry.rank)
+	assert.Equal(t, len(moved.TakeDecisions())+len(successor.TakeDecisions()), 0)
+
+	moved.Waiting("j", 0, "s", 0)
+	moved.Refresh(at.Add(RefreshInterval), paceOfEvents)
+	assert.Equal(t, entry.rank.needed, 6*time.Second, "an item whose output was dropped starts anew")
+}
+
+// Guards against a running item that counts with its whole length until its events can be converted to tokens.
+func TestRunningItemWithoutEventsCountsFromItsStart(t *testing.T) {
+	order := New()
+	entry := order.Add(jobOf("j", "a", 0, 100))
+	order.Started("j", 0, now)
+	for _, each := range []struct {
+		events int32
+		pace   Pace
+	}{{0, Pace{Best: pace.Best, Median: pace.Median, TokensPerEvent: 2}}, {20, pace}} {
+		order.RecordEvents("j", 0, each.events)
+		order.refreshedAt = time.Time{}
+		order.Refresh(now.Add(2*time.Second), each.pace)
+		assert.Equal(t, entry.rank.needed, 4*time.Second)
+	}
+}
--- a/internal/core/joborder/rank.go
+++ b/internal/core/joborder/rank.go
@@ -13,8 +13,8 @@
 	// while it waits.
 	assumedDueAfter = 30 * time.Second
 	// promotionAge is the age of a job that cannot be complete in time, as a multiple of the time in which its results
-	// are due, from which on it counts as one without slack that can; see promote. Submitters abandon a late step after 1.6 times
-	// that time, and its last items need the rest to run.
+	// are due, from which on it counts as one without slack that can; see promote. Submitters abandon a late step after
+	// 1.6 times that time, and its last items need the rest to run.
 	promotionAge = 1.25
 	// longestLeftOut is the part of a job's items whose lengths are left out when its time is estimated, the longest
 	// ones. Single length hints are often far off.
@@ -41,7 +41,7 @@
 	// needed is the time that the job's longest items need at a median engine, soonest that at a fast one if their
 	// lengths are overestimated.
 	needed, soonest time.Duration
-	// behind is how long ago the submitter's earliest open job was due; zero if the submitter got far more than its
+	// behind is how long ago the submitter's earliest incomplete job was due; zero if the submitter got far more than its
 	// share.
 	behind time.Duration
 	// share is the effect of the submitter's share on the key.
@@ -90,10 +90,14 @@
 
 func (e *Entry) submitterKey() submitterKey { return submitterKey{e.Submitter, e.Priority} }
 
-// earliestDue returns when the earliest open job of each submitter was or is due.
+// earliestDue returns when the earliest incomplete job of each submitter was or is due. Submitters end a job some time
+// after the last group that they wait for; until then it is open, but no reason to prefer its submitter.
 func (o *Order) earliestDue() map[submitterKey]time.Time {
 	earliest := make(map[submitterKey]time.Time)
 	for _, each := range o.jobs {
+		if each.complete() {
+			continue
+		}
 		key := each.submitterKey()
 		if known, found := earliest[key]; !found || each.due().Before(known) {
 			earliest[key] = each.due()
@@ -119,15 +123,15 @@
 // evaluate computes a job's rank as of the last refresh.
 func (o *Order) evaluate(e *Entry, earliest map[submitterKey]time.Time) {
 	now := o.refreshedAt
-	e.markSurplus(o.pace.Median, now)
+	e.markSurplus(o.pace, now)
 	next := rank{
-		needed:  e.estimate(o.pace.Median, now, e.lengthOf),
-		soonest: e.estimate(o.pace.Best, now, e.leastLength),
+		needed:  e.estimate(o.pace.Median, o.pace.TokensPerEvent, now, e.lengthOf),
+		soonest: e.estimate(o.pace.best(e.service), o.pace.TokensPerEvent, now, e.leastLength),
 		share:   o.shares.adjustment(e.shareKey(), e.span()),
 	}
 	next.slack = e.due().Sub(now) - next.needed
-	if !o.shares.exceeded(e.shareKey()) {
-		next.behind = min(max(now.Sub(earliest[e.submitterKey()]), 0), e.span())
+	if due, found := earliest[e.submitterKey()]; found && !o.shares.exceeded(e.shareKey()) {
+		next.behind = min(max(now.Sub(due), 0), e.span())
 	}
 	next.key = next.slack - next.behind + next.share
 	if e.DueAfter > 0 && now.Add(next.soonest).After(e.due()) {
@@ -138,8 +142,8 @@
 }
 
 // promote gives a job that cannot be complete in time a rank among those that can once it has waited for long. Its rank
-// then rises with its age, unless its submitter got far more than its share: the old jobs of a submitter that submits more
-// than it can be given would otherwise delay those of all others.
+// then rises with its age, unless its submitter got far more than its share: the old jobs of a submitter that submits
+// more than it can be given would otherwise delay those of all others.
 func (o *Order) promote(e *Entry, late *rank) {
 	waited := o.refreshedAt.Sub(e.Accepted) - time.Duration(promotionAge*float64(e.span()))
 	if waited < 0 {
@@ -152,13 +156,15 @@
 }
 
 // estimate returns the time that the job's awaited items still need at the pace, without the few longest.
-func (e *Entry) estimate(pace time.Duration, now time.Time, length func(item int) int) time.Duration {
+func (e *Entry) estimate(
+	pace time.Duration, tokensPerEvent float64, now time.Time, length func(item int) int,
+) time.Duration {
 	var needed []time.Duration
 	for item := range e.items {
 		if e.items[item].phase == done || e.IsSurplus(item) {
 			continue
 		}
-		needed = append(needed, e.remaining(item, length(item), pace, now))
+		needed = append(needed, e.remaining(item, length(item), pace, tokensPerEvent, now))
 	}
 	if len(needed) == 0 {
 		return 0
