Report the known occupancy of the engines that may run a query

Cause: the choice of an engine always picks the least loaded one, so nothing could tell that every engine that may run a live request is known to be full.

Change: fleet.Saturation returns the slots, the known requests and the free slots of the engines that Choose would choose from, and when the first report without which an engine does not count as full expires. Choose is unchanged.

--- /dev/null
+++ b/internal/core/fleet/saturation_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+)
+
+func report(f *Fleet, id string, at time.Time, load Load) {
+	f.RequestStarted(incarnation.ID{Engine: id})
+	f.RequestEnded(incarnation.ID{Engine: id}, Outcome{At: at, Load: &load})
+}
+
+// Guards against requests that wait although an engine is not known to be full, or because of an old report.
+func TestSaturationNeedsEvidenceForEachEngine(t *testing.T) {
+	f := fleetOf(testEngine("a", "z"), testEngine("b", "z"))
+	query := Query{Service: "s", Now: now}
+	for range 4 {
+		f.RequestStarted(incarnation.ID{Engine: "a"})
+	}
+	state := f.Saturation(query)
+	assert.Assert(t, !state.Full())
+	assert.Equal(t, state.Free, 4)
+	report(f, "b", now, Load{Running: 3, Waiting: 2})
+	state = f.Saturation(query)
+	assert.Assert(t, state.Full())
+	assert.Equal(t, state.Slots, 8)
+	assert.Equal(t, state.Occupied, 9)
+	assert.Equal(t, state.Own, 4)
+	assert.Equal(t, state.FreeAt, now.Add(reportedLoadTTL))
+	query.Now = now.Add(reportedLoadTTL)
+	assert.Assert(t, !f.Saturation(query).Full(), "the report has expired")
+}
+
+// Guards against requests that wait for engines which they may not use, or go out because such an engine is free.
+func TestSaturationCountsOnlyEnginesThatMayRunTheRequest(t *testing.T) {
+	f := fleetOf(Engine{ID: "north", Service: "s", Slots: 1, Region: "north"},
+		Engine{ID: "south", Service: "s", Slots: 1, Region: "south"})
+	f.RequestStarted(incarnation.ID{Engine: "north"})
+	query := Query{Service: "s", Now: now, Regions: homes.Of([]string{"north"})}
+	assert.Assert(t, f.Saturation(query).Full())
+	query.Regions = homes.Of([]string{"south"})
+	assert.Equal(t, f.Saturation(query).Free, 1)
+	query.Regions, query.Tried = homes.Set{}, []string{"south"}
+	assert.Assert(t, f.Saturation(query).Full())
+	query.Tried = []string{"north", "south"}
+	assert.Assert(t, !f.Saturation(query).Full(), "without engines there is nothing to wait for")
+}
+
+func benchmarkFleet() *Fleet {
+	f := New()
+	for i := range 1000 {
+		id := fmt.Sprintf("e%04d", i)
+		f.Put(Engine{ID: id, Service: "s", Slots: 8, Zone: fmt.Sprint("z", i%5)})
+		report(f, id, now, Load{Running: i % 9})
+	}
+	return f
+}
+
+func BenchmarkChooseAmong1000Engines(b *testing.B) {
+	f := benchmarkFleet()
+	for b.Loop() {
+		f.Choose(Query{Service: "s", Zone: "z1", Now: now})
+	}
+}
+
+func BenchmarkSaturationOf1000Engines(b *testing.B) {
+	f := benchmarkFleet()
+	for b.Loop() {
+		f.Saturation(Query{Service: "s", Zone: "z1", Now: now})
+	}
+}
