Decide which live requests wait for an engine

Cause: while all engines are full, live requests are refused by whichever engine is asked, in no order, and all refused clients return after the same 150 ms.

Change: internal/core/livequeue holds the waiting requests of a node: admission, order (priority, then weighted fair queueing between tenants with equal weights, then deadline), the estimate that refuses at once what can't be served, the rate at which slots come free, and spread retry times. Not used yet. The decayed count of internal/core/scheduler is not shared: it measures all the time over 10 s and has no spread, while this one measures only while requests wait.

--- /dev/null
+++ b/internal/core/livequeue/admission.go
@@ -0,0 +1,208 @@
+package livequeue
+
+import (
+	"slices"
+	"time"
+)
+
+// Changes are the entries whose states a call changed, other than the entry that the call is about.
+type Changes struct {
+	Granted []*Entry
+	Refused []*Entry
+}
+
+// Offer offers a request. The entry that it returns is granted a slot at once, waits, or is refused.
+//
+// A request is granted a slot unless all engines that may run it are known to be full, counting the slots that are
+// granted and not used yet. Without any engine it is granted too: it does not wait for engines that may never come.
+func (q *Queue) Offer(now time.Time, request Request, capacityOf CapacityOf) (*Entry, Changes) {
+	q.sequence++
+	entry := &Entry{Request: request, Arrived: now, sequence: q.sequence}
+	s := q.service(request.Service)
+	s.arrivals.record(now, entry)
+	capacity := capacityOf(&entry.Request)
+	if capacity.Candidates == 0 || s.waiting == 0 && capacity.Free > s.granted {
+		q.describe(now, entry, capacity, 0)
+		entry.State = Granted
+		s.granted++
+		return entry, Changes{}
+	}
+	q.insert(entry)
+	changes := q.Next(now, request.Service, capacityOf)
+	switch entry.State {
+	case Granted:
+		changes.Granted = slices.DeleteFunc(changes.Granted, func(each *Entry) bool { return each == entry })
+		return entry, changes
+	case Refused:
+		changes.Refused = slices.DeleteFunc(changes.Refused, func(each *Entry) bool { return each == entry })
+		return entry, changes
+	}
+	if s.waiting == 1 {
+		s.drain.beginBusy(now)
+	}
+	if q.estimate(now, entry, capacity, 1); !entry.isInTime(now, q.limits.MaxWait) {
+		q.remove(entry, Refused, Hopeless)
+		return entry, changes
+	}
+	if request.Bytes > q.limits.Bytes {
+		q.remove(entry, Refused, QueueFull)
+		return entry, changes
+	}
+	for q.requests > q.limits.Requests || q.bytes > q.limits.Bytes {
+		victim := q.furthestAboveShare(entry)
+		if victim == entry {
+			q.remove(entry, Refused, QueueFull)
+			break
+		}
+		q.remove(victim, Refused, Evicted)
+		changes.Refused = append(changes.Refused, victim)
+	}
+	return entry, changes
+}
+
+func (q *Queue) insert(entry *Entry) {
+	q.service(entry.Service).insert(entry)
+	q.requests++
+	q.bytes += entry.Bytes
+}
+
+// Next grants free slots of a service to waiting requests, in their order, and refuses those whose responses can no
+// longer be expected in time. It must be called whenever a slot may have come free.
+func (q *Queue) Next(now time.Time, serviceName string, capacityOf CapacityOf) Changes {
+	var changes Changes
+	s, found := q.services[serviceName]
+	if !found || s.waiting == 0 {
+		return changes
+	}
+	capacities := make(map[string]Capacity)
+	capacity := func(entry *Entry) Capacity {
+		known, found := capacities[entry.Class]
+		if !found {
+			known = capacityOf(&entry.Request)
+			capacities[entry.Class] = known
+		}
+		return known
+	}
+	for _, entry := range s.expired(now, func(entry *Entry) time.Duration { return capacity(entry).Response }) {
+		ahead, _ := s.ahead(entry)
+		q.describe(now, entry, capacity(entry), ahead)
+		q.remove(entry, Refused, Hopeless)
+		changes.Refused = append(changes.Refused, entry)
+	}
+	for {
+		class, f, entry := s.next(func(entry *Entry) bool {
+			known := capacity(entry)
+			return known.Candidates == 0 || known.Free > s.granted
+		})
+		if entry == nil {
+			return changes
+		}
+		class.advance(f)
+		q.describe(now, entry, capacity(entry), 0)
+		q.remove(entry, Granted, NotRefused)
+		s.granted++
+		changes.Granted = append(changes.Granted, entry)
+	}
+}
+
+// Started records that the slot granted to an entry is now seen as a request at an engine. Next must be called: until
+// then, the slot counted as taken at the engines of every class.
+func (q *Queue) Started(entry *Entry) { q.endGrant(entry) }
+
+// Abandon withdraws an entry: its caller left, or it is not sent for another reason. The slot granted to it, if any, is
+// free again, so that Next must be called.
+func (q *Queue) Abandon(entry *Entry) {
+	if entry.State == Waiting {
+		q.remove(entry, Left, NotRefused)
+		return
+	}
+	q.endGrant(entry)
+}
+
+func (q *Queue) endGrant(entry *Entry) {
+	if entry.State == Granted {
+		entry.State = Left
+		q.services[entry.Service].granted--
+	}
+}
+
+// Ended records that a request of this node at the service ended, so that a slot came free.
+func (q *Queue) Ended(now time.Time, serviceName string) {
+	if s, found := q.services[serviceName]; found && s.waiting > 0 {
+		s.drain.ended(now)
+	}
+}
+
+// Reassess decides again about a waiting entry, once its estimate has expired. It refuses the entry if the request has
+// waited for the longest time, or if its response can no longer be expected in time.
+func (q *Queue) Reassess(now time.Time, entry *Entry, capacityOf CapacityOf) {
+	if entry.State != Waiting {
+		return
+	}
+	// The request that ends next may be about to end, so the next slot is expected at once.
+	q.estimate(now, entry, capacityOf(&entry.Request), 0)
+	switch {
+	case now.Sub(entry.Arrived) >= q.limits.MaxWait:
+		q.remove(entry, Refused, TimedOut)
+	case !entry.isInTime(now, q.limits.MaxWait):
+		q.remove(entry, Refused, Hopeless)
+	}
+}
+
+// minReassessDelay bounds the rate at which one request is reassessed.
+const minReassessDelay = 5 * time.Millisecond
+
+// ReassessAt returns when a waiting entry must be reassessed unless it is granted a slot before: when its estimate or
+// the knowledge that the engines are full expires, after the longest wait, or when its response would come too late.
+func (q *Queue) ReassessAt(now time.Time, entry *Entry, capacity Capacity) time.Time {
+	at := now.Add(entry.Basis.Expected)
+	if !capacity.FreeAt.IsZero() && capacity.FreeAt.Before(at) {
+		at = capacity.FreeAt
+	}
+	for _, latest := range []time.Time{
+		entry.Arrived.Add(q.limits.MaxWait), entry.Deadline.Add(-entry.Basis.Response),
+	} {
+		if latest.Before(at) {
+			at = latest
+		}
+	}
+	if soonest := now.Add(minReassessDelay); at.Before(soonest) {
+		return soonest
+	}
+	return at
+}
+
+// furthestAboveShare returns the entry to refuse while the queue is full: the newest one, of the least urgent priority,
+// of the flow that holds the most. All flows have equal shares. Among flows that hold as much, it is that of newcomer, so
+// that no earlier request is refused for a later one.
+func (q *Queue) furthestAboveShare(newcomer *Entry) *Entry {
+	type holder struct{ service, flow string }
+	held := make(map[holder]int64)
+	usage := func(entries int, bytes int64) int64 {
+		if q.bytes > q.limits.Bytes {
+			return bytes
+		}
+		return int64(entries)
+	}
+	for name, s := range q.services {
+		for _, class := range s.classes {
+			for _, f := range class.flows {
+				held[holder{name, f.name}] += usage(len(f.entries), f.bytes)
+			}
+		}
+	}
+	most := holder{newcomer.Service, newcomer.Flow}
+	for each, amount := range held {
+		if amount > held[most] || amount == held[most] && most != (holder{newcomer.Service, newcomer.Flow}) &&
+			(each.service+"/"+each.flow < most.service+"/"+most.flow) {
+			most = each
+		}
+	}
+	classes := q.services[most.service].classes
+	for i := len(classes) - 1; i >= 0; i-- {
+		if f, found := classes[i].flows[most.flow]; found && len(f.entries) > 0 {
+			return slices.MaxFunc(f.entries, func(a, b *Entry) int { return int(int64(a.sequence) - int64(b.sequence)) })
+		}
+	}
+	return newcomer
+}
--- /dev/null
+++ b/internal/core/livequeue/arrivals.go
@@ -0,0 +1,80 @@
+package livequeue
+
+import (
+	"math"
+	"time"
+)
+
+// arrivalWindow is the time constant of the arrival rates. It is about as long as requests can wait before their
+// deadlines.
+const arrivalWindow = time.Second
+
+// negligibleArrivals is the decayed count below which a flow is no longer followed.
+const negligibleArrivals = 0.01
+
+// flowKey names a flow of a service.
+type flowKey struct {
+	priority int
+	name     string
+}
+
+// arrivalRates holds the recent rate of requests of each flow, by exponentially decaying counts.
+type arrivalRates map[flowKey]arrivalCount
+
+type arrivalCount struct {
+	count float64
+	at    time.Time
+	// since is when the flow's first request arrived.
+	since time.Time
+}
+
+func (a arrivalCount) decayed(now time.Time) float64 {
+	return a.count * math.Exp(-max(0, now.Sub(a.at).Seconds())/arrivalWindow.Seconds())
+}
+
+// perSecond returns the recent rate. A flow that has just begun has not filled its window; what its first requests tell
+// of its rate is spread over at least minBusyTime.
+func (a arrivalCount) perSecond(now time.Time) float64 {
+	age := max(minBusyTime, now.Sub(a.since))
+	return a.decayed(now) / (arrivalWindow.Seconds() * (1 - math.Exp(-age.Seconds()/arrivalWindow.Seconds())))
+}
+
+func (r *arrivalRates) record(now time.Time, entry *Entry) {
+	if *r == nil {
+		*r = make(arrivalRates)
+	}
+	key := flowKey{entry.Priority, entry.Flow}
+	previous, found := (*r)[key]
+	if !found || previous.decayed(now) < negligibleArrivals {
+		previous = arrivalCount{at: now, since: now}
+	}
+	(*r)[key] = arrivalCount{count: previous.decayed(now) + 1, at: now, since: previous.since}
+}
+
+// perSecond returns the rate of the requests that are expected to be sent before a waiting one although they arrive
+// later. A flow of the same priority does so with at most an equal share of the slots, which come free at the interval.
+func (r arrivalRates) perSecond(
+	now time.Time, interval time.Duration, priority int, overtakes func(key flowKey) bool,
+) float64 {
+	flows := 0
+	for key, each := range r {
+		if each.decayed(now) < negligibleArrivals {
+			delete(r, key)
+		} else if key.priority == priority {
+			flows++
+		}
+	}
+	share := 1 / (interval.Seconds() * float64(max(1, flows)))
+	rate := 0.0
+	for key, each := range r {
+		if !overtakes(key) {
+			continue
+		}
+		recent := each.perSecond(now)
+		if key.priority == priority {
+			recent = min(recent, share)
+		}
+		rate += recent
+	}
+	return rate
+}
