Add the setting scheduling.live_wait

Cause: how long a live request may wait for an engine depends on the deployment's deadlines, and nothing must change by default.

Change: scheduling.live_wait, 0 to 10 s, default 0; rejected when set without hosted.log, since only such a node will use it. Tests of internal/settings and internal/docscheck pass.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -49,6 +49,7 @@
 	MaxUsageWindow     = time.Hour
 	MinCallerStall     = time.Second
 	MaxCallerStall     = time.Hour
+	MaxLiveWait        = 10 * time.Second
 )
 
 // Allowed values of scheduling.policy and log.level.
@@ -92,6 +93,10 @@
 		c.url("platform.scorer", settings.Platform.Scorer)
 	}
 	c.oneOf("scheduling.policy", settings.Scheduling.Policy, Policies)
+	c.duration("scheduling.live_wait", settings.Scheduling.LiveWait, 0, MaxLiveWait)
+	if settings.Scheduling.LiveWait > 0 && settings.Hosted.Log == "" {
+		c.add("hosted.log", "", "ip:port of the platform's log, because scheduling.live_wait is set")
+	}
 	c.concurrentLoads(settings.Weights.MaxConcurrentLoads)
 	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
 	c.oneOf("log.level", settings.Log.Level, Levels)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,6 +131,9 @@
 	// Policy is "default", or one of the baselines for benchmarks: "round-robin",
 	// "least-load" or "one-hop".
 	Policy string `toml:"policy"`
+	// LiveWait is the longest time that a live request may wait at a node while all engines that may run it are
+	// known to be full, 0..10 s; 0 for no waiting.
+	LiveWait Duration `toml:"live_wait"`
 }
 
 // Weights configures the rollout of weight versions.
