Let live requests wait while all engines are known to be full

Cause: a live request that finds all engines full is sent to one of them anyway, refused, and comes back at a fixed time.

Change: before it chooses an engine, a caller's request asks the relay's queue for a slot. Engines that refused it as full, by their own report, may be tried again, within the same number of tries. Without a limit there is no queue.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -18,6 +18,9 @@
 func (q *Queue) Offer(now time.Time, request Request, capacityOf CapacityOf) (*Entry, Changes) {
 	q.sequence++
 	entry := &Entry{Request: request, Arrived: now, sequence: q.sequence}
+	if !request.WaitsSince.IsZero() {
+		entry.Arrived = request.WaitsSince
+	}
 	s := q.service(request.Service)
 	s.arrivals.record(now, entry)
 	capacity := capacityOf(&entry.Request)
--- a/internal/core/livequeue/livequeue.go
+++ b/internal/core/livequeue/livequeue.go
@@ -35,6 +35,8 @@
 	Bytes int64
 	// Deadline is when the response must be complete.
 	Deadline time.Time
+	// WaitsSince is when the request began to wait, if it waited before; zero otherwise.
+	WaitsSince time.Time
 	// Owner identifies the request to the caller. The queue does not use it.
 	Owner any
 }
@@ -106,7 +108,7 @@
 	// State and Reason are the current state and, if refused, why.
 	State  State
 	Reason Reason
-	// Arrived is when the request was offered.
+	// Arrived is when the request began to wait: Request.WaitsSince, or when it was offered.
 	Arrived time.Time
 	// Basis is what determined the newest decision about the request.
 	Basis Basis
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -17,10 +17,7 @@
 func (x *exchange) choose() (choice fleet.Choice, permitValid func() bool, found bool) {
 	x.denial = coldpermits.Decision{}
 	engines := x.relay.options.Fleet
-	query := fleet.Query{
-		Service: x.service, Zone: x.relay.options.Zone, Region: x.relay.options.Region,
-		Regions: x.homes(), Tried: x.tried, Now: time.Now(),
-	}
+	query := x.engineQuery()
 	choice, found = engines.Choose(query)
 	if !found || !choice.Cold {
 		return choice, nil, found
@@ -47,6 +44,14 @@
 	return choice, nil, found
 }
 
+// engineQuery returns the query for the engines that may run the request now.
+func (x *exchange) engineQuery() fleet.Query {
+	return fleet.Query{
+		Service: x.service, Zone: x.relay.options.Zone, Region: x.relay.options.Region,
+		Regions: x.homes(), Tried: x.excluded(), Now: time.Now(),
+	}
+}
+
 // recordDenial notes that only cold engines are left and that no permit was granted for them.
 func (x *exchange) recordDenial(denial coldpermits.Decision, candidates int) {
 	x.denial = denial
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/livequeue"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 )
@@ -30,8 +31,13 @@
 	// does not.
 	endsAt time.Time
 
-	// tried holds the IDs of the engines tried.
-	tried []string
+	// tried holds the IDs of the engines tried. refusedFull holds those of them that reported that they did not run the
+	// request and have no free slot. A request that waits may be sent to these again.
+	tried       []string
+	refusedFull []string
+	// slot is the slot granted by the queue and not used yet; nil for none. waitsSince is when the request first waited.
+	slot       *livequeue.Entry
+	waitsSince time.Time
 	// denial is why no cold engine was tried, if only cold engines were left.
 	denial coldpermits.Decision
 	// fingerprint is computed on first use; see fingerprintOf.
@@ -75,6 +81,7 @@
 	if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
 		return failure
 	}
+	defer x.releaseSlot()
 	for len(x.tried) < maxTries {
 		if x.ctx.Err() != nil {
 			return x.timeoutFailure()
@@ -82,6 +89,9 @@
 		if !x.relay.options.Gate.AwaitEnginesKnown(x.ctx) {
 			return x.staleStateFailure()
 		}
+		if failure := x.awaitSlot(); failure != nil {
+			return failure
+		}
 		choice, permitValid, found := x.choose()
 		if !found && x.waitForPermit() {
 			continue
@@ -146,7 +156,7 @@
 		return x.coldOnlyFailure()
 	}
 	failure := errkind.New(errkind.NoCapacity, "no engine of %s took the request, %d were asked", x.service, len(x.tried))
-	failure.RetryAfter = refusalRetryAfter
+	failure.RetryAfter = x.refusalRetryAfter()
 	return failure
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -23,6 +23,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
+	"github.com/corkpulley/corkpulley/internal/core/livequeue"
 	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
@@ -151,12 +152,20 @@
 	OnInvalidLoad func(engine fleet.Engine, fault error)
 	// Observe is called at the end of each request.
 	Observe func(route string, kind string, took time.Duration)
+	// LiveQueue bounds the callers' requests that wait while all engines are full; with a MaxWait of zero none waits.
+	LiveQueue livequeue.Limits
+	// OnQueueDecision, if set, is called for each request that waited or was refused by the queue.
+	OnQueueDecision func(decision QueueDecision, waited time.Duration)
+	// OnQueueLength, if set, is called when the number or the bytes of the waiting requests changed.
+	OnQueueLength func(requests int, bytes int64)
 }
 
 // Relay serves requests by relaying them to engines.
 type Relay struct {
 	options  Options
 	splitter *routes.Splitter
+	// live is nil if no request waits.
+	live *liveQueue
 	// now is a clock that advances while the machine is suspended.
 	now func() time.Time
 }
@@ -164,7 +173,9 @@
 // New returns a relay.
 func New(options Options) *Relay {
 	options.Gate = sendgate.OrNew(options.Gate, options.Fleet)
-	return &Relay{options: options, splitter: routes.NewSplitter(options.Seed), now: boottime.Now}
+	return &Relay{
+		options: options, splitter: routes.NewSplitter(options.Seed), live: newLiveQueue(options), now: boottime.Now,
+	}
 }
 
 const (
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -27,6 +27,7 @@
 	ctx, cancel := x.withTryTimeout(remaining)
 	defer cancel()
 	x.relay.options.Fleet.RequestStarted(engine.Incarnation())
+	x.slotUsed()
 	check := x.relay.options.Gate.Check(engine.Incarnation(), permitValid)
 	answer, err := x.relay.options.Engines.Send(ctx, engine, Call{
 		Request: x.request, Sender: x.sender, Remaining: remaining,
@@ -53,6 +54,8 @@
 		outcome.Unreached = false
 	}
 	x.relay.options.Fleet.RequestEnded(engine.Incarnation(), outcome)
+	x.noteRefusal(engine, answer)
+	x.relay.live.requestEnded(engine.Service)
 	if outcome.ConnectionLost && x.quarantined(engine) {
 		result = giveUp
 	}
