Wire the queue of live requests into the node

Cause: the relay needs the limits of the node's memory, and must learn of changes of engines and configuration and of a planned stop.

Change: limits from scheduling.live_wait and the byte budget (a quarter of it, 1024 requests); wake-ups on changes of the engine list, evacuations and configuration; waiting requests are refused as not executed one second before the callers' connections close at a stop; metrics, and rows of the operations page. Tests of internal/hosted pass.

--- a/internal/hosted/bytebudget.go
+++ b/internal/hosted/bytebudget.go
@@ -27,11 +27,16 @@
 
 // newByteBudget returns the budget of bytes buffered for callers and engines.
 func newByteBudget(node settings.Node) *bytebudget.Budget {
+	return bytebudget.New(byteBudgetLimit(node))
+}
+
+// byteBudgetLimit returns the size of the byte budget.
+func byteBudgetLimit(node settings.Node) int64 {
 	memory := int64(node.MemoryMB) << 20
 	if memory == 0 {
 		memory = defaultMemoryBytes
 	}
-	return bytebudget.New(memory / memoryDivisor)
+	return memory / memoryDivisor
 }
 
 // newCallerLimits returns the limits for callers that read slowly.
--- a/internal/hosted/enginelist.go
+++ b/internal/hosted/enginelist.go
@@ -59,6 +59,9 @@
 	n.markNewEngineCold(engine, listed && previous.Incarnation() == engine.Incarnation())
 	change := n.fleet.Put(engine)
 	n.logEngineChange(previous, engine, change, record.Offset)
+	if change != fleet.Renewed || previous.Draining != engine.Draining || previous.Slots != engine.Slots || previous.Service != engine.Service {
+		n.relay.EnginesChanged()
+	}
 }
 
 // removeEngine removes an engine from the fleet and returns it; known is false if it was not listed.
@@ -66,6 +69,9 @@
 	engine, known = n.fleet.Get(id)
 	n.fleet.Remove(id)
 	n.loggedUnreadableLoads.Delete(engine.Incarnation())
+	if known {
+		n.relay.EnginesChanged()
+	}
 	return engine, known
 }
 
--- a/internal/hosted/evacuation.go
+++ b/internal/hosted/evacuation.go
@@ -19,6 +19,7 @@
 	if !update(evacuation.Zone, now, offset) {
 		return
 	}
+	n.relay.EnginesChanged()
 	n.metrics.evacuatedZones.Set(float64(len(n.fleet.EvacuatedZones())))
 	engines, inFlight := 0, 0
 	for _, zone := range n.fleet.Zones() {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -183,7 +183,8 @@
 		Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Region: config.Node.Region, Seed: seedOf(n.holder), Logger: logger,
 		Observe: n.metrics.requestEnded,
-		OnStart: n.usageCounter.CountRequest,
+		OnStart: n.usageCounter.CountRequest, LiveQueue: liveQueueLimits(config),
+		OnQueueDecision: n.metrics.queueDecided, OnQueueLength: n.metrics.queueLengthChanged,
 	})
 	n.elector = leadership.New(log, n.leaseOptions(), n.lead)
 	n.regionElections = newRegionElections(n)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -46,6 +46,11 @@
 	byteBudget     atomic.Pointer[bytebudget.Budget]
 	callersStalled prometheus.Counter
 	memoryRefused  *prometheus.CounterVec
+	// queueDecisions, queueWait, queueRequests and queueBytes describe the live requests that wait for a slot.
+	queueDecisions *prometheus.CounterVec
+	queueWait      *prometheus.HistogramVec
+	queueRequests  prometheus.Gauge
+	queueBytes     prometheus.Gauge
 	// traffic counts messages to other machines.
 	traffic *traffic
 	// logCalls and logBytes count calls to the event log.
@@ -124,6 +129,7 @@
 	m.addVersionMetrics(registry)
 	m.addSlowStartMetrics()
 	m.addHeldBytesMetrics(registry)
+	m.addLiveQueueMetrics(registry)
 	m.traffic = newTraffic(registry)
 	m.addLogCallMetrics(registry)
 	registry.MustRegister(
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -110,6 +110,7 @@
 		n.fleet.SetSlowStarts(change.Table.SlowStarts())
 		n.warnUnknownHomes(change.Table)
 		n.regionElections.NotifyTableChanged()
+		n.relay.ConfigurationChanged()
 		n.logger.Info().Int64("config", change.Table.Version).Int64("offset", record.Offset).Msg("configuration in force")
 	}
 	if change.Model != "" && n.state.setVersion(change.Model, change.ModelVersion) {
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -15,6 +15,9 @@
 	// minTaskTime is the minimum time for the background tasks to end; the same time remains for the exit of the
 	// process.
 	minTaskTime = exitReserve / 2
+	// refusalReserve is the part of the grace period before exitReserve in which no request waits for an engine any more:
+	// one that is refused then can be answered, and one that is sent has time to complete.
+	refusalReserve = time.Second
 	// releaseTimeout bounds the release of leases, for which the end of the grace period is reserved.
 	releaseTimeout = 1500 * time.Millisecond
 )
@@ -30,6 +33,8 @@
 	grace := n.state.gracePeriod()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitReserve))
 	defer cancel()
+	refusal := time.AfterFunc(time.Until(began.Add(grace-exitReserve-refusalReserve)), n.relay.RefuseWaiting)
+	defer refusal.Stop()
 	n.elector.DeferClaims()
 	n.regionElections.DeferClaims()
 	timer := time.NewTimer(time.Until(began.Add(min(deregistrationTime, grace/2))))
