Explain the queue's decision about a live request

Cause: corkctl explain did not tell why a request waited or was refused by the queue.

Change: it names the decision, what was ahead, the estimate and the time left.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -75,6 +75,7 @@
 	if len(failures) > 0 {
 		failed = " Failed attempts: " + strings.Join(failures, "; ") + "."
 	}
+	failed = queueNotes(trace) + failed
 	if refused := trace.last("request refused"); refused != nil {
 		return fmt.Sprintf("Refused by %s with %.0f %s: %s.%s%s", refused.Node, refused.number("status"),
 			refused.text("kind"), refused.text("error"), failed, trace.contextNotes())
