Leave the answered request out of the known occupancy

Cause: an engine writes its load report before the answer ends, so that the report counts the request that the answer ends. A service with one slot an engine counted as full for 500 ms after each answer.

Change: the occupancy for the queue subtracts that request. Choose goes by the same figures as before.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -54,6 +54,8 @@
 	inFlight int
 	load     Load
 	loadAt   time.Time
+	// loadCountsEnded is true if load came with a complete answer, and so counts the request that the answer ended.
+	loadCountsEnded bool
 	// failures counts consecutive failures; suspectUntil follows from it.
 	failures     int
 	suspectUntil time.Time
--- a/internal/core/fleet/outcome.go
+++ b/internal/core/fleet/outcome.go
@@ -46,7 +46,7 @@
 	m.inFlight = max(0, m.inFlight-1)
 	f.updateColdMark(id, outcome)
 	if outcome.Load != nil {
-		m.load, m.loadAt = *outcome.Load, outcome.At
+		m.load, m.loadAt, m.loadCountsEnded = *outcome.Load, outcome.At, outcome.Latency > 0
 	}
 	switch {
 	case outcome.AddressReused:
--- a/internal/core/fleet/saturation.go
+++ b/internal/core/fleet/saturation.go
@@ -37,7 +37,7 @@
 		Candidates: len(candidates), AnswerTime: f.answerTime(query.Service), AnswerTimeKnown: known,
 	}
 	for _, candidate := range candidates {
-		slots, occupied := max(1, candidate.engine.Slots), candidate.occupied(query.Now)
+		slots, occupied := max(1, candidate.engine.Slots), candidate.remaining(query.Now)
 		state.Slots += slots
 		state.Occupied += occupied
 		state.Own += min(candidate.inFlight, occupied)
@@ -51,3 +51,13 @@
 	}
 	return state
 }
+
+// remaining returns the number of requests known to be at the engine, like occupied, without the request whose answer
+// brought the load report: engines write the report before the answer ends.
+func (m *member) remaining(now time.Time) int {
+	occupied := m.occupied(now)
+	if m.loadCountsEnded && occupied > m.inFlight && occupied == m.load.Running+m.load.Waiting {
+		return occupied - 1
+	}
+	return occupied
+}
--- a/internal/core/fleet/saturation_test.go
+++ b/internal/core/fleet/saturation_test.go
@@ -37,6 +37,19 @@
 	assert.Assert(t, !f.Saturation(query).Full(), "the report has expired")
 }
 
+// Guards against requests that wait for the slot of a request that has ended: the report in its answer counted it.
+func TestSaturationLeavesOutTheAnsweredRequest(t *testing.T) {
+	f := fleetOf(Engine{ID: "a", Service: "s", Slots: 1})
+	id := incarnation.ID{Engine: "a"}
+	f.RequestStarted(id)
+	f.RequestEnded(id, Outcome{At: now, Load: &Load{Running: 1}, Latency: time.Millisecond})
+	assert.Equal(t, f.Saturation(Query{Service: "s", Now: now}).Free, 1)
+	f.RequestStarted(id)
+	assert.Assert(t, f.Saturation(Query{Service: "s", Now: now}).Full())
+	f.RequestEnded(id, Outcome{At: now, Load: &Load{Running: 1}})
+	assert.Assert(t, f.Saturation(Query{Service: "s", Now: now}).Full(), "the report in a refusal does not count the refused request")
+}
+
 // Guards against requests that wait for engines which they may not use, or go out because such an engine is free.
 func TestSaturationCountsOnlyEnginesThatMayRunTheRequest(t *testing.T) {
 	f := fleetOf(Engine{ID: "north", Service: "s", Slots: 1, Region: "north"},
