--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -58,6 +58,8 @@
 	orderQuiet time.Duration
 	// enginesFence sets whether nodes assume that engines check fencing tokens.
 	enginesFence bool
+	// liveWait is the longest wait of a live request for an engine; zero for none.
+	liveWait time.Duration
 }
 
 // testNode is a node that runs within the test process.
@@ -228,6 +230,7 @@
 	config.Hosted.Lease = settings.Duration(800 * time.Millisecond)
 	config.Hosted.OrderQuiet = settings.Duration(d.orderQuiet)
 	config.Hosted.EnginesFence = d.enginesFence
+	config.Scheduling.LiveWait = settings.Duration(d.liveWait)
 	if d.duties != "" {
 		config.Hosted.Duties, config.Hosted.DutyKinds = d.duties, "usage,scaler"
 		config.Hosted.UsageWindow, config.Hosted.UsageDue = settings.Duration(usageWindow), settings.Duration(usageDue)
