Send requests that waited to an engine with a free slot

Cause: the choice weighs distance against occupancy, so that a request which waited for a slot, or which a full engine had refused, could be sent to a near engine that is full.

Change: Query.ExcludeFull, which the relay sets for such requests. Without an engine with a free slot the choice is as before.

--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -22,6 +22,8 @@
 	// Tried holds the IDs of engines that this request was already sent to.
 	Tried       []string
 	ExcludeCold bool
+	// ExcludeFull excludes the engines that count as full; see Saturation. Recently failed ones are then not chosen.
+	ExcludeFull bool
 	Now         time.Time
 }
 
@@ -60,7 +62,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := f.filter(query, false)
-	if len(candidates) == 0 {
+	if len(candidates) == 0 && !query.ExcludeFull {
 		candidates = f.filter(query, true)
 	}
 	if len(candidates) == 0 {
@@ -91,6 +93,9 @@
 		if query.ExcludeCold && f.isCold(candidate, query.Now) {
 			continue
 		}
+		if query.ExcludeFull && candidate.isFull(query.Now) {
+			continue
+		}
 		candidates = append(candidates, candidate)
 	}
 	return candidates
--- a/internal/core/fleet/saturation.go
+++ b/internal/core/fleet/saturation.go
@@ -52,6 +52,9 @@
 	return state
 }
 
+// isFull reports whether the engine is known to have no free slot.
+func (m *member) isFull(now time.Time) bool { return m.remaining(now) >= max(1, m.engine.Slots) }
+
 // remaining returns the number of requests known to be at the engine, like occupied, without the request whose answer
 // brought the load report: engines write the report before the answer ends.
 func (m *member) remaining(now time.Time) int {
--- a/internal/core/fleet/saturation_test.go
+++ b/internal/core/fleet/saturation_test.go
@@ -65,6 +65,20 @@
 	assert.Assert(t, !f.Saturation(query).Full(), "without engines there is nothing to wait for")
 }
 
+// Guards against a request that is sent to a full engine nearby although it waited for the slot of a farther one.
+func TestFullEnginesAreExcludedOnRequest(t *testing.T) {
+	f := fleetOf(Engine{ID: "near", Service: "s", Slots: 1, Zone: "z", Region: "r"},
+		Engine{ID: "far", Service: "s", Slots: 1, Zone: "y", Region: "q"})
+	f.RequestStarted(incarnation.ID{Engine: "near"})
+	f.answerTimes["s"] = time.Millisecond // the distance weighs more than the occupancy
+	query := Query{Zone: "z", Region: "r"}
+	assert.Equal(t, chooseID(f, query), "near")
+	query.ExcludeFull = true
+	assert.Equal(t, chooseID(f, query), "far")
+	f.RequestStarted(incarnation.ID{Engine: "far"})
+	assert.Equal(t, chooseID(f, query), "")
+}
+
 func benchmarkFleet() *Fleet {
 	f := New()
 	for i := range 1000 {
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -408,6 +408,29 @@
 	d.end()
 }
 
+// Guards against tries at an engine that has just said that it is full while others have free slots.
+func TestRequestRefusedByAFullEngineGoesToAFreeOne(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	d.Relay.options.Fleet.Put(fleet.Engine{ID: "far", Service: "s", Slots: 1, Zone: "y", Region: "south"})
+	d.Relay.options.Zone, d.Relay.options.Region = "z", "north"
+	var asked []string
+	d.engines.answer = func(engine fleet.Engine, _ string) *Answer {
+		asked = append(asked, engine.ID)
+		if engine.ID == "far" {
+			return &Answer{Status: http.StatusOK}
+		}
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Load: &fleet.Load{Running: 1, Slots: 1}}
+	}
+	for range 20 {
+		// The distance weighs more than the occupancy once responses are short.
+		assert.Assert(t, d.send(t.Context(), "1", "key-a", 0).wait(t) == nil)
+	}
+	for i := 1; i < len(asked); i++ {
+		assert.Assert(t, asked[i-1] == "far" || asked[i] == "far", "%v", asked)
+	}
+	d.end()
+}
+
 // Guards against status 429 or 503 for a request that an engine may have run, and against its wait.
 func TestRequestThatMayHaveRunIsNotRefused(t *testing.T) {
 	d := deployQueue(t, livequeue.Limits{MaxWait: 50 * time.Millisecond, Requests: 0, Bytes: 0})
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -14,10 +14,24 @@
 
 // choose returns the engine to try next. A cold engine needs a permit, whose validity permitValid reports; without
 // a permit, a warm engine is chosen, or none.
+//
+// A request that waited for a free slot, or that a full engine refused, goes to an engine with a free slot if there is
+// one, and otherwise, as all requests do, to the engine from which a response is expected first.
 func (x *exchange) choose() (choice fleet.Choice, permitValid func() bool, found bool) {
+	query := x.engineQuery()
+	if !x.waitsSince.IsZero() || len(x.refusedFull) > 0 {
+		query.ExcludeFull = true
+		if choice, permitValid, found = x.chooseBy(query); found {
+			return choice, permitValid, true
+		}
+		query.ExcludeFull, query.Tried = false, x.tried
+	}
+	return x.chooseBy(query)
+}
+
+func (x *exchange) chooseBy(query fleet.Query) (choice fleet.Choice, permitValid func() bool, found bool) {
 	x.denial = coldpermits.Decision{}
 	engines := x.relay.options.Fleet
-	query := x.engineQuery()
 	choice, found = engines.Choose(query)
 	if !found || !choice.Cold {
 		return choice, nil, found
