--- a/internal/hosted/livequeue.go
+++ b/internal/hosted/livequeue.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxWaitingRequests bounds the requests that wait at a node for an engine. A request that waits takes some 20 KB
-	// besides its body, for its connection and goroutines.
+	// maxWaitingRequests bounds the requests that wait at a node for an engine, and with them their connections and
+	// goroutines. It is far above the live requests of a node in a burst, some tens a second.
 	maxWaitingRequests = 1024
 	// waitingBytesDivisor is the part of the byte budget that bodies of waiting requests may take. Bodies may take half
 	// of the budget, so that as much is left for those of requests that need not wait.
