--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -257,6 +258,46 @@
 	assert.Assert(t, !slices.Contains(d.engines.sentIDs(), "3"))
 }
 
+// Guards against a decision whose line lacks what determined it, or that is logged more than once.
+func TestEachDecisionIsLoggedOnceWithItsBasis(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	var logs bytes.Buffer
+	d.Relay.options.Logger = zerolog.New(&lockedWriter{writer: &logs})
+	d.send(t.Context(), "1", "key-a", 0)
+	waits := d.send(t.Context(), "2", "key-b", 0)
+	d.send(t.Context(), "3", "key-b", 60*time.Millisecond).wait(t)
+	d.end()
+	assert.Assert(t, waits.wait(t) == nil)
+	for id, wanted := range map[string]string{
+		"2": `"service":"s","tenant":"b","priority":5,"decision":"waited","reason":"none"`,
+		"3": `"service":"s","tenant":"b","priority":5,"decision":"hopeless","reason":"hopeless"`,
+	} {
+		var found []string
+		for line := range strings.Lines(logs.String()) {
+			if strings.Contains(line, `"id":"`+id+`"`) && strings.Contains(line, `"message":"live request `) {
+				found = append(found, line)
+			}
+		}
+		assert.Equal(t, len(found), 1, "%s: %v", id, found)
+		assert.Assert(t, strings.Contains(found[0], wanted), found[0])
+		for _, field := range []string{"waited_ms", "expected_ms", "response_ms", "remaining_ms", "ahead", "waiting", "slots", "occupied", "own"} {
+			assert.Assert(t, strings.Contains(found[0], `"`+field+`":`), found[0])
+		}
+	}
+}
+
+// lockedWriter serializes writes.
+type lockedWriter struct {
+	mu     sync.Mutex
+	writer io.Writer
+}
+
+func (w *lockedWriter) Write(content []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.writer.Write(content)
+}
+
 // Guards against places that callers keep after they left, and requests that are sent for nobody.
 func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
 	d := deployQueue(t, waitsLong)
