Tighten the tests of the queue of live requests

Cause: of 56 mutants of the queue and its use, 10 survived: events that wake waiting requests were covered by timers, changes of the configuration by the time-out of the first try, and some rules had no test.

Change: tests for these, and for a quarantine during the wait; Offer leaves requests without engines to Next, which made its own condition redundant.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -24,7 +24,7 @@
 	s := q.service(request.Service)
 	s.arrivals.record(now, entry)
 	capacity := capacityOf(&entry.Request)
-	if capacity.Candidates == 0 || s.waiting == 0 && capacity.Free > s.granted {
+	if s.waiting == 0 && capacity.Free > s.granted {
 		q.describe(now, entry, capacity, 0)
 		entry.State = Granted
 		s.granted++
--- a/internal/core/livequeue/livequeue_test.go
+++ b/internal/core/livequeue/livequeue_test.go
@@ -176,6 +176,19 @@
 	assert.Assert(t, waits.refusedAt.Sub(start) <= 30*ms, "refused after %s", waits.refusedAt.Sub(start))
 }
 
+// Guards against a slot that is spent on a response which comes too late, although another request can still be served.
+func TestFreeSlotGoesToARequestThatCanBeServed(t *testing.T) {
+	q := New(roomy)
+	capacity := Capacity{Candidates: 1, Slots: 1, Occupied: 1, Own: 1, Response: 25 * ms}
+	capacityOf := func(*Request) Capacity { return capacity }
+	late, _ := q.Offer(start, Request{Service: "s", Flow: "a", Deadline: start.Add(100 * ms)}, capacityOf)
+	inTime, _ := q.Offer(start, Request{Service: "s", Flow: "a", Deadline: start.Add(200 * ms)}, capacityOf)
+	capacity.Occupied, capacity.Free = 0, 1
+	q.Next(start.Add(90*ms), "s", capacityOf)
+	assert.Equal(t, late.Reason, Hopeless)
+	assert.Equal(t, inTime.State, Granted)
+}
+
 // Guards against a node that holds more than its bounds, and against small tenants that pay for a large one's burst.
 func TestFullQueueRefusesNewestOfLargestHolder(t *testing.T) {
 	s := newSimulation(t, Limits{MaxWait: 10 * time.Second, Requests: 4, Bytes: 1000}, 1)
@@ -212,6 +225,11 @@
 	}
 	assert.Equal(t, offer("a", 101).Reason, QueueFull)
 	small, large := offer("a", 10), offer("b", 90)
+	tooLarge, changes := q.Offer(start, Request{
+		Service: "s", Flow: "a", Bytes: 101, Priority: -1, Deadline: start.Add(time.Second),
+	}, full)
+	assert.Equal(t, tooLarge.Reason, QueueFull)
+	assert.Equal(t, len(changes.Refused), 0, "a body that can never wait displaces no other")
 	assert.Equal(t, large.State, Waiting)
 	next := offer("c", 5)
 	assert.Equal(t, next.State, Waiting)
@@ -241,7 +259,24 @@
 	q.Abandon(waits)
 	q.Abandon(waits)
 	again, _ := q.Offer(start, request, capacityOf)
-	assert.Equal(t, again.State, Granted, "a second withdrawal has no effect")
+	assert.Equal(t, again.State, Granted)
+	next, _ := q.Offer(start, request, capacityOf)
+	assert.Equal(t, next.State, Waiting, "a second withdrawal has no effect")
+}
+
+// Guards against a newcomer that takes a slot, free since a report expired, before the requests that wait for it.
+func TestNewcomerDoesNotOvertakeTheQueue(t *testing.T) {
+	q := New(roomy)
+	capacity := Capacity{Candidates: 1, Slots: 1, Occupied: 1, Response: ms}
+	capacityOf := func(*Request) Capacity { return capacity }
+	request := Request{Service: "s", Flow: "a", Deadline: start.Add(time.Second)}
+	waits, _ := q.Offer(start, request, capacityOf)
+	assert.Equal(t, waits.State, Waiting)
+	capacity.Occupied, capacity.Free = 0, 1
+	newcomer, changes := q.Offer(start, request, capacityOf)
+	assert.Equal(t, waits.State, Granted)
+	assert.DeepEqual(t, len(changes.Granted), 1)
+	assert.Equal(t, newcomer.State, Waiting)
 }
 
 // Guards against requests that wait for engines which are gone.
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/livequeue"
+	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -72,10 +74,12 @@
 	running   sync.WaitGroup
 }
 
+// queueTable returns a table with one route. It allows one attempt, whose time is only bounded by the request's, so that
+// the first request holds the slot until the test lets it go.
 func queueTable(version int64, tenants []routes.Tenant, change func(route *routes.Route)) *routes.Table {
 	route := routes.Route{
 		Name: "r", Host: "h", Prefix: "/x/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
-		Timeout: 2 * time.Second, MaxAttempts: 2, Priority: 5,
+		Timeout: 2 * time.Second, MaxAttempts: 1, Priority: 5,
 	}
 	if change != nil {
 		change(&route)
@@ -181,14 +185,27 @@
 
 var waitsLong = livequeue.Limits{MaxWait: 10 * time.Second, Requests: 100, Bytes: 1 << 20}
 
+// expectSlowResponses makes the mean response time some seconds, so that only an event wakes a waiting request soon, and
+// not its timer.
+func (d *queueDeployment) expectSlowResponses() {
+	d.configure(queueTable(2, twoTenants, func(route *routes.Route) { route.Timeout = 30 * time.Second }))
+	id := incarnation.ID{Engine: "e"}
+	d.Relay.options.Fleet.RequestStarted(id)
+	d.Relay.options.Fleet.RequestEnded(id, fleet.Outcome{At: time.Now(), Latency: 20 * time.Second})
+}
+
 // Guards against a waiting request that is not sent once a request of this node has ended.
 func TestWaitingRequestIsSentWhenASlotComesFree(t *testing.T) {
 	d := deployQueue(t, waitsLong)
+	d.expectSlowResponses()
 	first := d.send(t.Context(), "1", "key-a", 0)
 	second := d.send(t.Context(), "2", "key-b", 0)
 	assert.DeepEqual(t, d.engines.sentIDs(), []string{"1"})
+	freed := time.Now()
 	d.engines.proceed <- struct{}{}
 	assert.Assert(t, first.wait(t) == nil)
+	testwait.Until(t, "the waiting request to be sent", func() bool { return len(d.engines.sentIDs()) == 2 })
+	assert.Assert(t, time.Since(freed) < time.Second)
 	d.engines.proceed <- struct{}{}
 	assert.Assert(t, second.wait(t) == nil)
 	assert.DeepEqual(t, d.engines.sentIDs(), []string{"1", "2"})
@@ -327,8 +344,10 @@
 			d := deployQueue(t, waitsLong)
 			d.send(t.Context(), "1", "key-a", 0)
 			second := d.send(t.Context(), "2", "key-b", 0)
+			configured := time.Now()
 			d.configure(test.table)
 			failure := second.wait(t)
+			assert.Assert(t, time.Since(configured) < time.Second, "the first request still holds the slot")
 			assert.Equal(t, failure.Kind, test.kind)
 			assert.Equal(t, failure.Kind.Response().Execution, errkind.NotExecuted)
 			d.end()
@@ -355,14 +374,16 @@
 	assert.Assert(t, third.wait(t) == nil)
 }
 
-// Guards against requests that keep their old place when their priority or service changes.
+// Guards against requests that wait on for the engines of a service to which their route no longer leads.
 func TestRequestsMoveWithTheConfiguration(t *testing.T) {
 	d := deployQueue(t, waitsLong)
 	d.Relay.options.Fleet.Put(fleet.Engine{ID: "f", Service: "other", Slots: 1})
 	d.send(t.Context(), "1", "key-a", 0)
 	second := d.send(t.Context(), "2", "key-b", 0)
+	configured := time.Now()
 	d.configure(queueTable(2, twoTenants, func(route *routes.Route) { route.Parts[0].Service = "other" }))
 	testwait.Until(t, "the waiting request to be sent", func() bool { return len(d.engines.sentIDs()) == 2 })
+	assert.Assert(t, time.Since(configured) < time.Second, "the first request still holds the other slot")
 	d.end()
 	assert.Assert(t, second.wait(t) == nil)
 }
@@ -391,15 +412,50 @@
 	d.end()
 }
 
+// quarantiningGuard refuses requests once the test says that engines ended under them.
+type quarantiningGuard struct {
+	noCrashes
+	crashes atomic.Int64
+}
+
+func (g *quarantiningGuard) Status(func() quarantine.Fingerprint) quarantine.Status {
+	return quarantine.Status{Crashes: int(g.crashes.Load())}
+}
+
+func (g *quarantiningGuard) Admit(context.Context, func() quarantine.Fingerprint) *errkind.Error {
+	if g.crashes.Load() >= quarantine.RequestLimit {
+		return errkind.New(errkind.Quarantined, "the request is quarantined")
+	}
+	return nil
+}
+
+// Guards against a request that is sent although engines ended under the same one while it waited.
+func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	guard := &quarantiningGuard{}
+	d.Relay.options.Guard = guard
+	d.send(t.Context(), "1", "key-a", 0)
+	second := d.send(t.Context(), "2", "key-b", 0)
+	guard.crashes.Store(quarantine.RequestLimit)
+	d.engines.proceed <- struct{}{}
+	assert.Equal(t, second.wait(t).Kind, errkind.Quarantined)
+	assert.DeepEqual(t, d.engines.sentIDs(), []string{"1"})
+	assert.Equal(t, d.waiting(), 0)
+	d.end()
+}
+
 // Guards against requests that wait for a slot of an engine that was just listed, or that left.
 func TestChangesOfTheEngineListWakeWaitingRequests(t *testing.T) {
 	d := deployQueue(t, waitsLong)
+	d.expectSlowResponses()
 	d.send(t.Context(), "1", "key-a", 0)
 	second := d.send(t.Context(), "2", "key-b", 0)
 	third := d.send(t.Context(), "3", "key-b", 0)
+	listed := time.Now()
 	d.Relay.options.Fleet.Put(fleet.Engine{ID: "f", Service: "s", Slots: 1})
 	d.EnginesChanged()
 	testwait.Until(t, "the waiting request to be sent", func() bool { return len(d.engines.sentIDs()) == 2 })
+	assert.Assert(t, time.Since(listed) < time.Second)
 	d.Relay.options.Fleet.Remove("e")
 	d.Relay.options.Fleet.Remove("f")
 	d.EnginesChanged()
@@ -475,6 +531,7 @@
 // Guards against status 429 or 503 for a request that an engine may have run, and against its wait.
 func TestRequestThatMayHaveRunIsNotRefused(t *testing.T) {
 	d := deployQueue(t, livequeue.Limits{MaxWait: 50 * time.Millisecond, Requests: 0, Bytes: 0})
+	d.configure(queueTable(2, twoTenants, func(route *routes.Route) { route.MaxAttempts = 2 }))
 	d.Relay.options.Fleet.Put(fleet.Engine{ID: "f", Service: "s", Slots: 1})
 	d.engines.answer = func(engine fleet.Engine, _ string) *Answer {
 		for _, id := range []string{"e", "f"} {
