Grant free slots without a scan of all engines

Change: while nothing waits, a request is granted a slot as soon as more free slots are found than are granted.

--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -80,27 +80,31 @@
 func (f *Fleet) filter(query Query, includeSuspected bool) []*member {
 	var candidates []*member
 	for _, id := range f.byService[query.Service] {
-		candidate := f.members[id]
-		if !f.acceptsWork(candidate.engine) || !query.Regions.Allows(candidate.engine.Region) || contains(query.Tried, id) {
-			continue
+		if candidate := f.members[id]; f.mayRun(candidate, &query, includeSuspected) {
+			candidates = append(candidates, candidate)
 		}
-		if !includeSuspected && query.Now.Before(candidate.suspectUntil) {
-			continue
-		}
-		if query.Model != "" && candidate.engine.Versions[query.Model] < query.MinVersion {
-			continue
-		}
-		if query.ExcludeCold && f.isCold(candidate, query.Now) {
-			continue
-		}
-		if query.ExcludeFull && candidate.isFull(query.Now) {
-			continue
-		}
-		candidates = append(candidates, candidate)
 	}
 	return candidates
 }
 
+// mayRun reports whether an engine of the service may run the request. Must be called with mu held.
+func (f *Fleet) mayRun(candidate *member, query *Query, includeSuspected bool) bool {
+	if !f.acceptsWork(candidate.engine) || !query.Regions.Allows(candidate.engine.Region) ||
+		contains(query.Tried, candidate.engine.ID) {
+		return false
+	}
+	if !includeSuspected && query.Now.Before(candidate.suspectUntil) {
+		return false
+	}
+	if query.Model != "" && candidate.engine.Versions[query.Model] < query.MinVersion {
+		return false
+	}
+	if query.ExcludeCold && f.isCold(candidate, query.Now) {
+		return false
+	}
+	return !query.ExcludeFull || !candidate.isFull(query.Now)
+}
+
 func contains(ids []string, id string) bool {
 	for _, each := range ids {
 		if each == id {
--- a/internal/core/fleet/saturation.go
+++ b/internal/core/fleet/saturation.go
@@ -52,6 +52,25 @@
 	return state
 }
 
+// HasFreeSlots reports whether more than the given number of slots are not known to be taken at engines that did not
+// fail recently. It looks only at as many engines as it needs, unlike Saturation.
+func (f *Fleet) HasFreeSlots(query Query, moreThan int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	free := 0
+	for _, id := range f.byService[query.Service] {
+		candidate := f.members[id]
+		if !f.mayRun(candidate, &query, false) {
+			continue
+		}
+		free += max(0, max(1, candidate.engine.Slots)-candidate.remaining(query.Now))
+		if free > moreThan {
+			return true
+		}
+	}
+	return false
+}
+
 // isFull reports whether the engine is known to have no free slot.
 func (m *member) isFull(now time.Time) bool { return m.remaining(now) >= max(1, m.engine.Slots) }
 
--- a/internal/core/fleet/saturation_test.go
+++ b/internal/core/fleet/saturation_test.go
@@ -79,6 +79,18 @@
 	assert.Equal(t, chooseID(f, query), "")
 }
 
+// Guards against an answer that differs from the number of free slots that Saturation counts.
+func TestHasFreeSlotsAgreesWithSaturation(t *testing.T) {
+	f := fleetOf(testEngine("a", "z"), testEngine("b", "z"), Engine{ID: "c", Service: "s", Slots: 4, Draining: true})
+	f.RequestStarted(incarnation.ID{Engine: "a"})
+	report(f, "b", now, Load{Running: 9})
+	query := Query{Service: "s", Now: now}
+	assert.Equal(t, f.Saturation(query).Free, 3)
+	for more, wanted := range map[int]bool{0: true, 2: true, 3: false, 4: false} {
+		assert.Equal(t, f.HasFreeSlots(query, more), wanted, "more than %d", more)
+	}
+}
+
 func benchmarkFleet() *Fleet {
 	f := New()
 	for i := range 1000 {
--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -16,20 +16,8 @@
 // A request is granted a slot unless all engines that may run it are known to be full, counting the slots that are
 // granted and not used yet. Without any engine it is granted too: it does not wait for engines that may never come.
 func (q *Queue) Offer(now time.Time, request Request, capacityOf CapacityOf) (*Entry, Changes) {
-	q.sequence++
-	entry := &Entry{Request: request, Arrived: now, sequence: q.sequence}
-	if !request.WaitsSince.IsZero() {
-		entry.Arrived = request.WaitsSince
-	}
-	s := q.service(request.Service)
-	s.arrivals.record(now, entry)
+	entry, s := q.newEntry(now, request)
 	capacity := capacityOf(&entry.Request)
-	if s.waiting == 0 && capacity.Free > s.granted {
-		q.describe(now, entry, capacity, 0)
-		entry.State = Granted
-		s.granted++
-		return entry, Changes{}
-	}
 	q.insert(entry)
 	changes := q.Next(now, request.Service, capacityOf)
 	switch entry.State {
@@ -63,6 +51,30 @@
 	return entry, changes
 }
 
+// OfferFree grants a request a slot at once if nothing of its service waits and hasFree reports that more slots are free
+// than are granted. Otherwise it returns nil, and Offer decides. Most requests need no more than this.
+func (q *Queue) OfferFree(now time.Time, request Request, hasFree func(moreThan int) bool) *Entry {
+	if s := q.service(request.Service); s.waiting > 0 || !hasFree(s.granted) {
+		return nil
+	}
+	entry, s := q.newEntry(now, request)
+	entry.State = Granted
+	s.granted++
+	return entry
+}
+
+// newEntry returns an entry for the request, with the queue of its service.
+func (q *Queue) newEntry(now time.Time, request Request) (*Entry, *service) {
+	q.sequence++
+	entry := &Entry{Request: request, Arrived: now, sequence: q.sequence}
+	if !request.WaitsSince.IsZero() {
+		entry.Arrived = request.WaitsSince
+	}
+	s := q.service(request.Service)
+	s.arrivals.record(now, entry)
+	return entry, s
+}
+
 func (q *Queue) insert(entry *Entry) {
 	q.service(entry.Service).insert(entry)
 	q.requests++
--- a/internal/core/livequeue/livequeue_test.go
+++ b/internal/core/livequeue/livequeue_test.go
@@ -279,6 +279,21 @@
 	assert.Equal(t, newcomer.State, Waiting)
 }
 
+// Guards against the short way past the queue while others wait, or while the free slots are granted already.
+func TestRequestsPassTheQueueOnlyWhileSlotsAreFree(t *testing.T) {
+	q := New(roomy)
+	request := Request{Service: "s", Flow: "a", Deadline: start.Add(time.Second)}
+	oneFree := func(moreThan int) bool { return moreThan < 1 }
+	granted := q.OfferFree(start, request, oneFree)
+	assert.Equal(t, granted.State, Granted)
+	assert.Assert(t, q.OfferFree(start, request, oneFree) == nil)
+	full := Capacity{Candidates: 1, Slots: 1, Occupied: 1, Own: 1, Response: ms}
+	waits, _ := q.Offer(start, request, func(*Request) Capacity { return full })
+	assert.Equal(t, waits.State, Waiting)
+	q.Abandon(granted)
+	assert.Assert(t, q.OfferFree(start, request, oneFree) == nil)
+}
+
 // Guards against requests that wait for engines which are gone.
 func TestRequestsWithoutEnginesDoNotWait(t *testing.T) {
 	q := New(roomy)
--- a/internal/core/livequeue/simulation_test.go
+++ b/internal/core/livequeue/simulation_test.go
@@ -107,11 +107,15 @@
 }
 
 func (s *simulation) offer(j *job) {
-	var changes Changes
-	j.entry, changes = s.queue.Offer(s.now, Request{
+	request := Request{
 		Service: "s", Flow: j.flow, Priority: j.priority, Class: j.class, Bytes: 1, Deadline: j.arrives.Add(j.deadline), Owner: j,
-	}, s.capacity)
-	s.apply(changes)
+	}
+	j.entry = s.queue.OfferFree(s.now, request, func(moreThan int) bool { return s.capacity(&request).Free > moreThan })
+	if j.entry == nil {
+		var changes Changes
+		j.entry, changes = s.queue.Offer(s.now, request, s.capacity)
+		s.apply(changes)
+	}
 	s.settle(j)
 }
 
--- a/internal/ingress/livequeue.go
+++ b/internal/ingress/livequeue.go
@@ -165,6 +165,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	query := request.Owner.(*waiter).query
+	query.Now = now
+	entry = l.queue.OfferFree(now, request, func(moreThan int) bool { return l.fleet.HasFreeSlots(query, moreThan) })
+	if entry != nil {
+		return entry, entry.Basis, now
+	}
 	entry, changes := l.queue.Offer(now, request, l.capacityAt(now))
 	if entry.State == livequeue.Refused {
 		l.setRetryAfter(now, entry)
