Scan the engines once for each decision of the queue

Cause: while all engines are full, an offer counted their occupancy three times.

Change: the capacity of a class is remembered for the call, and the entry holds when its evidence expires.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -17,9 +17,10 @@
 // granted and not used yet. Without any engine it is granted too: it does not wait for engines that may never come.
 func (q *Queue) Offer(now time.Time, request Request, capacityOf CapacityOf) (*Entry, Changes) {
 	entry, s := q.newEntry(now, request)
+	capacityOf = capacityOf.remembered()
 	capacity := capacityOf(&entry.Request)
 	q.insert(entry)
-	changes := q.Next(now, request.Service, capacityOf)
+	changes := q.next(now, request.Service, capacityOf)
 	switch entry.State {
 	case Granted:
 		changes.Granted = slices.DeleteFunc(changes.Granted, func(each *Entry) bool { return each == entry })
@@ -84,36 +85,31 @@
 // Next grants free slots of a service to waiting requests, in their order, and refuses those whose responses can no
 // longer be expected in time. It must be called whenever a slot may have come free.
 func (q *Queue) Next(now time.Time, serviceName string, capacityOf CapacityOf) Changes {
-	var changes Changes
-	s, found := q.services[serviceName]
-	if !found || s.waiting == 0 {
-		return changes
-	}
-	capacities := make(map[string]Capacity)
-	capacity := func(entry *Entry) Capacity {
-		known, found := capacities[entry.Class]
-		if !found {
-			known = capacityOf(&entry.Request)
-			capacities[entry.Class] = known
-		}
-		return known
+	if q.IsIdle(serviceName) {
+		return Changes{}
 	}
-	for _, entry := range s.expired(now, func(entry *Entry) time.Duration { return capacity(entry).Response }) {
+	return q.next(now, serviceName, capacityOf.remembered())
+}
+
+func (q *Queue) next(now time.Time, serviceName string, capacityOf CapacityOf) Changes {
+	var changes Changes
+	s := q.services[serviceName]
+	for _, entry := range s.expired(now, func(entry *Entry) time.Duration { return capacityOf(&entry.Request).Response }) {
 		ahead, _ := s.ahead(entry)
-		q.describe(now, entry, capacity(entry), ahead)
+		q.describe(now, entry, capacityOf(&entry.Request), ahead)
 		q.remove(entry, Refused, Hopeless)
 		changes.Refused = append(changes.Refused, entry)
 	}
 	for {
 		class, f, entry := s.next(func(entry *Entry) bool {
-			known := capacity(entry)
+			known := capacityOf(&entry.Request)
 			return known.Candidates == 0 || known.Free > s.granted
 		})
 		if entry == nil {
 			return changes
 		}
 		class.advance(f)
-		q.describe(now, entry, capacity(entry), 0)
+		q.describe(now, entry, capacityOf(&entry.Request), 0)
 		q.remove(entry, Granted, NotRefused)
 		s.granted++
 		changes.Granted = append(changes.Granted, entry)
@@ -169,10 +165,10 @@
 
 // ReassessAt returns when a waiting entry must be reassessed unless it is granted a slot before: when its estimate or
 // the knowledge that the engines are full expires, after the longest wait, or when its response would come too late.
-func (q *Queue) ReassessAt(now time.Time, entry *Entry, capacity Capacity) time.Time {
+func (q *Queue) ReassessAt(now time.Time, entry *Entry) time.Time {
 	at := now.Add(entry.Basis.Expected)
-	if !capacity.FreeAt.IsZero() && capacity.FreeAt.Before(at) {
-		at = capacity.FreeAt
+	if freeAt := entry.Basis.freeAt; !freeAt.IsZero() && freeAt.Before(at) {
+		at = freeAt
 	}
 	for _, latest := range []time.Time{
 		entry.Arrived.Add(q.limits.MaxWait), entry.Deadline.Add(-entry.Basis.Response),
--- a/internal/core/livequeue/estimate.go
+++ b/internal/core/livequeue/estimate.go
@@ -41,6 +41,7 @@
 	entry.Basis = Basis{
 		Ahead: ahead, Waiting: q.services[entry.Service].waiting, Response: capacity.Response,
 		Remaining: entry.Deadline.Sub(now), Slots: capacity.Slots, Occupied: capacity.Occupied, Own: capacity.Own,
+		freeAt: capacity.FreeAt,
 	}
 }
 
--- a/internal/core/livequeue/livequeue.go
+++ b/internal/core/livequeue/livequeue.go
@@ -57,9 +57,22 @@
 	ResponseKnown bool
 }
 
-// CapacityOf returns the capacity for a request.
+// CapacityOf returns the capacity for a request. Requests of one service and class have the same.
 type CapacityOf func(request *Request) Capacity
 
+// remembered returns a function that calls c once for each class.
+func (c CapacityOf) remembered() CapacityOf {
+	known := make(map[string]Capacity)
+	return func(request *Request) Capacity {
+		capacity, found := known[request.Class]
+		if !found {
+			capacity = c(request)
+			known[request.Class] = capacity
+		}
+		return capacity
+	}
+}
+
 // State is the state of an entry.
 type State uint8
 
@@ -130,6 +143,9 @@
 	Slots    int
 	Occupied int
 	Own      int
+
+	// freeAt is Capacity.FreeAt.
+	freeAt time.Time
 }
 
 // Queue holds the waiting requests of a node. It is not safe for concurrent use.
--- a/internal/ingress/awaitslot_bench_test.go
+++ b/internal/ingress/awaitslot_bench_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// BenchmarkOfferTo1000FullEngines measures the admission of a request, and its withdrawal, while another one waits.
+func BenchmarkOfferTo1000FullEngines(b *testing.B) {
+	engineFleet := fleet.New()
+	for i := range 1000 {
+		engine := fleet.Engine{ID: fmt.Sprintf("e%04d", i), Service: "s", Slots: 1}
+		engineFleet.Put(engine)
+		engineFleet.RequestStarted(engine.Incarnation())
+	}
+	live := newLiveQueue(Options{
+		Fleet: engineFleet, LiveQueue: livequeue.Limits{MaxWait: time.Hour, Requests: 1024, Bytes: 1 << 24},
+	})
+	request := livequeue.Request{Service: "s", Flow: "a", Deadline: time.Now().Add(time.Hour)}
+	request.Owner = &waiter{query: fleet.Query{Service: "s"}, settled: make(chan struct{})}
+	live.offer(request)
+	for b.Loop() {
+		entry, _, _ := live.offer(request)
+		live.abandon(entry)
+	}
+}
+
 func BenchmarkAdmissionAmong1000EnginesWithoutQueue(b *testing.B) {
 	benchmarkAdmission(b, livequeue.Limits{})
 }
--- a/internal/ingress/livequeue.go
+++ b/internal/ingress/livequeue.go
@@ -200,7 +200,7 @@
 	if entry.State != livequeue.Waiting {
 		return now
 	}
-	return l.queue.ReassessAt(now, entry, l.capacity(now, entry.Owner.(*waiter).query))
+	return l.queue.ReassessAt(now, entry)
 }
 
 // stateOf returns the state of an entry, and the channel that is closed when the entry must be checked again.
