Send one waiting request when a slot is expected and no own request will tell

Cause: a node without requests at the engines learned nothing of a free slot until the reports expired, up to 500 ms after responses of tens of milliseconds.

Change: once its estimate has expired, the first waiting request of such a node is sent; its response or refusal brings a report. Each refusal of a request by a full engine doubles its estimate, so that its tries last.

Measured: a request at a node whose only report says full is sent after its estimate of 50 ms, before after 500 ms.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -101,17 +101,15 @@
 		changes.Refused = append(changes.Refused, entry)
 	}
 	for {
-		class, f, entry := s.next(func(entry *Entry) bool {
+		entry := s.next(func(entry *Entry) bool {
 			known := capacityOf(&entry.Request)
 			return known.Candidates == 0 || known.Free > s.granted
 		})
 		if entry == nil {
 			return changes
 		}
-		class.advance(f)
 		q.describe(now, entry, capacityOf(&entry.Request), 0)
-		q.remove(entry, Granted, NotRefused)
-		s.granted++
+		q.grant(entry)
 		changes.Granted = append(changes.Granted, entry)
 	}
 }
@@ -146,20 +144,36 @@
 
 // Reassess decides again about a waiting entry, once its estimate has expired. It refuses the entry if the request has
 // waited for the longest time, or if its response can no longer be expected in time.
+//
+// It grants the first request of the queue a slot if this node has no request at the engines: a slot is expected to be
+// free by then, and nothing else would tell this node before the reports expire, which is longer than most responses
+// take. The response, or the refusal, brings a new report.
 func (q *Queue) Reassess(now time.Time, entry *Entry, capacityOf CapacityOf) {
 	if entry.State != Waiting {
 		return
 	}
+	s, capacity, slotAt := q.services[entry.Service], capacityOf(&entry.Request), entry.Basis.slotAt
 	// The request that ends next may be about to end, so the next slot is expected at once.
-	q.estimate(now, entry, capacityOf(&entry.Request), 0)
+	q.estimate(now, entry, capacity, 0)
 	switch {
 	case now.Sub(entry.Arrived) >= q.limits.MaxWait:
 		q.remove(entry, Refused, TimedOut)
 	case !entry.isInTime(now, q.limits.MaxWait):
 		q.remove(entry, Refused, Hopeless)
+	case entry.Basis.Ahead == 0 && capacity.Own == 0 && s.granted == 0 && !now.Before(slotAt):
+		q.grant(entry)
 	}
 }
 
+// grant takes a waiting entry out of the queue and grants it a slot.
+func (q *Queue) grant(entry *Entry) {
+	s := q.services[entry.Service]
+	class := s.class(entry.Priority)
+	class.advance(class.flows[entry.Flow])
+	q.remove(entry, Granted, NotRefused)
+	s.granted++
+}
+
 // minReassessDelay bounds the rate at which one request is reassessed.
 const minReassessDelay = 5 * time.Millisecond
 
--- a/internal/core/livequeue/estimate.go
+++ b/internal/core/livequeue/estimate.go
@@ -23,6 +23,9 @@
 // recent rate may be that of a burst that ends.
 const maxOvertaken = 0.9
 
+// maxRefusals bounds the refusals that lengthen the estimate, each by a factor of two.
+const maxRefusals = 5
+
 // estimate sets the entry's basis. next is the number of slots that must come free for the first request of the queue.
 // Requests of more urgent priorities, and of flows that use less than their share, go first also if they arrive later,
 // so that only the other slots are left for the entry.
@@ -33,7 +36,10 @@
 	interval := capacity.interval()
 	taken := s.arrivals.perSecond(now, interval, entry.Priority, overtakes) * interval.Seconds()
 	slots := float64(ahead + capacity.excess() + next)
+	// Each refusal by an engine shows that other nodes take more of the free slots than estimated.
+	slots *= float64(int(1) << min(entry.Refusals, maxRefusals))
 	entry.Basis.Expected = time.Duration(slots * float64(interval) / (1 - min(taken, maxOvertaken)))
+	entry.Basis.slotAt = now.Add(entry.Basis.Expected)
 }
 
 // describe sets the entry's basis for a decision without an expected wait.
--- a/internal/core/livequeue/livequeue.go
+++ b/internal/core/livequeue/livequeue.go
@@ -37,6 +37,8 @@
 	Deadline time.Time
 	// WaitsSince is when the request began to wait, if it waited before; zero otherwise.
 	WaitsSince time.Time
+	// Refusals is the number of engines that refused the request because they were full.
+	Refusals int
 	// Owner identifies the request to the caller. The queue does not use it.
 	Owner any
 }
@@ -144,8 +146,8 @@
 	Occupied int
 	Own      int
 
-	// freeAt is Capacity.FreeAt.
-	freeAt time.Time
+	// slotAt is when a slot is expected, freeAt is Capacity.FreeAt.
+	slotAt, freeAt time.Time
 }
 
 // Queue holds the waiting requests of a node. It is not safe for concurrent use.
--- a/internal/core/livequeue/livequeue_test.go
+++ b/internal/core/livequeue/livequeue_test.go
@@ -308,6 +308,44 @@
 	assert.Equal(t, late.State, Granted)
 }
 
+// Guards against a node without requests at the engines that waits until a report expires, although a slot is expected
+// to have come free long before, and against more than one request that is sent on such an expectation.
+func TestOneRequestIsSentOnceASlotIsExpected(t *testing.T) {
+	q := New(roomy)
+	capacity := Capacity{Candidates: 1, Slots: 8, Occupied: 8, Response: 20 * ms, FreeAt: start.Add(500 * ms)}
+	capacityOf := func(*Request) Capacity { return capacity }
+	first, _ := q.Offer(start, Request{Service: "s", Flow: "a", Deadline: start.Add(900 * ms)}, capacityOf)
+	second, _ := q.Offer(start, Request{Service: "s", Flow: "a", Deadline: start.Add(901 * ms)}, capacityOf)
+	assert.Equal(t, q.ReassessAt(start, first), start.Add(20*ms))
+	q.Reassess(start.Add(10*ms), first, capacityOf)
+	assert.Equal(t, first.State, Waiting, "no slot is expected yet")
+	capacity.Own = 1
+	q.Reassess(start.Add(30*ms), first, capacityOf)
+	assert.Equal(t, first.State, Waiting, "the end of the own request will tell")
+	capacity.Own = 0
+	q.Reassess(start.Add(60*ms), second, capacityOf)
+	assert.Equal(t, second.State, Waiting, "it is not the first")
+	q.Reassess(start.Add(60*ms), first, capacityOf)
+	assert.Equal(t, first.State, Granted)
+	q.Reassess(start.Add(90*ms), second, capacityOf)
+	assert.Equal(t, second.State, Waiting, "the first one's response will tell")
+	q.Started(first)
+	q.Reassess(start.Add(95*ms), second, capacityOf)
+	assert.Equal(t, second.State, Granted)
+}
+
+// Guards against a request that uses up its tries at full engines within a few response times.
+func TestEachRefusalDoublesTheEstimate(t *testing.T) {
+	q := New(roomy)
+	capacity := Capacity{Candidates: 1, Slots: 8, Occupied: 8, Response: 20 * ms}
+	for refusals, expected := range []time.Duration{20 * ms, 40 * ms, 80 * ms, 160 * ms, 320 * ms} {
+		entry, _ := q.Offer(start, Request{Service: "s", Refusals: refusals, Deadline: start.Add(900 * ms)},
+			func(*Request) Capacity { return capacity })
+		assert.Equal(t, entry.Basis.Expected, expected)
+		q.Abandon(entry)
+	}
+}
+
 // Guards against knowledge that the engines are full which outlives the report that it is based on.
 func TestReassessmentFollowsTheExpiryOfReports(t *testing.T) {
 	q := New(roomy)
--- a/internal/core/livequeue/order.go
+++ b/internal/core/livequeue/order.go
@@ -161,17 +161,17 @@
 
 // next returns the first waiting entry, in the order of sending, that the filter accepts; nil if there is none. Entries
 // that the filter rejects stay.
-func (s *service) next(accept func(entry *Entry) bool) (*priorityClass, *flow, *Entry) {
+func (s *service) next(accept func(entry *Entry) bool) *Entry {
 	for _, class := range s.classes {
 		for _, f := range class.inOrder() {
 			for _, entry := range f.entries {
 				if accept(entry) {
-					return class, f, entry
+					return entry
 				}
 			}
 		}
 	}
-	return nil, nil, nil
+	return nil
 }
 
 // expired returns the waiting entries whose responses can no longer be expected before their deadlines.
--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -159,7 +159,8 @@
 	return livequeue.Request{
 		Service: x.service, Flow: x.flow(), Priority: x.sender.Priority, Bytes: int64(len(x.request.Body)),
 		Class:    owner.query.Regions.String() + "|" + strings.Join(owner.query.Tried, ","),
-		Deadline: time.Now().Add(x.endsAt.Sub(x.relay.now())), WaitsSince: x.waitsSince, Owner: owner,
+		Deadline: time.Now().Add(x.endsAt.Sub(x.relay.now())), WaitsSince: x.waitsSince,
+		Refusals: len(x.refusedFull), Owner: owner,
 	}
 }
 
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -464,16 +464,38 @@
 	assert.Assert(t, second.wait(t) == nil)
 }
 
-// Guards against waits that rest on a report which is not true any more: nothing else wakes the request.
-func TestRequestIsSentWhenTheReportExpires(t *testing.T) {
-	d := deployQueue(t, waitsLong)
-	id := incarnation.ID{Engine: "e"}
+// reportFull makes an engine's newest report say that it is full.
+func (d *queueDeployment) reportFull(engine string) {
+	id := incarnation.ID{Engine: engine}
 	d.Relay.options.Fleet.RequestStarted(id)
 	d.Relay.options.Fleet.RequestEnded(id, fleet.Outcome{At: time.Now(), Load: &fleet.Load{Running: 1}})
+}
+
+// Guards against waits that rest on a report which is not true any more. The request of this node that is held tells
+// nothing.
+func TestRequestIsSentWhenTheReportExpires(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	first := d.send(t.Context(), "1", "key-a", 0)
+	d.Relay.options.Fleet.Put(fleet.Engine{ID: "f", Service: "s", Slots: 1})
+	d.reportFull("f")
+	began := time.Now()
+	second := d.send(t.Context(), "2", "key-a", 0)
+	testwait.Until(t, "the waiting request to be sent", func() bool { return len(d.engines.sentIDs()) == 2 })
+	assert.Assert(t, time.Since(began) >= 400*time.Millisecond, "%s", time.Since(began))
+	d.end()
+	assert.Assert(t, first.wait(t) == nil && second.wait(t) == nil)
+}
+
+// Guards against a node that waits for reports to expire although no request of its own will tell it of a free slot.
+func TestRequestIsSentWhenItsEstimateExpires(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	d.reportFull("e")
 	began := time.Now()
 	reply := d.send(t.Context(), "1", "key-a", 0)
 	testwait.Until(t, "the waiting request to be sent", func() bool { return len(d.engines.sentIDs()) == 1 })
-	assert.Assert(t, time.Since(began) >= 400*time.Millisecond, "%s", time.Since(began))
+	took := time.Since(began)
+	assert.Assert(t, took >= 45*time.Millisecond && took < 400*time.Millisecond, "%s", took)
+	assert.DeepEqual(t, d.decided(), []QueueDecision{QueueWaited})
 	d.end()
 	assert.Assert(t, reply.wait(t) == nil)
 }
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -25,6 +25,11 @@
 			return choice, permitValid, true
 		}
 		query.ExcludeFull, query.Tried = false, x.tried
+		if choice, permitValid, found = x.chooseBy(query); found || x.waitsSince.IsZero() {
+			return choice, permitValid, found
+		}
+		// Only engines are left that refused the request before it waited. A slot is expected to be free there.
+		query.Tried = x.excluded()
 	}
 	return x.chooseBy(query)
 }
--- a/internal/ingress/livequeue.go
+++ b/internal/ingress/livequeue.go
@@ -189,7 +189,10 @@
 		return now
 	}
 	l.queue.Reassess(now, entry, l.capacityAt(now))
-	if entry.State == livequeue.Refused {
+	switch entry.State {
+	case livequeue.Granted:
+		l.settle(now, livequeue.Changes{Granted: []*livequeue.Entry{entry}})
+	case livequeue.Refused:
 		l.settle(now, livequeue.Changes{Refused: []*livequeue.Entry{entry}})
 	}
 	return l.reassessAt(now, entry)
