Miss no change of the configuration while a request begins to wait

Cause: between its offer and its first look at the state, a request could be granted a slot, and then went out without the checks after a wait; a change of the configuration in that time, or between a check and the next wait, was missed until the request was granted a slot. Two tests failed in 3 of 18 runs with -race.

Change: the offer returns the state that it left; the configuration is checked after the channel that announces changes was read.

--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -49,26 +49,40 @@
 // wait offers the request to the queue and waits until it is granted a slot, or until it must not be sent.
 func (x *exchange) wait() (entry *livequeue.Entry, waited bool, failure *errkind.Error) {
 	live, owner := x.relay.live, &waiter{query: x.engineQuery(), settled: make(chan struct{})}
-	entry, first, reassessAt := live.offer(x.queueRequest(owner))
-	state, changed, stopping := live.stateOf(entry)
-	if state == livequeue.Granted {
+	entry, first := live.offer(x.queueRequest(owner))
+	switch first.state {
+	case livequeue.Granted:
 		return entry, false, nil
+	case livequeue.Refused:
+		return nil, false, x.queueRefusal(entry, owner.retryAfter)
 	}
-	crashes := 0
-	if state == livequeue.Waiting {
-		x.waitsSince = entry.Arrived
-		crashes = x.relay.options.Guard.Status(x.fingerprintOf).Crashes
-	}
-	timer := time.NewTimer(time.Until(reassessAt))
+	x.waitsSince = entry.Arrived
+	crashes := x.relay.options.Guard.Status(x.fingerprintOf).Crashes
+	timer := time.NewTimer(time.Until(first.reassessAt))
 	defer timer.Stop()
+	state, changed, stopping := live.stateOf(entry)
 	for state == livequeue.Waiting {
 		if stopping {
 			live.abandon(entry)
 			x.logWait(entry, QueueStopping)
 			return nil, false, errkind.New(errkind.ShuttingDown, "this node is stopping")
 		}
+		// Checked after changed was read, so that no change is missed.
+		moved, failure := x.reroute()
+		if failure != nil || moved {
+			live.abandon(entry)
+		}
+		if failure != nil {
+			x.logWait(entry, QueueConfigurationChanged)
+			return nil, false, failure
+		}
+		if moved {
+			entry, _, failure = x.wait()
+			return entry, true, failure
+		}
 		select {
 		case <-owner.settled:
+		case <-changed:
 		case <-x.ctx.Done():
 			live.abandon(entry)
 			decision := QueueHopeless
@@ -77,19 +91,6 @@
 			}
 			x.logWait(entry, decision)
 			return nil, false, x.timeoutFailure()
-		case <-changed:
-			moved, failure := x.reroute()
-			if failure != nil || moved {
-				live.abandon(entry)
-			}
-			if failure != nil {
-				x.logWait(entry, QueueConfigurationChanged)
-				return nil, false, failure
-			}
-			if moved {
-				entry, _, failure = x.wait()
-				return entry, true, failure
-			}
 		case <-timer.C:
 			timer.Reset(time.Until(live.reassess(entry)))
 		}
@@ -98,7 +99,7 @@
 	if state == livequeue.Refused {
 		return nil, false, x.queueRefusal(entry, owner.retryAfter)
 	}
-	entry.Basis = first
+	entry.Basis = first.basis
 	if crashes < quarantine.RequestLimit && x.relay.options.Guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
 		// Engines ended under the same request, sent by others, while this one waited.
 		if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
--- a/internal/ingress/awaitslot_bench_test.go
+++ b/internal/ingress/awaitslot_bench_test.go
@@ -51,7 +51,7 @@
 	request.Owner = &waiter{query: fleet.Query{Service: "s"}, settled: make(chan struct{})}
 	live.offer(request)
 	for b.Loop() {
-		entry, _, _ := live.offer(request)
+		entry, _ := live.offer(request)
 		live.abandon(entry)
 	}
 }
--- a/internal/ingress/livequeue.go
+++ b/internal/ingress/livequeue.go
@@ -157,26 +157,32 @@
 	l.grantFree(time.Now(), entry.Service)
 }
 
-// offer offers a request. basis is what determined the decision, reassessAt when reassess must be called if the entry
-// waits.
-func (l *liveQueue) offer(
-	request livequeue.Request,
-) (entry *livequeue.Entry, basis livequeue.Basis, reassessAt time.Time) {
+// offered is the result of an offer, as it was before any other call changed the entry.
+type offered struct {
+	state livequeue.State
+	// basis is what determined the decision.
+	basis livequeue.Basis
+	// reassessAt is when reassess must be called if the entry waits.
+	reassessAt time.Time
+}
+
+// offer offers a request.
+func (l *liveQueue) offer(request livequeue.Request) (*livequeue.Entry, offered) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	query := request.Owner.(*waiter).query
 	query.Now = now
-	entry = l.queue.OfferFree(now, request, func(moreThan int) bool { return l.fleet.HasFreeSlots(query, moreThan) })
+	entry := l.queue.OfferFree(now, request, func(moreThan int) bool { return l.fleet.HasFreeSlots(query, moreThan) })
 	if entry != nil {
-		return entry, entry.Basis, now
+		return entry, offered{state: entry.State}
 	}
 	entry, changes := l.queue.Offer(now, request, l.capacityAt(now))
 	if entry.State == livequeue.Refused {
 		l.setRetryAfter(now, entry)
 	}
 	l.settle(now, changes)
-	return entry, entry.Basis, l.reassessAt(now, entry)
+	return entry, offered{state: entry.State, basis: entry.Basis, reassessAt: l.reassessAt(now, entry)}
 }
 
 // reassess decides again about a waiting entry.
