Serve bursts of many tenants that the engines can serve

Cause: the first request of each tenant was taken as a rate of 5 a second. The sum over the tenants reached the bound of 0.9 of the free slots, so that expected waits were ten times too long and requests were refused as hopeless.

Change: a tenant has no arrival rate until 200 ms after its first request.

--- a/internal/core/livequeue/arrivals.go
+++ b/internal/core/livequeue/arrivals.go
@@ -32,10 +32,13 @@
 	return a.count * math.Exp(-max(0, now.Sub(a.at).Seconds())/arrivalWindow.Seconds())
 }
 
-// perSecond returns the recent rate. A flow that has just begun has not filled its window; what its first requests tell
-// of its rate is spread over at least minBusyTime.
+// perSecond returns the recent rate. It is zero for a flow younger than minBusyTime: its first requests tell no rate, and
+// those of many tenants that begin at the same time would add up to more than the engines serve.
 func (a arrivalCount) perSecond(now time.Time) float64 {
-	age := max(minBusyTime, now.Sub(a.since))
+	age := now.Sub(a.since)
+	if age < minBusyTime {
+		return 0
+	}
 	return a.decayed(now) / (arrivalWindow.Seconds() * (1 - math.Exp(-age.Seconds()/arrivalWindow.Seconds())))
 }
 
