Count a granted slot only in the regions of its request

Cause: granted slots were counted for the whole service and compared with the free slots of one class. While a request held a slot and asked for a permit, a request of another region waited, or was refused, beside its idle engine.

Change: grants are counted by region sets, and those compared that share a region. During the call for a permit, the slot is held in the regions of the cold engines. It is not returned for the call: other requests would be granted the same slot and ask as well.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // Changes are the entries whose states a call changed, other than the entry that the call is about.
@@ -53,14 +55,13 @@
 }
 
 // OfferFree grants a request a slot at once if nothing of its service waits and hasFree reports that more slots are free
-// than are granted. Otherwise it returns nil, and Offer decides. Most requests need no more than this.
+// than are granted in its regions. Otherwise it returns nil, and Offer decides. Most requests need no more than this.
 func (q *Queue) OfferFree(now time.Time, request Request, hasFree func(moreThan int) bool) *Entry {
-	if s := q.service(request.Service); s.waiting > 0 || !hasFree(s.granted) {
+	if s := q.service(request.Service); s.waiting > 0 || !hasFree(s.granted.sharing(request.Regions)) {
 		return nil
 	}
 	entry, s := q.newEntry(now, request)
-	entry.State = Granted
-	s.granted++
+	s.grant(entry)
 	return entry
 }
 
@@ -103,7 +104,7 @@
 	for {
 		entry := s.next(func(entry *Entry) bool {
 			known := capacityOf(&entry.Request)
-			return known.Candidates == 0 || known.Free > s.granted
+			return known.Candidates == 0 || known.Free > s.granted.sharing(entry.Regions)
 		})
 		if entry == nil {
 			return changes
@@ -115,7 +116,7 @@
 }
 
 // Started records that the slot granted to an entry is now seen as a request at an engine. Next must be called: until
-// then, the slot counted as taken at the engines of every class.
+// then, the slot counted as taken in all regions of the entry.
 func (q *Queue) Started(entry *Entry) { q.endGrant(entry) }
 
 // Abandon withdraws an entry: its caller left, or it is not sent for another reason. The slot granted to it, if any, is
@@ -131,10 +132,27 @@
 func (q *Queue) endGrant(entry *Entry) {
 	if entry.State == Granted {
 		entry.State = Left
-		q.services[entry.Service].granted--
+		q.services[entry.Service].granted.add(entry.held, -1)
 	}
 }
 
+// HoldIn holds the slot of a granted entry only in the given regions, once it is known where it is used. Next must be
+// called. The slot stays held: requests that could only use the same slot would follow one another to it.
+func (q *Queue) HoldIn(entry *Entry, regions homes.Set) {
+	if entry.State == Granted {
+		granted := &q.services[entry.Service].granted
+		granted.add(entry.held, -1)
+		granted.add(regions, 1)
+		entry.held = regions
+	}
+}
+
+// grant holds a slot for the entry in all its regions.
+func (s *service) grant(entry *Entry) {
+	entry.State, entry.held = Granted, entry.Regions
+	s.granted.add(entry.held, 1)
+}
+
 // Ended records that a request of this node at the service ended, so that a slot came free.
 func (q *Queue) Ended(now time.Time, serviceName string) {
 	if s, found := q.services[serviceName]; found && s.waiting > 0 {
@@ -160,7 +178,7 @@
 		q.remove(entry, Refused, TimedOut)
 	case !entry.isInTime(now, q.limits.MaxWait):
 		q.remove(entry, Refused, Hopeless)
-	case entry.Basis.Ahead == 0 && capacity.Own == 0 && s.granted == 0 && !now.Before(slotAt):
+	case entry.Basis.Ahead == 0 && capacity.Own == 0 && s.granted.sharing(entry.Regions) == 0 && !now.Before(slotAt):
 		q.grant(entry)
 	}
 }
@@ -171,7 +189,7 @@
 	class := s.class(entry.Priority)
 	class.advance(class.flows[entry.Flow])
 	q.remove(entry, Granted, NotRefused)
-	s.granted++
+	s.grant(entry)
 }
 
 // minReassessDelay bounds the rate at which one request is reassessed.
--- a/internal/core/livequeue/livequeue.go
+++ b/internal/core/livequeue/livequeue.go
@@ -11,7 +11,11 @@
 //   - No slot is left free while a request that may use it waits.
 package livequeue
 
-import "time"
+import (
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
+)
 
 // Limits bound what waits, over all services of a node.
 type Limits struct {
@@ -31,6 +35,8 @@
 	Priority int
 	// Class names the set of engines that may run the request. Requests of one service and class share their slots.
 	Class string
+	// Regions are those of the engines that may run the request. Requests without a region in common share no engines.
+	Regions homes.Set
 	// Bytes is the size of the request's body.
 	Bytes int64
 	// Deadline is when the response must be complete.
@@ -129,6 +135,8 @@
 	Basis Basis
 
 	sequence uint64
+	// held are the regions in which a slot is held for a granted entry.
+	held homes.Set
 }
 
 // Basis is what determined a decision.
--- a/internal/core/livequeue/order.go
+++ b/internal/core/livequeue/order.go
@@ -13,8 +13,8 @@
 	// urgent first.
 	classes []*priorityClass
 	waiting int
-	// granted is the number of slots that are granted but not yet seen as requests at the engines.
-	granted  int
+	// granted counts the slots that are granted but not yet seen as requests at the engines.
+	granted  regionCounts
 	arrivals arrivalRates
 	drain    drainRate
 	retries  retryTimes
--- a/internal/core/livequeue/simulation_test.go
+++ b/internal/core/livequeue/simulation_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 var start = time.Unix(1000, 0)
@@ -70,6 +72,14 @@
 	}
 }
 
+// regionsOf returns the region that is named like the class; all for the class "".
+func regionsOf(class string) homes.Set {
+	if class == "" {
+		return homes.Set{}
+	}
+	return homes.Of([]string{class})
+}
+
 func (s *simulation) start(j *job) {
 	j.sentAt, j.ends = s.now, j.ends+1
 	delete(s.waiting, j)
@@ -108,7 +118,8 @@
 
 func (s *simulation) offer(j *job) {
 	request := Request{
-		Service: "s", Flow: j.flow, Priority: j.priority, Class: j.class, Bytes: 1, Deadline: j.arrives.Add(j.deadline), Owner: j,
+		Service: "s", Flow: j.flow, Priority: j.priority, Class: j.class, Regions: regionsOf(j.class), Bytes: 1,
+		Deadline: j.arrives.Add(j.deadline), Owner: j,
 	}
 	j.entry = s.queue.OfferFree(s.now, request, func(moreThan int) bool { return s.capacity(&request).Free > moreThan })
 	if j.entry == nil {
--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -160,6 +160,7 @@
 	return livequeue.Request{
 		Service: x.service, Flow: x.flow(), Priority: x.sender.Priority, Bytes: int64(len(x.request.Body)),
 		Class:    owner.query.Regions.String() + "|" + strings.Join(owner.query.Tried, ","),
+		Regions:  owner.query.Regions,
 		Deadline: time.Now().Add(x.endsAt.Sub(x.relay.now())), WaitsSince: x.waitsSince,
 		Refusals: len(x.refusedFull), Owner: owner,
 	}
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -138,10 +138,9 @@
 	done    chan struct{}
 }
 
-// send sends a request with a tenant's key and returns once it is at the engine, waits, or has ended.
-func (d *queueDeployment) send(ctx context.Context, id, key string, budget time.Duration) *queueReply {
+// serve begins to serve a request with a tenant's key.
+func (d *queueDeployment) serve(ctx context.Context, id, key string, budget time.Duration) *queueReply {
 	reply := &queueReply{done: make(chan struct{})}
-	waitingBefore, sentBefore := d.waiting(), len(d.engines.sentIDs())
 	d.running.Go(func() {
 		defer close(reply.done)
 		reply.failure = d.Serve(httptest.NewRecorder(), ctx, &Request{
@@ -149,6 +148,13 @@
 			Credentials: routes.Credentials{Key: key}, Body: []byte("body"),
 		})
 	})
+	return reply
+}
+
+// send sends a request with a tenant's key and returns once it is at the engine, waits, or has ended.
+func (d *queueDeployment) send(ctx context.Context, id, key string, budget time.Duration) *queueReply {
+	waitingBefore, sentBefore := d.waiting(), len(d.engines.sentIDs())
+	reply := d.serve(ctx, id, key, budget)
 	testwait.Until(d.t, "the request to be sent, to wait or to end", func() bool {
 		select {
 		case <-reply.done:
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -7,6 +7,7 @@
 	"github.com/corkpulley/corkpulley/internal/common/retry"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // minPermitWait is the minimum time between two permit requests for a request.
@@ -42,7 +43,7 @@
 		return choice, nil, found
 	}
 	candidates := engines.ColdCandidates(query, coldpermits.MaxEngines)
-	permit, decision := x.relay.options.ColdPermits.RequestPermit(x.ctx, x.service, candidates)
+	permit, decision := x.requestPermit(candidates)
 	if decision.Outcome == coldpermits.Granted {
 		for _, each := range candidates {
 			if each.Incarnation() != permit.Engine {
@@ -63,6 +64,20 @@
 	return choice, nil, found
 }
 
+// requestPermit asks for a permit for one of the cold engines. The call may take as long as the leader is unreachable.
+// During it, the granted slot counts only in the regions of these engines.
+func (x *exchange) requestPermit(candidates []fleet.Engine) (coldpermits.Permit, coldpermits.Decision) {
+	if slot := x.slot; slot != nil {
+		regions := make([]string, 0, len(candidates))
+		for _, each := range candidates {
+			regions = append(regions, each.Region)
+		}
+		x.relay.live.holdIn(slot, homes.Of(regions))
+		defer x.relay.live.holdIn(slot, slot.Regions)
+	}
+	return x.relay.options.ColdPermits.RequestPermit(x.ctx, x.service, candidates)
+}
+
 // engineQuery returns the query for the engines that may run the request now.
 func (x *exchange) engineQuery() fleet.Query {
 	return fleet.Query{
--- a/internal/ingress/livequeue.go
+++ b/internal/ingress/livequeue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/livequeue"
 )
 
@@ -149,6 +150,14 @@
 	l.grantFree(time.Now(), entry.Service)
 }
 
+// holdIn holds the granted slot of an entry only in the given regions.
+func (l *liveQueue) holdIn(entry *livequeue.Entry, regions homes.Set) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.HoldIn(entry, regions)
+	l.grantFree(time.Now(), entry.Service)
+}
+
 // abandon withdraws an entry.
 func (l *liveQueue) abandon(entry *livequeue.Entry) {
 	l.mu.Lock()
