Count only requests that share engines with a request as ahead of it

Cause: the estimate, the rates of later requests and the retry times counted all that waits for the service. With home regions, requests that wait for the full engines of one region had those of another refused as hopeless.

Change: waiting requests and arrivals are counted by region sets, and only those that share a region count.

--- a/internal/core/livequeue/arrivals.go
+++ b/internal/core/livequeue/arrivals.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // arrivalWindow is the time constant of the arrival rates. It is about as long as requests can wait before their
@@ -18,8 +20,14 @@
 	name     string
 }
 
+// arrivalKey names the requests of a flow that may run in the same regions.
+type arrivalKey struct {
+	flowKey
+	regions homes.Set
+}
+
 // arrivalRates holds the recent rate of requests of each flow, by exponentially decaying counts.
-type arrivalRates map[flowKey]arrivalCount
+type arrivalRates map[arrivalKey]arrivalCount
 
 type arrivalCount struct {
 	count float64
@@ -46,7 +54,7 @@
 	if *r == nil {
 		*r = make(arrivalRates)
 	}
-	key := flowKey{entry.Priority, entry.Flow}
+	key := arrivalKey{flowKey{entry.Priority, entry.Flow}, entry.Regions}
 	previous, found := (*r)[key]
 	if !found || previous.decayed(now) < negligibleArrivals {
 		previous = arrivalCount{at: now, since: now}
@@ -54,27 +62,27 @@
 	(*r)[key] = arrivalCount{count: previous.decayed(now) + 1, at: now, since: previous.since}
 }
 
-// perSecond returns the rate of the requests that are expected to be sent before a waiting one although they arrive
-// later. A flow of the same priority does so with at most an equal share of the slots, which come free at the interval.
+// perSecond returns the rate of the requests that are expected to be sent to the same engines before a waiting entry
+// although they arrive later. A flow of the same priority does so with at most an equal share of the slots, which come free at the interval.
 func (r arrivalRates) perSecond(
-	now time.Time, interval time.Duration, priority int, overtakes func(key flowKey) bool,
+	now time.Time, interval time.Duration, entry *Entry, overtakes func(key flowKey) bool,
 ) float64 {
 	flows := 0
 	for key, each := range r {
 		if each.decayed(now) < negligibleArrivals {
 			delete(r, key)
-		} else if key.priority == priority {
+		} else if key.priority == entry.Priority && overlap(key.regions, entry.Regions) {
 			flows++
 		}
 	}
 	share := 1 / (interval.Seconds() * float64(max(1, flows)))
 	rate := 0.0
 	for key, each := range r {
-		if !overtakes(key) {
+		if !overtakes(key.flowKey) || !overlap(key.regions, entry.Regions) {
 			continue
 		}
 		recent := each.perSecond(now)
-		if key.priority == priority {
+		if key.priority == entry.Priority {
 			recent = min(recent, share)
 		}
 		rate += recent
--- a/internal/core/livequeue/estimate.go
+++ b/internal/core/livequeue/estimate.go
@@ -34,7 +34,7 @@
 	ahead, overtakes := s.ahead(entry)
 	q.describe(now, entry, capacity, ahead)
 	interval := capacity.interval()
-	taken := s.arrivals.perSecond(now, interval, entry.Priority, overtakes) * interval.Seconds()
+	taken := s.arrivals.perSecond(now, interval, entry, overtakes) * interval.Seconds()
 	slots := float64(ahead + capacity.excess() + next)
 	// Each refusal by an engine shows that other nodes take more of the free slots than estimated.
 	slots *= float64(int(1) << min(entry.Refusals, maxRefusals))
--- a/internal/core/livequeue/livequeue.go
+++ b/internal/core/livequeue/livequeue.go
@@ -141,7 +141,7 @@
 
 // Basis is what determined a decision.
 type Basis struct {
-	// Ahead is the number of waiting requests that are sent before this one. Waiting is that of all of the service.
+	// Ahead is the number of waiting requests that are sent to the same engines before this one. Waiting is that of all of the service.
 	Ahead   int
 	Waiting int
 	// Expected is the expected time until a slot is free for the request, Response the expected time of its response.
--- a/internal/core/livequeue/order.go
+++ b/internal/core/livequeue/order.go
@@ -30,6 +30,8 @@
 	virtualTime float64
 	flows       map[string]*flow
 	waiting     int
+	// regions counts the waiting requests.
+	regions regionCounts
 }
 
 // flow holds the waiting requests of one tenant or route, in the order in which they are sent.
@@ -38,6 +40,8 @@
 	tag     float64
 	entries []*Entry
 	bytes   int64
+	// regions counts the entries.
+	regions regionCounts
 }
 
 // compareEntries orders the requests of a flow: the earlier deadline first, then the earlier arrival.
@@ -80,7 +84,9 @@
 	index, _ := slices.BinarySearchFunc(f.entries, entry, compareEntries)
 	f.entries = slices.Insert(f.entries, index, entry)
 	f.bytes += entry.Bytes
+	f.regions.add(entry.Regions, 1)
 	class.waiting++
+	class.regions.add(entry.Regions, 1)
 	s.waiting++
 }
 
@@ -90,7 +96,9 @@
 	index, _ := slices.BinarySearchFunc(f.entries, entry, compareEntries)
 	f.entries = slices.Delete(f.entries, index, index+1)
 	f.bytes -= entry.Bytes
+	f.regions.add(entry.Regions, -1)
 	class.waiting--
+	class.regions.add(entry.Regions, -1)
 	s.waiting--
 	if class.waiting == 0 {
 		// Without waiting requests nothing is shared, and what was sent before does not count any more.
@@ -122,41 +130,57 @@
 	return ordered
 }
 
-// ahead returns the number of waiting requests that are sent before the entry if no other request arrives: all of more
-// urgent priorities, those before it in its own flow, and of each other flow as many as its tag allows. overtakes reports
-// whether a request of a flow that arrives later is sent before the entry.
+// ahead returns the number of waiting requests that are sent to the same engines before the entry if no other request
+// arrives: all of more urgent priorities, those before it in its own flow, and of each other flow as many as its tag
+// allows. overtakes reports whether a request of a flow that arrives later is sent before the entry.
 func (s *service) ahead(entry *Entry) (count int, overtakes func(key flowKey) bool) {
 	saturated := map[flowKey]bool{{entry.Priority, entry.Flow}: true}
 	for _, class := range s.classes {
 		if class.priority < entry.Priority {
-			count += class.waiting
+			count += class.regions.sharing(entry.Regions)
 			continue
 		}
 		if class.priority > entry.Priority {
 			break
 		}
 		own := class.flows[entry.Flow]
-		position, _ := slices.BinarySearchFunc(own.entries, entry, compareEntries)
+		position := own.position(entry)
 		count += position
 		for _, other := range class.flows {
 			if other == own {
 				continue
 			}
-			before := other.sentBefore(own.tag+float64(position), own.name)
+			waiting := other.regions.sharing(entry.Regions)
+			before := other.sentBefore(own.tag+float64(position), own.name, waiting)
 			count += before
-			saturated[flowKey{class.priority, other.name}] = before < len(other.entries)
+			saturated[flowKey{class.priority, other.name}] = before < waiting
 		}
 	}
 	return count, func(key flowKey) bool { return key.priority <= entry.Priority && !saturated[key] }
 }
 
-// sentBefore returns how many requests of the flow precede a request with the given tag of the named flow.
-func (f *flow) sentBefore(tag float64, name string) int {
+// position returns the number of the flow's requests before the entry that share engines with it.
+func (f *flow) position(entry *Entry) int {
+	count := 0
+	for _, each := range f.entries {
+		if each == entry {
+			break
+		}
+		if overlap(each.Regions, entry.Regions) {
+			count++
+		}
+	}
+	return count
+}
+
+// sentBefore returns how many of the given number of waiting requests of the flow precede a request with the given tag
+// of the named flow.
+func (f *flow) sentBefore(tag float64, name string, waiting int) int {
 	turns := math.Ceil(tag - f.tag)
 	if turns == tag-f.tag && f.name < name {
 		turns++
 	}
-	return int(min(max(0, turns), float64(len(f.entries))))
+	return int(min(max(0, turns), float64(waiting)))
 }
 
 // next returns the first waiting entry, in the order of sending, that the filter accepts; nil if there is none. Entries
--- a/internal/core/livequeue/regions_test.go
+++ b/internal/core/livequeue/regions_test.go
@@ -53,3 +53,55 @@
 	q.Started(south)
 	assert.Equal(t, len(q.services["s"].granted), 0)
 }
+
+// Guards against a request that is refused because of what waits for engines that it does not use: 10 tenants of another
+// region made its expected wait 2.25 s instead of 25 ms.
+func TestRequestsOfOtherRegionsAreNotAhead(t *testing.T) {
+	for _, urgent := range []int{0, 1} {
+		q := New(roomy)
+		full := func(*Request) Capacity { return fullCapacity(1) }
+		for i := range 10 {
+			for range 3 {
+				south := regionRequest(tenant(i), "south", 950*ms)
+				south.Priority = 1 - urgent
+				q.Offer(start, south, full)
+			}
+		}
+		north := regionRequest("z", "north", 200*ms)
+		north.Priority = 1
+		entry, _ := q.Offer(start, north, full)
+		assert.Equal(t, entry.State, Waiting)
+		assert.Equal(t, entry.Basis.Ahead, 0)
+		assert.Equal(t, entry.Basis.Expected, 25*ms)
+		request := regionRequest("y", "", 900*ms)
+		request.Priority = 1
+		anywhere, _ := q.Offer(start, request, full)
+		assert.Assert(t, anywhere.Basis.Ahead >= 10, "%d", anywhere.Basis.Ahead)
+	}
+}
+
+// Guards against recent requests of other regions that count as requests which will overtake a waiting one.
+func TestArrivalsOfOtherRegionsDoNotLengthenTheEstimate(t *testing.T) {
+	q := New(roomy)
+	for i := range 400 {
+		q.OfferFree(start.Add(time.Duration(i)*ms), regionRequest("a", "south", time.Second), func(int) bool { return true })
+	}
+	full := func(*Request) Capacity { return fullCapacity(1) }
+	now := start.Add(400 * ms)
+	south, _ := q.Offer(now, regionRequest("z", "south", 2*time.Second), full)
+	assert.Assert(t, south.Basis.Expected > 40*ms, "%s", south.Basis.Expected)
+	q.Abandon(south)
+	north, _ := q.Offer(now, regionRequest("z", "north", 2*time.Second), full)
+	assert.Equal(t, north.Basis.Expected, 25*ms)
+}
+
+// Guards against retry times that count what waits for other engines.
+func TestRetryTimesDoNotCountOtherRegions(t *testing.T) {
+	q := New(roomy)
+	full := func(*Request) Capacity { return fullCapacity(1) }
+	for range 20 {
+		q.Offer(start, regionRequest("a", "south", time.Second), full)
+	}
+	north := regionRequest("z", "north", time.Second)
+	assert.Equal(t, q.RetryAfter(start, &north, fullCapacity(1)), MinRetryAfter)
+}
--- a/internal/core/livequeue/retryafter.go
+++ b/internal/core/livequeue/retryafter.go
@@ -115,7 +115,7 @@
 	ahead := capacity.excess()
 	for _, class := range s.classes {
 		if class.priority <= request.Priority {
-			ahead += class.waiting
+			ahead += class.regions.sharing(request.Regions)
 		}
 	}
 	return s.retries.next(now, request.Priority, time.Duration(min(float64(ahead)*float64(interval), float64(MaxRetryAfter))), interval)
