End the longest wait of a live request on time

Cause: the bound of 5 ms between two reassessments of a request also delayed the end of its longest wait, so that it could be sent up to 5 ms after it.

Change: the bound does not delay the end of the longest wait.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -192,7 +192,7 @@
 	s.grant(entry)
 }
 
-// minReassessDelay bounds the rate at which one request is reassessed.
+// minReassessDelay bounds the rate at which one request is reassessed. The end of its longest wait is not delayed by it.
 const minReassessDelay = 5 * time.Millisecond
 
 // ReassessAt returns when a waiting entry must be reassessed unless it is granted a slot before: when its estimate or
@@ -202,15 +202,14 @@
 	if freeAt := entry.Basis.freeAt; !freeAt.IsZero() && freeAt.Before(at) {
 		at = freeAt
 	}
-	for _, latest := range []time.Time{
-		entry.Arrived.Add(q.limits.MaxWait), entry.Deadline.Add(-entry.Basis.Response),
-	} {
-		if latest.Before(at) {
-			at = latest
-		}
+	if latest := entry.Deadline.Add(-entry.Basis.Response); latest.Before(at) {
+		at = latest
 	}
 	if soonest := now.Add(minReassessDelay); at.Before(soonest) {
-		return soonest
+		at = soonest
+	}
+	if longest := entry.Arrived.Add(q.limits.MaxWait); longest.After(now) && longest.Before(at) {
+		return longest
 	}
 	return at
 }
--- a/internal/core/livequeue/livequeue_test.go
+++ b/internal/core/livequeue/livequeue_test.go
@@ -346,6 +346,15 @@
 	}
 }
 
+// Guards against waits beyond the longest one: a request was sent up to 5 ms after it.
+func TestReassessmentIsNotDelayedBeyondTheLongestWait(t *testing.T) {
+	q := New(Limits{MaxWait: 20 * ms, Requests: 10, Bytes: 100})
+	capacity := Capacity{Candidates: 1, Slots: 1, Occupied: 1, Response: 5 * ms}
+	entry, _ := q.Offer(start, Request{Service: "s", Deadline: start.Add(900 * ms)}, func(*Request) Capacity { return capacity })
+	assert.Equal(t, q.ReassessAt(start.Add(17*ms), entry), start.Add(20*ms))
+	assert.Equal(t, q.ReassessAt(start.Add(20*ms), entry), start.Add(25*ms))
+}
+
 // Guards against knowledge that the engines are full which outlives the report that it is based on.
 func TestReassessmentFollowsTheExpiryOfReports(t *testing.T) {
 	q := New(roomy)
