Do not refuse a request for its deadline while its engines have free slots

Cause: while anything of the service waited, a request with less time left than the mean response time was refused before free slots were considered. Without a queue it is sent, and short responses are in time.

Change: a request that finds nothing waiting for its engines takes the short way past the queue, and a slot that no waiting request may use is granted to the newcomer whatever its deadline.

Measured: the new test fails before the change with reason hopeless.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -16,7 +16,8 @@
 // Offer offers a request. The entry that it returns is granted a slot at once, waits, or is refused.
 //
 // A request is granted a slot unless all engines that may run it are known to be full, counting the slots that are
-// granted and not used yet. Without any engine it is granted too: it does not wait for engines that may never come.
+// granted and not used yet, or other requests that wait for them come first. Without any engine it is granted too: it
+// does not wait for engines that may never come.
 func (q *Queue) Offer(now time.Time, request Request, capacityOf CapacityOf) (*Entry, Changes) {
 	entry, s := q.newEntry(now, request)
 	capacityOf = capacityOf.remembered()
@@ -29,6 +30,11 @@
 		return entry, changes
 	case Refused:
 		changes.Refused = slices.DeleteFunc(changes.Refused, func(each *Entry) bool { return each == entry })
+		if s.hasSlot(entry, capacity) {
+			// No waiting request may use this slot, or it would have been granted it.
+			entry.Reason = NotRefused
+			s.grant(entry)
+		}
 		return entry, changes
 	}
 	if s.waiting == 1 {
@@ -54,13 +60,15 @@
 	return entry, changes
 }
 
-// OfferFree grants a request a slot at once if nothing of its service waits and hasFree reports that more slots are free
-// than are granted in its regions. Otherwise it returns nil, and Offer decides. Most requests need no more than this.
+// OfferFree grants a request a slot at once if nothing waits for engines that may run it and hasFree reports that more
+// slots are free than are granted in its regions. Otherwise it returns nil, and Offer decides. Most requests need no more
+// than this.
 func (q *Queue) OfferFree(now time.Time, request Request, hasFree func(moreThan int) bool) *Entry {
-	if s := q.service(request.Service); s.waiting > 0 || !hasFree(s.granted.sharing(request.Regions)) {
+	s := q.service(request.Service)
+	if s.waitingFor(request.Regions) > 0 || !hasFree(s.granted.sharing(request.Regions)) {
 		return nil
 	}
-	entry, s := q.newEntry(now, request)
+	entry, _ := q.newEntry(now, request)
 	s.grant(entry)
 	return entry
 }
@@ -102,10 +110,7 @@
 		changes.Refused = append(changes.Refused, entry)
 	}
 	for {
-		entry := s.next(func(entry *Entry) bool {
-			known := capacityOf(&entry.Request)
-			return known.Candidates == 0 || known.Free > s.granted.sharing(entry.Regions)
-		})
+		entry := s.next(func(entry *Entry) bool { return s.hasSlot(entry, capacityOf(&entry.Request)) })
 		if entry == nil {
 			return changes
 		}
@@ -147,6 +152,11 @@
 	}
 }
 
+// hasSlot reports whether the entry may be granted a slot: one is free and not granted, or there are no engines.
+func (s *service) hasSlot(entry *Entry, capacity Capacity) bool {
+	return capacity.Candidates == 0 || capacity.Free > s.granted.sharing(entry.Regions)
+}
+
 // grant holds a slot for the entry in all its regions.
 func (s *service) grant(entry *Entry) {
 	entry.State, entry.held = Granted, entry.Regions
--- a/internal/core/livequeue/order.go
+++ b/internal/core/livequeue/order.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/homes"
 )
 
 // service is the queue of one service.
@@ -159,6 +161,15 @@
 	return count, func(key flowKey) bool { return key.priority <= entry.Priority && !saturated[key] }
 }
 
+// waitingFor returns the number of waiting requests that may run in any of the regions.
+func (s *service) waitingFor(regions homes.Set) int {
+	count := 0
+	for _, class := range s.classes {
+		count += class.regions.sharing(regions)
+	}
+	return count
+}
+
 // position returns the number of the flow's requests before the entry that share engines with it.
 func (f *flow) position(entry *Entry) int {
 	count := 0
--- a/internal/core/livequeue/regions_test.go
+++ b/internal/core/livequeue/regions_test.go
@@ -105,3 +105,32 @@
 	north := regionRequest("z", "north", time.Second)
 	assert.Equal(t, q.RetryAfter(start, &north, fullCapacity(1)), MinRetryAfter)
 }
+
+// Guards against a request that is refused for its short deadline although its engines have free slots, because another
+// region's engine is full. Without a queue it would be sent.
+func TestRequestWithAFreeSlotIsNotRefusedWhileOthersWait(t *testing.T) {
+	capacityOf := func(request *Request) Capacity {
+		if request.Class == "south" {
+			return fullCapacity(1)
+		}
+		return oneFreeSlot(request)
+	}
+	north := regionRequest("a", "north", 20*ms) // less than the mean response time
+	anywhere := regionRequest("a", "", 20*ms)
+	q := New(roomy)
+	south, _ := q.Offer(start, regionRequest("a", "south", time.Second), capacityOf)
+	assert.Equal(t, south.State, Waiting)
+	entry, _ := q.Offer(start, north, capacityOf)
+	assert.Equal(t, entry.State, Granted)
+	q.Abandon(entry)
+	entry = q.OfferFree(start, north, func(moreThan int) bool { return moreThan < 1 })
+	assert.Equal(t, entry.State, Granted)
+	q.Abandon(entry)
+	assert.Assert(t, q.OfferFree(start, anywhere, func(int) bool { return true }) == nil, "the other request may come first")
+	entry, changes := q.Offer(start, anywhere, capacityOf)
+	assert.Equal(t, entry.State, Granted)
+	assert.Equal(t, entry.Reason, NotRefused)
+	assert.Equal(t, len(changes.Granted)+len(changes.Refused), 0)
+	entry, _ = q.Offer(start, anywhere, capacityOf)
+	assert.Equal(t, entry.Reason, Hopeless, "the slot is granted")
+}
