Use the measured rate for retry times only while requests wait

Cause: while nothing waited, the measured rate decayed and was still used, and reading it hid the pause from the start of the next measurement. Clients refused after or beside a burst got retry times of up to 10 s.

Change: the rate is that of the last time in which requests waited, and is used for 200 ms after it. That time is kept apart from the one of the decay. A refused offer does not count as waiting.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -22,6 +22,7 @@
 	entry, s := q.newEntry(now, request)
 	capacityOf = capacityOf.remembered()
 	capacity := capacityOf(&entry.Request)
+	s.observe(now)
 	q.insert(entry)
 	changes := q.next(now, request.Service, capacityOf)
 	switch entry.State {
@@ -37,9 +38,6 @@
 		}
 		return entry, changes
 	}
-	if s.waiting == 1 {
-		s.drain.beginBusy(now)
-	}
 	if q.estimate(now, entry, capacity, 1); !entry.isInTime(now, q.limits.MaxWait) {
 		q.remove(entry, Refused, Hopeless)
 		return entry, changes
@@ -57,6 +55,9 @@
 		q.remove(victim, Refused, Evicted)
 		changes.Refused = append(changes.Refused, victim)
 	}
+	if entry.State == Waiting && s.waiting == 1 {
+		s.drain.beginBusy(now)
+	}
 	return entry, changes
 }
 
@@ -97,6 +98,7 @@
 	if q.IsIdle(serviceName) {
 		return Changes{}
 	}
+	q.services[serviceName].observe(now)
 	return q.next(now, serviceName, capacityOf.remembered())
 }
 
@@ -166,6 +168,7 @@
 // Ended records that a request of this node at the service ended, so that a slot came free.
 func (q *Queue) Ended(now time.Time, serviceName string) {
 	if s, found := q.services[serviceName]; found && s.waiting > 0 {
+		s.observe(now)
 		s.drain.ended(now)
 	}
 }
@@ -181,6 +184,7 @@
 		return
 	}
 	s, capacity, slotAt := q.services[entry.Service], capacityOf(&entry.Request), entry.Basis.slotAt
+	s.observe(now)
 	// The request that ends next may be about to end, so the next slot is expected at once.
 	q.estimate(now, entry, capacity, 0)
 	switch {
--- a/internal/core/livequeue/retryafter.go
+++ b/internal/core/livequeue/retryafter.go
@@ -21,43 +21,50 @@
 )
 
 // drainRate measures the rate at which slots come free while requests wait, by an exponentially decaying count. While
-// none waits, the rate is that of the demand, not that of the engines, and is not counted.
+// none waits, the rate is that of the demand, not that of the engines: nothing is counted, and the measured rate is used
+// only for minBusyTime longer.
 type drainRate struct {
 	busySince time.Time
-	at        time.Time
-	count     float64
+	// busyUntil is when a request was last known to wait.
+	busyUntil time.Time
+	// at is the time to which count is decayed.
+	at    time.Time
+	count float64
 }
 
 // beginBusy records that a request waits although none did before. A short pause does not end a burst.
 func (d *drainRate) beginBusy(now time.Time) {
-	if d.busySince.IsZero() || now.Sub(d.at) > minBusyTime {
+	if now.Sub(d.busyUntil) > minBusyTime {
 		*d = drainRate{busySince: now, at: now}
 	}
+	d.busyUntil = now
 }
 
 // ended records that a slot came free while requests waited.
 func (d *drainRate) ended(now time.Time) {
-	d.decay(now)
-	d.count++
+	d.count, d.at = d.decayed(now)+1, now
 }
 
-func (d *drainRate) decay(now time.Time) {
-	if elapsed := now.Sub(d.at); elapsed > 0 {
-		d.count *= math.Exp(-elapsed.Seconds() / drainWindow.Seconds())
-		d.at = now
-	}
+func (d *drainRate) decayed(now time.Time) float64 {
+	return d.count * math.Exp(-max(0, now.Sub(d.at).Seconds())/drainWindow.Seconds())
 }
 
-// perSecond returns the measured rate; zero if it is not known.
+// perSecond returns the rate measured while requests last waited; zero if it is not known.
 func (d *drainRate) perSecond(now time.Time) float64 {
-	busy := now.Sub(d.busySince)
-	if d.busySince.IsZero() || busy < minBusyTime {
+	busy := d.busyUntil.Sub(d.busySince)
+	if busy < minBusyTime || now.Sub(d.busyUntil) > minBusyTime {
 		return 0
 	}
-	d.decay(now)
 	// The count of a period that has just begun lacks what a longer one would hold.
 	whole := drainWindow.Seconds() * (1 - math.Exp(-busy.Seconds()/drainWindow.Seconds()))
-	return d.count / whole
+	return d.decayed(d.busyUntil) / whole
+}
+
+// observe records that requests wait, if any does. It is called before each change of the queue.
+func (s *service) observe(now time.Time) {
+	if s.waiting > 0 {
+		s.drain.busyUntil = now
+	}
 }
 
 // retryTimes holds, by priority, the point in time that was given to the newest refusal.
@@ -103,6 +110,7 @@
 // served, and a point in time of its own, so that clients return in an order and at a rate that can be served.
 func (q *Queue) RetryAfter(now time.Time, request *Request, capacity Capacity) time.Duration {
 	s := q.service(request.Service)
+	s.observe(now)
 	interval := time.Duration(0)
 	if rate := s.drain.perSecond(now); rate > 0 {
 		interval = time.Duration(float64(time.Second) / rate)
@@ -118,5 +126,6 @@
 			ahead += class.regions.sharing(request.Regions)
 		}
 	}
-	return s.retries.next(now, request.Priority, time.Duration(min(float64(ahead)*float64(interval), float64(MaxRetryAfter))), interval)
+	empty := time.Duration(min(float64(ahead)*float64(interval), float64(MaxRetryAfter)))
+	return s.retries.next(now, request.Priority, empty, interval)
 }
--- a/internal/core/livequeue/retryafter_test.go
+++ b/internal/core/livequeue/retryafter_test.go
@@ -112,3 +112,70 @@
 	again.run(returning)
 	assert.Equal(t, count(returning, (*job).served), len(returning))
 }
+
+// drainBurst lets 100 requests wait, of which 100 a second are sent, and returns when none waits any more.
+func drainBurst(t *testing.T, q *Queue) time.Time {
+	oneFree := fullCapacity(4)
+	oneFree.Free, oneFree.Occupied = 1, 3
+	now := start
+	for i := range 100 {
+		entry, _ := q.Offer(now, Request{Service: "s", Flow: "a", Deadline: now.Add(10 * time.Second)},
+			func(*Request) Capacity { return fullCapacity(4) })
+		assert.Equal(t, entry.State, Waiting, "%d", i)
+	}
+	for !q.IsIdle("s") {
+		now = now.Add(10 * ms)
+		q.Ended(now, "s")
+		for _, granted := range q.Next(now, "s", func(*Request) Capacity { return oneFree }).Granted {
+			q.Started(granted)
+		}
+	}
+	return now
+}
+
+// slow is the capacity of engines that free 10 slots a second for this node.
+var slow = Capacity{Candidates: 1, Slots: 4, Occupied: 100, Own: 10, Response: 40 * ms, ResponseKnown: true}
+
+// Guards against a rate that was measured in a burst and is used after it: while nothing waits it decays, and the times
+// between the refused clients rose from 10 ms to 7 s.
+func TestMeasuredRateIsUsedOnlyWhileRequestsWait(t *testing.T) {
+	for idle, wanted := range map[time.Duration]time.Duration{
+		0: 10 * ms, 190 * ms: 10 * ms, 210 * ms: 100 * ms, 2 * time.Second: 100 * ms, 6 * time.Second: 100 * ms,
+		time.Minute: 100 * ms,
+	} {
+		q := New(Limits{MaxWait: 2 * time.Second, Requests: 1000, Bytes: 1 << 20})
+		now := drainBurst(t, q).Add(idle)
+		first := q.RetryAfter(now, &Request{Service: "s"}, slow)
+		second := q.RetryAfter(now, &Request{Service: "s"}, slow)
+		assert.Assert(t, second-first >= wanted-3*ms && second-first <= wanted+3*ms, "idle for %s: %s", idle, second-first)
+	}
+}
+
+// Guards against refused offers that keep the measured rate of an earlier burst in use: while 20 offers a second were
+// refused at once, the time between two refused clients rose to some seconds.
+func TestRefusedOffersDoNotKeepTheMeasuredRate(t *testing.T) {
+	q := New(Limits{MaxWait: 2 * time.Second, Requests: 1000, Bytes: 1 << 20})
+	now := drainBurst(t, q)
+	for range 60 {
+		now = now.Add(50 * ms)
+		request := Request{Service: "s", Flow: "a", Deadline: now.Add(60 * ms)}
+		entry, _ := q.Offer(now, request, func(*Request) Capacity { return slow })
+		assert.Equal(t, entry.Reason, Hopeless)
+		q.RetryAfter(now, &request, slow)
+	}
+	first, second := q.RetryAfter(now, &Request{Service: "s"}, slow), q.RetryAfter(now, &Request{Service: "s"}, slow)
+	assert.Equal(t, second-first, 100*ms)
+}
+
+// Guards against a burst that is taken as the continuation of an earlier one, whose rate then counts.
+func TestMeasurementBeginsAgainAfterAPause(t *testing.T) {
+	q := New(Limits{MaxWait: 2 * time.Second, Requests: 1000, Bytes: 1 << 20})
+	now := drainBurst(t, q)
+	for range 10 { // refused ones ask for their times meanwhile
+		now = now.Add(100 * ms)
+		q.RetryAfter(now, &Request{Service: "s"}, slow)
+	}
+	q.Offer(now, Request{Service: "s", Deadline: now.Add(time.Minute)}, func(*Request) Capacity { return slow })
+	assert.Equal(t, q.services["s"].drain.busySince, now)
+	assert.Equal(t, q.services["s"].drain.count, 0.0)
+}
