Request at most one permit for a choice of an engine

Cause: a request that waited, or that a full engine refused, chooses by up to three queries. Each of them requested a permit when only cold engines were left, and each call may take as long as the leader is unreachable.

Change: after a denial, the following queries of the choice are for warm engines.

Measured: three permit calls for one choice of a request that waited, now one.

--- a/internal/ingress/awaitslotcold_test.go
+++ b/internal/ingress/awaitslotcold_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/testwait"
 )
@@ -67,3 +70,36 @@
 		})
 	}
 }
+
+// Guards against up to three permit calls, which may each take as long as the leader is unreachable, for one choice of an
+// engine by a request that waited.
+func TestOnePermitIsRequestedForAChoice(t *testing.T) {
+	for name, change := range map[string]func(x *exchange){
+		"new":            func(*exchange) {},
+		"waited":         func(x *exchange) { x.waitsSince = time.Now() },
+		"refused before": func(x *exchange) { x.refusedFull, x.tried = []string{"f"}, []string{"f"} },
+	} {
+		d := deployQueue(t, waitsLong)
+		permits := &scriptedPermits{denials: 9, wait: time.Second}
+		withColdEngines(d.Relay, permits, "e")
+		x, cancel, failure := d.Relay.begin(httptest.NewRecorder(), t.Context(), &Request{
+			ID: "1", Method: http.MethodPost, Target: "/x/1", Path: "/x/1", Host: "h", Received: time.Now(),
+			Credentials: routes.Credentials{Key: "key-a"},
+		})
+		assert.Assert(t, failure == nil)
+		change(x)
+		_, _, found := x.choose()
+		assert.Assert(t, !found, name)
+		assert.Equal(t, len(permits.asked), 1, name)
+		assert.Equal(t, x.denial.Outcome, coldpermits.RateLimited, name)
+		// A full warm engine is chosen without a further call, and the denial is not the reason for a later failure.
+		d.Relay.options.Fleet.Put(fleet.Engine{ID: "f", Service: "s", Slots: 1})
+		d.Relay.options.Fleet.RequestStarted(incarnation.ID{Engine: "f"})
+		x.refusedFull, x.tried = nil, nil
+		choice, _, found := x.choose()
+		assert.Assert(t, found && choice.Engine.ID == "f", name)
+		assert.Equal(t, len(permits.asked), 2, name)
+		assert.Equal(t, x.denial.Outcome, coldpermits.Granted, name)
+		cancel()
+	}
+}
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -18,38 +18,46 @@
 //
 // A request that waited for a free slot, or that a full engine refused, goes to an engine with a free slot if there is
 // one, and otherwise, as all requests do, to the engine from which a response is expected first.
+//
+// At most one permit is requested for a choice: after a denial, the following queries are for warm engines.
 func (x *exchange) choose() (choice fleet.Choice, permitValid func() bool, found bool) {
+	x.denial = coldpermits.Decision{}
 	query := x.engineQuery()
 	if !x.waitsSince.IsZero() || len(x.refusedFull) > 0 {
 		query.ExcludeFull = true
-		if choice, permitValid, found = x.chooseBy(query); found {
+		if choice, permitValid, found = x.chooseBy(&query); found {
 			return choice, permitValid, true
 		}
 		query.ExcludeFull, query.Tried = false, x.tried
-		if choice, permitValid, found = x.chooseBy(query); found || x.waitsSince.IsZero() {
+		if choice, permitValid, found = x.chooseBy(&query); found || x.waitsSince.IsZero() {
 			return choice, permitValid, found
 		}
 		// Only engines are left that refused the request before it waited. A slot is expected to be free there.
 		query.Tried = x.excluded()
 	}
-	return x.chooseBy(query)
+	return x.chooseBy(&query)
 }
 
-func (x *exchange) chooseBy(query fleet.Query) (choice fleet.Choice, permitValid func() bool, found bool) {
-	x.denial = coldpermits.Decision{}
+// chooseBy chooses from the engines of a query. After a denied permit it sets ExcludeCold of the query. denial is set
+// if no engine is found for lack of a permit.
+func (x *exchange) chooseBy(query *fleet.Query) (choice fleet.Choice, permitValid func() bool, found bool) {
 	engines := x.relay.options.Fleet
-	choice, found = engines.Choose(query)
-	if !found || !choice.Cold {
-		return choice, nil, found
+	choice, found = engines.Choose(*query)
+	if !found {
+		return choice, nil, false
+	}
+	if !choice.Cold {
+		x.denial = coldpermits.Decision{}
+		return choice, nil, true
 	}
-	candidates := engines.ColdCandidates(query, coldpermits.MaxEngines)
+	candidates := engines.ColdCandidates(*query, coldpermits.MaxEngines)
 	permit, decision := x.requestPermit(candidates)
 	if decision.Outcome == coldpermits.Granted {
 		for _, each := range candidates {
 			if each.Incarnation() != permit.Engine {
 				continue
 			}
-			if choice, found = engines.ChoiceOf(each, query, len(candidates)); found {
+			if choice, found = engines.ChoiceOf(each, *query, len(candidates)); found {
 				return choice, permit.Valid, true
 			}
 		}
@@ -57,7 +65,7 @@
 		decision = coldpermits.Decision{Outcome: coldpermits.RateLimited, Wait: minPermitWait}
 	}
 	query.ExcludeCold, query.Now = true, time.Now()
-	choice, found = engines.Choose(query)
+	choice, found = engines.Choose(*query)
 	if !found {
 		x.recordDenial(decision, len(candidates))
 	}
