End the wait of a request whose deadline passed during a suspension

Cause: the context and the timers of a waiting request do not advance while the machine is suspended. After it, the request waited on, or was logged as sent when it was granted a slot after its deadline.

Change: the wait, and the check after it, compare the deadline with the clock that counts suspensions. The wait for a grant has its own function.

--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -58,56 +58,79 @@
 	}
 	x.waitsSince = entry.Arrived
 	crashes := x.relay.options.Guard.Status(x.fingerprintOf).Crashes
-	timer := time.NewTimer(time.Until(first.reassessAt))
-	defer timer.Stop()
-	state, changed, stopping := live.stateOf(entry)
-	for state == livequeue.Waiting {
-		if stopping {
+	moved, failure := x.awaitGrant(entry, first.reassessAt)
+	if failure != nil {
+		return nil, false, failure
+	}
+	if moved {
+		entry, _, failure = x.wait()
+		return entry, true, failure
+	}
+	entry.Basis = first.basis
+	if crashes < quarantine.RequestLimit && x.relay.options.Guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
+		// Engines ended under the same request, sent by others, while this one waited.
+		if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
 			live.abandon(entry)
-			x.logWait(entry, QueueStopping)
-			return nil, false, errkind.New(errkind.ShuttingDown, "this node is stopping")
+			return nil, false, failure
 		}
-		// Checked after changed was read, so that no change is missed.
-		moved, failure := x.reroute()
-		if failure != nil || moved {
-			live.abandon(entry)
+	}
+	return entry, true, nil
+}
+
+// awaitGrant waits until the entry is granted a slot. moved is true if the request must be offered again instead.
+func (x *exchange) awaitGrant(entry *livequeue.Entry, reassessAt time.Time) (moved bool, failure *errkind.Error) {
+	live, owner := x.relay.live, entry.Owner.(*waiter)
+	timer := time.NewTimer(time.Until(reassessAt))
+	defer timer.Stop()
+	for {
+		state, changed, stopping := live.stateOf(entry)
+		switch {
+		case state == livequeue.Refused:
+			return false, x.queueRefusal(entry, owner.retryAfter)
+		case state != livequeue.Waiting:
+			return false, nil
+		case stopping:
+			x.withdraw(entry, QueueStopping)
+			return false, errkind.New(errkind.ShuttingDown, "this node is stopping")
+		case x.isOver():
+			x.withdraw(entry, x.endDecision())
+			return false, x.timeoutFailure()
 		}
-		if failure != nil {
-			x.logWait(entry, QueueConfigurationChanged)
-			return nil, false, failure
+		// Checked after changed was read, so that no change is missed.
+		if moved, failure = x.reroute(); failure != nil {
+			x.withdraw(entry, QueueConfigurationChanged)
+			return false, failure
 		}
 		if moved {
-			entry, _, failure = x.wait()
-			return entry, true, failure
+			live.abandon(entry)
+			return true, nil
 		}
 		select {
 		case <-owner.settled:
 		case <-changed:
 		case <-x.ctx.Done():
-			live.abandon(entry)
-			decision := QueueHopeless
-			if x.callerCtx.Err() != nil {
-				decision = QueueCallerLeft
-			}
-			x.logWait(entry, decision)
-			return nil, false, x.timeoutFailure()
 		case <-timer.C:
 			timer.Reset(time.Until(live.reassess(entry)))
 		}
-		state, changed, stopping = live.stateOf(entry)
 	}
-	if state == livequeue.Refused {
-		return nil, false, x.queueRefusal(entry, owner.retryAfter)
-	}
-	entry.Basis = first.basis
-	if crashes < quarantine.RequestLimit && x.relay.options.Guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
-		// Engines ended under the same request, sent by others, while this one waited.
-		if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
-			live.abandon(entry)
-			return nil, false, failure
-		}
+}
+
+// isOver reports whether the caller left or the deadline has passed, also while the machine was suspended, which ctx and
+// timers do not count.
+func (x *exchange) isOver() bool { return x.ctx.Err() != nil || !x.endsAt.After(x.relay.now()) }
+
+// endDecision returns the decision about a waiting request that is over.
+func (x *exchange) endDecision() QueueDecision {
+	if x.callerCtx.Err() != nil {
+		return QueueCallerLeft
 	}
-	return entry, true, nil
+	return QueueHopeless
+}
+
+// withdraw takes a request out of the queue and logs why.
+func (x *exchange) withdraw(entry *livequeue.Entry, decision QueueDecision) {
+	x.relay.live.abandon(entry)
+	x.logWait(entry, decision)
 }
 
 // checkAfterWait checks a request that waited against the state in force. moved is true if it must be offered again.
@@ -115,6 +138,10 @@
 	if !x.relay.options.Gate.AwaitEnginesKnown(x.ctx) {
 		return false, x.staleStateFailure()
 	}
+	if x.isOver() {
+		x.logWait(x.slot, x.endDecision())
+		return false, x.timeoutFailure()
+	}
 	if moved, failure = x.reroute(); failure != nil {
 		x.logWait(x.slot, QueueConfigurationChanged)
 	}
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -71,7 +71,9 @@
 	table     *routes.Table
 	decisions []QueueDecision
 	known     bool
-	running   sync.WaitGroup
+	// ahead is the time by which the relay's clock is ahead of the others.
+	ahead   time.Duration
+	running sync.WaitGroup
 }
 
 // queueTable returns a table with one route. It allows one attempt, whose time is only bounded by the request's, so that
@@ -111,6 +113,7 @@
 			d.decisions = append(d.decisions, decision)
 		},
 	})
+	d.Relay.now = func() time.Time { d.mu.Lock(); defer d.mu.Unlock(); return time.Now().Add(d.ahead) }
 	return d
 }
 
@@ -624,3 +627,33 @@
 	e.mu.Unlock()
 	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}, nil
 }
+
+// advance lets the relay's clock, which counts the time of suspensions, go ahead of the others.
+func (d *queueDeployment) advance(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ahead += by
+}
+
+// Guards against a request that waits on, or is sent, after its deadline passed during a suspension of the machine: the
+// clock of its context and its timers stood still.
+func TestWaitEndsIfTheDeadlinePassedDuringASuspension(t *testing.T) {
+	for name, granted := range map[string]bool{"waiting": false, "granted": true} {
+		t.Run(name, func(t *testing.T) {
+			d := deployQueue(t, waitsLong)
+			d.configure(queueTable(2, twoTenants, func(route *routes.Route) { route.Timeout = 30 * time.Second }))
+			d.send(t.Context(), "1", "key-a", 0)
+			second := d.send(t.Context(), "2", "key-b", 20*time.Second)
+			assert.Equal(t, d.waiting(), 1)
+			d.advance(time.Minute)
+			if granted {
+				d.engines.proceed <- struct{}{}
+			}
+			failure := second.wait(t)
+			assert.Equal(t, failure.Kind, errkind.NoCapacity)
+			d.end()
+			assert.DeepEqual(t, d.engines.sentIDs(), []string{"1"})
+			assert.DeepEqual(t, d.decided(), []QueueDecision{QueueHopeless})
+		})
+	}
+}
