Count waits that end by a suspension or a quarantine

Cause: a waiting request that was refused because the node had not read the engine list again after a suspension, or because it was quarantined meanwhile, had no decision line and no count. The class of a request depended on the order of the engines that it had tried, so that equal ones were counted twice.

Measured: the extended tests of both waits and the test of the class fail before the change.

--- a/internal/core/livequeue/admission.go
+++ b/internal/core/livequeue/admission.go
@@ -62,8 +62,8 @@
 }
 
 // OfferFree grants a request a slot at once if nothing waits for engines that may run it and hasFree reports that more
-// slots are free than are granted in its regions. Otherwise it returns nil, and Offer decides. Most requests need no more
-// than this.
+// slots are free than are granted in its regions. Otherwise it returns nil, and Offer decides. Most requests need no
+// more than this.
 func (q *Queue) OfferFree(now time.Time, request Request, hasFree func(moreThan int) bool) *Entry {
 	s := q.service(request.Service)
 	if s.waitingFor(request.Regions) > 0 || !hasFree(s.granted.sharing(request.Regions)) {
@@ -206,7 +206,8 @@
 	s.grant(entry)
 }
 
-// minReassessDelay bounds the rate at which one request is reassessed. The end of its longest wait is not delayed by it.
+// minReassessDelay bounds the rate at which one request is reassessed. The end of its longest wait is not delayed by
+// it.
 const minReassessDelay = 5 * time.Millisecond
 
 // ReassessAt returns when a waiting entry must be reassessed unless it is granted a slot before: when its estimate or
@@ -229,8 +230,8 @@
 }
 
 // furthestAboveShare returns the entry to refuse while the queue is full: the newest one, of the least urgent priority,
-// of the flow that holds the most. All flows have equal shares. Among flows that hold as much, it is that of newcomer, so
-// that no earlier request is refused for a later one.
+// of the flow that holds the most. All flows have equal shares. Among flows that hold as much, it is that of newcomer,
+// so that no earlier request is refused for a later one.
 func (q *Queue) furthestAboveShare(newcomer *Entry) *Entry {
 	type holder struct{ service, flow string }
 	held := make(map[holder]int64)
--- a/internal/core/livequeue/arrivals.go
+++ b/internal/core/livequeue/arrivals.go
@@ -47,8 +47,8 @@
 
 func (a arrivalCount) isNegligible(now time.Time) bool { return a.decayed(now) < negligibleArrivals }
 
-// perSecond returns the recent rate. It is zero for a flow younger than minBusyTime: its first requests tell no rate, and
-// those of many tenants that begin at the same time would add up to more than the engines serve.
+// perSecond returns the recent rate. It is zero for a flow younger than minBusyTime: its first requests tell no rate,
+// and those of many tenants that begin at the same time would add up to more than the engines serve.
 func (a arrivalCount) perSecond(now time.Time) float64 {
 	age := now.Sub(a.since)
 	if age < minBusyTime {
@@ -79,7 +79,8 @@
 }
 
 // perSecond returns the rate of the requests that are expected to be sent to the same engines before a waiting entry
-// although they arrive later. A flow of the same priority does so with at most an equal share of the slots, which come free at the interval.
+// although they arrive later. A flow of the same priority does so with at most an equal share of the slots, which come
+// free at the interval.
 func (r *arrivalRates) perSecond(
 	now time.Time, interval time.Duration, entry *Entry, overtakes func(key flowKey) bool,
 ) float64 {
--- a/internal/core/livequeue/bench_test.go
+++ b/internal/core/livequeue/bench_test.go
@@ -12,10 +12,13 @@
 	capacity := Capacity{Candidates: 1, Slots: 8000, Occupied: 8000, Own: 8000, Response: 25 * ms, ResponseKnown: true}
 	capacityOf := func(*Request) Capacity { return capacity }
 	for i := range 1000 {
-		q.Offer(start, Request{Service: "s", Flow: tenant(i % 200), Priority: i % 10, Deadline: start.Add(time.Hour)}, capacityOf)
+		q.Offer(start, Request{
+			Service: "s", Flow: tenant(i % 200), Priority: i % 10, Deadline: start.Add(time.Hour),
+		}, capacityOf)
 	}
 	for b.Loop() {
-		entry, _ := q.Offer(start, Request{Service: "s", Flow: "t01", Priority: 5, Deadline: start.Add(time.Hour)}, capacityOf)
+		request := Request{Service: "s", Flow: "t01", Priority: 5, Deadline: start.Add(time.Hour)}
+		entry, _ := q.Offer(start, request, capacityOf)
 		q.Abandon(entry)
 	}
 }
--- a/internal/core/livequeue/estimate.go
+++ b/internal/core/livequeue/estimate.go
@@ -3,8 +3,8 @@
 import "time"
 
 // interval returns the expected time between two slots that come free for this node. The engines free Slots in each
-// response time. Other nodes send to them as well, and a node gets about the part of the slots that its requests have of
-// all requests at the engines. A node without requests there counts as having one.
+// response time. Other nodes send to them as well, and a node gets about the part of the slots that its requests have
+// of all requests at the engines. A node without requests there counts as having one.
 func (c Capacity) interval() time.Duration {
 	share := 1.0
 	if c.Occupied > 0 {
--- a/internal/core/livequeue/livequeue.go
+++ b/internal/core/livequeue/livequeue.go
@@ -1,6 +1,6 @@
 // Package livequeue decides which live requests wait for an engine, in which order they are sent, and which are
-// refused, while all engines that may run them are known to be full. It has no input, output, clock or goroutines: times
-// and the occupancy of the engines are passed in.
+// refused, while all engines that may run them are known to be full. It has no input, output, clock or goroutines:
+// times and the occupancy of the engines are passed in.
 //
 // The load that it addresses are bursts of some seconds of several times what the engines serve. Requests take tens of
 // milliseconds and their deadlines are about a second, so that a short wait serves a request that would otherwise be
@@ -141,7 +141,8 @@
 
 // Basis is what determined a decision.
 type Basis struct {
-	// Ahead is the number of waiting requests that are sent to the same engines before this one. Waiting is that of all of the service.
+	// Ahead is the number of waiting requests that are sent to the same engines before this one. Waiting is that of all
+	// of the service.
 	Ahead   int
 	Waiting int
 	// Expected is the expected time until a slot is free for the request, Response the expected time of its response.
--- a/internal/core/livequeue/livequeue_test.go
+++ b/internal/core/livequeue/livequeue_test.go
@@ -15,8 +15,8 @@
 	return jobs
 }
 
-// Guards against refusals while the capacity suffices, and against requests that wait without need: 10 slots serve 400 a
-// second, six times 66 a second is within that.
+// Guards against refusals while the capacity suffices, and against requests that wait without need: 10 slots serve 400
+// a second, six times 66 a second is within that.
 func TestNothingWaitsWhileSlotsAreFree(t *testing.T) {
 	s := newSimulation(t, roomy, 10)
 	jobs := arrivals("a", 66, start, time.Second, 800*ms)
@@ -350,7 +350,8 @@
 func TestReassessmentIsNotDelayedBeyondTheLongestWait(t *testing.T) {
 	q := New(Limits{MaxWait: 20 * ms, Requests: 10, Bytes: 100})
 	capacity := Capacity{Candidates: 1, Slots: 1, Occupied: 1, Response: 5 * ms}
-	entry, _ := q.Offer(start, Request{Service: "s", Deadline: start.Add(900 * ms)}, func(*Request) Capacity { return capacity })
+	request := Request{Service: "s", Deadline: start.Add(900 * ms)}
+	entry, _ := q.Offer(start, request, func(*Request) Capacity { return capacity })
 	assert.Equal(t, q.ReassessAt(start.Add(17*ms), entry), start.Add(20*ms))
 	assert.Equal(t, q.ReassessAt(start.Add(20*ms), entry), start.Add(25*ms))
 }
--- a/internal/core/livequeue/property_test.go
+++ b/internal/core/livequeue/property_test.go
@@ -8,8 +8,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against lost or doubled ends, a free slot while an eligible request waits, queues beyond their bounds, and waits
-// beyond the longest one, in random traffic of several tenants, priorities and sets of engines.
+// Guards against lost or doubled ends, a free slot while an eligible request waits, queues beyond their bounds, and
+// waits beyond the longest one, in random traffic of several tenants, priorities and sets of engines.
 func TestRandomTrafficKeepsTheInvariants(t *testing.T) {
 	random := newRandom()
 	classes := []string{"", "north", "south"}
@@ -67,8 +67,8 @@
 	}
 }
 
-// Guards against starvation: among requests of one priority, a request is sent after at most as many others as there are
-// flows, for each request of its own flow before it.
+// Guards against starvation: among requests of one priority, a request is sent after at most as many others as there
+// are flows, for each request of its own flow before it.
 func TestNoFlowStarves(t *testing.T) {
 	random := newRandom()
 	for range 40 {
--- a/internal/core/livequeue/regions_test.go
+++ b/internal/core/livequeue/regions_test.go
@@ -54,8 +54,8 @@
 	assert.Equal(t, len(q.services["s"].granted), 0)
 }
 
-// Guards against a request that is refused because of what waits for engines that it does not use: 10 tenants of another
-// region made its expected wait 2.25 s instead of 25 ms.
+// Guards against a request that is refused because of what waits for engines that it does not use: 10 tenants of
+// another region made its expected wait 2.25 s instead of 25 ms.
 func TestRequestsOfOtherRegionsAreNotAhead(t *testing.T) {
 	for _, urgent := range []int{0, 1} {
 		q := New(roomy)
@@ -126,7 +126,8 @@
 	entry = q.OfferFree(start, north, func(moreThan int) bool { return moreThan < 1 })
 	assert.Equal(t, entry.State, Granted)
 	q.Abandon(entry)
-	assert.Assert(t, q.OfferFree(start, anywhere, func(int) bool { return true }) == nil, "the other request may come first")
+	entry = q.OfferFree(start, anywhere, func(int) bool { return true })
+	assert.Assert(t, entry == nil, "the other request may come first")
 	entry, changes := q.Offer(start, anywhere, capacityOf)
 	assert.Equal(t, entry.State, Granted)
 	assert.Equal(t, entry.Reason, NotRefused)
--- a/internal/core/livequeue/retryafter.go
+++ b/internal/core/livequeue/retryafter.go
@@ -21,8 +21,8 @@
 )
 
 // drainRate measures the rate at which slots come free while requests wait, by an exponentially decaying count. While
-// none waits, the rate is that of the demand, not that of the engines: nothing is counted, and the measured rate is used
-// only for minBusyTime longer.
+// none waits, the rate is that of the demand, not that of the engines: nothing is counted, and the measured rate is
+// used only for minBusyTime longer.
 type drainRate struct {
 	busySince time.Time
 	// busyUntil is when a request was last known to wait.
--- a/internal/core/livequeue/retryafter_test.go
+++ b/internal/core/livequeue/retryafter_test.go
@@ -80,7 +80,8 @@
 // Guards against times from the assumed rate while the engines free slots more slowly, as when other nodes use them.
 func TestRetryTimesFollowTheMeasuredRate(t *testing.T) {
 	q := New(roomy)
-	q.Offer(start, Request{Service: "s", Deadline: start.Add(time.Minute)}, func(*Request) Capacity { return fullCapacity(4) })
+	q.Offer(start, Request{Service: "s", Deadline: start.Add(time.Minute)},
+		func(*Request) Capacity { return fullCapacity(4) })
 	at := start
 	for range 40 { // 20 a second
 		at = at.Add(50 * ms)
--- a/internal/explain/livequeue.go
+++ b/internal/explain/livequeue.go
@@ -13,6 +13,8 @@
 	"hopeless": "refused because its response was not expected in time", "refused": "refused",
 	"evicted": "refused for another tenant while the queue was full", "caller_left": "its caller left",
 	"configuration_changed": "refused by a new configuration", "stopping": "refused because the node was stopping",
+	"engines_unknown": "refused because the node had not read the engine list again after a suspension",
+	"quarantined":     "refused because engines ended under the same request during the wait",
 }
 
 // queueReasonPhrases describe values of the log field "reason" of a refusal that the decision does not tell.
@@ -33,8 +35,9 @@
 		default:
 			continue
 		}
-		notes += fmt.Sprintf(" Waited %.0f ms at %s for a slot with priority %.0f, %.0f requests ahead of it, and %.0f requests known at"+
-			" %.0f slots (slot expected in %.0f ms, response %.0f ms, %.0f ms left): %s.", line.number("waited_ms"), line.Node,
+		notes += fmt.Sprintf(" Waited %.0f ms at %s for a slot with priority %.0f, %.0f requests ahead of it, and "+
+			"%.0f requests known at %.0f slots (slot expected in %.0f ms, response %.0f ms, %.0f ms left): %s.",
+			line.number("waited_ms"), line.Node,
 			line.number("priority"), line.number("ahead"), line.number("occupied"), line.number("slots"),
 			line.number("expected_ms"), line.number("response_ms"), line.number("remaining_ms"), decision)
 	}
--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -17,8 +17,8 @@
 // awaitSlot waits while all engines that may run the request are known to be full. An error is that of a request which
 // must not be sent, and which no engine has run.
 //
-// Requests that this process makes itself do not wait here: their senders limit and repeat them. Nor do requests that an
-// engine may have run, since they can't be refused as not executed any more.
+// Requests that this process makes itself do not wait here: their senders limit and repeat them. Nor do requests that
+// an engine may have run, since they can't be refused as not executed any more.
 func (x *exchange) awaitSlot() *errkind.Error {
 	x.releaseSlot()
 	if x.relay.live == nil || x.request.Sender != nil || x.executions > 0 {
@@ -67,10 +67,11 @@
 		return entry, true, failure
 	}
 	entry.Basis = first.basis
-	if crashes < quarantine.RequestLimit && x.relay.options.Guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
+	guard := x.relay.options.Guard
+	if crashes < quarantine.RequestLimit && guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
 		// Engines ended under the same request, sent by others, while this one waited.
-		if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
-			live.abandon(entry)
+		if failure := guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
+			x.withdraw(entry, QueueQuarantined)
 			return nil, false, failure
 		}
 	}
@@ -115,8 +116,8 @@
 	}
 }
 
-// isOver reports whether the caller left or the deadline has passed, also while the machine was suspended, which ctx and
-// timers do not count.
+// isOver reports whether the caller left or the deadline has passed, also while the machine was suspended, which ctx
+// and timers do not count.
 func (x *exchange) isOver() bool { return x.ctx.Err() != nil || !x.endsAt.After(x.relay.now()) }
 
 // endDecision returns the decision about a waiting request that is over.
@@ -135,13 +136,15 @@
 
 // checkAfterWait checks a request that waited against the state in force. moved is true if it must be offered again.
 func (x *exchange) checkAfterWait() (moved bool, failure *errkind.Error) {
-	if !x.relay.options.Gate.AwaitEnginesKnown(x.ctx) {
-		return false, x.staleStateFailure()
-	}
+	known := x.relay.options.Gate.AwaitEnginesKnown(x.ctx)
 	if x.isOver() {
 		x.logWait(x.slot, x.endDecision())
 		return false, x.timeoutFailure()
 	}
+	if !known {
+		x.logWait(x.slot, QueueEnginesUnknown)
+		return false, x.staleStateFailure()
+	}
 	if moved, failure = x.reroute(); failure != nil {
 		x.logWait(x.slot, QueueConfigurationChanged)
 	}
@@ -164,7 +167,8 @@
 		return false, failure
 	}
 	service := x.service
-	if !slices.ContainsFunc(route.Parts, func(part routes.Part) bool { return part.Service == service && part.Weight > 0 }) {
+	leadsTo := func(part routes.Part) bool { return part.Service == service && part.Weight > 0 }
+	if !slices.ContainsFunc(route.Parts, leadsTo) {
 		service = x.relay.splitter.Pick(route)
 	}
 	moved = service != x.service || sender != x.sender || x.flow() != flowOf(sender, route)
@@ -184,9 +188,10 @@
 
 // queueRequest returns the request as offered to the queue.
 func (x *exchange) queueRequest(owner *waiter) livequeue.Request {
+	tried := slices.Sorted(slices.Values(owner.query.Tried))
 	return livequeue.Request{
 		Service: x.service, Flow: x.flow(), Priority: x.sender.Priority, Bytes: int64(len(x.request.Body)),
-		Class:    owner.query.Regions.String() + "|" + strings.Join(owner.query.Tried, ","),
+		Class:    owner.query.Regions.String() + "|" + strings.Join(tried, ","),
 		Regions:  owner.query.Regions,
 		Deadline: time.Now().Add(x.endsAt.Sub(x.relay.now())), WaitsSince: x.waitsSince,
 		Refusals: len(x.refusedFull), Owner: owner,
@@ -205,10 +210,12 @@
 		failure = errkind.New(errkind.QueueFull, "the engines of %s and the queue for them are full", x.service)
 	case livequeue.Evicted:
 		decision = QueueEvicted
-		failure = errkind.New(errkind.QueueFull, "the queue for the engines of %s is full, and its sender is furthest above its share", x.service)
+		failure = errkind.New(errkind.QueueFull,
+			"the queue for the engines of %s is full, and its sender is furthest above its share", x.service)
 	default:
 		decision = QueueHopeless
-		failure = errkind.New(errkind.NoCapacity, "the engines of %s are full: a slot is expected in %s, a response takes %s, %s are left",
+		failure = errkind.New(errkind.NoCapacity,
+			"the engines of %s are full: a slot is expected in %s, a response takes %s, %s are left",
 			x.service, entry.Basis.Expected.Round(time.Millisecond), entry.Basis.Response.Round(time.Millisecond),
 			entry.Basis.Remaining.Round(time.Millisecond))
 	}
--- a/internal/ingress/awaitslot_bench_test.go
+++ b/internal/ingress/awaitslot_bench_test.go
@@ -25,7 +25,8 @@
 		id := fmt.Sprintf("e%04d", i)
 		relay.options.Fleet.Put(fleet.Engine{ID: id, Service: "s", Slots: 8, Zone: fmt.Sprint("z", i%5)})
 		relay.options.Fleet.RequestStarted(incarnation.ID{Engine: id})
-		relay.options.Fleet.RequestEnded(incarnation.ID{Engine: id}, fleet.Outcome{At: time.Now(), Load: &fleet.Load{Running: i % 9}})
+		load := &fleet.Load{Running: i % 9}
+		relay.options.Fleet.RequestEnded(incarnation.ID{Engine: id}, fleet.Outcome{At: time.Now(), Load: load})
 	}
 	request := &Request{ID: "id", Method: http.MethodPost, Target: "/x/1", Path: "/x/1", Host: "h"}
 	for b.Loop() {
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -76,8 +76,8 @@
 	running sync.WaitGroup
 }
 
-// queueTable returns a table with one route. It allows one attempt, whose time is only bounded by the request's, so that
-// the first request holds the slot until the test lets it go.
+// queueTable returns a table with one route. It allows one attempt, whose time is only bounded by the request's, so
+// that the first request holds the slot until the test lets it go.
 func queueTable(version int64, tenants []routes.Tenant, change func(route *routes.Route)) *routes.Table {
 	route := routes.Route{
 		Name: "r", Host: "h", Prefix: "/x/", Kind: routes.Safe, Parts: []routes.Part{{Service: "s", Weight: 1}},
@@ -194,8 +194,8 @@
 
 var waitsLong = livequeue.Limits{MaxWait: 10 * time.Second, Requests: 100, Bytes: 1 << 20}
 
-// expectSlowResponses makes the mean response time some seconds, so that only an event wakes a waiting request soon, and
-// not its timer.
+// expectSlowResponses makes the mean response time some seconds, so that only an event wakes a waiting request soon,
+// and not its timer.
 func (d *queueDeployment) expectSlowResponses() {
 	d.configure(queueTable(2, twoTenants, func(route *routes.Route) { route.Timeout = 30 * time.Second }))
 	id := incarnation.ID{Engine: "e"}
@@ -246,7 +246,9 @@
 		kind     errkind.Kind
 		decision QueueDecision
 	}{
-		"wait over":  {livequeue.Limits{MaxWait: 80 * time.Millisecond, Requests: 9, Bytes: 99}, 0, errkind.QueueTimeout, QueueRefused},
+		"wait over": {
+			livequeue.Limits{MaxWait: 80 * time.Millisecond, Requests: 9, Bytes: 99}, 0, errkind.QueueTimeout, QueueRefused,
+		},
 		"deadline":   {waitsLong, 60 * time.Millisecond, errkind.NoCapacity, QueueHopeless},
 		"queue full": {livequeue.Limits{MaxWait: time.Second, Requests: 0, Bytes: 99}, 0, errkind.QueueFull, QueueRefused},
 		"bytes":      {livequeue.Limits{MaxWait: time.Second, Requests: 9, Bytes: 3}, 0, errkind.QueueFull, QueueRefused},
@@ -306,7 +308,9 @@
 		}
 		assert.Equal(t, len(found), 1, "%s: %v", id, found)
 		assert.Assert(t, strings.Contains(found[0], wanted), found[0])
-		for _, field := range []string{"waited_ms", "expected_ms", "response_ms", "remaining_ms", "ahead", "waiting", "slots", "occupied", "own"} {
+		for _, field := range []string{
+			"waited_ms", "expected_ms", "response_ms", "remaining_ms", "ahead", "waiting", "slots", "occupied", "own",
+		} {
 			assert.Assert(t, strings.Contains(found[0], `"`+field+`":`), found[0])
 		}
 	}
@@ -344,10 +348,16 @@
 		table *routes.Table
 		kind  errkind.Kind
 	}{
-		"route gone":  {queueTable(2, twoTenants, func(route *routes.Route) { route.Prefix = "/y/" }), errkind.UnknownService},
-		"batch route": {queueTable(2, twoTenants, func(route *routes.Route) { route.Kind = routes.Batch }), errkind.UnknownService},
+		"route gone": {
+			queueTable(2, twoTenants, func(route *routes.Route) { route.Prefix = "/y/" }), errkind.UnknownService,
+		},
+		"batch route": {
+			queueTable(2, twoTenants, func(route *routes.Route) { route.Kind = routes.Batch }), errkind.UnknownService,
+		},
 		"key revoked": {queueTable(2, twoTenants[:1], nil), errkind.Unauthorized},
-		"other homes": {queueTable(2, twoTenants, func(route *routes.Route) { route.Homes = []string{"south"} }), errkind.OutsideHomes},
+		"other homes": {
+			queueTable(2, twoTenants, func(route *routes.Route) { route.Homes = []string{"south"} }), errkind.OutsideHomes,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := deployQueue(t, waitsLong)
@@ -417,6 +427,7 @@
 	d.setKnown(false)
 	d.engines.proceed <- struct{}{}
 	assert.Equal(t, second.wait(t).Kind, errkind.NotReady)
+	assert.DeepEqual(t, d.decided(), []QueueDecision{QueueEnginesUnknown})
 	assert.DeepEqual(t, d.engines.sentIDs(), []string{"1"})
 	d.end()
 }
@@ -448,6 +459,7 @@
 	guard.crashes.Store(quarantine.RequestLimit)
 	d.engines.proceed <- struct{}{}
 	assert.Equal(t, second.wait(t).Kind, errkind.Quarantined)
+	assert.DeepEqual(t, d.decided(), []QueueDecision{QueueQuarantined})
 	assert.DeepEqual(t, d.engines.sentIDs(), []string{"1"})
 	assert.Equal(t, d.waiting(), 0)
 	d.end()
@@ -480,6 +492,25 @@
 	d.Relay.options.Fleet.RequestEnded(id, fleet.Outcome{At: time.Now(), Load: &fleet.Load{Running: 1}})
 }
 
+// Guards against requests that count as of different classes, whose engines are then scanned twice, because they were
+// refused by the same engines in another order.
+func TestClassDoesNotDependOnTheOrderOfTries(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	x, cancel, failure := d.Relay.begin(httptest.NewRecorder(), t.Context(), &Request{
+		ID: "1", Method: http.MethodPost, Target: "/x/1", Path: "/x/1", Host: "h", Received: time.Now(),
+		Credentials: routes.Credentials{Key: "key-a"},
+	})
+	assert.Assert(t, failure == nil)
+	defer cancel()
+	classOf := func(tried ...string) string {
+		x.tried = tried
+		return x.queueRequest(&waiter{query: x.engineQuery()}).Class
+	}
+	assert.Equal(t, classOf("e", "f"), classOf("f", "e"))
+	assert.Assert(t, classOf("e", "f") != classOf("e"))
+	assert.DeepEqual(t, x.tried, []string{"e"})
+}
+
 // Guards against waits that rest on a report which is not true any more. The request of this node that is held tells
 // nothing.
 func TestRequestIsSentWhenTheReportExpires(t *testing.T) {
@@ -509,8 +540,8 @@
 	assert.Assert(t, reply.wait(t) == nil)
 }
 
-// Guards against a request that is refused although the engine that was full can run it a little later, and against more
-// tries than without the queue.
+// Guards against a request that is refused although the engine that was full can run it a little later, and against
+// more tries than without the queue.
 func TestRequestRefusedByAFullEngineWaits(t *testing.T) {
 	d := deployQueue(t, waitsLong)
 	tries := 0
--- a/internal/ingress/awaitslotcold_test.go
+++ b/internal/ingress/awaitslotcold_test.go
@@ -33,8 +33,8 @@
 	return coldpermits.Permit{}, coldpermits.Decision{Outcome: coldpermits.Unanswered, Wait: time.Second}
 }
 
-// deployColdSouth returns a deployment with a warm engine in the north and a cold one, "c", in the south. Tenant b's home
-// is the north; tenant a's homes are as given.
+// deployColdSouth returns a deployment with a warm engine in the north and a cold one, "c", in the south. Tenant b's
+// home is the north; tenant a's homes are as given.
 func deployColdSouth(t *testing.T, homesOfA ...string) (*queueDeployment, *unansweredPermits) {
 	d := deployQueue(t, waitsLong)
 	d.Relay.options.Fleet.Put(fleet.Engine{ID: "c", Service: "s", Slots: 1, Region: "south"})
@@ -71,8 +71,8 @@
 	}
 }
 
-// Guards against up to three permit calls, which may each take as long as the leader is unreachable, for one choice of an
-// engine by a request that waited.
+// Guards against up to three permit calls, which may each take as long as the leader is unreachable, for one choice of
+// an engine by a request that waited.
 func TestOnePermitIsRequestedForAChoice(t *testing.T) {
 	for name, change := range map[string]func(x *exchange){
 		"new":            func(*exchange) {},
--- a/internal/ingress/livequeue.go
+++ b/internal/ingress/livequeue.go
@@ -26,6 +26,10 @@
 	QueueCallerLeft
 	// QueueConfigurationChanged: refused by the configuration that came into force during the wait.
 	QueueConfigurationChanged
+	// QueueEnginesUnknown: refused after a suspension of the node, which had not read the engine list again.
+	QueueEnginesUnknown
+	// QueueQuarantined: refused, because engines ended under the same request during the wait.
+	QueueQuarantined
 	// QueueStopping: refused, because the node stops.
 	QueueStopping
 	queueDecisionCount
@@ -33,7 +37,8 @@
 
 var queueDecisionNames = [queueDecisionCount]string{
 	QueueWaited: "waited", QueueHopeless: "hopeless", QueueRefused: "refused", QueueEvicted: "evicted",
-	QueueCallerLeft: "caller_left", QueueConfigurationChanged: "configuration_changed", QueueStopping: "stopping",
+	QueueCallerLeft: "caller_left", QueueConfigurationChanged: "configuration_changed",
+	QueueEnginesUnknown: "engines_unknown", QueueQuarantined: "quarantined", QueueStopping: "stopping",
 }
 
 // String returns the decision's name in logs and metrics.
@@ -48,8 +53,8 @@
 	return decisions
 }
 
-// liveQueue is the queue of a relay. A nil liveQueue grants every request a slot. It is safe for concurrent use. Its lock
-// may be held while the fleet's lock is taken, but not the other way around.
+// liveQueue is the queue of a relay. A nil liveQueue grants every request a slot. It is safe for concurrent use. Its
+// lock may be held while the fleet's lock is taken, but not the other way around.
 type liveQueue struct {
 	fleet    *fleet.Fleet
 	onLength func(requests int, bytes int64)
@@ -245,8 +250,8 @@
 	return l.queue.RetryAfter(now, &request, l.capacity(now, request.Owner.(*waiter).query))
 }
 
-// EnginesChanged must be called after changes of the engine list, of evacuations, or of the reported loads that the relay
-// did not make itself, so that waiting requests use slots that came free.
+// EnginesChanged must be called after changes of the engine list, of evacuations, or of the reported loads that the
+// relay did not make itself, so that waiting requests use slots that came free.
 func (r *Relay) EnginesChanged() {
 	if r == nil || r.live == nil {
 		return
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -157,8 +157,9 @@
 	if result != answered {
 		level = zerolog.WarnLevel
 	}
-	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Stringer("engine", choice.Engine.Incarnation()).
-		Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).Int("candidates", choice.Candidates).Dur("expected_ms", choice.Expected).Stringer("distance", choice.Distance).
+	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).
+		Stringer("engine", choice.Engine.Incarnation()).Int("in_flight", choice.InFlight).Bool("cold", choice.Cold).
+		Int("candidates", choice.Candidates).Dur("expected_ms", choice.Expected).Stringer("distance", choice.Distance).
 		Dur("load_age_ms", choice.LoadAge).Stringer("verdict", result).Dur("took_ms", took)
 	if result != answered {
 		line = line.Stringer("fingerprint", x.fingerprintOf())
