--- a/internal/bench/soak/contention_settings.go
+++ b/internal/bench/soak/contention_settings.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// contentionSettingsKnown is true once the daemon knows the settings that contentionSettings writes.
-const contentionSettingsKnown = false
-
 const (
 	// contentionLiveWait is shorter than the shortest deadline of a burst's requests, so that waits end by the
 	// setting as well as by deadlines.
@@ -24,11 +21,8 @@
 	liveWait time.Duration
 }
 
-// contentionSettings returns the settings of the nodes under contention schedules, none unless the daemon knows them.
-func contentionSettings(known bool) nodeSettings {
-	if !known {
-		return nodeSettings{}
-	}
+// contentionSettings returns the settings of the nodes under contention schedules.
+func contentionSettings() nodeSettings {
 	return nodeSettings{
 		hosted: fmt.Sprintf("load_exchange = %q\n", contentionLoadExchange.String()),
 		tables: fmt.Sprintf(`
--- a/internal/bench/soak/contention_test.go
+++ b/internal/bench/soak/contention_test.go
@@ -61,11 +61,9 @@
 	}
 }
 
-// Guards against settings that the daemon rejects or ignores because of their section, and against settings that reach
-// nodes whose daemon does not know them.
+// Guards against settings that the daemon rejects or ignores because of their section.
 func TestContentionSettings(t *testing.T) {
-	assert.Equal(t, contentionSettings(false), nodeSettings{})
-	settings := contentionSettings(true)
+	settings := contentionSettings()
 	assert.Equal(t, settings.hosted, "load_exchange = \"200ms\"\n")
 	assert.Equal(t, settings.tables, "\n[scheduling]\njob_order = \"due\"\nengine_speeds = \"mixed\"\nlive_wait = \"300ms\"\n")
 	assert.Assert(t, settings.liveWait < minBurstDeadline)
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -78,7 +78,7 @@
 	}
 	if plan.hasContention() {
 		d.paces = paces(plan.seed, plan.lookupEngineCount(), plan.draftEngineCount())
-		d.settings = contentionSettings(contentionSettingsKnown)
+		d.settings = contentionSettings()
 		history.Contention = &ContentionRecord{LiveWait: d.settings.liveWait}
 	}
 	if !plan.enginesFence {
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -22,6 +22,8 @@
 	// Tried holds the IDs of engines that this request was already sent to.
 	Tried       []string
 	ExcludeCold bool
+	// ExcludeFull excludes the engines that count as full; see Saturation. Recently failed ones are then not chosen.
+	ExcludeFull bool
 	Now         time.Time
 }
 
@@ -62,7 +64,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := f.filter(query, false)
-	if len(candidates) == 0 {
+	if len(candidates) == 0 && !query.ExcludeFull {
 		candidates = f.filter(query, true)
 	}
 	if len(candidates) == 0 {
@@ -80,24 +82,31 @@
 func (f *Fleet) filter(query Query, includeSuspected bool) []*member {
 	var candidates []*member
 	for _, id := range f.byService[query.Service] {
-		candidate := f.members[id]
-		if !f.acceptsWork(candidate.engine) || !query.Regions.Allows(candidate.engine.Region) || contains(query.Tried, id) {
-			continue
-		}
-		if !includeSuspected && query.Now.Before(candidate.suspectUntil) {
-			continue
-		}
-		if query.Model != "" && candidate.engine.Versions[query.Model] < query.MinVersion {
-			continue
+		if candidate := f.members[id]; f.mayRun(candidate, &query, includeSuspected) {
+			candidates = append(candidates, candidate)
 		}
-		if query.ExcludeCold && f.isCold(candidate, query.Now) {
-			continue
-		}
-		candidates = append(candidates, candidate)
 	}
 	return candidates
 }
 
+// mayRun reports whether an engine of the service may run the request. Must be called with mu held.
+func (f *Fleet) mayRun(candidate *member, query *Query, includeSuspected bool) bool {
+	if !f.acceptsWork(candidate.engine) || !query.Regions.Allows(candidate.engine.Region) ||
+		contains(query.Tried, candidate.engine.ID) {
+		return false
+	}
+	if !includeSuspected && query.Now.Before(candidate.suspectUntil) {
+		return false
+	}
+	if query.Model != "" && candidate.engine.Versions[query.Model] < query.MinVersion {
+		return false
+	}
+	if query.ExcludeCold && f.isCold(candidate, query.Now) {
+		return false
+	}
+	return !query.ExcludeFull || !candidate.isFull(query.Now)
+}
+
 func contains(ids []string, id string) bool {
 	for _, each := range ids {
 		if each == id {
--- a/internal/hosted/loadexchange.go
+++ b/internal/hosted/loadexchange.go
@@ -52,6 +52,7 @@
 func (n *node) setPeerLoad(entries []loadexchange.Entry) {
 	wallNow := time.Now()
 	n.fleet.SetPeerLoad(convertTimes(entries, boottime.Now(), wallNow))
+	n.relay.EnginesChanged()
 }
 
 // convertTimes converts the times of entries between two clocks, of which both arguments are the current time.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -51,6 +51,7 @@
 	MaxCallerStall     = time.Hour
 	MinLoadExchange    = 100 * time.Millisecond
 	MaxLoadExchange    = 10 * time.Second
+	MaxLiveWait        = 10 * time.Second
 )
 
 // Allowed values of scheduling.policy, scheduling.job_order, scheduling.engine_speeds and log.level.
@@ -107,6 +108,10 @@
 	if settings.Scheduling.EngineSpeeds == EnginesMixed && settings.Hosted.Log == "" {
 		c.add("scheduling.engine_speeds", EnginesMixed, EnginesUniform+" unless hosted.log is set")
 	}
+	c.duration("scheduling.live_wait", settings.Scheduling.LiveWait, 0, MaxLiveWait)
+	if settings.Scheduling.LiveWait > 0 && settings.Hosted.Log == "" {
+		c.add("hosted.log", "", "ip:port of the platform's log, because scheduling.live_wait is set")
+	}
 	c.concurrentLoads(settings.Weights.MaxConcurrentLoads)
 	c.duration("shutdown.grace", settings.Shutdown.Grace, MinGrace, MaxGrace)
 	c.oneOf("log.level", settings.Log.Level, Levels)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,6 +139,9 @@
 	// EngineSpeeds is EnginesUniform, or EnginesMixed to divide the engines of each service into fast ones and others
 	// by their observed pace. Requires Hosted.Log.
 	EngineSpeeds string `toml:"engine_speeds"`
+	// LiveWait is the longest time that a live request may wait at a node while all engines that may run it are
+	// known to be full, 0..10 s; 0 for no waiting.
+	LiveWait Duration `toml:"live_wait"`
 }
 
 // Values of Scheduling.JobOrder.
--- a/test/hosted/deployment_test.go
+++ b/test/hosted/deployment_test.go
@@ -60,6 +60,8 @@
 	enginesFence bool
 	// loadExchange is the interval of the load exchange of the nodes started from now on; zero for none.
 	loadExchange time.Duration
+	// liveWait is the longest wait of a live request for an engine; zero for none.
+	liveWait time.Duration
 }
 
 // testNode is a node that runs within the test process.
@@ -231,6 +233,7 @@
 	config.Hosted.OrderQuiet = settings.Duration(d.orderQuiet)
 	config.Hosted.EnginesFence = d.enginesFence
 	config.Hosted.LoadExchange = settings.Duration(d.loadExchange)
+	config.Scheduling.LiveWait = settings.Duration(d.liveWait)
 	if d.duties != "" {
 		config.Hosted.Duties, config.Hosted.DutyKinds = d.duties, "usage,scaler"
 		config.Hosted.UsageWindow, config.Hosted.UsageDue = settings.Duration(usageWindow), settings.Duration(usageDue)
