Count items of jobs that begin and end between two planning passes

Cause: the number of engines that follow a model comes from the peak of its open items, which the planner samples each 50 ms. The test's jobs of 10 items are open for 30 ms. In both failing runs the only sample with open items saw the last one or two, which one engine can serve; without any such sample the default holds. That rules out the evacuation, whose end both nodes had logged, and an order that was refused, since none was sent.

Change: the runner records the peak when a job is added, and the planner takes it with its next sample. Both new tests fail without the change.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -63,6 +63,32 @@
 	return demands
 }
 
+// TakeItemPeak returns the highest number of items without a result that the model had at once since the previous call
+// for it, over the jobs of all runners. Jobs may begin and end between two calls of Demands.
+func (r *Runner) TakeItemPeak(model string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peak := r.itemPeaks[model]
+	delete(r.itemPeaks, model)
+	return peak
+}
+
+// observeItemPeak records the number of items of a model when a job was added. Must be called with mu held.
+func (r *Runner) observeItemPeak(model string) {
+	unfinished := 0
+	for _, job := range r.jobs {
+		if job.record.Model == model {
+			unfinished += job.remaining
+		}
+	}
+	for _, job := range r.otherJobs {
+		if job.record.Model == model {
+			unfinished += job.remaining
+		}
+	}
+	r.itemPeaks[model] = max(r.itemPeaks[model], unfinished)
+}
+
 // UnfinishedByService returns the number of unfinished items per service, over the jobs of all runners.
 func (r *Runner) UnfinishedByService() map[string]int {
 	r.mu.Lock()
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -21,6 +21,7 @@
 	if !r.owns(&job.JobRecord) {
 		if r.otherJobs[job.ID] == nil {
 			r.otherJobs[job.ID] = newOtherJob(job)
+			r.observeItemPeak(job.Model)
 		}
 		return
 	}
@@ -45,6 +46,7 @@
 		}
 	}
 	r.jobs[job.ID] = added
+	r.observeItemPeak(job.Model)
 	r.plan.AddJob(r.planJob(job))
 	if len(added.savedProgress) > 0 {
 		r.pendingRestores++
--- a/internal/batchrun/ownership_test.go
+++ b/internal/batchrun/ownership_test.go
@@ -277,3 +277,18 @@
 		assert.Equal(t, result.Outcome == batch.Completed, strings.HasPrefix(key, "new"), key)
 	}
 }
+
+// Guards against engines that get no weights because the jobs that need them begin and end between two passes of the
+// weight planner.
+func TestItemPeakCoversJobsThatHaveEnded(t *testing.T) {
+	env := newRegionalEnv(t)
+	env.setHomes("bound", "north")
+	r, _ := env.startBoundRunner()
+	record := batch.JobRecord{ID: "bound", Model: "m", Items: []batch.ItemRecord{{ID: "a", Group: "g"}, {ID: "b", Group: "g"}}}
+	env.jobs.apply(batch.Record{Job: &record})
+	testwait.Until(t, "the job is known", func() bool { return len(r.Demands()) > 0 })
+	env.jobs.apply(batch.Record{End: "bound"})
+	assert.Equal(t, len(r.Demands()), 0)
+	assert.Equal(t, r.TakeItemPeak("m"), 2)
+	assert.Equal(t, r.TakeItemPeak("m"), 0, "the peak counts once")
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -91,7 +91,9 @@
 	jobs map[string]*openJob
 	// otherJobs are the open jobs of other runners; homesVersion is the configuration version by which jobs were
 	// last divided among the runners.
-	otherJobs    map[string]*otherJob
+	otherJobs map[string]*otherJob
+	// itemPeaks holds, by model, the highest number of items without a result since the last TakeItemPeak.
+	itemPeaks    map[string]int
 	homesVersion int64
 	runs         map[batchplan.Key]*run
 	// pendingRestores is the number of jobs whose saved output is being read; startedAt is the start of the term.
@@ -150,6 +152,7 @@
 		plan:      batchplan.New(),
 		jobs:      make(map[string]*openJob),
 		otherJobs: make(map[string]*otherJob),
+		itemPeaks: make(map[string]int),
 		runs:      make(map[batchplan.Key]*run),
 		scoring:   newScoringQueue(),
 
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -23,6 +23,7 @@
 		Engines: n.platform.Engines(), Fleet: n.fleet, Gate: n.gate, Targets: n.weightTargets,
 		Running:   func() map[incarnation.ID]int { return runner.RunningByEngine() },
 		Demands:   func() map[string]batchrun.Demand { return runner.Demands() },
+		ItemPeak:  func(model string) int { return runner.TakeItemPeak(model) },
 		Fast:      func() map[incarnation.ID]bool { return runner.FastEngines() },
 		OnLoadEnd: func() { runner.Wake() },
 		Term:      term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -145,7 +145,11 @@
 			itemPeaks = &peak.Window{}
 			m.itemPeaks[model] = itemPeaks
 		}
-		itemPeaks.Observe(now, demand.Unfinished, itemPeakPeriod)
+		items := demand.Unfinished
+		if m.options.ItemPeak != nil {
+			items = max(items, m.options.ItemPeak(model))
+		}
+		itemPeaks.Observe(now, items, itemPeakPeriod)
 		targets = append(targets, weightplan.Target{
 			Model: model, Version: version, MinVersion: demand.MinVersion, Items: itemPeaks.Max(),
 			Demand: m.meanDemands[model], Waiting: demand.Waiting, LoadsInterrupt: target.SingleVersion,
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -142,6 +142,9 @@
 	// model.
 	Running func() map[incarnation.ID]int
 	Demands func() map[string]batchrun.Demand
+	// ItemPeak returns the highest number of open items of a model since its previous call for the model; nil for the
+	// numbers of Demands only, which miss jobs that begin and end between two planning passes.
+	ItemPeak func(model string) int
 	// Fast returns the engines in the fast class of their service; nil for none. Models share these engines separately
 	// from the others.
 	Fast func() map[incarnation.ID]bool
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -179,6 +179,15 @@
 	assert.Assert(t, m.engines.maxLoading > 4, "%d concurrent loads", m.engines.maxLoading)
 }
 
+// Guards against engines that load nothing because planning passes saw only the last item of each job.
+func TestItemsBetweenPlanningPassesCount(t *testing.T) {
+	m := startManager(t, 4, func(options *Options) {
+		options.Demands = func() map[string]batchrun.Demand { return map[string]batchrun.Demand{model: {Unfinished: 1}} }
+		options.ItemPeak = func(string) int { return 16 }
+	})
+	testwait.Until(t, "all engines have version 2", func() bool { return m.engines.allAt(2) })
+}
+
 // The quiet period of one engine must not delay orders to others.
 func TestEngineIsNotOrderedDuringQuietPeriod(t *testing.T) {
 	var quietPeriodOver atomic.Bool
