Take the peaks of open items before the planner locks its state

Cause: asks the runner for the peak of open items with the planner's lock held, while the runner asks the planner for loads in progress with its own lock held. A dump of all goroutines of a stuck leader shows both.

Change: the peaks are taken before the lock, as the demands are. The test calls the planner from within the peak; with the previous code it does not end.

--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -21,9 +21,10 @@
 		fast = m.options.Fast()
 	}
 	listed := m.options.Fleet.List(target.Service, now)
+	peaks := m.takeItemPeaks(target)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	targets := m.targets(target, demands, now)
+	targets := m.targets(target, demands, peaks, now)
 	if len(targets) == 0 {
 		return
 	}
@@ -51,6 +52,19 @@
 	m.updateConcurrency(now)
 }
 
+// takeItemPeaks returns the peaks of open items since the previous pass, by model. Must not be called with mu held: the
+// runner calls LoadingModel with its own lock held.
+func (m *Manager) takeItemPeaks(target Target) map[string]int {
+	if m.options.ItemPeak == nil {
+		return nil
+	}
+	peaks := make(map[string]int, len(target.Versions))
+	for model := range target.Versions {
+		peaks[model] = m.options.ItemPeak(model)
+	}
+	return peaks
+}
+
 // updateConcurrency updates the maximum concurrency of each load in progress. Must be called with mu held.
 func (m *Manager) updateConcurrency(now time.Time) {
 	concurrency := len(m.loading) - m.countNearlyDone(now)
@@ -125,7 +139,9 @@
 }
 
 // targets returns the target version and the demand of each model of the service. Must be called with mu held.
-func (m *Manager) targets(target Target, demands map[string]batchrun.Demand, now time.Time) []weightplan.Target {
+func (m *Manager) targets(
+	target Target, demands map[string]batchrun.Demand, peaks map[string]int, now time.Time,
+) []weightplan.Target {
 	var targets []weightplan.Target
 	for model, version := range target.Versions {
 		if m.loggedVersions[model] != version {
@@ -145,11 +161,7 @@
 			itemPeaks = &peak.Window{}
 			m.itemPeaks[model] = itemPeaks
 		}
-		items := demand.Unfinished
-		if m.options.ItemPeak != nil {
-			items = max(items, m.options.ItemPeak(model))
-		}
-		itemPeaks.Observe(now, items, itemPeakPeriod)
+		itemPeaks.Observe(now, max(demand.Unfinished, peaks[model]), itemPeakPeriod)
 		targets = append(targets, weightplan.Target{
 			Model: model, Version: version, MinVersion: demand.MinVersion, Items: itemPeaks.Max(),
 			Demand: m.meanDemands[model], Waiting: demand.Waiting, LoadsInterrupt: target.SingleVersion,
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -116,6 +116,7 @@
 	fleet   *fleet.Fleet
 	version atomic.Int64
 	term    *fakelease.Term
+	manager *Manager
 }
 
 func startManager(t *testing.T, engineCount int, change func(*Options)) *testManager {
@@ -141,11 +142,12 @@
 	if change != nil {
 		change(&options)
 	}
+	m.manager = New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		New(options).Run(ctx)
+		m.manager.Run(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -179,12 +181,20 @@
 	assert.Assert(t, m.engines.maxLoading > 4, "%d concurrent loads", m.engines.maxLoading)
 }
 
-// Guards against engines that load nothing because planning passes saw only the last item of each job.
+// Guards against engines that load nothing because planning passes saw only the last item of each job, and against a
+// deadlock with the runner, which asks for the loads in progress with its own lock held.
 func TestItemsBetweenPlanningPassesCount(t *testing.T) {
+	var manager atomic.Pointer[Manager]
 	m := startManager(t, 4, func(options *Options) {
 		options.Demands = func() map[string]batchrun.Demand { return map[string]batchrun.Demand{model: {Unfinished: 1}} }
-		options.ItemPeak = func(string) int { return 16 }
+		options.ItemPeak = func(string) int {
+			if started := manager.Load(); started != nil {
+				started.LoadingModels()
+			}
+			return 16
+		}
 	})
+	manager.Store(m.manager)
 	testwait.Until(t, "all engines have version 2", func() bool { return m.engines.allAt(2) })
 }
 
