Notice engines that end under a request between its admission and its wait

Cause: the number of crashes that the check after the wait compares with was read after the request had been offered to the queue; a crash recorded in between counted as known at its admission.

Change: the number is read before the request is admitted.

--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -57,7 +57,6 @@
 		return nil, false, x.queueRefusal(entry, owner.retryAfter)
 	}
 	x.waitsSince = entry.Arrived
-	crashes := x.relay.options.Guard.Status(x.fingerprintOf).Crashes
 	moved, failure := x.awaitGrant(entry, first.reassessAt)
 	if failure != nil {
 		return nil, false, failure
@@ -68,8 +67,8 @@
 	}
 	entry.Basis = first.basis
 	guard := x.relay.options.Guard
-	if crashes < quarantine.RequestLimit && guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
-		// Engines ended under the same request, sent by others, while this one waited.
+	if x.admittedCrashes < quarantine.RequestLimit && guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
+		// Engines ended under the same request, sent by others, since this one was admitted.
 		if failure := guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
 			x.withdraw(entry, QueueQuarantined)
 			return nil, false, failure
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -436,6 +436,8 @@
 type quarantiningGuard struct {
 	noCrashes
 	crashes atomic.Int64
+	// quarantineNext makes engines end under the next request right after it was admitted.
+	quarantineNext atomic.Bool
 }
 
 func (g *quarantiningGuard) Status(func() quarantine.Fingerprint) quarantine.Status {
@@ -446,6 +448,9 @@
 	if g.crashes.Load() >= quarantine.RequestLimit {
 		return errkind.New(errkind.Quarantined, "the request is quarantined")
 	}
+	if g.quarantineNext.Swap(false) {
+		g.crashes.Store(quarantine.RequestLimit)
+	}
 	return nil
 }
 
@@ -465,6 +470,20 @@
 	d.end()
 }
 
+// Guards against a request that is sent although engines ended under the same one between its admission and its wait.
+func TestCrashBetweenAdmissionAndWaitQuarantines(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	guard := &quarantiningGuard{}
+	d.Relay.options.Guard = guard
+	d.send(t.Context(), "1", "key-a", 0)
+	guard.quarantineNext.Store(true)
+	second := d.send(t.Context(), "2", "key-b", 0)
+	d.engines.proceed <- struct{}{}
+	assert.Equal(t, second.wait(t).Kind, errkind.Quarantined)
+	assert.DeepEqual(t, d.engines.sentIDs(), []string{"1"})
+	d.end()
+}
+
 // Guards against requests that wait for a slot of an engine that was just listed, or that left.
 func TestChangesOfTheEngineListWakeWaitingRequests(t *testing.T) {
 	d := deployQueue(t, waitsLong)
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -42,6 +42,8 @@
 	denial coldpermits.Decision
 	// fingerprint is computed on first use; see fingerprintOf.
 	fingerprint *quarantine.Fingerprint
+	// admittedCrashes is the number of crashes under the same request before it was admitted; only with a queue.
+	admittedCrashes int
 	// executions counts the engines that may have run the request.
 	executions int
 	// startReported is true once Options.OnStart was called for the request.
@@ -78,6 +80,10 @@
 
 // run tries engines until one answers or no other may be tried.
 func (x *exchange) run() *errkind.Error {
+	if x.relay.live != nil {
+		// Read before the request is admitted, so that no later crash is missed.
+		x.admittedCrashes = x.relay.options.Guard.Status(x.fingerprintOf).Crashes
+	}
 	if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
 		return failure
 	}
