Bound moves to fast engines and keep the slot of a moved item

Suspect items stay where they run. - While the run of a moved item is being stopped, items of earlier jobs took its slot, and it waited behind them. Items with a chosen engine are assigned first, and slots of items on their way are not free for others. - An item whose chosen engine could not take it was kept off its former engine, which had not failed; one that is bound to a version could wait until its job expired. It may go back now (no test of its own). - Slots were withheld for items that neither run nor wait, such as quarantined ones. The score of an engine is multiplied in its former order again, so that ties are broken as before without classes.

--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -21,6 +21,9 @@
 	never       = time.Duration(1<<63 - 1)
 	// maxMoves is the maximum number of times one item is moved.
 	maxMoves = 3
+	// maxMovesToFast is the same for moves to the fast class, each of which has to pay for itself. It bounds those that
+	// engines refuse because of other runners' items.
+	maxMovesToFast = 8
 )
 
 // MoveReason is why an item is moved to another engine.
@@ -139,8 +142,7 @@
 	r.moveToFast(now, views)
 }
 
-// moveToFast stops the runs whose items continue on engines of the fast class. Each move has to pay for itself, so
-// maxMoves doesn't apply. Must be called with mu held.
+// moveToFast stops the runs whose items continue on engines of the fast class. Must be called with mu held.
 func (r *Runner) moveToFast(now time.Time, views []batchplan.Engine) {
 	if !r.options.MixedEngines {
 		return
@@ -148,7 +150,8 @@
 	var candidates []batchplan.MoveCandidate
 	for key, running := range r.runs {
 		job := r.jobs[key.Job]
-		if job == nil || running.reason != notStopped || !r.plan.HasClasses(running.engine) {
+		if job == nil || running.reason != notStopped || !r.plan.HasClasses(running.engine) ||
+			job.items[key.Item].MovesToFast >= maxMovesToFast {
 			continue
 		}
 		candidate := batchplan.MoveCandidate{
@@ -160,6 +163,7 @@
 		candidates = append(candidates, candidate)
 	}
 	for _, each := range r.plan.MovesToFast(now, candidates, views) {
+		r.jobs[each.Key.Job].items[each.Key.Item].MovesToFast++
 		r.plan.Prefer(each.Key, each.To)
 		r.stopToMove(r.runs[each.Key], move{reason: MovedToFast, to: each.To, gain: each.Gain})
 	}
--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -232,3 +232,29 @@
 	r.moveStragglers()
 	assert.Equal(t, movesByEngine(r)["e7"].reason, MovedToFast)
 }
+
+// Guards against an item that is moved for ever because the fast engines refuse it, for example as full of items that
+// other runners started.
+func TestRefusedMovesToFastEnginesAreBounded(t *testing.T) {
+	env := newMixedEnv(t, nil)
+	env.route.ResultsDueAfter = 7500 * time.Millisecond
+	env.startRunner()
+	submitMany(env, "j", 8, 40)
+	env.awaitResults(8)
+	env.engines.mu.Lock()
+	env.engines.refuse = func(engine string, _ Call) *CallError {
+		if strings.HasPrefix(engine, "fast") {
+			return &CallError{Kind: NotExecuted, Detail: "full"}
+		}
+		return nil
+	}
+	env.engines.mu.Unlock()
+	env.mu.Lock()
+	before := len(env.moves)
+	env.mu.Unlock()
+	submitMany(env, "j2", 1, 150)
+	env.awaitResults(9)
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	assert.Assert(t, len(env.moves)-before <= maxMovesToFast, "%d moves of one item", len(env.moves)-before)
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -310,7 +310,12 @@
 	line.Int64("after_event", state.Output.Last()).Dur("ran_ms", time.Since(current.started)).Msg("run ended early")
 	notBefore := time.Now().Add(retryDelay)
 	if current.reason != notStopped {
-		r.queueItem(job, key.Item, current.engine, time.Time{})
+		avoid := current.engine
+		if current.move.reason == MovedToFast {
+			// The engine has not failed: it may continue the item if the chosen one can't.
+			avoid = incarnation.ID{}
+		}
+		r.queueItem(job, key.Item, avoid, time.Time{})
 		r.Wake()
 		return
 	}
--- a/internal/core/batchitem/item.go
+++ b/internal/core/batchitem/item.go
@@ -23,8 +23,9 @@
 type Item struct {
 	// Output is the output so far.
 	Output Output
-	// Moves is the number of moves to a faster engine.
-	Moves int
+	// Moves is the number of moves away from slow or draining engines, MovesToFast of those to the fast class.
+	Moves       int
+	MovesToFast int
 
 	stage     Stage
 	completed bool
--- a/internal/core/batchplan/moves.go
+++ b/internal/core/batchplan/moves.go
@@ -79,13 +79,14 @@
 	return moves
 }
 
-// movable returns the candidates that gain enough from a move to a fast engine, the most time left first.
+// movable returns the candidates that gain enough from a move to a fast engine, the most time left first. Suspect items
+// stay in isolation where they run.
 func (p *Plan) movable(now time.Time, candidates []MoveCandidate) []movable {
 	var items []movable
 	for _, candidate := range candidates {
 		placed, running := p.running[candidate.Key]
 		classes := p.speeds.classes[placed.service]
-		if !running || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < minMoveAge {
+		if !running || placed.suspect || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < minMoveAge {
 			continue
 		}
 		pace := p.paces[placed.engine]
@@ -121,6 +122,9 @@
 func (p *pass) fastPlaces() []place {
 	expected := make(map[incarnation.ID]place)
 	for key, engine := range p.plan.preferred {
+		if !p.plan.isRunning(key) && !p.plan.isWaiting(key) {
+			continue
+		}
 		arriving := expected[engine]
 		arriving.slots++
 		arriving.tokens += p.plan.needOf(key)
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -36,6 +36,8 @@
 	byID map[incarnation.ID]int
 	// startsLeft is the number of items that each engine may still be assigned in this pass.
 	startsLeft []int
+	// arriving is the number of items that are being moved to each engine and still run elsewhere.
+	arriving   map[incarnation.ID]int
 	medianPace time.Duration
 	// bestPace is the pace of the fast engines, expectedRunTime the mean time that the running items
 	// are expected to take there; both are zero when unknown.
@@ -117,7 +119,7 @@
 		plan: plan, now: now, engines: engines, medianPace: medianPace, bestPace: best,
 		expectedRunTime: plan.expectedRunTime(best),
 		byID:            make(map[incarnation.ID]int, len(engines)), classes: make(map[class]*candidateHeap),
-		startsLeft: make([]int, len(engines)),
+		startsLeft: make([]int, len(engines)), arriving: plan.countArriving(),
 	}
 	if len(plan.speeds.classes) > 0 {
 		p.speeds, p.projected = plan.speeds.classes, plan.projectedByEngine()
@@ -178,7 +180,7 @@
 }
 
 func (p *pass) hasSlot(engine *Engine) bool {
-	return p.plan.runningCount[engine.ID] < engine.Slots && p.startsLeft[p.byID[engine.ID]] > 0 && !p.isolated(engine)
+	return p.plan.runningCount[engine.ID]+p.arriving[engine.ID] < engine.Slots && p.startsLeft[p.byID[engine.ID]] > 0 && !p.isolated(engine)
 }
 
 // countStart counts an item that was assigned to an engine in this pass.
@@ -198,18 +200,18 @@
 // lower is better. avoidsFast is that of the item's class.
 func (p *pass) score(engine *Engine, avoidsFast bool) float64 {
 	if avoidsFast && p.keptForLongItems(engine) {
-		return keptScore * p.load(engine)
+		return keptScore * p.occupancyFactor(engine) * p.memoryPressure(engine)
 	}
 	score := 1.0
 	if pace, found := p.plan.paces[engine.ID]; found && p.medianPace > 0 {
 		score = float64(pace) / float64(p.medianPace)
 	}
-	return score * p.load(engine)
+	return score * p.occupancyFactor(engine) * p.memoryPressure(engine)
 }
 
-// load returns the factor by which an engine is expected to slow down due to its items.
-func (p *pass) load(engine *Engine) float64 {
-	return (1 + occupancyCost*float64(p.plan.runningCount[engine.ID])) * p.memoryPressure(engine)
+// occupancyFactor returns the factor by which an engine is expected to slow down due to the number of its items.
+func (p *pass) occupancyFactor(engine *Engine) float64 {
+	return 1 + occupancyCost*float64(p.plan.runningCount[engine.ID])
 }
 
 // memoryPressure returns the factor by which an engine is expected to slow down due to its
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -288,7 +288,9 @@
 	}
 	pass := newPass(p, engines, now)
 	var assigned []Assignment
-	for _, item := range p.startOrder(pass) {
+	queue := p.startOrder(pass)
+	p.movedFirst(queue)
+	for _, item := range queue {
 		engine, found := pass.choose(item)
 		if !found {
 			continue
--- a/internal/core/batchplan/speeds.go
+++ b/internal/core/batchplan/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/enginespeed"
@@ -183,6 +184,38 @@
 		engine.Tokens > 0 && p.projected[engine.ID] >= keptMemory*float64(engine.Tokens)
 }
 
+// movedFirst sorts the items that a move chose an engine for before the others, so that these don't take the slot.
+func (p *Plan) movedFirst(queue []Item) {
+	if len(p.preferred) == 0 {
+		return
+	}
+	isMoved := func(item Item) int {
+		if _, found := p.preferred[item.Key]; found {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(queue, func(a, b Item) int { return isMoved(a) - isMoved(b) })
+}
+
+// countArriving counts, by engine, the items that still run elsewhere and were moved to the engine.
+func (p *Plan) countArriving() map[incarnation.ID]int {
+	if len(p.preferred) == 0 {
+		return nil
+	}
+	arriving := make(map[incarnation.ID]int)
+	for key, engine := range p.preferred {
+		if p.isRunning(key) {
+			arriving[engine]++
+		}
+	}
+	return arriving
+}
+
+func (p *Plan) isRunning(key Key) bool { _, found := p.running[key]; return found }
+
+func (p *Plan) isWaiting(key Key) bool { _, found := p.waiting[key]; return found }
+
 // preferredEngine returns the engine that a move chose for the item, if that can still take it. The choice applies to
 // one attempt: later, others may be better.
 func (p *pass) preferredEngine(item Item) (incarnation.ID, bool) {
