--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -301,8 +301,8 @@
 }
 
 // leastCovered returns the model, among those with a candidate, with the smallest share of its
-// engines that are covered: at the target version or loading it, or new enough. Ties are broken by the order of the models' first
-// candidates, then by name.
+// engines that are covered: at the target version or loading it, or new enough. Ties are broken by the
+// order of the models' first candidates, then by name.
 func leastCovered(candidates map[string][]candidate, covered, counts map[string]int) (string, bool) {
 	best, found := "", false
 	share := func(model string) float64 { return float64(covered[model]) / float64(counts[model]) }
