Return the peak of open items with the demand, and reuse what the project has

Cause: a re-reading of the whole change. The peak of open items was an interface of its own beside the sampled demand, taken by the first service that planned, while each pass read the runner's state once per service. Items on their way to an engine were counted in two places, engines by model in three, and the exchange node was chosen by a hash of its own.

Change: Demands returns the peak since its previous call, and a planning pass reads the runner once for all services. One count of arrivals, one of engines by model, one minimum age of a move; the exchange node is chosen with go-rendezvous as owners are. One fleet for the benchmarks of choices.

Measured: tests of batchrun, weightorders, core, hosted, peerload, settings and logrelay pass with -race. Not changed: events are recorded before there are speed classes as well; skipping them made the first moves wrong (TestOnlyItemsThatGainMoveWithClasses).

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -29,13 +29,14 @@
 	Tokens int
 	// MinVersion is the highest minimum weight version among the model's open jobs.
 	MinVersion int64
-	// Unfinished is the number of items without a result.
+	// Unfinished is the highest number of items without a result at once since the previous call of Demands. Jobs may
+	// begin and end between two calls.
 	Unfinished int
 	// Waiting is the number of items waiting for an engine.
 	Waiting int
 }
 
-// Demands returns the demand per model over the jobs of all runners.
+// Demands returns the demand per model over the jobs of all runners. Each peak of unfinished items is returned once.
 func (r *Runner) Demands() map[string]Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -60,19 +61,15 @@
 		demand.Waiting = waiting
 		demands[model] = demand
 	}
+	for model, peak := range r.itemPeaks {
+		demand := demands[model]
+		demand.Unfinished = max(demand.Unfinished, peak)
+		demands[model] = demand
+	}
+	clear(r.itemPeaks)
 	return demands
 }
 
-// TakeItemPeak returns the highest number of items without a result that the model had at once since the previous call
-// for it, over the jobs of all runners. Jobs may begin and end between two calls of Demands.
-func (r *Runner) TakeItemPeak(model string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	peak := r.itemPeaks[model]
-	delete(r.itemPeaks, model)
-	return peak
-}
-
 // observeItemPeak records the number of items of a model when a job was added. Must be called with mu held.
 func (r *Runner) observeItemPeak(model string) {
 	unfinished := 0
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -15,8 +15,7 @@
 	// longItemSlowFactor the same for long items only.
 	slowFactor         = 1.8
 	longItemSlowFactor = 1.2
-	// minMoveAge is the minimum age of an item that is moved, longItemAge that of a long item.
-	minMoveAge  = 250 * time.Millisecond
+	// longItemAge is the minimum age of a long item that is moved; see batchplan.MinMoveAge for others.
 	longItemAge = time.Second
 	never       = time.Duration(1<<63 - 1)
 	// maxMoves is the maximum number of times one item is moved.
@@ -174,7 +173,7 @@
 func minAgeToMove(factor float64) time.Duration {
 	switch {
 	case factor >= slowFactor:
-		return minMoveAge
+		return batchplan.MinMoveAge
 	case factor >= longItemSlowFactor:
 		return longItemAge
 	default:
--- a/internal/batchrun/ownership_test.go
+++ b/internal/batchrun/ownership_test.go
@@ -286,9 +286,9 @@
 	r, _ := env.startBoundRunner()
 	record := batch.JobRecord{ID: "bound", Model: "m", Items: []batch.ItemRecord{{ID: "a", Group: "g"}, {ID: "b", Group: "g"}}}
 	env.jobs.apply(batch.Record{Job: &record})
-	testwait.Until(t, "the job is known", func() bool { return len(r.Demands()) > 0 })
+	testwait.Until(t, "the job is known", func() bool { return r.UnfinishedByService()["s"] > 0 })
 	env.jobs.apply(batch.Record{End: "bound"})
-	assert.Equal(t, len(r.Demands()), 0)
-	assert.Equal(t, r.TakeItemPeak("m"), 2)
-	assert.Equal(t, r.TakeItemPeak("m"), 0, "the peak counts once")
+	assert.Equal(t, r.UnfinishedByService()["s"], 0)
+	assert.Equal(t, r.Demands()["m"], Demand{Unfinished: 2})
+	assert.Equal(t, len(r.Demands()), 0, "the peak counts once")
 }
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -92,7 +92,8 @@
 	// otherJobs are the open jobs of other runners; homesVersion is the configuration version by which jobs were
 	// last divided among the runners.
 	otherJobs map[string]*otherJob
-	// itemPeaks holds, by model, the highest number of items without a result since the last TakeItemPeak.
+	// itemPeaks holds, by model, the highest number of items without a result since the last call of
+	// Demands. It is set when a job is added: the number only falls in between.
 	itemPeaks    map[string]int
 	homesVersion int64
 	runs         map[batchplan.Key]*run
--- a/internal/core/batchplan/moves.go
+++ b/internal/core/batchplan/moves.go
@@ -14,8 +14,8 @@
 	// generated text (310 to 400 tokens per millisecond, so up to 0.1 s for a full engine), the new connection, and
 	// the risk of a wrong estimate.
 	minMoveGain = 500 * time.Millisecond
-	// minMoveAge is the least age of a run that is moved to a fast engine.
-	minMoveAge = 250 * time.Millisecond
+	// MinMoveAge is the least age of a run whose item is moved.
+	MinMoveAge = 250 * time.Millisecond
 	// outrunShare is the least share of an item's events so far that it is expected to need still.
 	outrunShare = 0.5
 )
@@ -86,7 +86,7 @@
 	for _, candidate := range candidates {
 		placed, running := p.running[candidate.Key]
 		classes := p.speeds.classes[placed.service]
-		if !running || placed.suspect || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < minMoveAge {
+		if !running || placed.suspect || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < MinMoveAge {
 			continue
 		}
 		pace := p.paces[placed.engine]
@@ -120,16 +120,6 @@
 // fastPlaces returns the fast engines with free slots in the order of the pass. Slots and memory that are needed by
 // items on their way to an engine aren't free.
 func (p *pass) fastPlaces() []place {
-	expected := make(map[incarnation.ID]place)
-	for key, engine := range p.plan.preferred {
-		if !p.plan.isRunning(key) && !p.plan.isWaiting(key) {
-			continue
-		}
-		arriving := expected[engine]
-		arriving.slots++
-		arriving.tokens += p.plan.needOf(key)
-		expected[engine] = arriving
-	}
 	var places []place
 	for i := range p.engines {
 		engine := &p.engines[i]
@@ -137,8 +127,8 @@
 			continue
 		}
 		slots, tokens := min(engine.Slots-p.plan.runningCount[engine.ID], p.startsLeft[i]), p.freeTokens(engine)
-		if arriving := expected[engine.ID]; arriving.slots > 0 {
-			slots -= arriving.slots
+		if arriving, found := p.arriving[engine.ID]; found {
+			slots -= arriving.running + arriving.waiting
 			tokens = min(tokens, engine.tokensOrUnbounded()) - arriving.tokens
 		}
 		if slots > 0 {
@@ -148,6 +138,36 @@
 	return places
 }
 
+// arrivals are the items on their way to an engine that a move chose for them.
+type arrivals struct {
+	// running is the number of items that still run elsewhere, waiting that of the others.
+	running, waiting int
+	// tokens is the memory that all of them are projected to need.
+	tokens int
+}
+
+// arrivalsByEngine returns the items on their way to each engine; nil for none.
+func (p *Plan) arrivalsByEngine() map[incarnation.ID]arrivals {
+	if len(p.preferred) == 0 {
+		return nil
+	}
+	byEngine := make(map[incarnation.ID]arrivals)
+	for key, engine := range p.preferred {
+		arriving := byEngine[engine]
+		switch {
+		case p.isRunning(key):
+			arriving.running++
+		case p.isWaiting(key):
+			arriving.waiting++
+		default:
+			continue
+		}
+		arriving.tokens += p.needOf(key)
+		byEngine[engine] = arriving
+	}
+	return byEngine
+}
+
 // needOf returns the memory, in tokens, that a waiting or running item is projected to need.
 func (p *Plan) needOf(key Key) int {
 	if placed, found := p.running[key]; found {
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -36,8 +36,8 @@
 	byID map[incarnation.ID]int
 	// startsLeft is the number of items that each engine may still be assigned in this pass.
 	startsLeft []int
-	// arriving is the number of items that are being moved to each engine and still run elsewhere.
-	arriving   map[incarnation.ID]int
+	// arriving holds the items that are being moved to each engine, as of the begin of the pass.
+	arriving   map[incarnation.ID]arrivals
 	medianPace time.Duration
 	// bestPace is the pace of the fast engines, expectedRunTime the mean time that the running items
 	// are expected to take there; both are zero when unknown.
@@ -119,7 +119,7 @@
 		plan: plan, now: now, engines: engines, medianPace: medianPace, bestPace: best,
 		expectedRunTime: plan.expectedRunTime(best),
 		byID:            make(map[incarnation.ID]int, len(engines)), classes: make(map[class]*candidateHeap),
-		startsLeft: make([]int, len(engines)), arriving: plan.countArriving(),
+		startsLeft: make([]int, len(engines)), arriving: plan.arrivalsByEngine(),
 	}
 	if len(plan.speeds.classes) > 0 {
 		p.speeds, p.projected = plan.speeds.classes, plan.projectedByEngine()
@@ -180,7 +180,7 @@
 }
 
 func (p *pass) hasSlot(engine *Engine) bool {
-	return p.plan.runningCount[engine.ID]+p.arriving[engine.ID] < engine.Slots && p.startsLeft[p.byID[engine.ID]] > 0 && !p.isolated(engine)
+	return p.plan.runningCount[engine.ID]+p.arriving[engine.ID].running < engine.Slots && p.startsLeft[p.byID[engine.ID]] > 0 && !p.isolated(engine)
 }
 
 // countStart counts an item that was assigned to an engine in this pass.
--- a/internal/core/batchplan/speeds.go
+++ b/internal/core/batchplan/speeds.go
@@ -127,7 +127,8 @@
 	return fast
 }
 
-// RecordEvents records the number of events of a running item so far.
+// RecordEvents records the number of events of a running item so far. It applies before there are classes as well: the
+// first moves depend on it.
 func (p *Plan) RecordEvents(key Key, events int64) {
 	if placed, found := p.running[key]; found {
 		placed.events = int32(events)
@@ -198,20 +199,6 @@
 	slices.SortStableFunc(queue, func(a, b Item) int { return isMoved(a) - isMoved(b) })
 }
 
-// countArriving counts, by engine, the items that still run elsewhere and were moved to the engine.
-func (p *Plan) countArriving() map[incarnation.ID]int {
-	if len(p.preferred) == 0 {
-		return nil
-	}
-	arriving := make(map[incarnation.ID]int)
-	for key, engine := range p.preferred {
-		if p.isRunning(key) {
-			arriving[engine]++
-		}
-	}
-	return arriving
-}
-
 func (p *Plan) isRunning(key Key) bool { _, found := p.running[key]; return found }
 
 func (p *Plan) isWaiting(key Key) bool { _, found := p.waiting[key]; return found }
--- a/internal/core/fleet/choose_benchmark_test.go
+++ b/internal/core/fleet/choose_benchmark_test.go
@@ -45,6 +45,13 @@
 	_ = chosen
 }
 
+func BenchmarkSaturationOf1000(b *testing.B) {
+	f := benchmarkFleet()
+	for b.Loop() {
+		f.Saturation(Query{Service: "s", Zone: "z1", Now: now.Add(100 * time.Millisecond)})
+	}
+}
+
 // BenchmarkChooseAmong1000WithPeerLoad has load data of other nodes for the 64 engines of a message.
 func BenchmarkChooseAmong1000WithPeerLoad(b *testing.B) {
 	f := benchmarkFleet()
--- a/internal/core/fleet/saturation_test.go
+++ b/internal/core/fleet/saturation_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -90,27 +89,3 @@
 		assert.Equal(t, f.HasFreeSlots(query, more), wanted, "more than %d", more)
 	}
 }
-
-func saturatedFleet() *Fleet {
-	f := New()
-	for i := range 1000 {
-		id := fmt.Sprintf("e%04d", i)
-		f.Put(Engine{ID: id, Service: "s", Slots: 8, Zone: fmt.Sprint("z", i%5)})
-		report(f, id, now, Load{Running: i % 9})
-	}
-	return f
-}
-
-func BenchmarkChooseAmong1000Engines(b *testing.B) {
-	f := saturatedFleet()
-	for b.Loop() {
-		f.Choose(Query{Service: "s", Zone: "z1", Now: now})
-	}
-}
-
-func BenchmarkSaturationOf1000Engines(b *testing.B) {
-	f := saturatedFleet()
-	for b.Loop() {
-		f.Saturation(Query{Service: "s", Zone: "z1", Now: now})
-	}
-}
--- a/internal/core/loadexchange/node.go
+++ b/internal/core/loadexchange/node.go
@@ -1,9 +1,11 @@
 package loadexchange
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 )
 
 // Node is a live node of the cluster.
@@ -17,17 +19,15 @@
 // zone are skipped. Nodes with the same list choose the same one, and a node that leaves changes only the choice of
 // those that had chosen it.
 func ExchangeNode(nodes []Node, zone string, skipped func(node Node) bool) (Node, bool) {
-	var chosen Node
-	var highest uint64
-	found := false
-	for _, node := range nodes {
-		if node.Zone != zone || skipped(node) {
-			continue
-		}
-		weight := xxhash.Sum64String(zone + "/" + node.ID)
-		if !found || weight > highest || weight == highest && strings.Compare(node.ID, chosen.ID) < 0 {
-			chosen, highest, found = node, weight, true
-		}
+	candidates := slices.DeleteFunc(slices.Clone(nodes), func(node Node) bool { return node.Zone != zone || skipped(node) })
+	if len(candidates) == 0 {
+		return Node{}, false
 	}
-	return chosen, found
+	slices.SortFunc(candidates, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
+	ids := make([]string, len(candidates))
+	for i, node := range candidates {
+		ids[i] = node.ID
+	}
+	chosen := rendezvous.New(ids, xxhash.Sum64String).Lookup(zone)
+	return candidates[slices.Index(ids, chosen)], true
 }
--- a/internal/core/weightplan/fast.go
+++ b/internal/core/weightplan/fast.go
@@ -1,5 +1,7 @@
 package weightplan
 
+import "maps"
+
 // divide returns the fast engines and the others.
 func divide(engines []Engine) (fast, others []Engine) {
 	for _, engine := range engines {
@@ -20,15 +22,7 @@
 	for model := range fastWanted {
 		fastWanted[model] = min(fastWanted[model], wanted[model])
 	}
-	counts := make(map[string]int)
-	var free []Engine
-	for _, engine := range fast {
-		if model := a.models[engine.ID]; model != "" {
-			counts[model]++
-		} else {
-			free = append(free, engine)
-		}
-	}
+	counts, free := a.countEngines(fast)
 	for _, target := range targets {
 		free = a.assign(free, target.Model, counts, fastWanted)
 	}
@@ -77,14 +71,10 @@
 
 // without returns how many further engines each model wants besides the given ones that it has.
 func (a *Allocator) without(fast []Engine, wanted map[string]int) map[string]int {
-	further := make(map[string]int, len(wanted))
-	for model, count := range wanted {
-		further[model] = count
-	}
-	for _, engine := range fast {
-		if model := a.models[engine.ID]; model != "" {
-			further[model] = max(0, further[model]-1)
-		}
+	further := maps.Clone(wanted)
+	counts, _ := a.countEngines(fast)
+	for model, count := range counts {
+		further[model] = max(0, further[model]-count)
 	}
 	return further
 }
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -81,15 +81,7 @@
 // allocate assigns free engines, and then surplus engines of other models, to the models that have fewer of these
 // engines than wanted.
 func (a *Allocator) allocate(engines []Engine, targets []Target, wanted map[string]int) {
-	counts := make(map[string]int)
-	var free []Engine
-	for _, engine := range engines {
-		if model := a.models[engine.ID]; model != "" {
-			counts[model]++
-		} else {
-			free = append(free, engine)
-		}
-	}
+	counts, free := a.countEngines(engines)
 	for _, target := range targets {
 		free = a.assign(free, target.Model, counts, wanted)
 	}
@@ -100,6 +92,19 @@
 	}
 }
 
+// countEngines returns how many of the engines follow each model, and those that follow none.
+func (a *Allocator) countEngines(engines []Engine) (counts map[string]int, free []Engine) {
+	counts = make(map[string]int)
+	for _, engine := range engines {
+		if model := a.models[engine.ID]; model != "" {
+			counts[model]++
+		} else {
+			free = append(free, engine)
+		}
+	}
+	return counts, free
+}
+
 // assign assigns free engines to a model until it has as many as wanted, and returns the remaining ones. Engines
 // with the model's newest weights come first, so that a new leader restores the previous allocation.
 func (a *Allocator) assign(free []Engine, model string, counts, wanted map[string]int) []Engine {
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -23,7 +23,6 @@
 		Engines: n.platform.Engines(), Fleet: n.fleet, Gate: n.gate, Targets: n.weightTargets,
 		Running:   func() map[incarnation.ID]int { return runner.RunningByEngine() },
 		Demands:   func() map[string]batchrun.Demand { return runner.Demands() },
-		ItemPeak:  func(model string) int { return runner.TakeItemPeak(model) },
 		Fast:      func() map[incarnation.ID]bool { return runner.FastEngines() },
 		OnLoadEnd: func() { runner.Wake() },
 		Term:      term, Holder: n.holder, Fence: term.Epoch, Logger: n.logger,
@@ -31,7 +30,7 @@
 	defer n.coldGranter.Lead(term.Valid)()
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.crashGuard, Gate: n.gate,
-		DueOrder: n.config.Scheduling.JobOrder == settings.JobOrderDue, OnJobDecision: n.metrics.jobDecided,
+		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: n.coldGranter, RouteOf: n.batchRoute, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
 		MixedEngines: n.mixedEngines(), OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(homes.Set{}),
@@ -67,6 +66,9 @@
 	}, true
 }
 
+// ordersByDue reports whether jobs are ordered by due times.
+func (n *node) ordersByDue() bool { return n.config.Scheduling.JobOrder == settings.JobOrderDue }
+
 // mixedEngines reports whether engines of a service may differ in speed.
 func (n *node) mixedEngines() bool { return n.config.Scheduling.EngineSpeeds == settings.EnginesMixed }
 
--- a/internal/hosted/regionelections.go
+++ b/internal/hosted/regionelections.go
@@ -10,7 +10,6 @@
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/leadership"
-	"github.com/corkpulley/corkpulley/internal/settings"
 )
 
 // homeLeasePrefix is the prefix of the topics that hold the leases of region-bound job runners.
@@ -197,7 +196,7 @@
 	})
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Guard: n.crashGuard, Gate: n.gate,
-		DueOrder: n.config.Scheduling.JobOrder == settings.JobOrderDue, OnJobDecision: n.metrics.jobDecided,
+		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: permits, RouteOf: n.batchRoute,
 		Homes: set, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		// The leader manages weight versions; an engine that is loading one refuses items.
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -11,20 +11,29 @@
 	"github.com/corkpulley/corkpulley/internal/core/weightplan"
 )
 
-// plan starts the loads that are due for one service.
-func (m *Manager) plan(ctx context.Context, target Target) {
-	now := time.Now()
-	demands := m.options.Demands()
-	running := m.options.Running()
-	var fast map[incarnation.ID]bool
+// work is the state of the runner in a planning pass over all services.
+type work struct {
+	demands map[string]batchrun.Demand
+	running map[incarnation.ID]int
+	fast    map[incarnation.ID]bool
+}
+
+// currentWork returns the state of the runner. Must not be called with mu held.
+func (m *Manager) currentWork() work {
+	current := work{demands: m.options.Demands(), running: m.options.Running()}
 	if m.options.Fast != nil {
-		fast = m.options.Fast()
+		current.fast = m.options.Fast()
 	}
+	return current
+}
+
+// plan starts the loads that are due for one service.
+func (m *Manager) plan(ctx context.Context, target Target, work work) {
+	now := time.Now()
 	listed := m.options.Fleet.List(target.Service, now)
-	peaks := m.takeItemPeaks(target)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	targets := m.targets(target, demands, peaks, now)
+	targets := m.targets(target, work.demands, now)
 	if len(targets) == 0 {
 		return
 	}
@@ -33,7 +42,7 @@
 		allocator = weightplan.NewAllocator()
 		m.allocators[target.Service] = allocator
 	}
-	engines := m.engineViews(listed, running, fast)
+	engines := m.engineViews(listed, work.running, work.fast)
 	models := allocator.Allocate(engines, targets)
 	m.markUsable(engines, listed, models, now)
 	available := m.limiter.LimitOf(len(models)) + m.countNearlyDone(now) - m.countOtherLoads(engines)
@@ -52,19 +61,6 @@
 	m.updateConcurrency(now)
 }
 
-// takeItemPeaks returns the peaks of open items since the previous pass, by model. Must not be called with mu held: the
-// runner calls LoadingModel with its own lock held.
-func (m *Manager) takeItemPeaks(target Target) map[string]int {
-	if m.options.ItemPeak == nil {
-		return nil
-	}
-	peaks := make(map[string]int, len(target.Versions))
-	for model := range target.Versions {
-		peaks[model] = m.options.ItemPeak(model)
-	}
-	return peaks
-}
-
 // updateConcurrency updates the maximum concurrency of each load in progress. Must be called with mu held.
 func (m *Manager) updateConcurrency(now time.Time) {
 	concurrency := len(m.loading) - m.countNearlyDone(now)
@@ -139,9 +135,7 @@
 }
 
 // targets returns the target version and the demand of each model of the service. Must be called with mu held.
-func (m *Manager) targets(
-	target Target, demands map[string]batchrun.Demand, peaks map[string]int, now time.Time,
-) []weightplan.Target {
+func (m *Manager) targets(target Target, demands map[string]batchrun.Demand, now time.Time) []weightplan.Target {
 	var targets []weightplan.Target
 	for model, version := range target.Versions {
 		if m.loggedVersions[model] != version {
@@ -161,7 +155,7 @@
 			itemPeaks = &peak.Window{}
 			m.itemPeaks[model] = itemPeaks
 		}
-		itemPeaks.Observe(now, max(demand.Unfinished, peaks[model]), itemPeakPeriod)
+		itemPeaks.Observe(now, demand.Unfinished, itemPeakPeriod)
 		targets = append(targets, weightplan.Target{
 			Model: model, Version: version, MinVersion: demand.MinVersion, Items: itemPeaks.Max(),
 			Demand: m.meanDemands[model], Waiting: demand.Waiting, LoadsInterrupt: target.SingleVersion,
--- a/internal/weightorders/scale_test.go
+++ b/internal/weightorders/scale_test.go
@@ -40,7 +40,7 @@
 		manager.limiter.RecordLoad(time.Now(), time.Now().Add(time.Second), 1000)
 	}
 	engines.mu.Lock()
-	manager.plan(t.Context(), Target{Service: service, Versions: map[string]int64{model: 2}})
+	manager.plan(t.Context(), Target{Service: service, Versions: map[string]int64{model: 2}}, manager.currentWork())
 	loads = len(manager.LoadingModels())
 	engines.mu.Unlock()
 	manager.loadGroup.Wait()
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -139,12 +139,10 @@
 	// Term is the leadership term during which the manager may send orders.
 	Term lease.Term
 	// Running returns the number of running items by engine, without idle engines, and Demands the demand by
-	// model.
+	// model since its previous call. They are called without a lock held: the runner calls LoadingModel with its own
+	// lock held.
 	Running func() map[incarnation.ID]int
 	Demands func() map[string]batchrun.Demand
-	// ItemPeak returns the highest number of open items of a model since its previous call for the model; nil for the
-	// numbers of Demands only, which miss jobs that begin and end between two planning passes.
-	ItemPeak func(model string) int
 	// Fast returns the engines in the fast class of their service; nil for none. Models share these engines separately
 	// from the others.
 	Fast func() map[incarnation.ID]bool
@@ -233,8 +231,9 @@
 	for retry.Sleep(ctx, cycle.Wait(time.Now())) {
 		began := time.Now()
 		m.dropEnded()
-		for _, target := range m.options.Targets() {
-			m.plan(ctx, target)
+		targets, work := m.options.Targets(), m.currentWork()
+		for _, target := range targets {
+			m.plan(ctx, target, work)
 		}
 		cycle.Ended(began, time.Now())
 	}
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -181,17 +181,19 @@
 	assert.Assert(t, m.engines.maxLoading > 4, "%d concurrent loads", m.engines.maxLoading)
 }
 
-// Guards against engines that load nothing because planning passes saw only the last item of each job, and against a
+// Guards against engines that load nothing because later planning passes see only the last item of each job, and against a
 // deadlock with the runner, which asks for the loads in progress with its own lock held.
 func TestItemsBetweenPlanningPassesCount(t *testing.T) {
 	var manager atomic.Pointer[Manager]
 	m := startManager(t, 4, func(options *Options) {
-		options.Demands = func() map[string]batchrun.Demand { return map[string]batchrun.Demand{model: {Unfinished: 1}} }
-		options.ItemPeak = func(string) int {
+		peak := 16
+		options.Demands = func() map[string]batchrun.Demand {
 			if started := manager.Load(); started != nil {
 				started.LoadingModels()
 			}
-			return 16
+			demand := batchrun.Demand{Unfinished: peak}
+			peak = 1
+			return map[string]batchrun.Demand{model: demand}
 		}
 	})
 	manager.Store(m.manager)
