Let all items wait before the engine is free in the test of outranked jobs

Its log shows that the older job was loaded first, so the idle engine started its item before the newer job was there, which is allowed: nothing was outranked.

Change: the engine accepts work once all three items wait. The assertions are the same.

--- a/internal/batchrun/joborder_test.go
+++ b/internal/batchrun/joborder_test.go
@@ -102,7 +102,14 @@
 	env.engines.events["fresh-0"], env.engines.events["fresh-1"], env.engines.events["lost"] = 60, 60, 1
 	env.submitLate("lost", "m", 10100*time.Millisecond, "lost")
 	env.submitLate("fresh", "m", 0, "fresh-0", "fresh-1")
-	env.startRunner()
+	// Jobs are loaded concurrently: an engine that is free before all items wait may start the older job's item.
+	single := engineOf("a")
+	single.Slots, single.Draining = 1, true
+	env.fleet.Put(single)
+	r, _ := env.startRunner()
+	testwait.Until(t, "all items wait", func() bool { return r.Demands()["m"].Waiting == 3 })
+	single.Draining = false
+	env.fleet.Put(single)
 	env.awaitResults(3)
 	assert.Equal(t, count(joborder.Outranked), 1)
 	outranked := logs.lines("items wait for a job that was accepted later")
