Abort a stream that is cut short instead of ending it as complete

Cause: once the attempts are used up, an answer of 500 and more is passed on to the caller, as any 4xx is at any attempt. relayBuffered did this for a stream that had begun as well, wrote the error's body into it and marked it as complete. Whether the connection was aborted depended on the error of the exchange, not on what the caller had received.

Change: Relay.Serve aborts each answer that has begun and is not complete, whatever ended the exchange. An answer is complete only if an engine's answer was received to its end and written to the caller. An answer that is no event stream interrupts a stream that has begun, which is then resumed while attempts are left. `request ended` logs `complete`.

Why it works: the caller's connection ends properly on one path only, after the engine's end of the answer.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -85,12 +85,16 @@
 			refused.text("kind"), refused.text("error"), failed, trace.contextNotes())
 	}
 	if ended := trace.last("request ended"); ended != nil {
-		disconnected := ""
+		ending := ""
+		// Older builds do not log whether the answer was complete.
+		if complete, logged := ended.Fields["complete"].(bool); logged && !complete && ended.number("status") != 0 {
+			ending = ", the answer was cut off"
+		}
 		if callerLeft, _ := ended.Fields["caller_left"].(bool); callerLeft {
-			disconnected = ", the caller had disconnected"
+			ending += ", the caller had disconnected"
 		}
 		return fmt.Sprintf("Ended at %s with status %.0f after %.0f ms%s.%s%s", ended.Node, ended.number("status"),
-			ended.number("took_ms"), disconnected, failed, trace.contextNotes())
+			ended.number("took_ms"), ending, failed, trace.contextNotes())
 	}
 	return "No log line records its end: the node stopped or log lines were lost." + failed + trace.contextNotes()
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -14,6 +14,7 @@
 {"level":"info","node":"n3","zone":"z","id":"r1","kind":"not_ready","error":"no configuration is known yet","status":503,"time":1300,"message":"request refused"}
 {"level":"info","node":"n1","zone":"z","id":"r2","engine":"e1","verdict":"try_next","took_ms":300.5,"error":"context deadline exceeded","time":5300,"message":"engine tried"}
 {"level":"info","node":"n1","zone":"z","id":"r2","status":200,"took_ms":340,"caller_left":false,"time":5340,"message":"request ended"}
+{"level":"warn","node":"n1","zone":"z","id":"r5","status":200,"complete":false,"took_ms":80,"caller_left":false,"time":5400,"message":"request ended"}
 {"level":"info","node":"n1","zone":"z","job":"j1","error":"","time":6000,"message":"job submitted"}
 {"level":"info","node":"n2","zone":"z","job":"j1","time":6010,"message":"job accepted by its runner"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","waited_ms":15,"time":6015,"message":"item started"}
@@ -41,7 +42,7 @@
 func TestReadCountsMalformedLinesAndIgnoresOtherText(t *testing.T) {
 	log := readLogs(t)
 	assert.Equal(t, log.Malformed, 1)
-	assert.Equal(t, len(log.Lines), 18)
+	assert.Equal(t, len(log.Lines), 19)
 }
 
 func TestFindDescribesTheCause(t *testing.T) {
@@ -49,6 +50,7 @@
 	for id, wanted := range map[string][]string{
 		"r1": {"Refused by n3 with 503", "no configuration", "n3 had just started", "the log was unreachable from n3"},
 		"r2": {"Ended at n1 with status 200", "e1 after 300 ms (context deadline exceeded)"},
+		"r5": {"Ended at n1 with status 200 after 80 ms, the answer was cut off."},
 		"j1": {"Ended by its submitter after 2600 ms with 1 items unfinished, accepted 1 times"},
 		"i1": {"Started 2 times", "e1 after 1300 ms at event 7 (silent)", "finished by n2 after 2500 ms (whole, 20 events)",
 			"Its job j1 was ended by its submitter after 2600 ms with 1 items unfinished"},
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -62,10 +62,9 @@
 	_, err := io.CopyN(&start, answer.Body, maxBufferedBytes)
 	switch {
 	case errors.Is(err, io.EOF):
+		x.received = true
 		x.writeHeader(answer, strconv.Itoa(start.Len()))
-		_ = x.relay.options.CallerLimits.Write(x.w, start.Bytes())
-		x.complete = true
-		return answered
+		return x.written(x.relay.options.CallerLimits.Write(x.w, start.Bytes()))
 	case err != nil:
 		outcome.Failed, outcome.ConnectionLost = true, connlost.ClosedByPeer(err)
 		return x.retryVerdict()
@@ -83,16 +82,23 @@
 	if err := spool.Close(); writeErr == nil {
 		writeErr = err
 	}
-	switch {
-	case writeErr != nil:
-		return giveUp
-	case readErr != nil:
+	if readErr != nil && writeErr == nil {
 		outcome.Failed, outcome.ConnectionLost = engineFailed, engineFailed && connlost.ClosedByPeer(readErr)
 		return giveUp
-	default:
-		x.complete = true
-		return answered
 	}
+	x.received = writeErr == nil
+	return x.written(writeErr)
+}
+
+// written records how the last write of an answer to the caller ended. Only a received answer without a write error is
+// complete.
+func (x *exchange) written(err error) verdict {
+	if err != nil {
+		x.callerLost = true
+		return giveUp
+	}
+	x.complete = x.received
+	return answered
 }
 
 // copyTo copies an engine's answer to the spool until it ends. waited is how long the engine had to wait for the
@@ -146,19 +152,19 @@
 	}
 	spool := callerwrite.NewSpool(x.w, x.relay.options.CallerLimits)
 	result := x.relayEvents(answer, spool, outcome)
-	if err := spool.Close(); err != nil && result == answered {
-		x.complete = false
+	if err := spool.Close(); err != nil || x.received {
+		return x.written(err)
 	}
 	return result
 }
 
-// relayEvents copies an engine's events to the spool until the stream ends.
+// relayEvents copies an engine's events to the spool until the stream ends, which sets received.
 func (x *exchange) relayEvents(answer *Answer, spool *callerwrite.Spool, outcome *fleet.Outcome) verdict {
 	events := sse.NewReader(answer.Body)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			x.complete = true
+			x.received = true
 			return answered
 		}
 		if err != nil || event.HasID && x.lastEventID != 0 && event.ID != x.lastEventID+1 {
@@ -171,17 +177,19 @@
 			return giveUp
 		}
 		if err != nil {
-			return answered
+			return giveUp
 		}
+		x.unnumbered = x.unnumbered || !event.HasID
 		if event.HasID {
 			x.lastEventID = event.ID
 		}
 	}
 }
 
-// streamInterrupted decides whether a stream may be resumed at another engine.
+// streamInterrupted decides whether a stream may be resumed at another engine. Events without an ID cannot be skipped
+// there, so the caller would receive them twice.
 func (x *exchange) streamInterrupted() verdict {
-	if x.route.Resumable && x.executions < max(1, x.route.MaxAttempts) && x.ctx.Err() == nil {
+	if x.route.Resumable && !x.unnumbered && x.executions < max(1, x.route.MaxAttempts) && x.ctx.Err() == nil {
 		return tryNext
 	}
 	return giveUp
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -53,11 +53,15 @@
 	// status is the status written to the caller; zero before. stamp is the engine's signature of that answer.
 	status int
 	stamp  string
-	// complete is true once an engine's complete answer was written to the caller.
+	// received is true once an engine's answer was received to its end, complete once it was also written to the caller.
+	received bool
 	complete bool
-	// lastEventID is the ID of the last event of a stream that was written to the caller. streaming is true once
-	// the stream's header was written.
+	// callerLost is true if a write to the caller failed.
+	callerLost bool
+	// lastEventID is the ID of the last event of a stream that was written to the caller, unnumbered is true if it was
+	// written an event without ID. streaming is true once the stream's header was written.
 	lastEventID int64
+	unnumbered  bool
 	streaming   bool
 }
 
@@ -144,6 +148,9 @@
 
 // finalFailure is the error when no engine gave a complete answer.
 func (x *exchange) finalFailure() *errkind.Error {
+	if x.status != 0 && (x.callerLost || x.callerCtx.Err() != nil) {
+		return errkind.New(errkind.Canceled, "the caller left before the end of the answer")
+	}
 	if x.status != 0 {
 		return errkind.New(errkind.EngineFailed, "the answer broke off and no engine continues it")
 	}
@@ -197,7 +204,7 @@
 	}
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("route", x.route.Name).
 		Str("service", x.service).Str("tenant", x.sender.Tenant).Int64("config", x.table.Version).
-		Int("tried", len(x.tried)).Int("ran", x.executions).Int("status", x.status).
+		Int("tried", len(x.tried)).Int("ran", x.executions).Int("status", x.status).Bool("complete", x.complete).
 		Bool("caller_left", x.callerCtx.Err() != nil).Dur("took_ms", took)
 	if x.sender.Homes.IsRestricted() {
 		line = line.Stringer("homes", x.sender.Homes)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,6 +5,8 @@
 //   - An answer is forwarded to a caller only after it was verified to belong to the caller's request.
 //   - A request that is not repeatable is sent to another engine only if the previous engine reported that it did not
 //     run it, or if no byte of it was sent.
+//   - An answer that has begun is completed only by the end of an engine's answer that continues it. Otherwise the
+//     caller's connection is aborted.
 //   - An error states that a request was not executed only if each engine tried reported that it did not run it, or got
 //     no byte of it.
 package ingress
@@ -206,11 +208,15 @@
 	defer cancel()
 	failure = x.run()
 	x.log(failure)
-	if failure != nil && x.status != 0 {
+	switch {
+	case x.status == 0:
+		return failure
+	case !x.complete:
 		// Closes the caller's connection, so that the truncated answer is not taken for a complete one.
 		panic(http.ErrAbortHandler)
+	default:
+		return nil
 	}
-	return failure
 }
 
 // begin routes a request by the configuration in force and returns its exchange.
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -59,7 +59,7 @@
 	if outcome.ConnectionLost && x.quarantined(engine) {
 		result = giveUp
 	}
-	if x.complete && x.status/100 == 2 {
+	if x.received && x.status/100 == 2 {
 		x.relay.options.Guard.Answered(x.fingerprintOf)
 	}
 	x.logTry(choice, check.Held(), answer, err, result, outcome.At.Sub(began))
@@ -147,6 +147,10 @@
 	if x.isStream(answer) {
 		return x.relayStream(answer, outcome)
 	}
+	if x.streaming {
+		outcome.Failed = answer.Status/100 != 4
+		return x.streamInterrupted()
+	}
 	return x.relayBuffered(answer, outcome)
 }
 
