Place items of a single weight version again once no engine has it

A run on a draining engine was stopped to move it if any fast engine had a free slot for the model, whether or not one had the item's version. And an item with output of one version waited for an engine of that version without a bound, although versions of engines only rise.

Change: a run is stopped to be moved only if an engine has a place for it, by service, version, memory and slots (batchplan.Vacancies, shared with the moves to fast engines). An item that no engine can continue starts over: at once if no engine can have its version again, otherwise after as long as its output takes to generate, at most 2 s. Output that is dropped is logged and counted once, also where a version changed during a run, which was silent.

TestSameVersionRestrictsEngines asserted that an item is not assigned where only a newer version is listed, which is the fault.

--- a/internal/batchrun/cold.go
+++ b/internal/batchrun/cold.go
@@ -39,15 +39,6 @@
 	return permit.Valid, true
 }
 
-// freeSlots returns how many more items may start on an engine now.
-func freeSlots(engine batchplan.Engine, running int) int {
-	free := engine.Slots - running
-	if engine.Cold {
-		return min(free, engine.MaxStarts)
-	}
-	return free
-}
-
 // prefetchPermits requests permits for the cold engines that could run waiting items but have no permits left.
 func (r *Runner) prefetchPermits(engines []batchplan.Engine) {
 	for _, engine := range engines {
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -309,6 +309,20 @@
 	// moves holds the reason of each move, fastEngines each reported number of fast engines; guarded by mu.
 	moves       []MoveReason
 	fastEngines []int
+	// drops holds the reason of each dropped output; guarded by mu.
+	drops []DropReason
+}
+
+func (env *testEnv) recordDrop(reason DropReason) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.drops = append(env.drops, reason)
+}
+
+func (env *testEnv) dropped() []DropReason {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return slices.Clone(env.drops)
 }
 
 func (env *testEnv) recordMove(reason MoveReason) {
@@ -366,6 +380,7 @@
 		LoadingModels: func() map[incarnation.ID]string { return nil },
 		Term:          fmt.Sprint(env.terms), Logger: logger,
 		MixedEngines: env.mixed, OnMove: env.recordMove, OnFastEngines: env.recordFastEngines,
+		OnOutputDropped: env.recordDrop,
 	}
 	if env.configure != nil {
 		env.configure(&options)
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -99,7 +99,7 @@
 
 // moveStragglers stops runs on engines that are slower than others with free slots, so that their items continue
 // there. An engine that drains or is much slower loses all its items, one that is slightly slower only the long
-// ones. With speed classes, items move to fast engines by what each gains instead. Items in an evacuated zone finish
+// ones. A run that no other engine can continue now stays: its engine may complete it. With speed classes, items move to fast engines by what each gains instead. Items in an evacuated zone finish
 // there: its engines keep serving, and a move repeats the prompt processing.
 func (r *Runner) moveStragglers() {
 	r.mu.Lock()
@@ -115,12 +115,12 @@
 	r.plan.ForgetEngines(gone)
 	maps.DeleteFunc(r.overcommitChecks, func(engine incarnation.ID, _ overcommitCheck) bool { return gone(engine) })
 	maps.DeleteFunc(r.pausedUntil, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
-	views := r.engineViews(time.Now())
-	free := r.fastFreeSlots(best, views)
 	now := time.Now()
+	views := r.engineViews(now)
+	vacancies := r.plan.Vacancies(now, views)
 	for key, running := range r.runs {
 		job := r.jobs[key.Job]
-		if job == nil || running.reason != notStopped || free[job.record.Model] <= 0 {
+		if job == nil || running.reason != notStopped || vacancies.Empty() {
 			continue
 		}
 		state := &job.items[key.Item]
@@ -131,11 +131,10 @@
 		if engine, known := r.options.Fleet.Find(running.engine); known && engine.Draining {
 			minAge, reason = 0, MovedFromDraining
 		}
-		if state.Moves >= maxMoves || now.Sub(running.started) < minAge {
+		if state.Moves >= maxMoves || now.Sub(running.started) < minAge || !vacancies.Take(job.moveCandidate(key, running)) {
 			continue
 		}
 		state.Moves++
-		free[job.record.Model]--
 		r.stopToMove(running, move{reason: reason})
 	}
 	r.moveToFast(now, views)
@@ -153,13 +152,7 @@
 			job.items[key.Item].MovesToFast >= maxMovesToFast {
 			continue
 		}
-		candidate := batchplan.MoveCandidate{
-			Key: key, Model: job.record.Model, MinVersion: job.record.MinVersion, Started: running.started,
-		}
-		if versions := job.items[key.Item].Output.Versions(); job.singleVersion && len(versions) == 1 {
-			candidate.SameVersion = versions[0]
-		}
-		candidates = append(candidates, candidate)
+		candidates = append(candidates, job.moveCandidate(key, running))
 	}
 	for _, each := range r.plan.MovesToFast(now, candidates, views) {
 		r.jobs[each.Key.Job].items[each.Key.Item].MovesToFast++
@@ -168,6 +161,17 @@
 	}
 }
 
+// moveCandidate describes a running item for the plan.
+func (j *openJob) moveCandidate(key batchplan.Key, running *run) batchplan.MoveCandidate {
+	candidate := batchplan.MoveCandidate{
+		Key: key, Model: j.record.Model, MinVersion: j.record.MinVersion, Started: running.started,
+	}
+	if versions := j.items[key.Item].Output.Versions(); j.singleVersion && len(versions) == 1 {
+		candidate.SameVersion = versions[0]
+	}
+	return candidate
+}
+
 // minAgeToMove returns how long an item must have run to be moved from an engine that is slower than the fastest
 // by the factor.
 func minAgeToMove(factor float64) time.Duration {
@@ -181,35 +185,6 @@
 	}
 }
 
-// fastFreeSlots returns the number of free slots per model on engines about as fast as the best. Must be called
-// with mu held.
-func (r *Runner) fastFreeSlots(best time.Duration, views []batchplan.Engine) map[string]int {
-	free := make(map[string]int)
-	for _, engine := range views {
-		pace := r.plan.Pace(engine.ID)
-		if !engine.Usable || pace == 0 || !batchplan.IsFast(pace, best) {
-			continue
-		}
-		for model, version := range engine.Versions {
-			if engine.Loading != model && version >= r.minVersion(model) {
-				free[model] += freeSlots(engine, r.plan.Running(engine.ID))
-			}
-		}
-	}
-	return free
-}
-
-// minVersion returns the highest minimum weight version of the model's open jobs. Must be called with mu held.
-func (r *Runner) minVersion(model string) int64 {
-	highest := int64(0)
-	for _, job := range r.jobs {
-		if job.record.Model == model {
-			highest = max(highest, job.record.MinVersion)
-		}
-	}
-	return highest
-}
-
 // stopRunsOnRestartedEngines stops the runs on engines that have restarted, so that their items continue elsewhere: the
 // new incarnation does not know them. The crash is not attributed to the items, which may have started after it;
 // reportOutcome handles those whose connection was lost.
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -168,10 +168,10 @@
 		return
 	}
 	record, state := job.record.Items[index], &job.items[index]
-	versions := state.Output.Versions()
-	if route.SingleVersion && len(versions) > 1 {
-		state.Output = batchitem.Output{}
+	if route.SingleVersion && len(state.Output.Versions()) > 1 {
+		r.dropOutput(job, index, DroppedMixedVersions)
 	}
+	versions := state.Output.Versions()
 	item := batchplan.Item{
 		Key:     key,
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
@@ -180,7 +180,10 @@
 		Prompt:  record.Prompt, Events: int32(state.Output.Last()),
 	}
 	if route.SingleVersion && len(versions) == 1 {
-		item.SameVersion = versions[0]
+		if state.IdleSince.IsZero() {
+			state.IdleSince = time.Now()
+		}
+		item.SameVersion, item.IdleSince = versions[0], state.IdleSince
 	}
 	r.plan.Add(item)
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -131,6 +131,9 @@
 		sendCheck: r.options.Gate.Check(engine.Incarnation(), permitValid),
 	}
 	r.runs[key] = started
+	if reason, restarts := restartDropReasons[assignment.Restart]; restarts {
+		r.dropOutput(job, key.Item, reason)
+	}
 	state := &job.items[key.Item]
 	record := job.record.Items[key.Item]
 	call := job.call(key.Item)
@@ -218,14 +221,18 @@
 		current.hasEvents = true
 		r.options.Fleet.RecordResponse(current.engine, now)
 	}
+	before := item.Output
 	switch item.Output.Add(event, job.limits()) {
 	case batchitem.OutOfOrder:
 		return &CallError{Kind: InvalidResponse, Detail: "event number out of sequence"}
 	case batchitem.VersionTooOld:
+		r.reportDropped(job, key.Item, before, DroppedOldVersion)
 		return &CallError{Kind: NotExecuted, Detail: "event from a weight version below the job's minimum"}
 	case batchitem.MixedVersions:
+		r.reportDropped(job, key.Item, before, DroppedMixedVersions)
 		return &CallError{Kind: NotExecuted, Detail: "weight version changed, but the route requires a single version"}
 	}
+	item.IdleSince = now
 	r.observePace(current, now)
 	if r.options.MixedEngines || r.options.DueOrder {
 		r.plan.RecordEvents(key, item.Output.Last())
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -70,6 +70,9 @@
 	// MixedEngines divides the engines of each service into fast ones and others by their observed pace, keeps the fast
 	// ones for long items, and moves items to them.
 	MixedEngines bool
+	// OnOutputDropped, if set, is called each time that the output of an item is dropped. It is called with a lock held and
+	// must not call the runner.
+	OnOutputDropped func(reason DropReason)
 	// OnMove, if set, is called for each item that is stopped to be moved, and OnFastEngines when the fast engines of a
 	// service change. Both are called with a lock held and must not call the runner.
 	OnMove        func(reason MoveReason)
--- a/internal/batchrun/views.go
+++ b/internal/batchrun/views.go
@@ -23,7 +23,8 @@
 				Cold: cold, MaxStarts: starts,
 				ID: id, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
 				Tokens: required.engineTokens, Loading: loading[id],
-				Usable: listed.AcceptsWork && !listed.Suspected && !now.Before(r.pausedUntil[id]),
+				Leaving: !listed.AcceptsWork,
+				Usable:  listed.AcceptsWork && !listed.Suspected && !now.Before(r.pausedUntil[id]),
 			})
 		}
 	}
--- a/internal/core/batchitem/item.go
+++ b/internal/core/batchitem/item.go
@@ -6,6 +6,8 @@
 // ended item never changes.
 package batchitem
 
+import "time"
+
 // Stage is a stage in the life cycle of an item.
 type Stage uint8
 
@@ -26,6 +28,8 @@
 	// Moves is the number of moves away from slow or draining engines, MovesToFast of those to the fast class.
 	Moves       int
 	MovesToFast int
+	// IdleSince is when the output was restored or last grew, for an item without a run; zero if it has no output.
+	IdleSince time.Time
 
 	stage     Stage
 	completed bool
--- a/internal/core/batchplan/moves.go
+++ b/internal/core/batchplan/moves.go
@@ -56,29 +56,26 @@
 		return nil
 	}
 	pass := newPass(p, engines, now)
-	places := pass.fastPlaces()
+	vacancies := pass.vacancies(func(engine *Engine) bool { return p.speeds.classes[engine.Service].IsFast(engine.ID) })
 	var moves []Move
 	for _, item := range items {
-		need := p.needOf(item.Key)
-		key := class{service: item.placement.service, model: item.Model, minVersion: item.MinVersion}
-		index := slices.IndexFunc(places, func(place place) bool {
-			return need <= place.tokens && pass.eligible(place.engine, key) &&
-				(item.SameVersion == 0 || place.engine.Versions[item.Model] == item.SameVersion)
-		})
-		if index < 0 {
-			continue
-		}
-		chosen := &places[index]
-		chosen.slots--
-		chosen.tokens = min(chosen.tokens, chosen.engine.tokensOrUnbounded()) - need
-		moves = append(moves, Move{Key: item.Key, From: item.placement.engine, To: chosen.engine.ID, Gain: item.gain})
-		if chosen.slots <= 0 {
-			places = slices.Delete(places, index, index+1)
+		to, found := vacancies.take(item.MoveCandidate, item.placement, p.needOf(item.Key))
+		if found {
+			moves = append(moves, Move{Key: item.Key, From: item.placement.engine, To: to, Gain: item.gain})
 		}
 	}
 	return moves
 }
 
+// Vacancies returns the places that moved items can take at engines that are about as fast as the best one.
+func (p *Plan) Vacancies(now time.Time, engines []Engine) *Vacancies {
+	best := p.BestPace()
+	return newPass(p, engines, now).vacancies(func(engine *Engine) bool {
+		pace, known := p.paces[engine.ID]
+		return known && IsFast(pace, best)
+	})
+}
+
 // movable returns the candidates that gain enough from a move to a fast engine, the most time left first. Suspect items
 // stay in isolation where they run.
 func (p *Plan) movable(now time.Time, candidates []MoveCandidate) []movable {
@@ -111,19 +108,62 @@
 	return max(p.expectedEvents(placed.length)-done, outrunShare*done)
 }
 
-// place is a fast engine with free slots.
+// Vacancies are engines with free slots and memory for moved items, in the order of a pass.
+type Vacancies struct {
+	pass   *pass
+	places []place
+}
+
+// place is an engine with free slots.
 type place struct {
 	engine        *Engine
 	slots, tokens int
 }
 
-// fastPlaces returns the fast engines with free slots in the order of the pass. Slots and memory that are needed by
-// items on their way to an engine aren't free.
-func (p *pass) fastPlaces() []place {
+// Empty reports whether no engine has a free slot.
+func (v *Vacancies) Empty() bool { return len(v.places) == 0 }
+
+// Take takes a place at an engine other than the item's own that can continue the running item, and reports whether
+// there is one.
+func (v *Vacancies) Take(candidate MoveCandidate) bool {
+	placed, running := v.pass.plan.running[candidate.Key]
+	if !running {
+		return false
+	}
+	need := placed.reservedTokens
+	if v.pass.speeds[placed.service] != nil {
+		need = v.pass.plan.needOf(candidate.Key)
+	}
+	_, found := v.take(candidate, placed, need)
+	return found
+}
+
+func (v *Vacancies) take(candidate MoveCandidate, placed placement, need int) (incarnation.ID, bool) {
+	key := class{service: placed.service, model: candidate.Model, minVersion: candidate.MinVersion}
+	index := slices.IndexFunc(v.places, func(place place) bool {
+		return need <= place.tokens && place.engine.ID != placed.engine && v.pass.eligible(place.engine, key) &&
+			(candidate.SameVersion == 0 || place.engine.Versions[candidate.Model] == candidate.SameVersion)
+	})
+	if index < 0 {
+		return incarnation.ID{}, false
+	}
+	chosen := &v.places[index]
+	engine := chosen.engine.ID
+	chosen.slots--
+	chosen.tokens = min(chosen.tokens, chosen.engine.tokensOrUnbounded()) - need
+	if chosen.slots <= 0 {
+		v.places = slices.Delete(v.places, index, index+1)
+	}
+	return engine, true
+}
+
+// vacancies returns the engines with free slots that satisfy the condition. Slots and memory that are needed by items on
+// their way to an engine aren't free.
+func (p *pass) vacancies(satisfies func(engine *Engine) bool) *Vacancies {
 	var places []place
 	for i := range p.engines {
 		engine := &p.engines[i]
-		if !engine.Usable || !p.speeds[engine.Service].IsFast(engine.ID) || !p.hasSlot(engine) {
+		if !engine.Usable || !satisfies(engine) || !p.hasSlot(engine) {
 			continue
 		}
 		slots, tokens := min(engine.Slots-p.plan.runningCount[engine.ID], p.startsLeft[i]), p.freeTokens(engine)
@@ -135,7 +175,7 @@
 			places = append(places, place{engine: engine, slots: slots, tokens: tokens})
 		}
 	}
-	return places
+	return &Vacancies{pass: p, places: places}
 }
 
 // arrivals are the items on their way to an engine that a move chose for them.
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -30,7 +30,9 @@
 	MinVersion int64
 	// SameVersion is the only version that may continue the item; zero for any.
 	SameVersion int64
-	Group       string
+	// IdleSince is the time since which an item with SameVersion has made no progress.
+	IdleSince time.Time
+	Group     string
 	// Length is the expected output length in tokens; zero when unknown.
 	Length int
 	// Tokens is the memory that it is expected to need at an engine, in tokens; Prompt is the part of it that its
@@ -58,8 +60,10 @@
 	Versions map[string]int64
 	// Loading is the model whose weights are being loaded; empty for none.
 	Loading string
-	// Usable is false for engines that accept no new work or have recently failed.
-	Usable bool
+	// Usable is false for engines that accept no new work or have recently failed. Leaving is true for those that accept
+	// none because they drain or their zone is evacuated.
+	Usable  bool
+	Leaving bool
 	// Cold is true for an engine in its slow start, which may be assigned at most MaxStarts items now.
 	Cold      bool
 	MaxStarts int
@@ -69,6 +73,8 @@
 type Assignment struct {
 	Item   Item
 	Engine incarnation.ID
+	// Restart is why the item starts over without its output; NoRestart if it does not.
+	Restart RestartReason
 	// Running is the number of items that the engine already runs.
 	Running int
 	// Surplus is true if the item started after others because its submitter does not wait for its group.
@@ -291,17 +297,20 @@
 	queue := p.startOrder(pass)
 	p.movedFirst(queue)
 	for _, item := range queue {
-		engine, found := pass.choose(item)
+		engine, restart, found := pass.chooseOrRestart(item)
 		if !found {
 			continue
 		}
 		delete(p.waiting, item.Key)
 		classes := p.speeds.classes[item.Service]
 		assigned = append(assigned, Assignment{
-			Item: item, Engine: engine, Running: p.runningCount[engine], Pace: p.paces[engine],
+			Item: item, Engine: engine, Restart: restart, Running: p.runningCount[engine], Pace: p.paces[engine],
 			Surplus: p.startsAsSurplus(item.Key, now),
 			Fast:    classes.IsFast(engine), Long: p.isLong(classes, &item),
 		})
+		if restart != NoRestart {
+			item = item.withoutOutput()
+		}
 		p.recordStart(item, engine, now)
 		pass.countStart(item, engine)
 	}
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -118,11 +118,13 @@
 
 func TestSameVersionRestrictsEngines(t *testing.T) {
 	plan := New()
-	pinned := item("j", 0, 1)
-	pinned.SameVersion = 3
-	plan.Add(pinned)
-	assert.Equal(t, len(plan.Assign(now, []Engine{engine("newer", 1, 4)})), 0)
-	assert.Equal(t, len(plan.Assign(now, []Engine{engine("same", 1, 3)})), 1)
+	plan.Add(pinnedItem(0))
+	full := engine("full", 0, 3)
+	assert.Equal(t, len(plan.Assign(now, []Engine{engine("newer", 1, 4), full})), 0)
+	assigned := plan.Assign(now, []Engine{engine("newer", 1, 4), full, engine("same", 1, 3)})
+	assert.Equal(t, len(assigned), 1)
+	assert.Equal(t, assigned[0].Engine, engineID("same"))
+	assert.Equal(t, assigned[0].Restart, NoRestart)
 }
 
 func TestFasterEnginesAreFilledFirst(t *testing.T) {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -19,6 +19,13 @@
 	moveReasonPhrases = map[string]string{
 		"draining_engine": "moved, its engine drains", "slow_engine": "moved, its engine was slower than others with free slots",
 	}
+	// dropPhrases describes values of the log field "reason" of output that an item lost.
+	dropPhrases = map[string]string{
+		"version_gone":        "no engine had their weight version any more",
+		"version_unavailable": "no engine with their weight version took it",
+		"mixed_versions":      "the weight version changed",
+		"version_too_old":     "the engine's weight version was too old",
+	}
 )
 
 const (
@@ -153,7 +160,7 @@
 	if len(interruptions) > 0 {
 		text += "; runs ended early: " + strings.Join(interruptions, "; ")
 	}
-	text += scoringNotes(trace)
+	text += droppedOutputNotes(trace) + scoringNotes(trace)
 	if finished := trace.last("item finished"); finished != nil {
 		text += fmt.Sprintf("; finished by %s after %.0f ms (%s, %.0f events)", finished.Node,
 			finished.number("after_ms"), finished.text("reason"), finished.number("events"))
@@ -163,6 +170,18 @@
 	return text + "." + orderNotes(trace) + jobEndNotes(trace) + trace.contextNotes()
 }
 
+// droppedOutputNotes describes the output that the item lost.
+func droppedOutputNotes(trace *Trace) string {
+	notes := ""
+	for _, line := range trace.Lines {
+		if line.Message == "item output dropped" {
+			notes += fmt.Sprintf("; started over without its %.0f events (%s)",
+				line.number("events"), phraseFor(dropPhrases, line.text("reason")))
+		}
+	}
+	return notes
+}
+
 // scoringNotes describes the outcome of the item's scoring calls.
 func scoringNotes(trace *Trace) string {
 	last := trace.last("scoring call ended")
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -21,6 +21,8 @@
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e1","refusal":"broken","stop_reason":"silent","after_event":7,"ran_ms":1300,"time":7315,"message":"run ended early"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","engine":"e2","waited_ms":1315,"time":7316,"message":"item started"}
 {"level":"info","node":"n2","zone":"z","job":"j1","item":"i1","completed":true,"reason":"whole","events":20,"after_ms":2500,"time":8500,"message":"item finished"}
+{"level":"info","node":"n2","zone":"z","job":"j1","item":"i2","engine":"e1","waited_ms":15,"time":6020,"message":"item started"}
+{"level":"warn","node":"n2","zone":"z","job":"j1","item":"i2","reason":"version_gone","events":40,"versions":[3],"idle_ms":12,"time":8550,"message":"item output dropped"}
 {"level":"info","node":"n2","zone":"z","job":"j1","after_ms":2600,"unfinished":1,"time":8600,"message":"job ended"}
 {"level":"info","node":"n2","zone":"z","job":"tenant-a/j2","error":"the log did not answer","time":9000,"message":"job submitted"}
 {"level":"warn","node":"n4","zone":"z","id":"r4","kind":"unauthorized","error":"the API key is unknown or was taken away","status":401,"time":9100,"message":"request refused"}
@@ -42,7 +44,7 @@
 func TestReadCountsMalformedLinesAndIgnoresOtherText(t *testing.T) {
 	log := readLogs(t)
 	assert.Equal(t, log.Malformed, 1)
-	assert.Equal(t, len(log.Lines), 19)
+	assert.Equal(t, len(log.Lines), 21)
 }
 
 func TestFindDescribesTheCause(t *testing.T) {
@@ -54,6 +56,7 @@
 		"j1": {"Ended by its submitter after 2600 ms with 1 items unfinished, accepted 1 times"},
 		"i1": {"Started 2 times", "e1 after 1300 ms at event 7 (silent)", "finished by n2 after 2500 ms (whole, 20 events)",
 			"Its job j1 was ended by its submitter after 2600 ms with 1 items unfinished"},
+		"i2": {"started over without its 40 events (no engine had their weight version any more)"},
 		"j2": {"Not accepted by n2: the log did not answer"},
 		"r4": {"Refused by n4 with 401 unauthorized: the API key is unknown or was taken away"},
 		"356294935": {"Reported 1 times, last by n2 under fencing token 7 with 33 requests of 23 tenants: done, in time",
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -46,6 +46,8 @@
 	// runner that observes them; itemMoves counts items moved to another engine.
 	fastEngines *prometheus.GaugeVec
 	itemMoves   *prometheus.CounterVec
+	// outputDrops counts items that lost their output and start over.
+	outputDrops *prometheus.CounterVec
 	// versions holds the cluster version and the lowest version of the live nodes.
 	versions *prometheus.GaugeVec
 	// loadsUnreadable counts responses whose load report cannot be parsed.
@@ -147,6 +149,7 @@
 	m.addVersionMetrics(registry)
 	m.addSlowStartMetrics()
 	m.addEngineSpeedMetrics(registry)
+	m.addOutputDropMetric(registry)
 	m.addHeldBytesMetrics(registry)
 	m.addLiveQueueMetrics(registry)
 	m.traffic = newTraffic(registry)
@@ -176,6 +179,20 @@
 	registry.MustRegister(m.fastEngines, m.itemMoves)
 }
 
+func (m *metrics) addOutputDropMetric(registry *prometheus.Registry) {
+	m.outputDrops = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "corkpulley_hosted_item_output_drops_total", Help: "Items that lost their output and start over, by reason.",
+	}, []string{"reason"})
+	for _, reason := range batchrun.DropReasons() {
+		m.outputDrops.WithLabelValues(reason.String())
+	}
+	registry.MustRegister(m.outputDrops)
+}
+
+func (m *metrics) outputDropped(reason batchrun.DropReason) {
+	m.outputDrops.WithLabelValues(reason.String()).Inc()
+}
+
 func (m *metrics) itemMoved(reason batchrun.MoveReason) {
 	m.itemMoves.WithLabelValues(reason.String()).Inc()
 }
