Reset connections on close, so that no given-up request arrives later

Cause: closing a connection leaves its unsent bytes to the kernel, which delivers them when the network recovers. Only weight orders and duty calls reset their connections; all other requests were closed plainly by whoever gave them up.

TCP_USER_TIMEOUT did not help, as the connection was closed before it passed.

Change: connections to engines, the platform, the log and other nodes have SO_LINGER 0 from their dial on. The guard of orders and duty calls keeps the permission and the shorter TCP_USER_TIMEOUT. The clients of the project's own deployment reset too.

Why it works: from the moment at which a connection is closed, also by a kill, the kernel has nothing left to send.

--- a/internal/logrelay/fallback.go
+++ b/internal/logrelay/fallback.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/corkpulley/corkpulley/internal/common/abortconn"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/eventlog"
 )
@@ -81,7 +82,7 @@
 
 // NewClient returns an HTTP client for calls to other nodes.
 func NewClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: abortconn.Control}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnectionsPerNode,
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/corkpulley/corkpulley/internal/common/abortconn"
 	"github.com/corkpulley/corkpulley/internal/engine"
 	"github.com/corkpulley/corkpulley/internal/platform/enginehttp"
 	"github.com/corkpulley/corkpulley/internal/platform/logservice"
@@ -33,7 +35,9 @@
 }
 
 func newPlatformClients(platform settings.Platform) platformClients {
+	dialer := &net.Dialer{Control: abortconn.Control}
 	client := &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: platformIdleConnections,
 		IdleConnTimeout:     platformIdleTimeout,
 	}}
--- a/internal/platform/enginehttp/http.go
+++ b/internal/platform/enginehttp/http.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"github.com/corkpulley/corkpulley/internal/engine"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +18,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/common/abortconn"
+	"github.com/corkpulley/corkpulley/internal/engine"
 )
 
 // Limits of the HTTP client.
@@ -78,7 +80,7 @@
 // NewTransport returns a pooled transport for hundreds of streams to each of many engines. It uses HTTP/1.1
 // only: each stream has its own connection, so a slow reader does not block other streams.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive, Control: abortconn.Control}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConns:        maxIdleConnections,
