--- a/internal/bench/soak/check_batch.go
+++ b/internal/bench/soak/check_batch.go
@@ -83,8 +83,9 @@
 func checkSampleVersions(h *History, _ Bounds) []string {
 	var found []string
 	for _, job := range h.Jobs {
-		for _, result := range job.Positions {
-			if problem := checkSample(job, result); problem != "" {
+		for position, result := range job.Positions {
+			canceled := !job.CancelSentAt.IsZero() && position >= job.ReadBeforeCancel
+			if problem := checkSample(job, result, canceled); problem != "" {
 				found = append(found, fmt.Sprintf("job %s item %s: %s", job.Job.ID, result.ID, problem))
 			}
 		}
@@ -92,13 +93,15 @@
 	return found
 }
 
-func checkSample(record *JobRecord, result standin.ItemResult) string {
+// checkSample describes what is wrong with a sample, or returns "". canceled is set if the job may have been canceled
+// before the item was listed.
+func checkSample(record *JobRecord, result standin.ItemResult, canceled bool) string {
 	job := record.Job
 	if !slices.ContainsFunc(job.Items, func(item standin.JobItem) bool { return item.ID == result.ID }) {
 		return "does not belong to this job"
 	}
 	if result.State != standin.StateCompleted {
-		if record.CancelSentAt.IsZero() && !failsAlways(result.ID) && !isImpossible(result.ID) && !crashesEngine(result.ID) {
+		if !canceled && !failsAlways(result.ID) && !isImpossible(result.ID) && !crashesEngine(result.ID) {
 			return "was not completed although its job was not cancelled"
 		}
 		return ""
--- a/internal/bench/soak/check_live.go
+++ b/internal/bench/soak/check_live.go
@@ -49,7 +49,7 @@
 	runs := make(map[string]int)
 	forEachRun(h, func(_ *EngineRecord, run standin.Run) { runs[run.ID]++ })
 	for _, call := range h.Calls {
-		if call.Kind != standin.RouteSafe && runs[call.ID] > 1 {
+		if call.Kind != standin.RouteSafe && !call.Resumable && runs[call.ID] > 1 {
 			found = append(found, fmt.Sprintf("request %s of a non-repeatable route ran %d times", call.ID, runs[call.ID]))
 		}
 	}
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -51,6 +51,8 @@
 	// crashed restart under the same ID.
 	placementFaults    bool
 	restartsWithSameID bool
+	// overlap is set for schedules of overlapping faults.
+	overlap bool
 	// enginesFence is set if the engines and the duties service reject fencing tokens lower than one that
 	// they saw.
 	enginesFence bool
@@ -73,7 +75,7 @@
 	d := &deployment{
 		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
 		leader: newLeaderTracker(), enginesFence: plan.enginesFence, pathResolver: &pathResolver{unknown: newNodePath(anyNode)},
-		evacuationCounts: newEvacuationCounts(), placementFaults: plan.hasPlacementFaults(),
+		evacuationCounts: newEvacuationCounts(), placementFaults: plan.hasPlacementFaults(), overlap: plan.hasOverlap(),
 		restartsWithSameID: plan.hasPlacementFaults() && plan.includes(Incarnations),
 	}
 	if plan.hasContention() {
@@ -191,6 +193,9 @@
 	if d.placementFaults {
 		slot.coldFor = coldStart
 	}
+	if d.overlap {
+		slot.useOverlapOptions()
+	}
 	slot.onCrash = func(run standin.Run) { d.crashDuringRun(ctx, slot, run) }
 	if err := slot.start(); err != nil {
 		return err
--- a/internal/bench/soak/driver.go
+++ b/internal/bench/soak/driver.go
@@ -66,8 +66,10 @@
 	changesHomes    bool
 	// contention is set for contention schedules, whose load is drawn from seed.
 	contention bool
-	seed       uint64
-	trainers   int
+	// overlap is set for schedules of overlapping faults: streams may be resumed, and items are bound to one version.
+	overlap  bool
+	seed     uint64
+	trainers int
 	// modelStep is the newest step of the model, which the trainers of contention schedules share.
 	modelStep atomic.Int64
 	// version is the newest announced weight version, config the version of the newest configuration.
@@ -99,8 +101,8 @@
 	routes := []standin.Route{
 		{Name: "lookup", Prefix: standin.PrefixLookup, Kind: standin.RouteSafe, Service: standin.ServiceLookup},
 		{Name: "permit", Prefix: prefixPermit, Kind: standin.RouteUnsafe, Service: standin.ServiceLookup},
-		{Name: "stream", Prefix: prefixStream, Kind: standin.RouteStream, Service: standin.ServiceDrafts},
-		{Name: "drafts", Prefix: standin.PrefixDrafts, Kind: standin.RouteBatch, Service: standin.ServiceDrafts},
+		{Name: "stream", Prefix: prefixStream, Kind: standin.RouteStream, Service: standin.ServiceDrafts, Resumable: d.overlap},
+		{Name: "drafts", Prefix: standin.PrefixDrafts, Kind: standin.RouteBatch, Service: standin.ServiceDrafts, SingleVersion: d.overlap},
 		{Name: "scoring", Prefix: standin.PrefixScoring, Kind: standin.RouteSafe, Service: standin.ServiceLookup},
 	}
 	for kept := max(1, version-keptProbeRoutes+1); kept <= version; kept++ {
@@ -180,13 +182,18 @@
 // send sends a live request to a random node, with callDeadline unless the call has a deadline, and records the
 // response.
 func (d *driver) send(ctx context.Context, call LiveCall) LiveCall {
-	call.SentAt = time.Now()
 	if call.Deadline == 0 {
 		call.Deadline = callDeadline
 	}
-	client := d.client.WithKey(d.keyOf(call.Tenant))
+	return d.sendTo(ctx, d.client, d.randomNode(), call)
+}
+
+// sendTo sends a live request to a node and records the response.
+func (d *driver) sendTo(ctx context.Context, client *standin.Client, target *node, call LiveCall) LiveCall {
+	call.SentAt, call.Resumable = time.Now(), d.overlap && call.Kind == standin.RouteStream
 	var err error
-	call.Answer, err = client.SendLive(ctx, d.randomNode().callerAddress, call.Path, call.ID, call.Body, call.Deadline)
+	call.Answer, err = client.WithKey(d.keyOf(call.Tenant)).SendLive(
+		ctx, target.callerAddress, call.Path, call.ID, call.Body, call.Deadline)
 	call.Intact, call.EndedAt = err == nil, time.Now()
 	d.history.addCall(call)
 	return call
@@ -209,6 +216,7 @@
 	for step := int64(0); ctx.Err() == nil; step++ {
 		job := d.newJob(trainer, step)
 		record := d.history.addJob(job, trainer)
+		record.SingleVersion = d.overlap
 		if !d.submit(jobCtx, record) {
 			continue
 		}
@@ -258,6 +266,8 @@
 			prefix = failPrefix
 		case rand.IntN(impossibleOneIn) == 0:
 			prefix = impossiblePrefix
+		case d.overlap && rand.IntN(overlapLongOneIn) == 0:
+			prefix = longItemPrefix
 		}
 		id := d.newID(fmt.Sprintf("%s%d-%d-", prefix, trainer, step))
 		job.Items = append(job.Items, standin.JobItem{
@@ -367,7 +377,7 @@
 
 // run generates the load until ctx ends, part of which the schedule may hold. Open jobs continue until jobCtx ends.
 func (d *driver) run(ctx, jobCtx context.Context, faults []Fault) {
-	if d.contention {
+	if d.contention || d.overlap {
 		d.callers.Go(func() { d.playEvents(ctx, faults) })
 	} else {
 		d.callers.Go(func() { d.reconfigure(ctx) })
@@ -380,6 +390,9 @@
 		d.callers.Go(func() { d.sendTraffic(ctx, each) })
 		d.callers.Go(func() { d.sendTraffic(ctx, each) })
 	}
+	if d.overlap {
+		d.startKeepingCallers(ctx)
+	}
 	if d.sendsCrashing {
 		d.callers.Go(func() { d.crashEngines(ctx) })
 	}
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -274,15 +274,15 @@
 	return s.engine().Entry(s.senderProxy.address, standin.StateReady)
 }
 
-// drain lists the engine as draining, keeps it serving for drainTime, and stops it.
-func (s *engineSlot) drain(ctx context.Context) {
+// drain lists the engine as draining, keeps it serving for the given time, and stops it.
+func (s *engineSlot) drain(ctx context.Context, serving time.Duration) {
 	s.mu.Lock()
 	engine := s.engine()
 	s.incarnations[len(s.incarnations)-1].draining = true
 	s.mu.Unlock()
 	s.store.ListEngine(engine, s.senderProxy.address, true)
 	s.history.update(func() { s.history.Drains = append(s.history.Drains, DrainRecord{Engine: engine.ID(), At: time.Now()}) })
-	retry.Sleep(ctx, drainTime)
+	retry.Sleep(ctx, serving)
 	s.stop()
 	s.store.UnlistEngine(engine.ID())
 }
--- a/internal/bench/soak/forwarding.go
+++ b/internal/bench/soak/forwarding.go
@@ -26,6 +26,8 @@
 	upstream string
 	// pathOf returns the path of the node at the other end of a connection.
 	pathOf func(accepted net.Conn) *nodePath
+	// gate holds back the bytes of all senders.
+	gate *gate
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -33,7 +35,7 @@
 }
 
 func newSenderProxy(address, upstream string, pathOf func(net.Conn) *nodePath) *senderProxy {
-	return &senderProxy{address: address, upstream: upstream, pathOf: pathOf, open: make(map[net.Conn]bool)}
+	return &senderProxy{address: address, upstream: upstream, pathOf: pathOf, gate: newGate(), open: make(map[net.Conn]bool)}
 }
 
 // listenBackoff and listenTimeout control the retries while an address is in use: a child process inherits
@@ -134,8 +136,8 @@
 	}
 	defer p.closeConnection(upstream)
 	var directions sync.WaitGroup
-	directions.Go(func() { path.copy(upstream, accepted) })
-	directions.Go(func() { path.copy(accepted, upstream) })
+	directions.Go(func() { path.copy(upstream, accepted, p.gate) })
+	directions.Go(func() { path.copy(accepted, upstream, p.gate) })
 	directions.Wait()
 }
 
@@ -214,30 +216,63 @@
 	}
 }
 
-// copy forwards bytes in one direction. Bytes sent before the sender closed its connection are still
-// delivered.
-func (p *nodePath) copy(to, from net.Conn) {
-	const chunk = 16 << 10
-	buffer := make([]byte, chunk)
-	for {
-		length, err := from.Read(buffer)
-		if length > 0 {
-			p.awaitDelivery()
-			if _, writeErr := to.Write(buffer[:length]); writeErr != nil {
-				err = writeErr
-			}
-		}
-		if err == nil {
-			continue
-		}
+// copy forwards bytes in one direction. Bytes sent before the sender closed its connection are still delivered, also
+// those that a hold of the node's path delays. Those that the gate holds back are dropped if the sender resets the
+// connection meanwhile.
+func (p *nodePath) copy(to, from net.Conn, held *gate) {
+	stopped := make(chan struct{})
+	defer close(stopped)
+	incoming := readChunks(from, stopped)
+	for chunk := range incoming.chunks {
 		p.awaitDelivery()
-		if tcp, isTCP := to.(*net.TCPConn); isTCP && errors.Is(err, io.EOF) {
-			_ = tcp.CloseWrite()
+		if !held.await(incoming.reset) {
+			break
+		}
+		if _, err := to.Write(chunk); err != nil {
+			_, _ = to.Close(), from.Close()
 			return
 		}
-		_, _ = to.Close(), from.Close()
+	}
+	p.awaitDelivery()
+	if tcp, isTCP := to.(*net.TCPConn); isTCP && held.await(incoming.reset) {
+		_ = tcp.CloseWrite()
 		return
 	}
+	_, _ = to.Close(), from.Close()
+}
+
+// incomingBytes are the bytes that a connection receives.
+type incomingBytes struct {
+	// chunks is closed at the end of the connection, reset if it was not closed in order.
+	chunks chan []byte
+	reset  chan struct{}
+}
+
+// readChunks reads a connection until it ends or stopped is closed.
+func readChunks(from net.Conn, stopped <-chan struct{}) incomingBytes {
+	const chunkBytes = 16 << 10
+	incoming := incomingBytes{chunks: make(chan []byte), reset: make(chan struct{})}
+	go func() {
+		defer close(incoming.chunks)
+		for {
+			chunk := make([]byte, chunkBytes)
+			length, err := from.Read(chunk)
+			if err != nil && !errors.Is(err, io.EOF) {
+				close(incoming.reset)
+			}
+			if length > 0 {
+				select {
+				case incoming.chunks <- chunk[:length]:
+				case <-stopped:
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return incoming
 }
 
 // pathResolver finds the node that a connection comes from.
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -22,6 +22,12 @@
 	// Deadline is the deadline that was sent; EndedAt is when the response was complete or the connection broke.
 	Deadline time.Duration
 	EndedAt  time.Time
+	// Node is the node that it was sent to, KeptConnection is set if its caller keeps its connection for many requests;
+	// Node is set for these only.
+	Node           int
+	KeptConnection bool
+	// Resumable is set if the route lets streams be resumed at other engines.
+	Resumable bool
 	// RetryOf is the ID of the refused request that this one repeats; empty for none.
 	RetryOf string
 	// Answer is the response; Intact is false if the connection broke.
@@ -36,6 +42,8 @@
 	Tenant string
 	Key    string
 	SentAt time.Time
+	// SingleVersion is set if its route requires a single weight version for each sample.
+	SingleVersion bool
 	// FirstRequestAt is when the trainer first sent each node a request to submit, read or cancel the job.
 	FirstRequestAt map[int]time.Time
 	// Accepted is set if a node answered 202, AllRejected if every attempt was answered with a status that
@@ -50,8 +58,10 @@
 	EndedAt      time.Time
 	// CompletedAt is when every expected item was first read as listed.
 	CompletedAt time.Time
-	// Positions are the results by position, as first read.
-	Positions []standin.ItemResult
+	// Positions are the results by position, as first read. The first ReadBeforeCancel of them were read before the
+	// trainer sent the cancellation.
+	Positions        []standin.ItemResult
+	ReadBeforeCancel int
 	// Complete is set once every expected item was read as listed.
 	Complete bool
 	// FailedReads holds the status of each failed read at the end of the soak, by a description that names
@@ -165,6 +175,8 @@
 	From time.Time
 	// To is zero while it lasts.
 	To time.Time
+	// PlannedStop is set if the node was terminated in a planned way.
+	PlannedStop bool
 }
 
 // Resumption is when a node resumed from a freeze, or its network path to the engines was restored.
@@ -255,6 +267,9 @@
 			job.Positions = append(job.Positions, result)
 		}
 	}
+	if job.CancelSentAt.IsZero() {
+		job.ReadBeforeCancel = len(job.Positions)
+	}
 	job.Complete = job.listedResults() == job.expectedResults()
 	if job.Complete && job.CompletedAt.IsZero() {
 		job.CompletedAt = time.Now()
@@ -320,6 +335,15 @@
 	})
 }
 
+// beginPlannedStop records that a node is being stopped, until the returned function is called.
+func (h *History) beginPlannedStop(node int) func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	stop := &Disturbance{Node: node, From: time.Now(), PlannedStop: true}
+	h.Disturbances = append(h.Disturbances, stop)
+	return func() { h.update(func() { stop.To = time.Now() }) }
+}
+
 // recordResumption records that a node resumes from a freeze, or that its network path to the engines is
 // restored.
 func (h *History) recordResumption(node int) {
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -35,7 +35,7 @@
 
 // apply runs one fault from start to end.
 func (d *deployment) apply(ctx context.Context, fault Fault) {
-	if d.applyPlacementFault(ctx, fault) || d.applyContentionEvent(ctx, fault) {
+	if d.applyPlacementFault(ctx, fault) || d.applyContentionEvent(ctx, fault) || d.applyOverlapFault(ctx, fault) {
 		return
 	}
 	target := d.nodes[d.leader.selectNode(fault, len(d.nodes))]
@@ -47,7 +47,9 @@
 	case NodeKilled:
 		d.withDisturbance(target.number, target.kill)
 	case NodeStopped:
-		d.withDisturbance(target.number, func() { target.stop(ctx) })
+		end := d.history.beginPlannedStop(target.number)
+		target.stop(ctx)
+		end()
 	case NodeFrozen:
 		d.withDisturbance(target.number, func() {
 			d.freeze(ctx, target, fault.Duration)
@@ -79,11 +81,12 @@
 	case EngineCrashed:
 		d.replace(slot, func() { slot.crash(ctx, max(minDowntime, fault.Duration))() })
 	case EngineLeaves:
-		d.replace(slot, func() { slot.drain(ctx) })
+		d.replace(slot, func() { slot.drain(ctx, drainTime) })
 	case EngineAnswersWrongly, EngineSilent:
 		answerFault := standin.NeverResponds
 		if fault.Kind == EngineAnswersWrongly {
-			answerFault = wrongAnswers[fault.Target%len(wrongAnswers)]
+			// The quotient, as the remainder selects the engine: each engine gets each fault.
+			answerFault = wrongAnswers[fault.Target/len(d.slots)%len(wrongAnswers)]
 		}
 		slot.setAnswerFault(answerFault)
 		retry.Sleep(ctx, fault.Duration)
--- a/internal/bench/soak/modes.go
+++ b/internal/bench/soak/modes.go
@@ -22,9 +22,12 @@
 	PlacementFaults = "placement"
 	// Contention is more work than the engines can run, of several tenants and trainers, with faults beside it.
 	Contention = "contention"
+	// OverlappingFaults are series of signals, restarts, changes and faults of engines that overlap, while callers keep
+	// their connections.
+	OverlappingFaults = "overlapping"
 )
 
-var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention}
+var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults}
 
 // modeStream is the PCG stream of modes, independent of those of faults.
 const modeStream = 1
@@ -37,14 +40,16 @@
 	return errors.Errorf("%s is %q, expected one of %s, %q", flag, value, Drawn, values)
 }
 
-// One in contentionOneIn seeds has contention, one in placementOneIn of the others placement faults.
+// One in overlapOneIn seeds has overlapping faults, one in contentionOneIn of the others contention, and one in
+// placementOneIn of the rest placement faults.
 const (
 	placementOneIn  = 3
 	contentionOneIn = 4
+	overlapOneIn    = 5
 )
 
 // modes returns whether the engines check fencing tokens, as for about half of the seeds, and the
-// schedule, each for about a quarter of the seeds. Flags take precedence over the seed.
+// schedule, each for about a fifth of the seeds. Flags take precedence over the seed.
 func (a *Arguments) modes(seed uint64) (enginesFence bool, schedule string) {
 	random := rand.New(rand.NewPCG(seed, modeStream))
 	enginesFence, schedule = random.IntN(2) == 0, GeneralFaults
@@ -57,6 +62,9 @@
 	if random.IntN(contentionOneIn) == 0 {
 		schedule = Contention
 	}
+	if random.IntN(overlapOneIn) == 0 {
+		schedule = OverlappingFaults
+	}
 	if a.EnginesFence == EnginesFenceYes || a.EnginesFence == EnginesFenceNo {
 		enginesFence = a.EnginesFence == EnginesFenceYes
 	}
@@ -73,6 +81,8 @@
 		return DrawLeader(seed, length)
 	case PlacementFaults:
 		return DrawPlacement(seed, length)
+	case OverlappingFaults:
+		return DrawOverlap(seed, length)
 	case Contention:
 		return DrawContention(seed, length)
 	default:
--- a/internal/bench/soak/schedule_placement.go
+++ b/internal/bench/soak/schedule_placement.go
@@ -21,7 +21,7 @@
 	ZoneCold   Kind = "zone-cold"
 )
 
-// Family is a group of placement faults that can be left out of a soak.
+// Family is a group of faults that can be left out of a soak.
 type Family string
 
 const (
@@ -31,11 +31,14 @@
 	SlowStarts   Family = "slow-starts"
 	// HomeChanges are changes of home regions in configurations, not scheduled faults.
 	HomeChanges Family = "home-changes"
+	// PlannedStops are the planned stops of nodes, in any schedule.
+	PlannedStops Family = "planned-stops"
 )
 
-var families = []Family{Incarnations, Entries, Evacuations, SlowStarts, HomeChanges}
+var families = []Family{Incarnations, Entries, Evacuations, SlowStarts, HomeChanges, PlannedStops}
 
 var familyOf = map[Kind]Family{
+	NodeStopped:     PlannedStops,
 	EngineRestarted: Incarnations, EngineRestartedLate: Incarnations, EntriesInvalid: Entries, ZoneEvacuated: Evacuations,
 	EngineCold: SlowStarts, ZoneCold: SlowStarts,
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -28,8 +28,8 @@
 	Slack        float64  `arg:"--slack" default:"1" help:"factor for the time limits of invariants (1..100), for a slow machine"`
 	Print        bool     `arg:"--print" help:"print the schedule and do not run it"`
 	EnginesFence string   `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
-	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), or drawn from the seed"`
-	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of placement faults: incarnations, entries, evacuations, slow-starts, home-changes; repeatable"`
+	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), series of overlapping signals, restarts and changes (overlapping), or drawn from the seed"`
+	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of faults: incarnations, entries, evacuations, slow-starts, home-changes, planned-stops; repeatable"`
 	OtherDaemon  string   `arg:"--other-daemon" placeholder:"FILE" help:"daemon of another build: half of the nodes start from it, and each node switches builds at each restart"`
 	JSON         bool     `arg:"--json" help:"print the summary as one JSON object at the end"`
 	Keep         string   `arg:"--keep" placeholder:"DIR" help:"directory in which to keep the logs of the nodes"`
@@ -238,7 +238,10 @@
 // hasContention reports whether the schedule is of contention.
 func (p plan) hasContention() bool { return p.schedule == Contention }
 
-// includes reports whether a family of placement faults is included.
+// hasOverlap reports whether the schedule is of overlapping faults.
+func (p plan) hasOverlap() bool { return p.schedule == OverlappingFaults }
+
+// includes reports whether a family of faults is included.
 func (p plan) includes(family Family) bool { return !slices.Contains(p.leftOut, family) }
 
 // lookupEngineCount is the number of engines that get no orders, one in each zone under placement faults.
@@ -288,6 +291,7 @@
 	if p.hasContention() {
 		driver.contention, driver.seed, driver.trainers = true, p.seed, contentionTrainers
 	}
+	driver.overlap = p.hasOverlap()
 	driver.configure()
 	if err := d.awaitReady(ctx); err != nil {
 		return Summary{}, err
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -45,6 +45,11 @@
 	}}
 }
 
+// NewKeepingClient returns a client that keeps its connections open for further calls.
+func NewKeepingClient(timeout time.Duration) *Client {
+	return &Client{http: &http.Client{Timeout: timeout, Transport: &http.Transport{DisableCompression: true}}}
+}
+
 // LiveResponse is the response to a live request.
 type LiveResponse struct {
 	Status int
--- a/internal/standin/platform/operator.go
+++ b/internal/standin/platform/operator.go
@@ -41,6 +41,8 @@
 	Kind      string
 	Service   string
 	Resumable bool
+	// SingleVersion requires that a single weight version generates each item.
+	SingleVersion bool
 	// ResultsDueMs is the time from a job's submission until its results are due; zero for none.
 	ResultsDueMs int
 	// HomeRegions are the only regions that may serve and store its requests; none allows all.
@@ -84,6 +86,7 @@
 	RetentionS  int    `json:"queueTtlS,omitempty"`
 	ResultsDue  int    `json:"resultDueMs,omitempty"`
 	Resumable   bool   `json:"resumable,omitempty"`
+	Single      bool   `json:"singleVersion,omitempty"`
 
 	Homes []string `json:"homeRegions,omitempty"`
 }
@@ -112,7 +115,7 @@
 
 func (r Route) wire() wireRoute {
 	wire := wireRoute{
-		Name: r.Name, Host: RouteHost, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, Resumable: r.Resumable, Homes: r.HomeRegions,
+		Name: r.Name, Host: RouteHost, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, Resumable: r.Resumable, Single: r.SingleVersion, Homes: r.HomeRegions,
 		ResultsDue: r.ResultsDueMs,
 		TimeoutMs:  lookupTimeoutMs, TargetMs: targetMs, MaxAttempts: maxAttempts,
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -67,6 +67,31 @@
 	assert.Equal(t, len(summary.Contention.JobsEnded), 4)
 }
 
+// Covers series of signals, restarts, changes and faults of engines that overlap, callers that keep their connections,
+// streams that are resumed, items bound to one weight version, and engines out of reach while jobs end. A larger slack
+// would leave no time for items that arrive after their job's end.
+func TestShortSoakOverlappingFaults(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 1, Minutes: 0.6, Nodes: 4, Slack: 1.5, EnginesFence: soak.EnginesFenceYes, Schedule: soak.OverlappingFaults,
+		LeaveOut: []soak.Family{soak.PlannedStops},
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+}
+
+// Guards against planned stops that cut requests which engines run.
+func TestShortSoakPlannedStops(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 1, Minutes: 0.6, Nodes: 4, Slack: 1.5, EnginesFence: soak.EnginesFenceYes, Schedule: soak.OverlappingFaults,
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+}
+
 func TestSeedFileIsValid(t *testing.T) {
 	seeds, err := soak.ReadSeeds("seeds.toml")
 	assert.NilError(t, err)
