Let the soak's proxy notice a reset behind several held chunks

Cause: the proxy, not the product. It stopped reading a connection while it held back a second chunk, so it noticed the reset only after the gate had opened. A request with a body is two writes, its header and its body.

Change: up to 64 chunks are read while they are held back.

--- a/internal/bench/soak/forwarding.go
+++ b/internal/bench/soak/forwarding.go
@@ -251,7 +251,9 @@
 // readChunks reads a connection until it ends or stopped is closed.
 func readChunks(from net.Conn, stopped <-chan struct{}) incomingBytes {
 	const chunkBytes = 16 << 10
-	incoming := incomingBytes{chunks: make(chan []byte), reset: make(chan struct{})}
+	// A reset is noticed only while the reader goes on reading.
+	const maxHeldChunks = 64
+	incoming := incomingBytes{chunks: make(chan []byte, maxHeldChunks), reset: make(chan struct{})}
 	go func() {
 		defer close(incoming.chunks)
 		for {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -286,7 +286,7 @@
 		return Summary{}, err
 	}
 	driver := newDriver(d)
-	driver.sendsCrashing = p.schedule != LeaderFaults && !p.hasContention()
+	driver.sendsCrashing = p.schedule != LeaderFaults && !p.hasContention() && !p.hasOverlap()
 	driver.placementFaults, driver.changesHomes = p.hasPlacementFaults(), p.includes(HomeChanges)
 	if p.hasContention() {
 		driver.contention, driver.seed, driver.trainers = true, p.seed, contentionTrainers
