--- a/internal/bench/soak/check_batch.go
+++ b/internal/bench/soak/check_batch.go
@@ -61,8 +61,10 @@
 	// runsPerAttempt is how often an item that always fails may reach an engine for each attempt that its
 	// route allows.
 	runsPerAttempt = 3
-	// batchAttempts is the number of attempts that the route of batch jobs allows.
-	batchAttempts = 3
+	// batchAttempts is the number of attempts that the route of batch jobs allows, scoringAttempts that of the route of
+	// scoring calls.
+	batchAttempts   = 3
+	scoringAttempts = 2
 )
 
 // checkRetryLimit reports items that always fail and are retried beyond the limit of their route.
@@ -82,10 +84,12 @@
 // versions that produced them, or with a version below the minimum of their job.
 func checkSampleVersions(h *History, _ Bounds) []string {
 	var found []string
+	failures := failuresByID(h)
 	for _, job := range h.Jobs {
 		for position, result := range job.Positions {
 			canceled := !job.CancelSentAt.IsZero() && position >= job.ReadBeforeCancel
-			if problem := checkSample(job, result, canceled); problem != "" {
+			mayExpire := canceled || attemptsUsedUp(job, result.ID, failures)
+			if problem := checkSample(job, result, mayExpire); problem != "" {
 				found = append(found, fmt.Sprintf("job %s item %s: %s", job.Job.ID, result.ID, problem))
 			}
 		}
@@ -93,16 +97,37 @@
 	return found
 }
 
-// checkSample describes what is wrong with a sample, or returns "". canceled is set if the job may have been canceled
-// before the item was listed.
-func checkSample(record *JobRecord, result standin.ItemResult, canceled bool) string {
+// failuresByID counts the runs of each request that its engine answered as failed.
+func failuresByID(h *History) map[string]int {
+	failures := make(map[string]int)
+	forEachRun(h, func(_ *EngineRecord, run standin.Run) {
+		if run.Fault == standin.RespondsError {
+			failures[run.ID]++
+		}
+	})
+	return failures
+}
+
+// attemptsUsedUp reports whether engines failed an item, or its scoring call, as often as its route allows.
+func attemptsUsedUp(record *JobRecord, id string, failures map[string]int) bool {
+	for _, item := range record.Job.Items {
+		if item.ID == id && item.ScoringID != "" && failures[item.ScoringID] >= scoringAttempts {
+			return true
+		}
+	}
+	return failures[id] >= batchAttempts
+}
+
+// checkSample describes what is wrong with a sample, or returns "". mayExpire is set if the item may have been given up:
+// its attempts were used up, or its job may have been canceled before it was listed.
+func checkSample(record *JobRecord, result standin.ItemResult, mayExpire bool) string {
 	job := record.Job
 	if !slices.ContainsFunc(job.Items, func(item standin.JobItem) bool { return item.ID == result.ID }) {
 		return "does not belong to this job"
 	}
 	if result.State != standin.StateCompleted {
-		if !canceled && !failsAlways(result.ID) && !isImpossible(result.ID) && !crashesEngine(result.ID) {
-			return "was not completed although its job was not cancelled"
+		if !mayExpire && !failsAlways(result.ID) && !isImpossible(result.ID) && !crashesEngine(result.ID) {
+			return "was not completed although its job was not canceled and its attempts were not used up"
 		}
 		return ""
 	}
--- a/internal/bench/soak/check_overlap_test.go
+++ b/internal/bench/soak/check_overlap_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// Guards against items that count as given up early although engines failed them as often as their route allows.
+func TestItemExpiresOnceItsAttemptsAreUsedUp(t *testing.T) {
+	for id, attempts := range map[string]int{"item-1": batchAttempts, "score-1": scoringAttempts} {
+		h := validHistory()
+		h.Jobs[0].Positions[2] = standin.ItemResult{ID: "item-1", State: "expired"}
+		h.Jobs[0].ReadBeforeCancel = 3
+		failed := runOf(id, "/x", "b", 2)
+		failed.Fault = standin.RespondsError
+		for range attempts {
+			assert.Equal(t, len(checkSampleVersions(h, bounds)), 1, id)
+			h.Engines[1].Runs = append(h.Engines[1].Runs, failed)
+		}
+		assert.Equal(t, len(checkSampleVersions(h, bounds)), 0, id)
+	}
+}
+
 // A stream that may be resumed runs at several engines.
 func TestResumableStreamMayRunAgain(t *testing.T) {
 	h := validHistory()
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -64,6 +64,8 @@
 	// Tenant and Credentials are the tenant and the client's Authorization header as forwarded to the engine.
 	Tenant      string
 	Credentials string
+	// Fault is the fault that the engine injected.
+	Fault EngineFault
 }
 
 // ReceivedOrder is an order to change a weight version, as received by the engine.
@@ -267,7 +269,7 @@
 	e.running++
 	run := Run{
 		ID: id, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body, LastEventID: lastEventID, Host: r.Host, At: time.Now(),
-		Tenant: r.Header.Get(headerTenant), Credentials: r.Header.Get(headerCredentials),
+		Tenant: r.Header.Get(headerTenant), Credentials: r.Header.Get(headerCredentials), Fault: fault,
 	}
 	e.runs = append(e.runs, run)
 	return run, fault, true
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -73,7 +73,7 @@
 func TestShortSoakOverlappingFaults(t *testing.T) {
 	var output bytes.Buffer
 	arguments := &soak.Arguments{
-		Seed: 3, Minutes: 0.6, Nodes: 4, Slack: 1.5, EnginesFence: soak.EnginesFenceYes, Schedule: soak.OverlappingFaults,
+		Seed: 270, Minutes: 0.6, Nodes: 4, Slack: 1.5, EnginesFence: soak.EnginesFenceYes, Schedule: soak.OverlappingFaults,
 		LeaveOut: []soak.Family{soak.PlannedStops},
 	}
 	if err := soak.Run(t.Context(), arguments, &output); err != nil {
