--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -99,8 +99,9 @@
 
 // moveStragglers stops runs on engines that are slower than others with free slots, so that their items continue
 // there. An engine that drains or is much slower loses all its items, one that is slightly slower only the long
-// ones. A run that no other engine can continue now stays: its engine may complete it. With speed classes, items move to fast engines by what each gains instead. Items in an evacuated zone finish
-// there: its engines keep serving, and a move repeats the prompt processing.
+// ones. A run that no other engine can continue now stays: its engine may complete it. With speed classes, items move
+// to fast engines by what each gains instead. Items in an evacuated zone finish there: its engines keep serving, and a
+// move repeats the prompt processing.
 func (r *Runner) moveStragglers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -33,7 +33,8 @@
 		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: n.coldGranter, RouteOf: n.batchRoute, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
-		MixedEngines: n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped, OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(homes.Set{}),
+		MixedEngines: n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped,
+		OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(homes.Set{}),
 		Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	defer n.metrics.forgetFastEngines(homes.Set{})
--- a/internal/hosted/regionelections.go
+++ b/internal/hosted/regionelections.go
@@ -202,7 +202,8 @@
 		// The leader manages weight versions; an engine that is loading one refuses items.
 		LoadingModel:  func(incarnation.ID) string { return "" },
 		LoadingModels: func() map[incarnation.ID]string { return nil },
-		MixedEngines:  n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped, OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(set),
+		MixedEngines:  n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped,
+		OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(set),
 		Term:   fmt.Sprintf("%s.%d", set.ID(), term.Epoch),
 		Logger: n.logger.With().Stringer("homes", set).Logger(),
 	})
