Deliver bytes of reset connections again where a node's path holds them

The proxy dropped the bytes of a connection whose sender had reset it, whatever held them, and also with nothing held.

Cause: gate.await looked at the reset before it looked at the gate.

Change: a reset counts only while the gate is closed. TestEachEngineAnswersWronglyInEachWay repeated a formula in place of calling the code; it calls it now, and fails with the old choice put back (6 pairs of 36). One comment in batchitem said what the code does not do.

--- a/internal/bench/soak/check_overlap_test.go
+++ b/internal/bench/soak/check_overlap_test.go
@@ -136,9 +136,13 @@
 // Guards against engines that never get some of the faults, because one number selects both.
 func TestEachEngineAnswersWronglyInEachWay(t *testing.T) {
 	for _, slots := range []int{6, 12, 14} {
-		seen := make(map[[2]int]bool)
+		type pair struct {
+			slot   int
+			answer standin.EngineFault
+		}
+		seen := make(map[pair]bool)
 		for target := range maxTargets {
-			seen[[2]int{target % slots, target / slots % len(wrongAnswers)}] = true
+			seen[pair{target % slots, Fault{Target: target}.wrongAnswer(slots)}] = true
 		}
 		assert.Equal(t, len(seen), slots*len(wrongAnswers))
 	}
--- a/internal/bench/soak/forwarding.go
+++ b/internal/bench/soak/forwarding.go
@@ -216,7 +216,8 @@
 		}
 	}
 	p.awaitDelivery()
-	if tcp, isTCP := to.(*net.TCPConn); isTCP && held.await(incoming.reset) {
+	held.await(incoming.reset)
+	if tcp, isTCP := to.(*net.TCPConn); isTCP && !incoming.wasReset() {
 		_ = tcp.CloseWrite()
 		return
 	}
@@ -230,6 +231,15 @@
 	reset  chan struct{}
 }
 
+func (b incomingBytes) wasReset() bool {
+	select {
+	case <-b.reset:
+		return true
+	default:
+		return false
+	}
+}
+
 // readChunks reads a connection until it ends or stopped is closed.
 func readChunks(from net.Conn, stopped <-chan struct{}) incomingBytes {
 	const chunkBytes = 16 << 10
--- a/internal/bench/soak/forwarding_test.go
+++ b/internal/bench/soak/forwarding_test.go
@@ -115,3 +115,24 @@
 	_ = s.send(t).Close()
 	testwait.Until(t, "the bytes to arrive", func() bool { return s.arrived.Load() == 2*int64(len("order")) })
 }
+
+// Guards against a hold of a node's path that hides late orders: its bytes are delivered although their sender has reset
+// the connection, as an intermediary does that has acknowledged them.
+func TestHeldPathDeliversBytesOfResetConnections(t *testing.T) {
+	s := newSink(t)
+	connection, err := net.Dial("tcp", s.senderProxy.address)
+	assert.NilError(t, err)
+	_, err = io.WriteString(connection, "first")
+	assert.NilError(t, err)
+	testwait.Until(t, "the first bytes", func() bool { return s.arrived.Load() == 5 })
+	release := s.nodePath.hold()
+	_, err = io.WriteString(connection, "held")
+	assert.NilError(t, err)
+	time.Sleep(quietTime)
+	assert.NilError(t, connection.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, connection.Close())
+	time.Sleep(quietTime)
+	assert.Equal(t, s.arrived.Load(), int64(5))
+	release()
+	testwait.Until(t, "the held bytes", func() bool { return s.arrived.Load() == 9 })
+}
--- a/internal/bench/soak/gate.go
+++ b/internal/bench/soak/gate.go
@@ -25,15 +25,10 @@
 	return sync.OnceFunc(func() { change(-1) })
 }
 
-// await waits until the gate is open. It returns false if the sender has reset its connection; a nil channel stands for a
-// connection whose bytes are delivered all the same.
+// await waits until the gate is open. It returns false if the sender resets its connection while the gate is closed; a nil
+// channel stands for a connection whose bytes are delivered all the same.
 func (g *gate) await(reset <-chan struct{}) bool {
 	for {
-		select {
-		case <-reset:
-			return false
-		default:
-		}
 		g.mu.Lock()
 		closed, changed := g.closed > 0, g.changed
 		g.mu.Unlock()
@@ -43,6 +38,7 @@
 		select {
 		case <-changed:
 		case <-reset:
+			return false
 		}
 	}
 }
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -20,6 +20,12 @@
 	standin.RefusesFull, standin.RespondsError, standin.TruncatesResponse, standin.DropsResponse, standin.DuplicatesResponse, standin.RespondsWrongID,
 }
 
+// wrongAnswer returns the way in which an engine answers wrongly. The target's remainder selects the engine, its quotient
+// the way, so that each engine gets each of them.
+func (f Fault) wrongAnswer(engines int) standin.EngineFault {
+	return wrongAnswers[f.Target/engines%len(wrongAnswers)]
+}
+
 // inject begins each fault at its time. It returns once all have begun or ctx ends; d.wait waits for their
 // ends.
 func (d *deployment) inject(ctx context.Context, faults []Fault, report func(Fault)) {
@@ -85,8 +91,7 @@
 	case EngineAnswersWrongly, EngineSilent:
 		answerFault := standin.NeverResponds
 		if fault.Kind == EngineAnswersWrongly {
-			// The quotient, as the remainder selects the engine: each engine gets each fault.
-			answerFault = wrongAnswers[fault.Target/len(d.slots)%len(wrongAnswers)]
+			answerFault = fault.wrongAnswer(len(d.slots))
 		}
 		slot.setAnswerFault(answerFault)
 		retry.Sleep(ctx, fault.Duration)
--- a/internal/core/batchitem/item.go
+++ b/internal/core/batchitem/item.go
@@ -28,7 +28,7 @@
 	// Moves is the number of moves away from slow or draining engines, MovesToFast of those to the fast class.
 	Moves       int
 	MovesToFast int
-	// IdleSince is when the output was restored or last grew, for an item without a run; zero if it has no output.
+	// IdleSince is when the output was restored or last grew; zero if there is none.
 	IdleSince time.Time
 
 	stage     Stage
