Record why each waiting item has no engine

What was missing: the record of the incident can't tell an item that is held from one that waits for memory, a version, a faster engine or the engine that it avoids. Nothing was logged between 'run ended early' and the end of the job, and 'waited_ms' of 'item started' counts from the start of the job.

Each pass now returns an engine or a reason for every item (WaitReason; the zero value means that an engine was found, so that no way out of a pass is without one). It is shown by 'item started' (idle_ms, wait_reason), by 'item waits for an engine' for items that have waited for 2 s, once a reason, by two gauges per reason, and by corkctl explain. No decision changes.

--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -172,12 +172,16 @@
 		r.dropOutput(job, index, DroppedMixedVersions)
 	}
 	versions := state.Output.Versions()
+	if state.WaitingSince.IsZero() {
+		state.WaitingSince = time.Now()
+	}
 	item := batchplan.Item{
 		Key:     key,
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
-		Suspect: status.ItemSuspect(),
-		Prompt:  record.Prompt, Events: int32(state.Output.Last()),
+		WaitingSince: state.WaitingSince,
+		Suspect:      status.ItemSuspect(),
+		Prompt:       record.Prompt, Events: int32(state.Output.Last()),
 	}
 	if route.SingleVersion && len(versions) == 1 {
 		if state.IdleSince.IsZero() {
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -147,7 +147,8 @@
 		Stringer("engine", started.engine).Int("running", assignment.Running).Bool("cold", permitValid != nil).Dur("pace_ms", assignment.Pace).
 		Int64("version", engine.Versions[job.record.Model]).Int64("after_event", call.LastEvent).
 		Int("length", record.Length).Int("tokens", record.Tokens).Bool("fast", started.fast).Bool("long", started.long).
-		Dur("waited_ms", time.Since(job.addedAt)).Msg("item started")
+		Dur("waited_ms", time.Since(job.addedAt)).Dur("idle_ms", time.Since(assignment.Item.WaitingSince)).
+		Stringer("wait_reason", assignment.Wait.Reason).Msg("item started")
 	r.options.Fleet.RequestStarted(engine.Incarnation())
 	r.wait.Go(func() {
 		defer cancel()
@@ -232,7 +233,7 @@
 		r.reportDropped(job, key.Item, before, DroppedMixedVersions)
 		return &CallError{Kind: NotExecuted, Detail: "weight version changed, but the route requires a single version"}
 	}
-	item.IdleSince = now
+	item.IdleSince, item.WaitingSince = now, time.Time{}
 	r.observePace(current, now)
 	if r.options.MixedEngines || r.options.DueOrder {
 		r.plan.RecordEvents(key, item.Output.Last())
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -77,6 +77,9 @@
 	// service change. Both are called with a lock held and must not call the runner.
 	OnMove        func(reason MoveReason)
 	OnFastEngines func(service string, fast int)
+	// OnWaits, if set, is called each second with the items that wait for an engine, by reason. It is called with a lock
+	// held and must not call the runner.
+	OnWaits func(waits map[batchplan.WaitReason]batchplan.WaitCount)
 	// Term identifies this leadership term among all terms.
 	Term   string
 	Logger zerolog.Logger
@@ -118,6 +121,7 @@
 	// quarantinedUntil holds the quarantined items and the end of their quarantine.
 	quarantinedUntil   map[batchplan.Key]time.Time
 	evacuationLoggedAt time.Time
+	waitsReportedAt    time.Time
 	chainCount         int
 	// carriedOver holds the output of ended jobs by the item's ID qualified by its tenant.
 	carriedOver map[string]carriedOutput
@@ -207,6 +211,7 @@
 			r.expireOverdue()
 			r.expireOverdueOthers(now)
 			r.requeueReleased(now)
+			r.reportWaits(now)
 			runIfDue(moving, r.moveStragglers)
 		}
 		runIfDue(scoring, r.startScoring)
@@ -295,10 +300,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshJobOrder(now)
-	if r.plan.Waiting() == 0 || r.ctx.Err() != nil || !r.options.Gate.EnginesKnown() {
+	if r.plan.Waiting() == 0 || r.ctx.Err() != nil {
 		return
 	}
-	if r.pendingRestores > 0 && now.Sub(r.startedAt) < restoreWait {
+	if !r.options.Gate.EnginesKnown() || r.pendingRestores > 0 && now.Sub(r.startedAt) < restoreWait {
+		r.plan.SetWaitReason(now, batchplan.StateUnknown)
 		return
 	}
 	views := r.engineViews(now)
--- a/internal/core/batchitem/item.go
+++ b/internal/core/batchitem/item.go
@@ -30,6 +30,8 @@
 	MovesToFast int
 	// IdleSince is when the output was restored or last grew; zero if there is none.
 	IdleSince time.Time
+	// WaitingSince is when the item was first queued after its latest event; zero if it has had one since.
+	WaitingSince time.Time
 
 	stage     Stage
 	completed bool
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -78,6 +78,8 @@
 	// is then the largest free memory of an engine.
 	blocked    bool
 	freeTokens int
+	// reason is why no engine of the class has a free slot; it is determined on first use.
+	reason WaitReason
 	// fastRunning is the number of items that ran at fast engines of the class when the heap was built,
 	// deferred the number of items that were left to wait for one of these engines.
 	fastRunning int
@@ -227,19 +229,19 @@
 	return 1 + memoryPressureCost*max(0, reserved-memoryPressureThreshold)
 }
 
-// choose returns the best engine for an item; false if none can take it or it should wait for a faster one.
-func (p *pass) choose(item Item) (incarnation.ID, bool) {
+// choose returns the best engine for an item, or why it waits.
+func (p *pass) choose(item Item) (incarnation.ID, WaitReason) {
 	if item.Suspect {
 		return p.chooseIsolated(item)
 	}
 	if len(p.plan.preferred) > 0 {
 		if engine, found := p.preferredEngine(item); found {
-			return engine, true
+			return engine, NotWaiting
 		}
 	}
 	candidates := p.candidatesFor(&item)
 	if candidates.blocked && p.need(&item) > candidates.freeTokens {
-		return incarnation.ID{}, false
+		return incarnation.ID{}, p.waitReason(&item, candidates)
 	}
 	best, found := p.best(item, candidates)
 	groupEngine, isGroupEngine := p.groupEngine(item, candidates)
@@ -250,18 +252,18 @@
 		if item.Avoid.IsZero() && item.SameVersion == 0 {
 			p.markBlocked(candidates)
 		}
-		return incarnation.ID{}, false
+		return incarnation.ID{}, p.waitReason(&item, candidates)
 	}
 	if p.worthWaiting(item, &p.engines[best.engine], candidates) {
 		candidates.deferred++
-		return incarnation.ID{}, false
+		return incarnation.ID{}, FasterEngine
 	}
-	return p.engines[best.engine].ID, true
+	return p.engines[best.engine].ID, NotWaiting
 }
 
 // chooseIsolated returns the engine for a suspect item: the one whose latest start is the longest
 // ago, since items that crash engines do so soon after they start.
-func (p *pass) chooseIsolated(item Item) (incarnation.ID, bool) {
+func (p *pass) chooseIsolated(item Item) (incarnation.ID, WaitReason) {
 	key := p.classOf(&item)
 	var best *Engine
 	for i := range p.engines {
@@ -274,9 +276,9 @@
 		}
 	}
 	if best == nil {
-		return incarnation.ID{}, false
+		return incarnation.ID{}, Isolation
 	}
-	return best.ID, true
+	return best.ID, NotWaiting
 }
 
 // best returns the candidate with the lowest score that fits the item.
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -39,6 +39,8 @@
 	// prompt needs.
 	Tokens int
 	Prompt int
+	// WaitingSince is when the item was queued after its latest event; zero when unknown.
+	WaitingSince time.Time
 	// NotBefore is the earliest start after a failure.
 	NotBefore time.Time
 	// Avoid is the engine of the latest failed run.
@@ -75,6 +77,8 @@
 	Engine incarnation.ID
 	// Restart is why the item starts over without its output; NoRestart if it does not.
 	Restart RestartReason
+	// Wait is why the item waited last.
+	Wait Wait
 	// Running is the number of items that the engine already runs.
 	Running int
 	// Surplus is true if the item started after others because its submitter does not wait for its group.
@@ -100,6 +104,8 @@
 	jobs    map[string]*jobRank
 	order   []*jobRank
 	waiting map[Key]Item
+	// waits holds why each waiting item waits, once that is known.
+	waits   map[Key]Wait
 	running map[Key]placement
 	// runningCount is the number of running items of each engine; idle engines have no entry.
 	runningCount map[incarnation.ID]int
@@ -152,6 +158,7 @@
 	return &Plan{
 		jobs:           make(map[string]*jobRank),
 		waiting:        make(map[Key]Item),
+		waits:          make(map[Key]Wait),
 		running:        make(map[Key]placement),
 		reservedTokens: make(map[incarnation.ID]int),
 		runningCount:   make(map[incarnation.ID]int),
@@ -176,6 +183,7 @@
 // Remove removes an item, whether it waits or runs.
 func (p *Plan) Remove(key Key) {
 	delete(p.waiting, key)
+	delete(p.waits, key)
 	p.due.itemDone(key)
 	delete(p.preferred, key)
 	p.Ended(key)
@@ -295,16 +303,20 @@
 	pass := newPass(p, engines, now)
 	var assigned []Assignment
 	queue := p.startOrder(pass)
+	p.recordDelayed(now, len(queue))
 	p.movedFirst(queue)
 	for _, item := range queue {
-		engine, restart, found := pass.chooseOrRestart(item)
-		if !found {
+		engine, restart, reason := pass.chooseOrRestart(item)
+		if reason != NotWaiting {
+			p.setWaitReason(item.Key, now, reason)
 			continue
 		}
+		wait := p.waits[item.Key]
 		delete(p.waiting, item.Key)
+		delete(p.waits, item.Key)
 		classes := p.speeds.classes[item.Service]
 		assigned = append(assigned, Assignment{
-			Item: item, Engine: engine, Restart: restart, Running: p.runningCount[engine], Pace: p.paces[engine],
+			Item: item, Engine: engine, Restart: restart, Wait: wait, Running: p.runningCount[engine], Pace: p.paces[engine],
 			Surplus: p.startsAsSurplus(item.Key, now),
 			Fast:    classes.IsFast(engine), Long: p.isLong(classes, &item),
 		})
--- a/internal/core/batchplan/plan_test.go
+++ b/internal/core/batchplan/plan_test.go
@@ -236,7 +236,8 @@
 		pass := newPass(plan, engines, now)
 		for _, each := range plan.queue(now) {
 			want, wantFound := chooseExhaustively(plan, each, engines)
-			got, found := pass.choose(each)
+			got, wait := pass.choose(each)
+			found := wait == NotWaiting
 			if found != wantFound || got != want {
 				t.Fatalf("item %+v: got engine %s %t, want %s %t", each, got, found, want, wantFound)
 			}
--- a/internal/core/batchplan/restart.go
+++ b/internal/core/batchplan/restart.go
@@ -23,17 +23,17 @@
 
 // chooseOrRestart returns the engine for an item as choose does. An item that no engine can continue, now or within the
 // time that its output is worth, starts over at an engine with another version.
-func (p *pass) chooseOrRestart(item Item) (incarnation.ID, RestartReason, bool) {
-	engine, found := p.choose(item)
-	if found {
-		return engine, NoRestart, true
+func (p *pass) chooseOrRestart(item Item) (incarnation.ID, RestartReason, WaitReason) {
+	engine, wait := p.choose(item)
+	if wait == NotWaiting {
+		return engine, NoRestart, NotWaiting
 	}
-	reason := p.restartReason(&item)
-	if reason == NoRestart {
-		return incarnation.ID{}, NoRestart, false
+	restart := p.restartReason(&item)
+	if restart == NoRestart {
+		return incarnation.ID{}, NoRestart, wait
 	}
-	engine, found = p.choose(item.withoutOutput())
-	return engine, reason, found
+	engine, wait = p.choose(item.withoutOutput())
+	return engine, restart, wait
 }
 
 // withoutOutput returns the item as it starts over.
--- /dev/null
+++ b/internal/core/batchplan/waiting.go
@@ -0,0 +1,203 @@
+package batchplan
+
+import (
+	"time"
+)
+
+// WaitReason is why a waiting item has no engine.
+type WaitReason uint8
+
+const (
+	// NotWaiting: an engine was found.
+	NotWaiting WaitReason = iota
+	// NotConsidered: no pass has considered the item yet.
+	NotConsidered
+	// StateUnknown: the runner does not know the engines or the saved output yet, so that no item is assigned.
+	StateUnknown
+	// RetryDelay: the delay after a failed run has not passed.
+	RetryDelay
+	// NoUsableEngine: no engine of the service accepts work, or all of them failed or refused an item recently.
+	NoUsableEngine
+	// NoVersion: no usable engine has a weight version that may run the item, or that may continue its output.
+	NoVersion
+	// NoSlot: all engines that may run the item are full.
+	NoSlot
+	// NoMemory: no engine with a free slot has the memory for the item.
+	NoMemory
+	// ColdStart: of the engines that may run the item, only cold ones have a free slot, and no start is permitted there.
+	ColdStart
+	// Isolation: the item starts apart from others, and no engine is free for that.
+	Isolation
+	// EngineAvoided: the only engine that could take the item is the one that it avoids after a failed run.
+	EngineAvoided
+	// FasterEngine: the item is expected to end sooner if it waits for a faster engine.
+	FasterEngine
+	waitReasonCount
+)
+
+var waitReasonNames = [waitReasonCount]string{
+	NotWaiting: "none", NotConsidered: "not_considered", StateUnknown: "state_unknown", RetryDelay: "retry_delay",
+	NoUsableEngine: "no_usable_engine", NoVersion: "no_version", NoSlot: "no_slot", NoMemory: "no_memory",
+	ColdStart: "cold_start", Isolation: "isolation", EngineAvoided: "engine_avoided", FasterEngine: "faster_engine",
+}
+
+// String returns the reason's name in logs and metrics.
+func (r WaitReason) String() string { return waitReasonNames[r] }
+
+// WaitReasons returns all reasons for which items wait.
+func WaitReasons() []WaitReason {
+	var reasons []WaitReason
+	for reason := NotConsidered; reason < waitReasonCount; reason++ {
+		reasons = append(reasons, reason)
+	}
+	return reasons
+}
+
+// Wait is why an item waits.
+type Wait struct {
+	Reason WaitReason
+	// Since is when the item began to wait for this reason.
+	Since time.Time
+	// reported is the reason that LongWaits returned last.
+	reported WaitReason
+}
+
+// WaitingItem is an item that waits for an engine.
+type WaitingItem struct {
+	Item Item
+	Wait Wait
+}
+
+// WaitCount describes the items that wait for one reason.
+type WaitCount struct {
+	Items int
+	// Longest is the longest time that one of them has waited, for whatever reasons.
+	Longest time.Duration
+}
+
+// SetWaitReason records why no waiting item is assigned while Assign is not called.
+func (p *Plan) SetWaitReason(now time.Time, reason WaitReason) {
+	for key := range p.waiting {
+		p.setWaitReason(key, now, reason)
+	}
+}
+
+func (p *Plan) setWaitReason(key Key, now time.Time, reason WaitReason) {
+	wait, found := p.waits[key]
+	if found && wait.Reason == reason {
+		return
+	}
+	wait.Reason, wait.Since = reason, now
+	p.waits[key] = wait
+}
+
+// recordDelayed records the items that no pass considers because their retry delay has not passed.
+func (p *Plan) recordDelayed(now time.Time, considered int) {
+	if considered == len(p.waiting) {
+		return
+	}
+	for key, item := range p.waiting {
+		if item.NotBefore.After(now) {
+			p.setWaitReason(key, now, RetryDelay)
+		}
+	}
+}
+
+// WaitCounts returns the waiting items by reason.
+func (p *Plan) WaitCounts(now time.Time) map[WaitReason]WaitCount {
+	counts := make(map[WaitReason]WaitCount)
+	for key, item := range p.waiting {
+		reason := max(p.waits[key].Reason, NotConsidered)
+		count := counts[reason]
+		count.Items++
+		count.Longest = max(count.Longest, item.waited(now))
+		counts[reason] = count
+	}
+	return counts
+}
+
+// LongWaits returns the items that have waited for at least the given time, each once for each reason in a row.
+func (p *Plan) LongWaits(now time.Time, atLeast time.Duration) []WaitingItem {
+	var long []WaitingItem
+	for key, item := range p.waiting {
+		wait := p.waits[key]
+		if item.waited(now) < atLeast || wait.Reason == wait.reported {
+			continue
+		}
+		wait.reported = wait.Reason
+		p.waits[key] = wait
+		long = append(long, WaitingItem{Item: item, Wait: wait})
+	}
+	return long
+}
+
+// waited returns how long the item has waited; zero when unknown.
+func (item *Item) waited(now time.Time) time.Duration {
+	if item.WaitingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(item.WaitingSince)
+}
+
+// classReason returns why no engine has a free slot for the items of a class.
+func (p *pass) classReason(key class) WaitReason {
+	usable, versions, cold := false, false, false
+	for i := range p.engines {
+		engine := &p.engines[i]
+		if engine.Service != key.service || !engine.Usable {
+			continue
+		}
+		usable = true
+		if !p.eligible(engine, key) {
+			continue
+		}
+		versions = true
+		cold = cold || engine.Cold && p.startsLeft[i] <= 0 && p.plan.runningCount[engine.ID] < engine.Slots
+	}
+	switch {
+	case !usable:
+		return NoUsableEngine
+	case !versions:
+		return NoVersion
+	case cold:
+		return ColdStart
+	default:
+		return NoSlot
+	}
+}
+
+// waitReason returns why none of the candidates could take an item.
+func (p *pass) waitReason(item *Item, candidates *candidateHeap) WaitReason {
+	if item.SameVersion != 0 && !p.servesVersion(item, candidates.class) {
+		return NoVersion
+	}
+	if candidates.Len() == 0 {
+		if candidates.reason == NotWaiting {
+			candidates.reason = p.classReason(candidates.class)
+		}
+		return candidates.reason
+	}
+	reason := NoSlot
+	for _, entry := range candidates.entries {
+		engine := &p.engines[entry.engine]
+		switch {
+		case item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion:
+		case p.need(item) > p.freeTokens(engine):
+			reason = NoMemory
+		case engine.ID == item.Avoid:
+			return EngineAvoided
+		}
+	}
+	return reason
+}
+
+// servesVersion reports whether an engine may continue an item that is bound to a version, regardless of free slots.
+func (p *pass) servesVersion(item *Item, key class) bool {
+	for i := range p.engines {
+		engine := &p.engines[i]
+		if p.eligible(engine, key) && engine.Versions[item.Model] == item.SameVersion {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -19,6 +19,19 @@
 	moveReasonPhrases = map[string]string{
 		"draining_engine": "moved, its engine drains", "slow_engine": "moved, its engine was slower than others with free slots",
 	}
+	// waitPhrases describes values of the log field "wait_reason" of an item that has no engine.
+	waitPhrases = map[string]string{
+		"state_unknown":    "its runner had not read the engines or the saved output yet",
+		"retry_delay":      "a failed run is retried after a delay",
+		"no_usable_engine": "no engine of its service accepted work",
+		"no_version":       "no usable engine had a weight version that may run it",
+		"no_slot":          "all engines that may run it were full",
+		"no_memory":        "no engine with a free slot had the memory for it",
+		"cold_start":       "only cold engines had free slots, and no start was permitted there",
+		"isolation":        "no engine was free to start it apart from others",
+		"engine_avoided":   "only the engine of its failed run could take it",
+		"faster_engine":    "it was expected to end sooner at a faster engine",
+	}
 	// dropPhrases describes values of the log field "reason" of output that an item lost.
 	dropPhrases = map[string]string{
 		"version_gone":        "no engine had their weight version any more",
@@ -51,7 +64,7 @@
 		return orderCause(trace)
 	case trace.isJob():
 		return jobCause(trace)
-	case trace.last("item started") != nil || trace.last("item finished") != nil:
+	case trace.last("item started") != nil || trace.last("item finished") != nil || trace.last("item waits for an engine") != nil:
 		return itemCause(trace)
 	default:
 		return requestCause(trace)
@@ -160,7 +173,7 @@
 	if len(interruptions) > 0 {
 		text += "; runs ended early: " + strings.Join(interruptions, "; ")
 	}
-	text += droppedOutputNotes(trace) + scoringNotes(trace)
+	text += waitNotes(trace) + droppedOutputNotes(trace) + scoringNotes(trace)
 	if finished := trace.last("item finished"); finished != nil {
 		text += fmt.Sprintf("; finished by %s after %.0f ms (%s, %.0f events)", finished.Node,
 			finished.number("after_ms"), finished.text("reason"), finished.number("events"))
@@ -170,6 +183,18 @@
 	return text + "." + orderNotes(trace) + jobEndNotes(trace) + trace.contextNotes()
 }
 
+// waitNotes describes why the item waited for an engine, as far as its runner logged it.
+func waitNotes(trace *Trace) string {
+	notes := ""
+	for _, line := range trace.Lines {
+		if line.Message == "item waits for an engine" {
+			notes += fmt.Sprintf("; without an engine for %.0f ms, %.0f of %.0f slots free (%s)", line.number("idle_ms"),
+				line.number("free_slots"), line.number("slots"), phraseFor(waitPhrases, line.text("wait_reason")))
+		}
+	}
+	return notes
+}
+
 // droppedOutputNotes describes the output that the item lost.
 func droppedOutputNotes(trace *Trace) string {
 	notes := ""
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -35,9 +35,11 @@
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
 		MixedEngines: n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped,
 		OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(homes.Set{}),
-		Term: strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
+		OnWaits: n.metrics.itemWaits.of(homes.Set{}),
+		Term:    strconv.FormatInt(term.Epoch, 10), Logger: n.logger,
 	})
 	defer n.metrics.forgetFastEngines(homes.Set{})
+	defer n.metrics.itemWaits.forget(homes.Set{})
 	n.metrics.leading.Set(1)
 	defer n.metrics.leading.Set(0)
 	n.runner.Store(runner)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -48,6 +48,8 @@
 	itemMoves   *prometheus.CounterVec
 	// outputDrops counts items that lost their output and start over.
 	outputDrops *prometheus.CounterVec
+	// itemWaits describes items that wait for an engine.
+	itemWaits *itemWaits
 	// versions holds the cluster version and the lowest version of the live nodes.
 	versions *prometheus.GaugeVec
 	// loadsUnreadable counts responses whose load report cannot be parsed.
@@ -150,6 +152,7 @@
 	m.addSlowStartMetrics()
 	m.addEngineSpeedMetrics(registry)
 	m.addOutputDropMetric(registry)
+	m.itemWaits = newItemWaits(registry)
 	m.addHeldBytesMetrics(registry)
 	m.addLiveQueueMetrics(registry)
 	m.traffic = newTraffic(registry)
--- a/internal/hosted/regionelections.go
+++ b/internal/hosted/regionelections.go
@@ -204,10 +204,12 @@
 		LoadingModels: func() map[incarnation.ID]string { return nil },
 		MixedEngines:  n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped,
 		OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(set),
-		Term:   fmt.Sprintf("%s.%d", set.ID(), term.Epoch),
-		Logger: n.logger.With().Stringer("homes", set).Logger(),
+		OnWaits: n.metrics.itemWaits.of(set),
+		Term:    fmt.Sprintf("%s.%d", set.ID(), term.Epoch),
+		Logger:  n.logger.With().Stringer("homes", set).Logger(),
 	})
 	defer n.metrics.forgetFastEngines(set)
+	defer n.metrics.itemWaits.forget(set)
 	gauge := n.metrics.runningHomes.WithLabelValues(set.String())
 	gauge.Set(1)
 	defer gauge.Set(0)
