Never hold an item for the engines that crashed under it

What callers saw: LOST.

Cause: an item counted as the cause of the crashes of its engines. At three, one of them within two seconds of a start apart from others, or at five, it waited for its hold to end, which lasts longer than its job. In a burst of crashes every sound item that runs collects crashes. Starts apart, which existed to tell the guilty item, also kept engines idle. The users state that items are never the cause, so there is nothing to weigh: evidence with thresholds was the wrong design, not a wrong threshold.

Ruled out for these items: another wait, since wait_reason of all other items that waited was short.

Change: crashes under items and scoring calls are logged and not recorded, none are read for them, and starts apart are gone. Records of live requests are marked; unmarked ones, of older builds, count for nothing, since they may be of items. A live request is held as before, after two crashes.

The soak's items under which each engine ends become items under which four do, and have to be completed.

Why it works: no state remains that could keep an item from an engine because of what happened to it.

--- a/internal/batchrun/dependencies.go
+++ b/internal/batchrun/dependencies.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
@@ -15,7 +14,6 @@
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
-	"github.com/corkpulley/corkpulley/internal/core/quarantine"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
@@ -35,12 +33,6 @@
 	MaySend func() bool
 }
 
-func (c Call) fingerprint() quarantine.Fingerprint {
-	return quarantine.Request{
-		Tenant: c.Tenant, Method: http.MethodPost, Host: c.Host, Target: c.Payload.Path, Body: c.Payload.Body,
-	}.Fingerprint()
-}
-
 // Event is one event of an item's stream.
 type Event = batchitem.Event
 
@@ -93,14 +85,10 @@
 	Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error)
 }
 
-// Guard quarantines items that engines crash on; see crashes.Guard.
-type Guard interface {
-	// ConnectionLost reports whether the engine crashed while running the item.
+// CrashObserver is notified of engines that closed connections during runs; see crashes.Exempt.
+type CrashObserver interface {
+	// ConnectionLost reports whether the engine crashed.
 	ConnectionLost(ctx context.Context, loss crashes.LostConnection) bool
-	// Status returns the quarantine state of an item.
-	Status(fingerprint func() quarantine.Fingerprint) quarantine.Status
-	// Answered records that an engine completed the item.
-	Answered(fingerprint func() quarantine.Fingerprint)
 }
 
 // ColdStarts limits the rate at which items start on cold engines; see coldpermits.Granter.
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -155,7 +155,7 @@
 	r.Wake()
 }
 
-// queueItem adds an item to the plan, unless it is quarantined or has no route. Must be called with mu held.
+// queueItem adds an item to the plan, unless it has no route. Must be called with mu held.
 func (r *Runner) queueItem(job *openJob, index int, avoid incarnation.ID, notBefore time.Time) {
 	route, found := r.options.RouteOf(job.record.Host, job.record.Path)
 	if !found {
@@ -163,10 +163,6 @@
 		return
 	}
 	key := batchplan.Key{Job: job.record.ID, Item: index}
-	status := r.options.Guard.Status(job.call(index).fingerprint)
-	if r.holdIfQuarantined(job, key, status) {
-		return
-	}
 	record, state := job.record.Items[index], &job.items[index]
 	if route.SingleVersion && len(state.Output.Versions()) > 1 {
 		r.dropOutput(job, index, DroppedMixedVersions)
@@ -180,7 +176,6 @@
 		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
 		WaitingSince: state.WaitingSince,
-		Suspect:      status.ItemSuspect(),
 		Prompt:       record.Prompt, Events: int32(state.Output.Last()),
 	}
 	if route.SingleVersion && len(versions) == 1 {
@@ -246,8 +241,6 @@
 	key := batchplan.Key{Job: job.record.ID, Item: index}
 	job.items[index].Drop()
 	r.plan.Remove(key)
-	delete(r.quarantinedUntil, key)
-	delete(r.overcommitLosses, key)
 	r.stopWork(key)
 }
 
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -54,9 +54,7 @@
 type run struct {
 	engine  incarnation.ID
 	started time.Time
-	// isolated reports whether no other item starts on the engine for batchplan.IsolationTime.
-	isolated bool
-	cancel   context.CancelFunc
+	cancel  context.CancelFunc
 	// sendCheck is the final check before the call is sent.
 	sendCheck *sendgate.Check
 	// fast reports whether the engine is in the fast class of its service, long whether the item counted as long.
@@ -126,7 +124,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	started := &run{
-		engine: engine.Incarnation(), started: time.Now(), isolated: assignment.Item.Suspect, cancel: cancel,
+		engine: engine.Incarnation(), started: time.Now(), cancel: cancel,
 		fast: assignment.Fast, long: assignment.Long,
 		sendCheck: r.options.Gate.Check(engine.Incarnation(), permitValid),
 	}
@@ -153,30 +151,23 @@
 	r.wait.Go(func() {
 		defer cancel()
 		err := r.readStream(ctx, job, key, engine, started, call)
-		r.reportOutcome(key, engine, started, call, err)
+		r.reportConnectionLost(key, engine, call, err)
 		r.runEnded(job, key, started, err)
 	})
 }
 
-// reportOutcome reports a completed run or a lost connection to the crash guard. Must be called without mu held.
-func (r *Runner) reportOutcome(key batchplan.Key, engine fleet.Engine, current *run, call Call, err error) {
-	if errors.Is(err, io.EOF) {
-		r.options.Guard.Answered(call.fingerprint)
-		return
-	}
+// reportConnectionLost reports a connection that the engine closed during a run. Must be called without mu held.
+func (r *Runner) reportConnectionLost(key batchplan.Key, engine fleet.Engine, call Call, err error) {
 	var callError *CallError
 	if !errors.As(err, &callError) || !callError.ConnectionLost {
 		return
 	}
-	if r.crashedOvercommitted(key, engine, time.Now()) {
+	if r.wasOvercommitted(key, engine, time.Now()) {
 		r.options.Logger.Warn().Str("job", key.Job).Str("item", call.ItemID).Stringer("engine", engine.Incarnation()).
 			Msg("overcommitted engine lost its connections")
 		return
 	}
-	r.options.Guard.ConnectionLost(r.ctx, crashes.LostConnection{
-		Engine: engine, RequestID: call.ItemID, Fingerprint: call.fingerprint(),
-		Isolated: current.isolated && time.Since(current.started) < batchplan.IsolationTime,
-	})
+	r.options.Crashes.ConnectionLost(r.ctx, crashes.LostConnection{Engine: engine, RequestID: call.ItemID})
 }
 
 // readStream starts the stream and adds its events to the output until it ends.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -47,7 +47,7 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Scorer  Scorer
-	Guard   Guard
+	Crashes CrashObserver
 	// Gate is checked before calls are sent; nil for one that checks Fleet only.
 	Gate *sendgate.Gate
 	// ColdStarts is used only for engines of services with a slow start.
@@ -113,13 +113,9 @@
 	// overcommitChecks holds, for engines that lost a connection, whether they had been assigned more than their
 	// memory holds.
 	overcommitChecks map[incarnation.ID]overcommitCheck
-	// overcommitLosses counts the overcommitted engines that crashed while running an item.
-	overcommitLosses map[batchplan.Key]int
 	// incarnationsListed is the value of Fleet.IncarnationsListed when the runs were last checked for restarts.
 	incarnationsListed int64
 	lastTickAt         time.Time
-	// quarantinedUntil holds the quarantined items and the end of their quarantine.
-	quarantinedUntil   map[batchplan.Key]time.Time
 	evacuationLoggedAt time.Time
 	waitsReportedAt    time.Time
 	chainCount         int
@@ -166,8 +162,6 @@
 
 		pausedUntil:      make(map[incarnation.ID]time.Time),
 		overcommitChecks: make(map[incarnation.ID]overcommitCheck),
-		overcommitLosses: make(map[batchplan.Key]int),
-		quarantinedUntil: make(map[batchplan.Key]time.Time),
 		carriedOver:      make(map[string]carriedOutput),
 	}
 	if options.DueOrder {
@@ -210,7 +204,6 @@
 			r.applyHomes()
 			r.expireOverdue()
 			r.expireOverdueOthers(now)
-			r.requeueReleased(now)
 			r.reportWaits(now)
 			runIfDue(moving, r.moveStragglers)
 		}
@@ -247,6 +240,13 @@
 	}
 }
 
+// call returns the call that runs an item from its start.
+func (j *openJob) call(index int) Call {
+	return Call{
+		ItemID: j.record.Items[index].ID, Tenant: j.record.Tenant, Host: j.record.Host, Payload: j.payloads[index],
+	}
+}
+
 // complete passes an item's output and score to the recorder. Must be called with mu held.
 func (r *Runner) complete(job *openJob, index int, score, reason string) {
 	item := &job.items[index]
@@ -276,8 +276,6 @@
 func (r *Runner) record(job *openJob, reason string, finished batchjobs.ItemResult) {
 	key := batchplan.Key{Job: job.record.ID, Item: finished.Item}
 	r.plan.Remove(key)
-	delete(r.quarantinedUntil, key)
-	delete(r.overcommitLosses, key)
 	item := &job.items[finished.Item]
 	r.options.Logger.Info().Str("job", job.record.ID).Str("item", job.record.Items[finished.Item].ID).
 		Int("index", finished.Item).Bool("completed", finished.Outcome == batch.Completed).Str("reason", reason).
--- a/internal/bench/soak/check_crash.go
+++ b/internal/bench/soak/check_crash.go
@@ -21,10 +21,13 @@
 	body string
 }
 
-// checkCrashLimit reports requests that are still sent after they crashed crashesAllowed engines.
+// checkCrashLimit reports live requests that are still sent after they crashed crashesAllowed engines.
 func checkCrashLimit(h *History, bounds Bounds) []string {
 	crashes := make(map[requestKey][]time.Time)
 	for _, crash := range h.Crashes {
+		if !crashesEngine(crash.Body) {
+			continue
+		}
 		key := requestKey{crash.Path, crash.Body}
 		crashes[key] = append(crashes[key], crash.At)
 	}
--- a/internal/bench/soak/crash.go
+++ b/internal/bench/soak/crash.go
@@ -15,8 +15,8 @@
 	// requests starts with one and grows by one each crashSetGrowthInterval.
 	crashRequestInterval   = 350 * time.Millisecond
 	crashSetGrowthInterval = 15 * time.Second
-	// One in crashingJobOneIn jobs has an item that crashes engines.
-	crashingJobOneIn = 3
+	// One in unluckyJobOneIn jobs has an unlucky item.
+	unluckyJobOneIn = 3
 )
 
 // crashEngines sends requests that crash engines until ctx ends. Each is repeated, with a new ID, at any
--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -51,6 +51,7 @@
 	// crashed restart under the same ID.
 	placementFaults    bool
 	restartsWithSameID bool
+	itemCrashes        *itemCrashes
 	// overlap is set for schedules of overlapping faults.
 	overlap bool
 	// enginesFence is set if the engines and the duties service reject fencing tokens lower than one that
@@ -76,7 +77,7 @@
 		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
 		leader: newLeaderTracker(), enginesFence: plan.enginesFence, pathResolver: &pathResolver{unknown: newNodePath(anyNode)},
 		evacuationCounts: newEvacuationCounts(), placementFaults: plan.hasPlacementFaults(), overlap: plan.hasOverlap(),
-		restartsWithSameID: plan.hasPlacementFaults() && plan.includes(Incarnations),
+		restartsWithSameID: plan.hasPlacementFaults() && plan.includes(Incarnations), itemCrashes: newItemCrashes(),
 	}
 	if plan.hasContention() {
 		d.paces = paces(plan.seed, plan.lookupEngineCount(), plan.draftEngineCount())
@@ -196,6 +197,7 @@
 	if d.overlap {
 		slot.useOverlapOptions()
 	}
+	slot.itemCrashes = d.itemCrashes
 	slot.onCrash = func(run standin.Run) { d.crashDuringRun(ctx, slot, run) }
 	if err := slot.start(); err != nil {
 		return err
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -70,6 +70,8 @@
 	reportsPace bool
 	// onCrash is called with the run that crashes the engine.
 	onCrash func(run standin.Run)
+	// itemCrashes counts the crashes under unlucky items at all engines.
+	itemCrashes *itemCrashes
 	// listenAddress is the address that engines listen on, behind the proxy.
 	listenAddress string
 
@@ -165,7 +167,7 @@
 		ID: id, Service: s.service, Zone: zoneOf(s.number), StartMillis: s.lastStartMillis,
 		Slots: s.slots, Events: eventsOf, EventTime: s.eventTime, Data: eventData, LoadTime: loadTime, CheckFences: s.checkFences,
 		PlainTime: s.plainTime, Pace: s.pace, ReportsPace: s.reportsPace,
-		CrashesOn: func(run standin.Run) bool { return crashesEngine(run.Body) }, Crash: s.onCrash,
+		CrashesOn: s.itemCrashes.crashesEngine, Crash: s.onCrash,
 	}
 	if s.service == standin.ServiceDrafts {
 		options.Versions = map[string]int64{standin.ModelDrafts: version}
--- a/internal/bench/soak/engines_test.go
+++ b/internal/bench/soak/engines_test.go
@@ -34,7 +34,8 @@
 	address, err := process.FreeAddress()
 	assert.NilError(t, err)
 	slot := &engineSlot{
-		number: 1, service: standin.ServiceDrafts, store: standin.NewStore(standin.DefaultLimits()), history: &History{},
+		itemCrashes: newItemCrashes(),
+		number:      1, service: standin.ServiceDrafts, store: standin.NewStore(standin.DefaultLimits()), history: &History{},
 		listenAddress: address, coldFor: time.Minute, senderProxy: newSenderProxy("127.0.0.1:0", address, nil),
 	}
 	assert.NilError(t, slot.start())
--- a/internal/bench/soak/items.go
+++ b/internal/bench/soak/items.go
@@ -2,8 +2,11 @@
 
 import (
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
 )
 
 const (
@@ -11,8 +14,12 @@
 	// impossible with impossiblePrefix.
 	failPrefix       = "fail-"
 	impossiblePrefix = "never-"
-	// Bodies of requests and items that crash each engine contain crashPrefix.
+	// Bodies of requests that crash each engine contain crashPrefix.
 	crashPrefix = "crash-"
+	// IDs and bodies of items under whose first unluckyCrashes runs engines crash contain unluckyPrefix. Such items are
+	// owed like all others.
+	unluckyPrefix  = "unlucky-"
+	unluckyCrashes = 4
 
 	minEvents = 3
 	// One in longOneIn outputs has longEvents events, the others have minEvents plus 0 to shortEventsSpread-1.
@@ -40,6 +47,28 @@
 // crashesEngine reports whether an engine crashes when it starts a request with the body.
 func crashesEngine(body string) bool { return strings.Contains(body, crashPrefix) }
 
+// itemCrashes counts the engines that crashed under unlucky items.
+type itemCrashes struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func newItemCrashes() *itemCrashes { return &itemCrashes{counts: make(map[string]int)} }
+
+// crashesEngine reports whether a run crashes its engine, and counts it if its item is an unlucky one.
+func (c *itemCrashes) crashesEngine(run standin.Run) bool {
+	if crashesEngine(run.Body) {
+		return true
+	}
+	if !strings.HasPrefix(run.ID, unluckyPrefix) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[run.ID]++
+	return c.counts[run.ID] <= unluckyCrashes
+}
+
 // One in unscoredOneIn items has no scoring call.
 const unscoredOneIn = 4
 
--- a/internal/core/batchplan/moves.go
+++ b/internal/core/batchplan/moves.go
@@ -76,14 +76,13 @@
 	})
 }
 
-// movable returns the candidates that gain enough from a move to a fast engine, the most time left first. Suspect items
-// stay in isolation where they run.
+// movable returns the candidates that gain enough from a move to a fast engine, the most time left first.
 func (p *Plan) movable(now time.Time, candidates []MoveCandidate) []movable {
 	var items []movable
 	for _, candidate := range candidates {
 		placed, running := p.running[candidate.Key]
 		classes := p.speeds.classes[placed.service]
-		if !running || placed.suspect || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < MinMoveAge {
+		if !running || classes == nil || classes.IsFast(placed.engine) || now.Sub(candidate.Started) < MinMoveAge {
 			continue
 		}
 		pace := p.paces[placed.engine]
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -182,7 +182,7 @@
 }
 
 func (p *pass) hasSlot(engine *Engine) bool {
-	return p.plan.runningCount[engine.ID]+p.arriving[engine.ID].running < engine.Slots && p.startsLeft[p.byID[engine.ID]] > 0 && !p.isolated(engine)
+	return p.plan.runningCount[engine.ID]+p.arriving[engine.ID].running < engine.Slots && p.startsLeft[p.byID[engine.ID]] > 0
 }
 
 // countStart counts an item that was assigned to an engine in this pass.
@@ -193,11 +193,6 @@
 	}
 }
 
-// isolated reports whether an engine takes no further items because of a suspect one.
-func (p *pass) isolated(engine *Engine) bool {
-	return len(p.plan.isolatedUntil) > 0 && p.now.Before(p.plan.isolatedUntil[engine.ID])
-}
-
 // score returns the pace expected at the engine with one more item, relative to the median pace;
 // lower is better. avoidsFast is that of the item's class.
 func (p *pass) score(engine *Engine, avoidsFast bool) float64 {
@@ -231,9 +226,6 @@
 
 // choose returns the best engine for an item, or why it waits.
 func (p *pass) choose(item Item) (incarnation.ID, WaitReason) {
-	if item.Suspect {
-		return p.chooseIsolated(item)
-	}
 	if len(p.plan.preferred) > 0 {
 		if engine, found := p.preferredEngine(item); found {
 			return engine, NotWaiting
@@ -261,26 +253,6 @@
 	return p.engines[best.engine].ID, NotWaiting
 }
 
-// chooseIsolated returns the engine for a suspect item: the one whose latest start is the longest
-// ago, since items that crash engines do so soon after they start.
-func (p *pass) chooseIsolated(item Item) (incarnation.ID, WaitReason) {
-	key := p.classOf(&item)
-	var best *Engine
-	for i := range p.engines {
-		engine := &p.engines[i]
-		if !p.canServe(engine, key) || !p.fits(item, engine) {
-			continue
-		}
-		if best == nil || p.plan.startedAt[engine.ID].Before(p.plan.startedAt[best.ID]) {
-			best = engine
-		}
-	}
-	if best == nil {
-		return incarnation.ID{}, Isolation
-	}
-	return best.ID, NotWaiting
-}
-
 // best returns the candidate with the lowest score that fits the item.
 func (p *pass) best(item Item, candidates *candidateHeap) (candidate, bool) {
 	var unfit []candidate
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -45,9 +45,6 @@
 	NotBefore time.Time
 	// Avoid is the engine of the latest failed run.
 	Avoid incarnation.ID
-	// Suspect is true if engines have crashed while running the item among others. It starts in
-	// isolation, so that another crash shows whether it is the cause; see IsolationTime.
-	Suspect bool
 	// Events is the number of its events received in earlier runs. Passes sort items by value, so that each word counts.
 	Events int32
 }
@@ -94,10 +91,6 @@
 // paceWeight is the weight of a new observation in the moving average of an engine's pace.
 const paceWeight = 0.1
 
-// IsolationTime is the time after the start of a suspect item during which its engine takes no
-// other items. Items that crash engines do so soon after they start.
-const IsolationTime = 2 * time.Second
-
 // Plan holds the waiting and the running items.
 type Plan struct {
 	// jobs holds the jobs by ID, order the same jobs in start order.
@@ -111,10 +104,6 @@
 	runningCount map[incarnation.ID]int
 	// reservedTokens is the memory that the running items of each engine are expected to need.
 	reservedTokens map[incarnation.ID]int
-	// startedAt is the time of the latest start at each engine, isolatedUntil the time until which
-	// an engine takes no items besides a suspect one.
-	startedAt     map[incarnation.ID]time.Time
-	isolatedUntil map[incarnation.ID]time.Time
 	// paces is the moving average of the time between events of each engine.
 	paces map[incarnation.ID]time.Duration
 	// groupEngines is the engine of the latest started item of each group.
@@ -162,8 +151,6 @@
 		running:        make(map[Key]placement),
 		reservedTokens: make(map[incarnation.ID]int),
 		runningCount:   make(map[incarnation.ID]int),
-		startedAt:      make(map[incarnation.ID]time.Time),
-		isolatedUntil:  make(map[incarnation.ID]time.Time),
 		paces:          make(map[incarnation.ID]time.Duration),
 		groupEngines:   make(map[string]incarnation.ID),
 		speeds:         newSpeeds(),
@@ -199,9 +186,6 @@
 	p.runningLength -= placed.length
 	p.runningCount[placed.engine]--
 	p.reservedTokens[placed.engine] -= placed.reservedTokens
-	if placed.suspect {
-		delete(p.isolatedUntil, placed.engine)
-	}
 	if p.runningCount[placed.engine] == 0 {
 		delete(p.runningCount, placed.engine)
 		delete(p.reservedTokens, placed.engine)
@@ -214,7 +198,6 @@
 	engine         incarnation.ID
 	reservedTokens int
 	length         int
-	suspect        bool
 	// events is the number of the item's events so far, prompt the part of reservedTokens that its prompt needs.
 	events int32
 	prompt int
@@ -291,7 +274,6 @@
 // ForgetEngines drops the observations of engines that are gone.
 func (p *Plan) ForgetEngines(gone func(engine incarnation.ID) bool) {
 	maps.DeleteFunc(p.paces, func(engine incarnation.ID, _ time.Duration) bool { return gone(engine) })
-	maps.DeleteFunc(p.startedAt, func(engine incarnation.ID, _ time.Time) bool { return gone(engine) })
 	p.speeds.forget(gone)
 }
 
@@ -332,14 +314,10 @@
 // recordStart records that an item runs at an engine.
 func (p *Plan) recordStart(item Item, engine incarnation.ID, now time.Time) {
 	p.running[item.Key] = placement{
-		service: item.Service, engine: engine, reservedTokens: item.Tokens, length: item.Length, suspect: item.Suspect,
+		service: item.Service, engine: engine, reservedTokens: item.Tokens, length: item.Length,
 		prompt: item.Prompt, events: item.Events,
 	}
 	delete(p.preferred, item.Key)
-	p.startedAt[engine] = now
-	if item.Suspect {
-		p.isolatedUntil[engine] = now.Add(IsolationTime)
-	}
 	p.runningLength += item.Length
 	p.runningCount[engine]++
 	p.reservedTokens[engine] += item.Tokens
--- a/internal/core/batchplan/waiting.go
+++ b/internal/core/batchplan/waiting.go
@@ -26,8 +26,6 @@
 	NoMemory
 	// ColdStart: of the engines that may run the item, only cold ones have a free slot, and no start is permitted there.
 	ColdStart
-	// Isolation: the item starts apart from others, and no engine is free for that.
-	Isolation
 	// EngineAvoided: the only engine that could take the item is the one that it avoids after a failed run.
 	EngineAvoided
 	// FasterEngine: the item is expected to end sooner if it waits for a faster engine.
@@ -38,7 +36,7 @@
 var waitReasonNames = [waitReasonCount]string{
 	NotWaiting: "none", NotConsidered: "not_considered", StateUnknown: "state_unknown", RetryDelay: "retry_delay",
 	NoUsableEngine: "no_usable_engine", NoVersion: "no_version", NoSlot: "no_slot", NoMemory: "no_memory",
-	ColdStart: "cold_start", Isolation: "isolation", EngineAvoided: "engine_avoided", FasterEngine: "faster_engine",
+	ColdStart: "cold_start", EngineAvoided: "engine_avoided", FasterEngine: "faster_engine",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -11,11 +11,6 @@
 	// quarantined. It is above one, since a single engine may have crashed for another reason,
 	// such as a failure of its machine.
 	RequestLimit = 2
-	// ItemLimit is the limit for items of batch jobs if at least one of the crashes was isolated,
-	// SharedItemLimit the limit otherwise: an engine runs several items at a time, and a crash
-	// that is not isolated does not show which of them caused it.
-	ItemLimit       = 3
-	SharedItemLimit = 5
 
 	// firstHold is the duration of the quarantine at RequestLimit. Each further crash and each
 	// trial multiplies it by holdFactor, up to longestHold.
@@ -43,8 +38,9 @@
 	// Engine is the incarnation ID of the engine that crashed while running the request, so that
 	// crashes of several incarnations count separately; empty for a claim.
 	Engine string
-	// Isolated is true if no other request began at the engine shortly before.
-	Isolated bool
+	// Live is true for a crash under a live request. Other crashes count for nothing: older builds also
+	// record those under items of batch jobs and their scoring calls, without saying so.
+	Live bool
 	// Trial identifies a claim to send the quarantined request once; empty for a crash.
 	Trial string
 	// At is the wall-clock time of the node that created the record.
@@ -66,8 +62,6 @@
 type Status struct {
 	// Crashes counts the engines that crashed while running the request.
 	Crashes int
-	// Isolated counts the isolated crashes among them.
-	Isolated int
 	// HeldUntil is the end of the quarantine once Crashes has reached its limit.
 	HeldUntil time.Time
 	// Granted is the newest granted trial; empty for none.
@@ -79,15 +73,6 @@
 	return s.Crashes >= limit && now.Before(s.HeldUntil)
 }
 
-// ItemHeld reports whether an item of a batch job is quarantined.
-func (s Status) ItemHeld(now time.Time) bool {
-	atLimit := s.Crashes >= ItemLimit && s.Isolated > 0 || s.Crashes >= SharedItemLimit
-	return atLimit && now.Before(s.HeldUntil)
-}
-
-// ItemSuspect reports whether an item must be started in isolation.
-func (s Status) ItemSuspect() bool { return s.Crashes >= ItemLimit-1 }
-
 // TrialAllowed reports whether the quarantine has ended, so that a trial of the request may be granted.
 func (s Status) TrialAllowed(limit int, now time.Time) bool {
 	return s.Crashes >= limit && !now.Before(s.HeldUntil)
@@ -107,8 +92,8 @@
 // Len returns the number of requests.
 func (l *Ledger) Len() int { return len(l.entries) }
 
-// Put adds a record and reports whether it was new. A known record without an offset gets
-// the offset.
+// Put adds a record and reports whether it changed the crashes or trials known. A known record without an
+// offset gets the offset, and a known crash stays live once a record says that it was.
 func (l *Ledger) Put(record Record) bool {
 	entry, found := l.entries[record.Fingerprint]
 	if !found {
@@ -119,11 +104,17 @@
 		l.entries[record.Fingerprint] = entry
 	}
 	known, repeated := entry[record.Key()]
-	if repeated && known.Offset <= record.Offset {
-		return false
+	if !repeated {
+		entry[record.Key()] = record
+		return true
 	}
-	entry[record.Key()] = record
-	return !repeated
+	becameLive := record.Live && !known.Live
+	if record.Offset < known.Offset {
+		known.At, known.Offset = record.At, record.Offset
+	}
+	known.Live = known.Live || record.Live
+	entry[record.Key()] = known
+	return becameLive
 }
 
 func (l *Ledger) Drop(fingerprint Fingerprint, key RecordKey) {
@@ -150,14 +141,18 @@
 
 // Status returns the state of a request at the given time.
 func (l *Ledger) Status(fingerprint Fingerprint, now time.Time) Status {
-	status, last := fold(l.Records(fingerprint))
-	if expired(status, last, now) {
+	records := l.Records(fingerprint)
+	if all, last := fold(records); expired(all, last, now) {
 		return Status{}
 	}
+	status, _ := fold(slices.DeleteFunc(records, Record.countsForNothing))
 	return status
 }
 
-// Expired returns the records that are no longer needed.
+// countsForNothing reports whether the record is a crash that is not known to be one under a live request.
+func (r Record) countsForNothing() bool { return r.Engine != "" && !r.Live }
+
+// Expired returns the records that are no longer needed, also by nodes of older builds, for which all crashes count.
 func (l *Ledger) Expired(now time.Time) []Record {
 	var records []Record
 	for fingerprint := range l.entries {
@@ -189,9 +184,6 @@
 		switch {
 		case record.Engine != "":
 			status.Crashes++
-			if record.Isolated {
-				status.Isolated++
-			}
 		case status.TrialAllowed(RequestLimit, record.At) && record.Offset != Unlogged:
 			trials++
 			status.Granted = record.Trial
--- a/internal/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -43,11 +43,10 @@
 // LostConnection is a connection that the engine closed during a request.
 type LostConnection struct {
 	Engine fleet.Engine
-	// RequestID is the ID of the live request or of the batch item.
-	RequestID   string
+	// RequestID is the ID of the live request, the batch item or its scoring call.
+	RequestID string
+	// Fingerprint is that of a live request; zero otherwise.
 	Fingerprint quarantine.Fingerprint
-	// Isolated is true if no other request began at the engine shortly before.
-	Isolated bool
 }
 
 // Options configure a detector.
--- a/internal/crashes/guard.go
+++ b/internal/crashes/guard.go
@@ -15,7 +15,7 @@
 
 const sweepInterval = time.Minute
 
-// Guard quarantines requests during which engines crashed. Nodes write the crashes that they observe to the log, which
+// Guard quarantines live requests during which engines crashed. Nodes write the crashes that they observe to the log, which
 // all nodes follow; while the log is unavailable, they send them to each other. It is safe for concurrent use.
 type Guard struct {
 	detector       *Detector
@@ -132,7 +132,7 @@
 		return false
 	}
 	record := quarantine.Record{
-		Fingerprint: loss.Fingerprint, Engine: loss.Engine.Incarnation().String(), Isolated: loss.Isolated,
+		Fingerprint: loss.Fingerprint, Engine: loss.Engine.Incarnation().String(), Live: true,
 		At: time.Now(), Offset: quarantine.Unlogged,
 	}
 	g.mu.Lock()
--- a/internal/crashes/record.go
+++ b/internal/crashes/record.go
@@ -26,8 +26,10 @@
 type value struct {
 	// AtMs is the wall-clock time of the crash or claim in Unix milliseconds.
 	AtMs int64 `msgpack:"a"`
-	// Isolated is the field of the same name in quarantine.Record.
+	// Isolated is written by older builds for items of batch jobs, and ignored.
 	Isolated bool `msgpack:"i,omitempty"`
+	// Live is the field of the same name in quarantine.Record.
+	Live bool `msgpack:"l,omitempty"`
 }
 
 func keyOf(record quarantine.Record) string {
@@ -40,7 +42,7 @@
 
 // encode returns the log record of a crash or trial.
 func encode(record quarantine.Record) (eventlog.KeyedRecord, error) {
-	raw, err := msgpack.Marshal(&value{AtMs: record.At.UnixMilli(), Isolated: record.Isolated})
+	raw, err := msgpack.Marshal(&value{AtMs: record.At.UnixMilli(), Live: record.Live})
 	if err != nil {
 		return eventlog.KeyedRecord{}, errors.Wrap(err, "encode the value of a crash record")
 	}
@@ -82,6 +84,6 @@
 	if err := msgpack.Unmarshal(from.Value, &decoded); err != nil {
 		return quarantine.Record{}, errors.Wrap(err, "decode the value of a crash record")
 	}
-	record.At, record.Isolated = time.UnixMilli(decoded.AtMs), decoded.Isolated
+	record.At, record.Live = time.UnixMilli(decoded.AtMs), decoded.Live
 	return record, nil
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -28,7 +28,6 @@
 		"no_slot":          "all engines that may run it were full",
 		"no_memory":        "no engine with a free slot had the memory for it",
 		"cold_start":       "only cold engines had free slots, and no start was permitted there",
-		"isolation":        "no engine was free to start it apart from others",
 		"engine_avoided":   "only the engine of its failed run could take it",
 		"faster_engine":    "it was expected to end sooner at a faster engine",
 	}
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -18,14 +18,18 @@
 	return follower.MaxFirstReadDelay() + fullReadTime
 }
 
-// newCrashGuard returns the guard that quarantines requests during which engines crashed.
-func (n *node) newCrashGuard(log eventlog.Log) *crashes.Guard {
-	detector := crashes.NewDetector(crashes.Options{
+// newCrashDetector returns the detector of engines that crash during requests and items.
+func (n *node) newCrashDetector() *crashes.Detector {
+	return crashes.NewDetector(crashes.Options{
 		Prober: n.platform.Engines(), Fleet: n.fleet, Logger: n.logger, OnConnectionLost: n.metrics.connectionLost,
 	})
+}
+
+// newCrashGuard returns the guard that quarantines live requests during which engines crashed.
+func (n *node) newCrashGuard(log eventlog.Log) *crashes.Guard {
 	peers := crashes.NewPeers(n.directory.PeerAddresses, logrelay.NewClient(), n.logger)
 	return crashes.NewGuard(crashes.GuardOptions{
-		Detector: detector, Log: log, Topic: n.platform.CrashTopic(), OnUnwritten: peers.Send,
+		Detector: n.crashDetector, Log: log, Topic: n.platform.CrashTopic(), OnUnwritten: peers.Send,
 		OnRequestCount: n.metrics.requestsSuspected, Logger: n.logger,
 	})
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -76,6 +76,7 @@
 	// jobRelay answers queries about jobs, in a large cluster through other nodes.
 	jobRelay      *jobrelay.Relay
 	relay         *ingress.Relay
+	crashDetector *crashes.Detector
 	crashGuard    *crashes.Guard
 	crashFollower *follow.Follower
 	// logMissingCrashRecords limits the warning of crashesKnown to one.
@@ -177,12 +178,14 @@
 	)
 	n.log = log
 	n.usageCounter = duties.NewCounter(log, n.holder, usageWindow(config.Hosted), n.directory.Budget(), logger)
+	n.crashDetector = n.newCrashDetector()
 	n.crashGuard = n.newCrashGuard(log)
 	n.crashFollower = follow.New(replicas, platform.CrashTopic(), n.crashGuard.HandleRecord, n.directory.Budget(), logger)
 	n.coldGranter, n.coldPermits = n.newColdPermits()
 	n.loadExchange = n.newLoadExchange()
 	n.relay = ingress.New(ingress.Options{
-		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.crashGuard, Gate: n.gate, ColdPermits: n.coldPermits,
+		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.crashGuard, OwedGuard: crashes.NewExempt(n.crashDetector), Gate: n.gate,
+		ColdPermits:  n.coldPermits,
 		CallerLimits: n.callerLimits, OnInvalidLoad: n.reportUnreadableLoad,
 		Table: n.state.table, Current: n.isCurrent,
 		Zone: config.Node.Zone, Region: config.Node.Region, Seed: seedOf(n.holder), Logger: logger,
--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -66,10 +66,9 @@
 		return entry, true, failure
 	}
 	entry.Basis = first.basis
-	guard := x.relay.options.Guard
-	if x.admittedCrashes < quarantine.RequestLimit && guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
+	if x.admittedCrashes < quarantine.RequestLimit && x.guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit {
 		// Engines ended under the same request, sent by others, since this one was admitted.
-		if failure := guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
+		if failure := x.guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
 			x.withdraw(entry, QueueQuarantined)
 			return nil, false, failure
 		}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -19,7 +19,7 @@
 }
 
 // Call runs a request that this process makes itself, with the same routing, choice of engines and retries as a live
-// one. The body of the answer is read and discarded.
+// one, but without quarantine. The body of the answer is read and discarded.
 func (r *Relay) Call(ctx context.Context, request *Request) (Reply, *errkind.Error) {
 	var answer discardWriter
 	x, cancel, failure := r.begin(&answer, ctx, request)
@@ -27,6 +27,7 @@
 		return Reply{}, failure
 	}
 	defer cancel()
+	x.guard = r.options.OwedGuard
 	failure = x.run()
 	x.log(failure)
 	reply := Reply{ServerErrors: x.serverErrors, MaxAttempts: max(1, x.route.MaxAttempts)}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -23,6 +23,7 @@
 	table   *routes.Table
 	sender  routes.Sender
 	service string
+	guard   Guard
 	// ctx ends at the request's deadline or when the caller disconnects; callerCtx only when it disconnects.
 	ctx       context.Context
 	callerCtx context.Context
@@ -86,9 +87,9 @@
 func (x *exchange) run() *errkind.Error {
 	if x.relay.live != nil {
 		// Read before the request is admitted, so that no later crash is missed.
-		x.admittedCrashes = x.relay.options.Guard.Status(x.fingerprintOf).Crashes
+		x.admittedCrashes = x.guard.Status(x.fingerprintOf).Crashes
 	}
-	if failure := x.relay.options.Guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
+	if failure := x.guard.Admit(x.ctx, x.fingerprintOf); failure != nil {
 		return failure
 	}
 	defer x.releaseSlot()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,7 +108,7 @@
 	Send(ctx context.Context, engine fleet.Engine, call Call) (*Answer, error)
 }
 
-// Guard quarantines requests during which engines crashed; see crashes.Guard.
+// Guard quarantines live requests during which engines crashed; see crashes.Guard.
 type Guard interface {
 	// Admit returns nil if the request may be sent to an engine, and the reason otherwise.
 	Admit(ctx context.Context, fingerprint func() quarantine.Fingerprint) *errkind.Error
@@ -131,6 +131,9 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Guard   Guard
+	// OwedGuard is the guard of the requests that this process makes itself for work that it has accepted, such as
+	// scoring calls of batch jobs; see crashes.Exempt.
+	OwedGuard Guard
 	// Gate checks whether requests may still be sent; nil for one based on Fleet.
 	Gate *sendgate.Gate
 	// ColdPermits is used only for services with a slow start.
@@ -247,7 +250,8 @@
 	deadline := request.Received.Add(timeout)
 	ctx, cancel := context.WithDeadline(callerContext, deadline)
 	return &exchange{
-		relay: r, request: request, route: route, table: table, sender: sender, ctx: ctx, callerCtx: callerContext, w: w,
+		relay: r, request: request, route: route, table: table, sender: sender,
+		guard: r.options.Guard, ctx: ctx, callerCtx: callerContext, w: w,
 		service: r.splitter.Pick(route), endsAt: r.now().Add(time.Until(deadline)),
 	}, cancel, nil
 }
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -60,7 +60,7 @@
 		result = giveUp
 	}
 	if x.received && x.status/100 == 2 {
-		x.relay.options.Guard.Answered(x.fingerprintOf)
+		x.guard.Answered(x.fingerprintOf)
 	}
 	x.logTry(choice, check.Held(), answer, err, result, outcome.At.Sub(began))
 	return result
@@ -76,11 +76,10 @@
 // quarantined checks whether the engine that lost the connection has crashed, and reports whether the request is
 // quarantined now.
 func (x *exchange) quarantined(engine fleet.Engine) bool {
-	guard := x.relay.options.Guard
-	crashed := guard.ConnectionLost(x.ctx, crashes.LostConnection{
+	crashed := x.guard.ConnectionLost(x.ctx, crashes.LostConnection{
 		Engine: engine, RequestID: x.request.ID, Fingerprint: x.fingerprintOf(),
 	})
-	return crashed && guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit
+	return crashed && x.guard.Status(x.fingerprintOf).Crashes >= quarantine.RequestLimit
 }
 
 // reportStart calls Options.OnStart once for a caller's request that an engine may have started. Requests that this
