Bound the waits of items that an engine could take

Change: these four reasons are soft. What an item has waited for them is summed up, and after 2 s they give way: the avoided and the failing engine are used if no other can, no faster one is waited for, and an engine is reserved until it has the memory, a quarter of a service's engines at most, the items that have waited the longest first come. An engine is avoided only while another one may run the item at all.

Why it works: each pass gives an engine or a reason, a soft reason's time is counted whatever other reasons come between, and nothing but the start of the item resets it.

--- a/internal/batchrun/views.go
+++ b/internal/batchrun/views.go
@@ -19,12 +19,14 @@
 			}
 			id := engine.Incarnation()
 			cold, starts := r.coldStartLimit(id, now)
+			paused := now.Before(r.pausedUntil[id])
 			views = append(views, batchplan.Engine{
 				Cold: cold, MaxStarts: starts,
 				ID: id, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
 				Tokens: required.engineTokens, Loading: loading[id],
-				Leaving: !listed.AcceptsWork,
-				Usable:  listed.AcceptsWork && !listed.Suspected && !now.Before(r.pausedUntil[id]),
+				Leaving:   !listed.AcceptsWork,
+				Usable:    listed.AcceptsWork && !paused && !listed.Suspected,
+				Suspected: listed.AcceptsWork && !paused && listed.Suspected,
 			})
 		}
 	}
--- a/internal/core/batchplan/demand.go
+++ b/internal/core/batchplan/demand.go
@@ -150,7 +150,7 @@
 // startsAt returns the number of items of a class that an engine with a free slot can start: as many as it has slots
 // and memory for, given their mean need, and at least one if the smallest fits.
 func (p *pass) startsAt(engine *Engine, demand *classDemand) int {
-	if !p.eligible(engine, demand.class) || demand.leastNeed > p.freeTokens(engine) {
+	if !p.eligible(engine, demand.class) || demand.leastNeed > p.freeTokens(engine) || p.isReserved(engine) {
 		return 0
 	}
 	free := min(engine.Slots-p.plan.runningCount[engine.ID], p.startsLeft[p.byID[engine.ID]])
--- a/internal/core/batchplan/moves.go
+++ b/internal/core/batchplan/moves.go
@@ -162,7 +162,7 @@
 	var places []place
 	for i := range p.engines {
 		engine := &p.engines[i]
-		if !engine.Usable || !satisfies(engine) || !p.hasSlot(engine) {
+		if !engine.Usable || !satisfies(engine) || !p.hasSlot(engine) || p.isReserved(engine) {
 			continue
 		}
 		slots, tokens := min(engine.Slots-p.plan.runningCount[engine.ID], p.startsLeft[i]), p.freeTokens(engine)
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/enginespeed"
@@ -25,6 +26,9 @@
 	memoryOvercommit = 2
 )
 
+// suspectedScore is above the score of any engine that has not recently failed.
+const suspectedScore = 1e6
+
 // pass is one assignment pass over the queue. During a pass the load of engines only grows, so their
 // scores only rise, and an item for which there is no engine will not get one later in the pass. The
 // engines of each class are therefore kept in a heap whose top is rescored before use.
@@ -59,11 +63,15 @@
 	minVersion int64
 	// avoidsFast is true for items that are kept off fast engines.
 	avoidsFast bool
+	// overdue is true for items that may start on engines that have recently failed.
+	overdue bool
 }
 
 // classOf returns the class of an item.
 func (p *pass) classOf(item *Item) class {
-	key := class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
+	key := class{
+		service: item.Service, model: item.Model, minVersion: item.MinVersion, overdue: p.plan.isOverdue(item.Key),
+	}
 	if p.speeds != nil {
 		key.avoidsFast = p.plan.avoidsFast(p.speeds[item.Service], item)
 	}
@@ -175,7 +183,7 @@
 
 // eligible reports whether the engine may run items of a class, regardless of free slots.
 func (engine *Engine) eligible(key class) bool {
-	if !engine.Usable || engine.Service != key.service || engine.Loading != "" && engine.Loading == key.model {
+	if !engine.Usable && !(engine.Suspected && key.overdue) || engine.Service != key.service || engine.Loading != "" && engine.Loading == key.model {
 		return false
 	}
 	return engine.Versions[key.model] >= key.minVersion
@@ -196,6 +204,9 @@
 // score returns the pace expected at the engine with one more item, relative to the median pace;
 // lower is better. avoidsFast is that of the item's class.
 func (p *pass) score(engine *Engine, avoidsFast bool) float64 {
+	if engine.Suspected {
+		return suspectedScore * p.occupancyFactor(engine)
+	}
 	if avoidsFast && p.keptForLongItems(engine) {
 		return keptScore * p.occupancyFactor(engine) * p.memoryPressure(engine)
 	}
@@ -246,7 +257,7 @@
 		}
 		return incarnation.ID{}, p.waitReason(&item, candidates)
 	}
-	if p.worthWaiting(item, &p.engines[best.engine], candidates) {
+	if !candidates.class.overdue && p.worthWaiting(item, &p.engines[best.engine], candidates) {
 		candidates.deferred++
 		return incarnation.ID{}, FasterEngine
 	}
@@ -297,7 +308,7 @@
 
 // fits reports whether an engine that serves the item's class meets the item's own constraints.
 func (p *pass) fits(item Item, engine *Engine) bool {
-	if engine.ID == item.Avoid && len(p.plan.paces) > 1 {
+	if engine.ID == item.Avoid && p.avoids(&item, engine) || p.isReservedForOther(&item, engine) {
 		return false
 	}
 	if item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion {
@@ -306,6 +317,19 @@
 	return p.need(&item) <= p.freeTokens(engine)
 }
 
+// avoids reports whether an item waits for another engine than the one of its failed run: if another one may run it, and
+// for a bounded time.
+func (p *pass) avoids(item *Item, failed *Engine) bool {
+	key := p.classOf(item)
+	if key.overdue {
+		return false
+	}
+	return slices.ContainsFunc(p.engines, func(engine Engine) bool {
+		return engine.ID != failed.ID && p.eligible(&engine, key) &&
+			(item.SameVersion == 0 || engine.Versions[item.Model] == item.SameVersion)
+	})
+}
+
 // need returns the memory, in tokens, that has to be free at an engine to take an item.
 func (p *pass) need(item *Item) int {
 	if p.speeds == nil || p.speeds[item.Service] == nil {
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -59,10 +59,11 @@
 	Versions map[string]int64
 	// Loading is the model whose weights are being loaded; empty for none.
 	Loading string
-	// Usable is false for engines that accept no new work or have recently failed. Leaving is true for those that accept
-	// none because they drain or their zone is evacuated.
-	Usable  bool
-	Leaving bool
+	// Usable is false for engines that accept no new work or have recently failed. Suspected is true for those that are
+	// not usable only because they have recently failed, Leaving for those that drain or whose zone is evacuated.
+	Usable    bool
+	Suspected bool
+	Leaving   bool
 	// Cold is true for an engine in its slow start, which may be assigned at most MaxStarts items now.
 	Cold      bool
 	MaxStarts int
@@ -98,8 +99,10 @@
 	order   []*jobRank
 	waiting map[Key]Item
 	// waits holds why each waiting item waits, once that is known.
-	waits   map[Key]Wait
-	running map[Key]placement
+	waits map[Key]Wait
+	// reservations holds the engines that take no other items until an overdue one has the memory that it needs.
+	reservations map[incarnation.ID]Key
+	running      map[Key]placement
 	// runningCount is the number of running items of each engine; idle engines have no entry.
 	runningCount map[incarnation.ID]int
 	// reservedTokens is the memory that the running items of each engine are expected to need.
@@ -148,6 +151,7 @@
 		jobs:           make(map[string]*jobRank),
 		waiting:        make(map[Key]Item),
 		waits:          make(map[Key]Wait),
+		reservations:   make(map[incarnation.ID]Key),
 		running:        make(map[Key]placement),
 		reservedTokens: make(map[incarnation.ID]int),
 		runningCount:   make(map[incarnation.ID]int),
@@ -283,6 +287,7 @@
 		return nil
 	}
 	pass := newPass(p, engines, now)
+	pass.dropReservations()
 	var assigned []Assignment
 	queue := p.startOrder(pass)
 	p.recordDelayed(now, len(queue))
@@ -291,6 +296,9 @@
 		engine, restart, reason := pass.chooseOrRestart(item)
 		if reason != NotWaiting {
 			p.setWaitReason(item.Key, now, reason)
+			if reason == NoMemory && p.isOverdue(item.Key) {
+				pass.reserve(&item)
+			}
 			continue
 		}
 		wait := p.waits[item.Key]
@@ -318,6 +326,7 @@
 		prompt: item.Prompt, events: item.Events,
 	}
 	delete(p.preferred, item.Key)
+	p.releaseReservation(item.Key)
 	p.runningLength += item.Length
 	p.runningCount[engine]++
 	p.reservedTokens[engine] += item.Tokens
--- a/internal/core/batchplan/waiting.go
+++ b/internal/core/batchplan/waiting.go
@@ -26,8 +26,12 @@
 	NoMemory
 	// ColdStart: of the engines that may run the item, only cold ones have a free slot, and no start is permitted there.
 	ColdStart
-	// EngineAvoided: the only engine that could take the item is the one that it avoids after a failed run.
+	// EngineAvoided: the only engine that could take the item now is the one that it avoids after a failed run.
 	EngineAvoided
+	// EngineFailing: the engines that could take the item have recently failed.
+	EngineFailing
+	// EngineReserved: the engines that could take the item are reserved for others that have waited for longer.
+	EngineReserved
 	// FasterEngine: the item is expected to end sooner if it waits for a faster engine.
 	FasterEngine
 	waitReasonCount
@@ -36,12 +40,28 @@
 var waitReasonNames = [waitReasonCount]string{
 	NotWaiting: "none", NotConsidered: "not_considered", StateUnknown: "state_unknown", RetryDelay: "retry_delay",
 	NoUsableEngine: "no_usable_engine", NoVersion: "no_version", NoSlot: "no_slot", NoMemory: "no_memory",
-	ColdStart: "cold_start", EngineAvoided: "engine_avoided", FasterEngine: "faster_engine",
+	ColdStart: "cold_start", EngineAvoided: "engine_avoided",
+	EngineFailing: "engine_failing", EngineReserved: "engine_reserved", FasterEngine: "faster_engine",
 }
 
 // String returns the reason's name in logs and metrics.
 func (r WaitReason) String() string { return waitReasonNames[r] }
 
+// maxSoftWait bounds how long an item waits for soft reasons, all of them together. The memory that it may have to wait
+// for after that becomes free as running items end.
+const maxSoftWait = 2 * time.Second
+
+// isSoft reports whether an engine could take the item at the cost of its speed or of that of others. Such reasons give
+// way after maxSoftWait; the others hold for as long as they last.
+func (r WaitReason) isSoft() bool {
+	switch r {
+	case NoMemory, EngineAvoided, EngineFailing, FasterEngine:
+		return true
+	default:
+		return false
+	}
+}
+
 // WaitReasons returns all reasons for which items wait.
 func WaitReasons() []WaitReason {
 	var reasons []WaitReason
@@ -56,6 +76,9 @@
 	Reason WaitReason
 	// Since is when the item began to wait for this reason.
 	Since time.Time
+	// softTime is how long the item has waited for soft reasons, as of its latest pass at consideredAt.
+	softTime     time.Duration
+	consideredAt time.Time
 	// reported is the reason that LongWaits returned last.
 	reported WaitReason
 }
@@ -82,13 +105,22 @@
 
 func (p *Plan) setWaitReason(key Key, now time.Time, reason WaitReason) {
 	wait, found := p.waits[key]
-	if found && wait.Reason == reason {
+	if found && wait.Reason == reason && !reason.isSoft() {
 		return
 	}
-	wait.Reason, wait.Since = reason, now
+	if wait.Reason.isSoft() {
+		wait.softTime += now.Sub(wait.consideredAt)
+	}
+	if wait.Reason != reason {
+		wait.Reason, wait.Since = reason, now
+	}
+	wait.consideredAt = now
 	p.waits[key] = wait
 }
 
+// isOverdue reports whether soft reasons no longer keep a waiting item from an engine.
+func (p *Plan) isOverdue(key Key) bool { return p.waits[key].softTime >= maxSoftWait }
+
 // recordDelayed records the items that no pass considers because their retry delay has not passed.
 func (p *Plan) recordDelayed(now time.Time, considered int) {
 	if considered == len(p.waiting) {
@@ -139,10 +171,16 @@
 
 // classReason returns why no engine has a free slot for the items of a class.
 func (p *pass) classReason(key class) WaitReason {
-	usable, versions, cold := false, false, false
+	usable, failing, versions, cold := false, false, false, false
+	allowFailing := key
+	allowFailing.overdue = true
 	for i := range p.engines {
 		engine := &p.engines[i]
-		if engine.Service != key.service || !engine.Usable {
+		if engine.Service != key.service {
+			continue
+		}
+		failing = failing || engine.Suspected && p.canServe(engine, allowFailing)
+		if !engine.Usable {
 			continue
 		}
 		usable = true
@@ -153,6 +191,8 @@
 		cold = cold || engine.Cold && p.startsLeft[i] <= 0 && p.plan.runningCount[engine.ID] < engine.Slots
 	}
 	switch {
+	case failing:
+		return EngineFailing
 	case !usable:
 		return NoUsableEngine
 	case !versions:
@@ -180,10 +220,12 @@
 		engine := &p.engines[entry.engine]
 		switch {
 		case item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion:
+		case engine.ID == item.Avoid && p.avoids(item, engine):
+			return EngineAvoided
 		case p.need(item) > p.freeTokens(engine):
 			reason = NoMemory
-		case engine.ID == item.Avoid:
-			return EngineAvoided
+		case reason == NoSlot && p.isReservedForOther(item, engine):
+			reason = EngineReserved
 		}
 	}
 	return reason
