Reject empty answers that end with their connection

Result, by tests through the real ingress: a head that breaks off, at each of its bytes, by a close or by a reset, never became an answer, for safe and unsafe requests, streams, resumable streams, items and scoring calls; the client library reports it as an error. A head that ends early with its empty line did: without a length and chunks its body lasts until the connection closes, and an empty one was passed on as a whole 200 with "Content-Length: 0". An item was completed with an empty text, a resumed stream or item ended as complete where its engine had stopped.

Cause: the end of the connection was taken as the end of the answer, also where the engine had sent nothing of it.

Change: a success without length, chunks and content is a lost connection: it is retried where the request may be repeated, resumed where the stream may be, and fails otherwise; the engine counts as failed. With content it is relayed as before, since an answer may have no length and end with its connection.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -61,6 +61,9 @@
 	var start bytes.Buffer
 	_, err := io.CopyN(&start, answer.Body, maxBufferedBytes)
 	switch {
+	case errors.Is(err, io.EOF) && start.Len() == 0 && answer.Status/100 == 2 && answer.EndsWithConnection:
+		outcome.Failed, outcome.ConnectionLost = true, true
+		return x.retryVerdict()
 	case errors.Is(err, io.EOF):
 		x.received = true
 		x.writeHeader(answer, strconv.Itoa(start.Len()))
@@ -161,8 +164,12 @@
 // relayEvents copies an engine's events to the spool until the stream ends, which sets received.
 func (x *exchange) relayEvents(answer *Answer, spool *callerwrite.Spool, outcome *fleet.Outcome) verdict {
 	events := sse.NewReader(answer.Body)
-	for {
+	for empty := true; ; empty = false {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && empty && answer.EndsWithConnection {
+			outcome.Failed, outcome.ConnectionLost = true, true
+			return x.streamInterrupted()
+		}
 		if errors.Is(err, io.EOF) {
 			x.received = true
 			return answered
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,6 +81,9 @@
 	NotExecuted bool
 	// WrongEngine is true if another engine answered at the address.
 	WrongEngine bool
+	// EndsWithConnection is true if the answer has no length, so that its body lasts until the engine closes the
+	// connection. An empty one may be what an engine sent before it failed.
+	EndsWithConnection bool
 	// Load is the load that the engine reported; nil if none.
 	Load *fleet.Load
 	// LoadError is why the reported load cannot be decoded; nil if it can, or if there is none.
--- /dev/null
+++ b/test/hosted/brokenhead_test.go
@@ -0,0 +1,175 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+)
+
+// streamRoute is a route of live streams.
+func streamRoute(prefix string, resumable bool) route {
+	stream := batchRoute(prefix)
+	stream["routeKind"] = "streaming"
+	stream["resumable"] = resumable
+	return stream
+}
+
+func unsafeRoute(prefix string) route {
+	unsafe := safeRoute(prefix)
+	unsafe["routeKind"] = "unsafe"
+	return unsafe
+}
+
+// brokenHeadRoutes are the routes of the live requests whose response heads break off, by the kind of request.
+func brokenHeadRoutes() map[string]route {
+	return map[string]route{
+		"safe": safeRoute("/a/"), "unsafe": unsafeRoute("/a/"), "stream": streamRoute("/a/", false),
+		"resumable stream": streamRoute("/a/", true),
+	}
+}
+
+func engineOptionsFor(route route, id string) standin.EngineOptions {
+	options := standin.EngineOptions{ID: id, Service: fmt.Sprint(route["service"]), Slots: 64}
+	if options.Service == "llm" {
+		options.Versions = map[string]int64{model: 1}
+	}
+	return options
+}
+
+// Guards against a success, empty or short, made from a response whose head broke off at any byte.
+func TestBrokenResponseHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, route := range brokenHeadRoutes() {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				t.Parallel()
+				d := deploy(t)
+				var cut, length atomic.Int64
+				d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
+					if request.Method != http.MethodPost {
+						return writeSound(connection, sound)
+					}
+					head := encodeHead(sound, map[string]string{"Content-Length": "100"})
+					length.Store(int64(len(head)))
+					_, _ = connection.Write(head[:min(cut.Load(), int64(len(head)-1))])
+					endBy(connection, reset)
+					return false
+				})
+				d.configure(route)
+				node := d.start("n1")
+				for at := int64(0); length.Load() == 0 || at < length.Load(); at++ {
+					cut.Store(at)
+					got := node.call(http.MethodPost, "/a/x", fmt.Sprint("request-", at), fmt.Sprint("body ", at))
+					assert.Assert(t, got.status/100 != 2 || got.err != nil, "byte %d: status %d, body %q", at, got.status, got.body)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a success made from a head that ends early with its empty line: without a length the response ends with
+// its connection, and one without a body is not that of an engine that has finished.
+func TestEmptyResponseThatEndsWithItsConnectionIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, route := range brokenHeadRoutes() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
+				if request.Method != http.MethodPost {
+					return writeSound(connection, sound)
+				}
+				_, _ = connection.Write(encodeHead(sound, nil))
+				return false
+			})
+			d.configure(route)
+			node := d.start("n1")
+			got := node.call(http.MethodPost, "/a/x", "request", "body")
+			assert.Assert(t, got.status/100 != 2 || got.err != nil, "status %d, body %q", got.status, got.body)
+		})
+	}
+}
+
+// A response may have no length and end with its connection.
+func TestResponseThatEndsWithItsConnectionIsRelayed(t *testing.T) {
+	t.Parallel()
+	for name, route := range brokenHeadRoutes() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
+				if request.Method != http.MethodPost {
+					return writeSound(connection, sound)
+				}
+				body, err := io.ReadAll(sound.Body)
+				if err == nil {
+					_, _ = connection.Write(append(encodeHead(sound, nil), body...))
+				}
+				return false
+			})
+			d.configure(route)
+			got := d.start("n1").call(http.MethodPost, "/a/x", "request", "body")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Assert(t, got.body != "")
+		})
+	}
+}
+
+// brokenFirst breaks the head of the first response to each request off at a byte that follows from its order of
+// arrival; later responses are sound.
+func brokenFirst(raw **rawEngine, reset bool, empty func(order int64) bool) func(*net.TCPConn, *http.Request, *http.Response) bool {
+	var order atomic.Int64
+	return func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
+		if request.Method != http.MethodPost || (*raw).countRequest(request) > 1 {
+			return writeSound(connection, sound)
+		}
+		number := order.Add(1) - 1
+		if empty(number) {
+			_, _ = connection.Write(encodeHead(sound, nil))
+			return false
+		}
+		head := encodeHead(sound, map[string]string{"Content-Length": "100"})
+		_, _ = connection.Write(head[:number%int64(len(head))])
+		endBy(connection, reset)
+		return false
+	}
+}
+
+// Guards against an item, or its score, that is completed from a response whose head broke off.
+func TestItemsWithBrokenResponseHeadsAreCompletedWhole(t *testing.T) {
+	t.Parallel()
+	const items = 300
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprint("reset ", reset), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			var models, scorers *rawEngine
+			everyTenth := func(order int64) bool { return order%10 == 9 }
+			models = d.addRawEngine(standin.EngineOptions{
+				ID: "llm-1", Service: "llm", Versions: map[string]int64{model: 1}, Slots: items, EventTime: time.Millisecond,
+			}, brokenFirst(&models, reset, everyTenth))
+			scorers = d.addRawEngine(standin.EngineOptions{ID: "desk-1", Service: "desk", Slots: items}, brokenFirst(&scorers, reset, everyTenth))
+			d.configure(batchRoute("/batch/"), safeRoute("/scoring/"))
+			node := d.start("n1")
+			var ids []string
+			for i := range items {
+				ids = append(ids, fmt.Sprint("item-", i))
+			}
+			body := scoredJobBody(1, ids...)
+			assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", body).status, http.StatusAccepted)
+			for _, result := range d.awaitResults(node, "job1", items).Results {
+				assert.Equal(t, result.State, "completed", result.ID)
+				assert.Equal(t, result.Text, standin.ItemText(result.ID, 4))
+			}
+		})
+	}
+}
