Bound what engines may send without end

What callers would see: a node that runs out of memory while a few sends to one ill engine are under way.

Cause: the library's limit of 10 MB for a head was taken for one of ours, checks of engines read theirs without any, an event could have 1 MB, and the events of an item were bounded by nothing.

Change: 64 KB for a head with the interim responses before it, for engines, the platform and the engines of the project's own deployment; the same for checks; 256 KB an event; an item's output ends at twice its tokens and 16 events, or 1 MB: it is dropped (too_long) and the item starts over elsewhere.

Why it works: every reader of an engine's bytes now has a limit of its own, and the connection is closed at it.

--- a/internal/batchrun/drop.go
+++ b/internal/batchrun/drop.go
@@ -19,12 +19,14 @@
 	DroppedMixedVersions
 	// DroppedOldVersion: the engine continued the output with a weight version below the job's minimum.
 	DroppedOldVersion
+	// DroppedTooLong: the engine sent more output than the item can have.
+	DroppedTooLong
 	dropReasonCount
 )
 
 var dropReasonNames = [dropReasonCount]string{
 	DroppedVersionGone: "version_gone", DroppedVersionUnavailable: "version_unavailable",
-	DroppedMixedVersions: "mixed_versions", DroppedOldVersion: "version_too_old",
+	DroppedMixedVersions: "mixed_versions", DroppedOldVersion: "version_too_old", DroppedTooLong: "too_long",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/internal/batchrun/drop_test.go
+++ b/internal/batchrun/drop_test.go
@@ -213,3 +213,19 @@
 	assert.DeepEqual(t, env.awaitResults(1)["j/0"].Versions, []int64{2})
 	assert.DeepEqual(t, env.dropped(), []DropReason{DroppedMixedVersions})
 }
+
+// Guards against a run without end on an engine whose events never end.
+func TestItemWithEndlessEventsStartsOverElsewhere(t *testing.T) {
+	env := newTestEnv(t, "a")
+	env.engines.events["x"] = 1 << 30
+	env.startRunner()
+	record := batch.JobRecord{ID: "j", Model: "m", MinVersion: 1}
+	record.Items = []batch.ItemRecord{{ID: "x", Group: "g", Prompt: 10, Tokens: 20}}
+	env.jobs.apply(batch.Record{Job: &record})
+	testwait.Until(t, "the output to be dropped", func() bool { return len(env.dropped()) > 0 })
+	assert.Equal(t, env.dropped()[0], DroppedTooLong)
+	env.engines.mu.Lock()
+	env.engines.events["x"] = 2*10 + eventSlack
+	env.engines.mu.Unlock()
+	assert.Equal(t, string(env.awaitResults(1)["j/0"].Text), fullText("x", 2*10+eventSlack))
+}
--- a/internal/batchrun/joborder_test.go
+++ b/internal/batchrun/joborder_test.go
@@ -185,7 +185,7 @@
 	view := batchplan.Engine{ID: engine.Incarnation(), Service: "s", Slots: 1, Versions: engine.Versions, Usable: true}
 	assert.Equal(t, len(r.plan.Assign(started, []batchplan.Engine{view})), 1)
 	current := &run{engine: engine.Incarnation(), started: started, cancel: func() {}}
-	job := &openJob{record: batch.JobRecord{ID: key.Job, Model: "m"}, items: make([]batchitem.Item, 1)}
+	job := &openJob{record: batch.JobRecord{ID: key.Job, Model: "m", Items: make([]batch.ItemRecord, 1)}, items: make([]batchitem.Item, 1)}
 	r.runs[key], r.jobs[key.Job] = current, job
 	assert.NilError(t, r.addEvent(job, key, current, Event{Number: 1, Data: []byte("x"), Version: 1}, started))
 	decisions := r.plan.RefreshOrder(started.Add(500 * time.Millisecond))
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -214,7 +214,7 @@
 		r.options.Fleet.RecordResponse(current.engine, now)
 	}
 	before := item.Output
-	switch item.Output.Add(event, job.limits()) {
+	switch item.Output.Add(event, job.limitsOf(key.Item)) {
 	case batchitem.OutOfOrder:
 		return &CallError{Kind: InvalidResponse, Detail: "event number out of sequence"}
 	case batchitem.VersionTooOld:
@@ -223,6 +223,9 @@
 	case batchitem.MixedVersions:
 		r.reportDropped(job, key.Item, before, DroppedMixedVersions)
 		return &CallError{Kind: NotExecuted, Detail: "weight version changed, but the route requires a single version"}
+	case batchitem.TooLong:
+		r.reportDropped(job, key.Item, before, DroppedTooLong)
+		return &CallError{Kind: InvalidResponse, Detail: "output is longer than any of the item"}
 	}
 	item.IdleSince, item.WaitingSince = now, time.Time{}
 	r.observePace(current, now)
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -36,6 +36,9 @@
 	moveShare   = 0.05
 	// loadRetryDelay is the wait between two attempts to read a job's payloads.
 	loadRetryDelay = 100 * time.Millisecond
+	// maxOutputBytes bounds the output of an item, eventSlack is the number of its events beyond twice its tokens.
+	maxOutputBytes = 1 << 20
+	eventSlack     = 16
 	// restoreWait bounds how long after the start of a term no item is started while saved progress is being read,
 	// since interrupted items take precedence. Reading all of it takes 0.1 to 0.2 s.
 	restoreWait = 400 * time.Millisecond
@@ -147,6 +150,17 @@
 	return batchitem.Limits{MinVersion: j.record.MinVersion, SingleVersion: j.singleVersion}
 }
 
+// limitsOf returns the limits of an item's output. An event holds at least one token; eventSlack covers events that hold
+// none.
+func (j *openJob) limitsOf(index int) batchitem.Limits {
+	limits := j.limits()
+	limits.MaxBytes = maxOutputBytes
+	if record := j.record.Items[index]; record.Prompt > 0 && record.Tokens > record.Prompt {
+		limits.MaxEvents = int64(2*(record.Tokens-record.Prompt) + eventSlack)
+	}
+	return limits
+}
+
 // New returns a runner for one leadership term.
 func New(options Options) *Runner {
 	options.Gate = sendgate.OrNew(options.Gate, options.Fleet)
--- a/internal/core/batchitem/batchitem_test.go
+++ b/internal/core/batchitem/batchitem_test.go
@@ -123,3 +123,21 @@
 	assert.Equal(t, next.From, int64(0))
 	assert.Equal(t, string(next.Text), "e1")
 }
+
+// Guards against an output that grows without end, which its engine's events are.
+func TestOutputIsResetBeyondItsSize(t *testing.T) {
+	events, size := Limits{MaxEvents: 3}, Limits{MaxBytes: 5}
+	var long, large Output
+	for number := range int64(3) {
+		assert.Equal(t, long.Add(event(number+1, 1), events), Accepted)
+	}
+	assert.Equal(t, long.Add(event(4, 1), events), TooLong)
+	assert.Assert(t, long.Empty())
+	assert.Equal(t, large.Add(event(1, 1), size), Accepted)
+	assert.Equal(t, large.Add(event(2, 1), size), Accepted)
+	assert.Equal(t, large.Add(event(3, 1), size), TooLong)
+	assert.Assert(t, large.Empty())
+
+	restored := Restore(SavedOutput{Versions: []int64{1}, Last: 2, Text: []byte("e1\ne2")})
+	assert.Equal(t, restored.Add(event(3, 1), size), TooLong)
+}
--- a/internal/core/batchitem/output.go
+++ b/internal/core/batchitem/output.go
@@ -14,12 +14,15 @@
 	Version int64
 }
 
-// Limits restrict the weight versions that may generate an item's output.
+// Limits restrict an item's output.
 type Limits struct {
 	// MinVersion is the oldest version allowed.
 	MinVersion int64
 	// SingleVersion is true if a single version must generate the whole output.
 	SingleVersion bool
+	// MaxEvents and MaxBytes bound the size of the output; zero for no limit.
+	MaxEvents int64
+	MaxBytes  int
 }
 
 // Verdict is the outcome of Output.Add.
@@ -35,13 +38,16 @@
 	// MixedVersions: the event is from another version than its predecessors, although
 	// Limits.SingleVersion is set; the output was reset.
 	MixedVersions
+	// TooLong: the output is longer than any of its item can be; the output was reset.
+	TooLong
 )
 
 // Output is the output of an item so far, together with the position up to which the log has it.
 type Output struct {
 	// chunks hold the data of one or more events each, separated by line feeds.
 	chunks [][]byte
-	// last is the number of the last event.
+	// bytes is the size of chunks, last the number of the last event.
+	bytes    int
 	last     int64
 	versions []int64
 	// complete is true once no further events follow.
@@ -70,7 +76,7 @@
 // Restore returns the output that a previous leader saved.
 func Restore(saved SavedOutput) Output {
 	return Output{
-		chunks: [][]byte{saved.Text}, last: saved.Last, versions: slices.Clone(saved.Versions), complete: saved.Complete,
+		chunks: [][]byte{saved.Text}, bytes: len(saved.Text), last: saved.Last, versions: slices.Clone(saved.Versions), complete: saved.Complete,
 		continues: saved.Chain, savedTo: saved.Last, savedChunks: 1, savedComplete: saved.Complete,
 	}
 }
@@ -87,8 +93,12 @@
 	case limits.SingleVersion && len(o.versions) > 0 && event.Version != o.versions[0]:
 		*o = Output{}
 		return MixedVersions
+	case limits.MaxEvents > 0 && event.Number > limits.MaxEvents, limits.MaxBytes > 0 && o.bytes+len(event.Data) > limits.MaxBytes:
+		*o = Output{}
+		return TooLong
 	}
 	o.chunks = append(o.chunks, event.Data)
+	o.bytes += len(event.Data)
 	o.last = event.Number
 	if !slices.Contains(o.versions, event.Version) {
 		o.versions = append(o.versions, event.Version)
@@ -130,7 +140,7 @@
 
 // Detached returns the output for use in another job: without its chain and position in the log.
 func (o *Output) Detached() Output {
-	return Output{chunks: o.chunks, last: o.last, versions: o.versions, complete: o.complete}
+	return Output{chunks: o.chunks, bytes: o.bytes, last: o.last, versions: o.versions, complete: o.complete}
 }
 
 // Part is the part of an output that is not in the log yet.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -39,6 +39,7 @@
 		"version_unavailable": "no engine with their weight version took it",
 		"mixed_versions":      "the weight version changed",
 		"version_too_old":     "the engine's weight version was too old",
+		"too_long":            "the engine sent more than the item can have",
 	}
 )
 
--- a/internal/platform/enginehttp/http.go
+++ b/internal/platform/enginehttp/http.go
@@ -39,6 +39,8 @@
 	idleTimeout = 30 * time.Second
 	// dialTimeout bounds one TCP connect.
 	dialTimeout = 2 * time.Second
+	// maxHeadBytes bounds the head of a response together with the interim responses before it.
+	maxHeadBytes = 64 << 10
 	// keepAlive is the interval of TCP keepalive probes.
 	keepAlive = 15 * time.Second
 )
@@ -87,6 +89,8 @@
 		MaxIdleConnsPerHost: maxIdleConnectionsPerEngine,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -14,7 +14,7 @@
 const (
 	readBufferBytes = 2 << 10
 	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 // Field is a line of an event other than its ID and data.
--- a/test/hosted/brokenhead_test.go
+++ b/test/hosted/brokenhead_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	standin "github.com/corkpulley/corkpulley/internal/standin/platform"
+	"github.com/corkpulley/corkpulley/internal/testwait"
 )
 
 // streamRoute is a route of live streams.
@@ -173,3 +174,35 @@
 		})
 	}
 }
+
+// Guards against a live request that lasts as long as an engine sends bytes.
+func TestEndlessBodyEndsAtDeadline(t *testing.T) {
+	t.Parallel()
+	for name, route := range brokenHeadRoutes() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			route["timeoutMs"] = 1500
+			var open atomic.Int64
+			d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
+				if request.Method != http.MethodPost {
+					return writeSound(connection, sound)
+				}
+				open.Add(1)
+				defer open.Add(-1)
+				_, err := connection.Write(encodeHead(sound, nil))
+				for number := 1; err == nil; number++ {
+					_, err = fmt.Fprintf(connection, "id: %d\nx-corkpulley-weight-versions: 1\ndata: more\n\n", number)
+				}
+				return false
+			})
+			d.configure(route)
+			node := d.start("n1")
+			began := time.Now()
+			got := node.call(http.MethodPost, "/a/x", "request", "body")
+			assert.Assert(t, time.Since(began) < 4*time.Second)
+			assert.Assert(t, got.status/100 != 2 || got.err != nil, "status %d, %d bytes", got.status, len(got.body))
+			testwait.Until(t, "the connections to the engine to be closed", func() bool { return open.Load() == 0 })
+		})
+	}
+}
