Soak storms of engine crashes, and check where accepted items wait

What it lacked: items under which engines end were expected to be given up, engines crashed once in two seconds, and no check judged where an item is.

Change: a schedule of storms (an engine crashes every 0.15 to 0.6 s for 3 to 8 s; in 6 of 10 of them nodes are stopped, killed, frozen, or all killed at once; calm periods between them), items under which four engines end and which have to be completed, and a check, LOST: no item that has not been completed is at no engine for 5 s while no fault affects a node or an engine and less than half of the slots are taken. Stand-in engines record the end of each run.

In the plan, an overdue item now starts at an engine that has recently failed only where no other one may run it: beside others that are merely full for a while it would take the item's attempts for nothing.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -37,6 +37,8 @@
 	RefusalShare float64
 	// JobEnd is the time after which a trainer abandons a job.
 	JobEnd time.Duration
+	// ItemWait is how long an item may be at no engine while engines have room.
+	ItemWait time.Duration
 }
 
 // invariant is a rule with the function that lists its violations.
@@ -61,6 +63,7 @@
 	{"CONFIG", checkRevokedKeys},
 	{"LOST", checkNoLostItems},
 	{"LOST", checkPlannedStops},
+	{"LOST", checkItemWaits},
 	{"BUDGET", checkRetryLimit},
 	{"BUDGET", checkCrashLimit},
 	{"VERSION", checkSampleVersions},
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -452,7 +452,7 @@
 	}
 }
 
-// Seeds must cover both fencing modes about equally, and each schedule for about a fifth; flags take
+// Seeds must cover both fencing modes about equally, and each schedule for about a sixth; flags take
 // precedence.
 func TestModesDistribution(t *testing.T) {
 	const seeds = 1000
@@ -470,7 +470,7 @@
 	assert.Assert(t, fenced > seeds*2/5 && fenced < seeds*3/5, "%d", fenced)
 	assert.Equal(t, len(drawn), len(schedules))
 	for _, each := range schedules {
-		assert.Assert(t, drawn[each] > seeds*3/20 && drawn[each] < seeds*5/20, "%s: %d", each, drawn[each])
+		assert.Assert(t, drawn[each] > seeds*3/24 && drawn[each] < seeds*5/24, "%s: %d", each, drawn[each])
 	}
 }
 
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -207,6 +207,8 @@
 	Disturbances []*Disturbance
 	// Replacements are the periods in which an engine drained or had ended and no other had taken its place.
 	Replacements []TimeSpan
+	// AnswerFaults are the periods in which an engine answered wrongly or not at all.
+	AnswerFaults []TimeSpan
 	// Stalls are the periods in which the process of the soak did not run in time, so that times are not those of nodes.
 	Stalls []TimeSpan
 	// Contention is nil for other schedules.
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -93,9 +93,13 @@
 		if fault.Kind == EngineAnswersWrongly {
 			answerFault = fault.wrongAnswer(len(d.slots))
 		}
+		began := time.Now()
 		slot.setAnswerFault(answerFault)
 		retry.Sleep(ctx, fault.Duration)
 		slot.setAnswerFault(standin.NoFault)
+		d.history.update(func() {
+			d.history.AnswerFaults = append(d.history.AnswerFaults, TimeSpan{From: began, To: time.Now()})
+		})
 	}
 }
 
--- a/internal/bench/soak/modes.go
+++ b/internal/bench/soak/modes.go
@@ -25,9 +25,12 @@
 	// OverlappingFaults are series of signals, restarts, changes and faults of engines that overlap, while callers keep
 	// their connections.
 	OverlappingFaults = "overlapping"
+	// CrashStorms are bursts of engine crashes, beside which nodes are stopped, killed, or all killed at once, and calm
+	// periods between them.
+	CrashStorms = "storms"
 )
 
-var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults}
+var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults, CrashStorms}
 
 // modeStream is the PCG stream of modes, independent of those of faults.
 const modeStream = 1
@@ -40,16 +43,17 @@
 	return errors.Errorf("%s is %q, expected one of %s, %q", flag, value, Drawn, values)
 }
 
-// One in overlapOneIn seeds has overlapping faults, one in contentionOneIn of the others contention, and one in
-// placementOneIn of the rest placement faults.
+// One in stormOneIn seeds has crash storms, one in overlapOneIn of the others overlapping faults, one in contentionOneIn of the rest contention, and one in
+// placementOneIn of those left placement faults.
 const (
 	placementOneIn  = 3
 	contentionOneIn = 4
 	overlapOneIn    = 5
+	stormOneIn      = 6
 )
 
 // modes returns whether the engines check fencing tokens, as for about half of the seeds, and the
-// schedule, each for about a fifth of the seeds. Flags take precedence over the seed.
+// schedule, each for about a sixth of the seeds. Flags take precedence over the seed.
 func (a *Arguments) modes(seed uint64) (enginesFence bool, schedule string) {
 	random := rand.New(rand.NewPCG(seed, modeStream))
 	enginesFence, schedule = random.IntN(2) == 0, GeneralFaults
@@ -65,6 +69,9 @@
 	if random.IntN(overlapOneIn) == 0 {
 		schedule = OverlappingFaults
 	}
+	if random.IntN(stormOneIn) == 0 {
+		schedule = CrashStorms
+	}
 	if a.EnginesFence == EnginesFenceYes || a.EnginesFence == EnginesFenceNo {
 		enginesFence = a.EnginesFence == EnginesFenceYes
 	}
@@ -83,6 +90,8 @@
 		return DrawPlacement(seed, length)
 	case OverlappingFaults:
 		return DrawOverlap(seed, length)
+	case CrashStorms:
+		return DrawStorms(seed, length)
 	case Contention:
 		return DrawContention(seed, length)
 	default:
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -25,8 +25,8 @@
 // hasContention reports whether the schedule is of contention.
 func (p plan) hasContention() bool { return p.schedule == Contention }
 
-// hasOverlap reports whether the schedule is of overlapping faults.
-func (p plan) hasOverlap() bool { return p.schedule == OverlappingFaults }
+// hasOverlap reports whether callers keep their connections, and items are bound to one version and partly long.
+func (p plan) hasOverlap() bool { return p.schedule == OverlappingFaults || p.schedule == CrashStorms }
 
 // includes reports whether a family of faults is included.
 func (p plan) includes(family Family) bool { return !slices.Contains(p.leftOut, family) }
--- a/internal/bench/soak/schedule_overlap.go
+++ b/internal/bench/soak/schedule_overlap.go
@@ -37,8 +37,7 @@
 	maxOverlapFault  = 5 * time.Second
 	// plannedShare is the share of series of planned work only.
 	plannedShare = 0.5
-	// calmFaultGap is the time between two faults of engines in the calm part. Items under which three engines end are held
-	// back for minutes, so engines must not crash much more often than items run.
+	// calmFaultGap is the time between two faults of engines in the calm part.
 	calmFaultGap = 2 * time.Second
 	// The engine is held from heldOffset into the period on, after the settle time, for minHeld to maxHeld: longer than a
 	// job lasts and the bound for its items together.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -28,7 +28,7 @@
 	Slack        float64  `arg:"--slack" default:"1" help:"factor for the time limits of invariants (1..100), for a slow machine"`
 	Print        bool     `arg:"--print" help:"print the schedule and do not run it"`
 	EnginesFence string   `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
-	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), series of overlapping signals, restarts and changes (overlapping), or drawn from the seed"`
+	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), series of overlapping signals, restarts and changes (overlapping), bursts of engine crashes (storms), or drawn from the seed"`
 	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of faults: incarnations, entries, evacuations, slow-starts, home-changes, planned-stops; repeatable"`
 	OtherDaemon  string   `arg:"--other-daemon" placeholder:"FILE" help:"daemon of another build: half of the nodes start from it, and each node switches builds at each restart"`
 	JSON         bool     `arg:"--json" help:"print the summary as one JSON object at the end"`
@@ -49,6 +49,8 @@
 	// jobEnd is the time after which trainers abandon a step. It is not scaled: the load of a run leaves room for a
 	// slow machine.
 	jobEnd = 12 * time.Second
+	// itemWait is how long an item may be at no engine while less than half of the engines' slots are taken.
+	itemWait = 5 * time.Second
 	// progressPeriod is the interval between two progress lines.
 	progressPeriod = 15 * time.Second
 	// clockFormat is the format of printed times of day.
@@ -61,7 +63,7 @@
 		Settle: 4 * time.Second, Apply: 3 * time.Second, Drain: 4 * time.Second,
 		Cancel: 4 * time.Second, FencedStop: 3 * time.Second, ResumeGrace: 300 * time.Millisecond,
 		Evacuate: 5 * time.Second, ColdNotice: 500 * time.Millisecond, Reorder: 10 * time.Second,
-		RefusalShare: refusalShare, JobEnd: jobEnd,
+		RefusalShare: refusalShare, JobEnd: jobEnd, ItemWait: itemWait,
 	}
 }
 
@@ -73,6 +75,7 @@
 		Cancel: scaled(b.Cancel), FencedStop: scaled(b.FencedStop), ResumeGrace: scaled(b.ResumeGrace),
 		Evacuate: scaled(b.Evacuate), ColdNotice: scaled(b.ColdNotice), Reorder: scaled(b.Reorder),
 		RefusalShare: min(factor*b.RefusalShare, maxRefusalShare), JobEnd: b.JobEnd,
+		ItemWait: scaled(b.ItemWait),
 	}
 }
 
@@ -234,7 +237,7 @@
 		return Summary{}, err
 	}
 	driver := newDriver(d)
-	driver.sendsCrashing = p.schedule != LeaderFaults && !p.hasContention() && !p.hasOverlap()
+	driver.sendsCrashing = p.schedule != LeaderFaults && p.schedule != OverlappingFaults && !p.hasContention()
 	driver.placementFaults, driver.changesHomes = p.hasPlacementFaults(), p.includes(HomeChanges)
 	if p.hasContention() {
 		driver.contention, driver.seed, driver.trainers = true, p.seed, contentionTrainers
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -26,9 +26,6 @@
 	memoryOvercommit = 2
 )
 
-// suspectedScore is above the score of any engine that has not recently failed.
-const suspectedScore = 1e6
-
 // pass is one assignment pass over the queue. During a pass the load of engines only grows, so their
 // scores only rise, and an item for which there is no engine will not get one later in the pass. The
 // engines of each class are therefore kept in a heap whose top is rescored before use.
@@ -63,8 +60,10 @@
 	minVersion int64
 	// avoidsFast is true for items that are kept off fast engines.
 	avoidsFast bool
-	// overdue is true for items that may start on engines that have recently failed.
-	overdue bool
+	// overdue is true for items that soft reasons no longer keep from an engine, allowsFailing if they may start on
+	// engines that have recently failed, since no other serves them.
+	overdue       bool
+	allowsFailing bool
 }
 
 // classOf returns the class of an item.
@@ -72,6 +71,7 @@
 	key := class{
 		service: item.Service, model: item.Model, minVersion: item.MinVersion, overdue: p.plan.isOverdue(item.Key),
 	}
+	key.allowsFailing = key.overdue && !p.isServed(key)
 	if p.speeds != nil {
 		key.avoidsFast = p.plan.avoidsFast(p.speeds[item.Service], item)
 	}
@@ -173,6 +173,11 @@
 	return candidates
 }
 
+// isServed reports whether an engine that has not recently failed may run items of a class, regardless of free slots.
+func (p *pass) isServed(key class) bool {
+	return slices.ContainsFunc(p.engines, func(engine Engine) bool { return p.eligible(&engine, key) })
+}
+
 // canServe reports whether an engine can start items of a class now.
 func (p *pass) canServe(engine *Engine, key class) bool {
 	return p.eligible(engine, key) && p.hasSlot(engine)
@@ -183,7 +188,7 @@
 
 // eligible reports whether the engine may run items of a class, regardless of free slots.
 func (engine *Engine) eligible(key class) bool {
-	if !engine.Usable && !(engine.Suspected && key.overdue) || engine.Service != key.service || engine.Loading != "" && engine.Loading == key.model {
+	if !engine.Usable && !(engine.Suspected && key.allowsFailing) || engine.Service != key.service || engine.Loading != "" && engine.Loading == key.model {
 		return false
 	}
 	return engine.Versions[key.model] >= key.minVersion
@@ -204,9 +209,6 @@
 // score returns the pace expected at the engine with one more item, relative to the median pace;
 // lower is better. avoidsFast is that of the item's class.
 func (p *pass) score(engine *Engine, avoidsFast bool) float64 {
-	if engine.Suspected {
-		return suspectedScore * p.occupancyFactor(engine)
-	}
 	if avoidsFast && p.keptForLongItems(engine) {
 		return keptScore * p.occupancyFactor(engine) * p.memoryPressure(engine)
 	}
--- a/internal/core/batchplan/waitbound_test.go
+++ b/internal/core/batchplan/waitbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,21 +180,21 @@
 	assert.Equal(t, plan.running[Key{"j", 0}].engine, failing.ID)
 }
 
-// Guards against a failing engine that gets items although others have room.
-func TestOverdueItemPrefersEngineThatDidNotFail(t *testing.T) {
-	failing, slow := engine("a", 2, 3), engine("b", 2, 3)
+// Guards against a failing engine that gets items although others serve them, which may be full for a while.
+func TestOverdueItemDoesNotStartAtFailingEngineBesideOthers(t *testing.T) {
+	failing, other := engine("a", 2, 3), engine("b", 1, 3)
 	failing.Usable, failing.Suspected = false, true
 	plan := New()
-	plan.ObservePace(failing.ID, time.Millisecond)
-	plan.ObservePace(slow.ID, time.Second)
 	plan.Add(item("j", 0, 10))
-	untilStarted(t, plan, []Engine{failing}, Key{"j", 0}, nil)
-	plan.Ended(Key{"j", 0})
+	assert.Equal(t, len(plan.Assign(now, []Engine{other})), 1)
 	overdue := item("j", 1, 10)
 	plan.Add(overdue)
 	plan.waits[overdue.Key] = Wait{softTime: maxSoftWait}
-	plan.Assign(now, []Engine{failing, slow})
-	assert.Equal(t, plan.running[overdue.Key].engine, slow.ID)
+	assert.Equal(t, len(plan.Assign(now, []Engine{failing, other})), 0)
+	assert.Equal(t, plan.waits[overdue.Key].Reason, NoSlot)
+	plan.Ended(Key{"j", 0})
+	plan.Assign(now, []Engine{failing, other})
+	assert.Equal(t, plan.running[overdue.Key].engine, other.ID)
 }
 
 // waitSimulation plays passes over items that run for a while, and engines that fail at times.
@@ -205,10 +206,13 @@
 	idleSince map[Key]time.Time
 }
 
-// couldRun reports whether an engine may run an item, regardless of its load.
-func couldRun(engine *Engine, item *Item) bool {
+// couldRun reports whether an engine may run an item, regardless of its load. One that has recently failed may if no
+// other serves the item.
+func (s *waitSimulation) couldRun(engine *Engine, item *Item) bool {
+	key := class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
+	served := slices.ContainsFunc(s.engines, func(each Engine) bool { return each.eligible(key) })
 	version := engine.Versions[item.Model]
-	return (engine.Usable || engine.Suspected) && engine.Service == item.Service && version >= item.MinVersion &&
+	return (engine.Usable || engine.Suspected && !served) && engine.Service == item.Service && version >= item.MinVersion &&
 		(item.SameVersion == 0 || version == item.SameVersion)
 }
 
@@ -217,7 +221,7 @@
 	slots, running, room := 0, 0, false
 	for i := range s.engines {
 		engine := &s.engines[i]
-		if !couldRun(engine, item) {
+		if !s.couldRun(engine, item) {
 			continue
 		}
 		busy := s.plan.Running(engine.ID)
--- a/internal/core/batchplan/waiting.go
+++ b/internal/core/batchplan/waiting.go
@@ -28,7 +28,7 @@
 	ColdStart
 	// EngineAvoided: the only engine that could take the item now is the one that it avoids after a failed run.
 	EngineAvoided
-	// EngineFailing: the engines that could take the item have recently failed.
+	// EngineFailing: all engines that may run the item have recently failed.
 	EngineFailing
 	// EngineReserved: the engines that could take the item are reserved for others that have waited for longer.
 	EngineReserved
@@ -173,13 +173,13 @@
 func (p *pass) classReason(key class) WaitReason {
 	usable, failing, versions, cold := false, false, false, false
 	allowFailing := key
-	allowFailing.overdue = true
+	allowFailing.allowsFailing = true
 	for i := range p.engines {
 		engine := &p.engines[i]
 		if engine.Service != key.service {
 			continue
 		}
-		failing = failing || engine.Suspected && p.canServe(engine, allowFailing)
+		failing = failing || engine.Suspected && p.eligible(engine, allowFailing)
 		if !engine.Usable {
 			continue
 		}
@@ -191,7 +191,7 @@
 		cold = cold || engine.Cold && p.startsLeft[i] <= 0 && p.plan.runningCount[engine.ID] < engine.Slots
 	}
 	switch {
-	case failing:
+	case !versions && failing:
 		return EngineFailing
 	case !usable:
 		return NoUsableEngine
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -29,7 +29,7 @@
 		"no_memory":        "no engine with a free slot had the memory for it",
 		"cold_start":       "only cold engines had free slots, and no start was permitted there",
 		"engine_avoided":   "only the engine of its failed run could take it",
-		"engine_failing":   "the engines that could take it had recently failed",
+		"engine_failing":   "all engines that may run it had recently failed",
 		"engine_reserved":  "the engines that could take it were reserved for items that had waited for longer",
 		"faster_engine":    "it was expected to end sooner at a faster engine",
 	}
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -66,6 +66,9 @@
 	Credentials string
 	// Fault is the fault that the engine injected.
 	Fault EngineFault
+	// EndedAt is zero while it runs. Whole is set if the response was written to its end.
+	EndedAt time.Time
+	Whole   bool
 }
 
 // ReceivedOrder is an order to change a weight version, as received by the engine.
@@ -252,31 +255,31 @@
 	return e.options.CrashesOn != nil && e.options.CrashesOn(run)
 }
 
-// beginRun records a run and returns the fault injected into it. It returns false if the engine refuses the request;
-// otherwise the caller must call endRun.
-func (e *Engine) beginRun(r *http.Request, body string) (Run, EngineFault, bool) {
+// beginRun records a run and returns it with its number and the fault injected into it. It returns false if the engine
+// refuses the request; otherwise the caller must call endRun.
+func (e *Engine) beginRun(r *http.Request, body string) (run Run, number int, fault EngineFault, begun bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	fault := NoFault
 	id := r.Header.Get(headerRequestID)
 	if e.fault != nil {
 		fault = e.fault(id)
 	}
 	if fault == RefusesFull || e.running >= e.options.Slots {
-		return Run{}, RefusesFull, false
+		return Run{}, 0, RefusesFull, false
 	}
 	lastEventID, _ := strconv.ParseInt(r.Header.Get(headerLastEvent), 10, 64)
 	e.running++
-	run := Run{
+	run = Run{
 		ID: id, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body, LastEventID: lastEventID, Host: r.Host, At: time.Now(),
 		Tenant: r.Header.Get(headerTenant), Credentials: r.Header.Get(headerCredentials), Fault: fault,
 	}
 	e.runs = append(e.runs, run)
-	return run, fault, true
+	return run, len(e.runs) - 1, fault, true
 }
 
-func (e *Engine) endRun() {
+func (e *Engine) endRun(number int, whole bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
+	e.runs[number].EndedAt, e.runs[number].Whole = time.Now(), whole
 }
--- a/internal/standin/platform/engine_responses.go
+++ b/internal/standin/platform/engine_responses.go
@@ -21,14 +21,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	run, fault, begun := e.beginRun(r, string(body))
+	run, number, fault, begun := e.beginRun(r, string(body))
 	w.Header().Set(headerLoad, e.load())
 	if !begun {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer e.endRun()
+	whole := false
+	defer func() { e.endRun(number, whole) }()
 	w.Header().Set(headerStamp, Stamp(id))
 	switch fault {
 	case RespondsError:
@@ -44,7 +45,7 @@
 		_, _ = io.WriteString(w, PlainBody(id))
 	default:
 		if len(e.options.Versions) > 0 {
-			e.writeStream(w, r, run, fault)
+			whole = e.writeStream(w, r, run, fault)
 			return
 		}
 		if e.crashesOn(run) {
@@ -53,6 +54,7 @@
 		}
 		if e.wait(r, e.options.PlainTime) {
 			e.writePlain(w, id, fault)
+			whole = true
 		}
 	}
 }
@@ -105,7 +107,8 @@
 	_ = buffered.Flush()
 }
 
-func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, run Run, fault EngineFault) {
+// writeStream writes the events of a run and reports whether it reached the last one.
+func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, run Run, fault EngineFault) (whole bool) {
 	model := r.Header.Get(headerModel)
 	after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
 	version := e.Version(model)
@@ -116,7 +119,7 @@
 	events := e.options.Events(run.ID)
 	for number := after + 1; number <= events; number++ {
 		if !e.wait(r, e.options.EventTime) {
-			return
+			return false
 		}
 		if e.crashesOn(run) && number > after+e.options.EventsBeforeCrash {
 			e.options.Crash(run)
@@ -134,4 +137,5 @@
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, e.options.Data(run.ID, number, version))
 		_ = controller.Flush()
 	}
+	return true
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// Covers bursts of engine crashes, beside which nodes end, with requests and items under which engines crash. Guards
+// against accepted items that are not placed again.
+func TestShortSoakCrashStorms(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 3, Minutes: 0.6, Nodes: 4, Slack: 2, EnginesFence: soak.EnginesFenceYes, Schedule: soak.CrashStorms,
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+}
+
 // Guards against planned stops that cut requests which engines run.
 func TestShortSoakPlannedStops(t *testing.T) {
 	var output bytes.Buffer
