--- a/test/hosted/brokenhead_test.go
+++ b/test/hosted/brokenhead_test.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// toPosts returns a response function of a raw engine that answers other requests, such as those for reports, as usual.
+func toPosts(
+	respond func(connection *net.TCPConn, sound *http.Response) bool,
+) func(*net.TCPConn, *http.Request, *http.Response) bool {
+	return func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
+		if request.Method != http.MethodPost {
+			return writeSound(connection, sound)
+		}
+		return respond(connection, sound)
+	}
+}
+
 func engineOptionsFor(route route, id string) standin.EngineOptions {
 	options := standin.EngineOptions{ID: id, Service: fmt.Sprint(route["service"]), Slots: 64}
 	if options.Service == "llm" {
@@ -54,16 +66,13 @@
 				t.Parallel()
 				d := deploy(t)
 				var cut, length atomic.Int64
-				d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
-					if request.Method != http.MethodPost {
-						return writeSound(connection, sound)
-					}
+				d.addRawEngine(engineOptionsFor(route, "raw"), toPosts(func(connection *net.TCPConn, sound *http.Response) bool {
 					head := encodeHead(sound, map[string]string{"Content-Length": "100"})
 					length.Store(int64(len(head)))
 					_, _ = connection.Write(head[:min(cut.Load(), int64(len(head)-1))])
 					endBy(connection, reset)
 					return false
-				})
+				}))
 				d.configure(route)
 				node := d.start("n1")
 				for at := int64(0); length.Load() == 0 || at < length.Load(); at++ {
@@ -84,13 +93,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := deploy(t)
-			d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
-				if request.Method != http.MethodPost {
-					return writeSound(connection, sound)
-				}
+			d.addRawEngine(engineOptionsFor(route, "raw"), toPosts(func(connection *net.TCPConn, sound *http.Response) bool {
 				_, _ = connection.Write(encodeHead(sound, nil))
 				return false
-			})
+			}))
 			d.configure(route)
 			node := d.start("n1")
 			got := node.call(http.MethodPost, "/a/x", "request", "body")
@@ -106,16 +112,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := deploy(t)
-			d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
-				if request.Method != http.MethodPost {
-					return writeSound(connection, sound)
-				}
+			d.addRawEngine(engineOptionsFor(route, "raw"), toPosts(func(connection *net.TCPConn, sound *http.Response) bool {
 				body, err := io.ReadAll(sound.Body)
 				if err == nil {
 					_, _ = connection.Write(append(encodeHead(sound, nil), body...))
 				}
 				return false
-			})
+			}))
 			d.configure(route)
 			got := d.start("n1").call(http.MethodPost, "/a/x", "request", "body")
 			assert.NilError(t, got.err)
@@ -184,10 +187,7 @@
 			d := deploy(t)
 			route["timeoutMs"] = 1500
 			var open atomic.Int64
-			d.addRawEngine(engineOptionsFor(route, "raw"), func(connection *net.TCPConn, request *http.Request, sound *http.Response) bool {
-				if request.Method != http.MethodPost {
-					return writeSound(connection, sound)
-				}
+			d.addRawEngine(engineOptionsFor(route, "raw"), toPosts(func(connection *net.TCPConn, sound *http.Response) bool {
 				open.Add(1)
 				defer open.Add(-1)
 				_, err := connection.Write(encodeHead(sound, nil))
@@ -195,7 +195,7 @@
 					_, err = fmt.Fprintf(connection, "id: %d\nx-corkpulley-weight-versions: 1\ndata: more\n\n", number)
 				}
 				return false
-			})
+			}))
 			d.configure(route)
 			node := d.start("n1")
 			began := time.Now()
