--- a/internal/logmessage/logmessage.go
+++ b/internal/logmessage/logmessage.go
@@ -21,7 +21,6 @@
 	"index partition in reach":                       "index partition reachable",
 	"index partition out of reach":                   "index partition unreachable",
 	"index record not decodable, skipped":            "index record skipped: it cannot be decoded",
-	"item kept away from engines":                    "item quarantined",
 	"items wait for evacuated zones":                 "items wait: no usable engine outside evacuated zones",
 	"job end asked":                                  "job end requested",
 	"job handed in":                                  "job submitted",
