--- a/internal/bench/soak/crash.go
+++ b/internal/bench/soak/crash.go
@@ -15,8 +15,8 @@
 	// requests starts with one and grows by one each crashSetGrowthInterval.
 	crashRequestInterval   = 350 * time.Millisecond
 	crashSetGrowthInterval = 15 * time.Second
-	// One in unluckyJobOneIn jobs has an unlucky item.
-	unluckyJobOneIn = 3
+	// One in interruptedJobOneIn jobs has an interrupted item.
+	interruptedJobOneIn = 3
 )
 
 // crashEngines sends requests that crash engines until ctx ends. Each is repeated, with a new ID, at any
--- a/internal/bench/soak/driver.go
+++ b/internal/bench/soak/driver.go
@@ -204,15 +204,15 @@
 	job := standin.Job{
 		ID: fmt.Sprintf("job-%d-%d", trainer, step), Step: step, MinVersion: max(1, d.version.Load()-1),
 	}
-	unlucky := -1
-	if d.sendsCrashing && rand.IntN(unluckyJobOneIn) == 0 {
-		unlucky = rand.IntN(itemsPerJob)
+	interrupted := -1
+	if d.sendsCrashing && rand.IntN(interruptedJobOneIn) == 0 {
+		interrupted = rand.IntN(itemsPerJob)
 	}
 	for i := range itemsPerJob {
 		prefix := "item-"
 		switch {
-		case i == unlucky:
-			prefix = unluckyPrefix
+		case i == interrupted:
+			prefix = interruptedPrefix
 		case rand.IntN(failingOneIn) == 0:
 			prefix = failPrefix
 		case rand.IntN(impossibleOneIn) == 0:
--- a/internal/bench/soak/engines.go
+++ b/internal/bench/soak/engines.go
@@ -70,7 +70,7 @@
 	reportsPace bool
 	// onCrash is called with the run that crashes the engine.
 	onCrash func(run standin.Run)
-	// itemCrashes counts the crashes under unlucky items at all engines.
+	// itemCrashes counts the crashes under interrupted items at all engines.
 	itemCrashes *itemCrashes
 	// listenAddress is the address that engines listen on, behind the proxy.
 	listenAddress string
--- a/internal/bench/soak/items.go
+++ b/internal/bench/soak/items.go
@@ -16,10 +16,10 @@
 	impossiblePrefix = "never-"
 	// Bodies of requests that crash each engine contain crashPrefix.
 	crashPrefix = "crash-"
-	// IDs and bodies of items under whose first unluckyCrashes runs engines crash contain unluckyPrefix. Such items are
-	// owed like all others.
-	unluckyPrefix  = "unlucky-"
-	unluckyCrashes = 4
+	// IDs of items under whose first interruptedCrashes runs engines crash begin with interruptedPrefix. Such items must be
+	// completed like all others.
+	interruptedPrefix  = "interrupted-"
+	interruptedCrashes = 4
 
 	minEvents = 3
 	// One in longOneIn outputs has longEvents events, the others have minEvents plus 0 to shortEventsSpread-1.
@@ -47,7 +47,7 @@
 // crashesEngine reports whether an engine crashes when it starts a request with the body.
 func crashesEngine(body string) bool { return strings.Contains(body, crashPrefix) }
 
-// itemCrashes counts the engines that crashed under unlucky items.
+// itemCrashes counts the engines that crashed under interrupted items.
 type itemCrashes struct {
 	mu     sync.Mutex
 	counts map[string]int
@@ -55,18 +55,18 @@
 
 func newItemCrashes() *itemCrashes { return &itemCrashes{counts: make(map[string]int)} }
 
-// crashesEngine reports whether a run crashes its engine, and counts it if its item is an unlucky one.
+// crashesEngine reports whether a run crashes its engine, and counts it if its item is an interrupted one.
 func (c *itemCrashes) crashesEngine(run standin.Run) bool {
 	if crashesEngine(run.Body) {
 		return true
 	}
-	if !strings.HasPrefix(run.ID, unluckyPrefix) {
+	if !strings.HasPrefix(run.ID, interruptedPrefix) {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[run.ID]++
-	return c.counts[run.ID] <= unluckyCrashes
+	return c.counts[run.ID] <= interruptedCrashes
 }
 
 // One in unscoredOneIn items has no scoring call.
--- a/internal/crashes/exempt.go
+++ b/internal/crashes/exempt.go
@@ -8,7 +8,7 @@
 )
 
 // Exempt takes the place of a Guard for work that was accepted for later, such as items of batch jobs and their
-// scoring calls. Such work is owed to its submitter whatever engines crash while they run it, so it is never
+// scoring calls. An accepted item must be completed whatever engines crash while they run it, so such work is never
 // quarantined, and its crashes are logged but not recorded.
 type Exempt struct{ detector *Detector }
 
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -184,7 +184,7 @@
 	n.coldGranter, n.coldPermits = n.newColdPermits()
 	n.loadExchange = n.newLoadExchange()
 	n.relay = ingress.New(ingress.Options{
-		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.crashGuard, OwedGuard: crashes.NewExempt(n.crashDetector), Gate: n.gate,
+		Engines: n.engineCalls, Fleet: n.fleet, Guard: n.crashGuard, ExemptGuard: crashes.NewExempt(n.crashDetector), Gate: n.gate,
 		ColdPermits:  n.coldPermits,
 		CallerLimits: n.callerLimits, OnInvalidLoad: n.reportUnreadableLoad,
 		Table: n.state.table, Current: n.isCurrent,
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -98,7 +98,7 @@
 	engineFleet := fleet.New()
 	engineFleet.Put(fleet.Engine{ID: "e", Service: "s", Slots: 1, Region: "north"})
 	d.Relay = New(Options{
-		Engines: d.engines, Fleet: engineFleet, Guard: noCrashes{}, OwedGuard: noCrashes{}, Current: func() bool { return true },
+		Engines: d.engines, Fleet: engineFleet, Guard: noCrashes{}, ExemptGuard: noCrashes{}, Current: func() bool { return true },
 		Table:   func() *routes.Table { d.mu.Lock(); defer d.mu.Unlock(); return d.table },
 		OnStart: func(string, time.Time) {}, Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 		LiveQueue: limits,
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -27,7 +27,7 @@
 		return Reply{}, failure
 	}
 	defer cancel()
-	x.guard = r.options.OwedGuard
+	x.guard = r.options.ExemptGuard
 	failure = x.run()
 	x.log(failure)
 	reply := Reply{ServerErrors: x.serverErrors, MaxAttempts: max(1, x.route.MaxAttempts)}
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -60,7 +60,7 @@
 		Timeout: time.Second, MaxAttempts: maxAttempts,
 	}}})
 	return New(Options{
-		Engines: engines, Fleet: engineFleet, Guard: noCrashes{}, OwedGuard: guard, Table: func() *routes.Table { return table }, Current: func() bool { return true },
+		Engines: engines, Fleet: engineFleet, Guard: noCrashes{}, ExemptGuard: guard, Table: func() *routes.Table { return table }, Current: func() bool { return true },
 		OnStart: func(string, time.Time) {},
 		Logger:  zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 	})
--- a/internal/ingress/homes_test.go
+++ b/internal/ingress/homes_test.go
@@ -78,7 +78,7 @@
 		}
 	}
 	d.Relay = New(Options{
-		Engines: d, Fleet: d.fleet, Guard: noCrashes{}, OwedGuard: noCrashes{}, Table: d.current, Current: func() bool { return true },
+		Engines: d, Fleet: d.fleet, Guard: noCrashes{}, ExemptGuard: noCrashes{}, Table: d.current, Current: func() bool { return true },
 		Zone: "south1", Region: "south", OnStart: func(string, time.Time) {},
 		Logger: zerolog.Nop(), Observe: func(string, string, time.Duration) {},
 	})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -134,9 +134,9 @@
 	Engines Engines
 	Fleet   *fleet.Fleet
 	Guard   Guard
-	// OwedGuard is the guard of the requests that this process makes itself for work that it has accepted, such as
+	// ExemptGuard is the guard of the requests that this process makes itself for work that it has accepted, such as
 	// scoring calls of batch jobs; see crashes.Exempt.
-	OwedGuard Guard
+	ExemptGuard Guard
 	// Gate checks whether requests may still be sent; nil for one based on Fleet.
 	Gate *sendgate.Gate
 	// ColdPermits is used only for services with a slow start.
--- a/internal/ingress/relay_bench_test.go
+++ b/internal/ingress/relay_bench_test.go
@@ -36,7 +36,7 @@
 		Timeout: time.Second, Objective: 100 * time.Millisecond, MaxAttempts: 2,
 	}}})
 	relay := New(Options{
-		Engines: &instantEngines{answer: strings.Repeat("x", 800)}, Fleet: engines, Guard: noCrashes{}, OwedGuard: noCrashes{}, Zone: "z",
+		Engines: &instantEngines{answer: strings.Repeat("x", 800)}, Fleet: engines, Guard: noCrashes{}, ExemptGuard: noCrashes{}, Zone: "z",
 		Table: func() *routes.Table { return table }, Current: func() bool { return true },
 		OnStart: func(string, time.Time) {},
 		Logger:  zerolog.New(io.Discard), Observe: func(string, string, time.Duration) {},
