Find the reason of a blocked item without a scan, and share what the plan wrote twice

Found in a read-through. The check of an item's only version stood in five places (mayContinue), the search for another engine in two (hasEngineFor). Engines are no longer copied in these loops, and runners get the crash detector itself, whose other methods they never used. No decision changes; a blocked item that also avoids an engine is now reported as no_memory, both of which are soft.

--- a/internal/batchrun/dependencies.go
+++ b/internal/batchrun/dependencies.go
@@ -85,7 +85,7 @@
 	Stream(ctx context.Context, engine fleet.Engine, call Call) (Stream, error)
 }
 
-// CrashObserver is notified of engines that closed connections during runs; see crashes.Exempt.
+// CrashObserver is notified of engines that closed connections during runs; see crashes.Detector.
 type CrashObserver interface {
 	// ConnectionLost reports whether the engine crashed.
 	ConnectionLost(ctx context.Context, loss crashes.LostConnection) bool
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/enginespeed"
@@ -175,7 +174,12 @@
 
 // isServed reports whether an engine that has not recently failed may run items of a class, regardless of free slots.
 func (p *pass) isServed(key class) bool {
-	return slices.ContainsFunc(p.engines, func(engine Engine) bool { return p.eligible(&engine, key) })
+	for i := range p.engines {
+		if p.eligible(&p.engines[i], key) {
+			return true
+		}
+	}
+	return false
 }
 
 // canServe reports whether an engine can start items of a class now.
@@ -246,7 +250,7 @@
 	}
 	candidates := p.candidatesFor(&item)
 	if candidates.blocked && p.need(&item) > candidates.freeTokens {
-		return incarnation.ID{}, p.waitReason(&item, candidates)
+		return incarnation.ID{}, p.blockedReason(&item, candidates)
 	}
 	best, found := p.best(item, candidates)
 	groupEngine, isGroupEngine := p.groupEngine(item, candidates)
@@ -313,10 +317,12 @@
 	if engine.ID == item.Avoid && p.avoids(&item, engine) || p.isReservedForOther(&item, engine) {
 		return false
 	}
-	if item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion {
-		return false
-	}
-	return p.need(&item) <= p.freeTokens(engine)
+	return engine.mayContinue(&item) && p.need(&item) <= p.freeTokens(engine)
+}
+
+// mayContinue reports whether the engine's weight version may continue the item's output.
+func (engine *Engine) mayContinue(item *Item) bool {
+	return item.SameVersion == 0 || engine.Versions[item.Model] == item.SameVersion
 }
 
 // avoids reports whether an item waits for another engine than the one of its failed run: if another one may run it, and
@@ -326,10 +332,18 @@
 	if key.overdue {
 		return false
 	}
-	return slices.ContainsFunc(p.engines, func(engine Engine) bool {
-		return engine.ID != failed.ID && p.eligible(&engine, key) &&
-			(item.SameVersion == 0 || engine.Versions[item.Model] == item.SameVersion)
-	})
+	return p.hasEngineFor(item, key, failed.ID)
+}
+
+// hasEngineFor reports whether an engine other than the given one may run an item, regardless of free slots.
+func (p *pass) hasEngineFor(item *Item, key class, other incarnation.ID) bool {
+	for i := range p.engines {
+		engine := &p.engines[i]
+		if engine.ID != other && p.eligible(engine, key) && engine.mayContinue(item) {
+			return true
+		}
+	}
+	return false
 }
 
 // need returns the memory, in tokens, that has to be free at an engine to take an item.
--- a/internal/core/batchplan/reservation.go
+++ b/internal/core/batchplan/reservation.go
@@ -19,8 +19,7 @@
 	var best *Engine
 	for i := range p.engines {
 		engine := &p.engines[i]
-		if !p.eligible(engine, key) || p.isReserved(engine) || engine.Slots <= 0 ||
-			item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion {
+		if !p.eligible(engine, key) || p.isReserved(engine) || engine.Slots <= 0 || !engine.mayContinue(item) {
 			continue
 		}
 		if best == nil || p.missingTokens(item, engine) < p.missingTokens(item, best) {
@@ -62,18 +61,12 @@
 }
 
 func (p *pass) isReserved(engine *Engine) bool {
-	if len(p.plan.reservations) == 0 {
-		return false
-	}
 	_, reserved := p.plan.reservations[engine.ID]
 	return reserved
 }
 
 // isReservedForOther reports whether an engine is reserved for an item other than the given one.
 func (p *pass) isReservedForOther(item *Item, engine *Engine) bool {
-	if len(p.plan.reservations) == 0 {
-		return false
-	}
 	key, reserved := p.plan.reservations[engine.ID]
 	return reserved && key != item.Key
 }
--- a/internal/core/batchplan/waiting.go
+++ b/internal/core/batchplan/waiting.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 )
 
 // WaitReason is why a waiting item has no engine.
@@ -206,20 +208,17 @@
 
 // waitReason returns why none of the candidates could take an item.
 func (p *pass) waitReason(item *Item, candidates *candidateHeap) WaitReason {
-	if item.SameVersion != 0 && !p.servesVersion(item, candidates.class) {
+	if item.SameVersion != 0 && !p.hasEngineFor(item, candidates.class, incarnation.ID{}) {
 		return NoVersion
 	}
 	if candidates.Len() == 0 {
-		if candidates.reason == NotWaiting {
-			candidates.reason = p.classReason(candidates.class)
-		}
-		return candidates.reason
+		return p.slotReason(candidates)
 	}
 	reason := NoSlot
 	for _, entry := range candidates.entries {
 		engine := &p.engines[entry.engine]
 		switch {
-		case item.SameVersion != 0 && engine.Versions[item.Model] != item.SameVersion:
+		case !engine.mayContinue(item):
 		case engine.ID == item.Avoid && p.avoids(item, engine):
 			return EngineAvoided
 		case p.need(item) > p.freeTokens(engine):
@@ -231,13 +230,23 @@
 	return reason
 }
 
-// servesVersion reports whether an engine may continue an item that is bound to a version, regardless of free slots.
-func (p *pass) servesVersion(item *Item, key class) bool {
-	for i := range p.engines {
-		engine := &p.engines[i]
-		if p.eligible(engine, key) && engine.Versions[item.Model] == item.SameVersion {
-			return true
-		}
+// blockedReason returns why an item waits that needs more memory than any of the candidates has. It looks at no engine
+// unless the item is bound to a version: most items of a busy pass come here.
+func (p *pass) blockedReason(item *Item, candidates *candidateHeap) WaitReason {
+	switch {
+	case item.SameVersion != 0:
+		return p.waitReason(item, candidates)
+	case candidates.Len() > 0:
+		return NoMemory
+	default:
+		return p.slotReason(candidates)
+	}
+}
+
+// slotReason returns why no candidate is left.
+func (p *pass) slotReason(candidates *candidateHeap) WaitReason {
+	if candidates.reason == NotWaiting {
+		candidates.reason = p.classReason(candidates.class)
 	}
-	return false
+	return candidates.reason
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -8,7 +8,6 @@
 	"github.com/corkpulley/corkpulley/internal/batchrun"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
-	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 	"github.com/corkpulley/corkpulley/internal/settings"
 	"github.com/corkpulley/corkpulley/internal/weightorders"
@@ -30,7 +29,7 @@
 	})
 	defer n.coldGranter.Lead(term.Valid)()
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Crashes: crashes.NewExempt(n.crashDetector), Gate: n.gate,
+		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Crashes: n.crashDetector, Gate: n.gate,
 		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: n.coldGranter, RouteOf: n.batchRoute, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
--- a/internal/hosted/regionelections.go
+++ b/internal/hosted/regionelections.go
@@ -9,7 +9,6 @@
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
-	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/leadership"
 )
 
@@ -196,7 +195,7 @@
 		RequestPermit: n.coldPermits.RequestPermit, Find: n.fleet.Find, Granted: func() { runner.Wake() },
 	})
 	runner = batchrun.New(batchrun.Options{
-		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Crashes: crashes.NewExempt(n.crashDetector), Gate: n.gate,
+		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Crashes: n.crashDetector, Gate: n.gate,
 		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: permits, RouteOf: n.batchRoute,
 		Homes: set, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
