Let the limit on an item's output grow with its tokens

Found in a read-through, by reading: an item of many tokens whose output is larger than 1 MB would be dropped as too long at each try and never be completed, although it was accepted. The limit is now 64 bytes a token where that is more than 1 MB, so that bytes without end stay bounded. TestOutputLimitGrowsWithTokensOfItem; items of the known deployments are far below either limit.

--- a/internal/batchrun/drop_test.go
+++ b/internal/batchrun/drop_test.go
@@ -229,3 +229,15 @@
 	env.engines.mu.Unlock()
 	assert.Equal(t, string(env.awaitResults(1)["j/0"].Text), fullText("x", 2*10+eventSlack))
 }
+
+// Guards against a long item that is dropped again and again as too long although its tokens allow for its output.
+func TestOutputLimitGrowsWithTokensOfItem(t *testing.T) {
+	job := &openJob{record: batch.JobRecord{Items: []batch.ItemRecord{
+		{Prompt: 10, Tokens: 20}, {Prompt: 1000, Tokens: 101_000}, {Tokens: 20},
+	}}}
+	assert.Equal(t, job.limitsOf(0).MaxBytes, minOutputLimit)
+	assert.Equal(t, job.limitsOf(1).MaxBytes, outputBytesPerToken*100_000)
+	assert.Equal(t, job.limitsOf(1).MaxEvents, int64(200_000+eventSlack))
+	assert.Equal(t, job.limitsOf(2).MaxBytes, minOutputLimit)
+	assert.Equal(t, job.limitsOf(2).MaxEvents, int64(0))
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -36,9 +36,11 @@
 	moveShare   = 0.05
 	// loadRetryDelay is the wait between two attempts to read a job's payloads.
 	loadRetryDelay = 100 * time.Millisecond
-	// maxOutputBytes bounds the output of an item, eventSlack is the number of its events beyond twice its tokens.
-	maxOutputBytes = 1 << 20
-	eventSlack     = 16
+	// minOutputLimit bounds the output of an item, or outputBytesPerToken its part of it for each token if that is more.
+	// eventSlack is the number of its events beyond twice its tokens.
+	minOutputLimit      = 1 << 20
+	outputBytesPerToken = 64
+	eventSlack          = 16
 	// restoreWait bounds how long after the start of a term no item is started while saved progress is being read,
 	// since interrupted items take precedence. Reading all of it takes 0.1 to 0.2 s.
 	restoreWait = 400 * time.Millisecond
@@ -154,9 +156,11 @@
 // none.
 func (j *openJob) limitsOf(index int) batchitem.Limits {
 	limits := j.limits()
-	limits.MaxBytes = maxOutputBytes
+	limits.MaxBytes = minOutputLimit
 	if record := j.record.Items[index]; record.Prompt > 0 && record.Tokens > record.Prompt {
-		limits.MaxEvents = int64(2*(record.Tokens-record.Prompt) + eventSlack)
+		tokens := record.Tokens - record.Prompt
+		limits.MaxEvents = int64(2*tokens + eventSlack)
+		limits.MaxBytes = max(limits.MaxBytes, outputBytesPerToken*tokens)
 	}
 	return limits
 }
