Charge requests by what they take, while they arrive

Callers saw all requests of a node end: crowds of clients that send legal or endless headers of many short lines ended its process, which ran out of memory, and crowds that stay connected took all of its descriptors.

Cause. net/http decodes a header before any code of ours runs, with limits in bytes sent; decoded it takes up to 20 times as much. The budget of bytes charged bodies by their announced length, or not at all (peers, operators, the project's own deployment), and nothing bounded connections. The configured header size was compared with a size rebuilt from the decoded header, which is too large for lines without a blank, and the configured header time-out was not used.

On with the memory of a small machine (96 MB): 250 headers of short lines 243 MB, 500 legal ones whose bodies never come 173 MB, 500 requests with others behind them 41 MB and 60 MB unread in the kernel; a legal header of 15,503 bytes refused with 431; announced bodies that never come keep a request of 40 KB out; with 200 descriptors and 400 clients no ordinary request is answered within 30 s.

One package, boundedhttp, serves all listeners of both deployments. A connection hands a header to net/http once it has arrived to its end, is within the configured size as sent, arrived within the configured time, and its decoded cost, estimated from its lines and bytes, is reserved from the node's budget. Bodies are charged as they arrive and must arrive at a minimum rate. While memory or connections are short, clients that are silent make room, the costliest or longest silent first (core/connections); requests that have arrived are never closed for others. What finds no memory gets a 503 with Retry-After. Receive buffers are bounded, and a client that sends behind a running request is charged for them.

It works since what is refused follows from what the node holds in all, not from a count of lines: a single odd request passes. The property of bytebudget allows a request beyond the budget while others hold an eighth, in place of nothing: requests hold a header now at all times, and a body of the largest legal size must still be served.

--- /dev/null
+++ b/internal/boundedhttp/refusal.go
@@ -0,0 +1,72 @@
+package boundedhttp
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
+	"github.com/corkpulley/corkpulley/internal/core/requesthead"
+)
+
+const (
+	// memoryRetryAfter is the Retry-After delay of requests that are refused for lack of memory.
+	memoryRetryAfter = 300 * time.Millisecond
+	// refusalWriteTimeout bounds the write of a refusal. Afterwards up to lingerBytes of the client are discarded within
+	// lingerTimeout, since a connection that is closed with unread bytes is reset, and the refusal lost.
+	refusalWriteTimeout = time.Second
+	lingerTimeout       = 300 * time.Millisecond
+	lingerBytes         = 256 << 10
+)
+
+func headerTooLarge(limit int) *errkind.Error {
+	return errkind.New(errkind.HeaderTooLarge, "header exceeds %d bytes", limit)
+}
+
+func noMemory(bytes int64) *errkind.Error {
+	failure := errkind.New(errkind.NoCapacity, "no memory for %d bytes more of requests at this node", bytes)
+	failure.RetryAfter = memoryRetryAfter
+	return failure
+}
+
+// refuse answers the request that is arriving in place of http.Server, which has not seen it, and ends the connection. The
+// error makes http.Server close it without an answer.
+func (c *connection) refuse(failure *errkind.Error) error {
+	id, _ := requesthead.Field(c.buffered, c.server.options.IDHeader)
+	c.server.options.OnRefused(id, failure)
+	c.buffered, c.admitted = nil, 0
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	if _, err := c.Conn.Write(encodeRefusal(c.server.options.IDHeader, id, failure)); err == nil {
+		c.linger()
+	}
+	return io.EOF
+}
+
+// linger discards what the client still sends.
+func (c *connection) linger() {
+	_ = c.CloseWrite()
+	c.setClientDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+// encodeRefusal encodes the response to a refused request.
+func encodeRefusal(idHeader, id string, failure *errkind.Error) []byte {
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, "Connection": {"close"}}
+	if id != "" {
+		header.Set(idHeader, id)
+	}
+	if delay := failure.Delay(); delay > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
+	}
+	content := failure.Error() + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(content)))
+	status := failure.Kind.Response().Status
+	var response bytes.Buffer
+	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&response)
+	response.WriteString("\r\n" + content)
+	return response.Bytes()
+}
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// defaultMaxBodyBytes and defaultIdleTimeout apply until a configuration has been loaded.
-	defaultMaxBodyBytes = 1 << 20
-	defaultIdleTimeout  = time.Minute
 	// acceptTimeout bounds the write that accepts a batch job, endTimeout the write that ends one.
 	acceptTimeout = 2500 * time.Millisecond
 	endTimeout    = 3 * time.Second
@@ -186,24 +183,6 @@
 	return table.Limits.MaxBodyBytes
 }
 
-// MaxHeaderBytes implements CallerService.
-func (n *node) MaxHeaderBytes() int {
-	table := n.state.table()
-	if table == nil || table.Limits.MaxHeaderBytes <= 0 {
-		return maxHeaderBytes
-	}
-	return min(table.Limits.MaxHeaderBytes, maxHeaderBytes)
-}
-
-// idleTimeout is how long a connection may stay open without a request.
-func (n *node) idleTimeout() time.Duration {
-	table := n.state.table()
-	if table == nil || table.Limits.IdleTimeout <= 0 {
-		return defaultIdleTimeout
-	}
-	return table.Limits.IdleTimeout
-}
-
 // RecordRefusal implements CallerService.
 func (n *node) RecordRefusal(id string, failure *errkind.Error) {
 	n.metrics.refused.WithLabelValues(failure.Kind.String()).Inc()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -20,6 +20,7 @@
 
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
 	"github.com/corkpulley/corkpulley/internal/callerwrite"
 	"github.com/corkpulley/corkpulley/internal/coldpermits"
 	"github.com/corkpulley/corkpulley/internal/common/suspension"
@@ -104,9 +105,9 @@
 	// clusterVersion follows the protocol version that all nodes support.
 	clusterVersion *clusterVersion
 
-	callers   *server
-	operators *server
-	peers     *server
+	callers   *boundedhttp.Server
+	operators *boundedhttp.Server
+	peers     *boundedhttp.Server
 }
 
 // Run runs a node until ctx ends, and then performs a planned stop. Of the settings received from reloads, only the
@@ -143,7 +144,7 @@
 
 		topology: topology.NewMap(config.Topology.Zones, config.Node.Zone, config.Node.Region),
 	}
-	n.byteBudget = newByteBudget(config.Node)
+	n.byteBudget = boundedhttp.NewBudget(config.Node)
 	metrics.byteBudget.Store(n.byteBudget)
 	n.callerLimits = n.newCallerLimits()
 	n.engineCalls = &countedEngines{
@@ -239,26 +240,13 @@
 	}
 }
 
-func (n *node) listen(peers http.Handler) error {
-	var err error
-	if n.peers, err = listen(n.config.Listen.Peers, peers, fixedIdleTimeout); err != nil {
-		return err
-	}
-	if n.callers, err = listen(n.config.Listen.Callers, n.platform.CallersHandler(n), n.idleTimeout); err != nil {
-		return err
-	}
-	operators := n.operatorsHandler(n.platform.OperatorsHandler(n.ready, n.metrics.handler(n.registry)))
-	n.operators, err = listen(n.config.Listen.Operators, operators, fixedIdleTimeout)
-	return err
-}
-
 func (n *node) run(ctx context.Context) error {
 	taskContext, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	group, groupContext := errgroup.WithContext(taskContext)
-	group.Go(n.callers.serve)
-	group.Go(n.operators.serve)
-	group.Go(n.peers.serve)
+	group.Go(n.callers.Serve)
+	group.Go(n.operators.Serve)
+	group.Go(n.peers.Serve)
 	for _, task := range []func(context.Context) error{
 		n.controlFollower.Run, n.followEngines, n.crashFollower.Run, n.crashGuard.Run, n.jobs.Run, n.directory.Run,
 		n.usageCounter.Run, n.applyDeferred, n.suspension.Run, n.watchColdEngines, n.logCalls.summary.Run,
@@ -266,8 +254,8 @@
 	} {
 		group.Go(func() error { return task(groupContext) })
 	}
-	n.logger.Info().Str("holder", n.holder).Str("callers", n.callers.address()).
-		Str("operators", n.operators.address()).Str("log", n.config.Hosted.Log).Msg("node started")
+	n.logger.Info().Str("holder", n.holder).Str("callers", n.callers.Address()).
+		Str("operators", n.operators.Address()).Str("log", n.config.Hosted.Log).Msg("node started")
 	var tooOld error
 	select {
 	case <-ctx.Done():
--- a/internal/hosted/livequeue.go
+++ b/internal/hosted/livequeue.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
 	"github.com/corkpulley/corkpulley/internal/core/livequeue"
 	"github.com/corkpulley/corkpulley/internal/ingress"
 	"github.com/corkpulley/corkpulley/internal/settings"
@@ -24,7 +25,7 @@
 func liveQueueLimits(config settings.Settings) livequeue.Limits {
 	return livequeue.Limits{
 		MaxWait:  time.Duration(config.Scheduling.LiveWait),
-		Requests: maxWaitingRequests, Bytes: byteBudgetLimit(config.Node) / waitingBytesDivisor,
+		Requests: maxWaitingRequests, Bytes: boundedhttp.BudgetLimit(config.Node) / waitingBytesDivisor,
 	}
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/corkpulley/corkpulley/internal/batchrun"
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
 	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
@@ -56,6 +57,7 @@
 	loadsUnreadable prometheus.Counter
 	// byteBudget is the budget of the node, which is set before the metrics are served.
 	byteBudget     atomic.Pointer[bytebudget.Budget]
+	connections    *boundedhttp.Metrics
 	callersStalled prometheus.Counter
 	memoryRefused  *prometheus.CounterVec
 	// queueDecisions, queueWait, queueRequests and queueBytes describe the live requests that wait for a slot.
@@ -154,6 +156,8 @@
 	m.addOutputDropMetric(registry)
 	m.itemWaits = newItemWaits(registry)
 	m.addHeldBytesMetrics(registry)
+	m.connections = boundedhttp.NewMetrics("corkpulley_hosted")
+	registry.MustRegister(m.connections)
 	m.addLiveQueueMetrics(registry)
 	m.traffic = newTraffic(registry)
 	m.addLogCallMetrics(registry)
--- a/internal/hosted/platform.go
+++ b/internal/hosted/platform.go
@@ -67,12 +67,10 @@
 	End(ctx context.Context, job JobReference) error
 	// IsStopping reports whether the node is performing a planned stop.
 	IsStopping() bool
-	// MaxBodyBytes and MaxHeaderBytes bound the size of a request.
+	// MaxBodyBytes bounds the size of a request's body. Memory for it is reserved while it is read, by the listener.
 	MaxBodyBytes() int64
-	MaxHeaderBytes() int
-	// ReserveBody reserves memory for a request body while it is received, ReserveResult for a response about a batch
-	// job until its caller has read it. A refusal has a retry delay.
-	ReserveBody() *BodyReservation
+	// ReserveResult reserves memory for a response about a batch job until its caller has read it. A refusal has a retry
+	// delay.
 	ReserveResult(bytes int) (release func(), err error)
 	// CallerLimits returns the limits for callers that read slowly.
 	CallerLimits() callerwrite.Limits
@@ -101,6 +99,8 @@
 	DecodeEngine(record eventlog.KeyedRecord) (fleet.Engine, error)
 	// CallersHandler serves live callers and trainers.
 	CallersHandler(node CallerService) http.Handler
+	// RequestIDHeader names the header with the ID of a caller's request.
+	RequestIDHeader() string
 	// OperatorsHandler serves readiness checks and metrics.
 	OperatorsHandler(ready func() error, metrics http.Handler) http.Handler
 }
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -29,7 +29,7 @@
 func (n *node) stop(stopTasks context.CancelFunc) time.Duration {
 	began := time.Now()
 	n.state.beginStop()
-	n.logger.Info().Int64("in_flight", n.callers.inFlight.Load()).Msg("node stopping")
+	n.logger.Info().Int64("in_flight", n.callers.InFlight()).Msg("node stopping")
 	grace := n.state.gracePeriod()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitReserve))
 	defer cancel()
@@ -46,16 +46,16 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		n.callers.drain(ctx)
+		n.callers.Drain(ctx)
 	}()
 	n.releaseWhenDrained(ctx, drained, began.Add(grace-exitReserve-releaseTimeout))
 	<-drained
-	_ = n.callers.http.Shutdown(ctx)
+	_ = n.callers.Shutdown(ctx)
 	stopTasks()
-	_ = n.operators.http.Close()
-	_ = n.peers.http.Close()
-	_ = n.callers.http.Close()
-	n.logger.Info().Dur("took_ms", time.Since(began)).Int64("in_flight", n.callers.inFlight.Load()).Msg("node drained")
+	_ = n.operators.Close()
+	_ = n.peers.Close()
+	_ = n.callers.Close()
+	n.logger.Info().Dur("took_ms", time.Since(began)).Int64("in_flight", n.callers.InFlight()).Msg("node drained")
 	return max(minTaskTime, time.Until(began.Add(grace-minTaskTime)))
 }
 
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -60,6 +60,9 @@
 		AdvertiseAddress: n.config.Advertise.Peers,
 		Logger:           n.logger,
 		Registerer:       n.registry,
+		Connections:      n.listeners.Set,
+		Group:            n.listeners.Peers,
+		OnClosed:         n.connectionMetrics.OnClosed("peers"),
 	})
 	if err := n.components.transport.Listen(); err != nil {
 		return err
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -46,10 +46,10 @@
 	admin.Handle(metricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 
 	var err error
-	if n.callers, err = listen(n.config.Listen.Callers, callers); err != nil {
+	if n.callers, err = n.listen("callers", n.config.Listen.Callers, n.listeners.Callers, callers); err != nil {
 		return err
 	}
-	n.admin, err = listen(n.config.Listen.Operators, admin)
+	n.admin, err = n.listen("operators", n.config.Listen.Operators, n.listeners.Operators, admin)
 	return err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
 	"github.com/corkpulley/corkpulley/internal/settings"
 )
 
@@ -42,8 +43,11 @@
 	writer     string
 	clients    platformClients
 	components components
-	callers    *server
-	admin      *server
+	// listeners are the connections of all listeners, which share the node's memory and descriptors.
+	listeners         boundedhttp.Listeners
+	connectionMetrics *boundedhttp.Metrics
+	callers           *boundedhttp.Server
+	admin             *boundedhttp.Server
 
 	// stopRequested is closed when a graceful shutdown is requested or begins.
 	stopRequested chan struct{}
@@ -59,6 +63,10 @@
 		clients:       newPlatformClients(config.Platform),
 		stopRequested: make(chan struct{}),
 	}
+	n.listeners = boundedhttp.NewListeners(config.Node, boundedhttp.NewBudget(config.Node))
+	n.connectionMetrics = boundedhttp.NewMetrics("corkpulley")
+	n.connectionMetrics.SetListeners(n.listeners)
+	n.registry.MustRegister(n.connectionMetrics)
 	if err := n.buildComponents(); err != nil {
 		return nil, err
 	}
@@ -83,12 +91,12 @@
 		return errors.Wrap(err, "start the peer transport")
 	}
 	n.startComponents(groupContext, group)
-	group.Go(n.callers.serve)
-	group.Go(n.admin.serve)
+	group.Go(n.callers.Serve)
+	group.Go(n.admin.Serve)
 	n.logger.Info().
-		Str("callers", n.callers.address()).
+		Str("callers", n.callers.Address()).
 		Str("peers", n.components.transport.Address()).
-		Str("operators", n.admin.address()).
+		Str("operators", n.admin.Address()).
 		Str("writer", n.writer).
 		Msg("listening")
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -1,62 +1,31 @@
 package node
 
 import (
-	"context"
-	"net"
-	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
+	"github.com/corkpulley/corkpulley/internal/core/connections"
 	"github.com/corkpulley/corkpulley/internal/httpapi"
 )
 
-// Limits of HTTP connections. There is no write timeout because streamed answers
-// may take long; the gateway sets a write deadline for each event.
-const (
-	// readHeaderTimeout limits the time to read a request's header.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection is kept.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a request's header.
-	maxHeaderBytes = 64 << 10
-)
-
-// server is an HTTP server with its listener.
-type server struct {
-	listener net.Listener
-	http     *http.Server
-}
+// idleTimeout is how long an idle connection is kept. There is no write timeout, since streamed answers may take long; the
+// gateway sets a write deadline for each event.
+const idleTimeout = 2 * time.Minute
 
-// listen opens a listener for a server whose handler is the router, wrapped in the
-// checks common to all requests.
-func listen(address string, router *mux.Router) (*server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
+func limits() boundedhttp.Limits {
+	return boundedhttp.Limits{
+		MaxHeaderBytes: boundedhttp.MaxHeaderBytes, HeaderTimeout: boundedhttp.DefaultHeaderTimeout, IdleTimeout: idleTimeout,
 	}
-	return &server{
-		listener: listener,
-		http: &http.Server{
-			Handler:           httpapi.NewHandler(router),
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
-	}, nil
 }
 
-func (s *server) address() string { return s.listener.Addr().String() }
-
-// serve handles requests until shutdown.
-func (s *server) serve() error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+// listen opens a listener of the node for a router, wrapped in the checks common to all requests.
+func (n *node) listen(
+	name, address string, group *connections.Group, router *mux.Router,
+) (*boundedhttp.Server, error) {
+	return boundedhttp.Listen(boundedhttp.Options{
+		Address: address, Handler: httpapi.NewHandler(router), Set: n.listeners.Set, Group: group, Limits: limits,
+		OnClosed: n.connectionMetrics.OnClosed(name),
+	})
 }
-
-// shutdown stops listening and waits for pending requests until ctx is done.
-func (s *server) shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -46,10 +46,10 @@
 	defer cancel()
 	n.components.cluster.AnnounceLeaving()
 	err := n.components.drain(ctx)
-	err = errors.Join(err, n.callers.shutdown(ctx))
+	err = errors.Join(err, n.callers.Shutdown(ctx))
 	err = errors.Join(err, n.close(ctx))
 	stopComponents()
-	err = errors.Join(err, n.admin.shutdown(ctx))
+	err = errors.Join(err, n.admin.Shutdown(ctx))
 	n.logger.Info().Err(err).Dur("duration_ms", time.Since(started)).Msg("planned stop ends")
 	return err
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -32,6 +32,8 @@
 	frameHeaderSize = 9
 	// maxFrameBody limits the body of a frame in bytes.
 	maxFrameBody = 16 << 20
+	// maxHelloBody limits the body of a hello, which is read before the dialer is known.
+	maxHelloBody = 4 << 10
 	// maxPooledBody limits the size in bytes of buffers that are returned to a pool.
 	maxPooledBody = 64 << 10
 	// maxMethodLength limits a method name in bytes: its length is encoded in one byte.
@@ -94,8 +96,11 @@
 	binary.BigEndian.PutUint32(header[5:9], streamID)
 }
 
-// readFrame reads a frame. It checks the body length before it allocates the body.
-func readFrame(reader *bufio.Reader) (frame, error) {
+// readFrame reads a frame of at most maxFrameBody.
+func readFrame(reader *bufio.Reader) (frame, error) { return readFrameWithin(reader, maxFrameBody) }
+
+// readFrameWithin reads a frame whose body has at most maxBody bytes.
+func readFrameWithin(reader *bufio.Reader, maxBody uint32) (frame, error) {
 	header, err := reader.Peek(frameHeaderSize)
 	if err != nil {
 		if len(header) > 0 && errors.Is(err, io.EOF) {
@@ -106,7 +111,7 @@
 	length := binary.BigEndian.Uint32(header[0:4])
 	kind := frameKind(header[4])
 	streamID := binary.BigEndian.Uint32(header[5:9])
-	if length > maxFrameBody {
+	if length > maxBody {
 		return frame{}, errFrameTooLarge
 	}
 	if kind == 0 || kind >= frameKindEnd {
@@ -115,9 +120,8 @@
 	if _, err := reader.Discard(frameHeaderSize); err != nil {
 		return frame{}, err
 	}
-	content := newBody(int(length))
-	if _, err := io.ReadFull(reader, content.data); err != nil {
-		content.release()
+	content, err := readBody(reader, int(length))
+	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
@@ -126,6 +130,25 @@
 	return frame{kind: kind, streamID: streamID, body: content}, nil
 }
 
+// readBody reads a body of the given size. Its buffer grows with the bytes that have arrived, up to twice their number.
+func readBody(reader io.Reader, size int) (*body, error) {
+	content := newBody(min(size, maxPooledBody))
+	for received := 0; ; {
+		count, err := io.ReadFull(reader, content.data[received:])
+		if err != nil {
+			content.release()
+			return nil, err
+		}
+		if received += count; received == size {
+			return content, nil
+		}
+		grown := make([]byte, min(size, 2*received))
+		copy(grown, content.data)
+		content.release()
+		content = &body{data: grown}
+	}
+}
+
 // splitRequest splits the body of a call or open frame into the method and the encoded request.
 func splitRequest(data []byte) (Method, []byte, error) {
 	if len(data) == 0 {
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -3,6 +3,9 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
+	"github.com/corkpulley/corkpulley/internal/core/connections"
 )
 
 // Options configures a Transport.
@@ -18,4 +21,9 @@
 	Logger zerolog.Logger
 	// Registerer registers the traffic metrics; nil disables them.
 	Registerer prometheus.Registerer
+	// Connections and Group are where accepted connections count. The default has no limit that the system does not have.
+	Connections *connections.Set
+	Group       *connections.Group
+	// OnClosed is called for each accepted connection that is closed for others; nil for nothing.
+	OnClosed func(reason boundedhttp.CloseReason)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -46,12 +46,14 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go t.handshake(socket)
+		if limited := t.limit(socket); limited != nil {
+			go t.handshake(limited)
+		}
 	}
 }
 
 // handshake reads the hello frame of the dialer and starts the session.
-func (t *Transport) handshake(socket net.Conn) {
+func (t *Transport) handshake(socket *limitedSocket) {
 	reader := bufio.NewReaderSize(socket, readBufferSize)
 	greeting, err := t.readHello(socket, reader)
 	if err != nil {
@@ -59,6 +61,7 @@
 		_ = socket.Close()
 		return
 	}
+	socket.greeted()
 	ctx, cancel := context.WithCancel(t.baseContext)
 	s := &serverSession{
 		transport:  t,
@@ -82,7 +85,7 @@
 	if err := socket.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return greeting, err
 	}
-	received, err := readFrame(reader)
+	received, err := readFrameWithin(reader, maxHelloBody)
 	if err != nil {
 		return greeting, err
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+
+	"github.com/corkpulley/corkpulley/internal/core/connections"
 )
 
 // Transport implements Caller and Registry over TCP. It keeps one connection to each peer address in use,
@@ -42,6 +45,9 @@
 // New returns a transport that does not listen yet but can already make calls. It panics if the metrics are
 // already registered.
 func New(options Options) *Transport {
+	if options.Connections == nil {
+		options.Connections, options.Group = connections.NewSet(nil), connections.NewGroup(math.MaxInt)
+	}
 	t := &Transport{
 		options:        options,
 		stats:          newTrafficStats(),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -39,6 +39,8 @@
 	MaxPartitions      = 1024
 	MaxProcessors      = 1024
 	MaxMemoryMB        = 1 << 20
+	MinDescriptors     = 32
+	MaxDescriptors     = 1 << 20
 	MaxReadsPerSecond  = 10_000_000
 	MaxReadMBPerSecond = 1_000_000
 	MinRecordBytes     = 4 << 10
@@ -81,6 +83,9 @@
 		c.add("node.processors", fmt.Sprint(p), fmt.Sprintf("0..%d", MaxProcessors))
 	}
 	c.number("node.memory_mb", settings.Node.MemoryMB, 0, MaxMemoryMB)
+	if settings.Node.MaxDescriptors != 0 {
+		c.number("node.max_descriptors", settings.Node.MaxDescriptors, MinDescriptors, MaxDescriptors)
+	}
 	c.topology(settings.Topology, settings.Node)
 	c.listenAddresses(settings.Listen)
 	c.advertiseAddress(settings.Listen.Peers, settings.Advertise.Peers)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -36,6 +36,7 @@
 	EngineSpeeds       *string        `arg:"--engine-speeds,env:CORKPULLEY_ENGINE_SPEEDS" placeholder:"SPEEDS" help:"scheduling.engine_speeds: uniform or mixed"`
 	MaxConcurrentLoads *int           `arg:"--max-concurrent-loads" placeholder:"N" help:"weights.max_concurrent_loads"`
 	Grace              *time.Duration `arg:"--grace" placeholder:"DURATION" help:"shutdown.grace"`
+	MaxDescriptors     *int           `arg:"--max-descriptors,env:CORKPULLEY_MAX_DESCRIPTORS" placeholder:"N" help:"node.max_descriptors"`
 	Level              *string        `arg:"--log-level" placeholder:"LEVEL" help:"log.level: debug, info, warn or error"`
 }
 
@@ -121,6 +122,7 @@
 	override(f.Policy, &into.Scheduling.Policy)
 	override(f.JobOrder, &into.Scheduling.JobOrder)
 	override(f.EngineSpeeds, &into.Scheduling.EngineSpeeds)
+	override(f.MaxDescriptors, &into.Node.MaxDescriptors)
 	override(f.MaxConcurrentLoads, &into.Weights.MaxConcurrentLoads)
 	override((*Duration)(f.Grace), &into.Shutdown.Grace)
 	override(f.Level, &into.Log.Level)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,9 @@
 	// MemoryMB is the memory available to this process, in MB, 0..1048576; 0 when unknown. It determines
 	// how much may be buffered for callers and engines.
 	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that this process may have, 0 or 32..1048576; 0 for the limit of the
+	// operating system, which bounds it in any case. It determines how many connections listeners accept.
+	MaxDescriptors int `toml:"max_descriptors"`
 }
 
 // Topology maps the zones of the system to regions.
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return
 	}
+	_ = connection.(*net.TCPConn).SetLinger(0)
 	defer connection.Close()
 	defer context.AfterFunc(ctx, func() { _ = connection.Close() })()
 	send(connection, payload)
@@ -84,6 +85,8 @@
 	if err != nil {
 		return nil
 	}
+	// A reset leaves no socket behind that the kernel lists for a minute.
+	_ = connection.(*net.TCPConn).SetLinger(0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.connections = append(c.connections, connection)
--- a/test/clients/memory_test.go
+++ b/test/clients/memory_test.go
@@ -280,3 +280,14 @@
 	d.checkAnswersStandalone()
 	d.checkWithinLimits()
 }
+
+// The largest body that the configuration allows is served in calm, by a machine that can hold it.
+func TestLargestLegalBodyIsServed(t *testing.T) {
+	limits := smallMemory()
+	limits.memoryMB = 344
+	d := startHosted(t, limits)
+	status := d.call(http.MethodPost, "/lookup/x", "large", strings.Repeat("x", limits.maxBodyBytes))
+	assert.Equal(t, status, http.StatusOK)
+	d.checkServesCaller()
+	d.checkWithinLimits()
+}
