Decode a batch job item by item, after its sender's key

Callers saw all requests of a node end after one legal batch job.

A job was read whole and decoded at once, before the sender's key was checked, and the budget charged the bytes read, not what they become: "{}," takes 3 bytes as sent and some 130 decoded, a header field of an item 6 and some 100.

The key is checked before the body is read. The body is decoded as it arrives and not held besides; each item and each header field reserves its memory first, and the first invalid one ends the decoding. A job whose list of items, or an item that exceeds the log's limit of a record was refused with 413 after its payloads had been written; it is now refused as soon as that is certain. A request that needs more memory than the node can ever spare gets 413, too.

--- a/internal/core/batch/record.go
+++ b/internal/core/batch/record.go
@@ -85,6 +85,13 @@
 	Length int `msgpack:"l"`
 }
 
+// itemRecordOverhead is the encoded size of an ItemRecord besides its texts: a map of five entries with keys of one byte,
+// the lengths of two texts, and three numbers.
+const itemRecordOverhead = 16
+
+// MinEncodedBytes returns a lower bound of the record's encoded size.
+func (i ItemRecord) MinEncodedBytes() int { return itemRecordOverhead + len(i.ID) + len(i.Group) }
+
 // ResultRecord records the outcome of one item.
 type ResultRecord struct {
 	Job string `msgpack:"j"`
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -47,6 +47,14 @@
 	return route != nil && route.Kind == routes.Batch
 }
 
+// AuthorizeJob implements CallerService.
+func (n *node) AuthorizeJob(host, path string, credentials routes.Credentials) error {
+	if _, _, failure := n.submitter(credentials, batch.JobRecord{Host: host, Path: path}); failure != nil {
+		return failure
+	}
+	return nil
+}
+
 // SubmitJob implements CallerService.
 func (n *node) SubmitJob(ctx context.Context, credentials routes.Credentials, submission batchjobs.Submission) error {
 	began := time.Now()
@@ -183,6 +191,9 @@
 	return table.Limits.MaxBodyBytes
 }
 
+// MaxRecordBytes implements CallerService.
+func (n *node) MaxRecordBytes() int { return n.config.Hosted.RecordBytes }
+
 // RecordRefusal implements CallerService.
 func (n *node) RecordRefusal(id string, failure *errkind.Error) {
 	n.metrics.refused.WithLabelValues(failure.Kind.String()).Inc()
--- a/internal/hosted/platform.go
+++ b/internal/hosted/platform.go
@@ -57,6 +57,8 @@
 	Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error
 	// IsBatchRoute reports whether the host and path belong to a batch route.
 	IsBatchRoute(host, path string) bool
+	// AuthorizeJob returns an *errkind.Error unless the sender may submit jobs at the host and path.
+	AuthorizeJob(host, path string, credentials routes.Credentials) error
 	// SubmitJob durably accepts a submitted job.
 	SubmitJob(ctx context.Context, credentials routes.Credentials, submission batchjobs.Submission) error
 	// Results returns the results of a job from a position on, and waits for new ones for at most the given time.
@@ -69,6 +71,8 @@
 	IsStopping() bool
 	// MaxBodyBytes bounds the size of a request's body. Memory for it is reserved while it is read, by the listener.
 	MaxBodyBytes() int64
+	// MaxRecordBytes bounds the size of a record of the log.
+	MaxRecordBytes() int
 	// ReserveResult reserves memory for a response about a batch job until its caller has read it. A refusal has a retry
 	// delay.
 	ReserveResult(bytes int) (release func(), err error)
