Charge decoded JSON and msgpack bodies by their values

Callers would see a node end when it decodes a body of many small values: a step of a trainer in the project's own deployment, or a message to the listener of peers, which anyone who reaches it can send.

As with batch jobs, the memory of a decoded value has little to do with its bytes. The values are now counted before they are decoded, without allocations, and their memory is reserved from the node's budget.

--- a/internal/common/msgpackhttp/msgpackhttp.go
+++ b/internal/common/msgpackhttp/msgpackhttp.go
@@ -12,6 +12,8 @@
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
+	"github.com/corkpulley/corkpulley/internal/core/errkind"
 	"github.com/corkpulley/corkpulley/internal/core/msgpackguard"
 )
 
@@ -96,16 +98,16 @@
 }
 
 // Handle returns a handler that decodes requests of at most maxBytes and encodes the responses. Requests
-// that cannot be read or decoded are answered with status 400.
+// that cannot be read or decoded are answered with status 400, those that there is no memory for with 503 or 413.
 func Handle[Request, Response any](maxBytes int64, handle func(context.Context, Request) Response) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 		var request Request
-		if err == nil {
-			err = decode(raw, &request)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if err := readRequest(w, r, maxBytes, &request); err != nil {
+			status := http.StatusBadRequest
+			if refused, ok := errors.Into[*errkind.Error](err); ok {
+				status = refused.Kind.Response().Status
+			}
+			http.Error(w, err.Error(), status)
 			return
 		}
 		encoded, err := msgpack.Marshal(handle(r.Context(), request))
@@ -118,6 +120,25 @@
 	})
 }
 
+// elementCost is the memory for a decoded value besides its bytes, in bytes.
+const elementCost = 64
+
+// readRequest reads and decodes a request, for which the listener reserves memory.
+func readRequest(w http.ResponseWriter, r *http.Request, maxBytes int64, into any) error {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	if err != nil {
+		return err
+	}
+	elements, err := msgpackguard.Count(raw)
+	if err != nil {
+		return errors.Wrap(err, "validate message")
+	}
+	if err := boundedhttp.ReserveMemory(r.Context(), int64(elements)*elementCost); err != nil {
+		return err
+	}
+	return decode(raw, into)
+}
+
 func decode(raw []byte, into any) error {
 	if err := msgpackguard.Check(raw); err != nil {
 		return errors.Wrap(err, "validate message")
--- a/internal/core/msgpackguard/msgpackguard.go
+++ b/internal/core/msgpackguard/msgpackguard.go
@@ -28,17 +28,24 @@
 // Check returns an error unless the data starts with a complete value whose declared lengths fit into
 // the remaining bytes, with at least one byte per element. Bytes after the value are ignored.
 func Check(data []byte) error {
+	_, err := Count(data)
+	return err
+}
+
+// Count returns the number of values within the data's first value, itself included, and the error of Check.
+func Count(data []byte) (count int, err error) {
 	s := scanner{rest: data}
 	var remaining [MaxDepth]int // remaining elements of each enclosing container
 	depth := 0
 	for {
 		elements, err := s.next()
 		if err != nil {
-			return err
+			return count, err
 		}
+		count++
 		if elements > 0 {
 			if depth == MaxDepth {
-				return ErrDepth
+				return count, ErrDepth
 			}
 			remaining[depth] = elements
 			depth++
@@ -52,7 +59,7 @@
 			depth--
 		}
 		if depth == 0 {
-			return nil
+			return count, nil
 		}
 	}
 }
--- a/internal/httpapi/decode.go
+++ b/internal/httpapi/decode.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/corkpulley/corkpulley/internal/boundedhttp"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
 )
 
@@ -42,6 +43,9 @@
 	if err := checkObject(content); err != nil {
 		return err
 	}
+	if err := boundedhttp.ReserveMemory(r.Context(), elementCost*countElements(content)); err != nil {
+		return err
+	}
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
@@ -75,7 +79,10 @@
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
 	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
+	var refused *errkind.Error
 	switch {
+	case errors.As(err, &refused):
+		return nil, refused
 	case err == nil:
 		// The deadline is cleared on success only: after an error, net/http reads
 		// the rest of the body before it responds and must not wait indefinitely.
@@ -90,6 +97,28 @@
 	}
 }
 
+// elementCost is the memory for a decoded JSON value besides its bytes, in bytes.
+const elementCost = 128
+
+// countElements returns the number of values in a JSON text, about.
+func countElements(content []byte) int64 {
+	var count int64
+	inString := false
+	for at := 0; at < len(content); at++ {
+		switch content[at] {
+		case '"':
+			inString = !inString
+		case '\\':
+			at++
+		case ',', '{', '[':
+			if !inString {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // checkObject rejects input that encoding/json accepts: null, which leaves the
 // struct unchanged, and invalid UTF-8, which is silently replaced.
 func checkObject(content []byte) error {
--- a/internal/httpapi/decode_test.go
+++ b/internal/httpapi/decode_test.go
@@ -75,3 +75,11 @@
 		assert.Assert(t, errkind.Is(err, errkind.UnsupportedMediaType), "%v: %v", header, err)
 	}
 }
+
+func TestCountElementsIgnoresText(t *testing.T) {
+	for content, expected := range map[string]int64{
+		`{}`: 1, `{"a":[{},{},{}]}`: 7, `{"a":"[{,","b":"\",{"}`: 2, `"a,b`: 0, `"\`: 0,
+	} {
+		assert.Equal(t, countElements([]byte(content)), expected, content)
+	}
+}
