Cut the texts of long log lines

A request ID may be as long as a header, and a request's lines repeat it. 2,000 lines are buffered for a slow reader of the log: 64 MB with lines of 32 KB, which no budget covers. Lines above 8 KB now have their texts cut to 256 bytes, so that the buffer takes 16 MB at most.

--- a/internal/hosted/logger.go
+++ b/internal/hosted/logger.go
@@ -1,7 +1,11 @@
 package hosted
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -11,9 +15,15 @@
 	"github.com/corkpulley/corkpulley/internal/settings"
 )
 
-// logBufferLines is the number of lines buffered for a slow reader. Further lines overwrite the oldest
-// ones, which are counted as dropped.
-const logBufferLines = 2000
+const (
+	// logBufferLines is the number of lines buffered for a slow reader. Further lines overwrite the oldest
+	// ones, which are counted as dropped.
+	logBufferLines = 2000
+	// maxLineBytes bounds a line, and with it the buffer. A longer one holds what a client sent, such as a long request ID;
+	// its texts are cut to maxTextBytes.
+	maxLineBytes = 8 << 10
+	maxTextBytes = 256
+)
 
 // logOutput writes log lines without blocking the caller.
 type logOutput struct {
@@ -33,6 +43,37 @@
 	return output
 }
 
+// Write implements io.Writer.
+func (o *logOutput) Write(line []byte) (int, error) {
+	if len(line) <= maxLineBytes {
+		return o.Writer.Write(line)
+	}
+	if _, err := o.Writer.Write(shortenLine(line)); err != nil {
+		return 0, err
+	}
+	return len(line), nil
+}
+
+// shortenLine cuts the texts of a line.
+func shortenLine(line []byte) []byte {
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.UseNumber()
+	var fields map[string]any
+	if err := decoder.Decode(&fields); err != nil {
+		return fmt.Appendf(nil, "{\"message\":\"log line of %d bytes cannot be decoded\"}\n", len(line))
+	}
+	for name, value := range fields {
+		if text, isText := value.(string); isText && len(text) > maxTextBytes {
+			fields[name] = fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxTextBytes], ""), len(text))
+		}
+	}
+	shortened, err := json.Marshal(fields)
+	if err != nil || len(shortened) > maxLineBytes {
+		return fmt.Appendf(nil, "{\"message\":%q,\"line_bytes\":%d}\n", fmt.Sprint(fields["message"]), len(line))
+	}
+	return append(shortened, '\n')
+}
+
 // onDropped sets the function that receives the numbers of dropped lines.
 func (o *logOutput) onDropped(report func(int)) { o.report.Store(&report) }
 
--- a/internal/hosted/logger_test.go
+++ b/internal/hosted/logger_test.go
@@ -1,11 +1,15 @@
 package hosted
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -52,3 +56,22 @@
 }
 
 var _ io.Writer = (*stalledWriter)(nil)
+
+// A client's long texts must not fill the buffer of lines.
+func TestLongLineIsShortened(t *testing.T) {
+	long := strings.Repeat("\"ü", 10_000)
+	var line bytes.Buffer
+	logger := zerolog.New(&line)
+	logger.Info().Str("id", long).Str("kind", "not_ready").Int("status", 503).Msg("request refused")
+	shortened := shortenLine(line.Bytes())
+	assert.Assert(t, len(shortened) <= maxLineBytes)
+	var fields struct {
+		ID, Kind, Message string
+		Status            int
+	}
+	assert.NilError(t, json.Unmarshal(shortened, &fields))
+	assert.Assert(t, strings.HasPrefix(fields.ID, "\"ü") && strings.HasSuffix(fields.ID, "(30000 bytes)"), "%s", fields.ID)
+	assert.Equal(t, fields.Kind+" "+fields.Message, "not_ready request refused")
+	assert.Equal(t, fields.Status, 503)
+	assert.Assert(t, len(shortenLine([]byte(strings.Repeat("x", 2*maxLineBytes)))) < maxLineBytes)
+}
