Have the collector run more often near the memory's limit

Garbage of requests that were refused or answered counts as memory of the process until it is collected, up to as much again as what is in use. With node.memory_mb set, the collector's memory limit is now three quarters of it. It bounds the garbage; what is in use is bounded by the budget.

--- a/cmd/corkpulleyd/main.go
+++ b/cmd/corkpulleyd/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -46,6 +47,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
+	limitMemory(loaded.Node.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := runNode(ctx, flags, loaded); err != nil {
@@ -55,6 +57,15 @@
 	return exitOK
 }
 
+// limitMemory has the collector run more often from collectorShare of the configured memory on. It bounds the garbage, not
+// what is in use.
+func limitMemory(memoryMB int) {
+	const collectorShare = 0.75
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(memoryMB) * (1 << 20)))
+	}
+}
+
 // runNode runs the node on the platform if the settings name a hosted log, and standalone otherwise.
 func runNode(ctx context.Context, flags settings.Flags, loaded settings.Settings) error {
 	if loaded.Hosted.Log == "" {
