Soak crowds of misbehaving clients beside overlapping faults

The new schedule keeps crowds at the callers' and operators' listeners of nodes while nodes are stopped, killed and frozen and engines fail. All invariants apply to a node that a crowd visits, and a process that takes more than the memory of its settings is a violation.

--- a/internal/bench/soak/deployment.go
+++ b/internal/bench/soak/deployment.go
@@ -57,6 +57,8 @@
 	// enginesFence is set if the engines and the duties service reject fencing tokens lower than one that
 	// they saw.
 	enginesFence bool
+	// memoryMB is the memory that nodes are told to have; 0 for none.
+	memoryMB int
 	// paces holds the pace of the engine of each slot under contention schedules; nil otherwise.
 	paces []float64
 	// settings are additional settings of the nodes, which builds of --other-daemon do not get.
@@ -75,7 +77,7 @@
 	}
 	d := &deployment{
 		history: history, network: faultproxy.NewNetwork(), store: newStoreFaults(), duties: standin.NewDuties(),
-		leader: newLeaderTracker(), enginesFence: plan.enginesFence, pathResolver: &pathResolver{unknown: newNodePath(anyNode)},
+		leader: newLeaderTracker(), enginesFence: plan.enginesFence, memoryMB: plan.memoryMB(), pathResolver: &pathResolver{unknown: newNodePath(anyNode)},
 		evacuationCounts: newEvacuationCounts(), placementFaults: plan.hasPlacementFaults(), overlap: plan.hasOverlap(),
 		restartsWithSameID: plan.hasPlacementFaults() && plan.includes(Incarnations), itemCrashes: newItemCrashes(),
 	}
@@ -231,7 +233,7 @@
 	}
 	n := &node{
 		number: number, callerAddress: addresses[0], operatorAddress: addresses[1], directory: directory, link: link, store: store,
-		enginesFence: d.enginesFence,
+		enginesFence: d.enginesFence, memoryMB: d.memoryMB,
 	}
 	for i, daemon := range daemons {
 		settings := nodeSettings{}
--- a/internal/bench/soak/modes.go
+++ b/internal/bench/soak/modes.go
@@ -28,9 +28,11 @@
 	// CrashStorms are bursts of engine crashes, beside which nodes are stopped, killed, or all killed at once, and calm
 	// periods between them.
 	CrashStorms = "storms"
+	// ClientCrowds are overlapping faults, beside which crowds of clients misbehave. It is not drawn from seeds.
+	ClientCrowds = "clients"
 )
 
-var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults, CrashStorms}
+var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults, CrashStorms, ClientCrowds}
 
 // modeStream is the PCG stream of modes, independent of those of faults.
 const modeStream = 1
@@ -92,6 +94,8 @@
 		return DrawOverlap(seed, length)
 	case CrashStorms:
 		return DrawStorms(seed, length)
+	case ClientCrowds:
+		return DrawCrowds(seed, length)
 	case Contention:
 		return DrawContention(seed, length)
 	default:
--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -37,6 +37,8 @@
 	directory string
 	// enginesFence is the value of the setting engines_fence.
 	enginesFence bool
+	// memoryMB is the value of the setting memory_mb.
+	memoryMB int
 	// link is the proxy for all connections to the store; its upstream is store.
 	link  *faultproxy.Link
 	store *nodeStore
@@ -57,6 +59,7 @@
 id = "%s%d"
 zone = "%s"
 region = "%s"
+memory_mb = %d
 
 [listen]
 callers = "%s"
@@ -74,7 +77,7 @@
 %s
 [shutdown]
 grace = "%ds"
-`, nodePrefix, n.number, zoneOf(n.number), regionOf(n.number), n.callerAddress, n.operatorAddress, peers, store, n.enginesFence, duties,
+`, nodePrefix, n.number, zoneOf(n.number), regionOf(n.number), n.memoryMB, n.callerAddress, n.operatorAddress, peers, store, n.enginesFence, duties,
 		usageWindow, usageDue, hosted, graceSeconds)
 }
 
--- a/internal/bench/soak/overlap.go
+++ b/internal/bench/soak/overlap.go
@@ -35,6 +35,8 @@
 		d.holdEngine(ctx, slot, fault.Duration)
 	case EngineLeavesSoon:
 		d.replace(slot, func() { slot.drain(ctx, shortDrainTime) })
+	case ClientCrowd:
+		d.holdCrowd(ctx, d.nodes[fault.Target%len(d.nodes)], fault.Duration)
 	default:
 		return false
 	}
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -26,7 +26,17 @@
 func (p plan) hasContention() bool { return p.schedule == Contention }
 
 // hasOverlap reports whether callers keep their connections, and items are bound to one version and partly long.
-func (p plan) hasOverlap() bool { return p.schedule == OverlappingFaults || p.schedule == CrashStorms }
+func (p plan) hasOverlap() bool {
+	return p.schedule == OverlappingFaults || p.schedule == CrashStorms || p.schedule == ClientCrowds
+}
+
+// memoryMB is the memory that nodes are told to have, and checked for; 0 for none.
+func (p plan) memoryMB() int {
+	if p.schedule == ClientCrowds {
+		return crowdMemoryMB
+	}
+	return 0
+}
 
 // includes reports whether a family of faults is included.
 func (p plan) includes(family Family) bool { return !slices.Contains(p.leftOut, family) }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -28,7 +28,7 @@
 	Slack        float64  `arg:"--slack" default:"1" help:"factor for the time limits of invariants (1..100), for a slow machine"`
 	Print        bool     `arg:"--print" help:"print the schedule and do not run it"`
 	EnginesFence string   `arg:"--engines-fence" default:"drawn" placeholder:"WHETHER" help:"whether engines refuse lower fencing tokens: yes, no, or drawn from the seed"`
-	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), series of overlapping signals, restarts and changes (overlapping), bursts of engine crashes (storms), or drawn from the seed"`
+	Schedule     string   `arg:"--schedule" default:"drawn" placeholder:"KIND" help:"general faults (general), faults of the leader in series (leader), placement faults (placement), more work than the engines can run (contention), series of overlapping signals, restarts and changes (overlapping), bursts of engine crashes (storms), overlapping faults beside crowds of clients that misbehave (clients), or drawn from the seed"`
 	LeaveOut     []Family `arg:"--leave-out,separate" placeholder:"FAMILY" help:"leave out a family of faults: incarnations, entries, evacuations, slow-starts, home-changes, planned-stops; repeatable"`
 	OtherDaemon  string   `arg:"--other-daemon" placeholder:"FILE" help:"daemon of another build: half of the nodes start from it, and each node switches builds at each restart"`
 	JSON         bool     `arg:"--json" help:"print the summary as one JSON object at the end"`
@@ -237,7 +237,7 @@
 		return Summary{}, err
 	}
 	driver := newDriver(d)
-	driver.sendsCrashing = p.schedule != LeaderFaults && p.schedule != OverlappingFaults && !p.hasContention()
+	driver.sendsCrashing = p.schedule != LeaderFaults && p.schedule != OverlappingFaults && p.schedule != ClientCrowds && !p.hasContention()
 	driver.placementFaults, driver.changesHomes = p.hasPlacementFaults(), p.includes(HomeChanges)
 	if p.hasContention() {
 		driver.contention, driver.seed, driver.trainers = true, p.seed, contentionTrainers
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -109,3 +109,16 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(seeds) > 0)
 }
+
+// Covers crowds of clients that misbehave, beside series of overlapping faults: ordinary callers and items are served as
+// without them, and no process ends by itself or takes more than its memory.
+func TestShortSoakClientCrowds(t *testing.T) {
+	var output bytes.Buffer
+	arguments := &soak.Arguments{
+		Seed: 1, Minutes: 0.8, Nodes: 4, Slack: 2, EnginesFence: soak.EnginesFenceYes, Schedule: soak.ClientCrowds,
+		LeaveOut: []soak.Family{soak.PlannedStops},
+	}
+	if err := soak.Run(t.Context(), arguments, &output); err != nil {
+		t.Fatalf("%v\n%s", err, output.String())
+	}
+}
