Count a request that arrives in one piece as complete, and bound late reads

A body that arrived together with its header was counted once its handler asked for it, so that a busy node could evict a request that had arrived. After the deadline of a header, a last read takes what has arrived while the machine was suspended; a client that sent a byte every few milliseconds got one such read after another. It is one now. A request with a body that its handler may leave unread gets a 503 with Retry-After in place of a closed connection. Found in the read-through; TestTrickledHeaderIsClosed and TestBodyBesideItsMethodIsCharged guard the last two.

--- a/internal/boundedhttp/boundedhttp.go
+++ b/internal/boundedhttp/boundedhttp.go
@@ -175,7 +175,8 @@
 		// Handlers of other methods may leave the body to the kernel while they run.
 		if !c.reserve(bytebudget.Headers, kernelBufferBytes) {
 			s.closed(NoMemory)
-			panic(http.ErrAbortHandler)
+			s.refuse(w, r, noMemory(kernelBufferBytes))
+			return
 		}
 	}
 	if c.body.endless {
--- a/internal/boundedhttp/boundedhttp_test.go
+++ b/internal/boundedhttp/boundedhttp_test.go
@@ -237,3 +237,45 @@
 		assert.Assert(t, int64(total)*connectionBytes <= memoryBytes(node)/3, "%+v: %d connections", node, total)
 	}
 }
+
+// A client must not extend the time of its header by sending a byte now and then.
+func TestTrickledHeaderIsClosed(t *testing.T) {
+	s := startServer(t, echo, func(options *Options) {
+		options.Limits = func() Limits {
+			return Limits{MaxHeaderBytes: MaxHeaderBytes, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: time.Minute}
+		}
+	})
+	connection := dial(t, s)
+	go func() {
+		for {
+			if _, err := io.WriteString(connection, "x"); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	_, err := io.ReadAll(connection)
+	var timeout net.Error
+	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the connection is still open")
+}
+
+// A body that its handler does not read waits in the kernel, which the request is charged for.
+func TestBodyBesideItsMethodIsCharged(t *testing.T) {
+	budget := bytebudget.New(1 << 20)
+	proceed := make(chan struct{})
+	s := startServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-proceed }), func(options *Options) {
+		options.Set, options.IDHeader = connections.NewSet(budget), "X-Id"
+	})
+	defer close(proceed)
+	const request = "GET / HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\n"
+	for range 3 {
+		write(t, dial(t, s), request)
+	}
+	testwait.Until(t, "three requests to run", func() bool { return s.InFlight() == 3 })
+	connection := dial(t, s)
+	write(t, connection, request)
+	response, _ := readResponse(t, bufio.NewReader(connection))
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, response.Header.Get("X-Id"), "r1")
+	assert.Equal(t, response.Header.Get("Retry-After"), "0.3")
+}
--- a/internal/boundedhttp/connection.go
+++ b/internal/boundedhttp/connection.go
@@ -53,6 +53,8 @@
 	body     bodyState
 	// isFirst is true until the first request has arrived.
 	isFirst bool
+	// hasReadLate is true once bytes of the header were read after their deadline.
+	hasReadLate bool
 
 	// deadlineMu guards the deadlines, which http.Server changes while another goroutine reads.
 	deadlineMu sync.Mutex
@@ -87,8 +89,6 @@
 			return 0, nil
 		case c.admitted > 0:
 			return c.takeAdmitted(into), nil
-		case c.body.isArriving() && len(c.buffered) > 0:
-			c.admitBufferedBody()
 		case c.body.isArriving():
 			return c.readBody(into)
 		case c.active.Load():
@@ -113,11 +113,12 @@
 
 // admitBufferedBody admits bytes of the body that arrived together with its header.
 func (c *connection) admitBufferedBody() {
-	c.admitted = len(c.buffered)
+	count := len(c.buffered) - c.admitted
 	if !c.body.endless {
-		c.admitted = int(min(int64(c.admitted), c.body.remaining))
+		count = int(min(int64(count), c.body.remaining))
 	}
-	c.bodyReceived(c.admitted)
+	c.admitted += count
+	c.bodyReceived(count)
 }
 
 func (c *connection) readBody(into []byte) (int, error) {
@@ -261,12 +262,10 @@
 	c.buffered = c.buffered[c.handed:]
 	c.admitted = end - c.handed
 	c.body = bodyState{remaining: framing.Length, endless: framing.Endless, began: now}
-	c.scanner, c.began, c.handed, c.emptyLineBytes, c.isFirst = requesthead.Scanner{}, time.Time{}, 0, 0, false
-	if c.body.isArriving() {
-		c.setClientDeadline(c.body.deadline())
-	} else {
-		c.requestComplete()
-	}
+	c.scanner, c.began, c.handed, c.emptyLineBytes = requesthead.Scanner{}, time.Time{}, 0, 0
+	c.isFirst, c.hasReadLate = false, false
+	c.setClientDeadline(c.body.deadline())
+	c.admitBufferedBody()
 	return nil
 }
 
@@ -341,10 +340,11 @@
 	return !c.clientDeadline.IsZero() && !time.Now().Before(c.clientDeadline)
 }
 
-// readOnTime reads bytes of a header. After its deadline, it takes what has arrived until then.
+// readOnTime reads bytes of a header. After its deadline, it takes once what has arrived until then.
 func (c *connection) readOnTime(into []byte) (int, error) {
 	count, err := c.Conn.Read(into)
-	if isTimeout(err) && c.isClientLate() {
+	if isTimeout(err) && c.isClientLate() && !c.hasReadLate {
+		c.hasReadLate = true
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
 		count, err = c.Conn.Read(into)
 	}
--- a/internal/boundedhttp/refusal.go
+++ b/internal/boundedhttp/refusal.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,17 +53,34 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
-// encodeRefusal encodes the response to a refused request.
-func encodeRefusal(idHeader, id string, failure *errkind.Error) []byte {
-	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, "Connection": {"close"}}
+// refuse answers a request that was decoded in place of its handler.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, failure *errkind.Error) {
+	id := r.Header.Get(s.options.IDHeader)
+	s.options.OnRefused(id, failure)
+	header, content := refusal(s.options.IDHeader, id, failure)
+	maps.Copy(w.Header(), header)
+	w.WriteHeader(failure.Kind.Response().Status)
+	_, _ = io.WriteString(w, content)
+}
+
+// refusal returns the header and the content of the response to a refused request.
+func refusal(idHeader, id string, failure *errkind.Error) (header http.Header, content string) {
+	content = failure.Error() + "\n"
+	header = http.Header{
+		"Content-Type": {"text/plain; charset=utf-8"}, "Content-Length": {strconv.Itoa(len(content))}, "Connection": {"close"},
+	}
 	if id != "" {
 		header.Set(idHeader, id)
 	}
 	if delay := failure.Delay(); delay > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
 	}
-	content := failure.Error() + "\n"
-	header.Set("Content-Length", strconv.Itoa(len(content)))
+	return header, content
+}
+
+// encodeRefusal encodes the response to a refused request.
+func encodeRefusal(idHeader, id string, failure *errkind.Error) []byte {
+	header, content := refusal(idHeader, id, failure)
 	status := failure.Kind.Response().Status
 	var response bytes.Buffer
 	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
