Give refusals before decoding the form of other errors

In the project's own deployment an error has a JSON body and says whether the request was executed. Requests that the listener refuses before they are decoded (431, 503) were answered with a plain text.

--- a/internal/boundedhttp/boundedhttp.go
+++ b/internal/boundedhttp/boundedhttp.go
@@ -84,6 +84,8 @@
 	Limits func() Limits
 	// IDHeader names the header with the ID of a request, which refusals repeat; empty for none.
 	IDHeader string
+	// EncodeRefusal returns the header and the content of the response to a refused request; nil for a plain text.
+	EncodeRefusal func(failure *errkind.Error) (header http.Header, content []byte)
 	// OnRefused is called for each request that is refused before it is decoded; nil for nothing.
 	OnRefused func(id string, failure *errkind.Error)
 	// OnClosed is called for each connection that is closed although its client had not left, OnBodyRefused for each
@@ -112,6 +114,9 @@
 	if options.OnRefused == nil {
 		options.OnRefused = func(string, *errkind.Error) {}
 	}
+	if options.EncodeRefusal == nil {
+		options.EncodeRefusal = encodePlainRefusal
+	}
 	s := &Server{options: options, set: options.Set}
 	s.listener = &boundedListener{Listener: listener, server: s}
 	s.http = &http.Server{
--- a/internal/boundedhttp/refusal.go
+++ b/internal/boundedhttp/refusal.go
@@ -39,8 +39,15 @@
 	id, _ := requesthead.Field(c.buffered, c.server.options.IDHeader)
 	c.server.options.OnRefused(id, failure)
 	c.buffered, c.admitted = nil, 0
+	header, content := c.server.refusal(id, failure)
+	status := failure.Kind.Response().Status
+	var response bytes.Buffer
+	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&response)
+	response.WriteString("\r\n")
+	response.Write(content)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	if _, err := c.Conn.Write(encodeRefusal(c.server.options.IDHeader, id, failure)); err == nil {
+	if _, err := c.Conn.Write(response.Bytes()); err == nil {
 		c.linger()
 	}
 	return io.EOF
@@ -57,34 +64,27 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, failure *errkind.Error) {
 	id := r.Header.Get(s.options.IDHeader)
 	s.options.OnRefused(id, failure)
-	header, content := refusal(s.options.IDHeader, id, failure)
+	header, content := s.refusal(id, failure)
 	maps.Copy(w.Header(), header)
 	w.WriteHeader(failure.Kind.Response().Status)
-	_, _ = io.WriteString(w, content)
+	_, _ = w.Write(content)
 }
 
-// refusal returns the header and the content of the response to a refused request.
-func refusal(idHeader, id string, failure *errkind.Error) (header http.Header, content string) {
-	content = failure.Error() + "\n"
-	header = http.Header{
-		"Content-Type": {"text/plain; charset=utf-8"}, "Content-Length": {strconv.Itoa(len(content))}, "Connection": {"close"},
-	}
+// refusal returns the header and the content of the response to a refused request, after which the connection ends.
+func (s *Server) refusal(id string, failure *errkind.Error) (header http.Header, content []byte) {
+	header, content = s.options.EncodeRefusal(failure)
 	if id != "" {
-		header.Set(idHeader, id)
-	}
-	if delay := failure.Delay(); delay > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
+		header.Set(s.options.IDHeader, id)
 	}
+	header.Set("Content-Length", strconv.Itoa(len(content)))
+	header.Set("Connection", "close")
 	return header, content
 }
 
-// encodeRefusal encodes the response to a refused request.
-func encodeRefusal(idHeader, id string, failure *errkind.Error) []byte {
-	header, content := refusal(idHeader, id, failure)
-	status := failure.Kind.Response().Status
-	var response bytes.Buffer
-	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
-	_ = header.Write(&response)
-	response.WriteString("\r\n" + content)
-	return response.Bytes()
+func encodePlainRefusal(failure *errkind.Error) (header http.Header, content []byte) {
+	header = http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	if delay := failure.Delay(); delay > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
+	}
+	return header, []byte(failure.Error() + "\n")
 }
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -40,10 +41,29 @@
 // WriteErrorDetail is WriteError with a given detail, for errors with more than
 // ErrorDetail sets, such as conflicting rows.
 func WriteErrorDetail(w http.ResponseWriter, kind errkind.Kind, detail api.ErrorDetail) {
-	w.Header().Set(api.HeaderExecuted, detail.Executed)
+	maps.Copy(w.Header(), errorHeader(detail))
+	WriteJSON(w, kind.Response().Status, api.ErrorBody{Error: detail})
+}
+
+// EncodeError returns the header and the body of an error's response, for requests that are refused before they are
+// decoded.
+func EncodeError(failure *errkind.Error) (header http.Header, content []byte) {
+	detail := ErrorDetail(failure)
+	content, err := json.Marshal(api.ErrorBody{Error: detail})
+	if err != nil {
+		content = nil // plain values always encode
+	}
+	header = errorHeader(detail)
+	header.Set("Content-Type", mediaTypeJSON)
+	return header, append(content, '\n')
+}
+
+func errorHeader(detail api.ErrorDetail) http.Header {
+	header := http.Header{}
+	header.Set(api.HeaderExecuted, detail.Executed)
 	if detail.RetryAfterMS > 0 {
 		seconds := math.Ceil(float64(detail.RetryAfterMS) / 1000)
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	WriteJSON(w, kind.Response().Status, api.ErrorBody{Error: detail})
+	return header
 }
--- a/internal/httpapi/reserve_test.go
+++ b/internal/httpapi/reserve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -41,3 +42,13 @@
 	assert.Equal(t, post(100), http.StatusOK)
 	assert.Equal(t, post(100_000), http.StatusRequestEntityTooLarge)
 }
+
+// Errors must look alike whether a request was decoded or not.
+func TestEncodeErrorEqualsWrittenError(t *testing.T) {
+	failure := errkind.New(errkind.NoCapacity, "no memory")
+	recorder := httptest.NewRecorder()
+	WriteError(recorder, failure)
+	header, content := EncodeError(failure)
+	assert.DeepEqual(t, header, recorder.Header())
+	assert.Equal(t, string(content), recorder.Body.String())
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -26,6 +26,6 @@
 ) (*boundedhttp.Server, error) {
 	return boundedhttp.Listen(boundedhttp.Options{
 		Address: address, Handler: httpapi.NewHandler(router), Set: n.listeners.Set, Group: group, Limits: limits,
-		OnClosed: n.connectionMetrics.OnClosed(name),
+		OnClosed: n.connectionMetrics.OnClosed(name), EncodeRefusal: httpapi.EncodeError,
 	})
 }
