Find the end of chunked bodies, so that their connections are kept

A connection ended after each body of unknown length, since the start of the next request was not known. Nodes send each other such bodies when they exchange the load of engines: each exchange would have cost a connection. The end of a chunked body is now found as net/http finds it (fuzzed against it); only one with trailers, or an invalid one, ends its connection.

--- a/internal/boundedhttp/body.go
+++ b/internal/boundedhttp/body.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
-
-	"github.com/go-faster/errors"
 
 	"github.com/corkpulley/corkpulley/internal/core/bytebudget"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
@@ -18,9 +15,8 @@
 type chargedBody struct {
 	io.ReadCloser
 	connection *connection
-	// length is the announced length; negative if unknown. Only then the time of the body is bounded here.
+	// length is the announced length; negative if unknown.
 	length         int64
-	began          time.Time
 	read, reserved int64
 	failure        error
 }
@@ -30,9 +26,6 @@
 	if b.failure != nil {
 		return 0, b.failure
 	}
-	if b.length < 0 {
-		b.connection.setClientDeadline(bodyDeadline(b.began, b.read))
-	}
 	count, err := b.ReadCloser.Read(into)
 	b.read += int64(count)
 	if b.read > b.reserved {
@@ -41,9 +34,6 @@
 			return count, failure
 		}
 	}
-	if errors.Is(err, io.EOF) && b.length < 0 {
-		b.connection.requestComplete()
-	}
 	return count, err
 }
 
--- a/internal/boundedhttp/boundedhttp.go
+++ b/internal/boundedhttp/boundedhttp.go
@@ -174,7 +174,7 @@
 	defer s.inFlight.Add(-1)
 	c := r.Context().Value(connectionKey{}).(*connection)
 	if r.ContentLength != 0 {
-		r.Body = &chargedBody{ReadCloser: r.Body, connection: c, length: r.ContentLength, began: time.Now()}
+		r.Body = &chargedBody{ReadCloser: r.Body, connection: c, length: r.ContentLength}
 	}
 	if r.ContentLength != 0 && r.Method != http.MethodPost && r.Method != http.MethodPut {
 		// Handlers of other methods may leave the body to the kernel while they run.
@@ -184,10 +184,6 @@
 			return
 		}
 	}
-	if c.body.endless {
-		// The end of the body is not known to the connection, and thus not the start of the next request.
-		w.Header().Set("Connection", "close")
-	}
 	s.options.Handler.ServeHTTP(w, r)
 }
 
--- a/internal/boundedhttp/boundedhttp_test.go
+++ b/internal/boundedhttp/boundedhttp_test.go
@@ -81,7 +81,9 @@
 func TestRequestsAreDelimitedInAnyPieces(t *testing.T) {
 	const requests = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab\r\n\r" +
 		"GET /b HTTP/1.1\r\nHost: h\r\n\r\n" + "\r\n\r\nPOST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" +
-		"POST /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n"
+		"POST /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nxyz\r\n0\r\n\r\n" +
+		"GET /e HTTP/1.1\r\nHost: h\r\n\r\n" +
+		"POST /f HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nvw\r\n0\r\nTrailer: t\r\n\r\n"
 	s := startServer(t, echo, nil)
 	for _, piece := range []int{1, 3, 17, 60, len(requests)} {
 		connection := dial(t, s)
@@ -96,12 +98,12 @@
 			}
 		}()
 		source := bufio.NewReader(connection)
-		for _, expected := range []string{"POST /a ab\r\n\r", "GET /b ", "POST /c ", "POST /d xyz"} {
+		for _, expected := range []string{"POST /a ab\r\n\r", "GET /b ", "POST /c ", "POST /d xyz", "GET /e ", "POST /f vw"} {
 			_, body := readResponse(t, source)
 			assert.Equal(t, body, expected, "pieces of %d", piece)
 		}
 		_, err := source.ReadByte()
-		assert.Assert(t, errors.Is(err, io.EOF), "the connection ends after a body of unknown length: %v", err)
+		assert.Assert(t, errors.Is(err, io.EOF), "the connection ends after a body with trailers: %v", err)
 	}
 }
 
@@ -220,8 +222,10 @@
 
 func TestBodyDeadlineGrowsWithReceivedBytes(t *testing.T) {
 	began := time.Unix(1000, 0)
-	assert.Equal(t, bodyDeadline(began, 0), began.Add(bodyGrace))
-	assert.Equal(t, bodyDeadline(began, 10*minBodyRate), began.Add(bodyGrace+10*time.Second))
+	body := &bodyState{began: began, remaining: 10 * minBodyRate}
+	assert.Equal(t, body.deadline(), began.Add(bodyGrace))
+	body.receive(make([]byte, 10*minBodyRate+5))
+	assert.Equal(t, body.deadline(), began.Add(bodyGrace+10*time.Second))
 }
 
 func TestListenersShareDescriptorsAndMemory(t *testing.T) {
--- a/internal/boundedhttp/connection.go
+++ b/internal/boundedhttp/connection.go
@@ -64,21 +64,36 @@
 
 // bodyState describes the rest of a body that is arriving.
 type bodyState struct {
-	// remaining is the number of bytes that have not arrived. endless is true if the length is unknown, so that the
-	// connection ends with this request.
-	remaining int64
-	endless   bool
-	began     time.Time
-	received  int64
+	// remaining is the number of bytes that have not arrived, unless the body is chunked. endless is true if its end is
+	// unknown, so that the connection ends with this request.
+	remaining        int64
+	chunked, endless bool
+	chunks           requesthead.Chunks
+	began            time.Time
+	received         int64
 }
 
-func (b bodyState) isArriving() bool { return b.endless || b.remaining > 0 }
-
-func (b bodyState) deadline() time.Time { return bodyDeadline(b.began, b.received) }
+func (b *bodyState) isArriving() bool { return b.endless || b.chunked || b.remaining > 0 }
+
+// receive counts bytes of the client and returns how many of them belong to the body.
+func (b *bodyState) receive(data []byte) int {
+	count := len(data)
+	switch {
+	case b.chunked:
+		var state requesthead.ChunkState
+		count, state = b.chunks.Scan(data)
+		b.chunked, b.endless = state == requesthead.ChunksArriving, state == requesthead.ChunksUnknown
+	case !b.endless:
+		count = int(min(int64(count), b.remaining))
+		b.remaining -= int64(count)
+	}
+	b.received += int64(count)
+	return count
+}
 
-// bodyDeadline returns the time by which more of a body must have arrived.
-func bodyDeadline(began time.Time, received int64) time.Time {
-	return began.Add(bodyGrace + time.Duration(received/minBodyRate)*time.Second)
+// deadline returns the time by which more of the body must have arrived.
+func (b *bodyState) deadline() time.Time {
+	return b.began.Add(bodyGrace + time.Duration(b.received/minBodyRate)*time.Second)
 }
 
 // Read implements net.Conn for http.Server.
@@ -113,23 +128,24 @@
 
 // admitBufferedBody admits bytes of the body that arrived together with its header.
 func (c *connection) admitBufferedBody() {
-	count := len(c.buffered) - c.admitted
-	if !c.body.endless {
-		count = int(min(int64(count), c.body.remaining))
+	c.admitted += c.body.receive(c.buffered[c.admitted:])
+	if !c.body.isArriving() {
+		c.requestComplete()
 	}
-	c.admitted += count
-	c.bodyReceived(count)
 }
 
+// readBody reads bytes of a body. What follows its end is kept for the next request.
 func (c *connection) readBody(into []byte) (int, error) {
-	if !c.body.endless {
-		into = into[:min(int64(len(into)), c.body.remaining)]
-		c.setClientDeadline(c.body.deadline())
-	}
+	c.setClientDeadline(c.body.deadline())
 	count, err := c.Conn.Read(into)
 	if count > 0 {
 		c.server.set.Heard(c.tracked, time.Now())
-		c.bodyReceived(count)
+		own := c.body.receive(into[:count])
+		c.buffered = append(c.buffered, into[own:count]...)
+		count = own
+		if !c.body.isArriving() {
+			c.requestComplete()
+		}
 	}
 	if err != nil && c.isClientLate() {
 		c.server.closed(BodyTimeout)
@@ -137,18 +153,6 @@
 	return count, err
 }
 
-// bodyReceived counts bytes of the body. A request is complete with its last byte.
-func (c *connection) bodyReceived(count int) {
-	c.body.received += int64(count)
-	if c.body.endless {
-		return
-	}
-	c.body.remaining -= int64(count)
-	if c.body.remaining == 0 {
-		c.requestComplete()
-	}
-}
-
 // requestComplete records that the client has sent all of its request. Its connection is not evicted any more.
 func (c *connection) requestComplete() {
 	c.setClientDeadline(time.Time{})
@@ -261,7 +265,7 @@
 	c.server.set.Enter(c.tracked, connections.Receiving, now)
 	c.buffered = c.buffered[c.handed:]
 	c.admitted = end - c.handed
-	c.body = bodyState{remaining: framing.Length, endless: framing.Endless, began: now}
+	c.body = bodyState{remaining: framing.Length, chunked: framing.Chunked, endless: framing.Endless, began: now}
 	c.scanner, c.began, c.handed, c.emptyLineBytes = requesthead.Scanner{}, time.Time{}, 0, 0
 	c.isFirst, c.hasReadLate = false, false
 	c.setClientDeadline(c.body.deadline())
@@ -288,8 +292,12 @@
 	return ok
 }
 
-// requestEnded returns the memory of an answered request and waits for the next one.
+// requestEnded returns the memory of an answered request and waits for the next one, whose start is unknown after a body
+// without a known end.
 func (c *connection) requestEnded() {
+	if c.body.endless {
+		_ = c.Close()
+	}
 	c.active.Store(false)
 	c.reserved = 0
 	c.server.set.Finish(c.tracked, time.Now())
--- a/internal/common/msgpackhttp/reserve_test.go
+++ b/internal/common/msgpackhttp/reserve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -38,3 +39,31 @@
 	assert.Equal(t, post(1000), http.StatusBadRequest, "it is no message, but affordable")
 	assert.Equal(t, post(400_000), http.StatusRequestEntityTooLarge)
 }
+
+// A request whose length its sender does not announce must not cost a connection each time.
+func TestDeferredCallsShareConnection(t *testing.T) {
+	server, err := boundedhttp.Listen(boundedhttp.Options{
+		Address: "127.0.0.1:0", Set: connections.NewSet(nil), Group: connections.NewGroup(10),
+		Handler: Handle(4<<10, func(_ context.Context, request testRequest) testResponse { return testResponse(request) }),
+		Limits: func() boundedhttp.Limits {
+			return boundedhttp.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+		},
+	})
+	assert.NilError(t, err)
+	go func() { _ = server.Serve() }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}
+	reused := 0
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			reused++
+		}
+	}})
+	for range 3 {
+		var response testResponse
+		encode := func() (any, error) { return testRequest{Text: "load"}, nil }
+		assert.NilError(t, CallDeferred(ctx, client, "http://"+server.Address(), encode, &response, 4<<10))
+		assert.Equal(t, response.Text, "load")
+	}
+	assert.Equal(t, reused, 2)
+}
--- a/internal/core/requesthead/requesthead.go
+++ b/internal/core/requesthead/requesthead.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -71,17 +72,17 @@
 
 // Framing is how the body of a request is delimited.
 type Framing struct {
-	// Length is the body's length in bytes, if Endless is false.
+	// Length is the body's length in bytes, unless one of the others is true.
 	Length int64
-	// Endless is true if only a decoder of the body can find its end.
-	Endless bool
+	// Chunked is true if the body is chunked; see Chunks. Endless is true if its end is unknown.
+	Chunked, Endless bool
 }
 
 // FramingOf returns the framing of the body after a complete header. A header with contradicting or invalid lengths, which
 // net/http rejects, has any framing.
 func FramingOf(header []byte) Framing {
-	if _, found := Field(header, "Transfer-Encoding"); found {
-		return Framing{Endless: true}
+	if coding, found := Field(header, "Transfer-Encoding"); found {
+		return Framing{Chunked: strings.EqualFold(coding, "chunked"), Endless: !strings.EqualFold(coding, "chunked")}
 	}
 	text, found := Field(header, "Content-Length")
 	if !found {
--- a/internal/core/requesthead/requesthead_test.go
+++ b/internal/core/requesthead/requesthead_test.go
@@ -56,7 +56,8 @@
 	cases := map[string]Framing{
 		"GET / HTTP/1.1\r\n\r\n":                                                       {},
 		"POST / HTTP/1.1\r\nCONTENT-length:  12 \r\n\r\n":                              {Length: 12},
-		"POST / HTTP/1.1\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n":  {Endless: true},
+		"POST / HTTP/1.1\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n":  {Chunked: true},
+		"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n":                  {Endless: true},
 		"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n":                                {Endless: true},
 		"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n":           {Endless: true},
 		"POST /a:b HTTP/1.1\r\nX-Content-Length: 5\r\nContent-Length-Extra: 6\r\n\r\n": {},
@@ -110,7 +111,47 @@
 		assert.Equal(t, len(data)-len(rest), end)
 		if !framing.Endless {
 			assert.Equal(t, framing.Length, max(0, request.ContentLength))
-			assert.Equal(t, len(request.TransferEncoding), 0)
+			assert.Equal(t, len(request.TransferEncoding) > 0, framing.Chunked)
+		}
+	})
+}
+
+// FuzzChunksAgreeWithDecoder checks that the scanner ends a chunked body where net/http does, however it is cut.
+func FuzzChunksAgreeWithDecoder(f *testing.F) {
+	for _, seed := range []string{
+		"3\r\nabc\r\n0\r\n\r\nGET /", "0\r\n\r\n", "A;x=y\r\n0123456789\r\n00\r\n\r\nrest", "1\r\na\r\n0\r\nT: t\r\n\r\n",
+		"1\na\n0\n\n", "1 \r\na\r\n0\r\n\r\n", "\r\n", "0\r\r\n\r\n", "fffffffffffffffff\r\n", "1\r\nab\r\n0\r\n\r\n",
+	} {
+		f.Add([]byte(seed), 1)
+		f.Add([]byte(seed), 4)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, piece int) {
+		if piece < 1 {
+			return
+		}
+		source := bufio.NewReaderSize(io.MultiReader(
+			strings.NewReader("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"), bytes.NewReader(data),
+		), len(data)+4096)
+		request, err := http.ReadRequest(source)
+		assert.NilError(t, err)
+		if _, err := io.ReadAll(request.Body); err != nil {
+			return
+		}
+		rest, err := io.ReadAll(source)
+		assert.NilError(t, err)
+		var chunks Chunks
+		end, state := 0, ChunksArriving
+		for end < len(data) && state == ChunksArriving {
+			var used int
+			used, state = chunks.Scan(data[end:min(end+piece, len(data))])
+			end += used
+		}
+		if state == ChunksUnknown && request.Trailer == nil {
+			t.Logf("the end of %q is not found", data)
+		}
+		if state != ChunksUnknown {
+			assert.Equal(t, state, ChunksComplete, "net/http has decoded %q", data)
+			assert.Equal(t, end, len(data)-len(rest), "%q", data)
 		}
 	})
 }
