--- a/internal/bench/soak/modes.go
+++ b/internal/bench/soak/modes.go
@@ -32,7 +32,11 @@
 	ClientCrowds = "clients"
 )
 
-var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults, CrashStorms, ClientCrowds}
+// schedules are those drawn from seeds.
+var schedules = []string{GeneralFaults, LeaderFaults, PlacementFaults, Contention, OverlappingFaults, CrashStorms}
+
+// allSchedules are those that the flag accepts.
+var allSchedules = append(slices.Clone(schedules), ClientCrowds)
 
 // modeStream is the PCG stream of modes, independent of those of faults.
 const modeStream = 1
@@ -77,7 +81,7 @@
 	if a.EnginesFence == EnginesFenceYes || a.EnginesFence == EnginesFenceNo {
 		enginesFence = a.EnginesFence == EnginesFenceYes
 	}
-	if slices.Contains(schedules, a.Schedule) {
+	if slices.Contains(allSchedules, a.Schedule) {
 		schedule = a.Schedule
 	}
 	return enginesFence, schedule
