Don't wait for a body that its handler leaves unread

Callers would have seen late or no refusals: a 413, 401 or 503 for a long body waited until 256 KB of it had arrived, and a client that waits for "100 Continue" before its body waited for ever, as nodes do when they exchange the load of engines with one that has no such exchange.

TestResponseDoesNotWaitForUnreadBody and TestAnnouncedLengthAboveTheLimitIsRefusedAtOnce failed before.

--- a/internal/boundedhttp/boundedhttp.go
+++ b/internal/boundedhttp/boundedhttp.go
@@ -174,6 +174,8 @@
 	defer s.inFlight.Add(-1)
 	c := r.Context().Value(connectionKey{}).(*connection)
 	if r.ContentLength != 0 {
+		// http.Server looks at the body of its own request to decide whether to wait for the rest of it.
+		r = r.WithContext(r.Context())
 		r.Body = &chargedBody{ReadCloser: r.Body, connection: c, length: r.ContentLength}
 	}
 	if r.ContentLength != 0 && r.Method != http.MethodPost && r.Method != http.MethodPut {
--- a/internal/boundedhttp/boundedhttp_test.go
+++ b/internal/boundedhttp/boundedhttp_test.go
@@ -283,3 +283,18 @@
 	assert.Equal(t, response.Header.Get("X-Id"), "r1")
 	assert.Equal(t, response.Header.Get("Retry-After"), "0.3")
 }
+
+// A response to a request whose body its handler does not read must not wait for the body: its client waits for the response.
+func TestResponseDoesNotWaitForUnreadBody(t *testing.T) {
+	s := startServer(t, http.NotFoundHandler(), nil)
+	for _, framing := range []string{
+		"Content-Length: 1000000", "Expect: 100-continue\r\nContent-Length: 10",
+		"Expect: 100-continue\r\nTransfer-Encoding: chunked",
+	} {
+		connection := dial(t, s)
+		assert.NilError(t, connection.SetDeadline(time.Now().Add(bodyGrace/2)))
+		write(t, connection, "POST / HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n\r\n")
+		response, _ := readResponse(t, bufio.NewReader(connection))
+		assert.Equal(t, response.StatusCode, http.StatusNotFound, framing)
+	}
+}
--- a/test/clients/memory_test.go
+++ b/test/clients/memory_test.go
@@ -56,6 +56,19 @@
 	d.checkWithinLimits()
 }
 
+// Headers of several sizes leave no memory for the smallest request, unless silent clients make room.
+func TestLegalHeadersThatFillTheMemory(t *testing.T) {
+	d := startHosted(t, smallMemory())
+	sizes := []int{maxHeaderBytes - 16, 2000, 300, 300, 120, 120, 120, 120, 120, 120}
+	gather(t, d.callers, 2*crowdSize, func(member int) string {
+		return legalHeader(fmt.Sprintf("fill%d", member), sizes[member*len(sizes)/(2*crowdSize)], 100)
+	})
+	d.awaitSteadyUsage()
+	status := d.call(http.MethodPost, "/lookup/x", "ordinary", "a parcel")
+	assert.Equal(t, status, http.StatusOK)
+	d.checkWithinLimits()
+}
+
 func TestHeadersOfShortLinesAtOperators(t *testing.T) {
 	d := startHosted(t, smallMemory())
 	payload := "GET /metrics HTTP/1.1\r\nHost: x\r\n" + shortLines(endlessBytes)
@@ -246,6 +259,14 @@
 	assert.NilError(t, err, "the connection is closed by the daemon")
 }
 
+// What can never be served is refused before it is sent.
+func TestAnnouncedLengthAboveTheLimitIsRefusedAtOnce(t *testing.T) {
+	limits := smallMemory()
+	d := startHosted(t, limits)
+	request := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", startLine, limits.maxBodyBytes+1)
+	assert.Equal(t, exchange(t, d.callers, request), http.StatusRequestEntityTooLarge)
+}
+
 func TestHeadersOfShortLinesAtStandaloneDaemon(t *testing.T) {
 	for _, listener := range []string{"callers", "operators"} {
 		t.Run(listener, func(t *testing.T) {
