Show that a path which begins with two slashes reaches engines as another path at another host

Cause: the target goes into the opaque part of a URL, which net/url writes after the scheme if it begins with two slashes.

--- a/review/.client-2/deployment.go
+++ b/review/.client-2/deployment.go
@@ -64,6 +64,23 @@
 	once    sync.Once
 	state   string
 	mu      sync.Mutex
+	// targets holds the target of the request line of each request, by its ID.
+	targets map[string]string
+}
+
+// ServeHTTP notes the target of the request line.
+func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.targets[r.Header.Get("X-Corkpulley-Attempt-Id")] = r.RequestURI
+	e.mu.Unlock()
+	e.Engine.ServeHTTP(w, r)
+}
+
+// target returns the target of the request line of a request.
+func (e *engineServer) target(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.targets[id]
 }
 
 // deployment is the platform and the nodes of one case.
@@ -118,6 +135,7 @@
 	}
 	engine := &engineServer{
 		Engine: standin.NewEngine(options), address: listener.Addr().String(), stop: make(chan struct{}), state: standin.StateReady,
+		targets: make(map[string]string),
 	}
 	engine.server = &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
 	go func() { _ = engine.server.Serve(listener) }()
--- a/review/.client-2/main.go
+++ b/review/.client-2/main.go
@@ -30,6 +30,8 @@
 	"moved-route":  movedRoute,
 	"split-route":  splitRoute,
 	"stopped-node": stoppedNode,
+	"double-slash": doubleSlash,
+	"options-star": optionsStar,
 }
 
 func main() {
