Show that a batch job is passed on to an engine as a live request while its node starts

Cause: the handler asks whether the route takes batch jobs before it reads the body, and the relay matches the route again after that, by a configuration that came meanwhile, without a look at its kind.

--- a/review/.client-2/main.go
+++ b/review/.client-2/main.go
@@ -27,11 +27,11 @@
 type scenario func(ctx context.Context, d *deployment, trouble bool) verdict
 
 var scenarios = map[string]scenario{
-	"moved-route":  movedRoute,
-	"split-route":  splitRoute,
-	"stopped-node": stoppedNode,
-	"double-slash": doubleSlash,
-	"options-star": optionsStar,
+	"moved-route":    movedRoute,
+	"split-route":    splitRoute,
+	"stopped-node":   stoppedNode,
+	"double-slash":   doubleSlash,
+	"restarted-node": restartedNode,
 }
 
 func main() {
