--- a/review/.client-2/main.go
+++ b/review/.client-2/main.go
@@ -27,6 +27,7 @@
 type scenario func(ctx context.Context, d *deployment, trouble bool) verdict
 
 var scenarios = map[string]scenario{
+	"large-answer":   largeAnswer,
 	"moved-route":    movedRoute,
 	"split-route":    splitRoute,
 	"stopped-node":   stoppedNode,
--- a/review/.client-2/stoppednode.go
+++ b/review/.client-2/stoppednode.go
@@ -51,13 +51,16 @@
 	closes bool
 }
 
-func (k *keptConnection) send(id, path string) outcome {
+func (k *keptConnection) send(id, path string) outcome { return k.sendFor(answerTime, id, path) }
+
+// sendFor sends a request whose client waits for an answer for the given time.
+func (k *keptConnection) sendFor(wait time.Duration, id, path string) outcome {
 	result := outcome{id: id, sentAt: time.Now()}
-	_ = k.connection.SetDeadline(time.Now().Add(answerTime))
+	_ = k.connection.SetDeadline(time.Now().Add(wait))
 	body := "request " + id
 	_, result.err = fmt.Fprintf(k.connection,
 		"POST %s HTTP/1.1\r\nHost: %s\r\nX-Corkpulley-Attempt-Id: %s\r\nX-Corkpulley-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, routeHost, id, answerTime.Milliseconds(), len(body), body)
+		path, routeHost, id, wait.Milliseconds(), len(body), body)
 	result.written = result.err == nil
 	if result.written {
 		var response *http.Response
