--- a/review/.client-2/deployment.go
+++ b/review/.client-2/deployment.go
@@ -25,7 +25,6 @@
 	modelName    = "m0"
 	heartbeat    = 1200 * time.Millisecond
 	configApply  = 2 * time.Second
-	drainTime    = 2 * time.Second
 	retryPause   = 500 * time.Millisecond
 	graceSeconds = 8
 )
@@ -62,7 +61,6 @@
 	server  *http.Server
 	stop    chan struct{}
 	once    sync.Once
-	state   string
 	mu      sync.Mutex
 	// targets holds the target of the request line of each request, by its ID.
 	targets map[string]string
@@ -134,7 +132,7 @@
 		return nil, err
 	}
 	engine := &engineServer{
-		Engine: standin.NewEngine(options), address: listener.Addr().String(), stop: make(chan struct{}), state: standin.StateReady,
+		Engine: standin.NewEngine(options), address: listener.Addr().String(), stop: make(chan struct{}),
 		targets: make(map[string]string),
 	}
 	engine.server = &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
@@ -158,29 +156,12 @@
 		select {
 		case <-e.stop:
 		default:
-			store.ListEngine(e.Engine, e.address, e.state != standin.StateReady)
+			store.ListEngine(e.Engine, e.address, false)
 		}
 		e.mu.Unlock()
 	}
 }
 
-// drain announces that the engine is leaving.
-func (e *engineServer) drain(store *standin.Store) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.state = "draining"
-	store.ListEngine(e.Engine, e.address, true)
-}
-
-// leave ends the engine and removes its entry.
-func (e *engineServer) leave(store *standin.Store) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.once.Do(func() { close(e.stop) })
-	store.UnlistEngine(e.ID())
-	_ = e.server.Close()
-}
-
 func (e *engineServer) close() {
 	e.once.Do(func() { close(e.stop) })
 	_ = e.server.Close()
