--- a/review/.client-2/config.go
+++ b/review/.client-2/config.go
@@ -17,7 +17,7 @@
 	return map[string]any{
 		"name": name, "host": routeHost, "pathPrefix": prefix, "routeKind": "rollout", "service": service,
 		"timeoutMs": 10000, "targetMs": 400, "resultDueMs": 7500, "maxAttempts": 3, "queueTtlS": 40, "priority": 1,
-		"resumable": true,
+		"resumable": true, "sticky": true,
 	}
 }
 
--- a/review/.client-2/deployment.go
+++ b/review/.client-2/deployment.go
@@ -177,14 +177,19 @@
 	d.record.logf("operator: configuration %v is acknowledged", configuration["version"])
 }
 
-// freeAddress returns a loopback address with a free port.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns loopback addresses with different free ports.
+func freeAddresses(ip string, count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		// Closed only at the end, so that no port is drawn twice.
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 // settingsText is deploy/corkpulleyd.toml.template as the platform fills it for a small deployment. logAddress is the
@@ -225,14 +230,12 @@
 func (d *deployment) addNode(zone, logAddress string) (*nodeProcess, error) {
 	number := len(d.nodes) + 1
 	node := &nodeProcess{name: fmt.Sprintf("edge-%s-%d", zone, number), address: fmt.Sprintf("127.0.0.%d", 10+number)}
-	var peers string
-	for _, target := range []*string{&node.callers, &node.operators, &peers} {
-		address, err := freeAddress(node.address)
-		if err != nil {
-			return nil, err
-		}
-		*target = address
+	addresses, err := freeAddresses(node.address, 3)
+	if err != nil {
+		return nil, err
 	}
+	node.callers, node.operators = addresses[0], addresses[1]
+	peers := addresses[2]
 	node.settings = filepath.Join(d.folder, node.name+".toml")
 	node.logFile = filepath.Join(d.folder, node.name+".log")
 	if err := os.WriteFile(node.settings, []byte(settingsText(node, zone, peers, logAddress)), 0o600); err != nil {
--- a/review/.client-2/movedroute.go
+++ b/review/.client-2/movedroute.go
@@ -33,7 +33,7 @@
 		return verdict{err: err}
 	}
 	time.Sleep(settleTime)
-	step := job{id: "step7", step: 7, groups: 56, size: 4, wanted: 50, prefix: "/drafts/", path: "/drafts/step7"}
+	step := job{id: "step1", step: 1, groups: 56, size: 4, wanted: 50, prefix: "/drafts/", path: "/drafts/step1"}
 	sent := time.Now()
 	if !d.submit(ctx, step) {
 		return verdict{err: fmt.Errorf("the batch job was not accepted")}
@@ -62,7 +62,7 @@
 	return nil
 }
 
-// checkStep checks LOST: at the trainer's deadline, no item that no engine has finished or failed may have been at no
+// checkStep checks LOST: when the step times out at the trainer's deadline, no item that no engine has finished or failed may have been at no
 // engine for 5 s, if others of the step have begun and the engines were under half full.
 func (d *deployment) checkStep(step job, results []result) verdict {
 	now := time.Now()
@@ -101,8 +101,22 @@
 		}
 	}
 	d.record.logf("%d of %d items listed, %d runs begun, %d items at no engine for 5 s and more", len(results), step.groups*step.size, begun, lost)
+	wholeGroups := 0
+	for group := range step.groups {
+		missing := 0
+		for index := range step.size {
+			if !listed[step.itemID(group, index)] {
+				missing++
+			}
+		}
+		if missing == 0 {
+			wholeGroups++
+		}
+	}
+	d.record.logf("%d whole groups listed, the trainer waits for %d", wholeGroups, step.wanted)
+	timedOut := wholeGroups < step.wanted
 	halfFull := 2*taken >= engineSlots*len(d.engines)
-	if lost > 0 && begun > 0 && !halfFull {
+	if timedOut && lost > 0 && begun > 0 && !halfFull {
 		v.broken = append(v.broken, fmt.Sprintf("LOST: the step timed out, and %d of its items were at no engine for 5 s", lost))
 	}
 	return v
--- a/review/.client-2/restartednode.go
+++ b/review/.client-2/restartednode.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -19,8 +20,6 @@
 	// uploadPieces and uploadPause pace the upload of a job: its last byte leaves 60 ms after its first.
 	uploadPieces = 10
 	uploadPause  = 6 * time.Millisecond
-	// connectPause is the pause after a connection that was refused.
-	connectPause = 2 * time.Millisecond
 	// trainersEach is how many trainers hand a job in at each node; they begin startOffset apart.
 	trainersEach = 8
 	startOffset  = 35 * time.Millisecond
@@ -60,12 +59,12 @@
 			})
 		}
 		for trainer := range trainersEach {
-			id := fmt.Sprintf("step7-%d-%d", i, trainer)
-			step := job{id: id, step: 7, groups: 56, size: 4, wanted: 50, prefix: "/drafts/", path: "/drafts/" + id}
+			id := fmt.Sprintf("step1-%d-%d", i, trainer)
+			step := job{id: id, step: 1, groups: 56, size: 4, wanted: 50, prefix: "/drafts/", path: "/drafts/" + id}
 			jobs = append(jobs, step)
 			group.Go(func() {
 				time.Sleep(downTime + time.Duration(trainer)*startOffset)
-				d.handIn(ctx, node, step)
+				d.handIn(ctx, i, step)
 			})
 		}
 	}
@@ -74,27 +73,31 @@
 	return d.checkJobRequests(ctx, jobs)
 }
 
-// handIn sends a job to a node as soon as that accepts a connection, until the node answers anything but a refusal.
-func (d *deployment) handIn(ctx context.Context, node *nodeProcess, step job) {
+// handIn sends a job to one node after the other, from the given one on, until one answers anything but a refusal. As the
+// pages ask, it goes to another node after a refusal, after the time that the refusal names, or after no connection.
+func (d *deployment) handIn(ctx context.Context, first int, step job) {
 	body := step.encode()
-	for ctx.Err() == nil {
+	for attempt := first; ctx.Err() == nil; attempt++ {
+		node := d.nodes[attempt%len(d.nodes)]
+		pause := retryPause
 		connection, err := net.Dial("tcp", node.callers)
-		if err != nil {
-			time.Sleep(connectPause)
-			continue
-		}
-		status, err := upload(connection, step, body)
-		_ = connection.Close()
-		d.record.logf("trainer: POST %s at %s (%d bytes): status %d, error %v", step.path, node.name, len(body), status, err)
-		if err == nil && status != http.StatusServiceUnavailable {
-			return
+		if err == nil {
+			var status int
+			var retryAfter time.Duration
+			status, retryAfter, err = upload(connection, step, body)
+			_ = connection.Close()
+			d.record.logf("trainer: POST %s at %s (%d bytes): status %d, Retry-After %v, error %v", step.path, node.name, len(body), status, retryAfter, err)
+			if err == nil && status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
+				return
+			}
+			pause = max(pause, retryAfter)
 		}
-		time.Sleep(retryPause)
+		time.Sleep(pause)
 	}
 }
 
-// upload sends a job in pieces and returns the status of the answer.
-func upload(connection net.Conn, step job, body []byte) (int, error) {
+// upload sends a job in pieces and returns the status of the answer, and when to come back.
+func upload(connection net.Conn, step job, body []byte) (int, time.Duration, error) {
 	_ = connection.SetDeadline(time.Now().Add(answerTime))
 	_, err := fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Corkpulley-Attempt-Id: %s\r\n"+
 		"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n", step.path, routeHost, step.id, len(body))
@@ -105,15 +108,16 @@
 		time.Sleep(uploadPause)
 	}
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, nil
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return response.StatusCode, time.Duration(seconds * float64(time.Second)), nil
 }
 
 // checkJobRequests checks UNASKED: engines run the items of a job, never the call that hands the job in.
--- a/review/.client-2/splitroute.go
+++ b/review/.client-2/splitroute.go
@@ -30,7 +30,7 @@
 		d.configure(configuration(8, services, []map[string]any{split}))
 	}
 	time.Sleep(configApply + time.Second)
-	step := job{id: "step7", step: 7, groups: 56, size: 4, wanted: 50, prefix: "/drafts/", path: "/drafts/step7"}
+	step := job{id: "step1", step: 1, groups: 56, size: 4, wanted: 50, prefix: "/drafts/", path: "/drafts/step1"}
 	sent := time.Now()
 	if !d.submit(ctx, step) {
 		return verdict{err: fmt.Errorf("the batch job was not accepted")}
--- a/review/.client-2/stoppednode.go
+++ b/review/.client-2/stoppednode.go
@@ -101,6 +101,9 @@
 		if err := node.command.Process.Signal(syscall.SIGTERM); err != nil {
 			return verdict{err: err}
 		}
+		// The platform kills a process that is there after the grace period.
+		kill := time.AfterFunc(graceSeconds*time.Second, func() { _ = node.command.Process.Kill() })
+		defer kill.Stop()
 	}
 	outcomes := d.useAgain(clients, stopped)
 	if trouble {
@@ -170,6 +173,8 @@
 	request.Header.Set("X-Corkpulley-Attempt-Id", "stream-1")
 	request.Header.Set("X-Corkpulley-Deadline-Ms", "15000")
 	request.Header.Set("X-Corkpulley-Model", modelName)
+	request.Header.Set("X-Corkpulley-Token-Count", "1016,13920")
+	request.Header.Set("X-Corkpulley-Prompt-Prefix", "1:1000,2:16")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
--- a/review/.client-2/trainer.go
+++ b/review/.client-2/trainer.go
@@ -36,7 +36,7 @@
 				"body": base64.StdEncoding.EncodeToString([]byte("prompt of " + id)),
 				"headers": map[string]string{
 					"X-Corkpulley-Model": modelName, "X-Corkpulley-Token-Count": "1016,1584",
-					"X-Corkpulley-Prompt-Prefix": fmt.Sprintf("%x:1000", group+1),
+					"X-Corkpulley-Prompt-Prefix": fmt.Sprintf("%x:1000,%x:16", group+1, 1<<20+group<<8+index),
 				},
 			})
 		}
