Decide whether a request is a batch job by one configuration

What callers saw: a trainer whose job arrives while its node reads a new configuration gets an engine's answer with status 200 in place of 202. The engine ran the job's JSON as a prompt, and the job is not accepted.

Cause: the kind of a request was decided before its body was read, and its route again by the relay after it, without a look at the kind. The first used the decoded path and the second the escaped one, so that a batch route with an escaped character in its prefix relayed all its jobs.

Why it works: the handler decides again once the body is there and accepts the job from it; the relay, which routes by one configuration, refuses jobs as not run. Accepted jobs match batch routes only.

TestConfigurationChangesWhileARequestWaits asserted 404 for a waiting request whose route becomes a batch route. There is a route, so callers must not be told that there is none; the test now asserts 503 as not executed, with nothing sent.

--- a/internal/core/routes/homes.go
+++ b/internal/core/routes/homes.go
@@ -11,7 +11,16 @@
 // tenant is empty for requests without one. known is false if the route or the tenant is not in the table; the
 // set may then be too large.
 func (t *Table) HomesOf(host, path, tenant string) (set homes.Set, known bool) {
-	route := t.Match(host, path)
+	return t.homesOn(t.Match(host, path), tenant)
+}
+
+// JobHomesOf is HomesOf for a batch job that was submitted at the path.
+func (t *Table) JobHomesOf(host, path, tenant string) (set homes.Set, known bool) {
+	return t.homesOn(t.MatchJob(host, path), tenant)
+}
+
+// homesOn returns the homes of a tenant's request on a route, which is nil for an unknown one.
+func (t *Table) homesOn(route *Route, tenant string) (set homes.Set, known bool) {
 	tenantSet, found := t.tenantHomes(tenant)
 	if route == nil {
 		return tenantSet, false
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"sort"
 	"strings"
@@ -60,6 +61,9 @@
 	Homes []string
 }
 
+// AcceptsJob reports whether a request with the given HTTP method submits a batch job.
+func (r *Route) AcceptsJob(method string) bool { return r.Kind == Batch && method == http.MethodPost }
+
 // Repeatable reports whether a request that may have been executed may be sent again.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Resumable }
 
@@ -158,6 +162,17 @@
 	return nil
 }
 
+// MatchJob returns the batch route of a job that was submitted at the path: that with the longest matching prefix; nil
+// if none matches. A live route with a longer prefix, which may have been added since, does not hide it.
+func (t *Table) MatchJob(host, path string) *Route {
+	for _, route := range t.byHost[normalizeHost(host)] {
+		if route.Kind == Batch && strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
 // Service returns a service by name.
 func (t *Table) Service(name string) (Service, bool) {
 	service, found := t.services[name]
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -24,6 +24,19 @@
 	}
 }
 
+// Guards against accepted jobs that are lost to a live route with a longer prefix, or run by a live route.
+func TestMatchJobReturnsBatchRoute(t *testing.T) {
+	table := NewTable(Definition{Version: 1, Routes: []Route{
+		{Name: "jobs", Host: "a.example", Prefix: "/x/", Kind: Batch}, {Name: "live", Host: "a.example", Prefix: "/x/y/", Kind: Safe},
+		{Name: "other", Host: "b.example", Prefix: "/", Kind: Safe},
+	}})
+	assert.Equal(t, table.MatchJob("A.example:80", "/x/y/z").Name, "jobs")
+	assert.Equal(t, table.MatchJob("a.example", "/x/z").Name, "jobs")
+	assert.Assert(t, table.MatchJob("b.example", "/x") == nil)
+	_, known := table.JobHomesOf("b.example", "/x", "")
+	assert.Assert(t, !known)
+}
+
 func TestRepeatable(t *testing.T) {
 	assert.Assert(t, (&Route{Kind: Safe}).Repeatable())
 	assert.Assert(t, !(&Route{Kind: Unsafe}).Repeatable())
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -37,14 +37,14 @@
 	return n.relay.Serve(w, ctx, request)
 }
 
-// IsBatchRoute implements CallerService.
-func (n *node) IsBatchRoute(host, path string) bool {
+// IsJob implements CallerService.
+func (n *node) IsJob(method, host, path string) bool {
 	table := n.state.table()
 	if table == nil {
 		return false
 	}
 	route := table.Match(host, path)
-	return route != nil && route.Kind == routes.Batch
+	return route != nil && route.AcceptsJob(method)
 }
 
 // AuthorizeJob implements CallerService.
@@ -86,6 +86,10 @@
 	if route == nil {
 		return routes.Sender{}, 0, errkind.New(errkind.UnknownService, "no route for %s%s", job.Host, job.Path)
 	}
+	if route.Kind != routes.Batch {
+		// The request, resent, is served as a live one.
+		return routes.Sender{}, 0, errkind.New(errkind.NotReady, "%s became a live route while the job arrived", route.Name)
+	}
 	sender, failure := table.SenderOf(route, credentials, n.isCurrent())
 	return sender, table.Version, failure
 }
--- a/internal/hosted/homes.go
+++ b/internal/hosted/homes.go
@@ -35,7 +35,7 @@
 	if table == nil || job.Config > table.Version {
 		return recorded
 	}
-	set, known := table.HomesOf(job.Host, job.Path, job.Tenant)
+	set, known := table.JobHomesOf(job.Host, job.Path, job.Tenant)
 	if !known {
 		return recorded
 	}
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -58,7 +58,7 @@
 	if table == nil {
 		return batchrun.Route{}, false
 	}
-	route := table.Match(host, path)
+	route := table.MatchJob(host, path)
 	if route == nil || len(route.Parts) == 0 {
 		return batchrun.Route{}, false
 	}
--- a/internal/hosted/platform.go
+++ b/internal/hosted/platform.go
@@ -55,8 +55,9 @@
 type CallerService interface {
 	// Relay answers a live request; see ingress.Relay.
 	Relay(w http.ResponseWriter, ctx context.Context, request *ingress.Request) *errkind.Error
-	// IsBatchRoute reports whether the host and path belong to a batch route.
-	IsBatchRoute(host, path string) bool
+	// IsJob reports whether a request submits a batch job by the configuration in force. Paths are escaped, as in the
+	// request line.
+	IsJob(method, host, path string) bool
 	// AuthorizeJob returns an *errkind.Error unless the sender may submit jobs at the host and path.
 	AuthorizeJob(host, path string, credentials routes.Credentials) error
 	// SubmitJob durably accepts a submitted job.
--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -157,9 +157,12 @@
 		return false, nil
 	}
 	route := table.Match(x.request.Host, x.request.Path)
-	if route == nil || route.Kind == routes.Batch && x.route.Kind != routes.Batch {
+	if route == nil {
 		return false, errkind.New(errkind.UnknownService, "no route any more for %s%s", x.request.Host, x.request.Path)
 	}
+	if route.AcceptsJob(x.request.Method) {
+		return false, becameBatchFailure(route)
+	}
 	sender, failure := x.relay.senderOf(x.callerCtx, table, route, x.request)
 	if failure != nil {
 		return false, failure
--- a/internal/ingress/awaitslot_test.go
+++ b/internal/ingress/awaitslot_test.go
@@ -352,7 +352,7 @@
 			queueTable(2, twoTenants, func(route *routes.Route) { route.Prefix = "/y/" }), errkind.UnknownService,
 		},
 		"batch route": {
-			queueTable(2, twoTenants, func(route *routes.Route) { route.Kind = routes.Batch }), errkind.UnknownService,
+			queueTable(2, twoTenants, func(route *routes.Route) { route.Kind = routes.Batch }), errkind.NotReady,
 		},
 		"key revoked": {queueTable(2, twoTenants[:1], nil), errkind.Unauthorized},
 		"other homes": {
@@ -375,6 +375,17 @@
 	}
 }
 
+// Guards against a batch job that is sent to an engine, since its route became a batch route after the handler had chosen
+// to relay it.
+func TestBatchJobIsNotRelayed(t *testing.T) {
+	d := deployQueue(t, waitsLong)
+	d.configure(queueTable(2, twoTenants, func(route *routes.Route) { route.Kind = routes.Batch }))
+	failure := d.send(t.Context(), "1", "key-a", 0).wait(t)
+	assert.Equal(t, failure.Kind, errkind.NotReady)
+	assert.Assert(t, failure.Delay() > 0)
+	assert.Equal(t, len(d.engines.sentIDs()), 0)
+}
+
 // Guards against a configuration that is read but not announced yet when a slot comes free.
 func TestConfigurationIsCheckedBeforeSending(t *testing.T) {
 	d := deployQueue(t, waitsLong)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,6 +5,7 @@
 //   - An answer is forwarded to a caller only after it was verified to belong to the caller's request.
 //   - A request that is not repeatable is sent to another engine only if the previous engine reported that it did not
 //     run it, or if no byte of it was sent.
+//   - A request that submits a batch job by the configuration with which it is relayed is sent to no engine.
 //   - An answer that has begun is completed only by the end of an engine's answer that continues it. Otherwise the
 //     caller's connection is aborted.
 //   - An error states that a request was not executed only if each engine tried reported that it did not run it, or got
@@ -239,6 +240,9 @@
 			Int64("config", table.Version).Msg("no route")
 		return nil, nil, errkind.New(errkind.UnknownService, "no route for %s%s", request.Host, request.Path)
 	}
+	if route.AcceptsJob(request.Method) {
+		return nil, nil, becameBatchFailure(route)
+	}
 	sender, failure := r.senderOf(callerContext, table, route, request)
 	if failure != nil {
 		return nil, nil, failure
@@ -259,6 +263,14 @@
 	}, cancel, nil
 }
 
+// becameBatchFailure is the error of a live request whose route became a batch route before an engine ran it. Resent, it
+// is accepted as a batch job.
+func becameBatchFailure(route *routes.Route) *errkind.Error {
+	failure := errkind.New(errkind.NotReady, "%s became a batch route while the request was under way", route.Name)
+	failure.RetryAfter = refusalRetryAfter
+	return failure
+}
+
 // senderOf returns the sender of a request. An internal request for a tenant that was removed from the configuration is
 // bound to the homes in ctx, those of the work for which it is made.
 func (r *Relay) senderOf(
