Route waiting items by the configuration in force

What callers saw: a step whose route moves to another service is not completed. Items that waited then are sent to no engine, though all are idle.

Cause: an item was queued with the service that its route led to at that moment, while passes are offered the engines of the services that routes name now.

TestWaitingItemsFollowTheirRoute timed out after 30 s before, TestRunningItemFollowsSingleVersion got two versions in a result.

Why it works: before a pass, waiting items are queued again if the version of the configuration differs from that by which they were queued. Whether a route requires a single version is read at the same time.

--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -187,6 +187,24 @@
 	r.plan.Add(item)
 }
 
+// applyRoutes applies a changed configuration to the open jobs: waiting items are queued again, so that they run at the
+// services that their routes lead to now. Running items stay where they are. Must be called with mu held.
+func (r *Runner) applyRoutes() {
+	version := r.options.ConfigVersion()
+	if r.routesVersion == version {
+		return
+	}
+	r.routesVersion = version
+	for _, job := range r.jobs {
+		if route, found := r.options.RouteOf(job.record.Host, job.record.Path); found {
+			job.singleVersion = route.SingleVersion
+		}
+	}
+	for _, item := range r.plan.WaitingItems() {
+		r.queueItem(r.jobs[item.Key.Job], item.Key.Item, item.Avoid, item.NotBefore)
+	}
+}
+
 // expectedTokens returns the estimated memory use of an item on an engine in tokens: its prompt and its expected
 // output, or half of the maximum output if none is given.
 func expectedTokens(record batch.ItemRecord) int {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -107,7 +107,9 @@
 	// Demands. It is set when a job is added: the number only falls in between.
 	itemPeaks    map[string]int
 	homesVersion int64
-	runs         map[batchplan.Key]*run
+	// routesVersion is the configuration version by which the waiting items were queued.
+	routesVersion int64
+	runs          map[batchplan.Key]*run
 	// pendingRestores is the number of jobs whose saved output is being read; startedAt is the start of the term.
 	pendingRestores int
 	startedAt       time.Time
@@ -316,6 +318,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshJobOrder(now)
+	r.applyRoutes()
 	if r.plan.Waiting() == 0 || r.ctx.Err() != nil {
 		return
 	}
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// Add adds an item to the queue, initially or after a failed run.
+// Add adds an item to the queue, initially or after a failed run. It replaces a waiting item with the same key.
 func (p *Plan) Add(item Item) {
 	if _, found := p.jobs[item.Key.Job]; !found {
 		p.AddJob(Job{ID: item.Key.Job, Model: item.Model})
@@ -225,6 +225,9 @@
 // Waiting returns the number of waiting items.
 func (p *Plan) Waiting() int { return len(p.waiting) }
 
+// WaitingItems returns the waiting items, in no particular order.
+func (p *Plan) WaitingItems() []Item { return slices.Collect(maps.Values(p.waiting)) }
+
 // Items returns the number of waiting and running items of each service.
 func (p *Plan) Items() map[string]int {
 	items := make(map[string]int)
