Take no request in a planned stop that may not end in time

What callers saw: requests that a node takes seconds after SIGTERM are passed on to an engine and cut shortly after, also ones that can't be repeated.

Cause: the node waited for a moment without any request, and took new ones on kept connections meanwhile. A long stream kept it waiting until all connections were cut at once.

Why it works: once the platform sends no new connections, connections without a request are closed, and a request that no engine has run is refused as not run unless it surely ends in time. What is left shortly before the end is answered, so that no caller is left without an answer. The same bounds hold for retries, submissions, ends and queries of jobs.

--- a/internal/boundedhttp/boundedhttp.go
+++ b/internal/boundedhttp/boundedhttp.go
@@ -100,6 +100,8 @@
 	set      *connections.Set
 	listener net.Listener
 	http     *http.Server
+	// cancelRequests cancels the contexts of all requests.
+	cancelRequests context.CancelCauseFunc
 	// inFlight is the number of requests being handled.
 	inFlight atomic.Int64
 }
@@ -117,10 +119,12 @@
 	if options.EncodeRefusal == nil {
 		options.EncodeRefusal = encodePlainRefusal
 	}
-	s := &Server{options: options, set: options.Set}
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	s := &Server{options: options, set: options.Set, cancelRequests: cancelRequests}
 	s.listener = &boundedListener{Listener: listener, server: s}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ConnState: trackState, ConnContext: withConnection,
+		BaseContext:    func(net.Listener) context.Context { return requests },
 		MaxHeaderBytes: MaxHeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 	return s, nil
@@ -149,6 +153,12 @@
 	return nil
 }
 
+// CloseIdle closes the connections on which no request runs, and from now on each one after its request.
+func (s *Server) CloseIdle() { s.http.SetKeepAlivesEnabled(false) }
+
+// CancelRequests cancels the contexts of all requests with a cause. Their connections stay open, for the responses.
+func (s *Server) CancelRequests(cause error) { s.cancelRequests(cause) }
+
 // Drain waits until no request is being handled or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	ticker := time.NewTicker(20 * time.Millisecond)
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/corkpulley/corkpulley/internal/batchjobs"
 	"github.com/corkpulley/corkpulley/internal/core/batch"
 	"github.com/corkpulley/corkpulley/internal/core/errkind"
@@ -17,6 +19,8 @@
 	// acceptTimeout bounds the write that accepts a batch job, endTimeout the write that ends one.
 	acceptTimeout = 2500 * time.Millisecond
 	endTimeout    = 3 * time.Second
+	// minWriteTime is the time that must be left in a planned stop for such a write to begin.
+	minWriteTime = 500 * time.Millisecond
 	// maxConfigurationAge is the age beyond which the configuration may be out of date: a read of the log waits for
 	// up to a second, and its response may take another.
 	maxConfigurationAge = 3 * time.Second
@@ -65,7 +69,10 @@
 	submission.Job.Tenant, submission.Job.Priority = sender.Tenant, sender.Priority
 	submission.Job.ID = batch.QualifiedID(sender.Tenant, submission.Job.ID)
 	submission.Job.Homes, submission.Job.Config = sender.Homes.Regions(), config
-	ctx, cancel := context.WithTimeout(homes.NewContext(context.WithoutCancel(ctx), sender.Homes), acceptTimeout)
+	ctx, cancel, failure := n.beginWrite(homes.NewContext(ctx, sender.Homes), acceptTimeout)
+	if failure != nil {
+		return failure
+	}
 	defer cancel()
 	err := n.acceptWithin(ctx, submission, sender.Homes)
 	n.logger.Info().Err(err).Str("job", submission.Job.ID).Int64("step", submission.Job.Step).
@@ -76,6 +83,27 @@
 	return err
 }
 
+// beginWrite returns the context of a write to the log, which goes on if the caller leaves and ends before a planned stop
+// does. It returns an error if too little time is left.
+func (n *node) beginWrite(
+	ctx context.Context, timeout time.Duration,
+) (context.Context, context.CancelFunc, *errkind.Error) {
+	limit := n.state.limitToStop(timeout)
+	if limit < minWriteTime {
+		return nil, nil, errkind.New(errkind.ShuttingDown, "this node stops in %s", limit)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	return ctx, cancel, nil
+}
+
+// stopError returns ShuttingDown for a query that the end of a planned stop has canceled, and err otherwise.
+func stopError(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), ingress.ErrStopEnds) {
+		return errkind.New(errkind.ShuttingDown, "the planned stop of this node ends")
+	}
+	return err
+}
+
 // submitter returns the tenant that submits a job, and the version of the configuration that identified it.
 func (n *node) submitter(credentials routes.Credentials, job batch.JobRecord) (routes.Sender, int64, *errkind.Error) {
 	table := n.state.table()
@@ -159,21 +187,27 @@
 
 // Results implements CallerService.
 func (n *node) Results(ctx context.Context, job JobReference, from int, wait time.Duration) (batchjobs.Results, error) {
-	return queryJob(ctx, n, job, func(ctx context.Context, id string) (batchjobs.Results, error) {
-		return n.jobRelay.Results(ctx, id, from, min(wait, maxResultsWait))
+	wait = n.state.limitToStop(min(wait, maxResultsWait))
+	results, err := queryJob(ctx, n, job, func(ctx context.Context, id string) (batchjobs.Results, error) {
+		return n.jobRelay.Results(ctx, id, from, wait)
 	})
+	return results, stopError(ctx, err)
 }
 
 // Body implements CallerService.
 func (n *node) Body(ctx context.Context, job JobReference, itemID string) ([]byte, error) {
-	return queryJob(ctx, n, job, func(ctx context.Context, id string) ([]byte, error) {
+	body, err := queryJob(ctx, n, job, func(ctx context.Context, id string) ([]byte, error) {
 		return n.jobRelay.Body(ctx, id, itemID)
 	})
+	return body, stopError(ctx, err)
 }
 
 // End implements CallerService.
 func (n *node) End(ctx context.Context, job JobReference) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	ctx, cancel, failure := n.beginWrite(ctx, endTimeout)
+	if failure != nil {
+		return failure
+	}
 	defer cancel()
 	_, err := queryJob(ctx, n, job, func(ctx context.Context, id string) (struct{}, error) {
 		err := n.jobRelay.End(ctx, id)
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -20,6 +20,8 @@
 	configuredAt time.Time
 	versions     map[string]int64
 	stopping     bool
+	// stopEnds is when all requests must have been answered in a planned stop; zero before.
+	stopEnds time.Time
 	// grace is the maximum duration of a planned stop.
 	grace time.Duration
 }
@@ -74,10 +76,10 @@
 	return maps.Clone(s.versions)
 }
 
-func (s *state) beginStop() {
+func (s *state) beginStop(ends time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	s.stopping, s.stopEnds = true, ends
 }
 
 func (s *state) gracePeriod() time.Duration {
@@ -98,6 +100,16 @@
 	return s.stopping
 }
 
+// limitToStop returns a duration that ends before a planned stop does: the given one if none is under way.
+func (s *state) limitToStop(duration time.Duration) time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.stopEnds.IsZero() {
+		return duration
+	}
+	return min(duration, max(0, time.Until(s.stopEnds)))
+}
+
 // applyControlRecord applies a record of the control topic. One that cannot be decoded has no effect.
 func (n *node) applyControlRecord(record eventlog.KeyedRecord) {
 	change, err := n.platform.DecodeControl(record)
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/corkpulley/corkpulley/internal/ingress"
 )
 
 const (
@@ -15,6 +17,9 @@
 	// minTaskTime is the minimum time for the background tasks to end; the same time remains for the exit of the
 	// process.
 	minTaskTime = exitReserve / 2
+	// answerReserve is the part of the grace period before exitReserve in which requests that have not ended are answered
+	// with an error.
+	answerReserve = 150 * time.Millisecond
 	// refusalReserve is the part of the grace period before exitReserve in which no request waits for an engine any more:
 	// one that is refused then can be answered, and one that is sent has time to complete.
 	refusalReserve = time.Second
@@ -26,23 +31,32 @@
 // period is nearly over, and then releases leadership. Leadership is kept that long because in a rolling restart
 // all other nodes may be stopping or starting. It returns the time that the canceled background tasks have to
 // write their remaining records to a possibly slow log.
+//
+// Once the node gets no new connections from a platform that has another one, callers with kept connections are sent away
+// too, and requests that may not end in time are refused as not executed. The others are answered before the end, if only
+// with an error.
 func (n *node) stop(stopTasks context.CancelFunc) time.Duration {
 	began := time.Now()
-	n.state.beginStop()
-	n.logger.Info().Int64("in_flight", n.callers.InFlight()).Msg("node stopping")
 	grace := n.state.gracePeriod()
+	deregistered, answered := min(deregistrationTime, grace/2), grace-exitReserve-answerReserve
+	n.state.beginStop(began.Add(answered))
+	n.relay.BeginStop(deregistered, answered)
+	n.logger.Info().Int64("in_flight", n.callers.InFlight()).Msg("node stopping")
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitReserve))
 	defer cancel()
 	refusal := time.AfterFunc(time.Until(began.Add(grace-exitReserve-refusalReserve)), n.relay.RefuseWaiting)
 	defer refusal.Stop()
 	n.elector.DeferClaims()
 	n.regionElections.DeferClaims()
-	timer := time.NewTimer(time.Until(began.Add(min(deregistrationTime, grace/2))))
+	answering := time.AfterFunc(time.Until(began.Add(answered)), func() { n.callers.CancelRequests(ingress.ErrStopEnds) })
+	defer answering.Stop()
+	timer := time.NewTimer(time.Until(began.Add(deregistered)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	}
+	n.callers.CloseIdle()
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
--- a/internal/ingress/awaitslot.go
+++ b/internal/ingress/awaitslot.go
@@ -120,7 +120,7 @@
 
 // endDecision returns the decision about a waiting request that is over.
 func (x *exchange) endDecision() QueueDecision {
-	if x.callerCtx.Err() != nil {
+	if x.callerLeft() {
 		return QueueCallerLeft
 	}
 	return QueueHopeless
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -24,7 +24,7 @@
 	sender  routes.Sender
 	service string
 	guard   Guard
-	// ctx ends at the request's deadline or when the caller disconnects; callerCtx only when it disconnects.
+	// ctx ends at the request's deadline or with callerCtx, which ends when the caller disconnects or a planned stop ends.
 	ctx       context.Context
 	callerCtx context.Context
 	w         http.ResponseWriter
@@ -97,6 +97,9 @@
 		if x.ctx.Err() != nil {
 			return x.timeoutFailure()
 		}
+		if failure := x.stopFailure(); failure != nil {
+			return failure
+		}
 		if !x.relay.options.Gate.AwaitEnginesKnown(x.ctx) {
 			return x.staleStateFailure()
 		}
@@ -110,6 +113,10 @@
 		if !found {
 			break
 		}
+		// The request may have waited since the check above.
+		if failure := x.stopFailure(); failure != nil {
+			return failure
+		}
 		switch x.try(choice, permitValid) {
 		case answered:
 			return nil
@@ -141,7 +148,7 @@
 
 // timeoutFailure is the error when ctx has ended. A caller that has disconnected does not receive it.
 func (x *exchange) timeoutFailure() *errkind.Error {
-	if x.callerCtx.Err() != nil && x.executions == 0 {
+	if x.callerLeft() && x.executions == 0 {
 		return errkind.New(errkind.Canceled, "the caller left")
 	}
 	return x.finalFailure()
@@ -149,12 +156,18 @@
 
 // finalFailure is the error when no engine gave a complete answer.
 func (x *exchange) finalFailure() *errkind.Error {
-	if x.status != 0 && (x.callerLost || x.callerCtx.Err() != nil) {
+	if x.status != 0 && (x.callerLost || x.callerLeft()) {
 		return errkind.New(errkind.Canceled, "the caller left before the end of the answer")
 	}
 	if x.status != 0 {
 		return errkind.New(errkind.EngineFailed, "the answer broke off and no engine continues it")
 	}
+	if x.stopEnded() && x.executions > 0 {
+		return errkind.New(errkind.OutcomeUnknown, "the planned stop of this node ended before an engine answered")
+	}
+	if x.stopEnded() {
+		return errkind.New(errkind.ShuttingDown, "the planned stop of this node ends")
+	}
 	if x.executions > 0 {
 		return errkind.New(errkind.EngineFailed, "%d engines were asked and none answered in time", x.executions)
 	}
@@ -206,7 +219,7 @@
 	line := x.relay.options.Logger.WithLevel(level).Str("id", x.request.ID).Str("route", x.route.Name).
 		Str("service", x.service).Str("tenant", x.sender.Tenant).Int64("config", x.table.Version).
 		Int("tried", len(x.tried)).Int("ran", x.executions).Int("status", x.status).Bool("complete", x.complete).
-		Bool("caller_left", x.callerCtx.Err() != nil).Dur("took_ms", took)
+		Bool("caller_left", x.callerLeft()).Dur("took_ms", took)
 	if x.sender.Homes.IsRestricted() {
 		line = line.Stringer("homes", x.sender.Homes)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -175,6 +176,8 @@
 	splitter *routes.Splitter
 	// live is nil if no request waits.
 	live *liveQueue
+	// stop is nil unless the node stops.
+	stop atomic.Pointer[plannedStop]
 	// now is a clock that advances while the machine is suspended.
 	now func() time.Time
 }
--- a/internal/ingress/try.go
+++ b/internal/ingress/try.go
@@ -20,7 +20,7 @@
 	engine := choice.Engine
 	x.tried = append(x.tried, engine.ID)
 	began := time.Now()
-	remaining := x.endsAt.Sub(x.relay.now())
+	remaining := x.remaining()
 	if remaining < minRemaining {
 		return giveUp
 	}
@@ -101,8 +101,12 @@
 	if !x.route.Repeatable() || x.route.Kind != routes.Safe || last {
 		return context.WithCancel(x.ctx)
 	}
-	timeout := max(minTryTimeout, tryTimeoutObjectives*x.route.Objective)
-	return context.WithTimeout(x.ctx, min(timeout, remaining/2))
+	return context.WithTimeout(x.ctx, min(x.tryTimeout(), remaining/2))
+}
+
+// tryTimeout returns the longest time that a try is given if another one may follow.
+func (x *exchange) tryTimeout() time.Duration {
+	return max(minTryTimeout, tryTimeoutObjectives*x.route.Objective)
 }
 
 func (x *exchange) handleSendError(err error, outcome *fleet.Outcome) verdict {
