Divide the items of batch jobs by the weights of their route

What callers saw: all items of a split batch route go to its first service, whatever the weights, and a step runs out of time beside idle engines.

Cause: the first part of a batch route was taken as its service.

TestItemsOfSplitRouteFollowItsWeights had 100 of 100 items at a service with a fifth of the weight. TestSplitterFollowsChangedWeights failed too: the splitter kept scores over a change of weights, for live requests as well.

Why it works: the runner divides the groups of a job with the same splitter as live requests. An item waits for its part, so that weights hold under load, and goes to another part if its own can't continue its output, or after 2 s if its own can't run it or most engines of the route are idle. A change of parts or weights divides the waiting items anew.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -93,7 +93,7 @@
 	items := r.plan.Items()
 	for _, job := range r.otherJobs {
 		if route, found := r.options.RouteOf(job.record.Host, job.record.Path); found {
-			items[route.Service] += job.remaining
+			route.distribute(job.remaining, items)
 		}
 	}
 	return items
--- a/internal/batchrun/dependencies.go
+++ b/internal/batchrun/dependencies.go
@@ -14,6 +14,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/batchitem"
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 )
 
@@ -123,7 +124,8 @@
 type Scorer interface {
 	// Score makes the scoring call for a tenant's item once, trying as many engines as its route allows.
 	Score(ctx context.Context, tenant string, call batch.ScoringCall) ScoringResult
-	// Capacity returns the service that would serve the call now and its capacity.
+	// Capacity returns the service that would serve the call now and its capacity. For a route to several services, these
+	// are the route and the capacity of all of them for calls divided by their weights.
 	Capacity(call batch.ScoringCall) (service string, capacity admission.Capacity)
 }
 
@@ -148,12 +150,12 @@
 
 // Route holds the settings of a route that apply to its items.
 type Route struct {
-	Service       string
+	Name string
+	// Parts are the services of the route; those without a positive weight get no items, unless there is only one.
+	Parts         []routes.Part
 	MaxAttempts   int
 	SingleVersion bool
 	Retention     time.Duration
-	// EngineTokens is the memory of one engine in tokens; zero when unknown.
-	EngineTokens int
 	// ResultsDueAfter is the time from a job's submission until its results are due; zero for none.
 	ResultsDueAfter time.Duration
 }
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -17,6 +17,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/fleet"
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/crashes"
 	"github.com/corkpulley/corkpulley/internal/sendgate"
 	"github.com/corkpulley/corkpulley/internal/testwait"
@@ -286,7 +287,9 @@
 	crashes    CrashObserver
 	coldStarts *fakeColdStarts
 	route      Route
-	terms      int
+	// engineTokens is the memory of each engine in tokens.
+	engineTokens int
+	terms        int
 	// gate is the runners' Options.Gate.
 	gate *sendgate.Gate
 	// configure, if set, changes the options of each runner.
@@ -330,6 +333,9 @@
 	env.fastEngines = append(env.fastEngines, fast)
 }
 
+// partsOf returns the parts of a route to one service.
+func partsOf(service string) []routes.Part { return []routes.Part{{Service: service, Weight: 1}} }
+
 // engineOf returns an engine with version 1 of the model.
 func engineOf(id string) fleet.Engine {
 	return fleet.Engine{ID: id, Service: "s", Slots: 8, Versions: map[string]int64{"m": 1}}
@@ -340,7 +346,7 @@
 		t: t, jobs: newFakeJobs(), fleet: fleet.New(), scorer: &fakeScorer{capacity: admission.Capacity{Slots: 100}},
 		engines: &fakeEngines{events: map[string]int{}, pause: map[string]time.Duration{}, version: map[string]int64{}},
 		crashes: noCrashes{}, homes: make(map[string]homes.Set),
-		route: Route{Service: "s", MaxAttempts: 2, Retention: time.Minute},
+		route: Route{Name: "r", Parts: partsOf("s"), MaxAttempts: 2, Retention: time.Minute},
 	}
 	for _, id := range engineIDs {
 		env.engines.version[id] = 1
@@ -367,8 +373,8 @@
 	options := Options{
 		Jobs: env.jobs, Engines: engines, Fleet: env.fleet, Scorer: env.scorer, Crashes: env.crashes, ColdStarts: env.coldStarts,
 		Gate:    env.gate,
-		RouteOf: env.routeOf,
-		Homes:   homes.Of(regions), HomesOf: env.homesOf, ConfigVersion: env.configVersion,
+		RouteOf: env.routeOf, EngineTokensOf: func(string) int { return env.engineTokens },
+		Homes: homes.Of(regions), HomesOf: env.homesOf, ConfigVersion: env.configVersion,
 		LoadingModel:  func(incarnation.ID) string { return "" },
 		LoadingModels: func() map[incarnation.ID]string { return nil },
 		Term:          fmt.Sprint(env.terms), Logger: logger,
--- a/internal/batchrun/joborder_test.go
+++ b/internal/batchrun/joborder_test.go
@@ -172,7 +172,8 @@
 	env := newTestEnv(t, "a")
 	r := New(Options{
 		Fleet: env.fleet, Crashes: env.crashes, RouteOf: env.routeOf, HomesOf: env.homesOf, ConfigVersion: env.configVersion,
-		Logger: zerolog.Nop(), DueOrder: true,
+		EngineTokensOf: func(string) int { return env.engineTokens },
+		Logger:         zerolog.Nop(), DueOrder: true,
 		LoadingModel: func(incarnation.ID) string { return "" },
 	})
 	key, started, engine := batchplan.Key{Job: "j"}, time.Now(), engineOf("a")
--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -128,9 +128,10 @@
 	env.mixed = true
 	r := New(Options{
 		Fleet: env.fleet, Crashes: env.crashes, RouteOf: env.routeOf, HomesOf: env.homesOf, ConfigVersion: env.configVersion,
-		LoadingModel:  func(incarnation.ID) string { return "" },
-		LoadingModels: func() map[incarnation.ID]string { return nil },
-		Logger:        zerolog.Nop(), MixedEngines: true, OnMove: env.recordMove,
+		EngineTokensOf: func(string) int { return env.engineTokens },
+		LoadingModel:   func(incarnation.ID) string { return "" },
+		LoadingModels:  func() map[incarnation.ID]string { return nil },
+		Logger:         zerolog.Nop(), MixedEngines: true, OnMove: env.recordMove,
 	})
 	record := batch.JobRecord{ID: "j", Model: "m", MinVersion: 1, Items: make([]batch.ItemRecord, len(events))}
 	r.jobs["j"] = &openJob{record: record, items: make([]batchitem.Item, len(events))}
--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -173,7 +173,7 @@
 	}
 	item := batchplan.Item{
 		Key:     key,
-		Service: route.Service, Model: job.record.Model, MinVersion: job.record.MinVersion,
+		Service: r.serviceFor(job, index, &route), Model: job.record.Model, MinVersion: job.record.MinVersion,
 		Group: record.Group, Length: record.Length, Tokens: expectedTokens(record), NotBefore: notBefore, Avoid: avoid,
 		WaitingSince: state.WaitingSince,
 		Prompt:       record.Prompt, Events: int32(state.Output.Last()),
--- a/internal/batchrun/overcommit.go
+++ b/internal/batchrun/overcommit.go
@@ -22,15 +22,14 @@
 func (r *Runner) wasOvercommitted(key batchplan.Key, engine fleet.Engine, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	job := r.jobs[key.Job]
-	if job == nil {
+	if r.jobs[key.Job] == nil {
 		return false
 	}
 	id := engine.Incarnation()
 	known, found := r.overcommitChecks[id]
 	if !found || now.Sub(known.at) > streamLossWindow {
-		route, _ := r.options.RouteOf(job.record.Host, job.record.Path)
-		known = overcommitCheck{at: now, overcommitted: r.plan.MemoryOvercommitted(key, id, route.EngineTokens)}
+		memory := r.options.EngineTokensOf(engine.Service)
+		known = overcommitCheck{at: now, overcommitted: r.plan.MemoryOvercommitted(key, id, memory)}
 		r.overcommitChecks[id] = known
 	}
 	return known.overcommitted
--- a/internal/batchrun/overcommit_test.go
+++ b/internal/batchrun/overcommit_test.go
@@ -48,7 +48,7 @@
 func reportedLosses(t *testing.T, tokens int, items ...string) int {
 	t.Helper()
 	env := newTestEnv(t, "a")
-	env.route.EngineTokens = 1000
+	env.engineTokens = 1000
 	observer := &recordingObserver{}
 	env.crashes = observer
 	for _, item := range items {
@@ -78,7 +78,7 @@
 // Guards against an item that is given up because each crash is put down to overcommitted memory.
 func TestItemsOfOvercommittedEnginesAreCompleted(t *testing.T) {
 	env := newTestEnv(t, "a")
-	env.route.EngineTokens = 1000
+	env.engineTokens = 1000
 	env.engines.events["x"], env.engines.events["y"] = 2, 2
 	crashes := 0
 	env.engines.refuse = func(string, Call) *CallError {
--- a/internal/batchrun/ownership_test.go
+++ b/internal/batchrun/ownership_test.go
@@ -28,7 +28,7 @@
 func (env *testEnv) routeOf(string, string) (Route, bool) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	return env.route, env.route.Service != ""
+	return env.route, len(env.route.Parts) > 0
 }
 
 // setRoute applies a new configuration with the route.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -18,6 +18,7 @@
 	"github.com/corkpulley/corkpulley/internal/core/homes"
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
 	"github.com/corkpulley/corkpulley/internal/core/joborder"
+	"github.com/corkpulley/corkpulley/internal/core/routes"
 	"github.com/corkpulley/corkpulley/internal/sendgate"
 )
 
@@ -58,6 +59,10 @@
 	// ColdStarts is used only for engines of services with a slow start.
 	ColdStarts ColdStarts
 	RouteOf    RouteOf
+	// EngineTokensOf returns the memory of one engine of a service in tokens; zero when unknown.
+	EngineTokensOf func(service string) int
+	// Seed determines where the split of items among the services of a route starts; see routes.NewSplitter.
+	Seed uint64
 	// DueOrder makes jobs start by due times while items outnumber free slots, see joborder. OnJobDecision, if set, is
 	// called for each decision of that order.
 	DueOrder      bool
@@ -94,6 +99,7 @@
 type Runner struct {
 	options  Options
 	recorder *recorder
+	splitter *routes.Splitter
 	wake     chan struct{}
 
 	mu   sync.Mutex
@@ -140,6 +146,8 @@
 	addedAt  time.Time
 	// singleVersion reports whether a result may come from one weight version only.
 	singleVersion bool
+	// split is how its items are divided among the services of its route.
+	split jobSplit
 	// savedProgress holds the progress in the log when the job was added, by item.
 	savedProgress map[int]batch.Progress
 	cancelLoad    context.CancelFunc
@@ -172,6 +180,7 @@
 	options.Gate = sendgate.OrNew(options.Gate, options.Fleet)
 	r := &Runner{
 		options:   options,
+		splitter:  routes.NewSplitter(options.Seed),
 		wake:      make(chan struct{}, 1),
 		plan:      batchplan.New(),
 		jobs:      make(map[string]*openJob),
--- a/internal/batchrun/views.go
+++ b/internal/batchrun/views.go
@@ -12,6 +12,7 @@
 	var views []batchplan.Engine
 	loading := r.options.LoadingModels()
 	for service, required := range r.required() {
+		tokens := r.options.EngineTokensOf(service)
 		for _, listed := range r.options.Fleet.List(service, now) {
 			engine := listed.Engine
 			if !r.options.Homes.Allows(engine.Region) || !required.satisfiedBy(engine.Versions) {
@@ -23,7 +24,7 @@
 			views = append(views, batchplan.Engine{
 				Cold: cold, MaxStarts: starts,
 				ID: id, Service: engine.Service, Slots: engine.Slots, Versions: engine.Versions,
-				Tokens: required.engineTokens, Loading: loading[id],
+				Tokens: tokens, Loading: loading[id],
 				Leaving:   !listed.AcceptsWork,
 				Usable:    listed.AcceptsWork && !paused && !listed.Suspected,
 				Suspected: listed.AcceptsWork && !paused && listed.Suspected,
@@ -33,17 +34,12 @@
 	return views
 }
 
-// requirements are what open jobs need of the engines of a service.
-type requirements struct {
-	// engineTokens is the memory of one engine in tokens.
-	engineTokens int
-	// minVersion holds, by model, the lowest minimum weight version of the open jobs.
-	minVersion map[string]int64
-}
+// requirements are what open jobs need of the engines of a service: by model, the lowest minimum weight version.
+type requirements map[string]int64
 
 // satisfiedBy reports whether an engine with these weight versions may run an item of some job.
 func (r requirements) satisfiedBy(versions map[string]int64) bool {
-	for model, minVersion := range r.minVersion {
+	for model, minVersion := range r {
 		if versions[model] >= minVersion {
 			return true
 		}
@@ -59,14 +55,16 @@
 		if !found {
 			continue
 		}
-		required, known := services[route.Service]
-		if !known {
-			required = requirements{engineTokens: route.EngineTokens, minVersion: make(map[string]int64)}
-			services[route.Service] = required
-		}
-		minVersion, wanted := required.minVersion[job.record.Model]
-		if !wanted || job.record.MinVersion < minVersion {
-			required.minVersion[job.record.Model] = job.record.MinVersion
+		for _, service := range route.services() {
+			required, known := services[service]
+			if !known {
+				required = make(requirements)
+				services[service] = required
+			}
+			minVersion, wanted := required[job.record.Model]
+			if !wanted || job.record.MinVersion < minVersion {
+				required[job.record.Model] = job.record.MinVersion
+			}
 		}
 	}
 	return services
--- a/internal/core/batchplan/demand.go
+++ b/internal/core/batchplan/demand.go
@@ -26,6 +26,17 @@
 	d.leastNeed = min(d.leastNeed, other.leastNeed)
 }
 
+// countDemand counts the demand of one of the job's items.
+func (r *jobRank) countDemand(added *classDemand) {
+	for i := range r.demands {
+		if r.demands[i].class.service == added.class.service {
+			r.demands[i].add(added)
+			return
+		}
+	}
+	r.demands = append(r.demands, *added)
+}
+
 // demand is the demand for the engines of a service.
 type demand struct {
 	byClass map[class]*classDemand
@@ -44,15 +55,15 @@
 func (d *dueOrder) countDemands(p *pass) {
 	clear(d.demands)
 	for _, job := range p.plan.order {
-		if job.demand.waiting == 0 {
-			continue
-		}
-		service, found := d.demands[job.demand.class.service]
-		if !found {
-			service = &demand{byClass: make(map[class]*classDemand)}
-			d.demands[job.demand.class.service] = service
+		for i := range job.demands {
+			name := job.demands[i].class.service
+			service, found := d.demands[name]
+			if !found {
+				service = &demand{byClass: make(map[class]*classDemand)}
+				d.demands[name] = service
+			}
+			service.add(&job.demands[i])
 		}
-		service.add(&job.demand)
 	}
 	for _, service := range d.demands {
 		service.sortClasses()
--- a/internal/core/batchplan/due.go
+++ b/internal/core/batchplan/due.go
@@ -98,9 +98,9 @@
 	}
 }
 
-func (d *dueOrder) itemWaits(item Item) {
+func (d *dueOrder) itemWaits(item Item, pool string) {
 	if d != nil {
-		d.jobs.Waiting(item.Key.Job, item.Key.Item, item.Service, item.Events)
+		d.jobs.Waiting(item.Key.Job, item.Key.Item, pool, item.Events)
 	}
 }
 
@@ -159,7 +159,7 @@
 // startable returns the waiting items that may start now and counts them by job.
 func (p *pass) startable() []candidateItem {
 	for _, job := range p.plan.order {
-		job.demand = classDemand{}
+		job.demands = job.demands[:0]
 	}
 	startable := make([]candidateItem, 0, len(p.plan.waiting))
 	for _, item := range p.plan.waiting {
@@ -168,8 +168,8 @@
 		}
 		job := p.plan.jobs[item.Key.Job]
 		need := p.need(&item)
-		job.demand.add(&classDemand{waiting: 1, need: need, leastNeed: need})
-		job.demand.class = class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
+		itemClass := class{service: item.Service, model: item.Model, minVersion: item.MinVersion}
+		job.countDemand(&classDemand{class: itemClass, waiting: 1, need: need, leastNeed: need})
 		startable = append(startable, candidateItem{item, job})
 	}
 	return startable
--- a/internal/core/batchplan/order.go
+++ b/internal/core/batchplan/order.go
@@ -37,10 +37,12 @@
 	position int
 	// longThreshold is the length from which an item counts as one of the job's longest; zero if no length is known.
 	longThreshold int
-	// demand is that of the job's items that may start in this pass, with the class of one of them. It is set only with
-	// due, the job's entry in the order by due times; nil if there is none.
-	demand classDemand
-	due    *joborder.Entry
+	// demands are those of the job's items that may start in this pass, one for each service. They are set only with due,
+	// the job's entry in the order by due times; nil if there is none.
+	demands []classDemand
+	due     *joborder.Entry
+	// services are those that the job's route leads to; see Plan.SetServices.
+	services []string
 	// dueAfter is the time from the job's submission until its results are due; zero when unknown.
 	dueAfter time.Duration
 }
--- a/internal/core/batchplan/pass.go
+++ b/internal/core/batchplan/pass.go
@@ -44,6 +44,8 @@
 	bestPace        time.Duration
 	expectedRunTime time.Duration
 	classes         map[class]*candidateHeap
+	// idle holds the result of idleSlots by job, less the items that have left their part since.
+	idle map[*jobRank]int
 	// latest is the heap of the latest item, which mostly is that of the next one too; nil before the first item.
 	latest *candidateHeap
 	// speeds holds the speed classes of the services that have any, projected the memory that the running items of
@@ -128,6 +130,7 @@
 		plan: plan, now: now, engines: engines, medianPace: medianPace, bestPace: best,
 		expectedRunTime: plan.expectedRunTime(best),
 		byID:            make(map[incarnation.ID]int, len(engines)), classes: make(map[class]*candidateHeap),
+		idle:       make(map[*jobRank]int),
 		startsLeft: make([]int, len(engines)), arriving: plan.arrivalsByEngine(),
 	}
 	if len(plan.speeds.classes) > 0 {
--- a/internal/core/batchplan/plan.go
+++ b/internal/core/batchplan/plan.go
@@ -168,7 +168,7 @@
 		p.AddJob(Job{ID: item.Key.Job, Model: item.Model})
 	}
 	p.waiting[item.Key] = item
-	p.due.itemWaits(item)
+	p.due.itemWaits(item, p.jobs[item.Key.Job].pool(item.Service))
 }
 
 // Remove removes an item, whether it waits or runs.
@@ -296,7 +296,7 @@
 	p.recordDelayed(now, len(queue))
 	p.movedFirst(queue)
 	for _, item := range queue {
-		engine, restart, reason := pass.chooseOrRestart(item)
+		item, engine, restart, reason := pass.chooseOrRestart(item)
 		if reason != NotWaiting {
 			p.setWaitReason(item.Key, now, reason)
 			if reason == NoMemory && p.isOverdue(item.Key) {
--- a/internal/core/batchplan/restart.go
+++ b/internal/core/batchplan/restart.go
@@ -23,17 +23,19 @@
 
 // chooseOrRestart returns the engine for an item as choose does. An item that no engine can continue, now or within the
 // time that its output is worth, starts over at an engine with another version.
-func (p *pass) chooseOrRestart(item Item) (incarnation.ID, RestartReason, WaitReason) {
-	engine, wait := p.choose(item)
+// It returns the item with the service of that engine.
+func (p *pass) chooseOrRestart(item Item) (Item, incarnation.ID, RestartReason, WaitReason) {
+	chosen, engine, wait := p.chooseAnyPart(item)
 	if wait == NotWaiting {
-		return engine, NoRestart, NotWaiting
+		return chosen, engine, NoRestart, NotWaiting
 	}
 	restart := p.restartReason(&item)
 	if restart == NoRestart {
-		return incarnation.ID{}, NoRestart, wait
+		return item, incarnation.ID{}, NoRestart, wait
 	}
-	engine, wait = p.choose(item.withoutOutput())
-	return engine, restart, wait
+	chosen, engine, wait = p.chooseAnyPart(item.withoutOutput())
+	item.Service = chosen.Service
+	return item, engine, restart, wait
 }
 
 // withoutOutput returns the item as it starts over.
@@ -68,9 +70,10 @@
 // versionMayReturn reports whether an engine may come to serve the item's version: it has the version but is busy or out
 // of reach, or may still load it. Versions of engines only rise.
 func (p *pass) versionMayReturn(item *Item) bool {
+	rank := p.plan.jobs[item.Key.Job]
 	for i := range p.engines {
 		engine := &p.engines[i]
-		if engine.Leaving || engine.Service != item.Service {
+		if engine.Leaving || engine.Service != item.Service && !rank.serves(engine.Service) {
 			continue
 		}
 		version := engine.Versions[item.Model]
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -24,6 +24,35 @@
 	}
 }
 
+// Guards against requests that all go to one part for long after weights of another scale have come into force.
+func TestSplitterFollowsChangedWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		splitter := NewSplitter(rapid.Uint64().Draw(t, "seed"))
+		before := rapid.IntRange(1, 5000).Draw(t, "weight before")
+		for range rapid.IntRange(0, 20).Draw(t, "requests before") {
+			splitter.Pick(&Route{Name: "r", Parts: []Part{{"a", before}, {"b", 3 * before}}})
+		}
+		counts := map[string]int{}
+		for range 100 {
+			counts[splitter.Pick(&Route{Name: "r", Parts: []Part{{"a", 1}, {"b", 1}}})]++
+		}
+		if counts["a"] < 48 || counts["a"] > 52 {
+			t.Fatalf("%v of 100 requests at equal weights", counts)
+		}
+	})
+}
+
+// Guards against shares that count picks where each stands for many requests.
+func TestSplitterCountsRequestsOfPicks(t *testing.T) {
+	splitter := NewSplitter(0)
+	parts := []Part{{"a", 1}, {"b", 3}}
+	counts := map[string]int{}
+	for _, requests := range []int{4, 40, 8, 4, 16, 8, 40, 4, 4, 32, 16, 8} {
+		counts[splitter.PickFor("r", parts, requests)] += requests
+	}
+	assert.Assert(t, counts["a"] > 20 && counts["a"] < 80, "%v of 184 requests, a quarter of them for a", counts)
+}
+
 // Guards against accepted jobs that are lost to a live route with a longer prefix, or run by a live route.
 func TestMatchJobReturnsBatchRoute(t *testing.T) {
 	table := NewTable(Definition{Version: 1, Routes: []Route{
--- a/internal/core/routes/split.go
+++ b/internal/core/routes/split.go
@@ -1,29 +1,42 @@
 package routes
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Splitter distributes the requests of a route over its parts by smooth weighted round-robin. The number of requests
 // of each part stays within a few of its exact share, for any sequence of requests. It is safe for concurrent use.
 type Splitter struct {
 	mu sync.Mutex
-	// scores holds the current score of each part by route name. Their sum is zero.
-	scores map[string][]int
+	// shares holds the state of each route by its name.
+	shares map[string]*shares
 	seed   uint64
 }
 
+// shares is the state of a route: the parts for which it holds, and the score of each. The sum of the scores is zero.
+type shares struct {
+	parts  []Part
+	scores []int
+}
+
 // NewSplitter returns a splitter. The seed determines its initial scores, so that nodes with few requests do not
 // all start with the part of the greatest weight.
 func NewSplitter(seed uint64) *Splitter {
-	return &Splitter{scores: make(map[string][]int), seed: seed}
+	return &Splitter{shares: make(map[string]*shares), seed: seed}
 }
 
 // Pick returns the service for the next request of the route; empty if no part has a positive weight.
-func (s *Splitter) Pick(route *Route) string {
-	if len(route.Parts) == 1 {
-		return route.Parts[0].Service
+func (s *Splitter) Pick(route *Route) string { return s.PickFor(route.Name, route.Parts, 1) }
+
+// PickFor returns the service for the next requests of a route, as many as given, which go to the same one. Parts must not
+// be modified afterwards.
+func (s *Splitter) PickFor(route string, parts []Part, requests int) string {
+	if len(parts) == 1 {
+		return parts[0].Service
 	}
 	total := 0
-	for _, part := range route.Parts {
+	for _, part := range parts {
 		total += part.Weight
 	}
 	if total <= 0 {
@@ -31,29 +44,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	scores := s.routeScores(route, total)
+	scores := s.scoresOf(route, parts, total)
 	best := -1
-	for i, part := range route.Parts {
-		scores[i] += part.Weight
+	for i, part := range parts {
+		scores[i] += requests * part.Weight
 		if part.Weight > 0 && (best < 0 || scores[i] > scores[best]) {
 			best = i
 		}
 	}
-	scores[best] -= total
-	return route.Parts[best].Service
+	scores[best] -= requests * total
+	return parts[best].Service
 }
 
-// routeScores returns the scores of the route's parts. Must be called with mu held.
-func (s *Splitter) routeScores(route *Route, total int) []int {
-	scores := s.scores[route.Name]
-	if len(scores) == len(route.Parts) {
-		return scores
+// scoresOf returns the scores of a route's parts. They start anew when parts or weights change: scores by other weights
+// would send all requests to one part until they are made up for. Must be called with mu held.
+func (s *Splitter) scoresOf(route string, parts []Part, total int) []int {
+	if known, found := s.shares[route]; found && slices.Equal(known.parts, parts) {
+		return known.scores
 	}
-	scores = make([]int, len(route.Parts))
+	scores := make([]int, len(parts))
 	// The shift keeps the sum of the scores at zero.
 	shift := int(s.seed % uint64(total))
 	scores[0] -= shift
 	scores[len(scores)-1] += shift
-	s.scores[route.Name] = scores
+	s.shares[route] = &shares{parts: parts, scores: scores}
 	return scores
 }
--- a/internal/hosted/lead.go
+++ b/internal/hosted/lead.go
@@ -32,6 +32,7 @@
 		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Crashes: n.crashDetector, Gate: n.gate,
 		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
 		ColdStarts: n.coldGranter, RouteOf: n.batchRoute, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
+		EngineTokensOf: n.engineTokens, Seed: seedOf(n.holder),
 		LoadingModel: orders.LoadingModel, LoadingModels: orders.LoadingModels,
 		MixedEngines: n.mixedEngines(), OnOutputDropped: n.metrics.outputDropped,
 		OnMove: n.metrics.itemMoved, OnFastEngines: n.metrics.fastEnginesOf(homes.Set{}),
@@ -62,13 +63,22 @@
 	if route == nil || len(route.Parts) == 0 {
 		return batchrun.Route{}, false
 	}
-	service, _ := table.Service(route.Parts[0].Service)
 	return batchrun.Route{
-		Service: route.Parts[0].Service, EngineTokens: service.EngineTokens, MaxAttempts: route.MaxAttempts,
+		Name: route.Name, Parts: route.Parts, MaxAttempts: route.MaxAttempts,
 		SingleVersion: route.SingleVersion, Retention: route.Retention, ResultsDueAfter: route.ResultsDueAfter,
 	}, true
 }
 
+// engineTokens returns the memory of one engine of a service in tokens; zero when unknown.
+func (n *node) engineTokens(name string) int {
+	table := n.state.table()
+	if table == nil {
+		return 0
+	}
+	service, _ := table.Service(name)
+	return service.EngineTokens
+}
+
 // ordersByDue reports whether jobs are ordered by due times.
 func (n *node) ordersByDue() bool { return n.config.Scheduling.JobOrder == settings.JobOrderDue }
 
--- a/internal/hosted/regionelections.go
+++ b/internal/hosted/regionelections.go
@@ -197,7 +197,7 @@
 	runner = batchrun.New(batchrun.Options{
 		Jobs: n.jobs, Engines: n.engineCalls, Fleet: n.fleet, Scorer: n, Crashes: n.crashDetector, Gate: n.gate,
 		DueOrder: n.ordersByDue(), OnJobDecision: n.metrics.jobDecided,
-		ColdStarts: permits, RouteOf: n.batchRoute,
+		ColdStarts: permits, RouteOf: n.batchRoute, EngineTokensOf: n.engineTokens, Seed: seedOf(n.holder),
 		Homes: set, HomesOf: n.jobHomes, ConfigVersion: n.configVersion,
 		// The leader manages weight versions; an engine that is loading one refuses items.
 		LoadingModel:  func(incarnation.ID) string { return "" },
--- a/internal/hosted/scorer.go
+++ b/internal/hosted/scorer.go
@@ -50,11 +50,39 @@
 	if route == nil || len(route.Parts) == 0 {
 		return "", admission.Capacity{}
 	}
-	var capacity admission.Capacity
-	for _, part := range route.Parts {
-		slots, busy := n.fleet.Capacity(part.Service, time.Now())
-		capacity.Slots += slots
-		capacity.Busy += busy
+	name := route.Parts[0].Service
+	if len(route.Parts) > 1 {
+		name = route.Name
 	}
-	return route.Parts[0].Service, capacity
+	return name, capacityOf(route.Parts, func(service string) admission.Capacity {
+		slots, busy := n.fleet.Capacity(service, time.Now())
+		return admission.Capacity{Slots: slots, Busy: busy}
+	})
+}
+
+// capacityOf returns the capacity of a route for requests that are divided among its parts by their weights: that which the
+// part that is used up first allows. Parts without engines are passed over, since the requests for them fail at once.
+func capacityOf(parts []routes.Part, of func(service string) admission.Capacity) admission.Capacity {
+	if len(parts) == 1 {
+		return of(parts[0].Service)
+	}
+	total := 0
+	for _, part := range parts {
+		total += part.Weight
+	}
+	var least admission.Capacity
+	for _, part := range parts {
+		if part.Weight <= 0 {
+			continue
+		}
+		capacity := of(part.Service)
+		if capacity.Slots == 0 {
+			continue
+		}
+		capacity.Slots, capacity.Busy = capacity.Slots*total/part.Weight, capacity.Busy*total/part.Weight
+		if least.Slots == 0 || capacity.Slots-capacity.Busy < least.Slots-least.Busy {
+			least = capacity
+		}
+	}
+	return least
 }
--- a/test/hosted/batch_test.go
+++ b/test/hosted/batch_test.go
@@ -286,3 +286,31 @@
 		return status == http.StatusNotFound
 	})
 }
+
+// Guards against a split batch route whose items all go to its first service.
+func TestItemsOfSplitRouteFollowItsWeights(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	for i := range 3 {
+		d.addModelEngine(fmt.Sprint("main", i), 1, 2, 0)
+		d.addEngine(standin.EngineOptions{
+			ID: fmt.Sprint("canary", i), Service: "canary", Versions: map[string]int64{model: 1},
+			Events: func(string) int { return 2 },
+		})
+	}
+	split := batchRoute("/batch/")
+	delete(split, "service")
+	split["split"] = []map[string]any{{"service": "canary", "weight": 20}, {"service": "llm", "weight": 80}}
+	d.configure(split)
+	node := d.start("n1")
+	ids := itemIDs(100)
+	assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", jobBody(1, ids...)).status, http.StatusAccepted)
+	assertAllCompleted(t, d.awaitResults(node, "job1", len(ids)), ids, 2)
+	onCanary := 0
+	for _, engine := range d.engines {
+		if strings.HasPrefix(engine.ID(), "canary") {
+			onCanary += len(engine.Runs())
+		}
+	}
+	assert.Assert(t, onCanary >= 15 && onCanary <= 25, "%d of 100 items, a fifth of them for the canary", onCanary)
+}
