--- a/test/hosted/brokenhead_test.go
+++ b/test/hosted/brokenhead_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -211,3 +213,49 @@
 		})
 	}
 }
+
+// Guards against callers that get no answer, or one that no engine gave, for a response with an invalid head. Another
+// engine is asked if the request may be repeated.
+func TestInvalidResponseHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(head string) string{
+		"status 000":             func(head string) string { return strings.Replace(head, " 200 ", " 000 ", 1) },
+		"status +20":             func(head string) string { return strings.Replace(head, " 200 ", " +20 ", 1) },
+		"status 101":             func(head string) string { return strings.Replace(head, " 200 ", " 101 ", 1) },
+		"blank in a field name":  func(head string) string { return strings.Replace(head, "\r\n", "\r\nX Odd: 1\r\n", 1) },
+		"blank before the colon": func(head string) string { return strings.Replace(head, "Content-Length:", "Content-Length :", 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			respond := toPosts(func(connection *net.TCPConn, sound *http.Response) bool {
+				body, _ := io.ReadAll(sound.Body)
+				head := encodeHead(sound, map[string]string{"Content-Length": fmt.Sprint(len(body))})
+				_, _ = connection.Write(append([]byte(spoil(string(head))), body...))
+				return false
+			})
+			d.addRawEngine(standin.EngineOptions{ID: "raw", Service: "desk", Slots: 8}, respond)
+			d.addRawEngine(standin.EngineOptions{ID: "raw-llm", Service: "llm", Slots: 8, Versions: map[string]int64{model: 1}}, respond)
+			sound := d.addEngine(standin.EngineOptions{ID: "sound", Service: "desk"})
+			d.addModelEngine("sound-llm", 1, 4, 0)
+			d.configure(safeRoute("/safe/"), unsafeRoute("/unsafe/"), batchRoute("/batch/"))
+			node := d.start("n1")
+			for i := range 12 {
+				got := node.call(http.MethodPost, "/safe/x", fmt.Sprint("safe-", i), "{}")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				once := node.call(http.MethodPost, "/unsafe/x", fmt.Sprint("unsafe-", i), "{}")
+				assert.NilError(t, once.err)
+				ranSound := slices.ContainsFunc(sound.Runs(), func(run standin.Run) bool { return run.ID == fmt.Sprint("unsafe-", i) })
+				if ranSound {
+					assert.Equal(t, once.status, http.StatusOK)
+				} else {
+					assert.Equal(t, once.status, http.StatusBadGateway)
+				}
+			}
+			ids := itemIDs(8)
+			assert.Equal(t, node.call(http.MethodPost, "/batch/x", "job1", jobBody(1, ids...)).status, http.StatusAccepted)
+			assertAllCompleted(t, d.awaitResults(node, "job1", len(ids)), ids, 4)
+		})
+	}
+}
