--- a/internal/standin/memlog/memlog.go
+++ b/internal/standin/memlog/memlog.go
@@ -131,7 +131,8 @@
 	for _, raw := range records {
 		raw = slices.Clone(raw)
 		if len(raw) > 0 && len(raw) > int(raw[0]) {
-			key, value := string(raw[1:1+raw[0]]), raw[1+raw[0]:]
+			end := 1 + int(raw[0])
+			key, value := string(raw[1:end]), raw[end:]
 			if len(value) == 0 {
 				delete(p.keys, key)
 			} else {
@@ -286,7 +287,8 @@
 	}
 	keyed := eventlog.KeyedBatch{Next: from + int64(len(batch.Records))}
 	for i, raw := range batch.Records {
-		key, value := string(raw[1:1+raw[0]]), raw[1+raw[0]:]
+		end := 1 + int(raw[0])
+		key, value := string(raw[1:end]), raw[end:]
 		keyed.Records = append(keyed.Records, eventlog.KeyedRecord{
 			Key: key, Value: value, Deleted: len(value) == 0, Offset: from + int64(i),
 		})
