Don't refuse a large body for good while no configuration is known

What callers saw: a node that has not read its configuration yet answers a body of over 1 MB with 413, after which callers don't send it again, although the configured limit allows it.

Cause: the default limit, which applies until there is a configuration, was treated like a configured one.

--- a/internal/batchrun/observe.go
+++ b/internal/batchrun/observe.go
@@ -201,7 +201,9 @@
 		}
 	}
 	for _, item := range r.plan.WaitingItems() {
-		r.queueItem(r.jobs[item.Key.Job], item.Key.Item, item.Avoid, item.NotBefore)
+		if job := r.jobs[item.Key.Job]; job != nil {
+			r.queueItem(job, item.Key.Item, item.Avoid, item.NotBefore)
+		}
 	}
 }
 
--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -221,12 +221,15 @@
 func (n *node) IsStopping() bool { return n.state.isStopping() }
 
 // MaxBodyBytes implements CallerService.
-func (n *node) MaxBodyBytes() int64 {
+func (n *node) MaxBodyBytes() (limit int64, configured bool) {
 	table := n.state.table()
-	if table == nil || table.Limits.MaxBodyBytes <= 0 {
-		return defaultMaxBodyBytes
+	if table == nil {
+		return defaultMaxBodyBytes, false
+	}
+	if table.Limits.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes, true
 	}
-	return table.Limits.MaxBodyBytes
+	return table.Limits.MaxBodyBytes, true
 }
 
 // MaxRecordBytes implements CallerService.
--- a/internal/hosted/platform.go
+++ b/internal/hosted/platform.go
@@ -71,7 +71,8 @@
 	// IsStopping reports whether the node is performing a planned stop.
 	IsStopping() bool
 	// MaxBodyBytes bounds the size of a request's body. Memory for it is reserved while it is read, by the listener.
-	MaxBodyBytes() int64
+	// configured is false while no configuration is known.
+	MaxBodyBytes() (limit int64, configured bool)
 	// MaxRecordBytes bounds the size of a record of the log.
 	MaxRecordBytes() int
 	// ReserveResult reserves memory for a response about a batch job until its caller has read it. A refusal has a retry
