End the wait of a query before its planned stop does

Cause: the wait ended at the instant at which the requests in hand are canceled.

Why it works: the wait ends 0.3 s earlier. 48 runs of the tests of planned stops under the race detector, beside six busy processes, passed.

--- a/internal/hosted/callers.go
+++ b/internal/hosted/callers.go
@@ -21,6 +21,8 @@
 	endTimeout    = 3 * time.Second
 	// minWriteTime is the time that must be left in a planned stop for such a write to begin.
 	minWriteTime = 500 * time.Millisecond
+	// queryReserve is the time from the end of a query's wait to the end of a planned stop, in which it is answered.
+	queryReserve = 300 * time.Millisecond
 	// maxConfigurationAge is the age beyond which the configuration may be out of date: a read of the log waits for
 	// up to a second, and its response may take another.
 	maxConfigurationAge = 3 * time.Second
@@ -187,7 +189,7 @@
 
 // Results implements CallerService.
 func (n *node) Results(ctx context.Context, job JobReference, from int, wait time.Duration) (batchjobs.Results, error) {
-	wait = n.state.limitToStop(min(wait, maxResultsWait))
+	wait = max(0, n.state.limitToStop(min(wait, maxResultsWait)+queryReserve)-queryReserve)
 	results, err := queryJob(ctx, n, job, func(ctx context.Context, id string) (batchjobs.Results, error) {
 		return n.jobRelay.Results(ctx, id, from, wait)
 	})
