--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -32,9 +32,8 @@
 // all other nodes may be stopping or starting. It returns the time that the canceled background tasks have to
 // write their remaining records to a possibly slow log.
 //
-// Once the node gets no new connections from a platform that has another one, callers with kept connections are sent away
-// too, and requests that may not end in time are refused as not executed. The others are answered before the end, if only
-// with an error.
+// Once the platform sends new connections to other nodes, kept ones are closed too, and requests that may not end in time are
+// refused as not executed. All others are answered before the end, if only with an error.
 func (n *node) stop(stopTasks context.CancelFunc) time.Duration {
 	began := time.Now()
 	grace := n.state.gracePeriod()
