Count an idle slot of a split route only for items that take one, and simplify

An item that leaves its part to keep its output, or because the part can't run it, was counted before the idle slots were, so that items at a full part behind it stayed there in that pass.

Whether the node stops follows from when its stop ends; a library call in place of a loop; the job of an item is looked up only if the item has to wait.

--- a/internal/core/batchplan/split.go
+++ b/internal/core/batchplan/split.go
@@ -1,6 +1,7 @@
 package batchplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corkpulley/corkpulley/internal/core/incarnation"
@@ -33,20 +34,18 @@
 
 // serves reports whether the items of a job may run at a service, if they were given another one.
 func (r *jobRank) serves(service string) bool {
-	for _, each := range r.services {
-		if each == service {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.services, service)
 }
 
 // chooseAnyPart returns the item with the service and engine at which it starts, which are those of its own part of the
 // route if that can take it, or why it waits.
 func (p *pass) chooseAnyPart(item Item) (Item, incarnation.ID, WaitReason) {
 	engine, reason := p.choose(item)
+	if reason == NotWaiting {
+		return item, engine, NotWaiting
+	}
 	rank := p.plan.jobs[item.Key.Job]
-	if reason == NotWaiting || len(rank.services) < 2 || !p.mayLeavePart(&item, rank, reason) {
+	if len(rank.services) < 2 || !p.mayLeavePart(&item, rank, reason) {
 		return item, engine, reason
 	}
 	for _, service := range rank.services {
@@ -56,7 +55,9 @@
 		moved := item
 		moved.Service = service
 		if engine, wait := p.choose(moved); wait == NotWaiting {
-			p.idle[rank]--
+			if _, counted := p.idle[rank]; counted {
+				p.idle[rank]--
+			}
 			return moved, engine, NotWaiting
 		}
 	}
--- a/internal/core/batchplan/split_test.go
+++ b/internal/core/batchplan/split_test.go
@@ -104,3 +104,13 @@
 	assert.Assert(t, plan.due.demands["a"].exceedsSlots)
 	assert.Assert(t, !plan.due.demands["b"].exceedsSlots, "each item of b has a slot")
 }
+
+// Guards against items that stay at a full part because another item of their job left its part for another reason.
+func TestItemThatKeepsItsOutputTakesNoIdleSlot(t *testing.T) {
+	plan := splitPlan(6)
+	bound := plan.waiting[Key{"j", 0}]
+	bound.Length, bound.SameVersion, bound.Events, bound.IdleSince = 100, 3, 5, now
+	plan.Add(bound)
+	engines := []Engine{splitEngine("a", "a1", 1, 4), splitEngine("b", "b1", 19, 3)}
+	assert.DeepEqual(t, startsByService(plan.Assign(now.Add(maxPartWait), engines)), map[string]int{"a": 1, "b": 5})
+}
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -19,7 +19,6 @@
 	// configuredAt is the time at which the first table was applied.
 	configuredAt time.Time
 	versions     map[string]int64
-	stopping     bool
 	// stopEnds is when all requests must have been answered in a planned stop; zero before.
 	stopEnds time.Time
 	// grace is the maximum duration of a planned stop.
@@ -79,7 +78,7 @@
 func (s *state) beginStop(ends time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping, s.stopEnds = true, ends
+	s.stopEnds = ends
 }
 
 func (s *state) gracePeriod() time.Duration {
@@ -97,7 +96,7 @@
 func (s *state) isStopping() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.stopping
+	return !s.stopEnds.IsZero()
 }
 
 // limitToStop returns a duration that ends before a planned stop does: the given one if none is under way.
